--- /dev/null
+++ b/packages/contracts/src/ids.ts
@@ -0,0 +1,55 @@
+/**
+ * Branded identifiers. A brand stops one kind of id from being passed where
+ * another is meant; at run time each is a plain string.
+ */
+import * as z from "zod";
+
+const idText = z.string().min(1).max(200).regex(/^[A-Za-z0-9._:\-]+$/);
+
+/** Schema of {@link VmId}. */
+export const vmIdSchema = idText.brand<"VmId">();
+/** An entry VM, as named in its settings and in the platform's VM list. */
+export type VmId = z.infer<typeof vmIdSchema>;
+
+/** Schema of {@link Incarnation}. */
+export const incarnationSchema = idText.brand<"Incarnation">();
+/**
+ * One run of the process on an entry VM. A new run draws a new value, so that
+ * peers can tell a restarted process from the one it replaced.
+ */
+export type Incarnation = z.infer<typeof incarnationSchema>;
+
+/** Schema of {@link ZoneId}. */
+export const zoneIdSchema = idText.brand<"ZoneId">();
+/** An availability zone. */
+export type ZoneId = z.infer<typeof zoneIdSchema>;
+
+/** Schema of {@link ServiceId}. */
+export const serviceIdSchema = idText.brand<"ServiceId">();
+/** A service that callers address, for example `availability`. */
+export type ServiceId = z.infer<typeof serviceIdSchema>;
+
+/** Schema of {@link ServerId}. */
+export const serverIdSchema = idText.brand<"ServerId">();
+/** A backend server: one endpoint of one service. */
+export type ServerId = z.infer<typeof serverIdSchema>;
+
+/** Schema of {@link PartnerId}. */
+export const partnerIdSchema = idText.brand<"PartnerId">();
+/** A partner of the joint venture, who owns services and cost shares. */
+export type PartnerId = z.infer<typeof partnerIdSchema>;
+
+/** Schema of {@link CallerId}. */
+export const callerIdSchema = idText.brand<"CallerId">();
+/** A caller as told by its token or header; the unit of fair limits. */
+export type CallerId = z.infer<typeof callerIdSchema>;
+
+/** Schema of {@link RequestId}. */
+export const requestIdSchema = idText.brand<"RequestId">();
+/** One attempt of one request; an answer counts only if it bears this id. */
+export type RequestId = z.infer<typeof requestIdSchema>;
+
+/** Schema of {@link SliceId}. */
+export const sliceIdSchema = idText.brand<"SliceId">();
+/** A range of key hashes, named by its bounds: see `sliceIdOf`. */
+export type SliceId = z.infer<typeof sliceIdSchema>;
--- /dev/null
+++ b/packages/contracts/src/mod.ts
@@ -0,0 +1,10 @@
+/** Types, schemas and interfaces shared by every part of guavatide. */
+export * from "./assignment.ts";
+export * from "./backend_server.ts";
+export * from "./clock.ts";
+export * from "./config_objects.ts";
+export * from "./ids.ts";
+export * from "./outcomes.ts";
+export * from "./peer.ts";
+export * from "./platform_store.ts";
+export * from "./vm_list.ts";
--- /dev/null
+++ b/packages/contracts/src/peer.ts
@@ -0,0 +1,56 @@
+/**
+ * Messages between entry VMs. One heartbeat serves membership, evidence that
+ * an assignment revision is current, and the spread of newer revisions.
+ * Carried as JSON-RPC 2.0 over HTTP, method `heartbeat`.
+ */
+import * as z from "zod";
+import { assignmentSchema } from "./assignment.ts";
+import {
+  incarnationSchema,
+  serviceIdSchema,
+  vmIdSchema,
+  zoneIdSchema,
+} from "./ids.ts";
+
+/** Schema of {@link KnownRevision}. */
+export const knownRevisionSchema = z.strictObject({
+  service: serviceIdSchema,
+  revision: z.number().int().min(0),
+  /**
+   * Whether the sender may give evidence: it has read the store since it
+   * started. A restarted keeper has forgotten what it promised before.
+   */
+  settled: z.boolean(),
+});
+/** The highest assignment revision that a process knows of a service. */
+export type KnownRevision = z.infer<typeof knownRevisionSchema>;
+
+/** Schema of {@link PeerHeartbeat}. */
+export const peerHeartbeatSchema = z.strictObject({
+  vm: vmIdSchema,
+  incarnation: incarnationSchema,
+  zone: zoneIdSchema,
+  host: z.string().min(1),
+  peerPort: z.number().int(),
+  /** Set by the first beat after start and while leaving. */
+  leaving: z.boolean(),
+  known: z.array(knownRevisionSchema),
+  /** Revision of the published configuration in force at the sender. */
+  configRevision: z.number().int().min(0),
+  /** Load of the sender, for slots lent between entry VMs. */
+  slotsInUse: z.record(z.string(), z.number()).optional(),
+});
+/** Sent to peers at a fixed interval. */
+export type PeerHeartbeat = z.infer<typeof peerHeartbeatSchema>;
+
+/** Schema of {@link PeerHeartbeatReply}. */
+export const peerHeartbeatReplySchema = z.strictObject({
+  vm: vmIdSchema,
+  incarnation: incarnationSchema,
+  known: z.array(knownRevisionSchema),
+  configRevision: z.number().int().min(0),
+  /** Assignments newer than the sender's, whole. */
+  newer: z.array(assignmentSchema),
+});
+/** Answer to a {@link PeerHeartbeat}. */
+export type PeerHeartbeatReply = z.infer<typeof peerHeartbeatReplySchema>;
--- /dev/null
+++ b/packages/contracts/src/platform_store.ts
@@ -0,0 +1,84 @@
+/**
+ * The platform's object API as this system uses it: named objects with
+ * versions, conditional updates and watches. An adapter for another platform
+ * implements {@link PlatformStore} and passes its contract-test table.
+ */
+import type { ResultAsync } from "neverthrow";
+
+/** Largest value that the store holds, in bytes. */
+export const STORE_VALUE_LIMIT_BYTES = 1_048_576;
+
+/** Condition under which a write takes effect. */
+export type WriteCondition =
+  | { readonly kind: "absent" }
+  | { readonly kind: "version"; readonly version: string }
+  | { readonly kind: "any" };
+
+/** An object as read from the store. */
+export interface StoredObject {
+  readonly name: string;
+  /** Opaque; changes with every write. */
+  readonly version: string;
+  /** JSON text. */
+  readonly value: string;
+}
+
+/** One event of a watch. `cursor` resumes the watch after this event. */
+export interface WatchEvent {
+  readonly cursor: string;
+  readonly name: string;
+  /** Absent when the object was deleted. */
+  readonly object?: StoredObject;
+}
+
+/** What a poll of a watch returned. */
+export interface WatchBatch {
+  readonly cursor: string;
+  readonly events: readonly WatchEvent[];
+  /** True when events were lost: the reader lists anew. */
+  readonly reset: boolean;
+}
+
+/** What can go wrong at the store. */
+export type StoreError =
+  /** Nothing was written: the object's version was another. */
+  | { readonly kind: "conflict"; readonly message: string }
+  | { readonly kind: "not-found"; readonly message: string }
+  /** Nothing was written: the value or the call was refused. */
+  | { readonly kind: "refused"; readonly message: string }
+  /** The store did not answer in time or at all; a write may have happened. */
+  | { readonly kind: "unavailable"; readonly message: string };
+
+/** Deadline and cancellation, passed through every layer. */
+export interface CallOptions {
+  /** Time left for the call, in milliseconds. */
+  readonly timeoutMs: number;
+  readonly signal?: AbortSignal;
+}
+
+/** Client side of the platform's store. Each method is one counted call. */
+export interface PlatformStore {
+  get(
+    name: string,
+    options: CallOptions,
+  ): ResultAsync<StoredObject, StoreError>;
+  list(
+    prefix: string,
+    options: CallOptions,
+  ): ResultAsync<{ objects: StoredObject[]; cursor: string }, StoreError>;
+  /** Returns the new version. */
+  put(
+    name: string,
+    value: string,
+    options: CallOptions & { readonly condition: WriteCondition },
+  ): ResultAsync<string, StoreError>;
+  delete(
+    name: string,
+    options: CallOptions & { readonly condition: WriteCondition },
+  ): ResultAsync<void, StoreError>;
+  /** Long poll: returns on an event after `cursor` or after `waitMs`. */
+  watch(
+    prefix: string,
+    options: CallOptions & { readonly cursor: string; readonly waitMs: number },
+  ): ResultAsync<WatchBatch, StoreError>;
+}
--- /dev/null
+++ b/packages/contracts/src/vm_list.ts
@@ -0,0 +1,47 @@
+/** The platform's lagging list of live and leaving VMs. */
+import type { ResultAsync } from "neverthrow";
+import * as z from "zod";
+import {
+  serverIdSchema,
+  serviceIdSchema,
+  vmIdSchema,
+  zoneIdSchema,
+} from "./ids.ts";
+import type { CallOptions } from "./platform_store.ts";
+
+/** Schema of {@link ListedVm}. */
+export const listedVmSchema = z.strictObject({
+  kind: z.enum(["entry", "backend"]),
+  /** Set for an entry VM. */
+  vm: vmIdSchema.optional(),
+  /** Set for a backend server. */
+  server: serverIdSchema.optional(),
+  /** The service that a backend server belongs to. */
+  service: serviceIdSchema.optional(),
+  zone: zoneIdSchema,
+  /** IP number. */
+  host: z.string().min(1),
+  /** Entry VM: port for peers. Backend server: port for everything. */
+  port: z.number().int().min(1).max(65535),
+  state: z.enum(["live", "leaving"]),
+});
+/** One line of the VM list. */
+export type ListedVm = z.infer<typeof listedVmSchema>;
+
+/** Schema of {@link VmListSnapshot}. */
+export const vmListSnapshotSchema = z.strictObject({
+  vms: z.array(listedVmSchema),
+});
+/** The whole list as of some moment in the recent past. */
+export type VmListSnapshot = z.infer<typeof vmListSnapshotSchema>;
+
+/** Why the list could not be had. */
+export interface VmListError {
+  readonly kind: "unavailable";
+  readonly message: string;
+}
+
+/** Client side of the VM list. */
+export interface VmList {
+  fetch(options: CallOptions): ResultAsync<VmListSnapshot, VmListError>;
+}
--- /dev/null
+++ b/packages/decisions/src/mod.ts
@@ -0,0 +1,2 @@
+/** Entry of this package; exports grow with its parts. */
+export {};
