feat(entry): add log, life cycle, clock and the views of the request path

Parts are to be built side by side and need the same log prefixes, the same clean-up owner and the same view of owners, servers and configuration.

--- a/packages/entry/src/mod.ts
+++ b/packages/entry/src/mod.ts
@@ -1,2 +1,5 @@
-/** Entry of this package; exports grow with its parts. */
-export {};
+/** Parts of the entry process, for its own binary and for tests. */
+export * from "./contracts/views.ts";
+export * from "./utils/clock.ts";
+export * from "./utils/life_cycle.ts";
+export * from "./utils/log.ts";
