--- /dev/null
+++ b/packages/decisions/src/routing/outlier_ejection.ts
@@ -0,0 +1,98 @@
+/**
+ * Takes a server out of use on evidence from its own answers, and lets it
+ * back by a probe and then a single request. Health reports lag or mislead,
+ * and a frozen server accepts connections and bytes as a healthy one does;
+ * only answers count.
+ */
+
+/** Failures in a row after which a server is out. */
+const FAILURES_IN_A_ROW = 3;
+/** Time without any answer, with requests waiting, that hints at a freeze. */
+const SILENCE_MS = 400;
+/** First time out after failures; doubled with each further one. */
+const FIRST_EJECTION_MS = 500;
+/** Longest time out between two probes. */
+const LONGEST_EJECTION_MS = 8000;
+
+/**
+ * Where a server stands: `ejected` until a probe is due, `probing` while one
+ * is on its way, `on-trial` while it gets one request at a time.
+ */
+export type EjectionState = "in-use" | "ejected" | "probing" | "on-trial";
+
+/** Evidence about one server. */
+export class OutlierEjection {
+  #state: EjectionState = "in-use";
+  #failures = 0;
+  #lastAnswerMs = -Infinity;
+  #ejections = 0;
+  #ejectedUntilMs = -Infinity;
+
+  get state(): EjectionState {
+    return this.#state;
+  }
+
+  /** The server answered a request or refused it. */
+  noteAnswer(nowMs: number): void {
+    this.#state = "in-use";
+    this.#failures = 0;
+    this.#ejections = 0;
+    this.#lastAnswerMs = nowMs;
+  }
+
+  /** An attempt ended without an answer. Returns whether it ejected. */
+  noteFailure(nowMs: number): boolean {
+    this.#failures++;
+    const isOut = this.#state === "ejected" || this.#state === "probing";
+    if (isOut) return false;
+    const isEnough = this.#state === "on-trial" ||
+      this.#failures >= FAILURES_IN_A_ROW;
+    if (isEnough) this.#ejectFor(this.#nextTimeOutMs(), nowMs);
+    return isEnough;
+  }
+
+  /**
+   * Looks for a freeze: requests are in flight, the oldest was sent long ago
+   * and nothing at all came back since. The probe is due at once, since the
+   * requests may merely be long. Returns whether it ejected.
+   */
+  noteWaiting(oldestSentMs: number, nowMs: number): boolean {
+    if (this.#state !== "in-use") return false;
+    const since = Math.max(oldestSentMs, this.#lastAnswerMs);
+    if (nowMs - since < SILENCE_MS) return false;
+    this.#ejectFor(0, nowMs);
+    return true;
+  }
+
+  /** Whether one probe may be sent now; it counts as sent. */
+  tryProbe(nowMs: number): boolean {
+    const isDue = this.#state === "ejected" && nowMs >= this.#ejectedUntilMs;
+    if (isDue) this.#state = "probing";
+    return isDue;
+  }
+
+  /**
+   * A probe ended. An answer to a probe shows that the process runs, not that
+   * it serves requests, so the server is then tried with one request.
+   */
+  noteProbe(isAnswered: boolean, nowMs: number): void {
+    if (this.#state !== "probing") return;
+    if (!isAnswered) {
+      this.#ejectFor(this.#nextTimeOutMs(), nowMs);
+      return;
+    }
+    this.#state = "on-trial";
+    this.#lastAnswerMs = nowMs;
+  }
+
+  #nextTimeOutMs(): number {
+    const timeOutMs = FIRST_EJECTION_MS * 2 ** this.#ejections;
+    this.#ejections++;
+    return Math.min(LONGEST_EJECTION_MS, timeOutMs);
+  }
+
+  #ejectFor(timeOutMs: number, nowMs: number): void {
+    this.#state = "ejected";
+    this.#ejectedUntilMs = nowMs + timeOutMs;
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/routing/retry_rule.ts
@@ -0,0 +1,59 @@
+/** Says whether an attempt that brought no answer may be made again. */
+import type * as contracts from "@guavatide/contracts";
+import type { RetryBudget } from "./retry_budget.ts";
+
+/** How an attempt ended without an answer. */
+export type FailedAttempt =
+  | {
+    readonly kind: "not-run";
+    readonly reason: contracts.NotRunReason;
+    /** Set when the server refused. */
+    readonly refusal?: contracts.ServerRefusal;
+  }
+  | { readonly kind: "unknown"; readonly reason: contracts.UnknownReason };
+
+/** State of the request that {@link decideRetry} weighs. */
+export interface DecideRetryOptions {
+  readonly isIdempotent: boolean;
+  /** Attempts made so far. */
+  readonly attempts: number;
+  /** Whether a server is left that was not tried; always true for a key. */
+  readonly hasOtherServer: boolean;
+  readonly timeLeftMs: number;
+  readonly budget: RetryBudget;
+}
+
+/** What to do after a failed attempt. */
+export type RetryDecision =
+  | { readonly kind: "retry" }
+  | { readonly kind: "give-up"; readonly failure: FailedAttempt };
+
+/** Attempts of one request, the first included. */
+const ATTEMPT_LIMIT = 4;
+/** Less time than this is of no use for another attempt. */
+const LEAST_TIME_MS = 2;
+
+/**
+ * Only a request that was proved not to have run, or that is idempotent, is
+ * sent again: a second run of a booking charges for an hour twice.
+ */
+export function decideRetry(
+  failure: FailedAttempt,
+  options: DecideRetryOptions,
+): RetryDecision {
+  // A server that has lost or not yet got a key's slice refuses until it is
+  // told; the request waits for that, at the pace of its queue.
+  const isMoving = failure.kind === "not-run" &&
+    failure.refusal === "not-owner" && options.timeLeftMs >= LEAST_TIME_MS;
+  if (isMoving) return { kind: "retry" };
+  const isSafe = failure.kind === "not-run" || options.isIdempotent;
+  const isUseful = options.attempts < ATTEMPT_LIMIT &&
+    options.hasOtherServer && options.timeLeftMs >= LEAST_TIME_MS;
+  if (!isSafe || !isUseful) return { kind: "give-up", failure };
+  if (options.budget.tryTake()) return { kind: "retry" };
+  if (failure.kind === "unknown") return { kind: "give-up", failure };
+  return {
+    kind: "give-up",
+    failure: { kind: "not-run", reason: "retry-budget" },
+  };
+}
--- /dev/null
+++ b/packages/decisions/src/routing/server_board.ts
@@ -0,0 +1,219 @@
+/** What one entry VM knows of the servers of one service. */
+import type * as contracts from "@guavatide/contracts";
+import { OutlierEjection } from "./outlier_ejection.ts";
+import type { Candidate } from "./server_choice.ts";
+import { slowStartWeight } from "./slow_start.ts";
+
+/** Servers seen this soon after the board was made are taken as warm. */
+const WARM_AT_START_MS = 1000;
+
+/** Options of {@link ServerBoard}. */
+export interface ServerBoardOptions {
+  /** Requests that a server runs at once. */
+  readonly slotsPerServer: number;
+  /** Requests that this process may have in flight at one server. */
+  readonly localLimit: number;
+}
+
+/** How an attempt at a server ended, as far as the board cares. */
+export type AttemptEnd =
+  /** An answer came; `inFlight` is what the server reported with it. */
+  | { readonly kind: "answer"; readonly inFlight: number | undefined }
+  | {
+    readonly kind: "refusal";
+    readonly refusal: contracts.ServerRefusal;
+    readonly inFlight: number | undefined;
+  }
+  | { readonly kind: "failure" }
+  /** Ended from our side; says nothing about the server. */
+  | { readonly kind: "abandoned" };
+
+/** A change worth a log line. */
+export type BoardEvent = "ejected" | "on-trial" | "returned" | undefined;
+
+interface Entry {
+  readonly firstSeenMs: number;
+  readonly ejection: OutlierEjection;
+  /** Times at which the attempts in flight were sent, oldest first. */
+  readonly sentMs: number[];
+  reportedInFlight: number | undefined;
+  reportedMs: number;
+  /** No new request before this: the server said that it is busy. */
+  pausedUntilMs: number;
+}
+
+/** After `busy`, a server gets nothing for this long. */
+const BUSY_PAUSE_MS = 2;
+/** After `cold`, a server gets nothing for this long. */
+const COLD_PAUSE_MS = 100;
+
+/** Load and health of a service's servers, from this process's own attempts. */
+export class ServerBoard {
+  readonly #entries = new Map<contracts.ServerId, Entry>();
+  readonly #startMs: number;
+  #options: ServerBoardOptions;
+
+  constructor(options: ServerBoardOptions, nowMs: number) {
+    this.#options = options;
+    this.#startMs = nowMs;
+  }
+
+  /** Takes over changed limits. */
+  configure(options: ServerBoardOptions): void {
+    this.#options = options;
+  }
+
+  /** Forgets servers that are gone and begins to watch new ones. */
+  keepOnly(servers: ReadonlySet<contracts.ServerId>, nowMs: number): void {
+    for (const server of this.#entries.keys()) {
+      if (!servers.has(server)) this.#entries.delete(server);
+    }
+    for (const server of servers) this.#entry(server, nowMs);
+  }
+
+  /** Servers among those given that may take one more request now. */
+  candidates(
+    servers: Iterable<contracts.ServerId>,
+    nowMs: number,
+  ): Candidate[] {
+    const found: Candidate[] = [];
+    for (const server of servers) {
+      const entry = this.#entry(server, nowMs);
+      if (this.#mayTake(entry, nowMs)) {
+        found.push(this.#candidate(server, entry, nowMs));
+      }
+    }
+    return found;
+  }
+
+  /** Time until the first paused server may be used again, if any is paused. */
+  pauseLeftMs(nowMs: number): number | undefined {
+    let leastMs: number | undefined;
+    for (const entry of this.#entries.values()) {
+      const leftMs = entry.pausedUntilMs - nowMs;
+      if (leftMs <= 0) continue;
+      if (leastMs === undefined || leftMs < leastMs) leastMs = leftMs;
+    }
+    return leastMs;
+  }
+
+  /** Requests of this process in flight at a server. */
+  inFlight(server: contracts.ServerId): number {
+    return this.#entries.get(server)?.sentMs.length ?? 0;
+  }
+
+  /** Whether a server is out of use. */
+  isEjected(server: contracts.ServerId): boolean {
+    const state = this.#entries.get(server)?.ejection.state ?? "in-use";
+    return state === "ejected" || state === "probing";
+  }
+
+  /** Whether a probe of an ejected server is due; it counts as sent. */
+  tryProbe(server: contracts.ServerId, nowMs: number): boolean {
+    return this.#entries.get(server)?.ejection.tryProbe(nowMs) ?? false;
+  }
+
+  /** A request was given to a server. */
+  noteSent(server: contracts.ServerId, nowMs: number): void {
+    const entry = this.#entry(server, nowMs);
+    entry.sentMs.push(nowMs);
+    if (entry.reportedInFlight !== undefined) entry.reportedInFlight++;
+  }
+
+  /** The attempt that was sent at `sentMs` ended. */
+  noteEnd(
+    server: contracts.ServerId,
+    sentMs: number,
+    options: { readonly end: AttemptEnd; readonly nowMs: number },
+  ): BoardEvent {
+    const entry = this.#entry(server, options.nowMs);
+    const index = entry.sentMs.indexOf(sentMs);
+    if (index >= 0) entry.sentMs.splice(index, 1);
+    const { end, nowMs } = options;
+    if (end.kind === "abandoned") {
+      if (entry.reportedInFlight !== undefined) entry.reportedInFlight--;
+      return undefined;
+    }
+    if (end.kind === "failure") {
+      return entry.ejection.noteFailure(nowMs) ? "ejected" : undefined;
+    }
+    if (end.kind === "refusal") this.#pause(entry, end.refusal, nowMs);
+    entry.reportedInFlight = end.inFlight;
+    entry.reportedMs = nowMs;
+    const wasOut = entry.ejection.state !== "in-use";
+    entry.ejection.noteAnswer(nowMs);
+    return wasOut ? "returned" : undefined;
+  }
+
+  /** A probe of an ejected server ended. */
+  noteProbe(
+    server: contracts.ServerId,
+    isAnswered: boolean,
+    nowMs: number,
+  ): BoardEvent {
+    const entry = this.#entry(server, nowMs);
+    entry.ejection.noteProbe(isAnswered, nowMs);
+    return entry.ejection.state === "on-trial" ? "on-trial" : undefined;
+  }
+
+  /** Ejects servers that have gone silent; returns which. */
+  ejectSilent(nowMs: number): contracts.ServerId[] {
+    const ejected: contracts.ServerId[] = [];
+    for (const [server, entry] of this.#entries) {
+      const oldestMs = entry.sentMs[0];
+      if (oldestMs === undefined) continue;
+      if (entry.ejection.noteWaiting(oldestMs, nowMs)) ejected.push(server);
+    }
+    return ejected;
+  }
+
+  #pause(
+    entry: Entry,
+    refusal: contracts.ServerRefusal,
+    nowMs: number,
+  ): void {
+    if (refusal === "busy") entry.pausedUntilMs = nowMs + BUSY_PAUSE_MS;
+    if (refusal === "cold") entry.pausedUntilMs = nowMs + COLD_PAUSE_MS;
+  }
+
+  #mayTake(entry: Entry, nowMs: number): boolean {
+    const state = entry.ejection.state;
+    if (state === "ejected" || state === "probing") return false;
+    if (entry.pausedUntilMs > nowMs) return false;
+    if (state === "on-trial") return entry.sentMs.length === 0;
+    const share = slowStartWeight(nowMs - entry.firstSeenMs);
+    const limit = Math.max(1, Math.floor(this.#options.localLimit * share));
+    return entry.sentMs.length < limit;
+  }
+
+  #candidate(
+    server: contracts.ServerId,
+    entry: Entry,
+    nowMs: number,
+  ): Candidate {
+    return {
+      server,
+      localInFlight: entry.sentMs.length,
+      reportedInFlight: entry.reportedInFlight,
+      reportAgeMs: nowMs - entry.reportedMs,
+      slots: this.#options.slotsPerServer,
+      weight: slowStartWeight(nowMs - entry.firstSeenMs),
+    };
+  }
+
+  #entry(server: contracts.ServerId, nowMs: number): Entry {
+    const found = this.#entries.get(server);
+    if (found !== undefined) return found;
+    const isFirst = nowMs - this.#startMs < WARM_AT_START_MS;
+    const entry: Entry = {
+      firstSeenMs: isFirst ? -Infinity : nowMs,
+      ejection: new OutlierEjection(),
+      sentMs: [],
+      reportedInFlight: undefined,
+      reportedMs: -Infinity,
+      pausedUntilMs: -Infinity,
+    };
+    this.#entries.set(server, entry);
+    return entry;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/links/header_list.ts
@@ -0,0 +1,68 @@
+/**
+ * Lists of header names and values in turn, as Node and undici give them. A
+ * list keeps repeated headers and costs less than a map on every request.
+ */
+
+/** Headers that concern one connection only and are never passed on. */
+const CONNECTION_HEADERS = new Set([
+  "connection",
+  "content-length",
+  "date",
+  "expect",
+  "host",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+/** Headers of this system; each side sets its own. */
+const OWN_PREFIX = "guavatide-";
+
+/** The value of a header, by its name in lower case. */
+export function readHeader(
+  headers: readonly string[],
+  name: string,
+): string | undefined {
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    const found = headers[index]!;
+    if (found.length === name.length && found.toLowerCase() === name) {
+      return headers[index + 1];
+    }
+  }
+  return undefined;
+}
+
+/** Headers of a caller's request that go on to the server. */
+export function requestHeaders(headers: readonly string[]): string[] {
+  return passOn(headers);
+}
+
+/** Headers of a server's answer that go on to the caller. */
+export function answerHeaders(headers: readonly string[]): string[] {
+  return passOn(headers);
+}
+
+function passOn(headers: readonly string[]): string[] {
+  const listed = connectionTokens(headers);
+  const passed: string[] = [];
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    const name = headers[index]!.toLowerCase();
+    const isOurs = name.startsWith(OWN_PREFIX);
+    if (isOurs || CONNECTION_HEADERS.has(name)) continue;
+    if (listed?.includes(name)) continue;
+    passed.push(headers[index]!, headers[index + 1]!);
+  }
+  return passed;
+}
+
+/** Names that the sender's Connection header declares as its own. */
+function connectionTokens(headers: readonly string[]): string[] | undefined {
+  const value = readHeader(headers, "connection");
+  if (value === undefined) return undefined;
+  return value.toLowerCase().split(",").map((name) => name.trim());
+}
--- /dev/null
+++ b/packages/entry/src/links/link_pool.ts
@@ -0,0 +1,99 @@
+/** The links from this entry VM to one backend server. */
+import {
+  type LinkRequest,
+  type LinkResult,
+  ServerLink,
+  type ServerLinkOptions,
+} from "./server_link.ts";
+
+/** Options of {@link LinkPool}. */
+export interface LinkPoolOptions extends ServerLinkOptions {
+  /** This VM's share of the connections that the server takes. */
+  readonly linkLimit: number;
+}
+
+/** Options of {@link LinkPool.send}. */
+export interface SendOptions {
+  /** Gives up after this time, counted from the call. */
+  readonly timeoutMs: number;
+  readonly signal: AbortSignal;
+}
+
+/** Connections of a pool, for metrics. */
+export interface LinkCounts {
+  readonly idle: number;
+  readonly busy: number;
+}
+
+/** A bounded set of links; the one used last is used next. */
+export class LinkPool {
+  readonly #options: LinkPoolOptions;
+  readonly #idle: ServerLink[] = [];
+  readonly #busy = new Set<ServerLink>();
+  #isClosed = false;
+
+  constructor(options: LinkPoolOptions) {
+    this.#options = options;
+  }
+
+  get counts(): LinkCounts {
+    return { idle: this.#idle.length, busy: this.#busy.size };
+  }
+
+  /** Sends a request over a free link, or over a new one. */
+  async send(request: LinkRequest, options: SendOptions): Promise<LinkResult> {
+    const link = this.#take();
+    if (link === undefined) {
+      return { kind: "not-sent", message: "All connections are in use" };
+    }
+    const receivedBytes = link.bytesReceived;
+    const timer = setTimeout(
+      () => link.abandon("timeout-after-send", "No answer before the deadline"),
+      options.timeoutMs,
+    );
+    const onAbort = () =>
+      link.abandon("connection-lost", "The caller has gone");
+    options.signal.addEventListener("abort", onAbort, { once: true });
+    const result = await link.send(request);
+    clearTimeout(timer);
+    options.signal.removeEventListener("abort", onAbort);
+    this.#giveBack(link);
+    const isSilent = result.kind === "unknown" &&
+      link.bytesReceived === receivedBytes;
+    if (isSilent) this.#retireIdle();
+    return result;
+  }
+
+  /** Closes the idle links and each busy one as its request ends. */
+  close(): void {
+    this.#isClosed = true;
+    this.#retireIdle();
+  }
+
+  #take(): ServerLink | undefined {
+    let link = this.#idle.pop();
+    while (link !== undefined && !link.isUsable) link = this.#idle.pop();
+    if (link === undefined) {
+      const isFull = this.#busy.size >= this.#options.linkLimit;
+      if (isFull || this.#isClosed) return undefined;
+      link = new ServerLink(this.#options);
+    }
+    this.#busy.add(link);
+    return link;
+  }
+
+  #giveBack(link: ServerLink): void {
+    this.#busy.delete(link);
+    if (this.#isClosed) link.retire();
+    if (link.isUsable) this.#idle.push(link);
+  }
+
+  /**
+   * A request went out and not one byte came back. Something between the two
+   * ends may have lost track of the connections opened before, which look
+   * open and stay silent; the next request therefore opens a new one.
+   */
+  #retireIdle(): void {
+    for (const link of this.#idle.splice(0)) link.retire();
+  }
+}
--- /dev/null
+++ b/packages/entry/src/links/server_link.ts
@@ -0,0 +1,277 @@
+/** One connection to a backend server, with one request at a time. */
+import type * as contracts from "@guavatide/contracts";
+import * as names from "@guavatide/contracts";
+import type * as net from "node:net";
+import * as undici from "undici";
+import { answerHeaders, readHeader } from "./header_list.ts";
+import type { ServerAnswer } from "../requests/caller_request.ts";
+
+/** One attempt of a request, as it goes over a link. */
+export interface LinkRequest {
+  readonly id: contracts.RequestId;
+  readonly method: string;
+  readonly path: string;
+  /** Names and values in turn. */
+  readonly headers: readonly string[];
+  readonly body: Uint8Array | undefined;
+  /** Called right before the bytes leave; false keeps them here. */
+  mayLeave(): boolean;
+}
+
+/** How an attempt ended. Only the first two leave the link usable. */
+export type LinkResult =
+  | {
+    readonly kind: "answer";
+    readonly answer: ServerAnswer;
+    readonly inFlight: number | undefined;
+  }
+  | {
+    readonly kind: "refusal";
+    readonly refusal: contracts.ServerRefusal;
+    readonly inFlight: number | undefined;
+  }
+  /** No byte left. */
+  | { readonly kind: "not-sent"; readonly message: string }
+  /** Bytes left and no whole answer came. */
+  | {
+    readonly kind: "unknown";
+    readonly reason: contracts.UnknownReason;
+    readonly message: string;
+  };
+
+/** Options of {@link ServerLink}. */
+export interface ServerLinkOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly connectTimeoutMs: number;
+  /** An idle connection is closed after this time. */
+  readonly idleTimeoutMs: number;
+  readonly answerLimitBytes: number;
+}
+
+/** A request whose end is awaited. */
+interface Pending {
+  readonly request: LinkRequest;
+  readonly settle: (result: LinkResult) => void;
+  hasLeft: boolean;
+  abort: ((reason: Error) => void) | undefined;
+}
+
+/** A connection that serves one request after another until one goes wrong. */
+export class ServerLink {
+  readonly #client: undici.Client;
+  readonly #answerLimitBytes: number;
+  #socket: net.Socket | undefined;
+  #pending: Pending | undefined;
+  #isUsable = true;
+
+  constructor(options: ServerLinkOptions) {
+    this.#answerLimitBytes = options.answerLimitBytes;
+    const connect = undici.buildConnector({
+      timeout: options.connectTimeoutMs,
+    });
+    const origin = `http://${options.host}:${options.port}`;
+    this.#client = new undici.Client(origin, {
+      pipelining: 1,
+      keepAliveTimeout: options.idleTimeoutMs,
+      keepAliveMaxTimeout: options.idleTimeoutMs,
+      // Deadlines are the request's own; the client's would hide them.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connect: (connectOptions, callback) =>
+        connect(connectOptions, (...result: unknown[]) => {
+          const [error, socket] = result as [Error | null, net.Socket];
+          if (error === null) this.#socket = socket;
+          (callback as (...values: unknown[]) => void)(...result);
+        }),
+    });
+    // A lost connection ends the link: a request is never moved silently to
+    // a new connection, where it would run a second time.
+    this.#client.on("disconnect", () => this.retire());
+  }
+
+  /** False once anything went wrong; the link then takes no request. */
+  get isUsable(): boolean {
+    return this.#isUsable;
+  }
+
+  /** Bytes that the server has sent on this connection: its progress. */
+  get bytesReceived(): number {
+    return this.#socket?.bytesRead ?? 0;
+  }
+
+  /** Sends a request and waits for its end. One at a time. */
+  send(request: LinkRequest): Promise<LinkResult> {
+    return new Promise((resolve) => {
+      const pending: Pending = {
+        request,
+        hasLeft: false,
+        abort: undefined,
+        settle: (result) => {
+          if (this.#pending !== pending) return;
+          this.#pending = undefined;
+          const isWhole = result.kind === "answer" || result.kind === "refusal";
+          if (!isWhole) this.retire();
+          resolve(result);
+        },
+      };
+      this.#pending = pending;
+      this.#dispatch(pending);
+    });
+  }
+
+  /** Gives up the request in flight; the link is of no more use. */
+  abandon(reason: contracts.UnknownReason, message: string): void {
+    const pending = this.#pending;
+    if (pending === undefined) return;
+    pending.settle(endWithoutAnswer(pending, reason, message));
+    pending.abort?.(new Error(message));
+  }
+
+  /** Closes the connection and takes no further request. */
+  retire(): void {
+    if (!this.#isUsable) return;
+    this.#isUsable = false;
+    this.#client.destroy().catch(() => {});
+  }
+
+  #dispatch(pending: Pending): void {
+    const { request } = pending;
+    let answer: AnswerReader | undefined;
+    this.#client.dispatch({
+      method: request.method as undici.Dispatcher.HttpMethod,
+      path: request.path,
+      headers: request.headers as string[],
+      body: request.body ?? null,
+    }, {
+      onRequestStart: (controller) => {
+        pending.abort = (reason) => controller.abort(reason);
+        if (this.#pending !== pending || !request.mayLeave()) {
+          controller.abort(new Error("The request may not leave any more"));
+          return;
+        }
+        pending.hasLeft = true;
+      },
+      onResponseStart: (controller, status) => {
+        const raw = (controller as HeaderSource).rawHeaders ?? [];
+        answer = new AnswerReader(status, raw, {
+          request,
+          limitBytes: this.#answerLimitBytes,
+        });
+      },
+      onResponseData: (controller, chunk) => {
+        if (!answer!.add(chunk)) {
+          controller.abort(new Error("The answer is larger than the limit"));
+        }
+      },
+      onResponseEnd: () => pending.settle(answer!.finish()),
+      onResponseError: (_controller, error) => {
+        pending.settle(
+          endWithoutAnswer(pending, "connection-lost", error.message),
+        );
+      },
+    });
+  }
+}
+
+/** The part of undici's controller that its types leave out. */
+interface HeaderSource {
+  readonly rawHeaders?: readonly Uint8Array[] | null;
+}
+
+function decodeHeader(bytes: Uint8Array): string {
+  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length)
+    .toString("latin1");
+}
+
+function endWithoutAnswer(
+  pending: Pending,
+  reason: contracts.UnknownReason,
+  message: string,
+): LinkResult {
+  if (!pending.hasLeft) return { kind: "not-sent", message };
+  return { kind: "unknown", reason, message };
+}
+
+/** Options of {@link AnswerReader}. */
+interface AnswerReaderOptions {
+  readonly request: LinkRequest;
+  readonly limitBytes: number;
+}
+
+/** Gathers one answer and checks that it is the request's own and whole. */
+class AnswerReader {
+  readonly #status: number;
+  readonly #headers: readonly string[];
+  readonly #options: AnswerReaderOptions;
+  readonly #chunks: Uint8Array[] = [];
+  #sizeBytes = 0;
+
+  constructor(
+    status: number,
+    rawHeaders: readonly Uint8Array[],
+    options: AnswerReaderOptions,
+  ) {
+    this.#status = status;
+    this.#headers = rawHeaders.map(decodeHeader);
+    this.#options = options;
+  }
+
+  /** Adds a piece of the body; false when it grows beyond the limit. */
+  add(chunk: Uint8Array): boolean {
+    this.#sizeBytes += chunk.length;
+    this.#chunks.push(chunk);
+    return this.#sizeBytes <= this.#options.limitBytes;
+  }
+
+  finish(): LinkResult {
+    const { request } = this.#options;
+    const echoed = readHeader(this.#headers, names.REQUEST_ID_HEADER);
+    if (echoed !== request.id) {
+      return badAnswer("The answer bears the id of another request");
+    }
+    if (!this.#hasKnownEnd()) {
+      return badAnswer("The answer's length can't be checked");
+    }
+    const inFlight = this.#inFlight();
+    const refusal = readHeader(this.#headers, names.NOT_RUN_HEADER);
+    if (refusal !== undefined) {
+      return {
+        kind: "refusal",
+        refusal: refusal as contracts.ServerRefusal,
+        inFlight,
+      };
+    }
+    const answer: ServerAnswer = {
+      status: this.#status,
+      headers: answerHeaders(this.#headers),
+      body: this.#chunks.length === 1
+        ? this.#chunks[0]!
+        : Buffer.concat(this.#chunks),
+    };
+    return { kind: "answer", answer, inFlight };
+  }
+
+  /**
+   * Whether a cut-off body would have been noticed. A body that ends with its
+   * connection looks whole when the connection breaks; one with a length or
+   * in chunks makes the client report an error instead.
+   */
+  #hasKnownEnd(): boolean {
+    const hasNoBody = this.#options.request.method === "HEAD" ||
+      this.#status === 204 || this.#status === 304;
+    return hasNoBody ||
+      readHeader(this.#headers, "content-length") !== undefined ||
+      readHeader(this.#headers, "transfer-encoding") !== undefined;
+  }
+
+  #inFlight(): number | undefined {
+    const text = readHeader(this.#headers, names.IN_FLIGHT_HEADER);
+    const value = Number(text);
+    return text === undefined || !Number.isFinite(value) ? undefined : value;
+  }
+}
+
+function badAnswer(message: string): LinkResult {
+  return { kind: "unknown", reason: "bad-answer", message };
+}
--- /dev/null
+++ b/packages/entry/src/links/server_links.ts
@@ -0,0 +1,114 @@
+/** All links of this entry VM to backend servers, one pool a server. */
+import type * as contracts from "@guavatide/contracts";
+import * as undici from "undici";
+import type { ServerAddress } from "../contracts/views.ts";
+import type { LifeCycle } from "../utils/life_cycle.ts";
+import { LinkPool } from "./link_pool.ts";
+
+/** Options of {@link ServerLinks}. */
+export interface ServerLinksOptions {
+  readonly connectTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+  readonly answerLimitBytes: number;
+  /** Time a probe or a cancellation may take. */
+  readonly controlTimeoutMs: number;
+}
+
+/** Defaults of {@link ServerLinksOptions}. */
+export const SERVER_LINKS_DEFAULTS: ServerLinksOptions = {
+  connectTimeoutMs: 500,
+  // Below the five seconds after which common servers close an idle
+  // connection: one closed by the server just as a request leaves makes that
+  // request's fate unknown.
+  idleTimeoutMs: 4000,
+  answerLimitBytes: 8 * 1024 * 1024,
+  controlTimeoutMs: 500,
+};
+
+interface Place {
+  readonly host: string;
+  readonly port: number;
+  readonly pool: LinkPool;
+}
+
+/** Pools by server; a server that changes its address gets a new one. */
+export class ServerLinks {
+  readonly #options: ServerLinksOptions;
+  readonly #places = new Map<contracts.ServerId, Place>();
+  readonly #control: undici.Agent;
+
+  constructor(options: ServerLinksOptions, lifeCycle: LifeCycle) {
+    this.#options = options;
+    this.#control = new undici.Agent({
+      connections: 1,
+      connect: { timeout: options.connectTimeoutMs },
+      keepAliveTimeout: 1000,
+      headersTimeout: options.controlTimeoutMs,
+      bodyTimeout: options.controlTimeoutMs,
+    });
+    lifeCycle.onStop({
+      name: "links to backend servers",
+      timeoutMs: 2000,
+      run: () => this.#close(),
+    });
+  }
+
+  /** The pool of a server, made on first use. */
+  pool(address: ServerAddress, linkLimit: number): LinkPool {
+    const found = this.#places.get(address.server);
+    const isSame = found?.host === address.host && found.port === address.port;
+    if (found !== undefined && isSame) return found.pool;
+    found?.pool.close();
+    const { host, port } = address;
+    const pool = new LinkPool({ ...this.#options, host, port, linkLimit });
+    this.#places.set(address.server, { host, port, pool });
+    return pool;
+  }
+
+  /** Drops the pools of servers that are gone. */
+  keepOnly(servers: ReadonlySet<contracts.ServerId>): void {
+    for (const [server, place] of this.#places) {
+      if (servers.has(server)) continue;
+      place.pool.close();
+      this.#places.delete(server);
+    }
+  }
+
+  /**
+   * Asks a server to stop working on a request that nobody waits for any
+   * more. Best effort: the request's fate stays as it is.
+   */
+  cancel(address: ServerAddress, id: contracts.RequestId): void {
+    const path = `/control/requests/${id}`;
+    this.#controlCall(address, { method: "DELETE", path }).catch(() => {});
+  }
+
+  /** Whether a server answers at all, asked over a connection of its own. */
+  async probe(address: ServerAddress): Promise<boolean> {
+    try {
+      const path = "/control/load";
+      return await this.#controlCall(address, { method: "GET", path }) < 500;
+    } catch {
+      return false;
+    }
+  }
+
+  async #controlCall(
+    address: ServerAddress,
+    options: { readonly method: "GET" | "DELETE"; readonly path: string },
+  ): Promise<number> {
+    const reply = await this.#control.request({
+      origin: `http://${address.host}:${address.port}`,
+      method: options.method,
+      path: options.path,
+      signal: AbortSignal.timeout(this.#options.controlTimeoutMs),
+    });
+    await reply.body.dump();
+    return reply.statusCode;
+  }
+
+  async #close(): Promise<void> {
+    this.keepOnly(new Set());
+    await this.#control.destroy();
+  }
+}
--- /dev/null
+++ b/packages/entry/src/requests/caller_listener.ts
@@ -0,0 +1,152 @@
+/** Accepts callers over HTTP and answers them. */
+import type * as contracts from "@guavatide/contracts";
+import * as names from "@guavatide/contracts";
+import * as http from "node:http";
+import type * as net from "node:net";
+import type { LifeCycle } from "../utils/life_cycle.ts";
+import {
+  type CallerAnswer,
+  type CallerRequest,
+  notRun,
+} from "./caller_request.ts";
+import { readBody, readHead } from "./read_request.ts";
+import type { RequestSettings } from "./request_settings.ts";
+import { bareAnswer, writeAnswer } from "./write_answer.ts";
+
+/** Options of {@link CallerListener}. */
+export interface CallerListenerOptions {
+  readonly settings: RequestSettings;
+  readonly clock: contracts.Clock;
+  readonly lifeCycle: LifeCycle;
+  /** Handles one whole request; see `RequestRouter`. */
+  readonly route: (request: CallerRequest) => Promise<CallerAnswer>;
+}
+
+/** Interval at which Node looks for requests that arrive too slowly. */
+const CHECK_INTERVAL_MS = 500;
+
+/** The listening socket for callers. */
+export class CallerListener {
+  readonly #options: CallerListenerOptions;
+  readonly #server: http.Server;
+  #inFlight = 0;
+  #onIdle: (() => void) | undefined;
+
+  constructor(options: CallerListenerOptions) {
+    this.#options = options;
+    const { settings } = options;
+    this.#server = http.createServer({
+      maxHeaderSize: settings.headerLimitBytes,
+      headersTimeout: settings.headersTimeoutMs,
+      requestTimeout: settings.requestTimeoutMs,
+      keepAliveTimeout: settings.keepAliveTimeoutMs,
+      connectionsCheckingInterval: CHECK_INTERVAL_MS,
+    });
+    this.#server.maxConnections = settings.connectionLimit;
+    this.#server.on("request", (incoming, response) => {
+      this.#handle(incoming, response).catch(() => response.destroy());
+    });
+    this.#server.on("clientError", answerBrokenRequest);
+  }
+
+  /** Requests being read, routed or answered. */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  /** Starts to listen. Returns the port. Errors: the address is taken. */
+  listen(): Promise<number> {
+    const { settings, lifeCycle } = this.#options;
+    lifeCycle.onStop({
+      name: "listener for callers",
+      timeoutMs: settings.drainTimeoutMs,
+      run: () => this.#drain(),
+    });
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(settings.port, settings.host, () => {
+        this.#server.off("error", reject);
+        resolve((this.#server.address() as net.AddressInfo).port);
+      });
+    });
+  }
+
+  async #handle(
+    incoming: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const arrivedMs = this.#options.clock.nowMs();
+    this.#inFlight++;
+    const gone = new AbortController();
+    response.once("close", () => {
+      this.#inFlight--;
+      if (!response.writableFinished) gone.abort();
+      if (this.#inFlight === 0) this.#onIdle?.();
+    });
+    const answer = await this.#answer(incoming, {
+      arrivedMs,
+      signal: gone.signal,
+    });
+    // A body that was refused is not read to its end, so the connection can't
+    // carry another request.
+    const mustClose = !incoming.complete || this.#options.lifeCycle.isStopping;
+    if (!response.destroyed) writeAnswer(response, answer, { mustClose });
+  }
+
+  async #answer(
+    incoming: http.IncomingMessage,
+    options: { readonly arrivedMs: number; readonly signal: AbortSignal },
+  ): Promise<CallerAnswer> {
+    const { settings, lifeCycle, route } = this.#options;
+    if (lifeCycle.isStopping) {
+      return notRun("shutting-down", {
+        message: "This entry VM is stopping; send the request again",
+      });
+    }
+    if (this.#inFlight > settings.inFlightLimit) {
+      return notRun("queue-full", {
+        message: "Too many requests are in flight; come back later",
+      });
+    }
+    const head = readHead(incoming);
+    if (head.isErr()) return head.error;
+    const body = await readBody(incoming, settings.bodyLimitBytes);
+    if (body.isErr()) return body.error;
+    return route({ ...head.value, ...options, body: body.value });
+  }
+
+  /** Lets requests in flight end; takes no new connection meanwhile. */
+  async #drain(): Promise<void> {
+    const closed = new Promise<void>((resolve) => {
+      this.#server.close(() => resolve());
+    });
+    this.#server.closeIdleConnections();
+    if (this.#inFlight > 0) {
+      await new Promise<void>((resolve) => {
+        this.#onIdle = resolve;
+      });
+    }
+    this.#server.closeAllConnections();
+    await closed;
+  }
+}
+
+/** Status of each error that Node's parser reports, besides 400. */
+const BROKEN_REQUEST_STATUS: Readonly<Record<string, number>> = {
+  ERR_HTTP_REQUEST_TIMEOUT: 408,
+  HPE_HEADER_OVERFLOW: 431,
+};
+
+function answerBrokenRequest(error: Error, socket: net.Socket): void {
+  const { code } = error as NodeJS.ErrnoException;
+  const hasNoReader = code === "ECONNRESET" || !socket.writable;
+  if (hasNoReader) {
+    socket.destroy();
+    return;
+  }
+  const status = BROKEN_REQUEST_STATUS[code ?? ""] ?? 400;
+  socket.end(bareAnswer(status, {
+    [names.OUTCOME_HEADER]: "not-run",
+    [names.REASON_HEADER]: "bad-request",
+  }));
+}
--- /dev/null
+++ b/packages/entry/src/requests/fakes_test_support.ts
@@ -0,0 +1,196 @@
+/** Views and a backend server in memory, for tests of the request path. */
+import type * as contracts from "@guavatide/contracts";
+import * as names from "@guavatide/contracts";
+import * as http from "node:http";
+import type * as net from "node:net";
+import type {
+  ConfigView,
+  OwnerLookup,
+  OwnerView,
+  ServerAddress,
+  ServerView,
+} from "../contracts/views.ts";
+import { SERVER_LINKS_DEFAULTS, ServerLinks } from "../links/server_links.ts";
+import { MonotonicClock, SystemRandom } from "../utils/clock.ts";
+import { LifeCycle } from "../utils/life_cycle.ts";
+import { createLog } from "../utils/log.ts";
+import { CallerListener } from "./caller_listener.ts";
+import { NO_METRICS } from "./request_metrics.ts";
+import { RequestRouter } from "./request_router.ts";
+import { REQUEST_DEFAULTS, type RequestSettings } from "./request_settings.ts";
+
+/** A backend server whose behaviour a test sets. */
+export class FakeBackend {
+  readonly server: http.Server;
+  /** Requests for work that arrived, in order. */
+  readonly ran: http.IncomingMessage[] = [];
+  readonly cancelled: string[] = [];
+  address!: ServerAddress;
+
+  constructor(
+    answer: (
+      incoming: http.IncomingMessage,
+      response: http.ServerResponse,
+    ) => void = answerWell,
+  ) {
+    this.server = http.createServer((incoming, response) => {
+      if (incoming.url!.startsWith("/control/requests/")) {
+        this.cancelled.push(incoming.url!.split("/").at(-1)!);
+        response.end();
+        return;
+      }
+      if (incoming.url!.startsWith("/control/")) {
+        response.end("{}");
+        return;
+      }
+      this.ran.push(incoming);
+      answer(incoming, response);
+    });
+  }
+
+  async listen(server: string, service: contracts.ServiceId): Promise<void> {
+    await new Promise<void>((resolve) =>
+      this.server.listen(0, "127.0.0.1", resolve)
+    );
+    this.address = {
+      server: server as contracts.ServerId,
+      service,
+      zone: "z" as contracts.ZoneId,
+      host: "127.0.0.1",
+      port: (this.server.address() as net.AddressInfo).port,
+      state: "live",
+    };
+  }
+}
+
+/** Echoes the request's id and says hello. */
+export function answerWell(
+  incoming: http.IncomingMessage,
+  response: http.ServerResponse,
+): void {
+  response.setHeader(
+    names.REQUEST_ID_HEADER,
+    incoming.headers[names.REQUEST_ID_HEADER]!,
+  );
+  response.setHeader(names.IN_FLIGHT_HEADER, "0");
+  response.setHeader("content-type", "text/plain");
+  response.end("hello");
+}
+
+/** Echoes the request's id and refuses. */
+export function answerRefusal(refusal: contracts.ServerRefusal) {
+  return (
+    incoming: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void => {
+    response.statusCode = 503;
+    response.setHeader(names.NOT_RUN_HEADER, refusal);
+    answerWell(incoming, response);
+  };
+}
+
+/** Options of {@link startEntry}. */
+export interface StartEntryOptions {
+  readonly service?: Partial<contracts.Service>;
+  readonly partner?: Partial<contracts.Partner>;
+  readonly settings?: Partial<RequestSettings>;
+  readonly owners?: Partial<OwnerView>;
+}
+
+/** One entry VM's request path over fakes. */
+export interface TestEntry {
+  readonly url: string;
+  readonly lifeCycle: LifeCycle;
+  readonly addresses: ServerAddress[];
+}
+
+export const TEST_SERVICE = "booths" as contracts.ServiceId;
+
+/** Starts a listener and a router over the given backend servers. */
+export async function startEntry(
+  backends: readonly FakeBackend[],
+  options: StartEntryOptions = {},
+): Promise<TestEntry> {
+  for (const [index, backend] of backends.entries()) {
+    await backend.listen(`s${index}`, TEST_SERVICE);
+  }
+  const lifeCycle = new LifeCycle();
+  for (const backend of backends) {
+    lifeCycle.onStop({
+      name: "backend",
+      timeoutMs: 1000,
+      run: () => {
+        backend.server.closeAllConnections();
+        backend.server.close();
+      },
+    });
+  }
+  const addresses = backends.map((backend) => backend.address);
+  const service: contracts.Service = {
+    kind: "service",
+    name: TEST_SERVICE,
+    partner: "kayfa" as contracts.PartnerId,
+    places: ["z" as contracts.ZoneId],
+    keyed: false,
+    slotsPerServer: 2,
+    connectionsPerServer: 110,
+    idempotentMethods: ["GET", "HEAD"],
+    timeoutMs: 2000,
+    queueRequests: 8,
+    imbalanceWeight: 1,
+    churnWeight: 1,
+    ...options.service,
+  };
+  const partner: contracts.Partner = {
+    kind: "partner",
+    name: service.partner,
+    requestsPerSecond: 10_000,
+    burstRequests: 10_000,
+    ...options.partner,
+  };
+  const config: ConfigView = {
+    revision: 1,
+    service: (id) => id === service.name ? service : undefined,
+    partner: (id) => id === partner.name ? partner : undefined,
+  };
+  const servers: ServerView = {
+    servers: () => addresses,
+    server: (id) => addresses.find((address) => address.server === id),
+    noteDraining: (id) => {
+      const index = addresses.findIndex((address) => address.server === id);
+      addresses[index] = { ...addresses[index]!, state: "draining" };
+    },
+  };
+  const owners: OwnerView = {
+    lookup: (): OwnerLookup => ({ kind: "none" }),
+    mayForward: () => true,
+    noteForwarded: () => ({ done() {} }),
+    onChange: () => () => {},
+    noteNotOwner: () => {},
+    ...options.owners,
+  };
+  const settings = { ...REQUEST_DEFAULTS, ...options.settings };
+  const clock = new MonotonicClock();
+  const router = new RequestRouter({
+    config,
+    servers,
+    owners,
+    links: new ServerLinks(SERVER_LINKS_DEFAULTS, lifeCycle),
+    hashKey: (key) => key.length,
+    entryVmCount: () => 9,
+    clock,
+    random: new SystemRandom(),
+    log: createLog({ format: "text", level: "silent" }),
+    lifeCycle,
+    metrics: NO_METRICS,
+    longestTimeoutMs: settings.longestTimeoutMs,
+  });
+  const listener = new CallerListener({
+    settings,
+    clock,
+    lifeCycle,
+    route: (request) => router.route(request),
+  });
+  const port = await listener.listen();
+  return { url: `http://127.0.0.1:${port}`, lifeCycle, addresses };
+}
--- /dev/null
+++ b/packages/entry/src/requests/read_request.ts
@@ -0,0 +1,116 @@
+/** Reads a caller's request and refuses what can't be routed. */
+import * as contracts from "@guavatide/contracts";
+import { err, ok, type Result } from "neverthrow";
+import type * as http from "node:http";
+import { requestHeaders } from "../links/header_list.ts";
+import {
+  type CallerAnswer,
+  type CallerRequest,
+  notRun,
+} from "./caller_request.ts";
+
+/** What the head of a request tells. */
+export type RequestHead = Omit<CallerRequest, "body" | "arrivedMs" | "signal">;
+
+/** Path under which callers address services. */
+const SERVICE_PATH = "/s/";
+/** Longest key, caller name. */
+const NAME_LIMIT_LENGTH = 512;
+
+/** Reads the head. Errors: the final answer, always "not run". */
+export function readHead(
+  incoming: http.IncomingMessage,
+): Result<RequestHead, CallerAnswer> {
+  const url = incoming.url ?? "";
+  if (!url.startsWith(SERVICE_PATH)) {
+    return err(badRequest("The path must begin with /s/<service>/"));
+  }
+  const slash = url.indexOf("/", SERVICE_PATH.length);
+  const end = slash < 0 ? url.length : slash;
+  const name = url.slice(SERVICE_PATH.length, end);
+  const service = contracts.serviceIdSchema.safeParse(name);
+  if (!service.success) {
+    return err(badRequest("The service in the path is not a valid name"));
+  }
+  const key = single(incoming, contracts.KEY_HEADER);
+  const caller = single(incoming, contracts.CALLER_HEADER) ?? "";
+  if (key === "" || isTooLong(key) || isTooLong(caller)) {
+    return err(badRequest(
+      `Keys and caller names have 1 to ${NAME_LIMIT_LENGTH} characters`,
+    ));
+  }
+  const timeout = readTimeout(single(incoming, contracts.TIMEOUT_HEADER));
+  if (timeout.isErr()) return err(timeout.error);
+  return ok({
+    service: service.data,
+    method: incoming.method ?? "GET",
+    rest: slash < 0 ? "" : url.slice(slash + 1),
+    headers: requestHeaders(incoming.rawHeaders),
+    key,
+    caller,
+    timeoutMs: timeout.value,
+  });
+}
+
+/** Reads the body whole. Errors: the final answer, always "not run". */
+export function readBody(
+  incoming: http.IncomingMessage,
+  limitBytes: number,
+): Promise<Result<Uint8Array | undefined, CallerAnswer>> {
+  const declared = Number(incoming.headers["content-length"] ?? 0);
+  if (declared > limitBytes) return Promise.resolve(err(tooLarge(limitBytes)));
+  const hasBody = declared > 0 ||
+    incoming.headers["transfer-encoding"] !== undefined;
+  if (!hasBody) {
+    incoming.resume();
+    return Promise.resolve(ok(undefined));
+  }
+  return new Promise((resolve) => {
+    const chunks: Uint8Array[] = [];
+    let sizeBytes = 0;
+    incoming.on("data", (chunk: Uint8Array) => {
+      sizeBytes += chunk.length;
+      if (sizeBytes <= limitBytes) {
+        chunks.push(chunk);
+        return;
+      }
+      incoming.pause();
+      resolve(err(tooLarge(limitBytes)));
+    });
+    incoming.on("end", () => resolve(ok(Buffer.concat(chunks))));
+    incoming.on("close", () => resolve(err(badRequest("The body broke off"))));
+  });
+}
+
+function single(
+  incoming: http.IncomingMessage,
+  name: string,
+): string | undefined {
+  return incoming.headers[name] as string | undefined;
+}
+
+function isTooLong(text: string | undefined): boolean {
+  return text !== undefined && text.length > NAME_LIMIT_LENGTH;
+}
+
+function readTimeout(
+  text: string | undefined,
+): Result<number | undefined, CallerAnswer> {
+  if (text === undefined) return ok(undefined);
+  const timeoutMs = Number(text);
+  if (Number.isFinite(timeoutMs) && timeoutMs > 0) return ok(timeoutMs);
+  return err(badRequest(
+    "guavatide-timeout-ms must be a number of milliseconds above 0",
+  ));
+}
+
+function badRequest(message: string): CallerAnswer {
+  return notRun("bad-request", { message });
+}
+
+function tooLarge(limitBytes: number): CallerAnswer {
+  return notRun("bad-request", {
+    message: `The body is larger than ${limitBytes} bytes`,
+    status: 413,
+  });
+}
--- /dev/null
+++ b/packages/entry/src/requests/request_router.ts
@@ -0,0 +1,209 @@
+/** Routes callers' requests: limits, deadline, service, slot, answer. */
+import type * as contracts from "@guavatide/contracts";
+import * as routing from "@guavatide/decisions/routing/mod";
+import type {
+  ConfigView,
+  OwnerView,
+  ServerAddress,
+  ServerView,
+} from "../contracts/views.ts";
+import type { ServerLinks } from "../links/server_links.ts";
+import type { LifeCycle } from "../utils/life_cycle.ts";
+import type { Log, PartLog } from "../utils/log.ts";
+import {
+  type CallerAnswer,
+  type CallerRequest,
+  notRun,
+} from "./caller_request.ts";
+import { KeyedAllocator } from "./keyed_allocator.ts";
+import { LocalAllocator } from "./local_allocator.ts";
+import type { RequestMetrics } from "./request_metrics.ts";
+import { RequestRun } from "./request_run.ts";
+import type { ServiceParts } from "./service_parts.ts";
+import type { SlotAllocator } from "./slot_allocator.ts";
+
+/** Options of {@link RequestRouter}. */
+export interface RequestRouterOptions {
+  readonly config: ConfigView;
+  readonly servers: ServerView;
+  readonly owners: OwnerView;
+  readonly links: ServerLinks;
+  /** Hash of a key's text, at least 0 and below `HASH_SPACE`. */
+  readonly hashKey: (key: string) => number;
+  /** Entry VMs that share the connections of a server. */
+  readonly entryVmCount: () => number;
+  readonly clock: contracts.Clock;
+  readonly random: contracts.RandomSource;
+  readonly log: Log;
+  readonly lifeCycle: LifeCycle;
+  readonly metrics: RequestMetrics;
+  readonly longestTimeoutMs: number;
+}
+
+/** Interval at which silence is looked for and probes are sent. */
+const REFRESH_INTERVAL_MS = 50;
+/** Time a request of unknown fate stays counted as forwarded. */
+const UNKNOWN_HOLD_MS = 10_000;
+/** Links kept free of requests, for probes and cancellations. */
+const SPARE_LINKS = 1;
+
+interface ServiceEntry {
+  readonly service: contracts.Service;
+  readonly parts: ServiceParts;
+  readonly stop: () => void;
+}
+
+/** The request path of one entry VM. */
+export class RequestRouter {
+  readonly #options: RequestRouterOptions;
+  readonly #log: PartLog;
+  readonly #limits = new routing.CallerLimits();
+  readonly #services = new Map<contracts.ServiceId, ServiceEntry>();
+  readonly #idPrefix: string;
+  #nextId = 0;
+
+  constructor(options: RequestRouterOptions) {
+    this.#options = options;
+    this.#log = options.log.part("route");
+    const drawn = Math.floor(options.random.next() * 2 ** 48);
+    this.#idPrefix = drawn.toString(36);
+    options.lifeCycle.every(REFRESH_INTERVAL_MS, () => this.#refresh());
+  }
+
+  /** Routes one request. Resolves by its deadline at the latest. */
+  route(request: CallerRequest): Promise<CallerAnswer> {
+    const { config, clock } = this.#options;
+    const service = config.service(request.service);
+    if (service === undefined) {
+      return this.#refuse(request, "unknown-service", {
+        message: `There is no service "${request.service}"; check the path`,
+      });
+    }
+    const needsKey = service.keyed && request.key === undefined;
+    if (needsKey) {
+      return this.#refuse(request, "bad-request", {
+        message: "The service is keyed; send the key in guavatide-key",
+      });
+    }
+    const limited = this.#checkLimits(service, request);
+    if (limited !== undefined) return limited;
+    const timeoutMs = Math.min(
+      request.timeoutMs ?? service.timeoutMs,
+      this.#options.longestTimeoutMs,
+    );
+    const deadlineMs = request.arrivedMs + timeoutMs;
+    if (deadlineMs <= clock.nowMs()) {
+      return this.#refuse(request, "deadline-before-send", {
+        message: "The request took longer to arrive than its deadline",
+      });
+    }
+    return new RequestRun({
+      parts: this.#service(service).parts,
+      request,
+      tenant: request.caller,
+      keyHash: service.keyed ? this.#options.hashKey(request.key!) : undefined,
+      deadlineMs,
+    }).run();
+  }
+
+  #checkLimits(
+    service: contracts.Service,
+    request: CallerRequest,
+  ): Promise<CallerAnswer> | undefined {
+    const partner = this.#options.config.partner(service.partner);
+    if (partner === undefined) return undefined;
+    const nowMs = this.#options.clock.nowMs();
+    const decision = this.#limits.admit(partner, request.caller, nowMs);
+    if (decision.kind === "admitted") return undefined;
+    return this.#refuse(request, "caller-limit", {
+      retryAfterMs: decision.retryAfterMs,
+      message: `The ${decision.by}'s rate limit is used up`,
+    });
+  }
+
+  #refuse(
+    request: CallerRequest,
+    reason: contracts.NotRunReason,
+    options: { readonly retryAfterMs?: number; readonly message: string },
+  ): Promise<CallerAnswer> {
+    const { service } = request;
+    this.#log.info("Refuses.", { service, reason });
+    this.#options.metrics.finished({
+      service,
+      outcome: "not-run",
+      reason,
+      durationMs: this.#options.clock.nowMs() - request.arrivedMs,
+      queuedMs: 0,
+      attempts: 0,
+    });
+    return Promise.resolve(notRun(reason, options));
+  }
+
+  #service(service: contracts.Service): ServiceEntry {
+    const found = this.#services.get(service.name);
+    // The configuration hands out the same object until a revision changes.
+    if (found?.service === service) return found;
+    found?.stop();
+    const entry = this.#createEntry(service);
+    this.#services.set(service.name, entry);
+    return entry;
+  }
+
+  #createEntry(service: contracts.Service): ServiceEntry {
+    const { owners, clock, links, metrics, servers } = this.#options;
+    const allocator = this.#createAllocator(service);
+    const stop = owners.onChange(service.name, () => allocator.refresh());
+    const parts: ServiceParts = {
+      service,
+      policy: service.keyed ? "owner" : service.policy ?? "default",
+      allocator,
+      budget: new routing.RetryBudget(),
+      owners,
+      clock,
+      log: this.#log,
+      metrics,
+      unknownHoldMs: UNKNOWN_HOLD_MS,
+      pool: (address) => links.pool(address, this.#linkLimit(service)),
+      cancel: (address, id) => links.cancel(address, id),
+      noteDraining: (server) => servers.noteDraining(server),
+      nextRequestId: () => this.#drawRequestId(),
+    };
+    return { service, parts, stop };
+  }
+
+  #createAllocator(service: contracts.Service): SlotAllocator {
+    const { metrics, links } = this.#options;
+    const common = {
+      ...this.#options,
+      service,
+      log: this.#log,
+      onEjected: (server: contracts.ServerId) =>
+        metrics.ejected(service.name, server),
+      probe: (address: ServerAddress) => links.probe(address),
+    };
+    return service.keyed
+      ? new KeyedAllocator(common)
+      : new LocalAllocator(common);
+  }
+
+  /** This VM's share of a server's connections. */
+  #linkLimit(service: contracts.Service): number {
+    const share = service.connectionsPerServer / this.#options.entryVmCount();
+    return Math.max(1, Math.floor(share) - SPARE_LINKS);
+  }
+
+  #drawRequestId(): contracts.RequestId {
+    this.#nextId++;
+    return `${this.#idPrefix}-${this.#nextId}` as contracts.RequestId;
+  }
+
+  #refresh(): void {
+    const known = new Set<contracts.ServerId>();
+    for (const entry of this.#services.values()) {
+      entry.parts.allocator.refresh();
+      const servers = this.#options.servers.servers(entry.service.name);
+      for (const address of servers) known.add(address.server);
+    }
+    this.#options.links.keepOnly(known);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/requests/service_parts.ts
@@ -0,0 +1,27 @@
+/** What every request of one service shares. */
+import type * as contracts from "@guavatide/contracts";
+import type * as routing from "@guavatide/decisions/routing/mod";
+import type { OwnerView, ServerAddress } from "../contracts/views.ts";
+import type { LinkPool } from "../links/link_pool.ts";
+import type { PartLog } from "../utils/log.ts";
+import type { RequestMetrics } from "./request_metrics.ts";
+import type { SlotAllocator } from "./slot_allocator.ts";
+
+/** Parts that the requests of one service use. */
+export interface ServiceParts {
+  readonly service: contracts.Service;
+  /** Name of the policy in use, for log lines. */
+  readonly policy: string;
+  readonly allocator: SlotAllocator;
+  readonly budget: routing.RetryBudget;
+  readonly owners: OwnerView;
+  readonly clock: contracts.Clock;
+  readonly log: PartLog;
+  readonly metrics: RequestMetrics;
+  /** Time a request of unknown fate stays counted as forwarded. */
+  readonly unknownHoldMs: number;
+  pool(address: ServerAddress): LinkPool;
+  cancel(address: ServerAddress, id: contracts.RequestId): void;
+  noteDraining(server: contracts.ServerId): void;
+  nextRequestId(): contracts.RequestId;
+}
