--- /dev/null
+++ b/packages/entry/src/zones/server_directory.ts
@@ -0,0 +1,114 @@
+/**
+ * Backend servers and entry VMs as the platform's lagging list gives them,
+ * joined with what servers say themselves. A list that cannot be had leaves
+ * the last one in place.
+ */
+import type * as contracts from "@guavatide/contracts";
+import type { ServerAddress, ServerView } from "../contracts/views.ts";
+import type { LifeCycle } from "../utils/life_cycle.ts";
+import type { PartLog } from "../utils/log.ts";
+
+/** Options of {@link ServerDirectory}. */
+export interface ServerDirectoryOptions {
+  readonly vmList: contracts.VmList;
+  readonly pollIntervalMs: number;
+  readonly log: PartLog;
+}
+
+/** Polls the VM list and answers where servers are. */
+export class ServerDirectory implements ServerView {
+  readonly #options: ServerDirectoryOptions;
+  readonly #byId = new Map<contracts.ServerId, ServerAddress>();
+  readonly #byService = new Map<contracts.ServiceId, ServerAddress[]>();
+  readonly #draining = new Set<contracts.ServerId>();
+  readonly #listeners = new Set<(vms: contracts.ListedVm[]) => void>();
+  #isPolling = false;
+
+  constructor(options: ServerDirectoryOptions) {
+    this.#options = options;
+  }
+
+  /** Polls until the process stops. Resolves after the first poll. */
+  async start(lifeCycle: LifeCycle): Promise<void> {
+    lifeCycle.every(this.#options.pollIntervalMs, () => void this.#poll());
+    await this.#poll();
+  }
+
+  /** Calls back with every list that arrives. */
+  onList(listener: (vms: contracts.ListedVm[]) => void): void {
+    this.#listeners.add(listener);
+  }
+
+  servers(service: contracts.ServiceId): readonly ServerAddress[] {
+    return this.#byService.get(service) ?? [];
+  }
+
+  server(id: contracts.ServerId): ServerAddress | undefined {
+    return this.#byId.get(id);
+  }
+
+  noteDraining(id: contracts.ServerId): void {
+    if (this.#draining.has(id)) return;
+    this.#draining.add(id);
+    const known = this.#byId.get(id);
+    if (known === undefined) return;
+    this.#options.log.info("server drains and gets no new work", {
+      server: id,
+    });
+    this.#put({ ...known, state: "draining" });
+  }
+
+  /** The server takes work again, for example after a restart. */
+  noteNotDraining(id: contracts.ServerId): void {
+    if (!this.#draining.delete(id)) return;
+    const known = this.#byId.get(id);
+    if (known?.state === "draining") this.#put({ ...known, state: "live" });
+  }
+
+  async #poll(): Promise<void> {
+    if (this.#isPolling) return;
+    this.#isPolling = true;
+    const result = await this.#options.vmList.fetch({
+      timeoutMs: this.#options.pollIntervalMs * 2,
+    });
+    this.#isPolling = false;
+    if (result.isErr()) {
+      this.#options.log.warn("VM list not read, the last one stays", {
+        reason: result.error.message,
+      });
+      return;
+    }
+    this.#apply(result.value.vms);
+  }
+
+  #apply(vms: contracts.ListedVm[]): void {
+    this.#byId.clear();
+    this.#byService.clear();
+    for (const vm of vms) {
+      const address = this.#toAddress(vm);
+      if (address !== undefined) this.#put(address);
+    }
+    for (const listener of this.#listeners) listener(vms);
+  }
+
+  #toAddress(vm: contracts.ListedVm): ServerAddress | undefined {
+    if (vm.kind !== "backend") return undefined;
+    if (vm.server === undefined || vm.service === undefined) return undefined;
+    const isDraining = this.#draining.has(vm.server) && vm.state === "live";
+    return {
+      server: vm.server,
+      service: vm.service,
+      zone: vm.zone,
+      host: vm.host,
+      port: vm.port,
+      state: isDraining ? "draining" : vm.state,
+    };
+  }
+
+  #put(address: ServerAddress): void {
+    this.#byId.set(address.server, address);
+    const others = (this.#byService.get(address.service) ?? [])
+      .filter((other) => other.server !== address.server);
+    this.#byService.set(address.service, [...others, address]);
+  }
+}
