--- a/packages/entry/src/mod.ts
+++ b/packages/entry/src/mod.ts
@@ -1,5 +1,6 @@
 /** Parts of the entry process, for its own binary and for tests. */
 export * from "./contracts/views.ts";
+export * from "./settings/mod.ts";
 export * from "./utils/clock.ts";
 export * from "./utils/life_cycle.ts";
 export * from "./utils/log.ts";
--- /dev/null
+++ b/packages/entry/src/settings/mod.ts
@@ -0,0 +1,6 @@
+/** Settings of one entry process: schema, defaults, loader. */
+export * from "./defaults.ts";
+export * from "./load.ts";
+export type { SettingsProblem, SettingsProblemKind } from "./problems.ts";
+export * from "./schema.ts";
+export * from "./secrets.ts";
--- /dev/null
+++ b/packages/entry/src/settings/secrets.ts
@@ -0,0 +1,63 @@
+/** Reads the files that settings name. */
+import * as fs from "node:fs";
+import * as neverthrow from "neverthrow";
+import type { DoorTls, Settings } from "./schema.ts";
+
+/** A file named in the settings could not be used. */
+export interface SettingsFileError {
+  readonly kind: "unreadable" | "too-short";
+  readonly message: string;
+}
+
+/** Contents of one door's certificate files. */
+export interface DoorCertificate {
+  readonly cert: string;
+  readonly key: string;
+  readonly ca?: string;
+}
+
+const LEAST_SECRET_CHARACTERS = 16;
+
+/** The secret of the entry VMs. Errors: unreadable file, secret too short. */
+export function readPeerSecret(
+  settings: Settings,
+): neverthrow.Result<string, SettingsFileError> {
+  if (settings.peerSecret !== undefined) {
+    return neverthrow.ok(settings.peerSecret);
+  }
+  const path = settings.peerSecretFile ?? "";
+  return readText(path).andThen((text) => {
+    const secret = text.trim();
+    if (secret.length >= LEAST_SECRET_CHARACTERS) return neverthrow.ok(secret);
+    return neverthrow.err<string, SettingsFileError>({
+      kind: "too-short",
+      message: `The secret in "${path}" is short: ` +
+        `use ${LEAST_SECRET_CHARACTERS} characters or more`,
+    });
+  });
+}
+
+/** A door's certificate. Errors: unreadable file. */
+export function readCertificate(
+  files: DoorTls,
+): neverthrow.Result<DoorCertificate, SettingsFileError> {
+  return neverthrow.Result.combine([
+    readText(files.certFile),
+    readText(files.keyFile),
+    files.caFile === undefined
+      ? neverthrow.ok<string | undefined, SettingsFileError>(undefined)
+      : readText(files.caFile),
+  ]).map(([cert, key, ca]) => ({ cert: cert!, key: key!, ca }));
+}
+
+function readText(path: string): neverthrow.Result<string, SettingsFileError> {
+  try {
+    return neverthrow.ok(fs.readFileSync(path, "utf8"));
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    return neverthrow.err({
+      kind: "unreadable",
+      message: `Cannot read "${path}" (${reason}): check the path and rights`,
+    });
+  }
+}
