--- a/packages/contracts/src/peer.ts
+++ b/packages/contracts/src/peer.ts
@@ -25,6 +25,31 @@
 /** The highest assignment revision that a process knows of a service. */
 export type KnownRevision = z.infer<typeof knownRevisionSchema>;
 
+/** Schema of {@link MemberNote}. */
+export const memberNoteSchema = z.strictObject({
+  vm: vmIdSchema,
+  incarnation: incarnationSchema.optional(),
+  state: z.enum(["alive", "suspect", "lost", "left"]),
+});
+/** A change of membership that rides along in beats. */
+export type MemberNote = z.infer<typeof memberNoteSchema>;
+
+/** Schema of {@link MemberQuestion}. */
+export const memberQuestionSchema = z.strictObject({ about: vmIdSchema });
+/** "Do you hear this VM?", method `member`. */
+export type MemberQuestion = z.infer<typeof memberQuestionSchema>;
+
+/** Schema of {@link MemberAnswer}. */
+export const memberAnswerSchema = z.strictObject({
+  from: vmIdSchema,
+  about: vmIdSchema,
+  incarnation: incarnationSchema.optional(),
+  /** Time since the last sign of life; absent when there was none. */
+  seenAgeMs: z.number().optional(),
+});
+/** Answer to a {@link MemberQuestion}. */
+export type MemberAnswer = z.infer<typeof memberAnswerSchema>;
+
 /** Schema of {@link PeerHeartbeat}. */
 export const peerHeartbeatSchema = z.strictObject({
   vm: vmIdSchema,
@@ -37,8 +62,8 @@
   known: z.array(knownRevisionSchema),
   /** Revision of the published configuration in force at the sender. */
   configRevision: z.number().int().min(0),
-  /** Load of the sender, for slots lent between entry VMs. */
-  slotsInUse: z.record(z.string(), z.number()).optional(),
+  /** Changes of membership; bounded. */
+  news: z.array(memberNoteSchema),
 });
 /** Sent to peers at a fixed interval. */
 export type PeerHeartbeat = z.infer<typeof peerHeartbeatSchema>;
@@ -49,6 +74,8 @@
   incarnation: incarnationSchema,
   known: z.array(knownRevisionSchema),
   configRevision: z.number().int().min(0),
+  /** Changes of membership; bounded. */
+  news: z.array(memberNoteSchema),
   /** Assignments newer than the sender's, whole. */
   newer: z.array(assignmentSchema),
 });
--- a/packages/decisions/src/membership/membership.ts
+++ b/packages/decisions/src/membership/membership.ts
@@ -9,6 +9,7 @@
  * are asked whether they hear it.
  */
 import type * as contracts from "@guavatide/contracts";
+import type * as effects from "./effects.ts";
 import { Member, type MemberState, type MemberView } from "./member.ts";
 import { type MemberNews, NewsBoard } from "./news_board.ts";
 import * as targets from "./targets.ts";
--- a/packages/decisions/src/membership/membership_test.ts
+++ b/packages/decisions/src/membership/membership_test.ts
@@ -56,6 +56,7 @@
       leaving,
       known: [],
       configRevision: 0,
+      news: [],
     }, this.nowMs));
   }
 
--- a/packages/decisions/src/membership/news_board.ts
+++ b/packages/decisions/src/membership/news_board.ts
@@ -8,7 +8,7 @@
 /** One change, as told to a peer. */
 export interface MemberNews {
   readonly vm: contracts.VmId;
-  readonly incarnation: contracts.Incarnation | undefined;
+  readonly incarnation?: contracts.Incarnation;
   readonly state: MemberState;
 }
 
--- a/packages/entry/src/vms/peer_task.ts
+++ b/packages/entry/src/vms/peer_task.ts
@@ -5,6 +5,7 @@
  */
 import type * as contracts from "@guavatide/contracts";
 import * as contractsValues from "@guavatide/contracts";
+import type * as decisions from "@guavatide/decisions";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import type { PartLog } from "../utils/log.ts";
 import type { PeerDoor } from "./peer_door.ts";
@@ -26,24 +27,11 @@
   noteReply?(reply: contracts.PeerHeartbeatReply, askedAtMs: number): void;
 }
 
-/** A peer to beat to. */
-export interface BeatTarget extends PeerAddress {
+/** Where a member listens; absent once it has been forgotten. */
+export interface PeerTarget extends PeerAddress {
   readonly vm: contracts.VmId;
 }
 
-/** Membership as this task needs it; decided elsewhere. */
-export interface BeatMembership {
-  beat(nowMs: number): { readonly targets: readonly BeatTarget[] };
-  noteReply(
-    vm: contracts.VmId,
-    incarnation: contracts.Incarnation,
-    askedAtMs: number,
-    nowMs: number,
-  ): void;
-  noteFailure(vm: contracts.VmId, nowMs: number): void;
-  noteHeard(beat: contracts.PeerHeartbeat, nowMs: number): void;
-}
-
 /** Options of {@link PeerTask}. */
 export interface PeerTaskOptions {
   readonly self: {
@@ -59,7 +47,7 @@
   /** Time that a peer has to answer a beat. */
   readonly heartbeatTimeoutMs: number;
   readonly door: PeerDoor;
-  readonly membership: BeatMembership;
+  readonly membership: decisions.Membership;
   readonly clock: contracts.Clock;
   readonly log: PartLog;
 }
@@ -70,6 +58,7 @@
   readonly #links = new Map<contracts.VmId, PeerLink>();
   readonly #participants: HeartbeatParticipant[] = [];
   readonly #waiting = new Set<contracts.VmId>();
+  readonly #listeners = new Set<(event: decisions.MemberEvent) => void>();
   #isLeaving = false;
 
   constructor(options: PeerTaskOptions) {
@@ -79,6 +68,11 @@
       contractsValues.peerHeartbeatSchema,
       (beat) => this.#answer(beat),
     );
+    options.door.register(
+      "member",
+      contractsValues.memberQuestionSchema,
+      ({ about }) => options.membership.answerHelper(about, this.#nowMs()),
+    );
   }
 
   /** Adds a part whose fields travel in beats. */
@@ -101,74 +95,101 @@
     lifeCycle.every(this.#options.heartbeatMs, () => void this.beatNow());
   }
 
+  /** Calls back with each change of membership. */
+  onMember(listener: (event: decisions.MemberEvent) => void): void {
+    this.#listeners.add(listener);
+  }
+
+  /** Takes the platform's list of VMs. */
+  noteList(vms: readonly contracts.ListedVm[]): void {
+    this.#tell(this.#options.membership.noteList(vms, this.#nowMs()));
+  }
+
   /** Beats to all targets at once, for example after a new revision. */
   async beatNow(): Promise<void> {
-    const { targets } = this.#options.membership.beat(
-      this.#options.clock.nowMs(),
-    );
-    await Promise.all(targets.map((target) => this.#beat(target)));
+    const effects = this.#options.membership.beat(this.#nowMs());
+    this.#tell(effects.events);
+    await Promise.all([
+      ...effects.targets.map((vm) => this.#beat(vm)),
+      ...effects.questions.map((question) => this.#askHelper(question)),
+    ]);
   }
 
-  /** The link to a peer, made when first needed. */
-  link(target: BeatTarget): PeerLink {
-    const known = this.#links.get(target.vm);
-    if (known !== undefined && isSameAddress(known.address, target)) {
+  /** The link to a member, made when first needed. */
+  link(vm: contracts.VmId): PeerLink | undefined {
+    const member = this.#options.membership.member(vm, this.#nowMs());
+    if (member === undefined) return undefined;
+    const address = { host: member.host, port: member.peerPort };
+    const known = this.#links.get(vm);
+    if (known !== undefined && isSameAddress(known.address, address)) {
       return known;
     }
     void known?.close();
-    const link = new PeerLink(
-      { host: target.host, port: target.port },
-      this.#options.secret,
-    );
-    this.#links.set(target.vm, link);
+    const link = new PeerLink(address, this.#options.secret);
+    this.#links.set(vm, link);
     return link;
   }
 
-  async #beat(target: BeatTarget): Promise<void> {
+  async #beat(vm: contracts.VmId): Promise<void> {
     // A peer that does not answer must not collect a call for every beat.
-    if (this.#waiting.has(target.vm)) return;
-    this.#waiting.add(target.vm);
-    const askedAtMs = this.#options.clock.nowMs();
-    const result = await this.link(target).call("heartbeat", {
+    if (this.#waiting.has(vm)) return;
+    const link = this.link(vm);
+    if (link === undefined) return;
+    this.#waiting.add(vm);
+    const askedAtMs = this.#nowMs();
+    const result = await link.call("heartbeat", {
       params: this.#draft(),
       schema: contractsValues.peerHeartbeatReplySchema,
       timeoutMs: this.#options.heartbeatTimeoutMs,
     });
-    this.#waiting.delete(target.vm);
+    this.#waiting.delete(vm);
     result.match(
       (reply) => this.#noteReply(reply, askedAtMs),
-      (error) => this.#noteFailure(target, error),
+      (error) => this.#noteFailure(vm, error),
     );
   }
 
+  async #askHelper(question: decisions.HelperQuestion): Promise<void> {
+    const askedAtMs = this.#nowMs();
+    const result = await this.link(question.to)?.call("member", {
+      params: { about: question.about },
+      schema: contractsValues.memberAnswerSchema,
+      timeoutMs: this.#options.heartbeatTimeoutMs,
+    });
+    if (result === undefined || result.isErr()) return;
+    const times = { askedAtMs, nowMs: this.#nowMs() };
+    this.#tell(this.#options.membership.noteHelper(result.value, times));
+  }
+
   #noteReply(reply: contracts.PeerHeartbeatReply, askedAtMs: number): void {
-    this.#options.membership.noteReply(
-      reply.vm,
-      reply.incarnation,
-      askedAtMs,
-      this.#options.clock.nowMs(),
+    const { membership } = this.#options;
+    const nowMs = this.#nowMs();
+    this.#tell(
+      membership.noteReply(reply.vm, reply.incarnation, { askedAtMs, nowMs }),
     );
+    this.#tell(membership.noteNews(reply.news, nowMs));
     for (const part of this.#participants) part.noteReply?.(reply, askedAtMs);
   }
 
-  #noteFailure(target: BeatTarget, error: PeerError): void {
+  #noteFailure(vm: contracts.VmId, error: PeerError): void {
     this.#options.log.debug("beat not answered", {
-      peer: target.vm,
+      peer: vm,
       kind: error.kind,
     });
-    this.#options.membership.noteFailure(
-      target.vm,
-      this.#options.clock.nowMs(),
-    );
+    this.#tell(this.#options.membership.noteFailure(vm, this.#nowMs()));
   }
 
   #answer(beat: contracts.PeerHeartbeat): contracts.PeerHeartbeatReply {
-    this.#options.membership.noteHeard(beat, this.#options.clock.nowMs());
+    const { membership } = this.#options;
+    const nowMs = this.#nowMs();
+    this.#tell(membership.noteHeard(beat, nowMs));
+    this.#tell(membership.noteNews(beat.news, nowMs));
     const draft: HeartbeatReplyDraft = {
       vm: this.#options.self.vm,
       incarnation: this.#options.self.incarnation,
       known: [],
       configRevision: 0,
+      news: membership.takeNews(),
       newer: [],
     };
     for (const part of this.#participants) part.answer?.(beat, draft);
@@ -181,11 +202,23 @@
       leaving: this.#isLeaving,
       known: [],
       configRevision: 0,
+      news: this.#options.membership.takeNews(),
     };
     for (const part of this.#participants) part.fill?.(draft);
     return draft;
   }
 
+  #tell(events: readonly decisions.MemberEvent[]): void {
+    for (const event of events) {
+      this.#options.log.info(`entry VM ${event.kind}`, { vm: event.vm });
+      for (const listener of this.#listeners) listener(event);
+    }
+  }
+
+  #nowMs(): number {
+    return this.#options.clock.nowMs();
+  }
+
   async #tellLeaving(): Promise<void> {
     this.#isLeaving = true;
     this.#waiting.clear();
