feat(requests): lend slots of a service through one dispatcher VM

An entry VM asks the dispatcher of a service, named by rendezvous hashing, for each slot and falls back to its own choice when the dispatcher is silent.

--- a/packages/decisions/src/routing/mod.ts
+++ b/packages/decisions/src/routing/mod.ts
@@ -5,6 +5,8 @@
 export * from "./outlier_ejection.ts";
 export * from "./policies.ts";
 export * from "./power_of_two_choice.ts";
+export * from "./queue_limit.ts";
+export * from "./rendezvous.ts";
 export * from "./retry_budget.ts";
 export * from "./retry_rule.ts";
 export * from "./round_robin_choice.ts";
--- a/packages/decisions/src/routing/policies.ts
+++ b/packages/decisions/src/routing/policies.ts
@@ -13,6 +13,12 @@
 /** A policy that needs no other entry VM. */
 export type LocalPolicy = typeof LOCAL_POLICIES[number];
 
+/** The policy that asks one entry VM for each slot. */
+export const DISPATCHED_POLICY = "dispatched";
+
+/** The policy of a service that names none. */
+export const DEFAULT_POLICY = "power-of-two";
+
 /** Creates a choice by name; an unknown name gives the default. */
 export function createServerChoice(policy: string | undefined): ServerChoice {
   switch (policy) {
--- /dev/null
+++ b/packages/decisions/src/routing/queue_limit.ts
@@ -0,0 +1,56 @@
+/**
+ * Bounds a queue by the time that its last request would wait. A bound by
+ * count alone is too long for slow requests and too short for quick ones:
+ * under overload every admitted request would then wait for the whole queue.
+ */
+
+/** Weight of the newest sample in the running means. */
+const SAMPLE_WEIGHT = 0.05;
+/** Longest wait worth queueing for, in mean attempt times. */
+const WAIT_IN_ATTEMPTS = 2;
+/** Shortest wait worth queueing for. */
+const LEAST_WAIT_MS = 10;
+/** Requests that may always wait, so that a pause in load can be bridged. */
+const LEAST_LIMIT = 2;
+/** A longer gap between two grants says that requests were few. */
+const LONGEST_GAP_MS = 1000;
+
+/** Learns how quickly a queue drains and bounds its length by that. */
+export class QueueLimit {
+  #gapMs: number | undefined;
+  #attemptMs: number | undefined;
+  #grantedMs: number | undefined;
+
+  /** A request left the queue for a server; `isBusy` says that others wait. */
+  noteGranted(nowMs: number, isBusy: boolean): void {
+    const lastMs = this.#grantedMs;
+    this.#grantedMs = isBusy ? nowMs : undefined;
+    if (lastMs === undefined || nowMs - lastMs > LONGEST_GAP_MS) return;
+    this.#gapMs = mean(this.#gapMs, nowMs - lastMs);
+  }
+
+  /** An attempt was answered after this time. */
+  noteAnswered(attemptMs: number): void {
+    this.#attemptMs = mean(this.#attemptMs, attemptMs);
+  }
+
+  /** Requests that may wait, at most `mostRequests`. */
+  limit(mostRequests: number): number {
+    if (this.#gapMs === undefined || this.#attemptMs === undefined) {
+      return mostRequests;
+    }
+    const waitMs = Math.max(LEAST_WAIT_MS, WAIT_IN_ATTEMPTS * this.#attemptMs);
+    const requests = Math.floor(waitMs / Math.max(this.#gapMs, 0.01));
+    return Math.min(mostRequests, Math.max(LEAST_LIMIT, requests));
+  }
+
+  /** Time until a queue of this length has drained, as far as is known. */
+  drainMs(requests: number): number | undefined {
+    return this.#gapMs === undefined ? undefined : this.#gapMs * requests;
+  }
+}
+
+function mean(before: number | undefined, sample: number): number {
+  if (before === undefined) return sample;
+  return before + (sample - before) * SAMPLE_WEIGHT;
+}
--- a/packages/decisions/src/routing/server_board.ts
+++ b/packages/decisions/src/routing/server_board.ts
@@ -11,18 +11,21 @@
 export interface ServerBoardOptions {
   /** Requests that a server runs at once. */
   readonly slotsPerServer: number;
-  /** Requests that this process may have in flight at one server. */
+  /**
+   * Most requests that this board gives to one server at a time. The board
+   * learns a lower limit from refusals and grows it again with answers.
+   */
   readonly localLimit: number;
 }
 
 /** How an attempt at a server ended, as far as the board cares. */
 export type AttemptEnd =
   /** An answer came; `inFlight` is what the server reported with it. */
-  | { readonly kind: "answer"; readonly inFlight: number | undefined }
+  | { readonly kind: "answer"; readonly inFlight?: number }
   | {
     readonly kind: "refusal";
     readonly refusal: contracts.ServerRefusal;
-    readonly inFlight: number | undefined;
+    readonly inFlight?: number;
   }
   | { readonly kind: "failure" }
   /** Ended from our side; says nothing about the server. */
@@ -38,12 +41,19 @@
   readonly sentMs: number[];
   reportedInFlight: number | undefined;
   reportedMs: number;
-  /** No new request before this: the server said that it is busy. */
+  /** No new request before this: the server refused. */
   pausedUntilMs: number;
+  /** Learned limit of requests in flight. */
+  window: number;
+  windowCutMs: number;
 }
 
 /** After `busy`, a server gets nothing for this long. */
 const BUSY_PAUSE_MS = 2;
+/** Part of a request by which each answer widens the learned limit. */
+const WINDOW_GROWTH = 0.1;
+/** Refusals within this time count as one. */
+const WINDOW_CUT_INTERVAL_MS = 10;
 /** After `cold`, a server gets nothing for this long. */
 const COLD_PAUSE_MS = 100;
 
@@ -138,6 +148,7 @@
       return entry.ejection.noteFailure(nowMs) ? "ejected" : undefined;
     }
     if (end.kind === "refusal") this.#pause(entry, end.refusal, nowMs);
+    if (end.kind === "answer") this.#widen(entry);
     entry.reportedInFlight = end.inFlight;
     entry.reportedMs = nowMs;
     const wasOut = entry.ejection.state !== "in-use";
@@ -172,8 +183,17 @@
     refusal: contracts.ServerRefusal,
     nowMs: number,
   ): void {
-    if (refusal === "busy") entry.pausedUntilMs = nowMs + BUSY_PAUSE_MS;
     if (refusal === "cold") entry.pausedUntilMs = nowMs + COLD_PAUSE_MS;
+    if (refusal !== "busy") return;
+    entry.pausedUntilMs = nowMs + BUSY_PAUSE_MS;
+    if (nowMs - entry.windowCutMs < WINDOW_CUT_INTERVAL_MS) return;
+    entry.window = Math.max(1, entry.window - 1);
+    entry.windowCutMs = nowMs;
+  }
+
+  #widen(entry: Entry): void {
+    const grown = entry.window + WINDOW_GROWTH / entry.window;
+    entry.window = Math.min(this.#options.localLimit, grown);
   }
 
   #mayTake(entry: Entry, nowMs: number): boolean {
@@ -182,7 +202,7 @@
     if (entry.pausedUntilMs > nowMs) return false;
     if (state === "on-trial") return entry.sentMs.length === 0;
     const share = slowStartWeight(nowMs - entry.firstSeenMs);
-    const limit = Math.max(1, Math.floor(this.#options.localLimit * share));
+    const limit = Math.max(1, Math.floor(entry.window * share));
     return entry.sentMs.length < limit;
   }
 
@@ -212,6 +232,8 @@
       reportedInFlight: undefined,
       reportedMs: -Infinity,
       pausedUntilMs: -Infinity,
+      window: this.#options.localLimit,
+      windowCutMs: -Infinity,
     };
     this.#entries.set(server, entry);
     return entry;
--- /dev/null
+++ b/packages/entry/src/requests/dispatched_allocator.ts
@@ -0,0 +1,284 @@
+/**
+ * Slots of an unkeyed service from its dispatcher, which may be another entry
+ * VM. When the dispatcher is silent, or the service's policy is another, this
+ * VM chooses by itself.
+ */
+import type * as contracts from "@guavatide/contracts";
+import * as routing from "@guavatide/decisions/routing/mod";
+import type { ServerView } from "../contracts/views.ts";
+import type { PartLog } from "../utils/log.ts";
+import type { PeerCalls } from "./peer_calls.ts";
+import type { Slot, SlotAllocator, SlotWish } from "./slot_allocator.ts";
+import type { SlotDispatcher } from "./slot_dispatcher.ts";
+import * as messages from "./slot_messages.ts";
+
+/** Options of {@link DispatchedAllocator}. */
+export interface DispatchedAllocatorOptions {
+  readonly service: contracts.Service;
+  readonly peers: PeerCalls;
+  /** This VM's own dispatcher. */
+  readonly dispatcher: SlotDispatcher;
+  /** Used while the dispatcher is silent and by other policies. */
+  readonly fallback: SlotAllocator;
+  readonly servers: ServerView;
+  readonly clock: contracts.Clock;
+  readonly hash: (text: string) => number;
+  readonly log: PartLog;
+}
+
+/** Time the dispatcher has to answer an update. */
+const UPDATE_TIMEOUT_MS = 100;
+/** Updates on their way at a time; more are gathered into one. */
+const UPDATES_IN_FLIGHT = 4;
+/** Time for which a silent dispatcher is not asked. */
+const SILENT_MS = 1000;
+/** A dispatcher that said nothing for this long while requests wait is asked. */
+const ASK_AGAIN_MS = 50;
+
+interface HeldGrant {
+  readonly grant: number;
+  readonly dispatcher: contracts.Incarnation;
+}
+
+/** The entry VM's side of one service's dispatcher. */
+export class DispatchedAllocator implements SlotAllocator {
+  readonly #options: DispatchedAllocatorOptions;
+  readonly #wishes = new Map<number, SlotWish>();
+  readonly #numbers = new Map<SlotWish, number>();
+  readonly #held = new Map<Slot, HeldGrant>();
+  #wants: messages.SlotWant[] = [];
+  #withdrawn: number[] = [];
+  #ended: messages.SlotEnd[] = [];
+  #dispatcher: contracts.VmId | undefined;
+  #incarnation: contracts.Incarnation | undefined;
+  #silentUntilMs = -Infinity;
+  #heardMs = -Infinity;
+  #updatesInFlight = 0;
+  #nextWish = 1;
+  #isFlushing = false;
+  #service: contracts.Service;
+
+  constructor(options: DispatchedAllocatorOptions) {
+    this.#options = options;
+    this.#service = options.service;
+  }
+
+  get waiting(): number {
+    return this.#wishes.size + this.#options.fallback.waiting;
+  }
+
+  acquire(wish: SlotWish): void {
+    this.#chooseDispatcher();
+    const nowMs = this.#options.clock.nowMs();
+    const isAlone = this.#dispatcher === undefined ||
+      this.#service.policy !== routing.DISPATCHED_POLICY ||
+      nowMs < this.#silentUntilMs;
+    if (isAlone) {
+      this.#options.fallback.acquire(wish);
+      return;
+    }
+    const number = this.#nextWish++;
+    this.#wishes.set(number, wish);
+    this.#numbers.set(wish, number);
+    this.#wants.push({
+      wish: number,
+      timeLeftMs: wish.deadlineMs - nowMs,
+      tenant: wish.tenant,
+      tried: [...wish.tried],
+    });
+    this.#flushSoon();
+  }
+
+  withdraw(wish: SlotWish): void {
+    const number = this.#forget(wish);
+    if (number === undefined) {
+      this.#options.fallback.withdraw(wish);
+      return;
+    }
+    this.#withdrawn.push(number);
+    this.#flushSoon();
+  }
+
+  release(slot: Slot, end: routing.AttemptEnd): void {
+    const held = this.#held.get(slot);
+    if (held === undefined) {
+      this.#options.fallback.release(slot, end);
+      return;
+    }
+    this.#held.delete(slot);
+    // A dispatcher that has restarted knows nothing of the grant.
+    if (held.dispatcher !== this.#incarnation) return;
+    this.#ended.push({ grant: held.grant, end });
+    this.#flushSoon();
+  }
+
+  configure(service: contracts.Service): void {
+    this.#service = service;
+    this.#options.fallback.configure(service);
+  }
+
+  hasOther(tried: ReadonlySet<contracts.ServerId>): boolean {
+    return this.#options.fallback.hasOther(tried);
+  }
+
+  refresh(): void {
+    this.#options.fallback.refresh();
+    this.#chooseDispatcher();
+    const nowMs = this.#options.clock.nowMs();
+    const isQuiet = nowMs - this.#heardMs > ASK_AGAIN_MS;
+    // Without this a dispatcher that froze after it took a want would hold
+    // the request until its deadline.
+    if (this.#wishes.size > 0 && isQuiet) this.#flushSoon();
+  }
+
+  /** Takes decisions that a dispatcher sent later. */
+  decided(decided: messages.SlotsDecided): void {
+    this.#heardMs = this.#options.clock.nowMs();
+    const isCurrent = decided.vm === this.#dispatcher;
+    if (isCurrent) this.#incarnation = decided.incarnation;
+    for (const decision of decided.decisions) {
+      const wish = this.#wishes.get(decision.wish);
+      if (decision.kind === "granted") {
+        this.#takeGrant(wish, decision, decided.incarnation);
+      } else if (wish !== undefined) {
+        this.#forget(wish);
+        wish.refused(decision.reason, {
+          retryAfterMs: decision.retryAfterMs,
+          message: "Too many requests wait for the service; come back later",
+        });
+      }
+    }
+  }
+
+  #takeGrant(
+    wish: SlotWish | undefined,
+    decision: Extract<messages.SlotDecision, { kind: "granted" }>,
+    dispatcher: contracts.Incarnation,
+  ): void {
+    const { grant, server } = decision;
+    const address = this.#options.servers.server(server);
+    if (wish === undefined || address === undefined) {
+      this.#ended.push({ grant, end: { kind: "abandoned" } });
+      this.#flushSoon();
+      // A server that this VM does not know yet; another is asked for.
+      if (wish !== undefined) {
+        this.#forget(wish);
+        this.acquire(wish);
+      }
+      return;
+    }
+    this.#forget(wish);
+    const slot: Slot = { address, sentMs: this.#options.clock.nowMs() };
+    this.#held.set(slot, { grant, dispatcher });
+    wish.granted(slot);
+  }
+
+  #forget(wish: SlotWish): number | undefined {
+    const number = this.#numbers.get(wish);
+    if (number === undefined) return undefined;
+    this.#numbers.delete(wish);
+    this.#wishes.delete(number);
+    return number;
+  }
+
+  #chooseDispatcher(): void {
+    const { peers, hash } = this.#options;
+    const { name } = this.#service;
+    const members = peers.members();
+    const chosen = routing.chooseByRendezvous(members, name, { hash });
+    if (chosen === this.#dispatcher) return;
+    this.#options.log.info("Has a new dispatcher.", {
+      service: name,
+      vm: chosen,
+    });
+    this.#dispatcher = chosen;
+    this.#incarnation = undefined;
+    this.#silentUntilMs = -Infinity;
+    this.#startAnew();
+  }
+
+  /** Requests that wait at a dispatcher which is no longer asked. */
+  #startAnew(): void {
+    this.#wants = [];
+    this.#withdrawn = [];
+    this.#ended = [];
+    const wishes = [...this.#numbers.keys()];
+    this.#wishes.clear();
+    this.#numbers.clear();
+    for (const wish of wishes) this.acquire(wish);
+  }
+
+  /** What changes in one turn of the event loop leaves together. */
+  #flushSoon(): void {
+    if (this.#isFlushing) return;
+    this.#isFlushing = true;
+    setImmediate(() => {
+      this.#isFlushing = false;
+      this.#flush();
+    });
+  }
+
+  #flush(): void {
+    const { dispatcher, peers } = this.#options;
+    const to = this.#dispatcher;
+    if (to === undefined) return;
+    if (to === peers.self.vm) {
+      this.decided(dispatcher.update(this.#drainOutbox()));
+      return;
+    }
+    if (this.#updatesInFlight >= UPDATES_IN_FLIGHT) return;
+    this.#send(to, this.#drainOutbox()).catch(() => {});
+  }
+
+  #drainOutbox(): messages.SlotsUpdate {
+    const { peers } = this.#options;
+    const update: messages.SlotsUpdate = {
+      service: this.#service.name,
+      vm: peers.self.vm,
+      incarnation: peers.self.incarnation,
+      dispatcher: this.#incarnation,
+      wants: this.#wants,
+      withdrawn: this.#withdrawn,
+      ended: this.#ended,
+    };
+    this.#wants = [];
+    this.#withdrawn = [];
+    this.#ended = [];
+    return update;
+  }
+
+  async #send(to: contracts.VmId, update: messages.SlotsUpdate): Promise<void> {
+    this.#updatesInFlight++;
+    const reply = await this.#options.peers.call(
+      to,
+      messages.SLOTS_UPDATE_METHOD,
+      {
+        params: update,
+        schema: messages.slotsDecidedSchema,
+        timeoutMs: UPDATE_TIMEOUT_MS,
+      },
+    );
+    this.#updatesInFlight--;
+    if (to !== this.#dispatcher) return;
+    if (reply === undefined) {
+      this.#noteSilent(update);
+      return;
+    }
+    this.decided(reply);
+    const hasMore = this.#wants.length + this.#withdrawn.length +
+        this.#ended.length > 0;
+    if (hasMore) this.#flushSoon();
+  }
+
+  #noteSilent(update: messages.SlotsUpdate): void {
+    // The dispatcher drops an end that it has seen before.
+    const ended = [...update.ended, ...this.#ended];
+    this.#silentUntilMs = this.#options.clock.nowMs() + SILENT_MS;
+    this.#options.log.info("Dispatcher is silent; chooses alone.", {
+      service: this.#service.name,
+      vm: this.#dispatcher,
+    });
+    this.#startAnew();
+    this.#ended = ended;
+  }
+}
--- a/packages/entry/src/requests/keyed_allocator.ts
+++ b/packages/entry/src/requests/keyed_allocator.ts
@@ -42,17 +42,18 @@
   /** Requests whose slice has no owner at present. */
   readonly #ownerless = new Lane();
   readonly #board: routing.ServerBoard;
+  #service: contracts.Service;
   /** Slices whose owner refused as such, with the revision and the time. */
   readonly #refusals = new Map<contracts.SliceId, NotOwnerRefusal>();
   #wakeUp: NodeJS.Timeout | undefined;
 
   constructor(options: KeyedAllocatorOptions) {
     this.#options = options;
-    const { service, clock } = options;
-    this.#board = new routing.ServerBoard({
-      slotsPerServer: service.slotsPerServer,
-      localLimit: service.slotsPerServer,
-    }, clock.nowMs());
+    this.#service = options.service;
+    this.#board = new routing.ServerBoard(
+      this.#boardOptions(),
+      options.clock.nowMs(),
+    );
   }
 
   get waiting(): number {
@@ -65,7 +66,7 @@
     const lane = this.#enqueue(wish);
     if (lane === undefined) return;
     this.#pump(lane);
-    lane.shorten(this.#options.service.queueRequests);
+    lane.shorten(this.#service.queueRequests);
   }
 
   withdraw(wish: SlotWish): void {
@@ -84,12 +85,17 @@
       const { revision, slice } = slot.ownership!;
       const untilMs = nowMs + NOT_OWNER_PAUSE_MS;
       this.#refusals.set(slice, { revision, untilMs });
-      this.#options.owners.noteNotOwner(this.#options.service.name, revision);
+      this.#options.owners.noteNotOwner(this.#service.name, revision);
     }
     const lane = this.#lanes.get(server);
     if (lane !== undefined) this.#pump(lane);
   }
 
+  configure(service: contracts.Service): void {
+    this.#service = service;
+    this.#board.configure(this.#boardOptions());
+  }
+
   /** The owner of a key stays the only choice, also after a failure. */
   hasOther(): boolean {
     return true;
@@ -98,7 +104,7 @@
   /** Looks up every waiting request's owner again. */
   refresh(): void {
     const nowMs = this.#options.clock.nowMs();
-    const known = this.#options.servers.servers(this.#options.service.name);
+    const known = this.#options.servers.servers(this.#service.name);
     const ids = known.map((address) => address.server);
     this.#board.keepOnly(new Set(ids), nowMs);
     for (const server of this.#board.ejectSilent(nowMs)) {
@@ -114,6 +120,11 @@
     }
   }
 
+  #boardOptions(): routing.ServerBoardOptions {
+    const { slotsPerServer } = this.#service;
+    return { slotsPerServer, localLimit: slotsPerServer };
+  }
+
   /** Puts a request where it has to wait; nothing when it was refused. */
   #enqueue(wish: SlotWish): Lane | undefined {
     const owner = this.#owner(wish);
@@ -192,8 +203,8 @@
   }
 
   #owner(wish: SlotWish): OwnerLookup {
-    const { owners, service } = this.#options;
-    return owners.lookup(service.name, wish.keyHash!);
+    const { owners } = this.#options;
+    return owners.lookup(this.#service.name, wish.keyHash!);
   }
 
   #probeIfDue(address: ServerAddress, nowMs: number): void {
@@ -211,7 +222,7 @@
     server: contracts.ServerId,
     event: NonNullable<routing.BoardEvent>,
   ): void {
-    const service = this.#options.service.name;
+    const service = this.#service.name;
     this.#options.log.info(`Server is ${event}.`, { service, server });
     if (event === "ejected") this.#options.onEjected(server);
   }
--- a/packages/entry/src/requests/lane.ts
+++ b/packages/entry/src/requests/lane.ts
@@ -34,9 +34,10 @@
   }
 
   /** Refuses requests until at most `limit` wait. */
-  shorten(limit: number): void {
+  shorten(limit: number, retryAfterMs?: number): void {
     while (this.#queue.size > limit) {
       this.#queue.displace()!.refused("queue-full", {
+        retryAfterMs,
         message: "Too many requests wait for the service; come back later",
       });
     }
--- a/packages/entry/src/requests/local_allocator.ts
+++ b/packages/entry/src/requests/local_allocator.ts
@@ -9,6 +9,10 @@
 /** Options of {@link LocalAllocator}. */
 export interface LocalAllocatorOptions {
   readonly service: contracts.Service;
+  /** Policy for choosing servers, in place of the service's own. */
+  readonly policy?: string;
+  /** Requests given to one server beyond its slots. */
+  readonly extraRequests: number;
   readonly servers: ServerView;
   readonly clock: contracts.Clock;
   readonly random: contracts.RandomSource;
@@ -24,17 +28,19 @@
   readonly #options: LocalAllocatorOptions;
   readonly #lane = new Lane();
   readonly #board: routing.ServerBoard;
-  readonly #choice: routing.ServerChoice;
+  #service: contracts.Service;
+  #choice: routing.ServerChoice;
+  readonly #limit = new routing.QueueLimit();
   #wakeUp: NodeJS.Timeout | undefined;
 
   constructor(options: LocalAllocatorOptions) {
     this.#options = options;
-    const { service, clock } = options;
-    this.#board = new routing.ServerBoard({
-      slotsPerServer: service.slotsPerServer,
-      localLimit: service.slotsPerServer,
-    }, clock.nowMs());
-    this.#choice = routing.createServerChoice(service.policy);
+    this.#service = options.service;
+    this.#choice = this.#createChoice();
+    this.#board = new routing.ServerBoard(
+      this.#boardOptions(),
+      options.clock.nowMs(),
+    );
   }
 
   get waiting(): number {
@@ -45,7 +51,8 @@
     this.#lane.push(wish);
     this.#pump();
     // Only now: a request that found a server at once takes no place.
-    this.#lane.shorten(this.#options.service.queueRequests);
+    const limit = this.#limit.limit(this.#service.queueRequests);
+    this.#lane.shorten(limit, this.#limit.drainMs(limit));
   }
 
   withdraw(wish: SlotWish): void {
@@ -55,18 +62,26 @@
   release(slot: Slot, end: routing.AttemptEnd): void {
     const nowMs = this.#options.clock.nowMs();
     const { server } = slot.address;
+    if (end.kind === "answer") this.#limit.noteAnswered(nowMs - slot.sentMs);
     const event = this.#board.noteEnd(server, slot.sentMs, { end, nowMs });
     if (event !== undefined) this.#noteEvent(server, event);
     this.#pump();
   }
 
+  configure(service: contracts.Service): void {
+    const isOtherPolicy = service.policy !== this.#service.policy;
+    this.#service = service;
+    if (isOtherPolicy) this.#choice = this.#createChoice();
+    this.#board.configure(this.#boardOptions());
+  }
+
   hasOther(tried: ReadonlySet<contracts.ServerId>): boolean {
     return this.#live().some((address) => !tried.has(address.server));
   }
 
   refresh(): void {
     const nowMs = this.#options.clock.nowMs();
-    const known = this.#options.servers.servers(this.#options.service.name);
+    const known = this.#options.servers.servers(this.#service.name);
     const ids = known.map((address) => address.server);
     this.#board.keepOnly(new Set(ids), nowMs);
     for (const server of this.#board.ejectSilent(nowMs)) {
@@ -76,6 +91,17 @@
     this.#pump();
   }
 
+  #createChoice(): routing.ServerChoice {
+    const policy = this.#options.policy ?? this.#service.policy;
+    return routing.createServerChoice(policy);
+  }
+
+  #boardOptions(): routing.ServerBoardOptions {
+    const { slotsPerServer } = this.#service;
+    const localLimit = slotsPerServer + this.#options.extraRequests;
+    return { slotsPerServer, localLimit };
+  }
+
   #pump(): void {
     let wish = this.#lane.peek();
     while (wish !== undefined && this.#serve(wish)) wish = this.#lane.peek();
@@ -99,6 +125,7 @@
       return false;
     }
     this.#lane.shift();
+    this.#limit.noteGranted(nowMs, this.#lane.size > 0);
     this.#board.noteSent(chosen.server, nowMs);
     const address = live.find((it) => it.server === chosen.server)!;
     wish.granted({ address, sentMs: nowMs });
@@ -115,7 +142,7 @@
   }
 
   #live(): ServerAddress[] {
-    const known = this.#options.servers.servers(this.#options.service.name);
+    const known = this.#options.servers.servers(this.#service.name);
     return known.filter((address) => address.state === "live");
   }
 
@@ -133,7 +160,7 @@
     server: contracts.ServerId,
     event: NonNullable<routing.BoardEvent>,
   ): void {
-    const service = this.#options.service.name;
+    const service = this.#service.name;
     this.#options.log.info(`Server is ${event}.`, { service, server });
     if (event === "ejected") this.#options.onEjected(server);
   }
--- a/packages/entry/src/requests/request_router.ts
+++ b/packages/entry/src/requests/request_router.ts
@@ -15,12 +15,16 @@
   type CallerRequest,
   notRun,
 } from "./caller_request.ts";
+import { DispatchedAllocator } from "./dispatched_allocator.ts";
 import { KeyedAllocator } from "./keyed_allocator.ts";
 import { LocalAllocator } from "./local_allocator.ts";
+import type { PeerCalls } from "./peer_calls.ts";
 import type { RequestMetrics } from "./request_metrics.ts";
 import { RequestRun } from "./request_run.ts";
 import type { ServiceParts } from "./service_parts.ts";
 import type { SlotAllocator } from "./slot_allocator.ts";
+import { SlotDispatcher } from "./slot_dispatcher.ts";
+import * as messages from "./slot_messages.ts";
 
 /** Options of {@link RequestRouter}. */
 export interface RequestRouterOptions {
@@ -38,12 +42,20 @@
   readonly lifeCycle: LifeCycle;
   readonly metrics: RequestMetrics;
   readonly longestTimeoutMs: number;
+  /** Links to other entry VMs; without them each VM chooses alone. */
+  readonly peers?: PeerCalls;
 }
 
 /** Interval at which silence is looked for and probes are sent. */
 const REFRESH_INTERVAL_MS = 50;
 /** Time a request of unknown fate stays counted as forwarded. */
 const UNKNOWN_HOLD_MS = 10_000;
+/**
+ * Requests that a dispatcher gives to a server beyond its slots. They bridge
+ * the time from the end of one request until the next arrives; a server that
+ * refuses them as busy makes the board lower its limit.
+ */
+const BRIDGING_REQUESTS = 2;
 /** Links kept free of requests, for probes and cancellations. */
 const SPARE_LINKS = 1;
 
@@ -59,6 +71,7 @@
   readonly #log: PartLog;
   readonly #limits = new routing.CallerLimits();
   readonly #services = new Map<contracts.ServiceId, ServiceEntry>();
+  readonly #dispatcher: SlotDispatcher | undefined;
   readonly #idPrefix: string;
   #nextId = 0;
 
@@ -67,6 +80,7 @@
     this.#log = options.log.part("route");
     const drawn = Math.floor(options.random.next() * 2 ** 48);
     this.#idPrefix = drawn.toString(36);
+    this.#dispatcher = this.#createDispatcher(options.peers);
     options.lifeCycle.every(REFRESH_INTERVAL_MS, () => this.#refresh());
   }
 
@@ -143,19 +157,29 @@
     const found = this.#services.get(service.name);
     // The configuration hands out the same object until a revision changes.
     if (found?.service === service) return found;
+    const isSameKind = found?.service.keyed === service.keyed;
+    const allocator = found !== undefined && isSameKind
+      ? found.parts.allocator
+      : this.#createAllocator(service);
     found?.stop();
-    const entry = this.#createEntry(service);
+    allocator.configure(service);
+    this.#dispatcher?.configure(service);
+    const entry = this.#createEntry(service, allocator);
     this.#services.set(service.name, entry);
     return entry;
   }
 
-  #createEntry(service: contracts.Service): ServiceEntry {
+  #createEntry(
+    service: contracts.Service,
+    allocator: SlotAllocator,
+  ): ServiceEntry {
     const { owners, clock, links, metrics, servers } = this.#options;
-    const allocator = this.#createAllocator(service);
     const stop = owners.onChange(service.name, () => allocator.refresh());
     const parts: ServiceParts = {
       service,
-      policy: service.keyed ? "owner" : service.policy ?? "default",
+      policy: service.keyed
+        ? "owner"
+        : service.policy ?? routing.DEFAULT_POLICY,
       allocator,
       budget: new routing.RetryBudget(),
       owners,
@@ -172,8 +196,29 @@
   }
 
   #createAllocator(service: contracts.Service): SlotAllocator {
+    if (service.keyed) return new KeyedAllocator(this.#common(service));
+    const { peers, servers, clock, hashKey } = this.#options;
+    const local = new LocalAllocator({
+      ...this.#common(service),
+      extraRequests: 0,
+    });
+    if (peers === undefined) return local;
+    return new DispatchedAllocator({
+      service,
+      peers,
+      dispatcher: this.#dispatcher!,
+      fallback: local,
+      servers,
+      clock,
+      hash: hashKey,
+      log: this.#log,
+    });
+  }
+
+  /** What all allocators need. */
+  #common(service: contracts.Service) {
     const { metrics, links } = this.#options;
-    const common = {
+    return {
       ...this.#options,
       service,
       log: this.#log,
@@ -181,9 +226,37 @@
         metrics.ejected(service.name, server),
       probe: (address: ServerAddress) => links.probe(address),
     };
-    return service.keyed
-      ? new KeyedAllocator(common)
-      : new LocalAllocator(common);
+  }
+
+  #createDispatcher(peers: PeerCalls | undefined): SlotDispatcher | undefined {
+    if (peers === undefined) return undefined;
+    peers.register(
+      messages.SLOTS_DECIDED_METHOD,
+      messages.slotsDecidedSchema,
+      (decided) => this.#noteDecided(decided),
+    );
+    return new SlotDispatcher({
+      peers,
+      clock: this.#options.clock,
+      createAllocator: (id) => this.#createDispatchedSide(id),
+    });
+  }
+
+  /** The queue and the choice of a service that this VM dispatches. */
+  #createDispatchedSide(id: contracts.ServiceId): SlotAllocator | undefined {
+    const service = this.#options.config.service(id);
+    if (service === undefined) return undefined;
+    return new LocalAllocator({
+      ...this.#common(service),
+      policy: "least-outstanding",
+      extraRequests: BRIDGING_REQUESTS,
+    });
+  }
+
+  #noteDecided(decided: messages.SlotsDecided): object {
+    const allocator = this.#services.get(decided.service)?.parts.allocator;
+    if (allocator instanceof DispatchedAllocator) allocator.decided(decided);
+    return {};
   }
 
   /** This VM's share of a server's connections. */
@@ -204,6 +277,7 @@
       const servers = this.#options.servers.servers(entry.service.name);
       for (const address of servers) known.add(address.server);
     }
+    this.#dispatcher?.refresh();
     this.#options.links.keepOnly(known);
   }
 }
--- a/packages/entry/src/requests/slot_allocator.ts
+++ b/packages/entry/src/requests/slot_allocator.ts
@@ -44,6 +44,8 @@
   release(slot: Slot, end: routing.AttemptEnd): void;
   /** Whether a request that tried some servers has another to go to. */
   hasOther(tried: ReadonlySet<contracts.ServerId>): boolean;
+  /** Takes over changed settings of the service. */
+  configure(service: contracts.Service): void;
   /** Servers or settings may have changed, or time has passed. */
   refresh(): void;
   /** Requests that wait. */
