--- /dev/null
+++ b/packages/entry/src/platform/http_backend_control.ts
@@ -0,0 +1,74 @@
+/** Control side of one backend server over HTTP. */
+import * as contracts from "@guavatide/contracts";
+import { err, ok, type Result, type ResultAsync } from "neverthrow";
+import type * as z from "zod";
+import {
+  type HttpAnswer,
+  type HttpCallError,
+  HttpChannel,
+} from "./http_channel.ts";
+
+/** {@link contracts.BackendControl} over HTTP, for one server address. */
+export class HttpBackendControl implements contracts.BackendControl {
+  readonly #channel: HttpChannel;
+
+  /** `origin` is a URL without path. */
+  constructor(origin: string) {
+    this.#channel = new HttpChannel(origin);
+  }
+
+  /** Closes every connection to the server's control side. */
+  close(): Promise<void> {
+    return this.#channel.close();
+  }
+
+  order(
+    order: contracts.OwnershipOrder,
+    options: contracts.CallOptions,
+  ): ResultAsync<contracts.OwnershipReply, contracts.ServerCallError> {
+    const call = {
+      method: "POST",
+      path: "/control/ownership",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify(order),
+    } as const;
+    return this.#channel.call(call, options)
+      .mapErr(toServerError)
+      .andThen((answer) => parse(answer, contracts.ownershipReplySchema));
+  }
+
+  load(
+    options: contracts.CallOptions,
+  ): ResultAsync<contracts.LoadReport, contracts.ServerCallError> {
+    return this.#channel.call({ method: "GET", path: "/control/load" }, options)
+      .mapErr(toServerError)
+      .andThen((answer) => parse(answer, contracts.loadReportSchema));
+  }
+}
+
+function toServerError(error: HttpCallError): contracts.ServerCallError {
+  const kind = error.kind === "timeout" ? "timeout" : "unreachable";
+  return { kind, message: error.message };
+}
+
+function parse<T>(
+  answer: HttpAnswer,
+  schema: z.ZodType<T>,
+): Result<T, contracts.ServerCallError> {
+  if (answer.status !== 200) {
+    return err(badAnswer(`status ${answer.status}: ${answer.text}`));
+  }
+  try {
+    return ok(schema.parse(JSON.parse(answer.text)));
+  } catch (error) {
+    return err(badAnswer(String(error)));
+  }
+}
+
+function badAnswer(seen: string): contracts.ServerCallError {
+  return {
+    kind: "bad-answer",
+    message:
+      `The server's control side gave another answer than agreed (${seen}); check the server's address and version`,
+  };
+}
--- /dev/null
+++ b/packages/entry/src/platform/http_channel.ts
@@ -0,0 +1,132 @@
+/**
+ * One HTTP peer of the platform with a deadline on every call. A connection
+ * that may have gone silent for good looks open: the only sign is a call that
+ * runs out of time. So after a timeout every connection of that moment is
+ * retired, and the next call opens a new one.
+ */
+import type { CallOptions } from "@guavatide/contracts";
+import { err, ok, ResultAsync } from "neverthrow";
+import * as undici from "undici";
+
+const CONNECT_TIMEOUT_MS = 1000;
+const MAX_CONNECTIONS = 16;
+const MAX_ANSWER_BYTES = 64 * 1_048_576;
+
+/** A call over an {@link HttpChannel}. */
+export interface HttpCall {
+  readonly method: "GET" | "PUT" | "POST" | "DELETE";
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+}
+
+/** A whole answer. */
+export interface HttpAnswer {
+  readonly status: number;
+  readonly etag: string | undefined;
+  readonly text: string;
+}
+
+/** Why there is no whole answer. The call may have taken effect. */
+export interface HttpCallError {
+  readonly kind: "timeout" | "unreachable" | "cancelled";
+  readonly message: string;
+}
+
+/** Calls to one address; each has its deadline. */
+export class HttpChannel {
+  readonly #origin: string;
+  #pool: undici.Pool;
+
+  /** `origin` is a URL without path, for example `http://127.0.0.1:7000`. */
+  constructor(origin: string) {
+    this.#origin = origin;
+    this.#pool = openPool(origin);
+  }
+
+  /** Sends one call. Errors: {@link HttpCallError}. */
+  call(
+    call: HttpCall,
+    options: CallOptions,
+  ): ResultAsync<HttpAnswer, HttpCallError> {
+    return new ResultAsync(this.#send(call, options));
+  }
+
+  /** Closes every connection. */
+  async close(): Promise<void> {
+    await this.#pool.destroy();
+  }
+
+  async #send(call: HttpCall, options: CallOptions) {
+    const deadline = new AbortController();
+    const timer = setTimeout(
+      () => deadline.abort(),
+      Math.max(0, options.timeoutMs),
+    );
+    const signal = options.signal === undefined
+      ? deadline.signal
+      : AbortSignal.any([deadline.signal, options.signal]);
+    const pool = this.#pool;
+    try {
+      const response = await pool.request({ ...call, signal });
+      const text = await response.body.text();
+      const etag = response.headers["etag"];
+      return ok<HttpAnswer, HttpCallError>({
+        status: response.statusCode,
+        etag: typeof etag === "string" ? etag : undefined,
+        text,
+      });
+    } catch (error) {
+      const isTimeout = deadline.signal.aborted;
+      if (isTimeout) this.#retire(pool);
+      return err<HttpAnswer, HttpCallError>(
+        this.#describe(call, options, { error, isTimeout }),
+      );
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  /** Leaves the other calls of the old pool to their own deadlines. */
+  #retire(pool: undici.Pool): void {
+    if (pool !== this.#pool) return;
+    this.#pool = openPool(this.#origin);
+    pool.close().catch(() => {});
+  }
+
+  #describe(
+    call: HttpCall,
+    options: CallOptions,
+    cause: { readonly error: unknown; readonly isTimeout: boolean },
+  ): HttpCallError {
+    const what = `${call.method} ${this.#origin}${call.path.split("?")[0]}`;
+    if (cause.isTimeout) {
+      return {
+        kind: "timeout",
+        message:
+          `No answer to "${what}" within ${options.timeoutMs} ms; check that the address answers, or allow more time`,
+      };
+    }
+    if (options.signal?.aborted === true) {
+      return { kind: "cancelled", message: `Cancelled "${what}"` };
+    }
+    return {
+      kind: "unreachable",
+      message: `Failed "${what}": ${
+        String(cause.error)
+      }; check the address and that the other side runs`,
+    };
+  }
+}
+
+function openPool(origin: string): undici.Pool {
+  return new undici.Pool(origin, {
+    connections: MAX_CONNECTIONS,
+    pipelining: 1,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    // The deadline of each call rules; undici's own would cut long watches.
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    maxResponseSize: MAX_ANSWER_BYTES,
+  });
+}
--- /dev/null
+++ b/packages/entry/src/platform/http_vm_list.ts
@@ -0,0 +1,50 @@
+/** The platform's VM list over HTTP: `GET /vms`. */
+import * as contracts from "@guavatide/contracts";
+import { err, ok, type Result, type ResultAsync } from "neverthrow";
+import { type HttpAnswer, HttpChannel } from "./http_channel.ts";
+
+/** {@link contracts.VmList} over HTTP. */
+export class HttpVmList implements contracts.VmList {
+  readonly #channel: HttpChannel;
+
+  /** `origin` is a URL without path. */
+  constructor(origin: string) {
+    this.#channel = new HttpChannel(origin);
+  }
+
+  /** Closes every connection to the list. */
+  close(): Promise<void> {
+    return this.#channel.close();
+  }
+
+  fetch(
+    options: contracts.CallOptions,
+  ): ResultAsync<contracts.VmListSnapshot, contracts.VmListError> {
+    return this.#channel.call({ method: "GET", path: "/vms" }, options)
+      .mapErr((error) => unavailable(error.message))
+      .andThen(parseSnapshot);
+  }
+}
+
+function parseSnapshot(
+  answer: HttpAnswer,
+): Result<contracts.VmListSnapshot, contracts.VmListError> {
+  if (answer.status !== 200) {
+    return err(
+      unavailable(`The VM list answered ${answer.status}; try again later`),
+    );
+  }
+  try {
+    return ok(contracts.vmListSnapshotSchema.parse(JSON.parse(answer.text)));
+  } catch (error) {
+    return err(
+      unavailable(
+        `The VM list has another form: ${String(error)}; check its address`,
+      ),
+    );
+  }
+}
+
+function unavailable(message: string): contracts.VmListError {
+  return { kind: "unavailable", message };
+}
--- /dev/null
+++ b/packages/standins/src/backend_server/ownership_state.ts
@@ -0,0 +1,121 @@
+/**
+ * What a backend server that checks fences knows of its ownership, and what
+ * it may run. A decision without input or output: each method takes the
+ * server's monotonic time.
+ */
+import type {
+  HeldSlice,
+  OwnershipOrder,
+  OwnershipReply,
+  SliceId,
+} from "@guavatide/contracts";
+
+/** Options of {@link OwnershipState}. */
+export interface OwnershipStateOptions {
+  /** Drawn anew at each start of the process. */
+  readonly instance: string;
+  readonly checksFences: boolean;
+}
+
+/** The part of a reply that ownership decides. */
+export type OwnershipAnswer = Omit<OwnershipReply, "draining">;
+
+interface Hold {
+  readonly fence: number;
+  /** On the server's own clock. */
+  leaseEndMs: number;
+}
+
+/** Slices held, their leases and the requests that run in them. */
+export class OwnershipState {
+  readonly #options: OwnershipStateOptions;
+  readonly #holds = new Map<SliceId, Hold>();
+  readonly #running = new Map<SliceId, number>();
+  #revision = 0;
+
+  constructor(options: OwnershipStateOptions) {
+    this.#options = options;
+  }
+
+  /** Applies an order and answers it. */
+  order(order: OwnershipOrder, nowMs: number): OwnershipAnswer {
+    if (order.revision < this.#revision) return this.#answer(false, nowMs);
+    this.#revision = order.revision;
+    this.#letGo(order.slices);
+    const leaseEndMs = this.#leaseEndOf(order, nowMs);
+    if (leaseEndMs === undefined) return this.#answer(false, nowMs);
+    for (const slice of order.slices) this.#hold(slice, leaseEndMs);
+    return this.#answer(true, nowMs);
+  }
+
+  /** Whether a request may run now for this slice at this fence. */
+  mayRun(slice: SliceId, fence: number, nowMs: number): boolean {
+    if (!this.#options.checksFences) return true;
+    const hold = this.#holds.get(slice);
+    if (hold === undefined) return false;
+    return hold.fence === fence && nowMs < hold.leaseEndMs;
+  }
+
+  /** Counts a request that begins to run. */
+  begin(slice: SliceId): void {
+    this.#running.set(slice, (this.#running.get(slice) ?? 0) + 1);
+  }
+
+  /** Counts a request that has ended. */
+  end(slice: SliceId): void {
+    const left = (this.#running.get(slice) ?? 1) - 1;
+    if (left > 0) this.#running.set(slice, left);
+    else this.#running.delete(slice);
+  }
+
+  /** Slices with a lease that has not ended. */
+  heldSlices(nowMs: number): SliceId[] {
+    return [...this.#holds.entries()]
+      .filter(([, hold]) => nowMs < hold.leaseEndMs)
+      .map(([slice]) => slice);
+  }
+
+  /**
+   * Undefined when the order can't give a lease: no stamp, a stamp of another
+   * run, a stamp from the future or one whose lease has ended on its way.
+   */
+  #leaseEndOf(order: OwnershipOrder, nowMs: number): number | undefined {
+    if (order.stampMs === undefined) return undefined;
+    if (order.stampInstance !== this.#options.instance) return undefined;
+    if (order.stampMs > nowMs) return undefined;
+    const leaseEndMs = order.stampMs + order.leaseMs;
+    return leaseEndMs > nowMs ? leaseEndMs : undefined;
+  }
+
+  /** Letting go is always safe, so it needs no stamp. */
+  #letGo(listed: readonly HeldSlice[]): void {
+    const fences = new Map(listed.map((held) => [held.slice, held.fence]));
+    for (const [slice, hold] of [...this.#holds]) {
+      if (fences.get(slice) !== hold.fence) this.#holds.delete(slice);
+    }
+  }
+
+  /** An older stamp never shortens the lease that a newer one gave. */
+  #hold(listed: HeldSlice, leaseEndMs: number): void {
+    const present = this.#holds.get(listed.slice);
+    if (present === undefined) {
+      this.#holds.set(listed.slice, { fence: listed.fence, leaseEndMs });
+      return;
+    }
+    present.leaseEndMs = Math.max(present.leaseEndMs, leaseEndMs);
+  }
+
+  #answer(isAccepted: boolean, nowMs: number): OwnershipAnswer {
+    const releasing = [...this.#running.entries()]
+      .filter(([slice]) => !this.#holds.has(slice))
+      .map(([slice, inFlight]) => ({ slice, inFlight }));
+    return {
+      instance: this.#options.instance,
+      stampMs: nowMs,
+      revision: this.#revision,
+      accepted: isAccepted,
+      releasing,
+      checksFences: this.#options.checksFences,
+    };
+  }
+}
--- /dev/null
+++ b/packages/standins/src/backend_server/work_queue.ts
@@ -0,0 +1,175 @@
+/**
+ * Runs requests in a fixed number of slots with a short queue. Refuses by
+ * deadline, drain, cold start and ownership, and checks ownership again when
+ * a request leaves the queue and before its effect: the process may have been
+ * stopped in between, and another server may own the key by then.
+ */
+import type { Clock, ServerRefusal, SliceId } from "@guavatide/contracts";
+import type { Journal, JournaledRequest } from "./journal.ts";
+import type { OwnershipState } from "./ownership_state.ts";
+import type { ServiceTimes } from "./service_times.ts";
+import type { BackendSettings } from "./settings.ts";
+
+const REMEMBERED_CANCELLATIONS = 10_000;
+
+/** A request that has arrived. */
+export interface ArrivedRequest extends JournaledRequest {
+  /** On the server's clock; undefined without one. */
+  readonly deadlineMs: number | undefined;
+}
+
+/** How a request ended. */
+export type WorkResult =
+  | { readonly kind: "ran" }
+  | { readonly kind: "refused"; readonly refusal: ServerRefusal };
+
+/** What a cancellation met. */
+export type CancelResult = "removed" | "running" | "unknown";
+
+interface Waiting {
+  readonly request: ArrivedRequest;
+  finish(result: WorkResult): void;
+}
+
+/** Options of {@link WorkQueue}. */
+export interface WorkQueueOptions {
+  readonly settings: BackendSettings;
+  readonly clock: Clock;
+  readonly ownership: OwnershipState;
+  readonly journal: Journal;
+  readonly times: ServiceTimes;
+}
+
+/** Slots and queue of one server. */
+export class WorkQueue {
+  readonly #options: WorkQueueOptions;
+  readonly #startedMs: number;
+  readonly #waiting: Waiting[] = [];
+  readonly #runningIds = new Set<string>();
+  readonly #cancelledIds = new Set<string>();
+  /** Requests run this many times slower. */
+  slowFactor = 1;
+  isDraining = false;
+
+  constructor(options: WorkQueueOptions) {
+    this.#options = options;
+    this.#startedMs = options.clock.nowMs();
+  }
+
+  /** Requests that run or wait. */
+  get inFlight(): number {
+    return this.#runningIds.size + this.#waiting.length;
+  }
+
+  /** Runs the request as soon as a slot is free, or refuses it. */
+  submit(request: ArrivedRequest): Promise<WorkResult> {
+    const refusal = this.#refusalOnArrival(request);
+    if (refusal !== undefined) {
+      return Promise.resolve(this.#refuse(request, refusal));
+    }
+    return new Promise((resolve) => {
+      this.#waiting.push({ request, finish: resolve });
+      this.#startWaiting();
+    });
+  }
+
+  /**
+   * Cancels a request that has not started. An id that is not known is kept:
+   * the cancellation may have overtaken its request.
+   */
+  cancel(requestId: string): CancelResult {
+    if (this.#runningIds.has(requestId)) return "running";
+    const index = this.#waiting.findIndex((waiting) =>
+      waiting.request.requestId === requestId
+    );
+    const waiting = this.#waiting[index];
+    if (waiting === undefined) {
+      this.#rememberCancelled(requestId);
+      return "unknown";
+    }
+    this.#waiting.splice(index, 1);
+    waiting.finish(this.#refuse(waiting.request, "deadline"));
+    return "removed";
+  }
+
+  #rememberCancelled(requestId: string): void {
+    this.#cancelledIds.add(requestId);
+    if (this.#cancelledIds.size <= REMEMBERED_CANCELLATIONS) return;
+    const oldest = this.#cancelledIds.values().next().value;
+    if (oldest !== undefined) this.#cancelledIds.delete(oldest);
+  }
+
+  #refusalOnArrival(request: ArrivedRequest): ServerRefusal | undefined {
+    const { settings } = this.#options;
+    if (this.isDraining) return "draining";
+    if (this.#isCold() && settings.coldMode === "refuse") return "cold";
+    if (this.#cancelledIds.has(request.requestId)) return "deadline";
+    const isFull = this.#runningIds.size >= settings.slots &&
+      this.#waiting.length >= settings.queueLimit;
+    if (isFull) return "busy";
+    return this.#refusalNow(request);
+  }
+
+  #refusalNow(request: ArrivedRequest): ServerRefusal | undefined {
+    const nowMs = this.#options.clock.nowMs();
+    if (request.deadlineMs !== undefined && nowMs >= request.deadlineMs) {
+      return "deadline";
+    }
+    return this.#ownsKeyOf(request, nowMs) ? undefined : "not-owner";
+  }
+
+  #ownsKeyOf(request: ArrivedRequest, nowMs: number): boolean {
+    const { settings, ownership } = this.#options;
+    if (!settings.keyed || !settings.checksFences) return true;
+    if (request.slice === undefined || request.fence === undefined) {
+      return false;
+    }
+    return ownership.mayRun(request.slice as SliceId, request.fence, nowMs);
+  }
+
+  #startWaiting(): void {
+    while (this.#runningIds.size < this.#options.settings.slots) {
+      const next = this.#waiting.shift();
+      if (next === undefined) return;
+      const refusal = this.#refusalNow(next.request);
+      if (refusal === undefined) this.#run(next);
+      else next.finish(this.#refuse(next.request, refusal));
+    }
+  }
+
+  #run(work: Waiting): void {
+    const { request } = work;
+    const { ownership, journal, times } = this.#options;
+    this.#runningIds.add(request.requestId);
+    if (request.slice !== undefined) ownership.begin(request.slice as SliceId);
+    journal.note("start", request);
+    const coldFactor = this.#isCold()
+      ? this.#options.settings.coldSlowFactor
+      : 1;
+    const runMs = times.nextMs() * this.slowFactor * coldFactor;
+    setTimeout(() => this.#finish(work), runMs);
+  }
+
+  #finish(work: Waiting): void {
+    const { request } = work;
+    const { ownership, journal, clock } = this.#options;
+    const ownsStill = this.#ownsKeyOf(request, clock.nowMs());
+    journal.note(ownsStill ? "end" : "abandoned", request);
+    this.#runningIds.delete(request.requestId);
+    if (request.slice !== undefined) ownership.end(request.slice as SliceId);
+    work.finish(
+      ownsStill ? { kind: "ran" } : { kind: "refused", refusal: "not-owner" },
+    );
+    this.#startWaiting();
+  }
+
+  #refuse(request: ArrivedRequest, refusal: ServerRefusal): WorkResult {
+    this.#options.journal.note("refused", request, refusal);
+    return { kind: "refused", refusal };
+  }
+
+  #isCold(): boolean {
+    const { clock, settings } = this.#options;
+    return clock.nowMs() < this.#startedMs + settings.coldStartMs;
+  }
+}
--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -1,2 +1,2 @@
-/** Entry of this package; exports grow with its parts. */
-export {};
+/** Stand-ins of the platform and its backend servers; never shipped. */
+export * from "./processes/mod.ts";
