feat(ownership): add the decision classes of who may own a key

Evidence, orders, moves, duty and loss detection take state, message and time and give back what to do; no socket, timer or log is in them.

A mover that has just taken over can't ask a lost server whether it checks fences; so the assignment keeps those that don't.

--- a/packages/contracts/src/assignment.ts
+++ b/packages/contracts/src/assignment.ts
@@ -59,6 +59,11 @@
   keeperSets: z.array(z.array(keeperSchema).min(1)).min(1),
   /** In order of `fromHash`, without gap or overlap, covering all hashes. */
   slices: z.array(sliceSchema).min(1),
+  /**
+   * Owners that are not known to check fences. Kept here because a mover that
+   * has just taken over cannot ask a server that is lost.
+   */
+  unfencedServers: z.array(serverIdSchema).optional(),
 });
 /** The assignment of one service. */
 export type Assignment = z.infer<typeof assignmentSchema>;
--- /dev/null
+++ b/packages/decisions/src/ownership/assignment_edit.ts
@@ -0,0 +1,179 @@
+/**
+ * One conditional update of an assignment in the making: all slices that one
+ * event concerns go into one update.
+ */
+import * as contracts from "@guavatide/contracts";
+import type { ChangeRequest, MoveStep } from "./moves.ts";
+import { SliceMap } from "./slice_map.ts";
+
+/** Whether a server is known to check fences; undefined when not met. */
+export type ChecksFences = (
+  server: contracts.ServerId,
+) => boolean | undefined;
+
+/** Who writes, for recognising one's own write. */
+export type AssignmentWriter = Pick<
+  contracts.Assignment,
+  "service" | "writer" | "writerIncarnation" | "nonce"
+>;
+
+/** Builds the successor of an assignment. */
+export class AssignmentEdit {
+  readonly #base: contracts.Assignment | undefined;
+  readonly #checksFences: ChecksFences;
+  readonly #steps: MoveStep[] = [];
+  #slices: SliceMap;
+  #keeperSets: contracts.Assignment["keeperSets"];
+  #isChanged: boolean;
+
+  /** Starts from `base`, or from nothing when it is undefined. */
+  constructor(
+    base: contracts.Assignment | undefined,
+    start: Pick<contracts.Assignment, "slices" | "keeperSets">,
+    checksFences: ChecksFences,
+  ) {
+    this.#base = base;
+    this.#checksFences = checksFences;
+    this.#slices = SliceMap.create(start.slices)._unsafeUnwrap();
+    this.#keeperSets = start.keeperSets;
+    this.#isChanged = base === undefined;
+  }
+
+  /** Whether there is anything to write. */
+  get isChanged(): boolean {
+    return this.#isChanged;
+  }
+
+  /** What the update does, slice by slice. */
+  get steps(): readonly MoveStep[] {
+    return this.#steps;
+  }
+
+  /** Gives every vacating slice that is free to its next owner. */
+  settle(isFree: (slice: contracts.Slice) => boolean): void {
+    for (const slice of this.#slices.slices) {
+      if (slice.state !== "vacating" || !isFree(slice)) continue;
+      const owned: contracts.Slice = {
+        ...slice,
+        state: "owned",
+        fence: this.#revision(),
+        from: [],
+      };
+      this.#replace(owned, {
+        step: "settle",
+        from: slice.from,
+        reason: "earlier owner is out",
+      });
+    }
+  }
+
+  /** Applies a request as far as it still fits the assignment. */
+  apply(request: ChangeRequest): void {
+    if (request.kind === "move") return this.#move(request);
+    const changed = request.kind === "split"
+      ? this.#slices.split(request.slice, request.atHash)
+      : this.#slices.merge(request.slice, request.withSlice);
+    const slice = this.#slices.byId(request.slice);
+    if (changed.isErr() || slice === undefined) return;
+    this.#slices = changed.value;
+    this.#note(slice, {
+      step: request.kind,
+      from: [],
+      reason: request.reason,
+    });
+  }
+
+  /** Drops all keeper sets but the one in force. */
+  retireKeepers(): void {
+    this.#keeperSets = this.#keeperSets.slice(-1);
+    this.#isChanged = true;
+  }
+
+  /** Appends a keeper set unless it is in force already. */
+  useKeepers(keepers: readonly contracts.Keeper[]): void {
+    const wanted = namesOf(keepers);
+    if (wanted === namesOf(this.#keeperSets.at(-1) ?? [])) return;
+    this.#keeperSets = [...this.#keeperSets, [...keepers]];
+    this.#isChanged = true;
+  }
+
+  /** The successor, one revision higher. */
+  finish(writer: AssignmentWriter): contracts.Assignment {
+    return {
+      ...writer,
+      revision: this.#revision(),
+      keeperSets: this.#keeperSets,
+      slices: [...this.#slices.slices],
+      unfencedServers: this.#unfencedServers(),
+    };
+  }
+
+  /**
+   * A slice that is still vacating only gets another next owner: those who
+   * may hold a lease for it stay the same, and so does the wait for them.
+   */
+  #move(request: Extract<ChangeRequest, { kind: "move" }>): void {
+    const slice = this.#slices.byId(request.slice);
+    if (slice === undefined || slice.server === request.toServer) return;
+    const isOwned = slice.state === "owned";
+    const vacating: contracts.Slice = {
+      ...slice,
+      state: "vacating",
+      server: request.toServer,
+      from: isOwned ? [slice.server] : slice.from,
+    };
+    this.#replace(vacating, {
+      step: isOwned ? "vacate" : "redirect",
+      from: vacating.from,
+      reason: request.reason,
+    });
+  }
+
+  #replace(
+    slice: contracts.Slice,
+    step: Pick<MoveStep, "step" | "from" | "reason">,
+  ): void {
+    this.#slices = this.#slices.replace(slice)._unsafeUnwrap();
+    this.#note(slice, step);
+  }
+
+  #note(
+    slice: contracts.Slice,
+    step: Pick<MoveStep, "step" | "from" | "reason">,
+  ): void {
+    this.#isChanged = true;
+    this.#steps.push({
+      ...step,
+      slice: contracts.sliceIdOf(slice),
+      to: slice.server,
+    });
+  }
+
+  /**
+   * Kept with the assignment, because a mover that has just taken over cannot
+   * ask a lost server whether it checks fences. Servers not met count as not
+   * checking.
+   */
+  #unfencedServers(): contracts.ServerId[] {
+    const known = new Set(this.#base?.unfencedServers ?? []);
+    const owners = new Set(
+      this.#slices.slices.flatMap((slice) => [slice.server, ...slice.from]),
+    );
+    const before = new Set(
+      this.#base?.slices.flatMap((slice) => [slice.server, ...slice.from]),
+    );
+    return [...owners].filter((server) => {
+      const checksFences = this.#checksFences(server);
+      if (checksFences !== undefined) return !checksFences;
+      return known.has(server) || !before.has(server);
+    });
+  }
+
+  #revision(): number {
+    return (this.#base?.revision ?? 0) + 1;
+  }
+}
+
+function namesOf(keepers: readonly contracts.Keeper[]): string {
+  return keepers.map(({ vm }) => vm).sort().join();
+}
--- /dev/null
+++ b/packages/decisions/src/ownership/duty.ts
@@ -0,0 +1,205 @@
+/**
+ * The lease of a control duty, an object in the store. It only keeps planners
+ * from racing: two holders at once are harmless, since every change of an
+ * assignment is a conditional update.
+ */
+import * as contracts from "@guavatide/contracts";
+import * as z from "zod";
+
+/** Schema of {@link DutyRecord}. */
+export const dutyRecordSchema = z.strictObject({
+  holder: contracts.vmIdSchema,
+  incarnation: contracts.incarnationSchema,
+  /** Counts the holder's writes, so that each changes the object. */
+  renewal: z.number().int().min(0),
+});
+/** The object that names the holder of a duty. */
+export type DutyRecord = z.infer<typeof dutyRecordSchema>;
+
+/** Times of a duty lease. */
+export interface DutySettings {
+  readonly leaseMs: number;
+  readonly renewMs: number;
+  /** How often one who does not hold the duty looks at it. */
+  readonly pollMs: number;
+  /** Delay of a take-over for each live VM ranked before this one. */
+  readonly rankDelayMs: number;
+}
+
+/** Defaults: about one store call every 3 s for each VM and duty. */
+export const DEFAULT_DUTY_SETTINGS: DutySettings = {
+  leaseMs: 8_000,
+  renewMs: 2_500,
+  pollMs: 3_000,
+  rankDelayMs: 250,
+};
+
+/** What came of a read. */
+export type DutyRead =
+  | {
+    readonly kind: "found";
+    readonly record: DutyRecord;
+    readonly version: string;
+  }
+  | { readonly kind: "absent" }
+  | { readonly kind: "unavailable" };
+
+/** What came of a conditional write. */
+export type DutyWrite =
+  | { readonly kind: "acknowledged"; readonly version: string }
+  | { readonly kind: "conflict" | "unavailable" };
+
+/** What the task around it is to do. */
+export type DutyEffect =
+  | { readonly kind: "read" }
+  | {
+    readonly kind: "write";
+    readonly record: DutyRecord;
+    readonly condition: contracts.WriteCondition;
+  };
+
+/** The world at a tick. */
+export interface DutyTick {
+  readonly nowMs: number;
+  /** Place of this VM among the live ones for this duty; 0 is the first. */
+  readonly rank: number;
+  /** Membership's word on the holder's run: lost, or replaced by another. */
+  isLost(holder: contracts.VmId, incarnation: contracts.Incarnation): boolean;
+}
+
+interface SeenRecord {
+  readonly record: DutyRecord | undefined;
+  readonly condition: contracts.WriteCondition;
+  /** When this version was first seen here. */
+  readonly seenAtMs: number;
+}
+
+/** One VM's part in the lease of one duty. */
+export class DutyLease {
+  readonly #vm: contracts.VmId;
+  readonly #incarnation: contracts.Incarnation;
+  readonly #settings: DutySettings;
+  #seen: SeenRecord | undefined;
+  #heldUntilMs = Number.NEGATIVE_INFINITY;
+  #nextCallAtMs = Number.NEGATIVE_INFINITY;
+  #lostSinceMs: number | undefined;
+  #callSentAtMs: number | undefined;
+  #written: DutyRecord | undefined;
+
+  constructor(
+    self: { readonly vm: contracts.VmId; incarnation: contracts.Incarnation },
+    settings: DutySettings,
+  ) {
+    this.#vm = self.vm;
+    this.#incarnation = self.incarnation;
+    this.#settings = settings;
+  }
+
+  /** Whether this VM holds the duty, counted from before its last renewal. */
+  holds(nowMs: number): boolean {
+    return nowMs < this.#heldUntilMs;
+  }
+
+  /** The holder as last seen. */
+  get holder(): contracts.VmId | undefined {
+    return this.#seen?.record?.holder;
+  }
+
+  /** The next call, if one is due; at most one is under way. */
+  tick(tick: DutyTick): DutyEffect | undefined {
+    if (this.#callSentAtMs !== undefined) return undefined;
+    const effect = this.#choose(tick);
+    if (effect !== undefined) this.#callSentAtMs = tick.nowMs;
+    return effect;
+  }
+
+  /** The read has ended. */
+  noteRead(read: DutyRead, nowMs: number): void {
+    this.#callSentAtMs = undefined;
+    this.#nextCallAtMs = nowMs + this.#settings.pollMs;
+    if (read.kind === "unavailable") return;
+    if (read.kind === "absent") return this.#see(undefined, nowMs);
+    this.#see(read, nowMs);
+  }
+
+  /** The write has ended. */
+  noteWrite(write: DutyWrite, nowMs: number): void {
+    const sentAtMs = this.#callSentAtMs ?? nowMs;
+    this.#callSentAtMs = undefined;
+    if (write.kind === "acknowledged") {
+      this.#heldUntilMs = sentAtMs + this.#settings.leaseMs;
+      this.#nextCallAtMs = nowMs + this.#settings.renewMs;
+      this.#see({ record: this.#written!, version: write.version }, nowMs);
+      return;
+    }
+    // Who holds the duty now can only be read; after a lost reply perhaps us.
+    this.#seen = undefined;
+    const isConflict = write.kind === "conflict";
+    if (isConflict) this.#heldUntilMs = Number.NEGATIVE_INFINITY;
+    this.#nextCallAtMs = nowMs + (isConflict ? 0 : this.#settings.renewMs);
+  }
+
+  /** The write that hands the duty back while this VM leaves, if it holds. */
+  release(nowMs: number): DutyEffect | undefined {
+    if (!this.holds(nowMs) || this.#seen === undefined) return undefined;
+    this.#heldUntilMs = Number.NEGATIVE_INFINITY;
+    const record = { ...this.#record(), renewal: 0 };
+    return { kind: "write", record, condition: this.#seen.condition };
+  }
+
+  #choose(tick: DutyTick): DutyEffect | undefined {
+    const isDue = tick.nowMs >= this.#nextCallAtMs;
+    if (this.#seen === undefined) return isDue ? { kind: "read" } : undefined;
+    if (this.#isOwn()) return isDue ? this.#write() : undefined;
+    if (this.#mayTakeOver(tick)) return this.#write();
+    return isDue ? { kind: "read" } : undefined;
+  }
+
+  #mayTakeOver(tick: DutyTick): boolean {
+    const { record, seenAtMs } = this.#seen!;
+    const delayMs = tick.rank * this.#settings.rankDelayMs;
+    const isExpired = tick.nowMs >= seenAtMs + this.#settings.leaseMs + delayMs;
+    const isVacant = record === undefined || record.renewal === 0 ||
+      tick.isLost(record.holder, record.incarnation);
+    if (!isVacant) {
+      this.#lostSinceMs = undefined;
+      return isExpired;
+    }
+    this.#lostSinceMs ??= tick.nowMs;
+    return tick.nowMs >= this.#lostSinceMs + delayMs;
+  }
+
+  #isOwn(): boolean {
+    const record = this.#seen?.record;
+    return record?.holder === this.#vm && record.renewal > 0 &&
+      record.incarnation === this.#incarnation;
+  }
+
+  #write(): DutyEffect {
+    this.#written = this.#record();
+    const condition = this.#seen!.condition;
+    return { kind: "write", record: this.#written, condition };
+  }
+
+  #record(): DutyRecord {
+    return {
+      holder: this.#vm,
+      incarnation: this.#incarnation,
+      renewal: (this.#seen?.record?.renewal ?? 0) + 1,
+    };
+  }
+
+  #see(
+    found: { record: DutyRecord; version: string } | undefined,
+    nowMs: number,
+  ): void {
+    const condition: contracts.WriteCondition = found === undefined
+      ? { kind: "absent" }
+      : { kind: "version", version: found.version };
+    const isSame = this.#seen?.condition.kind === "version" &&
+      this.#seen.condition.version === found?.version;
+    if (isSame) return;
+    this.#lostSinceMs = undefined;
+    this.#seen = { record: found?.record, condition, seenAtMs: nowMs };
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/ownership/evidence.ts
@@ -0,0 +1,158 @@
+/**
+ * What one process knows of one service's assignment, and until when it may
+ * act on it. Evidence for a revision is a store read that returned it, or a
+ * majority of its keepers that knew of none newer; either counts from before
+ * the question left, because the answer may have been on its way for long.
+ */
+import type * as contracts from "@guavatide/contracts";
+import type { OwnershipSettings } from "./settings.ts";
+
+/** A peer's answer to the question what it knows of the service. */
+export interface KeeperAnswer {
+  readonly vm: contracts.VmId;
+  readonly known: contracts.KnownRevision;
+  /** When the question was sent, on the asker's clock. */
+  readonly askedAtMs: number;
+}
+
+interface StoreAnswer {
+  readonly revision: number;
+  readonly askedAtMs: number;
+}
+
+/** No evidence at all. */
+export const NEVER_MS = Number.NEGATIVE_INFINITY;
+
+/** Number of members that form a majority of a set. */
+export function majorityOf(memberCount: number): number {
+  return Math.floor(memberCount / 2) + 1;
+}
+
+/** Evidence of one process for one service. */
+export class EvidenceBook {
+  readonly #self: contracts.VmId;
+  readonly #service: contracts.ServiceId;
+  readonly #settings: OwnershipSettings;
+  readonly #answers = new Map<contracts.VmId, KeeperAnswer>();
+  #assignment: contracts.Assignment | undefined;
+  #store: StoreAnswer | undefined;
+  #hasReadStore = false;
+
+  constructor(
+    self: contracts.VmId,
+    service: contracts.ServiceId,
+    settings: OwnershipSettings,
+  ) {
+    this.#self = self;
+    this.#service = service;
+    this.#settings = settings;
+  }
+
+  /** Highest assignment known; never replaced by a lower revision. */
+  get assignment(): contracts.Assignment | undefined {
+    return this.#assignment;
+  }
+
+  /** Revision of the highest assignment known; 0 when there is none. */
+  get revision(): number {
+    return this.#assignment?.revision ?? 0;
+  }
+
+  /**
+   * Whether this process may give evidence to others. A restarted keeper has
+   * forgotten what it promised; without this rule it would tell an asker that
+   * an old revision is current while a mover counts on its promise. Every
+   * promise follows an acknowledged write, so one read of the store after
+   * the start returns at least what was promised.
+   */
+  get settled(): boolean {
+    return this.#hasReadStore;
+  }
+
+  /** What this process tells peers. */
+  known(): contracts.KnownRevision {
+    return {
+      service: this.#service,
+      revision: this.revision,
+      settled: this.settled,
+    };
+  }
+
+  /** Takes in an assignment from any source. Returns whether it is newer. */
+  learn(assignment: contracts.Assignment): boolean {
+    if (assignment.revision <= this.revision) return false;
+    this.#assignment = assignment;
+    return true;
+  }
+
+  /** A read of the store, or an acknowledged write, sent at `askedAtMs`. */
+  noteStoreRead(assignment: contracts.Assignment, askedAtMs: number): boolean {
+    this.#hasReadStore = true;
+    const isNewer = this.learn(assignment);
+    const isLater = askedAtMs > (this.#store?.askedAtMs ?? NEVER_MS);
+    if (isLater || assignment.revision > (this.#store?.revision ?? 0)) {
+      this.#store = { revision: assignment.revision, askedAtMs };
+    }
+    return isNewer;
+  }
+
+  /** The store answered that there is no assignment yet. */
+  noteStoreAbsent(): void {
+    this.#hasReadStore = true;
+  }
+
+  /** A peer answered what it knows. Late and crossed answers change nothing. */
+  noteAnswer(answer: KeeperAnswer): void {
+    const last = this.#answers.get(answer.vm);
+    if (last !== undefined && last.askedAtMs > answer.askedAtMs) return;
+    this.#answers.set(answer.vm, answer);
+  }
+
+  /** Forgets all evidence, for example when the machine was suspended. */
+  dropEvidence(): void {
+    this.#answers.clear();
+    this.#store = undefined;
+  }
+
+  /** Time as of which the known revision has evidence; else NEVER_MS. */
+  evidenceAskedAtMs(nowMs: number): number {
+    if (this.#assignment === undefined) return NEVER_MS;
+    return Math.max(this.#storeAskedAtMs(), this.#roundAskedAtMs(nowMs));
+  }
+
+  /** Whether orders for the known revision may leave now. */
+  isGood(nowMs: number): boolean {
+    return nowMs < this.evidenceAskedAtMs(nowMs) + this.#settings.evidenceMs;
+  }
+
+  #storeAskedAtMs(): number {
+    if (this.#store?.revision !== this.revision) return NEVER_MS;
+    return this.#store.askedAtMs;
+  }
+
+  /**
+   * The oldest question among the freshest majority: had a mover's majority
+   * known a newer revision before that question was sent, one of these
+   * keepers would have told of it.
+   */
+  #roundAskedAtMs(nowMs: number): number {
+    const keepers = this.#assignment?.keeperSets.at(-1) ?? [];
+    const times: number[] = [];
+    for (const { vm } of keepers) {
+      if (vm === this.#self) {
+        if (this.settled) times.push(nowMs);
+        continue;
+      }
+      const answer = this.#answers.get(vm);
+      if (answer !== undefined && this.#confirms(answer)) {
+        times.push(answer.askedAtMs);
+      }
+    }
+    times.sort((a, b) => b - a);
+    return times[majorityOf(keepers.length) - 1] ?? NEVER_MS;
+  }
+
+  #confirms(answer: KeeperAnswer): boolean {
+    return answer.known.settled && answer.known.revision <= this.revision;
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/ownership/mod.ts
@@ -0,0 +1,15 @@
+/** Decisions on who owns a key and who may say so. */
+export * from "./assignment_edit.ts";
+export * from "./duty.ts";
+export * from "./evidence.ts";
+export * from "./forward_book.ts";
+export * from "./key_hash.ts";
+export * from "./loss_detector.ts";
+export * from "./mover.ts";
+export * from "./moves.ts";
+export * from "./order_book.ts";
+export * from "./promise_book.ts";
+export * from "./renewers.ts";
+export * from "./settings.ts";
+export * from "./slice_map.ts";
+export * from "./slice_wait.ts";
--- /dev/null
+++ b/packages/decisions/src/ownership/mover.ts
@@ -0,0 +1,346 @@
+/**
+ * Moves slices of one service between servers by two conditional updates: the
+ * first takes a slice from its owner, the second, once nobody else can hold a
+ * lease for it, gives it to the next. Whatever the store then holds is taken
+ * over as it is, so a lost reply, a lost mover and a second mover are one
+ * case: read, and go on from what was read.
+ */
+import * as contracts from "@guavatide/contracts";
+import { AssignmentEdit } from "./assignment_edit.ts";
+import { ForwardBook, type ForwardReport } from "./forward_book.ts";
+import type { ChangeRequest, MoveStep } from "./moves.ts";
+import { PromiseBook } from "./promise_book.ts";
+import type { OwnershipSettings } from "./settings.ts";
+import { type AnsweredOrder, SliceWait } from "./slice_wait.ts";
+
+/** What came of a read of the assignment object. */
+export type AssignmentRead =
+  | {
+    readonly kind: "found";
+    readonly assignment: contracts.Assignment;
+    readonly version: string;
+  }
+  | { readonly kind: "absent" }
+  | { readonly kind: "unavailable" };
+
+/** What came of a conditional update. */
+export type AssignmentWrite =
+  | { readonly kind: "acknowledged"; readonly version: string }
+  /** Another version was there, or no reply came: it has to be read. */
+  | { readonly kind: "conflict" }
+  | { readonly kind: "unknown" }
+  | { readonly kind: "refused" };
+
+/** What a mover asks of the task around it. */
+export type MoverEffect =
+  | { readonly kind: "read" }
+  | {
+    readonly kind: "write";
+    readonly assignment: contracts.Assignment;
+    readonly condition: contracts.WriteCondition;
+    /** Moves that the update begins or ends, for the log. */
+    readonly steps: readonly MoveStep[];
+  };
+
+/** The world as the task sees it at a tick. */
+export interface MoverTick {
+  readonly nowMs: number;
+  readonly random: contracts.RandomSource;
+  /** Whether a server can take slices now. */
+  isLive(server: contracts.ServerId): boolean;
+  /** Whether a server is known to check fences; undefined when not met. */
+  checksFences(server: contracts.ServerId): boolean | undefined;
+  /** All entry VMs that may forward requests. */
+  readonly entryVms: readonly contracts.VmId[];
+}
+
+/** Who moves. */
+export interface MoverIdentity {
+  readonly service: contracts.ServiceId;
+  readonly vm: contracts.VmId;
+  readonly incarnation: contracts.Incarnation;
+}
+
+interface StoredAssignment {
+  readonly assignment: contracts.Assignment;
+  /** Undefined when the object does not exist yet. */
+  readonly version: string;
+}
+
+const RETRY_MIN_MS = 100;
+const RETRY_MAX_MS = 2_000;
+
+/** Moves the slices of one service. */
+export class Mover {
+  readonly #identity: MoverIdentity;
+  readonly #settings: OwnershipSettings;
+  readonly #promises = new PromiseBook();
+  readonly #forwards: ForwardBook;
+  #queue: ChangeRequest[] = [];
+  /** Requests that the write under way covers. */
+  #written: readonly ChangeRequest[] = [];
+  #waits = new Map<string, SliceWait>();
+  #stored: StoredAssignment | undefined;
+  #isAbsent = false;
+  #first: contracts.Slice[] | undefined;
+  #keepers: readonly contracts.Keeper[] | undefined;
+  #call: MoverEffect | undefined;
+  #mustRead = true;
+  #notBeforeMs = Number.NEGATIVE_INFINITY;
+  #failures = 0;
+
+  constructor(identity: MoverIdentity, settings: OwnershipSettings) {
+    this.#identity = identity;
+    this.#settings = settings;
+    this.#forwards = new ForwardBook(settings.unfencedMoveWaitMs);
+  }
+
+  /** The assignment as last read or acknowledged. */
+  get assignment(): contracts.Assignment | undefined {
+    return this.#stored?.assignment;
+  }
+
+  /** Whether the store has answered that there is no assignment yet. */
+  get isAbsent(): boolean {
+    return this.#isAbsent;
+  }
+
+  /** Moves asked for and not yet begun. */
+  get queuedMoves(): number {
+    return this.#queue.length;
+  }
+
+  /** Asks for a change; a later one for the same slice replaces it. */
+  request(change: ChangeRequest): void {
+    this.#queue = this.#queue.filter(({ slice }) => slice !== change.slice);
+    this.#queue.push(change);
+  }
+
+  /** Asks for the first assignment, written only if there is none. */
+  requestFirst(slices: contracts.Slice[]): void {
+    this.#first = slices;
+  }
+
+  /** Asks for a keeper set. */
+  requestKeepers(keepers: readonly contracts.Keeper[]): void {
+    this.#keepers = keepers;
+  }
+
+  /** Reads anew before the next decision, for example after taking duty. */
+  forget(): void {
+    this.#queue = [];
+    this.#waits.clear();
+    this.#mustRead = true;
+  }
+
+  /** A newer revision than the one stored here is known to exist. */
+  noteNewer(revision: number): void {
+    if (revision > (this.assignment?.revision ?? 0)) this.#mustRead = true;
+  }
+
+  /** An entry VM told which revision it knows. */
+  notePromise(vm: contracts.VmId, revision: number, nowMs: number): void {
+    this.#promises.note(vm, revision);
+    this.#checkPromises(nowMs);
+  }
+
+  /** See `PromiseBook.noteGone`. */
+  noteGone(vms: ReadonlySet<contracts.VmId>, nowMs: number): void {
+    this.#promises.noteGone(vms);
+    this.#checkPromises(nowMs);
+  }
+
+  /** An entry VM told of its requests at servers that check no fences. */
+  noteForwards(report: ForwardReport): void {
+    this.#forwards.note(report);
+  }
+
+  /** A server answered an order. */
+  noteReply(answer: AnsweredOrder): void {
+    for (const wait of this.#waits.values()) wait.noteReply(answer);
+  }
+
+  /** Servers that slices are being taken from. */
+  vacatingServers(): Set<contracts.ServerId> {
+    const slices = this.assignment?.slices ?? [];
+    return new Set(slices.flatMap((slice) => slice.from));
+  }
+
+  /** Decides what to do next; at most one call to the store is under way. */
+  tick(tick: MoverTick): MoverEffect | undefined {
+    if (this.#call !== undefined || tick.nowMs < this.#notBeforeMs) {
+      return undefined;
+    }
+    this.#call = this.#mustRead ? { kind: "read" } : this.#nextWrite(tick);
+    return this.#call;
+  }
+
+  /** The read that `tick` asked for has ended. */
+  noteRead(
+    read: AssignmentRead,
+    nowMs: number,
+    random: contracts.RandomSource,
+  ): void {
+    this.#call = undefined;
+    if (read.kind === "unavailable") return this.#backOff(nowMs, random);
+    if (read.kind === "absent") return this.#noteAbsent(nowMs, random);
+    const isLower = read.assignment.revision < (this.assignment?.revision ?? 0);
+    if (isLower) return this.#backOff(nowMs, random);
+    const { vm } = this.#identity;
+    // Changes planned on a state that another mover has replaced are void.
+    if (read.assignment.writer !== vm) this.#queue = [];
+    this.#adopt(read, nowMs);
+  }
+
+  /** The write that `tick` asked for has ended. */
+  noteWrite(
+    write: AssignmentWrite,
+    nowMs: number,
+    random: contracts.RandomSource,
+  ): void {
+    const call = this.#call;
+    this.#call = undefined;
+    if (write.kind === "acknowledged" && call?.kind === "write") {
+      const { assignment } = call;
+      this.#queue = this.#queue.filter((change) =>
+        !this.#written.includes(change)
+      );
+      return this.#adopt({ assignment, version: write.version }, nowMs);
+    }
+    // The update may have happened although no reply said so. Deciding on the
+    // old state could, for one, skip the wait of a move that did begin.
+    this.#mustRead = true;
+    if (write.kind !== "conflict") this.#backOff(nowMs, random);
+  }
+
+  #adopt(stored: StoredAssignment, nowMs: number): void {
+    this.#stored = stored;
+    this.#isAbsent = false;
+    this.#first = undefined;
+    this.#mustRead = false;
+    this.#failures = 0;
+    this.#promises.note(this.#identity.vm, stored.assignment.revision);
+    this.#renewWaits(stored.assignment, nowMs);
+    this.#checkPromises(nowMs);
+  }
+
+  /** An object that was there once is never written anew from nothing. */
+  #noteAbsent(nowMs: number, random: contracts.RandomSource): void {
+    if (this.#stored !== undefined) return this.#backOff(nowMs, random);
+    this.#isAbsent = true;
+    this.#mustRead = false;
+    this.#failures = 0;
+  }
+
+  #backOff(nowMs: number, random: contracts.RandomSource): void {
+    this.#mustRead = true;
+    const limitMs = Math.min(RETRY_MAX_MS, RETRY_MIN_MS * 2 ** this.#failures);
+    this.#failures++;
+    // Jitter keeps the movers of all services from asking a store that has
+    // just come back at the same moment.
+    this.#notBeforeMs = nowMs + limitMs * (0.5 + random.next() / 2);
+  }
+
+  /** A wait goes on while its slice stays taken from the same ownership. */
+  #renewWaits(assignment: contracts.Assignment, nowMs: number): void {
+    const waits = new Map<string, SliceWait>();
+    for (const slice of assignment.slices) {
+      if (slice.state !== "vacating") continue;
+      const name = waitName(slice);
+      const seen = {
+        revision: assignment.revision,
+        acknowledgedAtMs: nowMs,
+      };
+      const wait = this.#waits.get(name) ??
+        new SliceWait(slice, seen, this.#settings);
+      waits.set(name, wait);
+    }
+    this.#waits = waits;
+  }
+
+  #checkPromises(nowMs: number): void {
+    const sets = this.assignment?.keeperSets;
+    if (sets === undefined) return;
+    for (const wait of this.#waits.values()) {
+      if (wait.isPromised) continue;
+      const isPromised = this.#promises.hasMajority(sets, wait.revision);
+      if (isPromised) wait.notePromised(nowMs);
+    }
+  }
+
+  /** Whether the second update of a move may be written. */
+  protected mayTake(slice: contracts.Slice, tick: MoverTick): boolean {
+    const wait = this.#waits.get(waitName(slice));
+    if (wait === undefined || !tick.isLive(slice.server)) return false;
+    return wait.isOver(slice.server, {
+      nowMs: tick.nowMs,
+      isUnfenced: (server) => this.#isUnfenced(server, tick),
+      isForwardingOver: (server, revision) =>
+        this.#forwards.isOver(server, revision, {
+          vms: tick.entryVms,
+          nowMs: tick.nowMs,
+        }),
+    });
+  }
+
+  #isUnfenced(server: contracts.ServerId, tick: MoverTick): boolean {
+    const listed = this.assignment?.unfencedServers ?? [];
+    return listed.includes(server) || tick.checksFences(server) === false;
+  }
+
+  #nextWrite(tick: MoverTick): MoverEffect | undefined {
+    if (this.#stored === undefined) return this.#firstWrite(tick);
+    const { assignment } = this.#stored;
+    const edit = new AssignmentEdit(assignment, assignment, tick.checksFences);
+    edit.settle((slice) => this.mayTake(slice, tick));
+    for (const change of this.#queue) edit.apply(change);
+    this.#changeKeepers(edit);
+    this.#written = this.#queue;
+    if (!edit.isChanged) {
+      this.#queue = [];
+      return undefined;
+    }
+    const { version } = this.#stored;
+    return this.#write(edit, tick, { kind: "version", version });
+  }
+
+  #firstWrite(tick: MoverTick): MoverEffect | undefined {
+    const isReady = this.#isAbsent && this.#first !== undefined &&
+      this.#keepers !== undefined;
+    if (!isReady) return undefined;
+    const start = { slices: this.#first!, keeperSets: [[...this.#keepers!]] };
+    const edit = new AssignmentEdit(undefined, start, tick.checksFences);
+    return this.#write(edit, tick, { kind: "absent" });
+  }
+
+  /**
+   * Adds the wanted set, and drops earlier ones when a majority of each knows
+   * the present revision: until then they could still confirm an older one.
+   */
+  #changeKeepers(edit: AssignmentEdit): void {
+    const { keeperSets, revision } = this.#stored!.assignment;
+    const isKnown = this.#promises.hasMajority(keeperSets, revision);
+    if (keeperSets.length > 1 && isKnown) edit.retireKeepers();
+    if (this.#keepers !== undefined) edit.useKeepers(this.#keepers);
+  }
+
+  #write(
+    edit: AssignmentEdit,
+    tick: MoverTick,
+    condition: contracts.WriteCondition,
+  ): MoverEffect {
+    const { service, vm, incarnation } = this.#identity;
+    const assignment = edit.finish({
+      service,
+      writer: vm,
+      writerIncarnation: incarnation,
+      nonce: Math.floor(tick.random.next() * 2 ** 48).toString(16),
+    });
+    return { kind: "write", assignment, condition, steps: edit.steps };
+  }
+}
+
+/** The same for as long as a slice stays taken from one ownership. */
+function waitName(slice: contracts.Slice): string {
+  return `${contracts.sliceIdOf(slice)}/${slice.fence}/${slice.from.join()}`;
+}
--- /dev/null
+++ b/packages/decisions/src/ownership/slice_wait.ts
@@ -0,0 +1,127 @@
+/**
+ * What a mover has seen of one slice that is between two owners, and whether
+ * its earlier owners can no longer hold a lease.
+ */
+import type * as contracts from "@guavatide/contracts";
+import { type OwnershipSettings, waitOutMs } from "./settings.ts";
+import { overlaps, rangeOfSliceId } from "./slice_map.ts";
+
+/** A server's reply to an order, with what was asked. */
+export interface AnsweredOrder {
+  readonly order: contracts.OwnershipOrder;
+  readonly reply: contracts.OwnershipReply;
+  readonly sentAtMs: number;
+  readonly nowMs: number;
+}
+
+/** Tells which servers need more than their own word. */
+export interface UnfencedFacts {
+  readonly nowMs: number;
+  /** Whether the server is not known to check fences. */
+  isUnfenced(server: contracts.ServerId): boolean;
+  /** Whether every entry VM reported nothing in flight at the revision. */
+  isForwardingOver(server: contracts.ServerId, revision: number): boolean;
+}
+
+/** The wait for one vacating slice. */
+export class SliceWait {
+  /** Revision at which this mover first saw the slice vacating. */
+  readonly revision: number;
+  readonly #slice: contracts.Slice;
+  readonly #acknowledgedAtMs: number;
+  readonly #settings: OwnershipSettings;
+  readonly #released = new Set<contracts.ServerId>();
+  readonly #busyAtMs = new Map<contracts.ServerId, number>();
+  #promisedAtMs: number | undefined;
+
+  constructor(
+    slice: contracts.Slice,
+    seen: { readonly revision: number; readonly acknowledgedAtMs: number },
+    settings: OwnershipSettings,
+  ) {
+    this.revision = seen.revision;
+    this.#slice = slice;
+    this.#acknowledgedAtMs = seen.acknowledgedAtMs;
+    this.#settings = settings;
+  }
+
+  /** Whether a majority of every keeper set has been seen to know. */
+  get isPromised(): boolean {
+    return this.#promisedAtMs !== undefined;
+  }
+
+  /** A majority of every keeper set knows the revision, as seen now. */
+  notePromised(nowMs: number): void {
+    this.#promisedAtMs ??= nowMs;
+  }
+
+  /**
+   * Takes a reply as a release if it is one. The order must have left after
+   * the keepers' promise: a server that restarts after its release could
+   * otherwise get the slice back from a keeper that does not know yet.
+   */
+  noteReply(answer: AnsweredOrder): void {
+    const { order, reply } = answer;
+    if (!this.#slice.from.includes(order.server)) return;
+    if (!reply.accepted || reply.revision < this.revision) return;
+    if (order.revision < this.revision) return;
+    if (order.slices.some((held) => overlaps(held, this.#slice))) return;
+    if (this.#isStillRunning(reply)) {
+      this.#busyAtMs.set(order.server, answer.nowMs);
+      return;
+    }
+    if (!this.isPromised || answer.sentAtMs < this.#promisedAtMs!) return;
+    this.#released.add(order.server);
+  }
+
+  /** Whether none of the earlier owners but `next` can hold a lease. */
+  isOver(next: contracts.ServerId, facts: UnfencedFacts): boolean {
+    return this.#slice.from.every((server) =>
+      server === next || this.#isClear(server, facts)
+    );
+  }
+
+  #isClear(server: contracts.ServerId, facts: UnfencedFacts): boolean {
+    const endMs = this.#waitedOutAtMs();
+    if (facts.isUnfenced(server)) {
+      const isOver = facts.isForwardingOver(server, this.revision);
+      if (isOver && facts.nowMs >= this.#evidenceEndMs()) return true;
+      return facts.nowMs >= endMs + this.#settings.unfencedMoveWaitMs;
+    }
+    if (this.#released.has(server)) return true;
+    return facts.nowMs >= endMs && !this.#isWorthWaiting(server, facts.nowMs);
+  }
+
+  /** The end of the last lease that anyone can have given. */
+  #waitedOutAtMs(): number {
+    return this.#startMs() + waitOutMs(this.#settings);
+  }
+
+  /** The end of the last evidence for a revision before this one. */
+  #evidenceEndMs(): number {
+    const { evidenceMs, clockRateMargin } = this.#settings;
+    return this.#startMs() + evidenceMs * (1 + clockRateMargin);
+  }
+
+  #startMs(): number {
+    if (this.#promisedAtMs === undefined) return Number.POSITIVE_INFINITY;
+    return Math.max(this.#acknowledgedAtMs, this.#promisedAtMs);
+  }
+
+  /** A server that answers and still runs requests is given time to finish. */
+  #isWorthWaiting(server: contracts.ServerId, nowMs: number): boolean {
+    const busyAtMs = this.#busyAtMs.get(server);
+    if (busyAtMs === undefined) return false;
+    return nowMs < busyAtMs + this.#settings.detectMs &&
+      nowMs < this.#acknowledgedAtMs + this.#settings.releaseWaitMs;
+  }
+
+  /** Requests may run under an older, wider slice: ranges are compared. */
+  #isStillRunning(reply: contracts.OwnershipReply): boolean {
+    return reply.releasing.some(({ slice, inFlight }) => {
+      const range = rangeOfSliceId(slice);
+      const concerns = range === undefined || overlaps(range, this.#slice);
+      return concerns && inFlight > 0;
+    });
+  }
+}
