feat: serve a request end to end through separate processes

A caller's request enters any entry VM and is routed to the one server that owns its key, by an assignment the store has acknowledged before any order leaves; an unkeyed one goes to a server with a free slot.

--- a/packages/entry/src/settings/defaults.ts
+++ b/packages/entry/src/settings/defaults.ts
@@ -9,7 +9,7 @@
   host: "127.0.0.1",
   platform: {
     storeUrl: "http://127.0.0.1:7300",
-    vmListUrl: "http://127.0.0.1:7301/vms",
+    vmListUrl: "http://127.0.0.1:7301",
   },
   peerSecret: "change-this-secret-on-every-vm",
 };
--- a/packages/entry/src/settings/schema.ts
+++ b/packages/entry/src/settings/schema.ts
@@ -37,7 +37,7 @@
 const platformSchema = z.strictObject({
   /** Base URL of the platform's object API. */
   storeUrl: httpUrl,
-  /** URL of the platform's VM list. */
+  /** Base URL of the platform's VM list. */
   vmListUrl: httpUrl,
   /** Longest time one call to the store may take. */
   storeTimeoutMs: wholeMs.default(1000),
--- /dev/null
+++ b/packages/entry/src/vms/peer_calls_of.ts
@@ -0,0 +1,37 @@
+/** Gives the request path its view of the other entry VMs. */
+import type * as decisions from "@guavatide/decisions";
+import type * as contracts from "@guavatide/contracts";
+import type { PeerCalls } from "../requests/peer_calls.ts";
+import type { PeerDoor } from "./peer_door.ts";
+import type { PeerTask } from "./peer_task.ts";
+
+/** Options of {@link peerCallsOf}. */
+export interface PeerCallsOfOptions {
+  readonly self: PeerCalls["self"];
+  readonly door: PeerDoor;
+  readonly membership: decisions.Membership;
+  readonly clock: contracts.Clock;
+}
+
+/** Calls through the links that a peer task owns. */
+export function peerCallsOf(
+  task: PeerTask,
+  options: PeerCallsOfOptions,
+): PeerCalls {
+  const { self, door, membership, clock } = options;
+  return {
+    self,
+    members: () => {
+      const others = membership.members(clock.nowMs())
+        .filter((member) => member.state === "alive")
+        .map((member) => member.vm);
+      return [self.vm, ...others];
+    },
+    call: async (vm, method, callOptions) => {
+      const result = await task.link(vm)?.call(method, callOptions);
+      return result?.isOk() ? result.value : undefined;
+    },
+    register: (method, schema, handler) =>
+      door.register(method, schema, handler),
+  };
+}
--- /dev/null
+++ b/packages/standins/src/deployment/local_deployment.ts
@@ -0,0 +1,279 @@
+/**
+ * Starts a whole deployment on this machine as separate processes: store, VM
+ * list, backend servers and entry VMs, for the demo, the bench and the
+ * proofs. Every process is ended by `stop`.
+ */
+import type * as contracts from "@guavatide/contracts";
+import type * as wire from "guavatide/wire";
+import * as fs from "node:fs";
+import * as os from "node:os";
+import * as path from "node:path";
+import * as url from "node:url";
+import type { BackendSettings } from "../backend_server/settings.ts";
+import * as processes from "../processes/mod.ts";
+import * as plans from "./deployment_plan.ts";
+
+const STOP_TIMEOUT_MS = 20_000;
+const PEER_SECRET = "local-deployment-secret";
+
+/** A running entry VM. */
+export interface LocalEntry {
+  readonly vm: contracts.VmId;
+  readonly zone: contracts.ZoneId;
+  program: processes.ChildProgram;
+  ports: wire.EntryPorts;
+}
+
+/** A running backend server. */
+export interface LocalServer {
+  readonly argument: processes.BackendArgument;
+  program: processes.ChildProgram;
+  port: number;
+}
+
+/** Options of {@link LocalDeployment.start}. */
+export interface LocalDeploymentOptions {
+  readonly plan: plans.DeploymentPlan;
+  /** Merged into each entry VM's settings. */
+  readonly entrySettings?: Readonly<Record<string, unknown>>;
+  /** Merged into each backend server's settings. */
+  readonly backendSettings?: Partial<BackendSettings>;
+  /** Replaces the store's address for entry VMs, for example by a relay. */
+  readonly storeUrlFor?: (vm: string, storeUrl: string) => string;
+  /** Lag of the VM list. */
+  readonly vmListLagMs?: number;
+}
+
+/** All processes of one deployment. */
+export class LocalDeployment {
+  readonly plan: plans.DeploymentPlan;
+  readonly entries = new Map<string, LocalEntry>();
+  readonly servers = new Map<string, LocalServer>();
+  readonly #options: LocalDeploymentOptions;
+  readonly #folder: string;
+  #store: processes.ChildProgram | undefined;
+  #vmList: processes.ChildProgram | undefined;
+
+  private constructor(options: LocalDeploymentOptions) {
+    this.plan = options.plan;
+    this.#options = options;
+    this.#folder = fs.mkdtempSync(path.join(os.tmpdir(), "guavatide-"));
+  }
+
+  /** Starts every process of the plan. Errors: rejects, all ended. */
+  static async start(
+    options: LocalDeploymentOptions,
+  ): Promise<LocalDeployment> {
+    const deployment = new LocalDeployment(options);
+    try {
+      await deployment.#startAll();
+    } catch (error) {
+      await deployment.stop();
+      throw error;
+    }
+    return deployment;
+  }
+
+  get storeUrl(): string {
+    return processes.originOf(this.#store!.port);
+  }
+
+  get vmListUrl(): string {
+    return processes.originOf(this.#vmList!.port);
+  }
+
+  /** Where callers reach an entry VM. */
+  callerUrl(vm: string): string {
+    return processes.originOf(this.entries.get(vm)!.ports.callers);
+  }
+
+  /** Where monitoring reaches an entry VM. */
+  metricsUrl(vm: string): string {
+    return processes.originOf(this.entries.get(vm)!.ports.metrics);
+  }
+
+  /** Sets faults of the store, the VM list or one backend server. */
+  async setFaults(target: "store" | "vm-list" | string, faults: object) {
+    await processes.postJson(`${this.#controlUrl(target)}/faults`, faults);
+  }
+
+  /** Starts a backend server and lists it. */
+  async startServer(argument: processes.BackendArgument): Promise<LocalServer> {
+    const program = await processes.startStandIn(
+      "backend_server/backend_main",
+      { ...this.#options.backendSettings, ...argument },
+    );
+    const server = { argument, program, port: program.port };
+    this.servers.set(argument.server, server);
+    await this.listServer(argument.server, "live");
+    return server;
+  }
+
+  /** Restarts an ended backend server on its old port. */
+  async restartServer(id: string): Promise<void> {
+    const server = this.servers.get(id)!;
+    await this.startServer({ ...server.argument, port: server.port });
+  }
+
+  /** Puts a backend server on the VM list. */
+  async listServer(id: string, state: "live" | "leaving"): Promise<void> {
+    const { argument, port } = this.servers.get(id)!;
+    const { server, service, zone } = argument;
+    await this.#changeList({
+      put: [{
+        kind: "backend",
+        server,
+        service,
+        zone,
+        host: "127.0.0.1",
+        port,
+        state,
+      }],
+    });
+  }
+
+  /** Takes a VM or a backend server off the list. */
+  async dropFromList(id: string): Promise<void> {
+    await this.#changeList({ drop: [id] });
+  }
+
+  /** Starts an entry VM and lists it; a known one keeps its ports. */
+  async startEntry(vm: string, zone: string): Promise<LocalEntry> {
+    const known = this.entries.get(vm);
+    const file = path.join(this.#folder, `${vm}.json`);
+    const settings = this.#entrySettings(vm, zone, known?.ports);
+    fs.writeFileSync(file, JSON.stringify(settings));
+    const program = await processes.ChildProgram.start({
+      name: vm,
+      script: entryScript(),
+      args: ["run", file],
+      isReady: (line) => line.startsWith('{"ready":'),
+    });
+    const ready = JSON.parse(program.readyLine) as { ready: wire.EntryPorts };
+    const entry: LocalEntry = {
+      vm: vm as contracts.VmId,
+      zone: zone as contracts.ZoneId,
+      program,
+      ports: ready.ready,
+    };
+    this.entries.set(vm, entry);
+    await this.#changeList({
+      put: [{
+        kind: "entry",
+        vm,
+        zone,
+        host: "127.0.0.1",
+        port: entry.ports.peers,
+        state: "live",
+      }],
+    });
+    return entry;
+  }
+
+  /** Ends every process; what does not end in time is killed. */
+  async stop(): Promise<void> {
+    const all = [
+      ...[...this.entries.values()].map((entry) => entry.program),
+      ...[...this.servers.values()].map((server) => server.program),
+    ];
+    await Promise.all(all.map((program) => program.stop(STOP_TIMEOUT_MS)));
+    await this.#store?.stop(STOP_TIMEOUT_MS);
+    await this.#vmList?.stop(STOP_TIMEOUT_MS);
+    fs.rmSync(this.#folder, { recursive: true, force: true });
+  }
+
+  async #startAll(): Promise<void> {
+    this.#store = await processes.startStandIn(
+      "platform_store/store_main",
+      {},
+    );
+    this.#vmList = await processes.startStandIn("vm_list/vm_list_main", {
+      lagMs: this.#options.vmListLagMs ?? 0,
+    });
+    await this.#publish();
+    await Promise.all(
+      this.#serverArguments().map((argument) => this.startServer(argument)),
+    );
+    await Promise.all(
+      this.#entryNames().map(({ vm, zone }) => this.startEntry(vm, zone)),
+    );
+  }
+
+  async #publish(): Promise<void> {
+    const published: contracts.PublishedConfig = {
+      revision: 1,
+      publishedBy: "local deployment",
+      publishedAt: new Date().toISOString(),
+      objects: plans.configObjectsOf(this.plan),
+    };
+    const name = encodeURIComponent("config/thin");
+    const answer = await fetch(`${this.storeUrl}/objects/${name}`, {
+      method: "PUT",
+      body: JSON.stringify(published),
+    });
+    if (!answer.ok) throw new Error(`Store refused: ${await answer.text()}`);
+  }
+
+  #serverArguments(): processes.BackendArgument[] {
+    return this.plan.services.flatMap((service) =>
+      Array.from({ length: service.servers }, (_, index) => ({
+        server: `${service.name}-${index + 1}` as contracts.ServerId,
+        service: service.name as contracts.ServiceId,
+        zone: this.#zoneAt(index),
+        slots: service.slots,
+        keyed: service.keyed,
+        connectionLimit: this.plan.connectionsPerServer,
+        linkDelayMs: this.plan.linkDelayMs,
+        ...(service.checksFences === undefined
+          ? {}
+          : { checksFences: service.checksFences }),
+        ...(service.serviceTimeMs === undefined
+          ? {}
+          : { serviceTimeMs: service.serviceTimeMs }),
+      }))
+    );
+  }
+
+  #entryNames(): { vm: string; zone: string }[] {
+    return Array.from({ length: this.plan.entryVms }, (_, index) => ({
+      vm: `entry-${index + 1}`,
+      zone: this.#zoneAt(index),
+    }));
+  }
+
+  #zoneAt(index: number): contracts.ZoneId {
+    const { zones } = this.plan;
+    return zones[index % zones.length] as contracts.ZoneId;
+  }
+
+  #entrySettings(vm: string, zone: string, ports?: wire.EntryPorts): object {
+    const storeUrl = this.#options.storeUrlFor?.(vm, this.storeUrl) ??
+      this.storeUrl;
+    return {
+      vm,
+      zone,
+      region: this.plan.region,
+      host: "127.0.0.1",
+      ports: ports ??
+        { callers: 0, peers: 0, administration: 0, metrics: 0 },
+      platform: { storeUrl, vmListUrl: this.vmListUrl },
+      peerSecret: PEER_SECRET,
+      log: { format: "text", level: "info" },
+      ...this.#options.entrySettings,
+    };
+  }
+
+  #controlUrl(target: string): string {
+    if (target === "store") return this.storeUrl;
+    if (target === "vm-list") return this.vmListUrl;
+    return processes.originOf(this.servers.get(target)!.port);
+  }
+
+  async #changeList(change: object): Promise<void> {
+    await processes.postJson(`${this.vmListUrl}/vms/change`, change);
+  }
+}
+
+function entryScript(): string {
+  return url.fileURLToPath(import.meta.resolve("guavatide/main"));
+}
