--- a/packages/entry/src/platform/http_channel.ts
+++ b/packages/entry/src/platform/http_channel.ts
@@ -36,12 +36,15 @@
 /** Calls to one address; each has its deadline. */
 export class HttpChannel {
   readonly #origin: string;
+  readonly #basePath: string;
   #pool: undici.Pool;
 
-  /** `origin` is a URL without path, for example `http://127.0.0.1:7000`. */
-  constructor(origin: string) {
-    this.#origin = origin;
-    this.#pool = openPool(origin);
+  /** Calls go below `baseUrl`, for example `http://127.0.0.1:7000/v1`. */
+  constructor(baseUrl: string) {
+    const url = new URL(baseUrl);
+    this.#origin = url.origin;
+    this.#basePath = url.pathname.replace(/\/$/, "");
+    this.#pool = openPool(this.#origin);
   }
 
   /** Sends one call. Errors: {@link HttpCallError}. */
@@ -68,7 +71,8 @@
       : AbortSignal.any([deadline.signal, options.signal]);
     const pool = this.#pool;
     try {
-      const response = await pool.request({ ...call, signal });
+      const path = this.#basePath + call.path;
+      const response = await pool.request({ ...call, path, signal });
       const text = await response.body.text();
       const etag = response.headers["etag"];
       return ok<HttpAnswer, HttpCallError>({
@@ -99,7 +103,9 @@
     options: CallOptions,
     cause: { readonly error: unknown; readonly isTimeout: boolean },
   ): HttpCallError {
-    const what = `${call.method} ${this.#origin}${call.path.split("?")[0]}`;
+    const what = `${call.method} ${this.#origin}${this.#basePath}${
+      call.path.split("?")[0]
+    }`;
     if (cause.isTimeout) {
       return {
         kind: "timeout",
--- a/packages/entry/src/platform/http_platform_store.ts
+++ b/packages/entry/src/platform/http_platform_store.ts
@@ -36,9 +36,9 @@
 export class HttpPlatformStore implements contracts.PlatformStore {
   readonly #channel: HttpChannel;
 
-  /** `origin` is a URL without path. */
-  constructor(origin: string) {
-    this.#channel = new HttpChannel(origin);
+  /** Objects and watch lie below `baseUrl`. */
+  constructor(baseUrl: string) {
+    this.#channel = new HttpChannel(baseUrl);
   }
 
   /** Closes every connection to the store. */
--- a/packages/entry/src/platform/http_vm_list.ts
+++ b/packages/entry/src/platform/http_vm_list.ts
@@ -6,10 +6,13 @@
 /** {@link contracts.VmList} over HTTP. */
 export class HttpVmList implements contracts.VmList {
   readonly #channel: HttpChannel;
+  readonly #path: string;
 
-  /** `origin` is a URL without path. */
-  constructor(origin: string) {
-    this.#channel = new HttpChannel(origin);
+  /** `listUrl` is the URL of the list itself; `/vms` if it has no path. */
+  constructor(listUrl: string) {
+    const url = new URL(listUrl);
+    this.#path = url.pathname === "/" ? "/vms" : url.pathname;
+    this.#channel = new HttpChannel(url.origin);
   }
 
   /** Closes every connection to the list. */
@@ -20,7 +23,7 @@
   fetch(
     options: contracts.CallOptions,
   ): ResultAsync<contracts.VmListSnapshot, contracts.VmListError> {
-    return this.#channel.call({ method: "GET", path: "/vms" }, options)
+    return this.#channel.call({ method: "GET", path: this.#path }, options)
       .mapErr((error) => unavailable(error.message))
       .andThen(parseSnapshot);
   }
--- a/packages/standins/src/backend_server/backend_app.ts
+++ b/packages/standins/src/backend_server/backend_app.ts
@@ -20,8 +20,11 @@
   type WorkResult,
 } from "./work_queue.ts";
 
-/** Request header: the caller's name for an operation, for the journal. */
-export const OPERATION_HEADER = "guavatide-operation-id";
+/**
+ * Request header: the caller's name for an operation, for the journal. The
+ * router passes on a caller's headers but those of its own prefix.
+ */
+export const OPERATION_HEADER = "idempotency-key";
 
 const RETRY_AFTER_SECONDS = "1";
 
