feat(publishing): check, diff and apply sets of configuration

A half-made renegotiation must not reach traffic, and a configuration in force must never give way to an older one.

--- /dev/null
+++ b/packages/decisions/src/publishing/mod.ts
@@ -0,0 +1,5 @@
+/** Decisions about checking, publishing and applying configuration. */
+export * from "./check.ts";
+export * from "./config_state.ts";
+export * from "./diff.ts";
+export * from "./watchers.ts";
