--- a/packages/decisions/src/publishing/publishing_test.ts
+++ b/packages/decisions/src/publishing/publishing_test.ts
@@ -164,3 +164,31 @@
   const without = members.filter((vm) => vm !== watchers[0]);
   expect(choice.watchers(without)[0]).toEqual(watchers[1]);
 });
+
+test("should carry a peer from any remembered revision to the newest", () => {
+  const sets = [
+    WHOLE,
+    [...WHOLE, { ...PLACE, name: "yoff" }],
+    [PLACE, KAYFA, { ...PLACE, name: "yoff" }],
+  ];
+  const deltas = new publishing.ConfigDeltas();
+  const configs = sets.map((objects, index) => ({
+    ...config(index + 1),
+    objects: publishing.sortObjects(set(objects)),
+  }));
+  for (const each of configs) deltas.note(each);
+  for (const base of [undefined, ...configs.slice(0, 2)]) {
+    const delta = deltas.since(base?.revision ?? 0)!;
+    expect(publishing.applyDelta(base, delta)).toEqual(configs[2]);
+  }
+  expect(deltas.since(2)!.objects).toEqual([]);
+  expect(deltas.since(3)).toEqual(undefined);
+});
+
+test("should not apply a delta made for another revision", () => {
+  const deltas = new publishing.ConfigDeltas();
+  deltas.note(config(1));
+  deltas.note(config(2));
+  const delta = deltas.since(1)!;
+  expect(publishing.applyDelta(config(4), delta)).toEqual(undefined);
+});
--- /dev/null
+++ b/packages/entry/src/configuration/drafts.ts
@@ -0,0 +1,263 @@
+/**
+ * Drafts: the objects as operators edit them, one object of the store each,
+ * edited on condition of its version. Nothing of a draft reaches traffic
+ * before it is published.
+ */
+import * as contracts from "@guavatide/contracts";
+import * as neverthrow from "neverthrow";
+import * as crypto from "node:crypto";
+import * as z from "zod";
+import * as storeWrite from "./store_write.ts";
+
+/** Prefix of all drafts in the platform's store. */
+export const DRAFT_PREFIX = "drafts/";
+
+/** Edits remembered in each draft, the newest last. */
+const REMEMBERED_EDITS = 20;
+
+const editSchema = z.strictObject({
+  /** Drawn anew for each edit, to recognise one's own lost reply. */
+  nonce: z.string().min(1),
+  operator: z.string().min(1),
+  /** Wall-clock time, ISO 8601, for people. */
+  at: z.string().min(1),
+});
+/** Who edited a draft, and when. */
+export type DraftEdit = z.infer<typeof editSchema>;
+
+const storedDraftSchema = z.strictObject({
+  object: contracts.configObjectSchema,
+  edits: z.array(editSchema).min(1),
+});
+
+/** A draft as read from the store. */
+export interface Draft {
+  readonly object: contracts.ConfigObject;
+  /** Version for the next conditional edit. */
+  readonly version: string;
+  readonly lastEdit: DraftEdit;
+}
+
+/** Names a draft. */
+export interface DraftName {
+  readonly kind: contracts.ConfigObject["kind"];
+  readonly name: string;
+}
+
+/** Every draft at one moment. */
+export interface DraftSet {
+  readonly drafts: readonly Draft[];
+  /** Changes with every edit; a publish names the tag that was checked. */
+  readonly tag: string;
+}
+
+/** What can go wrong with drafts. */
+export type DraftError =
+  | { readonly kind: "not-found"; readonly message: string }
+  | { readonly kind: "exists"; readonly message: string }
+  /** Another operator was faster; `current` is what stands now. */
+  | {
+    readonly kind: "conflict";
+    readonly message: string;
+    readonly current?: Draft;
+  }
+  | { readonly kind: "refused"; readonly message: string }
+  /** The store did not say whether the edit took effect. */
+  | { readonly kind: "unknown"; readonly message: string }
+  | { readonly kind: "unavailable"; readonly message: string }
+  /** The store holds something under this name that is no draft. */
+  | { readonly kind: "unreadable"; readonly message: string };
+
+/** Options of {@link DraftStore}. */
+export interface DraftStoreOptions {
+  readonly store: contracts.PlatformStore;
+  readonly clock: contracts.Clock;
+  /** Time for one edit, with all its attempts. */
+  readonly timeoutMs: number;
+  /** Time for one call to the store. */
+  readonly callTimeoutMs: number;
+  /** Wall-clock time as ISO 8601. */
+  readonly now: () => string;
+}
+
+/** Options of {@link DraftStore.replace}. */
+export interface ReplaceOptions {
+  readonly operator: string;
+  /** The version that the operator has seen. */
+  readonly version: string;
+}
+
+type DraftResult<Value> = Promise<neverthrow.Result<Value, DraftError>>;
+
+/** Reads and edits drafts. */
+export class DraftStore {
+  readonly #options: DraftStoreOptions;
+
+  constructor(options: DraftStoreOptions) {
+    this.#options = options;
+  }
+
+  /** All drafts, in order of name. */
+  async list(): DraftResult<DraftSet> {
+    const listed = await this.#options.store.list(DRAFT_PREFIX, {
+      timeoutMs: this.#options.callTimeoutMs,
+    });
+    if (listed.isErr()) return neverthrow.err(readError(listed.error));
+    const stored = [...listed.value.objects]
+      .sort((a, b) => a.name < b.name ? -1 : 1);
+    return neverthrow.Result.combine(stored.map(parseDraft))
+      .map((drafts) => ({ drafts, tag: tagOf(stored) }));
+  }
+
+  /** One draft. */
+  async get(name: DraftName): DraftResult<Draft> {
+    const read = await this.#options.store.get(storeName(name), {
+      timeoutMs: this.#options.callTimeoutMs,
+    });
+    if (read.isErr()) return neverthrow.err(readError(read.error));
+    return parseDraft(read.value);
+  }
+
+  /** Creates a draft that is not there yet. */
+  async create(
+    object: contracts.ConfigObject,
+    operator: string,
+  ): DraftResult<Draft> {
+    const created = await this.#write(object, operator, {
+      condition: { kind: "absent" },
+      edits: [],
+    });
+    return created.mapErr((error) =>
+      error.kind === "conflict" && error.current !== undefined
+        ? { kind: "exists", message: existsText(object) }
+        : error
+    );
+  }
+
+  /** Replaces a draft on condition of its version. */
+  async replace(
+    object: contracts.ConfigObject,
+    options: ReplaceOptions,
+  ): DraftResult<Draft> {
+    const read = await this.#options.store.get(storeName(object), {
+      timeoutMs: this.#options.callTimeoutMs,
+    });
+    if (read.isErr()) return neverthrow.err(readError(read.error));
+    if (read.value.version !== options.version) {
+      return neverthrow.err(conflictOf(object, read.value));
+    }
+    return await this.#write(object, options.operator, {
+      condition: { kind: "version", version: options.version },
+      edits: editsOf(read.value.value),
+    });
+  }
+
+  /** Deletes a draft on condition of its version. */
+  async remove(name: DraftName, version: string): DraftResult<void> {
+    const deleted = await storeWrite.deleteResolved(
+      this.#options.store,
+      storeName(name),
+      { condition: { kind: "version", version }, ...this.#options },
+    );
+    return deleted.mapErr((error) => this.#draftError(name, error));
+  }
+
+  async #write(
+    object: contracts.ConfigObject,
+    operator: string,
+    { condition, edits }: {
+      readonly condition: contracts.WriteCondition;
+      readonly edits: readonly DraftEdit[];
+    },
+  ): DraftResult<Draft> {
+    const edit = {
+      nonce: crypto.randomUUID(),
+      operator,
+      at: this.#options.now(),
+    };
+    const kept = [...edits, edit].slice(-REMEMBERED_EDITS);
+    const written = await storeWrite.writeResolved(
+      this.#options.store,
+      storeName(object),
+      {
+        ...this.#options,
+        value: JSON.stringify({ object, edits: kept }),
+        condition,
+        isOurs: (value) =>
+          editsOf(value).some((each) => each.nonce === edit.nonce),
+      },
+    );
+    return written
+      .map((version) => ({ object, version, lastEdit: edit }))
+      .mapErr((error) => this.#draftError(object, error));
+  }
+
+  #draftError(name: DraftName, error: storeWrite.WriteFailure): DraftError {
+    if (error.kind !== "conflict") return error;
+    if (error.current !== undefined) return conflictOf(name, error.current);
+    return { kind: "not-found", message: error.message };
+  }
+}
+
+function storeName(name: DraftName): string {
+  return `${DRAFT_PREFIX}${name.kind}/${name.name}`;
+}
+
+function parseDraft(
+  stored: contracts.StoredObject,
+): neverthrow.Result<Draft, DraftError> {
+  const parsed = storedDraftSchema.safeParse(parseJson(stored.value));
+  if (!parsed.success) {
+    const message = `"${stored.name}" in the platform's store is no draft: ` +
+      "delete it there, or run the release that wrote it";
+    return neverthrow.err({ kind: "unreadable", message });
+  }
+  const { object, edits } = parsed.data;
+  return neverthrow.ok({
+    object,
+    version: stored.version,
+    lastEdit: edits.at(-1)!,
+  });
+}
+
+function editsOf(value: string): readonly DraftEdit[] {
+  const parsed = storedDraftSchema.safeParse(parseJson(value));
+  return parsed.success ? parsed.data.edits : [];
+}
+
+function conflictOf(
+  name: DraftName,
+  stored: contracts.StoredObject,
+): DraftError {
+  const current = parseDraft(stored).unwrapOr(undefined);
+  const by = current === undefined ? "" : ` by ${current.lastEdit.operator}`;
+  const message = `${name.kind} "${name.name}" was changed${by} and now has ` +
+    `version "${stored.version}": get it, and redo the edit on that version`;
+  return { kind: "conflict", message, current };
+}
+
+function existsText(name: DraftName): string {
+  return `${name.kind} "${name.name}" is already there: edit it instead`;
+}
+
+function readError(error: contracts.StoreError): DraftError {
+  if (error.kind === "not-found") {
+    const message = "There is no such draft: list the drafts for their names";
+    return { kind: "not-found", message };
+  }
+  const message = `${error.message}: try again when the store answers`;
+  return { kind: "unavailable", message };
+}
+
+function tagOf(stored: readonly contracts.StoredObject[]): string {
+  const text = stored.map((each) => `${each.name} ${each.version}\n`).join("");
+  return crypto.createHash("sha256").update(text).digest("hex").slice(0, 32);
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
