feat(configuration): store, publish and deliver the configuration

Two VMs watch, chosen by rendezvous; the rest hear revisions in heartbeats and fetch the difference from a peer. Comparing at a fixed interval on each VM was ruled out as its rate grows with the fleet: four VMs expected in each interval compare, drawn anew each time.

--- /dev/null
+++ b/packages/entry/src/configuration/config_task.ts
@@ -0,0 +1,288 @@
+/**
+ * Delivers the published configuration to this entry VM. Two VMs watch the
+ * store; all others hear of a new revision in heartbeats and fetch it from a
+ * peer. A few VMs, drawn anew each time, compare with the store in case a
+ * watch has gone silent. What is in force here never gives way to an older
+ * revision.
+ */
+import type * as contracts from "@guavatide/contracts";
+import * as decisions from "@guavatide/decisions";
+import type { ConfigView } from "../contracts/views.ts";
+import type { LifeCycle } from "../utils/life_cycle.ts";
+import type { PartLog } from "../utils/log.ts";
+import { ConfigReader } from "./config_reader.ts";
+import type { ReadConfigError } from "./current_config.ts";
+import type {
+  PeerConfigOwner,
+  PeerConfigSource,
+} from "./peer_config_source.ts";
+import * as storeWatch from "./store_watch.ts";
+
+/** Options of {@link ConfigTask}. */
+export interface ConfigTaskOptions {
+  readonly vm: contracts.VmId;
+  readonly store: contracts.PlatformStore;
+  readonly peers: PeerConfigSource;
+  readonly choice: decisions.WatcherChoice;
+  readonly clock: contracts.Clock;
+  readonly random: contracts.RandomSource;
+  readonly log: PartLog;
+  /** Longest wait of one long poll of the store's watch. */
+  readonly watchWaitMs: number;
+  /** Mean time between two draws whether to compare with the store. */
+  readonly compareMs: number;
+  /** How long a fresh start listens before it takes a peer's word. */
+  readonly settleMs: number;
+  /** Time for one call to the store. */
+  readonly storeTimeoutMs: number;
+  /** Time for one call to a peer. */
+  readonly peerTimeoutMs: number;
+}
+
+/** The revision that one entry VM has in force, as far as is known here. */
+export interface VmRevision {
+  readonly vm: contracts.VmId;
+  readonly revision: number;
+  /** How long ago it was heard; 0 for this VM. */
+  readonly ageMs: number;
+}
+
+/** Called after a configuration came into force. */
+export type ConfigListener = (config: contracts.PublishedConfig) => void;
+
+/** Owns the configuration in force. */
+export class ConfigTask implements ConfigView, PeerConfigOwner {
+  readonly #options: ConfigTaskOptions;
+  readonly #state: decisions.ConfigState;
+  readonly #deltas = new decisions.ConfigDeltas();
+  readonly #reader: ConfigReader;
+  readonly #watch: storeWatch.StoreWatch;
+  readonly #listeners = new Set<ConfigListener>();
+  readonly #heard = new Map<
+    contracts.VmId,
+    { readonly revision: number; readonly atMs: number }
+  >();
+  #services = new Map<contracts.ServiceId, contracts.Service>();
+  #partners = new Map<contracts.PartnerId, contracts.Partner>();
+  #confirmedAtMs: number | undefined;
+  #isFetching = false;
+  #isWholeNeeded = false;
+
+  constructor(options: ConfigTaskOptions) {
+    this.#options = options;
+    this.#state = new decisions.ConfigState({
+      settleMs: options.settleMs,
+      startedMs: options.clock.nowMs(),
+    });
+    this.#reader = new ConfigReader({
+      store: options.store,
+      callTimeoutMs: options.storeTimeoutMs,
+    });
+    this.#watch = new storeWatch.StoreWatch({
+      ...options,
+      waitMs: options.watchWaitMs,
+      callTimeoutMs: options.storeTimeoutMs,
+      idleMs: options.settleMs,
+      isChosen: () => this.isWatcher,
+      onObject: (stored) => this.#takeStored(stored),
+    });
+    options.peers.serve(this);
+  }
+
+  get revision(): number {
+    return this.#state.revision;
+  }
+
+  /** The configuration in force; undefined until the first one arrives. */
+  get config(): contracts.PublishedConfig | undefined {
+    return this.#state.config;
+  }
+
+  /** Whether this VM is among those that watch the store. */
+  get isWatcher(): boolean {
+    const live = this.#options.peers.liveVms();
+    return this.#options.choice.watchers(live).includes(this.#options.vm);
+  }
+
+  /** Time since the store last confirmed the revision in force, if ever. */
+  get confirmedAgeMs(): number | undefined {
+    return this.#confirmedAtMs === undefined
+      ? undefined
+      : this.#options.clock.nowMs() - this.#confirmedAtMs;
+  }
+
+  service(id: contracts.ServiceId): contracts.Service | undefined {
+    return this.#services.get(id);
+  }
+
+  /** All services in force. */
+  services(): readonly contracts.Service[] {
+    return [...this.#services.values()];
+  }
+
+  partner(id: contracts.PartnerId): contracts.Partner | undefined {
+    return this.#partners.get(id);
+  }
+
+  /** Calls back after each configuration that comes into force. */
+  onApplied(listener: ConfigListener): void {
+    this.#listeners.add(listener);
+  }
+
+  /** What each entry VM has in force, this one first. */
+  revisions(): readonly VmRevision[] {
+    const nowMs = this.#options.clock.nowMs();
+    const own = { vm: this.#options.vm, revision: this.revision, ageMs: 0 };
+    const live = new Set(this.#options.peers.liveVms());
+    const others = [...this.#heard]
+      .filter(([vm]) => live.has(vm))
+      .map(([vm, { revision, atMs }]) => ({
+        vm,
+        revision,
+        ageMs: Math.round(nowMs - atMs),
+      }))
+      .sort((a, b) => a.vm < b.vm ? -1 : 1);
+    return [own, ...others];
+  }
+
+  /** Runs until the process stops. */
+  start(lifeCycle: LifeCycle): void {
+    void this.#watch.run(lifeCycle.signal);
+    void this.#compareLoop(lifeCycle.signal);
+  }
+
+  /** A publish through this VM was acknowledged by the store. */
+  notePublished(config: contracts.PublishedConfig): void {
+    this.#confirmedAtMs = this.#options.clock.nowMs();
+    this.#offer(config, "publisher");
+    this.#options.peers.announce();
+  }
+
+  noteHeard(vm: contracts.VmId, revision: number): void {
+    this.#heard.set(vm, { revision, atMs: this.#options.clock.nowMs() });
+    this.#state.noteHeard(vm, revision);
+    void this.#fetchFromPeer();
+  }
+
+  answer(haveRevision: number): decisions.ConfigDelta | undefined {
+    return this.#deltas.since(haveRevision);
+  }
+
+  async #fetchFromPeer(): Promise<void> {
+    if (this.#isFetching) return;
+    const vm = this.#state.nextFetch(this.#options.clock.nowMs());
+    if (vm === undefined) return;
+    this.#isFetching = true;
+    const haveRevision = this.#isWholeNeeded ? 0 : this.revision;
+    const fetched = await this.#options.peers.fetch(vm, {
+      haveRevision,
+      timeoutMs: this.#options.peerTimeoutMs,
+    });
+    this.#isFetching = false;
+    const delta = fetched.unwrapOr(null);
+    // The next heartbeat of a peer that has it starts the next fetch.
+    if (delta === null) return this.#state.noteFetchFailed(vm);
+    const config = decisions.applyDelta(this.config, delta);
+    // This VM may have moved on while the peer answered.
+    this.#isWholeNeeded = config === undefined;
+    if (config !== undefined) this.#offer(config, "peer", vm);
+  }
+
+  async #compareLoop(signal: AbortSignal): Promise<void> {
+    const { compareMs, random } = this.#options;
+    let waitMs = compareMs * random.next();
+    while (!signal.aborted) {
+      await storeWatch.pause(waitMs, signal);
+      if (signal.aborted) return;
+      const members = this.#options.peers.liveVms().length;
+      if (decisions.shouldCompare(members, random)) await this.#compare();
+      waitMs = compareMs * (0.5 + random.next());
+    }
+  }
+
+  async #compare(): Promise<void> {
+    const before = this.revision;
+    const read = await this.#reader.readNewer(before);
+    if (read.isErr()) {
+      if (read.error.kind === "not-found") this.#noteConfirmed();
+      else this.#logUnread(read.error);
+      return;
+    }
+    this.#noteConfirmed();
+    const found = read.value;
+    // The watch may have brought it while the store answered.
+    if (found === undefined || found.config.revision <= this.revision) return;
+    if (before > 0 && this.isWatcher) {
+      this.#options.log.warn("watch of the store missed a revision", {
+        revision: found.config.revision,
+      });
+      this.#watch.restart();
+    }
+    this.#offer(found.config, "store");
+  }
+
+  async #takeStored(stored: contracts.StoredObject): Promise<void> {
+    const read = await this.#reader.decodeNewer(stored, this.revision);
+    if (read.isErr()) return this.#logUnread(read.error);
+    this.#noteConfirmed();
+    if (read.value !== undefined) this.#offer(read.value.config, "store");
+  }
+
+  #offer(
+    config: contracts.PublishedConfig,
+    source: decisions.ConfigSource,
+    vm?: contracts.VmId,
+  ): void {
+    const result = this.#state.offer(config);
+    const fields = { revision: config.revision, source, vm };
+    switch (result.kind) {
+      case "applied":
+        this.#index(config);
+        this.#options.log.info("configuration in force", {
+          ...fields,
+          from: result.from,
+          by: config.publishedBy,
+        });
+        for (const listener of this.#listeners) listener(config);
+        return;
+      case "mismatch":
+        this.#options.log.error(
+          "the same revision came with other objects, publish again",
+          fields,
+        );
+        return;
+      case "older":
+        this.#options.log.debug("older configuration ignored", {
+          ...fields,
+          inForce: result.inForce,
+        });
+        return;
+      case "same":
+        return;
+    }
+  }
+
+  #index(config: contracts.PublishedConfig): void {
+    this.#deltas.note(config);
+    this.#services = new Map();
+    this.#partners = new Map();
+    for (const object of config.objects) {
+      if (object.kind === "service") this.#services.set(object.name, object);
+      if (object.kind === "partner") this.#partners.set(object.name, object);
+    }
+  }
+
+  #noteConfirmed(): void {
+    this.#confirmedAtMs = this.#options.clock.nowMs();
+  }
+
+  /** The next comparison tries again. */
+  #logUnread(error: ReadConfigError): void {
+    const fields = { kind: error.kind, reason: error.message };
+    if (error.kind === "unavailable") {
+      this.#options.log.debug("published configuration not read", fields);
+    } else {
+      this.#options.log.error("published configuration not read", fields);
+    }
+  }
+}
--- a/packages/entry/src/configuration/current_config.ts
+++ b/packages/entry/src/configuration/current_config.ts
@@ -125,8 +125,9 @@
 }
 
 function unreadable(what: string): ReadConfigError {
-  const message = `The published configuration ${what}: publish again with ` +
-    "the release that the entry VMs run";
+  const message = `The published configuration ${what}: delete ` +
+    `"${CURRENT_NAME}" in the platform's store and publish again; until then ` +
+    "entry VMs keep what they have in force";
   return { kind: "unreadable", message };
 }
 
--- /dev/null
+++ b/packages/entry/src/configuration/peer_task_config_source.ts
@@ -0,0 +1,77 @@
+/** Carries configuration in the heartbeats and calls of the peer task. */
+import type * as contracts from "@guavatide/contracts";
+import type * as decisions from "@guavatide/decisions";
+import * as neverthrow from "neverthrow";
+import type { PeerDoor } from "../vms/peer_door.ts";
+import type { PeerTask } from "../vms/peer_task.ts";
+import * as source from "./peer_config_source.ts";
+
+/** Options of {@link PeerTaskConfigSource}. */
+export interface PeerTaskConfigSourceOptions {
+  readonly vm: contracts.VmId;
+  readonly peers: PeerTask;
+  readonly door: PeerDoor;
+  readonly membership: decisions.Membership;
+  readonly clock: contracts.Clock;
+}
+
+/** {@link source.PeerConfigSource} on top of the peer task. */
+export class PeerTaskConfigSource implements source.PeerConfigSource {
+  readonly #options: PeerTaskConfigSourceOptions;
+
+  constructor(options: PeerTaskConfigSourceOptions) {
+    this.#options = options;
+  }
+
+  liveVms(): readonly contracts.VmId[] {
+    const { clock, membership, vm } = this.#options;
+    // A VM that the list names counts before it was heard: right after a
+    // start of the whole fleet every VM would otherwise see only itself, and
+    // each would watch the store.
+    const others = membership.members(clock.nowMs())
+      .filter((member) => member.state !== "lost" && member.state !== "left")
+      .filter((member) => member.vm !== vm);
+    return [vm, ...others.map((member) => member.vm)];
+  }
+
+  serve(owner: source.PeerConfigOwner): void {
+    this.#options.peers.join({
+      fill: (draft) => {
+        draft.configRevision = owner.revision;
+      },
+      answer: (beat, draft) => {
+        owner.noteHeard(beat.vm, beat.configRevision);
+        draft.configRevision = owner.revision;
+      },
+      noteReply: (reply) => owner.noteHeard(reply.vm, reply.configRevision),
+    });
+    this.#options.door.register(
+      source.CONFIG_METHOD,
+      source.configQuestionSchema,
+      ({ haveRevision }) => owner.answer(haveRevision) ?? null,
+    );
+  }
+
+  fetch(
+    vm: contracts.VmId,
+    options: source.PeerConfigFetchOptions,
+  ): neverthrow.ResultAsync<
+    decisions.ConfigDelta | null,
+    source.PeerConfigError
+  > {
+    const link = this.#options.peers.link(vm);
+    if (link === undefined) {
+      const message = `Entry VM "${vm}" is no member any more: ask another`;
+      return neverthrow.errAsync({ kind: "unreachable", message });
+    }
+    return link.call(source.CONFIG_METHOD, {
+      params: { haveRevision: options.haveRevision },
+      schema: source.configAnswerSchema,
+      timeoutMs: options.timeoutMs,
+    });
+  }
+
+  announce(): void {
+    void this.#options.peers.beatNow();
+  }
+}
--- a/packages/entry/src/settings/schema.ts
+++ b/packages/entry/src/settings/schema.ts
@@ -72,8 +72,10 @@
   planMs: wholeMs.default(1000),
   /** Longest wait of one long poll of the store's watch. */
   watchWaitMs: wholeMs.default(10_000),
-  /** Between two comparisons of the configuration against the store. */
-  configCompareMs: wholeMs.default(15_000),
+  /** Mean time between two draws whether to compare with the store. */
+  configCompareMs: wholeMs.default(4000),
+  /** How long a fresh start listens before it takes a peer's configuration. */
+  configSettleMs: wholeMs.default(1000),
   /** Longest time a graceful shutdown waits for requests in flight. */
   drainMs: wholeMs.default(15_000),
 });
