--- /dev/null
+++ b/packages/entry/src/vms/peer_task.ts
@@ -0,0 +1,235 @@
+/**
+ * Beats to other entry VMs and answers their beats. One beat serves
+ * membership, evidence for assignment revisions and the spread of newer
+ * state: each participating part fills in its fields and reads the answers.
+ */
+import type * as contracts from "@guavatide/contracts";
+import * as contractsValues from "@guavatide/contracts";
+import type * as decisions from "@guavatide/decisions";
+import type { LifeCycle } from "../utils/life_cycle.ts";
+import type { PartLog } from "../utils/log.ts";
+import type { PeerDoor } from "./peer_door.ts";
+import type { PeerError } from "./peer_error.ts";
+import { type PeerAddress, PeerLink } from "./peer_link.ts";
+
+/** A beat before its participants have filled it in. */
+export type HeartbeatDraft = contracts.PeerHeartbeat;
+/** An answer before its participants have filled it in. */
+export type HeartbeatReplyDraft = contracts.PeerHeartbeatReply;
+
+/** A part that takes part in beats. Every method is optional. */
+export interface HeartbeatParticipant {
+  /** Adds the part's own fields to a beat that is about to leave. */
+  fill?(draft: HeartbeatDraft): void;
+  /** A peer's beat arrived; adds the part's fields to the answer. */
+  answer?(beat: contracts.PeerHeartbeat, draft: HeartbeatReplyDraft): void;
+  /** A peer answered a beat that left at `askedAtMs`. */
+  noteReply?(reply: contracts.PeerHeartbeatReply, askedAtMs: number): void;
+}
+
+/** Where a member listens; absent once it has been forgotten. */
+export interface PeerTarget extends PeerAddress {
+  readonly vm: contracts.VmId;
+}
+
+/** Options of {@link PeerTask}. */
+export interface PeerTaskOptions {
+  readonly self: {
+    readonly vm: contracts.VmId;
+    readonly incarnation: contracts.Incarnation;
+    readonly zone: contracts.ZoneId;
+    /** IP number and port that peers call. */
+    readonly host: string;
+    readonly peerPort: number;
+  };
+  readonly secret: string;
+  readonly heartbeatMs: number;
+  /** Time that a peer has to answer a beat. */
+  readonly heartbeatTimeoutMs: number;
+  readonly door: PeerDoor;
+  readonly membership: decisions.Membership;
+  readonly clock: contracts.Clock;
+  readonly log: PartLog;
+}
+
+/** Owns the links to all peers. */
+export class PeerTask {
+  readonly #options: PeerTaskOptions;
+  readonly #links = new Map<contracts.VmId, PeerLink>();
+  readonly #participants: HeartbeatParticipant[] = [];
+  readonly #waiting = new Set<contracts.VmId>();
+  readonly #listeners = new Set<(event: decisions.MemberEvent) => void>();
+  #isLeaving = false;
+
+  constructor(options: PeerTaskOptions) {
+    this.#options = options;
+    options.door.register(
+      "heartbeat",
+      contractsValues.peerHeartbeatSchema,
+      (beat) => this.#answer(beat),
+    );
+    options.door.register(
+      "member",
+      contractsValues.memberQuestionSchema,
+      ({ about }) => options.membership.answerHelper(about, this.#nowMs()),
+    );
+  }
+
+  /** Adds a part whose fields travel in beats. */
+  join(participant: HeartbeatParticipant): void {
+    this.#participants.push(participant);
+  }
+
+  /** Beats until the process stops; the last beat says that it leaves. */
+  start(lifeCycle: LifeCycle): void {
+    lifeCycle.onStop({
+      name: "peer links",
+      timeoutMs: 1_000,
+      run: () => this.#closeLinks(),
+    });
+    lifeCycle.onStop({
+      name: "tell peers",
+      timeoutMs: this.#options.heartbeatTimeoutMs + 100,
+      run: () => this.#tellLeaving(),
+    });
+    lifeCycle.every(this.#options.heartbeatMs, () => void this.beatNow());
+  }
+
+  /** Calls back with each change of membership. */
+  onMember(listener: (event: decisions.MemberEvent) => void): void {
+    this.#listeners.add(listener);
+  }
+
+  /** Takes the platform's list of VMs. */
+  noteList(vms: readonly contracts.ListedVm[]): void {
+    this.#tell(this.#options.membership.noteList(vms, this.#nowMs()));
+  }
+
+  /** Beats to all targets at once, for example after a new revision. */
+  async beatNow(): Promise<void> {
+    const effects = this.#options.membership.beat(this.#nowMs());
+    this.#tell(effects.events);
+    await Promise.all([
+      ...effects.targets.map((vm) => this.#beat(vm)),
+      ...effects.questions.map((question) => this.#askHelper(question)),
+    ]);
+  }
+
+  /** The link to a member, made when first needed. */
+  link(vm: contracts.VmId): PeerLink | undefined {
+    const member = this.#options.membership.member(vm, this.#nowMs());
+    if (member === undefined) return undefined;
+    const address = { host: member.host, port: member.peerPort };
+    const known = this.#links.get(vm);
+    if (known !== undefined && isSameAddress(known.address, address)) {
+      return known;
+    }
+    void known?.close();
+    const link = new PeerLink(address, this.#options.secret);
+    this.#links.set(vm, link);
+    return link;
+  }
+
+  async #beat(vm: contracts.VmId): Promise<void> {
+    // A peer that does not answer must not collect a call for every beat.
+    if (this.#waiting.has(vm)) return;
+    const link = this.link(vm);
+    if (link === undefined) return;
+    this.#waiting.add(vm);
+    const askedAtMs = this.#nowMs();
+    const result = await link.call("heartbeat", {
+      params: this.#draft(),
+      schema: contractsValues.peerHeartbeatReplySchema,
+      timeoutMs: this.#options.heartbeatTimeoutMs,
+    });
+    this.#waiting.delete(vm);
+    result.match(
+      (reply) => this.#noteReply(reply, askedAtMs),
+      (error) => this.#noteFailure(vm, error),
+    );
+  }
+
+  async #askHelper(question: decisions.HelperQuestion): Promise<void> {
+    const askedAtMs = this.#nowMs();
+    const result = await this.link(question.to)?.call("member", {
+      params: { about: question.about },
+      schema: contractsValues.memberAnswerSchema,
+      timeoutMs: this.#options.heartbeatTimeoutMs,
+    });
+    if (result === undefined || result.isErr()) return;
+    const times = { askedAtMs, nowMs: this.#nowMs() };
+    this.#tell(this.#options.membership.noteHelper(result.value, times));
+  }
+
+  #noteReply(reply: contracts.PeerHeartbeatReply, askedAtMs: number): void {
+    const { membership } = this.#options;
+    const nowMs = this.#nowMs();
+    this.#tell(
+      membership.noteReply(reply.vm, reply.incarnation, { askedAtMs, nowMs }),
+    );
+    this.#tell(membership.noteNews(reply.news, nowMs));
+    for (const part of this.#participants) part.noteReply?.(reply, askedAtMs);
+  }
+
+  #noteFailure(vm: contracts.VmId, error: PeerError): void {
+    this.#options.log.debug("beat not answered", {
+      peer: vm,
+      kind: error.kind,
+    });
+    this.#tell(this.#options.membership.noteFailure(vm, this.#nowMs()));
+  }
+
+  #answer(beat: contracts.PeerHeartbeat): contracts.PeerHeartbeatReply {
+    const { membership } = this.#options;
+    const nowMs = this.#nowMs();
+    this.#tell(membership.noteHeard(beat, nowMs));
+    this.#tell(membership.noteNews(beat.news, nowMs));
+    const draft: HeartbeatReplyDraft = {
+      vm: this.#options.self.vm,
+      incarnation: this.#options.self.incarnation,
+      known: [],
+      configRevision: 0,
+      news: membership.takeNews(),
+      newer: [],
+    };
+    for (const part of this.#participants) part.answer?.(beat, draft);
+    return draft;
+  }
+
+  #draft(): HeartbeatDraft {
+    const draft: HeartbeatDraft = {
+      ...this.#options.self,
+      leaving: this.#isLeaving,
+      known: [],
+      configRevision: 0,
+      news: this.#options.membership.takeNews(),
+    };
+    for (const part of this.#participants) part.fill?.(draft);
+    return draft;
+  }
+
+  #tell(events: readonly decisions.MemberEvent[]): void {
+    for (const event of events) {
+      this.#options.log.info(`entry VM ${event.kind}`, { vm: event.vm });
+      for (const listener of this.#listeners) listener(event);
+    }
+  }
+
+  #nowMs(): number {
+    return this.#options.clock.nowMs();
+  }
+
+  async #tellLeaving(): Promise<void> {
+    this.#isLeaving = true;
+    this.#waiting.clear();
+    await this.beatNow();
+  }
+
+  async #closeLinks(): Promise<void> {
+    await Promise.all([...this.#links.values()].map((link) => link.close()));
+  }
+}
+
+function isSameAddress(left: PeerAddress, right: PeerAddress): boolean {
+  return left.host === right.host && left.port === right.port;
+}
