feat(membership): decide which entry VMs are there

Peers come from the lagging VM list and from heartbeats. A VM counts as silent only from an unanswered question, others are asked before it counts as lost, and a beat that runs late is taken as this process's own pause.

Ruled out: the VM list alone (lags), heartbeats through the store (its writes), full mesh at any size (grows with the fleet).

--- /dev/null
+++ b/packages/decisions/src/membership/mod.ts
@@ -0,0 +1,5 @@
+/** Which entry VMs are there. */
+export * from "./effects.ts";
+export * from "./member.ts";
+export * from "./membership.ts";
+export type * from "./news_board.ts";
--- a/packages/decisions/src/mod.ts
+++ b/packages/decisions/src/mod.ts
@@ -1,2 +1,2 @@
 /** Entry of this package; exports grow with its parts. */
-export {};
+export * from "./membership/mod.ts";
