feat(placement): plan moves, splits and merges by weight

The planner weighs the gain of evening out load against the price of moved keys and of the gap of a move, with the weights of the service.

--- a/packages/contracts/src/mod.ts
+++ b/packages/contracts/src/mod.ts
@@ -7,4 +7,5 @@
 export * from "./outcomes.ts";
 export * from "./peer.ts";
 export * from "./platform_store.ts";
+export * from "./service_load.ts";
 export * from "./vm_list.ts";
--- /dev/null
+++ b/packages/decisions/src/placement/move_rule.ts
@@ -0,0 +1,128 @@
+/** Moves of slices: off servers that go, and from full to empty servers. */
+import * as contracts from "@guavatide/contracts";
+import type { PlannedChange } from "./changes.ts";
+import type { PlacementSettings } from "./placement_settings.ts";
+import { ServerQueue } from "./server_queue.ts";
+import { percent } from "./split_rule.ts";
+import type { WorkingServer, WorkingSet, WorkingSlice } from "./working_set.ts";
+
+/** Takes every slice off servers that are lost or leaving. Unlimited. */
+export function clearServers(set: WorkingSet): PlannedChange[] {
+  if (set.live.length === 0) return [];
+  const homeless = [...set.servers.values()]
+    .filter((server) => server.state !== "live")
+    .flatMap((server) => [...server.slices])
+    .sort((a, b) => b.weight - a.weight);
+  const emptiest = new ServerQueue(set.live, (server) => set.fullness(server));
+  return homeless.map((slice) => {
+    const from = slice.server;
+    const to = emptiest.pop()!;
+    set.move(slice, to);
+    emptiest.push(to);
+    return describeMove(slice, to, `server ${from.id} is ${from.state}`);
+  });
+}
+
+/** Options of {@link evenOut}. */
+export interface EvenOutOptions {
+  readonly settings: PlacementSettings;
+  readonly maxMoves: number;
+}
+
+/**
+ * Moves slices from the fullest to the emptiest server for as long as that is
+ * worth its price. Gain and price of a move of relative weight `d` from a
+ * server at `a` to one at `b`:
+ *
+ *     gain  = imbalanceWeight * d * (a - b - d)
+ *     price = churnWeight * keyPrice * keys + imbalanceWeight * gapPrice * d
+ *
+ * The gain is what the move takes off the sum of squared loads, halved. Keys
+ * are counted in those of an average server, so that a hot key, which is one
+ * key with much load, is cheap to move and a broad slice is dear.
+ */
+export function evenOut(
+  set: WorkingSet,
+  { settings, maxMoves }: EvenOutOptions,
+): PlannedChange[] {
+  const changes: PlannedChange[] = [];
+  const fullest = new ServerQueue(set.live, (server) => -set.relative(server));
+  const emptiest = new ServerQueue(set.live, (server) => set.fullness(server));
+  while (changes.length < maxMoves) {
+    const from = fullest.pop();
+    const to = emptiest.pop();
+    if (from === undefined || to === undefined || from === to) break;
+    const best = bestSlice(set, { from, to, settings });
+    if (best === undefined) {
+      emptiest.push(to);
+      if (isEven(set, from, to)) break;
+      continue;
+    }
+    const reason = `load ${percent(set.relative(from))} of fair, ` +
+      `target ${percent(set.relative(to))}`;
+    set.move(best, to);
+    changes.push(describeMove(best, to, reason));
+    fullest.push(from);
+    fullest.push(to);
+    emptiest.push(to);
+    emptiest.push(from);
+  }
+  return changes;
+}
+
+/** Nothing further down the queue can be worth a move either. */
+function isEven(
+  set: WorkingSet,
+  from: WorkingServer,
+  to: WorkingServer,
+): boolean {
+  return set.relative(from) <= set.relative(to) + 0.01;
+}
+
+interface Pair {
+  readonly from: WorkingServer;
+  readonly to: WorkingServer;
+  readonly settings: PlacementSettings;
+}
+
+function bestSlice(set: WorkingSet, pair: Pair): WorkingSlice | undefined {
+  let best: WorkingSlice | undefined;
+  let bestScore = 0;
+  for (const slice of pair.from.slices) {
+    if (slice.isCooling) continue;
+    const score = scoreOf(set, slice, pair);
+    if (score <= bestScore) continue;
+    best = slice;
+    bestScore = score;
+  }
+  return best;
+}
+
+function scoreOf(
+  set: WorkingSet,
+  slice: WorkingSlice,
+  { from, to, settings }: Pair,
+): number {
+  const { imbalanceWeight, churnWeight, keyPrice, gapPrice } = settings;
+  const gap = set.relative(from) - set.relative(to);
+  const lessAtFrom = slice.weight / from.capacityShare;
+  const moreAtTo = slice.weight / to.capacityShare;
+  const load = set.relativeWeight(slice);
+  const keys = slice.keyShare * set.live.length;
+  const gain = load * (gap - (lessAtFrom + moreAtTo) / 2);
+  const price = churnWeight * keyPrice * keys;
+  return imbalanceWeight * (gain - gapPrice * load) - price;
+}
+
+function describeMove(
+  slice: WorkingSlice,
+  to: WorkingServer,
+  reason: string,
+): PlannedChange {
+  return {
+    kind: "move",
+    slice: contracts.sliceIdOf(slice),
+    toServer: to.id,
+    reason,
+  };
+}
--- /dev/null
+++ b/packages/decisions/src/placement/placement_settings.ts
@@ -0,0 +1,61 @@
+/** Settings of the planner. */
+
+/** Weights of one service and bounds of the planner. */
+export interface PlacementSettings {
+  /** Worth of evening out load; from the service's configuration. */
+  readonly imbalanceWeight: number;
+  /** Cost of a moved key; from the service's configuration. */
+  readonly churnWeight: number;
+  /** Slices of each server at the start. */
+  readonly slicesPerServer: number;
+  /** Cold slices are merged down to this many for each server. */
+  readonly minSlicesPerServer: number;
+  /** Hot slices are split up to this many for each server. */
+  readonly maxSlicesPerServer: number;
+  /**
+   * Price of moving one average server's keys, against the gain of evening
+   * out one average server's load. With equal weights it is about the gap
+   * between two servers' loads that is left alone.
+   */
+  readonly keyPrice: number;
+  /** The same for the requests that meet the gap of a move. */
+  readonly gapPrice: number;
+  /** A slice hotter than this part of an average server's load is split. */
+  readonly splitShare: number;
+  /** Two neighbours colder than this together are merged. */
+  readonly mergeShare: number;
+  /** Part of a slice's weight that comes from its width, not its load. */
+  readonly widthWeight: number;
+  /** Planned moves in one plan, for each server; at least two in all. */
+  readonly movesPerServer: number;
+  /** Splits and merges in one plan, for each server; at least eight each. */
+  readonly editsPerServer: number;
+  /** A slice that was changed is left alone for this long. */
+  readonly coolingMs: number;
+  /** A new server gets its full share after this long. */
+  readonly warmUpMs: number;
+  /** Rates below this are too few to plan by; width alone counts then. */
+  readonly minRequestsPerSecond: number;
+  /** A server's speed counts only beyond this difference from the median. */
+  readonly speedTolerance: number;
+}
+
+/** Defaults of {@link PlacementSettings}. */
+export const DEFAULT_PLACEMENT: PlacementSettings = {
+  imbalanceWeight: 1,
+  churnWeight: 1,
+  slicesPerServer: 16,
+  minSlicesPerServer: 12,
+  maxSlicesPerServer: 48,
+  keyPrice: 0.15,
+  gapPrice: 0.02,
+  splitShare: 0.15,
+  mergeShare: 0.06,
+  widthWeight: 0.1,
+  movesPerServer: 0.05,
+  editsPerServer: 0.1,
+  coolingMs: 60_000,
+  warmUpMs: 30_000,
+  minRequestsPerSecond: 5,
+  speedTolerance: 0.25,
+};
