--- a/packages/entry/src/links/header_list.ts
+++ b/packages/entry/src/links/header_list.ts
@@ -2,6 +2,7 @@
  * Lists of header names and values in turn, as Node and undici give them. A
  * list keeps repeated headers and costs less than a map on every request.
  */
+import * as contracts from "@guavatide/contracts";
 
 /** Headers that concern one connection only and are never passed on. */
 const CONNECTION_HEADERS = new Set([
@@ -21,7 +22,18 @@
 ]);
 
 /** Headers of this system; each side sets its own. */
-const OWN_PREFIX = "guavatide-";
+const OWN_HEADERS: ReadonlySet<string> = new Set([
+  contracts.REQUEST_ID_HEADER,
+  contracts.DEADLINE_HEADER,
+  contracts.SLICE_HEADER,
+  contracts.FENCE_HEADER,
+  contracts.NOT_RUN_HEADER,
+  contracts.IN_FLIGHT_HEADER,
+  contracts.OUTCOME_HEADER,
+  contracts.REASON_HEADER,
+  contracts.KEY_HEADER,
+  contracts.TIMEOUT_HEADER,
+]);
 
 /** The value of a header, by its name in lower case. */
 export function readHeader(
@@ -52,8 +64,7 @@
   const passed: string[] = [];
   for (let index = 0; index + 1 < headers.length; index += 2) {
     const name = headers[index]!.toLowerCase();
-    const isOurs = name.startsWith(OWN_PREFIX);
-    if (isOurs || CONNECTION_HEADERS.has(name)) continue;
+    if (OWN_HEADERS.has(name) || CONNECTION_HEADERS.has(name)) continue;
     if (listed?.includes(name)) continue;
     passed.push(headers[index]!, headers[index + 1]!);
   }
--- a/packages/entry/src/requests/dispatched_allocator.ts
+++ b/packages/entry/src/requests/dispatched_allocator.ts
@@ -68,7 +68,7 @@
   }
 
   acquire(wish: SlotWish): void {
-    this.#chooseDispatcher();
+    if (this.#dispatcher === undefined) this.#chooseDispatcher();
     const nowMs = this.#options.clock.nowMs();
     const isAlone = this.#dispatcher === undefined ||
       this.#service.policy !== routing.DISPATCHED_POLICY ||
--- /dev/null
+++ b/packages/standins/src/bench/bench_main.ts
@@ -0,0 +1,82 @@
+/** The bench's command line. */
+import * as clipanion from "clipanion";
+import { type BenchResult, benchRun } from "./bench_run.ts";
+import { BENCH_SCENARIOS, BENCH_SERVICES } from "./bench_scenarios.ts";
+import { formatTable } from "./bench_table.ts";
+
+const DEFAULT_POLICIES =
+  "round-robin,least-outstanding,power-of-two,dispatched";
+
+/** Runs scenarios with policies side by side. */
+class BenchCommand extends clipanion.Command {
+  static override usage = clipanion.Command.Usage({
+    description: "run the load bench on stand-ins of this machine",
+  });
+  scenario = clipanion.Option.String("--scenario", "all", {
+    description: `names, by comma; all: ${
+      BENCH_SCENARIOS.map((scenario) => scenario.name).join(", ")
+    }`,
+  });
+  service = clipanion.Option.String("--service", "reservations", {
+    description: `names, by comma: ${
+      BENCH_SERVICES.map((service) => service.name).join(", ")
+    }`,
+  });
+  policy = clipanion.Option.String("--policy", DEFAULT_POLICIES, {
+    description: "policies, by comma",
+  });
+  seconds = clipanion.Option.String("--seconds", "6", {
+    description: "counted time of a run",
+  });
+  serviceMs = clipanion.Option.String("--service-ms", "20", {
+    description: "mean time a request runs at a server",
+  });
+  method = clipanion.Option.String("--method", "POST", {
+    description: "GET is idempotent, POST is not",
+  });
+  seed = clipanion.Option.String("--seed", "1");
+  json = clipanion.Option.Boolean("--json", false);
+
+  async execute(): Promise<number> {
+    const results: BenchResult[] = [];
+    for (const service of pick(BENCH_SERVICES, this.service)) {
+      for (const scenario of pick(BENCH_SCENARIOS, this.scenario)) {
+        for (const policy of this.policy.split(",")) {
+          const result = await benchRun(service, {
+            scenario,
+            policy,
+            durationMs: Number(this.seconds) * 1000,
+            meanServiceMs: Number(this.serviceMs),
+            method: this.method === "GET" ? "GET" : "POST",
+            seed: Number(this.seed),
+          });
+          results.push(result);
+          if (!this.json) this.context.stdout.write(formatTable([result]));
+        }
+      }
+    }
+    if (this.json) this.context.stdout.write(JSON.stringify(results) + "\n");
+    const isSafe = results.every(({ figures }) =>
+      figures.runTwice === 0 && figures.toldNotRunButRan === 0
+    );
+    return isSafe ? 0 : 1;
+  }
+}
+
+function pick<T extends { readonly name: string }>(
+  all: readonly T[],
+  names: string,
+): readonly T[] {
+  if (names === "all") return all;
+  return names.split(",").map((name) => {
+    const found = all.find((item) => item.name === name);
+    if (found !== undefined) return found;
+    const known = all.map((item) => item.name).join(", ");
+    throw new clipanion.UsageError(`"${name}" is not one of: ${known}`);
+  });
+}
+
+const cli = new clipanion.Cli({ binaryName: "npm run bench --" });
+cli.register(BenchCommand);
+process.exitCode = await cli.run(process.argv.slice(2));
+process.exit();
--- /dev/null
+++ b/packages/standins/src/bench/bench_peers.ts
@@ -0,0 +1,68 @@
+/** Links between the bench's entry processes, with the brief's delay. */
+import type * as contracts from "@guavatide/contracts";
+import type { PeerCallOptions, PeerCalls } from "guavatide/requests/peer_calls";
+import type { PeerDoor } from "guavatide/vms/peer_door";
+import { PeerLink } from "guavatide/vms/peer_link";
+import * as crypto from "node:crypto";
+import type * as z from "zod";
+import * as serve from "../http/serve.ts";
+import type { EntryArgument, EntrySetup } from "./bench_messages.ts";
+
+/** The shipped peer links to fixed peers. */
+export class BenchPeers implements PeerCalls {
+  readonly self: PeerCalls["self"];
+  readonly #argument: EntryArgument;
+  readonly #door: PeerDoor;
+  readonly #links = new Map<contracts.VmId, PeerLink>();
+  #members: contracts.VmId[] = [];
+  #sent = 0;
+
+  constructor(argument: EntryArgument, door: PeerDoor) {
+    this.#argument = argument;
+    this.#door = door;
+    this.self = {
+      vm: argument.vm,
+      incarnation: crypto.randomUUID() as contracts.Incarnation,
+    };
+  }
+
+  /** Calls made so far. */
+  get sent(): number {
+    return this.#sent;
+  }
+
+  setUp(peers: EntrySetup["peers"]): void {
+    this.#members = peers.map((peer) => peer.vm);
+    for (const { vm, port } of peers) {
+      if (this.#links.has(vm)) continue;
+      const address = { host: "127.0.0.1", port };
+      this.#links.set(vm, new PeerLink(address, this.#argument.secret));
+    }
+  }
+
+  members(): readonly contracts.VmId[] {
+    return this.#members;
+  }
+
+  async call<Schema extends z.ZodType>(
+    vm: contracts.VmId,
+    method: string,
+    options: PeerCallOptions<Schema>,
+  ): Promise<z.infer<Schema> | undefined> {
+    this.#sent++;
+    const link = this.#links.get(vm);
+    if (link === undefined) return undefined;
+    await serve.delay(this.#argument.peerDelayMs);
+    const result = await link.call(method, options);
+    await serve.delay(this.#argument.peerDelayMs);
+    return result.isOk() ? result.value : undefined;
+  }
+
+  register<Schema extends z.ZodType>(
+    method: string,
+    schema: Schema,
+    handler: (params: z.infer<Schema>) => unknown,
+  ): void {
+    this.#door.register(method, schema, handler);
+  }
+}
