--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -6,6 +6,7 @@
 import * as decisions from "@guavatide/decisions";
 import * as ownership from "@guavatide/decisions/ownership/key_hash";
 import * as neverthrow from "neverthrow";
+import * as configuration from "./configuration/mod.ts";
 import * as links from "./links/server_links.ts";
 import * as metricsParts from "./metrics/metrics.ts";
 import { MetricsDoor } from "./metrics/metrics_door.ts";
@@ -13,7 +14,6 @@
 import * as platform from "./platform/mod.ts";
 import * as requests from "./requests/mod.ts";
 import * as settingsParts from "./settings/mod.ts";
-import { ThinConfig } from "./thin/thin_config.ts";
 import { ThinOwnership } from "./thin/thin_ownership.ts";
 import { MonotonicClock, SystemRandom } from "./utils/clock.ts";
 import { LifeCycle } from "./utils/life_cycle.ts";
@@ -107,7 +107,26 @@
   });
   directory.onList((vms) => peers.noteList(vms));
 
-  const config = new ThinConfig(store);
+  const config = new configuration.ConfigTask({
+    vm: settings.vm,
+    store,
+    peers: new configuration.PeerTaskConfigSource({
+      vm: settings.vm,
+      peers,
+      door,
+      membership,
+      clock,
+    }),
+    choice: await decisions.createWatcherChoice(),
+    clock,
+    random,
+    log: log.part("config"),
+    watchWaitMs: settings.timings.watchWaitMs,
+    compareMs: settings.timings.configCompareMs,
+    settleMs: settings.timings.detectMs,
+    storeTimeoutMs: settings.platform.storeTimeoutMs,
+    peerTimeoutMs: settings.platform.storeTimeoutMs,
+  });
   const owners = new ThinOwnership({
     ...self,
     store,
@@ -152,7 +171,7 @@
   });
 
   await directory.start(lifeCycle);
-  await config.start(lifeCycle);
+  config.start(lifeCycle);
   peers.start(lifeCycle);
   owners.start(lifeCycle);
   const ports = {
