--- a/packages/standins/src/deployment/local_deployment.ts
+++ b/packages/standins/src/deployment/local_deployment.ts
@@ -4,6 +4,7 @@
  * proofs. Every process is ended by `stop`.
  */
 import type * as contracts from "@guavatide/contracts";
+import * as platform from "guavatide/platform/mod";
 import type * as wire from "guavatide/wire";
 import * as fs from "node:fs";
 import * as os from "node:os";
@@ -11,6 +12,7 @@
 import * as url from "node:url";
 import type { BackendSettings } from "../backend_server/settings.ts";
 import * as processes from "../processes/mod.ts";
+import * as publishing from "./first_publish.ts";
 import * as plans from "./deployment_plan.ts";
 
 const STOP_TIMEOUT_MS = 20_000;
@@ -200,18 +202,9 @@
   }
 
   async #publish(): Promise<void> {
-    const published: contracts.PublishedConfig = {
-      revision: 1,
-      publishedBy: "local deployment",
-      publishedAt: new Date().toISOString(),
-      objects: plans.configObjectsOf(this.plan),
-    };
-    const name = encodeURIComponent("config/thin");
-    const answer = await fetch(`${this.storeUrl}/objects/${name}`, {
-      method: "PUT",
-      body: JSON.stringify(published),
-    });
-    if (!answer.ok) throw new Error(`Store refused: ${await answer.text()}`);
+    const store = new platform.HttpPlatformStore(this.storeUrl);
+    await publishing.publishFirst(store, plans.configObjectsOf(this.plan));
+    await store.close();
   }
 
   #serverArguments(): processes.BackendArgument[] {
