feat(ownership): run assignments, orders, duty and moves in the entry process

Each keyed service has its tasks: evidence from peers' beats and, where that is weak, from the store; orders by two renewers and the holder of duty; duty by a lease in the store; moves by two conditional updates. A new assignment is pushed to all peers at once, so that a planned move does not wait for beats. Takes the place of the first, unmoving ownership.

--- a/packages/contracts/src/peer.ts
+++ b/packages/contracts/src/peer.ts
@@ -7,6 +7,7 @@
 import { assignmentSchema } from "./assignment.ts";
 import {
   incarnationSchema,
+  serverIdSchema,
   serviceIdSchema,
   vmIdSchema,
   zoneIdSchema,
@@ -21,6 +22,12 @@
    * started. A restarted keeper has forgotten what it promised before.
    */
   settled: z.boolean(),
+  /** Servers that leave the sender's orders unanswered, with the time. */
+  silent: z.array(
+    z.strictObject({ server: serverIdSchema, silentMs: z.number().min(0) }),
+  ).optional(),
+  /** Servers that check no fences and run requests from the sender. */
+  busyServers: z.array(serverIdSchema).optional(),
 });
 /** The highest assignment revision that a process knows of a service. */
 export type KnownRevision = z.infer<typeof knownRevisionSchema>;
--- a/packages/decisions/src/ownership/mod.ts
+++ b/packages/decisions/src/ownership/mod.ts
@@ -3,6 +3,7 @@
 export * from "./duty.ts";
 export * from "./evidence.ts";
 export * from "./forward_book.ts";
+export * from "./keeper_choice.ts";
 export * from "./key_hash.ts";
 export * from "./loss_detector.ts";
 export * from "./mover.ts";
--- a/packages/decisions/src/ownership/model_world_test.ts
+++ b/packages/decisions/src/ownership/model_world_test.ts
@@ -309,7 +309,8 @@
     const slices = ownership.SliceMap.create(assignment.slices);
     const orders = keeper.orders.takeDue({
       nowMs,
-      assignment,
+      service: SERVICE,
+      revision: assignment.revision,
       slices: slices._unsafeUnwrap(),
       evidenceAskedAtMs: keeper.book.evidenceAskedAtMs(nowMs),
       servers: this.#servers.map((server) => server.id),
--- a/packages/decisions/src/ownership/mover.ts
+++ b/packages/decisions/src/ownership/mover.ts
@@ -67,6 +67,8 @@
   readonly version: string;
 }
 
+/** Keeper sets that may stand beside each other. */
+const KEEPER_SETS = 3;
 const RETRY_MIN_MS = 100;
 const RETRY_MAX_MS = 2_000;
 
@@ -106,9 +108,10 @@
     return this.#isAbsent;
   }
 
-  /** Moves asked for and not yet begun. */
-  get queuedMoves(): number {
-    return this.#queue.length;
+  /** Whether nothing is asked for and no call to the store is under way. */
+  get isIdle(): boolean {
+    return this.#queue.length === 0 && this.#call === undefined &&
+      !this.#mustRead;
   }
 
   /** Asks for a change; a later one for the same slice replaces it. */
@@ -344,7 +347,9 @@
     const { keeperSets, revision } = this.#stored!.assignment;
     const mayRetire = keeperSets.length > 1 && this.hasPromise(revision);
     if (mayRetire) edit.retireKeepers();
-    if (this.#keepers !== undefined) edit.useKeepers(this.#keepers);
+    // More sets than these would only let old ones pile up unconfirmed.
+    const mayAdd = keeperSets.length < KEEPER_SETS || mayRetire;
+    if (this.#keepers !== undefined && mayAdd) edit.useKeepers(this.#keepers);
   }
 
   #write(
--- a/packages/decisions/src/ownership/order_book.ts
+++ b/packages/decisions/src/ownership/order_book.ts
@@ -15,9 +15,11 @@
 /** What the book decides from. */
 export interface OrdersDue {
   readonly nowMs: number;
-  /** Highest assignment known; its slices are checked. */
-  readonly assignment: contracts.Assignment;
-  readonly slices: SliceMap;
+  readonly service: contracts.ServiceId;
+  /** Highest revision known; 1 while there is no assignment. */
+  readonly revision: number;
+  /** Slices of that revision; absent while there is no assignment. */
+  readonly slices?: SliceMap;
   /** See `EvidenceBook.evidenceAskedAtMs`. */
   readonly evidenceAskedAtMs: number;
   /** Servers that this process sends orders to. */
@@ -63,7 +65,7 @@
       if (!this.#isDue(state, due)) continue;
       orders.push(this.#compose(server, state, due));
       state.lastSentAtMs = due.nowMs;
-      state.lastSentRevision = due.assignment.revision;
+      state.lastSentRevision = due.revision;
       state.isUrgent = false;
       state.outstanding++;
     }
@@ -124,7 +126,7 @@
   #isDue(state: ServerState, due: OrdersDue): boolean {
     if (due.nowMs >= state.lastSentAtMs + this.#settings.renewMs) return true;
     if (state.outstanding >= OUTSTANDING_ORDERS) return false;
-    return state.isUrgent || state.lastSentRevision < due.assignment.revision;
+    return state.isUrgent || state.lastSentRevision < due.revision;
   }
 
   #compose(
@@ -133,11 +135,11 @@
     due: OrdersDue,
   ): contracts.OwnershipOrder {
     const order = {
-      service: due.assignment.service,
+      service: due.service,
       server,
-      revision: due.assignment.revision,
+      revision: due.revision,
       leaseMs: this.#settings.leaseMs,
-      slices: due.slices.heldBy(server),
+      slices: due.slices?.heldBy(server) ?? [],
     };
     if (state.reply === undefined || !this.mayGrant(state, due)) return order;
     return {
--- /dev/null
+++ b/packages/entry/src/ownership/assignment_store.ts
@@ -0,0 +1,85 @@
+/** One service's assignment object in the platform's store. */
+import * as contracts from "@guavatide/contracts";
+import type * as ownership from "@guavatide/decisions/ownership/mod";
+
+/** A read with the time it was sent, from which evidence counts. */
+export interface TimedRead {
+  readonly read: ownership.AssignmentRead;
+  readonly sentAtMs: number;
+}
+
+/** A write with the time it was sent. */
+export interface TimedWrite {
+  readonly write: ownership.AssignmentWrite;
+  readonly sentAtMs: number;
+}
+
+/** Options of {@link AssignmentStore}. */
+export interface AssignmentStoreOptions {
+  readonly service: contracts.ServiceId;
+  readonly store: contracts.PlatformStore;
+  readonly clock: contracts.Clock;
+  readonly timeoutMs: number;
+}
+
+/** Reads and writes one assignment. */
+export class AssignmentStore {
+  readonly #options: AssignmentStoreOptions;
+  readonly #name: string;
+
+  constructor(options: AssignmentStoreOptions) {
+    this.#options = options;
+    this.#name = `assignments/${options.service}`;
+  }
+
+  /** Reads the object; what cannot be understood counts as unavailable. */
+  async read(): Promise<TimedRead> {
+    const { store, clock, timeoutMs } = this.#options;
+    const sentAtMs = clock.nowMs();
+    const result = await store.get(this.#name, { timeoutMs });
+    if (result.isErr()) {
+      const isAbsent = result.error.kind === "not-found";
+      const kind = isAbsent ? "absent" : "unavailable";
+      return { read: { kind }, sentAtMs };
+    }
+    const assignment = parseAssignment(result.value.value);
+    if (assignment === undefined) {
+      return { read: { kind: "unavailable" }, sentAtMs };
+    }
+    const { version } = result.value;
+    return { read: { kind: "found", assignment, version }, sentAtMs };
+  }
+
+  /** Writes the object under a condition. */
+  async write(
+    assignment: contracts.Assignment,
+    condition: contracts.WriteCondition,
+  ): Promise<TimedWrite> {
+    const { store, clock, timeoutMs } = this.#options;
+    const sentAtMs = clock.nowMs();
+    const value = JSON.stringify(assignment);
+    const result = await store.put(this.#name, value, { timeoutMs, condition });
+    if (result.isOk()) {
+      return {
+        write: { kind: "acknowledged", version: result.value },
+        sentAtMs,
+      };
+    }
+    return { write: { kind: KINDS[result.error.kind] }, sentAtMs };
+  }
+}
+
+const KINDS = {
+  "conflict": "conflict",
+  "not-found": "conflict",
+  "refused": "refused",
+  "unavailable": "unknown",
+} as const;
+
+function parseAssignment(text: string): contracts.Assignment | undefined {
+  try {
+    return contracts.assignmentSchema.parse(JSON.parse(text));
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/ownership/duty_task.ts
@@ -0,0 +1,107 @@
+/** Keeps, takes over and hands back the duty lease of one service. */
+import * as ownership from "@guavatide/decisions/ownership/mod";
+import type { PartLog } from "../utils/log.ts";
+import type { ServiceContext } from "./service_context.ts";
+
+/** Part of one VM in the duty of planning one service's moves. */
+export class DutyTask {
+  readonly #context: ServiceContext;
+  readonly #log: PartLog;
+  readonly #lease: ownership.DutyLease;
+  readonly #name: string;
+  #wasHolding = false;
+
+  constructor(context: ServiceContext) {
+    this.#context = context;
+    this.#log = context.log.part("duty");
+    this.#name = `duty/${context.service}`;
+    this.#lease = new ownership.DutyLease(context.peers.self, {
+      ...ownership.DEFAULT_DUTY_SETTINGS,
+      leaseMs: context.timings.dutyLeaseMs,
+      renewMs: context.timings.dutyRenewMs,
+    });
+  }
+
+  /** Whether this VM holds the duty now. */
+  get holds(): boolean {
+    return this.#lease.holds(this.#context.clock.nowMs());
+  }
+
+  tick(nowMs: number): void {
+    const { peers } = this.#context;
+    const effect = this.#lease.tick({
+      nowMs,
+      rank: this.#rank(),
+      isLost: (vm, incarnation) => peers.isLost(vm, incarnation),
+    });
+    if (effect?.kind === "read") void this.#read();
+    if (effect?.kind === "write") void this.#write(effect);
+    this.#logChange(nowMs);
+  }
+
+  /** Hands the duty back, so that the next VM need not wait for its end. */
+  async stop(): Promise<void> {
+    const effect = this.#lease.release(this.#context.clock.nowMs());
+    if (effect?.kind === "write") await this.#put(effect);
+  }
+
+  /** Different VMs come first for different services. */
+  #rank(): number {
+    const { peers, hasher, service } = this.#context;
+    const ranked = ownership.rankByName(service, peers.live(), { hasher });
+    return Math.max(0, ranked.indexOf(peers.self.vm));
+  }
+
+  async #read(): Promise<void> {
+    const { store, clock, timings } = this.#context;
+    const result = await store.get(this.#name, {
+      timeoutMs: timings.storeTimeoutMs,
+    });
+    const read = result.match(
+      ({ value, version }) => toRead(value, version),
+      (error): ownership.DutyRead => ({
+        kind: error.kind === "not-found" ? "absent" : "unavailable",
+      }),
+    );
+    this.#lease.noteRead(read, clock.nowMs());
+  }
+
+  async #write(
+    effect: Extract<ownership.DutyEffect, { kind: "write" }>,
+  ): Promise<void> {
+    const result = await this.#put(effect);
+    const write = result.match(
+      (version): ownership.DutyWrite => ({ kind: "acknowledged", version }),
+      (error): ownership.DutyWrite => ({
+        kind: error.kind === "conflict" ? "conflict" : "unavailable",
+      }),
+    );
+    this.#lease.noteWrite(write, this.#context.clock.nowMs());
+  }
+
+  #put(effect: Extract<ownership.DutyEffect, { kind: "write" }>) {
+    const { store, timings } = this.#context;
+    return store.put(this.#name, JSON.stringify(effect.record), {
+      timeoutMs: timings.storeTimeoutMs,
+      condition: effect.condition,
+    });
+  }
+
+  #logChange(nowMs: number): void {
+    const holds = this.#lease.holds(nowMs);
+    if (holds === this.#wasHolding) return;
+    this.#wasHolding = holds;
+    const { service } = this.#context;
+    const sentence = holds ? "control duty taken" : "control duty given up";
+    this.#log.info(sentence, { service, holder: this.#lease.holder });
+  }
+}
+
+function toRead(value: string, version: string): ownership.DutyRead {
+  try {
+    const record = ownership.dutyRecordSchema.parse(JSON.parse(value));
+    return { kind: "found", record, version };
+  } catch {
+    return { kind: "unavailable" };
+  }
+}
--- /dev/null
+++ b/packages/entry/src/ownership/mod.ts
@@ -0,0 +1,5 @@
+/** Ownership of keyed services: the tasks around the decisions. */
+export * from "./move_task.ts";
+export * from "./ownership_task.ts";
+export * from "./peer_view.ts";
+export * from "./service_context.ts";
--- /dev/null
+++ b/packages/entry/src/ownership/move_task.ts
@@ -0,0 +1,341 @@
+/**
+ * Plans and executes moves of one service's slices while this VM holds the
+ * service's control duty: the first assignment, keepers, servers that come,
+ * go, drain or are lost, and what the planner asks for.
+ */
+import * as contracts from "@guavatide/contracts";
+import * as ownership from "@guavatide/decisions/ownership/mod";
+import * as placement from "@guavatide/decisions/placement/mod";
+import type { PartLog } from "../utils/log.ts";
+import type { OrderTask } from "./order_task.ts";
+import type { ServiceContext } from "./service_context.ts";
+
+/** Time that listed servers have to answer before the first assignment. */
+const FIRST_MEETING_MS = 3_000;
+const KEEPER_REVIEW_MS = 1_000;
+const LOSS_PLAN_MS = 100;
+
+/** Where the planner's load figures come from. */
+export interface LoadSource {
+  estimate(slices: readonly contracts.Slice[]): placement.LoadEstimate;
+  speeds(): ReadonlyMap<contracts.ServerId, number>;
+}
+
+/** Plans by the width of slices alone. */
+export const NO_LOAD_SOURCE: LoadSource = {
+  estimate: (slices) => placement.unknownLoad(slices.length),
+  speeds: () => new Map(),
+};
+
+/** Options of {@link MoveTask}. */
+export interface MoveTaskOptions {
+  readonly orders: OrderTask;
+  readonly load: LoadSource;
+  /** Servers that run requests of this VM and check no fences. */
+  busyServers(): contracts.ServerId[];
+  /** The service as configured; undefined once it is gone. */
+  config(): contracts.Service | undefined;
+}
+
+/** Moves one service's slices. */
+export class MoveTask {
+  readonly #context: ServiceContext;
+  readonly #options: MoveTaskOptions;
+  readonly #log: PartLog;
+  readonly #mover: ownership.Mover;
+  /** What each peer told last. */
+  readonly #told = new Map<contracts.VmId, contracts.KnownRevision>();
+  readonly #missingSinceMs = new Map<contracts.VmId, number>();
+  #planner: placement.Planner | undefined;
+  #plannerFor = "";
+  #isOn = false;
+  #onSinceMs = 0;
+  #keepersAtMs = Number.NEGATIVE_INFINITY;
+  #lossesAtMs = Number.NEGATIVE_INFINITY;
+  #planAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(context: ServiceContext, options: MoveTaskOptions) {
+    this.#context = context;
+    this.#options = options;
+    this.#log = context.log.part("place");
+    const { service, peers, timings } = context;
+    this.#mover = new ownership.Mover({ service, ...peers.self }, timings);
+    options.orders.onAnswer((answer) => this.#mover.noteReply(answer));
+  }
+
+  /** A peer told what it knows, in a beat or an answer. */
+  notePeer(
+    peer: { readonly vm: contracts.VmId; incarnation: contracts.Incarnation },
+    known: contracts.KnownRevision,
+  ): void {
+    const nowMs = this.#context.clock.nowMs();
+    this.#told.set(peer.vm, known);
+    this.#mover.notePromise(peer.vm, known.revision, nowMs);
+    this.#mover.noteForwards({
+      ...peer,
+      revision: known.revision,
+      busyServers: known.busyServers ?? [],
+      nowMs,
+    });
+  }
+
+  /** Call often; does nothing unless this VM holds the duty. */
+  tick(nowMs: number, holdsDuty: boolean): void {
+    if (holdsDuty !== this.#isOn) this.#switch(holdsDuty, nowMs);
+    if (!holdsDuty) return;
+    const { peers, known, random } = this.#context;
+    this.#mover.noteNewer(known.revision);
+    this.notePeer(peers.self, {
+      ...known.known(),
+      busyServers: this.#options.busyServers(),
+    });
+    this.#reviewKeepers(nowMs);
+    if (this.#mover.isIdle) this.#plan(nowMs);
+    this.#hurryOrders();
+    const effect = this.#mover.tick({
+      nowMs,
+      random,
+      isLive: (server) => this.#stateOf(server) === "live",
+      checksFences: (server) =>
+        this.#options.orders.facts(server)?.checksFences,
+      entryVms: peers.all(),
+    });
+    if (effect?.kind === "read") void this.#read();
+    if (effect?.kind === "write") void this.#write(effect);
+  }
+
+  #switch(isOn: boolean, nowMs: number): void {
+    this.#isOn = isOn;
+    this.#onSinceMs = nowMs;
+    this.#planner = undefined;
+    this.#plannerFor = "";
+    this.#mover.forget();
+    this.#options.orders.orderAll(isOn);
+  }
+
+  async #read(): Promise<void> {
+    const { assignments, known, clock, random } = this.#context;
+    const { read, sentAtMs } = await assignments.read();
+    if (read.kind === "found") known.noteStoreRead(read.assignment, sentAtMs);
+    if (read.kind === "absent") known.noteStoreAbsent();
+    const before = this.#mover.assignment?.revision;
+    this.#mover.noteRead(read, clock.nowMs(), random);
+    if (read.kind !== "found" || read.assignment.revision === before) return;
+    this.#tellPeers(read.assignment);
+  }
+
+  async #write(
+    effect: Extract<ownership.MoverEffect, { kind: "write" }>,
+  ): Promise<void> {
+    const { assignments, known, clock, random } = this.#context;
+    const { assignment, condition } = effect;
+    const { write, sentAtMs } = await assignments.write(assignment, condition);
+    this.#logSteps(effect, write);
+    this.#mover.noteWrite(write, clock.nowMs(), random);
+    if (write.kind !== "acknowledged") return;
+    known.noteStoreRead(assignment, sentAtMs);
+    this.#tellPeers(assignment);
+  }
+
+  /** At once to all, so that a move does not wait for the next beats. */
+  #tellPeers(assignment: contracts.Assignment): void {
+    const { peers } = this.#context;
+    for (const vm of peers.live()) {
+      if (vm !== peers.self.vm) void this.#push(vm, assignment);
+    }
+  }
+
+  async #push(
+    vm: contracts.VmId,
+    assignment: contracts.Assignment,
+  ): Promise<void> {
+    const { peers, clock } = this.#context;
+    const known = await peers.push(vm, assignment);
+    if (known === undefined) return;
+    this.#mover.notePromise(vm, known.revision, clock.nowMs());
+    this.#hurryOrders();
+  }
+
+  #hurryOrders(): void {
+    const { orders } = this.#options;
+    orders.hurry(this.#mover.takeHurried());
+    // Asked again and again until the last request of the slice is over.
+    orders.hurry(this.#mover.vacatingServers());
+  }
+
+  #reviewKeepers(nowMs: number): void {
+    if (nowMs < this.#keepersAtMs + KEEPER_REVIEW_MS) return;
+    this.#keepersAtMs = nowMs;
+    const { known, service, hasher, peers } = this.#context;
+    const gone = this.#goneVms(nowMs);
+    this.#mover.noteGone(gone, nowMs);
+    const able = peers.live().filter((vm) => this.#told.get(vm)?.settled);
+    const present = known.keepers;
+    const keepers = ownership.chooseKeepers({
+      service,
+      present,
+      able,
+      gone,
+      hasher,
+    });
+    if (keepers.length > 0) this.#mover.requestKeepers(keepers);
+  }
+
+  /** Off the platform's list and silent for the whole grace time. */
+  #goneVms(nowMs: number): Set<contracts.VmId> {
+    const { peers, timings, known } = this.#context;
+    const listed = peers.listed();
+    const gone = new Set<contracts.VmId>();
+    if (listed === undefined) return gone;
+    const live = new Set(peers.live());
+    const sets = known.assignment?.keeperSets ?? [];
+    for (const { vm } of sets.flat()) {
+      if (listed.has(vm) || live.has(vm)) {
+        this.#missingSinceMs.delete(vm);
+        continue;
+      }
+      const sinceMs = this.#missingSinceMs.get(vm) ?? nowMs;
+      this.#missingSinceMs.set(vm, sinceMs);
+      if (nowMs - sinceMs >= timings.vmGoneGraceMs) gone.add(vm);
+    }
+    return gone;
+  }
+
+  #plan(nowMs: number): void {
+    const planner = this.#currentPlanner();
+    if (planner === undefined) return;
+    const { assignment } = this.#mover;
+    if (assignment === undefined) return this.#planFirst(planner, nowMs);
+    if (nowMs >= this.#planAtMs + this.#context.timings.planMs) {
+      this.#planAtMs = nowMs;
+      this.#lossesAtMs = nowMs;
+      return this.#request(planner.plan(this.#input(assignment, nowMs)));
+    }
+    if (nowMs < this.#lossesAtMs + LOSS_PLAN_MS) return;
+    this.#lossesAtMs = nowMs;
+    if (!this.#isLossPossible(assignment)) return;
+    this.#request(planner.planLosses(this.#input(assignment, nowMs)));
+  }
+
+  #isLossPossible(assignment: contracts.Assignment): boolean {
+    return assignment.slices.some((slice) =>
+      slice.state === "vacating" || this.#stateOf(slice.server) !== "live"
+    );
+  }
+
+  #request(plan: placement.Plan): void {
+    for (const change of plan.changes) this.#mover.request(change);
+  }
+
+  /** Weights come from the configuration and may change at any time. */
+  #currentPlanner(): placement.Planner | undefined {
+    const service = this.#options.config();
+    if (service === undefined) return undefined;
+    const { imbalanceWeight, churnWeight } = service;
+    const key = `${imbalanceWeight}/${churnWeight}`;
+    if (this.#planner === undefined || key !== this.#plannerFor) {
+      this.#plannerFor = key;
+      this.#planner = new placement.Planner({
+        ...placement.DEFAULT_PLACEMENT,
+        imbalanceWeight,
+        churnWeight,
+      });
+    }
+    return this.#planner;
+  }
+
+  #planFirst(planner: placement.Planner, nowMs: number): void {
+    if (!this.#mover.isAbsent || this.#context.known.revision > 0) return;
+    const listed = this.#options.orders.addresses()
+      .filter(({ state }) => state === "live");
+    const met = listed.filter(({ server }) => this.#stateOf(server) === "live");
+    const isPatient = nowMs < this.#onSinceMs + FIRST_MEETING_MS;
+    if (met.length === 0 || (met.length < listed.length && isPatient)) return;
+    const servers = met.map(({ server }) => server).sort();
+    const count = planner.initialSliceCount(servers.length);
+    this.#mover.requestFirst(
+      ownership.equalSlices(servers, count, { fence: 1 }),
+    );
+    this.#log.info("first assignment planned", {
+      service: this.#context.service,
+      servers: servers.length,
+      slices: count,
+    });
+  }
+
+  #input(
+    assignment: contracts.Assignment,
+    nowMs: number,
+  ): placement.PlacementInput {
+    const { slices } = assignment;
+    const speeds = this.#options.load.speeds();
+    const servers: placement.PlacementServer[] = [];
+    for (const { server, zone } of this.#options.orders.addresses()) {
+      const state = this.#stateOf(server);
+      if (state === "unmet") continue;
+      const speed = speeds.get(server);
+      servers.push({ server, zone, state, capacity: 1, speed });
+    }
+    return {
+      nowMs,
+      slices,
+      servers,
+      load: this.#options.load.estimate(slices),
+    };
+  }
+
+  /** `unmet`: listed, and has not answered any order yet. */
+  #stateOf(
+    server: contracts.ServerId,
+  ): placement.PlacementServer["state"] | "unmet" {
+    const { orders } = this.#options;
+    if (orders.isLost(server)) return "lost";
+    const facts = orders.facts(server);
+    const listed = this.#context.servers.server(server);
+    if (facts?.draining === true) return "leaving";
+    if (listed !== undefined && listed.state !== "live") return "leaving";
+    // An owner that this VM has not met yet is no loss until it stays silent.
+    if (facts === undefined) return this.#ownsAny(server) ? "live" : "unmet";
+    return listed === undefined ? "leaving" : "live";
+  }
+
+  #ownsAny(server: contracts.ServerId): boolean {
+    const slices = this.#mover.assignment?.slices ?? [];
+    return slices.some((slice) =>
+      slice.state === "owned" && slice.server === server
+    );
+  }
+
+  #logSteps(
+    effect: Extract<ownership.MoverEffect, { kind: "write" }>,
+    write: ownership.AssignmentWrite,
+  ): void {
+    const { service, revision } = effect.assignment;
+    const isWritten = write.kind === "acknowledged";
+    if (!isWritten) {
+      this.#log.warn("assignment not acknowledged, it is read back", {
+        service,
+        revision,
+        outcome: write.kind,
+      });
+    }
+    for (const step of isWritten ? effect.steps : []) {
+      this.#log.info(`slice ${SENTENCES[step.step]}`, {
+        service,
+        slice: step.slice,
+        from: step.from.join() || undefined,
+        to: step.to,
+        revision,
+        reason: step.reason,
+      });
+    }
+  }
+}
+
+const SENTENCES = {
+  vacate: "taken from its owner",
+  settle: "given to its next owner",
+  redirect: "gets another next owner",
+  split: "split",
+  merge: "merged with the next",
+} as const;
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -3,18 +3,19 @@
  * else constructs tasks.
  */
 import type * as contracts from "@guavatide/contracts";
+import * as contractsValues from "@guavatide/contracts";
 import * as decisions from "@guavatide/decisions";
-import * as ownership from "@guavatide/decisions/ownership/key_hash";
+import * as ownership from "@guavatide/decisions/ownership/mod";
 import * as neverthrow from "neverthrow";
 import * as configuration from "./configuration/mod.ts";
 import * as links from "./links/server_links.ts";
 import * as metricsParts from "./metrics/metrics.ts";
 import { MetricsDoor } from "./metrics/metrics_door.ts";
 import { requestMetricsOf } from "./metrics/request_metrics_of.ts";
+import * as ownershipTasks from "./ownership/mod.ts";
 import * as platform from "./platform/mod.ts";
 import * as requests from "./requests/mod.ts";
 import * as settingsParts from "./settings/mod.ts";
-import { ThinOwnership } from "./thin/thin_ownership.ts";
 import { MonotonicClock, SystemRandom } from "./utils/clock.ts";
 import { LifeCycle } from "./utils/life_cycle.ts";
 import * as logParts from "./utils/log.ts";
@@ -127,17 +128,36 @@
     storeTimeoutMs: settings.platform.storeTimeoutMs,
     peerTimeoutMs: settings.platform.storeTimeoutMs,
   });
-  const owners = new ThinOwnership({
-    ...self,
+  const hasher = await ownership.KeyHasher.create();
+  const peerView = new ownershipTasks.MembershipPeerView({
+    self,
+    membership,
+    peers,
+    clock,
+    pushTimeoutMs: settings.timings.evidenceMs,
+  });
+  directory.onList((vms) => peerView.noteList(vms));
+  const owners = new ownershipTasks.OwnershipTask({
+    timings: ownershipTimingsOf(settings),
+    clock,
+    random,
+    hasher,
+    log,
     store,
     config,
     servers: directory,
+    peers: peerView,
     connect: (address) =>
       new platform.HttpBackendControl(`http://${address.host}:${address.port}`),
-    log: log.part("owner"),
+    load: () => ownershipTasks.NO_LOAD_SOURCE,
   });
+  peers.join(owners);
+  door.register(
+    ownershipTasks.ASSIGNMENT_METHOD,
+    contractsValues.assignmentSchema,
+    (assignment) => owners.takePushed(assignment),
+  );
 
-  const hasher = await ownership.KeyHasher.create();
   const peerCalls = peerCallsOf(peers, { self, door, membership, clock });
   const router = new requests.RequestRouter({
     config,
@@ -213,6 +233,16 @@
   };
 }
 
+function ownershipTimingsOf(
+  { timings, platform }: settingsParts.Settings,
+): ownershipTasks.OwnershipTimings {
+  return {
+    ...ownership.DEFAULT_OWNERSHIP_SETTINGS,
+    ...timings,
+    storeTimeoutMs: platform.storeTimeoutMs,
+  };
+}
+
 function toStartError(error: unknown): StartError {
   if ((error as { code?: string }).code === "EADDRINUSE") {
     const message = `${String(error)}: choose another port in the settings, ` +
