feat(entry): count store calls, speak TLS at each door by settings

The platform counts each call, so the process does too. Doors take a certificate from their files; with an authority named, both sides show one. TLS itself is built and not yet proved by a test.

--- a/packages/entry/src/metrics/metrics_door.ts
+++ b/packages/entry/src/metrics/metrics_door.ts
@@ -3,8 +3,9 @@
  * loop) and `/readyz` (it can serve requests: a configuration is in force and
  * it is not stopping). A balancer asks `/readyz`; a supervisor `/healthz`.
  */
-import * as http from "node:http";
+import type * as http from "node:http";
 import type * as net from "node:net";
+import * as httpServer from "../utils/http_server.ts";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import type { Metrics } from "./metrics.ts";
 
@@ -16,6 +17,7 @@
   readonly host: string;
   readonly port: number;
   readonly metrics: Metrics;
+  readonly tls?: httpServer.ServerTls;
   /** Why the process is not ready; undefined when it is. */
   notReadyReason(): string | undefined;
 }
@@ -30,8 +32,10 @@
 
   /** Starts listening and returns the port. */
   async listen(lifeCycle: LifeCycle): Promise<number> {
-    const server = http.createServer((request, response) =>
-      this.#answer(request, response)
+    const server = httpServer.createHttpServer({}, this.#options.tls);
+    server.on(
+      "request",
+      (request, response) => this.#answer(request, response),
     );
     server.requestTimeout = REQUEST_TIMEOUT_MS;
     lifeCycle.onStop({
--- a/packages/entry/src/requests/caller_listener.ts
+++ b/packages/entry/src/requests/caller_listener.ts
@@ -1,8 +1,9 @@
 /** Accepts callers over HTTP and answers them. */
 import type * as contracts from "@guavatide/contracts";
 import * as names from "@guavatide/contracts";
-import * as http from "node:http";
+import type * as http from "node:http";
 import type * as net from "node:net";
+import * as httpServer from "../utils/http_server.ts";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import {
   type CallerAnswer,
@@ -16,6 +17,7 @@
 /** Options of {@link CallerListener}. */
 export interface CallerListenerOptions {
   readonly settings: RequestSettings;
+  readonly tls?: httpServer.ServerTls;
   readonly clock: contracts.Clock;
   readonly lifeCycle: LifeCycle;
   /** Handles one whole request; see `RequestRouter`. */
@@ -35,13 +37,13 @@
   constructor(options: CallerListenerOptions) {
     this.#options = options;
     const { settings } = options;
-    this.#server = http.createServer({
+    this.#server = httpServer.createHttpServer({
       maxHeaderSize: settings.headerLimitBytes,
       headersTimeout: settings.headersTimeoutMs,
       requestTimeout: settings.requestTimeoutMs,
       keepAliveTimeout: settings.keepAliveTimeoutMs,
       connectionsCheckingInterval: CHECK_INTERVAL_MS,
-    });
+    }, options.tls);
     this.#server.maxConnections = settings.connectionLimit;
     this.#server.on("request", (incoming, response) => {
       this.#handle(incoming, response).catch(() => response.destroy());
--- a/packages/entry/src/settings/secrets.ts
+++ b/packages/entry/src/settings/secrets.ts
@@ -16,6 +16,11 @@
   readonly ca?: string;
 }
 
+/** Certificates by door; a door without one speaks plain HTTP. */
+export type DoorCertificates = {
+  readonly [Door in keyof Settings["tls"]]?: DoorCertificate;
+};
+
 const LEAST_SECRET_CHARACTERS = 16;
 
 /** The secret of the entry VMs. Errors: unreadable file, secret too short. */
@@ -37,6 +42,20 @@
   });
 }
 
+/** Certificates of every door that has one. Errors: unreadable file. */
+export function readCertificates(
+  settings: Settings,
+): neverthrow.Result<DoorCertificates, SettingsFileError> {
+  const found: { [Door in keyof Settings["tls"]]: DoorCertificate } = {};
+  for (const [door, files] of Object.entries(settings.tls)) {
+    if (files === undefined) continue;
+    const read = readCertificate(files);
+    if (read.isErr()) return neverthrow.err(read.error);
+    found[door as keyof Settings["tls"]] = read.value;
+  }
+  return neverthrow.ok(found);
+}
+
 /** A door's certificate. Errors: unreadable file. */
 export function readCertificate(
   files: DoorTls,
--- /dev/null
+++ b/packages/entry/src/utils/http_server.ts
@@ -0,0 +1,27 @@
+/** Creates the server of a door: plain HTTP, or TLS when it has files for it. */
+import * as http from "node:http";
+import * as https from "node:https";
+
+/** PEM texts of one door's certificate. */
+export interface ServerTls {
+  readonly cert: string;
+  readonly key: string;
+  /** Authorities; when given, the other side must show a certificate. */
+  readonly ca?: string;
+}
+
+/** Creates a server that does not listen yet. */
+export function createHttpServer(
+  options: http.ServerOptions,
+  tls: ServerTls | undefined,
+): http.Server {
+  if (tls === undefined) return http.createServer(options);
+  return https.createServer({
+    ...options,
+    cert: tls.cert,
+    key: tls.key,
+    ca: tls.ca,
+    requestCert: tls.ca !== undefined,
+    rejectUnauthorized: tls.ca !== undefined,
+  });
+}
--- a/packages/entry/src/vms/peer_door.ts
+++ b/packages/entry/src/vms/peer_door.ts
@@ -11,6 +11,7 @@
 import type * as http from "node:http";
 import type * as net from "node:net";
 import type * as z from "zod";
+import * as httpServer from "../utils/http_server.ts";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 
 /** Largest call of a peer, in bytes: an assignment with room to spare. */
@@ -27,6 +28,8 @@
   readonly port: number;
   /** Shared by all entry VMs of one deployment. */
   readonly secret: string;
+  /** Certificate of this VM; peers are called over TLS when it is there. */
+  readonly tls?: httpServer.ServerTls;
 }
 
 /** Listens for calls of other entry VMs. */
@@ -53,6 +56,11 @@
   async listen(lifeCycle: LifeCycle): Promise<number> {
     const server = nodeServer.createAdaptorServer({
       fetch: this.#createApp().fetch,
+      createServer: ((options: http.ServerOptions) =>
+        httpServer.createHttpServer(
+          options,
+          this.#options.tls,
+        )) as typeof http.createServer,
     }) as http.Server;
     server.requestTimeout = REQUEST_TIMEOUT_MS;
     lifeCycle.onStop({
--- a/packages/entry/src/vms/peer_link.ts
+++ b/packages/entry/src/vms/peer_link.ts
@@ -7,6 +7,7 @@
 import * as neverthrow from "neverthrow";
 import * as undici from "undici";
 import type * as z from "zod";
+import type { ServerTls } from "../utils/http_server.ts";
 import type { PeerError } from "./peer_error.ts";
 
 /** Connections to one peer; a call that waits longest blocks one of them. */
@@ -20,6 +21,14 @@
   readonly port: number;
 }
 
+/** Options of {@link PeerLink}. */
+export interface PeerLinkOptions {
+  /** Shared by all entry VMs of one deployment. */
+  readonly secret: string;
+  /** This VM's certificate and the authority that signs those of peers. */
+  readonly tls?: ServerTls;
+}
+
 /** Options of {@link PeerLink.call}. */
 export interface PeerLinkCallOptions<Schema extends z.ZodType> {
   readonly params: unknown;
@@ -35,14 +44,19 @@
   readonly #pool: undici.Pool;
   #nextId = 1;
 
-  constructor(address: PeerAddress, secret: string) {
+  constructor(address: PeerAddress, options: PeerLinkOptions) {
     this.address = address;
-    this.#secret = secret;
-    this.#pool = new undici.Pool(`http://${address.host}:${address.port}`, {
-      connections: CONNECTIONS,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
-      keepAliveTimeout: 30_000,
-    });
+    this.#secret = options.secret;
+    const { tls } = options;
+    const scheme = tls === undefined ? "http" : "https";
+    this.#pool = new undici.Pool(
+      `${scheme}://${address.host}:${address.port}`,
+      {
+        connections: CONNECTIONS,
+        connect: { timeout: CONNECT_TIMEOUT_MS, ...tls },
+        keepAliveTimeout: 30_000,
+      },
+    );
   }
 
   /** Calls a method and checks the shape of its answer. */
--- a/packages/entry/src/vms/peer_task.ts
+++ b/packages/entry/src/vms/peer_task.ts
@@ -7,6 +7,7 @@
 import * as contractsValues from "@guavatide/contracts";
 import type * as decisions from "@guavatide/decisions";
 import type { LifeCycle } from "../utils/life_cycle.ts";
+import type { ServerTls } from "../utils/http_server.ts";
 import type { PartLog } from "../utils/log.ts";
 import type { PeerDoor } from "./peer_door.ts";
 import type { PeerError } from "./peer_error.ts";
@@ -43,6 +44,8 @@
     readonly peerPort: number;
   };
   readonly secret: string;
+  /** When there, peers are called over TLS with this certificate. */
+  readonly tls?: ServerTls;
   readonly heartbeatMs: number;
   /** Time that a peer has to answer a beat. */
   readonly heartbeatTimeoutMs: number;
@@ -125,7 +128,7 @@
       return known;
     }
     void known?.close();
-    const link = new PeerLink(address, this.#options.secret);
+    const link = new PeerLink(address, this.#options);
     this.#links.set(vm, link);
     return link;
   }
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -9,6 +9,7 @@
 import * as configuration from "./configuration/mod.ts";
 import * as links from "./links/server_links.ts";
 import * as metricsParts from "./metrics/metrics.ts";
+import { MeteredStore } from "./metrics/metered_store.ts";
 import { MetricsDoor } from "./metrics/metrics_door.ts";
 import { requestMetricsOf } from "./metrics/request_metrics_of.ts";
 import * as platform from "./platform/mod.ts";
@@ -56,8 +57,13 @@
     const { message } = secret.error;
     return neverthrow.errAsync({ kind: "settings-file", message });
   }
+  const certificates = settingsParts.readCertificates(settings);
+  if (certificates.isErr()) {
+    const { message } = certificates.error;
+    return neverthrow.errAsync({ kind: "settings-file", message });
+  }
   return neverthrow.ResultAsync.fromPromise(
-    start(settings, secret.value),
+    start(settings, secret.value, certificates.value),
     toStartError,
   );
 }
@@ -65,6 +71,7 @@
 async function start(
   settings: settingsParts.Settings,
   secret: string,
+  tls: settingsParts.DoorCertificates,
 ): Promise<Entry> {
   const log = logParts.createLog(settings.log);
   const mainLog = log.part("main");
@@ -75,7 +82,8 @@
   const self = { vm: settings.vm, incarnation };
   const metrics = new metricsParts.Metrics();
 
-  const store = new platform.HttpPlatformStore(settings.platform.storeUrl);
+  const storeLink = new platform.HttpPlatformStore(settings.platform.storeUrl);
+  const store = new MeteredStore(storeLink, metrics);
   const vmList = new platform.HttpVmList(settings.platform.vmListUrl);
   const directory = new ServerDirectory({
     vmList,
@@ -93,11 +101,13 @@
     host: settings.host,
     port: settings.ports.peers,
     secret,
+    tls: tls.peers,
   });
   const peerPort = await door.listen(lifeCycle);
   const peers = new PeerTask({
     self: { ...self, zone: settings.zone, host: settings.host, peerPort },
     secret,
+    tls: tls.peers,
     heartbeatMs: settings.timings.heartbeatMs,
     heartbeatTimeoutMs: settings.timings.heartbeatMs * HEARTBEAT_TIMEOUT_BEATS,
     door,
@@ -156,6 +166,7 @@
   });
   const listener = new requests.CallerListener({
     settings: requestSettingsOf(settings),
+    tls: tls.callers,
     clock,
     lifeCycle,
     route: (request) => router.route(request),
@@ -164,6 +175,7 @@
     host: settings.host,
     port: settings.ports.metrics,
     metrics,
+    tls: tls.metrics,
     notReadyReason: () => {
       if (lifeCycle.isStopping) return "The process stops";
       return config.revision > 0 ? undefined : "No configuration in force yet";
@@ -185,7 +197,7 @@
     ports,
     stop: async () => {
       const report = await lifeCycle.stop();
-      await Promise.all([store.close(), vmList.close()]);
+      await Promise.all([storeLink.close(), vmList.close()]);
       for (const { name, reason } of report.failed) {
         mainLog.warn("a part did not stop cleanly", { name, reason });
       }
--- a/packages/standins/src/bench/bench_peers.ts
+++ b/packages/standins/src/bench/bench_peers.ts
@@ -36,7 +36,8 @@
     for (const { vm, port } of peers) {
       if (this.#links.has(vm)) continue;
       const address = { host: "127.0.0.1", port };
-      this.#links.set(vm, new PeerLink(address, this.#argument.secret));
+      const { secret } = this.#argument;
+      this.#links.set(vm, new PeerLink(address, { secret }));
     }
   }
 
