--- a/packages/entry/src/vms/peer_door.ts
+++ b/packages/entry/src/vms/peer_door.ts
@@ -56,11 +56,9 @@
   async listen(lifeCycle: LifeCycle): Promise<number> {
     const server = nodeServer.createAdaptorServer({
       fetch: this.#createApp().fetch,
-      createServer: ((options: http.ServerOptions) =>
-        httpServer.createHttpServer(
-          options,
-          this.#options.tls,
-        )) as typeof http.createServer,
+      createServer: ((options: object, onRequest: http.RequestListener) =>
+        httpServer.createHttpServer(options, this.#options.tls)
+          .on("request", onRequest)) as typeof http.createServer,
     }) as http.Server;
     server.requestTimeout = REQUEST_TIMEOUT_MS;
     lifeCycle.onStop({
