--- /dev/null
+++ b/packages/entry/src/administration/access.ts
@@ -0,0 +1,82 @@
+/** Who may do what at the administration API. */
+import type * as contracts from "@guavatide/contracts";
+import * as crypto from "node:crypto";
+import type {
+  AdministrationRight,
+  AdministrationToken,
+} from "../settings/mod.ts";
+
+/** An operator as told by the bearer token. */
+export class Operator {
+  readonly name: string;
+  readonly #partners: AdministrationToken["partners"];
+  readonly #rights: ReadonlySet<AdministrationRight>;
+
+  constructor(token: AdministrationToken) {
+    this.name = token.operator;
+    this.#partners = token.partners;
+    this.#rights = new Set(token.rights);
+  }
+
+  has(right: AdministrationRight): boolean {
+    return this.#rights.has(right);
+  }
+
+  /** Whether the operator acts for this partner. */
+  actsFor(partner: contracts.PartnerId): boolean {
+    return this.#partners === "*" || this.#partners.includes(partner);
+  }
+
+  /**
+   * Whether the object lies within the operator's partners. A cost share
+   * belongs to every partner that bears a part; a place to all of them, so
+   * only an operator for all partners may change it.
+   */
+  mayChange(object: contracts.ConfigObject): boolean {
+    if (this.#partners === "*") return true;
+    switch (object.kind) {
+      case "place":
+        return false;
+      case "partner":
+        return this.actsFor(object.name);
+      case "service":
+        return this.actsFor(object.partner);
+      case "cost-share":
+        return object.shares.some((share) => this.actsFor(share.partner));
+    }
+  }
+}
+
+interface KnownToken {
+  readonly digest: Buffer;
+  readonly operator: Operator;
+}
+
+const BEARER = "Bearer ";
+
+/** Tells operators by their bearer tokens. */
+export class Access {
+  readonly #tokens: readonly KnownToken[];
+
+  constructor(tokens: readonly AdministrationToken[]) {
+    this.#tokens = tokens.map((token) => ({
+      digest: Buffer.from(token.tokenSha256, "hex"),
+      operator: new Operator(token),
+    }));
+  }
+
+  /**
+   * The operator of an `Authorization` header, if any. Every known digest is
+   * compared in constant time and none ends the search, so that the time of a
+   * refusal tells neither how near a guess came nor how many tokens there are.
+   */
+  operatorOf(header: string | undefined): Operator | undefined {
+    const token = header?.startsWith(BEARER) ? header.slice(BEARER.length) : "";
+    const digest = crypto.createHash("sha256").update(token).digest();
+    let found: Operator | undefined;
+    for (const known of this.#tokens) {
+      if (crypto.timingSafeEqual(known.digest, digest)) found = known.operator;
+    }
+    return found;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/administration/administration_door.ts
@@ -0,0 +1,205 @@
+/**
+ * The administration API's door: listens, tells operators by their tokens and
+ * passes on to the routes. Nothing of a request but its headers is read before
+ * the token is known.
+ */
+import * as nodeServer from "@hono/node-server";
+import * as hono from "hono";
+import * as bodyLimit from "hono/body-limit";
+import * as http from "node:http";
+import * as https from "node:https";
+import type * as net from "node:net";
+import type {
+  AdministrationRight,
+  AdministrationToken,
+  DoorCertificate,
+  Settings,
+} from "../settings/mod.ts";
+import type { LifeCycle } from "../utils/life_cycle.ts";
+import { Access } from "./access.ts";
+import type { ApiContext, ApiEnv, ApiParts } from "./api_context.ts";
+import { answerError } from "./api_error.ts";
+import { createDrainRoutes } from "./drain_routes.ts";
+import { createObjectRoutes } from "./object_routes.ts";
+import { createPublishRoutes } from "./publish_routes.ts";
+import { createStateRoutes } from "./state_routes.ts";
+
+/** Options of {@link AdministrationDoor}. */
+export interface AdministrationDoorOptions {
+  readonly parts: ApiParts;
+  readonly tokens: readonly AdministrationToken[];
+  /** IP number to listen on. */
+  readonly host: string;
+  /** 0 takes any free port. */
+  readonly port: number;
+  readonly limits: Pick<
+    Settings["limits"],
+    | "bodyBytes"
+    | "headerBytes"
+    | "connections"
+    | "headerTimeoutMs"
+    | "requestTimeoutMs"
+    | "keepAliveMs"
+  >;
+  /** TLS when given, plain HTTP otherwise. */
+  readonly certificate?: DoorCertificate;
+}
+
+/** Requests handled at once; operators are few, and the store is shared. */
+const REQUESTS_IN_FLIGHT = 64;
+const STOP_TIMEOUT_MS = 5000;
+const CHECK_INTERVAL_MS = 500;
+
+/** Listens for operators. */
+export class AdministrationDoor {
+  readonly #options: AdministrationDoorOptions;
+  readonly #access: Access;
+  #inFlight = 0;
+
+  constructor(options: AdministrationDoorOptions) {
+    this.#options = options;
+    this.#access = new Access(options.tokens);
+  }
+
+  /** Starts listening and returns the port. Errors: the address is taken. */
+  async listen(lifeCycle: LifeCycle): Promise<number> {
+    const server = this.#createServer();
+    server.maxConnections = this.#options.limits.connections;
+    server.on("clientError", answerBrokenRequest);
+    lifeCycle.onStop({
+      name: "administration door",
+      timeoutMs: STOP_TIMEOUT_MS,
+      run: () => closeServer(server),
+    });
+    await new Promise<void>((resolve, reject) => {
+      server.once("error", reject);
+      server.listen(this.#options.port, this.#options.host, resolve);
+    });
+    return (server.address() as net.AddressInfo).port;
+  }
+
+  #createServer(): http.Server {
+    const { limits, certificate } = this.#options;
+    const serverOptions = {
+      ...certificate,
+      maxHeaderSize: limits.headerBytes,
+      headersTimeout: limits.headerTimeoutMs,
+      requestTimeout: limits.requestTimeoutMs,
+      keepAliveTimeout: limits.keepAliveMs,
+      connectionsCheckingInterval: CHECK_INTERVAL_MS,
+    };
+    const { fetch } = this.createApp();
+    if (certificate === undefined) {
+      return nodeServer.createAdaptorServer({
+        fetch,
+        createServer: http.createServer,
+        serverOptions,
+      }) as http.Server;
+    }
+    return nodeServer.createAdaptorServer({
+      fetch,
+      createServer: https.createServer,
+      serverOptions,
+    }) as unknown as http.Server;
+  }
+
+  /** The routes behind their checks, without a socket. */
+  createApp(): hono.Hono<ApiEnv> {
+    const { parts, limits } = this.#options;
+    const app = new hono.Hono<ApiEnv>();
+    app.use((context, next) => this.#admit(context, next));
+    app.use(bodyLimit.bodyLimit({
+      maxSize: limits.bodyBytes,
+      onError: (context) => {
+        const message = `The body is over ${limits.bodyBytes} bytes: send less`;
+        return answerError(context, { kind: "too-large", message });
+      },
+    }));
+    app.use((context, next) => checkRight(context, next));
+    app.route("/v1/objects", createObjectRoutes(parts));
+    app.route("/v1/drains", createDrainRoutes(parts));
+    app.route("/v1", createPublishRoutes(parts));
+    app.route("/v1", createStateRoutes(parts));
+    app.notFound((context) => {
+      const message = "No such path: see docs/operators/administration.md";
+      return answerError(context, { kind: "not-found", message });
+    });
+    app.onError((error, context) => {
+      parts.log.error("request failed", { reason: String(error) });
+      const message = "The request failed inside: see this VM's log";
+      return answerError(context, { kind: "internal", message });
+    });
+    return app;
+  }
+
+  /**
+   * Lets a request in when its token is known. Every other request gets the
+   * same answer, whatever its path, method or token, so that a wrong token
+   * learns nothing, not even which paths there are.
+   */
+  async #admit(
+    context: ApiContext,
+    next: hono.Next,
+  ): Promise<Response | void> {
+    const operator = this.#access.operatorOf(
+      context.req.header("authorization"),
+    );
+    if (operator === undefined) {
+      this.#options.parts.log.warn("unknown token refused");
+      const message = "Send a known token as Authorization: Bearer";
+      context.header("www-authenticate", "Bearer");
+      return answerError(context, { kind: "unauthorized", message });
+    }
+    if (this.#inFlight >= REQUESTS_IN_FLIGHT) {
+      const message = "Too many requests at once: come back later";
+      return answerError(context, { kind: "overloaded", message });
+    }
+    context.set("operator", operator);
+    this.#inFlight++;
+    try {
+      await next();
+    } finally {
+      this.#inFlight--;
+    }
+  }
+}
+
+/** The right that a request needs. */
+function rightFor(method: string, path: string): AdministrationRight {
+  if (method === "GET" || method === "HEAD") return "read";
+  if (path.startsWith("/v1/drains")) return "drain";
+  return path === "/v1/publish" ? "publish" : "edit";
+}
+
+async function checkRight(
+  context: ApiContext,
+  next: hono.Next,
+): Promise<Response | void> {
+  const right = rightFor(context.req.method, context.req.path);
+  if (context.get("operator").has(right)) return await next();
+  const message = `Your token lacks the right "${right}": ask for it`;
+  return answerError(context, { kind: "forbidden", message });
+}
+
+/** Status of each error that Node's parser reports, besides 400. */
+const BROKEN_REQUEST_STATUS: Readonly<Record<string, string>> = {
+  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+};
+
+function answerBrokenRequest(error: Error, socket: net.Socket): void {
+  const { code } = error as NodeJS.ErrnoException;
+  if (code === "ECONNRESET" || !socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const status = BROKEN_REQUEST_STATUS[code ?? ""] ?? "400 Bad Request";
+  socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\n\r\n`);
+}
+
+function closeServer(server: http.Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+    server.closeIdleConnections();
+  });
+}
--- a/packages/entry/src/configuration/mod.ts
+++ b/packages/entry/src/configuration/mod.ts
@@ -6,3 +6,4 @@
 export * from "./peer_config_source.ts";
 export * from "./peer_task_config_source.ts";
 export * from "./publisher.ts";
+export * from "./revision_writer.ts";
--- a/packages/entry/src/mod.ts
+++ b/packages/entry/src/mod.ts
@@ -1,4 +1,5 @@
 /** Parts of the entry process, for its own binary and for tests. */
+export * from "./administration/mod.ts";
 export * from "./configuration/mod.ts";
 export * from "./contracts/views.ts";
 export * from "./settings/mod.ts";
