--- a/packages/entry/src/administration/move_journal.ts
+++ b/packages/entry/src/administration/move_journal.ts
@@ -1,6 +1,6 @@
 /** Keeps the steps of moves and their reasons, for operators to look up. */
 import type * as contracts from "@guavatide/contracts";
-import type * as decisions from "@guavatide/decisions";
+import type { MoveStep } from "@guavatide/decisions/ownership/moves";
 import * as crypto from "node:crypto";
 import {
   type MoveLine,
@@ -19,7 +19,7 @@
 export interface MovedSteps {
   readonly service: contracts.ServiceId;
   readonly revision: number;
-  readonly steps: readonly decisions.MoveStep[];
+  readonly steps: readonly MoveStep[];
 }
 
 /** Journal of moves; the task that moves slices notes each update's steps. */
