feat(entry): run ownership, administration and load reports in the entry process

Each VM counts the keyed requests it forwards and reports a bounded summary to the VM that holds the service's control duty, whose planner reads the sum.

--- a/packages/contracts/src/peer.ts
+++ b/packages/contracts/src/peer.ts
@@ -28,6 +28,8 @@
   ).optional(),
   /** Servers that check no fences and run requests from the sender. */
   busyServers: z.array(serverIdSchema).optional(),
+  /** The sender plans the service's moves now; it wants load reports. */
+  holdsDuty: z.boolean().optional(),
 });
 /** The highest assignment revision that a process knows of a service. */
 export type KnownRevision = z.infer<typeof knownRevisionSchema>;
--- /dev/null
+++ b/packages/entry/src/loads/load_task.ts
@@ -0,0 +1,132 @@
+/**
+ * Load of the keyed services. Every entry VM counts what it forwards and
+ * reports it to the VM that holds the service's control duty, whose planner
+ * reads the sum. A report has a bounded size whatever the number of keys.
+ */
+import * as contracts from "@guavatide/contracts";
+import * as placement from "@guavatide/decisions/placement/mod";
+import type { LoadSource } from "../ownership/move_task.ts";
+import type { KeyedWork } from "../requests/request_metrics.ts";
+import type { LifeCycle } from "../utils/life_cycle.ts";
+import type { PeerDoor } from "../vms/peer_door.ts";
+import type { HeartbeatParticipant, PeerTask } from "../vms/peer_task.ts";
+
+/** Method by which a VM reports a service's load to the holder of duty. */
+export const LOAD_METHOD = "load";
+
+const REPORT_INTERVAL_MS = 1_000;
+const REPORT_TIMEOUT_MS = 500;
+/** Reports that may be missed before a VM's load no longer counts. */
+const STALE_AFTER_MS = 10_000;
+
+/** Options of {@link LoadTask}. */
+export interface LoadTaskOptions {
+  readonly self: {
+    readonly vm: contracts.VmId;
+    readonly incarnation: contracts.Incarnation;
+  };
+  readonly peers: PeerTask;
+  readonly door: PeerDoor;
+  readonly clock: contracts.Clock;
+  /** Services whose moves this VM plans now. */
+  heldDuties(): contracts.ServiceId[];
+  /** The assignment known of a service. */
+  assignment(service: contracts.ServiceId): contracts.Assignment | undefined;
+}
+
+/** Counts, reports and collects load. */
+export class LoadTask implements HeartbeatParticipant {
+  readonly #options: LoadTaskOptions;
+  readonly #trackers = new Map<contracts.ServiceId, placement.LoadTracker>();
+  readonly #books = new Map<contracts.ServiceId, placement.LoadBook>();
+  readonly #holders = new Map<contracts.ServiceId, contracts.VmId>();
+
+  constructor(options: LoadTaskOptions) {
+    this.#options = options;
+    options.door.register(
+      LOAD_METHOD,
+      contracts.serviceLoadSchema,
+      (load) => this.#take(load),
+    );
+  }
+
+  /** Reports until the process stops. */
+  start(lifeCycle: LifeCycle): void {
+    lifeCycle.every(REPORT_INTERVAL_MS, () => this.#reportAll());
+  }
+
+  /** Counts one answered request. */
+  record(work: KeyedWork): void {
+    const slices = this.#options.assignment(work.service)?.slices;
+    if (slices === undefined) return;
+    const slice = slices[placement.findSlice(slices, work.keyHash)];
+    if (slice === undefined) return;
+    const { fromHash, toHash } = slice;
+    const tracker = this.#tracker(work.service);
+    tracker.record({ fromHash, toHash, keyHash: work.keyHash });
+    if (work.foundSlotFree) tracker.recordWork(work.server, work.workMs);
+  }
+
+  /** Where the planner of a service reads its figures. */
+  source(service: contracts.ServiceId): LoadSource {
+    return {
+      estimate: (slices) => this.#book(service).estimate(slices, this.#now()),
+      speeds: () => this.#book(service).speeds(this.#now()),
+    };
+  }
+
+  noteReply(reply: contracts.PeerHeartbeatReply): void {
+    for (const { service, holdsDuty } of reply.known) {
+      if (holdsDuty === true) this.#holders.set(service, reply.vm);
+      else if (this.#holders.get(service) === reply.vm) {
+        this.#holders.delete(service);
+      }
+    }
+  }
+
+  #reportAll(): void {
+    const held = new Set(this.#options.heldDuties());
+    for (const [service, tracker] of this.#trackers) {
+      const sender = { ...this.#options.self, service };
+      const load = tracker.report(sender, this.#now());
+      if (held.has(service)) this.#take(load);
+      else void this.#send(load);
+    }
+  }
+
+  /** A lost report is made good by the next one. */
+  async #send(load: contracts.ServiceLoad): Promise<void> {
+    const holder = this.#holders.get(load.service);
+    if (holder === undefined) return;
+    await this.#options.peers.link(holder)?.call(LOAD_METHOD, {
+      params: load,
+      schema: contracts.loadReceiptSchema,
+      timeoutMs: REPORT_TIMEOUT_MS,
+    });
+  }
+
+  #take(load: contracts.ServiceLoad): contracts.LoadReceipt {
+    this.#book(load.service).note(load, this.#now());
+    return { taken: true };
+  }
+
+  #tracker(service: contracts.ServiceId): placement.LoadTracker {
+    const known = this.#trackers.get(service);
+    if (known !== undefined) return known;
+    const tracker = new placement.LoadTracker(placement.DEFAULT_LOAD_TRACKER);
+    this.#trackers.set(service, tracker);
+    return tracker;
+  }
+
+  #book(service: contracts.ServiceId): placement.LoadBook {
+    const known = this.#books.get(service);
+    if (known !== undefined) return known;
+    const book = new placement.LoadBook(STALE_AFTER_MS);
+    this.#books.set(service, book);
+    return book;
+  }
+
+  #now(): number {
+    return this.#options.clock.nowMs();
+  }
+}
--- a/packages/entry/src/metrics/request_metrics_of.ts
+++ b/packages/entry/src/metrics/request_metrics_of.ts
@@ -3,7 +3,9 @@
 import type { Metrics } from "./metrics.ts";
 
 /** Request metrics that count into OpenTelemetry. */
-export function requestMetricsOf(metrics: Metrics): RequestMetrics {
+export function requestMetricsOf(
+  metrics: Metrics,
+): Omit<RequestMetrics, "keyedWork"> {
   return {
     finished(request) {
       metrics.requests.add(1, {
--- a/packages/entry/src/ownership/move_task.ts
+++ b/packages/entry/src/ownership/move_task.ts
@@ -33,10 +33,19 @@
   readonly load: LoadSource;
   /** Servers that run requests of this VM and check no fences. */
   busyServers(): contracts.ServerId[];
+  /** Takes note of each step that the store has acknowledged. */
+  noteSteps(steps: MovedSteps): void;
   /** The service as configured; undefined once it is gone. */
   config(): contracts.Service | undefined;
 }
 
+/** The steps of one acknowledged update of an assignment. */
+export interface MovedSteps {
+  readonly service: contracts.ServiceId;
+  readonly revision: number;
+  readonly steps: readonly ownership.MoveStep[];
+}
+
 /** Moves one service's slices. */
 export class MoveTask {
   readonly #context: ServiceContext;
@@ -319,7 +328,9 @@
         outcome: write.kind,
       });
     }
-    for (const step of isWritten ? effect.steps : []) {
+    if (!isWritten) return;
+    this.#options.noteSteps({ service, revision, steps: effect.steps });
+    for (const step of effect.steps) {
       this.#log.info(`slice ${SENTENCES[step.step]}`, {
         service,
         slice: step.slice,
--- a/packages/entry/src/ownership/ownership_task.ts
+++ b/packages/entry/src/ownership/ownership_task.ts
@@ -13,7 +13,7 @@
 } from "../vms/peer_task.ts";
 import { AssignmentStore } from "./assignment_store.ts";
 import { KnownAssignment } from "./known_assignment.ts";
-import type { LoadSource } from "./move_task.ts";
+import type { LoadSource, MovedSteps } from "./move_task.ts";
 import type { ServiceContext } from "./service_context.ts";
 import { ServiceOwnership } from "./service_ownership.ts";
 
@@ -31,6 +31,8 @@
   };
   /** Load figures of a service for the planner. */
   load(service: contracts.ServiceId): LoadSource;
+  /** Takes note of each step of a move that the store has acknowledged. */
+  noteSteps(steps: MovedSteps): void;
 }
 
 /** Owns the tasks of each keyed service. */
@@ -179,7 +181,8 @@
   }
 
   #create(service: contracts.ServiceId): ServiceOwnership {
-    const { store, clock, timings, log, peers, config, load } = this.#options;
+    const { load, noteSteps, store, clock, timings, log, peers, config } =
+      this.#options;
     const context: ServiceContext = {
       ...this.#options,
       service,
@@ -198,6 +201,7 @@
     };
     return new ServiceOwnership(context, {
       load: load(service),
+      noteSteps: (steps) => noteSteps(steps),
       config: () => config.service(service),
     });
   }
--- a/packages/entry/src/ownership/service_ownership.ts
+++ b/packages/entry/src/ownership/service_ownership.ts
@@ -5,13 +5,14 @@
 import { DutyTask } from "./duty_task.ts";
 import { EvidenceTask } from "./evidence_task.ts";
 import { ForwardCounter } from "./forward_counter.ts";
-import { type LoadSource, MoveTask } from "./move_task.ts";
+import { type LoadSource, type MovedSteps, MoveTask } from "./move_task.ts";
 import { OrderTask } from "./order_task.ts";
 import type { ServiceContext } from "./service_context.ts";
 
 /** Options of {@link ServiceOwnership}. */
 export interface ServiceOwnershipOptions {
   readonly load: LoadSource;
+  noteSteps(steps: MovedSteps): void;
   config(): contracts.Service | undefined;
 }
 
@@ -108,6 +109,7 @@
       ...this.known.known(),
       silent: silent.length > 0 ? silent : undefined,
       busyServers: busyServers.length > 0 ? busyServers : undefined,
+      holdsDuty: this.#duty.holds ? true : undefined,
     };
   }
 
--- a/packages/entry/src/requests/request_metrics.ts
+++ b/packages/entry/src/requests/request_metrics.ts
@@ -13,11 +13,23 @@
   readonly attempts: number;
 }
 
+/** A keyed request that a server has answered. */
+export interface KeyedWork {
+  readonly service: contracts.ServiceId;
+  readonly server: contracts.ServerId;
+  readonly keyHash: number;
+  readonly workMs: number;
+  /** The server had a slot free, so `workMs` holds no time in its queue. */
+  readonly foundSlotFree: boolean;
+}
+
 /** Receives events of the request path; implementations must be quick. */
 export interface RequestMetrics {
   finished(request: FinishedRequest): void;
   retried(service: contracts.ServiceId): void;
   ejected(service: contracts.ServiceId, server: contracts.ServerId): void;
+  /** A keyed request was answered; feeds the planner's load figures. */
+  keyedWork(work: KeyedWork): void;
 }
 
 /** Metrics that go nowhere. */
@@ -25,4 +37,5 @@
   finished() {},
   retried() {},
   ejected() {},
+  keyedWork() {},
 };
--- a/packages/entry/src/requests/request_run.ts
+++ b/packages/entry/src/requests/request_run.ts
@@ -135,6 +135,7 @@
       revision: slot.ownership?.revision,
       reason: slot.ownership === undefined ? parts.policy : "owner",
     });
+    const sentAtMs = parts.clock.nowMs();
     const forwarded = { mark: undefined as { done(): void } | undefined };
     const result = await parts.pool(slot.address).send(
       this.#linkRequest(slot, id, forwarded),
@@ -148,9 +149,26 @@
       result.reason !== "bad-answer";
     if (isAbandoned) parts.cancel(slot.address, id);
     parts.allocator.release(slot, this.#endOf(result));
+    this.#noteWork(server, result, parts.clock.nowMs() - sentAtMs);
     this.#conclude(slot, result);
   }
 
+  #noteWork(
+    server: contracts.ServerId,
+    result: LinkResult,
+    workMs: number,
+  ): void {
+    if (this.keyHash === undefined || result.kind !== "answer") return;
+    const { name, slotsPerServer } = this.#parts.service;
+    this.#parts.metrics.keyedWork({
+      service: name,
+      server,
+      keyHash: this.keyHash,
+      workMs,
+      foundSlotFree: (result.inFlight ?? Infinity) < slotsPerServer,
+    });
+  }
+
   /**
    * An idempotent request that hangs may be answered by another server, so
    * its first attempts leave time for one more.
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -7,8 +7,10 @@
 import * as decisions from "@guavatide/decisions";
 import * as ownership from "@guavatide/decisions/ownership/mod";
 import * as neverthrow from "neverthrow";
+import * as administration from "./administration/mod.ts";
 import * as configuration from "./configuration/mod.ts";
 import * as links from "./links/server_links.ts";
+import { LoadTask } from "./loads/load_task.ts";
 import * as metricsParts from "./metrics/metrics.ts";
 import { MeteredStore } from "./metrics/metered_store.ts";
 import { MetricsDoor } from "./metrics/metrics_door.ts";
@@ -138,7 +140,17 @@
     storeTimeoutMs: settings.platform.storeTimeoutMs,
     peerTimeoutMs: settings.platform.storeTimeoutMs,
   });
+  config.onApplied(() => {
+    directory.setDrained(config.drains().map((drain) => drain.server));
+  });
   const hasher = await ownership.KeyHasher.create();
+  const adminLog = log.part("admin");
+  const moves = administration.createMoveJournal({
+    settings,
+    store,
+    clock,
+    log: adminLog,
+  });
   const peerView = new ownershipTasks.MembershipPeerView({
     self,
     membership,
@@ -147,21 +159,35 @@
     pushTimeoutMs: settings.timings.evidenceMs,
   });
   directory.onList((vms) => peerView.noteList(vms));
-  const owners = new ownershipTasks.OwnershipTask({
-    timings: ownershipTimingsOf(settings),
+  const owners: ownershipTasks.OwnershipTask = new ownershipTasks.OwnershipTask(
+    {
+      timings: ownershipTimingsOf(settings),
+      clock,
+      random,
+      hasher,
+      log,
+      store,
+      config,
+      servers: directory,
+      peers: peerView,
+      connect: (address) =>
+        new platform.HttpBackendControl(
+          `http://${address.host}:${address.port}`,
+        ),
+      load: (service) => loads.source(service),
+      noteSteps: (steps) => moves.noteSteps(steps),
+    },
+  );
+  peers.join(owners);
+  const loads: LoadTask = new LoadTask({
+    self,
+    peers,
+    door,
     clock,
-    random,
-    hasher,
-    log,
-    store,
-    config,
-    servers: directory,
-    peers: peerView,
-    connect: (address) =>
-      new platform.HttpBackendControl(`http://${address.host}:${address.port}`),
-    load: () => ownershipTasks.NO_LOAD_SOURCE,
+    heldDuties: () => owners.heldDuties(),
+    assignment: (service) => owners.assignment(service),
   });
-  peers.join(owners);
+  peers.join(loads);
   door.register(
     ownershipTasks.ASSIGNMENT_METHOD,
     contractsValues.assignmentSchema,
@@ -180,7 +206,10 @@
     random,
     log,
     lifeCycle,
-    metrics: requestMetricsOf(metrics),
+    metrics: {
+      ...requestMetricsOf(metrics),
+      keyedWork: (work) => loads.record(work),
+    },
     longestTimeoutMs: requests.REQUEST_DEFAULTS.longestTimeoutMs,
     peers: peerCalls,
   });
@@ -206,10 +235,25 @@
   config.start(lifeCycle);
   peers.start(lifeCycle);
   owners.start(lifeCycle);
+  loads.start(lifeCycle);
   const ports = {
     callers: await listener.listen(),
     peers: peerPort,
-    administration: 0,
+    administration: await administration.startAdministration({
+      settings,
+      store,
+      clock,
+      log: adminLog,
+      config,
+      servers: directory,
+      owners,
+      ownership: {
+        assignment: (service) => owners.assignment(service),
+        hashOf: (key) => hasher.hash(key),
+      },
+      moves,
+      certificate: tls.administration,
+    }, lifeCycle),
     metrics: await metricsDoor.listen(lifeCycle),
   };
   mainLog.info("entry process ready", { vm: settings.vm, ...ports });
--- a/packages/entry/src/zones/server_directory.ts
+++ b/packages/entry/src/zones/server_directory.ts
@@ -20,7 +20,11 @@
   readonly #options: ServerDirectoryOptions;
   readonly #byId = new Map<contracts.ServerId, ServerAddress>();
   readonly #byService = new Map<contracts.ServiceId, ServerAddress[]>();
+  /** Servers that said themselves that they drain. */
   readonly #draining = new Set<contracts.ServerId>();
+  /** Servers that operators have drained. */
+  #drained: ReadonlySet<contracts.ServerId> = new Set();
+  #lastList: contracts.ListedVm[] = [];
   readonly #listeners = new Set<(vms: contracts.ListedVm[]) => void>();
   #isPolling = false;
 
@@ -60,11 +64,17 @@
 
   /** The server takes work again, for example after a restart. */
   noteNotDraining(id: contracts.ServerId): void {
-    if (!this.#draining.delete(id)) return;
+    if (!this.#draining.delete(id) || this.#drained.has(id)) return;
     const known = this.#byId.get(id);
     if (known?.state === "draining") this.#put({ ...known, state: "live" });
   }
 
+  /** Takes the drains of the configuration in force. */
+  setDrained(servers: readonly contracts.ServerId[]): void {
+    this.#drained = new Set(servers);
+    this.#index(this.#lastList);
+  }
+
   async #poll(): Promise<void> {
     if (this.#isPolling) return;
     this.#isPolling = true;
@@ -82,19 +92,24 @@
   }
 
   #apply(vms: contracts.ListedVm[]): void {
+    this.#lastList = vms;
+    this.#index(vms);
+    for (const listener of this.#listeners) listener(vms);
+  }
+
+  #index(vms: contracts.ListedVm[]): void {
     this.#byId.clear();
     this.#byService.clear();
     for (const vm of vms) {
       const address = this.#toAddress(vm);
       if (address !== undefined) this.#put(address);
     }
-    for (const listener of this.#listeners) listener(vms);
   }
 
   #toAddress(vm: contracts.ListedVm): ServerAddress | undefined {
     if (vm.kind !== "backend") return undefined;
     if (vm.server === undefined || vm.service === undefined) return undefined;
-    const isDraining = this.#draining.has(vm.server) && vm.state === "live";
+    const isDraining = vm.state === "live" && this.#isDraining(vm.server);
     return {
       server: vm.server,
       service: vm.service,
@@ -105,6 +120,10 @@
     };
   }
 
+  #isDraining(server: contracts.ServerId): boolean {
+    return this.#draining.has(server) || this.#drained.has(server);
+  }
+
   #put(address: ServerAddress): void {
     this.#byId.set(address.server, address);
     const others = (this.#byService.get(address.service) ?? [])
--- a/packages/standins/src/bench/bench_entry_main.ts
+++ b/packages/standins/src/bench/bench_entry_main.ts
@@ -129,6 +129,7 @@
       ejected: () => {
         this.#counts.ejections++;
       },
+      keyedWork: () => {},
     };
   }
 }
