--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -7,9 +7,12 @@
 import * as decisions from "@guavatide/decisions";
 import * as ownership from "@guavatide/decisions/ownership/mod";
 import * as neverthrow from "neverthrow";
+import * as administration from "./administration/mod.ts";
 import * as configuration from "./configuration/mod.ts";
 import * as links from "./links/server_links.ts";
+import { LoadTask } from "./loads/load_task.ts";
 import * as metricsParts from "./metrics/metrics.ts";
+import { MeteredStore } from "./metrics/metered_store.ts";
 import { MetricsDoor } from "./metrics/metrics_door.ts";
 import { requestMetricsOf } from "./metrics/request_metrics_of.ts";
 import * as ownershipTasks from "./ownership/mod.ts";
@@ -57,8 +60,13 @@
     const { message } = secret.error;
     return neverthrow.errAsync({ kind: "settings-file", message });
   }
+  const certificates = settingsParts.readCertificates(settings);
+  if (certificates.isErr()) {
+    const { message } = certificates.error;
+    return neverthrow.errAsync({ kind: "settings-file", message });
+  }
   return neverthrow.ResultAsync.fromPromise(
-    start(settings, secret.value),
+    start(settings, secret.value, certificates.value),
     toStartError,
   );
 }
@@ -66,6 +74,7 @@
 async function start(
   settings: settingsParts.Settings,
   secret: string,
+  tls: settingsParts.DoorCertificates,
 ): Promise<Entry> {
   const log = logParts.createLog(settings.log);
   const mainLog = log.part("main");
@@ -76,7 +85,8 @@
   const self = { vm: settings.vm, incarnation };
   const metrics = new metricsParts.Metrics();
 
-  const store = new platform.HttpPlatformStore(settings.platform.storeUrl);
+  const storeLink = new platform.HttpPlatformStore(settings.platform.storeUrl);
+  const store = new MeteredStore(storeLink, metrics);
   const vmList = new platform.HttpVmList(settings.platform.vmListUrl);
   const directory = new ServerDirectory({
     vmList,
@@ -94,11 +104,13 @@
     host: settings.host,
     port: settings.ports.peers,
     secret,
+    tls: tls.peers,
   });
   const peerPort = await door.listen(lifeCycle);
   const peers = new PeerTask({
     self: { ...self, zone: settings.zone, host: settings.host, peerPort },
     secret,
+    tls: tls.peers,
     heartbeatMs: settings.timings.heartbeatMs,
     heartbeatTimeoutMs: settings.timings.heartbeatMs * HEARTBEAT_TIMEOUT_BEATS,
     door,
@@ -128,7 +140,17 @@
     storeTimeoutMs: settings.platform.storeTimeoutMs,
     peerTimeoutMs: settings.platform.storeTimeoutMs,
   });
+  config.onApplied(() => {
+    directory.setDrained(config.drains().map((drain) => drain.server));
+  });
   const hasher = await ownership.KeyHasher.create();
+  const adminLog = log.part("admin");
+  const moves = administration.createMoveJournal({
+    settings,
+    store,
+    clock,
+    log: adminLog,
+  });
   const peerView = new ownershipTasks.MembershipPeerView({
     self,
     membership,
@@ -137,21 +159,35 @@
     pushTimeoutMs: settings.timings.evidenceMs,
   });
   directory.onList((vms) => peerView.noteList(vms));
-  const owners = new ownershipTasks.OwnershipTask({
-    timings: ownershipTimingsOf(settings),
+  const owners: ownershipTasks.OwnershipTask = new ownershipTasks.OwnershipTask(
+    {
+      timings: ownershipTimingsOf(settings),
+      clock,
+      random,
+      hasher,
+      log,
+      store,
+      config,
+      servers: directory,
+      peers: peerView,
+      connect: (address) =>
+        new platform.HttpBackendControl(
+          `http://${address.host}:${address.port}`,
+        ),
+      load: (service) => loads.source(service),
+      noteSteps: (steps) => moves.noteSteps(steps),
+    },
+  );
+  peers.join(owners);
+  const loads: LoadTask = new LoadTask({
+    self,
+    peers,
+    door,
     clock,
-    random,
-    hasher,
-    log,
-    store,
-    config,
-    servers: directory,
-    peers: peerView,
-    connect: (address) =>
-      new platform.HttpBackendControl(`http://${address.host}:${address.port}`),
-    load: () => ownershipTasks.NO_LOAD_SOURCE,
+    heldDuties: () => owners.heldDuties(),
+    assignment: (service) => owners.assignment(service),
   });
-  peers.join(owners);
+  peers.join(loads);
   door.register(
     ownershipTasks.ASSIGNMENT_METHOD,
     contractsValues.assignmentSchema,
@@ -170,12 +206,16 @@
     random,
     log,
     lifeCycle,
-    metrics: requestMetricsOf(metrics),
+    metrics: {
+      ...requestMetricsOf(metrics),
+      keyedWork: (work) => loads.record(work),
+    },
     longestTimeoutMs: requests.REQUEST_DEFAULTS.longestTimeoutMs,
     peers: peerCalls,
   });
   const listener = new requests.CallerListener({
     settings: requestSettingsOf(settings),
+    tls: tls.callers,
     clock,
     lifeCycle,
     route: (request) => router.route(request),
@@ -184,6 +224,7 @@
     host: settings.host,
     port: settings.ports.metrics,
     metrics,
+    tls: tls.metrics,
     notReadyReason: () => {
       if (lifeCycle.isStopping) return "The process stops";
       return config.revision > 0 ? undefined : "No configuration in force yet";
@@ -194,10 +235,25 @@
   config.start(lifeCycle);
   peers.start(lifeCycle);
   owners.start(lifeCycle);
+  loads.start(lifeCycle);
   const ports = {
     callers: await listener.listen(),
     peers: peerPort,
-    administration: 0,
+    administration: await administration.startAdministration({
+      settings,
+      store,
+      clock,
+      log: adminLog,
+      config,
+      servers: directory,
+      owners,
+      ownership: {
+        assignment: (service) => owners.assignment(service),
+        hashOf: (key) => hasher.hash(key),
+      },
+      moves,
+      certificate: tls.administration,
+    }, lifeCycle),
     metrics: await metricsDoor.listen(lifeCycle),
   };
   mainLog.info("entry process ready", { vm: settings.vm, ...ports });
@@ -205,7 +261,7 @@
     ports,
     stop: async () => {
       const report = await lifeCycle.stop();
-      await Promise.all([store.close(), vmList.close()]);
+      await Promise.all([storeLink.close(), vmList.close()]);
       for (const { name, reason } of report.failed) {
         mainLog.warn("a part did not stop cleanly", { name, reason });
       }
