fix(ownership): renew a duty record that turns out to be one's own

After the store had been away for longer than the lease, the holder read its own record and rested for a poll interval: lost servers' keys waited 3 s more.

--- a/packages/decisions/src/ownership/duty.ts
+++ b/packages/decisions/src/ownership/duty.ts
@@ -127,6 +127,8 @@
     this.#nextCallAtMs = nowMs + this.#settings.pollMs;
     if (read.kind === "absent") return this.#see(undefined, nowMs);
     this.#see(read, nowMs);
+    // Ours as it turns out: renew it now, it has not been for long.
+    if (this.#isOwn()) this.#nextCallAtMs = nowMs;
   }
 
   /** The write has ended. */
--- a/packages/decisions/src/ownership/duty_test.ts
+++ b/packages/decisions/src/ownership/duty_test.ts
@@ -71,3 +71,16 @@
   const nextMs = 30 + SETTINGS.retryMs;
   expect(lease.tick(at(nextMs))?.kind).toEqual("read");
 });
+
+// The store was away for longer than the lease. Lost servers wait for the
+// next holder, so that it must not look at its own record and rest.
+test("should renew at once when the record read is its own", () => {
+  const lease = leaseOfOther();
+  lease.tick(at(20, true));
+  lease.noteWrite({ kind: "unavailable" }, 30, RANDOM);
+  const laterMs = 60_000;
+  lease.tick(at(laterMs));
+  const record = { ...OTHER, holder: SELF.vm, incarnation: SELF.incarnation };
+  lease.noteRead({ kind: "found", record, version: "v5" }, laterMs, RANDOM);
+  expect(lease.tick(at(laterMs))?.kind).toEqual("write");
+});
