feat(ownership): let a restarted keeper settle by its peers

A keeper gave no evidence after a restart until it had read the store. During a long outage each restart took a keeper away for good, and with a majority restarted every keyed service would have stopped. A restarted keeper now settles also by answers of so many other keepers that no majority which had promised can lie outside of them.

This needs a stricter promise: the mover counts a majority only if each of it answered, in the same run, a question sent after all of it had promised. Otherwise a keeper that promised, restarted and settled by peers that had yet to promise would be counted twice over.

--- a/packages/contracts/src/peer.ts
+++ b/packages/contracts/src/peer.ts
@@ -34,6 +34,20 @@
 /** The highest assignment revision that a process knows of a service. */
 export type KnownRevision = z.infer<typeof knownRevisionSchema>;
 
+/** Schema of {@link KnownQuestion}. */
+export const knownQuestionSchema = z.strictObject({ service: serviceIdSchema });
+/** "Which assignment revision do you know?", method `known-revision`. */
+export type KnownQuestion = z.infer<typeof knownQuestionSchema>;
+
+/** Schema of {@link KnownReceipt}. */
+export const knownReceiptSchema = z.strictObject({
+  vm: vmIdSchema,
+  incarnation: incarnationSchema,
+  known: knownRevisionSchema,
+});
+/** Answer to a {@link KnownQuestion}, and to an assignment that was pushed. */
+export type KnownReceipt = z.infer<typeof knownReceiptSchema>;
+
 /** Schema of {@link MemberNote}. */
 export const memberNoteSchema = z.strictObject({
   vm: vmIdSchema,
--- a/packages/decisions/src/ownership/evidence.ts
+++ b/packages/decisions/src/ownership/evidence.ts
@@ -36,7 +36,7 @@
   readonly #answers = new Map<contracts.VmId, KeeperAnswer>();
   #assignment: contracts.Assignment | undefined;
   #store: StoreAnswer | undefined;
-  #hasReadStore = false;
+  #isSettled = false;
 
   constructor(
     self: contracts.VmId,
@@ -63,10 +63,11 @@
    * forgotten what it promised; without this rule it would tell an asker that
    * an old revision is current while a mover counts on its promise. Every
    * promise follows an acknowledged write, so one read of the store after
-   * the start returns at least what was promised.
+   * the start returns at least what was promised. While the store is away,
+   * the other keepers' answers serve as well, see {@link #settleByPeers}.
    */
   get settled(): boolean {
-    return this.#hasReadStore;
+    return this.#isSettled;
   }
 
   /** What this process tells peers. */
@@ -82,12 +83,13 @@
   learn(assignment: contracts.Assignment): boolean {
     if (assignment.revision <= this.revision) return false;
     this.#assignment = assignment;
+    this.#settleByPeers();
     return true;
   }
 
   /** A read of the store, or an acknowledged write, sent at `askedAtMs`. */
   noteStoreRead(assignment: contracts.Assignment, askedAtMs: number): boolean {
-    this.#hasReadStore = true;
+    this.#isSettled = true;
     const isNewer = this.learn(assignment);
     const isLater = askedAtMs > (this.#store?.askedAtMs ?? NEVER_MS);
     if (isLater || assignment.revision > (this.#store?.revision ?? 0)) {
@@ -98,7 +100,7 @@
 
   /** The store answered that there is no assignment yet. */
   noteStoreAbsent(): void {
-    this.#hasReadStore = true;
+    this.#isSettled = true;
   }
 
   /** A peer answered what it knows. Late and crossed answers change nothing. */
@@ -106,6 +108,7 @@
     const last = this.#answers.get(answer.vm);
     if (last !== undefined && last.askedAtMs > answer.askedAtMs) return;
     this.#answers.set(answer.vm, answer);
+    this.#settleByPeers();
   }
 
   /** Forgets all evidence, for example when the machine was suspended. */
@@ -125,6 +128,24 @@
     return nowMs < this.evidenceAskedAtMs(nowMs) + this.#settings.evidenceMs;
   }
 
+  /**
+   * A majority that had promised a newer revision before this process started
+   * leaves fewer keepers than these outside, so one of them would have told
+   * of it. Without this rule every restart during a long outage of the store
+   * would take a keeper away, and in the end all keyed services would stop.
+   */
+  #settleByPeers(): void {
+    const keepers = this.#assignment?.keeperSets.at(-1) ?? [];
+    const isKeeper = keepers.some(({ vm }) => vm === this.#self);
+    if (this.#isSettled || !isKeeper) return;
+    const confirming = keepers.filter(({ vm }) => {
+      const answer = this.#answers.get(vm);
+      return answer !== undefined && this.#confirms(answer);
+    });
+    const needed = keepers.length - Math.floor(keepers.length / 2);
+    if (confirming.length >= needed) this.#isSettled = true;
+  }
+
   #storeAskedAtMs(): number {
     if (this.#store?.revision !== this.revision) return NEVER_MS;
     return this.#store.askedAtMs;
--- a/packages/decisions/src/ownership/model_parts_test.ts
+++ b/packages/decisions/src/ownership/model_parts_test.ts
@@ -31,6 +31,7 @@
     forMs: number;
   }
   | { kind: "slow"; atMs: number; forMs: number; delayMs: number }
+  | { kind: "split"; atMs: number; forMs: number; side: number[] }
   | { kind: "keepers"; atMs: number; keeper: number; set: number };
 
 /** Rules that a test switches off to show that they are needed. */
@@ -46,6 +47,8 @@
   readonly seed: number;
   readonly faults: readonly Fault[];
   readonly rules?: Rules;
+  /** Keepers; 3 when left out. */
+  readonly keepers?: number;
 }
 
 export class SeededRandom implements contracts.RandomSource {
@@ -156,6 +159,10 @@
     this.restart();
   }
 
+  get incarnation(): contracts.Incarnation {
+    return `run-${this.run}` as contracts.Incarnation;
+  }
+
   restart(): void {
     this.run++;
     const Book = this.#rules.book ?? ownership.EvidenceBook;
@@ -163,8 +170,8 @@
     const Mover = this.#rules.mover ?? ownership.Mover;
     this.book = new Book(this.vm, SERVICE, SETTINGS);
     this.orders = new Orders(SETTINGS);
-    const incarnation = `run-${this.run}` as contracts.Incarnation;
-    const identity = { service: SERVICE, vm: this.vm, incarnation };
+    const { vm, incarnation } = this;
+    const identity = { service: SERVICE, vm, incarnation };
     this.mover = new Mover(identity, SETTINGS);
   }
 }
@@ -174,8 +181,8 @@
 }
 
 /** Set 0 names all keepers; 1 to 3 leave one out, 4 names the first. */
-export function keeperSet(set: number): contracts.Keeper[] {
-  const all = [0, 1, 2].map((index) => ({ vm: vmId(index) }));
+export function keeperSet(set: number, count: number): contracts.Keeper[] {
+  const all = Array.from({ length: count }, (_, i) => ({ vm: vmId(i) }));
   if (set === 4) return all.slice(0, 1);
   return set === 0 ? all : all.filter((_, index) => index !== set - 1);
 }
--- a/packages/decisions/src/ownership/model_world_test.ts
+++ b/packages/decisions/src/ownership/model_world_test.ts
@@ -31,6 +31,7 @@
   readonly violations: string[] = [];
   readonly #random: SeededRandom;
   readonly #rules: Rules;
+  readonly #keeperCount: number;
   readonly #faults: Fault[];
   readonly #keepers: ModelKeeper[] = [];
   readonly #servers: ModelServer[] = [];
@@ -39,6 +40,8 @@
   readonly #highest = new Map<string, number>();
   #stored: contracts.Assignment;
   #slowUntilMs = 0;
+  #splitUntilMs = 0;
+  #splitSide = new Set<contracts.VmId>();
   #slowMs = 0;
   #loseUntilMs = 0;
   #nowMs = 0;
@@ -46,13 +49,14 @@
   constructor(scenario: Scenario) {
     this.#random = new SeededRandom(scenario.seed);
     this.#rules = scenario.rules ?? {};
+    this.#keeperCount = scenario.keepers ?? KEEPERS;
     this.#faults = [...scenario.faults].sort((a, b) => a.atMs - b.atMs);
     const clock = () =>
       new SkewedClock(
         this.#random.next() * 1e6,
         0.992 + this.#random.next() * 0.016,
       );
-    for (let index = 0; index < KEEPERS; index++) {
+    for (let index = 0; index < this.#keeperCount; index++) {
       this.#keepers.push(new ModelKeeper(index, clock(), this.#rules));
     }
     for (let index = 0; index < SERVERS; index++) {
@@ -97,7 +101,7 @@
       writer: vmId(0),
       writerIncarnation: "run-0" as contracts.Incarnation,
       nonce: "first",
-      keeperSets: [keeperSet(0)],
+      keeperSets: [keeperSet(0, this.#keeperCount)],
       slices: ownership.equalSlices(
         this.#servers.map((server) => server.id),
         SLICES,
@@ -140,12 +144,18 @@
       case "cut-server":
         keeper.cutFromServersUntilMs.set(server.id, untilMs);
         return;
+      case "split":
+        this.#splitUntilMs = untilMs;
+        this.#splitSide = new Set(fault.side.map(vmId));
+        return;
       case "slow":
         this.#slowUntilMs = untilMs;
         this.#slowMs = fault.delayMs;
         return;
       case "keepers":
-        return keeper.mover.requestKeepers(keeperSet(fault.set));
+        return keeper.mover.requestKeepers(
+          keeperSet(fault.set, this.#keeperCount),
+        );
     }
   }
 
@@ -184,7 +194,9 @@
 
   #tick(keeper: ModelKeeper): void {
     const nowMs = keeper.clock.at(this.#nowMs);
-    if (this.#nowMs >= keeper.nextAskMs) this.#askPeers(keeper, nowMs);
+    const isAsking = this.#nowMs >= keeper.nextAskMs ||
+      keeper.mover.needsAnswers;
+    if (isAsking) this.#askPeers(keeper, nowMs);
     if (this.#nowMs >= keeper.nextReadMs) this.#readStore(keeper, nowMs, false);
     keeper.orders.hurry(keeper.mover.takeHurried());
     this.#sendOrders(keeper, nowMs);
@@ -202,30 +214,43 @@
   #askPeers(keeper: ModelKeeper, askedAtMs: number): void {
     keeper.nextAskMs = this.#nowMs + ASK_MS;
     const told = keeper.book.assignment;
+    const teller = { vm: keeper.vm, incarnation: keeper.incarnation };
     for (const peer of this.#keepers) {
       if (peer === keeper || this.#isCut(keeper, peer)) continue;
       this.#toKeeper(peer, (peerMs) => {
         if (told !== undefined) {
           peer.book.learn(told);
-          peer.mover.notePromise(keeper.vm, told.revision, peerMs);
+          const { revision } = told;
+          peer.mover.notePromise({ ...teller, revision, nowMs: peerMs });
         }
         const known = peer.book.known();
+        const { vm, incarnation } = peer;
         const newer = peer.book.assignment;
         if (this.#isCut(keeper, peer)) return;
         this.#toKeeper(keeper, (nowMs) => {
           if (newer !== undefined) keeper.book.learn(newer);
           keeper.book.noteAnswer({
-            vm: peer.vm,
+            vm,
             known,
             askedAtMs: this.#rules.isEvidenceFromAnswer ? nowMs : askedAtMs,
           });
-          keeper.mover.notePromise(peer.vm, known.revision, nowMs);
+          const { revision } = known;
+          keeper.mover.notePromise({
+            vm,
+            incarnation,
+            revision,
+            askedAtMs,
+            nowMs,
+          });
         });
       });
     }
   }
 
   #isCut(a: ModelKeeper, b: ModelKeeper): boolean {
+    const isSplit = this.#nowMs < this.#splitUntilMs &&
+      this.#splitSide.has(a.vm) !== this.#splitSide.has(b.vm);
+    if (isSplit) return true;
     return Math.max(a.cutFromPeersUntilMs, b.cutFromPeersUntilMs) >
       this.#nowMs;
   }
@@ -407,3 +432,23 @@
   expect(world.violations).toEqual([]);
   expect(world.heldSlices()).toEqual(SLICES);
 });
+
+// Every entry VM is replaced in turn during a long outage of the store. Each
+// has forgotten what it knew; the others tell it, and keys stay served.
+test("should keep serving while keepers restart with the store away", () => {
+  const cuts = [0, 1, 2].map((keeper): Fault => ({
+    kind: "cut-store",
+    atMs: 1_500,
+    keeper,
+    forMs: 60_000,
+  }));
+  const restarts = [0, 1, 2, 0, 1, 2].map((keeper, index): Fault => ({
+    kind: "restart-keeper",
+    atMs: 2_000 + index * 1_000,
+    keeper,
+  }));
+  const world = new World({ seed: 3, faults: [...cuts, ...restarts] });
+  world.runTo(20_000);
+  expect(world.violations).toEqual([]);
+  expect(world.heldSlices()).toEqual(SLICES);
+});
--- a/packages/decisions/src/ownership/mover.ts
+++ b/packages/decisions/src/ownership/mover.ts
@@ -9,7 +9,7 @@
 import { AssignmentEdit } from "./assignment_edit.ts";
 import { ForwardBook, type ForwardReport } from "./forward_book.ts";
 import type { ChangeRequest, MoveStep } from "./moves.ts";
-import { PromiseBook } from "./promise_book.ts";
+import { type Promise, PromiseBook } from "./promise_book.ts";
 import type { OwnershipSettings } from "./settings.ts";
 import { type AnsweredOrder, SliceWait } from "./slice_wait.ts";
 
@@ -143,9 +143,18 @@
   }
 
   /** An entry VM told which revision it knows. */
-  notePromise(vm: contracts.VmId, revision: number, nowMs: number): void {
-    this.promises.note(vm, revision);
-    this.#checkPromises(nowMs);
+  notePromise(promise: Promise): void {
+    this.promises.note(promise);
+    this.#checkPromises(promise.nowMs);
+  }
+
+  /** Whether the keepers are to be asked once more what they know. */
+  get needsAnswers(): boolean {
+    const sets = this.assignment?.keeperSets;
+    if (sets === undefined) return false;
+    return [...this.#waits.values()].some((wait) =>
+      !wait.isPromised && this.promises.isWorthAsking(sets, wait.revision)
+    );
   }
 
   /** See `PromiseBook.noteGone`. */
@@ -233,7 +242,12 @@
     this.#first = undefined;
     this.#mustRead = false;
     this.#failures = 0;
-    this.promises.note(this.#identity.vm, stored.assignment.revision);
+    this.promises.note({
+      ...this.#identity,
+      revision: stored.assignment.revision,
+      askedAtMs: Number.POSITIVE_INFINITY,
+      nowMs,
+    });
     this.#renewWaits(stored.assignment, nowMs);
     this.#checkPromises(nowMs);
   }
--- a/packages/decisions/src/ownership/ownership_model_test.ts
+++ b/packages/decisions/src/ownership/ownership_model_test.ts
@@ -2,6 +2,7 @@
  * Interleavings: any, chosen by fast-check, and a table of those that each
  * rule of the design exists for.
  */
+import type * as contracts from "@guavatide/contracts";
 import { expect } from "earl";
 import * as fc from "fast-check";
 import { test } from "node:test";
@@ -48,12 +49,17 @@
   fault("lose-store-replies", { forMs }),
   fault("cut-peers", { keeper, forMs }),
   fault("cut-server", { keeper, server, forMs }),
+  fault("split", {
+    forMs,
+    side: fc.uniqueArray(fc.integer({ min: 0, max: 4 }), { maxLength: 4 }),
+  }),
   fault("slow", { forMs, delayMs: fc.integer({ min: 50, max: 1_500 }) }),
   fault("keepers", { keeper, set: fc.integer({ min: 0, max: 4 }) }),
 ) as fc.Arbitrary<Fault>;
 
 const anyScenario: fc.Arbitrary<Scenario> = fc.record({
   seed: fc.integer(),
+  keepers: fc.constantFrom(3, 5),
   faults: fc.array(anyFault, { minLength: 2, maxLength: 14 }),
 });
 
@@ -100,7 +106,7 @@
     super.request(change);
   }
   protected override mayTake(
-    slice: Parameters<ownership.Mover["createWait"]>[0],
+    slice: contracts.Slice,
     tick: ownership.MoverTick,
   ): boolean {
     return this.#moved.size > 0 || super.mayTake(slice, tick);
@@ -124,9 +130,30 @@
 
 const LONG_MS = 60_000;
 
+/** Counts promises of runs that have ended since. */
+class LastingPromises extends ownership.PromiseBook {
+  readonly #highest = new Map<contracts.VmId, number>();
+  override note(promise: ownership.Promise): void {
+    super.note(promise);
+    const { vm, revision } = promise;
+    this.#highest.set(vm, Math.max(revision, this.#highest.get(vm) ?? 0));
+  }
+  protected override isPromisedAt(
+    vm: contracts.VmId,
+    revision: number,
+  ): boolean {
+    return (this.#highest.get(vm) ?? 0) >= revision;
+  }
+}
+
+class LastingMover extends ownership.Mover {
+  protected override readonly promises = new LastingPromises();
+}
+
 interface Trap {
   readonly name: string;
   readonly withoutRule: Rules;
+  readonly keepers?: number;
   readonly faults: readonly Fault[];
 }
 
@@ -221,6 +248,28 @@
       { kind: "restart-server", atMs: 2_150, server: 0 },
     ],
   },
+  {
+    // It promised, forgot, and settled by peers that had yet to promise.
+    name: "a promise counts only with others of its time",
+    withoutRule: { mover: LastingMover },
+    keepers: 5,
+    faults: [
+      ...[1, 2, 3, 4].map((keeper): Fault => ({
+        kind: "cut-store",
+        atMs: 1_950,
+        keeper,
+        forMs: LONG_MS,
+      })),
+      ...cutOff(0, 1_950, [0]),
+      ...cutOff(1, 1_950, [0]),
+      { kind: "cut-server", atMs: 1_950, keeper: 4, server: 0, forMs: 300 },
+      { kind: "split", atMs: 1_960, forMs: 240, side: [0, 4] },
+      moveAway,
+      { kind: "split", atMs: 2_200, forMs: 400, side: [0] },
+      { kind: "restart-keeper", atMs: 2_205, keeper: 4 },
+      { kind: "split", atMs: 2_600, forMs: LONG_MS, side: [0, 1] },
+    ],
+  },
   {
     name: "a change of keepers needs a majority of the earlier set too",
     withoutRule: { mover: NewSetMover },
@@ -238,7 +287,8 @@
 const SEEDS = Array.from({ length: 20 }, (_, seed) => seed);
 
 function shows(trap: Trap, seed: number, rules?: Rules): boolean {
-  return violationsOf({ seed, faults: trap.faults, rules }).length > 0;
+  const { faults, keepers } = trap;
+  return violationsOf({ seed, faults, rules, keepers }).length > 0;
 }
 
 // Each row is a way in which two servers could come to own one key. It must
--- a/packages/entry/src/ownership/move_task.ts
+++ b/packages/entry/src/ownership/move_task.ts
@@ -8,7 +8,7 @@
 import * as placement from "@guavatide/decisions/placement/mod";
 import type { PartLog } from "../utils/log.ts";
 import type { OrderTask } from "./order_task.ts";
-import type { ServiceContext } from "./service_context.ts";
+import type { ServiceContext, TimedReceipt } from "./service_context.ts";
 
 /** Time that listed servers have to answer before the first assignment. */
 const FIRST_MEETING_MS = 3_000;
@@ -46,6 +46,12 @@
   readonly steps: readonly ownership.MoveStep[];
 }
 
+/** A peer that told something. */
+export interface TellingPeer {
+  readonly vm: contracts.VmId;
+  readonly incarnation: contracts.Incarnation;
+}
+
 /** Moves one service's slices. */
 export class MoveTask {
   readonly #context: ServiceContext;
@@ -58,6 +64,7 @@
   #planner: placement.Planner | undefined;
   #plannerFor = "";
   #isOn = false;
+  #isAsking = false;
   #onSinceMs = 0;
   #keepersAtMs = Number.NEGATIVE_INFINITY;
   #lossesAtMs = Number.NEGATIVE_INFINITY;
@@ -72,20 +79,23 @@
     options.orders.onAnswer((answer) => this.#mover.noteReply(answer));
   }
 
-  /** A peer told what it knows, in a beat or an answer. */
+  /**
+   * A peer told what it knows. `askedAtMs` is when the question left that it
+   * answered; absent when it told by itself.
+   */
   notePeer(
-    peer: { readonly vm: contracts.VmId; incarnation: contracts.Incarnation },
+    peer: TellingPeer,
     known: contracts.KnownRevision,
+    askedAtMs?: number,
   ): void {
     const nowMs = this.#context.clock.nowMs();
-    this.#told.set(peer.vm, known);
-    this.#mover.notePromise(peer.vm, known.revision, nowMs);
-    this.#mover.noteForwards({
-      ...peer,
-      revision: known.revision,
-      busyServers: known.busyServers ?? [],
-      nowMs,
-    });
+    const { vm, incarnation } = peer;
+    const { revision } = known;
+    const report = { vm, incarnation, revision, nowMs };
+    this.#told.set(vm, known);
+    this.#mover.notePromise({ ...report, askedAtMs });
+    const busyServers = known.busyServers ?? [];
+    this.#mover.noteForwards({ ...report, busyServers });
   }
 
   /** Call often; does nothing unless this VM holds the duty. */
@@ -94,12 +104,12 @@
     if (!holdsDuty) return;
     const { peers, known, random } = this.#context;
     this.#mover.noteNewer(known.revision);
-    this.notePeer(peers.self, {
-      ...known.known(),
-      busyServers: this.#options.busyServers(),
-    });
+    const own = known.known();
+    const busyServers = this.#options.busyServers();
+    this.notePeer(peers.self, { ...own, busyServers }, Infinity);
     this.#reviewKeepers(nowMs);
     if (this.#mover.isIdle) this.#plan(nowMs);
+    this.#askKeepers();
     this.#hurryOrders();
     const effect = this.#mover.tick({
       nowMs,
@@ -158,10 +168,30 @@
     vm: contracts.VmId,
     assignment: contracts.Assignment,
   ): Promise<void> {
-    const { peers, clock } = this.#context;
-    const known = await peers.push(vm, assignment);
-    if (known === undefined) return;
-    this.#mover.notePromise(vm, known.revision, clock.nowMs());
+    this.#noteReceipt(await this.#context.peers.push(vm, assignment));
+    this.#askKeepers();
+  }
+
+  /** A promise is complete only with answers from after a majority's. */
+  #askKeepers(): void {
+    if (this.#isAsking || !this.#mover.needsAnswers) return;
+    this.#isAsking = true;
+    const { peers, service } = this.#context;
+    const sets = this.#mover.assignment?.keeperSets ?? [];
+    const keepers = new Set(sets.flat().map(({ vm }) => vm));
+    keepers.delete(peers.self.vm);
+    const live = peers.live().filter((vm) => keepers.has(vm));
+    const answers = live.map(async (vm) => {
+      this.#noteReceipt(await peers.ask(vm, service));
+    });
+    void Promise.all(answers).then(() => {
+      this.#isAsking = false;
+    });
+  }
+
+  #noteReceipt(receipt: TimedReceipt | undefined): void {
+    if (receipt === undefined) return;
+    this.notePeer(receipt, receipt.known, receipt.askedAtMs);
     this.#hurryOrders();
   }
 
--- a/packages/entry/src/ownership/ownership_task.ts
+++ b/packages/entry/src/ownership/ownership_task.ts
@@ -98,11 +98,16 @@
   }
 
   /** A peer pushed an assignment; answers what is known then. */
-  takePushed(assignment: contracts.Assignment): contracts.KnownRevision {
-    const ownership = this.#services.get(assignment.service);
-    ownership?.known.learn(assignment);
-    return ownership?.known.known() ??
-      { service: assignment.service, revision: 0, settled: false };
+  takePushed(assignment: contracts.Assignment): contracts.KnownReceipt {
+    this.#services.get(assignment.service)?.known.learn(assignment);
+    return this.answerKnown(assignment);
+  }
+
+  /** A peer asks what is known of a service. */
+  answerKnown({ service }: contracts.KnownQuestion): contracts.KnownReceipt {
+    const known = this.#services.get(service)?.tell() ??
+      { service, revision: 0, settled: false };
+    return { ...this.#options.peers.self, known };
   }
 
   fill(draft: HeartbeatDraft): void {
@@ -131,7 +136,7 @@
       const ownership = this.#services.get(known.service);
       if (ownership === undefined) continue;
       ownership.known.noteAnswer({ vm: reply.vm, known, askedAtMs });
-      ownership.notePeer(reply, known);
+      ownership.notePeer(reply, known, askedAtMs);
     }
   }
 
--- a/packages/entry/src/ownership/peer_view.ts
+++ b/packages/entry/src/ownership/peer_view.ts
@@ -2,18 +2,21 @@
 import * as contracts from "@guavatide/contracts";
 import type * as decisions from "@guavatide/decisions";
 import type { PeerTask } from "../vms/peer_task.ts";
-import type { PeerView } from "./service_context.ts";
+import type { PeerView, TimedReceipt } from "./service_context.ts";
 
 /** Peer method that takes in an assignment and answers what is known then. */
 export const ASSIGNMENT_METHOD = "assignment";
 
+/** Peer method that answers which assignment revision is known. */
+export const KNOWN_METHOD = "known-revision";
+
 /** Options of {@link MembershipPeerView}. */
 export interface MembershipPeerViewOptions {
   readonly self: PeerView["self"];
   readonly membership: decisions.Membership;
   readonly peers: PeerTask;
   readonly clock: contracts.Clock;
-  readonly pushTimeoutMs: number;
+  readonly timeoutMs: number;
 }
 
 /** Joins membership and the links to peers. */
@@ -63,17 +66,33 @@
     this.#listed = new Set(names);
   }
 
-  async push(
+  push(
     vm: contracts.VmId,
     assignment: contracts.Assignment,
-  ): Promise<contracts.KnownRevision | undefined> {
-    const { peers, pushTimeoutMs } = this.#options;
-    const answer = await peers.link(vm)?.call(ASSIGNMENT_METHOD, {
-      params: assignment,
-      schema: contracts.knownRevisionSchema,
-      timeoutMs: pushTimeoutMs,
+  ): Promise<TimedReceipt | undefined> {
+    return this.#call(vm, ASSIGNMENT_METHOD, assignment);
+  }
+
+  ask(
+    vm: contracts.VmId,
+    service: contracts.ServiceId,
+  ): Promise<TimedReceipt | undefined> {
+    return this.#call(vm, KNOWN_METHOD, { service });
+  }
+
+  async #call(
+    vm: contracts.VmId,
+    method: string,
+    params: unknown,
+  ): Promise<TimedReceipt | undefined> {
+    const { peers, clock, timeoutMs } = this.#options;
+    const askedAtMs = clock.nowMs();
+    const answer = await peers.link(vm)?.call(method, {
+      params,
+      schema: contracts.knownReceiptSchema,
+      timeoutMs,
     });
-    return answer?.isOk() ? answer.value : undefined;
+    return answer?.isOk() ? { ...answer.value, askedAtMs } : undefined;
   }
 
   #members(): decisions.MemberView[] {
--- a/packages/entry/src/ownership/service_context.ts
+++ b/packages/entry/src/ownership/service_context.ts
@@ -6,6 +6,11 @@
 import type { AssignmentStore } from "./assignment_store.ts";
 import type { KnownAssignment } from "./known_assignment.ts";
 
+/** A peer's answer with the time at which the question left. */
+export interface TimedReceipt extends contracts.KnownReceipt {
+  readonly askedAtMs: number;
+}
+
 /** Other entry VMs, as the ownership tasks see them. */
 export interface PeerView {
   readonly self: {
@@ -26,7 +31,12 @@
   push(
     vm: contracts.VmId,
     assignment: contracts.Assignment,
-  ): Promise<contracts.KnownRevision | undefined>;
+  ): Promise<TimedReceipt | undefined>;
+  /** Asks a VM which revision it knows. */
+  ask(
+    vm: contracts.VmId,
+    service: contracts.ServiceId,
+  ): Promise<TimedReceipt | undefined>;
 }
 
 /** The control side of a backend server, with an end. */
--- a/packages/entry/src/ownership/service_ownership.ts
+++ b/packages/entry/src/ownership/service_ownership.ts
@@ -5,7 +5,12 @@
 import { DutyTask } from "./duty_task.ts";
 import { EvidenceTask } from "./evidence_task.ts";
 import { ForwardCounter } from "./forward_counter.ts";
-import { type LoadSource, type MovedSteps, MoveTask } from "./move_task.ts";
+import {
+  type LoadSource,
+  type MovedSteps,
+  MoveTask,
+  type TellingPeer,
+} from "./move_task.ts";
 import { OrderTask } from "./order_task.ts";
 import type { ServiceContext } from "./service_context.ts";
 
@@ -16,12 +21,6 @@
   config(): contracts.Service | undefined;
 }
 
-/** A peer that told something. */
-export interface TellingPeer {
-  readonly vm: contracts.VmId;
-  readonly incarnation: contracts.Incarnation;
-}
-
 /** One service's ownership. */
 export class ServiceOwnership {
   readonly #context: ServiceContext;
@@ -116,9 +115,13 @@
   }
 
   /** A peer told what it knows. */
-  notePeer(peer: TellingPeer, known: contracts.KnownRevision): void {
+  notePeer(
+    peer: TellingPeer,
+    known: contracts.KnownRevision,
+    askedAtMs?: number,
+  ): void {
     this.#orders.notePeer(peer.vm, known);
-    this.#moves.notePeer(peer, known);
+    this.#moves.notePeer(peer, known, askedAtMs);
   }
 
   /** Hands duty back and closes the links to the servers. */
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -156,7 +156,7 @@
     membership,
     peers,
     clock,
-    pushTimeoutMs: settings.timings.evidenceMs,
+    timeoutMs: settings.timings.evidenceMs,
   });
   directory.onList((vms) => peerView.noteList(vms));
   const owners: ownershipTasks.OwnershipTask = new ownershipTasks.OwnershipTask(
@@ -193,6 +193,11 @@
     contractsValues.assignmentSchema,
     (assignment) => owners.takePushed(assignment),
   );
+  door.register(
+    ownershipTasks.KNOWN_METHOD,
+    contractsValues.knownQuestionSchema,
+    (question) => owners.answerKnown(question),
+  );
 
   const peerCalls = peerCallsOf(peers, { self, door, membership, clock });
   const router = new requests.RequestRouter({
