feat(entry): wire the administration and operators' drains

The administration API answers at its door, and servers that operators drain count as draining in the server directory, whatever the servers say themselves.

--- a/packages/entry/src/thin/thin_ownership.ts
+++ b/packages/entry/src/thin/thin_ownership.ts
@@ -63,6 +63,13 @@
     };
   }
 
+  /** The newest assignment read. */
+  assignment(
+    service: contracts.ServiceId,
+  ): contracts.Assignment | undefined {
+    return this.#assignments.get(service);
+  }
+
   mayForward(): boolean {
     return true;
   }
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -6,6 +6,7 @@
 import * as decisions from "@guavatide/decisions";
 import * as ownership from "@guavatide/decisions/ownership/key_hash";
 import * as neverthrow from "neverthrow";
+import * as administration from "./administration/mod.ts";
 import * as configuration from "./configuration/mod.ts";
 import * as links from "./links/server_links.ts";
 import * as metricsParts from "./metrics/metrics.ts";
@@ -133,10 +134,16 @@
     log: log.part("config"),
     watchWaitMs: settings.timings.watchWaitMs,
     compareMs: settings.timings.configCompareMs,
-    settleMs: settings.timings.detectMs,
+    settleMs: settings.timings.configSettleMs,
     storeTimeoutMs: settings.platform.storeTimeoutMs,
     peerTimeoutMs: settings.platform.storeTimeoutMs,
   });
+  config.onApplied(() =>
+    directory.setOperatorDrains(config.drains().map((drain) => drain.server))
+  );
+  const adminLog = log.part("admin");
+  const administrationParts = { settings, store, clock, log: adminLog };
+  const moves = administration.createMoveJournal(administrationParts);
   const owners = new ThinOwnership({
     ...self,
     store,
@@ -189,7 +196,18 @@
   const ports = {
     callers: await listener.listen(),
     peers: peerPort,
-    administration: 0,
+    administration: await administration.startAdministration({
+      ...administrationParts,
+      config,
+      servers: directory,
+      owners,
+      ownership: {
+        assignment: (service) => owners.assignment(service),
+        hashOf: (key) => hasher.hash(key),
+      },
+      moves,
+      certificate: tls.administration,
+    }, lifeCycle),
     metrics: await metricsDoor.listen(lifeCycle),
   };
   mainLog.info("entry process ready", { vm: settings.vm, ...ports });
--- a/packages/entry/src/zones/server_directory.ts
+++ b/packages/entry/src/zones/server_directory.ts
@@ -21,6 +21,8 @@
   readonly #byId = new Map<contracts.ServerId, ServerAddress>();
   readonly #byService = new Map<contracts.ServiceId, ServerAddress[]>();
   readonly #draining = new Set<contracts.ServerId>();
+  #operatorDrains: ReadonlySet<contracts.ServerId> = new Set();
+  #vms: contracts.ListedVm[] = [];
   readonly #listeners = new Set<(vms: contracts.ListedVm[]) => void>();
   #isPolling = false;
 
@@ -60,11 +62,17 @@
 
   /** The server takes work again, for example after a restart. */
   noteNotDraining(id: contracts.ServerId): void {
-    if (!this.#draining.delete(id)) return;
+    if (!this.#draining.delete(id) || this.#operatorDrains.has(id)) return;
     const known = this.#byId.get(id);
     if (known?.state === "draining") this.#put({ ...known, state: "live" });
   }
 
+  /** Takes the servers that operators drain, in place of the last set. */
+  setOperatorDrains(servers: Iterable<contracts.ServerId>): void {
+    this.#operatorDrains = new Set(servers);
+    this.#index();
+  }
+
   async #poll(): Promise<void> {
     if (this.#isPolling) return;
     this.#isPolling = true;
@@ -81,20 +89,27 @@
     this.#apply(result.value.vms);
   }
 
-  #apply(vms: contracts.ListedVm[]): void {
+  #index(): void {
     this.#byId.clear();
     this.#byService.clear();
-    for (const vm of vms) {
+    for (const vm of this.#vms) {
       const address = this.#toAddress(vm);
       if (address !== undefined) this.#put(address);
     }
+  }
+
+  #apply(vms: contracts.ListedVm[]): void {
+    this.#vms = vms;
+    this.#index();
     for (const listener of this.#listeners) listener(vms);
   }
 
   #toAddress(vm: contracts.ListedVm): ServerAddress | undefined {
     if (vm.kind !== "backend") return undefined;
     if (vm.server === undefined || vm.service === undefined) return undefined;
-    const isDraining = this.#draining.has(vm.server) && vm.state === "live";
+    const isTold = this.#draining.has(vm.server) ||
+      this.#operatorDrains.has(vm.server);
+    const isDraining = isTold && vm.state === "live";
     return {
       server: vm.server,
       service: vm.service,
