--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -141,16 +141,12 @@
     peerTimeoutMs: settings.platform.storeTimeoutMs,
   });
   config.onApplied(() => {
-    directory.setDrained(config.drains().map((drain) => drain.server));
+    directory.setOperatorDrains(config.drains().map((drain) => drain.server));
   });
   const hasher = await ownership.KeyHasher.create();
   const adminLog = log.part("admin");
-  const moves = administration.createMoveJournal({
-    settings,
-    store,
-    clock,
-    log: adminLog,
-  });
+  const administrationParts = { settings, store, clock, log: adminLog };
+  const moves = administration.createMoveJournal(administrationParts);
   const peerView = new ownershipTasks.MembershipPeerView({
     self,
     membership,
@@ -240,10 +236,7 @@
     callers: await listener.listen(),
     peers: peerPort,
     administration: await administration.startAdministration({
-      settings,
-      store,
-      clock,
-      log: adminLog,
+      ...administrationParts,
       config,
       servers: directory,
       owners,
--- a/packages/entry/src/zones/server_directory.ts
+++ b/packages/entry/src/zones/server_directory.ts
@@ -20,11 +20,9 @@
   readonly #options: ServerDirectoryOptions;
   readonly #byId = new Map<contracts.ServerId, ServerAddress>();
   readonly #byService = new Map<contracts.ServiceId, ServerAddress[]>();
-  /** Servers that said themselves that they drain. */
   readonly #draining = new Set<contracts.ServerId>();
-  /** Servers that operators have drained. */
-  #drained: ReadonlySet<contracts.ServerId> = new Set();
-  #lastList: contracts.ListedVm[] = [];
+  #operatorDrains: ReadonlySet<contracts.ServerId> = new Set();
+  #vms: contracts.ListedVm[] = [];
   readonly #listeners = new Set<(vms: contracts.ListedVm[]) => void>();
   #isPolling = false;
 
@@ -64,15 +62,15 @@
 
   /** The server takes work again, for example after a restart. */
   noteNotDraining(id: contracts.ServerId): void {
-    if (!this.#draining.delete(id) || this.#drained.has(id)) return;
+    if (!this.#draining.delete(id) || this.#operatorDrains.has(id)) return;
     const known = this.#byId.get(id);
     if (known?.state === "draining") this.#put({ ...known, state: "live" });
   }
 
-  /** Takes the drains of the configuration in force. */
-  setDrained(servers: readonly contracts.ServerId[]): void {
-    this.#drained = new Set(servers);
-    this.#index(this.#lastList);
+  /** Takes the servers that operators drain, in place of the last set. */
+  setOperatorDrains(servers: Iterable<contracts.ServerId>): void {
+    this.#operatorDrains = new Set(servers);
+    this.#index();
   }
 
   async #poll(): Promise<void> {
@@ -91,25 +89,27 @@
     this.#apply(result.value.vms);
   }
 
-  #apply(vms: contracts.ListedVm[]): void {
-    this.#lastList = vms;
-    this.#index(vms);
-    for (const listener of this.#listeners) listener(vms);
-  }
-
-  #index(vms: contracts.ListedVm[]): void {
+  #index(): void {
     this.#byId.clear();
     this.#byService.clear();
-    for (const vm of vms) {
+    for (const vm of this.#vms) {
       const address = this.#toAddress(vm);
       if (address !== undefined) this.#put(address);
     }
   }
 
+  #apply(vms: contracts.ListedVm[]): void {
+    this.#vms = vms;
+    this.#index();
+    for (const listener of this.#listeners) listener(vms);
+  }
+
   #toAddress(vm: contracts.ListedVm): ServerAddress | undefined {
     if (vm.kind !== "backend") return undefined;
     if (vm.server === undefined || vm.service === undefined) return undefined;
-    const isDraining = vm.state === "live" && this.#isDraining(vm.server);
+    const isTold = this.#draining.has(vm.server) ||
+      this.#operatorDrains.has(vm.server);
+    const isDraining = isTold && vm.state === "live";
     return {
       server: vm.server,
       service: vm.service,
@@ -120,10 +120,6 @@
     };
   }
 
-  #isDraining(server: contracts.ServerId): boolean {
-    return this.#draining.has(server) || this.#drained.has(server);
-  }
-
   #put(address: ServerAddress): void {
     this.#byId.set(address.server, address);
     const others = (this.#byService.get(address.service) ?? [])
