--- a/packages/standins/src/bench/bench_entry_main.ts
+++ b/packages/standins/src/bench/bench_entry_main.ts
@@ -16,6 +16,7 @@
 import { PeerDoor } from "guavatide/vms/peer_door";
 import { Hono } from "hono";
 import * as crypto from "node:crypto";
+import * as perf from "node:perf_hooks";
 import * as serve from "../http/serve.ts";
 import { BenchPeers } from "./bench_peers.ts";
 import * as messages from "./bench_messages.ts";
@@ -30,12 +31,14 @@
   readonly #peers: BenchPeers;
   #setup: messages.EntrySetup | undefined;
   #addresses: ServerAddress[] = [];
+  readonly #loopDelay = perf.monitorEventLoopDelay({ resolution: 2 });
   readonly #counts = { requests: 0, retries: 0, ejections: 0 };
 
   constructor(argument: messages.EntryArgument) {
     this.#argument = argument;
     this.#door = new PeerDoor({ host: HOST, port: 0, secret: argument.secret });
     this.#peers = new BenchPeers(argument, this.#door);
+    this.#loopDelay.enable();
   }
 
   /** Opens both ports. */
@@ -80,6 +83,7 @@
       state: "live",
     }));
     this.#peers.setUp(setup.peers);
+    this.#loopDelay.reset();
   }
 
   usage(): messages.EntryUsage {
@@ -88,6 +92,7 @@
       cpuMs: (user + system) / 1000,
       residentBytes: process.memoryUsage.rss(),
       peerMessages: this.#peers.sent,
+      loopDelayP99Ms: this.#loopDelay.percentile(99) / 1e6,
       ...this.#counts,
     };
   }
--- a/packages/standins/src/bench/bench_figures.ts
+++ b/packages/standins/src/bench/bench_figures.ts
@@ -36,12 +36,16 @@
   readonly busiestEntryCpuMs: number;
   readonly peerMessagesPerRequest: number;
   readonly ejections: number;
+  /** How late timers fired at the entry VM where they were latest. */
+  readonly loopDelayP99Ms: number;
 }
 
 /** Options of {@link runFigures}. */
 export interface RunFiguresOptions {
   readonly countedMs: number;
   readonly journal: readonly JournalEntry[];
+  /** Of each entry VM, when the counted time began and when it was over. */
+  readonly usagesBefore: readonly EntryUsage[];
   readonly usages: readonly EntryUsage[];
   readonly isIdempotent: boolean;
 }
@@ -52,7 +56,10 @@
   options: RunFiguresOptions,
 ): RunFigures {
   const counted = results.filter((result) => result.isCounted);
-  const { countedMs, usages } = options;
+  const { countedMs, usagesBefore } = options;
+  const usages = options.usages.map((usage, index) =>
+    spentSince(usage, usagesBefore[index]!)
+  );
   const callers: Record<string, RequestFigures> = {};
   for (const caller of new Set(counted.map((result) => result.caller))) {
     const own = counted.filter((result) => result.caller === caller);
@@ -68,6 +75,7 @@
     peerMessagesPerRequest: sum(usages, "peerMessages") /
       sum(usages, "requests"),
     ejections: sum(usages, "ejections"),
+    loopDelayP99Ms: Math.max(...usages.map((usage) => usage.loopDelayP99Ms)),
   };
 }
 
@@ -148,6 +156,16 @@
   };
 }
 
+function spentSince(now: EntryUsage, before: EntryUsage): EntryUsage {
+  return {
+    ...now,
+    cpuMs: now.cpuMs - before.cpuMs,
+    requests: now.requests - before.requests,
+    retries: now.retries - before.retries,
+    peerMessages: now.peerMessages - before.peerMessages,
+  };
+}
+
 function sum(
   usages: readonly EntryUsage[],
   field: keyof EntryUsage,
--- a/packages/standins/src/bench/bench_main.ts
+++ b/packages/standins/src/bench/bench_main.ts
@@ -31,9 +31,16 @@
   serviceMs = clipanion.Option.String("--service-ms", "20", {
     description: "mean time a request runs at a server",
   });
+  timeScale = clipanion.Option.String("--time-scale", "1", {
+    description: "stretches run times, link delays and deadlines, so that " +
+      "a busy machine's noise weighs less",
+  });
   method = clipanion.Option.String("--method", "POST", {
     description: "GET is idempotent, POST is not",
   });
+  profileFolder = clipanion.Option.String("--profile-folder", {
+    description: "where entry processes leave CPU profiles",
+  });
   seed = clipanion.Option.String("--seed", "1");
   json = clipanion.Option.Boolean("--json", false);
 
@@ -46,9 +53,11 @@
             scenario,
             policy,
             durationMs: Number(this.seconds) * 1000,
-            meanServiceMs: Number(this.serviceMs),
+            meanServiceMs: Number(this.serviceMs) * Number(this.timeScale),
+            timeScale: Number(this.timeScale),
             method: this.method === "GET" ? "GET" : "POST",
             seed: Number(this.seed),
+            profileFolder: this.profileFolder,
           });
           results.push(result);
           if (!this.json) this.context.stdout.write(formatTable([result]));
--- a/packages/standins/src/bench/bench_messages.ts
+++ b/packages/standins/src/bench/bench_messages.ts
@@ -37,6 +37,8 @@
   readonly retries: number;
   readonly peerMessages: number;
   readonly ejections: number;
+  /** How late timers fired: noise of the machine, or too much work. */
+  readonly loopDelayP99Ms: number;
 }
 
 /** Schema of {@link LoadStream}. */
--- a/packages/standins/src/bench/bench_run.ts
+++ b/packages/standins/src/bench/bench_run.ts
@@ -15,10 +15,13 @@
   readonly policy: string;
   readonly durationMs: number;
   readonly meanServiceMs: number;
+  /** By how much deadlines and link delays are stretched. */
+  readonly timeScale: number;
   /** Run time that the stand-ins really take, when it is known. */
   readonly realServiceMs?: number;
   readonly method: "GET" | "POST";
   readonly seed: number;
+  readonly profileFolder?: string;
 }
 
 /** One line of the bench's result. */
@@ -41,9 +44,10 @@
 
 /** Runs one cell of the table. */
 export async function benchRun(
-  service: BenchService,
+  unscaled: BenchService,
   options: BenchRunOptions,
 ): Promise<BenchResult> {
+  const service = stretched(unscaled, options.timeScale);
   const { scenario, policy, meanServiceMs, seed } = options;
   const realMs = options.realServiceMs ?? meanServiceMs + TIMER_EXTRA_MS;
   const capacity = service.servers * service.slots * 1000 / realMs;
@@ -54,9 +58,11 @@
     policy,
     meanServiceMs,
     seed,
+    profileFolder: options.profileFolder,
   });
   try {
     const fault = imposeFault(cluster, options);
+    const usagesBefore = serve.delay(WARM_UP_MS).then(() => cluster.usages());
     await cluster.runCaller({
       origins: cluster.callerOrigins,
       path: `/s/${service.name}/bench`,
@@ -66,7 +72,7 @@
         capacity,
         durationMs: options.durationMs,
       }),
-      timeoutMs: TIMEOUT_MS,
+      timeoutMs: TIMEOUT_MS * options.timeScale,
       clientDelayMs: service.clientDelayMs,
       warmUpMs: WARM_UP_MS,
       label: "op",
@@ -80,6 +86,7 @@
     const figures = runFigures(results, {
       countedMs: options.durationMs,
       journal: await cluster.journals(),
+      usagesBefore: await usagesBefore,
       usages: await cluster.usages(),
       isIdempotent: options.method === "GET",
     });
@@ -97,6 +104,14 @@
   }
 }
 
+function stretched(service: BenchService, timeScale: number): BenchService {
+  return {
+    ...service,
+    linkDelayMs: service.linkDelayMs * timeScale,
+    clientDelayMs: service.clientDelayMs * timeScale,
+  };
+}
+
 function streamsOf(
   scenario: BenchScenario,
   options: { readonly capacity: number; readonly durationMs: number },
--- a/packages/standins/src/bench/bench_table.ts
+++ b/packages/standins/src/bench/bench_table.ts
@@ -5,7 +5,7 @@
 export const TABLE_HEAD =
   "| service | scenario | policy | p50 | p99 | goodput / capacity | answered " +
   "| refused | unknown | retries/req | max/mean | CV | twice | lies " +
-  "| CPU ms/req | msgs/req |";
+  "| CPU ms/req | msgs/req | loop delay p99 |";
 
 /** Formats results, one line each. */
 export function formatTable(results: readonly BenchResult[]): string {
@@ -31,6 +31,7 @@
     figures.toldNotRunButRan,
     figures.entryCpuMsPerRequest.toFixed(2),
     figures.peerMessagesPerRequest.toFixed(2),
+    figures.loopDelayP99Ms.toFixed(1),
   ];
   return `| ${cells.join(" | ")} |\n`;
 }
