--- /dev/null
+++ b/packages/decisions/src/routing/server_board_test.ts
@@ -0,0 +1,72 @@
+import type * as contracts from "@guavatide/contracts";
+import { expect } from "earl";
+import { test } from "node:test";
+import { ServerBoard } from "./server_board.ts";
+
+const A = "a" as contracts.ServerId;
+const B = "b" as contracts.ServerId;
+
+function createBoard(): ServerBoard {
+  const board = new ServerBoard({ slotsPerServer: 3, localLimit: 3 }, 0);
+  board.keepOnly(new Set([A, B]), 0);
+  return board;
+}
+
+function open(board: ServerBoard, nowMs: number): string[] {
+  return board.candidates([A, B], nowMs).map(({ server }) => server);
+}
+
+test("should take a frozen server out until it answers a probe", () => {
+  // A server stops in its tracks. Its connections stay open and take bytes,
+  // its health report is old and good; callers whose request went there wait
+  // in vain. Only the lack of any answer shows it.
+  const board = createBoard();
+  board.noteSent(A, 100);
+  expect(board.ejectSilent(499)).toEqual([]);
+  expect(board.ejectSilent(500)).toEqual([A]);
+  expect(open(board, 501)).toEqual([B]);
+
+  expect(board.tryProbe(A, 501)).toEqual(true);
+  expect(board.tryProbe(A, 502)).toEqual(false);
+  board.noteProbe(A, false, 600);
+  expect(board.tryProbe(A, 700)).toEqual(false);
+  expect(board.tryProbe(A, 1100)).toEqual(true);
+  expect(board.noteProbe(A, true, 1200)).toEqual("on-trial");
+
+  // The first request is still out, so the trial has not begun.
+  expect(open(board, 1201)).toEqual([B]);
+  board.noteEnd(A, 100, { end: { kind: "failure" }, nowMs: 1300 });
+  expect(open(board, 1301)).toEqual([B]);
+  expect(board.tryProbe(A, 2300)).toEqual(true);
+  board.noteProbe(A, true, 2301);
+  board.noteSent(A, 2302);
+  const event = board.noteEnd(A, 2302, {
+    end: { kind: "answer" },
+    nowMs: 2310,
+  });
+  expect(event).toEqual("returned");
+  expect(open(board, 2311)).toEqual([A, B]);
+});
+
+test("should lower a server's limit when it says busy and raise it again", () => {
+  const board = createBoard();
+  const busy = { kind: "refusal", refusal: "busy" } as const;
+  for (const sentMs of [1, 2, 3]) board.noteSent(A, sentMs);
+  board.noteEnd(A, 1, { end: busy, nowMs: 20 });
+  expect(open(board, 21)).toEqual([B]);
+  expect(open(board, 30)).toEqual([B]);
+  board.noteEnd(A, 2, { end: { kind: "answer" }, nowMs: 31 });
+  expect(open(board, 32)).toEqual([A, B]);
+});
+
+test("should give a new server a growing share", () => {
+  const board = createBoard();
+  board.keepOnly(new Set([B]), 5000);
+  board.keepOnly(new Set([A, B]), 6000);
+  const [cold] = board.candidates([A], 6000);
+  expect(cold!.weight).toBeCloseTo(0.1, 0.001);
+  board.noteSent(A, 6001);
+  expect(open(board, 6002)).toEqual([B]);
+  const [warm] = board.candidates([A], 11_000);
+  expect(warm!.weight).toEqual(1);
+});
--- a/packages/entry/src/requests/fakes_test_support.ts
+++ b/packages/entry/src/requests/fakes_test_support.ts
@@ -94,7 +94,7 @@
   readonly service?: Partial<contracts.Service>;
   readonly partner?: Partial<contracts.Partner>;
   readonly settings?: Partial<RequestSettings>;
-  readonly owners?: Partial<OwnerView>;
+  readonly owners?: OwnerView;
 }
 
 /** One entry VM's request path over fakes. */
@@ -161,13 +161,12 @@
       addresses[index] = { ...addresses[index]!, state: "draining" };
     },
   };
-  const owners: OwnerView = {
+  const owners: OwnerView = options.owners ?? {
     lookup: (): OwnerLookup => ({ kind: "none" }),
     mayForward: () => true,
     noteForwarded: () => ({ done() {} }),
     onChange: () => () => {},
     noteNotOwner: () => {},
-    ...options.owners,
   };
   const settings = { ...REQUEST_DEFAULTS, ...options.settings };
   const clock = new MonotonicClock();
@@ -194,3 +193,15 @@
   const port = await listener.listen();
   return { url: `http://127.0.0.1:${port}`, lifeCycle, addresses };
 }
+
+/** Waits for a condition. Errors: rejects after the deadline. */
+export async function waitUntil(
+  condition: () => boolean,
+  timeoutMs = 5000,
+): Promise<void> {
+  const endMs = performance.now() + timeoutMs;
+  while (!condition()) {
+    if (performance.now() > endMs) throw new Error("The wait ran out of time");
+    await new Promise((resolve) => setTimeout(resolve, 2));
+  }
+}
--- /dev/null
+++ b/packages/entry/src/requests/keyed_requests_test.ts
@@ -0,0 +1,161 @@
+import * as names from "@guavatide/contracts";
+import type * as contracts from "@guavatide/contracts";
+import { expect } from "earl";
+import { test } from "node:test";
+import type { OwnerLookup, OwnerView } from "../contracts/views.ts";
+import {
+  answerRefusal,
+  answerWell,
+  FakeBackend,
+  startEntry,
+  waitUntil,
+} from "./fakes_test_support.ts";
+
+/** Ownership that a test moves by hand. */
+class FakeOwners implements OwnerView {
+  owner: OwnerLookup;
+  mayLeave = true;
+  forwarded = 0;
+  readonly notOwnerRevisions: number[] = [];
+  readonly #callbacks = new Set<() => void>();
+
+  constructor(owner: OwnerLookup) {
+    this.owner = owner;
+  }
+
+  lookup(): OwnerLookup {
+    return this.owner;
+  }
+
+  mayForward(): boolean {
+    return this.mayLeave;
+  }
+
+  noteForwarded(): { done(): void } {
+    this.forwarded++;
+    return { done: () => this.forwarded-- };
+  }
+
+  onChange(_service: contracts.ServiceId, callback: () => void): () => void {
+    this.#callbacks.add(callback);
+    return () => this.#callbacks.delete(callback);
+  }
+
+  noteNotOwner(_service: contracts.ServiceId, revision: number): void {
+    this.notOwnerRevisions.push(revision);
+  }
+
+  move(owner: OwnerLookup): void {
+    this.owner = owner;
+    for (const callback of this.#callbacks) callback();
+  }
+}
+
+function ownedBy(server: string, revision: number): OwnerLookup {
+  return {
+    kind: "owned",
+    server: server as contracts.ServerId,
+    slice: "0-100000000" as contracts.SliceId,
+    fence: revision,
+    revision,
+  };
+}
+
+const KEYED = { keyed: true, timeoutMs: 3000 };
+const HEADERS = { [names.KEY_HEADER]: "booth 7" };
+
+test("should send a key's request to its owner with the fence", async () => {
+  const backends = [new FakeBackend(), new FakeBackend()];
+  const owners = new FakeOwners(ownedBy("s1", 4));
+  const entry = await startEntry(backends, { service: KEYED, owners });
+  try {
+    await fetch(`${entry.url}/s/booths/x`, { headers: HEADERS });
+    const [request] = backends[1]!.ran;
+    expect(request!.headers[names.FENCE_HEADER]).toEqual("4");
+    expect(request!.headers[names.KEY_HEADER]).toEqual("booth 7");
+    expect(backends[0]!.ran.length).toEqual(0);
+    expect(owners.forwarded).toEqual(0);
+  } finally {
+    await entry.lifeCycle.stop();
+  }
+});
+
+test("should hold a request while its key is between two owners", async () => {
+  const backends = [new FakeBackend(), new FakeBackend()];
+  const owners = new FakeOwners({ kind: "vacating", revision: 5 });
+  const entry = await startEntry(backends, { service: KEYED, owners });
+  try {
+    const call = fetch(`${entry.url}/s/booths/x`, { headers: HEADERS });
+    const short = await fetch(`${entry.url}/s/booths/x`, {
+      headers: { ...HEADERS, [names.TIMEOUT_HEADER]: "50" },
+    });
+    expect(short.headers.get(names.REASON_HEADER)).toEqual(
+      "deadline-before-send",
+    );
+    owners.move(ownedBy("s0", 6));
+    expect((await call).status).toEqual(200);
+    expect(backends[0]!.ran.length).toEqual(1);
+  } finally {
+    await entry.lifeCycle.stop();
+  }
+});
+
+test("should follow a key whose owner says that it is not", async () => {
+  // This entry VM has not yet heard of a move; the old owner refuses. The
+  // host's check goes on to the new owner as soon as the move is known.
+  const backends = [
+    new FakeBackend(answerRefusal("not-owner")),
+    new FakeBackend(answerWell),
+  ];
+  const owners = new FakeOwners(ownedBy("s0", 4));
+  const entry = await startEntry(backends, { service: KEYED, owners });
+  try {
+    const call = fetch(`${entry.url}/s/booths/x`, {
+      method: "POST",
+      headers: HEADERS,
+    });
+    await waitUntil(() => owners.notOwnerRevisions.length > 0);
+    owners.move(ownedBy("s1", 6));
+    expect((await call).status).toEqual(200);
+    expect(owners.notOwnerRevisions[0]).toEqual(4);
+  } finally {
+    await entry.lifeCycle.stop();
+  }
+});
+
+test("should let no byte leave without the right to forward", async () => {
+  // A server that does not check who orders it would run whatever arrives.
+  // Between the choice of the owner and the bytes the right may have lapsed.
+  const backend = new FakeBackend();
+  const owners = new FakeOwners(ownedBy("s0", 4));
+  owners.mayLeave = false;
+  const entry = await startEntry([backend], { service: KEYED, owners });
+  try {
+    const answer = await fetch(`${entry.url}/s/booths/x`, {
+      method: "POST",
+      headers: { ...HEADERS, [names.TIMEOUT_HEADER]: "200" },
+    });
+    expect(answer.headers.get(names.OUTCOME_HEADER)).toEqual("not-run");
+    expect(backend.ran.length).toEqual(0);
+  } finally {
+    await entry.lifeCycle.stop();
+  }
+});
+
+test("should keep a request of unknown fate counted as forwarded", async () => {
+  // The answer never came, so the server may still work on the key. A mover
+  // that is told of nothing in flight would give the key away too early.
+  const backend = new FakeBackend(() => {});
+  const owners = new FakeOwners(ownedBy("s0", 4));
+  const entry = await startEntry([backend], { service: KEYED, owners });
+  try {
+    const answer = await fetch(`${entry.url}/s/booths/x`, {
+      method: "POST",
+      headers: { ...HEADERS, [names.TIMEOUT_HEADER]: "100" },
+    });
+    expect(answer.headers.get(names.OUTCOME_HEADER)).toEqual("unknown");
+    expect(owners.forwarded).toEqual(1);
+  } finally {
+    await entry.lifeCycle.stop();
+  }
+});
