--- a/packages/entry/src/administration/administration.ts
+++ b/packages/entry/src/administration/administration.ts
@@ -5,7 +5,8 @@
 import * as contracts from "@guavatide/contracts";
 import * as configuration from "../configuration/mod.ts";
 import type { OwnerView, ServerView } from "../contracts/views.ts";
-import type { DoorCertificate, Settings } from "../settings/mod.ts";
+import type { Settings } from "../settings/mod.ts";
+import type { ServerTls } from "../utils/http_server.ts";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import type { PartLog } from "../utils/log.ts";
 import { AdministrationDoor } from "./administration_door.ts";
@@ -25,7 +26,7 @@
   readonly owners: OwnerView;
   readonly ownership: OwnershipReport;
   readonly moves: MoveJournal;
-  readonly certificate?: DoorCertificate;
+  readonly certificate?: ServerTls;
 }
 
 /** Options of {@link createMoveJournal}. */
