feat(ctl): add the operators' command line

Commands mirror the administration API. Exit codes tell a script what it would do next: a lost race, findings, a denied token, an API that was not reached, and a change whose fate nobody knows. A change whose answer was lost is called unknown, not unreachable, as a script would otherwise send it again.

--- /dev/null
+++ b/packages/ctl/src/commands/publish_commands.ts
@@ -0,0 +1,184 @@
+/** Commands on the whole set: check, diff, publish, history, config. */
+import * as clipanion from "clipanion";
+import * as neverthrow from "neverthrow";
+import * as answers from "../answers.ts";
+import { type CtlError, EXIT_CODES } from "../ctl_error.ts";
+import { formatTable } from "../table.ts";
+import { ApiCommand, type CommandResult } from "./api_command.ts";
+
+const CATEGORY = "Publishing";
+
+/** `check`. */
+export class CheckCommand extends ApiCommand {
+  static override paths = [["check"]];
+  static override usage = clipanion.Command.Usage({
+    category: CATEGORY,
+    description: "Check the whole set; exit code 4 when something is wrong",
+  });
+
+  protected override async work(): CommandResult {
+    const checked = await this.call({
+      method: "GET",
+      path: "/v1/check",
+      schema: answers.checkAnswer,
+    });
+    return checked.map((json) => ({
+      json,
+      text: findingsText(json.findings),
+      exitCode: json.findings.length === 0
+        ? EXIT_CODES.ok
+        : EXIT_CODES.findings,
+    }));
+  }
+}
+
+/** `diff`. */
+export class DiffCommand extends ApiCommand {
+  static override paths = [["diff"]];
+  static override usage = clipanion.Command.Usage({
+    category: CATEGORY,
+    description: "Show what a publish would change, with the tag to publish",
+  });
+
+  protected override async work(): CommandResult {
+    const compared = await this.call({
+      method: "GET",
+      path: "/v1/diff",
+      schema: answers.diffAnswer,
+    });
+    return compared.map((json) => ({
+      json,
+      text: `from revision ${json.currentRevision}\n` +
+        json.changes.map(changeText).join("") +
+        findingsText(json.findings) + `tag ${json.tag}\n`,
+    }));
+  }
+}
+
+/** `publish [--tag TAG]`. */
+export class PublishCommand extends ApiCommand {
+  static override paths = [["publish"]];
+  static override usage = clipanion.Command.Usage({
+    category: CATEGORY,
+    description: "Put the whole set in force at every entry VM",
+    details: "With --tag, as `diff` has printed it, the set is published " +
+      "only if nobody has edited it since. Without, it is published as it " +
+      "stands. Exit code 3 says that somebody was faster, 4 that the set " +
+      "was refused, 7 that nobody knows: look at `history` then.",
+  });
+
+  tag = clipanion.Option.String("--tag", {
+    description: "Tag that `diff` has printed",
+  });
+
+  protected override async work(): CommandResult {
+    const tag = await this.#tag();
+    if (tag.isErr()) return neverthrow.err(tag.error);
+    const published = await this.call({
+      method: "POST",
+      path: "/v1/publish",
+      ifMatch: tag.value,
+      schema: answers.publishAnswer,
+    });
+    return published
+      .map((json) => ({ json, text: `revision ${json.revision} published\n` }))
+      .mapErr(withFindings);
+  }
+
+  async #tag(): Promise<neverthrow.Result<string, CtlError>> {
+    if (this.tag !== undefined) return neverthrow.ok(this.tag);
+    const checked = await this.call({
+      method: "GET",
+      path: "/v1/check",
+      schema: answers.checkAnswer,
+    });
+    return checked.map(({ tag }) => tag);
+  }
+}
+
+/** `history`. */
+export class HistoryCommand extends ApiCommand {
+  static override paths = [["history"]];
+  static override usage = clipanion.Command.Usage({
+    category: CATEGORY,
+    description: "Show past publishes and drains, newest first",
+  });
+
+  protected override async work(): CommandResult {
+    const read = await this.call({
+      method: "GET",
+      path: "/v1/history",
+      schema: answers.historyAnswer,
+    });
+    return read.map((json) => ({
+      json,
+      text: formatTable(
+        ["REVISION", "BY", "AT", "CHANGES"],
+        json.history.map((entry) => [
+          entry.revision,
+          entry.publishedBy,
+          entry.publishedAt,
+          changesText(entry.changes, entry.changeCount),
+        ]),
+      ),
+    }));
+  }
+}
+
+/** `config`. */
+export class ConfigCommand extends ApiCommand {
+  static override paths = [["config"]];
+  static override usage = clipanion.Command.Usage({
+    category: CATEGORY,
+    description: "Print the configuration in force at the VM that is asked",
+  });
+
+  protected override async work(): CommandResult {
+    const read = await this.call({
+      method: "GET",
+      path: "/v1/config",
+      schema: answers.configAnswer,
+    });
+    return read.map((json) => ({
+      json,
+      text: `${JSON.stringify(json, null, 2)}\n`,
+    }));
+  }
+}
+
+function findingsText(findings: readonly answers.FindingAnswer[]): string {
+  if (findings.length === 0) return "nothing stands against publishing\n";
+  return findings.map(findingText).join("");
+}
+
+function findingText(finding: answers.FindingAnswer): string {
+  const { object, field, kind, message, remedy } = finding;
+  const place = [object, field].filter((part) => part !== "").join(" ");
+  return `${place || "(whole set)"}: ${kind}. ${message}. ${remedy}\n`;
+}
+
+type Change = { change: string; object: string; fields: readonly Field[] };
+type Field = { field: string; from?: string; to?: string };
+
+function changeText({ change, object, fields }: Change): string {
+  const lines = fields.map(({ field, from, to }) =>
+    `  ${field}: ${from ?? "(none)"} -> ${to ?? "(none)"}\n`
+  );
+  return `${change} ${object}\n${lines.join("")}`;
+}
+
+function changesText(changes: readonly string[], count: number): string {
+  const more = count - changes.length;
+  return changes.join(", ") + (more > 0 ? ` and ${more} more` : "");
+}
+
+/** Appends the findings to the message, as the refusal alone helps nobody. */
+function withFindings(error: CtlError): CtlError {
+  if (error.exitCode !== EXIT_CODES.findings) return error;
+  const { details } = error;
+  const parsed = answers.checkAnswer.shape.findings
+    .safeParse((details as { findings?: unknown }).findings);
+  if (!parsed.success) return error;
+  const message = `${error.message}\n${findingsText(parsed.data).trimEnd()}`;
+  return { ...error, message };
+}
--- /dev/null
+++ b/packages/ctl/src/main.ts
@@ -0,0 +1,9 @@
+#!/usr/bin/env node
+/** The `guavatidectl` binary. */
+import * as clipanion from "clipanion";
+import { runCli } from "./cli.ts";
+
+process.exitCode = await runCli(
+  process.argv.slice(2),
+  clipanion.Cli.defaultContext,
+);
