--- a/packages/entry/src/administration/administration_door.ts
+++ b/packages/entry/src/administration/administration_door.ts
@@ -6,15 +6,14 @@
 import * as nodeServer from "@hono/node-server";
 import * as hono from "hono";
 import * as bodyLimit from "hono/body-limit";
-import * as http from "node:http";
-import * as https from "node:https";
+import type * as http from "node:http";
 import type * as net from "node:net";
 import type {
   AdministrationRight,
   AdministrationToken,
-  DoorCertificate,
   Settings,
 } from "../settings/mod.ts";
+import * as httpServer from "../utils/http_server.ts";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import { Access } from "./access.ts";
 import type { ApiContext, ApiEnv, ApiParts } from "./api_context.ts";
@@ -42,7 +41,7 @@
     | "keepAliveMs"
   >;
   /** TLS when given, plain HTTP otherwise. */
-  readonly certificate?: DoorCertificate;
+  readonly certificate?: httpServer.ServerTls;
 }
 
 /** Requests handled at once; operators are few, and the store is shared. */
@@ -80,8 +79,7 @@
 
   #createServer(): http.Server {
     const { limits, certificate } = this.#options;
-    const serverOptions = {
-      ...certificate,
+    const options = {
       maxHeaderSize: limits.headerBytes,
       headersTimeout: limits.headerTimeoutMs,
       requestTimeout: limits.requestTimeoutMs,
@@ -89,18 +87,8 @@
       connectionsCheckingInterval: CHECK_INTERVAL_MS,
     };
     const { fetch } = this.createApp();
-    if (certificate === undefined) {
-      return nodeServer.createAdaptorServer({
-        fetch,
-        createServer: http.createServer,
-        serverOptions,
-      }) as http.Server;
-    }
-    return nodeServer.createAdaptorServer({
-      fetch,
-      createServer: https.createServer,
-      serverOptions,
-    }) as unknown as http.Server;
+    return httpServer.createHttpServer(options, certificate)
+      .on("request", nodeServer.getRequestListener(fetch));
   }
 
   /** The routes behind their checks, without a socket. */
