--- a/packages/entry/src/loads/load_task.ts
+++ b/packages/entry/src/loads/load_task.ts
@@ -28,6 +28,10 @@
   readonly peers: PeerTask;
   readonly door: PeerDoor;
   readonly clock: contracts.Clock;
+}
+
+/** Whose slices the counts are told apart by. */
+export interface LoadOwners {
   /** Services whose moves this VM plans now. */
   heldDuties(): contracts.ServiceId[];
   /** The assignment known of a service. */
@@ -39,6 +43,7 @@
   readonly #options: LoadTaskOptions;
   readonly #trackers = new Map<contracts.ServiceId, placement.LoadTracker>();
   readonly #books = new Map<contracts.ServiceId, placement.LoadBook>();
+  #owners: LoadOwners | undefined;
   readonly #holders = new Map<contracts.ServiceId, contracts.VmId>();
 
   constructor(options: LoadTaskOptions) {
@@ -50,6 +55,11 @@
     );
   }
 
+  /** Takes slices and duties from the ownership task. */
+  follow(owners: LoadOwners): void {
+    this.#owners = owners;
+  }
+
   /** Reports until the process stops. */
   start(lifeCycle: LifeCycle): void {
     lifeCycle.every(REPORT_INTERVAL_MS, () => this.#reportAll());
@@ -57,7 +67,7 @@
 
   /** Counts one answered request. */
   record(work: KeyedWork): void {
-    const slices = this.#options.assignment(work.service)?.slices;
+    const slices = this.#owners?.assignment(work.service)?.slices;
     if (slices === undefined) return;
     const slice = slices[placement.findSlice(slices, work.keyHash)];
     if (slice === undefined) return;
@@ -85,7 +95,7 @@
   }
 
   #reportAll(): void {
-    const held = new Set(this.#options.heldDuties());
+    const held = new Set(this.#owners?.heldDuties());
     for (const [service, tracker] of this.#trackers) {
       const sender = { ...this.#options.self, service };
       const load = tracker.report(sender, this.#now());
