fix(ownership): wait for unfenced servers from the end of the right to forward

The wait now runs from the end of the entry VMs' evidence. A server that turns out to check no fences is written into the assignment at once, and an idle mover no longer rebuilds the slice map at each tick.

--- a/packages/decisions/src/ownership/assignment_edit.ts
+++ b/packages/decisions/src/ownership/assignment_edit.ts
@@ -91,12 +91,16 @@
 
   /** Appends a keeper set unless it is in force already. */
   useKeepers(keepers: readonly contracts.Keeper[]): void {
-    const wanted = namesOf(keepers);
-    if (wanted === namesOf(this.#keeperSets.at(-1) ?? [])) return;
+    if (isSameSet(keepers, this.#keeperSets.at(-1) ?? [])) return;
     this.#keeperSets = [...this.#keeperSets, [...keepers]];
     this.#isChanged = true;
   }
 
+  /** Writes a successor although no slice and no keeper changes. */
+  touch(): void {
+    this.#isChanged = true;
+  }
+
   /** The successor, one revision higher. */
   finish(writer: AssignmentWriter): contracts.Assignment {
     return {
@@ -174,6 +178,14 @@
   }
 }
 
+/** Whether two sets name the same keepers, in whatever order. */
+export function isSameSet(
+  left: readonly contracts.Keeper[],
+  right: readonly contracts.Keeper[],
+): boolean {
+  return namesOf(left) === namesOf(right);
+}
+
 function namesOf(keepers: readonly contracts.Keeper[]): string {
   return keepers.map(({ vm }) => vm).sort().join();
 }
--- a/packages/decisions/src/ownership/mover.ts
+++ b/packages/decisions/src/ownership/mover.ts
@@ -6,7 +6,7 @@
  * case: read, and go on from what was read.
  */
 import * as contracts from "@guavatide/contracts";
-import { AssignmentEdit } from "./assignment_edit.ts";
+import { AssignmentEdit, isSameSet } from "./assignment_edit.ts";
 import { ForwardBook, type ForwardReport } from "./forward_book.ts";
 import type { ChangeRequest, MoveStep } from "./moves.ts";
 import { type Promise, PromiseBook } from "./promise_book.ts";
@@ -87,6 +87,7 @@
   #isAbsent = false;
   #first: contracts.Slice[] | undefined;
   #keepers: readonly contracts.Keeper[] | undefined;
+  #hasFenceNews = false;
   #call: MoverEffect | undefined;
   #mustRead = true;
   #notBeforeMs = Number.NEGATIVE_INFINITY;
@@ -170,6 +171,11 @@
 
   /** A server answered an order. */
   noteReply(answer: AnsweredOrder): void {
+    const { server } = answer.order;
+    const listed = this.assignment?.unfencedServers ?? [];
+    const isNews = !answer.reply.checksFences && !listed.includes(server);
+    // Entry VMs learn from the assignment that they must guard this server.
+    if (isNews && answer.order.slices.length > 0) this.#hasFenceNews = true;
     for (const wait of this.#waits.values()) wait.noteReply(answer);
   }
 
@@ -241,6 +247,7 @@
     this.#isAbsent = false;
     this.#first = undefined;
     this.#mustRead = false;
+    this.#hasFenceNews = false;
     this.#failures = 0;
     this.promises.note({
       ...this.#identity,
@@ -330,11 +337,13 @@
 
   #nextWrite(tick: MoverTick): MoverEffect | undefined {
     if (this.#stored === undefined) return this.#firstWrite(tick);
+    if (!this.#hasWork(this.#stored.assignment)) return undefined;
     const { assignment } = this.#stored;
     const edit = new AssignmentEdit(assignment, assignment, tick.checksFences);
     edit.settle((slice) => this.mayTake(slice, tick));
     for (const change of this.#queue) edit.apply(change);
     this.#changeKeepers(edit);
+    if (this.#hasFenceNews) edit.touch();
     this.#written = this.#queue;
     if (!edit.isChanged) {
       this.#queue = [];
@@ -344,6 +353,13 @@
     return this.#write(edit, tick, { kind: "version", version });
   }
 
+  #hasWork({ keeperSets }: contracts.Assignment): boolean {
+    const isKeeperChange = this.#keepers !== undefined &&
+      !isSameSet(this.#keepers, keeperSets.at(-1)!);
+    return this.#queue.length > 0 || this.#waits.size > 0 ||
+      keeperSets.length > 1 || isKeeperChange || this.#hasFenceNews;
+  }
+
   #firstWrite(tick: MoverTick): MoverEffect | undefined {
     const isReady = this.#isAbsent && this.#first !== undefined &&
       this.#keepers !== undefined;
--- a/packages/decisions/src/ownership/settings.ts
+++ b/packages/decisions/src/ownership/settings.ts
@@ -15,8 +15,9 @@
   /** Keepers that renew each server. */
   readonly renewers: number;
   /**
-   * Besides the usual wait, before the slices of a server that does not check
-   * fences are given on without every entry VM's word.
+   * Longest time that a request may run at a server which checks no fences,
+   * after the last entry VM lost the right to forward. Its slices are given on
+   * after it without every entry VM's word.
    */
   readonly unfencedMoveWaitMs: number;
   /** How long a mover waits for a release while the server still answers. */
--- a/packages/decisions/src/ownership/slice_wait.ts
+++ b/packages/decisions/src/ownership/slice_wait.ts
@@ -87,16 +87,28 @@
   }
 
   #isClear(server: contracts.ServerId, facts: UnfencedFacts): boolean {
-    const endMs = this.#waitedOutAtMs();
     if (facts.isUnfenced(server)) {
-      const isOver = facts.isForwardingOver(server, this.revision);
-      if (isOver && facts.nowMs >= this.#evidenceEndMs()) return true;
-      return facts.nowMs >= endMs + this.#settings.unfencedMoveWaitMs;
+      return this.#isUnfencedClear(server, facts);
     }
     if (this.#released.has(server)) return true;
+    const endMs = this.#waitedOutAtMs();
     return facts.nowMs >= endMs && !this.#isWorthWaiting(server, facts.nowMs);
   }
 
+  /**
+   * Leases do not bind such a server. What counts is when the last entry VM
+   * lost the right to forward, and that its requests are over since.
+   */
+  #isUnfencedClear(
+    server: contracts.ServerId,
+    facts: UnfencedFacts,
+  ): boolean {
+    const endMs = this.#evidenceEndMs();
+    if (facts.nowMs < endMs) return false;
+    return facts.isForwardingOver(server, this.revision) ||
+      facts.nowMs >= endMs + this.#settings.unfencedMoveWaitMs;
+  }
+
   /** The end of the last lease that anyone can have given. */
   #waitedOutAtMs(): number {
     return this.#startMs() + waitOutMs(this.#settings);
