feat(standins): let the demo show the operators' side

The demo gives the token and the commands to edit a cost split, publish it, drain a server and look up owners.

--- a/packages/standins/src/demo/demo_main.ts
+++ b/packages/standins/src/demo/demo_main.ts
@@ -4,13 +4,17 @@
  */
 import * as contracts from "@guavatide/contracts";
 import * as plans from "../deployment/deployment_plan.ts";
-import { LocalDeployment } from "../deployment/local_deployment.ts";
+import {
+  LOCAL_OPERATOR_TOKEN,
+  LocalDeployment,
+} from "../deployment/local_deployment.ts";
 
 const WAIT_TIMEOUT_MS = 15_000;
 const RETRY_INTERVAL_MS = 200;
 
 const PLAN: plans.DeploymentPlan = {
   ...plans.scalePlan(plans.KAYFA, { entryVms: 3, serversAtMost: 4 }),
+  otherPartners: [plans.BITACORA.partner],
   services: [...plans.KAYFA.services, ...plans.BITACORA.services]
     .map((service) => ({ ...service, servers: 4 })),
 };
@@ -37,6 +41,27 @@
   }
 }
 
+function sayNext(deployment: LocalDeployment): void {
+  const callers = deployment.callerUrl("entry-1");
+  const metrics = deployment.metricsUrl("entry-1");
+  say("Try next, in another shell:");
+  say(`  curl -i -H 'guavatide-key: booth-17' ${callers}/s/availability/slots`);
+  say(`  curl -i -X POST -d '{}' ${callers}/s/reservations/bookings`);
+  say(`  curl ${metrics}/metrics`);
+  say("As an operator:");
+  say(`  export GUAVATIDE_URL=${deployment.administrationUrl("entry-2")}`);
+  say(`  export GUAVATIDE_TOKEN=${LOCAL_OPERATOR_TOKEN}`);
+  say("  npx guavatidectl get cost-share/availability-split");
+  say(
+    "  npx guavatidectl edit cost-share/availability-split --set " +
+      `'shares=[{"partner":"kayfa","percent":60},` +
+      `{"partner":"bitacora","percent":40}]'`,
+  );
+  say("  npx guavatidectl diff && npx guavatidectl publish");
+  say("  npx guavatidectl drain availability-1 --reason 'new release'");
+  say("  npx guavatidectl owners availability && npx guavatidectl moves");
+}
+
 async function main(): Promise<void> {
   const deployment = await LocalDeployment.start({ plan: PLAN });
   let isStopping = false;
@@ -59,11 +84,7 @@
     say(`GET /s/availability/slots for key booth-17 through ${vm}:`);
     say(`  status ${answer.status}, ${outcome}: ${await answer.text()}`);
   }
-  const first = deployment.callerUrl("entry-1");
-  say("Try next:");
-  say(`  curl -i -H 'guavatide-key: booth-17' ${first}/s/availability/slots`);
-  say(`  curl -i -X POST -d '{}' ${first}/s/reservations/bookings`);
-  say(`  curl ${deployment.metricsUrl("entry-1")}/metrics`);
+  sayNext(deployment);
   say("Ctrl-C ends everything.");
 }
 
--- a/packages/standins/src/deployment/deployment_plan.ts
+++ b/packages/standins/src/deployment/deployment_plan.ts
@@ -18,7 +18,10 @@
 
 /** One customer's deployment. */
 export interface DeploymentPlan {
+  /** Owner of every service. */
   readonly partner: string;
+  /** Partners who may take a share of the costs. */
+  readonly otherPartners?: readonly string[];
   readonly region: string;
   readonly zones: readonly string[];
   readonly entryVms: number;
@@ -105,12 +108,13 @@
       name,
       region: plan.region,
     })),
-    {
-      kind: "partner",
-      name: partner,
-      requestsPerSecond: 5_000,
-      burstRequests: 1_000,
-    },
+    ...[plan.partner, ...plan.otherPartners ?? []]
+      .map((name): contracts.Partner => ({
+        kind: "partner",
+        name: name as contracts.PartnerId,
+        requestsPerSecond: 5_000,
+        burstRequests: 1_000,
+      })),
     ...services,
     ...services.map((service): contracts.CostShare => ({
       kind: "cost-share",
--- a/packages/standins/src/deployment/local_deployment.ts
+++ b/packages/standins/src/deployment/local_deployment.ts
@@ -6,6 +6,7 @@
 import type * as contracts from "@guavatide/contracts";
 import * as platform from "guavatide/platform/mod";
 import type * as wire from "guavatide/wire";
+import * as crypto from "node:crypto";
 import * as fs from "node:fs";
 import * as os from "node:os";
 import * as path from "node:path";
@@ -17,6 +18,8 @@
 
 const STOP_TIMEOUT_MS = 20_000;
 const PEER_SECRET = "local-deployment-secret";
+/** Bearer token of the one operator of a local deployment. */
+export const LOCAL_OPERATOR_TOKEN = "local-operator-token";
 
 /** A running entry VM. */
 export interface LocalEntry {
@@ -94,6 +97,11 @@
     return processes.originOf(this.entries.get(vm)!.ports.metrics);
   }
 
+  /** Where operators reach an entry VM. */
+  administrationUrl(vm: string): string {
+    return processes.originOf(this.entries.get(vm)!.ports.administration);
+  }
+
   /** Sets faults of the store, the VM list or one backend server. */
   async setFaults(target: "store" | "vm-list" | string, faults: object) {
     await processes.postJson(`${this.#controlUrl(target)}/faults`, faults);
@@ -251,6 +259,7 @@
         { callers: 0, peers: 0, administration: 0, metrics: 0 },
       platform: { storeUrl, vmListUrl: this.vmListUrl },
       peerSecret: PEER_SECRET,
+      administration: { tokens: [localOperator()] },
       log: { format: "text", level: "info" },
       ...this.#options.entrySettings,
     };
@@ -267,6 +276,16 @@
   }
 }
 
+function localOperator(): object {
+  const digest = crypto.createHash("sha256").update(LOCAL_OPERATOR_TOKEN);
+  return {
+    tokenSha256: digest.digest("hex"),
+    operator: "local-operator",
+    partners: "*",
+    rights: ["read", "edit", "publish", "drain"],
+  };
+}
+
 function entryScript(): string {
   return url.fileURLToPath(import.meta.resolve("guavatide/main"));
 }
