--- a/packages/entry/src/ownership/service_context.ts
+++ b/packages/entry/src/ownership/service_context.ts
@@ -58,13 +58,5 @@
   readonly servers: ServerView & {
     noteNotDraining(id: contracts.ServerId): void;
   };
-  /** Keeps the steps of acknowledged updates for operators. */
-  readonly moveRecord: {
-    noteSteps(update: {
-      readonly service: contracts.ServiceId;
-      readonly revision: number;
-      readonly steps: readonly ownership.MoveStep[];
-    }): void;
-  };
   connect(address: ServerAddress): ServerControl;
 }
--- a/packages/entry/src/ownership/service_ownership.ts
+++ b/packages/entry/src/ownership/service_ownership.ts
@@ -5,13 +5,14 @@
 import { DutyTask } from "./duty_task.ts";
 import { EvidenceTask } from "./evidence_task.ts";
 import { ForwardCounter } from "./forward_counter.ts";
-import { type LoadSource, MoveTask } from "./move_task.ts";
+import { type LoadSource, type MovedSteps, MoveTask } from "./move_task.ts";
 import { OrderTask } from "./order_task.ts";
 import type { ServiceContext } from "./service_context.ts";
 
 /** Options of {@link ServiceOwnership}. */
 export interface ServiceOwnershipOptions {
   readonly load: LoadSource;
+  noteSteps(steps: MovedSteps): void;
   config(): contracts.Service | undefined;
 }
 
@@ -66,7 +67,9 @@
     const { slices, revision } = this.known;
     if (slices === undefined) return { kind: "none" };
     const slice = slices.find(keyHash);
-    if (slice.state === "vacating") return { kind: "vacating", revision };
+    const isBetween = slice.state === "vacating" ||
+      this.#isDraining(slice.server);
+    if (isBetween) return { kind: "vacating", revision };
     return {
       kind: "owned",
       server: slice.server,
@@ -108,6 +111,7 @@
       ...this.known.known(),
       silent: silent.length > 0 ? silent : undefined,
       busyServers: busyServers.length > 0 ? busyServers : undefined,
+      holdsDuty: this.#duty.holds ? true : undefined,
     };
   }
 
@@ -123,6 +127,11 @@
     await this.#orders.close();
   }
 
+  /** It refuses all new work; its slices are about to be taken from it. */
+  #isDraining(server: contracts.ServerId): boolean {
+    return this.#context.servers.server(server)?.state === "draining";
+  }
+
   #unfenced(): readonly contracts.ServerId[] {
     return this.known.assignment?.unfencedServers ?? [];
   }
