feat(standins): measure the delivery of a published split

Two partners race on each edit, then one publishes; the time runs from the publisher's answer until each entry VM names the revision.

--- /dev/null
+++ b/packages/standins/src/administration/config_delivery_main.ts
@@ -0,0 +1,119 @@
+/**
+ * Measures how long an accepted cost split takes to be in force at every entry
+ * VM, on separate processes: from the publisher's answer until each VM names
+ * the revision. Two partners race on each edit first; exactly one must be told
+ * of the conflict. Prints one JSON line.
+ *
+ * Arguments: entry VMs (9), publishes (20).
+ */
+import * as hdr from "hdr-histogram-js";
+import * as timers from "node:timers/promises";
+import * as plans from "../deployment/deployment_plan.ts";
+import { LocalDeployment } from "../deployment/local_deployment.ts";
+import * as processes from "../processes/mod.ts";
+import { Operator, tokenSettings } from "./operator.ts";
+
+const DEADLINE_MS = 20_000;
+const POLL_MS = 5;
+const SPLIT = "/v1/objects/cost-share/availability-split";
+
+const entryVms = Number(process.argv[2] ?? 9);
+const publishes = Number(process.argv[3] ?? 20);
+
+async function main(): Promise<void> {
+  const plan = plans.scalePlan(plans.KAYFA, { entryVms, serversAtMost: 1 });
+  const deployment = await LocalDeployment.start({
+    plan,
+    entrySettings: {
+      administration: {
+        tokens: [tokenSettings("ana", "*"), tokenSettings("blas", "*")],
+      },
+      log: { format: "json", level: "warn" },
+    },
+  });
+  try {
+    process.stdout.write(`${JSON.stringify(await measure(deployment))}\n`);
+  } finally {
+    await deployment.stop();
+  }
+}
+
+async function measure(deployment: LocalDeployment): Promise<object> {
+  const origins = [...deployment.entries.values()]
+    .map((entry) => processes.originOf(entry.ports.administration));
+  const watchers = origins.map((origin) => new Operator("ana", origin));
+  await untilInForce(watchers, 1);
+  await createGuest(watchers[0]!);
+  const everywhere = hdr.build({ numberOfSignificantValueDigits: 3 });
+  const conflicts: number[] = [];
+  for (let round = 0; round < publishes; round++) {
+    const ana = watchers[round % watchers.length]!;
+    const blas = new Operator("blas", origins[(round + 1) % origins.length]!);
+    conflicts.push(await race(ana, blas, round));
+    const revision = await ana.publish();
+    const acceptedMs = performance.now();
+    await untilInForce(watchers, revision);
+    everywhere.recordValue(Math.ceil(performance.now() - acceptedMs));
+  }
+  return {
+    entryVms,
+    publishes,
+    roundsWithOneConflict: conflicts.filter((count) => count === 1).length,
+    inForceEverywhereMs: {
+      p50: everywhere.getValueAtPercentile(50),
+      p99: everywhere.getValueAtPercentile(99),
+      max: everywhere.maxValue,
+    },
+  };
+}
+
+/** The second partner of the split. */
+async function createGuest(operator: Operator): Promise<void> {
+  const body = { requestsPerSecond: 100, burstRequests: 10 };
+  await operator.call("PUT", "/v1/objects/partner/guest", {
+    body,
+    isCreation: true,
+  });
+}
+
+/** Both edit the version they have seen; returns how many were refused. */
+async function race(
+  ana: Operator,
+  blas: Operator,
+  round: number,
+): Promise<number> {
+  const { etag, body } = await ana.call("GET", SPLIT);
+  const answers = await Promise.all(
+    [ana, blas].map((operator, index) =>
+      operator.call("PUT", SPLIT, {
+        ifMatch: etag,
+        body: { ...body.object, shares: sharesOf(round, index) },
+      })
+    ),
+  );
+  return answers.filter((answer) => answer.status === 412).length;
+}
+
+/** A split that differs from the last round's and from the other editor's. */
+function sharesOf(round: number, editor: number): object[] {
+  const percent = 1 + (2 * round + editor) % 99;
+  const parts = [{ partner: "kayfa", percent: 100 - percent }];
+  return [...parts, { partner: "guest", percent }];
+}
+
+async function untilInForce(
+  watchers: readonly Operator[],
+  revision: number,
+): Promise<void> {
+  await Promise.all(watchers.map(async (watcher) => {
+    const until = performance.now() + DEADLINE_MS;
+    while (true) {
+      const { body } = await watcher.call("GET", "/v1/vms");
+      if (body.vms[0].revision >= revision) return;
+      if (performance.now() > until) throw new Error("Not in force in time");
+      await timers.setTimeout(POLL_MS);
+    }
+  }));
+}
+
+await main();
