--- /dev/null
+++ b/packages/standins/src/proofs/proof_cluster.ts
@@ -0,0 +1,366 @@
+/**
+ * A deployment of real processes under the load of callers, for the proofs:
+ * journals in files, relays before the servers and before the store, and
+ * waits for conditions with a deadline.
+ */
+import * as contracts from "@guavatide/contracts";
+import { dutyRecordSchema } from "@guavatide/decisions/ownership/duty";
+import * as fs from "node:fs";
+import * as os from "node:os";
+import * as path from "node:path";
+import type * as z from "zod";
+import {
+  type JournalEntry,
+  readJournalFile,
+} from "../backend_server/journal.ts";
+import type { DeploymentPlan } from "../deployment/deployment_plan.ts";
+import { LocalDeployment } from "../deployment/local_deployment.ts";
+import * as processes from "../processes/mod.ts";
+import { CallerLoad, type CallerLoadOptions } from "./caller_load.ts";
+import type { CallerRecord } from "./caller_record.ts";
+import { Relays } from "./relays.ts";
+import type { Evidence } from "./violations.ts";
+
+/** The keyed service of every proof. */
+export const KEYED = "availability";
+/** The unkeyed service of every proof. */
+export const UNKEYED = "reservations";
+/** Keys that the callers use. */
+export const KEYS: readonly string[] = Array.from(
+  { length: 24 },
+  (_, index) => `booth-${index + 1}`,
+);
+
+const LOOK_EVERY_MS = 25;
+const DEADLINE_MS = 30_000;
+
+/** Options of {@link ProofCluster.start}. */
+export interface ProofClusterOptions {
+  readonly entryVms?: number;
+  readonly keyedServers?: number;
+  readonly checksFences?: boolean;
+  readonly serviceTimeMs?: number;
+  /** Whether entry VMs reach servers through relays. */
+  readonly relaysServers?: boolean;
+  /** Whether entry VMs reach the store through relays. */
+  readonly relaysStore?: boolean;
+}
+
+/** One deployment, its load and its records. */
+export class ProofCluster {
+  readonly deployment: LocalDeployment;
+  readonly relays: Relays;
+  /** Entry VMs that callers can't reach now; the balancer leaves them out. */
+  readonly downVms = new Set<string>();
+  readonly #journalFolder: string;
+  readonly #loads: CallerLoad[] = [];
+  readonly #records: CallerRecord[] = [];
+  #loadsStarted = 0;
+
+  private constructor(
+    deployment: LocalDeployment,
+    relays: Relays,
+    journalFolder: string,
+  ) {
+    this.deployment = deployment;
+    this.relays = relays;
+    this.#journalFolder = journalFolder;
+  }
+
+  /** Starts a deployment and waits until every key is served. */
+  static async start(
+    options: ProofClusterOptions = {},
+  ): Promise<ProofCluster> {
+    const folder = fs.mkdtempSync(path.join(os.tmpdir(), "guavatide-proof-"));
+    const relays = await Relays.start();
+    const deployment = await LocalDeployment.start({
+      plan: planOf(options),
+      journalFolder: folder,
+      backendSettings: { queueLimit: 8, drainGraceMs: 3000 },
+      ...(options.relaysServers === true
+        ? {
+          listedPortFor: (server: string, port: number) =>
+            relays.portOf(`server/${server}`, port),
+        }
+        : {}),
+      ...(options.relaysStore === true
+        ? {
+          storeUrlFor: async (vm: string, storeUrl: string) => {
+            const port = Number(new URL(storeUrl).port);
+            return processes.originOf(await relays.portOf(`store/${vm}`, port));
+          },
+        }
+        : {}),
+    });
+    const cluster = new ProofCluster(deployment, relays, folder);
+    try {
+      await cluster.untilServed();
+    } catch (error) {
+      await cluster.stop();
+      throw error;
+    }
+    return cluster;
+  }
+
+  /** Names of the entry VMs that callers can reach. */
+  get vms(): readonly string[] {
+    return [...this.deployment.entries.keys()]
+      .filter((vm) => !this.downVms.has(vm));
+  }
+
+  /** The process of an entry VM. */
+  entry(vm: string): processes.ChildProgram {
+    return this.deployment.entries.get(vm)!.program;
+  }
+
+  /** The process of a backend server. */
+  server(id: string): processes.ChildProgram {
+    return this.deployment.servers.get(id)!.program;
+  }
+
+  /** Kills an entry VM; callers go elsewhere from now on. */
+  async killEntry(vm: string): Promise<void> {
+    this.downVms.add(vm);
+    this.entry(vm).kill("SIGKILL");
+    await this.entry(vm).ended();
+  }
+
+  /** Starts a lost entry VM anew, with nothing kept. */
+  async restartEntry(vm: string): Promise<void> {
+    const { zone } = this.deployment.entries.get(vm)!;
+    await this.deployment.startEntry(vm, zone);
+    this.downVms.delete(vm);
+  }
+
+  /** Kills a backend server. */
+  async killServer(id: string): Promise<void> {
+    this.server(id).kill("SIGKILL");
+    await this.server(id).ended();
+  }
+
+  /** Every object in the store that parses by a schema. */
+  async storedObjects<T>(schema: z.ZodType<T>): Promise<T[]> {
+    const url = `${this.deployment.storeUrl}/objects?prefix=`;
+    const listed = await processes.getJson(url) as {
+      objects: contracts.StoredObject[];
+    };
+    return listed.objects.flatMap((object) => {
+      const parsed = schema.safeParse(JSON.parse(object.value));
+      return parsed.success ? [parsed.data] : [];
+    });
+  }
+
+  /** The keyed service's assignment as the store holds it. */
+  async assignment(): Promise<contracts.Assignment> {
+    const found = await this.storedObjects(contracts.assignmentSchema);
+    const keyed = found.find((assignment) => assignment.service === KEYED);
+    if (keyed === undefined) throw new Error("No assignment in the store yet");
+    return keyed;
+  }
+
+  /** The entry VM that holds control duty by the store's word. */
+  async dutyHolder(): Promise<string> {
+    const [record] = await this.storedObjects(dutyRecordSchema);
+    if (record === undefined) throw new Error("Nobody holds control duty yet");
+    return record.holder;
+  }
+
+  /**
+   * Waits until the server starts no more work while callers go on, and
+   * returns how many requests it has started by then.
+   */
+  async untilNoNewWork(server: string, answers = 150): Promise<number> {
+    let before = -1;
+    await this.until(`no new work at ${server}`, async () => {
+      before = this.startsAt(server);
+      await this.untilAnswered(answers);
+      return this.startsAt(server) === before;
+    });
+    return before;
+  }
+
+  /** Makes a server refuse new work by its own word. */
+  async drainServer(id: string): Promise<void> {
+    const { port } = this.deployment.servers.get(id)!;
+    const url = `${processes.originOf(port)}/control/drain`;
+    await processes.postJson(url, { draining: true });
+  }
+
+  /** Requests that a server has started. */
+  startsAt(server: string): number {
+    return this.journalOf(server)
+      .filter((entry) => entry.step === "start").length;
+  }
+
+  /** Starts callers; they go on until {@link ProofCluster.finish}. */
+  startLoad(options: Partial<CallerLoadOptions> = {}): CallerLoad {
+    const load = new CallerLoad({
+      service: KEYED,
+      entryUrls: () => this.vms.map((vm) => this.deployment.callerUrl(vm)),
+      keys: KEYS,
+      workers: 6,
+      timeoutMs: 1500,
+      pauseMs: 4,
+      name: `load${++this.#loadsStarted}`,
+      ...options,
+    });
+    this.#loads.push(load);
+    return load;
+  }
+
+  /** Records of all loads so far. */
+  get records(): readonly CallerRecord[] {
+    return [
+      ...this.#records,
+      ...this.#loads.flatMap((load) => [...load.records]),
+    ];
+  }
+
+  /** Every server's journal. */
+  journal(): JournalEntry[] {
+    return [...this.deployment.servers.keys()]
+      .flatMap((server) => this.journalOf(server));
+  }
+
+  /** One server's journal, of all its runs. */
+  journalOf(server: string): JournalEntry[] {
+    return readJournalFile(this.deployment.journalFileOf(server)!);
+  }
+
+  /** Ends the loads and returns what is to be judged. */
+  async finish(): Promise<Evidence> {
+    for (const load of this.#loads.splice(0)) {
+      this.#records.push(...await load.stop());
+    }
+    return { journal: this.journal(), records: this.#records };
+  }
+
+  /** Ends every process and removes the journals. */
+  async stop(): Promise<void> {
+    await this.finish();
+    for (const { program } of this.deployment.entries.values()) program.wake();
+    for (const { program } of this.deployment.servers.values()) program.wake();
+    await this.deployment.stop();
+    await this.relays.stop();
+    fs.rmSync(this.#journalFolder, { recursive: true, force: true });
+  }
+
+  /** Asks for a key through an entry VM; the answering server, or none. */
+  async ask(vm: string, key: string): Promise<string | undefined> {
+    const url = `${this.deployment.callerUrl(vm)}/s/${KEYED}/probe`;
+    try {
+      const response = await fetch(url, {
+        headers: {
+          [contracts.KEY_HEADER]: key,
+          [contracts.TIMEOUT_HEADER]: "1000",
+        },
+        signal: AbortSignal.timeout(3000),
+      });
+      const text = await response.text();
+      const outcome = response.headers.get(contracts.OUTCOME_HEADER);
+      if (outcome !== "answered") return undefined;
+      return (JSON.parse(text) as { server: string }).server;
+    } catch {
+      return undefined;
+    }
+  }
+
+  /** The server that owns a key now. */
+  async ownerOf(key: string): Promise<string> {
+    let owner: string | undefined;
+    await this.until(`owner of ${key}`, async () => {
+      owner = await this.ask(this.vms[0]!, key);
+      return owner !== undefined;
+    });
+    return owner!;
+  }
+
+  /** Keys by the server that owns them now. */
+  async keysByOwner(): Promise<Map<string, string[]>> {
+    const found = new Map<string, string[]>();
+    for (const key of KEYS) {
+      const owner = await this.ownerOf(key);
+      found.set(owner, [...found.get(owner) ?? [], key]);
+    }
+    return found;
+  }
+
+  /** Waits until every key is served through every given entry VM. */
+  async untilServed(
+    vms: readonly string[] = this.vms,
+    keys: readonly string[] = KEYS,
+  ): Promise<void> {
+    await Promise.all(
+      vms.flatMap((vm) =>
+        keys.map((key) =>
+          this.until(
+            `key ${key} served through ${vm}`,
+            async () => await this.ask(vm, key) !== undefined,
+          )
+        )
+      ),
+    );
+  }
+
+  /** Waits until a condition holds. Errors: rejects after the deadline. */
+  async until(
+    what: string,
+    holds: () => Promise<boolean> | boolean,
+    deadlineMs = DEADLINE_MS,
+  ): Promise<void> {
+    const endMs = performance.now() + deadlineMs;
+    while (!await holds()) {
+      if (performance.now() > endMs) {
+        throw new Error(`Not seen within ${deadlineMs} ms: ${what}`);
+      }
+      await pause(LOOK_EVERY_MS);
+    }
+  }
+
+  /** Waits until the load has had this many more answers. */
+  async untilAnswered(count: number): Promise<void> {
+    const before = this.#answered();
+    await this.until(
+      `${count} more answers`,
+      () => this.#answered() >= before + count,
+    );
+  }
+
+  #answered(): number {
+    return this.records.filter((record) => record.outcome === "answered")
+      .length;
+  }
+}
+
+/** Waits; only to let a fault last, never to judge. */
+export function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+function planOf(options: ProofClusterOptions): DeploymentPlan {
+  const serviceTimeMs = {
+    kind: "fixed",
+    ms: options.serviceTimeMs ?? 5,
+  } as const;
+  return {
+    partner: "kayfa",
+    region: "dakar",
+    zones: ["plateau", "almadies", "medina"],
+    entryVms: options.entryVms ?? 3,
+    services: [
+      {
+        name: KEYED,
+        servers: options.keyedServers ?? 4,
+        slots: 3,
+        keyed: true,
+        checksFences: options.checksFences ?? true,
+        serviceTimeMs,
+      },
+      { name: UNKEYED, servers: 2, slots: 3, keyed: false, serviceTimeMs },
+    ],
+    linkDelayMs: 0,
+    connectionsPerServer: 110,
+    imbalanceWeight: 1,
+    churnWeight: 1,
+  };
+}
--- /dev/null
+++ b/packages/standins/src/proofs/relays.ts
@@ -0,0 +1,44 @@
+/** The relay process of a proof: one link for each port that is relayed. */
+import * as processes from "../processes/mod.ts";
+import type { RelayFaults } from "../relay/relayed_link.ts";
+
+/** Links by name, opened when first asked for. */
+export class Relays {
+  readonly #program: processes.ChildProgram;
+  readonly #links = new Map<string, number>();
+
+  private constructor(program: processes.ChildProgram) {
+    this.#program = program;
+  }
+
+  /** Starts the relay process. */
+  static async start(): Promise<Relays> {
+    return new Relays(await processes.startStandIn("relay/relay_main", {}));
+  }
+
+  /** The port of the link with this name, which leads to `targetPort`. */
+  async portOf(name: string, targetPort: number): Promise<number> {
+    const known = this.#links.get(name);
+    if (known !== undefined) return known;
+    const opened = await processes.postJson(`${this.#url}/links`, {
+      targetPort,
+    }) as { port: number };
+    this.#links.set(name, opened.port);
+    return opened.port;
+  }
+
+  /** Sets the faults of a link. */
+  async setFaults(name: string, faults: RelayFaults): Promise<void> {
+    const port = this.#links.get(name);
+    if (port === undefined) throw new Error(`No link "${name}"; open it first`);
+    await processes.postJson(`${this.#url}/links/${port}/faults`, faults);
+  }
+
+  async stop(): Promise<void> {
+    await this.#program.stop(5000);
+  }
+
+  get #url(): string {
+    return processes.originOf(this.#program.port);
+  }
+}
