--- a/packages/standins/src/deployment/local_deployment.ts
+++ b/packages/standins/src/deployment/local_deployment.ts
@@ -41,9 +41,13 @@
   /** Merged into each backend server's settings. */
   readonly backendSettings?: Partial<BackendSettings>;
   /** Replaces the store's address for entry VMs, for example by a relay. */
-  readonly storeUrlFor?: (vm: string, storeUrl: string) => string;
+  readonly storeUrlFor?: (vm: string, storeUrl: string) => Promise<string>;
   /** Lag of the VM list. */
   readonly vmListLagMs?: number;
+  /** Folder in which each backend server keeps its journal. */
+  readonly journalFolder?: string;
+  /** Replaces a backend server's listed port, for example by a relay's. */
+  readonly listedPortFor?: (server: string, port: number) => Promise<number>;
 }
 
 /** All processes of one deployment. */
@@ -103,7 +107,11 @@
   async startServer(argument: processes.BackendArgument): Promise<LocalServer> {
     const program = await processes.startStandIn(
       "backend_server/backend_main",
-      { ...this.#options.backendSettings, ...argument },
+      {
+        ...this.#options.backendSettings,
+        ...argument,
+        journalFile: this.journalFileOf(argument.server),
+      },
     );
     const server = { argument, program, port: program.port };
     this.servers.set(argument.server, server);
@@ -111,6 +119,13 @@
     return server;
   }
 
+  /** Where a backend server keeps its journal, if it does. */
+  journalFileOf(server: string): string | undefined {
+    const { journalFolder } = this.#options;
+    if (journalFolder === undefined) return undefined;
+    return path.join(journalFolder, `${server}.jsonl`);
+  }
+
   /** Restarts an ended backend server on its old port. */
   async restartServer(id: string): Promise<void> {
     const server = this.servers.get(id)!;
@@ -121,6 +136,7 @@
   async listServer(id: string, state: "live" | "leaving"): Promise<void> {
     const { argument, port } = this.servers.get(id)!;
     const { server, service, zone } = argument;
+    const listedPort = await this.#options.listedPortFor?.(id, port) ?? port;
     await this.#changeList({
       put: [{
         kind: "backend",
@@ -128,7 +144,7 @@
         service,
         zone,
         host: "127.0.0.1",
-        port,
+        port: listedPort,
         state,
       }],
     });
@@ -143,7 +159,7 @@
   async startEntry(vm: string, zone: string): Promise<LocalEntry> {
     const known = this.entries.get(vm);
     const file = path.join(this.#folder, `${vm}.json`);
-    const settings = this.#entrySettings(vm, zone, known?.ports);
+    const settings = await this.#entrySettings(vm, zone, known?.ports);
     fs.writeFileSync(file, JSON.stringify(settings));
     const program = await processes.ChildProgram.start({
       name: vm,
@@ -239,8 +255,12 @@
     return zones[index % zones.length] as contracts.ZoneId;
   }
 
-  #entrySettings(vm: string, zone: string, ports?: wire.EntryPorts): object {
-    const storeUrl = this.#options.storeUrlFor?.(vm, this.storeUrl) ??
+  async #entrySettings(
+    vm: string,
+    zone: string,
+    ports?: wire.EntryPorts,
+  ): Promise<object> {
+    const storeUrl = await this.#options.storeUrlFor?.(vm, this.storeUrl) ??
       this.storeUrl;
     return {
       vm,
