--- a/packages/standins/src/deployment/first_publish.ts
+++ b/packages/standins/src/deployment/first_publish.ts
@@ -1,6 +1,6 @@
 /**
- * Publishes a first configuration before any entry VM runs, through the same
- * drafts and the same publisher that the administration API uses.
+ * Publishes configuration without an entry VM, through the same drafts and
+ * the same publisher that the administration API uses.
  */
 import * as contracts from "@guavatide/contracts";
 import * as configuration from "guavatide/configuration/mod";
@@ -15,6 +15,21 @@
   store: contracts.PlatformStore,
   objects: readonly contracts.ConfigObject[],
 ): Promise<void> {
+  await publishMore(store, objects, { knownRevision: 0 });
+}
+
+/** Options of {@link publishMore}. */
+export interface PublishMoreOptions {
+  /** Highest revision known to be in force. */
+  readonly knownRevision: number;
+}
+
+/** Adds objects and publishes; returns the revision. Errors: rejects. */
+export async function publishMore(
+  store: contracts.PlatformStore,
+  objects: readonly contracts.ConfigObject[],
+  options: PublishMoreOptions,
+): Promise<number> {
   const times = {
     store,
     clock: new MonotonicClock(),
@@ -39,8 +54,9 @@
   const published = await publisher.publish({
     operator: OPERATOR,
     tag: plan.value.tag,
-    knownRevision: 0,
+    knownRevision: options.knownRevision,
     forbidden: () => [],
   });
   if (published.isErr()) throw new Error(published.error.message);
+  return published.value.revision;
 }
--- /dev/null
+++ b/packages/standins/src/proofs/config_marks.ts
@@ -0,0 +1,127 @@
+/**
+ * Tells from outside which configuration an entry VM has in force: each
+ * publish of a proof adds a service, and an entry VM answers for a service
+ * that it does not know with `unknown-service`.
+ */
+import * as contracts from "@guavatide/contracts";
+import * as platform from "guavatide/platform/mod";
+import { publishMore } from "../deployment/first_publish.ts";
+import { pause, type ProofCluster } from "./proof_cluster.ts";
+
+const SAMPLE_EVERY_MS = 50;
+const MISSED_TIMEOUT_MS = 2000;
+
+/** Publishes marks and looks for them at every entry VM. */
+export class ConfigMarks {
+  readonly #cluster: ProofCluster;
+  readonly #store: platform.HttpPlatformStore;
+  /** The highest mark seen at each entry VM. */
+  readonly #seen = new Map<string, Set<string>>();
+  readonly #reverts: string[] = [];
+  readonly #published: string[] = [];
+  readonly #sampling: Promise<void>;
+  #isStopping = false;
+  #revision = 1;
+
+  constructor(cluster: ProofCluster) {
+    this.#cluster = cluster;
+    this.#store = new platform.HttpPlatformStore(cluster.deployment.storeUrl);
+    this.#sampling = this.#sample();
+  }
+
+  /** Publishes a new mark; resolves when the store has acknowledged it. */
+  async publish(mark: string): Promise<void> {
+    this.#revision = await publishMore(this.#store, objectsOf(mark), {
+      knownRevision: this.#revision,
+    });
+    this.#published.push(mark);
+  }
+
+  /** Whether an entry VM has a mark in force; undefined if it is silent. */
+  async has(vm: string, mark: string): Promise<boolean | undefined> {
+    try {
+      const url = `${this.#cluster.deployment.callerUrl(vm)}/s/${mark}/x`;
+      const response = await fetch(url, {
+        signal: AbortSignal.timeout(MISSED_TIMEOUT_MS),
+        headers: { [contracts.TIMEOUT_HEADER]: "50" },
+      });
+      await response.text();
+      const reason = response.headers.get(contracts.REASON_HEADER);
+      return reason !== "unknown-service";
+    } catch {
+      return undefined;
+    }
+  }
+
+  /** Waits until every reachable entry VM has the mark. */
+  async untilEverywhere(mark: string): Promise<void> {
+    await this.#cluster.until(`${mark} in force everywhere`, async () => {
+      const { vms } = this.#cluster;
+      const found = await Promise.all(vms.map((vm) => this.has(vm, mark)));
+      return found.every((has) => has === true);
+    });
+  }
+
+  /** Waits until at least one entry VM has the mark. */
+  async untilSomewhere(mark: string): Promise<void> {
+    await this.#cluster.until(`${mark} in force somewhere`, async () => {
+      const { vms } = this.#cluster;
+      const found = await Promise.all(vms.map((vm) => this.has(vm, mark)));
+      return found.includes(true);
+    });
+  }
+
+  /** Ends the sampling; entry VMs that fell back to an older configuration. */
+  async finish(): Promise<readonly string[]> {
+    this.#isStopping = true;
+    await this.#sampling;
+    await this.#store.close();
+    return this.#reverts;
+  }
+
+  async #sample(): Promise<void> {
+    while (!this.#isStopping) {
+      for (const vm of this.#cluster.vms) await this.#sampleVm(vm);
+      await pause(SAMPLE_EVERY_MS);
+    }
+  }
+
+  async #sampleVm(vm: string): Promise<void> {
+    const seen = this.#seen.get(vm) ?? new Set();
+    this.#seen.set(vm, seen);
+    for (const mark of this.#published) {
+      const has = await this.has(vm, mark);
+      if (has === true) seen.add(mark);
+      if (has === false && seen.has(mark)) {
+        this.#reverts.push(`${vm} no longer has ${mark}`);
+      }
+    }
+  }
+}
+
+function objectsOf(mark: string): contracts.ConfigObject[] {
+  const name = mark as contracts.ServiceId;
+  const partner = "kayfa" as contracts.PartnerId;
+  return [
+    {
+      kind: "service",
+      name,
+      partner,
+      places: ["plateau" as contracts.ZoneId],
+      keyed: false,
+      slotsPerServer: 1,
+      connectionsPerServer: 10,
+      idempotentMethods: ["GET"],
+      timeoutMs: 1000,
+      queueRequests: 1,
+      imbalanceWeight: 1,
+      churnWeight: 1,
+    },
+    {
+      kind: "cost-share",
+      name: `${mark}-split`,
+      service: name,
+      shares: [{ partner, percent: 100 }],
+    },
+  ];
+}
--- a/packages/standins/src/proofs/proofs_main.ts
+++ b/packages/standins/src/proofs/proofs_main.ts
@@ -3,6 +3,7 @@
  * arguments: runs of each scenario, deployments at once, and a word that the
  * names of scenarios must contain.
  */
+import { CONFIG_SCENARIOS } from "./config_scenarios.ts";
 import { LINK_SCENARIOS } from "./link_scenarios.ts";
 import { OWNERSHIP_SCENARIOS } from "./ownership_scenarios.ts";
 import { type ProofRun, runScenarios } from "./proof_runner.ts";
@@ -18,6 +19,7 @@
   ...STORE_SCENARIOS,
   ...SHUTDOWN_SCENARIOS,
   ...LINK_SCENARIOS,
+  ...CONFIG_SCENARIOS,
 ];
 
 function say(line: string): void {
--- /dev/null
+++ b/packages/standins/src/proofs/time_to_serve_main.ts
@@ -0,0 +1,59 @@
+/**
+ * Prints percentiles of the time until a lost server's keys are served again.
+ * Optional argument: losses of each kind.
+ */
+import * as hdr from "hdr-histogram-js";
+import {
+  type KeyGap,
+  type LossKind,
+  measureTimeToServe,
+  type TimeToServe,
+} from "./time_to_serve.ts";
+
+const LOSSES = 10;
+const KINDS: readonly LossKind[] = ["kill", "freeze", "cut"];
+const PARTS: readonly { name: string; of: (gap: KeyGap) => number }[] = [
+  { name: "total", of: (gap) => gap.totalMs },
+  { name: "detect and write", of: (gap) => gap.detectMs },
+  { name: "wait and write", of: (gap) => gap.waitMs },
+  { name: "grant and answer", of: (gap) => gap.grantMs },
+];
+
+function say(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+function sayRows(measured: TimeToServe): void {
+  for (const part of PARTS) {
+    const histogram = hdr.build({ numberOfSignificantValueDigits: 3 });
+    for (const gap of measured.gaps) {
+      histogram.recordValue(Math.max(0, Math.round(part.of(gap))));
+    }
+    const cells = [
+      measured.loss,
+      part.name,
+      measured.losses,
+      measured.gaps.length,
+      ...[50, 90, 99].map((rank) => histogram.getValueAtPercentile(rank)),
+      histogram.maxValue,
+      measured.violations,
+    ];
+    say(`| ${cells.join(" | ")} |`);
+  }
+}
+
+async function main(): Promise<void> {
+  const losses = Number(process.argv[2] ?? LOSSES);
+  const measured = await Promise.all(
+    KINDS.map((kind) => measureTimeToServe(kind, losses)),
+  );
+  say(
+    "| loss | part | losses | keys | p50 ms | p90 ms | p99 ms | max ms | violations |",
+  );
+  say("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+  for (const one of measured) sayRows(one);
+}
+
+await main();
+// Idle connections of the harness would hold the process.
+process.exit();
