--- a/packages/entry/src/ownership/move_task.ts
+++ b/packages/entry/src/ownership/move_task.ts
@@ -13,7 +13,7 @@
 /** Time that listed servers have to answer before the first assignment. */
 const FIRST_MEETING_MS = 3_000;
 const KEEPER_REVIEW_MS = 1_000;
-const LOSS_PLAN_MS = 100;
+const LOSS_PLAN_MS = 50;
 
 /** Where the planner's load figures come from. */
 export interface LoadSource {
@@ -33,10 +33,19 @@
   readonly load: LoadSource;
   /** Servers that run requests of this VM and check no fences. */
   busyServers(): contracts.ServerId[];
+  /** Takes note of each step that the store has acknowledged. */
+  noteSteps(steps: MovedSteps): void;
   /** The service as configured; undefined once it is gone. */
   config(): contracts.Service | undefined;
 }
 
+/** The steps of one acknowledged update of an assignment. */
+export interface MovedSteps {
+  readonly service: contracts.ServiceId;
+  readonly revision: number;
+  readonly steps: readonly ownership.MoveStep[];
+}
+
 /** Moves one service's slices. */
 export class MoveTask {
   readonly #context: ServiceContext;
@@ -319,7 +328,9 @@
         outcome: write.kind,
       });
     }
-    for (const step of isWritten ? effect.steps : []) {
+    if (!isWritten) return;
+    this.#options.noteSteps({ service, revision, steps: effect.steps });
+    for (const step of effect.steps) {
       this.#log.info(`slice ${SENTENCES[step.step]}`, {
         service,
         slice: step.slice,
