--- a/packages/entry/src/ownership/service_ownership.ts
+++ b/packages/entry/src/ownership/service_ownership.ts
@@ -5,14 +5,13 @@
 import { DutyTask } from "./duty_task.ts";
 import { EvidenceTask } from "./evidence_task.ts";
 import { ForwardCounter } from "./forward_counter.ts";
-import { type LoadSource, type MovedSteps, MoveTask } from "./move_task.ts";
+import { type LoadSource, MoveTask } from "./move_task.ts";
 import { OrderTask } from "./order_task.ts";
 import type { ServiceContext } from "./service_context.ts";
 
 /** Options of {@link ServiceOwnership}. */
 export interface ServiceOwnershipOptions {
   readonly load: LoadSource;
-  noteSteps(steps: MovedSteps): void;
   config(): contracts.Service | undefined;
 }
 
