--- a/packages/standins/src/proofs/config_marks.ts
+++ b/packages/standins/src/proofs/config_marks.ts
@@ -6,7 +6,7 @@
 import * as contracts from "@guavatide/contracts";
 import * as platform from "guavatide/platform/mod";
 import { publishMore } from "../deployment/first_publish.ts";
-import { pause, type ProofCluster } from "./proof_cluster.ts";
+import { OPERATOR_TOKEN, pause, type ProofCluster } from "./proof_cluster.ts";
 
 const SAMPLE_EVERY_MS = 50;
 const MISSED_TIMEOUT_MS = 2000;
@@ -37,6 +37,25 @@
     this.#published.push(mark);
   }
 
+  /** Publishes a new mark through an entry VM, as an operator does. */
+  async publishThrough(vm: string, mark: string): Promise<void> {
+    const admin = this.#cluster.administrationUrl(vm);
+    for (const object of objectsOf(mark)) {
+      const path = `/v1/objects/${object.kind}/${object.name}`;
+      await callAdmin(`${admin}${path}`, {
+        method: "PUT",
+        headers: { "if-none-match": "*" },
+        body: JSON.stringify(object),
+      });
+    }
+    const diff = await callAdmin(`${admin}/v1/diff`, { method: "GET" });
+    await callAdmin(`${admin}/v1/publish`, {
+      method: "POST",
+      headers: { "if-match": `"${diff.tag}"` },
+    });
+    this.#published.push(mark);
+  }
+
   /** Whether an entry VM has a mark in force; undefined if it is silent. */
   async has(vm: string, mark: string): Promise<boolean | undefined> {
     try {
@@ -99,6 +118,20 @@
   }
 }
 
+/** An administration call that must succeed. */
+async function callAdmin(
+  url: string,
+  init: RequestInit,
+): Promise<{ tag?: string }> {
+  const response = await fetch(url, {
+    ...init,
+    headers: { ...init.headers, authorization: `Bearer ${OPERATOR_TOKEN}` },
+  });
+  const text = await response.text();
+  if (response.ok) return JSON.parse(text);
+  throw new Error(`"${url}" answered ${response.status}: ${text}`);
+}
+
 function objectsOf(mark: string): contracts.ConfigObject[] {
   const name = mark as contracts.ServiceId;
   const partner = "kayfa" as contracts.PartnerId;
--- a/packages/standins/src/proofs/config_scenarios.ts
+++ b/packages/standins/src/proofs/config_scenarios.ts
@@ -23,6 +23,20 @@
 
 /** Every scenario of this file. */
 export const CONFIG_SCENARIOS: readonly ProofScenario[] = [
+  {
+    // An operator is told that the publish is accepted; at that moment the
+    // store goes away. Only the entry VM that published knows the revision.
+    name: "config-accepted-store-away",
+    invariant: INVARIANTS.configuration,
+    fault: "store down right after a publish was accepted",
+    run: withMarks(async (cluster, marks) => {
+      await marks.publishThrough(cluster.vms[0]!, "mark-1");
+      await cluster.deployment.setFaults("store", { outage: "hang" });
+      await marks.untilEverywhere("mark-1");
+      await cluster.deployment.setFaults("store", { outage: "none" });
+      await marks.untilEverywhere("mark-1");
+    }),
+  },
   {
     // The store is gone as soon as one entry VM has the new revision; the
     // others must hear of it from that one.
--- a/packages/standins/src/proofs/ownership_scenarios.ts
+++ b/packages/standins/src/proofs/ownership_scenarios.ts
@@ -52,6 +52,15 @@
       return [];
     },
   },
+  {
+    // The same, frozen: requests lie in its buffers when it wakes, and it
+    // looks at nothing but their deadline.
+    name: "unfenced-owner-frozen",
+    invariant: INVARIANTS.oneOwner,
+    fault: "owner that checks no fences frozen past its lease, woken",
+    cluster: { checksFences: false },
+    run: freezeOwner,
+  },
   {
     // An entry VM is stopped with orders and requests in hand. Meanwhile the
     // keys of a server move; then it wakes and goes on with what it knew.
--- a/packages/standins/src/proofs/proof_cluster.ts
+++ b/packages/standins/src/proofs/proof_cluster.ts
@@ -5,6 +5,7 @@
  */
 import * as contracts from "@guavatide/contracts";
 import { dutyRecordSchema } from "@guavatide/decisions/ownership/duty";
+import * as crypto from "node:crypto";
 import * as fs from "node:fs";
 import * as os from "node:os";
 import * as path from "node:path";
@@ -31,6 +32,9 @@
   (_, index) => `booth-${index + 1}`,
 );
 
+/** Bearer token with all rights at each entry VM's administration. */
+export const OPERATOR_TOKEN = "operator-of-the-proofs";
+
 const LOOK_EVERY_MS = 25;
 const DEADLINE_MS = 30_000;
 
@@ -77,6 +81,7 @@
       plan: planOf(options),
       journalFolder: folder,
       backendSettings: { queueLimit: 8, drainGraceMs: 3000 },
+      entrySettings: { administration: { tokens: [operatorAccess()] } },
       ...(options.relaysServers === true
         ? {
           listedPortFor: (server: string, port: number) =>
@@ -108,6 +113,12 @@
       .filter((vm) => !this.downVms.has(vm));
   }
 
+  /** Where operators reach an entry VM. */
+  administrationUrl(vm: string): string {
+    const { ports } = this.deployment.entries.get(vm)!;
+    return processes.originOf(ports.administration);
+  }
+
   /** The process of an entry VM. */
   entry(vm: string): processes.ChildProgram {
     return this.deployment.entries.get(vm)!.program;
@@ -337,6 +348,16 @@
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
 
+function operatorAccess(): object {
+  return {
+    tokenSha256: crypto.createHash("sha256").update(OPERATOR_TOKEN)
+      .digest("hex"),
+    operator: "proofs",
+    partners: "*",
+    rights: ["read", "edit", "publish", "drain"],
+  };
+}
+
 function planOf(options: ProofClusterOptions): DeploymentPlan {
   const serviceTimeMs = {
     kind: "fixed",
