fix(requests): treat a busy server's refusal as flow control

At 0.95 of capacity 9 to 12 of 100 requests were refused for an empty retry budget: each bounce off a full server counted as a failure. A bounce now sends the request back to its queue, which paces it by the learned limit and a pause that doubles. A server that is merely silent, with long requests, is back in full after one answered probe. Decisions for the dispatcher's own requests no longer leave the process.

--- a/packages/decisions/src/routing/outlier_ejection.ts
+++ b/packages/decisions/src/routing/outlier_ejection.ts
@@ -27,6 +27,8 @@
   #lastAnswerMs = -Infinity;
   #ejections = 0;
   #ejectedUntilMs = -Infinity;
+  /** Ejected for its silence alone, not for a failed request. */
+  #isMerelySilent = false;
 
   get state(): EjectionState {
     return this.#state;
@@ -61,6 +63,7 @@
     const since = Math.max(oldestSentMs, this.#lastAnswerMs);
     if (nowMs - since < SILENCE_MS) return false;
     this.#ejectFor(0, nowMs);
+    this.#isMerelySilent = true;
     return true;
   }
 
@@ -72,8 +75,9 @@
   }
 
   /**
-   * A probe ended. An answer to a probe shows that the process runs, not that
-   * it serves requests, so the server is then tried with one request.
+   * A probe ended. An answer shows that the process runs, which is all that
+   * was in doubt after a silence: its requests are merely long. It does not
+   * show that requests are served, so after failures one is tried alone.
    */
   noteProbe(isAnswered: boolean, nowMs: number): void {
     if (this.#state !== "probing") return;
@@ -81,7 +85,7 @@
       this.#ejectFor(this.#nextTimeOutMs(), nowMs);
       return;
     }
-    this.#state = "on-trial";
+    this.#state = this.#isMerelySilent ? "in-use" : "on-trial";
     this.#lastAnswerMs = nowMs;
   }
 
@@ -93,6 +97,7 @@
 
   #ejectFor(timeOutMs: number, nowMs: number): void {
     this.#state = "ejected";
+    this.#isMerelySilent = false;
     this.#ejectedUntilMs = nowMs + timeOutMs;
   }
 }
--- a/packages/decisions/src/routing/retry_rule.ts
+++ b/packages/decisions/src/routing/retry_rule.ts
@@ -41,11 +41,9 @@
   failure: FailedAttempt,
   options: DecideRetryOptions,
 ): RetryDecision {
-  // A server that has lost or not yet got a key's slice refuses until it is
-  // told; the request waits for that, at the pace of its queue.
-  const isMoving = failure.kind === "not-run" &&
-    failure.refusal === "not-owner" && options.timeLeftMs >= LEAST_TIME_MS;
-  if (isMoving) return { kind: "retry" };
+  if (isFlowControl(failure) && options.timeLeftMs >= LEAST_TIME_MS) {
+    return { kind: "retry" };
+  }
   const isSafe = failure.kind === "not-run" || options.isIdempotent;
   const isUseful = options.attempts < ATTEMPT_LIMIT &&
     options.hasOtherServer && options.timeLeftMs >= LEAST_TIME_MS;
@@ -57,3 +55,14 @@
     failure: { kind: "not-run", reason: "retry-budget" },
   };
 }
+
+/**
+ * A server that is full, or that has not yet got a key's slice, says so
+ * before it has done any work. The request waits in its queue, which paces
+ * what goes to such a server; it costs nothing of the budget, which is there
+ * to bound what failures multiply.
+ */
+function isFlowControl(failure: FailedAttempt): boolean {
+  if (failure.kind !== "not-run") return false;
+  return failure.refusal === "not-owner" || failure.refusal === "busy";
+}
--- a/packages/decisions/src/routing/retry_rule_test.ts
+++ b/packages/decisions/src/routing/retry_rule_test.ts
@@ -16,6 +16,16 @@
   reason: "refused-by-server",
   refusal: "not-owner",
 };
+const BUSY: FailedAttempt = {
+  kind: "not-run",
+  reason: "refused-by-server",
+  refusal: "busy",
+};
+const COLD: FailedAttempt = {
+  kind: "not-run",
+  reason: "refused-by-server",
+  refusal: "cold",
+};
 const TIMED_OUT: FailedAttempt = {
   kind: "unknown",
   reason: "timeout-after-send",
@@ -83,6 +93,24 @@
     options: { attempts: 9, budget: emptyBudget() },
     expected: "retry",
   },
+  {
+    name: "wait for a full server without touching the budget",
+    failure: BUSY,
+    options: { attempts: 9, budget: emptyBudget() },
+    expected: "retry",
+  },
+  {
+    name: "not wait for a full server beyond the deadline",
+    failure: BUSY,
+    options: { timeLeftMs: 1 },
+    expected: "refused-by-server",
+  },
+  {
+    name: "count a cold server's refusal as a failure",
+    failure: COLD,
+    options: { budget: emptyBudget() },
+    expected: "retry-budget",
+  },
 ];
 
 function emptyBudget(): RetryBudget {
--- a/packages/decisions/src/routing/server_board.ts
+++ b/packages/decisions/src/routing/server_board.ts
@@ -46,10 +46,16 @@
   /** Learned limit of requests in flight. */
   window: number;
   windowCutMs: number;
+  busyPauseMs: number;
 }
 
-/** After `busy`, a server gets nothing for this long. */
-const BUSY_PAUSE_MS = 2;
+/**
+ * After `busy`, a server gets nothing for this long; doubled with each
+ * further refusal until it answers a request.
+ */
+const FIRST_BUSY_PAUSE_MS = 2;
+/** Longest pause after `busy`. */
+const LONGEST_BUSY_PAUSE_MS = 64;
 /** Part of a request by which each answer widens the learned limit. */
 const WINDOW_GROWTH = 0.1;
 /** Refusals within this time count as one. */
@@ -164,7 +170,9 @@
   ): BoardEvent {
     const entry = this.#entry(server, nowMs);
     entry.ejection.noteProbe(isAnswered, nowMs);
-    return entry.ejection.state === "on-trial" ? "on-trial" : undefined;
+    const { state } = entry.ejection;
+    if (state === "in-use") return "returned";
+    return state === "on-trial" ? "on-trial" : undefined;
   }
 
   /** Ejects servers that have gone silent; returns which. */
@@ -185,8 +193,9 @@
   ): void {
     if (refusal === "cold") entry.pausedUntilMs = nowMs + COLD_PAUSE_MS;
     if (refusal !== "busy") return;
-    entry.pausedUntilMs = nowMs + BUSY_PAUSE_MS;
+    entry.pausedUntilMs = nowMs + entry.busyPauseMs;
     if (nowMs - entry.windowCutMs < WINDOW_CUT_INTERVAL_MS) return;
+    entry.busyPauseMs = Math.min(LONGEST_BUSY_PAUSE_MS, entry.busyPauseMs * 2);
     entry.window = Math.max(1, entry.window - 1);
     entry.windowCutMs = nowMs;
   }
@@ -194,6 +203,7 @@
   #widen(entry: Entry): void {
     const grown = entry.window + WINDOW_GROWTH / entry.window;
     entry.window = Math.min(this.#options.localLimit, grown);
+    entry.busyPauseMs = FIRST_BUSY_PAUSE_MS;
   }
 
   #mayTake(entry: Entry, nowMs: number): boolean {
@@ -234,6 +244,7 @@
       pausedUntilMs: -Infinity,
       window: this.#options.localLimit,
       windowCutMs: -Infinity,
+      busyPauseMs: FIRST_BUSY_PAUSE_MS,
     };
     this.#entries.set(server, entry);
     return entry;
--- a/packages/decisions/src/routing/server_board_test.ts
+++ b/packages/decisions/src/routing/server_board_test.ts
@@ -48,6 +48,16 @@
   expect(open(board, 2311)).toEqual([A, B]);
 });
 
+test("should go on with a server whose requests are merely long", () => {
+  const board = createBoard();
+  board.noteSent(A, 100);
+  expect(board.ejectSilent(500)).toEqual([A]);
+  expect(board.tryProbe(A, 500)).toEqual(true);
+  expect(board.noteProbe(A, true, 502)).toEqual("returned");
+  expect(open(board, 503)).toEqual([A, B]);
+  expect(board.ejectSilent(600)).toEqual([]);
+});
+
 test("should lower a server's limit when it says busy and raise it again", () => {
   const board = createBoard();
   const busy = { kind: "refusal", refusal: "busy" } as const;
--- a/packages/entry/src/requests/dispatched_allocator.ts
+++ b/packages/entry/src/requests/dispatched_allocator.ts
@@ -27,10 +27,10 @@
 }
 
 /** Time the dispatcher has to answer an update. */
-const UPDATE_TIMEOUT_MS = 100;
+const UPDATE_TIMEOUT_MS = 250;
 /** Updates on their way at a time; more are gathered into one. */
-const UPDATES_IN_FLIGHT = 4;
-/** Time for which a silent dispatcher is not asked. */
+const UPDATES_IN_FLIGHT = 2;
+/** Interval at which a silent dispatcher is asked again. */
 const SILENT_MS = 1000;
 /** A dispatcher that said nothing for this long while requests wait is asked. */
 const ASK_AGAIN_MS = 50;
@@ -51,7 +51,8 @@
   #ended: messages.SlotEnd[] = [];
   #dispatcher: contracts.VmId | undefined;
   #incarnation: contracts.Incarnation | undefined;
-  #silentUntilMs = -Infinity;
+  #isSilent = false;
+  #askAgainMs = -Infinity;
   #heardMs = -Infinity;
   #updatesInFlight = 0;
   #nextWish = 1;
@@ -72,7 +73,7 @@
     const nowMs = this.#options.clock.nowMs();
     const isAlone = this.#dispatcher === undefined ||
       this.#service.policy !== routing.DISPATCHED_POLICY ||
-      nowMs < this.#silentUntilMs;
+      this.#isSilent;
     if (isAlone) {
       this.#options.fallback.acquire(wish);
       return;
@@ -128,7 +129,11 @@
     const isQuiet = nowMs - this.#heardMs > ASK_AGAIN_MS;
     // Without this a dispatcher that froze after it took a want would hold
     // the request until its deadline.
-    if (this.#wishes.size > 0 && isQuiet) this.#flushSoon();
+    const mustHear = this.#wishes.size > 0 && isQuiet;
+    // No request pays for finding out whether the dispatcher is back.
+    const mustAsk = this.#isSilent && nowMs >= this.#askAgainMs;
+    if (mustAsk) this.#askAgainMs = nowMs + SILENT_MS;
+    if (mustHear || mustAsk) this.#flushSoon();
   }
 
   /** Takes decisions that a dispatcher sent later. */
@@ -193,7 +198,7 @@
     });
     this.#dispatcher = chosen;
     this.#incarnation = undefined;
-    this.#silentUntilMs = -Infinity;
+    this.#isSilent = false;
     this.#startAnew();
   }
 
@@ -240,6 +245,7 @@
       wants: this.#wants,
       withdrawn: this.#withdrawn,
       ended: this.#ended,
+      held: this.#heldNumbers(),
     };
     this.#wants = [];
     this.#withdrawn = [];
@@ -247,6 +253,14 @@
     return update;
   }
 
+  #heldNumbers(): number[] {
+    const numbers: number[] = [];
+    for (const { grant, dispatcher } of this.#held.values()) {
+      if (dispatcher === this.#incarnation) numbers.push(grant);
+    }
+    return numbers;
+  }
+
   async #send(to: contracts.VmId, update: messages.SlotsUpdate): Promise<void> {
     this.#updatesInFlight++;
     const reply = await this.#options.peers.call(
@@ -264,6 +278,7 @@
       this.#noteSilent(update);
       return;
     }
+    if (this.#isSilent) this.#noteBack();
     this.decided(reply);
     const hasMore = this.#wants.length + this.#withdrawn.length +
         this.#ended.length > 0;
@@ -273,12 +288,23 @@
   #noteSilent(update: messages.SlotsUpdate): void {
     // The dispatcher drops an end that it has seen before.
     const ended = [...update.ended, ...this.#ended];
-    this.#silentUntilMs = this.#options.clock.nowMs() + SILENT_MS;
-    this.#options.log.info("Dispatcher is silent; chooses alone.", {
+    this.#askAgainMs = this.#options.clock.nowMs() + SILENT_MS;
+    if (!this.#isSilent) {
+      this.#options.log.info("Dispatcher is silent; chooses alone.", {
+        service: this.#service.name,
+        vm: this.#dispatcher,
+      });
+    }
+    this.#isSilent = true;
+    this.#startAnew();
+    this.#ended = ended;
+  }
+
+  #noteBack(): void {
+    this.#isSilent = false;
+    this.#options.log.info("Dispatcher is back.", {
       service: this.#service.name,
       vm: this.#dispatcher,
     });
-    this.#startAnew();
-    this.#ended = ended;
   }
 }
--- a/packages/entry/src/requests/request_router.ts
+++ b/packages/entry/src/requests/request_router.ts
@@ -238,6 +238,7 @@
     return new SlotDispatcher({
       peers,
       clock: this.#options.clock,
+      onDecided: (decided) => this.#noteDecided(decided),
       createAllocator: (id) => this.#createDispatchedSide(id),
     });
   }
--- a/packages/entry/src/requests/request_run.ts
+++ b/packages/entry/src/requests/request_run.ts
@@ -233,8 +233,10 @@
       return;
     }
     const { server } = slot.address;
-    const isBusyOwner = this.keyHash !== undefined;
-    if (!isBusyOwner) this.tried.add(server);
+    const isBusy = result.kind === "refusal" && result.refusal === "busy";
+    // A key has one owner, and a full server may be free a moment later.
+    const mayAskAgain = this.keyHash !== undefined || isBusy;
+    if (!mayAskAgain) this.tried.add(server);
     if (result.kind === "refusal" && result.refusal === "draining") {
       this.#parts.noteDraining(server);
     }
--- a/packages/entry/src/requests/slot_dispatcher.ts
+++ b/packages/entry/src/requests/slot_dispatcher.ts
@@ -17,6 +17,8 @@
 export interface SlotDispatcherOptions {
   readonly peers: PeerCalls;
   readonly clock: contracts.Clock;
+  /** Takes decisions for requests of this VM itself. */
+  readonly onDecided: (decided: messages.SlotsDecided) => void;
   /** The allocator that serves a service; nothing for an unknown service. */
   readonly createAllocator: (
     service: contracts.ServiceId,
@@ -25,6 +27,11 @@
 
 /** Time a peer has to take decisions, after which its grants are taken back. */
 const DECIDED_TIMEOUT_MS = 200;
+/**
+ * Time after which a grant that its VM does not list as in use is taken back:
+ * the answer that carried it was lost, and the slot would stay empty.
+ */
+const GRANT_SEEN_MS = 500;
 /** Time after its deadline at which a grant that nobody ended is dropped. */
 const GRANT_GRACE_MS = 1000;
 
@@ -32,6 +39,7 @@
 interface Grant {
   readonly vm: contracts.VmId;
   readonly slot: Slot;
+  readonly grantedMs: number;
   readonly expiresMs: number;
 }
 
@@ -111,6 +119,7 @@
     if (update.dispatcher === incarnation) {
       for (const { grant, end } of update.ended) this.#end(grant, end);
     }
+    this.#takeBackLost(update);
     for (const want of update.wants) this.#want(update.vm, want);
     const decided = this.#outbox.get(update.vm) ?? [];
     this.#outbox.delete(update.vm);
@@ -121,6 +130,16 @@
     this.#allocator.configure(service);
   }
 
+  #takeBackLost(update: messages.SlotsUpdate): void {
+    const held = new Set(update.held);
+    const sinceMs = this.#options.clock.nowMs() - GRANT_SEEN_MS;
+    for (const [number, grant] of this.#grants) {
+      const isLost = grant.vm === update.vm && grant.grantedMs < sinceMs &&
+        !held.has(number);
+      if (isLost) this.#end(number, { kind: "abandoned" });
+    }
+  }
+
   refresh(): void {
     const nowMs = this.#options.clock.nowMs();
     for (const [number, grant] of this.#grants) {
@@ -154,7 +173,8 @@
     const grant = this.#nextGrant++;
     const { slot } = decision;
     const expiresMs = wish.deadlineMs + GRANT_GRACE_MS;
-    this.#grants.set(grant, { vm, slot, expiresMs });
+    const grantedMs = this.#options.clock.nowMs();
+    this.#grants.set(grant, { vm, slot, grantedMs, expiresMs });
     const { server } = slot.address;
     this.#post(vm, { kind: "granted", wish: number, grant, server });
   }
@@ -205,6 +225,10 @@
       incarnation: peers.self.incarnation,
       decisions,
     };
+    if (vm === peers.self.vm) {
+      this.#options.onDecided(params);
+      return;
+    }
     const reply = await peers.call(vm, messages.SLOTS_DECIDED_METHOD, {
       params,
       schema: messages.slotsDecidedReplySchema,
--- a/packages/entry/src/requests/slot_messages.ts
+++ b/packages/entry/src/requests/slot_messages.ts
@@ -53,6 +53,8 @@
   wants: z.array(slotWantSchema),
   withdrawn: z.array(z.number().int()),
   ended: z.array(slotEndSchema),
+  /** Every grant of this dispatcher that the sender has in use. */
+  held: z.array(z.number().int()),
 });
 /** What changed at an entry VM since its last update. */
 export type SlotsUpdate = z.infer<typeof slotsUpdateSchema>;
