fix(routing): pace the queue limit by answers, not by grants

A request that bounces off full servers leaves the queue several times; the limit took each as a step forward and let two to three times too many wait.

--- a/packages/decisions/src/routing/limits_test.ts
+++ b/packages/decisions/src/routing/limits_test.ts
@@ -33,10 +33,9 @@
   const limit = new QueueLimit();
   expect(limit.limit(64)).toEqual(64);
   for (let nowMs = 0; nowMs <= 100; nowMs += 5) {
-    limit.noteGranted(nowMs, true);
-    limit.noteAnswered(20);
+    limit.noteAnswered(20, { nowMs, isWaiting: true });
   }
-  // Two attempts of 20 ms at one grant each 5 ms.
+  // Two attempts of 20 ms at one answer each 5 ms.
   expect(limit.limit(64)).toEqual(8);
   expect(limit.drainMs(8)).toEqual(40);
 });
--- a/packages/decisions/src/routing/queue_limit.ts
+++ b/packages/decisions/src/routing/queue_limit.ts
@@ -12,28 +12,35 @@
 const LEAST_WAIT_MS = 10;
 /** Requests that may always wait, so that a pause in load can be bridged. */
 const LEAST_LIMIT = 2;
-/** A longer gap between two grants says that requests were few. */
+/** A longer gap between two answers says nothing of the pace. */
 const LONGEST_GAP_MS = 1000;
 
 /** Learns how quickly a queue drains and bounds its length by that. */
 export class QueueLimit {
   #gapMs: number | undefined;
   #attemptMs: number | undefined;
-  #grantedMs: number | undefined;
+  #answeredMs: number | undefined;
 
-  /** A request left the queue for a server; `isBusy` says that others wait. */
-  noteGranted(nowMs: number, isBusy: boolean): void {
-    const lastMs = this.#grantedMs;
-    this.#grantedMs = isBusy ? nowMs : undefined;
+  /**
+   * An attempt was answered. Only answers are counted: a request that bounces
+   * off full servers leaves the queue often without making it shorter.
+   */
+  noteAnswered(
+    attemptMs: number,
+    options: {
+      readonly nowMs: number;
+      /** Whether requests wait, so that the next answer tells the pace. */
+      readonly isWaiting: boolean;
+    },
+  ): void {
+    const { nowMs, isWaiting } = options;
+    this.#attemptMs = mean(this.#attemptMs, attemptMs);
+    const lastMs = this.#answeredMs;
+    this.#answeredMs = isWaiting ? nowMs : undefined;
     if (lastMs === undefined || nowMs - lastMs > LONGEST_GAP_MS) return;
     this.#gapMs = mean(this.#gapMs, nowMs - lastMs);
   }
 
-  /** An attempt was answered after this time. */
-  noteAnswered(attemptMs: number): void {
-    this.#attemptMs = mean(this.#attemptMs, attemptMs);
-  }
-
   /** Requests that may wait, at most `mostRequests`. */
   limit(mostRequests: number): number {
     if (this.#gapMs === undefined || this.#attemptMs === undefined) {
--- a/packages/entry/src/requests/local_allocator.ts
+++ b/packages/entry/src/requests/local_allocator.ts
@@ -62,7 +62,11 @@
   release(slot: Slot, end: routing.AttemptEnd): void {
     const nowMs = this.#options.clock.nowMs();
     const { server } = slot.address;
-    if (end.kind === "answer") this.#limit.noteAnswered(nowMs - slot.sentMs);
+    if (end.kind === "answer") {
+      const isWaiting = this.#lane.size > 0;
+      const attemptMs = nowMs - slot.sentMs;
+      this.#limit.noteAnswered(attemptMs, { nowMs, isWaiting });
+    }
     const event = this.#board.noteEnd(server, slot.sentMs, { end, nowMs });
     if (event !== undefined) this.#noteEvent(server, event);
     this.#pump();
@@ -125,7 +129,6 @@
       return false;
     }
     this.#lane.shift();
-    this.#limit.noteGranted(nowMs, this.#lane.size > 0);
     this.#board.noteSent(chosen.server, nowMs);
     const address = live.find((it) => it.server === chosen.server)!;
     wish.granted({ address, sentMs: nowMs });
