--- /dev/null
+++ b/packages/entry/src/metrics/counted_moves.ts
@@ -0,0 +1,39 @@
+/**
+ * Counts the steps of moves on their way to the journal: churn by reason, and
+ * how long each slice was without an owner.
+ */
+import type * as contracts from "@guavatide/contracts";
+import type { MoveStep } from "@guavatide/decisions/ownership/mod";
+import type { MovedSteps, MoveRecord } from "../ownership/service_context.ts";
+import type { Metrics } from "./metrics.ts";
+
+/** A record of moves that is counted. */
+export class CountedMoves implements MoveRecord {
+  readonly #record: MoveRecord;
+  readonly #metrics: Metrics;
+  readonly #vacatedAtMs = new Map<string, number>();
+
+  constructor(record: MoveRecord, metrics: Metrics) {
+    this.#record = record;
+    this.#metrics = metrics;
+  }
+
+  noteSteps(moved: MovedSteps): void {
+    this.#record.noteSteps(moved);
+    for (const step of moved.steps) this.#count(moved.service, step);
+  }
+
+  #count(service: contracts.ServiceId, step: MoveStep): void {
+    this.#metrics.sliceMoves.add(1, { service, step: step.step });
+    const name = `${service}/${step.slice}`;
+    if (step.step === "vacate") {
+      this.#vacatedAtMs.set(name, performance.now());
+      return;
+    }
+    const sinceMs = this.#vacatedAtMs.get(name);
+    if (sinceMs === undefined) return;
+    this.#vacatedAtMs.delete(name);
+    const unavailableMs = performance.now() - sinceMs;
+    this.#metrics.sliceUnavailableMs.record(unavailableMs, { service });
+  }
+}
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -3,18 +3,24 @@
  * else constructs tasks.
  */
 import type * as contracts from "@guavatide/contracts";
+import * as contractsValues from "@guavatide/contracts";
 import * as decisions from "@guavatide/decisions";
-import * as ownership from "@guavatide/decisions/ownership/key_hash";
+import * as ownership from "@guavatide/decisions/ownership/mod";
 import * as neverthrow from "neverthrow";
-import * as links from "./links/server_links.ts";
+import * as administration from "./administration/mod.ts";
+import * as configuration from "./configuration/mod.ts";
+import * as linkParts from "./links/server_links.ts";
+import { LoadTask } from "./loads/load_task.ts";
+import { CountedMoves } from "./metrics/counted_moves.ts";
+import { observeState } from "./metrics/observe_state.ts";
 import * as metricsParts from "./metrics/metrics.ts";
+import { MeteredStore } from "./metrics/metered_store.ts";
 import { MetricsDoor } from "./metrics/metrics_door.ts";
 import { requestMetricsOf } from "./metrics/request_metrics_of.ts";
+import * as ownershipTasks from "./ownership/mod.ts";
 import * as platform from "./platform/mod.ts";
 import * as requests from "./requests/mod.ts";
 import * as settingsParts from "./settings/mod.ts";
-import { ThinConfig } from "./thin/thin_config.ts";
-import { ThinOwnership } from "./thin/thin_ownership.ts";
 import { MonotonicClock, SystemRandom } from "./utils/clock.ts";
 import { LifeCycle } from "./utils/life_cycle.ts";
 import * as logParts from "./utils/log.ts";
@@ -25,6 +31,7 @@
 
 /** Beats that fit into the time a peer has to answer one. */
 const HEARTBEAT_TIMEOUT_BEATS = 2;
+const PLATFORM_STOP_TIMEOUT_MS = 1_000;
 
 /** Why an entry process did not start. */
 export interface StartError {
@@ -56,8 +63,13 @@
     const { message } = secret.error;
     return neverthrow.errAsync({ kind: "settings-file", message });
   }
+  const certificates = settingsParts.readCertificates(settings);
+  if (certificates.isErr()) {
+    const { message } = certificates.error;
+    return neverthrow.errAsync({ kind: "settings-file", message });
+  }
   return neverthrow.ResultAsync.fromPromise(
-    start(settings, secret.value),
+    start(settings, secret.value, certificates.value),
     toStartError,
   );
 }
@@ -65,114 +77,306 @@
 async function start(
   settings: settingsParts.Settings,
   secret: string,
+  tls: settingsParts.DoorCertificates,
 ): Promise<Entry> {
+  const base = createBase(settings, secret, tls);
+  const { lifeCycle, directory, metrics } = base;
+  // First to open and so last to close: it says until the end that the
+  // process is not ready, and why.
+  const metricsPort = await createMetricsDoor(base).listen(lifeCycle);
+  const vms = await createVms(base);
+  const config = await createConfiguration(base, vms);
+  const hasher = await ownership.KeyHasher.create();
+  const moves = administration.createMoveJournal(administrationBase(base));
+  const { owners, loads } = createOwnership(base, {
+    ...vms,
+    config,
+    hasher,
+    moves,
+  });
+  const listener = createRequests(base, {
+    ...vms,
+    config,
+    hasher,
+    owners,
+    loads,
+  });
+  observeState(metrics, { config, owners, membership: vms.membership });
+
+  await directory.start(lifeCycle);
+  config.start(lifeCycle);
+  vms.peers.start(lifeCycle);
+  owners.start(lifeCycle);
+  loads.start(lifeCycle);
+  const administrationPort = await administration.startAdministration({
+    ...administrationBase(base),
+    config,
+    servers: directory,
+    owners,
+    ownership: {
+      assignment: (service) => owners.assignment(service),
+      hashOf: (key) => hasher.hash(key),
+    },
+    moves,
+    certificate: tls.administration,
+  }, lifeCycle);
+  const ports = {
+    callers: await listener.listen(),
+    peers: vms.peerPort,
+    administration: administrationPort,
+    metrics: metricsPort,
+  };
+  base.ready.reason = () =>
+    config.revision > 0 ? undefined : "No configuration in force yet";
+  base.log.part("main").info("entry process ready", {
+    vm: settings.vm,
+    ...ports,
+  });
+  return { ports, stop: () => stop(base) };
+}
+
+/** What every part of the process is built from. */
+interface Base {
+  readonly settings: settingsParts.Settings;
+  readonly secret: string;
+  readonly tls: settingsParts.DoorCertificates;
+  readonly log: logParts.Log;
+  readonly lifeCycle: LifeCycle;
+  readonly clock: contracts.Clock;
+  readonly random: contracts.RandomSource;
+  readonly self: {
+    readonly vm: contracts.VmId;
+    readonly incarnation: contracts.Incarnation;
+  };
+  readonly metrics: metricsParts.Metrics;
+  readonly store: contracts.PlatformStore;
+  readonly directory: ServerDirectory;
+  /** Why the process is not ready; undefined when it is. */
+  readonly ready: { reason(): string | undefined };
+}
+
+function createBase(
+  settings: settingsParts.Settings,
+  secret: string,
+  tls: settingsParts.DoorCertificates,
+): Base {
   const log = logParts.createLog(settings.log);
-  const mainLog = log.part("main");
   const lifeCycle = new LifeCycle();
-  const clock = new MonotonicClock();
-  const random = new SystemRandom();
-  const incarnation = crypto.randomUUID() as contracts.Incarnation;
-  const self = { vm: settings.vm, incarnation };
   const metrics = new metricsParts.Metrics();
-
   const store = new platform.HttpPlatformStore(settings.platform.storeUrl);
   const vmList = new platform.HttpVmList(settings.platform.vmListUrl);
-  const directory = new ServerDirectory({
-    vmList,
-    pollIntervalMs: settings.timings.vmListMs,
-    log: log.part("member"),
+  lifeCycle.onStop({
+    name: "links to the platform",
+    timeoutMs: PLATFORM_STOP_TIMEOUT_MS,
+    run: async () => {
+      await Promise.all([store.close(), vmList.close()]);
+    },
   });
+  return {
+    settings,
+    secret,
+    tls,
+    log,
+    lifeCycle,
+    clock: new MonotonicClock(),
+    random: new SystemRandom(),
+    self: {
+      vm: settings.vm,
+      incarnation: crypto.randomUUID() as contracts.Incarnation,
+    },
+    metrics,
+    store: new MeteredStore(store, metrics),
+    directory: new ServerDirectory({
+      vmList,
+      pollIntervalMs: settings.timings.vmListMs,
+      log: log.part("member"),
+    }),
+    ready: { reason: () => "The process starts" },
+  };
+}
+
+/** Other entry VMs, as this process knows and calls them. */
+interface Vms {
+  readonly membership: decisions.Membership;
+  readonly door: PeerDoor;
+  readonly peers: PeerTask;
+  readonly peerPort: number;
+}
 
+async function createVms(base: Base): Promise<Vms> {
+  const { settings, secret, tls, self, random, clock, log } = base;
+  const { timings, host } = settings;
   const membership = new decisions.Membership({
     ...decisions.DEFAULT_MEMBERSHIP,
     vm: settings.vm,
     random,
-    beatMs: settings.timings.heartbeatMs,
+    beatMs: timings.heartbeatMs,
   });
   const door = new PeerDoor({
-    host: settings.host,
+    host,
     port: settings.ports.peers,
     secret,
+    tls: tls.peers,
   });
-  const peerPort = await door.listen(lifeCycle);
+  const peerPort = await door.listen(base.lifeCycle);
   const peers = new PeerTask({
-    self: { ...self, zone: settings.zone, host: settings.host, peerPort },
+    self: { ...self, zone: settings.zone, host, peerPort },
     secret,
-    heartbeatMs: settings.timings.heartbeatMs,
-    heartbeatTimeoutMs: settings.timings.heartbeatMs * HEARTBEAT_TIMEOUT_BEATS,
+    tls: tls.peers,
+    heartbeatMs: timings.heartbeatMs,
+    heartbeatTimeoutMs: timings.heartbeatMs * HEARTBEAT_TIMEOUT_BEATS,
     door,
     membership,
     clock,
     log: log.part("member"),
   });
-  directory.onList((vms) => peers.noteList(vms));
+  base.directory.onList((vms) => peers.noteList(vms));
+  return { membership, door, peers, peerPort };
+}
 
-  const config = new ThinConfig(store);
-  const owners = new ThinOwnership({
-    ...self,
+async function createConfiguration(
+  base: Base,
+  vms: Vms,
+): Promise<configuration.ConfigTask> {
+  const { settings, store, clock, random, directory } = base;
+  const { timings } = settings;
+  const config = new configuration.ConfigTask({
+    vm: settings.vm,
     store,
-    config,
+    peers: new configuration.PeerTaskConfigSource({
+      vm: settings.vm,
+      clock,
+      ...vms,
+    }),
+    choice: await decisions.createWatcherChoice(),
+    clock,
+    random,
+    log: base.log.part("config"),
+    watchWaitMs: timings.watchWaitMs,
+    compareMs: timings.configCompareMs,
+    settleMs: timings.configSettleMs,
+    storeTimeoutMs: settings.platform.storeTimeoutMs,
+    peerTimeoutMs: settings.platform.storeTimeoutMs,
+  });
+  config.onApplied(() =>
+    directory.setOperatorDrains(config.drains().map((drain) => drain.server))
+  );
+  return config;
+}
+
+interface OwnershipParts extends Vms {
+  readonly config: configuration.ConfigTask;
+  readonly hasher: ownership.KeyHasher;
+  readonly moves: administration.MoveJournal;
+}
+
+interface Ownership {
+  readonly owners: ownershipTasks.OwnershipTask;
+  readonly loads: LoadTask;
+}
+
+function createOwnership(base: Base, parts: OwnershipParts): Ownership {
+  const { settings, self, clock, directory } = base;
+  const { membership, peers, door } = parts;
+  const peerView = new ownershipTasks.MembershipPeerView({
+    self,
+    membership,
+    peers,
+    clock,
+    pushTimeoutMs: settings.timings.evidenceMs,
+  });
+  directory.onList((vms) => peerView.noteList(vms));
+  const loads = new LoadTask({ self, peers, door, clock });
+  const owners = new ownershipTasks.OwnershipTask({
+    timings: ownershipTimingsOf(settings),
+    clock,
+    random: base.random,
+    hasher: parts.hasher,
+    log: base.log,
+    store: base.store,
+    config: parts.config,
     servers: directory,
+    moveRecord: new CountedMoves(parts.moves, base.metrics),
+    peers: peerView,
     connect: (address) =>
       new platform.HttpBackendControl(`http://${address.host}:${address.port}`),
-    log: log.part("owner"),
+    load: (service) => loads.source(service),
   });
+  loads.follow(owners);
+  peers.join(owners);
+  peers.join(loads);
+  door.register(
+    ownershipTasks.ASSIGNMENT_METHOD,
+    contractsValues.assignmentSchema,
+    (assignment) => owners.takePushed(assignment),
+  );
+  return { owners, loads };
+}
 
-  const hasher = await ownership.KeyHasher.create();
-  const peerCalls = peerCallsOf(peers, { self, door, membership, clock });
+interface RequestParts extends Vms, Ownership {
+  readonly config: configuration.ConfigTask;
+  readonly hasher: ownership.KeyHasher;
+}
+
+function createRequests(
+  base: Base,
+  parts: RequestParts,
+): requests.CallerListener {
+  const { settings, self, clock, lifeCycle } = base;
+  const { membership, door, hasher, loads } = parts;
+  const peerCalls = peerCallsOf(parts.peers, { self, door, membership, clock });
   const router = new requests.RequestRouter({
-    config,
-    servers: directory,
-    owners,
-    links: new links.ServerLinks(links.SERVER_LINKS_DEFAULTS, lifeCycle),
+    config: parts.config,
+    servers: base.directory,
+    owners: parts.owners,
+    links: new linkParts.ServerLinks(
+      linkParts.SERVER_LINKS_DEFAULTS,
+      lifeCycle,
+    ),
     hashKey: (key) => hasher.hash(key),
     entryVmCount: () => peerCalls.members().length,
     clock,
-    random,
-    log,
+    random: base.random,
+    log: base.log,
     lifeCycle,
-    metrics: requestMetricsOf(metrics),
+    metrics: {
+      ...requestMetricsOf(base.metrics),
+      keyedWork: (work) => loads.record(work),
+    },
     longestTimeoutMs: requests.REQUEST_DEFAULTS.longestTimeoutMs,
     peers: peerCalls,
   });
-  const listener = new requests.CallerListener({
+  return new requests.CallerListener({
     settings: requestSettingsOf(settings),
+    tls: base.tls.callers,
     clock,
     lifeCycle,
     route: (request) => router.route(request),
   });
-  const metricsDoor = new MetricsDoor({
-    host: settings.host,
-    port: settings.ports.metrics,
-    metrics,
-    notReadyReason: () => {
-      if (lifeCycle.isStopping) return "The process stops";
-      return config.revision > 0 ? undefined : "No configuration in force yet";
-    },
+}
+
+function createMetricsDoor(base: Base): MetricsDoor {
+  return new MetricsDoor({
+    host: base.settings.host,
+    port: base.settings.ports.metrics,
+    metrics: base.metrics,
+    tls: base.tls.metrics,
+    notReadyReason: () =>
+      base.lifeCycle.isStopping ? "The process stops" : base.ready.reason(),
   });
+}
 
-  await directory.start(lifeCycle);
-  await config.start(lifeCycle);
-  peers.start(lifeCycle);
-  owners.start(lifeCycle);
-  const ports = {
-    callers: await listener.listen(),
-    peers: peerPort,
-    administration: 0,
-    metrics: await metricsDoor.listen(lifeCycle),
-  };
-  mainLog.info("entry process ready", { vm: settings.vm, ...ports });
-  return {
-    ports,
-    stop: async () => {
-      const report = await lifeCycle.stop();
-      await Promise.all([store.close(), vmList.close()]);
-      for (const { name, reason } of report.failed) {
-        mainLog.warn("a part did not stop cleanly", { name, reason });
-      }
-      mainLog.info("entry process stopped", { vm: settings.vm });
-    },
-  };
+function administrationBase({ settings, store, clock, log }: Base) {
+  return { settings, store, clock, log: log.part("admin") };
+}
+
+async function stop({ lifeCycle, log, settings }: Base): Promise<void> {
+  const report = await lifeCycle.stop();
+  const mainLog = log.part("main");
+  for (const { name, reason } of report.failed) {
+    mainLog.warn("a part did not stop cleanly", { name, reason });
+  }
+  mainLog.info("entry process stopped", { vm: settings.vm });
 }
 
 function requestSettingsOf(
@@ -194,6 +398,16 @@
   };
 }
 
+function ownershipTimingsOf(
+  { timings, platform }: settingsParts.Settings,
+): ownershipTasks.OwnershipTimings {
+  return {
+    ...ownership.DEFAULT_OWNERSHIP_SETTINGS,
+    ...timings,
+    storeTimeoutMs: platform.storeTimeoutMs,
+  };
+}
+
 function toStartError(error: unknown): StartError {
   if ((error as { code?: string }).code === "EADDRINUSE") {
     const message = `${String(error)}: choose another port in the settings, ` +
--- a/packages/standins/src/bench/bench_entry_main.ts
+++ b/packages/standins/src/bench/bench_entry_main.ts
@@ -134,6 +134,7 @@
       ejected: () => {
         this.#counts.ejections++;
       },
+      keyedWork: () => {},
     };
   }
 }
