--- a/packages/decisions/src/placement/apply_changes.ts
+++ b/packages/decisions/src/placement/apply_changes.ts
@@ -1,6 +1,6 @@
 /** Foresees an assignment once all changes of a plan are through. */
 import * as contracts from "@guavatide/contracts";
-import type { PlannedChange } from "./changes.ts";
+import type { ChangeRequest } from "../ownership/moves.ts";
 
 /**
  * The slices after the changes, in order of `fromHash`, as if every move were
@@ -8,7 +8,7 @@
  */
 export function applyChanges(
   slices: readonly contracts.Slice[],
-  changes: readonly PlannedChange[],
+  changes: readonly ChangeRequest[],
 ): contracts.Slice[] {
   const byStart = new Map(slices.map((slice) => [slice.fromHash, slice]));
   for (const change of changes) {
@@ -23,7 +23,7 @@
 function applyChange(
   byStart: Map<number, contracts.Slice>,
   slice: contracts.Slice,
-  change: PlannedChange,
+  change: ChangeRequest,
 ): void {
   if (change.kind === "move") {
     byStart.set(slice.fromHash, {
--- a/packages/decisions/src/placement/merge_rule.ts
+++ b/packages/decisions/src/placement/merge_rule.ts
@@ -3,7 +3,7 @@
  * bounded while hot spots come and go.
  */
 import * as contracts from "@guavatide/contracts";
-import type { PlannedChange } from "./changes.ts";
+import type { ChangeRequest } from "../ownership/moves.ts";
 import type { WorkingSet, WorkingSlice } from "./working_set.ts";
 
 /** Options of {@link mergeColdSlices}. */
@@ -19,8 +19,8 @@
 export function mergeColdSlices(
   set: WorkingSet,
   options: MergeOptions,
-): PlannedChange[] {
-  const changes: PlannedChange[] = [];
+): ChangeRequest[] {
+  const changes: ChangeRequest[] = [];
   for (let i = 1; i < set.slices.length; i++) {
     const first = set.slices[i - 1]!;
     const second = set.slices[i]!;
@@ -54,7 +54,7 @@
   set: WorkingSet,
   first: WorkingSlice,
   second: WorkingSlice,
-): PlannedChange {
+): ChangeRequest {
   const joined: WorkingSlice = {
     ...first,
     toHash: second.toHash,
@@ -81,7 +81,7 @@
   set: WorkingSet,
   [first, second]: readonly [WorkingSlice, WorkingSlice],
   { narrowHashes }: MergeOptions,
-): PlannedChange | undefined {
+): ChangeRequest | undefined {
   const isNarrow = (slice: WorkingSlice) =>
     slice.toHash - slice.fromHash <= narrowHashes;
   if (!isNarrow(first) && !isNarrow(second)) return undefined;
--- a/packages/decisions/src/placement/mod.ts
+++ b/packages/decisions/src/placement/mod.ts
@@ -1,6 +1,5 @@
 /** Which server should own which slice of a keyed service. */
 export * from "./apply_changes.ts";
-export * from "./changes.ts";
 export * from "./hot_keys.ts";
 export * from "./load_book.ts";
 export * from "./load_tracker.ts";
--- a/packages/decisions/src/placement/move_rule.ts
+++ b/packages/decisions/src/placement/move_rule.ts
@@ -1,13 +1,13 @@
 /** Moves of slices: off servers that go, and from full to empty servers. */
 import * as contracts from "@guavatide/contracts";
-import type { PlannedChange } from "./changes.ts";
+import type { ChangeRequest } from "../ownership/moves.ts";
 import type { PlacementSettings } from "./placement_settings.ts";
 import { ServerQueue } from "./server_queue.ts";
 import { percent } from "./split_rule.ts";
 import type { WorkingServer, WorkingSet, WorkingSlice } from "./working_set.ts";
 
 /** Takes every slice off servers that are lost or leaving. Unlimited. */
-export function clearServers(set: WorkingSet): PlannedChange[] {
+export function clearServers(set: WorkingSet): ChangeRequest[] {
   if (set.live.length === 0) return [];
   const homeless = [...set.servers.values()]
     .filter((server) => server.state !== "live")
@@ -44,8 +44,8 @@
 export function evenOut(
   set: WorkingSet,
   { settings, maxMoves }: EvenOutOptions,
-): PlannedChange[] {
-  const changes: PlannedChange[] = [];
+): ChangeRequest[] {
+  const changes: ChangeRequest[] = [];
   const fullest = new ServerQueue(set.live, (server) => -set.relative(server));
   const emptiest = new ServerQueue(set.live, (server) => set.fullness(server));
   while (changes.length < maxMoves) {
@@ -118,7 +118,7 @@
   slice: WorkingSlice,
   to: WorkingServer,
   reason: string,
-): PlannedChange {
+): ChangeRequest {
   return {
     kind: "move",
     slice: contracts.sliceIdOf(slice),
--- a/packages/decisions/src/placement/planner.ts
+++ b/packages/decisions/src/placement/planner.ts
@@ -6,7 +6,7 @@
  * changes take effect by conditional updates.
  */
 import * as contracts from "@guavatide/contracts";
-import type { PlannedChange } from "./changes.ts";
+import type { ChangeRequest } from "../ownership/moves.ts";
 import type { LoadEstimate } from "./load_book.ts";
 import * as mergeRule from "./merge_rule.ts";
 import * as moveRule from "./move_rule.ts";
@@ -17,7 +17,7 @@
 /** What to change, and the figures that led to it. */
 export interface Plan {
   /** In this order; each builds on those before. */
-  readonly changes: readonly PlannedChange[];
+  readonly changes: readonly ChangeRequest[];
   /** Fullest server's load against the fair one, before the plan. */
   readonly imbalance: number;
   /** The same as expected after the plan. */
@@ -85,7 +85,7 @@
     );
   }
 
-  #planLosses(input: PlacementInput, set: WorkingSet): PlannedChange[] {
+  #planLosses(input: PlacementInput, set: WorkingSet): ChangeRequest[] {
     const changes = this.#planReturns(set);
     this.#rememberHomes(input, set);
     changes.push(...moveRule.clearServers(set));
@@ -96,8 +96,8 @@
    * A server that restarted and is back before its slices were given on keeps
    * them: the wait goes on as before, and no key changes owner for it.
    */
-  #planReturns(set: WorkingSet): PlannedChange[] {
-    const changes: PlannedChange[] = [];
+  #planReturns(set: WorkingSet): ChangeRequest[] {
+    const changes: ChangeRequest[] = [];
     if (this.#homes.size === 0) return changes;
     for (const slice of set.slices) {
       const home = this.#homes.get(slice.fromHash);
@@ -127,7 +127,7 @@
     if (this.#homes.size > 2 * input.slices.length) this.#homes.clear();
   }
 
-  #planMerges(set: WorkingSet): PlannedChange[] {
+  #planMerges(set: WorkingSet): ChangeRequest[] {
     const { mergeShare, minSlicesPerServer } = this.#settings;
     return mergeRule.mergeColdSlices(set, {
       mergeShare,
@@ -137,7 +137,7 @@
     });
   }
 
-  #planSplits(set: WorkingSet, input: PlacementInput): PlannedChange[] {
+  #planSplits(set: WorkingSet, input: PlacementInput): ChangeRequest[] {
     const { splitShare, maxSlicesPerServer } = this.#settings;
     return splitRule.splitHotSlices(set, {
       splitShare,
@@ -147,7 +147,7 @@
     });
   }
 
-  #planMoves(set: WorkingSet): PlannedChange[] {
+  #planMoves(set: WorkingSet): ChangeRequest[] {
     const { movesPerServer } = this.#settings;
     const maxMoves = Math.ceil(movesPerServer * set.live.length);
     return moveRule.evenOut(set, {
@@ -180,7 +180,7 @@
 
   #finish(
     nowMs: number,
-    made: { set: WorkingSet; before: number; changes: PlannedChange[] },
+    made: { set: WorkingSet; before: number; changes: ChangeRequest[] },
   ): Plan {
     for (const change of made.changes) this.#noteChanged(change, nowMs);
     return {
@@ -191,7 +191,7 @@
     };
   }
 
-  #noteChanged(change: PlannedChange, nowMs: number): void {
+  #noteChanged(change: ChangeRequest, nowMs: number): void {
     const fromHash = Number.parseInt(change.slice, 16);
     // A split part may be moved at once: that is what it was split for.
     if (change.kind !== "split") this.#changedAtMs.set(fromHash, nowMs);
--- a/packages/decisions/src/placement/planner_test.ts
+++ b/packages/decisions/src/placement/planner_test.ts
@@ -2,6 +2,7 @@
 import { expect } from "earl";
 import * as fc from "fast-check";
 import { test } from "node:test";
+import type { ChangeRequest } from "../ownership/moves.ts";
 import * as placement from "./mod.ts";
 
 type ServerState = placement.PlacementServer["state"];
@@ -68,8 +69,8 @@
     return plan;
   }
 
-  run(ticks: number): placement.PlannedChange[] {
-    const changes: placement.PlannedChange[] = [];
+  run(ticks: number): ChangeRequest[] {
+    const changes: ChangeRequest[] = [];
     for (let i = 0; i < ticks; i++) changes.push(...this.tick().changes);
     return changes;
   }
@@ -99,7 +100,7 @@
   }
 }
 
-function movesOf(changes: readonly placement.PlannedChange[]) {
+function movesOf(changes: readonly ChangeRequest[]) {
   return changes.filter((change) => change.kind === "move");
 }
 
--- a/packages/decisions/src/placement/split_rule.ts
+++ b/packages/decisions/src/placement/split_rule.ts
@@ -3,7 +3,7 @@
  * split moves nothing by itself.
  */
 import * as contracts from "@guavatide/contracts";
-import type { PlannedChange } from "./changes.ts";
+import type { ChangeRequest } from "../ownership/moves.ts";
 import type { WorkingSet, WorkingSlice } from "./working_set.ts";
 
 /** A key and its part of the service's load. */
@@ -25,8 +25,8 @@
 export function splitHotSlices(
   set: WorkingSet,
   options: SplitOptions,
-): PlannedChange[] {
-  const changes: PlannedChange[] = [];
+): ChangeRequest[] {
+  const changes: ChangeRequest[] = [];
   const hot = set.slices
     .filter((slice) => isHot(set, slice, options))
     .sort((a, b) => a.weight - b.weight);
--- a/packages/decisions/src/placement/working_set.ts
+++ b/packages/decisions/src/placement/working_set.ts
@@ -32,6 +32,8 @@
   readonly keyShare: number;
   /** Changed in this plan or not long ago. */
   isCooling: boolean;
+  /** Place in its server's list. */
+  position: number;
 }
 
 /** A zone's sums. */
@@ -47,7 +49,8 @@
   readonly zone: WorkingZone;
   /** Part of all live servers' capacity; 0 when it must own nothing. */
   readonly capacityShare: number;
-  readonly slices: Set<WorkingSlice>;
+  /** In no order; a list, since plans at large sizes fill it each time. */
+  readonly slices: WorkingSlice[];
   weight: number;
 }
 
@@ -119,13 +122,19 @@
   }
 
   #take(slice: WorkingSlice): void {
-    slice.server.slices.delete(slice);
+    const { slices } = slice.server;
+    const last = slices.pop()!;
+    if (last !== slice) {
+      slices[slice.position] = last;
+      last.position = slice.position;
+    }
     slice.server.weight -= slice.weight;
     slice.server.zone.weight -= slice.weight;
   }
 
   #give(slice: WorkingSlice): void {
-    slice.server.slices.add(slice);
+    slice.position = slice.server.slices.length;
+    slice.server.slices.push(slice);
     slice.server.weight += slice.weight;
     slice.server.zone.weight += slice.weight;
   }
@@ -154,7 +163,7 @@
     id: contracts.ServerId,
     from: Pick<WorkingServer, "state" | "zone" | "capacityShare">,
   ): WorkingServer {
-    const server = { ...from, id, slices: new Set<WorkingSlice>(), weight: 0 };
+    const server = { ...from, id, slices: [], weight: 0 };
     this.servers.set(id, server);
     if (server.capacityShare > 0) this.live.push(server);
     return server;
@@ -181,6 +190,7 @@
         weight: widthWeight * keyShare + (1 - widthWeight) * loadShare,
         keyShare,
         isCooling: state === "vacating" || isCooling(fromHash),
+        position: 0,
       };
       this.slices.push(working);
       this.#give(working);
--- /dev/null
+++ b/packages/standins/src/measure/placement/planner_cost.ts
@@ -0,0 +1,137 @@
+/** Time and memory of one plan as servers and slices grow. */
+import * as contracts from "@guavatide/contracts";
+import * as ownership from "@guavatide/decisions/ownership/mod";
+import * as placement from "@guavatide/decisions/placement/mod";
+import * as trace from "./trace.ts";
+
+/** Cost of planning for one number of servers. */
+export interface PlannerCost {
+  readonly servers: number;
+  readonly slices: number;
+  readonly hotKeys: number;
+  /** First plan, with code not yet compiled and the hot keys all new. */
+  readonly firstPlanMs: number;
+  readonly medianPlanMs: number;
+  readonly slowestPlanMs: number;
+  /** A plan for one lost server. */
+  readonly lossPlanMs: number;
+  /** Slices and reports held between plans, without the plan's own use. */
+  readonly heldMb: number;
+  /** Heap in use right after a plan, before it is collected. */
+  readonly peakMb: number;
+  /** Plans, at one every five seconds, until no server is above 1.3. */
+  readonly plansToEven: number;
+  readonly assignmentJsonBytes: number;
+}
+
+const PLANS = 25;
+const PLAN_EVERY_MS = 5000;
+const EVEN = 1.3;
+
+/** Plans for `servers` while `hotKeys` keys have just become hot. */
+export function measurePlannerCost(
+  servers: number,
+  hotKeys: number,
+): PlannerCost {
+  const beforeMb = heapMb();
+  const run = new CostRun(servers, hotKeys);
+  const heldMb = heapMb() - beforeMb;
+  const times: number[] = [];
+  let plansToEven = 0;
+  let peakMb = 0;
+  for (let i = 0; i < PLANS; i++) {
+    const { plan, tookMs } = run.plan(i * PLAN_EVERY_MS);
+    times.push(tookMs);
+    peakMb = Math.max(peakMb, process.memoryUsage().heapUsed / 1e6 - beforeMb);
+    if (plan.imbalance > EVEN) plansToEven = i + 1;
+  }
+  const lossPlanMs = run.planLoss(PLANS * PLAN_EVERY_MS);
+  const sorted = times.slice(1).sort((a, b) => a - b);
+  return {
+    servers,
+    slices: run.slices.length,
+    hotKeys,
+    firstPlanMs: times[0]!,
+    medianPlanMs: sorted[sorted.length >> 1]!,
+    slowestPlanMs: sorted.at(-1)!,
+    lossPlanMs,
+    heldMb,
+    peakMb,
+    plansToEven,
+    assignmentJsonBytes: JSON.stringify(run.slices).length,
+  };
+}
+
+class CostRun {
+  slices: contracts.Slice[];
+  readonly #planner = new placement.Planner(placement.DEFAULT_PLACEMENT);
+  readonly #servers: placement.PlacementServer[];
+  readonly #hot: { hash: number; requestsPerSecond: number }[] = [];
+  readonly #total: number;
+
+  constructor(servers: number, hotKeys: number) {
+    const random = new trace.SeededRandom(servers);
+    const names = Array.from(
+      { length: servers },
+      (_, index) => `server-${index}` as contracts.ServerId,
+    );
+    const count = this.#planner.initialSliceCount(servers);
+    this.slices = ownership.equalSlices(names, count, { fence: 1 });
+    this.#servers = names.map((server, index) => ({
+      server,
+      zone: `zone-${index % 9}` as contracts.ZoneId,
+      state: "live",
+      capacity: 1,
+    }));
+    this.#total = servers * 1000;
+    // Each hot key carries between a tenth and nine tenths of a server.
+    for (let i = 0; i < hotKeys; i++) {
+      const hash = random.below(contracts.HASH_SPACE);
+      const requestsPerSecond = 100 + 800 * random.next();
+      this.#hot.push({ hash, requestsPerSecond });
+    }
+    this.#hot.sort((a, b) => b.requestsPerSecond - a.requestsPerSecond);
+  }
+
+  plan(nowMs: number): { plan: placement.Plan; tookMs: number } {
+    const load = this.#load();
+    const startMs = performance.now();
+    const plan = this.#planner.plan(this.#input(nowMs, load));
+    const tookMs = performance.now() - startMs;
+    this.slices = placement.applyChanges(this.slices, plan.changes);
+    return { plan, tookMs };
+  }
+
+  planLoss(nowMs: number): number {
+    const load = this.#load();
+    this.#servers[0] = { ...this.#servers[0]!, state: "lost" };
+    const startMs = performance.now();
+    this.#planner.planLosses(this.#input(nowMs, load));
+    return performance.now() - startMs;
+  }
+
+  #input(
+    nowMs: number,
+    load: placement.LoadEstimate,
+  ): placement.PlacementInput {
+    return { nowMs, slices: this.slices, servers: this.#servers, load };
+  }
+
+  #load(): placement.LoadEstimate {
+    const density = this.#total / contracts.HASH_SPACE;
+    const slices = Float64Array.from(
+      this.slices,
+      (slice) => (slice.toHash - slice.fromHash) * density,
+    );
+    for (const { hash, requestsPerSecond } of this.#hot) {
+      slices[placement.findSlice(this.slices, hash)]! += requestsPerSecond;
+    }
+    return { requestsPerSecond: this.#total, slices, keys: this.#hot };
+  }
+}
+
+/** Heap in use after a collection; needs `--expose-gc`. */
+function heapMb(): number {
+  globalThis.gc?.();
+  return process.memoryUsage().heapUsed / 1e6;
+}
