--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -3,19 +3,22 @@
  * else constructs tasks.
  */
 import type * as contracts from "@guavatide/contracts";
+import * as contractsValues from "@guavatide/contracts";
 import * as decisions from "@guavatide/decisions";
-import * as ownership from "@guavatide/decisions/ownership/key_hash";
+import * as ownership from "@guavatide/decisions/ownership/mod";
 import * as neverthrow from "neverthrow";
+import * as administration from "./administration/mod.ts";
 import * as configuration from "./configuration/mod.ts";
 import * as links from "./links/server_links.ts";
+import { LoadTask } from "./loads/load_task.ts";
 import * as metricsParts from "./metrics/metrics.ts";
 import { MeteredStore } from "./metrics/metered_store.ts";
 import { MetricsDoor } from "./metrics/metrics_door.ts";
 import { requestMetricsOf } from "./metrics/request_metrics_of.ts";
+import * as ownershipTasks from "./ownership/mod.ts";
 import * as platform from "./platform/mod.ts";
 import * as requests from "./requests/mod.ts";
 import * as settingsParts from "./settings/mod.ts";
-import { ThinOwnership } from "./thin/thin_ownership.ts";
 import { MonotonicClock, SystemRandom } from "./utils/clock.ts";
 import { LifeCycle } from "./utils/life_cycle.ts";
 import * as logParts from "./utils/log.ts";
@@ -137,17 +140,56 @@
     storeTimeoutMs: settings.platform.storeTimeoutMs,
     peerTimeoutMs: settings.platform.storeTimeoutMs,
   });
-  const owners = new ThinOwnership({
-    ...self,
-    store,
-    config,
-    servers: directory,
-    connect: (address) =>
-      new platform.HttpBackendControl(`http://${address.host}:${address.port}`),
-    log: log.part("owner"),
+  config.onApplied(() => {
+    directory.setOperatorDrains(config.drains().map((drain) => drain.server));
   });
-
   const hasher = await ownership.KeyHasher.create();
+  const adminLog = log.part("admin");
+  const administrationParts = { settings, store, clock, log: adminLog };
+  const moves = administration.createMoveJournal(administrationParts);
+  const peerView = new ownershipTasks.MembershipPeerView({
+    self,
+    membership,
+    peers,
+    clock,
+    pushTimeoutMs: settings.timings.evidenceMs,
+  });
+  directory.onList((vms) => peerView.noteList(vms));
+  const owners: ownershipTasks.OwnershipTask = new ownershipTasks.OwnershipTask(
+    {
+      timings: ownershipTimingsOf(settings),
+      clock,
+      random,
+      hasher,
+      log,
+      store,
+      config,
+      servers: directory,
+      peers: peerView,
+      connect: (address) =>
+        new platform.HttpBackendControl(
+          `http://${address.host}:${address.port}`,
+        ),
+      load: (service) => loads.source(service),
+      noteSteps: (steps) => moves.noteSteps(steps),
+    },
+  );
+  peers.join(owners);
+  const loads: LoadTask = new LoadTask({
+    self,
+    peers,
+    door,
+    clock,
+    heldDuties: () => owners.heldDuties(),
+    assignment: (service) => owners.assignment(service),
+  });
+  peers.join(loads);
+  door.register(
+    ownershipTasks.ASSIGNMENT_METHOD,
+    contractsValues.assignmentSchema,
+    (assignment) => owners.takePushed(assignment),
+  );
+
   const peerCalls = peerCallsOf(peers, { self, door, membership, clock });
   const router = new requests.RequestRouter({
     config,
@@ -160,7 +202,10 @@
     random,
     log,
     lifeCycle,
-    metrics: requestMetricsOf(metrics),
+    metrics: {
+      ...requestMetricsOf(metrics),
+      keyedWork: (work) => loads.record(work),
+    },
     longestTimeoutMs: requests.REQUEST_DEFAULTS.longestTimeoutMs,
     peers: peerCalls,
   });
@@ -186,10 +231,22 @@
   config.start(lifeCycle);
   peers.start(lifeCycle);
   owners.start(lifeCycle);
+  loads.start(lifeCycle);
   const ports = {
     callers: await listener.listen(),
     peers: peerPort,
-    administration: 0,
+    administration: await administration.startAdministration({
+      ...administrationParts,
+      config,
+      servers: directory,
+      owners,
+      ownership: {
+        assignment: (service) => owners.assignment(service),
+        hashOf: (key) => hasher.hash(key),
+      },
+      moves,
+      certificate: tls.administration,
+    }, lifeCycle),
     metrics: await metricsDoor.listen(lifeCycle),
   };
   mainLog.info("entry process ready", { vm: settings.vm, ...ports });
@@ -225,6 +282,16 @@
   };
 }
 
+function ownershipTimingsOf(
+  { timings, platform }: settingsParts.Settings,
+): ownershipTasks.OwnershipTimings {
+  return {
+    ...ownership.DEFAULT_OWNERSHIP_SETTINGS,
+    ...timings,
+    storeTimeoutMs: platform.storeTimeoutMs,
+  };
+}
+
 function toStartError(error: unknown): StartError {
   if ((error as { code?: string }).code === "EADDRINUSE") {
     const message = `${String(error)}: choose another port in the settings, ` +
