feat(placement): follow hot keys at constant cost, wait before evening out

Counting a request scanned all followed keys; a cursor with a floor makes the work independent of their number. A planner that has just started, or an idle service, no longer has load evened out by figures that mean nothing: each change of duty would have moved keys.

--- a/packages/decisions/src/placement/hot_keys.ts
+++ b/packages/decisions/src/placement/hot_keys.ts
@@ -21,6 +21,9 @@
   readonly #counts: Float64Array;
   /** By how much each count may be too high. */
   readonly #errors: Float64Array;
+  /** No count is below this. */
+  #floor = 0;
+  #cursor = 0;
 
   constructor(capacity: number) {
     this.#capacity = capacity;
@@ -50,6 +53,7 @@
       if (count >= SMALLEST_COUNT) kept.push([hash, count, error]);
     }
     this.#slots.clear();
+    this.#floor *= factor;
     kept.forEach(([hash, count, error], slot) =>
       this.#put(slot, { hash, count, error })
     );
@@ -75,14 +79,28 @@
     this.#errors[slot] = item.error;
   }
 
+  /**
+   * Gives the slot of a key with about the smallest count to another key. A
+   * scan for the very smallest at each request would cost more than all else
+   * on the request path that is ours; the cursor passes each slot once for
+   * each rise of the floor, so the work for a request stays the same however
+   * many keys are followed.
+   */
   #replaceSmallest(hash: number): void {
+    const slot = this.#findSmall();
+    const error = this.#counts[slot]!;
+    this.#slots.delete(this.#hashes[slot]!);
+    this.#put(slot, { hash, count: error + 1, error });
+  }
+
+  #findSmall(): number {
     const counts = this.#counts;
-    let smallest = 0;
-    for (let slot = 1; slot < counts.length; slot++) {
-      if (counts[slot]! < counts[smallest]!) smallest = slot;
+    for (let step = 0; step < counts.length; step++) {
+      const slot = this.#cursor;
+      this.#cursor = (slot + 1) % counts.length;
+      if (counts[slot]! < this.#floor + 1) return slot;
     }
-    const error = counts[smallest]!;
-    this.#slots.delete(this.#hashes[smallest]!);
-    this.#put(smallest, { hash, count: error + 1, error });
+    this.#floor = counts.reduce((low, count) => Math.min(low, count));
+    return counts.indexOf(this.#floor);
   }
 }
--- a/packages/decisions/src/placement/load_tracker.ts
+++ b/packages/decisions/src/placement/load_tracker.ts
@@ -14,7 +14,7 @@
 
 /** Defaults of {@link LoadTrackerOptions}. */
 export const DEFAULT_LOAD_TRACKER: LoadTrackerOptions = {
-  halfLifeMs: 30_000,
+  halfLifeMs: 15_000,
   trackedKeys: 128,
   trackedSlices: 4096,
 };
@@ -135,11 +135,15 @@
     return 1000 / (windowMs * filled);
   }
 
+  /** Each named key can take at most one slice off the top. */
   #topSlices(
     perSecond: number,
     keys: contracts.ServiceLoad["keys"],
   ): contracts.ServiceLoad["slices"] {
+    const limit = contracts.SERVICE_LOAD_LIMITS.slices;
     return [...this.#slices]
+      .sort(([, a], [, b]) => b.count - a.count)
+      .slice(0, limit + keys.length)
       .map(([fromHash, { toHash, count }]) => {
         const named = keys
           .filter(({ hash }) => fromHash <= hash && hash < toHash)
@@ -148,7 +152,7 @@
         return { fromHash, toHash, requestsPerSecond };
       })
       .sort((a, b) => b.requestsPerSecond - a.requestsPerSecond)
-      .slice(0, contracts.SERVICE_LOAD_LIMITS.slices);
+      .slice(0, limit);
   }
 
   /** The slowest are named when there are too many. */
--- a/packages/decisions/src/placement/placement_settings.ts
+++ b/packages/decisions/src/placement/placement_settings.ts
@@ -34,8 +34,10 @@
   readonly coolingMs: number;
   /** A new server gets its full share after this long. */
   readonly warmUpMs: number;
-  /** Rates below this are too few to plan by; width alone counts then. */
+  /** Below this rate, load is left as it lies and width alone counts. */
   readonly minRequestsPerSecond: number;
+  /** A planner that has just started only plans losses for this long. */
+  readonly settleMs: number;
   /** A server's speed counts only beyond this difference from the median. */
   readonly speedTolerance: number;
 }
@@ -57,5 +59,6 @@
   coolingMs: 60_000,
   warmUpMs: 30_000,
   minRequestsPerSecond: 5,
+  settleMs: 10_000,
   speedTolerance: 0.25,
 };
--- a/packages/decisions/src/placement/planner.ts
+++ b/packages/decisions/src/placement/planner.ts
@@ -39,6 +39,7 @@
   readonly #changedAtMs = new Map<number, number>();
   /** Owners of slices taken from a lost server, by first hash. */
   readonly #homes = new Map<number, contracts.ServerId>();
+  #firstPlanMs: number | undefined;
 
   constructor(settings: PlacementSettings) {
     this.#settings = settings;
@@ -65,7 +66,7 @@
     const set = this.#workingSet(input);
     const before = imbalanceOf(set);
     const changes = this.#planLosses(input, set);
-    if (set.live.length > 0) {
+    if (set.live.length > 0 && this.#knowsLoad(input)) {
       changes.push(...this.#planMerges(set));
       changes.push(...this.#planSplits(set, input));
       changes.push(...this.#planMoves(set));
@@ -73,6 +74,19 @@
     return this.#finish(input.nowMs, { set, before, changes });
   }
 
+  /**
+   * A planner that has just started has few reports, and an idle service has
+   * no load to speak of. Evening out by such figures would move keys to and
+   * fro at each change of duty and each quiet night; operators would see
+   * churn without any gain. Both wait.
+   */
+  #knowsLoad({ nowMs, load }: PlacementInput): boolean {
+    const { settleMs, minRequestsPerSecond } = this.#settings;
+    this.#firstPlanMs ??= nowMs;
+    const hasSettled = nowMs - this.#firstPlanMs >= settleMs;
+    return hasSettled && load.requestsPerSecond >= minRequestsPerSecond;
+  }
+
   #workingSet(input: PlacementInput): WorkingSet {
     const { coolingMs } = this.#settings;
     for (const [fromHash, atMs] of this.#changedAtMs) {
--- a/packages/decisions/src/placement/planner_test.ts
+++ b/packages/decisions/src/placement/planner_test.ts
@@ -29,6 +29,7 @@
   ) {
     this.planner = new placement.Planner({
       ...placement.DEFAULT_PLACEMENT,
+      settleMs: 0,
       ...settings,
     });
     this.states = new Array(servers).fill("live");
@@ -159,6 +160,18 @@
   expect(share >= 10).toEqual(true);
 });
 
+// Control duty changes hands. The new holder has no reports yet and must not
+// undo what the old one did by load.
+test("should not even out load before it has settled or without load", () => {
+  for (const [settleMs, rate] of [[3_600_000, 1000], [0, 1]] as const) {
+    const fixture = new Fixture(10, { settleMs }, rate);
+    fixture.states.push("live");
+    expect(fixture.run(20)).toEqual([]);
+    fixture.states[2] = "lost";
+    expect(fixture.run(1).length).toEqual(16);
+  }
+});
+
 test("should take load off a server that has become slow", () => {
   const fixture = new Fixture(10);
   fixture.speeds.set(4, 0.4);
--- /dev/null
+++ b/packages/standins/src/measure/control_main.ts
@@ -0,0 +1,149 @@
+/**
+ * Measures what control costs each entry process at rest, with no callers, at
+ * several numbers of real processes: bytes read and written, processor time,
+ * memory, store calls. `npm run measure:control`; the last line is JSON.
+ *
+ * Bytes are those the process reads and writes by system calls, so they are
+ * without TCP and IP headers. They include its log, which is silent here.
+ */
+import * as fs from "node:fs";
+import * as util from "node:util";
+import * as plans from "../deployment/deployment_plan.ts";
+import { LocalDeployment } from "../deployment/local_deployment.ts";
+import * as processes from "../processes/mod.ts";
+
+/** Figures for one number of entry processes. */
+interface ControlCost {
+  readonly entryProcesses: number;
+  readonly servers: number;
+  readonly readBytesPerSecond: number;
+  readonly writtenBytesPerSecond: number;
+  readonly corePercent: number;
+  readonly residentMb: number;
+  /** Of all entry processes together. */
+  readonly storeCallsPerSecond: number;
+  /** Highest resident memory of any. */
+  readonly largestResidentMb: number;
+}
+
+interface ProcessUse {
+  readonly readBytes: number;
+  readonly writtenBytes: number;
+  readonly processorS: number;
+  readonly residentMb: number;
+}
+
+/** Clock ticks of /proc, fixed at 100 on Linux. */
+const TICKS_PER_S = 100;
+const SETTLE_MS = 15_000;
+const HELP = `usage: npm run measure:control -- [options]
+  --sizes LIST    entry processes (default 3,9,18,36)
+  --servers LIST  servers of each service (default 0,10)
+  --seconds N     length of each measurement (default 20)
+  --help          this text`;
+
+function useOf(pid: number): ProcessUse {
+  const io = fs.readFileSync(`/proc/${pid}/io`, "utf8");
+  const stat = fs.readFileSync(`/proc/${pid}/stat`, "utf8");
+  const status = fs.readFileSync(`/proc/${pid}/status`, "utf8");
+  const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
+  const ticks = Number(fields[11]) + Number(fields[12]);
+  return {
+    readBytes: numberIn(io, /rchar: (\d+)/),
+    writtenBytes: numberIn(io, /wchar: (\d+)/),
+    processorS: ticks / TICKS_PER_S,
+    residentMb: numberIn(status, /VmRSS:\s+(\d+)/) / 1024,
+  };
+}
+
+function numberIn(text: string, pattern: RegExp): number {
+  return Number(pattern.exec(text)?.[1] ?? Number.NaN);
+}
+
+function wait(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+/** Store calls so far, by the stand-in's own count. */
+async function storeCalls(deployment: LocalDeployment): Promise<number> {
+  const counters = await processes.getJson(`${deployment.storeUrl}/counters`);
+  return Object.values(counters as Record<string, number>)
+    .reduce((sum, count) => sum + count, 0);
+}
+
+async function measure(
+  entryProcesses: number,
+  servers: number,
+  seconds: number,
+): Promise<ControlCost> {
+  const plan = plans.scalePlan(plans.KAYFA, {
+    entryVms: entryProcesses,
+    serversAtMost: servers,
+  });
+  const deployment = await LocalDeployment.start({
+    plan,
+    entrySettings: { log: { format: "text", level: "error" } },
+  });
+  try {
+    await wait(SETTLE_MS);
+    return await measureAtRest(deployment, seconds);
+  } finally {
+    await deployment.stop();
+  }
+}
+
+async function measureAtRest(
+  deployment: LocalDeployment,
+  seconds: number,
+): Promise<ControlCost> {
+  const pids = [...deployment.entries.values()].map((e) => e.program.pid);
+  const before = pids.map(useOf);
+  const callsBefore = await storeCalls(deployment);
+  const startMs = performance.now();
+  await wait(seconds * 1000);
+  const elapsedS = (performance.now() - startMs) / 1000;
+  const calls = await storeCalls(deployment) - callsBefore;
+  const after = pids.map(useOf);
+  const rate = (pick: (use: ProcessUse) => number) => {
+    const sum = after.reduce(
+      (total, use, index) => total + pick(use) - pick(before[index]!),
+      0,
+    );
+    return sum / pids.length / elapsedS;
+  };
+  const resident = after.map(({ residentMb }) => residentMb);
+  return {
+    entryProcesses: pids.length,
+    servers: deployment.servers.size,
+    readBytesPerSecond: Math.round(rate((use) => use.readBytes)),
+    writtenBytesPerSecond: Math.round(rate((use) => use.writtenBytes)),
+    corePercent: Number((100 * rate((use) => use.processorS)).toFixed(2)),
+    residentMb: Math.round(
+      resident.reduce((sum, mb) => sum + mb, 0) / resident.length,
+    ),
+    largestResidentMb: Math.round(Math.max(...resident)),
+    storeCallsPerSecond: Number((calls / elapsedS).toFixed(2)),
+  };
+}
+
+async function main(): Promise<void> {
+  const { values } = util.parseArgs({
+    options: {
+      sizes: { type: "string", default: "3,9,18,36" },
+      servers: { type: "string", default: "0,10" },
+      seconds: { type: "string", default: "20" },
+      help: { type: "boolean", default: false },
+    },
+  });
+  if (values.help) return console.log(HELP);
+  const costs: ControlCost[] = [];
+  for (const servers of values.servers.split(",").map(Number)) {
+    for (const size of values.sizes.split(",").map(Number)) {
+      costs.push(await measure(size, servers, Number(values.seconds)));
+    }
+  }
+  console.table(costs);
+  console.log(JSON.stringify(costs));
+}
+
+await main();
--- a/packages/standins/src/measure/placement/planner_cost.ts
+++ b/packages/standins/src/measure/placement/planner_cost.ts
@@ -12,6 +12,8 @@
   /** First plan, with code not yet compiled and the hot keys all new. */
   readonly firstPlanMs: number;
   readonly medianPlanMs: number;
+  /** Processor time of the median plan, collection of garbage included. */
+  readonly medianProcessorMs: number;
   readonly slowestPlanMs: number;
   /** A plan for one lost server. */
   readonly lossPlanMs: number;
@@ -19,13 +21,13 @@
   readonly heldMb: number;
   /** Heap in use right after a plan, before it is collected. */
   readonly peakMb: number;
-  /** Plans, at one every five seconds, until no server is above 1.3. */
+  /** Plans, one a second, until no server is above 1.3. */
   readonly plansToEven: number;
   readonly assignmentJsonBytes: number;
 }
 
-const PLANS = 25;
-const PLAN_EVERY_MS = 5000;
+const PLANS = 60;
+const PLAN_EVERY_MS = 1000;
 const EVEN = 1.3;
 
 /** Plans for `servers` while `hotKeys` keys have just become hot. */
@@ -37,22 +39,26 @@
   const run = new CostRun(servers, hotKeys);
   const heldMb = heapMb() - beforeMb;
   const times: number[] = [];
+  const processorTimes: number[] = [];
   let plansToEven = 0;
   let peakMb = 0;
   for (let i = 0; i < PLANS; i++) {
-    const { plan, tookMs } = run.plan(i * PLAN_EVERY_MS);
+    const { plan, tookMs, processorMs } = run.plan(i * PLAN_EVERY_MS);
     times.push(tookMs);
+    processorTimes.push(processorMs);
     peakMb = Math.max(peakMb, process.memoryUsage().heapUsed / 1e6 - beforeMb);
     if (plan.imbalance > EVEN) plansToEven = i + 1;
   }
   const lossPlanMs = run.planLoss(PLANS * PLAN_EVERY_MS);
   const sorted = times.slice(1).sort((a, b) => a - b);
+  const processor = processorTimes.slice(1).sort((a, b) => a - b);
   return {
     servers,
     slices: run.slices.length,
     hotKeys,
     firstPlanMs: times[0]!,
     medianPlanMs: sorted[sorted.length >> 1]!,
+    medianProcessorMs: processor[processor.length >> 1]!,
     slowestPlanMs: sorted.at(-1)!,
     lossPlanMs,
     heldMb,
@@ -93,13 +99,18 @@
     this.#hot.sort((a, b) => b.requestsPerSecond - a.requestsPerSecond);
   }
 
-  plan(nowMs: number): { plan: placement.Plan; tookMs: number } {
+  plan(
+    nowMs: number,
+  ): { plan: placement.Plan; tookMs: number; processorMs: number } {
     const load = this.#load();
+    const before = process.cpuUsage();
     const startMs = performance.now();
     const plan = this.#planner.plan(this.#input(nowMs, load));
     const tookMs = performance.now() - startMs;
+    const used = process.cpuUsage(before);
+    const processorMs = (used.user + used.system) / 1000;
     this.slices = placement.applyChanges(this.slices, plan.changes);
-    return { plan, tookMs };
+    return { plan, tookMs, processorMs };
   }
 
   planLoss(nowMs: number): number {
--- a/packages/standins/src/measure/placement/ways.ts
+++ b/packages/standins/src/measure/placement/ways.ts
@@ -93,8 +93,9 @@
   readonly lossWaitMs: number;
 }
 
-const PLAN_EVERY_MS = 5000;
-const REPORT_EVERY_MS = 10_000;
+/** As the entry process does. */
+const PLAN_EVERY_MS = 1000;
+const REPORT_EVERY_MS = 1000;
 const SERVICE = "service" as contracts.ServiceId;
 
 /** The planner with the load reports that it would get from entry VMs. */
@@ -102,7 +103,7 @@
   readonly name: string;
   readonly #options: PlannerWayOptions;
   readonly #planner: placement.Planner;
-  readonly #book = new placement.LoadBook(3 * REPORT_EVERY_MS);
+  readonly #book = new placement.LoadBook(10 * REPORT_EVERY_MS);
   readonly #trackers: placement.LoadTracker[];
   #slices: contracts.Slice[] = [];
   #sliceOfKey: contracts.Slice[] = [];
