--- a/packages/entry/src/administration/move_journal.ts
+++ b/packages/entry/src/administration/move_journal.ts
@@ -1,7 +1,7 @@
 /** Keeps the steps of moves and their reasons, for operators to look up. */
 import type * as contracts from "@guavatide/contracts";
-import type { MoveStep } from "@guavatide/decisions/ownership/moves";
 import * as crypto from "node:crypto";
+import type { MovedSteps } from "../ownership/service_context.ts";
 import {
   type MoveLine,
   moveLineSchema,
@@ -15,13 +15,6 @@
   "prefix" | "schema"
 >;
 
-/** The steps of one update of an assignment. */
-export interface MovedSteps {
-  readonly service: contracts.ServiceId;
-  readonly revision: number;
-  readonly steps: readonly MoveStep[];
-}
-
 /** Journal of moves; the task that moves slices notes each update's steps. */
 export class MoveJournal extends StoreJournal<MoveLine> {
   readonly #vm: contracts.VmId;
--- a/packages/entry/src/ownership/service_context.ts
+++ b/packages/entry/src/ownership/service_context.ts
@@ -43,6 +43,18 @@
   readonly planMs: number;
 }
 
+/** The steps of one acknowledged update of an assignment. */
+export interface MovedSteps {
+  readonly service: contracts.ServiceId;
+  readonly revision: number;
+  readonly steps: readonly ownership.MoveStep[];
+}
+
+/** Takes note of moves. */
+export interface MoveRecord {
+  noteSteps(moved: MovedSteps): void;
+}
+
 /** Parts that every task of one service uses. */
 export interface ServiceContext {
   readonly service: contracts.ServiceId;
@@ -58,5 +70,7 @@
   readonly servers: ServerView & {
     noteNotDraining(id: contracts.ServerId): void;
   };
+  /** Keeps the steps of acknowledged updates for operators. */
+  readonly moveRecord: MoveRecord;
   connect(address: ServerAddress): ServerControl;
 }
