--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -21,6 +21,7 @@
 import * as platform from "./platform/mod.ts";
 import * as requests from "./requests/mod.ts";
 import * as settingsParts from "./settings/mod.ts";
+import { ownershipTimingsOf, requestSettingsOf } from "./settings_of_parts.ts";
 import { MonotonicClock, SystemRandom } from "./utils/clock.ts";
 import { LifeCycle } from "./utils/life_cycle.ts";
 import * as logParts from "./utils/log.ts";
@@ -384,35 +385,6 @@
   mainLog.info("entry process stopped", { vm: settings.vm });
 }
 
-function requestSettingsOf(
-  settings: settingsParts.Settings,
-): requests.RequestSettings {
-  const { limits } = settings;
-  return {
-    ...requests.REQUEST_DEFAULTS,
-    host: settings.host,
-    port: settings.ports.callers,
-    connectionLimit: limits.connections,
-    inFlightLimit: limits.requestsInFlight,
-    headerLimitBytes: limits.headerBytes,
-    bodyLimitBytes: limits.bodyBytes,
-    headersTimeoutMs: limits.headerTimeoutMs,
-    requestTimeoutMs: limits.requestTimeoutMs,
-    keepAliveTimeoutMs: limits.keepAliveMs,
-    drainTimeoutMs: settings.timings.drainMs,
-  };
-}
-
-function ownershipTimingsOf(
-  { timings, platform }: settingsParts.Settings,
-): ownershipTasks.OwnershipTimings {
-  return {
-    ...ownership.DEFAULT_OWNERSHIP_SETTINGS,
-    ...timings,
-    storeTimeoutMs: platform.storeTimeoutMs,
-  };
-}
-
 function toStartError(error: unknown): StartError {
   if ((error as { code?: string }).code === "EADDRINUSE") {
     const message = `${String(error)}: choose another port in the settings, ` +
