fix(publishing): compare sets by content, not by the order of fields

Draining a server logged, at the VM that took the order, that the same revision had come with other objects: the VM gets the revision as it built it and again from the store, whose fields come in the schema's order, and the comparison was of plain JSON text. Compared are now texts with sorted fields.

--- a/packages/decisions/src/publishing/config_state.ts
+++ b/packages/decisions/src/publishing/config_state.ts
@@ -3,6 +3,7 @@
  * revision, whoever offers it.
  */
 import type * as contracts from "@guavatide/contracts";
+import { canonicalText } from "./canonical_text.ts";
 
 /** Who offers a configuration. */
 export type ConfigSource = "store" | "peer" | "publisher";
@@ -50,7 +51,7 @@
   offer(config: contracts.PublishedConfig): OfferResult {
     const from = this.revision;
     if (config.revision < from) return { kind: "older", inForce: from };
-    const text = JSON.stringify([config.objects, config.drains ?? []]);
+    const text = canonicalText([config.objects, config.drains ?? []]);
     if (config.revision === from) {
       return text === this.#text
         ? { kind: "same" }
--- a/packages/decisions/src/publishing/diff.ts
+++ b/packages/decisions/src/publishing/diff.ts
@@ -1,5 +1,6 @@
 /** What changes between two sets of configuration objects. */
 import type * as contracts from "@guavatide/contracts";
+import { canonicalText } from "./canonical_text.ts";
 import { objectPath } from "./check.ts";
 
 /** One changed field. Values are JSON text; absent means "not there". */
@@ -60,12 +61,12 @@
   const young = new Map(Object.entries(after));
   const names = [...new Set([...old.keys(), ...young.keys()])].sort();
   return names.flatMap((field) => {
-    const from = jsonOf(old.get(field));
-    const to = jsonOf(young.get(field));
+    const from = textOf(old.get(field));
+    const to = textOf(young.get(field));
     return from === to ? [] : [{ field, from, to }];
   });
 }
 
-function jsonOf(value: unknown): string | undefined {
-  return value === undefined ? undefined : JSON.stringify(value);
+function textOf(value: unknown): string | undefined {
+  return value === undefined ? undefined : canonicalText(value);
 }
--- a/packages/decisions/src/publishing/publishing_test.ts
+++ b/packages/decisions/src/publishing/publishing_test.ts
@@ -146,6 +146,19 @@
   expect(result).toEqual({ kind: "mismatch", inForce: 3 });
 });
 
+// The publisher's VM gets a revision twice: as it built it, and as the watch
+// brings it from the store, with fields in another order. An operator would
+// read of a damaged store where all is well.
+test("should know one set by its content, not by the order of fields", () => {
+  const state = new publishing.ConfigState({ settleMs: 0, startedMs: 0 });
+  const reversed = DRAINS.map((drain) =>
+    Object.fromEntries(Object.entries(drain).reverse())
+  ) as typeof DRAINS;
+  state.offer({ ...config(3), drains: DRAINS });
+  const again = state.offer({ ...config(3), drains: reversed });
+  expect(again).toEqual({ kind: "same" });
+});
+
 // An entry VM restarts empty while the store is down, and the first peer it
 // hears was cut off and still has an older revision. A user would notice the
 // old cost split at this VM for a moment.
--- a/packages/entry/src/configuration/publisher.ts
+++ b/packages/entry/src/configuration/publisher.ts
@@ -203,8 +203,10 @@
     return { kind: "drafts-changed", message, tag: plan.tag };
   }
   if (plan.findings.length > 0) {
-    const message = `${plan.findings.length} findings stand against the ` +
-      "set: follow the remedy of each, then publish";
+    const count = plan.findings.length;
+    const message =
+      (count === 1 ? "1 finding stands" : `${count} findings stand`) +
+      " against the set: follow the remedy of each, then publish";
     return { kind: "findings", message, findings: plan.findings };
   }
   if (plan.changes.length === 0) {
