--- a/packages/decisions/src/placement/planner_test.ts
+++ b/packages/decisions/src/placement/planner_test.ts
@@ -2,6 +2,7 @@
 import { expect } from "earl";
 import * as fc from "fast-check";
 import { test } from "node:test";
+import type { ChangeRequest } from "../ownership/moves.ts";
 import * as placement from "./mod.ts";
 
 type ServerState = placement.PlacementServer["state"];
@@ -28,6 +29,7 @@
   ) {
     this.planner = new placement.Planner({
       ...placement.DEFAULT_PLACEMENT,
+      settleMs: 0,
       ...settings,
     });
     this.states = new Array(servers).fill("live");
@@ -68,8 +70,8 @@
     return plan;
   }
 
-  run(ticks: number): placement.PlannedChange[] {
-    const changes: placement.PlannedChange[] = [];
+  run(ticks: number): ChangeRequest[] {
+    const changes: ChangeRequest[] = [];
     for (let i = 0; i < ticks; i++) changes.push(...this.tick().changes);
     return changes;
   }
@@ -99,7 +101,7 @@
   }
 }
 
-function movesOf(changes: readonly placement.PlannedChange[]) {
+function movesOf(changes: readonly ChangeRequest[]) {
   return changes.filter((change) => change.kind === "move");
 }
 
@@ -158,6 +160,18 @@
   expect(share >= 10).toEqual(true);
 });
 
+// Control duty changes hands. The new holder has no reports yet and must not
+// undo what the old one did by load.
+test("should not even out load before it has settled or without load", () => {
+  for (const [settleMs, rate] of [[3_600_000, 1000], [0, 1]] as const) {
+    const fixture = new Fixture(10, { settleMs }, rate);
+    fixture.states.push("live");
+    expect(fixture.run(20)).toEqual([]);
+    fixture.states[2] = "lost";
+    expect(fixture.run(1).length).toEqual(16);
+  }
+});
+
 test("should take load off a server that has become slow", () => {
   const fixture = new Fixture(10);
   fixture.speeds.set(4, 0.4);
--- a/packages/entry/src/ownership/service_ownership.ts
+++ b/packages/entry/src/ownership/service_ownership.ts
@@ -5,7 +5,7 @@
 import { DutyTask } from "./duty_task.ts";
 import { EvidenceTask } from "./evidence_task.ts";
 import { ForwardCounter } from "./forward_counter.ts";
-import { type LoadSource, MoveTask } from "./move_task.ts";
+import { type LoadSource, MoveTask, type TellingPeer } from "./move_task.ts";
 import { OrderTask } from "./order_task.ts";
 import type { ServiceContext } from "./service_context.ts";
 
@@ -15,12 +15,6 @@
   config(): contracts.Service | undefined;
 }
 
-/** A peer that told something. */
-export interface TellingPeer {
-  readonly vm: contracts.VmId;
-  readonly incarnation: contracts.Incarnation;
-}
-
 /** One service's ownership. */
 export class ServiceOwnership {
   readonly #context: ServiceContext;
@@ -115,9 +109,13 @@
   }
 
   /** A peer told what it knows. */
-  notePeer(peer: TellingPeer, known: contracts.KnownRevision): void {
+  notePeer(
+    peer: TellingPeer,
+    known: contracts.KnownRevision,
+    askedAtMs?: number,
+  ): void {
     this.#orders.notePeer(peer.vm, known);
-    this.#moves.notePeer(peer, known);
+    this.#moves.notePeer(peer, known, askedAtMs);
   }
 
   /** Hands duty back and closes the links to the servers. */
--- a/packages/standins/src/deployment/local_deployment.ts
+++ b/packages/standins/src/deployment/local_deployment.ts
@@ -6,6 +6,7 @@
 import type * as contracts from "@guavatide/contracts";
 import * as platform from "guavatide/platform/mod";
 import type * as wire from "guavatide/wire";
+import * as crypto from "node:crypto";
 import * as fs from "node:fs";
 import * as os from "node:os";
 import * as path from "node:path";
@@ -17,6 +18,8 @@
 
 const STOP_TIMEOUT_MS = 20_000;
 const PEER_SECRET = "local-deployment-secret";
+/** Bearer token of the one operator of a local deployment. */
+export const LOCAL_OPERATOR_TOKEN = "local-operator-token";
 
 /** A running entry VM. */
 export interface LocalEntry {
@@ -41,9 +44,13 @@
   /** Merged into each backend server's settings. */
   readonly backendSettings?: Partial<BackendSettings>;
   /** Replaces the store's address for entry VMs, for example by a relay. */
-  readonly storeUrlFor?: (vm: string, storeUrl: string) => string;
+  readonly storeUrlFor?: (vm: string, storeUrl: string) => Promise<string>;
   /** Lag of the VM list. */
   readonly vmListLagMs?: number;
+  /** Folder in which each backend server keeps its journal. */
+  readonly journalFolder?: string;
+  /** Replaces a backend server's listed port, for example by a relay's. */
+  readonly listedPortFor?: (server: string, port: number) => Promise<number>;
 }
 
 /** All processes of one deployment. */
@@ -94,6 +101,11 @@
     return processes.originOf(this.entries.get(vm)!.ports.metrics);
   }
 
+  /** Where operators reach an entry VM. */
+  administrationUrl(vm: string): string {
+    return processes.originOf(this.entries.get(vm)!.ports.administration);
+  }
+
   /** Sets faults of the store, the VM list or one backend server. */
   async setFaults(target: "store" | "vm-list" | string, faults: object) {
     await processes.postJson(`${this.#controlUrl(target)}/faults`, faults);
@@ -103,7 +115,11 @@
   async startServer(argument: processes.BackendArgument): Promise<LocalServer> {
     const program = await processes.startStandIn(
       "backend_server/backend_main",
-      { ...this.#options.backendSettings, ...argument },
+      {
+        ...this.#options.backendSettings,
+        ...argument,
+        journalFile: this.journalFileOf(argument.server),
+      },
     );
     const server = { argument, program, port: program.port };
     this.servers.set(argument.server, server);
@@ -111,6 +127,13 @@
     return server;
   }
 
+  /** Where a backend server keeps its journal, if it does. */
+  journalFileOf(server: string): string | undefined {
+    const { journalFolder } = this.#options;
+    if (journalFolder === undefined) return undefined;
+    return path.join(journalFolder, `${server}.jsonl`);
+  }
+
   /** Restarts an ended backend server on its old port. */
   async restartServer(id: string): Promise<void> {
     const server = this.servers.get(id)!;
@@ -121,6 +144,7 @@
   async listServer(id: string, state: "live" | "leaving"): Promise<void> {
     const { argument, port } = this.servers.get(id)!;
     const { server, service, zone } = argument;
+    const listedPort = await this.#options.listedPortFor?.(id, port) ?? port;
     await this.#changeList({
       put: [{
         kind: "backend",
@@ -128,7 +152,7 @@
         service,
         zone,
         host: "127.0.0.1",
-        port,
+        port: listedPort,
         state,
       }],
     });
@@ -143,7 +167,7 @@
   async startEntry(vm: string, zone: string): Promise<LocalEntry> {
     const known = this.entries.get(vm);
     const file = path.join(this.#folder, `${vm}.json`);
-    const settings = this.#entrySettings(vm, zone, known?.ports);
+    const settings = await this.#entrySettings(vm, zone, known?.ports);
     fs.writeFileSync(file, JSON.stringify(settings));
     const program = await processes.ChildProgram.start({
       name: vm,
@@ -239,8 +263,12 @@
     return zones[index % zones.length] as contracts.ZoneId;
   }
 
-  #entrySettings(vm: string, zone: string, ports?: wire.EntryPorts): object {
-    const storeUrl = this.#options.storeUrlFor?.(vm, this.storeUrl) ??
+  async #entrySettings(
+    vm: string,
+    zone: string,
+    ports?: wire.EntryPorts,
+  ): Promise<object> {
+    const storeUrl = await this.#options.storeUrlFor?.(vm, this.storeUrl) ??
       this.storeUrl;
     return {
       vm,
@@ -251,6 +279,7 @@
         { callers: 0, peers: 0, administration: 0, metrics: 0 },
       platform: { storeUrl, vmListUrl: this.vmListUrl },
       peerSecret: PEER_SECRET,
+      administration: { tokens: [localOperator()] },
       log: { format: "text", level: "info" },
       ...this.#options.entrySettings,
     };
@@ -267,6 +296,16 @@
   }
 }
 
+function localOperator(): object {
+  const digest = crypto.createHash("sha256").update(LOCAL_OPERATOR_TOKEN);
+  return {
+    tokenSha256: digest.digest("hex"),
+    operator: "local-operator",
+    partners: "*",
+    rights: ["read", "edit", "publish", "drain"],
+  };
+}
+
 function entryScript(): string {
   return url.fileURLToPath(import.meta.resolve("guavatide/main"));
 }
