--- a/packages/standins/src/proofs/proof_cluster.ts
+++ b/packages/standins/src/proofs/proof_cluster.ts
@@ -140,6 +140,9 @@
   async restartEntry(vm: string): Promise<void> {
     const { zone } = this.deployment.entries.get(vm)!;
     await this.deployment.startEntry(vm, zone);
+    // The balancer sends no callers before the VM says that it is ready.
+    const url = `${this.deployment.metricsUrl(vm)}/readyz`;
+    await this.until(`${vm} ready`, async () => (await fetch(url)).ok);
     this.downVms.delete(vm);
   }
 
