refactor(requests): share the watch of servers and the queue limit

Both allocators looked after servers in the same way, and only one bounded its queue by time. A key's owner that is leaving or cold is waited for like one that has not yet got the slice; before, its refusals used up the retry budget. A VM's own lack of connections now lowers its limit instead of failing.

--- a/packages/decisions/src/routing/retry_rule.ts
+++ b/packages/decisions/src/routing/retry_rule.ts
@@ -15,6 +15,8 @@
 /** State of the request that {@link decideRetry} weighs. */
 export interface DecideRetryOptions {
   readonly isIdempotent: boolean;
+  /** Whether the request's key has one owner, so that no other can serve it. */
+  readonly isKeyed: boolean;
   /** Attempts made so far. */
   readonly attempts: number;
   /** Whether a server is left that was not tried; always true for a key. */
@@ -41,7 +43,10 @@
   failure: FailedAttempt,
   options: DecideRetryOptions,
 ): RetryDecision {
-  if (isFlowControl(failure) && options.timeLeftMs >= LEAST_TIME_MS) {
+  if (
+    isFlowControl(failure, options.isKeyed) &&
+    options.timeLeftMs >= LEAST_TIME_MS
+  ) {
     return { kind: "retry" };
   }
   const isSafe = failure.kind === "not-run" || options.isIdempotent;
@@ -57,12 +62,14 @@
 }
 
 /**
- * A server that is full, or that has not yet got a key's slice, says so
- * before it has done any work. The request waits in its queue, which paces
- * what goes to such a server; it costs nothing of the budget, which is there
- * to bound what failures multiply.
+ * A server that is full says so before it has done any work; so does a key's
+ * owner that is leaving, cold, or has not yet got the slice. The request waits
+ * in its queue, which paces what goes to such a server; it costs nothing of
+ * the budget, which is there to bound what failures multiply.
  */
-function isFlowControl(failure: FailedAttempt): boolean {
+function isFlowControl(failure: FailedAttempt, isKeyed: boolean): boolean {
   if (failure.kind !== "not-run") return false;
-  return failure.refusal === "not-owner" || failure.refusal === "busy";
+  const { refusal } = failure;
+  if (refusal === undefined || refusal === "deadline") return false;
+  return isKeyed || refusal === "busy";
 }
--- a/packages/decisions/src/routing/retry_rule_test.ts
+++ b/packages/decisions/src/routing/retry_rule_test.ts
@@ -90,7 +90,7 @@
   {
     name: "wait for a moving key without touching the budget",
     failure: NOT_OWNER,
-    options: { attempts: 9, budget: emptyBudget() },
+    options: { isKeyed: true, attempts: 9, budget: emptyBudget() },
     expected: "retry",
   },
   {
@@ -123,6 +123,7 @@
   test(`should ${name}`, () => {
     const decision = decideRetry(failure, {
       isIdempotent: false,
+      isKeyed: false,
       attempts: 1,
       hasOtherServer: true,
       timeLeftMs: 100,
--- a/packages/entry/src/requests/keyed_allocator.ts
+++ b/packages/entry/src/requests/keyed_allocator.ts
@@ -3,32 +3,24 @@
  * nobody else. While the key's slice is between two owners, it waits.
  */
 import type * as contracts from "@guavatide/contracts";
-import * as routing from "@guavatide/decisions/routing/mod";
-import type {
-  OwnerLookup,
-  OwnerView,
-  ServerAddress,
-  ServerView,
-} from "../contracts/views.ts";
-import type { PartLog } from "../utils/log.ts";
+import type * as routing from "@guavatide/decisions/routing/mod";
+import type { OwnerLookup, OwnerView } from "../contracts/views.ts";
 import { Lane } from "./lane.ts";
+import { ServerWatch, type ServerWatchOptions } from "./server_watch.ts";
 import type { Slot, SlotAllocator, SlotWish } from "./slot_allocator.ts";
 
 /** Options of {@link KeyedAllocator}. */
-export interface KeyedAllocatorOptions {
-  readonly service: contracts.Service;
-  readonly servers: ServerView;
+export interface KeyedAllocatorOptions extends ServerWatchOptions {
   readonly owners: OwnerView;
-  readonly clock: contracts.Clock;
-  readonly log: PartLog;
-  readonly onEjected: (server: contracts.ServerId) => void;
-  readonly probe: (address: ServerAddress) => Promise<boolean>;
 }
 
-/** Time before an owner that refused as such is asked at the same revision. */
-const NOT_OWNER_PAUSE_MS = 50;
+/**
+ * Time before an owner that lets a key go, or has not yet got it, is asked
+ * again at the same revision.
+ */
+const MOVE_PAUSE_MS = 50;
 
-interface NotOwnerRefusal {
+interface SliceRefusal {
   readonly revision: number;
   readonly untilMs: number;
 }
@@ -41,19 +33,16 @@
   readonly #lanes = new Map<contracts.ServerId, Lane>();
   /** Requests whose slice has no owner at present. */
   readonly #ownerless = new Lane();
-  readonly #board: routing.ServerBoard;
+  readonly #watch: ServerWatch;
   #service: contracts.Service;
-  /** Slices whose owner refused as such, with the revision and the time. */
-  readonly #refusals = new Map<contracts.SliceId, NotOwnerRefusal>();
+  /** Slices whose owner does not serve them, with the revision and the time. */
+  readonly #refusals = new Map<contracts.SliceId, SliceRefusal>();
   #wakeUp: NodeJS.Timeout | undefined;
 
   constructor(options: KeyedAllocatorOptions) {
     this.#options = options;
     this.#service = options.service;
-    this.#board = new routing.ServerBoard(
-      this.#boardOptions(),
-      options.clock.nowMs(),
-    );
+    this.#watch = new ServerWatch(options, () => this.#pumpAll());
   }
 
   get waiting(): number {
@@ -78,22 +67,18 @@
 
   release(slot: Slot, end: routing.AttemptEnd): void {
     const nowMs = this.#options.clock.nowMs();
-    const { server } = slot.address;
-    const event = this.#board.noteEnd(server, slot.sentMs, { end, nowMs });
-    if (event !== undefined) this.#noteEvent(server, event);
-    if (end.kind === "refusal" && end.refusal === "not-owner") {
-      const { revision, slice } = slot.ownership!;
-      const untilMs = nowMs + NOT_OWNER_PAUSE_MS;
-      this.#refusals.set(slice, { revision, untilMs });
-      this.#options.owners.noteNotOwner(this.#service.name, revision);
+    const lane = this.#lanes.get(slot.address.server);
+    if (end.kind === "answer") {
+      lane?.noteAnswered(nowMs - slot.sentMs, nowMs);
     }
-    const lane = this.#lanes.get(server);
+    this.#watch.release(slot, end);
+    if (end.kind === "refusal") this.#noteRefusal(slot, end.refusal);
     if (lane !== undefined) this.#pump(lane);
   }
 
   configure(service: contracts.Service): void {
     this.#service = service;
-    this.#board.configure(this.#boardOptions());
+    this.#watch.configure(service);
   }
 
   /** The owner of a key stays the only choice, also after a failure. */
@@ -103,26 +88,34 @@
 
   /** Looks up every waiting request's owner again. */
   refresh(): void {
-    const nowMs = this.#options.clock.nowMs();
-    const known = this.#options.servers.servers(this.#service.name);
-    const ids = known.map((address) => address.server);
-    this.#board.keepOnly(new Set(ids), nowMs);
-    for (const server of this.#board.ejectSilent(nowMs)) {
-      this.#noteEvent(server, "ejected");
-    }
-    for (const address of known) this.#probeIfDue(address, nowMs);
+    this.#watch.refresh();
     const wishes = this.#ownerless.drain();
     for (const lane of this.#lanes.values()) wishes.push(...lane.drain());
     for (const wish of wishes) this.#enqueue(wish);
     for (const [server, lane] of this.#lanes) {
       this.#pump(lane);
-      if (lane.size === 0) this.#lanes.delete(server);
+      const isGone = this.#options.servers.server(server) === undefined;
+      if (isGone && lane.size === 0) this.#lanes.delete(server);
     }
+    this.#forgetRefusals();
   }
 
-  #boardOptions(): routing.ServerBoardOptions {
-    const { slotsPerServer } = this.#service;
-    return { slotsPerServer, localLimit: slotsPerServer };
+  /** The requests of the slice wait for a newer revision, or a while. */
+  #noteRefusal(slot: Slot, refusal: contracts.ServerRefusal): void {
+    const isLeaving = refusal === "draining";
+    if (refusal !== "not-owner" && !isLeaving) return;
+    const { revision, slice } = slot.ownership!;
+    const untilMs = this.#options.clock.nowMs() + MOVE_PAUSE_MS;
+    this.#refusals.set(slice, { revision, untilMs });
+    if (isLeaving) return;
+    this.#options.owners.noteNotOwner(this.#service.name, revision);
+  }
+
+  #forgetRefusals(): void {
+    const nowMs = this.#options.clock.nowMs();
+    for (const [slice, refusal] of this.#refusals) {
+      if (refusal.untilMs < nowMs) this.#refusals.delete(slice);
+    }
   }
 
   /** Puts a request where it has to wait; nothing when it was refused. */
@@ -160,19 +153,13 @@
       this.#enqueue(wish);
       return true;
     }
-    const nowMs = this.#options.clock.nowMs();
     const address = this.#options.servers.server(owner.server);
     if (address === undefined) return false;
-    const [candidate] = this.#board.candidates([owner.server], nowMs);
-    if (candidate === undefined) {
-      this.#wakeIn(this.#board.pauseLeftMs(nowMs));
-      return false;
-    }
+    const [candidate] = this.#watch.candidates([owner.server]);
+    if (candidate === undefined) return false;
     lane.shift();
-    this.#board.noteSent(owner.server, nowMs);
     const { slice, fence, revision } = owner;
-    const ownership = { slice, fence, revision };
-    wish.granted({ address, sentMs: nowMs, ownership });
+    wish.granted(this.#watch.take(address, { slice, fence, revision }));
     return true;
   }
 
@@ -189,41 +176,20 @@
     return true;
   }
 
-  #wakeIn(waitMs: number | undefined): void {
-    if (waitMs === undefined || this.#wakeUp !== undefined) return;
-    this.#wakeUp = setTimeout(() => {
+  #wakeIn(waitMs: number): void {
+    this.#wakeUp ??= setTimeout(() => {
       this.#wakeUp = undefined;
-      this.#retryOwnerless();
-      for (const lane of this.#lanes.values()) this.#pump(lane);
+      for (const wish of this.#ownerless.drain()) this.#enqueue(wish);
+      this.#pumpAll();
     }, Math.ceil(waitMs));
   }
 
-  #retryOwnerless(): void {
-    for (const wish of this.#ownerless.drain()) this.#enqueue(wish);
+  #pumpAll(): void {
+    for (const lane of this.#lanes.values()) this.#pump(lane);
   }
 
   #owner(wish: SlotWish): OwnerLookup {
     const { owners } = this.#options;
     return owners.lookup(this.#service.name, wish.keyHash!);
   }
-
-  #probeIfDue(address: ServerAddress, nowMs: number): void {
-    if (!this.#board.tryProbe(address.server, nowMs)) return;
-    this.#options.probe(address).then((isAnswered) => {
-      const endMs = this.#options.clock.nowMs();
-      const event = this.#board.noteProbe(address.server, isAnswered, endMs);
-      if (event !== undefined) this.#noteEvent(address.server, event);
-      const lane = this.#lanes.get(address.server);
-      if (lane !== undefined) this.#pump(lane);
-    });
-  }
-
-  #noteEvent(
-    server: contracts.ServerId,
-    event: NonNullable<routing.BoardEvent>,
-  ): void {
-    const service = this.#service.name;
-    this.#options.log.info(`Server is ${event}.`, { service, server });
-    if (event === "ejected") this.#options.onEjected(server);
-  }
 }
--- a/packages/entry/src/requests/lane.ts
+++ b/packages/entry/src/requests/lane.ts
@@ -5,6 +5,7 @@
 /** Waiting requests, with refusals for those that find no room. */
 export class Lane {
   readonly #queue = new routing.FairQueue<SlotWish>();
+  readonly #limit = new routing.QueueLimit();
 
   get size(): number {
     return this.#queue.size;
@@ -33,11 +34,21 @@
     return wishes;
   }
 
-  /** Refuses requests until at most `limit` wait. */
-  shorten(limit: number, retryAfterMs?: number): void {
+  /** A request from this queue was answered after this time. */
+  noteAnswered(attemptMs: number, nowMs: number): void {
+    const isWaiting = this.#queue.size > 0;
+    this.#limit.noteAnswered(attemptMs, { nowMs, isWaiting });
+  }
+
+  /**
+   * Refuses requests until no more wait than can be served in a useful time,
+   * and at most `mostRequests`.
+   */
+  shorten(mostRequests: number): void {
+    const limit = this.#limit.limit(mostRequests);
     while (this.#queue.size > limit) {
       this.#queue.displace()!.refused("queue-full", {
-        retryAfterMs,
+        retryAfterMs: this.#limit.drainMs(limit),
         message: "Too many requests wait for the service; come back later",
       });
     }
--- a/packages/entry/src/requests/request_router.ts
+++ b/packages/entry/src/requests/request_router.ts
@@ -196,7 +196,9 @@
   }
 
   #createAllocator(service: contracts.Service): SlotAllocator {
-    if (service.keyed) return new KeyedAllocator(this.#common(service));
+    if (service.keyed) {
+      return new KeyedAllocator({ ...this.#common(service), extraRequests: 0 });
+    }
     const { peers, servers, clock, hashKey } = this.#options;
     const local = new LocalAllocator({
       ...this.#common(service),
@@ -222,6 +224,7 @@
       ...this.#options,
       service,
       log: this.#log,
+      linkLimit: () => this.#linkLimit(service),
       onEjected: (server: contracts.ServerId) =>
         metrics.ejected(service.name, server),
       probe: (address: ServerAddress) => links.probe(address),
@@ -249,6 +252,8 @@
     if (service === undefined) return undefined;
     return new LocalAllocator({
       ...this.#common(service),
+      // The dispatcher's own count is every VM's; its links play no part.
+      linkLimit: () => Infinity,
       policy: "least-outstanding",
       extraRequests: BRIDGING_REQUESTS,
     });
--- a/packages/entry/src/requests/request_run.ts
+++ b/packages/entry/src/requests/request_run.ts
@@ -283,6 +283,7 @@
     if (this.#request.signal.aborted) return { kind: "give-up", failure };
     return routing.decideRetry(failure, {
       isIdempotent: this.#isIdempotent(),
+      isKeyed: this.keyHash !== undefined,
       attempts: this.#attempts,
       hasOtherServer: this.#parts.allocator.hasOther(this.tried),
       timeLeftMs: this.deadlineMs - this.#parts.clock.nowMs(),
