--- a/packages/standins/src/bench/bench_main.ts
+++ b/packages/standins/src/bench/bench_main.ts
@@ -1,5 +1,6 @@
 /** The bench's command line. */
 import * as clipanion from "clipanion";
+import { benchCost } from "./bench_cost.ts";
 import { type BenchResult, benchRun } from "./bench_run.ts";
 import { BENCH_SCENARIOS, BENCH_SERVICES } from "./bench_scenarios.ts";
 import { formatTable } from "./bench_table.ts";
@@ -72,6 +73,31 @@
   }
 }
 
+/** Measures what the request path itself costs. */
+class CostCommand extends clipanion.Command {
+  static override paths = [["cost"]];
+  static override usage = clipanion.Command.Usage({
+    description: "compare requests through an entry VM with direct ones",
+  });
+  rate = clipanion.Option.String("--rate", "100", {
+    description: "requests a second, on each of the two ways",
+  });
+  seconds = clipanion.Option.String("--seconds", "10");
+  policy = clipanion.Option.String("--policy", "power-of-two");
+  seed = clipanion.Option.String("--seed", "1");
+
+  async execute(): Promise<number> {
+    const figures = await benchCost({
+      requestsPerSecond: Number(this.rate),
+      durationMs: Number(this.seconds) * 1000,
+      policy: this.policy,
+      seed: Number(this.seed),
+    });
+    this.context.stdout.write(JSON.stringify(figures, undefined, 2) + "\n");
+    return 0;
+  }
+}
+
 function pick<T extends { readonly name: string }>(
   all: readonly T[],
   names: string,
@@ -87,5 +113,6 @@
 
 const cli = new clipanion.Cli({ binaryName: "npm run bench --" });
 cli.register(BenchCommand);
+cli.register(CostCommand);
 process.exitCode = await cli.run(process.argv.slice(2));
 process.exit();
