--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -283,7 +283,7 @@
     membership,
     peers,
     clock,
-    pushTimeoutMs: settings.timings.evidenceMs,
+    timeoutMs: settings.timings.evidenceMs,
   });
   directory.onList((vms) => peerView.noteList(vms));
   const loads = new LoadTask({ self, peers, door, clock });
@@ -310,6 +310,11 @@
     contractsValues.assignmentSchema,
     (assignment) => owners.takePushed(assignment),
   );
+  door.register(
+    ownershipTasks.KNOWN_METHOD,
+    contractsValues.knownQuestionSchema,
+    (question) => owners.answerKnown(question),
+  );
   return { owners, loads };
 }
 
