--- a/packages/entry/src/requests/request_run.ts
+++ b/packages/entry/src/requests/request_run.ts
@@ -251,8 +251,10 @@
       return;
     }
     const { server } = slot.address;
-    const isBusyOwner = this.keyHash !== undefined;
-    if (!isBusyOwner) this.tried.add(server);
+    const isBusy = result.kind === "refusal" && result.refusal === "busy";
+    // A key has one owner, and a full server may be free a moment later.
+    const mayAskAgain = this.keyHash !== undefined || isBusy;
+    if (!mayAskAgain) this.tried.add(server);
     if (result.kind === "refusal" && result.refusal === "draining") {
       this.#parts.noteDraining(server);
     }
@@ -281,6 +283,7 @@
     if (this.#request.signal.aborted) return { kind: "give-up", failure };
     return routing.decideRetry(failure, {
       isIdempotent: this.#isIdempotent(),
+      isKeyed: this.keyHash !== undefined,
       attempts: this.#attempts,
       hasOtherServer: this.#parts.allocator.hasOther(this.tried),
       timeLeftMs: this.deadlineMs - this.#parts.clock.nowMs(),
