--- a/packages/decisions/src/ownership/mover.ts
+++ b/packages/decisions/src/ownership/mover.ts
@@ -11,7 +11,8 @@
 import type { ChangeRequest, MoveStep } from "./moves.ts";
 import { type Promise, PromiseBook } from "./promise_book.ts";
 import type { OwnershipSettings } from "./settings.ts";
-import { type AnsweredOrder, SliceWait } from "./slice_wait.ts";
+import type { AnsweredOrder } from "./slice_wait.ts";
+import { WaitBook } from "./wait_book.ts";
 
 /** What came of a read of the assignment object. */
 export type AssignmentRead =
@@ -81,8 +82,7 @@
   #queue: ChangeRequest[] = [];
   /** Requests that the write under way covers. */
   #written: readonly ChangeRequest[] = [];
-  readonly #hurried = new Set<contracts.ServerId>();
-  #waits = new Map<string, SliceWait>();
+  readonly #waits: WaitBook;
   #stored: StoredAssignment | undefined;
   #isAbsent = false;
   #first: contracts.Slice[] | undefined;
@@ -97,6 +97,7 @@
     this.#identity = identity;
     this.#settings = settings;
     this.#forwards = new ForwardBook(settings.unfencedMoveWaitMs);
+    this.#waits = new WaitBook(settings);
   }
 
   /** The assignment as last read or acknowledged. */
@@ -153,8 +154,8 @@
   get needsAnswers(): boolean {
     const sets = this.assignment?.keeperSets;
     if (sets === undefined) return false;
-    return [...this.#waits.values()].some((wait) =>
-      !wait.isPromised && this.promises.isWorthAsking(sets, wait.revision)
+    return this.#waits.unpromised.some((revision) =>
+      this.promises.isWorthAsking(sets, revision)
     );
   }
 
@@ -176,7 +177,7 @@
     const isNews = !answer.reply.checksFences && !listed.includes(server);
     // Entry VMs learn from the assignment that they must guard this server.
     if (isNews && answer.order.slices.length > 0) this.#hasFenceNews = true;
-    for (const wait of this.#waits.values()) wait.noteReply(answer);
+    this.#waits.noteReply(answer);
   }
 
   /** Servers that slices are being taken from. */
@@ -190,9 +191,7 @@
    * answers count as a release.
    */
   takeHurried(): contracts.ServerId[] {
-    const hurried = [...this.#hurried];
-    this.#hurried.clear();
-    return hurried;
+    return this.#waits.takeHurried();
   }
 
   /** Decides what to do next; at most one call to the store is under way. */
@@ -255,7 +254,7 @@
       askedAtMs: Number.POSITIVE_INFINITY,
       nowMs,
     });
-    this.#renewWaits(stored.assignment, nowMs);
+    this.#waits.renew(stored.assignment, nowMs);
     this.#checkPromises(nowMs);
   }
 
@@ -276,37 +275,8 @@
     this.#notBeforeMs = nowMs + limitMs * (0.5 + random.next() / 2);
   }
 
-  /** A wait goes on while its slice stays taken from the same ownership. */
-  #renewWaits(assignment: contracts.Assignment, nowMs: number): void {
-    const waits = new Map<string, SliceWait>();
-    for (const slice of assignment.slices) {
-      if (slice.state !== "vacating") continue;
-      const name = waitName(slice);
-      const seen = {
-        revision: assignment.revision,
-        acknowledgedAtMs: nowMs,
-      };
-      const wait = this.#waits.get(name) ?? this.createWait(slice, seen);
-      waits.set(name, wait);
-    }
-    this.#waits = waits;
-  }
-
-  /** Begins the wait for a slice that was seen vacating. */
-  protected createWait(
-    slice: contracts.Slice,
-    seen: { readonly revision: number; readonly acknowledgedAtMs: number },
-  ): SliceWait {
-    return new SliceWait(slice, seen, this.#settings);
-  }
-
   #checkPromises(nowMs: number): void {
-    for (const wait of this.#waits.values()) {
-      if (wait.isPromised) continue;
-      if (!this.hasPromise(wait.revision)) continue;
-      wait.notePromised(nowMs);
-      for (const server of wait.earlierOwners) this.#hurried.add(server);
-    }
+    this.#waits.checkPromises((revision) => this.hasPromise(revision), nowMs);
   }
 
   /** Whether a majority of every keeper set knows a revision. */
@@ -317,7 +287,7 @@
 
   /** Whether the second update of a move may be written. */
   protected mayTake(slice: contracts.Slice, tick: MoverTick): boolean {
-    const wait = this.#waits.get(waitName(slice));
+    const wait = this.#waits.of(slice);
     if (wait === undefined || !tick.isLive(slice.server)) return false;
     return wait.isOver(slice.server, {
       nowMs: tick.nowMs,
@@ -356,7 +326,7 @@
   #hasWork({ keeperSets }: contracts.Assignment): boolean {
     const isKeeperChange = this.#keepers !== undefined &&
       !isSameSet(this.#keepers, keeperSets.at(-1)!);
-    return this.#queue.length > 0 || this.#waits.size > 0 ||
+    return this.#queue.length > 0 || !this.#waits.isEmpty ||
       keeperSets.length > 1 || isKeeperChange || this.#hasFenceNews;
   }
 
@@ -397,8 +367,3 @@
     return { kind: "write", assignment, condition, steps: edit.steps };
   }
 }
-
-/** The same for as long as a slice stays taken from one ownership. */
-function waitName(slice: contracts.Slice): string {
-  return `${contracts.sliceIdOf(slice)}/${slice.fence}/${slice.from.join()}`;
-}
--- a/packages/entry/src/ownership/move_task.ts
+++ b/packages/entry/src/ownership/move_task.ts
@@ -7,6 +7,7 @@
 import * as ownership from "@guavatide/decisions/ownership/mod";
 import * as placement from "@guavatide/decisions/placement/mod";
 import type { PartLog } from "../utils/log.ts";
+import { KeeperReview } from "./keeper_review.ts";
 import type { OrderTask } from "./order_task.ts";
 import type { ServiceContext, TimedReceipt } from "./service_context.ts";
 
@@ -49,9 +50,7 @@
   readonly #options: MoveTaskOptions;
   readonly #log: PartLog;
   readonly #mover: ownership.Mover;
-  /** What each peer told last. */
-  readonly #told = new Map<contracts.VmId, contracts.KnownRevision>();
-  readonly #missingSinceMs = new Map<contracts.VmId, number>();
+  readonly #keepers: KeeperReview;
   #planner: placement.Planner | undefined;
   #plannerFor = "";
   #isOn = false;
@@ -65,6 +64,7 @@
     this.#context = context;
     this.#options = options;
     this.#log = context.log.part("place");
+    this.#keepers = new KeeperReview(context);
     const { service, peers, timings } = context;
     this.#mover = new ownership.Mover({ service, ...peers.self }, timings);
     options.orders.onAnswer((answer) => this.#mover.noteReply(answer));
@@ -83,7 +83,7 @@
     const { vm, incarnation } = peer;
     const { revision } = known;
     const report = { vm, incarnation, revision, nowMs };
-    this.#told.set(vm, known);
+    this.#keepers.noteSettled(vm, known.settled);
     this.#mover.notePromise({ ...report, askedAtMs });
     const busyServers = known.busyServers ?? [];
     this.#mover.noteForwards({ ...report, busyServers });
@@ -196,39 +196,10 @@
   #reviewKeepers(nowMs: number): void {
     if (nowMs < this.#keepersAtMs + KEEPER_REVIEW_MS) return;
     this.#keepersAtMs = nowMs;
-    const { known, service, hasher, peers } = this.#context;
-    const gone = this.#goneVms(nowMs);
-    this.#mover.noteGone(gone, nowMs);
-    const able = peers.live().filter((vm) => this.#told.get(vm)?.settled);
-    const present = known.keepers;
-    const keepers = ownership.chooseKeepers({
-      service,
-      present,
-      able,
-      gone,
-      hasher,
-    });
-    if (keepers.length > 0) this.#mover.requestKeepers(keepers);
-  }
-
-  /** Off the platform's list and silent for the whole grace time. */
-  #goneVms(nowMs: number): Set<contracts.VmId> {
-    const { peers, timings, known } = this.#context;
-    const listed = peers.listed();
-    const gone = new Set<contracts.VmId>();
-    if (listed === undefined) return gone;
-    const live = new Set(peers.live());
-    const sets = known.assignment?.keeperSets ?? [];
-    for (const { vm } of sets.flat()) {
-      if (listed.has(vm) || live.has(vm)) {
-        this.#missingSinceMs.delete(vm);
-        continue;
-      }
-      const sinceMs = this.#missingSinceMs.get(vm) ?? nowMs;
-      this.#missingSinceMs.set(vm, sinceMs);
-      if (nowMs - sinceMs >= timings.vmGoneGraceMs) gone.add(vm);
-    }
-    return gone;
+    const review = this.#keepers.review(nowMs);
+    this.#mover.noteGone(review.gone, nowMs);
+    if (review.keepers.length === 0) return;
+    this.#mover.requestKeepers(review.keepers);
   }
 
   #plan(nowMs: number): void {
