test(ownership): drive the tasks of one process with servers in memory

First assignment, drain with a request still running, a store that stays away, a silent server, a server dropped from the list, and no forwarding to a server that checks no fences without evidence.

--- a/packages/decisions/src/ownership/model_world_test.ts
+++ b/packages/decisions/src/ownership/model_world_test.ts
@@ -5,8 +5,6 @@
  * hash has two owners with a lease.
  */
 import * as contracts from "@guavatide/contracts";
-import { expect } from "earl";
-import { test } from "node:test";
 import {
   ASK_MS,
   type Fault,
@@ -24,6 +22,7 @@
   STEP_MS,
   vmId,
 } from "./model_parts_test.ts";
+import { ModelNetwork } from "./model_network_test.ts";
 import * as ownership from "./mod.ts";
 
 /** Keepers, servers, the store and the messages between them. */
@@ -35,19 +34,17 @@
   readonly #faults: Fault[];
   readonly #keepers: ModelKeeper[] = [];
   readonly #servers: ModelServer[] = [];
-  readonly #messages: { atMs: number; deliver: () => void }[] = [];
+  readonly #network: ModelNetwork;
   readonly #history = new Map<number, contracts.Assignment>();
   readonly #highest = new Map<string, number>();
   #stored: contracts.Assignment;
-  #slowUntilMs = 0;
   #splitUntilMs = 0;
   #splitSide = new Set<contracts.VmId>();
-  #slowMs = 0;
   #loseUntilMs = 0;
-  #nowMs = 0;
 
   constructor(scenario: Scenario) {
     this.#random = new SeededRandom(scenario.seed);
+    this.#network = new ModelNetwork(this.#random);
     this.#rules = scenario.rules ?? {};
     this.#keeperCount = scenario.keepers ?? KEEPERS;
     this.#faults = [...scenario.faults].sort((a, b) => a.atMs - b.atMs);
@@ -66,6 +63,10 @@
     this.#history.set(1, this.#stored);
   }
 
+  get #nowMs(): number {
+    return this.#network.nowMs;
+  }
+
   get assignment(): contracts.Assignment {
     return this.#stored;
   }
@@ -81,11 +82,10 @@
 
   runTo(endMs: number): this {
     while (this.#nowMs < endMs && this.violations.length === 0) {
-      this.#nowMs += STEP_MS;
       while ((this.#faults[0]?.atMs ?? Infinity) <= this.#nowMs) {
         this.#induce(this.#faults.shift()!);
       }
-      this.#deliver();
+      this.#network.advance(STEP_MS);
       for (const keeper of this.#keepers) {
         if (keeper.pausedUntilMs <= this.#nowMs) this.#tick(keeper);
       }
@@ -149,9 +149,7 @@
         this.#splitSide = new Set(fault.side.map(vmId));
         return;
       case "slow":
-        this.#slowUntilMs = untilMs;
-        this.#slowMs = fault.delayMs;
-        return;
+        return this.#network.slow(untilMs, fault.delayMs);
       case "keepers":
         return keeper.mover.requestKeepers(
           keeperSet(fault.set, this.#keeperCount),
@@ -159,37 +157,18 @@
     }
   }
 
-  /** One message on its way; some arrive twice. */
-  #send(deliver: () => void): void {
-    const extraMs = this.#nowMs < this.#slowUntilMs ? this.#slowMs : 0;
-    const copies = this.#random.next() < 0.1 ? 2 : 1;
-    for (let copy = 0; copy < copies; copy++) {
-      const delayMs = this.#random.next() * (20 + extraMs);
-      this.#messages.push({ atMs: this.#nowMs + delayMs, deliver });
-    }
-  }
-
-  #deliver(): void {
-    const due = this.#messages.filter(({ atMs }) => atMs <= this.#nowMs)
-      .sort((a, b) => a.atMs - b.atMs);
-    for (const message of due) {
-      this.#messages.splice(this.#messages.indexOf(message), 1);
-      message.deliver();
-    }
-  }
-
   /** To a keeper; a paused one gets it when it wakes, a new run never. */
   #toKeeper(keeper: ModelKeeper, receive: (nowMs: number) => void): void {
     const run = keeper.run;
     const deliver = () => {
       if (keeper.run !== run) return;
       if (keeper.pausedUntilMs > this.#nowMs) {
-        this.#messages.push({ atMs: keeper.pausedUntilMs, deliver });
+        this.#network.at(keeper.pausedUntilMs, deliver);
         return;
       }
       receive(keeper.clock.at(this.#nowMs));
     };
-    this.#send(deliver);
+    this.#network.send(deliver);
   }
 
   #tick(keeper: ModelKeeper): void {
@@ -318,9 +297,9 @@
     const giveUp = () => {
       if (keeper.run === run) this.#toKeeper(keeper, finish(undefined));
     };
-    this.#messages.push({ atMs, deliver: giveUp });
+    this.#network.at(atMs, giveUp);
     if (keeper.cutFromStoreUntilMs > this.#nowMs) return;
-    this.#send(() => {
+    this.#network.send(() => {
       const answer = serve();
       const isLost = this.#nowMs < this.#loseUntilMs ||
         keeper.cutFromStoreUntilMs > this.#nowMs;
@@ -362,9 +341,9 @@
       const cutUntilMs = keeper.cutFromServersUntilMs.get(server.id) ?? 0;
       if (cutUntilMs > this.#nowMs) return;
       if (server.pausedUntilMs <= this.#nowMs) return serve();
-      this.#messages.push({ atMs: server.pausedUntilMs, deliver: serve });
+      this.#network.at(server.pausedUntilMs, serve);
     };
-    this.#send(deliver);
+    this.#network.send(deliver);
   }
 
   #checkAcknowledged(order: contracts.OwnershipOrder): void {
@@ -398,57 +377,3 @@
     }
   }
 }
-
-test("should serve every slice and finish a move when nothing fails", () => {
-  const world = new World({
-    seed: 1,
-    faults: [{ kind: "move", atMs: 2_000, keeper: 0, slice: 0, to: 1 }],
-  });
-  world.runTo(1_500);
-  expect(world.heldSlices()).toEqual(SLICES);
-  world.runTo(3_000);
-  expect(world.violations).toEqual([]);
-  expect(world.heldSlices()).toEqual(SLICES);
-  const moved = world.assignment.slices[0]!;
-  expect([moved.state, moved.server as string]).toEqual(["owned", "server-1"]);
-});
-
-// The store stays away and one of three keepers with it. Keys must be served
-// all the same: hosts would find no open slot for as long as it lasts.
-test("should keep serving while the store is away", () => {
-  const world = new World({
-    seed: 2,
-    faults: [
-      ...[0, 1, 2].map((keeper) => ({
-        kind: "cut-store" as const,
-        atMs: 1_500,
-        keeper,
-        forMs: 60_000,
-      })),
-      { kind: "pause-keeper", atMs: 2_000, keeper: 0, forMs: 60_000 },
-    ],
-  });
-  world.runTo(30_000);
-  expect(world.violations).toEqual([]);
-  expect(world.heldSlices()).toEqual(SLICES);
-});
-
-// Every entry VM is replaced in turn during a long outage of the store. Each
-// has forgotten what it knew; the others tell it, and keys stay served.
-test("should keep serving while keepers restart with the store away", () => {
-  const cuts = [0, 1, 2].map((keeper): Fault => ({
-    kind: "cut-store",
-    atMs: 1_500,
-    keeper,
-    forMs: 60_000,
-  }));
-  const restarts = [0, 1, 2, 0, 1, 2].map((keeper, index): Fault => ({
-    kind: "restart-keeper",
-    atMs: 2_000 + index * 1_000,
-    keeper,
-  }));
-  const world = new World({ seed: 3, faults: [...cuts, ...restarts] });
-  world.runTo(20_000);
-  expect(world.violations).toEqual([]);
-  expect(world.heldSlices()).toEqual(SLICES);
-});
--- /dev/null
+++ b/packages/entry/src/ownership/ownership_task_test.ts
@@ -0,0 +1,228 @@
+import * as contracts from "@guavatide/contracts";
+import * as ownership from "@guavatide/decisions/ownership/mod";
+import { expect } from "earl";
+import { test, type TestContext } from "node:test";
+import * as timers from "node:timers/promises";
+import { FakeStore } from "../configuration/fake_store_test.ts";
+import { MonotonicClock, SystemRandom } from "../utils/clock.ts";
+import { LifeCycle } from "../utils/life_cycle.ts";
+import { createLog } from "../utils/log.ts";
+import { FakeServer } from "./fake_servers_test.ts";
+import { NO_LOAD_SOURCE } from "./move_task.ts";
+import { OwnershipTask } from "./ownership_task.ts";
+
+const SERVICE = "availability" as contracts.ServiceId;
+const SELF = {
+  vm: "entry-1" as contracts.VmId,
+  incarnation: "run-1" as contracts.Incarnation,
+};
+const OTHER_VMS = ["entry-2", "entry-3"] as contracts.VmId[];
+const DEADLINE_MS = 10_000;
+
+const TIMINGS = {
+  ...ownership.DEFAULT_OWNERSHIP_SETTINGS,
+  storeTimeoutMs: 100,
+  dutyLeaseMs: 2_000,
+  dutyRenewMs: 500,
+  vmGoneGraceMs: 30_000,
+  planMs: 60_000,
+};
+
+/** One entry process with servers and a store in memory. */
+class Fixture {
+  readonly store = new FakeStore();
+  readonly servers = new Map<string, FakeServer>();
+  readonly #lifeCycle = new LifeCycle();
+  readonly task: OwnershipTask;
+
+  constructor(names: readonly string[], context: TestContext) {
+    for (const name of names) {
+      this.servers.set(name, new FakeServer(name, SERVICE));
+    }
+    this.task = this.#createTask();
+    context.after(() => this.#lifeCycle.stop());
+  }
+
+  start(): void {
+    this.task.start(this.#lifeCycle);
+  }
+
+  server(name: string): FakeServer {
+    return this.servers.get(name)!;
+  }
+
+  get assignment(): contracts.Assignment | undefined {
+    const text = this.store.objects.get(`assignments/${SERVICE}`)?.value;
+    return text === undefined
+      ? undefined
+      : contracts.assignmentSchema.parse(JSON.parse(text));
+  }
+
+  /** Whether each slice is held by its owner under a lease. */
+  isServed(): boolean {
+    const slices = this.assignment?.slices ?? [];
+    return slices.length > 0 && slices.every((slice) => {
+      const held = this.servers.get(slice.server)?.held ?? [];
+      return slice.state === "owned" &&
+        held.some(({ fromHash }) => fromHash === slice.fromHash);
+    });
+  }
+
+  #createTask(): OwnershipTask {
+    const addresses = () =>
+      [...this.servers.values()].map(({ address }) => address);
+    const config = contracts.serviceSchema.parse({
+      kind: "service",
+      name: SERVICE,
+      partner: "kayfa",
+      places: ["zone-1"],
+      keyed: true,
+      slotsPerServer: 3,
+      connectionsPerServer: 110,
+    });
+    return new OwnershipTask({
+      timings: TIMINGS,
+      clock: new MonotonicClock(),
+      random: new SystemRandom(),
+      hasher: HASHER,
+      log: createLog({ format: "text", level: "silent" }),
+      store: this.store,
+      config: { services: () => [config], service: () => config },
+      load: () => NO_LOAD_SOURCE,
+      moveRecord: { noteSteps: () => {} },
+      connect: ({ server }) => this.server(server),
+      servers: {
+        servers: addresses,
+        server: (id) => addresses().find(({ server }) => server === id),
+        noteDraining: () => {},
+        noteNotDraining: () => {},
+      },
+      peers: {
+        self: SELF,
+        live: () => [SELF.vm],
+        all: () => [SELF.vm],
+        isLost: () => false,
+        listed: () => new Set([SELF.vm, ...OTHER_VMS]),
+        pin: () => {},
+        push: () => Promise.resolve(undefined),
+        ask: () => Promise.resolve(undefined),
+      },
+    });
+  }
+}
+
+const HASHER = await ownership.KeyHasher.create();
+
+async function until(condition: () => boolean): Promise<void> {
+  const deadlineMs = performance.now() + DEADLINE_MS;
+  while (!condition()) {
+    if (performance.now() > deadlineMs) throw new Error(`Not ${condition}`);
+    await timers.setTimeout(10);
+  }
+}
+
+test("should assign and grant every slice of a new service", async (t) => {
+  const fixture = new Fixture(["a", "b"], t);
+  fixture.start();
+  await until(() => fixture.isServed());
+  const owners = new Set(fixture.assignment?.slices.map((s) => s.server));
+  expect([...owners].sort() as string[]).toEqual(["a", "b"]);
+});
+
+// A server asks to leave while a booking still runs there. The booking's key
+// must not be given on before it is over, and at once when it is.
+test("should give a draining server's slices on once they are idle", async (t) => {
+  const fixture = new Fixture(["a", "b"], t);
+  fixture.start();
+  await until(() => fixture.isServed());
+  const leaving = fixture.server("a");
+  leaving.stillRunning = 1;
+  leaving.isDraining = true;
+  await until(() =>
+    fixture.assignment!.slices.some(({ state }) => state === "vacating")
+  );
+  const ordersBefore = leaving.orders;
+  await until(() => leaving.orders > ordersBefore + 3);
+  const vacating = fixture.assignment!.slices
+    .filter(({ state }) => state === "vacating");
+  expect(vacating.every(({ from }) => from[0] === leaving.address.server))
+    .toEqual(true);
+  leaving.stillRunning = 0;
+  await until(() => fixture.isServed());
+  expect(
+    fixture.assignment!.slices.every(({ server }) =>
+      server === fixture.server("b").address.server
+    ),
+  ).toEqual(true);
+});
+
+// The store is away for many times the length of a lease. Hosts must go on
+// seeing open slots.
+test("should keep every lease while the store is away", async (t) => {
+  const fixture = new Fixture(["a", "b"], t);
+  fixture.start();
+  await until(() => fixture.isServed());
+  fixture.store.fault = () => "down";
+  const leases = 4;
+  const endMs = performance.now() + leases * TIMINGS.leaseMs;
+  while (performance.now() < endMs) {
+    expect(fixture.isServed()).toEqual(true);
+    await timers.setTimeout(50);
+  }
+});
+
+test("should move the slices of a server that falls silent", async (t) => {
+  const fixture = new Fixture(["a", "b"], t);
+  fixture.start();
+  await until(() => fixture.isServed());
+  fixture.server("a").isSilent = true;
+  await until(() =>
+    fixture.isServed() &&
+    fixture.assignment!.slices.every(({ server }) => server !== "a")
+  );
+});
+
+// The lagging list drops a server that is alive. Were its orders to end with
+// that, its lease would lapse and its keys be unserved for an error of a list.
+test("should drain and not abandon a server that the list drops", async (t) => {
+  const fixture = new Fixture(["a", "b"], t);
+  fixture.start();
+  await until(() => fixture.isServed());
+  const dropped = fixture.server("a");
+  fixture.servers.delete("a");
+  await until(() => fixture.isServed());
+  expect(dropped.held.length).toEqual(0);
+  const fences = fixture.assignment!.slices.map(({ fence }) => fence);
+  expect(Math.max(...fences) > 1).toEqual(true);
+});
+
+// This VM has been cut off from the store and from all keepers. A server that
+// obeys anyone may belong to others by now: forwarding would book twice.
+test("should not forward to an unfenced server without evidence", async (t) => {
+  const fixture = new Fixture(["a"], t);
+  const server = fixture.server("a").address.server;
+  fixture.server("a").checksFences = false;
+  const assignment: contracts.Assignment = {
+    service: SERVICE,
+    revision: 3,
+    writer: OTHER_VMS[0]!,
+    writerIncarnation: SELF.incarnation,
+    nonce: "n",
+    keeperSets: [[SELF.vm, ...OTHER_VMS].map((vm) => ({ vm }))],
+    slices: ownership.equalSlices([server], 1, { fence: 2 }),
+    unfencedServers: [server],
+  };
+  const name = `assignments/${SERVICE}`;
+  await fixture.store.put(name, JSON.stringify(assignment), {
+    condition: { kind: "absent" },
+  });
+  const slice = contracts.sliceIdOf(assignment.slices[0]!);
+  const mayForward = () => fixture.task.mayForward(SERVICE, server, slice, 2);
+  fixture.start();
+  await until(mayForward);
+  fixture.store.fault = () => "down";
+  await until(() => !mayForward());
+  fixture.store.fault = () => "none";
+  await until(mayForward);
+  expect(fixture.task.mayForward(SERVICE, server, slice, 1)).toEqual(false);
+});
