fix(ownership): let lease timings belong to the assignment

Two entry VMs with different settings, as while new ones are rolled out, broke the one owner: a mover waited out its own short times while another VM had given longer leases. The assignment now lists the timings; everybody acts on the last, a mover waits out the longest, and earlier ones are dropped when the newer are promised and the longest wait is over. Settings may be changed by a rolling restart.

--- a/packages/contracts/src/assignment.ts
+++ b/packages/contracts/src/assignment.ts
@@ -43,6 +43,18 @@
 /** An entry VM that answers whether an assignment revision is current. */
 export type Keeper = z.infer<typeof keeperSchema>;
 
+/** Schema of {@link LeaseTimings}. */
+export const leaseTimingsSchema = z.strictObject({
+  /** How long evidence for the revision is good. */
+  evidenceMs: z.number().int().min(1),
+  /** Lease that an order of the revision gives. */
+  leaseMs: z.number().int().min(1),
+  /** Largest relative difference in rate between two clocks. */
+  clockRateMargin: z.number().min(0).max(0.5),
+});
+/** What a mover has to wait out; every process acts on the same. */
+export type LeaseTimings = z.infer<typeof leaseTimingsSchema>;
+
 /** Schema of {@link Assignment}. */
 export const assignmentSchema = z.strictObject({
   service: serviceIdSchema,
@@ -64,6 +76,11 @@
    * has just taken over cannot ask a server that is lost.
    */
   unfencedServers: z.array(serverIdSchema).optional(),
+  /**
+   * Timings, oldest first; the last ones are in force. Earlier ones stay until
+   * no lease by them can be left, and movers wait out the longest.
+   */
+  leaseTimings: z.array(leaseTimingsSchema).min(1).optional(),
 });
 /** The assignment of one service. */
 export type Assignment = z.infer<typeof assignmentSchema>;
--- a/packages/decisions/src/ownership/assignment_edit.ts
+++ b/packages/decisions/src/ownership/assignment_edit.ts
@@ -24,6 +24,7 @@
   readonly #steps: MoveStep[] = [];
   #slices: SliceMap;
   #keeperSets: contracts.Assignment["keeperSets"];
+  #timings: contracts.LeaseTimings[];
   #isChanged: boolean;
 
   /** Starts from `base`, or from nothing when it is undefined. */
@@ -36,6 +37,7 @@
     this.#checksFences = checksFences;
     this.#slices = SliceMap.create(start.slices)._unsafeUnwrap();
     this.#keeperSets = start.keeperSets;
+    this.#timings = base?.leaseTimings ?? [];
     this.#isChanged = base === undefined;
   }
 
@@ -96,6 +98,21 @@
     this.#isChanged = true;
   }
 
+  /** Puts timings in force, unless they are. */
+  useTimings(timings: contracts.LeaseTimings): void {
+    if (isSameTimings(timings, this.#timings.at(-1))) return;
+    const { evidenceMs, leaseMs, clockRateMargin } = timings;
+    const own = { evidenceMs, leaseMs, clockRateMargin };
+    this.#timings = [...this.#timings, own];
+    this.#isChanged = true;
+  }
+
+  /** Drops all timings but those in force. */
+  retireTimings(): void {
+    this.#timings = this.#timings.slice(-1);
+    this.#isChanged = true;
+  }
+
   /** Writes a successor although no slice and no keeper changes. */
   touch(): void {
     this.#isChanged = true;
@@ -109,6 +126,7 @@
       keeperSets: this.#keeperSets,
       slices: [...this.#slices.slices],
       unfencedServers: this.#unfencedServers(),
+      leaseTimings: this.#timings.length > 0 ? this.#timings : undefined,
     };
   }
 
@@ -178,6 +196,16 @@
   }
 }
 
+/** Whether two timings are equal; extra fields do not count. */
+export function isSameTimings(
+  left: contracts.LeaseTimings,
+  right: contracts.LeaseTimings | undefined,
+): boolean {
+  return left.evidenceMs === right?.evidenceMs &&
+    left.leaseMs === right.leaseMs &&
+    left.clockRateMargin === right.clockRateMargin;
+}
+
 /** Whether two sets name the same keepers, in whatever order. */
 export function isSameSet(
   left: readonly contracts.Keeper[],
--- a/packages/decisions/src/ownership/evidence.ts
+++ b/packages/decisions/src/ownership/evidence.ts
@@ -5,7 +5,7 @@
  * the question left, because the answer may have been on its way for long.
  */
 import type * as contracts from "@guavatide/contracts";
-import type { OwnershipSettings } from "./settings.ts";
+import { timingsInForce } from "./settings.ts";
 
 /** A peer's answer to the question what it knows of the service. */
 export interface KeeperAnswer {
@@ -32,7 +32,7 @@
 export class EvidenceBook {
   readonly #self: contracts.VmId;
   readonly #service: contracts.ServiceId;
-  readonly #settings: OwnershipSettings;
+  readonly #settings: contracts.LeaseTimings;
   readonly #answers = new Map<contracts.VmId, KeeperAnswer>();
   #assignment: contracts.Assignment | undefined;
   #store: StoreAnswer | undefined;
@@ -41,7 +41,7 @@
   constructor(
     self: contracts.VmId,
     service: contracts.ServiceId,
-    settings: OwnershipSettings,
+    settings: contracts.LeaseTimings,
   ) {
     this.#self = self;
     this.#service = service;
@@ -53,6 +53,11 @@
     return this.#assignment;
   }
 
+  /** Timings to act on at the highest assignment known. */
+  get timings(): contracts.LeaseTimings {
+    return timingsInForce(this.#assignment, this.#settings);
+  }
+
   /** Revision of the highest assignment known; 0 when there is none. */
   get revision(): number {
     return this.#assignment?.revision ?? 0;
@@ -125,7 +130,7 @@
 
   /** Whether orders for the known revision may leave now. */
   isGood(nowMs: number): boolean {
-    return nowMs < this.evidenceAskedAtMs(nowMs) + this.#settings.evidenceMs;
+    return nowMs < this.evidenceAskedAtMs(nowMs) + this.timings.evidenceMs;
   }
 
   /**
--- a/packages/decisions/src/ownership/mod.ts
+++ b/packages/decisions/src/ownership/mod.ts
@@ -14,4 +14,5 @@
 export * from "./settings.ts";
 export * from "./slice_map.ts";
 export * from "./slice_wait.ts";
+export * from "./timings_wait.ts";
 export * from "./wait_book.ts";
--- a/packages/decisions/src/ownership/model_parts_test.ts
+++ b/packages/decisions/src/ownership/model_parts_test.ts
@@ -32,6 +32,7 @@
   }
   | { kind: "slow"; atMs: number; forMs: number; delayMs: number }
   | { kind: "split"; atMs: number; forMs: number; side: number[] }
+  | { kind: "timings"; atMs: number; keeper: number }
   | { kind: "keepers"; atMs: number; keeper: number; set: number };
 
 /** Rules that a test switches off to show that they are needed. */
@@ -41,6 +42,8 @@
   mover?: typeof ownership.Mover;
   isLeaseFromArrival?: boolean;
   isEvidenceFromAnswer?: boolean;
+  /** Each keeper acts on its own settings, whatever the assignment lists. */
+  isOwnTimings?: boolean;
 }
 
 export interface Scenario {
@@ -49,6 +52,8 @@
   readonly rules?: Rules;
   /** Keepers; 3 when left out. */
   readonly keepers?: number;
+  /** Leases in the settings of each keeper; the default when left out. */
+  readonly leasesMs?: readonly number[];
 }
 
 export class SeededRandom implements contracts.RandomSource {
@@ -140,6 +145,7 @@
 export class ModelKeeper {
   readonly vm: contracts.VmId;
   readonly clock: SkewedClock;
+  readonly settings: ownership.OwnershipSettings;
   readonly #rules: Rules;
   run = 0;
   book!: ownership.EvidenceBook;
@@ -152,13 +158,20 @@
   cutFromStoreUntilMs = 0;
   readonly cutFromServersUntilMs = new Map<contracts.ServerId, number>();
 
-  constructor(index: number, clock: SkewedClock, rules: Rules) {
+  constructor(index: number, clock: SkewedClock, scenario: Scenario) {
     this.vm = vmId(index);
     this.clock = clock;
-    this.#rules = rules;
+    this.#rules = scenario.rules ?? {};
+    const leaseMs = scenario.leasesMs?.[index] ?? SETTINGS.leaseMs;
+    this.settings = { ...SETTINGS, leaseMs };
     this.restart();
   }
 
+  /** Timings of the orders that this keeper sends. */
+  get timings(): contracts.LeaseTimings {
+    return this.#rules.isOwnTimings ? this.settings : this.book.timings;
+  }
+
   get incarnation(): contracts.Incarnation {
     return `run-${this.run}` as contracts.Incarnation;
   }
@@ -168,11 +181,11 @@
     const Book = this.#rules.book ?? ownership.EvidenceBook;
     const Orders = this.#rules.orders ?? ownership.OrderBook;
     const Mover = this.#rules.mover ?? ownership.Mover;
-    this.book = new Book(this.vm, SERVICE, SETTINGS);
-    this.orders = new Orders(SETTINGS);
+    this.book = new Book(this.vm, SERVICE, this.settings);
+    this.orders = new Orders(this.settings);
     const { vm, incarnation } = this;
     const identity = { service: SERVICE, vm, incarnation };
-    this.mover = new Mover(identity, SETTINGS);
+    this.mover = new Mover(identity, this.settings);
   }
 }
 
--- a/packages/decisions/src/ownership/model_world_test.ts
+++ b/packages/decisions/src/ownership/model_world_test.ts
@@ -25,6 +25,12 @@
 import { ModelNetwork } from "./model_network_test.ts";
 import * as ownership from "./mod.ts";
 
+function firstTimings(): contracts.LeaseTimings {
+  const { evidenceMs, leaseMs, clockRateMargin } =
+    ownership.DEFAULT_OWNERSHIP_SETTINGS;
+  return { evidenceMs, leaseMs, clockRateMargin };
+}
+
 /** Keepers, servers, the store and the messages between them. */
 export class World {
   readonly violations: string[] = [];
@@ -54,7 +60,7 @@
         0.992 + this.#random.next() * 0.016,
       );
     for (let index = 0; index < this.#keeperCount; index++) {
-      this.#keepers.push(new ModelKeeper(index, clock(), this.#rules));
+      this.#keepers.push(new ModelKeeper(index, clock(), scenario));
     }
     for (let index = 0; index < SERVERS; index++) {
       this.#servers.push(new ModelServer(index, clock(), this.#rules));
@@ -101,6 +107,7 @@
       writer: vmId(0),
       writerIncarnation: "run-0" as contracts.Incarnation,
       nonce: "first",
+      leaseTimings: [firstTimings()],
       keeperSets: [keeperSet(0, this.#keeperCount)],
       slices: ownership.equalSlices(
         this.#servers.map((server) => server.id),
@@ -150,6 +157,8 @@
         return;
       case "slow":
         return this.#network.slow(untilMs, fault.delayMs);
+      case "timings":
+        return keeper.mover.requestTimings(keeper.settings);
       case "keepers":
         return keeper.mover.requestKeepers(
           keeperSet(fault.set, this.#keeperCount),
@@ -316,6 +325,7 @@
       service: SERVICE,
       revision: assignment.revision,
       slices: slices._unsafeUnwrap(),
+      timings: keeper.timings,
       evidenceAskedAtMs: keeper.book.evidenceAskedAtMs(nowMs),
       servers: this.#servers.map((server) => server.id),
     });
--- a/packages/decisions/src/ownership/mover.ts
+++ b/packages/decisions/src/ownership/mover.ts
@@ -6,12 +6,13 @@
  * case: read, and go on from what was read.
  */
 import * as contracts from "@guavatide/contracts";
-import { AssignmentEdit, isSameSet } from "./assignment_edit.ts";
+import { AssignmentEdit, isSameSet, isSameTimings } from "./assignment_edit.ts";
 import { ForwardBook, type ForwardReport } from "./forward_book.ts";
 import type { ChangeRequest, MoveStep } from "./moves.ts";
 import { type Promise, PromiseBook } from "./promise_book.ts";
-import type { OwnershipSettings } from "./settings.ts";
+import { longestTimings, type OwnershipSettings } from "./settings.ts";
 import type { AnsweredOrder } from "./slice_wait.ts";
+import { TimingsWait } from "./timings_wait.ts";
 import { WaitBook } from "./wait_book.ts";
 
 /** What came of a read of the assignment object. */
@@ -70,6 +71,8 @@
 
 /** Keeper sets that may stand beside each other. */
 const KEEPER_SETS = 3;
+/** Timings that may be listed beside each other. */
+const TIMINGS_LISTED = 4;
 const RETRY_MIN_MS = 100;
 const RETRY_MAX_MS = 2_000;
 
@@ -83,10 +86,12 @@
   /** Requests that the write under way covers. */
   #written: readonly ChangeRequest[] = [];
   readonly #waits: WaitBook;
+  readonly #timingsWait = new TimingsWait();
   #stored: StoredAssignment | undefined;
   #isAbsent = false;
   #first: contracts.Slice[] | undefined;
   #keepers: readonly contracts.Keeper[] | undefined;
+  #timings: contracts.LeaseTimings | undefined;
   #hasFenceNews = false;
   #call: MoverEffect | undefined;
   #mustRead = true;
@@ -132,10 +137,16 @@
     this.#keepers = keepers;
   }
 
+  /** Asks for timings to be put in force. */
+  requestTimings(timings: contracts.LeaseTimings): void {
+    this.#timings = timings;
+  }
+
   /** Reads anew before the next decision, for example after taking duty. */
   forget(): void {
     this.#queue = [];
     this.#waits.clear();
+    this.#timingsWait.clear();
     this.#mustRead = true;
   }
 
@@ -255,6 +266,7 @@
       nowMs,
     });
     this.#waits.renew(stored.assignment, nowMs);
+    this.#timingsWait.renew(stored.assignment);
     this.#checkPromises(nowMs);
   }
 
@@ -276,7 +288,9 @@
   }
 
   #checkPromises(nowMs: number): void {
-    this.#waits.checkPromises((revision) => this.hasPromise(revision), nowMs);
+    const hasPromise = (revision: number) => this.hasPromise(revision);
+    this.#waits.checkPromises(hasPromise, nowMs);
+    this.#timingsWait.checkPromise(hasPromise, nowMs);
   }
 
   /** Whether a majority of every keeper set knows a revision. */
@@ -291,6 +305,7 @@
     if (wait === undefined || !tick.isLive(slice.server)) return false;
     return wait.isOver(slice.server, {
       nowMs: tick.nowMs,
+      timings: this.longestTimings(),
       isUnfenced: (server) => this.#isUnfenced(server, tick),
       isForwardingOver: (server, revision) =>
         this.#forwards.isOver(server, revision, {
@@ -300,6 +315,11 @@
     });
   }
 
+  /** What has to be waited out. */
+  protected longestTimings(): contracts.LeaseTimings {
+    return longestTimings(this.assignment, this.#settings);
+  }
+
   #isUnfenced(server: contracts.ServerId, tick: MoverTick): boolean {
     const listed = this.assignment?.unfencedServers ?? [];
     return listed.includes(server) || tick.checksFences(server) === false;
@@ -313,6 +333,7 @@
     edit.settle((slice) => this.mayTake(slice, tick));
     for (const change of this.#queue) edit.apply(change);
     this.#changeKeepers(edit);
+    this.#changeTimings(edit, tick.nowMs);
     if (this.#hasFenceNews) edit.touch();
     this.#written = this.#queue;
     if (!edit.isChanged) {
@@ -323,11 +344,16 @@
     return this.#write(edit, tick, { kind: "version", version });
   }
 
-  #hasWork({ keeperSets }: contracts.Assignment): boolean {
+  #hasWork(assignment: contracts.Assignment): boolean {
+    const { keeperSets, leaseTimings = [] } = assignment;
+    const isTimingsChange = this.#timings !== undefined &&
+      !isSameTimings(this.#timings, leaseTimings.at(-1));
     const isKeeperChange = this.#keepers !== undefined &&
       !isSameSet(this.#keepers, keeperSets.at(-1)!);
     return this.#queue.length > 0 || !this.#waits.isEmpty ||
-      keeperSets.length > 1 || isKeeperChange || this.#hasFenceNews;
+      keeperSets.length > 1 || leaseTimings.length > 1 || isKeeperChange ||
+      isTimingsChange ||
+      this.#hasFenceNews;
   }
 
   #firstWrite(tick: MoverTick): MoverEffect | undefined {
@@ -336,6 +362,7 @@
     if (!isReady) return undefined;
     const start = { slices: this.#first!, keeperSets: [[...this.#keepers!]] };
     const edit = new AssignmentEdit(undefined, start, tick.checksFences);
+    edit.useTimings(this.#settings);
     return this.#write(edit, tick, { kind: "absent" });
   }
 
@@ -352,6 +379,16 @@
     if (this.#keepers !== undefined && mayAdd) edit.useKeepers(this.#keepers);
   }
 
+  /** Settings may be rolled out VM by VM: the holder of duty's count. */
+  #changeTimings(edit: AssignmentEdit, nowMs: number): void {
+    const { assignment } = this.#stored!;
+    const count = assignment.leaseTimings?.length ?? 0;
+    const mayRetire = count > 1 && this.#timingsWait.isOver(assignment, nowMs);
+    if (mayRetire) edit.retireTimings();
+    const mayAdd = count < TIMINGS_LISTED || mayRetire;
+    if (this.#timings !== undefined && mayAdd) edit.useTimings(this.#timings);
+  }
+
   #write(
     edit: AssignmentEdit,
     tick: MoverTick,
--- a/packages/decisions/src/ownership/order_book.ts
+++ b/packages/decisions/src/ownership/order_book.ts
@@ -22,6 +22,8 @@
   readonly slices?: SliceMap;
   /** See `EvidenceBook.evidenceAskedAtMs`. */
   readonly evidenceAskedAtMs: number;
+  /** In force at the revision. */
+  readonly timings: contracts.LeaseTimings;
   /** Servers that this process sends orders to. */
   readonly servers: readonly contracts.ServerId[];
 }
@@ -138,7 +140,7 @@
       service: due.service,
       server,
       revision: due.revision,
-      leaseMs: this.#settings.leaseMs,
+      leaseMs: due.timings.leaseMs,
       slices: due.slices?.heldBy(server) ?? [],
     };
     if (state.reply === undefined || !this.mayGrant(state, due)) return order;
@@ -160,7 +162,7 @@
     due: OrdersDue,
   ): boolean {
     const isFresh = due.nowMs <
-      due.evidenceAskedAtMs + this.#settings.evidenceMs;
+      due.evidenceAskedAtMs + due.timings.evidenceMs;
     return isFresh && due.evidenceAskedAtMs >= state.instanceSeenAtMs;
   }
 
--- a/packages/decisions/src/ownership/ownership_model_test.ts
+++ b/packages/decisions/src/ownership/ownership_model_test.ts
@@ -54,12 +54,16 @@
     side: fc.uniqueArray(fc.integer({ min: 0, max: 4 }), { maxLength: 4 }),
   }),
   fault("slow", { forMs, delayMs: fc.integer({ min: 50, max: 1_500 }) }),
+  fault("timings", { keeper }),
   fault("keepers", { keeper, set: fc.integer({ min: 0, max: 4 }) }),
 ) as fc.Arbitrary<Fault>;
 
 const anyScenario: fc.Arbitrary<Scenario> = fc.record({
   seed: fc.integer(),
   keepers: fc.constantFrom(3, 5),
+  leasesMs: fc.array(fc.constantFrom(600, SETTINGS.leaseMs, 2_500), {
+    maxLength: 5,
+  }),
   faults: fc.array(anyFault, { minLength: 2, maxLength: 14 }),
 });
 
@@ -91,7 +95,7 @@
     _state: { readonly instanceSeenAtMs: number },
     due: ownership.OrdersDue,
   ): boolean {
-    return due.nowMs < due.evidenceAskedAtMs + SETTINGS.evidenceMs;
+    return due.nowMs < due.evidenceAskedAtMs + due.timings.evidenceMs;
   }
 }
 
@@ -154,6 +158,7 @@
   readonly name: string;
   readonly withoutRule: Rules;
   readonly keepers?: number;
+  readonly leasesMs?: readonly number[];
   readonly faults: readonly Fault[];
 }
 
@@ -270,6 +275,16 @@
       { kind: "split", atMs: 2_600, forMs: LONG_MS, side: [0, 1] },
     ],
   },
+  {
+    // Longer leases are being rolled out, one entry VM after another.
+    name: "leases and waits come from the assignment, not from settings",
+    withoutRule: { isOwnTimings: true },
+    leasesMs: [SETTINGS.leaseMs, 3_000, 3_000],
+    faults: [
+      { kind: "pause-server", atMs: 1_995, server: 0, forMs: 5_000 },
+      moveAway,
+    ],
+  },
   {
     name: "a change of keepers needs a majority of the earlier set too",
     withoutRule: { mover: NewSetMover },
@@ -287,8 +302,7 @@
 const SEEDS = Array.from({ length: 20 }, (_, seed) => seed);
 
 function shows(trap: Trap, seed: number, rules?: Rules): boolean {
-  const { faults, keepers } = trap;
-  return violationsOf({ seed, faults, rules, keepers }).length > 0;
+  return violationsOf({ ...trap, seed, rules }).length > 0;
 }
 
 // Each row is a way in which two servers could come to own one key. It must
--- a/packages/decisions/src/ownership/settings.ts
+++ b/packages/decisions/src/ownership/settings.ts
@@ -1,17 +1,12 @@
 /** Times that the ownership rules work with, and their defaults. */
+import type * as contracts from "@guavatide/contracts";
 
 /** Times of the ownership rules; see docs/design/ownership.md. */
-export interface OwnershipSettings {
-  /** How long evidence for a revision is good, from before it was asked. */
-  readonly evidenceMs: number;
-  /** Lease of a server, counted from the server's own stamp. */
-  readonly leaseMs: number;
+export interface OwnershipSettings extends Readonly<contracts.LeaseTimings> {
   /** Time between two orders of one keeper to one server. */
   readonly renewMs: number;
   /** A server counts as lost after so long without an answer. */
   readonly detectMs: number;
-  /** Largest relative difference in rate between two clocks. */
-  readonly clockRateMargin: number;
   /** Keepers that renew each server. */
   readonly renewers: number;
   /**
@@ -40,8 +35,36 @@
   releaseWaitMs: 5000,
 };
 
+/**
+ * Timings to act on at a revision. They come from the assignment and not from
+ * the process's own settings: two entry VMs whose settings differ, as while new
+ * ones are rolled out, would otherwise give leases that a mover does not wait
+ * out, and a key would have two owners.
+ */
+export function timingsInForce(
+  assignment: contracts.Assignment | undefined,
+  settings: contracts.LeaseTimings,
+): contracts.LeaseTimings {
+  return assignment?.leaseTimings?.at(-1) ?? settings;
+}
+
+/** The longest of all timings by which a lease may have been given. */
+export function longestTimings(
+  assignment: contracts.Assignment | undefined,
+  settings: contracts.LeaseTimings,
+): contracts.LeaseTimings {
+  const listed = assignment?.leaseTimings ?? [settings];
+  return {
+    evidenceMs: Math.max(...listed.map(({ evidenceMs }) => evidenceMs)),
+    leaseMs: Math.max(...listed.map(({ leaseMs }) => leaseMs)),
+    clockRateMargin: Math.max(
+      ...listed.map(({ clockRateMargin }) => clockRateMargin),
+    ),
+  };
+}
+
 /** How long a mover waits a silent server out, in milliseconds. */
-export function waitOutMs(settings: OwnershipSettings): number {
-  const longest = settings.evidenceMs + settings.leaseMs;
-  return longest * (1 + settings.clockRateMargin);
+export function waitOutMs(timings: contracts.LeaseTimings): number {
+  const longest = timings.evidenceMs + timings.leaseMs;
+  return longest * (1 + timings.clockRateMargin);
 }
--- a/packages/decisions/src/ownership/slice_wait.ts
+++ b/packages/decisions/src/ownership/slice_wait.ts
@@ -14,9 +14,11 @@
   readonly nowMs: number;
 }
 
-/** Tells which servers need more than their own word. */
-export interface UnfencedFacts {
+/** What the end of a wait is judged by. */
+export interface WaitFacts {
   readonly nowMs: number;
+  /** The longest timings by which a lease may have been given. */
+  readonly timings: contracts.LeaseTimings;
   /** Whether the server is not known to check fences. */
   isUnfenced(server: contracts.ServerId): boolean;
   /** Whether every entry VM reported nothing in flight at the revision. */
@@ -80,18 +82,18 @@
   }
 
   /** Whether none of the earlier owners but `next` can hold a lease. */
-  isOver(next: contracts.ServerId, facts: UnfencedFacts): boolean {
+  isOver(next: contracts.ServerId, facts: WaitFacts): boolean {
     return this.#slice.from.every((server) =>
       server === next || this.#isClear(server, facts)
     );
   }
 
-  #isClear(server: contracts.ServerId, facts: UnfencedFacts): boolean {
+  #isClear(server: contracts.ServerId, facts: WaitFacts): boolean {
     if (facts.isUnfenced(server)) {
       return this.#isUnfencedClear(server, facts);
     }
     if (this.#released.has(server)) return true;
-    const endMs = this.#waitedOutAtMs();
+    const endMs = this.#startMs() + waitOutMs(facts.timings);
     return facts.nowMs >= endMs && !this.#isWorthWaiting(server, facts.nowMs);
   }
 
@@ -101,25 +103,15 @@
    */
   #isUnfencedClear(
     server: contracts.ServerId,
-    facts: UnfencedFacts,
+    facts: WaitFacts,
   ): boolean {
-    const endMs = this.#evidenceEndMs();
+    const { evidenceMs, clockRateMargin } = facts.timings;
+    const endMs = this.#startMs() + evidenceMs * (1 + clockRateMargin);
     if (facts.nowMs < endMs) return false;
     return facts.isForwardingOver(server, this.revision) ||
       facts.nowMs >= endMs + this.#settings.unfencedMoveWaitMs;
   }
 
-  /** The end of the last lease that anyone can have given. */
-  #waitedOutAtMs(): number {
-    return this.#startMs() + waitOutMs(this.#settings);
-  }
-
-  /** The end of the last evidence for a revision before this one. */
-  #evidenceEndMs(): number {
-    const { evidenceMs, clockRateMargin } = this.#settings;
-    return this.#startMs() + evidenceMs * (1 + clockRateMargin);
-  }
-
   #startMs(): number {
     if (this.#promisedAtMs === undefined) return Number.POSITIVE_INFINITY;
     return Math.max(this.#acknowledgedAtMs, this.#promisedAtMs);
--- a/packages/entry/src/ownership/evidence_task.ts
+++ b/packages/entry/src/ownership/evidence_task.ts
@@ -49,9 +49,9 @@
   }
 
   #isWeak(nowMs: number): boolean {
-    const { known, timings } = this.#context;
+    const { known } = this.#context;
     if (known.assignment === undefined) return false;
-    const weakMs = timings.evidenceMs * WEAK_PART;
+    const weakMs = known.timings.evidenceMs * WEAK_PART;
     return nowMs >= known.evidenceAskedAtMs(nowMs) + weakMs;
   }
 
--- a/packages/entry/src/ownership/known_assignment.ts
+++ b/packages/entry/src/ownership/known_assignment.ts
@@ -40,6 +40,11 @@
     return this.#book.revision;
   }
 
+  /** Timings to act on at the highest assignment known. */
+  get timings(): contracts.LeaseTimings {
+    return this.#book.timings;
+  }
+
   /** Slices of the highest assignment known. */
   get slices(): ownership.SliceMap | undefined {
     return this.#slices;
--- a/packages/entry/src/ownership/move_task.ts
+++ b/packages/entry/src/ownership/move_task.ts
@@ -198,6 +198,7 @@
     this.#keepersAtMs = nowMs;
     const review = this.#keepers.review(nowMs);
     this.#mover.noteGone(review.gone, nowMs);
+    this.#mover.requestTimings(this.#context.timings);
     if (review.keepers.length === 0) return;
     this.#mover.requestKeepers(review.keepers);
   }
--- a/packages/entry/src/ownership/order_task.ts
+++ b/packages/entry/src/ownership/order_task.ts
@@ -96,6 +96,7 @@
       service,
       revision: Math.max(1, known.revision),
       slices: known.slices,
+      timings: known.timings,
       evidenceAskedAtMs: known.evidenceAskedAtMs(nowMs),
       servers,
     });
