--- a/packages/entry/src/settings/schema.ts
+++ b/packages/entry/src/settings/schema.ts
@@ -41,13 +41,14 @@
   vmListUrl: httpUrl,
   /** Longest time one call to the store may take. */
   storeTimeoutMs: wholeMs.default(1000),
-  /** Longest time one call to the VM list may take. */
-  vmListTimeoutMs: wholeMs.default(1000),
 });
 
 const timingsSchema = z.strictObject({
-  /** Between two heartbeats to a peer. */
-  heartbeatMs: wholeMs.default(250),
+  /**
+   * Between two heartbeats to a peer. Membership counts a peer as suspect
+   * after 750 ms, so a longer interval would suspect peers that are well.
+   */
+  heartbeatMs: z.number().int().min(20).max(250).default(250),
   /** How long evidence for an assignment revision is good. */
   evidenceMs: wholeMs.default(500),
   /** Length of a server's lease. */
@@ -95,10 +96,6 @@
   requestTimeoutMs: wholeMs.default(15_000),
   /** Time after which an idle connection is closed. */
   keepAliveMs: wholeMs.default(30_000),
-  /** Requests that wait for a server, all services together. */
-  queueRequests: z.number().int().min(0).max(1_000_000).default(1000),
-  /** Retries allowed for each 100 requests. */
-  retryPercent: z.number().min(0).max(100).default(10),
 });
 
 const logSchema = z.strictObject({
