--- a/packages/standins/src/backend_server/backend_app.ts
+++ b/packages/standins/src/backend_server/backend_app.ts
@@ -64,7 +64,11 @@
       instance: options.instance,
       checksFences: settings.checksFences,
     });
-    this.#journal = new Journal(settings.server, settings.journalFile);
+    this.#journal = new Journal({
+      server: settings.server,
+      file: settings.journalFile,
+      clock: options.clock,
+    });
     this.#queue = new WorkQueue({
       settings,
       clock: options.clock,
--- a/packages/standins/src/backend_server/journal.ts
+++ b/packages/standins/src/backend_server/journal.ts
@@ -3,7 +3,7 @@
  * two owners of a key at one moment, one told as not run that ran. Each line
  * is written before the next step, so that a killed server's journal is whole.
  */
-import type { ServerRefusal } from "@guavatide/contracts";
+import type { Clock, ServerRefusal } from "@guavatide/contracts";
 import * as fs from "node:fs";
 
 /**
@@ -32,15 +32,36 @@
   readonly wallMs: number;
 }
 
+/** Options of {@link Journal}. */
+export interface JournalOptions {
+  readonly server: string;
+  readonly file: string | undefined;
+  readonly clock: Clock;
+}
+
+/** Options of {@link Journal.note}. */
+export interface NoteOptions {
+  /**
+   * The very time by which the step was decided. A time read afresh could
+   * come from after a pause that followed the decision.
+   */
+  readonly nowMs: number;
+  readonly refusal?: ServerRefusal;
+}
+
 /** The journal of one server, in memory and, if wished, in a file. */
 export class Journal {
   readonly #server: string;
   readonly #file: number | undefined;
+  readonly #clockOffsetMs: number;
   readonly #entries: JournalEntry[] = [];
 
-  constructor(server: string, file: string | undefined) {
+  constructor(options: JournalOptions) {
+    const { server, file, clock } = options;
     this.#server = server;
     this.#file = file === undefined ? undefined : fs.openSync(file, "a");
+    const machineMs = Number(process.hrtime.bigint()) / 1e6;
+    this.#clockOffsetMs = machineMs - clock.nowMs();
   }
 
   /** Every entry of this run of the process. */
@@ -52,14 +73,14 @@
   note(
     step: JournalStep,
     request: JournaledRequest,
-    refusal?: ServerRefusal,
+    options: NoteOptions,
   ): void {
     const entry: JournalEntry = {
       server: this.#server,
       step,
-      refusal,
+      refusal: options.refusal,
       ...request,
-      monotonicMs: Number(process.hrtime.bigint()) / 1e6,
+      monotonicMs: this.#clockOffsetMs + options.nowMs,
       wallMs: Date.now(),
     };
     this.#entries.push(entry);
--- a/packages/standins/src/backend_server/ownership_state_test.ts
+++ b/packages/standins/src/backend_server/ownership_state_test.ts
@@ -143,3 +143,18 @@
   const answer = state.order(order(2, [held(SLICE_B, 1)]), 30);
   expect(answer.releasing).toEqual([]);
 });
+
+test("should let a run end after its slice was let go, within the lease", () => {
+  // A planned move takes the slice while a booking is being made. It must not
+  // be cut off; nor may it take effect once the mover has waited the lease out.
+  const state = new OwnershipState({ instance: "run-1", checksFences: true });
+  state.order(order(1, OWNS_A), 10);
+  state.begin(SLICE_A);
+  state.order(order(2, []), 20);
+  expect(state.mayRun(SLICE_A, 1, 30)).toEqual(false);
+  expect(state.mayTakeEffect(SLICE_A, 1, 999)).toEqual(true);
+  expect(state.mayTakeEffect(SLICE_A, 1, 1000)).toEqual(false);
+  expect(state.mayTakeEffect(SLICE_A, 2, 30)).toEqual(false);
+  state.end(SLICE_A);
+  expect(state.mayTakeEffect(SLICE_A, 1, 30)).toEqual(false);
+});
--- a/packages/standins/src/contract_tests/backend_work_cases.ts
+++ b/packages/standins/src/contract_tests/backend_work_cases.ts
@@ -40,6 +40,7 @@
 
 const CALL = { timeoutMs: 10_000 };
 const SLICE = firstOrder(1).slices[0]!.slice;
+const SHORT_LEASE_MS = 150;
 const LOOK_EVERY_MS = 2;
 const SEEN_WITHIN_MS = 10_000;
 
@@ -102,6 +103,20 @@
   return { running, behind };
 }
 
+/** Tries until a request has started before the lease was over. */
+async function startUnderShortLease(fixture: WorkFixture) {
+  for (let attempt = 1;; attempt++) {
+    const requestId = `short-${attempt}`;
+    const first = { ...firstOrder(1), leaseMs: SHORT_LEASE_MS };
+    const reply = valueOf(await fixture.control.order(first, CALL));
+    await fixture.control.order(stamped(first, reply), CALL);
+    const running = fixture.work({ headers: headersOf(requestId) });
+    const refused = running.then(() => true);
+    const started = untilInFlight(fixture, 1).then(() => false);
+    if (!await Promise.race([refused, started])) return { running, requestId };
+  }
+}
+
 const REFUSALS: readonly WorkCase[] = [
   {
     name: "should answer whole and with the request's own id",
@@ -183,11 +198,27 @@
       const reply = valueOf(await fixture.control.order(taken, CALL));
       expect(reply.releasing).toEqual([{ slice: SLICE, inFlight: 1 }]);
       await fixture.setFaults({ holdRuns: false });
-      await running;
+      expect((await running).status).toEqual(200);
       expect((await behind).notRun).toEqual("not-owner");
       expect(await startsOf(fixture, "behind")).toEqual(0);
     },
   },
+  {
+    name: "should not let a run take effect once its lease has ended",
+    async run(fixture) {
+      // The server's process is stopped while it makes a booking. When it
+      // goes on, the key belongs to another, who may have sold the same hour.
+      await fixture.setFaults({ holdRuns: true });
+      const { running, requestId } = await startUnderShortLease(fixture);
+      await new Promise((resolve) => setTimeout(resolve, SHORT_LEASE_MS));
+      await fixture.setFaults({ holdRuns: false });
+      expect((await running).notRun).toEqual("not-owner");
+      const steps = (await fixture.journal())
+        .filter((entry) => entry.requestId === requestId)
+        .map((entry) => entry.step);
+      expect(steps).toEqual(["start", "abandoned"]);
+    },
+  },
   {
     name: "should not run a waiting request that was cancelled",
     async run(fixture) {
