fix(requests): never eject a key's owner, and linger in a graceful stop

Owners are not ejected any more; a request for a key waits for its next owner until its deadline. A timeout counts as a failure after 1 s only. A stop serves on for up to 1 s and closes each connection with its answer. Before the first configuration the answer is 503, not-run, with Retry-After.

--- a/packages/decisions/src/routing/retry_rule.ts
+++ b/packages/decisions/src/routing/retry_rule.ts
@@ -62,14 +62,15 @@
 }
 
 /**
- * A server that is full says so before it has done any work; so does a key's
- * owner that is leaving, cold, or has not yet got the slice. The request waits
- * in its queue, which paces what goes to such a server; it costs nothing of
- * the budget, which is there to bound what failures multiply.
+ * A server that is full says so before it has done any work; the request
+ * waits in its queue, which paces what goes to such a server. So does one for
+ * a key whose owner is leaving, cold, lost or has not yet got the slice: only
+ * its next owner can serve it, within seconds. Neither costs anything of the
+ * budget, which is there to bound what failures multiply.
  */
 function isFlowControl(failure: FailedAttempt, isKeyed: boolean): boolean {
-  if (failure.kind !== "not-run") return false;
-  const { refusal } = failure;
-  if (refusal === undefined || refusal === "deadline") return false;
-  return isKeyed || refusal === "busy";
+  if (failure.kind !== "not-run" || failure.refusal === "deadline") {
+    return false;
+  }
+  return isKeyed || failure.refusal === "busy";
 }
--- a/packages/decisions/src/routing/retry_rule_test.ts
+++ b/packages/decisions/src/routing/retry_rule_test.ts
@@ -93,6 +93,12 @@
     options: { isKeyed: true, attempts: 9, budget: emptyBudget() },
     expected: "retry",
   },
+  {
+    name: "wait for the next owner of a key whose owner is lost",
+    failure: NOT_CONNECTED,
+    options: { isKeyed: true, attempts: 9, budget: emptyBudget() },
+    expected: "retry",
+  },
   {
     name: "wait for a full server without touching the budget",
     failure: BUSY,
--- a/packages/decisions/src/routing/server_board.ts
+++ b/packages/decisions/src/routing/server_board.ts
@@ -16,6 +16,8 @@
    * learns a lower limit from refusals and grows it again with answers.
    */
   readonly localLimit: number;
+  /** Whether servers may be put out of use. */
+  readonly mayEject: boolean;
 }
 
 /** How an attempt at a server ended, as far as the board cares. */
@@ -27,7 +29,10 @@
     readonly refusal: contracts.ServerRefusal;
     readonly inFlight?: number;
   }
-  | { readonly kind: "failure" }
+  | {
+    readonly kind: "failure";
+    readonly cause: "not-connected" | "timeout" | "broken";
+  }
   /** Ended from our side; says nothing about the server. */
   | { readonly kind: "abandoned" };
 
@@ -39,6 +44,8 @@
   readonly ejection: OutlierEjection;
   /** Times at which the attempts in flight were sent, oldest first. */
   readonly sentMs: number[];
+  /** When the first attempt since the last answer was sent. */
+  unansweredSinceMs: number | undefined;
   reportedInFlight: number | undefined;
   reportedMs: number;
   /** No new request before this: the server refused. */
@@ -60,6 +67,10 @@
 const WINDOW_GROWTH = 0.1;
 /** Refusals within this time count as one. */
 const WINDOW_CUT_INTERVAL_MS = 10;
+/** After a connection could not be made, a server gets nothing for this long. */
+const NOT_CONNECTED_PAUSE_MS = 100;
+/** A timeout after less time than this says nothing about a server. */
+const FAIR_ATTEMPT_MS = 1000;
 /** After `cold`, a server gets nothing for this long. */
 const COLD_PAUSE_MS = 100;
 
@@ -133,6 +144,7 @@
   noteSent(server: contracts.ServerId, nowMs: number): void {
     const entry = this.#entry(server, nowMs);
     entry.sentMs.push(nowMs);
+    entry.unansweredSinceMs ??= nowMs;
     if (entry.reportedInFlight !== undefined) entry.reportedInFlight++;
   }
 
@@ -151,10 +163,11 @@
       return undefined;
     }
     if (end.kind === "failure") {
-      return entry.ejection.noteFailure(nowMs) ? "ejected" : undefined;
+      return this.#noteFailure(entry, { cause: end.cause, sentMs, nowMs });
     }
     if (end.kind === "refusal") this.#pause(entry, end.refusal, nowMs);
     if (end.kind === "answer") this.#widen(entry);
+    entry.unansweredSinceMs = entry.sentMs[0];
     entry.reportedInFlight = end.inFlight;
     entry.reportedMs = nowMs;
     const wasOut = entry.ejection.state !== "in-use";
@@ -170,6 +183,7 @@
   ): BoardEvent {
     const entry = this.#entry(server, nowMs);
     entry.ejection.noteProbe(isAnswered, nowMs);
+    if (isAnswered) entry.unansweredSinceMs = entry.sentMs[0];
     const { state } = entry.ejection;
     if (state === "in-use") return "returned";
     return state === "on-trial" ? "on-trial" : undefined;
@@ -178,14 +192,36 @@
   /** Ejects servers that have gone silent; returns which. */
   ejectSilent(nowMs: number): contracts.ServerId[] {
     const ejected: contracts.ServerId[] = [];
+    if (!this.#options.mayEject) return ejected;
     for (const [server, entry] of this.#entries) {
-      const oldestMs = entry.sentMs[0];
-      if (oldestMs === undefined) continue;
-      if (entry.ejection.noteWaiting(oldestMs, nowMs)) ejected.push(server);
+      // Not the oldest attempt in flight: with short deadlines each one ends
+      // before it is old, and a frozen server would never be noticed.
+      const sinceMs = entry.unansweredSinceMs;
+      if (sinceMs === undefined) continue;
+      if (entry.ejection.noteWaiting(sinceMs, nowMs)) ejected.push(server);
     }
     return ejected;
   }
 
+  #noteFailure(
+    entry: Entry,
+    failure: {
+      readonly cause: "not-connected" | "timeout" | "broken";
+      readonly sentMs: number;
+      readonly nowMs: number;
+    },
+  ): BoardEvent {
+    const { cause, sentMs, nowMs } = failure;
+    if (cause === "not-connected") {
+      entry.pausedUntilMs = nowMs + NOT_CONNECTED_PAUSE_MS;
+    }
+    // A caller's short deadline is no evidence against the server; without
+    // this one caller could have a server taken from all others.
+    const isUnfair = cause === "timeout" && nowMs - sentMs < FAIR_ATTEMPT_MS;
+    if (isUnfair || !this.#options.mayEject) return undefined;
+    return entry.ejection.noteFailure(nowMs) ? "ejected" : undefined;
+  }
+
   #pause(
     entry: Entry,
     refusal: contracts.ServerRefusal,
@@ -239,6 +275,7 @@
       firstSeenMs: isFirst ? -Infinity : nowMs,
       ejection: new OutlierEjection(),
       sentMs: [],
+      unansweredSinceMs: undefined,
       reportedInFlight: undefined,
       reportedMs: -Infinity,
       pausedUntilMs: -Infinity,
--- a/packages/decisions/src/routing/server_board_test.ts
+++ b/packages/decisions/src/routing/server_board_test.ts
@@ -7,7 +7,11 @@
 const B = "b" as contracts.ServerId;
 
 function createBoard(): ServerBoard {
-  const board = new ServerBoard({ slotsPerServer: 3, localLimit: 3 }, 0);
+  const board = new ServerBoard({
+    slotsPerServer: 3,
+    localLimit: 3,
+    mayEject: true,
+  }, 0);
   board.keepOnly(new Set([A, B]), 0);
   return board;
 }
@@ -35,7 +39,10 @@
 
   // The first request is still out, so the trial has not begun.
   expect(open(board, 1201)).toEqual([B]);
-  board.noteEnd(A, 100, { end: { kind: "failure" }, nowMs: 1300 });
+  board.noteEnd(A, 100, {
+    end: { kind: "failure", cause: "timeout" },
+    nowMs: 1300,
+  });
   expect(open(board, 1301)).toEqual([B]);
   expect(board.tryProbe(A, 2300)).toEqual(true);
   board.noteProbe(A, true, 2301);
@@ -58,6 +65,22 @@
   expect(board.ejectSilent(600)).toEqual([]);
 });
 
+test("should not take a caller's short deadline for a failure", () => {
+  // One caller gives its requests 5 ms. All of them end without an answer; the
+  // server is well, and must not be taken from everybody else.
+  const board = createBoard();
+  for (let sentMs = 100; sentMs < 200; sentMs += 10) {
+    board.noteSent(A, sentMs);
+    const end = { kind: "failure", cause: "timeout" } as const;
+    board.noteEnd(A, sentMs, { end, nowMs: sentMs + 5 });
+  }
+  expect(open(board, 300)).toEqual([A, B]);
+  // Ten requests without any answer are worth a probe all the same.
+  expect(board.ejectSilent(500)).toEqual([A]);
+  expect(board.tryProbe(A, 500)).toEqual(true);
+  expect(board.noteProbe(A, true, 502)).toEqual("returned");
+});
+
 test("should lower a server's limit when it says busy and raise it again", () => {
   const board = createBoard();
   const busy = { kind: "refusal", refusal: "busy" } as const;
--- a/packages/entry/src/links/link_pool.ts
+++ b/packages/entry/src/links/link_pool.ts
@@ -44,7 +44,8 @@
   async send(request: LinkRequest, options: SendOptions): Promise<LinkResult> {
     const link = this.#take();
     if (link === undefined) {
-      return { kind: "not-sent", message: "All connections are in use" };
+      const message = "All connections are in use";
+      return { kind: "not-sent", isOurs: true, message };
     }
     const receivedBytes = link.bytesReceived;
     const timer = setTimeout(
--- a/packages/entry/src/links/server_link.ts
+++ b/packages/entry/src/links/server_link.ts
@@ -31,7 +31,12 @@
     readonly inFlight: number | undefined;
   }
   /** No byte left. */
-  | { readonly kind: "not-sent"; readonly message: string }
+  | {
+    readonly kind: "not-sent";
+    /** True when it was kept here; says nothing about the server then. */
+    readonly isOurs: boolean;
+    readonly message: string;
+  }
   /** Bytes left and no whole answer came. */
   | {
     readonly kind: "unknown";
@@ -54,6 +59,7 @@
   readonly request: LinkRequest;
   readonly settle: (result: LinkResult) => void;
   hasLeft: boolean;
+  wasKept: boolean;
   abort: ((reason: Error) => void) | undefined;
 }
 
@@ -106,6 +112,7 @@
       const pending: Pending = {
         request,
         hasLeft: false,
+        wasKept: false,
         abort: undefined,
         settle: (result) => {
           if (this.#pending !== pending) return;
@@ -147,6 +154,7 @@
       onRequestStart: (controller) => {
         pending.abort = (reason) => controller.abort(reason);
         if (this.#pending !== pending || !request.mayLeave()) {
+          pending.wasKept = true;
           controller.abort(new Error("The request may not leave any more"));
           return;
         }
@@ -189,7 +197,8 @@
   reason: contracts.UnknownReason,
   message: string,
 ): LinkResult {
-  if (!pending.hasLeft) return { kind: "not-sent", message };
+  const isOurs = pending.wasKept;
+  if (!pending.hasLeft) return { kind: "not-sent", isOurs, message };
   return { kind: "unknown", reason, message };
 }
 
--- a/packages/entry/src/requests/caller_listener.ts
+++ b/packages/entry/src/requests/caller_listener.ts
@@ -3,6 +3,7 @@
 import * as names from "@guavatide/contracts";
 import type * as http from "node:http";
 import type * as net from "node:net";
+import * as timers from "node:timers/promises";
 import * as httpServer from "../utils/http_server.ts";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import {
@@ -26,12 +27,16 @@
 
 /** Interval at which Node looks for requests that arrive too slowly. */
 const CHECK_INTERVAL_MS = 500;
+/** Interval at which a stop looks whether connections are left. */
+const LINGER_CHECK_MS = 20;
 
 /** The listening socket for callers. */
 export class CallerListener {
   readonly #options: CallerListenerOptions;
   readonly #server: http.Server;
   #inFlight = 0;
+  /** The linger of a stop is over: what still comes is refused. */
+  #isClosing = false;
   #onIdle: (() => void) | undefined;
 
   constructor(options: CallerListenerOptions) {
@@ -99,8 +104,8 @@
     incoming: http.IncomingMessage,
     options: { readonly arrivedMs: number; readonly signal: AbortSignal },
   ): Promise<CallerAnswer> {
-    const { settings, lifeCycle, route } = this.#options;
-    if (lifeCycle.isStopping) {
+    const { settings, route } = this.#options;
+    if (this.#isClosing) {
       return notRun("shutting-down", {
         message: "This entry VM is stopping; send the request again",
       });
@@ -117,8 +122,15 @@
     return route({ ...head.value, ...options, body: body.value });
   }
 
-  /** Lets requests in flight end; takes no new connection meanwhile. */
+  /**
+   * Answers as usual for a while, ending each connection with its answer, and
+   * closes the port and idle connections only then. A connection that is
+   * closed while a request is on its way to it leaves the caller without an
+   * answer, and not knowing whether the request ran.
+   */
   async #drain(): Promise<void> {
+    await this.#linger();
+    this.#isClosing = true;
     const closed = new Promise<void>((resolve) => {
       this.#server.close(() => resolve());
     });
@@ -131,6 +143,23 @@
     this.#server.closeAllConnections();
     await closed;
   }
+
+  /** Returns when no connection is left, or after the linger time. */
+  async #linger(): Promise<void> {
+    const { clock, settings } = this.#options;
+    const endMs = clock.nowMs() + settings.lingerMs;
+    while (clock.nowMs() < endMs && await this.#connections() > 0) {
+      await timers.setTimeout(LINGER_CHECK_MS);
+    }
+  }
+
+  #connections(): Promise<number> {
+    return new Promise((resolve) => {
+      this.#server.getConnections((error, count) =>
+        resolve(error === null ? count : 0)
+      );
+    });
+  }
 }
 
 /** Status of each error that Node's parser reports, besides 400. */
--- a/packages/entry/src/requests/doors_test.ts
+++ b/packages/entry/src/requests/doors_test.ts
@@ -11,14 +11,18 @@
 
 /** Sends bytes and gathers everything until the other side closes. */
 function exchange(url: string, bytes: string): Promise<string> {
+  const { hostname, port } = new URL(url);
+  const socket = net.connect(Number(port), hostname);
+  socket.write(bytes);
+  return readToEnd(socket);
+}
+
+function readToEnd(socket: net.Socket): Promise<string> {
   return new Promise((resolve, reject) => {
-    const { hostname, port } = new URL(url);
-    const socket = net.connect(Number(port), hostname);
     let answer = "";
     socket.on("data", (chunk) => answer += chunk);
     socket.on("end", () => resolve(answer));
     socket.on("error", reject);
-    socket.write(bytes);
   });
 }
 
@@ -115,6 +119,27 @@
   expect(report.failed).toEqual([]);
 });
 
+test("should answer what arrives on an open connection in a stop", async () => {
+  // A caller sends its next check on a connection that is open, just as the
+  // entry VM is told to stop. Were the connection closed at once, the caller
+  // would see it reset and not know what became of the request.
+  const entry = await startEntry([new FakeBackend()], {
+    settings: { lingerMs: 5000 },
+  });
+  const url = new URL(entry.url);
+  const socket = net.connect(Number(url.port), url.hostname);
+  const answers = readToEnd(socket);
+  socket.write("GET /s/booths/x HTTP/1.1\r\nHost: x\r\n\r\n");
+  await waitUntil(() => socket.bytesRead > 0);
+  const stopped = entry.lifeCycle.stop();
+  socket.write("GET /s/booths/x HTTP/1.1\r\nHost: x\r\n\r\n");
+  const [, first, second] = (await answers).split("HTTP/1.1 ");
+  expect(first!.startsWith("200")).toEqual(true);
+  expect(second!.startsWith("200")).toEqual(true);
+  expect(second!.toLowerCase()).toInclude("connection: close");
+  expect((await stopped).failed).toEqual([]);
+});
+
 test("should try a new connection once an old one went silent", async () => {
   // Something between the two ends lost track of the open connections. They
   // look open, take bytes and never bring an answer; new ones work.
--- a/packages/entry/src/requests/fakes_test_support.ts
+++ b/packages/entry/src/requests/fakes_test_support.ts
@@ -168,7 +168,7 @@
     onChange: () => () => {},
     noteNotOwner: () => {},
   };
-  const settings = { ...REQUEST_DEFAULTS, ...options.settings };
+  const settings = { ...REQUEST_DEFAULTS, lingerMs: 0, ...options.settings };
   const clock = new MonotonicClock();
   const router = new RequestRouter({
     config,
--- a/packages/entry/src/requests/keyed_allocator.ts
+++ b/packages/entry/src/requests/keyed_allocator.ts
@@ -104,13 +104,28 @@
   #noteRefusal(slot: Slot, refusal: contracts.ServerRefusal): void {
     const isLeaving = refusal === "draining";
     if (refusal !== "not-owner" && !isLeaving) return;
-    const { revision, slice } = slot.ownership!;
-    const untilMs = this.#options.clock.nowMs() + MOVE_PAUSE_MS;
-    this.#refusals.set(slice, { revision, untilMs });
+    this.#park(slot.ownership!);
     if (isLeaving) return;
+    const { revision } = slot.ownership!;
     this.#options.owners.noteNotOwner(this.#service.name, revision);
   }
 
+  #park(slice: NonNullable<Slot["ownership"]>): void {
+    const untilMs = this.#options.clock.nowMs() + MOVE_PAUSE_MS;
+    this.#refusals.set(slice.slice, { revision: slice.revision, untilMs });
+  }
+
+  /**
+   * Whether the right to forward is there at present. It is asked again right
+   * before the bytes leave; asked only there, a request without it would go
+   * round and round and open a connection each time.
+   */
+  #mayForward(owner: Owned): boolean {
+    const { server, slice, fence } = owner;
+    const { owners } = this.#options;
+    return owners.mayForward(this.#service.name, server, slice, fence);
+  }
+
   #forgetRefusals(): void {
     const nowMs = this.#options.clock.nowMs();
     for (const [slice, refusal] of this.#refusals) {
@@ -155,6 +170,12 @@
     }
     const address = this.#options.servers.server(owner.server);
     if (address === undefined) return false;
+    if (!this.#mayForward(owner)) {
+      lane.shift();
+      this.#park(owner);
+      this.#enqueue(wish);
+      return true;
+    }
     const [candidate] = this.#watch.candidates([owner.server]);
     if (candidate === undefined) return false;
     lane.shift();
--- a/packages/entry/src/requests/request_router.ts
+++ b/packages/entry/src/requests/request_router.ts
@@ -88,6 +88,13 @@
   route(request: CallerRequest): Promise<CallerAnswer> {
     const { config, clock } = this.#options;
     const service = config.service(request.service);
+    // A caller that is told "unknown service" mends its path; there is nothing
+    // to mend while this VM has no configuration yet.
+    if (service === undefined && config.revision === 0) {
+      return this.#refuse(request, "no-server", {
+        message: "No configuration is in force here yet; come back later",
+      });
+    }
     if (service === undefined) {
       return this.#refuse(request, "unknown-service", {
         message: `There is no service "${request.service}"; check the path`,
@@ -197,7 +204,12 @@
 
   #createAllocator(service: contracts.Service): SlotAllocator {
     if (service.keyed) {
-      return new KeyedAllocator({ ...this.#common(service), extraRequests: 0 });
+      return new KeyedAllocator({
+        ...this.#common(service),
+        extraRequests: 0,
+        // Nobody else can serve the key, so ejecting its owner helps no one.
+        mayEject: false,
+      });
     }
     const { peers, servers, clock, hashKey } = this.#options;
     const local = new LocalAllocator({
@@ -224,6 +236,7 @@
       ...this.#options,
       service,
       log: this.#log,
+      mayEject: true,
       linkLimit: () => this.#linkLimit(service),
       onEjected: (server: contracts.ServerId) =>
         metrics.ejected(service.name, server),
--- a/packages/entry/src/requests/request_run.ts
+++ b/packages/entry/src/requests/request_run.ts
@@ -240,8 +240,15 @@
           inFlight: result.inFlight,
         };
       case "not-sent":
+        return result.isOurs || this.#request.signal.aborted
+          ? { kind: "abandoned" }
+          : { kind: "failure", cause: "not-connected" };
       case "unknown":
-        return { kind: this.#request.signal.aborted ? "abandoned" : "failure" };
+        if (this.#request.signal.aborted) return { kind: "abandoned" };
+        return {
+          kind: "failure",
+          cause: result.reason === "timeout-after-send" ? "timeout" : "broken",
+        };
     }
   }
 
--- a/packages/entry/src/requests/request_settings.ts
+++ b/packages/entry/src/requests/request_settings.ts
@@ -15,6 +15,11 @@
   readonly keepAliveTimeoutMs: number;
   /** Longest time that a caller may ask us to wait. */
   readonly longestTimeoutMs: number;
+  /**
+   * Time after the start of a stop during which connections are still served,
+   * and closed with their next answer.
+   */
+  readonly lingerMs: number;
   /** Time that a graceful stop waits for requests in flight. */
   readonly drainTimeoutMs: number;
 }
@@ -31,5 +36,6 @@
   requestTimeoutMs: 10_000,
   keepAliveTimeoutMs: 30_000,
   longestTimeoutMs: 60_000,
+  lingerMs: 1000,
   drainTimeoutMs: 15_000,
 };
--- a/packages/entry/src/requests/server_watch.ts
+++ b/packages/entry/src/requests/server_watch.ts
@@ -16,6 +16,8 @@
   readonly log: PartLog;
   /** Requests given to one server beyond its slots. */
   readonly extraRequests: number;
+  /** Whether a server that fails or falls silent may be put out of use. */
+  readonly mayEject: boolean;
   /** Requests for which this VM has connections to one server. */
   readonly linkLimit: () => number;
   /** Called when a server went out of use. */
@@ -130,6 +132,7 @@
     const { slotsPerServer } = this.#service;
     const wanted = slotsPerServer + this.#options.extraRequests;
     const localLimit = Math.min(wanted, this.#options.linkLimit());
-    return { slotsPerServer, localLimit };
+    const { mayEject } = this.#options;
+    return { slotsPerServer, localLimit, mayEject };
   }
 }
--- a/packages/entry/src/requests/slot_messages.ts
+++ b/packages/entry/src/requests/slot_messages.ts
@@ -21,7 +21,10 @@
     refusal: z.enum(["not-owner", "busy", "draining", "deadline", "cold"]),
     inFlight: inFlightSchema,
   }),
-  z.strictObject({ kind: z.literal("failure") }),
+  z.strictObject({
+    kind: z.literal("failure"),
+    cause: z.enum(["not-connected", "timeout", "broken"]),
+  }),
   z.strictObject({ kind: z.literal("abandoned") }),
 ]);
 
