fix(requests): close the port before idle connections in a stop

The proof of a graceful stop still showed one reset in two runs: Node's close ends idle connections at once, also those whose first request is on its way. The port is now closed alone, right after the loop has taken what waited, and idle connections half a linger later.

--- a/packages/entry/src/requests/caller_listener.ts
+++ b/packages/entry/src/requests/caller_listener.ts
@@ -2,7 +2,7 @@
 import type * as contracts from "@guavatide/contracts";
 import * as names from "@guavatide/contracts";
 import type * as http from "node:http";
-import type * as net from "node:net";
+import * as net from "node:net";
 import * as timers from "node:timers/promises";
 import * as httpServer from "../utils/http_server.ts";
 import type { LifeCycle } from "../utils/life_cycle.ts";
@@ -123,17 +123,20 @@
   }
 
   /**
-   * Answers as usual for a while, ending each connection with its answer, and
-   * closes the port and idle connections only then. A connection that is
+   * Answers as usual for a while, ending each connection with its answer; then
+   * stops listening, and closes idle connections last. A connection that is
    * closed while a request is on its way to it leaves the caller without an
    * answer, and not knowing whether the request ran.
    */
   async #drain(): Promise<void> {
-    await this.#linger();
+    const { lingerMs } = this.#options.settings;
+    await this.#lingerFor(lingerMs);
+    // Right after the loop has taken all connections that were waiting: the
+    // system resets those that wait when the port closes.
+    await timers.setImmediate();
+    const closed = this.#stopListening();
+    await this.#lingerFor(lingerMs / 2);
     this.#isClosing = true;
-    const closed = new Promise<void>((resolve) => {
-      this.#server.close(() => resolve());
-    });
     this.#server.closeIdleConnections();
     if (this.#inFlight > 0) {
       await new Promise<void>((resolve) => {
@@ -142,12 +145,21 @@
     }
     this.#server.closeAllConnections();
     await closed;
+    // Ends the server's own timers; the port is closed already.
+    this.#server.close(() => {});
+  }
+
+  /** Closes the port alone: the HTTP server's close ends connections too. */
+  #stopListening(): Promise<void> {
+    return new Promise((resolve) => {
+      net.Server.prototype.close.call(this.#server, () => resolve());
+    });
   }
 
-  /** Returns when no connection is left, or after the linger time. */
-  async #linger(): Promise<void> {
-    const { clock, settings } = this.#options;
-    const endMs = clock.nowMs() + settings.lingerMs;
+  /** Returns when no connection is left, or after the time. */
+  async #lingerFor(timeMs: number): Promise<void> {
+    const { clock } = this.#options;
+    const endMs = clock.nowMs() + timeMs;
     while (clock.nowMs() < endMs && await this.#connections() > 0) {
       await timers.setTimeout(LINGER_CHECK_MS);
     }
