--- a/packages/standins/src/proofs/proofs_main.ts
+++ b/packages/standins/src/proofs/proofs_main.ts
@@ -1,7 +1,7 @@
 /**
  * Runs the failure proofs with real processes and prints a table. Optional
- * arguments: runs of each scenario, deployments at once, and a word that the
- * names of scenarios must contain.
+ * arguments: runs of each scenario, deployments at once, and words with commas
+ * between, one of which a scenario's name must contain.
  */
 import { CONFIG_SCENARIOS } from "./config_scenarios.ts";
 import { LINK_SCENARIOS } from "./link_scenarios.ts";
@@ -53,8 +53,10 @@
 }
 
 async function main(): Promise<void> {
-  const [runs, atOnce, word] = process.argv.slice(2);
-  const chosen = ALL.filter((scenario) => scenario.name.includes(word ?? ""));
+  const [runs, atOnce, words] = process.argv.slice(2);
+  const chosen = ALL.filter((scenario) =>
+    (words ?? "").split(",").some((word) => scenario.name.includes(word))
+  );
   const done = await runScenarios(chosen, {
     runs: Number(runs ?? RUNS),
     atOnce: Number(atOnce ?? AT_ONCE),
