--- a/packages/standins/src/proofs/config_marks.ts
+++ b/packages/standins/src/proofs/config_marks.ts
@@ -6,7 +6,8 @@
 import * as contracts from "@guavatide/contracts";
 import * as platform from "guavatide/platform/mod";
 import { publishMore } from "../deployment/first_publish.ts";
-import { OPERATOR_TOKEN, pause, type ProofCluster } from "./proof_cluster.ts";
+import { pause, type ProofCluster } from "./proof_cluster.ts";
+import { OPERATOR_TOKEN } from "./proof_plan.ts";
 
 const SAMPLE_EVERY_MS = 50;
 const MISSED_TIMEOUT_MS = 2000;
--- a/packages/standins/src/proofs/link_scenarios.ts
+++ b/packages/standins/src/proofs/link_scenarios.ts
@@ -1,5 +1,6 @@
 /** Proofs about open connections that go silent while new ones work. */
-import { KEYS, pause } from "./proof_cluster.ts";
+import { pause } from "./proof_cluster.ts";
+import { KEYS } from "./proof_plan.ts";
 import { INVARIANTS, type ProofScenario } from "./proof_scenario.ts";
 
 const SETTLE_MS = 500;
--- a/packages/standins/src/proofs/ownership_scenarios.ts
+++ b/packages/standins/src/proofs/ownership_scenarios.ts
@@ -1,5 +1,6 @@
 /** Proofs that a key has one owner and that assignments survive. */
-import { KEYS, pause, type ProofCluster } from "./proof_cluster.ts";
+import { pause, type ProofCluster } from "./proof_cluster.ts";
+import { KEYS } from "./proof_plan.ts";
 import { INVARIANTS, type ProofScenario } from "./proof_scenario.ts";
 
 /** Longer than evidence, lease and detection together. */
--- a/packages/standins/src/proofs/proof_cluster.ts
+++ b/packages/standins/src/proofs/proof_cluster.ts
@@ -5,7 +5,6 @@
  */
 import * as contracts from "@guavatide/contracts";
 import { dutyRecordSchema } from "@guavatide/decisions/ownership/duty";
-import * as crypto from "node:crypto";
 import * as fs from "node:fs";
 import * as os from "node:os";
 import * as path from "node:path";
@@ -14,42 +13,17 @@
   type JournalEntry,
   readJournalFile,
 } from "../backend_server/journal.ts";
-import type { DeploymentPlan } from "../deployment/deployment_plan.ts";
 import { LocalDeployment } from "../deployment/local_deployment.ts";
 import * as processes from "../processes/mod.ts";
 import { CallerLoad, type CallerLoadOptions } from "./caller_load.ts";
 import type { CallerRecord } from "./caller_record.ts";
+import * as plan from "./proof_plan.ts";
 import { Relays } from "./relays.ts";
 import type { Evidence } from "./violations.ts";
 
-/** The keyed service of every proof. */
-export const KEYED = "availability";
-/** The unkeyed service of every proof. */
-export const UNKEYED = "reservations";
-/** Keys that the callers use. */
-export const KEYS: readonly string[] = Array.from(
-  { length: 24 },
-  (_, index) => `booth-${index + 1}`,
-);
-
-/** Bearer token with all rights at each entry VM's administration. */
-export const OPERATOR_TOKEN = "operator-of-the-proofs";
-
 const LOOK_EVERY_MS = 25;
 const DEADLINE_MS = 30_000;
 
-/** Options of {@link ProofCluster.start}. */
-export interface ProofClusterOptions {
-  readonly entryVms?: number;
-  readonly keyedServers?: number;
-  readonly checksFences?: boolean;
-  readonly serviceTimeMs?: number;
-  /** Whether entry VMs reach servers through relays. */
-  readonly relaysServers?: boolean;
-  /** Whether entry VMs reach the store through relays. */
-  readonly relaysStore?: boolean;
-}
-
 /** One deployment, its load and its records. */
 export class ProofCluster {
   readonly deployment: LocalDeployment;
@@ -73,15 +47,15 @@
 
   /** Starts a deployment and waits until every key is served. */
   static async start(
-    options: ProofClusterOptions = {},
+    options: plan.ProofClusterOptions = {},
   ): Promise<ProofCluster> {
     const folder = fs.mkdtempSync(path.join(os.tmpdir(), "guavatide-proof-"));
     const relays = await Relays.start();
     const deployment = await LocalDeployment.start({
-      plan: planOf(options),
+      plan: plan.planOf(options),
       journalFolder: folder,
       backendSettings: { queueLimit: 8, drainGraceMs: 3000 },
-      entrySettings: { administration: { tokens: [operatorAccess()] } },
+      entrySettings: { administration: { tokens: [plan.operatorAccess()] } },
       ...(options.relaysServers === true
         ? {
           listedPortFor: (server: string, port: number) =>
@@ -167,7 +141,7 @@
   /** The keyed service's assignment as the store holds it. */
   async assignment(): Promise<contracts.Assignment> {
     const found = await this.storedObjects(contracts.assignmentSchema);
-    const keyed = found.find((assignment) => assignment.service === KEYED);
+    const keyed = found.find((assignment) => assignment.service === plan.KEYED);
     if (keyed === undefined) throw new Error("No assignment in the store yet");
     return keyed;
   }
@@ -209,9 +183,9 @@
   /** Starts callers; they go on until {@link ProofCluster.finish}. */
   startLoad(options: Partial<CallerLoadOptions> = {}): CallerLoad {
     const load = new CallerLoad({
-      service: KEYED,
+      service: plan.KEYED,
       entryUrls: () => this.vms.map((vm) => this.deployment.callerUrl(vm)),
-      keys: KEYS,
+      keys: plan.KEYS,
       workers: 16,
       timeoutMs: 1000,
       pauseMs: 4,
@@ -261,7 +235,7 @@
 
   /** Asks for a key through an entry VM; the answering server, or none. */
   async ask(vm: string, key: string): Promise<string | undefined> {
-    const url = `${this.deployment.callerUrl(vm)}/s/${KEYED}/probe`;
+    const url = `${this.deployment.callerUrl(vm)}/s/${plan.KEYED}/probe`;
     try {
       const response = await fetch(url, {
         headers: {
@@ -292,7 +266,7 @@
   /** Keys by the server that owns them now. */
   async keysByOwner(): Promise<Map<string, string[]>> {
     const found = new Map<string, string[]>();
-    for (const key of KEYS) {
+    for (const key of plan.KEYS) {
       const owner = await this.ownerOf(key);
       found.set(owner, [...found.get(owner) ?? [], key]);
     }
@@ -302,7 +276,7 @@
   /** Waits until every key is served through every given entry VM. */
   async untilServed(
     vms: readonly string[] = this.vms,
-    keys: readonly string[] = KEYS,
+    keys: readonly string[] = plan.KEYS,
   ): Promise<void> {
     await Promise.all(
       vms.flatMap((vm) =>
@@ -350,41 +324,3 @@
 export function pause(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
-
-function operatorAccess(): object {
-  return {
-    tokenSha256: crypto.createHash("sha256").update(OPERATOR_TOKEN)
-      .digest("hex"),
-    operator: "proofs",
-    partners: "*",
-    rights: ["read", "edit", "publish", "drain"],
-  };
-}
-
-function planOf(options: ProofClusterOptions): DeploymentPlan {
-  const serviceTimeMs = {
-    kind: "fixed",
-    ms: options.serviceTimeMs ?? 5,
-  } as const;
-  return {
-    partner: "kayfa",
-    region: "dakar",
-    zones: ["plateau", "almadies", "medina"],
-    entryVms: options.entryVms ?? 3,
-    services: [
-      {
-        name: KEYED,
-        servers: options.keyedServers ?? 4,
-        slots: 3,
-        keyed: true,
-        checksFences: options.checksFences ?? true,
-        serviceTimeMs,
-      },
-      { name: UNKEYED, servers: 2, slots: 3, keyed: false, serviceTimeMs },
-    ],
-    linkDelayMs: 0,
-    connectionsPerServer: 110,
-    imbalanceWeight: 1,
-    churnWeight: 1,
-  };
-}
--- a/packages/standins/src/proofs/proof_scenario.ts
+++ b/packages/standins/src/proofs/proof_scenario.ts
@@ -1,5 +1,6 @@
 /** One proof: an invariant, a fault that tries it, and how it is brought on. */
-import type { ProofCluster, ProofClusterOptions } from "./proof_cluster.ts";
+import type { ProofCluster } from "./proof_cluster.ts";
+import type { ProofClusterOptions } from "./proof_plan.ts";
 
 /** A scenario of the failure proofs. */
 export interface ProofScenario {
--- a/packages/standins/src/proofs/shutdown_scenarios.ts
+++ b/packages/standins/src/proofs/shutdown_scenarios.ts
@@ -1,6 +1,7 @@
 /** Proofs about servers that leave and about graceful shutdowns. */
 import type { CallerRecord } from "./caller_record.ts";
-import { KEYS, type ProofCluster, UNKEYED } from "./proof_cluster.ts";
+import { type ProofCluster } from "./proof_cluster.ts";
+import { KEYS, UNKEYED } from "./proof_plan.ts";
 import { INVARIANTS, type ProofScenario } from "./proof_scenario.ts";
 
 const STOP_TIMEOUT_MS = 25_000;
--- a/packages/standins/src/proofs/store_scenarios.ts
+++ b/packages/standins/src/proofs/store_scenarios.ts
@@ -1,5 +1,6 @@
 /** Proofs that keys stay served while the platform's store is away. */
-import { KEYS, pause, type ProofCluster } from "./proof_cluster.ts";
+import { pause, type ProofCluster } from "./proof_cluster.ts";
+import { KEYS } from "./proof_plan.ts";
 import { INVARIANTS, type ProofScenario } from "./proof_scenario.ts";
 
 /** Many times evidence and lease together. */
--- a/packages/standins/src/proofs/time_to_serve.ts
+++ b/packages/standins/src/proofs/time_to_serve.ts
@@ -10,7 +10,8 @@
   type SeenRevision,
 } from "./assignment_observer.ts";
 import { monotonicMs } from "./caller_record.ts";
-import { KEYED, pause, ProofCluster } from "./proof_cluster.ts";
+import { pause, ProofCluster } from "./proof_cluster.ts";
+import { KEYED } from "./proof_plan.ts";
 import { countViolations, totalOf } from "./violations.ts";
 
 /** How a server is lost. */
