--- a/packages/standins/src/measure/control_main.ts
+++ b/packages/standins/src/measure/control_main.ts
@@ -50,7 +50,7 @@
   seconds: number,
 ): Promise<ControlCost> {
   const plan = plans.scalePlan(plans.KAYFA, {
-    entryVms: entryProcesses,
+    entryVms: 1,
     serversAtMost: servers,
   });
   const deployment = await LocalDeployment.start({
@@ -58,6 +58,12 @@
     entrySettings: { log: { format: "text", level: "error" } },
   });
   try {
+    // One after another: many that start at once on a busy machine would run
+    // into the deadline for their first line.
+    for (let i = 1; i < entryProcesses; i++) {
+      const zone = plan.zones[i % plan.zones.length]!;
+      await deployment.startEntry(`entry-${i + 1}`, zone);
+    }
     await wait(SETTLE_MS);
     return await measureAtRest(deployment, seconds);
   } finally {
@@ -112,7 +118,9 @@
   const costs: ControlCost[] = [];
   for (const servers of values.servers.split(",").map(Number)) {
     for (const size of values.sizes.split(",").map(Number)) {
-      costs.push(await measure(size, servers, Number(values.seconds)));
+      const cost = await measure(size, servers, Number(values.seconds));
+      console.log(JSON.stringify(cost));
+      costs.push(cost);
     }
   }
   console.table(costs);
--- a/packages/standins/src/measure/placement_main.ts
+++ b/packages/standins/src/measure/placement_main.ts
@@ -11,8 +11,9 @@
 import * as trial from "./placement/trial.ts";
 import * as ways from "./placement/ways.ts";
 
-const DEPLOYMENTS: readonly trace.Deployment[] = [
+const DEPLOYMENTS: readonly (trace.Deployment & { option: string })[] = [
   {
+    option: "kayfa",
     name: "Kayfa availability",
     servers: 10,
     zones: 4,
@@ -20,6 +21,7 @@
     workMs: 20,
   },
   {
+    option: "bitacora",
     name: "Bitácora chromatography",
     servers: 12,
     zones: 3,
@@ -38,7 +40,8 @@
   --seeds N   traces, one for each seed (default 3)
   --hours N   length of each trace (default 4)
   --keys N    keys of the service (default 20000)
-  --cost      only the planner's own time and memory
+  --only W    only "cost" (the planner's own time and memory) or the trials
+              of "kayfa" or "bitacora"
   --help      this text`;
 
 const COST_SIZES = [10, 100, 1000, 7900];
@@ -141,7 +144,7 @@
       seeds: { type: "string", default: "3" },
       hours: { type: "string", default: "4" },
       keys: { type: "string", default: "20000" },
-      cost: { type: "boolean", default: false },
+      only: { type: "string", default: "" },
       help: { type: "boolean", default: false },
     },
   });
@@ -152,13 +155,12 @@
     keys: Number(values.keys),
   };
   const hasher = await ownership.KeyHasher.create();
-  const costs = measureCost();
-  console.table(costs);
-  const rows = values.cost
-    ? []
-    : DEPLOYMENTS.flatMap((deployment) =>
-      runDeployment(deployment, hasher, options)
-    );
+  const isChosen = (part: string) => [part, ""].includes(values.only);
+  const costs = isChosen("cost") ? measureCost() : [];
+  if (costs.length > 0) console.table(costs);
+  const rows = DEPLOYMENTS
+    .filter(({ option }) => isChosen(option))
+    .flatMap((deployment) => runDeployment(deployment, hasher, options));
   if (rows.length > 0) printRows(rows);
   console.log(JSON.stringify({ options, costs, rows }));
 }
