--- a/packages/decisions/src/routing/server_board.ts
+++ b/packages/decisions/src/routing/server_board.ts
@@ -53,16 +53,22 @@
   /** Learned limit of requests in flight. */
   window: number;
   windowCutMs: number;
-  busyPauseMs: number;
+  /** Refusals as busy since the last answer. */
+  busyRefusals: number;
 }
 
 /**
- * After `busy`, a server gets nothing for this long; doubled with each
- * further refusal until it answers a request.
+ * Part of a mean attempt for which a server gets nothing after `busy`; doubled
+ * with each further refusal until it answers a request.
  */
-const FIRST_BUSY_PAUSE_MS = 2;
-/** Longest pause after `busy`. */
-const LONGEST_BUSY_PAUSE_MS = 64;
+const BUSY_PAUSE_PART = 1 / 8;
+/** Pauses after `busy` stay within these. */
+const SHORTEST_BUSY_PAUSE_MS = 1;
+const LONGEST_BUSY_PAUSE_MS = 200;
+/** A mean attempt before any was answered. */
+const ASSUMED_ATTEMPT_MS = 20;
+/** Weight of the newest attempt in their mean. */
+const ATTEMPT_WEIGHT = 0.05;
 /** Part of a request by which each answer widens the learned limit. */
 const WINDOW_GROWTH = 0.1;
 /** Refusals within this time count as one. */
@@ -79,6 +85,7 @@
   readonly #entries = new Map<contracts.ServerId, Entry>();
   readonly #startMs: number;
   #options: ServerBoardOptions;
+  #attemptMs = ASSUMED_ATTEMPT_MS;
 
   constructor(options: ServerBoardOptions, nowMs: number) {
     this.#options = options;
@@ -166,7 +173,10 @@
       return this.#noteFailure(entry, { cause: end.cause, sentMs, nowMs });
     }
     if (end.kind === "refusal") this.#pause(entry, end.refusal, nowMs);
-    if (end.kind === "answer") this.#widen(entry);
+    if (end.kind === "answer") {
+      this.#attemptMs += (nowMs - sentMs - this.#attemptMs) * ATTEMPT_WEIGHT;
+      this.#widen(entry);
+    }
     entry.unansweredSinceMs = entry.sentMs[0];
     entry.reportedInFlight = end.inFlight;
     entry.reportedMs = nowMs;
@@ -229,17 +239,25 @@
   ): void {
     if (refusal === "cold") entry.pausedUntilMs = nowMs + COLD_PAUSE_MS;
     if (refusal !== "busy") return;
-    entry.pausedUntilMs = nowMs + entry.busyPauseMs;
+    entry.pausedUntilMs = nowMs + this.#busyPauseMs(entry.busyRefusals);
     if (nowMs - entry.windowCutMs < WINDOW_CUT_INTERVAL_MS) return;
-    entry.busyPauseMs = Math.min(LONGEST_BUSY_PAUSE_MS, entry.busyPauseMs * 2);
+    entry.busyRefusals++;
     entry.window = Math.max(1, entry.window - 1);
     entry.windowCutMs = nowMs;
   }
 
+  #busyPauseMs(refusals: number): number {
+    const pauseMs = this.#attemptMs * BUSY_PAUSE_PART * 2 ** refusals;
+    return Math.min(
+      LONGEST_BUSY_PAUSE_MS,
+      Math.max(SHORTEST_BUSY_PAUSE_MS, pauseMs),
+    );
+  }
+
   #widen(entry: Entry): void {
     const grown = entry.window + WINDOW_GROWTH / entry.window;
     entry.window = Math.min(this.#options.localLimit, grown);
-    entry.busyPauseMs = FIRST_BUSY_PAUSE_MS;
+    entry.busyRefusals = 0;
   }
 
   #mayTake(entry: Entry, nowMs: number): boolean {
@@ -281,7 +299,7 @@
       pausedUntilMs: -Infinity,
       window: this.#options.localLimit,
       windowCutMs: -Infinity,
-      busyPauseMs: FIRST_BUSY_PAUSE_MS,
+      busyRefusals: 0,
     };
     this.#entries.set(server, entry);
     return entry;
