--- a/packages/decisions/src/routing/server_board.ts
+++ b/packages/decisions/src/routing/server_board.ts
@@ -16,6 +16,8 @@
    * learns a lower limit from refusals and grows it again with answers.
    */
   readonly localLimit: number;
+  /** Whether servers may be put out of use. */
+  readonly mayEject: boolean;
 }
 
 /** How an attempt at a server ended, as far as the board cares. */
@@ -27,7 +29,10 @@
     readonly refusal: contracts.ServerRefusal;
     readonly inFlight?: number;
   }
-  | { readonly kind: "failure" }
+  | {
+    readonly kind: "failure";
+    readonly cause: "not-connected" | "timeout" | "broken";
+  }
   /** Ended from our side; says nothing about the server. */
   | { readonly kind: "abandoned" };
 
@@ -39,6 +44,8 @@
   readonly ejection: OutlierEjection;
   /** Times at which the attempts in flight were sent, oldest first. */
   readonly sentMs: number[];
+  /** When the first attempt since the last answer was sent. */
+  unansweredSinceMs: number | undefined;
   reportedInFlight: number | undefined;
   reportedMs: number;
   /** No new request before this: the server refused. */
@@ -46,20 +53,30 @@
   /** Learned limit of requests in flight. */
   window: number;
   windowCutMs: number;
-  busyPauseMs: number;
+  /** Refusals as busy since the last answer. */
+  busyRefusals: number;
 }
 
 /**
- * After `busy`, a server gets nothing for this long; doubled with each
- * further refusal until it answers a request.
+ * Part of a mean attempt for which a server gets nothing after `busy`; doubled
+ * with each further refusal until it answers a request.
  */
-const FIRST_BUSY_PAUSE_MS = 2;
-/** Longest pause after `busy`. */
-const LONGEST_BUSY_PAUSE_MS = 64;
+const BUSY_PAUSE_PART = 1 / 8;
+/** Pauses after `busy` stay within these. */
+const SHORTEST_BUSY_PAUSE_MS = 1;
+const LONGEST_BUSY_PAUSE_MS = 200;
+/** A mean attempt before any was answered. */
+const ASSUMED_ATTEMPT_MS = 20;
+/** Weight of the newest attempt in their mean. */
+const ATTEMPT_WEIGHT = 0.05;
 /** Part of a request by which each answer widens the learned limit. */
 const WINDOW_GROWTH = 0.1;
 /** Refusals within this time count as one. */
 const WINDOW_CUT_INTERVAL_MS = 10;
+/** After a connection could not be made, a server gets nothing for this long. */
+const NOT_CONNECTED_PAUSE_MS = 100;
+/** A timeout after less time than this says nothing about a server. */
+const FAIR_ATTEMPT_MS = 1000;
 /** After `cold`, a server gets nothing for this long. */
 const COLD_PAUSE_MS = 100;
 
@@ -68,6 +85,7 @@
   readonly #entries = new Map<contracts.ServerId, Entry>();
   readonly #startMs: number;
   #options: ServerBoardOptions;
+  #attemptMs = ASSUMED_ATTEMPT_MS;
 
   constructor(options: ServerBoardOptions, nowMs: number) {
     this.#options = options;
@@ -133,6 +151,7 @@
   noteSent(server: contracts.ServerId, nowMs: number): void {
     const entry = this.#entry(server, nowMs);
     entry.sentMs.push(nowMs);
+    entry.unansweredSinceMs ??= nowMs;
     if (entry.reportedInFlight !== undefined) entry.reportedInFlight++;
   }
 
@@ -151,10 +170,14 @@
       return undefined;
     }
     if (end.kind === "failure") {
-      return entry.ejection.noteFailure(nowMs) ? "ejected" : undefined;
+      return this.#noteFailure(entry, { cause: end.cause, sentMs, nowMs });
     }
     if (end.kind === "refusal") this.#pause(entry, end.refusal, nowMs);
-    if (end.kind === "answer") this.#widen(entry);
+    if (end.kind === "answer") {
+      this.#attemptMs += (nowMs - sentMs - this.#attemptMs) * ATTEMPT_WEIGHT;
+      this.#widen(entry);
+    }
+    entry.unansweredSinceMs = entry.sentMs[0];
     entry.reportedInFlight = end.inFlight;
     entry.reportedMs = nowMs;
     const wasOut = entry.ejection.state !== "in-use";
@@ -170,6 +193,7 @@
   ): BoardEvent {
     const entry = this.#entry(server, nowMs);
     entry.ejection.noteProbe(isAnswered, nowMs);
+    if (isAnswered) entry.unansweredSinceMs = entry.sentMs[0];
     const { state } = entry.ejection;
     if (state === "in-use") return "returned";
     return state === "on-trial" ? "on-trial" : undefined;
@@ -178,14 +202,36 @@
   /** Ejects servers that have gone silent; returns which. */
   ejectSilent(nowMs: number): contracts.ServerId[] {
     const ejected: contracts.ServerId[] = [];
+    if (!this.#options.mayEject) return ejected;
     for (const [server, entry] of this.#entries) {
-      const oldestMs = entry.sentMs[0];
-      if (oldestMs === undefined) continue;
-      if (entry.ejection.noteWaiting(oldestMs, nowMs)) ejected.push(server);
+      // Not the oldest attempt in flight: with short deadlines each one ends
+      // before it is old, and a frozen server would never be noticed.
+      const sinceMs = entry.unansweredSinceMs;
+      if (sinceMs === undefined) continue;
+      if (entry.ejection.noteWaiting(sinceMs, nowMs)) ejected.push(server);
     }
     return ejected;
   }
 
+  #noteFailure(
+    entry: Entry,
+    failure: {
+      readonly cause: "not-connected" | "timeout" | "broken";
+      readonly sentMs: number;
+      readonly nowMs: number;
+    },
+  ): BoardEvent {
+    const { cause, sentMs, nowMs } = failure;
+    if (cause === "not-connected") {
+      entry.pausedUntilMs = nowMs + NOT_CONNECTED_PAUSE_MS;
+    }
+    // A caller's short deadline is no evidence against the server; without
+    // this one caller could have a server taken from all others.
+    const isUnfair = cause === "timeout" && nowMs - sentMs < FAIR_ATTEMPT_MS;
+    if (isUnfair || !this.#options.mayEject) return undefined;
+    return entry.ejection.noteFailure(nowMs) ? "ejected" : undefined;
+  }
+
   #pause(
     entry: Entry,
     refusal: contracts.ServerRefusal,
@@ -193,17 +239,25 @@
   ): void {
     if (refusal === "cold") entry.pausedUntilMs = nowMs + COLD_PAUSE_MS;
     if (refusal !== "busy") return;
-    entry.pausedUntilMs = nowMs + entry.busyPauseMs;
+    entry.pausedUntilMs = nowMs + this.#busyPauseMs(entry.busyRefusals);
     if (nowMs - entry.windowCutMs < WINDOW_CUT_INTERVAL_MS) return;
-    entry.busyPauseMs = Math.min(LONGEST_BUSY_PAUSE_MS, entry.busyPauseMs * 2);
+    entry.busyRefusals++;
     entry.window = Math.max(1, entry.window - 1);
     entry.windowCutMs = nowMs;
   }
 
+  #busyPauseMs(refusals: number): number {
+    const pauseMs = this.#attemptMs * BUSY_PAUSE_PART * 2 ** refusals;
+    return Math.min(
+      LONGEST_BUSY_PAUSE_MS,
+      Math.max(SHORTEST_BUSY_PAUSE_MS, pauseMs),
+    );
+  }
+
   #widen(entry: Entry): void {
     const grown = entry.window + WINDOW_GROWTH / entry.window;
     entry.window = Math.min(this.#options.localLimit, grown);
-    entry.busyPauseMs = FIRST_BUSY_PAUSE_MS;
+    entry.busyRefusals = 0;
   }
 
   #mayTake(entry: Entry, nowMs: number): boolean {
@@ -239,12 +293,13 @@
       firstSeenMs: isFirst ? -Infinity : nowMs,
       ejection: new OutlierEjection(),
       sentMs: [],
+      unansweredSinceMs: undefined,
       reportedInFlight: undefined,
       reportedMs: -Infinity,
       pausedUntilMs: -Infinity,
       window: this.#options.localLimit,
       windowCutMs: -Infinity,
-      busyPauseMs: FIRST_BUSY_PAUSE_MS,
+      busyRefusals: 0,
     };
     this.#entries.set(server, entry);
     return entry;
