perf(ownership): do at a change what was done at each tick

Lists of live VMs, renewers and targets were built anew twenty times a second for each service; they are kept now until membership, keepers or the VM list change. The rank for duty is computed only when duty is free, and verdicts on servers every 100 ms. The saving is not measured yet.

--- a/packages/decisions/src/ownership/duty.ts
+++ b/packages/decisions/src/ownership/duty.ts
@@ -65,7 +65,7 @@
 export interface DutyTick {
   readonly nowMs: number;
   /** Place of this VM among the live ones for this duty; 0 is the first. */
-  readonly rank: number;
+  rank(): number;
   /** Membership's word on the holder's run: lost, or replaced by another. */
   isLost(holder: contracts.VmId, incarnation: contracts.Incarnation): boolean;
 }
@@ -85,7 +85,7 @@
   #seen: SeenRecord | undefined;
   #heldUntilMs = Number.NEGATIVE_INFINITY;
   #nextCallAtMs = Number.NEGATIVE_INFINITY;
-  #lostSinceMs: number | undefined;
+  #vacantSinceMs: number | undefined;
   #callSentAtMs: number | undefined;
   #written: DutyRecord | undefined;
 
@@ -176,16 +176,13 @@
 
   #mayTakeOver(tick: DutyTick): boolean {
     const { record, seenAtMs } = this.#seen!;
-    const delayMs = tick.rank * this.#settings.rankDelayMs;
-    const isExpired = tick.nowMs >= seenAtMs + this.#settings.leaseMs + delayMs;
     const isVacant = record === undefined || record.renewal === 0 ||
       tick.isLost(record.holder, record.incarnation);
-    if (!isVacant) {
-      this.#lostSinceMs = undefined;
-      return isExpired;
-    }
-    this.#lostSinceMs ??= tick.nowMs;
-    return tick.nowMs >= this.#lostSinceMs + delayMs;
+    if (isVacant) this.#vacantSinceMs ??= tick.nowMs;
+    else this.#vacantSinceMs = undefined;
+    const fromMs = this.#vacantSinceMs ?? seenAtMs + this.#settings.leaseMs;
+    if (tick.nowMs < fromMs) return false;
+    return tick.nowMs >= fromMs + tick.rank() * this.#settings.rankDelayMs;
   }
 
   #isOwn(): boolean {
@@ -218,7 +215,7 @@
     const isSame = this.#seen?.condition.kind === "version" &&
       this.#seen.condition.version === found?.version;
     if (isSame) return;
-    this.#lostSinceMs = undefined;
+    this.#vacantSinceMs = undefined;
     this.#seen = { record: found?.record, condition, seenAtMs: nowMs };
   }
 }
--- a/packages/decisions/src/ownership/duty_test.ts
+++ b/packages/decisions/src/ownership/duty_test.ts
@@ -24,7 +24,7 @@
 }
 
 function at(nowMs: number, isLost = false): duty.DutyTick {
-  return { nowMs, rank: 0, isLost: () => isLost };
+  return { nowMs, rank: () => 0, isLost: () => isLost };
 }
 
 test("should take a duty over at once when its holder is lost", () => {
@@ -55,7 +55,7 @@
 
 test("should let VMs of lower rank wait, so that one of them writes", () => {
   const lease = leaseOfOther();
-  const second = { ...at(20, true), rank: 1 };
+  const second = { ...at(20, true), rank: () => 1 };
   expect(lease.tick(second)).toEqual(undefined);
   const laterMs = 20 + SETTINGS.rankDelayMs;
   expect(lease.tick({ ...second, nowMs: laterMs })?.kind).toEqual("write");
--- a/packages/entry/src/ownership/duty_task.ts
+++ b/packages/entry/src/ownership/duty_task.ts
@@ -31,7 +31,7 @@
     const { peers } = this.#context;
     const effect = this.#lease.tick({
       nowMs,
-      rank: this.#rank(),
+      rank: () => this.#rank(),
       isLost: (vm, incarnation) => peers.isLost(vm, incarnation),
     });
     if (effect?.kind === "read") void this.#read();
--- a/packages/entry/src/ownership/known_assignment.ts
+++ b/packages/entry/src/ownership/known_assignment.ts
@@ -21,6 +21,7 @@
   readonly #log: PartLog;
   readonly #listeners = new Set<() => void>();
   #slices: ownership.SliceMap | undefined;
+  #keepers: readonly contracts.VmId[] = [];
 
   constructor(options: KnownAssignmentOptions) {
     this.service = options.service;
@@ -56,9 +57,8 @@
   }
 
   /** The keepers in force. */
-  get keepers(): contracts.VmId[] {
-    const set = this.assignment?.keeperSets.at(-1) ?? [];
-    return set.map(({ vm }) => vm);
+  get keepers(): readonly contracts.VmId[] {
+    return this.#keepers;
   }
 
   known(): contracts.KnownRevision {
@@ -122,6 +122,8 @@
 
   #changed(slices: ownership.SliceMap, source: string): void {
     this.#slices = slices;
+    const set = this.assignment?.keeperSets.at(-1) ?? [];
+    this.#keepers = set.map(({ vm }) => vm);
     this.#log.info("assignment in force", {
       service: this.service,
       revision: this.revision,
--- a/packages/entry/src/ownership/move_task.ts
+++ b/packages/entry/src/ownership/move_task.ts
@@ -53,6 +53,9 @@
   readonly #keepers: KeeperReview;
   #planner: placement.Planner | undefined;
   #plannerFor = "";
+  #ownersOf: contracts.Assignment | undefined;
+  #owners: ReadonlySet<contracts.ServerId> = new Set();
+  #hasVacating = false;
   #isOn = false;
   #isAsking = false;
   #onSinceMs = 0;
@@ -220,9 +223,14 @@
   }
 
   #isLossPossible(assignment: contracts.Assignment): boolean {
-    return assignment.slices.some((slice) =>
-      slice.state === "vacating" || this.#stateOf(slice.server) !== "live"
-    );
+    if (assignment !== this.#ownersOf) {
+      this.#ownersOf = assignment;
+      this.#owners = new Set(assignment.slices.map(({ server }) => server));
+      this.#hasVacating = assignment.slices
+        .some(({ state }) => state === "vacating");
+    }
+    return this.#hasVacating ||
+      [...this.#owners].some((server) => this.#stateOf(server) !== "live");
   }
 
   #request(plan: placement.Plan): void {
--- a/packages/entry/src/ownership/order_task.ts
+++ b/packages/entry/src/ownership/order_task.ts
@@ -11,6 +11,20 @@
 
 /** Time a server has to answer an order; a later answer is of no use. */
 const ORDER_TIMEOUT_MS = 800;
+const JUDGE_MS = 100;
+
+/** The keepers that renew one server. */
+interface Renewers {
+  /** Whether this VM is one of them. */
+  readonly isOwn: boolean;
+  readonly others: readonly contracts.VmId[];
+}
+
+/** What the renewers were chosen from. */
+interface ChosenFor {
+  readonly live: readonly contracts.VmId[];
+  readonly keepers: readonly contracts.VmId[];
+}
 
 interface Contact {
   readonly address: ServerAddress;
@@ -25,9 +39,13 @@
   readonly #detector: ownership.LossDetector;
   readonly #contacts = new Map<contracts.ServerId, Contact>();
   readonly #lost = new Set<contracts.ServerId>();
-  /** Renewers of each server, best first. */
-  #renewers = new Map<contracts.ServerId, contracts.VmId[]>();
-  #renewersFor = "";
+  #renewers = new Map<contracts.ServerId, Renewers>();
+  #chosenFor: ChosenFor = { live: [], keepers: [] };
+  /** Servers that this VM sends orders to. */
+  #targets: readonly contracts.ServerId[] = [];
+  #listed: readonly ServerAddress[] = [];
+  #isContactChange = true;
+  #judgedAtMs = Number.NEGATIVE_INFINITY;
   #ordersAll = false;
   #onAnswer: (answer: ownership.AnsweredOrder) => void = () => {};
 
@@ -40,7 +58,7 @@
 
   /** Whether this VM renews any server. */
   get isRenewing(): boolean {
-    return this.#targets().length > 0;
+    return this.#targets.length > 0;
   }
 
   /** Calls back with each answered order. */
@@ -51,6 +69,7 @@
   /** Sends to all servers, or only to those that this VM renews. */
   orderAll(isOn: boolean): void {
     this.#ordersAll = isOn;
+    this.#chooseTargets();
   }
 
   hurry(servers: Iterable<contracts.ServerId>): void {
@@ -89,8 +108,6 @@
     this.#refreshContacts();
     this.#refreshRenewers();
     const { known, service } = this.#context;
-    const servers = this.#targets();
-    this.#forgetOthers(servers);
     const orders = this.#book.takeDue({
       nowMs,
       service,
@@ -98,10 +115,10 @@
       slices: known.slices,
       timings: known.timings,
       evidenceAskedAtMs: known.evidenceAskedAtMs(nowMs),
-      servers,
+      servers: this.#targets,
     });
     for (const order of orders) void this.#send(order, nowMs);
-    this.#judge(servers, nowMs);
+    this.#judge(nowMs);
   }
 
   async close(): Promise<void> {
@@ -162,6 +179,8 @@
   #refreshContacts(): void {
     const { service, servers } = this.#context;
     const listed = servers.servers(service);
+    if (listed === this.#listed && this.#lost.size === 0) return;
+    this.#listed = listed;
     for (const address of listed) this.#meet(address);
     const names = new Set(listed.map(({ server }) => server));
     for (const [server, { control }] of this.#contacts) {
@@ -169,6 +188,7 @@
       void control.close();
       this.#contacts.delete(server);
       this.#detector.forget(server);
+      this.#isContactChange = true;
     }
   }
 
@@ -178,35 +198,51 @@
       void known?.control.close();
       const control = this.#context.connect(address);
       this.#contacts.set(address.server, { address, control });
+      this.#isContactChange = true;
       return;
     }
     if (known.address === address) return;
     this.#contacts.set(address.server, { ...known, address });
   }
 
+  /** Chosen anew only when keepers, live VMs or servers have changed. */
   #refreshRenewers(): void {
-    const { peers, known, hasher } = this.#context;
+    const { peers, known } = this.#context;
     const live = peers.live();
-    const keepers = known.keepers.filter((vm) => live.includes(vm));
-    const chosen = keepers.length > 0 ? keepers : live;
-    const servers = [...this.#contacts.keys()];
-    const key = `${chosen.join()}|${servers.join()}`;
-    if (key === this.#renewersFor) return;
-    this.#renewersFor = key;
-    const { renewers } = this.#context.timings;
+    const { keepers } = known;
+    const isSame = live === this.#chosenFor.live &&
+      keepers === this.#chosenFor.keepers && !this.#isContactChange;
+    if (isSame) return;
+    this.#chosenFor = { live, keepers };
+    this.#isContactChange = false;
+    const present = keepers.filter((vm) => live.includes(vm));
+    const chosen = present.length > 0 ? present : live;
     this.#renewers = new Map(
-      servers.map((server) => [
+      [...this.#contacts.keys()].map((server) => [
         server,
-        ownership.rankByName(server, chosen, { hasher }).slice(0, renewers),
+        this.#chooseRenewers(server, chosen),
       ]),
     );
+    this.#chooseTargets();
+  }
+
+  #chooseRenewers(
+    server: contracts.ServerId,
+    vms: readonly contracts.VmId[],
+  ): Renewers {
+    const { peers, hasher, timings } = this.#context;
+    const ranked = ownership.rankByName(server, vms, { hasher })
+      .slice(0, timings.renewers);
+    const others = ranked.filter((vm) => vm !== peers.self.vm);
+    return { isOwn: others.length < ranked.length, others };
   }
 
-  #targets(): contracts.ServerId[] {
+  #chooseTargets(): void {
     const servers = [...this.#contacts.keys()];
-    if (this.#ordersAll) return servers;
-    const { vm } = this.#context.peers.self;
-    return servers.filter((server) => this.#renewers.get(server)?.includes(vm));
+    this.#targets = this.#ordersAll
+      ? servers
+      : servers.filter((server) => this.#renewers.get(server)?.isOwn);
+    this.#forgetOthers(this.#targets);
   }
 
   #forgetOthers(servers: readonly contracts.ServerId[]): void {
@@ -219,11 +255,11 @@
   }
 
   /** Only servers that this VM sends orders to; of others it knows nothing. */
-  #judge(servers: readonly contracts.ServerId[], nowMs: number): void {
-    const { vm } = this.#context.peers.self;
-    for (const server of servers) {
-      const otherRenewers = (this.#renewers.get(server) ?? [])
-        .filter((other) => other !== vm);
+  #judge(nowMs: number): void {
+    if (nowMs < this.#judgedAtMs + JUDGE_MS) return;
+    this.#judgedAtMs = nowMs;
+    for (const server of this.#targets) {
+      const otherRenewers = this.#renewers.get(server)?.others ?? [];
       const isLost = this.#detector.isLost(server, { nowMs, otherRenewers });
       if (isLost) this.#noteLost(server);
       else if (this.#detector.hasContact(server, nowMs)) {
--- a/packages/entry/src/ownership/ownership_task.ts
+++ b/packages/entry/src/ownership/ownership_task.ts
@@ -18,6 +18,8 @@
 import { ServiceOwnership } from "./service_ownership.ts";
 
 const TICK_MS = 50;
+/** Between two looks at which services there are, and who keeps them. */
+const REFRESH_MS = 200;
 const STOP_TIMEOUT_MS = 1_000;
 /** Difference between two clocks that shows that the machine was suspended. */
 const SUSPEND_MS = 200;
@@ -37,6 +39,7 @@
 export class OwnershipTask implements OwnerView, HeartbeatParticipant {
   readonly #options: OwnershipTaskOptions;
   readonly #services = new Map<contracts.ServiceId, ServiceOwnership>();
+  #refreshAtMs = Number.NEGATIVE_INFINITY;
   #lastTick: { clockMs: number; wallMs: number } | undefined;
 
   constructor(options: OwnershipTaskOptions) {
@@ -145,16 +148,18 @@
   #tick(): void {
     const nowMs = this.#options.clock.nowMs();
     this.#noteSuspend(nowMs);
+    if (nowMs >= this.#refreshAtMs) this.#refresh(nowMs);
+    for (const ownership of this.#services.values()) ownership.tick(nowMs);
+  }
+
+  #refresh(nowMs: number): void {
+    this.#refreshAtMs = nowMs + REFRESH_MS;
     for (const service of this.#options.config.services()) {
       if (service.keyed) this.#of(service.name);
     }
-    const keepers = new Set<contracts.VmId>();
-    for (const ownership of this.#services.values()) {
-      ownership.tick(nowMs);
-      for (const vm of ownership.known.keepers) keepers.add(vm);
-    }
+    const all = [...this.#services.values()];
     // Evidence lives shorter than the round of a large fleet's samples.
-    this.#options.peers.pin(keepers);
+    this.#options.peers.pin(all.flatMap(({ known }) => known.keepers));
   }
 
   /**
--- a/packages/entry/src/ownership/peer_view.ts
+++ b/packages/entry/src/ownership/peer_view.ts
@@ -19,27 +19,38 @@
   readonly timeoutMs: number;
 }
 
+/** Longest time for which lists of members are kept. */
+const LISTS_MS = 1_000;
+
+interface MemberLists {
+  readonly live: readonly contracts.VmId[];
+  readonly all: readonly contracts.VmId[];
+}
+
 /** Joins membership and the links to peers. */
 export class MembershipPeerView implements PeerView {
   readonly #options: MembershipPeerViewOptions;
   #listed: ReadonlySet<contracts.VmId> | undefined;
+  #lists: MemberLists = { live: [], all: [] };
+  #listsUntilMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: MembershipPeerViewOptions) {
     this.#options = options;
+    options.peers.onMember(() => {
+      this.#listsUntilMs = Number.NEGATIVE_INFINITY;
+    });
   }
 
   get self(): PeerView["self"] {
     return this.#options.self;
   }
 
-  live(): contracts.VmId[] {
-    const others = this.#members().filter(({ state }) => state === "alive");
-    return [this.self.vm, ...others.map(({ vm }) => vm)];
+  live(): readonly contracts.VmId[] {
+    return this.#current().live;
   }
 
-  all(): contracts.VmId[] {
-    const others = this.#members().filter(({ state }) => state !== "left");
-    return [this.self.vm, ...others.map(({ vm }) => vm)];
+  all(): readonly contracts.VmId[] {
+    return this.#current().all;
   }
 
   isLost(vm: contracts.VmId, incarnation: contracts.Incarnation): boolean {
@@ -95,8 +106,25 @@
     return answer?.isOk() ? { ...answer.value, askedAtMs } : undefined;
   }
 
-  #members(): decisions.MemberView[] {
-    const { membership, clock } = this.#options;
-    return membership.members(clock.nowMs());
+  /**
+   * The ownership tasks ask many times a second; the lists change with an
+   * event of membership, or slowly with the platform's list.
+   */
+  #current(): MemberLists {
+    const nowMs = this.#options.clock.nowMs();
+    if (nowMs < this.#listsUntilMs) return this.#lists;
+    const others = this.#options.membership.members(nowMs);
+    const alive = others.filter(({ state }) => state === "alive");
+    const kept = others.filter(({ state }) => state !== "left");
+    const lists = {
+      live: [this.self.vm, ...alive.map(({ vm }) => vm)],
+      all: [this.self.vm, ...kept.map(({ vm }) => vm)],
+    };
+    this.#listsUntilMs = nowMs + LISTS_MS;
+    // The same list stays the same object, so that others can tell a change.
+    if (JSON.stringify(lists) !== JSON.stringify(this.#lists)) {
+      this.#lists = lists;
+    }
+    return this.#lists;
   }
 }
--- a/packages/entry/src/ownership/service_context.ts
+++ b/packages/entry/src/ownership/service_context.ts
@@ -18,9 +18,9 @@
     readonly incarnation: contracts.Incarnation;
   };
   /** Entry VMs that are alive, this one among them. */
-  live(): contracts.VmId[];
+  live(): readonly contracts.VmId[];
   /** Entry VMs that may forward requests, alive or not. */
-  all(): contracts.VmId[];
+  all(): readonly contracts.VmId[];
   /** Whether a run of a VM is known to be over. */
   isLost(vm: contracts.VmId, incarnation: contracts.Incarnation): boolean;
   /** Entry VMs on the platform's list; undefined before its first read. */
