--- a/packages/contracts/src/backend_server.ts
+++ b/packages/contracts/src/backend_server.ts
@@ -18,6 +18,17 @@
 export const FENCE_HEADER = "guavatide-fence";
 /** Response header by which a server proves that it did not run a request. */
 export const NOT_RUN_HEADER = "guavatide-not-run";
+/**
+ * Response header with the server's monotonic clock: its instance, a slash,
+ * milliseconds.
+ */
+export const STAMP_HEADER = "guavatide-stamp";
+/**
+ * Request header in the same form: the moment on the server's own clock from
+ * which on it neither begins the request nor lets it take effect. Sent for
+ * keyed requests to servers that check no fences, once a stamp is known.
+ */
+export const DEADLINE_STAMP_HEADER = "guavatide-deadline-stamp";
 /** Response header with requests in flight at the server, fresh. */
 export const IN_FLIGHT_HEADER = "guavatide-in-flight";
 
--- a/packages/entry/src/administration/administration_test.ts
+++ b/packages/entry/src/administration/administration_test.ts
@@ -215,6 +215,7 @@
     owners: {
       lookup: () => ({ kind: "none" }) as const,
       mayForward: () => true,
+      checksFences: () => true,
       noteForwarded: () => ({ done: () => undefined }),
       onChange: () => () => undefined,
       noteNotOwner: () => undefined,
--- a/packages/entry/src/contracts/views.ts
+++ b/packages/entry/src/contracts/views.ts
@@ -58,6 +58,11 @@
     slice: contracts.SliceId,
     fence: number,
   ): boolean;
+  /** Whether a server is known to refuse orders and requests of the past. */
+  checksFences(
+    service: contracts.ServiceId,
+    server: contracts.ServerId,
+  ): boolean;
   /** Counts a forwarded request until `done` is called. */
   noteForwarded(
     service: contracts.ServiceId,
--- a/packages/entry/src/links/link_pool.ts
+++ b/packages/entry/src/links/link_pool.ts
@@ -1,4 +1,6 @@
 /** The links from this entry VM to one backend server. */
+import type * as contracts from "@guavatide/contracts";
+import { ServerClock } from "./server_clock.ts";
 import {
   type LinkRequest,
   type LinkResult,
@@ -10,6 +12,7 @@
 export interface LinkPoolOptions extends ServerLinkOptions {
   /** This VM's share of the connections that the server takes. */
   readonly linkLimit: number;
+  readonly clock: contracts.Clock;
 }
 
 /** Options of {@link LinkPool.send}. */
@@ -30,10 +33,13 @@
   readonly #options: LinkPoolOptions;
   readonly #idle: ServerLink[] = [];
   readonly #busy = new Set<ServerLink>();
+  /** The server's clock, as its answers tell it. */
+  readonly serverClock: ServerClock;
   #isClosed = false;
 
   constructor(options: LinkPoolOptions) {
     this.#options = options;
+    this.serverClock = new ServerClock(options.clock);
   }
 
   get counts(): LinkCounts {
--- /dev/null
+++ b/packages/entry/src/links/server_clock.ts
@@ -0,0 +1,48 @@
+/**
+ * A server's own clock, as it tells it with each answer, so that a deadline
+ * can be given in its time. A deadline in "time left" starts anew when a
+ * frozen server wakes and reads what lay in its buffers: it would then run
+ * requests for keys that another server owns by now.
+ */
+import type * as contracts from "@guavatide/contracts";
+
+/** A stamp older than this is of no use: the clocks' rates differ. */
+const STAMP_LIFE_MS = 600_000;
+
+interface Stamp {
+  readonly instance: string;
+  readonly serverMs: number;
+  readonly receivedAtMs: number;
+}
+
+/** The latest stamp of one server. */
+export class ServerClock {
+  readonly #clock: contracts.Clock;
+  #stamp: Stamp | undefined;
+
+  constructor(clock: contracts.Clock) {
+    this.#clock = clock;
+  }
+
+  /** Takes the stamp of an answer, `<instance>/<milliseconds>`. */
+  note(text: string | undefined): void {
+    const [instance, milliseconds] = text?.split("/") ?? [];
+    const serverMs = Number(milliseconds);
+    if (!instance || !Number.isFinite(serverMs)) return;
+    const receivedAtMs = this.#clock.nowMs();
+    this.#stamp = { instance, serverMs, receivedAtMs };
+  }
+
+  /**
+   * A deadline on the server's clock in the same form; undefined without a
+   * stamp. It is early by the time that the stamp's answer was on its way.
+   */
+  deadlineText(deadlineMs: number): string | undefined {
+    const stamp = this.#stamp;
+    if (stamp === undefined) return undefined;
+    const ageMs = this.#clock.nowMs() - stamp.receivedAtMs;
+    if (ageMs > STAMP_LIFE_MS) return undefined;
+    const atServerMs = stamp.serverMs + (deadlineMs - stamp.receivedAtMs);
+    return `${stamp.instance}/${atServerMs.toFixed(1)}`;
+  }
+}
--- a/packages/entry/src/links/server_link.ts
+++ b/packages/entry/src/links/server_link.ts
@@ -16,6 +16,8 @@
   readonly body: Uint8Array | undefined;
   /** Called right before the bytes leave; false keeps them here. */
   mayLeave(): boolean;
+  /** The server told its clock with its answer. */
+  noteStamp(text: string | undefined): void;
 }
 
 /** How an attempt ended. Only the first two leave the link usable. */
@@ -242,6 +244,7 @@
     if (!this.#hasKnownEnd()) {
       return badAnswer("The answer's length can't be checked");
     }
+    request.noteStamp(readHeader(this.#headers, names.STAMP_HEADER));
     const inFlight = this.#inFlight();
     const refusal = readHeader(this.#headers, names.NOT_RUN_HEADER);
     if (refusal !== undefined) {
--- a/packages/entry/src/links/server_links.ts
+++ b/packages/entry/src/links/server_links.ts
@@ -2,6 +2,7 @@
 import type * as contracts from "@guavatide/contracts";
 import * as undici from "undici";
 import type { ServerAddress } from "../contracts/views.ts";
+import { MonotonicClock } from "../utils/clock.ts";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import { LinkPool } from "./link_pool.ts";
 
@@ -36,6 +37,7 @@
   readonly #options: ServerLinksOptions;
   readonly #places = new Map<contracts.ServerId, Place>();
   readonly #control: undici.Agent;
+  readonly #clock = new MonotonicClock();
 
   constructor(options: ServerLinksOptions, lifeCycle: LifeCycle) {
     this.#options = options;
@@ -60,7 +62,13 @@
     if (found !== undefined && isSame) return found.pool;
     found?.pool.close();
     const { host, port } = address;
-    const pool = new LinkPool({ ...this.#options, host, port, linkLimit });
+    const pool = new LinkPool({
+      ...this.#options,
+      clock: this.#clock,
+      host,
+      port,
+      linkLimit,
+    });
     this.#places.set(address.server, { host, port, pool });
     return pool;
   }
--- a/packages/entry/src/ownership/ownership_task.ts
+++ b/packages/entry/src/ownership/ownership_task.ts
@@ -80,6 +80,13 @@
     return ownership?.mayForward(server, slice, fence) ?? false;
   }
 
+  checksFences(
+    service: contracts.ServiceId,
+    server: contracts.ServerId,
+  ): boolean {
+    return this.#services.get(service)?.checksFences(server) ?? true;
+  }
+
   noteForwarded(
     service: contracts.ServiceId,
     server: contracts.ServerId,
--- a/packages/entry/src/ownership/service_ownership.ts
+++ b/packages/entry/src/ownership/service_ownership.ts
@@ -81,13 +81,17 @@
     slice: contracts.SliceId,
     fence: number,
   ): boolean {
-    if (!this.#unfenced().includes(server)) return true;
+    if (this.checksFences(server)) return true;
     const owned = this.known.slices?.byId(slice);
     return owned?.state === "owned" && owned.server === server &&
       owned.fence === fence &&
       this.known.hasEvidence(this.#context.clock.nowMs());
   }
 
+  checksFences(server: contracts.ServerId): boolean {
+    return !this.#unfenced().includes(server);
+  }
+
   noteForwarded(server: contracts.ServerId): { done(): void } {
     return this.#forwards.begin(server);
   }
--- a/packages/entry/src/requests/fakes_test_support.ts
+++ b/packages/entry/src/requests/fakes_test_support.ts
@@ -164,6 +164,7 @@
   const owners: OwnerView = options.owners ?? {
     lookup: (): OwnerLookup => ({ kind: "none" }),
     mayForward: () => true,
+    checksFences: () => true,
     noteForwarded: () => ({ done() {} }),
     onChange: () => () => {},
     noteNotOwner: () => {},
@@ -183,6 +184,7 @@
     lifeCycle,
     metrics: NO_METRICS,
     longestTimeoutMs: settings.longestTimeoutMs,
+    unfencedRunMs: 400,
   });
   const listener = new CallerListener({
     settings,
--- a/packages/entry/src/requests/keyed_requests_test.ts
+++ b/packages/entry/src/requests/keyed_requests_test.ts
@@ -15,6 +15,7 @@
 class FakeOwners implements OwnerView {
   owner: OwnerLookup;
   mayLeave = true;
+  isFenced = true;
   forwarded = 0;
   readonly notOwnerRevisions: number[] = [];
   readonly #callbacks = new Set<() => void>();
@@ -31,6 +32,10 @@
     return this.mayLeave;
   }
 
+  checksFences(): boolean {
+    return this.isFenced;
+  }
+
   noteForwarded(): { done(): void } {
     this.forwarded++;
     return { done: () => this.forwarded-- };
@@ -142,6 +147,32 @@
   }
 });
 
+test("should bound a request in the time of a server without fences", async () => {
+  // The server freezes with a request in its buffers and wakes when the key
+  // has another owner. Time left would start anew on waking; a moment on the
+  // server's own clock does not, so the server can refuse the request.
+  const instanceMs = 50_000;
+  const backend = new FakeBackend((request, response) => {
+    response.setHeader(names.STAMP_HEADER, `run-1/${instanceMs}`);
+    answerWell(request, response);
+  });
+  const owners = new FakeOwners(ownedBy("s0", 4));
+  owners.isFenced = false;
+  const entry = await startEntry([backend], { service: KEYED, owners });
+  try {
+    await fetch(`${entry.url}/s/booths/x`, { headers: HEADERS });
+    await fetch(`${entry.url}/s/booths/x`, { headers: HEADERS });
+    const [first, second] = backend.ran;
+    expect(first!.headers[names.DEADLINE_STAMP_HEADER]).toEqual(undefined);
+    const stamped = String(second!.headers[names.DEADLINE_STAMP_HEADER]);
+    const [instance, deadlineMs] = stamped.split("/");
+    expect(instance).toEqual("run-1");
+    expect(Number(deadlineMs) > instanceMs).toEqual(true);
+  } finally {
+    await entry.lifeCycle.stop();
+  }
+});
+
 test("should keep a request of unknown fate counted as forwarded", async () => {
   // The answer never came, so the server may still work on the key. A mover
   // that is told of nothing in flight would give the key away too early.
--- a/packages/entry/src/requests/request_router.ts
+++ b/packages/entry/src/requests/request_router.ts
@@ -42,6 +42,8 @@
   readonly lifeCycle: LifeCycle;
   readonly metrics: RequestMetrics;
   readonly longestTimeoutMs: number;
+  /** Time within which a server that checks no fences must end a request. */
+  readonly unfencedRunMs: number;
   /** Links to other entry VMs; without them each VM chooses alone. */
   readonly peers?: PeerCalls;
 }
@@ -194,6 +196,7 @@
       log: this.#log,
       metrics,
       unknownHoldMs: UNKNOWN_HOLD_MS,
+      unfencedRunMs: this.#options.unfencedRunMs,
       pool: (address) => links.pool(address, this.#linkLimit(service)),
       cancel: (address, id) => links.cancel(address, id),
       noteDraining: (server) => servers.noteDraining(server),
--- a/packages/entry/src/requests/request_run.ts
+++ b/packages/entry/src/requests/request_run.ts
@@ -2,6 +2,7 @@
 import type * as contracts from "@guavatide/contracts";
 import * as names from "@guavatide/contracts";
 import * as routing from "@guavatide/decisions/routing/mod";
+import type { ServerClock } from "../links/server_clock.ts";
 import type { LinkRequest, LinkResult } from "../links/server_link.ts";
 import {
   type CallerAnswer,
@@ -136,9 +137,10 @@
       reason: slot.ownership === undefined ? parts.policy : "owner",
     });
     const sentAtMs = parts.clock.nowMs();
+    const pool = parts.pool(slot.address);
     const forwarded = { mark: undefined as { done(): void } | undefined };
-    const result = await parts.pool(slot.address).send(
-      this.#linkRequest(slot, id, forwarded),
+    const result = await pool.send(
+      this.#linkRequest(slot, id, { forwarded, serverClock: pool.serverClock }),
       {
         timeoutMs: this.#attemptTimeoutMs(),
         signal: this.#request.signal,
@@ -184,7 +186,10 @@
   #linkRequest(
     slot: Slot,
     id: contracts.RequestId,
-    forwarded: { mark: { done(): void } | undefined },
+    { forwarded, serverClock }: {
+      readonly forwarded: { mark: { done(): void } | undefined };
+      readonly serverClock: ServerClock;
+    },
   ): LinkRequest {
     const { owners, service, clock } = this.#parts;
     const { ownership } = slot;
@@ -199,6 +204,10 @@
     if (ownership !== undefined) {
       headers.push(names.SLICE_HEADER, ownership.slice);
       headers.push(names.FENCE_HEADER, String(ownership.fence));
+      const deadline = this.#boundedDeadline(server, serverClock);
+      if (deadline !== undefined) {
+        headers.push(names.DEADLINE_STAMP_HEADER, deadline);
+      }
     }
     const mayLeave = () => {
       if (clock.nowMs() >= this.deadlineMs) return false;
@@ -209,7 +218,30 @@
       return true;
     };
     const { method, rest, body } = this.#request;
-    return { id, method, path: WORK_PATH + rest, headers, body, mayLeave };
+    return {
+      id,
+      method,
+      path: WORK_PATH + rest,
+      headers,
+      body,
+      mayLeave,
+      noteStamp: (text) => serverClock.note(text),
+    };
+  }
+
+  /**
+   * A server that checks no fences may be frozen with this request in its
+   * buffers and wake when the key has another owner. A mover waits for as
+   * long as this bound says; after it the server refuses the request.
+   */
+  #boundedDeadline(
+    server: contracts.ServerId,
+    serverClock: ServerClock,
+  ): string | undefined {
+    const { owners, service, clock, unfencedRunMs } = this.#parts;
+    if (owners.checksFences(service.name, server)) return undefined;
+    const boundMs = clock.nowMs() + unfencedRunMs;
+    return serverClock.deadlineText(Math.min(this.deadlineMs, boundMs));
   }
 
   /**
--- a/packages/entry/src/requests/service_parts.ts
+++ b/packages/entry/src/requests/service_parts.ts
@@ -21,6 +21,8 @@
   /** Time a request of unknown fate stays counted as forwarded. */
   readonly unknownHoldMs: number;
   pool(address: ServerAddress): LinkPool;
+  /** Time within which a server that checks no fences must end a request. */
+  readonly unfencedRunMs: number;
   cancel(address: ServerAddress, id: contracts.RequestId): void;
   noteDraining(server: contracts.ServerId): void;
   nextRequestId(): contracts.RequestId;
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -350,6 +350,7 @@
       keyedWork: (work) => loads.record(work),
     },
     longestTimeoutMs: requests.REQUEST_DEFAULTS.longestTimeoutMs,
+    unfencedRunMs: settings.timings.unfencedMoveWaitMs,
     peers: peerCalls,
   });
   return new requests.CallerListener({
--- a/packages/standins/src/backend_server/backend_app.ts
+++ b/packages/standins/src/backend_server/backend_app.ts
@@ -192,6 +192,7 @@
   #readRequest(context: BackendContext): ArrivedRequest | undefined {
     const requestId = context.req.header(contracts.REQUEST_ID_HEADER);
     if (requestId === undefined) return undefined;
+    const stamped = context.req.header(contracts.DEADLINE_STAMP_HEADER);
     const leftMs = context.req.header(contracts.DEADLINE_HEADER);
     const fence = context.req.header(contracts.FENCE_HEADER);
     return {
@@ -203,9 +204,18 @@
       deadlineMs: leftMs === undefined
         ? undefined
         : this.#clock.nowMs() + Number(leftMs),
+      effectDeadlineMs: this.#readStampedDeadline(stamped),
     };
   }
 
+  /** A deadline for an earlier run of this process has long passed. */
+  #readStampedDeadline(text: string | undefined): number | undefined {
+    if (text === undefined) return undefined;
+    const [instance, milliseconds] = text.split("/");
+    const isOurs = instance === this.#ownership.instance;
+    return isOurs ? Number(milliseconds) : -Infinity;
+  }
+
   async #answer(
     context: BackendContext,
     work: { request: ArrivedRequest; result: WorkResult; body: string },
@@ -218,6 +228,11 @@
       : request.requestId;
     context.header(contracts.REQUEST_ID_HEADER, id);
     context.header(contracts.IN_FLIGHT_HEADER, String(this.#queue.inFlight));
+    const nowMs = this.#clock.nowMs();
+    context.header(
+      contracts.STAMP_HEADER,
+      `${this.#ownership.instance}/${nowMs}`,
+    );
     if (result.kind === "refused") {
       context.header(contracts.NOT_RUN_HEADER, result.refusal);
       context.header("retry-after", RETRY_AFTER_SECONDS);
--- a/packages/standins/src/backend_server/ownership_state.ts
+++ b/packages/standins/src/backend_server/ownership_state.ts
@@ -39,6 +39,11 @@
     this.#options = options;
   }
 
+  /** Drawn anew at each start of the process. */
+  get instance(): string {
+    return this.#options.instance;
+  }
+
   /** Applies an order and answers it. */
   order(order: OwnershipOrder, nowMs: number): OwnershipAnswer {
     if (order.revision < this.#revision) return this.#answer(false, nowMs);
--- a/packages/standins/src/backend_server/work_queue.ts
+++ b/packages/standins/src/backend_server/work_queue.ts
@@ -16,6 +16,8 @@
 export interface ArrivedRequest extends JournaledRequest {
   /** On the server's clock; undefined without one. */
   readonly deadlineMs: number | undefined;
+  /** The same, given by the sender on the server's clock: holds to the end. */
+  readonly effectDeadlineMs?: number;
 }
 
 /** How a request ended. */
@@ -123,9 +125,8 @@
     request: ArrivedRequest,
     nowMs: number,
   ): ServerRefusal | undefined {
-    if (request.deadlineMs !== undefined && nowMs >= request.deadlineMs) {
-      return "deadline";
-    }
+    if (nowMs >= (request.deadlineMs ?? Infinity)) return "deadline";
+    if (nowMs >= (request.effectDeadlineMs ?? Infinity)) return "deadline";
     return this.#ownsKeyOf(request, nowMs) ? undefined : "not-owner";
   }
 
@@ -139,6 +140,7 @@
   }
 
   #mayTakeEffect(request: ArrivedRequest, nowMs: number): boolean {
+    if (nowMs >= (request.effectDeadlineMs ?? Infinity)) return false;
     const { settings, ownership } = this.#options;
     if (!settings.keyed || !settings.checksFences) return true;
     const { slice, fence } = request;
--- a/packages/standins/src/bench/bench_entry_main.ts
+++ b/packages/standins/src/bench/bench_entry_main.ts
@@ -60,6 +60,7 @@
       lifeCycle: this.#lifeCycle,
       metrics: this.#metrics(),
       longestTimeoutMs: requests.REQUEST_DEFAULTS.longestTimeoutMs,
+      unfencedRunMs: 2_000,
       peers: this.#peers,
     });
     const listener = new requests.CallerListener({
@@ -143,6 +144,7 @@
 const NO_OWNERS: OwnerView = {
   lookup: () => ({ kind: "none" }),
   mayForward: () => false,
+  checksFences: () => true,
   noteForwarded: () => ({ done() {} }),
   onChange: () => () => {},
   noteNotOwner: () => {},
