fix(ownership): let a server's word to drain grow old, and forget what is gone

A VM that sends a server no orders never heard that it had stopped draining, and kept its keys waiting, or gave an unkeyed server no work, for good. The word counts for 15 s from its last repetition now. Keys of a server that only an operator drains are served until they are taken from it, also with the store away. A holder of duty without a live majority of keepers begins no planned move, since it could not end it. Addresses, promises and reports of VMs and servers that are gone are dropped.

--- a/packages/decisions/src/ownership/evidence.ts
+++ b/packages/decisions/src/ownership/evidence.ts
@@ -88,6 +88,7 @@
   learn(assignment: contracts.Assignment): boolean {
     if (assignment.revision <= this.revision) return false;
     this.#assignment = assignment;
+    this.#forgetOthers(assignment);
     this.#settleByPeers();
     return true;
   }
@@ -151,6 +152,14 @@
     if (confirming.length >= needed) this.#isSettled = true;
   }
 
+  /** Only keepers give evidence; a fleet's VMs come and go. */
+  #forgetOthers({ keeperSets }: contracts.Assignment): void {
+    const keepers = new Set(keeperSets.flat().map(({ vm }) => vm));
+    for (const vm of this.#answers.keys()) {
+      if (!keepers.has(vm)) this.#answers.delete(vm);
+    }
+  }
+
   #storeAskedAtMs(): number {
     if (this.#store?.revision !== this.revision) return NEVER_MS;
     return this.#store.askedAtMs;
--- a/packages/decisions/src/ownership/forward_book.ts
+++ b/packages/decisions/src/ownership/forward_book.ts
@@ -41,6 +41,14 @@
     this.#vms.set(report.vm, { report, sinceMs });
   }
 
+  /** Forgets VMs that are no longer members. */
+  keepOnly(vms: readonly contracts.VmId[]): void {
+    const kept = new Set(vms);
+    for (const vm of this.#vms.keys()) {
+      if (!kept.has(vm)) this.#vms.delete(vm);
+    }
+  }
+
   /** Whether none of the VMs has a request in flight at the server. */
   isOver(
     server: contracts.ServerId,
--- a/packages/decisions/src/ownership/mover.ts
+++ b/packages/decisions/src/ownership/mover.ts
@@ -181,6 +181,11 @@
     this.#forwards.note(report);
   }
 
+  /** Forgets what entry VMs told that are no longer members. */
+  keepMembers(vms: readonly contracts.VmId[]): void {
+    this.#forwards.keepOnly(vms);
+  }
+
   /** A server answered an order. */
   noteReply(answer: AnsweredOrder): void {
     const { server } = answer.order;
@@ -265,6 +270,7 @@
       askedAtMs: Number.POSITIVE_INFINITY,
       nowMs,
     });
+    this.promises.keepOnly(stored.assignment.keeperSets);
     this.#waits.renew(stored.assignment, nowMs);
     this.#timingsWait.renew(stored.assignment);
     this.#checkPromises(nowMs);
--- a/packages/decisions/src/ownership/promise_book.ts
+++ b/packages/decisions/src/ownership/promise_book.ts
@@ -63,6 +63,14 @@
     this.#gone = vms;
   }
 
+  /** Forgets VMs that are in none of the sets. */
+  keepOnly(keeperSets: KeeperSets): void {
+    const keepers = new Set(keeperSets.flat().map(({ vm }) => vm));
+    for (const vm of this.#told.keys()) {
+      if (!keepers.has(vm)) this.#told.delete(vm);
+    }
+  }
+
   /** Whether a majority of every set knows `revision` or a newer one. */
   hasMajority(keeperSets: KeeperSets, revision: number): boolean {
     const moments = [...this.#told.values()].map(({ toldAtMs }) => toldAtMs);
--- a/packages/entry/src/ownership/move_task.ts
+++ b/packages/entry/src/ownership/move_task.ts
@@ -201,6 +201,7 @@
     this.#keepersAtMs = nowMs;
     const review = this.#keepers.review(nowMs);
     this.#mover.noteGone(review.gone, nowMs);
+    this.#mover.keepMembers(this.#context.peers.all());
     this.#mover.requestTimings(this.#context.timings);
     if (review.keepers.length === 0) return;
     this.#mover.requestKeepers(review.keepers);
@@ -211,7 +212,8 @@
     if (planner === undefined) return;
     const { assignment } = this.#mover;
     if (assignment === undefined) return this.#planFirst(planner, nowMs);
-    if (nowMs >= this.#planAtMs + this.#context.timings.planMs) {
+    const isDue = nowMs >= this.#planAtMs + this.#context.timings.planMs;
+    if (isDue && this.#hasKeeperMajority(assignment)) {
       this.#planAtMs = nowMs;
       this.#lossesAtMs = nowMs;
       return this.#request(planner.plan(this.#input(assignment, nowMs)));
@@ -222,6 +224,18 @@
     this.#request(planner.planLosses(this.#input(assignment, nowMs)));
   }
 
+  /**
+   * Without it no move can end. A holder of duty that is cut off from its
+   * peers would take keys from servers that serve them well.
+   */
+  #hasKeeperMajority({ keeperSets }: contracts.Assignment): boolean {
+    const live = new Set(this.#context.peers.live());
+    return keeperSets.every((set) => {
+      const count = set.filter(({ vm }) => live.has(vm)).length;
+      return count >= ownership.majorityOf(set.length);
+    });
+  }
+
   #isLossPossible(assignment: contracts.Assignment): boolean {
     if (assignment !== this.#ownersOf) {
       this.#ownersOf = assignment;
--- a/packages/entry/src/ownership/order_task.ts
+++ b/packages/entry/src/ownership/order_task.ts
@@ -12,6 +12,8 @@
 /** Time a server has to answer an order; a later answer is of no use. */
 const ORDER_TIMEOUT_MS = 800;
 const JUDGE_MS = 100;
+/** How long the address of an unlisted server is kept without an answer. */
+const UNLISTED_MS = 60_000;
 
 /** The keepers that renew one server. */
 interface Renewers {
@@ -39,6 +41,7 @@
   readonly #detector: ownership.LossDetector;
   readonly #contacts = new Map<contracts.ServerId, Contact>();
   readonly #lost = new Set<contracts.ServerId>();
+  readonly #unlistedSinceMs = new Map<contracts.ServerId, number>();
   #renewers = new Map<contracts.ServerId, Renewers>();
   #chosenFor: ChosenFor = { live: [], keepers: [] };
   /** Servers that this VM sends orders to. */
@@ -179,19 +182,37 @@
   #refreshContacts(): void {
     const { service, servers } = this.#context;
     const listed = servers.servers(service);
-    if (listed === this.#listed && this.#lost.size === 0) return;
+    const isSettled = this.#lost.size === 0 && this.#unlistedSinceMs.size === 0;
+    if (listed === this.#listed && isSettled) return;
     this.#listed = listed;
     for (const address of listed) this.#meet(address);
     const names = new Set(listed.map(({ server }) => server));
-    for (const [server, { control }] of this.#contacts) {
-      if (names.has(server) || !this.isLost(server)) continue;
-      void control.close();
-      this.#contacts.delete(server);
-      this.#detector.forget(server);
-      this.#isContactChange = true;
+    const nowMs = this.#context.clock.nowMs();
+    for (const server of this.#contacts.keys()) {
+      if (names.has(server)) this.#unlistedSinceMs.delete(server);
+      else if (this.#isGone(server, nowMs)) this.#drop(server);
     }
   }
 
+  /** Unlisted, and lost or, where this VM can't tell, unlisted for long. */
+  #isGone(server: contracts.ServerId, nowMs: number): boolean {
+    if (this.isLost(server)) return true;
+    const sinceMs = this.#unlistedSinceMs.get(server) ?? nowMs;
+    this.#unlistedSinceMs.set(server, sinceMs);
+    const isTarget = this.#targets.includes(server);
+    return !isTarget && nowMs >= sinceMs + UNLISTED_MS;
+  }
+
+  #drop(server: contracts.ServerId): void {
+    void this.#contacts.get(server)?.control.close();
+    this.#contacts.delete(server);
+    this.#unlistedSinceMs.delete(server);
+    this.#detector.forget(server);
+    this.#lost.delete(server);
+    this.#book.keepOnly(new Set(this.#contacts.keys()));
+    this.#isContactChange = true;
+  }
+
   #meet(address: ServerAddress): void {
     const known = this.#contacts.get(address.server);
     if (known === undefined || !isSamePlace(known.address, address)) {
--- a/packages/entry/src/ownership/ownership_task_test.ts
+++ b/packages/entry/src/ownership/ownership_task_test.ts
@@ -96,6 +96,7 @@
         server: (id) => addresses().find(({ server }) => server === id),
         noteDraining: () => {},
         noteNotDraining: () => {},
+        saysDraining: () => false,
       },
       peers: {
         self: SELF,
--- a/packages/entry/src/ownership/service_context.ts
+++ b/packages/entry/src/ownership/service_context.ts
@@ -79,6 +79,8 @@
   readonly peers: PeerView;
   readonly servers: ServerView & {
     noteNotDraining(id: contracts.ServerId): void;
+    /** Whether the server itself said lately that it takes no new work. */
+    saysDraining(id: contracts.ServerId): boolean;
   };
   /** Keeps the steps of acknowledged updates for operators. */
   readonly moveRecord: MoveRecord;
--- a/packages/entry/src/ownership/service_ownership.ts
+++ b/packages/entry/src/ownership/service_ownership.ts
@@ -128,9 +128,12 @@
     await this.#orders.close();
   }
 
-  /** It refuses all new work; its slices are about to be taken from it. */
+  /**
+   * It refuses all new work, and its slices are about to be taken from it. A
+   * server that only an operator drains serves until that has happened.
+   */
   #isDraining(server: contracts.ServerId): boolean {
-    return this.#context.servers.server(server)?.state === "draining";
+    return this.#context.servers.saysDraining(server);
   }
 
   #unfenced(): readonly contracts.ServerId[] {
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -173,13 +173,14 @@
       await Promise.all([store.close(), vmList.close()]);
     },
   });
+  const clock = new MonotonicClock();
   return {
     settings,
     secret,
     tls,
     log,
     lifeCycle,
-    clock: new MonotonicClock(),
+    clock,
     random: new SystemRandom(),
     self: {
       vm: settings.vm,
@@ -190,6 +191,7 @@
     directory: new ServerDirectory({
       vmList,
       pollIntervalMs: settings.timings.vmListMs,
+      clock,
       log: log.part("member"),
     }),
     ready: { reason: () => "The process starts" },
--- a/packages/entry/src/zones/server_directory.ts
+++ b/packages/entry/src/zones/server_directory.ts
@@ -8,10 +8,14 @@
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import type { PartLog } from "../utils/log.ts";
 
+/** How long a server's word that it drains counts, unless it is repeated. */
+const DRAIN_WORD_MS = 15_000;
+
 /** Options of {@link ServerDirectory}. */
 export interface ServerDirectoryOptions {
   readonly vmList: contracts.VmList;
   readonly pollIntervalMs: number;
+  readonly clock: contracts.Clock;
   readonly log: PartLog;
 }
 
@@ -20,7 +24,8 @@
   readonly #options: ServerDirectoryOptions;
   readonly #byId = new Map<contracts.ServerId, ServerAddress>();
   readonly #byService = new Map<contracts.ServiceId, ServerAddress[]>();
-  readonly #draining = new Set<contracts.ServerId>();
+  /** Servers that said so themselves, with the time of their last word. */
+  readonly #drainingSinceMs = new Map<contracts.ServerId, number>();
   #operatorDrains: ReadonlySet<contracts.ServerId> = new Set();
   #vms: contracts.ListedVm[] = [];
   readonly #listeners = new Set<(vms: contracts.ListedVm[]) => void>();
@@ -50,8 +55,9 @@
   }
 
   noteDraining(id: contracts.ServerId): void {
-    if (this.#draining.has(id)) return;
-    this.#draining.add(id);
+    const isNews = !this.saysDraining(id);
+    this.#drainingSinceMs.set(id, this.#options.clock.nowMs());
+    if (!isNews) return;
     const known = this.#byId.get(id);
     if (known === undefined) return;
     this.#options.log.info("server drains and gets no new work", {
@@ -60,9 +66,22 @@
     this.#put({ ...known, state: "draining" });
   }
 
+  /**
+   * Whether the server itself said lately that it drains. Nobody may tell when
+   * that is over, for example after a restart under the same id, and such a
+   * server would get no work for good; so it is asked again after a while.
+   */
+  saysDraining(id: contracts.ServerId): boolean {
+    const sinceMs = this.#drainingSinceMs.get(id);
+    return sinceMs !== undefined &&
+      this.#options.clock.nowMs() < sinceMs + DRAIN_WORD_MS;
+  }
+
   /** The server takes work again, for example after a restart. */
   noteNotDraining(id: contracts.ServerId): void {
-    if (!this.#draining.delete(id) || this.#operatorDrains.has(id)) return;
+    if (!this.#drainingSinceMs.delete(id) || this.#operatorDrains.has(id)) {
+      return;
+    }
     const known = this.#byId.get(id);
     if (known?.state === "draining") this.#put({ ...known, state: "live" });
   }
@@ -107,7 +126,7 @@
   #toAddress(vm: contracts.ListedVm): ServerAddress | undefined {
     if (vm.kind !== "backend") return undefined;
     if (vm.server === undefined || vm.service === undefined) return undefined;
-    const isTold = this.#draining.has(vm.server) ||
+    const isTold = this.saysDraining(vm.server) ||
       this.#operatorDrains.has(vm.server);
     const isDraining = isTold && vm.state === "live";
     return {
