--- a/packages/decisions/src/ownership/mod.ts
+++ b/packages/decisions/src/ownership/mod.ts
@@ -1,5 +1,6 @@
 /** Decisions on who owns a key and who may say so. */
 export * from "./assignment_edit.ts";
+export * from "./assignment_upkeep.ts";
 export * from "./duty.ts";
 export * from "./evidence.ts";
 export * from "./forward_book.ts";
--- a/packages/decisions/src/ownership/mover.ts
+++ b/packages/decisions/src/ownership/mover.ts
@@ -6,13 +6,13 @@
  * case: read, and go on from what was read.
  */
 import * as contracts from "@guavatide/contracts";
-import { AssignmentEdit, isSameSet, isSameTimings } from "./assignment_edit.ts";
+import { AssignmentEdit } from "./assignment_edit.ts";
+import { AssignmentUpkeep } from "./assignment_upkeep.ts";
 import { ForwardBook, type ForwardReport } from "./forward_book.ts";
 import type { ChangeRequest, MoveStep } from "./moves.ts";
-import { type Promise, PromiseBook } from "./promise_book.ts";
+import { type KeeperPromise, PromiseBook } from "./promise_book.ts";
 import { longestTimings, type OwnershipSettings } from "./settings.ts";
 import type { AnsweredOrder } from "./slice_wait.ts";
-import { TimingsWait } from "./timings_wait.ts";
 import { WaitBook } from "./wait_book.ts";
 
 /** What came of a read of the assignment object. */
@@ -69,10 +69,6 @@
   readonly version: string;
 }
 
-/** Keeper sets that may stand beside each other. */
-const KEEPER_SETS = 3;
-/** Timings that may be listed beside each other. */
-const TIMINGS_LISTED = 4;
 const RETRY_MIN_MS = 100;
 const RETRY_MAX_MS = 2_000;
 
@@ -86,13 +82,10 @@
   /** Requests that the write under way covers. */
   #written: readonly ChangeRequest[] = [];
   readonly #waits: WaitBook;
-  readonly #timingsWait = new TimingsWait();
+  readonly #upkeep = new AssignmentUpkeep();
   #stored: StoredAssignment | undefined;
   #isAbsent = false;
   #first: contracts.Slice[] | undefined;
-  #keepers: readonly contracts.Keeper[] | undefined;
-  #timings: contracts.LeaseTimings | undefined;
-  #hasFenceNews = false;
   #call: MoverEffect | undefined;
   #mustRead = true;
   #notBeforeMs = Number.NEGATIVE_INFINITY;
@@ -134,19 +127,19 @@
 
   /** Asks for a keeper set. */
   requestKeepers(keepers: readonly contracts.Keeper[]): void {
-    this.#keepers = keepers;
+    this.#upkeep.requestKeepers(keepers);
   }
 
   /** Asks for timings to be put in force. */
   requestTimings(timings: contracts.LeaseTimings): void {
-    this.#timings = timings;
+    this.#upkeep.requestTimings(timings);
   }
 
   /** Reads anew before the next decision, for example after taking duty. */
   forget(): void {
     this.#queue = [];
     this.#waits.clear();
-    this.#timingsWait.clear();
+    this.#upkeep.clear();
     this.#mustRead = true;
   }
 
@@ -156,7 +149,7 @@
   }
 
   /** An entry VM told which revision it knows. */
-  notePromise(promise: Promise): void {
+  notePromise(promise: KeeperPromise): void {
     this.promises.note(promise);
     this.#checkPromises(promise.nowMs);
   }
@@ -188,11 +181,7 @@
 
   /** A server answered an order. */
   noteReply(answer: AnsweredOrder): void {
-    const { server } = answer.order;
-    const listed = this.assignment?.unfencedServers ?? [];
-    const isNews = !answer.reply.checksFences && !listed.includes(server);
-    // Entry VMs learn from the assignment that they must guard this server.
-    if (isNews && answer.order.slices.length > 0) this.#hasFenceNews = true;
+    this.#upkeep.noteReply(answer, this.assignment);
     this.#waits.noteReply(answer);
   }
 
@@ -262,7 +251,6 @@
     this.#isAbsent = false;
     this.#first = undefined;
     this.#mustRead = false;
-    this.#hasFenceNews = false;
     this.#failures = 0;
     this.promises.note({
       ...this.#identity,
@@ -272,7 +260,7 @@
     });
     this.promises.keepOnly(stored.assignment.keeperSets);
     this.#waits.renew(stored.assignment, nowMs);
-    this.#timingsWait.renew(stored.assignment);
+    this.#upkeep.renew(stored.assignment);
     this.#checkPromises(nowMs);
   }
 
@@ -296,7 +284,7 @@
   #checkPromises(nowMs: number): void {
     const hasPromise = (revision: number) => this.hasPromise(revision);
     this.#waits.checkPromises(hasPromise, nowMs);
-    this.#timingsWait.checkPromise(hasPromise, nowMs);
+    this.#upkeep.checkPromise(hasPromise, nowMs);
   }
 
   /** Whether a majority of every keeper set knows a revision. */
@@ -333,14 +321,17 @@
 
   #nextWrite(tick: MoverTick): MoverEffect | undefined {
     if (this.#stored === undefined) return this.#firstWrite(tick);
-    if (!this.#hasWork(this.#stored.assignment)) return undefined;
     const { assignment } = this.#stored;
+    const hasWork = this.#queue.length > 0 || !this.#waits.isEmpty ||
+      this.#upkeep.isDue(assignment);
+    if (!hasWork) return undefined;
     const edit = new AssignmentEdit(assignment, assignment, tick.checksFences);
     edit.settle((slice) => this.mayTake(slice, tick));
     for (const change of this.#queue) edit.apply(change);
-    this.#changeKeepers(edit);
-    this.#changeTimings(edit, tick.nowMs);
-    if (this.#hasFenceNews) edit.touch();
+    this.#upkeep.apply(edit, assignment, {
+      hasPromise: (revision) => this.hasPromise(revision),
+      nowMs: tick.nowMs,
+    });
     this.#written = this.#queue;
     if (!edit.isChanged) {
       this.#queue = [];
@@ -350,51 +341,17 @@
     return this.#write(edit, tick, { kind: "version", version });
   }
 
-  #hasWork(assignment: contracts.Assignment): boolean {
-    const { keeperSets, leaseTimings = [] } = assignment;
-    const isTimingsChange = this.#timings !== undefined &&
-      !isSameTimings(this.#timings, leaseTimings.at(-1));
-    const isKeeperChange = this.#keepers !== undefined &&
-      !isSameSet(this.#keepers, keeperSets.at(-1)!);
-    return this.#queue.length > 0 || !this.#waits.isEmpty ||
-      keeperSets.length > 1 || leaseTimings.length > 1 || isKeeperChange ||
-      isTimingsChange ||
-      this.#hasFenceNews;
-  }
-
   #firstWrite(tick: MoverTick): MoverEffect | undefined {
-    const isReady = this.#isAbsent && this.#first !== undefined &&
-      this.#keepers !== undefined;
+    const { keepers } = this.#upkeep;
+    const slices = this.#first;
+    const isReady = this.#isAbsent && slices && keepers;
     if (!isReady) return undefined;
-    const start = { slices: this.#first!, keeperSets: [[...this.#keepers!]] };
+    const start = { slices, keeperSets: [[...keepers]] };
     const edit = new AssignmentEdit(undefined, start, tick.checksFences);
     edit.useTimings(this.#settings);
     return this.#write(edit, tick, { kind: "absent" });
   }
 
-  /**
-   * Adds the wanted set, and drops earlier ones when a majority of each knows
-   * the present revision: until then they could still confirm an older one.
-   */
-  #changeKeepers(edit: AssignmentEdit): void {
-    const { keeperSets, revision } = this.#stored!.assignment;
-    const mayRetire = keeperSets.length > 1 && this.hasPromise(revision);
-    if (mayRetire) edit.retireKeepers();
-    // More sets than these would only let old ones pile up unconfirmed.
-    const mayAdd = keeperSets.length < KEEPER_SETS || mayRetire;
-    if (this.#keepers !== undefined && mayAdd) edit.useKeepers(this.#keepers);
-  }
-
-  /** Settings may be rolled out VM by VM: the holder of duty's count. */
-  #changeTimings(edit: AssignmentEdit, nowMs: number): void {
-    const { assignment } = this.#stored!;
-    const count = assignment.leaseTimings?.length ?? 0;
-    const mayRetire = count > 1 && this.#timingsWait.isOver(assignment, nowMs);
-    if (mayRetire) edit.retireTimings();
-    const mayAdd = count < TIMINGS_LISTED || mayRetire;
-    if (this.#timings !== undefined && mayAdd) edit.useTimings(this.#timings);
-  }
-
   #write(
     edit: AssignmentEdit,
     tick: MoverTick,
--- a/packages/decisions/src/ownership/ownership_model_test.ts
+++ b/packages/decisions/src/ownership/ownership_model_test.ts
@@ -137,7 +137,7 @@
 /** Counts promises of runs that have ended since. */
 class LastingPromises extends ownership.PromiseBook {
   readonly #highest = new Map<contracts.VmId, number>();
-  override note(promise: ownership.Promise): void {
+  override note(promise: ownership.KeeperPromise): void {
     super.note(promise);
     const { vm, revision } = promise;
     this.#highest.set(vm, Math.max(revision, this.#highest.get(vm) ?? 0));
--- a/packages/decisions/src/ownership/promise_book.ts
+++ b/packages/decisions/src/ownership/promise_book.ts
@@ -6,7 +6,7 @@
 import { majorityOf, NEVER_MS } from "./evidence.ts";
 
 /** What a VM told of the revision that it knows. */
-export interface Promise {
+export interface KeeperPromise {
   readonly vm: contracts.VmId;
   readonly incarnation: contracts.Incarnation;
   readonly revision: number;
@@ -41,7 +41,7 @@
   #gone: ReadonlySet<contracts.VmId> = new Set();
 
   /** A VM told that it knows a revision. */
-  note(promise: Promise): void {
+  note(promise: KeeperPromise): void {
     const { vm, incarnation, revision, nowMs } = promise;
     const last = this.#told.get(vm);
     const isSameRun = last?.incarnation === incarnation;
