fix(ownership): bound requests to servers without fences on their own clock

Cause: a server that checks no fences was frozen with requests in its socket buffers and ran them on waking, when the key had another owner. Its deadline is time left, which starts anew when the request is read. Ruled out: resetting the connection (bytes that have arrived are still handed to the reader) and a longer wait of the mover (a frozen server wakes whenever it likes). Change: a server tells its clock with each answer; keyed requests to servers that check no fences bear a moment on that clock, at most unfencedMoveWaitMs away, after which the server neither begins them nor lets them take effect.

--- a/packages/standins/src/contract_tests/backend_work_cases.ts
+++ b/packages/standins/src/contract_tests/backend_work_cases.ts
@@ -219,6 +219,26 @@
       expect(steps).toEqual(["start", "abandoned"]);
     },
   },
+  {
+    name: "should refuse a request after its moment on the server's clock",
+    async run(fixture) {
+      // The server was frozen with the request in its buffers. Time left
+      // would count anew from waking; the moment on its own clock does not.
+      await own(fixture);
+      const reply = valueOf(await fixture.control.order(firstOrder(1), CALL));
+      const moments = [
+        { requestId: "late", stamp: `${reply.instance}/${reply.stampMs - 1}` },
+        { requestId: "other-run", stamp: `earlier-run/${Infinity}` },
+      ];
+      for (const { requestId, stamp } of moments) {
+        const headers = headersOf(requestId, {
+          [contracts.DEADLINE_STAMP_HEADER]: stamp,
+        });
+        expect((await fixture.work({ headers })).notRun).toEqual("deadline");
+        expect(await startsOf(fixture, requestId)).toEqual(0);
+      }
+    },
+  },
   {
     name: "should not run a waiting request that was cancelled",
     async run(fixture) {
