--- a/packages/entry/src/administration/access.ts
+++ b/packages/entry/src/administration/access.ts
@@ -22,6 +22,11 @@
     return this.#rights.has(right);
   }
 
+  /** Whether the operator acts for all partners. */
+  get actsForAll(): boolean {
+    return this.#partners === "*";
+  }
+
   /** Whether the operator acts for this partner. */
   actsFor(partner: contracts.PartnerId): boolean {
     return this.#partners === "*" || this.#partners.includes(partner);
@@ -33,7 +38,7 @@
    * only an operator for all partners may change it.
    */
   mayChange(object: contracts.ConfigObject): boolean {
-    if (this.#partners === "*") return true;
+    if (this.actsForAll) return true;
     switch (object.kind) {
       case "place":
         return false;
--- a/packages/entry/src/administration/administration_test.ts
+++ b/packages/entry/src/administration/administration_test.ts
@@ -3,6 +3,7 @@
 import { expect } from "earl";
 import * as crypto from "node:crypto";
 import * as http from "node:http";
+import * as net from "node:net";
 import { test, type TestContext } from "node:test";
 import { FakeStore } from "../configuration/fake_store_test.ts";
 import * as configuration from "../configuration/mod.ts";
@@ -88,7 +89,10 @@
   readonly audit: administration.StoreJournal<administration.AuditLine>;
   readonly door: administration.AdministrationDoor;
 
-  constructor(choice: decisions.WatcherChoice) {
+  constructor(
+    choice: decisions.WatcherChoice,
+    limits: Partial<settings.Settings["limits"]>,
+  ) {
     const shared = {
       vm: VM,
       store: this.store,
@@ -135,12 +139,16 @@
         ...settings.defaultSettings().limits,
         bodyBytes: 4096,
         headerBytes: 2048,
+        ...limits,
       },
     });
   }
 
-  static async open(t: TestContext): Promise<Desk> {
-    const desk = new Desk(await decisions.createWatcherChoice());
+  static async open(
+    t: TestContext,
+    limits: Partial<settings.Settings["limits"]> = {},
+  ): Promise<Desk> {
+    const desk = new Desk(await decisions.createWatcherChoice(), limits);
     t.after(() => desk.lifeCycle.stop());
     return desk;
   }
@@ -452,3 +460,19 @@
     expect(seen).toEqual(status);
   });
 }
+
+// Somebody opens a connection and sends a request byte by byte. Connections
+// held for good would keep operators out.
+test("should end a request whose headers do not arrive", async (t) => {
+  const desk = await Desk.open(t, { headerTimeoutMs: 50 });
+  const port = await desk.door.listen(desk.lifeCycle);
+  const answer = await new Promise<string>((resolve, reject) => {
+    const socket = net.connect(port, "127.0.0.1");
+    let text = "";
+    socket.on("data", (chunk) => text += String(chunk));
+    socket.on("error", reject);
+    socket.on("close", () => resolve(text));
+    socket.write("GET /v1/objects HTTP/1.1\r\n");
+  });
+  expect(answer.startsWith("HTTP/1.1 408 ")).toEqual(true);
+});
--- a/packages/entry/src/administration/drain_routes.ts
+++ b/packages/entry/src/administration/drain_routes.ts
@@ -73,7 +73,7 @@
   const service = address && parts.config.service(address.service);
   const isAllowed = service === undefined
     // A server without a known service belongs to no single partner.
-    ? operator.mayChange(ANY_PLACE)
+    ? operator.actsForAll
     : operator.mayChange(service);
   if (isAllowed) return neverthrow.ok(undefined);
   const message = `Your token has no rights for server "${server}": ask an ` +
@@ -81,13 +81,6 @@
   return neverthrow.err({ kind: "forbidden", message });
 }
 
-/** Stands for objects that only an operator for all partners may change. */
-const ANY_PLACE = {
-  kind: "place",
-  name: "any",
-  region: "any",
-} as unknown as contracts.Place;
-
 async function readReason(
   context: api.ApiContext,
 ): Promise<neverthrow.Result<string, ApiError>> {
--- a/packages/standins/src/administration/config_delivery_main.ts
+++ b/packages/standins/src/administration/config_delivery_main.ts
@@ -4,10 +4,13 @@
  * the revision. Two partners race on each edit first; exactly one must be told
  * of the conflict. Prints one JSON line.
  *
- * Arguments: entry VMs (9), publishes (20).
+ * --vms 9, --publishes 20, --store-away to cut the store off right after each
+ * publish is accepted, --zones 0 for so many more places of 4 KB each, to go
+ * over the store's limit for one value.
  */
 import * as hdr from "hdr-histogram-js";
 import * as timers from "node:timers/promises";
+import * as util from "node:util";
 import * as plans from "../deployment/deployment_plan.ts";
 import { LocalDeployment } from "../deployment/local_deployment.ts";
 import * as processes from "../processes/mod.ts";
@@ -17,14 +20,31 @@
 const POLL_MS = 5;
 const SPLIT = "/v1/objects/cost-share/availability-split";
 
-const entryVms = Number(process.argv[2] ?? 9);
-const publishes = Number(process.argv[3] ?? 20);
+const LONG_REGION = "r".repeat(4000);
+
+const { values } = util.parseArgs({
+  options: {
+    "vms": { type: "string", default: "9" },
+    "publishes": { type: "string", default: "20" },
+    "zones": { type: "string", default: "0" },
+    "store-away": { type: "boolean", default: false },
+  },
+});
+const entryVms = Number(values.vms);
+const publishes = Number(values.publishes);
+const zones = Number(values.zones);
+const isStoreAway = values["store-away"];
 
 async function main(): Promise<void> {
   const plan = plans.scalePlan(plans.KAYFA, { entryVms, serversAtMost: 1 });
   const deployment = await LocalDeployment.start({
-    plan,
+    plan: zones === 0 ? plan : {
+      ...plan,
+      region: LONG_REGION,
+      zones: Array.from({ length: zones }, (_, index) => `zone-${index}`),
+    },
     entrySettings: {
+      region: "dakar",
       administration: {
         tokens: [tokenSettings("ana", "*"), tokenSettings("blas", "*")],
       },
@@ -52,12 +72,16 @@
     conflicts.push(await race(ana, blas, round));
     const revision = await ana.publish();
     const acceptedMs = performance.now();
+    if (isStoreAway) await deployment.setFaults("store", { outage: "refuse" });
     await untilInForce(watchers, revision);
     everywhere.recordValue(Math.ceil(performance.now() - acceptedMs));
+    if (isStoreAway) await deployment.setFaults("store", { outage: "none" });
   }
   return {
     entryVms,
     publishes,
+    zones,
+    isStoreAway,
     roundsWithOneConflict: conflicts.filter((count) => count === 1).length,
     inForceEverywhereMs: {
       p50: everywhere.getValueAtPercentile(50),
