--- a/packages/entry/src/requests/request_router.ts
+++ b/packages/entry/src/requests/request_router.ts
@@ -42,6 +42,8 @@
   readonly lifeCycle: LifeCycle;
   readonly metrics: RequestMetrics;
   readonly longestTimeoutMs: number;
+  /** Time within which a server that checks no fences must end a request. */
+  readonly unfencedRunMs: number;
   /** Links to other entry VMs; without them each VM chooses alone. */
   readonly peers?: PeerCalls;
 }
@@ -88,6 +90,13 @@
   route(request: CallerRequest): Promise<CallerAnswer> {
     const { config, clock } = this.#options;
     const service = config.service(request.service);
+    // A caller that is told "unknown service" mends its path; there is nothing
+    // to mend while this VM has no configuration yet.
+    if (service === undefined && config.revision === 0) {
+      return this.#refuse(request, "no-server", {
+        message: "No configuration is in force here yet; come back later",
+      });
+    }
     if (service === undefined) {
       return this.#refuse(request, "unknown-service", {
         message: `There is no service "${request.service}"; check the path`,
@@ -187,6 +196,7 @@
       log: this.#log,
       metrics,
       unknownHoldMs: UNKNOWN_HOLD_MS,
+      unfencedRunMs: this.#options.unfencedRunMs,
       pool: (address) => links.pool(address, this.#linkLimit(service)),
       cancel: (address, id) => links.cancel(address, id),
       noteDraining: (server) => servers.noteDraining(server),
@@ -197,7 +207,12 @@
 
   #createAllocator(service: contracts.Service): SlotAllocator {
     if (service.keyed) {
-      return new KeyedAllocator({ ...this.#common(service), extraRequests: 0 });
+      return new KeyedAllocator({
+        ...this.#common(service),
+        extraRequests: 0,
+        // Nobody else can serve the key, so ejecting its owner helps no one.
+        mayEject: false,
+      });
     }
     const { peers, servers, clock, hashKey } = this.#options;
     const local = new LocalAllocator({
@@ -224,6 +239,7 @@
       ...this.#options,
       service,
       log: this.#log,
+      mayEject: true,
       linkLimit: () => this.#linkLimit(service),
       onEjected: (server: contracts.ServerId) =>
         metrics.ejected(service.name, server),
