--- a/packages/decisions/src/routing/limits_test.ts
+++ b/packages/decisions/src/routing/limits_test.ts
@@ -35,9 +35,9 @@
   for (let nowMs = 0; nowMs <= 100; nowMs += 5) {
     limit.noteAnswered(20, { nowMs, isWaiting: true });
   }
-  // Two attempts of 20 ms at one answer each 5 ms.
-  expect(limit.limit(64)).toEqual(8);
-  expect(limit.drainMs(8)).toEqual(40);
+  // One attempt of 20 ms at one answer each 5 ms.
+  expect(limit.limit(64)).toEqual(4);
+  expect(limit.drainMs(4)).toEqual(20);
 });
 
 test("should move only the jobs of a member that left", () => {
--- a/packages/decisions/src/routing/queue_limit.ts
+++ b/packages/decisions/src/routing/queue_limit.ts
@@ -7,7 +7,7 @@
 /** Weight of the newest sample in the running means. */
 const SAMPLE_WEIGHT = 0.05;
 /** Longest wait worth queueing for, in mean attempt times. */
-const WAIT_IN_ATTEMPTS = 2;
+const WAIT_IN_ATTEMPTS = 1;
 /** Shortest wait worth queueing for. */
 const LEAST_WAIT_MS = 10;
 /** Requests that may always wait, so that a pause in load can be bridged. */
