feat(placement): do not move keys after chance

The gap between two servers now counts less two standard deviations of what a server's load was counted from.

--- a/packages/decisions/src/placement/move_rule.ts
+++ b/packages/decisions/src/placement/move_rule.ts
@@ -27,6 +27,8 @@
 export interface EvenOutOptions {
   readonly settings: PlacementSettings;
   readonly maxMoves: number;
+  /** Gap between two servers' loads that chance alone may show. */
+  readonly noise: number;
 }
 
 /**
@@ -39,11 +41,13 @@
  *
  * The gain is what the move takes off the sum of squared loads, halved. Keys
  * are counted in those of an average server, so that a hot key, which is one
- * key with much load, is cheap to move and a broad slice is dear.
+ * key with much load, is cheap to move and a broad slice is dear. `a - b` is
+ * taken less the noise: without that, a high weight of imbalance moves keys
+ * after chance, and operators see churn that evens out nothing.
  */
 export function evenOut(
   set: WorkingSet,
-  { settings, maxMoves }: EvenOutOptions,
+  { settings, maxMoves, noise }: EvenOutOptions,
 ): ChangeRequest[] {
   const changes: ChangeRequest[] = [];
   const fullest = new ServerQueue(set.live, (server) => -set.relative(server));
@@ -52,7 +56,7 @@
     const from = fullest.pop();
     const to = emptiest.pop();
     if (from === undefined || to === undefined || from === to) break;
-    const best = bestSlice(set, { from, to, settings });
+    const best = bestSlice(set, { from, to, settings, noise });
     if (best === undefined) {
       emptiest.push(to);
       if (isEven(set, from, to)) break;
@@ -83,6 +87,7 @@
   readonly from: WorkingServer;
   readonly to: WorkingServer;
   readonly settings: PlacementSettings;
+  readonly noise: number;
 }
 
 function bestSlice(set: WorkingSet, pair: Pair): WorkingSlice | undefined {
@@ -101,10 +106,10 @@
 function scoreOf(
   set: WorkingSet,
   slice: WorkingSlice,
-  { from, to, settings }: Pair,
+  { from, to, settings, noise }: Pair,
 ): number {
   const { imbalanceWeight, churnWeight, keyPrice, gapPrice } = settings;
-  const gap = set.relative(from) - set.relative(to);
+  const gap = set.relative(from) - set.relative(to) - noise;
   const lessAtFrom = slice.weight / from.capacityShare;
   const moreAtTo = slice.weight / to.capacityShare;
   const load = set.relativeWeight(slice);
--- a/packages/decisions/src/placement/placement_settings.ts
+++ b/packages/decisions/src/placement/placement_settings.ts
@@ -36,6 +36,8 @@
   readonly warmUpMs: number;
   /** Below this rate, load is left as it lies and width alone counts. */
   readonly minRequestsPerSecond: number;
+  /** Time that measured rates stand for: half-life by ln 2. */
+  readonly loadWindowMs: number;
   /** A planner that has just started only plans losses for this long. */
   readonly settleMs: number;
   /** A server's speed counts only beyond this difference from the median. */
@@ -59,6 +61,7 @@
   coolingMs: 60_000,
   warmUpMs: 30_000,
   minRequestsPerSecond: 5,
+  loadWindowMs: 21_600,
   settleMs: 10_000,
   speedTolerance: 0.25,
 };
--- a/packages/decisions/src/placement/planner.ts
+++ b/packages/decisions/src/placement/planner.ts
@@ -29,6 +29,8 @@
 const MIN_EDITS = 8;
 /** Moves to even out load in one plan, at least. */
 const MIN_MOVES = 2;
+/** Standard deviations of a server's counted load that count as noise. */
+const NOISE_DEVIATIONS = 2;
 /** Slices up to this width are brought back when cold. */
 const NARROW_HASHES = 16;
 
@@ -69,7 +71,7 @@
     if (set.live.length > 0 && this.#knowsLoad(input)) {
       changes.push(...this.#planMerges(set));
       changes.push(...this.#planSplits(set, input));
-      changes.push(...this.#planMoves(set));
+      changes.push(...this.#planMoves(set, input.load));
     }
     return this.#finish(input.nowMs, { set, before, changes });
   }
@@ -161,12 +163,15 @@
     });
   }
 
-  #planMoves(set: WorkingSet): ChangeRequest[] {
-    const { movesPerServer } = this.#settings;
+  #planMoves(set: WorkingSet, load: LoadEstimate): ChangeRequest[] {
+    const { movesPerServer, loadWindowMs } = this.#settings;
+    const windowS = loadWindowMs / 1000;
+    const counted = load.requestsPerSecond * windowS / set.live.length;
     const maxMoves = Math.ceil(movesPerServer * set.live.length);
     return moveRule.evenOut(set, {
       settings: this.#settings,
       maxMoves: Math.max(MIN_MOVES, maxMoves),
+      noise: NOISE_DEVIATIONS / Math.sqrt(Math.max(1, counted)),
     });
   }
 
