--- a/packages/decisions/src/ownership/model_world_test.ts
+++ b/packages/decisions/src/ownership/model_world_test.ts
@@ -5,8 +5,6 @@
  * hash has two owners with a lease.
  */
 import * as contracts from "@guavatide/contracts";
-import { expect } from "earl";
-import { test } from "node:test";
 import {
   ASK_MS,
   type Fault,
@@ -24,6 +22,7 @@
   STEP_MS,
   vmId,
 } from "./model_parts_test.ts";
+import { ModelNetwork } from "./model_network_test.ts";
 import * as ownership from "./mod.ts";
 
 /** Keepers, servers, the store and the messages between them. */
@@ -31,28 +30,30 @@
   readonly violations: string[] = [];
   readonly #random: SeededRandom;
   readonly #rules: Rules;
+  readonly #keeperCount: number;
   readonly #faults: Fault[];
   readonly #keepers: ModelKeeper[] = [];
   readonly #servers: ModelServer[] = [];
-  readonly #messages: { atMs: number; deliver: () => void }[] = [];
+  readonly #network: ModelNetwork;
   readonly #history = new Map<number, contracts.Assignment>();
   readonly #highest = new Map<string, number>();
   #stored: contracts.Assignment;
-  #slowUntilMs = 0;
-  #slowMs = 0;
+  #splitUntilMs = 0;
+  #splitSide = new Set<contracts.VmId>();
   #loseUntilMs = 0;
-  #nowMs = 0;
 
   constructor(scenario: Scenario) {
     this.#random = new SeededRandom(scenario.seed);
+    this.#network = new ModelNetwork(this.#random);
     this.#rules = scenario.rules ?? {};
+    this.#keeperCount = scenario.keepers ?? KEEPERS;
     this.#faults = [...scenario.faults].sort((a, b) => a.atMs - b.atMs);
     const clock = () =>
       new SkewedClock(
         this.#random.next() * 1e6,
         0.992 + this.#random.next() * 0.016,
       );
-    for (let index = 0; index < KEEPERS; index++) {
+    for (let index = 0; index < this.#keeperCount; index++) {
       this.#keepers.push(new ModelKeeper(index, clock(), this.#rules));
     }
     for (let index = 0; index < SERVERS; index++) {
@@ -62,6 +63,10 @@
     this.#history.set(1, this.#stored);
   }
 
+  get #nowMs(): number {
+    return this.#network.nowMs;
+  }
+
   get assignment(): contracts.Assignment {
     return this.#stored;
   }
@@ -77,11 +82,10 @@
 
   runTo(endMs: number): this {
     while (this.#nowMs < endMs && this.violations.length === 0) {
-      this.#nowMs += STEP_MS;
       while ((this.#faults[0]?.atMs ?? Infinity) <= this.#nowMs) {
         this.#induce(this.#faults.shift()!);
       }
-      this.#deliver();
+      this.#network.advance(STEP_MS);
       for (const keeper of this.#keepers) {
         if (keeper.pausedUntilMs <= this.#nowMs) this.#tick(keeper);
       }
@@ -97,7 +101,7 @@
       writer: vmId(0),
       writerIncarnation: "run-0" as contracts.Incarnation,
       nonce: "first",
-      keeperSets: [keeperSet(0)],
+      keeperSets: [keeperSet(0, this.#keeperCount)],
       slices: ownership.equalSlices(
         this.#servers.map((server) => server.id),
         SLICES,
@@ -140,31 +144,16 @@
       case "cut-server":
         keeper.cutFromServersUntilMs.set(server.id, untilMs);
         return;
-      case "slow":
-        this.#slowUntilMs = untilMs;
-        this.#slowMs = fault.delayMs;
+      case "split":
+        this.#splitUntilMs = untilMs;
+        this.#splitSide = new Set(fault.side.map(vmId));
         return;
+      case "slow":
+        return this.#network.slow(untilMs, fault.delayMs);
       case "keepers":
-        return keeper.mover.requestKeepers(keeperSet(fault.set));
-    }
-  }
-
-  /** One message on its way; some arrive twice. */
-  #send(deliver: () => void): void {
-    const extraMs = this.#nowMs < this.#slowUntilMs ? this.#slowMs : 0;
-    const copies = this.#random.next() < 0.1 ? 2 : 1;
-    for (let copy = 0; copy < copies; copy++) {
-      const delayMs = this.#random.next() * (20 + extraMs);
-      this.#messages.push({ atMs: this.#nowMs + delayMs, deliver });
-    }
-  }
-
-  #deliver(): void {
-    const due = this.#messages.filter(({ atMs }) => atMs <= this.#nowMs)
-      .sort((a, b) => a.atMs - b.atMs);
-    for (const message of due) {
-      this.#messages.splice(this.#messages.indexOf(message), 1);
-      message.deliver();
+        return keeper.mover.requestKeepers(
+          keeperSet(fault.set, this.#keeperCount),
+        );
     }
   }
 
@@ -174,17 +163,19 @@
     const deliver = () => {
       if (keeper.run !== run) return;
       if (keeper.pausedUntilMs > this.#nowMs) {
-        this.#messages.push({ atMs: keeper.pausedUntilMs, deliver });
+        this.#network.at(keeper.pausedUntilMs, deliver);
         return;
       }
       receive(keeper.clock.at(this.#nowMs));
     };
-    this.#send(deliver);
+    this.#network.send(deliver);
   }
 
   #tick(keeper: ModelKeeper): void {
     const nowMs = keeper.clock.at(this.#nowMs);
-    if (this.#nowMs >= keeper.nextAskMs) this.#askPeers(keeper, nowMs);
+    const isAsking = this.#nowMs >= keeper.nextAskMs ||
+      keeper.mover.needsAnswers;
+    if (isAsking) this.#askPeers(keeper, nowMs);
     if (this.#nowMs >= keeper.nextReadMs) this.#readStore(keeper, nowMs, false);
     keeper.orders.hurry(keeper.mover.takeHurried());
     this.#sendOrders(keeper, nowMs);
@@ -202,30 +193,43 @@
   #askPeers(keeper: ModelKeeper, askedAtMs: number): void {
     keeper.nextAskMs = this.#nowMs + ASK_MS;
     const told = keeper.book.assignment;
+    const teller = { vm: keeper.vm, incarnation: keeper.incarnation };
     for (const peer of this.#keepers) {
       if (peer === keeper || this.#isCut(keeper, peer)) continue;
       this.#toKeeper(peer, (peerMs) => {
         if (told !== undefined) {
           peer.book.learn(told);
-          peer.mover.notePromise(keeper.vm, told.revision, peerMs);
+          const { revision } = told;
+          peer.mover.notePromise({ ...teller, revision, nowMs: peerMs });
         }
         const known = peer.book.known();
+        const { vm, incarnation } = peer;
         const newer = peer.book.assignment;
         if (this.#isCut(keeper, peer)) return;
         this.#toKeeper(keeper, (nowMs) => {
           if (newer !== undefined) keeper.book.learn(newer);
           keeper.book.noteAnswer({
-            vm: peer.vm,
+            vm,
             known,
             askedAtMs: this.#rules.isEvidenceFromAnswer ? nowMs : askedAtMs,
           });
-          keeper.mover.notePromise(peer.vm, known.revision, nowMs);
+          const { revision } = known;
+          keeper.mover.notePromise({
+            vm,
+            incarnation,
+            revision,
+            askedAtMs,
+            nowMs,
+          });
         });
       });
     }
   }
 
   #isCut(a: ModelKeeper, b: ModelKeeper): boolean {
+    const isSplit = this.#nowMs < this.#splitUntilMs &&
+      this.#splitSide.has(a.vm) !== this.#splitSide.has(b.vm);
+    if (isSplit) return true;
     return Math.max(a.cutFromPeersUntilMs, b.cutFromPeersUntilMs) >
       this.#nowMs;
   }
@@ -293,9 +297,9 @@
     const giveUp = () => {
       if (keeper.run === run) this.#toKeeper(keeper, finish(undefined));
     };
-    this.#messages.push({ atMs, deliver: giveUp });
+    this.#network.at(atMs, giveUp);
     if (keeper.cutFromStoreUntilMs > this.#nowMs) return;
-    this.#send(() => {
+    this.#network.send(() => {
       const answer = serve();
       const isLost = this.#nowMs < this.#loseUntilMs ||
         keeper.cutFromStoreUntilMs > this.#nowMs;
@@ -337,9 +341,9 @@
       const cutUntilMs = keeper.cutFromServersUntilMs.get(server.id) ?? 0;
       if (cutUntilMs > this.#nowMs) return;
       if (server.pausedUntilMs <= this.#nowMs) return serve();
-      this.#messages.push({ atMs: server.pausedUntilMs, deliver: serve });
+      this.#network.at(server.pausedUntilMs, serve);
     };
-    this.#send(deliver);
+    this.#network.send(deliver);
   }
 
   #checkAcknowledged(order: contracts.OwnershipOrder): void {
@@ -373,37 +377,3 @@
     }
   }
 }
-
-test("should serve every slice and finish a move when nothing fails", () => {
-  const world = new World({
-    seed: 1,
-    faults: [{ kind: "move", atMs: 2_000, keeper: 0, slice: 0, to: 1 }],
-  });
-  world.runTo(1_500);
-  expect(world.heldSlices()).toEqual(SLICES);
-  world.runTo(3_000);
-  expect(world.violations).toEqual([]);
-  expect(world.heldSlices()).toEqual(SLICES);
-  const moved = world.assignment.slices[0]!;
-  expect([moved.state, moved.server as string]).toEqual(["owned", "server-1"]);
-});
-
-// The store stays away and one of three keepers with it. Keys must be served
-// all the same: hosts would find no open slot for as long as it lasts.
-test("should keep serving while the store is away", () => {
-  const world = new World({
-    seed: 2,
-    faults: [
-      ...[0, 1, 2].map((keeper) => ({
-        kind: "cut-store" as const,
-        atMs: 1_500,
-        keeper,
-        forMs: 60_000,
-      })),
-      { kind: "pause-keeper", atMs: 2_000, keeper: 0, forMs: 60_000 },
-    ],
-  });
-  world.runTo(30_000);
-  expect(world.violations).toEqual([]);
-  expect(world.heldSlices()).toEqual(SLICES);
-});
--- a/packages/decisions/src/routing/retry_rule.ts
+++ b/packages/decisions/src/routing/retry_rule.ts
@@ -15,6 +15,8 @@
 /** State of the request that {@link decideRetry} weighs. */
 export interface DecideRetryOptions {
   readonly isIdempotent: boolean;
+  /** Whether the request's key has one owner, so that no other can serve it. */
+  readonly isKeyed: boolean;
   /** Attempts made so far. */
   readonly attempts: number;
   /** Whether a server is left that was not tried; always true for a key. */
@@ -41,11 +43,12 @@
   failure: FailedAttempt,
   options: DecideRetryOptions,
 ): RetryDecision {
-  // A server that has lost or not yet got a key's slice refuses until it is
-  // told; the request waits for that, at the pace of its queue.
-  const isMoving = failure.kind === "not-run" &&
-    failure.refusal === "not-owner" && options.timeLeftMs >= LEAST_TIME_MS;
-  if (isMoving) return { kind: "retry" };
+  if (
+    isFlowControl(failure, options.isKeyed) &&
+    options.timeLeftMs >= LEAST_TIME_MS
+  ) {
+    return { kind: "retry" };
+  }
   const isSafe = failure.kind === "not-run" || options.isIdempotent;
   const isUseful = options.attempts < ATTEMPT_LIMIT &&
     options.hasOtherServer && options.timeLeftMs >= LEAST_TIME_MS;
@@ -57,3 +60,17 @@
     failure: { kind: "not-run", reason: "retry-budget" },
   };
 }
+
+/**
+ * A server that is full says so before it has done any work; the request
+ * waits in its queue, which paces what goes to such a server. So does one for
+ * a key whose owner is leaving, cold, lost or has not yet got the slice: only
+ * its next owner can serve it, within seconds. Neither costs anything of the
+ * budget, which is there to bound what failures multiply.
+ */
+function isFlowControl(failure: FailedAttempt, isKeyed: boolean): boolean {
+  if (failure.kind !== "not-run" || failure.refusal === "deadline") {
+    return false;
+  }
+  return isKeyed || failure.refusal === "busy";
+}
--- a/packages/entry/src/ownership/move_task.ts
+++ b/packages/entry/src/ownership/move_task.ts
@@ -7,8 +7,9 @@
 import * as ownership from "@guavatide/decisions/ownership/mod";
 import * as placement from "@guavatide/decisions/placement/mod";
 import type { PartLog } from "../utils/log.ts";
+import { KeeperReview } from "./keeper_review.ts";
 import type { OrderTask } from "./order_task.ts";
-import type { ServiceContext } from "./service_context.ts";
+import type { ServiceContext, TimedReceipt } from "./service_context.ts";
 
 /** Time that listed servers have to answer before the first assignment. */
 const FIRST_MEETING_MS = 3_000;
@@ -37,18 +38,23 @@
   config(): contracts.Service | undefined;
 }
 
+/** A peer that told something. */
+export interface TellingPeer {
+  readonly vm: contracts.VmId;
+  readonly incarnation: contracts.Incarnation;
+}
+
 /** Moves one service's slices. */
 export class MoveTask {
   readonly #context: ServiceContext;
   readonly #options: MoveTaskOptions;
   readonly #log: PartLog;
   readonly #mover: ownership.Mover;
-  /** What each peer told last. */
-  readonly #told = new Map<contracts.VmId, contracts.KnownRevision>();
-  readonly #missingSinceMs = new Map<contracts.VmId, number>();
+  readonly #keepers: KeeperReview;
   #planner: placement.Planner | undefined;
   #plannerFor = "";
   #isOn = false;
+  #isAsking = false;
   #onSinceMs = 0;
   #keepersAtMs = Number.NEGATIVE_INFINITY;
   #lossesAtMs = Number.NEGATIVE_INFINITY;
@@ -58,25 +64,29 @@
     this.#context = context;
     this.#options = options;
     this.#log = context.log.part("place");
+    this.#keepers = new KeeperReview(context);
     const { service, peers, timings } = context;
     this.#mover = new ownership.Mover({ service, ...peers.self }, timings);
     options.orders.onAnswer((answer) => this.#mover.noteReply(answer));
   }
 
-  /** A peer told what it knows, in a beat or an answer. */
+  /**
+   * A peer told what it knows. `askedAtMs` is when the question left that it
+   * answered; absent when it told by itself.
+   */
   notePeer(
-    peer: { readonly vm: contracts.VmId; incarnation: contracts.Incarnation },
+    peer: TellingPeer,
     known: contracts.KnownRevision,
+    askedAtMs?: number,
   ): void {
     const nowMs = this.#context.clock.nowMs();
-    this.#told.set(peer.vm, known);
-    this.#mover.notePromise(peer.vm, known.revision, nowMs);
-    this.#mover.noteForwards({
-      ...peer,
-      revision: known.revision,
-      busyServers: known.busyServers ?? [],
-      nowMs,
-    });
+    const { vm, incarnation } = peer;
+    const { revision } = known;
+    const report = { vm, incarnation, revision, nowMs };
+    this.#keepers.noteSettled(vm, known.settled);
+    this.#mover.notePromise({ ...report, askedAtMs });
+    const busyServers = known.busyServers ?? [];
+    this.#mover.noteForwards({ ...report, busyServers });
   }
 
   /** Call often; does nothing unless this VM holds the duty. */
@@ -85,12 +95,12 @@
     if (!holdsDuty) return;
     const { peers, known, random } = this.#context;
     this.#mover.noteNewer(known.revision);
-    this.notePeer(peers.self, {
-      ...known.known(),
-      busyServers: this.#options.busyServers(),
-    });
+    const own = known.known();
+    const busyServers = this.#options.busyServers();
+    this.notePeer(peers.self, { ...own, busyServers }, Infinity);
     this.#reviewKeepers(nowMs);
     if (this.#mover.isIdle) this.#plan(nowMs);
+    this.#askKeepers();
     this.#hurryOrders();
     const effect = this.#mover.tick({
       nowMs,
@@ -149,10 +159,30 @@
     vm: contracts.VmId,
     assignment: contracts.Assignment,
   ): Promise<void> {
-    const { peers, clock } = this.#context;
-    const known = await peers.push(vm, assignment);
-    if (known === undefined) return;
-    this.#mover.notePromise(vm, known.revision, clock.nowMs());
+    this.#noteReceipt(await this.#context.peers.push(vm, assignment));
+    this.#askKeepers();
+  }
+
+  /** A promise is complete only with answers from after a majority's. */
+  #askKeepers(): void {
+    if (this.#isAsking || !this.#mover.needsAnswers) return;
+    this.#isAsking = true;
+    const { peers, service } = this.#context;
+    const sets = this.#mover.assignment?.keeperSets ?? [];
+    const keepers = new Set(sets.flat().map(({ vm }) => vm));
+    keepers.delete(peers.self.vm);
+    const live = peers.live().filter((vm) => keepers.has(vm));
+    const answers = live.map(async (vm) => {
+      this.#noteReceipt(await peers.ask(vm, service));
+    });
+    void Promise.all(answers).then(() => {
+      this.#isAsking = false;
+    });
+  }
+
+  #noteReceipt(receipt: TimedReceipt | undefined): void {
+    if (receipt === undefined) return;
+    this.notePeer(receipt, receipt.known, receipt.askedAtMs);
     this.#hurryOrders();
   }
 
@@ -166,39 +196,10 @@
   #reviewKeepers(nowMs: number): void {
     if (nowMs < this.#keepersAtMs + KEEPER_REVIEW_MS) return;
     this.#keepersAtMs = nowMs;
-    const { known, service, hasher, peers } = this.#context;
-    const gone = this.#goneVms(nowMs);
-    this.#mover.noteGone(gone, nowMs);
-    const able = peers.live().filter((vm) => this.#told.get(vm)?.settled);
-    const present = known.keepers;
-    const keepers = ownership.chooseKeepers({
-      service,
-      present,
-      able,
-      gone,
-      hasher,
-    });
-    if (keepers.length > 0) this.#mover.requestKeepers(keepers);
-  }
-
-  /** Off the platform's list and silent for the whole grace time. */
-  #goneVms(nowMs: number): Set<contracts.VmId> {
-    const { peers, timings, known } = this.#context;
-    const listed = peers.listed();
-    const gone = new Set<contracts.VmId>();
-    if (listed === undefined) return gone;
-    const live = new Set(peers.live());
-    const sets = known.assignment?.keeperSets ?? [];
-    for (const { vm } of sets.flat()) {
-      if (listed.has(vm) || live.has(vm)) {
-        this.#missingSinceMs.delete(vm);
-        continue;
-      }
-      const sinceMs = this.#missingSinceMs.get(vm) ?? nowMs;
-      this.#missingSinceMs.set(vm, sinceMs);
-      if (nowMs - sinceMs >= timings.vmGoneGraceMs) gone.add(vm);
-    }
-    return gone;
+    const review = this.#keepers.review(nowMs);
+    this.#mover.noteGone(review.gone, nowMs);
+    if (review.keepers.length === 0) return;
+    this.#mover.requestKeepers(review.keepers);
   }
 
   #plan(nowMs: number): void {
--- a/packages/entry/src/ownership/ownership_task.ts
+++ b/packages/entry/src/ownership/ownership_task.ts
@@ -80,6 +80,13 @@
     return ownership?.mayForward(server, slice, fence) ?? false;
   }
 
+  checksFences(
+    service: contracts.ServiceId,
+    server: contracts.ServerId,
+  ): boolean {
+    return this.#services.get(service)?.checksFences(server) ?? true;
+  }
+
   noteForwarded(
     service: contracts.ServiceId,
     server: contracts.ServerId,
@@ -96,11 +103,16 @@
   }
 
   /** A peer pushed an assignment; answers what is known then. */
-  takePushed(assignment: contracts.Assignment): contracts.KnownRevision {
-    const ownership = this.#services.get(assignment.service);
-    ownership?.known.learn(assignment);
-    return ownership?.known.known() ??
-      { service: assignment.service, revision: 0, settled: false };
+  takePushed(assignment: contracts.Assignment): contracts.KnownReceipt {
+    this.#services.get(assignment.service)?.known.learn(assignment);
+    return this.answerKnown(assignment);
+  }
+
+  /** A peer asks what is known of a service. */
+  answerKnown({ service }: contracts.KnownQuestion): contracts.KnownReceipt {
+    const known = this.#services.get(service)?.tell() ??
+      { service, revision: 0, settled: false };
+    return { ...this.#options.peers.self, known };
   }
 
   fill(draft: HeartbeatDraft): void {
@@ -129,7 +141,7 @@
       const ownership = this.#services.get(known.service);
       if (ownership === undefined) continue;
       ownership.known.noteAnswer({ vm: reply.vm, known, askedAtMs });
-      ownership.notePeer(reply, known);
+      ownership.notePeer(reply, known, askedAtMs);
     }
   }
 
--- a/packages/entry/src/requests/caller_listener.ts
+++ b/packages/entry/src/requests/caller_listener.ts
@@ -2,7 +2,8 @@
 import type * as contracts from "@guavatide/contracts";
 import * as names from "@guavatide/contracts";
 import type * as http from "node:http";
-import type * as net from "node:net";
+import * as net from "node:net";
+import * as timers from "node:timers/promises";
 import * as httpServer from "../utils/http_server.ts";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import {
@@ -26,12 +27,16 @@
 
 /** Interval at which Node looks for requests that arrive too slowly. */
 const CHECK_INTERVAL_MS = 500;
+/** Interval at which a stop looks whether connections are left. */
+const LINGER_CHECK_MS = 20;
 
 /** The listening socket for callers. */
 export class CallerListener {
   readonly #options: CallerListenerOptions;
   readonly #server: http.Server;
   #inFlight = 0;
+  /** The linger of a stop is over: what still comes is refused. */
+  #isClosing = false;
   #onIdle: (() => void) | undefined;
 
   constructor(options: CallerListenerOptions) {
@@ -99,8 +104,8 @@
     incoming: http.IncomingMessage,
     options: { readonly arrivedMs: number; readonly signal: AbortSignal },
   ): Promise<CallerAnswer> {
-    const { settings, lifeCycle, route } = this.#options;
-    if (lifeCycle.isStopping) {
+    const { settings, route } = this.#options;
+    if (this.#isClosing) {
       return notRun("shutting-down", {
         message: "This entry VM is stopping; send the request again",
       });
@@ -117,11 +122,21 @@
     return route({ ...head.value, ...options, body: body.value });
   }
 
-  /** Lets requests in flight end; takes no new connection meanwhile. */
+  /**
+   * Answers as usual for a while, ending each connection with its answer; then
+   * stops listening, and closes idle connections last. A connection that is
+   * closed while a request is on its way to it leaves the caller without an
+   * answer, and not knowing whether the request ran.
+   */
   async #drain(): Promise<void> {
-    const closed = new Promise<void>((resolve) => {
-      this.#server.close(() => resolve());
-    });
+    const { lingerMs } = this.#options.settings;
+    await this.#lingerFor(lingerMs);
+    // Right after the loop has taken all connections that were waiting: the
+    // system resets those that wait when the port closes.
+    await timers.setImmediate();
+    const closed = this.#stopListening();
+    await this.#lingerFor(lingerMs / 2);
+    this.#isClosing = true;
     this.#server.closeIdleConnections();
     if (this.#inFlight > 0) {
       await new Promise<void>((resolve) => {
@@ -130,6 +145,32 @@
     }
     this.#server.closeAllConnections();
     await closed;
+    // Ends the server's own timers; the port is closed already.
+    this.#server.close(() => {});
+  }
+
+  /** Closes the port alone: the HTTP server's close ends connections too. */
+  #stopListening(): Promise<void> {
+    return new Promise((resolve) => {
+      net.Server.prototype.close.call(this.#server, () => resolve());
+    });
+  }
+
+  /** Returns when no connection is left, or after the time. */
+  async #lingerFor(timeMs: number): Promise<void> {
+    const { clock } = this.#options;
+    const endMs = clock.nowMs() + timeMs;
+    while (clock.nowMs() < endMs && await this.#connections() > 0) {
+      await timers.setTimeout(LINGER_CHECK_MS);
+    }
+  }
+
+  #connections(): Promise<number> {
+    return new Promise((resolve) => {
+      this.#server.getConnections((error, count) =>
+        resolve(error === null ? count : 0)
+      );
+    });
   }
 }
 
--- a/packages/entry/src/requests/fakes_test_support.ts
+++ b/packages/entry/src/requests/fakes_test_support.ts
@@ -164,11 +164,12 @@
   const owners: OwnerView = options.owners ?? {
     lookup: (): OwnerLookup => ({ kind: "none" }),
     mayForward: () => true,
+    checksFences: () => true,
     noteForwarded: () => ({ done() {} }),
     onChange: () => () => {},
     noteNotOwner: () => {},
   };
-  const settings = { ...REQUEST_DEFAULTS, ...options.settings };
+  const settings = { ...REQUEST_DEFAULTS, lingerMs: 0, ...options.settings };
   const clock = new MonotonicClock();
   const router = new RequestRouter({
     config,
@@ -183,6 +184,7 @@
     lifeCycle,
     metrics: NO_METRICS,
     longestTimeoutMs: settings.longestTimeoutMs,
+    unfencedRunMs: 400,
   });
   const listener = new CallerListener({
     settings,
--- a/packages/entry/src/requests/slot_messages.ts
+++ b/packages/entry/src/requests/slot_messages.ts
@@ -21,7 +21,10 @@
     refusal: z.enum(["not-owner", "busy", "draining", "deadline", "cold"]),
     inFlight: inFlightSchema,
   }),
-  z.strictObject({ kind: z.literal("failure") }),
+  z.strictObject({
+    kind: z.literal("failure"),
+    cause: z.enum(["not-connected", "timeout", "broken"]),
+  }),
   z.strictObject({ kind: z.literal("abandoned") }),
 ]);
 
@@ -53,6 +56,8 @@
   wants: z.array(slotWantSchema),
   withdrawn: z.array(z.number().int()),
   ended: z.array(slotEndSchema),
+  /** Every grant of this dispatcher that the sender has in use. */
+  held: z.array(z.number().int()),
 });
 /** What changed at an entry VM since its last update. */
 export type SlotsUpdate = z.infer<typeof slotsUpdateSchema>;
--- a/packages/entry/src/settings/load_test.ts
+++ b/packages/entry/src/settings/load_test.ts
@@ -74,10 +74,13 @@
   },
   {
     name: "a lease shorter than its renewals need",
-    change: (file) => file.timings.leaseMs = 400,
+    change: (file) => {
+      file.timings.renewMs = 300;
+      file.timings.leaseMs = 400;
+    },
     kind: "contradiction",
     path: "timings.leaseMs",
-    remedy: /at least 750/,
+    remedy: /at least 900/,
   },
   {
     name: "evidence that ends before the next heartbeat",
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -21,6 +21,7 @@
 import * as platform from "./platform/mod.ts";
 import * as requests from "./requests/mod.ts";
 import * as settingsParts from "./settings/mod.ts";
+import { ownershipTimingsOf, requestSettingsOf } from "./settings_of_parts.ts";
 import { MonotonicClock, SystemRandom } from "./utils/clock.ts";
 import { LifeCycle } from "./utils/life_cycle.ts";
 import * as logParts from "./utils/log.ts";
@@ -283,7 +284,7 @@
     membership,
     peers,
     clock,
-    pushTimeoutMs: settings.timings.evidenceMs,
+    timeoutMs: settings.timings.evidenceMs,
   });
   directory.onList((vms) => peerView.noteList(vms));
   const loads = new LoadTask({ self, peers, door, clock });
@@ -310,6 +311,11 @@
     contractsValues.assignmentSchema,
     (assignment) => owners.takePushed(assignment),
   );
+  door.register(
+    ownershipTasks.KNOWN_METHOD,
+    contractsValues.knownQuestionSchema,
+    (question) => owners.answerKnown(question),
+  );
   return { owners, loads };
 }
 
@@ -344,6 +350,7 @@
       keyedWork: (work) => loads.record(work),
     },
     longestTimeoutMs: requests.REQUEST_DEFAULTS.longestTimeoutMs,
+    unfencedRunMs: settings.timings.unfencedMoveWaitMs,
     peers: peerCalls,
   });
   return new requests.CallerListener({
@@ -379,35 +386,6 @@
   mainLog.info("entry process stopped", { vm: settings.vm });
 }
 
-function requestSettingsOf(
-  settings: settingsParts.Settings,
-): requests.RequestSettings {
-  const { limits } = settings;
-  return {
-    ...requests.REQUEST_DEFAULTS,
-    host: settings.host,
-    port: settings.ports.callers,
-    connectionLimit: limits.connections,
-    inFlightLimit: limits.requestsInFlight,
-    headerLimitBytes: limits.headerBytes,
-    bodyLimitBytes: limits.bodyBytes,
-    headersTimeoutMs: limits.headerTimeoutMs,
-    requestTimeoutMs: limits.requestTimeoutMs,
-    keepAliveTimeoutMs: limits.keepAliveMs,
-    drainTimeoutMs: settings.timings.drainMs,
-  };
-}
-
-function ownershipTimingsOf(
-  { timings, platform }: settingsParts.Settings,
-): ownershipTasks.OwnershipTimings {
-  return {
-    ...ownership.DEFAULT_OWNERSHIP_SETTINGS,
-    ...timings,
-    storeTimeoutMs: platform.storeTimeoutMs,
-  };
-}
-
 function toStartError(error: unknown): StartError {
   if ((error as { code?: string }).code === "EADDRINUSE") {
     const message = `${String(error)}: choose another port in the settings, ` +
