fix(ownership): leave room for clock rates in the wait for unfenced servers

Their requests bear a deadline on the server's own clock, whose rate may differ from the mover's; the wait after the right to forward now has the same margin as the others.

--- a/packages/decisions/src/ownership/mover_test.ts
+++ b/packages/decisions/src/ownership/mover_test.ts
@@ -149,9 +149,9 @@
   const fixture = new Fixture();
   fixture.checksFences = false;
   fixture.vacate();
-  const rightEndMs = 10 +
-    SETTINGS.evidenceMs * (1 + SETTINGS.clockRateMargin);
-  const endMs = rightEndMs + SETTINGS.unfencedMoveWaitMs;
+  const { evidenceMs, unfencedMoveWaitMs, clockRateMargin } = SETTINGS;
+  const waitMs = (evidenceMs + unfencedMoveWaitMs) * (1 + clockRateMargin);
+  const endMs = 10 + waitMs;
   expect(fixture.tick(endMs - 1)).toEqual(undefined);
   expect(fixture.tick(endMs)?.kind).toEqual("write");
 });
--- a/packages/decisions/src/ownership/slice_wait.ts
+++ b/packages/decisions/src/ownership/slice_wait.ts
@@ -109,7 +109,8 @@
     const endMs = this.#startMs() + evidenceMs * (1 + clockRateMargin);
     if (facts.nowMs < endMs) return false;
     return facts.isForwardingOver(server, this.revision) ||
-      facts.nowMs >= endMs + this.#settings.unfencedMoveWaitMs;
+      facts.nowMs >=
+        endMs + this.#settings.unfencedMoveWaitMs * (1 + clockRateMargin);
   }
 
   #startMs(): number {
