feat(administration): log refused rights, test the door over TLS

A token without the right for a request left no trace but the answer. The test shows that a door with a certificate answers over TLS and refuses plain HTTP.

--- a/packages/entry/src/administration/administration_door.ts
+++ b/packages/entry/src/administration/administration_door.ts
@@ -103,7 +103,7 @@
         return answerError(context, { kind: "too-large", message });
       },
     }));
-    app.use((context, next) => checkRight(context, next));
+    app.use((context, next) => this.#checkRight(context, next));
     app.route("/v1/objects", createObjectRoutes(parts));
     app.route("/v1/drains", createDrainRoutes(parts));
     app.route("/v1", createPublishRoutes(parts));
@@ -150,6 +150,24 @@
       this.#inFlight--;
     }
   }
+
+  /** Refuses what the operator's token has no right for. */
+  async #checkRight(
+    context: ApiContext,
+    next: hono.Next,
+  ): Promise<Response | void> {
+    const { method, path } = context.req;
+    const right = rightFor(method, path);
+    const operator = context.get("operator");
+    if (operator.has(right)) return await next();
+    this.#options.parts.log.warn("right refused", {
+      operator: operator.name,
+      right,
+      path,
+    });
+    const message = `Your token lacks the right "${right}": ask for it`;
+    return answerError(context, { kind: "forbidden", message });
+  }
 }
 
 /** The right that a request needs. */
@@ -159,16 +177,6 @@
   return path === "/v1/publish" ? "publish" : "edit";
 }
 
-async function checkRight(
-  context: ApiContext,
-  next: hono.Next,
-): Promise<Response | void> {
-  const right = rightFor(context.req.method, context.req.path);
-  if (context.get("operator").has(right)) return await next();
-  const message = `Your token lacks the right "${right}": ask for it`;
-  return answerError(context, { kind: "forbidden", message });
-}
-
 /** Status of each error that Node's parser reports, besides 400. */
 const BROKEN_REQUEST_STATUS: Readonly<Record<string, string>> = {
   ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
--- a/packages/entry/src/administration/administration_test.ts
+++ b/packages/entry/src/administration/administration_test.ts
@@ -3,8 +3,10 @@
 import { expect } from "earl";
 import * as crypto from "node:crypto";
 import * as http from "node:http";
+import * as https from "node:https";
 import * as net from "node:net";
 import { test, type TestContext } from "node:test";
+import * as selfsigned from "selfsigned";
 import { FakeStore } from "../configuration/fake_store_test.ts";
 import * as configuration from "../configuration/mod.ts";
 import type { AdministrationRight } from "../settings/mod.ts";
@@ -92,6 +94,7 @@
   constructor(
     choice: decisions.WatcherChoice,
     limits: Partial<settings.Settings["limits"]>,
+    certificate?: { readonly cert: string; readonly key: string },
   ) {
     const shared = {
       vm: VM,
@@ -135,6 +138,7 @@
       tokens: TOKENS,
       host: "127.0.0.1",
       port: 0,
+      certificate,
       limits: {
         ...settings.defaultSettings().limits,
         bodyBytes: 4096,
@@ -477,3 +481,34 @@
   });
   expect(answer.startsWith("HTTP/1.1 408 ")).toEqual(true);
 });
+
+// A token that travels in clear can be read by anybody on the way and used to
+// change the agreement.
+test("should answer over TLS, and nothing else, with a certificate", async (t) => {
+  const pems = selfsigned.generate([{ name: "commonName", value: "entry-1" }], {
+    keySize: 2048,
+    algorithm: "sha256",
+  });
+  const certificate = { cert: pems.cert, key: pems.private };
+  const choice = await decisions.createWatcherChoice();
+  const desk = new Desk(choice, {}, certificate);
+  t.after(() => desk.lifeCycle.stop());
+  const port = await desk.door.listen(desk.lifeCycle);
+  const at = { host: "127.0.0.1", port, path: "/v1/check", agent: false };
+  const status = await new Promise((resolve, reject) => {
+    const options = {
+      ...at,
+      ca: pems.cert,
+      checkServerIdentity: () => undefined,
+    };
+    https.get(options, (response) => {
+      response.resume();
+      resolve(response.statusCode);
+    }).on("error", reject);
+  });
+  expect(status).toEqual(401);
+  const isRefused = await new Promise((resolve) => {
+    http.get(at, () => resolve(false)).on("error", () => resolve(true));
+  });
+  expect(isRefused).toEqual(true);
+});
