--- a/packages/decisions/src/ownership/mover.ts
+++ b/packages/decisions/src/ownership/mover.ts
@@ -6,12 +6,14 @@
  * case: read, and go on from what was read.
  */
 import * as contracts from "@guavatide/contracts";
-import { AssignmentEdit } from "./assignment_edit.ts";
+import { AssignmentEdit, isSameSet, isSameTimings } from "./assignment_edit.ts";
 import { ForwardBook, type ForwardReport } from "./forward_book.ts";
 import type { ChangeRequest, MoveStep } from "./moves.ts";
 import { type Promise, PromiseBook } from "./promise_book.ts";
-import type { OwnershipSettings } from "./settings.ts";
-import { type AnsweredOrder, SliceWait } from "./slice_wait.ts";
+import { longestTimings, type OwnershipSettings } from "./settings.ts";
+import type { AnsweredOrder } from "./slice_wait.ts";
+import { TimingsWait } from "./timings_wait.ts";
+import { WaitBook } from "./wait_book.ts";
 
 /** What came of a read of the assignment object. */
 export type AssignmentRead =
@@ -69,6 +71,8 @@
 
 /** Keeper sets that may stand beside each other. */
 const KEEPER_SETS = 3;
+/** Timings that may be listed beside each other. */
+const TIMINGS_LISTED = 4;
 const RETRY_MIN_MS = 100;
 const RETRY_MAX_MS = 2_000;
 
@@ -81,12 +85,14 @@
   #queue: ChangeRequest[] = [];
   /** Requests that the write under way covers. */
   #written: readonly ChangeRequest[] = [];
-  readonly #hurried = new Set<contracts.ServerId>();
-  #waits = new Map<string, SliceWait>();
+  readonly #waits: WaitBook;
+  readonly #timingsWait = new TimingsWait();
   #stored: StoredAssignment | undefined;
   #isAbsent = false;
   #first: contracts.Slice[] | undefined;
   #keepers: readonly contracts.Keeper[] | undefined;
+  #timings: contracts.LeaseTimings | undefined;
+  #hasFenceNews = false;
   #call: MoverEffect | undefined;
   #mustRead = true;
   #notBeforeMs = Number.NEGATIVE_INFINITY;
@@ -96,6 +102,7 @@
     this.#identity = identity;
     this.#settings = settings;
     this.#forwards = new ForwardBook(settings.unfencedMoveWaitMs);
+    this.#waits = new WaitBook(settings);
   }
 
   /** The assignment as last read or acknowledged. */
@@ -130,10 +137,16 @@
     this.#keepers = keepers;
   }
 
+  /** Asks for timings to be put in force. */
+  requestTimings(timings: contracts.LeaseTimings): void {
+    this.#timings = timings;
+  }
+
   /** Reads anew before the next decision, for example after taking duty. */
   forget(): void {
     this.#queue = [];
     this.#waits.clear();
+    this.#timingsWait.clear();
     this.#mustRead = true;
   }
 
@@ -152,8 +165,8 @@
   get needsAnswers(): boolean {
     const sets = this.assignment?.keeperSets;
     if (sets === undefined) return false;
-    return [...this.#waits.values()].some((wait) =>
-      !wait.isPromised && this.promises.isWorthAsking(sets, wait.revision)
+    return this.#waits.unpromised.some((revision) =>
+      this.promises.isWorthAsking(sets, revision)
     );
   }
 
@@ -168,9 +181,19 @@
     this.#forwards.note(report);
   }
 
+  /** Forgets what entry VMs told that are no longer members. */
+  keepMembers(vms: readonly contracts.VmId[]): void {
+    this.#forwards.keepOnly(vms);
+  }
+
   /** A server answered an order. */
   noteReply(answer: AnsweredOrder): void {
-    for (const wait of this.#waits.values()) wait.noteReply(answer);
+    const { server } = answer.order;
+    const listed = this.assignment?.unfencedServers ?? [];
+    const isNews = !answer.reply.checksFences && !listed.includes(server);
+    // Entry VMs learn from the assignment that they must guard this server.
+    if (isNews && answer.order.slices.length > 0) this.#hasFenceNews = true;
+    this.#waits.noteReply(answer);
   }
 
   /** Servers that slices are being taken from. */
@@ -184,9 +207,7 @@
    * answers count as a release.
    */
   takeHurried(): contracts.ServerId[] {
-    const hurried = [...this.#hurried];
-    this.#hurried.clear();
-    return hurried;
+    return this.#waits.takeHurried();
   }
 
   /** Decides what to do next; at most one call to the store is under way. */
@@ -241,6 +262,7 @@
     this.#isAbsent = false;
     this.#first = undefined;
     this.#mustRead = false;
+    this.#hasFenceNews = false;
     this.#failures = 0;
     this.promises.note({
       ...this.#identity,
@@ -248,7 +270,9 @@
       askedAtMs: Number.POSITIVE_INFINITY,
       nowMs,
     });
-    this.#renewWaits(stored.assignment, nowMs);
+    this.promises.keepOnly(stored.assignment.keeperSets);
+    this.#waits.renew(stored.assignment, nowMs);
+    this.#timingsWait.renew(stored.assignment);
     this.#checkPromises(nowMs);
   }
 
@@ -269,37 +293,10 @@
     this.#notBeforeMs = nowMs + limitMs * (0.5 + random.next() / 2);
   }
 
-  /** A wait goes on while its slice stays taken from the same ownership. */
-  #renewWaits(assignment: contracts.Assignment, nowMs: number): void {
-    const waits = new Map<string, SliceWait>();
-    for (const slice of assignment.slices) {
-      if (slice.state !== "vacating") continue;
-      const name = waitName(slice);
-      const seen = {
-        revision: assignment.revision,
-        acknowledgedAtMs: nowMs,
-      };
-      const wait = this.#waits.get(name) ?? this.createWait(slice, seen);
-      waits.set(name, wait);
-    }
-    this.#waits = waits;
-  }
-
-  /** Begins the wait for a slice that was seen vacating. */
-  protected createWait(
-    slice: contracts.Slice,
-    seen: { readonly revision: number; readonly acknowledgedAtMs: number },
-  ): SliceWait {
-    return new SliceWait(slice, seen, this.#settings);
-  }
-
   #checkPromises(nowMs: number): void {
-    for (const wait of this.#waits.values()) {
-      if (wait.isPromised) continue;
-      if (!this.hasPromise(wait.revision)) continue;
-      wait.notePromised(nowMs);
-      for (const server of wait.earlierOwners) this.#hurried.add(server);
-    }
+    const hasPromise = (revision: number) => this.hasPromise(revision);
+    this.#waits.checkPromises(hasPromise, nowMs);
+    this.#timingsWait.checkPromise(hasPromise, nowMs);
   }
 
   /** Whether a majority of every keeper set knows a revision. */
@@ -310,10 +307,11 @@
 
   /** Whether the second update of a move may be written. */
   protected mayTake(slice: contracts.Slice, tick: MoverTick): boolean {
-    const wait = this.#waits.get(waitName(slice));
+    const wait = this.#waits.of(slice);
     if (wait === undefined || !tick.isLive(slice.server)) return false;
     return wait.isOver(slice.server, {
       nowMs: tick.nowMs,
+      timings: this.longestTimings(),
       isUnfenced: (server) => this.#isUnfenced(server, tick),
       isForwardingOver: (server, revision) =>
         this.#forwards.isOver(server, revision, {
@@ -323,6 +321,11 @@
     });
   }
 
+  /** What has to be waited out. */
+  protected longestTimings(): contracts.LeaseTimings {
+    return longestTimings(this.assignment, this.#settings);
+  }
+
   #isUnfenced(server: contracts.ServerId, tick: MoverTick): boolean {
     const listed = this.assignment?.unfencedServers ?? [];
     return listed.includes(server) || tick.checksFences(server) === false;
@@ -330,11 +333,14 @@
 
   #nextWrite(tick: MoverTick): MoverEffect | undefined {
     if (this.#stored === undefined) return this.#firstWrite(tick);
+    if (!this.#hasWork(this.#stored.assignment)) return undefined;
     const { assignment } = this.#stored;
     const edit = new AssignmentEdit(assignment, assignment, tick.checksFences);
     edit.settle((slice) => this.mayTake(slice, tick));
     for (const change of this.#queue) edit.apply(change);
     this.#changeKeepers(edit);
+    this.#changeTimings(edit, tick.nowMs);
+    if (this.#hasFenceNews) edit.touch();
     this.#written = this.#queue;
     if (!edit.isChanged) {
       this.#queue = [];
@@ -344,12 +350,25 @@
     return this.#write(edit, tick, { kind: "version", version });
   }
 
+  #hasWork(assignment: contracts.Assignment): boolean {
+    const { keeperSets, leaseTimings = [] } = assignment;
+    const isTimingsChange = this.#timings !== undefined &&
+      !isSameTimings(this.#timings, leaseTimings.at(-1));
+    const isKeeperChange = this.#keepers !== undefined &&
+      !isSameSet(this.#keepers, keeperSets.at(-1)!);
+    return this.#queue.length > 0 || !this.#waits.isEmpty ||
+      keeperSets.length > 1 || leaseTimings.length > 1 || isKeeperChange ||
+      isTimingsChange ||
+      this.#hasFenceNews;
+  }
+
   #firstWrite(tick: MoverTick): MoverEffect | undefined {
     const isReady = this.#isAbsent && this.#first !== undefined &&
       this.#keepers !== undefined;
     if (!isReady) return undefined;
     const start = { slices: this.#first!, keeperSets: [[...this.#keepers!]] };
     const edit = new AssignmentEdit(undefined, start, tick.checksFences);
+    edit.useTimings(this.#settings);
     return this.#write(edit, tick, { kind: "absent" });
   }
 
@@ -366,6 +385,16 @@
     if (this.#keepers !== undefined && mayAdd) edit.useKeepers(this.#keepers);
   }
 
+  /** Settings may be rolled out VM by VM: the holder of duty's count. */
+  #changeTimings(edit: AssignmentEdit, nowMs: number): void {
+    const { assignment } = this.#stored!;
+    const count = assignment.leaseTimings?.length ?? 0;
+    const mayRetire = count > 1 && this.#timingsWait.isOver(assignment, nowMs);
+    if (mayRetire) edit.retireTimings();
+    const mayAdd = count < TIMINGS_LISTED || mayRetire;
+    if (this.#timings !== undefined && mayAdd) edit.useTimings(this.#timings);
+  }
+
   #write(
     edit: AssignmentEdit,
     tick: MoverTick,
@@ -381,8 +410,3 @@
     return { kind: "write", assignment, condition, steps: edit.steps };
   }
 }
-
-/** The same for as long as a slice stays taken from one ownership. */
-function waitName(slice: contracts.Slice): string {
-  return `${contracts.sliceIdOf(slice)}/${slice.fence}/${slice.from.join()}`;
-}
--- a/packages/decisions/src/ownership/slice_wait.ts
+++ b/packages/decisions/src/ownership/slice_wait.ts
@@ -14,9 +14,11 @@
   readonly nowMs: number;
 }
 
-/** Tells which servers need more than their own word. */
-export interface UnfencedFacts {
+/** What the end of a wait is judged by. */
+export interface WaitFacts {
   readonly nowMs: number;
+  /** The longest timings by which a lease may have been given. */
+  readonly timings: contracts.LeaseTimings;
   /** Whether the server is not known to check fences. */
   isUnfenced(server: contracts.ServerId): boolean;
   /** Whether every entry VM reported nothing in flight at the revision. */
@@ -80,32 +82,34 @@
   }
 
   /** Whether none of the earlier owners but `next` can hold a lease. */
-  isOver(next: contracts.ServerId, facts: UnfencedFacts): boolean {
+  isOver(next: contracts.ServerId, facts: WaitFacts): boolean {
     return this.#slice.from.every((server) =>
       server === next || this.#isClear(server, facts)
     );
   }
 
-  #isClear(server: contracts.ServerId, facts: UnfencedFacts): boolean {
-    const endMs = this.#waitedOutAtMs();
+  #isClear(server: contracts.ServerId, facts: WaitFacts): boolean {
     if (facts.isUnfenced(server)) {
-      const isOver = facts.isForwardingOver(server, this.revision);
-      if (isOver && facts.nowMs >= this.#evidenceEndMs()) return true;
-      return facts.nowMs >= endMs + this.#settings.unfencedMoveWaitMs;
+      return this.#isUnfencedClear(server, facts);
     }
     if (this.#released.has(server)) return true;
+    const endMs = this.#startMs() + waitOutMs(facts.timings);
     return facts.nowMs >= endMs && !this.#isWorthWaiting(server, facts.nowMs);
   }
 
-  /** The end of the last lease that anyone can have given. */
-  #waitedOutAtMs(): number {
-    return this.#startMs() + waitOutMs(this.#settings);
-  }
-
-  /** The end of the last evidence for a revision before this one. */
-  #evidenceEndMs(): number {
-    const { evidenceMs, clockRateMargin } = this.#settings;
-    return this.#startMs() + evidenceMs * (1 + clockRateMargin);
+  /**
+   * Leases do not bind such a server. What counts is when the last entry VM
+   * lost the right to forward, and that its requests are over since.
+   */
+  #isUnfencedClear(
+    server: contracts.ServerId,
+    facts: WaitFacts,
+  ): boolean {
+    const { evidenceMs, clockRateMargin } = facts.timings;
+    const endMs = this.#startMs() + evidenceMs * (1 + clockRateMargin);
+    if (facts.nowMs < endMs) return false;
+    return facts.isForwardingOver(server, this.revision) ||
+      facts.nowMs >= endMs + this.#settings.unfencedMoveWaitMs;
   }
 
   #startMs(): number {
--- a/packages/entry/src/ownership/move_task.ts
+++ b/packages/entry/src/ownership/move_task.ts
@@ -7,6 +7,7 @@
 import * as ownership from "@guavatide/decisions/ownership/mod";
 import * as placement from "@guavatide/decisions/placement/mod";
 import type { PartLog } from "../utils/log.ts";
+import { KeeperReview } from "./keeper_review.ts";
 import type { OrderTask } from "./order_task.ts";
 import type { ServiceContext, TimedReceipt } from "./service_context.ts";
 
@@ -49,11 +50,12 @@
   readonly #options: MoveTaskOptions;
   readonly #log: PartLog;
   readonly #mover: ownership.Mover;
-  /** What each peer told last. */
-  readonly #told = new Map<contracts.VmId, contracts.KnownRevision>();
-  readonly #missingSinceMs = new Map<contracts.VmId, number>();
+  readonly #keepers: KeeperReview;
   #planner: placement.Planner | undefined;
   #plannerFor = "";
+  #ownersOf: contracts.Assignment | undefined;
+  #owners: ReadonlySet<contracts.ServerId> = new Set();
+  #hasVacating = false;
   #isOn = false;
   #isAsking = false;
   #onSinceMs = 0;
@@ -65,6 +67,7 @@
     this.#context = context;
     this.#options = options;
     this.#log = context.log.part("place");
+    this.#keepers = new KeeperReview(context);
     const { service, peers, timings } = context;
     this.#mover = new ownership.Mover({ service, ...peers.self }, timings);
     options.orders.onAnswer((answer) => this.#mover.noteReply(answer));
@@ -83,7 +86,7 @@
     const { vm, incarnation } = peer;
     const { revision } = known;
     const report = { vm, incarnation, revision, nowMs };
-    this.#told.set(vm, known);
+    this.#keepers.noteSettled(vm, known.settled);
     this.#mover.notePromise({ ...report, askedAtMs });
     const busyServers = known.busyServers ?? [];
     this.#mover.noteForwards({ ...report, busyServers });
@@ -196,39 +199,12 @@
   #reviewKeepers(nowMs: number): void {
     if (nowMs < this.#keepersAtMs + KEEPER_REVIEW_MS) return;
     this.#keepersAtMs = nowMs;
-    const { known, service, hasher, peers } = this.#context;
-    const gone = this.#goneVms(nowMs);
-    this.#mover.noteGone(gone, nowMs);
-    const able = peers.live().filter((vm) => this.#told.get(vm)?.settled);
-    const present = known.keepers;
-    const keepers = ownership.chooseKeepers({
-      service,
-      present,
-      able,
-      gone,
-      hasher,
-    });
-    if (keepers.length > 0) this.#mover.requestKeepers(keepers);
-  }
-
-  /** Off the platform's list and silent for the whole grace time. */
-  #goneVms(nowMs: number): Set<contracts.VmId> {
-    const { peers, timings, known } = this.#context;
-    const listed = peers.listed();
-    const gone = new Set<contracts.VmId>();
-    if (listed === undefined) return gone;
-    const live = new Set(peers.live());
-    const sets = known.assignment?.keeperSets ?? [];
-    for (const { vm } of sets.flat()) {
-      if (listed.has(vm) || live.has(vm)) {
-        this.#missingSinceMs.delete(vm);
-        continue;
-      }
-      const sinceMs = this.#missingSinceMs.get(vm) ?? nowMs;
-      this.#missingSinceMs.set(vm, sinceMs);
-      if (nowMs - sinceMs >= timings.vmGoneGraceMs) gone.add(vm);
-    }
-    return gone;
+    const review = this.#keepers.review(nowMs);
+    this.#mover.noteGone(review.gone, nowMs);
+    this.#mover.keepMembers(this.#context.peers.all());
+    this.#mover.requestTimings(this.#context.timings);
+    if (review.keepers.length === 0) return;
+    this.#mover.requestKeepers(review.keepers);
   }
 
   #plan(nowMs: number): void {
@@ -236,7 +212,8 @@
     if (planner === undefined) return;
     const { assignment } = this.#mover;
     if (assignment === undefined) return this.#planFirst(planner, nowMs);
-    if (nowMs >= this.#planAtMs + this.#context.timings.planMs) {
+    const isDue = nowMs >= this.#planAtMs + this.#context.timings.planMs;
+    if (isDue && this.#hasKeeperMajority(assignment)) {
       this.#planAtMs = nowMs;
       this.#lossesAtMs = nowMs;
       return this.#request(planner.plan(this.#input(assignment, nowMs)));
@@ -247,10 +224,27 @@
     this.#request(planner.planLosses(this.#input(assignment, nowMs)));
   }
 
+  /**
+   * Without it no move can end. A holder of duty that is cut off from its
+   * peers would take keys from servers that serve them well.
+   */
+  #hasKeeperMajority({ keeperSets }: contracts.Assignment): boolean {
+    const live = new Set(this.#context.peers.live());
+    return keeperSets.every((set) => {
+      const count = set.filter(({ vm }) => live.has(vm)).length;
+      return count >= ownership.majorityOf(set.length);
+    });
+  }
+
   #isLossPossible(assignment: contracts.Assignment): boolean {
-    return assignment.slices.some((slice) =>
-      slice.state === "vacating" || this.#stateOf(slice.server) !== "live"
-    );
+    if (assignment !== this.#ownersOf) {
+      this.#ownersOf = assignment;
+      this.#owners = new Set(assignment.slices.map(({ server }) => server));
+      this.#hasVacating = assignment.slices
+        .some(({ state }) => state === "vacating");
+    }
+    return this.#hasVacating ||
+      [...this.#owners].some((server) => this.#stateOf(server) !== "live");
   }
 
   #request(plan: placement.Plan): void {
--- a/packages/entry/src/ownership/order_task.ts
+++ b/packages/entry/src/ownership/order_task.ts
@@ -11,6 +11,22 @@
 
 /** Time a server has to answer an order; a later answer is of no use. */
 const ORDER_TIMEOUT_MS = 800;
+const JUDGE_MS = 100;
+/** How long the address of an unlisted server is kept without an answer. */
+const UNLISTED_MS = 60_000;
+
+/** The keepers that renew one server. */
+interface Renewers {
+  /** Whether this VM is one of them. */
+  readonly isOwn: boolean;
+  readonly others: readonly contracts.VmId[];
+}
+
+/** What the renewers were chosen from. */
+interface ChosenFor {
+  readonly live: readonly contracts.VmId[];
+  readonly keepers: readonly contracts.VmId[];
+}
 
 interface Contact {
   readonly address: ServerAddress;
@@ -25,9 +41,14 @@
   readonly #detector: ownership.LossDetector;
   readonly #contacts = new Map<contracts.ServerId, Contact>();
   readonly #lost = new Set<contracts.ServerId>();
-  /** Renewers of each server, best first. */
-  #renewers = new Map<contracts.ServerId, contracts.VmId[]>();
-  #renewersFor = "";
+  readonly #unlistedSinceMs = new Map<contracts.ServerId, number>();
+  #renewers = new Map<contracts.ServerId, Renewers>();
+  #chosenFor: ChosenFor = { live: [], keepers: [] };
+  /** Servers that this VM sends orders to. */
+  #targets: readonly contracts.ServerId[] = [];
+  #listed: readonly ServerAddress[] = [];
+  #isContactChange = true;
+  #judgedAtMs = Number.NEGATIVE_INFINITY;
   #ordersAll = false;
   #onAnswer: (answer: ownership.AnsweredOrder) => void = () => {};
 
@@ -40,7 +61,7 @@
 
   /** Whether this VM renews any server. */
   get isRenewing(): boolean {
-    return this.#targets().length > 0;
+    return this.#targets.length > 0;
   }
 
   /** Calls back with each answered order. */
@@ -51,6 +72,7 @@
   /** Sends to all servers, or only to those that this VM renews. */
   orderAll(isOn: boolean): void {
     this.#ordersAll = isOn;
+    this.#chooseTargets();
   }
 
   hurry(servers: Iterable<contracts.ServerId>): void {
@@ -89,18 +111,17 @@
     this.#refreshContacts();
     this.#refreshRenewers();
     const { known, service } = this.#context;
-    const servers = this.#targets();
-    this.#forgetOthers(servers);
     const orders = this.#book.takeDue({
       nowMs,
       service,
       revision: Math.max(1, known.revision),
       slices: known.slices,
+      timings: known.timings,
       evidenceAskedAtMs: known.evidenceAskedAtMs(nowMs),
-      servers,
+      servers: this.#targets,
     });
     for (const order of orders) void this.#send(order, nowMs);
-    this.#judge(servers, nowMs);
+    this.#judge(nowMs);
   }
 
   async close(): Promise<void> {
@@ -161,51 +182,88 @@
   #refreshContacts(): void {
     const { service, servers } = this.#context;
     const listed = servers.servers(service);
+    const isSettled = this.#lost.size === 0 && this.#unlistedSinceMs.size === 0;
+    if (listed === this.#listed && isSettled) return;
+    this.#listed = listed;
     for (const address of listed) this.#meet(address);
     const names = new Set(listed.map(({ server }) => server));
-    for (const [server, { control }] of this.#contacts) {
-      if (names.has(server) || !this.isLost(server)) continue;
-      void control.close();
-      this.#contacts.delete(server);
-      this.#detector.forget(server);
+    const nowMs = this.#context.clock.nowMs();
+    for (const server of this.#contacts.keys()) {
+      if (names.has(server)) this.#unlistedSinceMs.delete(server);
+      else if (this.#isGone(server, nowMs)) this.#drop(server);
     }
   }
 
+  /** Unlisted, and lost or, where this VM can't tell, unlisted for long. */
+  #isGone(server: contracts.ServerId, nowMs: number): boolean {
+    if (this.isLost(server)) return true;
+    const sinceMs = this.#unlistedSinceMs.get(server) ?? nowMs;
+    this.#unlistedSinceMs.set(server, sinceMs);
+    const isTarget = this.#targets.includes(server);
+    return !isTarget && nowMs >= sinceMs + UNLISTED_MS;
+  }
+
+  #drop(server: contracts.ServerId): void {
+    void this.#contacts.get(server)?.control.close();
+    this.#contacts.delete(server);
+    this.#unlistedSinceMs.delete(server);
+    this.#detector.forget(server);
+    this.#lost.delete(server);
+    this.#book.keepOnly(new Set(this.#contacts.keys()));
+    this.#isContactChange = true;
+  }
+
   #meet(address: ServerAddress): void {
     const known = this.#contacts.get(address.server);
     if (known === undefined || !isSamePlace(known.address, address)) {
       void known?.control.close();
       const control = this.#context.connect(address);
       this.#contacts.set(address.server, { address, control });
+      this.#isContactChange = true;
       return;
     }
     if (known.address === address) return;
     this.#contacts.set(address.server, { ...known, address });
   }
 
+  /** Chosen anew only when keepers, live VMs or servers have changed. */
   #refreshRenewers(): void {
-    const { peers, known, hasher } = this.#context;
+    const { peers, known } = this.#context;
     const live = peers.live();
-    const keepers = known.keepers.filter((vm) => live.includes(vm));
-    const chosen = keepers.length > 0 ? keepers : live;
-    const servers = [...this.#contacts.keys()];
-    const key = `${chosen.join()}|${servers.join()}`;
-    if (key === this.#renewersFor) return;
-    this.#renewersFor = key;
-    const { renewers } = this.#context.timings;
+    const { keepers } = known;
+    const isSame = live === this.#chosenFor.live &&
+      keepers === this.#chosenFor.keepers && !this.#isContactChange;
+    if (isSame) return;
+    this.#chosenFor = { live, keepers };
+    this.#isContactChange = false;
+    const present = keepers.filter((vm) => live.includes(vm));
+    const chosen = present.length > 0 ? present : live;
     this.#renewers = new Map(
-      servers.map((server) => [
+      [...this.#contacts.keys()].map((server) => [
         server,
-        ownership.rankByName(server, chosen, { hasher }).slice(0, renewers),
+        this.#chooseRenewers(server, chosen),
       ]),
     );
+    this.#chooseTargets();
+  }
+
+  #chooseRenewers(
+    server: contracts.ServerId,
+    vms: readonly contracts.VmId[],
+  ): Renewers {
+    const { peers, hasher, timings } = this.#context;
+    const ranked = ownership.rankByName(server, vms, { hasher })
+      .slice(0, timings.renewers);
+    const others = ranked.filter((vm) => vm !== peers.self.vm);
+    return { isOwn: others.length < ranked.length, others };
   }
 
-  #targets(): contracts.ServerId[] {
+  #chooseTargets(): void {
     const servers = [...this.#contacts.keys()];
-    if (this.#ordersAll) return servers;
-    const { vm } = this.#context.peers.self;
-    return servers.filter((server) => this.#renewers.get(server)?.includes(vm));
+    this.#targets = this.#ordersAll
+      ? servers
+      : servers.filter((server) => this.#renewers.get(server)?.isOwn);
+    this.#forgetOthers(this.#targets);
   }
 
   #forgetOthers(servers: readonly contracts.ServerId[]): void {
@@ -218,11 +276,11 @@
   }
 
   /** Only servers that this VM sends orders to; of others it knows nothing. */
-  #judge(servers: readonly contracts.ServerId[], nowMs: number): void {
-    const { vm } = this.#context.peers.self;
-    for (const server of servers) {
-      const otherRenewers = (this.#renewers.get(server) ?? [])
-        .filter((other) => other !== vm);
+  #judge(nowMs: number): void {
+    if (nowMs < this.#judgedAtMs + JUDGE_MS) return;
+    this.#judgedAtMs = nowMs;
+    for (const server of this.#targets) {
+      const otherRenewers = this.#renewers.get(server)?.others ?? [];
       const isLost = this.#detector.isLost(server, { nowMs, otherRenewers });
       if (isLost) this.#noteLost(server);
       else if (this.#detector.hasContact(server, nowMs)) {
--- a/packages/entry/src/ownership/service_ownership.ts
+++ b/packages/entry/src/ownership/service_ownership.ts
@@ -81,13 +81,17 @@
     slice: contracts.SliceId,
     fence: number,
   ): boolean {
-    if (!this.#unfenced().includes(server)) return true;
+    if (this.checksFences(server)) return true;
     const owned = this.known.slices?.byId(slice);
     return owned?.state === "owned" && owned.server === server &&
       owned.fence === fence &&
       this.known.hasEvidence(this.#context.clock.nowMs());
   }
 
+  checksFences(server: contracts.ServerId): boolean {
+    return !this.#unfenced().includes(server);
+  }
+
   noteForwarded(server: contracts.ServerId): { done(): void } {
     return this.#forwards.begin(server);
   }
@@ -124,9 +128,12 @@
     await this.#orders.close();
   }
 
-  /** It refuses all new work; its slices are about to be taken from it. */
+  /**
+   * It refuses all new work, and its slices are about to be taken from it. A
+   * server that only an operator drains serves until that has happened.
+   */
   #isDraining(server: contracts.ServerId): boolean {
-    return this.#context.servers.server(server)?.state === "draining";
+    return this.#context.servers.saysDraining(server);
   }
 
   #unfenced(): readonly contracts.ServerId[] {
