--- a/packages/entry/src/ownership/known_assignment.ts
+++ b/packages/entry/src/ownership/known_assignment.ts
@@ -21,6 +21,7 @@
   readonly #log: PartLog;
   readonly #listeners = new Set<() => void>();
   #slices: ownership.SliceMap | undefined;
+  #keepers: readonly contracts.VmId[] = [];
 
   constructor(options: KnownAssignmentOptions) {
     this.service = options.service;
@@ -40,6 +41,11 @@
     return this.#book.revision;
   }
 
+  /** Timings to act on at the highest assignment known. */
+  get timings(): contracts.LeaseTimings {
+    return this.#book.timings;
+  }
+
   /** Slices of the highest assignment known. */
   get slices(): ownership.SliceMap | undefined {
     return this.#slices;
@@ -51,9 +57,8 @@
   }
 
   /** The keepers in force. */
-  get keepers(): contracts.VmId[] {
-    const set = this.assignment?.keeperSets.at(-1) ?? [];
-    return set.map(({ vm }) => vm);
+  get keepers(): readonly contracts.VmId[] {
+    return this.#keepers;
   }
 
   known(): contracts.KnownRevision {
@@ -117,6 +122,8 @@
 
   #changed(slices: ownership.SliceMap, source: string): void {
     this.#slices = slices;
+    const set = this.assignment?.keeperSets.at(-1) ?? [];
+    this.#keepers = set.map(({ vm }) => vm);
     this.#log.info("assignment in force", {
       service: this.service,
       revision: this.revision,
