fix(requests): tell no running request as not run, and keep paths inside work

A request whose length was declared too short ran, and the rest of its bytes was answered 400 not-run, which its caller reads as the first request's answer: it would book twice. Such a connection is closed without an answer now, and nothing of a connection that was refused is handed on any more. A caller's own deadline stamp was passed on beside ours; it is taken out, since moves of servers that check no fences rely on that header.

--- a/packages/entry/src/links/header_list.ts
+++ b/packages/entry/src/links/header_list.ts
@@ -25,6 +25,10 @@
 const OWN_HEADERS: ReadonlySet<string> = new Set([
   contracts.REQUEST_ID_HEADER,
   contracts.DEADLINE_HEADER,
+  // A caller's own would stand before ours, and a server that checks no fences
+  // would read it in place of the bound that a move relies on.
+  contracts.DEADLINE_STAMP_HEADER,
+  contracts.STAMP_HEADER,
   contracts.SLICE_HEADER,
   contracts.FENCE_HEADER,
   contracts.NOT_RUN_HEADER,
--- a/packages/entry/src/requests/caller_listener.ts
+++ b/packages/entry/src/requests/caller_listener.ts
@@ -34,6 +34,14 @@
 export class CallerListener {
   readonly #options: CallerListenerOptions;
   readonly #server: http.Server;
+  /**
+   * Requests handed on, by connection. What comes after one may be broken, for
+   * example by a length that was declared too short. An answer "not run" to
+   * that would be read as the first request's, which may have run.
+   */
+  readonly #routed = new WeakMap<object, number>();
+  /** Connections that were told "not run"; nothing of theirs is handed on. */
+  readonly #broken = new WeakSet<object>();
   #inFlight = 0;
   /** The linger of a stop is over: what still comes is refused. */
   #isClosing = false;
@@ -53,7 +61,11 @@
     this.#server.on("request", (incoming, response) => {
       this.#handle(incoming, response).catch(() => response.destroy());
     });
-    this.#server.on("clientError", answerBrokenRequest);
+    this.#server.on("clientError", (error, socket) => {
+      this.#broken.add(socket);
+      if ((this.#routed.get(socket) ?? 0) > 0) socket.destroy();
+      else answerBrokenRequest(error, socket as net.Socket);
+    });
   }
 
   /** Requests being read, routed or answered. */
@@ -104,7 +116,7 @@
     incoming: http.IncomingMessage,
     options: { readonly arrivedMs: number; readonly signal: AbortSignal },
   ): Promise<CallerAnswer> {
-    const { settings, route } = this.#options;
+    const { settings } = this.#options;
     if (this.#isClosing) {
       return notRun("shutting-down", {
         message: "This entry VM is stopping; send the request again",
@@ -119,7 +131,26 @@
     if (head.isErr()) return head.error;
     const body = await readBody(incoming, settings.bodyLimitBytes);
     if (body.isErr()) return body.error;
-    return route({ ...head.value, ...options, body: body.value });
+    if (this.#broken.has(incoming.socket)) {
+      return notRun("bad-request", { message: "The connection is broken" });
+    }
+    return this.#route(incoming.socket, {
+      ...head.value,
+      ...options,
+      body: body.value,
+    });
+  }
+
+  async #route(
+    socket: net.Socket,
+    request: CallerRequest,
+  ): Promise<CallerAnswer> {
+    this.#routed.set(socket, (this.#routed.get(socket) ?? 0) + 1);
+    try {
+      return await this.#options.route(request);
+    } finally {
+      this.#routed.set(socket, this.#routed.get(socket)! - 1);
+    }
   }
 
   /**
--- a/packages/entry/src/requests/doors_test.ts
+++ b/packages/entry/src/requests/doors_test.ts
@@ -57,6 +57,24 @@
     bytes: "GET /s/booths/x HTTP/1.1\r\nHost:",
     status: 408,
   },
+  {
+    name: "whose path climbs out of the server's work",
+    bytes: "POST /s/booths/../control/drain HTTP/1.1\r\nHost: x\r\n" +
+      "Connection: close\r\n\r\n",
+    status: 400,
+  },
+  {
+    name: "whose path climbs out in an encoded way",
+    bytes: "POST /s/booths/a/%2E%2e%2f..%5Ccontrol HTTP/1.1\r\nHost: x\r\n" +
+      "Connection: close\r\n\r\n",
+    status: 400,
+  },
+  {
+    name: "that is longer than it declares",
+    bytes: "POST /s/booths/x HTTP/1.1\r\nHost: x\r\n" +
+      "Content-Length: 2\r\n\r\nabREST\r\n\r\n",
+    status: 400,
+  },
   {
     name: "for no service",
     bytes: "GET /other HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
@@ -85,6 +103,26 @@
   });
 }
 
+// The rest of a booking whose length was declared too short arrives while the
+// booking runs. Told "not run" now, the producer books the hour a second time.
+test("should not answer for a request that runs when more arrives", async () => {
+  const backend = new FakeBackend(() => {});
+  const entry = await startEntry([backend]);
+  try {
+    const url = new URL(entry.url);
+    const socket = net.connect(Number(url.port), url.hostname);
+    const answers = readToEnd(socket).catch(() => "");
+    socket.write(
+      "POST /s/booths/x HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nab",
+    );
+    await waitUntil(() => backend.ran.length === 1);
+    socket.write("REST\r\n\r\n");
+    expect(await answers).toEqual("");
+  } finally {
+    await entry.lifeCycle.stop();
+  }
+});
+
 test("should tell the server when its caller has gone", async () => {
   // A host closes the app while a check runs. Without a word to the server
   // the check would hold one of its few slots for nobody.
--- a/packages/entry/src/requests/read_request.ts
+++ b/packages/entry/src/requests/read_request.ts
@@ -32,6 +32,10 @@
   if (!service.success) {
     return err(badRequest("The service in the path is not a valid name"));
   }
+  const rest = slash < 0 ? "" : url.slice(slash + 1);
+  if (climbs(rest)) {
+    return err(badRequest('The path must not hold "." or ".." as a part'));
+  }
   const key = single(incoming, contracts.KEY_HEADER);
   const caller = single(incoming, contracts.CALLER_HEADER) ?? "";
   if (key === "" || isTooLong(key) || isTooLong(caller)) {
@@ -44,7 +48,7 @@
   return ok({
     service: service.data,
     method: incoming.method ?? "GET",
-    rest: slash < 0 ? "" : url.slice(slash + 1),
+    rest,
     headers: requestHeaders(incoming.rawHeaders),
     key,
     caller,
@@ -82,6 +86,18 @@
   });
 }
 
+/**
+ * Whether a server might read the path as one outside of its work: it resolves
+ * `..`, also when encoded. A caller could drain a server so, or give it orders.
+ */
+function climbs(rest: string): boolean {
+  const [path = ""] = rest.split(/[?#]/, 1);
+  return path.toLowerCase()
+    .replaceAll("%2e", ".")
+    .split(/\/|\\|%2f|%5c/)
+    .some((part) => part === "." || part === "..");
+}
+
 function single(
   incoming: http.IncomingMessage,
   name: string,
