fix(standins): end child processes with the harness that started them

Cause: a harness that threw left 9 entry processes and 29 stand-ins running for 20 minutes, beside every figure taken meanwhile. Ruled out: stop() itself, which was never called. Change: what still runs is killed when the harness exits. Before: a thrown error leaves the child running; after: it is gone.

--- a/packages/standins/src/processes/child_program.ts
+++ b/packages/standins/src/processes/child_program.ts
@@ -32,6 +32,14 @@
   readonly signal: NodeJS.Signals | null;
 }
 
+const running = new Set<childProcess.ChildProcess>();
+
+// A harness that fails half-way would otherwise leave its processes behind,
+// and every later figure on the machine would be taken beside them.
+process.on("exit", () => {
+  for (const child of running) child.kill("SIGKILL");
+});
+
 /** A running child process of ours. */
 export class ChildProgram {
   readonly name: string;
@@ -44,8 +52,10 @@
   private constructor(name: string, child: childProcess.ChildProcess) {
     this.name = name;
     this.#child = child;
+    running.add(child);
     this.#ended = new Promise((resolve) => {
       child.once("close", (code, signal) => {
+        running.delete(child);
         this.#end = { code, signal };
         resolve(this.#end);
       });
