--- a/packages/standins/src/bench/bench_cluster.ts
+++ b/packages/standins/src/bench/bench_cluster.ts
@@ -39,6 +39,9 @@
   readonly peerPort: number;
 }
 
+/** Clusters that run, for a bench that is stopped by a signal. */
+const running = new Set<BenchCluster>();
+
 /** Backend servers and entry VMs of one service. */
 export class BenchCluster {
   readonly #options: BenchClusterOptions;
@@ -52,6 +55,7 @@
   /** Starts everything. Errors: rejects when a program does not start. */
   static async start(options: BenchClusterOptions): Promise<BenchCluster> {
     const cluster = new BenchCluster(options);
+    running.add(cluster);
     try {
       await cluster.#startBackends();
       await cluster.#startEntries();
@@ -63,6 +67,13 @@
     return cluster;
   }
 
+  /** Ends every program of every cluster at once. */
+  static killAll(): void {
+    for (const cluster of running) {
+      for (const program of cluster.#programs()) program.kill("SIGKILL");
+    }
+  }
+
   /** Where callers may send requests. */
   get callerOrigins(): string[] {
     return this.#entries.map((entry) =>
@@ -138,10 +149,14 @@
 
   /** Ends every program of this cluster. */
   async stop(): Promise<void> {
-    const backends = this.#backends.map(({ program }) => program);
-    for (const program of backends) program.kill("SIGKILL");
-    const all = [...this.#entries, ...backends];
-    await Promise.all(all.map((program) => program.stop(STOP_TIMEOUT_MS)));
+    running.delete(this);
+    for (const { program } of this.#backends) program.kill("SIGKILL");
+    const programs = this.#programs();
+    await Promise.all(programs.map((it) => it.stop(STOP_TIMEOUT_MS)));
+  }
+
+  #programs(): ChildProgram[] {
+    return [...this.#entries, ...this.#backends.map((it) => it.program)];
   }
 
   async #journalOf(backend: BackendProgram): Promise<JournalEntry[]> {
--- a/packages/standins/src/bench/bench_main.ts
+++ b/packages/standins/src/bench/bench_main.ts
@@ -1,5 +1,6 @@
 /** The bench's command line. */
 import * as clipanion from "clipanion";
+import { BenchCluster } from "./bench_cluster.ts";
 import { benchCost } from "./bench_cost.ts";
 import { type BenchResult, benchRun } from "./bench_run.ts";
 import { BENCH_SCENARIOS, BENCH_SERVICES } from "./bench_scenarios.ts";
@@ -111,6 +112,13 @@
   });
 }
 
+// Without this the programs of a bench that is stopped go on for ever.
+for (const signal of ["SIGINT", "SIGTERM"] as const) {
+  process.once(signal, () => {
+    BenchCluster.killAll();
+    process.exit(1);
+  });
+}
 const cli = new clipanion.Cli({ binaryName: "npm run bench --" });
 cli.register(BenchCommand);
 cli.register(CostCommand);
