--- a/packages/standins/src/bench/bench_cluster.ts
+++ b/packages/standins/src/bench/bench_cluster.ts
@@ -109,7 +109,8 @@
     backend.journals.push(...await this.#journalOf(backend));
     backend.program.kill("SIGKILL");
     await backend.program.ended();
-    backend.program = await this.#startBackend(backend, {
+    const { server, zone } = backend;
+    backend.program = await this.#startBackend({ server, zone }, {
       coldStartMs: COLD_START_MS,
     });
     await this.setUp();
--- a/packages/standins/src/bench/bench_main.ts
+++ b/packages/standins/src/bench/bench_main.ts
@@ -112,12 +112,10 @@
   });
 }
 
-// Without this the programs of a bench that is stopped go on for ever.
+// Without these the programs of a bench that is stopped or fails go on.
+process.once("exit", () => BenchCluster.killAll());
 for (const signal of ["SIGINT", "SIGTERM"] as const) {
-  process.once(signal, () => {
-    BenchCluster.killAll();
-    process.exit(1);
-  });
+  process.once(signal, () => process.exit(1));
 }
 const cli = new clipanion.Cli({ binaryName: "npm run bench --" });
 cli.register(BenchCommand);
