--- a/packages/entry/src/administration/administration_door.ts
+++ b/packages/entry/src/administration/administration_door.ts
@@ -70,11 +70,7 @@
       timeoutMs: STOP_TIMEOUT_MS,
       run: () => closeServer(server),
     });
-    await new Promise<void>((resolve, reject) => {
-      server.once("error", reject);
-      server.listen(this.#options.port, this.#options.host, resolve);
-    });
-    return (server.address() as net.AddressInfo).port;
+    return await httpServer.listenOn(server, this.#options);
   }
 
   #createServer(): http.Server {
--- a/packages/entry/src/metrics/metrics_door.ts
+++ b/packages/entry/src/metrics/metrics_door.ts
@@ -4,7 +4,6 @@
  * it is not stopping). A balancer asks `/readyz`; a supervisor `/healthz`.
  */
 import type * as http from "node:http";
-import type * as net from "node:net";
 import * as httpServer from "../utils/http_server.ts";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import type { Metrics } from "./metrics.ts";
@@ -46,11 +45,7 @@
         server.closeAllConnections();
       },
     });
-    await new Promise<void>((resolve, reject) => {
-      server.once("error", reject);
-      server.listen(this.#options.port, this.#options.host, resolve);
-    });
-    return (server.address() as net.AddressInfo).port;
+    return await httpServer.listenOn(server, this.#options);
   }
 
   #answer(
--- a/packages/entry/src/utils/http_server.ts
+++ b/packages/entry/src/utils/http_server.ts
@@ -1,6 +1,7 @@
 /** Creates the server of a door: plain HTTP, or TLS when it has files for it. */
 import * as http from "node:http";
 import * as https from "node:https";
+import type * as net from "node:net";
 
 /** PEM texts of one door's certificate. */
 export interface ServerTls {
@@ -25,3 +26,26 @@
     rejectUnauthorized: tls.ca !== undefined,
   });
 }
+
+/** Where a server listens. */
+export interface ListenAddress {
+  /** IP number. */
+  readonly host: string;
+  /** 0 takes any free port. */
+  readonly port: number;
+}
+
+/** Starts listening and returns the port. Errors: the address is taken. */
+export async function listenOn(
+  server: http.Server,
+  { host, port }: ListenAddress,
+): Promise<number> {
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, host, () => {
+      server.off("error", reject);
+      resolve();
+    });
+  });
+  return (server.address() as net.AddressInfo).port;
+}
--- a/packages/entry/src/vms/peer_door.ts
+++ b/packages/entry/src/vms/peer_door.ts
@@ -10,7 +10,6 @@
 import * as jsonRpc from "json-rpc-2.0";
 import * as crypto from "node:crypto";
 import type * as http from "node:http";
-import type * as net from "node:net";
 import type * as z from "zod";
 import * as httpServer from "../utils/http_server.ts";
 import type { LifeCycle } from "../utils/life_cycle.ts";
@@ -66,11 +65,7 @@
       timeoutMs: STOP_TIMEOUT_MS,
       run: () => closeServer(server),
     });
-    await new Promise<void>((resolve, reject) => {
-      server.once("error", reject);
-      server.listen(this.#options.port, this.#options.host, resolve);
-    });
-    return (server.address() as net.AddressInfo).port;
+    return await httpServer.listenOn(server, this.#options);
   }
 
   /** Nothing of a call but its headers is read before the secret is known. */
