--- a/packages/entry/src/links/server_links.ts
+++ b/packages/entry/src/links/server_links.ts
@@ -4,7 +4,7 @@
 import type { ServerAddress } from "../contracts/views.ts";
 import { MonotonicClock } from "../utils/clock.ts";
 import type { LifeCycle } from "../utils/life_cycle.ts";
-import { LinkPool } from "./link_pool.ts";
+import { type LinkCounts, LinkPool } from "./link_pool.ts";
 
 /** Options of {@link ServerLinks}. */
 export interface ServerLinksOptions {
@@ -73,6 +73,13 @@
     return pool;
   }
 
+  /** Connections to each server; a busy one has a request in flight. */
+  counts(): ReadonlyMap<contracts.ServerId, LinkCounts> {
+    return new Map(
+      [...this.#places].map(([server, { pool }]) => [server, pool.counts]),
+    );
+  }
+
   /** Drops the pools of servers that are gone. */
   keepOnly(servers: ReadonlySet<contracts.ServerId>): void {
     for (const [server, place] of this.#places) {
--- a/packages/entry/src/loads/load_task.ts
+++ b/packages/entry/src/loads/load_task.ts
@@ -9,7 +9,8 @@
 import type { KeyedWork } from "../requests/request_metrics.ts";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import type { PeerDoor } from "../vms/peer_door.ts";
-import type { HeartbeatParticipant, PeerTask } from "../vms/peer_task.ts";
+import type { PeerLink } from "../vms/peer_link.ts";
+import type { HeartbeatParticipant } from "../vms/peer_task.ts";
 
 /** Method by which a VM reports a service's load to the holder of duty. */
 export const LOAD_METHOD = "load";
@@ -19,14 +20,17 @@
 /** Reports that may be missed before a VM's load no longer counts. */
 const STALE_AFTER_MS = 10_000;
 
+/** What is used of the link to a peer. */
+export type PeerCaller = Pick<PeerLink, "call">;
+
 /** Options of {@link LoadTask}. */
 export interface LoadTaskOptions {
   readonly self: {
     readonly vm: contracts.VmId;
     readonly incarnation: contracts.Incarnation;
   };
-  readonly peers: PeerTask;
-  readonly door: PeerDoor;
+  readonly peers: { link(vm: contracts.VmId): PeerCaller | undefined };
+  readonly door: Pick<PeerDoor, "register">;
   readonly clock: contracts.Clock;
 }
 
@@ -62,7 +66,7 @@
 
   /** Reports until the process stops. */
   start(lifeCycle: LifeCycle): void {
-    lifeCycle.every(REPORT_INTERVAL_MS, () => this.#reportAll());
+    lifeCycle.every(REPORT_INTERVAL_MS, () => this.reportAll());
   }
 
   /** Counts one answered request. */
@@ -85,6 +89,24 @@
     };
   }
 
+  /**
+   * Largest load of a server over the mean, by the latest reports; undefined
+   * where this VM plans no moves or nothing is asked of the service.
+   */
+  imbalance(service: contracts.ServiceId): number | undefined {
+    const isPlanned = this.#owners?.heldDuties().includes(service) ?? false;
+    const slices = this.#owners?.assignment(service)?.slices;
+    if (!isPlanned || slices === undefined) return undefined;
+    const rates = this.#book(service).estimate(slices, this.#now()).slices;
+    const byServer = new Map<contracts.ServerId, number>();
+    slices.forEach(({ server }, index) => {
+      byServer.set(server, (byServer.get(server) ?? 0) + rates[index]!);
+    });
+    const loads = [...byServer.values()];
+    const mean = loads.reduce((sum, load) => sum + load, 0) / loads.length;
+    return mean > 0 ? Math.max(...loads) / mean : undefined;
+  }
+
   noteReply(reply: contracts.PeerHeartbeatReply): void {
     for (const { service, holdsDuty } of reply.known) {
       if (holdsDuty === true) this.#holders.set(service, reply.vm);
@@ -94,7 +116,8 @@
     }
   }
 
-  #reportAll(): void {
+  /** Reports once; `start` does so at an interval. */
+  reportAll(): void {
     const held = new Set(this.#owners?.heldDuties());
     for (const [service, tracker] of this.#trackers) {
       const sender = { ...this.#options.self, service };
--- a/packages/entry/src/metrics/observe_state.ts
+++ b/packages/entry/src/metrics/observe_state.ts
@@ -2,6 +2,8 @@
 import type * as contracts from "@guavatide/contracts";
 import type * as decisions from "@guavatide/decisions";
 import type { ConfigTask } from "../configuration/mod.ts";
+import type { ServerLinks } from "../links/server_links.ts";
+import type { LoadTask } from "../loads/load_task.ts";
 import type { OwnershipTask } from "../ownership/mod.ts";
 import type { Metrics } from "./metrics.ts";
 
@@ -10,11 +12,13 @@
   readonly config: ConfigTask;
   readonly owners: OwnershipTask;
   readonly membership: decisions.Membership;
+  readonly loads: LoadTask;
+  readonly links: ServerLinks;
 }
 
 /** Registers the gauges. */
 export function observeState(metrics: Metrics, parts: ObservedParts): void {
-  const { config, owners, membership } = parts;
+  const { config, owners, membership, loads, links } = parts;
   metrics.observe(
     "guavatide_config_revision",
     "Revision of the configuration in force",
@@ -52,6 +56,38 @@
       }
     },
   );
+  metrics.observe(
+    "guavatide_evidence_age_ms",
+    "Age of the evidence by which leases are renewed",
+    (result) => {
+      for (const { name } of config.services()) {
+        const ageMs = owners.evidenceAgeMs(name);
+        if (ageMs !== undefined) result.observe(ageMs, { service: name });
+      }
+    },
+  );
+  metrics.observe(
+    "guavatide_imbalance",
+    "Largest load of a server over the mean, at the holder of control duty",
+    (result) => {
+      for (const { name } of config.services()) {
+        const imbalance = loads.imbalance(name);
+        if (imbalance !== undefined) {
+          result.observe(imbalance, { service: name });
+        }
+      }
+    },
+  );
+  metrics.observe(
+    "guavatide_links",
+    "Connections to each server; a busy one takes a slot of the server",
+    (result) => {
+      for (const [server, { idle, busy }] of links.counts()) {
+        result.observe(idle, { server, state: "idle" });
+        result.observe(busy, { server, state: "busy" });
+      }
+    },
+  );
   metrics.observe(
     "guavatide_duties_held",
     "Services whose moves this VM plans",
--- a/packages/entry/src/ownership/ownership_task.ts
+++ b/packages/entry/src/ownership/ownership_task.ts
@@ -64,6 +64,20 @@
       .map(([service]) => service);
   }
 
+  /**
+   * Age of the evidence for a service's assignment; leases are renewed while
+   * it is below the assignment's `evidenceMs`. Undefined without evidence.
+   */
+  evidenceAgeMs(service: contracts.ServiceId): number | undefined {
+    const nowMs = this.#options.clock.nowMs();
+    const askedAtMs = this.#services.get(service)?.known
+      .evidenceAskedAtMs(nowMs);
+    if (askedAtMs === undefined || !Number.isFinite(askedAtMs)) {
+      return undefined;
+    }
+    return nowMs - askedAtMs;
+  }
+
   /** The assignment known of a service. */
   assignment(service: contracts.ServiceId): contracts.Assignment | undefined {
     return this.#services.get(service)?.known.assignment;
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -22,6 +22,7 @@
 import * as requests from "./requests/mod.ts";
 import * as settingsParts from "./settings/mod.ts";
 import { ownershipTimingsOf, requestSettingsOf } from "./settings_of_parts.ts";
+import { type StartError, toStartError } from "./start_error.ts";
 import { MonotonicClock, SystemRandom } from "./utils/clock.ts";
 import { LifeCycle } from "./utils/life_cycle.ts";
 import * as logParts from "./utils/log.ts";
@@ -34,12 +35,6 @@
 const HEARTBEAT_TIMEOUT_BEATS = 2;
 const PLATFORM_STOP_TIMEOUT_MS = 1_000;
 
-/** Why an entry process did not start. */
-export interface StartError {
-  readonly kind: "settings-file" | "address-in-use" | "start";
-  readonly message: string;
-}
-
 /** Ports that a running entry process listens on. */
 export interface EntryPorts {
   readonly callers: number;
@@ -95,14 +90,25 @@
     hasher,
     moves,
   });
+  const serverLinks = new linkParts.ServerLinks(
+    linkParts.SERVER_LINKS_DEFAULTS,
+    lifeCycle,
+  );
   const listener = createRequests(base, {
+    serverLinks,
     ...vms,
     config,
     hasher,
     owners,
     loads,
   });
-  observeState(metrics, { config, owners, membership: vms.membership });
+  observeState(metrics, {
+    config,
+    owners,
+    loads,
+    links: serverLinks,
+    membership: vms.membership,
+  });
 
   await directory.start(lifeCycle);
   config.start(lifeCycle);
@@ -322,6 +328,7 @@
 }
 
 interface RequestParts extends Vms, Ownership {
+  readonly serverLinks: linkParts.ServerLinks;
   readonly config: configuration.ConfigTask;
   readonly hasher: ownership.KeyHasher;
 }
@@ -337,10 +344,7 @@
     config: parts.config,
     servers: base.directory,
     owners: parts.owners,
-    links: new linkParts.ServerLinks(
-      linkParts.SERVER_LINKS_DEFAULTS,
-      lifeCycle,
-    ),
+    links: parts.serverLinks,
     hashKey: (key) => hasher.hash(key),
     entryVmCount: () => peerCalls.members().length,
     clock,
@@ -387,14 +391,3 @@
   }
   mainLog.info("entry process stopped", { vm: settings.vm });
 }
-
-function toStartError(error: unknown): StartError {
-  if ((error as { code?: string }).code === "EADDRINUSE") {
-    const message = `${String(error)}: choose another port in the settings, ` +
-      "or stop the process that holds it";
-    return { kind: "address-in-use", message };
-  }
-  const message = `The process did not start (${String(error)}): ` +
-    "check the settings with `guavatide check FILE`";
-  return { kind: "start", message };
-}
