fix(ownership): write the first assignment only with all entry VMs as keepers

Cause: right after the start of a fleet the VM list named nobody yet, so the first assignment's keeper set was its writer alone, and the set grew a second or more later. With that VM frozen or killed in between, no majority of the set could promise anything and no key of a lost server could move: unserved for over 30 s. Ruled out: membership's shorter silence, the margin of unfenced waits, the request path; the object showed the sets [[entry-2], [entry-2, entry-3, entry-1]] and a move that waited for entry-2. Change: the first assignment waits for two reads of the VM list and until each listed VM may keep, 5 s at most; keepers are reviewed four times a second. A fleet whose VMs start more than 5 s apart still begins with fewer keepers.

--- a/packages/entry/src/ownership/move_task.ts
+++ b/packages/entry/src/ownership/move_task.ts
@@ -12,8 +12,10 @@
 import type { ServiceContext, TimedReceipt } from "./service_context.ts";
 
 /** Time that listed servers have to answer before the first assignment. */
-const FIRST_MEETING_MS = 3_000;
-const KEEPER_REVIEW_MS = 1_000;
+const FIRST_MEETING_MS = 5_000;
+/** Two reads of the VM list: a VM that has just started sees nobody on it. */
+const LEAST_MEETING_MS = 2_000;
+const KEEPER_REVIEW_MS = 250;
 const LOSS_PLAN_MS = 50;
 
 /** Where the planner's load figures come from. */
@@ -60,6 +62,7 @@
   #isAsking = false;
   #onSinceMs = 0;
   #keepersAtMs = Number.NEGATIVE_INFINITY;
+  #keeperCount = 0;
   #lossesAtMs = Number.NEGATIVE_INFINITY;
   #planAtMs = Number.NEGATIVE_INFINITY;
 
@@ -200,6 +203,7 @@
     if (nowMs < this.#keepersAtMs + KEEPER_REVIEW_MS) return;
     this.#keepersAtMs = nowMs;
     const review = this.#keepers.review(nowMs);
+    this.#keeperCount = review.keepers.length;
     this.#mover.noteGone(review.gone, nowMs);
     this.#mover.keepMembers(this.#context.peers.all());
     this.#mover.requestTimings(this.#context.timings);
@@ -274,7 +278,8 @@
       .filter(({ state }) => state === "live");
     const met = listed.filter(({ server }) => this.#stateOf(server) === "live");
     const isPatient = nowMs < this.#onSinceMs + FIRST_MEETING_MS;
-    if (met.length === 0 || (met.length < listed.length && isPatient)) return;
+    const isWhole = met.length === listed.length && this.#areKeepersMet(nowMs);
+    if (met.length === 0 || (!isWhole && isPatient)) return;
     const servers = met.map(({ server }) => server).sort();
     const count = planner.initialSliceCount(servers.length);
     this.#mover.requestFirst(
@@ -287,6 +292,19 @@
     });
   }
 
+  /**
+   * Whether every listed entry VM may keep. The first assignment of a fleet
+   * that has just started would otherwise name its writer alone, and with
+   * that VM lost before the set has grown no key could move any more.
+   */
+  #areKeepersMet(nowMs: number): boolean {
+    if (nowMs < this.#onSinceMs + LEAST_MEETING_MS) return false;
+    this.#keepersAtMs = Number.NEGATIVE_INFINITY;
+    this.#reviewKeepers(nowMs);
+    const listed = this.#context.peers.listed()?.size ?? Infinity;
+    return this.#keeperCount >= Math.min(listed, ownership.KEEPER_LIMIT);
+  }
+
   #input(
     assignment: contracts.Assignment,
     nowMs: number,
