test(ownership): the first assignment names all listed entry VMs

Shown failing first: with the check replaced by true the assignment is written with its writer alone as keeper and this test is the one of seven that fails; with it all seven pass.

--- a/packages/entry/src/ownership/ownership_task_test.ts
+++ b/packages/entry/src/ownership/ownership_task_test.ts
@@ -32,6 +32,8 @@
 class Fixture {
   readonly store = new FakeStore();
   readonly servers = new Map<string, FakeServer>();
+  /** Entry VMs that membership calls alive. */
+  liveVms: contracts.VmId[] = [SELF.vm];
   readonly #lifeCycle = new LifeCycle();
   readonly task: OwnershipTask;
 
@@ -68,6 +70,17 @@
     });
   }
 
+  /** Another entry VM says in a beat that it has read the store. */
+  hearSettled(vm: contracts.VmId): void {
+    const beat = {
+      vm,
+      incarnation: `${vm}-run`,
+      known: [{ service: SERVICE, revision: 0, settled: true }],
+    } as unknown as contracts.PeerHeartbeat;
+    const reply = { known: [], newer: [] };
+    this.task.answer(beat, reply as unknown as contracts.PeerHeartbeatReply);
+  }
+
   #createTask(): OwnershipTask {
     const addresses = () =>
       [...this.servers.values()].map(({ address }) => address);
@@ -100,10 +113,10 @@
       },
       peers: {
         self: SELF,
-        live: () => [SELF.vm],
-        all: () => [SELF.vm],
+        live: () => this.liveVms,
+        all: () => this.liveVms,
         isLost: () => false,
-        listed: () => new Set([SELF.vm, ...OTHER_VMS]),
+        listed: () => new Set(this.liveVms),
         pin: () => {},
         push: () => Promise.resolve(undefined),
         ask: () => Promise.resolve(undefined),
@@ -130,6 +143,23 @@
   expect([...owners].sort() as string[]).toEqual(["a", "b"]);
 });
 
+// A whole fleet has just started, and the first VM to hold control duty has
+// met all servers but heard no peer yet. Were it to name itself as the only
+// keeper, its loss right afterwards would leave no majority to move a key by,
+// and a lost server's keys would stay unserved for as long as it is away.
+test("should name all listed entry VMs as the first keepers", async (t) => {
+  const fixture = new Fixture(["a", "b"], t);
+  fixture.liveVms = [SELF.vm, ...OTHER_VMS];
+  fixture.start();
+  await until(() => fixture.server("a").orders > 4);
+  await until(() => fixture.server("b").orders > 4);
+  expect(fixture.assignment).toEqual(undefined);
+  for (const vm of OTHER_VMS) fixture.hearSettled(vm);
+  await until(() => fixture.assignment !== undefined);
+  const [first] = fixture.assignment!.keeperSets;
+  expect(first!.map(({ vm }) => vm).sort()).toEqual([SELF.vm, ...OTHER_VMS]);
+});
+
 // A server asks to leave while a booking still runs there. The booking's key
 // must not be given on before it is over, and at once when it is.
 test("should give a draining server's slices on once they are idle", async (t) => {
