--- a/packages/standins/src/deployment/local_deployment.ts
+++ b/packages/standins/src/deployment/local_deployment.ts
@@ -165,16 +165,7 @@
 
   /** Starts an entry VM and lists it; a known one keeps its ports. */
   async startEntry(vm: string, zone: string): Promise<LocalEntry> {
-    const known = this.entries.get(vm);
-    const file = path.join(this.#folder, `${vm}.json`);
-    const settings = await this.#entrySettings(vm, zone, known?.ports);
-    fs.writeFileSync(file, JSON.stringify(settings));
-    const program = await processes.ChildProgram.start({
-      name: vm,
-      script: entryScript(),
-      args: ["run", file],
-      isReady: (line) => line.startsWith('{"ready":'),
-    });
+    const program = await this.#runEntry(vm, zone);
     const ready = JSON.parse(program.readyLine) as { ready: wire.EntryPorts };
     const entry: LocalEntry = {
       vm: vm as contracts.VmId,
@@ -196,6 +187,37 @@
     return entry;
   }
 
+  /**
+   * The system may have given a lost VM's port to some outgoing connection
+   * meanwhile; the VM then comes back on others, as the list and beats tell.
+   */
+  async #runEntry(vm: string, zone: string): Promise<processes.ChildProgram> {
+    const ports = this.entries.get(vm)?.ports;
+    try {
+      return await this.#runEntryOn(vm, zone, ports);
+    } catch (error) {
+      const isPortTaken = String(error).includes("EADDRINUSE");
+      if (ports === undefined || !isPortTaken) throw error;
+      return await this.#runEntryOn(vm, zone, undefined);
+    }
+  }
+
+  async #runEntryOn(
+    vm: string,
+    zone: string,
+    ports: wire.EntryPorts | undefined,
+  ): Promise<processes.ChildProgram> {
+    const file = path.join(this.#folder, `${vm}.json`);
+    const settings = await this.#entrySettings(vm, zone, ports);
+    fs.writeFileSync(file, JSON.stringify(settings));
+    return await processes.ChildProgram.start({
+      name: vm,
+      script: entryScript(),
+      args: ["run", file],
+      isReady: (line) => line.startsWith('{"ready":'),
+    });
+  }
+
   /** Ends every process; what does not end in time is killed. */
   async stop(): Promise<void> {
     const all = [
