--- a/packages/standins/src/proofs/ownership_scenarios.ts
+++ b/packages/standins/src/proofs/ownership_scenarios.ts
@@ -27,6 +27,21 @@
   return [];
 }
 
+/** Cuts a server off past its lease, one or both ways, and lets it back. */
+async function cutOwner(
+  cluster: ProofCluster,
+  mode: "mute" | "mute-to-client",
+): Promise<string[]> {
+  const link = `server/${await ownerUnderLoad(cluster)}`;
+  await cluster.relays.setFaults(link, { mode });
+  await pause(PAST_LEASE_MS);
+  await cluster.untilServed();
+  await cluster.relays.setFaults(link, { mode: "pass" });
+  await pause(AFTERMATH_MS);
+  await cluster.untilServed();
+  return [];
+}
+
 const FROZEN: readonly ProofScenario[] = [
   {
     // A host machine stops the server's process. Its keys go to another, and
@@ -129,16 +144,7 @@
     invariant: INVARIANTS.oneOwner,
     fault: "owner cut off past its lease, then reachable",
     cluster: { relaysServers: true },
-    async run(cluster) {
-      const owner = await ownerUnderLoad(cluster);
-      await cluster.relays.setFaults(`server/${owner}`, { mode: "mute" });
-      await pause(PAST_LEASE_MS);
-      await cluster.untilServed();
-      await cluster.relays.setFaults(`server/${owner}`, { mode: "pass" });
-      await pause(AFTERMATH_MS);
-      await cluster.untilServed();
-      return [];
-    },
+    run: (cluster) => cutOwner(cluster, "mute"),
   },
   {
     // Orders and requests arrive, answers do not: a one-way cut.
@@ -146,17 +152,7 @@
     invariant: INVARIANTS.oneOwner,
     fault: "answers of the owner lost for a while, orders arrive",
     cluster: { relaysServers: true },
-    async run(cluster) {
-      const owner = await ownerUnderLoad(cluster);
-      const link = `server/${owner}`;
-      await cluster.relays.setFaults(link, { mode: "mute-to-client" });
-      await pause(PAST_LEASE_MS);
-      await cluster.untilServed();
-      await cluster.relays.setFaults(link, { mode: "pass" });
-      await pause(AFTERMATH_MS);
-      await cluster.untilServed();
-      return [];
-    },
+    run: (cluster) => cutOwner(cluster, "mute-to-client"),
   },
 ];
 
