refactor(standins): let the two frozen entry VMs of the proofs share their steps

The scenarios entry-frozen and duty-frozen had the same ten lines; the revision check that only one of them made now holds for both.

--- a/packages/standins/src/proofs/ownership_scenarios.ts
+++ b/packages/standins/src/proofs/ownership_scenarios.ts
@@ -27,6 +27,26 @@
   return [];
 }
 
+/** Freezes an entry VM, has keys move meanwhile, and wakes it. */
+async function freezeEntry(
+  cluster: ProofCluster,
+  choose: () => string | Promise<string>,
+): Promise<string[]> {
+  const owner = await ownerUnderLoad(cluster);
+  const vm = await choose();
+  cluster.downVms.add(vm);
+  cluster.entry(vm).freeze();
+  await cluster.killServer(owner);
+  await cluster.untilServed();
+  const before = await cluster.assignment();
+  cluster.entry(vm).wake();
+  cluster.downVms.delete(vm);
+  await pause(AFTERMATH_MS);
+  await cluster.untilServed();
+  const after = await cluster.assignment();
+  return after.revision < before.revision ? ["revision went back"] : [];
+}
+
 /** Cuts a server off past its lease, one or both ways, and lets it back. */
 async function cutOwner(
   cluster: ProofCluster,
@@ -83,39 +103,13 @@
     name: "entry-frozen",
     invariant: INVARIANTS.oneOwner,
     fault: "entry VM frozen while keys move, woken",
-    async run(cluster) {
-      const owner = await ownerUnderLoad(cluster);
-      const vm = cluster.vms[1]!;
-      cluster.downVms.add(vm);
-      cluster.entry(vm).freeze();
-      await cluster.killServer(owner);
-      await cluster.untilServed();
-      cluster.entry(vm).wake();
-      cluster.downVms.delete(vm);
-      await pause(AFTERMATH_MS);
-      await cluster.untilServed();
-      return [];
-    },
+    run: (cluster) => freezeEntry(cluster, () => cluster.vms[1]!),
   },
   {
     name: "duty-frozen",
     invariant: INVARIANTS.oneOwner,
     fault: "holder of control duty frozen while keys move, woken",
-    async run(cluster) {
-      const owner = await ownerUnderLoad(cluster);
-      const holder = await cluster.dutyHolder();
-      cluster.downVms.add(holder);
-      cluster.entry(holder).freeze();
-      await cluster.killServer(owner);
-      await cluster.untilServed();
-      const before = await cluster.assignment();
-      cluster.entry(holder).wake();
-      cluster.downVms.delete(holder);
-      await pause(AFTERMATH_MS);
-      await cluster.untilServed();
-      const after = await cluster.assignment();
-      return after.revision < before.revision ? ["revision went back"] : [];
-    },
+    run: (cluster) => freezeEntry(cluster, () => cluster.dutyHolder()),
   },
   {
     name: "duty-killed-in-move",
