--- a/packages/standins/src/bench/bench_main.ts
+++ b/packages/standins/src/bench/bench_main.ts
@@ -4,7 +4,7 @@
 import { benchCost } from "./bench_cost.ts";
 import { type BenchResult, benchRun } from "./bench_run.ts";
 import { BENCH_SCENARIOS, BENCH_SERVICES } from "./bench_scenarios.ts";
-import { formatTable } from "./bench_table.ts";
+import { formatTable, TABLE_HEAD } from "./bench_table.ts";
 
 const DEFAULT_POLICIES =
   "round-robin,least-outstanding,power-of-two,dispatched";
@@ -48,6 +48,7 @@
 
   async execute(): Promise<number> {
     const results: BenchResult[] = [];
+    if (!this.json) this.context.stdout.write(`${TABLE_HEAD}\n`);
     for (const service of pick(BENCH_SERVICES, this.service)) {
       for (const scenario of pick(BENCH_SCENARIOS, this.scenario)) {
         for (const policy of this.policy.split(",")) {
