--- a/packages/standins/src/backend_server/backend_app.ts
+++ b/packages/standins/src/backend_server/backend_app.ts
@@ -120,6 +120,7 @@
     if (!parsed.success) return context.text(parsed.error.message, 400);
     this.#faults = { ...this.#faults, ...parsed.data };
     this.#queue.slowFactor = this.#faults.slowFactor ?? 1;
+    this.#queue.holdRuns(this.#faults.holdRuns ?? false);
     return context.json({});
   }
 
--- a/packages/standins/src/backend_server/settings.ts
+++ b/packages/standins/src/backend_server/settings.ts
@@ -64,6 +64,8 @@
 export const backendFaultsSchema = z.strictObject({
   /** Requests run this many times slower. */
   slowFactor: z.number().positive().optional(),
+  /** While true, no run ends. */
+  holdRuns: z.boolean().optional(),
   /** Time between the end of a run and its answer. */
   answerLateMs: z.number().min(0).optional(),
   /** The next answers that bear another request's id. */
--- a/packages/standins/src/backend_server/work_queue.ts
+++ b/packages/standins/src/backend_server/work_queue.ts
@@ -47,6 +47,8 @@
   readonly #waiting: Waiting[] = [];
   readonly #runningIds = new Set<string>();
   readonly #cancelledIds = new Set<string>();
+  readonly #held: Waiting[] = [];
+  #holdsRuns = false;
   /** Requests run this many times slower. */
   slowFactor = 1;
   isDraining = false;
@@ -61,6 +63,13 @@
     return this.#runningIds.size + this.#waiting.length;
   }
 
+  /** Fault control: while set, no run ends. */
+  holdRuns(holds: boolean): void {
+    this.#holdsRuns = holds;
+    if (holds) return;
+    for (const work of this.#held.splice(0)) this.#finish(work);
+  }
+
   /** Runs the request as soon as a slot is free, or refuses it. */
   submit(request: ArrivedRequest): Promise<WorkResult> {
     const refusal = this.#refusalOnArrival(request);
@@ -151,6 +160,10 @@
   }
 
   #finish(work: Waiting): void {
+    if (this.#holdsRuns) {
+      this.#held.push(work);
+      return;
+    }
     const { request } = work;
     const { ownership, journal, clock } = this.#options;
     const ownsStill = this.#ownsKeyOf(request, clock.nowMs());
