--- a/packages/entry/src/requests/doors_test.ts
+++ b/packages/entry/src/requests/doors_test.ts
@@ -57,6 +57,18 @@
     bytes: "GET /s/booths/x HTTP/1.1\r\nHost:",
     status: 408,
   },
+  {
+    name: "whose path leads out of the work of the server",
+    bytes: "POST /s/booths/../control/ownership HTTP/1.1\r\nHost: x\r\n" +
+      "Connection: close\r\n\r\n",
+    status: 400,
+  },
+  {
+    name: "whose path does so in another spelling",
+    bytes: "POST /s/booths/a%2F%2e%2E/x HTTP/1.1\r\nHost: x\r\n" +
+      "Connection: close\r\n\r\n",
+    status: 400,
+  },
   {
     name: "for no service",
     bytes: "GET /other HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
--- a/packages/entry/src/requests/read_request.ts
+++ b/packages/entry/src/requests/read_request.ts
@@ -32,6 +32,9 @@
   if (!service.success) {
     return err(badRequest("The service in the path is not a valid name"));
   }
+  if (leavesItsFolder(url)) {
+    return err(badRequest('The path must not contain "." or ".." as a part'));
+  }
   const key = single(incoming, contracts.KEY_HEADER);
   const caller = single(incoming, contracts.CALLER_HEADER) ?? "";
   if (key === "" || isTooLong(key) || isTooLong(caller)) {
@@ -89,6 +92,17 @@
   return incoming.headers[name] as string | undefined;
 }
 
+/**
+ * Whether a part of the path is `.` or `..`. A server that resolves these
+ * would let a caller out of `/work/` and into the server's control side.
+ */
+function leavesItsFolder(url: string): boolean {
+  const [path] = url.split("?", 1);
+  return path!.split(/[/\\]|%2f|%5c/i).some((part) =>
+    /^(\.|%2e){1,2}$/i.test(part)
+  );
+}
+
 function isTooLong(text: string | undefined): boolean {
   return text !== undefined && text.length > NAME_LIMIT_LENGTH;
 }
