--- a/packages/entry/src/requests/read_request.ts
+++ b/packages/entry/src/requests/read_request.ts
@@ -32,9 +32,8 @@
   if (!service.success) {
     return err(badRequest("The service in the path is not a valid name"));
   }
-  const rest = slash < 0 ? "" : url.slice(slash + 1);
-  if (climbs(rest)) {
-    return err(badRequest('The path must not hold "." or ".." as a part'));
+  if (leavesItsFolder(url)) {
+    return err(badRequest('The path must not contain "." or ".." as a part'));
   }
   const key = single(incoming, contracts.KEY_HEADER);
   const caller = single(incoming, contracts.CALLER_HEADER) ?? "";
@@ -48,7 +47,7 @@
   return ok({
     service: service.data,
     method: incoming.method ?? "GET",
-    rest,
+    rest: slash < 0 ? "" : url.slice(slash + 1),
     headers: requestHeaders(incoming.rawHeaders),
     key,
     caller,
@@ -86,18 +85,6 @@
   });
 }
 
-/**
- * Whether a server might read the path as one outside of its work: it resolves
- * `..`, also when encoded. A caller could drain a server so, or give it orders.
- */
-function climbs(rest: string): boolean {
-  const [path = ""] = rest.split(/[?#]/, 1);
-  return path.toLowerCase()
-    .replaceAll("%2e", ".")
-    .split(/\/|\\|%2f|%5c/)
-    .some((part) => part === "." || part === "..");
-}
-
 function single(
   incoming: http.IncomingMessage,
   name: string,
@@ -105,6 +92,17 @@
   return incoming.headers[name] as string | undefined;
 }
 
+/**
+ * Whether a part of the path is `.` or `..`. A server that resolves these
+ * would let a caller out of `/work/` and into the server's control side.
+ */
+function leavesItsFolder(url: string): boolean {
+  const [path] = url.split("?", 1);
+  return path!.split(/[/\\]|%2f|%5c/i).some((part) =>
+    /^(\.|%2e){1,2}$/i.test(part)
+  );
+}
+
 function isTooLong(text: string | undefined): boolean {
   return text !== undefined && text.length > NAME_LIMIT_LENGTH;
 }
