--- a/packages/contracts/src/backend_server.ts
+++ b/packages/contracts/src/backend_server.ts
@@ -1,6 +1,6 @@
 /**
  * What this system asks of a backend server. Work goes over
- * `POST|GET /work/...`, ownership over `POST /control/ownership`, load over
+ * `POST|GET /serve/...`, ownership over `POST /control/ownership`, load over
  * `GET /control/load`, cancellation over `DELETE /control/requests/<id>`.
  */
 import type { ResultAsync } from "neverthrow";
--- a/packages/entry/src/requests/read_request.ts
+++ b/packages/entry/src/requests/read_request.ts
@@ -94,7 +94,7 @@
 
 /**
  * Whether a part of the path is `.` or `..`. A server that resolves these
- * would let a caller out of `/work/` and into the server's control side.
+ * would let a caller out of `/serve/` and into the server's control side.
  */
 function leavesItsFolder(url: string): boolean {
   const [path] = url.split("?", 1);
--- a/packages/entry/src/requests/request_run.ts
+++ b/packages/entry/src/requests/request_run.ts
@@ -22,7 +22,7 @@
 }
 
 /** Path on the backend server under which work is asked for. */
-const WORK_PATH = "/work/";
+const WORK_PATH = "/serve/";
 
 /** A request from its admission to its answer. */
 export class RequestRun implements SlotWish {
--- a/packages/standins/src/backend_server/backend_app.ts
+++ b/packages/standins/src/backend_server/backend_app.ts
@@ -1,5 +1,5 @@
 /**
- * HTTP side of the backend server stand-in: work under `/work`, the control
+ * HTTP side of the backend server stand-in: work under `/serve`, the control
  * side under `/control`; `/faults` and `/journal` lie beside the protocol.
  */
 import * as contracts from "@guavatide/contracts";
@@ -94,9 +94,9 @@
     const app = this.hono;
     app.get("/journal", (context) => context.json(this.#journal.entries));
     app.post("/faults", (context) => this.#setFaults(context));
-    app.use("/work/*", (context, next) => this.#delayLink(context, next));
+    app.use("/serve/*", (context, next) => this.#delayLink(context, next));
     app.use("/control/*", (context, next) => this.#delayLink(context, next));
-    app.all("/work/*", (context) => this.#work(context));
+    app.all("/serve/*", (context) => this.#work(context));
     app.post("/control/ownership", (context) => this.#order(context));
     app.get("/control/load", (context) => this.#reportLoad(context));
     app.get(
--- a/packages/standins/src/bench/bench_cost.ts
+++ b/packages/standins/src/bench/bench_cost.ts
@@ -95,7 +95,7 @@
   const resultFile = path.join(folder, `${label}.json`);
   await cluster.runCaller({
     origins: isDirect ? cluster.backendOrigins : cluster.callerOrigins,
-    path: isDirect ? "/work/bench" : `/s/${COST_SERVICE.name}/bench`,
+    path: isDirect ? "/serve/bench" : `/s/${COST_SERVICE.name}/bench`,
     method: "POST",
     withRequestId: isDirect,
     streams: [{
--- a/packages/standins/src/contract_tests/backend_work_cases.ts
+++ b/packages/standins/src/contract_tests/backend_work_cases.ts
@@ -28,7 +28,7 @@
 /** A server's work side, its control side and its journal. */
 export interface WorkFixture {
   readonly control: contracts.BackendControl;
-  /** Sends `POST /work/x`. Errors: rejects without a whole answer. */
+  /** Sends `POST /serve/x`. Errors: rejects without a whole answer. */
   work(options: WorkOptions): Promise<WorkReply>;
   cancel(requestId: string): Promise<void>;
   drain(): Promise<void>;
