perf(gossip): tell load as changes, in MessagePack, and batch watched changes

Change: load goes as changes between statuses, ages of grants only for servers that keys leave; counts of keys are not biased by their short time any more, plans every 250 ms.

--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -7,7 +7,11 @@
 import { ServerLoad } from "./server_load.ts";
 import * as ranking from "./server_ranking.ts";
 import type { ServiceTimes } from "./service_times.ts";
-import type { Refusal, RefusalReason, WaitingRequest } from "./waiting_request.ts";
+import type {
+  Refusal,
+  RefusalReason,
+  WaitingRequest,
+} from "./waiting_request.ts";
 
 /** Who owns a key at present, as far as this entry VM knows. */
 export type KeyOwner =
@@ -260,10 +264,11 @@
     const owner = this.#ownerOf(request);
     if (owner !== undefined && owner.kind !== "owned") return MOVE_WAIT_MS;
     const place = this.#placeName(request);
-    const ahead = queued.filter((other) =>
-      other.route.priority <= request.route.priority &&
-      this.#placeName(other) === place
-    ).length;
+    const ahead =
+      queued.filter((other) =>
+        other.route.priority <= request.route.priority &&
+        this.#placeName(other) === place
+      ).length;
     const here = Math.max(1, queued.length);
     const { times } = this.#options;
     const meanMs = times.meanMs ?? times.routeMs(request.route);
--- a/packages/decisions/src/grants/grant_timings.ts
+++ b/packages/decisions/src/grants/grant_timings.ts
@@ -29,7 +29,7 @@
 export const DEFAULT_GRANT_TIMINGS: GrantTimings = {
   holdMs: 1_500,
   renewMs: 350,
-  evidenceMs: 500,
+  evidenceMs: 700,
   orderTimeoutMs: 300,
   silentMs: 700,
   clockRateMargin: 0.02,
--- a/packages/decisions/src/grants/key_loads.ts
+++ b/packages/decisions/src/grants/key_loads.ts
@@ -1,7 +1,9 @@
 /** How often each key is asked for, as told by all entry VMs. */
 
 /** Time constant of the decay: hot keys show, and are forgotten, within it. */
-const DECAY_MS = 2_500;
+const DECAY_MS = 1_500;
+/** Counts of a shorter time than this say too little about rates. */
+const LEAST_TIME_MS = 300;
 /** Rates below this are dropped, in requests a second. */
 const LEAST_PER_SECOND = 0.02;
 
@@ -10,6 +12,7 @@
   /** Weight of each key; a rate once divided by the decay time. */
   readonly #weights = new Map<number, number>();
   #updatedMs: number | undefined;
+  #startedMs: number | undefined;
 
   /** Adds counts of requests by key. */
   add(counts: Iterable<readonly [key: number, count: number]>): void {
@@ -20,6 +23,7 @@
 
   /** Lets earlier counts weigh less; called before reading. */
   decay(nowMs: number): void {
+    this.#startedMs ??= nowMs;
     const elapsedMs = nowMs - (this.#updatedMs ?? nowMs);
     this.#updatedMs = nowMs;
     if (elapsedMs <= 0) return;
@@ -33,8 +37,16 @@
 
   /** Keys in order with their rates in requests a second. */
   rates(): { readonly key: number; readonly perSecond: number }[] {
+    const seconds = this.#countedMs() / 1000;
     return [...this.#weights]
-      .map(([key, weight]) => ({ key, perSecond: weight * 1000 / DECAY_MS }))
+      .map(([key, weight]) => ({ key, perSecond: weight / seconds }))
       .sort((a, b) => a.key - b.key);
   }
+
+  /** Time that the weights stand for; shorter than the decay at first. */
+  #countedMs(): number {
+    const ageMs = (this.#updatedMs ?? 0) - (this.#startedMs ?? 0);
+    const countedMs = DECAY_MS * (1 - Math.exp(-ageMs / DECAY_MS));
+    return Math.max(LEAST_TIME_MS, countedMs);
+  }
 }
--- a/packages/decisions/src/grants/range_edit.ts
+++ b/packages/decisions/src/grants/range_edit.ts
@@ -41,7 +41,12 @@
     given += slots;
     const toKey = Math.round(contracts.KEY_COUNT * given / total) - 1;
     if (toKey < fromKey) continue;
-    ranges.push({ fromKey, toKey, owner: { server, bornMs }, fence: index + 1 });
+    ranges.push({
+      fromKey,
+      toKey,
+      owner: { server, bornMs },
+      fence: index + 1,
+    });
     fromKey = toKey + 1;
   }
   return ranges;
@@ -114,7 +119,9 @@
 }
 
 /** Joins neighbours that one grant can renew: same owner, fence and state. */
-function merge(ranges: readonly contracts.RangeState[]): contracts.RangeState[] {
+function merge(
+  ranges: readonly contracts.RangeState[],
+): contracts.RangeState[] {
   const merged: contracts.RangeState[] = [];
   for (const range of ranges) {
     const last = merged.at(-1);
--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -34,9 +34,9 @@
  * request rarely waits at three slots; a move holds its keys' requests up for
  * some tenths of a second.
  */
-const HOT_UTILIZATION = 0.6;
+const HOT_UTILIZATION = 0.5;
 /** A server gives keys away only when busier than the mean by this ratio. */
-const HOT_RATIO = 1.25;
+const HOT_RATIO = 1.2;
 /** Moves in one plan; each costs a grant to renew from then on. */
 const MOVES_PER_PLAN = 8;
 /** Pieces that the keys of a lost server are dealt out in. */
--- a/packages/decisions/src/grants/range_wait.ts
+++ b/packages/decisions/src/grants/range_wait.ts
@@ -4,7 +4,7 @@
  * one left, from any entry VM.
  */
 import type * as contracts from "@guavatide/contracts";
-import { type GrantTimings, grantLifeMs } from "./grant_timings.ts";
+import { grantLifeMs, type GrantTimings } from "./grant_timings.ts";
 import type { KeeperBook } from "./keeper_book.ts";
 
 /** What the mover knows of one vacating range. */
--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarded_request.ts
@@ -169,7 +169,7 @@
   #sendEnd(result: LinkResult): admission.SendEnd {
     if (this.#isDone) return { kind: "abandoned" };
     if (result.kind === "answer") {
-      return { kind: "answered", isFailure: result.answer.status >= 500 };
+      return { kind: "answered", isFailure: isFailure(result.answer.status) };
     }
     if (result.kind === "refusal") return { kind: "rejected" };
     return { kind: "lost" };
@@ -199,7 +199,7 @@
     server: contracts.ServerId,
   ): void {
     const passedOn: FrontAnswer = { kind: "passed-on", answer };
-    const mayRepeat = answer.status >= 500 && this.route.isIdempotent &&
+    const mayRepeat = isFailure(answer.status) && this.route.isIdempotent &&
       this.#mayRepeat(server);
     if (!mayRepeat) return this.#finish(passedOn, "answered");
     this.#fallback = passedOn;
@@ -329,6 +329,13 @@
   }
 }
 
+/** Out of time at the server; says nothing about the server's health. */
+const OUT_OF_TIME_STATUS = 504;
+
+function isFailure(status: number): boolean {
+  return status >= 500 && status !== OUT_OF_TIME_STATUS;
+}
+
 function describe(result: LinkResult): string {
   switch (result.kind) {
     case "answer":
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -12,7 +12,7 @@
 } from "./front_request.ts";
 import type { GrantTask } from "./grant_task.ts";
 import type { PeerGossip } from "./peer_gossip.ts";
-import type { PeerStatus } from "./peer_messages.ts";
+import type { LoadNews, PeerStatus } from "./peer_messages.ts";
 import type { HeaderNames } from "./platform_adapter.ts";
 import type { RequestStory } from "./request_story.ts";
 import type { ServerRegistry } from "./server_registry.ts";
@@ -64,9 +64,8 @@
     options.grants.onChange((service) =>
       this.#services.get(service)?.queue.pump(options.clock.nowMs())
     );
-    options.gossip.onStatus(({ status, receivedAtMs }) =>
-      this.#takeStatus(status, receivedAtMs)
-    );
+    options.gossip.onStatus(({ status }) => this.#takeStatus(status));
+    options.gossip.onLoad((news) => this.#takeLoads(news));
   }
 
   /** Requests between their arrival and their answer. */
@@ -232,14 +231,28 @@
     links.keepOnly(registry.ids());
   }
 
-  #takeStatus(status: PeerStatus, receivedAtMs: number): void {
+  #takeStatus(status: PeerStatus): void {
+    const nowMs = this.#options.clock.nowMs();
     for (const [service, { queue }] of this.#services) {
       for (const [server, load] of queue.loads) {
         const [outstanding, waiting] = status.loads[server] ?? [0, 0];
-        load.noteTold(status.vm, { outstanding, waiting, atMs: receivedAtMs });
+        load.noteTold(status.vm, { outstanding, waiting, atMs: nowMs });
       }
       queue.setWaitingElsewhere(this.#waitingElsewhere(service));
-      queue.pump(receivedAtMs);
+      queue.pump(nowMs);
+    }
+  }
+
+  #takeLoads({ vm, loads }: LoadNews): void {
+    const nowMs = this.#options.clock.nowMs();
+    for (const { queue } of this.#services.values()) {
+      let isChanged = false;
+      for (const [server, [outstanding, waiting]] of Object.entries(loads)) {
+        const load = queue.loads.get(server as contracts.ServerId);
+        load?.noteTold(vm, { outstanding, waiting, atMs: nowMs });
+        isChanged ||= load !== undefined;
+      }
+      if (isChanged) queue.pump(nowMs);
     }
   }
 
--- a/packages/entry/src/gateway/grant_sender.ts
+++ b/packages/entry/src/gateway/grant_sender.ts
@@ -161,6 +161,8 @@
   }
 }
 
-function nameOf({ fromKey, toKey, fence, owner }: contracts.RangeState): string {
+function nameOf(
+  { fromKey, toKey, fence, owner }: contracts.RangeState,
+): string {
   return `${owner.server}/${fence}/${fromKey}-${toKey}`;
 }
--- a/packages/entry/src/gateway/grant_task.ts
+++ b/packages/entry/src/gateway/grant_task.ts
@@ -34,7 +34,7 @@
 /** Interval of the regular work: a twentieth of a renewal's would do. */
 const TICK_MS = 40;
 /** Interval at which requests by key are told to the mover. */
-const KEY_COUNTS_MS = 400;
+const KEY_COUNTS_MS = 200;
 /** Keys in one message; with more, the most asked for are told. */
 const KEYS_PER_MESSAGE = 400;
 
@@ -54,11 +54,15 @@
         service.noteStatus(status, askedAtMs, receivedAtMs);
       }
     });
-    gossip.on(messages.RANGE_MAP_METHOD, messages.rangeMapNewsSchema, (news) => {
-      this.#services.get(news.map.service)?.noteNews(news);
-      // The mover waits until a majority says that it knows the map.
-      gossip.sendNow();
-    });
+    gossip.on(
+      messages.RANGE_MAP_METHOD,
+      messages.rangeMapNewsSchema,
+      (news) => {
+        this.#services.get(news.map.service)?.noteNews(news);
+        // The mover waits until a majority says that it knows the map.
+        gossip.sendNow();
+      },
+    );
     gossip.on(
       messages.KEY_COUNTS_METHOD,
       messages.keyCountsSchema,
--- a/packages/entry/src/gateway/kind_watch.ts
+++ b/packages/entry/src/gateway/kind_watch.ts
@@ -13,16 +13,27 @@
   readonly log: PartLog;
   readonly clock: contracts.Clock;
   readonly random: contracts.RandomSource;
+  /** Entry VMs that are up. */
+  readonly vmCount: () => number;
   /** All objects, after each list. */
   readonly onList: (objects: readonly contracts.StoredObject[]) => void;
   readonly onEvent: (event: contracts.WatchEvent) => void;
 }
 
 /**
- * Longest wait of one watch. Peers tell when they have heard of a change, so
- * it only bounds how long a VM whose peers are all deaf as well stays behind.
+ * Wait of one watch for each VM that is up. Peers tell when they have heard of
+ * a change; with the waits spread, the watch of one of them begins anew about
+ * once in this time, over a connection that has not gone silent.
  */
-const WATCH_WAIT_MS = 6_000;
+const WATCH_WAIT_PER_VM_MS = 1_500;
+const WATCH_WAIT_MIN_MS = 2_000;
+const WATCH_WAIT_MAX_MS = 15_000;
+/**
+ * Pause after a batch of events. Changes come in groups, as when a service is
+ * replaced; each batch costs every VM one call, and a change has to be known
+ * within 2 s.
+ */
+const BATCH_PAUSE_MS = 150;
 /** Time beyond its wait after which a watch without an answer is given up. */
 const WATCH_SLACK_MS = 1_000;
 /** Longest time of a list: the store answers in a few milliseconds. */
@@ -111,10 +122,11 @@
 
   async #watch(cursor: string): Promise<boolean> {
     const { store, prefix, health, onEvent } = this.#options;
+    const waitMs = this.#waitMs();
     const result = await store.watch(prefix, {
       cursor,
-      waitMs: WATCH_WAIT_MS,
-      timeoutMs: WATCH_WAIT_MS + WATCH_SLACK_MS,
+      waitMs,
+      timeoutMs: waitMs + WATCH_SLACK_MS,
       signal: this.#abort!.signal,
     });
     // Asked to list anew meanwhile: what came of the watch is of no interest.
@@ -126,9 +138,19 @@
     this.#cursor = reset ? undefined : result.value.cursor;
     if (events.length > 0) this.#eventCursor = Number(result.value.cursor);
     for (const event of events) onEvent(event);
+    if (events.length > 0) await timers.setTimeout(BATCH_PAUSE_MS);
     return true;
   }
 
+  #waitMs(): number {
+    const { vmCount, random } = this.#options;
+    const longestMs = Math.min(
+      WATCH_WAIT_MAX_MS,
+      Math.max(WATCH_WAIT_MIN_MS, vmCount() * WATCH_WAIT_PER_VM_MS),
+    );
+    return Math.round(longestMs * (0.5 + random.next() / 2));
+  }
+
   #failed(error: contracts.StoreError): boolean {
     if (this.#cursor === undefined && this.#abort!.signal.aborted) return true;
     this.#failures++;
--- a/packages/entry/src/gateway/peer_gossip.ts
+++ b/packages/entry/src/gateway/peer_gossip.ts
@@ -3,12 +3,16 @@
  * has changed, and at a heartbeat otherwise.
  */
 import type * as contracts from "@guavatide/contracts";
+import * as msgpack from "@msgpack/msgpack";
 import * as jsonRpc from "json-rpc-2.0";
 import * as dgram from "node:dgram";
 import * as z from "zod";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import type { PartLog } from "../utils/log.ts";
 import {
+  LOAD_METHOD,
+  type LoadNews,
+  loadNewsSchema,
   type PeerStatus,
   peerStatusSchema,
   STATUS_METHOD,
@@ -35,6 +39,7 @@
   readonly clock: contracts.Clock;
   readonly log: PartLog;
   readonly ownState: () => OwnState;
+  readonly ownLoads: () => PeerStatus["loads"];
 }
 
 /** A status with the moment that it answers. */
@@ -45,18 +50,18 @@
   readonly receivedAtMs: number;
 }
 
-/** Sent at least so often: evidence for grants is good for 500 ms. */
-const HEARTBEAT_MS = 140;
+/** Between two statuses: evidence for grants is good for 700 ms. */
+const HEARTBEAT_MS = 200;
 /** Interval at which changed load is looked for. */
 const TICK_MS = 20;
 /**
- * Least time between two statuses to all, for each peer: at most 200 datagrams
+ * Least time between two messages to all, for each peer: at most 200 datagrams
  * a second leave a VM, about 2% of half a core.
  */
 const SPACING_PER_PEER_MS = 5;
-const SPACING_MIN_MS = 30;
+const SPACING_MIN_MS = 40;
 /** A peer is live when it was heard within four heartbeats. */
-const LIVE_MS = 600;
+const LIVE_MS = 800;
 /** A silent peer is told of this VM only now and then. */
 const SILENT_MS = 3_000;
 const SILENT_HEARTBEAT_MS = 1_000;
@@ -94,13 +99,22 @@
   readonly #sentMs = new Map<number, number>();
   #sequence = 0;
   #sentAtMs = Number.NEGATIVE_INFINITY;
+  #loadsSentAtMs = Number.NEGATIVE_INFINITY;
   #isChanged = false;
+  /** Loads as last told. */
+  #toldLoads: PeerStatus["loads"] = {};
+  readonly #loadListeners: ((news: LoadNews) => void)[] = [];
 
   constructor(options: PeerGossipOptions) {
     this.#options = options;
     this.#socket.on("message", (bytes) => this.#receive(bytes));
-    this.#socket.on("error", (error) =>
-      options.log.warn("Datagram socket failed.", { error: error.message })
+    this.on(LOAD_METHOD, loadNewsSchema, (news) => {
+      for (const listener of this.#loadListeners) listener(news);
+    });
+    this.#socket.on(
+      "error",
+      (error) =>
+        options.log.warn("Datagram socket failed.", { error: error.message }),
     );
   }
 
@@ -152,6 +166,11 @@
     this.#statusListeners.push(listener);
   }
 
+  /** Called with changes of a peer's load between its statuses. */
+  onLoad(listener: (news: LoadNews) => void): void {
+    this.#loadListeners.push(listener);
+  }
+
   /** Registers who takes a method's parameters. */
   on<Params>(
     method: string,
@@ -173,7 +192,7 @@
     }
   }
 
-  /** Sends the status with the next tick at the latest. */
+  /** Tells the changed load with the next tick that may. */
   noteChanged(): void {
     this.#isChanged = true;
   }
@@ -211,10 +230,26 @@
       SPACING_MIN_MS,
       this.#peers.size * SPACING_PER_PEER_MS,
     );
-    const sinceMs = nowMs - this.#sentAtMs;
-    const isDue = sinceMs >= Math.max(HEARTBEAT_MS, spacingMs) ||
-      this.#isChanged && sinceMs >= spacingMs;
-    if (isDue) this.#sendStatus(nowMs);
+    if (nowMs - this.#sentAtMs >= Math.max(HEARTBEAT_MS, spacingMs)) {
+      return this.#sendStatus(nowMs);
+    }
+    const sinceMs = nowMs - Math.max(this.#sentAtMs, this.#loadsSentAtMs);
+    if (this.#isChanged && sinceMs >= spacingMs) this.#sendLoads(nowMs);
+  }
+
+  #sendLoads(nowMs: number): void {
+    this.#isChanged = false;
+    this.#loadsSentAtMs = nowMs;
+    const { self, ownLoads } = this.#options;
+    const loads = ownLoads();
+    const changed = changesOf(this.#toldLoads, loads);
+    this.#toldLoads = loads;
+    if (Object.keys(changed).length === 0) return;
+    const news: LoadNews = { vm: self.vm, loads: changed };
+    const bytes = encode(LOAD_METHOD, news);
+    for (const peer of this.#peers.values()) {
+      if (peer.isLive) this.#sendTo(peer, bytes);
+    }
   }
 
   #watchPeers(nowMs: number): void {
@@ -235,9 +270,11 @@
     this.#sequence++;
     this.#sentMs.set(this.#sequence, nowMs);
     this.#sentMs.delete(this.#sequence - REMEMBERED);
+    const state = this.#options.ownState();
+    this.#toldLoads = state.loads;
     const status: PeerStatus = {
       ...this.#options.self,
-      ...this.#options.ownState(),
+      ...state,
       sequence: this.#sequence,
       echoes: this.#echoes(),
     };
@@ -270,7 +307,10 @@
   ): void {
     this.#socket.send(bytes, port, host, (error) => {
       if (error === null) return;
-      this.#options.log.debug("Datagram not sent.", { host, reason: error.message });
+      this.#options.log.debug("Datagram not sent.", {
+        host,
+        reason: error.message,
+      });
     });
   }
 
@@ -332,17 +372,32 @@
 
 function encode(method: string, params: object): Uint8Array {
   const message = jsonRpc.createJSONRPCNotification(method, params);
-  return Buffer.from(JSON.stringify(message));
+  return msgpack.encode(message);
+}
+
+/** Servers whose figures differ, with their new ones. */
+function changesOf(
+  before: PeerStatus["loads"],
+  now: PeerStatus["loads"],
+): PeerStatus["loads"] {
+  const changed: PeerStatus["loads"] = {};
+  for (const [server, load] of Object.entries(now)) {
+    const told = before[server];
+    const isSame = told?.[0] === load[0] && told[1] === load[1];
+    if (!isSame) changed[server] = load;
+  }
+  for (const server of Object.keys(before)) {
+    if (now[server] === undefined) changed[server] = [0, 0];
+  }
+  return changed;
 }
 
 function decode(bytes: Uint8Array): z.infer<typeof messageSchema> | undefined {
   try {
-    const parsed = messageSchema.safeParse(
-      JSON.parse(Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length).toString()),
-    );
+    const parsed = messageSchema.safeParse(msgpack.decode(bytes));
     return parsed.success ? parsed.data : undefined;
   } catch {
-    // Not JSON; the caller writes the log line.
+    // Not MessagePack; the caller writes the log line.
     return undefined;
   }
 }
--- a/packages/entry/src/gateway/peer_messages.ts
+++ b/packages/entry/src/gateway/peer_messages.ts
@@ -1,17 +1,25 @@
 /**
- * What entry VMs tell one another in datagrams: JSON-RPC 2.0 notifications. A
- * lost one is made good by the next.
+ * What entry VMs tell one another in datagrams: JSON-RPC 2.0 notifications in
+ * MessagePack. A lost one is made good by the next.
  */
 import * as contracts from "@guavatide/contracts";
 import * as z from "zod";
 
 /** Method of {@link PeerStatus}. */
 export const STATUS_METHOD = "status";
+/** Method of {@link LoadNews}. */
+export const LOAD_METHOD = "load";
 /** Method of {@link RangeMapNews}. */
 export const RANGE_MAP_METHOD = "rangeMap";
 /** Method of {@link KeyCounts}. */
 export const KEY_COUNTS_METHOD = "keyCounts";
 
+/** By server: requests there, and requests that wait for it. */
+const loadsSchema = z.record(
+  z.string(),
+  z.tuple([z.number().int(), z.number().int()]),
+);
+
 /** Schema of {@link PeerStatus}. */
 export const peerStatusSchema = z.object({
   vm: contracts.vmIdSchema,
@@ -39,13 +47,13 @@
   /** Range maps by service: revision known, and whether read in this run. */
   maps: z.record(z.string(), z.tuple([z.number().int(), z.boolean()])),
   /** By server: requests there, and requests that wait for it. */
-  loads: z.record(
-    z.string(),
-    z.tuple([z.number().int(), z.number().int()]),
-  ),
+  loads: loadsSchema,
   /** Requests that wait for any server, by service. */
   waiting: z.record(z.string(), z.number().int()),
-  /** By server: age of the last grant sent, and of the last unanswered one. */
+  /**
+   * By server that keys are being taken from: age of the last grant sent, and
+   * of the last unanswered one.
+   */
   grantAgesMs: z.record(
     z.string(),
     z.tuple([z.number(), z.number().nullable()]),
@@ -56,6 +64,15 @@
 /** The state of one entry VM, sent to all its peers. */
 export type PeerStatus = z.infer<typeof peerStatusSchema>;
 
+/** Schema of {@link LoadNews}. */
+export const loadNewsSchema = z.object({
+  vm: contracts.vmIdSchema,
+  /** Servers whose figures have changed since the last message. */
+  loads: loadsSchema,
+});
+/** Changes of load, between two statuses. */
+export type LoadNews = z.infer<typeof loadNewsSchema>;
+
 /** Schema of {@link RangeMapNews}. */
 export const rangeMapNewsSchema = z.object({
   map: contracts.rangeMapSchema,
--- a/packages/entry/src/gateway/run_gateway.ts
+++ b/packages/entry/src/gateway/run_gateway.ts
@@ -3,7 +3,10 @@
 import type * as neverthrow from "neverthrow";
 import { createLineLog } from "../utils/line_log.ts";
 import type { Log } from "../utils/log.ts";
-import type { GatewaySettings, GatewaySettingsError } from "./gateway_settings.ts";
+import type {
+  GatewaySettings,
+  GatewaySettingsError,
+} from "./gateway_settings.ts";
 import type { PlatformAdapter } from "./platform_adapter.ts";
 import { startGateway } from "./wire_gateway.ts";
 
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -59,9 +59,9 @@
 /** A grant that the mover sends with a handover goes ahead of other VMs'. */
 const HANDOVER_LEAD_MS = 600;
 /** Interval of plans that even out load. */
-const BALANCE_MS = 500;
+const BALANCE_MS = 250;
 /** A mover that has just taken over first gathers counts of keys. */
-const BALANCE_AFTER_MS = 1_200;
+const BALANCE_AFTER_MS = 600;
 /** A server that left a grant unanswered gets no new range for a while. */
 const SILENT_REST_MS = 3_000;
 /** Longest time of one release call: running work has to end first. */
@@ -136,9 +136,16 @@
     return [this.#map?.revision ?? 0, this.#isSettled];
   }
 
-  /** Ages of the grants sent by this VM, for its peers. */
+  /** Ages of this VM's grants to servers that keys are taken from. */
   get grantAgesMs(): Map<contracts.ServerId, [number, number | null]> {
-    return this.#sender.agesMs();
+    const vacating = new Set(
+      this.#map?.ranges.map((range) => range.vacating?.server),
+    );
+    const ages = this.#sender.agesMs();
+    for (const server of ages.keys()) {
+      if (!vacating.has(server)) ages.delete(server);
+    }
+    return ages;
   }
 
   /** Servers that leave this VM's grants unanswered. */
@@ -182,7 +189,11 @@
   }
 
   /** A peer's status. */
-  noteStatus(status: PeerStatus, askedAtMs: number, receivedAtMs: number): void {
+  noteStatus(
+    status: PeerStatus,
+    askedAtMs: number,
+    receivedAtMs: number,
+  ): void {
     const { service } = this.#options;
     const [revision, isSettled] = status.maps[service] ?? [0, false];
     const lastGrantMs = new Map<contracts.ServerId, number>();
@@ -324,11 +335,15 @@
     for (const range of map.ranges) {
       if (range.vacating !== undefined) continue;
       const { server } = range.owner;
-      if (!places.has(server)) places.set(server, this.#rank(server, live).indexOf(vm));
+      if (!places.has(server)) {
+        places.set(server, this.#rank(server, live).indexOf(vm));
+      }
       const place = this.#isMover && this.#isNew(range)
         ? 0
         : places.get(server)!;
-      if (place < 0 || place >= RENEWERS || this.#sender.isBusy(server)) continue;
+      if (place < 0 || place >= RENEWERS || this.#sender.isBusy(server)) {
+        continue;
+      }
       if (this.#leavesToMover(range, nowMs)) continue;
       const lastMs = this.#sender.confirmedMs(range);
       const intervalMs = timings.renewMs * (place + 1);
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -3,7 +3,11 @@
 import * as grants from "@guavatide/decisions/grants/mod";
 import * as ownership from "@guavatide/decisions/ownership/mod";
 import * as linkParts from "../links/server_links.ts";
-import { MonotonicClock, SuspensionClock, SystemRandom } from "../utils/clock.ts";
+import {
+  MonotonicClock,
+  SuspensionClock,
+  SystemRandom,
+} from "../utils/clock.ts";
 import { LifeCycle } from "../utils/life_cycle.ts";
 import type { Log } from "../utils/log.ts";
 import { ConfigHolder } from "./config_holder.ts";
@@ -26,6 +30,11 @@
 const RESERVED_DESCRIPTORS = 400;
 /** Part of the rest that callers' connections may take. */
 const CALLER_DESCRIPTOR_PART = 0.7;
+/**
+ * Idle connections to servers are kept so long. Servers tell their own limit
+ * in their answers, which goes first; a new connection costs a server 1 ms.
+ */
+const LINK_IDLE_MS = 8_000;
 /** Longest wait for one step of a stop after the listener has ended. */
 const CLOSE_TIMEOUT_MS = 300;
 
@@ -68,7 +77,7 @@
   const watches = createWatches();
   const self = {
     vm: settings.vm,
-    incarnation: crypto.randomUUID() as contracts.Incarnation,
+    incarnation: drawIncarnation(),
     host: settings.host,
     port: settings.peerPort,
     zone: settings.zone,
@@ -78,6 +87,7 @@
     clock: suspensionClock,
     log: log.part("member"),
     ownState: () => ownState(),
+    ownLoads: () => forwarder.ownState().loads,
   });
   const hasher = await ownership.KeyHasher.create();
   const grantTask: GrantTask = new GrantTask({
@@ -96,7 +106,11 @@
     isLeaving: () => lifeCycle.isStopping,
   });
   const links = new linkParts.ServerLinks(
-    { ...linkParts.SERVER_LINKS_DEFAULTS, decoder: adapter.answers },
+    {
+      ...linkParts.SERVER_LINKS_DEFAULTS,
+      decoder: adapter.answers,
+      idleTimeoutMs: LINK_IDLE_MS,
+    },
     lifeCycle,
   );
   const metrics = new GatewayMetrics();
@@ -123,7 +137,14 @@
   const startedMs = clock.nowMs();
 
   function createWatches() {
-    const common = { store, health, log: log.part("store"), clock, random };
+    const common = {
+      store,
+      health,
+      log: log.part("store"),
+      clock,
+      random,
+      vmCount: () => gossip.vmCount,
+    };
     return {
       config: new KindWatch({
         ...common,
@@ -246,6 +267,11 @@
   mainLog.info("Entry process stopped.", { vm: settings.vm });
 }
 
+/** A short id, as it travels with every status. */
+function drawIncarnation(): contracts.Incarnation {
+  return crypto.randomUUID().slice(0, 8) as contracts.Incarnation;
+}
+
 function timingsOf({ timings }: GatewaySettings): grants.GrantTimings {
   const defaults = grants.DEFAULT_GRANT_TIMINGS;
   const holdMs = Math.min(defaults.holdMs, timings.longestGrantMs);
--- a/packages/entry/src/utils/log.ts
+++ b/packages/entry/src/utils/log.ts
@@ -46,7 +46,13 @@
 }
 
 /** Levels of consola by our names. */
-export const LOG_LEVELS = { silent: -999, error: 0, warn: 1, info: 3, debug: 4 } as const;
+export const LOG_LEVELS = {
+  silent: -999,
+  error: 0,
+  warn: 1,
+  info: 3,
+  debug: 4,
+} as const;
 
 function formatFields(fields: LogFields | undefined): string {
   if (fields === undefined) return "";
