feat(grants): plan several dense pieces at once; count grants from the end of their call

Cause: a plan moved one piece, so a hot spot took seconds to spread, and servers that registered after the first map owned nothing until traffic was uneven. A busy VM may send a grant late and give it up late, so its time counts from the end of the call.

--- /dev/null
+++ b/packages/decisions/src/admission/service_queue_test.ts
@@ -0,0 +1,272 @@
+import type * as contracts from "@guavatide/contracts";
+import { expect } from "earl";
+import { test } from "node:test";
+import * as admission from "./mod.ts";
+
+const ROUTE: contracts.Route = {
+  name: "check",
+  host: "booths.example",
+  pathPrefix: "/",
+  isIdempotent: true,
+  attemptLimit: 2,
+  timeoutMs: 1_000,
+  targetLatencyMs: 300,
+  priority: 1,
+  targets: [],
+};
+
+function server(
+  name: string,
+  options: Partial<contracts.ServerEntry> = {},
+): contracts.ServerEntry {
+  return {
+    server: name as contracts.ServerId,
+    bornMs: 1,
+    service: "availability" as contracts.ServiceId,
+    host: "10.0.0.1",
+    port: 80,
+    zone: "z1" as contracts.ZoneId,
+    slots: 1,
+    isDraining: false,
+    warmUpLeftMs: 0,
+    ...options,
+  };
+}
+
+/** A request that records what became of it. */
+class Request implements admission.WaitingRequest {
+  readonly route: contracts.Route;
+  readonly key: number | undefined;
+  readonly targetMs: number;
+  readonly answerByMs: number;
+  readonly tried = new Set<contracts.ServerId>();
+  placement: admission.Placement | undefined;
+  refusal: admission.Refusal | undefined;
+
+  constructor(
+    nowMs: number,
+    options: { priority?: number; key?: number; timeoutMs?: number } = {},
+  ) {
+    this.route = { ...ROUTE, priority: options.priority ?? 1 };
+    this.key = options.key;
+    this.targetMs = nowMs + ROUTE.targetLatencyMs;
+    this.answerByMs = nowMs + (options.timeoutMs ?? ROUTE.timeoutMs);
+  }
+
+  placed(placement: admission.Placement): void {
+    this.placement = placement;
+  }
+
+  refused(refusal: admission.Refusal): void {
+    this.refusal = refusal;
+  }
+}
+
+/** A queue whose servers answer when the test says so. */
+class Fixture {
+  readonly times = new admission.ServiceTimes();
+  readonly queue: admission.ServiceQueue;
+  nowMs = 1_000;
+
+  constructor(
+    servers: readonly contracts.ServerEntry[],
+    ownerOf?: (key: number) => admission.KeyOwner,
+  ) {
+    this.queue = new admission.ServiceQueue({
+      zone: "z1" as contracts.ZoneId,
+      times: this.times,
+      random: { next: () => 0.5 },
+      ownerOf,
+    });
+    this.queue.setServers(servers);
+  }
+
+  add(options: ConstructorParameters<typeof Request>[1] = {}): Request {
+    const request = new Request(this.nowMs, options);
+    this.queue.add(request, this.nowMs);
+    return request;
+  }
+
+  /** Adds a request and lets it begin when it finds a server. */
+  begin(
+    options: ConstructorParameters<typeof Request>[1] = {},
+  ): [Request, (end: admission.SendEnd, nowMs: number) => void] {
+    const request = this.add(options);
+    return [request, request.placement!.load.begin(this.nowMs)];
+  }
+
+  /** Teaches how long requests take. */
+  learn(tookMs: number): void {
+    for (let index = 0; index < 200; index++) {
+      for (const server of this.queue.loads.keys()) {
+        this.times.note(ROUTE, server, tookMs);
+      }
+    }
+  }
+}
+
+test("should send to the server of the own zone when both are idle", () => {
+  const fixture = new Fixture([
+    server("far", { zone: "z2" as contracts.ZoneId }),
+    server("near"),
+  ]);
+  expect(fixture.add().placement?.load.entry.server).toEqual(
+    "near" as contracts.ServerId,
+  );
+});
+
+/**
+ * Servers of this kind answer nothing, ever, when their queue is full. Entry
+ * VMs that each look at their own requests only would together fill it, and
+ * callers would wait until their deadline for a request that is lost.
+ */
+test("should count the requests that peers told of", () => {
+  const fixture = new Fixture([server("a", { slots: 2 })]);
+  const load = fixture.queue.loads.get("a" as contracts.ServerId)!;
+  load.noteTold("vm2" as contracts.VmId, {
+    outstanding: 3,
+    waiting: 0,
+    atMs: fixture.nowMs,
+  });
+  expect(fixture.add().placement).toEqual(undefined);
+  // A peer that is lost tells no more; its requests are forgotten in time.
+  fixture.nowMs += 1_500;
+  expect(fixture.add().placement !== undefined).toEqual(true);
+});
+
+test("should send waiting requests by rank, then by arrival", () => {
+  const fixture = new Fixture([server("a")]);
+  const [, endFirst] = fixture.begin();
+  const [, endSecond] = fixture.begin();
+  const low = fixture.add({ priority: 2 });
+  const high = fixture.add({ priority: 0 });
+  endFirst({ kind: "answered", isFailure: false }, fixture.nowMs);
+  endSecond({ kind: "answered", isFailure: false }, fixture.nowMs);
+  // One begins and fills the room up again.
+  const placed: Request[] = [];
+  for (const request of [low, high]) {
+    request.placed = (placement) => {
+      placed.push(request);
+      placement.load.begin(fixture.nowMs);
+    };
+  }
+  fixture.queue.pump(fixture.nowMs);
+  expect(placed).toEqual([high, low]);
+});
+
+/**
+ * Urgent requests of one service come faster than it can serve them. If rank
+ * alone counted, a less urgent kind would not be served at all.
+ */
+test("should serve a less urgent request after a number of urgent ones", () => {
+  const fixture = new Fixture([server("a")]);
+  fixture.learn(10);
+  const ends = [fixture.begin()[1], fixture.begin()[1]];
+  let isServed = false;
+  const low = fixture.add({ priority: 2 });
+  low.placed = () => isServed = true;
+  let urgent = 0;
+  while (!isServed && urgent < 50) {
+    const request = fixture.add({ priority: 0 });
+    request.placed = ({ load }) => {
+      urgent++;
+      ends.push(load.begin(fixture.nowMs));
+    };
+    ends.shift()!({ kind: "answered", isFailure: false }, fixture.nowMs);
+    fixture.queue.pump(fixture.nowMs);
+  }
+  expect(isServed).toEqual(true);
+  expect(urgent <= 13).toEqual(true);
+});
+
+/**
+ * More requests come than can be served in time. A caller who would wait until
+ * the deadline in vain is told at once, and when to come back.
+ */
+test("should refuse at once what can't be answered in time", () => {
+  const fixture = new Fixture([server("a")]);
+  fixture.learn(200);
+  fixture.begin();
+  fixture.begin();
+  const requests = Array.from({ length: 20 }, () => fixture.add());
+  const refused = requests.filter(({ refusal }) => refusal !== undefined);
+  expect(refused.length > 10).toEqual(true);
+  for (const { refusal } of refused) {
+    expect(refusal!.reason).toEqual("no-room");
+    expect(refusal!.retryAfterMs > 0).toEqual(true);
+    expect(refusal!.expectedWaitMs > 400).toEqual(true);
+  }
+});
+
+test("should refuse when no server is known", () => {
+  const fixture = new Fixture([]);
+  expect(fixture.add().refusal?.reason).toEqual("no-server");
+});
+
+test("should give no new work to a draining server", () => {
+  const fixture = new Fixture([server("a", { isDraining: true })]);
+  expect(fixture.add().refusal?.reason).toEqual("no-server");
+});
+
+/**
+ * A key is between two owners for some tenths of a second. A request for it
+ * waits instead of failing, and goes to the new owner as soon as it has
+ * confirmed.
+ */
+test("should hold a request while its key moves", () => {
+  let owner: admission.KeyOwner = { kind: "moving" };
+  const fixture = new Fixture([server("a"), server("b")], () => owner);
+  const request = fixture.add({ key: 7 });
+  expect(request.placement).toEqual(undefined);
+  expect(request.refusal).toEqual(undefined);
+  owner = {
+    kind: "owned",
+    server: "b" as contracts.ServerId,
+    bornMs: 1,
+    fence: 9,
+  };
+  fixture.queue.pump(fixture.nowMs);
+  expect(request.placement?.load.entry.server).toEqual(
+    "b" as contracts.ServerId,
+  );
+  expect(request.placement?.fence).toEqual(9);
+});
+
+/**
+ * A server restarted under its id. The map names its earlier run, which held
+ * the keys; the new run holds nothing and would refuse every request.
+ */
+test("should not send a keyed request to a later run of its owner", () => {
+  const fixture = new Fixture([server("a", { bornMs: 2 })], () => ({
+    kind: "owned",
+    server: "a" as contracts.ServerId,
+    bornMs: 1,
+    fence: 3,
+  }));
+  expect(fixture.add({ key: 1 }).placement).toEqual(undefined);
+});
+
+/**
+ * A server is cut off and holds what is sent to it. After two requests that
+ * got no answer the others go elsewhere, and callers do not notice.
+ */
+test("should leave a server alone that lost two requests in a row", () => {
+  const fixture = new Fixture([
+    server("bad", { slots: 4 }),
+    server("good", { slots: 1, zone: "z2" as contracts.ZoneId }),
+  ]);
+  fixture.learn(10);
+  const begun = [fixture.begin(), fixture.begin()];
+  for (const [request, end] of begun) {
+    expect(request.placement?.load.entry.server).toEqual(
+      "bad" as contracts.ServerId,
+    );
+    end({ kind: "lost" }, fixture.nowMs);
+  }
+  const load = fixture.queue.loads.get("bad" as contracts.ServerId)!;
+  expect(load.isOpen(fixture.nowMs)).toEqual(false);
+  expect(load.isOpen(fixture.nowMs + 1_000)).toEqual(true);
+  expect(fixture.add().placement?.load.entry.server).toEqual(
+    "good" as contracts.ServerId,
+  );
+});
--- /dev/null
+++ b/packages/decisions/src/admission/shared_retry_budget_test.ts
@@ -0,0 +1,43 @@
+import { expect } from "earl";
+import { test } from "node:test";
+import { SharedRetryBudget } from "./mod.ts";
+
+const OPTIONS = { ratio: 0.2, slack: 56, windowMs: 10_000 };
+
+/**
+ * Servers of a service fail half of their requests and every entry VM sends
+ * failed requests once more. Summed over all VMs the second sends must stay
+ * under a fifth of the requests and a fixed slack in any window, or the repeats
+ * take the slots of callers who have not been served at all.
+ */
+test("should keep all VMs together within the budget in any window", () => {
+  const vmCount = 8;
+  const budgets = Array.from(
+    { length: vmCount },
+    () => new SharedRetryBudget(OPTIONS),
+  );
+  const repeats: number[] = [];
+  const requests: number[] = [];
+  for (let nowMs = 0; nowMs < 60_000; nowMs += 25) {
+    for (const budget of budgets) {
+      budget.noteRequest(nowMs);
+      requests.push(nowMs);
+      if (budget.tryTake(nowMs, vmCount)) repeats.push(nowMs);
+    }
+  }
+  for (let fromMs = 0; fromMs <= 50_000; fromMs += 500) {
+    const isIn = (atMs: number) => atMs >= fromMs && atMs < fromMs + 10_000;
+    const allowed = 0.2 * requests.filter(isIn).length + 56;
+    expect(repeats.filter(isIn).length <= allowed).toEqual(true);
+  }
+  expect(repeats.length > 2_000).toEqual(true);
+});
+
+test("should give nothing once the share of the slack is used", () => {
+  const budget = new SharedRetryBudget(OPTIONS);
+  let taken = 0;
+  while (budget.tryTake(1_000, 8)) taken++;
+  expect(taken).toEqual(5);
+  expect(budget.tryTake(10_000, 8)).toEqual(false);
+  expect(budget.tryTake(11_600, 8)).toEqual(true);
+});
--- a/packages/decisions/src/grants/grant_timings.ts
+++ b/packages/decisions/src/grants/grant_timings.ts
@@ -10,9 +10,11 @@
   readonly evidenceMs: number;
   /**
    * A grant without an answer is given up after this time and its connection
-   * reset, so that its bytes arrive by then or never.
+   * reset, so that its bytes leave by then or never.
    */
   readonly orderTimeoutMs: number;
+  /** Longest time that bytes which have left are on their way. */
+  readonly transitMs: number;
   /** A server counts as lost after so long without an answer to a grant. */
   readonly silentMs: number;
   /** Largest relative difference in rate between two clocks. */
@@ -20,23 +22,25 @@
 }
 
 /**
- * Defaults. A lost server's last grant left at most `renewMs` before the loss
- * or is the first one unanswered; its time is over `orderTimeoutMs + 1.02 *
- * holdMs` = 1.83 s after it left. With two writes and one grant its keys are
- * served again about 2.2 s after the loss; 4 s are asked for. Four renewals fit
- * into a hold, so that two lost ones and a retransmission do not end it.
+ * Defaults. A server is lost at 0 ms; grants to it stay unanswered from 350 ms
+ * on at the latest, it counts as lost at 1 050 ms and the last grant ends at
+ * 1 350 ms. What that may have given is over 1.02 * `holdMs` + `transitMs` =
+ * 1 630 ms later, so its keys are served again after 3.0 s at the latest; 4 s
+ * are asked for. Four renewals fit into a hold, so that two lost ones and a
+ * retransmission do not end it.
  */
 export const DEFAULT_GRANT_TIMINGS: GrantTimings = {
   holdMs: 1_500,
   renewMs: 350,
   evidenceMs: 700,
   orderTimeoutMs: 300,
+  transitMs: 100,
   silentMs: 700,
   clockRateMargin: 0.02,
 };
 
-/** Longest time from a grant's leaving until what it gave is over. */
+/** Longest time from the end of a grant call until what it gave is over. */
 export function grantLifeMs(timings: GrantTimings): number {
-  const { orderTimeoutMs, holdMs, clockRateMargin } = timings;
-  return orderTimeoutMs + holdMs * (1 + clockRateMargin);
+  const { transitMs, holdMs, clockRateMargin } = timings;
+  return transitMs + holdMs * (1 + clockRateMargin);
 }
--- a/packages/decisions/src/grants/keeper_book.ts
+++ b/packages/decisions/src/grants/keeper_book.ts
@@ -18,7 +18,10 @@
   readonly receivedAtMs: number;
   /** When its run began, on this VM's clock, at the latest. */
   readonly startedAtMs: number;
-  /** When it last sent a grant to a server, on this VM's clock at the latest. */
+  /**
+   * When its last grant to a server was answered or given up, on this VM's
+   * clock at the latest; the word's own time while one is under way.
+   */
   readonly lastGrantMs: ReadonlyMap<contracts.ServerId, number>;
   /** The same for grants that were not answered. */
   readonly lastUnansweredMs: ReadonlyMap<contracts.ServerId, number>;
--- a/packages/decisions/src/grants/key_loads.ts
+++ b/packages/decisions/src/grants/key_loads.ts
@@ -1,7 +1,7 @@
 /** How often each key is asked for, as told by all entry VMs. */
 
 /** Time constant of the decay: hot keys show, and are forgotten, within it. */
-const DECAY_MS = 1_500;
+const DECAY_MS = 1_000;
 /** Counts of a shorter time than this say too little about rates. */
 const LEAST_TIME_MS = 300;
 /** Rates below this are dropped, in requests a second. */
--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -3,6 +3,7 @@
  * are lost or leave, and from servers with more load than they can carry.
  */
 import type * as contracts from "@guavatide/contracts";
+import { KEY_COUNT } from "@guavatide/contracts";
 import type { RangeMove } from "./range_edit.ts";
 
 /** A server that can take ranges. */
@@ -81,16 +82,20 @@
     return this.#extreme((a, b) => a < b);
   }
 
-  /** The server that is most busy. */
-  hottest(): contracts.ServerId | undefined {
-    return this.#extreme((a, b) => a > b);
+  /** The server that is most busy, of those not left out. */
+  hottest(
+    leftOut: ReadonlySet<contracts.ServerId>,
+  ): contracts.ServerId | undefined {
+    return this.#extreme((a, b) => a > b, leftOut);
   }
 
   #extreme(
     isBetter: (a: number, b: number) => boolean,
+    leftOut: ReadonlySet<contracts.ServerId> = new Set(),
   ): contracts.ServerId | undefined {
     let best: contracts.ServerId | undefined;
     for (const server of this.#perSecond.keys()) {
+      if (leftOut.has(server)) continue;
       if (best === undefined || isBetter(this.of(server), this.of(best))) {
         best = server;
       }
@@ -110,8 +115,9 @@
   // While keys of a lost server wait, nothing else is taken from anyone.
   const isSettled = moves.length === 0 &&
     input.ranges.every(({ vacating }) => vacating === undefined);
-  if (input.mayBalance && isSettled) moves.push(...planHot(input, use));
-  return moves;
+  if (!input.mayBalance || !isSettled) return moves;
+  const newcomers = planNewcomers(input, use);
+  return newcomers.length > 0 ? newcomers : planHot(input, use);
 }
 
 /** Rate of a range, with a little for its width. */
@@ -154,41 +160,93 @@
   range: contracts.KeyRange,
   count: number,
 ): contracts.KeyRange[] {
-  const total = rateOf(rates, range);
+  const perPiece = rateOf(rates, range) / count;
   const pieces: contracts.KeyRange[] = [];
   let { fromKey } = range;
   let sum = 0;
-  let lastKey = fromKey;
-  const weigh = (toKey: number, perSecond: number) => {
-    sum += (toKey - lastKey) * WIDTH_RATE_PER_KEY + perSecond;
-    lastKey = toKey;
-  };
-  for (const { key, perSecond } of within(rates, range)) {
-    weigh(key, perSecond);
-    const isFull = sum >= total * (pieces.length + 1) / count;
-    if (!isFull || pieces.length === count - 1 || key >= range.toKey) continue;
-    pieces.push({ fromKey, toKey: key });
-    fromKey = key + 1;
+  let nextKey = range.fromKey;
+  const end = { key: range.toKey, perSecond: 0 };
+  for (const { key, perSecond } of [...within(rates, range), end]) {
+    // Between two keys that were asked for, load grows with the width.
+    while (pieces.length < count - 1) {
+      const missing = perPiece * (pieces.length + 1) - sum;
+      const width = Math.ceil(missing / WIDTH_RATE_PER_KEY);
+      const atKey = nextKey + Math.max(0, width - 1);
+      if (atKey >= key) break;
+      pieces.push({ fromKey, toKey: atKey });
+      fromKey = atKey + 1;
+    }
+    sum += (key - nextKey + 1) * WIDTH_RATE_PER_KEY + perSecond;
+    nextKey = key + 1;
   }
   pieces.push({ fromKey, toKey: range.toKey });
-  return pieces;
+  return pieces.filter((piece) => piece.fromKey <= piece.toKey);
+}
+
+/**
+ * Gives keys to servers that own none: those that have just joined, and those
+ * that registered after the first map was written.
+ */
+function planNewcomers(input: RangePlanInput, use: Utilization): RangeMove[] {
+  const owners = new Set(input.ranges.map(({ owner }) => owner.server));
+  const moves: RangeMove[] = [];
+  const total = rateOf(input.rates, ALL_KEYS);
+  for (const [server, { owner }] of input.servers) {
+    if (owners.has(server) || moves.length >= MOVES_PER_PLAN) continue;
+    const piece = shareOfLargest(input, moves, total / input.servers.size);
+    if (piece === undefined) break;
+    const rate = rateOf(input.rates, piece);
+    use.add(piece.from, -rate);
+    use.add(server, rate);
+    moves.push({ fromKey: piece.fromKey, toKey: piece.toKey, to: owner });
+  }
+  return moves;
+}
+
+const ALL_KEYS: contracts.KeyRange = { fromKey: 0, toKey: KEY_COUNT - 1 };
+
+/** The end of the range with most load: a share, but at most half of it. */
+function shareOfLargest(
+  input: RangePlanInput,
+  moves: readonly RangeMove[],
+  sharePerSecond: number,
+): (contracts.KeyRange & { readonly from: contracts.ServerId }) | undefined {
+  let largest: contracts.KeyRange | undefined;
+  let from: contracts.ServerId | undefined;
+  let most = 0;
+  for (const range of input.ranges) {
+    for (const part of freeParts(range, moves)) {
+      const rate = rateOf(input.rates, part);
+      if (rate <= most || part.fromKey === part.toKey) continue;
+      largest = part;
+      from = range.owner.server;
+      most = rate;
+    }
+  }
+  if (largest === undefined) return undefined;
+  const count = Math.max(2, Math.round(most / sharePerSecond));
+  const last = cut(input.rates, largest, count).at(-1)!;
+  const isPart = last.fromKey > largest.fromKey;
+  return isPart ? { ...last, from: from! } : undefined;
 }
 
+/** Moves dense pieces from servers above the level to those below it. */
 function planHot(input: RangePlanInput, use: Utilization): RangeMove[] {
   const moves: RangeMove[] = [];
   const limit = input.servers.size * RANGES_PER_SERVER;
-  const mean = use.mean;
+  const level = Math.max(HOT_UTILIZATION, use.mean * HOT_RATIO);
+  const exhausted = new Set<contracts.ServerId>();
   while (moves.length < MOVES_PER_PLAN && input.ranges.length < limit) {
-    const hot = use.hottest()!;
-    const cold = use.coldest()!;
-    const isHot = use.of(hot) > Math.max(HOT_UTILIZATION, mean * HOT_RATIO);
-    if (!isHot || hot === cold) break;
-    const excess = (use.of(hot) - mean) *
-      input.servers.get(hot)!.capacityPerSecond;
-    const room = (Math.max(mean, HOT_UTILIZATION) - use.of(cold)) *
-      input.servers.get(cold)!.capacityPerSecond;
-    const piece = densePiece(input, moves, hot, Math.min(excess, room));
-    if (piece === undefined) break;
+    const hot = use.hottest(exhausted);
+    const cold = use.coldest();
+    if (hot === undefined || cold === undefined) break;
+    if (use.of(hot) <= level) break;
+    const wish = wishOf(input, use, { hot, cold, level });
+    const piece = densePiece(input, moves, hot, wish);
+    if (piece === undefined) {
+      exhausted.add(hot);
+      continue;
+    }
     use.add(hot, -piece.perSecond);
     use.add(cold, piece.perSecond);
     const { fromKey, toKey } = piece;
@@ -197,6 +255,32 @@
   return moves;
 }
 
+/** Two servers between which load is to be moved. */
+interface HotAndCold {
+  readonly hot: contracts.ServerId;
+  readonly cold: contracts.ServerId;
+  /** Busy part up to which a server may be filled. */
+  readonly level: number;
+}
+
+/**
+ * Load to move: down to the mean at the one, up to the level at the other, and
+ * no more than makes both equally busy. Without the level a plan would make
+ * the first receiver of a hot spot as hot as the sender.
+ */
+function wishOf(
+  { servers }: RangePlanInput,
+  use: Utilization,
+  { hot, cold, level }: HotAndCold,
+): number {
+  const { capacityPerSecond: ofHot } = servers.get(hot)!;
+  const { capacityPerSecond: ofCold } = servers.get(cold)!;
+  const excess = (use.of(hot) - use.mean) * ofHot;
+  const half = (use.of(hot) - use.of(cold)) / 2 * Math.min(ofHot, ofCold);
+  const room = (level - use.of(cold)) * ofCold / MOST_OF_WISH;
+  return Math.min(excess, half, room);
+}
+
 interface Piece extends contracts.KeyRange {
   readonly perSecond: number;
 }
@@ -222,8 +306,15 @@
   return best;
 }
 
+/**
+ * A move costs its keys' owners, and a grant to renew from then on; the latter
+ * as much as this number of keys. Without it many small pieces would be moved
+ * in place of a large one.
+ */
+const MOVE_COST_KEYS = 128;
+
 function density({ fromKey, toKey, perSecond }: Piece): number {
-  return perSecond / (toKey - fromKey + 1);
+  return perSecond / (toKey - fromKey + 1 + MOVE_COST_KEYS);
 }
 
 /** Parts of a range that no move of the plan covers. */
@@ -247,9 +338,9 @@
 }
 
 /** Part of the wished load that a piece must carry to be worth a move. */
-const LEAST_OF_WISH = 0.4;
+const LEAST_OF_WISH = 0.3;
 /** Part beyond the wished load that a piece may carry. */
-const MOST_OF_WISH = 1.25;
+const MOST_OF_WISH = 1.1;
 
 /** The densest window of keys whose load is about the wished one. */
 function denseWindow(
--- /dev/null
+++ b/packages/decisions/src/grants/range_planner_test.ts
@@ -0,0 +1,145 @@
+import * as contracts from "@guavatide/contracts";
+import { expect } from "earl";
+import { test } from "node:test";
+import * as grants from "./mod.ts";
+
+function owner(index: number): contracts.RangeOwner {
+  return { server: `s${index}` as contracts.ServerId, bornMs: 1 };
+}
+
+function serversOf(count: number): Map<contracts.ServerId, grants.RangeServer> {
+  return new Map(
+    Array.from({ length: count }, (_, index) => [
+      owner(index).server,
+      { owner: owner(index), capacityPerSecond: 33 },
+    ]),
+  );
+}
+
+function evenRanges(count: number): contracts.RangeState[] {
+  return grants.firstRanges(
+    Array.from({ length: count }, (_, index) => ({
+      ...owner(index),
+      slots: 3,
+    })),
+  );
+}
+
+/** Load of each server after the moves, in requests a second. */
+function loadsAfter(
+  ranges: readonly contracts.RangeState[],
+  moves: readonly grants.RangeMove[],
+  rates: readonly grants.KeyRate[],
+): Map<contracts.ServerId, number> {
+  const after = grants.vacate(ranges, moves, { revision: 2, lastFence: 99 });
+  const loads = new Map<contracts.ServerId, number>();
+  for (const { key, perSecond } of rates) {
+    const range = after.ranges[grants.rangeIndex(after.ranges, key)]!;
+    const { server } = range.owner;
+    loads.set(server, (loads.get(server) ?? 0) + perSecond);
+  }
+  return loads;
+}
+
+/** Even load on all keys, and a dense hot spot. */
+function rates(evenPerSecond: number, hotPerSecond: number): grants.KeyRate[] {
+  const found: grants.KeyRate[] = [];
+  for (let key = 0; key < contracts.KEY_COUNT; key += 256) {
+    found.push({ key, perSecond: evenPerSecond / 256 });
+  }
+  for (let key = 30_000; key < 30_200; key++) {
+    if (key % 256 === 0) continue;
+    found.push({ key, perSecond: hotPerSecond / 200 });
+  }
+  return found.sort((a, b) => a.key - b.key);
+}
+
+/**
+ * Two hundred neighbouring keys take two fifths of the requests: twice what
+ * their one server can carry, while the others are a third busy. Half of all
+ * callers of the service would wait for seconds.
+ */
+test("should spread a hot spot in two plans so that no server is overloaded", () => {
+  const servers = serversOf(10);
+  const hot = rates(100, 70);
+  let ranges: readonly contracts.RangeState[] = evenRanges(10);
+  let keysMoved = 0;
+  for (let plan = 0; plan < 2; plan++) {
+    const moves = grants.planRanges({
+      ranges,
+      servers,
+      rates: hot,
+      mayBalance: true,
+    });
+    for (const { fromKey, toKey } of moves) keysMoved += toKey - fromKey + 1;
+    const vacated = grants.vacate(ranges, moves, {
+      revision: 2,
+      lastFence: 100 * (plan + 1),
+    });
+    ranges = grants.settle(vacated.ranges, () => true);
+  }
+  const loads = loadsAfter(ranges, [], hot);
+  const busiest = Math.max(...loads.values()) / 33;
+  expect(busiest < 0.75).toEqual(true);
+  expect(keysMoved < 400).toEqual(true);
+});
+
+test("should leave an even load as it lies", () => {
+  const moves = grants.planRanges({
+    ranges: evenRanges(10),
+    servers: serversOf(10),
+    rates: rates(200, 0),
+    mayBalance: true,
+  });
+  expect(moves).toEqual([]);
+});
+
+/**
+ * A server is lost. Its keys are dealt out to several others, so that none of
+ * them gets twice its load on top of its own.
+ */
+test("should deal out the keys of a lost server to several others", () => {
+  const servers = serversOf(10);
+  servers.delete(owner(4).server);
+  const ranges = evenRanges(10);
+  const moves = grants.planRanges({
+    ranges,
+    servers,
+    rates: rates(200, 0),
+    mayBalance: false,
+  });
+  expect(new Set(moves.map(({ to }) => to.server)).size).toEqual(3);
+  expect(moves[0]!.fromKey).toEqual(ranges[4]!.fromKey);
+  expect(moves.at(-1)!.toKey).toEqual(ranges[4]!.toKey);
+});
+
+/**
+ * A server joins. Without keys it serves nobody, however busy the others are.
+ */
+test("should give a server that has joined its share of keys", () => {
+  const moves = grants.planRanges({
+    ranges: evenRanges(4),
+    servers: serversOf(5),
+    rates: [],
+    mayBalance: true,
+  });
+  expect(moves.length).toEqual(1);
+  expect(moves[0]!.to.server).toEqual(owner(4).server);
+  const width = moves[0]!.toKey - moves[0]!.fromKey + 1;
+  expect(width > contracts.KEY_COUNT / 10).toEqual(true);
+});
+
+test("should move nothing else while keys wait for their next owner", () => {
+  const vacated = grants.vacate(
+    evenRanges(4),
+    [{ fromKey: 0, toKey: 10, to: owner(2) }],
+    { revision: 2, lastFence: 4 },
+  );
+  const moves = grants.planRanges({
+    ranges: vacated.ranges,
+    servers: serversOf(4),
+    rates: rates(10, 200),
+    mayBalance: true,
+  });
+  expect(moves).toEqual([]);
+});
--- /dev/null
+++ b/packages/decisions/src/grants/range_wait_test.ts
@@ -0,0 +1,143 @@
+import type * as contracts from "@guavatide/contracts";
+import { expect } from "earl";
+import { test } from "node:test";
+import * as grants from "./mod.ts";
+
+const TIMINGS = grants.DEFAULT_GRANT_TIMINGS;
+const GRANT_LIFE_MS = grants.grantLifeMs(TIMINGS);
+const A: contracts.RangeOwner = {
+  server: "a" as contracts.ServerId,
+  bornMs: 1,
+};
+const B: contracts.RangeOwner = {
+  server: "b" as contracts.ServerId,
+  bornMs: 1,
+};
+
+/** A move from a to b with three keepers, written at 10 000 ms. */
+class Fixture {
+  readonly keepers = new grants.KeeperBook();
+  readonly map: contracts.RangeMap;
+  readonly promisedAtMs = 10_050;
+  releasedAtMs: number | undefined;
+  hasEnded = false;
+
+  constructor() {
+    const first = grants.firstRanges([{ ...A, slots: 1 }]);
+    const moved = grants.vacate(
+      first,
+      [{ fromKey: 0, toKey: 65_535, to: B }],
+      { revision: 2, lastFence: 1 },
+    );
+    this.map = {
+      service: "availability" as contracts.ServiceId,
+      revision: 2,
+      nonce: "n",
+      keeperSets: [["k1", "k2", "k3"] as contracts.VmId[]],
+      ...moved,
+    };
+  }
+
+  hear(
+    vm: string,
+    options: {
+      revision?: number;
+      startedAtMs?: number;
+      sentMs?: number;
+      unansweredMs?: number;
+    } = {},
+  ): void {
+    const { sentMs, unansweredMs } = options;
+    this.keepers.noteWord({
+      vm: vm as contracts.VmId,
+      incarnation: "i" as contracts.Incarnation,
+      revision: options.revision ?? 2,
+      isSettled: true,
+      askedAtMs: 10_010,
+      receivedAtMs: 10_040,
+      startedAtMs: options.startedAtMs ?? 0,
+      lastGrantMs: new Map(sentMs === undefined ? [] : [[A.server, sentMs]]),
+      lastUnansweredMs: new Map(
+        unansweredMs === undefined ? [] : [[A.server, unansweredMs]],
+      ),
+    });
+  }
+
+  freeAtMs(): number | undefined {
+    return grants.freeAtMs({
+      map: this.map,
+      range: this.map.ranges[0]!,
+      keepers: this.keepers,
+      promisedAtMs: this.promisedAtMs,
+      releasedAtMs: this.releasedAtMs,
+      hasEnded: this.hasEnded,
+      timings: TIMINGS,
+    });
+  }
+}
+
+/**
+ * The owner is silent. Grants run from their arrival, so the keys are free when
+ * the last grant that any keeper sent is over; granting them before would let
+ * two servers take bookings for the same booth.
+ */
+test("should wait for the last grant that any keeper sent", () => {
+  const fixture = new Fixture();
+  fixture.hear("k1", { sentMs: 9_700 });
+  fixture.hear("k2", { sentMs: 9_900 });
+  fixture.hear("k3");
+  expect(fixture.freeAtMs()).toEqual(9_900 + GRANT_LIFE_MS);
+});
+
+/**
+ * A keeper is frozen or cut off. It may have sent a grant on evidence that was
+ * good until shortly after the others promised to know the newer map.
+ */
+test("should count a keeper that is not heard by its evidence", () => {
+  const fixture = new Fixture();
+  fixture.hear("k1", { sentMs: 9_700 });
+  fixture.hear("k2");
+  expect(fixture.freeAtMs()).toEqual(
+    fixture.promisedAtMs + TIMINGS.evidenceMs + GRANT_LIFE_MS,
+  );
+  // One that is heard with the older map may still act on it as well.
+  fixture.hear("k3", { revision: 1 });
+  expect(fixture.freeAtMs()).toEqual(
+    fixture.promisedAtMs + TIMINGS.evidenceMs + GRANT_LIFE_MS,
+  );
+});
+
+/** A keeper restarted and no longer knows what its earlier run has sent. */
+test("should count a restarted keeper by the start of its run", () => {
+  const fixture = new Fixture();
+  fixture.hear("k1");
+  fixture.hear("k2");
+  fixture.hear("k3", { startedAtMs: 9_950 });
+  expect(fixture.freeAtMs()).toEqual(9_950 + GRANT_LIFE_MS);
+});
+
+test("should be free at once when the owner has released", () => {
+  const fixture = new Fixture();
+  for (const vm of ["k1", "k2", "k3"]) fixture.hear(vm, { sentMs: 9_900 });
+  fixture.releasedAtMs = 10_060;
+  expect(fixture.freeAtMs()).toEqual(10_060);
+});
+
+/**
+ * A worker leaves a grant unanswered and carries it out seconds later, after
+ * it has released the keys. It then holds them once more.
+ */
+test("should wait after a release for a grant that was not answered", () => {
+  const fixture = new Fixture();
+  fixture.hear("k1", { sentMs: 9_900, unansweredMs: 9_600 });
+  fixture.hear("k2");
+  fixture.hear("k3");
+  fixture.releasedAtMs = 10_060;
+  expect(fixture.freeAtMs()).toEqual(9_600 + GRANT_LIFE_MS);
+});
+
+test("should not wait for a run that has ended", () => {
+  const fixture = new Fixture();
+  fixture.hasEnded = true;
+  expect(fixture.freeAtMs()).toEqual(Number.NEGATIVE_INFINITY);
+});
--- a/packages/entry/src/gateway/grant_sender.ts
+++ b/packages/entry/src/gateway/grant_sender.ts
@@ -25,7 +25,8 @@
 /** Grants to one server. */
 interface ServerGrants {
   isUnderWay: boolean;
-  lastSentMs: number;
+  /** When the last grant was answered or given up. */
+  lastEndMs: number;
   lastUnansweredMs: number | undefined;
   /** First of the grants in a row that were not answered. */
   silentSinceMs: number | undefined;
@@ -70,15 +71,23 @@
       .map(([server]) => server);
   }
 
-  /** Age of the last grant and of the last unanswered one, by server. */
+  /**
+   * Age of the last grant and of the last unanswered one, by server. They
+   * count from the end of the call, since a busy VM may send late and give up
+   * late; one that is under way may still be sent.
+   */
   agesMs(): Map<contracts.ServerId, [number, number | null]> {
     const nowMs = this.#options.clock.nowMs();
     const ages = new Map<contracts.ServerId, [number, number | null]>();
-    for (const [server, { lastSentMs, lastUnansweredMs }] of this.#servers) {
-      const unanswered = lastUnansweredMs === undefined
+    for (const [server, state] of this.#servers) {
+      const { isUnderWay, lastEndMs, lastUnansweredMs } = state;
+      const unansweredMs = lastUnansweredMs === undefined
         ? null
         : Math.floor(nowMs - lastUnansweredMs);
-      ages.set(server, [Math.floor(nowMs - lastSentMs), unanswered]);
+      ages.set(
+        server,
+        isUnderWay ? [0, 0] : [Math.floor(nowMs - lastEndMs), unansweredMs],
+      );
     }
     return ages;
   }
@@ -91,11 +100,6 @@
     const state = this.#state(range.owner.server);
     const sentMs = clock.nowMs();
     state.isUnderWay = true;
-    state.lastSentMs = sentMs;
-    // Until it is answered it counts as unanswered: a mover that asks now has
-    // to wait for it.
-    const unansweredBefore = state.lastUnansweredMs;
-    state.lastUnansweredMs = sentMs;
     state.silentSinceMs ??= sentMs;
     const { fromKey, toKey, fence } = range;
     const result = await control.grant(
@@ -104,15 +108,16 @@
       { timeoutMs: timings.orderTimeoutMs },
     );
     state.isUnderWay = false;
+    state.lastEndMs = clock.nowMs();
     const fields = { server: server.server, fromKey, toKey, fence };
     if (result.isErr()) {
+      state.lastUnansweredMs = state.lastEndMs;
       log.warn("Grant not answered.", {
         ...fields,
         reason: result.error.message,
       });
       return;
     }
-    state.lastUnansweredMs = unansweredBefore;
     state.silentSinceMs = undefined;
     if (result.value === "granted") return this.#confirm(range, sentMs);
     log.warn("Grant refused.", { ...fields, answer: result.value });
@@ -128,7 +133,9 @@
     const { clock, timings } = this.#options;
     const oldMs = clock.nowMs() - 4 * timings.holdMs;
     for (const [server, state] of this.#servers) {
-      if (state.lastSentMs < oldMs) this.#servers.delete(server);
+      if (!state.isUnderWay && state.lastEndMs < oldMs) {
+        this.#servers.delete(server);
+      }
     }
   }
 
@@ -152,7 +159,7 @@
     if (found !== undefined) return found;
     const created: ServerGrants = {
       isUnderWay: false,
-      lastSentMs: Number.NEGATIVE_INFINITY,
+      lastEndMs: Number.NEGATIVE_INFINITY,
       lastUnansweredMs: undefined,
       silentSinceMs: undefined,
     };
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -56,6 +56,12 @@
 const KEEPER_GONE_MS = 10_000;
 /** A process that has just started lets others settle who is there. */
 const FIRST_MAP_AFTER_MS = 1_200;
+/**
+ * The first map waits until no server has joined for a while, as all start
+ * together; not for ever, since nobody is served before it.
+ */
+const FIRST_MAP_CALM_MS = 1_000;
+const FIRST_MAP_BEFORE_MS = 4_000;
 /** A grant that the mover sends with a handover goes ahead of other VMs'. */
 const HANDOVER_LEAD_MS = 600;
 /** Interval of plans that even out load. */
@@ -91,6 +97,8 @@
   #isMover = false;
   #movingSinceMs = 0;
   #balancedAtMs = 0;
+  #usableCount = 0;
+  #usableSinceMs = 0;
   #newsLeft = 0;
   #toldMs = 0;
   #isReading = false;
@@ -495,7 +503,14 @@
         .filter(({ server }) => !lost.has(server))
         .map((entry) => [entry.server, entry]),
     );
-    const mayStart = nowMs - this.#startedAtMs >= FIRST_MAP_AFTER_MS;
+    if (usable.size !== this.#usableCount) {
+      this.#usableCount = usable.size;
+      this.#usableSinceMs = nowMs;
+    }
+    const lifeMs = nowMs - this.#startedAtMs;
+    const isCalm = nowMs - this.#usableSinceMs >= FIRST_MAP_CALM_MS;
+    const mayStart = this.#map !== undefined ||
+      lifeMs >= FIRST_MAP_AFTER_MS && isCalm || lifeMs >= FIRST_MAP_BEFORE_MS;
     return {
       nowMs,
       usable: registry.isListed && mayStart ? usable : new Map(),
