fix(links): don't take an unframed answer that was reset for a whole one

Ruled out: our own framing, answers with a length (both tested). Change: the link remembers a broken connection before the library sees it.

--- a/packages/entry/src/links/server_link.ts
+++ b/packages/entry/src/links/server_link.ts
@@ -64,6 +64,7 @@
   #socket: net.Socket | undefined;
   #pending: Pending | undefined;
   #isUsable = true;
+  #wasBroken = false;
 
   constructor(options: ServerLinkOptions) {
     this.#options = options;
@@ -81,7 +82,7 @@
       connect: (connectOptions, callback) =>
         connect(connectOptions, (...result: unknown[]) => {
           const [error, socket] = result as [Error | null, net.Socket];
-          if (error === null) this.#socket = socket;
+          if (error === null) this.#watch(socket);
           (callback as (...values: unknown[]) => void)(...result);
         }),
     });
@@ -139,6 +140,18 @@
     this.#client.destroy().catch(() => {});
   }
 
+  /**
+   * Remembers an error of the connection. The client library takes what has
+   * come before a reset for a whole answer when it has no length, and the
+   * caller would get a part of it as if it were all.
+   */
+  #watch(socket: net.Socket): void {
+    this.#socket = socket;
+    socket.once("error", () => {
+      this.#wasBroken = true;
+    });
+  }
+
   #dispatch(pending: Pending): void {
     const { request } = pending;
     let answer: AnswerReader | undefined;
@@ -170,7 +183,12 @@
           controller.abort(new Error("The answer is larger than the limit"));
         }
       },
-      onResponseEnd: () => pending.settle(answer!.finish()),
+      onResponseEnd: () =>
+        pending.settle(
+          this.#wasBroken
+            ? badAnswer("The connection broke before the answer's end")
+            : answer!.finish(),
+        ),
       onResponseError: (_controller, error) => {
         pending.settle(
           endWithoutAnswer(pending, "connection-lost", error.message),
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,6 +1,35 @@
 /** Bundles the program of the users' platform into one file under target/. */
 import * as esbuild from "esbuild";
 
+/**
+ * The parts of undici that the program uses. Its main module also loads fetch,
+ * WebSocket and caches, which cost a starting process a tenth of a second.
+ */
+const UNDICI_PARTS = {
+  Agent: "lib/dispatcher/agent.js",
+  Client: "lib/dispatcher/client.js",
+  Pool: "lib/dispatcher/pool.js",
+  buildConnector: "lib/core/connect.js",
+};
+
+const undiciParts = {
+  name: "undici-parts",
+  setup(build) {
+    build.onResolve({ filter: /^undici$/ }, () => ({
+      path: "undici-parts",
+      namespace: "undici-parts",
+    }));
+    build.onLoad({ filter: /.*/, namespace: "undici-parts" }, () => ({
+      contents: Object.entries(UNDICI_PARTS)
+        .map(([name, path]) =>
+          `export { default as ${name} } from "undici/${path}";`
+        )
+        .join("\n"),
+      resolveDir: process.cwd(),
+    }));
+  },
+};
+
 await esbuild.build({
   entryPoints: ["platform/dist/main.js"],
   outfile: "target/guavatide.js",
@@ -8,8 +37,10 @@
   platform: "node",
   format: "esm",
   target: "node20",
-  minifySyntax: true,
+  minify: true,
+  keepNames: true,
   legalComments: "none",
+  plugins: [undiciParts],
   // Libraries written for require() find it under this name.
   banner: {
     js:
