--- a/packages/contracts/src/platform_store.ts
+++ b/packages/contracts/src/platform_store.ts
@@ -60,7 +60,10 @@
 export interface PlatformStore {
   get(
     name: string,
-    options: CallOptions,
+    options: CallOptions & {
+      /** Allows an answer that is seconds old, where that costs less. */
+      readonly mayBeStale?: boolean;
+    },
   ): ResultAsync<StoredObject, StoreError>;
   list(
     prefix: string,
--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarded_request.ts
@@ -96,6 +96,7 @@
 
   /** Asks for a server. The answer comes through `resolve`, once. */
   start(): void {
+    if (this.#request.signal.aborted) return this.#onCallerGone();
     this.#parts.queue.add(this, this.#parts.clock.nowMs());
   }
 
--- a/packages/entry/src/gateway/front_listener.ts
+++ b/packages/entry/src/gateway/front_listener.ts
@@ -5,6 +5,7 @@
 import { requestHeaders } from "../links/header_list.ts";
 import * as httpServer from "../utils/http_server.ts";
 import type { LifeCycle } from "../utils/life_cycle.ts";
+import { LoopLag } from "../utils/loop_lag.ts";
 import type { PartLog } from "../utils/log.ts";
 import type { FrontAnswer, FrontRequest } from "./front_request.ts";
 import type { HeaderNames } from "./platform_adapter.ts";
@@ -44,10 +45,12 @@
 export class FrontListener {
   readonly #options: FrontListenerOptions;
   readonly #server: http.Server;
+  readonly #lag = new LoopLag();
   #inFlight = 0;
 
   constructor(options: FrontListenerOptions) {
     this.#options = options;
+    this.#lag.start(options.lifeCycle);
     this.#server = http.createServer({
       maxHeaderSize: HEADER_LIMIT_BYTES,
       requestTimeout: 0,
@@ -94,13 +97,27 @@
     incoming: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
-    const arrivedMs = this.#options.clock.nowMs();
+    const { lagMs } = this.#lag;
+    // What is read late has been waiting in the socket, for up to the lag.
+    const arrivedMs = this.#options.clock.nowMs() - lagMs;
     this.#inFlight++;
     const gone = new AbortController();
+    const onGone = () => {
+      if (!response.writableFinished) gone.abort();
+    };
+    incoming.socket.once("end", onGone);
     response.once("close", () => {
+      incoming.socket.off("end", onGone);
       this.#inFlight--;
-      if (!response.writableFinished) gone.abort();
+      onGone();
     });
+    if (lagMs > 0) {
+      // The caller may have left meanwhile. Its close lies behind the request
+      // and is read in the next turn; a server would work for nobody.
+      await timers.setImmediate();
+      await timers.setImmediate();
+      if (gone.signal.aborted) return void response.destroy();
+    }
     const answer = await this.#answer(incoming, arrivedMs, gone.signal);
     if (response.destroyed) return;
     const mustClose = !incoming.complete || this.#options.lifeCycle.isStopping;
--- a/packages/entry/src/gateway/kind_watch.ts
+++ b/packages/entry/src/gateway/kind_watch.ts
@@ -65,6 +65,11 @@
   /** Starts the task. */
   start(lifeCycle: LifeCycle): void {
     lifeCycle.signal.addEventListener("abort", () => this.#abort?.abort());
+    // A watch that was waiting when the store went silent would go on waiting,
+    // and changes made after its return would be known seconds late.
+    this.#options.health.onRegained(() => {
+      if (this.#cursor !== undefined) this.relist("the store is back");
+    });
     this.#run(lifeCycle.signal).catch((error) =>
       this.#options.log.error("Watch ended.", { error: String(error) })
     );
--- a/packages/entry/src/gateway/store_health.ts
+++ b/packages/entry/src/gateway/store_health.ts
@@ -14,6 +14,7 @@
   #lostAtMs: number | undefined;
   #failedAtMs = Number.NEGATIVE_INFINITY;
   #regainedAtMs = Number.NEGATIVE_INFINITY;
+  readonly #listeners: (() => void)[] = [];
 
   constructor(options: StoreHealthOptions) {
     this.#options = options;
@@ -30,6 +31,11 @@
     return nowMs - Math.max(this.#failedAtMs, this.#regainedAtMs);
   }
 
+  /** Called when the store is reached again. */
+  onRegained(listener: () => void): void {
+    this.#listeners.push(listener);
+  }
+
   /** The store answered a call. */
   noteAnswer(): void {
     if (this.#lostAtMs === undefined) return;
@@ -39,6 +45,7 @@
     log.info("Regained the platform's store.", { awayMs });
     this.#lostAtMs = undefined;
     this.#regainedAtMs = nowMs;
+    for (const listener of this.#listeners) listener();
   }
 
   /** A call failed. Conflicts and missing objects are answers. */
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -24,6 +24,7 @@
 import { RequestLog } from "./request_story.ts";
 import { ServerRegistry } from "./server_registry.ts";
 import { StoreHealth } from "./store_health.ts";
+import { StoreProbe } from "./store_probe.ts";
 import { VmDirectory } from "./vm_directory.ts";
 
 /** Descriptors kept for files, the store, peers and control calls. */
@@ -199,6 +200,12 @@
     forwarder,
     listener,
     metrics,
+    probe: new StoreProbe({
+      store,
+      health,
+      name: adapter.prefixes.configObject,
+      onObject: (object) => config.take(object),
+    }),
     directory: new VmDirectory({
       self,
       store,
@@ -240,6 +247,7 @@
   });
   await gossip.start(lifeCycle);
   parts.directory.start(lifeCycle);
+  parts.probe.start(lifeCycle);
   watches.config.start(lifeCycle);
   watches.servers.start(lifeCycle);
   grantTask.start(lifeCycle);
