--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -20,11 +20,15 @@
       namespace: "undici-parts",
     }));
     build.onLoad({ filter: /.*/, namespace: "undici-parts" }, () => ({
-      contents: Object.entries(UNDICI_PARTS)
-        .map(([name, path]) =>
+      contents: [
+        'import Dispatcher from "undici/lib/dispatcher/dispatcher.js";',
+        'import api from "undici/lib/api/index.js";',
+        // As the main module does: adds request() to the dispatchers.
+        "Object.assign(Dispatcher.prototype, api);",
+        ...Object.entries(UNDICI_PARTS).map(([name, path]) =>
           `export { default as ${name} } from "undici/${path}";`
-        )
-        .join("\n"),
+        ),
+      ].join("\n"),
       resolveDir: process.cwd(),
     }));
   },
