fix(front): pass on answers without length without a length

Ruled out: resets, which the link already tells (its test). Change: such answers go on as they came, ended by their connection.

--- a/packages/entry/src/gateway/front_listener.ts
+++ b/packages/entry/src/gateway/front_listener.ts
@@ -3,6 +3,7 @@
 import * as http from "node:http";
 import * as timers from "node:timers/promises";
 import { requestHeaders } from "../links/header_list.ts";
+import type { ServerAnswer } from "../requests/caller_request.ts";
 import * as httpServer from "../utils/http_server.ts";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import { LoopLag } from "../utils/loop_lag.ts";
@@ -180,6 +181,9 @@
 ): void {
   response.sendDate = false;
   if (mustClose) response.shouldKeepAlive = false;
+  if (answer.kind === "passed-on" && answer.answer.endsWithConnection) {
+    return writeWithoutLength(response, answer.answer);
+  }
   if (answer.kind === "passed-on") {
     const { status, headers, body } = answer.answer;
     response.writeHead(status, [
@@ -200,6 +204,22 @@
   response.end(body);
 }
 
+/**
+ * Passes on an answer without length as it came: it ends with the connection.
+ * A server that crashes on the way ends its connection too, and a length of
+ * ours would tell the caller that a part is the whole.
+ */
+function writeWithoutLength(
+  response: http.ServerResponse,
+  { status, headers, body }: ServerAnswer,
+): void {
+  response.shouldKeepAlive = false;
+  response.useChunkedEncodingByDefault = false;
+  response.writeHead(status, [...headers]);
+  response.write(body);
+  response.end();
+}
+
 /** Headers of a request without those that this system sets itself. */
 function passedOn(raw: readonly string[], names: HeaderNames): string[] {
   const own = new Set([
--- /dev/null
+++ b/packages/entry/src/gateway/front_listener_test.ts
@@ -0,0 +1,170 @@
+import { expect } from "earl";
+import * as net from "node:net";
+import { test } from "node:test";
+import { MonotonicClock } from "../utils/clock.ts";
+import { LifeCycle } from "../utils/life_cycle.ts";
+import type { FrontAnswer, FrontRequest } from "./front_request.ts";
+import { FrontListener } from "./front_listener.ts";
+
+const SILENT_LOG = { debug() {}, info() {}, warn() {}, error() {} };
+const HEADERS = {
+  requestId: "x-id",
+  deadlineMs: "x-deadline-ms",
+  expectedServer: "x-server",
+  key: "x-key",
+};
+
+/** A listener whose answers the test gives. */
+class Fixture {
+  readonly lifeCycle = new LifeCycle();
+  readonly requests: FrontRequest[] = [];
+  readonly #forward: (request: FrontRequest) => Promise<FrontAnswer>;
+  #port = 0;
+
+  constructor(forward: (request: FrontRequest) => Promise<FrontAnswer>) {
+    this.#forward = forward;
+  }
+
+  async start(graceMs = 200): Promise<void> {
+    const probe = net.createServer();
+    await new Promise<void>((resolve) =>
+      probe.listen(0, "127.0.0.1", () => resolve())
+    );
+    this.#port = (probe.address() as net.AddressInfo).port;
+    await new Promise((resolve) => probe.close(resolve));
+    const listener = new FrontListener({
+      host: "127.0.0.1",
+      port: this.#port,
+      headers: HEADERS,
+      limits: () => undefined,
+      clock: new MonotonicClock(),
+      lifeCycle: this.lifeCycle,
+      log: SILENT_LOG,
+      connectionLimit: 10,
+      graceMs,
+      forward: (request) => {
+        this.requests.push(request);
+        return this.#forward(request);
+      },
+    });
+    await listener.listen();
+  }
+
+  /** Sends bytes on a new connection. */
+  connect(text: string): net.Socket {
+    const socket = net.connect(this.#port, "127.0.0.1");
+    socket.on("error", () => {});
+    socket.write(text);
+    return socket;
+  }
+
+  /** Sends bytes and returns all that came until the connection ended. */
+  async exchange(text: string): Promise<string> {
+    const socket = this.connect(text);
+    let received = "";
+    socket.on("data", (chunk) => received += chunk);
+    await new Promise((resolve) => socket.once("close", resolve));
+    return received;
+  }
+}
+
+const GET = "GET /a/b?c=1 HTTP/1.1\r\nHost: booths.example\r\nX-Id: 7\r\n" +
+  "X-Deadline-Ms: 800\r\nX-Key: 42\r\nX-Other: kept\r\n";
+
+test("should hand on method, target, host, key and other headers", async () => {
+  const fixture = new Fixture(() =>
+    Promise.resolve({ kind: "own", status: 404, message: "none" })
+  );
+  await fixture.start();
+  await fixture.exchange(`${GET}Connection: close\r\n\r\n`);
+  const [request] = fixture.requests;
+  expect(request!.id).toEqual("7");
+  expect(request!.target).toEqual("/a/b?c=1");
+  expect(request!.host).toEqual("booths.example");
+  expect(request!.key).toEqual(42);
+  expect(request!.deadlineMs).toEqual(800);
+  expect(request!.headers).toEqual(["X-Key", "42", "X-Other", "kept"]);
+  await fixture.lifeCycle.stop();
+});
+
+/**
+ * A server answers without a length and crashes on the way; its connection
+ * ends as if the answer were whole. With a length of ours the caller would
+ * take a part of a certificate for all of it.
+ */
+test("should pass on an answer without length without a length", async () => {
+  const fixture = new Fixture(() =>
+    Promise.resolve({
+      kind: "passed-on",
+      answer: {
+        status: 200,
+        headers: ["X-Signed", "yes"],
+        body: Buffer.from("part"),
+        endsWithConnection: true,
+      },
+    })
+  );
+  await fixture.start();
+  const received = await fixture.exchange(`${GET}\r\n`);
+  expect(received.startsWith("HTTP/1.1 200 OK\r\n")).toEqual(true);
+  expect(received.endsWith("\r\n\r\npart")).toEqual(true);
+  expect(/content-length|transfer-encoding/i.test(received)).toEqual(false);
+  await fixture.lifeCycle.stop();
+});
+
+/**
+ * A caller gives up and closes its connection. The work that is under way for
+ * it at a server is of no use and takes a slot from others.
+ */
+test("should tell that the caller has gone", async () => {
+  const fixture = new Fixture(() => new Promise(() => {}));
+  await fixture.start();
+  const socket = fixture.connect(`${GET}\r\n`);
+  while (fixture.requests.length === 0) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  const gone = new Promise((resolve) =>
+    fixture.requests[0]!.signal.addEventListener("abort", resolve)
+  );
+  socket.destroy();
+  await gone;
+  await fixture.lifeCycle.stop();
+});
+
+test("should give a time to come back in fractions of a second", async () => {
+  const fixture = new Fixture(() =>
+    Promise.resolve({
+      kind: "own",
+      status: 503,
+      message: "Not run",
+      retryAfterMs: 250,
+    })
+  );
+  await fixture.start();
+  const received = await fixture.exchange(`${GET}Connection: close\r\n\r\n`);
+  expect(/retry-after: 0\.250\r\n/i.test(received)).toEqual(true);
+  await fixture.lifeCycle.stop();
+});
+
+/**
+ * The VM is stopped while a caller waits for its booking. The answer still
+ * comes, and ends the connection so that the caller goes to another VM.
+ */
+test("should answer what runs when it is stopped", async () => {
+  let answer: (answer: FrontAnswer) => void = () => {};
+  const fixture = new Fixture(() =>
+    new Promise((resolve) => {
+      answer = resolve;
+    })
+  );
+  await fixture.start(2_000);
+  const received = fixture.exchange(`${GET}\r\n`);
+  while (fixture.requests.length === 0) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  const stopped = fixture.lifeCycle.stop();
+  answer({ kind: "own", status: 404, message: "late" });
+  expect((await received).includes("late")).toEqual(true);
+  expect(/connection: close/i.test(await received)).toEqual(true);
+  await stopped;
+});
--- a/packages/entry/src/links/own_answer_decoder.ts
+++ b/packages/entry/src/links/own_answer_decoder.ts
@@ -39,7 +39,7 @@
  * connection looks whole when the connection breaks; one with a length or in
  * chunks makes the client report an error instead.
  */
-function hasKnownEnd({ method, status, headers }: RawAnswer): boolean {
+export function hasKnownEnd({ method, status, headers }: RawAnswer): boolean {
   const hasNoBody = method === "HEAD" || status === 204 || status === 304;
   return hasNoBody ||
     readHeader(headers, "content-length") !== undefined ||
--- a/packages/entry/src/requests/caller_request.ts
+++ b/packages/entry/src/requests/caller_request.ts
@@ -27,6 +27,11 @@
   /** Headers to pass on, names and values in turn. */
   readonly headers: readonly string[];
   readonly body: Uint8Array;
+  /**
+   * The answer had no length and ended with its connection, so that nobody can
+   * tell whether it is whole. It is passed on in the same way.
+   */
+  readonly endsWithConnection?: boolean;
 }
 
 /** What the caller is told. */
