fix(grants): send releases only when no renewal can cross them

Ruled out: late application of unanswered grants (none were), fences. Change: a release leaves when every heard keeper knows the map and has no grant under way, and is void when one ended after it left. Test: range_wait_test, fails before.

--- a/packages/decisions/src/grants/range_mover.ts
+++ b/packages/decisions/src/grants/range_mover.ts
@@ -9,7 +9,12 @@
 import type { GrantTimings } from "./grant_timings.ts";
 import type { KeeperBook } from "./keeper_book.ts";
 import * as edit from "./range_edit.ts";
-import { freeAtMs } from "./range_wait.ts";
+import {
+  type AnsweredRelease,
+  freeAtMs,
+  isReleaseVoid,
+  type RangeWaitFacts,
+} from "./range_wait.ts";
 
 /** A range map with the store's version of it. */
 export interface StoredRangeMap {
@@ -57,11 +62,22 @@
 }
 
 interface Release {
-  isUnderWay: boolean;
-  doneAtMs: number | undefined;
+  /** When the call under way left; undefined when none is. */
+  underWayMs: number | undefined;
+  answered: AnsweredRelease | undefined;
+  /** A failed one is not sent again before. */
+  notBeforeMs: number;
   handover: string | undefined;
 }
 
+/**
+ * How long releases wait for every keeper that is heard to know of the move. A
+ * renewal that crosses a release makes it void; a peer tells its knowledge
+ * within a few milliseconds.
+ */
+const RELEASE_WAIT_MS = 120;
+/** Between a failed release and the next: the server is lost or restarts. */
+const RELEASE_RETRY_MS = 300;
 const RETRY_MIN_MS = 100;
 const RETRY_MAX_MS = 1_000;
 
@@ -150,14 +166,17 @@
   }
 
   /** Releases to send now; each is returned once until its end is noted. */
-  takeReleases(): ReleaseCall[] {
+  takeReleases(
+    nowMs: number,
+    hasEnded: (owner: contracts.RangeOwner) => boolean,
+  ): ReleaseCall[] {
     const calls: ReleaseCall[] = [];
-    for (const range of this.map?.ranges ?? []) {
+    const { map } = this;
+    for (const range of map?.ranges ?? []) {
       const old = range.vacating;
-      if (old === undefined || !this.#promisedAtMs.has(old.revision)) continue;
-      const release = this.#release(range.fence);
-      if (release.isUnderWay || release.doneAtMs !== undefined) continue;
-      release.isUnderWay = true;
+      if (old === undefined || hasEnded(old)) continue;
+      if (!this.#mayRelease(map!, range, nowMs)) continue;
+      this.#release(range.fence).underWayMs = nowMs;
       calls.push({ range, old });
     }
     return calls;
@@ -170,10 +189,55 @@
     nowMs: number,
   ): void {
     const release = this.#release(fence);
-    release.isUnderWay = false;
-    if (end === "failed") return;
-    release.doneAtMs = nowMs;
-    release.handover = end.handover;
+    const leftAtMs = release.underWayMs ?? nowMs;
+    release.underWayMs = undefined;
+    if (end === "failed") {
+      release.notBeforeMs = nowMs + RELEASE_RETRY_MS;
+      return;
+    }
+    release.answered = { leftAtMs, doneAtMs: nowMs };
+    release.handover = end.handover ?? release.handover;
+  }
+
+  #mayRelease(
+    map: contracts.RangeMap,
+    range: contracts.RangeState,
+    nowMs: number,
+  ): boolean {
+    const { revision, server } = range.vacating!;
+    const promisedAtMs = this.#promisedAtMs.get(revision);
+    const release = this.#release(range.fence);
+    const isUnderWay = release.underWayMs !== undefined;
+    if (promisedAtMs === undefined || isUnderWay) return false;
+    if (nowMs < release.notBeforeMs) return false;
+    if (release.answered !== undefined) {
+      return isReleaseVoid(this.#facts(map, range, false));
+    }
+    const knows = (vm: contracts.VmId) => {
+      const word = this.#keepers.word(vm);
+      if (word === undefined || word.revision < revision) return false;
+      const endMs = word.lastGrantMs.get(server) ?? Number.NEGATIVE_INFINITY;
+      // A grant that is under way ends when the word is told.
+      return endMs < word.receivedAtMs;
+    };
+    const allKnow = [...new Set(map.keeperSets.flat())].every(knows);
+    return allKnow || nowMs - promisedAtMs >= RELEASE_WAIT_MS;
+  }
+
+  #facts(
+    map: contracts.RangeMap,
+    range: contracts.RangeState,
+    hasEnded: boolean,
+  ): RangeWaitFacts {
+    return {
+      map,
+      range,
+      keepers: this.#keepers,
+      promisedAtMs: this.#promisedAtMs.get(range.vacating!.revision),
+      release: this.#releases.get(range.fence)?.answered,
+      hasEnded,
+      timings: this.#timings,
+    };
   }
 
   #write(tick: RangeMoverTick): MapCall | undefined {
@@ -230,15 +294,7 @@
   ): boolean {
     if (!tick.usable.has(range.owner.server)) return false;
     const old = range.vacating!;
-    const atMs = freeAtMs({
-      map,
-      range,
-      keepers: this.#keepers,
-      promisedAtMs: this.#promisedAtMs.get(old.revision),
-      releasedAtMs: this.#releases.get(range.fence)?.doneAtMs,
-      hasEnded: tick.hasEnded(old),
-      timings: this.#timings,
-    });
+    const atMs = freeAtMs(this.#facts(map, range, tick.hasEnded(old)));
     return atMs !== undefined && atMs <= tick.nowMs;
   }
 
@@ -263,8 +319,9 @@
     const found = this.#releases.get(fence);
     if (found !== undefined) return found;
     const created: Release = {
-      isUnderWay: false,
-      doneAtMs: undefined,
+      underWayMs: undefined,
+      answered: undefined,
+      notBeforeMs: Number.NEGATIVE_INFINITY,
       handover: undefined,
     };
     this.#releases.set(fence, created);
--- a/packages/decisions/src/grants/range_wait.ts
+++ b/packages/decisions/src/grants/range_wait.ts
@@ -7,6 +7,12 @@
 import { grantLifeMs, type GrantTimings } from "./grant_timings.ts";
 import type { KeeperBook } from "./keeper_book.ts";
 
+/** A release that left after the promise and was answered. */
+export interface AnsweredRelease {
+  readonly leftAtMs: number;
+  readonly doneAtMs: number;
+}
+
 /** What the mover knows of one vacating range. */
 export interface RangeWaitFacts {
   readonly map: contracts.RangeMap;
@@ -14,8 +20,8 @@
   readonly keepers: KeeperBook;
   /** When a majority of each keeper set was known to know the revision. */
   readonly promisedAtMs: number | undefined;
-  /** When the old owner answered a release that left after the promise. */
-  readonly releasedAtMs: number | undefined;
+  /** The release that the old owner answered. */
+  readonly release: AnsweredRelease | undefined;
   /** Whether the old owner's run is known to have ended. */
   readonly hasEnded: boolean;
   readonly timings: GrantTimings;
@@ -26,15 +32,32 @@
  * known yet.
  */
 export function freeAtMs(facts: RangeWaitFacts): number | undefined {
-  const { promisedAtMs, releasedAtMs, hasEnded } = facts;
+  const { promisedAtMs, release, hasEnded } = facts;
   if (hasEnded) return Number.NEGATIVE_INFINITY;
   if (promisedAtMs === undefined) return undefined;
   const waitedOutMs = lastGrantEndMs(facts, promisedAtMs, "lastGrantMs");
-  if (releasedAtMs === undefined) return waitedOutMs;
-  // A grant that was answered before the release is undone by it. One that was
-  // not may take effect after it.
+  if (release === undefined || isReleaseVoid(facts)) return waitedOutMs;
+  // A grant that was answered before the release left is undone by it. One
+  // that was not answered may take effect after it.
   const releasedMs = lastGrantEndMs(facts, promisedAtMs, "lastUnansweredMs");
-  return Math.min(waitedOutMs, Math.max(releasedAtMs, releasedMs));
+  return Math.min(waitedOutMs, Math.max(release.doneAtMs, releasedMs));
+}
+
+/**
+ * Whether a grant to the old owner may have crossed the release on its way: the
+ * owner then holds the range again, and has to be asked to release it anew.
+ */
+export function isReleaseVoid(facts: RangeWaitFacts): boolean {
+  const { release, keepers, range, map } = facts;
+  if (release === undefined) return false;
+  const { server, revision } = range.vacating!;
+  return [...new Set(map.keeperSets.flat())].some((vm) => {
+    const word = keepers.word(vm);
+    // A keeper that is not heard is waited out instead.
+    if (word === undefined || word.revision < revision) return false;
+    const endMs = word.lastGrantMs.get(server) ?? Number.NEGATIVE_INFINITY;
+    return endMs >= release.leftAtMs;
+  });
 }
 
 /** When the last grant that any keeper sent to the old owner is over. */
--- a/packages/decisions/src/grants/range_wait_test.ts
+++ b/packages/decisions/src/grants/range_wait_test.ts
@@ -20,6 +20,7 @@
   readonly map: contracts.RangeMap;
   readonly promisedAtMs = 10_050;
   releasedAtMs: number | undefined;
+  releaseLeftAtMs = 10_055;
   hasEnded = false;
 
   constructor() {
@@ -64,15 +65,21 @@
   }
 
   freeAtMs(): number | undefined {
-    return grants.freeAtMs({
+    return grants.freeAtMs(this.facts());
+  }
+
+  facts(): grants.RangeWaitFacts {
+    return {
       map: this.map,
       range: this.map.ranges[0]!,
       keepers: this.keepers,
       promisedAtMs: this.promisedAtMs,
-      releasedAtMs: this.releasedAtMs,
+      release: this.releasedAtMs === undefined
+        ? undefined
+        : { leftAtMs: this.releaseLeftAtMs, doneAtMs: this.releasedAtMs },
       hasEnded: this.hasEnded,
       timings: TIMINGS,
-    });
+    };
   }
 }
 
@@ -136,6 +143,24 @@
   expect(fixture.freeAtMs()).toEqual(9_600 + GRANT_LIFE_MS);
 });
 
+/**
+ * A keeper that did not know of the move yet renewed the old owner just as the
+ * release was on its way. The renewal arrives after it and gives the keys back
+ * to the old owner, while the next one gets them as well.
+ */
+test("should not count a release that left before a grant had ended", () => {
+  const fixture = new Fixture();
+  fixture.hear("k1", { sentMs: 10_058 });
+  fixture.hear("k2");
+  fixture.hear("k3");
+  fixture.releasedAtMs = 10_060;
+  expect(fixture.freeAtMs()).toEqual(10_058 + GRANT_LIFE_MS);
+  expect(grants.isReleaseVoid(fixture.facts())).toEqual(true);
+  fixture.releaseLeftAtMs = 10_059;
+  expect(fixture.freeAtMs()).toEqual(10_060);
+  expect(grants.isReleaseVoid(fixture.facts())).toEqual(false);
+});
+
 test("should not wait for a run that has ended", () => {
   const fixture = new Fixture();
   fixture.hasEnded = true;
--- a/packages/entry/src/gateway/grant_sender.ts
+++ b/packages/entry/src/gateway/grant_sender.ts
@@ -18,6 +18,8 @@
   ) => contracts.ServerEntry | undefined;
   /** An owner confirmed a range for the first time since this fence is known. */
   readonly onConfirmed: (range: contracts.RangeState) => void;
+  /** A grant was answered or given up. */
+  readonly onEnded: (server: contracts.ServerId) => void;
   /** An owner has seen a higher fence: the map known here is old or wrong. */
   readonly onFencedOff: (range: contracts.RangeState) => void;
 }
@@ -109,9 +111,10 @@
     );
     state.isUnderWay = false;
     state.lastEndMs = clock.nowMs();
+    if (result.isErr()) state.lastUnansweredMs = state.lastEndMs;
+    this.#options.onEnded(server.server);
     const fields = { server: server.server, fromKey, toKey, fence };
     if (result.isErr()) {
-      state.lastUnansweredMs = state.lastEndMs;
       log.warn("Grant not answered.", {
         ...fields,
         reason: result.error.message,
--- a/packages/entry/src/gateway/grant_task.ts
+++ b/packages/entry/src/gateway/grant_task.ts
@@ -159,6 +159,7 @@
         gossip.send(messages.RANGE_MAP_METHOD, news);
         gossip.sendNow();
       },
+      tellPeers: () => gossip.sendNow(),
       onChange: () => {
         for (const listener of this.#listeners) listener(service);
       },
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -39,6 +39,8 @@
   readonly capacity: (server: contracts.ServerEntry) => number;
   /** Sends news of the map to all peers. */
   readonly publish: (news: RangeMapNews) => void;
+  /** Tells peers this VM's state at once. */
+  readonly tellPeers: () => void;
   /** Owners or their readiness have changed. */
   readonly onChange: () => void;
 }
@@ -121,6 +123,13 @@
       entry: (owner) => options.registry.entry(owner),
       onConfirmed: (range) => this.#confirm(range),
       onFencedOff: () => this.#mover.forget(),
+      onEnded: (server) => {
+        // The mover waits to hear that no grant to the server is under way.
+        const isVacating = this.#map?.ranges.some(({ vacating }) =>
+          vacating?.server === server
+        );
+        if (isVacating) options.tellPeers();
+      },
     });
   }
 
@@ -422,7 +431,9 @@
     const tick = this.#moverTick(nowMs);
     this.#repeatNews(nowMs);
     this.#mover.checkPromises(nowMs, tick.gone);
-    for (const call of this.#mover.takeReleases()) this.#release(call);
+    for (const call of this.#mover.takeReleases(nowMs, tick.hasEnded)) {
+      this.#release(call);
+    }
     const call = this.#mover.nextCall(tick);
     if (call === undefined) return;
     this.#call(call).catch((error) => {
