--- a/scripts/run_tests.js
+++ b/scripts/run_tests.js
@@ -38,8 +38,10 @@
 }
 
 const only = process.argv[2];
-const files = fs.readdirSync("packages")
-  .map((name) => path.join("packages", name, "dist"))
+const packages = fs.readdirSync("packages")
+  .map((name) => path.join("packages", name));
+const files = [...packages, "platform"]
+  .map((folder) => path.join(folder, "dist"))
   .filter((folder) => fs.existsSync(folder))
   .flatMap(findTests)
   .filter(hasSource)
