--- a/packages/contracts/src/route_config.ts
+++ b/packages/contracts/src/route_config.ts
@@ -39,7 +39,6 @@
   readonly isKeyed: boolean;
   /** Connections that one backend server takes from all entry VMs. */
   readonly connectionLimit: number;
-  readonly healthPath: string;
 }
 
 /** What a caller may send, and how long it may take. */
