feat(ctl): explain a request from the log lines of all entry VMs

An on-call engineer has the id of a failed request and the logs: the command prints the request's own lines and those on the servers that it met, in order. Test: finds the cause in another VM's lines.

--- /dev/null
+++ b/packages/ctl/src/request_history_test.ts
@@ -0,0 +1,39 @@
+import { expect } from "earl";
+import { test } from "node:test";
+import { historyOf } from "./request_history.ts";
+
+function line(second: number, fields: Record<string, unknown>): string {
+  const time = `2026-01-01T00:00:${String(second).padStart(2, "0")}.000Z`;
+  return JSON.stringify({ time, level: "info", ...fields });
+}
+
+/**
+ * A booking ended with 502. Its own line names the server; another VM's line
+ * says that this server left its grants unanswered just before.
+ */
+test("should find the cause of a lost answer in another VM's lines", () => {
+  const log = [
+    line(1, { part: "owner", sentence: "Server lost.", server: "i-9" }),
+    "text of another program",
+    line(20, { part: "route", sentence: "Answered.", id: "other" }),
+    line(21, {
+      part: "route",
+      sentence: "Ended badly.",
+      id: "q1",
+      outcome: "unknown: reset",
+      tookMs: 300,
+      sends: "i-7 fence 3 with 1 there: unknown: reset after 290 ms",
+    }),
+    line(20, { part: "owner", sentence: "Server lost.", server: "i-7" }),
+    line(20, { part: "member", sentence: "Server seen.", server: "i-8" }),
+  ].join("\n");
+  const sentences = historyOf("q1", log).map(({ fields }) =>
+    `${fields["sentence"]} ${fields["server"] ?? fields["id"]}`
+  );
+  expect(sentences).toEqual(["Server lost. i-7", "Ended badly. q1"]);
+});
+
+test("should find nothing for an unknown request", () => {
+  expect(historyOf("q2", line(1, { part: "route", sentence: "x", id: "q1" })))
+    .toEqual([]);
+});
