--- a/packages/decisions/src/grants/range_edit.ts
+++ b/packages/decisions/src/grants/range_edit.ts
@@ -103,45 +103,6 @@
   return merge(ranges);
 }
 
-/**
- * Joins neighbouring ranges of one owner under a new fence, so that one grant
- * renews them. Nobody else holds their keys, so no release is needed.
- */
-export function join(
-  before: readonly contracts.RangeState[],
-  lastFence: number,
-): { readonly ranges: contracts.RangeState[]; readonly lastFence: number } {
-  let fence = lastFence;
-  const joined: contracts.RangeState[] = [];
-  const isFresh = new Set<contracts.RangeState>();
-  for (const range of before) {
-    const last = joined.at(-1);
-    const isOne = last !== undefined && last.vacating === undefined &&
-      range.vacating === undefined && isSameOwner(last.owner, range.owner);
-    if (!isOne) {
-      joined.push(range);
-      continue;
-    }
-    if (!isFresh.has(last)) fence++;
-    const wider = { ...last, toKey: range.toKey, fence };
-    isFresh.add(wider);
-    joined[joined.length - 1] = wider;
-  }
-  return { ranges: joined, lastFence: fence };
-}
-
-/** Whether all keys of a range were owned by its owner before. */
-export function isHeldBySame(
-  before: readonly contracts.RangeState[],
-  range: contracts.RangeState,
-): boolean {
-  const first = rangeIndex(before, range.fromKey);
-  const last = rangeIndex(before, range.toKey);
-  return before.slice(first, last + 1).every((it) =>
-    it.vacating === undefined && isSameOwner(it.owner, range.owner)
-  );
-}
-
 function splitAt(
   ranges: readonly contracts.RangeState[],
   key: number,
--- a/packages/decisions/src/grants/range_mover.ts
+++ b/packages/decisions/src/grants/range_mover.ts
@@ -259,8 +259,7 @@
     const isChanged = freed > 0 || moves.length > 0 ||
       keeperSets !== map.keeperSets;
     if (!isChanged) return undefined;
-    const joined = edit.join(vacated.ranges, vacated.lastFence);
-    const next = { ...map, ...joined, revision, keeperSets };
+    const next = { ...map, ...vacated, revision, keeperSets };
     return this.#writeCall(next, { kind: "version", version }, tick);
   }
 
--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -117,9 +117,7 @@
     input.ranges.every(({ vacating }) => vacating === undefined);
   if (!input.mayBalance || !isSettled) return moves;
   const newcomers = planNewcomers(input, use);
-  if (newcomers.length > 0) return newcomers;
-  const hot = planHot(input, use);
-  return hot.length > 0 ? hot : planTidy(input, use);
+  return newcomers.length > 0 ? newcomers : planHot(input, use);
 }
 
 /** Rate of a range, with a little for its width. */
@@ -265,64 +263,6 @@
   readonly level: number;
 }
 
-/** Ranges for each server beyond which small cold ones are given back. */
-const TIDY_RANGES_PER_SERVER = 3;
-/** A range is small up to this number of keys. */
-const SMALL_KEYS = 1_024;
-/** And cold up to this part of what a server can carry. */
-const COLD_PART = 0.04;
-
-/**
- * Gives small cold ranges, left over from hot spots that have passed, to the
- * owner of a neighbour, which then holds both under one grant. Each range costs
- * two renewals in 350 ms.
- */
-function planTidy(input: RangePlanInput, use: Utilization): RangeMove[] {
-  const { ranges, servers } = input;
-  const moves: RangeMove[] = [];
-  if (ranges.length <= servers.size * TIDY_RANGES_PER_SERVER) return moves;
-  const level = Math.max(HOT_UTILIZATION, use.mean * HOT_RATIO);
-  let index = 0;
-  while (index < ranges.length && moves.length < MOVES_PER_PLAN) {
-    const range = ranges[index]!;
-    const to = tidyOwner(input, use, { index, level });
-    index++;
-    if (to === undefined) continue;
-    const { fromKey, toKey, owner } = range;
-    const rate = rateOf(input.rates, range);
-    use.add(owner.server, -rate);
-    use.add(to.server, rate);
-    moves.push({ fromKey, toKey, to });
-    // The neighbour stays where it is: the range is to join it.
-    index++;
-  }
-  return moves;
-}
-
-/** The owner of the wider neighbour, if the range is small and cold. */
-function tidyOwner(
-  { ranges, servers, rates }: RangePlanInput,
-  use: Utilization,
-  { index, level }: { readonly index: number; readonly level: number },
-): contracts.RangeOwner | undefined {
-  const range = ranges[index]!;
-  if (widthOf(range) > SMALL_KEYS) return undefined;
-  const { capacityPerSecond } = servers.get(range.owner.server)!;
-  if (rateOf(rates, range) > capacityPerSecond * COLD_PART) return undefined;
-  const wider = [ranges[index - 1], ranges[index + 1]]
-    .filter((it) => it !== undefined)
-    .filter(({ owner }) => owner.server !== range.owner.server)
-    .filter(({ owner }) => use.of(owner.server) < level)
-    .sort((a, b) => widthOf(b) - widthOf(a));
-  const [best] = wider;
-  const isWider = best !== undefined && widthOf(best) >= widthOf(range);
-  return isWider ? best.owner : undefined;
-}
-
-function widthOf({ fromKey, toKey }: contracts.KeyRange): number {
-  return toKey - fromKey + 1;
-}
-
 /**
  * Load to move: down to the mean at the one, up to the level at the other, and
  * no more than makes both equally busy. Without the level a plan would make
--- a/packages/entry/src/gateway/front_listener.ts
+++ b/packages/entry/src/gateway/front_listener.ts
@@ -53,6 +53,7 @@
  * whose callers had left.
  */
 const SHED_LAG_MS = 400;
+const LAG_LINE_MS = 1_000;
 /** Mean time after which those refused are asked to come back. */
 const SHED_RETRY_AFTER_MS = 300;
 
@@ -62,6 +63,9 @@
   readonly #server: http.Server;
   readonly #lag = new LoopLag();
   #inFlight = 0;
+  /** Requests refused since the last line. */
+  #shed = 0;
+  #lagToldMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: FrontListenerOptions) {
     this.#options = options;
@@ -133,6 +137,7 @@
       await timers.setImmediate();
       if (gone.signal.aborted) return void response.destroy();
     }
+    if (lagMs > SHED_LAG_MS) this.#tellLag(lagMs, arrivedMs);
     const answer = lagMs > SHED_LAG_MS
       ? notRunAnswer("Not run: this VM is behind", this.#shedRetryAfterMs())
       : await this.#answer(incoming, arrivedMs, gone.signal);
@@ -141,6 +146,19 @@
     writeFrontAnswer(response, answer, mustClose);
   }
 
+  /** One line a second at most. */
+  #tellLag(lagMs: number, nowMs: number): void {
+    this.#shed++;
+    if (nowMs - this.#lagToldMs < LAG_LINE_MS) return;
+    this.#lagToldMs = nowMs;
+    this.#options.log.warn("Refuses: the event loop is behind.", {
+      lagMs: Math.round(lagMs),
+      refused: this.#shed,
+      inFlight: this.#inFlight,
+    });
+    this.#shed = 0;
+  }
+
   #shedRetryAfterMs(): number {
     const { random } = this.#options;
     return SHED_RETRY_AFTER_MS * (0.5 + random.next());
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -464,13 +464,16 @@
     this.#publish();
   }
 
-  /** Ranges whose owner has yet to confirm a grant of a new fence. */
+  /** Ranges whose fence is new since the map known before. */
   #notePending(map: contracts.RangeMap): void {
-    for (const range of map.ranges) {
-      if (this.#confirmed.has(range.fence)) continue;
-      const isHeld = this.#map !== undefined &&
-        grants.isHeldBySame(this.#map.ranges, range);
-      if (!isHeld) this.#pending.add(range.fence);
+    const known = new Set(
+      this.#map?.ranges.filter((it) => it.vacating === undefined)
+        .map(({ fence }) => fence),
+    );
+    for (const { fence } of map.ranges) {
+      if (!known.has(fence) && !this.#confirmed.has(fence)) {
+        this.#pending.add(fence);
+      }
     }
     const listed = new Set(map.ranges.map(({ fence }) => fence));
     for (const fence of this.#pending) {
