fix(grants): let a keeper make the moves

Cause: the VM that moves was chosen among all VMs, and only keepers send grants. Ruled out: late grants, the store.

--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -45,6 +45,11 @@
   readonly onChange: () => void;
 }
 
+interface RankedVms {
+  readonly present: string;
+  readonly ranked: contracts.VmId[];
+}
+
 /** VMs that send the renewals of one server, the first at full rate. */
 const RENEWERS = 2;
 /** Entry VMs that answer for a map: a majority of them is asked. */
@@ -101,9 +106,8 @@
   #balancedAtMs = 0;
   #usableCount = 0;
   #usableSinceMs = 0;
-  /** Orders by duty, of the VMs named in `rankedVms`. */
-  readonly #ranks = new Map<string, contracts.VmId[]>();
-  #rankedVms = "";
+  /** Orders by duty, and the VMs that each was worked out for. */
+  readonly #ranks = new Map<string, RankedVms>();
   #newsLeft = 0;
   #toldMs = 0;
   #isReading = false;
@@ -173,11 +177,16 @@
     return this.#sender.silentServers();
   }
 
-  /** The VM that makes the moves, as far as this VM can tell. */
+  /**
+   * The VM that makes the moves, as far as this VM can tell: a keeper, since it
+   * has to grant what it moves; any VM while no keeper reaches the store.
+   */
   get moverVm(): contracts.VmId | undefined {
     const { service, peers } = this.#options;
     const reach = peers().filter(({ hasStore }) => hasStore);
-    return this.#rank(service, reach)[0];
+    const keepers = this.#map?.keeperSets.at(-1);
+    const able = reach.filter(({ vm }) => keepers?.includes(vm) ?? true);
+    return this.#rank(service, able.length > 0 ? able : reach)[0];
   }
 
   /** Who owns a key. */
@@ -329,9 +338,13 @@
     this.#mover.noteNewer(map.revision);
     this.#sender.keepOnly(map.ranges);
     const fences = new Set(map.ranges.map(({ fence }) => fence));
+    const duties = new Set<string>(map.ranges.map((it) => it.owner.server));
     for (const fence of this.#confirmed) {
       if (!fences.has(fence)) this.#confirmed.delete(fence);
     }
+    for (const duty of this.#ranks.keys()) {
+      if (!duties.has(duty)) this.#ranks.delete(duty);
+    }
     const { service, log } = this.#options;
     log.info("Range map in force.", {
       service,
@@ -633,15 +646,11 @@
   #rank(duty: string, peers: readonly GrantPeer[]): contracts.VmId[] {
     const vms = peers.map(({ vm }) => vm);
     const present = vms.join();
-    if (present !== this.#rankedVms) {
-      this.#rankedVms = present;
-      this.#ranks.clear();
-    }
     const found = this.#ranks.get(duty);
-    if (found !== undefined) return found;
+    if (found?.present === present) return found.ranked;
     const { hasher } = this.#options;
     const ranked = ownership.rankByName(duty, vms, { hasher });
-    this.#ranks.set(duty, ranked);
+    this.#ranks.set(duty, { present, ranked });
     return ranked;
   }
 }
