refactor(entry): one reader of bodies for both listeners; 504 when time is over

The two listeners read bodies by the same lines. A send that was given up at the route's timeout ended as 502 although the time was over; it is 504 now. Neither promises anything.

--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarded_request.ts
@@ -273,8 +273,10 @@
       return this.#finish(this.#fallback, `passed on a failure: ${reason}`);
     }
     if (this.#mayHaveRun) {
+      const isOver = this.#parts.clock.nowMs() >= this.answerByMs;
+      const status = isOver ? 504 : 502;
       return this.#finish(
-        { kind: "own", status: 502, message: "No whole answer came" },
+        { kind: "own", status, message: "No whole answer came" },
         reason,
       );
     }
--- a/packages/entry/src/gateway/front_listener.ts
+++ b/packages/entry/src/gateway/front_listener.ts
@@ -7,6 +7,7 @@
 import * as httpServer from "../utils/http_server.ts";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import { LoopLag } from "../utils/loop_lag.ts";
+import * as bodies from "../utils/read_body.ts";
 import type { PartLog } from "../utils/log.ts";
 import {
   type FrontAnswer,
@@ -190,11 +191,14 @@
     arrivedMs: number,
     signal: AbortSignal,
   ): Promise<FrontAnswer> {
-    const body = await readBody(incoming, this.#limits().bodyBytes);
-    if (body === "too-large") {
+    const read = await bodies.readBody(incoming, this.#limits().bodyBytes);
+    if (read.kind === "too-large") {
       const message = "The body is larger than the limit";
       return { kind: "own", status: 413, message };
     }
+    if (read.kind === "broken") {
+      return { kind: "own", status: 400, message: "The body broke off" };
+    }
     const { headers: names, forward } = this.#options;
     const { headers } = incoming;
     return forward({
@@ -203,7 +207,7 @@
       target: incoming.url ?? "/",
       host: headers.host ?? "",
       headers: passedOn(incoming.rawHeaders, names),
-      body,
+      body: read.body,
       key: wholeNumber(headers[names.key]),
       deadlineMs: wholeNumber(headers[names.deadlineMs]),
       arrivedMs,
@@ -296,34 +300,6 @@
   return kept;
 }
 
-function readBody(
-  incoming: http.IncomingMessage,
-  limitBytes: number,
-): Promise<Uint8Array | undefined | "too-large"> {
-  const { headers } = incoming;
-  const declared = Number(headers["content-length"] ?? 0);
-  if (declared > limitBytes) return Promise.resolve("too-large");
-  const hasBody = declared > 0 || headers["transfer-encoding"] !== undefined;
-  if (!hasBody) {
-    incoming.resume();
-    return Promise.resolve(undefined);
-  }
-  return new Promise((resolve) => {
-    const chunks: Uint8Array[] = [];
-    let sizeBytes = 0;
-    incoming.on("data", (chunk: Uint8Array) => {
-      sizeBytes += chunk.length;
-      if (sizeBytes <= limitBytes) {
-        chunks.push(chunk);
-        return;
-      }
-      incoming.pause();
-      resolve("too-large");
-    });
-    incoming.on("end", () => resolve(Buffer.concat(chunks)));
-  });
-}
-
 function text(value: string | string[] | undefined): string | undefined {
   return Array.isArray(value) ? value[0] : value;
 }
--- a/packages/entry/src/requests/read_request.ts
+++ b/packages/entry/src/requests/read_request.ts
@@ -3,6 +3,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type * as http from "node:http";
 import { requestHeaders } from "../links/header_list.ts";
+import * as bodies from "../utils/read_body.ts";
 import {
   type CallerAnswer,
   type CallerRequest,
@@ -56,33 +57,17 @@
 }
 
 /** Reads the body whole. Errors: the final answer, always "not run". */
-export function readBody(
+export async function readBody(
   incoming: http.IncomingMessage,
   limitBytes: number,
 ): Promise<Result<Uint8Array | undefined, CallerAnswer>> {
-  const declared = Number(incoming.headers["content-length"] ?? 0);
-  if (declared > limitBytes) return Promise.resolve(err(tooLarge(limitBytes)));
-  const hasBody = declared > 0 ||
-    incoming.headers["transfer-encoding"] !== undefined;
-  if (!hasBody) {
-    incoming.resume();
-    return Promise.resolve(ok(undefined));
-  }
-  return new Promise((resolve) => {
-    const chunks: Uint8Array[] = [];
-    let sizeBytes = 0;
-    incoming.on("data", (chunk: Uint8Array) => {
-      sizeBytes += chunk.length;
-      if (sizeBytes <= limitBytes) {
-        chunks.push(chunk);
-        return;
-      }
-      incoming.pause();
-      resolve(err(tooLarge(limitBytes)));
-    });
-    incoming.on("end", () => resolve(ok(Buffer.concat(chunks))));
-    incoming.on("close", () => resolve(err(badRequest("The body broke off"))));
-  });
+  const read = await bodies.readBody(incoming, limitBytes);
+  if (read.kind === "whole") return ok(read.body);
+  return err(
+    read.kind === "too-large"
+      ? tooLarge(limitBytes)
+      : badRequest("The body broke off"),
+  );
 }
 
 function single(
