fix(grants): take no keeper for gone that a fresh process had no time to hear

Cause, read in the code: silence towards a VM that was never heard is infinite, so a mover that had just restarted, cut off from its peers and in reach of the store, counted all keepers as gone for good and would have moved keys under them. Change: only silence that the process has witnessed counts.

--- /dev/null
+++ b/packages/decisions/src/grants/keeper_review.ts
@@ -0,0 +1,54 @@
+/** Which entry VMs are to be the keepers of a range map, and which are gone. */
+import type * as contracts from "@guavatide/contracts";
+
+/** Entry VMs that answer for a map: a majority of them is asked. */
+const KEEPERS = 7;
+/** A keeper that was silent for so long is replaced by another VM. */
+const KEEPER_SILENT_MS = 3_000;
+/**
+ * A keeper that was silent for so long counts as gone for good. Any number of
+ * VMs may be replaced at once; without this their map could never change.
+ */
+const KEEPER_GONE_MS = 10_000;
+
+/** What a VM knows of the keepers. */
+export interface KeeperReviewInput {
+  readonly vm: contracts.VmId;
+  readonly map: contracts.RangeMap | undefined;
+  /** VMs that are up, in the order in which they become keepers. */
+  readonly live: readonly contracts.VmId[];
+  /** How long a VM has not been heard; infinite for one never heard. */
+  readonly silentMs: (vm: contracts.VmId) => number;
+  /** How long the process has run. */
+  readonly lifeMs: number;
+}
+
+/** Keepers to have: those that serve now stay, silent ones are replaced. */
+export function wishedKeepers(input: KeeperReviewInput): contracts.VmId[] {
+  const present = input.map?.keeperSets.at(-1) ?? [];
+  const kept = present.filter((keeper) =>
+    silenceMs(input, keeper) < KEEPER_SILENT_MS
+  );
+  const added = input.live.filter((vm) => !kept.includes(vm));
+  return [...kept, ...added].slice(0, Math.max(KEEPERS, kept.length));
+}
+
+/** Keepers that are gone for good. */
+export function goneKeepers(input: KeeperReviewInput): Set<contracts.VmId> {
+  const keepers = input.map?.keeperSets.flat() ?? [];
+  return new Set(
+    keepers.filter((keeper) => silenceMs(input, keeper) > KEEPER_GONE_MS),
+  );
+}
+
+/**
+ * Silence that this process has witnessed itself. One that has just started
+ * has heard nobody yet; taken for gone, keepers that it is cut off from would
+ * go on renewing what it gives away, and keys would have two owners.
+ */
+function silenceMs(
+  { vm, silentMs, lifeMs }: KeeperReviewInput,
+  keeper: contracts.VmId,
+): number {
+  return keeper === vm ? 0 : Math.min(silentMs(keeper), lifeMs);
+}
--- a/packages/decisions/src/grants/mod.ts
+++ b/packages/decisions/src/grants/mod.ts
@@ -1,7 +1,10 @@
 /** Ownership of key ranges by grants without a stamp of the server's clock. */
+export * from "./duty_order.ts";
 export * from "./grant_timings.ts";
 export * from "./keeper_book.ts";
+export * from "./keeper_review.ts";
 export * from "./key_loads.ts";
+export * from "./lost_servers.ts";
 export * from "./range_edit.ts";
 export * from "./range_mover.ts";
 export * from "./range_planner.ts";
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -5,7 +5,7 @@
 import type * as contracts from "@guavatide/contracts";
 import * as grants from "@guavatide/decisions/grants/mod";
 import type { KeyOwner } from "@guavatide/decisions/admission/mod";
-import * as ownership from "@guavatide/decisions/ownership/mod";
+import type * as ownership from "@guavatide/decisions/ownership/mod";
 import type { PartLog } from "../utils/log.ts";
 import { GrantSender } from "./grant_sender.ts";
 import type { PeerStatus, RangeMapNews } from "./peer_messages.ts";
@@ -45,22 +45,8 @@
   readonly onChange: () => void;
 }
 
-interface RankedVms {
-  readonly present: string;
-  readonly ranked: contracts.VmId[];
-}
-
 /** VMs that send the renewals of one server, the first at full rate. */
 const RENEWERS = 2;
-/** Entry VMs that answer for a map: a majority of them is asked. */
-const KEEPERS = 7;
-/** A keeper that was silent for so long is replaced by another VM. */
-const KEEPER_SILENT_MS = 3_000;
-/**
- * A keeper that was silent for so long counts as gone for good. Any number of
- * VMs may be replaced at once; without this their map could never change.
- */
-const KEEPER_GONE_MS = 10_000;
 /** A process that has just started lets others settle who is there. */
 const FIRST_MAP_AFTER_MS = 1_200;
 /**
@@ -75,8 +61,6 @@
 const BALANCE_MS = 250;
 /** A mover that has just taken over first gathers counts of keys. */
 const BALANCE_AFTER_MS = 600;
-/** A server that left a grant unanswered gets no new range for a while. */
-const SILENT_REST_MS = 3_000;
 /** Longest time of one release call: running work has to end first. */
 const RELEASE_TIMEOUT_MS = 2_500;
 /** An owner that was not heard to confirm is tried after this time. */
@@ -106,19 +90,18 @@
   #balancedAtMs = 0;
   #usableCount = 0;
   #usableSinceMs = 0;
-  /** Orders by duty, and the VMs that each was worked out for. */
-  readonly #ranks = new Map<string, RankedVms>();
+  readonly #order: grants.DutyOrder;
   #newsLeft = 0;
   #toldMs = 0;
   #isReading = false;
   #readAtMs = Number.NEGATIVE_INFINITY;
-  #lost = new Map<contracts.ServerId, number>();
-  #silentTold = new Map<contracts.VmId, ReadonlySet<string>>();
+  readonly #lost = new grants.LostServers();
   /** Fences confirmed to this VM as the mover. */
   readonly #confirmed = new Set<number>();
 
   constructor(options: ServiceGrantsOptions) {
     this.#options = options;
+    this.#order = new grants.DutyOrder(options.hasher);
     this.#startedAtMs = options.clock.nowMs();
     this.#mover = new grants.RangeMover(
       options.service,
@@ -186,7 +169,8 @@
     const reach = peers().filter(({ hasStore }) => hasStore);
     const keepers = this.#map?.keeperSets.at(-1);
     const able = reach.filter(({ vm }) => keepers?.includes(vm) ?? true);
-    return this.#rank(service, able.length > 0 ? able : reach)[0];
+    const candidates = able.length > 0 ? able : reach;
+    return this.#order.of(service, candidates.map(({ vm }) => vm))[0];
   }
 
   /** Who owns a key. */
@@ -243,7 +227,7 @@
       lastGrantMs,
       lastUnansweredMs,
     });
-    this.#silentTold.set(status.vm, new Set(status.silentServers));
+    this.#lost.noteSilent(status.vm, status.silentServers);
     // The mover's news was lost on the way.
     if (revision > (this.#map?.revision ?? 0)) this.#readSoon();
   }
@@ -342,9 +326,7 @@
     for (const fence of this.#confirmed) {
       if (!fences.has(fence)) this.#confirmed.delete(fence);
     }
-    for (const duty of this.#ranks.keys()) {
-      if (!duties.has(duty)) this.#ranks.delete(duty);
-    }
+    this.#order.keepOnly(duties);
     const { service, log } = this.#options;
     log.info("Range map in force.", {
       service,
@@ -359,17 +341,17 @@
   // Renewing
 
   #renew(map: contracts.RangeMap, nowMs: number): void {
-    const { vm, timings, peers } = this.#options;
+    const { vm, timings } = this.#options;
     const keepers = map.keeperSets.at(-1)!;
     if (!keepers.includes(vm)) return;
-    const live = peers().filter((peer) => keepers.includes(peer.vm));
+    const live = this.#live().filter((peer) => keepers.includes(peer));
     const places = new Map<contracts.ServerId, number>();
     const due: grants.RangeDue[] = [];
     for (const range of map.ranges) {
       if (range.vacating !== undefined) continue;
       const { server } = range.owner;
       if (!places.has(server)) {
-        places.set(server, this.#rank(server, live).indexOf(vm));
+        places.set(server, this.#order.of(server, live).indexOf(vm));
       }
       const place = this.#isMover && this.#isNew(range)
         ? 0
@@ -523,17 +505,18 @@
 
   #moverTick(nowMs: number): grants.RangeMoverTick {
     const { registry, service } = this.#options;
-    const lost = this.#lostServers(nowMs);
+    this.#countLost(nowMs);
     const usable = new Map(
       registry.staying(service)
-        .filter(({ server }) => !lost.has(server))
+        .filter(({ server }) => !this.#lost.has(server))
         .map((entry) => [entry.server, entry]),
     );
     if (usable.size !== this.#usableCount) {
       this.#usableCount = usable.size;
       this.#usableSinceMs = nowMs;
     }
-    const lifeMs = nowMs - this.#startedAtMs;
+    const review = this.#keeperReview(nowMs);
+    const { lifeMs } = review;
     const isCalm = nowMs - this.#usableSinceMs >= FIRST_MAP_CALM_MS;
     const mayStart = this.#map !== undefined ||
       lifeMs >= FIRST_MAP_AFTER_MS && isCalm || lifeMs >= FIRST_MAP_BEFORE_MS;
@@ -541,50 +524,23 @@
       nowMs,
       usable: registry.isListed && mayStart ? usable : new Map(),
       hasEnded: (owner) => registry.hasEnded(owner),
-      keepers: this.#wishedKeepers(),
-      gone: this.#goneKeepers(),
+      keepers: grants.wishedKeepers(review),
+      gone: grants.goneKeepers(review),
       plan: (map) => this.#plan(map, usable, nowMs),
       nonce: () => crypto.randomUUID(),
     };
   }
 
-  /** Servers that all who renew them find silent, and some time after. */
-  #lostServers(nowMs: number): Set<contracts.ServerId> {
-    const live = this.#options.peers().map(({ vm }) => vm);
-    const own = new Set<string>(this.#sender.silentServers());
-    const named = new Set<string>(own);
-    for (const vm of live) {
-      for (const server of this.#silentTold.get(vm) ?? []) named.add(server);
-    }
-    for (const server of named) {
-      const id = server as contracts.ServerId;
-      if (this.#isSilentToAll(id, own)) this.#noteLost(id, nowMs);
-    }
-    for (const [server, lostMs] of this.#lost) {
-      if (nowMs - lostMs > SILENT_REST_MS) this.#lost.delete(server);
-    }
-    return new Set(this.#lost.keys());
-  }
-
-  #isSilentToAll(
-    server: contracts.ServerId,
-    own: ReadonlySet<string>,
-  ): boolean {
-    const { vm, peers } = this.#options;
+  #countLost(nowMs: number): void {
+    const { vm, log } = this.#options;
+    this.#lost.noteSilent(vm, this.#sender.silentServers());
     const keepers = this.#map?.keeperSets.at(-1) ?? [];
-    const live = peers().filter((peer) => keepers.includes(peer.vm));
-    return this.#rank(server, live).slice(0, RENEWERS).every((renewer) =>
-      renewer === vm
-        ? own.has(server)
-        : this.#silentTold.get(renewer)?.has(server) ?? false
+    const live = this.#live().filter((peer) => keepers.includes(peer));
+    const newly = this.#lost.count(
+      nowMs,
+      (server) => this.#order.of(server, live).slice(0, RENEWERS),
     );
-  }
-
-  #noteLost(server: contracts.ServerId, nowMs: number): void {
-    if (!this.#lost.has(server)) {
-      this.#options.log.warn("Server lost.", { server });
-    }
-    this.#lost.set(server, nowMs);
+    for (const server of newly) log.warn("Server lost.", { server });
   }
 
   #plan(
@@ -621,36 +577,19 @@
     return moves;
   }
 
-  /** Keepers to have: those that serve now stay, silent ones are replaced. */
-  #wishedKeepers(): contracts.VmId[] {
-    const { vm, silentMs, peers } = this.#options;
-    const present = this.#map?.keeperSets.at(-1) ?? [];
-    const kept = present.filter((keeper) =>
-      keeper === vm || silentMs(keeper) < KEEPER_SILENT_MS
-    );
-    const live = this.#rank("keepers", peers());
-    const added = live.filter((it) => !kept.includes(it));
-    return [...kept, ...added].slice(0, Math.max(KEEPERS, kept.length));
+  #keeperReview(nowMs: number): grants.KeeperReviewInput {
+    const { vm, silentMs } = this.#options;
+    return {
+      vm,
+      map: this.#map,
+      live: this.#order.of("keepers", this.#live()),
+      silentMs,
+      lifeMs: nowMs - this.#startedAtMs,
+    };
   }
 
-  #goneKeepers(): Set<contracts.VmId> {
-    const { vm, silentMs } = this.#options;
-    const gone = new Set<contracts.VmId>();
-    for (const keeper of this.#map?.keeperSets.flat() ?? []) {
-      if (keeper !== vm && silentMs(keeper) > KEEPER_GONE_MS) gone.add(keeper);
-    }
-    return gone;
-  }
-
-  /** VMs in the order in which they take a duty, the same on every VM. */
-  #rank(duty: string, peers: readonly GrantPeer[]): contracts.VmId[] {
-    const vms = peers.map(({ vm }) => vm);
-    const present = vms.join();
-    const found = this.#ranks.get(duty);
-    if (found?.present === present) return found.ranked;
-    const { hasher } = this.#options;
-    const ranked = ownership.rankByName(duty, vms, { hasher });
-    this.#ranks.set(duty, { present, ranked });
-    return ranked;
+  /** Entry VMs that are up, this one included. */
+  #live(): contracts.VmId[] {
+    return this.#options.peers().map(({ vm }) => vm);
   }
 }
