--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -53,6 +53,12 @@
 /** Shortest and longest time after which a caller is asked to come back. */
 const RETRY_AFTER_MIN_MS = 60;
 const RETRY_AFTER_MAX_MS = 1_500;
+/**
+ * Requests of a VM at servers of other cells. With ten VMs in a cell this is a
+ * third of its servers' slots, and when all cells are full at once it queues one
+ * request and a half more at each server than its own cell has sent there.
+ */
+const HELPED_REQUESTS = 1;
 /** How long a key's move is expected to take, for Retry-After. */
 const MOVE_WAIT_MS = 250;
 /** A request whose answer cannot come any more within this time is refused. */
@@ -63,6 +69,8 @@
   readonly #options: ServiceQueueOptions;
   readonly #loads = new Map<contracts.ServerId, ServerLoad>();
   #waiting: WaitingRequest[] = [];
+  /** Servers that this VM's cell uses; undefined for all of them. */
+  #inCell: ReadonlySet<contracts.ServerId> | undefined;
   #passedOver = 0;
   #waitingElsewhere = 0;
 
@@ -85,22 +93,26 @@
     return this.#loads;
   }
 
-  /** Takes over the list of the service's servers. */
-  setServers(entries: readonly contracts.ServerEntry[]): void {
-    const named = new Set(entries.map(({ server }) => server));
-    for (const [server, load] of this.#loads) {
+  /**
+   * Takes over the list of the service's servers. In a deployment of several
+   * cells `inCell` names those that this VM's cell uses; others only help out.
+   */
+  setServers(
+    entries: readonly contracts.ServerEntry[],
+    inCell?: ReadonlySet<contracts.ServerId>,
+  ): void {
+    const named = new Map(entries.map((entry) => [entry.server, entry]));
+    for (const server of this.#loads.keys()) {
       if (!named.has(server)) this.#loads.delete(server);
-      else load.entry = entries.find((it) => it.server === server)!;
     }
-    for (const entry of entries) {
-      const found = this.#loads.get(entry.server);
-      const isNewLife = found !== undefined &&
-        found.entry.bornMs !== entry.bornMs;
-      if (found === undefined || isNewLife) {
-        this.#loads.set(entry.server, new ServerLoad(entry));
-      }
+    for (const [server, entry] of named) {
+      const found = this.#loads.get(server);
+      if (found !== undefined && found.entry.bornMs === entry.bornMs) {
+        found.entry = entry;
+      } else this.#loads.set(server, new ServerLoad(entry));
     }
-    this.#options.times.keepOnly(named);
+    this.#inCell = inCell;
+    this.#options.times.keepOnly(new Set(named.keys()));
   }
 
   /** Requests of the service that wait at other entry VMs. */
@@ -204,13 +216,42 @@
     const open = this.#candidates(request, nowMs)
       .filter((load) => ranking.hasRoom(load, nowMs));
     const context = this.#context(nowMs);
-    const load = ranking.chooseServer(open, request.route, context);
+    const load = ranking.chooseServer(open, request.route, context) ??
+      this.#helper(request, nowMs);
     if (load === undefined) return false;
     const outstanding = load.outstanding(nowMs);
     request.placed({ load, outstanding, fence: undefined });
     return true;
   }
 
+  /**
+   * A server of another cell, when none of the own cell has room: cells differ
+   * in load, and what one lacks another has free. Their load is not known here,
+   * so a VM has only a few requests there at a time.
+   */
+  #helper(request: WaitingRequest, nowMs: number): ServerLoad | undefined {
+    const inCell = this.#inCell;
+    if (inCell === undefined) return undefined;
+    const usable: ServerLoad[] = [];
+    let sent = 0;
+    for (const load of this.#loads.values()) {
+      if (inCell.has(load.entry.server)) continue;
+      sent += load.own;
+      const isUsable = load.own === 0 && this.#isUsable(load, request) &&
+        load.isOpen(nowMs) && load.outstanding(nowMs) < load.entry.slots;
+      if (isUsable) usable.push(load);
+    }
+    if (sent >= HELPED_REQUESTS || usable.length === 0) return undefined;
+    const { zone, random } = this.#options;
+    const near = usable.filter(({ entry }) => entry.zone === zone);
+    const choice = near.length > 0 ? near : usable;
+    return choice[Math.floor(random.next() * choice.length)];
+  }
+
+  #isUsable({ entry }: ServerLoad, request: WaitingRequest): boolean {
+    return !entry.isDraining && !request.tried.has(entry.server);
+  }
+
   #tryOwner(
     request: WaitingRequest,
     owner: KeyOwner,
@@ -229,17 +270,25 @@
 
   /** Servers that a request may go to, whether or not they have room. */
   #candidates(request: WaitingRequest, nowMs: number): ServerLoad[] {
-    const live: ServerLoad[] = [];
-    for (const load of this.#loads.values()) {
-      const { isDraining, server } = load.entry;
-      if (!isDraining && !request.tried.has(server)) live.push(load);
-    }
+    const live = this.#usableServers(request);
     const open = live.filter((load) => load.isOpen(nowMs));
     // With every server suspended one of them is tried all the same: it costs
     // a request that would be refused otherwise.
     return open.length > 0 ? open : live;
   }
 
+  /** Those of the own cell; of all cells when it has none left. */
+  #usableServers(request: WaitingRequest): ServerLoad[] {
+    const all: ServerLoad[] = [];
+    const own: ServerLoad[] = [];
+    for (const load of this.#loads.values()) {
+      if (!this.#isUsable(load, request)) continue;
+      all.push(load);
+      if (this.#inCell?.has(load.entry.server) ?? true) own.push(load);
+    }
+    return own.length > 0 ? own : all;
+  }
+
   #blockedBy(request: WaitingRequest, nowMs: number): RefusalReason {
     const owner = this.#ownerOf(request);
     if (owner === undefined) {
--- /dev/null
+++ b/packages/decisions/src/cells/cell_plan.ts
@@ -0,0 +1,120 @@
+/**
+ * Splits the entry VMs of a large deployment into cells. The VMs of a cell tell
+ * one another their load and share a part of the servers; between cells no load
+ * is told. So what a VM sends, hears and connects to stays the same when the
+ * deployment grows.
+ */
+import type * as contracts from "@guavatide/contracts";
+
+/** An entry VM and where it is. */
+export interface CellVm {
+  readonly vm: contracts.VmId;
+  readonly zone: contracts.ZoneId;
+}
+
+/** A server that is to be used by one cell. */
+export interface CellServer {
+  readonly server: contracts.ServerId;
+  readonly zone: contracts.ZoneId;
+}
+
+/**
+ * Up to so many VMs form one cell over all availability zones. Each then sends
+ * its load to 11 others, about 200 datagrams a second or 2% of half a core.
+ */
+const LARGEST_SINGLE_CELL = 12;
+/**
+ * VMs that a cell of a larger deployment aims at. With 28 slots of servers for
+ * it, a request at 70% load finds all of them busy once in 20 times; with the 8
+ * slots of a third as many VMs, once in 4 (Erlang's formula).
+ */
+const CELL_SIZE = 12;
+
+interface Cell {
+  readonly zone: contracts.ZoneId | undefined;
+  readonly vms: readonly contracts.VmId[];
+}
+
+/** The cells of one deployment; each VM works out the same from the same VMs. */
+export class CellPlan {
+  readonly #cells: readonly Cell[];
+  readonly #indexes = new Map<contracts.VmId, number>();
+
+  constructor(vms: readonly CellVm[]) {
+    this.#cells = vms.length <= LARGEST_SINGLE_CELL
+      ? [{ zone: undefined, vms: vms.map(({ vm }) => vm) }]
+      : cellsByZone(vms);
+    for (const [index, cell] of this.#cells.entries()) {
+      for (const vm of cell.vms) this.#indexes.set(vm, index);
+    }
+  }
+
+  /** Whether all VMs are in one cell, which then uses all servers. */
+  get isSingle(): boolean {
+    return this.#cells.length <= 1;
+  }
+
+  /** VMs of the cell that a VM is in; empty for an unknown VM. */
+  members(vm: contracts.VmId): readonly contracts.VmId[] {
+    const index = this.#indexes.get(vm);
+    return index === undefined ? [] : this.#cells[index]!.vms;
+  }
+
+  /** The servers of one service that a VM's cell uses. */
+  serversOf(
+    vm: contracts.VmId,
+    servers: readonly CellServer[],
+  ): Set<contracts.ServerId> {
+    const own = this.#indexes.get(vm);
+    const isAll = this.isSingle || own === undefined;
+    if (isAll) return new Set(servers.map(({ server }) => server));
+    const used = new Set<contracts.ServerId>();
+    for (const [zone, inZone] of groupByZone(servers)) {
+      const local = [...this.#cells.keys()]
+        .filter((index) => this.#cells[index]!.zone === zone);
+      // Servers of a zone without entry VMs are dealt out to all cells.
+      const cells = local.length > 0 ? local : [...this.#cells.keys()];
+      const names = inZone.map(({ server }) => server).sort();
+      for (const [place, server] of names.entries()) {
+        const cell = cells[chunkOf(place, names.length, cells.length)];
+        if (cell === own) used.add(server);
+      }
+    }
+    return used;
+  }
+}
+
+function cellsByZone(vms: readonly CellVm[]): Cell[] {
+  const cells: Cell[] = [];
+  const zones = [...groupByZone(vms)].sort(([a], [b]) => a < b ? -1 : 1);
+  for (const [zone, inZone] of zones) {
+    const names = inZone.map(({ vm }) => vm).sort();
+    const count = Math.max(1, Math.round(names.length / CELL_SIZE));
+    const parts: contracts.VmId[][] = Array.from({ length: count }, () => []);
+    for (const [place, vm] of names.entries()) {
+      parts[chunkOf(place, names.length, count)]!.push(vm);
+    }
+    cells.push(...parts.map((part) => ({ zone, vms: part })));
+  }
+  return cells;
+}
+
+function groupByZone<Item extends { readonly zone: contracts.ZoneId }>(
+  items: readonly Item[],
+): Map<contracts.ZoneId, Item[]> {
+  const groups = new Map<contracts.ZoneId, Item[]>();
+  for (const item of items) {
+    const group = groups.get(item.zone);
+    if (group === undefined) groups.set(item.zone, [item]);
+    else group.push(item);
+  }
+  return groups;
+}
+
+/**
+ * Chunks of neighbours in the order of names: one more or one less moves only
+ * those at the borders of chunks.
+ */
+function chunkOf(place: number, total: number, chunks: number): number {
+  return Math.floor(place * chunks / total);
+}
--- /dev/null
+++ b/packages/decisions/src/cells/cell_plan_test.ts
@@ -0,0 +1,65 @@
+import type * as contracts from "@guavatide/contracts";
+import { expect } from "earl";
+import { test } from "node:test";
+import { CellPlan, type CellServer, type CellVm } from "./cell_plan.ts";
+
+function vms(zones: Record<string, number>): CellVm[] {
+  return Object.entries(zones).flatMap(([zone, count]) =>
+    Array.from({ length: count }, (_, index) => ({
+      vm: `${zone}-${String(index).padStart(4, "0")}` as contracts.VmId,
+      zone: zone as contracts.ZoneId,
+    }))
+  );
+}
+
+function servers(zones: Record<string, number>): CellServer[] {
+  return vms(zones).map(({ vm, zone }) => ({
+    server: `s-${vm}` as string as contracts.ServerId,
+    zone,
+  }));
+}
+
+test("should keep a small deployment in one cell that uses all servers", () => {
+  const all = vms({ a: 3, b: 2, c: 1, d: 2 });
+  const plan = new CellPlan(all);
+  expect(plan.isSingle).toEqual(true);
+  expect(plan.members(all[0]!.vm).length).toEqual(8);
+  expect(plan.serversOf(all[0]!.vm, servers({ a: 3, x: 2 })).size).toEqual(5);
+});
+
+test("should use each server in exactly one cell of its own zone", () => {
+  const all = vms({ a: 20, b: 22, c: 18 });
+  const plan = new CellPlan(all);
+  const listed = servers({ a: 28, b: 25, c: 31, x: 6 });
+  const uses = new Map<string, Set<string>>();
+  for (const { vm } of all) {
+    for (const server of plan.serversOf(vm, listed)) {
+      const cells = uses.get(server) ?? new Set<string>();
+      uses.set(server, cells.add(plan.members(vm).join()));
+    }
+  }
+  expect(uses.size).toEqual(listed.length);
+  expect([...uses.values()].every((cells) => cells.size === 1)).toEqual(true);
+});
+
+test("should keep cells and their servers alike when a VM joins", () => {
+  const before = new CellPlan(vms({ a: 20, b: 20 }));
+  const after = new CellPlan(vms({ a: 21, b: 20 }));
+  const vm = "a-0003" as contracts.VmId;
+  const listed = servers({ a: 28, b: 28 });
+  expect(before.serversOf(vm, listed)).toEqual(after.serversOf(vm, listed));
+  const stay = before.members(vm).filter((it) =>
+    after.members(vm).includes(it)
+  );
+  expect(stay.length).toEqual(before.members(vm).length);
+});
+
+test("should keep a VM's share the same from 82 to 7,900 VMs", () => {
+  for (const perZone of [20, 200, 1_975]) {
+    const plan = new CellPlan(
+      vms({ a: perZone, b: perZone, c: perZone, d: perZone }),
+    );
+    const { length } = plan.members("a-0000" as contracts.VmId);
+    expect(length >= 8 && length <= 18).toEqual(true);
+  }
+});
--- a/packages/decisions/src/grants/grant_model_test.ts
+++ b/packages/decisions/src/grants/grant_model_test.ts
@@ -224,7 +224,6 @@
     }
     return {
       vm: keeper.vm,
-      incarnation: String(keeper.startedMs) as contracts.Incarnation,
       revision: keeper.map?.revision ?? 0,
       isSettled: keeper.isSettled,
       askedAtMs,
--- a/packages/decisions/src/grants/keeper_book.ts
+++ b/packages/decisions/src/grants/keeper_book.ts
@@ -8,7 +8,6 @@
 /** What one keeper said of one service's map, in answer to a question. */
 export interface KeeperWord {
   readonly vm: contracts.VmId;
-  readonly incarnation: contracts.Incarnation;
   /** Highest revision that it knows; 0 for none. */
   readonly revision: number;
   /** Whether it has read the map from the store in this run of its process. */
--- a/packages/decisions/src/grants/range_wait_test.ts
+++ b/packages/decisions/src/grants/range_wait_test.ts
@@ -51,7 +51,6 @@
     const { sentMs, unansweredMs } = options;
     this.keepers.noteWord({
       vm: vm as contracts.VmId,
-      incarnation: "i" as contracts.Incarnation,
       revision: options.revision ?? 2,
       isSettled: true,
       askedAtMs: 10_010,
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -19,6 +19,7 @@
 
 /** Options of {@link Forwarder}. */
 export interface ForwarderOptions {
+  readonly vm: contracts.VmId;
   readonly zone: contracts.ZoneId;
   readonly config: ConfigHolder;
   readonly registry: ServerRegistry;
@@ -55,6 +56,8 @@
 export class Forwarder {
   readonly #options: ForwarderOptions;
   readonly #services = new Map<contracts.ServiceId, ServicePart>();
+  /** Servers that each peer has told of. */
+  readonly #toldOf = new Map<contracts.VmId, Set<string>>();
   #inFlight = 0;
 
   constructor(options: ForwarderOptions) {
@@ -64,6 +67,7 @@
     options.grants.onChange((service) =>
       this.#services.get(service)?.queue.pump(options.clock.nowMs())
     );
+    options.gossip.onMembers(() => this.#followMembers());
     options.gossip.onStatus(({ status }) => this.#takeStatus(status));
     options.gossip.onLoad((news) => this.#takeLoads(news));
   }
@@ -198,7 +202,7 @@
       ?.isKeyed ?? false;
     const found = this.#services.get(service);
     if (found !== undefined && found.isKeyed === isKeyed) return found;
-    const { zone, random, grants, registry, budget } = this.#options;
+    const { zone, random, grants, budget } = this.#options;
     const times = new admission.ServiceTimes();
     const queue = new admission.ServiceQueue({
       zone,
@@ -206,7 +210,7 @@
       random,
       ownerOf: isKeyed ? (key) => grants.ownerOf(service, key) : undefined,
     });
-    queue.setServers(registry.servers(service));
+    this.#setServers(service, queue);
     const created = {
       queue,
       times,
@@ -217,6 +221,31 @@
     return created;
   }
 
+  /** Names a queue its servers, and which of them this VM's cell uses. */
+  #setServers(
+    service: contracts.ServiceId,
+    queue: admission.ServiceQueue,
+  ): void {
+    const { registry, gossip, vm } = this.#options;
+    const entries = registry.servers(service);
+    const { plan } = gossip;
+    queue.setServers(
+      entries,
+      plan.isSingle ? undefined : plan.serversOf(vm, entries),
+    );
+  }
+
+  /** VMs came or went: cells may have other servers now. */
+  #followMembers(): void {
+    for (const [service, { queue }] of this.#services) {
+      this.#setServers(service, queue);
+    }
+    for (const vm of this.#toldOf.keys()) {
+      const isLive = this.#options.gossip.live.some((peer) => peer.vm === vm);
+      if (!isLive) this.#toldOf.delete(vm);
+    }
+  }
+
   #followConfig(): void {
     const { config } = this.#options.config.active!;
     for (const service of config.services.keys()) this.#part(service);
@@ -225,40 +254,53 @@
   #followServers(): void {
     const { registry, links, clock } = this.#options;
     for (const [service, { queue }] of this.#services) {
-      queue.setServers(registry.servers(service));
+      this.#setServers(service, queue);
       queue.pump(clock.nowMs());
     }
     links.keepOnly(registry.ids());
   }
 
-  #takeStatus(status: PeerStatus): void {
-    const nowMs = this.#options.clock.nowMs();
+  #takeStatus({ vm, loads }: PeerStatus): void {
+    // What the status no longer names is over.
+    const told = this.#toldOf.get(vm) ?? new Set();
+    const ended = [...told].filter((server) => loads[server] === undefined);
+    this.#noteTold(vm, loads);
+    this.#noteTold(
+      vm,
+      Object.fromEntries(ended.map((server) => [server, [0, 0]])),
+    );
+    this.#toldOf.set(vm, new Set(Object.keys(loads)));
     for (const [service, { queue }] of this.#services) {
-      for (const [server, load] of queue.loads) {
-        const [outstanding, waiting] = status.loads[server] ?? [0, 0];
-        load.noteTold(status.vm, { outstanding, waiting, atMs: nowMs });
-      }
       queue.setWaitingElsewhere(this.#waitingElsewhere(service));
-      queue.pump(nowMs);
     }
   }
 
   #takeLoads({ vm, loads }: LoadNews): void {
+    this.#noteTold(vm, loads);
+    const told = this.#toldOf.get(vm) ?? new Set();
+    this.#toldOf.set(vm, told);
+    for (const server of Object.keys(loads)) told.add(server);
+  }
+
+  /** A peer's requests at servers; waiting ones here may have found room. */
+  #noteTold(vm: contracts.VmId, loads: PeerStatus["loads"]): void {
     const nowMs = this.#options.clock.nowMs();
-    for (const { queue } of this.#services.values()) {
-      let isChanged = false;
-      for (const [server, [outstanding, waiting]] of Object.entries(loads)) {
+    const changed = new Set<admission.ServiceQueue>();
+    for (const [server, [outstanding, waiting]] of Object.entries(loads)) {
+      for (const { queue } of this.#services.values()) {
         const load = queue.loads.get(server as contracts.ServerId);
-        load?.noteTold(vm, { outstanding, waiting, atMs: nowMs });
-        isChanged ||= load !== undefined;
+        if (load === undefined) continue;
+        load.noteTold(vm, { outstanding, waiting, atMs: nowMs });
+        changed.add(queue);
+        break;
       }
-      if (isChanged) queue.pump(nowMs);
     }
+    for (const queue of changed) queue.pump(nowMs);
   }
 
   #waitingElsewhere(service: contracts.ServiceId): number {
     let sum = 0;
-    for (const { waiting } of this.#options.gossip.live().values()) {
+    for (const { waiting } of this.#options.gossip.statuses()) {
       sum += waiting[service] ?? 0;
     }
     return sum;
--- a/packages/entry/src/gateway/gateway_settings.ts
+++ b/packages/entry/src/gateway/gateway_settings.ts
@@ -42,6 +42,9 @@
   limits: z.strictObject({
     /** Descriptors that the process may open. */
     descriptors: z.number().int().min(64),
+    /** Part of each processor that the VM gets. */
+    processorShare: z.number().positive(),
+    processors: z.number().int().min(1),
   }),
   timings: z.strictObject({
     /** From the stop signal until the process is killed. */
--- a/packages/entry/src/gateway/grant_task.ts
+++ b/packages/entry/src/gateway/grant_task.ts
@@ -10,7 +10,7 @@
 import type { GossipIdentity, PeerGossip } from "./peer_gossip.ts";
 import * as messages from "./peer_messages.ts";
 import type { RangeMapStore } from "./range_map_store.ts";
-import { ServiceGrants } from "./service_grants.ts";
+import { type GrantPeer, ServiceGrants } from "./service_grants.ts";
 import type { ServerRegistry } from "./server_registry.ts";
 import type { StoreHealth } from "./store_health.ts";
 
@@ -33,8 +33,13 @@
 
 /** Interval of the regular work: a twentieth of a renewal's would do. */
 const TICK_MS = 40;
-/** Interval at which requests by key are told to the mover. */
+/** Least interval at which requests by key are told to the mover. */
 const KEY_COUNTS_MS = 200;
+/**
+ * The interval for each VM: the mover takes at most 160 such messages a second,
+ * about 3% of a core, and still knows a hot key within a second at 82 VMs.
+ */
+const KEY_COUNTS_PER_VM_MS = 6;
 /** Keys in one message; with more, the most asked for are told. */
 const KEYS_PER_MESSAGE = 400;
 
@@ -44,7 +49,9 @@
   readonly #services = new Map<contracts.ServiceId, ServiceGrants>();
   readonly #counts = new Map<contracts.ServiceId, Map<number, number>>();
   readonly #listeners: ((service: contracts.ServiceId) => void)[] = [];
+  #keepers: ReadonlySet<contracts.VmId> = new Set();
   #suspensions = 0;
+  #toldCountsMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: GrantTaskOptions) {
     this.#options = options;
@@ -54,13 +61,18 @@
         service.noteStatus(status, askedAtMs, receivedAtMs);
       }
     });
+    gossip.onHello(({ maps }) => {
+      for (const [id, service] of this.#services) {
+        service.noteRevision(maps[id]?.[0] ?? 0);
+      }
+    });
     gossip.on(
       messages.RANGE_MAP_METHOD,
       messages.rangeMapNewsSchema,
       (news) => {
         this.#services.get(news.map.service)?.noteNews(news);
-        // The mover waits until a majority says that it knows the map.
-        gossip.sendNow();
+        // The mover waits until a majority of keepers knows the map.
+        if (this.#keepers.has(options.self.vm)) gossip.sendNow();
       },
     );
     gossip.on(
@@ -99,22 +111,29 @@
     counts?.set(key, (counts.get(key) ?? 0) + 1);
   }
 
-  /** What peers are told of ownership. */
-  ownState(): Pick<
-    messages.PeerStatus,
-    "maps" | "grantAgesMs" | "silentServers"
-  > {
-    const maps: messages.PeerStatus["maps"] = {};
+  /** What all VMs are told of ownership. */
+  ownHello(): Pick<messages.PeerHello, "maps"> {
+    const maps: messages.PeerHello["maps"] = {};
+    for (const [id, { word }] of this.#services) maps[id] = word;
+    return { maps };
+  }
+
+  /** VMs that answer for the maps of any service. */
+  keepers(): ReadonlySet<contracts.VmId> {
+    return this.#keepers;
+  }
+
+  /** What peers in close touch are told of ownership. */
+  ownState(): Pick<messages.PeerStatus, "grantAgesMs" | "silentServers"> {
     const grantAgesMs: messages.PeerStatus["grantAgesMs"] = {};
     const silentServers: string[] = [];
-    for (const [id, service] of this.#services) {
-      maps[id] = service.word;
+    for (const service of this.#services.values()) {
       for (const [server, ages] of service.grantAgesMs) {
         grantAgesMs[server] = ages;
       }
       silentServers.push(...service.silentServers);
     }
-    return { maps, grantAgesMs, silentServers };
+    return { grantAgesMs, silentServers };
   }
 
   /** Services with their map, for metrics. */
@@ -161,15 +180,22 @@
       },
       tellPeers: () => gossip.sendNow(),
       onChange: () => {
+        this.#gatherKeepers();
         for (const listener of this.#listeners) listener(service);
       },
     });
   }
 
-  #peers() {
+  #gatherKeepers(): void {
+    this.#keepers = new Set(
+      [...this.#services.values()]
+        .flatMap(({ map }) => map?.keeperSets.flat() ?? []),
+    );
+  }
+
+  #peers(): readonly GrantPeer[] {
     const { gossip, self, health, isLeaving } = this.#options;
-    const peers = [...gossip.live().values()]
-      .map(({ vm, zone, hasStore }) => ({ vm, zone, hasStore }));
+    const peers: GrantPeer[] = [...gossip.live];
     if (!isLeaving() || peers.length === 0) {
       peers.push({ ...self, hasStore: health.isReached });
     }
@@ -177,7 +203,10 @@
   }
 
   #tellKeyCounts(): void {
-    const { gossip, self } = this.#options;
+    const { gossip, self, clock } = this.#options;
+    const intervalMs = gossip.vmCount * KEY_COUNTS_PER_VM_MS;
+    if (clock.nowMs() - this.#toldCountsMs < intervalMs) return;
+    this.#toldCountsMs = clock.nowMs();
     for (const [service, counts] of this.#counts) {
       if (counts.size === 0) continue;
       const told = [...counts].sort((a, b) => b[1] - a[1])
--- /dev/null
+++ b/packages/entry/src/gateway/peer_book.ts
@@ -0,0 +1,179 @@
+/** The entry VMs that this one knows, who of them is up, and their cells. */
+import type * as contracts from "@guavatide/contracts";
+import * as cells from "@guavatide/decisions/cells/mod";
+import type { PartLog } from "../utils/log.ts";
+import type { PeerHello, PeerStatus } from "./peer_messages.ts";
+
+/** A VM that was named or heard. */
+export interface Peer {
+  readonly vm: contracts.VmId;
+  host: string;
+  port: number;
+  incarnation: contracts.Incarnation | undefined;
+  sequence: number;
+  heardAtMs: number;
+  /** Without another word the peer counts as lost after this moment. */
+  liveUntilMs: number;
+  /** When this VM last told it of itself. */
+  sentAtMs: number;
+  isLive: boolean;
+  hello: PeerHello | undefined;
+  status: PeerStatus | undefined;
+}
+
+/** Options of {@link PeerBook}. */
+export interface PeerBookOptions {
+  readonly self: cells.CellVm;
+  readonly clock: contracts.Clock;
+  readonly log: PartLog;
+  /** VMs that answer for range maps: all of them stay in close touch. */
+  readonly keepers: () => ReadonlySet<contracts.VmId>;
+}
+
+/** A peer that was silent for so long is forgotten. */
+const FORGET_MS = 60_000;
+
+/** Peers by VM. */
+export class PeerBook {
+  readonly #options: PeerBookOptions;
+  readonly #peers = new Map<contracts.VmId, Peer>();
+  #live: readonly PeerHello[] | undefined;
+  #plan: cells.CellPlan | undefined;
+  readonly #listeners: (() => void)[] = [];
+
+  constructor(options: PeerBookOptions) {
+    this.#options = options;
+  }
+
+  /** All known peers. */
+  get all(): Iterable<Peer> {
+    return this.#peers.values();
+  }
+
+  /** Number of known peers. */
+  get size(): number {
+    return this.#peers.size;
+  }
+
+  /** Called when a VM came, went, or told another zone. */
+  onMembers(listener: () => void): void {
+    this.#listeners.push(listener);
+  }
+
+  get(vm: contracts.VmId): Peer | undefined {
+    return this.#peers.get(vm);
+  }
+
+  /** Adds a VM that the store or a peer has named; undefined for this one. */
+  add(vm: contracts.VmId, host: string, port: number): Peer | undefined {
+    if (vm === this.#options.self.vm) return undefined;
+    const found = this.#peers.get(vm);
+    if (found !== undefined) return Object.assign(found, { host, port });
+    const peer: Peer = {
+      vm,
+      host,
+      port,
+      incarnation: undefined,
+      sequence: -1,
+      heardAtMs: this.#options.clock.nowMs(),
+      liveUntilMs: Number.NEGATIVE_INFINITY,
+      sentAtMs: Number.NEGATIVE_INFINITY,
+      isLive: false,
+      hello: undefined,
+      status: undefined,
+    };
+    this.#peers.set(vm, peer);
+    return peer;
+  }
+
+  /** Takes a peer's word; undefined when a later one of its run was heard. */
+  note(hello: PeerHello, status: PeerStatus | undefined): Peer | undefined {
+    const peer = this.add(hello.vm, hello.host, hello.port);
+    if (peer === undefined) return undefined;
+    const isSameRun = peer.incarnation === hello.incarnation;
+    // Datagrams may overtake one another.
+    if (isSameRun && hello.sequence <= peer.sequence) return undefined;
+    const nowMs = this.#options.clock.nowMs();
+    const isLive = !hello.isLeaving;
+    const isMember = peer.isLive === isLive && isSameRun &&
+      peer.hello?.zone === hello.zone;
+    if (!peer.isLive || !isSameRun) {
+      // It may not have heard of this VM yet, and is told at once.
+      peer.sentAtMs = Number.NEGATIVE_INFINITY;
+    }
+    if (!peer.isLive) {
+      this.#options.log.info("Hears a peer.", {
+        peer: hello.vm,
+        isNewRun: !isSameRun,
+      });
+    }
+    Object.assign(peer, {
+      incarnation: hello.incarnation,
+      sequence: hello.sequence,
+      heardAtMs: nowMs,
+      liveUntilMs: nowMs + hello.standsMs,
+      isLive,
+      hello,
+      status: status ?? (isSameRun ? peer.status : undefined),
+    });
+    this.#live = undefined;
+    if (!isMember) this.#changed();
+    return peer;
+  }
+
+  /** Lets time pass: peers whose word no longer stands are lost. */
+  tick(): void {
+    const nowMs = this.#options.clock.nowMs();
+    let isChanged = false;
+    for (const [vm, peer] of this.#peers) {
+      const silentMs = nowMs - peer.heardAtMs;
+      if (peer.isLive && nowMs > peer.liveUntilMs) {
+        peer.isLive = false;
+        peer.status = undefined;
+        isChanged = true;
+        this.#options.log.warn("Lost a peer.", {
+          peer: vm,
+          silentMs: Math.round(silentMs),
+        });
+      }
+      if (silentMs > FORGET_MS) this.#peers.delete(vm);
+    }
+    if (isChanged) this.#changed();
+  }
+
+  /** Peers that are up. */
+  get live(): readonly PeerHello[] {
+    this.#live ??= [...this.#peers.values()]
+      .filter(({ isLive }) => isLive).map(({ hello }) => hello!);
+    return this.#live;
+  }
+
+  /** Latest statuses of peers that are up and tell them. */
+  *statuses(): Generator<PeerStatus> {
+    for (const { isLive, status } of this.#peers.values()) {
+      if (isLive && status !== undefined) yield status;
+    }
+  }
+
+  /** The cells of the VMs that are up, this one included. */
+  get plan(): cells.CellPlan {
+    const { vm, zone } = this.#options.self;
+    this.#plan ??= new cells.CellPlan([{ vm, zone }, ...this.live]);
+    return this.#plan;
+  }
+
+  /** Whether a peer gets this VM's statuses: of one cell, or both keepers. */
+  isClose(vm: contracts.VmId): boolean {
+    const { self, keepers } = this.#options;
+    const members = this.plan.members(self.vm);
+    if (members.includes(vm)) return true;
+    const named = keepers();
+    return named.has(self.vm) && named.has(vm);
+  }
+
+  #changed(): void {
+    this.#live = undefined;
+    this.#plan = undefined;
+    for (const listener of this.#listeners) listener();
+  }
+}
--- /dev/null
+++ b/packages/entry/src/gateway/peer_codec.ts
@@ -0,0 +1,29 @@
+/** Datagrams between entry VMs: JSON-RPC 2.0 notifications in MessagePack. */
+import * as msgpack from "@msgpack/msgpack";
+import * as jsonRpc from "json-rpc-2.0";
+
+/** One notification. */
+export interface PeerMessage {
+  readonly method: string;
+  readonly params: unknown;
+}
+
+/** The bytes of a notification. */
+export function encodeMessage(method: string, params: object): Uint8Array {
+  return msgpack.encode(jsonRpc.createJSONRPCNotification(method, params));
+}
+
+/** The notification in a datagram; undefined for any other bytes. */
+export function decodeMessage(bytes: Uint8Array): PeerMessage | undefined {
+  try {
+    const message = msgpack.decode(bytes) as
+      | (Partial<PeerMessage> & { readonly jsonrpc?: unknown })
+      | null;
+    const { jsonrpc, method, params } = message ?? {};
+    const isMessage = jsonrpc === "2.0" && typeof method === "string";
+    return isMessage ? { method, params } : undefined;
+  } catch {
+    // Not MessagePack; the caller writes the log line.
+    return undefined;
+  }
+}
--- a/packages/entry/src/gateway/peer_gossip.ts
+++ b/packages/entry/src/gateway/peer_gossip.ts
@@ -1,45 +1,53 @@
 /**
- * Datagrams between entry VMs. Each tells its state to all peers when its load
- * has changed, and at a heartbeat otherwise.
+ * Datagrams between entry VMs. The VMs of a cell, and the keepers of range
+ * maps, tell one another their state when it has changed and at a heartbeat;
+ * all others get a short hello now and then.
  */
 import type * as contracts from "@guavatide/contracts";
-import * as msgpack from "@msgpack/msgpack";
-import * as jsonRpc from "json-rpc-2.0";
+import type * as cells from "@guavatide/decisions/cells/mod";
 import * as dgram from "node:dgram";
 import type * as z from "zod";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import type { PartLog } from "../utils/log.ts";
+import { type Peer, PeerBook } from "./peer_book.ts";
+import { decodeMessage, encodeMessage } from "./peer_codec.ts";
 import {
+  HELLO_METHOD,
   isLoadNews,
   LOAD_METHOD,
   type LoadNews,
+  type PeerHello,
+  peerHelloSchema,
   type PeerStatus,
   peerStatusSchema,
   STATUS_METHOD,
 } from "./peer_messages.ts";
 
-/** The part of a status that the VM's own tasks fill in. */
-export type OwnState = Omit<
-  PeerStatus,
-  "vm" | "incarnation" | "host" | "port" | "zone" | "sequence" | "echoes"
+/** Who this VM is. */
+export type GossipIdentity = Pick<
+  PeerHello,
+  "vm" | "incarnation" | "host" | "port" | "zone" | "processorCores"
 >;
 
-/** Who this VM is. */
-export interface GossipIdentity {
-  readonly vm: contracts.VmId;
-  readonly incarnation: contracts.Incarnation;
-  readonly host: string;
-  readonly port: number;
-  readonly zone: contracts.ZoneId;
-}
+/** The part of a hello that the VM's own tasks fill in. */
+export type OwnHello = Omit<
+  PeerHello,
+  keyof GossipIdentity | "sequence" | "standsMs"
+>;
+
+/** The part of a status that the VM's own tasks fill in. */
+export type OwnState = Omit<PeerStatus, keyof PeerHello | "echoes">;
 
 /** Options of {@link PeerGossip}. */
 export interface PeerGossipOptions {
   readonly self: GossipIdentity;
   readonly clock: contracts.Clock;
   readonly log: PartLog;
+  readonly ownHello: () => OwnHello;
   readonly ownState: () => OwnState;
   readonly ownLoads: () => PeerStatus["loads"];
+  /** VMs that answer for range maps. */
+  readonly keepers: () => ReadonlySet<contracts.VmId>;
 }
 
 /** A status with the moment that it answers. */
@@ -55,47 +63,43 @@
 /** Interval at which changed load is looked for. */
 const TICK_MS = 20;
 /**
- * Least time between two messages to all, for each peer: at most 200 datagrams
- * a second leave a VM, about 2% of half a core.
+ * Least time between two messages of load, for each peer that gets them: at
+ * most 200 datagrams a second leave a VM, about 2% of half a core.
  */
 const SPACING_PER_PEER_MS = 5;
 const SPACING_MIN_MS = 40;
-/** A peer is live when it was heard within four heartbeats. */
-const LIVE_MS = 800;
-/** A silent peer is told of this VM only now and then. */
+/** A VM that tells its status is live when it was heard in four heartbeats. */
+const STATUS_STANDS_MS = 800;
+/**
+ * Between two hellos to one peer, for each peer: 20 a second leave a VM in a
+ * deployment of any size, so that a loss at 82 VMs is known after 10 s. Who
+ * needs to know it sooner is in the same cell.
+ */
+const HELLO_PER_PEER_MS = 50;
+const HELLO_MIN_MS = 1_000;
+/**
+ * Keepers tell so more often: all others send their counts of keys to the one
+ * that makes the moves.
+ */
+const KEEPER_HELLO_PER_PEER_MS = 8;
+/** A hello stands for two that got lost, and some lateness. */
+const HELLOS_STAND = 2.5;
+/** A peer that was silent for so long gets only hellos. */
 const SILENT_MS = 3_000;
-const SILENT_HEARTBEAT_MS = 1_000;
-/** A peer that was silent for so long is forgotten. */
-const FORGET_MS = 60_000;
-/** Own statuses whose time is remembered. */
+/** Own hellos and statuses whose time is remembered. */
 const REMEMBERED = 256;
 
-interface Peer {
-  host: string;
-  port: number;
-  incarnation: contracts.Incarnation | undefined;
-  sequence: number;
-  heardAtMs: number;
-  sentAtMs: number;
-  isLive: boolean;
-  status: PeerStatus | undefined;
-}
-
-interface Message {
-  readonly jsonrpc: "2.0";
-  readonly method: string;
-  readonly params: unknown;
-}
-
 /** The task that owns the datagram socket. */
 export class PeerGossip {
   readonly #options: PeerGossipOptions;
   readonly #socket = dgram.createSocket("udp4");
-  readonly #peers = new Map<contracts.VmId, Peer>();
+  readonly #book: PeerBook;
   readonly #seeds = new Set<string>();
   readonly #handlers = new Map<string, (params: unknown) => void>();
   readonly #statusListeners: ((heard: HeardStatus) => void)[] = [];
-  /** When each own status left, by its sequence. */
+  readonly #helloListeners: ((hello: PeerHello) => void)[] = [];
+  readonly #loadListeners: ((news: LoadNews) => void)[] = [];
+  /** When each own hello or status left, by its sequence. */
   readonly #sentMs = new Map<number, number>();
   #sequence = 0;
   #sentAtMs = Number.NEGATIVE_INFINITY;
@@ -103,10 +107,10 @@
   #isChanged = false;
   /** Loads as last told. */
   #toldLoads: PeerStatus["loads"] = {};
-  readonly #loadListeners: ((news: LoadNews) => void)[] = [];
 
   constructor(options: PeerGossipOptions) {
     this.#options = options;
+    this.#book = new PeerBook(options);
     this.#socket.on("message", (bytes) => this.#receive(bytes));
     this.#socket.on(
       "error",
@@ -135,22 +139,7 @@
 
   /** Adds a VM that the store or a peer has named. */
   addPeer(vm: contracts.VmId, host: string, port: number): void {
-    if (vm === this.#options.self.vm) return;
-    const found = this.#peers.get(vm);
-    if (found !== undefined) {
-      Object.assign(found, { host, port });
-      return;
-    }
-    this.#peers.set(vm, {
-      host,
-      port,
-      incarnation: undefined,
-      sequence: -1,
-      heardAtMs: this.#options.clock.nowMs() - LIVE_MS,
-      sentAtMs: Number.NEGATIVE_INFINITY,
-      isLive: false,
-      status: undefined,
-    });
+    this.#book.add(vm, host, port);
   }
 
   /** Adds an address at which some VM may listen. */
@@ -163,11 +152,21 @@
     this.#statusListeners.push(listener);
   }
 
+  /** Called with each hello or status of a peer that is newer than the last. */
+  onHello(listener: (hello: PeerHello) => void): void {
+    this.#helloListeners.push(listener);
+  }
+
   /** Called with changes of a peer's load between its statuses. */
   onLoad(listener: (news: LoadNews) => void): void {
     this.#loadListeners.push(listener);
   }
 
+  /** Called when a VM came or went. */
+  onMembers(listener: () => void): void {
+    this.#book.onMembers(listener);
+  }
+
   /** Registers who takes a method's parameters. */
   on<Params>(
     method: string,
@@ -183,10 +182,13 @@
 
   /** Sends a notification to one peer, or to all. */
   send(method: string, params: object, vm?: contracts.VmId): void {
-    const bytes = encode(method, params);
-    for (const [id, peer] of this.#peers) {
-      if (vm === undefined || vm === id) this.#sendTo(peer, bytes);
+    const bytes = encodeMessage(method, params);
+    if (vm !== undefined) {
+      const peer = this.#book.get(vm);
+      if (peer !== undefined) this.#sendTo(peer, bytes);
+      return;
     }
+    for (const peer of this.#book.all) this.#sendTo(peer, bytes);
   }
 
   /** Tells the changed load with the next tick that may. */
@@ -199,18 +201,34 @@
     this.#sendStatus(this.#options.clock.nowMs());
   }
 
-  /** Peers that were heard lately, with their last status. */
-  live(): Map<contracts.VmId, PeerStatus> {
-    const live = new Map<contracts.VmId, PeerStatus>();
-    for (const [vm, peer] of this.#peers) {
-      if (peer.isLive && peer.status !== undefined) live.set(vm, peer.status);
+  /** Tells every VM at once, as when this one stops. */
+  sendToAll(): void {
+    this.sendNow();
+    const nowMs = this.#options.clock.nowMs();
+    for (const peer of this.#book.all) {
+      peer.sentAtMs = Number.NEGATIVE_INFINITY;
     }
-    return live;
+    this.#sendHellos(nowMs);
+  }
+
+  /** Peers that are up. */
+  get live(): readonly PeerHello[] {
+    return this.#book.live;
+  }
+
+  /** Latest statuses of the peers in close touch. */
+  statuses(): Iterable<PeerStatus> {
+    return this.#book.statuses();
+  }
+
+  /** The cells of the VMs that are up. */
+  get plan(): cells.CellPlan {
+    return this.#book.plan;
   }
 
   /** How long each known peer has not been heard. */
   silentMs(vm: contracts.VmId): number {
-    const peer = this.#peers.get(vm);
+    const peer = this.#book.get(vm);
     if (peer === undefined) return Number.POSITIVE_INFINITY;
     return this.#options.clock.nowMs() - peer.heardAtMs;
   }
@@ -218,7 +236,7 @@
   /** How long some live peer has reached the store without a failure. */
   get storeCalmMs(): number {
     let calmMs = 0;
-    for (const { hasStore, storeCalmMs } of this.live().values()) {
+    for (const { hasStore, storeCalmMs } of this.#book.statuses()) {
       if (hasStore) calmMs = Math.max(calmMs, storeCalmMs);
     }
     return calmMs;
@@ -226,23 +244,26 @@
 
   /** Entry VMs that are up, this one included. */
   get vmCount(): number {
-    return 1 + this.live().size;
+    return 1 + this.#book.live.length;
   }
 
   #tick(): void {
     const nowMs = this.#options.clock.nowMs();
-    this.#watchPeers(nowMs);
+    this.#book.tick();
+    this.#sendHellos(nowMs);
+    if (nowMs - this.#sentAtMs >= HEARTBEAT_MS) return this.#sendStatus(nowMs);
     const spacingMs = Math.max(
       SPACING_MIN_MS,
-      this.#peers.size * SPACING_PER_PEER_MS,
+      this.#cellPeers().length * SPACING_PER_PEER_MS,
     );
-    if (nowMs - this.#sentAtMs >= Math.max(HEARTBEAT_MS, spacingMs)) {
-      return this.#sendStatus(nowMs);
-    }
     const sinceMs = nowMs - Math.max(this.#sentAtMs, this.#loadsSentAtMs);
     if (this.#isChanged && sinceMs >= spacingMs) this.#sendLoads(nowMs);
   }
 
+  #cellPeers(): readonly contracts.VmId[] {
+    return this.#book.plan.members(this.#options.self.vm);
+  }
+
   #sendLoads(nowMs: number): void {
     this.#isChanged = false;
     this.#loadsSentAtMs = nowMs;
@@ -252,46 +273,59 @@
     this.#toldLoads = loads;
     if (Object.keys(changed).length === 0) return;
     const news: LoadNews = { vm: self.vm, loads: changed };
-    const bytes = encode(LOAD_METHOD, news);
-    for (const peer of this.#peers.values()) {
-      if (peer.isLive) this.#sendTo(peer, bytes);
+    const bytes = encodeMessage(LOAD_METHOD, news);
+    for (const vm of this.#cellPeers()) {
+      const peer = this.#book.get(vm);
+      if (peer?.isLive) this.#sendTo(peer, bytes);
     }
   }
 
-  #watchPeers(nowMs: number): void {
-    const { log } = this.#options;
-    for (const [vm, peer] of this.#peers) {
-      const silentMs = nowMs - peer.heardAtMs;
-      if (peer.isLive && silentMs > LIVE_MS) {
-        peer.isLive = false;
-        log.warn("Lost a peer.", { peer: vm, silentMs: Math.round(silentMs) });
-      }
-      if (silentMs > FORGET_MS) this.#peers.delete(vm);
-    }
+  #hello(standsMs: number): PeerHello {
+    this.#sequence++;
+    this.#sentMs.set(this.#sequence, this.#options.clock.nowMs());
+    this.#sentMs.delete(this.#sequence - REMEMBERED);
+    const { self, ownHello } = this.#options;
+    return { ...self, ...ownHello(), sequence: this.#sequence, standsMs };
   }
 
   #sendStatus(nowMs: number): void {
     this.#isChanged = false;
     this.#sentAtMs = nowMs;
-    this.#sequence++;
-    this.#sentMs.set(this.#sequence, nowMs);
-    this.#sentMs.delete(this.#sequence - REMEMBERED);
     const state = this.#options.ownState();
     this.#toldLoads = state.loads;
+    const close = [...this.#book.all].filter(({ vm, isLive, heardAtMs }) =>
+      this.#book.isClose(vm) && (isLive || nowMs - heardAtMs < SILENT_MS)
+    );
     const status: PeerStatus = {
-      ...this.#options.self,
+      ...this.#hello(STATUS_STANDS_MS),
       ...state,
-      sequence: this.#sequence,
-      echoes: this.#echoes(),
+      echoes: echoesOf(close),
     };
-    const bytes = encode(STATUS_METHOD, status);
-    for (const peer of this.#peers.values()) {
-      const isSilent = nowMs - peer.heardAtMs > SILENT_MS;
-      if (isSilent && nowMs - peer.sentAtMs < SILENT_HEARTBEAT_MS) continue;
+    const bytes = encodeMessage(STATUS_METHOD, status);
+    for (const peer of close) {
+      peer.sentAtMs = nowMs;
+      this.#sendTo(peer, bytes);
+    }
+    if (this.#book.live.length === 0) this.#sendToSeeds(bytes);
+  }
+
+  /** To each peer that has had no word of this VM for the interval. */
+  #sendHellos(nowMs: number): void {
+    const { self, keepers } = this.#options;
+    const perPeerMs = keepers().has(self.vm)
+      ? KEEPER_HELLO_PER_PEER_MS
+      : HELLO_PER_PEER_MS;
+    const intervalMs = Math.max(HELLO_MIN_MS, this.#book.size * perPeerMs);
+    let bytes: Uint8Array | undefined;
+    for (const peer of this.#book.all) {
+      if (nowMs - peer.sentAtMs < intervalMs) continue;
       peer.sentAtMs = nowMs;
+      bytes ??= encodeMessage(
+        HELLO_METHOD,
+        this.#hello(intervalMs * HELLOS_STAND),
+      );
       this.#sendTo(peer, bytes);
     }
-    if (this.live().size === 0) this.#sendToSeeds(bytes);
   }
 
   #sendToSeeds(bytes: Uint8Array): void {
@@ -299,14 +333,6 @@
     for (const host of this.#seeds) this.#sendTo({ host, port }, bytes);
   }
 
-  #echoes(): PeerStatus["echoes"] {
-    const echoes: PeerStatus["echoes"] = {};
-    for (const [vm, { incarnation, sequence }] of this.#peers) {
-      if (incarnation !== undefined) echoes[vm] = [incarnation, sequence];
-    }
-    return echoes;
-  }
-
   #sendTo(
     { host, port }: { readonly host: string; readonly port: number },
     bytes: Uint8Array,
@@ -321,13 +347,14 @@
   }
 
   #receive(bytes: Uint8Array): void {
-    const message = decode(bytes);
+    const message = decodeMessage(bytes);
     if (message === undefined) {
       this.#options.log.warn("Ignores a datagram.", { bytes: bytes.length });
       return;
     }
     const { method, params } = message;
     if (method === STATUS_METHOD) this.#takeStatus(params);
+    else if (method === HELLO_METHOD) this.#takeHello(params);
     else if (method === LOAD_METHOD) this.#takeLoads(params);
     else this.#handlers.get(method)?.(params);
   }
@@ -340,6 +367,16 @@
     for (const listener of this.#loadListeners) listener(params);
   }
 
+  #takeHello(params: unknown): void {
+    const parsed = peerHelloSchema.safeParse(params);
+    if (!parsed.success) {
+      this.#options.log.warn("Ignores a datagram.", { method: HELLO_METHOD });
+      return;
+    }
+    if (this.#book.note(parsed.data, undefined) === undefined) return;
+    for (const listener of this.#helloListeners) listener(parsed.data);
+  }
+
   #takeStatus(params: unknown): void {
     const parsed = peerStatusSchema.safeParse(params);
     if (!parsed.success) {
@@ -349,30 +386,14 @@
       return;
     }
     const status = parsed.data;
-    if (status.vm === this.#options.self.vm) return;
-    this.addPeer(status.vm, status.host, status.port);
-    const peer = this.#peers.get(status.vm)!;
-    const isSameRun = peer.incarnation === status.incarnation;
-    // Datagrams may overtake one another.
-    if (isSameRun && status.sequence <= peer.sequence) return;
-    const receivedAtMs = this.#options.clock.nowMs();
-    if (!peer.isLive) {
-      this.#options.log.info("Hears a peer.", {
-        peer: status.vm,
-        isNewRun: !isSameRun,
-      });
-    }
-    Object.assign(peer, {
-      incarnation: status.incarnation,
-      sequence: status.sequence,
-      heardAtMs: receivedAtMs,
-      isLive: !status.isLeaving,
+    if (this.#book.note(status, status) === undefined) return;
+    for (const listener of this.#helloListeners) listener(status);
+    const heard = {
       status,
-    });
-    const askedAtMs = this.#askedAtMs(status);
-    for (const listener of this.#statusListeners) {
-      listener({ status, askedAtMs, receivedAtMs });
-    }
+      askedAtMs: this.#askedAtMs(status),
+      receivedAtMs: this.#options.clock.nowMs(),
+    };
+    for (const listener of this.#statusListeners) listener(heard);
   }
 
   /** When the own status left that the peer had heard; long ago if none. */
@@ -386,9 +407,12 @@
   }
 }
 
-function encode(method: string, params: object): Uint8Array {
-  const message = jsonRpc.createJSONRPCNotification(method, params);
-  return msgpack.encode(message);
+function echoesOf(peers: readonly Peer[]): PeerStatus["echoes"] {
+  const echoes: PeerStatus["echoes"] = {};
+  for (const { vm, incarnation, sequence } of peers) {
+    if (incarnation !== undefined) echoes[vm] = [incarnation, sequence];
+  }
+  return echoes;
 }
 
 /** Servers whose figures differ, with their new ones. */
@@ -407,15 +431,3 @@
   }
   return changed;
 }
-
-function decode(bytes: Uint8Array): Message | undefined {
-  try {
-    const message = msgpack.decode(bytes) as Partial<Message> | null;
-    const isMessage = message?.jsonrpc === "2.0" &&
-      typeof message.method === "string";
-    return isMessage ? message as Message : undefined;
-  } catch {
-    // Not MessagePack; the caller writes the log line.
-    return undefined;
-  }
-}
--- a/packages/entry/src/gateway/peer_messages.ts
+++ b/packages/entry/src/gateway/peer_messages.ts
@@ -7,6 +7,8 @@
 
 /** Method of {@link PeerStatus}. */
 export const STATUS_METHOD = "status";
+/** Method of {@link PeerHello}. */
+export const HELLO_METHOD = "hello";
 /** Method of {@link LoadNews}. */
 export const LOAD_METHOD = "load";
 /** Method of {@link RangeMapNews}. */
@@ -20,15 +22,31 @@
   z.tuple([z.number().int(), z.number().int()]),
 );
 
-/** Schema of {@link PeerStatus}. */
-export const peerStatusSchema = z.object({
+/** Schema of {@link PeerHello}. */
+export const peerHelloSchema = z.object({
   vm: contracts.vmIdSchema,
   incarnation: contracts.incarnationSchema,
   host: z.string(),
   port: z.number().int(),
   zone: contracts.zoneIdSchema,
-  /** Rises with each status of a run. */
+  /** Processor of the VM in cores: the strongest take on common duties. */
+  processorCores: z.number(),
+  /** Rises with each message of this kind or status of a run. */
   sequence: z.number().int(),
+  /** Without another word the sender is to be taken for lost after this time. */
+  standsMs: z.number(),
+  /** Whether it reaches the platform's store. */
+  hasStore: z.boolean(),
+  /** It stops and takes no more requests. */
+  isLeaving: z.boolean(),
+  /** Range maps by service: revision known, and whether read in this run. */
+  maps: z.record(z.string(), z.tuple([z.number().int(), z.boolean()])),
+});
+/** What a VM tells all others of itself, now and then. */
+export type PeerHello = z.infer<typeof peerHelloSchema>;
+
+/** Schema of {@link PeerStatus}. */
+export const peerStatusSchema = peerHelloSchema.extend({
   /** Latest status heard of each peer: proves how fresh this one is. */
   echoes: z.record(
     z.string(),
@@ -36,18 +54,12 @@
   ),
   /** How long the process has run. */
   lifeMs: z.number(),
-  /** Whether it reaches the platform's store. */
-  hasStore: z.boolean(),
   /** How long it has reached the store without a failure. */
   storeCalmMs: z.number(),
-  /** It stops and takes no more requests. */
-  isLeaving: z.boolean(),
   configVersion: z.number().int(),
   /** Positions of the last changes heard of, in the store's order. */
   configCursor: z.number().int(),
   serversCursor: z.number().int(),
-  /** Range maps by service: revision known, and whether read in this run. */
-  maps: z.record(z.string(), z.tuple([z.number().int(), z.boolean()])),
   /** By server: requests there, and requests that wait for it. */
   loads: loadsSchema,
   /** Requests that wait for any server, by service. */
@@ -63,7 +75,7 @@
   /** Servers that leave this VM's grants unanswered. */
   silentServers: z.array(z.string()),
 });
-/** The state of one entry VM, sent to all its peers. */
+/** The state of one entry VM, sent to the peers of its cell. */
 export type PeerStatus = z.infer<typeof peerStatusSchema>;
 
 /** Changes of load, between two statuses. */
@@ -89,11 +101,19 @@
 
 /** Schema of {@link RangeMapNews}. */
 export const rangeMapNewsSchema = z.object({
-  map: contracts.rangeMapSchema,
+  /** The map with only those ranges that differ from `baseRevision`'s. */
+  map: contracts.rangeMapSchema.extend({
+    ranges: z.array(contracts.rangeStateSchema),
+  }),
+  /** Whoever knows this revision or a later one can work out the map. */
+  baseRevision: z.number().int(),
   /** Fences whose grant the new owner has not confirmed yet. */
   pendingFences: z.array(z.number().int()),
 });
-/** A range map that the mover has written. */
+/**
+ * A range map that the mover has written. The whole of it takes 20 KB for 200
+ * servers; a move changes a few ranges.
+ */
 export type RangeMapNews = z.infer<typeof rangeMapNewsSchema>;
 
 /** Schema of {@link KeyCounts}. */
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -15,15 +15,14 @@
 /** An entry VM that may take part in ownership, this one included. */
 export interface GrantPeer {
   readonly vm: contracts.VmId;
-  readonly zone: contracts.ZoneId;
   readonly hasStore: boolean;
+  readonly processorCores: number;
 }
 
 /** Options of {@link ServiceGrants}. */
 export interface ServiceGrantsOptions {
   readonly service: contracts.ServiceId;
   readonly vm: contracts.VmId;
-  readonly incarnation: contracts.Incarnation;
   readonly timings: grants.GrantTimings;
   readonly hasher: ownership.KeyHasher;
   readonly maps: RangeMapStore;
@@ -69,6 +68,8 @@
 const REPEAT_NEWS_MS = 400;
 /** So many times after each change. */
 const NEWS_REPEATS = 4;
+/** The mover's news may arrive so much later than a peer's word of the map. */
+const NEWS_GRACE_MS = 120;
 /** Least time between two reads of the map by a VM that lacks evidence. */
 const READ_SPACING_MS = 250;
 
@@ -91,7 +92,10 @@
   #usableCount = 0;
   #usableSinceMs = 0;
   readonly #order: grants.DutyOrder;
+  readonly #news = new grants.RangeNews();
   #newsLeft = 0;
+  /** Since when peers know a newer map than this VM. */
+  #behindSinceMs: number | undefined;
   #toldMs = 0;
   #isReading = false;
   #readAtMs = Number.NEGATIVE_INFINITY;
@@ -209,36 +213,40 @@
   ): void {
     const { service } = this.#options;
     const [revision, isSettled] = status.maps[service] ?? [0, false];
-    const lastGrantMs = new Map<contracts.ServerId, number>();
-    const lastUnansweredMs = new Map<contracts.ServerId, number>();
-    for (const [server, ages] of Object.entries(status.grantAgesMs)) {
-      const id = server as contracts.ServerId;
-      lastGrantMs.set(id, receivedAtMs - ages[0]);
-      if (ages[1] !== null) lastUnansweredMs.set(id, receivedAtMs - ages[1]);
-    }
     this.#keepers.noteWord({
       vm: status.vm,
-      incarnation: status.incarnation,
       revision,
       isSettled,
       askedAtMs,
       receivedAtMs,
       startedAtMs: receivedAtMs - status.lifeMs,
-      lastGrantMs,
-      lastUnansweredMs,
+      ...grantTimes(Object.entries(status.grantAgesMs), receivedAtMs),
     });
     this.#lost.noteSilent(status.vm, status.silentServers);
-    // The mover's news was lost on the way.
-    if (revision > (this.#map?.revision ?? 0)) this.#readSoon();
+  }
+
+  /** A peer knows a revision of the map. */
+  noteRevision(revision: number): void {
+    if (revision <= (this.#map?.revision ?? 0)) return;
+    this.#behindSinceMs ??= this.#options.clock.nowMs();
   }
 
   /** The mover's news of the map. */
-  noteNews({ map, pendingFences }: RangeMapNews): void {
+  noteNews({ map, baseRevision, pendingFences }: RangeMapNews): void {
     const known = this.#map?.revision ?? 0;
     if (map.revision < known) return;
-    this.#pending = new Set(pendingFences);
-    if (map.revision > known) this.#adopt(map, "news");
-    else this.#options.onChange();
+    const pending = new Set(pendingFences);
+    if (map.revision === known) {
+      this.#pending = pending;
+      return this.#options.onChange();
+    }
+    const ranges = known < baseRevision
+      ? undefined
+      : grants.withChanges(this.#map?.ranges ?? [], map.ranges);
+    // What the news builds on never arrived here.
+    if (ranges === undefined) return this.#readSoon();
+    this.#pending = pending;
+    this.#adopt({ ...map, ranges }, "news");
   }
 
   /** The process stood still: what it knew may be old. */
@@ -253,29 +261,22 @@
     const nowMs = this.#options.clock.nowMs();
     this.#noteOwnWord(nowMs);
     this.#followDuty(nowMs);
-    if (!this.#isSettled) this.#readSoon();
+    const isBehind = this.#behindSinceMs !== undefined &&
+      nowMs - this.#behindSinceMs >= NEWS_GRACE_MS;
+    if (!this.#isSettled || isBehind) this.#readSoon();
     if (this.#map !== undefined) this.#renew(this.#map, nowMs);
     if (this.#isMover) this.#move(nowMs);
   }
 
   #noteOwnWord(nowMs: number): void {
-    const { vm, incarnation } = this.#options;
-    const lastGrantMs = new Map<contracts.ServerId, number>();
-    const lastUnansweredMs = new Map<contracts.ServerId, number>();
-    for (const [server, [sent, unanswered]] of this.#sender.agesMs()) {
-      lastGrantMs.set(server, nowMs - sent);
-      if (unanswered !== null) lastUnansweredMs.set(server, nowMs - unanswered);
-    }
     this.#keepers.noteWord({
-      vm,
-      incarnation,
+      vm: this.#options.vm,
       revision: this.#map?.revision ?? 0,
       isSettled: this.#isSettled,
       askedAtMs: nowMs,
       receivedAtMs: nowMs,
       startedAtMs: this.#startedAtMs,
-      lastGrantMs,
-      lastUnansweredMs,
+      ...grantTimes(this.#sender.agesMs(), nowMs),
     });
   }
 
@@ -318,7 +319,9 @@
 
   #adopt(map: contracts.RangeMap, from: string): void {
     this.#map = map;
+    this.#behindSinceMs = undefined;
     this.#adoptedAtMs = this.#options.clock.nowMs();
+    this.#news.noteMap(map, this.#adoptedAtMs);
     this.#mover.noteNewer(map.revision);
     this.#sender.keepOnly(map.ranges);
     const fences = new Set(map.ranges.map(({ fence }) => fence));
@@ -416,11 +419,11 @@
   }
 
   #tellNews(): void {
-    const map = this.#map;
-    if (map === undefined) return;
+    const change = this.#news.change();
+    if (change === undefined) return;
     this.#newsLeft--;
     this.#toldMs = this.#options.clock.nowMs();
-    this.#options.publish({ map, pendingFences: [...this.#pending] });
+    this.#options.publish({ ...change, pendingFences: [...this.#pending] });
   }
 
   // Moving
@@ -582,14 +585,43 @@
     return {
       vm,
       map: this.#map,
-      live: this.#order.of("keepers", this.#live()),
+      live: this.#keeperOrder(),
       silentMs,
       lifeMs: nowMs - this.#startedAtMs,
     };
   }
 
+  /**
+   * VMs in the order in which they become keepers: the strongest first, since
+   * keepers send all renewals, some hundred a second for 200 servers.
+   */
+  #keeperOrder(): contracts.VmId[] {
+    const cores = new Map(
+      this.#options.peers().map((peer) => [peer.vm, peer.processorCores]),
+    );
+    // The sort is stable: equals stay in the order of the duty.
+    return [...this.#order.of("keepers", [...cores.keys()])]
+      .sort((a, b) => cores.get(b)! - cores.get(a)!);
+  }
+
   /** Entry VMs that are up, this one included. */
   #live(): contracts.VmId[] {
     return this.#options.peers().map(({ vm }) => vm);
   }
 }
+
+/** When grants to each server ended, from their ages. */
+function grantTimes(
+  ages: Iterable<[string, [number, number | null]]>,
+  nowMs: number,
+): Pick<grants.KeeperWord, "lastGrantMs" | "lastUnansweredMs"> {
+  const lastGrantMs = new Map<contracts.ServerId, number>();
+  const lastUnansweredMs = new Map<contracts.ServerId, number>();
+  for (const [name, [ageMs, unansweredAgeMs]] of ages) {
+    const server = name as contracts.ServerId;
+    lastGrantMs.set(server, nowMs - ageMs);
+    if (unansweredAgeMs === null) continue;
+    lastUnansweredMs.set(server, nowMs - unansweredAgeMs);
+  }
+  return { lastGrantMs, lastUnansweredMs };
+}
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -85,12 +85,19 @@
     host: settings.host,
     port: settings.peerPort,
     zone: settings.zone,
+    processorCores: settings.limits.processorShare * settings.limits.processors,
   };
   const gossip: PeerGossip = new PeerGossip({
     self,
     clock: suspensionClock,
     log: log.part("member"),
+    ownHello: () => ({
+      hasStore: health.isReached,
+      isLeaving: lifeCycle.isStopping,
+      ...grantTask.ownHello(),
+    }),
     ownState: () => ownState(),
+    keepers: () => grantTask.keepers(),
     ownLoads: () => forwarder.ownState().loads,
   });
   const hasher = await ownership.KeyHasher.create();
@@ -120,6 +127,7 @@
   const metrics = new GatewayMetrics();
   const requestLog = new RequestLog(log.part("route"), clock);
   const forwarder: Forwarder = new Forwarder({
+    vm: settings.vm,
     zone: settings.zone,
     config,
     registry,
@@ -168,9 +176,7 @@
   function ownState(): OwnState {
     return {
       lifeMs: Math.ceil(clock.nowMs() - startedMs),
-      hasStore: health.isReached,
       storeCalmMs: Math.min(LONGEST_CALM_MS, Math.floor(health.calmMs)),
-      isLeaving: lifeCycle.isStopping,
       configVersion: config.version,
       configCursor: watches.config.eventCursor,
       serversCursor: watches.servers.eventCursor,
@@ -272,7 +278,7 @@
   const mainLog = log.part("main");
   mainLog.info("Entry process stops.", { vm: settings.vm });
   const stopping = lifeCycle.stop();
-  gossip.sendNow();
+  gossip.sendToAll();
   const report = await stopping;
   for (const { name, reason } of report.failed) {
     mainLog.warn("A part did not stop cleanly.", { name, reason });
