--- a/packages/entry/src/gateway/kind_watch.ts
+++ b/packages/entry/src/gateway/kind_watch.ts
@@ -1,9 +1,17 @@
-/** Keeps a copy of all objects of one kind of the platform's store. */
+/**
+ * Keeps a copy of all objects of one kind of the platform's store: by a watch
+ * of its own, or by what the readers of its cell tell.
+ */
 import type * as contracts from "@guavatide/contracts";
 import * as timers from "node:timers/promises";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import type { PartLog } from "../utils/log.ts";
 import type { StoreHealth } from "./store_health.ts";
+import type {
+  RelayedChanges,
+  RelayedWatch,
+  WatchRelay,
+} from "./watch_relay.ts";
 
 /** Options of {@link KindWatch}. */
 export interface KindWatchOptions {
@@ -15,6 +23,7 @@
   readonly random: contracts.RandomSource;
   /** Entry VMs that are up. */
   readonly vmCount: () => number;
+  readonly relay: WatchRelay;
   /** All objects, after each list. */
   readonly onList: (objects: readonly contracts.StoredObject[]) => void;
   readonly onEvent: (event: contracts.WatchEvent) => void;
@@ -42,9 +51,14 @@
 const RETRY_MAX_MS = 600;
 /** Time that a peer's news may take to arrive over the own watch. */
 const NEWS_GRACE_MS = 250;
+/**
+ * Time that peers may take to tell what this VM missed; then it reads the store
+ * itself. A change has to be known within 2 s.
+ */
+const RELAY_GRACE_MS = 900;
 
 /** A task that lists a kind and then watches it. */
-export class KindWatch {
+export class KindWatch implements RelayedWatch {
   readonly #options: KindWatchOptions;
   #cursor: string | undefined;
   /** Cursor of the last batch that brought events. */
@@ -52,9 +66,16 @@
   #failures = 0;
   #abort: AbortController | undefined;
   #newsSinceMs: number | undefined;
+  /** Ends the wait of a VM that leaves reading to others. */
+  #wake: () => void = () => {};
 
   constructor(options: KindWatchOptions) {
     this.#options = options;
+    options.relay.add(this);
+  }
+
+  get prefix(): string {
+    return this.#options.prefix;
   }
 
   /** Position of the last change that this VM has heard of. */
@@ -68,7 +89,9 @@
     // A watch that was waiting when the store went silent would go on waiting,
     // and changes made after its return would be known seconds late.
     this.#options.health.onRegained(() => {
-      if (this.#cursor !== undefined) this.relist("the store is back");
+      const isWatching = this.#cursor !== undefined &&
+        this.#options.relay.isReader;
+      if (isWatching) this.relist("the store is back");
     });
     this.#run(lifeCycle.signal).catch((error) =>
       this.#options.log.error("Watch ended.", { error: String(error) })
@@ -80,29 +103,64 @@
    * bring them soon, its connection may have gone silent: the objects are
    * listed anew over another.
    */
-  noteNews(eventCursor: number): void {
+  noteNews(eventCursor: number, peer: contracts.VmId): void {
     if (eventCursor <= Number(this.#cursor ?? 0)) {
       this.#newsSinceMs = undefined;
       return;
     }
     const nowMs = this.#options.clock.nowMs();
     this.#newsSinceMs ??= nowMs;
-    if (nowMs - this.#newsSinceMs < NEWS_GRACE_MS) return;
+    const sinceMs = nowMs - this.#newsSinceMs;
+    if (sinceMs < NEWS_GRACE_MS) return;
+    const { relay, prefix } = this.#options;
+    if (!relay.isReader && sinceMs < RELAY_GRACE_MS) {
+      return relay.ask(prefix, Number(this.#cursor ?? 0), peer);
+    }
     this.#newsSinceMs = undefined;
     this.relist("peers know newer changes");
   }
 
+  /** Takes changes that a peer has read. */
+  takeRelayed(
+    { fromCursor, toCursor, events }: RelayedChanges,
+    from: contracts.VmId,
+  ): void {
+    const cursor = Number(this.#cursor ?? Number.POSITIVE_INFINITY);
+    if (toCursor <= cursor || this.#cursor === undefined) return;
+    if (fromCursor > cursor) {
+      return this.#options.relay.ask(this.prefix, cursor, from);
+    }
+    if (events === undefined) return this.relist("changes are not told");
+    this.#cursor = String(toCursor);
+    this.#eventCursor = toCursor;
+    // Those up to the own position come again, in their order: the last change
+    // of each object is the one that stays.
+    for (const event of events) this.#options.onEvent(event);
+  }
+
+  /** This VM became a reader, or is none any more. */
+  roleChanged(): void {
+    this.#wake();
+    if (!this.#options.relay.isReader) this.#abort?.abort();
+  }
+
   /** Lists anew at once. */
   relist(reason: string): void {
     const { log, prefix } = this.#options;
     log.info("Lists anew.", { prefix, reason, cursor: this.#cursor });
     this.#cursor = undefined;
     this.#abort?.abort();
+    this.#wake();
   }
 
   async #run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.#abort = new AbortController();
+      const isReader = this.#options.relay.isReader;
+      if (this.#cursor !== undefined && !isReader) {
+        await this.#untilWoken(signal);
+        continue;
+      }
       const isDone = this.#cursor === undefined
         ? await this.#list()
         : await this.#watch(this.#cursor);
@@ -110,6 +168,14 @@
     }
   }
 
+  /** Waits until this VM is to read the store itself. */
+  #untilWoken(signal: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      this.#wake = resolve;
+      signal.addEventListener("abort", () => resolve(), { once: true });
+    });
+  }
+
   async #list(): Promise<boolean> {
     const { store, prefix, health, onList } = this.#options;
     const result = await store.list(prefix, {
@@ -126,7 +192,7 @@
   }
 
   async #watch(cursor: string): Promise<boolean> {
-    const { store, prefix, health, onEvent } = this.#options;
+    const { store, prefix, health, relay, onEvent } = this.#options;
     const waitMs = this.#waitMs();
     const result = await store.watch(prefix, {
       cursor,
@@ -134,16 +200,28 @@
       timeoutMs: waitMs + WATCH_SLACK_MS,
       signal: this.#abort!.signal,
     });
-    // Asked to list anew meanwhile: what came of the watch is of no interest.
-    if (this.#cursor === undefined) return true;
+    // Asked to list anew meanwhile, or not to read any more: what came of the
+    // watch is of no interest.
+    if (this.#cursor === undefined || this.#abort!.signal.aborted) return true;
     if (result.isErr()) return this.#failed(result.error);
     health.noteAnswer();
     this.#failures = 0;
     const { events, reset } = result.value;
-    this.#cursor = reset ? undefined : result.value.cursor;
-    if (events.length > 0) this.#eventCursor = Number(result.value.cursor);
-    for (const event of events) onEvent(event);
-    if (events.length > 0) await timers.setTimeout(BATCH_PAUSE_MS);
+    if (reset) {
+      this.#cursor = undefined;
+      return true;
+    }
+    const fromCursor = Number(cursor);
+    const toCursor = Number(result.value.cursor);
+    // A peer may have told these changes, and later ones, meanwhile.
+    if (toCursor > Number(this.#cursor)) {
+      this.#cursor = result.value.cursor;
+      if (events.length > 0) this.#eventCursor = toCursor;
+      for (const event of events) onEvent(event);
+    }
+    if (events.length === 0) return true;
+    relay.publish(prefix, { fromCursor, toCursor, events });
+    await timers.setTimeout(BATCH_PAUSE_MS);
     return true;
   }
 
--- a/packages/entry/src/gateway/peer_messages.ts
+++ b/packages/entry/src/gateway/peer_messages.ts
@@ -21,6 +21,11 @@
 /** Method of {@link SlotWords}. */
 export const SLOT_WORDS_METHOD = "slotWords";
 
+/** Method of {@link Changes}. */
+export const CHANGES_METHOD = "changes";
+/** Method of {@link ChangesWish}. */
+export const CHANGES_WISH_METHOD = "changesWish";
+
 /** By server: requests there, and requests that wait for it. */
 const loadsSchema = z.record(
   z.string(),
@@ -179,3 +184,31 @@
 });
 /** The answers to {@link SlotAsks}. */
 export type SlotWords = z.infer<typeof slotWordsSchema>;
+
+/** Schema of {@link Changes}. */
+export const changesSchema = z.object({
+  vm: contracts.vmIdSchema,
+  /** Prefix of the names of the objects. */
+  prefix: z.string(),
+  /** Positions in the store's order. */
+  fromCursor: z.number().int(),
+  toCursor: z.number().int(),
+  /**
+   * Names with version and value, without for an object that was deleted; null
+   * when the changes are not told here.
+   */
+  events: z.array(
+    z.tuple([z.string(), z.tuple([z.string(), z.string()]).nullable()]),
+  ).nullable(),
+});
+/** Changes that a VM has read from the platform's store, for its cell. */
+export type Changes = z.infer<typeof changesSchema>;
+
+/** Schema of {@link ChangesWish}. */
+export const changesWishSchema = z.object({
+  vm: contracts.vmIdSchema,
+  prefix: z.string(),
+  cursor: z.number().int(),
+});
+/** Asks a peer for the changes after a position. */
+export type ChangesWish = z.infer<typeof changesWishSchema>;
--- a/packages/entry/src/gateway/store_probe.ts
+++ b/packages/entry/src/gateway/store_probe.ts
@@ -14,6 +14,9 @@
   /** Object that is read, possibly some seconds old. */
   readonly name: string;
   readonly onObject: (object: contracts.StoredObject) => void;
+  readonly clock: contracts.Clock;
+  /** Whether this VM's part depends on the store: as a reader or keeper. */
+  readonly isWatching: () => boolean;
 }
 
 /**
@@ -22,6 +25,8 @@
  * a call.
  */
 const PROBE_MS = 800;
+/** A VM that others read for asks so seldom, while it is answered. */
+const RESTING_PROBE_MS = 5_000;
 /** The store answers in 4 ms, in 400 ms when it is slow. */
 const PROBE_TIMEOUT_MS = 750;
 
@@ -29,6 +34,7 @@
 export class StoreProbe {
   readonly #options: StoreProbeOptions;
   #isAsking = false;
+  #askedMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: StoreProbeOptions) {
     this.#options = options;
@@ -47,9 +53,12 @@
   }
 
   async #probe(): Promise<void> {
-    if (this.#isAsking) return;
+    const { store, health, name, onObject, clock, isWatching } = this.#options;
+    const isResting = health.isReached && !isWatching() &&
+      clock.nowMs() - this.#askedMs < RESTING_PROBE_MS;
+    if (this.#isAsking || isResting) return;
     this.#isAsking = true;
-    const { store, health, name, onObject } = this.#options;
+    this.#askedMs = clock.nowMs();
     const result = await store.get(name, {
       timeoutMs: PROBE_TIMEOUT_MS,
       mayBeStale: true,
--- a/packages/entry/src/gateway/vm_directory.ts
+++ b/packages/entry/src/gateway/vm_directory.ts
@@ -19,11 +19,6 @@
 const PREFIX = "entryvms/";
 const CALL_TIMEOUT_MS = 1_000;
 const RETRY_MS = 400;
-/**
- * All VMs start together: a second look finds those that registered after the
- * first. Later ones tell of themselves in datagrams.
- */
-const SECOND_LOOK_MS = 700;
 
 const vmObjectSchema = z.object({ host: z.string(), port: z.number().int() });
 
@@ -43,10 +38,9 @@
   }
 
   async #run(signal: AbortSignal): Promise<void> {
-    const isListed = await this.#retry(signal, () => this.#list());
-    if (!isListed) return;
+    // Of two VMs that start together the later to register finds the other in
+    // its list, and tells it of itself in a datagram.
     await this.#retry(signal, () => this.#register());
-    await timers.setTimeout(SECOND_LOOK_MS);
     await this.#retry(signal, () => this.#list());
   }
 
@@ -61,14 +55,21 @@
     return false;
   }
 
+  /** One call, or two for a name whose address has changed. */
   async #register(): Promise<boolean> {
     const { store, self, health } = this.#options;
     const { host, port } = self;
-    const result = await store.put(
-      `${PREFIX}${self.vm}`,
-      JSON.stringify({ host, port }),
-      { timeoutMs: CALL_TIMEOUT_MS, condition: { kind: "any" } },
-    );
+    const name = `${PREFIX}${self.vm}`;
+    const value = JSON.stringify({ host, port });
+    const timeoutMs = CALL_TIMEOUT_MS;
+    const created = await store.put(name, value, {
+      timeoutMs,
+      condition: { kind: "absent" },
+    });
+    const isThere = created.isErr() && created.error.kind === "conflict";
+    const result = isThere
+      ? await store.put(name, value, { timeoutMs, condition: { kind: "any" } })
+      : created;
     if (result.isErr()) health.noteFailure(result.error);
     else health.noteAnswer();
     return result.isOk();
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -26,6 +26,7 @@
 import { SlotTask } from "./slot_task.ts";
 import { StoreHealth } from "./store_health.ts";
 import { StoreProbe } from "./store_probe.ts";
+import { WatchRelay } from "./watch_relay.ts";
 import { VmDirectory } from "./vm_directory.ts";
 
 /** Descriptors kept for files, the store, peers and control calls. */
@@ -79,7 +80,6 @@
     clock,
     log: log.part("member"),
   });
-  const watches = createWatches();
   const self = {
     vm: settings.vm,
     incarnation: drawIncarnation(),
@@ -102,6 +102,14 @@
     ownLoads: () => forwarder.ownState().loads,
   });
   const hasher = await ownership.KeyHasher.create();
+  const relay = new WatchRelay({
+    vm: settings.vm,
+    gossip,
+    health,
+    hasher,
+    log: log.part("store"),
+  });
+  const watches = createWatches();
   const grantTask: GrantTask = new GrantTask({
     self,
     timings: timingsOf(settings),
@@ -169,6 +177,7 @@
       clock,
       random,
       vmCount: () => gossip.vmCount,
+      relay,
     };
     return {
       config: new KindWatch({
@@ -230,7 +239,10 @@
       health,
       name: adapter.prefixes.configObject,
       onObject: (object) => config.take(object),
+      clock,
+      isWatching: () => relay.isReader || grantTask.keepers().has(settings.vm),
     }),
+    relay,
     directory: new VmDirectory({
       self,
       store,
@@ -266,13 +278,14 @@
   await readiness.listen(lifeCycle);
   await parts.metrics.listen(settings, lifeCycle);
   for (const { host } of settings.seeds) gossip.addSeed(host);
-  gossip.onStatus(({ status }) => {
-    watches.config.noteNews(status.configCursor);
-    watches.servers.noteNews(status.serversCursor);
+  gossip.onStatus(({ status: { vm, configCursor, serversCursor } }) => {
+    watches.config.noteNews(configCursor, vm);
+    watches.servers.noteNews(serversCursor, vm);
   });
   await gossip.start(lifeCycle);
   parts.directory.start(lifeCycle);
   parts.probe.start(lifeCycle);
+  parts.relay.start(lifeCycle);
   watches.config.start(lifeCycle);
   watches.servers.start(lifeCycle);
   grantTask.start(lifeCycle);
