--- a/packages/decisions/src/admission/slot_asks.ts
+++ b/packages/decisions/src/admission/slot_asks.ts
@@ -32,6 +32,8 @@
   /** A request has a slot and can be placed. */
   readonly onGiven: (request: WaitingRequest) => void;
   readonly onRefused: (request: WaitingRequest, refusal: Refusal) => void;
+  /** A desk is left out for a while, and asked again afterwards. */
+  readonly onSilent: (desk: contracts.VmId) => void;
 }
 
 /** A wish without any word is sent again: the datagram was lost. */
@@ -187,6 +189,7 @@
     const isQueued = state === "queued";
     const limitMs = isQueued ? QUEUED_SILENT_MS : DESK_SILENT_MS;
     if (nowMs - heardMs >= limitMs) {
+      if (!this.#silentUntilMs.has(desk)) this.#options.onSilent(desk);
       this.#silentUntilMs.set(desk, nowMs + SILENT_REST_MS);
       this.withdraw(request);
       // Asks the next desk, or goes without one.
--- a/packages/decisions/src/admission/slot_desk_test.ts
+++ b/packages/decisions/src/admission/slot_desk_test.ts
@@ -41,6 +41,8 @@
   readonly vms = new Map<contracts.VmId, admission.SlotAsks>();
   /** Desks that take and say nothing. */
   readonly deaf = new Set<contracts.VmId>();
+  /** Desks that were found silent, each time. */
+  readonly silent: contracts.VmId[] = [];
   /** Words that are still to be lost. */
   lostWords = 0;
 
@@ -66,6 +68,7 @@
           onMessage: () => {},
           onGiven: () => {},
           onRefused: (request, refusal) => request.refused(refusal),
+          onSilent: (desk) => this.silent.push(desk),
         }),
       );
     }
@@ -182,6 +185,7 @@
   fixture.take(0, request);
   fixture.deliver();
   expect(fixture.take(0, request)).toEqual(true);
+  expect(fixture.silent).toEqual([DESK]);
 });
 
 test("should send a VM's only request when no desk answers at all", () => {
--- a/packages/entry/src/gateway/slot_task.ts
+++ b/packages/entry/src/gateway/slot_task.ts
@@ -7,6 +7,7 @@
 import * as grants from "@guavatide/decisions/grants/mod";
 import type * as ownership from "@guavatide/decisions/ownership/mod";
 import type { LifeCycle } from "../utils/life_cycle.ts";
+import type { PartLog } from "../utils/log.ts";
 import type { PeerGossip } from "./peer_gossip.ts";
 import * as messages from "./peer_messages.ts";
 import type { ServerRegistry } from "./server_registry.ts";
@@ -20,6 +21,7 @@
   readonly hasher: ownership.KeyHasher;
   readonly clock: contracts.Clock;
   readonly random: contracts.RandomSource;
+  readonly log: PartLog;
   readonly isLeaving: () => boolean;
 }
 
@@ -60,6 +62,10 @@
         this.#callers.delete(request);
         caller?.refuse(request, refusal);
       },
+      onSilent: (desk) =>
+        options.log.warn("Leaves out a VM that gives out slots: no answer.", {
+          peer: desk,
+        }),
     });
     this.#desk = new admission.SlotDesk({
       zone,
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -134,6 +134,7 @@
     hasher,
     clock,
     random,
+    log: log.part("route"),
     isLeaving: () => lifeCycle.isStopping,
   });
   const links = new linkParts.ServerLinks(
