refactor(grants): the first map's wait and the mover's news as classes of their own

Cause: service_grants.ts did six jobs; the wait before the first map and the repeats of news could not be tested alone. Change: FirstMapWait (a decision, two tests) and MapPublisher; behaviour as before.

--- /dev/null
+++ b/packages/decisions/src/grants/first_map_wait_test.ts
@@ -0,0 +1,24 @@
+import { expect } from "earl";
+import { test } from "node:test";
+import { FirstMapWait } from "./first_map_wait.ts";
+
+test("should wait until no server has joined for a while", () => {
+  const wait = new FirstMapWait();
+  expect(wait.isOver(3, { nowMs: 1_000, lifeMs: 1_000 })).toEqual(false);
+  expect(wait.isOver(5, { nowMs: 1_500, lifeMs: 1_500 })).toEqual(false);
+  expect(wait.isOver(5, { nowMs: 2_400, lifeMs: 2_400 })).toEqual(false);
+  expect(wait.isOver(5, { nowMs: 2_500, lifeMs: 2_500 })).toEqual(true);
+});
+
+/**
+ * Servers go on joining, one every half a second. Nobody would be served before
+ * the last of them is there.
+ */
+test("should not wait for ever while servers go on joining", () => {
+  const wait = new FirstMapWait();
+  for (let nowMs = 500; nowMs < 4_000; nowMs += 500) {
+    const isOver = wait.isOver(nowMs / 500, { nowMs, lifeMs: nowMs });
+    expect(isOver).toEqual(false);
+  }
+  expect(wait.isOver(8, { nowMs: 4_000, lifeMs: 4_000 })).toEqual(true);
+});
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -8,6 +8,7 @@
 import type * as ownership from "@guavatide/decisions/ownership/mod";
 import type { PartLog } from "../utils/log.ts";
 import { GrantSender } from "./grant_sender.ts";
+import { MapPublisher } from "./map_publisher.ts";
 import type { KeyCounts, PeerStatus, RangeMapNews } from "./peer_messages.ts";
 import type { RangeMapStore } from "./range_map_store.ts";
 import type { ServerRegistry } from "./server_registry.ts";
@@ -52,14 +53,6 @@
 
 /** VMs that send the renewals of one server, the first at full rate. */
 const RENEWERS = 2;
-/** A process that has just started lets others settle who is there. */
-const FIRST_MAP_AFTER_MS = 1_200;
-/**
- * The first map waits until no server has joined for a while, as all start
- * together; not for ever, since nobody is served before it.
- */
-const FIRST_MAP_CALM_MS = 1_000;
-const FIRST_MAP_BEFORE_MS = 4_000;
 /** A grant that the mover sends with a handover goes ahead of other VMs'. */
 const HANDOVER_LEAD_MS = 600;
 /** Interval of plans that even out load. */
@@ -70,10 +63,6 @@
 const RELEASE_TIMEOUT_MS = 2_500;
 /** An owner that was not heard to confirm is tried after this time. */
 const PENDING_MS = 1_500;
-/** The mover tells its map again at this interval: datagrams get lost. */
-const REPEAT_NEWS_MS = 400;
-/** So many times after each change. */
-const NEWS_REPEATS = 4;
 /** The mover's news may arrive so much later than a peer's word of the map. */
 const NEWS_GRACE_MS = 120;
 /** Least time between two reads of the map by a VM that lacks evidence. */
@@ -97,14 +86,11 @@
   #isMover = false;
   #movingSinceMs = 0;
   #balancedAtMs = 0;
-  #usableCount = 0;
-  #usableSinceMs = 0;
+  readonly #firstMap = new grants.FirstMapWait();
   readonly #order: grants.DutyOrder;
-  readonly #news = new grants.RangeNews();
-  #newsLeft = 0;
+  readonly #publisher: MapPublisher;
   /** Since when peers know a newer map than this VM. */
   #behindSinceMs: number | undefined;
-  #toldMs = 0;
   #isReading = false;
   #readAtMs = Number.NEGATIVE_INFINITY;
   readonly #lost = new grants.LostServers();
@@ -114,6 +100,7 @@
   constructor(options: ServiceGrantsOptions) {
     this.#options = options;
     this.#order = new grants.DutyOrder(options.hasher);
+    this.#publisher = new MapPublisher(options);
     this.#startedAtMs = options.clock.nowMs();
     this.#mover = new grants.RangeMover(
       options.service,
@@ -332,7 +319,7 @@
     this.#map = map;
     this.#behindSinceMs = undefined;
     this.#adoptedAtMs = this.#options.clock.nowMs();
-    this.#news.noteMap(map, this.#adoptedAtMs);
+    this.#publisher.noteMap(map);
     this.#mover.noteNewer(map.revision);
     this.#sender.keepOnly(map.ranges);
     const fences = new Set(map.ranges.map(({ fence }) => fence));
@@ -416,32 +403,14 @@
     this.#confirmed.add(range.fence);
     if (!this.#pending.delete(range.fence)) return;
     this.#options.onChange();
-    if (this.#isMover) this.#publish();
-  }
-
-  #publish(): void {
-    this.#newsLeft = NEWS_REPEATS;
-    this.#tellNews();
-  }
-
-  #repeatNews(nowMs: number): void {
-    const isDue = this.#newsLeft > 0 && nowMs - this.#toldMs >= REPEAT_NEWS_MS;
-    if (isDue) this.#tellNews();
-  }
-
-  #tellNews(): void {
-    const change = this.#news.change();
-    if (change === undefined) return;
-    this.#newsLeft--;
-    this.#toldMs = this.#options.clock.nowMs();
-    this.#options.publish({ ...change, pendingFences: [...this.#pending] });
+    if (this.#isMover) this.#publisher.publish(this.#pending);
   }
 
   // Moving
 
   #move(nowMs: number): void {
     const tick = this.#moverTick(nowMs);
-    this.#repeatNews(nowMs);
+    this.#publisher.repeat(this.#pending);
     this.#mover.checkPromises(nowMs, tick.gone);
     for (const call of this.#mover.takeReleases(nowMs, tick.hasEnded)) {
       this.#release(call);
@@ -470,7 +439,7 @@
     if (map.revision <= (this.#map?.revision ?? 0)) return;
     this.#notePending(map);
     this.#adopt(map, call.kind === "read" ? "store" : "own move");
-    this.#publish();
+    this.#publisher.publish(this.#pending);
   }
 
   /** Ranges whose fence is new since the map known before. */
@@ -525,15 +494,10 @@
         .filter(({ server }) => !this.#lost.has(server))
         .map((entry) => [entry.server, entry]),
     );
-    if (usable.size !== this.#usableCount) {
-      this.#usableCount = usable.size;
-      this.#usableSinceMs = nowMs;
-    }
     const review = this.#keeperReview(nowMs);
     const { lifeMs } = review;
-    const isCalm = nowMs - this.#usableSinceMs >= FIRST_MAP_CALM_MS;
-    const mayStart = this.#map !== undefined ||
-      lifeMs >= FIRST_MAP_AFTER_MS && isCalm || lifeMs >= FIRST_MAP_BEFORE_MS;
+    const isOver = this.#firstMap.isOver(usable.size, { nowMs, lifeMs });
+    const mayStart = this.#map !== undefined || isOver;
     return {
       nowMs,
       usable: registry.isListed && mayStart ? usable : new Map(),
