--- a/packages/decisions/src/admission/mod.ts
+++ b/packages/decisions/src/admission/mod.ts
@@ -5,5 +5,5 @@
 export * from "./service_times.ts";
 export * from "./shared_retry_budget.ts";
 export * from "./slot_asks.ts";
-export * from "./slot_desk.ts";
+export * from "./slot_coordinator.ts";
 export * from "./waiting_request.ts";
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -145,7 +145,7 @@
     return true;
   }
 
-  /** A desk refused the request. */
+  /** A coordinator refused the request. */
   refuse(request: WaitingRequest, refusal: Refusal): void {
     if (this.withdraw(request)) request.refused(refusal);
   }
@@ -311,7 +311,7 @@
     return own.length > 0 ? own : all;
   }
 
-  /** Whether the request waits for a desk to give it its owner's slot. */
+  /** Whether the request waits for a coordinator to give it its owner's slot. */
   #awaitsSlot(request: WaitingRequest): boolean {
     if (this.#options.slots === undefined) return false;
     const owner = this.#ownerOf(request);
--- a/packages/decisions/src/admission/slot_asks.ts
+++ b/packages/decisions/src/admission/slot_asks.ts
@@ -1,18 +1,18 @@
-/** What this entry VM asks of the desks that give out owners' slots. */
+/** What this entry VM asks of the coordinators that give out owners' slots. */
 import type * as contracts from "@guavatide/contracts";
-import type { DeskServer, HeldSlot, SlotWish } from "./slot_desk.ts";
+import type { HeldSlot, SlotServer, SlotWish } from "./slot_coordinator.ts";
 import type { Refusal, WaitingRequest } from "./waiting_request.ts";
 
-/** Messages for one desk, sent together. */
+/** Messages for one coordinator, sent together. */
 export interface SlotMessage {
   readonly wishes: SlotWish[];
   /** Wishes and slots that are over, with the time of an answered request. */
   readonly ended: { readonly id: number; readonly tookMs?: number }[];
-  /** All slots that this VM has of the desk; undefined when not told now. */
+  /** All slots that this VM has of the coordinator; undefined when not told now. */
   held: HeldSlot[] | undefined;
 }
 
-/** A desk's answer to one wish. */
+/** A coordinator's answer to one wish. */
 export interface SlotWord {
   readonly id: number;
   readonly kind: "given" | "queued" | "refused";
@@ -23,8 +23,8 @@
 export interface SlotAsksOptions {
   readonly vm: contracts.VmId;
   /** The VM that gives out a server's slots, leaving out silent ones. */
-  readonly deskOf: (
-    server: DeskServer,
+  readonly coordinatorOf: (
+    server: SlotServer,
     silent: ReadonlySet<contracts.VmId>,
   ) => contracts.VmId | undefined;
   /** There are messages to send. */
@@ -32,28 +32,28 @@
   /** A request has a slot and can be placed. */
   readonly onGiven: (request: WaitingRequest) => void;
   readonly onRefused: (request: WaitingRequest, refusal: Refusal) => void;
-  /** A desk is left out for a while, and asked again afterwards. */
-  readonly onSilent: (desk: contracts.VmId) => void;
+  /** A coordinator is left out for a while, and asked again afterwards. */
+  readonly onSilent: (coordinator: contracts.VmId) => void;
 }
 
 /** A wish without any word is sent again: the datagram was lost. */
 const ASK_AGAIN_MS = 60;
-/** A desk that leaves a wish without any word for so long is not asked. */
-const DESK_SILENT_MS = 250;
+/** A coordinator that leaves a wish without any word for so long is not asked. */
+const COORDINATOR_SILENT_MS = 250;
 /** A wish that is queued is told again at this interval. */
 const QUEUED_AGAIN_MS = 300;
-/** A desk that does not confirm a queued wish for so long is gone. */
+/** A coordinator that does not confirm a queued wish for so long is gone. */
 const QUEUED_SILENT_MS = 800;
-/** How long a silent desk is left out. */
+/** How long a silent coordinator is left out. */
 const SILENT_REST_MS = 2_000;
-/** Interval at which slots are listed to their desks. */
+/** Interval at which slots are listed to their coordinators. */
 const LIST_MS = 500;
 
 interface Ask {
   readonly wish: SlotWish;
   readonly request: WaitingRequest;
-  /** Undefined when no desk can be asked. */
-  readonly desk: contracts.VmId | undefined;
+  /** Undefined when no coordinator can be asked. */
+  readonly coordinator: contracts.VmId | undefined;
   state: "asked" | "queued" | "given" | "in-use";
   sentMs: number;
   heardMs: number;
@@ -75,12 +75,12 @@
 
   /**
    * Whether a request has a slot at a server; asks for one if it has not.
-   * `ownRequests` are this VM's requests there: without any desk the first is
+   * `ownRequests` are this VM's requests there: without any coordinator the first is
    * sent all the same.
    */
   take(
     request: WaitingRequest,
-    server: DeskServer,
+    server: SlotServer,
     { ownRequests, nowMs }: { ownRequests: number; nowMs: number },
   ): boolean {
     let ask = this.#open.get(request);
@@ -89,7 +89,7 @@
     // The key has moved to another owner since.
     if (ask !== undefined && !isSame) this.withdraw(request);
     if (ask === undefined || !isSame) ask = this.#ask(request, server, nowMs);
-    if (ask.desk === undefined) return ownRequests === 0;
+    if (ask.coordinator === undefined) return ownRequests === 0;
     return ask.state === "given";
   }
 
@@ -110,17 +110,17 @@
     this.#end(ask, undefined);
   }
 
-  /** Words of a desk. */
+  /** Words of a coordinator. */
   noteWords(
-    desk: contracts.VmId,
+    coordinator: contracts.VmId,
     words: readonly SlotWord[],
     nowMs: number,
   ): void {
     for (const { id, kind, refusal } of words) {
       const ask = this.#byId.get(id);
-      if (ask === undefined || ask.desk !== desk) {
+      if (ask === undefined || ask.coordinator !== coordinator) {
         // The wish was withdrawn before the slot was given.
-        if (kind === "given") this.#message(desk).ended.push({ id });
+        if (kind === "given") this.#message(coordinator).ended.push({ id });
         continue;
       }
       ask.heardMs = nowMs;
@@ -130,31 +130,31 @@
     }
   }
 
-  /** Sends again what was lost, and turns from desks that are silent. */
+  /** Sends again what was lost, and turns from coordinators that are silent. */
   tick(nowMs: number): void {
-    for (const [desk, untilMs] of this.#silentUntilMs) {
-      if (nowMs >= untilMs) this.#silentUntilMs.delete(desk);
+    for (const [coordinator, untilMs] of this.#silentUntilMs) {
+      if (nowMs >= untilMs) this.#silentUntilMs.delete(coordinator);
     }
     for (const ask of [...this.#open.values()]) this.#review(ask, nowMs);
     if (nowMs - this.#listedMs < LIST_MS) return;
     this.#listedMs = nowMs;
-    for (const { state, desk, wish } of this.#byId.values()) {
-      if (state !== "in-use" || desk === undefined) continue;
-      const message = this.#message(desk);
+    for (const { state, coordinator, wish } of this.#byId.values()) {
+      if (state !== "in-use" || coordinator === undefined) continue;
+      const message = this.#message(coordinator);
       message.held ??= [];
       message.held.push(wish);
     }
   }
 
-  /** Takes what is to be sent, by desk. */
+  /** Takes what is to be sent, by coordinator. */
   takeMessages(): Map<contracts.VmId, SlotMessage> {
     const messages = new Map(this.#outbox);
     this.#outbox.clear();
     return messages;
   }
 
-  #ask(request: WaitingRequest, server: DeskServer, nowMs: number): Ask {
-    const { vm, deskOf } = this.#options;
+  #ask(request: WaitingRequest, server: SlotServer, nowMs: number): Ask {
+    const { vm, coordinatorOf } = this.#options;
     const { route, targetMs, answerByMs } = request;
     const { service, server: name, bornMs, slots } = server;
     const wish: SlotWish = {
@@ -168,37 +168,42 @@
       targetMs,
       answerByMs,
     };
-    const desk = deskOf(server, new Set(this.#silentUntilMs.keys()));
+    const coordinator = coordinatorOf(
+      server,
+      new Set(this.#silentUntilMs.keys()),
+    );
     const ask: Ask = {
       wish,
       request,
-      desk,
+      coordinator,
       state: "asked",
       sentMs: nowMs,
       heardMs: nowMs,
     };
     this.#open.set(request, ask);
     this.#byId.set(wish.id, ask);
-    if (desk !== undefined) this.#message(desk).wishes.push(wish);
+    if (coordinator !== undefined) this.#message(coordinator).wishes.push(wish);
     return ask;
   }
 
   #review(ask: Ask, nowMs: number): void {
-    const { desk, state, heardMs, sentMs, wish, request } = ask;
-    if (desk === undefined || state === "given") return;
+    const { coordinator, state, heardMs, sentMs, wish, request } = ask;
+    if (coordinator === undefined || state === "given") return;
     const isQueued = state === "queued";
-    const limitMs = isQueued ? QUEUED_SILENT_MS : DESK_SILENT_MS;
+    const limitMs = isQueued ? QUEUED_SILENT_MS : COORDINATOR_SILENT_MS;
     if (nowMs - heardMs >= limitMs) {
-      if (!this.#silentUntilMs.has(desk)) this.#options.onSilent(desk);
-      this.#silentUntilMs.set(desk, nowMs + SILENT_REST_MS);
+      if (!this.#silentUntilMs.has(coordinator)) {
+        this.#options.onSilent(coordinator);
+      }
+      this.#silentUntilMs.set(coordinator, nowMs + SILENT_REST_MS);
       this.withdraw(request);
-      // Asks the next desk, or goes without one.
+      // Asks the next coordinator, or goes without one.
       return this.#options.onGiven(request);
     }
     const againMs = isQueued ? QUEUED_AGAIN_MS : ASK_AGAIN_MS;
     if (nowMs - sentMs < againMs) return;
     ask.sentMs = nowMs;
-    this.#message(desk).wishes.push(wish);
+    this.#message(coordinator).wishes.push(wish);
   }
 
   #advance(ask: Ask, kind: "given" | "queued"): void {
@@ -212,17 +217,17 @@
     this.#options.onRefused(ask.request, refusal);
   }
 
-  #end({ wish, desk }: Ask, tookMs: number | undefined): void {
+  #end({ wish, coordinator }: Ask, tookMs: number | undefined): void {
     this.#byId.delete(wish.id);
-    if (desk === undefined) return;
-    this.#message(desk).ended.push({ id: wish.id, tookMs });
+    if (coordinator === undefined) return;
+    this.#message(coordinator).ended.push({ id: wish.id, tookMs });
   }
 
-  #message(desk: contracts.VmId): SlotMessage {
-    const found = this.#outbox.get(desk);
+  #message(coordinator: contracts.VmId): SlotMessage {
+    const found = this.#outbox.get(coordinator);
     if (found !== undefined) return found;
     const created: SlotMessage = { wishes: [], ended: [], held: undefined };
-    this.#outbox.set(desk, created);
+    this.#outbox.set(coordinator, created);
     this.#options.onMessage();
     return created;
   }
--- a/packages/decisions/src/admission/slot_desk.ts
+++ b/packages/decisions/src/admission/slot_coordinator.ts
@@ -5,7 +5,7 @@
  * requests at once, and one whose queue is full never answers. On two heavy days
  * a quarter of all requests was refused or failed before. One VM therefore gives out each owner's slots, by rank
  * and by what can still be answered in time. A slot that is given twice, as by
- * two desks after a loss, costs a longer queue at the server and no more.
+ * two coordinators after a loss, costs a longer queue at the server and no more.
  */
 import type * as contracts from "@guavatide/contracts";
 import { ServiceQueue } from "./service_queue.ts";
@@ -17,7 +17,7 @@
 } from "./waiting_request.ts";
 
 /** A server whose slots are asked for. */
-export interface DeskServer {
+export interface SlotServer {
   readonly service: contracts.ServiceId;
   readonly server: contracts.ServerId;
   readonly bornMs: number;
@@ -25,7 +25,7 @@
 }
 
 /** A request at some entry VM that asks for a slot. */
-export interface SlotWish extends DeskServer {
+export interface SlotWish extends SlotServer {
   /** Drawn by the VM; rises with each of its wishes. */
   readonly id: number;
   readonly vm: contracts.VmId;
@@ -37,15 +37,15 @@
 /** A slot that an entry VM says it has. */
 export type HeldSlot = Omit<SlotWish, "vm" | "targetMs" | "answerByMs">;
 
-/** What a desk says to a wish. */
+/** What a coordinator says to a wish. */
 export type SlotDecision = Pick<SlotWish, "vm" | "id"> & {
   readonly kind: "given" | "queued" | "refused";
   /** Present when refused. */
   readonly refusal?: Refusal;
 };
 
-/** Options of {@link SlotDesk}. */
-export interface SlotDeskOptions {
+/** Options of {@link SlotCoordinator}. */
+export interface SlotCoordinatorOptions {
   readonly zone: contracts.ZoneId;
   readonly random: contracts.RandomSource;
   readonly decide: (decision: SlotDecision) => void;
@@ -67,21 +67,21 @@
   readonly release: (nowMs: number) => void;
 }
 
-/** The desk of one entry VM, for all servers whose slots it gives out. */
-export class SlotDesk {
-  readonly #options: SlotDeskOptions;
-  readonly #servers = new Map<string, ServerDesk>();
+/** The coordinator of one entry VM, for all servers whose slots it gives out. */
+export class SlotCoordinator {
+  readonly #options: SlotCoordinatorOptions;
+  readonly #servers = new Map<string, ServerSlots>();
   readonly #times = new Map<contracts.ServiceId, ServiceTimes>();
   readonly #heardMs = new Map<contracts.VmId, number>();
 
-  constructor(options: SlotDeskOptions) {
+  constructor(options: SlotCoordinatorOptions) {
     this.#options = options;
   }
 
   /** Takes a wish; one that is known already is answered as it stands. */
   wish(wish: SlotWish, nowMs: number): void {
     this.#heardMs.set(wish.vm, nowMs);
-    this.#desk(wish).wish(wish, nowMs);
+    this.#coordinator(wish).wish(wish, nowMs);
   }
 
   /** A slot is free again, or a wish is over; `tookMs` of an answered request. */
@@ -91,12 +91,12 @@
     { tookMs, nowMs }: { readonly tookMs?: number; readonly nowMs: number },
   ): void {
     const name = nameOf(vm, id);
-    for (const desk of this.#servers.values()) {
-      if (desk.end(name, tookMs, nowMs)) return;
+    for (const coordinator of this.#servers.values()) {
+      if (coordinator.end(name, tookMs, nowMs)) return;
     }
   }
 
-  /** All slots that a VM has of this desk, as it knows them. */
+  /** All slots that a VM has of this coordinator, as it knows them. */
   noteHeld(
     vm: contracts.VmId,
     slots: readonly HeldSlot[],
@@ -104,10 +104,10 @@
   ): void {
     this.#heardMs.set(vm, nowMs);
     const listed = new Set(slots.map(({ id }) => nameOf(vm, id)));
-    for (const desk of this.#servers.values()) {
-      desk.dropUnlisted(vm, listed, nowMs);
+    for (const coordinator of this.#servers.values()) {
+      coordinator.dropUnlisted(vm, listed, nowMs);
     }
-    for (const slot of slots) this.#desk(slot).adopt(vm, slot, nowMs);
+    for (const slot of slots) this.#coordinator(slot).adopt(vm, slot, nowMs);
   }
 
   /** Refuses what waits in vain; forgets VMs and servers that are gone. */
@@ -115,14 +115,14 @@
     for (const [vm, heardMs] of this.#heardMs) {
       if (nowMs - heardMs < VM_SILENT_MS) continue;
       this.#heardMs.delete(vm);
-      for (const desk of this.#servers.values()) {
-        desk.dropUnlisted(vm, new Set(), nowMs);
-        desk.dropWishes(vm);
+      for (const coordinator of this.#servers.values()) {
+        coordinator.dropUnlisted(vm, new Set(), nowMs);
+        coordinator.dropWishes(vm);
       }
     }
-    for (const [name, desk] of this.#servers) {
-      desk.review(nowMs);
-      if (desk.isIdle(nowMs)) this.#servers.delete(name);
+    for (const [name, coordinator] of this.#servers) {
+      coordinator.review(nowMs);
+      if (coordinator.isIdle(nowMs)) this.#servers.delete(name);
     }
   }
 
@@ -138,15 +138,15 @@
     return factors;
   }
 
-  #desk(server: DeskServer): ServerDesk {
+  #coordinator(server: SlotServer): ServerSlots {
     const name = `${server.server}/${server.bornMs}`;
     const found = this.#servers.get(name);
     if (found !== undefined) return found;
     const times = this.#times.get(server.service) ?? new ServiceTimes();
     this.#times.set(server.service, times);
-    const desk = new ServerDesk(server, times, this.#options);
-    this.#servers.set(name, desk);
-    return desk;
+    const coordinator = new ServerSlots(server, times, this.#options);
+    this.#servers.set(name, coordinator);
+    return coordinator;
   }
 }
 
@@ -155,21 +155,21 @@
 }
 
 /** One server's slots and the wishes for them. */
-class ServerDesk {
-  readonly server: DeskServer;
+class ServerSlots {
+  readonly server: SlotServer;
   readonly #times: ServiceTimes;
   readonly #queue: ServiceQueue;
   readonly #decide: (decision: SlotDecision) => void;
-  readonly #wishes = new Map<string, DeskRequest>();
+  readonly #wishes = new Map<string, QueuedWish>();
   readonly #held = new Map<string, Held>();
   /** Time of the latest call: slots are given in the course of it. */
   #nowMs = 0;
   #usedMs = 0;
 
   constructor(
-    server: DeskServer,
+    server: SlotServer,
     times: ServiceTimes,
-    { zone, random, decide }: SlotDeskOptions,
+    { zone, random, decide }: SlotCoordinatorOptions,
   ) {
     this.server = server;
     this.#times = times;
@@ -185,7 +185,7 @@
     const name = nameOf(vm, id);
     if (this.#held.has(name)) return this.#decide({ vm, id, kind: "given" });
     if (this.#wishes.has(name)) return this.#decide({ vm, id, kind: "queued" });
-    const request = new DeskRequest(wish, {
+    const request = new QueuedWish(wish, {
       give: () => {
         this.#wishes.delete(name);
         this.#hold(name, wish.route, this.#nowMs);
@@ -272,7 +272,7 @@
 }
 
 /** A wish as the queue sees it. */
-class DeskRequest implements WaitingRequest {
+class QueuedWish implements WaitingRequest {
   readonly vm: contracts.VmId;
   readonly route: RankedRoute;
   readonly key = undefined;
@@ -298,9 +298,9 @@
   }
 }
 
-/** The server as a queue wants it; only its slots matter to a desk. */
+/** The server as a queue wants it; only its slots matter to a coordinator. */
 function entryOf(
-  { service, server, bornMs, slots }: DeskServer,
+  { service, server, bornMs, slots }: SlotServer,
   zone: contracts.ZoneId,
 ): contracts.ServerEntry {
   return {
--- a/packages/decisions/src/admission/slot_desk_test.ts
+++ b/packages/decisions/src/admission/slot_coordinator_test.ts
@@ -3,14 +3,14 @@
 import { test } from "node:test";
 import * as admission from "./mod.ts";
 
-const SERVER: admission.DeskServer = {
+const SERVER: admission.SlotServer = {
   service: "keyed" as contracts.ServiceId,
   server: "s1" as contracts.ServerId,
   bornMs: 1,
   slots: 2,
 };
-const DESK = "desk" as contracts.VmId;
-const OTHER_DESK = "other" as contracts.VmId;
+const COORDINATOR = "coordinator" as contracts.VmId;
+const OTHER_COORDINATOR = "other" as contracts.VmId;
 
 class Request implements admission.WaitingRequest {
   readonly key = 7;
@@ -33,27 +33,28 @@
   }
 }
 
-/** Entry VMs and desks; messages arrive when the test says so. */
+/** Entry VMs and coordinators; messages arrive when the test says so. */
 class Fixture {
   nowMs = 1_000;
-  readonly desks = new Map<contracts.VmId, admission.SlotDesk>();
-  readonly words: (admission.SlotDecision & { desk: contracts.VmId })[] = [];
+  readonly coordinators = new Map<contracts.VmId, admission.SlotCoordinator>();
+  readonly words: (admission.SlotDecision & { coordinator: contracts.VmId })[] =
+    [];
   readonly vms = new Map<contracts.VmId, admission.SlotAsks>();
-  /** Desks that take and say nothing. */
+  /** Coordinators that take and say nothing. */
   readonly deaf = new Set<contracts.VmId>();
-  /** Desks that were found silent, each time. */
+  /** Coordinators that were found silent, each time. */
   readonly silent: contracts.VmId[] = [];
   /** Words that are still to be lost. */
   lostWords = 0;
 
   constructor(vmCount: number) {
-    for (const desk of [DESK, OTHER_DESK]) {
-      this.desks.set(
-        desk,
-        new admission.SlotDesk({
+    for (const coordinator of [COORDINATOR, OTHER_COORDINATOR]) {
+      this.coordinators.set(
+        coordinator,
+        new admission.SlotCoordinator({
           zone: "z1" as contracts.ZoneId,
           random: { next: () => 0.5 },
-          decide: (decision) => this.words.push({ ...decision, desk }),
+          decide: (decision) => this.words.push({ ...decision, coordinator }),
         }),
       );
     }
@@ -63,12 +64,14 @@
         vm,
         new admission.SlotAsks({
           vm,
-          deskOf: (_server, silent) =>
-            [DESK, OTHER_DESK].find((desk) => !silent.has(desk)),
+          coordinatorOf: (_server, silent) =>
+            [COORDINATOR, OTHER_COORDINATOR].find((coordinator) =>
+              !silent.has(coordinator)
+            ),
           onMessage: () => {},
           onGiven: () => {},
           onRefused: (request, refusal) => request.refused(refusal),
-          onSilent: (desk) => this.silent.push(desk),
+          onSilent: (coordinator) => this.silent.push(coordinator),
         }),
       );
     }
@@ -83,22 +86,22 @@
     for (const [vm, asks] of this.vms) {
       for (const [name, message] of asks.takeMessages()) {
         if (this.deaf.has(name)) continue;
-        const desk = this.desks.get(name)!;
+        const coordinator = this.coordinators.get(name)!;
         for (const { id, tookMs } of message.ended) {
-          desk.end(vm, id, { tookMs, nowMs: this.nowMs });
+          coordinator.end(vm, id, { tookMs, nowMs: this.nowMs });
         }
-        for (const wish of message.wishes) desk.wish(wish, this.nowMs);
+        for (const wish of message.wishes) coordinator.wish(wish, this.nowMs);
         if (message.held !== undefined) {
-          desk.noteHeld(vm, message.held, this.nowMs);
+          coordinator.noteHeld(vm, message.held, this.nowMs);
         }
       }
     }
-    for (const { vm, desk, ...word } of this.words.splice(0)) {
+    for (const { vm, coordinator, ...word } of this.words.splice(0)) {
       if (this.lostWords > 0) {
         this.lostWords--;
         continue;
       }
-      this.vms.get(vm)!.noteWords(desk, [word], this.nowMs);
+      this.vms.get(vm)!.noteWords(coordinator, [word], this.nowMs);
     }
   }
 
@@ -113,7 +116,9 @@
     while (this.nowMs < endMs) {
       this.nowMs += 25;
       for (const asks of this.vms.values()) asks.tick(this.nowMs);
-      for (const desk of this.desks.values()) desk.review(this.nowMs);
+      for (const coordinator of this.coordinators.values()) {
+        coordinator.review(this.nowMs);
+      }
       this.deliver();
     }
   }
@@ -176,22 +181,22 @@
  * The VM that gives out a server's slots dies. Requests for the server's keys
  * wait for a word that never comes.
  */
-test("should ask another desk when one is silent", () => {
+test("should ask another coordinator when one is silent", () => {
   const fixture = new Fixture(1);
   const request = new Request(1_000);
-  fixture.deaf.add(DESK);
+  fixture.deaf.add(COORDINATOR);
   fixture.take(0, request);
   fixture.pass(250);
   fixture.take(0, request);
   fixture.deliver();
   expect(fixture.take(0, request)).toEqual(true);
-  expect(fixture.silent).toEqual([DESK]);
+  expect(fixture.silent).toEqual([COORDINATOR]);
 });
 
-test("should send a VM's only request when no desk answers at all", () => {
+test("should send a VM's only request when no coordinator answers at all", () => {
   const fixture = new Fixture(1);
   const request = new Request(1_000);
-  fixture.deaf.add(DESK).add(OTHER_DESK);
+  fixture.deaf.add(COORDINATOR).add(OTHER_COORDINATOR);
   fixture.take(0, request);
   fixture.pass(250);
   fixture.take(0, request);
@@ -233,12 +238,13 @@
     fixture.deliver();
     fixture.vm(index).begin(request);
   }
-  fixture.desks.set(
-    DESK,
-    new admission.SlotDesk({
+  fixture.coordinators.set(
+    COORDINATOR,
+    new admission.SlotCoordinator({
       zone: "z1" as contracts.ZoneId,
       random: { next: () => 0.5 },
-      decide: (decision) => fixture.words.push({ ...decision, desk: DESK }),
+      decide: (decision) =>
+        fixture.words.push({ ...decision, coordinator: COORDINATOR }),
     }),
   );
   fixture.pass(525);
--- a/packages/entry/src/gateway/grant_task.ts
+++ b/packages/entry/src/gateway/grant_task.ts
@@ -31,7 +31,7 @@
     server: contracts.ServerEntry,
     factor: number | undefined,
   ) => number;
-  /** How much longer than average servers take, as this VM's desk saw. */
+  /** How much longer than average servers take, as this VM's coordinator saw. */
   readonly serverFactorsOf: (
     service: contracts.ServiceId,
   ) => ReadonlyMap<contracts.ServerId, number>;
--- a/packages/entry/src/gateway/peer_messages.ts
+++ b/packages/entry/src/gateway/peer_messages.ts
@@ -131,7 +131,7 @@
   service: contracts.serviceIdSchema,
   /** Keys and requests since the last message, in turn. */
   counts: z.array(z.number()),
-  /** How much longer than average servers take, as the sender's desk saw. */
+  /** How much longer than average servers take, as the sender's coordinator saw. */
   serverFactors: z.record(z.string(), z.number().positive()),
 });
 /** Requests by key, told to the mover of the service. */
@@ -164,7 +164,7 @@
   })),
   /** Wishes and slots that are over, with the time of an answered request. */
   ended: z.array(z.tuple([z.number().int(), z.number().nullable()])),
-  /** All slots that the VM has of the desk; null when not told now. */
+  /** All slots that the VM has of the coordinator; null when not told now. */
   held: z.array(slotSchema).nullable(),
 });
 /** What an entry VM asks of the one that gives out a server's slots. */
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -75,7 +75,7 @@
   readonly #mover: grants.RangeMover;
   readonly #sender: GrantSender;
   readonly #loads = new grants.KeyLoads();
-  /** How much longer than average servers take, as peers' desks told. */
+  /** How much longer than average servers take, as peers' coordinators told. */
   readonly #factors = new Map<contracts.ServerId, number>();
   readonly #startedAtMs: number;
   #map: contracts.RangeMap | undefined;
--- a/packages/entry/src/gateway/slot_task.ts
+++ b/packages/entry/src/gateway/slot_task.ts
@@ -37,13 +37,13 @@
 /** Interval at which lost words are made good and waits are looked through. */
 const TICK_MS = 25;
 
-/** The task that speaks with the desks, and is one. */
+/** The task that speaks with the coordinators, and is one. */
 export class SlotTask {
   readonly #options: SlotTaskOptions;
   readonly #asks: admission.SlotAsks;
-  readonly #desk: admission.SlotDesk;
+  readonly #coordinator: admission.SlotCoordinator;
   readonly #order: grants.DutyOrder;
-  /** Answers of the own desk, not sent yet. */
+  /** Answers of the own coordinator, not sent yet. */
   readonly #words = new Map<contracts.VmId, admission.SlotWord[]>();
   readonly #callers = new Map<admission.WaitingRequest, SlotCaller>();
   #isFlushing = false;
@@ -54,7 +54,7 @@
     this.#order = new grants.DutyOrder(hasher);
     this.#asks = new admission.SlotAsks({
       vm,
-      deskOf: (server, silent) => this.#deskOf(server, silent),
+      coordinatorOf: (server, silent) => this.#coordinatorOf(server, silent),
       onMessage: () => this.#flushSoon(),
       onGiven: (request) => this.#callers.get(request)?.pump(),
       onRefused: (request, refusal) => {
@@ -62,12 +62,12 @@
         this.#callers.delete(request);
         caller?.refuse(request, refusal);
       },
-      onSilent: (desk) =>
+      onSilent: (coordinator) =>
         options.log.warn("Leaves out a VM that gives out slots: no answer.", {
-          peer: desk,
+          peer: coordinator,
         }),
     });
-    this.#desk = new admission.SlotDesk({
+    this.#coordinator = new admission.SlotCoordinator({
       zone,
       random,
       decide: (decision) => this.#decide(decision),
@@ -89,7 +89,7 @@
     lifeCycle.every(TICK_MS, () => {
       const nowMs = this.#options.clock.nowMs();
       this.#asks.tick(nowMs);
-      this.#desk.review(nowMs);
+      this.#coordinator.review(nowMs);
     });
   }
 
@@ -112,17 +112,17 @@
     };
   }
 
-  /** How much longer than average each server takes, as this desk sees it. */
+  /** How much longer than average each server takes, as this coordinator sees it. */
   factors(service: contracts.ServiceId): Map<contracts.ServerId, number> {
-    return this.#desk.factors(service);
+    return this.#coordinator.factors(service);
   }
 
   /**
    * The first of the VMs in the server's availability zone, in an order of the
    * server's own; of all VMs when that zone has none.
    */
-  #deskOf(
-    { server }: admission.DeskServer,
+  #coordinatorOf(
+    { server }: admission.SlotServer,
     silent: ReadonlySet<contracts.VmId>,
   ): contracts.VmId | undefined {
     const { gossip, registry, vm, zone, isLeaving } = this.#options;
@@ -146,10 +146,10 @@
 
   #flush(): void {
     const { vm, gossip } = this.#options;
-    for (const [desk, message] of this.#asks.takeMessages()) {
+    for (const [coordinator, message] of this.#asks.takeMessages()) {
       const asks = this.#encodeAsks(message);
-      if (desk === vm) this.#takeAsks(asks);
-      else gossip.send(messages.SLOT_ASKS_METHOD, asks, desk);
+      if (coordinator === vm) this.#takeAsks(asks);
+      else gossip.send(messages.SLOT_ASKS_METHOD, asks, coordinator);
     }
     const answers = [...this.#words];
     this.#words.clear();
@@ -180,17 +180,17 @@
   #takeAsks({ vm, wishes, ended, held }: messages.SlotAsks): void {
     const nowMs = this.#options.clock.nowMs();
     for (const [id, tookMs] of ended) {
-      this.#desk.end(vm, id, { tookMs: tookMs ?? undefined, nowMs });
+      this.#coordinator.end(vm, id, { tookMs: tookMs ?? undefined, nowMs });
     }
     for (const { targetLeftMs, answerLeftMs, ...slot } of wishes) {
-      this.#desk.wish({
+      this.#coordinator.wish({
         ...slot,
         vm,
         targetMs: nowMs + targetLeftMs,
         answerByMs: nowMs + answerLeftMs,
       }, nowMs);
     }
-    if (held !== null) this.#desk.noteHeld(vm, held, nowMs);
+    if (held !== null) this.#coordinator.noteHeld(vm, held, nowMs);
   }
 
   #takeWords({ vm, given, queued, refused }: messages.SlotWords): void {
