--- a/packages/decisions/src/admission/slot_asks.ts
+++ b/packages/decisions/src/admission/slot_asks.ts
@@ -1,6 +1,11 @@
 /** What this entry VM asks of the coordinators that give out owners' slots. */
 import type * as contracts from "@guavatide/contracts";
-import type { HeldSlot, SlotServer, SlotWish } from "./slot_coordinator.ts";
+import type {
+  HeldSlot,
+  SlotDecision,
+  SlotServer,
+  SlotWish,
+} from "./slot_coordinator.ts";
 import type { Refusal, WaitingRequest } from "./waiting_request.ts";
 
 /** Messages for one coordinator, sent together. */
@@ -12,12 +17,8 @@
   held: HeldSlot[] | undefined;
 }
 
-/** A coordinator's answer to one wish. */
-export interface SlotWord {
-  readonly id: number;
-  readonly kind: "given" | "queued" | "refused";
-  readonly refusal?: Refusal;
-}
+/** A coordinator's answer to one wish of this VM. */
+export type SlotWord = Omit<SlotDecision, "vm">;
 
 /** Options of {@link SlotAsks}. */
 export interface SlotAsksOptions {
@@ -75,8 +76,8 @@
 
   /**
    * Whether a request has a slot at a server; asks for one if it has not.
-   * `ownRequests` are this VM's requests there: without any coordinator the first is
-   * sent all the same.
+   * `ownRequests` are this VM's requests there: without any coordinator the
+   * first is sent all the same.
    */
   take(
     request: WaitingRequest,
--- a/packages/decisions/src/admission/slot_coordinator.ts
+++ b/packages/decisions/src/admission/slot_coordinator.ts
@@ -2,10 +2,11 @@
  * Gives out the slots of servers that own keys. Any entry VM may get a request
  * for any key, and sees what the others have sent to its owner late or not at
  * all: when a key becomes hot, eight VMs send an owner of three slots up to 40
- * requests at once, and one whose queue is full never answers. On two heavy days
- * a quarter of all requests was refused or failed before. One VM therefore gives out each owner's slots, by rank
- * and by what can still be answered in time. A slot that is given twice, as by
- * two coordinators after a loss, costs a longer queue at the server and no more.
+ * requests at once, and one whose queue is full never answers: on two heavy days
+ * a quarter of all requests was refused or failed. One VM therefore gives out
+ * each owner's slots, by rank and by what can still be answered in time. A slot
+ * that is given twice, as by two coordinators after a loss, costs a longer queue
+ * at the server and no more.
  */
 import type * as contracts from "@guavatide/contracts";
 import { ServiceQueue } from "./service_queue.ts";
@@ -81,7 +82,7 @@
   /** Takes a wish; one that is known already is answered as it stands. */
   wish(wish: SlotWish, nowMs: number): void {
     this.#heardMs.set(wish.vm, nowMs);
-    this.#coordinator(wish).wish(wish, nowMs);
+    this.#slotsOf(wish).wish(wish, nowMs);
   }
 
   /** A slot is free again, or a wish is over; `tookMs` of an answered request. */
@@ -91,8 +92,8 @@
     { tookMs, nowMs }: { readonly tookMs?: number; readonly nowMs: number },
   ): void {
     const name = nameOf(vm, id);
-    for (const coordinator of this.#servers.values()) {
-      if (coordinator.end(name, tookMs, nowMs)) return;
+    for (const server of this.#servers.values()) {
+      if (server.end(name, tookMs, nowMs)) return;
     }
   }
 
@@ -104,10 +105,10 @@
   ): void {
     this.#heardMs.set(vm, nowMs);
     const listed = new Set(slots.map(({ id }) => nameOf(vm, id)));
-    for (const coordinator of this.#servers.values()) {
-      coordinator.dropUnlisted(vm, listed, nowMs);
+    for (const server of this.#servers.values()) {
+      server.dropUnlisted(vm, listed, nowMs);
     }
-    for (const slot of slots) this.#coordinator(slot).adopt(vm, slot, nowMs);
+    for (const slot of slots) this.#slotsOf(slot).adopt(vm, slot, nowMs);
   }
 
   /** Refuses what waits in vain; forgets VMs and servers that are gone. */
@@ -115,14 +116,14 @@
     for (const [vm, heardMs] of this.#heardMs) {
       if (nowMs - heardMs < VM_SILENT_MS) continue;
       this.#heardMs.delete(vm);
-      for (const coordinator of this.#servers.values()) {
-        coordinator.dropUnlisted(vm, new Set(), nowMs);
-        coordinator.dropWishes(vm);
+      for (const server of this.#servers.values()) {
+        server.dropUnlisted(vm, new Set(), nowMs);
+        server.dropWishes(vm);
       }
     }
-    for (const [name, coordinator] of this.#servers) {
-      coordinator.review(nowMs);
-      if (coordinator.isIdle(nowMs)) this.#servers.delete(name);
+    for (const [name, server] of this.#servers) {
+      server.review(nowMs);
+      if (server.isIdle(nowMs)) this.#servers.delete(name);
     }
   }
 
@@ -138,15 +139,15 @@
     return factors;
   }
 
-  #coordinator(server: SlotServer): ServerSlots {
+  #slotsOf(server: SlotServer): ServerSlots {
     const name = `${server.server}/${server.bornMs}`;
     const found = this.#servers.get(name);
     if (found !== undefined) return found;
     const times = this.#times.get(server.service) ?? new ServiceTimes();
     this.#times.set(server.service, times);
-    const coordinator = new ServerSlots(server, times, this.#options);
-    this.#servers.set(name, coordinator);
-    return coordinator;
+    const created = new ServerSlots(server, times, this.#options);
+    this.#servers.set(name, created);
+    return created;
   }
 }
 
--- a/packages/decisions/src/admission/slot_coordinator_test.ts
+++ b/packages/decisions/src/admission/slot_coordinator_test.ts
@@ -110,6 +110,16 @@
     return this.vm(index).take(request, SERVER, { ownRequests: 0, nowMs });
   }
 
+  /** The first VMs send one request each, until no slot is left. */
+  useAllSlots(): void {
+    for (const index of [0, 1, 2]) {
+      const request = new Request(1_000);
+      this.take(index, request);
+      this.deliver();
+      this.vm(index).begin(request);
+    }
+  }
+
   /** Lets time pass, with regular work every 25 ms. */
   pass(ms: number): void {
     const endMs = this.nowMs + ms;
@@ -210,12 +220,7 @@
  */
 test("should free the slots of a VM that is gone", () => {
   const fixture = new Fixture(4);
-  for (const index of [0, 1, 2]) {
-    const request = new Request(1_000);
-    fixture.take(index, request);
-    fixture.deliver();
-    fixture.vm(index).begin(request);
-  }
+  fixture.useAllSlots();
   for (const index of [0, 1, 2]) {
     fixture.vms.delete(`vm${index}` as contracts.VmId);
   }
@@ -232,12 +237,7 @@
  */
 test("should learn from the VMs which slots are in use", () => {
   const fixture = new Fixture(4);
-  for (const index of [0, 1, 2]) {
-    const request = new Request(1_000);
-    fixture.take(index, request);
-    fixture.deliver();
-    fixture.vm(index).begin(request);
-  }
+  fixture.useAllSlots();
   fixture.coordinators.set(
     COORDINATOR,
     new admission.SlotCoordinator({
--- a/packages/entry/src/gateway/grant_task.ts
+++ b/packages/entry/src/gateway/grant_task.ts
@@ -224,7 +224,7 @@
       const message = { service, counts: told, serverFactors };
       if (mover === self.vm) owner.noteKeyCounts(message);
       else if (mover !== undefined) {
-        gossip.send(messages.KEY_COUNTS_METHOD, message, mover);
+        gossip.send(messages.KEY_COUNTS_METHOD, message, [mover]);
       }
     }
   }
--- a/packages/entry/src/gateway/peer_gossip.ts
+++ b/packages/entry/src/gateway/peer_gossip.ts
@@ -181,15 +181,17 @@
     });
   }
 
-  /** Sends a notification to one peer, or to all. */
-  send(method: string, params: object, vm?: contracts.VmId): void {
+  /** Sends a notification to some peers, or to all. */
+  send(
+    method: string,
+    params: object,
+    vms?: readonly contracts.VmId[],
+  ): void {
     const bytes = encodeMessage(method, params);
-    if (vm !== undefined) {
-      const peer = this.#book.get(vm);
+    const peers = vms?.map((vm) => this.#book.get(vm)) ?? this.#book.all;
+    for (const peer of peers) {
       if (peer !== undefined) this.#sendTo(peer, bytes);
-      return;
     }
-    for (const peer of this.#book.all) this.#sendTo(peer, bytes);
   }
 
   /** Tells the changed load with the next tick that may. */
--- a/packages/entry/src/gateway/slot_task.ts
+++ b/packages/entry/src/gateway/slot_task.ts
@@ -7,6 +7,7 @@
 import * as grants from "@guavatide/decisions/grants/mod";
 import type * as ownership from "@guavatide/decisions/ownership/mod";
 import type { LifeCycle } from "../utils/life_cycle.ts";
+import { OncePerTurn } from "../utils/once_per_turn.ts";
 import type { PartLog } from "../utils/log.ts";
 import type { PeerGossip } from "./peer_gossip.ts";
 import * as messages from "./peer_messages.ts";
@@ -46,7 +47,8 @@
   /** Answers of the own coordinator, not sent yet. */
   readonly #words = new Map<contracts.VmId, admission.SlotWord[]>();
   readonly #callers = new Map<admission.WaitingRequest, SlotCaller>();
-  #isFlushing = false;
+  /** What changes in one turn of the event loop leaves together. */
+  readonly #flushing = new OncePerTurn(() => this.#flush());
 
   constructor(options: SlotTaskOptions) {
     this.#options = options;
@@ -55,7 +57,7 @@
     this.#asks = new admission.SlotAsks({
       vm,
       coordinatorOf: (server, silent) => this.#coordinatorOf(server, silent),
-      onMessage: () => this.#flushSoon(),
+      onMessage: () => this.#flushing.schedule(),
       onGiven: (request) => this.#callers.get(request)?.pump(),
       onRefused: (request, refusal) => {
         const caller = this.#callers.get(request);
@@ -72,6 +74,9 @@
       random,
       decide: (decision) => this.#decide(decision),
     });
+    options.registry.onChange(() =>
+      this.#order.keepOnly(options.registry.ids())
+    );
     gossip.on(
       messages.SLOT_ASKS_METHOD,
       messages.slotAsksSchema,
@@ -135,28 +140,19 @@
     return this.#order.of(server, names)[0];
   }
 
-  #flushSoon(): void {
-    if (this.#isFlushing) return;
-    this.#isFlushing = true;
-    setImmediate(() => {
-      this.#isFlushing = false;
-      this.#flush();
-    });
-  }
-
   #flush(): void {
     const { vm, gossip } = this.#options;
     for (const [coordinator, message] of this.#asks.takeMessages()) {
       const asks = this.#encodeAsks(message);
       if (coordinator === vm) this.#takeAsks(asks);
-      else gossip.send(messages.SLOT_ASKS_METHOD, asks, coordinator);
+      else gossip.send(messages.SLOT_ASKS_METHOD, asks, [coordinator]);
     }
     const answers = [...this.#words];
     this.#words.clear();
     for (const [to, words] of answers) {
       const answer = encodeWords(vm, words);
       if (to === vm) this.#takeWords(answer);
-      else gossip.send(messages.SLOT_WORDS_METHOD, answer, to);
+      else gossip.send(messages.SLOT_WORDS_METHOD, answer, [to]);
     }
   }
 
@@ -210,7 +206,7 @@
     const words = this.#words.get(vm);
     if (words === undefined) this.#words.set(vm, [word]);
     else words.push(word);
-    this.#flushSoon();
+    this.#flushing.schedule();
   }
 }
 
--- a/packages/entry/src/gateway/watch_relay.ts
+++ b/packages/entry/src/gateway/watch_relay.ts
@@ -99,15 +99,14 @@
     this.#batches.set(prefix, batches);
     batches.push(changes);
     if (batches.length > REMEMBERED_BATCHES) batches.shift();
-    for (const peer of this.#members()) {
-      if (peer !== this.#options.vm) this.#tell(prefix, changes, peer);
-    }
+    // Not known as a peer, this VM itself gets nothing.
+    this.#tell(prefix, changes, this.#members());
   }
 
   /** Asks a peer for the changes after a position. */
   ask(prefix: string, cursor: number, peer: contracts.VmId): void {
     const { gossip, vm } = this.#options;
-    gossip.send(messages.CHANGES_WISH_METHOD, { vm, prefix, cursor }, peer);
+    gossip.send(messages.CHANGES_WISH_METHOD, { vm, prefix, cursor }, [peer]);
   }
 
   #members(): readonly contracts.VmId[] {
@@ -134,7 +133,11 @@
     for (const watch of this.#watches.values()) watch.roleChanged();
   }
 
-  #tell(prefix: string, changes: RelayedChanges, peer: contracts.VmId): void {
+  #tell(
+    prefix: string,
+    changes: RelayedChanges,
+    peers: readonly contracts.VmId[],
+  ): void {
     const { vm, gossip } = this.#options;
     const message: messages.Changes = {
       vm,
@@ -150,7 +153,7 @@
     gossip.send(
       messages.CHANGES_METHOD,
       length > LARGEST_BYTES ? { ...message, events: null } : message,
-      peer,
+      peers,
     );
   }
 
@@ -184,6 +187,6 @@
       ? missed.flatMap((batch) => batch.events ?? [])
       : undefined;
     const { fromCursor } = first;
-    this.#tell(prefix, { fromCursor, toCursor: last.toCursor, events }, vm);
+    this.#tell(prefix, { fromCursor, toCursor: last.toCursor, events }, [vm]);
   }
 }
--- a/packages/entry/src/requests/dispatched_allocator.ts
+++ b/packages/entry/src/requests/dispatched_allocator.ts
@@ -7,6 +7,7 @@
 import * as routing from "@guavatide/decisions/routing/mod";
 import type { ServerView } from "../contracts/views.ts";
 import type { PartLog } from "../utils/log.ts";
+import { OncePerTurn } from "../utils/once_per_turn.ts";
 import type { PeerCalls } from "./peer_calls.ts";
 import type { Slot, SlotAllocator, SlotWish } from "./slot_allocator.ts";
 import type { SlotDispatcher } from "./slot_dispatcher.ts";
@@ -56,7 +57,8 @@
   #heardMs = -Infinity;
   #updatesInFlight = 0;
   #nextWish = 1;
-  #isFlushing = false;
+  /** What changes in one turn of the event loop leaves together. */
+  readonly #flushing = new OncePerTurn(() => this.#flush());
   #service: contracts.Service;
 
   constructor(options: DispatchedAllocatorOptions) {
@@ -87,7 +89,7 @@
       tenant: wish.tenant,
       tried: [...wish.tried],
     });
-    this.#flushSoon();
+    this.#flushing.schedule();
   }
 
   withdraw(wish: SlotWish): void {
@@ -97,7 +99,7 @@
       return;
     }
     this.#withdrawn.push(number);
-    this.#flushSoon();
+    this.#flushing.schedule();
   }
 
   release(slot: Slot, end: routing.AttemptEnd): void {
@@ -110,7 +112,7 @@
     // A dispatcher that has restarted knows nothing of the grant.
     if (held.dispatcher !== this.#incarnation) return;
     this.#ended.push({ grant: held.grant, end });
-    this.#flushSoon();
+    this.#flushing.schedule();
   }
 
   configure(service: contracts.Service): void {
@@ -133,7 +135,7 @@
     // No request pays for finding out whether the dispatcher is back.
     const mustAsk = this.#isSilent && nowMs >= this.#askAgainMs;
     if (mustAsk) this.#askAgainMs = nowMs + SILENT_MS;
-    if (mustHear || mustAsk) this.#flushSoon();
+    if (mustHear || mustAsk) this.#flushing.schedule();
   }
 
   /** Takes decisions that a dispatcher sent later. */
@@ -164,7 +166,7 @@
     const address = this.#options.servers.server(server);
     if (wish === undefined || address === undefined) {
       this.#ended.push({ grant, end: { kind: "abandoned" } });
-      this.#flushSoon();
+      this.#flushing.schedule();
       // A server that this VM does not know yet; another is asked for.
       if (wish !== undefined) {
         this.#forget(wish);
@@ -213,16 +215,6 @@
     for (const wish of wishes) this.acquire(wish);
   }
 
-  /** What changes in one turn of the event loop leaves together. */
-  #flushSoon(): void {
-    if (this.#isFlushing) return;
-    this.#isFlushing = true;
-    setImmediate(() => {
-      this.#isFlushing = false;
-      this.#flush();
-    });
-  }
-
   #flush(): void {
     const { dispatcher, peers } = this.#options;
     const to = this.#dispatcher;
@@ -282,7 +274,7 @@
     this.decided(reply);
     const hasMore = this.#wants.length + this.#withdrawn.length +
         this.#ended.length > 0;
-    if (hasMore) this.#flushSoon();
+    if (hasMore) this.#flushing.schedule();
   }
 
   #noteSilent(update: messages.SlotsUpdate): void {
--- a/packages/entry/src/requests/slot_dispatcher.ts
+++ b/packages/entry/src/requests/slot_dispatcher.ts
@@ -9,6 +9,7 @@
  */
 import type * as contracts from "@guavatide/contracts";
 import type * as routing from "@guavatide/decisions/routing/mod";
+import { OncePerTurn } from "../utils/once_per_turn.ts";
 import type { PeerCalls } from "./peer_calls.ts";
 import type { Slot, SlotAllocator, SlotWish } from "./slot_allocator.ts";
 import * as messages from "./slot_messages.ts";
@@ -100,7 +101,7 @@
   /** Decisions not yet sent, by entry VM. */
   readonly #outbox = new Map<contracts.VmId, messages.SlotDecision[]>();
   #nextGrant = 1;
-  #isFlushing = false;
+  readonly #flushing = new OncePerTurn(() => this.#flush());
 
   constructor(
     id: contracts.ServiceId,
@@ -199,12 +200,7 @@
     const waiting = this.#outbox.get(vm) ?? [];
     waiting.push(decision);
     this.#outbox.set(vm, waiting);
-    if (this.#isFlushing) return;
-    this.#isFlushing = true;
-    setImmediate(() => {
-      this.#isFlushing = false;
-      this.#flush();
-    });
+    this.#flushing.schedule();
   }
 
   #flush(): void {
