--- /dev/null
+++ b/packages/entry/src/gateway/grant_sender_test.ts
@@ -0,0 +1,55 @@
+import type * as contracts from "@guavatide/contracts";
+import * as grants from "@guavatide/decisions/grants/mod";
+import { expect } from "earl";
+import * as neverthrow from "neverthrow";
+import { test } from "node:test";
+import { GrantSender } from "./grant_sender.ts";
+
+const SERVER = "k1" as contracts.ServerId;
+const RANGE: contracts.RangeState = {
+  fromKey: 0,
+  toKey: 99,
+  owner: { server: SERVER, bornMs: 1 },
+  fence: 1,
+};
+
+/**
+ * A server can't be reached for a while, and its ranges are taken from it. As
+ * nothing is sent to it any more, no answer can show that it is back: called
+ * silent for ever, it gets no keys again, and with all servers so, no key is
+ * served.
+ */
+test("should not call a server silent that it has left alone for long", async () => {
+  let nowMs = 0;
+  const sender = new GrantSender({
+    control: {
+      grant: () =>
+        neverthrow.errAsync({ kind: "unreachable", message: "Refused" }),
+      release: () => neverthrow.okAsync(undefined),
+      close: () => Promise.resolve(),
+    },
+    timings: grants.DEFAULT_GRANT_TIMINGS,
+    clock: { nowMs: () => nowMs },
+    log: { debug() {}, info() {}, warn() {}, error() {} },
+    entry: () => ({
+      server: SERVER,
+      bornMs: 1,
+      service: "keyed" as contracts.ServiceId,
+      host: "10.0.0.1",
+      port: 80,
+      zone: "z1" as contracts.ZoneId,
+      slots: 2,
+      isDraining: false,
+      warmUpLeftMs: 0,
+    }),
+    onConfirmed: () => {},
+    onEnded: () => {},
+    onFencedOff: () => {},
+  });
+  await sender.send({ range: RANGE, handover: undefined });
+  nowMs = 800;
+  await sender.send({ range: RANGE, handover: undefined });
+  expect(sender.silentServers()).toEqual([SERVER]);
+  nowMs = 10_000;
+  expect(sender.silentServers()).toEqual([]);
+});
