--- a/packages/decisions/src/admission/server_load.ts
+++ b/packages/decisions/src/admission/server_load.ts
@@ -23,7 +23,6 @@
 
 interface Told {
   readonly outstanding: number;
-  readonly waiting: number;
   readonly atMs: number;
 }
 
@@ -60,15 +59,6 @@
     return sum;
   }
 
-  /** Requests that wait for the server at other entry VMs. */
-  waitingElsewhere(nowMs: number): number {
-    let sum = 0;
-    for (const told of this.#told.values()) {
-      if (nowMs - told.atMs < TOLD_LIFE_MS) sum += told.waiting;
-    }
-    return sum;
-  }
-
   /** How long the oldest of this VM's requests has been there. */
   oldestMs(nowMs: number): number {
     for (const { atMs } of this.#sentMs) return nowMs - atMs;
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -145,6 +145,14 @@
     return true;
   }
 
+  /** A coordinator gave the request a slot: only this one has found room. */
+  placeGiven(request: WaitingRequest, nowMs: number): void {
+    const index = this.#waiting.indexOf(request);
+    if (index < 0) return;
+    this.#waiting.splice(index, 1);
+    if (!this.#tryPlace(request, nowMs)) this.#insert(request);
+  }
+
   /** A coordinator refused the request. */
   refuse(request: WaitingRequest, refusal: Refusal): void {
     if (this.withdraw(request)) request.refused(refusal);
@@ -178,12 +186,14 @@
     const queued = this.#waiting;
     this.#waiting = [];
     for (const request of queued) {
-      const waitMs = this.#expectedWaitMs(request, kept, nowMs);
       const serviceMs = this.#options.times.routeMs(request.route) *
         LEAST_SERVICE_PART;
       const leftMs = request.answerByMs - nowMs;
-      const isInTime = waitMs < leftMs || this.#awaitsSlot(request);
-      if (leftMs > serviceMs && isInTime) {
+      // The coordinator knows who else waits there.
+      const waitMs = this.#awaitsSlot(request)
+        ? 0
+        : this.#expectedWaitMs(request, kept, nowMs);
+      if (leftMs > serviceMs && waitMs < leftMs) {
         kept.push(request);
         continue;
       }
@@ -195,17 +205,6 @@
     this.#waiting = [...kept, ...this.#waiting];
   }
 
-  /** Waiting requests by the owner of their key. */
-  waitingByOwner(): Map<contracts.ServerId, number> {
-    const counts = new Map<contracts.ServerId, number>();
-    for (const request of this.#waiting) {
-      const owner = this.#ownerOf(request);
-      if (owner?.kind !== "owned") continue;
-      counts.set(owner.server, (counts.get(owner.server) ?? 0) + 1);
-    }
-    return counts;
-  }
-
   #context(nowMs: number): ranking.RankingContext {
     const { zone, times, random } = this.#options;
     return { zone, times, random, nowMs };
@@ -354,9 +353,7 @@
     if (owner?.kind === "owned") {
       const load = this.#loads.get(owner.server);
       if (load === undefined) return MOVE_WAIT_MS;
-      const elsewhere = load.waitingElsewhere(nowMs);
-      const perMs = this.#servedPerMs([load], meanMs);
-      return (ahead + 1 + elsewhere) / perMs;
+      return (ahead + 1) / this.#servedPerMs([load], meanMs);
     }
     const perMs = this.#servedPerMs(this.#candidates(request, nowMs), meanMs);
     const elsewhere = this.#waitingElsewhere * (ahead + 1) / here;
--- a/packages/decisions/src/admission/service_queue_test.ts
+++ b/packages/decisions/src/admission/service_queue_test.ts
@@ -125,7 +125,6 @@
   const load = fixture.queue.loads.get("a" as contracts.ServerId)!;
   load.noteTold("vm2" as contracts.VmId, {
     outstanding: 3,
-    waiting: 0,
     atMs: fixture.nowMs,
   });
   expect(fixture.add().placement).toEqual(undefined);
--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarded_request.ts
@@ -155,7 +155,8 @@
     ended?.(isServed ? endedMs - nowMs : undefined);
     this.#parts.noteLoad();
     this.#take(result, entry.server);
-    this.#parts.queue.pump(endedMs);
+    // A keyed server's slot goes back to its coordinator, not to this queue.
+    if (!this.#isOwned()) this.#parts.queue.pump(endedMs);
   }
 
   #linkRequest(entry: contracts.ServerEntry, leftMs: number): LinkRequest {
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -137,10 +137,10 @@
     const loads: PeerStatus["loads"] = {};
     const waiting: PeerStatus["waiting"] = {};
     for (const [service, { queue, isKeyed }] of this.#services) {
-      const byOwner = isKeyed ? queue.waitingByOwner() : new Map();
-      for (const [server, load] of queue.loads) {
-        const waits = byOwner.get(server) ?? 0;
-        if (load.own > 0 || waits > 0) loads[server] = [load.own, waits];
+      // Coordinators know what their keyed servers have.
+      if (isKeyed) continue;
+      for (const [server, { own }] of queue.loads) {
+        if (own > 0) loads[server] = own;
       }
       if (queue.waiting > 0) waiting[service] = queue.waiting;
     }
@@ -171,7 +171,7 @@
       headers: (request, entry, leftMs) =>
         this.#headers(request, entry, leftMs),
       ended: onStory,
-      noteLoad: () => gossip.noteChanged(),
+      noteLoad: part.isKeyed ? () => {} : () => gossip.noteChanged(),
     };
   }
 
@@ -216,7 +216,7 @@
       ownerOf: isKeyed ? (key) => grants.ownerOf(service, key) : undefined,
       slots: isKeyed
         ? slots.source({
-          pump: () => queue.pump(clock.nowMs()),
+          place: (request) => queue.placeGiven(request, clock.nowMs()),
           refuse: (request, refusal) => queue.refuse(request, refusal),
         })
         : undefined,
@@ -279,7 +279,7 @@
     this.#noteTold(vm, loads);
     this.#noteTold(
       vm,
-      Object.fromEntries(ended.map((server) => [server, [0, 0]])),
+      Object.fromEntries(ended.map((server) => [server, 0])),
     );
     this.#toldOf.set(vm, new Set(Object.keys(loads)));
     for (const [service, { queue }] of this.#services) {
@@ -298,11 +298,11 @@
   #noteTold(vm: contracts.VmId, loads: PeerStatus["loads"]): void {
     const nowMs = this.#options.clock.nowMs();
     const changed = new Set<admission.ServiceQueue>();
-    for (const [server, [outstanding, waiting]] of Object.entries(loads)) {
+    for (const [server, outstanding] of Object.entries(loads)) {
       for (const { queue } of this.#services.values()) {
         const load = queue.loads.get(server as contracts.ServerId);
         if (load === undefined) continue;
-        load.noteTold(vm, { outstanding, waiting, atMs: nowMs });
+        load.noteTold(vm, { outstanding, atMs: nowMs });
         changed.add(queue);
         break;
       }
--- a/packages/entry/src/gateway/peer_codec.ts
+++ b/packages/entry/src/gateway/peer_codec.ts
@@ -1,5 +1,4 @@
-/** Datagrams between entry VMs: JSON-RPC 2.0 notifications in MessagePack. */
-import * as msgpack from "@msgpack/msgpack";
+/** Datagrams between entry VMs: JSON-RPC 2.0 notifications. */
 import * as jsonRpc from "json-rpc-2.0";
 
 /** One notification. */
@@ -10,20 +9,22 @@
 
 /** The bytes of a notification. */
 export function encodeMessage(method: string, params: object): Uint8Array {
-  return msgpack.encode(jsonRpc.createJSONRPCNotification(method, params));
+  return Buffer.from(
+    JSON.stringify(jsonRpc.createJSONRPCNotification(method, params)),
+  );
 }
 
 /** The notification in a datagram; undefined for any other bytes. */
-export function decodeMessage(bytes: Uint8Array): PeerMessage | undefined {
+export function decodeMessage(bytes: Buffer): PeerMessage | undefined {
   try {
-    const message = msgpack.decode(bytes) as
+    const message = JSON.parse(bytes.toString()) as
       | (Partial<PeerMessage> & { readonly jsonrpc?: unknown })
       | null;
     const { jsonrpc, method, params } = message ?? {};
     const isMessage = jsonrpc === "2.0" && typeof method === "string";
     return isMessage ? { method, params } : undefined;
   } catch {
-    // Not MessagePack; the caller writes the log line.
+    // Not JSON; the caller writes the log line.
     return undefined;
   }
 }
--- a/packages/entry/src/gateway/peer_gossip.ts
+++ b/packages/entry/src/gateway/peer_gossip.ts
@@ -93,7 +93,7 @@
 /** The task that owns the datagram socket. */
 export class PeerGossip {
   readonly #options: PeerGossipOptions;
-  readonly #socket = dgram.createSocket("udp4");
+  readonly #socket = dgram.createSocket({ type: "udp4", lookup: noLookup });
   readonly #book: PeerBook;
   readonly #seeds = new Set<string>();
   readonly #handlers = new Map<string, (params: unknown) => void>();
@@ -181,6 +181,18 @@
     });
   }
 
+  /** The same for messages that come too often for a schema. */
+  onGuarded<Params>(
+    method: string,
+    isParams: (params: unknown) => params is Params,
+    take: (params: Params) => void,
+  ): void {
+    this.#handlers.set(method, (params) => {
+      if (isParams(params)) take(params);
+      else this.#options.log.warn("Ignores a datagram.", { method });
+    });
+  }
+
   /** Sends a notification to some peers, or to all. */
   send(
     method: string,
@@ -361,7 +373,7 @@
     });
   }
 
-  #receive(bytes: Uint8Array): void {
+  #receive(bytes: Buffer): void {
     const message = decodeMessage(bytes);
     if (message === undefined) {
       this.#options.log.warn("Ignores a datagram.", { bytes: bytes.length });
@@ -422,6 +434,15 @@
   }
 }
 
+/** Peers are named by IP number; the system's resolver takes a turn for each. */
+function noLookup(
+  host: string,
+  _options: unknown,
+  done: (error: null, address: string, family: number) => void,
+): void {
+  done(null, host, 4);
+}
+
 function echoesOf(peers: readonly Peer[]): PeerStatus["echoes"] {
   const echoes: PeerStatus["echoes"] = {};
   for (const { vm, incarnation, sequence } of peers) {
@@ -437,12 +458,10 @@
 ): PeerStatus["loads"] {
   const changed: PeerStatus["loads"] = {};
   for (const [server, load] of Object.entries(now)) {
-    const told = before[server];
-    const isSame = told?.[0] === load[0] && told[1] === load[1];
-    if (!isSame) changed[server] = load;
+    if (before[server] !== load) changed[server] = load;
   }
   for (const server of Object.keys(before)) {
-    if (now[server] === undefined) changed[server] = [0, 0];
+    if (now[server] === undefined) changed[server] = 0;
   }
   return changed;
 }
--- a/packages/entry/src/gateway/peer_messages.ts
+++ b/packages/entry/src/gateway/peer_messages.ts
@@ -1,8 +1,9 @@
 /**
- * What entry VMs tell one another in datagrams: JSON-RPC 2.0 notifications in
- * MessagePack. A lost one is made good by the next.
+ * What entry VMs tell one another in datagrams: JSON-RPC 2.0 notifications. A
+ * lost one is made good by the next.
  */
 import * as contracts from "@guavatide/contracts";
+import type * as admission from "@guavatide/decisions/admission/mod";
 import * as z from "zod";
 
 /** Method of {@link PeerStatus}. */
@@ -26,11 +27,8 @@
 /** Method of {@link ChangesWish}. */
 export const CHANGES_WISH_METHOD = "changesWish";
 
-/** By server: requests there, and requests that wait for it. */
-const loadsSchema = z.record(
-  z.string(),
-  z.tuple([z.number().int(), z.number().int()]),
-);
+/** By server of a service without keys: the sender's requests there. */
+const loadsSchema = z.record(z.string(), z.number().int());
 
 /** Schema of {@link PeerHello}. */
 export const peerHelloSchema = z.object({
@@ -70,7 +68,6 @@
   /** Positions of the last changes heard of, in the store's order. */
   configCursor: z.number().int(),
   serversCursor: z.number().int(),
-  /** By server: requests there, and requests that wait for it. */
   loads: loadsSchema,
   /** Requests that wait for any server, by service. */
   waiting: z.record(z.string(), z.number().int()),
@@ -95,18 +92,12 @@
   readonly loads: PeerStatus["loads"];
 }
 
-/**
- * Whether parameters are {@link LoadNews}. More than a thousand of them reach
- * a VM in a second; a schema took a third of the time that datagrams take.
- */
+/** Whether parameters are {@link LoadNews}; they come too often for a schema. */
 export function isLoadNews(params: unknown): params is LoadNews {
   if (typeof params !== "object" || params === null) return false;
   const { vm, loads } = params as Partial<LoadNews>;
   if (typeof vm !== "string" || typeof loads !== "object") return false;
-  return Object.values(loads ?? {}).every((load) =>
-    Array.isArray(load) && Number.isInteger(load[0]) &&
-    Number.isInteger(load[1])
-  );
+  return Object.values(loads ?? {}).every(Number.isInteger);
 }
 
 /** Schema of {@link RangeMapNews}. */
@@ -137,53 +128,93 @@
 /** Requests by key, told to the mover of the service. */
 export type KeyCounts = z.infer<typeof keyCountsSchema>;
 
-/** A slot of a server, and the request that it is for. */
-const slotSchema = z.object({
-  /** Drawn by the VM that asks. */
-  id: z.number().int(),
-  service: contracts.serviceIdSchema,
-  server: contracts.serverIdSchema,
-  bornMs: z.number().int(),
-  slots: z.number().int().min(1),
-  route: z.object({
-    name: z.string(),
-    priority: z.number(),
-    targetLatencyMs: z.number(),
-  }),
-});
-/** A slot as it is told. */
-export type SlotMessage = z.infer<typeof slotSchema>;
+/**
+ * A slot of a server, and the request that it is for: id (drawn by the VM that
+ * asks), service, server, its start in Unix milliseconds, its slots; name, rank
+ * and target latency (ms) of the request's route. Three such messages go out
+ * for each keyed request, so they have no field names.
+ */
+export type SlotMessage = readonly [
+  id: number,
+  service: contracts.ServiceId,
+  server: contracts.ServerId,
+  bornMs: number,
+  slots: number,
+  route: string,
+  priority: number,
+  targetLatencyMs: number,
+];
 
-/** Schema of {@link SlotAsks}. */
-export const slotAsksSchema = z.object({
-  vm: contracts.vmIdSchema,
-  wishes: z.array(slotSchema.extend({
-    /** Time left until an answer is late, and until it is of no use. */
-    targetLeftMs: z.number(),
-    answerLeftMs: z.number(),
-  })),
+/** What an entry VM asks of the one that gives out a server's slots. */
+export interface SlotAsks {
+  readonly vm: contracts.VmId;
+  /** With the time left until an answer is late, and until it is of no use. */
+  readonly wishes: readonly (readonly [
+    slot: SlotMessage,
+    targetLeftMs: number,
+    answerLeftMs: number,
+  ])[];
   /** Wishes and slots that are over, with the time of an answered request. */
-  ended: z.array(z.tuple([z.number().int(), z.number().nullable()])),
+  readonly ended: readonly (readonly [id: number, tookMs: number | null])[];
   /** All slots that the VM has of the coordinator; null when not told now. */
-  held: z.array(slotSchema).nullable(),
-});
-/** What an entry VM asks of the one that gives out a server's slots. */
-export type SlotAsks = z.infer<typeof slotAsksSchema>;
+  readonly held: readonly SlotMessage[] | null;
+}
+
+/** A wish that can't be granted. */
+export type SlotRefusal = readonly [
+  id: number,
+  reason: admission.RefusalReason,
+  retryAfterMs: number,
+  expectedWaitMs: number,
+];
 
-/** Schema of {@link SlotWords}. */
-export const slotWordsSchema = z.object({
-  vm: contracts.vmIdSchema,
-  given: z.array(z.number().int()),
-  queued: z.array(z.number().int()),
-  refused: z.array(z.object({
-    id: z.number().int(),
-    reason: z.enum(["no-server", "no-owner", "no-room", "timeout"]),
-    retryAfterMs: z.number(),
-    expectedWaitMs: z.number(),
-  })),
-});
 /** The answers to {@link SlotAsks}. */
-export type SlotWords = z.infer<typeof slotWordsSchema>;
+export interface SlotWords {
+  readonly vm: contracts.VmId;
+  readonly given: readonly number[];
+  readonly queued: readonly number[];
+  readonly refused: readonly SlotRefusal[];
+}
+
+/** Whether parameters are {@link SlotAsks}; they come too often for a schema. */
+export function isSlotAsks(params: unknown): params is SlotAsks {
+  if (typeof params !== "object" || params === null) return false;
+  const { vm, wishes, ended, held } = params as Partial<SlotAsks>;
+  return typeof vm === "string" && Array.isArray(wishes) &&
+    Array.isArray(ended) && (held === null || Array.isArray(held)) &&
+    wishes.every((wish) =>
+      Array.isArray(wish) && isSlot(wish[0]) && Number.isFinite(wish[1]) &&
+      Number.isFinite(wish[2])
+    ) &&
+    ended.every((end) => Array.isArray(end) && Number.isInteger(end[0])) &&
+    (held ?? []).every(isSlot);
+}
+
+/** Whether parameters are {@link SlotWords}. */
+export function isSlotWords(params: unknown): params is SlotWords {
+  if (typeof params !== "object" || params === null) return false;
+  const { vm, given, queued, refused } = params as Partial<SlotWords>;
+  return typeof vm === "string" && areIntegers(given) && areIntegers(queued) &&
+    Array.isArray(refused) &&
+    refused.every((refusal) =>
+      Array.isArray(refusal) && Number.isInteger(refusal[0]) &&
+      Number.isFinite(refusal[2]) && Number.isFinite(refusal[3])
+    );
+}
+
+function areIntegers(values: unknown): values is readonly number[] {
+  return Array.isArray(values) && values.every(Number.isInteger);
+}
+
+/** Positions of the numbers and of the texts in a {@link SlotMessage}. */
+const SLOT_NUMBERS = [0, 3, 4, 6, 7];
+const SLOT_TEXTS = [1, 2, 5];
+
+function isSlot(value: unknown): value is SlotMessage {
+  return Array.isArray(value) &&
+    SLOT_NUMBERS.every((index) => Number.isFinite(value[index])) &&
+    SLOT_TEXTS.every((index) => typeof value[index] === "string");
+}
 
 /** Schema of {@link Changes}. */
 export const changesSchema = z.object({
--- a/packages/entry/src/gateway/slot_task.ts
+++ b/packages/entry/src/gateway/slot_task.ts
@@ -28,7 +28,7 @@
 
 /** The queue whose requests ask for slots. */
 export interface SlotCaller {
-  pump(): void;
+  place(request: admission.WaitingRequest): void;
   refuse(
     request: admission.WaitingRequest,
     refusal: admission.Refusal,
@@ -58,7 +58,7 @@
       vm,
       coordinatorOf: (server, silent) => this.#coordinatorOf(server, silent),
       onMessage: () => this.#flushing.schedule(),
-      onGiven: (request) => this.#callers.get(request)?.pump(),
+      onGiven: (request) => this.#callers.get(request)?.place(request),
       onRefused: (request, refusal) => {
         const caller = this.#callers.get(request);
         this.#callers.delete(request);
@@ -77,14 +77,14 @@
     options.registry.onChange(() =>
       this.#order.keepOnly(options.registry.ids())
     );
-    gossip.on(
+    gossip.onGuarded(
       messages.SLOT_ASKS_METHOD,
-      messages.slotAsksSchema,
+      messages.isSlotAsks,
       (asks) => this.#takeAsks(asks),
     );
-    gossip.on(
+    gossip.onGuarded(
       messages.SLOT_WORDS_METHOD,
-      messages.slotWordsSchema,
+      messages.isSlotWords,
       (words) => this.#takeWords(words),
     );
   }
@@ -163,11 +163,11 @@
     const nowMs = clock.nowMs();
     return {
       vm,
-      wishes: wishes.map((wish) => ({
-        ...encodeSlot(wish),
-        targetLeftMs: Math.round(wish.targetMs - nowMs),
-        answerLeftMs: Math.round(wish.answerByMs - nowMs),
-      })),
+      wishes: wishes.map((wish) => [
+        encodeSlot(wish),
+        Math.round(wish.targetMs - nowMs),
+        Math.round(wish.answerByMs - nowMs),
+      ]),
       ended: ended.map(({ id, tookMs }) => [id, tookMs ?? null]),
       held: held?.map(encodeSlot) ?? null,
     };
@@ -178,25 +178,26 @@
     for (const [id, tookMs] of ended) {
       this.#coordinator.end(vm, id, { tookMs: tookMs ?? undefined, nowMs });
     }
-    for (const { targetLeftMs, answerLeftMs, ...slot } of wishes) {
+    for (const [slot, targetLeftMs, answerLeftMs] of wishes) {
       this.#coordinator.wish({
-        ...slot,
+        ...decodeSlot(slot),
         vm,
         targetMs: nowMs + targetLeftMs,
         answerByMs: nowMs + answerLeftMs,
       }, nowMs);
     }
-    if (held !== null) this.#coordinator.noteHeld(vm, held, nowMs);
+    if (held === null) return;
+    this.#coordinator.noteHeld(vm, held.map(decodeSlot), nowMs);
   }
 
   #takeWords({ vm, given, queued, refused }: messages.SlotWords): void {
     const words: admission.SlotWord[] = [
       ...given.map((id) => ({ id, kind: "given" as const })),
       ...queued.map((id) => ({ id, kind: "queued" as const })),
-      ...refused.map(({ id, ...refusal }) => ({
+      ...refused.map(([id, reason, retryAfterMs, expectedWaitMs]) => ({
         id,
         kind: "refused" as const,
-        refusal,
+        refusal: { reason, retryAfterMs, expectedWaitMs },
       })),
     ];
     this.#asks.noteWords(vm, words, this.#options.clock.nowMs());
@@ -214,14 +215,24 @@
   { id, service, server, bornMs, slots, route }: admission.HeldSlot,
 ): messages.SlotMessage {
   const { name, priority, targetLatencyMs } = route;
-  return {
+  return [
     id,
     service,
     server,
     bornMs,
     slots,
-    route: { name, priority, targetLatencyMs },
-  };
+    name,
+    priority,
+    targetLatencyMs,
+  ];
+}
+
+function decodeSlot(
+  [id, service, server, bornMs, slots, name, priority, targetLatencyMs]:
+    messages.SlotMessage,
+): admission.HeldSlot {
+  const route = { name, priority, targetLatencyMs };
+  return { id, service, server, bornMs, slots, route };
 }
 
 function encodeWords(
@@ -235,7 +246,14 @@
     given: idsOf("given"),
     queued: idsOf("queued"),
     refused: words.flatMap(({ id, refusal }) =>
-      refusal === undefined ? [] : [{ id, ...refusal }]
+      refusal === undefined ? [] : [encodeRefusal(id, refusal)]
     ),
   };
 }
+
+function encodeRefusal(
+  id: number,
+  { reason, retryAfterMs, expectedWaitMs }: admission.Refusal,
+): messages.SlotRefusal {
+  return [id, reason, Math.round(retryAfterMs), Math.round(expectedWaitMs)];
+}
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -42,7 +42,6 @@
   format: "esm",
   target: "node20",
   minify: true,
-  keepNames: true,
   legalComments: "none",
   plugins: [undiciParts],
   // Libraries written for require() find it under this name.
