--- a/packages/decisions/src/grants/key_loads.ts
+++ b/packages/decisions/src/grants/key_loads.ts
@@ -7,6 +7,14 @@
 /** Rates below this are dropped, in requests a second. */
 const LEAST_PER_SECOND = 0.02;
 
+/**
+ * Standard deviation of a rate that these counts show, in requests a second:
+ * that of random arrivals counted with the decay.
+ */
+export function rateDeviation(perSecond: number): number {
+  return Math.sqrt(perSecond / (2 * DECAY_MS / 1000));
+}
+
 /** Decaying request rates of the keys that were asked for lately. */
 export class KeyLoads {
   /** Weight of each key; a rate once divided by the decay time. */
--- /dev/null
+++ b/packages/decisions/src/grants/lone_keys.ts
@@ -0,0 +1,101 @@
+/**
+ * Keys that one server can't carry: a key has one owner, so no split helps, and
+ * the fastest server serves most of its requests. Left where it happens to lie,
+ * a hot key keeps a slow server full and most of its callers are refused for as
+ * long as it is hot, while faster servers have slots free.
+ */
+import type * as contracts from "@guavatide/contracts";
+import type { RangeMove } from "./range_edit.ts";
+import {
+  type KeyRate,
+  type RangePlanInput,
+  type Utilization,
+  within,
+} from "./range_load.ts";
+
+/** Busy part of its owner that a key alone takes when it is too hot for it. */
+const LONE_KEY_UTILIZATION = 0.8;
+/**
+ * How much more the next owner must carry. A full server takes up to half as
+ * long again as an idle one of its kind, so with less than that a key would
+ * wander from one to the next.
+ */
+const FASTER_RATIO = 1.6;
+
+interface LoneKey extends KeyRate {
+  readonly owner: contracts.ServerId;
+}
+
+/** Moves of the hottest keys to servers that can carry more of their requests. */
+export function planLoneKeys(
+  input: RangePlanInput,
+  use: Utilization,
+): RangeMove[] {
+  const hottest = hottestKeys(input);
+  const moves: RangeMove[] = [];
+  const lone = [...hottest.values()]
+    .filter((it) => isTooHot(it, input))
+    .sort((a, b) => b.perSecond - a.perSecond);
+  const taken = new Set(lone.map(({ owner }) => owner));
+  for (const { key, perSecond, owner } of lone) {
+    const to = fastest(input, taken);
+    if (to === undefined) break;
+    const gain = capacityOf(input, to) / capacityOf(input, owner);
+    if (gain < FASTER_RATIO) continue;
+    taken.add(to);
+    use.add(owner, -perSecond);
+    use.add(to, perSecond);
+    moves.push({
+      fromKey: key,
+      toKey: key,
+      to: input.servers.get(to)!.owner,
+    });
+  }
+  return moves;
+}
+
+/** The key of each server that is asked for most. */
+function hottestKeys(
+  { ranges, rates, servers }: RangePlanInput,
+): Map<contracts.ServerId, LoneKey> {
+  const hottest = new Map<contracts.ServerId, LoneKey>();
+  for (const range of ranges) {
+    const owner = range.owner.server;
+    if (!servers.has(owner)) continue;
+    for (const rate of within(rates, range)) {
+      const known = hottest.get(owner);
+      if (known !== undefined && known.perSecond >= rate.perSecond) continue;
+      hottest.set(owner, { ...rate, owner });
+    }
+  }
+  return hottest;
+}
+
+function isTooHot(
+  { perSecond, owner }: LoneKey,
+  input: RangePlanInput,
+): boolean {
+  return perSecond > LONE_KEY_UTILIZATION * capacityOf(input, owner);
+}
+
+function capacityOf(
+  { servers }: RangePlanInput,
+  server: contracts.ServerId,
+): number {
+  return servers.get(server)!.capacityPerSecond;
+}
+
+/** The server that carries most, of those without such a key. */
+function fastest(
+  input: RangePlanInput,
+  taken: ReadonlySet<contracts.ServerId>,
+): contracts.ServerId | undefined {
+  let best: contracts.ServerId | undefined;
+  for (const server of input.servers.keys()) {
+    if (taken.has(server)) continue;
+    const isBetter = best === undefined ||
+      capacityOf(input, server) > capacityOf(input, best);
+    if (isBetter) best = server;
+  }
+  return best;
+}
--- a/packages/decisions/src/grants/mod.ts
+++ b/packages/decisions/src/grants/mod.ts
@@ -8,6 +8,7 @@
 export * from "./lost_servers.ts";
 export * from "./range_difference.ts";
 export * from "./range_edit.ts";
+export type { KeyRate, RangePlanInput, RangeServer } from "./range_load.ts";
 export * from "./range_mover.ts";
 export * from "./range_news.ts";
 export * from "./range_planner.ts";
--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -4,31 +4,16 @@
  */
 import type * as contracts from "@guavatide/contracts";
 import { KEY_COUNT } from "@guavatide/contracts";
+import { planLoneKeys } from "./lone_keys.ts";
 import type { RangeMove } from "./range_edit.ts";
-
-/** A server that can take ranges. */
-export interface RangeServer {
-  readonly owner: contracts.RangeOwner;
-  /** Requests a second that it can carry. */
-  readonly capacityPerSecond: number;
-}
-
-/** A key with its rate. */
-export interface KeyRate {
-  readonly key: number;
-  readonly perSecond: number;
-}
-
-/** What a plan is made from. */
-export interface RangePlanInput {
-  readonly ranges: readonly contracts.RangeState[];
-  /** Servers that may own ranges, by id. */
-  readonly servers: ReadonlyMap<contracts.ServerId, RangeServer>;
-  /** In order of the keys. */
-  readonly rates: readonly KeyRate[];
-  /** Whether to even out load; otherwise only losses are planned. */
-  readonly mayBalance: boolean;
-}
+import {
+  type KeyRate,
+  type RangePlanInput,
+  rateOf,
+  Utilization,
+  WIDTH_RATE_PER_KEY,
+  within,
+} from "./range_load.ts";
 
 /**
  * Busy part of its slots above which a server gives keys away. Below it a
@@ -44,66 +29,6 @@
 const PIECES_OF_LOST = 3;
 /** Ranges for each server beyond which none is split any more. */
 const RANGES_PER_SERVER = 10;
-/** Rate that stands for the width of a range no key of which is asked for. */
-const WIDTH_RATE_PER_KEY = 1e-4;
-
-/** Load of the servers while a plan is made. */
-class Utilization {
-  readonly #perSecond = new Map<contracts.ServerId, number>();
-  readonly #servers: ReadonlyMap<contracts.ServerId, RangeServer>;
-
-  constructor(servers: ReadonlyMap<contracts.ServerId, RangeServer>) {
-    this.#servers = servers;
-    for (const server of servers.keys()) this.#perSecond.set(server, 0);
-  }
-
-  add(server: contracts.ServerId, perSecond: number): void {
-    const known = this.#perSecond.get(server);
-    if (known !== undefined) this.#perSecond.set(server, known + perSecond);
-  }
-
-  of(server: contracts.ServerId): number {
-    const { capacityPerSecond } = this.#servers.get(server)!;
-    return this.#perSecond.get(server)! / capacityPerSecond;
-  }
-
-  get mean(): number {
-    let load = 0;
-    let capacity = 0;
-    for (const [server, perSecond] of this.#perSecond) {
-      load += perSecond;
-      capacity += this.#servers.get(server)!.capacityPerSecond;
-    }
-    return capacity === 0 ? 0 : load / capacity;
-  }
-
-  /** The server that is least busy. */
-  coldest(): contracts.ServerId | undefined {
-    return this.#extreme((a, b) => a < b);
-  }
-
-  /** The server that is most busy, of those not left out. */
-  hottest(
-    leftOut: ReadonlySet<contracts.ServerId>,
-  ): contracts.ServerId | undefined {
-    return this.#extreme((a, b) => a > b, leftOut);
-  }
-
-  #extreme(
-    isBetter: (a: number, b: number) => boolean,
-    leftOut: ReadonlySet<contracts.ServerId> = new Set(),
-  ): contracts.ServerId | undefined {
-    let best: contracts.ServerId | undefined;
-    for (const server of this.#perSecond.keys()) {
-      if (leftOut.has(server)) continue;
-      if (best === undefined || isBetter(this.of(server), this.of(best))) {
-        best = server;
-      }
-    }
-    return best;
-  }
-}
-
 /** Plans moves. An empty list means that all may stay as it is. */
 export function planRanges(input: RangePlanInput): RangeMove[] {
   if (input.servers.size === 0) return [];
@@ -117,37 +42,8 @@
     input.ranges.every(({ vacating }) => vacating === undefined);
   if (!input.mayBalance || !isSettled) return moves;
   const newcomers = planNewcomers(input, use);
-  return newcomers.length > 0 ? newcomers : planHot(input, use);
-}
-
-/** Rate of a range, with a little for its width. */
-function rateOf(rates: readonly KeyRate[], range: contracts.KeyRange): number {
-  let sum = (range.toKey - range.fromKey + 1) * WIDTH_RATE_PER_KEY;
-  for (const { perSecond } of within(rates, range)) sum += perSecond;
-  return sum;
-}
-
-function within(
-  rates: readonly KeyRate[],
-  { fromKey, toKey }: contracts.KeyRange,
-): readonly KeyRate[] {
-  return rates.slice(firstFrom(rates, fromKey), firstFrom(rates, toKey + 1));
-}
-
-/**
- * Index of the first rate at a key or behind it. A plan looks at each range's
- * rates: with 193 ranges and 5,200 keys it takes 2.3 ms, and took 8.6 ms when
- * it went through all of them (mean of 20 plans).
- */
-function firstFrom(rates: readonly KeyRate[], key: number): number {
-  let low = 0;
-  let high = rates.length;
-  while (low < high) {
-    const middle = (low + high) >> 1;
-    if (rates[middle]!.key < key) low = middle + 1;
-    else high = middle;
-  }
-  return low;
+  if (newcomers.length > 0) return newcomers;
+  return planHot(input, use, planLoneKeys(input, use));
 }
 
 function planLosses(input: RangePlanInput, use: Utilization): RangeMove[] {
@@ -247,8 +143,12 @@
 }
 
 /** Moves dense pieces from servers above the level to those below it. */
-function planHot(input: RangePlanInput, use: Utilization): RangeMove[] {
-  const moves: RangeMove[] = [];
+function planHot(
+  input: RangePlanInput,
+  use: Utilization,
+  planned: readonly RangeMove[],
+): RangeMove[] {
+  const moves = [...planned];
   const limit = input.servers.size * RANGES_PER_SERVER;
   const level = Math.max(HOT_UTILIZATION, use.mean * HOT_RATIO);
   const exhausted = new Set<contracts.ServerId>();
@@ -256,7 +156,7 @@
     const hot = use.hottest(exhausted);
     const cold = use.coldest();
     if (hot === undefined || cold === undefined) break;
-    if (use.of(hot) <= level) break;
+    if (use.atLeast(hot) <= level) break;
     const wish = wishOf(input, use, { hot, cold, level });
     const piece = densePiece(input, moves, hot, wish);
     if (piece === undefined) {
