fix(grants): silent servers come back, failed grants pause

Cause: a vote on a silent server ended only with a granted renewal, and none is sent once its ranges are vacating; with all servers voted silent no key had an owner again. A failed grant was due again at once: a server that refuses connections got thousands of calls a second.

Change: a vote ends 1.5 s after the last grant that was tried; a server that is lost again and again rests for 3, 6, 12, 24 s; with every server lost all of them are candidates, as no other can own a key. A failed grant waits 40 to 320 ms with jitter. What a late grant may still give is judged as before (range_wait), so the grant model is untouched.

--- a/packages/decisions/src/admission/server_load.ts
+++ b/packages/decisions/src/admission/server_load.ts
@@ -34,6 +34,8 @@
   readonly #told = new Map<contracts.VmId, Told>();
   #failureRatio = 0;
   #endsLost = 0;
+  /** In a row, without an answer between them. */
+  #suspensions = 0;
   #suspendedUntilMs = Number.NEGATIVE_INFINITY;
 
   constructor(entry: contracts.ServerEntry) {
@@ -65,6 +67,11 @@
     return 0;
   }
 
+  /** Time until requests may be sent again; 0 when they may now. */
+  opensInMs(nowMs: number): number {
+    return Math.max(0, this.#suspendedUntilMs - nowMs);
+  }
+
   /** Whether requests may be sent now. */
   isOpen(nowMs: number): boolean {
     return nowMs >= this.#suspendedUntilMs;
@@ -81,14 +88,15 @@
     this.#sentMs.add(sent);
     return (end, endedMs) => {
       this.#sentMs.delete(sent);
-      this.#noteEnd(end, endedMs);
+      this.#noteEnd(end, nowMs, endedMs);
     };
   }
 
-  #noteEnd(end: SendEnd, nowMs: number): void {
+  #noteEnd(end: SendEnd, sentMs: number, nowMs: number): void {
     if (end.kind === "abandoned") return;
-    if (end.kind === "lost") return this.#noteLost(nowMs);
+    if (end.kind === "lost") return this.#noteLost(sentMs, nowMs);
     this.#endsLost = 0;
+    this.#suspensions = 0;
     if (end.kind === "rejected") return;
     const failure = end.isFailure ? 1 : 0;
     this.#failureRatio += FAILURE_GAIN * (failure - this.#failureRatio);
@@ -97,14 +105,17 @@
   /**
    * A server that is down or cut off holds every request sent to it until its
    * deadline. After two in a row it is left alone, at first shortly, so that a
-   * reset of its connections costs little.
+   * reset of its connections costs little. Only a request that left after the
+   * last time shows that it has to be left alone for longer: a reset ends many
+   * at once, and counted one by one they kept a sound server idle for seconds.
    */
-  #noteLost(nowMs: number): void {
+  #noteLost(sentMs: number, nowMs: number): void {
     this.#endsLost++;
     this.#failureRatio += FAILURE_GAIN * (1 - this.#failureRatio);
     if (this.#endsLost < SUSPEND_AFTER_ENDS) return;
-    const doubled = SUSPEND_MIN_MS *
-      2 ** Math.min(6, this.#endsLost - SUSPEND_AFTER_ENDS);
+    if (sentMs < this.#suspendedUntilMs) return;
+    const doubled = SUSPEND_MIN_MS * 2 ** this.#suspensions;
+    this.#suspensions++;
     this.#suspendedUntilMs = nowMs + Math.min(SUSPEND_MAX_MS, doubled);
   }
 }
--- a/packages/decisions/src/admission/server_ranking.ts
+++ b/packages/decisions/src/admission/server_ranking.ts
@@ -2,7 +2,7 @@
 import type * as contracts from "@guavatide/contracts";
 import type { ServerLoad } from "./server_load.ts";
 import type { ServiceTimes } from "./service_times.ts";
-import type { RankedRoute } from "./waiting_request.ts";
+import type { RankedRoute, WaitingRequest } from "./waiting_request.ts";
 
 /**
  * Requests sent to a server beyond its slots. One bridges the way from the end
@@ -29,6 +29,11 @@
  * waiting: two more hops of about 1 ms and the price of its bytes.
  */
 const OTHER_ZONE_MS = 6;
+/**
+ * The same for each kilobyte of the request's body. Bytes between zones are
+ * dear; without it large bodies cross zones as readily as empty ones.
+ */
+const OTHER_ZONE_MS_PER_KB = 1.5;
 /**
  * Random part of a score. Entry VMs see one another's requests tens of
  * milliseconds late; without it all would pick the same server meanwhile.
@@ -77,13 +82,14 @@
 /** The best of the servers for a request; none when the list is empty. */
 export function chooseServer(
   loads: readonly ServerLoad[],
-  route: RankedRoute,
+  { route, bodyBytes }: Pick<WaitingRequest, "route" | "bodyBytes">,
   context: RankingContext,
 ): ServerLoad | undefined {
+  const otherZoneMs = OTHER_ZONE_MS + OTHER_ZONE_MS_PER_KB * bodyBytes / 1_000;
   let best: ServerLoad | undefined;
   let bestScore = Number.POSITIVE_INFINITY;
   for (const load of loads) {
-    const zoneMs = load.entry.zone === context.zone ? 0 : OTHER_ZONE_MS;
+    const zoneMs = load.entry.zone === context.zone ? 0 : otherZoneMs;
     const jitter = 1 + JITTER_PART * context.random.next();
     const score = expectedMs(load, route, context) * jitter + zoneMs;
     if (score >= bestScore) continue;
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -36,6 +36,8 @@
   readonly ownerOf?: (key: number) => KeyOwner;
   /** Where owners' slots are given out; absent for a service without keys. */
   readonly slots?: SlotSource;
+  /** Requests sent to a server beyond its slots; one unless told otherwise. */
+  readonly extraRequests?: () => number;
 }
 
 /**
@@ -126,7 +128,7 @@
   add(request: WaitingRequest, nowMs: number): void {
     if (this.#tryPlace(request, nowMs)) return;
     // Whether it can be served in time is known where its slot is given out.
-    if (this.#awaitsSlot(request)) return this.#insert(request);
+    if (this.#awaitsSlot(request, nowMs)) return this.#insert(request);
     const reason = this.#blockedBy(request, nowMs);
     const waitMs = this.#expectedWaitMs(request, this.#waiting, nowMs);
     if (reason === "no-server" || this.#isHopeless(request, waitMs, nowMs)) {
@@ -172,7 +174,7 @@
         continue;
       }
       const isPlaceFull = request.tried.size === 0 &&
-        !this.#awaitsSlot(request);
+        !this.#awaitsSlot(request, nowMs);
       if (isPlaceFull) full.add(place);
       rest.push(request);
     }
@@ -190,7 +192,7 @@
         LEAST_SERVICE_PART;
       const leftMs = request.answerByMs - nowMs;
       // The coordinator knows who else waits there.
-      const waitMs = this.#awaitsSlot(request)
+      const waitMs = this.#awaitsSlot(request, nowMs)
         ? 0
         : this.#expectedWaitMs(request, kept, nowMs);
       if (leftMs > serviceMs && waitMs < leftMs) {
@@ -226,10 +228,11 @@
   }
 
   #tryAny(request: WaitingRequest, nowMs: number): boolean {
+    const extra = this.#options.extraRequests?.();
     const open = this.#candidates(request, nowMs)
-      .filter((load) => ranking.hasRoom(load, nowMs));
+      .filter((load) => ranking.hasRoom(load, nowMs, extra));
     const context = this.#context(nowMs);
-    const load = ranking.chooseServer(open, request.route, context) ??
+    const load = ranking.chooseServer(open, request, context) ??
       this.#helper(request, nowMs);
     if (load === undefined) return false;
     const outstanding = load.outstanding(nowMs);
@@ -311,11 +314,13 @@
   }
 
   /** Whether the request waits for a coordinator to give it its owner's slot. */
-  #awaitsSlot(request: WaitingRequest): boolean {
+  #awaitsSlot(request: WaitingRequest, nowMs: number): boolean {
     if (this.#options.slots === undefined) return false;
     const owner = this.#ownerOf(request);
-    return owner?.kind === "owned" &&
-      (this.#loads.get(owner.server)?.entry.bornMs === owner.bornMs);
+    if (owner?.kind !== "owned") return false;
+    const load = this.#loads.get(owner.server);
+    // Nobody is asked for a slot of a server that is left alone for now.
+    return load?.entry.bornMs === owner.bornMs && load.isOpen(nowMs);
   }
 
   #blockedBy(request: WaitingRequest, nowMs: number): RefusalReason {
@@ -353,7 +358,8 @@
     if (owner?.kind === "owned") {
       const load = this.#loads.get(owner.server);
       if (load === undefined) return MOVE_WAIT_MS;
-      return (ahead + 1) / this.#servedPerMs([load], meanMs);
+      return load.opensInMs(nowMs) +
+        (ahead + 1) / this.#servedPerMs([load], meanMs);
     }
     const perMs = this.#servedPerMs(this.#candidates(request, nowMs), meanMs);
     const elsewhere = this.#waitingElsewhere * (ahead + 1) / here;
--- a/packages/decisions/src/admission/service_queue_test.ts
+++ b/packages/decisions/src/admission/service_queue_test.ts
@@ -37,6 +37,7 @@
 class Request implements admission.WaitingRequest {
   readonly route: contracts.Route;
   readonly key: number | undefined;
+  readonly bodyBytes: number;
   readonly targetMs: number;
   readonly answerByMs: number;
   readonly tried = new Set<contracts.ServerId>();
@@ -45,10 +46,16 @@
 
   constructor(
     nowMs: number,
-    options: { priority?: number; key?: number; timeoutMs?: number } = {},
+    options: {
+      priority?: number;
+      key?: number;
+      timeoutMs?: number;
+      bodyBytes?: number;
+    } = {},
   ) {
     this.route = { ...ROUTE, priority: options.priority ?? 1 };
     this.key = options.key;
+    this.bodyBytes = options.bodyBytes ?? 0;
     this.targetMs = nowMs + ROUTE.targetLatencyMs;
     this.answerByMs = nowMs + (options.timeoutMs ?? ROUTE.timeoutMs);
   }
@@ -269,3 +276,58 @@
     "good" as contracts.ServerId,
   );
 });
+
+/**
+ * A network device forgets all connections of a sound server, and six requests
+ * end at once without an answer. Counted one by one they would keep the server
+ * idle for seconds, and callers who need it would be refused meanwhile.
+ */
+test("should take requests that are lost together for one loss", () => {
+  const fixture = new Fixture([server("a", { slots: 8 })]);
+  const begun = Array.from({ length: 6 }, () => fixture.begin());
+  for (const [, end] of begun) end({ kind: "lost" }, fixture.nowMs);
+  const load = fixture.queue.loads.get("a" as contracts.ServerId)!;
+  expect(load.isOpen(fixture.nowMs + 450)).toEqual(true);
+  // One that left afterwards and is lost as well shows that it is not sound.
+  fixture.nowMs += 450;
+  load.begin(fixture.nowMs)({ kind: "lost" }, fixture.nowMs);
+  expect(load.isOpen(fixture.nowMs + 450)).toEqual(false);
+});
+
+/**
+ * The only server that owns a key answers nothing, and is left alone for a
+ * while. Its callers are told at once when to come back; kept until their time
+ * was over they could not.
+ */
+test("should refuse at once while a key's owner is left alone", () => {
+  const fixture = new Fixture([server("a", { slots: 4 })], () => ({
+    kind: "owned",
+    server: "a" as contracts.ServerId,
+    bornMs: 1,
+    fence: 3,
+  }));
+  const load = fixture.queue.loads.get("a" as contracts.ServerId)!;
+  for (let loss = 0; loss < 6; loss++) {
+    fixture.nowMs += 5_000;
+    load.begin(fixture.nowMs)({ kind: "lost" }, fixture.nowMs);
+  }
+  const request = fixture.add({ key: 1 });
+  expect(request.refusal?.reason).toEqual("no-room");
+  expect(request.refusal!.retryAfterMs > 500).toEqual(true);
+});
+
+/**
+ * Bytes between availability zones are dear. A large upload stays in its zone
+ * as long as a server there has a free slot, though one elsewhere is idle.
+ */
+test("should keep large bodies in their zone", () => {
+  const fixture = new Fixture([
+    server("near", { slots: 2 }),
+    server("far", { slots: 2, zone: "z2" as contracts.ZoneId }),
+  ]);
+  fixture.learn(100);
+  const bodyBytes = 60_000;
+  const servers = [fixture.begin({ bodyBytes }), fixture.begin({ bodyBytes })]
+    .map(([request]) => request.placement!.load.entry.server as string);
+  expect(servers).toEqual(["near", "near"]);
+});
--- a/packages/decisions/src/admission/waiting_request.ts
+++ b/packages/decisions/src/admission/waiting_request.ts
@@ -54,6 +54,8 @@
 export interface WaitingRequest {
   readonly route: RankedRoute;
   readonly key: number | undefined;
+  /** Size of its body. */
+  readonly bodyBytes: number;
   /** Time by which an answer has its full worth. */
   readonly targetMs: number;
   /** Time at which the caller gets its final answer at the latest. */
--- a/packages/decisions/src/grants/lost_servers.ts
+++ b/packages/decisions/src/grants/lost_servers.ts
@@ -3,11 +3,26 @@
 
 /** A server that left a grant unanswered gets no new range for a while. */
 const REST_MS = 3_000;
+/**
+ * Each time in a row the rest is twice as long. A server that reaches the store
+ * but not the VMs keeps its entry, and would else be given keys every few
+ * seconds that then have no owner for two.
+ */
+const LONGEST_REST_MS = 24_000;
+/** A server that was not lost again for so long is as good as any. */
+const FORGIVEN_MS = 60_000;
+
+interface Loss {
+  /** When it was last found silent. */
+  lastMs: number;
+  restMs: number;
+}
 
 /** Votes on silent servers, and those lost by them. */
 export class LostServers {
   readonly #told = new Map<contracts.VmId, ReadonlySet<string>>();
-  readonly #lostMs = new Map<contracts.ServerId, number>();
+  readonly #losses = new Map<contracts.ServerId, Loss>();
+  readonly #resting = new Set<contracts.ServerId>();
 
   /** A VM told which servers leave its grants unanswered. */
   noteSilent(vm: contracts.VmId, servers: readonly string[]): void {
@@ -28,17 +43,31 @@
       const isSilent = renewers.length > 0 &&
         renewers.every((vm) => this.#told.get(vm)?.has(name) ?? false);
       if (!isSilent) continue;
-      if (!this.#lostMs.has(server)) newly.push(server);
-      this.#lostMs.set(server, nowMs);
+      if (!this.#resting.has(server)) newly.push(server);
+      this.#noteLoss(server, nowMs);
     }
-    for (const [server, lostMs] of this.#lostMs) {
-      if (nowMs - lostMs > REST_MS) this.#lostMs.delete(server);
+    for (const [server, { lastMs, restMs }] of this.#losses) {
+      if (nowMs - lastMs > restMs) this.#resting.delete(server);
+      if (nowMs - lastMs > FORGIVEN_MS) this.#losses.delete(server);
     }
     return newly;
   }
 
+  #noteLoss(server: contracts.ServerId, nowMs: number): void {
+    const known = this.#losses.get(server);
+    const isFirst = known === undefined ||
+      nowMs - known.lastMs > FORGIVEN_MS;
+    const restMs = isFirst
+      ? REST_MS
+      : this.#resting.has(server)
+      ? known.restMs
+      : Math.min(LONGEST_REST_MS, 2 * known.restMs);
+    this.#losses.set(server, { lastMs: nowMs, restMs });
+    this.#resting.add(server);
+  }
+
   /** Whether a server is lost, or was until a short while ago. */
   has(server: contracts.ServerId): boolean {
-    return this.#lostMs.has(server);
+    return this.#resting.has(server);
   }
 }
--- /dev/null
+++ b/packages/decisions/src/grants/lost_servers_test.ts
@@ -0,0 +1,32 @@
+import type * as contracts from "@guavatide/contracts";
+import { expect } from "earl";
+import { test } from "node:test";
+import * as grants from "./mod.ts";
+
+const SERVER = "s1" as contracts.ServerId;
+const RENEWERS = ["vm1", "vm2"] as contracts.VmId[];
+
+/** How long a server is lost after its renewers found it silent at a moment. */
+function restAfterLoss(lost: grants.LostServers, atMs: number): number {
+  for (const vm of RENEWERS) lost.noteSilent(vm, [SERVER]);
+  lost.count(atMs, () => RENEWERS);
+  for (const vm of RENEWERS) lost.noteSilent(vm, []);
+  let nowMs = atMs;
+  while (lost.has(SERVER)) {
+    nowMs += 100;
+    lost.count(nowMs, () => RENEWERS);
+  }
+  return nowMs - atMs;
+}
+
+/**
+ * A server reaches the store and none of the VMs. Its entry stays, so it is
+ * given keys again after each rest, and callers of these keys wait for seconds.
+ */
+test("should leave a server alone for longer each time that it is lost", () => {
+  const lost = new grants.LostServers();
+  const rests = [0, 10_000, 20_000].map((atMs) => restAfterLoss(lost, atMs));
+  expect(rests).toEqual([3_100, 6_100, 12_100]);
+  // Sound for a long time, it is lost as if for the first time.
+  expect(restAfterLoss(lost, 120_000)).toEqual(3_100);
+});
--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarded_request.ts
@@ -54,6 +54,7 @@
 export class ForwardedRequest implements admission.WaitingRequest {
   readonly route: contracts.Route;
   readonly key: number | undefined;
+  readonly bodyBytes: number;
   readonly targetMs: number;
   readonly answerByMs: number;
   readonly tried = new Set<contracts.ServerId>();
@@ -85,6 +86,7 @@
     this.#parts = parts;
     this.#resolve = resolve;
     this.key = request.key;
+    this.bodyBytes = request.body?.length ?? 0;
     this.targetMs = request.arrivedMs + route.targetLatencyMs;
     const { deadlineMs } = request;
     const longestMs = Math.min(route.timeoutMs, deadlineMs ?? Infinity);
--- a/packages/entry/src/gateway/grant_sender.ts
+++ b/packages/entry/src/gateway/grant_sender.ts
@@ -4,6 +4,7 @@
  */
 import type * as contracts from "@guavatide/contracts";
 import type * as grants from "@guavatide/decisions/grants/mod";
+import { SystemRandom } from "../utils/clock.ts";
 import type { PartLog } from "../utils/log.ts";
 
 /** Options of {@link GrantSender}. */
@@ -11,6 +12,8 @@
   readonly control: contracts.GrantControl;
   readonly timings: grants.GrantTimings;
   readonly clock: contracts.Clock;
+  /** The system's unless given. */
+  readonly random?: contracts.RandomSource;
   readonly log: PartLog;
   /** The server of an owner, also when it leaves; undefined when unknown. */
   readonly entry: (
@@ -32,8 +35,25 @@
   lastUnansweredMs: number | undefined;
   /** First of the grants in a row that were not answered. */
   silentSinceMs: number | undefined;
+  /** Grants in a row that were not granted. */
+  failures: number;
+  /** No grant is sent before. */
+  notBeforeMs: number;
 }
 
+/**
+ * A server is no longer called silent so long after the last grant that it left
+ * unanswered. It is sent none once its ranges are taken away, so nothing else
+ * could show that it is back: with all servers silent no key had an owner again.
+ */
+const SILENT_STANDS_MS = 1_500;
+/**
+ * Pauses after grants that failed. A server that refuses connections answers
+ * within a millisecond, and asked again at once it took the whole processor.
+ */
+const RETRY_MIN_MS = 40;
+const RETRY_MAX_MS = 320;
+
 /** A range to be granted or renewed. */
 export interface GrantOrder {
   readonly range: contracts.RangeState;
@@ -56,9 +76,12 @@
     return this.#confirmedMs.get(nameOf(range));
   }
 
-  /** Whether a grant to the server is under way. */
-  isBusy(server: contracts.ServerId): boolean {
-    return this.#servers.get(server)?.isUnderWay ?? false;
+  /** Whether a grant may be sent: none is under way, and none just failed. */
+  isFree(server: contracts.ServerId): boolean {
+    const state = this.#servers.get(server);
+    if (state === undefined) return true;
+    return !state.isUnderWay &&
+      this.#options.clock.nowMs() >= state.notBeforeMs;
   }
 
   /** Servers that have left this VM's grants unanswered for so long. */
@@ -66,9 +89,10 @@
     const { clock, timings } = this.#options;
     const nowMs = clock.nowMs();
     return [...this.#servers]
-      .filter(([, { silentSinceMs }]) =>
+      .filter(([, { silentSinceMs, lastEndMs, isUnderWay }]) =>
         silentSinceMs !== undefined &&
-        nowMs - silentSinceMs >= timings.silentMs
+        nowMs - silentSinceMs >= timings.silentMs &&
+        (isUnderWay || nowMs - lastEndMs < SILENT_STANDS_MS)
       )
       .map(([server]) => server);
   }
@@ -111,6 +135,7 @@
     );
     state.isUnderWay = false;
     state.lastEndMs = clock.nowMs();
+    this.#notePause(state, result.isOk() && result.value === "granted");
     if (result.isErr()) state.lastUnansweredMs = state.lastEndMs;
     this.#options.onEnded(server.server);
     const fields = { server: server.server, fromKey, toKey, fence };
@@ -127,6 +152,17 @@
     if (result.value === "fenced-off") this.#options.onFencedOff(range);
   }
 
+  #notePause(state: ServerGrants, isGranted: boolean): void {
+    state.failures = isGranted ? 0 : state.failures + 1;
+    if (isGranted) return;
+    const { random = SYSTEM_RANDOM } = this.#options;
+    const pauseMs = Math.min(
+      RETRY_MAX_MS,
+      RETRY_MIN_MS * 2 ** (state.failures - 1),
+    );
+    state.notBeforeMs = state.lastEndMs + pauseMs * (0.5 + random.next() / 2);
+  }
+
   /** Forgets servers and ranges that are gone. */
   keepOnly(ranges: readonly contracts.RangeState[]): void {
     const names = new Set(ranges.map(nameOf));
@@ -165,12 +201,16 @@
       lastEndMs: Number.NEGATIVE_INFINITY,
       lastUnansweredMs: undefined,
       silentSinceMs: undefined,
+      failures: 0,
+      notBeforeMs: Number.NEGATIVE_INFINITY,
     };
     this.#servers.set(server, created);
     return created;
   }
 }
 
+const SYSTEM_RANDOM = new SystemRandom();
+
 /** Names of ranges: they are asked for at every tick. */
 const names = new WeakMap<contracts.RangeState, string>();
 
--- a/packages/entry/src/gateway/grant_sender_test.ts
+++ b/packages/entry/src/gateway/grant_sender_test.ts
@@ -53,3 +53,45 @@
   nowMs = 10_000;
   expect(sender.silentServers()).toEqual([]);
 });
+
+/**
+ * A server refuses connections, as while it restarts. Each grant fails within a
+ * millisecond; sent again at once, they take the processor from callers.
+ */
+test("should pause between grants that a server refuses", async () => {
+  let nowMs = 0;
+  let calls = 0;
+  const sender = new GrantSender({
+    control: {
+      grant: () => {
+        calls++;
+        return neverthrow.errAsync({ kind: "unreachable", message: "Refused" });
+      },
+      release: () => neverthrow.okAsync(undefined),
+      close: () => Promise.resolve(),
+    },
+    timings: grants.DEFAULT_GRANT_TIMINGS,
+    clock: { nowMs: () => nowMs },
+    random: { next: () => 0.5 },
+    log: { debug() {}, info() {}, warn() {}, error() {} },
+    entry: () => ({
+      server: SERVER,
+      bornMs: 1,
+      service: "keyed" as contracts.ServiceId,
+      host: "10.0.0.1",
+      port: 80,
+      zone: "z1" as contracts.ZoneId,
+      slots: 2,
+      isDraining: false,
+      warmUpLeftMs: 0,
+    }),
+    onConfirmed: () => {},
+    onEnded: () => {},
+    onFencedOff: () => {},
+  });
+  for (; nowMs < 2_000; nowMs++) {
+    if (!sender.isFree(SERVER)) continue;
+    await sender.send({ range: RANGE, handover: undefined });
+  }
+  expect(calls >= 8 && calls <= 12).toEqual(true);
+});
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -357,9 +357,8 @@
       const place = this.#isMover && this.#isNew(range)
         ? 0
         : places.get(server)!;
-      if (place < 0 || place >= RENEWERS || this.#sender.isBusy(server)) {
-        continue;
-      }
+      if (place < 0 || place >= RENEWERS) continue;
+      if (!this.#sender.isFree(server)) continue;
       if (this.#leavesToMover(range, nowMs)) continue;
       const lastMs = this.#sender.confirmedMs(range);
       const intervalMs = timings.renewMs * (place + 1);
@@ -489,9 +488,11 @@
   #moverTick(nowMs: number): grants.RangeMoverTick {
     const { registry, service } = this.#options;
     this.#countLost(nowMs);
+    const staying = registry.staying(service);
+    const found = staying.filter(({ server }) => !this.#lost.has(server));
+    // With all of them lost any may be back, and no other can own a key.
     const usable = new Map(
-      registry.staying(service)
-        .filter(({ server }) => !this.#lost.has(server))
+      (found.length > 0 ? found : staying)
         .map((entry) => [entry.server, entry]),
     );
     const review = this.#keeperReview(nowMs);
