--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -25,7 +25,7 @@
 const HOT_RATIO = 1.2;
 /** Moves in one plan; each costs a grant to renew from then on. */
 const MOVES_PER_PLAN = 8;
-/** Pieces that the keys of a lost server are dealt out in. */
+/** Pieces that the keys of a server with a mean load are dealt out in. */
 const PIECES_OF_LOST = 3;
 /** Ranges for each server beyond which none is split any more. */
 const RANGES_PER_SERVER = 10;
@@ -48,13 +48,15 @@
 
 function planLosses(input: RangePlanInput, use: Utilization): RangeMove[] {
   const moves: RangeMove[] = [];
+  const total = rateOf(input.rates, ALL_KEYS);
+  const perPiece = total / input.servers.size / PIECES_OF_LOST;
   for (const range of input.ranges) {
     const { owner } = range;
     const server = input.servers.get(owner.server);
     if (server !== undefined && server.owner.bornMs === owner.bornMs) continue;
     // A range that already waits for its next owner is given on whole.
     const pieces = range.vacating === undefined
-      ? cut(input.rates, range, PIECES_OF_LOST)
+      ? cut(input.rates, range, piecesOf(rateOf(input.rates, range), perPiece))
       : [range];
     for (const piece of pieces) {
       const to = use.coldest()!;
@@ -66,6 +68,15 @@
   return moves;
 }
 
+/**
+ * A range with little load is given on whole. Each piece is a grant to renew
+ * from then on, and servers that own many small ranges leave many.
+ */
+function piecesOf(perSecond: number, perPiece: number): number {
+  const pieces = Math.round(perSecond / perPiece);
+  return Math.min(PIECES_OF_LOST, Math.max(1, pieces));
+}
+
 /** Cuts a range into pieces of about the same load. */
 function cut(
   rates: readonly KeyRate[],
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -145,7 +145,7 @@
     },
     lifeCycle,
   );
-  const metrics = new GatewayMetrics();
+  const metrics = new GatewayMetrics(log.part("main"));
   const requestLog = new RequestLog(log.part("route"), clock);
   const forwarder: Forwarder = new Forwarder({
     vm: settings.vm,
--- a/packages/entry/src/metrics/metrics.ts
+++ b/packages/entry/src/metrics/metrics.ts
@@ -6,29 +6,7 @@
 import * as prometheus from "@opentelemetry/exporter-prometheus";
 import * as sdk from "@opentelemetry/sdk-metrics";
 import type * as http from "node:http";
-
-/** Upper bounds of the latency buckets, in milliseconds. */
-const LATENCY_BOUNDS_MS = [
-  0.5,
-  1,
-  2,
-  3,
-  5,
-  7,
-  9,
-  12,
-  16,
-  24,
-  36,
-  50,
-  75,
-  100,
-  200,
-  500,
-  1000,
-  2000,
-  5000,
-];
+import { LATENCY_BOUNDS_MS } from "./latency_tally.ts";
 
 /** All instruments of one process. */
 export class Metrics {
@@ -82,7 +60,7 @@
   #createLatency(name: string): api.Histogram {
     return this.#meter.createHistogram(name, {
       unit: "ms",
-      advice: { explicitBucketBoundaries: LATENCY_BOUNDS_MS },
+      advice: { explicitBucketBoundaries: [...LATENCY_BOUNDS_MS] },
     });
   }
 }
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,4 +1,7 @@
-/** Bundles the program of the users' platform into one file under target/. */
+/**
+ * Bundles the program of the users' platform under target/: one file that a
+ * start loads, and others for what is loaded when it is asked for.
+ */
 import * as esbuild from "esbuild";
 
 /**
@@ -36,7 +39,10 @@
 
 await esbuild.build({
   entryPoints: ["platform/dist/main.js"],
-  outfile: "target/guavatide.js",
+  outdir: "target",
+  entryNames: "guavatide",
+  chunkNames: "guavatide-[name]-[hash]",
+  splitting: true,
   bundle: true,
   platform: "node",
   format: "esm",
