feat(admission): refuse at once what the event loop has made late

Hypothesis: while a VM's processor is full its requests are all late by the same time, and none is answered within its target.

--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -3,9 +3,11 @@
 import * as admission from "@guavatide/decisions/admission/mod";
 import type { ServerLinks } from "../links/server_links.ts";
 import type { LifeCycle } from "../utils/life_cycle.ts";
+import type { PartLog } from "../utils/log.ts";
 import type { ConfigHolder } from "./config_holder.ts";
 import { ForwardedRequest, type ForwardingParts } from "./forwarded_request.ts";
 import {
+  behindAnswer,
   type FrontAnswer,
   type FrontRequest,
   notRunAnswer,
@@ -32,6 +34,7 @@
   readonly budget: admission.SharedRetryBudgetOptions;
   readonly clock: contracts.Clock;
   readonly random: contracts.RandomSource;
+  readonly log: PartLog;
   readonly onStory: (story: RequestStory) => void;
 }
 
@@ -51,6 +54,7 @@
 const NO_CONFIG_RETRY_AFTER_MS = 300;
 /** Capacity of a server is guessed from this while none is measured. */
 const GUESSED_SERVICE_MS = 100;
+const BEHIND_LINE_MS = 1_000;
 /** Links of this VM's share that stay free, for releases and probes. */
 const SPARE_LINKS = 1;
 
@@ -61,6 +65,9 @@
   /** Servers that each peer has told of. */
   readonly #toldOf = new Map<contracts.VmId, Set<string>>();
   #inFlight = 0;
+  /** Requests refused for the loop's lag since the last line. */
+  #behind = 0;
+  #behindToldMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: ForwarderOptions) {
     this.#options = options;
@@ -102,6 +109,17 @@
     const service = active.table.draw(route);
     const part = this.#part(service);
     const nowMs = this.#options.clock.nowMs();
+    const isBehind = admission.isLateByLag({
+      lagMs: request.lagMs,
+      nowMs,
+      arrivedMs: request.arrivedMs,
+      targetLatencyMs: route.targetLatencyMs,
+      serviceMs: part.times.routeMs(route),
+    });
+    if (isBehind) {
+      this.#tellBehind(request, nowMs);
+      return Promise.resolve(behindAnswer(this.#options.random));
+    }
     part.budget.noteRequest(nowMs);
     if (part.isKeyed && request.key !== undefined) {
       this.#options.grants.noteRequest(service, request.key);
@@ -152,6 +170,20 @@
     return this.#services;
   }
 
+  /** One line a second at most. */
+  #tellBehind({ id, lagMs }: FrontRequest, nowMs: number): void {
+    this.#behind++;
+    if (nowMs - this.#behindToldMs < BEHIND_LINE_MS) return;
+    this.#behindToldMs = nowMs;
+    this.#options.log.warn("Refuses what this VM has read too late.", {
+      id,
+      lagMs: Math.round(lagMs),
+      refused: this.#behind,
+      inFlight: this.#inFlight,
+    });
+    this.#behind = 0;
+  }
+
   #forwardingParts(
     service: contracts.ServiceId,
     part: ServicePart,
--- a/packages/entry/src/gateway/front_listener.ts
+++ b/packages/entry/src/gateway/front_listener.ts
@@ -10,9 +10,9 @@
 import * as bodies from "../utils/read_body.ts";
 import type { PartLog } from "../utils/log.ts";
 import {
+  behindAnswer,
   type FrontAnswer,
   type FrontRequest,
-  notRunAnswer,
 } from "./front_request.ts";
 import type { HeaderNames } from "./platform_adapter.ts";
 
@@ -69,8 +69,6 @@
  */
 const SHED_LAG_MS = 400;
 const LAG_LINE_MS = 1_000;
-/** Mean time after which those refused are asked to come back. */
-const SHED_RETRY_AFTER_MS = 300;
 
 /** The listening socket for clients. */
 export class FrontListener {
@@ -161,8 +159,8 @@
     }
     if (lagMs > SHED_LAG_MS) this.#tellLag(lagMs, arrivedMs);
     const answer = lagMs > SHED_LAG_MS
-      ? notRunAnswer("Not run: this VM is behind", this.#shedRetryAfterMs())
-      : await this.#answer(incoming, arrivedMs, gone.signal);
+      ? behindAnswer(this.#options.random)
+      : await this.#answer(incoming, { arrivedMs, lagMs }, gone.signal);
     if (response.destroyed) return;
     const mustClose = !incoming.complete || this.#options.lifeCycle.isStopping;
     writeFrontAnswer(response, answer, mustClose);
@@ -181,14 +179,9 @@
     this.#shed = 0;
   }
 
-  #shedRetryAfterMs(): number {
-    const { random } = this.#options;
-    return SHED_RETRY_AFTER_MS * (0.5 + random.next());
-  }
-
   async #answer(
     incoming: http.IncomingMessage,
-    arrivedMs: number,
+    arrival: Pick<FrontRequest, "arrivedMs" | "lagMs">,
     signal: AbortSignal,
   ): Promise<FrontAnswer> {
     const read = await bodies.readBody(incoming, this.#limits().bodyBytes);
@@ -210,7 +203,7 @@
       body: read.body,
       key: wholeNumber(headers[names.key]),
       deadlineMs: wholeNumber(headers[names.deadlineMs]),
-      arrivedMs,
+      ...arrival,
       signal,
     });
   }
--- a/packages/entry/src/gateway/front_request.ts
+++ b/packages/entry/src/gateway/front_request.ts
@@ -1,4 +1,5 @@
 /** A request of a platform's client, read whole, and what it is answered. */
+import type * as contracts from "@guavatide/contracts";
 import type { ServerAnswer } from "../requests/caller_request.ts";
 
 /** A request as it came. */
@@ -15,6 +16,8 @@
   /** Time that the caller still waits; undefined when it did not say. */
   readonly deadlineMs: number | undefined;
   readonly arrivedMs: number;
+  /** How long it may have lain unread, as the event loop was behind. */
+  readonly lagMs: number;
   /** Aborted when the caller has gone. */
   readonly signal: AbortSignal;
 }
@@ -31,6 +34,17 @@
     readonly retryAfterMs?: number;
   };
 
+/** Mean time after which those refused for the loop's lag are to come back. */
+const LAG_RETRY_AFTER_MS = 300;
+
+/** This VM is behind; another may not be. */
+export function behindAnswer(random: contracts.RandomSource): FrontAnswer {
+  return notRunAnswer(
+    "Not run: this VM is behind",
+    LAG_RETRY_AFTER_MS * (0.5 + random.next()),
+  );
+}
+
 /** The request has not run and never will; the caller may come back. */
 export function notRunAnswer(
   message: string,
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -163,6 +163,7 @@
     },
     clock,
     random,
+    log: log.part("route"),
     onStory: (story) => {
       metrics.note(story);
       requestLog.note(story);
