--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -23,7 +23,11 @@
     readonly fence: number;
   }
   /** Between two owners, or not granted yet. */
-  | { readonly kind: "moving" }
+  | {
+    readonly kind: "moving";
+    /** How long it has had no owner. */
+    readonly ageMs: number;
+  }
   /** No ownership is known. */
   | { readonly kind: "unknown" };
 
@@ -64,8 +68,17 @@
  * request and a half more at each server than its own cell has sent there.
  */
 const HELPED_REQUESTS = 1;
-/** How long a key's move is expected to take, for Retry-After. */
+/** How long a key's move takes when its last owner gives it up. */
 const MOVE_WAIT_MS = 250;
+/**
+ * How long a key has no owner when its last one is lost: until all that was
+ * granted has run out. A key that has moved for longer than a move takes is
+ * such a one. Its callers are told at once; taken for an ordinary move, they
+ * would wait until their time is over.
+ */
+const LOSS_WAIT_MS = 2_200;
+/** Shortest wait that is expected of a key without owner. */
+const LEAST_MOVE_WAIT_MS = 100;
 /** A request whose answer cannot come any more within this time is refused. */
 const LEAST_SERVICE_PART = 0.5;
 
@@ -345,7 +358,8 @@
     nowMs: number,
   ): number {
     const owner = this.#ownerOf(request);
-    if (owner !== undefined && owner.kind !== "owned") return MOVE_WAIT_MS;
+    if (owner?.kind === "moving") return moveWaitMs(owner.ageMs);
+    if (owner?.kind === "unknown") return MOVE_WAIT_MS;
     const place = this.#placeName(request);
     const ahead =
       queued.filter((other) =>
@@ -442,3 +456,9 @@
     this.#passedOver = isAhead ? this.#passedOver + 1 : 0;
   }
 }
+
+/** How much longer a key that has no owner is expected to have none. */
+function moveWaitMs(ageMs: number): number {
+  const totalMs = ageMs < MOVE_WAIT_MS ? MOVE_WAIT_MS : LOSS_WAIT_MS;
+  return Math.max(LEAST_MOVE_WAIT_MS, totalMs - ageMs);
+}
--- a/packages/decisions/src/admission/service_queue_test.ts
+++ b/packages/decisions/src/admission/service_queue_test.ts
@@ -220,7 +220,7 @@
  * confirmed.
  */
 test("should hold a request while its key moves", () => {
-  let owner: admission.KeyOwner = { kind: "moving" };
+  let owner: admission.KeyOwner = { kind: "moving", ageMs: 0 };
   const fixture = new Fixture([server("a"), server("b")], () => owner);
   const request = fixture.add({ key: 7 });
   expect(request.placement).toEqual(undefined);
@@ -331,3 +331,23 @@
     .map(([request]) => request.placement!.load.entry.server as string);
   expect(servers).toEqual(["near", "near"]);
 });
+
+/**
+ * The only owner of a key is lost, and nobody may have the key until its last
+ * grant has run out, two seconds later. Callers learn that at once and come
+ * back; kept waiting as in an ordinary move they would all time out.
+ */
+test("should refuse at once while a lost owner's grant runs out", () => {
+  let owner: admission.KeyOwner = { kind: "moving", ageMs: 20 };
+  const fixture = new Fixture([server("a")], () => owner);
+  fixture.learn(30);
+  const early = fixture.add({ key: 1 });
+  expect(early.refusal).toEqual(undefined);
+  owner = { kind: "moving", ageMs: 600 };
+  const late = fixture.add({ key: 1 });
+  expect(late.refusal?.reason).toEqual("no-owner");
+  expect(late.refusal!.retryAfterMs > 500).toEqual(true);
+  fixture.nowMs += 580;
+  fixture.queue.review(fixture.nowMs);
+  expect(early.refusal?.reason).toEqual("no-owner");
+});
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -82,6 +82,8 @@
   /** Fences whose owners have not confirmed their grant, as the mover says. */
   #pending = new Set<number>();
   #adoptedAtMs = Number.NEGATIVE_INFINITY;
+  /** Since when each range has no owner, by the fence that it will get. */
+  readonly #ownerlessSinceMs = new Map<number, number>();
   #isSettled = false;
   #isMover = false;
   #movingSinceMs = 0;
@@ -178,7 +180,9 @@
     const { ranges } = this.#map;
     const range = ranges[grants.rangeIndex(ranges, key)]!;
     if (range.vacating !== undefined || this.#isPending(range)) {
-      return { kind: "moving" };
+      const sinceMs = this.#ownerlessSinceMs.get(range.fence);
+      const nowMs = this.#options.clock.nowMs();
+      return { kind: "moving", ageMs: nowMs - (sinceMs ?? nowMs) };
     }
     return { kind: "owned", ...range.owner, fence: range.fence };
   }
@@ -328,6 +332,7 @@
       if (!fences.has(fence)) this.#confirmed.delete(fence);
     }
     this.#order.keepOnly(duties);
+    this.#noteOwnerless(map);
     const { service, log } = this.#options;
     log.info("Range map in force.", {
       service,
@@ -339,6 +344,18 @@
     this.#options.onChange();
   }
 
+  #noteOwnerless({ ranges }: contracts.RangeMap): void {
+    const ownerless = ranges.filter(({ vacating }) => vacating !== undefined);
+    const fences = new Set(ownerless.map(({ fence }) => fence));
+    for (const fence of this.#ownerlessSinceMs.keys()) {
+      if (!fences.has(fence)) this.#ownerlessSinceMs.delete(fence);
+    }
+    for (const fence of fences) {
+      if (this.#ownerlessSinceMs.has(fence)) continue;
+      this.#ownerlessSinceMs.set(fence, this.#adoptedAtMs);
+    }
+  }
+
   // Renewing
 
   #renew(map: contracts.RangeMap, nowMs: number): void {
