--- a/packages/decisions/src/grants/mod.ts
+++ b/packages/decisions/src/grants/mod.ts
@@ -6,6 +6,7 @@
 export * from "./keeper_review.ts";
 export * from "./key_loads.ts";
 export * from "./lost_servers.ts";
+export * from "./ownerless_times.ts";
 export * from "./range_difference.ts";
 export * from "./range_edit.ts";
 export type { KeyRate, RangePlanInput, RangeServer } from "./range_load.ts";
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -9,6 +9,7 @@
 import type { PartLog } from "../utils/log.ts";
 import { GrantSender } from "./grant_sender.ts";
 import { MapPublisher } from "./map_publisher.ts";
+import { MovePlanner } from "./move_planner.ts";
 import type { KeyCounts, PeerStatus, RangeMapNews } from "./peer_messages.ts";
 import type { RangeMapStore } from "./range_map_store.ts";
 import type { ServerRegistry } from "./server_registry.ts";
@@ -55,10 +56,6 @@
 const RENEWERS = 2;
 /** A grant that the mover sends with a handover goes ahead of other VMs'. */
 const HANDOVER_LEAD_MS = 600;
-/** Interval of plans that even out load. */
-const BALANCE_MS = 250;
-/** A mover that has just taken over first gathers counts of keys. */
-const BALANCE_AFTER_MS = 600;
 /** Longest time of one release call: running work has to end first. */
 const RELEASE_TIMEOUT_MS = 2_500;
 /** An owner that was not heard to confirm is tried after this time. */
@@ -74,20 +71,15 @@
   readonly #keepers = new grants.KeeperBook();
   readonly #mover: grants.RangeMover;
   readonly #sender: GrantSender;
-  readonly #loads = new grants.KeyLoads();
-  /** How much longer than average servers take, as peers' coordinators told. */
-  readonly #factors = new Map<contracts.ServerId, number>();
+  readonly #planner: MovePlanner;
   readonly #startedAtMs: number;
   #map: contracts.RangeMap | undefined;
   /** Fences whose owners have not confirmed their grant, as the mover says. */
   #pending = new Set<number>();
   #adoptedAtMs = Number.NEGATIVE_INFINITY;
-  /** Since when each range has no owner, by the fence that it will get. */
-  readonly #ownerlessSinceMs = new Map<number, number>();
+  readonly #ownerless = new grants.OwnerlessTimes();
   #isSettled = false;
   #isMover = false;
-  #movingSinceMs = 0;
-  #balancedAtMs = 0;
   readonly #firstMap = new grants.FirstMapWait();
   readonly #order: grants.DutyOrder;
   readonly #publisher: MapPublisher;
@@ -103,6 +95,7 @@
     this.#options = options;
     this.#order = new grants.DutyOrder(options.hasher);
     this.#publisher = new MapPublisher(options);
+    this.#planner = new MovePlanner(options);
     this.#startedAtMs = options.clock.nowMs();
     this.#mover = new grants.RangeMover(
       options.service,
@@ -180,9 +173,8 @@
     const { ranges } = this.#map;
     const range = ranges[grants.rangeIndex(ranges, key)]!;
     if (range.vacating !== undefined || this.#isPending(range)) {
-      const sinceMs = this.#ownerlessSinceMs.get(range.fence);
       const nowMs = this.#options.clock.nowMs();
-      return { kind: "moving", ageMs: nowMs - (sinceMs ?? nowMs) };
+      return { kind: "moving", ageMs: this.#ownerless.ageMs(range, nowMs) };
     }
     return { kind: "owned", ...range.owner, fence: range.fence };
   }
@@ -195,16 +187,8 @@
   }
 
   /** Requests by key since the last message of a peer, or of this VM. */
-  noteKeyCounts({ counts, serverFactors }: KeyCounts): void {
-    for (const [server, factor] of Object.entries(serverFactors)) {
-      this.#factors.set(server as contracts.ServerId, factor);
-    }
-    const pairs: [number, number][] = [];
-    for (let index = 0; index + 1 < counts.length; index += 2) {
-      pairs.push([counts[index]!, counts[index + 1]!]);
-    }
-    this.#loads.decay(this.#options.clock.nowMs());
-    this.#loads.add(pairs);
+  noteKeyCounts(counts: KeyCounts): void {
+    this.#planner.noteKeyCounts(counts);
   }
 
   /** A peer's status. */
@@ -289,7 +273,7 @@
     const { service, log } = this.#options;
     log.info(isMover ? "Takes over moves." : "Hands over moves.", { service });
     if (!isMover) return;
-    this.#movingSinceMs = nowMs;
+    this.#planner.begin(nowMs);
     this.#mover.forget();
   }
 
@@ -332,7 +316,7 @@
       if (!fences.has(fence)) this.#confirmed.delete(fence);
     }
     this.#order.keepOnly(duties);
-    this.#noteOwnerless(map);
+    this.#ownerless.noteMap(map, this.#adoptedAtMs);
     const { service, log } = this.#options;
     log.info("Range map in force.", {
       service,
@@ -344,18 +328,6 @@
     this.#options.onChange();
   }
 
-  #noteOwnerless({ ranges }: contracts.RangeMap): void {
-    const ownerless = ranges.filter(({ vacating }) => vacating !== undefined);
-    const fences = new Set(ownerless.map(({ fence }) => fence));
-    for (const fence of this.#ownerlessSinceMs.keys()) {
-      if (!fences.has(fence)) this.#ownerlessSinceMs.delete(fence);
-    }
-    for (const fence of fences) {
-      if (this.#ownerlessSinceMs.has(fence)) continue;
-      this.#ownerlessSinceMs.set(fence, this.#adoptedAtMs);
-    }
-  }
-
   // Renewing
 
   #renew(map: contracts.RangeMap, nowMs: number): void {
@@ -522,7 +494,7 @@
       hasEnded: (owner) => registry.hasEnded(owner),
       keepers: grants.wishedKeepers(review),
       gone: grants.goneKeepers(review),
-      plan: (map) => this.#plan(map, usable, nowMs),
+      plan: (map) => this.#planner.plan(map, usable, nowMs),
       nonce: () => crypto.randomUUID(),
     };
   }
@@ -539,44 +511,6 @@
     for (const server of newly) log.warn("Server lost.", { server });
   }
 
-  #plan(
-    map: contracts.RangeMap,
-    usable: ReadonlyMap<contracts.ServerId, contracts.ServerEntry>,
-    nowMs: number,
-  ): grants.RangeMove[] {
-    if (usable.size === 0) return [];
-    const { capacity, service, log } = this.#options;
-    const mayBalance = nowMs - this.#movingSinceMs >= BALANCE_AFTER_MS &&
-      nowMs - this.#balancedAtMs >= BALANCE_MS;
-    const hasLoss = map.ranges.some(({ owner }) =>
-      usable.get(owner.server)?.bornMs !== owner.bornMs
-    );
-    if (!mayBalance && !hasLoss) return [];
-    if (mayBalance) this.#balancedAtMs = nowMs;
-    this.#loads.decay(nowMs);
-    for (const server of this.#factors.keys()) {
-      if (!usable.has(server)) this.#factors.delete(server);
-    }
-    const servers = new Map(
-      [...usable.values()].map((entry) => {
-        const { server, bornMs } = entry;
-        const owner = { server, bornMs };
-        const capacityPerSecond = capacity(entry, this.#factors.get(server));
-        return [server, { owner, capacityPerSecond }];
-      }),
-    );
-    const moves = grants.planRanges({
-      ranges: map.ranges,
-      servers,
-      rates: this.#loads.rates(),
-      mayBalance,
-    });
-    for (const { fromKey, toKey, to } of moves) {
-      log.info("Plans a move.", { service, fromKey, toKey, to: to.server });
-    }
-    return moves;
-  }
-
   #keeperReview(nowMs: number): grants.KeeperReviewInput {
     const { vm, silentMs } = this.#options;
     return {
