fix(cells): a lost VM keeps its place in the cells for 5 s

Cause: two cells in one process beside load lost one another for a moment, drew their cells anew, listed the store's objects and fell further behind. Change: only a loss that lasts, or a VM that says it leaves, draws cells anew. peer_book_test fails without it.

--- a/packages/entry/src/gateway/peer_book.ts
+++ b/packages/entry/src/gateway/peer_book.ts
@@ -17,6 +17,8 @@
   /** When this VM last told it of itself. */
   sentAtMs: number;
   isLive: boolean;
+  /** Lost without a word, it keeps its place in the cells until then. */
+  placeUntilMs: number;
   /** Whether it got this VM's last status. */
   isClose: boolean;
   hello: PeerHello | undefined;
@@ -34,6 +36,12 @@
 
 /** A peer that was silent for so long is forgotten. */
 const FORGET_MS = 60_000;
+/**
+ * A peer that was lost keeps its place in the cells for so long. VMs that are
+ * busy miss one another's words for a moment; with cells drawn anew each time,
+ * all of them list the store's objects, fall further behind and are lost again.
+ */
+const PLACE_KEPT_MS = 5_000;
 
 /** Peers by VM. */
 export class PeerBook {
@@ -81,6 +89,7 @@
       liveUntilMs: Number.NEGATIVE_INFINITY,
       sentAtMs: Number.NEGATIVE_INFINITY,
       isLive: false,
+      placeUntilMs: Number.NEGATIVE_INFINITY,
       isClose: false,
       hello: undefined,
       status: undefined,
@@ -100,6 +109,7 @@
     const isLive = !hello.isLeaving;
     const isMember = peer.isLive === isLive && isSameRun &&
       peer.hello?.zone === hello.zone;
+    const hadPlace = this.#hasPlace(peer) && peer.hello?.zone === hello.zone;
     if (!peer.isLive || !isSameRun) {
       // It may not have heard of this VM yet, and is told at once.
       peer.sentAtMs = Number.NEGATIVE_INFINITY;
@@ -116,10 +126,12 @@
       heardAtMs: nowMs,
       liveUntilMs: nowMs + hello.standsMs,
       isLive,
+      placeUntilMs: Number.NEGATIVE_INFINITY,
       hello,
       status: status ?? (isSameRun ? peer.status : undefined),
     });
     this.#live = undefined;
+    if (!hadPlace || !isLive) this.#plan = undefined;
     if (!isMember) this.#changed();
     return peer;
   }
@@ -132,6 +144,7 @@
       const silentMs = nowMs - peer.heardAtMs;
       if (peer.isLive && nowMs > peer.liveUntilMs) {
         peer.isLive = false;
+        peer.placeUntilMs = nowMs + PLACE_KEPT_MS;
         peer.status = undefined;
         isChanged = true;
         this.#options.log.warn("Lost a peer.", {
@@ -139,6 +152,14 @@
           silentMs: Math.round(silentMs),
         });
       }
+      const losesPlace = !peer.isLive &&
+        peer.placeUntilMs > Number.NEGATIVE_INFINITY &&
+        nowMs > peer.placeUntilMs;
+      if (losesPlace) {
+        peer.placeUntilMs = Number.NEGATIVE_INFINITY;
+        this.#plan = undefined;
+        isChanged = true;
+      }
       if (silentMs > FORGET_MS) this.#peers.delete(vm);
     }
     if (isChanged) this.#changed();
@@ -158,13 +179,22 @@
     }
   }
 
-  /** The cells of the VMs that are up, this one included. */
+  /** The cells of the VMs that are up or just lost, this one included. */
   get plan(): cells.CellPlan {
     const { vm, zone } = this.#options.self;
-    this.#plan ??= new cells.CellPlan([{ vm, zone }, ...this.live]);
+    if (this.#plan !== undefined) return this.#plan;
+    const placed = [...this.#peers.values()]
+      .filter((peer) => this.#hasPlace(peer))
+      .map((peer) => ({ vm: peer.vm, zone: peer.hello!.zone }));
+    this.#plan = new cells.CellPlan([{ vm, zone }, ...placed]);
     return this.#plan;
   }
 
+  #hasPlace({ isLive, placeUntilMs, hello }: Peer): boolean {
+    if (hello === undefined) return false;
+    return isLive || this.#options.clock.nowMs() <= placeUntilMs;
+  }
+
   /** Whether a peer gets this VM's statuses: of one cell, or both keepers. */
   isClose(vm: contracts.VmId): boolean {
     const { self, keepers } = this.#options;
@@ -176,7 +206,6 @@
 
   #changed(): void {
     this.#live = undefined;
-    this.#plan = undefined;
     for (const listener of this.#listeners) listener();
   }
 }
--- /dev/null
+++ b/packages/entry/src/gateway/peer_book_test.ts
@@ -0,0 +1,76 @@
+import type * as contracts from "@guavatide/contracts";
+import { expect } from "earl";
+import { test } from "node:test";
+import { PeerBook } from "./peer_book.ts";
+import type { PeerHello } from "./peer_messages.ts";
+
+const SELF = { vm: "vm0" as contracts.VmId, zone: "z1" as contracts.ZoneId };
+const VMS = 14;
+
+/** A book that has heard thirteen peers. */
+class Fixture {
+  nowMs = 0;
+  readonly book = new PeerBook({
+    self: SELF,
+    clock: { nowMs: () => this.nowMs },
+    log: { debug() {}, info() {}, warn() {}, error() {} },
+    keepers: () => new Set(),
+  });
+  #sequence = 0;
+
+  constructor() {
+    for (let index = 1; index < VMS; index++) this.hear(index);
+  }
+
+  hear(index: number, isLeaving = false): void {
+    const hello: PeerHello = {
+      vm: `vm${index}` as contracts.VmId,
+      incarnation: "r1" as contracts.Incarnation,
+      host: "10.0.0.1",
+      port: 1,
+      zone: `z${1 + index % 2}` as contracts.ZoneId,
+      processorCores: 1,
+      sequence: this.#sequence++,
+      standsMs: 800,
+      hasStore: true,
+      isLeaving,
+      maps: {},
+    };
+    this.book.note(hello, undefined);
+  }
+
+  /** Lets time pass while the VMs named are heard. */
+  pass(ms: number, isHeard: (index: number) => boolean): void {
+    for (const endMs = this.nowMs + ms; this.nowMs < endMs; this.nowMs += 200) {
+      for (let index = 1; index < VMS; index++) {
+        if (isHeard(index)) this.hear(index);
+      }
+      this.book.tick();
+    }
+  }
+}
+
+/**
+ * Fourteen VMs are two cells, twelve are one. Busy VMs miss a few words of two
+ * others; with the cells drawn anew each time, all list the store's objects and
+ * fall further behind, and callers wait while nobody is ready.
+ */
+test("should keep the cells while a VM is lost for a moment", () => {
+  const fixture = new Fixture();
+  const { plan } = fixture.book;
+  expect(plan.isSingle).toEqual(false);
+  fixture.pass(2_000, (index) => index > 2);
+  expect(fixture.book.live.length).toEqual(VMS - 3);
+  expect(fixture.book.plan === plan).toEqual(true);
+  fixture.pass(1_000, () => true);
+  expect(fixture.book.plan === plan).toEqual(true);
+  fixture.pass(7_000, (index) => index > 2);
+  expect(fixture.book.plan.isSingle).toEqual(true);
+});
+
+test("should draw cells at once without a VM that says it leaves", () => {
+  const fixture = new Fixture();
+  fixture.hear(1, true);
+  fixture.hear(2, true);
+  expect(fixture.book.plan.isSingle).toEqual(true);
+});
