--- a/packages/ctl/src/cli.ts
+++ b/packages/ctl/src/cli.ts
@@ -1,7 +1,7 @@
 /** The command line `guavatidectl`, without the process around it. */
 import * as clipanion from "clipanion";
 import * as drains from "./commands/drain_commands.ts";
-import { ExplainCommand } from "./commands/explain_command.ts";
+import { ExplainCommand, LossesCommand } from "./commands/request_commands.ts";
 import * as objects from "./commands/object_commands.ts";
 import * as publishing from "./commands/publish_commands.ts";
 import * as state from "./commands/state_commands.ts";
@@ -29,6 +29,7 @@
   state.MovesCommand,
   state.AuditCommand,
   ExplainCommand,
+  LossesCommand,
   clipanion.Builtins.HelpCommand,
   clipanion.Builtins.VersionCommand,
 ];
--- a/packages/ctl/src/request_history.ts
+++ b/packages/ctl/src/request_history.ts
@@ -2,32 +2,19 @@
  * Puts together, from the log lines of many entry processes, what became of
  * one request and what the processes believed of the servers that it met.
  */
-import * as z from "zod";
+import { type LogLine, parseLine } from "./log_line.ts";
 
 /** Lines about a server count when they are at most this old. */
 const CONTEXT_MS = 10_000;
 /** And at most this much later: an answer may come after the news. */
 const AFTER_MS = 1_000;
 
-const lineSchema = z.looseObject({
-  time: z.string(),
-  part: z.string(),
-  sentence: z.string(),
-});
-
-/** One line of a log, with where it came from. */
-export interface HistoryLine {
-  readonly timeMs: number;
-  readonly text: string;
-  readonly fields: Readonly<Record<string, unknown>>;
-}
-
 /**
  * Lines that explain a request, in order: its own, and those about the servers
  * it was sent to, the owners of its service's keys and the platform's store.
  * Lines that are not JSON are left out.
  */
-export function historyOf(id: string, log: string): HistoryLine[] {
+export function historyOf(id: string, log: string): LogLine[] {
   const lines = log.split("\n").map(parseLine).filter((it) => it !== undefined);
   const own = lines.filter(({ fields }) => fields["id"] === id);
   if (own.length === 0) return [];
@@ -42,30 +29,12 @@
     .sort((a, b) => a.timeMs - b.timeMs);
 }
 
-/** Text before the JSON, as a collector puts there, is kept. */
-function parseLine(line: string): HistoryLine | undefined {
-  const brace = line.indexOf("{");
-  if (brace < 0) return undefined;
-  try {
-    const parsed = lineSchema.safeParse(JSON.parse(line.slice(brace)));
-    if (!parsed.success) return undefined;
-    return {
-      timeMs: Date.parse(parsed.data.time),
-      text: line,
-      fields: parsed.data,
-    };
-  } catch {
-    // A line of another program, or one that was cut off.
-    return undefined;
-  }
-}
-
-function startMs({ timeMs, fields }: HistoryLine): number {
+function startMs({ timeMs, fields }: LogLine): number {
   return timeMs - (Number(fields["tookMs"]) || 0);
 }
 
 /** Servers that the request was sent to: `server ...: end; server ...`. */
-function serversIn(own: readonly HistoryLine[]): Set<string> {
+function serversIn(own: readonly LogLine[]): Set<string> {
   const sends = own.flatMap(({ fields }) =>
     String(fields["sends"] ?? "").split("; ")
   );
@@ -73,7 +42,7 @@
 }
 
 function isAbout(
-  { fields }: HistoryLine,
+  { fields }: LogLine,
   servers: ReadonlySet<string>,
 ): boolean {
   if (fields["id"] !== undefined) return false;
