--- a/packages/decisions/src/admission/service_queue_test.ts
+++ b/packages/decisions/src/admission/service_queue_test.ts
@@ -351,3 +351,76 @@
   fixture.queue.review(fixture.nowMs);
   expect(early.refusal?.reason).toEqual("no-owner");
 });
+
+/** What callers got in a played load. */
+interface PlayedLoad {
+  readonly inTarget: number;
+  readonly late: number;
+  readonly meanRefusedAfterMs: number;
+}
+
+/** A request that is sent as soon as it is placed. */
+class SentRequest extends Request {
+  end: ((end: admission.SendEnd, nowMs: number) => void) | undefined;
+  endMs = Number.POSITIVE_INFINITY;
+  readonly #now: () => number;
+
+  constructor(now: () => number) {
+    super(now(), { timeoutMs: 1_200 });
+    this.#now = now;
+  }
+
+  override placed(placement: admission.Placement): void {
+    super.placed(placement);
+    const { load } = placement;
+    this.end = load.begin(this.#now());
+    // Beyond its slots a server's requests take turns.
+    const turns = Math.max(1, load.own / load.entry.slots);
+    this.endMs = this.#now() + 100 * turns;
+  }
+}
+
+/** A request every 5 ms for ten seconds, at a server that can answer 60/s. */
+function playOverload(): PlayedLoad {
+  const fixture = new Fixture([server("a", { slots: 6 })]);
+  fixture.learn(100);
+  const open = new Set<SentRequest>();
+  const endMs = fixture.nowMs + 10_000;
+  let inTarget = 0;
+  let late = 0;
+  const refusedAfterMs: number[] = [];
+  for (; fixture.nowMs < endMs; fixture.nowMs += 5) {
+    const { nowMs, queue } = fixture;
+    for (const request of open) {
+      if (request.refusal !== undefined) {
+        refusedAfterMs.push(nowMs - request.targetMs + ROUTE.targetLatencyMs);
+        open.delete(request);
+      }
+      if (request.endMs > nowMs) continue;
+      request.end!({ kind: "answered", isFailure: false }, nowMs);
+      if (nowMs <= request.targetMs) inTarget++;
+      else late++;
+      open.delete(request);
+    }
+    queue.pump(nowMs);
+    if (nowMs % 25 === 0) queue.review(nowMs);
+    const request = new SentRequest(() => fixture.nowMs);
+    open.add(request);
+    queue.add(request, nowMs);
+  }
+  const sum = refusedAfterMs.reduce((a, b) => a + b, 0);
+  return { inTarget, late, meanRefusedAfterMs: sum / refusedAfterMs.length };
+}
+
+/**
+ * A key becomes hot and its owner is asked for three times what it can answer,
+ * for as long as the key is hot. A queue of requests that will be late anyhow
+ * would have new ones refused that could still be answered in time, and those
+ * in it would wait for most of their time in vain.
+ */
+test("should answer in time what a flooded server can answer at all", () => {
+  const { inTarget, late, meanRefusedAfterMs } = playOverload();
+  expect(inTarget > 0.8 * 600).toEqual(true);
+  expect(late < 0.2 * 600).toEqual(true);
+  expect(meanRefusedAfterMs < 60).toEqual(true);
+});
