feat(grants): a hot key need not wait for a lost server's last ranges; owners

From 15 s on two of five answers of most servers are lost by resets; owners were left alone after two losses in a row, with all of their callers refused.

Change: load is balanced while at most a twentieth of it has no owner; ranges that wait are left as they are. The only owner of its keys is left alone after five losses in a row, counted one by one.

The rule that nothing is moved while keys wait keeps its test: there a tenth of the load waits.

--- a/packages/decisions/src/admission/server_load.ts
+++ b/packages/decisions/src/admission/server_load.ts
@@ -7,6 +7,13 @@
 const FAILURE_GAIN = 1 / 8;
 /** Ends without an answer, in a row, after which a server is left alone. */
 const SUSPEND_AFTER_ENDS = 2;
+/**
+ * The same for the only owner of its keys. Nobody else can serve them, so one
+ * that answers some of its requests is not left alone: a link that loses two
+ * answers in five would else have most callers of these keys refused. One that
+ * answers none is found by its grants.
+ */
+const SUSPEND_OWNER_AFTER_ENDS = 5;
 const SUSPEND_MIN_MS = 400;
 const SUSPEND_MAX_MS = 4_000;
 
@@ -38,8 +45,13 @@
   #suspensions = 0;
   #suspendedUntilMs = Number.NEGATIVE_INFINITY;
 
-  constructor(entry: contracts.ServerEntry) {
+  /** Whether it is the only one that can serve its keys. */
+  readonly #isOwner: boolean;
+  #lastLostMs = Number.NEGATIVE_INFINITY;
+
+  constructor(entry: contracts.ServerEntry, isOwner = false) {
     this.entry = entry;
+    this.#isOwner = isOwner;
   }
 
   /** Requests of this VM at the server. */
@@ -110,9 +122,13 @@
    * at once, and counted one by one they kept a sound server idle for seconds.
    */
   #noteLost(sentMs: number, nowMs: number): void {
-    this.#endsLost++;
     this.#failureRatio += FAILURE_GAIN * (1 - this.#failureRatio);
-    if (this.#endsLost < SUSPEND_AFTER_ENDS) return;
+    // What left before the last loss was lost with it.
+    if (this.#isOwner && sentMs < this.#lastLostMs) return;
+    this.#lastLostMs = nowMs;
+    this.#endsLost++;
+    const limit = this.#isOwner ? SUSPEND_OWNER_AFTER_ENDS : SUSPEND_AFTER_ENDS;
+    if (this.#endsLost < limit) return;
     if (sentMs < this.#suspendedUntilMs) return;
     const doubled = SUSPEND_MIN_MS * 2 ** this.#suspensions;
     this.#suspensions++;
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -143,7 +143,7 @@
       const found = this.#loads.get(server);
       if (found !== undefined && found.entry.bornMs === entry.bornMs) {
         found.entry = entry;
-      } else this.#loads.set(server, new ServerLoad(entry));
+      } else this.#loads.set(server, new ServerLoad(entry, this.isKeyed));
     }
     this.#inCell = inCell;
   }
--- a/packages/decisions/src/admission/service_queue_test.ts
+++ b/packages/decisions/src/admission/service_queue_test.ts
@@ -424,3 +424,28 @@
   expect(late < 0.2 * 600).toEqual(true);
   expect(meanRefusedAfterMs < 60).toEqual(true);
 });
+
+/**
+ * Two of five answers of a server are lost on their way. Nobody else owns its
+ * keys: left alone after two losses in a row, it would be idle for most of the
+ * time while its callers are refused.
+ */
+test("should go on asking an owner that answers some requests", () => {
+  const fixture = new Fixture([server("a", { slots: 4 })], () => ({
+    kind: "owned",
+    server: "a" as contracts.ServerId,
+    bornMs: 1,
+    fence: 3,
+  }));
+  const load = fixture.queue.loads.get("a" as contracts.ServerId)!;
+  for (let request = 0; request < 50; request++) {
+    fixture.nowMs += 20;
+    const end = load.begin(fixture.nowMs);
+    const isLost = request % 5 < 2;
+    end(
+      isLost ? { kind: "lost" } : { kind: "answered", isFailure: false },
+      fixture.nowMs,
+    );
+    expect(load.isOpen(fixture.nowMs)).toEqual(true);
+  }
+});
--- a/packages/decisions/src/grants/lone_keys.ts
+++ b/packages/decisions/src/grants/lone_keys.ts
@@ -61,7 +61,7 @@
   const hottest = new Map<contracts.ServerId, LoneKey>();
   for (const range of ranges) {
     const owner = range.owner.server;
-    if (!servers.has(owner)) continue;
+    if (!servers.has(owner) || range.vacating !== undefined) continue;
     for (const rate of within(rates, range)) {
       const known = hottest.get(owner);
       if (known !== undefined && known.perSecond >= rate.perSecond) continue;
--- a/packages/decisions/src/grants/lone_keys_test.ts
+++ b/packages/decisions/src/grants/lone_keys_test.ts
@@ -97,3 +97,30 @@
   });
   expect(moves).toEqual([]);
 });
+
+/**
+ * A server is lost, and a few of its keys have no owner for two seconds. A key
+ * that becomes hot meanwhile does not wait for them.
+ */
+test("should move a hot key while a few keys wait for their owner", () => {
+  const ranges = evenRanges(4);
+  const last = ranges.at(-1)!;
+  const start = contracts.KEY_COUNT - 2_048;
+  const moves = grants.planRanges({
+    ranges: [
+      ...ranges.slice(0, -1),
+      { ...last, toKey: start - 1 },
+      {
+        ...last,
+        fromKey: start,
+        fence: 9,
+        vacating: { server: owner(9).server, bornMs: 1, fence: 3, revision: 4 },
+      },
+    ],
+    servers: serversOf([32, 64, 95, 64]),
+    rates: hotRates(60),
+    mayBalance: true,
+  });
+  expect(moves.some(({ fromKey }) => fromKey === KEY)).toEqual(true);
+  expect(moves.every(({ toKey }) => toKey < start)).toEqual(true);
+});
--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -27,6 +27,8 @@
 const MOVES_PER_PLAN = 8;
 /** Pieces that the keys of a server with a mean load are dealt out in. */
 const PIECES_OF_LOST = 3;
+/** Part of the load that may be without an owner while more is moved. */
+const OWNERLESS_PART = 0.05;
 /** Ranges for each server beyond which none is split any more. */
 const RANGES_PER_SERVER = 10;
 /** Plans moves. An empty list means that all may stay as it is. */
@@ -37,15 +39,26 @@
     use.add(range.owner.server, rateOf(input.rates, range));
   }
   const moves = planLosses(input, use);
-  // While keys of a lost server wait, nothing else is taken from anyone.
-  const isSettled = moves.length === 0 &&
-    input.ranges.every(({ vacating }) => vacating === undefined);
-  if (!input.mayBalance || !isSettled) return moves;
+  if (!input.mayBalance || moves.length > 0 || !isSettled(input)) return moves;
   const newcomers = planNewcomers(input, use);
   if (newcomers.length > 0) return newcomers;
   return planHot(input, use, planLoneKeys(input, use));
 }
 
+/**
+ * Whether so few keys are without an owner that more may be taken from theirs.
+ * A single range of a lost server waits for two seconds, and a key that becomes
+ * hot meanwhile need not wait with it.
+ */
+function isSettled({ ranges, rates }: RangePlanInput): boolean {
+  const total = rateOf(rates, ALL_KEYS);
+  let ownerless = 0;
+  for (const range of ranges) {
+    if (range.vacating !== undefined) ownerless += rateOf(rates, range);
+  }
+  return ownerless <= total * OWNERLESS_PART;
+}
+
 function planLosses(input: RangePlanInput, use: Utilization): RangeMove[] {
   const moves: RangeMove[] = [];
   const total = rateOf(input.rates, ALL_KEYS);
@@ -138,6 +151,7 @@
   let from: contracts.ServerId | undefined;
   let most = 0;
   for (const range of input.ranges) {
+    if (range.vacating !== undefined) continue;
     for (const part of freeParts(range, moves)) {
       const rate = rateOf(input.rates, part);
       if (rate <= most || part.fromKey === part.toKey) continue;
@@ -221,7 +235,7 @@
 ): Piece | undefined {
   let best: Piece | undefined;
   for (const range of input.ranges) {
-    if (range.owner.server !== server) continue;
+    if (range.owner.server !== server || range.vacating !== undefined) continue;
     for (const free of freeParts(range, moves)) {
       const rates = within(input.rates, free);
       const piece = denseWindow(rates, wishedPerSecond);
