fix(admission): the flooded rule only where slots are given out; callers' returns

While a queue is flooded callers are told to come back after 200 to 600 ms. A lone hot key is moved while other keys wait; nothing else is, as before.

--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -71,6 +71,8 @@
  * others would wait in vain, or take the place of one that could be.
  */
 const OVERLOAD_MS = 300;
+/** Least wait that callers are told of while that lasts. */
+const OVERLOAD_WAIT_MS = 400;
 /** Shortest and longest time after which a caller is asked to come back. */
 const RETRY_AFTER_MIN_MS = 60;
 const RETRY_AFTER_MAX_MS = 1_500;
@@ -235,9 +237,10 @@
       const waitMs = this.#awaitsSlot(request, nowMs)
         ? 0
         : this.#expectedWaitMs(request, kept, nowMs);
-      const mayStay = leftMs > serviceMs &&
-        (!this.#isLate(request, nowMs) ||
-          !this.#isHopeless(request, waitMs, nowMs));
+      const mayStay = leftMs > serviceMs && (
+        this.#awaitsSlot(request, nowMs) || !this.#isLate(request, nowMs) ||
+        !this.#isHopeless(request, waitMs, nowMs)
+      );
       if (mayStay) {
         kept.push(request);
         continue;
@@ -446,15 +449,15 @@
     waitMs: number,
     nowMs: number,
   ): boolean {
-    if (this.#isOverloaded(request, nowMs)) return true;
+    if (this.#isOverloaded(nowMs)) return true;
     const serviceMs = this.#options.times.routeMs(request.route);
     const leftMs = request.answerByMs - nowMs;
     return waitMs > leftMs * LATE_WAIT_PART || waitMs + serviceMs > leftMs;
   }
 
-  /** A key that moves has no room for another reason, and not for long. */
-  #isOverloaded(request: WaitingRequest, nowMs: number): boolean {
-    if (this.#ownerOf(request)?.kind === "moving") return false;
+  /** Where slots are given out elsewhere, requests that wait say nothing. */
+  #isOverloaded(nowMs: number): boolean {
+    if (this.isKeyed) return false;
     return this.#waitingSinceMs !== undefined &&
       nowMs - this.#waitingSinceMs >= OVERLOAD_MS;
   }
@@ -468,7 +471,9 @@
     const isOver = request.answerByMs <= nowMs;
     // Spread over the time in which room is expected, so that those refused
     // together do not come back together.
-    const spreadMs = waitMs * (0.5 + this.#options.random.next());
+    const leastMs = this.#isOverloaded(nowMs) ? OVERLOAD_WAIT_MS : 0;
+    const spreadMs = Math.max(leastMs, waitMs) *
+      (0.5 + this.#options.random.next());
     const retryAfterMs = Math.min(
       RETRY_AFTER_MAX_MS,
       Math.max(RETRY_AFTER_MIN_MS, spreadMs),
--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -27,8 +27,6 @@
 const MOVES_PER_PLAN = 8;
 /** Pieces that the keys of a server with a mean load are dealt out in. */
 const PIECES_OF_LOST = 3;
-/** Part of the load that may be without an owner while more is moved. */
-const OWNERLESS_PART = 0.05;
 /** Ranges for each server beyond which none is split any more. */
 const RANGES_PER_SERVER = 10;
 /** Plans moves. An empty list means that all may stay as it is. */
@@ -39,24 +37,16 @@
     use.add(range.owner.server, rateOf(input.rates, range));
   }
   const moves = planLosses(input, use);
-  if (!input.mayBalance || moves.length > 0 || !isSettled(input)) return moves;
+  if (!input.mayBalance || moves.length > 0) return moves;
+  const lone = planLoneKeys(input, use);
+  // While keys of a lost server wait, nothing but a lone key is moved: two
+  // seconds are long for its callers, and it takes one server's place only.
+  const isSettled = input.ranges.every(({ vacating }) =>
+    vacating === undefined
+  );
+  if (!isSettled) return lone;
   const newcomers = planNewcomers(input, use);
-  if (newcomers.length > 0) return newcomers;
-  return planHot(input, use, planLoneKeys(input, use));
-}
-
-/**
- * Whether so few keys are without an owner that more may be taken from theirs.
- * A single range of a lost server waits for two seconds, and a key that becomes
- * hot meanwhile need not wait with it.
- */
-function isSettled({ ranges, rates }: RangePlanInput): boolean {
-  const total = rateOf(rates, ALL_KEYS);
-  let ownerless = 0;
-  for (const range of ranges) {
-    if (range.vacating !== undefined) ownerless += rateOf(rates, range);
-  }
-  return ownerless <= total * OWNERLESS_PART;
+  return newcomers.length > 0 ? newcomers : planHot(input, use, lone);
 }
 
 function planLosses(input: RangePlanInput, use: Utilization): RangeMove[] {
