--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -40,8 +40,6 @@
   readonly ownerOf?: (key: number) => KeyOwner;
   /** Where owners' slots are given out; absent for a service without keys. */
   readonly slots?: SlotSource;
-  /** Requests sent to a server beyond its slots; one unless told otherwise. */
-  readonly extraRequests?: () => number;
 }
 
 /**
@@ -279,9 +277,8 @@
   }
 
   #tryAny(request: WaitingRequest, nowMs: number): boolean {
-    const extra = this.#options.extraRequests?.();
     const open = this.#candidates(request, nowMs)
-      .filter((load) => ranking.hasRoom(load, nowMs, extra));
+      .filter((load) => ranking.hasRoom(load, nowMs));
     const context = this.#context(nowMs);
     const load = ranking.chooseServer(open, request, context) ??
       this.#helper(request, nowMs);
--- a/packages/decisions/src/admission/slot_coordinator.ts
+++ b/packages/decisions/src/admission/slot_coordinator.ts
@@ -62,39 +62,6 @@
 /** A server that nobody asked for is forgotten after this time. */
 const IDLE_MS = 10_000;
 
-/** Part of a new measurement in the mean times of a server's slots. */
-const TURNAROUND_GAIN = 1 / 20;
-/** Largest part of a server's slots that may be given out beyond them. */
-const MOST_EXTRA_PART = 0.5;
-
-/**
- * How many requests a server may have beyond its slots. From the end of one to
- * the arrival of the next pass three datagrams and the turns of four event
- * loops; while VMs are busy that takes as long as the work, and a server whose
- * slots are given out one for one stands idle for half of its time with callers
- * refused. Kept small, since rank and deadline no longer count at the server.
- */
-class SlotTurnaround {
-  #heldMs: number | undefined;
-  #tookMs: number | undefined;
-
-  /** A slot was given back; `tookMs` is the time of its request at the server. */
-  note(heldMs: number, tookMs: number): void {
-    this.#heldMs ??= heldMs;
-    this.#tookMs ??= tookMs;
-    this.#heldMs += TURNAROUND_GAIN * (heldMs - this.#heldMs);
-    this.#tookMs += TURNAROUND_GAIN * (tookMs - this.#tookMs);
-  }
-
-  /** Requests beyond the slots that keep them busy meanwhile. */
-  extraRequests(slots: number): number {
-    if (this.#heldMs === undefined || this.#tookMs === undefined) return 1;
-    const idlePart = Math.max(0, this.#heldMs / Math.max(1, this.#tookMs) - 1);
-    const most = Math.max(1, Math.floor(slots * MOST_EXTRA_PART));
-    return Math.min(most, Math.max(1, Math.ceil(slots * idlePart)));
-  }
-}
-
 interface Held {
   readonly route: RankedRoute;
   readonly sinceMs: number;
@@ -196,7 +163,6 @@
   readonly #decide: (decision: SlotDecision) => void;
   readonly #wishes = new Map<string, QueuedWish>();
   readonly #held = new Map<string, Held>();
-  readonly #turnaround = new SlotTurnaround();
   /** Time of the latest call: slots are given in the course of it. */
   #nowMs = 0;
   #usedMs = 0;
@@ -209,12 +175,7 @@
     this.server = server;
     this.#times = times;
     this.#decide = decide;
-    this.#queue = new ServiceQueue({
-      zone,
-      times,
-      random,
-      extraRequests: () => this.#turnaround.extraRequests(server.slots),
-    });
+    this.#queue = new ServiceQueue({ zone, times, random });
     this.#queue.setServers([entryOf(server, zone)]);
   }
 
@@ -256,7 +217,6 @@
     held.release(nowMs);
     if (tookMs !== undefined) {
       this.#times.note(held.route, this.server.server, tookMs);
-      this.#turnaround.note(nowMs - held.sinceMs, tookMs);
     }
     this.#queue.pump(nowMs);
     return true;
--- a/packages/decisions/src/admission/slot_coordinator_test.ts
+++ b/packages/decisions/src/admission/slot_coordinator_test.ts
@@ -266,38 +266,3 @@
   fixture.deliver();
   expect(fixture.take(3, requests[3]!)).toEqual(true);
 });
-
-/**
- * All VMs are busy, and the word that a request has ended takes as long as its
- * work. With slots given out one for one their server stands idle for half of
- * the time, while callers are refused.
- */
-test("should give out more slots while their turnaround is slow", () => {
-  const decisions: admission.SlotDecision[] = [];
-  const coordinator = new admission.SlotCoordinator({
-    zone: "z1" as contracts.ZoneId,
-    random: { next: () => 0.5 },
-    decide: (decision) => decisions.push(decision),
-  });
-  const vm = "vm0" as contracts.VmId;
-  const given = (id: number, nowMs: number) => {
-    const { route, targetMs, answerByMs } = new Request(nowMs);
-    const wish = { ...SERVER, slots: 6, id, vm, route, targetMs, answerByMs };
-    coordinator.wish(wish, nowMs);
-    return decisions.at(-1)!.kind === "given";
-  };
-  const givenAtOnce = (fromId: number, nowMs: number) => {
-    let count = 0;
-    while (given(fromId + count, nowMs)) count++;
-    for (let id = fromId; id <= fromId + count; id++) {
-      coordinator.end(vm, id, { nowMs });
-    }
-    return count;
-  };
-  expect(givenAtOnce(0, 0)).toEqual(7);
-  for (let id = 100; id < 200; id++) {
-    given(id, id * 1_000);
-    coordinator.end(vm, id, { tookMs: 50, nowMs: id * 1_000 + 75 });
-  }
-  expect(givenAtOnce(1_000, 300_000)).toEqual(9);
-});
