--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -63,14 +63,6 @@
  * be late by a little.
  */
 const SPARE_PART = 0.2;
-/**
- * Requests that have waited for so long without a pause show that more come
- * than can be answered. From then on only those are taken that can be in time:
- * others would wait in vain, or take the place of one that could be.
- */
-const OVERLOAD_MS = 300;
-/** Least wait that callers are told of while that lasts. */
-const OVERLOAD_WAIT_MS = 400;
 /** Shortest and longest time after which a caller is asked to come back. */
 const RETRY_AFTER_MIN_MS = 60;
 const RETRY_AFTER_MAX_MS = 1_500;
@@ -82,10 +74,12 @@
 const HELPED_REQUESTS = 1;
 /** How long a key's move takes when its last owner gives it up. */
 const MOVE_WAIT_MS = 250;
+/** A planned move ends with the work that ran at its last owner. */
+const LONGEST_MOVE_MS = 800;
 /**
  * How long a key has no owner when its last one is lost: until all that was
- * granted has run out. A key that has moved for longer than a move takes is
- * such a one. Its callers are told at once; taken for an ordinary move, they
+ * granted has run out. A key that has moved for longer than a planned move
+ * takes is such a one. Its callers are told at once; taken for an ordinary move, they
  * would wait until their time is over.
  */
 const LOSS_WAIT_MS = 2_200;
@@ -104,8 +98,6 @@
   #passedOver = 0;
   /** Taken although their answer was expected to be late. */
   readonly #expectedLate = new WeakSet<WaitingRequest>();
-  /** Since when requests wait without a pause. */
-  #waitingSinceMs: number | undefined;
   #waitingElsewhere = 0;
 
   constructor(options: ServiceQueueOptions) {
@@ -196,7 +188,6 @@
 
   /** Sends what has found room. Called at each end and each news of load. */
   pump(nowMs: number): void {
-    this.#noteWaiting(this.#waiting, nowMs);
     if (this.#waiting.length === 0) return;
     const rest: WaitingRequest[] = [];
     const queued = this.#inTurn(nowMs);
@@ -226,7 +217,6 @@
     const kept: WaitingRequest[] = [];
     const queued = this.#byRank(nowMs);
     this.#waiting = [];
-    this.#noteWaiting(queued, nowMs);
     for (const request of queued) {
       const serviceMs = this.#options.times.routeMs(request.route) *
         LEAST_SERVICE_PART;
@@ -251,11 +241,6 @@
     this.#waiting = [...kept, ...this.#waiting];
   }
 
-  #noteWaiting(waiting: readonly WaitingRequest[], nowMs: number): void {
-    if (waiting.length === 0) this.#waitingSinceMs = undefined;
-    else this.#waitingSinceMs ??= nowMs;
-  }
-
   #context(nowMs: number): ranking.RankingContext {
     const { zone, times, random } = this.#options;
     return { zone, times, random, nowMs };
@@ -446,19 +431,11 @@
     waitMs: number,
     nowMs: number,
   ): boolean {
-    if (this.#isOverloaded(nowMs)) return true;
     const serviceMs = this.#options.times.routeMs(request.route);
     const leftMs = request.answerByMs - nowMs;
     return waitMs > leftMs * LATE_WAIT_PART || waitMs + serviceMs > leftMs;
   }
 
-  /** Where slots are given out elsewhere, requests that wait say nothing. */
-  #isOverloaded(nowMs: number): boolean {
-    if (this.isKeyed) return false;
-    return this.#waitingSinceMs !== undefined &&
-      nowMs - this.#waitingSinceMs >= OVERLOAD_MS;
-  }
-
   #refusal(
     request: WaitingRequest,
     reason: RefusalReason,
@@ -468,9 +445,7 @@
     const isOver = request.answerByMs <= nowMs;
     // Spread over the time in which room is expected, so that those refused
     // together do not come back together.
-    const leastMs = this.#isOverloaded(nowMs) ? OVERLOAD_WAIT_MS : 0;
-    const spreadMs = Math.max(leastMs, waitMs) *
-      (0.5 + this.#options.random.next());
+    const spreadMs = waitMs * (0.5 + this.#options.random.next());
     const retryAfterMs = Math.min(
       RETRY_AFTER_MAX_MS,
       Math.max(RETRY_AFTER_MIN_MS, spreadMs),
@@ -543,6 +518,6 @@
 
 /** How much longer a key that has no owner is expected to have none. */
 function moveWaitMs(ageMs: number): number {
-  const totalMs = ageMs < MOVE_WAIT_MS ? MOVE_WAIT_MS : LOSS_WAIT_MS;
+  const totalMs = ageMs < LONGEST_MOVE_MS ? MOVE_WAIT_MS : LOSS_WAIT_MS;
   return Math.max(LEAST_MOVE_WAIT_MS, totalMs - ageMs);
 }
--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -167,13 +167,18 @@
   const limit = input.servers.size * RANGES_PER_SERVER;
   const level = Math.max(HOT_UTILIZATION, use.mean * HOT_RATIO);
   const exhausted = new Set<contracts.ServerId>();
-  while (moves.length < MOVES_PER_PLAN && input.ranges.length < limit) {
+  // Ranges that can't be split any more are still moved whole: with nothing
+  // moved, a map that is full of them stays as uneven as it is, for ever.
+  const maySplit = input.ranges.length < limit;
+  while (moves.length < MOVES_PER_PLAN) {
     const hot = use.hottest(exhausted);
     const cold = use.coldest();
     if (hot === undefined || cold === undefined) break;
     if (use.atLeast(hot) <= level) break;
     const wish = wishOf(input, use, { hot, cold, level });
-    const piece = densePiece(input, moves, hot, wish);
+    const piece = maySplit
+      ? densePiece(input, moves, hot, wish)
+      : wholeRange(input, moves, hot, wish);
     if (piece === undefined) {
       exhausted.add(hot);
       continue;
@@ -237,6 +242,27 @@
   return best;
 }
 
+/** The range of a server whose load comes nearest to the wished one. */
+function wholeRange(
+  input: RangePlanInput,
+  moves: readonly RangeMove[],
+  server: contracts.ServerId,
+  wishedPerSecond: number,
+): Piece | undefined {
+  let best: Piece | undefined;
+  for (const range of input.ranges) {
+    if (range.owner.server !== server || range.vacating !== undefined) continue;
+    const { fromKey, toKey } = range;
+    if (moves.some((move) => move.fromKey === fromKey)) continue;
+    const perSecond = rateOf(input.rates, range);
+    if (perSecond > wishedPerSecond * MOST_OF_WISH) continue;
+    if (perSecond < wishedPerSecond * LEAST_OF_WISH) continue;
+    if (best !== undefined && best.perSecond >= perSecond) continue;
+    best = { fromKey, toKey, perSecond };
+  }
+  return best;
+}
+
 /**
  * A move costs its keys' owners, and a grant to renew from then on; the latter
  * as much as this number of keys. Without it many small pieces would be moved
--- a/packages/decisions/src/grants/range_planner_test.ts
+++ b/packages/decisions/src/grants/range_planner_test.ts
@@ -143,3 +143,27 @@
   });
   expect(moves).toEqual([]);
 });
+
+/**
+ * A map is full of ranges after many moves, and servers have left since. Where
+ * nothing could be moved any more, the few servers that own most of the load
+ * would refuse their callers for ever while others are idle.
+ */
+test("should move whole ranges when no more may be split", () => {
+  const even = rates(100, 0);
+  const owned = evenRanges(50).map((range, index) => ({
+    ...range,
+    owner: owner(index < 46 ? 0 : index % 4),
+  }));
+  const balanced = grants.planRanges({
+    ranges: owned,
+    servers: serversOf(4),
+    rates: even,
+    mayBalance: true,
+  });
+  expect(balanced.length > 0).toEqual(true);
+  const isWhole = balanced.every(({ fromKey, toKey }) =>
+    owned.some((range) => range.fromKey === fromKey && range.toKey === toKey)
+  );
+  expect(isWhole).toEqual(true);
+});
--- a/packages/entry/src/gateway/front_listener.ts
+++ b/packages/entry/src/gateway/front_listener.ts
@@ -160,7 +160,10 @@
     if (lagMs > SHED_LAG_MS) this.#tellLag(lagMs, arrivedMs);
     const answer = lagMs > SHED_LAG_MS
       ? behindAnswer(this.#options.random)
-      : await this.#answer(incoming, { arrivedMs, lagMs }, gone.signal);
+      : await this.#answer(incoming, {
+        arrivedMs,
+        lagMs: this.#lag.isLasting ? lagMs : 0,
+      }, gone.signal);
     if (response.destroyed) return;
     const mustClose = !incoming.complete || this.#options.lifeCycle.isStopping;
     writeFrontAnswer(response, answer, mustClose);
--- a/packages/entry/src/gateway/front_request.ts
+++ b/packages/entry/src/gateway/front_request.ts
@@ -16,7 +16,7 @@
   /** Time that the caller still waits; undefined when it did not say. */
   readonly deadlineMs: number | undefined;
   readonly arrivedMs: number;
-  /** How long it may have lain unread, as the event loop was behind. */
+  /** How long it may have lain unread in a loop that stays behind; else 0. */
   readonly lagMs: number;
   /** Aborted when the caller has gone. */
   readonly signal: AbortSignal;
--- a/packages/entry/src/utils/loop_lag.ts
+++ b/packages/entry/src/utils/loop_lag.ts
@@ -4,6 +4,8 @@
 const TICK_MS = 20;
 /** Lags below this are ordinary scheduling. */
 const LEAST_LAG_MS = 60;
+/** A loop that is behind for longer has more work than it can do. */
+const LASTING_MS = 400;
 
 /** Watches the event loop by a timer. */
 export class LoopLag {
@@ -11,6 +13,8 @@
   #tickAtMs: number;
   /** How late the timer fired last. */
   #lateMs = 0;
+  /** Since when each tick was late; undefined while they are on time. */
+  #behindSinceMs: number | undefined;
 
   /** The time of day counts a suspension, which the steady clock leaves out. */
   constructor(now: () => number = () => Date.now()) {
@@ -28,6 +32,17 @@
     const nowMs = this.#now();
     this.#lateMs = Math.max(0, nowMs - this.#tickAtMs - TICK_MS);
     this.#tickAtMs = nowMs;
+    if (this.#lateMs < LEAST_LAG_MS) this.#behindSinceMs = undefined;
+    else this.#behindSinceMs ??= nowMs;
+  }
+
+  /**
+   * Whether the loop has been behind for a while: a single stall is over when
+   * what it has made late is read, and refusing that helps nobody.
+   */
+  get isLasting(): boolean {
+    if (this.#behindSinceMs === undefined) return false;
+    return this.#now() - this.#behindSinceMs >= LASTING_MS;
   }
 
   /**
