--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -242,6 +242,9 @@
   return best;
 }
 
+/** Part of the wished load that a whole range must carry; it costs no grant. */
+const LEAST_WHOLE_OF_WISH = 0.05;
+
 /** The range of a server whose load comes nearest to the wished one. */
 function wholeRange(
   input: RangePlanInput,
@@ -256,7 +259,7 @@
     if (moves.some((move) => move.fromKey === fromKey)) continue;
     const perSecond = rateOf(input.rates, range);
     if (perSecond > wishedPerSecond * MOST_OF_WISH) continue;
-    if (perSecond < wishedPerSecond * LEAST_OF_WISH) continue;
+    if (perSecond < wishedPerSecond * LEAST_WHOLE_OF_WISH) continue;
     if (best !== undefined && best.perSecond >= perSecond) continue;
     best = { fromKey, toKey, perSecond };
   }
