revert(admission): the queue's order and callers' returns as they were

A new caller's gain was a returning one's loss. Kept are: owners that answer some requests are not left alone, the age of a move, the lag rule when the loop stays behind, whole ranges above the bound.

--- a/packages/decisions/src/admission/mod.ts
+++ b/packages/decisions/src/admission/mod.ts
@@ -1,5 +1,4 @@
 /** Admission: which request goes to which backend server, and when. */
-export * from "./first_attempts.ts";
 export * from "./late_loop_rule.ts";
 export * from "./server_load.ts";
 export * from "./server_ranking.ts";
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -57,12 +57,6 @@
  * will be late anyhow. Beyond it a caller is told at once to come back.
  */
 const LATE_WAIT_PART = 0.5;
-/**
- * Part of a request's target latency that a wait must leave. A flooded server's
- * queue is always as long as it may be, so with nothing left every answer would
- * be late by a little.
- */
-const SPARE_PART = 0.2;
 /** Shortest and longest time after which a caller is asked to come back. */
 const RETRY_AFTER_MIN_MS = 60;
 const RETRY_AFTER_MAX_MS = 1_500;
@@ -78,8 +72,8 @@
 const LONGEST_MOVE_MS = 800;
 /**
  * How long a key has no owner when its last one is lost: until all that was
- * granted has run out. A key that has moved for longer than a planned move
- * takes is such a one. Its callers are told at once; taken for an ordinary move, they
+ * granted has run out. A key that has moved for longer than a planned move takes
+ * is such a one. Its callers are told at once; taken for an ordinary move, they
  * would wait until their time is over.
  */
 const LOSS_WAIT_MS = 2_200;
@@ -96,8 +90,6 @@
   /** Servers that this VM's cell uses; undefined for all of them. */
   #inCell: ReadonlySet<contracts.ServerId> | undefined;
   #passedOver = 0;
-  /** Taken although their answer was expected to be late. */
-  readonly #expectedLate = new WeakSet<WaitingRequest>();
   #waitingElsewhere = 0;
 
   constructor(options: ServiceQueueOptions) {
@@ -151,12 +143,7 @@
     // Whether it can be served in time is known where its slot is given out.
     if (this.#awaitsSlot(request, nowMs)) return this.#insert(request);
     const reason = this.#blockedBy(request, nowMs);
-    if (reason !== "no-server") {
-      const waitMs = this.#waitOfArrival(request, nowMs);
-      if (this.#isInTime(request, waitMs, nowMs)) return this.#insert(request);
-      this.#expectedLate.add(request);
-    }
-    const waitMs = this.#waitOfArrival(request, nowMs);
+    const waitMs = this.#expectedWaitMs(request, this.#waiting, nowMs);
     if (reason === "no-server" || this.#isHopeless(request, waitMs, nowMs)) {
       request.refused(this.#refusal(request, reason, waitMs, nowMs));
       return;
@@ -208,14 +195,10 @@
     this.#waiting = [...rest, ...this.#waiting];
   }
 
-  /**
-   * Refuses those whose time no longer suffices; called at an interval. Requests
-   * that came later and can still be in time go first, so a wait may become
-   * longer than it was expected to be; who waits in vain is told so.
-   */
+  /** Refuses those whose time no longer suffices; called at an interval. */
   review(nowMs: number): void {
     const kept: WaitingRequest[] = [];
-    const queued = this.#byRank(nowMs);
+    const queued = this.#waiting;
     this.#waiting = [];
     for (const request of queued) {
       const serviceMs = this.#options.times.routeMs(request.route) *
@@ -225,11 +208,7 @@
       const waitMs = this.#awaitsSlot(request, nowMs)
         ? 0
         : this.#expectedWaitMs(request, kept, nowMs);
-      const mayStay = leftMs > serviceMs && (
-        this.#awaitsSlot(request, nowMs) || !this.#isLate(request, nowMs) ||
-        !this.#isHopeless(request, waitMs, nowMs)
-      );
-      if (mayStay) {
+      if (leftMs > serviceMs && waitMs < leftMs) {
         kept.push(request);
         continue;
       }
@@ -371,27 +350,22 @@
     return owner?.kind === "owned" ? owner.server : owner?.kind ?? "any";
   }
 
-  /** Time until a request that has just come would leave. */
-  #waitOfArrival(request: WaitingRequest, nowMs: number): number {
-    const first = this.#waiting.filter((other) =>
-      this.#goesFirst(other, request, nowMs)
-    );
-    return this.#expectedWaitMs(request, first, nowMs);
-  }
-
-  /** Time until a request would leave, behind those that go first. */
+  /** Time until a request would leave, behind those listed that go first. */
   #expectedWaitMs(
     request: WaitingRequest,
-    first: readonly WaitingRequest[],
+    queued: readonly WaitingRequest[],
     nowMs: number,
   ): number {
     const owner = this.#ownerOf(request);
     if (owner?.kind === "moving") return moveWaitMs(owner.ageMs);
     if (owner?.kind === "unknown") return MOVE_WAIT_MS;
     const place = this.#placeName(request);
-    const ahead = first.filter((other) => this.#placeName(other) === place)
-      .length;
-    const here = Math.max(1, this.#waiting.length, first.length);
+    const ahead =
+      queued.filter((other) =>
+        other.route.priority <= request.route.priority &&
+        this.#placeName(other) === place
+      ).length;
+    const here = Math.max(1, queued.length);
     const { times } = this.#options;
     const meanMs = times.meanMs ?? times.routeMs(request.route);
     if (owner?.kind === "owned") {
@@ -414,24 +388,13 @@
     return Math.max(perMs, 1e-6);
   }
 
-  /** Whether the answer is expected within its target, with some to spare. */
-  #isInTime(
-    { route, targetMs }: WaitingRequest,
-    waitMs: number,
-    nowMs: number,
-  ): boolean {
-    const serviceMs = this.#options.times.routeMs(route);
-    const spareMs = SPARE_PART * route.targetLatencyMs;
-    return nowMs + waitMs + serviceMs + spareMs <= targetMs;
-  }
-
-  /** Whether a request whose answer will be late is better told so now. */
   #isHopeless(
     request: WaitingRequest,
     waitMs: number,
     nowMs: number,
   ): boolean {
     const serviceMs = this.#options.times.routeMs(request.route);
+    if (nowMs + waitMs + serviceMs <= request.targetMs) return false;
     const leftMs = request.answerByMs - nowMs;
     return waitMs > leftMs * LATE_WAIT_PART || waitMs + serviceMs > leftMs;
   }
@@ -466,41 +429,18 @@
     this.#waiting.splice(index, 0, request);
   }
 
-  /** Whether an answer will be late though the request left at once. */
-  #isLate(request: WaitingRequest, nowMs: number): boolean {
-    const { route, targetMs } = request;
-    return this.#expectedLate.has(request) ||
-      nowMs + this.#options.times.routeMs(route) > targetMs;
-  }
-
-  /** Whether a request that waits goes before one that has just come. */
-  #goesFirst(
-    waiting: WaitingRequest,
-    arrived: WaitingRequest,
-    nowMs: number,
-  ): boolean {
-    const rank = waiting.route.priority - arrived.route.priority;
-    if (rank !== 0) return rank < 0;
-    return !this.#isLate(waiting, nowMs) || this.#isLate(arrived, nowMs);
-  }
-
-  /** By rank, then those that can still be in time, then by arrival. */
-  #byRank(nowMs: number): WaitingRequest[] {
+  /** The waiting requests in the order in which they may go. */
+  #inTurn(nowMs: number): WaitingRequest[] {
+    const { times } = this.#options;
+    const isLate = ({ route, targetMs }: WaitingRequest) =>
+      nowMs + times.routeMs(route) > targetMs ? 1 : 0;
     // The sort is stable: equals stay in the order of their arrival.
-    return this.#waiting
-      .map((request) => ({
-        request,
-        late: this.#isLate(request, nowMs) ? 1 : 0,
-      }))
+    const ordered = this.#waiting
+      .map((request) => ({ request, late: isLate(request) }))
       .sort((a, b) =>
         a.request.route.priority - b.request.route.priority || a.late - b.late
       )
       .map(({ request }) => request);
-  }
-
-  /** The waiting requests in the order in which they may go. */
-  #inTurn(nowMs: number): WaitingRequest[] {
-    const ordered = this.#byRank(nowMs);
     if (this.#passedOver < RANK_TURN) return ordered;
     const first = ordered[0]!.route.priority;
     const next = ordered.findIndex(({ route }) => route.priority > first);
--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarded_request.ts
@@ -16,8 +16,6 @@
   readonly times: admission.ServiceTimes;
   readonly clock: contracts.Clock;
   readonly configVersion: number;
-  /** How long before this attempt the caller began to wait. */
-  readonly waitedBeforeMs: number;
   /** Takes one second send from the shared budget if there is one. */
   tryRepeat(): boolean;
   send(
@@ -89,8 +87,7 @@
     this.#resolve = resolve;
     this.key = request.key;
     this.bodyBytes = request.body?.length ?? 0;
-    this.targetMs = request.arrivedMs + route.targetLatencyMs -
-      parts.waitedBeforeMs;
+    this.targetMs = request.arrivedMs + route.targetLatencyMs;
     const { deadlineMs } = request;
     const longestMs = Math.min(route.timeoutMs, deadlineMs ?? Infinity);
     this.answerByMs = request.arrivedMs + longestMs;
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -64,8 +64,6 @@
   readonly #services = new Map<contracts.ServiceId, ServicePart>();
   /** Servers that each peer has told of. */
   readonly #toldOf = new Map<contracts.VmId, Set<string>>();
-  /** By route. */
-  readonly #attempts = new Map<string, admission.FirstAttempts>();
   #inFlight = 0;
   /** Requests refused for the loop's lag since the last line. */
   #behind = 0;
@@ -130,7 +128,6 @@
       service,
       part,
       active.config.version,
-      this.#waitedBeforeMs(route, request.deadlineMs),
     );
     this.#inFlight++;
     return new Promise((resolve) => {
@@ -173,15 +170,6 @@
     return this.#services;
   }
 
-  #waitedBeforeMs(
-    { name }: contracts.Route,
-    budgetMs: number | undefined,
-  ): number {
-    const attempts = this.#attempts.get(name) ?? new admission.FirstAttempts();
-    this.#attempts.set(name, attempts);
-    return attempts.waitedBeforeMs(budgetMs);
-  }
-
   /** One line a second at most. */
   #tellBehind({ id, lagMs }: FrontRequest, nowMs: number): void {
     this.#behind++;
@@ -200,7 +188,6 @@
     service: contracts.ServiceId,
     part: ServicePart,
     configVersion: number,
-    waitedBeforeMs: number,
   ): ForwardingParts {
     const { clock, gossip, onStory } = this.#options;
     return {
@@ -209,7 +196,6 @@
       times: part.times,
       clock,
       configVersion,
-      waitedBeforeMs,
       tryRepeat: () => part.budget.tryTake(clock.nowMs(), gossip.vmCount),
       send: (entry, request, options) =>
         this.#options.links.pool(entry, this.#linkLimit(entry.service))
@@ -307,10 +293,6 @@
   #followConfig(): void {
     const { config } = this.#options.config.active!;
     for (const service of config.services.keys()) this.#part(service);
-    const names = new Set(config.routes.map(({ name }) => name));
-    for (const name of this.#attempts.keys()) {
-      if (!names.has(name)) this.#attempts.delete(name);
-    }
   }
 
   #followServers(): void {
