--- a/packages/contracts/src/platform_store.ts
+++ b/packages/contracts/src/platform_store.ts
@@ -67,7 +67,10 @@
   ): ResultAsync<StoredObject, StoreError>;
   list(
     prefix: string,
-    options: CallOptions,
+    options: CallOptions & {
+      /** As with `get`; `cursor` may then be newer than the objects. */
+      readonly mayBeStale?: boolean;
+    },
   ): ResultAsync<{ objects: StoredObject[]; cursor: string }, StoreError>;
   /** Returns the new version. */
   put(
--- a/packages/decisions/src/cells/cell_plan.ts
+++ b/packages/decisions/src/cells/cell_plan.ts
@@ -60,6 +60,13 @@
     return index === undefined ? [] : this.#cells[index]!.vms;
   }
 
+  /** VMs of each cell but the one that a VM is in. */
+  others(vm: contracts.VmId): (readonly contracts.VmId[])[] {
+    const own = this.#indexes.get(vm);
+    return this.#cells.filter((_, index) => index !== own)
+      .map(({ vms }) => vms);
+  }
+
   /** The servers of one service that a VM's cell uses. */
   serversOf(
     vm: contracts.VmId,
--- a/packages/entry/src/gateway/grant_task.ts
+++ b/packages/entry/src/gateway/grant_task.ts
@@ -7,8 +7,9 @@
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import type { PartLog } from "../utils/log.ts";
 import type { ConfigHolder } from "./config_holder.ts";
-import type { GossipIdentity, PeerGossip } from "./peer_gossip.ts";
 import type { MovePlannerOptions } from "./move_planner.ts";
+import type { PeerCalls } from "./peer_calls.ts";
+import type { GossipIdentity, PeerGossip } from "./peer_gossip.ts";
 import * as messages from "./peer_messages.ts";
 import type { RangeMapStore } from "./range_map_store.ts";
 import { type GrantPeer, ServiceGrants } from "./service_grants.ts";
@@ -23,6 +24,7 @@
   readonly config: ConfigHolder;
   readonly registry: ServerRegistry;
   readonly gossip: PeerGossip;
+  readonly calls: PeerCalls;
   readonly maps: RangeMapStore;
   readonly control: contracts.GrantControl;
   readonly health: StoreHealth;
@@ -45,6 +47,7 @@
  * about 3% of a core, and still knows a hot key within a second at 82 VMs.
  */
 const KEY_COUNTS_PER_VM_MS = 6;
+const RANGE_MAP_CALL = "rangeMap";
 /** Keys in one message; with more, the most asked for are told. */
 const KEYS_PER_MESSAGE = 400;
 
@@ -66,11 +69,15 @@
         service.noteStatus(status, askedAtMs, receivedAtMs);
       }
     });
-    gossip.onHello(({ maps }) => {
+    gossip.onHello(({ maps, vm }) => {
       for (const [id, service] of this.#services) {
-        service.noteRevision(maps[id]?.[0] ?? 0);
+        service.noteRevision(maps[id]?.[0] ?? 0, vm);
       }
     });
+    options.calls.on(
+      RANGE_MAP_CALL,
+      (id) => this.#services.get(id as contracts.ServiceId)?.map,
+    );
     gossip.on(
       messages.RANGE_MAP_METHOD,
       messages.rangeMapNewsSchema,
@@ -122,6 +129,11 @@
     return { maps };
   }
 
+  /** Whether this VM makes the moves of some service. */
+  get isMover(): boolean {
+    return [...this.#services.values()].some(({ isMover }) => isMover);
+  }
+
   /** VMs that answer for the maps of any service. */
   keepers(): ReadonlySet<contracts.VmId> {
     return this.#keepers;
@@ -178,6 +190,7 @@
       service,
       peers: () => this.#peers(),
       silentMs: (vm) => gossip.silentMs(vm),
+      askMap: (peer) => this.#askMap(service, peer),
       publish: (news) => {
         gossip.send(messages.RANGE_MAP_METHOD, news);
         gossip.sendNow();
@@ -190,6 +203,28 @@
     });
   }
 
+  /** The map as a peer knows it; undefined without an answer. */
+  async #askMap(
+    service: contracts.ServiceId,
+    peer: contracts.VmId,
+  ): Promise<contracts.RangeMap | undefined> {
+    const { gossip, calls, log } = this.#options;
+    const address = gossip.live.find(({ vm }) => vm === peer);
+    if (address === undefined) return undefined;
+    const answer = await calls.ask(address, {
+      method: RANGE_MAP_CALL,
+      name: service,
+      result: contracts.rangeMapSchema,
+    });
+    if (answer.isOk()) return answer.value;
+    log.warn("A peer did not tell its range map.", {
+      service,
+      peer,
+      reason: answer.error.message,
+    });
+    return undefined;
+  }
+
   #gatherKeepers(): void {
     this.#keepers = new Set(
       [...this.#services.values()]
--- a/packages/entry/src/gateway/kind_watch.ts
+++ b/packages/entry/src/gateway/kind_watch.ts
@@ -1,11 +1,14 @@
 /**
  * Keeps a copy of all objects of one kind of the platform's store: by a watch
- * of its own, or by what the readers of its cell tell.
+ * of its own on the VMs that read for all, else by what these tell.
  */
 import type * as contracts from "@guavatide/contracts";
 import * as timers from "node:timers/promises";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import type { PartLog } from "../utils/log.ts";
+import { ObjectTable } from "./object_table.ts";
+import type { ObjectChange } from "./object_table.ts";
+import type { KindState } from "./peer_messages.ts";
 import type { StoreHealth } from "./store_health.ts";
 import type {
   RelayedChanges,
@@ -21,28 +24,22 @@
   readonly log: PartLog;
   readonly clock: contracts.Clock;
   readonly random: contracts.RandomSource;
-  /** Entry VMs that are up. */
-  readonly vmCount: () => number;
   readonly relay: WatchRelay;
-  /** All objects, after each list. */
+  /** All objects, at the first list. */
   readonly onList: (objects: readonly contracts.StoredObject[]) => void;
-  readonly onEvent: (event: contracts.WatchEvent) => void;
+  readonly onEvent: (change: ObjectChange) => void;
 }
 
 /**
- * Wait of one watch for each VM that is up. Peers tell when they have heard of
- * a change; with the waits spread, the watch of one of them begins anew about
- * once in this time, over a connection that has not gone silent.
+ * Longest wait of one watch. Two readers tell one another what they hear, so
+ * that a connection that has gone silent is noticed with the next change.
  */
-const WATCH_WAIT_PER_VM_MS = 1_500;
-const WATCH_WAIT_MIN_MS = 2_000;
-const WATCH_WAIT_MAX_MS = 15_000;
+const WATCH_WAIT_MS = 20_000;
 /**
  * Pause after a batch of events. Changes come in groups, as when a service is
- * replaced; each batch costs every VM one call, and a change has to be known
- * within 2 s.
+ * replaced, and each batch costs every reader one call.
  */
-const BATCH_PAUSE_MS = 150;
+const BATCH_PAUSE_MS = 250;
 /** Time beyond its wait after which a watch without an answer is given up. */
 const WATCH_SLACK_MS = 1_000;
 /** Longest time of a list: the store answers in a few milliseconds. */
@@ -52,26 +49,29 @@
 /** Time that a peer's news may take to arrive over the own watch. */
 const NEWS_GRACE_MS = 250;
 /**
- * Time that peers may take to tell what this VM missed; then it reads the store
- * itself. A change has to be known within 2 s.
+ * Time that peers may take to tell what this VM missed; then it asks one of
+ * them for all objects. A change has to be known within 2 s.
  */
-const RELAY_GRACE_MS = 900;
+const RELAY_GRACE_MS = 600;
 /** Least time between two questions for them. */
 const ASK_SPACING_MS = 150;
 
-/** A task that lists a kind and then watches it. */
+/** A task that follows a kind. */
 export class KindWatch implements RelayedWatch {
   readonly #options: KindWatchOptions;
-  #cursor: string | undefined;
-  /** Position of the last change known here. */
-  #eventCursor = 0;
-  /** Since this position all changes are known one by one. */
-  #unbrokenSince = 0;
+  readonly #table = new ObjectTable();
+  #isListed = false;
+  /** All changes up to here are known, also when there was none. */
+  #knownTo = 0;
+  #position = 0;
+  /** Whether the objects have to be listed or asked for anew. */
+  #isStale = true;
   #failures = 0;
   #abort: AbortController | undefined;
   /** Highest position that peers have told of, and since when it is missed. */
-  #newsCursor = 0;
+  #newsPosition = 0;
   #newsSinceMs: number | undefined;
+  #newsPeer: contracts.VmId | undefined;
   #askedMs = Number.NEGATIVE_INFINITY;
   /** Ends the wait of a VM that leaves reading to others. */
   #wake: () => void = () => {};
@@ -86,8 +86,20 @@
   }
 
   /** Position of the last change that this VM has heard of. */
-  get eventCursor(): number {
-    return this.#eventCursor;
+  get position(): number {
+    return this.#position;
+  }
+
+  /** All objects, for a peer that has none or missed some. */
+  get state(): KindState | undefined {
+    if (!this.#isListed) return undefined;
+    const objects = this.#table.all
+      .map(({ name, version, value }): [string, string, string] => [
+        name,
+        version,
+        value,
+      ]);
+    return { position: this.#position, objects };
   }
 
   /** Starts the task. */
@@ -96,54 +108,53 @@
     // A watch that was waiting when the store went silent would go on waiting,
     // and changes made after its return would be known seconds late.
     this.#options.health.onRegained(() => {
-      const isWatching = this.#cursor !== undefined &&
-        this.#options.relay.isReader;
-      if (isWatching) this.relist("the store is back");
+      if (this.#isListed && this.#options.relay.isReader) {
+        this.#renew("the store is back");
+      }
     });
     this.#run(lifeCycle.signal).catch((error) =>
       this.#options.log.error("Watch ended.", { error: String(error) })
     );
   }
 
-  /**
-   * A peer has heard of changes up to a position. When the own watch does not
-   * bring them soon, its connection may have gone silent: the objects are
-   * listed anew over another.
-   */
-  noteNews(eventCursor: number, peer: contracts.VmId): void {
-    this.#newsCursor = Math.max(this.#newsCursor, eventCursor);
-    const knownCursor = Math.max(this.#eventCursor, Number(this.#cursor ?? 0));
-    if (this.#newsCursor <= knownCursor) {
+  noteNews(position: number, peer: contracts.VmId): void {
+    if (!this.#isListed) return;
+    this.#newsPosition = Math.max(this.#newsPosition, position);
+    const known = Math.max(this.#position, this.#knownTo);
+    if (this.#newsPosition <= known) {
       this.#newsSinceMs = undefined;
       return;
     }
     // This peer may lack the news as well.
-    if (eventCursor <= knownCursor) return;
+    if (position <= known) return;
     const nowMs = this.#options.clock.nowMs();
     this.#newsSinceMs ??= nowMs;
+    this.#newsPeer = peer;
     const sinceMs = nowMs - this.#newsSinceMs;
-    if (sinceMs < NEWS_GRACE_MS) return;
     if (!this.#options.relay.isReader && sinceMs < RELAY_GRACE_MS) {
       return this.#ask(peer);
     }
+    if (sinceMs < NEWS_GRACE_MS) return;
     this.#newsSinceMs = undefined;
-    this.relist("peers know newer changes");
+    this.#renew("peers know newer changes");
   }
 
-  /** Takes changes that a peer has read. */
-  takeRelayed(
-    { fromCursor, toCursor, events }: RelayedChanges,
-    from: contracts.VmId,
-  ): void {
-    if (this.#cursor === undefined || toCursor <= this.#eventCursor) return;
-    const knownCursor = Math.max(this.#eventCursor, this.#unbrokenSince);
-    if (events === undefined) return this.relist("changes are not told");
-    if (fromCursor > knownCursor) return this.#ask(from);
-    this.#cursor = String(Math.max(toCursor, Number(this.#cursor)));
-    this.#eventCursor = toCursor;
+  takeRelayed(changes: RelayedChanges, from: contracts.VmId): void {
+    const { fromPosition, toPosition, events, names } = changes;
+    if (!this.#isListed || toPosition <= this.#position) return;
+    if (events === undefined) {
+      this.#newsPeer = from;
+      return this.#renew("changes are not told");
+    }
+    if (fromPosition > Math.max(this.#position, this.#knownTo)) {
+      return this.#ask(from);
+    }
+    const missing = names === undefined ? [] : this.#table.missing(names);
     // Those up to the own position come again, in their order: the last change
     // of each object is the one that stays.
-    for (const event of events) this.#options.onEvent(event);
+    this.#apply([...events, ...missing]);
+    this.#position = toPosition;
+    this.#knownTo = Math.max(this.#knownTo, toPosition);
   }
 
   /** Asks a peer for what was missed, not with each word of each peer. */
@@ -152,21 +163,19 @@
     const nowMs = clock.nowMs();
     if (nowMs - this.#askedMs < ASK_SPACING_MS) return;
     this.#askedMs = nowMs;
-    const knownCursor = Math.max(this.#eventCursor, this.#unbrokenSince);
-    relay.ask(prefix, knownCursor, peer);
+    relay.ask(prefix, Math.max(this.#position, this.#knownTo), peer);
   }
 
-  /** This VM became a reader, or is none any more. */
   roleChanged(): void {
+    this.#abort?.abort();
     this.#wake();
-    if (!this.#options.relay.isReader) this.#abort?.abort();
   }
 
-  /** Lists anew at once. */
-  relist(reason: string): void {
+  /** Learns all objects anew. */
+  #renew(reason: string): void {
     const { log, prefix } = this.#options;
-    log.info("Lists anew.", { prefix, reason, cursor: this.#cursor });
-    this.#cursor = undefined;
+    log.info("Lists anew.", { prefix, reason, position: this.#position });
+    this.#isStale = true;
     this.#abort?.abort();
     this.#wake();
   }
@@ -174,100 +183,160 @@
   async #run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.#abort = new AbortController();
-      const isReader = this.#options.relay.isReader;
-      if (this.#cursor !== undefined && !isReader) {
-        await this.#untilWoken(signal);
-        continue;
-      }
-      const isDone = this.#cursor === undefined
-        ? await this.#list()
-        : await this.#watch(this.#cursor);
+      const isDone = await this.#step(signal);
       if (!isDone && !signal.aborted) await this.#pause();
     }
   }
 
-  /** Waits until this VM is to read the store itself. */
-  #untilWoken(signal: AbortSignal): Promise<void> {
+  #step(signal: AbortSignal): Promise<boolean> {
+    const { isReader } = this.#options.relay;
+    if (!this.#isListed) return this.#begin();
+    if (this.#isStale) {
+      return isReader ? this.#list({ mayBeStale: false }) : this.#takeFromPeer();
+    }
+    return isReader ? this.#watch() : this.#untilWoken(signal);
+  }
+
+  /** Waits until this VM is to read, or to learn all objects anew. */
+  #untilWoken(signal: AbortSignal): Promise<boolean> {
     return new Promise((resolve) => {
       const wake = () => {
         signal.removeEventListener("abort", wake);
-        resolve();
+        resolve(true);
       };
       this.#wake = wake;
       signal.addEventListener("abort", wake);
     });
   }
 
-  async #list(): Promise<boolean> {
-    const { store, prefix, health, onList } = this.#options;
+  /**
+   * The first list may be some seconds old: readers tell what has changed since.
+   * With the store away a peer's knowledge serves.
+   */
+  async #begin(): Promise<boolean> {
+    if (this.#failures % 2 === 1 && await this.#takeFromPeer()) return true;
+    return this.#list({ mayBeStale: !this.#options.relay.isReader });
+  }
+
+  async #takeFromPeer(): Promise<boolean> {
+    const { relay, prefix } = this.#options;
+    const state = await relay.fetchState(prefix, this.#newsPeer);
+    this.#newsPeer = undefined;
+    // Nobody answers: the store does, or the next peer.
+    if (state === undefined) {
+      return this.#isListed ? this.#list({ mayBeStale: false }) : false;
+    }
+    this.#isStale = false;
+    if (this.#isListed && state.position <= this.#position) return true;
+    const objects = state.objects
+      .map(([name, version, value]) => ({ name, version, value }));
+    this.#replace(objects);
+    this.#position = state.position;
+    this.#knownTo = Math.max(this.#knownTo, state.position);
+    return true;
+  }
+
+  async #list(options: { readonly mayBeStale: boolean }): Promise<boolean> {
+    const { store, prefix, health, relay } = this.#options;
     const result = await store.list(prefix, {
+      ...options,
       timeoutMs: LIST_TIMEOUT_MS,
       signal: this.#abort!.signal,
     });
     if (result.isErr()) return this.#failed(result.error);
     health.noteAnswer();
     this.#failures = 0;
-    this.#cursor = result.value.cursor;
-    this.#unbrokenSince = Number(this.#cursor);
+    this.#isStale = false;
+    const { objects, cursor } = result.value;
+    const newest = Math.max(0, ...objects.map(({ version }) => Number(version)));
+    if (options.mayBeStale) {
+      this.#replace(objects);
+      // Objects may be older than the list's own position says.
+      this.#position = newest;
+      this.#knownTo = newest;
+      return true;
+    }
+    const wasListed = this.#isListed;
+    const fromPosition = Math.max(this.#position, this.#knownTo);
+    const events = this.#replace(objects);
+    this.#knownTo = Number(cursor);
     // The list's own position also rises with changes of other kinds, and peers
     // that listed a little earlier would seem to lack something.
-    for (const { version } of result.value.objects) {
-      this.#eventCursor = Math.max(this.#eventCursor, Number(version));
-    }
-    onList(result.value.objects);
+    this.#position = Math.max(this.#position, newest);
+    if (!wasListed || events.length === 0) return true;
+    this.#position = this.#knownTo;
+    const names = this.#table.names;
+    const toPosition = this.#position;
+    relay.publish(prefix, { fromPosition, toPosition, events, names });
     return true;
   }
 
-  async #watch(cursor: string): Promise<boolean> {
-    const { store, prefix, health, relay, onEvent } = this.#options;
+  async #watch(): Promise<boolean> {
+    const { store, prefix, health, relay } = this.#options;
+    const cursor = Math.max(this.#position, this.#knownTo);
     const waitMs = this.#waitMs();
     const result = await store.watch(prefix, {
-      cursor,
+      cursor: String(cursor),
       waitMs,
       timeoutMs: waitMs + WATCH_SLACK_MS,
       signal: this.#abort!.signal,
     });
     // Asked to list anew meanwhile, or not to read any more: what came of the
     // watch is of no interest.
-    if (this.#cursor === undefined || this.#abort!.signal.aborted) return true;
+    if (this.#isStale || this.#abort!.signal.aborted) return true;
     if (result.isErr()) return this.#failed(result.error);
     health.noteAnswer();
     this.#failures = 0;
     const { events, reset } = result.value;
     if (reset) {
-      this.#cursor = undefined;
+      this.#isStale = true;
       return true;
     }
-    const toCursor = Number(result.value.cursor);
-    // A peer may have told these changes, and later ones, meanwhile.
-    if (toCursor > Number(this.#cursor)) this.#cursor = result.value.cursor;
+    const toPosition = Number(result.value.cursor);
+    this.#knownTo = Math.max(this.#knownTo, toPosition);
     if (events.length === 0) return true;
     // Nothing has changed between the last change known here and the watch's
     // begin, so peers that know as much can take these changes.
-    const fromCursor = Math.min(
-      Number(cursor),
-      Math.max(this.#unbrokenSince, this.#eventCursor),
-    );
-    if (toCursor > this.#eventCursor) {
-      this.#eventCursor = toCursor;
-      for (const event of events) onEvent(event);
+    const fromPosition = Math.min(cursor, this.#position);
+    // A peer may have told these changes, and later ones, meanwhile.
+    if (toPosition > this.#position) {
+      this.#position = toPosition;
+      this.#apply(events);
     }
-    relay.publish(prefix, { fromCursor, toCursor, events });
+    relay.publish(prefix, { fromPosition, toPosition, events });
     await timers.setTimeout(BATCH_PAUSE_MS);
     return true;
   }
 
+  /** Makes the table equal to a list, and returns what that changed. */
+  #replace(
+    objects: readonly contracts.StoredObject[],
+  ): readonly ObjectChange[] {
+    const changes = this.#table.changesTo(objects);
+    if (this.#isListed) {
+      this.#apply(changes);
+      return changes;
+    }
+    this.#isListed = true;
+    for (const change of changes) this.#table.apply(change);
+    this.#options.onList(objects);
+    return changes;
+  }
+
+  #apply(changes: readonly ObjectChange[]): void {
+    for (const change of changes) {
+      this.#table.apply(change);
+      this.#options.onEvent(change);
+    }
+  }
+
   #waitMs(): number {
-    const { vmCount, random } = this.#options;
-    const longestMs = Math.min(
-      WATCH_WAIT_MAX_MS,
-      Math.max(WATCH_WAIT_MIN_MS, vmCount() * WATCH_WAIT_PER_VM_MS),
-    );
-    return Math.round(longestMs * (0.5 + random.next() / 2));
+    const { random } = this.#options;
+    return Math.round(WATCH_WAIT_MS * (0.5 + random.next() / 2));
   }
 
   #failed(error: contracts.StoreError): boolean {
-    if (this.#cursor === undefined && this.#abort!.signal.aborted) return true;
+    if (this.#abort!.signal.aborted) return true;
     this.#failures++;
     this.#options.health.noteFailure(error);
     return false;
--- /dev/null
+++ b/packages/entry/src/gateway/object_table.ts
@@ -0,0 +1,43 @@
+/** The objects of one kind of the platform's store, as last known. */
+import type * as contracts from "@guavatide/contracts";
+
+/** A change of one object; without the object when it was deleted. */
+export type ObjectChange = Pick<contracts.WatchEvent, "name" | "object">;
+
+/** Objects by name. */
+export class ObjectTable {
+  readonly #objects = new Map<string, contracts.StoredObject>();
+
+  /** All objects. */
+  get all(): contracts.StoredObject[] {
+    return [...this.#objects.values()];
+  }
+
+  /** Names of all objects. */
+  get names(): string[] {
+    return [...this.#objects.keys()];
+  }
+
+  /** Takes over one change. */
+  apply({ name, object }: ObjectChange): void {
+    if (object === undefined) this.#objects.delete(name);
+    else this.#objects.set(name, object);
+  }
+
+  /** What makes this table equal to a whole list. */
+  changesTo(objects: readonly contracts.StoredObject[]): ObjectChange[] {
+    const changes: ObjectChange[] = objects
+      .filter(({ name, version }) =>
+        this.#objects.get(name)?.version !== version
+      )
+      .map((object) => ({ name: object.name, object }));
+    return [...changes, ...this.missing(objects.map(({ name }) => name))];
+  }
+
+  /** Deletions of the objects that are not among the names. */
+  missing(names: readonly string[]): ObjectChange[] {
+    const listed = new Set(names);
+    return this.names.filter((name) => !listed.has(name))
+      .map((name) => ({ name }));
+  }
+}
--- /dev/null
+++ b/packages/entry/src/gateway/peer_calls.ts
@@ -0,0 +1,167 @@
+/**
+ * Calls between entry VMs for what does not fit into a datagram: JSON-RPC 2.0
+ * over HTTP, on the port of the datagrams.
+ */
+import * as jsonRpc from "json-rpc-2.0";
+import * as neverthrow from "neverthrow";
+import * as http from "node:http";
+import type * as z from "zod";
+import { HttpChannel } from "../platform/http_channel.ts";
+import * as httpServer from "../utils/http_server.ts";
+import type { LifeCycle } from "../utils/life_cycle.ts";
+import type { PartLog } from "../utils/log.ts";
+
+/** Options of {@link PeerCalls}. */
+export interface PeerCallsOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly log: PartLog;
+}
+
+/** Address of a peer's calls. */
+export interface PeerAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** A call and the form of its result. */
+export interface PeerQuestion<Schema extends z.ZodType> {
+  readonly method: string;
+  readonly name: string;
+  readonly result: Schema;
+}
+
+/** Why a peer gave no usable answer. */
+export interface PeerCallError {
+  readonly kind: "unreachable" | "unreadable";
+  readonly message: string;
+}
+
+/** Answers a question about a named thing; undefined when it is not known. */
+export type PeerAnswer = (name: string) => object | undefined;
+
+/** Longest time of one call. */
+const CALL_TIMEOUT_MS = 600;
+const LONGEST_QUESTION_BYTES = 4_096;
+const UNKNOWN_CODE = -32_001;
+
+/** Asks peers and answers them. */
+export class PeerCalls {
+  readonly #options: PeerCallsOptions;
+  readonly #answers = new Map<string, PeerAnswer>();
+
+  constructor(options: PeerCallsOptions) {
+    this.#options = options;
+  }
+
+  /** Registers who answers a method. */
+  on(method: string, answer: PeerAnswer): void {
+    this.#answers.set(method, answer);
+  }
+
+  /** Starts to listen. Errors: the port is taken. */
+  async listen(lifeCycle: LifeCycle): Promise<void> {
+    const server = http.createServer((request, response) => {
+      this.#take(request, response).catch((error) => {
+        this.#options.log.warn("Peer's call failed.", { error: String(error) });
+        response.destroy();
+      });
+    });
+    lifeCycle.onStop({
+      name: "calls of peers",
+      timeoutMs: 100,
+      run: () => {
+        server.close();
+        server.closeAllConnections();
+      },
+    });
+    await httpServer.listenOn(server, this.#options);
+  }
+
+  /** Asks one peer. Errors: {@link PeerCallError}. */
+  async ask<Schema extends z.ZodType>(
+    { host, port }: PeerAddress,
+    { method, name, result }: PeerQuestion<Schema>,
+  ): Promise<neverthrow.Result<z.output<Schema>, PeerCallError>> {
+    const channel = new HttpChannel(`http://${host}:${port}`);
+    const call = jsonRpc.createJSONRPCRequest(1, method, { name });
+    const answer = await channel.call({
+      method: "POST",
+      path: "/",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify(call),
+    }, { timeoutMs: CALL_TIMEOUT_MS });
+    channel.close().catch((error) =>
+      this.#options.log.debug("Peer's channel not closed.", {
+        host,
+        error: String(error),
+      })
+    );
+    if (answer.isErr()) {
+      const { message } = answer.error;
+      return neverthrow.err({ kind: "unreachable", message });
+    }
+    return readResult(answer.value.text, result);
+  }
+
+  async #take(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const call = readCall(await readText(request));
+    const name = call?.params?.name;
+    const answer = call === undefined || typeof name !== "string"
+      ? undefined
+      : this.#answers.get(call.method)?.(name);
+    const id = call?.id ?? null;
+    const reply = answer === undefined
+      ? jsonRpc.createJSONRPCErrorResponse(id, UNKNOWN_CODE, "Not known here")
+      : jsonRpc.createJSONRPCSuccessResponse(id, answer);
+    const bytes = Buffer.from(JSON.stringify(reply));
+    response.writeHead(200, {
+      "content-type": "application/json",
+      "content-length": bytes.length,
+      connection: "close",
+    });
+    response.end(bytes);
+  }
+}
+
+async function readText(request: http.IncomingMessage): Promise<string> {
+  let text = "";
+  for await (const chunk of request) {
+    text += chunk;
+    if (text.length > LONGEST_QUESTION_BYTES) {
+      throw new Error("The question is too long; ask for one thing by name");
+    }
+  }
+  return text;
+}
+
+function readCall(text: string): jsonRpc.JSONRPCRequest | undefined {
+  try {
+    const call = JSON.parse(text);
+    return jsonRpc.isJSONRPCRequest(call) ? call : undefined;
+  } catch {
+    // Not JSON; the caller gets an error as its answer.
+    return undefined;
+  }
+}
+
+function readResult<Schema extends z.ZodType>(
+  text: string,
+  schema: Schema,
+): neverthrow.Result<z.output<Schema>, PeerCallError> {
+  const unreadable = (message: string) =>
+    neverthrow.err({ kind: "unreadable" as const, message });
+  try {
+    const reply = JSON.parse(text);
+    const parsed = schema.safeParse(reply?.result);
+    if (parsed.success) return neverthrow.ok(parsed.data);
+    return unreadable(
+      reply?.error?.message ?? "The answer has another form; ask another peer",
+    );
+  } catch (error) {
+    return unreadable(`The answer is not JSON: ${String(error)}`);
+  }
+}
--- a/packages/entry/src/gateway/peer_gossip.ts
+++ b/packages/entry/src/gateway/peer_gossip.ts
@@ -152,6 +152,11 @@
     if (host !== this.#options.self.host) this.#seeds.add(host);
   }
 
+  /** Addresses of other VMs that the settings name. */
+  get seedCount(): number {
+    return this.#seeds.size;
+  }
+
   /** Called with each status of a peer that is newer than the last. */
   onStatus(listener: (heard: HeardStatus) => void): void {
     this.#statusListeners.push(listener);
@@ -261,15 +266,6 @@
     return this.#options.clock.nowMs() - peer.heardAtMs;
   }
 
-  /** How long some live peer has reached the store without a failure. */
-  get storeCalmMs(): number {
-    let calmMs = 0;
-    for (const { hasStore, storeCalmMs } of this.#book.statuses()) {
-      if (hasStore) calmMs = Math.max(calmMs, storeCalmMs);
-    }
-    return calmMs;
-  }
-
   /** Entry VMs that are up, this one included. */
   get vmCount(): number {
     return 1 + this.#book.live.length;
--- a/packages/entry/src/gateway/peer_messages.ts
+++ b/packages/entry/src/gateway/peer_messages.ts
@@ -22,6 +22,12 @@
 /** Method of {@link SlotWords}. */
 export const SLOT_WORDS_METHOD = "slotWords";
 
+/** Method of {@link ReaderWord}. */
+export const READER_METHOD = "reader";
+/** Method of {@link PeersWish}. */
+export const PEERS_WISH_METHOD = "peersWish";
+/** Method of {@link KnownPeers}. */
+export const PEERS_METHOD = "peers";
 /** Method of {@link Changes}. */
 export const CHANGES_METHOD = "changes";
 /** Method of {@link ChangesWish}. */
@@ -62,8 +68,11 @@
   ),
   /** How long the process has run. */
   lifeMs: z.number(),
-  /** How long it has reached the store without a failure. */
-  storeCalmMs: z.number(),
+  /**
+   * VMs that read the store for all and reach it: time since their last word,
+   * and how long they had then reached it without a failure.
+   */
+  readers: z.record(z.string(), z.tuple([z.number(), z.number()])),
   configVersion: z.number().int(),
   /** Positions of the last changes heard of, in the store's order. */
   configCursor: z.number().int(),
@@ -231,8 +240,12 @@
   events: z.array(
     z.tuple([z.string(), z.tuple([z.string(), z.string()]).nullable()]),
   ).nullable(),
+  /** All names that exist, when the changes come from a list; else null. */
+  names: z.array(z.string()).nullable(),
+  /** Whether the receiver passes the message on to its cell. */
+  isForCell: z.boolean(),
 });
-/** Changes that a VM has read from the platform's store, for its cell. */
+/** Changes that a reader has seen in the platform's store. */
 export type Changes = z.infer<typeof changesSchema>;
 
 /** Schema of {@link ChangesWish}. */
@@ -243,3 +256,46 @@
 });
 /** Asks a peer for the changes after a position. */
 export type ChangesWish = z.infer<typeof changesWishSchema>;
+
+/** Schema of {@link ReaderWord}. */
+export const readerWordSchema = z.object({
+  vm: contracts.vmIdSchema,
+  /** How long it has reached the store without a failure. */
+  storeCalmMs: z.number(),
+  /** By prefix: position of the last change heard of. */
+  positions: z.record(z.string(), z.number().int()),
+});
+/** A reader tells one VM of each cell that it reaches the store. */
+export type ReaderWord = z.infer<typeof readerWordSchema>;
+
+/** Schema of {@link PeersWish}. */
+export const peersWishSchema = z.object({
+  vm: contracts.vmIdSchema,
+  host: z.string(),
+  port: z.number().int(),
+  /** Names the set of VMs that the sender knows, itself included. */
+  digest: z.number().int(),
+});
+/** Asks which VMs the receiver knows, if they are others. */
+export type PeersWish = z.infer<typeof peersWishSchema>;
+
+/** Schema of {@link KnownPeers}. */
+export const knownPeersSchema = z.object({
+  peers: z.array(z.tuple([
+    contracts.vmIdSchema,
+    z.string(),
+    z.number().int(),
+  ])),
+});
+/** Addresses of the VMs that the sender knows, itself included. */
+export type KnownPeers = z.infer<typeof knownPeersSchema>;
+
+/** Schema of {@link KindState}. */
+export const kindStateSchema = z.object({
+  /** Position of the last change that is part of it. */
+  position: z.number().int(),
+  /** Names with version and value. */
+  objects: z.array(z.tuple([z.string(), z.string(), z.string()])),
+});
+/** All objects of a kind, as a VM knows them. */
+export type KindState = z.infer<typeof kindStateSchema>;
--- a/packages/entry/src/gateway/range_map_store.ts
+++ b/packages/entry/src/gateway/range_map_store.ts
@@ -11,6 +11,12 @@
   readonly log: PartLog;
 }
 
+/** Options of {@link RangeMapStore.read}. */
+export interface RangeMapReadOptions {
+  /** The map may be some seconds old; such a read costs a tenth. */
+  readonly mayBeStale?: boolean;
+}
+
 const PREFIX = "rangemaps/";
 /** The store answers in milliseconds, at its slowest in some tenths of a second. */
 const READ_TIMEOUT_MS = 800;
@@ -25,10 +31,14 @@
   }
 
   /** Reads the map of a service; `unsure` when it can't be read now. */
-  async read(service: contracts.ServiceId): Promise<grants.MapCallEnd> {
+  async read(
+    service: contracts.ServiceId,
+    { mayBeStale = false }: RangeMapReadOptions = {},
+  ): Promise<grants.MapCallEnd> {
     const { store, health } = this.#options;
     const result = await store.get(`${PREFIX}${service}`, {
       timeoutMs: READ_TIMEOUT_MS,
+      mayBeStale,
     });
     if (result.isErr()) {
       health.noteFailure(result.error);
--- a/packages/entry/src/gateway/server_registry.ts
+++ b/packages/entry/src/gateway/server_registry.ts
@@ -1,15 +1,14 @@
 /** Backend servers of all services, as they registered in the store. */
 import type * as contracts from "@guavatide/contracts";
 import type { PartLog } from "../utils/log.ts";
+import type { ObjectChange } from "./object_table.ts";
 import type { PlatformAdapter } from "./platform_adapter.ts";
-import type { StoreHealth } from "./store_health.ts";
 
 /** Options of {@link ServerRegistry}. */
 export interface ServerRegistryOptions {
   readonly adapter: Pick<PlatformAdapter, "decodeServer" | "prefixes">;
-  readonly health: StoreHealth;
-  /** How long some peer has reached the store without a failure. */
-  readonly peersStoreCalmMs: () => number;
+  /** How long the store has answered without a failure. */
+  readonly storeCalmMs: () => number;
   readonly clock: contracts.Clock;
   readonly log: PartLog;
 }
@@ -119,7 +118,7 @@
   }
 
   /** Takes over one change. */
-  takeEvent(event: contracts.WatchEvent): void {
+  takeEvent(event: ObjectChange): void {
     const known = this.#known.get(
       this.#serverOf(event.name) as contracts.ServerId,
     );
@@ -149,14 +148,9 @@
     if (isChanged) this.#changed();
   }
 
-  /**
-   * Whether an entry that is missing has not lapsed while the store was away.
-   * When only this VM did not reach the store, its peers know that.
-   */
+  /** Whether a missing entry has not lapsed while the store was away. */
   #isStoreCalm(): boolean {
-    const { health, peersStoreCalmMs } = this.#options;
-    if (!health.isReached) return false;
-    return Math.max(health.calmMs, peersStoreCalmMs()) > LAPSED_GRACE_MS;
+    return this.#options.storeCalmMs() > LAPSED_GRACE_MS;
   }
 
   #take(object: contracts.StoredObject): void {
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -32,6 +32,10 @@
   readonly peers: () => readonly GrantPeer[];
   /** How long a VM has not been heard. */
   readonly silentMs: (vm: contracts.VmId) => number;
+  /** Asks a peer for the map as it knows it. */
+  readonly askMap: (
+    peer: contracts.VmId,
+  ) => Promise<contracts.RangeMap | undefined>;
   /** Sends news of the map to all peers. */
   readonly publish: (news: RangeMapNews) => void;
   /** Tells peers this VM's state at once. */
@@ -50,6 +54,8 @@
 const PENDING_MS = 1_500;
 /** The mover's news may arrive so much later than a peer's word of the map. */
 const NEWS_GRACE_MS = 120;
+/** A VM that has just started hears first who else could make the moves. */
+const MOVER_GRACE_MS = 700;
 /** Least time between two reads of the map by a VM that lacks evidence. */
 const READ_SPACING_MS = 250;
 
@@ -71,8 +77,11 @@
   readonly #firstMap = new grants.FirstMapWait();
   readonly #order: grants.DutyOrder;
   readonly #publisher: MapPublisher;
-  /** Since when peers know a newer map than this VM. */
+  /** Since when peers know a newer map than this VM, and who told so last. */
   #behindSinceMs: number | undefined;
+  #aheadPeer: contracts.VmId | undefined;
+  /** Whether the store was asked for a first map. */
+  #hasLooked = false;
   #isReading = false;
   #readAtMs = Number.NEGATIVE_INFINITY;
   readonly #lost = new grants.LostServers();
@@ -200,8 +209,9 @@
   }
 
   /** A peer knows a revision of the map. */
-  noteRevision(revision: number): void {
+  noteRevision(revision: number, peer: contracts.VmId): void {
     if (revision <= (this.#map?.revision ?? 0)) return;
+    this.#aheadPeer = peer;
     this.#behindSinceMs ??= this.#options.clock.nowMs();
   }
 
@@ -218,7 +228,7 @@
       ? undefined
       : grants.withChanges(this.#map?.ranges ?? [], map.ranges);
     // What the news builds on never arrived here.
-    if (ranges === undefined) return this.#readSoon();
+    if (ranges === undefined) return this.#catchUp();
     this.#pending = pending;
     this.#adopt({ ...map, ranges }, "news");
   }
@@ -237,7 +247,8 @@
     this.#followDuty(nowMs);
     const isBehind = this.#behindSinceMs !== undefined &&
       nowMs - this.#behindSinceMs >= NEWS_GRACE_MS;
-    if (!this.#isSettled || isBehind) this.#readSoon();
+    if (this.#hasDuty && !this.#isSettled) this.#readSoon();
+    else if (!this.#hasLooked || isBehind) this.#catchUp();
     if (this.#map !== undefined) this.#renew(this.#map, nowMs);
     if (this.#isMover) this.#move(nowMs);
   }
@@ -255,7 +266,8 @@
   }
 
   #followDuty(nowMs: number): void {
-    const isMover = this.moverVm === this.#options.vm;
+    const isMover = nowMs - this.#startedAtMs >= MOVER_GRACE_MS &&
+      this.moverVm === this.#options.vm;
     if (isMover === this.#isMover) return;
     this.#isMover = isMover;
     const { service, log } = this.#options;
@@ -267,30 +279,65 @@
 
   // Reading
 
+  /** Whether this VM's word or moves rest on its own reading of the store. */
+  get #hasDuty(): boolean {
+    const keepers = this.#map?.keeperSets.flat() ?? [];
+    return this.#isMover || keepers.includes(this.#options.vm);
+  }
+
   /** Reads the map from the store, unless one read is under way or just was. */
   #readSoon(): void {
-    const { clock, maps, service, log } = this.#options;
-    const nowMs = clock.nowMs();
-    if (this.#isReading || nowMs - this.#readAtMs < READ_SPACING_MS) return;
-    this.#isReading = true;
-    this.#readAtMs = nowMs;
-    maps.read(service).then((end) => {
-      this.#isReading = false;
+    this.#onceAtATime(async (nowMs) => {
+      const end = await this.#options.maps.read(this.#options.service);
       if (end.kind === "unsure") return;
       this.#isSettled = true;
+      this.#hasLooked = true;
       if (end.kind === "absent") return;
       const { map } = end.stored;
       this.#keepers.noteRead(map.revision, nowMs);
-      if (map.revision > (this.#map?.revision ?? 0)) {
-        this.#pending.clear();
-        this.#adopt(map, "store");
-      }
-    }).catch((error) => {
-      this.#isReading = false;
-      log.error("Reading the range map failed.", { error: String(error) });
+      this.#adoptNewer(map, "store");
+    });
+  }
+
+  /**
+   * Learns the map of the store or of a peer. Keepers read it themselves, so
+   * that their word is evidence; to all others an older one does no harm, since
+   * servers refuse what they do not own and peers tell of a newer one.
+   */
+  #catchUp(): void {
+    if (this.#hasDuty) return this.#readSoon();
+    this.#onceAtATime(async () => {
+      const peer = this.#aheadPeer;
+      this.#aheadPeer = undefined;
+      const told = peer === undefined
+        ? undefined
+        : await this.#options.askMap(peer);
+      if (told !== undefined) return this.#adoptNewer(told, "peer");
+      const { maps, service } = this.#options;
+      const end = await maps.read(service, { mayBeStale: !this.#hasLooked });
+      if (end.kind === "unsure") return;
+      this.#hasLooked = true;
+      if (end.kind === "found") this.#adoptNewer(end.stored.map, "store");
     });
   }
 
+  #onceAtATime(learn: (nowMs: number) => Promise<void>): void {
+    const { clock, log } = this.#options;
+    const nowMs = clock.nowMs();
+    if (this.#isReading || nowMs - this.#readAtMs < READ_SPACING_MS) return;
+    this.#isReading = true;
+    this.#readAtMs = nowMs;
+    learn(nowMs).catch((error) =>
+      log.error("Learning the range map failed.", { error: String(error) })
+    ).finally(() => this.#isReading = false);
+  }
+
+  #adoptNewer(map: contracts.RangeMap, from: string): void {
+    if (map.revision <= (this.#map?.revision ?? 0)) return;
+    this.#pending.clear();
+    this.#adopt(map, from);
+  }
+
   #adopt(map: contracts.RangeMap, from: string): void {
     this.#map = map;
     this.#behindSinceMs = undefined;
--- a/packages/entry/src/gateway/store_probe.ts
+++ b/packages/entry/src/gateway/store_probe.ts
@@ -1,12 +1,20 @@
 /**
  * Asks the platform's store at an interval whether it answers. A watch waits
- * in silence, so without a probe a VM would not notice that the store is away,
- * nor that it is back.
+ * in silence, so without a probe a reader would not notice that the store is
+ * away, nor that it is back.
  */
 import type * as contracts from "@guavatide/contracts";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import type { StoreHealth } from "./store_health.ts";
 
+/** How much a VM's part depends on the store. */
+export type StoreNeed =
+  /** It reads for all, or moves keys. */
+  | "duty"
+  /** It may have to take over. */
+  | "standby"
+  | "none";
+
 /** Options of {@link StoreProbe}. */
 export interface StoreProbeOptions {
   readonly store: contracts.PlatformStore;
@@ -15,8 +23,7 @@
   readonly name: string;
   readonly onObject: (object: contracts.StoredObject) => void;
   readonly clock: contracts.Clock;
-  /** Whether this VM's part depends on the store: as a reader or keeper. */
-  readonly isWatching: () => boolean;
+  readonly need: () => StoreNeed;
 }
 
 /**
@@ -25,8 +32,7 @@
  * a call.
  */
 const PROBE_MS = 800;
-/** A VM that others read for asks so seldom, while it is answered. */
-const RESTING_PROBE_MS = 5_000;
+const STANDBY_PROBE_MS = 5_000;
 /** The store answers in 4 ms, in 400 ms when it is slow. */
 const PROBE_TIMEOUT_MS = 750;
 
@@ -43,7 +49,8 @@
   /** Starts the task. */
   start(lifeCycle: LifeCycle): void {
     lifeCycle.every(PROBE_MS, () => {
-      this.#probe().catch((error) =>
+      if (!this.#isDue()) return;
+      this.ask().catch((error) =>
         this.#options.health.noteFailure({
           kind: "unavailable",
           message: String(error),
@@ -52,11 +59,9 @@
     });
   }
 
-  async #probe(): Promise<void> {
-    const { store, health, name, onObject, clock, isWatching } = this.#options;
-    const isResting = health.isReached && !isWatching() &&
-      clock.nowMs() - this.#askedMs < RESTING_PROBE_MS;
-    if (this.#isAsking || isResting) return;
+  /** Asks once, and returns whether the store answers. */
+  async ask(): Promise<boolean> {
+    const { store, health, name, onObject, clock } = this.#options;
     this.#isAsking = true;
     this.#askedMs = clock.nowMs();
     const result = await store.get(name, {
@@ -64,8 +69,26 @@
       mayBeStale: true,
     });
     this.#isAsking = false;
-    if (result.isErr()) return health.noteFailure(result.error);
+    if (result.isErr()) {
+      health.noteFailure(result.error);
+      return health.isReached;
+    }
     health.noteAnswer();
     onObject(result.value);
+    return true;
+  }
+
+  #isDue(): boolean {
+    const { clock, need, health } = this.#options;
+    if (this.#isAsking) return false;
+    const sinceMs = clock.nowMs() - this.#askedMs;
+    switch (need()) {
+      case "duty":
+        return true;
+      case "standby":
+        return sinceMs >= STANDBY_PROBE_MS;
+      case "none":
+        return !health.isReached && sinceMs >= STANDBY_PROBE_MS;
+    }
   }
 }
--- a/packages/entry/src/gateway/vm_directory.ts
+++ b/packages/entry/src/gateway/vm_directory.ts
@@ -1,10 +1,15 @@
-/** Entry VMs find one another through objects of their own in the store. */
+/**
+ * Entry VMs find one another through the VMs named in their settings, through
+ * any peer, and, when nobody answers, through objects of their own in the
+ * store.
+ */
 import * as contracts from "@guavatide/contracts";
-import * as timers from "node:timers/promises";
+import type * as ownership from "@guavatide/decisions/ownership/mod";
 import * as z from "zod";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import type { PartLog } from "../utils/log.ts";
 import type { GossipIdentity, PeerGossip } from "./peer_gossip.ts";
+import * as messages from "./peer_messages.ts";
 import type { StoreHealth } from "./store_health.ts";
 
 /** Options of {@link VmDirectory}. */
@@ -13,50 +18,130 @@
   readonly store: contracts.PlatformStore;
   readonly health: StoreHealth;
   readonly gossip: PeerGossip;
+  readonly hasher: ownership.KeyHasher;
+  readonly clock: contracts.Clock;
+  readonly random: contracts.RandomSource;
   readonly log: PartLog;
+  /** Whether newcomers are to find this VM in the store. */
+  readonly isContact: () => boolean;
 }
 
 const PREFIX = "entryvms/";
+const TICK_MS = 250;
 const CALL_TIMEOUT_MS = 1_000;
-const RETRY_MS = 400;
+/** Pause after a call to the store that failed. */
+const RETRY_MS = 1_000;
+/** Time that the VMs of the settings have to answer a newcomer. */
+const JOIN_GRACE_MS = 1_500;
+/**
+ * A newcomer asks peers who else is there, at first often, since all may start
+ * together; then seldom, so that two groups that know one VM in common join.
+ */
+const FIRST_ASK_MS = 250;
+const LAST_ASK_MS = 5_000;
 
 const vmObjectSchema = z.object({ host: z.string(), port: z.number().int() });
 
-/** Registers this VM and reads who else is there. */
+/** Finds the other entry VMs. */
 export class VmDirectory {
   readonly #options: VmDirectoryOptions;
+  #startedAtMs = 0;
+  #askIntervalMs = FIRST_ASK_MS;
+  #nextAskMs = 0;
+  #isRegistered = false;
+  #isCalling = false;
+  #noCallBeforeMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: VmDirectoryOptions) {
     this.#options = options;
+    const { gossip } = options;
+    gossip.on(
+      messages.PEERS_WISH_METHOD,
+      messages.peersWishSchema,
+      (wish) => this.#answer(wish),
+    );
+    gossip.on(
+      messages.PEERS_METHOD,
+      messages.knownPeersSchema,
+      ({ peers }) => {
+        for (const [vm, host, port] of peers) gossip.addPeer(vm, host, port);
+      },
+    );
   }
 
-  /** Starts the task; it ends when the others are known. */
+  /** Starts the regular work. */
   start(lifeCycle: LifeCycle): void {
-    this.#run(lifeCycle.signal).catch((error) =>
-      this.#options.log.error("Finding peers failed.", { error: String(error) })
-    );
+    this.#startedAtMs = this.#options.clock.nowMs();
+    this.#tick();
+    lifeCycle.every(TICK_MS, () => this.#tick());
   }
 
-  async #run(signal: AbortSignal): Promise<void> {
-    // Of two VMs that start together the later to register finds the other in
-    // its list, and tells it of itself in a datagram.
-    await this.#retry(signal, () => this.#register());
-    await this.#retry(signal, () => this.#list());
+  #tick(): void {
+    const { clock, gossip, isContact } = this.#options;
+    const nowMs = clock.nowMs();
+    if (nowMs >= this.#nextAskMs) this.#ask(nowMs);
+    const graceMs = gossip.seedCount > 0 ? JOIN_GRACE_MS : 0;
+    const isAlone = gossip.live.length === 0 &&
+      nowMs - this.#startedAtMs >= graceMs;
+    const mayCall = !this.#isCalling && nowMs >= this.#noCallBeforeMs;
+    if (this.#isRegistered || !mayCall || !(isAlone || isContact())) return;
+    this.#isCalling = true;
+    this.#register().then((isDone) => {
+      this.#isCalling = false;
+      this.#isRegistered = isDone;
+      if (!isDone) this.#noCallBeforeMs = clock.nowMs() + RETRY_MS;
+    }, (error) => {
+      this.#isCalling = false;
+      this.#noCallBeforeMs = clock.nowMs() + RETRY_MS;
+      this.#options.log.error("Finding peers failed.", {
+        error: String(error),
+      });
+    });
   }
 
-  async #retry(
-    signal: AbortSignal,
-    step: () => Promise<boolean>,
-  ): Promise<boolean> {
-    while (!signal.aborted) {
-      if (await step()) return true;
-      await timers.setTimeout(RETRY_MS);
-    }
-    return false;
+  /** Asks one peer, of the own availability zone if there is any. */
+  #ask(nowMs: number): void {
+    const { gossip, random, self: { vm, host, port, zone } } = this.#options;
+    const near = gossip.live.filter((peer) => peer.zone === zone);
+    const peers = near.length > 0 ? near : gossip.live;
+    const peer = peers[Math.floor(random.next() * peers.length)];
+    if (peer === undefined) return;
+    const wish: messages.PeersWish = { vm, host, port, digest: this.#digest() };
+    gossip.send(messages.PEERS_WISH_METHOD, wish, [peer.vm]);
+    this.#nextAskMs = nowMs + this.#askIntervalMs * (0.5 + random.next());
+    this.#askIntervalMs = Math.min(LAST_ASK_MS, this.#askIntervalMs * 2);
   }
 
-  /** One call, or two for a name whose address has changed. */
+  #answer({ vm, host, port, digest }: messages.PeersWish): void {
+    const { gossip, self } = this.#options;
+    // The later of two that ask this VM hears of the earlier.
+    gossip.addPeer(vm, host, port);
+    if (digest === this.#digest()) return;
+    const peers = [self, ...gossip.live]
+      .map((peer): messages.KnownPeers["peers"][number] => [
+        peer.vm,
+        peer.host,
+        peer.port,
+      ]);
+    gossip.send(messages.PEERS_METHOD, { peers }, [vm]);
+  }
+
+  #digest(): number {
+    const { gossip, self, hasher } = this.#options;
+    const names = [self, ...gossip.live].map(({ vm }) => vm).sort();
+    return hasher.hash(names.join());
+  }
+
+  /**
+   * Of two VMs that register at once the later finds the other in its list, and
+   * tells it of itself in a datagram.
+   */
   async #register(): Promise<boolean> {
+    return await this.#write() && await this.#list();
+  }
+
+  /** One call, or two for a name whose address has changed. */
+  async #write(): Promise<boolean> {
     const { store, self, health } = this.#options;
     const { host, port } = self;
     const name = `${PREFIX}${self.vm}`;
--- a/packages/entry/src/gateway/watch_relay.ts
+++ b/packages/entry/src/gateway/watch_relay.ts
@@ -1,90 +1,140 @@
 /**
- * Lets a few VMs of each cell watch the platform's store for all of them. A
- * watch by every VM costs a call by each for every batch of changes: 72 calls a
- * VM on a calm day, a sixth of what the day was worth.
+ * Lets a few VMs watch the platform's store for the whole deployment. Readers
+ * tell each change to their own cell and to one VM of every other cell, which
+ * passes it on.
  */
 import * as contracts from "@guavatide/contracts";
+import * as cells from "@guavatide/decisions/cells/mod";
 import * as grants from "@guavatide/decisions/grants/mod";
 import type * as ownership from "@guavatide/decisions/ownership/mod";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import type { PartLog } from "../utils/log.ts";
+import type { ObjectChange } from "./object_table.ts";
+import type { PeerCalls } from "./peer_calls.ts";
 import { encodeMessage } from "./peer_codec.ts";
-import type { PeerGossip } from "./peer_gossip.ts";
+import type { GossipIdentity, PeerGossip } from "./peer_gossip.ts";
 import * as messages from "./peer_messages.ts";
 import type { StoreHealth } from "./store_health.ts";
 
 /** Options of {@link WatchRelay}. */
 export interface WatchRelayOptions {
-  readonly vm: contracts.VmId;
+  readonly self: GossipIdentity;
   readonly gossip: PeerGossip;
+  readonly calls: PeerCalls;
   readonly health: StoreHealth;
   readonly hasher: ownership.KeyHasher;
+  readonly clock: contracts.Clock;
+  readonly random: contracts.RandomSource;
   readonly log: PartLog;
+  /** Whether other VMs are told to look for this one first. */
+  readonly isSeed: boolean;
+  readonly isLeaving: () => boolean;
+  /** Finds out whether the store answers this VM. */
+  readonly tryStore: () => Promise<boolean>;
 }
 
 /** Changes between two positions in the store's order. */
 export interface RelayedChanges {
-  readonly fromCursor: number;
-  readonly toCursor: number;
-  /** Undefined when the changes are not told: the receiver lists anew. */
-  readonly events: readonly contracts.WatchEvent[] | undefined;
+  readonly fromPosition: number;
+  readonly toPosition: number;
+  /** Undefined when the changes are not told: the receiver asks for all. */
+  readonly events: readonly ObjectChange[] | undefined;
+  /** All names that exist, when the changes come from a list. */
+  readonly names?: readonly string[];
 }
 
 /** The watch of one kind, as the relay sees it. */
 export interface RelayedWatch {
   readonly prefix: string;
+  /** Position of the last change that this VM has heard of. */
+  readonly position: number;
+  /** All objects; undefined before the first list. */
+  readonly state: messages.KindState | undefined;
   /** Takes changes that a peer has read. */
   takeRelayed(changes: RelayedChanges, from: contracts.VmId): void;
+  /** A peer has heard of changes up to a position. */
+  noteNews(position: number, peer: contracts.VmId): void;
   /** This VM became a reader, or is none any more. */
   roleChanged(): void;
 }
 
-/**
- * Readers of each cell. With two, the loss of one, or a connection of its that
- * has gone silent, delays nothing.
- */
-const READERS = 2;
-/** Interval at which readers are named anew. */
+/** Interval at which the duty is looked at. */
 const REVIEW_MS = 100;
-/** Changes that a reader remembers for peers that missed a message. */
+/** Interval at which a reader tells each cell that it reaches the store. */
+const WORD_MS = 300;
+/** Batches that a VM remembers for peers that missed a message. */
 const REMEMBERED_BATCHES = 64;
 /**
  * Largest message, in bytes. A datagram is lost when one of its packets is; for
- * more, as when a thousand routes come, each VM reads the store itself.
+ * more, as when a thousand routes come, each VM asks a peer for all objects.
  */
 const LARGEST_BYTES = 24_000;
+const STATE_METHOD = "kindState";
 
 /** The task that relays. */
 export class WatchRelay {
   readonly #options: WatchRelayOptions;
   readonly #order: grants.DutyOrder;
+  readonly #duty: cells.ReaderDuty;
   readonly #watches = new Map<string, RelayedWatch>();
   readonly #batches = new Map<string, RelayedChanges[]>();
-  #isReader = true;
+  #startedAtMs = 0;
+  #isTrying = false;
 
   constructor(options: WatchRelayOptions) {
     this.#options = options;
-    this.#order = new grants.DutyOrder(options.hasher);
-    options.gossip.on(
+    const { gossip, calls, hasher, self } = options;
+    this.#order = new grants.DutyOrder(hasher);
+    this.#duty = new cells.ReaderDuty(self.vm);
+    gossip.on(
       messages.CHANGES_METHOD,
       messages.changesSchema,
       (changes) => this.#take(changes),
     );
-    options.gossip.on(
+    gossip.on(
       messages.CHANGES_WISH_METHOD,
       messages.changesWishSchema,
       (wish) => this.#answer(wish),
     );
+    gossip.on(
+      messages.READER_METHOD,
+      messages.readerWordSchema,
+      (word) => this.#takeWord(word),
+    );
+    gossip.onStatus(({ status }) => this.#takeStatus(status));
+    calls.on(STATE_METHOD, (prefix) => this.#watches.get(prefix)?.state);
   }
 
   /** Starts the regular work. */
   start(lifeCycle: LifeCycle): void {
+    this.#startedAtMs = this.#options.clock.nowMs();
     lifeCycle.every(REVIEW_MS, () => this.#review());
+    lifeCycle.every(WORD_MS, () => this.#tellWord());
   }
 
   /** Whether this VM watches the store itself. */
   get isReader(): boolean {
-    return this.#isReader;
+    return this.#duty.isReader;
+  }
+
+  /** How long the store has answered without a failure, as the readers see it. */
+  get storeCalmMs(): number {
+    const { health, clock } = this.#options;
+    const ownMs = this.isReader && health.isReached ? health.calmMs : 0;
+    return Math.max(ownMs, this.#duty.storeCalmMs(clock.nowMs()));
+  }
+
+  /** Readers that this VM knows of, as it tells them in its status. */
+  get readers(): messages.PeerStatus["readers"] {
+    const { self, health, clock } = this.#options;
+    const nowMs = clock.nowMs();
+    const readers: messages.PeerStatus["readers"] = {};
+    for (const reader of this.#duty.active(nowMs)) {
+      const ageMs = Math.ceil(nowMs - reader.heardAtMs);
+      readers[reader.vm] = [ageMs, reader.storeCalmMs];
+    }
+    if (this.#isHealthyReader) readers[self.vm] = [0, told(health.calmMs)];
+    return readers;
   }
 
   /** Adds the watch of a kind. */
@@ -92,101 +142,245 @@
     this.#watches.set(watch.prefix, watch);
   }
 
-  /** Tells the cell what this VM has read. */
+  /** Tells all VMs what this one has read. */
   publish(prefix: string, changes: RelayedChanges): void {
-    if (this.#options.gossip.plan.isSingle) return;
-    const batches = this.#batches.get(prefix) ?? [];
-    this.#batches.set(prefix, batches);
-    batches.push(changes);
-    if (batches.length > REMEMBERED_BATCHES) batches.shift();
-    // Not known as a peer, this VM itself gets nothing.
-    this.#tell(prefix, changes, this.#members());
+    this.#remember(prefix, changes);
+    this.#send(prefix, changes, { vms: this.#members(), isForCell: false });
+    const vms = this.#oneOfEachOtherCell();
+    this.#send(prefix, changes, { vms, isForCell: true });
   }
 
   /** Asks a peer for the changes after a position. */
   ask(prefix: string, cursor: number, peer: contracts.VmId): void {
-    const { gossip, vm } = this.#options;
+    const { gossip, self: { vm } } = this.#options;
     gossip.send(messages.CHANGES_WISH_METHOD, { vm, prefix, cursor }, [peer]);
   }
 
+  /** All objects of a kind as a peer knows them; undefined without an answer. */
+  async fetchState(
+    prefix: string,
+    peer: contracts.VmId | undefined,
+  ): Promise<messages.KindState | undefined> {
+    const { gossip, calls, log } = this.#options;
+    const address = gossip.live.find(({ vm }) => vm === peer) ??
+      this.#anyPeer();
+    if (address === undefined) return undefined;
+    const state = await calls.ask(address, {
+      method: STATE_METHOD,
+      name: prefix,
+      result: messages.kindStateSchema,
+    });
+    const fields = { prefix, peer: address.vm };
+    if (state.isErr()) {
+      log.warn("A peer did not tell its state.", {
+        ...fields,
+        reason: state.error.message,
+      });
+      return undefined;
+    }
+    const { position, objects } = state.value;
+    log.info("State taken from a peer.", {
+      ...fields,
+      position,
+      objects: objects.length,
+    });
+    return state.value;
+  }
+
+  /** A live peer, one of the own availability zone if there is any. */
+  #anyPeer(): messages.PeerHello | undefined {
+    const { gossip, random, self } = this.#options;
+    const near = gossip.live.filter(({ zone }) => zone === self.zone);
+    const peers = near.length > 0 ? near : gossip.live;
+    return peers[Math.floor(random.next() * peers.length)];
+  }
+
   #members(): readonly contracts.VmId[] {
-    const { gossip, vm } = this.#options;
-    return gossip.plan.members(vm);
+    const { gossip, self } = this.#options;
+    return gossip.plan.members(self.vm);
+  }
+
+  /** Readers draw their own, so the loss of one VM keeps nothing from a cell. */
+  #oneOfEachOtherCell(): contracts.VmId[] {
+    const { gossip, random, self } = this.#options;
+    const live = new Set(gossip.live.map(({ vm }) => vm));
+    return gossip.plan.others(self.vm).flatMap((members) => {
+      const up = members.filter((vm) => live.has(vm));
+      const drawn = up[Math.floor(random.next() * up.length)];
+      return drawn === undefined ? [] : [drawn];
+    });
   }
 
-  /** Names the readers: the first of the cell's VMs that reach the store. */
+  get #isHealthyReader(): boolean {
+    const { health, isLeaving } = this.#options;
+    return this.isReader && health.isReached && !isLeaving();
+  }
+
+  // The duty
+
   #review(): void {
-    const { gossip, health, vm, log } = this.#options;
-    const members = new Set(this.#members());
-    const reach = gossip.live
-      .filter((peer) => members.has(peer.vm) && peer.hasStore)
-      .map((peer) => peer.vm);
-    if (health.isReached) reach.push(vm);
-    // When nobody reaches the store, all try.
-    const isReader = gossip.plan.isSingle || reach.length === 0 ||
-      this.#order.of("readers", reach.sort()).slice(0, READERS).includes(vm);
-    if (isReader === this.#isReader) return;
-    this.#isReader = isReader;
-    log.info(isReader ? "Reads for its cell." : "Leaves reading to peers.", {
-      cell: members.size,
+    const { gossip, health, clock, isSeed, isLeaving } = this.#options;
+    if (isLeaving() || this.#isTrying) return;
+    const nowMs = clock.nowMs();
+    const wasReader = this.isReader;
+    const step = this.#duty.review({
+      nowMs,
+      lifeMs: nowMs - this.#startedAtMs,
+      hasStore: health.isReached,
+      order: this.#candidates(),
+      isSeed: isSeed || gossip.seedCount === 0,
+    });
+    if (step === "try") this.#try();
+    else if (wasReader !== this.isReader) this.#roleChanged();
+  }
+
+  #candidates(): contracts.VmId[] {
+    const { gossip, self } = this.#options;
+    const reach = gossip.live.filter(({ hasStore }) => hasStore);
+    return cells.readerOrder(
+      [self, ...reach],
+      (vms) => this.#order.of("readers", [...vms].sort()),
+    );
+  }
+
+  #try(): void {
+    const { tryStore, clock, log } = this.#options;
+    this.#isTrying = true;
+    tryStore().then((isReached) => {
+      this.#isTrying = false;
+      this.#duty.noteTried(isReached, clock.nowMs());
+      if (isReached) this.#roleChanged();
+    }, (error) => {
+      this.#isTrying = false;
+      this.#duty.noteTried(false, clock.nowMs());
+      log.error("Trying the store failed.", { error: String(error) });
+    });
+  }
+
+  #roleChanged(): void {
+    const { log, gossip, clock } = this.#options;
+    log.info(this.isReader ? "Reads for all VMs." : "Leaves reading to peers.", {
+      peers: gossip.vmCount,
+      readers: this.#duty.active(clock.nowMs()).map(({ vm }) => vm).join(),
     });
     for (const watch of this.#watches.values()) watch.roleChanged();
+    this.#tellWord();
+  }
+
+  #tellWord(): void {
+    if (!this.#isHealthyReader) return;
+    const { gossip, health, self: { vm } } = this.#options;
+    const vms = this.#oneOfEachOtherCell();
+    if (vms.length === 0) return;
+    const positions = Object.fromEntries(
+      [...this.#watches].map(([prefix, { position }]) => [prefix, position]),
+    );
+    const storeCalmMs = told(health.calmMs);
+    const word: messages.ReaderWord = { vm, storeCalmMs, positions };
+    gossip.send(messages.READER_METHOD, word, vms);
+  }
+
+  #takeWord({ vm, storeCalmMs, positions }: messages.ReaderWord): void {
+    const heardAtMs = this.#options.clock.nowMs();
+    this.#duty.note({ vm, heardAtMs, storeCalmMs });
+    for (const [prefix, position] of Object.entries(positions)) {
+      this.#watches.get(prefix)?.noteNews(position, vm);
+    }
+  }
+
+  #takeStatus({ readers }: messages.PeerStatus): void {
+    const nowMs = this.#options.clock.nowMs();
+    for (const [vm, [ageMs, storeCalmMs]] of Object.entries(readers)) {
+      this.#duty.note({
+        vm: vm as contracts.VmId,
+        heardAtMs: nowMs - ageMs,
+        storeCalmMs,
+      });
+    }
   }
 
-  #tell(
+  // Changes
+
+  #remember(prefix: string, changes: RelayedChanges): void {
+    const batches = this.#batches.get(prefix) ?? [];
+    this.#batches.set(prefix, batches);
+    batches.push(changes);
+    if (batches.length > REMEMBERED_BATCHES) batches.shift();
+  }
+
+  #send(
     prefix: string,
     changes: RelayedChanges,
-    peers: readonly contracts.VmId[],
+    to: { readonly vms: readonly contracts.VmId[]; readonly isForCell: boolean },
   ): void {
-    const { vm, gossip } = this.#options;
+    if (to.vms.length === 0) return;
+    const { self: { vm }, gossip } = this.#options;
     const message: messages.Changes = {
       vm,
       prefix,
-      fromCursor: changes.fromCursor,
-      toCursor: changes.toCursor,
+      fromCursor: changes.fromPosition,
+      toCursor: changes.toPosition,
       events: changes.events?.map(({ name, object }) => [
         name,
         object === undefined ? null : [object.version, object.value],
       ]) ?? null,
+      names: changes.names === undefined ? null : [...changes.names],
+      isForCell: to.isForCell,
     };
     const { length } = encodeMessage(messages.CHANGES_METHOD, message);
     gossip.send(
       messages.CHANGES_METHOD,
-      length > LARGEST_BYTES ? { ...message, events: null } : message,
-      peers,
+      length > LARGEST_BYTES
+        ? { ...message, events: null, names: null }
+        : message,
+      to.vms,
     );
   }
 
-  #take(
-    { vm, prefix, fromCursor, toCursor, events }: messages.Changes,
-  ): void {
-    const decoded = events?.map(([name, object]): contracts.WatchEvent => ({
-      cursor: String(toCursor),
-      name,
-      ...(object === null
-        ? {}
-        : { object: { name, version: object[0], value: object[1] } }),
-    }));
-    this.#watches.get(prefix)
-      ?.takeRelayed({ fromCursor, toCursor, events: decoded }, vm);
+  #take(message: messages.Changes): void {
+    const { vm, prefix, fromCursor, toCursor, names } = message;
+    const events = message.events?.map(([name, object]): ObjectChange =>
+      object === null
+        ? { name }
+        : { name, object: { name, version: object[0], value: object[1] } }
+    );
+    const changes: RelayedChanges = {
+      fromPosition: fromCursor,
+      toPosition: toCursor,
+      events,
+      ...(names === null ? {} : { names }),
+    };
+    const watch = this.#watches.get(prefix);
+    if (watch === undefined) return;
+    if (toCursor > watch.position) this.#remember(prefix, changes);
+    watch.takeRelayed(changes, vm);
+    if (!message.isForCell) return;
+    this.#send(prefix, changes, { vms: this.#members(), isForCell: false });
   }
 
   /** Tells a peer what it missed, or that this is not remembered. */
   #answer({ vm, prefix, cursor }: messages.ChangesWish): void {
     const batches = this.#batches.get(prefix) ?? [];
-    const missed = batches.filter(({ toCursor }) => toCursor > cursor);
-    const first = missed[0];
-    const last = missed.at(-1);
-    if (first === undefined || last === undefined) return;
-    const isWhole = first.fromCursor <= cursor &&
-      missed.every(({ fromCursor, events }, index) =>
+    const missed = batches.filter(({ toPosition }) => toPosition > cursor);
+    const position = this.#watches.get(prefix)?.position ?? 0;
+    if (position <= cursor) return;
+    const isWhole = missed.length > 0 &&
+      missed.every(({ fromPosition, events }, index) =>
         events !== undefined &&
-        (index === 0 || fromCursor <= missed[index - 1]!.toCursor)
+        fromPosition <= (missed[index - 1]?.toPosition ?? cursor)
       );
-    const events = isWhole
-      ? missed.flatMap((batch) => batch.events ?? [])
-      : undefined;
-    const { fromCursor } = first;
-    this.#tell(prefix, { fromCursor, toCursor: last.toCursor, events }, [vm]);
+    const to = { vms: [vm], isForCell: false };
+    if (!isWhole) {
+      const none = { fromPosition: cursor, toPosition: position };
+      return this.#send(prefix, { ...none, events: undefined }, to);
+    }
+    for (const batch of missed) this.#send(prefix, batch, to);
   }
 }
+
+/** Nothing depends on a longer time than this. */
+const LONGEST_CALM_MS = 60_000;
+
+function told(calmMs: number): number {
+  return Math.min(LONGEST_CALM_MS, Math.floor(calmMs));
+}
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -17,6 +17,7 @@
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { GrantTask } from "./grant_task.ts";
 import { KindWatch } from "./kind_watch.ts";
+import { PeerCalls } from "./peer_calls.ts";
 import { type OwnState, PeerGossip } from "./peer_gossip.ts";
 import type { PlatformAdapter } from "./platform_adapter.ts";
 import { RangeMapStore } from "./range_map_store.ts";
@@ -38,8 +39,6 @@
  * in their answers, which goes first; a new connection costs a server 1 ms.
  */
 const LINK_IDLE_MS = 8_000;
-/** A longer calm is told as this: nothing depends on more. */
-const LONGEST_CALM_MS = 60_000;
 /** Longest wait for one step of a stop after the listener has ended. */
 const CLOSE_TIMEOUT_MS = 300;
 
@@ -73,10 +72,9 @@
   const { store } = adapter;
   const health = new StoreHealth({ clock, log: log.part("store") });
   const config = new ConfigHolder({ adapter, log: log.part("config") });
-  const registry = new ServerRegistry({
+  const registry: ServerRegistry = new ServerRegistry({
     adapter,
-    health,
-    peersStoreCalmMs: () => gossip.storeCalmMs,
+    storeCalmMs: () => relay.storeCalmMs,
     clock,
     log: log.part("member"),
   });
@@ -102,12 +100,34 @@
     ownLoads: () => forwarder.ownState().loads,
   });
   const hasher = await ownership.KeyHasher.create();
-  const relay = new WatchRelay({
-    vm: settings.vm,
+  const probe = new StoreProbe({
+    store,
+    health,
+    name: adapter.prefixes.configObject,
+    onObject: (object) => config.take(object),
+    clock,
+    need: () => {
+      if (relay.isReader || grantTask.isMover) return "duty";
+      return grantTask.keepers().has(settings.vm) ? "standby" : "none";
+    },
+  });
+  const calls = new PeerCalls({
+    host: settings.host,
+    port: settings.peerPort,
+    log: log.part("member"),
+  });
+  const relay: WatchRelay = new WatchRelay({
+    self,
     gossip,
+    calls,
     health,
     hasher,
+    clock,
+    random,
     log: log.part("store"),
+    isSeed: settings.seeds.some(({ host }) => host === settings.host),
+    isLeaving: () => lifeCycle.isStopping,
+    tryStore: () => probe.ask(),
   });
   const watches = createWatches();
   const grantTask: GrantTask = new GrantTask({
@@ -117,6 +137,7 @@
     config,
     registry,
     gossip,
+    calls,
     maps: new RangeMapStore({ store, health, log: log.part("owner") }),
     control: adapter.grants,
     health,
@@ -178,7 +199,6 @@
       log: log.part("store"),
       clock,
       random,
-      vmCount: () => gossip.vmCount,
       relay,
     };
     return {
@@ -200,10 +220,10 @@
   function ownState(): OwnState {
     return {
       lifeMs: Math.ceil(clock.nowMs() - startedMs),
-      storeCalmMs: Math.min(LONGEST_CALM_MS, Math.floor(health.calmMs)),
+      readers: relay.readers,
       configVersion: config.version,
-      configCursor: watches.config.eventCursor,
-      serversCursor: watches.servers.eventCursor,
+      configCursor: watches.config.position,
+      serversCursor: watches.servers.position,
       ...grantTask.ownState(),
       ...forwarder.ownState(),
     };
@@ -236,21 +256,19 @@
     forwarder,
     listener,
     metrics,
-    probe: new StoreProbe({
-      store,
-      health,
-      name: adapter.prefixes.configObject,
-      onObject: (object) => config.take(object),
-      clock,
-      isWatching: () => relay.isReader || grantTask.keepers().has(settings.vm),
-    }),
+    probe,
+    calls,
     relay,
     directory: new VmDirectory({
       self,
       store,
       health,
       gossip,
+      hasher,
+      clock,
+      random,
       log: log.part("member"),
+      isContact: () => relay.isReader,
     }),
   };
 }
@@ -285,6 +303,7 @@
     watches.servers.noteNews(serversCursor, vm);
   });
   await gossip.start(lifeCycle);
+  await parts.calls.listen(lifeCycle);
   parts.directory.start(lifeCycle);
   parts.probe.start(lifeCycle);
   parts.relay.start(lifeCycle);
