--- a/packages/entry/src/gateway/kind_watch.ts
+++ b/packages/entry/src/gateway/kind_watch.ts
@@ -192,7 +192,9 @@
     const { isReader } = this.#options.relay;
     if (!this.#isListed) return this.#begin();
     if (this.#isStale) {
-      return isReader ? this.#list({ mayBeStale: false }) : this.#takeFromPeer();
+      return isReader
+        ? this.#list({ mayBeStale: false })
+        : this.#takeFromPeer();
     }
     return isReader ? this.#watch() : this.#untilWoken(signal);
   }
@@ -248,7 +250,10 @@
     this.#failures = 0;
     this.#isStale = false;
     const { objects, cursor } = result.value;
-    const newest = Math.max(0, ...objects.map(({ version }) => Number(version)));
+    const newest = Math.max(
+      0,
+      ...objects.map(({ version }) => Number(version)),
+    );
     if (options.mayBeStale) {
       this.#replace(objects);
       // Objects may be older than the list's own position says.
--- a/packages/entry/src/gateway/watch_relay.ts
+++ b/packages/entry/src/gateway/watch_relay.ts
@@ -259,10 +259,13 @@
 
   #roleChanged(): void {
     const { log, gossip, clock } = this.#options;
-    log.info(this.isReader ? "Reads for all VMs." : "Leaves reading to peers.", {
-      peers: gossip.vmCount,
-      readers: this.#duty.active(clock.nowMs()).map(({ vm }) => vm).join(),
-    });
+    log.info(
+      this.isReader ? "Reads for all VMs." : "Leaves reading to peers.",
+      {
+        peers: gossip.vmCount,
+        readers: this.#duty.active(clock.nowMs()).map(({ vm }) => vm).join(),
+      },
+    );
     for (const watch of this.#watches.values()) watch.roleChanged();
     this.#tellWord();
   }
@@ -311,7 +314,10 @@
   #send(
     prefix: string,
     changes: RelayedChanges,
-    to: { readonly vms: readonly contracts.VmId[]; readonly isForCell: boolean },
+    to: {
+      readonly vms: readonly contracts.VmId[];
+      readonly isForCell: boolean;
+    },
   ): void {
     if (to.vms.length === 0) return;
     const { self: { vm }, gossip } = this.#options;
