perf(entry): nothing due, nothing runs; statuses by need

Cause: fixed ticks of 20, 25, 25 and 40 ms ran on every VM whether anything was due, and every VM told its whole status to its cell each 200 ms. Ruled out: the ticks alone; datagrams (55 to 85 a second and VM) cost more. Change: one timer for what is due next; slots, waiting requests and moves tick fast only while something waits or the VM has the duty; load is told by a timer of its own. Keepers tell one another each 200 ms, as evidence needs, cells each 500 ms. Datagrams are counted by kind, and across zones.

--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -45,6 +45,8 @@
   readonly random: contracts.RandomSource;
   /** Absent for a service without keys. */
   readonly keyed?: KeyedQueueOptions;
+  /** Called when a request begins to wait. */
+  readonly onWait?: () => void;
 }
 
 /**
@@ -419,6 +421,7 @@
       index--;
     }
     this.#waiting.splice(index, 0, request);
+    this.#options.onWait?.();
   }
 
   /** The waiting requests in the order in which they may go. */
--- a/packages/decisions/src/admission/slot_asks.ts
+++ b/packages/decisions/src/admission/slot_asks.ts
@@ -111,6 +111,11 @@
     this.#end(ask, undefined);
   }
 
+  /** Whether no request waits for a slot. */
+  get isIdle(): boolean {
+    return this.#open.size === 0;
+  }
+
   /** Words of a coordinator. */
   noteWords(
     coordinator: contracts.VmId,
--- a/packages/decisions/src/admission/slot_coordinator.ts
+++ b/packages/decisions/src/admission/slot_coordinator.ts
@@ -127,6 +127,14 @@
     }
   }
 
+  /** Whether some request waits for a slot given out here. */
+  get isWaited(): boolean {
+    for (const { hasWishes } of this.#servers.values()) {
+      if (hasWishes) return true;
+    }
+    return false;
+  }
+
   /** How much longer than average each server takes, by server. */
   factors(service: contracts.ServiceId): Map<contracts.ServerId, number> {
     const factors = new Map<contracts.ServerId, number>();
@@ -179,6 +187,10 @@
     this.#queue.setServers([entryOf(server, zone)]);
   }
 
+  get hasWishes(): boolean {
+    return this.#wishes.size > 0;
+  }
+
   wish(wish: SlotWish, nowMs: number): void {
     this.#usedMs = nowMs;
     this.#nowMs = nowMs;
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -3,7 +3,7 @@
 import * as admission from "@guavatide/decisions/admission/mod";
 import type { ServerLinks } from "../links/server_links.ts";
 import { FoldedLine } from "../utils/folded_line.ts";
-import type { LifeCycle } from "../utils/life_cycle.ts";
+import type { LifeCycle, RegularWork } from "../utils/life_cycle.ts";
 import type { PartLog } from "../utils/log.ts";
 import type { ConfigHolder } from "./config_holder.ts";
 import { ForwardedRequest, type ForwardingParts } from "./forwarded_request.ts";
@@ -65,6 +65,7 @@
   /** Servers that each peer has told of. */
   readonly #toldOf = new Map<contracts.VmId, Set<string>>();
   #inFlight = 0;
+  #reviewing: RegularWork | undefined;
   readonly #behindLine: FoldedLine;
 
   constructor(options: ForwarderOptions) {
@@ -90,7 +91,7 @@
 
   /** Starts the regular work. */
   start(lifeCycle: LifeCycle): void {
-    lifeCycle.every(REVIEW_MS, () => this.#review());
+    this.#reviewing = lifeCycle.every(REVIEW_MS, () => this.#review());
     lifeCycle.every(REGISTRY_TICK_MS, () => this.#options.registry.tick());
   }
 
@@ -237,6 +238,7 @@
       zone,
       times,
       random,
+      onWait: () => this.#reviewing?.setIntervalMs(REVIEW_MS),
       keyed: isKeyed
         ? {
           ownerOf: (key) => grants.ownerOf(service, key),
@@ -346,11 +348,14 @@
 
   #review(): void {
     const nowMs = this.#options.clock.nowMs();
+    let isWaited = false;
     for (const { queue } of this.#services.values()) {
       if (queue.waiting === 0) continue;
       queue.pump(nowMs);
       queue.review(nowMs);
+      isWaited ||= queue.waiting > 0;
     }
+    if (!isWaited) this.#reviewing?.setIntervalMs(Number.POSITIVE_INFINITY);
   }
 }
 
--- a/packages/entry/src/gateway/front_listener.ts
+++ b/packages/entry/src/gateway/front_listener.ts
@@ -1,6 +1,7 @@
 /** Accepts a platform's clients over HTTP and answers them. */
 import type * as contracts from "@guavatide/contracts";
 import * as http from "node:http";
+import type * as net from "node:net";
 import * as timers from "node:timers/promises";
 import { requestHeaders } from "../links/header_list.ts";
 import type { ServerAnswer } from "../requests/caller_request.ts";
@@ -76,13 +77,14 @@
   readonly #server: http.Server;
   readonly #lag = new LoopLag();
   #inFlight = 0;
+  #connections = 0;
   /** When a caller last left at once. */
   #goneAtOnceMs = Number.NEGATIVE_INFINITY;
   readonly #shedLine: FoldedLine;
 
   constructor(options: FrontListenerOptions) {
     this.#options = options;
-    this.#lag.start(options.lifeCycle);
+    this.#lag.start(options.lifeCycle, () => this.#connections === 0);
     this.#shedLine = new FoldedLine(
       options.log,
       "Refuses: the event loop is behind.",
@@ -101,6 +103,11 @@
         response.destroy();
       });
     });
+    this.#server.on("connection", (socket: net.Socket) => {
+      this.#connections++;
+      this.#lag.resume();
+      socket.once("close", () => this.#connections--);
+    });
     this.#server.on("clientError", (error, socket) => {
       options.log.info("Closes a broken connection.", { error: String(error) });
       socket.destroy();
--- a/packages/entry/src/gateway/grant_task.ts
+++ b/packages/entry/src/gateway/grant_task.ts
@@ -4,7 +4,7 @@
 import type * as grants from "@guavatide/decisions/grants/mod";
 import type * as ownership from "@guavatide/decisions/ownership/mod";
 import type { SuspensionClock } from "../utils/clock.ts";
-import type { LifeCycle } from "../utils/life_cycle.ts";
+import type { LifeCycle, RegularWork } from "../utils/life_cycle.ts";
 import type { PartLog } from "../utils/log.ts";
 import type { ConfigHolder } from "./config_holder.ts";
 import type { MovePlannerOptions } from "./move_planner.ts";
@@ -38,8 +38,10 @@
   readonly isLeaving: () => boolean;
 }
 
-/** Interval of the regular work: a twentieth of a renewal's would do. */
-const TICK_MS = 40;
+/** Interval of the regular work of a keeper or mover. */
+const DUTY_TICK_MS = 40;
+/** The same of any other VM. */
+const TICK_MS = 200;
 /** Least interval at which requests by key are told to the mover. */
 const KEY_COUNTS_MS = 200;
 /**
@@ -59,6 +61,7 @@
   readonly #listeners: ((service: contracts.ServiceId) => void)[] = [];
   #keepers: ReadonlySet<contracts.VmId> = new Set();
   #suspensions = 0;
+  #work: RegularWork | undefined;
   #toldCountsMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: GrantTaskOptions) {
@@ -97,7 +100,7 @@
 
   /** Starts the regular work. */
   start(lifeCycle: LifeCycle): void {
-    lifeCycle.every(TICK_MS, () => this.#tick());
+    this.#work = lifeCycle.every(TICK_MS, () => this.#tick());
     lifeCycle.every(KEY_COUNTS_MS, () => this.#tellKeyCounts());
   }
 
@@ -166,6 +169,8 @@
       for (const service of this.#services.values()) service.noteSuspension();
     }
     for (const service of this.#services.values()) service.tick();
+    const hasDuty = this.isMover || this.#keepers.has(this.#options.self.vm);
+    this.#work?.setIntervalMs(hasDuty ? DUTY_TICK_MS : TICK_MS);
   }
 
   #followConfig(): void {
--- a/packages/entry/src/gateway/peer_book.ts
+++ b/packages/entry/src/gateway/peer_book.ts
@@ -189,9 +189,13 @@
 
   /** Whether a peer gets this VM's statuses: of one cell, or both keepers. */
   isClose(vm: contracts.VmId): boolean {
+    const members = this.plan.members(this.#options.self.vm);
+    return members.includes(vm) || this.areKeepers(vm);
+  }
+
+  /** Whether this VM and a peer both answer for range maps. */
+  areKeepers(vm: contracts.VmId): boolean {
     const { self, keepers } = this.#options;
-    const members = this.plan.members(self.vm);
-    if (members.includes(vm)) return true;
     const named = keepers();
     return named.has(self.vm) && named.has(vm);
   }
--- a/packages/entry/src/gateway/peer_gossip.ts
+++ b/packages/entry/src/gateway/peer_gossip.ts
@@ -58,10 +58,10 @@
   readonly receivedAtMs: number;
 }
 
-/** Between two statuses: evidence for grants is good for 700 ms. */
-const HEARTBEAT_MS = 200;
-/** Interval at which changed load is looked for. */
-const TICK_MS = 20;
+/** Between two statuses of keepers: evidence for grants is good for 700 ms. */
+const KEEPER_STATUS_MS = 200;
+/** Between two statuses of any VM to its cell. */
+const CELL_STATUS_MS = 500;
 /**
  * Datagrams of load that a VM sends in a second for each core that it has, with
  * as many to take: 4% of its processor at 50 µs for each.
@@ -69,8 +69,8 @@
 const LOADS_PER_CORE_SECOND = 400;
 /** Least time between two messages of load; a request takes longer. */
 const SPACING_MIN_MS = 40;
-/** A VM that tells its status is live when it was heard in four heartbeats. */
-const STATUS_STANDS_MS = 800;
+/** A VM that tells its status is live when one of four was heard. */
+const STATUSES_STAND = 4;
 /**
  * Between two hellos to one peer, for each peer: 20 a second leave a VM in a
  * deployment of any size, so that a loss at 82 VMs is known after 10 s. Who
@@ -90,6 +90,14 @@
 /** Own hellos and statuses whose time is remembered. */
 const REMEMBERED = 256;
 
+/** What was sent of one method. */
+export interface PeerTraffic {
+  datagrams: number;
+  bytes: number;
+  /** To peers of other availability zones. */
+  zoneCrossingBytes: number;
+}
+
 /** The task that owns the datagram socket. */
 export class PeerGossip {
   readonly #options: PeerGossipOptions;
@@ -103,9 +111,11 @@
   /** When each own hello or status left, by its sequence. */
   readonly #sentMs = new Map<number, number>();
   #sequence = 0;
-  #sentAtMs = Number.NEGATIVE_INFINITY;
+  #cellSentAtMs = Number.NEGATIVE_INFINITY;
   #loadsSentAtMs = Number.NEGATIVE_INFINITY;
-  #isChanged = false;
+  /** Set while changed load waits until it may be told. */
+  #loadsTimer: NodeJS.Timeout | undefined;
+  readonly #traffic = new Map<string, PeerTraffic>();
   /** Loads as last told. */
   #toldLoads: PeerStatus["loads"] = {};
 
@@ -137,9 +147,12 @@
     lifeCycle.onStop({
       name: "datagrams to peers",
       timeoutMs: 100,
-      run: () => void this.#socket.close(),
+      run: () => {
+        clearTimeout(this.#loadsTimer);
+        this.#socket.close();
+      },
     });
-    lifeCycle.every(TICK_MS, () => this.#tick());
+    lifeCycle.every(KEEPER_STATUS_MS, () => this.#tick());
   }
 
   /** Adds a VM that the store or a peer has named. */
@@ -220,23 +233,36 @@
     const bytes = encodeMessage(method, params);
     const peers = vms?.map((vm) => this.#book.get(vm)) ?? this.#book.all;
     for (const peer of peers) {
-      if (peer !== undefined) this.#sendTo(peer, bytes);
+      if (peer !== undefined) this.#sendTo(peer, method, bytes);
     }
   }
 
-  /** Tells the changed load with the next tick that may. */
+  /** Datagrams sent so far, by method. */
+  get traffic(): ReadonlyMap<string, PeerTraffic> {
+    return this.#traffic;
+  }
+
+  /** Tells the changed load as soon as it may. */
   noteChanged(): void {
-    this.#isChanged = true;
+    if (this.#loadsTimer !== undefined) return;
+    const nowMs = this.#options.clock.nowMs();
+    const sinceMs = nowMs - this.#loadsSentAtMs;
+    const waitMs = Math.max(0, this.#loadSpacingMs() - sinceMs);
+    this.#loadsTimer = setTimeout(() => {
+      this.#loadsTimer = undefined;
+      this.#sendLoads(this.#options.clock.nowMs());
+    }, waitMs);
   }
 
-  /** Sends the status at once: peers wait for it. */
+  /** Sends the status to the other keepers at once: they wait for it. */
   sendNow(): void {
-    this.#sendStatus(this.#options.clock.nowMs());
+    this.#sendKeeperStatus(this.#options.clock.nowMs());
   }
 
   /** Tells every VM at once, as when this one stops. */
   sendToAll(): void {
     this.sendNow();
+    this.#sendCellStatus(this.#options.clock.nowMs());
     const nowMs = this.#options.clock.nowMs();
     for (const peer of this.#book.all) {
       peer.sentAtMs = Number.NEGATIVE_INFINITY;
@@ -275,14 +301,18 @@
     const nowMs = this.#options.clock.nowMs();
     this.#book.tick();
     this.#sendHellos(nowMs);
-    if (nowMs - this.#sentAtMs >= HEARTBEAT_MS) return this.#sendStatus(nowMs);
+    this.#sendKeeperStatus(nowMs);
+    const isCellDue =
+      nowMs - this.#cellSentAtMs >= CELL_STATUS_MS - KEEPER_STATUS_MS / 2;
+    if (isCellDue) this.#sendCellStatus(nowMs);
+  }
+
+  #loadSpacingMs(): number {
     const perSecond = LOADS_PER_CORE_SECOND * this.#options.self.processorCores;
-    const spacingMs = Math.max(
+    return Math.max(
       SPACING_MIN_MS,
       1_000 * (this.#cellPeers().length - 1) / perSecond,
     );
-    const sinceMs = nowMs - Math.max(this.#sentAtMs, this.#loadsSentAtMs);
-    if (this.#isChanged && sinceMs >= spacingMs) this.#sendLoads(nowMs);
   }
 
   #cellPeers(): readonly contracts.VmId[] {
@@ -290,7 +320,6 @@
   }
 
   #sendLoads(nowMs: number): void {
-    this.#isChanged = false;
     this.#loadsSentAtMs = nowMs;
     const { self, ownLoads } = this.#options;
     const loads = ownLoads();
@@ -301,7 +330,7 @@
     const bytes = encodeMessage(LOAD_METHOD, news);
     for (const vm of this.#cellPeers()) {
       const peer = this.#book.get(vm);
-      if (peer?.isLive) this.#sendTo(peer, bytes);
+      if (peer?.isLive) this.#sendTo(peer, LOAD_METHOD, bytes);
     }
   }
 
@@ -313,21 +342,35 @@
     return { ...self, ...ownHello(), sequence: this.#sequence, standsMs };
   }
 
-  #sendStatus(nowMs: number): void {
-    this.#isChanged = false;
-    this.#sentAtMs = nowMs;
-    const state = this.#options.ownState();
-    this.#toldLoads = state.loads;
-    const close = this.#closePeers(nowMs);
+  /** Evidence for grants: a keeper's status to the other keepers. */
+  #sendKeeperStatus(nowMs: number): void {
+    const keepers = this.#closePeers(nowMs)
+      .filter(({ vm }) => this.#book.areKeepers(vm));
+    if (keepers.length > 0) this.#sendStatus(keepers, KEEPER_STATUS_MS, nowMs);
+  }
+
+  /** This VM's load and what it has heard, to its cell. */
+  #sendCellStatus(nowMs: number): void {
+    this.#cellSentAtMs = nowMs;
+    const peers = this.#closePeers(nowMs)
+      .filter(({ vm }) => !this.#book.areKeepers(vm));
+    this.#sendStatus(peers, CELL_STATUS_MS, nowMs);
+  }
+
+  #sendStatus(
+    peers: readonly Peer[],
+    intervalMs: number,
+    nowMs: number,
+  ): void {
     const status: PeerStatus = {
-      ...this.#hello(STATUS_STANDS_MS),
-      ...state,
-      echoes: echoesOf(close),
+      ...this.#hello(intervalMs * STATUSES_STAND),
+      ...this.#options.ownState(),
+      echoes: echoesOf(peers),
     };
     const bytes = encodeMessage(STATUS_METHOD, status);
-    for (const peer of close) {
+    for (const peer of peers) {
       peer.sentAtMs = nowMs;
-      this.#sendTo(peer, bytes);
+      this.#sendTo(peer, STATUS_METHOD, bytes);
     }
     if (this.#book.live.length === 0) this.#sendToSeeds(bytes);
   }
@@ -360,19 +403,24 @@
         HELLO_METHOD,
         this.#hello(intervalMs * HELLOS_STAND),
       );
-      this.#sendTo(peer, bytes);
+      this.#sendTo(peer, HELLO_METHOD, bytes);
     }
   }
 
   #sendToSeeds(bytes: Uint8Array): void {
     const { port } = this.#options.self;
-    for (const host of this.#seeds) this.#sendTo({ host, port }, bytes);
+    for (const host of this.#seeds) {
+      this.#sendTo({ host, port }, STATUS_METHOD, bytes);
+    }
   }
 
   #sendTo(
-    { host, port }: { readonly host: string; readonly port: number },
+    { host, port, hello }: Pick<Peer, "host" | "port"> & Partial<Peer>,
+    method: string,
     bytes: Uint8Array,
   ): void {
+    const isFar = hello !== undefined && hello.zone !== this.#options.self.zone;
+    this.#countSent(method, bytes.length, isFar);
     this.#socket.send(bytes, port, host, (error) => {
       if (error === null) return;
       this.#options.log.debug("Datagram not sent.", {
@@ -382,6 +430,15 @@
     });
   }
 
+  #countSent(method: string, bytes: number, isFar: boolean): void {
+    const known = this.#traffic.get(method) ??
+      { datagrams: 0, bytes: 0, zoneCrossingBytes: 0 };
+    this.#traffic.set(method, known);
+    known.datagrams++;
+    known.bytes += bytes;
+    if (isFar) known.zoneCrossingBytes += bytes;
+  }
+
   #receive(bytes: Buffer): void {
     const message = decodeMessage(bytes);
     if (message === undefined) {
--- a/packages/entry/src/gateway/peer_messages.ts
+++ b/packages/entry/src/gateway/peer_messages.ts
@@ -68,11 +68,6 @@
   ),
   /** How long the process has run. */
   lifeMs: z.number(),
-  /**
-   * VMs that read the store for all and reach it: time since their last word,
-   * and how long they had then reached it without a failure.
-   */
-  readers: z.record(z.string(), z.tuple([z.number(), z.number()])),
   configVersion: z.number().int(),
   /** Positions of the last changes heard of, in the store's order. */
   configCursor: z.number().int(),
@@ -264,8 +259,10 @@
   storeCalmMs: z.number(),
   /** By prefix: position of the last change heard of. */
   positions: z.record(z.string(), z.number().int()),
+  /** Whether the receiver passes the message on to its cell. */
+  isForCell: z.boolean(),
 });
-/** A reader tells one VM of each cell that it reaches the store. */
+/** A reader tells that it reaches the store. */
 export type ReaderWord = z.infer<typeof readerWordSchema>;
 
 /** Schema of {@link PeersWish}. */
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -12,6 +12,7 @@
 import type { KeyCounts, PeerStatus, RangeMapNews } from "./peer_messages.ts";
 import type { RangeMapStore } from "./range_map_store.ts";
 import type { ServerRegistry } from "./server_registry.ts";
+import { SpacedTask } from "./spaced_task.ts";
 
 /** An entry VM that may take part in ownership, this one included. */
 export interface GrantPeer {
@@ -82,8 +83,8 @@
   #aheadPeer: contracts.VmId | undefined;
   /** Whether the store was asked for a first map. */
   #hasLooked = false;
-  #isReading = false;
-  #readAtMs = Number.NEGATIVE_INFINITY;
+  readonly #reading: SpacedTask;
+  readonly #catchingUp: SpacedTask;
   readonly #lost = new grants.LostServers();
   /** Fences confirmed to this VM as the mover. */
   readonly #confirmed = new Set<number>();
@@ -94,6 +95,9 @@
     this.#publisher = new MapPublisher(options);
     this.#planner = new MovePlanner(options);
     this.#startedAtMs = options.clock.nowMs();
+    const spacing = { ...options, spacingMs: READ_SPACING_MS };
+    this.#reading = new SpacedTask(spacing);
+    this.#catchingUp = new SpacedTask(spacing);
     this.#mover = new grants.RangeMover(
       options.service,
       this.#keepers,
@@ -287,15 +291,18 @@
 
   /** Reads the map from the store, unless one read is under way or just was. */
   #readSoon(): void {
-    this.#onceAtATime(async (nowMs) => {
+    this.#reading.run(async (nowMs) => {
       const end = await this.#options.maps.read(this.#options.service);
       if (end.kind === "unsure") return;
+      const wasSettled = this.#isSettled;
       this.#isSettled = true;
       this.#hasLooked = true;
       if (end.kind === "absent") return;
       const { map } = end.stored;
       this.#keepers.noteRead(map.revision, nowMs);
       this.#adoptNewer(map, "store");
+      // From now on this VM's word is evidence, which the other keepers need.
+      if (!wasSettled) this.#options.tellPeers();
     });
   }
 
@@ -306,7 +313,7 @@
    */
   #catchUp(): void {
     if (this.#hasDuty) return this.#readSoon();
-    this.#onceAtATime(async () => {
+    this.#catchingUp.run(async () => {
       const peer = this.#aheadPeer;
       this.#aheadPeer = undefined;
       const told = peer === undefined
@@ -321,17 +328,6 @@
     });
   }
 
-  #onceAtATime(learn: (nowMs: number) => Promise<void>): void {
-    const { clock, log } = this.#options;
-    const nowMs = clock.nowMs();
-    if (this.#isReading || nowMs - this.#readAtMs < READ_SPACING_MS) return;
-    this.#isReading = true;
-    this.#readAtMs = nowMs;
-    learn(nowMs).catch((error) =>
-      log.error("Learning the range map failed.", { error: String(error) })
-    ).finally(() => this.#isReading = false);
-  }
-
   #adoptNewer(map: contracts.RangeMap, from: string): void {
     if (map.revision <= (this.#map?.revision ?? 0)) return;
     this.#pending.clear();
@@ -361,6 +357,8 @@
       from,
     });
     this.#options.onChange();
+    // A keeper is of use to the others only once it has read the map itself.
+    if (this.#hasDuty && !this.#isSettled) this.#readSoon();
   }
 
   // Renewing
--- a/packages/entry/src/gateway/slot_task.ts
+++ b/packages/entry/src/gateway/slot_task.ts
@@ -6,7 +6,7 @@
 import * as admission from "@guavatide/decisions/admission/mod";
 import * as grants from "@guavatide/decisions/grants/mod";
 import type * as ownership from "@guavatide/decisions/ownership/mod";
-import type { LifeCycle } from "../utils/life_cycle.ts";
+import type { LifeCycle, RegularWork } from "../utils/life_cycle.ts";
 import { OncePerTurn } from "../utils/once_per_turn.ts";
 import type { PartLog } from "../utils/log.ts";
 import type { PeerGossip } from "./peer_gossip.ts";
@@ -37,6 +37,8 @@
 
 /** Interval at which lost words are made good and waits are looked through. */
 const TICK_MS = 25;
+/** The same while no request waits. */
+const IDLE_TICK_MS = 200;
 
 /** The task that speaks with the coordinators, and is one. */
 export class SlotTask {
@@ -47,6 +49,7 @@
   /** Answers of the own coordinator, not sent yet. */
   readonly #words = new Map<contracts.VmId, admission.SlotWord[]>();
   readonly #callers = new Map<admission.WaitingRequest, SlotCaller>();
+  #work: RegularWork | undefined;
   /** What changes in one turn of the event loop leaves together. */
   readonly #flushing = new OncePerTurn(() => this.#flush());
 
@@ -91,13 +94,19 @@
 
   /** Starts the regular work. */
   start(lifeCycle: LifeCycle): void {
-    lifeCycle.every(TICK_MS, () => {
+    this.#work = lifeCycle.every(IDLE_TICK_MS, () => {
       const nowMs = this.#options.clock.nowMs();
       this.#asks.tick(nowMs);
       this.#coordinator.review(nowMs);
+      this.#followLoad();
     });
   }
 
+  #followLoad(): void {
+    const isIdle = this.#asks.isIdle && !this.#coordinator.isWaited;
+    this.#work?.setIntervalMs(isIdle ? IDLE_TICK_MS : TICK_MS);
+  }
+
   /** Slots for the requests of one queue. */
   source(caller: SlotCaller): admission.SlotSource {
     return {
@@ -141,6 +150,7 @@
   }
 
   #flush(): void {
+    this.#followLoad();
     const { vm, gossip } = this.#options;
     for (const [coordinator, message] of this.#asks.takeMessages()) {
       const asks = this.#encodeAsks(message);
--- a/packages/entry/src/gateway/watch_relay.ts
+++ b/packages/entry/src/gateway/watch_relay.ts
@@ -101,7 +101,6 @@
       messages.readerWordSchema,
       (word) => this.#takeWord(word),
     );
-    gossip.onStatus(({ status }) => this.#takeStatus(status));
     calls.on(STATE_METHOD, (prefix) => this.#watches.get(prefix)?.state);
   }
 
@@ -124,19 +123,6 @@
     return Math.max(ownMs, this.#duty.storeCalmMs(clock.nowMs()));
   }
 
-  /** Readers that this VM knows of, as it tells them in its status. */
-  get readers(): messages.PeerStatus["readers"] {
-    const { self, health, clock } = this.#options;
-    const nowMs = clock.nowMs();
-    const readers: messages.PeerStatus["readers"] = {};
-    for (const reader of this.#duty.active(nowMs)) {
-      const ageMs = Math.ceil(nowMs - reader.heardAtMs);
-      readers[reader.vm] = [ageMs, reader.storeCalmMs];
-    }
-    if (this.#isHealthyReader) readers[self.vm] = [0, told(health.calmMs)];
-    return readers;
-  }
-
   /** Adds the watch of a kind. */
   add(watch: RelayedWatch): void {
     this.#watches.set(watch.prefix, watch);
@@ -273,35 +259,31 @@
   #tellWord(): void {
     if (!this.#isHealthyReader) return;
     const { gossip, health, self: { vm } } = this.#options;
-    const vms = this.#oneOfEachOtherCell();
-    if (vms.length === 0) return;
     const positions = Object.fromEntries(
       [...this.#watches].map(([prefix, { position }]) => [prefix, position]),
     );
     const storeCalmMs = told(health.calmMs);
-    const word: messages.ReaderWord = { vm, storeCalmMs, positions };
-    gossip.send(messages.READER_METHOD, word, vms);
+    const word = { vm, storeCalmMs, positions };
+    const toCell: messages.ReaderWord = { ...word, isForCell: false };
+    gossip.send(messages.READER_METHOD, toCell, this.#members());
+    const toOthers: messages.ReaderWord = { ...word, isForCell: true };
+    const vms = this.#oneOfEachOtherCell();
+    gossip.send(messages.READER_METHOD, toOthers, vms);
   }
 
-  #takeWord({ vm, storeCalmMs, positions }: messages.ReaderWord): void {
-    const heardAtMs = this.#options.clock.nowMs();
-    this.#duty.note({ vm, heardAtMs, storeCalmMs });
+  #takeWord(word: messages.ReaderWord): void {
+    const { vm, storeCalmMs, positions, isForCell } = word;
+    const { clock, gossip } = this.#options;
+    this.#duty.note({ vm, heardAtMs: clock.nowMs(), storeCalmMs });
+    if (isForCell) {
+      const passedOn: messages.ReaderWord = { ...word, isForCell: false };
+      gossip.send(messages.READER_METHOD, passedOn, this.#members());
+    }
     for (const [prefix, position] of Object.entries(positions)) {
       this.#watches.get(prefix)?.noteNews(position, vm);
     }
   }
 
-  #takeStatus({ readers }: messages.PeerStatus): void {
-    const nowMs = this.#options.clock.nowMs();
-    for (const [vm, [ageMs, storeCalmMs]] of Object.entries(readers)) {
-      this.#duty.note({
-        vm: vm as contracts.VmId,
-        heardAtMs: nowMs - ageMs,
-        storeCalmMs,
-      });
-    }
-  }
-
   // Changes
 
   #remember(prefix: string, changes: RelayedChanges): void {
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -220,7 +220,6 @@
   function ownState(): OwnState {
     return {
       lifeMs: Math.ceil(clock.nowMs() - startedMs),
-      readers: relay.readers,
       configVersion: config.version,
       configCursor: watches.config.position,
       serversCursor: watches.servers.position,
--- a/packages/entry/src/utils/life_cycle.ts
+++ b/packages/entry/src/utils/life_cycle.ts
@@ -22,16 +22,23 @@
 }
 
 /**
- * Step of the clock that all regular work shares. Each timer of its own wakes
- * the process: with ten of them an idle entry VM woke 220 times a second.
+ * Regular work that is due within this time runs together: each timer of its
+ * own wakes the process once more.
  */
 const STEP_MS = 20;
-/** A timer may fire a little early; work then waits for a whole step more. */
-const EARLY_MS = 2;
 
-interface RegularWork {
-  readonly intervalMs: number;
+/** Work that runs at an interval. */
+export interface RegularWork {
+  /**
+   * Runs it at another interval; never while that is infinite. Returns whether
+   * the interval was another.
+   */
+  setIntervalMs(intervalMs: number): boolean;
+}
+
+interface ScheduledWork {
   readonly run: () => void;
+  intervalMs: number;
   dueMs: number;
 }
 
@@ -39,7 +46,9 @@
 export class LifeCycle {
   readonly #steps: CleanUp[] = [];
   readonly #controller = new AbortController();
-  readonly #work = new Set<RegularWork>();
+  readonly #work = new Set<ScheduledWork>();
+  #timer: NodeJS.Timeout | undefined;
+  #timerAtMs = Number.POSITIVE_INFINITY;
   #stopping: Promise<StopReport> | undefined;
 
   /** Aborted as soon as the process begins to stop. */
@@ -58,34 +67,50 @@
   }
 
   /**
-   * Runs a callback at an interval until the process stops, at steps of a clock
-   * that all such work shares; on average the interval is kept.
+   * Runs a callback at an interval until the process stops. Work that is due at
+   * about the same time runs together; on average the interval is kept.
    */
-  every(intervalMs: number, callback: () => void): void {
-    if (this.#work.size === 0) this.#startSteps();
+  every(intervalMs: number, callback: () => void): RegularWork {
     const dueMs = performance.now() + intervalMs;
-    const work = { intervalMs, run: callback, dueMs };
+    const work: ScheduledWork = { intervalMs, run: callback, dueMs };
     this.#work.add(work);
+    this.#schedule();
     this.onStop({
       name: "interval",
       timeoutMs: 100,
-      run: () => void this.#work.delete(work),
+      run: () => {
+        this.#work.delete(work);
+        this.#schedule();
+      },
     });
+    return {
+      setIntervalMs: (nextMs) => {
+        if (nextMs === work.intervalMs) return false;
+        work.intervalMs = nextMs;
+        work.dueMs = performance.now() + nextMs;
+        this.#schedule();
+        return true;
+      },
+    };
   }
 
-  #startSteps(): void {
-    const timer = setInterval(() => this.#step(), STEP_MS);
-    this.onStop({
-      name: "regular work",
-      timeoutMs: 100,
-      run: () => clearInterval(timer),
-    });
+  /** Sets the one timer to what is due next. */
+  #schedule(): void {
+    let dueMs = Number.POSITIVE_INFINITY;
+    for (const work of this.#work) dueMs = Math.min(dueMs, work.dueMs);
+    if (dueMs === this.#timerAtMs) return;
+    clearTimeout(this.#timer);
+    this.#timerAtMs = dueMs;
+    if (dueMs === Number.POSITIVE_INFINITY) return;
+    const waitMs = Math.max(0, Math.ceil(dueMs - performance.now()));
+    this.#timer = setTimeout(() => this.#step(), waitMs);
   }
 
   #step(): void {
+    this.#timerAtMs = Number.POSITIVE_INFINITY;
     const nowMs = performance.now();
     for (const work of [...this.#work]) {
-      if (nowMs + EARLY_MS < work.dueMs) continue;
+      if (work.dueMs - nowMs > Math.min(STEP_MS, work.intervalMs) / 2) continue;
       // What was missed while the process stood still is not made up for.
       work.dueMs = Math.max(
         work.dueMs + work.intervalMs,
@@ -93,6 +118,7 @@
       );
       work.run();
     }
+    this.#schedule();
   }
 
   /** Stops everything. A second call returns the first call's report. */
--- a/packages/entry/src/utils/loop_lag.ts
+++ b/packages/entry/src/utils/loop_lag.ts
@@ -1,5 +1,5 @@
 /** How far the event loop is behind: how long what it reads may have waited. */
-import type { LifeCycle } from "./life_cycle.ts";
+import type { LifeCycle, RegularWork } from "./life_cycle.ts";
 
 const TICK_MS = 20;
 /** Lags below this are ordinary scheduling. */
@@ -13,6 +13,7 @@
   #tickAtMs: number;
   /** How late the timer fired last. */
   #lateMs = 0;
+  #work: RegularWork | undefined;
   /** Since when each tick was late; undefined while they are on time. */
   #behindSinceMs: number | undefined;
 
@@ -22,9 +23,20 @@
     this.#tickAtMs = now();
   }
 
-  /** Starts to watch. */
-  start(lifeCycle: LifeCycle): void {
-    lifeCycle.every(TICK_MS, () => this.tick());
+  /** Starts to watch while there is something to read. */
+  start(lifeCycle: LifeCycle, isIdle: () => boolean = () => false): void {
+    this.#work = lifeCycle.every(TICK_MS, () => {
+      this.tick();
+      if (isIdle()) this.#work?.setIntervalMs(Number.POSITIVE_INFINITY);
+    });
+  }
+
+  /** There is something to read again. */
+  resume(): void {
+    if (!this.#work?.setIntervalMs(TICK_MS)) return;
+    this.#tickAtMs = this.#now();
+    this.#lateMs = 0;
+    this.#behindSinceMs = undefined;
   }
 
   /** The timer has fired. */
