feat(metrics): calls to the store and datagrams to peers as counters

Cause: what a VM asks of the store and tells its peers could only be counted by a patched program. Change: the store's calls are counted by kind (stale ones apart), objects and result, datagrams and bytes by method and by whether they cross availability zones; one table of labelled counts replaces three maps.

--- a/packages/entry/src/gateway/gateway_metrics.ts
+++ b/packages/entry/src/gateway/gateway_metrics.ts
@@ -1,6 +1,7 @@
 /** Counters and histograms of an entry process on an outside platform. */
 import type * as contracts from "@guavatide/contracts";
 import * as http from "node:http";
+import { LabelledCounts } from "../metrics/labelled_counts.ts";
 import { LatencyTally } from "../metrics/latency_tally.ts";
 import type { Metrics } from "../metrics/metrics.ts";
 import * as httpServer from "../utils/http_server.ts";
@@ -9,14 +10,6 @@
 import type { GatewaySettings } from "./gateway_settings.ts";
 import type { RequestStory } from "./request_story.ts";
 
-/** Requests of one route that ended alike, since the last look. */
-interface RequestCount {
-  readonly service: contracts.ServiceId;
-  readonly route: string;
-  readonly outcome: string;
-  count: number;
-}
-
 /**
  * Metrics with the address at which they are read. Until somebody reads them
  * they are plain counts: the library for them takes a seventh of a start and
@@ -24,9 +17,15 @@
  */
 export class GatewayMetrics {
   readonly #log: PartLog;
-  readonly #requests = new Map<string, RequestCount>();
+  readonly #requests = new LabelledCounts();
   readonly #latencies = new Map<contracts.ServiceId, LatencyTally>();
-  readonly #retries = new Map<contracts.ServiceId, number>();
+  readonly #retries = new LabelledCounts();
+  /** Calls to the platform's store. */
+  readonly storeCalls = new LabelledCounts();
+  /** Datagrams to peers. */
+  readonly peerDatagrams = new LabelledCounts();
+  /** Their bytes. */
+  readonly peerBytes = new LabelledCounts();
   #metrics: Promise<Metrics> | undefined;
 
   constructor(log: PartLog) {
@@ -40,14 +39,10 @@
       : answer.answer.status < 500
       ? "answered"
       : "server failed";
-    const name = `${service} ${route} ${outcome}`;
-    const known = this.#requests.get(name);
-    if (known !== undefined) known.count++;
-    else this.#requests.set(name, { service, route, outcome, count: 1 });
+    this.#requests.add(1, { service, route, outcome });
     this.#latency(service).note(tookMs);
     const repeats = attempts.length - 1;
-    if (repeats <= 0) return;
-    this.#retries.set(service, (this.#retries.get(service) ?? 0) + repeats);
+    if (repeats > 0) this.#retries.add(repeats, { service });
   }
 
   /** Starts to listen on the metrics address. */
@@ -92,17 +87,19 @@
   }
 
   /** Hands what was counted since the last look to the library. */
-  #fill({ requests, requestMs, retries }: Metrics): void {
-    for (const { service, route, outcome, count } of this.#requests.values()) {
-      requests.add(count, { service, route, outcome });
+  #fill(metrics: Metrics): void {
+    const tables = [
+      [this.#requests, metrics.requests],
+      [this.#retries, metrics.retries],
+      [this.storeCalls, metrics.storeCalls],
+      [this.peerDatagrams, metrics.peerDatagrams],
+      [this.peerBytes, metrics.peerBytes],
+    ] as const;
+    for (const [counts, counter] of tables) {
+      counts.drain((count, labels) => counter.add(count, labels));
     }
     for (const [service, latency] of this.#latencies) {
-      latency.drain((tookMs) => requestMs.record(tookMs, { service }));
-    }
-    for (const [service, count] of this.#retries) {
-      retries.add(count, { service });
+      latency.drain((tookMs) => metrics.requestMs.record(tookMs, { service }));
     }
-    this.#requests.clear();
-    this.#retries.clear();
   }
 }
--- a/packages/entry/src/gateway/peer_gossip.ts
+++ b/packages/entry/src/gateway/peer_gossip.ts
@@ -46,6 +46,12 @@
   readonly ownHello: () => OwnHello;
   readonly ownState: () => OwnState;
   readonly ownLoads: () => PeerStatus["loads"];
+  /** A datagram leaves. */
+  readonly onSent: (
+    method: string,
+    bytes: number,
+    isSameZone: boolean,
+  ) => void;
   /** VMs that answer for range maps. */
   readonly keepers: () => ReadonlySet<contracts.VmId>;
 }
@@ -90,14 +96,6 @@
 /** Own hellos and statuses whose time is remembered. */
 const REMEMBERED = 256;
 
-/** What was sent of one method. */
-export interface PeerTraffic {
-  datagrams: number;
-  bytes: number;
-  /** To peers of other availability zones. */
-  zoneCrossingBytes: number;
-}
-
 /** The task that owns the datagram socket. */
 export class PeerGossip {
   readonly #options: PeerGossipOptions;
@@ -115,7 +113,6 @@
   #loadsSentAtMs = Number.NEGATIVE_INFINITY;
   /** Set while changed load waits until it may be told. */
   #loadsTimer: NodeJS.Timeout | undefined;
-  readonly #traffic = new Map<string, PeerTraffic>();
   /** Loads as last told. */
   #toldLoads: PeerStatus["loads"] = {};
 
@@ -237,11 +234,6 @@
     }
   }
 
-  /** Datagrams sent so far, by method. */
-  get traffic(): ReadonlyMap<string, PeerTraffic> {
-    return this.#traffic;
-  }
-
   /** Tells the changed load as soon as it may. */
   noteChanged(): void {
     if (this.#loadsTimer !== undefined) return;
@@ -419,8 +411,8 @@
     method: string,
     bytes: Uint8Array,
   ): void {
-    const isFar = hello !== undefined && hello.zone !== this.#options.self.zone;
-    this.#countSent(method, bytes.length, isFar);
+    const { self, onSent } = this.#options;
+    onSent(method, bytes.length, hello?.zone === self.zone);
     this.#socket.send(bytes, port, host, (error) => {
       if (error === null) return;
       this.#options.log.debug("Datagram not sent.", {
@@ -430,15 +422,6 @@
     });
   }
 
-  #countSent(method: string, bytes: number, isFar: boolean): void {
-    const known = this.#traffic.get(method) ??
-      { datagrams: 0, bytes: 0, zoneCrossingBytes: 0 };
-    this.#traffic.set(method, known);
-    known.datagrams++;
-    known.bytes += bytes;
-    if (isFar) known.zoneCrossingBytes += bytes;
-  }
-
   #receive(bytes: Buffer): void {
     const message = decodeMessage(bytes);
     if (message === undefined) {
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -3,6 +3,7 @@
 import * as grants from "@guavatide/decisions/grants/mod";
 import * as ownership from "@guavatide/decisions/ownership/mod";
 import * as linkParts from "../links/server_links.ts";
+import { MeteredStore } from "../metrics/metered_store.ts";
 import {
   MonotonicClock,
   SuspensionClock,
@@ -69,7 +70,8 @@
   const clock = new MonotonicClock();
   const suspensionClock = new SuspensionClock();
   const random = new SystemRandom();
-  const { store } = adapter;
+  const metrics = new GatewayMetrics(log.part("main"));
+  const store = new MeteredStore(adapter.store, metrics.storeCalls);
   const health = new StoreHealth({ clock, log: log.part("store") });
   const config = new ConfigHolder({ adapter, log: log.part("config") });
   const registry: ServerRegistry = new ServerRegistry({
@@ -98,6 +100,11 @@
     ownState: () => ownState(),
     keepers: () => grantTask.keepers(),
     ownLoads: () => forwarder.ownState().loads,
+    onSent: (method, bytes, isSameZone) => {
+      const labels = { method, way: isSameZone ? "in zone" : "between zones" };
+      metrics.peerDatagrams.add(1, labels);
+      metrics.peerBytes.add(bytes, labels);
+    },
   });
   const hasher = await ownership.KeyHasher.create();
   const probe = new StoreProbe({
@@ -166,7 +173,6 @@
     },
     lifeCycle,
   );
-  const metrics = new GatewayMetrics(log.part("main"));
   const requestLog = new RequestLog(log.part("route"), clock);
   const forwarder: Forwarder = new Forwarder({
     vm: settings.vm,
--- /dev/null
+++ b/packages/entry/src/metrics/labelled_counts.ts
@@ -0,0 +1,28 @@
+/** Plain counts by labels, for counters of a library that is loaded late. */
+
+/** Labels of a count; all counts of one table have the same. */
+export type CountLabels = Readonly<Record<string, string>>;
+
+interface LabelledCount {
+  readonly labels: CountLabels;
+  count: number;
+}
+
+/** Counts since the last look. */
+export class LabelledCounts {
+  readonly #counts = new Map<string, LabelledCount>();
+
+  /** Adds to the count of these labels. */
+  add(count: number, labels: CountLabels): void {
+    const name = Object.values(labels).join("\n");
+    const known = this.#counts.get(name);
+    if (known !== undefined) known.count += count;
+    else this.#counts.set(name, { labels, count });
+  }
+
+  /** Hands over all counts and forgets them. */
+  drain(take: (count: number, labels: CountLabels) => void): void {
+    for (const { count, labels } of this.#counts.values()) take(count, labels);
+    this.#counts.clear();
+  }
+}
--- a/packages/entry/src/metrics/metered_store.ts
+++ b/packages/entry/src/metrics/metered_store.ts
@@ -1,29 +1,50 @@
 /**
- * Counts every call to the platform's store by kind and result: the platform
- * counts them too and allows a few thousand a second.
+ * Counts every call to the platform's store by kind, objects and result: the
+ * platform counts them too and allows a few thousand a second.
  */
 import type * as contracts from "@guavatide/contracts";
 import type { ResultAsync } from "neverthrow";
-import type { Metrics } from "./metrics.ts";
+import type { CountLabels } from "./labelled_counts.ts";
 
-type CallKind = "get" | "list" | "put" | "delete" | "watch";
+type CallKind =
+  | "get"
+  | "list"
+  | "put"
+  | "delete"
+  | "watch"
+  /** Reads that may be answered with what is some seconds old. */
+  | "stale get"
+  | "stale list";
+
+/** Where the calls are counted. */
+export interface StoreCallCounter {
+  add(count: number, labels: CountLabels): void;
+}
 
 /** A store whose calls are counted. */
 export class MeteredStore implements contracts.PlatformStore {
   readonly #store: contracts.PlatformStore;
-  readonly #metrics: Metrics;
+  readonly #counter: StoreCallCounter;
 
-  constructor(store: contracts.PlatformStore, metrics: Metrics) {
+  constructor(store: contracts.PlatformStore, counter: StoreCallCounter) {
     this.#store = store;
-    this.#metrics = metrics;
+    this.#counter = counter;
   }
 
-  get(name: string, options: contracts.CallOptions) {
-    return this.#count("get", this.#store.get(name, options));
+  get(
+    name: string,
+    options: Parameters<contracts.PlatformStore["get"]>[1],
+  ) {
+    const kind = options.mayBeStale ? "stale get" : "get";
+    return this.#count(kind, name, this.#store.get(name, options));
   }
 
-  list(prefix: string, options: contracts.CallOptions) {
-    return this.#count("list", this.#store.list(prefix, options));
+  list(
+    prefix: string,
+    options: Parameters<contracts.PlatformStore["list"]>[1],
+  ) {
+    const kind = options.mayBeStale ? "stale list" : "list";
+    return this.#count(kind, prefix, this.#store.list(prefix, options));
   }
 
   put(
@@ -31,29 +52,31 @@
     value: string,
     options: Parameters<contracts.PlatformStore["put"]>[2],
   ) {
-    return this.#count("put", this.#store.put(name, value, options));
+    return this.#count("put", name, this.#store.put(name, value, options));
   }
 
   delete(
     name: string,
     options: Parameters<contracts.PlatformStore["delete"]>[1],
   ) {
-    return this.#count("delete", this.#store.delete(name, options));
+    return this.#count("delete", name, this.#store.delete(name, options));
   }
 
   watch(
     prefix: string,
     options: Parameters<contracts.PlatformStore["watch"]>[1],
   ) {
-    return this.#count("watch", this.#store.watch(prefix, options));
+    return this.#count("watch", prefix, this.#store.watch(prefix, options));
   }
 
   #count<Value>(
     kind: CallKind,
+    name: string,
     call: ResultAsync<Value, contracts.StoreError>,
   ): ResultAsync<Value, contracts.StoreError> {
+    const [objects = ""] = name.split("/");
     const note = (result: string) =>
-      this.#metrics.storeCalls.add(1, { kind, result });
+      this.#counter.add(1, { kind, objects, result });
     return call
       .map((value) => {
         note("ok");
--- a/packages/entry/src/metrics/metrics.ts
+++ b/packages/entry/src/metrics/metrics.ts
@@ -24,6 +24,10 @@
   readonly linksRetired: api.Counter;
   /** Calls to the platform's store by kind and result. */
   readonly storeCalls: api.Counter;
+  /** Datagrams to other entry VMs by method and way. */
+  readonly peerDatagrams: api.Counter;
+  /** Their bytes. */
+  readonly peerBytes: api.Counter;
   /** Slices that changed owner, by service and reason: churn. */
   readonly sliceMoves: api.Counter;
   /** Time from taking a slice from its owner to giving it to the next. */
@@ -36,6 +40,8 @@
     this.retries = this.#meter.createCounter("guavatide_retries");
     this.linksRetired = this.#meter.createCounter("guavatide_links_retired");
     this.storeCalls = this.#meter.createCounter("guavatide_store_calls");
+    this.peerDatagrams = this.#meter.createCounter("guavatide_peer_datagrams");
+    this.peerBytes = this.#meter.createCounter("guavatide_peer_bytes");
     this.sliceMoves = this.#meter.createCounter("guavatide_slice_moves");
     this.requestMs = this.#createLatency("guavatide_request_ms");
     this.sliceUnavailableMs = this.#createLatency(
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -193,7 +193,7 @@
       incarnation: crypto.randomUUID() as contracts.Incarnation,
     },
     metrics,
-    store: new MeteredStore(store, metrics),
+    store: new MeteredStore(store, metrics.storeCalls),
     directory: new ServerDirectory({
       vmList,
       pollIntervalMs: settings.timings.vmListMs,
