perf(gossip): keepers' words apart, one VM of each cell passes news on

Change: keepers exchange a short status with one echo; a map's news make them answer once. Maps, changes and readers' words go to one VM of each cell, which passes them on. Hellos leave half as often (10 a second); a cell tells all when it has lost a VM, so a loss is known in seconds at any size.

--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -80,7 +80,7 @@
       this.#services.get(service)?.queue.pump(options.clock.nowMs())
     );
     options.gossip.onMembers(() => this.#followMembers());
-    options.gossip.onStatus(({ status }) => this.#takeStatus(status));
+    options.gossip.onStatus((status) => this.#takeStatus(status));
     options.gossip.onLoad((news) => this.#takeLoads(news));
   }
 
--- a/packages/entry/src/gateway/grant_task.ts
+++ b/packages/entry/src/gateway/grant_task.ts
@@ -67,16 +67,13 @@
   constructor(options: GrantTaskOptions) {
     this.#options = options;
     const { gossip } = options;
-    gossip.onStatus(({ status, askedAtMs, receivedAtMs }) => {
+    gossip.onKeeper(({ status, askedAtMs, receivedAtMs }) => {
       for (const service of this.#services.values()) {
-        service.noteStatus(status, askedAtMs, receivedAtMs);
-      }
-    });
-    gossip.onHello(({ maps, vm }) => {
-      for (const [id, service] of this.#services) {
-        service.noteRevision(maps[id]?.[0] ?? 0, vm);
+        service.noteKeeper(status, askedAtMs, receivedAtMs);
       }
+      this.#noteRevisions(status);
     });
+    gossip.onHello((hello) => this.#noteRevisions(hello));
     options.calls.on(
       RANGE_MAP_CALL,
       (id) => this.#services.get(id as contracts.ServiceId)?.map,
@@ -85,9 +82,12 @@
       messages.RANGE_MAP_METHOD,
       messages.rangeMapNewsSchema,
       (news) => {
-        this.#services.get(news.map.service)?.noteNews(news);
+        const service = this.#services.get(news.map.service);
+        const isNewer = news.map.revision > (service?.map?.revision ?? 0);
+        service?.noteNews(news);
         // The mover waits until a majority of keepers knows the map.
-        if (this.#keepers.has(options.self.vm)) gossip.sendNow();
+        const mustTell = isNewer && this.#keepers.has(options.self.vm);
+        if (mustTell) gossip.tellKeepers();
       },
     );
     gossip.on(
@@ -142,9 +142,20 @@
     return this.#keepers;
   }
 
-  /** What peers in close touch are told of ownership. */
-  ownState(): Pick<messages.PeerStatus, "grantAgesMs" | "silentServers"> {
-    const grantAgesMs: messages.PeerStatus["grantAgesMs"] = {};
+  #noteRevisions(
+    { maps, vm }: Pick<messages.PeerHello, "maps" | "vm">,
+  ): void {
+    for (const [id, service] of this.#services) {
+      service.noteRevision(maps[id]?.[0] ?? 0, vm);
+    }
+  }
+
+  /** What the other keepers are told of this VM's grants. */
+  ownKeeperState(): Pick<
+    messages.KeeperStatus,
+    "grantAgesMs" | "silentServers"
+  > {
+    const grantAgesMs: messages.KeeperStatus["grantAgesMs"] = {};
     const silentServers: string[] = [];
     for (const service of this.#services.values()) {
       for (const [server, ages] of service.grantAgesMs) {
@@ -197,10 +208,13 @@
       silentMs: (vm) => gossip.silentMs(vm),
       askMap: (peer) => this.#askMap(service, peer),
       publish: (news) => {
-        gossip.send(messages.RANGE_MAP_METHOD, news);
-        gossip.sendNow();
+        // Those whose word the mover waits for hear it without a detour.
+        const keepers = [...this.#keepers];
+        gossip.send(messages.RANGE_MAP_METHOD, news, keepers);
+        gossip.spread(messages.RANGE_MAP_METHOD, news);
+        gossip.tellKeepers();
       },
-      tellPeers: () => gossip.sendNow(),
+      tellPeers: () => gossip.tellKeepers(),
       onChange: () => {
         this.#gatherKeepers();
         for (const listener of this.#listeners) listener(service);
--- a/packages/entry/src/gateway/map_publisher.ts
+++ b/packages/entry/src/gateway/map_publisher.ts
@@ -13,7 +13,7 @@
 /** The mover tells its map again at this interval: datagrams get lost. */
 const REPEAT_MS = 400;
 /** So many times after each change. */
-const REPEATS = 4;
+const REPEATS = 2;
 
 /** News of one service's map. */
 export class MapPublisher {
--- a/packages/entry/src/gateway/peer_book.ts
+++ b/packages/entry/src/gateway/peer_book.ts
@@ -2,7 +2,12 @@
 import type * as contracts from "@guavatide/contracts";
 import * as cells from "@guavatide/decisions/cells/mod";
 import type { PartLog } from "../utils/log.ts";
-import type { PeerHello, PeerStatus } from "./peer_messages.ts";
+import type {
+  KeeperStatus,
+  PeerHello,
+  PeerLoss,
+  PeerStatus,
+} from "./peer_messages.ts";
 
 /** A VM that was named or heard. */
 export interface Peer {
@@ -20,7 +25,9 @@
   /** Lost without a word, it keeps its place in the cells until then. */
   placeUntilMs: number | undefined;
   /** Whether it got this VM's last status. */
-  isClose: boolean;
+  isInCell: boolean;
+  /** Whether it got this VM's last status as a keeper. */
+  isFellowKeeper: boolean;
   hello: PeerHello | undefined;
   status: PeerStatus | undefined;
 }
@@ -90,7 +97,8 @@
       sentAtMs: Number.NEGATIVE_INFINITY,
       isLive: false,
       placeUntilMs: undefined,
-      isClose: false,
+      isInCell: false,
+      isFellowKeeper: false,
       hello: undefined,
       status: undefined,
     };
@@ -136,9 +144,31 @@
     return peer;
   }
 
-  /** Lets time pass: peers whose word no longer stands are lost. */
-  tick(): void {
+  /** Takes a keeper's word; false when a later one was heard, or none yet. */
+  noteKeeper({ vm, incarnation, sequence, standsMs }: KeeperStatus): boolean {
+    const peer = this.#peers.get(vm);
+    const isNewer = peer?.incarnation === incarnation &&
+      sequence > peer.sequence;
+    if (peer === undefined || !isNewer || !peer.isLive) return false;
     const nowMs = this.#options.clock.nowMs();
+    // Shorter than what its hello said: a lost keeper has to be replaced soon.
+    const liveUntilMs = nowMs + standsMs;
+    Object.assign(peer, { sequence, heardAtMs: nowMs, liveUntilMs });
+    return true;
+  }
+
+  /** A peer's cell has lost it; what was heard of it since goes first. */
+  noteLoss({ vm, incarnation, sequence }: PeerLoss): void {
+    const peer = this.#peers.get(vm);
+    const isKnown = peer?.incarnation === incarnation &&
+      peer.sequence <= sequence;
+    if (isKnown) peer.liveUntilMs = Number.NEGATIVE_INFINITY;
+  }
+
+  /** Lets time pass, and returns peers whose word no longer stands. */
+  tick(): Peer[] {
+    const nowMs = this.#options.clock.nowMs();
+    const lost: Peer[] = [];
     let isChanged = false;
     for (const [vm, peer] of this.#peers) {
       const silentMs = nowMs - peer.heardAtMs;
@@ -147,6 +177,7 @@
         peer.placeUntilMs = nowMs + PLACE_KEPT_MS;
         peer.status = undefined;
         isChanged = true;
+        lost.push(peer);
         this.#options.log.warn("Lost a peer.", {
           peer: vm,
           silentMs: Math.round(silentMs),
@@ -160,6 +191,7 @@
       if (silentMs > FORGET_MS) this.#peers.delete(vm);
     }
     if (isChanged) this.#changed();
+    return lost;
   }
 
   /** Peers that are up. */
@@ -187,12 +219,6 @@
     return this.#plan;
   }
 
-  /** Whether a peer gets this VM's statuses: of one cell, or both keepers. */
-  isClose(vm: contracts.VmId): boolean {
-    const members = this.plan.members(this.#options.self.vm);
-    return members.includes(vm) || this.areKeepers(vm);
-  }
-
   /** Whether this VM and a peer both answer for range maps. */
   areKeepers(vm: contracts.VmId): boolean {
     const { self, keepers } = this.#options;
--- a/packages/entry/src/gateway/peer_gossip.ts
+++ b/packages/entry/src/gateway/peer_gossip.ts
@@ -14,12 +14,21 @@
 import {
   HELLO_METHOD,
   isLoadNews,
+  KEEPER_METHOD,
+  type KeeperStatus,
+  keeperStatusSchema,
   LOAD_METHOD,
   type LoadNews,
+  LOSS_METHOD,
   type PeerHello,
   peerHelloSchema,
+  type PeerLoss,
+  peerLossSchema,
   type PeerStatus,
   peerStatusSchema,
+  SPREAD_METHOD,
+  type SpreadMessage,
+  spreadMessageSchema,
   STATUS_METHOD,
 } from "./peer_messages.ts";
 
@@ -36,15 +45,23 @@
 >;
 
 /** The part of a status that the VM's own tasks fill in. */
-export type OwnState = Omit<PeerStatus, keyof PeerHello | "echoes">;
+export type OwnState = Omit<PeerStatus, keyof PeerHello>;
+
+/** The part of a keeper's status that the VM's own tasks fill in. */
+export type OwnKeeperState = Pick<
+  KeeperStatus,
+  "lifeMs" | "grantAgesMs" | "silentServers"
+>;
 
 /** Options of {@link PeerGossip}. */
 export interface PeerGossipOptions {
   readonly self: GossipIdentity;
   readonly clock: contracts.Clock;
+  readonly random: contracts.RandomSource;
   readonly log: PartLog;
   readonly ownHello: () => OwnHello;
   readonly ownState: () => OwnState;
+  readonly ownKeeperState: () => OwnKeeperState;
   readonly ownLoads: () => PeerStatus["loads"];
   /** A datagram leaves. */
   readonly onSent: (
@@ -56,9 +73,9 @@
   readonly keepers: () => ReadonlySet<contracts.VmId>;
 }
 
-/** A status with the moment that it answers. */
-export interface HeardStatus {
-  readonly status: PeerStatus;
+/** A keeper's status with the moment that it answers. */
+export interface HeardKeeper {
+  readonly status: KeeperStatus;
   /** When the own status left that the peer has echoed. */
   readonly askedAtMs: number;
   readonly receivedAtMs: number;
@@ -78,17 +95,12 @@
 /** A VM that tells its status is live when one of four was heard. */
 const STATUSES_STAND = 4;
 /**
- * Between two hellos to one peer, for each peer: 20 a second leave a VM in a
- * deployment of any size, so that a loss at 82 VMs is known after 10 s. Who
- * needs to know it sooner is in the same cell.
+ * Between two hellos to one peer, for each peer: what leaves a VM in a second
+ * stays the same in a deployment of any size. A loss is told by the lost VM's
+ * cell, which hears it more often.
  */
-const HELLO_PER_PEER_MS = 50;
+const HELLO_PER_PEER_MS = 100;
 const HELLO_MIN_MS = 1_000;
-/**
- * Keepers tell so more often: all others send their counts of keys to the one
- * that makes the moves.
- */
-const KEEPER_HELLO_PER_PEER_MS = 8;
 /** A hello stands for two that got lost, and some lateness. */
 const HELLOS_STAND = 2.5;
 /** A peer that was silent for so long gets only hellos. */
@@ -103,7 +115,8 @@
   readonly #book: PeerBook;
   readonly #seeds = new Set<string>();
   readonly #handlers = new Map<string, (params: unknown) => void>();
-  readonly #statusListeners: ((heard: HeardStatus) => void)[] = [];
+  readonly #statusListeners: ((status: PeerStatus) => void)[] = [];
+  readonly #keeperListeners: ((heard: HeardKeeper) => void)[] = [];
   readonly #helloListeners: ((hello: PeerHello) => void)[] = [];
   readonly #loadListeners: ((news: LoadNews) => void)[] = [];
   /** When each own hello or status left, by its sequence. */
@@ -120,6 +133,22 @@
     this.#options = options;
     this.#book = new PeerBook(options);
     this.on(HELLO_METHOD, peerHelloSchema, (hello) => this.#takeHello(hello));
+    this.on(
+      STATUS_METHOD,
+      peerStatusSchema,
+      (status) => this.#takeStatus(status),
+    );
+    this.on(
+      KEEPER_METHOD,
+      keeperStatusSchema,
+      (status) => this.#takeKeeper(status),
+    );
+    this.on(
+      SPREAD_METHOD,
+      spreadMessageSchema,
+      (message) => this.#takeSpread(message),
+    );
+    this.on(LOSS_METHOD, peerLossSchema, (loss) => this.#book.noteLoss(loss));
     this.onGuarded(LOAD_METHOD, isLoadNews, (news) => {
       for (const listener of this.#loadListeners) listener(news);
     });
@@ -168,10 +197,15 @@
   }
 
   /** Called with each status of a peer that is newer than the last. */
-  onStatus(listener: (heard: HeardStatus) => void): void {
+  onStatus(listener: (status: PeerStatus) => void): void {
     this.#statusListeners.push(listener);
   }
 
+  /** Called with each keeper's status that is newer than the last. */
+  onKeeper(listener: (heard: HeardKeeper) => void): void {
+    this.#keeperListeners.push(listener);
+  }
+
   /** Called with each hello or status of a peer that is newer than the last. */
   onHello(listener: (hello: PeerHello) => void): void {
     this.#helloListeners.push(listener);
@@ -234,6 +268,32 @@
     }
   }
 
+  /**
+   * Sends a notification to all: to the own cell, and to one VM of every other
+   * cell, which passes it on.
+   */
+  spread(method: string, params: object): void {
+    this.send(method, params, this.#cellPeers());
+    const message: SpreadMessage = { method, params };
+    this.send(SPREAD_METHOD, message, this.#oneOfEachOtherCell());
+  }
+
+  #oneOfEachOtherCell(): contracts.VmId[] {
+    const { random, self } = this.#options;
+    return this.plan.others(self.vm).flatMap((members) => {
+      const live = members.filter((vm) => this.#book.get(vm)?.isLive);
+      // Drawn anew each time, so that one that is lost keeps little from a cell.
+      const drawn = live[Math.floor(random.next() * live.length)];
+      return drawn === undefined ? [] : [drawn];
+    });
+  }
+
+  #takeSpread({ method, params }: SpreadMessage): void {
+    this.#handlers.get(method)?.(params);
+    if (typeof params !== "object" || params === null) return;
+    this.send(method, params, this.#cellPeers());
+  }
+
   /** Tells the changed load as soon as it may. */
   noteChanged(): void {
     if (this.#loadsTimer !== undefined) return;
@@ -247,14 +307,12 @@
   }
 
   /** Sends the status to the other keepers at once: they wait for it. */
-  sendNow(): void {
+  tellKeepers(): void {
     this.#sendKeeperStatus(this.#options.clock.nowMs());
   }
 
   /** Tells every VM at once, as when this one stops. */
   sendToAll(): void {
-    this.sendNow();
-    this.#sendCellStatus(this.#options.clock.nowMs());
     const nowMs = this.#options.clock.nowMs();
     for (const peer of this.#book.all) {
       peer.sentAtMs = Number.NEGATIVE_INFINITY;
@@ -291,7 +349,7 @@
 
   #tick(): void {
     const nowMs = this.#options.clock.nowMs();
-    this.#book.tick();
+    for (const peer of this.#book.tick()) this.#tellLoss(peer);
     this.#sendHellos(nowMs);
     this.#sendKeeperStatus(nowMs);
     const isCellDue =
@@ -299,6 +357,19 @@
     if (isCellDue) this.#sendCellStatus(nowMs);
   }
 
+  /** Of the cell's VMs the first that is up tells all of a loss. */
+  #tellLoss({ vm, incarnation, sequence }: Peer): void {
+    const members = this.#cellPeers();
+    const { self } = this.#options;
+    const first = members.find((member) =>
+      member === self.vm || this.#book.get(member)?.isLive
+    );
+    if (!members.includes(vm) || first !== self.vm) return;
+    if (incarnation === undefined) return;
+    const loss: PeerLoss = { vm, incarnation, sequence };
+    this.spread(LOSS_METHOD, loss);
+  }
+
   #loadSpacingMs(): number {
     const perSecond = LOADS_PER_CORE_SECOND * this.#options.self.processorCores;
     return Math.max(
@@ -336,57 +407,73 @@
 
   /** Evidence for grants: a keeper's status to the other keepers. */
   #sendKeeperStatus(nowMs: number): void {
-    const keepers = this.#closePeers(nowMs)
-      .filter(({ vm }) => this.#book.areKeepers(vm));
-    if (keepers.length > 0) this.#sendStatus(keepers, KEEPER_STATUS_MS, nowMs);
+    const peers = this.#followKeepers(nowMs);
+    if (peers.length === 0) return;
+    const { vm, incarnation, maps, sequence, standsMs } = this.#hello(
+      KEEPER_STATUS_MS * STATUSES_STAND,
+    );
+    const state = this.#options.ownKeeperState();
+    for (const peer of peers) {
+      const echo: KeeperStatus["echo"] = peer.incarnation === undefined
+        ? null
+        : [peer.incarnation, peer.sequence];
+      const word = { vm, incarnation, sequence, standsMs, maps };
+      const status: KeeperStatus = { ...word, ...state, echo };
+      const bytes = encodeMessage(KEEPER_METHOD, status);
+      this.#sendTo(peer, KEEPER_METHOD, bytes);
+    }
+  }
+
+  #followKeepers(nowMs: number): Peer[] {
+    const peers: Peer[] = [];
+    for (const peer of this.#book.all) {
+      const wasFellow = peer.isFellowKeeper;
+      peer.isFellowKeeper = this.#book.areKeepers(peer.vm) &&
+        isHeard(peer, nowMs);
+      if (peer.isFellowKeeper) peers.push(peer);
+      // The last status stands for less than the time until the next hello.
+      else if (wasFellow) peer.sentAtMs = Number.NEGATIVE_INFINITY;
+    }
+    return peers;
   }
 
   /** This VM's load and what it has heard, to its cell. */
   #sendCellStatus(nowMs: number): void {
     this.#cellSentAtMs = nowMs;
-    const peers = this.#closePeers(nowMs)
-      .filter(({ vm }) => !this.#book.areKeepers(vm));
-    this.#sendStatus(peers, CELL_STATUS_MS, nowMs);
-  }
-
-  #sendStatus(
-    peers: readonly Peer[],
-    intervalMs: number,
-    nowMs: number,
-  ): void {
+    const state = this.#options.ownState();
+    this.#toldLoads = state.loads;
     const status: PeerStatus = {
-      ...this.#hello(intervalMs * STATUSES_STAND),
-      ...this.#options.ownState(),
-      echoes: echoesOf(peers),
+      ...this.#hello(CELL_STATUS_MS * STATUSES_STAND),
+      ...state,
     };
     const bytes = encodeMessage(STATUS_METHOD, status);
-    for (const peer of peers) {
+    for (const peer of this.#followCell(nowMs)) {
       peer.sentAtMs = nowMs;
       this.#sendTo(peer, STATUS_METHOD, bytes);
     }
     if (this.#book.live.length === 0) this.#sendToSeeds(bytes);
   }
 
-  #closePeers(nowMs: number): Peer[] {
-    const close: Peer[] = [];
+  /** Peers of the own cell, but those that were silent for long. */
+  #followCell(nowMs: number): Peer[] {
+    const members = new Set(this.#cellPeers());
+    const peers: Peer[] = [];
     for (const peer of this.#book.all) {
-      const wasClose = peer.isClose;
-      peer.isClose = this.#book.isClose(peer.vm) &&
-        (peer.isLive || nowMs - peer.heardAtMs < SILENT_MS);
-      if (peer.isClose) close.push(peer);
+      const wasInCell = peer.isInCell;
+      peer.isInCell = members.has(peer.vm) && isHeard(peer, nowMs);
+      if (peer.isInCell) peers.push(peer);
       // The last status stands for less than the time until the next hello.
-      else if (wasClose) peer.sentAtMs = Number.NEGATIVE_INFINITY;
+      else if (wasInCell) peer.sentAtMs = Number.NEGATIVE_INFINITY;
     }
-    return close;
+    return peers;
   }
 
   /** To each peer that has had no word of this VM for the interval. */
   #sendHellos(nowMs: number): void {
-    const { self, keepers } = this.#options;
-    const perPeerMs = keepers().has(self.vm)
-      ? KEEPER_HELLO_PER_PEER_MS
-      : HELLO_PER_PEER_MS;
-    const intervalMs = Math.max(HELLO_MIN_MS, this.#book.size * perPeerMs);
+    const intervalMs = Math.max(
+      HELLO_MIN_MS,
+      this.#book.size * HELLO_PER_PEER_MS,
+    );
     let bytes: Uint8Array | undefined;
     for (const peer of this.#book.all) {
       if (nowMs - peer.sentAtMs < intervalMs) continue;
@@ -428,9 +515,7 @@
       this.#options.log.warn("Ignores a datagram.", { bytes: bytes.length });
       return;
     }
-    const { method, params } = message;
-    if (method === STATUS_METHOD) this.#takeStatus(params);
-    else this.#handlers.get(method)?.(params);
+    this.#handlers.get(message.method)?.(message.params);
   }
 
   #takeHello(hello: PeerHello): void {
@@ -438,29 +523,26 @@
     for (const listener of this.#helloListeners) listener(hello);
   }
 
-  #takeStatus(params: unknown): void {
-    const parsed = peerStatusSchema.safeParse(params);
-    if (!parsed.success) {
-      this.#options.log.warn("Ignores a status.", {
-        problem: parsed.error.issues[0]?.path.join("."),
-      });
-      return;
-    }
-    const status = parsed.data;
+  #takeStatus(status: PeerStatus): void {
     if (this.#book.note(status, status) === undefined) return;
     for (const listener of this.#helloListeners) listener(status);
+    for (const listener of this.#statusListeners) listener(status);
+  }
+
+  #takeKeeper(status: KeeperStatus): void {
+    if (!this.#book.noteKeeper(status)) return;
     const heard = {
       status,
       askedAtMs: this.#askedAtMs(status),
       receivedAtMs: this.#options.clock.nowMs(),
     };
-    for (const listener of this.#statusListeners) listener(heard);
+    for (const listener of this.#keeperListeners) listener(heard);
   }
 
-  /** When the own status left that the peer had heard; long ago if none. */
-  #askedAtMs(status: PeerStatus): number {
-    const { vm, incarnation } = this.#options.self;
-    const [run, sequence] = status.echoes[vm] ?? [];
+  /** When the own word left that the peer had heard; long ago if none. */
+  #askedAtMs({ echo }: KeeperStatus): number {
+    const { incarnation } = this.#options.self;
+    const [run, sequence] = echo ?? [];
     const sentMs = run === incarnation && sequence !== undefined
       ? this.#sentMs.get(sequence)
       : undefined;
@@ -477,12 +559,9 @@
   done(null, host, 4);
 }
 
-function echoesOf(peers: readonly Peer[]): PeerStatus["echoes"] {
-  const echoes: PeerStatus["echoes"] = {};
-  for (const { vm, incarnation, sequence } of peers) {
-    if (incarnation !== undefined) echoes[vm] = [incarnation, sequence];
-  }
-  return echoes;
+/** Whether a peer is up, or was a short while ago. */
+function isHeard({ isLive, heardAtMs }: Peer, nowMs: number): boolean {
+  return isLive || nowMs - heardAtMs < SILENT_MS;
 }
 
 /** Servers whose figures differ, with their new ones. */
--- a/packages/entry/src/gateway/peer_messages.ts
+++ b/packages/entry/src/gateway/peer_messages.ts
@@ -10,6 +10,12 @@
 export const STATUS_METHOD = "status";
 /** Method of {@link PeerHello}. */
 export const HELLO_METHOD = "hello";
+/** Method of {@link KeeperStatus}. */
+export const KEEPER_METHOD = "keeper";
+/** Method of {@link SpreadMessage}. */
+export const SPREAD_METHOD = "spread";
+/** Method of {@link PeerLoss}. */
+export const LOSS_METHOD = "loss";
 /** Method of {@link LoadNews}. */
 export const LOAD_METHOD = "load";
 /** Method of {@link RangeMapNews}. */
@@ -61,13 +67,6 @@
 
 /** Schema of {@link PeerStatus}. */
 export const peerStatusSchema = peerHelloSchema.extend({
-  /** Latest status heard of each peer: proves how fresh this one is. */
-  echoes: z.record(
-    z.string(),
-    z.tuple([contracts.incarnationSchema, z.number().int()]),
-  ),
-  /** How long the process has run. */
-  lifeMs: z.number(),
   configVersion: z.number().int(),
   /** Positions of the last changes heard of, in the store's order. */
   configCursor: z.number().int(),
@@ -75,6 +74,22 @@
   loads: loadsSchema,
   /** Requests that wait for any server, by service. */
   waiting: z.record(z.string(), z.number().int()),
+});
+/** The state of one entry VM, sent to the peers of its cell. */
+export type PeerStatus = z.infer<typeof peerStatusSchema>;
+
+/** Schema of {@link KeeperStatus}. */
+export const keeperStatusSchema = peerHelloSchema.pick({
+  vm: true,
+  incarnation: true,
+  sequence: true,
+  standsMs: true,
+  maps: true,
+}).extend({
+  /** Latest word heard of the receiver: proves how fresh this one is. */
+  echo: z.tuple([contracts.incarnationSchema, z.number().int()]).nullable(),
+  /** How long the process has run. */
+  lifeMs: z.number(),
   /**
    * By server that keys are being taken from: age of the last grant sent, and
    * of the last unanswered one.
@@ -86,8 +101,25 @@
   /** Servers that leave this VM's grants unanswered. */
   silentServers: z.array(z.string()),
 });
-/** The state of one entry VM, sent to the peers of its cell. */
-export type PeerStatus = z.infer<typeof peerStatusSchema>;
+/** What the keepers of range maps tell one another. */
+export type KeeperStatus = z.infer<typeof keeperStatusSchema>;
+
+/** Schema of {@link SpreadMessage}. */
+export const spreadMessageSchema = z.object({
+  method: z.string(),
+  params: z.unknown(),
+});
+/** A message that its receiver takes and passes on to its cell. */
+export type SpreadMessage = z.infer<typeof spreadMessageSchema>;
+
+/** Schema of {@link PeerLoss}. */
+export const peerLossSchema = peerHelloSchema.pick({
+  vm: true,
+  incarnation: true,
+  sequence: true,
+});
+/** A VM that its cell no longer hears, with the last word heard of it. */
+export type PeerLoss = z.infer<typeof peerLossSchema>;
 
 /** Changes of load, between two statuses. */
 export interface LoadNews {
@@ -237,8 +269,6 @@
   ).nullable(),
   /** All names that exist, when the changes come from a list; else null. */
   names: z.array(z.string()).nullable(),
-  /** Whether the receiver passes the message on to its cell. */
-  isForCell: z.boolean(),
 });
 /** Changes that a reader has seen in the platform's store. */
 export type Changes = z.infer<typeof changesSchema>;
@@ -259,8 +289,6 @@
   storeCalmMs: z.number(),
   /** By prefix: position of the last change heard of. */
   positions: z.record(z.string(), z.number().int()),
-  /** Whether the receiver passes the message on to its cell. */
-  isForCell: z.boolean(),
 });
 /** A reader tells that it reaches the store. */
 export type ReaderWord = z.infer<typeof readerWordSchema>;
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -9,7 +9,7 @@
 import { GrantSender } from "./grant_sender.ts";
 import { MapPublisher } from "./map_publisher.ts";
 import { MovePlanner, type MovePlannerOptions } from "./move_planner.ts";
-import type { KeyCounts, PeerStatus, RangeMapNews } from "./peer_messages.ts";
+import type { KeeperStatus, KeyCounts, RangeMapNews } from "./peer_messages.ts";
 import type { RangeMapStore } from "./range_map_store.ts";
 import type { ServerRegistry } from "./server_registry.ts";
 import { SpacedTask } from "./spaced_task.ts";
@@ -192,9 +192,9 @@
     this.#planner.noteKeyCounts(counts);
   }
 
-  /** A peer's status. */
-  noteStatus(
-    status: PeerStatus,
+  /** A keeper's status. */
+  noteKeeper(
+    status: KeeperStatus,
     askedAtMs: number,
     receivedAtMs: number,
   ): void {
--- a/packages/entry/src/gateway/watch_relay.ts
+++ b/packages/entry/src/gateway/watch_relay.ts
@@ -131,9 +131,8 @@
   /** Tells all VMs what this one has read. */
   publish(prefix: string, changes: RelayedChanges): void {
     this.#remember(prefix, changes);
-    this.#send(prefix, changes, { vms: this.#members(), isForCell: false });
-    const vms = this.#oneOfEachOtherCell();
-    this.#send(prefix, changes, { vms, isForCell: true });
+    const message = this.#encode(prefix, changes);
+    this.#options.gossip.spread(messages.CHANGES_METHOD, message);
   }
 
   /** Asks a peer for the changes after a position. */
@@ -181,22 +180,6 @@
     return peers[Math.floor(random.next() * peers.length)];
   }
 
-  #members(): readonly contracts.VmId[] {
-    const { gossip, self } = this.#options;
-    return gossip.plan.members(self.vm);
-  }
-
-  /** Readers draw their own, so the loss of one VM keeps nothing from a cell. */
-  #oneOfEachOtherCell(): contracts.VmId[] {
-    const { gossip, random, self } = this.#options;
-    const live = new Set(gossip.live.map(({ vm }) => vm));
-    return gossip.plan.others(self.vm).flatMap((members) => {
-      const up = members.filter((vm) => live.has(vm));
-      const drawn = up[Math.floor(random.next() * up.length)];
-      return drawn === undefined ? [] : [drawn];
-    });
-  }
-
   get #isHealthyReader(): boolean {
     const { health, isLeaving } = this.#options;
     return this.isReader && health.isReached && !isLeaving();
@@ -263,22 +246,13 @@
       [...this.#watches].map(([prefix, { position }]) => [prefix, position]),
     );
     const storeCalmMs = told(health.calmMs);
-    const word = { vm, storeCalmMs, positions };
-    const toCell: messages.ReaderWord = { ...word, isForCell: false };
-    gossip.send(messages.READER_METHOD, toCell, this.#members());
-    const toOthers: messages.ReaderWord = { ...word, isForCell: true };
-    const vms = this.#oneOfEachOtherCell();
-    gossip.send(messages.READER_METHOD, toOthers, vms);
+    const word: messages.ReaderWord = { vm, storeCalmMs, positions };
+    gossip.spread(messages.READER_METHOD, word);
   }
 
-  #takeWord(word: messages.ReaderWord): void {
-    const { vm, storeCalmMs, positions, isForCell } = word;
-    const { clock, gossip } = this.#options;
-    this.#duty.note({ vm, heardAtMs: clock.nowMs(), storeCalmMs });
-    if (isForCell) {
-      const passedOn: messages.ReaderWord = { ...word, isForCell: false };
-      gossip.send(messages.READER_METHOD, passedOn, this.#members());
-    }
+  #takeWord({ vm, storeCalmMs, positions }: messages.ReaderWord): void {
+    const heardAtMs = this.#options.clock.nowMs();
+    this.#duty.note({ vm, heardAtMs, storeCalmMs });
     for (const [prefix, position] of Object.entries(positions)) {
       this.#watches.get(prefix)?.noteNews(position, vm);
     }
@@ -293,16 +267,8 @@
     if (batches.length > REMEMBERED_BATCHES) batches.shift();
   }
 
-  #send(
-    prefix: string,
-    changes: RelayedChanges,
-    to: {
-      readonly vms: readonly contracts.VmId[];
-      readonly isForCell: boolean;
-    },
-  ): void {
-    if (to.vms.length === 0) return;
-    const { self: { vm }, gossip } = this.#options;
+  #encode(prefix: string, changes: RelayedChanges): messages.Changes {
+    const { vm } = this.#options.self;
     const message: messages.Changes = {
       vm,
       prefix,
@@ -313,16 +279,20 @@
         object === undefined ? null : [object.version, object.value],
       ]) ?? null,
       names: changes.names === undefined ? null : [...changes.names],
-      isForCell: to.isForCell,
     };
     const { length } = encodeMessage(messages.CHANGES_METHOD, message);
-    gossip.send(
-      messages.CHANGES_METHOD,
-      length > LARGEST_BYTES
-        ? { ...message, events: null, names: null }
-        : message,
-      to.vms,
-    );
+    return length > LARGEST_BYTES
+      ? { ...message, events: null, names: null }
+      : message;
+  }
+
+  #send(
+    prefix: string,
+    changes: RelayedChanges,
+    peer: contracts.VmId,
+  ): void {
+    const message = this.#encode(prefix, changes);
+    this.#options.gossip.send(messages.CHANGES_METHOD, message, [peer]);
   }
 
   #take(message: messages.Changes): void {
@@ -342,8 +312,6 @@
     if (watch === undefined) return;
     if (toCursor > watch.position) this.#remember(prefix, changes);
     watch.takeRelayed(changes, vm);
-    if (!message.isForCell) return;
-    this.#send(prefix, changes, { vms: this.#members(), isForCell: false });
   }
 
   /** Tells a peer what it missed, or that this is not remembered. */
@@ -357,12 +325,11 @@
         events !== undefined &&
         fromPosition <= (missed[index - 1]?.toPosition ?? cursor)
       );
-    const to = { vms: [vm], isForCell: false };
     if (!isWhole) {
       const none = { fromPosition: cursor, toPosition: position };
-      return this.#send(prefix, { ...none, events: undefined }, to);
+      return this.#send(prefix, { ...none, events: undefined }, vm);
     }
-    for (const batch of missed) this.#send(prefix, batch, to);
+    for (const batch of missed) this.#send(prefix, batch, vm);
   }
 }
 
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -91,6 +91,7 @@
   const gossip: PeerGossip = new PeerGossip({
     self,
     clock: suspensionClock,
+    random,
     log: log.part("member"),
     ownHello: () => ({
       hasStore: health.isReached,
@@ -98,6 +99,10 @@
       ...grantTask.ownHello(),
     }),
     ownState: () => ownState(),
+    ownKeeperState: () => ({
+      lifeMs: Math.ceil(clock.nowMs() - startedMs),
+      ...grantTask.ownKeeperState(),
+    }),
     keepers: () => grantTask.keepers(),
     ownLoads: () => forwarder.ownState().loads,
     onSent: (method, bytes, isSameZone) => {
@@ -225,11 +230,9 @@
 
   function ownState(): OwnState {
     return {
-      lifeMs: Math.ceil(clock.nowMs() - startedMs),
       configVersion: config.version,
       configCursor: watches.config.position,
       serversCursor: watches.servers.position,
-      ...grantTask.ownState(),
       ...forwarder.ownState(),
     };
   }
@@ -303,7 +306,7 @@
   await readiness.listen(lifeCycle);
   await parts.metrics.listen(settings, lifeCycle);
   for (const { host } of settings.seeds) gossip.addSeed(host);
-  gossip.onStatus(({ status: { vm, configCursor, serversCursor } }) => {
+  gossip.onStatus(({ vm, configCursor, serversCursor }) => {
     watches.config.noteNews(configCursor, vm);
     watches.servers.noteNews(serversCursor, vm);
   });
