--- a/packages/decisions/src/grants/range_load.ts
+++ b/packages/decisions/src/grants/range_load.ts
@@ -29,9 +29,6 @@
 /** Rate that stands for the width of a range no key of which is asked for. */
 export const WIDTH_RATE_PER_KEY = 1e-4;
 
-/** Standard deviations that a load has to be above a level by. */
-const DEVIATIONS = 2;
-
 /** Load of the servers while a plan is made. */
 export class Utilization {
   readonly #perSecond = new Map<contracts.ServerId, number>();
@@ -57,11 +54,11 @@
    * time scatter, and the busiest of many servers is often only the one whose
    * count came out highest.
    */
-  atLeast(server: contracts.ServerId): number {
+  atLeast(server: contracts.ServerId, deviations: number): number {
     const { capacityPerSecond } = this.#servers.get(server)!;
     const perSecond = this.#perSecond.get(server)!;
     const deviation = rateDeviation(perSecond);
-    return (perSecond - DEVIATIONS * deviation) / capacityPerSecond;
+    return (perSecond - deviations * deviation) / capacityPerSecond;
   }
 
   get mean(): number {
@@ -74,6 +71,13 @@
     return capacity === 0 ? 0 : load / capacity;
   }
 
+  /** Whether some server is likely to be busier than a level. */
+  exceeds(level: number, deviations: number): boolean {
+    return [...this.#servers.keys()].some((server) =>
+      this.atLeast(server, deviations) > level
+    );
+  }
+
   /** The server that is least busy. */
   coldest(): contracts.ServerId | undefined {
     return this.#extreme((a, b) => a < b);
--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -23,6 +23,13 @@
 const HOT_UTILIZATION = 0.5;
 /** A server gives keys away only when busier than the mean by this ratio. */
 const HOT_RATIO = 1.2;
+/**
+ * Standard deviations by which a load has to be above the level: with fewer at
+ * the start, keys move because counts of a short time scatter; with as many at
+ * the end, a hot server is left half relieved.
+ */
+const START_DEVIATIONS = 2;
+const STOP_DEVIATIONS = 1;
 /** Moves in one plan; each costs a grant to renew from then on. */
 const MOVES_PER_PLAN = 8;
 /** Pieces that the keys of a server with a mean load are dealt out in. */
@@ -164,6 +171,7 @@
   const moves = [...planned];
   const limit = input.servers.size * RANGES_PER_SERVER;
   const level = Math.max(HOT_UTILIZATION, use.mean * HOT_RATIO);
+  if (!use.exceeds(level, START_DEVIATIONS)) return moves;
   const exhausted = new Set<contracts.ServerId>();
   // Ranges that can't be split any more are still moved whole: with nothing
   // moved, a map that is full of them stays as uneven as it is, for ever.
@@ -172,7 +180,7 @@
     const hot = use.hottest(exhausted);
     const cold = use.coldest();
     if (hot === undefined || cold === undefined) break;
-    if (use.atLeast(hot) <= level) break;
+    if (use.atLeast(hot, STOP_DEVIATIONS) <= level) break;
     const wish = wishOf(input, use, { hot, cold, level });
     const piece = maySplit
       ? densePiece(input, moves, hot, wish)
