refactor(gateway): the datagram socket and the learning of maps as classes

Change: PeerChannel owns the socket and hands messages out; RangeMapLearner decides when and from whom a range map is learned.

--- /dev/null
+++ b/packages/entry/src/gateway/peer_channel.ts
@@ -0,0 +1,133 @@
+/** The datagram socket of an entry VM, and who takes which message. */
+import * as dgram from "node:dgram";
+import type * as z from "zod";
+import type { LifeCycle } from "../utils/life_cycle.ts";
+import type { PartLog } from "../utils/log.ts";
+import { decodeMessage, encodeMessage } from "./peer_codec.ts";
+
+/** Options of {@link PeerChannel}. */
+export interface PeerChannelOptions {
+  /** IP number and port to listen on. */
+  readonly host: string;
+  readonly port: number;
+  readonly log: PartLog;
+  /** A datagram leaves. */
+  readonly onSent: (method: string, bytes: number, to: PeerTarget) => void;
+}
+
+/** Where a datagram goes. */
+export interface PeerTarget {
+  readonly host: string;
+  readonly port: number;
+  /** Availability zone of the receiver; undefined while it is not known. */
+  readonly zone?: string | undefined;
+}
+
+/** Sends and takes JSON-RPC 2.0 notifications. */
+export class PeerChannel {
+  readonly #options: PeerChannelOptions;
+  readonly #socket = dgram.createSocket({ type: "udp4", lookup: noLookup });
+  readonly #handlers = new Map<string, (params: unknown) => void>();
+
+  constructor(options: PeerChannelOptions) {
+    this.#options = options;
+    this.#socket.on("message", (bytes) => this.#receive(bytes));
+    this.#socket.on(
+      "error",
+      (error) =>
+        options.log.warn("Datagram socket failed.", { error: error.message }),
+    );
+  }
+
+  /** Starts to listen. Errors: the port is taken. */
+  async listen(lifeCycle: LifeCycle): Promise<void> {
+    const { host, port } = this.#options;
+    await new Promise<void>((resolve, reject) => {
+      this.#socket.once("error", reject);
+      this.#socket.bind(port, host, () => {
+        this.#socket.off("error", reject);
+        resolve();
+      });
+    });
+    lifeCycle.onStop({
+      name: "datagrams to peers",
+      timeoutMs: 100,
+      run: () => void this.#socket.close(),
+    });
+  }
+
+  /** Registers who takes a method's parameters. */
+  on<Params>(
+    method: string,
+    schema: z.ZodType<Params>,
+    take: (params: Params) => void,
+  ): void {
+    this.#register(method, (params) => schema.safeParse(params).data, take);
+  }
+
+  /** The same for messages that come too often for a schema. */
+  onGuarded<Params>(
+    method: string,
+    isParams: (params: unknown) => params is Params,
+    take: (params: Params) => void,
+  ): void {
+    this.#register(
+      method,
+      (params) => isParams(params) ? params : undefined,
+      take,
+    );
+  }
+
+  /** Hands a message to who takes its method. */
+  dispatch(method: string, params: unknown): void {
+    this.#handlers.get(method)?.(params);
+  }
+
+  /** Sends one message to several peers. */
+  send(method: string, params: object, targets: Iterable<PeerTarget>): void {
+    const bytes = encodeMessage(method, params);
+    for (const target of targets) {
+      this.#options.onSent(method, bytes.length, target);
+      this.#sendBytes(bytes, target);
+    }
+  }
+
+  #sendBytes(bytes: Uint8Array, { host, port }: PeerTarget): void {
+    this.#socket.send(bytes, port, host, (error) => {
+      if (error === null) return;
+      this.#options.log.debug("Datagram not sent.", {
+        host,
+        reason: error.message,
+      });
+    });
+  }
+
+  #register<Params>(
+    method: string,
+    read: (params: unknown) => Params | undefined,
+    take: (params: Params) => void,
+  ): void {
+    this.#handlers.set(method, (params) => {
+      const known = read(params);
+      if (known !== undefined) take(known);
+      else this.#options.log.warn("Ignores a datagram.", { method });
+    });
+  }
+
+  #receive(bytes: Buffer): void {
+    const message = decodeMessage(bytes);
+    if (message !== undefined) {
+      return this.dispatch(message.method, message.params);
+    }
+    this.#options.log.warn("Ignores a datagram.", { bytes: bytes.length });
+  }
+}
+
+/** Peers are named by IP number; the system's resolver takes a turn for each. */
+function noLookup(
+  host: string,
+  _options: unknown,
+  done: (error: null, address: string, family: number) => void,
+): void {
+  done(null, host, 4);
+}
--- a/packages/entry/src/gateway/peer_gossip.ts
+++ b/packages/entry/src/gateway/peer_gossip.ts
@@ -5,12 +5,11 @@
  */
 import type * as contracts from "@guavatide/contracts";
 import type * as cells from "@guavatide/decisions/cells/mod";
-import * as dgram from "node:dgram";
 import type * as z from "zod";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import type { PartLog } from "../utils/log.ts";
 import { type Peer, PeerBook } from "./peer_book.ts";
-import { decodeMessage, encodeMessage } from "./peer_codec.ts";
+import { PeerChannel, type PeerTarget } from "./peer_channel.ts";
 import {
   HELLO_METHOD,
   isLoadNews,
@@ -108,13 +107,12 @@
 /** Own hellos and statuses whose time is remembered. */
 const REMEMBERED = 256;
 
-/** The task that owns the datagram socket. */
+/** What the VMs of a deployment tell one another of themselves. */
 export class PeerGossip {
   readonly #options: PeerGossipOptions;
-  readonly #socket = dgram.createSocket({ type: "udp4", lookup: noLookup });
+  readonly #channel: PeerChannel;
   readonly #book: PeerBook;
   readonly #seeds = new Set<string>();
-  readonly #handlers = new Map<string, (params: unknown) => void>();
   readonly #statusListeners: ((status: PeerStatus) => void)[] = [];
   readonly #keeperListeners: ((heard: HeardKeeper) => void)[] = [];
   readonly #helloListeners: ((hello: PeerHello) => void)[] = [];
@@ -132,6 +130,13 @@
   constructor(options: PeerGossipOptions) {
     this.#options = options;
     this.#book = new PeerBook(options);
+    const { self: { host, port, zone }, log, onSent } = options;
+    this.#channel = new PeerChannel({
+      host,
+      port,
+      log,
+      onSent: (method, bytes, to) => onSent(method, bytes, to.zone === zone),
+    });
     this.on(HELLO_METHOD, peerHelloSchema, (hello) => this.#takeHello(hello));
     this.on(
       STATUS_METHOD,
@@ -152,31 +157,15 @@
     this.onGuarded(LOAD_METHOD, isLoadNews, (news) => {
       for (const listener of this.#loadListeners) listener(news);
     });
-    this.#socket.on("message", (bytes) => this.#receive(bytes));
-    this.#socket.on(
-      "error",
-      (error) =>
-        options.log.warn("Datagram socket failed.", { error: error.message }),
-    );
   }
 
   /** Starts to listen. Errors: the port is taken. */
   async start(lifeCycle: LifeCycle): Promise<void> {
-    const { host, port } = this.#options.self;
-    await new Promise<void>((resolve, reject) => {
-      this.#socket.once("error", reject);
-      this.#socket.bind(port, host, () => {
-        this.#socket.off("error", reject);
-        resolve();
-      });
-    });
+    await this.#channel.listen(lifeCycle);
     lifeCycle.onStop({
-      name: "datagrams to peers",
+      name: "changed load",
       timeoutMs: 100,
-      run: () => {
-        clearTimeout(this.#loadsTimer);
-        this.#socket.close();
-      },
+      run: () => clearTimeout(this.#loadsTimer),
     });
     lifeCycle.every(KEEPER_STATUS_MS, () => this.#tick());
   }
@@ -227,7 +216,7 @@
     schema: z.ZodType<Params>,
     take: (params: Params) => void,
   ): void {
-    this.#register(method, (params) => schema.safeParse(params).data, take);
+    this.#channel.on(method, schema, take);
   }
 
   /** The same for messages that come too often for a schema. */
@@ -236,23 +225,7 @@
     isParams: (params: unknown) => params is Params,
     take: (params: Params) => void,
   ): void {
-    this.#register(
-      method,
-      (params) => isParams(params) ? params : undefined,
-      take,
-    );
-  }
-
-  #register<Params>(
-    method: string,
-    read: (params: unknown) => Params | undefined,
-    take: (params: Params) => void,
-  ): void {
-    this.#handlers.set(method, (params) => {
-      const known = read(params);
-      if (known !== undefined) take(known);
-      else this.#options.log.warn("Ignores a datagram.", { method });
-    });
+    this.#channel.onGuarded(method, isParams, take);
   }
 
   /** Sends a notification to some peers, or to all. */
@@ -261,11 +234,9 @@
     params: object,
     vms?: readonly contracts.VmId[],
   ): void {
-    const bytes = encodeMessage(method, params);
-    const peers = vms?.map((vm) => this.#book.get(vm)) ?? this.#book.all;
-    for (const peer of peers) {
-      if (peer !== undefined) this.#sendTo(peer, method, bytes);
-    }
+    const peers = vms?.flatMap((vm) => this.#book.get(vm) ?? []) ??
+      [...this.#book.all];
+    this.#channel.send(method, params, peers.map(targetOf));
   }
 
   /**
@@ -289,7 +260,7 @@
   }
 
   #takeSpread({ method, params }: SpreadMessage): void {
-    this.#handlers.get(method)?.(params);
+    this.#channel.dispatch(method, params);
     if (typeof params !== "object" || params === null) return;
     this.send(method, params, this.#cellPeers());
   }
@@ -390,11 +361,9 @@
     this.#toldLoads = loads;
     if (Object.keys(changed).length === 0) return;
     const news: LoadNews = { vm: self.vm, loads: changed };
-    const bytes = encodeMessage(LOAD_METHOD, news);
-    for (const vm of this.#cellPeers()) {
-      const peer = this.#book.get(vm);
-      if (peer?.isLive) this.#sendTo(peer, LOAD_METHOD, bytes);
-    }
+    const live = this.#cellPeers()
+      .filter((vm) => this.#book.get(vm)?.isLive);
+    this.send(LOAD_METHOD, news, live);
   }
 
   #hello(standsMs: number): PeerHello {
@@ -419,8 +388,7 @@
         : [peer.incarnation, peer.sequence];
       const word = { vm, incarnation, sequence, standsMs, maps };
       const status: KeeperStatus = { ...word, ...state, echo };
-      const bytes = encodeMessage(KEEPER_METHOD, status);
-      this.#sendTo(peer, KEEPER_METHOD, bytes);
+      this.#channel.send(KEEPER_METHOD, status, [targetOf(peer)]);
     }
   }
 
@@ -446,12 +414,17 @@
       ...this.#hello(CELL_STATUS_MS * STATUSES_STAND),
       ...state,
     };
-    const bytes = encodeMessage(STATUS_METHOD, status);
-    for (const peer of this.#followCell(nowMs)) {
-      peer.sentAtMs = nowMs;
-      this.#sendTo(peer, STATUS_METHOD, bytes);
-    }
-    if (this.#book.live.length === 0) this.#sendToSeeds(bytes);
+    const peers = this.#followCell(nowMs);
+    for (const peer of peers) peer.sentAtMs = nowMs;
+    const isAlone = this.#book.live.length === 0;
+    const seeds = isAlone ? this.#seedTargets() : [];
+    const targets = [...peers.map(targetOf), ...seeds];
+    this.#channel.send(STATUS_METHOD, status, targets);
+  }
+
+  #seedTargets(): PeerTarget[] {
+    const { port } = this.#options.self;
+    return [...this.#seeds].map((host) => ({ host, port }));
   }
 
   /** Peers of the own cell, but those that were silent for long. */
@@ -474,48 +447,12 @@
       HELLO_MIN_MS,
       this.#book.size * HELLO_PER_PEER_MS,
     );
-    let bytes: Uint8Array | undefined;
-    for (const peer of this.#book.all) {
-      if (nowMs - peer.sentAtMs < intervalMs) continue;
-      peer.sentAtMs = nowMs;
-      bytes ??= encodeMessage(
-        HELLO_METHOD,
-        this.#hello(intervalMs * HELLOS_STAND),
-      );
-      this.#sendTo(peer, HELLO_METHOD, bytes);
-    }
-  }
-
-  #sendToSeeds(bytes: Uint8Array): void {
-    const { port } = this.#options.self;
-    for (const host of this.#seeds) {
-      this.#sendTo({ host, port }, STATUS_METHOD, bytes);
-    }
-  }
-
-  #sendTo(
-    { host, port, hello }: Pick<Peer, "host" | "port"> & Partial<Peer>,
-    method: string,
-    bytes: Uint8Array,
-  ): void {
-    const { self, onSent } = this.#options;
-    onSent(method, bytes.length, hello?.zone === self.zone);
-    this.#socket.send(bytes, port, host, (error) => {
-      if (error === null) return;
-      this.#options.log.debug("Datagram not sent.", {
-        host,
-        reason: error.message,
-      });
-    });
-  }
-
-  #receive(bytes: Buffer): void {
-    const message = decodeMessage(bytes);
-    if (message === undefined) {
-      this.#options.log.warn("Ignores a datagram.", { bytes: bytes.length });
-      return;
-    }
-    this.#handlers.get(message.method)?.(message.params);
+    const due = [...this.#book.all]
+      .filter(({ sentAtMs }) => nowMs - sentAtMs >= intervalMs);
+    if (due.length === 0) return;
+    for (const peer of due) peer.sentAtMs = nowMs;
+    const hello = this.#hello(intervalMs * HELLOS_STAND);
+    this.#channel.send(HELLO_METHOD, hello, due.map(targetOf));
   }
 
   #takeHello(hello: PeerHello): void {
@@ -550,13 +487,8 @@
   }
 }
 
-/** Peers are named by IP number; the system's resolver takes a turn for each. */
-function noLookup(
-  host: string,
-  _options: unknown,
-  done: (error: null, address: string, family: number) => void,
-): void {
-  done(null, host, 4);
+function targetOf({ host, port, hello }: Peer): PeerTarget {
+  return { host, port, zone: hello?.zone };
 }
 
 /** Whether a peer is up, or was a short while ago. */
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -10,9 +10,9 @@
 import { MapPublisher } from "./map_publisher.ts";
 import { MovePlanner, type MovePlannerOptions } from "./move_planner.ts";
 import type { KeeperStatus, KeyCounts, RangeMapNews } from "./peer_messages.ts";
+import { RangeMapLearner } from "./range_map_learner.ts";
 import type { RangeMapStore } from "./range_map_store.ts";
 import type { ServerRegistry } from "./server_registry.ts";
-import { SpacedTask } from "./spaced_task.ts";
 
 /** An entry VM that may take part in ownership, this one included. */
 export interface GrantPeer {
@@ -53,13 +53,8 @@
 const RELEASE_TIMEOUT_MS = 2_500;
 /** An owner that was not heard to confirm is tried after this time. */
 const PENDING_MS = 1_500;
-/** The mover's news may arrive so much later than a peer's word of the map. */
-const NEWS_GRACE_MS = 120;
 /** A VM that has just started hears first who else could make the moves. */
 const MOVER_GRACE_MS = 700;
-/** Least time between two reads of the map by a VM that lacks evidence. */
-const READ_SPACING_MS = 250;
-
 /** Ownership of one service. */
 export class ServiceGrants {
   readonly #options: ServiceGrantsOptions;
@@ -73,18 +68,11 @@
   #pending = new Set<number>();
   #adoptedAtMs = Number.NEGATIVE_INFINITY;
   readonly #ownerless = new grants.OwnerlessTimes();
-  #isSettled = false;
   #isMover = false;
   readonly #firstMap = new grants.FirstMapWait();
   readonly #order: grants.DutyOrder;
   readonly #publisher: MapPublisher;
-  /** Since when peers know a newer map than this VM, and who told so last. */
-  #behindSinceMs: number | undefined;
-  #aheadPeer: contracts.VmId | undefined;
-  /** Whether the store was asked for a first map. */
-  #hasLooked = false;
-  readonly #reading: SpacedTask;
-  readonly #catchingUp: SpacedTask;
+  readonly #learner: RangeMapLearner;
   readonly #lost = new grants.LostServers();
   /** Fences confirmed to this VM as the mover. */
   readonly #confirmed = new Set<number>();
@@ -95,9 +83,17 @@
     this.#publisher = new MapPublisher(options);
     this.#planner = new MovePlanner(options);
     this.#startedAtMs = options.clock.nowMs();
-    const spacing = { ...options, spacingMs: READ_SPACING_MS };
-    this.#reading = new SpacedTask(spacing);
-    this.#catchingUp = new SpacedTask(spacing);
+    this.#learner = new RangeMapLearner({
+      ...options,
+      hasDuty: () => this.#hasDuty,
+      knownRevision: () => this.#map?.revision ?? 0,
+      onRead: (map, askedAtMs) => {
+        this.#keepers.noteRead(map.revision, askedAtMs);
+        this.#adoptNewer(map, "store");
+      },
+      onTold: (map) => this.#adoptNewer(map, "peer"),
+      onSettled: options.tellPeers,
+    });
     this.#mover = new grants.RangeMover(
       options.service,
       this.#keepers,
@@ -135,7 +131,7 @@
 
   /** Revision known, and whether the map was read in this run. */
   get word(): [number, boolean] {
-    return [this.#map?.revision ?? 0, this.#isSettled];
+    return [this.#map?.revision ?? 0, this.#learner.isSettled];
   }
 
   /** Ages of this VM's grants to servers that keys are taken from. */
@@ -214,9 +210,7 @@
 
   /** A peer knows a revision of the map. */
   noteRevision(revision: number, peer: contracts.VmId): void {
-    if (revision <= (this.#map?.revision ?? 0)) return;
-    this.#aheadPeer = peer;
-    this.#behindSinceMs ??= this.#options.clock.nowMs();
+    this.#learner.noteRevision(revision, peer);
   }
 
   /** The mover's news of the map. */
@@ -232,7 +226,7 @@
       ? undefined
       : grants.withChanges(this.#map?.ranges ?? [], map.ranges);
     // What the news builds on never arrived here.
-    if (ranges === undefined) return this.#catchUp();
+    if (ranges === undefined) return this.#learner.catchUp();
     this.#pending = pending;
     this.#adopt({ ...map, ranges }, "news");
   }
@@ -241,7 +235,7 @@
   noteSuspension(): void {
     this.#keepers.forgetEvidence();
     this.#mover.forget();
-    this.#isSettled = false;
+    this.#learner.forget();
   }
 
   /** Regular work: renewals, reads, moves. */
@@ -249,10 +243,7 @@
     const nowMs = this.#options.clock.nowMs();
     this.#noteOwnWord(nowMs);
     this.#followDuty(nowMs);
-    const isBehind = this.#behindSinceMs !== undefined &&
-      nowMs - this.#behindSinceMs >= NEWS_GRACE_MS;
-    if (this.#hasDuty && !this.#isSettled) this.#readSoon();
-    else if (!this.#hasLooked || isBehind) this.#catchUp();
+    this.#learner.tick(nowMs);
     if (this.#map !== undefined) this.#renew(this.#map, nowMs);
     if (this.#isMover) this.#move(nowMs);
   }
@@ -261,7 +252,7 @@
     this.#keepers.noteWord({
       vm: this.#options.vm,
       revision: this.#map?.revision ?? 0,
-      isSettled: this.#isSettled,
+      isSettled: this.#learner.isSettled,
       askedAtMs: nowMs,
       receivedAtMs: nowMs,
       startedAtMs: this.#startedAtMs,
@@ -289,45 +280,6 @@
     return this.#isMover || keepers.includes(this.#options.vm);
   }
 
-  /** Reads the map from the store, unless one read is under way or just was. */
-  #readSoon(): void {
-    this.#reading.run(async (nowMs) => {
-      const end = await this.#options.maps.read(this.#options.service);
-      if (end.kind === "unsure") return;
-      const wasSettled = this.#isSettled;
-      this.#isSettled = true;
-      this.#hasLooked = true;
-      if (end.kind === "absent") return;
-      const { map } = end.stored;
-      this.#keepers.noteRead(map.revision, nowMs);
-      this.#adoptNewer(map, "store");
-      // From now on this VM's word is evidence, which the other keepers need.
-      if (!wasSettled) this.#options.tellPeers();
-    });
-  }
-
-  /**
-   * Learns the map of the store or of a peer. Keepers read it themselves, so
-   * that their word is evidence; to all others an older one does no harm, since
-   * servers refuse what they do not own and peers tell of a newer one.
-   */
-  #catchUp(): void {
-    if (this.#hasDuty) return this.#readSoon();
-    this.#catchingUp.run(async () => {
-      const peer = this.#aheadPeer;
-      this.#aheadPeer = undefined;
-      const told = peer === undefined
-        ? undefined
-        : await this.#options.askMap(peer);
-      if (told !== undefined) return this.#adoptNewer(told, "peer");
-      const { maps, service } = this.#options;
-      const end = await maps.read(service, { mayBeStale: !this.#hasLooked });
-      if (end.kind === "unsure") return;
-      this.#hasLooked = true;
-      if (end.kind === "found") this.#adoptNewer(end.stored.map, "store");
-    });
-  }
-
   #adoptNewer(map: contracts.RangeMap, from: string): void {
     if (map.revision <= (this.#map?.revision ?? 0)) return;
     this.#pending.clear();
@@ -336,7 +288,6 @@
 
   #adopt(map: contracts.RangeMap, from: string): void {
     this.#map = map;
-    this.#behindSinceMs = undefined;
     this.#adoptedAtMs = this.#options.clock.nowMs();
     this.#publisher.noteMap(map);
     this.#mover.noteNewer(map.revision);
@@ -357,8 +308,7 @@
       from,
     });
     this.#options.onChange();
-    // A keeper is of use to the others only once it has read the map itself.
-    if (this.#hasDuty && !this.#isSettled) this.#readSoon();
+    this.#learner.noteMap();
   }
 
   // Renewing
@@ -390,7 +340,7 @@
     }
     if (due.length === 0) return;
     const evidenceAgeMs = nowMs - this.#keepers.evidenceAtMs(map);
-    if (evidenceAgeMs >= timings.evidenceMs) return this.#readSoon();
+    if (evidenceAgeMs >= timings.evidenceMs) return this.#learner.readSoon();
     for (const range of grants.mostOverdue(due)) {
       const handover = this.#mover.handover(range.fence);
       this.#sender.send({ range, handover }).then(
@@ -454,7 +404,7 @@
       : await maps.write(call.map, call.condition);
     this.#mover.noteCallEnd(end, clock.nowMs());
     if (end.kind === "unsure" || end.kind === "absent") return;
-    this.#isSettled = true;
+    this.#learner.noteSettled();
     const { map } = end.stored;
     this.#keepers.noteRead(map.revision, askedAtMs);
     if (map.revision <= (this.#map?.revision ?? 0)) return;
