perf(gateway): members and servers that change together are followed once

An entry VM also sorted all its peers for each slot request. Change: changes of members are told 50 ms later and together, changes of the store by batch; the VMs of a zone are kept by name until members change.

--- a/packages/entry/src/gateway/kind_watch.ts
+++ b/packages/entry/src/gateway/kind_watch.ts
@@ -27,7 +27,8 @@
   readonly relay: WatchRelay;
   /** All objects, at the first list. */
   readonly onList: (objects: readonly contracts.StoredObject[]) => void;
-  readonly onEvent: (change: ObjectChange) => void;
+  /** Changes that were learned together, in their order. */
+  readonly onChanges: (changes: readonly ObjectChange[]) => void;
 }
 
 /**
@@ -329,10 +330,9 @@
   }
 
   #apply(changes: readonly ObjectChange[]): void {
-    for (const change of changes) {
-      this.#table.apply(change);
-      this.#options.onEvent(change);
-    }
+    if (changes.length === 0) return;
+    for (const change of changes) this.#table.apply(change);
+    this.#options.onChanges(changes);
   }
 
   #waitMs(): number {
--- a/packages/entry/src/gateway/peer_book.ts
+++ b/packages/entry/src/gateway/peer_book.ts
@@ -56,6 +56,8 @@
   readonly #peers = new Map<contracts.VmId, Peer>();
   #live: readonly PeerHello[] | undefined;
   #plan: cells.CellPlan | undefined;
+  /** VMs that are up by availability zone, for those asked for. */
+  readonly #zones = new Map<contracts.ZoneId, readonly contracts.VmId[]>();
   readonly #listeners: (() => void)[] = [];
 
   constructor(options: PeerBookOptions) {
@@ -201,6 +203,17 @@
     return this.#live;
   }
 
+  /** VMs of an availability zone that are up, this one included, by name. */
+  inZone(zone: contracts.ZoneId): readonly contracts.VmId[] {
+    const known = this.#zones.get(zone);
+    if (known !== undefined) return known;
+    const { self } = this.#options;
+    const vms = [self, ...this.live].filter((it) => it.zone === zone)
+      .map(({ vm }) => vm).sort();
+    this.#zones.set(zone, vms);
+    return vms;
+  }
+
   /** Latest statuses of peers that are up and tell them. */
   *statuses(): Generator<PeerStatus> {
     for (const { isLive, status } of this.#peers.values()) {
@@ -228,6 +241,7 @@
 
   #changed(): void {
     this.#live = undefined;
+    this.#zones.clear();
     for (const listener of this.#listeners) listener();
   }
 }
--- a/packages/entry/src/gateway/peer_book_test.ts
+++ b/packages/entry/src/gateway/peer_book_test.ts
@@ -74,3 +74,30 @@
   fixture.hear(2, true);
   expect(fixture.book.plan.isSingle).toEqual(true);
 });
+
+test("should name the VMs of an availability zone that are up", () => {
+  const fixture = new Fixture();
+  expect(fixture.book.inZone("z1" as contracts.ZoneId).map(String))
+    .toEqual(["vm0", "vm10", "vm12", "vm2", "vm4", "vm6", "vm8"]);
+  fixture.hear(2, true);
+  fixture.pass(2_000, (index) => index > 4);
+  expect(fixture.book.inZone("z1" as contracts.ZoneId).map(String))
+    .toEqual(["vm0", "vm10", "vm12", "vm6", "vm8"]);
+});
+
+/** Guards against a lost VM that other cells count on until its hello expires. */
+test("should take a cell's word that it has lost a VM", () => {
+  const fixture = new Fixture();
+  const loss = {
+    vm: "vm3" as contracts.VmId,
+    incarnation: "r1" as contracts.Incarnation,
+    sequence: 2,
+  };
+  // The cell has heard it last before this VM did.
+  fixture.book.noteLoss({ ...loss, sequence: 1 });
+  expect(fixture.book.tick().length).toEqual(0);
+  fixture.book.noteLoss(loss);
+  expect(fixture.book.tick().map(({ vm }) => String(vm))).toEqual(["vm3"]);
+  fixture.hear(3);
+  expect(fixture.book.live.some(({ vm }) => vm === loss.vm)).toEqual(true);
+});
--- a/packages/entry/src/gateway/peer_gossip.ts
+++ b/packages/entry/src/gateway/peer_gossip.ts
@@ -104,6 +104,11 @@
 const HELLOS_STAND = 2.5;
 /** A peer that was silent for so long gets only hellos. */
 const SILENT_MS = 3_000;
+/**
+ * Members that change together are told together: each time the servers of all
+ * services are shared out anew, and at a start every VM hears of every other.
+ */
+const MEMBERS_DELAY_MS = 50;
 /** Own hellos and statuses whose time is remembered. */
 const REMEMBERED = 256;
 
@@ -117,6 +122,9 @@
   readonly #keeperListeners: ((heard: HeardKeeper) => void)[] = [];
   readonly #helloListeners: ((hello: PeerHello) => void)[] = [];
   readonly #loadListeners: ((news: LoadNews) => void)[] = [];
+  readonly #memberListeners: (() => void)[] = [];
+  /** Set while a change of members waits to be told. */
+  #membersTimer: NodeJS.Timeout | undefined;
   /** When each own hello or status left, by its sequence. */
   readonly #sentMs = new Map<number, number>();
   #sequence = 0;
@@ -130,6 +138,7 @@
   constructor(options: PeerGossipOptions) {
     this.#options = options;
     this.#book = new PeerBook(options);
+    this.#book.onMembers(() => this.#noteMembers());
     const { self: { host, port, zone }, log, onSent } = options;
     this.#channel = new PeerChannel({
       host,
@@ -163,9 +172,12 @@
   async start(lifeCycle: LifeCycle): Promise<void> {
     await this.#channel.listen(lifeCycle);
     lifeCycle.onStop({
-      name: "changed load",
+      name: "news of load and members",
       timeoutMs: 100,
-      run: () => clearTimeout(this.#loadsTimer),
+      run: () => {
+        clearTimeout(this.#loadsTimer);
+        clearTimeout(this.#membersTimer);
+      },
     });
     lifeCycle.every(KEEPER_STATUS_MS, () => this.#tick());
   }
@@ -205,9 +217,21 @@
     this.#loadListeners.push(listener);
   }
 
-  /** Called when a VM came or went. */
+  /** Called soon after VMs came or went. */
   onMembers(listener: () => void): void {
-    this.#book.onMembers(listener);
+    this.#memberListeners.push(listener);
+  }
+
+  /** VMs of an availability zone that are up, this one included, by name. */
+  membersOf(zone: contracts.ZoneId): readonly contracts.VmId[] {
+    return this.#book.inZone(zone);
+  }
+
+  #noteMembers(): void {
+    this.#membersTimer ??= setTimeout(() => {
+      this.#membersTimer = undefined;
+      for (const listener of this.#memberListeners) listener();
+    }, MEMBERS_DELAY_MS);
   }
 
   /** Registers who takes a method's parameters. */
--- a/packages/entry/src/gateway/server_registry.ts
+++ b/packages/entry/src/gateway/server_registry.ts
@@ -117,13 +117,15 @@
     this.#changed();
   }
 
-  /** Takes over one change. */
-  takeEvent(event: ObjectChange): void {
-    const known = this.#known.get(
-      this.#serverOf(event.name) as contracts.ServerId,
-    );
-    if (event.object !== undefined) this.#take(event.object);
-    else if (known !== undefined) this.#miss(known);
+  /** Takes over changes that were learned together. */
+  takeChanges(changes: readonly ObjectChange[]): void {
+    for (const { name, object } of changes) {
+      const known = this.#known.get(
+        this.#serverOf(name) as contracts.ServerId,
+      );
+      if (object !== undefined) this.#take(object);
+      else if (known !== undefined) this.#miss(known);
+    }
     this.#changed();
   }
 
--- a/packages/entry/src/gateway/slot_task.ts
+++ b/packages/entry/src/gateway/slot_task.ts
@@ -139,14 +139,23 @@
     { server }: admission.SlotServer,
     silent: ReadonlySet<contracts.VmId>,
   ): contracts.VmId | undefined {
-    const { gossip, registry, vm, zone, isLeaving } = this.#options;
-    const all: { vm: contracts.VmId; zone: contracts.ZoneId }[] = gossip.live
-      .filter((peer) => !silent.has(peer.vm));
-    if (!isLeaving()) all.push({ vm, zone });
-    const near = all.filter((it) => it.zone === registry.zoneOf(server));
-    const able = near.length > 0 ? near : all;
-    const names = able.map((it) => it.vm).sort();
-    return this.#order.of(server, names)[0];
+    const { gossip, registry, vm } = this.#options;
+    const zone = registry.zoneOf(server);
+    const inZone = zone === undefined ? [] : gossip.membersOf(zone);
+    const near = inZone.filter((it) => this.#isAble(it, silent));
+    const able = near.length > 0
+      ? near
+      : [vm, ...gossip.live.map((peer) => peer.vm)]
+        .filter((it) => this.#isAble(it, silent)).sort();
+    return this.#order.of(server, able)[0];
+  }
+
+  #isAble(
+    candidate: contracts.VmId,
+    silent: ReadonlySet<contracts.VmId>,
+  ): boolean {
+    const { vm, isLeaving } = this.#options;
+    return !silent.has(candidate) && (candidate !== vm || !isLeaving());
   }
 
   #flush(): void {
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -217,13 +217,16 @@
         ...common,
         prefix: adapter.prefixes.config,
         onList: (objects) => objects.forEach((object) => config.take(object)),
-        onEvent: ({ object }) => object !== undefined && config.take(object),
+        onChanges: (changes) =>
+          changes.forEach(({ object }) =>
+            object !== undefined && config.take(object)
+          ),
       }),
       servers: new KindWatch({
         ...common,
         prefix: adapter.prefixes.servers,
         onList: (objects) => registry.takeList(objects),
-        onEvent: (event) => registry.takeEvent(event),
+        onChanges: (changes) => registry.takeChanges(changes),
       }),
     };
   }
