--- a/packages/decisions/src/admission/slot_coordinator.ts
+++ b/packages/decisions/src/admission/slot_coordinator.ts
@@ -1,12 +1,10 @@
 /**
  * Gives out the slots of servers that own keys. Any entry VM may get a request
  * for any key, and sees what the others have sent to its owner late or not at
- * all: when a key becomes hot, eight VMs send an owner of three slots up to 40
- * requests at once, and one whose queue is full never answers: on two heavy days
- * a quarter of all requests was refused or failed. One VM therefore gives out
- * each owner's slots, by rank and by what can still be answered in time. A slot
- * that is given twice, as by two coordinators after a loss, costs a longer queue
- * at the server and no more.
+ * all; a key that becomes hot would flood its owner, and one whose queue is full
+ * may never answer. One VM therefore gives out each owner's slots, by rank and
+ * by what can still be answered in time. A slot that is given twice, as by two
+ * coordinators after a loss, costs a longer queue at the server and no more.
  */
 import type * as contracts from "@guavatide/contracts";
 import { ServiceQueue } from "./service_queue.ts";
--- a/packages/decisions/src/cells/cell_plan.ts
+++ b/packages/decisions/src/cells/cell_plan.ts
@@ -18,15 +18,11 @@
   readonly zone: contracts.ZoneId;
 }
 
-/**
- * Up to so many VMs form one cell over all availability zones. Each then sends
- * its load to 11 others, about 200 datagrams a second or 2% of half a core.
- */
+/** Up to so many VMs form one cell over all availability zones. */
 const LARGEST_SINGLE_CELL = 12;
 /**
- * VMs that a cell of a larger deployment aims at. With 28 slots of servers for
- * it, a request at 70% load finds all of them busy once in 20 times; with the 8
- * slots of a third as many VMs, once in 4 (Erlang's formula).
+ * VMs that a cell of a larger deployment aims at. With fewer, a cell has so few
+ * slots that they are all busy often while other cells' are free.
  */
 const CELL_SIZE = 12;
 
--- a/packages/entry/src/gateway/front_listener.ts
+++ b/packages/entry/src/gateway/front_listener.ts
@@ -64,10 +64,9 @@
 const END_PART = 0.93;
 const DRAIN_CHECK_MS = 20;
 /**
- * A VM whose loop is further behind refuses at once: a refusal takes a fifth of
- * the processor time of a forwarded request. A VM that restarts under the load
- * of its whole zone was else 1.5 s behind after 3 s, and forwarded requests
- * whose callers had left.
+ * A VM whose loop is further behind refuses at once: a refusal takes a fraction
+ * of the processor time of a forwarded request. Without it a VM that restarts
+ * under the load of its whole zone forwards requests whose callers have left.
  */
 const SHED_LAG_MS = 400;
 
--- a/packages/entry/src/gateway/grant_task.ts
+++ b/packages/entry/src/gateway/grant_task.ts
@@ -44,10 +44,7 @@
 const TICK_MS = 200;
 /** Least interval at which requests by key are told to the mover. */
 const KEY_COUNTS_MS = 200;
-/**
- * The interval for each VM: the mover takes at most 160 such messages a second,
- * about 3% of a core, and still knows a hot key within a second at 82 VMs.
- */
+/** The interval for each VM, so that the mover takes a bounded number. */
 const KEY_COUNTS_PER_VM_MS = 6;
 const RANGE_MAP_CALL = "rangeMap";
 /** Keys in one message; with more, the most asked for are told. */
--- a/packages/entry/src/gateway/peer_gossip.ts
+++ b/packages/entry/src/gateway/peer_gossip.ts
@@ -84,10 +84,7 @@
 const KEEPER_STATUS_MS = 200;
 /** Between two statuses of any VM to its cell. */
 const CELL_STATUS_MS = 400;
-/**
- * Datagrams of load that a VM sends in a second for each core that it has, with
- * as many to take: 4% of its processor at 50 µs for each.
- */
+/** Datagrams of load that a VM sends in a second for each core that it has. */
 const LOADS_PER_CORE_SECOND = 400;
 /** Least time between two messages of load; a request takes longer. */
 const SPACING_MIN_MS = 40;
