--- a/packages/decisions/src/grants/range_planner_test.ts
+++ b/packages/decisions/src/grants/range_planner_test.ts
@@ -84,6 +84,36 @@
   expect(keysMoved < 400).toEqual(true);
 });
 
+/** Guards against a hot spot that a large service relieves eight keys at a time. */
+test("should spread a hot spot over many servers of a large service", () => {
+  const count = 144;
+  const capacityPerSecond = 4.4;
+  const servers = new Map(
+    [...serversOf(count)].map(([server, { owner }]) => [
+      server,
+      { owner, capacityPerSecond },
+    ]),
+  );
+  const hot = rates(124, 97);
+  let ranges: readonly contracts.RangeState[] = evenRanges(count);
+  for (let plan = 0; plan < 3; plan++) {
+    const moves = grants.planRanges({
+      ranges,
+      servers,
+      rates: hot,
+      mayBalance: true,
+    });
+    const vacated = grants.vacate(ranges, moves, {
+      revision: plan + 2,
+      lastFence: 1_000 * (plan + 1),
+    });
+    ranges = grants.settle(vacated.ranges, () => true);
+  }
+  const loads = loadsAfter(ranges, [], hot);
+  const busiest = Math.max(...loads.values()) / capacityPerSecond;
+  expect(busiest < 1).toEqual(true);
+});
+
 test("should leave an even load as it lies", () => {
   const moves = grants.planRanges({
     ranges: evenRanges(10),
