perf(relay): the order of readers is sorted twice a second

Cause: each VM sorted all VMs ten times a second to look at the duty, work that grows with the deployment. Ruled out that the duty needs it: a lost VM stays in the order anyway until its loss is told. Change: the order serves for 500 ms. Store, gateway and duty tests as before: pass. Not measured apart.

--- a/packages/entry/src/gateway/watch_relay.ts
+++ b/packages/entry/src/gateway/watch_relay.ts
@@ -60,6 +60,8 @@
 
 /** Interval at which the duty is looked at. */
 const REVIEW_MS = 100;
+/** The order of the candidates serves for so long. */
+const ORDER_LIFE_MS = 500;
 /** Interval at which a reader tells each cell that it reaches the store. */
 const WORD_MS = 300;
 /** Batches that a VM remembers for peers that missed a message. */
@@ -78,6 +80,8 @@
   readonly #duty: cells.ReaderDuty;
   readonly #watches = new Map<string, RelayedWatch>();
   readonly #batches = new Map<string, RelayedChanges[]>();
+  #sorted: readonly contracts.VmId[] = [];
+  #candidatesAtMs = Number.NEGATIVE_INFINITY;
   #startedAtMs = 0;
   #isTrying = false;
 
@@ -196,20 +200,24 @@
       nowMs,
       lifeMs: nowMs - this.#startedAtMs,
       hasStore: health.isReached,
-      order: this.#candidates(),
+      order: this.#candidates(nowMs),
       isSeed: isSeed || gossip.seedCount === 0,
     });
     if (step === "try") this.#try();
     else if (wasReader !== this.isReader) this.#roleChanged();
   }
 
-  #candidates(): contracts.VmId[] {
+  /** VMs that may read, in the order of the duty; sorted anew now and then. */
+  #candidates(nowMs: number): readonly contracts.VmId[] {
+    if (nowMs - this.#candidatesAtMs < ORDER_LIFE_MS) return this.#sorted;
     const { gossip, self } = this.#options;
     const reach = gossip.live.filter(({ hasStore }) => hasStore);
-    return cells.readerOrder(
+    this.#candidatesAtMs = nowMs;
+    this.#sorted = cells.readerOrder(
       [self, ...reach],
       (vms) => this.#order.of("readers", [...vms].sort()),
     );
+    return this.#sorted;
   }
 
   #try(): void {
