--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -32,11 +32,6 @@
 const STOP_DEVIATIONS = 1;
 /** Moves in one plan; each costs a grant to renew from then on. */
 const MOVES_PER_PLAN = 8;
-/**
- * Servers for one more move in a plan of a large service: a hot spot there has
- * to be spread over more servers, and a plan waits for the one before.
- */
-const SERVERS_PER_MOVE = 4;
 /** Pieces that the keys of a server with a mean load are dealt out in. */
 const PIECES_OF_LOST = 3;
 /** Ranges for each server beyond which none is split any more. */
@@ -129,10 +124,9 @@
 function planNewcomers(input: RangePlanInput, use: Utilization): RangeMove[] {
   const owners = new Set(input.ranges.map(({ owner }) => owner.server));
   const moves: RangeMove[] = [];
-  const most = movesPerPlan(input);
   const total = rateOf(input.rates, ALL_KEYS);
   for (const [server, { owner }] of input.servers) {
-    if (owners.has(server) || moves.length >= most) continue;
+    if (owners.has(server) || moves.length >= MOVES_PER_PLAN) continue;
     const piece = shareOfLargest(input, moves, total / input.servers.size);
     if (piece === undefined) break;
     const rate = rateOf(input.rates, piece);
@@ -143,10 +137,6 @@
   return moves;
 }
 
-function movesPerPlan({ servers }: RangePlanInput): number {
-  return Math.max(MOVES_PER_PLAN, Math.ceil(servers.size / SERVERS_PER_MOVE));
-}
-
 const ALL_KEYS: contracts.KeyRange = { fromKey: 0, toKey: KEY_COUNT - 1 };
 
 /** The end of the range with most load: a share, but at most half of it. */
@@ -179,7 +169,6 @@
   planned: readonly RangeMove[],
 ): RangeMove[] {
   const moves = [...planned];
-  const most = movesPerPlan(input);
   const limit = input.servers.size * RANGES_PER_SERVER;
   const level = Math.max(HOT_UTILIZATION, use.mean * HOT_RATIO);
   if (!use.exceeds(level, START_DEVIATIONS)) return moves;
@@ -187,7 +176,7 @@
   // Ranges that can't be split any more are still moved whole: with nothing
   // moved, a map that is full of them stays as uneven as it is, for ever.
   const maySplit = input.ranges.length < limit;
-  while (moves.length < most) {
+  while (moves.length < MOVES_PER_PLAN) {
     const hot = use.hottest(exhausted);
     const cold = use.coldest();
     if (hot === undefined || cold === undefined) break;
