refactor(gateway): one piece each for what the change had written twice

Cause: read once more, the change held twins: drawing a near peer (relay, directory), following a cell's and the keepers' peers, a reader of bodies beside utils/read_body, and the same maximum of two positions five times. Change: PeerGossip.drawPeer and one follow(); PeerCalls reads questions with readBody, which also keeps characters whole that arrive in two pieces; KindWatch names its complete position.

--- a/packages/entry/src/gateway/kind_watch.ts
+++ b/packages/entry/src/gateway/kind_watch.ts
@@ -6,8 +6,7 @@
 import * as timers from "node:timers/promises";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import type { PartLog } from "../utils/log.ts";
-import { ObjectTable } from "./object_table.ts";
-import type { ObjectChange } from "./object_table.ts";
+import { type ObjectChange, ObjectTable } from "./object_table.ts";
 import type { KindState } from "./peer_messages.ts";
 import type { StoreHealth } from "./store_health.ts";
 import type {
@@ -91,6 +90,11 @@
     return this.#position;
   }
 
+  /** Up to here nothing is missing. */
+  get #completeTo(): number {
+    return Math.max(this.#position, this.#knownTo);
+  }
+
   /** All objects, for a peer that has none or missed some. */
   get state(): KindState | undefined {
     if (!this.#isListed) return undefined;
@@ -121,7 +125,7 @@
   noteNews(position: number, peer: contracts.VmId): void {
     if (!this.#isListed) return;
     this.#newsPosition = Math.max(this.#newsPosition, position);
-    const known = Math.max(this.#position, this.#knownTo);
+    const known = this.#completeTo;
     if (this.#newsPosition <= known) {
       this.#newsSinceMs = undefined;
       return;
@@ -147,7 +151,7 @@
       this.#newsPeer = from;
       return this.#renew("changes are not told");
     }
-    if (fromPosition > Math.max(this.#position, this.#knownTo)) {
+    if (fromPosition > this.#completeTo) {
       return this.#ask(from);
     }
     const missing = names === undefined ? [] : this.#table.missing(names);
@@ -164,7 +168,7 @@
     const nowMs = clock.nowMs();
     if (nowMs - this.#askedMs < ASK_SPACING_MS) return;
     this.#askedMs = nowMs;
-    relay.ask(prefix, Math.max(this.#position, this.#knownTo), peer);
+    relay.ask(prefix, this.#completeTo, peer);
   }
 
   roleChanged(): void {
@@ -263,7 +267,7 @@
       return true;
     }
     const wasListed = this.#isListed;
-    const fromPosition = Math.max(this.#position, this.#knownTo);
+    const fromPosition = this.#completeTo;
     const events = this.#replace(objects);
     this.#knownTo = Number(cursor);
     // The list's own position also rises with changes of other kinds, and peers
@@ -279,7 +283,7 @@
 
   async #watch(): Promise<boolean> {
     const { store, prefix, health, relay } = this.#options;
-    const cursor = Math.max(this.#position, this.#knownTo);
+    const cursor = this.#completeTo;
     const waitMs = this.#waitMs();
     const result = await store.watch(prefix, {
       cursor: String(cursor),
--- a/packages/entry/src/gateway/peer_calls.ts
+++ b/packages/entry/src/gateway/peer_calls.ts
@@ -10,6 +10,7 @@
 import * as httpServer from "../utils/http_server.ts";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import type { PartLog } from "../utils/log.ts";
+import * as bodies from "../utils/read_body.ts";
 
 /** Options of {@link PeerCalls}. */
 export interface PeerCallsOptions {
@@ -108,7 +109,13 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
-    const call = readCall(await readText(request));
+    const read = await bodies.readBody(request, LONGEST_QUESTION_BYTES);
+    if (read.kind !== "whole") {
+      throw new Error(
+        `The question is ${read.kind}; ask for one thing by name`,
+      );
+    }
+    const call = readCall(Buffer.from(read.body ?? []).toString());
     const name = call?.params?.name;
     const answer = call === undefined || typeof name !== "string"
       ? undefined
@@ -127,17 +134,6 @@
   }
 }
 
-async function readText(request: http.IncomingMessage): Promise<string> {
-  let text = "";
-  for await (const chunk of request) {
-    text += chunk;
-    if (text.length > LONGEST_QUESTION_BYTES) {
-      throw new Error("The question is too long; ask for one thing by name");
-    }
-  }
-  return text;
-}
-
 function readCall(text: string): jsonRpc.JSONRPCRequest | undefined {
   try {
     const call = JSON.parse(text);
--- a/packages/entry/src/gateway/peer_gossip.ts
+++ b/packages/entry/src/gateway/peer_gossip.ts
@@ -317,6 +317,14 @@
     return this.#book.live;
   }
 
+  /** A peer that is up, one of the own availability zone if there is any. */
+  drawPeer(): PeerHello | undefined {
+    const { random, self } = this.#options;
+    const near = this.live.filter(({ zone }) => zone === self.zone);
+    const peers = near.length > 0 ? near : this.live;
+    return peers[Math.floor(random.next() * peers.length)];
+  }
+
   /** Latest statuses of the peers in close touch. */
   statuses(): Iterable<PeerStatus> {
     return this.#book.statuses();
@@ -397,7 +405,11 @@
 
   /** Evidence for grants: a keeper's status to the other keepers. */
   #sendKeeperStatus(nowMs: number): void {
-    const peers = this.#followKeepers(nowMs);
+    const peers = this.#follow(
+      "isFellowKeeper",
+      ({ vm }) => this.#book.areKeepers(vm),
+      nowMs,
+    );
     if (peers.length === 0) return;
     const { vm, incarnation, maps, sequence, standsMs } = this.#hello(
       KEEPER_STATUS_MS * STATUSES_STAND,
@@ -413,15 +425,19 @@
     }
   }
 
-  #followKeepers(nowMs: number): Peer[] {
+  /** Peers that get a status now, but those that were silent for long. */
+  #follow(
+    mark: "isInCell" | "isFellowKeeper",
+    belongs: (peer: Peer) => boolean,
+    nowMs: number,
+  ): Peer[] {
     const peers: Peer[] = [];
     for (const peer of this.#book.all) {
-      const wasFellow = peer.isFellowKeeper;
-      peer.isFellowKeeper = this.#book.areKeepers(peer.vm) &&
-        isHeard(peer, nowMs);
-      if (peer.isFellowKeeper) peers.push(peer);
+      const wasFollowed = peer[mark];
+      peer[mark] = belongs(peer) && isHeard(peer, nowMs);
+      if (peer[mark]) peers.push(peer);
       // The last status stands for less than the time until the next hello.
-      else if (wasFellow) peer.sentAtMs = Number.NEGATIVE_INFINITY;
+      else if (wasFollowed) peer.sentAtMs = Number.NEGATIVE_INFINITY;
     }
     return peers;
   }
@@ -435,7 +451,12 @@
       ...this.#hello(CELL_STATUS_MS * STATUSES_STAND),
       ...state,
     };
-    const peers = this.#followCell(nowMs);
+    const members = new Set(this.#cellPeers());
+    const peers = this.#follow(
+      "isInCell",
+      ({ vm }) => members.has(vm),
+      nowMs,
+    );
     for (const peer of peers) peer.sentAtMs = nowMs;
     const isAlone = this.#book.live.length === 0;
     const seeds = isAlone ? this.#seedTargets() : [];
@@ -448,20 +469,6 @@
     return [...this.#seeds].map((host) => ({ host, port }));
   }
 
-  /** Peers of the own cell, but those that were silent for long. */
-  #followCell(nowMs: number): Peer[] {
-    const members = new Set(this.#cellPeers());
-    const peers: Peer[] = [];
-    for (const peer of this.#book.all) {
-      const wasInCell = peer.isInCell;
-      peer.isInCell = members.has(peer.vm) && isHeard(peer, nowMs);
-      if (peer.isInCell) peers.push(peer);
-      // The last status stands for less than the time until the next hello.
-      else if (wasInCell) peer.sentAtMs = Number.NEGATIVE_INFINITY;
-    }
-    return peers;
-  }
-
   /** To each peer that has had no word of this VM for the interval. */
   #sendHellos(nowMs: number): void {
     const intervalMs = Math.max(
--- a/packages/entry/src/gateway/vm_directory.ts
+++ b/packages/entry/src/gateway/vm_directory.ts
@@ -101,10 +101,8 @@
 
   /** Asks one peer, of the own availability zone if there is any. */
   #ask(nowMs: number): void {
-    const { gossip, random, self: { vm, host, port, zone } } = this.#options;
-    const near = gossip.live.filter((peer) => peer.zone === zone);
-    const peers = near.length > 0 ? near : gossip.live;
-    const peer = peers[Math.floor(random.next() * peers.length)];
+    const { gossip, random, self: { vm, host, port } } = this.#options;
+    const peer = gossip.drawPeer();
     if (peer === undefined) return;
     const wish: messages.PeersWish = { vm, host, port, digest: this.#digest() };
     gossip.send(messages.PEERS_WISH_METHOD, wish, [peer.vm]);
--- a/packages/entry/src/gateway/watch_relay.ts
+++ b/packages/entry/src/gateway/watch_relay.ts
@@ -24,7 +24,6 @@
   readonly health: StoreHealth;
   readonly hasher: ownership.KeyHasher;
   readonly clock: contracts.Clock;
-  readonly random: contracts.RandomSource;
   readonly log: PartLog;
   /** Whether other VMs are told to look for this one first. */
   readonly isSeed: boolean;
@@ -152,7 +151,7 @@
   ): Promise<messages.KindState | undefined> {
     const { gossip, calls, log } = this.#options;
     const address = gossip.live.find(({ vm }) => vm === peer) ??
-      this.#anyPeer();
+      gossip.drawPeer();
     if (address === undefined) return undefined;
     const state = await calls.ask(address, {
       method: STATE_METHOD,
@@ -176,14 +175,6 @@
     return state.value;
   }
 
-  /** A live peer, one of the own availability zone if there is any. */
-  #anyPeer(): messages.PeerHello | undefined {
-    const { gossip, random, self } = this.#options;
-    const near = gossip.live.filter(({ zone }) => zone === self.zone);
-    const peers = near.length > 0 ? near : gossip.live;
-    return peers[Math.floor(random.next() * peers.length)];
-  }
-
   get #isHealthyReader(): boolean {
     const { health, isLeaving } = this.#options;
     return this.isReader && health.isReached && !isLeaving();
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -135,7 +135,6 @@
     health,
     hasher,
     clock,
-    random,
     log: log.part("store"),
     isSeed: settings.seeds.some(({ host }) => host === settings.host),
     isLeaving: () => lifeCycle.isStopping,
