feat(gateway): evacuated zones, limits for cold servers, home regions

Cause: the contract of places was not known to the code.

Ruled out: a limit that each VM keeps by itself (wrong by the number of VMs); places among the VMs that are up (one that is cut off goes on sending, and whoever takes its place adds to the sum).

Change: evacuations are followed like the configuration, by two readers for all; keys leave by planned moves, requests end at half of the bound. Routes with homes go to servers of their regions alone. Where the settings name no bound nothing is watched or limited.

--- a/packages/contracts/src/ids.ts
+++ b/packages/contracts/src/ids.ts
@@ -24,6 +24,11 @@
 /** An availability zone. */
 export type ZoneId = z.infer<typeof zoneIdSchema>;
 
+/** Schema of {@link RegionId}. */
+export const regionIdSchema = idText.brand<"RegionId">();
+/** A region: several availability zones near one another. */
+export type RegionId = z.infer<typeof regionIdSchema>;
+
 /** Schema of {@link ServiceId}. */
 export const serviceIdSchema = idText.brand<"ServiceId">();
 /** A service that callers address, for example `availability`. */
--- a/packages/contracts/src/route_config.ts
+++ b/packages/contracts/src/route_config.ts
@@ -3,7 +3,7 @@
  * clients: routes by host and path, services, and limits on callers. Adapters
  * decode a platform's own document into these types.
  */
-import type { ServiceId } from "./ids.ts";
+import type { RegionId, ServiceId } from "./ids.ts";
 
 /** One service that a route sends requests to. */
 export interface RouteTarget {
@@ -30,6 +30,16 @@
   /** Rank among the routes of a service; 0 is the most urgent. */
   readonly priority: number;
   readonly targets: readonly RouteTarget[];
+  /** Regions whose servers may run its requests; undefined for any. */
+  readonly homeRegions?: ReadonlySet<RegionId> | undefined;
+}
+
+/** What the backend servers of a service bear while they are cold. */
+export interface ColdStart {
+  /** How long a server is cold after its start. */
+  readonly warmUpMs: number;
+  /** Requests a second, from all entry VMs together. */
+  readonly requestsPerSecond: number;
 }
 
 /** A service as configured on the platform. */
@@ -39,6 +49,8 @@
   readonly isKeyed: boolean;
   /** Connections that one backend server takes from all entry VMs. */
   readonly connectionLimit: number;
+  /** Undefined for a service whose cold servers bear any load. */
+  readonly coldStart?: ColdStart | undefined;
 }
 
 /** What a caller may send, and how long it may take. */
--- a/packages/decisions/src/admission/mod.ts
+++ b/packages/decisions/src/admission/mod.ts
@@ -1,4 +1,5 @@
 /** Admission: which request goes to which backend server, and when. */
+export * from "./cold_start_limit.ts";
 export * from "./late_loop_rule.ts";
 export * from "./server_load.ts";
 export * from "./server_ranking.ts";
--- a/packages/decisions/src/admission/server_ranking.ts
+++ b/packages/decisions/src/admission/server_ranking.ts
@@ -46,6 +46,8 @@
   readonly times: ServiceTimes;
   readonly random: contracts.RandomSource;
   readonly nowMs: number;
+  /** Whether a server has just started, and takes longer. */
+  readonly isCold: (server: contracts.ServerId) => boolean;
 }
 
 /** Whether a server has room for one more request. */
@@ -60,10 +62,10 @@
 export function expectedMs(
   load: ServerLoad,
   route: RankedRoute,
-  { times, nowMs }: RankingContext,
+  { times, nowMs, isCold }: RankingContext,
 ): number {
-  const { slots, warmUpLeftMs, server } = load.entry;
-  const warmUp = warmUpLeftMs > 0 ? WARM_UP_FACTOR : 1;
+  const { slots, server } = load.entry;
+  const warmUp = isCold(server) ? WARM_UP_FACTOR : 1;
   const aloneMs = times.routeMs(route) * times.factor(server) * warmUp;
   const outstanding = load.outstanding(nowMs);
   const busy = Math.min(1, outstanding / slots);
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -4,6 +4,7 @@
  * then by arrival.
  */
 import type * as contracts from "@guavatide/contracts";
+import type { ColdStartLimit } from "./cold_start_limit.ts";
 import { ServerLoad } from "./server_load.ts";
 import * as ranking from "./server_ranking.ts";
 import type { ServiceTimes } from "./service_times.ts";
@@ -45,6 +46,12 @@
   readonly random: contracts.RandomSource;
   /** Absent for a service without keys. */
   readonly keyed?: KeyedQueueOptions;
+  /** Absent where another VM limits what cold servers get. */
+  readonly coldStarts?: ColdStartLimit | undefined;
+  /** Region of an availability zone; undefined for an unknown one. */
+  readonly regionOf?: (
+    zone: contracts.ZoneId,
+  ) => contracts.RegionId | undefined;
   /** Called when a request begins to wait. */
   readonly onWait?: () => void;
 }
@@ -146,7 +153,8 @@
     if (this.#awaitsSlot(request, nowMs)) return this.#insert(request);
     const reason = this.#blockedBy(request, nowMs);
     const waitMs = this.#expectedWaitMs(request, this.#waiting, nowMs);
-    if (reason === "no-server" || this.#isHopeless(request, waitMs, nowMs)) {
+    const isUnservable = reason === "no-server" || reason === "not-home";
+    if (isUnservable || this.#isHopeless(request, waitMs, nowMs)) {
       request.refused(this.#refusal(request, reason, waitMs, nowMs));
       return;
     }
@@ -224,7 +232,8 @@
 
   #context(nowMs: number): ranking.RankingContext {
     const { zone, times, random } = this.#options;
-    return { zone, times, random, nowMs };
+    const isCold = (server: contracts.ServerId) => this.#isCold(server, nowMs);
+    return { zone, times, random, nowMs, isCold };
   }
 
   #ownerOf(request: WaitingRequest): KeyOwner | undefined {
@@ -243,12 +252,17 @@
   }
 
   #tryAny(request: WaitingRequest, nowMs: number): boolean {
+    const { coldStarts } = this.#options;
     const open = this.#candidates(request, nowMs)
-      .filter((load) => ranking.hasRoom(load, nowMs));
+      .filter((load) =>
+        ranking.hasRoom(load, nowMs) &&
+        (coldStarts?.mayBegin(load.entry.server, nowMs) ?? true)
+      );
     const context = this.#context(nowMs);
     const load = ranking.chooseServer(open, request, context) ??
       this.#helper(request, nowMs);
     if (load === undefined) return false;
+    coldStarts?.noteBegin(load.entry.server, nowMs);
     const outstanding = load.outstanding(nowMs);
     request.placed({ load, outstanding, fence: undefined });
     return true;
@@ -268,6 +282,7 @@
       if (inCell.has(load.entry.server)) continue;
       sent += load.own;
       const isUsable = load.own === 0 && this.#isUsable(load, request) &&
+        !this.#isCold(load.entry.server, nowMs) &&
         load.isOpen(nowMs) && load.outstanding(nowMs) < load.entry.slots;
       if (isUsable) usable.push(load);
     }
@@ -279,7 +294,18 @@
   }
 
   #isUsable({ entry }: ServerLoad, request: WaitingRequest): boolean {
-    return !entry.isDraining && !request.tried.has(entry.server);
+    return !entry.isDraining && !request.tried.has(entry.server) &&
+      this.#isHome(entry, request);
+  }
+
+  /** Whether the server's region may run the request. */
+  #isHome(
+    { zone }: contracts.ServerEntry,
+    { route: { homeRegions } }: WaitingRequest,
+  ): boolean {
+    if (homeRegions === undefined) return true;
+    const region = this.#options.regionOf?.(zone);
+    return region !== undefined && homeRegions.has(region);
   }
 
   #tryOwner(
@@ -290,7 +316,7 @@
     if (owner.kind !== "owned") return false;
     const load = this.#loads.get(owner.server);
     if (load === undefined || load.entry.bornMs !== owner.bornMs) return false;
-    if (!load.isOpen(nowMs)) return false;
+    if (!load.isOpen(nowMs) || !this.#isHome(load.entry, request)) return false;
     const { slots } = this.#options.keyed!;
     if (!slots.take(request, load, nowMs)) return false;
     const outstanding = load.outstanding(nowMs);
@@ -301,36 +327,54 @@
 
   /** Servers that a request may go to, whether or not they have room. */
   #candidates(request: WaitingRequest, nowMs: number): ServerLoad[] {
-    const live = this.#usableServers(request);
+    const live = this.#usableServers(request, nowMs);
     const open = live.filter((load) => load.isOpen(nowMs));
     // With every server suspended one of them is tried all the same: it costs
     // a request that would be refused otherwise.
     return open.length > 0 ? open : live;
   }
 
-  /** Those of the own cell; of all cells when it has none left. */
-  #usableServers(request: WaitingRequest): ServerLoad[] {
+  /**
+   * Those of the own cell; of all cells when it has none left. Cold servers are
+   * shared out among VMs whatever their cell.
+   */
+  #usableServers(request: WaitingRequest, nowMs: number): ServerLoad[] {
     const all: ServerLoad[] = [];
     const own: ServerLoad[] = [];
     for (const load of this.#loads.values()) {
       if (!this.#isUsable(load, request)) continue;
       all.push(load);
-      if (this.#inCell?.has(load.entry.server) ?? true) own.push(load);
+      const { server } = load.entry;
+      const isOwn = this.#isCold(server, nowMs)
+        ? this.#options.coldStarts!.ratePerSecond(server) > 0
+        : this.#inCell?.has(server) ?? true;
+      if (isOwn) own.push(load);
     }
     return own.length > 0 ? own : all;
   }
 
+  #isCold(server: contracts.ServerId, nowMs: number): boolean {
+    return this.#options.coldStarts?.isCold(server, nowMs) ?? false;
+  }
+
   /** Whether the request waits for a coordinator to give it its owner's slot. */
   #awaitsSlot(request: WaitingRequest, nowMs: number): boolean {
     const owner = this.#ownerOf(request);
     if (owner?.kind !== "owned") return false;
     const load = this.#loads.get(owner.server);
     // Nobody is asked for a slot of a server that is left alone for now.
-    return load?.entry.bornMs === owner.bornMs && load.isOpen(nowMs);
+    return load?.entry.bornMs === owner.bornMs && load.isOpen(nowMs) &&
+      this.#isHome(load.entry, request);
   }
 
   #blockedBy(request: WaitingRequest, nowMs: number): RefusalReason {
     const owner = this.#ownerOf(request);
+    // Nothing can be waited for, not even the move of a key.
+    if (this.#loads.size === 0) return "no-server";
+    const isAway = owner?.kind === "owned"
+      ? this.#isOwnerAway(owner.server, request)
+      : this.#areAllAway(request);
+    if (isAway) return "not-home";
     if (owner === undefined) {
       const isServed = this.#candidates(request, nowMs).length > 0;
       return isServed ? "no-room" : "no-server";
@@ -338,6 +382,18 @@
     return owner.kind === "owned" ? "no-room" : "no-owner";
   }
 
+  #isOwnerAway(server: contracts.ServerId, request: WaitingRequest): boolean {
+    const load = this.#loads.get(server);
+    return load !== undefined && !this.#isHome(load.entry, request);
+  }
+
+  /** Whether there are servers, but none in a region that may run it. */
+  #areAllAway(request: WaitingRequest): boolean {
+    if (request.route.homeRegions === undefined) return false;
+    return [...this.#loads.values()]
+      .every(({ entry }) => !this.#isHome(entry, request));
+  }
+
   /** Where a request waits: requests of one place find room together. */
   #placeName(request: WaitingRequest): string {
     const owner = this.#ownerOf(request);
@@ -366,18 +422,27 @@
       const load = this.#loads.get(owner.server);
       if (load === undefined) return MOVE_WAIT_MS;
       return load.opensInMs(nowMs) +
-        (ahead + 1) / this.#servedPerMs([load], meanMs);
+        (ahead + 1) / this.#servedPerMs([load], meanMs, nowMs);
     }
-    const perMs = this.#servedPerMs(this.#candidates(request, nowMs), meanMs);
+    const candidates = this.#candidates(request, nowMs);
+    const perMs = this.#servedPerMs(candidates, meanMs, nowMs);
     const elsewhere = this.#waitingElsewhere * (ahead + 1) / here;
     return (ahead + 1 + elsewhere) / perMs;
   }
 
-  #servedPerMs(loads: readonly ServerLoad[], meanMs: number): number {
+  #servedPerMs(
+    loads: readonly ServerLoad[],
+    meanMs: number,
+    nowMs: number,
+  ): number {
+    const { times, coldStarts } = this.#options;
     let perMs = 0;
-    for (const { entry } of loads) {
-      const factor = this.#options.times.factor(entry.server);
-      perMs += entry.slots / Math.max(1, meanMs * factor);
+    for (const { entry: { server, slots } } of loads) {
+      const warmPerMs = slots / Math.max(1, meanMs * times.factor(server));
+      const mostPerMs = this.#isCold(server, nowMs)
+        ? coldStarts!.ratePerSecond(server) / 1_000
+        : warmPerMs;
+      perMs += Math.min(warmPerMs, mostPerMs);
     }
     return Math.max(perMs, 1e-6);
   }
--- a/packages/decisions/src/admission/slot_coordinator.ts
+++ b/packages/decisions/src/admission/slot_coordinator.ts
@@ -7,6 +7,7 @@
  * coordinators after a loss, costs a longer queue at the server and no more.
  */
 import type * as contracts from "@guavatide/contracts";
+import type { ColdStartLimit } from "./cold_start_limit.ts";
 import { ServiceQueue } from "./service_queue.ts";
 import { ServiceTimes } from "./service_times.ts";
 import type {
@@ -48,6 +49,10 @@
   readonly zone: contracts.ZoneId;
   readonly random: contracts.RandomSource;
   readonly decide: (decision: SlotDecision) => void;
+  /** What this VM may give out of a service's cold servers; absent for all. */
+  readonly coldStartsOf?: (
+    service: contracts.ServiceId,
+  ) => ColdStartLimit | undefined;
 }
 
 /**
@@ -176,12 +181,13 @@
   constructor(
     server: SlotServer,
     times: ServiceTimes,
-    { zone, random, decide }: SlotCoordinatorOptions,
+    { zone, random, decide, coldStartsOf }: SlotCoordinatorOptions,
   ) {
     this.server = server;
     this.#times = times;
     this.#decide = decide;
-    this.#queue = new ServiceQueue({ zone, times, random });
+    const coldStarts = coldStartsOf?.(server.service);
+    this.#queue = new ServiceQueue({ zone, times, random, coldStarts });
     this.#queue.setServers([entryOf(server, zone)]);
   }
 
--- a/packages/decisions/src/admission/waiting_request.ts
+++ b/packages/decisions/src/admission/waiting_request.ts
@@ -6,6 +6,8 @@
 export type RefusalReason =
   /** No live server is known. */
   | "no-server"
+  /** No region that may run it has a server for it. */
+  | "not-home"
   /** The key has no owner at present. */
   | "no-owner"
   /** Its answer would come too late. */
@@ -47,7 +49,7 @@
 /** What of a route decides who goes first, and how long it takes. */
 export type RankedRoute = Pick<
   contracts.Route,
-  "name" | "priority" | "targetLatencyMs"
+  "name" | "priority" | "targetLatencyMs" | "homeRegions"
 >;
 
 /** A request that waits for a server. */
--- /dev/null
+++ b/packages/entry/src/gateway/cold_starts.ts
@@ -0,0 +1,83 @@
+/** This VM's part of what cold servers may get, by service. */
+import type * as contracts from "@guavatide/contracts";
+import * as admission from "@guavatide/decisions/admission/mod";
+import * as grants from "@guavatide/decisions/grants/mod";
+import type * as ownership from "@guavatide/decisions/ownership/mod";
+import type { ConfigHolder } from "./config_holder.ts";
+import type { PeerGossip } from "./peer_gossip.ts";
+import type { ServerRegistry } from "./server_registry.ts";
+
+/** Options of {@link ColdStarts}. */
+export interface ColdStartsOptions {
+  readonly vm: contracts.VmId;
+  readonly bound: admission.ColdStartBound;
+  readonly config: ConfigHolder;
+  readonly registry: ServerRegistry;
+  readonly gossip: Pick<PeerGossip, "knownIn" | "vmCount" | "seedCount">;
+  readonly hasher: ownership.KeyHasher;
+  readonly clock: contracts.Clock;
+}
+
+/**
+ * A process that has just started knows too few of the others, and would take a
+ * place that is another's.
+ */
+const SETTLED_MS = 2_000;
+
+/** Creates the limits of each service. */
+export class ColdStarts {
+  readonly #options: ColdStartsOptions;
+  readonly #order: grants.DutyOrder;
+  readonly #startedMs: number;
+
+  constructor(options: ColdStartsOptions) {
+    this.#options = options;
+    this.#order = new grants.DutyOrder(options.hasher);
+    this.#startedMs = options.clock.nowMs();
+    options.registry.onChange(() =>
+      this.#order.keepOnly(options.registry.ids())
+    );
+  }
+
+  /** For requests that this VM sends without asking another. */
+  shared(service: contracts.ServiceId): admission.ColdStartLimit {
+    return this.#create(service, admission.EQUAL_PARTS);
+  }
+
+  /** For slots that this VM gives out to all others. */
+  coordinated(service: contracts.ServiceId): admission.ColdStartLimit {
+    return this.#create(service, admission.COORDINATOR_PARTS);
+  }
+
+  #create(
+    service: contracts.ServiceId,
+    parts: readonly number[],
+  ): admission.ColdStartLimit {
+    const { bound, config, registry } = this.#options;
+    return new admission.ColdStartLimit({
+      bound,
+      parts,
+      coldUntilMs: (server) => registry.coldUntilMs(server),
+      requestsPerSecond: () =>
+        config.active?.config.services.get(service)?.coldStart
+          ?.requestsPerSecond,
+      placeOf: (server) => this.#placeOf(server),
+    });
+  }
+
+  /**
+   * Lost VMs keep their places: one that is only cut off still sends, and those
+   * that took its place would exceed the bound together with it.
+   */
+  #placeOf(server: contracts.ServerId): number | undefined {
+    const { vm, registry, gossip, clock } = this.#options;
+    const isAlone = gossip.vmCount === 1 && gossip.seedCount > 0;
+    const isSettled = clock.nowMs() - this.#startedMs >= SETTLED_MS;
+    if (isAlone || !isSettled) return undefined;
+    const zone = registry.zoneOf(server);
+    const inZone = gossip.knownIn(zone);
+    const vms = inZone.length > 0 ? inZone : gossip.knownIn(undefined);
+    const place = this.#order.of(server, vms).indexOf(vm);
+    return place < 0 ? undefined : place;
+  }
+}
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -5,6 +5,7 @@
 import { FoldedLine } from "../utils/folded_line.ts";
 import type { LifeCycle, RegularWork } from "../utils/life_cycle.ts";
 import type { PartLog } from "../utils/log.ts";
+import type { ColdStarts } from "./cold_starts.ts";
 import type { ConfigHolder } from "./config_holder.ts";
 import { ForwardedRequest, type ForwardingParts } from "./forwarded_request.ts";
 import {
@@ -25,6 +26,8 @@
 export interface ForwarderOptions {
   readonly vm: contracts.VmId;
   readonly zone: contracts.ZoneId;
+  /** Region of each availability zone. */
+  readonly zones: Readonly<Record<contracts.ZoneId, contracts.RegionId>>;
   readonly config: ConfigHolder;
   readonly registry: ServerRegistry;
   readonly grants: GrantTask;
@@ -33,6 +36,8 @@
   readonly links: ServerLinks;
   readonly headers: HeaderNames;
   readonly budget: admission.SharedRetryBudgetOptions;
+  /** Undefined where cold servers bear any load. */
+  readonly coldStarts: ColdStarts | undefined;
   readonly clock: contracts.Clock;
   readonly random: contracts.RandomSource;
   readonly log: PartLog;
@@ -232,12 +237,14 @@
       ?.isKeyed ?? false;
     const found = this.#services.get(service);
     if (found !== undefined && found.isKeyed === isKeyed) return found;
-    const { zone, random, grants, budget, slots, clock } = this.#options;
+    const { zone, zones, random, grants, budget, slots, clock, coldStarts } =
+      this.#options;
     const times = new admission.ServiceTimes();
     const queue: admission.ServiceQueue = new admission.ServiceQueue({
       zone,
       times,
       random,
+      regionOf: (zone) => zones[zone],
       onWait: () => this.#reviewing?.setIntervalMs(REVIEW_MS),
       keyed: isKeyed
         ? {
@@ -248,6 +255,8 @@
           }),
         }
         : undefined,
+      // Coordinators limit what cold owners of keys get.
+      coldStarts: isKeyed ? undefined : coldStarts?.shared(service),
     });
     this.#setServers(service, { queue, times });
     const created = {
--- a/packages/entry/src/gateway/gateway_settings.ts
+++ b/packages/entry/src/gateway/gateway_settings.ts
@@ -26,7 +26,9 @@
   /** Name of this VM. */
   vm: contracts.vmIdSchema,
   zone: contracts.zoneIdSchema,
-  region: z.string().min(1),
+  region: contracts.regionIdSchema,
+  /** Region of each availability zone of the deployment. */
+  zones: z.record(contracts.zoneIdSchema, contracts.regionIdSchema),
   /** IP number that peers use. */
   host: ipNumber,
   /** Where clients connect. */
@@ -58,9 +60,24 @@
     slack: z.number().min(0),
     windowSeconds: z.number().positive(),
   }),
+  /** Absent where zones are never evacuated. */
+  evacuation: z.strictObject({
+    /** Within this time the zone's servers have to be left alone. */
+    boundMs: wholeMs,
+  }).optional(),
+  /** Bound on requests to a cold server; absent where there is none. */
+  coldStarts: z.strictObject({
+    /** A second's requests, as a multiple of what a cold server bears. */
+    excessRatio: z.number().min(0),
+    /** Requests beyond that. */
+    slack: z.number().min(0),
+  }).optional(),
   log: z.strictObject({
     level: z.enum(["debug", "info", "warn", "error", "silent"]).default("info"),
   }).prefault({}),
+}).refine(({ zone, zones }) => zones[zone] !== undefined, {
+  path: ["zone"],
+  error: 'Not among "zones"; name its region there',
 });
 /** The settings of one entry process on an outside platform. */
 export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
--- a/packages/entry/src/gateway/peer_book.ts
+++ b/packages/entry/src/gateway/peer_book.ts
@@ -214,6 +214,17 @@
     return vms;
   }
 
+  /**
+   * VMs of an availability zone, or of all, that were heard lately, up or not,
+   * this one included, by name.
+   */
+  knownIn(zone: contracts.ZoneId | undefined): readonly contracts.VmId[] {
+    const peers = [...this.#peers.values()].flatMap(({ hello }) => hello ?? []);
+    return [this.#options.self, ...peers]
+      .filter((it) => zone === undefined || it.zone === zone)
+      .map(({ vm }) => vm).sort();
+  }
+
   /** Latest statuses of peers that are up and tell them. */
   *statuses(): Generator<PeerStatus> {
     for (const { isLive, status } of this.#peers.values()) {
--- a/packages/entry/src/gateway/peer_gossip.ts
+++ b/packages/entry/src/gateway/peer_gossip.ts
@@ -224,6 +224,11 @@
     return this.#book.inZone(zone);
   }
 
+  /** VMs of a zone, or of all, that were heard lately, up or not, by name. */
+  knownIn(zone: contracts.ZoneId | undefined): readonly contracts.VmId[] {
+    return this.#book.knownIn(zone);
+  }
+
   #noteMembers(): void {
     this.#membersTimer ??= setTimeout(() => {
       this.#membersTimer = undefined;
--- a/packages/entry/src/gateway/platform_adapter.ts
+++ b/packages/entry/src/gateway/platform_adapter.ts
@@ -19,6 +19,8 @@
   readonly config: string;
   /** Name of the object that holds the configuration in force. */
   readonly configObject: string;
+  /** An object for each availability zone that is evacuated. */
+  readonly evacuations: string;
 }
 
 /** Names of headers, in lower case, between callers, entry VMs and servers. */
@@ -45,5 +47,7 @@
     name: string,
     text: string,
   ): Result<contracts.ServerEntry, DecodeError>;
+  /** The availability zone that an evacuation's name is about. */
+  decodeEvacuation(name: string): Result<contracts.ZoneId, DecodeError>;
   close(): Promise<void>;
 }
--- a/packages/entry/src/gateway/server_registry.ts
+++ b/packages/entry/src/gateway/server_registry.ts
@@ -3,12 +3,23 @@
 import type { PartLog } from "../utils/log.ts";
 import type { ObjectChange } from "./object_table.ts";
 import type { PlatformAdapter } from "./platform_adapter.ts";
+import type { ZoneEvacuations } from "./zone_evacuations.ts";
 
 /** Options of {@link ServerRegistry}. */
 export interface ServerRegistryOptions {
   readonly adapter: Pick<PlatformAdapter, "decodeServer" | "prefixes">;
   /** How long the store has answered without a failure. */
   readonly storeCalmMs: () => number;
+  readonly evacuations: ZoneEvacuations;
+  /**
+   * How long after an evacuation is learned its zone's servers may still get
+   * requests for keys that they own.
+   */
+  readonly evacuationUseMs: number;
+  /** How the servers of a service bear load while cold. */
+  readonly coldStartOf: (
+    service: contracts.ServiceId,
+  ) => contracts.ColdStart | undefined;
   readonly clock: contracts.Clock;
   readonly log: PartLog;
 }
@@ -33,6 +44,7 @@
   leavingSinceMs: number | undefined;
   /** When its entry was found missing. */
   missingSinceMs: number | undefined;
+  coldUntilMs: number;
 }
 
 /** Entries by server id, with those that are leaving and gone. */
@@ -41,10 +53,13 @@
   readonly #known = new Map<contracts.ServerId, Known>();
   readonly #listeners: (() => void)[] = [];
   readonly #unreadable = new Map<string, string>();
+  /** Evacuated zones whose servers get nothing at all any more. */
+  readonly #emptied = new Set<contracts.ZoneId>();
   #isListed = false;
 
   constructor(options: ServerRegistryOptions) {
     this.#options = options;
+    options.evacuations.onChange((ended) => this.#followEvacuations(ended));
   }
 
   /** Whether the list has been read since the start. */
@@ -57,30 +72,49 @@
     this.#listeners.push(listener);
   }
 
-  /** Servers of a service that may get requests; leaving ones are draining. */
+  /**
+   * Servers of a service that may get requests. Leaving ones, and those of
+   * evacuated zones, are draining.
+   */
   servers(service: contracts.ServiceId): contracts.ServerEntry[] {
     const nowMs = this.#options.clock.nowMs();
     const found: contracts.ServerEntry[] = [];
     for (const known of this.#known.values()) {
       if (known.entry.service !== service) continue;
-      const { leavingSinceMs } = known;
-      if (leavingSinceMs === undefined) found.push(known.entry);
-      else if (nowMs - leavingSinceMs < LEAVING_USE_MS) {
+      const useUntilMs = this.#useUntilMs(known);
+      if (useUntilMs === Number.POSITIVE_INFINITY) found.push(known.entry);
+      else if (nowMs < useUntilMs) {
         found.push({ ...known.entry, isDraining: true });
       }
     }
     return found;
   }
 
-  /** Servers of a service that neither leave nor are gone. */
+  /** Servers of a service that neither leave, nor are gone or evacuated. */
   staying(service: contracts.ServiceId): contracts.ServerEntry[] {
     return [...this.#known.values()]
-      .filter(({ entry, leavingSinceMs }) =>
-        entry.service === service && leavingSinceMs === undefined
+      .filter((known) =>
+        known.entry.service === service &&
+        this.#useUntilMs(known) === Number.POSITIVE_INFINITY
       )
       .map(({ entry }) => entry);
   }
 
+  /** When its server may get no request any more; infinite while it stays. */
+  #useUntilMs({ entry, leavingSinceMs }: Known): number {
+    const { evacuations, evacuationUseMs } = this.#options;
+    const evacuatedSinceMs = evacuations.sinceMs(entry.zone);
+    return Math.min(
+      (leavingSinceMs ?? Number.POSITIVE_INFINITY) + LEAVING_USE_MS,
+      (evacuatedSinceMs ?? Number.POSITIVE_INFINITY) + evacuationUseMs,
+    );
+  }
+
+  /** Until when a server bears little load; in the past for a warm one. */
+  coldUntilMs(server: contracts.ServerId): number {
+    return this.#known.get(server)?.coldUntilMs ?? Number.NEGATIVE_INFINITY;
+  }
+
   /** Availability zone of a server. */
   zoneOf(server: contracts.ServerId): contracts.ZoneId | undefined {
     return this.#known.get(server)?.entry.zone;
@@ -147,7 +181,41 @@
       if (leavingMs >= LEAVING_USE_MS) isChanged = true;
       if (leavingMs > ENDED_LIFE_MS) this.#known.delete(server);
     }
-    if (isChanged) this.#changed();
+    if (this.#noteEmptied(nowMs) || isChanged) this.#changed();
+  }
+
+  /** Whether a zone's servers have just stopped to be of use at all. */
+  #noteEmptied(nowMs: number): boolean {
+    const { evacuations, evacuationUseMs, log } = this.#options;
+    let isChanged = false;
+    for (const zone of evacuations.zones) {
+      const sinceMs = evacuations.sinceMs(zone)!;
+      if (this.#emptied.has(zone) || nowMs - sinceMs < evacuationUseMs) {
+        continue;
+      }
+      this.#emptied.add(zone);
+      isChanged = true;
+      log.info("Zone is empty: its servers get nothing from here.", { zone });
+    }
+    return isChanged;
+  }
+
+  /** Servers of a zone that is taken back may have become cold meanwhile. */
+  #followEvacuations(ended: readonly contracts.ZoneId[]): void {
+    for (const zone of ended) this.#emptied.delete(zone);
+    for (const known of this.#known.values()) {
+      if (!ended.includes(known.entry.zone)) continue;
+      const { warmUpMs = 0 } = this.#options.coldStartOf(known.entry.service) ??
+        {};
+      this.#noteCold(known, warmUpMs);
+    }
+    this.#changed();
+  }
+
+  #noteCold(known: Known, leftMs: number): void {
+    if (leftMs <= 0) return;
+    const untilMs = this.#options.clock.nowMs() + leftMs;
+    known.coldUntilMs = Math.max(known.coldUntilMs, untilMs);
   }
 
   /** Whether a missing entry has not lapsed while the store was away. */
@@ -169,11 +237,23 @@
     if (isNew) {
       const { server, service, bornMs, host, port, zone } = entry;
       log.info("Server seen.", { server, service, bornMs, host, port, zone });
+      if (!this.#options.evacuations.isKnown(zone)) {
+        log.warn(
+          "Server of a zone that the settings don't name. Add the zone there.",
+          { server, zone },
+        );
+      }
     }
     const next: Known = isNew
-      ? { entry, leavingSinceMs: undefined, missingSinceMs: undefined }
+      ? {
+        entry,
+        leavingSinceMs: undefined,
+        missingSinceMs: undefined,
+        coldUntilMs: Number.NEGATIVE_INFINITY,
+      }
       : { ...known, entry, missingSinceMs: undefined };
     this.#known.set(entry.server, next);
+    this.#noteCold(next, entry.warmUpLeftMs);
     if (entry.isDraining) this.#leave(next, "says that it drains");
     else if (next.leavingSinceMs !== undefined) {
       log.info("Server is back.", { server: entry.server });
--- a/packages/entry/src/gateway/server_registry_test.ts
+++ b/packages/entry/src/gateway/server_registry_test.ts
@@ -3,33 +3,56 @@
 import * as neverthrow from "neverthrow";
 import { test } from "node:test";
 import { ServerRegistry } from "./server_registry.ts";
+import { ZoneEvacuations } from "./zone_evacuations.ts";
 
 const SERVICE = "s" as contracts.ServiceId;
 const PREFIX = "servers/";
+const ZONE = "z" as contracts.ZoneId;
+const SILENT = { debug() {}, info() {}, warn() {}, error() {} };
 
 class Fixture {
   nowMs = 0;
   storeCalmMs = 60_000;
   changes = 0;
+  /** What the next entry says of its time until it is warm. */
+  warmUpLeftMs = 0;
+  readonly clock = { nowMs: () => this.nowMs };
+  readonly evacuations = new ZoneEvacuations({
+    adapter: {
+      decodeEvacuation: (name) =>
+        neverthrow.ok(name.slice("evacuations/".length) as contracts.ZoneId),
+    },
+    zones: new Set([ZONE]),
+    clock: this.clock,
+    log: SILENT,
+  });
   readonly registry = new ServerRegistry({
     adapter: {
-      prefixes: { servers: PREFIX, config: "config/", configObject: "x" },
+      prefixes: {
+        servers: PREFIX,
+        config: "config/",
+        configObject: "x",
+        evacuations: "evacuations/",
+      },
       decodeServer: (name) =>
         neverthrow.ok({
           service: SERVICE,
           server: name.slice(PREFIX.length) as contracts.ServerId,
           bornMs: 1,
           slots: 3,
-          zone: "z" as contracts.ZoneId,
+          zone: ZONE,
           host: "10.0.0.1",
           port: 1,
           isDraining: false,
-          warmUpLeftMs: 0,
+          warmUpLeftMs: this.warmUpLeftMs,
         }),
     },
     storeCalmMs: () => this.storeCalmMs,
-    clock: { nowMs: () => this.nowMs },
-    log: { debug() {}, info() {}, warn() {}, error() {} },
+    evacuations: this.evacuations,
+    evacuationUseMs: 2_500,
+    coldStartOf: () => ({ warmUpMs: 3_000, requestsPerSecond: 5 }),
+    clock: this.clock,
+    log: SILENT,
   });
 
   constructor() {
@@ -68,3 +91,60 @@
   fixture.registry.tick();
   expect(fixture.staying).toEqual(["b"]);
 });
+
+const EVACUATION = `evacuations/${ZONE}`;
+
+/** Guards against new work for a zone that the operator wants empty. */
+test("should give no key to an evacuated zone's servers, and soon no request", () => {
+  const fixture = new Fixture();
+  fixture.registry.takeList([objectOf("a")]);
+  fixture.evacuations.takeChanges([{
+    name: EVACUATION,
+    object: { name: EVACUATION, version: "2", value: "{}" },
+  }]);
+  expect(fixture.staying).toEqual([]);
+  expect(fixture.registry.servers(SERVICE).map((it) => it.isDraining))
+    .toEqual([true]);
+  fixture.nowMs = 2_500;
+  fixture.registry.tick();
+  expect(fixture.registry.servers(SERVICE)).toEqual([]);
+  expect(fixture.changes).toEqual(3);
+});
+
+/** Guards against full load on servers that became cold while evacuated. */
+test("should take the servers of a zone that is taken back for cold", () => {
+  const fixture = new Fixture();
+  fixture.registry.takeList([objectOf("a")]);
+  fixture.evacuations.takeList([
+    { name: EVACUATION, version: "2", value: "{}" },
+  ]);
+  fixture.nowMs = 8_000;
+  fixture.evacuations.takeChanges([{ name: EVACUATION }]);
+  expect(fixture.staying).toEqual(["a"]);
+  const server = "a" as contracts.ServerId;
+  expect(fixture.registry.coldUntilMs(server)).toEqual(11_000);
+});
+
+/** Guards against full load on a server that says it has become cold. */
+test("should count the time until a server is warm from its last word", () => {
+  const fixture = new Fixture();
+  fixture.registry.takeList([objectOf("a")]);
+  const server = "a" as contracts.ServerId;
+  expect(fixture.registry.coldUntilMs(server) <= fixture.nowMs).toEqual(true);
+  fixture.nowMs = 1_000;
+  fixture.warmUpLeftMs = 2_200;
+  fixture.registry.takeChanges([{
+    name: `${PREFIX}a`,
+    object: objectOf("a"),
+  }]);
+  expect(fixture.registry.coldUntilMs(server)).toEqual(3_200);
+});
+
+/** Guards against an entry that names a zone nobody knows. */
+test("should ignore the evacuation of an unknown zone", () => {
+  const fixture = new Fixture();
+  fixture.evacuations.takeList([
+    { name: "evacuations/nowhere", version: "2", value: "{}" },
+  ]);
+  expect(fixture.evacuations.zones).toEqual([]);
+});
--- a/packages/entry/src/gateway/slot_task.ts
+++ b/packages/entry/src/gateway/slot_task.ts
@@ -9,6 +9,7 @@
 import type { LifeCycle, RegularWork } from "../utils/life_cycle.ts";
 import { OncePerTurn } from "../utils/once_per_turn.ts";
 import type { PartLog } from "../utils/log.ts";
+import type { ColdStarts } from "./cold_starts.ts";
 import type { PeerGossip } from "./peer_gossip.ts";
 import * as messages from "./peer_messages.ts";
 import type { ServerRegistry } from "./server_registry.ts";
@@ -24,6 +25,8 @@
   readonly random: contracts.RandomSource;
   readonly log: PartLog;
   readonly isLeaving: () => boolean;
+  /** Undefined where cold servers bear any load. */
+  readonly coldStarts: ColdStarts | undefined;
 }
 
 /** The queue whose requests ask for slots. */
@@ -76,6 +79,7 @@
       zone,
       random,
       decide: (decision) => this.#decide(decision),
+      coldStartsOf: (service) => options.coldStarts?.coordinated(service),
     });
     options.registry.onChange(() =>
       this.#order.keepOnly(options.registry.ids())
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -11,6 +11,7 @@
 } from "../utils/clock.ts";
 import { LifeCycle } from "../utils/life_cycle.ts";
 import type { Log } from "../utils/log.ts";
+import { ColdStarts } from "./cold_starts.ts";
 import { ConfigHolder } from "./config_holder.ts";
 import { Forwarder } from "./forwarder.ts";
 import { FrontListener } from "./front_listener.ts";
@@ -30,6 +31,7 @@
 import { StoreProbe } from "./store_probe.ts";
 import { WatchRelay } from "./watch_relay.ts";
 import { VmDirectory } from "./vm_directory.ts";
+import { ZoneEvacuations } from "./zone_evacuations.ts";
 
 /** Descriptors kept for files, the store, peers and control calls. */
 const RESERVED_DESCRIPTORS = 400;
@@ -40,6 +42,11 @@
  * in their answers, which goes first; a new connection costs a server 1 ms.
  */
 const LINK_IDLE_MS = 8_000;
+/**
+ * Part of the bound on an evacuation for which owners in the zone may still get
+ * requests: moves end long before, and news may be late by a second or two.
+ */
+const EVACUATION_USE_PART = 0.5;
 /** Longest wait for one step of a stop after the listener has ended. */
 const CLOSE_TIMEOUT_MS = 300;
 
@@ -74,8 +81,19 @@
   const store = new MeteredStore(adapter.store, metrics.storeCalls);
   const health = new StoreHealth({ clock, log: log.part("store") });
   const config = new ConfigHolder({ adapter, log: log.part("config") });
+  const evacuations = new ZoneEvacuations({
+    adapter,
+    zones: new Set(Object.keys(settings.zones) as contracts.ZoneId[]),
+    clock,
+    log: log.part("member"),
+  });
   const registry: ServerRegistry = new ServerRegistry({
     adapter,
+    evacuations,
+    evacuationUseMs: (settings.evacuation?.boundMs ?? 0) *
+      EVACUATION_USE_PART,
+    coldStartOf: (service) =>
+      config.active?.config.services.get(service)?.coldStart,
     storeCalmMs: () => relay.storeCalmMs,
     clock,
     log: log.part("member"),
@@ -141,6 +159,17 @@
     tryStore: () => probe.ask(),
   });
   const watches = createWatches();
+  const coldStarts = settings.coldStarts === undefined
+    ? undefined
+    : new ColdStarts({
+      vm: settings.vm,
+      bound: settings.coldStarts,
+      config,
+      registry,
+      gossip,
+      hasher,
+      clock,
+    });
   const grantTask: GrantTask = new GrantTask({
     self,
     timings: timingsOf(settings),
@@ -168,6 +197,7 @@
     random,
     log: log.part("route"),
     isLeaving: () => lifeCycle.isStopping,
+    coldStarts,
   });
   const links = new linkParts.ServerLinks(
     {
@@ -181,6 +211,7 @@
   const forwarder: Forwarder = new Forwarder({
     vm: settings.vm,
     zone: settings.zone,
+    zones: settings.zones,
     config,
     registry,
     grants: grantTask,
@@ -192,6 +223,7 @@
       ...settings.retryBudget,
       windowMs: settings.retryBudget.windowSeconds * 1000,
     },
+    coldStarts,
     clock,
     random,
     log: log.part("route"),
@@ -227,6 +259,13 @@
         onList: (objects) => registry.takeList(objects),
         onChanges: (changes) => registry.takeChanges(changes),
       }),
+      // Where no zone is ever evacuated the store isn't asked for them.
+      evacuations: settings.evacuation && new KindWatch({
+        ...common,
+        prefix: adapter.prefixes.evacuations,
+        onList: (objects) => evacuations.takeList(objects),
+        onChanges: (changes) => evacuations.takeChanges(changes),
+      }),
     };
   }
 
@@ -319,6 +358,7 @@
   parts.relay.start(lifeCycle);
   watches.config.start(lifeCycle);
   watches.servers.start(lifeCycle);
+  watches.evacuations?.start(lifeCycle);
   grantTask.start(lifeCycle);
   parts.slots.start(lifeCycle);
   parts.forwarder.start(lifeCycle);
--- /dev/null
+++ b/packages/entry/src/gateway/zone_evacuations.ts
@@ -0,0 +1,100 @@
+/** Availability zones whose backend servers are to get no requests. */
+import type * as contracts from "@guavatide/contracts";
+import type { PartLog } from "../utils/log.ts";
+import type { ObjectChange } from "./object_table.ts";
+import type { PlatformAdapter } from "./platform_adapter.ts";
+
+/** Options of {@link ZoneEvacuations}. */
+export interface ZoneEvacuationsOptions {
+  readonly adapter: Pick<PlatformAdapter, "decodeEvacuation">;
+  /** Availability zones that the settings name. */
+  readonly zones: ReadonlySet<contracts.ZoneId>;
+  readonly clock: contracts.Clock;
+  readonly log: PartLog;
+}
+
+/** Called with the zones whose evacuation has ended. */
+export type EvacuationListener = (ended: readonly contracts.ZoneId[]) => void;
+
+/** Follows the operator's evacuations. */
+export class ZoneEvacuations {
+  readonly #options: ZoneEvacuationsOptions;
+  readonly #sinceMs = new Map<contracts.ZoneId, number>();
+  readonly #listeners: EvacuationListener[] = [];
+
+  constructor(options: ZoneEvacuationsOptions) {
+    this.#options = options;
+  }
+
+  /** Called after each change. */
+  onChange(listener: EvacuationListener): void {
+    this.#listeners.push(listener);
+  }
+
+  /** When this VM learned of a zone's evacuation; undefined without one. */
+  sinceMs(zone: contracts.ZoneId): number | undefined {
+    return this.#sinceMs.get(zone);
+  }
+
+  /** Whether the settings name a zone. */
+  isKnown(zone: contracts.ZoneId): boolean {
+    return this.#options.zones.has(zone);
+  }
+
+  /** Zones that are evacuated. */
+  get zones(): readonly contracts.ZoneId[] {
+    return [...this.#sinceMs.keys()];
+  }
+
+  /** Takes over a whole list. */
+  takeList(objects: readonly contracts.StoredObject[]): void {
+    const listed = new Set(objects.map(({ name }) => this.#zoneOf(name)));
+    const ended = this.zones.filter((zone) => !listed.has(zone));
+    for (const zone of listed) this.#begin(zone);
+    this.#endAll(ended);
+  }
+
+  /** Takes over changes that were learned together. */
+  takeChanges(changes: readonly ObjectChange[]): void {
+    const ended: contracts.ZoneId[] = [];
+    for (const { name, object } of changes) {
+      const zone = this.#zoneOf(name);
+      if (object !== undefined) this.#begin(zone);
+      else if (zone !== undefined) ended.push(zone);
+    }
+    this.#endAll(ended);
+  }
+
+  #begin(zone: contracts.ZoneId | undefined): void {
+    if (zone === undefined || this.#sinceMs.has(zone)) return;
+    const { zones, clock, log } = this.#options;
+    if (!this.isKnown(zone)) {
+      return log.warn(
+        "Ignores an evacuation: no such zone in the settings. Check its name.",
+        { zone, known: [...zones].join() },
+      );
+    }
+    this.#sinceMs.set(zone, clock.nowMs());
+    log.info("Zone is evacuated.", { zone });
+  }
+
+  #endAll(zones: readonly contracts.ZoneId[]): void {
+    const { clock, log } = this.#options;
+    const ended = zones.filter((zone) => this.#sinceMs.has(zone));
+    for (const zone of ended) {
+      const lastedMs = Math.round(clock.nowMs() - this.#sinceMs.get(zone)!);
+      this.#sinceMs.delete(zone);
+      log.info("Evacuation of a zone has ended.", { zone, lastedMs });
+    }
+    for (const listener of this.#listeners) listener(ended);
+  }
+
+  #zoneOf(name: string): contracts.ZoneId | undefined {
+    const { adapter, log } = this.#options;
+    const zone = adapter.decodeEvacuation(name);
+    if (zone.isOk()) return zone.value;
+    const { field, message } = zone.error;
+    log.warn("Ignores an evacuation.", { name, field, message });
+    return undefined;
+  }
+}
