feat(grants): grants last as long as a service's work needs

A server fails what it still runs when its grant ends, and grants of 1.5 s are short beside work of 729 ms at servers of half speed. Ruled out: lost ownership (27 of 27,495 arrivals were refused), hot keys (50 failures every 2 s, hot or not).

Change: the range map says how long grants last: twice the longest target latency of the service's routes, 1.5 s at least, 6 s at most. It never falls in the life of a map, so what any keeper granted before is over by then.

Cost: keys of a server that is lost wait longer where work is long (up to 6 s and some); grants of services with short work stay as they were.

Test: the model of random interleavings raises the length after half of a run; with the old wait in its place it sees 57 moments with two holders.

--- a/packages/contracts/src/key_grants.ts
+++ b/packages/contracts/src/key_grants.ts
@@ -92,6 +92,11 @@
    * until a majority of it knows the present revision.
    */
   keeperSets: z.array(z.array(vmIdSchema).min(1)).min(1),
+  /**
+   * Length of a grant, in milliseconds; it never falls, so that no earlier
+   * grant outlasts it. Absent in maps of services with short work.
+   */
+  holdMs: z.number().int().min(1).optional(),
   /** In order, without gap or overlap, covering all keys. */
   ranges: z.array(rangeStateSchema).min(1),
 });
--- /dev/null
+++ b/packages/decisions/src/grants/grant_hold.ts
@@ -0,0 +1,38 @@
+/**
+ * How long the grants of a service last. A server fails what it still runs when
+ * its grant ends, so services with long work need long grants; keys of a lost
+ * server wait until all that was granted has run out, so others keep short ones.
+ */
+import type * as contracts from "@guavatide/contracts";
+import type { GrantTimings } from "./grant_timings.ts";
+
+/** Length of a grant as a multiple of the longest target latency. */
+const HOLD_PER_TARGET = 2;
+/** The longest grant, whatever routes ask for. */
+const MOST_HOLD_MS = 6_000;
+
+/** Limits of {@link wishedHoldMs}. */
+export interface HoldLimits {
+  readonly leastMs: number;
+  /** Longest grant that servers take. */
+  readonly mostMs: number;
+}
+
+/** The length of grants that fits the target latencies of a service's routes. */
+export function wishedHoldMs(
+  targetLatenciesMs: readonly number[],
+  { leastMs, mostMs }: HoldLimits,
+): number {
+  const wishedMs = Math.ceil(
+    HOLD_PER_TARGET * Math.max(0, ...targetLatenciesMs),
+  );
+  return Math.min(mostMs, Math.max(leastMs, Math.min(MOST_HOLD_MS, wishedMs)));
+}
+
+/** Length of the grants of a map, which no earlier grant of it exceeds. */
+export function holdOf(
+  map: Pick<contracts.RangeMap, "holdMs"> | undefined,
+  { holdMs }: Pick<GrantTimings, "holdMs">,
+): number {
+  return Math.max(map?.holdMs ?? 0, holdMs);
+}
--- a/packages/decisions/src/grants/grant_model_test.ts
+++ b/packages/decisions/src/grants/grant_model_test.ts
@@ -15,6 +15,7 @@
 const STEP_MS = 10;
 const RUN_MS = 14_000;
 const TIMINGS = grants.DEFAULT_GRANT_TIMINGS;
+const LONG_HOLD_MS = 2_600;
 const STATUS_MS = 200;
 const QUARTER = KEY_COUNT / 4;
 const SAMPLE_KEYS = [0, 1, 2, 3].map((index) => index * QUARTER + 7);
@@ -41,12 +42,15 @@
     this.owner = { server: name as contracts.ServerId, bornMs: 1 };
   }
 
-  grant(range: contracts.RangeState, arrivedMs: number): boolean {
+  grant(
+    range: contracts.RangeState,
+    { arrivedMs, holdMs }: { arrivedMs: number; holdMs: number },
+  ): boolean {
     const held = indexesOf(range);
     if (held.some((index) => this.fences[index]! > range.fence)) return false;
     for (const index of held) {
       this.fences[index] = range.fence;
-      this.heldUntilMs[index] = arrivedMs + TIMINGS.holdMs * SLOW_CLOCK;
+      this.heldUntilMs[index] = arrivedMs + holdMs * SLOW_CLOCK;
     }
     return true;
   }
@@ -299,6 +303,7 @@
       { isUnderWay: false, endMs: 0, unansweredMs: undefined };
     keeper.sent.set(range.owner.server, state);
     state.isUnderWay = true;
+    const holdMs = grants.holdOf(keeper.map, TIMINGS);
     const end = (isAnswered: boolean) => {
       state.isUnderWay = false;
       state.endMs = this.nowMs;
@@ -307,13 +312,13 @@
     const wayMs = this.#between(1, 120);
     const isLate = this.#chance(0.1);
     this.#after(wayMs, () => {
-      const arrivedMs = this.nowMs;
+      const arrived = { arrivedMs: this.nowMs, holdMs };
       if (server.silentUntilMs > this.nowMs) return;
       if (isLate) {
         const takenMs = this.#between(200, 3_000);
-        return this.#after(takenMs, () => server.grant(range, arrivedMs));
+        return this.#after(takenMs, () => server.grant(range, arrived));
       }
-      server.grant(range, arrivedMs);
+      server.grant(range, arrived);
       this.#after(this.#between(1, 40), () => end(true));
     });
     const giveUp = () => {
@@ -393,6 +398,8 @@
         : new Set(),
       plan: () => this.#plan(),
       nonce: () => String(this.#version),
+      // The service's work turns out to be long after half of the run.
+      holdMs: this.nowMs < RUN_MS / 2 ? TIMINGS.holdMs : LONG_HOLD_MS,
     };
   }
 
--- a/packages/decisions/src/grants/grant_timings.ts
+++ b/packages/decisions/src/grants/grant_timings.ts
@@ -2,7 +2,7 @@
 
 /** Times that grants and moves of key ranges work with. */
 export interface GrantTimings {
-  /** Length of time that a grant gives. */
+  /** Length of time that a grant gives at least. */
   readonly holdMs: number;
   /** Between two renewals of a range by one keeper. */
   readonly renewMs: number;
@@ -40,7 +40,9 @@
 };
 
 /** Longest time from the end of a grant call until what it gave is over. */
-export function grantLifeMs(timings: GrantTimings): number {
-  const { transitMs, holdMs, clockRateMargin } = timings;
+export function grantLifeMs(
+  { transitMs, clockRateMargin }: GrantTimings,
+  holdMs: number,
+): number {
   return transitMs + holdMs * (1 + clockRateMargin);
 }
--- a/packages/decisions/src/grants/mod.ts
+++ b/packages/decisions/src/grants/mod.ts
@@ -1,6 +1,7 @@
 /** Ownership of key ranges by grants without a stamp of the server's clock. */
 export * from "./duty_order.ts";
 export * from "./first_map_wait.ts";
+export * from "./grant_hold.ts";
 export * from "./grant_timings.ts";
 export * from "./keeper_book.ts";
 export * from "./keeper_review.ts";
--- a/packages/decisions/src/grants/range_mover.ts
+++ b/packages/decisions/src/grants/range_mover.ts
@@ -6,6 +6,7 @@
  * mover are one case: read, and go on from what was read.
  */
 import type * as contracts from "@guavatide/contracts";
+import { holdOf } from "./grant_hold.ts";
 import type { GrantTimings } from "./grant_timings.ts";
 import type { KeeperBook } from "./keeper_book.ts";
 import * as edit from "./range_edit.ts";
@@ -54,6 +55,8 @@
   hasEnded(owner: contracts.RangeOwner): boolean;
   /** Entry VMs that shall be keepers, in any order. */
   readonly keepers: readonly contracts.VmId[];
+  /** Length of grants that the service's work needs. */
+  readonly holdMs: number;
   /** Keepers that are gone for good. */
   readonly gone: ReadonlySet<contracts.VmId>;
   /** Moves that placement asks for. */
@@ -256,10 +259,11 @@
       lastFence: map.lastFence,
     });
     const keeperSets = this.#nextKeeperSets(map, tick);
+    const holdMs = Math.max(holdOf(map, this.#timings), tick.holdMs);
     const isChanged = freed > 0 || moves.length > 0 ||
-      keeperSets !== map.keeperSets;
+      keeperSets !== map.keeperSets || holdMs > holdOf(map, this.#timings);
     if (!isChanged) return undefined;
-    const next = { ...map, ...vacated, revision, keeperSets };
+    const next = { ...map, ...vacated, revision, keeperSets, holdMs };
     return this.#writeCall(next, { kind: "version", version }, tick);
   }
 
@@ -274,6 +278,7 @@
       revision: 1,
       lastFence: owners.length,
       keeperSets: [[...tick.keepers]],
+      holdMs: Math.max(this.#timings.holdMs, tick.holdMs),
       ranges,
     };
     return this.#writeCall(first, { kind: "absent" }, tick);
--- a/packages/decisions/src/grants/range_wait.ts
+++ b/packages/decisions/src/grants/range_wait.ts
@@ -4,6 +4,7 @@
  * one left, from any entry VM.
  */
 import type * as contracts from "@guavatide/contracts";
+import { holdOf } from "./grant_hold.ts";
 import { grantLifeMs, type GrantTimings } from "./grant_timings.ts";
 import type { KeeperBook } from "./keeper_book.ts";
 
@@ -82,5 +83,5 @@
       : unheardMs;
     lastMs = Math.max(lastMs, sentMs);
   }
-  return lastMs + grantLifeMs(timings);
+  return lastMs + grantLifeMs(timings, holdOf(map, timings));
 }
--- a/packages/decisions/src/grants/range_wait_test.ts
+++ b/packages/decisions/src/grants/range_wait_test.ts
@@ -4,7 +4,7 @@
 import * as grants from "./mod.ts";
 
 const TIMINGS = grants.DEFAULT_GRANT_TIMINGS;
-const GRANT_LIFE_MS = grants.grantLifeMs(TIMINGS);
+const GRANT_LIFE_MS = grants.grantLifeMs(TIMINGS, TIMINGS.holdMs);
 const A: contracts.RangeOwner = {
   server: "a" as contracts.ServerId,
   bornMs: 1,
--- a/packages/entry/src/gateway/grant_sender.ts
+++ b/packages/entry/src/gateway/grant_sender.ts
@@ -58,6 +58,7 @@
 export interface GrantOrder {
   readonly range: contracts.RangeState;
   readonly handover: string | undefined;
+  readonly holdMs: number;
 }
 
 /** Renewals of one entry VM for one service. */
@@ -119,7 +120,7 @@
   }
 
   /** Sends one grant; the caller has checked evidence just now. */
-  async send({ range, handover }: GrantOrder): Promise<void> {
+  async send({ range, handover, holdMs }: GrantOrder): Promise<void> {
     const { clock, control, timings, entry, log } = this.#options;
     const server = entry(range.owner);
     if (server === undefined) return;
@@ -130,7 +131,7 @@
     const { fromKey, toKey, fence } = range;
     const result = await control.grant(
       server,
-      { fromKey, toKey, fence, holdMs: timings.holdMs, handover },
+      { fromKey, toKey, fence, holdMs, handover },
       { timeoutMs: timings.orderTimeoutMs },
     );
     state.isUnderWay = false;
@@ -163,14 +164,13 @@
     state.notBeforeMs = state.lastEndMs + pauseMs * (0.5 + random.next() / 2);
   }
 
-  /** Forgets servers and ranges that are gone. */
-  keepOnly(ranges: readonly contracts.RangeState[]): void {
+  /** Forgets servers and ranges that are gone; grants last for `holdMs`. */
+  keepOnly(ranges: readonly contracts.RangeState[], holdMs: number): void {
     const names = new Set(ranges.map(nameOf));
     for (const name of this.#confirmedMs.keys()) {
       if (!names.has(name)) this.#confirmedMs.delete(name);
     }
-    const { clock, timings } = this.#options;
-    const oldMs = clock.nowMs() - 4 * timings.holdMs;
+    const oldMs = this.#options.clock.nowMs() - 4 * holdMs;
     for (const [server, state] of this.#servers) {
       if (!state.isUnderWay && state.lastEndMs < oldMs) {
         this.#servers.delete(server);
--- a/packages/entry/src/gateway/grant_sender_test.ts
+++ b/packages/entry/src/gateway/grant_sender_test.ts
@@ -46,9 +46,9 @@
     onEnded: () => {},
     onFencedOff: () => {},
   });
-  await sender.send({ range: RANGE, handover: undefined });
+  await sender.send({ range: RANGE, handover: undefined, holdMs: 1_500 });
   nowMs = 800;
-  await sender.send({ range: RANGE, handover: undefined });
+  await sender.send({ range: RANGE, handover: undefined, holdMs: 1_500 });
   expect(sender.silentServers()).toEqual([SERVER]);
   nowMs = 10_000;
   expect(sender.silentServers()).toEqual([]);
@@ -91,7 +91,7 @@
   });
   for (; nowMs < 2_000; nowMs++) {
     if (!sender.isFree(SERVER)) continue;
-    await sender.send({ range: RANGE, handover: undefined });
+    await sender.send({ range: RANGE, handover: undefined, holdMs: 1_500 });
   }
   expect(calls >= 8 && calls <= 12).toEqual(true);
 });
--- a/packages/entry/src/gateway/grant_task.ts
+++ b/packages/entry/src/gateway/grant_task.ts
@@ -1,7 +1,7 @@
 /** Ownership of all keyed services on one entry VM. */
 import * as contracts from "@guavatide/contracts";
 import type * as admission from "@guavatide/decisions/admission/mod";
-import type * as grants from "@guavatide/decisions/grants/mod";
+import * as grants from "@guavatide/decisions/grants/mod";
 import type * as ownership from "@guavatide/decisions/ownership/mod";
 import type { SuspensionClock } from "../utils/clock.ts";
 import type { LifeCycle, RegularWork } from "../utils/life_cycle.ts";
@@ -20,6 +20,8 @@
 export interface GrantTaskOptions {
   readonly self: GossipIdentity;
   readonly timings: grants.GrantTimings;
+  /** Longest grant that servers take. */
+  readonly longestGrantMs: number;
   readonly hasher: ownership.KeyHasher;
   readonly config: ConfigHolder;
   readonly registry: ServerRegistry;
@@ -202,6 +204,7 @@
       ...self,
       service,
       peers: () => this.#peers(),
+      wishedHoldMs: () => this.#wishedHoldMs(service),
       silentMs: (vm) => gossip.silentMs(vm),
       askMap: (peer) => this.#askMap(service, peer),
       publish: (news) => {
@@ -219,6 +222,15 @@
     });
   }
 
+  #wishedHoldMs(service: contracts.ServiceId): number {
+    const { config, timings, longestGrantMs } = this.#options;
+    const targetsMs = (config.active?.config.routes ?? [])
+      .filter(({ targets }) => targets.some((it) => it.service === service))
+      .map(({ targetLatencyMs }) => targetLatencyMs);
+    const limits = { leastMs: timings.holdMs, mostMs: longestGrantMs };
+    return grants.wishedHoldMs(targetsMs, limits);
+  }
+
   /** The map as a peer knows it; undefined without an answer. */
   async #askMap(
     service: contracts.ServiceId,
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -31,6 +31,8 @@
   readonly registry: ServerRegistry;
   /** Entry VMs that are up, this one included. */
   readonly peers: () => readonly GrantPeer[];
+  /** Length of grants that the service's routes need. */
+  readonly wishedHoldMs: () => number;
   /** How long a VM has not been heard. */
   readonly silentMs: (vm: contracts.VmId) => number;
   /** Asks a peer for the map as it knows it. */
@@ -291,7 +293,7 @@
     this.#adoptedAtMs = this.#options.clock.nowMs();
     this.#publisher.noteMap(map);
     this.#mover.noteNewer(map.revision);
-    this.#sender.keepOnly(map.ranges);
+    this.#sender.keepOnly(map.ranges, this.#holdMs);
     const fences = new Set(map.ranges.map(({ fence }) => fence));
     const duties = new Set<string>(map.ranges.map((it) => it.owner.server));
     for (const fence of this.#confirmed) {
@@ -313,6 +315,10 @@
 
   // Renewing
 
+  get #holdMs(): number {
+    return grants.holdOf(this.#map, this.#options.timings);
+  }
+
   #renew(map: contracts.RangeMap, nowMs: number): void {
     const { vm, timings } = this.#options;
     const keepers = map.keeperSets.at(-1)!;
@@ -343,7 +349,8 @@
     if (evidenceAgeMs >= timings.evidenceMs) return this.#learner.readSoon();
     for (const range of grants.mostOverdue(due)) {
       const handover = this.#mover.handover(range.fence);
-      this.#sender.send({ range, handover }).then(
+      const order = { range, handover, holdMs: this.#holdMs };
+      this.#sender.send(order).then(
         () => this.#renewNext(),
         (error) =>
           this.#options.log.error("Grant failed.", { error: String(error) }),
@@ -458,7 +465,7 @@
   }
 
   #moverTick(nowMs: number): grants.RangeMoverTick {
-    const { registry, service } = this.#options;
+    const { registry, service, wishedHoldMs } = this.#options;
     this.#countLost(nowMs);
     const staying = registry.staying(service);
     const found = staying.filter(({ server }) => !this.#lost.has(server));
@@ -474,6 +481,7 @@
     return {
       nowMs,
       usable: registry.isListed && mayStart ? usable : new Map(),
+      holdMs: wishedHoldMs(),
       hasEnded: (owner) => registry.hasEnded(owner),
       keepers: grants.wishedKeepers(review),
       gone: grants.goneKeepers(review),
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -173,6 +173,7 @@
   const grantTask: GrantTask = new GrantTask({
     self,
     timings: timingsOf(settings),
+    longestGrantMs: settings.timings.longestGrantMs,
     hasher,
     config,
     registry,
