feat(admission): a slot of each owner is kept for urgent short work

Work that has begun can't be interrupted, so rank alone does not help; one slot is kept free of long work while urgent short work comes.

--- a/packages/decisions/src/admission/mod.ts
+++ b/packages/decisions/src/admission/mod.ts
@@ -6,6 +6,7 @@
 export * from "./service_queue.ts";
 export * from "./service_times.ts";
 export * from "./shared_retry_budget.ts";
+export * from "./short_work_reserve.ts";
 export * from "./slot_asks.ts";
 export * from "./slot_coordinator.ts";
 export * from "./waiting_request.ts";
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -8,6 +8,7 @@
 import { ServerLoad } from "./server_load.ts";
 import * as ranking from "./server_ranking.ts";
 import type { ServiceTimes } from "./service_times.ts";
+import type { ShortWorkReserve } from "./short_work_reserve.ts";
 import type {
   Refusal,
   RefusalReason,
@@ -48,6 +49,8 @@
   readonly keyed?: KeyedQueueOptions;
   /** Absent where another VM limits what cold servers get. */
   readonly coldStarts?: ColdStartLimit | undefined;
+  /** Present where all requests at the one server are known. */
+  readonly reserve?: ShortWorkReserve;
   /** Region of an availability zone; undefined for an unknown one. */
   readonly regionOf?: (
     zone: contracts.ZoneId,
@@ -191,7 +194,8 @@
     this.#waiting = [];
     const full = new Set<string>();
     for (const request of queued) {
-      const place = this.#placeName(request);
+      // Routes of one place may have different numbers of its slots.
+      const place = `${this.#placeName(request)} ${request.route.name}`;
       if (!full.has(place) && this.#tryPlace(request, nowMs)) {
         this.#noteTurn(request, queued);
         continue;
@@ -252,7 +256,8 @@
   }
 
   #tryAny(request: WaitingRequest, nowMs: number): boolean {
-    const { coldStarts } = this.#options;
+    const { coldStarts, reserve } = this.#options;
+    if (reserve?.mayTake(request.route, nowMs) === false) return false;
     const open = this.#candidates(request, nowMs)
       .filter((load) =>
         ranking.hasRoom(load, nowMs) &&
@@ -424,12 +429,34 @@
       return load.opensInMs(nowMs) +
         (ahead + 1) / this.#servedPerMs([load], meanMs, nowMs);
     }
+    const heldBackMs = this.#heldBackWaitMs(request, queued, nowMs);
+    if (heldBackMs !== undefined) return heldBackMs;
     const candidates = this.#candidates(request, nowMs);
     const perMs = this.#servedPerMs(candidates, meanMs, nowMs);
     const elsewhere = this.#waitingElsewhere * (ahead + 1) / here;
     return (ahead + 1 + elsewhere) / perMs;
   }
 
+  /**
+   * The wait of a route that may not have all slots: for others of its kind,
+   * in the slots that it may have. Undefined for a route that may have all.
+   */
+  #heldBackWaitMs(
+    { route }: WaitingRequest,
+    queued: readonly WaitingRequest[],
+    nowMs: number,
+  ): number | undefined {
+    const { reserve, times } = this.#options;
+    const [load] = this.#loads.values();
+    if (reserve === undefined || load === undefined) return undefined;
+    const { server, slots } = load.entry;
+    const own = reserve.slotsFor(route, nowMs);
+    if (own >= slots) return undefined;
+    const ahead =
+      queued.filter((other) => other.route.priority === route.priority).length;
+    return (ahead + 1) * times.routeMs(route) * times.factor(server) / own;
+  }
+
   #servedPerMs(
     loads: readonly ServerLoad[],
     meanMs: number,
--- /dev/null
+++ b/packages/decisions/src/admission/short_work_reserve.ts
@@ -0,0 +1,80 @@
+/**
+ * Keeps one slot of a server for urgent short work. Work that has begun can't
+ * be interrupted: with all slots taken by long requests a short one waits for
+ * longer than it runs, and is late whatever its rank. Answers the load of a
+ * keyed service whose servers have few slots and get both kinds.
+ */
+import type { ServiceTimes } from "./service_times.ts";
+import type { RankedRoute } from "./waiting_request.ts";
+
+/** Work is long beside another kind that takes at most this part of it. */
+const SHORT_PART = 0.5;
+/** A kind that was not asked for during this time has no slot kept for it. */
+const ASKED_FOR_MS = 500;
+
+interface Kind {
+  readonly route: RankedRoute;
+  askedMs: number;
+  held: number;
+}
+
+/** Who may take which slots of one server. */
+export class ShortWorkReserve {
+  readonly #times: ServiceTimes;
+  readonly #slots: number;
+  readonly #kinds = new Map<string, Kind>();
+
+  constructor(times: ServiceTimes, slots: number) {
+    this.#times = times;
+    this.#slots = slots;
+  }
+
+  /** A request of a route asks for a slot. */
+  noteAsked(route: RankedRoute, nowMs: number): void {
+    this.#kind(route).askedMs = nowMs;
+  }
+
+  /** A slot is taken. Returns what gives it back. */
+  begin(route: RankedRoute): () => void {
+    const kind = this.#kind(route);
+    kind.held++;
+    return () => kind.held--;
+  }
+
+  /** Slots that a route may have at a time. */
+  slotsFor(route: RankedRoute, nowMs: number): number {
+    return this.#isHeldBack(route, nowMs) ? this.#slots - 1 : this.#slots;
+  }
+
+  /** Whether a route may take one more slot. */
+  mayTake(route: RankedRoute, nowMs: number): boolean {
+    if (!this.#isHeldBack(route, nowMs)) return true;
+    let all = 0;
+    let asPatient = 0;
+    for (const { route: other, held } of this.#kinds.values()) {
+      all += held;
+      if (other.priority >= route.priority) asPatient += held;
+    }
+    return all < this.#slots && asPatient < this.#slots - 1;
+  }
+
+  /** Whether a more urgent kind of much shorter work comes at present. */
+  #isHeldBack(route: RankedRoute, nowMs: number): boolean {
+    if (this.#slots < 2) return false;
+    const shortMs = this.#times.routeMs(route) * SHORT_PART;
+    for (const { route: other, askedMs } of this.#kinds.values()) {
+      const isShort = other.priority < route.priority &&
+        this.#times.routeMs(other) <= shortMs;
+      if (isShort && nowMs - askedMs < ASKED_FOR_MS) return true;
+    }
+    return false;
+  }
+
+  #kind(route: RankedRoute): Kind {
+    const found = this.#kinds.get(route.name);
+    if (found !== undefined) return found;
+    const created = { route, askedMs: Number.NEGATIVE_INFINITY, held: 0 };
+    this.#kinds.set(route.name, created);
+    return created;
+  }
+}
--- a/packages/decisions/src/admission/slot_coordinator.ts
+++ b/packages/decisions/src/admission/slot_coordinator.ts
@@ -10,6 +10,7 @@
 import type { ColdStartLimit } from "./cold_start_limit.ts";
 import { ServiceQueue } from "./service_queue.ts";
 import { ServiceTimes } from "./service_times.ts";
+import { ShortWorkReserve } from "./short_work_reserve.ts";
 import type {
   RankedRoute,
   Refusal,
@@ -171,6 +172,7 @@
   readonly server: SlotServer;
   readonly #times: ServiceTimes;
   readonly #queue: ServiceQueue;
+  readonly #reserve: ShortWorkReserve;
   readonly #decide: (decision: SlotDecision) => void;
   readonly #wishes = new Map<string, QueuedWish>();
   readonly #held = new Map<string, Held>();
@@ -187,7 +189,15 @@
     this.#times = times;
     this.#decide = decide;
     const coldStarts = coldStartsOf?.(server.service);
-    this.#queue = new ServiceQueue({ zone, times, random, coldStarts });
+    const reserve = new ShortWorkReserve(times, server.slots);
+    this.#reserve = reserve;
+    this.#queue = new ServiceQueue({
+      zone,
+      times,
+      random,
+      coldStarts,
+      reserve,
+    });
     this.#queue.setServers([entryOf(server, zone)]);
   }
 
@@ -214,6 +224,7 @@
       },
     });
     this.#wishes.set(name, request);
+    this.#reserve.noteAsked(wish.route, nowMs);
     this.#queue.add(request, nowMs);
     if (this.#wishes.has(name)) this.#decide({ vm, id, kind: "queued" });
   }
@@ -277,7 +288,11 @@
 
   #hold(name: string, route: RankedRoute, nowMs: number): void {
     const end = this.#queue.loads.get(this.server.server)!.begin(nowMs);
-    const release = (endedMs: number) => end({ kind: "abandoned" }, endedMs);
+    const giveBack = this.#reserve.begin(route);
+    const release = (endedMs: number) => {
+      giveBack();
+      end({ kind: "abandoned" }, endedMs);
+    };
     this.#held.set(name, { route, sinceMs: nowMs, release });
   }
 }
