feat(cells): a zone without servers shares those of the other zones

Change: cells of a zone without servers get a part of every other zone's, as much together as a local cell has. With only cold servers in its cell a VM may have four requests at other cells' servers in place of one.

Test: 90 VMs in four zones, one without servers; each server in one cell, each cell with 8 to 10.

--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -78,6 +78,8 @@
  * request and a half more at each server than its own cell has sent there.
  */
 const HELPED_REQUESTS = 1;
+/** The same while the own cell has cold servers only, which bear little. */
+const HELPED_WHILE_COLD = 4;
 /** How long a key's move takes when its last owner gives it up. */
 const MOVE_WAIT_MS = 250;
 /** A planned move ends with the work that ran at its last owner. */
@@ -291,13 +293,19 @@
         load.isOpen(nowMs) && load.outstanding(nowMs) < load.entry.slots;
       if (isUsable) usable.push(load);
     }
-    if (sent >= HELPED_REQUESTS || usable.length === 0) return undefined;
+    const limit = this.#isOwnCold(nowMs) ? HELPED_WHILE_COLD : HELPED_REQUESTS;
+    if (sent >= limit || usable.length === 0) return undefined;
     const { zone, random } = this.#options;
     const near = usable.filter(({ entry }) => entry.zone === zone);
     const choice = near.length > 0 ? near : usable;
     return choice[Math.floor(random.next() * choice.length)];
   }
 
+  /** Whether the own cell has no server that is warm. */
+  #isOwnCold(nowMs: number): boolean {
+    return [...this.#inCell!].every((server) => this.#isCold(server, nowMs));
+  }
+
   #isUsable({ entry }: ServerLoad, request: WaitingRequest): boolean {
     return !entry.isDraining && !request.tried.has(entry.server) &&
       this.#isHome(entry, request);
--- a/packages/decisions/src/cells/cell_plan.ts
+++ b/packages/decisions/src/cells/cell_plan.ts
@@ -72,19 +72,39 @@
     const isAll = this.isSingle || own === undefined;
     if (isAll) return new Set(servers.map(({ server }) => server));
     const used = new Set<contracts.ServerId>();
-    for (const [zone, inZone] of groupByZone(servers)) {
-      const local = [...this.#cells.keys()]
-        .filter((index) => this.#cells[index]!.zone === zone);
-      // Servers of a zone without entry VMs are dealt out to all cells.
-      const cells = local.length > 0 ? local : [...this.#cells.keys()];
+    const byZone = groupByZone(servers);
+    for (const [zone, inZone] of byZone) {
+      const shares = this.#sharesOf(zone, new Set(byZone.keys()));
       const names = inZone.map(({ server }) => server).sort();
       for (const [place, server] of names.entries()) {
-        const cell = cells[chunkOf(place, names.length, cells.length)];
-        if (cell === own) used.add(server);
+        const share = shares[chunkOf(place, names.length, shares.length)];
+        if (share === own) used.add(server);
       }
     }
     return used;
   }
+
+  /**
+   * The cells that share a zone's servers, each as often as its part is large.
+   * Cells of a zone without servers get a part of every other zone's, which
+   * together is as much as a cell of these zones has. Servers of a zone without
+   * entry VMs are dealt out to all cells.
+   */
+  #sharesOf(
+    zone: contracts.ZoneId,
+    served: ReadonlySet<contracts.ZoneId>,
+  ): number[] {
+    const indexes = [...this.#cells.keys()];
+    const zoneOf = (index: number) => this.#cells[index]!.zone!;
+    const local = indexes.filter((index) => zoneOf(index) === zone);
+    if (local.length === 0) return indexes;
+    const homeless = indexes.filter((index) => !served.has(zoneOf(index)));
+    if (homeless.length === 0) return local;
+    const whole = local.flatMap((index) =>
+      new Array<number>(served.size).fill(index)
+    );
+    return [...whole, ...homeless];
+  }
 }
 
 function cellsByZone(vms: readonly CellVm[]): Cell[] {
--- a/packages/decisions/src/cells/cell_plan_test.ts
+++ b/packages/decisions/src/cells/cell_plan_test.ts
@@ -63,3 +63,24 @@
     expect(length >= 8 && length <= 18).toEqual(true);
   }
 });
+
+/** Guards against a zone whose VMs have no server of their own to know well. */
+test("should share other zones' servers with the cells of a zone without any", () => {
+  const all = vms({ a: 22, b: 24, c: 22, d: 22 });
+  const plan = new CellPlan(all);
+  const listed = servers({ b: 24, c: 24, d: 24 });
+  const counts = new Map<string, number>();
+  const users = new Map<string, Set<string>>();
+  for (const { vm } of all) {
+    const cell = plan.members(vm).join();
+    const used = plan.serversOf(vm, listed);
+    counts.set(cell, used.size);
+    for (const server of used) {
+      users.set(server, (users.get(server) ?? new Set()).add(cell));
+    }
+  }
+  expect(users.size).toEqual(listed.length);
+  expect([...users.values()].every((cells) => cells.size === 1)).toEqual(true);
+  expect([...counts.values()].every((count) => count >= 8 && count <= 10))
+    .toEqual(true);
+});
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -278,9 +278,10 @@
     const entries = registry.servers(service);
     times.keepOnly(new Set(entries.map(({ server }) => server)));
     const { plan } = gossip;
+    const staying = entries.filter(({ isDraining }) => !isDraining);
     queue.setServers(
       entries,
-      plan.isSingle ? undefined : plan.serversOf(vm, entries),
+      plan.isSingle ? undefined : plan.serversOf(vm, staying),
     );
   }
 
