feat(admission): the momentary speed that servers tell chooses among them

Hypothesis: a fifth of the servers is three times slow for 400 ms at a time; requests of services without keys sent there are late whatever else is done.

Change: the header is decoded at the edge into a ServerReport (absurd figures are no report); its speed counts less with its age, nothing after 400 ms; a change by more than 1.4 goes to the cell with the next message of load. The log line of a request says what its server reported. Owners of keys are not chosen, so nothing changes there.

--- a/packages/decisions/src/admission/server_load.ts
+++ b/packages/decisions/src/admission/server_load.ts
@@ -17,6 +17,12 @@
 const SUSPEND_MIN_MS = 400;
 const SUSPEND_MAX_MS = 4_000;
 
+/**
+ * A server's word of its momentary speed counts less and less with its age, and
+ * nothing after this time.
+ */
+const SPEED_LIFE_MS = 400;
+
 /** How a request at a server ended. */
 export type SendEnd =
   /** An answer by the server itself. */
@@ -28,6 +34,13 @@
   /** Nobody waits for it any more; says nothing about the server. */
   | { readonly kind: "abandoned" };
 
+/** A server's word of its speed. */
+export interface ReportedSpeed {
+  /** How much longer work takes than usual. */
+  readonly slowdownRatio: number;
+  readonly atMs: number;
+}
+
 interface Told {
   readonly outstanding: number;
   readonly atMs: number;
@@ -41,6 +54,7 @@
   readonly #told = new Map<contracts.VmId, Told>();
   /** Whether it is the only one that can serve its keys. */
   readonly #isOwner: boolean;
+  #speed: ReportedSpeed | undefined;
   #failureRatio = 0;
   /** Both in a row, without an answer between them. */
   #endsLost = 0;
@@ -93,6 +107,21 @@
     this.#told.set(vm, told);
   }
 
+  /** The server told its momentary speed, here or at a peer. */
+  noteSpeed(speed: ReportedSpeed): void {
+    if (this.#speed === undefined || speed.atMs >= this.#speed.atMs) {
+      this.#speed = speed;
+    }
+  }
+
+  /** How much longer than usual work is expected to take there now. */
+  slowdownRatio(nowMs: number): number {
+    if (this.#speed === undefined) return 1;
+    const { slowdownRatio, atMs } = this.#speed;
+    const weight = Math.max(0, 1 - (nowMs - atMs) / SPEED_LIFE_MS);
+    return 1 + (slowdownRatio - 1) * weight;
+  }
+
   /** A request leaves. The returned function takes note of its end. */
   begin(nowMs: number): (end: SendEnd, nowMs: number) => void {
     const sent = { atMs: nowMs };
--- a/packages/decisions/src/admission/server_ranking.ts
+++ b/packages/decisions/src/admission/server_ranking.ts
@@ -66,11 +66,12 @@
 ): number {
   const { slots, server } = load.entry;
   const warmUp = isCold(server) ? WARM_UP_FACTOR : 1;
-  const aloneMs = times.routeMs(route) * times.factor(server) * warmUp;
+  const factor = times.factor(server) * warmUp * load.slowdownRatio(nowMs);
+  const aloneMs = times.routeMs(route) * factor;
   const outstanding = load.outstanding(nowMs);
   const busy = Math.min(1, outstanding / slots);
   const ahead = Math.max(0, outstanding + 1 - slots) / slots;
-  const meanMs = (times.meanMs ?? aloneMs) * times.factor(server) * warmUp;
+  const meanMs = (times.meanMs ?? aloneMs) * factor;
   const oldestMs = load.oldestMs(nowMs);
   const stuckMs = oldestMs > STUCK_RATIO * Math.max(aloneMs, meanMs)
     ? oldestMs
--- a/packages/decisions/src/admission/service_queue_test.ts
+++ b/packages/decisions/src/admission/service_queue_test.ts
@@ -374,3 +374,24 @@
     expect(load.isOpen(fixture.nowMs)).toEqual(true);
   }
 });
+
+/** Guards against requests to a server whose VM is slow at the moment. */
+test("should leave a momentarily slow server alone until its word is old", () => {
+  const fixture = new Fixture([server("slow"), server("usual")]);
+  fixture.learn(100);
+  const slow = fixture.queue.loads.get("slow" as contracts.ServerId)!;
+  slow.noteSpeed({ slowdownRatio: 3, atMs: fixture.nowMs });
+  expect(fixture.add().placement?.load.entry.server)
+    .toEqual("usual" as contracts.ServerId);
+  expect(slow.slowdownRatio(fixture.nowMs + 200)).toEqual(2);
+  expect(slow.slowdownRatio(fixture.nowMs + 1_000)).toEqual(1);
+});
+
+/** Guards against a late word that replaces a newer one. */
+test("should keep the newest word of a server's speed", () => {
+  const fixture = new Fixture([server("a")]);
+  const load = fixture.queue.loads.get("a" as contracts.ServerId)!;
+  load.noteSpeed({ slowdownRatio: 1, atMs: 50 });
+  load.noteSpeed({ slowdownRatio: 3, atMs: 10 });
+  expect(load.slowdownRatio(50)).toEqual(1);
+});
--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarded_request.ts
@@ -29,6 +29,12 @@
     entry: contracts.ServerEntry,
     leftMs: number,
   ): readonly string[];
+  /** A server told its load with an answer. */
+  noteReport(
+    server: contracts.ServerId,
+    report: contracts.ServerReport,
+    nowMs: number,
+  ): void;
   /** Something ended or changed: waiting requests may have found room. */
   ended(story: RequestStory): void;
   /** Load at the service's servers has changed. */
@@ -142,11 +148,16 @@
     const endedMs = this.#parts.clock.nowMs();
     const end = this.#sendEnd(result);
     noteEnd(end, endedMs);
+    const report = "report" in result ? result.report : undefined;
+    if (report !== undefined) {
+      this.#parts.noteReport(entry.server, report, endedMs);
+    }
     this.#attempts.push({
       server: entry.server,
       outstanding,
       fence,
       tookMs: endedMs - nowMs,
+      report,
       end: describe(result),
     });
     const hasFreeSlots = outstanding < entry.slots;
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -60,6 +60,8 @@
 const NO_CONFIG_RETRY_AFTER_MS = 300;
 /** Capacity of a server is guessed from this while none is measured. */
 const GUESSED_SERVICE_MS = 100;
+/** A server's speed is told when it has changed by more than this factor. */
+const TOLD_SPEED_CHANGE = 1.4;
 /** Links of this VM's share that stay free, for releases and probes. */
 const SPARE_LINKS = 1;
 
@@ -69,6 +71,8 @@
   readonly #services = new Map<contracts.ServiceId, ServicePart>();
   /** Servers that each peer has told of. */
   readonly #toldOf = new Map<contracts.VmId, Set<string>>();
+  /** Momentary speeds of servers that peers are to be told. */
+  #slowdowns: Record<string, number> | undefined;
   #inFlight = 0;
   #reviewing: RegularWork | undefined;
   readonly #behindLine: FoldedLine;
@@ -162,6 +166,13 @@
     return entry.slots * 1000 / Math.max(1, meanMs * factor);
   }
 
+  /** Speeds that have changed since the last call; undefined for none. */
+  takeSlowdowns(): LoadNews["slowdowns"] {
+    const slowdowns = this.#slowdowns;
+    this.#slowdowns = undefined;
+    return slowdowns;
+  }
+
   /** What peers are told of this VM's load. */
   ownState(): Pick<PeerStatus, "loads" | "waiting"> {
     const loads: PeerStatus["loads"] = {};
@@ -200,11 +211,33 @@
           .send(request, options),
       headers: (request, entry, leftMs) =>
         this.#headers(request, entry, leftMs),
+      noteReport: (server, report, nowMs) =>
+        this.#noteReport(part, { server, report, nowMs }),
       ended: onStory,
       noteLoad: part.isKeyed ? () => {} : () => gossip.noteChanged(),
     };
   }
 
+  /** A server of keys is the only one for them, whatever its speed. */
+  #noteReport(
+    { queue, isKeyed }: ServicePart,
+    { server, report, nowMs }: {
+      readonly server: contracts.ServerId;
+      readonly report: contracts.ServerReport;
+      readonly nowMs: number;
+    },
+  ): void {
+    const { slowdownRatio } = report;
+    const load = queue.loads.get(server);
+    if (isKeyed || slowdownRatio === undefined || load === undefined) return;
+    const change = slowdownRatio / load.slowdownRatio(nowMs);
+    load.noteSpeed({ slowdownRatio, atMs: nowMs });
+    const isTold = change > TOLD_SPEED_CHANGE || change < 1 / TOLD_SPEED_CHANGE;
+    if (!isTold) return;
+    this.#slowdowns ??= {};
+    this.#slowdowns[server] = slowdownRatio;
+  }
+
   #headers(
     { headers, host, id }: FrontRequest,
     { server }: contracts.ServerEntry,
@@ -325,7 +358,14 @@
     }
   }
 
-  #takeLoads({ vm, loads }: LoadNews): void {
+  #takeLoads({ vm, loads, slowdowns }: LoadNews): void {
+    const atMs = this.#options.clock.nowMs();
+    for (const [server, slowdownRatio] of Object.entries(slowdowns ?? {})) {
+      for (const { queue } of this.#services.values()) {
+        queue.loads.get(server as contracts.ServerId)
+          ?.noteSpeed({ slowdownRatio, atMs });
+      }
+    }
     this.#noteTold(vm, loads);
     const told = this.#toldOf.get(vm) ?? new Set();
     this.#toldOf.set(vm, told);
--- a/packages/entry/src/gateway/peer_gossip.ts
+++ b/packages/entry/src/gateway/peer_gossip.ts
@@ -62,6 +62,8 @@
   readonly ownState: () => OwnState;
   readonly ownKeeperState: () => OwnKeeperState;
   readonly ownLoads: () => PeerStatus["loads"];
+  /** Momentary speeds that have changed since the last call. */
+  readonly takeSlowdowns: () => LoadNews["slowdowns"];
   /** A datagram leaves. */
   readonly onSent: (
     method: string,
@@ -389,12 +391,13 @@
 
   #sendLoads(nowMs: number): void {
     this.#loadsSentAtMs = nowMs;
-    const { self, ownLoads } = this.#options;
+    const { self, ownLoads, takeSlowdowns } = this.#options;
     const loads = ownLoads();
     const changed = changesOf(this.#toldLoads, loads);
     this.#toldLoads = loads;
-    if (Object.keys(changed).length === 0) return;
-    const news: LoadNews = { vm: self.vm, loads: changed };
+    const slowdowns = takeSlowdowns();
+    if (Object.keys(changed).length === 0 && slowdowns === undefined) return;
+    const news: LoadNews = { vm: self.vm, loads: changed, slowdowns };
     const live = this.#cellPeers()
       .filter((vm) => this.#book.get(vm)?.isLive);
     this.send(LOAD_METHOD, news, live);
--- a/packages/entry/src/gateway/peer_messages.ts
+++ b/packages/entry/src/gateway/peer_messages.ts
@@ -126,14 +126,20 @@
   readonly vm: contracts.VmId;
   /** Servers whose figures have changed since the last message. */
   readonly loads: PeerStatus["loads"];
+  /**
+   * Servers whose momentary speed has changed: how much longer work takes than
+   * usual. Absent when there are none.
+   */
+  readonly slowdowns?: Readonly<Record<string, number>> | undefined;
 }
 
 /** Whether parameters are {@link LoadNews}; they come too often for a schema. */
 export function isLoadNews(params: unknown): params is LoadNews {
   if (typeof params !== "object" || params === null) return false;
-  const { vm, loads } = params as Partial<LoadNews>;
+  const { vm, loads, slowdowns } = params as Partial<LoadNews>;
   if (typeof vm !== "string" || typeof loads !== "object") return false;
-  return Object.values(loads ?? {}).every(Number.isInteger);
+  return Object.values(loads ?? {}).every(Number.isInteger) &&
+    Object.values(slowdowns ?? {}).every((ratio) => ratio > 0);
 }
 
 /** Schema of {@link RangeMapNews}. */
--- a/packages/entry/src/gateway/request_story.ts
+++ b/packages/entry/src/gateway/request_story.ts
@@ -10,6 +10,8 @@
   readonly outstanding: number;
   readonly fence: number | undefined;
   readonly tookMs: number;
+  /** What the server told with its answer. */
+  readonly report: contracts.ServerReport | undefined;
   readonly end: string;
 }
 
@@ -105,9 +107,15 @@
 }
 
 function sendText(
-  { server, outstanding, fence, tookMs, end }: StoryAttempt,
+  { server, outstanding, fence, tookMs, report, end }: StoryAttempt,
 ): string {
   const owner = fence === undefined ? "" : ` fence ${fence}`;
   return `${server}${owner} with ${outstanding} there: ${end} after ` +
-    `${Math.round(tookMs)} ms`;
+    `${Math.round(tookMs)} ms${reportText(report)}`;
+}
+
+function reportText(report: contracts.ServerReport | undefined): string {
+  if (report === undefined) return "";
+  const { running, waiting, slots, slowdownRatio = 1 } = report;
+  return `, reports ${running}+${waiting} of ${slots} at ${slowdownRatio}x`;
 }
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -123,6 +123,7 @@
     }),
     keepers: () => grantTask.keepers(),
     ownLoads: () => forwarder.ownState().loads,
+    takeSlowdowns: () => forwarder.takeSlowdowns(),
     onSent: (method, bytes, isSameZone) => {
       const labels = { method, way: isSameZone ? "in zone" : "between zones" };
       metrics.peerDatagrams.add(1, labels);
--- a/packages/entry/src/links/answer_decoder.ts
+++ b/packages/entry/src/links/answer_decoder.ts
@@ -29,7 +29,16 @@
   /** Not this request's answer, or not a whole one. */
   | { readonly kind: "bad"; readonly message: string };
 
+/** What a response tells besides, whatever it means for the request. */
+export interface AnswerReport {
+  /** The server's load; undefined when it tells none, or none that is sound. */
+  readonly report?: contracts.ServerReport | undefined;
+}
+
 /** Decodes the responses of one kind of backend server. */
 export interface AnswerDecoder {
-  decode(requestId: contracts.RequestId, raw: RawAnswer): DecodedAnswer;
+  decode(
+    requestId: contracts.RequestId,
+    raw: RawAnswer,
+  ): DecodedAnswer & AnswerReport;
 }
--- a/packages/entry/src/links/server_link.ts
+++ b/packages/entry/src/links/server_link.ts
@@ -3,7 +3,11 @@
 import * as names from "@guavatide/contracts";
 import type * as net from "node:net";
 import * as undici from "undici";
-import type { AnswerDecoder, DecodedAnswer } from "./answer_decoder.ts";
+import type {
+  AnswerDecoder,
+  AnswerReport,
+  DecodedAnswer,
+} from "./answer_decoder.ts";
 import { readHeader } from "./header_list.ts";
 
 /** One attempt of a request, as it goes over a link. */
@@ -22,7 +26,7 @@
 
 /** How an attempt ended. Only the first two leave the link usable. */
 export type LinkResult =
-  | Exclude<DecodedAnswer, { readonly kind: "bad" }>
+  | Exclude<DecodedAnswer, { readonly kind: "bad" }> & AnswerReport
   /** No byte left. */
   | {
     readonly kind: "not-sent";
