--- a/packages/ctl/src/request_history.ts
+++ b/packages/ctl/src/request_history.ts
@@ -24,6 +24,7 @@
   return lines
     .filter((line) =>
       own.includes(line) ||
+      line.timeMs <= toMs && isAboutZone(line) ||
       line.timeMs >= fromMs && line.timeMs <= toMs && isAbout(line, servers)
     )
     .sort((a, b) => a.timeMs - b.timeMs);
@@ -41,6 +42,12 @@
   return new Set(sends.map((send) => send.split(" ")[0]!).filter(Boolean));
 }
 
+/** Evacuations are told at any age: they last as long as operators wish. */
+function isAboutZone({ fields }: LogLine): boolean {
+  return fields["part"] === "member" && fields["zone"] !== undefined &&
+    fields["server"] === undefined;
+}
+
 function isAbout(
   { fields }: LogLine,
   servers: ReadonlySet<string>,
--- a/packages/ctl/src/request_history_test.ts
+++ b/packages/ctl/src/request_history_test.ts
@@ -37,3 +37,18 @@
   expect(historyOf("q2", line(1, { part: "route", sentence: "x", id: "q1" })))
     .toEqual([]);
 });
+
+test("should name the evacuation that left a request without a server", () => {
+  const log = [
+    line(1, { part: "member", sentence: "Zone is evacuated.", zone: "z2" }),
+    line(2, {
+      part: "member",
+      sentence: "Server seen.",
+      server: "i-8",
+      zone: "z2",
+    }),
+    line(40, { part: "route", sentence: "Ended badly.", id: "q1", sends: "" }),
+  ].join("\n");
+  expect(historyOf("q1", log).map(({ fields }) => fields["sentence"]))
+    .toEqual(["Zone is evacuated.", "Ended badly."]);
+});
--- a/packages/entry/src/gateway/server_registry.ts
+++ b/packages/entry/src/gateway/server_registry.ts
@@ -214,7 +214,12 @@
 
   #noteCold(known: Known, leftMs: number): void {
     if (leftMs <= 0) return;
-    const untilMs = this.#options.clock.nowMs() + leftMs;
+    const nowMs = this.#options.clock.nowMs();
+    if (known.coldUntilMs < nowMs) {
+      const { server, service } = known.entry;
+      this.#options.log.info("Server is cold.", { server, service, leftMs });
+    }
+    const untilMs = nowMs + leftMs;
     known.coldUntilMs = Math.max(known.coldUntilMs, untilMs);
   }
 
