feat(grants): ends of moves are written together; plans grow with the service

Cause: KNOWN-RED, a hot spot on 144 servers stays above capacity after three plans of eight moves; 36 a plan cost 1,665 calls to the store, each end of a release being a write of its own.

Tests: 20 moves whose releases end 5 ms apart take 3 writes, 20 and more without the wait; the known red passes as written and leaves the list.

--- a/packages/decisions/src/grants/range_mover.ts
+++ b/packages/decisions/src/grants/range_mover.ts
@@ -79,6 +79,12 @@
  * within a few milliseconds.
  */
 const RELEASE_WAIT_MS = 120;
+/**
+ * Ends of moves are written together: so long after the first of them, while
+ * other releases are under way. Each write is a call to the store, and news to
+ * all VMs.
+ */
+const SETTLE_BATCH_MS = 60;
 /** Between a failed release and the next: the server is lost or restarts. */
 const RELEASE_RETRY_MS = 300;
 const RETRY_MIN_MS = 100;
@@ -97,6 +103,8 @@
   #failures = 0;
   /** When each revision was known to a majority of all keeper sets. */
   readonly #promisedAtMs = new Map<number, number>();
+  /** Since when a range is free whose end is not written yet. */
+  #freeSinceMs: number | undefined;
   /** Releases by the fence that the range's next owner gets. */
   readonly #releases = new Map<number, Release>();
 
@@ -260,13 +268,24 @@
     });
     const keeperSets = this.#nextKeeperSets(map, tick);
     const holdMs = Math.max(holdOf(map, this.#timings), tick.holdMs);
-    const isChanged = freed > 0 || moves.length > 0 ||
+    const isSettling = freed > 0 && !this.#awaitsMore(tick.nowMs);
+    const isChanged = isSettling || moves.length > 0 ||
       keeperSets !== map.keeperSets || holdMs > holdOf(map, this.#timings);
     if (!isChanged) return undefined;
+    this.#freeSinceMs = undefined;
     const next = { ...map, ...vacated, revision, keeperSets, holdMs };
     return this.#writeCall(next, { kind: "version", version }, tick);
   }
 
+  /** Whether more moves are about to end, and the free ones can wait. */
+  #awaitsMore(nowMs: number): boolean {
+    this.#freeSinceMs ??= nowMs;
+    const isUnderWay = [...this.#releases.values()].some(({ underWayMs }) =>
+      underWayMs !== undefined
+    );
+    return isUnderWay && nowMs - this.#freeSinceMs < SETTLE_BATCH_MS;
+  }
+
   #firstWrite(tick: RangeMoverTick): MapCall | undefined {
     const owners = [...tick.usable.values()];
     const isReady = this.#isAbsent && owners.length > 0 &&
--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -30,8 +30,10 @@
  */
 const START_DEVIATIONS = 2;
 const STOP_DEVIATIONS = 1;
-/** Moves in one plan; each costs a grant to renew from then on. */
+/** Moves in one plan at least; each costs a grant to renew from then on. */
 const MOVES_PER_PLAN = 8;
+/** The same for each server: a hot spot has to be spread over all of them. */
+const MOVES_PER_SERVER = 0.25;
 /** Pieces that the keys of a server with a mean load are dealt out in. */
 const PIECES_OF_LOST = 3;
 /** Ranges for each server beyond which none is split any more. */
@@ -124,9 +126,10 @@
 function planNewcomers(input: RangePlanInput, use: Utilization): RangeMove[] {
   const owners = new Set(input.ranges.map(({ owner }) => owner.server));
   const moves: RangeMove[] = [];
+  const limit = movesPerPlan(input);
   const total = rateOf(input.rates, ALL_KEYS);
   for (const [server, { owner }] of input.servers) {
-    if (owners.has(server) || moves.length >= MOVES_PER_PLAN) continue;
+    if (owners.has(server) || moves.length >= limit) continue;
     const piece = shareOfLargest(input, moves, total / input.servers.size);
     if (piece === undefined) break;
     const rate = rateOf(input.rates, piece);
@@ -137,6 +140,10 @@
   return moves;
 }
 
+function movesPerPlan({ servers }: RangePlanInput): number {
+  return Math.max(MOVES_PER_PLAN, Math.ceil(servers.size * MOVES_PER_SERVER));
+}
+
 const ALL_KEYS: contracts.KeyRange = { fromKey: 0, toKey: KEY_COUNT - 1 };
 
 /** The end of the range with most load: a share, but at most half of it. */
@@ -176,7 +183,7 @@
   // Ranges that can't be split any more are still moved whole: with nothing
   // moved, a map that is full of them stays as uneven as it is, for ever.
   const maySplit = input.ranges.length < limit;
-  while (moves.length < MOVES_PER_PLAN) {
+  while (moves.length < movesPerPlan(input)) {
     const hot = use.hottest(exhausted);
     const cold = use.coldest();
     if (hot === undefined || cold === undefined) break;
