--- a/packages/decisions/src/admission/short_work_reserve.ts
+++ b/packages/decisions/src/admission/short_work_reserve.ts
@@ -9,11 +9,18 @@
 
 /** Work is long beside another kind that takes at most this part of it. */
 const SHORT_PART = 0.5;
-/** A kind that was not asked for during this time has no slot kept for it. */
-const ASKED_FOR_MS = 500;
+/** Time constant of the rate at which a kind is asked for. */
+const RATE_MS = 1_000;
+/**
+ * A slot is kept when so many short requests are expected while a long one
+ * runs. With fewer it would mostly stay empty.
+ */
+const LEAST_EXPECTED = 1;
 
 interface Kind {
   readonly route: RankedRoute;
+  /** Decaying count of requests, which is their rate by {@link RATE_MS}. */
+  asked: number;
   askedMs: number;
   held: number;
 }
@@ -31,7 +38,9 @@
 
   /** A request of a route asks for a slot. */
   noteAsked(route: RankedRoute, nowMs: number): void {
-    this.#kind(route).askedMs = nowMs;
+    const kind = this.#kind(route);
+    kind.asked = askedNow(kind, nowMs) + 1;
+    kind.askedMs = nowMs;
   }
 
   /** A slot is taken. Returns what gives it back. */
@@ -61,20 +70,25 @@
   /** Whether a more urgent kind of much shorter work comes at present. */
   #isHeldBack(route: RankedRoute, nowMs: number): boolean {
     if (this.#slots < 2) return false;
-    const shortMs = this.#times.routeMs(route) * SHORT_PART;
-    for (const { route: other, askedMs } of this.#kinds.values()) {
-      const isShort = other.priority < route.priority &&
-        this.#times.routeMs(other) <= shortMs;
-      if (isShort && nowMs - askedMs < ASKED_FOR_MS) return true;
+    const longMs = this.#times.routeMs(route);
+    let expected = 0;
+    for (const kind of this.#kinds.values()) {
+      const isShort = kind.route.priority < route.priority &&
+        this.#times.routeMs(kind.route) <= longMs * SHORT_PART;
+      if (isShort) expected += askedNow(kind, nowMs) * longMs / RATE_MS;
     }
-    return false;
+    return expected >= LEAST_EXPECTED;
   }
 
   #kind(route: RankedRoute): Kind {
     const found = this.#kinds.get(route.name);
     if (found !== undefined) return found;
-    const created = { route, askedMs: Number.NEGATIVE_INFINITY, held: 0 };
+    const created = { route, asked: 0, askedMs: 0, held: 0 };
     this.#kinds.set(route.name, created);
     return created;
   }
 }
+
+function askedNow({ asked, askedMs }: Kind, nowMs: number): number {
+  return asked * Math.exp((askedMs - nowMs) / RATE_MS);
+}
