feat(admission): other cells' free servers go before a request behind full slots

Hypothesis: servers of a service lie unevenly over zones and clients too (16 servers for 723 requests a second in one zone, 22 for 520 in another), and cells use their own zone's; a request sent behind full slots waits there for half of its target. The one request that a VM may have at other cells' servers now goes before that.

--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -266,8 +266,11 @@
         (coldStarts?.mayBegin(load.entry.server, nowMs) ?? true)
       );
     const context = this.#context(nowMs);
-    const load = ranking.chooseServer(open, request, context) ??
-      this.#helper(request, nowMs);
+    const best = ranking.chooseServer(open, request, context);
+    const isFree = best !== undefined &&
+      best.outstanding(nowMs) < best.entry.slots;
+    // A request behind a full server's slots waits for as long as work takes.
+    const load = isFree ? best : this.#helper(request, nowMs) ?? best;
     if (load === undefined) return false;
     coldStarts?.noteBegin(load.entry.server, nowMs);
     const outstanding = load.outstanding(nowMs);
@@ -276,7 +279,7 @@
   }
 
   /**
-   * A server of another cell, when none of the own cell has room: cells differ
+   * A server of another cell, when those of the own cell are full: cells differ
    * in load, and what one lacks another has free. Their load is not known here,
    * so a VM has only a few requests there at a time.
    */
--- a/packages/decisions/src/admission/service_queue_test.ts
+++ b/packages/decisions/src/admission/service_queue_test.ts
@@ -395,3 +395,19 @@
   load.noteSpeed({ slowdownRatio: 3, atMs: 10 });
   expect(load.slowdownRatio(50)).toEqual(1);
 });
+
+/** Guards against waits behind full servers while other cells' are free. */
+test("should send to another cell rather than behind full slots", () => {
+  const fixture = new Fixture([]);
+  const entries = [server("own"), server("other"), server("third")];
+  const inCell = new Set(["own" as contracts.ServerId]);
+  fixture.queue.setServers(entries, inCell);
+  const [first] = fixture.begin();
+  const [second] = fixture.begin();
+  const [third] = fixture.begin();
+  const nameOf = ({ placement }: Request) => placement!.load.entry.server;
+  expect(nameOf(first)).toEqual("own" as contracts.ServerId);
+  expect(inCell.has(nameOf(second))).toEqual(false);
+  // One request at other cells is all that a VM may have there.
+  expect(nameOf(third)).toEqual("own" as contracts.ServerId);
+});
