--- a/packages/decisions/src/admission/service_queue_test.ts
+++ b/packages/decisions/src/admission/service_queue_test.ts
@@ -411,3 +411,18 @@
   // One request at other cells is all that a VM may have there.
   expect(nameOf(third)).toEqual("own" as contracts.ServerId);
 });
+
+/** Guards against a new connection to another server with each request. */
+test("should prefer the same server among equals, and others once it is busy", () => {
+  const fixture = new Fixture([server("a"), server("b")]);
+  fixture.learn(100);
+  const distances = [...fixture.queue.loads.values()]
+    .map(({ distance }) => distance);
+  expect(distances.every((it) => it >= 0 && it < 1)).toEqual(true);
+  const nameOf = ({ placement }: Request) => placement!.load.entry.server;
+  const [first, end] = fixture.begin();
+  const [second] = fixture.begin();
+  expect(nameOf(second) === nameOf(first)).toEqual(false);
+  end({ kind: "answered", isFailure: false }, fixture.nowMs);
+  expect(nameOf(fixture.add())).toEqual(nameOf(first));
+});
