fix(admission): servers that have just started rank behind warm ones everywhere

With the limit for cold servers the factor of two for those that warm up was lost where the platform names no bound. Found by reading the change.

--- a/packages/decisions/src/admission/cold_start_limit.ts
+++ b/packages/decisions/src/admission/cold_start_limit.ts
@@ -17,7 +17,8 @@
 
 /** What a limit needs to know of the servers. */
 export interface ColdStartLimitOptions {
-  readonly bound: ColdStartBound;
+  /** Undefined where there is no bound. */
+  readonly bound: ColdStartBound | undefined;
   /** Until when a server is cold. */
   readonly coldUntilMs: (server: contracts.ServerId) => number;
   /** Requests a second that a cold server bears; undefined for any number. */
@@ -55,17 +56,26 @@
     this.#options = options;
   }
 
-  /** Whether the server bears little load now. */
+  /** Whether the server has just started, and takes longer. */
   isCold(server: contracts.ServerId, nowMs: number): boolean {
-    const { coldUntilMs, requestsPerSecond } = this.#options;
-    return coldUntilMs(server) > nowMs && requestsPerSecond() !== undefined;
+    return this.#options.coldUntilMs(server) > nowMs;
+  }
+
+  /** Whether the server bears little load now. */
+  isLimited(server: contracts.ServerId, nowMs: number): boolean {
+    const { bound, requestsPerSecond } = this.#options;
+    return this.isCold(server, nowMs) && bound !== undefined &&
+      requestsPerSecond() !== undefined;
   }
 
-  /** Requests a second that this VM may begin at a cold server. */
+  /** Requests a second that this VM may begin at a server that is limited. */
   ratePerSecond(server: contracts.ServerId): number {
     const { placeOf, parts, bound, requestsPerSecond } = this.#options;
     const place = placeOf(server);
-    const borne = requestsPerSecond() ?? Number.POSITIVE_INFINITY;
+    const borne = requestsPerSecond();
+    if (borne === undefined || bound === undefined) {
+      return Number.POSITIVE_INFINITY;
+    }
     const part = place === undefined ? 0 : parts[place] ?? 0;
     // Each place may begin one request more than its rate says.
     const room = borne * bound.excessRatio + bound.slack - parts.length -
@@ -75,13 +85,15 @@
 
   /** Whether a request may begin now; always at a warm server. */
   mayBegin(server: contracts.ServerId, nowMs: number): boolean {
-    if (!this.isCold(server, nowMs)) return true;
+    if (!this.isLimited(server, nowMs)) return true;
     return this.#bucket(server, nowMs).tokens >= 1;
   }
 
   /** A request begins. */
   noteBegin(server: contracts.ServerId, nowMs: number): void {
-    if (!this.isCold(server, nowMs)) return void this.#buckets.delete(server);
+    if (!this.isLimited(server, nowMs)) {
+      return void this.#buckets.delete(server);
+    }
     this.#bucket(server, nowMs).tokens--;
   }
 
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -243,7 +243,8 @@
 
   #context(nowMs: number): ranking.RankingContext {
     const { zone, times, random } = this.#options;
-    const isCold = (server: contracts.ServerId) => this.#isCold(server, nowMs);
+    const isCold = (server: contracts.ServerId) =>
+      this.#options.coldStarts?.isCold(server, nowMs) ?? false;
     return { zone, times, random, nowMs, isCold };
   }
 
@@ -297,11 +298,13 @@
       if (inCell.has(load.entry.server)) continue;
       sent += load.own;
       const isUsable = load.own === 0 && this.#isUsable(load, request) &&
-        !this.#isCold(load.entry.server, nowMs) &&
+        !this.#isLimited(load.entry.server, nowMs) &&
         load.isOpen(nowMs) && load.outstanding(nowMs) < load.entry.slots;
       if (isUsable) usable.push(load);
     }
-    const limit = this.#isOwnCold(nowMs) ? HELPED_WHILE_COLD : HELPED_REQUESTS;
+    const limit = this.#isOwnLimited(nowMs)
+      ? HELPED_WHILE_COLD
+      : HELPED_REQUESTS;
     if (sent >= limit || usable.length === 0) return undefined;
     const { zone, random } = this.#options;
     const near = usable.filter(({ entry }) => entry.zone === zone);
@@ -310,8 +313,8 @@
   }
 
   /** Whether the own cell has no server that is warm. */
-  #isOwnCold(nowMs: number): boolean {
-    return [...this.#inCell!].every((server) => this.#isCold(server, nowMs));
+  #isOwnLimited(nowMs: number): boolean {
+    return [...this.#inCell!].every((server) => this.#isLimited(server, nowMs));
   }
 
   #isUsable({ entry }: ServerLoad, request: WaitingRequest): boolean {
@@ -366,7 +369,7 @@
       if (!this.#isUsable(load, request)) continue;
       all.push(load);
       const { server } = load.entry;
-      const isOwn = this.#isCold(server, nowMs)
+      const isOwn = this.#isLimited(server, nowMs)
         ? this.#options.coldStarts!.ratePerSecond(server) > 0
         : this.#inCell?.has(server) ?? true;
       if (isOwn) own.push(load);
@@ -374,8 +377,9 @@
     return own.length > 0 ? own : all;
   }
 
-  #isCold(server: contracts.ServerId, nowMs: number): boolean {
-    return this.#options.coldStarts?.isCold(server, nowMs) ?? false;
+  /** Whether the server is cold and bears little load. */
+  #isLimited(server: contracts.ServerId, nowMs: number): boolean {
+    return this.#options.coldStarts?.isLimited(server, nowMs) ?? false;
   }
 
   /** Whether the request waits for a coordinator to give it its owner's slot. */
@@ -482,7 +486,7 @@
     let perMs = 0;
     for (const { entry: { server, slots } } of loads) {
       const warmPerMs = slots / Math.max(1, meanMs * times.factor(server));
-      const mostPerMs = this.#isCold(server, nowMs)
+      const mostPerMs = this.#isLimited(server, nowMs)
         ? coldStarts!.ratePerSecond(server) / 1_000
         : warmPerMs;
       perMs += Math.min(warmPerMs, mostPerMs);
--- a/packages/decisions/src/admission/service_queue_test.ts
+++ b/packages/decisions/src/admission/service_queue_test.ts
@@ -426,3 +426,29 @@
   end({ kind: "answered", isFailure: false }, fixture.nowMs);
   expect(nameOf(fixture.add())).toEqual(nameOf(first));
 });
+
+/** Guards against full load on a slow server where no bound names it. */
+test("should prefer a warm server to one that has just started", () => {
+  const coldStarts = new admission.ColdStartLimit({
+    bound: undefined,
+    coldUntilMs: (id) => id === "cold" ? 5_000 : 0,
+    requestsPerSecond: () => undefined,
+    placeOf: () => undefined,
+    parts: admission.EQUAL_PARTS,
+  });
+  const queue = new admission.ServiceQueue({
+    zone: "z1" as contracts.ZoneId,
+    times: new admission.ServiceTimes(),
+    random: { next: () => 0.5 },
+    coldStarts,
+  });
+  queue.setServers([server("cold"), server("warm")]);
+  const [first, second] = [new Request(1_000), new Request(1_000)];
+  queue.add(first, 1_000);
+  first.placement!.load.begin(1_000);
+  queue.add(second, 1_000);
+  expect(first.placement?.load.entry.server)
+    .toEqual("warm" as contracts.ServerId);
+  expect(second.placement?.load.entry.server)
+    .toEqual("cold" as contracts.ServerId);
+});
--- a/packages/entry/src/gateway/cold_starts.ts
+++ b/packages/entry/src/gateway/cold_starts.ts
@@ -10,7 +10,8 @@
 /** Options of {@link ColdStarts}. */
 export interface ColdStartsOptions {
   readonly vm: contracts.VmId;
-  readonly bound: admission.ColdStartBound;
+  /** Undefined where there is no bound. */
+  readonly bound: admission.ColdStartBound | undefined;
   readonly config: ConfigHolder;
   readonly registry: ServerRegistry;
   readonly gossip: Pick<PeerGossip, "knownIn" | "vmCount" | "seedCount">;
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -36,8 +36,7 @@
   readonly links: ServerLinks;
   readonly headers: HeaderNames;
   readonly budget: admission.SharedRetryBudgetOptions;
-  /** Undefined where cold servers bear any load. */
-  readonly coldStarts: ColdStarts | undefined;
+  readonly coldStarts: ColdStarts;
   readonly clock: contracts.Clock;
   readonly random: contracts.RandomSource;
   readonly log: PartLog;
@@ -289,7 +288,7 @@
         }
         : undefined,
       // Coordinators limit what cold owners of keys get.
-      coldStarts: isKeyed ? undefined : coldStarts?.shared(service),
+      coldStarts: isKeyed ? undefined : coldStarts.shared(service),
     });
     this.#setServers(service, { queue, times });
     const created = {
--- a/packages/entry/src/gateway/slot_task.ts
+++ b/packages/entry/src/gateway/slot_task.ts
@@ -25,8 +25,7 @@
   readonly random: contracts.RandomSource;
   readonly log: PartLog;
   readonly isLeaving: () => boolean;
-  /** Undefined where cold servers bear any load. */
-  readonly coldStarts: ColdStarts | undefined;
+  readonly coldStarts: ColdStarts;
 }
 
 /** The queue whose requests ask for slots. */
@@ -79,7 +78,7 @@
       zone,
       random,
       decide: (decision) => this.#decide(decision),
-      coldStartsOf: (service) => options.coldStarts?.coordinated(service),
+      coldStartsOf: (service) => options.coldStarts.coordinated(service),
     });
     options.registry.onChange(() =>
       this.#order.keepOnly(options.registry.ids())
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -160,17 +160,15 @@
     tryStore: () => probe.ask(),
   });
   const watches = createWatches();
-  const coldStarts = settings.coldStarts === undefined
-    ? undefined
-    : new ColdStarts({
-      vm: settings.vm,
-      bound: settings.coldStarts,
-      config,
-      registry,
-      gossip,
-      hasher,
-      clock,
-    });
+  const coldStarts = new ColdStarts({
+    vm: settings.vm,
+    bound: settings.coldStarts,
+    config,
+    registry,
+    gossip,
+    hasher,
+    clock,
+  });
   const grantTask: GrantTask = new GrantTask({
     self,
     timings: timingsOf(settings),
