feat(grants): cold servers get no keys of their own accord

A server that returns from an evacuation bears 5.4 requests a second for 3 s; a share of the keys of a warm one would have most of its callers wait or refused. It counts with what it bears, and as a newcomer only once it is warm.

--- a/packages/decisions/src/grants/range_load.ts
+++ b/packages/decisions/src/grants/range_load.ts
@@ -7,6 +7,8 @@
   readonly owner: contracts.RangeOwner;
   /** Requests a second that it can carry. */
   readonly capacityPerSecond: number;
+  /** It bears little load for now, and is given no keys of its own accord. */
+  readonly isCold?: boolean;
 }
 
 /** A key with its rate. */
--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -128,8 +128,8 @@
   const moves: RangeMove[] = [];
   const limit = movesPerPlan(input);
   const total = rateOf(input.rates, ALL_KEYS);
-  for (const [server, { owner }] of input.servers) {
-    if (owners.has(server) || moves.length >= limit) continue;
+  for (const [server, { owner, isCold }] of input.servers) {
+    if (isCold || owners.has(server) || moves.length >= limit) continue;
     const piece = shareOfLargest(input, moves, total / input.servers.size);
     if (piece === undefined) break;
     const rate = rateOf(input.rates, piece);
--- a/packages/decisions/src/grants/range_planner_test.ts
+++ b/packages/decisions/src/grants/range_planner_test.ts
@@ -197,3 +197,16 @@
   );
   expect(isWhole).toEqual(true);
 });
+
+/** Guards against keys for a server that has just started and bears little. */
+test("should give a cold server keys once it is warm", () => {
+  const ranges = evenRanges(4);
+  const servers = serversOf(5);
+  const [newcomer, entry] = [...servers].at(-1)!;
+  const input = { ranges, rates: rates(100, 0), mayBalance: true };
+  servers.set(newcomer, { ...entry, isCold: true });
+  expect(grants.planRanges({ ...input, servers })).toEqual([]);
+  servers.set(newcomer, entry);
+  const [move] = grants.planRanges({ ...input, servers });
+  expect(move?.to.server).toEqual(newcomer);
+});
--- a/packages/entry/src/gateway/move_planner.ts
+++ b/packages/entry/src/gateway/move_planner.ts
@@ -17,6 +17,8 @@
     server: contracts.ServerEntry,
     factor: number | undefined,
   ) => number;
+  /** Requests a second that a server bears while cold; undefined when warm. */
+  readonly coldCapacity: (server: contracts.ServerEntry) => number | undefined;
 }
 
 /** Interval of plans that even out load. */
@@ -62,7 +64,7 @@
     nowMs: number,
   ): grants.RangeMove[] {
     if (usable.size === 0) return [];
-    const { capacity, service, log } = this.#options;
+    const { capacity, coldCapacity, service, log } = this.#options;
     const mayBalance = nowMs - this.#begunMs >= BALANCE_AFTER_MS &&
       nowMs - this.#balancedAtMs >= BALANCE_MS;
     const hasLoss = map.ranges.some(({ owner }) =>
@@ -78,8 +80,11 @@
       [...usable.values()].map((entry) => {
         const { server, bornMs } = entry;
         const owner = { server, bornMs };
-        const capacityPerSecond = capacity(entry, this.#factors.get(server));
-        return [server, { owner, capacityPerSecond }];
+        const warm = capacity(entry, this.#factors.get(server));
+        const cold = coldCapacity(entry);
+        const isCold = cold !== undefined;
+        const capacityPerSecond = isCold ? Math.min(cold, warm) : warm;
+        return [server, { owner, capacityPerSecond, isCold }];
       }),
     );
     const moves = grants.planRanges({
