revert(admission): the random part of a score is drawn for each request again

The hypothesis does not hold: a VM meets each server often enough anyway that its connections stay open, and told load, not chance, decides.

--- a/packages/decisions/src/admission/server_load.ts
+++ b/packages/decisions/src/admission/server_load.ts
@@ -49,8 +49,6 @@
 /** Load and health of one server. */
 export class ServerLoad {
   entry: contracts.ServerEntry;
-  /** How little this VM prefers it among equals, from 0 to 1; drawn once. */
-  readonly distance: number;
   /** Start times of this VM's requests there, oldest first. */
   readonly #sentMs = new Set<{ readonly atMs: number }>();
   readonly #told = new Map<contracts.VmId, Told>();
@@ -64,13 +62,9 @@
   #lastLostMs = Number.NEGATIVE_INFINITY;
   #suspendedUntilMs = Number.NEGATIVE_INFINITY;
 
-  constructor(
-    entry: contracts.ServerEntry,
-    options: { readonly isOwner?: boolean; readonly distance?: number } = {},
-  ) {
+  constructor(entry: contracts.ServerEntry, isOwner = false) {
     this.entry = entry;
-    this.#isOwner = options.isOwner ?? false;
-    this.distance = options.distance ?? 0;
+    this.#isOwner = isOwner;
   }
 
   /** Requests of this VM at the server. */
--- a/packages/decisions/src/admission/server_ranking.ts
+++ b/packages/decisions/src/admission/server_ranking.ts
@@ -35,13 +35,10 @@
  */
 const OTHER_ZONE_MS_PER_KB = 1.5;
 /**
- * Part of a score that differs from VM to VM. Entry VMs see one another's
- * requests tens of milliseconds late; without it all would pick the same server
- * meanwhile. It stays the same, so that a VM's connections are used again.
+ * Random part of a score. Entry VMs see one another's requests tens of
+ * milliseconds late; without it all would pick the same server meanwhile.
  */
-const DISTANCE_PART = 0.3;
-/** Random part of a score: a VM's own requests come in groups. */
-const JITTER_PART = 0.1;
+const JITTER_PART = 0.25;
 
 /** What ranks servers. */
 export interface RankingContext {
@@ -95,8 +92,7 @@
   let bestScore = Number.POSITIVE_INFINITY;
   for (const load of loads) {
     const zoneMs = load.entry.zone === context.zone ? 0 : otherZoneMs;
-    const jitter = 1 + DISTANCE_PART * load.distance +
-      JITTER_PART * context.random.next();
+    const jitter = 1 + JITTER_PART * context.random.next();
     const score = expectedMs(load, route, context) * jitter + zoneMs;
     if (score >= bestScore) continue;
     best = load;
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -141,16 +141,11 @@
       const found = this.#loads.get(server);
       if (found !== undefined && found.entry.bornMs === entry.bornMs) {
         found.entry = entry;
-      } else this.#loads.set(server, this.#newLoad(entry));
+      } else this.#loads.set(server, new ServerLoad(entry, this.isKeyed));
     }
     this.#inCell = inCell;
   }
 
-  #newLoad(entry: contracts.ServerEntry): ServerLoad {
-    const distance = this.#options.random.next();
-    return new ServerLoad(entry, { isOwner: this.isKeyed, distance });
-  }
-
   /** Requests of the service that wait at other entry VMs. */
   setWaitingElsewhere(count: number): void {
     this.#waitingElsewhere = count;
