--- a/packages/decisions/src/admission/service_times.ts
+++ b/packages/decisions/src/admission/service_times.ts
@@ -1,6 +1,6 @@
 /**
- * How long requests take: the mean of each route, and how much slower or
- * faster than that each backend server is.
+ * How long requests take: the mean of each route over the servers that it goes
+ * to, and how much slower or faster than that each backend server is.
  */
 import type * as contracts from "@guavatide/contracts";
 import type { RankedRoute } from "./waiting_request.ts";
@@ -25,7 +25,7 @@
     return this.#meanMs;
   }
 
-  /** Expected time of a route's request at an average server. */
+  /** Expected time of a route's request at the servers that it goes to. */
   routeMs(route: RankedRoute): number {
     return this.#routeMs.get(route.name) ??
       route.targetLatencyMs * FIRST_GUESS_PART;
@@ -46,15 +46,14 @@
     const factor = this.factor(server);
     const ratio = Math.min(OUTLIER_RATIO, tookMs / Math.max(1, expectedMs));
     this.#serverFactors.set(server, factor + SERVER_GAIN * (ratio - factor));
-    const atAverageMs = Math.min(
-      tookMs / Math.max(0.2, factor),
-      expectedMs * OUTLIER_RATIO,
-    );
-    const meanMs = this.#meanMs ?? atAverageMs;
-    this.#meanMs = meanMs + ROUTE_GAIN * (atAverageMs - meanMs);
+    // Not divided by the server's factor: the mean of a noisy estimate's inverse
+    // is above the inverse of its mean, and both would drift apart for ever.
+    const boundedMs = Math.min(tookMs, expectedMs * OUTLIER_RATIO);
+    const meanMs = this.#meanMs ?? boundedMs;
+    this.#meanMs = meanMs + ROUTE_GAIN * (boundedMs - meanMs);
     this.#routeMs.set(
       route.name,
-      expectedMs + ROUTE_GAIN * (atAverageMs - expectedMs),
+      expectedMs + ROUTE_GAIN * (boundedMs - expectedMs),
     );
   }
 
--- /dev/null
+++ b/packages/decisions/src/admission/service_times_test.ts
@@ -0,0 +1,29 @@
+import type * as contracts from "@guavatide/contracts";
+import { expect } from "earl";
+import { test } from "node:test";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import * as admission from "./mod.ts";
+
+const ROUTE = { name: "check", priority: 1, targetLatencyMs: 150 };
+const WORK_MS = 40;
+const SPEEDS = [0.7, 1, 1.6];
+const REQUESTS = 20_000;
+
+/** Guards against estimates that grow to several times what requests take. */
+test("should learn times that stay true however long they are learned", () => {
+  const random = xoroshiro128plus(3);
+  const times = new admission.ServiceTimes();
+  const servers = SPEEDS.map((_, index) => `s${index}` as contracts.ServerId);
+  let worst = 1;
+  for (let index = 0; index < REQUESTS; index++) {
+    const place = index % SPEEDS.length;
+    // Exponential times scatter as much as real work does.
+    const workMs = -WORK_MS * Math.log(1 - uniformFloat64(random));
+    times.note(ROUTE, servers[place]!, workMs / SPEEDS[place]!);
+    if (index > 200) worst = Math.max(worst, times.routeMs(ROUTE) / WORK_MS);
+  }
+  expect(worst < 2).toEqual(true);
+  const factors = servers.map((server) => times.factor(server));
+  expect(factors[0]! > factors[2]!).toEqual(true);
+});
--- a/packages/decisions/src/admission/short_work_reserve_test.ts
+++ b/packages/decisions/src/admission/short_work_reserve_test.ts
@@ -39,11 +39,16 @@
   readonly sentMs: number;
 }
 
+/** Refused after more than this part of the time that its caller had. */
+const HELD_PART = 0.5;
+
 /** What callers got of one kind. */
 interface Outcome {
   asked: number;
   inTime: number;
   served: number;
+  /** Refused after a long wait in vain. */
+  held: number;
 }
 
 /** Plays two kinds of load on a server with two slots and its coordinator. */
@@ -64,6 +69,7 @@
       random: { next: () => this.#next() },
       decide: ({ id, kind }) => {
         if (kind === "given") this.#after(WAY_MS, () => this.#arrive(id));
+        if (kind === "refused") this.#refuse(id);
       },
     });
   }
@@ -100,6 +106,12 @@
     }, nowMs);
   }
 
+  #refuse(id: number): void {
+    const { kind, sentMs } = this.#requests.get(id)!;
+    const isHeld = this.#nowMs - sentMs > kind.timeoutMs * HELD_PART;
+    if (isHeld) this.#outcome(kind).held++;
+  }
+
   #arrive(id: number): void {
     this.#queue.push(this.#requests.get(id)!);
     this.#start();
@@ -130,7 +142,7 @@
   #outcome({ route }: Kind): Outcome {
     const found = this.outcomes.get(route.name);
     if (found !== undefined) return found;
-    const created = { asked: 0, inTime: 0, served: 0 };
+    const created = { asked: 0, inTime: 0, served: 0, held: 0 };
     this.outcomes.set(route.name, created);
     return created;
   }
@@ -161,3 +173,12 @@
   const long = play.outcomes.get("long")!;
   expect(long.served / long.asked >= 0.9).toEqual(true);
 });
+
+/** Guards against callers that wait to their deadline behind newer requests. */
+test("should refuse early what an overloaded server will not get to", () => {
+  const play = new Play();
+  play.run([{ ...SHORT, perSecond: 60 }], 1);
+  const short = play.outcomes.get("short")!;
+  expect(short.served / short.asked >= 0.6).toEqual(true);
+  expect(short.held / short.asked <= 0.01).toEqual(true);
+});
