revert(admission): when a request counts as late, and late ones' end, as before

True times stay, the other two go: what they gain at one server at a steady overload they lose where servers are overloaded by turns, since a late answer is still worth something.

--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -69,13 +69,6 @@
  * will be late anyhow. Beyond it a caller is told at once to come back.
  */
 const LATE_WAIT_PART = 0.5;
-/**
- * Part of its time after which a request that is late, while others that are
- * not go ahead of it, is refused: under overload it would wait to its end.
- */
-const STARVED_PART = 0.4;
-/** A request is late when work of so many times the mean would make it so. */
-const LATE_WORK_RATIO = 2;
 /** Shortest and longest time after which a caller is asked to come back. */
 const RETRY_AFTER_MIN_MS = 60;
 const RETRY_AFTER_MAX_MS = 1_500;
@@ -222,7 +215,6 @@
   review(nowMs: number): void {
     const kept: WaitingRequest[] = [];
     const queued = this.#waiting;
-    const pressed = this.#pressedPlaces(nowMs);
     this.#waiting = [];
     for (const request of queued) {
       const serviceMs = this.#options.times.routeMs(request.route) *
@@ -232,9 +224,7 @@
       const waitMs = this.#awaitsSlot(request, nowMs)
         ? 0
         : this.#expectedWaitMs(request, kept, nowMs);
-      const isStarved = pressed.has(this.#placeName(request)) &&
-        this.#isLate(request, nowMs) && usedPart(request, nowMs) > STARVED_PART;
-      if (leftMs > serviceMs && waitMs < leftMs && !isStarved) {
+      if (leftMs > serviceMs && waitMs < leftMs) {
         kept.push(request);
         continue;
       }
@@ -246,18 +236,9 @@
     this.#waiting = [...kept, ...this.#waiting];
   }
 
-  /** Places where requests wait that can still be answered in time. */
-  #pressedPlaces(nowMs: number): Set<string> {
-    const inTime = this.#waiting.filter((request) =>
-      !this.#isLate(request, nowMs) && !this.#awaitsSlot(request, nowMs)
-    );
-    return new Set(inTime.map((request) => this.#placeName(request)));
-  }
-
   /** Whether its answer is likely to miss its target even if it left now. */
   #isLate({ route, targetMs }: WaitingRequest, nowMs: number): boolean {
-    const workMs = this.#options.times.routeMs(route) * LATE_WORK_RATIO;
-    return nowMs + workMs > targetMs;
+    return nowMs + this.#options.times.routeMs(route) > targetMs;
   }
 
   #context(nowMs: number): ranking.RankingContext {
@@ -582,15 +563,6 @@
   }
 }
 
-/** Part of the time that a request's caller waits that has gone by. */
-function usedPart(
-  { route, targetMs, answerByMs }: WaitingRequest,
-  nowMs: number,
-): number {
-  const arrivedMs = targetMs - route.targetLatencyMs;
-  return (nowMs - arrivedMs) / Math.max(1, answerByMs - arrivedMs);
-}
-
 /** How much longer a key that has no owner is expected to have none. */
 function moveWaitMs(ageMs: number): number {
   const totalMs = ageMs < LONGEST_MOVE_MS ? MOVE_WAIT_MS : LOSS_WAIT_MS;
