--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -72,11 +72,7 @@
 /** Shortest and longest time after which a caller is asked to come back. */
 const RETRY_AFTER_MIN_MS = 60;
 const RETRY_AFTER_MAX_MS = 1_500;
-/**
- * Requests of a VM at servers of other cells. With ten VMs in a cell this is a
- * third of its servers' slots, and when all cells are full at once it queues one
- * request and a half more at each server than its own cell has sent there.
- */
+/** Requests of a VM at servers of other cells, whose load it does not know. */
 const HELPED_REQUESTS = 1;
 /** The same while the own cell has cold servers only, which bear little. */
 const HELPED_WHILE_COLD = 4;
