--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -1,10 +1,10 @@
 /**
- * Requests of one service that wait for a backend server with room, and which
- * of them is next: by rank, then those that can still be answered in time,
- * then by arrival.
+ * Requests of one service that wait for a backend server with room; those that
+ * can't be answered any more are refused.
  */
 import type * as contracts from "@guavatide/contracts";
 import type { ColdStartLimit } from "./cold_start_limit.ts";
+import { RankOrder } from "./rank_order.ts";
 import { ServerLoad } from "./server_load.ts";
 import * as ranking from "./server_ranking.ts";
 import type { ServiceTimes } from "./service_times.ts";
@@ -59,11 +59,6 @@
   readonly onWait?: () => void;
 }
 
-/**
- * A less urgent request goes next after so many more urgent ones went ahead of
- * it. Without it a flood of urgent requests would end all others of a service.
- */
-const RANK_TURN = 12;
 /**
  * Part of its time left that a request may be expected to wait when its answer
  * will be late anyhow. Beyond it a caller is told at once to come back.
@@ -99,11 +94,12 @@
   #waiting: WaitingRequest[] = [];
   /** Servers that this VM's cell uses; undefined for all of them. */
   #inCell: ReadonlySet<contracts.ServerId> | undefined;
-  #passedOver = 0;
+  readonly #order: RankOrder;
   #waitingElsewhere = 0;
 
   constructor(options: ServiceQueueOptions) {
     this.#options = options;
+    this.#order = new RankOrder(options.times);
   }
 
   /** Requests that wait here. */
@@ -188,14 +184,14 @@
   pump(nowMs: number): void {
     if (this.#waiting.length === 0) return;
     const rest: WaitingRequest[] = [];
-    const queued = this.#inTurn(nowMs);
+    const queued = this.#order.inTurn(this.#waiting, nowMs);
     this.#waiting = [];
     const full = new Set<string>();
     for (const request of queued) {
       // Routes of one place may have different numbers of its slots.
       const place = `${this.#placeName(request)} ${request.route.name}`;
       if (!full.has(place) && this.#tryPlace(request, nowMs)) {
-        this.#noteTurn(request, queued);
+        this.#order.noteTurn(request, queued);
         continue;
       }
       const isPlaceFull = request.tried.size === 0 &&
@@ -232,11 +228,6 @@
     this.#waiting = [...kept, ...this.#waiting];
   }
 
-  /** Whether its answer is likely to miss its target even if it left now. */
-  #isLate({ route, targetMs }: WaitingRequest, nowMs: number): boolean {
-    return nowMs + this.#options.times.routeMs(route) > targetMs;
-  }
-
   #context(nowMs: number): ranking.RankingContext {
     const { zone, times, random } = this.#options;
     const isCold = (server: contracts.ServerId) =>
@@ -531,32 +522,6 @@
     this.#waiting.splice(index, 0, request);
     this.#options.onWait?.();
   }
-
-  /** The waiting requests in the order in which they may go. */
-  #inTurn(nowMs: number): WaitingRequest[] {
-    // The sort is stable: equals stay in the order of their arrival.
-    const ordered = this.#waiting
-      .map((request) => ({
-        request,
-        late: Number(this.#isLate(request, nowMs)),
-      }))
-      .sort((a, b) =>
-        a.request.route.priority - b.request.route.priority || a.late - b.late
-      )
-      .map(({ request }) => request);
-    if (this.#passedOver < RANK_TURN) return ordered;
-    const first = ordered[0]!.route.priority;
-    const next = ordered.findIndex(({ route }) => route.priority > first);
-    if (next > 0) ordered.unshift(...ordered.splice(next, 1));
-    return ordered;
-  }
-
-  /** Counts the urgent requests that went ahead of less urgent ones. */
-  #noteTurn(request: WaitingRequest, queued: readonly WaitingRequest[]): void {
-    const { priority } = request.route;
-    const isAhead = queued.some(({ route }) => route.priority > priority);
-    this.#passedOver = isAhead ? this.#passedOver + 1 : 0;
-  }
 }
 
 /** How much longer a key that has no owner is expected to have none. */
