feat(admission): a long request may take the kept slot at the last moment

Change: a long request whose target is less than twice its work away may take the kept slot when it is free; waiting short ones go first. Cold servers count with their usual capacity; they only get no keys of their own accord.

--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -252,7 +252,7 @@
 
   #tryAny(request: WaitingRequest, nowMs: number): boolean {
     const { coldStarts, reserve } = this.#options;
-    if (reserve?.mayTake(request.route, nowMs) === false) return false;
+    if (reserve?.mayTake(request, nowMs) === false) return false;
     const open = this.#candidates(request, nowMs)
       .filter((load) =>
         ranking.hasRoom(load, nowMs) &&
--- a/packages/decisions/src/admission/short_work_reserve.ts
+++ b/packages/decisions/src/admission/short_work_reserve.ts
@@ -5,7 +5,7 @@
  * keyed service whose servers have few slots and get both kinds.
  */
 import type { ServiceTimes } from "./service_times.ts";
-import type { RankedRoute } from "./waiting_request.ts";
+import type { RankedRoute, WaitingRequest } from "./waiting_request.ts";
 
 /** Work is long beside another kind that takes at most this part of it. */
 const SHORT_PART = 0.5;
@@ -17,6 +17,12 @@
  */
 const LEAST_EXPECTED = 1;
 
+/**
+ * A long request may take the kept slot when its target is less than so many
+ * times its work away: shorter work that waits already still goes first.
+ */
+const CRITICAL_RATIO = 2;
+
 interface Kind {
   readonly route: RankedRoute;
   /** Decaying count of requests, which is their rate by {@link RATE_MS}. */
@@ -55,8 +61,11 @@
     return this.#isHeldBack(route, nowMs) ? this.#slots - 1 : this.#slots;
   }
 
-  /** Whether a route may take one more slot. */
-  mayTake(route: RankedRoute, nowMs: number): boolean {
+  /** Whether a request may take one more slot. */
+  mayTake(
+    { route, targetMs }: Pick<WaitingRequest, "route" | "targetMs">,
+    nowMs: number,
+  ): boolean {
     if (!this.#isHeldBack(route, nowMs)) return true;
     let all = 0;
     let asPatient = 0;
@@ -64,7 +73,15 @@
       all += held;
       if (other.priority >= route.priority) asPatient += held;
     }
-    return all < this.#slots && asPatient < this.#slots - 1;
+    if (all >= this.#slots) return false;
+    return asPatient < this.#slots - 1 ||
+      this.#isCritical(route, targetMs - nowMs);
+  }
+
+  /** Whether it can still be answered in time, but not for much longer. */
+  #isCritical(route: RankedRoute, leftMs: number): boolean {
+    const workMs = this.#times.routeMs(route);
+    return leftMs < workMs * CRITICAL_RATIO && leftMs >= workMs;
   }
 
   /** Whether a more urgent kind of much shorter work comes at present. */
--- a/packages/entry/src/gateway/grant_task.ts
+++ b/packages/entry/src/gateway/grant_task.ts
@@ -33,7 +33,7 @@
   readonly clock: SuspensionClock;
   readonly log: PartLog;
   readonly capacity: MovePlannerOptions["capacity"];
-  readonly coldCapacity: MovePlannerOptions["coldCapacity"];
+  readonly isCold: MovePlannerOptions["isCold"];
   /** How much longer than average servers take, as this VM's coordinator saw. */
   readonly serverFactorsOf: (
     service: contracts.ServiceId,
--- a/packages/entry/src/gateway/move_planner.ts
+++ b/packages/entry/src/gateway/move_planner.ts
@@ -17,8 +17,8 @@
     server: contracts.ServerEntry,
     factor: number | undefined,
   ) => number;
-  /** Requests a second that a server bears while cold; undefined when warm. */
-  readonly coldCapacity: (server: contracts.ServerEntry) => number | undefined;
+  /** Whether a server has just started and bears little load. */
+  readonly isCold: (server: contracts.ServerEntry) => boolean;
 }
 
 /** Interval of plans that even out load. */
@@ -64,7 +64,7 @@
     nowMs: number,
   ): grants.RangeMove[] {
     if (usable.size === 0) return [];
-    const { capacity, coldCapacity, service, log } = this.#options;
+    const { capacity, isCold, service, log } = this.#options;
     const mayBalance = nowMs - this.#begunMs >= BALANCE_AFTER_MS &&
       nowMs - this.#balancedAtMs >= BALANCE_MS;
     const hasLoss = map.ranges.some(({ owner }) =>
@@ -80,11 +80,8 @@
       [...usable.values()].map((entry) => {
         const { server, bornMs } = entry;
         const owner = { server, bornMs };
-        const warm = capacity(entry, this.#factors.get(server));
-        const cold = coldCapacity(entry);
-        const isCold = cold !== undefined;
-        const capacityPerSecond = isCold ? Math.min(cold, warm) : warm;
-        return [server, { owner, capacityPerSecond, isCold }];
+        const capacityPerSecond = capacity(entry, this.#factors.get(server));
+        return [server, { owner, capacityPerSecond, isCold: isCold(entry) }];
       }),
     );
     const moves = grants.planRanges({
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -184,11 +184,9 @@
     clock: suspensionClock,
     log: log.part("owner"),
     capacity: (server, factor) => forwarder.capacity(server, factor),
-    coldCapacity: ({ server, service }) =>
-      registry.coldUntilMs(server) > clock.nowMs()
-        ? config.active?.config.services.get(service)?.coldStart
-          ?.requestsPerSecond
-        : undefined,
+    isCold: ({ server, service }) =>
+      registry.coldUntilMs(server) > clock.nowMs() &&
+      config.active?.config.services.get(service)?.coldStart !== undefined,
     serverFactorsOf: (service) => slots.factors(service),
     isLeaving: () => lifeCycle.isStopping,
   });
