fix(admission): a lost server's keys are expected back when its grants end

Found by reading: with grants of up to 6 s callers of a lost server's keys would have been told after 2.2 s that the key is about to be back, and held again and again. The expected wait now follows the length of the service's grants; for 1.5 s it is what it was.

--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -29,6 +29,8 @@
     readonly kind: "moving";
     /** How long it has had no owner. */
     readonly ageMs: number;
+    /** How long the service's grants last. */
+    readonly holdMs: number;
   }
   /** No ownership is known. */
   | { readonly kind: "unknown" };
@@ -76,12 +78,12 @@
 /** A planned move ends with the work that ran at its last owner. */
 const LONGEST_MOVE_MS = 800;
 /**
- * How long a key has no owner when its last one is lost: until all that was
- * granted has run out. A key that has moved for longer than a planned move takes
- * is such a one. Its callers are told at once; taken for an ordinary move, they
- * would wait until their time is over.
+ * How long a key has no owner when its last one is lost, beyond the length of a
+ * grant: until all that was granted has run out. A key that has moved for longer
+ * than a planned move takes is such a one. Its callers are told at once; taken
+ * for an ordinary move, they would wait until their time is over.
  */
-const LOSS_WAIT_MS = 2_200;
+const LOSS_WAIT_MS = 700;
 /** Shortest wait that is expected of a key without owner. */
 const LEAST_MOVE_WAIT_MS = 100;
 /** A request whose answer cannot come any more within this time is refused. */
@@ -419,7 +421,7 @@
     nowMs: number,
   ): number {
     const owner = this.#ownerOf(request);
-    if (owner?.kind === "moving") return moveWaitMs(owner.ageMs);
+    if (owner?.kind === "moving") return moveWaitMs(owner);
     if (owner?.kind === "unknown") return MOVE_WAIT_MS;
     const place = this.#placeName(request);
     const ahead =
@@ -525,7 +527,10 @@
 }
 
 /** How much longer a key that has no owner is expected to have none. */
-function moveWaitMs(ageMs: number): number {
-  const totalMs = ageMs < LONGEST_MOVE_MS ? MOVE_WAIT_MS : LOSS_WAIT_MS;
+function moveWaitMs(
+  { ageMs, holdMs }: Extract<KeyOwner, { kind: "moving" }>,
+): number {
+  const isPlanned = ageMs < LONGEST_MOVE_MS;
+  const totalMs = isPlanned ? MOVE_WAIT_MS : holdMs + LOSS_WAIT_MS;
   return Math.max(LEAST_MOVE_WAIT_MS, totalMs - ageMs);
 }
--- a/packages/decisions/src/admission/service_queue_test.ts
+++ b/packages/decisions/src/admission/service_queue_test.ts
@@ -233,7 +233,7 @@
  * confirmed.
  */
 test("should hold a request while its key moves", () => {
-  let owner: admission.KeyOwner = { kind: "moving", ageMs: 0 };
+  let owner: admission.KeyOwner = { kind: "moving", ageMs: 0, holdMs: 1_500 };
   const fixture = new Fixture([server("a"), server("b")], () => owner);
   const request = fixture.add({ key: 7 });
   expect(request.placement).toEqual(undefined);
@@ -341,12 +341,12 @@
  * back; kept waiting as in an ordinary move they would all time out.
  */
 test("should refuse at once while a lost owner's grant runs out", () => {
-  let owner: admission.KeyOwner = { kind: "moving", ageMs: 20 };
+  let owner: admission.KeyOwner = { kind: "moving", ageMs: 20, holdMs: 1_500 };
   const fixture = new Fixture([server("a")], () => owner);
   fixture.learn(30);
   const early = fixture.add({ key: 1 });
   expect(early.refusal).toEqual(undefined);
-  owner = { kind: "moving", ageMs: 900 };
+  owner = { kind: "moving", ageMs: 900, holdMs: 1_500 };
   const late = fixture.add({ key: 1 });
   expect(late.refusal?.reason).toEqual("no-owner");
   expect(late.refusal!.retryAfterMs > 500).toEqual(true);
@@ -437,3 +437,12 @@
   expect(second.placement?.load.entry.server)
     .toEqual("cold" as contracts.ServerId);
 });
+
+/** Guards against callers that wait for a lost owner's long grant to run out. */
+test("should expect keys of a lost server back when its grants have run out", () => {
+  const owner = { kind: "moving", ageMs: 2_500, holdMs: 5_000 } as const;
+  const fixture = new Fixture([server("a")], () => owner);
+  const { refusal } = fixture.add({ key: 7 });
+  expect(refusal?.reason).toEqual("no-owner");
+  expect(refusal!.expectedWaitMs > 2_000).toEqual(true);
+});
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -173,7 +173,8 @@
     const range = ranges[grants.rangeIndex(ranges, key)]!;
     if (range.vacating !== undefined || this.#isPending(range)) {
       const nowMs = this.#options.clock.nowMs();
-      return { kind: "moving", ageMs: this.#ownerless.ageMs(range, nowMs) };
+      const ageMs = this.#ownerless.ageMs(range, nowMs);
+      return { kind: "moving", ageMs, holdMs: this.#holdMs };
     }
     return { kind: "owned", ...range.owner, fence: range.fence };
   }
