fix(gateway): no request is taken that the stop would cut off

Since long work waits longer for its slot the wait outlasts the grace time; the gap was there before.

Ruled out: the order of the stop (connections are closed last), a lost answer (nothing had been sent to a server).

Change: after half of the grace time a request is refused at once, with a time to come back of 20 ms; what comes before is answered at the latest just before connections are closed. Test: fails without the change.

--- a/packages/entry/src/gateway/front_listener.ts
+++ b/packages/entry/src/gateway/front_listener.ts
@@ -15,6 +15,7 @@
   behindAnswer,
   type FrontAnswer,
   type FrontRequest,
+  notRunAnswer,
 } from "./front_request.ts";
 import type { HeaderNames } from "./platform_adapter.ts";
 
@@ -58,6 +59,16 @@
 };
 /** Idle connections are kept a little longer than callers reuse them. */
 const IDLE_SLACK_MS = 1_000;
+/**
+ * Part of the grace time after which no request is taken any more. One that
+ * then waits for a server could be cut off with the connection, and its caller
+ * is served sooner by another VM.
+ */
+const TAKE_PART = 0.5;
+/** A caller that this VM no longer serves finds another one at once. */
+const STOPPING_RETRY_AFTER_MS = 20;
+/** Time that the last answers take to leave before connections are closed. */
+const LAST_ANSWERS_MS = 50;
 /** Part of the grace time after which idle connections are closed. */
 const CLOSE_IDLE_PART = 0.72;
 /** Part of the grace time within which running requests may end. */
@@ -76,6 +87,7 @@
   readonly #server: http.Server;
   readonly #lag = new LoopLag();
   #inFlight = 0;
+  #stoppedAtMs = Number.POSITIVE_INFINITY;
   #connections = 0;
   /** When a caller last left at once. */
   #goneAtOnceMs = Number.NEGATIVE_INFINITY;
@@ -169,7 +181,9 @@
       const inFlight = this.#inFlight;
       this.#shedLine.note(arrivedMs, { lagMs: Math.round(lagMs), inFlight });
     }
-    const answer = lagMs > SHED_LAG_MS
+    const answer = this.#isClosing(readMs)
+      ? notRunAnswer("Not run: this VM stops", STOPPING_RETRY_AFTER_MS)
+      : lagMs > SHED_LAG_MS
       ? behindAnswer(this.#options.random)
       : await this.#answer(incoming, {
         arrivedMs,
@@ -203,12 +217,27 @@
       headers: passedOn(incoming.rawHeaders, names),
       body: read.body,
       key: wholeNumber(headers[names.key]),
-      deadlineMs: wholeNumber(headers[names.deadlineMs]),
+      deadlineMs: this.#deadlineMs(wholeNumber(headers[names.deadlineMs])),
       ...arrival,
       signal,
     });
   }
 
+  /** Whether this VM stops so soon that it takes no more requests. */
+  #isClosing(nowMs: number): boolean {
+    const { graceMs } = this.#options;
+    return nowMs - this.#stoppedAtMs > graceMs * TAKE_PART;
+  }
+
+  /** What the caller says, or less when this VM stops before. */
+  #deadlineMs(saidMs: number | undefined): number | undefined {
+    const { clock, graceMs } = this.#options;
+    if (this.#stoppedAtMs === Number.POSITIVE_INFINITY) return saidMs;
+    const endMs = this.#stoppedAtMs + graceMs * END_PART - LAST_ANSWERS_MS;
+    const leftMs = Math.max(1, Math.floor(endMs - clock.nowMs()));
+    return Math.min(saidMs ?? leftMs, leftMs);
+  }
+
   /**
    * Goes on answering on open connections while the balancer takes this VM
    * out, each answer ending its connection; then closes the idle ones, and
@@ -217,6 +246,7 @@
   async #drain(): Promise<void> {
     const { graceMs, clock, log } = this.#options;
     const startMs = clock.nowMs();
+    this.#stoppedAtMs = startMs;
     const closeIdleMs = startMs + graceMs * CLOSE_IDLE_PART;
     const endMs = startMs + graceMs * END_PART;
     while (clock.nowMs() < closeIdleMs) await timers.setTimeout(DRAIN_CHECK_MS);
--- a/packages/entry/src/gateway/front_listener_test.ts
+++ b/packages/entry/src/gateway/front_listener_test.ts
@@ -169,3 +169,28 @@
   expect(/connection: close/i.test(await received)).toEqual(true);
   await stopped;
 });
+
+/** Guards against a request that is cut off when the process ends. */
+test("should refuse at once what comes when it is about to stop", async () => {
+  const fixture = new Fixture(() => new Promise(() => {}));
+  const graceMs = 1_000;
+  await fixture.start(graceMs);
+  const early = fixture.connect("");
+  const late = fixture.connect("");
+  let refusal = "";
+  late.on("data", (chunk) => refusal += chunk);
+  await new Promise((resolve) => late.once("connect", resolve));
+  const stopping = fixture.lifeCycle.stop();
+  early.write(`${GET}\r\n`);
+  await new Promise((resolve) => setTimeout(resolve, graceMs * 0.6));
+  late.write(`${GET}\r\n`);
+  await new Promise((resolve) => late.once("close", resolve));
+  expect(refusal.startsWith("HTTP/1.1 503 ")).toEqual(true);
+  expect(refusal.includes("Connection: close")).toEqual(true);
+  // The early one was told to be done before the connections are closed.
+  const deadlines = fixture.requests.map(({ deadlineMs }) => deadlineMs!);
+  expect(deadlines.length).toEqual(1);
+  expect(deadlines[0]! <= 800 && deadlines[0]! > 0).toEqual(true);
+  early.destroy();
+  await stopping;
+});
