perf(gateway): listeners hear once that a server is of no more use

Cause: for a minute after a server had left, each tick of the registry told all listeners of a change, five times a second: servers dealt out to cells anew, queues pumped, duty orders filtered. The limit for cold servers had become one more listener, and the end of use in an evacuated zone a second crossing, told by itself beside it.

Change: each server remembers whether it was in use at the last tick; what ends its use, leaving or an evacuation, is one crossing, and being forgotten another.

The test fails without the change.

--- a/packages/entry/src/gateway/server_registry.ts
+++ b/packages/entry/src/gateway/server_registry.ts
@@ -45,6 +45,8 @@
   /** When its entry was found missing. */
   missingSinceMs: number | undefined;
   coldUntilMs: number;
+  /** Whether it was among `servers` when listeners were last told by time. */
+  isInUse: boolean;
 }
 
 /** Entries by server id, with those that are leaving and gone. */
@@ -175,29 +177,29 @@
         this.#leave(known, "missing since the store is back");
         isChanged = true;
       }
+      const wasInUse = known.isInUse;
+      known.isInUse = nowMs < this.#useUntilMs(known);
+      if (known.isInUse !== wasInUse) isChanged = true;
       if (leavingSinceMs === undefined) continue;
-      const leavingMs = nowMs - leavingSinceMs;
-      // The one crossing at which the server drops out of `servers`.
-      if (leavingMs >= LEAVING_USE_MS) isChanged = true;
-      if (leavingMs > ENDED_LIFE_MS) this.#known.delete(server);
+      if (nowMs - leavingSinceMs <= ENDED_LIFE_MS) continue;
+      this.#known.delete(server);
+      isChanged = true;
     }
-    if (this.#noteEmptied(nowMs) || isChanged) this.#changed();
+    this.#noteEmptied(nowMs);
+    if (isChanged) this.#changed();
   }
 
-  /** Whether a zone's servers have just stopped to be of use at all. */
-  #noteEmptied(nowMs: number): boolean {
+  /** Tells once of each zone whose servers are of no use any more. */
+  #noteEmptied(nowMs: number): void {
     const { evacuations, evacuationUseMs, log } = this.#options;
-    let isChanged = false;
     for (const zone of evacuations.zones) {
       const sinceMs = evacuations.sinceMs(zone)!;
       if (this.#emptied.has(zone) || nowMs - sinceMs < evacuationUseMs) {
         continue;
       }
       this.#emptied.add(zone);
-      isChanged = true;
       log.info("Zone is empty: its servers get nothing from here.", { zone });
     }
-    return isChanged;
   }
 
   /** Servers of a zone that is taken back may have become cold meanwhile. */
@@ -255,6 +257,7 @@
         leavingSinceMs: undefined,
         missingSinceMs: undefined,
         coldUntilMs: Number.NEGATIVE_INFINITY,
+        isInUse: true,
       }
       : { ...known, entry, missingSinceMs: undefined };
     this.#known.set(entry.server, next);
--- a/packages/entry/src/gateway/server_registry_test.ts
+++ b/packages/entry/src/gateway/server_registry_test.ts
@@ -148,3 +148,18 @@
   ]);
   expect(fixture.evacuations.zones).toEqual([]);
 });
+
+/** Guards against work for all servers at each tick after one has left. */
+test("should tell its listeners once that a server is of no more use", () => {
+  const fixture = new Fixture();
+  fixture.registry.takeList([objectOf("a"), objectOf("b")]);
+  fixture.registry.takeChanges([{ name: `${PREFIX}a` }]);
+  expect(fixture.changes).toEqual(2);
+  for (; fixture.nowMs < 59_000; fixture.nowMs += 200) fixture.registry.tick();
+  expect(fixture.changes).toEqual(3);
+  expect(fixture.registry.ids().size).toEqual(2);
+  fixture.nowMs = 60_200;
+  fixture.registry.tick();
+  expect(fixture.changes).toEqual(4);
+  expect(fixture.registry.ids().size).toEqual(1);
+});
