--- a/packages/decisions/src/admission/rank_order.ts
+++ b/packages/decisions/src/admission/rank_order.ts
@@ -10,6 +10,7 @@
  * it. Without it a flood of urgent requests would end all others of a service.
  */
 const RANK_TURN = 12;
+
 /** The order of one queue. */
 export class RankOrder {
   readonly #times: ServiceTimes;
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -281,20 +281,21 @@
   #helper(request: WaitingRequest, nowMs: number): ServerLoad | undefined {
     const inCell = this.#inCell;
     if (inCell === undefined) return undefined;
+    const limit = this.#isOwnLimited(nowMs)
+      ? HELPED_WHILE_COLD
+      : HELPED_REQUESTS;
     const usable: ServerLoad[] = [];
     let sent = 0;
     for (const load of this.#loads.values()) {
       if (inCell.has(load.entry.server)) continue;
       sent += load.own;
+      if (sent >= limit) return undefined;
       const isUsable = load.own === 0 && this.#isUsable(load, request) &&
         !this.#isLimited(load.entry.server, nowMs) &&
         load.isOpen(nowMs) && load.outstanding(nowMs) < load.entry.slots;
       if (isUsable) usable.push(load);
     }
-    const limit = this.#isOwnLimited(nowMs)
-      ? HELPED_WHILE_COLD
-      : HELPED_REQUESTS;
-    if (sent >= limit || usable.length === 0) return undefined;
+    if (usable.length === 0) return undefined;
     const { zone, random } = this.#options;
     const near = usable.filter(({ entry }) => entry.zone === zone);
     const choice = near.length > 0 ? near : usable;
--- a/packages/decisions/src/cells/cell_plan.ts
+++ b/packages/decisions/src/cells/cell_plan.ts
@@ -73,8 +73,9 @@
     if (isAll) return new Set(servers.map(({ server }) => server));
     const used = new Set<contracts.ServerId>();
     const byZone = groupByZone(servers);
+    const served = new Set(byZone.keys());
     for (const [zone, inZone] of byZone) {
-      const shares = this.#sharesOf(zone, new Set(byZone.keys()));
+      const shares = this.#sharesOf(zone, served);
       const names = inZone.map(({ server }) => server).sort();
       for (const [place, server] of names.entries()) {
         const share = shares[chunkOf(place, names.length, shares.length)];
--- a/packages/entry/src/gateway/front_listener.ts
+++ b/packages/entry/src/gateway/front_listener.ts
@@ -92,6 +92,7 @@
   /** When a caller last left at once. */
   #goneAtOnceMs = Number.NEGATIVE_INFINITY;
   readonly #shedLine: FoldedLine;
+  readonly #stopLine: FoldedLine;
 
   constructor(options: FrontListenerOptions) {
     this.#options = options;
@@ -100,6 +101,7 @@
       options.log,
       "Refuses: the event loop is behind.",
     );
+    this.#stopLine = new FoldedLine(options.log, "Refuses: this VM stops.");
     this.#server = http.createServer({
       maxHeaderSize: HEADER_LIMIT_BYTES,
       requestTimeout: 0,
@@ -177,15 +179,8 @@
       await timers.setImmediate();
       if (gone.signal.aborted) return void response.destroy();
     }
-    if (lagMs > SHED_LAG_MS) {
-      const inFlight = this.#inFlight;
-      this.#shedLine.note(arrivedMs, { lagMs: Math.round(lagMs), inFlight });
-    }
-    const answer = this.#isClosing(readMs)
-      ? notRunAnswer("Not run: this VM stops", STOPPING_RETRY_AFTER_MS)
-      : lagMs > SHED_LAG_MS
-      ? behindAnswer(this.#options.random)
-      : await this.#answer(incoming, {
+    const answer = this.#refuseAtOnce(readMs, lagMs) ??
+      await this.#answer(incoming, {
         arrivedMs,
         lagMs: this.#lag.isLasting ? lagMs : 0,
       }, gone.signal);
@@ -194,6 +189,18 @@
     writeFrontAnswer(response, answer, mustClose);
   }
 
+  /** The answer to a request that is not even read; undefined to any other. */
+  #refuseAtOnce(readMs: number, lagMs: number): FrontAnswer | undefined {
+    const inFlight = this.#inFlight;
+    if (this.#isClosing(readMs)) {
+      this.#stopLine.note(readMs, { inFlight });
+      return notRunAnswer("Not run: this VM stops", STOPPING_RETRY_AFTER_MS);
+    }
+    if (lagMs <= SHED_LAG_MS) return undefined;
+    this.#shedLine.note(readMs - lagMs, { lagMs: Math.round(lagMs), inFlight });
+    return behindAnswer(this.#options.random);
+  }
+
   async #answer(
     incoming: http.IncomingMessage,
     arrival: Pick<FrontRequest, "arrivedMs" | "lagMs">,
--- a/packages/entry/src/gateway/peer_messages.ts
+++ b/packages/entry/src/gateway/peer_messages.ts
@@ -82,15 +82,13 @@
 export function isPeerStatus(params: unknown): params is PeerStatus {
   if (!isWord(params)) return false;
   const status = params as Partial<PeerStatus>;
-  const { host, zone, hasStore, isLeaving, loads, waiting } = status;
-  return [host, zone].every((text) => typeof text === "string") &&
-    [hasStore, isLeaving].every((value) => typeof value === "boolean") &&
-    [status.port, status.configVersion, status.configCursor]
-      .every(Number.isInteger) &&
-    Number.isInteger(status.serversCursor) &&
+  const { port, configVersion, configCursor, serversCursor } = status;
+  return areTexts([status.host, status.zone]) &&
+    areIntegers([port, configVersion, configCursor, serversCursor]) &&
     Number.isFinite(status.processorCores) &&
-    isRecord(loads) && Object.values(loads).every(Number.isInteger) &&
-    isRecord(waiting) && Object.values(waiting).every(Number.isInteger);
+    typeof status.hasStore === "boolean" &&
+    typeof status.isLeaving === "boolean" &&
+    areCounts(status.loads) && areCounts(status.waiting);
 }
 
 /** Whether parameters are {@link KeeperStatus}; they come as often. */
@@ -125,6 +123,11 @@
   return typeof value === "object" && value !== null && !Array.isArray(value);
 }
 
+/** Whether a value is a record of whole numbers. */
+function areCounts(value: unknown): boolean {
+  return isRecord(value) && areIntegers(Object.values(value));
+}
+
 function areTexts(values: unknown): values is readonly string[] {
   return Array.isArray(values) &&
     values.every((value) => typeof value === "string");
--- a/packages/entry/src/gateway/zone_evacuations.ts
+++ b/packages/entry/src/gateway/zone_evacuations.ts
@@ -51,7 +51,7 @@
     const listed = new Set(objects.map(({ name }) => this.#zoneOf(name)));
     const ended = this.zones.filter((zone) => !listed.has(zone));
     for (const zone of listed) this.#begin(zone);
-    this.#endAll(ended);
+    this.#end(ended);
   }
 
   /** Takes over changes that were learned together. */
@@ -62,7 +62,7 @@
       if (object !== undefined) this.#begin(zone);
       else if (zone !== undefined) ended.push(zone);
     }
-    this.#endAll(ended);
+    this.#end(ended);
   }
 
   #begin(zone: contracts.ZoneId | undefined): void {
@@ -78,7 +78,8 @@
     log.info("Zone is evacuated.", { zone });
   }
 
-  #endAll(zones: readonly contracts.ZoneId[]): void {
+  /** Ends evacuations, and tells listeners of these and of what has begun. */
+  #end(zones: readonly contracts.ZoneId[]): void {
     const { clock, log } = this.#options;
     const ended = zones.filter((zone) => this.#sinceMs.has(zone));
     for (const zone of ended) {
