feat(gateway): logs say when a VM's renewals of taken keys ended

The logs of an incident could not show whether any VM still had grants under way when keys were given to the next server: grants that are answered leave no line, and one that is not answered did not say how long it took. When a map takes keys from a server, each VM that had granted it keys now says once how old its last grant and its last unanswered one are; an unanswered grant says how long its call took. One line for each server and VM that a map takes keys from.

--- a/packages/entry/src/gateway/grant_sender.ts
+++ b/packages/entry/src/gateway/grant_sender.ts
@@ -143,6 +143,7 @@
     if (result.isErr()) {
       log.warn("Grant not answered.", {
         ...fields,
+        tookMs: Math.round(state.lastEndMs - sentMs),
         reason: result.error.message,
       });
       return;
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -290,6 +290,7 @@
   }
 
   #adopt(map: contracts.RangeMap, from: string): void {
+    this.#logLastGrants(map);
     this.#map = map;
     this.#adoptedAtMs = this.#options.clock.nowMs();
     this.#publisher.noteMap(map);
@@ -314,6 +315,23 @@
     this.#learner.noteMap();
   }
 
+  /** What this VM sent to servers that keys are taken from may still arrive. */
+  #logLastGrants({ revision, ranges }: contracts.RangeMap): void {
+    const known = new Set(this.#map?.ranges.map((it) => it.vacating?.server));
+    const newly = new Set(
+      ranges.map((it) => it.vacating?.server).filter((it) => !known.has(it)),
+    );
+    for (const [server, [ageMs, unansweredAgeMs]] of this.#sender.agesMs()) {
+      if (!newly.has(server)) continue;
+      this.#options.log.info("Renewals of a server's keys end.", {
+        server,
+        revision,
+        lastGrantAgeMs: ageMs,
+        unansweredAgeMs: unansweredAgeMs ?? undefined,
+      });
+    }
+  }
+
   // Renewing
 
   get #holdMs(): number {
