test: calls that were given up must not arrive when their link heals

The relay gets a mode that holds what is sent, as a cut link does: it arrives when the link heals, unless its sender has reset the connection. The earlier modes lose what is sent meanwhile, which is why no test and no soak could meet this.

--- /dev/null
+++ b/packages/standins/src/proofs/given_up_request_test.ts
@@ -0,0 +1,52 @@
+import type * as contracts from "@guavatide/contracts";
+import { expect } from "earl";
+import { ServerLink } from "guavatide/links/server_link";
+import * as net from "node:net";
+import { test } from "node:test";
+import * as timers from "node:timers/promises";
+import { RelayedLink } from "../relay/relayed_link.ts";
+
+/** Longer than what was held takes to arrive. */
+const ARRIVAL_MS = 200;
+
+/** Guards against work on a request whose caller has long had an answer. */
+test("should not let a request that was given up arrive when its link heals", async () => {
+  let arrivedBytes = 0;
+  const server = net.createServer((socket) => {
+    socket.on("error", () => {});
+    socket.on("data", ({ length }) => arrivedBytes += length);
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as net.AddressInfo;
+  const relay = new RelayedLink({ host: "127.0.0.1", port });
+  const link = new ServerLink({
+    host: "127.0.0.1",
+    port: await relay.listen(0),
+    connectTimeoutMs: 1_000,
+    idleTimeoutMs: 1_000,
+    answerLimitBytes: 10_000,
+    decoder: { decode: () => ({ kind: "bad", message: "No answer is due" }) },
+  });
+  try {
+    relay.setFaults({ mode: "hold" });
+    const sent = link.send({
+      id: "1" as contracts.RequestId,
+      method: "GET",
+      path: "/",
+      headers: [],
+      body: undefined,
+      mayLeave: () => true,
+      noteStamp: () => {},
+    });
+    await timers.setTimeout(ARRIVAL_MS);
+    link.abandon("timeout-after-send", "No answer before the deadline");
+    expect((await sent).kind).toEqual("unknown");
+    relay.setFaults({ mode: "pass" });
+    await timers.setTimeout(ARRIVAL_MS);
+    expect(arrivedBytes).toEqual(0);
+  } finally {
+    link.retire();
+    await relay.close();
+    server.close();
+  }
+});
--- a/packages/standins/src/relay/relayed_link.ts
+++ b/packages/standins/src/relay/relayed_link.ts
@@ -13,6 +13,8 @@
    * `silent`: present connections forward nothing for good, new ones work.
    * `mute`: no connection forwards anything while it lasts, and what was sent
    * meanwhile is lost. `mute-to-target` and `mute-to-client`: one way only.
+   * `hold`: what was sent meanwhile arrives when it ends, unless its sender has
+   * reset the connection.
    */
   mode: z.enum([
     "pass",
@@ -21,6 +23,7 @@
     "mute",
     "mute-to-target",
     "mute-to-client",
+    "hold",
   ]).optional(),
   /** Delay of each piece, each way. */
   delayMs: z.number().min(0).optional(),
@@ -41,6 +44,13 @@
   readonly target: net.Socket;
   /** Once silent or once a piece was lost, for good. */
   readonly lost: Set<Direction>;
+  /** What waits for the end of a hold, in its order. */
+  held: HeldPiece[];
+}
+
+interface HeldPiece {
+  readonly direction: Direction;
+  readonly handOn: () => void;
 }
 
 /** One listening port and its connections to one target. */
@@ -76,6 +86,7 @@
     this.#faults = { ...this.#faults, ...faults };
     if (faults.mode === "cut") this.#cutAll();
     if (faults.mode === "silent") this.#silenceAll();
+    if (this.#faults.mode !== "hold") this.#handOnAll();
   }
 
   /** Closes the port and every connection. */
@@ -91,7 +102,12 @@
     }
     const target = net.connect({ ...this.#target, noDelay: true });
     client.setNoDelay(true);
-    const connection = { client, target, lost: new Set<Direction>() };
+    const connection: RelayedConnection = {
+      client,
+      target,
+      lost: new Set(),
+      held: [],
+    };
     this.#connections.add(connection);
     this.#forward(connection, "to-target");
     this.#forward(connection, "to-client");
@@ -104,7 +120,12 @@
     from.on("data", (piece) => {
       this.#pass(connection, direction, () => to.write(piece));
     });
-    from.on("error", () => {});
+    from.on("error", () => {
+      // A sender that resets its connection has nothing more on the way.
+      connection.held = connection.held.filter((it) =>
+        it.direction !== direction
+      );
+    });
     from.on("close", () => {
       this.#pass(connection, direction, () => {
         to.destroy();
@@ -121,6 +142,10 @@
   ): void {
     if (this.#isMuted(direction)) connection.lost.add(direction);
     if (connection.lost.has(direction)) return;
+    if (this.#faults.mode === "hold") {
+      connection.held.push({ direction, handOn });
+      return;
+    }
     const delayMs = this.#faults.delayMs ?? 0;
     if (delayMs === 0) handOn();
     else setTimeout(handOn, delayMs);
@@ -131,6 +156,12 @@
     return mode === "mute" || mode === `mute-${direction}`;
   }
 
+  #handOnAll(): void {
+    for (const connection of this.#connections) {
+      for (const { handOn } of connection.held.splice(0)) handOn();
+    }
+  }
+
   #silenceAll(): void {
     for (const connection of this.#connections) {
       connection.lost.add("to-target").add("to-client");
