test: the relay hears of a reset before its link heals

Healed in the same moment, the relay handed on what it held before it could see that the sender had reset the connection, so the tests would have failed whatever the sender does. With the pause all five still fail on this code, which closes such connections instead of resetting them.

--- a/packages/standins/src/proofs/given_up_request_test.ts
+++ b/packages/standins/src/proofs/given_up_request_test.ts
@@ -6,7 +6,7 @@
 import * as timers from "node:timers/promises";
 import { RelayedLink } from "../relay/relayed_link.ts";
 
-/** Longer than what was held takes to arrive. */
+/** Longer than what was held, or a reset, takes to arrive. */
 const ARRIVAL_MS = 200;
 
 /** Guards against work on a request whose caller has long had an answer. */
@@ -41,6 +41,7 @@
     await timers.setTimeout(ARRIVAL_MS);
     link.abandon("timeout-after-send", "No answer before the deadline");
     expect((await sent).kind).toEqual("unknown");
+    await timers.setTimeout(ARRIVAL_MS);
     relay.setFaults({ mode: "pass" });
     await timers.setTimeout(ARRIVAL_MS);
     expect(arrivedBytes).toEqual(0);
