fix(links): a call that was given up ends with a reset

Two backend servers owned the same keys for 1.3 s and worked on them.

A server was cut off while renewals were on their way to it. They ran out of time, its keys were given to others once all that had been granted was over, and when the link healed the old renewals arrived and took effect: leases count from their arrival, and the server had seen no higher fence.

The design says that the connection of such a call is reset, so that its bytes leave by its end or never. The code meant to do so and did not: on an abort the client library destroys the socket before its caller hears of it, which closes it after the send buffer, and a reset of a destroyed socket does nothing. The same in the links for forwarded requests: in the incident a request that a caller had a 504 for at 19.569 s began at the server at 24.816 s. Releases, calls between VMs and the stop of a process never reset.

Connections now reset when they are destroyed, whoever destroys them, which the connector sets up. That holds for all calls to servers, the store and peers; there is no option to forget. TLS connections can't be reset this way.

Evidence: with the old code a server on loopback sees the end of the stream, with this one ECONNRESET. The record of the incident shows the request above arriving by itself, and a whole lease counted from 24.742 s on. Ruled out by the record: a VM with an old map (all ten knew a newer one, none restarted or was suspended), an order applied late (its time would have counted from its arrival), a range given on too early (2.4 s after the last grant that had arrived).

--- a/packages/entry/src/links/server_link.ts
+++ b/packages/entry/src/links/server_link.ts
@@ -3,6 +3,7 @@
 import * as names from "@guavatide/contracts";
 import type * as net from "node:net";
 import * as undici from "undici";
+import { buildResettingConnector } from "../utils/reset_connection.ts";
 import type {
   AnswerDecoder,
   AnswerReport,
@@ -72,7 +73,7 @@
 
   constructor(options: ServerLinkOptions) {
     this.#options = options;
-    const connect = undici.buildConnector({
+    const connect = buildResettingConnector({
       timeout: options.connectTimeoutMs,
     });
     const origin = `http://${options.host}:${options.port}`;
@@ -131,9 +132,6 @@
     const pending = this.#pending;
     if (pending === undefined) return;
     pending.settle(endWithoutAnswer(pending, reason, message));
-    // A close would still deliver what lies in the send buffer, and the server
-    // would begin a request that nobody waits for. A reset drops it.
-    this.#socket?.resetAndDestroy();
     pending.abort?.(new Error(message));
   }
 
--- a/packages/entry/src/platform/http_channel.ts
+++ b/packages/entry/src/platform/http_channel.ts
@@ -2,13 +2,14 @@
  * One HTTP peer of the platform with a deadline on every call. A connection
  * that may have gone silent for good looks open: the only sign is a call that
  * runs out of time. So after a timeout every connection of that moment is
- * retired, and the next call opens a new one.
+ * retired, and the next call opens a new one. The connection of a call that was
+ * given up ends with a reset, so that its bytes leave by then or never.
  */
 import type { CallOptions } from "@guavatide/contracts";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 import { EventEmitter } from "node:events";
-import type * as net from "node:net";
 import * as undici from "undici";
+import { buildResettingConnector } from "../utils/reset_connection.ts";
 
 const CONNECT_TIMEOUT_MS = 1000;
 const MAX_CONNECTIONS = 16;
@@ -35,11 +36,6 @@
 export interface HttpChannelOptions {
   /** Connections at once. */
   readonly connections?: number;
-  /**
-   * Resets the connections after a timeout instead of closing them: bytes that
-   * wait in the send buffer are dropped and can't take effect later.
-   */
-  readonly mustReset?: boolean;
 }
 
 /** Why there is no whole answer. The call may have taken effect. */
@@ -53,7 +49,7 @@
   readonly #origin: string;
   readonly #basePath: string;
   readonly #options: HttpChannelOptions;
-  #pool: ResettablePool;
+  #pool: undici.Pool;
 
   /** Calls go below `baseUrl`, for example `http://127.0.0.1:7000/v1`. */
   constructor(baseUrl: string, options: HttpChannelOptions = {}) {
@@ -74,7 +70,7 @@
 
   /** Closes every connection. */
   async close(): Promise<void> {
-    await this.#pool.pool.destroy();
+    await this.#pool.destroy();
   }
 
   async #send(
@@ -110,10 +106,10 @@
 
   async #exchange(
     call: HttpCall,
-    by: { readonly pool: ResettablePool; readonly signal: EventEmitter },
+    by: { readonly pool: undici.Pool; readonly signal: EventEmitter },
   ): Promise<HttpAnswer> {
     const path = this.#basePath + call.path;
-    const response = await by.pool.pool.request({
+    const response = await by.pool.request({
       ...call,
       path,
       signal: by.signal,
@@ -129,13 +125,10 @@
   }
 
   /** Leaves the other calls of the old pool to their own deadlines. */
-  #retire(pool: ResettablePool): void {
+  #retire(pool: undici.Pool): void {
     if (pool !== this.#pool) return;
     this.#pool = openPool(this.#origin, this.#options);
-    if (this.#options.mustReset) {
-      for (const socket of pool.sockets) socket.resetAndDestroy();
-    }
-    pool.pool.close().catch(() => {});
+    pool.close().catch(() => {});
   }
 
   #describe(
@@ -169,34 +162,17 @@
   }
 }
 
-/** A pool with its open sockets. */
-interface ResettablePool {
-  readonly pool: undici.Pool;
-  readonly sockets: Set<net.Socket>;
-}
-
 function openPool(
   origin: string,
   { connections = MAX_CONNECTIONS }: HttpChannelOptions,
-): ResettablePool {
-  const sockets = new Set<net.Socket>();
-  const connect = undici.buildConnector({ timeout: CONNECT_TIMEOUT_MS });
-  const pool = new undici.Pool(origin, {
+): undici.Pool {
+  return new undici.Pool(origin, {
     connections,
     pipelining: 1,
-    connect: (options, callback) =>
-      connect(options, (...result) => {
-        const [error, socket] = result;
-        if (error === null) {
-          sockets.add(socket);
-          socket.once("close", () => sockets.delete(socket));
-        }
-        callback(...result);
-      }),
+    connect: buildResettingConnector({ timeout: CONNECT_TIMEOUT_MS }),
     // The deadline of each call rules; undici's own would cut long watches.
     headersTimeout: 0,
     bodyTimeout: 0,
     maxResponseSize: MAX_ANSWER_BYTES,
   });
-  return { pool, sockets };
 }
--- a/packages/entry/src/vms/peer_link.ts
+++ b/packages/entry/src/vms/peer_link.ts
@@ -9,6 +9,7 @@
 import * as undici from "undici";
 import type * as z from "zod";
 import type { ServerTls } from "../utils/http_server.ts";
+import { buildResettingConnector } from "../utils/reset_connection.ts";
 import type { PeerError } from "./peer_error.ts";
 
 /** Connections to one peer; a call that waits longest blocks one of them. */
@@ -57,7 +58,10 @@
       `${scheme}://${address.host}:${address.port}`,
       {
         connections: CONNECTIONS,
-        connect: { timeout: CONNECT_TIMEOUT_MS, ...tls },
+        connect: buildResettingConnector({
+          timeout: CONNECT_TIMEOUT_MS,
+          ...tls,
+        }),
         keepAliveTimeout: 30_000,
       },
     );
