fix(links): a call ends by its deadline while it connects

Renewals to a server that was cut off ended 1.3 to 1.6 s after the first ones that had failed, each logged as unanswered within 300 ms. A VM counts such a renewal as under way until then, so the server is called lost later and its keys wait for the end of a lease that was never sent.

Cause: the client library heeds an abort only once its connection is up; the connect timeout ended the call instead. On loopback with a full accept queue a call with a deadline of 100 ms ended after 1,505 ms. Calls now end by their own deadline. One that is given up while it connects is never written, since the library drops it then.

The same trace showed a new connection after each call that was given up, closed at once: the library connects again to find that the call was aborted. A pool whose calls have all ended is now destroyed instead of closed. Two connections for one such call became one.

--- a/packages/entry/src/platform/http_channel.ts
+++ b/packages/entry/src/platform/http_channel.ts
@@ -49,7 +49,9 @@
   readonly #origin: string;
   readonly #basePath: string;
   readonly #options: HttpChannelOptions;
-  #pool: undici.Pool;
+  #pool: CountedPool;
+  /** Every pool that has not ended: the present one and retired ones. */
+  readonly #pools = new Set<CountedPool>();
 
   /** Calls go below `baseUrl`, for example `http://127.0.0.1:7000/v1`. */
   constructor(baseUrl: string, options: HttpChannelOptions = {}) {
@@ -57,7 +59,7 @@
     this.#options = options;
     this.#origin = url.origin;
     this.#basePath = url.pathname.replace(/\/$/, "");
-    this.#pool = openPool(this.#origin, options);
+    this.#pool = this.#open();
   }
 
   /** Sends one call. Errors: {@link HttpCallError}. */
@@ -70,7 +72,13 @@
 
   /** Closes every connection. */
   async close(): Promise<void> {
-    await this.#pool.destroy();
+    await Promise.all([...this.#pools].map(({ pool }) => pool.destroy()));
+  }
+
+  #open(): CountedPool {
+    const opened = { pool: openPool(this.#origin, this.#options), calls: 0 };
+    this.#pools.add(opened);
+    return opened;
   }
 
   async #send(
@@ -90,17 +98,23 @@
       abort.emit("abort");
     };
     options.signal?.addEventListener("abort", onCancel);
-    const pool = this.#pool;
+    const by = this.#pool;
+    by.calls++;
     try {
       if (isCancelled) throw new Error("Cancelled before it began");
-      return ok(await this.#exchange(call, { pool, signal: abort }));
+      const exchange = this.#exchange(call, { ...by, signal: abort });
+      // The client library ends no call before its connection is up. One that
+      // is given up until then is never written.
+      return ok(await Promise.race([exchange, rejectOnAbort(abort)]));
     } catch (error) {
-      if (isTimeout) this.#retire(pool);
+      if (isTimeout && by === this.#pool) this.#pool = this.#open();
       const cause = { error, isTimeout, isCancelled };
       return err(this.#describe(call, options, cause));
     } finally {
       clearTimeout(timer);
       options.signal?.removeEventListener("abort", onCancel);
+      by.calls--;
+      this.#endRetired(by);
     }
   }
 
@@ -124,11 +138,11 @@
     };
   }
 
-  /** Leaves the other calls of the old pool to their own deadlines. */
-  #retire(pool: undici.Pool): void {
-    if (pool !== this.#pool) return;
-    this.#pool = openPool(this.#origin, this.#options);
-    pool.close().catch(() => {});
+  /** Ends an old pool; its other calls are left to their own deadlines. */
+  #endRetired(retired: CountedPool): void {
+    if (retired === this.#pool || retired.calls > 0) return;
+    this.#pools.delete(retired);
+    retired.pool.destroy().catch(() => {});
   }
 
   #describe(
@@ -162,6 +176,18 @@
   }
 }
 
+/** A pool with the number of its calls under way. */
+interface CountedPool {
+  readonly pool: undici.Pool;
+  calls: number;
+}
+
+function rejectOnAbort(abort: EventEmitter): Promise<never> {
+  return new Promise((_resolve, reject) => {
+    abort.once("abort", () => reject(new Error("The call was given up")));
+  });
+}
+
 function openPool(
   origin: string,
   { connections = MAX_CONNECTIONS }: HttpChannelOptions,
