fix(grants): the wait for a last grant covers the time of its call

A keeper checks its evidence, then calls; the bytes may leave until the call ends, 300 ms later, as when the first packet is lost. The mover counted a keeper that it does not hear by its evidence alone, and a grant that was under way when its keeper was last heard by that moment. With default times the keys were free at 2,330 ms after the promise while a grant checked in time could last until 2,529 ms; for a grant under way 1,635 ms against 1,835 ms.

Both now count until the end of the call. A word after the end takes it back, so only keepers that fall silent cost the 300 ms.

Tests: the expected value for an unheard keeper held the fault and becomes stricter by the time of a call; a test of a grant under way is new; both failed before (12,380 for 12,680 and 11,670 for 11,970). One fixture told of a grant that ended after its keeper was heard, which can't be; it now hears the keeper after it. The model lets grants leave late.

--- a/packages/decisions/src/grants/grant_model_test.ts
+++ b/packages/decisions/src/grants/grant_model_test.ts
@@ -29,6 +29,8 @@
   readonly unansweredForgotten?: boolean;
   /** No rule: the first keeper alone reaches the store, and nobody else. */
   readonly isFirstApart?: boolean;
+  /** No rule: the last keeper reaches the servers, and nobody else. */
+  readonly isLastApart?: boolean;
 }
 
 class ModelServer {
@@ -179,6 +181,12 @@
       for (const other of others) other.hasStore = false;
       return;
     }
+    if (this.#traps.isLastApart) {
+      const last = this.keepers.at(-1)!;
+      last.hasPeers = false;
+      last.hasStore = false;
+      return;
+    }
     const keeper = this.#pick(this.keepers);
     if (this.#chance(0.002)) keeper.restart(this.nowMs);
     if (this.#chance(0.002)) {
@@ -294,7 +302,7 @@
     }
   }
 
-  /** One grant call: answered, lost, or taken late after it was given up. */
+  /** One grant call: sent late, answered, lost, or taken late after its end. */
   #grant(keeper: ModelKeeper, range: contracts.RangeState): void {
     const server = this.servers.find(({ owner }) =>
       owner.server === range.owner.server
@@ -310,8 +318,11 @@
       if (!isAnswered) state.unansweredMs = this.nowMs;
     };
     const wayMs = this.#between(1, 120);
+    const waitMs = this.#chance(0.3)
+      ? this.#between(0, TIMINGS.orderTimeoutMs)
+      : 0;
     const isLate = this.#chance(0.1);
-    this.#after(wayMs, () => {
+    this.#after(waitMs + wayMs, () => {
       const arrived = { arrivedMs: this.nowMs, holdMs };
       if (server.silentUntilMs > this.nowMs) return;
       if (isLate) {
@@ -465,9 +476,14 @@
   expect(play({ isFirstApart: true }, 20).violations).toEqual(0);
 });
 
+/** Guards against renewals by a keeper that nobody reaches but the servers. */
+test("should wait for a keeper that is cut off from its peers and the store", () => {
+  expect(play({ isLastApart: true }, 20).violations).toEqual(0);
+});
+
 /** Each row leaves one rule out; the model has to show what it prevents. */
 const TRAPS: readonly [string, Traps][] = [
-  ["evidence ends", { noEvidenceEnd: true }],
+  ["evidence ends", { noEvidenceEnd: true, isLastApart: true }],
   ["a mover waits for the last grant", { noWait: true }],
   ["a majority has to know the move", { noPromise: true, isFirstApart: true }],
   ["unanswered grants count after a release", { unansweredForgotten: true }],
--- a/packages/decisions/src/grants/range_wait.ts
+++ b/packages/decisions/src/grants/range_wait.ts
@@ -6,7 +6,7 @@
 import type * as contracts from "@guavatide/contracts";
 import { holdOf } from "./grant_hold.ts";
 import { grantLifeMs, type GrantTimings } from "./grant_timings.ts";
-import type { KeeperBook } from "./keeper_book.ts";
+import type { KeeperBook, KeeperWord } from "./keeper_book.ts";
 
 /** A release that left after the promise and was answered. */
 export interface AnsweredRelease {
@@ -68,20 +68,33 @@
   kind: "lastGrantMs" | "lastUnansweredMs",
 ): number {
   const { server, revision } = range.vacating!;
-  // A keeper that is not heard may act on its evidence until that is too old.
-  const unheardMs = promisedAtMs + timings.evidenceMs;
+  const { evidenceMs, orderTimeoutMs } = timings;
+  // A keeper that is not heard may act on its evidence until that is too old,
+  // and the bytes of its last call leave within the time of the call.
+  const unheardMs = promisedAtMs + evidenceMs + orderTimeoutMs;
   let lastMs = Number.NEGATIVE_INFINITY;
   for (const vm of new Set(map.keeperSets.flat())) {
     const word = keepers.word(vm);
     const isHeard = word !== undefined && word.revision >= revision;
     // What an earlier run of its process sent is not known to this one.
     const sentMs = isHeard
-      ? Math.max(
-        word[kind].get(server) ?? Number.NEGATIVE_INFINITY,
-        word.startedAtMs,
-      )
+      ? Math.max(lastSentMs(word, kind, { server, timings }), word.startedAtMs)
       : unheardMs;
     lastMs = Math.max(lastMs, sentMs);
   }
   return lastMs + grantLifeMs(timings, holdOf(map, timings));
 }
+
+/** A grant that was under way when the keeper was heard leaves by its end. */
+function lastSentMs(
+  word: KeeperWord,
+  kind: "lastGrantMs" | "lastUnansweredMs",
+  { server, timings }: {
+    readonly server: contracts.ServerId;
+    readonly timings: GrantTimings;
+  },
+): number {
+  const endMs = word[kind].get(server) ?? Number.NEGATIVE_INFINITY;
+  const isUnderWay = endMs >= word.receivedAtMs;
+  return isUnderWay ? endMs + timings.orderTimeoutMs : endMs;
+}
--- a/packages/decisions/src/grants/range_wait_test.ts
+++ b/packages/decisions/src/grants/range_wait_test.ts
@@ -14,6 +14,9 @@
   bornMs: 1,
 };
 
+/** When the keepers of a fixture were heard. */
+const HEARD_AT_MS = 10_040;
+
 /** A move from a to b with three keepers, written at 10 000 ms. */
 class Fixture {
   readonly keepers = new grants.KeeperBook();
@@ -44,6 +47,7 @@
     options: {
       revision?: number;
       startedAtMs?: number;
+      heardAtMs?: number;
       sentMs?: number;
       unansweredMs?: number;
     } = {},
@@ -54,7 +58,7 @@
       revision: options.revision ?? 2,
       isSettled: true,
       askedAtMs: 10_010,
-      receivedAtMs: 10_040,
+      receivedAtMs: options.heardAtMs ?? HEARD_AT_MS,
       startedAtMs: options.startedAtMs ?? 0,
       lastGrantMs: new Map(sentMs === undefined ? [] : [[A.server, sentMs]]),
       lastUnansweredMs: new Map(
@@ -95,22 +99,30 @@
   expect(fixture.freeAtMs()).toEqual(9_900 + GRANT_LIFE_MS);
 });
 
-/**
- * A keeper is frozen or cut off. It may have sent a grant on evidence that was
- * good until shortly after the others promised to know the newer map.
- */
+/** Guards against a grant that an unheard keeper checked in time and sent late. */
 test("should count a keeper that is not heard by its evidence", () => {
   const fixture = new Fixture();
+  const lastSentMs = fixture.promisedAtMs + TIMINGS.evidenceMs +
+    TIMINGS.orderTimeoutMs;
   fixture.hear("k1", { sentMs: 9_700 });
   fixture.hear("k2");
-  expect(fixture.freeAtMs()).toEqual(
-    fixture.promisedAtMs + TIMINGS.evidenceMs + GRANT_LIFE_MS,
-  );
+  expect(fixture.freeAtMs()).toEqual(lastSentMs + GRANT_LIFE_MS);
   // One that is heard with the older map may still act on it as well.
   fixture.hear("k3", { revision: 1 });
-  expect(fixture.freeAtMs()).toEqual(
-    fixture.promisedAtMs + TIMINGS.evidenceMs + GRANT_LIFE_MS,
-  );
+  expect(fixture.freeAtMs()).toEqual(lastSentMs + GRANT_LIFE_MS);
+});
+
+/** Guards against a grant that leaves after its keeper was last heard. */
+test("should count a grant that was under way by the end of its call", () => {
+  const fixture = new Fixture();
+  fixture.hear("k1", { sentMs: HEARD_AT_MS, unansweredMs: HEARD_AT_MS });
+  fixture.hear("k2");
+  fixture.hear("k3");
+  const lastSentMs = HEARD_AT_MS + TIMINGS.orderTimeoutMs;
+  expect(fixture.freeAtMs()).toEqual(lastSentMs + GRANT_LIFE_MS);
+  // It is not known to be answered, so a release does not undo it.
+  fixture.releasedAtMs = 10_060;
+  expect(fixture.freeAtMs()).toEqual(lastSentMs + GRANT_LIFE_MS);
 });
 
 /** A keeper restarted and no longer knows what its earlier run has sent. */
@@ -149,7 +161,7 @@
  */
 test("should not count a release that left before a grant had ended", () => {
   const fixture = new Fixture();
-  fixture.hear("k1", { sentMs: 10_058 });
+  fixture.hear("k1", { sentMs: 10_058, heardAtMs: 10_059 });
   fixture.hear("k2");
   fixture.hear("k3");
   fixture.releasedAtMs = 10_060;
