fix(links): a process that ends by itself resets its connections

A process that ended by an error that nobody caught, by a rejection or by an exit closed its connections, and calls under way took effect when a cut link healed. A second SIGTERM ended a process in the middle of its stop in the same way.

Open connections are now known and reset as the process exits; a further SIGTERM during the stop is ignored. A kill from outside and a lack of memory are not covered: the kernel closes the sockets then.

--- a/packages/entry/src/gateway/run_gateway.ts
+++ b/packages/entry/src/gateway/run_gateway.ts
@@ -3,6 +3,7 @@
 import type * as neverthrow from "neverthrow";
 import { createLineLog } from "../utils/line_log.ts";
 import type { Log } from "../utils/log.ts";
+import { resetOpenConnections } from "../utils/reset_connection.ts";
 import type {
   GatewaySettings,
   GatewaySettingsError,
@@ -39,7 +40,11 @@
     log,
   });
   watchSettings(settingsPath, loadSettings, log);
-  process.once("SIGTERM", () => {
+  process.once("exit", resetOpenConnections);
+  let isStopping = false;
+  process.on("SIGTERM", () => {
+    if (isStopping) return;
+    isStopping = true;
     gateway.stop().then(() => process.exit(0), (error) => {
       log.part("main").error("Stop failed.", { error: String(error) });
       process.exit(1);
--- a/packages/entry/src/utils/reset_connection.ts
+++ b/packages/entry/src/utils/reset_connection.ts
@@ -3,6 +3,13 @@
 import * as tls from "node:tls";
 import * as undici from "undici";
 
+const open = new Set<net.Socket>();
+
+/** Resets what is open, for a process that ends without closing it. */
+export function resetOpenConnections(): void {
+  for (const socket of open) socket.destroy();
+}
+
 /**
  * Connects for undici. A close would still deliver what waits in the send
  * buffer, also seconds later when a cut link heals, and the call would take
@@ -27,6 +34,8 @@
 function resetWhenDestroyed(socket: net.Socket): void {
   // Node resets TCP connections only.
   if (socket instanceof tls.TLSSocket) return;
+  open.add(socket);
+  socket.once("close", () => open.delete(socket));
   const destroy = socket.destroy.bind(socket);
   socket.destroy = (error) => {
     socket.destroy = () => destroy(error);
--- /dev/null
+++ b/packages/standins/src/proofs/ended_process_main.ts
@@ -0,0 +1,13 @@
+/** Sends one call to a port, and ends without closing anything as told. */
+import { HttpChannel } from "guavatide/platform/http_channel";
+import { resetOpenConnections } from "guavatide/utils/reset_connection";
+
+const [port, how] = process.argv.slice(2);
+process.once("exit", resetOpenConnections);
+const channel = new HttpChannel(`http://127.0.0.1:${port}`);
+const call = { method: "POST", path: "/", body: "{}" } as const;
+channel.call(call, { timeoutMs: 60_000 }).then(() => {}, () => {});
+process.once("SIGUSR2", () => {
+  if (how === "throw") throw new Error("Nobody catches this");
+  process.exit(0);
+});
