fix(grants): a grant is checked again as its bytes leave

Evidence was checked before the call, and nothing looked again when the bytes left.

The channel now handles its calls itself: each ends once, is not written after its deadline, and asks its sender right before the bytes leave. A grant leaves only if the map known at that moment still gives the range to its owner and evidence for it is fresh; that covers a suspension too, which makes evidence old. A grant that is kept back counts neither as sent nor as a silent server.

--- a/packages/contracts/src/backend_server.ts
+++ b/packages/contracts/src/backend_server.ts
@@ -108,7 +108,8 @@
 
 /** Why a call to a server's control side failed. */
 export interface ServerCallError {
-  readonly kind: "unreachable" | "timeout" | "bad-answer";
+  /** `kept`: nothing was sent. */
+  readonly kind: "unreachable" | "timeout" | "bad-answer" | "kept";
   readonly message: string;
 }
 
--- a/packages/contracts/src/key_grants.ts
+++ b/packages/contracts/src/key_grants.ts
@@ -31,13 +31,19 @@
 /** What a backend server said to a grant. */
 export type GrantAnswer = "granted" | "fenced-off" | "refused";
 
+/** Options of a grant call. */
+export interface GrantCallOptions extends CallOptions {
+  /** Called right before the bytes leave; false keeps the grant here. */
+  readonly mayLeave?: () => boolean;
+}
+
 /** Grant calls of one platform. */
 export interface GrantControl {
-  /** Errors: no answer in time; the grant may still take effect. */
+  /** Errors: no answer in time, and the grant may take effect; or kept here. */
   grant(
     server: ServerEntry,
     grant: KeyGrant,
-    options: CallOptions,
+    options: GrantCallOptions,
   ): ResultAsync<GrantAnswer, ServerCallError>;
   /**
    * Stops new work on a range at once and returns, when the running work has
--- a/packages/entry/src/gateway/grant_sender.ts
+++ b/packages/entry/src/gateway/grant_sender.ts
@@ -59,6 +59,8 @@
   readonly range: contracts.RangeState;
   readonly handover: string | undefined;
   readonly holdMs: number;
+  /** Whether the grant rests on good evidence, asked as its bytes leave. */
+  readonly mayLeave: () => boolean;
 }
 
 /** Renewals of one entry VM for one service. */
@@ -108,6 +110,8 @@
     const ages = new Map<contracts.ServerId, [number, number | null]>();
     for (const [server, state] of this.#servers) {
       const { isUnderWay, lastEndMs, lastUnansweredMs } = state;
+      // Nothing has left yet, and peers can't be told an infinite age.
+      if (!isUnderWay && lastEndMs === Number.NEGATIVE_INFINITY) continue;
       const unansweredMs = lastUnansweredMs === undefined
         ? null
         : Math.floor(nowMs - lastUnansweredMs);
@@ -119,27 +123,33 @@
     return ages;
   }
 
-  /** Sends one grant; the caller has checked evidence just now. */
-  async send({ range, handover, holdMs }: GrantOrder): Promise<void> {
+  /** Sends one grant. */
+  async send({ range, handover, holdMs, mayLeave }: GrantOrder): Promise<void> {
     const { clock, control, timings, entry, log } = this.#options;
     const server = entry(range.owner);
     if (server === undefined) return;
     const state = this.#state(range.owner.server);
     const sentMs = clock.nowMs();
+    const { silentSinceMs } = state;
     state.isUnderWay = true;
     state.silentSinceMs ??= sentMs;
     const { fromKey, toKey, fence } = range;
     const result = await control.grant(
       server,
       { fromKey, toKey, fence, holdMs, handover },
-      { timeoutMs: timings.orderTimeoutMs },
+      { timeoutMs: timings.orderTimeoutMs, mayLeave },
     );
     state.isUnderWay = false;
+    const fields = { server: server.server, fromKey, toKey, fence };
+    if (result.isErr() && result.error.kind === "kept") {
+      state.silentSinceMs = silentSinceMs;
+      this.#options.onEnded(server.server);
+      return log.warn("Grant kept back: its evidence is too old.", fields);
+    }
     state.lastEndMs = clock.nowMs();
     this.#notePause(state, result.isOk() && result.value === "granted");
     if (result.isErr()) state.lastUnansweredMs = state.lastEndMs;
     this.#options.onEnded(server.server);
-    const fields = { server: server.server, fromKey, toKey, fence };
     if (result.isErr()) {
       log.warn("Grant not answered.", {
         ...fields,
--- a/packages/entry/src/gateway/grant_sender_test.ts
+++ b/packages/entry/src/gateway/grant_sender_test.ts
@@ -3,7 +3,7 @@
 import { expect } from "earl";
 import * as neverthrow from "neverthrow";
 import { test } from "node:test";
-import { GrantSender } from "./grant_sender.ts";
+import { type GrantOrder, GrantSender } from "./grant_sender.ts";
 
 const SERVER = "k1" as contracts.ServerId;
 const RANGE: contracts.RangeState = {
@@ -13,23 +13,27 @@
   fence: 1,
 };
 
-/**
- * A server can't be reached for a while, and its ranges are taken from it. As
- * nothing is sent to it any more, no answer can show that it is back: called
- * silent for ever, it gets no keys again, and with all servers so, no key is
- * served.
- */
-test("should not call a server silent that it has left alone for long", async () => {
-  let nowMs = 0;
-  const sender = new GrantSender({
+const ORDER: GrantOrder = {
+  range: RANGE,
+  handover: undefined,
+  holdMs: 1_500,
+  mayLeave: () => true,
+};
+
+/** A sender whose grants end as told. */
+function createSender(
+  grant: contracts.GrantControl["grant"],
+  nowMs: () => number,
+): GrantSender {
+  return new GrantSender({
     control: {
-      grant: () =>
-        neverthrow.errAsync({ kind: "unreachable", message: "Refused" }),
+      grant,
       release: () => neverthrow.okAsync(undefined),
       close: () => Promise.resolve(),
     },
     timings: grants.DEFAULT_GRANT_TIMINGS,
-    clock: { nowMs: () => nowMs },
+    clock: { nowMs },
+    random: { next: () => 0.5 },
     log: { debug() {}, info() {}, warn() {}, error() {} },
     entry: () => ({
       server: SERVER,
@@ -46,52 +50,52 @@
     onEnded: () => {},
     onFencedOff: () => {},
   });
-  await sender.send({ range: RANGE, handover: undefined, holdMs: 1_500 });
+}
+
+function refuse() {
+  return neverthrow.errAsync(
+    { kind: "unreachable", message: "Refused" } as const,
+  );
+}
+
+/** Guards against a server that is called silent, and unused, for ever. */
+test("should not call a server silent that it has left alone for long", async () => {
+  let nowMs = 0;
+  const sender = createSender(refuse, () => nowMs);
+  await sender.send(ORDER);
   nowMs = 800;
-  await sender.send({ range: RANGE, handover: undefined, holdMs: 1_500 });
+  await sender.send(ORDER);
   expect(sender.silentServers()).toEqual([SERVER]);
   nowMs = 10_000;
   expect(sender.silentServers()).toEqual([]);
 });
 
-/**
- * A server refuses connections, as while it restarts. Each grant fails within a
- * millisecond; sent again at once, they take the processor from callers.
- */
+/** Guards against refused grants that take the processor from callers. */
 test("should pause between grants that a server refuses", async () => {
   let nowMs = 0;
   let calls = 0;
-  const sender = new GrantSender({
-    control: {
-      grant: () => {
-        calls++;
-        return neverthrow.errAsync({ kind: "unreachable", message: "Refused" });
-      },
-      release: () => neverthrow.okAsync(undefined),
-      close: () => Promise.resolve(),
-    },
-    timings: grants.DEFAULT_GRANT_TIMINGS,
-    clock: { nowMs: () => nowMs },
-    random: { next: () => 0.5 },
-    log: { debug() {}, info() {}, warn() {}, error() {} },
-    entry: () => ({
-      server: SERVER,
-      bornMs: 1,
-      service: "keyed" as contracts.ServiceId,
-      host: "10.0.0.1",
-      port: 80,
-      zone: "z1" as contracts.ZoneId,
-      slots: 2,
-      isDraining: false,
-      warmUpLeftMs: 0,
-    }),
-    onConfirmed: () => {},
-    onEnded: () => {},
-    onFencedOff: () => {},
-  });
+  const count = () => {
+    calls++;
+    return refuse();
+  };
+  const sender = createSender(count, () => nowMs);
   for (; nowMs < 2_000; nowMs++) {
     if (!sender.isFree(SERVER)) continue;
-    await sender.send({ range: RANGE, handover: undefined, holdMs: 1_500 });
+    await sender.send(ORDER);
   }
   expect(calls >= 8 && calls <= 12).toEqual(true);
 });
+
+/** Guards against waits and votes for a grant that never left. */
+test("should not count a grant that was kept back", async () => {
+  let nowMs = 0;
+  const keep = () =>
+    neverthrow.errAsync({ kind: "kept", message: "Kept back" } as const);
+  const sender = createSender(keep, () => nowMs);
+  await sender.send(ORDER);
+  nowMs = 800;
+  await sender.send(ORDER);
+  expect(sender.silentServers()).toEqual([]);
+  expect(sender.agesMs().has(SERVER)).toEqual(false);
+  expect(sender.isFree(SERVER)).toEqual(true);
+});
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -364,11 +364,11 @@
       if (overdueMs >= 0) due.push({ range, overdueMs });
     }
     if (due.length === 0) return;
-    const evidenceAgeMs = nowMs - this.#keepers.evidenceAtMs(map);
-    if (evidenceAgeMs >= timings.evidenceMs) return this.#learner.readSoon();
+    if (!this.#hasEvidence(map)) return this.#learner.readSoon();
     for (const range of grants.mostOverdue(due)) {
       const handover = this.#mover.handover(range.fence);
-      const order = { range, handover, holdMs: this.#holdMs };
+      const mayLeave = () => this.#mayRenew(range);
+      const order = { range, handover, holdMs: this.#holdMs, mayLeave };
       this.#sender.send(order).then(
         () => this.#renewNext(),
         (error) =>
@@ -377,6 +377,22 @@
     }
   }
 
+  #hasEvidence(map: contracts.RangeMap): boolean {
+    const { clock, timings } = this.#options;
+    const ageMs = clock.nowMs() - this.#keepers.evidenceAtMs(map);
+    return ageMs < timings.evidenceMs;
+  }
+
+  /** Whether the map that is known now still gives the range to its owner. */
+  #mayRenew({ fromKey, toKey, fence }: contracts.RangeState): boolean {
+    if (this.#map === undefined) return false;
+    const { ranges } = this.#map;
+    const known = ranges[grants.rangeIndex(ranges, fromKey)]!;
+    const isSame = known.fence === fence && known.fromKey === fromKey &&
+      known.toKey === toKey && known.vacating === undefined;
+    return isSame && this.#hasEvidence(this.#map);
+  }
+
   /** A server may have more ranges due than one tick sends. */
   #renewNext(): void {
     if (this.#map === undefined) return;
--- a/packages/entry/src/platform/http_backend_control.ts
+++ b/packages/entry/src/platform/http_backend_control.ts
@@ -47,8 +47,8 @@
 }
 
 function toServerError(error: HttpCallError): contracts.ServerCallError {
-  const kind = error.kind === "timeout" ? "timeout" : "unreachable";
-  return { kind, message: error.message };
+  const { kind, message } = error;
+  return { kind: kind === "cancelled" ? "unreachable" : kind, message };
 }
 
 function parse<T>(
--- a/packages/entry/src/platform/http_channel.ts
+++ b/packages/entry/src/platform/http_channel.ts
@@ -7,7 +7,7 @@
  */
 import type { CallOptions } from "@guavatide/contracts";
 import { err, ok, type Result, ResultAsync } from "neverthrow";
-import { EventEmitter } from "node:events";
+import type * as http from "node:http";
 import * as undici from "undici";
 import { buildResettingConnector } from "../utils/reset_connection.ts";
 
@@ -21,6 +21,8 @@
   readonly path: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: string;
+  /** Called right before the bytes leave; false keeps them here. */
+  readonly mayLeave?: (() => boolean) | undefined;
 }
 
 /** A whole answer. */
@@ -38,9 +40,9 @@
   readonly connections?: number;
 }
 
-/** Why there is no whole answer. The call may have taken effect. */
+/** Why there is no whole answer. The call may have taken effect unless kept. */
 export interface HttpCallError {
-  readonly kind: "timeout" | "unreachable" | "cancelled";
+  readonly kind: "timeout" | "unreachable" | "cancelled" | "kept";
   readonly message: string;
 }
 
@@ -83,59 +85,31 @@
 
   async #send(
     call: HttpCall,
-    options: CallOptions,
+    { timeoutMs, signal }: CallOptions,
   ): Promise<Result<HttpAnswer, HttpCallError>> {
-    // An emitter costs a fraction of an AbortSignal, and calls are many.
-    const abort = new EventEmitter();
-    let isTimeout = false;
-    let isCancelled = options.signal?.aborted === true;
-    const timer = setTimeout(() => {
-      isTimeout = true;
-      abort.emit("abort");
-    }, Math.max(0, options.timeoutMs));
-    const onCancel = () => {
-      isCancelled = true;
-      abort.emit("abort");
-    };
-    options.signal?.addEventListener("abort", onCancel);
     const by = this.#pool;
     by.calls++;
-    try {
-      if (isCancelled) throw new Error("Cancelled before it began");
-      const exchange = this.#exchange(call, { ...by, signal: abort });
-      // The client library ends no call before its connection is up. One that
-      // is given up until then is never written.
-      return ok(await Promise.race([exchange, rejectOnAbort(abort)]));
-    } catch (error) {
-      if (isTimeout && by === this.#pool) this.#pool = this.#open();
-      const cause = { error, isTimeout, isCancelled };
-      return err(this.#describe(call, options, cause));
-    } finally {
-      clearTimeout(timer);
-      options.signal?.removeEventListener("abort", onCancel);
-      by.calls--;
-      this.#endRetired(by);
-    }
-  }
-
-  async #exchange(
-    call: HttpCall,
-    by: { readonly pool: undici.Pool; readonly signal: EventEmitter },
-  ): Promise<HttpAnswer> {
-    const path = this.#basePath + call.path;
-    const response = await by.pool.request({
-      ...call,
-      path,
-      signal: by.signal,
+    const exchange = new Exchange(timeoutMs, call.mayLeave);
+    const timer = setTimeout(
+      () => exchange.giveUp("timeout"),
+      Math.max(0, timeoutMs),
+    );
+    const onCancel = () => exchange.giveUp("cancelled");
+    signal?.addEventListener("abort", onCancel);
+    if (signal?.aborted) onCancel();
+    else exchange.start(by.pool, { ...call, path: this.#basePath + call.path });
+    const end = await exchange.ended;
+    clearTimeout(timer);
+    signal?.removeEventListener("abort", onCancel);
+    const isTimeout = end.kind === "timeout";
+    if (isTimeout && by === this.#pool) this.#pool = this.#open();
+    by.calls--;
+    this.#endRetired(by);
+    if (end.kind === "answer") return ok(end.answer);
+    return err({
+      kind: end.kind,
+      message: this.#describe(call, timeoutMs, end),
     });
-    const text = await response.body.text();
-    const etag = response.headers["etag"];
-    return {
-      status: response.statusCode,
-      etag: typeof etag === "string" ? etag : undefined,
-      headers: response.headers,
-      text,
-    };
   }
 
   /** Ends an old pool; its other calls are left to their own deadlines. */
@@ -145,34 +119,20 @@
     retired.pool.destroy().catch(() => {});
   }
 
-  #describe(
-    call: HttpCall,
-    options: CallOptions,
-    cause: {
-      readonly error: unknown;
-      readonly isTimeout: boolean;
-      readonly isCancelled: boolean;
-    },
-  ): HttpCallError {
+  #describe(call: HttpCall, timeoutMs: number, end: FailedEnd): string {
     const what = `${call.method} ${this.#origin}${this.#basePath}${
       call.path.split("?")[0]
     }`;
-    if (cause.isTimeout) {
-      return {
-        kind: "timeout",
-        message:
-          `No answer to "${what}" within ${options.timeoutMs} ms; check that the address answers, or allow more time`,
-      };
+    switch (end.kind) {
+      case "timeout":
+        return `No answer to "${what}" within ${timeoutMs} ms; check that the address answers, or allow more time`;
+      case "cancelled":
+        return `Cancelled "${what}"`;
+      case "kept":
+        return `Kept back "${what}": it was not to leave any more`;
+      case "unreachable":
+        return `Failed "${what}": ${end.reason}; check the address and that the other side runs`;
     }
-    if (cause.isCancelled) {
-      return { kind: "cancelled", message: `Cancelled "${what}"` };
-    }
-    return {
-      kind: "unreachable",
-      message: `Failed "${what}": ${
-        String(cause.error)
-      }; check the address and that the other side runs`,
-    };
   }
 }
 
@@ -182,10 +142,93 @@
   calls: number;
 }
 
-function rejectOnAbort(abort: EventEmitter): Promise<never> {
-  return new Promise((_resolve, reject) => {
-    abort.once("abort", () => reject(new Error("The call was given up")));
-  });
+/** How a call ended without a whole answer. */
+interface FailedEnd {
+  readonly kind: HttpCallError["kind"];
+  readonly reason: string;
+}
+
+type ExchangeEnd =
+  | { readonly kind: "answer"; readonly answer: HttpAnswer }
+  | FailedEnd;
+
+/**
+ * One call and its answer. It ends once: the client library heeds an abort only
+ * once its connection is up, and never writes a call that has ended until then.
+ */
+class Exchange implements undici.Dispatcher.DispatchHandler {
+  readonly ended: Promise<ExchangeEnd>;
+  readonly #deadlineMs: number;
+  readonly #mayLeave: () => boolean;
+  #settle: (end: ExchangeEnd) => void = () => {};
+  #isOver = false;
+  #controller: undici.Dispatcher.DispatchController | undefined;
+  #status = 0;
+  #headers: http.IncomingHttpHeaders = {};
+  readonly #chunks: Buffer[] = [];
+
+  constructor(timeoutMs: number, mayLeave: () => boolean = () => true) {
+    this.#deadlineMs = performance.now() + timeoutMs;
+    this.#mayLeave = mayLeave;
+    this.ended = new Promise((resolve) => this.#settle = resolve);
+  }
+
+  start(pool: undici.Pool, { method, path, headers, body }: HttpCall): void {
+    pool.dispatch({ method, path, headers, body }, this);
+  }
+
+  /** Ends the call without an answer. */
+  giveUp(kind: FailedEnd["kind"], reason: string = kind): void {
+    this.#end({ kind, reason });
+    this.#controller?.abort(new Error(reason));
+  }
+
+  onRequestStart(controller: undici.Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    // A late event loop writes before it runs the timer of the deadline.
+    const isLate = performance.now() >= this.#deadlineMs;
+    if (this.#isOver || isLate) return this.giveUp("timeout");
+    if (!this.#mayLeave()) this.giveUp("kept");
+  }
+
+  onResponseStart(
+    _controller: undici.Dispatcher.DispatchController,
+    status: number,
+    headers: http.IncomingHttpHeaders,
+  ): void {
+    this.#status = status;
+    this.#headers = headers;
+  }
+
+  onResponseData(
+    _controller: undici.Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    this.#chunks.push(chunk);
+  }
+
+  onResponseEnd(): void {
+    const { etag } = this.#headers;
+    const answer = {
+      status: this.#status,
+      etag,
+      headers: this.#headers,
+      text: Buffer.concat(this.#chunks).toString(),
+    };
+    this.#end({ kind: "answer", answer });
+  }
+
+  onResponseError(
+    _controller: undici.Dispatcher.DispatchController,
+    error: Error,
+  ): void {
+    this.#end({ kind: "unreachable", reason: String(error) });
+  }
+
+  #end(end: ExchangeEnd): void {
+    this.#isOver = true;
+    this.#settle(end);
+  }
 }
 
 function openPool(
--- a/packages/entry/src/platform/http_channel_test.ts
+++ b/packages/entry/src/platform/http_channel_test.ts
@@ -45,11 +45,17 @@
   }
 });
 
-/** Guards against a connection that is opened for nothing. */
-test("should not connect anew for a call that was given up", async () => {
-  let connections = 0;
+/** Runs a test on a server that takes everything and answers nothing. */
+async function withMuteServer(
+  run: (
+    channel: HttpChannel,
+    seen: { connections: number; bytes: number },
+  ) => Promise<void>,
+): Promise<void> {
+  const seen = { connections: 0, bytes: 0 };
   const server = net.createServer((socket) => {
-    connections++;
+    seen.connections++;
+    socket.on("data", ({ length }) => seen.bytes += length);
     socket.on("error", () => {});
   });
   server.listen(0, "127.0.0.1");
@@ -57,12 +63,41 @@
   const { port } = server.address() as net.AddressInfo;
   const channel = new HttpChannel(`http://127.0.0.1:${port}`);
   try {
-    const result = await channel.call(CALL, { timeoutMs: TIMEOUT_MS });
-    expect(result.isErr()).toEqual(true);
-    await timers.setTimeout(SOON_MS);
-    expect(connections).toEqual(1);
+    await run(channel, seen);
   } finally {
     await channel.close();
     server.close();
   }
-});
+}
+
+/** Guards against a connection that is opened for nothing. */
+test("should not connect anew for a call that was given up", () =>
+  withMuteServer(async (channel, seen) => {
+    const result = await channel.call(CALL, { timeoutMs: TIMEOUT_MS });
+    expect(result.isErr()).toEqual(true);
+    await timers.setTimeout(SOON_MS);
+    expect(seen.connections).toEqual(1);
+    expect(seen.bytes > 0).toEqual(true);
+  }));
+
+/** Guards against a grant that leaves long after its evidence was looked at. */
+test("should not write a call whose deadline passed in a late event loop", () =>
+  withMuteServer(async (channel, seen) => {
+    const ended = channel.call(CALL, { timeoutMs: TIMEOUT_MS });
+    const endMs = performance.now() + 2 * TIMEOUT_MS;
+    while (performance.now() < endMs);
+    const result = await ended;
+    expect(result.isErr() && result.error.kind).toEqual("timeout");
+    await timers.setTimeout(SOON_MS);
+    expect(seen.bytes).toEqual(0);
+  }));
+
+/** Guards against a grant that leaves although it may not any more. */
+test("should keep a call back that may not leave", () =>
+  withMuteServer(async (channel, seen) => {
+    const call = { ...CALL, mayLeave: () => false };
+    const result = await channel.call(call, { timeoutMs: TIMEOUT_MS });
+    expect(result.isErr() && result.error.kind).toEqual("kept");
+    await timers.setTimeout(SOON_MS);
+    expect(seen.bytes).toEqual(0);
+  }));
