--- a/packages/decisions/src/admission/cold_start_limit.ts
+++ b/packages/decisions/src/admission/cold_start_limit.ts
@@ -1,14 +1,13 @@
 /**
- * Limits the requests begun at cold servers. A server that has just started
- * crashes under the load of a warm one, and the bound holds over all entry VMs,
- * in touch with one another or not. Answers the return of a zone's servers, a
- * release, and the end of an evacuation.
+ * Limits the requests begun at cold servers, over all entry VMs, in touch with
+ * one another or not: a server that has just started crashes under the load of
+ * a warm one.
  */
 import type * as contracts from "@guavatide/contracts";
 
 /**
- * What a cold server may get in any one second, from all entry VMs together:
- * what it bears times the ratio, and the slack.
+ * What a cold server may get in any one second from all entry VMs together:
+ * what it bears times the ratio, plus the slack.
  */
 export interface ColdStartBound {
   readonly excessRatio: number;
--- a/packages/decisions/src/admission/late_loop_rule.ts
+++ b/packages/decisions/src/admission/late_loop_rule.ts
@@ -1,13 +1,7 @@
 /**
- * Whether a request is refused because this entry VM reads it too late. Answers
- * the load that a VM's processor can't carry: after a restart under the load of
- * a whole zone, in a burst, or when a VM turns slow.
- *
- * Without it a VM that is behind forwards each request in turn. All of them are
- * then late by the same time, none is answered within its target, and each
- * takes the processor from the next. A refusal takes a fifth of the processor
- * time, so the others are on time again, and the refused caller comes back to
- * another VM.
+ * Whether a request is refused because this entry VM reads it too late. A
+ * refusal takes far less processor time than a forwarded request, so an
+ * overloaded VM answers the others on time.
  */
 
 /** What is known of a request when it has been read. */
@@ -24,9 +18,8 @@
 }
 
 /**
- * Part of the target latency that is left for the VM's own work. A VM that is
- * behind takes requests up to the limit of this rule, so with nothing left half
- * of the answers would be late by a little.
+ * Part of the target latency kept for the VM's own work: an overloaded VM takes
+ * requests up to this limit.
  */
 const SPARE_PART = 0.2;
 
--- a/packages/decisions/src/admission/rank_order.ts
+++ b/packages/decisions/src/admission/rank_order.ts
@@ -6,8 +6,8 @@
 import type { WaitingRequest } from "./waiting_request.ts";
 
 /**
- * A less urgent request goes next after so many more urgent ones went ahead of
- * it. Without it a flood of urgent requests would end all others of a service.
+ * A less urgent request goes next after so many more urgent ones: prevents
+ * starvation.
  */
 const RANK_TURN = 12;
 
--- a/packages/decisions/src/admission/server_load.ts
+++ b/packages/decisions/src/admission/server_load.ts
@@ -8,18 +8,15 @@
 /** Ends without an answer, in a row, after which a server is left alone. */
 const SUSPEND_AFTER_ENDS = 2;
 /**
- * The same for the only owner of its keys. Nobody else can serve them, so one
- * that answers some of its requests is not left alone: a link that loses two
- * answers in five would else have most callers of these keys refused. One that
- * answers none is found by its grants.
+ * The same for the only owner of its keys, which no other server can answer. An
+ * owner that answers nothing is found by its grants.
  */
 const SUSPEND_OWNER_AFTER_ENDS = 5;
 const SUSPEND_MIN_MS = 400;
 const SUSPEND_MAX_MS = 4_000;
 
 /**
- * A server's word of its momentary speed counts less and less with its age, and
- * nothing after this time.
+ * A told speed loses weight with age and counts for nothing after this time.
  */
 const SPEED_LIFE_MS = 400;
 
@@ -143,11 +140,10 @@
   }
 
   /**
-   * A server that is down or cut off holds every request sent to it until its
-   * deadline. After two in a row it is left alone, at first shortly, so that a
-   * reset of its connections costs little. Only a request that left after the
-   * last time shows that it has to be left alone for longer: a reset ends many
-   * at once, and counted one by one they kept a sound server idle for seconds.
+   * Suspends a server after losses in a row, at first shortly: a reset
+   * connection costs little. A server that is down holds each request until its
+   * deadline. Only requests sent after the last loss count, as a reset ends
+   * many at once.
    */
   #noteLost(sentMs: number, nowMs: number): void {
     this.#failureRatio += FAILURE_GAIN * (1 - this.#failureRatio);
--- a/packages/decisions/src/admission/server_ranking.ts
+++ b/packages/decisions/src/admission/server_ranking.ts
@@ -5,38 +5,32 @@
 import type { RankedRoute, WaitingRequest } from "./waiting_request.ts";
 
 /**
- * Requests sent to a server beyond its slots. One bridges the way from the end
- * of a request to the next one's arrival; more would queue at the server,
- * where rank and deadline no longer count and a full queue may never answer.
+ * Requests sent to a server beyond its slots: one bridges the way from one
+ * request's end to the next one's arrival. More would queue at the server,
+ * without rank and deadline.
  */
 export const BRIDGING_REQUESTS = 1;
 /** A server that has just started takes about twice as long. */
 const WARM_UP_FACTOR = 2;
 /** Additional time at a server with all slots busy, as a part. */
 const BUSY_SLOWDOWN = 0.5;
-/**
- * A failure costs a caller a second send or the answer: a server that fails
- * all its requests ranks as one that is nine times slower.
- */
+/** Weight of a server's failures: one costs a second send or the answer. */
 const FAILURE_WEIGHT = 8;
 /**
- * A request that has been at a server for so many times its expected time
- * shows that the server is slower than learned, stuck or cut off.
+ * A request at a server for so many times its expected time shows that the
+ * server is slow, stuck or cut off.
  */
 const STUCK_RATIO = 2.5;
 /**
- * What an answer from another availability zone costs, in milliseconds of
- * waiting: two more hops of about 1 ms and the price of its bytes.
+ * Cost of an answer from another availability zone, as milliseconds of waiting:
+ * two more hops and the price of its bytes.
  */
 const OTHER_ZONE_MS = 6;
-/**
- * The same for each kilobyte of the request's body. Bytes between zones are
- * dear; without it large bodies cross zones as readily as empty ones.
- */
+/** The same for each kilobyte of the request's body. */
 const OTHER_ZONE_MS_PER_KB = 1.5;
 /**
- * Random part of a score. Entry VMs see one another's requests tens of
- * milliseconds late; without it all would pick the same server meanwhile.
+ * Random part of a score: VMs see one another's requests late, and would all
+ * pick the same server.
  */
 const JITTER_PART = 0.25;
 
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -62,8 +62,8 @@
 }
 
 /**
- * Part of its time left that a request may be expected to wait when its answer
- * will be late anyhow. Beyond it a caller is told at once to come back.
+ * Part of its time left that a late request may be expected to wait; beyond it
+ * its caller is told at once to come back.
  */
 const LATE_WAIT_PART = 0.5;
 /** Shortest and longest time after which a caller is asked to come back. */
@@ -78,10 +78,8 @@
 /** A planned move ends with the work that ran at its last owner. */
 const LONGEST_MOVE_MS = 800;
 /**
- * How long a key has no owner when its last one is lost, beyond the length of a
- * grant: until all that was granted has run out. A key that has moved for longer
- * than a planned move takes is such a one. Its callers are told at once; taken
- * for an ordinary move, they would wait until their time is over.
+ * How long a lost owner's keys wait beyond the length of a grant: until all
+ * that was granted has run out.
  */
 const LOSS_WAIT_MS = 700;
 /** Shortest wait that is expected of a key without owner. */
@@ -274,9 +272,8 @@
   }
 
   /**
-   * A server of another cell, when those of the own cell are full: cells differ
-   * in load, and what one lacks another has free. Their load is not known here,
-   * so a VM has only a few requests there at a time.
+   * A server of another cell, when those of the own cell are full. Their load
+   * is not known here, so a VM has only a few requests there at a time.
    */
   #helper(request: WaitingRequest, nowMs: number): ServerLoad | undefined {
     const inCell = this.#inCell;
@@ -343,8 +340,7 @@
   #candidates(request: WaitingRequest, nowMs: number): ServerLoad[] {
     const live = this.#usableServers(request, nowMs);
     const open = live.filter((load) => load.isOpen(nowMs));
-    // With every server suspended one of them is tried all the same: it costs
-    // a request that would be refused otherwise.
+    // With every server suspended one of them is tried all the same.
     return open.length > 0 ? open : live;
   }
 
@@ -448,8 +444,8 @@
   }
 
   /**
-   * The wait of a route that may not have all slots: for others of its kind,
-   * in the slots that it may have. Undefined for a route that may have all.
+   * Wait of a route that may not have all slots: for others of its kind, in the
+   * slots that it may have. Undefined for any other route.
    */
   #heldBackWaitMs(
     { route }: WaitingRequest,
@@ -502,8 +498,7 @@
     nowMs: number,
   ): Refusal {
     const isOver = request.answerByMs <= nowMs;
-    // Spread over the time in which room is expected, so that those refused
-    // together do not come back together.
+    // Spreads out the return of callers refused together.
     const spreadMs = waitMs * (0.5 + this.#options.random.next());
     const retryAfterMs = Math.min(
       RETRY_AFTER_MAX_MS,
--- a/packages/decisions/src/admission/service_times.ts
+++ b/packages/decisions/src/admission/service_times.ts
@@ -5,9 +5,9 @@
 import type * as contracts from "@guavatide/contracts";
 import type { RankedRoute } from "./waiting_request.ts";
 
-/** Part of a new measurement in a route's mean: about its last 30 requests. */
+/** Weight of a new measurement in a route's mean. */
 const ROUTE_GAIN = 1 / 30;
-/** Part of a new measurement in a server's factor: about its last 10. */
+/** Weight of a new measurement in a server's factor. */
 const SERVER_GAIN = 1 / 10;
 /** A single measurement counts as at most so many times the expected time. */
 const OUTLIER_RATIO = 6;
@@ -46,8 +46,8 @@
     const factor = this.factor(server);
     const ratio = Math.min(OUTLIER_RATIO, tookMs / Math.max(1, expectedMs));
     this.#serverFactors.set(server, factor + SERVER_GAIN * (ratio - factor));
-    // Not divided by the server's factor: the mean of a noisy estimate's inverse
-    // is above the inverse of its mean, and both would drift apart for ever.
+    // Not divided by the server's factor: the inverse of a noisy estimate is
+    // biased, and both would drift apart.
     const boundedMs = Math.min(tookMs, expectedMs * OUTLIER_RATIO);
     const meanMs = this.#meanMs ?? boundedMs;
     this.#meanMs = meanMs + ROUTE_GAIN * (boundedMs - meanMs);
--- a/packages/decisions/src/admission/shared_retry_budget.ts
+++ b/packages/decisions/src/admission/shared_retry_budget.ts
@@ -1,7 +1,6 @@
 /**
- * This entry VM's part of a retry budget that all entry VMs share. Second
- * sends count per service in any window, so a saved-up budget must not be
- * spent at once: the windows are counted, not a bucket.
+ * This entry VM's part of a retry budget that all entry VMs share. Counts
+ * windows in place of a token bucket: no window may exceed the budget.
  */
 
 /** Options of {@link SharedRetryBudget}. */
@@ -14,9 +13,8 @@
 }
 
 /**
- * Part of the budget that is used. The windows of the entry VMs and of who
- * counts do not begin at the same moment, and a VM may know too few of the
- * others for a while; a quarter is left for both.
+ * Part of the budget that is used: windows are not aligned between VMs, and a
+ * VM may know too few of the others.
  */
 const USED_PART = 0.75;
 /** Steps a window is counted in. */
--- a/packages/decisions/src/admission/short_work_reserve.ts
+++ b/packages/decisions/src/admission/short_work_reserve.ts
@@ -1,8 +1,7 @@
 /**
- * Keeps one slot of a server for urgent short work. Work that has begun can't
- * be interrupted: with all slots taken by long requests a short one waits for
- * longer than it runs, and is late whatever its rank. Answers the load of a
- * keyed service whose servers have few slots and get both kinds.
+ * Keeps one slot of a server for urgent short work: work that has begun can't
+ * be interrupted, and a short request behind long ones is late whatever its
+ * rank.
  */
 import type { ServiceTimes } from "./service_times.ts";
 import type { RankedRoute, WaitingRequest } from "./waiting_request.ts";
@@ -13,13 +12,13 @@
 const RATE_MS = 1_000;
 /**
  * A slot is kept when so many short requests are expected while a long one
- * runs. With fewer it would mostly stay empty.
+ * runs; with fewer it would mostly stay empty.
  */
 const LEAST_EXPECTED = 1;
 
 /**
  * A long request may take the kept slot when its target is less than so many
- * times its work away: shorter work that waits already still goes first.
+ * times its work away.
  */
 const CRITICAL_RATIO = 2;
 
--- a/packages/decisions/src/admission/slot_asks.ts
+++ b/packages/decisions/src/admission/slot_asks.ts
@@ -76,8 +76,8 @@
 
   /**
    * Whether a request has a slot at a server; asks for one if it has not.
-   * `ownRequests` are this VM's requests there: without any coordinator the
-   * first is sent all the same.
+   * `ownRequests` are this VM's requests there: without a coordinator the first
+   * is sent all the same.
    */
   take(
     request: WaitingRequest,
--- a/packages/decisions/src/admission/slot_coordinator.ts
+++ b/packages/decisions/src/admission/slot_coordinator.ts
@@ -1,10 +1,8 @@
 /**
- * Gives out the slots of servers that own keys. Any entry VM may get a request
- * for any key, and sees what the others have sent to its owner late or not at
- * all; a key that becomes hot would flood its owner, and one whose queue is full
- * may never answer. One VM therefore gives out each owner's slots, by rank and
- * by what can still be answered in time. A slot that is given twice, as by two
- * coordinators after a loss, costs a longer queue at the server and no more.
+ * Gives out the slots of servers that own keys, by rank and by what can still
+ * be answered in time. One VM does so for each owner: VMs see one another's
+ * requests late and would together overrun it. A slot given twice, as by two
+ * coordinators after a loss, only makes the server's queue longer.
  */
 import type * as contracts from "@guavatide/contracts";
 import type { ColdStartLimit } from "./cold_start_limit.ts";
@@ -57,8 +55,8 @@
 }
 
 /**
- * A slot that its VM does not list is free again after this time: the word that
- * gave it, or the word of its end, was lost.
+ * A slot that its VM does not list for this long is free again: the word that
+ * gave it, or that of its end, was lost.
  */
 const UNLISTED_MS = 300;
 /** Slots and wishes of a VM that was not heard for so long are dropped. */
--- a/packages/decisions/src/grants/first_map_wait.ts
+++ b/packages/decisions/src/grants/first_map_wait.ts
@@ -3,8 +3,8 @@
 /** A process that has just started lets others settle who is there. */
 const AFTER_MS = 1_200;
 /**
- * The first map waits until no server has joined for a while, as all start
- * together; not for ever, since nobody is served before it.
+ * Servers start together: the first map waits, within a bound, until none
+ * joins.
  */
 const CALM_MS = 1_000;
 const BEFORE_MS = 4_000;
--- a/packages/decisions/src/grants/grant_hold.ts
+++ b/packages/decisions/src/grants/grant_hold.ts
@@ -1,7 +1,6 @@
 /**
- * How long the grants of a service last. A server fails what it still runs when
- * its grant ends, so services with long work need long grants; keys of a lost
- * server wait until all that was granted has run out, so others keep short ones.
+ * Grant length: a server fails the work that outlives its grant, and keys of a
+ * lost server wait for the end of the longest grant.
  */
 import type * as contracts from "@guavatide/contracts";
 import type { GrantTimings } from "./grant_timings.ts";
--- a/packages/decisions/src/grants/grant_timings.ts
+++ b/packages/decisions/src/grants/grant_timings.ts
@@ -1,4 +1,4 @@
-/** Times of ownership by grants, and where each figure comes from. */
+/** Times of ownership by grants. */
 
 /** Times that grants and moves of key ranges work with. */
 export interface GrantTimings {
@@ -22,12 +22,8 @@
 }
 
 /**
- * Defaults. A server is lost at 0 ms; grants to it stay unanswered from 450 ms
- * on at the latest, it counts as lost at 1 150 ms and the last grant ends at
- * 1 450 ms. What that may have given is over 1.02 * `holdMs` + `transitMs` =
- * 1 630 ms later, so its keys are served again after 3.1 s at the latest; 4 s
- * are asked for. Three renewals fit into a hold, so that two lost ones and a
- * retransmission do not end it. Renewals are most of what keepers do.
+ * Defaults. They keep the time without an owner after the loss of a server
+ * below the 4 s required; a hold outlasts two lost renewals.
  */
 export const DEFAULT_GRANT_TIMINGS: GrantTimings = {
   holdMs: 1_500,
--- a/packages/decisions/src/grants/keeper_book.ts
+++ b/packages/decisions/src/grants/keeper_book.ts
@@ -1,7 +1,6 @@
 /**
- * What the keepers of a range map have told: the ground for renewing grants
- * (evidence that no newer map is in force) and for moving ranges (the promise
- * of a majority that it knows the newer map).
+ * What keepers have told: evidence that no newer map is in force, for renewals,
+ * and the promise of a majority that it knows the newer map, for moves.
  */
 import type * as contracts from "@guavatide/contracts";
 
@@ -18,8 +17,8 @@
   /** When its run began, on this VM's clock, at the latest. */
   readonly startedAtMs: number;
   /**
-   * When its last grant to a server was answered or given up, on this VM's
-   * clock at the latest; the word's own time while one is under way.
+   * End of its last grant call to a server, on this VM's clock at the latest;
+   * the word's own time while one is under way.
    */
   readonly lastGrantMs: ReadonlyMap<contracts.ServerId, number>;
   /** The same for grants that were not answered. */
@@ -58,8 +57,8 @@
   /**
    * The latest moment at which the map is known to have been in force: a read
    * of the store, or the word of a majority of its keepers that they know none
-   * newer. A keeper that has not read the store since it started may have
-   * forgotten a newer one that it knew, so its word does not count.
+   * newer. A restarted keeper may have forgotten one, so it counts after its
+   * first read.
    */
   evidenceAtMs(map: contracts.RangeMap): number {
     const readMs = this.#readRevision === map.revision
@@ -79,9 +78,9 @@
   }
 
   /**
-   * Whether a majority of every keeper set knows the revision. Keepers that are
-   * gone for good count as knowing it: without them a map whose keepers were
-   * all replaced could never change again.
+   * Whether a majority of every keeper set knows the revision. Keepers gone for
+   * good count as knowing it, or a map that lost its majority could never
+   * change.
    */
   hasPromise(
     map: contracts.RangeMap,
--- a/packages/decisions/src/grants/keeper_review.ts
+++ b/packages/decisions/src/grants/keeper_review.ts
@@ -6,8 +6,8 @@
 /** A keeper that was silent for so long is replaced by another VM. */
 const KEEPER_SILENT_MS = 3_000;
 /**
- * A keeper that was silent for so long counts as gone for good. Any number of
- * VMs may be replaced at once; without this their map could never change.
+ * A keeper silent for this long counts as gone for good: a map that lost the
+ * majority of its keepers could not change otherwise.
  */
 const KEEPER_GONE_MS = 10_000;
 
@@ -42,9 +42,8 @@
 }
 
 /**
- * Silence that this process has witnessed itself. One that has just started
- * has heard nobody yet; taken for gone, keepers that it is cut off from would
- * go on renewing what it gives away, and keys would have two owners.
+ * Silence that this process has witnessed itself: just after its start, live
+ * keepers that it has not heard yet would count as gone.
  */
 function silenceMs(
   { vm, silentMs, lifeMs }: KeeperReviewInput,
--- a/packages/decisions/src/grants/key_loads.ts
+++ b/packages/decisions/src/grants/key_loads.ts
@@ -7,10 +7,7 @@
 /** Rates below this are dropped, in requests a second. */
 const LEAST_PER_SECOND = 0.02;
 
-/**
- * Standard deviation of a rate that these counts show, in requests a second:
- * that of random arrivals counted with the decay.
- */
+/** Standard deviation of a decayed rate of random arrivals, a second. */
 export function rateDeviation(perSecond: number): number {
   return Math.sqrt(perSecond / (2 * DECAY_MS / 1000));
 }
--- a/packages/decisions/src/grants/lone_keys.ts
+++ b/packages/decisions/src/grants/lone_keys.ts
@@ -1,8 +1,6 @@
 /**
- * Keys that one server can't carry: a key has one owner, so no split helps, and
- * the fastest server serves most of its requests. Left where it happens to lie,
- * a hot key keeps a slow server full and most of its callers are refused for as
- * long as it is hot, while faster servers have slots free.
+ * Keys too hot for their server: a key can't be split, so it goes to the server
+ * that can serve most of its requests.
  */
 import type * as contracts from "@guavatide/contracts";
 import type { RangeMove } from "./range_edit.ts";
@@ -16,9 +14,8 @@
 /** Busy part of its owner that a key alone takes when it is too hot for it. */
 const LONE_KEY_UTILIZATION = 0.8;
 /**
- * How much more the next owner must carry. A full server takes up to half as
- * long again as an idle one of its kind, so with less than that a key would
- * wander from one to the next.
+ * How much more the next owner must carry: a full server measures slower than
+ * an idle one, and a key would wander.
  */
 const FASTER_RATIO = 1.6;
 
--- a/packages/decisions/src/grants/lost_servers.ts
+++ b/packages/decisions/src/grants/lost_servers.ts
@@ -4,9 +4,8 @@
 /** A server that left a grant unanswered gets no new range for a while. */
 const REST_MS = 3_000;
 /**
- * Each time in a row the rest is twice as long. A server that reaches the store
- * but not the VMs keeps its entry, and would else be given keys every few
- * seconds that then have no owner for two.
+ * The rest doubles with each loss in a row: a server that reaches the store but
+ * not the VMs keeps its entry there.
  */
 const LONGEST_REST_MS = 24_000;
 /** A server that was not lost again for so long is as good as any. */
--- a/packages/decisions/src/grants/range_difference.ts
+++ b/packages/decisions/src/grants/range_difference.ts
@@ -6,9 +6,8 @@
 } from "@guavatide/contracts";
 
 /**
- * Ranges of the later map that the earlier one does not have. They cover all
- * keys whose state has changed, since a range never returns to a state that it
- * had: fences only rise.
+ * Ranges of the later map that the earlier one lacks. They cover all changed
+ * keys: fences only rise, so a range never returns to an earlier state.
  */
 export function changedRanges(
   earlier: RangeMap,
@@ -20,8 +19,7 @@
 
 /**
  * The ranges of a map with the changed ones in place of those that they cover;
- * undefined when the result would leave a gap or an overlap, since the map is
- * then not one that the changes were made for.
+ * undefined when the result has a gap or an overlap, as with another base map.
  */
 export function withChanges(
   known: readonly RangeState[],
--- a/packages/decisions/src/grants/range_edit.ts
+++ b/packages/decisions/src/grants/range_edit.ts
@@ -61,10 +61,9 @@
 }
 
 /**
- * Takes ranges from their owners and names the next. Pieces of a range that is
- * split keep owner and fence. Keys that are vacating already only change their
- * next owner; who has to let go stays. Returns the ranges and the highest
- * fence given out.
+ * Takes ranges from their owners and names the next. Pieces of a split range
+ * keep owner and fence; vacating keys only change their next owner. Returns the
+ * ranges and the highest fence given out.
  */
 export function vacate(
   before: readonly contracts.RangeState[],
--- a/packages/decisions/src/grants/range_load.ts
+++ b/packages/decisions/src/grants/range_load.ts
@@ -51,11 +51,7 @@
     return this.#perSecond.get(server)! / capacityPerSecond;
   }
 
-  /**
-   * The least that the server's busy part is likely to be: counts of a short
-   * time scatter, and the busiest of many servers is often only the one whose
-   * count came out highest.
-   */
+  /** Lower bound of the server's busy part: short counts scatter. */
   atLeast(server: contracts.ServerId, deviations: number): number {
     const { capacityPerSecond } = this.#servers.get(server)!;
     const perSecond = this.#perSecond.get(server)!;
--- a/packages/decisions/src/grants/range_mover.ts
+++ b/packages/decisions/src/grants/range_mover.ts
@@ -1,9 +1,8 @@
 /**
- * Moves key ranges of one service between backend servers by two conditional
- * updates of the range map: the first takes a range from its owner, the
- * second, once nobody else can hold it, gives it to the next. What the store
- * holds is taken over as it is, so a lost reply, a lost mover and a second
- * mover are one case: read, and go on from what was read.
+ * Moves key ranges of one service by two conditional updates of the range map:
+ * the first takes a range from its owner, the second gives it to the next once
+ * nobody else can hold it. After a lost reply, a lost mover or a second mover,
+ * the work goes on from what the store holds.
  */
 import type * as contracts from "@guavatide/contracts";
 import { holdOf } from "./grant_hold.ts";
@@ -74,15 +73,13 @@
 }
 
 /**
- * How long releases wait for every keeper that is heard to know of the move. A
- * renewal that crosses a release makes it void; a peer tells its knowledge
- * within a few milliseconds.
+ * Longest wait of releases until all keepers that are heard know of the move: a
+ * renewal that crosses a release makes it void.
  */
 const RELEASE_WAIT_MS = 120;
 /**
- * Ends of moves are written together: so long after the first of them, while
- * other releases are under way. Each write is a call to the store, and news to
- * all VMs.
+ * Ends of moves within this time are written together: each write is a call to
+ * the store and an update to all VMs.
  */
 const SETTLE_BATCH_MS = 60;
 /** Between a failed release and the next: the server is lost or restarts. */
--- a/packages/decisions/src/grants/range_news.ts
+++ b/packages/decisions/src/grants/range_news.ts
@@ -10,15 +10,9 @@
   readonly baseRevision: number;
 }
 
-/**
- * Differences go back so far. A datagram that is lost is told again after
- * 400 ms, so a receiver that misses four of them reads the store.
- */
+/** Differences go back so far: after a few lost datagrams no read is needed. */
 const BASE_AGE_MS = 2_000;
-/**
- * Ranges in one message, about 80 bytes each. With more, receivers read the
- * store: a datagram of 20 KB is lost when one of its 14 packets is.
- */
+/** Bounds the size of a datagram: larger ones are lost more often. */
 const MOST_RANGES = 90;
 
 /** The last maps of one service, to tell their differences. */
--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -16,17 +16,16 @@
 } from "./range_load.ts";
 
 /**
- * Busy part of its slots above which a server gives keys away. Below it a
- * request rarely waits at three slots; a move holds its keys' requests up for
- * some tenths of a second.
+ * Busy part above which a server gives keys away: below it requests rarely
+ * wait, and a move holds them up.
  */
 const HOT_UTILIZATION = 0.5;
 /** A server gives keys away only when busier than the mean by this ratio. */
 const HOT_RATIO = 1.2;
 /**
- * Standard deviations by which a load has to be above the level: with fewer at
- * the start, keys move because counts of a short time scatter; with as many at
- * the end, a hot server is left half relieved.
+ * Standard deviations by which a load must exceed the level: more to start,
+ * since short counts scatter; fewer to stop, or a hot server stays half
+ * relieved.
  */
 const START_DEVIATIONS = 2;
 const STOP_DEVIATIONS = 1;
@@ -49,8 +48,8 @@
   const moves = planLosses(input, use);
   if (!input.mayBalance || moves.length > 0) return moves;
   const lone = planLoneKeys(input, use);
-  // While keys of a lost server wait, nothing but a lone key is moved: two
-  // seconds are long for its callers, and it takes one server's place only.
+  // While keys of a lost server wait, only a lone key is moved: it takes one
+  // server's place only.
   const isSettled = input.ranges.every(({ vacating }) =>
     vacating === undefined
   );
@@ -81,10 +80,7 @@
   return moves;
 }
 
-/**
- * A range with little load is given on whole. Each piece is a grant to renew
- * from then on, and servers that own many small ranges leave many.
- */
+/** A range with little load stays whole: each piece is a grant to renew. */
 function piecesOf(perSecond: number, perPiece: number): number {
   const pieces = Math.round(perSecond / perPiece);
   return Math.min(PIECES_OF_LOST, Math.max(1, pieces));
@@ -119,10 +115,7 @@
   return pieces.filter((piece) => piece.fromKey <= piece.toKey);
 }
 
-/**
- * Gives keys to servers that own none: those that have just joined, and those
- * that registered after the first map was written.
- */
+/** Gives keys to servers that own none, such as new ones. */
 function planNewcomers(input: RangePlanInput, use: Utilization): RangeMove[] {
   const owners = new Set(input.ranges.map(({ owner }) => owner.server));
   const moves: RangeMove[] = [];
@@ -180,8 +173,7 @@
   const level = Math.max(HOT_UTILIZATION, use.mean * HOT_RATIO);
   if (!use.exceeds(level, START_DEVIATIONS)) return moves;
   const exhausted = new Set<contracts.ServerId>();
-  // Ranges that can't be split any more are still moved whole: with nothing
-  // moved, a map that is full of them stays as uneven as it is, for ever.
+  // With no splits left, ranges still move whole, or the map stays uneven.
   const maySplit = input.ranges.length < limit;
   while (moves.length < movesPerPlan(input)) {
     const hot = use.hottest(exhausted);
@@ -213,9 +205,8 @@
 }
 
 /**
- * Load to move: down to the mean at the one, up to the level at the other, and
- * no more than makes both equally busy. Without the level a plan would make
- * the first receiver of a hot spot as hot as the sender.
+ * Load to move: down to the mean at the sender, up to the level at the
+ * receiver, and no more than makes both equally busy.
  */
 function wishOf(
   { servers }: RangePlanInput,
@@ -276,9 +267,8 @@
 }
 
 /**
- * A move costs its keys' owners, and a grant to renew from then on; the latter
- * as much as this number of keys. Without it many small pieces would be moved
- * in place of a large one.
+ * Cost of a move in keys, for the grant to renew: favours few large ranges over
+ * many small ones.
  */
 const MOVE_COST_KEYS = 128;
 
--- a/packages/decisions/src/grants/range_wait.ts
+++ b/packages/decisions/src/grants/range_wait.ts
@@ -1,7 +1,6 @@
 /**
- * Whether the last owner of a vacating range can still hold it. Grants run
- * from their arrival and may be taken late, so what counts is when the last
- * one left, from any entry VM.
+ * Whether the last owner of a vacating range can still hold it: grants run from
+ * their arrival, so the end of the last grant call of any entry VM counts.
  */
 import type * as contracts from "@guavatide/contracts";
 import { holdOf } from "./grant_hold.ts";
@@ -38,15 +37,15 @@
   if (promisedAtMs === undefined) return undefined;
   const waitedOutMs = lastGrantEndMs(facts, promisedAtMs, "lastGrantMs");
   if (release === undefined || isReleaseVoid(facts)) return waitedOutMs;
-  // A grant that was answered before the release left is undone by it. One
-  // that was not answered may take effect after it.
+  // A release undoes a grant that was answered before; one that was not
+  // answered may take effect after it.
   const releasedMs = lastGrantEndMs(facts, promisedAtMs, "lastUnansweredMs");
   return Math.min(waitedOutMs, Math.max(release.doneAtMs, releasedMs));
 }
 
 /**
- * Whether a grant to the old owner may have crossed the release on its way: the
- * owner then holds the range again, and has to be asked to release it anew.
+ * Whether a grant to the old owner may have crossed the release: the owner then
+ * holds the range again and must release it anew.
  */
 export function isReleaseVoid(facts: RangeWaitFacts): boolean {
   const { release, keepers, range, map } = facts;
