--- a/packages/decisions/src/admission/late_loop_rule_test.ts
+++ b/packages/decisions/src/admission/late_loop_rule_test.ts
@@ -29,11 +29,7 @@
   return answered;
 }
 
-/**
- * A VM gets a third more requests than its processor can forward. It falls
- * behind by more than the target, and no caller is answered on time any more
- * although most could be.
- */
+/** Guards against a VM that falls behind and answers every caller too late. */
 test("should answer most callers on time at a VM with too little processor", () => {
   const requests = 10_000 / ARRIVAL_MS;
   const all = answeredInTarget((lagMs) => lagMs > 400);
--- a/packages/decisions/src/admission/service_queue_test.ts
+++ b/packages/decisions/src/admission/service_queue_test.ts
@@ -135,11 +135,7 @@
   );
 });
 
-/**
- * Servers of this kind answer nothing, ever, when their queue is full. Entry
- * VMs that each look at their own requests only would together fill it, and
- * callers would wait until their deadline for a request that is lost.
- */
+/** Guards against VMs that together fill a server's queue unknowingly. */
 test("should count the requests that peers told of", () => {
   const fixture = new Fixture([server("a", { slots: 2 })]);
   const load = fixture.queue.loads.get("a" as contracts.ServerId)!;
@@ -173,10 +169,7 @@
   expect(placed).toEqual([high, low]);
 });
 
-/**
- * Urgent requests of one service come faster than it can serve them. If rank
- * alone counted, a less urgent kind would not be served at all.
- */
+/** Guards against urgent requests that starve less urgent ones. */
 test("should serve a less urgent request after a number of urgent ones", () => {
   const fixture = new Fixture([server("a")]);
   fixture.learn(10);
@@ -198,10 +191,7 @@
   expect(urgent <= 13).toEqual(true);
 });
 
-/**
- * More requests come than can be served in time. A caller who would wait until
- * the deadline in vain is told at once, and when to come back.
- */
+/** Guards against callers that wait in vain until their deadline. */
 test("should refuse at once what can't be answered in time", () => {
   const fixture = new Fixture([server("a")]);
   fixture.learn(200);
@@ -227,11 +217,7 @@
   expect(fixture.add().refusal?.reason).toEqual("no-server");
 });
 
-/**
- * A key is between two owners for some tenths of a second. A request for it
- * waits instead of failing, and goes to the new owner as soon as it has
- * confirmed.
- */
+/** Guards against requests that fail while their key moves. */
 test("should hold a request while its key moves", () => {
   let owner: admission.KeyOwner = { kind: "moving", ageMs: 0, holdMs: 1_500 };
   const fixture = new Fixture([server("a"), server("b")], () => owner);
@@ -251,19 +237,13 @@
   expect(request.placement?.fence).toEqual(9);
 });
 
-/**
- * A server restarted under its id. The map names its earlier run, which held
- * the keys; the new run holds nothing and would refuse every request.
- */
+/** Guards against requests to a restarted server that holds no keys. */
 test("should not send a keyed request to a later run of its owner", () => {
   const fixture = new Fixture([server("a", { bornMs: 2 })], ownedBy("a"));
   expect(fixture.add({ key: 1 }).placement).toEqual(undefined);
 });
 
-/**
- * A server is cut off and holds what is sent to it. After two requests that
- * got no answer the others go elsewhere, and callers do not notice.
- */
+/** Guards against requests to a server that is cut off. */
 test("should leave a server alone that lost two requests in a row", () => {
   const fixture = new Fixture([
     server("bad", { slots: 4 }),
@@ -285,11 +265,7 @@
   );
 });
 
-/**
- * A network device forgets all connections of a sound server, and six requests
- * end at once without an answer. Counted one by one they would keep the server
- * idle for seconds, and callers who need it would be refused meanwhile.
- */
+/** Guards against a sound server suspended for long after one reset. */
 test("should take requests that are lost together for one loss", () => {
   const fixture = new Fixture([server("a", { slots: 8 })]);
   const begun = Array.from({ length: 6 }, () => fixture.begin());
@@ -302,11 +278,7 @@
   expect(load.isOpen(fixture.nowMs + 450)).toEqual(false);
 });
 
-/**
- * The only server that owns a key answers nothing, and is left alone for a
- * while. Its callers are told at once when to come back; kept until their time
- * was over they could not.
- */
+/** Guards against callers that wait in vain for a suspended owner. */
 test("should refuse at once while a key's owner is left alone", () => {
   const fixture = new Fixture([server("a", { slots: 4 })], ownedBy("a"));
   const load = fixture.queue.loads.get("a" as contracts.ServerId)!;
@@ -319,10 +291,7 @@
   expect(request.refusal!.retryAfterMs > 500).toEqual(true);
 });
 
-/**
- * Bytes between availability zones are dear. A large upload stays in its zone
- * as long as a server there has a free slot, though one elsewhere is idle.
- */
+/** Guards against large bodies that cross zones while a near server is free. */
 test("should keep large bodies in their zone", () => {
   const fixture = new Fixture([
     server("near", { slots: 2 }),
@@ -335,11 +304,7 @@
   expect(servers).toEqual(["near", "near"]);
 });
 
-/**
- * The only owner of a key is lost, and nobody may have the key until its last
- * grant has run out, two seconds later. Callers learn that at once and come
- * back; kept waiting as in an ordinary move they would all time out.
- */
+/** Guards against callers that time out while a lost owner's grant runs out. */
 test("should refuse at once while a lost owner's grant runs out", () => {
   let owner: admission.KeyOwner = { kind: "moving", ageMs: 20, holdMs: 1_500 };
   const fixture = new Fixture([server("a")], () => owner);
@@ -355,11 +320,7 @@
   expect(early.refusal?.reason).toEqual("no-owner");
 });
 
-/**
- * Two of five answers of a server are lost on their way. Nobody else owns its
- * keys: left alone after two losses in a row, it would be idle for most of the
- * time while its callers are refused.
- */
+/** Guards against an owner left idle because some of its answers are lost. */
 test("should go on asking an owner that answers some requests", () => {
   const fixture = new Fixture([server("a", { slots: 4 })], ownedBy("a"));
   const load = fixture.queue.loads.get("a" as contracts.ServerId)!;
--- a/packages/decisions/src/admission/shared_retry_budget_test.ts
+++ b/packages/decisions/src/admission/shared_retry_budget_test.ts
@@ -4,12 +4,7 @@
 
 const OPTIONS = { ratio: 0.2, slack: 56, windowMs: 10_000 };
 
-/**
- * Servers of a service fail half of their requests and every entry VM sends
- * failed requests once more. Summed over all VMs the second sends must stay
- * under a fifth of the requests and a fixed slack in any window, or the repeats
- * take the slots of callers who have not been served at all.
- */
+/** Guards against second sends that together exceed the shared budget. */
 test("should keep all VMs together within the budget in any window", () => {
   const vmCount = 8;
   const budgets = Array.from(
--- a/packages/decisions/src/admission/slot_coordinator_test.ts
+++ b/packages/decisions/src/admission/slot_coordinator_test.ts
@@ -135,11 +135,7 @@
   }
 }
 
-/**
- * Eighty entry VMs get a request for the keys of one server at the same moment,
- * as when a key becomes hot. Sent all at once they would overrun the server,
- * which then never answers most of them.
- */
+/** Guards against VMs that together overrun the server of a hot key. */
 test("should give out no more slots than bridge the way to a server", () => {
   const fixture = new Fixture(80);
   const requests = Array.from({ length: 80 }, () => new Request(1_000));
@@ -173,10 +169,7 @@
   expect(fixture.take(3, patient)).toEqual(false);
 });
 
-/**
- * The datagram that gives a slot is lost. Its request would wait until its time
- * is over, and the slot would stay empty.
- */
+/** Guards against a slot that stays empty because its datagram was lost. */
 test("should make a lost word good within a tenth of a second", () => {
   const fixture = new Fixture(1);
   const request = new Request(1_000);
@@ -188,10 +181,7 @@
   expect(fixture.take(0, request)).toEqual(true);
 });
 
-/**
- * The VM that gives out a server's slots dies. Requests for the server's keys
- * wait for a word that never comes.
- */
+/** Guards against requests that wait for a dead coordinator. */
 test("should ask another coordinator when one is silent", () => {
   const fixture = new Fixture(1);
   const request = new Request(1_000);
@@ -215,10 +205,7 @@
   expect(fixture.take(0, request)).toEqual(true);
 });
 
-/**
- * An entry VM dies with slots of a server. Without an end to them the server
- * would be taken for full, and its keys would not be served any more.
- */
+/** Guards against slots that stay taken when their VM is gone. */
 test("should free the slots of a VM that is gone", () => {
   const fixture = new Fixture(4);
   fixture.useAllSlots();
@@ -232,10 +219,7 @@
   expect(fixture.take(3, request)).toEqual(true);
 });
 
-/**
- * The VM that gave out a server's slots restarts and knows none of them. It
- * would give them out a second time while the first are in use.
- */
+/** Guards against slots given out twice by a restarted coordinator. */
 test("should learn from the VMs which slots are in use", () => {
   const fixture = new Fixture(4);
   fixture.useAllSlots();
--- a/packages/decisions/src/grants/first_map_wait_test.ts
+++ b/packages/decisions/src/grants/first_map_wait_test.ts
@@ -10,10 +10,7 @@
   expect(wait.isOver(5, { nowMs: 2_500, lifeMs: 2_500 })).toEqual(true);
 });
 
-/**
- * Servers go on joining, one every half a second. Nobody would be served before
- * the last of them is there.
- */
+/** Guards against a first map that waits for as long as servers join. */
 test("should not wait for ever while servers go on joining", () => {
   const wait = new FirstMapWait();
   for (let nowMs = 500; nowMs < 4_000; nowMs += 500) {
--- a/packages/decisions/src/grants/grant_model_test.ts
+++ b/packages/decisions/src/grants/grant_model_test.ts
@@ -1,8 +1,6 @@
 /**
- * Random interleavings of ownership by grants: three keepers, three backend
- * servers, a store. Keepers restart, freeze and lose the store or one another;
- * grants are lost, late and applied after they were given up; servers fall
- * silent. At no moment may two servers hold a key.
+ * Random interleavings of ownership by grants under faults of keepers, servers,
+ * messages and the store: no key may ever have two holders.
  */
 import type * as contracts from "@guavatide/contracts";
 import { KEY_COUNT } from "@guavatide/contracts";
@@ -468,10 +466,7 @@
   expect(moves > RUNS * 5).toEqual(true);
 });
 
-/**
- * The keeper that moves reaches the store and none of its peers; these reach
- * one another and go on renewing on one another's word.
- */
+/** Guards against two holders when only the mover reaches the store. */
 test("should not move keys while a majority can't be told", () => {
   expect(play({ isFirstApart: true }, 20).violations).toEqual(0);
 });
--- a/packages/decisions/src/grants/keeper_review_test.ts
+++ b/packages/decisions/src/grants/keeper_review_test.ts
@@ -25,11 +25,7 @@
   };
 }
 
-/**
- * A VM restarts while it is cut off from its peers and reaches the store. It
- * has heard of no keeper; they renew grants all the same. Were they taken for
- * gone, it would give their keys away under them.
- */
+/** Guards against a fresh, cut-off process that gives away keys in use. */
 test("should take no keeper for gone that it had no time to hear", () => {
   const fresh = input({ lifeMs: 400 });
   expect(grants.goneKeepers(fresh).size).toEqual(0);
@@ -38,7 +34,7 @@
   );
 });
 
-/** Two of three keepers were replaced by VMs of other names, for good. */
+/** Guards against a map that can't change once its keepers are replaced. */
 test("should replace silent keepers and count them as gone in time", () => {
   expect(grants.wishedKeepers(input({ silentMs: () => 4_000 }))).toEqual(
     ["a", "d"] as contracts.VmId[],
--- a/packages/decisions/src/grants/lone_keys_test.ts
+++ b/packages/decisions/src/grants/lone_keys_test.ts
@@ -48,10 +48,7 @@
   }).filter(({ fromKey, toKey }) => fromKey <= KEY && KEY <= toKey);
 }
 
-/**
- * One key is asked for more often than any server can answer, and lies at a
- * slow one. Most of its callers are refused for as long as it is hot.
- */
+/** Guards against a hot key that stays at a slow server. */
 test("should give a key that is too hot for its owner to the fastest server", () => {
   expect(movesOfKey([32, 64, 95, 64])).toEqual([
     { fromKey: KEY, toKey: KEY, to: owner(2) },
@@ -75,11 +72,7 @@
   expect(fromFastest.length > 0).toEqual(true);
 });
 
-/**
- * Twenty-six servers are half busy with random arrivals. The count of a second
- * always shows some of them a fifth above the mean; moved on that, keys would
- * change hands all day, each time without an owner for some tenths of a second.
- */
+/** Guards against keys that move because short counts scatter. */
 test("should not take chance for load", () => {
   let seed = 7;
   const random = () => (seed = seed * 16_807 % 2_147_483_647) / 2_147_483_647;
@@ -98,10 +91,7 @@
   expect(moves).toEqual([]);
 });
 
-/**
- * A server is lost, and a few of its keys have no owner for two seconds. A key
- * that becomes hot meanwhile does not wait for them.
- */
+/** Guards against a hot key that waits for the keys of a lost server. */
 test("should move a hot key while a few keys wait for their owner", () => {
   const ranges = evenRanges(4);
   const last = ranges.at(-1)!;
--- a/packages/decisions/src/grants/lost_servers_test.ts
+++ b/packages/decisions/src/grants/lost_servers_test.ts
@@ -19,10 +19,7 @@
   return nowMs - atMs;
 }
 
-/**
- * A server reaches the store and none of the VMs. Its entry stays, so it is
- * given keys again after each rest, and callers of these keys wait for seconds.
- */
+/** Guards against keys given again and again to a server that is cut off. */
 test("should leave a server alone for longer each time that it is lost", () => {
   const lost = new grants.LostServers();
   const rests = [0, 10_000, 20_000].map((atMs) => restAfterLoss(lost, atMs));
--- a/packages/decisions/src/grants/range_edit_test.ts
+++ b/packages/decisions/src/grants/range_edit_test.ts
@@ -56,11 +56,7 @@
   );
 });
 
-/**
- * The next owner of a moving range is lost before it got the range. Who has to
- * let go stays the same: forgetting it would hand the keys to a third server
- * while the first still holds them.
- */
+/** Guards against keys given to a third server while the first holds them. */
 test("should keep who has to let go when the next owner changes", () => {
   const first = grants.firstRanges([{ ...owner("a"), slots: 1 }]);
   const moved = grants.vacate(
--- a/packages/decisions/src/grants/range_news_test.ts
+++ b/packages/decisions/src/grants/range_news_test.ts
@@ -71,10 +71,7 @@
   expect(baseRevision).toEqual(map.revision);
 });
 
-/**
- * A VM works a map out from differences that were made for another one. Two
- * servers would be taken for the owner of one key, or none.
- */
+/** Guards against a map worked out from differences to another one. */
 test("should refuse changes that leave a gap or an overlap", () => {
   const map = firstMap(3);
   const [first, second] = map.ranges;
--- a/packages/decisions/src/grants/range_planner_test.ts
+++ b/packages/decisions/src/grants/range_planner_test.ts
@@ -54,11 +54,7 @@
   return found.sort((a, b) => a.key - b.key);
 }
 
-/**
- * Two hundred neighbouring keys take two fifths of the requests: twice what
- * their one server can carry, while the others are a third busy. Half of all
- * callers of the service would wait for seconds.
- */
+/** Guards against a hot spot that overloads its server, or the next one. */
 test("should spread a hot spot in two plans so that no server is overloaded", () => {
   const servers = serversOf(10);
   const hot = rates(100, 70);
@@ -124,10 +120,7 @@
   expect(moves).toEqual([]);
 });
 
-/**
- * A server is lost. Its keys are dealt out to several others, so that none of
- * them gets twice its load on top of its own.
- */
+/** Guards against one server that gets all keys of a lost one. */
 test("should deal out the keys of a lost server to several others", () => {
   const servers = serversOf(10);
   servers.delete(owner(4).server);
@@ -143,9 +136,7 @@
   expect(moves.at(-1)!.toKey).toEqual(ranges[4]!.toKey);
 });
 
-/**
- * A server joins. Without keys it serves nobody, however busy the others are.
- */
+/** Guards against a new server that stays without keys. */
 test("should give a server that has joined its share of keys", () => {
   const moves = grants.planRanges({
     ranges: evenRanges(4),
@@ -174,11 +165,7 @@
   expect(moves).toEqual([]);
 });
 
-/**
- * A map is full of ranges after many moves, and servers have left since. Where
- * nothing could be moved any more, the few servers that own most of the load
- * would refuse their callers for ever while others are idle.
- */
+/** Guards against a full map that stays uneven for good. */
 test("should move whole ranges when no more may be split", () => {
   const even = rates(100, 0);
   const owned = evenRanges(50).map((range, index) => ({
--- a/packages/decisions/src/grants/range_wait_test.ts
+++ b/packages/decisions/src/grants/range_wait_test.ts
@@ -86,11 +86,7 @@
   }
 }
 
-/**
- * The owner is silent. Grants run from their arrival, so the keys are free when
- * the last grant that any keeper sent is over; granting them before would let
- * two servers take bookings for the same booth.
- */
+/** Guards against two holders while a silent owner's last grant runs. */
 test("should wait for the last grant that any keeper sent", () => {
   const fixture = new Fixture();
   fixture.hear("k1", { sentMs: 9_700 });
@@ -125,7 +121,7 @@
   expect(fixture.freeAtMs()).toEqual(lastSentMs + GRANT_LIFE_MS);
 });
 
-/** A keeper restarted and no longer knows what its earlier run has sent. */
+/** Guards against grants of an earlier run that a keeper has forgotten. */
 test("should count a restarted keeper by the start of its run", () => {
   const fixture = new Fixture();
   fixture.hear("k1");
@@ -141,10 +137,7 @@
   expect(fixture.freeAtMs()).toEqual(10_060);
 });
 
-/**
- * A worker leaves a grant unanswered and carries it out seconds later, after
- * it has released the keys. It then holds them once more.
- */
+/** Guards against a late grant that takes effect after the release. */
 test("should wait after a release for a grant that was not answered", () => {
   const fixture = new Fixture();
   fixture.hear("k1", { sentMs: 9_900, unansweredMs: 9_600 });
@@ -154,11 +147,7 @@
   expect(fixture.freeAtMs()).toEqual(9_600 + GRANT_LIFE_MS);
 });
 
-/**
- * A keeper that did not know of the move yet renewed the old owner just as the
- * release was on its way. The renewal arrives after it and gives the keys back
- * to the old owner, while the next one gets them as well.
- */
+/** Guards against a renewal that crosses the release and undoes it. */
 test("should not count a release that left before a grant had ended", () => {
   const fixture = new Fixture();
   fixture.hear("k1", { sentMs: 10_058, heardAtMs: 10_059 });
--- a/packages/decisions/src/ownership/model_world_test.ts
+++ b/packages/decisions/src/ownership/model_world_test.ts
@@ -1,8 +1,7 @@
 /**
- * The decision classes of several keepers and servers under a given clock.
- * Messages come late, twice and crossed; processes are paused, restarted and
- * cut off; store replies are lost. After each step the world checks that no
- * hash has two owners with a lease.
+ * The decision classes under a given clock with lost, late and repeated
+ * messages and failing processes: no hash may ever have two owners with a
+ * lease.
  */
 import * as contracts from "@guavatide/contracts";
 import {
--- a/packages/decisions/src/routes/route_table_test.ts
+++ b/packages/decisions/src/routes/route_table_test.ts
@@ -48,11 +48,7 @@
   expect(counts.get("b")).toEqual(30);
 });
 
-/**
- * A configuration arrives every few hundred milliseconds. If each began the
- * shares anew, the small part of a split would hardly ever get a request, and
- * its owners would see less than was agreed.
- */
+/** Guards against shares that begin anew with each configuration. */
 test("should keep shares across quick changes of the configuration", () => {
   const split = route("split", "/", { a: 3, b: 1 });
   let table = new RouteTable([split]);
--- a/packages/entry/src/gateway/front_listener_test.ts
+++ b/packages/entry/src/gateway/front_listener_test.ts
@@ -88,11 +88,7 @@
   await fixture.lifeCycle.stop();
 });
 
-/**
- * A server answers without a length and crashes on the way; its connection
- * ends as if the answer were whole. With a length of ours the caller would
- * take a part of a certificate for all of it.
- */
+/** Guards against a cut-off answer that a caller takes for the whole. */
 test("should pass on an answer without length without a length", async () => {
   const fixture = new Fixture(() =>
     Promise.resolve({
@@ -113,10 +109,7 @@
   await fixture.lifeCycle.stop();
 });
 
-/**
- * A caller gives up and closes its connection. The work that is under way for
- * it at a server is of no use and takes a slot from others.
- */
+/** Guards against work at a server for a caller that has left. */
 test("should tell that the caller has gone", async () => {
   const fixture = new Fixture(() => new Promise(() => {}));
   await fixture.start();
@@ -147,10 +140,7 @@
   await fixture.lifeCycle.stop();
 });
 
-/**
- * The VM is stopped while a caller waits for its booking. The answer still
- * comes, and ends the connection so that the caller goes to another VM.
- */
+/** Guards against requests cut off by a stop. */
 test("should answer what runs when it is stopped", async () => {
   let answer: (answer: FrontAnswer) => void = () => {};
   const fixture = new Fixture(() =>
--- a/packages/entry/src/gateway/grant_sender_test.ts
+++ b/packages/entry/src/gateway/grant_sender_test.ts
@@ -13,12 +13,7 @@
   fence: 1,
 };
 
-/**
- * A server can't be reached for a while, and its ranges are taken from it. As
- * nothing is sent to it any more, no answer can show that it is back: called
- * silent for ever, it gets no keys again, and with all servers so, no key is
- * served.
- */
+/** Guards against a server that counts as silent for good. */
 test("should not call a server silent that it has left alone for long", async () => {
   let nowMs = 0;
   const sender = new GrantSender({
@@ -54,10 +49,7 @@
   expect(sender.silentServers()).toEqual([]);
 });
 
-/**
- * A server refuses connections, as while it restarts. Each grant fails within a
- * millisecond; sent again at once, they take the processor from callers.
- */
+/** Guards against grants repeated at once to a server that refuses them. */
 test("should pause between grants that a server refuses", async () => {
   let nowMs = 0;
   let calls = 0;
--- a/packages/entry/src/gateway/peer_book_test.ts
+++ b/packages/entry/src/gateway/peer_book_test.ts
@@ -50,11 +50,7 @@
   }
 }
 
-/**
- * Fourteen VMs are two cells, twelve are one. Busy VMs miss a few words of two
- * others; with the cells drawn anew each time, all list the store's objects and
- * fall further behind, and callers wait while nobody is ready.
- */
+/** Guards against cells drawn anew each time that busy VMs miss a heartbeat. */
 test("should keep the cells while a VM is lost for a moment", () => {
   const fixture = new Fixture();
   const { plan } = fixture.book;
--- a/packages/entry/src/gateway/peer_messages_test.ts
+++ b/packages/entry/src/gateway/peer_messages_test.ts
@@ -31,7 +31,7 @@
   silentServers: ["a"],
 };
 
-/** The guards stand in for schemas, so they have to take and refuse the same. */
+/** Guards against messages that a guard and its schema judge differently. */
 for (
   const [name, isMessage, schema, good] of [
     ["status", messages.isPeerStatus, messages.peerStatusSchema, STATUS],
--- a/packages/entry/src/links/server_link_test.ts
+++ b/packages/entry/src/links/server_link_test.ts
@@ -53,10 +53,7 @@
   expect(result.kind).toEqual("answer");
 });
 
-/**
- * A server answers without a length and crashes on the way. The caller would
- * get half of a certificate under a length that says it is whole.
- */
+/** Guards against a cut-off answer that counts as whole. */
 test("should not take an answer without length that was reset", async () => {
   const result = await sendTo((socket) => {
     socket.write(UNFRAMED_HEAD + "half");
--- a/packages/entry/src/utils/loop_lag_test.ts
+++ b/packages/entry/src/utils/loop_lag_test.ts
@@ -2,11 +2,7 @@
 import { test } from "node:test";
 import { LoopLag } from "./loop_lag.ts";
 
-/**
- * A process restarts under load and its event loop falls behind. A request
- * that is read then may have waited for two turns, and its caller may have
- * left; taken for fresh, it would be worked on for nobody.
- */
+/** Guards against a late-read request that counts as fresh. */
 test("should count the turn before a request is read", () => {
   let nowMs = 0;
   const lag = new LoopLag(() => nowMs);
