--- a/packages/decisions/src/admission/cold_start_limit.ts
+++ b/packages/decisions/src/admission/cold_start_limit.ts
@@ -36,7 +36,7 @@
 /** Parts of a coordinator and of those that take its place. */
 export const COORDINATOR_PARTS: readonly number[] = [1 / 2, 1 / 4, 1 / 4];
 /** The rate of all places, as a multiple of what a cold server bears. */
-const MOST_OF_BORNE = 2;
+const MAX_RATE_RATIO = 2;
 /** Requests of the bound that stay unused, for those that are long on the way. */
 const SPARE_REQUESTS = 2;
 
@@ -79,7 +79,7 @@
     // Each place may begin one request more than its rate says.
     const room = borne * bound.excessRatio + bound.slack - parts.length -
       SPARE_REQUESTS;
-    return part * Math.max(0, Math.min(MOST_OF_BORNE * borne, room));
+    return part * Math.max(0, Math.min(MAX_RATE_RATIO * borne, room));
   }
 
   /** Whether a request may begin now; always at a warm server. */
--- a/packages/decisions/src/admission/rank_order.ts
+++ b/packages/decisions/src/admission/rank_order.ts
@@ -9,7 +9,7 @@
  * A less urgent request goes next after so many more urgent ones: prevents
  * starvation.
  */
-const RANK_TURN = 12;
+const STARVATION_LIMIT = 12;
 
 /** The order of one queue. */
 export class RankOrder {
@@ -33,7 +33,7 @@
         a.request.route.priority - b.request.route.priority || a.late - b.late
       )
       .map(({ request }) => request);
-    if (this.#passedOver < RANK_TURN) return ordered;
+    if (this.#passedOver < STARVATION_LIMIT) return ordered;
     const first = ordered[0]!.route.priority;
     const next = ordered.findIndex(({ route }) => route.priority > first);
     if (next > 0) ordered.unshift(...ordered.splice(next, 1));
--- a/packages/decisions/src/admission/server_load.ts
+++ b/packages/decisions/src/admission/server_load.ts
@@ -1,24 +1,22 @@
 /** What this entry VM believes of one backend server's load and health. */
 import type * as contracts from "@guavatide/contracts";
 
-/** A peer's word of its requests at a server is dropped after this time. */
-const TOLD_LIFE_MS = 1_000;
+/** A peer's load at a server is dropped after this time. */
+const PEER_LOAD_TTL_MS = 1_000;
 /** Weight of a new end in the ratio of failures. */
 const FAILURE_GAIN = 1 / 8;
-/** Ends without an answer, in a row, after which a server is left alone. */
-const SUSPEND_AFTER_ENDS = 2;
+/** Sends without an answer, in a row, after which a server is suspended. */
+const SUSPEND_AFTER_LOSSES = 2;
 /**
  * The same for the only owner of its keys, which no other server can answer. An
  * owner that answers nothing is found by its grants.
  */
-const SUSPEND_OWNER_AFTER_ENDS = 5;
+const SUSPEND_OWNER_AFTER_LOSSES = 5;
 const SUSPEND_MIN_MS = 400;
 const SUSPEND_MAX_MS = 4_000;
 
-/**
- * A told speed loses weight with age and counts for nothing after this time.
- */
-const SPEED_LIFE_MS = 400;
+/** A reported speed loses weight with age and lapses after this time. */
+const SPEED_TTL_MS = 400;
 
 /** How a request at a server ended. */
 export type SendEnd =
@@ -38,7 +36,7 @@
   readonly atMs: number;
 }
 
-interface Told {
+interface PeerLoad {
   readonly outstanding: number;
   readonly atMs: number;
 }
@@ -48,13 +46,13 @@
   entry: contracts.ServerEntry;
   /** Start times of this VM's requests there, oldest first. */
   readonly #sentMs = new Set<{ readonly atMs: number }>();
-  readonly #told = new Map<contracts.VmId, Told>();
+  readonly #peerLoads = new Map<contracts.VmId, PeerLoad>();
   /** Whether it is the only one that can serve its keys. */
   readonly #isOwner: boolean;
   #speed: ReportedSpeed | undefined;
   #failureRatio = 0;
   /** Both in a row, without an answer between them. */
-  #endsLost = 0;
+  #lossesInARow = 0;
   #suspensions = 0;
   #lastLostMs = Number.NEGATIVE_INFINITY;
   #suspendedUntilMs = Number.NEGATIVE_INFINITY;
@@ -77,8 +75,8 @@
   /** Requests of all entry VMs at the server, as last told. */
   outstanding(nowMs: number): number {
     let sum = this.#sentMs.size;
-    for (const told of this.#told.values()) {
-      if (nowMs - told.atMs < TOLD_LIFE_MS) sum += told.outstanding;
+    for (const told of this.#peerLoads.values()) {
+      if (nowMs - told.atMs < PEER_LOAD_TTL_MS) sum += told.outstanding;
     }
     return sum;
   }
@@ -100,8 +98,8 @@
   }
 
   /** A peer told of its requests there. */
-  noteTold(vm: contracts.VmId, told: Told): void {
-    this.#told.set(vm, told);
+  noteTold(vm: contracts.VmId, told: PeerLoad): void {
+    this.#peerLoads.set(vm, told);
   }
 
   /** The server told its momentary speed, here or at a peer. */
@@ -115,7 +113,7 @@
   slowdownRatio(nowMs: number): number {
     if (this.#speed === undefined) return 1;
     const { slowdownRatio, atMs } = this.#speed;
-    const weight = Math.max(0, 1 - (nowMs - atMs) / SPEED_LIFE_MS);
+    const weight = Math.max(0, 1 - (nowMs - atMs) / SPEED_TTL_MS);
     return 1 + (slowdownRatio - 1) * weight;
   }
 
@@ -132,7 +130,7 @@
   #noteEnd(end: SendEnd, sentMs: number, nowMs: number): void {
     if (end.kind === "abandoned") return;
     if (end.kind === "lost") return this.#noteLost(sentMs, nowMs);
-    this.#endsLost = 0;
+    this.#lossesInARow = 0;
     this.#suspensions = 0;
     if (end.kind === "rejected") return;
     const failure = end.isFailure ? 1 : 0;
@@ -150,9 +148,11 @@
     // What left before the last loss was lost with it.
     if (this.#isOwner && sentMs < this.#lastLostMs) return;
     this.#lastLostMs = nowMs;
-    this.#endsLost++;
-    const limit = this.#isOwner ? SUSPEND_OWNER_AFTER_ENDS : SUSPEND_AFTER_ENDS;
-    if (this.#endsLost < limit) return;
+    this.#lossesInARow++;
+    const limit = this.#isOwner
+      ? SUSPEND_OWNER_AFTER_LOSSES
+      : SUSPEND_AFTER_LOSSES;
+    if (this.#lossesInARow < limit) return;
     if (sentMs < this.#suspendedUntilMs) return;
     const doubled = SUSPEND_MIN_MS * 2 ** this.#suspensions;
     this.#suspensions++;
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -70,22 +70,22 @@
 const RETRY_AFTER_MIN_MS = 60;
 const RETRY_AFTER_MAX_MS = 1_500;
 /** Requests of a VM at servers of other cells, whose load it does not know. */
-const HELPED_REQUESTS = 1;
+const OVERFLOW_REQUESTS = 1;
 /** The same while the own cell has cold servers only, which bear little. */
-const HELPED_WHILE_COLD = 4;
+const OVERFLOW_REQUESTS_WHILE_COLD = 4;
 /** How long a key's move takes when its last owner gives it up. */
 const MOVE_WAIT_MS = 250;
 /** A planned move ends with the work that ran at its last owner. */
-const LONGEST_MOVE_MS = 800;
+const MAX_PLANNED_MOVE_MS = 800;
 /**
  * How long a lost owner's keys wait beyond the length of a grant: until all
  * that was granted has run out.
  */
 const LOSS_WAIT_MS = 700;
 /** Shortest wait that is expected of a key without owner. */
-const LEAST_MOVE_WAIT_MS = 100;
+const MIN_MOVE_WAIT_MS = 100;
 /** A request whose answer cannot come any more within this time is refused. */
-const LEAST_SERVICE_PART = 0.5;
+const MIN_SERVICE_PART = 0.5;
 
 /** The queue of one service on one entry VM. */
 export class ServiceQueue {
@@ -210,7 +210,7 @@
     this.#waiting = [];
     for (const request of queued) {
       const serviceMs = this.#options.times.routeMs(request.route) *
-        LEAST_SERVICE_PART;
+        MIN_SERVICE_PART;
       const leftMs = request.answerByMs - nowMs;
       // The coordinator knows who else waits there.
       const waitMs = this.#awaitsSlot(request, nowMs)
@@ -263,7 +263,7 @@
     const isFree = best !== undefined &&
       best.outstanding(nowMs) < best.entry.slots;
     // A request behind a full server's slots waits for as long as work takes.
-    const load = isFree ? best : this.#helper(request, nowMs) ?? best;
+    const load = isFree ? best : this.#overflowServer(request, nowMs) ?? best;
     if (load === undefined) return false;
     coldStarts?.noteBegin(load.entry.server, nowMs);
     const outstanding = load.outstanding(nowMs);
@@ -275,12 +275,15 @@
    * A server of another cell, when those of the own cell are full. Their load
    * is not known here, so a VM has only a few requests there at a time.
    */
-  #helper(request: WaitingRequest, nowMs: number): ServerLoad | undefined {
+  #overflowServer(
+    request: WaitingRequest,
+    nowMs: number,
+  ): ServerLoad | undefined {
     const inCell = this.#inCell;
     if (inCell === undefined) return undefined;
-    const limit = this.#isOwnLimited(nowMs)
-      ? HELPED_WHILE_COLD
-      : HELPED_REQUESTS;
+    const limit = this.#isCellCold(nowMs)
+      ? OVERFLOW_REQUESTS_WHILE_COLD
+      : OVERFLOW_REQUESTS;
     const usable: ServerLoad[] = [];
     let sent = 0;
     for (const load of this.#loads.values()) {
@@ -300,7 +303,7 @@
   }
 
   /** Whether the own cell has no server that is warm. */
-  #isOwnLimited(nowMs: number): boolean {
+  #isCellCold(nowMs: number): boolean {
     return [...this.#inCell!].every((server) => this.#isLimited(server, nowMs));
   }
 
@@ -382,10 +385,10 @@
     const owner = this.#ownerOf(request);
     // Nothing can be waited for, not even the move of a key.
     if (this.#loads.size === 0) return "no-server";
-    const isAway = owner?.kind === "owned"
-      ? this.#isOwnerAway(owner.server, request)
-      : this.#areAllAway(request);
-    if (isAway) return "not-home";
+    const isOutsideHome = owner?.kind === "owned"
+      ? this.#isOwnerOutsideHome(owner.server, request)
+      : this.#areAllOutsideHome(request);
+    if (isOutsideHome) return "not-home";
     if (owner === undefined) {
       const isServed = this.#candidates(request, nowMs).length > 0;
       return isServed ? "no-room" : "no-server";
@@ -393,13 +396,16 @@
     return owner.kind === "owned" ? "no-room" : "no-owner";
   }
 
-  #isOwnerAway(server: contracts.ServerId, request: WaitingRequest): boolean {
+  #isOwnerOutsideHome(
+    server: contracts.ServerId,
+    request: WaitingRequest,
+  ): boolean {
     const load = this.#loads.get(server);
     return load !== undefined && !this.#isHome(load.entry, request);
   }
 
   /** Whether there are servers, but none in a region that may run it. */
-  #areAllAway(request: WaitingRequest): boolean {
+  #areAllOutsideHome(request: WaitingRequest): boolean {
     if (request.route.homeRegions === undefined) return false;
     return [...this.#loads.values()]
       .every(({ entry }) => !this.#isHome(entry, request));
@@ -526,7 +532,7 @@
 function moveWaitMs(
   { ageMs, holdMs }: Extract<KeyOwner, { kind: "moving" }>,
 ): number {
-  const isPlanned = ageMs < LONGEST_MOVE_MS;
+  const isPlanned = ageMs < MAX_PLANNED_MOVE_MS;
   const totalMs = isPlanned ? MOVE_WAIT_MS : holdMs + LOSS_WAIT_MS;
-  return Math.max(LEAST_MOVE_WAIT_MS, totalMs - ageMs);
+  return Math.max(MIN_MOVE_WAIT_MS, totalMs - ageMs);
 }
--- a/packages/decisions/src/admission/service_times.ts
+++ b/packages/decisions/src/admission/service_times.ts
@@ -12,7 +12,7 @@
 /** A single measurement counts as at most so many times the expected time. */
 const OUTLIER_RATIO = 6;
 /** Assumed until a route's first answer, a part of its target latency. */
-const FIRST_GUESS_PART = 0.35;
+const INITIAL_ESTIMATE_PART = 0.35;
 
 /** Learned service times of one service. */
 export class ServiceTimes {
@@ -28,7 +28,7 @@
   /** Expected time of a route's request at the servers that it goes to. */
   routeMs(route: RankedRoute): number {
     return this.#routeMs.get(route.name) ??
-      route.targetLatencyMs * FIRST_GUESS_PART;
+      route.targetLatencyMs * INITIAL_ESTIMATE_PART;
   }
 
   /** How much longer than average the server takes; 1 while unknown. */
--- a/packages/decisions/src/admission/short_work_reserve.ts
+++ b/packages/decisions/src/admission/short_work_reserve.ts
@@ -7,14 +7,14 @@
 import type { RankedRoute, WaitingRequest } from "./waiting_request.ts";
 
 /** Work is long beside another kind that takes at most this part of it. */
-const SHORT_PART = 0.5;
+const SHORT_WORK_RATIO = 0.5;
 /** Time constant of the rate at which a kind is asked for. */
 const RATE_MS = 1_000;
 /**
  * A slot is kept when so many short requests are expected while a long one
  * runs; with fewer it would mostly stay empty.
  */
-const LEAST_EXPECTED = 1;
+const MIN_EXPECTED_REQUESTS = 1;
 
 /**
  * A long request may take the kept slot when its target is less than so many
@@ -90,10 +90,10 @@
     let expected = 0;
     for (const kind of this.#kinds.values()) {
       const isShort = kind.route.priority < route.priority &&
-        this.#times.routeMs(kind.route) <= longMs * SHORT_PART;
+        this.#times.routeMs(kind.route) <= longMs * SHORT_WORK_RATIO;
       if (isShort) expected += askedNow(kind, nowMs) * longMs / RATE_MS;
     }
-    return expected >= LEAST_EXPECTED;
+    return expected >= MIN_EXPECTED_REQUESTS;
   }
 
   #kind(route: RankedRoute): Kind {
--- a/packages/decisions/src/admission/slot_asks.ts
+++ b/packages/decisions/src/admission/slot_asks.ts
@@ -38,17 +38,17 @@
 }
 
 /** A wish without any word is sent again: the datagram was lost. */
-const ASK_AGAIN_MS = 60;
+const RESEND_MS = 60;
 /** A coordinator that leaves a wish without any word for so long is not asked. */
-const COORDINATOR_SILENT_MS = 250;
+const ANSWER_TIMEOUT_MS = 250;
 /** A wish that is queued is told again at this interval. */
-const QUEUED_AGAIN_MS = 300;
+const QUEUED_RESEND_MS = 300;
 /** A coordinator that does not confirm a queued wish for so long is gone. */
-const QUEUED_SILENT_MS = 800;
+const QUEUED_TIMEOUT_MS = 800;
 /** How long a silent coordinator is left out. */
-const SILENT_REST_MS = 2_000;
+const COORDINATOR_QUARANTINE_MS = 2_000;
 /** Interval at which slots are listed to their coordinators. */
-const LIST_MS = 500;
+const HELD_SLOTS_INTERVAL_MS = 500;
 
 interface Ask {
   readonly wish: SlotWish;
@@ -142,7 +142,7 @@
       if (nowMs >= untilMs) this.#silentUntilMs.delete(coordinator);
     }
     for (const ask of [...this.#open.values()]) this.#review(ask, nowMs);
-    if (nowMs - this.#listedMs < LIST_MS) return;
+    if (nowMs - this.#listedMs < HELD_SLOTS_INTERVAL_MS) return;
     this.#listedMs = nowMs;
     for (const { state, coordinator, wish } of this.#byId.values()) {
       if (state !== "in-use" || coordinator === undefined) continue;
@@ -196,17 +196,17 @@
     const { coordinator, state, heardMs, sentMs, wish, request } = ask;
     if (coordinator === undefined || state === "given") return;
     const isQueued = state === "queued";
-    const limitMs = isQueued ? QUEUED_SILENT_MS : COORDINATOR_SILENT_MS;
+    const limitMs = isQueued ? QUEUED_TIMEOUT_MS : ANSWER_TIMEOUT_MS;
     if (nowMs - heardMs >= limitMs) {
       if (!this.#silentUntilMs.has(coordinator)) {
         this.#options.onSilent(coordinator);
       }
-      this.#silentUntilMs.set(coordinator, nowMs + SILENT_REST_MS);
+      this.#silentUntilMs.set(coordinator, nowMs + COORDINATOR_QUARANTINE_MS);
       this.withdraw(request);
       // Asks the next coordinator, or goes without one.
       return this.#options.onGiven(request);
     }
-    const againMs = isQueued ? QUEUED_AGAIN_MS : ASK_AGAIN_MS;
+    const againMs = isQueued ? QUEUED_RESEND_MS : RESEND_MS;
     if (nowMs - sentMs < againMs) return;
     ask.sentMs = nowMs;
     this.#message(coordinator).wishes.push(wish);
--- a/packages/decisions/src/admission/slot_coordinator.ts
+++ b/packages/decisions/src/admission/slot_coordinator.ts
@@ -58,11 +58,11 @@
  * A slot that its VM does not list for this long is free again: the word that
  * gave it, or that of its end, was lost.
  */
-const UNLISTED_MS = 300;
+const UNLISTED_SLOT_TTL_MS = 300;
 /** Slots and wishes of a VM that was not heard for so long are dropped. */
-const VM_SILENT_MS = 2_000;
+const VM_TIMEOUT_MS = 2_000;
 /** A server that nobody asked for is forgotten after this time. */
-const IDLE_MS = 10_000;
+const IDLE_SERVER_TTL_MS = 10_000;
 
 interface Held {
   readonly route: RankedRoute;
@@ -116,7 +116,7 @@
   /** Refuses what waits in vain; forgets VMs and servers that are gone. */
   review(nowMs: number): void {
     for (const [vm, heardMs] of this.#heardMs) {
-      if (nowMs - heardMs < VM_SILENT_MS) continue;
+      if (nowMs - heardMs < VM_TIMEOUT_MS) continue;
       this.#heardMs.delete(vm);
       for (const server of this.#servers.values()) {
         server.dropUnlisted(vm, new Set(), nowMs);
@@ -259,7 +259,7 @@
   ): void {
     for (const [name, { sinceMs }] of this.#held) {
       const isOver = name.startsWith(`${vm}/`) && !listed.has(name) &&
-        nowMs - sinceMs >= UNLISTED_MS;
+        nowMs - sinceMs >= UNLISTED_SLOT_TTL_MS;
       if (isOver) this.end(name, undefined, nowMs);
     }
   }
@@ -281,7 +281,7 @@
 
   isIdle(nowMs: number): boolean {
     return this.#held.size === 0 && this.#wishes.size === 0 &&
-      nowMs - this.#usedMs > IDLE_MS;
+      nowMs - this.#usedMs > IDLE_SERVER_TTL_MS;
   }
 
   #hold(name: string, route: RankedRoute, nowMs: number): void {
--- a/packages/decisions/src/grants/first_map_wait.ts
+++ b/packages/decisions/src/grants/first_map_wait.ts
@@ -1,18 +1,18 @@
 /** When the first range map of a service may be written. */
 
 /** A process that has just started lets others settle who is there. */
-const AFTER_MS = 1_200;
+const MIN_UPTIME_MS = 1_200;
 /**
  * Servers start together: the first map waits, within a bound, until none
  * joins.
  */
-const CALM_MS = 1_000;
-const BEFORE_MS = 4_000;
+const JOIN_QUIET_MS = 1_000;
+const MAX_WAIT_MS = 4_000;
 
 /** Watches how the servers gather. */
 export class FirstMapWait {
   #serverCount = 0;
-  #sinceMs = 0;
+  #unchangedSinceMs = 0;
 
   /** Whether the wait is over with so many servers there. */
   isOver(
@@ -21,9 +21,9 @@
   ): boolean {
     if (serverCount !== this.#serverCount) {
       this.#serverCount = serverCount;
-      this.#sinceMs = nowMs;
+      this.#unchangedSinceMs = nowMs;
     }
-    const isCalm = nowMs - this.#sinceMs >= CALM_MS;
-    return lifeMs >= AFTER_MS && isCalm || lifeMs >= BEFORE_MS;
+    const isQuiet = nowMs - this.#unchangedSinceMs >= JOIN_QUIET_MS;
+    return lifeMs >= MIN_UPTIME_MS && isQuiet || lifeMs >= MAX_WAIT_MS;
   }
 }
--- a/packages/decisions/src/grants/grant_hold.ts
+++ b/packages/decisions/src/grants/grant_hold.ts
@@ -8,7 +8,7 @@
 /** Length of a grant as a multiple of the longest target latency. */
 const HOLD_PER_TARGET = 2;
 /** The longest grant, whatever routes ask for. */
-const MOST_HOLD_MS = 6_000;
+const MAX_HOLD_MS = 6_000;
 
 /** Limits of {@link wishedHoldMs}. */
 export interface HoldLimits {
@@ -25,7 +25,7 @@
   const wishedMs = Math.ceil(
     HOLD_PER_TARGET * Math.max(0, ...targetLatenciesMs),
   );
-  return Math.min(mostMs, Math.max(leastMs, Math.min(MOST_HOLD_MS, wishedMs)));
+  return Math.min(mostMs, Math.max(leastMs, Math.min(MAX_HOLD_MS, wishedMs)));
 }
 
 /** Length of the grants of a map, which no earlier grant of it exceeds. */
--- a/packages/decisions/src/grants/keeper_review.ts
+++ b/packages/decisions/src/grants/keeper_review.ts
@@ -2,14 +2,14 @@
 import type * as contracts from "@guavatide/contracts";
 
 /** Entry VMs that answer for a map: a majority of them is asked. */
-const KEEPERS = 7;
+const KEEPER_COUNT = 7;
 /** A keeper that was silent for so long is replaced by another VM. */
-const KEEPER_SILENT_MS = 3_000;
+const KEEPER_REPLACE_AFTER_MS = 3_000;
 /**
  * A keeper silent for this long counts as gone for good: a map that lost the
  * majority of its keepers could not change otherwise.
  */
-const KEEPER_GONE_MS = 10_000;
+const KEEPER_GONE_AFTER_MS = 10_000;
 
 /** What a VM knows of the keepers. */
 export interface KeeperReviewInput {
@@ -27,17 +27,17 @@
 export function wishedKeepers(input: KeeperReviewInput): contracts.VmId[] {
   const present = input.map?.keeperSets.at(-1) ?? [];
   const kept = present.filter((keeper) =>
-    silenceMs(input, keeper) < KEEPER_SILENT_MS
+    silenceMs(input, keeper) < KEEPER_REPLACE_AFTER_MS
   );
   const added = input.live.filter((vm) => !kept.includes(vm));
-  return [...kept, ...added].slice(0, Math.max(KEEPERS, kept.length));
+  return [...kept, ...added].slice(0, Math.max(KEEPER_COUNT, kept.length));
 }
 
 /** Keepers that are gone for good. */
 export function goneKeepers(input: KeeperReviewInput): Set<contracts.VmId> {
   const keepers = input.map?.keeperSets.flat() ?? [];
   return new Set(
-    keepers.filter((keeper) => silenceMs(input, keeper) > KEEPER_GONE_MS),
+    keepers.filter((keeper) => silenceMs(input, keeper) > KEEPER_GONE_AFTER_MS),
   );
 }
 
--- a/packages/decisions/src/grants/key_loads.ts
+++ b/packages/decisions/src/grants/key_loads.ts
@@ -3,9 +3,9 @@
 /** Time constant of the decay: hot keys show, and are forgotten, within it. */
 const DECAY_MS = 1_000;
 /** Counts of a shorter time than this say too little about rates. */
-const LEAST_TIME_MS = 300;
+const MIN_WINDOW_MS = 300;
 /** Rates below this are dropped, in requests a second. */
-const LEAST_PER_SECOND = 0.02;
+const MIN_PER_SECOND = 0.02;
 
 /** Standard deviation of a decayed rate of random arrivals, a second. */
 export function rateDeviation(perSecond: number): number {
@@ -35,7 +35,7 @@
     const factor = Math.exp(-elapsedMs / DECAY_MS);
     for (const [key, weight] of this.#weights) {
       const left = weight * factor;
-      if (left < LEAST_PER_SECOND * DECAY_MS / 1000) this.#weights.delete(key);
+      if (left < MIN_PER_SECOND * DECAY_MS / 1000) this.#weights.delete(key);
       else this.#weights.set(key, left);
     }
   }
@@ -52,6 +52,6 @@
   #countedMs(): number {
     const ageMs = (this.#updatedMs ?? 0) - (this.#startedMs ?? 0);
     const countedMs = DECAY_MS * (1 - Math.exp(-ageMs / DECAY_MS));
-    return Math.max(LEAST_TIME_MS, countedMs);
+    return Math.max(MIN_WINDOW_MS, countedMs);
   }
 }
--- a/packages/decisions/src/grants/lone_keys.ts
+++ b/packages/decisions/src/grants/lone_keys.ts
@@ -12,14 +12,14 @@
 } from "./range_load.ts";
 
 /** Busy part of its owner that a key alone takes when it is too hot for it. */
-const LONE_KEY_UTILIZATION = 0.8;
+const HOT_KEY_UTILIZATION = 0.8;
 /**
  * How much more the next owner must carry: a full server measures slower than
  * an idle one, and a key would wander.
  */
-const FASTER_RATIO = 1.6;
+const MIN_CAPACITY_RATIO = 1.6;
 
-interface LoneKey extends KeyRate {
+interface HotKey extends KeyRate {
   readonly owner: contracts.ServerId;
 }
 
@@ -38,7 +38,7 @@
     const to = fastest(input, taken);
     if (to === undefined) break;
     const gain = capacityOf(input, to) / capacityOf(input, owner);
-    if (gain < FASTER_RATIO) continue;
+    if (gain < MIN_CAPACITY_RATIO) continue;
     taken.add(to);
     use.add(owner, -perSecond);
     use.add(to, perSecond);
@@ -54,8 +54,8 @@
 /** The key of each server that is asked for most. */
 function hottestKeys(
   { ranges, rates, servers }: RangePlanInput,
-): Map<contracts.ServerId, LoneKey> {
-  const hottest = new Map<contracts.ServerId, LoneKey>();
+): Map<contracts.ServerId, HotKey> {
+  const hottest = new Map<contracts.ServerId, HotKey>();
   for (const range of ranges) {
     const owner = range.owner.server;
     if (!servers.has(owner) || range.vacating !== undefined) continue;
@@ -69,10 +69,10 @@
 }
 
 function isTooHot(
-  { perSecond, owner }: LoneKey,
+  { perSecond, owner }: HotKey,
   input: RangePlanInput,
 ): boolean {
-  return perSecond > LONE_KEY_UTILIZATION * capacityOf(input, owner);
+  return perSecond > HOT_KEY_UTILIZATION * capacityOf(input, owner);
 }
 
 function capacityOf(
--- a/packages/decisions/src/grants/lost_servers.ts
+++ b/packages/decisions/src/grants/lost_servers.ts
@@ -2,30 +2,30 @@
 import type * as contracts from "@guavatide/contracts";
 
 /** A server that left a grant unanswered gets no new range for a while. */
-const REST_MS = 3_000;
+const QUARANTINE_MIN_MS = 3_000;
 /**
- * The rest doubles with each loss in a row: a server that reaches the store but
- * not the VMs keeps its entry there.
+ * Quarantine doubles with each loss in a row: a server that reaches the store
+ * but not the VMs keeps its entry there.
  */
-const LONGEST_REST_MS = 24_000;
+const QUARANTINE_MAX_MS = 24_000;
 /** A server that was not lost again for so long is as good as any. */
-const FORGIVEN_MS = 60_000;
+const LOSS_TTL_MS = 60_000;
 
 interface Loss {
   /** When it was last found silent. */
   lastMs: number;
-  restMs: number;
+  quarantineMs: number;
 }
 
 /** Votes on silent servers, and those lost by them. */
 export class LostServers {
-  readonly #told = new Map<contracts.VmId, ReadonlySet<string>>();
+  readonly #silentByVm = new Map<contracts.VmId, ReadonlySet<string>>();
   readonly #losses = new Map<contracts.ServerId, Loss>();
-  readonly #resting = new Set<contracts.ServerId>();
+  readonly #quarantined = new Set<contracts.ServerId>();
 
   /** A VM told which servers leave its grants unanswered. */
   noteSilent(vm: contracts.VmId, servers: readonly string[]): void {
-    this.#told.set(vm, new Set(servers));
+    this.#silentByVm.set(vm, new Set(servers));
   }
 
   /** Counts the votes. Returns servers that are newly lost. */
@@ -34,20 +34,22 @@
     renewersOf: (server: contracts.ServerId) => readonly contracts.VmId[],
   ): contracts.ServerId[] {
     const newly: contracts.ServerId[] = [];
-    const named = new Set([...this.#told.values()].flatMap((it) => [...it]));
+    const named = new Set(
+      [...this.#silentByVm.values()].flatMap((it) => [...it]),
+    );
     for (const name of named) {
       const server = name as contracts.ServerId;
       const renewers = renewersOf(server);
       // One slow way moves nothing: every renewer has to find it silent.
       const isSilent = renewers.length > 0 &&
-        renewers.every((vm) => this.#told.get(vm)?.has(name) ?? false);
+        renewers.every((vm) => this.#silentByVm.get(vm)?.has(name) ?? false);
       if (!isSilent) continue;
-      if (!this.#resting.has(server)) newly.push(server);
+      if (!this.#quarantined.has(server)) newly.push(server);
       this.#noteLoss(server, nowMs);
     }
-    for (const [server, { lastMs, restMs }] of this.#losses) {
-      if (nowMs - lastMs > restMs) this.#resting.delete(server);
-      if (nowMs - lastMs > FORGIVEN_MS) this.#losses.delete(server);
+    for (const [server, { lastMs, quarantineMs }] of this.#losses) {
+      if (nowMs - lastMs > quarantineMs) this.#quarantined.delete(server);
+      if (nowMs - lastMs > LOSS_TTL_MS) this.#losses.delete(server);
     }
     return newly;
   }
@@ -55,18 +57,18 @@
   #noteLoss(server: contracts.ServerId, nowMs: number): void {
     const known = this.#losses.get(server);
     const isFirst = known === undefined ||
-      nowMs - known.lastMs > FORGIVEN_MS;
-    const restMs = isFirst
-      ? REST_MS
-      : this.#resting.has(server)
-      ? known.restMs
-      : Math.min(LONGEST_REST_MS, 2 * known.restMs);
-    this.#losses.set(server, { lastMs: nowMs, restMs });
-    this.#resting.add(server);
+      nowMs - known.lastMs > LOSS_TTL_MS;
+    const quarantineMs = isFirst
+      ? QUARANTINE_MIN_MS
+      : this.#quarantined.has(server)
+      ? known.quarantineMs
+      : Math.min(QUARANTINE_MAX_MS, 2 * known.quarantineMs);
+    this.#losses.set(server, { lastMs: nowMs, quarantineMs });
+    this.#quarantined.add(server);
   }
 
   /** Whether a server is lost, or was until a short while ago. */
   has(server: contracts.ServerId): boolean {
-    return this.#resting.has(server);
+    return this.#quarantined.has(server);
   }
 }
--- a/packages/decisions/src/grants/range_news.ts
+++ b/packages/decisions/src/grants/range_news.ts
@@ -11,9 +11,9 @@
 }
 
 /** Differences go back so far: after a few lost datagrams no read is needed. */
-const BASE_AGE_MS = 2_000;
+const MAX_BASE_AGE_MS = 2_000;
 /** Bounds the size of a datagram: larger ones are lost more often. */
-const MOST_RANGES = 90;
+const MAX_RANGES = 90;
 
 /** The last maps of one service, to tell their differences. */
 export class RangeNews {
@@ -24,7 +24,8 @@
     this.#history.push({ map, atMs: nowMs });
     // One that is older than the base age stays as the base.
     while (
-      this.#history.length > 1 && nowMs - this.#history[1]!.atMs > BASE_AGE_MS
+      this.#history.length > 1 &&
+      nowMs - this.#history[1]!.atMs > MAX_BASE_AGE_MS
     ) {
       this.#history.shift();
     }
@@ -34,12 +35,12 @@
   change(): RangeMapChange | undefined {
     const latest = this.#history.at(-1)?.map;
     if (latest === undefined) return undefined;
-    if (latest.revision === 1 && latest.ranges.length <= MOST_RANGES) {
+    if (latest.revision === 1 && latest.ranges.length <= MAX_RANGES) {
       return { map: latest, baseRevision: 0 };
     }
     const base = this.#history[0]!.map;
     const ranges = changedRanges(base, latest);
-    return ranges.length <= MOST_RANGES
+    return ranges.length <= MAX_RANGES
       ? { map: { ...latest, ranges }, baseRevision: base.revision }
       : { map: { ...latest, ranges: [] }, baseRevision: latest.revision };
   }
--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -30,13 +30,13 @@
 const START_DEVIATIONS = 2;
 const STOP_DEVIATIONS = 1;
 /** Moves in one plan at least; each costs a grant to renew from then on. */
-const MOVES_PER_PLAN = 8;
+const MIN_MOVES_PER_PLAN = 8;
 /** The same for each server: a hot spot has to be spread over all of them. */
 const MOVES_PER_SERVER = 0.25;
 /** Pieces that the keys of a server with a mean load are dealt out in. */
-const PIECES_OF_LOST = 3;
+const PIECES_PER_LOST_SERVER = 3;
 /** Ranges for each server beyond which none is split any more. */
-const RANGES_PER_SERVER = 10;
+const MAX_RANGES_PER_SERVER = 10;
 
 /** Plans moves. An empty list means that all may stay as it is. */
 export function planRanges(input: RangePlanInput): RangeMove[] {
@@ -61,7 +61,7 @@
 function planLosses(input: RangePlanInput, use: Utilization): RangeMove[] {
   const moves: RangeMove[] = [];
   const total = rateOf(input.rates, ALL_KEYS);
-  const perPiece = total / input.servers.size / PIECES_OF_LOST;
+  const perPiece = total / input.servers.size / PIECES_PER_LOST_SERVER;
   for (const range of input.ranges) {
     const { owner } = range;
     const server = input.servers.get(owner.server);
@@ -83,7 +83,7 @@
 /** A range with little load stays whole: each piece is a grant to renew. */
 function piecesOf(perSecond: number, perPiece: number): number {
   const pieces = Math.round(perSecond / perPiece);
-  return Math.min(PIECES_OF_LOST, Math.max(1, pieces));
+  return Math.min(PIECES_PER_LOST_SERVER, Math.max(1, pieces));
 }
 
 /** Cuts a range into pieces of about the same load. */
@@ -134,7 +134,10 @@
 }
 
 function movesPerPlan({ servers }: RangePlanInput): number {
-  return Math.max(MOVES_PER_PLAN, Math.ceil(servers.size * MOVES_PER_SERVER));
+  return Math.max(
+    MIN_MOVES_PER_PLAN,
+    Math.ceil(servers.size * MOVES_PER_SERVER),
+  );
 }
 
 const ALL_KEYS: contracts.KeyRange = { fromKey: 0, toKey: KEY_COUNT - 1 };
@@ -169,7 +172,7 @@
   planned: readonly RangeMove[],
 ): RangeMove[] {
   const moves = [...planned];
-  const limit = input.servers.size * RANGES_PER_SERVER;
+  const limit = input.servers.size * MAX_RANGES_PER_SERVER;
   const level = Math.max(HOT_UTILIZATION, use.mean * HOT_RATIO);
   if (!use.exceeds(level, START_DEVIATIONS)) return moves;
   const exhausted = new Set<contracts.ServerId>();
@@ -180,10 +183,10 @@
     const cold = use.coldest();
     if (hot === undefined || cold === undefined) break;
     if (use.atLeast(hot, STOP_DEVIATIONS) <= level) break;
-    const wish = wishOf(input, use, { hot, cold, level });
+    const targetPerSecond = loadToMove(input, use, { hot, cold, level });
     const piece = maySplit
-      ? densePiece(input, moves, hot, wish)
-      : wholeRange(input, moves, hot, wish);
+      ? densePiece(input, moves, hot, targetPerSecond)
+      : wholeRange(input, moves, hot, targetPerSecond);
     if (piece === undefined) {
       exhausted.add(hot);
       continue;
@@ -208,7 +211,7 @@
  * Load to move: down to the mean at the sender, up to the level at the
  * receiver, and no more than makes both equally busy.
  */
-function wishOf(
+function loadToMove(
   { servers }: RangePlanInput,
   use: Utilization,
   { hot, cold, level }: HotAndCold,
@@ -217,7 +220,7 @@
   const { capacityPerSecond: ofCold } = servers.get(cold)!;
   const excess = (use.of(hot) - use.mean) * ofHot;
   const half = (use.of(hot) - use.of(cold)) / 2 * Math.min(ofHot, ofCold);
-  const room = (level - use.of(cold)) * ofCold / MOST_OF_WISH;
+  const room = (level - use.of(cold)) * ofCold / MAX_PIECE_PART;
   return Math.min(excess, half, room);
 }
 
@@ -225,18 +228,18 @@
   readonly perSecond: number;
 }
 
-/** The fewest keys of a server that carry about the wished load. */
+/** The fewest keys of a server that carry about the target load. */
 function densePiece(
   input: RangePlanInput,
   moves: readonly RangeMove[],
   server: contracts.ServerId,
-  wishedPerSecond: number,
+  targetPerSecond: number,
 ): Piece | undefined {
   let best: Piece | undefined;
   for (const owned of ownedParts(input, moves)) {
     if (owned.server !== server) continue;
     const rates = within(input.rates, owned.part);
-    const piece = denseWindow(rates, wishedPerSecond);
+    const piece = denseWindow(rates, targetPerSecond);
     const isDenser = piece !== undefined &&
       (best === undefined || density(piece) > density(best));
     if (isDenser) best = piece;
@@ -244,22 +247,22 @@
   return best;
 }
 
-/** Part of the wished load that a whole range must carry; it costs no grant. */
-const LEAST_WHOLE_OF_WISH = 0.05;
+/** Part of the target load that a whole range must carry; it costs no grant. */
+const MIN_WHOLE_RANGE_PART = 0.05;
 
-/** The range of a server whose load comes nearest to the wished one. */
+/** The range of a server whose load comes nearest to the target. */
 function wholeRange(
   input: RangePlanInput,
   moves: readonly RangeMove[],
   server: contracts.ServerId,
-  wishedPerSecond: number,
+  targetPerSecond: number,
 ): Piece | undefined {
   let best: Piece | undefined;
   for (const { part, server: owner } of ownedParts(input, moves)) {
     if (owner !== server) continue;
     const perSecond = rateOf(input.rates, part);
-    if (perSecond > wishedPerSecond * MOST_OF_WISH) continue;
-    if (perSecond < wishedPerSecond * LEAST_WHOLE_OF_WISH) continue;
+    if (perSecond > targetPerSecond * MAX_PIECE_PART) continue;
+    if (perSecond < targetPerSecond * MIN_WHOLE_RANGE_PART) continue;
     if (best !== undefined && best.perSecond >= perSecond) continue;
     best = { ...part, perSecond };
   }
@@ -315,26 +318,26 @@
   return parts;
 }
 
-/** Part of the wished load that a piece must carry to be worth a move. */
-const LEAST_OF_WISH = 0.3;
-/** Part beyond the wished load that a piece may carry. */
-const MOST_OF_WISH = 1.1;
+/** Part of the target load that a piece must carry to be worth a move. */
+const MIN_PIECE_PART = 0.3;
+/** Part beyond the target load that a piece may carry. */
+const MAX_PIECE_PART = 1.1;
 
-/** The densest window of keys whose load is about the wished one. */
+/** The densest window of keys whose load is about the target. */
 function denseWindow(
   rates: readonly KeyRate[],
-  wishedPerSecond: number,
+  targetPerSecond: number,
 ): Piece | undefined {
   let best: Piece | undefined;
   let sum = 0;
   let start = 0;
   for (const [index, { key, perSecond }] of rates.entries()) {
     sum += perSecond;
-    while (sum > wishedPerSecond * MOST_OF_WISH && start <= index) {
+    while (sum > targetPerSecond * MAX_PIECE_PART && start <= index) {
       sum -= rates[start]!.perSecond;
       start++;
     }
-    if (sum < wishedPerSecond * LEAST_OF_WISH || start > index) continue;
+    if (sum < targetPerSecond * MIN_PIECE_PART || start > index) continue;
     const piece = {
       fromKey: rates[start]!.key,
       toKey: key,
--- a/packages/entry/src/gateway/cold_starts.ts
+++ b/packages/entry/src/gateway/cold_starts.ts
@@ -20,7 +20,7 @@
 }
 
 /** Just after its start a process knows too few VMs to find its own place. */
-const SETTLED_MS = 2_000;
+const STARTUP_GRACE_MS = 2_000;
 
 /** Creates the limits of each service. */
 export class ColdStarts {
@@ -66,7 +66,7 @@
   #placeOf(server: contracts.ServerId): number | undefined {
     const { vm, registry, gossip, clock } = this.#options;
     const isAlone = gossip.vmCount === 1 && gossip.seedCount > 0;
-    const isSettled = clock.nowMs() - this.#startedMs >= SETTLED_MS;
+    const isSettled = clock.nowMs() - this.#startedMs >= STARTUP_GRACE_MS;
     if (isAlone || !isSettled) return undefined;
     const zone = registry.zoneOf(server);
     const inZone = gossip.knownIn(zone);
--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarded_request.ts
@@ -47,11 +47,11 @@
  */
 const SERVER_STOP_LEAD_MS = 15;
 /** Least time left for which a second send is worth its cost. */
-const LEAST_REPEAT_MS = 20;
+const MIN_REPEAT_MS = 20;
 /** A caller whose key's owner refused comes back when the move is over. */
 const MOVED_RETRY_AFTER_MS = 150;
 /** A send with less time than this part of the expected time is not repeated. */
-const REPEAT_TIME_PART = 0.6;
+const MIN_REPEAT_TIME_PART = 0.6;
 /** Wait before a request that its key's owner refused is placed again. */
 const REFUSED_OWNER_PAUSE_MS = 25;
 
@@ -275,8 +275,8 @@
   #canSendAgain(): boolean {
     const leftMs = this.answerByMs - this.#parts.clock.nowMs();
     const neededMs = Math.max(
-      LEAST_REPEAT_MS,
-      this.#parts.times.routeMs(this.route) * REPEAT_TIME_PART,
+      MIN_REPEAT_MS,
+      this.#parts.times.routeMs(this.route) * MIN_REPEAT_TIME_PART,
     );
     return !this.#isDone && this.#sends < this.route.attemptLimit &&
       leftMs > neededMs;
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -9,10 +9,10 @@
 import type { ConfigHolder } from "./config_holder.ts";
 import { ForwardedRequest, type ForwardingParts } from "./forwarded_request.ts";
 import {
-  behindAnswer,
   type FrontAnswer,
   type FrontRequest,
   notRunAnswer,
+  overloadAnswer,
 } from "./front_request.ts";
 import type { GrantTask } from "./grant_task.ts";
 import type { PeerGossip } from "./peer_gossip.ts";
@@ -58,9 +58,9 @@
 /** A VM without configuration expects it within this time. */
 const NO_CONFIG_RETRY_AFTER_MS = 300;
 /** Capacity of a server is guessed from this while none is measured. */
-const GUESSED_SERVICE_MS = 100;
+const DEFAULT_SERVICE_MS = 100;
 /** A server's speed is told when it has changed by more than this factor. */
-const TOLD_SPEED_CHANGE = 1.4;
+const SPEED_UPDATE_RATIO = 1.4;
 /** Links of this VM's share that stay free, for releases and probes. */
 const SPARE_LINKS = 1;
 
@@ -69,16 +69,16 @@
   readonly #options: ForwarderOptions;
   readonly #services = new Map<contracts.ServiceId, ServicePart>();
   /** Servers that each peer has told of. */
-  readonly #toldOf = new Map<contracts.VmId, Set<string>>();
+  readonly #serversByPeer = new Map<contracts.VmId, Set<string>>();
   /** Momentary speeds of servers that peers are to be told. */
   #slowdowns: Record<string, number> | undefined;
   #inFlight = 0;
   #reviewing: RegularWork | undefined;
-  readonly #behindLine: FoldedLine;
+  readonly #overloadLine: FoldedLine;
 
   constructor(options: ForwarderOptions) {
     this.#options = options;
-    this.#behindLine = new FoldedLine(
+    this.#overloadLine = new FoldedLine(
       options.log,
       "Refuses what this VM has read too late.",
     );
@@ -120,20 +120,20 @@
     const service = active.table.draw(route);
     const part = this.#part(service);
     const nowMs = this.#options.clock.nowMs();
-    const isBehind = admission.isLateByLag({
+    const isOverloaded = admission.isLateByLag({
       lagMs: request.lagMs,
       nowMs,
       arrivedMs: request.arrivedMs,
       targetLatencyMs: route.targetLatencyMs,
       serviceMs: part.times.routeMs(route),
     });
-    if (isBehind) {
-      this.#behindLine.note(nowMs, {
+    if (isOverloaded) {
+      this.#overloadLine.note(nowMs, {
         id: request.id,
         lagMs: Math.round(request.lagMs),
         inFlight: this.#inFlight,
       });
-      return Promise.resolve(behindAnswer(this.#options.random));
+      return Promise.resolve(overloadAnswer(this.#options.random));
     }
     part.budget.noteRequest(nowMs);
     if (part.isKeyed && request.key !== undefined) {
@@ -160,7 +160,7 @@
    */
   capacity(entry: contracts.ServerEntry, toldFactor?: number): number {
     const times = this.#services.get(entry.service)?.times;
-    const meanMs = times?.meanMs ?? GUESSED_SERVICE_MS;
+    const meanMs = times?.meanMs ?? DEFAULT_SERVICE_MS;
     const factor = toldFactor ?? times?.factor(entry.server) ?? 1;
     return entry.slots * 1000 / Math.max(1, meanMs * factor);
   }
@@ -231,7 +231,8 @@
     if (isKeyed || slowdownRatio === undefined || load === undefined) return;
     const change = slowdownRatio / load.slowdownRatio(nowMs);
     load.noteSpeed({ slowdownRatio, atMs: nowMs });
-    const isTold = change > TOLD_SPEED_CHANGE || change < 1 / TOLD_SPEED_CHANGE;
+    const isTold = change > SPEED_UPDATE_RATIO ||
+      change < 1 / SPEED_UPDATE_RATIO;
     if (!isTold) return;
     this.#slowdowns ??= {};
     this.#slowdowns[server] = slowdownRatio;
@@ -320,9 +321,9 @@
     for (const [service, part] of this.#services) {
       this.#setServers(service, part);
     }
-    for (const vm of this.#toldOf.keys()) {
+    for (const vm of this.#serversByPeer.keys()) {
       const isLive = this.#options.gossip.live.some((peer) => peer.vm === vm);
-      if (!isLive) this.#toldOf.delete(vm);
+      if (!isLive) this.#serversByPeer.delete(vm);
     }
   }
 
@@ -342,14 +343,14 @@
 
   #takeStatus({ vm, loads }: PeerStatus): void {
     // What the status no longer names is over.
-    const told = this.#toldOf.get(vm) ?? new Set();
+    const told = this.#serversByPeer.get(vm) ?? new Set();
     const ended = [...told].filter((server) => loads[server] === undefined);
-    this.#noteTold(vm, loads);
-    this.#noteTold(
+    this.#notePeerLoads(vm, loads);
+    this.#notePeerLoads(
       vm,
       Object.fromEntries(ended.map((server) => [server, 0])),
     );
-    this.#toldOf.set(vm, new Set(Object.keys(loads)));
+    this.#serversByPeer.set(vm, new Set(Object.keys(loads)));
     for (const [service, { queue }] of this.#services) {
       queue.setWaitingElsewhere(this.#waitingElsewhere(service));
     }
@@ -360,14 +361,14 @@
     for (const [server, slowdownRatio] of Object.entries(slowdowns ?? {})) {
       this.#find(server)?.load.noteSpeed({ slowdownRatio, atMs });
     }
-    this.#noteTold(vm, loads);
-    const told = this.#toldOf.get(vm) ?? new Set();
-    this.#toldOf.set(vm, told);
+    this.#notePeerLoads(vm, loads);
+    const told = this.#serversByPeer.get(vm) ?? new Set();
+    this.#serversByPeer.set(vm, told);
     for (const server of Object.keys(loads)) told.add(server);
   }
 
   /** A peer's requests at servers; waiting ones here may have found room. */
-  #noteTold(vm: contracts.VmId, loads: PeerStatus["loads"]): void {
+  #notePeerLoads(vm: contracts.VmId, loads: PeerStatus["loads"]): void {
     const nowMs = this.#options.clock.nowMs();
     const changed = new Set<admission.ServiceQueue>();
     for (const [server, outstanding] of Object.entries(loads)) {
--- a/packages/entry/src/gateway/front_listener.ts
+++ b/packages/entry/src/gateway/front_listener.ts
@@ -12,10 +12,10 @@
 import * as bodies from "../utils/read_body.ts";
 import type { PartLog } from "../utils/log.ts";
 import {
-  behindAnswer,
   type FrontAnswer,
   type FrontRequest,
   notRunAnswer,
+  overloadAnswer,
 } from "./front_request.ts";
 import type { HeaderNames } from "./platform_adapter.ts";
 
@@ -43,8 +43,8 @@
  * A caller that closes so soon after its request was read had left before. For
  * a while, requests then wait for the turn in which a close is read.
  */
-const GONE_AT_ONCE_MS = 40;
-const WARY_MS = 2_000;
+const EARLY_CLOSE_MS = 40;
+const EARLY_CLOSE_SUSPICION_MS = 2_000;
 /** Largest head of a request; the configuration's limit is checked besides. */
 const HEADER_LIMIT_BYTES = 65_536;
 /** Limits until the first configuration. */
@@ -60,15 +60,15 @@
  * Part of the grace time after which requests are refused: one that waits for a
  * server could be cut off with its connection.
  */
-const TAKE_PART = 0.5;
+const ACCEPT_PART = 0.5;
 /** A caller that this VM no longer serves finds another one at once. */
 const STOPPING_RETRY_AFTER_MS = 20;
 /** Time that the last answers take to leave before connections are closed. */
-const LAST_ANSWERS_MS = 50;
+const FLUSH_MS = 50;
 /** Part of the grace time after which idle connections are closed. */
 const CLOSE_IDLE_PART = 0.72;
 /** Part of the grace time within which running requests may end. */
-const END_PART = 0.93;
+const DRAIN_PART = 0.93;
 const DRAIN_CHECK_MS = 20;
 /**
  * A VM further behind refuses at once: a refusal takes a fraction of the
@@ -84,8 +84,8 @@
   #inFlight = 0;
   #stoppedAtMs = Number.POSITIVE_INFINITY;
   #connections = 0;
-  /** When a caller last left at once. */
-  #goneAtOnceMs = Number.NEGATIVE_INFINITY;
+  /** When a caller last closed early. */
+  #lastEarlyCloseMs = Number.NEGATIVE_INFINITY;
   readonly #shedLine: FoldedLine;
   readonly #stopLine: FoldedLine;
 
@@ -158,7 +158,7 @@
     const onGone = () => {
       if (response.writableFinished || gone.signal.aborted) return;
       const nowMs = this.#options.clock.nowMs();
-      if (nowMs - readMs < GONE_AT_ONCE_MS) this.#goneAtOnceMs = nowMs;
+      if (nowMs - readMs < EARLY_CLOSE_MS) this.#lastEarlyCloseMs = nowMs;
       gone.abort();
     };
     incoming.socket.once("end", onGone);
@@ -167,7 +167,9 @@
       this.#inFlight--;
       onGone();
     });
-    if (lagMs > 0 || readMs - this.#goneAtOnceMs < WARY_MS) {
+    if (
+      lagMs > 0 || readMs - this.#lastEarlyCloseMs < EARLY_CLOSE_SUSPICION_MS
+    ) {
       // A close that followed the request is read in the next turn.
       await timers.setImmediate();
       await timers.setImmediate();
@@ -192,7 +194,7 @@
     }
     if (lagMs <= SHED_LAG_MS) return undefined;
     this.#shedLine.note(readMs - lagMs, { lagMs: Math.round(lagMs), inFlight });
-    return behindAnswer(this.#options.random);
+    return overloadAnswer(this.#options.random);
   }
 
   async #answer(
@@ -227,14 +229,14 @@
   /** Whether this VM stops so soon that it takes no more requests. */
   #isClosing(nowMs: number): boolean {
     const { graceMs } = this.#options;
-    return nowMs - this.#stoppedAtMs > graceMs * TAKE_PART;
+    return nowMs - this.#stoppedAtMs > graceMs * ACCEPT_PART;
   }
 
   /** What the caller says, or less when this VM stops before. */
   #deadlineMs(saidMs: number | undefined): number | undefined {
     const { clock, graceMs } = this.#options;
     if (this.#stoppedAtMs === Number.POSITIVE_INFINITY) return saidMs;
-    const endMs = this.#stoppedAtMs + graceMs * END_PART - LAST_ANSWERS_MS;
+    const endMs = this.#stoppedAtMs + graceMs * DRAIN_PART - FLUSH_MS;
     const leftMs = Math.max(1, Math.floor(endMs - clock.nowMs()));
     return Math.min(saidMs ?? leftMs, leftMs);
   }
@@ -248,7 +250,7 @@
     const startMs = clock.nowMs();
     this.#stoppedAtMs = startMs;
     const closeIdleMs = startMs + graceMs * CLOSE_IDLE_PART;
-    const endMs = startMs + graceMs * END_PART;
+    const endMs = startMs + graceMs * DRAIN_PART;
     while (clock.nowMs() < closeIdleMs) await timers.setTimeout(DRAIN_CHECK_MS);
     const closed = new Promise((resolve) => this.#server.close(resolve));
     this.#server.closeIdleConnections();
--- a/packages/entry/src/gateway/front_request.ts
+++ b/packages/entry/src/gateway/front_request.ts
@@ -35,13 +35,13 @@
   };
 
 /** Mean time after which those refused for the loop's lag are to come back. */
-const LAG_RETRY_AFTER_MS = 300;
+const OVERLOAD_RETRY_AFTER_MS = 300;
 
-/** This VM is behind; another may not be. */
-export function behindAnswer(random: contracts.RandomSource): FrontAnswer {
+/** This VM is overloaded; another may not be. */
+export function overloadAnswer(random: contracts.RandomSource): FrontAnswer {
   return notRunAnswer(
     "Not run: this VM is behind",
-    LAG_RETRY_AFTER_MS * (0.5 + random.next()),
+    OVERLOAD_RETRY_AFTER_MS * (0.5 + random.next()),
   );
 }
 
--- a/packages/entry/src/gateway/grant_sender.ts
+++ b/packages/entry/src/gateway/grant_sender.ts
@@ -42,10 +42,10 @@
 }
 
 /**
- * A server's silence lapses after this time: it gets no grants once its ranges
- * are taken away, so nothing else could show that it is back.
+ * Suspicion of a silent server lapses after this time: it gets no grants once
+ * its ranges are taken away, so nothing else could show that it is back.
  */
-const SILENT_STANDS_MS = 1_500;
+const SUSPICION_TTL_MS = 1_500;
 /**
  * Back-off after failed grants: a refused connection fails within a
  * millisecond.
@@ -92,7 +92,7 @@
       .filter(([, { silentSinceMs, lastEndMs, isUnderWay }]) =>
         silentSinceMs !== undefined &&
         nowMs - silentSinceMs >= timings.silentMs &&
-        (isUnderWay || nowMs - lastEndMs < SILENT_STANDS_MS)
+        (isUnderWay || nowMs - lastEndMs < SUSPICION_TTL_MS)
       )
       .map(([server]) => server);
   }
--- a/packages/entry/src/gateway/grant_task.ts
+++ b/packages/entry/src/gateway/grant_task.ts
@@ -64,7 +64,7 @@
   #keepers: ReadonlySet<contracts.VmId> = new Set();
   #suspensions = 0;
   #work: RegularWork | undefined;
-  #toldCountsMs = Number.NEGATIVE_INFINITY;
+  #countsSentAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: GrantTaskOptions) {
     this.#options = options;
@@ -103,7 +103,7 @@
   /** Starts the regular work. */
   start(lifeCycle: LifeCycle): void {
     this.#work = lifeCycle.every(TICK_MS, () => this.#tick());
-    lifeCycle.every(KEY_COUNTS_MS, () => this.#tellKeyCounts());
+    lifeCycle.every(KEY_COUNTS_MS, () => this.#sendKeyCounts());
   }
 
   /** Called when owners of a service's keys have changed. */
@@ -279,11 +279,11 @@
     return peers;
   }
 
-  #tellKeyCounts(): void {
+  #sendKeyCounts(): void {
     const { gossip, self, clock, serverFactorsOf } = this.#options;
     const intervalMs = gossip.vmCount * KEY_COUNTS_PER_VM_MS;
-    if (clock.nowMs() - this.#toldCountsMs < intervalMs) return;
-    this.#toldCountsMs = clock.nowMs();
+    if (clock.nowMs() - this.#countsSentAtMs < intervalMs) return;
+    this.#countsSentAtMs = clock.nowMs();
     for (const [service, counts] of this.#counts) {
       if (counts.size === 0) continue;
       const told = [...counts].sort((a, b) => b[1] - a[1])
--- a/packages/entry/src/gateway/map_publisher.ts
+++ b/packages/entry/src/gateway/map_publisher.ts
@@ -11,16 +11,16 @@
 }
 
 /** The mover tells its map again at this interval: datagrams get lost. */
-const REPEAT_MS = 400;
+const RESEND_MS = 400;
 /** So many times after each change. */
-const REPEATS = 2;
+const RESENDS = 2;
 
 /** News of one service's map. */
 export class MapPublisher {
   readonly #options: MapPublisherOptions;
   readonly #news = new grants.RangeNews();
-  #repeatsLeft = 0;
-  #toldMs = 0;
+  #resendsLeft = 0;
+  #sentAtMs = 0;
 
   constructor(options: MapPublisherOptions) {
     this.#options = options;
@@ -33,23 +33,23 @@
 
   /** Tells the latest map now, and some more times. */
   publish(pendingFences: Iterable<number>): void {
-    this.#repeatsLeft = REPEATS;
-    this.#tell(pendingFences);
+    this.#resendsLeft = RESENDS;
+    this.#send(pendingFences);
   }
 
   /** Tells it again when that is due. */
   repeat(pendingFences: Iterable<number>): void {
-    const sinceMs = this.#options.clock.nowMs() - this.#toldMs;
-    if (this.#repeatsLeft > 0 && sinceMs >= REPEAT_MS) {
-      this.#tell(pendingFences);
+    const sinceMs = this.#options.clock.nowMs() - this.#sentAtMs;
+    if (this.#resendsLeft > 0 && sinceMs >= RESEND_MS) {
+      this.#send(pendingFences);
     }
   }
 
-  #tell(pendingFences: Iterable<number>): void {
+  #send(pendingFences: Iterable<number>): void {
     const change = this.#news.change();
     if (change === undefined) return;
-    this.#repeatsLeft--;
-    this.#toldMs = this.#options.clock.nowMs();
+    this.#resendsLeft--;
+    this.#sentAtMs = this.#options.clock.nowMs();
     this.#options.publish({ ...change, pendingFences: [...pendingFences] });
   }
 }
--- a/packages/entry/src/gateway/peer_book.ts
+++ b/packages/entry/src/gateway/peer_book.ts
@@ -42,12 +42,12 @@
 }
 
 /** A peer that was silent for so long is forgotten. */
-const FORGET_MS = 60_000;
+const PEER_TTL_MS = 60_000;
 /**
  * A lost peer keeps its place in the cells: busy VMs miss one another's
  * heartbeats for a moment, and new cells make all of them list the store.
  */
-const PLACE_KEPT_MS = 5_000;
+const CELL_PLACE_TTL_MS = 5_000;
 
 /** Peers by VM. */
 export class PeerBook {
@@ -180,7 +180,7 @@
       const silentMs = nowMs - peer.heardAtMs;
       if (peer.isLive && nowMs > peer.liveUntilMs) {
         peer.isLive = false;
-        peer.placeUntilMs = nowMs + PLACE_KEPT_MS;
+        peer.placeUntilMs = nowMs + CELL_PLACE_TTL_MS;
         peer.status = undefined;
         isChanged = true;
         lost.push(peer);
@@ -194,7 +194,7 @@
         this.#plan = undefined;
         isChanged = true;
       }
-      if (silentMs > FORGET_MS) {
+      if (silentMs > PEER_TTL_MS) {
         this.#peers.delete(vm);
         this.#known.clear();
       }
--- a/packages/entry/src/gateway/peer_gossip.ts
+++ b/packages/entry/src/gateway/peer_gossip.ts
@@ -87,28 +87,28 @@
 /** Between two statuses of any VM to its cell. */
 const CELL_STATUS_MS = 400;
 /** Datagrams of load that a VM sends in a second for each core that it has. */
-const LOADS_PER_CORE_SECOND = 400;
+const LOAD_DATAGRAMS_PER_CORE_SECOND = 400;
 /** Least time between two messages of load; a request takes longer. */
-const SPACING_MIN_MS = 40;
-/** A VM that tells its status is live when one of four was heard. */
-const STATUSES_STAND = 4;
+const LOAD_INTERVAL_MIN_MS = 40;
+/** A peer counts as lost after so many intervals without a status. */
+const STATUS_TIMEOUT_INTERVALS = 4;
 /**
  * Between two hellos to one peer, times the number of peers: keeps a VM's
  * traffic constant in a deployment of any size.
  */
 const HELLO_PER_PEER_MS = 100;
 const HELLO_MIN_MS = 1_000;
-/** A hello stands for two that got lost, and some lateness. */
-const HELLOS_STAND = 2.5;
+/** Covers two lost hellos and some lateness. */
+const HELLO_TIMEOUT_INTERVALS = 2.5;
 /** A peer that was silent for so long gets only hellos. */
-const SILENT_MS = 3_000;
+const STATUS_RECIPIENT_TTL_MS = 3_000;
 /**
  * Members that change together are told together: each time, all servers are
  * shared out anew.
  */
 const MEMBERS_DELAY_MS = 50;
-/** Own hellos and statuses whose time is remembered. */
-const REMEMBERED = 256;
+/** Own hellos and statuses whose send time is kept. */
+const SENT_TIMES_KEPT = 256;
 
 /** What the VMs of a deployment tell one another of themselves. */
 export class PeerGossip {
@@ -130,8 +130,8 @@
   #loadsSentAtMs = Number.NEGATIVE_INFINITY;
   /** Set while changed load waits until it may be told. */
   #loadsTimer: NodeJS.Timeout | undefined;
-  /** Loads as last told. */
-  #toldLoads: PeerStatus["loads"] = {};
+  /** Loads as last sent. */
+  #lastLoads: PeerStatus["loads"] = {};
 
   constructor(options: PeerGossipOptions) {
     this.#options = options;
@@ -297,7 +297,7 @@
     if (this.#loadsTimer !== undefined) return;
     const nowMs = this.#options.clock.nowMs();
     const sinceMs = nowMs - this.#loadsSentAtMs;
-    const waitMs = Math.max(0, this.#loadSpacingMs() - sinceMs);
+    const waitMs = Math.max(0, this.#loadIntervalMs() - sinceMs);
     this.#loadsTimer = setTimeout(() => {
       this.#loadsTimer = undefined;
       this.#sendLoads(this.#options.clock.nowMs());
@@ -355,7 +355,7 @@
 
   #tick(): void {
     const nowMs = this.#options.clock.nowMs();
-    for (const peer of this.#book.tick()) this.#tellLoss(peer);
+    for (const peer of this.#book.tick()) this.#spreadLoss(peer);
     this.#sendHellos(nowMs);
     this.#sendKeeperStatus(nowMs);
     const isCellDue =
@@ -364,7 +364,7 @@
   }
 
   /** Of the cell's VMs the first that is up tells all of a loss. */
-  #tellLoss({ vm, incarnation, sequence }: Peer): void {
+  #spreadLoss({ vm, incarnation, sequence }: Peer): void {
     const members = this.#cellPeers();
     const { self } = this.#options;
     const first = members.find((member) =>
@@ -376,10 +376,11 @@
     this.spread(LOSS_METHOD, loss);
   }
 
-  #loadSpacingMs(): number {
-    const perSecond = LOADS_PER_CORE_SECOND * this.#options.self.processorCores;
+  #loadIntervalMs(): number {
+    const perSecond = LOAD_DATAGRAMS_PER_CORE_SECOND *
+      this.#options.self.processorCores;
     return Math.max(
-      SPACING_MIN_MS,
+      LOAD_INTERVAL_MIN_MS,
       1_000 * (this.#cellPeers().length - 1) / perSecond,
     );
   }
@@ -392,8 +393,8 @@
     this.#loadsSentAtMs = nowMs;
     const { self, ownLoads, takeSlowdowns } = this.#options;
     const loads = ownLoads();
-    const changed = changesOf(this.#toldLoads, loads);
-    this.#toldLoads = loads;
+    const changed = changesOf(this.#lastLoads, loads);
+    this.#lastLoads = loads;
     const slowdowns = takeSlowdowns();
     if (Object.keys(changed).length === 0 && slowdowns === undefined) return;
     const news: LoadNews = { vm: self.vm, loads: changed, slowdowns };
@@ -405,7 +406,7 @@
   #hello(standsMs: number): PeerHello {
     this.#sequence++;
     this.#sentMs.set(this.#sequence, this.#options.clock.nowMs());
-    this.#sentMs.delete(this.#sequence - REMEMBERED);
+    this.#sentMs.delete(this.#sequence - SENT_TIMES_KEPT);
     const { self, ownHello } = this.#options;
     return { ...self, ...ownHello(), sequence: this.#sequence, standsMs };
   }
@@ -419,7 +420,7 @@
     );
     if (peers.length === 0) return;
     const { vm, incarnation, maps, sequence, standsMs } = this.#hello(
-      KEEPER_STATUS_MS * STATUSES_STAND,
+      KEEPER_STATUS_MS * STATUS_TIMEOUT_INTERVALS,
     );
     const state = this.#options.ownKeeperState();
     for (const peer of peers) {
@@ -453,9 +454,9 @@
   #sendCellStatus(nowMs: number): void {
     this.#cellSentAtMs = nowMs;
     const state = this.#options.ownState();
-    this.#toldLoads = state.loads;
+    this.#lastLoads = state.loads;
     const status: PeerStatus = {
-      ...this.#hello(CELL_STATUS_MS * STATUSES_STAND),
+      ...this.#hello(CELL_STATUS_MS * STATUS_TIMEOUT_INTERVALS),
       ...state,
     };
     const members = new Set(this.#cellPeers());
@@ -486,7 +487,7 @@
       .filter(({ sentAtMs }) => nowMs - sentAtMs >= intervalMs);
     if (due.length === 0) return;
     for (const peer of due) peer.sentAtMs = nowMs;
-    const hello = this.#hello(intervalMs * HELLOS_STAND);
+    const hello = this.#hello(intervalMs * HELLO_TIMEOUT_INTERVALS);
     this.#channel.send(HELLO_METHOD, hello, due.map(targetOf));
   }
 
@@ -528,7 +529,7 @@
 
 /** Whether a peer is up, or was a short while ago. */
 function isHeard({ isLive, heardAtMs }: Peer, nowMs: number): boolean {
-  return isLive || nowMs - heardAtMs < SILENT_MS;
+  return isLive || nowMs - heardAtMs < STATUS_RECIPIENT_TTL_MS;
 }
 
 /** Servers whose figures differ, with their new ones. */
--- a/packages/entry/src/gateway/range_map_learner.ts
+++ b/packages/entry/src/gateway/range_map_learner.ts
@@ -30,9 +30,9 @@
 }
 
 /** The mover's news may arrive so much later than a peer's word of the map. */
-const NEWS_GRACE_MS = 120;
+const UPDATE_GRACE_MS = 120;
 /** Least time between two reads of the map by a VM that lacks evidence. */
-const READ_SPACING_MS = 250;
+const READ_INTERVAL_MIN_MS = 250;
 
 /** Decides when and from whom to learn the map. */
 export class RangeMapLearner {
@@ -40,15 +40,15 @@
   readonly #reading: SpacedTask;
   readonly #catchingUp: SpacedTask;
   /** Since when peers know a newer map than this VM, and who told so last. */
-  #behindSinceMs: number | undefined;
+  #staleSinceMs: number | undefined;
   #aheadPeer: contracts.VmId | undefined;
   /** Whether the store was asked for a first map. */
-  #hasLooked = false;
+  #hasAskedStore = false;
   #isSettled = false;
 
   constructor(options: RangeMapLearnerOptions) {
     this.#options = options;
-    const spacing = { ...options, spacingMs: READ_SPACING_MS };
+    const spacing = { ...options, spacingMs: READ_INTERVAL_MIN_MS };
     this.#reading = new SpacedTask(spacing);
     this.#catchingUp = new SpacedTask(spacing);
   }
@@ -62,12 +62,12 @@
   noteRevision(revision: number, peer: contracts.VmId): void {
     if (revision <= this.#options.knownRevision()) return;
     this.#aheadPeer = peer;
-    this.#behindSinceMs ??= this.#options.clock.nowMs();
+    this.#staleSinceMs ??= this.#options.clock.nowMs();
   }
 
   /** A map came in force here. */
   noteMap(): void {
-    this.#behindSinceMs = undefined;
+    this.#staleSinceMs = undefined;
     // A keeper is of use to the others only once it has read the map itself.
     if (this.#options.hasDuty() && !this.#isSettled) this.readSoon();
   }
@@ -75,7 +75,7 @@
   /** The store answered a call of the mover. */
   noteSettled(): void {
     this.#isSettled = true;
-    this.#hasLooked = true;
+    this.#hasAskedStore = true;
   }
 
   /** The process stood still: what it knew may be old. */
@@ -85,10 +85,10 @@
 
   /** Learns the map if that is due. */
   tick(nowMs: number): void {
-    const isBehind = this.#behindSinceMs !== undefined &&
-      nowMs - this.#behindSinceMs >= NEWS_GRACE_MS;
+    const isStale = this.#staleSinceMs !== undefined &&
+      nowMs - this.#staleSinceMs >= UPDATE_GRACE_MS;
     if (this.#options.hasDuty() && !this.#isSettled) this.readSoon();
-    else if (!this.#hasLooked || isBehind) this.catchUp();
+    else if (!this.#hasAskedStore || isStale) this.catchUp();
   }
 
   /** Reads the map from the store, unless one read is under way or just was. */
@@ -117,9 +117,11 @@
       this.#aheadPeer = undefined;
       const told = peer === undefined ? undefined : await askMap(peer);
       if (told !== undefined) return onTold(told);
-      const end = await maps.read(service, { mayBeStale: !this.#hasLooked });
+      const end = await maps.read(service, {
+        mayBeStale: !this.#hasAskedStore,
+      });
       if (end.kind === "unsure") return;
-      this.#hasLooked = true;
+      this.#hasAskedStore = true;
       if (end.kind === "found") onTold(end.stored.map);
     });
   }
--- a/packages/entry/src/gateway/server_registry.ts
+++ b/packages/entry/src/gateway/server_registry.ts
@@ -29,11 +29,11 @@
  * longer than a move, shorter than the platform's limit less the delay of the
  * news.
  */
-const LEAVING_USE_MS = 1_200;
+const LEAVING_GRACE_MS = 1_200;
 /** Grace after the store's return for entries that lapsed while it was away. */
 const LAPSED_GRACE_MS = 2_400;
 /** An ended run is remembered so long, to call it and to know its end. */
-const ENDED_LIFE_MS = 60_000;
+const ENDED_RUN_TTL_MS = 60_000;
 
 interface Known {
   entry: contracts.ServerEntry;
@@ -53,7 +53,7 @@
   readonly #listeners: (() => void)[] = [];
   readonly #unreadable = new Map<string, string>();
   /** Evacuated zones whose servers get nothing at all any more. */
-  readonly #emptied = new Set<contracts.ZoneId>();
+  readonly #drainedZones = new Set<contracts.ZoneId>();
   #isListed = false;
 
   constructor(options: ServerRegistryOptions) {
@@ -104,7 +104,7 @@
     const { evacuations, evacuationUseMs } = this.#options;
     const evacuatedSinceMs = evacuations.sinceMs(entry.zone);
     return Math.min(
-      (leavingSinceMs ?? Number.POSITIVE_INFINITY) + LEAVING_USE_MS,
+      (leavingSinceMs ?? Number.POSITIVE_INFINITY) + LEAVING_GRACE_MS,
       (evacuatedSinceMs ?? Number.POSITIVE_INFINITY) + evacuationUseMs,
     );
   }
@@ -144,7 +144,7 @@
       this.#take(object);
     }
     for (const [server, known] of this.#known) {
-      if (!listed.has(server)) this.#miss(known);
+      if (!listed.has(server)) this.#noteMissing(known);
     }
     this.#isListed = true;
     this.#changed();
@@ -157,7 +157,7 @@
         this.#serverOf(name) as contracts.ServerId,
       );
       if (object !== undefined) this.#take(object);
-      else if (known !== undefined) this.#miss(known);
+      else if (known !== undefined) this.#noteMissing(known);
     }
     this.#changed();
   }
@@ -169,7 +169,7 @@
     for (const [server, known] of this.#known) {
       const { missingSinceMs, leavingSinceMs } = known;
       const isLapsed = missingSinceMs !== undefined &&
-        leavingSinceMs === undefined && this.#isStoreCalm();
+        leavingSinceMs === undefined && this.#isStoreStable();
       if (isLapsed) {
         this.#leave(known, "missing since the store is back");
         isChanged = true;
@@ -178,30 +178,30 @@
       known.isInUse = nowMs < this.#useUntilMs(known);
       if (known.isInUse !== wasInUse) isChanged = true;
       if (leavingSinceMs === undefined) continue;
-      if (nowMs - leavingSinceMs <= ENDED_LIFE_MS) continue;
+      if (nowMs - leavingSinceMs <= ENDED_RUN_TTL_MS) continue;
       this.#known.delete(server);
       isChanged = true;
     }
-    this.#noteEmptied(nowMs);
+    this.#noteDrainedZones(nowMs);
     if (isChanged) this.#changed();
   }
 
   /** Tells once of each zone whose servers are of no use any more. */
-  #noteEmptied(nowMs: number): void {
+  #noteDrainedZones(nowMs: number): void {
     const { evacuations, evacuationUseMs, log } = this.#options;
     for (const zone of evacuations.zones) {
       const sinceMs = evacuations.sinceMs(zone)!;
-      if (this.#emptied.has(zone) || nowMs - sinceMs < evacuationUseMs) {
+      if (this.#drainedZones.has(zone) || nowMs - sinceMs < evacuationUseMs) {
         continue;
       }
-      this.#emptied.add(zone);
+      this.#drainedZones.add(zone);
       log.info("Zone is empty: its servers get nothing from here.", { zone });
     }
   }
 
   /** Servers of a zone that is taken back may have become cold meanwhile. */
   #followEvacuations(ended: readonly contracts.ZoneId[]): void {
-    for (const zone of ended) this.#emptied.delete(zone);
+    for (const zone of ended) this.#drainedZones.delete(zone);
     for (const known of this.#known.values()) {
       if (!ended.includes(known.entry.zone)) continue;
       const { warmUpMs = 0 } = this.#options.coldStartOf(known.entry.service) ??
@@ -223,7 +223,7 @@
   }
 
   /** Whether a missing entry has not lapsed while the store was away. */
-  #isStoreCalm(): boolean {
+  #isStoreStable(): boolean {
     return this.#options.storeCalmMs() > LAPSED_GRACE_MS;
   }
 
@@ -267,10 +267,10 @@
   }
 
   /** The entry is not there: gone, or lapsed while the store was away. */
-  #miss(known: Known): void {
+  #noteMissing(known: Known): void {
     if (known.leavingSinceMs !== undefined) return;
     known.missingSinceMs ??= this.#options.clock.nowMs();
-    if (this.#isStoreCalm()) this.#leave(known, "its entry was removed");
+    if (this.#isStoreStable()) this.#leave(known, "its entry was removed");
   }
 
   #leave(known: Known, reason: string): void {
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -54,9 +54,9 @@
 /** Longest time of one release call: running work has to end first. */
 const RELEASE_TIMEOUT_MS = 2_500;
 /** An owner that was not heard to confirm is tried after this time. */
-const PENDING_MS = 1_500;
+const CONFIRMATION_TIMEOUT_MS = 1_500;
 /** A VM that has just started hears first who else could make the moves. */
-const MOVER_GRACE_MS = 700;
+const MOVER_STARTUP_GRACE_MS = 700;
 /** Ownership of one service. */
 export class ServiceGrants {
   readonly #options: ServiceGrantsOptions;
@@ -183,7 +183,7 @@
   #isPending({ fence }: contracts.RangeState): boolean {
     if (!this.#pending.has(fence)) return false;
     const ageMs = this.#options.clock.nowMs() - this.#adoptedAtMs;
-    return ageMs < PENDING_MS;
+    return ageMs < CONFIRMATION_TIMEOUT_MS;
   }
 
   /** Requests by key since the last message of a peer, or of this VM. */
@@ -264,7 +264,7 @@
   }
 
   #followDuty(nowMs: number): void {
-    const isMover = nowMs - this.#startedAtMs >= MOVER_GRACE_MS &&
+    const isMover = nowMs - this.#startedAtMs >= MOVER_STARTUP_GRACE_MS &&
       this.moverVm === this.#options.vm;
     if (isMover === this.#isMover) return;
     this.#isMover = isMover;
--- a/packages/entry/src/links/server_clock.ts
+++ b/packages/entry/src/links/server_clock.ts
@@ -6,7 +6,7 @@
 import type * as contracts from "@guavatide/contracts";
 
 /** A stamp older than this is of no use: the clocks' rates differ. */
-const STAMP_LIFE_MS = 600_000;
+const STAMP_TTL_MS = 600_000;
 
 interface Stamp {
   readonly instance: string;
@@ -40,7 +40,7 @@
     const stamp = this.#stamp;
     if (stamp === undefined) return undefined;
     const ageMs = this.#clock.nowMs() - stamp.receivedAtMs;
-    if (ageMs > STAMP_LIFE_MS) return undefined;
+    if (ageMs > STAMP_TTL_MS) return undefined;
     const atServerMs = stamp.serverMs + (deadlineMs - stamp.receivedAtMs);
     return `${stamp.instance}/${atServerMs.toFixed(1)}`;
   }
