--- a/packages/decisions/src/grants/duty_order.ts
+++ b/packages/decisions/src/grants/duty_order.ts
@@ -1,4 +1,4 @@
-/** Who takes a duty first, without a word between the VMs. */
+/** The order in which VMs take a duty, the same on all without messages. */
 import type * as contracts from "@guavatide/contracts";
 import type { KeyHasher } from "../ownership/key_hash.ts";
 import { rankByName } from "../ownership/renewers.ts";
--- a/packages/decisions/src/grants/keeper_review.ts
+++ b/packages/decisions/src/grants/keeper_review.ts
@@ -3,7 +3,7 @@
 
 /** Entry VMs that answer for a map: a majority of them is asked. */
 const KEEPER_COUNT = 7;
-/** A keeper that was silent for so long is replaced by another VM. */
+/** A keeper silent for this long is replaced by another VM. */
 const KEEPER_REPLACE_AFTER_MS = 3_000;
 /**
  * A keeper silent for this long counts as gone for good: a map that lost the
@@ -17,7 +17,7 @@
   readonly map: contracts.RangeMap | undefined;
   /** VMs that are up, in the order in which they become keepers. */
   readonly live: readonly contracts.VmId[];
-  /** How long a VM has not been heard; infinite for one never heard. */
+  /** Time since a VM's last message; infinite for one never heard. */
   readonly silentMs: (vm: contracts.VmId) => number;
   /** How long the process has run. */
   readonly lifeMs: number;
--- a/packages/decisions/src/grants/key_loads.ts
+++ b/packages/decisions/src/grants/key_loads.ts
@@ -1,4 +1,4 @@
-/** How often each key is asked for, as told by all entry VMs. */
+/** Request rates by key, from the counts of all entry VMs. */
 
 /** Time constant of the decay: hot keys show, and are forgotten, within it. */
 const DECAY_MS = 1_000;
--- a/packages/decisions/src/grants/lost_servers.ts
+++ b/packages/decisions/src/grants/lost_servers.ts
@@ -1,29 +1,29 @@
-/** Servers that all who renew them find silent. */
+/** Servers that all their renewers suspect, and their quarantine. */
 import type * as contracts from "@guavatide/contracts";
 
-/** A server that left a grant unanswered gets no new range for a while. */
+/** A server that left a grant unanswered gets no new range for this time. */
 const QUARANTINE_MIN_MS = 3_000;
 /**
  * Quarantine doubles with each loss in a row: a server that reaches the store
  * but not the VMs keeps its entry there.
  */
 const QUARANTINE_MAX_MS = 24_000;
-/** A server that was not lost again for so long is as good as any. */
+/** A loss is forgotten after this time. */
 const LOSS_TTL_MS = 60_000;
 
 interface Loss {
-  /** When it was last found silent. */
+  /** When all renewers last suspected it. */
   lastMs: number;
   quarantineMs: number;
 }
 
-/** Votes on silent servers, and those lost by them. */
+/** Votes on suspected servers, and the servers lost by them. */
 export class LostServers {
   readonly #silentByVm = new Map<contracts.VmId, ReadonlySet<string>>();
   readonly #losses = new Map<contracts.ServerId, Loss>();
   readonly #quarantined = new Set<contracts.ServerId>();
 
-  /** A VM told which servers leave its grants unanswered. */
+  /** A VM reported which servers leave its grants unanswered. */
   noteSilent(vm: contracts.VmId, servers: readonly string[]): void {
     this.#silentByVm.set(vm, new Set(servers));
   }
@@ -40,7 +40,7 @@
     for (const name of named) {
       const server = name as contracts.ServerId;
       const renewers = renewersOf(server);
-      // One slow way moves nothing: every renewer has to find it silent.
+      // One slow path is no loss: every renewer has to suspect the server.
       const isSilent = renewers.length > 0 &&
         renewers.every((vm) => this.#silentByVm.get(vm)?.has(name) ?? false);
       if (!isSilent) continue;
--- a/packages/decisions/src/grants/range_mover.ts
+++ b/packages/decisions/src/grants/range_mover.ts
@@ -162,7 +162,7 @@
     this.#forgetOldMoves();
   }
 
-  /** Takes note of promises; called whenever keepers have told something. */
+  /** Takes note of promises; called after each keeper's status. */
   checkPromises(nowMs: number, gone: ReadonlySet<contracts.VmId>): void {
     const map = this.map;
     if (map === undefined) return;
--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarded_request.ts
@@ -29,7 +29,7 @@
     entry: contracts.ServerEntry,
     leftMs: number,
   ): readonly string[];
-  /** A server told its load with an answer. */
+  /** A server reported its load with an answer. */
   noteReport(
     server: contracts.ServerId,
     report: contracts.ServerReport,
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -59,7 +59,9 @@
 const NO_CONFIG_RETRY_AFTER_MS = 300;
 /** Capacity of a server is guessed from this while none is measured. */
 const DEFAULT_SERVICE_MS = 100;
-/** A server's speed is told when it has changed by more than this factor. */
+/**
+ * Peers hear of a server's speed when it has changed by more than this factor.
+ */
 const SPEED_UPDATE_RATIO = 1.4;
 /** Links of this VM's share that stay free, for releases and probes. */
 const SPARE_LINKS = 1;
@@ -68,9 +70,9 @@
 export class Forwarder {
   readonly #options: ForwarderOptions;
   readonly #services = new Map<contracts.ServiceId, ServicePart>();
-  /** Servers that each peer has told of. */
+  /** Servers in each peer's reported load. */
   readonly #serversByPeer = new Map<contracts.VmId, Set<string>>();
-  /** Momentary speeds of servers that peers are to be told. */
+  /** Momentary speeds of servers to send to peers. */
   #slowdowns: Record<string, number> | undefined;
   #inFlight = 0;
   #reviewing: RegularWork | undefined;
@@ -172,7 +174,7 @@
     return slowdowns;
   }
 
-  /** What peers are told of this VM's load. */
+  /** This VM's load as sent to peers. */
   ownState(): Pick<PeerStatus, "loads" | "waiting"> {
     const loads: PeerStatus["loads"] = {};
     const waiting: PeerStatus["waiting"] = {};
@@ -342,7 +344,7 @@
   }
 
   #takeStatus({ vm, loads }: PeerStatus): void {
-    // What the status no longer names is over.
+    // Servers that the status no longer names have no requests of the peer.
     const told = this.#serversByPeer.get(vm) ?? new Set();
     const ended = [...told].filter((server) => loads[server] === undefined);
     this.#notePeerLoads(vm, loads);
--- a/packages/entry/src/gateway/grant_sender.ts
+++ b/packages/entry/src/gateway/grant_sender.ts
@@ -84,7 +84,7 @@
       this.#options.clock.nowMs() >= state.notBeforeMs;
   }
 
-  /** Servers that have left this VM's grants unanswered for so long. */
+  /** Servers that have left this VM's grants unanswered for `silentMs`. */
   silentServers(): contracts.ServerId[] {
     const { clock, timings } = this.#options;
     const nowMs = clock.nowMs();
--- a/packages/entry/src/gateway/grant_task.ts
+++ b/packages/entry/src/gateway/grant_task.ts
@@ -45,12 +45,12 @@
 const DUTY_TICK_MS = 40;
 /** The same of any other VM. */
 const TICK_MS = 200;
-/** Least interval at which requests by key are told to the mover. */
+/** Least interval at which requests by key are sent to the mover. */
 const KEY_COUNTS_MS = 200;
 /** The interval for each VM, so that the mover takes a bounded number. */
 const KEY_COUNTS_PER_VM_MS = 6;
 const RANGE_MAP_CALL = "rangeMap";
-/** Keys in one message; with more, the most asked for are told. */
+/** Keys in one message; of more, the most requested are sent. */
 const KEYS_PER_MESSAGE = 400;
 
 /** Runs {@link ServiceGrants} for each keyed service. */
@@ -215,7 +215,7 @@
       silentMs: (vm) => gossip.silentMs(vm),
       askMap: (peer) => this.#askMap(service, peer),
       publish: (news) => {
-        // Those whose word the mover waits for hear it without a detour.
+        // Keepers whose status the mover waits for get the map directly.
         const keepers = [...this.#keepers];
         gossip.send(messages.RANGE_MAP_METHOD, news, keepers);
         gossip.spread(messages.RANGE_MAP_METHOD, news);
--- a/packages/entry/src/gateway/map_publisher.ts
+++ b/packages/entry/src/gateway/map_publisher.ts
@@ -6,7 +6,7 @@
 /** Options of {@link MapPublisher}. */
 export interface MapPublisherOptions {
   readonly clock: contracts.Clock;
-  /** Sends news of the map to all peers. */
+  /** Sends an update of the map to all peers. */
   readonly publish: (news: RangeMapNews) => void;
 }
 
--- a/packages/entry/src/gateway/move_planner.ts
+++ b/packages/entry/src/gateway/move_planner.ts
@@ -1,4 +1,4 @@
-/** Plans the moves of one service's ranges from the load that VMs have told. */
+/** Plans the moves of one service's ranges from the load that VMs report. */
 import type * as contracts from "@guavatide/contracts";
 import * as grants from "@guavatide/decisions/grants/mod";
 import type { PartLog } from "../utils/log.ts";
@@ -30,7 +30,9 @@
 export class MovePlanner {
   readonly #options: MovePlannerOptions;
   readonly #loads = new grants.KeyLoads();
-  /** How much longer than average servers take, as peers' coordinators told. */
+  /**
+   * How much longer than average servers take, as peers' coordinators report.
+   */
   readonly #factors = new Map<contracts.ServerId, number>();
   #begunMs = 0;
   #balancedAtMs = 0;
--- a/packages/entry/src/gateway/peer_book.ts
+++ b/packages/entry/src/gateway/peer_book.ts
@@ -17,12 +17,16 @@
   incarnation: contracts.Incarnation | undefined;
   sequence: number;
   heardAtMs: number;
-  /** Without another word the peer counts as lost after this moment. */
+  /**
+   * Heartbeat timeout: without another message the peer then counts as lost.
+   */
   liveUntilMs: number;
-  /** When this VM last told it of itself. */
+  /** When this VM last sent it a heartbeat. */
   sentAtMs: number;
   isLive: boolean;
-  /** Lost without a word, it keeps its place in the cells until then. */
+  /**
+   * Lost without a leave message, it keeps its place in the cells until then.
+   */
   placeUntilMs: number | undefined;
   /** Whether it got this VM's last status. */
   isInCell: boolean;
@@ -41,7 +45,7 @@
   readonly keepers: () => ReadonlySet<contracts.VmId>;
 }
 
-/** A peer that was silent for so long is forgotten. */
+/** A peer silent for this long is forgotten. */
 const PEER_TTL_MS = 60_000;
 /**
  * A lost peer keeps its place in the cells: busy VMs miss one another's
@@ -112,7 +116,9 @@
     return peer;
   }
 
-  /** Takes a peer's word; undefined when a later one of its run was heard. */
+  /**
+   * Takes a peer's message; undefined when a later one of its run was received.
+   */
   note(hello: PeerHello, status: PeerStatus | undefined): Peer | undefined {
     const peer = this.add(hello.vm, hello.host, hello.port);
     if (peer === undefined) return undefined;
@@ -150,7 +156,9 @@
     return peer;
   }
 
-  /** Takes a keeper's word; false when a later one was heard, or none yet. */
+  /**
+   * Takes a keeper's status; false when a later one was received, or none yet.
+   */
   noteKeeper({ vm, incarnation, sequence, standsMs }: KeeperStatus): boolean {
     const peer = this.#peers.get(vm);
     const isNewer = peer?.incarnation === incarnation &&
@@ -171,7 +179,7 @@
     if (isKnown) peer.liveUntilMs = Number.NEGATIVE_INFINITY;
   }
 
-  /** Lets time pass, and returns peers whose word no longer stands. */
+  /** Lets time pass, and returns peers whose heartbeat timed out. */
   tick(): Peer[] {
     const nowMs = this.#options.clock.nowMs();
     const lost: Peer[] = [];
--- a/packages/entry/src/gateway/peer_gossip.ts
+++ b/packages/entry/src/gateway/peer_gossip.ts
@@ -100,7 +100,7 @@
 const HELLO_MIN_MS = 1_000;
 /** Covers two lost hellos and some lateness. */
 const HELLO_TIMEOUT_INTERVALS = 2.5;
-/** A peer that was silent for so long gets only hellos. */
+/** A peer silent for this long gets only hellos. */
 const STATUS_RECIPIENT_TTL_MS = 3_000;
 /**
  * Members that change together are told together: each time, all servers are
@@ -121,14 +121,14 @@
   readonly #helloListeners: ((hello: PeerHello) => void)[] = [];
   readonly #loadListeners: ((news: LoadNews) => void)[] = [];
   readonly #memberListeners: (() => void)[] = [];
-  /** Set while a change of members waits to be told. */
+  /** Set while a change of members waits to be passed on. */
   #membersTimer: NodeJS.Timeout | undefined;
   /** When each own hello or status left, by its sequence. */
   readonly #sentMs = new Map<number, number>();
   #sequence = 0;
   #cellSentAtMs = Number.NEGATIVE_INFINITY;
   #loadsSentAtMs = Number.NEGATIVE_INFINITY;
-  /** Set while changed load waits until it may be told. */
+  /** Set while changed load waits to be sent. */
   #loadsTimer: NodeJS.Timeout | undefined;
   /** Loads as last sent. */
   #lastLoads: PeerStatus["loads"] = {};
@@ -309,7 +309,7 @@
     this.#sendKeeperStatus(this.#options.clock.nowMs());
   }
 
-  /** Tells every VM at once, as when this one stops. */
+  /** Sends a hello to every VM at once, as when this one stops. */
   sendToAll(): void {
     const nowMs = this.#options.clock.nowMs();
     for (const peer of this.#book.all) {
@@ -341,7 +341,7 @@
     return this.#book.plan;
   }
 
-  /** How long each known peer has not been heard. */
+  /** Time since a peer's last message; infinite for an unknown one. */
   silentMs(vm: contracts.VmId): number {
     const peer = this.#book.get(vm);
     if (peer === undefined) return Number.POSITIVE_INFINITY;
@@ -433,7 +433,7 @@
     }
   }
 
-  /** Peers that get a status now, but those that were silent for long. */
+  /** Peers that get a status now, without those silent for long. */
   #follow(
     mark: "isInCell" | "isFellowKeeper",
     belongs: (peer: Peer) => boolean,
@@ -444,13 +444,13 @@
       const wasFollowed = peer[mark];
       peer[mark] = belongs(peer) && isHeard(peer, nowMs);
       if (peer[mark]) peers.push(peer);
-      // The last status stands for less than the time until the next hello.
+      // The last status times out before the next hello is due.
       else if (wasFollowed) peer.sentAtMs = Number.NEGATIVE_INFINITY;
     }
     return peers;
   }
 
-  /** This VM's load and what it has heard, to its cell. */
+  /** This VM's load and what it has received, to its cell. */
   #sendCellStatus(nowMs: number): void {
     this.#cellSentAtMs = nowMs;
     const state = this.#options.ownState();
@@ -477,7 +477,7 @@
     return [...this.#seeds].map((host) => ({ host, port }));
   }
 
-  /** To each peer that has had no word of this VM for the interval. */
+  /** To each peer that got no message of this VM for the interval. */
   #sendHellos(nowMs: number): void {
     const intervalMs = Math.max(
       HELLO_MIN_MS,
@@ -512,7 +512,7 @@
     for (const listener of this.#keeperListeners) listener(heard);
   }
 
-  /** When the own word left that the peer had heard; long ago if none. */
+  /** When the own message left that the peer echoed; long ago if none. */
   #askedAtMs({ echo }: KeeperStatus): number {
     const { incarnation } = this.#options.self;
     const [run, sequence] = echo ?? [];
--- a/packages/entry/src/gateway/range_map_learner.ts
+++ b/packages/entry/src/gateway/range_map_learner.ts
@@ -17,7 +17,9 @@
   readonly askMap: (
     peer: contracts.VmId,
   ) => Promise<contracts.RangeMap | undefined>;
-  /** Whether this VM's word or moves rest on its own reading of the store. */
+  /**
+   * Whether this VM's evidence or moves rest on its own reading of the store.
+   */
   readonly hasDuty: () => boolean;
   /** Revision known here; 0 for none. */
   readonly knownRevision: () => number;
@@ -25,11 +27,11 @@
   readonly onRead: (map: contracts.RangeMap, askedAtMs: number) => void;
   /** A map came from a peer, or from the store possibly some seconds old. */
   readonly onTold: (map: contracts.RangeMap) => void;
-  /** From now on this VM's word is evidence. */
+  /** From now on this VM's status is evidence. */
   readonly onSettled: () => void;
 }
 
-/** The mover's news may arrive so much later than a peer's word of the map. */
+/** The mover's update may arrive this much later than a peer's revision. */
 const UPDATE_GRACE_MS = 120;
 /** Least time between two reads of the map by a VM that lacks evidence. */
 const READ_INTERVAL_MIN_MS = 250;
@@ -39,7 +41,7 @@
   readonly #options: RangeMapLearnerOptions;
   readonly #reading: SpacedTask;
   readonly #catchingUp: SpacedTask;
-  /** Since when peers know a newer map than this VM, and who told so last. */
+  /** Since when a peer has a newer map than this VM, and the last such peer. */
   #staleSinceMs: number | undefined;
   #aheadPeer: contracts.VmId | undefined;
   /** Whether the store was asked for a first map. */
--- a/packages/entry/src/gateway/server_registry.ts
+++ b/packages/entry/src/gateway/server_registry.ts
@@ -32,7 +32,7 @@
 const LEAVING_GRACE_MS = 1_200;
 /** Grace after the store's return for entries that lapsed while it was away. */
 const LAPSED_GRACE_MS = 2_400;
-/** An ended run is remembered so long, to call it and to know its end. */
+/** An ended run is kept this long, for control calls and to know its end. */
 const ENDED_RUN_TTL_MS = 60_000;
 
 interface Known {
@@ -42,7 +42,7 @@
   /** When its entry was found missing. */
   missingSinceMs: number | undefined;
   coldUntilMs: number;
-  /** Whether it was among `servers` when listeners were last told by time. */
+  /** Whether it was in use when listeners were last called by time. */
   isInUse: boolean;
 }
 
@@ -280,7 +280,9 @@
     this.#options.log.info("Server leaves.", { server, service, reason });
   }
 
-  /** An entry of another writer is told once and names no server to use. */
+  /**
+   * An unreadable entry is logged once a version and names no server to use.
+   */
   #noteUnreadable(
     object: contracts.StoredObject,
     error: { readonly field: string; readonly message: string },
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -33,15 +33,15 @@
   readonly peers: () => readonly GrantPeer[];
   /** Length of grants that the service's routes need. */
   readonly wishedHoldMs: () => number;
-  /** How long a VM has not been heard. */
+  /** Time since a VM's last message. */
   readonly silentMs: (vm: contracts.VmId) => number;
   /** Asks a peer for the map as it knows it. */
   readonly askMap: (
     peer: contracts.VmId,
   ) => Promise<contracts.RangeMap | undefined>;
-  /** Sends news of the map to all peers. */
+  /** Sends an update of the map to all peers. */
   readonly publish: (news: RangeMapNews) => void;
-  /** Tells peers this VM's state at once. */
+  /** Sends this VM's state to peers at once. */
   readonly tellPeers: () => void;
   /** Owners or their readiness have changed. */
   readonly onChange: () => void;
@@ -53,9 +53,9 @@
 const HANDOVER_LEAD_MS = 600;
 /** Longest time of one release call: running work has to end first. */
 const RELEASE_TIMEOUT_MS = 2_500;
-/** An owner that was not heard to confirm is tried after this time. */
+/** An owner whose confirmation was not heard is tried after this time. */
 const CONFIRMATION_TIMEOUT_MS = 1_500;
-/** A VM that has just started hears first who else could make the moves. */
+/** A VM that has just started first hears who else could make the moves. */
 const MOVER_STARTUP_GRACE_MS = 700;
 /** Ownership of one service. */
 export class ServiceGrants {
@@ -216,7 +216,7 @@
     this.#learner.noteRevision(revision, peer);
   }
 
-  /** The mover's news of the map. */
+  /** The mover's update of the map. */
   noteNews({ map, baseRevision, pendingFences }: RangeMapNews): void {
     const known = this.#map?.revision ?? 0;
     if (map.revision < known) return;
@@ -228,7 +228,7 @@
     const ranges = known < baseRevision
       ? undefined
       : grants.withChanges(this.#map?.ranges ?? [], map.ranges);
-    // What the news builds on never arrived here.
+    // The base of the update never arrived here.
     if (ranges === undefined) return this.#learner.catchUp();
     this.#pending = pending;
     this.#adopt({ ...map, ranges }, "news");
@@ -277,7 +277,9 @@
 
   // Reading
 
-  /** Whether this VM's word or moves rest on its own reading of the store. */
+  /**
+   * Whether this VM's evidence or moves rest on its own reading of the store.
+   */
   get #hasDuty(): boolean {
     const keepers = this.#map?.keeperSets.flat() ?? [];
     return this.#isMover || keepers.includes(this.#options.vm);
--- a/packages/entry/src/links/server_link.ts
+++ b/packages/entry/src/links/server_link.ts
@@ -21,7 +21,7 @@
   readonly body: Uint8Array | undefined;
   /** Called right before the bytes leave; false keeps them here. */
   mayLeave(): boolean;
-  /** The server told its clock with its answer. */
+  /** The server's clock, sent with its answer. */
   noteStamp(text: string | undefined): void;
 }
 
