--- a/packages/decisions/src/admission/short_work_reserve.ts
+++ b/packages/decisions/src/admission/short_work_reserve.ts
@@ -1,25 +1,24 @@
 /**
- * Keeps one slot of a server for urgent short work. Work that has begun can't
- * be interrupted: with all slots taken by long requests a short one waits for
- * longer than it runs, and is late whatever its rank. Answers the load of a
- * keyed service whose servers have few slots and get both kinds.
+ * Keeps one slot of a server for urgent short work: work that has begun can't
+ * be interrupted, and a short request behind long ones is late whatever its
+ * rank.
  */
 import type { ServiceTimes } from "./service_times.ts";
 import type { RankedRoute, WaitingRequest } from "./waiting_request.ts";
 
 /** Work is long beside another kind that takes at most this part of it. */
-const SHORT_PART = 0.5;
+const SHORT_WORK_RATIO = 0.5;
 /** Time constant of the rate at which a kind is asked for. */
 const RATE_MS = 1_000;
 /**
  * A slot is kept when so many short requests are expected while a long one
- * runs. With fewer it would mostly stay empty.
+ * runs; with fewer it would mostly stay empty.
  */
-const LEAST_EXPECTED = 1;
+const MIN_EXPECTED_REQUESTS = 1;
 
 /**
  * A long request may take the kept slot when its target is less than so many
- * times its work away: shorter work that waits already still goes first.
+ * times its work away.
  */
 const CRITICAL_RATIO = 2;
 
@@ -91,10 +90,10 @@
     let expected = 0;
     for (const kind of this.#kinds.values()) {
       const isShort = kind.route.priority < route.priority &&
-        this.#times.routeMs(kind.route) <= longMs * SHORT_PART;
+        this.#times.routeMs(kind.route) <= longMs * SHORT_WORK_RATIO;
       if (isShort) expected += askedNow(kind, nowMs) * longMs / RATE_MS;
     }
-    return expected >= LEAST_EXPECTED;
+    return expected >= MIN_EXPECTED_REQUESTS;
   }
 
   #kind(route: RankedRoute): Kind {
--- a/packages/entry/src/gateway/cold_starts.ts
+++ b/packages/entry/src/gateway/cold_starts.ts
@@ -19,11 +19,8 @@
   readonly clock: contracts.Clock;
 }
 
-/**
- * A process that has just started knows too few of the others, and would take a
- * place that is another's.
- */
-const SETTLED_MS = 2_000;
+/** Just after its start a process knows too few VMs to find its own place. */
+const STARTUP_GRACE_MS = 2_000;
 
 /** Creates the limits of each service. */
 export class ColdStarts {
@@ -65,14 +62,11 @@
     });
   }
 
-  /**
-   * Lost VMs keep their places: one that is only cut off still sends, and those
-   * that took its place would exceed the bound together with it.
-   */
+  /** Lost VMs keep their places: one that is only cut off still sends. */
   #placeOf(server: contracts.ServerId): number | undefined {
     const { vm, registry, gossip, clock } = this.#options;
     const isAlone = gossip.vmCount === 1 && gossip.seedCount > 0;
-    const isSettled = clock.nowMs() - this.#startedMs >= SETTLED_MS;
+    const isSettled = clock.nowMs() - this.#startedMs >= STARTUP_GRACE_MS;
     if (isAlone || !isSettled) return undefined;
     const zone = registry.zoneOf(server);
     const inZone = gossip.knownIn(zone);
--- a/packages/entry/src/gateway/grant_sender.ts
+++ b/packages/entry/src/gateway/grant_sender.ts
@@ -1,6 +1,6 @@
 /**
  * Sends grants to one service's backend servers, one at a time to each, and
- * remembers when: a mover has to know what may still take effect.
+ * remembers when: a mover must know what may still take effect.
  */
 import type * as contracts from "@guavatide/contracts";
 import type * as grants from "@guavatide/decisions/grants/mod";
@@ -42,14 +42,13 @@
 }
 
 /**
- * A server is no longer called silent so long after the last grant that it left
- * unanswered. It is sent none once its ranges are taken away, so nothing else
- * could show that it is back: with all servers silent no key had an owner again.
+ * Suspicion of a silent server lapses after this time: it gets no grants once
+ * its ranges are taken away, so nothing else could show that it is back.
  */
-const SILENT_STANDS_MS = 1_500;
+const SUSPICION_TTL_MS = 1_500;
 /**
- * Pauses after grants that failed. A server that refuses connections answers
- * within a millisecond, and asked again at once it took the whole processor.
+ * Back-off after failed grants: a refused connection fails within a
+ * millisecond.
  */
 const RETRY_MIN_MS = 40;
 const RETRY_MAX_MS = 320;
@@ -87,7 +86,7 @@
       this.#options.clock.nowMs() >= state.notBeforeMs;
   }
 
-  /** Servers that have left this VM's grants unanswered for so long. */
+  /** Servers that have left this VM's grants unanswered for `silentMs`. */
   silentServers(): contracts.ServerId[] {
     const { clock, timings } = this.#options;
     const nowMs = clock.nowMs();
@@ -95,15 +94,14 @@
       .filter(([, { silentSinceMs, lastEndMs, isUnderWay }]) =>
         silentSinceMs !== undefined &&
         nowMs - silentSinceMs >= timings.silentMs &&
-        (isUnderWay || nowMs - lastEndMs < SILENT_STANDS_MS)
+        (isUnderWay || nowMs - lastEndMs < SUSPICION_TTL_MS)
       )
       .map(([server]) => server);
   }
 
   /**
-   * Age of the last grant and of the last unanswered one, by server. They
-   * count from the end of the call, since a busy VM may send late and give up
-   * late; one that is under way may still be sent.
+   * Age of the last grant and of the last unanswered one, by server, from the
+   * end of the call: a busy VM may send late.
    */
   agesMs(): Map<contracts.ServerId, [number, number | null]> {
     const nowMs = this.#options.clock.nowMs();
--- a/packages/entry/src/gateway/grant_task.ts
+++ b/packages/entry/src/gateway/grant_task.ts
@@ -45,12 +45,12 @@
 const DUTY_TICK_MS = 40;
 /** The same of any other VM. */
 const TICK_MS = 200;
-/** Least interval at which requests by key are told to the mover. */
+/** Least interval at which requests by key are sent to the mover. */
 const KEY_COUNTS_MS = 200;
 /** The interval for each VM, so that the mover takes a bounded number. */
 const KEY_COUNTS_PER_VM_MS = 6;
 const RANGE_MAP_CALL = "rangeMap";
-/** Keys in one message; with more, the most asked for are told. */
+/** Keys in one message; of more, the most requested are sent. */
 const KEYS_PER_MESSAGE = 400;
 
 /** Runs {@link ServiceGrants} for each keyed service. */
@@ -64,7 +64,7 @@
   #keepers: ReadonlySet<contracts.VmId> = new Set();
   #suspensions = 0;
   #work: RegularWork | undefined;
-  #toldCountsMs = Number.NEGATIVE_INFINITY;
+  #countsSentAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: GrantTaskOptions) {
     this.#options = options;
@@ -103,7 +103,7 @@
   /** Starts the regular work. */
   start(lifeCycle: LifeCycle): void {
     this.#work = lifeCycle.every(TICK_MS, () => this.#tick());
-    lifeCycle.every(KEY_COUNTS_MS, () => this.#tellKeyCounts());
+    lifeCycle.every(KEY_COUNTS_MS, () => this.#sendKeyCounts());
   }
 
   /** Called when owners of a service's keys have changed. */
@@ -215,7 +215,7 @@
       silentMs: (vm) => gossip.silentMs(vm),
       askMap: (peer) => this.#askMap(service, peer),
       publish: (news) => {
-        // Those whose word the mover waits for hear it without a detour.
+        // Keepers whose status the mover waits for get the map directly.
         const keepers = [...this.#keepers];
         gossip.send(messages.RANGE_MAP_METHOD, news, keepers);
         gossip.spread(messages.RANGE_MAP_METHOD, news);
@@ -279,11 +279,11 @@
     return peers;
   }
 
-  #tellKeyCounts(): void {
+  #sendKeyCounts(): void {
     const { gossip, self, clock, serverFactorsOf } = this.#options;
     const intervalMs = gossip.vmCount * KEY_COUNTS_PER_VM_MS;
-    if (clock.nowMs() - this.#toldCountsMs < intervalMs) return;
-    this.#toldCountsMs = clock.nowMs();
+    if (clock.nowMs() - this.#countsSentAtMs < intervalMs) return;
+    this.#countsSentAtMs = clock.nowMs();
     for (const [service, counts] of this.#counts) {
       if (counts.size === 0) continue;
       const told = [...counts].sort((a, b) => b[1] - a[1])
--- a/packages/entry/src/gateway/peer_book.ts
+++ b/packages/entry/src/gateway/peer_book.ts
@@ -17,12 +17,16 @@
   incarnation: contracts.Incarnation | undefined;
   sequence: number;
   heardAtMs: number;
-  /** Without another word the peer counts as lost after this moment. */
+  /**
+   * Heartbeat timeout: without another message the peer then counts as lost.
+   */
   liveUntilMs: number;
-  /** When this VM last told it of itself. */
+  /** When this VM last sent it a heartbeat. */
   sentAtMs: number;
   isLive: boolean;
-  /** Lost without a word, it keeps its place in the cells until then. */
+  /**
+   * Lost without a leave message, it keeps its place in the cells until then.
+   */
   placeUntilMs: number | undefined;
   /** Whether it got this VM's last status. */
   isInCell: boolean;
@@ -41,14 +45,13 @@
   readonly keepers: () => ReadonlySet<contracts.VmId>;
 }
 
-/** A peer that was silent for so long is forgotten. */
-const FORGET_MS = 60_000;
+/** A peer silent for this long is forgotten. */
+const PEER_TTL_MS = 60_000;
 /**
- * A peer that was lost keeps its place in the cells for so long. VMs that are
- * busy miss one another's words for a moment; with cells drawn anew each time,
- * all of them list the store's objects, fall further behind and are lost again.
+ * A lost peer keeps its place in the cells: busy VMs miss one another's
+ * heartbeats for a moment, and new cells make all of them list the store.
  */
-const PLACE_KEPT_MS = 5_000;
+const CELL_PLACE_TTL_MS = 5_000;
 
 /** Peers by VM. */
 export class PeerBook {
@@ -113,7 +116,9 @@
     return peer;
   }
 
-  /** Takes a peer's word; undefined when a later one of its run was heard. */
+  /**
+   * Takes a peer's message; undefined when a later one of its run was received.
+   */
   note(hello: PeerHello, status: PeerStatus | undefined): Peer | undefined {
     const peer = this.add(hello.vm, hello.host, hello.port);
     if (peer === undefined) return undefined;
@@ -151,7 +156,9 @@
     return peer;
   }
 
-  /** Takes a keeper's word; false when a later one was heard, or none yet. */
+  /**
+   * Takes a keeper's status; false when a later one was received, or none yet.
+   */
   noteKeeper({ vm, incarnation, sequence, standsMs }: KeeperStatus): boolean {
     const peer = this.#peers.get(vm);
     const isNewer = peer?.incarnation === incarnation &&
@@ -172,7 +179,7 @@
     if (isKnown) peer.liveUntilMs = Number.NEGATIVE_INFINITY;
   }
 
-  /** Lets time pass, and returns peers whose word no longer stands. */
+  /** Lets time pass, and returns peers whose heartbeat timed out. */
   tick(): Peer[] {
     const nowMs = this.#options.clock.nowMs();
     const lost: Peer[] = [];
@@ -181,7 +188,7 @@
       const silentMs = nowMs - peer.heardAtMs;
       if (peer.isLive && nowMs > peer.liveUntilMs) {
         peer.isLive = false;
-        peer.placeUntilMs = nowMs + PLACE_KEPT_MS;
+        peer.placeUntilMs = nowMs + CELL_PLACE_TTL_MS;
         peer.status = undefined;
         isChanged = true;
         lost.push(peer);
@@ -195,7 +202,7 @@
         this.#plan = undefined;
         isChanged = true;
       }
-      if (silentMs > FORGET_MS) {
+      if (silentMs > PEER_TTL_MS) {
         this.#peers.delete(vm);
         this.#known.clear();
       }
