fix(grants): no renewal follows another to an owner that does not run

All servers of the service had started anew, so the map's owners no longer ran. A grant to an owner that is not known ends at once without a call, and the end of a grant asks for the next one: the VM that makes the moves asked in a loop of microtasks until its evidence was 0.7 s old, with more of them at each turn, 1.5 to 1.8 s in all. Its calls to the store ran out of time meanwhile, so the map that would have ended it was never written; its peers heard it between two loops, so none took over.

A range is due only when its owner is known. The test of the sender failed before. Ruled out: the planner (under 1 ms for such maps).

--- a/packages/entry/src/gateway/grant_sender.ts
+++ b/packages/entry/src/gateway/grant_sender.ts
@@ -78,9 +78,13 @@
     return this.#confirmedMs.get(nameOf(range));
   }
 
-  /** Whether a grant may be sent: none is under way, and none just failed. */
-  isFree(server: contracts.ServerId): boolean {
-    const state = this.#servers.get(server);
+  /**
+   * Whether a grant may be sent: the owner is known, none is under way, and
+   * none just failed.
+   */
+  isFree(owner: contracts.RangeOwner): boolean {
+    if (this.#options.entry(owner) === undefined) return false;
+    const state = this.#servers.get(owner.server);
     if (state === undefined) return true;
     return !state.isUnderWay &&
       this.#options.clock.nowMs() >= state.notBeforeMs;
--- a/packages/entry/src/gateway/grant_sender_test.ts
+++ b/packages/entry/src/gateway/grant_sender_test.ts
@@ -24,7 +24,19 @@
 function createSender(
   grant: contracts.GrantControl["grant"],
   nowMs: () => number,
+  isKnown = true,
 ): GrantSender {
+  const entry: contracts.ServerEntry = {
+    server: SERVER,
+    bornMs: 1,
+    service: "keyed" as contracts.ServiceId,
+    host: "10.0.0.1",
+    port: 80,
+    zone: "z1" as contracts.ZoneId,
+    slots: 2,
+    isDraining: false,
+    warmUpLeftMs: 0,
+  };
   return new GrantSender({
     control: {
       grant,
@@ -35,17 +47,7 @@
     clock: { nowMs },
     random: { next: () => 0.5 },
     log: { debug() {}, info() {}, warn() {}, error() {} },
-    entry: () => ({
-      server: SERVER,
-      bornMs: 1,
-      service: "keyed" as contracts.ServiceId,
-      host: "10.0.0.1",
-      port: 80,
-      zone: "z1" as contracts.ZoneId,
-      slots: 2,
-      isDraining: false,
-      warmUpLeftMs: 0,
-    }),
+    entry: () => isKnown ? entry : undefined,
     onConfirmed: () => {},
     onEnded: () => {},
     onFencedOff: () => {},
@@ -80,7 +82,7 @@
   };
   const sender = createSender(count, () => nowMs);
   for (; nowMs < 2_000; nowMs++) {
-    if (!sender.isFree(SERVER)) continue;
+    if (!sender.isFree(RANGE.owner)) continue;
     await sender.send(ORDER);
   }
   expect(calls >= 8 && calls <= 12).toEqual(true);
@@ -97,5 +99,11 @@
   await sender.send(ORDER);
   expect(sender.silentServers()).toEqual([]);
   expect(sender.agesMs().has(SERVER)).toEqual(false);
-  expect(sender.isFree(SERVER)).toEqual(true);
+  expect(sender.isFree(RANGE.owner)).toEqual(true);
+});
+
+/** Guards against renewals that follow one another in a loop without a call. */
+test("should send no grant to an owner that is not known", () => {
+  const sender = createSender(refuse, () => 0, false);
+  expect(sender.isFree(RANGE.owner)).toEqual(false);
 });
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -357,7 +357,7 @@
         ? 0
         : places.get(server)!;
       if (place < 0 || place >= RENEWERS) continue;
-      if (!this.#sender.isFree(server)) continue;
+      if (!this.#sender.isFree(range.owner)) continue;
       if (this.#leavesToMover(range, nowMs)) continue;
       const lastMs = this.#sender.confirmedMs(range);
       const intervalMs = timings.renewMs * (place + 1);
