feat(grants): an old owner hears the next fence, also after a cut

What is left of the incident: the kernel closes the sockets of a VM that is killed, and a grant that it had sent into a cut takes effect when the link heals.

When keys are given on because their old owner could not answer, the mover goes on to release them, one call at a time to a server, until it answers, its run has ended, it owns such keys again, or 30 s have passed. In the incident two servers took old grants a second after they had answered a release, which a release with the grant's own fence does not prevent.

It narrows the window and does not close it: the first connection after a heal may lose the race.

--- a/packages/decisions/src/grants/range_mover.ts
+++ b/packages/decisions/src/grants/range_mover.ts
@@ -5,6 +5,7 @@
  * the work goes on from what the store holds.
  */
 import type * as contracts from "@guavatide/contracts";
+import { FencingReleases } from "./fencing_releases.ts";
 import { holdOf } from "./grant_hold.ts";
 import type { GrantTimings } from "./grant_timings.ts";
 import type { KeeperBook } from "./keeper_book.ts";
@@ -39,10 +40,12 @@
     readonly condition: contracts.WriteCondition;
   };
 
-/** A range that its old owner is to release. */
+/** A range that its old owner is to release, told of the next owner's fence. */
 export interface ReleaseCall {
   readonly range: contracts.RangeState;
   readonly old: NonNullable<contracts.RangeState["vacating"]>;
+  /** The keys are given on already; this one only tells of the new fence. */
+  readonly isFencing?: boolean;
 }
 
 /** The world as the task sees it at a tick. */
@@ -102,6 +105,7 @@
   readonly #promisedAtMs = new Map<number, number>();
   /** Since when a range is free whose end is not written yet. */
   #freeSinceMs: number | undefined;
+  readonly #fencing = new FencingReleases();
   /** Releases by the fence that the range's next owner gets. */
   readonly #releases = new Map<number, Release>();
 
@@ -158,6 +162,8 @@
     if (end.stored.map.revision < known) return this.#backOff(nowMs);
     this.#isAbsent = false;
     this.#mustRead = false;
+    if (end.kind === "written") this.#noteGiven(end.stored.map, nowMs);
+    this.#fencing.noteRanges(end.stored.map.ranges);
     this.#stored = end.stored;
     this.#forgetOldMoves();
   }
@@ -187,7 +193,7 @@
       this.#release(range.fence).underWayMs = nowMs;
       calls.push({ range, old });
     }
-    return calls;
+    return [...calls, ...this.#fencing.take(nowMs, hasEnded)];
   }
 
   /** A release was answered, or failed and may be sent again. */
@@ -196,6 +202,7 @@
     end: { readonly handover: string | undefined } | "failed",
     nowMs: number,
   ): void {
+    if (this.#fencing.noteEnd(fence, end !== "failed", nowMs)) return;
     const release = this.#release(fence);
     const leftAtMs = release.underWayMs ?? nowMs;
     release.underWayMs = undefined;
@@ -207,6 +214,19 @@
     release.handover = end.handover ?? release.handover;
   }
 
+  /** Ranges that a map gives on without an answer of their old owner. */
+  #noteGiven({ ranges }: contracts.RangeMap, nowMs: number): void {
+    const settled = new Set(
+      ranges.filter((it) => it.vacating === undefined).map((it) => it.fence),
+    );
+    for (const range of this.map?.ranges ?? []) {
+      const { fence, vacating: old } = range;
+      if (old === undefined || !settled.has(fence)) continue;
+      if (this.#releases.get(fence)?.answered !== undefined) continue;
+      this.#fencing.add({ range, old, isFencing: true }, nowMs);
+    }
+  }
+
   #mayRelease(
     map: contracts.RangeMap,
     range: contracts.RangeState,
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -474,31 +474,35 @@
     }
   }
 
-  #release({ range, old }: grants.ReleaseCall): void {
-    const { registry, control, clock, log } = this.#options;
+  /** The next owner's fence lets the old owner refuse older grants from then. */
+  #release({ range, old, isFencing }: grants.ReleaseCall): void {
+    const { registry, control, clock, timings, log } = this.#options;
     const server = registry.entry(old);
     const { fromKey, toKey, fence } = range;
     if (server === undefined) {
       return this.#mover.noteRelease(fence, "failed", clock.nowMs());
     }
-    control.release(
-      server,
-      { fromKey, toKey, fence: old.fence },
-      { timeoutMs: RELEASE_TIMEOUT_MS },
-    ).then((result) => {
-      const end = result.isOk() ? { handover: result.value } : "failed";
-      this.#mover.noteRelease(fence, end, clock.nowMs());
-      log.info(result.isOk() ? "Range released." : "Release failed.", {
-        server: old.server,
-        fromKey,
-        toKey,
-        fence: old.fence,
-        reason: result.isErr() ? result.error.message : undefined,
-      });
-    }, (error) => {
-      this.#mover.noteRelease(fence, "failed", clock.nowMs());
-      log.error("Release failed.", { error: String(error) });
-    });
+    const timeoutMs = isFencing ? timings.orderTimeoutMs : RELEASE_TIMEOUT_MS;
+    control.release(server, { fromKey, toKey, fence }, { timeoutMs }).then(
+      (result) => {
+        const end = result.isOk() ? { handover: result.value } : "failed";
+        this.#mover.noteRelease(fence, end, clock.nowMs());
+        // The old owner is tried until it answers, and says so once.
+        if (isFencing && result.isErr()) return;
+        log.info(result.isOk() ? "Range released." : "Release failed.", {
+          server: old.server,
+          fromKey,
+          toKey,
+          fence,
+          isFencing,
+          reason: result.isErr() ? result.error.message : undefined,
+        });
+      },
+      (error) => {
+        this.#mover.noteRelease(fence, "failed", clock.nowMs());
+        log.error("Release failed.", { error: String(error) });
+      },
+    );
   }
 
   #moverTick(nowMs: number): grants.RangeMoverTick {
