fix(cells): a VM whose try ends late asks whether it still has to read

Seen: "start with at most three calls to the store for each VM" above its bound beside load. Traced on one core shared with three and five busy loops, four runs: 4, 6, 9 and 13 VMs began to read for all where two to three do on an idle machine; 40, 45, 64 and 70 fresh calls, 42 allowed, 23 on an idle machine.

Cause: a VM that misses readers tries the store first and then began to read whatever it had heard meanwhile. VMs wait 150 ms for one another, and a try that takes longer (250 to 750 ms in the traces; both first VMs' tries had run out) let the next ones try too. Each then read although up to seven others already said that they did: it registered, listed and watched, five calls or more, and left the duty at its next review.

Change: after the try a VM begins only while fewer than two others are heard to read, or when it is of the first two in the order. A try is one stale read.

Ruled out as the cause of the first runs: VMs that find no peer; none wrote itself into the store for want of peers, all who did were readers.

--- a/packages/decisions/src/cells/reader_duty.ts
+++ b/packages/decisions/src/cells/reader_duty.ts
@@ -107,10 +107,15 @@
     return mayTry ? "try" : "rest";
   }
 
-  /** The attempt to reach the store has ended. */
-  noteTried(isReached: boolean, nowMs: number): void {
-    this.#isReader = isReached;
+  /**
+   * The attempt to reach the store has ended. With a slow store it takes longer
+   * than the VMs wait for one another, so enough others may read by now.
+   */
+  noteTried(isReached: boolean, view: ReaderView): void {
+    const { nowMs } = view;
     if (!isReached) this.#noTryBeforeMs = nowMs + RETRY_MS;
+    this.#isReader = isReached &&
+      (this.active(nowMs).length < READERS || this.#isFirst(view));
   }
 
   /** Whether fewer than enough other readers go before this one. */
--- a/packages/decisions/src/cells/reader_duty_test.ts
+++ b/packages/decisions/src/cells/reader_duty_test.ts
@@ -5,7 +5,7 @@
   type ReaderCandidate,
   ReaderDuty,
   readerOrder,
-  type ReaderStep,
+  type ReaderView,
 } from "./reader_duty.ts";
 
 const REVIEW_MS = 100;
@@ -17,6 +17,8 @@
   isUp: boolean;
   hasStore: boolean;
   tries: number;
+  /** When the attempt under way ends. */
+  triedAtMs: number | undefined;
 }
 
 /** VMs that review their duty each 100 ms and hear readers' words 200 ms late. */
@@ -24,6 +26,10 @@
   readonly vms: ModelVm[];
   nowMs = 0;
   storeFailedAtMs = Number.NEGATIVE_INFINITY;
+  /** How long the store takes to answer. */
+  storeMs = 0;
+  /** VMs that became readers, again and again too. */
+  begun = 0;
   /** Whether a word from one VM to another is lost. */
   isLost: (from: contracts.VmId, to: contracts.VmId) => boolean = () => false;
 
@@ -37,6 +43,7 @@
         isUp: true,
         hasStore: true,
         tries: 0,
+        triedAtMs: undefined,
       };
     });
   }
@@ -52,6 +59,7 @@
       startedAtMs: this.nowMs,
       isUp: true,
       hasStore: true,
+      triedAtMs: undefined,
     });
   }
 
@@ -89,17 +97,23 @@
   }
 
   #review(vm: ModelVm): void {
-    const step: ReaderStep = vm.duty.review({
+    const view: ReaderView = {
       nowMs: this.nowMs,
       lifeMs: this.nowMs - vm.startedAtMs,
       hasStore: vm.hasStore,
       // Lost VMs stay in the order: their loss is known late.
       order: this.vms.map((it) => it.vm),
       isSeed: false,
-    });
-    if (step !== "try") return;
-    vm.tries++;
-    vm.duty.noteTried(vm.hasStore, this.nowMs);
+    };
+    if (vm.triedAtMs === undefined) {
+      if (vm.duty.review(view) !== "try") return;
+      vm.tries++;
+      vm.triedAtMs = this.nowMs + this.storeMs;
+    }
+    if (this.nowMs < vm.triedAtMs) return;
+    vm.triedAtMs = undefined;
+    vm.duty.noteTried(vm.hasStore, view);
+    if (vm.duty.isReader) this.begun++;
   }
 }
 
@@ -117,6 +131,18 @@
   expect(tries <= 8).toEqual(true);
 });
 
+/**
+ * Guards against a reader for each VM that tried while the first ones did: each
+ * registers, lists and watches before it leaves the duty again.
+ */
+test("should have few VMs read when all start at once and the store is slow", () => {
+  const model = new Model(200);
+  model.storeMs = 700;
+  model.run(10_000);
+  expect(model.begun).toEqual(2);
+  expect(model.readers).toEqual(["vm000", "vm001"]);
+});
+
 /** Guards against changes that nobody reads after readers are lost. */
 test("should read again within 2 s of the loss of both readers", () => {
   const model = new Model(200);
--- a/packages/entry/src/gateway/watch_relay.ts
+++ b/packages/entry/src/gateway/watch_relay.ts
@@ -183,19 +183,23 @@
   // The duty
 
   #review(): void {
-    const { gossip, health, clock, isSeed, isLeaving } = this.#options;
-    if (isLeaving() || this.#isTrying) return;
-    const nowMs = clock.nowMs();
+    if (this.#options.isLeaving() || this.#isTrying) return;
     const wasReader = this.isReader;
-    const step = this.#duty.review({
+    const step = this.#duty.review(this.#view());
+    if (step === "try") this.#try();
+    else if (wasReader !== this.isReader) this.#roleChanged();
+  }
+
+  #view(): cells.ReaderView {
+    const { gossip, health, clock, isSeed } = this.#options;
+    const nowMs = clock.nowMs();
+    return {
       nowMs,
       lifeMs: nowMs - this.#startedAtMs,
       hasStore: health.isReached,
       order: this.#candidates(nowMs),
       isSeed: isSeed || gossip.seedCount === 0,
-    });
-    if (step === "try") this.#try();
-    else if (wasReader !== this.isReader) this.#roleChanged();
+    };
   }
 
   /** VMs that may read, in the order of the duty; sorted anew now and then. */
@@ -212,15 +216,15 @@
   }
 
   #try(): void {
-    const { tryStore, clock, log } = this.#options;
+    const { tryStore, log } = this.#options;
     this.#isTrying = true;
     tryStore().then((isReached) => {
       this.#isTrying = false;
-      this.#duty.noteTried(isReached, clock.nowMs());
-      if (isReached) this.#roleChanged();
+      this.#duty.noteTried(isReached, this.#view());
+      if (this.isReader) this.#roleChanged();
     }, (error) => {
       this.#isTrying = false;
-      this.#duty.noteTried(false, clock.nowMs());
+      this.#duty.noteTried(false, this.#view());
       log.error("Trying the store failed.", { error: String(error) });
     });
   }
