perf(grants): a grant's end looks at its server's ranges alone

The work grows with the square of the ranges. Change: ranges are listed by owner when a map comes in force; the end of a grant looks at its server's, and the tick leaves out servers that have a grant under way. The looks also found, by the way, ranges whose move had just ended; the mover now grants those as soon as the move is written.

--- a/packages/decisions/src/grants/renewal_order.ts
+++ b/packages/decisions/src/grants/renewal_order.ts
@@ -8,15 +8,30 @@
   readonly overdueMs: number;
 }
 
-/** The most overdue range of each server: one grant is under way to each. */
-export function mostOverdue(due: readonly RangeDue[]): contracts.RangeState[] {
-  const first = new Map<contracts.ServerId, RangeDue>();
+/** The most overdue of one server's ranges: one grant is under way to it. */
+export function mostOverdue(
+  due: readonly RangeDue[],
+): contracts.RangeState | undefined {
+  let first: RangeDue | undefined;
   for (const candidate of due) {
-    const { server } = candidate.range.owner;
-    const found = first.get(server);
-    const isLater = found === undefined ||
-      candidate.overdueMs > found.overdueMs;
-    if (isLater) first.set(server, candidate);
+    const isLater = first === undefined ||
+      candidate.overdueMs > first.overdueMs;
+    if (isLater) first = candidate;
   }
-  return [...first.values()].map(({ range }) => range);
+  return first?.range;
+}
+
+/** Ranges by their owner, without those that nobody may hold yet. */
+export function ownedRanges(
+  ranges: readonly contracts.RangeState[],
+): Map<contracts.ServerId, contracts.RangeState[]> {
+  const owned = new Map<contracts.ServerId, contracts.RangeState[]>();
+  for (const range of ranges) {
+    if (range.vacating !== undefined) continue;
+    const { server } = range.owner;
+    const found = owned.get(server);
+    if (found === undefined) owned.set(server, [range]);
+    else found.push(range);
+  }
+  return owned;
 }
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -66,6 +66,8 @@
   readonly #planner: MovePlanner;
   readonly #startedAtMs: number;
   #map: contracts.RangeMap | undefined;
+  /** Ranges of the map that are renewed, by owner. */
+  #owned = new Map<contracts.ServerId, contracts.RangeState[]>();
   /** Fences whose owners have not confirmed their grant, as the mover says. */
   #pending = new Set<number>();
   #adoptedAtMs = Number.NEGATIVE_INFINITY;
@@ -291,6 +293,7 @@
 
   #adopt(map: contracts.RangeMap, from: string): void {
     this.#map = map;
+    this.#owned = grants.ownedRanges(map.ranges);
     this.#adoptedAtMs = this.#options.clock.nowMs();
     this.#publisher.noteMap(map);
     this.#mover.noteNewer(map.revision);
@@ -320,49 +323,62 @@
     return grants.holdOf(this.#map, this.#options.timings);
   }
 
-  #renew(map: contracts.RangeMap, nowMs: number): void {
-    const { vm, timings } = this.#options;
+  /** Sends what is due to servers that have no grant under way. */
+  #renew(
+    map: contracts.RangeMap,
+    nowMs: number,
+    servers: Iterable<contracts.ServerId> = this.#owned.keys(),
+  ): void {
     const keepers = map.keeperSets.at(-1)!;
-    if (!keepers.includes(vm)) return;
+    if (!keepers.includes(this.#options.vm)) return;
     const live = this.#live().filter((peer) => keepers.includes(peer));
-    const places = new Map<contracts.ServerId, number>();
-    const due: grants.RangeDue[] = [];
-    for (const range of map.ranges) {
-      if (range.vacating !== undefined) continue;
-      const { server } = range.owner;
-      if (!places.has(server)) {
-        places.set(server, this.#order.of(server, live).indexOf(vm));
-      }
-      const place = this.#isMover && this.#isNew(range)
-        ? 0
-        : places.get(server)!;
-      if (place < 0 || place >= RENEWERS) continue;
-      if (!this.#sender.isFree(server)) continue;
-      if (this.#leavesToMover(range, nowMs)) continue;
-      const lastMs = this.#sender.confirmedMs(range);
-      const intervalMs = timings.renewMs * (place + 1);
-      const overdueMs = nowMs - (lastMs ?? Number.NEGATIVE_INFINITY) -
-        intervalMs;
-      if (overdueMs >= 0) due.push({ range, overdueMs });
+    const due: contracts.RangeState[] = [];
+    for (const server of servers) {
+      const range = this.#dueAt(server, live, nowMs);
+      if (range !== undefined) due.push(range);
     }
     if (due.length === 0) return;
     const evidenceAgeMs = nowMs - this.#keepers.evidenceAtMs(map);
-    if (evidenceAgeMs >= timings.evidenceMs) return this.#learner.readSoon();
-    for (const range of grants.mostOverdue(due)) {
+    const { evidenceMs } = this.#options.timings;
+    if (evidenceAgeMs >= evidenceMs) return this.#learner.readSoon();
+    for (const range of due) {
       const handover = this.#mover.handover(range.fence);
       const order = { range, handover, holdMs: this.#holdMs };
       this.#sender.send(order).then(
-        () => this.#renewNext(),
+        () => this.#renewNext(range.owner.server),
         (error) =>
           this.#options.log.error("Grant failed.", { error: String(error) }),
       );
     }
   }
 
+  /** The range that this VM is to renew next at a server. */
+  #dueAt(
+    server: contracts.ServerId,
+    live: readonly contracts.VmId[],
+    nowMs: number,
+  ): contracts.RangeState | undefined {
+    if (!this.#sender.isFree(server)) return undefined;
+    const { vm, timings } = this.#options;
+    const ownPlace = this.#order.of(server, live).indexOf(vm);
+    const due: grants.RangeDue[] = [];
+    for (const range of this.#owned.get(server) ?? []) {
+      const place = this.#isMover && this.#isNew(range) ? 0 : ownPlace;
+      if (place < 0 || place >= RENEWERS) continue;
+      if (this.#leavesToMover(range, nowMs)) continue;
+      const lastMs = this.#sender.confirmedMs(range);
+      const intervalMs = timings.renewMs * (place + 1);
+      const overdueMs = nowMs - (lastMs ?? Number.NEGATIVE_INFINITY) -
+        intervalMs;
+      if (overdueMs >= 0) due.push({ range, overdueMs });
+    }
+    return grants.mostOverdue(due);
+  }
+
   /** A server may have more ranges due than one tick sends. */
-  #renewNext(): void {
+  #renewNext(server: contracts.ServerId): void {
     if (this.#map === undefined) return;
-    this.#renew(this.#map, this.#options.clock.nowMs());
+    this.#renew(this.#map, this.#options.clock.nowMs(), [server]);
   }
 
   #isNew(range: contracts.RangeState): boolean {
@@ -419,6 +435,8 @@
     this.#notePending(map);
     this.#adopt(map, call.kind === "read" ? "store" : "own move");
     this.#publisher.publish(this.#pending);
+    // Keys that have moved wait for their first grant.
+    this.#renew(map, clock.nowMs());
   }
 
   /** Ranges whose fence is new since the map known before. */
