--- a/packages/decisions/src/grants/fencing_releases.ts
+++ b/packages/decisions/src/grants/fencing_releases.ts
@@ -4,7 +4,7 @@
  * from a VM that was killed, is then refused.
  */
 import type * as contracts from "@guavatide/contracts";
-import type { ReleaseCall } from "./range_mover.ts";
+import type { ReleaseCall } from "./release_call.ts";
 
 /** An old owner is tried for this time after its keys were given on. */
 const TRY_FOR_MS = 30_000;
--- a/packages/decisions/src/grants/fencing_releases_test.ts
+++ b/packages/decisions/src/grants/fencing_releases_test.ts
@@ -2,7 +2,7 @@
 import { expect } from "earl";
 import { test } from "node:test";
 import { FencingReleases } from "./fencing_releases.ts";
-import type { ReleaseCall } from "./range_mover.ts";
+import type { ReleaseCall } from "./release_call.ts";
 
 const A: contracts.RangeOwner = {
   server: "a" as contracts.ServerId,
--- a/packages/decisions/src/grants/mod.ts
+++ b/packages/decisions/src/grants/mod.ts
@@ -15,4 +15,5 @@
 export * from "./range_news.ts";
 export * from "./range_planner.ts";
 export * from "./range_wait.ts";
+export * from "./release_call.ts";
 export * from "./renewal_order.ts";
--- a/packages/decisions/src/grants/range_mover.ts
+++ b/packages/decisions/src/grants/range_mover.ts
@@ -10,6 +10,7 @@
 import type { GrantTimings } from "./grant_timings.ts";
 import type { KeeperBook } from "./keeper_book.ts";
 import * as edit from "./range_edit.ts";
+import type { ReleaseCall } from "./release_call.ts";
 import {
   type AnsweredRelease,
   freeAtMs,
@@ -40,14 +41,6 @@
     readonly condition: contracts.WriteCondition;
   };
 
-/** A range that its old owner is to release, told of the next owner's fence. */
-export interface ReleaseCall {
-  readonly range: contracts.RangeState;
-  readonly old: NonNullable<contracts.RangeState["vacating"]>;
-  /** The keys are given on already; this one only tells of the new fence. */
-  readonly isFencing?: boolean;
-}
-
 /** The world as the task sees it at a tick. */
 export interface RangeMoverTick {
   readonly nowMs: number;
--- /dev/null
+++ b/packages/decisions/src/grants/release_call.ts
@@ -0,0 +1,10 @@
+/** What the mover asks of the old owner of a range. */
+import type * as contracts from "@guavatide/contracts";
+
+/** A range that its old owner is to release, told of the next owner's fence. */
+export interface ReleaseCall {
+  readonly range: contracts.RangeState;
+  readonly old: NonNullable<contracts.RangeState["vacating"]>;
+  /** The keys are given on already; this one only tells of the new fence. */
+  readonly isFencing?: boolean;
+}
