fix(grants): no release is sent by a map that is known to be old

Releases wait for the read that is due then, some milliseconds. With the store away a move can't end anyway.

--- a/packages/decisions/src/grants/range_mover.ts
+++ b/packages/decisions/src/grants/range_mover.ts
@@ -177,6 +177,8 @@
     nowMs: number,
     hasEnded: (owner: contracts.RangeOwner) => boolean,
   ): ReleaseCall[] {
+    // By an old map, keys might be released that their owner has got again.
+    if (this.#mustRead) return [];
     const calls: ReleaseCall[] = [];
     const { map } = this;
     for (const range of map?.ranges ?? []) {
--- a/packages/decisions/src/grants/range_mover_test.ts
+++ b/packages/decisions/src/grants/range_mover_test.ts
@@ -44,6 +44,18 @@
     for (; this.nowMs < endMs; this.nowMs += STEP_MS) this.#step();
   }
 
+  /** Runs until the moves are written, and no release is due yet. */
+  runUntilMoving(): void {
+    for (; this.movingRanges === 0; this.nowMs += STEP_MS) this.#step();
+  }
+
+  /** Releases that are due now. */
+  takeReleases(): grants.ReleaseCall[] {
+    this.#hear();
+    this.mover.checkPromises(this.nowMs, new Set());
+    return this.mover.takeReleases(this.nowMs, () => false);
+  }
+
   get movingRanges(): number {
     return this.#map?.ranges.filter(({ vacating }) => vacating).length ?? 0;
   }
@@ -119,3 +131,17 @@
   // The first map, the moves, and their ends in a few groups.
   expect(fixture.writes <= 6).toEqual(true);
 });
+
+/** Guards against a release of keys that their old owner has got again. */
+test("should not release keys by a map that is known to be old", () => {
+  const fixture = new Fixture();
+  fixture.runUntilMoving();
+  fixture.mover.noteNewer(99);
+  expect(fixture.takeReleases()).toEqual([]);
+});
+
+test("should release keys by the latest map that is known", () => {
+  const fixture = new Fixture();
+  fixture.runUntilMoving();
+  expect(fixture.takeReleases().length).toEqual(MOVES);
+});
