--- a/packages/entry/src/gateway/service_grants_test.ts
+++ b/packages/entry/src/gateway/service_grants_test.ts
@@ -22,10 +22,7 @@
 /** The regular work of a keeper. */
 const TICK_MS = 40;
 
-/**
- * Hot spots leave a service with hundreds of ranges. A keeper that looks at all
- * of them each time a grant ends works for the square of their number.
- */
+/** Guards against work for the square of the number of ranges. */
 test("should look only at a server's own ranges when its grant has ended", async () => {
   const { sent, looked, ...keeper } = await createKeeper();
   await keeper.run(MOVER_AFTER_MS);
@@ -43,10 +40,7 @@
   expect(next!.fence !== first!.fence).toEqual(true);
 });
 
-/**
- * The keys of a range that moves have no owner until its grant is there. The
- * mover that waits for its next tick lets their callers wait as well.
- */
+/** Guards against callers of moved keys who wait for the mover's next tick. */
 test("should grant a range as soon as its move is written", async () => {
   const { sent, ...keeper } = await createKeeper({ isMover: true });
   const isGranted = () =>
@@ -61,6 +55,18 @@
   expect(isGranted()).toEqual(true);
 });
 
+/** Guards against a grant that leaves on evidence which was good once. */
+test("should keep a grant back when its evidence is too old as it leaves", async () => {
+  const keeper = await createKeeper();
+  const { evidenceMs, renewMs } = grants.DEFAULT_GRANT_TIMINGS;
+  await keeper.run(MOVER_AFTER_MS);
+  keeper.holdAnswers();
+  keeper.tick(renewMs);
+  expect(keeper.mayLeave(ASKED)).toEqual(true);
+  keeper.wait(evidenceMs);
+  expect(keeper.mayLeave(ASKED)).toEqual(false);
+});
+
 /** A keeper with several ranges at each server. */
 async function createKeeper({ isMover = false } = {}) {
   let nowMs = 0;
@@ -70,6 +76,8 @@
   const looked = new Set<contracts.ServerId>();
   const sent = new Map<contracts.ServerId, contracts.KeyGrant[]>();
   const answers = new Map<contracts.ServerId, () => void>();
+  /** Whether the last grant to a server may leave now. */
+  const leaves = new Map<contracts.ServerId, () => boolean>();
   const map = mapOf((server) => looked.add(server));
   const service = new ServiceGrants({
     service: SERVICE,
@@ -86,7 +94,8 @@
         }),
     } as unknown as RangeMapStore,
     control: {
-      grant: ({ server }, grant) => {
+      grant: ({ server }, grant, options) => {
+        leaves.set(server, options.mayLeave!);
         sent.set(server, [...sent.get(server) ?? [], grant]);
         const answered = new Promise<contracts.GrantAnswer>((resolve) => {
           answers.set(server, () => resolve("granted"));
@@ -126,6 +135,10 @@
       isHeld = true;
     },
     answer: (server: contracts.ServerId) => answers.get(server)!(),
+    mayLeave: (server: contracts.ServerId) => leaves.get(server)!(),
+    wait: (afterMs: number) => {
+      nowMs += afterMs;
+    },
     tick: (afterMs: number) => {
       nowMs += afterMs;
       service.tick();
