--- a/packages/decisions/src/grants/range_news.ts
+++ b/packages/decisions/src/grants/range_news.ts
@@ -10,16 +10,10 @@
   readonly baseRevision: number;
 }
 
-/**
- * Differences go back so far. A datagram that is lost is told again after
- * 400 ms, so a receiver that misses four of them reads the store.
- */
-const BASE_AGE_MS = 2_000;
-/**
- * Ranges in one message, about 80 bytes each. With more, receivers read the
- * store: a datagram of 20 KB is lost when one of its 14 packets is.
- */
-const MOST_RANGES = 90;
+/** Differences go back so far: after a few lost datagrams no read is needed. */
+const MAX_BASE_AGE_MS = 2_000;
+/** Bounds the size of a datagram: larger ones are lost more often. */
+const MAX_RANGES = 90;
 
 /** The last maps of one service, to tell their differences. */
 export class RangeNews {
@@ -30,7 +24,8 @@
     this.#history.push({ map, atMs: nowMs });
     // One that is older than the base age stays as the base.
     while (
-      this.#history.length > 1 && nowMs - this.#history[1]!.atMs > BASE_AGE_MS
+      this.#history.length > 1 &&
+      nowMs - this.#history[1]!.atMs > MAX_BASE_AGE_MS
     ) {
       this.#history.shift();
     }
@@ -40,12 +35,12 @@
   change(): RangeMapChange | undefined {
     const latest = this.#history.at(-1)?.map;
     if (latest === undefined) return undefined;
-    if (latest.revision === 1 && latest.ranges.length <= MOST_RANGES) {
+    if (latest.revision === 1 && latest.ranges.length <= MAX_RANGES) {
       return { map: latest, baseRevision: 0 };
     }
     const base = this.#history[0]!.map;
     const ranges = changedRanges(base, latest);
-    return ranges.length <= MOST_RANGES
+    return ranges.length <= MAX_RANGES
       ? { map: { ...latest, ranges }, baseRevision: base.revision }
       : { map: { ...latest, ranges: [] }, baseRevision: latest.revision };
   }
--- a/packages/decisions/src/grants/range_wait.ts
+++ b/packages/decisions/src/grants/range_wait.ts
@@ -1,12 +1,11 @@
 /**
- * Whether the last owner of a vacating range can still hold it. Grants run
- * from their arrival and may be taken late, so what counts is when the last
- * one left, from any entry VM.
+ * Whether the last owner of a vacating range can still hold it: grants run from
+ * their arrival, so the end of the last grant call of any entry VM counts.
  */
 import type * as contracts from "@guavatide/contracts";
 import { holdOf } from "./grant_hold.ts";
 import { grantLifeMs, type GrantTimings } from "./grant_timings.ts";
-import type { KeeperBook } from "./keeper_book.ts";
+import type { KeeperBook, KeeperWord } from "./keeper_book.ts";
 
 /** A release that left after the promise and was answered. */
 export interface AnsweredRelease {
@@ -38,15 +37,15 @@
   if (promisedAtMs === undefined) return undefined;
   const waitedOutMs = lastGrantEndMs(facts, promisedAtMs, "lastGrantMs");
   if (release === undefined || isReleaseVoid(facts)) return waitedOutMs;
-  // A grant that was answered before the release left is undone by it. One
-  // that was not answered may take effect after it.
+  // A release undoes a grant that was answered before; one that was not
+  // answered may take effect after it.
   const releasedMs = lastGrantEndMs(facts, promisedAtMs, "lastUnansweredMs");
   return Math.min(waitedOutMs, Math.max(release.doneAtMs, releasedMs));
 }
 
 /**
- * Whether a grant to the old owner may have crossed the release on its way: the
- * owner then holds the range again, and has to be asked to release it anew.
+ * Whether a grant to the old owner may have crossed the release: the owner then
+ * holds the range again and must release it anew.
  */
 export function isReleaseVoid(facts: RangeWaitFacts): boolean {
   const { release, keepers, range, map } = facts;
@@ -68,20 +67,33 @@
   kind: "lastGrantMs" | "lastUnansweredMs",
 ): number {
   const { server, revision } = range.vacating!;
-  // A keeper that is not heard may act on its evidence until that is too old.
-  const unheardMs = promisedAtMs + timings.evidenceMs;
+  const { evidenceMs, orderTimeoutMs } = timings;
+  // A keeper that is not heard may act on its evidence until that is too old,
+  // and the bytes of its last call leave within the time of the call.
+  const unheardMs = promisedAtMs + evidenceMs + orderTimeoutMs;
   let lastMs = Number.NEGATIVE_INFINITY;
   for (const vm of new Set(map.keeperSets.flat())) {
     const word = keepers.word(vm);
     const isHeard = word !== undefined && word.revision >= revision;
     // What an earlier run of its process sent is not known to this one.
     const sentMs = isHeard
-      ? Math.max(
-        word[kind].get(server) ?? Number.NEGATIVE_INFINITY,
-        word.startedAtMs,
-      )
+      ? Math.max(lastSentMs(word, kind, { server, timings }), word.startedAtMs)
       : unheardMs;
     lastMs = Math.max(lastMs, sentMs);
   }
   return lastMs + grantLifeMs(timings, holdOf(map, timings));
 }
+
+/** A grant that was under way when the keeper was heard leaves by its end. */
+function lastSentMs(
+  word: KeeperWord,
+  kind: "lastGrantMs" | "lastUnansweredMs",
+  { server, timings }: {
+    readonly server: contracts.ServerId;
+    readonly timings: GrantTimings;
+  },
+): number {
+  const endMs = word[kind].get(server) ?? Number.NEGATIVE_INFINITY;
+  const isUnderWay = endMs >= word.receivedAtMs;
+  return isUnderWay ? endMs + timings.orderTimeoutMs : endMs;
+}
--- a/packages/entry/src/gateway/front_listener.ts
+++ b/packages/entry/src/gateway/front_listener.ts
@@ -12,10 +12,10 @@
 import * as bodies from "../utils/read_body.ts";
 import type { PartLog } from "../utils/log.ts";
 import {
-  behindAnswer,
   type FrontAnswer,
   type FrontRequest,
   notRunAnswer,
+  overloadAnswer,
 } from "./front_request.ts";
 import type { HeaderNames } from "./platform_adapter.ts";
 
@@ -35,19 +35,16 @@
 }
 
 /**
- * Connections that may wait to be accepted. One is accepted in a turn of the
- * event loop, which takes 3 to 4 ms on a VM that restarts under load: this many
- * wait for 0.4 s at most. With the system's 511 each had been given up by its
- * caller when its turn came, and the VM worked for nobody for 4 s.
+ * Connections that may wait to be accepted. The event loop accepts one a turn:
+ * with the system's default, callers have left by the time their turn comes.
  */
 const BACKLOG = 96;
 /**
- * A caller that leaves so soon after its request was read had left before. For
- * a while, each first request of a connection then waits for the turn in which
- * its caller's close would be read.
+ * A caller that closes so soon after its request was read had left before. For
+ * a while, requests then wait for the turn in which a close is read.
  */
-const GONE_AT_ONCE_MS = 40;
-const WARY_MS = 2_000;
+const EARLY_CLOSE_MS = 40;
+const EARLY_CLOSE_SUSPICION_MS = 2_000;
 /** Largest head of a request; the configuration's limit is checked besides. */
 const HEADER_LIMIT_BYTES = 65_536;
 /** Limits until the first configuration. */
@@ -60,24 +57,22 @@
 /** Idle connections are kept a little longer than callers reuse them. */
 const IDLE_SLACK_MS = 1_000;
 /**
- * Part of the grace time after which no request is taken any more. One that
- * then waits for a server could be cut off with the connection, and its caller
- * is served sooner by another VM.
+ * Part of the grace time after which requests are refused: one that waits for a
+ * server could be cut off with its connection.
  */
-const TAKE_PART = 0.5;
+const ACCEPT_PART = 0.5;
 /** A caller that this VM no longer serves finds another one at once. */
 const STOPPING_RETRY_AFTER_MS = 20;
 /** Time that the last answers take to leave before connections are closed. */
-const LAST_ANSWERS_MS = 50;
+const FLUSH_MS = 50;
 /** Part of the grace time after which idle connections are closed. */
 const CLOSE_IDLE_PART = 0.72;
 /** Part of the grace time within which running requests may end. */
-const END_PART = 0.93;
+const DRAIN_PART = 0.93;
 const DRAIN_CHECK_MS = 20;
 /**
- * A VM whose loop is further behind refuses at once: a refusal takes a fraction
- * of the processor time of a forwarded request. Without it a VM that restarts
- * under the load of its whole zone forwards requests whose callers have left.
+ * A VM further behind refuses at once: a refusal takes a fraction of the
+ * processor time of a forwarded request.
  */
 const SHED_LAG_MS = 400;
 
@@ -89,8 +84,8 @@
   #inFlight = 0;
   #stoppedAtMs = Number.POSITIVE_INFINITY;
   #connections = 0;
-  /** When a caller last left at once. */
-  #goneAtOnceMs = Number.NEGATIVE_INFINITY;
+  /** When a caller last closed early. */
+  #lastEarlyCloseMs = Number.NEGATIVE_INFINITY;
   readonly #shedLine: FoldedLine;
   readonly #stopLine: FoldedLine;
 
@@ -163,7 +158,7 @@
     const onGone = () => {
       if (response.writableFinished || gone.signal.aborted) return;
       const nowMs = this.#options.clock.nowMs();
-      if (nowMs - readMs < GONE_AT_ONCE_MS) this.#goneAtOnceMs = nowMs;
+      if (nowMs - readMs < EARLY_CLOSE_MS) this.#lastEarlyCloseMs = nowMs;
       gone.abort();
     };
     incoming.socket.once("end", onGone);
@@ -172,9 +167,10 @@
       this.#inFlight--;
       onGone();
     });
-    if (lagMs > 0 || readMs - this.#goneAtOnceMs < WARY_MS) {
-      // The caller may have left meanwhile. Its close lies behind the request
-      // and is read in the next turn; a server would work for nobody.
+    if (
+      lagMs > 0 || readMs - this.#lastEarlyCloseMs < EARLY_CLOSE_SUSPICION_MS
+    ) {
+      // A close that followed the request is read in the next turn.
       await timers.setImmediate();
       await timers.setImmediate();
       if (gone.signal.aborted) return void response.destroy();
@@ -198,7 +194,7 @@
     }
     if (lagMs <= SHED_LAG_MS) return undefined;
     this.#shedLine.note(readMs - lagMs, { lagMs: Math.round(lagMs), inFlight });
-    return behindAnswer(this.#options.random);
+    return overloadAnswer(this.#options.random);
   }
 
   async #answer(
@@ -233,29 +229,28 @@
   /** Whether this VM stops so soon that it takes no more requests. */
   #isClosing(nowMs: number): boolean {
     const { graceMs } = this.#options;
-    return nowMs - this.#stoppedAtMs > graceMs * TAKE_PART;
+    return nowMs - this.#stoppedAtMs > graceMs * ACCEPT_PART;
   }
 
   /** What the caller says, or less when this VM stops before. */
   #deadlineMs(saidMs: number | undefined): number | undefined {
     const { clock, graceMs } = this.#options;
     if (this.#stoppedAtMs === Number.POSITIVE_INFINITY) return saidMs;
-    const endMs = this.#stoppedAtMs + graceMs * END_PART - LAST_ANSWERS_MS;
+    const endMs = this.#stoppedAtMs + graceMs * DRAIN_PART - FLUSH_MS;
     const leftMs = Math.max(1, Math.floor(endMs - clock.nowMs()));
     return Math.min(saidMs ?? leftMs, leftMs);
   }
 
   /**
-   * Goes on answering on open connections while the balancer takes this VM
-   * out, each answer ending its connection; then closes the idle ones, and
-   * waits for the requests that run.
+   * Answers on open connections while the balancer takes this VM out, closing
+   * each; then closes the idle ones and waits for running requests.
    */
   async #drain(): Promise<void> {
     const { graceMs, clock, log } = this.#options;
     const startMs = clock.nowMs();
     this.#stoppedAtMs = startMs;
     const closeIdleMs = startMs + graceMs * CLOSE_IDLE_PART;
-    const endMs = startMs + graceMs * END_PART;
+    const endMs = startMs + graceMs * DRAIN_PART;
     while (clock.nowMs() < closeIdleMs) await timers.setTimeout(DRAIN_CHECK_MS);
     const closed = new Promise((resolve) => this.#server.close(resolve));
     this.#server.closeIdleConnections();
@@ -300,9 +295,8 @@
 }
 
 /**
- * Passes on an answer without length as it came: it ends with the connection.
- * A server that crashes on the way ends its connection too, and a length of
- * ours would tell the caller that a part is the whole.
+ * Passes on an answer without length as it came: a length would let a caller
+ * take the part that a crashed server sent for the whole.
  */
 function writeWithoutLength(
   response: http.ServerResponse,
--- a/packages/entry/src/gateway/grant_sender.ts
+++ b/packages/entry/src/gateway/grant_sender.ts
@@ -1,6 +1,6 @@
 /**
  * Sends grants to one service's backend servers, one at a time to each, and
- * remembers when: a mover has to know what may still take effect.
+ * remembers when: a mover must know what may still take effect.
  */
 import type * as contracts from "@guavatide/contracts";
 import type * as grants from "@guavatide/decisions/grants/mod";
@@ -42,14 +42,13 @@
 }
 
 /**
- * A server is no longer called silent so long after the last grant that it left
- * unanswered. It is sent none once its ranges are taken away, so nothing else
- * could show that it is back: with all servers silent no key had an owner again.
+ * Suspicion of a silent server lapses after this time: it gets no grants once
+ * its ranges are taken away, so nothing else could show that it is back.
  */
-const SILENT_STANDS_MS = 1_500;
+const SUSPICION_TTL_MS = 1_500;
 /**
- * Pauses after grants that failed. A server that refuses connections answers
- * within a millisecond, and asked again at once it took the whole processor.
+ * Back-off after failed grants: a refused connection fails within a
+ * millisecond.
  */
 const RETRY_MIN_MS = 40;
 const RETRY_MAX_MS = 320;
@@ -59,6 +58,8 @@
   readonly range: contracts.RangeState;
   readonly handover: string | undefined;
   readonly holdMs: number;
+  /** Whether the grant rests on good evidence, asked as its bytes leave. */
+  readonly mayLeave: () => boolean;
 }
 
 /** Renewals of one entry VM for one service. */
@@ -85,7 +86,7 @@
       this.#options.clock.nowMs() >= state.notBeforeMs;
   }
 
-  /** Servers that have left this VM's grants unanswered for so long. */
+  /** Servers that have left this VM's grants unanswered for `silentMs`. */
   silentServers(): contracts.ServerId[] {
     const { clock, timings } = this.#options;
     const nowMs = clock.nowMs();
@@ -93,21 +94,22 @@
       .filter(([, { silentSinceMs, lastEndMs, isUnderWay }]) =>
         silentSinceMs !== undefined &&
         nowMs - silentSinceMs >= timings.silentMs &&
-        (isUnderWay || nowMs - lastEndMs < SILENT_STANDS_MS)
+        (isUnderWay || nowMs - lastEndMs < SUSPICION_TTL_MS)
       )
       .map(([server]) => server);
   }
 
   /**
-   * Age of the last grant and of the last unanswered one, by server. They
-   * count from the end of the call, since a busy VM may send late and give up
-   * late; one that is under way may still be sent.
+   * Age of the last grant and of the last unanswered one, by server, from the
+   * end of the call: a busy VM may send late.
    */
   agesMs(): Map<contracts.ServerId, [number, number | null]> {
     const nowMs = this.#options.clock.nowMs();
     const ages = new Map<contracts.ServerId, [number, number | null]>();
     for (const [server, state] of this.#servers) {
       const { isUnderWay, lastEndMs, lastUnansweredMs } = state;
+      // Nothing has left yet, and peers can't be told an infinite age.
+      if (!isUnderWay && lastEndMs === Number.NEGATIVE_INFINITY) continue;
       const unansweredMs = lastUnansweredMs === undefined
         ? null
         : Math.floor(nowMs - lastUnansweredMs);
@@ -119,27 +121,33 @@
     return ages;
   }
 
-  /** Sends one grant; the caller has checked evidence just now. */
-  async send({ range, handover, holdMs }: GrantOrder): Promise<void> {
+  /** Sends one grant. */
+  async send({ range, handover, holdMs, mayLeave }: GrantOrder): Promise<void> {
     const { clock, control, timings, entry, log } = this.#options;
     const server = entry(range.owner);
     if (server === undefined) return;
     const state = this.#state(range.owner.server);
     const sentMs = clock.nowMs();
+    const { silentSinceMs } = state;
     state.isUnderWay = true;
     state.silentSinceMs ??= sentMs;
     const { fromKey, toKey, fence } = range;
     const result = await control.grant(
       server,
       { fromKey, toKey, fence, holdMs, handover },
-      { timeoutMs: timings.orderTimeoutMs },
+      { timeoutMs: timings.orderTimeoutMs, mayLeave },
     );
     state.isUnderWay = false;
+    const fields = { server: server.server, fromKey, toKey, fence };
+    if (result.isErr() && result.error.kind === "kept") {
+      state.silentSinceMs = silentSinceMs;
+      this.#options.onEnded(server.server);
+      return log.warn("Grant kept back: its evidence is too old.", fields);
+    }
     state.lastEndMs = clock.nowMs();
     this.#notePause(state, result.isOk() && result.value === "granted");
     if (result.isErr()) state.lastUnansweredMs = state.lastEndMs;
     this.#options.onEnded(server.server);
-    const fields = { server: server.server, fromKey, toKey, fence };
     if (result.isErr()) {
       log.warn("Grant not answered.", {
         ...fields,
--- a/packages/entry/src/gateway/range_map_learner.ts
+++ b/packages/entry/src/gateway/range_map_learner.ts
@@ -1,6 +1,6 @@
 /**
- * Learns the range map of one service: keepers and the mover from the store,
- * so that their word is evidence, all others from a peer that knows it.
+ * Learns the range map of one service: keepers and the mover from the store, so
+ * that their word is evidence, all others from a peer.
  */
 import type * as contracts from "@guavatide/contracts";
 import type { PartLog } from "../utils/log.ts";
@@ -17,7 +17,9 @@
   readonly askMap: (
     peer: contracts.VmId,
   ) => Promise<contracts.RangeMap | undefined>;
-  /** Whether this VM's word or moves rest on its own reading of the store. */
+  /**
+   * Whether this VM's evidence or moves rest on its own reading of the store.
+   */
   readonly hasDuty: () => boolean;
   /** Revision known here; 0 for none. */
   readonly knownRevision: () => number;
@@ -25,30 +27,30 @@
   readonly onRead: (map: contracts.RangeMap, askedAtMs: number) => void;
   /** A map came from a peer, or from the store possibly some seconds old. */
   readonly onTold: (map: contracts.RangeMap) => void;
-  /** From now on this VM's word is evidence. */
+  /** From now on this VM's status is evidence. */
   readonly onSettled: () => void;
 }
 
-/** The mover's news may arrive so much later than a peer's word of the map. */
-const NEWS_GRACE_MS = 120;
+/** The mover's update may arrive this much later than a peer's revision. */
+const UPDATE_GRACE_MS = 120;
 /** Least time between two reads of the map by a VM that lacks evidence. */
-const READ_SPACING_MS = 250;
+const READ_INTERVAL_MIN_MS = 250;
 
 /** Decides when and from whom to learn the map. */
 export class RangeMapLearner {
   readonly #options: RangeMapLearnerOptions;
   readonly #reading: SpacedTask;
   readonly #catchingUp: SpacedTask;
-  /** Since when peers know a newer map than this VM, and who told so last. */
-  #behindSinceMs: number | undefined;
+  /** Since when a peer has a newer map than this VM, and the last such peer. */
+  #staleSinceMs: number | undefined;
   #aheadPeer: contracts.VmId | undefined;
   /** Whether the store was asked for a first map. */
-  #hasLooked = false;
+  #hasAskedStore = false;
   #isSettled = false;
 
   constructor(options: RangeMapLearnerOptions) {
     this.#options = options;
-    const spacing = { ...options, spacingMs: READ_SPACING_MS };
+    const spacing = { ...options, spacingMs: READ_INTERVAL_MIN_MS };
     this.#reading = new SpacedTask(spacing);
     this.#catchingUp = new SpacedTask(spacing);
   }
@@ -62,12 +64,12 @@
   noteRevision(revision: number, peer: contracts.VmId): void {
     if (revision <= this.#options.knownRevision()) return;
     this.#aheadPeer = peer;
-    this.#behindSinceMs ??= this.#options.clock.nowMs();
+    this.#staleSinceMs ??= this.#options.clock.nowMs();
   }
 
   /** A map came in force here. */
   noteMap(): void {
-    this.#behindSinceMs = undefined;
+    this.#staleSinceMs = undefined;
     // A keeper is of use to the others only once it has read the map itself.
     if (this.#options.hasDuty() && !this.#isSettled) this.readSoon();
   }
@@ -75,7 +77,7 @@
   /** The store answered a call of the mover. */
   noteSettled(): void {
     this.#isSettled = true;
-    this.#hasLooked = true;
+    this.#hasAskedStore = true;
   }
 
   /** The process stood still: what it knew may be old. */
@@ -85,10 +87,10 @@
 
   /** Learns the map if that is due. */
   tick(nowMs: number): void {
-    const isBehind = this.#behindSinceMs !== undefined &&
-      nowMs - this.#behindSinceMs >= NEWS_GRACE_MS;
+    const isStale = this.#staleSinceMs !== undefined &&
+      nowMs - this.#staleSinceMs >= UPDATE_GRACE_MS;
     if (this.#options.hasDuty() && !this.#isSettled) this.readSoon();
-    else if (!this.#hasLooked || isBehind) this.catchUp();
+    else if (!this.#hasAskedStore || isStale) this.catchUp();
   }
 
   /** Reads the map from the store, unless one read is under way or just was. */
@@ -106,9 +108,8 @@
   }
 
   /**
-   * Learns the map of the store or of a peer. To a VM without duty an older one
-   * does no harm, since servers refuse what they do not own and peers tell of a
-   * newer one.
+   * Learns the map of the store or of a peer. A VM without duty may have an
+   * older one: servers refuse keys that they do not own.
    */
   catchUp(): void {
     if (this.#options.hasDuty()) return this.readSoon();
@@ -118,9 +119,11 @@
       this.#aheadPeer = undefined;
       const told = peer === undefined ? undefined : await askMap(peer);
       if (told !== undefined) return onTold(told);
-      const end = await maps.read(service, { mayBeStale: !this.#hasLooked });
+      const end = await maps.read(service, {
+        mayBeStale: !this.#hasAskedStore,
+      });
       if (end.kind === "unsure") return;
-      this.#hasLooked = true;
+      this.#hasAskedStore = true;
       if (end.kind === "found") onTold(end.stored.map);
     });
   }
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -33,15 +33,15 @@
   readonly peers: () => readonly GrantPeer[];
   /** Length of grants that the service's routes need. */
   readonly wishedHoldMs: () => number;
-  /** How long a VM has not been heard. */
+  /** Time since a VM's last message. */
   readonly silentMs: (vm: contracts.VmId) => number;
   /** Asks a peer for the map as it knows it. */
   readonly askMap: (
     peer: contracts.VmId,
   ) => Promise<contracts.RangeMap | undefined>;
-  /** Sends news of the map to all peers. */
+  /** Sends an update of the map to all peers. */
   readonly publish: (news: RangeMapNews) => void;
-  /** Tells peers this VM's state at once. */
+  /** Sends this VM's state to peers at once. */
   readonly tellPeers: () => void;
   /** Owners or their readiness have changed. */
   readonly onChange: () => void;
@@ -53,10 +53,10 @@
 const HANDOVER_LEAD_MS = 600;
 /** Longest time of one release call: running work has to end first. */
 const RELEASE_TIMEOUT_MS = 2_500;
-/** An owner that was not heard to confirm is tried after this time. */
-const PENDING_MS = 1_500;
-/** A VM that has just started hears first who else could make the moves. */
-const MOVER_GRACE_MS = 700;
+/** An owner whose confirmation was not heard is tried after this time. */
+const CONFIRMATION_TIMEOUT_MS = 1_500;
+/** A VM that has just started first hears who else could make the moves. */
+const MOVER_STARTUP_GRACE_MS = 700;
 /** Ownership of one service. */
 export class ServiceGrants {
   readonly #options: ServiceGrantsOptions;
@@ -155,7 +155,7 @@
 
   /**
    * The VM that makes the moves, as far as this VM can tell: a keeper, since it
-   * has to grant what it moves; any VM while no keeper reaches the store.
+   * grants what it moves; any VM while no keeper reaches the store.
    */
   get moverVm(): contracts.VmId | undefined {
     const { service, peers } = this.#options;
@@ -183,7 +183,7 @@
   #isPending({ fence }: contracts.RangeState): boolean {
     if (!this.#pending.has(fence)) return false;
     const ageMs = this.#options.clock.nowMs() - this.#adoptedAtMs;
-    return ageMs < PENDING_MS;
+    return ageMs < CONFIRMATION_TIMEOUT_MS;
   }
 
   /** Requests by key since the last message of a peer, or of this VM. */
@@ -216,7 +216,7 @@
     this.#learner.noteRevision(revision, peer);
   }
 
-  /** The mover's news of the map. */
+  /** The mover's update of the map. */
   noteNews({ map, baseRevision, pendingFences }: RangeMapNews): void {
     const known = this.#map?.revision ?? 0;
     if (map.revision < known) return;
@@ -228,7 +228,7 @@
     const ranges = known < baseRevision
       ? undefined
       : grants.withChanges(this.#map?.ranges ?? [], map.ranges);
-    // What the news builds on never arrived here.
+    // The base of the update never arrived here.
     if (ranges === undefined) return this.#learner.catchUp();
     this.#pending = pending;
     this.#adopt({ ...map, ranges }, "news");
@@ -264,7 +264,7 @@
   }
 
   #followDuty(nowMs: number): void {
-    const isMover = nowMs - this.#startedAtMs >= MOVER_GRACE_MS &&
+    const isMover = nowMs - this.#startedAtMs >= MOVER_STARTUP_GRACE_MS &&
       this.moverVm === this.#options.vm;
     if (isMover === this.#isMover) return;
     this.#isMover = isMover;
@@ -277,7 +277,9 @@
 
   // Reading
 
-  /** Whether this VM's word or moves rest on its own reading of the store. */
+  /**
+   * Whether this VM's evidence or moves rest on its own reading of the store.
+   */
   get #hasDuty(): boolean {
     const keepers = this.#map?.keeperSets.flat() ?? [];
     return this.#isMover || keepers.includes(this.#options.vm);
@@ -364,11 +366,11 @@
       if (overdueMs >= 0) due.push({ range, overdueMs });
     }
     if (due.length === 0) return;
-    const evidenceAgeMs = nowMs - this.#keepers.evidenceAtMs(map);
-    if (evidenceAgeMs >= timings.evidenceMs) return this.#learner.readSoon();
+    if (!this.#hasEvidence(map)) return this.#learner.readSoon();
     for (const range of grants.mostOverdue(due)) {
       const handover = this.#mover.handover(range.fence);
-      const order = { range, handover, holdMs: this.#holdMs };
+      const mayLeave = () => this.#mayRenew(range);
+      const order = { range, handover, holdMs: this.#holdMs, mayLeave };
       this.#sender.send(order).then(
         () => this.#renewNext(),
         (error) =>
@@ -377,6 +379,22 @@
     }
   }
 
+  #hasEvidence(map: contracts.RangeMap): boolean {
+    const { clock, timings } = this.#options;
+    const ageMs = clock.nowMs() - this.#keepers.evidenceAtMs(map);
+    return ageMs < timings.evidenceMs;
+  }
+
+  /** Whether the map that is known now still gives the range to its owner. */
+  #mayRenew({ fromKey, toKey, fence }: contracts.RangeState): boolean {
+    if (this.#map === undefined) return false;
+    const { ranges } = this.#map;
+    const known = ranges[grants.rangeIndex(ranges, fromKey)]!;
+    const isSame = known.fence === fence && known.fromKey === fromKey &&
+      known.toKey === toKey && known.vacating === undefined;
+    return isSame && this.#hasEvidence(this.#map);
+  }
+
   /** A server may have more ranges due than one tick sends. */
   #renewNext(): void {
     if (this.#map === undefined) return;
@@ -389,7 +407,7 @@
 
   /**
    * Whether a range of a new fence is left to the mover, which alone has the
-   * handover: without it the keys are slow at their new owner for a while.
+   * handover: without it the keys are slow at their new owner.
    */
   #leavesToMover(range: contracts.RangeState, nowMs: number): boolean {
     return !this.#isMover && this.#pending.has(range.fence) &&
@@ -534,7 +552,7 @@
 
   /**
    * VMs in the order in which they become keepers: the strongest first, since
-   * keepers send all renewals, some hundred a second for 200 servers.
+   * keepers send all renewals.
    */
   #keeperOrder(): contracts.VmId[] {
     const cores = new Map(
--- a/packages/entry/src/links/server_clock.ts
+++ b/packages/entry/src/links/server_clock.ts
@@ -1,13 +1,12 @@
 /**
- * A server's own clock, as it tells it with each answer, so that a deadline
- * can be given in its time. A deadline in "time left" starts anew when a
- * frozen server wakes and reads what lay in its buffers: it would then run
- * requests for keys that another server owns by now.
+ * A server's own clock, told with each answer, for deadlines in its time. "Time
+ * left" would start anew when a frozen server wakes and reads its buffers, and
+ * it would run requests for keys that it has lost.
  */
 import type * as contracts from "@guavatide/contracts";
 
 /** A stamp older than this is of no use: the clocks' rates differ. */
-const STAMP_LIFE_MS = 600_000;
+const STAMP_TTL_MS = 600_000;
 
 interface Stamp {
   readonly instance: string;
@@ -41,7 +40,7 @@
     const stamp = this.#stamp;
     if (stamp === undefined) return undefined;
     const ageMs = this.#clock.nowMs() - stamp.receivedAtMs;
-    if (ageMs > STAMP_LIFE_MS) return undefined;
+    if (ageMs > STAMP_TTL_MS) return undefined;
     const atServerMs = stamp.serverMs + (deadlineMs - stamp.receivedAtMs);
     return `${stamp.instance}/${atServerMs.toFixed(1)}`;
   }
