refactor(grants): one test of overlap, one set of vacating servers

Whether two ranges overlap stood in three places, the pause after a failed release in two, and the servers that a map takes keys from were gathered in three, one of them over all ranges each time a grant ended. They are one function, one constant and a set that is made when a map comes in force. Whether an owner is free is asked only for ranges that are due.

No behaviour changes.

--- a/packages/decisions/src/cells/reader_duty_test.ts
+++ b/packages/decisions/src/cells/reader_duty_test.ts
@@ -131,10 +131,7 @@
   expect(tries <= 8).toEqual(true);
 });
 
-/**
- * Guards against a reader for each VM that tried while the first ones did: each
- * registers, lists and watches before it leaves the duty again.
- */
+/** Guards against a reader for each VM that tried while the first ones did. */
 test("should have few VMs read when all start at once and the store is slow", () => {
   const model = new Model(200);
   model.storeMs = 700;
--- a/packages/decisions/src/grants/fencing_releases.ts
+++ b/packages/decisions/src/grants/fencing_releases.ts
@@ -4,11 +4,11 @@
  * from a VM that was killed, is then refused.
  */
 import type * as contracts from "@guavatide/contracts";
-import type { ReleaseCall } from "./release_call.ts";
+import { overlaps } from "./range_edit.ts";
+import { RELEASE_RETRY_MS, type ReleaseCall } from "./release_call.ts";
 
 /** An old owner is tried for this time after its keys were given on. */
 const TRY_FOR_MS = 30_000;
-const RETRY_MS = 300;
 
 interface Fencing {
   readonly call: ReleaseCall;
@@ -34,9 +34,8 @@
   /** Forgets old owners that own some of the keys again, with a higher fence. */
   noteRanges(ranges: readonly contracts.RangeState[]): void {
     for (const [fence, { call: { range, old } }] of this.#pending) {
-      const isBack = ranges.some(({ owner, fromKey, toKey }) =>
-        owner.server === old.server && fromKey <= range.toKey &&
-        range.fromKey <= toKey
+      const isBack = ranges.some((it) =>
+        it.owner.server === old.server && overlaps(it, range)
       );
       if (isBack) this.#pending.delete(fence);
     }
@@ -72,7 +71,7 @@
     if (pending === undefined) return false;
     if (isAnswered) this.#pending.delete(fence);
     pending.isUnderWay = false;
-    pending.notBeforeMs = nowMs + RETRY_MS;
+    pending.notBeforeMs = nowMs + RELEASE_RETRY_MS;
     return true;
   }
 }
--- a/packages/decisions/src/grants/range_difference.ts
+++ b/packages/decisions/src/grants/range_difference.ts
@@ -4,6 +4,7 @@
   type RangeMap,
   type RangeState,
 } from "@guavatide/contracts";
+import { overlaps } from "./range_edit.ts";
 
 /**
  * Ranges of the later map that the earlier one lacks. They cover all changed
@@ -26,9 +27,7 @@
   changed: readonly RangeState[],
 ): RangeState[] | undefined {
   const kept = known.filter((range) =>
-    !changed.some((it) =>
-      it.fromKey <= range.toKey && range.fromKey <= it.toKey
-    )
+    !changed.some((it) => overlaps(it, range))
   );
   const ranges = [...kept, ...changed].sort((a, b) => a.fromKey - b.fromKey);
   let nextKey = 0;
--- a/packages/decisions/src/grants/range_edit.ts
+++ b/packages/decisions/src/grants/range_edit.ts
@@ -14,6 +14,14 @@
   return a.server === b.server && a.bornMs === b.bornMs;
 }
 
+/** Whether two ranges have a key in common. */
+export function overlaps(
+  a: contracts.KeyRange,
+  b: contracts.KeyRange,
+): boolean {
+  return a.fromKey <= b.toKey && b.fromKey <= a.toKey;
+}
+
 /** Index of the range that holds a key. */
 export function rangeIndex(
   ranges: readonly contracts.RangeState[],
--- a/packages/decisions/src/grants/range_mover.ts
+++ b/packages/decisions/src/grants/range_mover.ts
@@ -10,7 +10,7 @@
 import type { GrantTimings } from "./grant_timings.ts";
 import type { KeeperBook } from "./keeper_book.ts";
 import * as edit from "./range_edit.ts";
-import type { ReleaseCall } from "./release_call.ts";
+import { RELEASE_RETRY_MS, type ReleaseCall } from "./release_call.ts";
 import {
   type AnsweredRelease,
   freeAtMs,
@@ -78,8 +78,6 @@
  * the store and an update to all VMs.
  */
 const SETTLE_BATCH_MS = 60;
-/** Between a failed release and the next: the server is lost or restarts. */
-const RELEASE_RETRY_MS = 300;
 const RETRY_MIN_MS = 100;
 const RETRY_MAX_MS = 1_000;
 
--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -5,7 +5,7 @@
 import type * as contracts from "@guavatide/contracts";
 import { KEY_COUNT } from "@guavatide/contracts";
 import { planLoneKeys } from "./lone_keys.ts";
-import type { RangeMove } from "./range_edit.ts";
+import { overlaps, type RangeMove } from "./range_edit.ts";
 import {
   type KeyRate,
   type RangePlanInput,
@@ -308,7 +308,7 @@
   ];
   for (const move of moves) {
     parts = parts.flatMap((part) => {
-      if (move.toKey < part.fromKey || part.toKey < move.fromKey) return [part];
+      if (!overlaps(move, part)) return [part];
       return [
         { fromKey: part.fromKey, toKey: move.fromKey - 1 },
         { fromKey: move.toKey + 1, toKey: part.toKey },
--- a/packages/decisions/src/grants/renewal_order.ts
+++ b/packages/decisions/src/grants/renewal_order.ts
@@ -21,6 +21,13 @@
   return first?.range;
 }
 
+/** Servers that ranges are taken from. */
+export function vacatingServers(
+  ranges: readonly contracts.RangeState[],
+): Set<contracts.ServerId> {
+  return new Set(ranges.flatMap(({ vacating }) => vacating?.server ?? []));
+}
+
 /** Ranges by their owner, without those that nobody may hold yet. */
 export function ownedRanges(
   ranges: readonly contracts.RangeState[],
--- a/packages/entry/src/gateway/grant_sender_test.ts
+++ b/packages/entry/src/gateway/grant_sender_test.ts
@@ -4,6 +4,7 @@
 import * as neverthrow from "neverthrow";
 import { test } from "node:test";
 import { type GrantOrder, GrantSender } from "./grant_sender.ts";
+import { entryOf } from "./grant_test_support.ts";
 
 const SERVER = "k1" as contracts.ServerId;
 const RANGE: contracts.RangeState = {
@@ -26,17 +27,6 @@
   nowMs: () => number,
   isKnown = true,
 ): GrantSender {
-  const entry: contracts.ServerEntry = {
-    server: SERVER,
-    bornMs: 1,
-    service: "keyed" as contracts.ServiceId,
-    host: "10.0.0.1",
-    port: 80,
-    zone: "z1" as contracts.ZoneId,
-    slots: 2,
-    isDraining: false,
-    warmUpLeftMs: 0,
-  };
   return new GrantSender({
     control: {
       grant,
@@ -47,7 +37,7 @@
     clock: { nowMs },
     random: { next: () => 0.5 },
     log: { debug() {}, info() {}, warn() {}, error() {} },
-    entry: () => isKnown ? entry : undefined,
+    entry: () => isKnown ? entryOf(SERVER) : undefined,
     onConfirmed: () => {},
     onEnded: () => {},
     onFencedOff: () => {},
--- /dev/null
+++ b/packages/entry/src/gateway/grant_test_support.ts
@@ -0,0 +1,20 @@
+/** A backend server as tests of grants know it. */
+import type * as contracts from "@guavatide/contracts";
+
+/** The keyed service of tests of grants. */
+export const KEYED_SERVICE = "keyed" as contracts.ServiceId;
+
+/** The entry of a server in its first life. */
+export function entryOf(server: contracts.ServerId): contracts.ServerEntry {
+  return {
+    server,
+    bornMs: 1,
+    service: KEYED_SERVICE,
+    host: "10.0.0.1",
+    port: 80,
+    zone: "z1" as contracts.ZoneId,
+    slots: 2,
+    isDraining: false,
+    warmUpLeftMs: 0,
+  };
+}
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -68,6 +68,8 @@
   #map: contracts.RangeMap | undefined;
   /** Ranges of the map that are renewed, by owner. */
   #owned = new Map<contracts.ServerId, contracts.RangeState[]>();
+  /** Servers that the map takes keys from. */
+  #vacating: ReadonlySet<contracts.ServerId> = new Set();
   /** Fences whose owners have not confirmed their grant, as the mover says. */
   #pending = new Set<number>();
   #adoptedAtMs = Number.NEGATIVE_INFINITY;
@@ -110,10 +112,7 @@
       onFencedOff: () => this.#mover.forget(),
       onEnded: (server) => {
         // The mover waits to hear that no grant to the server is under way.
-        const isVacating = this.#map?.ranges.some(({ vacating }) =>
-          vacating?.server === server
-        );
-        if (isVacating) options.tellPeers();
+        if (this.#vacating.has(server)) options.tellPeers();
       },
     });
   }
@@ -140,12 +139,9 @@
 
   /** Ages of this VM's grants to servers that keys are taken from. */
   get grantAgesMs(): Map<contracts.ServerId, [number, number | null]> {
-    const vacating = new Set(
-      this.#map?.ranges.map((range) => range.vacating?.server),
-    );
     const ages = this.#sender.agesMs();
     for (const server of ages.keys()) {
-      if (!vacating.has(server)) ages.delete(server);
+      if (!this.#vacating.has(server)) ages.delete(server);
     }
     return ages;
   }
@@ -294,8 +290,10 @@
   }
 
   #adopt(map: contracts.RangeMap, from: string): void {
-    this.#logLastGrants(map);
+    const vacating = grants.vacatingServers(map.ranges);
+    this.#logLastGrants(map.revision, vacating);
     this.#map = map;
+    this.#vacating = vacating;
     this.#owned = grants.ownedRanges(map.ranges);
     this.#adoptedAtMs = this.#options.clock.nowMs();
     this.#publisher.noteMap(map);
@@ -321,13 +319,12 @@
   }
 
   /** What this VM sent to servers that keys are taken from may still arrive. */
-  #logLastGrants({ revision, ranges }: contracts.RangeMap): void {
-    const known = new Set(this.#map?.ranges.map((it) => it.vacating?.server));
-    const newly = new Set(
-      ranges.map((it) => it.vacating?.server).filter((it) => !known.has(it)),
-    );
+  #logLastGrants(
+    revision: number,
+    vacating: ReadonlySet<contracts.ServerId>,
+  ): void {
     for (const [server, [ageMs, unansweredAgeMs]] of this.#sender.agesMs()) {
-      if (!newly.has(server)) continue;
+      if (!vacating.has(server) || this.#vacating.has(server)) continue;
       this.#options.log.info("Renewals of a server's keys end.", {
         server,
         revision,
@@ -383,13 +380,13 @@
     for (const range of this.#owned.get(server) ?? []) {
       const place = this.#isMover && this.#isNew(range) ? 0 : ownPlace;
       if (place < 0 || place >= RENEWERS) continue;
-      if (!this.#sender.isFree(range.owner)) continue;
       if (this.#leavesToMover(range, nowMs)) continue;
       const lastMs = this.#sender.confirmedMs(range);
       const intervalMs = timings.renewMs * (place + 1);
       const overdueMs = nowMs - (lastMs ?? Number.NEGATIVE_INFINITY) -
         intervalMs;
-      if (overdueMs >= 0) due.push({ range, overdueMs });
+      if (overdueMs < 0 || !this.#sender.isFree(range.owner)) continue;
+      due.push({ range, overdueMs });
     }
     return grants.mostOverdue(due);
   }
--- a/packages/entry/src/gateway/service_grants_test.ts
+++ b/packages/entry/src/gateway/service_grants_test.ts
@@ -5,11 +5,11 @@
 import * as neverthrow from "neverthrow";
 import { test } from "node:test";
 import * as timers from "node:timers/promises";
+import { entryOf, KEYED_SERVICE } from "./grant_test_support.ts";
 import type { RangeMapStore } from "./range_map_store.ts";
 import type { ServerRegistry } from "./server_registry.ts";
 import { ServiceGrants } from "./service_grants.ts";
 
-const SERVICE = "keyed" as contracts.ServiceId;
 const KEEPER = "vm1" as contracts.VmId;
 const OTHER = "vm2" as contracts.VmId;
 const ASKED = "k1" as contracts.ServerId;
@@ -80,7 +80,7 @@
   const leaves = new Map<contracts.ServerId, () => boolean>();
   const map = mapOf((server) => looked.add(server));
   const service = new ServiceGrants({
-    service: SERVICE,
+    service: KEYED_SERVICE,
     vm: KEEPER,
     timings: grants.DEFAULT_GRANT_TIMINGS,
     hasher: await ownership.KeyHasher.create(),
@@ -174,7 +174,7 @@
     };
   });
   return {
-    service: SERVICE,
+    service: KEYED_SERVICE,
     revision: 1,
     lastFence: count,
     keeperSets: [[KEEPER]],
@@ -183,17 +183,3 @@
     ranges,
   };
 }
-
-function entryOf(server: contracts.ServerId): contracts.ServerEntry {
-  return {
-    server,
-    bornMs: 1,
-    service: SERVICE,
-    host: "10.0.0.1",
-    port: 80,
-    zone: "z1" as contracts.ZoneId,
-    slots: 2,
-    isDraining: false,
-    warmUpLeftMs: 0,
-  };
-}
