feat(route): log which request lost its connection and what became of the server

Each lost connection now has a line with a hash of the request's content, its caller's address and the server's condition: ended when it refuses a new connection, running when another connection to it is open or a new one is accepted, unknown when nothing answers.

--- a/packages/contracts/src/ids.ts
+++ b/packages/contracts/src/ids.ts
@@ -46,9 +46,15 @@
 
 /** Schema of {@link CallerId}. */
 export const callerIdSchema = idText.brand<"CallerId">();
-/** A caller, identified by its token or header; limits apply to each caller. */
+/** A caller, identified by its token, header or address. */
 export type CallerId = z.infer<typeof callerIdSchema>;
 
+/** Schema of {@link RequestFingerprint}. */
+export const requestFingerprintSchema = z.string().regex(/^[0-9a-f]{32}$/)
+  .brand<"RequestFingerprint">();
+/** Hash of a request's content, the same for all attempts to send it. */
+export type RequestFingerprint = z.infer<typeof requestFingerprintSchema>;
+
 /** Schema of {@link RequestId}. */
 export const requestIdSchema = idText.brand<"RequestId">();
 /** One attempt of one request; an answer counts only if it carries this id. */
--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarded_request.ts
@@ -38,6 +38,11 @@
     report: contracts.ServerReport,
     nowMs: number,
   ): void;
+  /** A server broke off the connection of an attempt. */
+  recordLostConnection(
+    request: FrontRequest,
+    entry: contracts.RegisteredServer,
+  ): void;
   /** The request is finished. */
   onFinished(record: RequestRecord): void;
   /** This VM's load on the service's servers has changed. */
@@ -169,7 +174,7 @@
     }
     releaseSlot?.(isServed ? endedMs - nowMs : undefined);
     this.#context.onLoadChange();
-    this.#handleResult(result, entry.server);
+    this.#handleResult(result, entry);
     // A slot of a keyed service returns to its coordinator, not to this queue.
     if (!this.#isKeyedService()) this.#context.queue.dispatch(endedMs);
   }
@@ -203,8 +208,12 @@
     return { kind: "lost" };
   }
 
-  #handleResult(result: AttemptResult, server: contracts.ServerId): void {
+  #handleResult(
+    result: AttemptResult,
+    entry: contracts.RegisteredServer,
+  ): void {
     if (this.#isDone) return;
+    const { server } = entry;
     switch (result.kind) {
       case "answer":
         return this.#handleAnswer(result.answer, server);
@@ -218,6 +227,9 @@
       case "unknown":
         this.#mayHaveRun = true;
         this.tried.add(server);
+        if (result.reason !== "timeout-after-send") {
+          this.#context.recordLostConnection(this.#request, entry);
+        }
         return this.#handleUnknown(result.message);
     }
   }
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -18,6 +18,7 @@
   overloadAnswer,
 } from "./front_request.ts";
 import type { GrantTask } from "./grant_task.ts";
+import type { LostConnections } from "./lost_connections.ts";
 import type { PeerGossip } from "./peer_gossip.ts";
 import type { LoadUpdate, PeerStatus } from "./peer_messages.ts";
 import type { HeaderNames } from "./platform_adapter.ts";
@@ -37,6 +38,7 @@
   readonly gossip: PeerGossip;
   readonly slots: SlotTask;
   readonly connections: ConnectionPools;
+  readonly lostConnections: LostConnections;
   readonly headers: HeaderNames;
   readonly budget: admission.SharedRetryBudgetOptions;
   readonly coldStarts: ColdStartLimits;
@@ -210,7 +212,7 @@
     state: ServiceState,
     configVersion: number,
   ): ForwardingContext {
-    const { clock, gossip, onFinished } = this.#options;
+    const { clock, gossip, onFinished, lostConnections } = this.#options;
     return {
       service,
       queue: state.queue,
@@ -228,6 +230,9 @@
         this.#headers(request, entry, leftMs),
       recordServerReport: (server, report, nowMs) =>
         this.#recordServerReport(state, { server, report, nowMs }),
+      recordLostConnection: (request, entry) => {
+        lostConnections.note(request, entry);
+      },
       onFinished,
       onLoadChange: state.isKeyed
         ? () => {}
--- a/packages/entry/src/gateway/front_request.ts
+++ b/packages/entry/src/gateway/front_request.ts
@@ -13,6 +13,8 @@
   readonly headers: readonly string[];
   readonly body: Uint8Array | undefined;
   readonly key: number | undefined;
+  /** Address of the caller, without its port. */
+  readonly caller: contracts.CallerId;
   /** Time that the caller still waits; undefined when it sent none. */
   readonly deadlineMs: number | undefined;
   readonly arrivedMs: number;
--- /dev/null
+++ b/packages/entry/src/gateway/request_identity.ts
@@ -0,0 +1,34 @@
+/** What makes two requests the same to the backend servers that run them. */
+import type * as contracts from "@guavatide/contracts";
+import * as crypto from "node:crypto";
+import type { FrontRequest } from "./front_request.ts";
+
+/** Content and caller of a request; each attempt of its caller has the same. */
+export interface RequestIdentity {
+  /**
+   * Hash of method, host, target, key and body. Cryptographic, so that no
+   * caller can make another request that has the same.
+   */
+  readonly fingerprint: contracts.RequestFingerprint;
+  readonly caller: contracts.CallerId;
+}
+
+/** The parts of a request that identify it. */
+export type IdentifiedRequest = Pick<
+  FrontRequest,
+  "method" | "host" | "target" | "key" | "body" | "caller"
+>;
+
+const FINGERPRINT_DIGITS = 32;
+
+/** Returns the identity of a request. */
+export function identifyRequest(
+  { method, host, target, key, body, caller }: IdentifiedRequest,
+): RequestIdentity {
+  const hash = crypto.createHash("sha256")
+    // JSON keeps the parts apart: no part can continue into the next.
+    .update(JSON.stringify([method, host, target, key]));
+  if (body !== undefined) hash.update(body);
+  const digest = hash.digest("hex").slice(0, FINGERPRINT_DIGITS);
+  return { fingerprint: digest as contracts.RequestFingerprint, caller };
+}
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -3,6 +3,7 @@
 import * as grants from "@guavatide/decisions/grants/mod";
 import * as ownership from "@guavatide/decisions/ownership/mod";
 import * as connectionPools from "../links/connection_pools.ts";
+import { ServerEndCheck } from "../links/server_end_check.ts";
 import { MeteredStore } from "../metrics/metered_store.ts";
 import {
   MonotonicClock,
@@ -19,6 +20,7 @@
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { GrantTask } from "./grant_task.ts";
 import { KindWatch } from "./kind_watch.ts";
+import { LostConnections } from "./lost_connections.ts";
 import { PeerRpc } from "./peer_rpc.ts";
 import { type OwnState, PeerGossip } from "./peer_gossip.ts";
 import type { PlatformAdapter } from "./platform_adapter.ts";
@@ -209,6 +211,12 @@
     },
     lifeCycle,
   );
+  const lostConnections = new LostConnections({
+    endCheck: new ServerEndCheck({
+      hasOpenConnection: (server) => connections.hasOpenConnection(server),
+    }),
+    log: log.part("route"),
+  });
   const requestLog = new RequestLog(log.part("route"), clock);
   const forwarder: Forwarder = new Forwarder({
     vm: settings.vm,
@@ -220,6 +228,7 @@
     gossip,
     slots,
     connections,
+    lostConnections,
     headers: adapter.headers,
     budget: {
       ...settings.retryBudget,
--- a/packages/entry/src/links/connection_pool.ts
+++ b/packages/entry/src/links/connection_pool.ts
@@ -46,6 +46,11 @@
     return { idle: this.#idle.length, busy: this.#busy.size };
   }
 
+  /** Whether the server keeps any connection of this pool open. */
+  get hasOpenConnection(): boolean {
+    return [...this.#idle, ...this.#busy].some(({ isUsable }) => isUsable);
+  }
+
   /**
    * Sends a request over an idle connection, or over a new one. Results in
    * `not-sent` when the connection limit is reached.
--- a/packages/entry/src/links/connection_pools.ts
+++ b/packages/entry/src/links/connection_pools.ts
@@ -86,6 +86,11 @@
     );
   }
 
+  /** Whether any connection to the server is open. */
+  hasOpenConnection(server: contracts.ServerId): boolean {
+    return this.#pools.get(server)?.pool.hasOpenConnection ?? false;
+  }
+
   /** Closes the pools of all other servers. */
   keepOnly(servers: ReadonlySet<contracts.ServerId>): void {
     for (const [server, entry] of this.#pools) {
--- /dev/null
+++ b/packages/entry/src/links/server_end_check.ts
@@ -0,0 +1,72 @@
+/**
+ * Tells whether a backend server has ended or only a connection to it: the
+ * kernel closes all connections of a process that ends, and then refuses new
+ * ones.
+ */
+import type * as contracts from "@guavatide/contracts";
+import * as net from "node:net";
+import * as timers from "node:timers/promises";
+
+/**
+ * What is known of a server that broke off a connection. `unknown`: no answer
+ * to a new connection, as when a link is cut.
+ */
+export type ServerCondition = "ended" | "running" | "unknown";
+
+/** Options of {@link ServerEndCheck}. */
+export interface ServerEndCheckOptions {
+  /** Whether a connection to the server is open. */
+  readonly hasOpenConnection: (server: contracts.ServerId) => boolean;
+}
+
+/** Time for the other connections of a server that has ended to close. */
+const SIBLING_CLOSE_MS = 2;
+/** A server that refuses connections does so within a round trip. */
+const CONNECT_TIMEOUT_MS = 300;
+
+/** Checks servers; requests lost at the same time share one check. */
+export class ServerEndCheck {
+  readonly #options: ServerEndCheckOptions;
+  readonly #pending = new Map<string, Promise<ServerCondition>>();
+
+  constructor(options: ServerEndCheckOptions) {
+    this.#options = options;
+  }
+
+  /** Checks a server that has just broken off a connection. Never rejects. */
+  check(entry: contracts.RegisteredServer): Promise<ServerCondition> {
+    const name = `${entry.server} ${entry.bornMs}`;
+    const pending = this.#pending.get(name);
+    if (pending !== undefined) return pending;
+    const check = this.#check(entry).finally(() => this.#pending.delete(name));
+    this.#pending.set(name, check);
+    return check;
+  }
+
+  async #check(
+    { server, host, port }: contracts.RegisteredServer,
+  ): Promise<ServerCondition> {
+    await timers.setTimeout(SIBLING_CLOSE_MS);
+    // Closes that have arrived are read before this continues.
+    await timers.setImmediate();
+    if (this.#options.hasOpenConnection(server)) return "running";
+    return connect(host, port);
+  }
+}
+
+function connect(host: string, port: number): Promise<ServerCondition> {
+  return new Promise((resolve) => {
+    const socket = net.connect({ host, port });
+    const end = (condition: ServerCondition) => {
+      resolve(condition);
+      socket.destroy();
+    };
+    socket.setTimeout(CONNECT_TIMEOUT_MS, () => end("unknown"));
+    socket.once("connect", () => end("running"));
+    socket.once(
+      "error",
+      ({ code }: NodeJS.ErrnoException) =>
+        end(code === "ECONNREFUSED" ? "ended" : "unknown"),
+    );
+  });
+}
