fix(poison): stop sending on what has crashed three servers

Cause: each attempt that loses its connection was judged by itself. No VM remembered what a request had done, none told the others, and each repeat and each handover delivered it the next server. The class is an effect that outlives the attempt that caused it while the memory of it does not.

A lost connection is now looked into: a server that refuses a new connection has ended, one that keeps another open or accepts one has not. A crash is told to all VMs with a hash of the request's content and its caller, and kept in the store from the second on, so that a VM that was cut off, restarts or joins knows it. A request that has crashed three servers is refused at once by 503, which is true. An answer clears a request: what crashes servers is never answered. It is on trial again once no server of a crashed version runs, and a deleted record lets it pass. Within one attempt at most two servers are risked.

--- a/packages/contracts/src/mod.ts
+++ b/packages/contracts/src/mod.ts
@@ -8,6 +8,7 @@
 export * from "./outcomes.ts";
 export * from "./peer.ts";
 export * from "./platform_store.ts";
+export * from "./poison_request.ts";
 export * from "./route_config.ts";
 export * from "./registered_server.ts";
 export * from "./server_report.ts";
--- a/packages/contracts/src/registered_server.ts
+++ b/packages/contracts/src/registered_server.ts
@@ -9,6 +9,8 @@
    */
   readonly bornMs: number;
   readonly service: ServiceId;
+  /** Undefined when the server registers none. */
+  readonly softwareVersion?: string | undefined;
   readonly host: string;
   readonly port: number;
   readonly zone: ZoneId;
--- /dev/null
+++ b/packages/decisions/src/poison/mod.ts
@@ -0,0 +1,2 @@
+/** Requests that crash the backend servers that run them. */
+export * from "./poison_request_tracker.ts";
--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarded_request.ts
@@ -1,6 +1,7 @@
 /** One request from queueing through its attempts to its single response. */
 import type * as contracts from "@guavatide/contracts";
 import type * as admission from "@guavatide/decisions/admission/mod";
+import * as timers from "node:timers/promises";
 import type {
   AttemptRequest,
   AttemptResult,
@@ -10,6 +11,7 @@
   type FrontRequest,
   notRunAnswer,
 } from "./front_request.ts";
+import type { PoisonGuard } from "./poison_guard.ts";
 import type { AttemptRecord, RequestRecord } from "./request_log.ts";
 
 /** What a request needs from the forwarder. */
@@ -38,11 +40,7 @@
     report: contracts.ServerReport,
     nowMs: number,
   ): void;
-  /** A server broke off the connection of an attempt. */
-  recordLostConnection(
-    request: FrontRequest,
-    entry: contracts.RegisteredServer,
-  ): void;
+  readonly poison: PoisonGuard;
   /** The request is finished. */
   onFinished(record: RequestRecord): void;
   /** This VM's load on the service's servers has changed. */
@@ -63,6 +61,16 @@
 /** Wait before a request that its key's owner refused is queued again. */
 const OWNER_REFUSAL_BACKOFF_MS = 25;
 
+/**
+ * Servers that one request of a caller may crash: the second may have ended for
+ * another reason than the first, a third is not risked.
+ */
+const MAX_CRASHES = 2;
+/** Longest wait, before a retry, for what became of the server. */
+const CONDITION_WAIT_MS = 50;
+/** Tells the caller of a poison request when to see whether it is mended. */
+const POISON_RETRY_AFTER_MS = 60_000;
+
 /** A request from its arrival to its response. */
 export class ForwardedRequest implements admission.WaitingRequest {
   readonly route: contracts.Route;
@@ -83,6 +91,9 @@
   /** Whether an attempt may have run although no response came. */
   #mayHaveRun = false;
   #attemptCount = 0;
+  #crashCount = 0;
+  /** Whether servers have broken off connections under the request. */
+  #isSuspected = false;
   #waitingSinceMs: number;
   #queuedMs = 0;
   #isSendPending = false;
@@ -113,6 +124,7 @@
   /** Queues the request. The response comes through `resolve`, once. */
   start(): void {
     if (this.#request.signal.aborted) return this.#onCallerDisconnect();
+    if (this.#isPoisonous()) return this.#refusePoison();
     this.#context.queue.add(this, this.#context.clock.nowMs());
   }
 
@@ -120,6 +132,10 @@
   placed(placement: admission.Placement): void {
     const nowMs = this.#context.clock.nowMs();
     this.#queuedMs += nowMs - this.#waitingSinceMs;
+    if (this.#isPoisonous()) {
+      placement.releaseSlot?.(undefined);
+      return this.#refusePoison();
+    }
     this.#attemptCount++;
     this.#send(placement, nowMs).catch((error) =>
       this.#finish(
@@ -227,10 +243,10 @@
       case "unknown":
         this.#mayHaveRun = true;
         this.tried.add(server);
-        if (result.reason !== "timeout-after-send") {
-          this.#context.recordLostConnection(this.#request, entry);
+        if (result.reason === "timeout-after-send") {
+          return this.#handleUnknown(result.message);
         }
-        return this.#handleUnknown(result.message);
+        return this.#handleLostConnection(result.message, entry);
     }
   }
 
@@ -238,6 +254,9 @@
     answer: Extract<AttemptResult, { kind: "answer" }>["answer"],
     server: contracts.ServerId,
   ): void {
+    // A server fails work that it breaks off, so only another answer shows that
+    // the request ran to its end.
+    if (answer.status < 500) this.#context.poison.noteAnswer(this.#request);
     const forwarded: FrontAnswer = { kind: "passed-on", answer };
     const isRetried = isFailure(answer.status) && this.route.isIdempotent &&
       this.#hasRetryTarget(server);
@@ -259,6 +278,36 @@
     this.#giveUp(`server refused: ${refusal}`, HANDOVER_RETRY_AFTER_MS);
   }
 
+  /** Retries only what has not crashed too many servers. */
+  #handleLostConnection(
+    message: string,
+    entry: contracts.RegisteredServer,
+  ): void {
+    this.#isSuspected = true;
+    const noted = this.#context.poison.noteLostConnection(this.#request, entry);
+    if (!this.route.isIdempotent) return this.#handleUnknown(message);
+    const waited = timers.setTimeout(CONDITION_WAIT_MS, "unknown", {
+      ref: false,
+    });
+    Promise.race([noted, waited]).then((condition) => {
+      if (this.#isDone) return;
+      if (condition === "ended") this.#crashCount++;
+      if (this.#isPoisonous()) return this.#refusePoison();
+      if (this.#crashCount < MAX_CRASHES) return this.#handleUnknown(message);
+      this.#giveUp(`crashed ${MAX_CRASHES} servers`, POISON_RETRY_AFTER_MS);
+    });
+  }
+
+  #isPoisonous(): boolean {
+    return this.#context.poison.isPoisonous(this.#request);
+  }
+
+  #refusePoison(): void {
+    this.#isSuspected = true;
+    this.#context.poison.noteRefusal(this.#context.service);
+    this.#giveUp("it crashes the servers that run it", POISON_RETRY_AFTER_MS);
+  }
+
   #handleUnknown(message: string): void {
     if (this.route.isIdempotent) return this.#retryOrGiveUp(message, true);
     this.#finish(
@@ -370,6 +419,9 @@
       tookMs: nowMs - this.#request.arrivedMs,
       queuedMs: this.#queuedMs,
       attempts: this.#attempts,
+      fingerprint: this.#isSuspected
+        ? this.#context.poison.identify(this.#request).fingerprint
+        : undefined,
     });
   }
 }
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -18,7 +18,7 @@
   overloadAnswer,
 } from "./front_request.ts";
 import type { GrantTask } from "./grant_task.ts";
-import type { LostConnections } from "./lost_connections.ts";
+import type { PoisonGuard } from "./poison_guard.ts";
 import type { PeerGossip } from "./peer_gossip.ts";
 import type { LoadUpdate, PeerStatus } from "./peer_messages.ts";
 import type { HeaderNames } from "./platform_adapter.ts";
@@ -38,7 +38,7 @@
   readonly gossip: PeerGossip;
   readonly slots: SlotTask;
   readonly connections: ConnectionPools;
-  readonly lostConnections: LostConnections;
+  readonly poison: PoisonGuard;
   readonly headers: HeaderNames;
   readonly budget: admission.SharedRetryBudgetOptions;
   readonly coldStarts: ColdStartLimits;
@@ -212,7 +212,7 @@
     state: ServiceState,
     configVersion: number,
   ): ForwardingContext {
-    const { clock, gossip, onFinished, lostConnections } = this.#options;
+    const { clock, gossip, onFinished, poison } = this.#options;
     return {
       service,
       queue: state.queue,
@@ -230,9 +230,7 @@
         this.#headers(request, entry, leftMs),
       recordServerReport: (server, report, nowMs) =>
         this.#recordServerReport(state, { server, report, nowMs }),
-      recordLostConnection: (request, entry) => {
-        lostConnections.note(request, entry);
-      },
+      poison,
       onFinished,
       onLoadChange: state.isKeyed
         ? () => {}
--- a/packages/entry/src/gateway/gateway_metrics.ts
+++ b/packages/entry/src/gateway/gateway_metrics.ts
@@ -21,6 +21,8 @@
   readonly #retries = new LabelledCounts();
   /** Calls to the platform's store. */
   readonly storeCalls = new LabelledCounts();
+  /** Crashes under requests, and what followed from them. */
+  readonly poisonRequests = new LabelledCounts();
   /** Datagrams to peers. */
   readonly peerDatagrams = new LabelledCounts();
   /** Bytes in datagrams to peers. */
@@ -93,6 +95,7 @@
       [this.#requests, metrics.requests],
       [this.#retries, metrics.retries],
       [this.storeCalls, metrics.storeCalls],
+      [this.poisonRequests, metrics.poisonRequests],
       [this.peerDatagrams, metrics.peerDatagrams],
       [this.peerBytes, metrics.peerBytes],
     ] as const;
--- a/packages/entry/src/gateway/kind_watch.ts
+++ b/packages/entry/src/gateway/kind_watch.ts
@@ -25,6 +25,11 @@
   readonly clock: contracts.Clock;
   readonly random: contracts.RandomSource;
   readonly relay: WatchRelay;
+  /**
+   * Whether VMs that are not readers make no first list: they take the objects
+   * of a reader once one knows any. For objects that a VM can start without.
+   */
+  readonly isRare?: boolean;
   /** Called once, with all objects of the first list. */
   readonly onList: (objects: readonly contracts.StoredObject[]) => void;
   /** Called with changes that were learned together, in their order. */
@@ -130,7 +135,7 @@
   }
 
   notePeerPosition(position: number, peer: contracts.VmId): void {
-    if (!this.#isListed) return;
+    if (!this.#isListed) return this.#noteFirstObjects(position, peer);
     this.#peerPosition = Math.max(this.#peerPosition, position);
     const known = this.#completePosition;
     if (this.#peerPosition <= known) {
@@ -151,6 +156,13 @@
     this.#relist("peers know newer changes");
   }
 
+  /** Wakes a VM that waits for rare objects when a peer has some. */
+  #noteFirstObjects(position: number, peer: contracts.VmId): void {
+    if (!this.#options.isRare || position === 0) return;
+    this.#aheadPeer = peer;
+    this.#wake();
+  }
+
   applyRelayed(changes: RelayedChanges, from: contracts.VmId): void {
     const { fromPosition, toPosition, events, names } = changes;
     if (!this.#isListed || toPosition <= this.#position) return;
@@ -211,7 +223,7 @@
 
   #step(signal: AbortSignal): Promise<boolean> {
     const { isReader } = this.#options.relay;
-    if (!this.#isListed) return this.#listFirst();
+    if (!this.#isListed) return this.#listFirst(signal);
     if (this.#isStale) {
       return isReader
         ? this.#list({ mayBeStale: false })
@@ -238,7 +250,12 @@
    * Gets the first list. It may be some seconds old, as readers send what has
    * changed since. Alternates between the store and a peer after failures.
    */
-  async #listFirst(): Promise<boolean> {
+  async #listFirst(signal: AbortSignal): Promise<boolean> {
+    if (this.#options.isRare && !this.#options.relay.isReader) {
+      return this.#aheadPeer === undefined
+        ? this.#untilWoken(signal)
+        : this.#fetchFromPeer();
+    }
     if (this.#failures % 2 === 1 && await this.#fetchFromPeer()) return true;
     return this.#list({ mayBeStale: !this.#options.relay.isReader });
   }
--- a/packages/entry/src/gateway/peer_messages.ts
+++ b/packages/entry/src/gateway/peer_messages.ts
@@ -23,6 +23,11 @@
 /** Method of {@link KeyCounts}. */
 export const KEY_COUNTS_METHOD = "keyCounts";
 
+/** Method of a crash report. */
+export const CRASH_METHOD = "crash";
+/** Method of an answer report. */
+export const ANSWER_METHOD = "crashAnswer";
+
 /** Method of {@link SlotRequests}. */
 export const SLOT_REQUESTS_METHOD = "slotAsks";
 /** Method of {@link SlotReplies}. */
--- a/packages/entry/src/gateway/platform_adapter.ts
+++ b/packages/entry/src/gateway/platform_adapter.ts
@@ -21,6 +21,8 @@
   readonly configObject: string;
   /** One object for each evacuated availability zone. */
   readonly evacuations: string;
+  /** Our own: one object for each request that has crashed several servers. */
+  readonly poisonRequests: string;
 }
 
 /** Header names, in lower case, between callers, entry VMs and servers. */
--- /dev/null
+++ b/packages/entry/src/gateway/poison_guard.ts
@@ -0,0 +1,362 @@
+/**
+ * Keeps requests that crash the servers that run them from reaching further
+ * servers. The VMs tell one another each crash; what has crashed several servers
+ * is kept in the platform's store, for VMs that were cut off, restart or join.
+ */
+import * as contracts from "@guavatide/contracts";
+import * as poison from "@guavatide/decisions/poison/mod";
+import type {
+  ServerCondition,
+  ServerEndCheck,
+} from "../links/server_end_check.ts";
+import type { LabelledCounts } from "../metrics/labelled_counts.ts";
+import type { LifeCycle, PeriodicTask } from "../utils/life_cycle.ts";
+import type { Logger } from "../utils/log.ts";
+import type { FrontRequest } from "./front_request.ts";
+import type { ObjectChange } from "./object_table.ts";
+import { ANSWER_METHOD, CRASH_METHOD } from "./peer_messages.ts";
+import type { PeerGossip } from "./peer_gossip.ts";
+import { identifyRequest, type RequestIdentity } from "./request_identity.ts";
+import type { ServerRegistry } from "./server_registry.ts";
+import type { StoreHealth } from "./store_health.ts";
+
+/** Options of {@link PoisonGuard}. */
+export interface PoisonGuardOptions {
+  readonly store: contracts.PlatformStore;
+  readonly health: StoreHealth;
+  /** Name prefix of the records in the store. */
+  readonly prefix: string;
+  readonly gossip: Pick<PeerGossip, "on" | "broadcast">;
+  readonly registry: Pick<ServerRegistry, "servers" | "staying">;
+  readonly endCheck: Pick<ServerEndCheck, "check">;
+  readonly clock: contracts.Clock;
+  /** Milliseconds since the Unix epoch. */
+  readonly unixMs: () => number;
+  readonly log: Logger;
+  /** Counts by service and event. */
+  readonly counts: LabelledCounts;
+  /** Whether this VM reads the store for all. */
+  readonly isReader: () => boolean;
+}
+
+/** Crashes after which a request is kept in the store. */
+const MIN_STORED_CRASHES = 2;
+/** A report is sent again after this time: datagrams get lost. */
+const REPEAT_REPORT_MS = 300;
+/** The witness of a crash writes at once; the others if it does not. */
+const WITNESS_GRACE_MS = 1_000;
+const SAVE_INTERVAL_MS = 250;
+const SAVE_RETRY_MS = 1_000;
+const SAVE_TIMEOUT_MS = 1_200;
+const EXPIRY_INTERVAL_MS = 10_000;
+
+/** Verdicts on requests, from the crashes that all VMs have seen. */
+export class PoisonGuard {
+  readonly #options: PoisonGuardOptions;
+  readonly #tracker = new poison.PoisonRequestTracker();
+  readonly #identities = new WeakMap<FrontRequest, RequestIdentity>();
+  /** Number of crashes of each record in the store, as far as known. */
+  readonly #storedCrashes = new Map<contracts.RequestFingerprint, number>();
+  /** Records to write, and when. */
+  readonly #unsaved = new Map<contracts.RequestFingerprint, number>();
+  readonly #repeats = new Set<NodeJS.Timeout>();
+  #task: PeriodicTask | undefined;
+  #isSaving = false;
+
+  constructor(options: PoisonGuardOptions) {
+    this.#options = options;
+    options.gossip.on(
+      CRASH_METHOD,
+      contracts.crashReportSchema,
+      (report) => this.#record(report, WITNESS_GRACE_MS),
+    );
+    options.gossip.on(
+      ANSWER_METHOD,
+      contracts.answerReportSchema,
+      (report) => this.#clear(report),
+    );
+  }
+
+  /** Starts the periodic work. */
+  start(lifeCycle: LifeCycle): void {
+    this.#task = lifeCycle.every(EXPIRY_INTERVAL_MS, () => this.#tick());
+    this.#schedule();
+    lifeCycle.onStop({
+      name: "reports of crashes",
+      timeoutMs: 100,
+      run: () => this.#repeats.forEach(clearTimeout),
+    });
+  }
+
+  /** Whether no server may run the request. */
+  isPoisonous(request: FrontRequest): boolean {
+    if (this.#tracker.size === 0) return false;
+    const { fingerprint, caller } = this.identify(request);
+    return this.#verdict(fingerprint, caller) === "poisonous";
+  }
+
+  /** The identity of a request, which is the same for all its attempts. */
+  identify(request: FrontRequest): RequestIdentity {
+    const known = this.#identities.get(request);
+    if (known !== undefined) return known;
+    const identity = identifyRequest(request);
+    this.#identities.set(request, identity);
+    return identity;
+  }
+
+  /** Counts a request that was refused for its crashes. */
+  noteRefusal(service: contracts.ServiceId): void {
+    this.#options.counts.add(1, { service, event: "refused" });
+  }
+
+  /**
+   * A server broke off the connection on which it had a request. Finds out
+   * whether it has crashed, and records it. Never rejects.
+   */
+  async noteLostConnection(
+    request: FrontRequest,
+    entry: contracts.RegisteredServer,
+  ): Promise<ServerCondition> {
+    const { endCheck, log, unixMs, counts, gossip } = this.#options;
+    const atMs = unixMs();
+    const condition = await endCheck.check(entry);
+    const { fingerprint, caller } = this.identify(request);
+    const { server, service, bornMs, softwareVersion = "" } = entry;
+    const { id } = request;
+    const fields = { id, fingerprint, caller, server, service, condition };
+    log.info("Connection lost under a request.", fields);
+    if (condition !== "ended" || this.#isLeaving(entry)) return condition;
+    counts.add(1, { service, event: "crash" });
+    const crash = { service, server, bornMs, softwareVersion, caller, atMs };
+    const report: contracts.CrashReport = { fingerprint, crash };
+    this.#record(report, 0);
+    gossip.broadcast(CRASH_METHOD, report);
+    const timer = setTimeout(() => {
+      this.#repeats.delete(timer);
+      gossip.broadcast(CRASH_METHOD, report);
+    }, REPEAT_REPORT_MS);
+    this.#repeats.add(timer);
+    return condition;
+  }
+
+  /**
+   * A server ran the request to its end, which a poison request never reaches.
+   */
+  noteAnswer(request: FrontRequest): void {
+    if (this.#tracker.size === 0) return;
+    const { fingerprint, caller } = this.identify(request);
+    const report = { fingerprint, caller, atMs: this.#options.unixMs() };
+    const isStored = this.#storedCrashes.has(fingerprint);
+    if (!this.#clear(report)) return;
+    this.#options.gossip.broadcast(ANSWER_METHOD, report);
+    if (isStored) this.#updateStored(fingerprint);
+  }
+
+  /** Applies the records of the first list. */
+  applyList(objects: readonly contracts.StoredObject[]): void {
+    for (const object of objects) this.#applyStored(object);
+  }
+
+  /** Applies changes of the records; one that an operator deletes is void. */
+  applyChanges(changes: readonly ObjectChange[]): void {
+    for (const { name, object } of changes) {
+      if (object !== undefined) this.#applyStored(object);
+      else this.#forget(this.#fingerprintOf(name));
+    }
+  }
+
+  #verdict(
+    fingerprint: contracts.RequestFingerprint,
+    caller: contracts.CallerId,
+  ): poison.PoisonVerdict {
+    const { registry } = this.#options;
+    return this.#tracker.verdict(
+      fingerprint,
+      caller,
+      (service, version) =>
+        registry.staying(service)
+          .some(({ softwareVersion = "" }) => softwareVersion === version),
+    );
+  }
+
+  /** Whether a server was about to end, for reasons of its own. */
+  #isLeaving({ service, server, bornMs }: contracts.RegisteredServer): boolean {
+    const entry = this.#options.registry.servers(service)
+      .find((known) => known.server === server && known.bornMs === bornMs);
+    return entry === undefined || entry.isDraining;
+  }
+
+  #record(
+    { fingerprint, crash }: contracts.CrashReport,
+    saveDelayMs: number,
+  ): void {
+    const { clock } = this.#options;
+    const before = this.#verdict(fingerprint, crash.caller);
+    if (!this.#tracker.recordCrash(fingerprint, crash)) return;
+    this.#logVerdict(fingerprint, crash, before);
+    const crashes = this.#tracker.crashes(fingerprint);
+    if (poison.countServers(crashes) >= MIN_STORED_CRASHES) {
+      this.#unsaved.set(fingerprint, clock.nowMs() + saveDelayMs);
+    }
+    this.#schedule();
+    if (saveDelayMs === 0) this.#tick();
+  }
+
+  #logVerdict(
+    fingerprint: contracts.RequestFingerprint,
+    { caller, service }: contracts.ServerCrash,
+    before: poison.PoisonVerdict,
+  ): void {
+    const { log, counts } = this.#options;
+    const verdict = this.#verdict(fingerprint, caller);
+    if (verdict !== "poisonous" || before === "poisonous") return;
+    counts.add(1, { service, event: "quarantined" });
+    const crashes = this.#tracker.crashes(fingerprint);
+    log.warn(
+      "Refuses a request from now on: it has crashed the servers that ran it. " +
+        "Release mended software, or delete its record from the store.",
+      {
+        fingerprint,
+        caller,
+        service,
+        servers: crashes.map(({ server }) => server).join(),
+        versions: [
+          ...new Set(crashes.map(({ softwareVersion }) => softwareVersion)),
+        ].join(),
+      },
+    );
+  }
+
+  /** Applies an answer; true when it clears the caller's request. */
+  #clear(report: contracts.AnswerReport): boolean {
+    const { fingerprint, caller, atMs } = report;
+    if (!this.#tracker.recordAnswer(fingerprint, { caller, atMs })) {
+      return false;
+    }
+    this.#unsaved.delete(fingerprint);
+    const fields = { fingerprint, caller };
+    this.#options.log.info("A suspected request has been answered.", fields);
+    return true;
+  }
+
+  #applyStored({ name, value }: contracts.StoredObject): void {
+    const fingerprint = this.#fingerprintOf(name);
+    const crashes = this.#decode(name, value);
+    if (crashes === undefined) return;
+    this.#storedCrashes.set(fingerprint, crashes.length);
+    for (const crash of crashes) {
+      const before = this.#verdict(fingerprint, crash.caller);
+      if (!this.#tracker.recordCrash(fingerprint, crash)) continue;
+      this.#logVerdict(fingerprint, crash, before);
+    }
+    this.#schedule();
+  }
+
+  #decode(name: string, value: string): contracts.ServerCrash[] | undefined {
+    const { log } = this.#options;
+    try {
+      return contracts.storedPoisonRequestSchema.parse(JSON.parse(value))
+        .crashes;
+    } catch (error) {
+      log.warn("Ignores an unreadable record of crashes.", {
+        name,
+        error: String(error),
+      });
+      return undefined;
+    }
+  }
+
+  #forget(fingerprint: contracts.RequestFingerprint): void {
+    this.#storedCrashes.delete(fingerprint);
+    this.#unsaved.delete(fingerprint);
+    if (this.#tracker.crashes(fingerprint).length === 0) return;
+    this.#tracker.delete(fingerprint);
+    this.#options.log.info("A request's record of crashes was deleted.", {
+      fingerprint,
+    });
+  }
+
+  #fingerprintOf(name: string): contracts.RequestFingerprint {
+    const { prefix } = this.#options;
+    return name.slice(prefix.length) as contracts.RequestFingerprint;
+  }
+
+  /** Runs the task while there is something to save or to forget. */
+  #schedule(): void {
+    this.#task?.setIntervalMs(
+      this.#unsaved.size > 0
+        ? SAVE_INTERVAL_MS
+        : this.#tracker.size > 0
+        ? EXPIRY_INTERVAL_MS
+        : Number.POSITIVE_INFINITY,
+    );
+  }
+
+  #tick(): void {
+    for (const forgotten of this.#tracker.expire(this.#options.unixMs())) {
+      this.#unsaved.delete(forgotten);
+      const isStored = this.#storedCrashes.delete(forgotten);
+      if (isStored && this.#options.isReader()) this.#updateStored(forgotten);
+    }
+    if (!this.#isSaving) {
+      this.#isSaving = true;
+      this.#saveDue().finally(() => {
+        this.#isSaving = false;
+        this.#schedule();
+      });
+    }
+    this.#schedule();
+  }
+
+  async #saveDue(): Promise<void> {
+    const nowMs = this.#options.clock.nowMs();
+    for (const [fingerprint, dueMs] of [...this.#unsaved]) {
+      const { length } = this.#tracker.crashes(fingerprint);
+      const isStored = (this.#storedCrashes.get(fingerprint) ?? 0) >= length;
+      if (isStored) this.#unsaved.delete(fingerprint);
+      else if (dueMs <= nowMs) await this.#save(fingerprint);
+    }
+  }
+
+  async #save(fingerprint: contracts.RequestFingerprint): Promise<void> {
+    const { store, prefix, clock, health, log } = this.#options;
+    const crashes = [...this.#tracker.crashes(fingerprint)];
+    const record: contracts.StoredPoisonRequest = { crashes };
+    const written = await store.put(
+      prefix + fingerprint,
+      JSON.stringify(record),
+      { timeoutMs: SAVE_TIMEOUT_MS, condition: { kind: "any" } },
+    );
+    if (written.isErr()) {
+      const { kind, message } = written.error;
+      health.noteFailure(written.error);
+      log.warn("Record of crashes not written.", {
+        fingerprint,
+        kind,
+        message,
+      });
+      if (!this.#unsaved.has(fingerprint)) return;
+      this.#unsaved.set(fingerprint, clock.nowMs() + SAVE_RETRY_MS);
+      return;
+    }
+    health.noteAnswer();
+    const known = this.#storedCrashes.get(fingerprint) ?? 0;
+    this.#storedCrashes.set(fingerprint, Math.max(known, crashes.length));
+  }
+
+  /** Deletes a record, or writes what is left of it. */
+  #updateStored(fingerprint: contracts.RequestFingerprint): void {
+    const { store, prefix, health, clock } = this.#options;
+    this.#storedCrashes.delete(fingerprint);
+    if (this.#tracker.crashes(fingerprint).length > 0) {
+      this.#unsaved.set(fingerprint, clock.nowMs());
+      return this.#tick();
+    }
+    store.delete(prefix + fingerprint, {
+      timeoutMs: SAVE_TIMEOUT_MS,
+      condition: { kind: "any" },
+    }).then((deleted) => {
+      if (deleted.isErr()) health.noteFailure(deleted.error);
+    });
+  }
+}
--- a/packages/entry/src/gateway/request_log.ts
+++ b/packages/entry/src/gateway/request_log.ts
@@ -27,6 +27,8 @@
   readonly tookMs: number;
   readonly queuedMs: number;
   readonly attempts: readonly AttemptRecord[];
+  /** Set when a server has broken off a connection under the request. */
+  readonly fingerprint: contracts.RequestFingerprint | undefined;
 }
 
 /** Log lines per second for failed requests, and for all others. */
@@ -101,6 +103,7 @@
       : Math.round(own.retryAfterMs),
     tookMs: Math.round(record.tookMs),
     queuedMs: Math.round(record.queuedMs),
+    fingerprint: record.fingerprint,
     sends: attempts.map(formatAttempt).join("; "),
   };
 }
--- a/packages/entry/src/gateway/server_registry_test.ts
+++ b/packages/entry/src/gateway/server_registry_test.ts
@@ -33,6 +33,7 @@
         config: "config/",
         configObject: "x",
         evacuations: "evacuations/",
+        poisonRequests: "poisonrequests/",
       },
       decodeServer: (name) =>
         neverthrow.ok({
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -20,10 +20,10 @@
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { GrantTask } from "./grant_task.ts";
 import { KindWatch } from "./kind_watch.ts";
-import { LostConnections } from "./lost_connections.ts";
 import { PeerRpc } from "./peer_rpc.ts";
 import { type OwnState, PeerGossip } from "./peer_gossip.ts";
 import type { PlatformAdapter } from "./platform_adapter.ts";
+import { PoisonGuard } from "./poison_guard.ts";
 import { RangeMapStore } from "./range_map_store.ts";
 import { ReadinessServer } from "./readiness_server.ts";
 import { RequestLog } from "./request_log.ts";
@@ -211,11 +211,20 @@
     },
     lifeCycle,
   );
-  const lostConnections = new LostConnections({
+  const poison = new PoisonGuard({
+    store,
+    health,
+    prefix: adapter.prefixes.poisonRequests,
+    gossip,
+    registry,
     endCheck: new ServerEndCheck({
       hasOpenConnection: (server) => connections.hasOpenConnection(server),
     }),
+    clock,
+    unixMs: () => Date.now(),
     log: log.part("route"),
+    counts: metrics.poisonRequests,
+    isReader: () => relay.isReader,
   });
   const requestLog = new RequestLog(log.part("route"), clock);
   const forwarder: Forwarder = new Forwarder({
@@ -228,7 +237,7 @@
     gossip,
     slots,
     connections,
-    lostConnections,
+    poison,
     headers: adapter.headers,
     budget: {
       ...settings.retryBudget,
@@ -278,6 +287,13 @@
         onList: (objects) => evacuations.applyList(objects),
         onChanges: (changes) => evacuations.applyChanges(changes),
       }),
+      poisonRequests: new KindWatch({
+        ...common,
+        prefix: adapter.prefixes.poisonRequests,
+        isRare: true,
+        onList: (objects) => poison.applyList(objects),
+        onChanges: (changes) => poison.applyChanges(changes),
+      }),
     };
   }
 
@@ -314,6 +330,7 @@
     gossip,
     grantTask,
     slots,
+    poison,
     forwarder,
     listener,
     metrics,
@@ -373,6 +390,8 @@
   watches.config.start(lifeCycle);
   watches.servers.start(lifeCycle);
   watches.evacuations?.start(lifeCycle);
+  watches.poisonRequests.start(lifeCycle);
+  parts.poison.start(lifeCycle);
   grantTask.start(lifeCycle);
   parts.slots.start(lifeCycle);
   parts.forwarder.start(lifeCycle);
--- a/packages/entry/src/metrics/metrics.ts
+++ b/packages/entry/src/metrics/metrics.ts
@@ -24,6 +24,11 @@
   readonly linksRetired: api.Counter;
   /** Calls to the platform's store by kind and result. */
   readonly storeCalls: api.Counter;
+  /**
+   * Crashes of servers under requests, by service and event: `crash`, a request
+   * `quarantined`, a request `refused`.
+   */
+  readonly poisonRequests: api.Counter;
   /** Datagrams to other entry VMs by method and by zone crossing. */
   readonly peerDatagrams: api.Counter;
   /** Bytes in datagrams to other entry VMs, by the same labels. */
@@ -40,6 +45,9 @@
     this.retries = this.#meter.createCounter("guavatide_retries");
     this.linksRetired = this.#meter.createCounter("guavatide_links_retired");
     this.storeCalls = this.#meter.createCounter("guavatide_store_calls");
+    this.poisonRequests = this.#meter.createCounter(
+      "guavatide_poison_requests",
+    );
     this.peerDatagrams = this.#meter.createCounter("guavatide_peer_datagrams");
     this.peerBytes = this.#meter.createCounter("guavatide_peer_bytes");
     this.sliceMoves = this.#meter.createCounter("guavatide_slice_moves");
