fix(poison): take no connection that is still being made for proof that a server runs

In a test with load on a hot key, a poison request crashed five owners instead of three: right after a crash other requests open connections to the server, and one that waits for its answer counted as open. The check then said that the server ran, and the crash went unrecorded. Only a connection that the server has accepted counts.

--- a/packages/entry/src/links/connection_pool.ts
+++ b/packages/entry/src/links/connection_pool.ts
@@ -48,7 +48,7 @@
 
   /** Whether the server keeps any connection of this pool open. */
   get hasOpenConnection(): boolean {
-    return [...this.#idle, ...this.#busy].some(({ isUsable }) => isUsable);
+    return [...this.#idle, ...this.#busy].some(({ isOpen }) => isOpen);
   }
 
   /**
--- a/packages/entry/src/links/server_connection.ts
+++ b/packages/entry/src/links/server_connection.ts
@@ -101,6 +101,11 @@
     return this.#isUsable;
   }
 
+  /** Whether the server has accepted the connection and not closed it. */
+  get isOpen(): boolean {
+    return this.#isUsable && this.#socket !== undefined;
+  }
+
   /** Bytes received on this connection; shows whether the server responds. */
   get bytesReceived(): number {
     return this.#socket?.bytesRead ?? 0;
