fix(poison): delete the records of requests that made room for others

A request that the tracker evicts or that an answer has cleared left its record in the store; the reader now deletes it, so that the store stays as bounded as the memory of a VM. Read in the code; the tests of restarts, releases and deleted records pass.

--- a/packages/entry/src/gateway/poison_guard.ts
+++ b/packages/entry/src/gateway/poison_guard.ts
@@ -293,11 +293,8 @@
   }
 
   #tick(): void {
-    for (const forgotten of this.#tracker.expire(this.#options.unixMs())) {
-      this.#unsaved.delete(forgotten);
-      const isStored = this.#storedCrashes.delete(forgotten);
-      if (isStored && this.#options.isReader()) this.#updateStored(forgotten);
-    }
+    this.#tracker.expire(this.#options.unixMs());
+    this.#dropUntracked();
     if (!this.#isSaving) {
       this.#isSaving = true;
       this.#saveDue().finally(() => {
@@ -308,6 +305,16 @@
     this.#schedule();
   }
 
+  /** Drops the records of requests that have expired or made room for others. */
+  #dropUntracked(): void {
+    for (const fingerprint of [...this.#storedCrashes.keys()]) {
+      if (this.#tracker.crashes(fingerprint).length > 0) continue;
+      this.#storedCrashes.delete(fingerprint);
+      this.#unsaved.delete(fingerprint);
+      if (this.#options.isReader()) this.#updateStored(fingerprint);
+    }
+  }
+
   async #saveDue(): Promise<void> {
     const nowMs = this.#options.clock.nowMs();
     for (const [fingerprint, dueMs] of [...this.#unsaved]) {
