feat(ctl): explain a refusal for crashes by the crashes of its content

explain prints, for a request that is refused as poison, the lines about the servers that crashed under earlier attempts, which have other ids, however old.

--- a/packages/ctl/src/request_explanation.ts
+++ b/packages/ctl/src/request_explanation.ts
@@ -13,7 +13,7 @@
 /**
  * Lines that explain a request, ordered by time: its own, and those about the
  * servers it was sent to, the configuration, the platform's store and zone
- * evacuations. Lines that are not JSON are skipped; empty for an unknown ID.
+ * evacuations, and, at any age, the servers that its content has crashed. Lines that are not JSON are skipped; empty for an unknown ID.
  */
 export function explainRequest(id: string, log: string): LogLine[] {
   const lines = log.split("\n").map(parseLogLine).filter((line) =>
@@ -22,6 +22,9 @@
   const requestLines = lines.filter(({ fields }) => fields["id"] === id);
   if (requestLines.length === 0) return [];
   const servers = attemptedServers(requestLines);
+  const fingerprints = new Set(
+    requestLines.map(({ fields }) => fields["fingerprint"]).filter(Boolean),
+  );
   const fromMs = Math.min(...requestLines.map(arrivalTimeMs)) -
     CONTEXT_BEFORE_MS;
   const toMs = Math.max(...requestLines.map(({ timeMs }) => timeMs)) +
@@ -30,6 +33,7 @@
     .filter((line) =>
       requestLines.includes(line) ||
       line.timeMs <= toMs && isZoneEvacuation(line) ||
+      line.timeMs <= toMs && isCrashRecord(line, fingerprints) ||
       line.timeMs >= fromMs && line.timeMs <= toMs && isContextOf(line, servers)
     )
     .sort((a, b) => a.timeMs - b.timeMs);
@@ -56,6 +60,16 @@
     fields["server"] === undefined;
 }
 
+/** Included at any age: a request is refused for crashes long before it. */
+function isCrashRecord(
+  { fields }: LogLine,
+  fingerprints: ReadonlySet<unknown>,
+): boolean {
+  // Lines of other requests with the same content have an outcome.
+  return fields["outcome"] === undefined &&
+    fingerprints.has(fields["fingerprint"]);
+}
+
 /**
  * Whether the line is about one of the servers, the store, the configuration or
  * the process. Lines of other requests are not.
--- a/packages/ctl/src/request_explanation_test.ts
+++ b/packages/ctl/src/request_explanation_test.ts
@@ -62,3 +62,39 @@
   expect(explainRequest("q1", log).map(({ fields }) => fields["sentence"]))
     .toEqual(["Zone is evacuated.", "Ended badly."]);
 });
+
+/** The servers crashed under earlier attempts, each with an id of its own. */
+test("should include the crashes for which a request is refused", () => {
+  const fingerprint = "0123456789abcdef0123456789abcdef";
+  const log = [
+    logLine(1, {
+      part: "route",
+      sentence: "Connection lost under a request.",
+      id: "q0",
+      fingerprint,
+      server: "i-1",
+    }),
+    logLine(2, {
+      part: "route",
+      sentence: "Other.",
+      fingerprint: "f".repeat(32),
+    }),
+    logLine(3, { part: "route", sentence: "Refuses.", fingerprint }),
+    logLine(50, {
+      part: "route",
+      sentence: "Ended badly.",
+      id: "q1",
+      outcome: "x",
+      fingerprint,
+    }),
+    logLine(50, {
+      part: "route",
+      sentence: "Ended badly.",
+      id: "q2",
+      outcome: "x",
+      fingerprint,
+    }),
+  ].join("\n");
+  expect(explainRequest("q1", log).map(({ fields }) => fields["sentence"]))
+    .toEqual(["Connection lost under a request.", "Refuses.", "Ended badly."]);
+});
