fix(poison): refuse on the product's own interface what crashes its servers

Callers of the product's interface now get 503 and "crashes-servers" once three servers have ended under a request, at once and on every VM; one request risks two servers. VMs call one another with each crash and its answer, again for a minute where a peer does not reply, and a VM that starts asks its peers. Servers there tell no version, so one attempt is let through every ten minutes.

Not covered: the crashes are not in the store, so a restart of all VMs at once forgets them.

--- a/packages/contracts/src/outcomes.ts
+++ b/packages/contracts/src/outcomes.ts
@@ -26,6 +26,7 @@
   | "refused-by-server"
   | "not-connected"
   | "retry-budget"
+  | "crashes-servers"
   | "shutting-down";
 
 /** Why an outcome is unknown: bytes were sent and no valid answer arrived. */
--- a/packages/entry/src/gateway/request_identity.ts
+++ b/packages/entry/src/gateway/request_identity.ts
@@ -14,10 +14,10 @@
 }
 
 /** The parts of a request that identify it. */
-export type IdentifiedRequest = Pick<
-  FrontRequest,
-  "method" | "host" | "target" | "key" | "body" | "caller"
->;
+export interface IdentifiedRequest
+  extends Pick<FrontRequest, "method" | "host" | "target" | "body" | "caller"> {
+  readonly key: number | string | undefined;
+}
 
 const FINGERPRINT_DIGITS = 32;
 
--- a/packages/entry/src/links/server_end_check.ts
+++ b/packages/entry/src/links/server_end_check.ts
@@ -13,6 +13,12 @@
  */
 export type ServerCondition = "ended" | "running" | "unknown";
 
+/** An incarnation of a server and its address. */
+export type CheckedServer = Pick<
+  contracts.RegisteredServer,
+  "server" | "bornMs" | "host" | "port"
+>;
+
 /** Options of {@link ServerEndCheck}. */
 export interface ServerEndCheckOptions {
   /** Whether a connection to the server is open. */
@@ -34,7 +40,7 @@
   }
 
   /** Checks a server that has just broken off a connection. Never rejects. */
-  check(entry: contracts.RegisteredServer): Promise<ServerCondition> {
+  check(entry: CheckedServer): Promise<ServerCondition> {
     const name = `${entry.server} ${entry.bornMs}`;
     const pending = this.#pending.get(name);
     if (pending !== undefined) return pending;
@@ -44,7 +50,7 @@
   }
 
   async #check(
-    { server, host, port }: contracts.RegisteredServer,
+    { server, host, port }: CheckedServer,
   ): Promise<ServerCondition> {
     await timers.setTimeout(SIBLING_CLOSE_MS);
     // Closes that have arrived are read before this continues.
--- a/packages/entry/src/requests/active_request.ts
+++ b/packages/entry/src/requests/active_request.ts
@@ -2,6 +2,7 @@
 import type * as contracts from "@guavatide/contracts";
 import * as names from "@guavatide/contracts";
 import * as routing from "@guavatide/decisions/routing/mod";
+import * as timers from "node:timers/promises";
 import type { ServerClock } from "../links/server_clock.ts";
 import type {
   AttemptRequest,
@@ -24,6 +25,12 @@
   readonly deadlineMs: number;
 }
 
+/** Servers that one request may crash; a third is not risked. */
+const MAX_CRASHES = 2;
+/** Longest wait, before a retry, for what became of the server. */
+const CONDITION_WAIT_MS = 50;
+/** Tells the caller of a poison request when to see whether it is mended. */
+const POISON_RETRY_AFTER_MS = 60_000;
 /** Path prefix on backend servers for requests of callers. */
 const SERVE_PATH = "/serve/";
 
@@ -37,6 +44,7 @@
   readonly #request: CallerRequest;
   readonly #startMs: number;
   #attempts = 0;
+  #crashes = 0;
   #queuedMs = 0;
   #waitingSinceMs: number;
   #isWaiting = false;
@@ -61,13 +69,18 @@
       this.#resolve = resolve;
       this.#request.signal.addEventListener("abort", this.#onCallerGone);
       this.#context.retryBudget.recordRequest();
-      this.#wait();
+      if (this.#isPoisonous()) this.#refusePoison();
+      else this.#wait();
     });
   }
 
   /** Makes an attempt at the server of the granted slot. */
   onGranted(slot: Slot): void {
     this.#stopWaiting();
+    if (this.#isPoisonous()) {
+      this.#context.allocator.release(slot, { kind: "abandoned" });
+      return this.#refusePoison();
+    }
     this.#attempts++;
     this.#attempt(slot).catch((error) => {
       this.#context.log.error("Attempt failed.", { error: String(error) });
@@ -95,6 +108,17 @@
     this.#finish(notRun(reason, options));
   }
 
+  #isPoisonous(): boolean {
+    return this.#context.crashGuard.isPoisonous(this.#request);
+  }
+
+  #refusePoison(): void {
+    this.onRefused("crashes-servers", {
+      retryAfterMs: POISON_RETRY_AFTER_MS,
+      message: "The request has crashed the servers that ran it",
+    });
+  }
+
   #wait(): void {
     const nowMs = this.#context.clock.nowMs();
     this.#isWaiting = true;
@@ -158,9 +182,29 @@
     if (isAbandoned) context.cancel(slot.address, id);
     context.allocator.release(slot, this.#outcomeOf(result));
     this.#recordKeyedSample(server, result, context.clock.nowMs() - sentAtMs);
+    await this.#noteCrash(slot, result);
     this.#conclude(slot, result);
   }
 
+  /** Records a server that crashed under the request, or its answer. */
+  async #noteCrash(
+    { address }: Slot,
+    result: AttemptResult,
+  ): Promise<void> {
+    const { crashGuard } = this.#context;
+    if (result.kind === "answer" && result.answer.status < 500) {
+      return crashGuard.noteAnswer(this.#request);
+    }
+    const isLost = result.kind === "unknown" &&
+      result.reason !== "timeout-after-send" && !this.#request.signal.aborted;
+    if (!isLost) return;
+    const condition = await Promise.race([
+      crashGuard.noteLostConnection(this.#request, address),
+      timers.setTimeout(CONDITION_WAIT_MS, "unknown", { ref: false }),
+    ]);
+    if (condition === "ended") this.#crashes++;
+  }
+
   #recordKeyedSample(
     server: contracts.ServerId,
     result: AttemptResult,
@@ -330,7 +374,9 @@
   }
 
   #decide(failure: routing.FailedAttempt): routing.RetryDecision {
-    if (this.#request.signal.aborted) return { kind: "give-up", failure };
+    const mustStop = this.#request.signal.aborted ||
+      this.#crashes >= MAX_CRASHES || this.#isPoisonous();
+    if (mustStop) return { kind: "give-up", failure };
     return routing.decideRetry(failure, {
       isIdempotent: this.#isIdempotent(),
       isKeyed: this.keyHash !== undefined,
--- /dev/null
+++ b/packages/entry/src/requests/crash_guard_test.ts
@@ -0,0 +1,149 @@
+import type * as contracts from "@guavatide/contracts";
+import { expect } from "earl";
+import { test } from "node:test";
+import type * as z from "zod";
+import type { ServerAddress } from "../contracts/views.ts";
+import { LifeCycle } from "../utils/life_cycle.ts";
+import type { CallerRequest } from "./caller_request.ts";
+import { CrashGuard } from "./crash_guard.ts";
+import { waitUntil } from "./fakes_test_support.ts";
+import type { PeerCallOptions, PeerRpc } from "./peer_rpc.ts";
+
+const SILENT = { debug() {}, info() {}, warn() {}, error() {} };
+
+/** Guards of several VMs that call one another in memory. */
+class GuardCluster {
+  readonly lifeCycle = new LifeCycle();
+  readonly #handlers = new Map<string, (params: never) => unknown>();
+  readonly #members = new Set<contracts.VmId>();
+  readonly cutOff = new Set<string>();
+  unixMs = 1_000_000;
+
+  start(name: string): CrashGuard {
+    const vm = name as contracts.VmId;
+    this.#members.add(vm);
+    const peers: PeerRpc = {
+      self: { vm, incarnation: name as contracts.Incarnation },
+      members: () => [...this.#members],
+      call: <Schema extends z.ZodType>(
+        to: contracts.VmId,
+        method: string,
+        { params, schema }: PeerCallOptions<Schema>,
+      ) => {
+        if (this.cutOff.has(to)) return Promise.resolve(undefined);
+        const reply = this.#handlers.get(`${to} ${method}`)!(params as never);
+        return Promise.resolve(schema.parse(reply));
+      },
+      register: (method, _schema, handler) => {
+        this.#handlers.set(`${vm} ${method}`, handler);
+      },
+    };
+    return new CrashGuard({
+      peers,
+      endCheck: { check: () => Promise.resolve("ended" as const) },
+      unixMs: () => this.unixMs,
+      lifeCycle: this.lifeCycle,
+      log: SILENT,
+    });
+  }
+
+  /** Three servers crash under the request, each seen by the next guard. */
+  async crash(guards: readonly CrashGuard[]): Promise<void> {
+    for (let server = 0; server < 3; server++) {
+      this.unixMs += 5_000;
+      const guard = guards[server % guards.length]!;
+      await guard.noteLostConnection(request(), address(server));
+    }
+  }
+}
+
+function request(): CallerRequest {
+  return {
+    service: "svc" as contracts.ServiceId,
+    method: "GET",
+    pathAndQuery: "poison",
+    headers: [],
+    body: undefined,
+    key: undefined,
+    caller: "c1",
+    timeoutMs: undefined,
+    arrivedMs: 0,
+    signal: new AbortController().signal,
+  };
+}
+
+function address(index: number): ServerAddress {
+  return {
+    server: `s${index}` as contracts.ServerId,
+    service: "svc" as contracts.ServiceId,
+    zone: "z" as contracts.ZoneId,
+    host: "127.0.0.1",
+    port: 9,
+    state: "live",
+  };
+}
+
+async function withGuards(
+  run: (cluster: GuardCluster) => Promise<void>,
+): Promise<void> {
+  const cluster = new GuardCluster();
+  try {
+    await run(cluster);
+  } finally {
+    await cluster.lifeCycle.stop();
+  }
+}
+
+/** Each VM would send the request to three servers of its own. */
+test("should count the crashes that different VMs have seen", () =>
+  withGuards(async (cluster) => {
+    const guards = ["a", "b", "c"].map((name) => cluster.start(name));
+    await cluster.crash(guards);
+    expect(guards.map((guard) => guard.isPoisonous(request())))
+      .toEqual([true, true, true]);
+  }));
+
+test("should tell a VM that was cut off once it is reached", () =>
+  withGuards(async (cluster) => {
+    const [first, second] = ["a", "b"].map((name) => cluster.start(name));
+    cluster.cutOff.add("b");
+    await cluster.crash([first!]);
+    expect(second!.isPoisonous(request())).toEqual(false);
+    cluster.cutOff.clear();
+    await waitUntil(() => second!.isPoisonous(request()));
+  }));
+
+test("should tell a VM that starts which requests are poisonous", () =>
+  withGuards(async (cluster) => {
+    const first = cluster.start("a");
+    await cluster.crash([first]);
+    const second = cluster.start("b");
+    await waitUntil(() => second.isPoisonous(request()));
+  }));
+
+/** Without versions of servers, only an answer shows a mended release. */
+test("should let an attempt through every ten minutes and clear what is answered", () =>
+  withGuards(async (cluster) => {
+    const [first, second] = ["a", "b"].map((name) => cluster.start(name));
+    await cluster.crash([first!]);
+    cluster.unixMs += 600_000;
+    expect(first!.isPoisonous(request())).toEqual(false);
+    await first!.noteLostConnection(request(), address(9));
+    expect(second!.isPoisonous(request())).toEqual(true);
+    cluster.unixMs += 600_000;
+    first!.noteAnswer(request());
+    cluster.unixMs -= 600_000;
+    expect(second!.isPoisonous(request())).toEqual(false);
+  }));
+
+/** The end of a server that drains says nothing of its requests. */
+test("should not count a server that was about to leave", () =>
+  withGuards(async (cluster) => {
+    const guard = cluster.start("a");
+    for (let server = 0; server < 5; server++) {
+      cluster.unixMs += 5_000;
+      const leaving = { ...address(server), state: "draining" as const };
+      await guard.noteLostConnection(request(), leaving);
+    }
+    expect(guard.isPoisonous(request())).toEqual(false);
+  }));
--- a/packages/entry/src/requests/request_context.ts
+++ b/packages/entry/src/requests/request_context.ts
@@ -4,6 +4,7 @@
 import type { OwnerView, ServerAddress } from "../contracts/views.ts";
 import type { ConnectionPool } from "../links/connection_pool.ts";
 import type { Logger } from "../utils/log.ts";
+import type { CrashGuard } from "./crash_guard.ts";
 import type { RequestMetrics } from "./request_metrics.ts";
 import type { SlotAllocator } from "./slot_allocator.ts";
 
@@ -15,6 +16,7 @@
   readonly allocator: SlotAllocator;
   readonly retryBudget: routing.RetryBudget;
   readonly owners: OwnerView;
+  readonly crashGuard: CrashGuard;
   readonly clock: contracts.Clock;
   readonly log: Logger;
   readonly metrics: RequestMetrics;
--- a/packages/entry/src/requests/request_router.ts
+++ b/packages/entry/src/requests/request_router.ts
@@ -8,6 +8,7 @@
   ServerView,
 } from "../contracts/views.ts";
 import type { ConnectionPools } from "../links/connection_pools.ts";
+import { ServerEndCheck } from "../links/server_end_check.ts";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import type { Logger, LoggerFactory } from "../utils/log.ts";
 import {
@@ -15,6 +16,7 @@
   type CallerRequest,
   notRun,
 } from "./caller_request.ts";
+import { CrashGuard } from "./crash_guard.ts";
 import { DispatchedAllocator } from "./dispatched_allocator.ts";
 import { KeyedAllocator } from "./keyed_allocator.ts";
 import { LocalAllocator } from "./local_allocator.ts";
@@ -77,6 +79,7 @@
   readonly #limits = new routing.CallerLimits();
   readonly #services = new Map<contracts.ServiceId, ServiceRoute>();
   readonly #dispatcher: SlotDispatcher | undefined;
+  readonly #crashGuard: CrashGuard;
   readonly #idPrefix: string;
   #nextId = 0;
 
@@ -86,6 +89,17 @@
     const randomPrefix = Math.floor(options.random.next() * 2 ** 48);
     this.#idPrefix = randomPrefix.toString(36);
     this.#dispatcher = this.#createDispatcher(options.peers);
+    const { connectionPools, peers, lifeCycle } = options;
+    this.#crashGuard = new CrashGuard({
+      peers,
+      endCheck: new ServerEndCheck({
+        hasOpenConnection: (server) =>
+          connectionPools.hasOpenConnection(server),
+      }),
+      unixMs: () => Date.now(),
+      lifeCycle,
+      log: this.#log,
+    });
     options.lifeCycle.every(REFRESH_INTERVAL_MS, () => this.#refresh());
   }
 
@@ -195,6 +209,7 @@
       allocator,
       retryBudget: new routing.RetryBudget(),
       owners,
+      crashGuard: this.#crashGuard,
       clock,
       log: this.#log,
       metrics,
--- a/packages/entry/src/requests/write_answer.ts
+++ b/packages/entry/src/requests/write_answer.ts
@@ -15,6 +15,7 @@
   "refused-by-server": 503,
   "not-connected": 503,
   "retry-budget": 503,
+  "crashes-servers": 503,
   "shutting-down": 503,
 };
 
