--- a/packages/standins/src/backend_server/backend_app.ts
+++ b/packages/standins/src/backend_server/backend_app.ts
@@ -28,6 +28,9 @@
  */
 export const OPERATION_HEADER = "idempotency-key";
 
+/** A request whose path ends with this kills the process that runs it. */
+export const POISON_PATH = "poison";
+
 const RETRY_AFTER_SECONDS = "1";
 
 type BackendContext = Context<serve.StandInEnv>;
@@ -203,6 +206,10 @@
     this.#recordLoad();
     const result = await pending;
     this.#recordLoad();
+    const isPoison = context.req.path.endsWith(`/${POISON_PATH}`);
+    if (isPoison && result.kind !== "refused") {
+      process.kill(process.pid, "SIGKILL");
+    }
     return this.#respond(context, { request, result, body });
   }
 
--- a/packages/standins/src/proofs/proofs_main.ts
+++ b/packages/standins/src/proofs/proofs_main.ts
@@ -6,6 +6,7 @@
 import { CONFIG_SCENARIOS } from "./config_scenarios.ts";
 import { CONNECTION_SCENARIOS } from "./connection_scenarios.ts";
 import { OWNERSHIP_SCENARIOS } from "./ownership_scenarios.ts";
+import { POISON_SCENARIOS } from "./poison_scenarios.ts";
 import { type ProofRun, runScenarios } from "./proof_runner.ts";
 import { SHUTDOWN_SCENARIOS } from "./shutdown_scenarios.ts";
 import { STORE_SCENARIOS } from "./store_scenarios.ts";
@@ -20,6 +21,7 @@
   ...SHUTDOWN_SCENARIOS,
   ...CONNECTION_SCENARIOS,
   ...CONFIG_SCENARIOS,
+  ...POISON_SCENARIOS,
 ];
 
 function printLine(line: string): void {
