--- a/packages/decisions/src/poison/poison_request_tracker.ts
+++ b/packages/decisions/src/poison/poison_request_tracker.ts
@@ -24,6 +24,13 @@
 
 /** A request is poisonous once it has crashed so many servers. */
 export const POISON_CRASH_LIMIT = 3;
+/**
+ * Servers that one request of a caller may crash with its retries: the second
+ * may have ended for another reason than the first, a third is not risked.
+ */
+export const MAX_CRASHES_PER_REQUEST = 2;
+/** Tells the caller of a poison request when to see whether it is mended. */
+export const POISON_RETRY_AFTER_MS = 60_000;
 /** Crashes kept of one request. */
 const MAX_CRASHES = 16;
 const DEFAULT_MAX_REQUESTS = 1_000;
--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarded_request.ts
@@ -1,11 +1,12 @@
 /** One request from queueing through its attempts to its single response. */
 import type * as contracts from "@guavatide/contracts";
 import type * as admission from "@guavatide/decisions/admission/mod";
-import * as timers from "node:timers/promises";
+import * as poison from "@guavatide/decisions/poison/mod";
 import type {
   AttemptRequest,
   AttemptResult,
 } from "../links/server_connection.ts";
+import { conditionBeforeRetry } from "../links/server_end_check.ts";
 import {
   type FrontAnswer,
   type FrontRequest,
@@ -40,6 +41,7 @@
     report: contracts.ServerReport,
     nowMs: number,
   ): void;
+  /** Knows which requests crash the servers that run them. */
   readonly poison: PoisonGuard;
   /** The request is finished. */
   onFinished(record: RequestRecord): void;
@@ -61,16 +63,6 @@
 /** Wait before a request that its key's owner refused is queued again. */
 const OWNER_REFUSAL_BACKOFF_MS = 25;
 
-/**
- * Servers that one request of a caller may crash: the second may have ended for
- * another reason than the first, a third is not risked.
- */
-const MAX_CRASHES = 2;
-/** Longest wait, before a retry, for what became of the server. */
-const CONDITION_WAIT_MS = 50;
-/** Tells the caller of a poison request when to see whether it is mended. */
-const POISON_RETRY_AFTER_MS = 60_000;
-
 /** A request from its arrival to its response. */
 export class ForwardedRequest implements admission.WaitingRequest {
   readonly route: contracts.Route;
@@ -286,15 +278,17 @@
     this.#isSuspected = true;
     const noted = this.#context.poison.noteLostConnection(this.#request, entry);
     if (!this.route.isIdempotent) return this.#handleUnknown(message);
-    const waited = timers.setTimeout(CONDITION_WAIT_MS, "unknown", {
-      ref: false,
-    });
-    Promise.race([noted, waited]).then((condition) => {
+    conditionBeforeRetry(noted).then((condition) => {
       if (this.#isDone) return;
       if (condition === "ended") this.#crashCount++;
       if (this.#isPoisonous()) return this.#refusePoison();
-      if (this.#crashCount < MAX_CRASHES) return this.#handleUnknown(message);
-      this.#giveUp(`crashed ${MAX_CRASHES} servers`, POISON_RETRY_AFTER_MS);
+      if (this.#crashCount < poison.MAX_CRASHES_PER_REQUEST) {
+        return this.#handleUnknown(message);
+      }
+      this.#giveUp(
+        `crashed ${this.#crashCount} servers`,
+        poison.POISON_RETRY_AFTER_MS,
+      );
     });
   }
 
@@ -305,7 +299,10 @@
   #refusePoison(): void {
     this.#isSuspected = true;
     this.#context.poison.noteRefusal(this.#context.service);
-    this.#giveUp("it crashes the servers that run it", POISON_RETRY_AFTER_MS);
+    this.#giveUp(
+      "it crashes the servers that run it",
+      poison.POISON_RETRY_AFTER_MS,
+    );
   }
 
   #handleUnknown(message: string): void {
--- a/packages/entry/src/gateway/poison_guard.ts
+++ b/packages/entry/src/gateway/poison_guard.ts
@@ -1,7 +1,8 @@
 /**
  * Keeps requests that crash the servers that run them from reaching further
- * servers. The VMs tell one another each crash; what has crashed several servers
- * is kept in the platform's store, for VMs that were cut off, restart or join.
+ * servers, where entry VMs run on an external platform. They tell one another
+ * each crash; what has crashed several servers is kept in the platform's store,
+ * for VMs that were cut off, restart or join.
  */
 import * as contracts from "@guavatide/contracts";
 import * as poison from "@guavatide/decisions/poison/mod";
--- a/packages/entry/src/links/server_end_check.ts
+++ b/packages/entry/src/links/server_end_check.ts
@@ -30,6 +30,19 @@
 /** A server that refuses connections does so within a round trip. */
 const CONNECT_TIMEOUT_MS = 300;
 
+/** Longest wait, before a retry, for what became of a server. */
+const RETRY_WAIT_MS = 50;
+
+/** The condition of a server, or `unknown` when a retry can wait no longer. */
+export function conditionBeforeRetry(
+  condition: Promise<ServerCondition>,
+): Promise<ServerCondition> {
+  const wait = timers.setTimeout(RETRY_WAIT_MS, "unknown" as const, {
+    ref: false,
+  });
+  return Promise.race([condition, wait]);
+}
+
 /** Checks servers; requests lost at the same time share one check. */
 export class ServerEndCheck {
   readonly #options: ServerEndCheckOptions;
--- a/packages/entry/src/requests/active_request.ts
+++ b/packages/entry/src/requests/active_request.ts
@@ -1,8 +1,9 @@
 /** State of one routed request: waiting, attempts and the final answer. */
 import type * as contracts from "@guavatide/contracts";
 import * as names from "@guavatide/contracts";
+import * as poison from "@guavatide/decisions/poison/mod";
 import * as routing from "@guavatide/decisions/routing/mod";
-import * as timers from "node:timers/promises";
+import { conditionBeforeRetry } from "../links/server_end_check.ts";
 import type { ServerClock } from "../links/server_clock.ts";
 import type {
   AttemptRequest,
@@ -25,12 +26,6 @@
   readonly deadlineMs: number;
 }
 
-/** Servers that one request may crash; a third is not risked. */
-const MAX_CRASHES = 2;
-/** Longest wait, before a retry, for what became of the server. */
-const CONDITION_WAIT_MS = 50;
-/** Tells the caller of a poison request when to see whether it is mended. */
-const POISON_RETRY_AFTER_MS = 60_000;
 /** Path prefix on backend servers for requests of callers. */
 const SERVE_PATH = "/serve/";
 
@@ -114,7 +109,7 @@
 
   #refusePoison(): void {
     this.onRefused("crashes-servers", {
-      retryAfterMs: POISON_RETRY_AFTER_MS,
+      retryAfterMs: poison.POISON_RETRY_AFTER_MS,
       message: "The request has crashed the servers that ran it",
     });
   }
@@ -198,10 +193,9 @@
     const isLost = result.kind === "unknown" &&
       result.reason !== "timeout-after-send" && !this.#request.signal.aborted;
     if (!isLost) return;
-    const condition = await Promise.race([
+    const condition = await conditionBeforeRetry(
       crashGuard.noteLostConnection(this.#request, address),
-      timers.setTimeout(CONDITION_WAIT_MS, "unknown", { ref: false }),
-    ]);
+    );
     if (condition === "ended") this.#crashes++;
   }
 
@@ -375,7 +369,7 @@
 
   #decide(failure: routing.FailedAttempt): routing.RetryDecision {
     const mustStop = this.#request.signal.aborted ||
-      this.#crashes >= MAX_CRASHES || this.#isPoisonous();
+      this.#crashes >= poison.MAX_CRASHES_PER_REQUEST || this.#isPoisonous();
     if (mustStop) return { kind: "give-up", failure };
     return routing.decideRetry(failure, {
       isIdempotent: this.#isIdempotent(),
--- a/packages/entry/src/requests/crash_guard.ts
+++ b/packages/entry/src/requests/crash_guard.ts
@@ -1,7 +1,8 @@
 /**
  * Keeps requests that crash the servers that run them from reaching further
- * servers. Entry VMs call one another with each crash; a VM that starts asks a
- * peer for those that are known.
+ * servers, where entry VMs serve the product's own interface. They
+ * call one another with each crash; a VM that starts asks its peers for those
+ * that are known.
  */
 import * as contracts from "@guavatide/contracts";
 import * as poison from "@guavatide/decisions/poison/mod";
--- a/packages/entry/src/requests/request_context.ts
+++ b/packages/entry/src/requests/request_context.ts
@@ -16,6 +16,7 @@
   readonly allocator: SlotAllocator;
   readonly retryBudget: routing.RetryBudget;
   readonly owners: OwnerView;
+  /** Knows which requests crash the servers that run them. */
   readonly crashGuard: CrashGuard;
   readonly clock: contracts.Clock;
   readonly log: Logger;
