fix(poison): let only the witness and the readers write records of crashes

Read in the code, no run of a deployment showed it: with the witness lost or the store slow, every VM wrote the record after a second and again each second, calls that grow with the number of VMs. And a VM that knew of fewer crashes could overwrite what another had written; nobody wrote it again. Both tests fail without the change: the first sees calls of all five VMs, the second waits for the whole record in vain.

--- a/packages/entry/src/gateway/poison_guard.ts
+++ b/packages/entry/src/gateway/poison_guard.ts
@@ -44,13 +44,23 @@
 const MIN_STORED_CRASHES = 2;
 /** A report is sent again after this time: datagrams get lost. */
 const REPEAT_REPORT_MS = 300;
-/** The witness of a crash writes at once; the others if it does not. */
+/**
+ * The witness of a crash writes at once, the readers of the store if it does
+ * not: all VMs together would make too many calls.
+ */
 const WITNESS_GRACE_MS = 1_000;
 const SAVE_INTERVAL_MS = 250;
 const SAVE_RETRY_MS = 1_000;
 const SAVE_TIMEOUT_MS = 1_200;
 const EXPIRY_INTERVAL_MS = 10_000;
 
+/** A record that the store lacks. */
+interface UnsavedRecord {
+  readonly dueMs: number;
+  /** Whether this VM saw the last crash. */
+  readonly isWitness: boolean;
+}
+
 /** Verdicts on requests, from the crashes that all VMs have seen. */
 export class PoisonGuard {
   readonly #options: PoisonGuardOptions;
@@ -58,8 +68,7 @@
   readonly #identities = new WeakMap<FrontRequest, RequestIdentity>();
   /** Number of crashes of each record in the store, as far as known. */
   readonly #storedCrashes = new Map<contracts.RequestFingerprint, number>();
-  /** Records to write, and when. */
-  readonly #unsaved = new Map<contracts.RequestFingerprint, number>();
+  readonly #unsaved = new Map<contracts.RequestFingerprint, UnsavedRecord>();
   readonly #repeats = new Set<NodeJS.Timeout>();
   #task: PeriodicTask | undefined;
   #isSaving = false;
@@ -69,7 +78,7 @@
     options.gossip.on(
       CRASH_METHOD,
       contracts.crashReportSchema,
-      (report) => this.#record(report, WITNESS_GRACE_MS),
+      (report) => this.#record(report, { isWitness: false }),
     );
     options.gossip.on(
       ANSWER_METHOD,
@@ -130,7 +139,7 @@
     counts.add(1, { service, event: "crash" });
     const crash = { service, server, bornMs, softwareVersion, caller, atMs };
     const report: contracts.CrashReport = { fingerprint, crash };
-    this.#record(report, 0);
+    this.#record(report, { isWitness: true });
     gossip.broadcast(CRASH_METHOD, report);
     const timer = setTimeout(() => {
       this.#repeats.delete(timer);
@@ -189,18 +198,18 @@
 
   #record(
     { fingerprint, crash }: contracts.CrashReport,
-    saveDelayMs: number,
+    { isWitness }: Pick<UnsavedRecord, "isWitness">,
   ): void {
-    const { clock } = this.#options;
     const before = this.#verdict(fingerprint, crash.caller);
     if (!this.#tracker.recordCrash(fingerprint, crash)) return;
     this.#logVerdict(fingerprint, crash, before);
     const crashes = this.#tracker.crashes(fingerprint);
     if (poison.countServers(crashes) >= MIN_STORED_CRASHES) {
-      this.#unsaved.set(fingerprint, clock.nowMs() + saveDelayMs);
+      const delayMs = isWitness ? 0 : WITNESS_GRACE_MS;
+      this.#planSave(fingerprint, { isWitness, delayMs });
     }
     this.#schedule();
-    if (saveDelayMs === 0) this.#tick();
+    if (isWitness) this.#tick();
   }
 
   #logVerdict(
@@ -250,6 +259,11 @@
       if (!this.#tracker.recordCrash(fingerprint, crash)) continue;
       this.#logVerdict(fingerprint, crash, before);
     }
+    // A VM that knew of fewer crashes has written last.
+    if (this.#tracker.crashes(fingerprint).length > crashes.length) {
+      const delayMs = WITNESS_GRACE_MS;
+      this.#planSave(fingerprint, { isWitness: false, delayMs });
+    }
     this.#schedule();
   }
 
@@ -282,6 +296,17 @@
     return name.slice(prefix.length) as contracts.RequestFingerprint;
   }
 
+  #planSave(
+    fingerprint: contracts.RequestFingerprint,
+    { isWitness, delayMs }: {
+      readonly isWitness: boolean;
+      readonly delayMs: number;
+    },
+  ): void {
+    const dueMs = this.#options.clock.nowMs() + delayMs;
+    this.#unsaved.set(fingerprint, { dueMs, isWitness });
+  }
+
   /** Runs the task while there is something to save or to forget. */
   #schedule(): void {
     this.#task?.setIntervalMs(
@@ -317,17 +342,20 @@
   }
 
   async #saveDue(): Promise<void> {
-    const nowMs = this.#options.clock.nowMs();
-    for (const [fingerprint, dueMs] of [...this.#unsaved]) {
+    const { clock, isReader } = this.#options;
+    const nowMs = clock.nowMs();
+    for (const [fingerprint, { dueMs, isWitness }] of [...this.#unsaved]) {
       const { length } = this.#tracker.crashes(fingerprint);
       const isStored = (this.#storedCrashes.get(fingerprint) ?? 0) >= length;
       if (isStored) this.#unsaved.delete(fingerprint);
-      else if (dueMs <= nowMs) await this.#save(fingerprint);
+      else if (dueMs <= nowMs && (isWitness || isReader())) {
+        await this.#save(fingerprint);
+      }
     }
   }
 
   async #save(fingerprint: contracts.RequestFingerprint): Promise<void> {
-    const { store, prefix, clock, health, log } = this.#options;
+    const { store, prefix, health, log } = this.#options;
     const crashes = [...this.#tracker.crashes(fingerprint)];
     const record: contracts.StoredPoisonRequest = { crashes };
     const written = await store.put(
@@ -343,9 +371,10 @@
         kind,
         message,
       });
-      if (!this.#unsaved.has(fingerprint)) return;
-      this.#unsaved.set(fingerprint, clock.nowMs() + SAVE_RETRY_MS);
-      return;
+      const unsaved = this.#unsaved.get(fingerprint);
+      if (unsaved === undefined) return;
+      const { isWitness } = unsaved;
+      return this.#planSave(fingerprint, { isWitness, delayMs: SAVE_RETRY_MS });
     }
     health.noteAnswer();
     const known = this.#storedCrashes.get(fingerprint) ?? 0;
@@ -354,10 +383,10 @@
 
   /** Deletes a record, or writes what is left of it. */
   #updateStored(fingerprint: contracts.RequestFingerprint): void {
-    const { store, prefix, health, clock } = this.#options;
+    const { store, prefix, health } = this.#options;
     this.#storedCrashes.delete(fingerprint);
     if (this.#tracker.crashes(fingerprint).length > 0) {
-      this.#unsaved.set(fingerprint, clock.nowMs());
+      this.#planSave(fingerprint, { isWitness: true, delayMs: 0 });
       return this.#tick();
     }
     store.delete(prefix + fingerprint, {
--- a/packages/entry/src/gateway/poison_guard_test.ts
+++ b/packages/entry/src/gateway/poison_guard_test.ts
@@ -24,6 +24,10 @@
   /** VMs that get no datagrams. */
   readonly cutOff = new Set<string>();
   readonly objects = new Map<string, string>();
+  /** VMs that read the store for all; undefined for all VMs. */
+  readers: readonly string[] | undefined;
+  /** VMs that have called the store to write. */
+  readonly writers = new Set<string>();
   /** VMs that the store turns away. */
   readonly turnedAway = new Set<string>();
   condition: ServerCondition = "ended";
@@ -60,7 +64,7 @@
       unixMs: () => Date.now(),
       log: SILENT,
       counts: new LabelledCounts(),
-      isReader: () => true,
+      isReader: () => this.readers?.includes(vm) ?? true,
     });
     guard.start(this.lifeCycle);
     return guard;
@@ -96,6 +100,7 @@
       list: unused,
       watch: unused,
       put: (name, value) => {
+        this.writers.add(vm);
         if (this.turnedAway.has(vm)) return neverthrow.errAsync(unavailable);
         this.objects.set(name, value);
         return neverthrow.okAsync("1");
@@ -177,6 +182,39 @@
     await waitUntil(() => cluster.objects.size === 1);
   }));
 
+/** The number of calls must not grow with the number of VMs. */
+test("should have only the witness and the readers write", () =>
+  withGuards(async (cluster) => {
+    cluster.readers = ["c"];
+    const witness = cluster.start("a");
+    for (const vm of ["b", "c", "d", "e"]) cluster.start(vm);
+    cluster.turnedAway.add("a");
+    await cluster.lose(witness, [0, 1, 2]);
+    await waitUntil(() => cluster.objects.size === 1);
+    await new Promise((resolve) => setTimeout(resolve, 600));
+    expect([...cluster.writers].sort()).toEqual(["a", "c"]);
+  }));
+
+/** Two VMs that know of different crashes write one after the other. */
+test("should write again what a VM with fewer crashes has overwritten", () =>
+  withGuards(async (cluster) => {
+    const guard = cluster.start("a");
+    await cluster.lose(guard, [0, 1, 2]);
+    await waitUntil(() => [...cluster.objects.values()].join().includes("s2"));
+    // The guard notes that its last write is done.
+    await new Promise((resolve) => setTimeout(resolve, 600));
+    const [[name, value]] = [...cluster.objects] as [[string, string]];
+    const fewer = JSON.stringify({
+      crashes: JSON.parse(value).crashes.slice(1),
+    });
+    cluster.objects.set(name, fewer);
+    guard.applyChanges([{
+      name,
+      object: { name, version: "2", value: fewer },
+    }]);
+    await waitUntil(() => cluster.objects.get(name) === value);
+  }));
+
 test("should learn from the store what was told while a VM was cut off", () =>
   withGuards(async (cluster) => {
     const first = cluster.start("a");
