fix(admission): free the slots of a failed VM before its queue can take them

Its log: VM 4 was killed, and from then on the coordinator of server k2 gave no slot to anyone, while k2 answered grants.

Requests are dropped first now, then all slots, whatever their age. The model test over random orders of requests, releases, failures and waits (2,000 orders) failed before and passes.

--- a/packages/decisions/src/admission/slot_coordinator.ts
+++ b/packages/decisions/src/admission/slot_coordinator.ts
@@ -140,8 +140,7 @@
       if (nowMs - messageMs < UNRESPONSIVE_VM_TIMEOUT_MS) continue;
       this.#lastMessageMs.delete(vm);
       for (const server of this.#servers.values()) {
-        server.dropUnlisted(vm, new Set(), nowMs);
-        server.dropPending(vm);
+        server.dropVm(vm, nowMs);
       }
     }
     for (const [name, server] of this.#servers) {
@@ -291,13 +290,17 @@
     }
   }
 
-  /** Drops the VM's slot requests. */
-  dropPending(vm: contracts.VmId): void {
+  /** Drops the VM's slot requests, then frees its slots. */
+  dropVm(vm: contracts.VmId, nowMs: number): void {
+    // In this order: a freed slot goes to the next request at once.
     for (const [key, pending] of this.#pending) {
       if (pending.vm !== vm) continue;
       this.#pending.delete(key);
       this.#queue.cancel(pending);
     }
+    for (const key of [...this.#held.keys()]) {
+      if (key.startsWith(`${vm}/`)) this.release(key, undefined, nowMs);
+    }
   }
 
   sweep(nowMs: number): void {
