fix(poison): tell peers of callers whose names are not ids

On the product's interface a caller names itself, and the name went into crash reports as it was. One with a space, a slash or letters beyond ASCII failed the peers' schema: they never counted the crash, and the whole answer to a VM that starts could not be read, so that it learned nothing. A name that is no id is now hashed, where requests are identified, for both interfaces.

Found on reading the change again. The test failed before; its fake of the peers now checks messages by their schemas, as the real one does.

--- a/packages/entry/src/gateway/request_identity.ts
+++ b/packages/entry/src/gateway/request_identity.ts
@@ -1,5 +1,5 @@
 /** What makes two requests the same to the backend servers that run them. */
-import type * as contracts from "@guavatide/contracts";
+import * as contracts from "@guavatide/contracts";
 import * as crypto from "node:crypto";
 import type { FrontRequest } from "./front_request.ts";
 
@@ -15,11 +15,14 @@
 
 /** The parts of a request that identify it. */
 export interface IdentifiedRequest
-  extends Pick<FrontRequest, "method" | "host" | "target" | "body" | "caller"> {
+  extends Pick<FrontRequest, "method" | "host" | "target" | "body"> {
   readonly key: number | string | undefined;
+  /** Name or address; empty when it is not known. */
+  readonly caller: string;
 }
 
 const FINGERPRINT_DIGITS = 32;
+const UNKNOWN_CALLER = "unknown" as contracts.CallerId;
 
 /** Returns the identity of a request. */
 export function identifyRequest(
@@ -29,6 +32,19 @@
     // JSON keeps the parts apart: no part can continue into the next.
     .update(JSON.stringify([method, host, target, key]));
   if (body !== undefined) hash.update(body);
-  const digest = hash.digest("hex").slice(0, FINGERPRINT_DIGITS);
-  return { fingerprint: digest as contracts.RequestFingerprint, caller };
+  const fingerprint = digestOf(hash) as contracts.RequestFingerprint;
+  return { fingerprint, caller: callerIdOf(caller) };
+}
+
+/** A caller may name itself anything; a name that is no id is hashed. */
+function callerIdOf(name: string): contracts.CallerId {
+  if (name === "") return UNKNOWN_CALLER;
+  const parsed = contracts.callerIdSchema.safeParse(name);
+  if (parsed.success) return parsed.data;
+  const hash = crypto.createHash("sha256").update(name);
+  return digestOf(hash) as contracts.CallerId;
+}
+
+function digestOf(hash: crypto.Hash): string {
+  return hash.digest("hex").slice(0, FINGERPRINT_DIGITS);
 }
--- a/packages/entry/src/requests/crash_guard.ts
+++ b/packages/entry/src/requests/crash_guard.ts
@@ -142,7 +142,7 @@
       target: pathAndQuery,
       key,
       body,
-      caller: (caller || "unknown") as contracts.CallerId,
+      caller,
     });
     this.#identities.set(request, identity);
     return identity;
--- a/packages/entry/src/requests/crash_guard_test.ts
+++ b/packages/entry/src/requests/crash_guard_test.ts
@@ -14,7 +14,7 @@
 /** Guards of several VMs that call one another in memory. */
 class GuardCluster {
   readonly lifeCycle = new LifeCycle();
-  readonly #handlers = new Map<string, (params: never) => unknown>();
+  readonly #handlers = new Map<string, (params: unknown) => unknown>();
   readonly #members = new Set<contracts.VmId>();
   readonly cutOff = new Set<string>();
   unixMs = 1_000_000;
@@ -31,11 +31,16 @@
         { params, schema }: PeerCallOptions<Schema>,
       ) => {
         if (this.cutOff.has(to)) return Promise.resolve(undefined);
-        const reply = this.#handlers.get(`${to} ${method}`)!(params as never);
-        return Promise.resolve(schema.parse(reply));
+        try {
+          const reply = this.#handlers.get(`${to} ${method}`)!(params);
+          return Promise.resolve(schema.parse(reply));
+        } catch {
+          return Promise.resolve(undefined);
+        }
       },
-      register: (method, _schema, handler) => {
-        this.#handlers.set(`${vm} ${method}`, handler);
+      register: (method, schema, handler) => {
+        const handleValid = (params: unknown) => handler(schema.parse(params));
+        this.#handlers.set(`${vm} ${method}`, handleValid);
       },
     };
     return new CrashGuard({
@@ -48,16 +53,19 @@
   }
 
   /** Three servers crash under the request, each seen by the next guard. */
-  async crash(guards: readonly CrashGuard[]): Promise<void> {
+  async crash(
+    guards: readonly CrashGuard[],
+    caller?: string,
+  ): Promise<void> {
     for (let server = 0; server < 3; server++) {
       this.unixMs += 5_000;
       const guard = guards[server % guards.length]!;
-      await guard.noteLostConnection(request(), address(server));
+      await guard.noteLostConnection(request(caller), address(server));
     }
   }
 }
 
-function request(): CallerRequest {
+function request(caller = "c1"): CallerRequest {
   return {
     service: "svc" as contracts.ServiceId,
     method: "GET",
@@ -65,7 +73,7 @@
     headers: [],
     body: undefined,
     key: undefined,
-    caller: "c1",
+    caller,
     timeoutMs: undefined,
     arrivedMs: 0,
     signal: new AbortController().signal,
@@ -103,6 +111,18 @@
       .toEqual([true, true, true]);
   }));
 
+/** Callers name themselves; peers must be able to read any name. */
+test("should tell peers of callers whose names are not ids", () =>
+  withGuards(async (cluster) => {
+    const [first, second] = ["a", "b"].map((name) => cluster.start(name));
+    for (const caller of ["team a/ä", ""]) {
+      await cluster.crash([first!], caller);
+      expect(second!.isPoisonous(request(caller))).toEqual(true);
+    }
+    const third = cluster.start("c");
+    await waitUntil(() => third.isPoisonous(request("team a/ä")));
+  }));
+
 test("should tell a VM that was cut off once it is reached", () =>
   withGuards(async (cluster) => {
     const [first, second] = ["a", "b"].map((name) => cluster.start(name));
