refactor(poison): one ledger of crashes for both request paths

The guard of the platform and that of the product's own interface each kept the identity of a request, judged it, recorded crashes and answers and logged them, in two copies. CrashLedger does it for both; each guard keeps how it tells peers and what it stores. The folder poison/ holds what both share.

Simpler with it: the check of a server takes the connection pools themselves, and a caller's address is no longer cut where it is read, since identities handle any name. The product's guard woke every second with nothing to send or ask; it now waits until there is something.

Verdicts, limits and times stay.

--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarded_request.ts
@@ -6,7 +6,7 @@
   AttemptRequest,
   AttemptResult,
 } from "../links/server_connection.ts";
-import { conditionBeforeRetry } from "../links/server_end_check.ts";
+import { conditionBeforeRetry } from "../poison/server_end_check.ts";
 import {
   type FrontAnswer,
   type FrontRequest,
--- a/packages/entry/src/gateway/front_listener.ts
+++ b/packages/entry/src/gateway/front_listener.ts
@@ -228,7 +228,7 @@
       headers: forwardedHeaders(incoming.rawHeaders, names),
       body: read.body,
       key: parseWholeNumber(headers[names.key]),
-      caller: callerOf(incoming.socket),
+      caller: incoming.socket.remoteAddress ?? "",
       deadlineMs: this.#deadlineMs(parseWholeNumber(headers[names.deadlineMs])),
       ...arrival,
       signal,
@@ -338,11 +338,6 @@
   return forwarded;
 }
 
-/** The caller's address, with the scope of an IPv6 address left out. */
-function callerOf({ remoteAddress }: net.Socket): contracts.CallerId {
-  return (remoteAddress ?? "unknown").split("%")[0] as contracts.CallerId;
-}
-
 function firstValue(value: string | string[] | undefined): string | undefined {
   return Array.isArray(value) ? value[0] : value;
 }
--- a/packages/entry/src/gateway/front_request.ts
+++ b/packages/entry/src/gateway/front_request.ts
@@ -13,8 +13,8 @@
   readonly headers: readonly string[];
   readonly body: Uint8Array | undefined;
   readonly key: number | undefined;
-  /** Address of the caller, without its port. */
-  readonly caller: contracts.CallerId;
+  /** Address of the caller, without its port; empty when it is not known. */
+  readonly caller: string;
   /** Time that the caller still waits; undefined when it sent none. */
   readonly deadlineMs: number | undefined;
   readonly arrivedMs: number;
--- a/packages/entry/src/gateway/poison_guard.ts
+++ b/packages/entry/src/gateway/poison_guard.ts
@@ -6,34 +6,32 @@
  */
 import * as contracts from "@guavatide/contracts";
 import * as poison from "@guavatide/decisions/poison/mod";
-import type {
-  ServerCondition,
-  ServerEndCheck,
-} from "../links/server_end_check.ts";
 import type { LabelledCounts } from "../metrics/labelled_counts.ts";
+import {
+  CrashLedger,
+  type CrashLedgerOptions,
+} from "../poison/crash_ledger.ts";
+import type { RequestIdentity } from "../poison/request_identity.ts";
+import type { ServerCondition } from "../poison/server_end_check.ts";
 import type { LifeCycle, PeriodicTask } from "../utils/life_cycle.ts";
-import type { Logger } from "../utils/log.ts";
 import type { FrontRequest } from "./front_request.ts";
 import type { ObjectChange } from "./object_table.ts";
 import { ANSWER_METHOD, CRASH_METHOD } from "./peer_messages.ts";
 import type { PeerGossip } from "./peer_gossip.ts";
-import { identifyRequest, type RequestIdentity } from "./request_identity.ts";
 import type { ServerRegistry } from "./server_registry.ts";
 import type { StoreHealth } from "./store_health.ts";
 
 /** Options of {@link PoisonGuard}. */
-export interface PoisonGuardOptions {
+export interface PoisonGuardOptions
+  extends
+    Pick<CrashLedgerOptions<FrontRequest>, "endCheck" | "unixMs" | "log"> {
   readonly store: contracts.PlatformStore;
   readonly health: StoreHealth;
   /** Name prefix of the records in the store. */
   readonly prefix: string;
   readonly gossip: Pick<PeerGossip, "on" | "broadcast">;
   readonly registry: Pick<ServerRegistry, "servers" | "staying">;
-  readonly endCheck: Pick<ServerEndCheck, "check">;
   readonly clock: contracts.Clock;
-  /** Milliseconds since the Unix epoch. */
-  readonly unixMs: () => number;
-  readonly log: Logger;
   /** Counts by service and event. */
   readonly counts: LabelledCounts;
   /** Whether this VM reads the store for all. */
@@ -64,8 +62,7 @@
 /** Verdicts on requests, from the crashes that all VMs have seen. */
 export class PoisonGuard {
   readonly #options: PoisonGuardOptions;
-  readonly #tracker = new poison.PoisonRequestTracker();
-  readonly #identities = new WeakMap<FrontRequest, RequestIdentity>();
+  readonly #ledger: CrashLedger<FrontRequest>;
   /** Number of crashes of each record in the store, as far as known. */
   readonly #storedCrashes = new Map<contracts.RequestFingerprint, number>();
   readonly #unsaved = new Map<contracts.RequestFingerprint, UnsavedRecord>();
@@ -75,6 +72,16 @@
 
   constructor(options: PoisonGuardOptions) {
     this.#options = options;
+    this.#ledger = new CrashLedger({
+      ...options,
+      partsOf: (request) => request,
+      versionCheckOf: () => (service, version) =>
+        options.registry.staying(service)
+          .some(({ softwareVersion = "" }) => softwareVersion === version),
+      remedy: "Release mended software, or delete its record from the store.",
+      onPoisonous: ({ service }) =>
+        options.counts.add(1, { service, event: "quarantined" }),
+    });
     options.gossip.on(
       CRASH_METHOD,
       contracts.crashReportSchema,
@@ -100,18 +107,12 @@
 
   /** Whether no server may run the request. */
   isPoisonous(request: FrontRequest): boolean {
-    if (this.#tracker.size === 0) return false;
-    const { fingerprint, caller } = this.identify(request);
-    return this.#verdict(fingerprint, caller) === "poisonous";
+    return this.#ledger.isPoisonous(request);
   }
 
   /** The identity of a request, which is the same for all its attempts. */
   identify(request: FrontRequest): RequestIdentity {
-    const known = this.#identities.get(request);
-    if (known !== undefined) return known;
-    const identity = identifyRequest(request);
-    this.#identities.set(request, identity);
-    return identity;
+    return this.#ledger.identify(request);
   }
 
   /** Counts a request that was refused for its crashes. */
@@ -127,15 +128,13 @@
     request: FrontRequest,
     entry: contracts.RegisteredServer,
   ): Promise<ServerCondition> {
-    const { endCheck, log, unixMs, counts, gossip } = this.#options;
+    const { unixMs, counts, gossip } = this.#options;
     const atMs = unixMs();
-    const condition = await endCheck.check(entry);
-    const { fingerprint, caller } = this.identify(request);
-    const { server, service, bornMs, softwareVersion = "" } = entry;
     const { id } = request;
-    const fields = { id, fingerprint, caller, server, service, condition };
-    log.info("Connection lost under a request.", fields);
+    const condition = await this.#ledger.checkServer(request, entry, { id });
     if (condition !== "ended" || this.#isLeaving(entry)) return condition;
+    const { fingerprint, caller } = this.identify(request);
+    const { server, service, bornMs, softwareVersion = "" } = entry;
     counts.add(1, { service, event: "crash" });
     const crash = { service, server, bornMs, softwareVersion, caller, atMs };
     const report: contracts.CrashReport = { fingerprint, crash };
@@ -153,13 +152,12 @@
    * A server ran the request to its end, which a poison request never reaches.
    */
   noteAnswer(request: FrontRequest): void {
-    if (this.#tracker.size === 0) return;
-    const { fingerprint, caller } = this.identify(request);
-    const report = { fingerprint, caller, atMs: this.#options.unixMs() };
-    const isStored = this.#storedCrashes.has(fingerprint);
-    if (!this.#clear(report)) return;
+    const report = this.#ledger.noteAnswer(request);
+    if (report === undefined) return;
+    const { fingerprint } = report;
+    this.#unsaved.delete(fingerprint);
     this.#options.gossip.broadcast(ANSWER_METHOD, report);
-    if (isStored) this.#updateStored(fingerprint);
+    if (this.#storedCrashes.has(fingerprint)) this.#updateStored(fingerprint);
   }
 
   /** Applies the records of the first list. */
@@ -175,20 +173,6 @@
     }
   }
 
-  #verdict(
-    fingerprint: contracts.RequestFingerprint,
-    caller: contracts.CallerId,
-  ): poison.PoisonVerdict {
-    const { registry } = this.#options;
-    return this.#tracker.verdict(
-      fingerprint,
-      caller,
-      (service, version) =>
-        registry.staying(service)
-          .some(({ softwareVersion = "" }) => softwareVersion === version),
-    );
-  }
-
   /** Whether a server was about to end, for reasons of its own. */
   #isLeaving({ service, server, bornMs }: contracts.RegisteredServer): boolean {
     const entry = this.#options.registry.servers(service)
@@ -197,14 +181,12 @@
   }
 
   #record(
-    { fingerprint, crash }: contracts.CrashReport,
+    report: contracts.CrashReport,
     { isWitness }: Pick<UnsavedRecord, "isWitness">,
   ): void {
-    const before = this.#verdict(fingerprint, crash.caller);
-    if (!this.#tracker.recordCrash(fingerprint, crash)) return;
-    this.#logVerdict(fingerprint, crash, before);
-    const crashes = this.#tracker.crashes(fingerprint);
-    if (poison.countServers(crashes) >= MIN_STORED_CRASHES) {
+    if (!this.#ledger.record(report)) return;
+    const { fingerprint } = report;
+    if (poison.countServers(this.#crashes(fingerprint)) >= MIN_STORED_CRASHES) {
       const delayMs = isWitness ? 0 : WITNESS_GRACE_MS;
       this.#planSave(fingerprint, { isWitness, delayMs });
     }
@@ -212,41 +194,14 @@
     if (isWitness) this.#tick();
   }
 
-  #logVerdict(
-    fingerprint: contracts.RequestFingerprint,
-    { caller, service }: contracts.ServerCrash,
-    before: poison.PoisonVerdict,
-  ): void {
-    const { log, counts } = this.#options;
-    const verdict = this.#verdict(fingerprint, caller);
-    if (verdict !== "poisonous" || before === "poisonous") return;
-    counts.add(1, { service, event: "quarantined" });
-    const crashes = this.#tracker.crashes(fingerprint);
-    log.warn(
-      "Refuses a request from now on: it has crashed the servers that ran it. " +
-        "Release mended software, or delete its record from the store.",
-      {
-        fingerprint,
-        caller,
-        service,
-        servers: crashes.map(({ server }) => server).join(),
-        versions: [
-          ...new Set(crashes.map(({ softwareVersion }) => softwareVersion)),
-        ].join(),
-      },
-    );
+  #clear(report: contracts.AnswerReport): void {
+    if (this.#ledger.clear(report)) this.#unsaved.delete(report.fingerprint);
   }
 
-  /** Applies an answer; true when it clears the caller's request. */
-  #clear(report: contracts.AnswerReport): boolean {
-    const { fingerprint, caller, atMs } = report;
-    if (!this.#tracker.recordAnswer(fingerprint, { caller, atMs })) {
-      return false;
-    }
-    this.#unsaved.delete(fingerprint);
-    const fields = { fingerprint, caller };
-    this.#options.log.info("A suspected request has been answered.", fields);
-    return true;
+  #crashes(
+    fingerprint: contracts.RequestFingerprint,
+  ): readonly contracts.ServerCrash[] {
+    return this.#ledger.tracker.crashes(fingerprint);
   }
 
   #applyStored({ name, value }: contracts.StoredObject): void {
@@ -254,13 +209,9 @@
     const crashes = this.#decode(name, value);
     if (crashes === undefined) return;
     this.#storedCrashes.set(fingerprint, crashes.length);
-    for (const crash of crashes) {
-      const before = this.#verdict(fingerprint, crash.caller);
-      if (!this.#tracker.recordCrash(fingerprint, crash)) continue;
-      this.#logVerdict(fingerprint, crash, before);
-    }
+    for (const crash of crashes) this.#ledger.record({ fingerprint, crash });
     // A VM that knew of fewer crashes has written last.
-    if (this.#tracker.crashes(fingerprint).length > crashes.length) {
+    if (this.#crashes(fingerprint).length > crashes.length) {
       const delayMs = WITNESS_GRACE_MS;
       this.#planSave(fingerprint, { isWitness: false, delayMs });
     }
@@ -284,8 +235,8 @@
   #forget(fingerprint: contracts.RequestFingerprint): void {
     this.#storedCrashes.delete(fingerprint);
     this.#unsaved.delete(fingerprint);
-    if (this.#tracker.crashes(fingerprint).length === 0) return;
-    this.#tracker.delete(fingerprint);
+    if (this.#crashes(fingerprint).length === 0) return;
+    this.#ledger.tracker.delete(fingerprint);
     this.#options.log.info("A request's record of crashes was deleted.", {
       fingerprint,
     });
@@ -312,14 +263,14 @@
     this.#task?.setIntervalMs(
       this.#unsaved.size > 0
         ? SAVE_INTERVAL_MS
-        : this.#tracker.size > 0
+        : this.#ledger.tracker.size > 0
         ? EXPIRY_INTERVAL_MS
         : Number.POSITIVE_INFINITY,
     );
   }
 
   #tick(): void {
-    this.#tracker.expire(this.#options.unixMs());
+    this.#ledger.tracker.expire(this.#options.unixMs());
     this.#dropUntracked();
     if (!this.#isSaving) {
       this.#isSaving = true;
@@ -334,7 +285,7 @@
   /** Drops the records of requests that have expired or made room for others. */
   #dropUntracked(): void {
     for (const fingerprint of [...this.#storedCrashes.keys()]) {
-      if (this.#tracker.crashes(fingerprint).length > 0) continue;
+      if (this.#crashes(fingerprint).length > 0) continue;
       this.#storedCrashes.delete(fingerprint);
       this.#unsaved.delete(fingerprint);
       if (this.#options.isReader()) this.#updateStored(fingerprint);
@@ -345,7 +296,7 @@
     const { clock, isReader } = this.#options;
     const nowMs = clock.nowMs();
     for (const [fingerprint, { dueMs, isWitness }] of [...this.#unsaved]) {
-      const { length } = this.#tracker.crashes(fingerprint);
+      const { length } = this.#crashes(fingerprint);
       const isStored = (this.#storedCrashes.get(fingerprint) ?? 0) >= length;
       if (isStored) this.#unsaved.delete(fingerprint);
       else if (dueMs <= nowMs && (isWitness || isReader())) {
@@ -356,7 +307,7 @@
 
   async #save(fingerprint: contracts.RequestFingerprint): Promise<void> {
     const { store, prefix, health, log } = this.#options;
-    const crashes = [...this.#tracker.crashes(fingerprint)];
+    const crashes = [...this.#crashes(fingerprint)];
     const record: contracts.StoredPoisonRequest = { crashes };
     const written = await store.put(
       prefix + fingerprint,
@@ -385,7 +336,7 @@
   #updateStored(fingerprint: contracts.RequestFingerprint): void {
     const { store, prefix, health } = this.#options;
     this.#storedCrashes.delete(fingerprint);
-    if (this.#tracker.crashes(fingerprint).length > 0) {
+    if (this.#crashes(fingerprint).length > 0) {
       this.#planSave(fingerprint, { isWitness: true, delayMs: 0 });
       return this.#tick();
     }
--- a/packages/entry/src/gateway/poison_guard_test.ts
+++ b/packages/entry/src/gateway/poison_guard_test.ts
@@ -3,7 +3,7 @@
 import * as neverthrow from "neverthrow";
 import { test } from "node:test";
 import type * as z from "zod";
-import type { ServerCondition } from "../links/server_end_check.ts";
+import type { ServerCondition } from "../poison/server_end_check.ts";
 import { LabelledCounts } from "../metrics/labelled_counts.ts";
 import { LifeCycle } from "../utils/life_cycle.ts";
 import { waitUntil } from "../requests/fakes_test_support.ts";
@@ -122,7 +122,7 @@
     headers: [],
     body: undefined,
     key: 3,
-    caller: caller as contracts.CallerId,
+    caller,
     deadlineMs: 1_000,
     arrivedMs: 0,
     lagMs: 0,
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -3,7 +3,7 @@
 import * as grants from "@guavatide/decisions/grants/mod";
 import * as ownership from "@guavatide/decisions/ownership/mod";
 import * as connectionPools from "../links/connection_pools.ts";
-import { ServerEndCheck } from "../links/server_end_check.ts";
+import { ServerEndCheck } from "../poison/server_end_check.ts";
 import { MeteredStore } from "../metrics/metered_store.ts";
 import {
   MonotonicClock,
@@ -217,9 +217,7 @@
     prefix: adapter.prefixes.poisonRequests,
     gossip,
     registry,
-    endCheck: new ServerEndCheck({
-      hasOpenConnection: (server) => connections.hasOpenConnection(server),
-    }),
+    endCheck: new ServerEndCheck(connections),
     clock,
     unixMs: () => Date.now(),
     log: log.part("route"),
--- a/packages/entry/src/gateway/request_identity.ts
+++ b/packages/entry/src/poison/request_identity.ts
@@ -1,7 +1,7 @@
 /** What makes two requests the same to the backend servers that run them. */
 import * as contracts from "@guavatide/contracts";
 import * as crypto from "node:crypto";
-import type { FrontRequest } from "./front_request.ts";
+import type { FrontRequest } from "../gateway/front_request.ts";
 
 /** Content and caller of a request; each attempt of its caller has the same. */
 export interface RequestIdentity {
@@ -15,10 +15,8 @@
 
 /** The parts of a request that identify it. */
 export interface IdentifiedRequest
-  extends Pick<FrontRequest, "method" | "host" | "target" | "body"> {
+  extends Pick<FrontRequest, "method" | "host" | "target" | "body" | "caller"> {
   readonly key: number | string | undefined;
-  /** Name or address; empty when it is not known. */
-  readonly caller: string;
 }
 
 const FINGERPRINT_DIGITS = 32;
--- a/packages/entry/src/links/server_end_check.ts
+++ b/packages/entry/src/poison/server_end_check.ts
@@ -19,10 +19,10 @@
   "server" | "bornMs" | "host" | "port"
 >;
 
-/** Options of {@link ServerEndCheck}. */
-export interface ServerEndCheckOptions {
+/** Connections to servers, as {@link ServerEndCheck} uses them. */
+export interface OpenConnections {
   /** Whether a connection to the server is open. */
-  readonly hasOpenConnection: (server: contracts.ServerId) => boolean;
+  hasOpenConnection(server: contracts.ServerId): boolean;
 }
 
 /** Time for the other connections of a server that has ended to close. */
@@ -45,11 +45,11 @@
 
 /** Checks servers; requests lost at the same time share one check. */
 export class ServerEndCheck {
-  readonly #options: ServerEndCheckOptions;
+  readonly #connections: OpenConnections;
   readonly #pending = new Map<string, Promise<ServerCondition>>();
 
-  constructor(options: ServerEndCheckOptions) {
-    this.#options = options;
+  constructor(connections: OpenConnections) {
+    this.#connections = connections;
   }
 
   /** Checks a server that has just broken off a connection. Never rejects. */
@@ -68,7 +68,7 @@
     await timers.setTimeout(SIBLING_CLOSE_MS);
     // Closes that have arrived are read before this continues.
     await timers.setImmediate();
-    if (this.#options.hasOpenConnection(server)) return "running";
+    if (this.#connections.hasOpenConnection(server)) return "running";
     return connect(host, port);
   }
 }
--- a/packages/entry/src/requests/active_request.ts
+++ b/packages/entry/src/requests/active_request.ts
@@ -3,7 +3,7 @@
 import * as names from "@guavatide/contracts";
 import * as poison from "@guavatide/decisions/poison/mod";
 import * as routing from "@guavatide/decisions/routing/mod";
-import { conditionBeforeRetry } from "../links/server_end_check.ts";
+import { conditionBeforeRetry } from "../poison/server_end_check.ts";
 import type { ServerClock } from "../links/server_clock.ts";
 import type {
   AttemptRequest,
--- a/packages/entry/src/requests/crash_guard.ts
+++ b/packages/entry/src/requests/crash_guard.ts
@@ -5,31 +5,24 @@
  * that are known.
  */
 import * as contracts from "@guavatide/contracts";
-import * as poison from "@guavatide/decisions/poison/mod";
 import * as z from "zod";
 import type { ServerAddress } from "../contracts/views.ts";
 import {
-  identifyRequest,
-  type RequestIdentity,
-} from "../gateway/request_identity.ts";
-import type {
-  ServerCondition,
-  ServerEndCheck,
-} from "../links/server_end_check.ts";
-import type { LifeCycle } from "../utils/life_cycle.ts";
-import type { Logger } from "../utils/log.ts";
+  CrashLedger,
+  type CrashLedgerOptions,
+} from "../poison/crash_ledger.ts";
+import type { ServerCondition } from "../poison/server_end_check.ts";
+import type { LifeCycle, PeriodicTask } from "../utils/life_cycle.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import type { PeerRpc } from "./peer_rpc.ts";
 
 /** Options of {@link CrashGuard}. */
-export interface CrashGuardOptions {
+export interface CrashGuardOptions
+  extends
+    Pick<CrashLedgerOptions<CallerRequest>, "endCheck" | "unixMs" | "log"> {
   /** Without peers, this VM judges by the crashes that it has seen itself. */
   readonly peers?: PeerRpc | undefined;
-  readonly endCheck: Pick<ServerEndCheck, "check">;
-  /** Milliseconds since the Unix epoch. */
-  readonly unixMs: () => number;
   readonly lifeCycle: LifeCycle;
-  readonly log: Logger;
 }
 
 const CRASH_METHOD = "crash-report";
@@ -38,6 +31,7 @@
 const CALL_TIMEOUT_MS = 500;
 /** Reports that a peer has not received are sent again at this interval. */
 const RETRY_INTERVAL_MS = 1_000;
+const EXPIRY_INTERVAL_MS = 10_000;
 /** A peer that was cut off for longer has to restart to learn of a crash. */
 const RETRY_LIMIT_MS = 60_000;
 /**
@@ -66,38 +60,44 @@
 /** Verdicts on requests, from the crashes that the entry VMs have seen. */
 export class CrashGuard {
   readonly #options: CrashGuardOptions;
-  readonly #tracker = new poison.PoisonRequestTracker();
-  readonly #identities = new WeakMap<CallerRequest, RequestIdentity>();
+  readonly #ledger: CrashLedger<CallerRequest>;
   #pending: PendingReport[] = [];
   #hasAsked = false;
+  #task: PeriodicTask | undefined;
 
   constructor(options: CrashGuardOptions) {
     this.#options = options;
     const { peers, lifeCycle } = options;
+    this.#ledger = new CrashLedger({
+      ...options,
+      partsOf: ({ method, service, pathAndQuery, key, body, caller }) => (
+        { method, host: service, target: pathAndQuery, key, body, caller }
+      ),
+      versionCheckOf: (fingerprint) => () => this.#hasRecentCrash(fingerprint),
+      remedy: "Release mended software; one attempt is let through every " +
+        `${TRIAL_INTERVAL_MS / 1_000} s.`,
+    });
     if (peers === undefined) return;
-    peers.register(
-      CRASH_METHOD,
-      contracts.crashReportSchema,
-      (report) => this.#record(report),
-    );
-    peers.register(
-      ANSWER_METHOD,
-      contracts.answerReportSchema,
-      (report) => this.#clear(report),
-    );
+    peers.register(CRASH_METHOD, contracts.crashReportSchema, (report) => {
+      this.#ledger.record(report);
+      this.#schedule();
+      return {};
+    });
+    peers.register(ANSWER_METHOD, contracts.answerReportSchema, (report) => {
+      this.#ledger.clear(report);
+      return {};
+    });
     peers.register(
       KNOWN_CRASHES_METHOD,
       receivedSchema,
       () => ({ crashes: this.#knownCrashes() }),
     );
-    lifeCycle.every(RETRY_INTERVAL_MS, () => this.#tick(peers));
+    this.#task = lifeCycle.every(RETRY_INTERVAL_MS, () => this.#tick(peers));
   }
 
   /** Whether no server may run the request. */
   isPoisonous(request: CallerRequest): boolean {
-    if (this.#tracker.size === 0) return false;
-    const { fingerprint, caller } = this.#identify(request);
-    return this.#verdict(fingerprint, caller) === "poisonous";
+    return this.#ledger.isPoisonous(request);
   }
 
   /**
@@ -106,91 +106,39 @@
    */
   async noteLostConnection(
     request: CallerRequest,
-    { server, service, host, port, state }: ServerAddress,
+    address: ServerAddress,
   ): Promise<ServerCondition> {
-    const { endCheck, log, unixMs } = this.#options;
-    const atMs = unixMs();
-    const condition = await endCheck.check({ server, bornMs: 0, host, port });
-    const { fingerprint, caller } = this.#identify(request);
-    const fields = { fingerprint, caller, server, service, condition };
-    log.info("Connection lost under a request.", fields);
-    if (condition !== "ended" || state !== "live") return condition;
+    const atMs = this.#options.unixMs();
     const bornMs = Math.floor(atMs / RESTART_MIN_MS) * RESTART_MIN_MS;
+    const losing = { ...address, bornMs };
+    const condition = await this.#ledger.checkServer(request, losing);
+    if (condition !== "ended" || address.state !== "live") return condition;
+    const { fingerprint, caller } = this.#ledger.identify(request);
+    const { server, service } = address;
     const softwareVersion = "";
     const crash = { service, server, bornMs, softwareVersion, caller, atMs };
     const report = { fingerprint, crash };
-    this.#record(report);
+    this.#ledger.record(report);
     this.#report(CRASH_METHOD, report);
     return condition;
   }
 
   /** A server ran the request to its end. */
   noteAnswer(request: CallerRequest): void {
-    if (this.#tracker.size === 0) return;
-    const { fingerprint, caller } = this.#identify(request);
-    const report = { fingerprint, caller, atMs: this.#options.unixMs() };
-    if (this.#clear(report).isCleared) this.#report(ANSWER_METHOD, report);
-  }
-
-  #identify(request: CallerRequest): RequestIdentity {
-    const known = this.#identities.get(request);
-    if (known !== undefined) return known;
-    const { method, service, pathAndQuery, key, body, caller } = request;
-    const identity = identifyRequest({
-      method,
-      host: service,
-      target: pathAndQuery,
-      key,
-      body,
-      caller,
-    });
-    this.#identities.set(request, identity);
-    return identity;
+    const report = this.#ledger.noteAnswer(request);
+    if (report !== undefined) this.#report(ANSWER_METHOD, report);
   }
 
-  #verdict(
-    fingerprint: contracts.RequestFingerprint,
-    caller: contracts.CallerId,
-  ): poison.PoisonVerdict {
+  #hasRecentCrash(fingerprint: contracts.RequestFingerprint): boolean {
     const nowMs = this.#options.unixMs();
-    const isRecent = this.#tracker.crashes(fingerprint)
+    return this.#ledger.tracker.crashes(fingerprint)
       .some(({ atMs }) => nowMs - atMs < TRIAL_INTERVAL_MS);
-    return this.#tracker.verdict(fingerprint, caller, () => isRecent);
-  }
-
-  #record({ fingerprint, crash }: contracts.CrashReport): object {
-    const { caller } = crash;
-    const before = this.#verdict(fingerprint, caller);
-    this.#tracker.recordCrash(fingerprint, crash);
-    const isPoisonous = this.#verdict(fingerprint, caller) === "poisonous";
-    if (isPoisonous && before !== "poisonous") {
-      const servers = this.#tracker.crashes(fingerprint)
-        .map(({ server }) => server).join();
-      this.#options.log.warn(
-        "Refuses a request from now on: it has crashed the servers that ran " +
-          "it. Release mended software; one attempt is let through every " +
-          `${TRIAL_INTERVAL_MS / 1_000} s.`,
-        { fingerprint, caller, service: crash.service, servers },
-      );
-    }
-    return {};
-  }
-
-  #clear({ fingerprint, caller, atMs }: contracts.AnswerReport): {
-    readonly isCleared: boolean;
-  } {
-    const isCleared = this.#tracker.recordAnswer(fingerprint, { caller, atMs });
-    const fields = { fingerprint, caller };
-    if (isCleared) {
-      this.#options.log.info("A suspected request has been answered.", fields);
-    }
-    return { isCleared };
   }
 
   #knownCrashes(): contracts.CrashReport[] {
-    return this.#tracker.fingerprints.flatMap((fingerprint) =>
-      this.#tracker.crashes(fingerprint)
-        .map((crash) => ({ fingerprint, crash }))
+    const { tracker } = this.#ledger;
+    return tracker.fingerprints.flatMap((fingerprint) =>
+      tracker.crashes(fingerprint).map((crash) => ({ fingerprint, crash }))
     );
   }
 
@@ -202,16 +150,30 @@
     const pending = { method, report, unreached: new Set(others), untilMs };
     this.#pending.push(pending);
     this.#send(peers, pending);
+    this.#schedule();
+  }
+
+  /** Runs the task only while there is something to send, ask or forget. */
+  #schedule(): void {
+    const isBusy = this.#pending.length > 0 || !this.#hasAsked;
+    this.#task?.setIntervalMs(
+      isBusy
+        ? RETRY_INTERVAL_MS
+        : this.#ledger.tracker.size > 0
+        ? EXPIRY_INTERVAL_MS
+        : Number.POSITIVE_INFINITY,
+    );
   }
 
   #tick(peers: PeerRpc): void {
     const nowMs = this.#options.unixMs();
-    this.#tracker.expire(nowMs);
+    this.#ledger.tracker.expire(nowMs);
     this.#pending = this.#pending.filter(({ unreached, untilMs }) =>
       unreached.size > 0 && nowMs < untilMs
     );
     for (const pending of this.#pending) this.#send(peers, pending);
     if (!this.#hasAsked) this.#askPeers(peers);
+    this.#schedule();
   }
 
   #send(
@@ -238,7 +200,8 @@
       }).then((reply) => {
         if (reply === undefined) return;
         this.#hasAsked = true;
-        for (const report of reply.crashes) this.#record(report);
+        for (const report of reply.crashes) this.#ledger.record(report);
+        this.#schedule();
       });
     }
   }
--- a/packages/entry/src/requests/request_router.ts
+++ b/packages/entry/src/requests/request_router.ts
@@ -8,7 +8,7 @@
   ServerView,
 } from "../contracts/views.ts";
 import type { ConnectionPools } from "../links/connection_pools.ts";
-import { ServerEndCheck } from "../links/server_end_check.ts";
+import { ServerEndCheck } from "../poison/server_end_check.ts";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import type { Logger, LoggerFactory } from "../utils/log.ts";
 import {
@@ -92,10 +92,7 @@
     const { connectionPools, peers, lifeCycle } = options;
     this.#crashGuard = new CrashGuard({
       peers,
-      endCheck: new ServerEndCheck({
-        hasOpenConnection: (server) =>
-          connectionPools.hasOpenConnection(server),
-      }),
+      endCheck: new ServerEndCheck(connectionPools),
       unixMs: () => Date.now(),
       lifeCycle,
       log: this.#log,
