--- a/packages/ctl/src/request_explanation.ts
+++ b/packages/ctl/src/request_explanation.ts
@@ -12,8 +12,9 @@
 
 /**
  * Lines that explain a request, ordered by time: its own, and those about the
- * servers it was sent to, the configuration, the platform's store and zone
- * evacuations, and, at any age, the servers that its content has crashed. Lines that are not JSON are skipped; empty for an unknown ID.
+ * servers it was sent to, the configuration and the platform's store; at any
+ * age, those about zone evacuations and crashes under its content. Lines that
+ * are not JSON are skipped; empty for an unknown ID.
  */
 export function explainRequest(id: string, log: string): LogLine[] {
   const lines = log.split("\n").map(parseLogLine).filter((line) =>
--- a/packages/entry/src/gateway/poison_guard_test.ts
+++ b/packages/entry/src/gateway/poison_guard_test.ts
@@ -6,7 +6,7 @@
 import type { ServerCondition } from "../poison/server_end_check.ts";
 import { LabelledCounts } from "../metrics/labelled_counts.ts";
 import { LifeCycle } from "../utils/life_cycle.ts";
-import { waitUntil } from "../requests/fakes_test_support.ts";
+import { waitUntil, withFixture } from "../requests/fakes_test_support.ts";
 import type { FrontRequest } from "./front_request.ts";
 import { PoisonGuard } from "./poison_guard.ts";
 import { StoreHealth } from "./store_health.ts";
@@ -130,15 +130,10 @@
   };
 }
 
-async function withGuards(
+function withGuards(
   run: (cluster: GuardCluster) => Promise<void>,
 ): Promise<void> {
-  const cluster = new GuardCluster();
-  try {
-    await run(cluster);
-  } finally {
-    await cluster.lifeCycle.stop();
-  }
+  return withFixture(new GuardCluster(), run);
 }
 
 test("should refuse at all VMs what servers have crashed under at different ones", () =>
--- a/packages/entry/src/requests/crash_guard_test.ts
+++ b/packages/entry/src/requests/crash_guard_test.ts
@@ -6,7 +6,7 @@
 import { LifeCycle } from "../utils/life_cycle.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import { CrashGuard } from "./crash_guard.ts";
-import { waitUntil } from "./fakes_test_support.ts";
+import { waitUntil, withFixture } from "./fakes_test_support.ts";
 import type { PeerCallOptions, PeerRpc } from "./peer_rpc.ts";
 
 const SILENT = { debug() {}, info() {}, warn() {}, error() {} };
@@ -91,15 +91,10 @@
   };
 }
 
-async function withGuards(
+function withGuards(
   run: (cluster: GuardCluster) => Promise<void>,
 ): Promise<void> {
-  const cluster = new GuardCluster();
-  try {
-    await run(cluster);
-  } finally {
-    await cluster.lifeCycle.stop();
-  }
+  return withFixture(new GuardCluster(), run);
 }
 
 /** Each VM would send the request to three servers of its own. */
--- a/packages/entry/src/requests/fakes_test_support.ts
+++ b/packages/entry/src/requests/fakes_test_support.ts
@@ -200,6 +200,20 @@
   return { url: `http://127.0.0.1:${port}`, lifeCycle, addresses };
 }
 
+/** Runs a test with a fixture and stops the fixture's life cycle at its end. */
+export async function withFixture<
+  Fixture extends { readonly lifeCycle: LifeCycle },
+>(
+  fixture: Fixture,
+  run: (fixture: Fixture) => Promise<void>,
+): Promise<void> {
+  try {
+    await run(fixture);
+  } finally {
+    await fixture.lifeCycle.stop();
+  }
+}
+
 /** Polls a condition. Errors: rejects after the timeout. */
 export async function waitUntil(
   condition: () => boolean,
--- a/packages/entry/src/requests/poison_requests_test.ts
+++ b/packages/entry/src/requests/poison_requests_test.ts
@@ -7,6 +7,7 @@
   FakeBackend,
   startEntry,
   type TestEntry,
+  withFixture,
 } from "./fakes_test_support.ts";
 
 const SERVERS = 6;
@@ -34,12 +35,10 @@
   run: (entry: TestEntry, crashes: readonly string[]) => Promise<void>,
 ): Promise<void> {
   const { backends, crashes } = crashingBackends();
-  const entry = await startEntry(backends);
-  try {
-    await run(entry, crashes);
-  } finally {
-    await entry.lifeCycle.stop();
-  }
+  await withFixture(
+    await startEntry(backends),
+    (entry) => run(entry, crashes),
+  );
 }
 
 /** A retry may not be what crashes the third server. */
