feat(gateway): log and count what reaches servers that limit their requests

A VM now reads the limit that an answer names (in platform/, under both names of the header), logs when one is imposed, changed or lifted, and once a second for each limited server its limit, the age of the answer that named it and the requests, grants and releases sent. The counter guavatide_limited_server_calls has the same by kind.

No decision uses the limit yet. Nothing runs while no server names one.

--- a/packages/contracts/src/key_grants.ts
+++ b/packages/contracts/src/key_grants.ts
@@ -9,6 +9,7 @@
 import { serverIdSchema, serviceIdSchema, vmIdSchema } from "./ids.ts";
 import type { CallOptions } from "./platform_store.ts";
 import type { RegisteredServer } from "./registered_server.ts";
+import type { RequestLimitReport } from "./server_report.ts";
 
 /** Number of keys: whole numbers from 0 up to, but not including, this. */
 export const KEY_COUNT = 65_536;
@@ -41,6 +42,8 @@
    * sent.
    */
   readonly maySend?: () => boolean;
+  /** Called with the limit that the answer names, if it names one. */
+  readonly onRequestLimit?: (report: RequestLimitReport) => void;
 }
 
 /** Grant calls of one platform. */
--- a/packages/contracts/src/server_report.ts
+++ b/packages/contracts/src/server_report.ts
@@ -14,3 +14,10 @@
    */
   readonly slowdownRatio: number | undefined;
 }
+
+/** What an answer says about the rate of requests that its server takes. */
+export type RequestLimitReport =
+  /** From all entry VMs together, for as long as its answers say so. */
+  | { readonly kind: "limited"; readonly requestsPerSecond: number }
+  /** The text is not a rate, so it changes nothing. */
+  | { readonly kind: "malformed"; readonly text: string };
--- a/packages/decisions/src/admission/mod.ts
+++ b/packages/decisions/src/admission/mod.ts
@@ -3,6 +3,7 @@
  */
 export * from "./cold_start_limit.ts";
 export * from "./lag_shedding.ts";
+export * from "./request_limits.ts";
 export * from "./server_load.ts";
 export * from "./server_ranking.ts";
 export * from "./service_queue.ts";
--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarded_request.ts
@@ -41,6 +41,14 @@
     report: contracts.ServerReport,
     nowMs: number,
   ): void;
+  /** A request is sent to a server. */
+  recordSend(server: contracts.ServerId): void;
+  /** A server answered what was sent at `sentAtMs`, perhaps with a limit. */
+  recordRequestLimit(
+    server: contracts.ServerId,
+    report: contracts.RequestLimitReport | undefined,
+    sentAtMs: number,
+  ): void;
   /** Knows which requests crash the servers that run them. */
   readonly poison: PoisonGuard;
   /** The request is finished. */
@@ -154,6 +162,7 @@
     this.#context.onLoadChange();
     const leftMs = this.answerByMs - nowMs;
     this.#isSendPending = true;
+    this.#context.recordSend(entry.server);
     const result = await this.#context.send(
       entry,
       this.#attemptRequest(entry, leftMs),
@@ -167,6 +176,7 @@
     if (report !== undefined) {
       this.#context.recordServerReport(entry.server, report, endedMs);
     }
+    this.#recordRequestLimit(result, entry.server, nowMs);
     this.#attempts.push({
       server: entry.server,
       outstanding,
@@ -187,6 +197,18 @@
     if (!this.#isKeyedService()) this.#context.queue.dispatch(endedMs);
   }
 
+  #recordRequestLimit(
+    result: AttemptResult,
+    server: contracts.ServerId,
+    sentAtMs: number,
+  ): void {
+    if (result.kind !== "answer" && result.kind !== "refusal") return;
+    const { requestLimit } = result;
+    // A refusal without a limit may be written by what has no load to tell.
+    if (result.kind === "refusal" && requestLimit === undefined) return;
+    this.#context.recordRequestLimit(server, requestLimit, sentAtMs);
+  }
+
   #attemptRequest(
     entry: contracts.RegisteredServer,
     leftMs: number,
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -22,6 +22,7 @@
 import type { PeerGossip } from "./peer_gossip.ts";
 import type { LoadUpdate, PeerStatus } from "./peer_messages.ts";
 import type { HeaderNames } from "./platform_adapter.ts";
+import type { RequestLimitTask } from "./request_limit_task.ts";
 import type { RequestRecord } from "./request_log.ts";
 import type { ServerRegistry } from "./server_registry.ts";
 import type { SlotTask } from "./slot_task.ts";
@@ -42,6 +43,7 @@
   readonly headers: HeaderNames;
   readonly budget: admission.SharedRetryBudgetOptions;
   readonly coldStarts: ColdStartLimits;
+  readonly requestLimits: RequestLimitTask;
   readonly clock: contracts.Clock;
   readonly random: contracts.RandomSource;
   readonly log: Logger;
@@ -212,7 +214,7 @@
     state: ServiceState,
     configVersion: number,
   ): ForwardingContext {
-    const { clock, gossip, onFinished, poison } = this.#options;
+    const { clock, gossip, onFinished, poison, requestLimits } = this.#options;
     return {
       service,
       queue: state.queue,
@@ -230,6 +232,9 @@
         this.#headers(request, entry, leftMs),
       recordServerReport: (server, report, nowMs) =>
         this.#recordServerReport(state, { server, report, nowMs }),
+      recordSend: (server) => requestLimits.noteCall(server, "request"),
+      recordRequestLimit: (server, report, sentAtMs) =>
+        requestLimits.noteAnswer(server, report, sentAtMs),
       poison,
       onFinished,
       onLoadChange: state.isKeyed
--- a/packages/entry/src/gateway/gateway_metrics.ts
+++ b/packages/entry/src/gateway/gateway_metrics.ts
@@ -23,6 +23,8 @@
   readonly storeCalls = new LabelledCounts();
   /** Crashes under requests, and what followed from them. */
   readonly poisonRequests = new LabelledCounts();
+  /** Calls to servers that limit their requests, by kind. */
+  readonly limitedServerCalls = new LabelledCounts();
   /** Datagrams to peers. */
   readonly peerDatagrams = new LabelledCounts();
   /** Bytes in datagrams to peers. */
@@ -96,6 +98,7 @@
       [this.#retries, metrics.retries],
       [this.storeCalls, metrics.storeCalls],
       [this.poisonRequests, metrics.poisonRequests],
+      [this.limitedServerCalls, metrics.limitedServerCalls],
       [this.peerDatagrams, metrics.peerDatagrams],
       [this.peerBytes, metrics.peerBytes],
     ] as const;
--- /dev/null
+++ b/packages/entry/src/gateway/limited_grant_control.ts
@@ -0,0 +1,51 @@
+/** Grant calls whose number and answers count for their server's limit. */
+import type * as contracts from "@guavatide/contracts";
+import type { RequestLimitTask } from "./request_limit_task.ts";
+
+/** Reports each call that is sent, and limits that answers name. */
+export class LimitedGrantControl implements contracts.GrantControl {
+  readonly #control: contracts.GrantControl;
+  readonly #limits: Pick<RequestLimitTask, "noteAnswer" | "noteCall">;
+  readonly #clock: contracts.Clock;
+
+  constructor(
+    control: contracts.GrantControl,
+    limits: Pick<RequestLimitTask, "noteAnswer" | "noteCall">,
+    clock: contracts.Clock,
+  ) {
+    this.#control = control;
+    this.#limits = limits;
+    this.#clock = clock;
+  }
+
+  grant(
+    server: contracts.RegisteredServer,
+    grant: contracts.KeyGrant,
+    options: contracts.GrantCallOptions,
+  ): ReturnType<contracts.GrantControl["grant"]> {
+    const sentAtMs = this.#clock.nowMs();
+    return this.#control.grant(server, grant, {
+      ...options,
+      maySend: () => {
+        const maySend = options.maySend?.() ?? true;
+        if (maySend) this.#limits.noteCall(server.server, "grant");
+        return maySend;
+      },
+      onRequestLimit: (report) =>
+        this.#limits.noteAnswer(server.server, report, sentAtMs),
+    });
+  }
+
+  release(
+    server: contracts.RegisteredServer,
+    range: contracts.KeyRange & { readonly fence: number },
+    options: contracts.CallOptions,
+  ): ReturnType<contracts.GrantControl["release"]> {
+    this.#limits.noteCall(server.server, "release");
+    return this.#control.release(server, range, options);
+  }
+
+  close(): Promise<void> {
+    return this.#control.close();
+  }
+}
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -26,6 +26,8 @@
 import { PoisonGuard } from "./poison_guard.ts";
 import { RangeMapStore } from "./range_map_store.ts";
 import { ReadinessServer } from "./readiness_server.ts";
+import { LimitedGrantControl } from "./limited_grant_control.ts";
+import { RequestLimitTask } from "./request_limit_task.ts";
 import { RequestLog } from "./request_log.ts";
 import { ServerRegistry } from "./server_registry.ts";
 import { SlotTask } from "./slot_task.ts";
@@ -170,6 +172,12 @@
     hasher,
     clock,
   });
+  const requestLimits = new RequestLimitTask({
+    registry,
+    clock,
+    log: log.part("route"),
+    counts: metrics.limitedServerCalls,
+  });
   const grantTask: GrantTask = new GrantTask({
     self,
     timings: timingsOf(settings),
@@ -180,7 +188,7 @@
     gossip,
     rpc: calls,
     maps: new RangeMapStore({ store, health, log: log.part("owner") }),
-    control: adapter.grants,
+    control: new LimitedGrantControl(adapter.grants, requestLimits, clock),
     health,
     clock: suspensionClock,
     log: log.part("owner"),
@@ -242,6 +250,7 @@
       windowMs: settings.retryBudget.windowSeconds * 1000,
     },
     coldStarts,
+    requestLimits,
     clock,
     random,
     log: log.part("route"),
@@ -329,6 +338,7 @@
     grantTask,
     slots,
     poison,
+    requestLimits,
     forwarder,
     listener,
     metrics,
@@ -391,6 +401,7 @@
   watches.poisonRequests.start(lifeCycle);
   parts.poison.start(lifeCycle);
   grantTask.start(lifeCycle);
+  parts.requestLimits.start(lifeCycle);
   parts.slots.start(lifeCycle);
   parts.forwarder.start(lifeCycle);
   await parts.listener.listen();
--- a/packages/entry/src/links/answer_decoder.ts
+++ b/packages/entry/src/links/answer_decoder.ts
@@ -33,6 +33,8 @@
 export interface AnswerReport {
   /** The server's load; undefined when it reports none or an invalid one. */
   readonly report?: contracts.ServerReport | undefined;
+  /** Undefined when the server names no limit. */
+  readonly requestLimit?: contracts.RequestLimitReport | undefined;
 }
 
 /** Decodes the responses of one kind of backend server. */
--- a/packages/entry/src/metrics/metrics.ts
+++ b/packages/entry/src/metrics/metrics.ts
@@ -29,6 +29,11 @@
    * `quarantined`, a request `refused`.
    */
   readonly poisonRequests: api.Counter;
+  /**
+   * Calls to backend servers that limit their requests, by kind: `request`,
+   * `grant`, `release`.
+   */
+  readonly limitedServerCalls: api.Counter;
   /** Datagrams to other entry VMs by method and by zone crossing. */
   readonly peerDatagrams: api.Counter;
   /** Bytes in datagrams to other entry VMs, by the same labels. */
@@ -48,6 +53,9 @@
     this.poisonRequests = this.#meter.createCounter(
       "guavatide_poison_requests",
     );
+    this.limitedServerCalls = this.#meter.createCounter(
+      "guavatide_limited_server_calls",
+    );
     this.peerDatagrams = this.#meter.createCounter("guavatide_peer_datagrams");
     this.peerBytes = this.#meter.createCounter("guavatide_peer_bytes");
     this.sliceMoves = this.#meter.createCounter("guavatide_slice_moves");
