--- /dev/null
+++ b/packages/standins/src/backend_server/request_limit_record.ts
@@ -0,0 +1,124 @@
+/**
+ * What backend servers that limit their requests have got: finds the spans of
+ * time in which one got more than it had allowed.
+ */
+
+/** A server may get this much more than its limit in any window. */
+const EXCESS_RATIO = 1.5;
+const SLACK_REQUESTS = 5;
+const WINDOW_MS = 4_000;
+/** A caller is bound this long after it got an answer that names the limit. */
+const CALLER_GRACE_MS = 500;
+/** A caller that is not known is bound this long after the server named it. */
+const UNKNOWN_CALLER_GRACE_MS = 1_000;
+/** No window ends earlier than this after a server first named a limit. */
+const STABILITY_MS = 3_000;
+
+/** A call that reached a server. */
+interface RecordedCall {
+  readonly atMs: number;
+  /** The entry VM that sent it; undefined when that is not known. */
+  readonly caller: string | undefined;
+}
+
+interface ServerRecord {
+  /** Limits in the order in which the server named them; undefined for none. */
+  readonly limits: {
+    readonly fromMs: number;
+    readonly perSecond: number | undefined;
+  }[];
+  readonly calls: RecordedCall[];
+  /** When each caller first got an answer that named a limit. */
+  readonly toldAtMs: Map<string, number>;
+}
+
+/** Calls to all servers of a test. Times are those of one clock. */
+export class RequestLimitRecord {
+  readonly #servers = new Map<string, ServerRecord>();
+
+  /** A server names a limit from now on; undefined for none. */
+  nameLimit(server: string, perSecond: number | undefined, atMs: number): void {
+    const record: ServerRecord = this.#servers.get(server) ??
+      { limits: [], calls: [], toldAtMs: new Map() };
+    this.#servers.set(server, record);
+    record.limits.push({ fromMs: atMs, perSecond });
+  }
+
+  /** A call reaches a server. */
+  recordCall(server: string, caller: string | undefined, atMs: number): void {
+    this.#servers.get(server)?.calls.push({ atMs, caller });
+  }
+
+  /** A server answers a call of the caller, and names its limit if it has one. */
+  recordAnswer(server: string, caller: string | undefined, atMs: number): void {
+    const record = this.#servers.get(server);
+    if (record?.limits.at(-1)?.perSecond === undefined) return;
+    if (caller === undefined || record.toldAtMs.has(caller)) return;
+    record.toldAtMs.set(caller, atMs);
+  }
+
+  /** Calls that a server got in a span of time. */
+  countCalls(server: string, fromMs: number, toMs: number): number {
+    const calls = this.#servers.get(server)?.calls ?? [];
+    return calls.filter(({ atMs }) => atMs >= fromMs && atMs < toMs).length;
+  }
+
+  /** Servers that got more than they had allowed, with the worst window. */
+  findViolations(): string[] {
+    return [...this.#servers].flatMap(([server, record]) =>
+      worstWindow(server, record) ?? []
+    );
+  }
+}
+
+function worstWindow(
+  server: string,
+  record: ServerRecord,
+): string | undefined {
+  const firstMs = record.limits[0]!.fromMs;
+  const counted = record.calls.filter((call) =>
+    isCounted(call, record, firstMs)
+  );
+  let worst: string | undefined;
+  let worstExcess = 0;
+  let start = 0;
+  for (const [end, { atMs }] of counted.entries()) {
+    while (counted[start]!.atMs < atMs - WINDOW_MS) start++;
+    if (atMs < firstMs + STABILITY_MS) continue;
+    const count = end - start + 1;
+    const allowed = allowedCalls(record, atMs - WINDOW_MS, atMs);
+    if (count - allowed <= worstExcess) continue;
+    worstExcess = count - allowed;
+    worst = `${server} got ${count} calls in 4 s, ${Math.floor(allowed)} ` +
+      `allowed, ${Math.round(atMs - firstMs)} ms after it first named a limit`;
+  }
+  return worst;
+}
+
+function isCounted(
+  { caller, atMs }: RecordedCall,
+  { toldAtMs }: ServerRecord,
+  firstMs: number,
+): boolean {
+  if (caller === undefined) return atMs >= firstMs + UNKNOWN_CALLER_GRACE_MS;
+  const toldMs = toldAtMs.get(caller);
+  return toldMs !== undefined && atMs >= toldMs + CALLER_GRACE_MS;
+}
+
+/** Infinite when no limit was in force during a part of the span. */
+function allowedCalls(
+  { limits }: ServerRecord,
+  fromMs: number,
+  toMs: number,
+): number {
+  let sum = 0;
+  for (const [index, { fromMs: namedMs, perSecond }] of limits.entries()) {
+    // No call from before the first limit counts.
+    const startMs = index === 0 ? fromMs : Math.max(fromMs, namedMs);
+    const endMs = Math.min(toMs, limits[index + 1]?.fromMs ?? toMs);
+    if (endMs <= startMs) continue;
+    if (perSecond === undefined) return Number.POSITIVE_INFINITY;
+    sum += perSecond * (endMs - startMs) / 1_000;
+  }
+  return EXCESS_RATIO * sum + SLACK_REQUESTS;
+}
