--- a/packages/decisions/src/admission/mod.ts
+++ b/packages/decisions/src/admission/mod.ts
@@ -1,7 +1,7 @@
 /**
  * Admission control: which request is sent to which backend server, and when.
  */
-export * from "./cold_start_limit.ts";
+export * from "./server_rate_limit.ts";
 export * from "./lag_shedding.ts";
 export * from "./request_limits.ts";
 export * from "./server_load.ts";
--- a/packages/decisions/src/admission/cold_start_limit.ts
+++ b/packages/decisions/src/admission/server_rate_limit.ts
@@ -14,8 +14,8 @@
   readonly slack: number;
 }
 
-/** Options of {@link ColdStartLimit}. */
-export interface ColdStartLimitOptions {
+/** Options of {@link ServerRateLimit}. */
+export interface ServerRateLimitOptions {
   /** Undefined where there is no bound. */
   readonly bound: ColdStartBound | undefined;
   /** Time at which a server is warm. */
@@ -47,11 +47,11 @@
 }
 
 /** Token buckets for this VM's share of the rate that cold servers sustain. */
-export class ColdStartLimit {
-  readonly #options: ColdStartLimitOptions;
+export class ServerRateLimit {
+  readonly #options: ServerRateLimitOptions;
   readonly #buckets = new Map<contracts.ServerId, Bucket>();
 
-  constructor(options: ColdStartLimitOptions) {
+  constructor(options: ServerRateLimitOptions) {
     this.#options = options;
   }
 
--- a/packages/decisions/src/admission/cold_start_limit_test.ts
+++ b/packages/decisions/src/admission/server_rate_limit_test.ts
@@ -11,9 +11,9 @@
 
 function limitAtRank(
   rank: number | undefined,
-  options: Partial<admission.ColdStartLimitOptions> = {},
-): admission.ColdStartLimit {
-  return new admission.ColdStartLimit({
+  options: Partial<admission.ServerRateLimitOptions> = {},
+): admission.ServerRateLimit {
+  return new admission.ServerRateLimit({
     bound: BOUND,
     coldUntilMs: () => COLD_MS,
     requestsPerSecond: () => SUSTAINED_PER_SECOND,
@@ -24,7 +24,7 @@
 }
 
 /** Starts a request whenever one may start; returns the times of all starts. */
-function startAll(limits: readonly admission.ColdStartLimit[]): number[] {
+function startAll(limits: readonly admission.ServerRateLimit[]): number[] {
   const startsMs: number[] = [];
   for (let nowMs = 0; nowMs < COLD_MS; nowMs += 5) {
     for (const limit of limits) {
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -3,7 +3,7 @@
  * Requests that can't be answered in time are refused.
  */
 import type * as contracts from "@guavatide/contracts";
-import type { ColdStartLimit } from "./cold_start_limit.ts";
+import type { ServerRateLimit } from "./server_rate_limit.ts";
 import { PriorityOrder } from "./priority_order.ts";
 import { ServerLoad } from "./server_load.ts";
 import * as ranking from "./server_ranking.ts";
@@ -52,7 +52,7 @@
   /** Absent for a service without keys. */
   readonly keyed?: KeyedQueueOptions;
   /** Absent where another VM limits the requests to cold servers. */
-  readonly coldStarts?: ColdStartLimit | undefined;
+  readonly rateLimits?: ServerRateLimit | undefined;
   /** Present for a single server whose requests all pass through this queue. */
   readonly reserve?: ShortRequestReserve;
   /** Region of an availability zone; undefined for an unknown one. */
@@ -248,7 +248,7 @@
   #context(nowMs: number): ranking.RankingContext {
     const { zone, times, random } = this.#options;
     const isCold = (server: contracts.ServerId) =>
-      this.#options.coldStarts?.isCold(server, nowMs) ?? false;
+      this.#options.rateLimits?.isCold(server, nowMs) ?? false;
     return { zone, times, random, nowMs, isCold };
   }
 
@@ -268,12 +268,12 @@
   }
 
   #tryAny(request: WaitingRequest, nowMs: number): boolean {
-    const { coldStarts, reserve } = this.#options;
+    const { rateLimits, reserve } = this.#options;
     if (reserve?.mayAcquire(request, nowMs) === false) return false;
     const free = this.#candidates(request, nowMs)
       .filter((load) =>
         ranking.hasCapacity(load, nowMs) &&
-        (coldStarts?.mayStart(load.entry.server, nowMs) ?? true)
+        (rateLimits?.mayStart(load.entry.server, nowMs) ?? true)
       );
     const context = this.#context(nowMs);
     const best = ranking.chooseServer(free, request, context);
@@ -284,7 +284,7 @@
       ? best
       : this.#overflowServer(request, nowMs) ?? best;
     if (load === undefined) return false;
-    coldStarts?.recordStart(load.entry.server, nowMs);
+    rateLimits?.recordStart(load.entry.server, nowMs);
     const outstanding = load.outstanding(nowMs);
     request.placed({ load, outstanding, fence: undefined });
     return true;
@@ -380,7 +380,7 @@
       all.push(load);
       const { server } = load.entry;
       const isOwn = this.#isLimited(server, nowMs)
-        ? this.#options.coldStarts!.ratePerSecond(server) > 0
+        ? this.#options.rateLimits!.ratePerSecond(server) > 0
         : this.#inCell?.has(server) ?? true;
       if (isOwn) own.push(load);
     }
@@ -389,7 +389,7 @@
 
   /** Whether the server is cold and its rate is limited. */
   #isLimited(server: contracts.ServerId, nowMs: number): boolean {
-    return this.#options.coldStarts?.isLimited(server, nowMs) ?? false;
+    return this.#options.rateLimits?.isLimited(server, nowMs) ?? false;
   }
 
   /** Whether the request waits for a coordinator to grant it a slot. */
@@ -497,13 +497,13 @@
     meanMs: number,
     nowMs: number,
   ): number {
-    const { times, coldStarts } = this.#options;
+    const { times, rateLimits } = this.#options;
     let perMs = 0;
     for (const { entry: { server, slots } } of loads) {
       const warmPerMs = slots /
         Math.max(1, meanMs * times.latencyFactor(server));
       const maxPerMs = this.#isLimited(server, nowMs)
-        ? coldStarts!.ratePerSecond(server) / 1_000
+        ? rateLimits!.ratePerSecond(server) / 1_000
         : warmPerMs;
       perMs += Math.min(warmPerMs, maxPerMs);
     }
--- a/packages/decisions/src/admission/service_queue_test.ts
+++ b/packages/decisions/src/admission/service_queue_test.ts
@@ -381,7 +381,7 @@
 
 /** Guards against full load on a cold server without a configured bound. */
 test("should prefer a warm server to one that has just started", () => {
-  const coldStarts = new admission.ColdStartLimit({
+  const rateLimits = new admission.ServerRateLimit({
     bound: undefined,
     coldUntilMs: (id) => id === "cold" ? 5_000 : 0,
     requestsPerSecond: () => undefined,
@@ -392,7 +392,7 @@
     zone: "z1" as contracts.ZoneId,
     times: new admission.ServiceTimes(),
     random: { next: () => 0.5 },
-    coldStarts,
+    rateLimits,
   });
   queue.setServers([server("cold"), server("warm")]);
   const [first, second] = [new Request(1_000), new Request(1_000)];
--- a/packages/decisions/src/admission/slot_coordinator.ts
+++ b/packages/decisions/src/admission/slot_coordinator.ts
@@ -6,7 +6,7 @@
  * the server's own queue longer.
  */
 import type * as contracts from "@guavatide/contracts";
-import type { ColdStartLimit } from "./cold_start_limit.ts";
+import type { ServerRateLimit } from "./server_rate_limit.ts";
 import { ServiceQueue } from "./service_queue.ts";
 import { ServiceTimes } from "./service_times.ts";
 import { ShortRequestReserve } from "./short_request_reserve.ts";
@@ -57,9 +57,9 @@
   /**
    * Limits the slots granted at a service's cold servers; no limit if absent.
    */
-  readonly coldStartsOf?: (
+  readonly rateLimitsOf?: (
     service: contracts.ServiceId,
-  ) => ColdStartLimit | undefined;
+  ) => ServerRateLimit | undefined;
 }
 
 /**
@@ -205,19 +205,19 @@
   constructor(
     server: SlotServer,
     times: ServiceTimes,
-    { zone, random, onDecision, coldStartsOf }: SlotCoordinatorOptions,
+    { zone, random, onDecision, rateLimitsOf }: SlotCoordinatorOptions,
   ) {
     this.server = server;
     this.#times = times;
     this.#decide = onDecision;
-    const coldStarts = coldStartsOf?.(server.service);
+    const rateLimits = rateLimitsOf?.(server.service);
     const reserve = new ShortRequestReserve(times, server.slots);
     this.#reserve = reserve;
     this.#queue = new ServiceQueue({
       zone,
       times,
       random,
-      coldStarts,
+      rateLimits,
       reserve,
     });
     this.#queue.setServers([serverEntryOf(server, zone)]);
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -5,7 +5,7 @@
 import { ThrottledWarning } from "../utils/throttled_warning.ts";
 import type { LifeCycle, PeriodicTask } from "../utils/life_cycle.ts";
 import type { Logger } from "../utils/log.ts";
-import type { ColdStartLimits } from "./cold_start_limits.ts";
+import type { ServerRateLimits } from "./server_rate_limits.ts";
 import type { ConfigHolder } from "./config_holder.ts";
 import {
   ForwardedRequest,
@@ -42,7 +42,7 @@
   readonly poison: PoisonGuard;
   readonly headers: HeaderNames;
   readonly budget: admission.SharedRetryBudgetOptions;
-  readonly coldStarts: ColdStartLimits;
+  readonly rateLimits: ServerRateLimits;
   readonly requestLimits: RequestLimitTask;
   readonly clock: contracts.Clock;
   readonly random: contracts.RandomSource;
@@ -297,7 +297,7 @@
     const isKeyed = this.#options.config.service(service)?.isKeyed ?? false;
     const found = this.#services.get(service);
     if (found !== undefined && found.isKeyed === isKeyed) return found;
-    const { zone, zones, random, grants, budget, slots, clock, coldStarts } =
+    const { zone, zones, random, grants, budget, slots, clock, rateLimits } =
       this.#options;
     const times = new admission.ServiceTimes();
     const queue: admission.ServiceQueue = new admission.ServiceQueue({
@@ -316,7 +316,7 @@
         }
         : undefined,
       // Coordinators apply the limit for cold owners of keys.
-      coldStarts: isKeyed ? undefined : coldStarts.forDirectSends(service),
+      rateLimits: isKeyed ? undefined : rateLimits.forDirectSends(service),
     });
     this.#setServers(service, { queue, times });
     const created = {
--- a/packages/entry/src/gateway/cold_start_limits.ts
+++ b/packages/entry/src/gateway/server_rate_limits.ts
@@ -7,8 +7,8 @@
 import type { PeerGossip } from "./peer_gossip.ts";
 import type { ServerRegistry } from "./server_registry.ts";
 
-/** Options of {@link ColdStartLimits}. */
-export interface ColdStartLimitsOptions {
+/** Options of {@link ServerRateLimits}. */
+export interface ServerRateLimitsOptions {
   readonly vm: contracts.VmId;
   /** Limit for all entry VMs together; undefined where there is none. */
   readonly bound: admission.ColdStartBound | undefined;
@@ -23,12 +23,12 @@
 const STARTUP_GRACE_MS = 2_000;
 
 /** Creates the rate limits on requests to cold servers. */
-export class ColdStartLimits {
-  readonly #options: ColdStartLimitsOptions;
+export class ServerRateLimits {
+  readonly #options: ServerRateLimitsOptions;
   readonly #rankOrder: grants.VmRanking;
   readonly #startedMs: number;
 
-  constructor(options: ColdStartLimitsOptions) {
+  constructor(options: ServerRateLimitsOptions) {
     this.#options = options;
     this.#rankOrder = new grants.VmRanking(options.hasher);
     this.#startedMs = options.clock.nowMs();
@@ -38,21 +38,21 @@
   }
 
   /** Limit for requests that this VM sends without a slot from a coordinator. */
-  forDirectSends(service: contracts.ServiceId): admission.ColdStartLimit {
+  forDirectSends(service: contracts.ServiceId): admission.ServerRateLimit {
     return this.#create(service, admission.EQUAL_SHARES);
   }
 
   /** Limit for slots that this VM grants to all VMs as their coordinator. */
-  forCoordinator(service: contracts.ServiceId): admission.ColdStartLimit {
+  forCoordinator(service: contracts.ServiceId): admission.ServerRateLimit {
     return this.#create(service, admission.COORDINATOR_SHARES);
   }
 
   #create(
     service: contracts.ServiceId,
     parts: readonly number[],
-  ): admission.ColdStartLimit {
+  ): admission.ServerRateLimit {
     const { bound, config, registry } = this.#options;
-    return new admission.ColdStartLimit({
+    return new admission.ServerRateLimit({
       bound,
       rateShares: parts,
       coldUntilMs: (server) => registry.coldUntilMs(server),
--- a/packages/entry/src/gateway/slot_task.ts
+++ b/packages/entry/src/gateway/slot_task.ts
@@ -9,7 +9,7 @@
 import type { LifeCycle, PeriodicTask } from "../utils/life_cycle.ts";
 import { CoalescedCallback } from "../utils/coalesced_callback.ts";
 import type { Logger } from "../utils/log.ts";
-import type { ColdStartLimits } from "./cold_start_limits.ts";
+import type { ServerRateLimits } from "./server_rate_limits.ts";
 import type { PeerGossip } from "./peer_gossip.ts";
 import * as messages from "./peer_messages.ts";
 import type { ServerRegistry } from "./server_registry.ts";
@@ -25,7 +25,7 @@
   readonly random: contracts.RandomSource;
   readonly log: Logger;
   readonly isLeaving: () => boolean;
-  readonly coldStarts: ColdStartLimits;
+  readonly rateLimits: ServerRateLimits;
 }
 
 /** A queue whose requests need slots. */
@@ -79,7 +79,7 @@
       zone,
       random,
       onDecision: (decision) => this.#queueReply(decision),
-      coldStartsOf: (service) => options.coldStarts.forCoordinator(service),
+      rateLimitsOf: (service) => options.rateLimits.forCoordinator(service),
     });
     options.registry.onChange(() =>
       this.#ranking.keepOnly(options.registry.ids())
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -12,7 +12,7 @@
 } from "../utils/clock.ts";
 import { LifeCycle } from "../utils/life_cycle.ts";
 import type { LoggerFactory } from "../utils/log.ts";
-import { ColdStartLimits } from "./cold_start_limits.ts";
+import { ServerRateLimits } from "./server_rate_limits.ts";
 import { ConfigHolder } from "./config_holder.ts";
 import { Forwarder } from "./forwarder.ts";
 import { FrontListener } from "./front_listener.ts";
@@ -163,7 +163,7 @@
     probeStore: () => probe.probe(),
   });
   const watches = createWatches();
-  const coldStarts = new ColdStartLimits({
+  const rateLimits = new ServerRateLimits({
     vm: settings.vm,
     bound: settings.coldStarts,
     config,
@@ -209,7 +209,7 @@
     random,
     log: log.part("route"),
     isLeaving: () => lifeCycle.isStopping,
-    coldStarts,
+    rateLimits,
   });
   const connections = new connectionPools.ConnectionPools(
     {
@@ -249,7 +249,7 @@
       ...settings.retryBudget,
       windowMs: settings.retryBudget.windowSeconds * 1000,
     },
-    coldStarts,
+    rateLimits,
     requestLimits,
     clock,
     random,
