--- a/packages/contracts/src/key_grants.ts
+++ b/packages/contracts/src/key_grants.ts
@@ -123,6 +123,11 @@
    * earlier grant outlasts it. Absent in maps of services with short requests.
    */
   holdMs: z.number().int().min(1).optional(),
+  /**
+   * Longer lease durations of single servers, in milliseconds. One never falls
+   * while its server owns or vacates a range.
+   */
+  serverHoldMs: z.record(z.string(), z.number().int().min(1)).optional(),
   /** Sorted, without gap or overlap, covering all keys. */
   ranges: z.array(rangeStateSchema).min(1),
 });
--- a/packages/decisions/src/admission/mod.ts
+++ b/packages/decisions/src/admission/mod.ts
@@ -2,7 +2,9 @@
  * Admission control: which request is sent to which backend server, and when.
  */
 export * from "./server_rate_limit.ts";
+export * from "./capped_servers.ts";
 export * from "./lag_shedding.ts";
+export * from "./limit_share.ts";
 export * from "./request_limits.ts";
 export * from "./server_load.ts";
 export * from "./server_ranking.ts";
--- a/packages/decisions/src/admission/server_rate_limit.ts
+++ b/packages/decisions/src/admission/server_rate_limit.ts
@@ -1,7 +1,7 @@
 /**
- * Limits the rate of requests to cold servers over all entry VMs, also while
+ * Limits the rate of requests to single servers over all entry VMs, also while
  * they can't reach one another: a server that has just started crashes under
- * the load of a warm one.
+ * the load of a warm one, and a server in need names a rate in its answers.
  */
 import type * as contracts from "@guavatide/contracts";
 
@@ -29,6 +29,11 @@
   readonly rankOf: (server: contracts.ServerId) => number | undefined;
   /** The fraction of the rate for each rank; the fractions sum up to 1. */
   readonly rateShares: readonly number[];
+  /**
+   * This VM's part of the rate that the server has named in its answers;
+   * undefined for none.
+   */
+  readonly namedRateOf?: (server: contracts.ServerId) => number | undefined;
 }
 
 /** Shares of VMs that each send their own requests. */
@@ -39,6 +44,9 @@
 const MAX_RATE_RATIO = 2;
 /** Requests of the bound that stay unused, to cover those long in transit. */
 const SPARE_REQUESTS = 2;
+/** Unused requests that a cold server's bucket holds, and any other one's. */
+const COLD_BURST_REQUESTS = 1;
+const BURST_REQUESTS = 2;
 
 /** Token bucket of one server. */
 interface Bucket {
@@ -60,34 +68,38 @@
     return this.#options.coldUntilMs(server) > nowMs;
   }
 
-  /** Whether the server is cold and its rate is limited. */
+  /** Whether the rate of requests to the server is limited. */
   isLimited(server: contracts.ServerId, nowMs: number): boolean {
-    const { bound, requestsPerSecond } = this.#options;
-    return this.isCold(server, nowMs) && bound !== undefined &&
-      requestsPerSecond() !== undefined;
+    return this.#isColdLimited(server, nowMs) || this.isNamed(server);
+  }
+
+  /** Whether the server has named a limit in its answers. */
+  isNamed(server: contracts.ServerId): boolean {
+    return this.#options.namedRateOf?.(server) !== undefined;
   }
 
   /** Requests a second that this VM may start at a limited server. */
-  ratePerSecond(server: contracts.ServerId): number {
-    const { rankOf, rateShares, bound, requestsPerSecond } = this.#options;
-    const rank = rankOf(server);
-    const sustained = requestsPerSecond();
-    if (sustained === undefined || bound === undefined) {
-      return Number.POSITIVE_INFINITY;
-    }
-    const share = rank === undefined ? 0 : rateShares[rank] ?? 0;
-    // Each rank may start one request beyond its rate: its bucket holds one.
-    const maxRate = sustained * bound.excessRatio + bound.slack -
-      rateShares.length - SPARE_REQUESTS;
-    return share * Math.max(0, Math.min(MAX_RATE_RATIO * sustained, maxRate));
+  ratePerSecond(server: contracts.ServerId, nowMs: number): number {
+    const coldRate = this.#isColdLimited(server, nowMs)
+      ? this.#coldRatePerSecond(server)
+      : Number.POSITIVE_INFINITY;
+    return Math.min(
+      coldRate,
+      this.#options.namedRateOf?.(server) ?? Number.POSITIVE_INFINITY,
+    );
   }
 
-  /** Whether a request may start now; always true for a warm server. */
+  /** Whether a request may start now; always true without a limit. */
   mayStart(server: contracts.ServerId, nowMs: number): boolean {
     if (!this.isLimited(server, nowMs)) return true;
     return this.#bucket(server, nowMs).tokens >= 1;
   }
 
+  /** Requests, or the part of one, that the limit allows to start now. */
+  tokens(server: contracts.ServerId, nowMs: number): number {
+    return this.#bucket(server, nowMs).tokens;
+  }
+
   /** Takes a token for a request that starts now. */
   recordStart(server: contracts.ServerId, nowMs: number): void {
     if (!this.isLimited(server, nowMs)) {
@@ -96,8 +108,25 @@
     this.#bucket(server, nowMs).tokens--;
   }
 
+  #isColdLimited(server: contracts.ServerId, nowMs: number): boolean {
+    const { bound, requestsPerSecond } = this.#options;
+    return this.isCold(server, nowMs) && bound !== undefined &&
+      requestsPerSecond() !== undefined;
+  }
+
+  #coldRatePerSecond(server: contracts.ServerId): number {
+    const { rankOf, rateShares, bound, requestsPerSecond } = this.#options;
+    const sustained = requestsPerSecond()!;
+    const rank = rankOf(server);
+    const share = rank === undefined ? 0 : rateShares[rank] ?? 0;
+    // Each rank may start one request beyond its rate: its bucket holds one.
+    const maxRate = sustained * bound!.excessRatio + bound!.slack -
+      rateShares.length - SPARE_REQUESTS;
+    return share * Math.max(0, Math.min(MAX_RATE_RATIO * sustained, maxRate));
+  }
+
   #bucket(server: contracts.ServerId, nowMs: number): Bucket {
-    const ratePerMs = this.ratePerSecond(server) / 1_000;
+    const ratePerMs = this.ratePerSecond(server, nowMs) / 1_000;
     const found = this.#buckets.get(server);
     if (found === undefined) {
       const tokens = ratePerMs > 0 ? 1 : 0;
@@ -106,7 +135,10 @@
       return created;
     }
     const gained = (nowMs - found.updatedMs) * ratePerMs;
-    found.tokens = Math.min(1, found.tokens + gained);
+    const burst = this.isCold(server, nowMs)
+      ? COLD_BURST_REQUESTS
+      : BURST_REQUESTS;
+    found.tokens = Math.min(burst, found.tokens + gained);
     found.updatedMs = nowMs;
     return found;
   }
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -3,6 +3,7 @@
  * Requests that can't be answered in time are refused.
  */
 import type * as contracts from "@guavatide/contracts";
+import type { CappedServers } from "./capped_servers.ts";
 import type { ServerRateLimit } from "./server_rate_limit.ts";
 import { PriorityOrder } from "./priority_order.ts";
 import { ServerLoad } from "./server_load.ts";
@@ -53,6 +54,11 @@
   readonly keyed?: KeyedQueueOptions;
   /** Absent where another VM limits the requests to cold servers. */
   readonly rateLimits?: ServerRateLimit | undefined;
+  /**
+   * Servers without keys that limit their requests. Absent where this queue
+   * applies the limit itself.
+   */
+  readonly capped?: CappedServers | undefined;
   /** Present for a single server whose requests all pass through this queue. */
   readonly reserve?: ShortRequestReserve;
   /** Region of an availability zone; undefined for an unknown one. */
@@ -72,6 +78,8 @@
 /** Shortest and longest time after which a caller is asked to retry. */
 const RETRY_AFTER_MIN_MS = 60;
 const RETRY_AFTER_MAX_MS = 1_500;
+/** The same where a server takes less than a request in that time. */
+const LIMITED_RETRY_AFTER_MAX_MS = 10_000;
 /**
  * Concurrent requests to servers of other cells, whose load is not known here.
  */
@@ -150,6 +158,7 @@
       } else this.#loads.set(server, new ServerLoad(entry, this.isKeyed));
     }
     this.#inCell = inCell;
+    this.#options.capped?.keepOnly(this.#loads);
   }
 
   /** Sets the number of the service's requests queued at other entry VMs. */
@@ -177,10 +186,15 @@
     const index = this.#waiting.indexOf(request);
     if (index < 0) return false;
     this.#waiting.splice(index, 1);
-    this.#options.keyed?.slots.cancel(request);
+    this.#cancelSlots(request);
     return true;
   }
 
+  #cancelSlots(request: WaitingRequest): void {
+    this.#options.keyed?.slots.cancel(request);
+    this.#options.capped?.cancel(request);
+  }
+
   /** Sends a request to which a coordinator granted a slot. */
   placeGranted(request: WaitingRequest, nowMs: number): void {
     const index = this.#waiting.indexOf(request);
@@ -189,11 +203,33 @@
     if (!this.#trySend(request, nowMs)) this.#insert(request);
   }
 
-  /** Refuses a request that a coordinator refused. */
-  refuse(request: WaitingRequest, refusal: Refusal): void {
+  /**
+   * Handles a coordinator's refusal. Without a key, the request is refused only
+   * if no other server may take it.
+   */
+  refuse(request: WaitingRequest, refusal: Refusal, nowMs: number): void {
+    const index = this.#waiting.indexOf(request);
+    if (index < 0) return;
+    if (this.#options.capped?.isAsking(request)) {
+      this.#options.capped.recordRefusal(request);
+      this.#waiting.splice(index, 1);
+      if (this.#trySend(request, nowMs)) return;
+      const mayWait = this.#awaitsSlot(request, nowMs) ||
+        this.#mayWaitForOthers(request, nowMs);
+      if (mayWait) return this.#insert(request);
+      this.#cancelSlots(request);
+      return request.refused(refusal);
+    }
     if (this.cancel(request)) request.refused(refusal);
   }
 
+  /** Whether a server without a limit can take a request in time. */
+  #mayWaitForOthers(request: WaitingRequest, nowMs: number): boolean {
+    if (this.#candidates(request, nowMs).length === 0) return false;
+    const waitMs = this.#expectedWaitMs(request, this.#waiting, nowMs);
+    return !this.#mustRefuse(request, waitMs, nowMs);
+  }
+
   /**
    * Sends what servers have capacity for. Called when a load or server changes.
    */
@@ -239,7 +275,7 @@
       }
       const reason = this.#blockedBy(request, nowMs);
       const refusal = this.#refusal(request, reason, waitMs, nowMs);
-      this.#options.keyed?.slots.cancel(request);
+      this.#cancelSlots(request);
       request.refused(refusal);
     }
     this.#waiting = [...kept, ...this.#waiting];
@@ -268,8 +304,37 @@
   }
 
   #tryAny(request: WaitingRequest, nowMs: number): boolean {
-    const { rateLimits, reserve } = this.#options;
+    const { rateLimits, reserve, capped } = this.#options;
     if (reserve?.mayAcquire(request, nowMs) === false) return false;
+    const load = this.#chooseFree(request, nowMs);
+    if (capped?.hasAny) {
+      const hasOther = load !== undefined;
+      const servers = this.#cappedServers(request, nowMs);
+      const held = capped.acquire(request, servers, { hasOther, nowMs });
+      if (held !== undefined) {
+        const outstanding = held.outstanding(nowMs);
+        const releaseSlot = capped.markInUse(request);
+        request.placed({
+          load: held,
+          outstanding,
+          fence: undefined,
+          releaseSlot,
+        });
+        return true;
+      }
+      if (hasOther && capped.isTrialPending(request, nowMs)) return false;
+      if (hasOther) capped.cancel(request);
+    }
+    if (load === undefined) return false;
+    rateLimits?.recordStart(load.entry.server, nowMs);
+    const outstanding = load.outstanding(nowMs);
+    request.placed({ load, outstanding, fence: undefined });
+    return true;
+  }
+
+  /** The best server with room for a request; undefined for none. */
+  #chooseFree(request: WaitingRequest, nowMs: number): ServerLoad | undefined {
+    const { rateLimits } = this.#options;
     const free = this.#candidates(request, nowMs)
       .filter((load) =>
         ranking.hasCapacity(load, nowMs) &&
@@ -280,14 +345,19 @@
     const hasFreeSlot = best !== undefined &&
       best.outstanding(nowMs) < best.entry.slots;
     // Queueing at a full server takes as long as a running request.
-    const load = hasFreeSlot
-      ? best
-      : this.#overflowServer(request, nowMs) ?? best;
-    if (load === undefined) return false;
-    rateLimits?.recordStart(load.entry.server, nowMs);
-    const outstanding = load.outstanding(nowMs);
-    request.placed({ load, outstanding, fence: undefined });
-    return true;
+    return hasFreeSlot ? best : this.#overflowServer(request, nowMs) ?? best;
+  }
+
+  /** Servers with a limit that a request may go to with a slot. */
+  #cappedServers(request: WaitingRequest, nowMs: number): ServerLoad[] {
+    return [...this.#loads.values()].filter((load) =>
+      this.#isCapped(load) && this.#isUsable(load, request) &&
+      load.isUp(nowMs)
+    );
+  }
+
+  #isCapped({ entry }: ServerLoad): boolean {
+    return this.#options.capped?.isCapped(entry.server) ?? false;
   }
 
   /**
@@ -311,7 +381,7 @@
       sent += load.ownInFlight;
       if (sent >= limit) return undefined;
       const isUsable = load.ownInFlight === 0 &&
-        this.#isUsable(load, request) &&
+        this.#isUsable(load, request) && !this.#isCapped(load) &&
         !this.#isLimited(load.entry.server, nowMs) &&
         load.isUp(nowMs) && load.outstanding(nowMs) < load.entry.slots;
       if (isUsable) usable.push(load);
@@ -376,11 +446,11 @@
     const all: ServerLoad[] = [];
     const own: ServerLoad[] = [];
     for (const load of this.#loads.values()) {
-      if (!this.#isUsable(load, request)) continue;
+      if (!this.#isUsable(load, request) || this.#isCapped(load)) continue;
       all.push(load);
       const { server } = load.entry;
       const isOwn = this.#isLimited(server, nowMs)
-        ? this.#options.rateLimits!.ratePerSecond(server) > 0
+        ? this.#options.rateLimits!.ratePerSecond(server, nowMs) > 0
         : this.#inCell?.has(server) ?? true;
       if (isOwn) own.push(load);
     }
@@ -394,6 +464,7 @@
 
   /** Whether the request waits for a coordinator to grant it a slot. */
   #awaitsSlot(request: WaitingRequest, nowMs: number): boolean {
+    if (this.#options.capped?.isAsking(request)) return true;
     const owner = this.#ownerOf(request);
     if (owner?.kind !== "owned") return false;
     const load = this.#loads.get(owner.server);
@@ -412,11 +483,23 @@
     if (isOutsideHome) return "not-home";
     if (owner === undefined) {
       const isServed = this.#candidates(request, nowMs).length > 0;
-      return isServed ? "no-room" : "no-server";
+      if (isServed) return this.#isNamed() ? "limited" : "no-room";
+      const { capped } = this.#options;
+      const isCapped = capped?.hasAny &&
+        this.#cappedServers(request, nowMs).length > 0;
+      return isCapped ? "limited" : "no-server";
     }
     return owner.kind === "owned" ? "no-room" : "no-owner";
   }
 
+  /** Whether this queue applies the limit that its server has named. */
+  #isNamed(): boolean {
+    const { rateLimits } = this.#options;
+    if (rateLimits === undefined || this.#loads.size !== 1) return false;
+    const [server] = this.#loads.keys();
+    return rateLimits.isNamed(server!);
+  }
+
   #isOwnerOutsideHome(
     server: contracts.ServerId,
     request: WaitingRequest,
@@ -467,7 +550,15 @@
     const candidates = this.#candidates(request, nowMs);
     const perMs = this.#servedPerMs(candidates, meanMs, nowMs);
     const elsewhere = this.#waitingElsewhere * (ahead + 1) / queuedHere;
-    return (ahead + 1 + elsewhere) / perMs;
+    const unused = this.#unusedRate(nowMs);
+    return Math.max(0, ahead + 1 + elsewhere - unused) / perMs;
+  }
+
+  /** Part of the next request that a named limit already allows. */
+  #unusedRate(nowMs: number): number {
+    if (!this.#isNamed()) return 0;
+    const [server] = this.#loads.keys();
+    return this.#options.rateLimits!.tokens(server!, nowMs);
   }
 
   /**
@@ -503,7 +594,7 @@
       const warmPerMs = slots /
         Math.max(1, meanMs * times.latencyFactor(server));
       const maxPerMs = this.#isLimited(server, nowMs)
-        ? rateLimits!.ratePerSecond(server) / 1_000
+        ? rateLimits!.ratePerSecond(server, nowMs) / 1_000
         : warmPerMs;
       perMs += Math.min(warmPerMs, maxPerMs);
     }
@@ -531,8 +622,11 @@
     const isExpired = request.answerByMs <= nowMs;
     // Spreads out the retries of callers that are refused together.
     const jitteredMs = waitMs * (0.5 + this.#options.random.next());
+    const maxMs = reason === "limited"
+      ? LIMITED_RETRY_AFTER_MAX_MS
+      : RETRY_AFTER_MAX_MS;
     const retryAfterMs = Math.min(
-      RETRY_AFTER_MAX_MS,
+      maxMs,
       Math.max(RETRY_AFTER_MIN_MS, jitteredMs),
     );
     return {
--- a/packages/decisions/src/admission/slot_coordinator.ts
+++ b/packages/decisions/src/admission/slot_coordinator.ts
@@ -247,6 +247,8 @@
     });
     this.#pending.set(key, pending);
     this.#reserve.recordRequest(request.route, nowMs);
+    // A limited rate allows the next request between two sweeps.
+    this.#queue.dispatch(nowMs);
     this.#queue.add(pending, nowMs);
     if (this.#pending.has(key)) this.#decide({ vm, id, kind: "queued" });
   }
--- a/packages/decisions/src/admission/waiting_request.ts
+++ b/packages/decisions/src/admission/waiting_request.ts
@@ -12,6 +12,8 @@
   | "no-owner"
   /** The servers have no capacity to answer it in time. */
   | "no-room"
+  /** The servers take fewer requests than come, by the limits they name. */
+  | "limited"
   /** It was queued until its deadline. */
   | "timeout";
 
--- a/packages/decisions/src/grants/grant_model_test.ts
+++ b/packages/decisions/src/grants/grant_model_test.ts
@@ -14,6 +14,10 @@
 const RUN_MS = 14_000;
 const TIMINGS = grants.DEFAULT_GRANT_TIMINGS;
 const LONG_LEASE_MS = 2_600;
+/** Leases of the first server, which limits its calls in a part of the run. */
+const SPARING_LEASE_MS = 5_000;
+const SPARING_FROM_MS = RUN_MS / 8;
+const SPARING_UNTIL_MS = RUN_MS / 2;
 const STATUS_MS = 200;
 const QUARTER = KEY_COUNT / 4;
 const SAMPLE_KEYS = [0, 1, 2, 3].map((index) => index * QUARTER + 7);
@@ -25,6 +29,8 @@
   readonly noLeaseWait?: boolean;
   readonly noQuorum?: boolean;
   readonly forgetsUnanswered?: boolean;
+  /** A server's longer leases are granted without the map saying so. */
+  readonly hidesServerLease?: boolean;
   /** A fault: the first VM alone reaches the store, and it reaches no peer. */
   readonly isolateFirst?: boolean;
   /**
@@ -316,7 +322,11 @@
       { isInFlight: false, endMs: 0, unansweredMs: undefined };
     vm.sent.set(range.owner.server, state);
     state.isInFlight = true;
-    const holdMs = grants.leaseDurationMs(vm.map, TIMINGS);
+    const isHidden = this.#faults.hidesServerLease && this.#isSparing() &&
+      server === this.servers[0];
+    const holdMs = isHidden
+      ? SPARING_LEASE_MS
+      : grants.leaseDurationMs(vm.map, TIMINGS, server.owner.server);
     const end = (isAnswered: boolean) => {
       state.isInFlight = false;
       state.endMs = this.nowMs;
@@ -400,6 +410,10 @@
     });
   }
 
+  #isSparing(): boolean {
+    return this.nowMs >= SPARING_FROM_MS && this.nowMs < SPARING_UNTIL_MS;
+  }
+
   #tick(): grants.HandoverTick {
     const usable = new Map(
       this.servers.map(({ owner }) => [
@@ -419,6 +433,11 @@
       nonce: () => String(this.#version),
       // Requests need longer leases in the second half of the run.
       leaseMs: this.nowMs < RUN_MS / 2 ? TIMINGS.holdMs : LONG_LEASE_MS,
+      serverLeasesMs: new Map(
+        this.#isSparing() && !this.#faults.hidesServerLease
+          ? [[this.servers[0]!.owner.server, SPARING_LEASE_MS]]
+          : [],
+      ),
     };
   }
 
@@ -497,6 +516,7 @@
     isolateFirst: true,
   }],
   ["unanswered grants outlast a release", { forgetsUnanswered: true }],
+  ["the map names a server's longer lease", { hidesServerLease: true }],
 ];
 
 for (const [safeguard, faults] of DISABLED_SAFEGUARDS) {
--- a/packages/decisions/src/grants/handover_controller.ts
+++ b/packages/decisions/src/grants/handover_controller.ts
@@ -6,7 +6,7 @@
  */
 import type * as contracts from "@guavatide/contracts";
 import { FencingReleases } from "./fencing_releases.ts";
-import { leaseDurationMs } from "./lease_duration.ts";
+import { leaseDurationMs, nextServerLeases } from "./lease_duration.ts";
 import type { GrantTimings } from "./grant_timings.ts";
 import type { VoterReports } from "./voter_reports.ts";
 import * as edit from "./range_edit.ts";
@@ -41,6 +41,8 @@
     readonly condition: contracts.WriteCondition;
   };
 
+const NO_LEASES: ReadonlyMap<contracts.ServerId, number> = new Map();
+
 /** Input of one reconciliation. */
 export interface HandoverTick {
   readonly nowMs: number;
@@ -52,6 +54,8 @@
   readonly voters: readonly contracts.VmId[];
   /** Lease duration that the service's requests need. */
   readonly leaseMs: number;
+  /** Longer lease durations that single servers need; absent for none. */
+  readonly serverLeasesMs?: ReadonlyMap<contracts.ServerId, number>;
   /** Voters that are removed for good. */
   readonly removedVoters: ReadonlySet<contracts.VmId>;
   /** Moves that placement plans for the map. */
@@ -287,14 +291,29 @@
     });
     const keeperSets = this.#nextVoterSets(map, tick);
     const holdMs = Math.max(leaseDurationMs(map, this.#timings), tick.leaseMs);
+    const serverHoldMs = nextServerLeases(
+      map,
+      started.ranges,
+      tick.serverLeasesMs ?? NO_LEASES,
+    );
     const isFinishing = finishedCount > 0 &&
       !this.#shouldWaitForMore(tick.nowMs);
+    const isLeaseLonger = holdMs > leaseDurationMs(map, this.#timings) ||
+      Object.entries(serverHoldMs ?? {}).some(([server, leaseMs]) =>
+        leaseMs > (map.serverHoldMs?.[server] ?? 0)
+      );
     const isChanged = isFinishing || moves.length > 0 ||
-      keeperSets !== map.keeperSets ||
-      holdMs > leaseDurationMs(map, this.#timings);
+      keeperSets !== map.keeperSets || isLeaseLonger;
     if (!isChanged) return undefined;
     this.#finishedSinceMs = undefined;
-    const next = { ...map, ...started, revision, keeperSets, holdMs };
+    const next = {
+      ...map,
+      ...started,
+      revision,
+      keeperSets,
+      holdMs,
+      serverHoldMs,
+    };
     return this.#writeCall(next, { kind: "version", version }, tick);
   }
 
--- a/packages/decisions/src/grants/handover_wait.ts
+++ b/packages/decisions/src/grants/handover_wait.ts
@@ -96,7 +96,8 @@
       : unresponsiveSentMs;
     lastMs = Math.max(lastMs, sentMs);
   }
-  return lastMs + maxLeaseLifetimeMs(timings, leaseDurationMs(map, timings));
+  const leaseMs = leaseDurationMs(map, timings, server);
+  return lastMs + maxLeaseLifetimeMs(timings, leaseMs);
 }
 
 /**
--- a/packages/decisions/src/grants/hot_keys.ts
+++ b/packages/decisions/src/grants/hot_keys.ts
@@ -62,6 +62,8 @@
   for (const range of ranges) {
     const owner = range.owner.server;
     if (!servers.has(owner) || range.vacating !== undefined) continue;
+    // Each range that remains around the key would be renewed by itself.
+    if (servers.get(owner)!.maxRanges !== undefined) continue;
     for (const rate of ratesWithin(rates, range)) {
       const known = hottest.get(owner);
       if (known !== undefined && known.perSecond >= rate.perSecond) continue;
--- a/packages/decisions/src/grants/lease_duration.ts
+++ b/packages/decisions/src/grants/lease_duration.ts
@@ -30,12 +30,52 @@
 }
 
 /**
- * Lease duration of the grants of a map. It never decreases from one revision
- * to the next, so no earlier grant lasts longer.
+ * Lease duration of the grants of a map; with a server, of those to it. It
+ * never decreases from one revision to the next while the server owns or
+ * vacates a range, so no earlier grant lasts longer.
  */
 export function leaseDurationMs(
-  map: Pick<contracts.RangeMap, "holdMs"> | undefined,
+  map: Pick<contracts.RangeMap, "holdMs" | "serverHoldMs"> | undefined,
   { holdMs }: Pick<GrantTimings, "holdMs">,
+  server?: contracts.ServerId,
 ): number {
-  return Math.max(map?.holdMs ?? 0, holdMs);
+  const ofServerMs = server === undefined
+    ? undefined
+    : map?.serverHoldMs?.[server];
+  return Math.max(map?.holdMs ?? 0, holdMs, ofServerMs ?? 0);
+}
+
+/** The longest lease duration of any server of a map. */
+export function longestLeaseMs(
+  map: Pick<contracts.RangeMap, "holdMs" | "serverHoldMs"> | undefined,
+  timings: Pick<GrantTimings, "holdMs">,
+): number {
+  return Math.max(
+    leaseDurationMs(map, timings),
+    ...Object.values(map?.serverHoldMs ?? {}),
+  );
+}
+
+/**
+ * Lease durations of single servers for the next revision of a map: those of
+ * servers that it still names, and those that are needed from now on.
+ * Undefined for none.
+ */
+export function nextServerLeases(
+  { serverHoldMs }: Pick<contracts.RangeMap, "serverHoldMs">,
+  ranges: readonly contracts.RangeState[],
+  needed: ReadonlyMap<contracts.ServerId, number>,
+): Record<string, number> | undefined {
+  const next: Record<string, number> = {};
+  for (const { owner, vacating } of ranges) {
+    for (const server of [owner.server, vacating?.server]) {
+      if (server === undefined) continue;
+      const leaseMs = Math.max(
+        serverHoldMs?.[server] ?? 0,
+        needed.get(server) ?? 0,
+      );
+      if (leaseMs > 0) next[server] = leaseMs;
+    }
+  }
+  return Object.keys(next).length > 0 ? next : undefined;
 }
--- a/packages/decisions/src/grants/mod.ts
+++ b/packages/decisions/src/grants/mod.ts
@@ -17,6 +17,7 @@
 export * from "./range_planner.ts";
 export * from "./release_call.ts";
 export * from "./renewal_order.ts";
+export * from "./renewal_rate.ts";
 export * from "./vm_ranking.ts";
 export * from "./voter_reports.ts";
 export * from "./voter_selection.ts";
--- a/packages/decisions/src/grants/range_load.ts
+++ b/packages/decisions/src/grants/range_load.ts
@@ -9,6 +9,11 @@
   readonly capacityPerSecond: number;
   /** It is in slow start: it serves little yet and gets no initial share. */
   readonly isCold?: boolean;
+  /**
+   * Ranges whose renewals it has room for, at least one; undefined for a server
+   * that does not limit its calls.
+   */
+  readonly maxRanges?: number | undefined;
 }
 
 /** Request rate of one key. */
@@ -31,6 +36,9 @@
 /** Nominal rate per key, so that the width of an idle range counts a little. */
 export const WIDTH_RATE_PER_KEY = 1e-4;
 
+/** Servers that a choice leaves out. */
+type ExcludedServers = Pick<ReadonlySet<contracts.ServerId>, "has">;
+
 /** Utilization of the servers, updated while a plan is made. */
 export class Utilization {
   readonly #perSecond = new Map<contracts.ServerId, number>();
@@ -79,21 +87,23 @@
     );
   }
 
-  /** The server with the lowest utilization. */
-  leastUtilized(): contracts.ServerId | undefined {
-    return this.#extreme((a, b) => a < b);
+  /** The server with the lowest utilization, of those not excluded. */
+  leastUtilized(
+    excluded?: ExcludedServers,
+  ): contracts.ServerId | undefined {
+    return this.#extreme((a, b) => a < b, excluded);
   }
 
   /** The server with the highest utilization, of those not excluded. */
   mostUtilized(
-    excluded: ReadonlySet<contracts.ServerId>,
+    excluded: ExcludedServers,
   ): contracts.ServerId | undefined {
     return this.#extreme((a, b) => a > b, excluded);
   }
 
   #extreme(
     isBetter: (a: number, b: number) => boolean,
-    excluded: ReadonlySet<contracts.ServerId> = new Set(),
+    excluded: ExcludedServers = new Set(),
   ): contracts.ServerId | undefined {
     let best: contracts.ServerId | undefined;
     for (const server of this.#perSecond.keys()) {
--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -53,9 +53,46 @@
   const isStable = input.ranges.every(({ vacating }) => vacating === undefined);
   if (!isStable) return hotKeys;
   const forNewServers = planNewServers(input, utilization);
-  return forNewServers.length > 0
-    ? forNewServers
-    : planRebalance(input, utilization, hotKeys);
+  if (forNewServers.length > 0) return forNewServers;
+  const relief = planRelief(input, utilization);
+  return planRebalance(input, utilization, [...hotKeys, ...relief]);
+}
+
+/**
+ * Moves ranges off servers that limit their calls and have no room to have them
+ * all renewed; the narrowest first, as each key that moves is a cost.
+ */
+function planRelief(
+  input: RangePlanInput,
+  utilization: Utilization,
+): RangeMove[] {
+  const limited = new Map(
+    [...input.servers].filter(([, { maxRanges }]) => maxRanges !== undefined),
+  );
+  // With all of them limited, a move would only shift the calls.
+  if (limited.size === 0 || limited.size === input.servers.size) return [];
+  const moves: RangeMove[] = [];
+  for (const [server, { maxRanges }] of limited) {
+    const owned = input.ranges.filter(({ owner, vacating }) =>
+      owner.server === server && vacating === undefined
+    ).sort((a, b) => widthOf(a) - widthOf(b));
+    for (
+      const range of owned.slice(0, Math.max(0, owned.length - maxRanges!))
+    ) {
+      if (moves.length >= movesPerPlan(input)) return moves;
+      const to = utilization.leastUtilized(limited)!;
+      const perSecond = rangeRate(input.rates, range);
+      utilization.add(server, -perSecond);
+      utilization.add(to, perSecond);
+      const { fromKey, toKey } = range;
+      moves.push({ fromKey, toKey, to: input.servers.get(to)!.owner });
+    }
+  }
+  return moves;
+}
+
+function widthOf({ fromKey, toKey }: contracts.KeyRange): number {
+  return toKey - fromKey + 1;
 }
 
 function planLostServers(
@@ -131,8 +168,9 @@
   const moves: RangeMove[] = [];
   const limit = movesPerPlan(input);
   const total = rangeRate(input.rates, ALL_KEYS);
-  for (const [server, { owner, isCold }] of input.servers) {
-    if (isCold || owners.has(server) || moves.length >= limit) continue;
+  for (const [server, { owner, isCold, maxRanges }] of input.servers) {
+    const isUnfit = isCold || maxRanges !== undefined;
+    if (isUnfit || owners.has(server) || moves.length >= limit) continue;
     const piece = shareOfLargest(input, moves, total / input.servers.size);
     if (piece === undefined) break;
     const rate = rangeRate(input.rates, piece);
@@ -198,9 +236,12 @@
       cold,
       level,
     });
-    const piece = maySplit
-      ? densePiece(input, moves, hot, targetPerSecond)
-      : wholeRange(input, moves, hot, targetPerSecond);
+    const isLimited = input.servers.get(hot)!.maxRanges !== undefined;
+    const piece = !maySplit
+      ? wholeRange(input, moves, hot, targetPerSecond)
+      : isLimited
+      ? edgePiece(input, moves, hot, targetPerSecond)
+      : densePiece(input, moves, hot, targetPerSecond);
     if (piece === undefined) {
       exhausted.add(hot);
       continue;
@@ -264,6 +305,36 @@
   return best;
 }
 
+/**
+ * The upper end of a server's range with the most load, with about the target
+ * load: leaves the server no more ranges to renew than before.
+ */
+function edgePiece(
+  input: RangePlanInput,
+  moves: readonly RangeMove[],
+  server: contracts.ServerId,
+  targetPerSecond: number,
+): Piece | undefined {
+  let best: contracts.KeyRange | undefined;
+  let mostPerSecond = 0;
+  for (const { part, server: owner } of ownedParts(input, moves)) {
+    const perSecond = rangeRate(input.rates, part);
+    if (owner !== server || perSecond <= mostPerSecond) continue;
+    best = part;
+    mostPerSecond = perSecond;
+  }
+  if (best === undefined) return undefined;
+  let perSecond = 0;
+  let fromKey = best.toKey + 1;
+  for (const rate of [...ratesWithin(input.rates, best)].reverse()) {
+    // The server keeps a key, so that requests show when its limit ends.
+    if (rate.key === best.fromKey || perSecond >= targetPerSecond) break;
+    perSecond += rate.perSecond;
+    fromKey = rate.key;
+  }
+  return perSecond > 0 ? { fromKey, toKey: best.toKey, perSecond } : undefined;
+}
+
 /** Least fraction of the target load in a whole range; it adds no grant. */
 const MIN_WHOLE_RANGE_PART = 0.05;
 
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -95,6 +95,7 @@
       this.#services.get(service)?.queue.dispatch(options.clock.nowMs())
     );
     options.gossip.onMembersChange(() => this.#followMembers());
+    options.requestLimits.onChange(() => this.#followServers());
     options.gossip.onStatus((status) => this.#applyPeerStatus(status));
     options.gossip.onLoad((loads) => this.#applyPeerLoadUpdate(loads));
   }
@@ -179,7 +180,10 @@
     const times = this.#services.get(entry.service)?.times;
     const meanMs = times?.meanMs ?? DEFAULT_SERVICE_TIME_MS;
     const factor = reportedFactor ?? times?.latencyFactor(entry.server) ?? 1;
-    return entry.slots * 1000 / Math.max(1, meanMs * factor);
+    return Math.min(
+      entry.slots * 1000 / Math.max(1, meanMs * factor),
+      this.#options.requestLimits.capacityOf(entry.server),
+    );
   }
 
   /** Returns and clears the slowdowns to send to peers; undefined for none. */
@@ -297,9 +301,14 @@
     const isKeyed = this.#options.config.service(service)?.isKeyed ?? false;
     const found = this.#services.get(service);
     if (found !== undefined && found.isKeyed === isKeyed) return found;
-    const { zone, zones, random, grants, budget, slots, clock, rateLimits } =
-      this.#options;
+    const { zone, zones, random, grants, budget, slots, clock } = this.#options;
+    const { rateLimits, requestLimits } = this.#options;
     const times = new admission.ServiceTimes();
+    const source = slots.source({
+      grant: (request) => queue.placeGranted(request, clock.nowMs()),
+      refuse: (request, refusal) =>
+        queue.refuse(request, refusal, clock.nowMs()),
+    });
     const queue: admission.ServiceQueue = new admission.ServiceQueue({
       zone,
       times,
@@ -307,14 +316,15 @@
       regionOf: (zone) => zones[zone],
       onWait: () => this.#reviewTask?.setIntervalMs(QUEUE_REVIEW_INTERVAL_MS),
       keyed: isKeyed
-        ? {
-          ownerOf: (key) => grants.ownerOf(service, key),
-          slots: slots.source({
-            grant: (request) => queue.placeGranted(request, clock.nowMs()),
-            refuse: (request, refusal) => queue.refuse(request, refusal),
-          }),
-        }
+        ? { ownerOf: (key) => grants.ownerOf(service, key), slots: source }
         : undefined,
+      capped: isKeyed ? undefined : new admission.CappedServers({
+        hasAny: () => requestLimits.hasAny,
+        limitOf: (server) => requestLimits.limitOf(server)?.requestsPerSecond,
+        isTrialDue: (server) => rateLimits.isTrialDue(server),
+        slots: source,
+        random,
+      }),
       // Coordinators apply the limit for cold owners of keys.
       rateLimits: isKeyed ? undefined : rateLimits.forDirectSends(service),
     });
@@ -338,7 +348,11 @@
     const entries = registry.servers(service);
     times.keepOnly(new Set(entries.map(({ server }) => server)));
     const { cellPlan: plan } = gossip;
-    const active = entries.filter(({ isDraining }) => !isDraining);
+    const { requestLimits } = this.#options;
+    // Requests to a limited server go through its coordinator from all cells.
+    const active = entries.filter(({ isDraining, server }) =>
+      !isDraining && requestLimits.limitOf(server) === undefined
+    );
     queue.setServers(
       entries,
       plan.isSingle ? undefined : plan.serversOf(vm, active),
--- a/packages/entry/src/gateway/grant_task.ts
+++ b/packages/entry/src/gateway/grant_task.ts
@@ -34,6 +34,9 @@
   readonly log: Logger;
   readonly capacity: MovePlannerOptions["capacity"];
   readonly isCold: MovePlannerOptions["isCold"];
+  readonly maxRangesOf: MovePlannerOptions["maxRangesOf"];
+  /** Whether a server limits the calls that it gets. */
+  readonly isLimited: (server: contracts.ServerId) => boolean;
   /**
    * By server, how much longer than average it takes, as this VM's slot
    * coordinator has measured.
@@ -56,11 +59,18 @@
  */
 const KEY_COUNTS_PER_VM_MS = 6;
 const RANGE_MAP_RPC = "rangeMap";
+/** Lease duration of servers that limit the calls they get. */
+const SPARING_LEASE_MS = 6_000;
 /**
  * Largest number of keys in one message; of more, the most requested are sent.
  */
 const MAX_KEYS_PER_MESSAGE = 400;
 
+/** Lease duration of servers that are to get few calls. */
+export function sparingLeaseMs(maxLeaseMs: number): number {
+  return Math.min(SPARING_LEASE_MS, maxLeaseMs);
+}
+
 /** Runs {@link ServiceGrants} for each keyed service. */
 export class GrantTask {
   readonly #options: GrantTaskOptions;
@@ -224,6 +234,10 @@
       peers: () => this.#grantPeers(),
       desiredLeaseMs: () =>
         this.#desiredLeaseMs.get(service) ?? this.#options.timings.holdMs,
+      sparingLeaseMs: (server) =>
+        this.#options.isLimited(server)
+          ? sparingLeaseMs(this.#options.maxLeaseMs)
+          : undefined,
       sinceLastMessageMs: (vm) => gossip.sinceLastMessageMs(vm),
       fetchMap: (peer) => this.#fetchMap(service, peer),
       publish: (update) => {
@@ -276,6 +290,15 @@
     return undefined;
   }
 
+  /** Calls a second with which all VMs renew the server's leases. */
+  renewalsPerSecond(server: contracts.ServerId): number {
+    let sum = 0;
+    for (const service of this.#services.values()) {
+      sum += service.renewalsPerSecond(server);
+    }
+    return sum;
+  }
+
   #collectVoters(): void {
     this.#voters = new Set(
       [...this.#services.values()]
--- a/packages/entry/src/gateway/move_planner.ts
+++ b/packages/entry/src/gateway/move_planner.ts
@@ -21,6 +21,11 @@
   ) => number;
   /** Whether a server is in slow start and can take little load. */
   readonly isCold: (server: contracts.RegisteredServer) => boolean;
+  /**
+   * Ranges whose renewals a server that limits its calls has room for;
+   * undefined for any other server.
+   */
+  readonly maxRangesOf: (server: contracts.ServerId) => number | undefined;
 }
 
 /** Interval of plans that rebalance load. */
@@ -69,7 +74,7 @@
     nowMs: number,
   ): grants.RangeMove[] {
     if (usable.size === 0) return [];
-    const { capacity, isCold, service, log } = this.#options;
+    const { capacity, isCold, maxRangesOf, service, log } = this.#options;
     const mayBalance = nowMs - this.#startedAtMs >= REBALANCE_GRACE_MS &&
       nowMs - this.#rebalancedAtMs >= REBALANCE_INTERVAL_MS;
     const hasLostOwner = map.ranges.some(({ owner }) =>
@@ -89,7 +94,12 @@
           entry,
           this.#latencyFactors.get(server),
         );
-        return [server, { owner, capacityPerSecond, isCold: isCold(entry) }];
+        return [server, {
+          owner,
+          capacityPerSecond,
+          isCold: isCold(entry),
+          maxRanges: maxRangesOf(server),
+        }];
       }),
     );
     const moves = grants.planRangeMoves({
--- a/packages/entry/src/gateway/peer_messages.ts
+++ b/packages/entry/src/gateway/peer_messages.ts
@@ -28,6 +28,9 @@
 /** Method of an answer report. */
 export const ANSWER_METHOD = "crashAnswer";
 
+/** Method of {@link RequestLimitNews}. */
+export const REQUEST_LIMITS_METHOD = "requestLimits";
+
 /** Method of {@link SlotRequests}. */
 export const SLOT_REQUESTS_METHOD = "slotAsks";
 /** Method of {@link SlotReplies}. */
@@ -299,8 +302,34 @@
    * this message.
    */
   readonly held: readonly SlotTuple[] | null;
+  /** Limits of the servers that the wishes name; absent for none. */
+  readonly limits?: readonly RequestLimitTuple[] | undefined;
 }
 
+/**
+ * What an entry VM knows of a server's limit: the limit in requests a second,
+ * null once it was lifted, and the age in milliseconds of the answer that said
+ * so.
+ */
+export type RequestLimitTuple = readonly [
+  server: contracts.ServerId,
+  requestsPerSecond: number | null,
+  ageMs: number,
+];
+
+/** Schema of {@link RequestLimitNews}. */
+export const requestLimitNewsSchema = z.object({
+  limits: z.array(
+    z.tuple([
+      contracts.serverIdSchema,
+      z.number().min(0).nullable(),
+      z.number().min(0),
+    ]),
+  ),
+});
+/** Limits that a VM's answers have named, confirmed or lifted. */
+export type RequestLimitNews = z.infer<typeof requestLimitNewsSchema>;
+
 /** A slot request that is refused. */
 export type SlotRefusal = readonly [
   id: number,
@@ -323,9 +352,12 @@
  */
 export function isSlotRequests(params: unknown): params is SlotRequests {
   if (typeof params !== "object" || params === null) return false;
-  const { vm, wishes, ended, held } = params as Partial<SlotRequests>;
+  const { vm, wishes, ended, held, limits = [] } = params as Partial<
+    SlotRequests
+  >;
   return typeof vm === "string" && Array.isArray(wishes) &&
     Array.isArray(ended) && (held === null || Array.isArray(held)) &&
+    Array.isArray(limits) && limits.every(isRequestLimitTuple) &&
     wishes.every((request) =>
       Array.isArray(request) && isSlotTuple(request[0]) &&
       Number.isFinite(request[1]) && Number.isFinite(request[2])
@@ -334,6 +366,13 @@
     (held ?? []).every(isSlotTuple);
 }
 
+function isRequestLimitTuple(value: unknown): value is RequestLimitTuple {
+  if (!Array.isArray(value)) return false;
+  const [server, requestsPerSecond, ageMs] = value;
+  return typeof server === "string" && Number.isFinite(ageMs) &&
+    (requestsPerSecond === null || requestsPerSecond >= 0);
+}
+
 /** Type guard of {@link SlotReplies}. */
 export function isSlotReplies(params: unknown): params is SlotReplies {
   if (typeof params !== "object" || params === null) return false;
--- a/packages/entry/src/gateway/request_limit_task.ts
+++ b/packages/entry/src/gateway/request_limit_task.ts
@@ -1,15 +1,25 @@
-/** Limits that backend servers in need name, and what this VM sends to them. */
+/**
+ * Limits that backend servers in need name: what this VM and its peers have
+ * heard of them, and what this VM sends to such servers.
+ */
 import type * as contracts from "@guavatide/contracts";
 import * as admission from "@guavatide/decisions/admission/mod";
 import type { LabelledCounts } from "../metrics/labelled_counts.ts";
 import type { LifeCycle, PeriodicTask } from "../utils/life_cycle.ts";
 import type { Logger } from "../utils/log.ts";
 import { ThrottledWarning } from "../utils/throttled_warning.ts";
+import type { PeerGossip } from "./peer_gossip.ts";
+import {
+  REQUEST_LIMITS_METHOD,
+  requestLimitNewsSchema,
+  type RequestLimitTuple,
+} from "./peer_messages.ts";
 import type { ServerRegistry } from "./server_registry.ts";
 
 /** Options of {@link RequestLimitTask}. */
 export interface RequestLimitTaskOptions {
   readonly registry: Pick<ServerRegistry, "onChange" | "ids">;
+  readonly gossip: Pick<PeerGossip, "on" | "broadcast">;
   readonly clock: contracts.Clock;
   readonly log: Logger;
   /** Calls to limited servers by kind. */
@@ -23,6 +33,20 @@
 
 /** Interval of the log lines on calls to limited servers. */
 const REPORT_INTERVAL_MS = 1_000;
+/**
+ * News is told again after this time, as datagrams get lost, and a limit that
+ * changes all the time not more often.
+ */
+const REPEAT_NEWS_MS = 200;
+/** Peers are told again that a limit holds when nobody has for this long. */
+const CONFIRM_INTERVAL_MS = 1_000;
+/**
+ * Ranges may go to a server again when no answer has confirmed its limit for
+ * this long: without ranges it gets no request that could lift it.
+ */
+const CAPACITY_TTL_MS = 10_000;
+/** Capacity of a server that takes no requests; a divisor, so not zero. */
+const MIN_CAPACITY_PER_SECOND = 0.05;
 
 /** The limits that this VM knows. */
 export class RequestLimitTask {
@@ -31,6 +55,10 @@
   /** Calls to each limited server since the last line on it. */
   readonly #calls = new Map<contracts.ServerId, CallCounts>();
   readonly #malformedLog: ThrottledWarning;
+  readonly #listeners: (() => void)[] = [];
+  /** When any VM last told the others of a server's limit. */
+  readonly #toldAtMs = new Map<contracts.ServerId, number>();
+  readonly #repeats = new Set<NodeJS.Timeout>();
   #reportTask: PeriodicTask | undefined;
 
   constructor(options: RequestLimitTaskOptions) {
@@ -39,9 +67,12 @@
       options.log,
       "Ignored a malformed request limit.",
     );
-    options.registry.onChange(() => {
-      if (!this.#limits.isEmpty) this.#limits.keepOnly(options.registry.ids());
-    });
+    options.registry.onChange(() => this.#forgetLostServers());
+    options.gossip.on(
+      REQUEST_LIMITS_METHOD,
+      requestLimitNewsSchema,
+      ({ limits }) => this.applyNews(limits),
+    );
   }
 
   /** Starts the periodic work. */
@@ -50,6 +81,61 @@
       Number.POSITIVE_INFINITY,
       () => this.#reportCalls(),
     );
+    lifeCycle.onStop({
+      name: "news of request limits",
+      timeoutMs: 100,
+      run: () => this.#repeats.forEach((timer) => clearTimeout(timer)),
+    });
+  }
+
+  /** Registers a listener for limits that are imposed or lifted. */
+  onChange(listener: () => void): void {
+    this.#listeners.push(listener);
+  }
+
+  /** Whether a server has named a limit and is still known. */
+  get hasAny(): boolean {
+    return !this.#limits.isEmpty;
+  }
+
+  /** Requests a second on which placement may count; infinite for no limit. */
+  capacityOf(server: contracts.ServerId): number {
+    const limit = this.#limits.limitOf(server);
+    if (limit === undefined) return Number.POSITIVE_INFINITY;
+    const ageMs = this.#options.clock.nowMs() - limit.confirmedAtMs;
+    return ageMs < CAPACITY_TTL_MS
+      ? Math.max(MIN_CAPACITY_PER_SECOND, limit.requestsPerSecond)
+      : Number.POSITIVE_INFINITY;
+  }
+
+  /** What this VM knows of the limits of some servers; undefined for nothing. */
+  newsOf(
+    servers: Iterable<contracts.ServerId>,
+  ): RequestLimitTuple[] | undefined {
+    const nowMs = this.#options.clock.nowMs();
+    const news: RequestLimitTuple[] = [];
+    for (const server of servers) {
+      const known = this.#limits.observationOf(server);
+      if (known === undefined) continue;
+      const ageMs = Math.max(0, Math.round(nowMs - known.observedAtMs));
+      news.push([server, known.requestsPerSecond ?? null, ageMs]);
+    }
+    return news.length > 0 ? news : undefined;
+  }
+
+  /** Takes over what a peer knows. */
+  applyNews(news: readonly RequestLimitTuple[]): void {
+    const nowMs = this.#options.clock.nowMs();
+    const known = this.#options.registry.ids();
+    for (const [server, requestsPerSecond, ageMs] of news) {
+      if (!known.has(server)) continue;
+      this.#toldAtMs.set(server, nowMs);
+      const change = this.#limits.recordPeerReport(server, {
+        requestsPerSecond: requestsPerSecond ?? undefined,
+        observedAtMs: nowMs - ageMs,
+      }, nowMs);
+      this.#follow(server, change, nowMs);
+    }
   }
 
   /** The server's limit in force; undefined for none. */
@@ -76,9 +162,47 @@
       report?.requestsPerSecond,
       { sentAtMs, nowMs },
     );
+    this.#tellPeers(server, change, nowMs);
     this.#follow(server, change, nowMs);
   }
 
+  #tellPeers(
+    server: contracts.ServerId,
+    change: admission.RequestLimitChange,
+    nowMs: number,
+  ): void {
+    if (change === "none") return;
+    const toldAtMs = this.#toldAtMs.get(server) ?? Number.NEGATIVE_INFINITY;
+    const isSwitched = change === "imposed" || change === "lifted";
+    const intervalMs = change === "changed"
+      ? REPEAT_NEWS_MS
+      : CONFIRM_INTERVAL_MS;
+    if (!isSwitched && nowMs - toldAtMs < intervalMs) return;
+    this.#broadcast(server);
+    if (!isSwitched) return;
+    const timer = setTimeout(() => {
+      this.#repeats.delete(timer);
+      this.#broadcast(server);
+    }, REPEAT_NEWS_MS);
+    this.#repeats.add(timer);
+  }
+
+  #broadcast(server: contracts.ServerId): void {
+    const limits = this.newsOf([server]);
+    if (limits === undefined) return;
+    this.#toldAtMs.set(server, this.#options.clock.nowMs());
+    this.#options.gossip.broadcast(REQUEST_LIMITS_METHOD, { limits });
+  }
+
+  #forgetLostServers(): void {
+    if (this.#limits.isEmpty) return;
+    const servers = this.#options.registry.ids();
+    this.#limits.keepOnly(servers);
+    for (const server of this.#toldAtMs.keys()) {
+      if (!servers.has(server)) this.#toldAtMs.delete(server);
+    }
+  }
+
   /** Counts a call that this VM sends. */
   noteCall(server: contracts.ServerId, kind: ServerCallKind): void {
     if (this.#limits.limitOf(server) === undefined) return;
@@ -98,16 +222,17 @@
     change: admission.RequestLimitChange,
     nowMs: number,
   ): void {
-    if (change === "none" || change === "confirmed") return;
     const { log } = this.#options;
     if (change === "lifted") {
-      return log.info("Server no longer limits its requests.", { server });
-    }
-    this.#reportTask?.setIntervalMs(REPORT_INTERVAL_MS);
-    log.info("Server limits its requests.", {
-      server,
-      ...this.#limitFields(server, nowMs),
-    });
+      log.info("Server no longer limits its requests.", { server });
+    } else if (change === "imposed") {
+      this.#reportTask?.setIntervalMs(REPORT_INTERVAL_MS);
+      log.info("Server limits its requests.", {
+        server,
+        ...this.#limitFields(server, nowMs),
+      });
+    } else return;
+    for (const listener of this.#listeners) listener();
   }
 
   #limitFields(server: contracts.ServerId, nowMs: number) {
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -39,6 +39,13 @@
   readonly peers: () => readonly GrantPeer[];
   /** Lease duration that the service's routes need. */
   readonly desiredLeaseMs: () => number;
+  /**
+   * Lease duration of a server that is to get few calls; undefined for any
+   * other server.
+   */
+  readonly sparingLeaseMs: (
+    server: contracts.ServerId,
+  ) => number | undefined;
   /** Time since a VM's last message; infinite for an unknown VM. */
   readonly sinceLastMessageMs: (vm: contracts.VmId) => number;
   /** Fetches the map from a peer; undefined without an answer. */
@@ -53,8 +60,6 @@
   readonly onChange: () => void;
 }
 
-/** VMs that renew the grants of one server, the first at full rate. */
-const RENEWERS_PER_SERVER = 2;
 /**
  * For this long only the leader grants a new range: its grant carries the old
  * owner's handover state.
@@ -191,7 +196,8 @@
     if (range.vacating !== undefined || this.#isPending(range)) {
       const nowMs = this.#options.clock.nowMs();
       const ageMs = this.#handoverAges.ageMs(range, nowMs);
-      return { kind: "moving", ageMs, holdMs: this.#leaseMs };
+      const holdMs = this.#leaseMs(range.vacating?.server);
+      return { kind: "moving", ageMs, holdMs };
     }
     return { kind: "owned", ...range.owner, fence: range.fence };
   }
@@ -333,7 +339,10 @@
     this.#adoptedAtMs = this.#options.clock.nowMs();
     this.#publisher.noteMap(map);
     this.#handoverController.noteNewerRevision(map.revision);
-    this.#sender.prune(map.ranges, this.#leaseMs);
+    this.#sender.prune(
+      map.ranges,
+      grants.longestLeaseMs(map, this.#options.timings),
+    );
     const fences = new Set(map.ranges.map(({ fence }) => fence));
     const owners = new Set<string>(map.ranges.map((it) => it.owner.server));
     for (const fence of this.#acceptedFences) {
@@ -373,8 +382,39 @@
 
   // Renewals
 
-  get #leaseMs(): number {
-    return grants.leaseDurationMs(this.#map, this.#options.timings);
+  /** Lease duration of grants; with a server, of those to it. */
+  #leaseMs(server?: contracts.ServerId): number {
+    return grants.leaseDurationMs(this.#map, this.#options.timings, server);
+  }
+
+  /**
+   * Interval at which a VM renews a server's grants, by its rank; undefined for
+   * a rank that renews none.
+   */
+  #renewIntervalMs(
+    server: contracts.ServerId,
+    rank: number,
+  ): number | undefined {
+    return grants.renewIntervalMs(rank, {
+      timings: this.#options.timings,
+      sparingLeaseMs: this.#sparingLeaseMs(server),
+    });
+  }
+
+  /** Lease of a server that needs calls spared; undefined for any other one. */
+  #sparingLeaseMs(server: contracts.ServerId): number | undefined {
+    const needed = this.#options.sparingLeaseMs(server);
+    const granted = this.#map?.serverHoldMs?.[server];
+    return needed === undefined ? undefined : granted;
+  }
+
+  /** Calls a second with which all VMs renew the server's leases. */
+  renewalsPerSecond(server: contracts.ServerId): number {
+    const ranges = this.#rangesByOwner.get(server)?.length ?? 0;
+    return ranges * grants.renewalsPerSecond({
+      timings: this.#options.timings,
+      sparingLeaseMs: this.#sparingLeaseMs(server),
+    });
   }
 
   /** Sends due grants to servers that have no grant in flight. */
@@ -399,7 +439,7 @@
       const request = {
         range,
         handover,
-        leaseMs: this.#leaseMs,
+        leaseMs: this.#leaseMs(range.owner.server),
         isStillAllowed,
       };
       this.#sender.send(request).then(
@@ -416,15 +456,15 @@
     liveVoters: readonly contracts.VmId[],
     nowMs: number,
   ): contracts.RangeState | undefined {
-    const { vm, timings } = this.#options;
+    const { vm } = this.#options;
     const ownRank = this.#ranking.rank(server, liveVoters).indexOf(vm);
     const due: grants.DueRange[] = [];
     for (const range of this.#rangesByOwner.get(server) ?? []) {
       const rank = this.#isLeader && this.#isUnaccepted(range) ? 0 : ownRank;
-      if (rank < 0 || rank >= RENEWERS_PER_SERVER) continue;
+      const intervalMs = this.#renewIntervalMs(server, rank);
+      if (intervalMs === undefined) continue;
       if (this.#isLeftToLeader(range, nowMs)) continue;
       const lastMs = this.#sender.acceptedAtMs(range);
-      const intervalMs = timings.renewMs * (rank + 1);
       const overdueMs = nowMs - (lastMs ?? Number.NEGATIVE_INFINITY) -
         intervalMs;
       if (overdueMs < 0 || !this.#sender.canSend(range.owner)) continue;
@@ -606,6 +646,7 @@
       nowMs,
       usable: registry.isListed && mayStart ? usable : new Map(),
       leaseMs: desiredLeaseMs(),
+      serverLeasesMs: this.#serverLeasesMs(usable),
       hasEnded: (owner) => registry.hasEnded(owner),
       voters: grants.selectVoters(selection),
       removedVoters: grants.removedVoters(selection),
@@ -614,6 +655,17 @@
     };
   }
 
+  #serverLeasesMs(
+    usable: ReadonlyMap<contracts.ServerId, contracts.RegisteredServer>,
+  ): Map<contracts.ServerId, number> {
+    const leases = new Map<contracts.ServerId, number>();
+    for (const server of usable.keys()) {
+      const leaseMs = this.#options.sparingLeaseMs(server);
+      if (leaseMs !== undefined) leases.set(server, leaseMs);
+    }
+    return leases;
+  }
+
   #countLostServers(nowMs: number): void {
     const { vm, log } = this.#options;
     this.#lostServers.noteUnresponsive(vm, this.#sender.unresponsiveServers());
@@ -622,7 +674,8 @@
     const newlyLost = this.#lostServers.countVotes(
       nowMs,
       (server) =>
-        this.#ranking.rank(server, liveVoters).slice(0, RENEWERS_PER_SERVER),
+        this.#ranking.rank(server, liveVoters)
+          .slice(0, grants.RENEWERS_PER_SERVER),
     );
     for (const server of newlyLost) log.warn("Server lost.", { server });
   }
--- a/packages/entry/src/gateway/service_grants_test.ts
+++ b/packages/entry/src/gateway/service_grants_test.ts
@@ -133,6 +133,8 @@
     log: { debug() {}, info() {}, warn() {}, error() {} },
     capacity: () => 10,
     isCold: () => false,
+    sparingLeaseMs: () => undefined,
+    maxRangesOf: () => undefined,
   });
   return {
     visited,
--- a/packages/entry/src/gateway/slot_task.ts
+++ b/packages/entry/src/gateway/slot_task.ts
@@ -9,8 +9,9 @@
 import type { LifeCycle, PeriodicTask } from "../utils/life_cycle.ts";
 import { CoalescedCallback } from "../utils/coalesced_callback.ts";
 import type { Logger } from "../utils/log.ts";
-import type { ServerRateLimits } from "./server_rate_limits.ts";
 import type { PeerGossip } from "./peer_gossip.ts";
+import type { RequestLimitTask } from "./request_limit_task.ts";
+import type { ServerRateLimits } from "./server_rate_limits.ts";
 import * as messages from "./peer_messages.ts";
 import type { ServerRegistry } from "./server_registry.ts";
 
@@ -26,6 +27,10 @@
   readonly log: Logger;
   readonly isLeaving: () => boolean;
   readonly rateLimits: ServerRateLimits;
+  readonly requestLimits: Pick<
+    RequestLimitTask,
+    "newsOf" | "applyNews" | "hasAny"
+  >;
 }
 
 /** A queue whose requests need slots. */
@@ -203,12 +208,24 @@
       ]),
       ended: ended.map(({ id, tookMs }) => [id, tookMs ?? null]),
       held: held?.map(encodeSlot) ?? null,
+      limits: this.#limitsOf(requests),
     };
   }
 
+  /** Limits that the coordinator needs, should it not have heard of them. */
+  #limitsOf(
+    requests: readonly admission.SlotRequest[],
+  ): messages.RequestLimitTuple[] | undefined {
+    const { requestLimits } = this.#options;
+    if (!requestLimits.hasAny || requests.length === 0) return undefined;
+    const servers = new Set(requests.map(({ server }) => server));
+    return requestLimits.newsOf(servers);
+  }
+
   #handleRequests(
-    { vm, wishes: requests, ended, held }: messages.SlotRequests,
+    { vm, wishes: requests, ended, held, limits }: messages.SlotRequests,
   ): void {
+    if (limits !== undefined) this.#options.requestLimits.applyNews(limits);
     const nowMs = this.#options.clock.nowMs();
     for (const [id, tookMs] of ended) {
       this.#coordinator.release(vm, id, { tookMs: tookMs ?? undefined, nowMs });
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -18,7 +18,7 @@
 import { FrontListener } from "./front_listener.ts";
 import { GatewayMetrics } from "./gateway_metrics.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
-import { GrantTask } from "./grant_task.ts";
+import { GrantTask, sparingLeaseMs } from "./grant_task.ts";
 import { KindWatch } from "./kind_watch.ts";
 import { PeerRpc } from "./peer_rpc.ts";
 import { type OwnState, PeerGossip } from "./peer_gossip.ts";
@@ -163,21 +163,28 @@
     probeStore: () => probe.probe(),
   });
   const watches = createWatches();
-  const rateLimits = new ServerRateLimits({
+  const requestLimits = new RequestLimitTask({
+    registry,
+    gossip,
+    clock,
+    log: log.part("route"),
+    counts: metrics.limitedServerCalls,
+  });
+  const rateLimits: ServerRateLimits = new ServerRateLimits({
     vm: settings.vm,
     bound: settings.coldStarts,
     config,
     registry,
     gossip,
+    requestLimits,
+    renewalsPerSecond: (server) => grantTask.renewalsPerSecond(server),
+    renewalsPerRange: grants.renewalsPerSecond({
+      timings: timingsOf(settings),
+      sparingLeaseMs: sparingLeaseMs(settings.timings.longestGrantMs),
+    }),
     hasher,
     clock,
   });
-  const requestLimits = new RequestLimitTask({
-    registry,
-    clock,
-    log: log.part("route"),
-    counts: metrics.limitedServerCalls,
-  });
   const grantTask: GrantTask = new GrantTask({
     self,
     timings: timingsOf(settings),
@@ -196,6 +203,8 @@
     isCold: ({ server, service }) =>
       registry.coldUntilMs(server) > clock.nowMs() &&
       config.service(service)?.coldStart !== undefined,
+    maxRangesOf: (server) => rateLimits.maxRangesOf(server),
+    isLimited: (server) => requestLimits.limitOf(server) !== undefined,
     latencyFactorsOf: (service) => slots.latencyFactors(service),
     isLeaving: () => lifeCycle.isStopping,
   });
@@ -210,6 +219,7 @@
     log: log.part("route"),
     isLeaving: () => lifeCycle.isStopping,
     rateLimits,
+    requestLimits,
   });
   const connections = new connectionPools.ConnectionPools(
     {
