--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -269,7 +269,9 @@
       const waitMs = this.#awaitsSlot(request, nowMs)
         ? 0
         : this.#expectedWaitMs(request, kept, nowMs);
-      if (leftMs > serviceMs && waitMs < leftMs) {
+      const isLate = this.#isNamed() &&
+        this.#mustRefuse(request, waitMs, nowMs);
+      if (leftMs > serviceMs && waitMs < leftMs && !isLate) {
         kept.push(request);
         continue;
       }
@@ -609,6 +611,8 @@
   ): boolean {
     const serviceMs = this.#options.times.estimateMs(request.route);
     if (nowMs + waitMs + serviceMs <= request.targetMs) return false;
+    // The limit serves as many requests whether these are late or in time.
+    if (waitMs > 0 && this.#isNamed()) return true;
     const leftMs = request.answerByMs - nowMs;
     return waitMs > leftMs * LATE_WAIT_FRACTION || waitMs + serviceMs > leftMs;
   }
