feat(gateway): refusals name the limit that decided, with its age

A refusal by a server's limit has limitedBy, limitPerSecond and limitAgeMs in its log line; guavatidectl explain adds when and where that limit was named, however long before.

--- a/packages/ctl/src/request_explanation.ts
+++ b/packages/ctl/src/request_explanation.ts
@@ -12,9 +12,10 @@
 
 /**
  * Lines that explain a request, ordered by time: its own, and those about the
- * servers it was sent to, the configuration and the platform's store; at any
- * age, those about zone evacuations and crashes under its content. Lines that
- * are not JSON are skipped; empty for an unknown ID.
+ * servers it was sent to or that refused it by their limit, the configuration
+ * and the platform's store; at any age, those about zone evacuations, crashes
+ * under its content and limits of these servers. Lines that are not JSON are
+ * skipped; empty for an unknown ID.
  */
 export function explainRequest(id: string, log: string): LogLine[] {
   const lines = log.split("\n").map(parseLogLine).filter((line) =>
@@ -35,6 +36,7 @@
       requestLines.includes(line) ||
       line.timeMs <= toMs && isZoneEvacuation(line) ||
       line.timeMs <= toMs && isCrashRecord(line, fingerprints) ||
+      line.timeMs <= toMs && isLimitChange(line, servers) ||
       line.timeMs >= fromMs && line.timeMs <= toMs && isContextOf(line, servers)
     )
     .sort((a, b) => a.timeMs - b.timeMs);
@@ -45,11 +47,15 @@
   return timeMs - (Number(fields["tookMs"]) || 0);
 }
 
-/** Servers in the field `sends`: `SERVER ...: OUTCOME ...; SERVER ...`. */
+/**
+ * Servers in the field `sends`, `SERVER ...: OUTCOME ...; SERVER ...`, and in
+ * `limitedBy`.
+ */
 function attemptedServers(requestLines: readonly LogLine[]): Set<string> {
-  const attempts = requestLines.flatMap(({ fields }) =>
-    String(fields["sends"] ?? "").split("; ")
-  );
+  const attempts = requestLines.flatMap(({ fields }) => [
+    ...String(fields["sends"] ?? "").split("; "),
+    String(fields["limitedBy"] ?? ""),
+  ]);
   return new Set(
     attempts.map((attempt) => attempt.split(" ")[0]!).filter(Boolean),
   );
@@ -71,6 +77,20 @@
     fingerprints.has(fields["fingerprint"]);
 }
 
+const LIMIT_CHANGES = new Set([
+  "Server limits its requests.",
+  "Server no longer limits its requests.",
+]);
+
+/** Included at any age: a limit lasts until the server's answers end it. */
+function isLimitChange(
+  { fields }: LogLine,
+  servers: ReadonlySet<string>,
+): boolean {
+  return LIMIT_CHANGES.has(String(fields["sentence"])) &&
+    servers.has(String(fields["server"]));
+}
+
 /**
  * Whether the line is about one of the servers, the store, the configuration or
  * the process. Lines of other requests are not.
--- a/packages/ctl/src/request_explanation_test.ts
+++ b/packages/ctl/src/request_explanation_test.ts
@@ -98,3 +98,41 @@
   expect(explainRequest("q1", log).map(({ fields }) => fields["sentence"]))
     .toEqual(["Connection lost under a request.", "Refuses.", "Ended badly."]);
 });
+
+/** The limit may have been named long before, to another VM. */
+test("should include the limit for which a request was refused", () => {
+  const log = [
+    logLine(1, {
+      part: "route",
+      sentence: "Server limits its requests.",
+      server: "i-7",
+      requestsPerSecond: 3.5,
+    }),
+    logLine(2, {
+      part: "route",
+      sentence: "Server limits its requests.",
+      server: "i-8",
+    }),
+    logLine(40, {
+      part: "route",
+      sentence: "Calls to a limited server.",
+      server: "i-7",
+      requests: 3,
+    }),
+    logLine(40, {
+      part: "route",
+      sentence: "Ended badly.",
+      id: "q1",
+      outcome: "limited, expected wait 900 ms",
+      sends: "",
+      limitedBy: "i-7",
+      limitAgeMs: 120,
+    }),
+  ].join("\n");
+  expect(explainRequest("q1", log).map(({ fields }) => fields["sentence"]))
+    .toEqual([
+      "Server limits its requests.",
+      "Calls to a limited server.",
+      "Ended badly.",
+    ]);
+});
--- a/packages/decisions/src/admission/capped_servers.ts
+++ b/packages/decisions/src/admission/capped_servers.ts
@@ -63,9 +63,14 @@
     return this.hasAny && this.#options.limitOf(server) !== undefined;
   }
 
+  /** The server whose coordinator the request has asked for a slot. */
+  serverAsked(request: WaitingRequest): contracts.ServerId | undefined {
+    return this.#attempts.get(request)?.server;
+  }
+
   /** Whether the request waits for a coordinator to decide on a slot. */
   isAsking(request: WaitingRequest): boolean {
-    const server = this.#attempts.get(request)?.server;
+    const server = this.serverAsked(request);
     return server !== undefined && this.isCapped(server);
   }
 
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -210,6 +210,12 @@
   refuse(request: WaitingRequest, refusal: Refusal, nowMs: number): void {
     const index = this.#waiting.indexOf(request);
     if (index < 0) return;
+    const owner = this.#ownerOf(request);
+    const server = owner?.kind === "owned"
+      ? owner.server
+      : this.#options.capped?.serverAsked(request);
+    const limitedBy = refusal.reason === "limited" ? server : undefined;
+    const named = { ...refusal, limitedBy };
     if (this.#options.capped?.isAsking(request)) {
       this.#options.capped.recordRefusal(request);
       this.#waiting.splice(index, 1);
@@ -218,9 +224,9 @@
         this.#mayWaitForOthers(request, nowMs);
       if (mayWait) return this.#insert(request);
       this.#cancelSlots(request);
-      return request.refused(refusal);
+      return request.refused(named);
     }
-    if (this.cancel(request)) request.refused(refusal);
+    if (this.cancel(request)) request.refused(named);
   }
 
   /** Whether a server without a limit can take a request in time. */
--- a/packages/decisions/src/admission/waiting_request.ts
+++ b/packages/decisions/src/admission/waiting_request.ts
@@ -24,6 +24,8 @@
   readonly retryAfterMs: number;
   /** Expected queueing time that led to the refusal, for the log. */
   readonly expectedWaitMs: number;
+  /** The server whose limit decided, if one did. */
+  readonly limitedBy?: contracts.ServerId | undefined;
 }
 
 /** The server that was chosen for a request. */
--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarded_request.ts
@@ -49,6 +49,8 @@
     report: contracts.RequestLimitReport | undefined,
     sentAtMs: number,
   ): void;
+  /** A server's limit in force, for the log. */
+  limitOf(server: contracts.ServerId): admission.RequestLimit | undefined;
   /** Knows which requests crash the servers that run them. */
   readonly poison: PoisonGuard;
   /** The request is finished. */
@@ -94,6 +96,8 @@
   #crashCount = 0;
   /** Whether servers have broken off connections under the request. */
   #isSuspected = false;
+  /** The server whose limit refused the request. */
+  #limitedBy: contracts.ServerId | undefined;
   #waitingSinceMs: number;
   #queuedMs = 0;
   #isSendPending = false;
@@ -150,6 +154,7 @@
     this.#queuedMs += this.#context.clock.nowMs() - this.#waitingSinceMs;
     const { reason, retryAfterMs, expectedWaitMs } = refusal;
     const outcome = `${reason}, expected wait ${Math.round(expectedWaitMs)} ms`;
+    this.#limitedBy = refusal.limitedBy;
     this.#giveUp(outcome, retryAfterMs);
   }
 
@@ -438,11 +443,21 @@
       tookMs: nowMs - this.#request.arrivedMs,
       queuedMs: this.#queuedMs,
       attempts: this.#attempts,
+      limit: this.#limitRecord(nowMs),
       fingerprint: this.#isSuspected
         ? this.#context.poison.identify(this.#request).fingerprint
         : undefined,
     });
   }
+
+  #limitRecord(nowMs: number): RequestRecord["limit"] {
+    const server = this.#limitedBy;
+    if (server === undefined) return undefined;
+    const limit = this.#context.limitOf(server);
+    if (limit === undefined) return undefined;
+    const { requestsPerSecond, confirmedAtMs } = limit;
+    return { server, requestsPerSecond, ageMs: nowMs - confirmedAtMs };
+  }
 }
 
 /** The request's deadline passed; says nothing about the server's health. */
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -236,6 +236,7 @@
         this.#headers(request, entry, leftMs),
       recordServerReport: (server, report, nowMs) =>
         this.#recordServerReport(state, { server, report, nowMs }),
+      limitOf: (server) => requestLimits.limitOf(server),
       recordSend: (server) => requestLimits.noteCall(server, "request"),
       recordRequestLimit: (server, report, sentAtMs) =>
         requestLimits.noteAnswer(server, report, sentAtMs),
--- a/packages/entry/src/gateway/request_log.ts
+++ b/packages/entry/src/gateway/request_log.ts
@@ -29,6 +29,15 @@
   readonly attempts: readonly AttemptRecord[];
   /** Set when a server has broken off a connection under the request. */
   readonly fingerprint: contracts.RequestFingerprint | undefined;
+  /**
+   * The limit that refused the request, with the age of the answer that named
+   * it; undefined for any other outcome.
+   */
+  readonly limit?: {
+    readonly server: contracts.ServerId;
+    readonly requestsPerSecond: number;
+    readonly ageMs: number;
+  } | undefined;
 }
 
 /** Log lines per second for failed requests, and for all others. */
@@ -104,6 +113,9 @@
     tookMs: Math.round(record.tookMs),
     queuedMs: Math.round(record.queuedMs),
     fingerprint: record.fingerprint,
+    limitedBy: record.limit?.server,
+    limitPerSecond: record.limit?.requestsPerSecond,
+    limitAgeMs: record.limit && Math.round(record.limit.ageMs),
     sends: attempts.map(formatAttempt).join("; "),
   };
 }
