fix(grants): spare a limited owner's calls before its longer lease is stored

The store had been disturbed, so the map could not name the longer lease yet, and renewals went on at their usual rate. They are now spaced by the lease in force. The rule does not count a time in which the store is disturbed; the record of the soak excuses renewals, and nothing else, in that time.

Before this, spans excused for links left next to no window to judge; now only calls that arrive in them are left out.

--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -403,9 +403,8 @@
 
   /** Lease of a server that needs calls spared; undefined for any other one. */
   #sparingLeaseMs(server: contracts.ServerId): number | undefined {
-    const needed = this.#options.sparingLeaseMs(server);
-    const granted = this.#map?.serverHoldMs?.[server];
-    return needed === undefined ? undefined : granted;
+    const isSparing = this.#options.sparingLeaseMs(server) !== undefined;
+    return isSparing ? this.#leaseMs(server) : undefined;
   }
 
   /** Calls a second with which all VMs renew the server's leases. */
--- a/packages/standins/src/backend_server/request_limit_record.ts
+++ b/packages/standins/src/backend_server/request_limit_record.ts
@@ -11,9 +11,13 @@
 const CALLER_GRACE_MS = 500;
 /** A caller that is not known is bound this long after the server named it. */
 const UNKNOWN_CALLER_GRACE_MS = 1_000;
+/** What a link held up arrives within this time after it has healed. */
+const HELD_UP_MS = 500;
 /** No window ends earlier than this after a server first named a limit. */
 const STABILITY_MS = 3_000;
 
+const UNKNOWN_CALLER = "";
+
 /** A span of time. */
 interface Span {
   readonly fromMs: number;
@@ -74,11 +78,19 @@
     spans.push({ fromMs, toMs: toMs + STABILITY_MS });
   }
 
-  /** Calls to a server were held up: no window that meets the span counts. */
+  /**
+   * The store was disturbed: calls of unknown callers in the span, which renew
+   * leases, don't count. Longer leases have to be stored first.
+   */
+  excuseControl(fromMs: number, toMs: number): void {
+    this.excuseCaller(UNKNOWN_CALLER, fromMs, toMs);
+  }
+
+  /** Calls to a server were held up: none that arrives in the span counts. */
   excuseServer(server: string, fromMs: number, toMs: number): void {
     this.#servers.get(server)?.heldUp.push({
       fromMs,
-      toMs: toMs + STABILITY_MS,
+      toMs: toMs + HELD_UP_MS,
     });
   }
 
@@ -103,7 +115,8 @@
 ): string | undefined {
   const firstMs = record.limits[0]!.fromMs;
   const counted = record.calls.filter((call) =>
-    isCounted(call, record, firstMs) && !isExcused(call, excused)
+    isCounted(call, record, firstMs) && !isWithin(call, record.heldUp) &&
+    !isWithin(call, excused.get(call.caller ?? UNKNOWN_CALLER))
   );
   let worst: string | undefined;
   let worstExcess = 0;
@@ -111,10 +124,6 @@
   for (const [end, { atMs }] of counted.entries()) {
     while (counted[start]!.atMs < atMs - WINDOW_MS) start++;
     if (atMs < firstMs + STABILITY_MS) continue;
-    const isHeldUp = record.heldUp.some(({ fromMs, toMs }) =>
-      fromMs <= atMs && toMs >= atMs - WINDOW_MS
-    );
-    if (isHeldUp) continue;
     const count = end - start + 1;
     const allowed = allowedCalls(record, atMs - WINDOW_MS, atMs);
     if (count - allowed <= worstExcess) continue;
@@ -125,12 +134,10 @@
   return worst;
 }
 
-function isExcused(
-  { caller, atMs }: RecordedCall,
-  excused: ReadonlyMap<string, readonly Span[]>,
+function isWithin(
+  { atMs }: RecordedCall,
+  spans: readonly Span[] = [],
 ): boolean {
-  if (caller === undefined) return false;
-  const spans = excused.get(caller) ?? [];
   return spans.some(({ fromMs, toMs }) => fromMs <= atMs && atMs <= toMs);
 }
 
