fix(gateway): forget the limit of a server that starts again under its id

Read in the diff: the new process would have been kept from keys for ten seconds by what its predecessor had named. Ages of limits count suspensions of a VM now, as peers compare them. No state is kept for servers that are not known, and none is looked at once no limit is in force.

--- a/packages/decisions/src/admission/request_limits.ts
+++ b/packages/decisions/src/admission/request_limits.ts
@@ -39,10 +39,11 @@
 /** Limits of all servers that have named one. */
 export class RequestLimits {
   readonly #servers = new Map<contracts.ServerId, ServerState>();
+  #inForce = 0;
 
-  /** Whether no server has named a limit. */
-  get isEmpty(): boolean {
-    return this.#servers.size === 0;
+  /** Whether any limit is in force. */
+  get hasAny(): boolean {
+    return this.#inForce > 0;
   }
 
   /** The server's limit in force; undefined for none. */
@@ -50,13 +51,6 @@
     return this.#servers.get(server)?.limit;
   }
 
-  /** Servers with a limit in force. */
-  *limited(): Generator<[contracts.ServerId, RequestLimit]> {
-    for (const [server, { limit }] of this.#servers) {
-      if (limit !== undefined) yield [server, limit];
-    }
-  }
-
   /**
    * Records an answer that this VM has received. One without a limit lifts it
    * only if its request was sent after the limit was last confirmed: the server
@@ -102,11 +96,15 @@
     };
   }
 
-  /** Forgets all other servers. */
-  keepOnly(servers: ReadonlySet<contracts.ServerId>): void {
-    for (const server of this.#servers.keys()) {
-      if (!servers.has(server)) this.#servers.delete(server);
-    }
+  /** Servers that have a limit, or had one. */
+  get servers(): Iterable<contracts.ServerId> {
+    return this.#servers.keys();
+  }
+
+  /** Forgets a server that has ended. */
+  forget(server: contracts.ServerId): void {
+    if (this.limitOf(server) !== undefined) this.#inForce--;
+    this.#servers.delete(server);
   }
 
   #apply(
@@ -121,6 +119,7 @@
       confirmedAtMs: observedAtMs,
     };
     if (known === undefined && limit === undefined) return "none";
+    this.#inForce += Number(limit !== undefined) - Number(known !== undefined);
     this.#servers.set(server, { limit, observedAtMs });
     if (limit === undefined) return "lifted";
     if (known === undefined) return "imposed";
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -331,9 +331,9 @@
         return true;
       }
       if (hasOther && capped.isTrialPending(request, nowMs)) return false;
-      if (hasOther) capped.cancel(request);
     }
     if (load === undefined) return false;
+    capped?.cancel(request);
     rateLimits?.recordStart(load.entry.server, nowMs);
     const outstanding = load.outstanding(nowMs);
     request.placed({ load, outstanding, fence: undefined });
--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarded_request.ts
@@ -43,14 +43,14 @@
   ): void;
   /** A request is sent to a server. */
   recordSend(server: contracts.ServerId): void;
-  /** A server answered what was sent at `sentAtMs`, perhaps with a limit. */
+  /** A server answered after `tookMs`, perhaps with a limit. */
   recordRequestLimit(
     server: contracts.ServerId,
     report: contracts.RequestLimitReport | undefined,
-    sentAtMs: number,
+    tookMs: number,
   ): void;
   /** A server's limit in force, for the log. */
-  limitOf(server: contracts.ServerId): admission.RequestLimit | undefined;
+  limitRecordOf(server: contracts.ServerId): RequestRecord["limit"];
   /** Knows which requests crash the servers that run them. */
   readonly poison: PoisonGuard;
   /** The request is finished. */
@@ -181,7 +181,7 @@
     if (report !== undefined) {
       this.#context.recordServerReport(entry.server, report, endedMs);
     }
-    this.#recordRequestLimit(result, entry.server, nowMs);
+    this.#recordRequestLimit(result, entry.server, endedMs - nowMs);
     this.#attempts.push({
       server: entry.server,
       outstanding,
@@ -205,13 +205,13 @@
   #recordRequestLimit(
     result: AttemptResult,
     server: contracts.ServerId,
-    sentAtMs: number,
+    tookMs: number,
   ): void {
     if (result.kind !== "answer" && result.kind !== "refusal") return;
     const { requestLimit } = result;
     // A refusal without a limit may be written by what has no load to tell.
     if (result.kind === "refusal" && requestLimit === undefined) return;
-    this.#context.recordRequestLimit(server, requestLimit, sentAtMs);
+    this.#context.recordRequestLimit(server, requestLimit, tookMs);
   }
 
   #attemptRequest(
@@ -443,21 +443,12 @@
       tookMs: nowMs - this.#request.arrivedMs,
       queuedMs: this.#queuedMs,
       attempts: this.#attempts,
-      limit: this.#limitRecord(nowMs),
+      limit: this.#limitedBy && this.#context.limitRecordOf(this.#limitedBy),
       fingerprint: this.#isSuspected
         ? this.#context.poison.identify(this.#request).fingerprint
         : undefined,
     });
   }
-
-  #limitRecord(nowMs: number): RequestRecord["limit"] {
-    const server = this.#limitedBy;
-    if (server === undefined) return undefined;
-    const limit = this.#context.limitOf(server);
-    if (limit === undefined) return undefined;
-    const { requestsPerSecond, confirmedAtMs } = limit;
-    return { server, requestsPerSecond, ageMs: nowMs - confirmedAtMs };
-  }
 }
 
 /** The request's deadline passed; says nothing about the server's health. */
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -236,10 +236,19 @@
         this.#headers(request, entry, leftMs),
       recordServerReport: (server, report, nowMs) =>
         this.#recordServerReport(state, { server, report, nowMs }),
-      limitOf: (server) => requestLimits.limitOf(server),
+      limitRecordOf: (server) => {
+        const limit = requestLimits.limitOf(server);
+        if (limit === undefined) return undefined;
+        const { requestsPerSecond } = limit;
+        return {
+          server,
+          requestsPerSecond,
+          ageMs: requestLimits.ageMsOf(server),
+        };
+      },
       recordSend: (server) => requestLimits.noteCall(server, "request"),
-      recordRequestLimit: (server, report, sentAtMs) =>
-        requestLimits.noteAnswer(server, report, sentAtMs),
+      recordRequestLimit: (server, report, tookMs) =>
+        requestLimits.noteAnswer(server, report, tookMs),
       poison,
       onFinished,
       onLoadChange: state.isKeyed
--- a/packages/entry/src/gateway/limited_grant_control.ts
+++ b/packages/entry/src/gateway/limited_grant_control.ts
@@ -32,7 +32,11 @@
         return maySend;
       },
       onRequestLimit: (report) =>
-        this.#limits.noteAnswer(server.server, report, sentAtMs),
+        this.#limits.noteAnswer(
+          server.server,
+          report,
+          this.#clock.nowMs() - sentAtMs,
+        ),
     });
   }
 
--- a/packages/entry/src/gateway/request_limit_task.ts
+++ b/packages/entry/src/gateway/request_limit_task.ts
@@ -18,8 +18,9 @@
 
 /** Options of {@link RequestLimitTask}. */
 export interface RequestLimitTaskOptions {
-  readonly registry: Pick<ServerRegistry, "onChange" | "ids">;
+  readonly registry: Pick<ServerRegistry, "onChange" | "bornMsOf">;
   readonly gossip: Pick<PeerGossip, "on" | "broadcast">;
+  /** Counts suspensions: peers compare the ages of what they know. */
   readonly clock: contracts.Clock;
   readonly log: Logger;
   /** Calls to limited servers by kind. */
@@ -56,6 +57,8 @@
   readonly #calls = new Map<contracts.ServerId, CallCounts>();
   readonly #malformedLog: ThrottledWarning;
   readonly #listeners: (() => void)[] = [];
+  /** Start of the incarnation that has named each limit. */
+  readonly #bornMs = new Map<contracts.ServerId, number>();
   /** When any VM last told the others of a server's limit. */
   readonly #toldAtMs = new Map<contracts.ServerId, number>();
   readonly #repeats = new Set<NodeJS.Timeout>();
@@ -67,7 +70,7 @@
       options.log,
       "Ignored a malformed request limit.",
     );
-    options.registry.onChange(() => this.#forgetLostServers());
+    options.registry.onChange(() => this.#forgetEndedServers());
     options.gossip.on(
       REQUEST_LIMITS_METHOD,
       requestLimitNewsSchema,
@@ -93,17 +96,23 @@
     this.#listeners.push(listener);
   }
 
-  /** Whether a server has named a limit and is still known. */
+  /** Whether any limit is in force. */
   get hasAny(): boolean {
-    return !this.#limits.isEmpty;
+    return this.#limits.hasAny;
+  }
+
+  /** Age of the answer that last confirmed the server's limit; 0 for none. */
+  ageMsOf(server: contracts.ServerId): number {
+    const limit = this.#limits.limitOf(server);
+    if (limit === undefined) return 0;
+    return this.#options.clock.nowMs() - limit.confirmedAtMs;
   }
 
   /** Requests a second on which placement may count; infinite for no limit. */
   capacityOf(server: contracts.ServerId): number {
     const limit = this.#limits.limitOf(server);
     if (limit === undefined) return Number.POSITIVE_INFINITY;
-    const ageMs = this.#options.clock.nowMs() - limit.confirmedAtMs;
-    return ageMs < CAPACITY_TTL_MS
+    return this.ageMsOf(server) < CAPACITY_TTL_MS
       ? Math.max(MIN_CAPACITY_PER_SECOND, limit.requestsPerSecond)
       : Number.POSITIVE_INFINITY;
   }
@@ -126,15 +135,15 @@
   /** Takes over what a peer knows. */
   applyNews(news: readonly RequestLimitTuple[]): void {
     const nowMs = this.#options.clock.nowMs();
-    const known = this.#options.registry.ids();
+    const { registry } = this.#options;
     for (const [server, requestsPerSecond, ageMs] of news) {
-      if (!known.has(server)) continue;
+      if (registry.bornMsOf(server) === undefined) continue;
       this.#toldAtMs.set(server, nowMs);
       const change = this.#limits.recordPeerReport(server, {
         requestsPerSecond: requestsPerSecond ?? undefined,
         observedAtMs: nowMs - ageMs,
       }, nowMs);
-      this.#follow(server, change, nowMs);
+      this.#follow(server, change);
     }
   }
 
@@ -144,26 +153,28 @@
   }
 
   /**
-   * Records what an answer says of its server's limit. `sentAtMs` is when its
-   * request was sent.
+   * Records what an answer says of its server's limit. `tookMs` is the time
+   * since its request was sent.
    */
   noteAnswer(
     server: contracts.ServerId,
     report: contracts.RequestLimitReport | undefined,
-    sentAtMs: number,
+    tookMs: number,
   ): void {
-    if (report === undefined && this.#limits.isEmpty) return;
-    const nowMs = this.#options.clock.nowMs();
+    if (report === undefined && !this.hasAny) return;
+    const { registry, clock } = this.#options;
+    if (registry.bornMsOf(server) === undefined) return;
+    const nowMs = clock.nowMs();
     if (report?.kind === "malformed") {
       return this.#malformedLog.warn(nowMs, { server, text: report.text });
     }
     const change = this.#limits.recordAnswer(
       server,
       report?.requestsPerSecond,
-      { sentAtMs, nowMs },
+      { sentAtMs: nowMs - tookMs, nowMs },
     );
     this.#tellPeers(server, change, nowMs);
-    this.#follow(server, change, nowMs);
+    this.#follow(server, change);
   }
 
   #tellPeers(
@@ -194,13 +205,18 @@
     this.#options.gossip.broadcast(REQUEST_LIMITS_METHOD, { limits });
   }
 
-  #forgetLostServers(): void {
-    if (this.#limits.isEmpty) return;
-    const servers = this.#options.registry.ids();
-    this.#limits.keepOnly(servers);
-    for (const server of this.#toldAtMs.keys()) {
-      if (!servers.has(server)) this.#toldAtMs.delete(server);
+  /** A server that starts again under its id has named nothing yet. */
+  #forgetEndedServers(): void {
+    let hasChanged = false;
+    for (const server of [...this.#limits.servers]) {
+      const bornMs = this.#options.registry.bornMsOf(server);
+      if (bornMs === this.#bornMs.get(server)) continue;
+      hasChanged ||= this.#limits.limitOf(server) !== undefined;
+      this.#limits.forget(server);
+      this.#bornMs.delete(server);
+      this.#toldAtMs.delete(server);
     }
+    if (hasChanged) this.#listeners.forEach((listener) => listener());
   }
 
   /** Counts a call that this VM sends. */
@@ -220,42 +236,40 @@
   #follow(
     server: contracts.ServerId,
     change: admission.RequestLimitChange,
-    nowMs: number,
   ): void {
-    const { log } = this.#options;
+    const { log, registry } = this.#options;
     if (change === "lifted") {
       log.info("Server no longer limits its requests.", { server });
     } else if (change === "imposed") {
+      this.#bornMs.set(server, registry.bornMsOf(server)!);
       this.#reportTask?.setIntervalMs(REPORT_INTERVAL_MS);
       log.info("Server limits its requests.", {
         server,
-        ...this.#limitFields(server, nowMs),
+        ...this.#limitFields(server),
       });
     } else return;
     for (const listener of this.#listeners) listener();
   }
 
-  #limitFields(server: contracts.ServerId, nowMs: number) {
+  #limitFields(server: contracts.ServerId) {
     const limit = this.#limits.limitOf(server);
     return {
       requestsPerSecond: limit?.requestsPerSecond,
-      limitAgeMs: limit && Math.round(nowMs - limit.confirmedAtMs),
+      limitAgeMs: limit && Math.round(this.ageMsOf(server)),
     };
   }
 
   #reportCalls(): void {
-    const nowMs = this.#options.clock.nowMs();
     for (const [server, { request, grant, release }] of this.#calls) {
       this.#options.log.info("Calls to a limited server.", {
         server,
-        ...this.#limitFields(server, nowMs),
+        ...this.#limitFields(server),
         requests: request,
         grants: grant,
         releases: release,
       });
     }
     this.#calls.clear();
-    const isIdle = this.#limits.limited().next().done === true;
-    if (isIdle) this.#reportTask?.setIntervalMs(Number.POSITIVE_INFINITY);
+    if (!this.hasAny) this.#reportTask?.setIntervalMs(Number.POSITIVE_INFINITY);
   }
 }
--- /dev/null
+++ b/packages/entry/src/gateway/request_limit_task_test.ts
@@ -0,0 +1,91 @@
+import type * as contracts from "@guavatide/contracts";
+import { expect } from "earl";
+import { test } from "node:test";
+import { LabelledCounts } from "../metrics/labelled_counts.ts";
+import { RequestLimitTask } from "./request_limit_task.ts";
+
+const SERVER = "s1" as contracts.ServerId;
+const LIMITED = { kind: "limited" as const, requestsPerSecond: 2 };
+
+function createFixture() {
+  const clock = { now: 10_000, nowMs: () => clock.now };
+  const sent: unknown[] = [];
+  const warnings: string[] = [];
+  const listeners: (() => void)[] = [];
+  const registry = { bornMs: 1 };
+  const noLine = () => {};
+  const task = new RequestLimitTask({
+    registry: {
+      onChange: (listener) => void listeners.push(listener),
+      bornMsOf: (server) => server === SERVER ? registry.bornMs : undefined,
+    },
+    gossip: {
+      on: () => {},
+      broadcast: (_method, params) => void sent.push(params),
+    },
+    clock,
+    log: {
+      debug: noLine,
+      info: noLine,
+      warn: (sentence) => void warnings.push(sentence),
+      error: noLine,
+    },
+    counts: new LabelledCounts(),
+  });
+  const changeRegistry = (bornMs: number) => {
+    registry.bornMs = bornMs;
+    for (const listener of listeners) listener();
+  };
+  return { task, clock, sent, warnings, changeRegistry };
+}
+
+test("should tell peers of a limit at once and of its confirmations seldom", () => {
+  const { task, clock, sent } = createFixture();
+  task.noteAnswer(SERVER, LIMITED, 20);
+  expect(sent).toEqual([{ limits: [[SERVER, 2, 0]] }]);
+  for (let count = 0; count < 90; count++) {
+    clock.now += 10;
+    task.noteAnswer(SERVER, LIMITED, 20);
+  }
+  expect(sent.length).toEqual(1);
+  clock.now += 200;
+  task.noteAnswer(SERVER, LIMITED, 20);
+  expect(sent.length).toEqual(2);
+});
+
+/** A new process of the server would start with the old one's limit and no keys. */
+test("should forget the limit of a server that starts again under its id", () => {
+  const { task, changeRegistry } = createFixture();
+  task.noteAnswer(SERVER, LIMITED, 20);
+  changeRegistry(1);
+  expect(task.limitOf(SERVER)?.requestsPerSecond).toEqual(2);
+  changeRegistry(2);
+  expect(task.hasAny).toEqual(false);
+  expect(task.capacityOf(SERVER)).toEqual(Number.POSITIVE_INFINITY);
+});
+
+/** State would grow with every name that a peer sends. */
+test("should take no news of servers that are not known", () => {
+  const { task } = createFixture();
+  task.applyNews([["other" as contracts.ServerId, 2, 0]]);
+  expect(task.hasAny).toEqual(false);
+});
+
+test("should keep a limit when an answer names a malformed one", () => {
+  const { task, warnings } = createFixture();
+  task.noteAnswer(SERVER, LIMITED, 20);
+  task.noteAnswer(SERVER, { kind: "malformed", text: "many" }, 20);
+  expect(task.limitOf(SERVER)?.requestsPerSecond).toEqual(2);
+  expect(warnings).toEqual(["Ignored a malformed request limit."]);
+});
+
+/** A server that owns nothing gets no request whose answer could end its limit. */
+test("should let placement count on a server whose limit nothing confirms", () => {
+  const { task, clock } = createFixture();
+  task.noteAnswer(SERVER, LIMITED, 20);
+  expect(task.capacityOf(SERVER)).toEqual(2);
+  clock.now += 10_000;
+  expect(task.capacityOf(SERVER)).toEqual(Number.POSITIVE_INFINITY);
+  // The limit itself stays in force.
+  expect(task.limitOf(SERVER)?.requestsPerSecond).toEqual(2);
+});
--- a/packages/entry/src/gateway/server_rate_limits.ts
+++ b/packages/entry/src/gateway/server_rate_limits.ts
@@ -21,7 +21,7 @@
   >;
   readonly requestLimits: Pick<
     RequestLimitTask,
-    "hasAny" | "limitOf" | "capacityOf"
+    "hasAny" | "limitOf" | "capacityOf" | "ageMsOf"
   >;
   /** Calls a second with which all VMs renew the server's leases. */
   readonly renewalsPerSecond: (server: contracts.ServerId) => number;
@@ -73,13 +73,11 @@
 
   /** Whether a limited server should get a request that others have room for. */
   isTrialDue(server: contracts.ServerId): boolean {
-    const { requestLimits, clock } = this.#options;
-    const limit = requestLimits.limitOf(server);
-    if (limit === undefined) return false;
+    const { requestLimits } = this.#options;
     const afterMs = this.#coordinatorView(server).isFirst
       ? COORDINATOR_TRIAL_AFTER_MS
       : TRIAL_AFTER_MS;
-    return clock.nowMs() - limit.confirmedAtMs >= afterMs;
+    return requestLimits.ageMsOf(server) >= afterMs;
   }
 
   /**
--- a/packages/entry/src/gateway/server_registry.ts
+++ b/packages/entry/src/gateway/server_registry.ts
@@ -124,6 +124,11 @@
     return this.#known.get(server)?.entry.zone;
   }
 
+  /** When the last known incarnation of a server started. */
+  bornMsOf(server: contracts.ServerId): number | undefined {
+    return this.#known.get(server)?.entry.bornMs;
+  }
+
   /** Entry of an incarnation, even a draining or removed one; for control calls. */
   entry(owner: contracts.RangeOwner): contracts.RegisteredServer | undefined {
     const known = this.#known.get(owner.server);
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -166,7 +166,7 @@
   const requestLimits = new RequestLimitTask({
     registry,
     gossip,
-    clock,
+    clock: suspensionClock,
     log: log.part("route"),
     counts: metrics.limitedServerCalls,
   });
