fix(grants): release a limited owner's ranges only when that can end a lease

Each renewal of the owner's other ranges made the release void, while an unanswered grant kept its lease of 6 s in force, so that no release could end it. A limited owner is now released again after a second at the earliest and only when no unanswered grant outlasts it; the test counts 20 releases for 20 ranges in a second, and more than 40 for an owner without a limit, as before.

--- a/packages/decisions/src/admission/server_rate_limit.ts
+++ b/packages/decisions/src/admission/server_rate_limit.ts
@@ -46,7 +46,9 @@
 const SPARE_REQUESTS = 2;
 /** Unused requests that a cold server's bucket holds, and any other one's. */
 const COLD_BURST_REQUESTS = 1;
-const BURST_REQUESTS = 2;
+const MAX_BURST_REQUESTS = 2;
+/** A low rate leaves no room for two requests at once. */
+const BURST_SECONDS = 4;
 
 /** Token bucket of one server. */
 interface Bucket {
@@ -135,9 +137,10 @@
       return created;
     }
     const gained = (nowMs - found.updatedMs) * ratePerMs;
-    const burst = this.isCold(server, nowMs)
-      ? COLD_BURST_REQUESTS
-      : BURST_REQUESTS;
+    const burst = this.isCold(server, nowMs) ? COLD_BURST_REQUESTS : Math.min(
+      MAX_BURST_REQUESTS,
+      Math.max(1, ratePerMs * 1_000 * BURST_SECONDS),
+    );
     found.tokens = Math.min(burst, found.tokens + gained);
     found.updatedMs = nowMs;
     return found;
--- a/packages/decisions/src/grants/handover_controller.ts
+++ b/packages/decisions/src/grants/handover_controller.ts
@@ -16,6 +16,7 @@
   freeAtMs,
   type HandoverFacts,
   isReleaseVoid,
+  outlastsRelease,
 } from "./handover_wait.ts";
 
 /** A range map with its version in the store. */
@@ -78,6 +79,11 @@
  * renewal that crosses the release would invalidate it.
  */
 const RELEASE_WAIT_MS = 120;
+/**
+ * A server that limits its calls gets a release again after this time at the
+ * earliest: each renewal of its other ranges makes the one before it void.
+ */
+const SPARING_RELEASE_RETRY_MS = 1_000;
 /**
  * Handovers that finish within this time share a write: each write is a call to
  * the store and an update to all VMs.
@@ -243,7 +249,12 @@
     if (acknowledgedAtMs === undefined || isInFlight) return false;
     if (nowMs < release.notBeforeMs) return false;
     if (release.answered !== undefined) {
-      return isReleaseVoid(this.#facts(map, range, false));
+      const facts = this.#facts(map, range, false);
+      const isSparing = map.serverHoldMs?.[server] !== undefined;
+      const sinceMs = nowMs - release.answered.answeredAtMs;
+      const isUseless = isSparing &&
+        (sinceMs < SPARING_RELEASE_RETRY_MS || outlastsRelease(facts, nowMs));
+      return !isUseless && isReleaseVoid(facts);
     }
     const hasAcknowledged = (vm: contracts.VmId) => {
       const report = this.#reports.reportOf(vm);
--- a/packages/decisions/src/grants/handover_controller_test.ts
+++ b/packages/decisions/src/grants/handover_controller_test.ts
@@ -15,6 +15,16 @@
   return { server: name as contracts.ServerId, bornMs: 1 };
 }
 
+/** Options of {@link Fixture}. */
+interface FixtureOptions {
+  /** The old owner limits its calls, and so has long leases. */
+  readonly isSparing?: boolean;
+  /** A grant to the old owner was not answered at the start. */
+  readonly hasUnansweredGrant?: boolean;
+  /** The old owner's other ranges are renewed all the time. */
+  readonly renewsOthers?: boolean;
+}
+
 /** Two servers, with many ranges handed over from one to the other. */
 class Fixture {
   nowMs = START_MS;
@@ -28,8 +38,11 @@
   #moves: readonly grants.RangeMove[];
   #map: contracts.RangeMap | undefined;
   writes = 0;
+  releases = 0;
+  readonly #options: FixtureOptions;
 
-  constructor() {
+  constructor(options: FixtureOptions = {}) {
+    this.#options = options;
     const width = KEY_COUNT / (2 * MOVES);
     this.#moves = Array.from({ length: MOVES }, (_, index) => ({
       fromKey: 2 * index * width,
@@ -65,6 +78,7 @@
     this.#reportVoter();
     controller.checkAcknowledgements(nowMs, new Set());
     for (const { range } of controller.takeReleases(nowMs, () => false)) {
+      this.releases++;
       const atMs = nowMs + STEP_MS * (1 + this.#answers.length % MOVES);
       this.#answers.push({ fence: range.fence, atMs });
     }
@@ -93,8 +107,13 @@
       receivedAtMs: this.nowMs,
       startedAtMs: 0,
       // Without a release the ranges would be free only much later.
-      lastGrantMs: new Map([[owner("a").server, START_MS]]),
-      lastUnansweredMs: new Map(),
+      lastGrantMs: new Map([[
+        owner("a").server,
+        this.#options.renewsOthers ? this.nowMs - STEP_MS : START_MS,
+      ]]),
+      lastUnansweredMs: new Map(
+        this.#options.hasUnansweredGrant ? [[owner("a").server, START_MS]] : [],
+      ),
     });
   }
 
@@ -113,6 +132,9 @@
       voters: [VOTER],
       removedVoters: new Set(),
       leaseMs: grants.DEFAULT_GRANT_TIMINGS.holdMs,
+      serverLeasesMs: new Map(
+        this.#options.isSparing ? [[owner("a").server, 6_000]] : [],
+      ),
       plan: () => {
         const moves = isFirst ? [] : this.#moves;
         if (!isFirst) this.#moves = [];
@@ -145,3 +167,18 @@
   fixture.runUntilMoving();
   expect(fixture.takeReleases().length).toEqual(MOVES);
 });
+
+/**
+ * Each renewal of its other ranges makes a release void, and each release is a
+ * call that the server has no room for.
+ */
+test("should release a limited owner's range again only when that can end its lease", () => {
+  const options = { hasUnansweredGrant: true, renewsOthers: true };
+  const usual = new Fixture(options);
+  usual.run();
+  expect(usual.releases).toBeGreaterThan(2 * MOVES);
+  const limited = new Fixture({ ...options, isSparing: true });
+  limited.run();
+  expect(limited.releases).toEqual(MOVES);
+  expect(limited.movingRanges).toEqual(MOVES);
+});
--- a/packages/decisions/src/grants/handover_wait.ts
+++ b/packages/decisions/src/grants/handover_wait.ts
@@ -54,6 +54,16 @@
   );
 }
 
+/**
+ * Whether an unanswered grant keeps the old owner's lease in force, so that no
+ * release can end it before that lease expires.
+ */
+export function outlastsRelease(facts: HandoverFacts, nowMs: number): boolean {
+  const { acknowledgedAtMs } = facts;
+  return acknowledgedAtMs !== undefined &&
+    lastGrantEndMs(facts, acknowledgedAtMs, "lastUnansweredMs") > nowMs;
+}
+
 /**
  * Whether a grant to the old owner may have crossed the release. The owner may
  * then hold the range again and must release it once more.
--- a/packages/entry/src/gateway/grant_task.ts
+++ b/packages/entry/src/gateway/grant_task.ts
@@ -35,8 +35,8 @@
   readonly capacity: MovePlannerOptions["capacity"];
   readonly isCold: MovePlannerOptions["isCold"];
   readonly maxRangesOf: MovePlannerOptions["maxRangesOf"];
-  /** Whether a server limits the calls that it gets. */
-  readonly isLimited: (server: contracts.ServerId) => boolean;
+  /** Calls a second that a server takes; undefined for no limit. */
+  readonly limitOf: (server: contracts.ServerId) => number | undefined;
   /**
    * By server, how much longer than average it takes, as this VM's slot
    * coordinator has measured.
@@ -61,14 +61,21 @@
 const RANGE_MAP_RPC = "rangeMap";
 /** Lease duration of servers that limit the calls they get. */
 const SPARING_LEASE_MS = 6_000;
+/** Servers that take less a second get the longest leases that there are. */
+const LOW_LIMIT_PER_SECOND = 1;
 /**
  * Largest number of keys in one message; of more, the most requested are sent.
  */
 const MAX_KEYS_PER_MESSAGE = 400;
 
 /** Lease duration of servers that are to get few calls. */
-export function sparingLeaseMs(maxLeaseMs: number): number {
-  return Math.min(SPARING_LEASE_MS, maxLeaseMs);
+export function sparingLeaseMs(
+  maxLeaseMs: number,
+  limitPerSecond: number = LOW_LIMIT_PER_SECOND,
+): number {
+  return limitPerSecond < LOW_LIMIT_PER_SECOND
+    ? maxLeaseMs
+    : Math.min(SPARING_LEASE_MS, maxLeaseMs);
 }
 
 /** Runs {@link ServiceGrants} for each keyed service. */
@@ -234,10 +241,12 @@
       peers: () => this.#grantPeers(),
       desiredLeaseMs: () =>
         this.#desiredLeaseMs.get(service) ?? this.#options.timings.holdMs,
-      sparingLeaseMs: (server) =>
-        this.#options.isLimited(server)
-          ? sparingLeaseMs(this.#options.maxLeaseMs)
-          : undefined,
+      sparingLeaseMs: (server) => {
+        const limitPerSecond = this.#options.limitOf(server);
+        return limitPerSecond === undefined
+          ? undefined
+          : sparingLeaseMs(this.#options.maxLeaseMs, limitPerSecond);
+      },
       sinceLastMessageMs: (vm) => gossip.sinceLastMessageMs(vm),
       fetchMap: (peer) => this.#fetchMap(service, peer),
       publish: (update) => {
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -204,7 +204,7 @@
       registry.coldUntilMs(server) > clock.nowMs() &&
       config.service(service)?.coldStart !== undefined,
     maxRangesOf: (server) => rateLimits.maxRangesOf(server),
-    isLimited: (server) => requestLimits.limitOf(server) !== undefined,
+    limitOf: (server) => requestLimits.limitOf(server)?.requestsPerSecond,
     latencyFactorsOf: (service) => slots.latencyFactors(service),
     isLeaving: () => lifeCycle.isStopping,
   });
