feat(requests): keep the limits of servers on the product's own interface

They do by guavatide-request-limit; the allocator that counts a server's requests starts no more a second (ServerRateLimit), in the dispatcher for all VMs, else by equal parts. The stand-in server names limits and records what it gets.

Open, and said in the contract: equal parts exceed a small limit with many VMs; only a service without keys has one dispatcher.

--- a/packages/contracts/src/backend_server.ts
+++ b/packages/contracts/src/backend_server.ts
@@ -31,6 +31,11 @@
 export const DEADLINE_STAMP_HEADER = "guavatide-deadline-stamp";
 /** Response header: the server's current number of requests in flight. */
 export const IN_FLIGHT_HEADER = "guavatide-in-flight";
+/**
+ * Response header of a server in need: requests a second, as a decimal number,
+ * that it takes from all entry VMs together for as long as its answers say so.
+ */
+export const REQUEST_LIMIT_HEADER = "guavatide-request-limit";
 
 /** Why a server refused a request; the value of {@link NOT_RUN_HEADER}. */
 export type ServerRefusal =
--- a/packages/contracts/src/server_report.ts
+++ b/packages/contracts/src/server_report.ts
@@ -21,3 +21,18 @@
   | { readonly kind: "limited"; readonly requestsPerSecond: number }
   /** The text is not a rate, so it changes nothing. */
   | { readonly kind: "malformed"; readonly text: string };
+
+/** More digits would be no rate that a server can mean. */
+const RATE = /^[0-9]{1,9}(\.[0-9]{1,9})?$/;
+const MAX_REPORTED_TEXT = 40;
+
+/** Decodes requests a second as a decimal number; undefined for no text. */
+export function parseRequestLimit(
+  text: string | undefined,
+): RequestLimitReport | undefined {
+  if (text === undefined) return undefined;
+  const trimmed = text.trim();
+  return RATE.test(trimmed)
+    ? { kind: "limited", requestsPerSecond: Number(trimmed) }
+    : { kind: "malformed", text: trimmed.slice(0, MAX_REPORTED_TEXT) };
+}
--- a/packages/decisions/src/routing/server_tracker.ts
+++ b/packages/decisions/src/routing/server_tracker.ts
@@ -22,12 +22,20 @@
 
 /** How an attempt at a server ended. */
 export type AttemptOutcome =
-  /** The server answered; `inFlight` is the load that it reported. */
-  | { readonly kind: "answer"; readonly inFlight?: number }
+  /**
+   * The server answered; `inFlight` is the load that it reported, and
+   * `requestLimit` the requests a second that it takes.
+   */
+  | {
+    readonly kind: "answer";
+    readonly inFlight?: number;
+    readonly requestLimit?: number;
+  }
   | {
     readonly kind: "refusal";
     readonly refusal: contracts.ServerRefusal;
     readonly inFlight?: number;
+    readonly requestLimit?: number;
   }
   | {
     readonly kind: "failure";
--- a/packages/entry/src/links/header_list.ts
+++ b/packages/entry/src/links/header_list.ts
@@ -33,6 +33,7 @@
   contracts.FENCE_HEADER,
   contracts.NOT_RUN_HEADER,
   contracts.IN_FLIGHT_HEADER,
+  contracts.REQUEST_LIMIT_HEADER,
   contracts.OUTCOME_HEADER,
   contracts.REASON_HEADER,
   contracts.KEY_HEADER,
--- a/packages/entry/src/links/native_answer_decoder.ts
+++ b/packages/entry/src/links/native_answer_decoder.ts
@@ -3,6 +3,7 @@
 import * as names from "@guavatide/contracts";
 import type {
   AnswerDecoder,
+  AnswerReport,
   DecodedAnswer,
   RawAnswer,
 } from "./answer_decoder.ts";
@@ -10,7 +11,10 @@
 
 /** Decoder for responses to requests under `/serve/`. */
 export class NativeAnswerDecoder implements AnswerDecoder {
-  decode(requestId: contracts.RequestId, raw: RawAnswer): DecodedAnswer {
+  decode(
+    requestId: contracts.RequestId,
+    raw: RawAnswer,
+  ): DecodedAnswer & AnswerReport {
     const echoed = readHeader(raw.headers, names.REQUEST_ID_HEADER);
     if (echoed !== requestId) {
       const message = "The answer bears the id of another request";
@@ -20,17 +24,21 @@
       return { kind: "bad", message: "The answer's length can't be checked" };
     }
     const inFlight = readInFlight(raw.headers);
+    const requestLimit = names.parseRequestLimit(
+      readHeader(raw.headers, names.REQUEST_LIMIT_HEADER),
+    );
     const refusal = readHeader(raw.headers, names.NOT_RUN_HEADER);
     if (refusal !== undefined) {
       return {
         kind: "refusal",
         refusal: refusal as contracts.ServerRefusal,
         inFlight,
+        requestLimit,
       };
     }
     const { status, body } = raw;
     const answer = { status, headers: answerHeaders(raw.headers), body };
-    return { kind: "answer", answer, inFlight };
+    return { kind: "answer", answer, inFlight, requestLimit };
   }
 }
 
--- a/packages/entry/src/requests/active_request.ts
+++ b/packages/entry/src/requests/active_request.ts
@@ -5,6 +5,7 @@
 import * as routing from "@guavatide/decisions/routing/mod";
 import { conditionBeforeRetry } from "../poison/server_end_check.ts";
 import type { ServerClock } from "../links/server_clock.ts";
+import type { AnswerReport } from "../links/answer_decoder.ts";
 import type {
   AttemptRequest,
   AttemptResult,
@@ -311,12 +312,17 @@
   #outcomeOf(result: AttemptResult): routing.AttemptOutcome {
     switch (result.kind) {
       case "answer":
-        return { kind: "answer", inFlight: result.inFlight };
+        return {
+          kind: "answer",
+          inFlight: result.inFlight,
+          requestLimit: limitOf(result),
+        };
       case "refusal":
         return {
           kind: "refusal",
           refusal: result.refusal,
           inFlight: result.inFlight,
+          requestLimit: limitOf(result),
         };
       case "not-sent":
         return result.isLocal || this.#request.signal.aborted
@@ -431,3 +437,10 @@
       return { kind: "unknown", reason: result.reason };
   }
 }
+
+/** Requests a second that the server takes; undefined for no limit. */
+function limitOf({ requestLimit }: AnswerReport): number | undefined {
+  return requestLimit?.kind === "limited"
+    ? requestLimit.requestsPerSecond
+    : undefined;
+}
--- a/packages/entry/src/requests/request_router.ts
+++ b/packages/entry/src/requests/request_router.ts
@@ -257,6 +257,7 @@
       log: this.#log,
       mayEject: true,
       connectionLimit: () => this.#connectionLimit(service),
+      limitShare: () => 1 / this.#options.entryVmCount(),
       onEjected: (server: contracts.ServerId) =>
         metrics.ejected(service.name, server),
       probe: (address: ServerAddress) => connectionPools.probe(address),
@@ -289,6 +290,7 @@
       // The dispatcher counts the requests of all VMs, so the connections of
       // this VM are no limit.
       connectionLimit: () => Infinity,
+      limitShare: () => 1,
       policy: "least-outstanding",
       extraRequestsPerServer: PIPELINED_REQUESTS,
     });
--- a/packages/entry/src/requests/server_monitor.ts
+++ b/packages/entry/src/requests/server_monitor.ts
@@ -3,11 +3,15 @@
  * outlier ejection, and the probes that return ejected servers to use.
  */
 import type * as contracts from "@guavatide/contracts";
+import * as admission from "@guavatide/decisions/admission/mod";
 import * as routing from "@guavatide/decisions/routing/mod";
 import type { ServerAddress, ServerView } from "../contracts/views.ts";
 import type { Logger } from "../utils/log.ts";
 import type { Slot } from "./slot_allocator.ts";
 
+/** Interval at which requests that wait for a limited server are tried. */
+const LIMIT_RETRY_MS = 25;
+
 /** Options of {@link ServerMonitor}, and of the allocators that use one. */
 export interface ServerMonitorOptions {
   readonly service: contracts.Service;
@@ -20,6 +24,8 @@
   readonly mayEject: boolean;
   /** Requests to one server for which this VM has connections. */
   readonly connectionLimit: () => number;
+  /** Part of a limit that a server names which this allocator may use. */
+  readonly limitShare: () => number;
   /** Called when a server is ejected. */
   readonly onEjected: (server: contracts.ServerId) => void;
   /** Sends a health probe; resolves to whether the server answered. */
@@ -32,6 +38,8 @@
   readonly #tracker: routing.ServerTracker;
   /** Called when a server may have become able to take a request. */
   readonly #onServerAvailable: () => void;
+  readonly #limits = new admission.RequestLimits();
+  readonly #rateLimit: admission.ServerRateLimit;
   #service: contracts.Service;
   #retryTimer: NodeJS.Timeout | undefined;
 
@@ -39,6 +47,14 @@
     this.#options = options;
     this.#onServerAvailable = onServerAvailable;
     this.#service = options.service;
+    this.#rateLimit = new admission.ServerRateLimit({
+      bound: undefined,
+      coldUntilMs: () => Number.NEGATIVE_INFINITY,
+      requestsPerSecond: () => undefined,
+      rankOf: () => undefined,
+      rateShares: [],
+      namedRateOf: (server) => this.#limitedRate(server),
+    });
     const nowMs = options.clock.nowMs();
     this.#tracker = new routing.ServerTracker(this.#trackerOptions(), nowMs);
   }
@@ -61,7 +77,22 @@
     const nowMs = this.#options.clock.nowMs();
     const available = this.#tracker.candidates(servers, nowMs);
     if (available.length === 0) this.#retryIn(this.#tracker.pauseLeftMs(nowMs));
-    return available;
+    if (!this.#limits.hasAny) return available;
+    const allowed = available.filter(({ server }) =>
+      this.#rateLimit.mayStart(server, nowMs)
+    );
+    if (allowed.length === 0 && available.length > 0) {
+      this.#retryIn(LIMIT_RETRY_MS);
+    }
+    return allowed;
+  }
+
+  /** Requests a second that this allocator may send to a limited server. */
+  #limitedRate(server: contracts.ServerId): number | undefined {
+    const limit = this.#limits.limitOf(server);
+    if (limit === undefined) return undefined;
+    return admission.requestsBesideControl(limit.requestsPerSecond, 0) *
+      this.#options.limitShare();
   }
 
   /** Counts a request as in flight at a server. */
@@ -71,6 +102,9 @@
   ): Slot {
     const sentMs = this.#options.clock.nowMs();
     this.#tracker.recordSent(address.server, sentMs);
+    if (this.#limits.hasAny) {
+      this.#rateLimit.recordStart(address.server, sentMs);
+    }
     return { address, sentMs, ownership };
   }
 
@@ -78,19 +112,51 @@
   releaseSlot(slot: Slot, outcome: routing.AttemptOutcome): void {
     const nowMs = this.#options.clock.nowMs();
     const { server } = slot.address;
+    this.#recordLimit(slot, outcome, nowMs);
     this.#reportEvent(
       server,
       this.#tracker.recordOutcome(server, slot.sentMs, { end: outcome, nowMs }),
     );
   }
 
+  #recordLimit(
+    { address, sentMs }: Slot,
+    outcome: routing.AttemptOutcome,
+    nowMs: number,
+  ): void {
+    if (outcome.kind !== "answer" && outcome.kind !== "refusal") return;
+    const { requestLimit } = outcome;
+    if (requestLimit === undefined && !this.#limits.hasAny) return;
+    // A refusal without a limit may be written by what has no load to tell.
+    if (requestLimit === undefined && outcome.kind === "refusal") return;
+    const change = this.#limits.recordAnswer(address.server, requestLimit, {
+      sentAtMs: sentMs,
+      nowMs,
+    });
+    if (change !== "imposed" && change !== "lifted") return;
+    this.#options.log.info(
+      change === "imposed"
+        ? "Server limits its requests."
+        : "Server no longer limits its requests.",
+      {
+        service: this.#service.name,
+        server: address.server,
+        requestsPerSecond: requestLimit,
+      },
+    );
+  }
+
   /** Ejects unresponsive servers and sends the probes that are due. */
   refresh(): void {
     const nowMs = this.#options.clock.nowMs();
     const known = this.#knownServers();
     const ids = known.map((address) => address.server);
     this.#tracker.configure(this.#trackerOptions());
-    this.#tracker.keepOnly(new Set(ids), nowMs);
+    const idSet = new Set(ids);
+    this.#tracker.keepOnly(idSet, nowMs);
+    for (const server of [...this.#limits.servers]) {
+      if (!idSet.has(server)) this.#limits.forget(server);
+    }
     for (const server of this.#tracker.ejectUnresponsive(nowMs)) {
       this.#reportEvent(server, "ejected");
     }
--- a/packages/entry/src/requests/slot_messages.ts
+++ b/packages/entry/src/requests/slot_messages.ts
@@ -13,13 +13,19 @@
 export const SLOTS_DECIDED_METHOD = "slots-decided";
 
 const inFlightSchema = z.number().int().min(0).optional();
+const requestLimitSchema = z.number().min(0).optional();
 
 const attemptOutcomeSchema = z.discriminatedUnion("kind", [
-  z.strictObject({ kind: z.literal("answer"), inFlight: inFlightSchema }),
+  z.strictObject({
+    kind: z.literal("answer"),
+    inFlight: inFlightSchema,
+    requestLimit: requestLimitSchema,
+  }),
   z.strictObject({
     kind: z.literal("refusal"),
     refusal: z.enum(["not-owner", "busy", "draining", "deadline", "cold"]),
     inFlight: inFlightSchema,
+    requestLimit: requestLimitSchema,
   }),
   z.strictObject({
     kind: z.literal("failure"),
--- a/packages/standins/src/backend_server/backend_app.ts
+++ b/packages/standins/src/backend_server/backend_app.ts
@@ -9,6 +9,7 @@
 import { Journal } from "./journal.ts";
 import { LoadHistory } from "./load_history.ts";
 import { OwnershipState } from "./ownership_state.ts";
+import { RequestLimitRecord } from "./request_limit_record.ts";
 import { ServiceTimeSampler } from "./service_time_sampler.ts";
 import {
   type BackendFaults,
@@ -56,6 +57,8 @@
   readonly #journal: Journal;
   readonly #queue: WorkQueue;
   readonly #loadHistory: LoadHistory;
+  /** Calls since it first named a limit. */
+  readonly #limits = new RequestLimitRecord();
   readonly #knownSockets = new WeakSet<object>();
   #faults: BackendFaults = {};
 
@@ -102,6 +105,10 @@
     const app = this.hono;
     app.get("/journal", (context) => context.json(this.#journal.entries));
     app.post("/faults", (context) => this.#setFaults(context));
+    app.get(
+      "/limit-violations",
+      (context) => context.json(this.#limits.findViolations()),
+    );
     app.use(
       "/serve/*",
       (context, next) => this.#simulateNetwork(context, next),
@@ -145,9 +152,20 @@
     this.#faults = { ...this.#faults, ...parsed.data };
     this.#queue.slowFactor = this.#faults.slowFactor ?? 1;
     this.#queue.setHoldRuns(this.#faults.holdRuns ?? false);
+    if (parsed.data.requestLimit !== undefined) {
+      this.#nameLimit(parsed.data.requestLimit);
+    }
     return context.json({});
   }
 
+  /** Text that is no rate leaves the limit before it in force. */
+  #nameLimit(text: string): void {
+    const perSecond = text === "" ? undefined : Number(text);
+    if (Number.isNaN(perSecond)) return;
+    const { server } = this.#settings;
+    this.#limits.nameLimit(server, perSecond, this.#clock.nowMs());
+  }
+
   async #applyLeaseCommand(context: BackendContext): Promise<Response> {
     const parsed = contracts.leaseCommandSchema.safeParse(
       await context.req.json(),
@@ -193,6 +211,8 @@
   }
 
   async #serveRequest(context: BackendContext): Promise<Response> {
+    const { server } = this.#settings;
+    this.#limits.recordCall(server, undefined, this.#clock.nowMs());
     const body = await context.req.text();
     const request = this.#parseRequest(context);
     if (request === undefined) {
@@ -257,6 +277,12 @@
       : request.requestId;
     context.header(contracts.REQUEST_ID_HEADER, id);
     context.header(contracts.IN_FLIGHT_HEADER, String(this.#queue.inFlight));
+    const { requestLimit = "" } = this.#faults;
+    if (requestLimit !== "") {
+      context.header(contracts.REQUEST_LIMIT_HEADER, requestLimit);
+      const { server } = this.#settings;
+      this.#limits.recordTold(server, undefined, this.#clock.nowMs());
+    }
     const nowMs = this.#clock.nowMs();
     context.header(
       contracts.STAMP_HEADER,
--- a/packages/standins/src/backend_server/settings.ts
+++ b/packages/standins/src/backend_server/settings.ts
@@ -81,6 +81,8 @@
     ageMs: z.number().min(0).optional(),
     healthy: z.boolean().optional(),
   }).optional(),
+  /** Limit that its answers name, as text; empty for none. */
+  requestLimit: z.string().optional(),
   /** Whether control calls get no response. */
   controlHangs: z.boolean().optional(),
 });
