--- a/packages/decisions/src/admission/slot_coordinator.ts
+++ b/packages/decisions/src/admission/slot_coordinator.ts
@@ -195,6 +195,7 @@
   readonly #times: ServiceTimes;
   readonly #queue: ServiceQueue;
   readonly #reserve: ShortRequestReserve;
+  readonly #rateLimits: ServerRateLimit | undefined;
   readonly #decide: (decision: SlotDecision) => void;
   readonly #pending = new Map<string, PendingSlotRequest>();
   readonly #held = new Map<string, HeldSlotState>();
@@ -211,6 +212,7 @@
     this.#times = times;
     this.#decide = onDecision;
     const rateLimits = rateLimitsOf?.(server.service);
+    this.#rateLimits = rateLimits;
     const reserve = new ShortRequestReserve(times, server.slots);
     this.#reserve = reserve;
     this.#queue = new ServiceQueue({
@@ -248,7 +250,9 @@
     this.#pending.set(key, pending);
     this.#reserve.recordRequest(request.route, nowMs);
     // A limited rate allows the next request between two sweeps.
-    this.#queue.dispatch(nowMs);
+    if (this.#rateLimits?.isNamed(this.server.server)) {
+      this.#queue.dispatch(nowMs);
+    }
     this.#queue.add(pending, nowMs);
     if (this.#pending.has(key)) this.#decide({ vm, id, kind: "queued" });
   }
