--- a/packages/decisions/src/grants/renewal_rate.ts
+++ b/packages/decisions/src/grants/renewal_rate.ts
@@ -14,8 +14,8 @@
 /** VMs that renew the grants of one server, the first at full rate. */
 export const RENEWERS_PER_SERVER = 2;
 /**
- * The same interval as a fraction of a long lease. The second VM renews in time
- * by itself, so a lease outlasts the loss of either.
+ * Interval of the first VM as a fraction of a long lease. The second renews in
+ * time by itself, so a lease outlasts the loss of either.
  */
 const SPARING_INTERVAL_RATIO = 0.4;
 
