fix(gateway): let a malformed limit confirm the one that is known

Trace: one VM had restarted while the server's answers named text that is no rate. It could not read the limit from them, and its peers, whose answers confirmed nothing either, never told it; it alone sent some 20 requests a second. Such text now confirms the limit that a VM knows, so that peers hear of it once a second as of any other.

--- a/packages/entry/src/gateway/request_limit_task.ts
+++ b/packages/entry/src/gateway/request_limit_task.ts
@@ -166,11 +166,16 @@
     if (registry.bornMsOf(server) === undefined) return;
     const nowMs = clock.nowMs();
     if (report?.kind === "malformed") {
-      return this.#malformedLog.warn(nowMs, { server, text: report.text });
+      this.#malformedLog.warn(nowMs, { server, text: report.text });
+      if (this.limitOf(server) === undefined) return;
     }
+    // Text that is no rate still says that the server has a limit.
+    const requestsPerSecond = report?.kind === "malformed"
+      ? this.limitOf(server)?.requestsPerSecond
+      : report?.requestsPerSecond;
     const change = this.#limits.recordAnswer(
       server,
-      report?.requestsPerSecond,
+      requestsPerSecond,
       { sentAtMs: nowMs - tookMs, nowMs },
     );
     this.#tellPeers(server, change, nowMs);
--- a/packages/entry/src/gateway/request_limit_task_test.ts
+++ b/packages/entry/src/gateway/request_limit_task_test.ts
@@ -71,14 +71,23 @@
   expect(task.hasAny).toEqual(false);
 });
 
-test("should keep a limit when an answer names a malformed one", () => {
-  const { task, warnings } = createFixture();
+/** A VM that has just started would learn of the limit from nobody. */
+test("should keep a limit and tell peers of it when an answer names a malformed one", () => {
+  const { task, clock, sent, warnings } = createFixture();
   task.noteAnswer(SERVER, LIMITED, 20);
+  clock.now += 1_000;
   task.noteAnswer(SERVER, { kind: "malformed", text: "many" }, 20);
   expect(task.limitOf(SERVER)?.requestsPerSecond).toEqual(2);
+  expect(sent.length).toEqual(2);
   expect(warnings).toEqual(["Ignored a malformed request limit."]);
 });
 
+test("should take no limit from an answer that names only a malformed one", () => {
+  const { task } = createFixture();
+  task.noteAnswer(SERVER, { kind: "malformed", text: "many" }, 20);
+  expect(task.hasAny).toEqual(false);
+});
+
 /** A server that owns nothing gets no request whose answer could end its limit. */
 test("should let placement count on a server whose limit nothing confirms", () => {
   const { task, clock } = createFixture();
