--- a/scripts/run_tests.js
+++ b/scripts/run_tests.js
@@ -33,8 +33,12 @@
 function readKnownRed() {
   if (!fs.existsSync("KNOWN-RED.txt")) return [];
   return fs.readFileSync("KNOWN-RED.txt", "utf8").split("\n")
-    .filter((line) => line.trim() !== "" && !line.startsWith("#"))
-    .map((line) => line.split(",")[0].trim());
+    .filter((line) => line.trim() !== "" && !line.startsWith("#"));
+}
+
+/** An entry begins with the whole name of its test, which may have commas. */
+function isKnownRed(name) {
+  return knownRed.some((line) => line.startsWith(`${name},`));
 }
 
 const only = process.argv[2];
@@ -66,7 +70,7 @@
   const isFileOnly = !isLeaf(event) &&
     event.details?.error?.failureType === "subtestsFailed";
   if (isFileOnly) return;
-  if (knownRed.includes(event.name)) {
+  if (isKnownRed(event.name)) {
     red.push(event.name);
     return;
   }
