fix(grants): move no keys between owners that all limit their calls

Suspected: load beyond all limits made the planner move pieces between owners, each with new grants and releases, though the design says that keys stay then. Nothing is planned any more while all are limited, but for servers that are lost.

--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -47,6 +47,8 @@
   }
   const moves = planLostServers(input, utilization);
   if (!input.mayBalance || moves.length > 0) return moves;
+  // A move would shift load between limits and cost each of them calls.
+  if (areAllLimited(input)) return [];
   const hotKeys = planHotKeys(input, utilization);
   // While handovers are in progress only single hot keys are moved: they
   // affect one server each.
@@ -58,6 +60,12 @@
   return planRebalance(input, utilization, [...hotKeys, ...relief]);
 }
 
+function areAllLimited({ servers }: RangePlanInput): boolean {
+  return [...servers.values()].every(({ maxRanges }) =>
+    maxRanges !== undefined
+  );
+}
+
 /**
  * Moves ranges off servers that limit their calls and have no room to have them
  * all renewed; the narrowest first, as each key that moves is a cost.
@@ -69,8 +77,7 @@
   const limited = new Map(
     [...input.servers].filter(([, { maxRanges }]) => maxRanges !== undefined),
   );
-  // With all of them limited, a move would only shift the calls.
-  if (limited.size === 0 || limited.size === input.servers.size) return [];
+  if (limited.size === 0) return [];
   const moves: RangeMove[] = [];
   for (const [server, { maxRanges }] of limited) {
     const owned = input.ranges.filter(({ owner, vacating }) =>
