fix(requests): let a malformed limit keep the one before it

On the product's own interface an answer whose limit was text that is no rate counted as one without a limit, and so ended the limit in force; on the platform it keeps it. An outcome now tells the two apart. The test failed before.

--- a/packages/decisions/src/routing/server_tracker.ts
+++ b/packages/decisions/src/routing/server_tracker.ts
@@ -24,18 +24,19 @@
 export type AttemptOutcome =
   /**
    * The server answered; `inFlight` is the load that it reported, and
-   * `requestLimit` the requests a second that it takes.
+   * `requestLimit` the requests a second that it takes, null when it named
+   * what is no rate.
    */
   | {
     readonly kind: "answer";
     readonly inFlight?: number;
-    readonly requestLimit?: number;
+    readonly requestLimit?: number | null;
   }
   | {
     readonly kind: "refusal";
     readonly refusal: contracts.ServerRefusal;
     readonly inFlight?: number;
-    readonly requestLimit?: number;
+    readonly requestLimit?: number | null;
   }
   | {
     readonly kind: "failure";
--- a/packages/entry/src/requests/active_request.ts
+++ b/packages/entry/src/requests/active_request.ts
@@ -438,9 +438,11 @@
   }
 }
 
-/** Requests a second that the server takes; undefined for no limit. */
-function limitOf({ requestLimit }: AnswerReport): number | undefined {
-  return requestLimit?.kind === "limited"
-    ? requestLimit.requestsPerSecond
-    : undefined;
+/** See {@link routing.AttemptOutcome}. */
+function limitOf(
+  { requestLimit }: AnswerReport,
+): number | null | undefined {
+  return requestLimit?.kind === "malformed"
+    ? null
+    : requestLimit?.requestsPerSecond;
 }
--- a/packages/entry/src/requests/request_limits_test.ts
+++ b/packages/entry/src/requests/request_limits_test.ts
@@ -62,3 +62,18 @@
     await entry.lifeCycle.stop();
   }
 });
+
+/** Text that is no rate would end the limit before it. */
+test("should keep a limit while the server's answers name a malformed one", async () => {
+  const limited = new LimitedBackend();
+  const entry = await startEntry([limited, new FakeBackend()]);
+  try {
+    await sendLoad(entry.url, 1_000);
+    limited.limit = "a few";
+    const fromMs = performance.now();
+    await sendLoad(entry.url, WINDOW_MS);
+    expect(limited.countSince(fromMs)).toBeLessThanOrEqual(ALLOWED);
+  } finally {
+    await entry.lifeCycle.stop();
+  }
+});
--- a/packages/entry/src/requests/server_monitor.ts
+++ b/packages/entry/src/requests/server_monitor.ts
@@ -126,6 +126,8 @@
   ): void {
     if (outcome.kind !== "answer" && outcome.kind !== "refusal") return;
     const { requestLimit } = outcome;
+    // Text that is no rate still says that the server has a limit.
+    if (requestLimit === null) return;
     if (requestLimit === undefined && !this.#limits.hasAny) return;
     // A refusal without a limit may be written by what has no load to tell.
     if (requestLimit === undefined && outcome.kind === "refusal") return;
--- a/packages/entry/src/requests/slot_messages.ts
+++ b/packages/entry/src/requests/slot_messages.ts
@@ -13,7 +13,7 @@
 export const SLOTS_DECIDED_METHOD = "slots-decided";
 
 const inFlightSchema = z.number().int().min(0).optional();
-const requestLimitSchema = z.number().min(0).optional();
+const requestLimitSchema = z.number().min(0).nullable().optional();
 
 const attemptOutcomeSchema = z.discriminatedUnion("kind", [
   z.strictObject({
