refactor(admission): keep one observation of each limited server

A limit stood beside the observation it came from, with the same time twice and a time that nothing read. The newest observation alone is kept; a limit is its rate. The rule that a refusal without a limit lifts nothing stood in both request paths; it is where answers are recorded now, with a test. The age of a limit is worked out in one place for the log line, explain, placement and trials, and the allowance for renewals in one function.

Behaviour stays; assertions stay, on the rate itself where they read it from the limit.

--- a/packages/decisions/src/admission/capped_servers.ts
+++ b/packages/decisions/src/admission/capped_servers.ts
@@ -17,10 +17,7 @@
    * Whether a request should go to the server though others have room: nothing
    * else shows that the limit has ended.
    */
-  readonly isTrialDue: (
-    server: contracts.ServerId,
-    nowMs: number,
-  ) => boolean;
+  readonly isTrialDue: (server: contracts.ServerId) => boolean;
   readonly slots: SlotSource;
   readonly random: contracts.RandomSource;
 }
@@ -29,7 +26,7 @@
 const MAX_SERVERS_ASKED = 3;
 /** Least weight of a server in the choice of one to ask. */
 const MIN_WEIGHT = 0.01;
-/** Interval of such requests of one VM to one server. */
+/** Interval of a VM's requests that only try whether a limit has ended. */
 const TRIAL_INTERVAL_MS = 1_000;
 /** How long a request that another server has room for waits for a slot. */
 const TRIAL_WAIT_MS = 25;
@@ -60,7 +57,7 @@
 
   /** Whether requests need a slot at the server. */
   isCapped(server: contracts.ServerId): boolean {
-    return this.hasAny && this.#options.limitOf(server) !== undefined;
+    return this.#options.limitOf(server) !== undefined;
   }
 
   /** The server whose coordinator the request has asked for a slot. */
@@ -138,7 +135,7 @@
         Number.NEGATIVE_INFINITY;
       return !refusedBy.has(server) &&
         nowMs - triedAtMs >= TRIAL_INTERVAL_MS &&
-        this.#options.isTrialDue(server, nowMs);
+        this.#options.isTrialDue(server);
     });
     if (load !== undefined) this.#triedAtMs.set(load.entry.server, nowMs);
     return load;
--- a/packages/decisions/src/admission/limit_share.ts
+++ b/packages/decisions/src/admission/limit_share.ts
@@ -41,8 +41,7 @@
   limitPerSecond: number,
   controlCallsPerSecond: number,
 ): number {
-  const mostCalls = limitPerSecond * (1 + CONTROL_EXCESS_RATIO) +
-    CONTROL_EXCESS_PER_SECOND;
+  const mostCalls = limitPerSecond + controlCallsAllowed(limitPerSecond);
   return Math.max(
     MIN_REQUESTS_PER_SECOND,
     Math.min(limitPerSecond, mostCalls - controlCallsPerSecond),
--- a/packages/decisions/src/admission/mod.ts
+++ b/packages/decisions/src/admission/mod.ts
@@ -1,13 +1,13 @@
 /**
  * Admission control: which request is sent to which backend server, and when.
  */
-export * from "./server_rate_limit.ts";
 export * from "./capped_servers.ts";
 export * from "./lag_shedding.ts";
 export * from "./limit_share.ts";
 export * from "./request_limits.ts";
 export * from "./server_load.ts";
 export * from "./server_ranking.ts";
+export * from "./server_rate_limit.ts";
 export * from "./service_queue.ts";
 export * from "./service_times.ts";
 export * from "./shared_retry_budget.ts";
--- a/packages/decisions/src/admission/request_limits.ts
+++ b/packages/decisions/src/admission/request_limits.ts
@@ -4,16 +4,6 @@
  */
 import type * as contracts from "@guavatide/contracts";
 
-/** A limit in force. Times are those of this VM's clock. */
-export interface RequestLimit {
-  /** Requests that the server takes from all entry VMs together. */
-  readonly requestsPerSecond: number;
-  /** When this VM first heard of it. */
-  readonly sinceMs: number;
-  /** When an entry VM received the newest answer that names it. */
-  readonly confirmedAtMs: number;
-}
-
 /** What an observation has changed. */
 export type RequestLimitChange =
   | "imposed"
@@ -25,20 +15,28 @@
 
 /** An answer, as far as it concerns its server's limit. */
 export interface LimitObservation {
-  /** Undefined when the answer names no limit. */
+  /**
+   * Requests that the server takes from all entry VMs together; undefined when
+   * the answer names no limit.
+   */
   readonly requestsPerSecond: number | undefined;
+  /** When an entry VM received the answer, on this VM's clock. */
   readonly observedAtMs: number;
 }
 
-/** Newest observation of one server that has named a limit. */
-interface ServerState {
-  limit: RequestLimit | undefined;
-  observedAtMs: number;
+/** An answer that this VM has received. */
+export interface LimitAnswer {
+  /** See {@link LimitObservation}. */
+  readonly requestsPerSecond: number | undefined;
+  /** Whether the server refused the request. */
+  readonly isRefusal: boolean;
+  readonly sentAtMs: number;
+  readonly nowMs: number;
 }
 
-/** Limits of all servers that have named one. */
+/** The newest observation of each server that has a limit, or had one. */
 export class RequestLimits {
-  readonly #servers = new Map<contracts.ServerId, ServerState>();
+  readonly #newest = new Map<contracts.ServerId, LimitObservation>();
   #inForce = 0;
 
   /** Whether any limit is in force. */
@@ -46,85 +44,73 @@
     return this.#inForce > 0;
   }
 
-  /** The server's limit in force; undefined for none. */
-  limitOf(server: contracts.ServerId): RequestLimit | undefined {
-    return this.#servers.get(server)?.limit;
+  /** The limit in force in requests a second; undefined for none. */
+  limitOf(server: contracts.ServerId): number | undefined {
+    return this.#newest.get(server)?.requestsPerSecond;
   }
 
   /**
    * Records an answer that this VM has received. One without a limit lifts it
    * only if its request was sent after the limit was last confirmed: the server
-   * may have written an earlier answer before it was in need.
+   * may have written an earlier answer before it was in need. A refusal without
+   * one lifts nothing, as what writes it may have no load to tell.
    */
   recordAnswer(
     server: contracts.ServerId,
-    requestsPerSecond: number | undefined,
-    { sentAtMs, nowMs }: { readonly sentAtMs: number; readonly nowMs: number },
+    { requestsPerSecond, isRefusal, sentAtMs, nowMs }: LimitAnswer,
   ): RequestLimitChange {
-    const known = this.#servers.get(server)?.limit;
     if (requestsPerSecond === undefined) {
-      const isLater = known !== undefined && sentAtMs > known.confirmedAtMs;
-      if (!isLater) return "none";
+      const confirmedAtMs = this.#newest.get(server)?.observedAtMs;
+      const isLater = confirmedAtMs !== undefined && sentAtMs > confirmedAtMs;
+      if (isRefusal || !isLater) return "none";
     }
-    return this.#apply(
-      server,
-      { requestsPerSecond, observedAtMs: nowMs },
-      nowMs,
-    );
+    return this.#apply(server, { requestsPerSecond, observedAtMs: nowMs });
   }
 
   /** Records what a peer knows. */
   recordPeerReport(
     server: contracts.ServerId,
     observation: LimitObservation,
-    nowMs: number,
   ): RequestLimitChange {
-    const newestMs = this.#servers.get(server)?.observedAtMs;
+    const newestMs = this.#newest.get(server)?.observedAtMs;
     if (newestMs !== undefined && observation.observedAtMs <= newestMs) {
       return "none";
     }
-    return this.#apply(server, observation, nowMs);
+    return this.#apply(server, observation);
   }
 
   /** The newest observation; undefined for a server that never had a limit. */
   observationOf(server: contracts.ServerId): LimitObservation | undefined {
-    const state = this.#servers.get(server);
-    if (state === undefined) return undefined;
-    return {
-      requestsPerSecond: state.limit?.requestsPerSecond,
-      observedAtMs: state.observedAtMs,
-    };
+    return this.#newest.get(server);
   }
 
   /** Servers that have a limit, or had one. */
   get servers(): Iterable<contracts.ServerId> {
-    return this.#servers.keys();
+    return this.#newest.keys();
   }
 
   /** Forgets a server that has ended. */
   forget(server: contracts.ServerId): void {
     if (this.limitOf(server) !== undefined) this.#inForce--;
-    this.#servers.delete(server);
+    this.#newest.delete(server);
   }
 
   #apply(
     server: contracts.ServerId,
-    { requestsPerSecond, observedAtMs }: LimitObservation,
-    nowMs: number,
+    observation: LimitObservation,
   ): RequestLimitChange {
-    const known = this.#servers.get(server)?.limit;
-    const limit = requestsPerSecond === undefined ? undefined : {
-      requestsPerSecond,
-      sinceMs: known?.sinceMs ?? nowMs,
-      confirmedAtMs: observedAtMs,
-    };
-    if (known === undefined && limit === undefined) return "none";
-    this.#inForce += Number(limit !== undefined) - Number(known !== undefined);
-    this.#servers.set(server, { limit, observedAtMs });
-    if (limit === undefined) return "lifted";
-    if (known === undefined) return "imposed";
-    return known.requestsPerSecond === requestsPerSecond
-      ? "confirmed"
-      : "changed";
+    const before = this.limitOf(server);
+    const after = observation.requestsPerSecond;
+    if (before === undefined && after === undefined) return "none";
+    this.#newest.set(server, observation);
+    if (after === undefined) {
+      this.#inForce--;
+      return "lifted";
+    }
+    if (before === undefined) {
+      this.#inForce++;
+      return "imposed";
+    }
+    return before === after ? "confirmed" : "changed";
   }
 }
--- a/packages/decisions/src/admission/request_limits_test.ts
+++ b/packages/decisions/src/admission/request_limits_test.ts
@@ -4,10 +4,16 @@
 import * as admission from "./mod.ts";
 
 const SERVER = "s1" as contracts.ServerId;
+const UNLIMITED = { requestsPerSecond: undefined, isRefusal: false };
 
 function limitedAt(nowMs: number): admission.RequestLimits {
   const limits = new admission.RequestLimits();
-  expect(limits.recordAnswer(SERVER, 3.5, { sentAtMs: nowMs - 50, nowMs }))
+  expect(limits.recordAnswer(SERVER, {
+    requestsPerSecond: 3.5,
+    isRefusal: false,
+    sentAtMs: nowMs - 50,
+    nowMs,
+  }))
     .toEqual("imposed");
   return limits;
 }
@@ -15,12 +21,14 @@
 /** A slow answer from before the server's need would lift its limit. */
 test("should lift a limit only by an answer to a later request", () => {
   const limits = limitedAt(1_000);
-  expect(limits.recordAnswer(SERVER, undefined, {
+  expect(limits.recordAnswer(SERVER, {
+    ...UNLIMITED,
     sentAtMs: 990,
     nowMs: 1_200,
   })).toEqual("none");
-  expect(limits.limitOf(SERVER)?.requestsPerSecond).toEqual(3.5);
-  expect(limits.recordAnswer(SERVER, undefined, {
+  expect(limits.limitOf(SERVER)).toEqual(3.5);
+  expect(limits.recordAnswer(SERVER, {
+    ...UNLIMITED,
     sentAtMs: 1_100,
     nowMs: 1_300,
   })).toEqual("lifted");
@@ -34,7 +42,6 @@
     limits.recordPeerReport(
       SERVER,
       { requestsPerSecond, observedAtMs },
-      2_000,
     );
   expect(tell(undefined, 900)).toEqual("none");
   expect(tell(1.5, 1_100)).toEqual("changed");
@@ -52,3 +59,15 @@
   limits.forget(SERVER);
   expect(limits.hasAny).toEqual(false);
 });
+
+/** What refuses for a server may know nothing of its limit. */
+test("should not lift a limit by a refusal that names none", () => {
+  const limits = limitedAt(1_000);
+  expect(limits.recordAnswer(SERVER, {
+    ...UNLIMITED,
+    isRefusal: true,
+    sentAtMs: 1_100,
+    nowMs: 1_300,
+  })).toEqual("none");
+  expect(limits.limitOf(SERVER)).toEqual(3.5);
+});
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -267,6 +267,7 @@
     const kept: WaitingRequest[] = [];
     const queued = this.#waiting;
     this.#waiting = [];
+    const isNamed = this.#isNamed();
     for (const request of queued) {
       const serviceMs = this.#options.times.estimateMs(request.route) *
         MIN_SERVICE_FRACTION;
@@ -275,7 +276,7 @@
       const waitMs = this.#awaitsSlot(request, nowMs)
         ? 0
         : this.#expectedWaitMs(request, kept, nowMs);
-      const isLate = this.#isNamed() &&
+      const isLate = isNamed &&
         this.#mustRefuse(request, waitMs, nowMs);
       if (leftMs > serviceMs && waitMs < leftMs && !isLate) {
         kept.push(request);
--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarded_request.ts
@@ -43,11 +43,11 @@
   ): void;
   /** A request is sent to a server. */
   recordSend(server: contracts.ServerId): void;
-  /** A server answered after `tookMs`, perhaps with a limit. */
+  /** A server answered, perhaps with a limit. */
   recordRequestLimit(
     server: contracts.ServerId,
     report: contracts.RequestLimitReport | undefined,
-    tookMs: number,
+    options: { readonly tookMs: number; readonly isRefusal: boolean },
   ): void;
   /** A server's limit in force, for the log. */
   limitRecordOf(server: contracts.ServerId): RequestRecord["limit"];
@@ -181,7 +181,12 @@
     if (report !== undefined) {
       this.#context.recordServerReport(entry.server, report, endedMs);
     }
-    this.#recordRequestLimit(result, entry.server, endedMs - nowMs);
+    if (result.kind === "answer" || result.kind === "refusal") {
+      this.#context.recordRequestLimit(entry.server, result.requestLimit, {
+        tookMs: endedMs - nowMs,
+        isRefusal: result.kind === "refusal",
+      });
+    }
     this.#attempts.push({
       server: entry.server,
       outstanding,
@@ -202,18 +207,6 @@
     if (!this.#isKeyedService()) this.#context.queue.dispatch(endedMs);
   }
 
-  #recordRequestLimit(
-    result: AttemptResult,
-    server: contracts.ServerId,
-    tookMs: number,
-  ): void {
-    if (result.kind !== "answer" && result.kind !== "refusal") return;
-    const { requestLimit } = result;
-    // A refusal without a limit may be written by what has no load to tell.
-    if (result.kind === "refusal" && requestLimit === undefined) return;
-    this.#context.recordRequestLimit(server, requestLimit, tookMs);
-  }
-
   #attemptRequest(
     entry: contracts.RegisteredServer,
     leftMs: number,
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -236,19 +236,10 @@
         this.#headers(request, entry, leftMs),
       recordServerReport: (server, report, nowMs) =>
         this.#recordServerReport(state, { server, report, nowMs }),
-      limitRecordOf: (server) => {
-        const limit = requestLimits.limitOf(server);
-        if (limit === undefined) return undefined;
-        const { requestsPerSecond } = limit;
-        return {
-          server,
-          requestsPerSecond,
-          ageMs: requestLimits.ageMsOf(server),
-        };
-      },
+      limitRecordOf: (server) => requestLimits.recordOf(server),
       recordSend: (server) => requestLimits.noteCall(server, "request"),
-      recordRequestLimit: (server, report, tookMs) =>
-        requestLimits.noteAnswer(server, report, tookMs),
+      recordRequestLimit: (server, report, options) =>
+        requestLimits.noteAnswer(server, report, options),
       poison,
       onFinished,
       onLoadChange: state.isKeyed
@@ -330,7 +321,7 @@
         : undefined,
       capped: isKeyed ? undefined : new admission.CappedServers({
         hasAny: () => requestLimits.hasAny,
-        limitOf: (server) => requestLimits.limitOf(server)?.requestsPerSecond,
+        limitOf: (server) => requestLimits.limitOf(server),
         isTrialDue: (server) => rateLimits.isTrialDue(server),
         slots: source,
         random,
--- a/packages/entry/src/gateway/limited_grant_control.ts
+++ b/packages/entry/src/gateway/limited_grant_control.ts
@@ -32,11 +32,9 @@
         return maySend;
       },
       onRequestLimit: (report) =>
-        this.#limits.noteAnswer(
-          server.server,
-          report,
-          this.#clock.nowMs() - sentAtMs,
-        ),
+        this.#limits.noteAnswer(server.server, report, {
+          tookMs: this.#clock.nowMs() - sentAtMs,
+        }),
     });
   }
 
--- a/packages/entry/src/gateway/request_limit_task.ts
+++ b/packages/entry/src/gateway/request_limit_task.ts
@@ -14,6 +14,7 @@
   requestLimitNewsSchema,
   type RequestLimitTuple,
 } from "./peer_messages.ts";
+import type { RequestRecord } from "./request_log.ts";
 import type { ServerRegistry } from "./server_registry.ts";
 
 /** Options of {@link RequestLimitTask}. */
@@ -101,18 +102,24 @@
     return this.#limits.hasAny;
   }
 
-  /** Age of the answer that last confirmed the server's limit; 0 for none. */
-  ageMsOf(server: contracts.ServerId): number {
-    const limit = this.#limits.limitOf(server);
-    if (limit === undefined) return 0;
-    return this.#options.clock.nowMs() - limit.confirmedAtMs;
+  /** The server's limit in force; undefined for none. */
+  limitOf(server: contracts.ServerId): number | undefined {
+    return this.#limits.limitOf(server);
+  }
+
+  /** The same with the age of the answer that last confirmed it. */
+  recordOf(server: contracts.ServerId): RequestRecord["limit"] {
+    const { requestsPerSecond, observedAtMs } =
+      this.#limits.observationOf(server) ?? {};
+    if (requestsPerSecond === undefined) return undefined;
+    const ageMs = this.#options.clock.nowMs() - observedAtMs!;
+    return { server, requestsPerSecond, ageMs };
   }
 
   /** Requests a second on which placement may count; infinite for no limit. */
   capacityOf(server: contracts.ServerId): number {
-    const limit = this.#limits.limitOf(server);
-    if (limit === undefined) return Number.POSITIVE_INFINITY;
-    return this.ageMsOf(server) < CAPACITY_TTL_MS
+    const limit = this.recordOf(server);
+    return limit !== undefined && limit.ageMs < CAPACITY_TTL_MS
       ? Math.max(MIN_CAPACITY_PER_SECOND, limit.requestsPerSecond)
       : Number.POSITIVE_INFINITY;
   }
@@ -142,16 +149,11 @@
       const change = this.#limits.recordPeerReport(server, {
         requestsPerSecond: requestsPerSecond ?? undefined,
         observedAtMs: nowMs - ageMs,
-      }, nowMs);
+      });
       this.#follow(server, change);
     }
   }
 
-  /** The server's limit in force; undefined for none. */
-  limitOf(server: contracts.ServerId): admission.RequestLimit | undefined {
-    return this.#limits.limitOf(server);
-  }
-
   /**
    * Records what an answer says of its server's limit. `tookMs` is the time
    * since its request was sent.
@@ -159,25 +161,28 @@
   noteAnswer(
     server: contracts.ServerId,
     report: contracts.RequestLimitReport | undefined,
-    tookMs: number,
+    { tookMs, isRefusal = false }: {
+      readonly tookMs: number;
+      readonly isRefusal?: boolean;
+    },
   ): void {
     if (report === undefined && !this.hasAny) return;
     const { registry, clock } = this.#options;
     if (registry.bornMsOf(server) === undefined) return;
     const nowMs = clock.nowMs();
+    let requestsPerSecond: number | undefined;
     if (report?.kind === "malformed") {
       this.#malformedLog.warn(nowMs, { server, text: report.text });
-      if (this.limitOf(server) === undefined) return;
-    }
-    // Text that is no rate still says that the server has a limit.
-    const requestsPerSecond = report?.kind === "malformed"
-      ? this.limitOf(server)?.requestsPerSecond
-      : report?.requestsPerSecond;
-    const change = this.#limits.recordAnswer(
-      server,
+      // Text that is no rate still says that the server has a limit.
+      requestsPerSecond = this.limitOf(server);
+      if (requestsPerSecond === undefined) return;
+    } else requestsPerSecond = report?.requestsPerSecond;
+    const change = this.#limits.recordAnswer(server, {
       requestsPerSecond,
-      { sentAtMs: nowMs - tookMs, nowMs },
-    );
+      isRefusal,
+      sentAtMs: nowMs - tookMs,
+      nowMs,
+    });
     this.#tellPeers(server, change, nowMs);
     this.#follow(server, change);
   }
@@ -257,10 +262,10 @@
   }
 
   #limitFields(server: contracts.ServerId) {
-    const limit = this.#limits.limitOf(server);
+    const limit = this.recordOf(server);
     return {
       requestsPerSecond: limit?.requestsPerSecond,
-      limitAgeMs: limit && Math.round(this.ageMsOf(server)),
+      limitAgeMs: limit && Math.round(limit.ageMs),
     };
   }
 
--- a/packages/entry/src/gateway/request_limit_task_test.ts
+++ b/packages/entry/src/gateway/request_limit_task_test.ts
@@ -5,6 +5,7 @@
 import { RequestLimitTask } from "./request_limit_task.ts";
 
 const SERVER = "s1" as contracts.ServerId;
+const ANSWERED = { tookMs: 20 };
 const LIMITED = { kind: "limited" as const, requestsPerSecond: 2 };
 
 function createFixture() {
@@ -41,24 +42,24 @@
 
 test("should tell peers of a limit at once and of its confirmations seldom", () => {
   const { task, clock, sent } = createFixture();
-  task.noteAnswer(SERVER, LIMITED, 20);
+  task.noteAnswer(SERVER, LIMITED, ANSWERED);
   expect(sent).toEqual([{ limits: [[SERVER, 2, 0]] }]);
   for (let count = 0; count < 90; count++) {
     clock.now += 10;
-    task.noteAnswer(SERVER, LIMITED, 20);
+    task.noteAnswer(SERVER, LIMITED, ANSWERED);
   }
   expect(sent.length).toEqual(1);
   clock.now += 200;
-  task.noteAnswer(SERVER, LIMITED, 20);
+  task.noteAnswer(SERVER, LIMITED, ANSWERED);
   expect(sent.length).toEqual(2);
 });
 
 /** A new process of the server would start with the old one's limit and no keys. */
 test("should forget the limit of a server that starts again under its id", () => {
   const { task, changeRegistry } = createFixture();
-  task.noteAnswer(SERVER, LIMITED, 20);
+  task.noteAnswer(SERVER, LIMITED, ANSWERED);
   changeRegistry(1);
-  expect(task.limitOf(SERVER)?.requestsPerSecond).toEqual(2);
+  expect(task.limitOf(SERVER)).toEqual(2);
   changeRegistry(2);
   expect(task.hasAny).toEqual(false);
   expect(task.capacityOf(SERVER)).toEqual(Number.POSITIVE_INFINITY);
@@ -74,27 +75,27 @@
 /** A VM that has just started would learn of the limit from nobody. */
 test("should keep a limit and tell peers of it when an answer names a malformed one", () => {
   const { task, clock, sent, warnings } = createFixture();
-  task.noteAnswer(SERVER, LIMITED, 20);
+  task.noteAnswer(SERVER, LIMITED, ANSWERED);
   clock.now += 1_000;
-  task.noteAnswer(SERVER, { kind: "malformed", text: "many" }, 20);
-  expect(task.limitOf(SERVER)?.requestsPerSecond).toEqual(2);
+  task.noteAnswer(SERVER, { kind: "malformed", text: "many" }, ANSWERED);
+  expect(task.limitOf(SERVER)).toEqual(2);
   expect(sent.length).toEqual(2);
   expect(warnings).toEqual(["Ignored a malformed request limit."]);
 });
 
 test("should take no limit from an answer that names only a malformed one", () => {
   const { task } = createFixture();
-  task.noteAnswer(SERVER, { kind: "malformed", text: "many" }, 20);
+  task.noteAnswer(SERVER, { kind: "malformed", text: "many" }, ANSWERED);
   expect(task.hasAny).toEqual(false);
 });
 
 /** A server that owns nothing gets no request whose answer could end its limit. */
 test("should let placement count on a server whose limit nothing confirms", () => {
   const { task, clock } = createFixture();
-  task.noteAnswer(SERVER, LIMITED, 20);
+  task.noteAnswer(SERVER, LIMITED, ANSWERED);
   expect(task.capacityOf(SERVER)).toEqual(2);
   clock.now += 10_000;
   expect(task.capacityOf(SERVER)).toEqual(Number.POSITIVE_INFINITY);
   // The limit itself stays in force.
-  expect(task.limitOf(SERVER)?.requestsPerSecond).toEqual(2);
+  expect(task.limitOf(SERVER)).toEqual(2);
 });
--- a/packages/entry/src/gateway/server_rate_limits.ts
+++ b/packages/entry/src/gateway/server_rate_limits.ts
@@ -21,7 +21,7 @@
   >;
   readonly requestLimits: Pick<
     RequestLimitTask,
-    "hasAny" | "limitOf" | "capacityOf" | "ageMsOf"
+    "limitOf" | "capacityOf" | "recordOf"
   >;
   /** Calls a second with which all VMs renew the server's leases. */
   readonly renewalsPerSecond: (server: contracts.ServerId) => number;
@@ -73,11 +73,11 @@
 
   /** Whether a limited server should get a request that others have room for. */
   isTrialDue(server: contracts.ServerId): boolean {
-    const { requestLimits } = this.#options;
+    const limit = this.#options.requestLimits.recordOf(server);
     const afterMs = this.#coordinatorView(server).isFirst
       ? COORDINATOR_TRIAL_AFTER_MS
       : TRIAL_AFTER_MS;
-    return requestLimits.ageMsOf(server) >= afterMs;
+    return limit !== undefined && limit.ageMs >= afterMs;
   }
 
   /**
@@ -95,11 +95,10 @@
   /** Requests a second that this VM may grant as the server's coordinator. */
   #namedRateOf(server: contracts.ServerId): number | undefined {
     const { requestLimits, renewalsPerSecond } = this.#options;
-    if (!requestLimits.hasAny) return undefined;
-    const limit = requestLimits.limitOf(server);
-    if (limit === undefined) return undefined;
+    const limitPerSecond = requestLimits.limitOf(server);
+    if (limitPerSecond === undefined) return undefined;
     const perSecond = admission.requestsBesideControl(
-      limit.requestsPerSecond,
+      limitPerSecond,
       renewalsPerSecond(server),
     );
     return this.#knowsPeers()
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -204,7 +204,7 @@
       registry.coldUntilMs(server) > clock.nowMs() &&
       config.service(service)?.coldStart !== undefined,
     maxRangesOf: (server) => rateLimits.maxRangesOf(server),
-    limitOf: (server) => requestLimits.limitOf(server)?.requestsPerSecond,
+    limitOf: (server) => requestLimits.limitOf(server),
     latencyFactorsOf: (service) => slots.latencyFactors(service),
     isLeaving: () => lifeCycle.isStopping,
   });
--- a/packages/entry/src/requests/server_monitor.ts
+++ b/packages/entry/src/requests/server_monitor.ts
@@ -9,7 +9,7 @@
 import type { Logger } from "../utils/log.ts";
 import type { Slot } from "./slot_allocator.ts";
 
-/** Interval at which requests that wait for a limited server are tried. */
+/** Interval at which a queue looks for room at a limited server. */
 const LIMIT_RETRY_MS = 25;
 
 /** Options of {@link ServerMonitor}, and of the allocators that use one. */
@@ -89,9 +89,9 @@
 
   /** Requests a second that this allocator may send to a limited server. */
   #limitedRate(server: contracts.ServerId): number | undefined {
-    const limit = this.#limits.limitOf(server);
-    if (limit === undefined) return undefined;
-    return admission.requestsBesideControl(limit.requestsPerSecond, 0) *
+    const limitPerSecond = this.#limits.limitOf(server);
+    if (limitPerSecond === undefined) return undefined;
+    return admission.requestsBesideControl(limitPerSecond, 0) *
       this.#options.limitShare();
   }
 
@@ -129,9 +129,9 @@
     // Text that is no rate still says that the server has a limit.
     if (requestLimit === null) return;
     if (requestLimit === undefined && !this.#limits.hasAny) return;
-    // A refusal without a limit may be written by what has no load to tell.
-    if (requestLimit === undefined && outcome.kind === "refusal") return;
-    const change = this.#limits.recordAnswer(address.server, requestLimit, {
+    const change = this.#limits.recordAnswer(address.server, {
+      requestsPerSecond: requestLimit,
+      isRefusal: outcome.kind === "refusal",
       sentAtMs: sentMs,
       nowMs,
     });
