refactor(admission): group what the limit of cold servers depends on

A limit that is only named had to be given five options of cold servers that say there are none, in the product's own path and in a model. They are one optional group now. The rate of a server is worked out once for each question instead of up to three times, which counts where a named rate looks at the VMs that are up. Same buckets, same tests.

--- a/packages/decisions/src/admission/request_limit_model_test.ts
+++ b/packages/decisions/src/admission/request_limit_model_test.ts
@@ -71,11 +71,6 @@
       onDecision: (decision) => model.decide(this, decision),
       rateLimitsOf: () =>
         new admission.ServerRateLimit({
-          bound: undefined,
-          coldUntilMs: () => 0,
-          requestsPerSecond: () => undefined,
-          rankOf: () => undefined,
-          rateShares: admission.COORDINATOR_SHARES,
           namedRateOf: () => this.#ratePerSecond(),
         }),
     });
--- a/packages/decisions/src/admission/server_rate_limit.ts
+++ b/packages/decisions/src/admission/server_rate_limit.ts
@@ -14,8 +14,8 @@
   readonly slack: number;
 }
 
-/** Options of {@link ServerRateLimit}. */
-export interface ServerRateLimitOptions {
+/** What the limit of cold servers depends on. */
+export interface ColdStartOptions {
   /** Undefined where there is no bound. */
   readonly bound: ColdStartBound | undefined;
   /** Time at which a server is warm. */
@@ -29,6 +29,12 @@
   readonly rankOf: (server: contracts.ServerId) => number | undefined;
   /** The fraction of the rate for each rank; the fractions sum up to 1. */
   readonly rateShares: readonly number[];
+}
+
+/** Options of {@link ServerRateLimit}. */
+export interface ServerRateLimitOptions {
+  /** Absent where no server is cold. */
+  readonly coldStart?: ColdStartOptions;
   /**
    * This VM's part of the rate that the server has named in its answers;
    * undefined for none.
@@ -56,7 +62,7 @@
   updatedMs: number;
 }
 
-/** Token buckets for this VM's share of the rate that cold servers sustain. */
+/** Token buckets for this VM's share of the rates of limited servers. */
 export class ServerRateLimit {
   readonly #options: ServerRateLimitOptions;
   readonly #buckets = new Map<contracts.ServerId, Bucket>();
@@ -67,12 +73,13 @@
 
   /** Whether the server has just started and is slower than a warm one. */
   isCold(server: contracts.ServerId, nowMs: number): boolean {
-    return this.#options.coldUntilMs(server) > nowMs;
+    const { coldStart } = this.#options;
+    return coldStart !== undefined && coldStart.coldUntilMs(server) > nowMs;
   }
 
   /** Whether the rate of requests to the server is limited. */
   isLimited(server: contracts.ServerId, nowMs: number): boolean {
-    return this.#isColdLimited(server, nowMs) || this.isNamed(server);
+    return this.#rateOf(server, nowMs) !== undefined;
   }
 
   /** Whether the server has named a limit in its answers. */
@@ -80,66 +87,66 @@
     return this.#options.namedRateOf?.(server) !== undefined;
   }
 
-  /** Requests a second that this VM may start at a limited server. */
+  /** Requests a second that this VM may start; infinite without a limit. */
   ratePerSecond(server: contracts.ServerId, nowMs: number): number {
-    const coldRate = this.#isColdLimited(server, nowMs)
-      ? this.#coldRatePerSecond(server)
-      : Number.POSITIVE_INFINITY;
-    return Math.min(
-      coldRate,
-      this.#options.namedRateOf?.(server) ?? Number.POSITIVE_INFINITY,
-    );
+    return this.#rateOf(server, nowMs) ?? Number.POSITIVE_INFINITY;
   }
 
   /** Whether a request may start now; always true without a limit. */
   mayStart(server: contracts.ServerId, nowMs: number): boolean {
-    if (!this.isLimited(server, nowMs)) return true;
-    return this.#bucket(server, nowMs).tokens >= 1;
+    return this.tokens(server, nowMs) >= 1;
   }
 
-  /** Requests, or the part of one, that the limit allows to start now. */
+  /** Requests, or the part of one, that may start now. */
   tokens(server: contracts.ServerId, nowMs: number): number {
-    return this.#bucket(server, nowMs).tokens;
+    return this.#bucket(server, nowMs)?.tokens ?? Number.POSITIVE_INFINITY;
   }
 
   /** Takes a token for a request that starts now. */
   recordStart(server: contracts.ServerId, nowMs: number): void {
-    if (!this.isLimited(server, nowMs)) {
-      return void this.#buckets.delete(server);
-    }
-    this.#bucket(server, nowMs).tokens--;
+    const bucket = this.#bucket(server, nowMs);
+    if (bucket !== undefined) bucket.tokens--;
+    else this.#buckets.delete(server);
   }
 
-  #isColdLimited(server: contracts.ServerId, nowMs: number): boolean {
-    const { bound, requestsPerSecond } = this.#options;
-    return this.isCold(server, nowMs) && bound !== undefined &&
-      requestsPerSecond() !== undefined;
+  /** Undefined without a limit. */
+  #rateOf(server: contracts.ServerId, nowMs: number): number | undefined {
+    const coldRate = this.#coldRateOf(server, nowMs);
+    const namedRate = this.#options.namedRateOf?.(server);
+    if (coldRate === undefined) return namedRate;
+    return namedRate === undefined ? coldRate : Math.min(coldRate, namedRate);
   }
 
-  #coldRatePerSecond(server: contracts.ServerId): number {
-    const { rankOf, rateShares, bound, requestsPerSecond } = this.#options;
-    const sustained = requestsPerSecond()!;
+  #coldRateOf(server: contracts.ServerId, nowMs: number): number | undefined {
+    const { coldStart } = this.#options;
+    if (coldStart === undefined || !this.isCold(server, nowMs)) {
+      return undefined;
+    }
+    const { rankOf, rateShares, bound, requestsPerSecond } = coldStart;
+    const sustained = requestsPerSecond();
+    if (bound === undefined || sustained === undefined) return undefined;
     const rank = rankOf(server);
     const share = rank === undefined ? 0 : rateShares[rank] ?? 0;
     // Each rank may start one request beyond its rate: its bucket holds one.
-    const maxRate = sustained * bound!.excessRatio + bound!.slack -
+    const maxRate = sustained * bound.excessRatio + bound.slack -
       rateShares.length - SPARE_REQUESTS;
     return share * Math.max(0, Math.min(MAX_RATE_RATIO * sustained, maxRate));
   }
 
-  #bucket(server: contracts.ServerId, nowMs: number): Bucket {
-    const ratePerMs = this.ratePerSecond(server, nowMs) / 1_000;
+  /** Undefined without a limit. */
+  #bucket(server: contracts.ServerId, nowMs: number): Bucket | undefined {
+    const perSecond = this.#rateOf(server, nowMs);
+    if (perSecond === undefined) return undefined;
     const found = this.#buckets.get(server);
     if (found === undefined) {
-      const tokens = ratePerMs > 0 ? 1 : 0;
-      const created = { tokens, updatedMs: nowMs };
+      const created = { tokens: perSecond > 0 ? 1 : 0, updatedMs: nowMs };
       this.#buckets.set(server, created);
       return created;
     }
-    const gained = (nowMs - found.updatedMs) * ratePerMs;
+    const gained = (nowMs - found.updatedMs) * perSecond / 1_000;
     const burst = this.isCold(server, nowMs) ? COLD_BURST_REQUESTS : Math.min(
       MAX_BURST_REQUESTS,
-      Math.max(1, ratePerMs * 1_000 * BURST_SECONDS),
+      Math.max(1, perSecond * BURST_SECONDS),
     );
     found.tokens = Math.min(burst, found.tokens + gained);
     found.updatedMs = nowMs;
--- a/packages/decisions/src/admission/server_rate_limit_test.ts
+++ b/packages/decisions/src/admission/server_rate_limit_test.ts
@@ -11,15 +11,17 @@
 
 function limitAtRank(
   rank: number | undefined,
-  options: Partial<admission.ServerRateLimitOptions> = {},
+  options: Partial<admission.ColdStartOptions> = {},
 ): admission.ServerRateLimit {
   return new admission.ServerRateLimit({
-    bound: BOUND,
-    coldUntilMs: () => COLD_MS,
-    requestsPerSecond: () => SUSTAINED_PER_SECOND,
-    rankOf: () => rank,
-    rateShares: admission.EQUAL_SHARES,
-    ...options,
+    coldStart: {
+      bound: BOUND,
+      coldUntilMs: () => COLD_MS,
+      requestsPerSecond: () => SUSTAINED_PER_SECOND,
+      rankOf: () => rank,
+      rateShares: admission.EQUAL_SHARES,
+      ...options,
+    },
   });
 }
 
--- a/packages/decisions/src/admission/service_queue_test.ts
+++ b/packages/decisions/src/admission/service_queue_test.ts
@@ -382,11 +382,13 @@
 /** Guards against full load on a cold server without a configured bound. */
 test("should prefer a warm server to one that has just started", () => {
   const rateLimits = new admission.ServerRateLimit({
-    bound: undefined,
-    coldUntilMs: (id) => id === "cold" ? 5_000 : 0,
-    requestsPerSecond: () => undefined,
-    rankOf: () => undefined,
-    rateShares: admission.EQUAL_SHARES,
+    coldStart: {
+      bound: undefined,
+      coldUntilMs: (id) => id === "cold" ? 5_000 : 0,
+      requestsPerSecond: () => undefined,
+      rankOf: () => undefined,
+      rateShares: admission.EQUAL_SHARES,
+    },
   });
   const queue = new admission.ServiceQueue({
     zone: "z1" as contracts.ZoneId,
--- a/packages/entry/src/gateway/server_rate_limits.ts
+++ b/packages/entry/src/gateway/server_rate_limits.ts
@@ -136,12 +136,14 @@
   ): admission.ServerRateLimit {
     const { bound, config, registry } = this.#options;
     return new admission.ServerRateLimit({
-      bound,
-      rateShares: parts,
-      coldUntilMs: (server) => registry.coldUntilMs(server),
-      requestsPerSecond: () =>
-        config.service(service)?.coldStart?.requestsPerSecond,
-      rankOf: (server) => this.#rankOf(server),
+      coldStart: {
+        bound,
+        rateShares: parts,
+        coldUntilMs: (server) => registry.coldUntilMs(server),
+        requestsPerSecond: () =>
+          config.service(service)?.coldStart?.requestsPerSecond,
+        rankOf: (server) => this.#rankOf(server),
+      },
       ...extra,
     });
   }
--- a/packages/entry/src/requests/server_monitor.ts
+++ b/packages/entry/src/requests/server_monitor.ts
@@ -48,11 +48,6 @@
     this.#onServerAvailable = onServerAvailable;
     this.#service = options.service;
     this.#rateLimit = new admission.ServerRateLimit({
-      bound: undefined,
-      coldUntilMs: () => Number.NEGATIVE_INFINITY,
-      requestsPerSecond: () => undefined,
-      rankOf: () => undefined,
-      rateShares: [],
       namedRateOf: (server) => this.#limitedRate(server),
     });
     const nowMs = options.clock.nowMs();
