refactor(gateway): one way to tell peers twice, one list of the VMs that are up

The news of limits repeated its broadcasts by a set of timers of its own, as the reports of crashes do; RepeatedBroadcast serves both. The slot task and the limits each put the VMs of all zones together by themselves; the gossip gives them, cached, as it does for the VMs that are known. Same messages, same order of VMs.

--- a/packages/entry/src/gateway/peer_gossip.ts
+++ b/packages/entry/src/gateway/peer_gossip.ts
@@ -238,9 +238,10 @@
   }
 
   /**
-   * VMs of an availability zone that are up, this one included, sorted by name.
+   * VMs of an availability zone, or of all zones, that are up, this one
+   * included, sorted by name.
    */
-  liveVmsIn(zone: contracts.ZoneId): readonly contracts.VmId[] {
+  liveVmsIn(zone: contracts.ZoneId | undefined): readonly contracts.VmId[] {
     return this.#registry.liveVmsIn(zone);
   }
 
--- a/packages/entry/src/gateway/peer_registry.ts
+++ b/packages/entry/src/gateway/peer_registry.ts
@@ -66,8 +66,14 @@
   readonly #peers = new Map<contracts.VmId, Peer>();
   #live: readonly PeerHello[] | undefined;
   #cellPlan: cells.CellPlan | undefined;
-  /** Cache of the VMs that are up, by availability zone. */
-  readonly #liveByZone = new Map<contracts.ZoneId, readonly contracts.VmId[]>();
+  /**
+   * Cache of the VMs that are up, by availability zone; without a zone, those
+   * of all zones.
+   */
+  readonly #liveByZone = new Map<
+    contracts.ZoneId | undefined,
+    readonly contracts.VmId[]
+  >();
   /**
    * Cache of all known VMs, up or not, by availability zone; without a zone,
    * those of all zones.
@@ -250,9 +256,10 @@
   }
 
   /**
-   * VMs of an availability zone that are up, this one included, sorted by name.
+   * VMs of an availability zone, or of all zones, that are up, this one
+   * included, sorted by name.
    */
-  liveVmsIn(zone: contracts.ZoneId): readonly contracts.VmId[] {
+  liveVmsIn(zone: contracts.ZoneId | undefined): readonly contracts.VmId[] {
     const found = this.#liveByZone.get(zone);
     if (found !== undefined) return found;
     const vms = this.#sortedVmsIn(zone, this.live);
--- a/packages/entry/src/gateway/poison_guard.ts
+++ b/packages/entry/src/gateway/poison_guard.ts
@@ -18,6 +18,7 @@
 import type { ObjectChange } from "./object_table.ts";
 import { ANSWER_METHOD, CRASH_METHOD } from "./peer_messages.ts";
 import type { PeerGossip } from "./peer_gossip.ts";
+import { RepeatedBroadcast } from "./repeated_broadcast.ts";
 import type { ServerRegistry } from "./server_registry.ts";
 import type { StoreHealth } from "./store_health.ts";
 
@@ -40,7 +41,7 @@
 
 /** Crashes after which a request is kept in the store. */
 const MIN_STORED_CRASHES = 2;
-/** A report is sent again after this time: datagrams get lost. */
+/** A report is sent again after this time. */
 const REPEAT_REPORT_MS = 300;
 /**
  * The witness of a crash writes at once, the readers of the store if it does
@@ -66,7 +67,7 @@
   /** Number of crashes of each record in the store, as far as known. */
   readonly #storedCrashes = new Map<contracts.RequestFingerprint, number>();
   readonly #unsaved = new Map<contracts.RequestFingerprint, UnsavedRecord>();
-  readonly #repeats = new Set<NodeJS.Timeout>();
+  readonly #reports = new RepeatedBroadcast(REPEAT_REPORT_MS);
   #task: PeriodicTask | undefined;
   #isSaving = false;
 
@@ -98,11 +99,7 @@
   start(lifeCycle: LifeCycle): void {
     this.#task = lifeCycle.every(EXPIRY_INTERVAL_MS, () => this.#tick());
     this.#schedule();
-    lifeCycle.onStop({
-      name: "reports of crashes",
-      timeoutMs: 100,
-      run: () => this.#repeats.forEach(clearTimeout),
-    });
+    this.#reports.start(lifeCycle, "reports of crashes");
   }
 
   /** Whether no server may run the request. */
@@ -139,12 +136,7 @@
     const crash = { service, server, bornMs, softwareVersion, caller, atMs };
     const report: contracts.CrashReport = { fingerprint, crash };
     this.#record(report, { isWitness: true });
-    gossip.broadcast(CRASH_METHOD, report);
-    const timer = setTimeout(() => {
-      this.#repeats.delete(timer);
-      gossip.broadcast(CRASH_METHOD, report);
-    }, REPEAT_REPORT_MS);
-    this.#repeats.add(timer);
+    this.#reports.send(() => gossip.broadcast(CRASH_METHOD, report));
     return condition;
   }
 
--- a/packages/entry/src/gateway/request_limit_task.ts
+++ b/packages/entry/src/gateway/request_limit_task.ts
@@ -14,6 +14,7 @@
   requestLimitNewsSchema,
   type RequestLimitTuple,
 } from "./peer_messages.ts";
+import { RepeatedBroadcast } from "./repeated_broadcast.ts";
 import type { RequestRecord } from "./request_log.ts";
 import type { ServerRegistry } from "./server_registry.ts";
 
@@ -36,8 +37,8 @@
 /** Interval of the log lines on calls to limited servers. */
 const REPORT_INTERVAL_MS = 1_000;
 /**
- * News is told again after this time, as datagrams get lost, and a limit that
- * changes all the time not more often.
+ * News is told again after this time, and a limit that changes all the time not
+ * more often.
  */
 const REPEAT_NEWS_MS = 200;
 /** Peers are told again that a limit holds when nobody has for this long. */
@@ -62,7 +63,7 @@
   readonly #bornMs = new Map<contracts.ServerId, number>();
   /** When any VM last told the others of a server's limit. */
   readonly #toldAtMs = new Map<contracts.ServerId, number>();
-  readonly #repeats = new Set<NodeJS.Timeout>();
+  readonly #news = new RepeatedBroadcast(REPEAT_NEWS_MS);
   #reportTask: PeriodicTask | undefined;
 
   constructor(options: RequestLimitTaskOptions) {
@@ -85,11 +86,7 @@
       Number.POSITIVE_INFINITY,
       () => this.#reportCalls(),
     );
-    lifeCycle.onStop({
-      name: "news of request limits",
-      timeoutMs: 100,
-      run: () => this.#repeats.forEach((timer) => clearTimeout(timer)),
-    });
+    this.#news.start(lifeCycle, "news of request limits");
   }
 
   /** Registers a listener for limits that are imposed or lifted. */
@@ -194,18 +191,13 @@
   ): void {
     if (change === "none") return;
     const toldAtMs = this.#toldAtMs.get(server) ?? Number.NEGATIVE_INFINITY;
-    const isSwitched = change === "imposed" || change === "lifted";
+    if (change === "imposed" || change === "lifted") {
+      return this.#news.send(() => this.#broadcast(server));
+    }
     const intervalMs = change === "changed"
       ? REPEAT_NEWS_MS
       : CONFIRM_INTERVAL_MS;
-    if (!isSwitched && nowMs - toldAtMs < intervalMs) return;
-    this.#broadcast(server);
-    if (!isSwitched) return;
-    const timer = setTimeout(() => {
-      this.#repeats.delete(timer);
-      this.#broadcast(server);
-    }, REPEAT_NEWS_MS);
-    this.#repeats.add(timer);
+    if (nowMs - toldAtMs >= intervalMs) this.#broadcast(server);
   }
 
   #broadcast(server: contracts.ServerId): void {
--- a/packages/entry/src/gateway/server_rate_limits.ts
+++ b/packages/entry/src/gateway/server_rate_limits.ts
@@ -17,7 +17,7 @@
   readonly registry: ServerRegistry;
   readonly gossip: Pick<
     PeerGossip,
-    "knownIn" | "live" | "liveVmsIn" | "vmCount" | "seedCount"
+    "knownIn" | "liveVmsIn" | "vmCount" | "seedCount"
   >;
   readonly requestLimits: Pick<
     RequestLimitTask,
@@ -108,12 +108,12 @@
 
   #coordinatorView(server: contracts.ServerId): admission.CoordinatorView {
     const { vm, registry, gossip } = this.#options;
-    const zone = registry.zoneOf(server);
-    const inZone = zone === undefined ? [] : gossip.liveVmsIn(zone);
-    const live = inZone.length > 0
-      ? inZone
-      : [vm, ...gossip.live.map((peer) => peer.vm)].sort();
-    const known = gossip.knownIn(inZone.length > 0 ? zone : undefined);
+    const ownZone = registry.zoneOf(server);
+    const hasVms = ownZone !== undefined &&
+      gossip.liveVmsIn(ownZone).length > 0;
+    const zone = hasVms ? ownZone : undefined;
+    const live = gossip.liveVmsIn(zone);
+    const known = gossip.knownIn(zone);
     return {
       isFirst: this.#liveOrder.rank(server, live)[0] === vm,
       liveCount: live.length,
--- a/packages/entry/src/gateway/slot_task.ts
+++ b/packages/entry/src/gateway/slot_task.ts
@@ -156,16 +156,16 @@
     { server }: admission.SlotServer,
     unresponsive: ReadonlySet<contracts.VmId>,
   ): contracts.VmId | undefined {
-    const { gossip, registry, vm } = this.#options;
+    const { gossip, registry } = this.#options;
+    const isEligible = (vm: contracts.VmId) =>
+      this.#isEligible(vm, unresponsive);
     const zone = registry.zoneOf(server);
-    const inZone = zone === undefined ? [] : gossip.liveVmsIn(zone);
-    const eligibleInZone = inZone.filter((it) =>
-      this.#isEligible(it, unresponsive)
-    );
-    const eligible = eligibleInZone.length > 0
-      ? eligibleInZone
-      : [vm, ...gossip.live.map((peer) => peer.vm)]
-        .filter((it) => this.#isEligible(it, unresponsive)).sort();
+    const inZone = zone === undefined
+      ? []
+      : gossip.liveVmsIn(zone).filter(isEligible);
+    const eligible = inZone.length > 0
+      ? inZone
+      : gossip.liveVmsIn(undefined).filter(isEligible);
     return this.#ranking.rank(server, eligible)[0];
   }
 
