--- a/packages/decisions/src/grants/hot_keys.ts
+++ b/packages/decisions/src/grants/hot_keys.ts
@@ -43,8 +43,7 @@
     const gain = capacityOf(input, to) / capacityOf(input, owner);
     if (gain < MIN_CAPACITY_RATIO) continue;
     taken.add(to);
-    utilization.add(owner, -perSecond);
-    utilization.add(to, perSecond);
+    utilization.move(perSecond, { from: owner, to });
     moves.push({
       fromKey: key,
       toKey: key,
--- a/packages/decisions/src/grants/range_load.ts
+++ b/packages/decisions/src/grants/range_load.ts
@@ -55,6 +55,18 @@
     if (known !== undefined) this.#perSecond.set(server, known + perSecond);
   }
 
+  /** Moves load from one server to another. */
+  move(
+    perSecond: number,
+    { from, to }: {
+      readonly from: contracts.ServerId;
+      readonly to: contracts.ServerId;
+    },
+  ): void {
+    this.add(from, -perSecond);
+    this.add(to, perSecond);
+  }
+
   /** Load of a server as a fraction of its capacity. */
   of(server: contracts.ServerId): number {
     const { capacityPerSecond } = this.#servers.get(server)!;
--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -89,8 +89,7 @@
       if (moves.length >= movesPerPlan(input)) return moves;
       const to = utilization.leastUtilized(limited)!;
       const perSecond = rangeRate(input.rates, range);
-      utilization.add(server, -perSecond);
-      utilization.add(to, perSecond);
+      utilization.move(perSecond, { from: server, to });
       const { fromKey, toKey } = range;
       moves.push({ fromKey, toKey, to: input.servers.get(to)!.owner });
     }
@@ -181,8 +180,7 @@
     const piece = shareOfLargest(input, moves, total / input.servers.size);
     if (piece === undefined) break;
     const rate = rangeRate(input.rates, piece);
-    utilization.add(piece.from, -rate);
-    utilization.add(server, rate);
+    utilization.move(rate, { from: piece.from, to: server });
     moves.push({ fromKey: piece.fromKey, toKey: piece.toKey, to: owner });
   }
   return moves;
@@ -203,21 +201,17 @@
   moves: readonly RangeMove[],
   sharePerSecond: number,
 ): (contracts.KeyRange & { readonly from: contracts.ServerId }) | undefined {
-  let largest: contracts.KeyRange | undefined;
-  let from: contracts.ServerId | undefined;
-  let mostPerSecond = 0;
-  for (const { part, server } of ownedParts(input, moves)) {
-    const rate = rangeRate(input.rates, part);
-    if (rate <= mostPerSecond || part.fromKey === part.toKey) continue;
-    largest = part;
-    from = server;
-    mostPerSecond = rate;
-  }
+  const largest = mostLoaded(
+    input.rates,
+    [...ownedParts(input, moves)].filter(({ part }) =>
+      part.fromKey !== part.toKey
+    ),
+  );
   if (largest === undefined) return undefined;
-  const count = Math.max(2, Math.round(mostPerSecond / sharePerSecond));
-  const last = cut(input.rates, largest, count).at(-1)!;
-  const isPart = last.fromKey > largest.fromKey;
-  return isPart ? { ...last, from: from! } : undefined;
+  const { part, server, perSecond } = largest;
+  const count = Math.max(2, Math.round(perSecond / sharePerSecond));
+  const last = cut(input.rates, part, count).at(-1)!;
+  return last.fromKey > part.fromKey ? { ...last, from: server } : undefined;
 }
 
 /** Moves dense pieces from servers above the level to servers below it. */
@@ -253,8 +247,7 @@
       exhausted.add(hot);
       continue;
     }
-    utilization.add(hot, -piece.perSecond);
-    utilization.add(cold, piece.perSecond);
+    utilization.move(piece.perSecond, { from: hot, to: cold });
     const { fromKey, toKey } = piece;
     moves.push({ fromKey, toKey, to: input.servers.get(cold)!.owner });
   }
@@ -322,14 +315,10 @@
   server: contracts.ServerId,
   targetPerSecond: number,
 ): Piece | undefined {
-  let best: contracts.KeyRange | undefined;
-  let mostPerSecond = 0;
-  for (const { part, server: owner } of ownedParts(input, moves)) {
-    const perSecond = rangeRate(input.rates, part);
-    if (owner !== server || perSecond <= mostPerSecond) continue;
-    best = part;
-    mostPerSecond = perSecond;
-  }
+  const best = mostLoaded(
+    input.rates,
+    [...ownedParts(input, moves)].filter((it) => it.server === server),
+  )?.part;
   if (best === undefined) return undefined;
   let perSecond = 0;
   let fromKey = best.toKey + 1;
@@ -380,6 +369,19 @@
   readonly server: contracts.ServerId;
 }
 
+/** The part with the most load; undefined when there is none. */
+function mostLoaded(
+  rates: readonly KeyRate[],
+  parts: readonly OwnedPart[],
+): (OwnedPart & { readonly perSecond: number }) | undefined {
+  let best: (OwnedPart & { readonly perSecond: number }) | undefined;
+  for (const owned of parts) {
+    const perSecond = rangeRate(rates, owned.part);
+    if (perSecond > (best?.perSecond ?? 0)) best = { ...owned, perSecond };
+  }
+  return best;
+}
+
 /** Parts of ranges that may be moved: neither in handover nor in the plan. */
 function* ownedParts(
   { ranges }: RangePlanInput,
