--- a/packages/standins/src/backend_server/backend_app.ts
+++ b/packages/standins/src/backend_server/backend_app.ts
@@ -152,20 +152,17 @@
     this.#faults = { ...this.#faults, ...parsed.data };
     this.#queue.slowFactor = this.#faults.slowFactor ?? 1;
     this.#queue.setHoldRuns(this.#faults.holdRuns ?? false);
-    if (parsed.data.requestLimit !== undefined) {
-      this.#nameLimit(parsed.data.requestLimit);
+    const { requestLimit } = parsed.data;
+    if (requestLimit !== undefined) {
+      this.#limits.nameLimit(
+        this.#settings.server,
+        requestLimit === "" ? undefined : requestLimit,
+        this.#clock.nowMs(),
+      );
     }
     return context.json({});
   }
 
-  /** Text that is no rate leaves the limit before it in force. */
-  #nameLimit(text: string): void {
-    const perSecond = text === "" ? undefined : Number(text);
-    if (Number.isNaN(perSecond)) return;
-    const { server } = this.#settings;
-    this.#limits.nameLimit(server, perSecond, this.#clock.nowMs());
-  }
-
   async #applyLeaseCommand(context: BackendContext): Promise<Response> {
     const parsed = contracts.leaseCommandSchema.safeParse(
       await context.req.json(),
@@ -277,13 +274,13 @@
       : request.requestId;
     context.header(contracts.REQUEST_ID_HEADER, id);
     context.header(contracts.IN_FLIGHT_HEADER, String(this.#queue.inFlight));
+    const nowMs = this.#clock.nowMs();
     const { requestLimit = "" } = this.#faults;
     if (requestLimit !== "") {
       context.header(contracts.REQUEST_LIMIT_HEADER, requestLimit);
-      const { server } = this.#settings;
-      this.#limits.recordTold(server, undefined, this.#clock.nowMs());
+      const told = { caller: undefined, text: requestLimit, atMs: nowMs };
+      this.#limits.recordTold(this.#settings.server, told);
     }
-    const nowMs = this.#clock.nowMs();
     context.header(
       contracts.STAMP_HEADER,
       `${this.#ownership.instance}/${nowMs}`,
--- a/packages/standins/src/backend_server/request_limit_record.ts
+++ b/packages/standins/src/backend_server/request_limit_record.ts
@@ -52,8 +52,13 @@
   /** Spans in which a caller was stopped or frozen, and a while after. */
   readonly #excused = new Map<string, Span[]>();
 
-  /** A server names a limit from now on; undefined for none. */
-  nameLimit(server: string, perSecond: number | undefined, atMs: number): void {
+  /**
+   * A server names a limit from now on; undefined for none. Text that is no
+   * rate leaves the limit before it in force.
+   */
+  nameLimit(server: string, text: string | undefined, atMs: number): void {
+    const perSecond = text === undefined ? undefined : Number(text);
+    if (Number.isNaN(perSecond)) return;
     const record: ServerRecord = this.#servers.get(server) ??
       {
         limits: [],
@@ -71,10 +76,20 @@
     this.#servers.get(server)?.calls.push({ atMs, caller });
   }
 
-  /** A server answers a call of the caller with its limit. */
-  recordTold(server: string, caller: string | undefined, atMs: number): void {
+  /**
+   * A server has answered a call of the caller with the text as its limit; one
+   * that is no rate tells the caller nothing.
+   */
+  recordTold(
+    server: string,
+    { caller, text, atMs }: {
+      readonly caller: string | undefined;
+      readonly text: string;
+      readonly atMs: number;
+    },
+  ): void {
     const record = this.#servers.get(server);
-    if (record === undefined) return;
+    if (record === undefined || Number.isNaN(Number(text))) return;
     record.firstToldAtMs ??= atMs;
     if (caller === undefined || record.toldAtMs.has(caller)) return;
     record.toldAtMs.set(caller, atMs);
