feat(links): calls to servers leave from the VM's address; a line when none answers

`Servers gave no answer.` says once a second how many attempts ended without one, at how many servers, and when any server was last heard.

--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -2,6 +2,11 @@
 import type * as contracts from "@guavatide/contracts";
 import * as admission from "@guavatide/decisions/admission/mod";
 import type { ConnectionPools } from "../links/connection_pools.ts";
+import type {
+  AttemptRequest,
+  AttemptResult,
+} from "../links/server_connection.ts";
+import type { SendOptions } from "../links/connection_pool.ts";
 import { ThrottledWarning } from "../utils/throttled_warning.ts";
 import type { LifeCycle, PeriodicTask } from "../utils/life_cycle.ts";
 import type { Logger } from "../utils/log.ts";
@@ -24,6 +29,7 @@
 import type { HeaderNames } from "./platform_adapter.ts";
 import type { RequestLimitTask } from "./request_limit_task.ts";
 import type { RequestRecord } from "./request_log.ts";
+import { ServerContactLog } from "./server_contact_log.ts";
 import type { ServerRegistry } from "./server_registry.ts";
 import type { SlotTask } from "./slot_task.ts";
 
@@ -82,9 +88,11 @@
   #inFlight = 0;
   #reviewTask: PeriodicTask | undefined;
   readonly #overloadLog: ThrottledWarning;
+  readonly #contactLog: ServerContactLog;
 
   constructor(options: ForwarderOptions) {
     this.#options = options;
+    this.#contactLog = new ServerContactLog(options.log);
     this.#overloadLog = new ThrottledWarning(
       options.log,
       "Refuses what this VM has read too late.",
@@ -226,12 +234,7 @@
       clock,
       configVersion,
       tryRetry: () => state.budget.tryTake(clock.nowMs(), gossip.vmCount),
-      send: (entry, request, options) =>
-        this.#options.connections.pool(
-          entry,
-          this.#connectionLimit(entry.service),
-        )
-          .send(request, options),
+      send: (entry, request, options) => this.#send(entry, request, options),
       headers: (request, entry, leftMs) =>
         this.#headers(request, entry, leftMs),
       recordServerReport: (server, report, nowMs) =>
@@ -248,6 +251,20 @@
     };
   }
 
+  async #send(
+    entry: contracts.RegisteredServer,
+    request: AttemptRequest,
+    options: SendOptions,
+  ): Promise<AttemptResult> {
+    const { connections, clock } = this.#options;
+    const limit = this.#connectionLimit(entry.service);
+    const result = await connections.pool(entry, limit).send(request, options);
+    if (!options.signal.aborted) {
+      this.#contactLog.note(entry.server, result, clock.nowMs());
+    }
+    return result;
+  }
+
   /**
    * Keyed services ignore slowdowns: the owner of a key is the only choice,
    * whatever its speed.
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -224,6 +224,7 @@
   const connections = new connectionPools.ConnectionPools(
     {
       ...connectionPools.CONNECTION_POOLS_DEFAULTS,
+      localAddress: settings.host,
       decoder: adapter.answerDecoder,
       idleTimeoutMs: CONNECTION_IDLE_TIMEOUT_MS,
     },
@@ -235,7 +236,7 @@
     prefix: adapter.prefixes.poisonRequests,
     gossip,
     registry,
-    endCheck: new ServerEndCheck(connections),
+    endCheck: new ServerEndCheck(connections, settings.host),
     clock,
     unixMs: () => Date.now(),
     log: log.part("route"),
--- a/packages/entry/src/links/connection_pools.ts
+++ b/packages/entry/src/links/connection_pools.ts
@@ -10,6 +10,8 @@
 
 /** Options of {@link ConnectionPools}. */
 export interface ConnectionPoolsOptions {
+  /** Address that connections leave from; the system's choice by default. */
+  readonly localAddress?: string | undefined;
   readonly connectTimeoutMs: number;
   readonly idleTimeoutMs: number;
   readonly answerLimitBytes: number;
--- a/packages/entry/src/links/server_connection.ts
+++ b/packages/entry/src/links/server_connection.ts
@@ -46,6 +46,8 @@
 export interface ServerConnectionOptions {
   readonly host: string;
   readonly port: number;
+  /** Address that connections leave from; the system's choice by default. */
+  readonly localAddress?: string | undefined;
   readonly connectTimeoutMs: number;
   /** An idle connection is closed after this time. */
   readonly idleTimeoutMs: number;
@@ -79,6 +81,7 @@
     const origin = `http://${options.host}:${options.port}`;
     this.#client = new undici.Client(origin, {
       pipelining: 1,
+      localAddress: options.localAddress,
       keepAliveTimeout: options.idleTimeoutMs,
       keepAliveMaxTimeout: options.idleTimeoutMs,
       // Each attempt has its own deadline; undici's timeouts would preempt it.
--- a/packages/entry/src/platform/http_channel.ts
+++ b/packages/entry/src/platform/http_channel.ts
@@ -41,6 +41,8 @@
 export interface HttpChannelOptions {
   /** Maximum number of open connections; 16 by default. */
   readonly connections?: number;
+  /** Address that connections leave from; the system's choice by default. */
+  readonly localAddress?: string | undefined;
 }
 
 /**
@@ -253,11 +255,12 @@
 
 function openPool(
   origin: string,
-  { connections = MAX_CONNECTIONS }: HttpChannelOptions,
+  { connections = MAX_CONNECTIONS, localAddress }: HttpChannelOptions,
 ): undici.Pool {
   return new undici.Pool(origin, {
     connections,
     pipelining: 1,
+    localAddress,
     connect: buildResettingConnector({ timeout: CONNECT_TIMEOUT_MS }),
     // Each call has its own deadline; undici's would interrupt long polls.
     headersTimeout: 0,
--- a/packages/entry/src/poison/server_end_check.ts
+++ b/packages/entry/src/poison/server_end_check.ts
@@ -46,10 +46,13 @@
 /** Checks servers; requests lost at the same time share one check. */
 export class ServerEndCheck {
   readonly #connections: OpenConnections;
+  readonly #localAddress: string | undefined;
   readonly #pending = new Map<string, Promise<ServerCondition>>();
 
-  constructor(connections: OpenConnections) {
+  /** `localAddress`: where checks leave from; the system's choice by default. */
+  constructor(connections: OpenConnections, localAddress?: string) {
     this.#connections = connections;
+    this.#localAddress = localAddress;
   }
 
   /** Checks a server that has just broken off a connection. Never rejects. */
@@ -69,13 +72,13 @@
     // Closes that have arrived are read before this continues.
     await timers.setImmediate();
     if (this.#connections.hasOpenConnection(server)) return "running";
-    return connect(host, port);
+    return connect({ host, port, localAddress: this.#localAddress });
   }
 }
 
-function connect(host: string, port: number): Promise<ServerCondition> {
+function connect(target: net.TcpNetConnectOpts): Promise<ServerCondition> {
   return new Promise((resolve) => {
-    const socket = net.connect({ host, port });
+    const socket = net.connect(target);
     const end = (condition: ServerCondition) => {
       resolve(condition);
       socket.destroy();
