test(partition): VMs that lose their links to servers while others keep theirs

Relays break the links of single VMs: reset, hanging, or refusing new connections while open ones live on.

--- a/packages/standins/src/relay/tcp_relay.ts
+++ b/packages/standins/src/relay/tcp_relay.ts
@@ -31,7 +31,15 @@
 /** Faults that a relay injects into its connections. */
 export type RelayFaults = z.infer<typeof relayFaultsSchema>;
 
-type Direction = "to-target" | "to-client";
+/**
+ * What happens to the connections of one client. `reset`: all are reset, also
+ * new ones. `hang`: all discard data, also new ones. `refuse-new`: new ones are
+ * reset, and open ones forward data.
+ */
+export type ClientFault = "reset" | "hang" | "refuse-new";
+
+const DIRECTIONS = ["to-target", "to-client"] as const;
+type Direction = typeof DIRECTIONS[number];
 
 /** Address to which a relay connects. */
 export interface RelayTarget {
@@ -41,6 +49,7 @@
 
 interface RelayedConnection {
   readonly client: net.Socket;
+  readonly clientAddress: string;
   readonly target: net.Socket;
   /** Directions in which all further data is discarded. */
   readonly blackholed: Set<Direction>;
@@ -59,6 +68,9 @@
   readonly #server: net.Server;
   readonly #connections = new Set<RelayedConnection>();
   #faults: RelayFaults = {};
+  /** By the client's address. */
+  readonly #clientFaults = new Map<string, ClientFault>();
+  readonly #chunksToTarget = new Map<string, number>();
 
   constructor(target: RelayTarget) {
     this.#target = target;
@@ -89,6 +101,24 @@
     if (this.#faults.mode !== "hold") this.#deliverHeld();
   }
 
+  /** Sets what happens to one client's connections; undefined for nothing. */
+  setClientFault(address: string, fault: ClientFault | undefined): void {
+    if (fault === undefined) this.#clientFaults.delete(address);
+    else this.#clientFaults.set(address, fault);
+    for (const connection of this.#connections) {
+      if (connection.clientAddress !== address) continue;
+      if (fault === "reset") this.#reset(connection);
+      if (fault === "hang") {
+        connection.blackholed.add("to-target").add("to-client");
+      }
+    }
+  }
+
+  /** Number of chunks of data that the target got from a client. */
+  chunksFrom(address: string): number {
+    return this.#chunksToTarget.get(address) ?? 0;
+  }
+
   /** Closes the port and resets all connections. */
   close(): Promise<void> {
     this.#resetAll();
@@ -96,7 +126,10 @@
   }
 
   #accept(client: net.Socket): void {
-    if (this.#faults.mode === "cut") {
+    const clientAddress = client.remoteAddress ?? "";
+    const fault = this.#clientFaults.get(clientAddress);
+    const isRefused = fault === "reset" || fault === "refuse-new";
+    if (this.#faults.mode === "cut" || isRefused) {
       client.resetAndDestroy();
       return;
     }
@@ -104,8 +137,9 @@
     client.setNoDelay(true);
     const connection: RelayedConnection = {
       client,
+      clientAddress,
       target,
-      blackholed: new Set(),
+      blackholed: new Set(fault === "hang" ? DIRECTIONS : []),
       held: [],
     };
     this.#connections.add(connection);
@@ -118,7 +152,10 @@
     const from = isToTarget ? connection.client : connection.target;
     const to = isToTarget ? connection.target : connection.client;
     from.on("data", (chunk) => {
-      this.#deliverOrDiscard(connection, direction, () => to.write(chunk));
+      this.#deliverOrDiscard(connection, direction, () => {
+        to.write(chunk);
+        if (isToTarget) this.#countChunk(connection);
+      });
     });
     from.on("error", () => {
       // A reset discards the sender's data that has not been delivered.
@@ -168,11 +205,18 @@
     }
   }
 
+  #countChunk({ clientAddress }: RelayedConnection): void {
+    const count = this.chunksFrom(clientAddress);
+    this.#chunksToTarget.set(clientAddress, count + 1);
+  }
+
   #resetAll(): void {
-    for (const { client, target } of this.#connections) {
-      client.resetAndDestroy();
-      target.destroy();
-    }
-    this.#connections.clear();
+    for (const connection of this.#connections) this.#reset(connection);
+  }
+
+  #reset(connection: RelayedConnection): void {
+    connection.client.resetAndDestroy();
+    connection.target.destroy();
+    this.#connections.delete(connection);
   }
 }
