--- a/packages/decisions/src/admission/server_load.ts
+++ b/packages/decisions/src/admission/server_load.ts
@@ -97,6 +97,14 @@
     return this.suspensionLeftMs(nowMs) === 0;
   }
 
+  /** Forgets failures that said nothing about the server. */
+  forgetLosses(): void {
+    this.#failureRatio = 0;
+    this.#consecutiveLosses = 0;
+    this.#suspensions = 0;
+    this.#suspendedUntilMs = Number.NEGATIVE_INFINITY;
+  }
+
   /** Records a peer's report of its requests in flight there. */
   recordPeerLoad(vm: contracts.VmId, report: PeerLoad): void {
     this.#peerLoads.set(vm, report);
--- a/packages/decisions/src/grants/voter_selection.ts
+++ b/packages/decisions/src/grants/voter_selection.ts
@@ -6,6 +6,8 @@
 
 /** Voters of a map, as long as there are so many VMs. */
 const VOTER_COUNT = 7;
+/** Voters that reach servers: one may be lost without a lease lapsing. */
+const MIN_GRANTING_VOTERS = 3;
 /** A voter that sent no message for this long is replaced by another VM. */
 const VOTER_REPLACE_AFTER_MS = 3_000;
 /**
@@ -20,6 +22,8 @@
   readonly map: contracts.RangeMap | undefined;
   /** VMs that are up, in the order in which they become voters. */
   readonly live: readonly contracts.VmId[];
+  /** VMs that reach no backend server and can grant nothing. */
+  readonly cutOff: ReadonlySet<contracts.VmId>;
   /** Time since a VM's last message; infinite when there was none. */
   readonly sinceLastMessageMs: (vm: contracts.VmId) => number;
   /** Uptime of this process. */
@@ -33,7 +37,23 @@
     unresponsiveMs(input, voter) < VOTER_REPLACE_AFTER_MS
   );
   const added = input.live.filter((vm) => !kept.includes(vm));
-  return [...kept, ...added].slice(0, Math.max(VOTER_COUNT, kept.length));
+  const voters = [...kept, ...added]
+    .slice(0, Math.max(VOTER_COUNT, kept.length));
+  return withGrantingVoters(voters, input);
+}
+
+/** Lets VMs that reach servers replace cut off voters, as many as are needed. */
+function withGrantingVoters(
+  voters: readonly contracts.VmId[],
+  { live, cutOff }: VoterSelectionInput,
+): contracts.VmId[] {
+  if (cutOff.size === 0) return [...voters];
+  const granting = voters.filter((vm) => !cutOff.has(vm)).length;
+  const spare = live.filter((vm) => !cutOff.has(vm) && !voters.includes(vm))
+    .slice(0, Math.max(0, MIN_GRANTING_VOTERS - granting));
+  const idle = voters.filter((vm) => cutOff.has(vm));
+  const dropped = new Set(idle.slice(Math.max(0, idle.length - spare.length)));
+  return [...voters.filter((vm) => !dropped.has(vm)), ...spare];
 }
 
 /** Voters that count as removed for good. */
--- a/packages/decisions/src/grants/voter_selection_test.ts
+++ b/packages/decisions/src/grants/voter_selection_test.ts
@@ -19,6 +19,7 @@
       ranges: [],
     },
     live: ["a", "d"] as contracts.VmId[],
+    cutOff: new Set(),
     sinceLastMessageMs: () => Number.POSITIVE_INFINITY,
     uptimeMs: 60_000,
     ...options,
--- /dev/null
+++ b/packages/entry/src/gateway/attempt_relay.ts
@@ -0,0 +1,276 @@
+/**
+ * Sends requests to backend servers for peers that don't reach them. Only over
+ * this VM's own connections, so a request takes one hop at most.
+ */
+import type * as contracts from "@guavatide/contracts";
+import type * as http from "node:http";
+import * as timers from "node:timers/promises";
+import type { AttemptResult } from "../links/server_connection.ts";
+import { conditionBeforeRetry } from "../poison/server_end_check.ts";
+import { EventLoopLagMonitor } from "../utils/event_loop_lag_monitor.ts";
+import type { LifeCycle } from "../utils/life_cycle.ts";
+import type { Logger } from "../utils/log.ts";
+import * as bodies from "../utils/read_body.ts";
+import { ThrottledWarning } from "../utils/throttled_warning.ts";
+import type { PeerGossip } from "./peer_gossip.ts";
+import type { PeerRpc } from "./peer_rpc.ts";
+import type { HeaderNames } from "./platform_adapter.ts";
+import type { PoisonGuard, PoisonSubject } from "./poison_guard.ts";
+import * as messages from "./relay_messages.ts";
+import type { RequestLimitTask } from "./request_limit_task.ts";
+import type { ServerPaths } from "./server_paths.ts";
+import type { ServerRegistry } from "./server_registry.ts";
+
+/** Options of {@link AttemptRelay}. */
+export interface AttemptRelayOptions {
+  readonly gossip: Pick<PeerGossip, "live">;
+  readonly registry: Pick<ServerRegistry, "entry">;
+  readonly paths: Pick<ServerPaths, "sendDirect" | "observe" | "reaches">;
+  readonly poison: Pick<PoisonGuard, "isPoisonous" | "noteLostConnection">;
+  readonly requestLimits: Pick<RequestLimitTask, "noteCall" | "noteAnswer">;
+  readonly headers: HeaderNames;
+  readonly processorCores: number;
+  /** Time from the stop signal until the process is killed. */
+  readonly graceMs: number;
+  /** Counts relayed attempts by outcome. */
+  readonly count: (outcome: string) => void;
+  readonly clock: contracts.Clock;
+  readonly log: Logger;
+}
+
+/** Largest body of a request, and some more for its headers. */
+const MAX_MESSAGE_BYTES = 32 * 1_048_576;
+/** Requests relayed at once, for each core. */
+const MAX_RELAYED_PER_CORE = 160;
+/** Each rank of a route leaves this fraction of the limits to those before it. */
+const RANK_RESERVE_RATIO = 0.15;
+const MIN_LIMIT_RATIO = 0.4;
+/** With more lag, own callers come first. */
+const MAX_LAG_MS = 250;
+/** Fraction of the grace time within which relayed requests may end. */
+const DRAIN_GRACE_RATIO = 0.93;
+const DRAIN_CHECK_MS = 20;
+
+/** The relayed requests of one VM. */
+export class AttemptRelay {
+  readonly #options: AttemptRelayOptions;
+  readonly #lag = new EventLoopLagMonitor();
+  readonly #strangerLog: ThrottledWarning;
+  #inFlight = 0;
+  #isStopping = false;
+
+  constructor(options: AttemptRelayOptions) {
+    this.#options = options;
+    this.#strangerLog = new ThrottledWarning(
+      options.log,
+      "Declines a message of a VM that is not known.",
+    );
+  }
+
+  /** Starts to answer peers' messages. */
+  start(lifeCycle: LifeCycle, rpc: PeerRpc): void {
+    rpc.onPath(
+      messages.RELAY_PATH,
+      (request, response) => this.#handle(request, response),
+    );
+    this.#lag.start(lifeCycle, () => this.#inFlight === 0);
+    const { graceMs, clock } = this.#options;
+    let endMs = Number.POSITIVE_INFINITY;
+    lifeCycle.signal.addEventListener("abort", () => {
+      this.#isStopping = true;
+      endMs = clock.nowMs() + graceMs * DRAIN_GRACE_RATIO;
+    });
+    lifeCycle.onStop({
+      name: "relayed requests",
+      timeoutMs: graceMs,
+      run: async () => {
+        while (this.#inFlight > 0 && clock.nowMs() < endMs) {
+          await timers.setTimeout(DRAIN_CHECK_MS);
+        }
+      },
+    });
+  }
+
+  async #handle(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const abort = new AbortController();
+    response.once("close", () => abort.abort());
+    const read = await bodies.readBody(request, MAX_MESSAGE_BYTES);
+    const decoded = read.kind === "whole" && read.body !== undefined
+      ? messages.decodeRelayMessage(read.body, messages.relayRequestSchema)
+      : undefined;
+    if (decoded === undefined) {
+      response.writeHead(400).end();
+      return;
+    }
+    const { message, body } = decoded;
+    const { reply, body: replyBody } =
+      !this.#isKnown(message, request.socket.remoteAddress)
+        ? declined("unknown-vm")
+        : message.kind === "check"
+        ? await this.#check(message.servers)
+        : await this.#relay(message, body, abort.signal);
+    if (response.destroyed) return;
+    const bytes = messages.encodeRelayMessage(reply, replyBody);
+    response.sendDate = false;
+    response.writeHead(200, { "content-length": bytes.length });
+    response.end(bytes);
+  }
+
+  /** Whether the sender is a peer that gossips from this address and run. */
+  #isKnown(
+    { vm, incarnation }: messages.RelayRequest,
+    address: string | undefined,
+  ): boolean {
+    const { gossip, clock } = this.#options;
+    const isKnown = gossip.live.some((peer) =>
+      peer.vm === vm && peer.incarnation === incarnation &&
+      peer.host === address
+    );
+    if (!isKnown) this.#strangerLog.warn(clock.nowMs(), { vm, address });
+    return isKnown;
+  }
+
+  async #check(
+    servers: Extract<messages.RelayRequest, { kind: "check" }>["servers"],
+  ): Promise<RelayedReply> {
+    const { registry, paths } = this.#options;
+    const observed = await Promise.all(servers.map(async (owner) => {
+      const entry = registry.entry(owner);
+      if (entry === undefined) return { isAccepting: false, heardAgoMs: null };
+      const { isAccepting, heardAgoMs } = await paths.observe(entry);
+      const hasHeard = Number.isFinite(heardAgoMs);
+      return { isAccepting, heardAgoMs: hasHeard ? heardAgoMs : null };
+    }));
+    return { reply: { kind: "checked", observed } };
+  }
+
+  async #relay(
+    attempt: messages.RelayedAttempt,
+    body: Uint8Array,
+    signal: AbortSignal,
+  ): Promise<RelayedReply> {
+    this.#lag.resume();
+    const receivedMs = this.#options.clock.nowMs();
+    const { id, method, target, host, key, caller } = attempt;
+    const subject: PoisonSubject = {
+      id,
+      method,
+      target,
+      host,
+      key,
+      caller,
+      body: body.length === 0 ? undefined : body,
+    };
+    const entry = this.#options.registry.entry(attempt);
+    const reason = this.#declineReason(attempt, subject, entry);
+    if (reason !== undefined) {
+      this.#options.count(`declined ${reason}`);
+      return declined(reason);
+    }
+    this.#inFlight++;
+    try {
+      const result = await this.#send(entry!, attempt, {
+        subject,
+        receivedMs,
+        signal,
+      });
+      this.#options.count(result.kind);
+      return messages.replyOf(result, this.#inFlight);
+    } finally {
+      this.#inFlight--;
+    }
+  }
+
+  #declineReason(
+    { server, priority }: messages.RelayedAttempt,
+    subject: PoisonSubject,
+    entry: contracts.RegisteredServer | undefined,
+  ): messages.DeclineReason | undefined {
+    const { paths, poison, processorCores } = this.#options;
+    if (this.#isStopping) return "stopping";
+    if (entry === undefined) return "unknown-server";
+    if (!paths.reaches(server)) return "unreached";
+    const ratio = Math.max(MIN_LIMIT_RATIO, 1 - RANK_RESERVE_RATIO * priority);
+    const isFull =
+      this.#inFlight >= MAX_RELAYED_PER_CORE * processorCores * ratio;
+    if (isFull || this.#lag.lagMs > MAX_LAG_MS * ratio) return "overloaded";
+    return poison.isPoisonous(subject) ? "poisonous" : undefined;
+  }
+
+  async #send(
+    entry: contracts.RegisteredServer,
+    attempt: messages.RelayedAttempt,
+    { subject, receivedMs, signal }: {
+      readonly subject: PoisonSubject;
+      readonly receivedMs: number;
+      readonly signal: AbortSignal;
+    },
+  ): Promise<AttemptResult> {
+    const { paths, requestLimits, clock, headers: names } = this.#options;
+    const { server } = entry;
+    const sentMs = clock.nowMs();
+    const lateMs = sentMs - receivedMs;
+    requestLimits.noteCall(server, "request");
+    const result = await paths.sendDirect(entry, {
+      id: attempt.id as contracts.RequestId,
+      method: attempt.method,
+      path: attempt.target,
+      headers: shortenDeadline(attempt.headers, names.deadlineMs, lateMs),
+      body: subject.body,
+      maySend: () => !signal.aborted,
+      onServerStamp: () => {},
+    }, {
+      timeoutMs: Math.max(1, attempt.leftMs - lateMs),
+      signal,
+      expectedMs: attempt.expectedMs,
+      isIdempotent: attempt.isIdempotent,
+      onPathLost: () => attempt.isIdempotent,
+    });
+    if (result.kind === "answer" || result.kind === "refusal") {
+      requestLimits.noteAnswer(server, result.requestLimit, {
+        tookMs: clock.nowMs() - sentMs,
+        isRefusal: result.kind === "refusal",
+      });
+    }
+    return await this.#withCondition(entry, result, { subject, signal });
+  }
+
+  /** Finds out what became of a server that broke off the connection. */
+  async #withCondition(
+    entry: contracts.RegisteredServer,
+    result: AttemptResult,
+    { subject, signal }: {
+      readonly subject: PoisonSubject;
+      readonly signal: AbortSignal;
+    },
+  ): Promise<AttemptResult> {
+    const isBrokenOff = result.kind === "unknown" && !result.isPathLost &&
+      result.reason !== "timeout-after-send" && !signal.aborted;
+    if (!isBrokenOff) return result;
+    const noted = this.#options.poison.noteLostConnection(subject, entry);
+    return { ...result, condition: await conditionBeforeRetry(noted) };
+  }
+}
+
+type RelayedReply = ReturnType<typeof messages.replyOf>;
+
+function declined(reason: messages.DeclineReason): RelayedReply {
+  return { reply: { kind: "declined", reason } };
+}
+
+/** The headers with the time that a request has waited here taken off. */
+function shortenDeadline(
+  headers: readonly string[],
+  name: string,
+  lateMs: number,
+): string[] {
+  const index = headers.findIndex((it, at) => at % 2 === 0 && it === name);
+  const shortened = [...headers];
+  if (index < 0) return shortened;
+  const leftMs = Number(headers[index + 1]) - Math.ceil(lateMs);
+  shortened[index + 1] = String(Math.max(1, leftMs));
+  return shortened;
+}
--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarded_request.ts
@@ -14,6 +14,7 @@
 } from "./front_request.ts";
 import type { PoisonGuard } from "./poison_guard.ts";
 import type { AttemptRecord, RequestRecord } from "./request_log.ts";
+import type { PathResult, PathSendOptions } from "./server_paths.ts";
 
 /** What a request needs from the forwarder. */
 export interface ForwardingContext {
@@ -21,14 +22,15 @@
   readonly queue: admission.ServiceQueue;
   readonly times: admission.ServiceTimes;
   readonly clock: contracts.Clock;
+  readonly random: contracts.RandomSource;
   readonly configVersion: number;
   /** Takes one retry from the shared budget; false when none is left. */
   tryRetry(): boolean;
   send(
     entry: contracts.RegisteredServer,
     request: AttemptRequest,
-    options: { readonly timeoutMs: number; readonly signal: AbortSignal },
-  ): Promise<AttemptResult>;
+    options: PathSendOptions,
+  ): Promise<PathResult>;
   /** Headers for one attempt, with those that the entry VM adds. */
   headers(
     request: FrontRequest,
@@ -70,6 +72,8 @@
 const HANDOVER_RETRY_AFTER_MS = 150;
 /** No retry with less time left than this fraction of the expected time. */
 const MIN_RETRY_TIME_RATIO = 0.6;
+/** Mean retry delay of callers refused because no VM reaches a server. */
+const NO_PATH_RETRY_AFTER_MS = 400;
 /** Wait before a request that its key's owner refused is queued again. */
 const OWNER_REFUSAL_BACKOFF_MS = 25;
 
@@ -101,6 +105,8 @@
   #waitingSinceMs: number;
   #queuedMs = 0;
   #isSendPending = false;
+  /** Whether a retry was taken from the budget for an attempt given up. */
+  #hasTakenRetry = false;
   #isDone = false;
 
   constructor(
@@ -165,13 +171,31 @@
     const { entry } = load;
     const recordEnd = load.startRequest(nowMs);
     this.#context.onLoadChange();
+    const release = once((tookMs: number | undefined) => releaseSlot?.(tookMs));
     const leftMs = this.answerByMs - nowMs;
     this.#isSendPending = true;
     this.#context.recordSend(entry.server);
     const result = await this.#context.send(
       entry,
       this.#attemptRequest(entry, leftMs),
-      { timeoutMs: leftMs, signal: this.#cancel.signal },
+      {
+        timeoutMs: leftMs,
+        signal: this.#cancel.signal,
+        expectedMs: this.#context.times.estimateMs(this.route) *
+          this.#context.times.latencyFactor(entry.server),
+        isIdempotent: this.route.isIdempotent,
+        priority: this.route.priority,
+        request: this.#request,
+        onPathLost: (isCertain) => {
+          const isGivenUp = this.#takeRetryForLostPath();
+          if (isGivenUp || !isCertain) return isGivenUp;
+          // It may still be answered, but holds nothing up until then.
+          recordEnd({ kind: "abandoned" }, this.#context.clock.nowMs());
+          release(undefined);
+          this.#context.onLoadChange();
+          return false;
+        },
+      },
     );
     this.#isSendPending = false;
     const endedMs = this.#context.clock.nowMs();
@@ -193,6 +217,7 @@
       fence,
       tookMs: endedMs - nowMs,
       report,
+      via: result.via,
       end: describeResult(result),
     });
     const hasFreeSlots = outstanding < entry.slots;
@@ -200,7 +225,7 @@
     if (isServed && hasFreeSlots) {
       this.#context.times.record(this.route, entry.server, endedMs - nowMs);
     }
-    releaseSlot?.(isServed ? endedMs - nowMs : undefined);
+    release(isServed ? endedMs - nowMs : undefined);
     this.#context.onLoadChange();
     this.#handleResult(result, entry);
     // A slot of a keyed service returns to its coordinator, not to this queue.
@@ -233,7 +258,10 @@
       return { kind: "answered", isFailure: isFailure(result.answer.status) };
     }
     if (result.kind === "refusal") return { kind: "rejected" };
-    return { kind: "lost" };
+    const isOurPath = result.kind === "not-sent"
+      ? result.hasNoPath
+      : result.isPathLost;
+    return { kind: isOurPath ? "abandoned" : "lost" };
   }
 
   #handleResult(
@@ -250,15 +278,20 @@
       case "not-sent":
         // Not one byte was sent, so this doesn't count as an attempt.
         this.#attemptCount--;
+        if (result.hasNoPath) return this.#handleMissingPath(server);
         if (this.key === undefined) this.tried.add(server);
         return this.#retryOrGiveUp("no connection", false);
       case "unknown":
         this.#mayHaveRun = true;
         this.tried.add(server);
-        if (result.reason === "timeout-after-send") {
+        if (this.#hasTakenRetry) {
+          this.#hasTakenRetry = false;
+          return this.#requeue();
+        }
+        if (result.reason === "timeout-after-send" || result.isPathLost) {
           return this.#handleUnknown(result.message);
         }
-        return this.#handleLostConnection(result.message, entry);
+        return this.#handleLostConnection(result, entry);
     }
   }
 
@@ -290,13 +323,38 @@
     this.#giveUp(`server refused: ${refusal}`, HANDOVER_RETRY_AFTER_MS);
   }
 
+  /** Whether the attempt under way is to be given up for another one. */
+  #takeRetryForLostPath(): boolean {
+    if (this.#isDone || !this.route.isIdempotent) return false;
+    const isTaken = this.#hasRetryLeft() && this.#context.tryRetry();
+    this.#hasTakenRetry = isTaken;
+    return isTaken;
+  }
+
+  /** Without a key, another server may still be reached. */
+  #handleMissingPath(server: contracts.ServerId): void {
+    const reason = "no VM reaches the server";
+    if (!this.#isKeyedService()) {
+      this.tried.add(server);
+      return this.#retryOrGiveUp(reason, false);
+    }
+    this.#giveUp(reason, this.#jitter(NO_PATH_RETRY_AFTER_MS));
+  }
+
+  /** Spreads out the retries of callers that are refused together. */
+  #jitter(meanMs: number): number {
+    return meanMs * (0.5 + this.#context.random.next());
+  }
+
   /** Retries only what has not crashed too many servers. */
   #handleLostConnection(
-    message: string,
+    { message, condition }: Extract<AttemptResult, { kind: "unknown" }>,
     entry: contracts.RegisteredServer,
   ): void {
     this.#isSuspected = true;
-    const noted = this.#context.poison.noteLostConnection(this.#request, entry);
+    const noted = condition === undefined
+      ? this.#context.poison.noteLostConnection(this.#request, entry)
+      : Promise.resolve(condition);
     if (!this.route.isIdempotent) return this.#handleUnknown(message);
     conditionBeforeRetry(noted).then((condition) => {
       if (this.#isDone) return;
@@ -444,6 +502,15 @@
   }
 }
 
+/** A function that does something at its first call only. */
+function once<Value>(action: (value: Value) => void): (value: Value) => void {
+  let isDone = false;
+  return (value) => {
+    if (!isDone) action(value);
+    isDone = true;
+  };
+}
+
 /** The request's deadline passed; says nothing about the server's health. */
 const GATEWAY_TIMEOUT_STATUS = 504;
 
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -2,11 +2,6 @@
 import type * as contracts from "@guavatide/contracts";
 import * as admission from "@guavatide/decisions/admission/mod";
 import type { ConnectionPools } from "../links/connection_pools.ts";
-import type {
-  AttemptRequest,
-  AttemptResult,
-} from "../links/server_connection.ts";
-import type { SendOptions } from "../links/connection_pool.ts";
 import { ThrottledWarning } from "../utils/throttled_warning.ts";
 import type { LifeCycle, PeriodicTask } from "../utils/life_cycle.ts";
 import type { Logger } from "../utils/log.ts";
@@ -29,7 +24,7 @@
 import type { HeaderNames } from "./platform_adapter.ts";
 import type { RequestLimitTask } from "./request_limit_task.ts";
 import type { RequestRecord } from "./request_log.ts";
-import { ServerContactLog } from "./server_contact_log.ts";
+import type { ServerPaths } from "./server_paths.ts";
 import type { ServerRegistry } from "./server_registry.ts";
 import type { SlotTask } from "./slot_task.ts";
 
@@ -45,6 +40,7 @@
   readonly gossip: PeerGossip;
   readonly slots: SlotTask;
   readonly connections: ConnectionPools;
+  readonly paths: ServerPaths;
   readonly poison: PoisonGuard;
   readonly headers: HeaderNames;
   readonly budget: admission.SharedRetryBudgetOptions;
@@ -88,11 +84,9 @@
   #inFlight = 0;
   #reviewTask: PeriodicTask | undefined;
   readonly #overloadLog: ThrottledWarning;
-  readonly #contactLog: ServerContactLog;
 
   constructor(options: ForwarderOptions) {
     this.#options = options;
-    this.#contactLog = new ServerContactLog(options.log);
     this.#overloadLog = new ThrottledWarning(
       options.log,
       "Refuses what this VM has read too late.",
@@ -104,6 +98,7 @@
     );
     options.gossip.onMembersChange(() => this.#followMembers());
     options.requestLimits.onChange(() => this.#followServers());
+    options.paths.onLost((server) => this.#forgetLosses(server));
     options.gossip.onStatus((status) => this.#applyPeerStatus(status));
     options.gossip.onLoad((loads) => this.#applyPeerLoadUpdate(loads));
   }
@@ -226,15 +221,18 @@
     state: ServiceState,
     configVersion: number,
   ): ForwardingContext {
-    const { clock, gossip, onFinished, poison, requestLimits } = this.#options;
+    const { clock, random, gossip, onFinished, poison, requestLimits } =
+      this.#options;
     return {
       service,
       queue: state.queue,
       times: state.times,
       clock,
+      random,
       configVersion,
       tryRetry: () => state.budget.tryTake(clock.nowMs(), gossip.vmCount),
-      send: (entry, request, options) => this.#send(entry, request, options),
+      send: (entry, request, options) =>
+        this.#options.paths.send(entry, request, options),
       headers: (request, entry, leftMs) =>
         this.#headers(request, entry, leftMs),
       recordServerReport: (server, report, nowMs) =>
@@ -251,20 +249,6 @@
     };
   }
 
-  async #send(
-    entry: contracts.RegisteredServer,
-    request: AttemptRequest,
-    options: SendOptions,
-  ): Promise<AttemptResult> {
-    const { connections, clock } = this.#options;
-    const limit = this.#connectionLimit(entry.service);
-    const result = await connections.pool(entry, limit).send(request, options);
-    if (!options.signal.aborted) {
-      this.#contactLog.note(entry.server, result, clock.nowMs());
-    }
-    return result;
-  }
-
   /**
    * Keyed services ignore slowdowns: the owner of a key is the only choice,
    * whatever its speed.
@@ -309,7 +293,7 @@
   }
 
   /** This VM's share of the connections that a server accepts. */
-  #connectionLimit(service: contracts.ServiceId): number {
+  connectionLimit(service: contracts.ServiceId): number {
     const { config, gossip } = this.#options;
     const limit = config.service(service)?.connectionLimit ?? 0;
     return Math.max(2, Math.floor(limit / gossip.vmCount) - SPARE_CONNECTIONS);
@@ -453,6 +437,13 @@
     return undefined;
   }
 
+  /** What failed on a path that is lost says nothing about its server. */
+  #forgetLosses(server: contracts.ServerId): void {
+    const found = this.#findServer(server);
+    found?.load.forgetLosses();
+    found?.queue.dispatch(this.#options.clock.nowMs());
+  }
+
   #waitingElsewhere(service: contracts.ServiceId): number {
     let sum = 0;
     for (const { waiting } of this.#options.gossip.statuses()) {
--- a/packages/entry/src/gateway/grant_task.ts
+++ b/packages/entry/src/gateway/grant_task.ts
@@ -8,6 +8,7 @@
 import type { Logger } from "../utils/log.ts";
 import type { ConfigHolder } from "./config_holder.ts";
 import type { MovePlannerOptions } from "./move_planner.ts";
+import type { PeerReach } from "./peer_reach.ts";
 import type { PeerRpc } from "./peer_rpc.ts";
 import type { GossipIdentity, PeerGossip } from "./peer_gossip.ts";
 import * as messages from "./peer_messages.ts";
@@ -30,6 +31,7 @@
   readonly maps: RangeMapStore;
   readonly control: contracts.GrantControl;
   readonly health: StoreHealth;
+  readonly reach: Pick<PeerReach, "reaches" | "reachesAny">;
   readonly clock: SuspendAwareClock;
   readonly log: Logger;
   readonly capacity: MovePlannerOptions["capacity"];
@@ -247,6 +249,7 @@
           ? undefined
           : sparingLeaseMs(this.#options.maxLeaseMs, limitPerSecond);
       },
+      reaches: (vm, server) => this.#options.reach.reaches(vm, server),
       sinceLastMessageMs: (vm) => gossip.sinceLastMessageMs(vm),
       fetchMap: (peer) => this.#fetchMap(service, peer),
       publish: (update) => {
@@ -316,10 +319,17 @@
   }
 
   #grantPeers(): readonly GrantPeer[] {
-    const { gossip, self, health, isLeaving } = this.#options;
-    const peers: GrantPeer[] = [...gossip.live];
+    const { gossip, self, health, reach, isLeaving } = this.#options;
+    const peers: GrantPeer[] = gossip.live.map((peer) => ({
+      ...peer,
+      reachesServers: reach.reachesAny(peer.vm),
+    }));
     if (!isLeaving() || peers.length === 0) {
-      peers.push({ ...self, hasStore: health.isReachable });
+      peers.push({
+        ...self,
+        hasStore: health.isReachable,
+        reachesServers: reach.reachesAny(self.vm),
+      });
     }
     return peers;
   }
--- a/packages/entry/src/gateway/peer_messages.ts
+++ b/packages/entry/src/gateway/peer_messages.ts
@@ -31,6 +31,9 @@
 /** Method of {@link RequestLimitNews}. */
 export const REQUEST_LIMITS_METHOD = "requestLimits";
 
+/** Method of {@link UnreachedServers}. */
+export const REACH_METHOD = "reach";
+
 /** Method of {@link SlotRequests}. */
 export const SLOT_REQUESTS_METHOD = "slotAsks";
 /** Method of {@link SlotReplies}. */
@@ -399,6 +402,16 @@
     SLOT_STRINGS.every((index) => typeof value[index] === "string");
 }
 
+/** Schema of {@link UnreachedServers}. */
+export const unreachedServersSchema = z.object({
+  vm: contracts.vmIdSchema,
+  /** Whether the VM reaches no server at all; it then names none. */
+  isCutOff: z.boolean(),
+  servers: z.array(contracts.serverIdSchema),
+});
+/** Servers that a VM doesn't reach itself; neither when it reaches all. */
+export type UnreachedServers = z.infer<typeof unreachedServersSchema>;
+
 /** Schema of {@link StoreChanges}. */
 export const storeChangesSchema = z.object({
   vm: contracts.vmIdSchema,
--- a/packages/entry/src/gateway/peer_rpc.ts
+++ b/packages/entry/src/gateway/peer_rpc.ts
@@ -38,6 +38,12 @@
   readonly message: string;
 }
 
+/** Answers a request to a path of its own. */
+export type PeerPathHandler = (
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+) => Promise<void>;
+
 /** Returns the result for a named thing; undefined when it is unknown. */
 export type PeerRpcHandler = (name: string) => object | undefined;
 
@@ -50,6 +56,7 @@
 export class PeerRpc {
   readonly #options: PeerRpcOptions;
   readonly #handlers = new Map<string, PeerRpcHandler>();
+  readonly #pathHandlers = new Map<string, PeerPathHandler>();
 
   constructor(options: PeerRpcOptions) {
     this.#options = options;
@@ -60,10 +67,17 @@
     this.#handlers.set(method, handler);
   }
 
+  /** Registers the handler of requests to a path that are no procedure calls. */
+  onPath(path: string, handler: PeerPathHandler): void {
+    this.#pathHandlers.set(path, handler);
+  }
+
   /** Starts to listen. Rejects when the port is taken. */
   async listen(lifeCycle: LifeCycle): Promise<void> {
     const server = http.createServer((request, response) => {
-      this.#handle(request, response).catch((error) => {
+      const handle = this.#pathHandlers.get(request.url ?? "") ??
+        this.#handle.bind(this);
+      handle(request, response).catch((error) => {
         this.#options.log.warn("Answering a peer's call failed.", {
           error: String(error),
         });
--- a/packages/entry/src/gateway/poison_guard.ts
+++ b/packages/entry/src/gateway/poison_guard.ts
@@ -22,10 +22,16 @@
 import type { ServerRegistry } from "./server_registry.ts";
 import type { StoreHealth } from "./store_health.ts";
 
+/** The parts of a request that its crashes are recorded with. */
+export type PoisonSubject = Pick<
+  FrontRequest,
+  "id" | "method" | "host" | "target" | "key" | "body" | "caller"
+>;
+
 /** Options of {@link PoisonGuard}. */
 export interface PoisonGuardOptions
   extends
-    Pick<CrashLedgerOptions<FrontRequest>, "endCheck" | "unixMs" | "log"> {
+    Pick<CrashLedgerOptions<PoisonSubject>, "endCheck" | "unixMs" | "log"> {
   readonly store: contracts.PlatformStore;
   readonly health: StoreHealth;
   /** Name prefix of the records in the store. */
@@ -63,7 +69,7 @@
 /** Verdicts on requests, from the crashes that all VMs have seen. */
 export class PoisonGuard {
   readonly #options: PoisonGuardOptions;
-  readonly #ledger: CrashLedger<FrontRequest>;
+  readonly #ledger: CrashLedger<PoisonSubject>;
   /** Number of crashes of each record in the store, as far as known. */
   readonly #storedCrashes = new Map<contracts.RequestFingerprint, number>();
   readonly #unsaved = new Map<contracts.RequestFingerprint, UnsavedRecord>();
@@ -103,12 +109,12 @@
   }
 
   /** Whether no server may run the request. */
-  isPoisonous(request: FrontRequest): boolean {
+  isPoisonous(request: PoisonSubject): boolean {
     return this.#ledger.isPoisonous(request);
   }
 
   /** The identity of a request, which is the same for all its attempts. */
-  identify(request: FrontRequest): RequestIdentity {
+  identify(request: PoisonSubject): RequestIdentity {
     return this.#ledger.identify(request);
   }
 
@@ -122,7 +128,7 @@
    * whether it has crashed, and records it. Never rejects.
    */
   async noteLostConnection(
-    request: FrontRequest,
+    request: PoisonSubject,
     entry: contracts.RegisteredServer,
   ): Promise<ServerCondition> {
     const { unixMs, counts, gossip } = this.#options;
@@ -143,7 +149,7 @@
   /**
    * A server ran the request to its end, which a poison request never reaches.
    */
-  noteAnswer(request: FrontRequest): void {
+  noteAnswer(request: PoisonSubject): void {
     const report = this.#ledger.noteAnswer(request);
     if (report === undefined) return;
     const { fingerprint } = report;
--- a/packages/entry/src/gateway/request_log.ts
+++ b/packages/entry/src/gateway/request_log.ts
@@ -10,6 +10,8 @@
   readonly outstanding: number;
   readonly fence: number | undefined;
   readonly tookMs: number;
+  /** The peer that sent it, if this VM did not reach the server. */
+  readonly via?: contracts.VmId | undefined;
   /** Load that the server reported in its response. */
   readonly report: contracts.ServerReport | undefined;
   readonly end: string;
@@ -121,10 +123,11 @@
 }
 
 function formatAttempt(
-  { server, outstanding, fence, tookMs, report, end }: AttemptRecord,
+  { server, outstanding, fence, tookMs, via, report, end }: AttemptRecord,
 ): string {
   const owner = fence === undefined ? "" : ` fence ${fence}`;
-  return `${server}${owner} with ${outstanding} there: ${end} after ` +
+  const path = via === undefined ? "" : ` via ${via}`;
+  return `${server}${owner}${path} with ${outstanding} there: ${end} after ` +
     `${Math.round(tookMs)} ms${formatReport(report)}`;
 }
 
--- /dev/null
+++ b/packages/entry/src/gateway/server_paths.ts
@@ -0,0 +1,413 @@
+/**
+ * Sends requests to backend servers over this VM's own connections, or over a
+ * peer that reaches the server when this VM doesn't.
+ */
+import type * as contracts from "@guavatide/contracts";
+import * as paths from "@guavatide/decisions/paths/mod";
+import type { ConnectionPool, SendOptions } from "../links/connection_pool.ts";
+import type { ConnectionPools } from "../links/connection_pools.ts";
+import { probeConnection } from "../links/connection_probe.ts";
+import type {
+  AttemptRequest,
+  AttemptResult,
+} from "../links/server_connection.ts";
+import type { CheckedServer } from "../poison/server_end_check.ts";
+import type { LifeCycle, PeriodicTask } from "../utils/life_cycle.ts";
+import type { Logger } from "../utils/log.ts";
+import type { FrontRequest } from "./front_request.ts";
+import type { PeerGossip } from "./peer_gossip.ts";
+import type { PeerHello } from "./peer_messages.ts";
+import type { PeerReach } from "./peer_reach.ts";
+import type { RelayClient } from "./relay_client.ts";
+import type { DeclineReason } from "./relay_messages.ts";
+import { ServerContactLog } from "./server_contact_log.ts";
+import type { ServerRegistry } from "./server_registry.ts";
+
+/** Options of {@link ServerPaths}. */
+export interface ServerPathsOptions {
+  readonly host: string;
+  readonly zone: contracts.ZoneId;
+  readonly registry: Pick<ServerRegistry, "ids" | "find" | "onChange">;
+  readonly connections: Pick<ConnectionPools, "pool" | "hasOpenConnection">;
+  readonly connectionLimitOf: (service: contracts.ServiceId) => number;
+  readonly gossip: Pick<PeerGossip, "live">;
+  readonly reach: PeerReach;
+  readonly relays: Pick<RelayClient, "attempt" | "check">;
+  readonly clock: contracts.Clock;
+  readonly random: contracts.RandomSource;
+  readonly log: Logger;
+}
+
+/** The parts of a caller's request that a peer needs as well. */
+export type RelayedRequest = Pick<FrontRequest, "host" | "key" | "caller">;
+
+/** Options of {@link ServerPaths.send}. */
+export interface PathSendOptions extends Omit<SendOptions, "onStarted"> {
+  /** How long such a request usually takes. */
+  readonly expectedMs: number;
+  readonly isIdempotent: boolean;
+  /** Rank of its route; 0 is the most urgent. */
+  readonly priority: number;
+  readonly request: RelayedRequest;
+  /**
+   * Called when the path is lost under the request, or may be. True gives the
+   * request up; otherwise its answer is still waited for.
+   */
+  readonly onPathLost: (isCertain: boolean) => boolean;
+}
+
+/** How an attempt ended, and the peer that sent it, if one did. */
+export type PathResult = AttemptResult & { readonly via?: contracts.VmId };
+
+/** Interval of the looks at requests under way and at lost paths. */
+const REVIEW_INTERVAL_MS = 50;
+/** A server's host replies within a round trip. */
+const PROBE_TIMEOUT_MS = 150;
+/** A proxy or firewall that accepts for the server may reset right after. */
+const PROBE_STAY_MS = 25;
+const MAX_PROBES = 8;
+/** Peers that one attempt is offered to. */
+const MAX_PEERS_ASKED = 3;
+
+/** Reasons to decline that say nothing about other servers. */
+const SERVER_REASONS: ReadonlySet<DeclineReason> = new Set([
+  "unreached",
+  "unknown-server",
+  "poisonous",
+]);
+
+/** All ways from this VM to servers. */
+export class ServerPaths {
+  readonly #options: ServerPathsOptions;
+  readonly #tracker: paths.PathTracker;
+  readonly #selector: paths.RelaySelector;
+  readonly #contactLog: ServerContactLog;
+  readonly #listeners: ((server: contracts.ServerId) => void)[] = [];
+  #reviewTask: PeriodicTask | undefined;
+
+  constructor(options: ServerPathsOptions) {
+    this.#options = options;
+    this.#contactLog = new ServerContactLog(options.log);
+    this.#tracker = new paths.PathTracker({
+      servers: () => options.registry.ids(),
+      random: options.random,
+      onChange: (change) => this.#handleChange(change),
+    });
+    this.#selector = new paths.RelaySelector({
+      zone: options.zone,
+      random: options.random,
+      reaches: (vm, server) => options.reach.reaches(vm, server),
+    });
+    options.registry.onChange(() =>
+      this.#tracker.keepOnly(options.registry.ids())
+    );
+  }
+
+  /** Starts the periodic work, which rests while there is nothing to look at. */
+  start(lifeCycle: LifeCycle): void {
+    this.#reviewTask = lifeCycle.every(
+      Number.POSITIVE_INFINITY,
+      () => this.#review(),
+    );
+  }
+
+  /** Registers a listener for servers whose path was lost. */
+  onLost(listener: (server: contracts.ServerId) => void): void {
+    this.#listeners.push(listener);
+  }
+
+  /** What this VM doesn't reach itself. */
+  get unreached(): { isCutOff: boolean; servers: contracts.ServerId[] } {
+    const { isCutOff, lostServers } = this.#tracker;
+    return { isCutOff, servers: [...lostServers] };
+  }
+
+  /** Sends a request the best way that works. */
+  async send(
+    entry: contracts.RegisteredServer,
+    request: AttemptRequest,
+    options: PathSendOptions,
+  ): Promise<PathResult> {
+    if (!this.#maySendDirect(entry, options)) {
+      const relayed = await this.#sendByPeer(entry, request, options);
+      const isDirectLeft = relayed.kind === "not-sent" && relayed.hasNoPath &&
+        this.#tracker.useOf(entry.server) === "any";
+      if (!isDirectLeft) return relayed;
+    }
+    const result = await this.sendDirect(entry, request, options);
+    // Not one byte has left, so another way is no second attempt.
+    const isOtherWayOpen = result.kind === "not-sent" && !result.isLocal &&
+      !options.signal.aborted && request.maySend();
+    if (!isOtherWayOpen) return result;
+    const relayed = await this.#sendByPeer(entry, request, options);
+    return relayed.kind === "not-sent" ? result : relayed;
+  }
+
+  #maySendDirect(
+    entry: contracts.RegisteredServer,
+    { isIdempotent }: PathSendOptions,
+  ): boolean {
+    const use = this.#tracker.useOf(entry.server);
+    const nowMs = this.#options.clock.nowMs();
+    if (use === "any") {
+      return !isIdempotent || !this.#tracker.takeDoubt(entry.server, nowMs);
+    }
+    if (use === "open-only") return this.#pool(entry).hasIdleConnection;
+    return this.#tracker.mayTry(entry.server, { isIdempotent, nowMs });
+  }
+
+  /** Sends a request over this VM's own connections, whatever is known of them. */
+  async sendDirect(
+    entry: contracts.RegisteredServer,
+    request: AttemptRequest,
+    options: Omit<PathSendOptions, "request" | "priority">,
+  ): Promise<AttemptResult> {
+    const { server } = entry;
+    const { clock } = this.#options;
+    let abandon: ((message: string) => void) | undefined;
+    let isAbandoned = false;
+    const attempt: paths.OpenAttempt = {
+      startedMs: clock.nowMs(),
+      expectedMs: options.expectedMs,
+      isIdempotent: options.isIdempotent,
+      onPathLost: (isCertain) => {
+        if (isAbandoned || !options.onPathLost(isCertain)) return;
+        isAbandoned = true;
+        abandon?.("The path to the server was lost");
+      },
+    };
+    this.#tracker.start(server, attempt);
+    this.#reviewTask?.setIntervalMs(REVIEW_INTERVAL_MS);
+    const result = await this.#pool(entry).send(request, {
+      timeoutMs: options.timeoutMs,
+      signal: options.signal,
+      onStarted: (giveUp) => abandon = giveUp,
+    });
+    this.#tracker.end(server, attempt);
+    if (isAbandoned && result.kind === "unknown") {
+      return { ...result, isPathLost: true };
+    }
+    if (!options.signal.aborted) this.#noteEnd(entry, result);
+    return result;
+  }
+
+  #noteEnd(entry: contracts.RegisteredServer, result: AttemptResult): void {
+    const { server } = entry;
+    const nowMs = this.#options.clock.nowMs();
+    this.#contactLog.note(server, result, nowMs);
+    switch (result.kind) {
+      case "answer":
+      case "refusal":
+        return this.#tracker.noteHeard(server, nowMs);
+      case "not-sent":
+        if (!result.isLocal) this.#tracker.noteConnectFailure(server, nowMs);
+        return;
+      case "unknown":
+        if (!result.isSilent) return this.#tracker.noteHeard(server, nowMs);
+        if (result.reason === "connection-lost") this.noteFailure(server);
+    }
+  }
+
+  /** A call to the server was answered. */
+  noteHeard(server: contracts.ServerId): void {
+    this.#tracker.noteHeard(server, this.#options.clock.nowMs());
+  }
+
+  /** A call to the server failed without a byte of an answer. */
+  noteFailure(server: contracts.ServerId): void {
+    const nowMs = this.#options.clock.nowMs();
+    this.#tracker.noteLoss(server, nowMs);
+    if (this.#options.connections.hasOpenConnection(server)) return;
+    if (this.#tracker.takeCheck(server, nowMs)) this.#check([server]);
+  }
+
+  /** Looks at a server for a peer. */
+  async observe(entry: CheckedServer): Promise<paths.PathObservation> {
+    const isAccepting = await this.#isAccepting(entry);
+    const nowMs = this.#options.clock.nowMs();
+    return {
+      isAccepting,
+      heardAgoMs: this.#tracker.heardAgoMs(entry.server, nowMs),
+    };
+  }
+
+  /** Whether this VM's own connections to a server can be relied on. */
+  reaches(server: contracts.ServerId): boolean {
+    return this.#tracker.useOf(server) === "any" &&
+      !this.#tracker.isDoubtful(this.#options.clock.nowMs());
+  }
+
+  /** Whether a peer reaches the server; undefined when none could tell. */
+  async isReachedByPeer(entry: CheckedServer): Promise<boolean | undefined> {
+    const [observed] = await this.#askPeer([entry]);
+    return observed?.isAccepting;
+  }
+
+  #pool(entry: contracts.RegisteredServer): ConnectionPool {
+    const { connections, connectionLimitOf } = this.#options;
+    return connections.pool(entry, connectionLimitOf(entry.service));
+  }
+
+  /** Peers to ask, without those that stop. */
+  #peers(): PeerHello[] {
+    return this.#options.gossip.live.filter(({ isLeaving }) => !isLeaving);
+  }
+
+  async #sendByPeer(
+    entry: contracts.RegisteredServer,
+    request: AttemptRequest,
+    options: PathSendOptions,
+  ): Promise<PathResult> {
+    const { server } = entry;
+    const { clock, relays } = this.#options;
+    const reasons = new Set<DeclineReason>();
+    const startMs = clock.nowMs();
+    for (let asked = 0; asked < MAX_PEERS_ASKED; asked++) {
+      const nowMs = clock.nowMs();
+      const leftMs = options.timeoutMs - (nowMs - startMs);
+      const isOver = leftMs <= 1 || options.signal.aborted;
+      if (isOver || this.#tracker.isDownEverywhere(server, nowMs)) break;
+      const peer = this.#selector.choose(this.#peers(), server, nowMs);
+      if (peer === undefined) {
+        this.#noteNoPeerLeft(server, reasons);
+        break;
+      }
+      const end = this.#selector.start(peer.vm);
+      const sent = await relays.attempt(peer, entry, request, {
+        ...options,
+        timeoutMs: leftMs,
+      });
+      end();
+      const endedMs = clock.nowMs();
+      if (sent.kind === "ended") {
+        if (sent.relayed !== undefined) {
+          this.#selector.noteLoad(peer.vm, sent.relayed, endedMs);
+        }
+        if (sent.isPeerLost) this.#selector.noteLoss(peer.vm, endedMs);
+        const isReached = sent.result.kind === "answer" ||
+          sent.result.kind === "refusal";
+        if (isReached) this.#tracker.noteReachedByPeer(server, endedMs);
+        return { ...sent.result, via: peer.vm };
+      }
+      if (sent.kind === "unavailable") {
+        this.#selector.noteLoss(peer.vm, endedMs);
+        continue;
+      }
+      const isAboutServer = SERVER_REASONS.has(sent.reason);
+      reasons.add(sent.reason);
+      this.#selector.noteDecline(
+        peer.vm,
+        isAboutServer ? server : undefined,
+        endedMs,
+      );
+    }
+    return {
+      kind: "not-sent",
+      isLocal: true,
+      hasNoPath: true,
+      message: "Neither this VM nor a peer that was asked reaches the server",
+    };
+  }
+
+  /** All peers that could send to the server were asked. */
+  #noteNoPeerLeft(
+    server: contracts.ServerId,
+    reasons: ReadonlySet<DeclineReason>,
+  ): void {
+    const isUnreached = reasons.size === 1 && reasons.has("unreached");
+    if (!isUnreached) return;
+    this.#tracker.noteDownEverywhere(server, this.#options.clock.nowMs());
+  }
+
+  #review(): void {
+    const nowMs = this.#options.clock.nowMs();
+    const silent = this.#tracker.takeSilent(nowMs);
+    if (silent.length > 0) this.#check(silent);
+    for (const server of this.#tracker.takeProbes(MAX_PROBES, nowMs)) {
+      this.#probe(server);
+    }
+    if (!this.#tracker.isActive) {
+      this.#reviewTask?.setIntervalMs(Number.POSITIVE_INFINITY);
+    }
+  }
+
+  /** Looks at silent servers from here, and has a peer look at them. */
+  #check(servers: readonly contracts.ServerId[]): void {
+    const { registry, clock, log } = this.#options;
+    const entries = servers.flatMap((server) => registry.find(server) ?? []);
+    const asked = this.#askPeer(entries);
+    entries.forEach((entry, index) => {
+      Promise.all([this.#isAccepting(entry), asked]).then(
+        ([isAccepting, observed]) => {
+          const peer = observed[index];
+          const { server } = entry;
+          log.info("Looked at a silent server.", {
+            server,
+            isAccepting,
+            isAcceptingPeer: peer?.isAccepting,
+            peerHeardAgoMs: peer && Math.round(peer.heardAgoMs),
+          });
+          const nowMs = clock.nowMs();
+          this.#tracker.noteCheck(server, { isAccepting, peer, nowMs });
+        },
+      );
+    });
+  }
+
+  async #askPeer(
+    entries: readonly CheckedServer[],
+  ): Promise<readonly paths.PathObservation[]> {
+    const { clock, relays, reach } = this.#options;
+    const peers = this.#peers().filter(({ vm }) => reach.reachesAny(vm));
+    const first = entries[0];
+    const peer = first && this.#selector.choose(
+      peers,
+      first.server,
+      clock.nowMs(),
+    );
+    return peer === undefined ? [] : await relays.check(peer, entries);
+  }
+
+  #probe(server: contracts.ServerId): void {
+    const { registry, clock } = this.#options;
+    const entry = registry.find(server);
+    const probed = entry === undefined
+      ? Promise.resolve(false)
+      : this.#isAccepting(entry);
+    probed.then((isAccepting) =>
+      this.#tracker.noteProbe(server, isAccepting, clock.nowMs())
+    );
+  }
+
+  async #isAccepting({ host, port }: CheckedServer): Promise<boolean> {
+    const target = { host, port, localAddress: this.#options.host };
+    const outcome = await probeConnection(target, {
+      timeoutMs: PROBE_TIMEOUT_MS,
+      stayMs: PROBE_STAY_MS,
+    });
+    return outcome === "accepted";
+  }
+
+  #handleChange(change: paths.PathChange): void {
+    const { log, reach } = this.#options;
+    reach.noteOwnChange();
+    this.#reviewTask?.setIntervalMs(REVIEW_INTERVAL_MS);
+    if (change.kind === "restored") {
+      const { server, awayMs } = change;
+      return log.info("Reaches a server again.", {
+        server,
+        awayMs: Math.round(awayMs),
+      });
+    }
+    const { servers, cause } = change;
+    const { isCutOff } = this.#tracker;
+    for (const server of servers) {
+      log.warn("Does not reach a server; peers send its requests.", {
+        server,
+        cause,
+        isCutOff,
+      });
+      for (const listener of this.#listeners) listener(server);
+    }
+  }
+}
--- a/packages/entry/src/gateway/server_registry.ts
+++ b/packages/entry/src/gateway/server_registry.ts
@@ -124,6 +124,11 @@
     return this.#known.get(server)?.entry.zone;
   }
 
+  /** The last known incarnation of a server. */
+  find(server: contracts.ServerId): contracts.RegisteredServer | undefined {
+    return this.#known.get(server)?.entry;
+  }
+
   /** When the last known incarnation of a server started. */
   bornMsOf(server: contracts.ServerId): number | undefined {
     return this.#known.get(server)?.entry.bornMs;
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -25,6 +25,8 @@
   /** Whether it reaches the platform's store. */
   readonly hasStore: boolean;
   readonly processorCores: number;
+  /** Whether it reaches any backend server. */
+  readonly reachesServers: boolean;
 }
 
 /** Options of {@link ServiceGrants}. */
@@ -46,6 +48,11 @@
   readonly sparingLeaseMs: (
     server: contracts.ServerId,
   ) => number | undefined;
+  /** Whether a VM reaches a server, as far as is known. */
+  readonly reaches: (
+    vm: contracts.VmId,
+    server: contracts.ServerId,
+  ) => boolean;
   /** Time since a VM's last message; infinite for an unknown VM. */
   readonly sinceLastMessageMs: (vm: contracts.VmId) => number;
   /** Fetches the map from a peer; undefined without an answer. */
@@ -184,7 +191,9 @@
     const reachable = peers().filter(({ hasStore }) => hasStore);
     const voters = this.#map?.keeperSets.at(-1);
     const eligible = reachable.filter(({ vm }) => voters?.includes(vm) ?? true);
-    const candidates = eligible.length > 0 ? eligible : reachable;
+    const candidates = preferReaching(
+      eligible.length > 0 ? eligible : reachable,
+    );
     return this.#ranking.rank(service, candidates.map(({ vm }) => vm))[0];
   }
 
@@ -456,7 +465,7 @@
     nowMs: number,
   ): contracts.RangeState | undefined {
     const { vm } = this.#options;
-    const ownRank = this.#ranking.rank(server, liveVoters).indexOf(vm);
+    const ownRank = this.#renewerOrder(server, liveVoters).indexOf(vm);
     const due: grants.DueRange[] = [];
     for (const range of this.#rangesByOwner.get(server) ?? []) {
       const rank = this.#isLeader && this.#isUnaccepted(range) ? 0 : ownRank;
@@ -472,6 +481,19 @@
     return grants.mostOverdue(due);
   }
 
+  /** Voters in the order in which they renew a server's grants. */
+  #renewerOrder(
+    server: contracts.ServerId,
+    liveVoters: readonly contracts.VmId[],
+  ): readonly contracts.VmId[] {
+    const { reaches } = this.#options;
+    const reaching = liveVoters.filter((voter) => reaches(voter, server));
+    return this.#ranking.rank(
+      server,
+      reaching.length > 0 ? reaching : liveVoters,
+    );
+  }
+
   #isConfirmed(map: contracts.RangeMap): boolean {
     const { clock, timings } = this.#options;
     const ageMs = clock.nowMs() - this.#voterReports.confirmedAtMs(map);
@@ -673,18 +695,23 @@
     const newlyLost = this.#lostServers.countVotes(
       nowMs,
       (server) =>
-        this.#ranking.rank(server, liveVoters)
+        this.#renewerOrder(server, liveVoters)
           .slice(0, grants.RENEWERS_PER_SERVER),
     );
     for (const server of newlyLost) log.warn("Server lost.", { server });
   }
 
   #voterSelection(nowMs: number): grants.VoterSelectionInput {
-    const { vm, sinceLastMessageMs } = this.#options;
+    const { vm, sinceLastMessageMs, peers } = this.#options;
+    const cutOff = new Set(
+      peers().filter(({ reachesServers }) => !reachesServers)
+        .map((peer) => peer.vm),
+    );
     return {
       vm,
       map: this.#map,
       live: this.#voterCandidates(),
+      cutOff,
       sinceLastMessageMs,
       uptimeMs: nowMs - this.#startedAtMs,
     };
@@ -709,6 +736,12 @@
   }
 }
 
+/** The VMs that reach servers; all of them if none does. */
+function preferReaching(peers: readonly GrantPeer[]): readonly GrantPeer[] {
+  const reaching = peers.filter(({ reachesServers }) => reachesServers);
+  return reaching.length > 0 ? reaching : peers;
+}
+
 /** Converts ages of grants to times of the local clock. */
 function grantTimes(
   ages: Iterable<[string, [number, number | null]]>,
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -20,6 +20,11 @@
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { GrantTask, sparingLeaseMs } from "./grant_task.ts";
 import { KindWatch } from "./kind_watch.ts";
+import { AttemptRelay } from "./attempt_relay.ts";
+import { PathNotingGrantControl } from "./path_noting_grant_control.ts";
+import { PeerReach } from "./peer_reach.ts";
+import { RelayClient } from "./relay_client.ts";
+import { ServerPaths } from "./server_paths.ts";
 import { PeerRpc } from "./peer_rpc.ts";
 import { type OwnState, PeerGossip } from "./peer_gossip.ts";
 import type { PlatformAdapter } from "./platform_adapter.ts";
@@ -51,6 +56,11 @@
  * still get requests; the rest covers late notification of entry VMs.
  */
 const EVACUATION_GRACE_RATIO = 0.5;
+/**
+ * Time to establish a connection to a server; a lost opening packet is repeated
+ * only after a second, and a peer's connection is faster.
+ */
+const CONNECT_TIMEOUT_MS = 200;
 /** Maximum time to close the connections to the platform on a stop. */
 const CLOSE_TIMEOUT_MS = 300;
 
@@ -185,6 +195,43 @@
     hasher,
     clock,
   });
+  const connections = new connectionPools.ConnectionPools(
+    {
+      ...connectionPools.CONNECTION_POOLS_DEFAULTS,
+      localAddress: settings.host,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      decoder: adapter.answerDecoder,
+      idleTimeoutMs: CONNECTION_IDLE_TIMEOUT_MS,
+    },
+    lifeCycle,
+  );
+  const relays = new RelayClient({
+    self,
+    count: (outcome) =>
+      metrics.relayedRequests.add(1, { role: "asked", outcome }),
+  });
+  const reach: PeerReach = new PeerReach({
+    vm: settings.vm,
+    gossip,
+    clock,
+    own: () => paths.unreached,
+  });
+  const paths: ServerPaths = new ServerPaths({
+    host: settings.host,
+    zone: settings.zone,
+    registry,
+    connections,
+    connectionLimitOf: (service) => forwarder.connectionLimit(service),
+    gossip,
+    reach,
+    relays,
+    clock,
+    random,
+    log: log.part("route"),
+  });
+  gossip.onMembersChange(() =>
+    relays.keepOnly(new Set(gossip.live.map(({ vm }) => vm)))
+  );
   const grantTask: GrantTask = new GrantTask({
     self,
     timings: timingsOf(settings),
@@ -195,8 +242,13 @@
     gossip,
     rpc: calls,
     maps: new RangeMapStore({ store, health, log: log.part("owner") }),
-    control: new LimitedGrantControl(adapter.grants, requestLimits, clock),
+    control: new LimitedGrantControl(
+      new PathNotingGrantControl(adapter.grants, paths),
+      requestLimits,
+      clock,
+    ),
     health,
+    reach,
     clock: suspensionClock,
     log: log.part("owner"),
     capacity: (server, factor) => forwarder.capacity(server, factor),
@@ -221,22 +273,16 @@
     rateLimits,
     requestLimits,
   });
-  const connections = new connectionPools.ConnectionPools(
-    {
-      ...connectionPools.CONNECTION_POOLS_DEFAULTS,
-      localAddress: settings.host,
-      decoder: adapter.answerDecoder,
-      idleTimeoutMs: CONNECTION_IDLE_TIMEOUT_MS,
-    },
-    lifeCycle,
-  );
   const poison = new PoisonGuard({
     store,
     health,
     prefix: adapter.prefixes.poisonRequests,
     gossip,
     registry,
-    endCheck: new ServerEndCheck(connections, settings.host),
+    endCheck: new ServerEndCheck(connections, {
+      localAddress: settings.host,
+      isReachedByPeer: (entry) => paths.isReachedByPeer(entry),
+    }),
     clock,
     unixMs: () => Date.now(),
     log: log.part("route"),
@@ -254,6 +300,7 @@
     gossip,
     slots,
     connections,
+    paths,
     poison,
     headers: adapter.headers,
     budget: {
@@ -270,6 +317,20 @@
       requestLog.record(record);
     },
   });
+  const attemptRelay = new AttemptRelay({
+    gossip,
+    registry,
+    paths,
+    poison,
+    requestLimits,
+    headers: adapter.headers,
+    processorCores: self.processorCores,
+    graceMs: settings.timings.graceSeconds * 1000,
+    count: (outcome) =>
+      metrics.relayedRequests.add(1, { role: "sent", outcome }),
+    clock,
+    log: log.part("route"),
+  });
   const startedMs = clock.nowMs();
 
   function createWatches() {
@@ -350,6 +411,10 @@
     slots,
     poison,
     requestLimits,
+    reach,
+    paths,
+    relays,
+    attemptRelay,
     forwarder,
     listener,
     metrics,
@@ -402,7 +467,11 @@
     watches.servers.notePeerPosition(serversCursor, vm);
   });
   await gossip.start(lifeCycle);
+  parts.relays.start(lifeCycle);
   await parts.calls.listen(lifeCycle);
+  parts.attemptRelay.start(lifeCycle, parts.calls);
+  parts.reach.start(lifeCycle);
+  parts.paths.start(lifeCycle);
   parts.directory.start(lifeCycle);
   parts.probe.start(lifeCycle);
   parts.relay.start(lifeCycle);
--- a/packages/entry/src/links/connection_pool.ts
+++ b/packages/entry/src/links/connection_pool.ts
@@ -20,6 +20,8 @@
   /** The request is abandoned this long after the call. */
   readonly timeoutMs: number;
   readonly signal: AbortSignal;
+  /** Called with a function that gives the request up. */
+  readonly onStarted?: (abandon: (message: string) => void) => void;
 }
 
 /** Number of connections of a pool, for metrics. */
@@ -51,6 +53,11 @@
     return [...this.#idle, ...this.#busy].some(({ isOpen }) => isOpen);
   }
 
+  /** Whether a request can be sent without a new connection. */
+  get hasIdleConnection(): boolean {
+    return this.#idle.some(({ isUsable }) => isUsable);
+  }
+
   /**
    * Sends a request over an idle connection, or over a new one. Results in
    * `not-sent` when the connection limit is reached.
@@ -76,14 +83,18 @@
     const onAbort = () =>
       connection.abandon("connection-lost", "The caller has gone");
     options.signal.addEventListener("abort", onAbort, { once: true });
+    options.onStarted?.((message) =>
+      connection.abandon("connection-lost", message)
+    );
     const result = await connection.send(request);
     clearTimeout(timer);
     options.signal.removeEventListener("abort", onAbort);
     this.#release(connection);
     const hasNoResponse = result.kind === "unknown" &&
       connection.bytesReceived === receivedBytes;
-    if (hasNoResponse) this.#retireIdle();
-    return result;
+    if (!hasNoResponse) return result;
+    this.#retireIdle();
+    return { ...result, isSilent: true };
   }
 
   /** Closes idle connections, and each busy one when its request ends. */
--- /dev/null
+++ b/packages/entry/src/links/connection_probe.ts
@@ -0,0 +1,42 @@
+/** Tries whether an address accepts a connection. */
+import * as net from "node:net";
+
+/**
+ * `accepted`: it did and kept the connection open. `refused`: nothing listens
+ * there. `broken`: the connection was reset. `silent`: no reply in time.
+ */
+export type ProbeOutcome = "accepted" | "refused" | "broken" | "silent";
+
+/** Options of {@link probeConnection}. */
+export interface ProbeOptions {
+  readonly timeoutMs: number;
+  /** How long the connection has to stay open; 0 by default. */
+  readonly stayMs?: number;
+}
+
+/** Opens a connection and closes it again. Never rejects. */
+export function probeConnection(
+  target: net.TcpNetConnectOpts,
+  { timeoutMs, stayMs = 0 }: ProbeOptions,
+): Promise<ProbeOutcome> {
+  return new Promise((resolve) => {
+    const socket = net.connect(target);
+    let stay: NodeJS.Timeout | undefined;
+    const end = (outcome: ProbeOutcome) => {
+      clearTimeout(stay);
+      resolve(outcome);
+      socket.destroy();
+    };
+    socket.setTimeout(timeoutMs, () => end("silent"));
+    socket.once("connect", () => {
+      if (stayMs === 0) return end("accepted");
+      stay = setTimeout(() => end("accepted"), stayMs);
+    });
+    socket.once("close", () => end("broken"));
+    socket.once(
+      "error",
+      ({ code }: NodeJS.ErrnoException) =>
+        end(code === "ECONNREFUSED" ? "refused" : "broken"),
+    );
+  });
+}
--- a/packages/entry/src/links/server_connection.ts
+++ b/packages/entry/src/links/server_connection.ts
@@ -3,6 +3,7 @@
 import * as names from "@guavatide/contracts";
 import type * as net from "node:net";
 import * as undici from "undici";
+import type { ServerCondition } from "../poison/server_end_check.ts";
 import { buildResettingConnector } from "../utils/reset_connection.ts";
 import type {
   AnswerDecoder,
@@ -34,12 +35,20 @@
     /** Whether this VM is the cause; if so, it says nothing about the server. */
     readonly isLocal: boolean;
     readonly message: string;
+    /** Whether no entry VM that could be asked reaches the server. */
+    readonly hasNoPath?: boolean;
   }
   /** Bytes were sent and no whole response came. */
   | {
     readonly kind: "unknown";
     readonly reason: contracts.UnknownReason;
     readonly message: string;
+    /** Whether not one byte came from the server. */
+    readonly isSilent?: boolean;
+    /** Whether this VM, or the peer that relayed it, broke it off. */
+    readonly isPathLost?: boolean;
+    /** What the VM that sent it has found out about the server. */
+    readonly condition?: ServerCondition;
   };
 
 /** Options of {@link ServerConnection}. */
--- a/packages/entry/src/metrics/metrics.ts
+++ b/packages/entry/src/metrics/metrics.ts
@@ -34,6 +34,11 @@
    * `grant`, `release`.
    */
   readonly limitedServerCalls: api.Counter;
+  /**
+   * Requests that a VM sent for another that didn't reach the server, by role
+   * (`asked`, `sent`) and outcome.
+   */
+  readonly relayedRequests: api.Counter;
   /** Datagrams to other entry VMs by method and by zone crossing. */
   readonly peerDatagrams: api.Counter;
   /** Bytes in datagrams to other entry VMs, by the same labels. */
@@ -56,6 +61,9 @@
     this.limitedServerCalls = this.#meter.createCounter(
       "guavatide_limited_server_calls",
     );
+    this.relayedRequests = this.#meter.createCounter(
+      "guavatide_relayed_requests",
+    );
     this.peerDatagrams = this.#meter.createCounter("guavatide_peer_datagrams");
     this.peerBytes = this.#meter.createCounter("guavatide_peer_bytes");
     this.sliceMoves = this.#meter.createCounter("guavatide_slice_moves");
--- a/packages/entry/src/platform/http_channel.ts
+++ b/packages/entry/src/platform/http_channel.ts
@@ -20,7 +20,7 @@
   readonly method: "GET" | "PUT" | "POST" | "DELETE";
   readonly path: string;
   readonly headers?: Readonly<Record<string, string>>;
-  readonly body?: string;
+  readonly body?: string | Uint8Array;
   /**
    * Called immediately before the request is written to the connection; when it
    * returns false, the request is not sent and the call fails with "kept".
@@ -34,6 +34,7 @@
   readonly etag: string | undefined;
   /** Headers by lower-case name. */
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly bytes: Uint8Array;
   readonly text: string;
 }
 
@@ -43,6 +44,8 @@
   readonly connections?: number;
   /** Address that connections leave from; the system's choice by default. */
   readonly localAddress?: string | undefined;
+  /** Limit on the time to establish a connection; 1 s by default. */
+  readonly connectTimeoutMs?: number;
 }
 
 /**
@@ -52,6 +55,8 @@
 export interface HttpCallError {
   readonly kind: "timeout" | "unreachable" | "cancelled" | "kept";
   readonly message: string;
+  /** Whether the call may have reached the server. */
+  readonly wasSent: boolean;
 }
 
 /** Calls to one server; each has its own deadline. */
@@ -122,6 +127,7 @@
     if (result.kind === "answer") return ok(result.response);
     return err({
       kind: result.kind,
+      wasSent: exchange.wasSent,
       message: this.#describe(call, timeoutMs, result),
     });
   }
@@ -181,6 +187,7 @@
   readonly #mayLeave: () => boolean;
   #resolve: (result: ExchangeResult) => void = () => {};
   #isEnded = false;
+  #wasSent = false;
   #controller: undici.Dispatcher.DispatchController | undefined;
   #status = 0;
   #headers: http.IncomingHttpHeaders = {};
@@ -199,6 +206,11 @@
     pool.dispatch({ method, path, headers, body }, this);
   }
 
+  /** Whether undici was permitted to write the request. */
+  get wasSent(): boolean {
+    return this.#wasSent;
+  }
+
   /** Ends the exchange without a response. */
   abort(kind: ExchangeFailure["kind"], reason: string = kind): void {
     this.#end({ kind, reason });
@@ -210,7 +222,8 @@
     // With event loop lag, undici may write before the deadline's timer runs.
     const isPastDeadline = performance.now() >= this.#deadlineMs;
     if (this.#isEnded || isPastDeadline) return this.abort("timeout");
-    if (!this.#mayLeave()) this.abort("kept");
+    if (!this.#mayLeave()) return this.abort("kept");
+    this.#wasSent = true;
   }
 
   onResponseStart(
@@ -231,11 +244,15 @@
 
   onResponseEnd(): void {
     const { etag } = this.#headers;
-    const response = {
+    const bytes = Buffer.concat(this.#chunks);
+    const response: HttpResponse = {
       status: this.#status,
       etag,
       headers: this.#headers,
-      text: Buffer.concat(this.#chunks).toString(),
+      bytes,
+      get text() {
+        return bytes.toString();
+      },
     };
     this.#end({ kind: "answer", response });
   }
@@ -255,13 +272,17 @@
 
 function openPool(
   origin: string,
-  { connections = MAX_CONNECTIONS, localAddress }: HttpChannelOptions,
+  {
+    connections = MAX_CONNECTIONS,
+    localAddress,
+    connectTimeoutMs = CONNECT_TIMEOUT_MS,
+  }: HttpChannelOptions,
 ): undici.Pool {
   return new undici.Pool(origin, {
     connections,
     pipelining: 1,
     localAddress,
-    connect: buildResettingConnector({ timeout: CONNECT_TIMEOUT_MS }),
+    connect: buildResettingConnector({ timeout: connectTimeoutMs }),
     // Each call has its own deadline; undici's would interrupt long polls.
     headersTimeout: 0,
     bodyTimeout: 0,
--- a/packages/entry/src/poison/server_end_check.ts
+++ b/packages/entry/src/poison/server_end_check.ts
@@ -4,8 +4,8 @@
  * ones.
  */
 import type * as contracts from "@guavatide/contracts";
-import * as net from "node:net";
 import * as timers from "node:timers/promises";
+import { probeConnection } from "../links/connection_probe.ts";
 
 /**
  * What is known of a server that broke off a connection. `unknown`: no answer
@@ -25,6 +25,19 @@
   hasOpenConnection(server: contracts.ServerId): boolean;
 }
 
+/** Options of {@link ServerEndCheck}. */
+export interface ServerEndCheckOptions {
+  /** Where checks leave from; the system's choice by default. */
+  readonly localAddress?: string;
+  /**
+   * Whether another entry VM reaches the server; undefined when none could
+   * tell. Asked before a server counts as ended.
+   */
+  readonly isReachedByPeer?: (
+    entry: CheckedServer,
+  ) => Promise<boolean | undefined>;
+}
+
 /** Time for the other connections of a server that has ended to close. */
 const SIBLING_CLOSE_MS = 2;
 /** A server that refuses connections does so within a round trip. */
@@ -47,12 +60,16 @@
 export class ServerEndCheck {
   readonly #connections: OpenConnections;
   readonly #localAddress: string | undefined;
+  readonly #isReachedByPeer: ServerEndCheckOptions["isReachedByPeer"];
   readonly #pending = new Map<string, Promise<ServerCondition>>();
 
-  /** `localAddress`: where checks leave from; the system's choice by default. */
-  constructor(connections: OpenConnections, localAddress?: string) {
+  constructor(
+    connections: OpenConnections,
+    options: ServerEndCheckOptions = {},
+  ) {
     this.#connections = connections;
-    this.#localAddress = localAddress;
+    this.#localAddress = options.localAddress;
+    this.#isReachedByPeer = options.isReachedByPeer;
   }
 
   /** Checks a server that has just broken off a connection. Never rejects. */
@@ -65,30 +82,20 @@
     return check;
   }
 
-  async #check(
-    { server, host, port }: CheckedServer,
-  ): Promise<ServerCondition> {
+  async #check(entry: CheckedServer): Promise<ServerCondition> {
+    const { server, host, port } = entry;
     await timers.setTimeout(SIBLING_CLOSE_MS);
     // Closes that have arrived are read before this continues.
     await timers.setImmediate();
     if (this.#connections.hasOpenConnection(server)) return "running";
-    return connect({ host, port, localAddress: this.#localAddress });
+    const target = { host, port, localAddress: this.#localAddress };
+    const outcome = await probeConnection(target, {
+      timeoutMs: CONNECT_TIMEOUT_MS,
+    });
+    if (outcome === "accepted") return "running";
+    if (outcome !== "refused") return "unknown";
+    // A partition may refuse connections as well.
+    const isReached = await this.#isReachedByPeer?.(entry);
+    return isReached ? "unknown" : "ended";
   }
 }
-
-function connect(target: net.TcpNetConnectOpts): Promise<ServerCondition> {
-  return new Promise((resolve) => {
-    const socket = net.connect(target);
-    const end = (condition: ServerCondition) => {
-      resolve(condition);
-      socket.destroy();
-    };
-    socket.setTimeout(CONNECT_TIMEOUT_MS, () => end("unknown"));
-    socket.once("connect", () => end("running"));
-    socket.once(
-      "error",
-      ({ code }: NodeJS.ErrnoException) =>
-        end(code === "ECONNREFUSED" ? "ended" : "unknown"),
-    );
-  });
-}
