--- a/packages/decisions/src/grants/voter_selection_test.ts
+++ b/packages/decisions/src/grants/voter_selection_test.ts
@@ -26,6 +26,24 @@
   };
 }
 
+/** Voters that reach no server can't renew any lease. */
+test("should let VMs that reach servers replace cut off voters", () => {
+  const vms = ["a", "b", "c", "d", "e", "f", "g", "h", "i"] as contracts.VmId[];
+  const voters = vms.slice(0, 7);
+  const selected = grants.selectVoters(input({
+    map: { ...input({}).map!, keeperSets: [voters] },
+    live: vms,
+    sinceLastMessageMs: () => 0,
+    cutOff: new Set(vms.slice(1, 7)),
+  }));
+  expect(selected.length).toEqual(7);
+  expect(["a", "h", "i"].every((vm) => selected.includes(vm as never)))
+    .toEqual(true);
+  const all = input({ live: vms, sinceLastMessageMs: () => 0 });
+  const none = grants.selectVoters({ ...all, cutOff: new Set(vms) });
+  expect(none).toEqual(grants.selectVoters(all));
+});
+
 /** Guards against a new, partitioned process that reassigns keys in use. */
 test("should not remove voters before the process has run long enough", () => {
   const justStarted = input({ uptimeMs: 400 });
--- /dev/null
+++ b/packages/decisions/src/paths/path_tracker_test.ts
@@ -0,0 +1,249 @@
+import type * as contracts from "@guavatide/contracts";
+import { expect } from "earl";
+import { test } from "node:test";
+import * as paths from "./mod.ts";
+
+const SERVERS = ["a", "b", "c", "d", "e"] as contracts.ServerId[];
+const [A, B, C] = SERVERS as [
+  contracts.ServerId,
+  contracts.ServerId,
+  contracts.ServerId,
+];
+const DETECTION_MS = 500;
+const RETURN_MS = 2_000;
+const STEP_MS = 50;
+
+/** A tracker, and what it has reported. */
+class Fixture {
+  readonly changes: paths.PathChange[] = [];
+  readonly lostAttempts: string[] = [];
+  readonly tracker = new paths.PathTracker({
+    servers: () => SERVERS,
+    random: { next: () => 0.5 },
+    onChange: (change) => this.changes.push(change),
+  });
+  nowMs = 10_000;
+
+  /** Sends a request; the returned function ends it with an answer. */
+  send(server: contracts.ServerId, expectedMs = 50): () => void {
+    const attempt: paths.OpenAttempt = {
+      startedMs: this.nowMs,
+      expectedMs,
+      isIdempotent: true,
+      onPathLost: () => {
+        this.lostAttempts.push(server);
+        this.tracker.end(server, attempt);
+      },
+    };
+    this.tracker.start(server, attempt);
+    return () => {
+      this.tracker.end(server, attempt);
+      this.tracker.noteHeard(server, this.nowMs);
+    };
+  }
+
+  answerAll(): void {
+    for (const server of SERVERS) this.send(server)();
+  }
+
+  get lost(): contracts.ServerId[] {
+    return [...this.tracker.lostServers].sort();
+  }
+}
+
+const NEVER = Number.POSITIVE_INFINITY;
+
+/** A cut must not be taken for the crash of many servers, however it looks. */
+test("should find at once that it is cut off when many servers reset at once", () => {
+  const fixture = new Fixture();
+  const { tracker } = fixture;
+  fixture.answerAll();
+  const startMs = fixture.nowMs;
+  while (!tracker.isCutOff && fixture.nowMs < startMs + DETECTION_MS) {
+    fixture.nowMs += STEP_MS;
+    for (const server of [A, B, C]) {
+      tracker.noteConnectFailure(server, fixture.nowMs);
+    }
+  }
+  expect(tracker.isCutOff).toEqual(true);
+  expect(fixture.lost).toEqual(SERVERS);
+});
+
+test("should find within half a second that it is cut off when all servers are silent", () => {
+  const fixture = new Fixture();
+  const { tracker } = fixture;
+  fixture.answerAll();
+  const startMs = fixture.nowMs;
+  for (const server of [A, B, C]) fixture.send(server);
+  while (!tracker.isCutOff && fixture.nowMs < startMs + DETECTION_MS) {
+    fixture.nowMs += STEP_MS;
+    for (const server of tracker.takeSilent(fixture.nowMs)) {
+      const peer = { isAccepting: true, heardAgoMs: 20 };
+      tracker.noteCheck(server, {
+        isAccepting: true,
+        peer,
+        nowMs: fixture.nowMs,
+      });
+    }
+  }
+  expect(tracker.isCutOff).toEqual(true);
+  expect(fixture.lostAttempts.sort()).toEqual([A, B, C]);
+});
+
+/** The crash of a server is nobody's path. */
+test("should keep the path to a server that no peer reaches either", () => {
+  const fixture = new Fixture();
+  const { tracker } = fixture;
+  fixture.answerAll();
+  fixture.nowMs += 20;
+  tracker.noteConnectFailure(A, fixture.nowMs);
+  tracker.noteCheck(A, {
+    isAccepting: false,
+    peer: { isAccepting: false, heardAgoMs: 20 },
+    nowMs: fixture.nowMs,
+  });
+  expect(fixture.lost).toEqual([]);
+});
+
+/** A server that stands still accepts connections and answers nobody. */
+test("should keep the path to a server that stands still", () => {
+  const fixture = new Fixture();
+  const { tracker } = fixture;
+  fixture.answerAll();
+  fixture.send(A);
+  fixture.nowMs += 400;
+  fixture.send(B)();
+  expect(tracker.takeSilent(fixture.nowMs)).toEqual([A]);
+  tracker.noteCheck(A, {
+    isAccepting: true,
+    peer: { isAccepting: true, heardAgoMs: 400 },
+    nowMs: fixture.nowMs,
+  });
+  expect(fixture.lost).toEqual([]);
+  // One request is tried over a peer, which gets no answer either.
+  expect(fixture.lostAttempts).toEqual([A]);
+  expect(tracker.takeDoubt(A, fixture.nowMs)).toEqual(true);
+  expect(tracker.takeDoubt(A, fixture.nowMs)).toEqual(false);
+});
+
+test("should lose the path to one server that others reach", () => {
+  const fixture = new Fixture();
+  const { tracker } = fixture;
+  fixture.answerAll();
+  fixture.nowMs += 20;
+  tracker.noteConnectFailure(A, fixture.nowMs);
+  fixture.send(B)();
+  tracker.noteConnectFailure(A, fixture.nowMs);
+  tracker.noteReachedByPeer(A, fixture.nowMs);
+  expect(fixture.lost).toEqual([A]);
+  // Open connections may live on while new ones are refused.
+  expect(tracker.useOf(A)).toEqual("open-only");
+  tracker.noteLoss(A, fixture.nowMs);
+  expect(tracker.useOf(A)).toEqual("none");
+});
+
+test("should look at nothing while all servers answer", () => {
+  const fixture = new Fixture();
+  const { tracker } = fixture;
+  for (let round = 0; round < 200; round++) {
+    const ends = SERVERS.map((server) => fixture.send(server));
+    fixture.nowMs += 110;
+    expect(tracker.takeSilent(fixture.nowMs)).toEqual([]);
+    expect(tracker.takeProbes(8, fixture.nowMs)).toEqual([]);
+    for (const end of ends) end();
+  }
+  expect(tracker.isActive).toEqual(false);
+  expect(fixture.changes).toEqual([]);
+});
+
+/** Loses all paths by refused connections. */
+function cutOff(fixture: Fixture): void {
+  fixture.nowMs += 200;
+  for (const server of SERVERS) {
+    fixture.tracker.noteConnectFailure(server, fixture.nowMs);
+  }
+}
+
+/** Probes until all paths are back; returns the time and the most at once. */
+function heal(
+  fixture: Fixture,
+  limit: number,
+): { tookMs: number; most: number } {
+  const { tracker } = fixture;
+  const startMs = fixture.nowMs;
+  let most = 0;
+  while (tracker.lostServers.size > 0) {
+    fixture.nowMs += STEP_MS;
+    const probed = tracker.takeProbes(limit, fixture.nowMs);
+    most = Math.max(most, probed.length);
+    for (const server of probed) {
+      tracker.noteProbe(server, true, fixture.nowMs);
+      if (
+        tracker.mayTry(server, { isIdempotent: true, nowMs: fixture.nowMs })
+      ) {
+        fixture.send(server)();
+      }
+    }
+    if (fixture.nowMs > startMs + 10 * RETURN_MS) break;
+  }
+  return { tookMs: fixture.nowMs - startMs, most };
+}
+
+test("should use its own paths again within two seconds, a few probes at once", () => {
+  const fixture = new Fixture();
+  fixture.answerAll();
+  for (let round = 0; round < 8; round++) {
+    cutOff(fixture);
+    expect(fixture.tracker.isCutOff).toEqual(true);
+    const { tookMs, most } = heal(fixture, 2);
+    expect(tookMs <= RETURN_MS).toEqual(true);
+    expect(most <= 2).toEqual(true);
+  }
+});
+
+/** A path that comes and goes must not be used again at each of its returns. */
+test("should wait longer before it uses an unstable path again", () => {
+  const fixture = new Fixture();
+  fixture.answerAll();
+  const took = [1, 2, 3, 4].map(() => {
+    cutOff(fixture);
+    return heal(fixture, 8).tookMs;
+  });
+  expect(took[3]! > took[0]! * 2).toEqual(true);
+});
+
+/** Connections that are accepted show nothing if none ever carried an answer. */
+test("should not take an accepted connection for a path that was silent", () => {
+  const fixture = new Fixture();
+  const { tracker } = fixture;
+  fixture.answerAll();
+  fixture.send(A);
+  fixture.nowMs += 300;
+  fixture.send(B)();
+  tracker.takeSilent(fixture.nowMs);
+  const peer = { isAccepting: true, heardAgoMs: 10 };
+  tracker.noteCheck(A, { isAccepting: true, peer, nowMs: fixture.nowMs });
+  expect(tracker.useOf(A)).toEqual("none");
+  fixture.nowMs += 1_000;
+  expect(tracker.takeProbes(8, fixture.nowMs)).toEqual([A]);
+  tracker.noteProbe(A, true, fixture.nowMs);
+  expect(tracker.useOf(A)).toEqual("trial");
+  const mayTry = () =>
+    tracker.mayTry(A, { isIdempotent: true, nowMs: fixture.nowMs });
+  expect(mayTry()).toEqual(true);
+  const answer = fixture.send(A);
+  expect(mayTry()).toEqual(false);
+  answer();
+  expect(tracker.useOf(A)).toEqual("any");
+});
+
+test("should keep nothing of servers that are gone", () => {
+  const fixture = new Fixture();
+  fixture.answerAll();
+  cutOff(fixture);
+  fixture.send(A);
+  fixture.tracker.keepOnly(new Set());
+  expect(fixture.lost).toEqual([]);
+  expect(fixture.tracker.isActive).toEqual(false);
+  expect(fixture.tracker.heardAgoMs(A, fixture.nowMs)).toEqual(NEVER);
+});
--- a/packages/entry/src/gateway/server_paths.ts
+++ b/packages/entry/src/gateway/server_paths.ts
@@ -239,8 +239,13 @@
 
   /** Whether a peer reaches the server; undefined when none could tell. */
   async isReachedByPeer(entry: CheckedServer): Promise<boolean | undefined> {
-    const [observed] = await this.#askPeer([entry]);
-    return observed?.isAccepting;
+    const answers = await Promise.all(
+      this.#choosePeers(entry.server, MAX_PEERS_ASKED)
+        .map((peer) => this.#options.relays.check(peer, [entry])),
+    );
+    const observed = answers.flat();
+    if (observed.length === 0) return undefined;
+    return observed.some(({ isAccepting }) => isAccepting);
   }
 
   #pool(entry: contracts.RegisteredServer): ConnectionPool {
@@ -357,15 +362,26 @@
   async #askPeer(
     entries: readonly CheckedServer[],
   ): Promise<readonly paths.PathObservation[]> {
-    const { clock, relays, reach } = this.#options;
-    const peers = this.#peers().filter(({ vm }) => reach.reachesAny(vm));
     const first = entries[0];
-    const peer = first && this.#selector.choose(
-      peers,
-      first.server,
-      clock.nowMs(),
-    );
-    return peer === undefined ? [] : await relays.check(peer, entries);
+    if (first === undefined) return [];
+    const [peer] = this.#choosePeers(first.server, 1);
+    return peer === undefined
+      ? []
+      : await this.#options.relays.check(peer, entries);
+  }
+
+  /** Peers that should reach a server, the best first. */
+  #choosePeers(server: contracts.ServerId, count: number): PeerHello[] {
+    const { clock, reach } = this.#options;
+    let left = this.#peers().filter(({ vm }) => reach.reachesAny(vm));
+    const chosen: PeerHello[] = [];
+    while (chosen.length < count) {
+      const peer = this.#selector.choose(left, server, clock.nowMs());
+      if (peer === undefined) break;
+      chosen.push(peer);
+      left = left.filter((it) => it !== peer);
+    }
+    return chosen;
   }
 
   #probe(server: contracts.ServerId): void {
--- a/packages/entry/src/poison/server_end_check_test.ts
+++ b/packages/entry/src/poison/server_end_check_test.ts
@@ -50,6 +50,20 @@
   expect(await check.check(entryAt(port))).toEqual("running");
 });
 
+/** A partition that refuses connections looks like the end of a server. */
+test("should not tell a server that a peer reaches to have ended", async () => {
+  const { server, port } = await listen();
+  await new Promise((resolve) => server.close(resolve));
+  for (const [isReached, condition] of [[true, "unknown"], [false, "ended"]]) {
+    const check = new ServerEndCheck(NONE_OPEN, {
+      isReachedByPeer: () => Promise.resolve(isReached as boolean),
+    });
+    expect(await check.check(entryAt(port)) as string).toEqual(
+      condition as string,
+    );
+  }
+});
+
 /** A cut link says nothing about the server behind it. */
 test("should not tell a server that is not reached to have ended", async () => {
   const check = new ServerEndCheck(NONE_OPEN);
