--- a/packages/ctl/src/request_explanation.ts
+++ b/packages/ctl/src/request_explanation.ts
@@ -14,7 +14,7 @@
  * Lines that explain a request, ordered by time: its own, and those about the
  * servers it was sent to or that refused it by their limit, the configuration
  * and the platform's store; at any age, those about zone evacuations, crashes
- * under its content and limits of these servers. Lines that are not JSON are
+ * under its content, limits of these servers and lost paths to them. Lines that are not JSON are
  * skipped; empty for an unknown ID.
  */
 export function explainRequest(id: string, log: string): LogLine[] {
@@ -36,7 +36,7 @@
       requestLines.includes(line) ||
       line.timeMs <= toMs && isZoneEvacuation(line) ||
       line.timeMs <= toMs && isCrashRecord(line, fingerprints) ||
-      line.timeMs <= toMs && isLimitChange(line, servers) ||
+      line.timeMs <= toMs && isLastingChange(line, servers) ||
       line.timeMs >= fromMs && line.timeMs <= toMs && isContextOf(line, servers)
     )
     .sort((a, b) => a.timeMs - b.timeMs);
@@ -77,18 +77,27 @@
     fingerprints.has(fields["fingerprint"]);
 }
 
-const LIMIT_CHANGES = new Set([
+/** Changes that last until another one ends them. */
+const LASTING_CHANGES = new Set([
   "Server limits its requests.",
   "Server no longer limits its requests.",
+  "Does not reach servers; peers send their requests.",
+  "Reaches a server again.",
 ]);
 
-/** Included at any age: a limit lasts until the server's answers end it. */
-function isLimitChange(
+/** Included at any age: limits and lost paths last until they end. */
+function isLastingChange(
   { fields }: LogLine,
   servers: ReadonlySet<string>,
 ): boolean {
-  return LIMIT_CHANGES.has(String(fields["sentence"])) &&
-    servers.has(String(fields["server"]));
+  return LASTING_CHANGES.has(String(fields["sentence"])) &&
+    serversOf(fields).some((server) => servers.has(server));
+}
+
+/** The servers that a line is about. */
+function serversOf(fields: LogLine["fields"]): string[] {
+  const names = fields["servers"] ?? fields["server"] ?? fields["to"] ?? "";
+  return String(names).split(",");
 }
 
 /**
@@ -102,5 +111,5 @@
   if (fields["id"] !== undefined) return false;
   const part = fields["part"];
   if (part === "store" || part === "config" || part === "main") return true;
-  return servers.has(String(fields["server"] ?? fields["to"] ?? ""));
+  return serversOf(fields).some((server) => servers.has(server));
 }
--- a/packages/ctl/src/request_explanation_test.ts
+++ b/packages/ctl/src/request_explanation_test.ts
@@ -43,6 +43,25 @@
     .toEqual([]);
 });
 
+/** A VM may have been cut off from servers long before the request. */
+test("should include the lost path for which a peer sent a request", () => {
+  const sentence = "Does not reach servers; peers send their requests.";
+  const log = [
+    logLine(1, { part: "route", sentence, servers: "i-6,i-7" }),
+    logLine(2, { part: "route", sentence, servers: "i-9" }),
+    logLine(40, {
+      part: "route",
+      sentence: "Ended badly.",
+      id: "q1",
+      sends: "i-7 via vm4 with 1 there: unknown: reset after 90 ms",
+    }),
+  ].join("\n");
+  const lines = explainRequest("q1", log).map(({ fields }) =>
+    fields["servers"]
+  );
+  expect(lines).toEqual(["i-6,i-7", undefined]);
+});
+
 test("should include the evacuation that left no server for a request", () => {
   const log = [
     logLine(1, { part: "member", sentence: "Zone is evacuated.", zone: "z2" }),
--- a/packages/entry/src/gateway/server_paths.ts
+++ b/packages/entry/src/gateway/server_paths.ts
@@ -416,14 +416,11 @@
       });
     }
     const { servers, cause } = change;
-    const { isCutOff } = this.#tracker;
-    for (const server of servers) {
-      log.warn("Does not reach a server; peers send its requests.", {
-        server,
-        cause,
-        isCutOff,
-      });
-      for (const listener of this.#listeners) listener(server);
-    }
+    log.warn("Does not reach servers; peers send their requests.", {
+      servers: servers.join(),
+      cause,
+      isCutOff: this.#tracker.isCutOff,
+    });
+    for (const listener of this.#listeners) servers.forEach(listener);
   }
 }
