fix(paths): relay for VMs that stop

Cause: peers took messages of VMs that are up only, and one that stops is not. Now a run of a VM counts that has gossiped within the last minute from this address.

--- a/packages/entry/src/gateway/attempt_relay.ts
+++ b/packages/entry/src/gateway/attempt_relay.ts
@@ -23,7 +23,7 @@
 
 /** Options of {@link AttemptRelay}. */
 export interface AttemptRelayOptions {
-  readonly gossip: Pick<PeerGossip, "live">;
+  readonly gossip: Pick<PeerGossip, "isKnownRun">;
   readonly registry: Pick<ServerRegistry, "entry">;
   readonly paths: Pick<ServerPaths, "sendDirect" | "observe" | "reaches">;
   readonly poison: Pick<PoisonGuard, "isPoisonous" | "noteLostConnection">;
@@ -119,17 +119,17 @@
     response.end(bytes);
   }
 
-  /** Whether the sender is a peer that gossips from this address and run. */
+  /** Whether the sender is a VM that is known by gossip. */
   #isKnown(
-    { vm, incarnation }: messages.RelayRequest,
+    sender: messages.RelayRequest,
     address: string | undefined,
   ): boolean {
     const { gossip, clock } = this.#options;
-    const isKnown = gossip.live.some((peer) =>
-      peer.vm === vm && peer.incarnation === incarnation &&
-      peer.host === address
-    );
-    if (!isKnown) this.#strangerLog.warn(clock.nowMs(), { vm, address });
+    const isKnown = gossip.isKnownRun(sender, address);
+    if (!isKnown) {
+      const { vm } = sender;
+      this.#strangerLog.warn(clock.nowMs(), { vm, address });
+    }
     return isKnown;
   }
 
--- a/packages/entry/src/gateway/peer_gossip.ts
+++ b/packages/entry/src/gateway/peer_gossip.ts
@@ -372,6 +372,19 @@
     return this.#registry.cellPlan;
   }
 
+  /**
+   * Whether a run of a VM has sent hellos from an address within the last
+   * minute; it may be stopping.
+   */
+  isKnownRun(
+    { vm, incarnation }: Pick<PeerHello, "vm" | "incarnation">,
+    host: string | undefined,
+  ): boolean {
+    const peer = this.#registry.get(vm);
+    return peer !== undefined && peer.incarnation === incarnation &&
+      peer.host === host;
+  }
+
   /** Time since a peer's last message; infinite for an unknown peer. */
   sinceLastMessageMs(vm: contracts.VmId): number {
     const peer = this.#registry.get(vm);
