fix(poison): count a server's end against requests that were given up there

Cause: the VM closes its own connection when it gives a request up, so no connection breaks when the server ends, and nothing was noted.

Fix: the VM looks at the server 0.3 and 1 s later. An open connection answers without a new one, so a look costs nothing where servers run; a server that has ended counts as a crash under the requests given up there, 16 at most.

--- a/packages/entry/src/gateway/attempt_relay.ts
+++ b/packages/entry/src/gateway/attempt_relay.ts
@@ -26,7 +26,10 @@
   readonly gossip: Pick<PeerGossip, "isKnownRun">;
   readonly registry: Pick<ServerRegistry, "entry">;
   readonly paths: Pick<ServerPaths, "sendDirect" | "observe" | "reaches">;
-  readonly poison: Pick<PoisonGuard, "isPoisonous" | "noteLostConnection">;
+  readonly poison: Pick<
+    PoisonGuard,
+    "isPoisonous" | "noteLostConnection" | "noteGivenUp"
+  >;
   readonly requestLimits: Pick<RequestLimitTask, "noteCall" | "noteAnswer">;
   readonly headers: HeaderNames;
   readonly processorCores: number;
@@ -247,10 +250,13 @@
       readonly signal: AbortSignal;
     },
   ): Promise<AttemptResult> {
-    const isBrokenOff = result.kind === "unknown" && !result.isPathLost &&
-      result.reason !== "timeout-after-send" && !signal.aborted;
-    if (!isBrokenOff) return result;
-    const noted = this.#options.poison.noteLostConnection(subject, entry);
+    if (result.kind !== "unknown" || result.isPathLost) return result;
+    const { poison } = this.#options;
+    if (signal.aborted || result.reason === "timeout-after-send") {
+      poison.noteGivenUp(subject, entry);
+      return result;
+    }
+    const noted = poison.noteLostConnection(subject, entry);
     return { ...result, condition: await conditionBeforeRetry(noted) };
   }
 }
--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarded_request.ts
@@ -104,7 +104,8 @@
   #limitedBy: contracts.ServerId | undefined;
   #waitingSinceMs: number;
   #queuedMs = 0;
-  #isSendPending = false;
+  /** The server that has the request at present. */
+  #pendingAt: contracts.RegisteredServer | undefined;
   /** Whether a retry was taken from the budget for an attempt given up. */
   #hasTakenRetry = false;
   #isDone = false;
@@ -173,7 +174,7 @@
     this.#context.onLoadChange();
     const release = once((tookMs: number | undefined) => releaseSlot?.(tookMs));
     const leftMs = this.answerByMs - nowMs;
-    this.#isSendPending = true;
+    this.#pendingAt = entry;
     this.#context.recordSend(entry.server);
     const result = await this.#context.send(
       entry,
@@ -197,7 +198,7 @@
         },
       },
     );
-    this.#isSendPending = false;
+    this.#pendingAt = undefined;
     const endedMs = this.#context.clock.nowMs();
     const outcome = this.#attemptEnd(result);
     recordEnd(outcome, endedMs);
@@ -288,6 +289,9 @@
           this.#hasTakenRetry = false;
           return this.#requeue();
         }
+        if (result.reason === "timeout-after-send") {
+          this.#context.poison.noteGivenUp(this.#request, entry);
+        }
         if (result.reason === "timeout-after-send" || result.isPathLost) {
           return this.#handleUnknown(result.message);
         }
@@ -480,7 +484,10 @@
     clearTimeout(this.#timer);
     this.#request.signal.removeEventListener("abort", this.#onCallerDisconnect);
     // Cancels the attempt still in flight, and so its work at the server.
-    if (this.#isSendPending) this.#cancel.abort();
+    if (this.#pendingAt !== undefined) {
+      this.#cancel.abort();
+      this.#context.poison.noteGivenUp(this.#request, this.#pendingAt);
+    }
     const nowMs = this.#context.clock.nowMs();
     this.#resolve(answer);
     this.#context.onFinished({
--- a/packages/entry/src/gateway/poison_guard.ts
+++ b/packages/entry/src/gateway/poison_guard.ts
@@ -6,6 +6,7 @@
  */
 import * as contracts from "@guavatide/contracts";
 import * as poison from "@guavatide/decisions/poison/mod";
+import * as timers from "node:timers/promises";
 import type { LabelledCounts } from "../metrics/labelled_counts.ts";
 import {
   CrashLedger,
@@ -58,6 +59,9 @@
 const SAVE_RETRY_MS = 1_000;
 const SAVE_TIMEOUT_MS = 1_200;
 const EXPIRY_INTERVAL_MS = 10_000;
+/** A server is looked at after so long, and again after as long. */
+const GIVEN_UP_CHECK_DELAYS_MS = [300, 700];
+const MAX_GIVEN_UP = 16;
 
 /** A record that the store lacks. */
 interface UnsavedRecord {
@@ -73,6 +77,8 @@
   /** Number of crashes of each record in the store, as far as known. */
   readonly #storedCrashes = new Map<contracts.RequestFingerprint, number>();
   readonly #unsaved = new Map<contracts.RequestFingerprint, UnsavedRecord>();
+  /** Requests given up a short while ago, by the server that had them. */
+  readonly #givenUp = new Map<string, Set<PoisonSubject>>();
   readonly #reports = new RepeatedBroadcast(REPEAT_REPORT_MS);
   #task: PeriodicTask | undefined;
   #isSaving = false;
@@ -131,11 +137,61 @@
     request: PoisonSubject,
     entry: contracts.RegisteredServer,
   ): Promise<ServerCondition> {
-    const { unixMs, counts, gossip } = this.#options;
-    const atMs = unixMs();
+    const atMs = this.#options.unixMs();
     const { id } = request;
     const condition = await this.#ledger.checkServer(request, entry, { id });
     if (condition !== "ended" || this.#isLeaving(entry)) return condition;
+    this.#witness(request, entry, atMs);
+    return condition;
+  }
+
+  /**
+   * A request was given up while a server had it. It is to blame if the server
+   * ends soon after, though it holds no connection any more that could break.
+   */
+  noteGivenUp(
+    request: PoisonSubject,
+    entry: contracts.RegisteredServer,
+  ): void {
+    const name = `${entry.server} ${entry.bornMs}`;
+    const watched = this.#givenUp.get(name);
+    if (watched !== undefined) {
+      if (watched.size < MAX_GIVEN_UP) watched.add(request);
+      return;
+    }
+    const requests = new Set([request]);
+    this.#givenUp.set(name, requests);
+    this.#watchGivenUp(entry, requests).finally(() =>
+      this.#givenUp.delete(name)
+    );
+  }
+
+  async #watchGivenUp(
+    entry: contracts.RegisteredServer,
+    requests: ReadonlySet<PoisonSubject>,
+  ): Promise<void> {
+    const { endCheck, unixMs, log } = this.#options;
+    for (const delayMs of GIVEN_UP_CHECK_DELAYS_MS) {
+      await timers.setTimeout(delayMs, undefined, { ref: false });
+      const atMs = unixMs();
+      if (await endCheck.check(entry) !== "ended") continue;
+      if (this.#isLeaving(entry)) return;
+      log.info("A server has ended after requests were given up there.", {
+        server: entry.server,
+        ids: [...requests].map(({ id }) => id).join(),
+      });
+      for (const request of requests) this.#witness(request, entry, atMs);
+      return;
+    }
+  }
+
+  /** Records and reports a crash that this VM has seen. */
+  #witness(
+    request: PoisonSubject,
+    entry: contracts.RegisteredServer,
+    atMs: number,
+  ): void {
+    const { counts, gossip } = this.#options;
     const { fingerprint, caller } = this.identify(request);
     const { server, service, bornMs, softwareVersion = "" } = entry;
     counts.add(1, { service, event: "crash" });
@@ -143,7 +199,6 @@
     const report: contracts.CrashReport = { fingerprint, crash };
     this.#record(report, { isWitness: true });
     this.#reports.send(() => gossip.broadcast(CRASH_METHOD, report));
-    return condition;
   }
 
   /**
