fix(paths): look at a single silent server later, at all of them as soon as none is heard

Also: a probe that times out after a stall of this process first reads what has arrived; a request that is relayed after a failed connection takes no more time than is left; ranking renewers costs nothing while all paths work.

--- a/packages/decisions/src/paths/path_tracker.ts
+++ b/packages/decisions/src/paths/path_tracker.ts
@@ -64,10 +64,16 @@
   readonly onChange: (change: PathChange) => void;
 }
 
-/** Shortest silence that is worth a look. */
-const SILENCE_MS = 200;
-/** The same in multiples of the time that a request usually takes. */
-const SILENCE_RATIO = 2.5;
+/**
+ * Silence of a server that is worth a look, and the same in multiples of the
+ * time that a request usually takes.
+ */
+const SILENCE_MS = 600;
+const SILENCE_RATIO = 4;
+/** The same while no server is heard, and so many are silent. */
+const COMMON_SILENCE_MS = 200;
+const COMMON_SILENCE_RATIO = 2.5;
+const MIN_SILENT_SERVERS = 2;
 /** A server that was looked at in vain is not looked at again for this time. */
 const CHECK_PAUSE_MS = 2_000;
 /** The same while no server is heard. */
@@ -273,22 +279,25 @@
 
   /** Servers to look at: they have been silent for too long under requests. */
   takeSilent(nowMs: number): contracts.ServerId[] {
+    if (this.#openAttempts === 0) return [];
     const silent: contracts.ServerId[] = [];
-    if (this.#openAttempts === 0) return silent;
+    let isAlone = false;
     for (const [server, path] of this.#paths) {
       if (!this.#isSilent(path, nowMs)) continue;
       if (path.use === "none") giveUp(path);
-      else if (this.takeCheck(server, nowMs)) silent.push(server);
+      else silent.push(server);
+      isAlone ||= isSilentFor(path, SINGLE_LIMITS, nowMs);
     }
-    return silent;
+    if (silent.length < MIN_SILENT_SERVERS && !isAlone) return [];
+    return silent.filter((server) => this.takeCheck(server, nowMs));
   }
 
   /** Whether to look at a server that failed; it then counts as looked at. */
   takeCheck(server: contracts.ServerId, nowMs: number): boolean {
     const path = this.#path(server);
-    const pauseMs = nowMs - this.#heardAtMs < SILENCE_MS
-      ? CHECK_PAUSE_MS
-      : URGENT_CHECK_PAUSE_MS;
+    const pauseMs = this.#isNoneHeard(nowMs)
+      ? URGENT_CHECK_PAUSE_MS
+      : CHECK_PAUSE_MS;
     const isDue = path.use !== "none" && nowMs - path.checkedAtMs >= pauseMs;
     if (isDue) path.checkedAtMs = nowMs;
     return isDue;
@@ -318,7 +327,7 @@
     }
     // A server that stands still accepts connections and is heard by nobody.
     const isReachedByPeer = isAccepting
-      ? peer !== undefined && peer.heardAgoMs < SILENCE_MS
+      ? peer !== undefined && peer.heardAgoMs < COMMON_SILENCE_MS
       : peer?.isAccepting;
     if (isReachedByPeer) {
       const cause = isAccepting ? "silent" : "no-connection";
@@ -399,13 +408,13 @@
     }
   }
 
-  #isSilent({ attempts, heardAtMs }: PathState, nowMs: number): boolean {
-    for (const { startedMs, expectedMs } of attempts) {
-      const sinceMs = Math.max(startedMs, heardAtMs);
-      const limitMs = Math.max(SILENCE_MS, SILENCE_RATIO * expectedMs);
-      if (nowMs - sinceMs >= limitMs) return true;
-    }
-    return false;
+  #isSilent(path: PathState, nowMs: number): boolean {
+    const limits = this.#isNoneHeard(nowMs) ? COMMON_LIMITS : SINGLE_LIMITS;
+    return isSilentFor(path, limits, nowMs);
+  }
+
+  #isNoneHeard(nowMs: number): boolean {
+    return nowMs - this.#heardAtMs >= COMMON_SILENCE_MS;
   }
 
   /**
@@ -504,6 +513,36 @@
   }
 }
 
+interface SilenceLimits {
+  readonly shortestMs: number;
+  /** In multiples of the time that a request usually takes. */
+  readonly ratio: number;
+}
+
+const SINGLE_LIMITS: SilenceLimits = {
+  shortestMs: SILENCE_MS,
+  ratio: SILENCE_RATIO,
+};
+const COMMON_LIMITS: SilenceLimits = {
+  shortestMs: COMMON_SILENCE_MS,
+  ratio: COMMON_SILENCE_RATIO,
+};
+
+/** Whether a request has waited for a byte from the server for too long. */
+function isSilentFor(
+  { attempts, heardAtMs }: PathState,
+  { shortestMs, ratio }: SilenceLimits,
+  nowMs: number,
+): boolean {
+  for (const { startedMs, expectedMs } of attempts) {
+    const sinceMs = Math.max(startedMs, heardAtMs);
+    if (nowMs - sinceMs >= Math.max(shortestMs, ratio * expectedMs)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 function giveUp({ attempts }: PathState): void {
   for (const attempt of [...attempts]) attempt.onPathLost(true);
 }
--- a/packages/decisions/src/paths/path_tracker_test.ts
+++ b/packages/decisions/src/paths/path_tracker_test.ts
@@ -12,6 +12,8 @@
 const DETECTION_MS = 500;
 const RETURN_MS = 2_000;
 const STEP_MS = 50;
+/** A server that is silent for so long while others answer is looked at. */
+const SILENCE_MS = 700;
 
 /** A tracker, and what it has reported. */
 class Fixture {
@@ -111,12 +113,12 @@
   const { tracker } = fixture;
   fixture.answerAll();
   fixture.send(A);
-  fixture.nowMs += 400;
+  fixture.nowMs += SILENCE_MS;
   fixture.send(B)();
   expect(tracker.takeSilent(fixture.nowMs)).toEqual([A]);
   tracker.noteCheck(A, {
     isAccepting: true,
-    peer: { isAccepting: true, heardAgoMs: 400 },
+    peer: { isAccepting: true, heardAgoMs: SILENCE_MS },
     nowMs: fixture.nowMs,
   });
   expect(fixture.lost).toEqual([]);
@@ -156,6 +158,31 @@
   expect(fixture.changes).toEqual([]);
 });
 
+/** Some requests wait for long at a busy server. */
+test("should look at no server that is slow while others answer", () => {
+  const fixture = new Fixture();
+  const { tracker } = fixture;
+  fixture.answerAll();
+  const ends = [fixture.send(A), fixture.send(B)];
+  for (let step = 0; step < 10; step++) {
+    fixture.nowMs += STEP_MS;
+    fixture.send(C)();
+    expect(tracker.takeSilent(fixture.nowMs)).toEqual([]);
+  }
+  for (const end of ends) end();
+});
+
+/** Without other traffic a single slow answer silences all servers. */
+test("should look at no server because one answer is slow", () => {
+  const fixture = new Fixture();
+  fixture.answerAll();
+  fixture.send(A);
+  for (let step = 0; step < 10; step++) {
+    fixture.nowMs += STEP_MS;
+    expect(fixture.tracker.takeSilent(fixture.nowMs)).toEqual([]);
+  }
+});
+
 /** Loses all paths by refused connections. */
 function cutOff(fixture: Fixture): void {
   fixture.nowMs += 200;
@@ -218,7 +245,7 @@
   const { tracker } = fixture;
   fixture.answerAll();
   fixture.send(A);
-  fixture.nowMs += 300;
+  fixture.nowMs += SILENCE_MS;
   fixture.send(B)();
   tracker.takeSilent(fixture.nowMs);
   const peer = { isAccepting: true, heardAgoMs: 10 };
--- a/packages/entry/src/gateway/attempt_relay.ts
+++ b/packages/entry/src/gateway/attempt_relay.ts
@@ -215,18 +215,18 @@
     const { paths, requestLimits, clock, headers: names } = this.#options;
     const { server } = entry;
     const sentMs = clock.nowMs();
-    const lateMs = sentMs - receivedMs;
+    const leftMs = Math.max(1, attempt.leftMs - (sentMs - receivedMs));
     requestLimits.noteCall(server, "request");
     const result = await paths.sendDirect(entry, {
       id: attempt.id as contracts.RequestId,
       method: attempt.method,
       path: attempt.target,
-      headers: shortenDeadline(attempt.headers, names.deadlineMs, lateMs),
+      headers: withDeadline(attempt.headers, names.deadlineMs, leftMs),
       body: subject.body,
       maySend: () => !signal.aborted,
       onServerStamp: () => {},
     }, {
-      timeoutMs: Math.max(1, attempt.leftMs - lateMs),
+      timeoutMs: leftMs,
       signal,
       expectedMs: attempt.expectedMs,
       isIdempotent: attempt.isIdempotent,
@@ -267,16 +267,16 @@
   return { reply: { kind: "declined", reason } };
 }
 
-/** The headers with the time that a request has waited here taken off. */
-function shortenDeadline(
+/** The headers with a deadline that is no later than the time left. */
+function withDeadline(
   headers: readonly string[],
   name: string,
-  lateMs: number,
+  leftMs: number,
 ): string[] {
   const index = headers.findIndex((it, at) => at % 2 === 0 && it === name);
-  const shortened = [...headers];
-  if (index < 0) return shortened;
-  const leftMs = Number(headers[index + 1]) - Math.ceil(lateMs);
-  shortened[index + 1] = String(Math.max(1, leftMs));
-  return shortened;
+  const changed = [...headers];
+  if (index < 0) return changed;
+  const deadlineMs = Math.min(Number(headers[index + 1]), leftMs);
+  changed[index + 1] = String(Math.max(1, Math.floor(deadlineMs)));
+  return changed;
 }
--- a/packages/entry/src/gateway/grant_task.ts
+++ b/packages/entry/src/gateway/grant_task.ts
@@ -31,7 +31,7 @@
   readonly maps: RangeMapStore;
   readonly control: contracts.GrantControl;
   readonly health: StoreHealth;
-  readonly reach: Pick<PeerReach, "reaches" | "reachesAny">;
+  readonly reach: Pick<PeerReach, "hasAny" | "reaches" | "reachesAny">;
   readonly clock: SuspendAwareClock;
   readonly log: Logger;
   readonly capacity: MovePlannerOptions["capacity"];
@@ -249,6 +249,7 @@
           ? undefined
           : sparingLeaseMs(this.#options.maxLeaseMs, limitPerSecond);
       },
+      hasUnreached: () => this.#options.reach.hasAny,
       reaches: (vm, server) => this.#options.reach.reaches(vm, server),
       sinceLastMessageMs: (vm) => gossip.sinceLastMessageMs(vm),
       fetchMap: (peer) => this.#fetchMap(service, peer),
--- a/packages/entry/src/gateway/server_paths.ts
+++ b/packages/entry/src/gateway/server_paths.ts
@@ -128,6 +128,8 @@
     request: AttemptRequest,
     options: PathSendOptions,
   ): Promise<PathResult> {
+    const { clock } = this.#options;
+    const startMs = clock.nowMs();
     if (!this.#maySendDirect(entry, options)) {
       const relayed = await this.#sendByPeer(entry, request, options);
       const isDirectLeft = relayed.kind === "not-sent" && relayed.hasNoPath &&
@@ -139,7 +141,10 @@
     const isOtherWayOpen = result.kind === "not-sent" && !result.isLocal &&
       !options.signal.aborted && request.maySend();
     if (!isOtherWayOpen) return result;
-    const relayed = await this.#sendByPeer(entry, request, options);
+    const relayed = await this.#sendByPeer(entry, request, {
+      ...options,
+      timeoutMs: options.timeoutMs - (clock.nowMs() - startMs),
+    });
     return relayed.kind === "not-sent" ? result : relayed;
   }
 
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -48,6 +48,8 @@
   readonly sparingLeaseMs: (
     server: contracts.ServerId,
   ) => number | undefined;
+  /** Whether any VM doesn't reach some server. */
+  readonly hasUnreached: () => boolean;
   /** Whether a VM reaches a server, as far as is known. */
   readonly reaches: (
     vm: contracts.VmId,
@@ -486,7 +488,8 @@
     server: contracts.ServerId,
     liveVoters: readonly contracts.VmId[],
   ): readonly contracts.VmId[] {
-    const { reaches } = this.#options;
+    const { hasUnreached, reaches } = this.#options;
+    if (!hasUnreached()) return this.#ranking.rank(server, liveVoters);
     const reaching = liveVoters.filter((voter) => reaches(voter, server));
     return this.#ranking.rank(
       server,
--- a/packages/entry/src/gateway/service_grants_test.ts
+++ b/packages/entry/src/gateway/service_grants_test.ts
@@ -125,6 +125,7 @@
       { ...REACHING, vm: OTHER, hasStore: !isLeader },
     ],
     desiredLeaseMs: () => grants.DEFAULT_GRANT_TIMINGS.holdMs,
+    hasUnreached: () => false,
     reaches: () => true,
     sinceLastMessageMs: () => 0,
     fetchMap: () => Promise.resolve(undefined),
--- a/packages/entry/src/links/connection_probe.ts
+++ b/packages/entry/src/links/connection_probe.ts
@@ -27,8 +27,13 @@
       resolve(outcome);
       socket.destroy();
     };
-    socket.setTimeout(timeoutMs, () => end("silent"));
+    // After a stall of this process, a reply may wait to be read.
+    socket.setTimeout(
+      timeoutMs,
+      () => setImmediate(() => setImmediate(() => end("silent"))),
+    );
     socket.once("connect", () => {
+      socket.setTimeout(0);
       if (stayMs === 0) return end("accepted");
       stay = setTimeout(() => end("accepted"), stayMs);
     });
