fix(paths): make another attempt beside one whose path is in doubt, break nothing off

Cause: a request that may run twice was given up when its path seemed lost, and when the other attempt failed too the caller got that failure. A path that seems lost may only be a busy server.

Fix: the first attempt stays open and gives back its slot and its place in the load; the other attempt takes from the retry budget and the attempts as before. The first answer of both counts, and a failure of the second waits for the first. A peer that relays breaks a request off only when it is itself cut off.

--- a/packages/entry/src/gateway/attempt_relay.ts
+++ b/packages/entry/src/gateway/attempt_relay.ts
@@ -25,7 +25,10 @@
 export interface AttemptRelayOptions {
   readonly gossip: Pick<PeerGossip, "isKnownRun">;
   readonly registry: Pick<ServerRegistry, "entry">;
-  readonly paths: Pick<ServerPaths, "sendDirect" | "observe" | "reaches">;
+  readonly paths: Pick<
+    ServerPaths,
+    "sendDirect" | "observe" | "reaches" | "unreached"
+  >;
   readonly poison: Pick<
     PoisonGuard,
     "isPoisonous" | "noteLostConnection" | "noteGivenUp"
@@ -230,7 +233,7 @@
       signal,
       expectedMs: attempt.expectedMs,
       isIdempotent: attempt.isIdempotent,
-      onPathLost: () => attempt.isIdempotent,
+      onPathLost: () => attempt.isIdempotent && paths.unreached.isCutOff,
     });
     if (result.kind === "answer" || result.kind === "refusal") {
       requestLimits.noteAnswer(server, result.requestLimit, {
--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarded_request.ts
@@ -77,6 +77,13 @@
 /** Wait before a request that its key's owner refused is queued again. */
 const OWNER_REFUSAL_BACKOFF_MS = 25;
 
+/** An attempt that has not ended. */
+interface PendingAttempt {
+  readonly entry: contracts.RegisteredServer;
+  /** Whether another attempt was made since, as its path was lost. */
+  isOvertaken: boolean;
+}
+
 /** A request from its arrival to its response. */
 export class ForwardedRequest implements admission.WaitingRequest {
   readonly route: contracts.Route;
@@ -104,10 +111,9 @@
   #limitedBy: contracts.ServerId | undefined;
   #waitingSinceMs: number;
   #queuedMs = 0;
-  /** The server that has the request at present. */
-  #pendingAt: contracts.RegisteredServer | undefined;
-  /** Whether a retry was taken from the budget for an attempt given up. */
-  #hasTakenRetry = false;
+  readonly #pending = new Set<PendingAttempt>();
+  /** Ends the request once no earlier attempt may still be answered. */
+  #heldGiveUp: (() => void) | undefined;
   #isDone = false;
 
   constructor(
@@ -173,8 +179,9 @@
     const recordEnd = load.startRequest(nowMs);
     this.#context.onLoadChange();
     const release = once((tookMs: number | undefined) => releaseSlot?.(tookMs));
+    const attempt: PendingAttempt = { entry, isOvertaken: false };
     const leftMs = this.answerByMs - nowMs;
-    this.#pendingAt = entry;
+    this.#pending.add(attempt);
     this.#context.recordSend(entry.server);
     const result = await this.#context.send(
       entry,
@@ -188,17 +195,19 @@
         priority: this.route.priority,
         request: this.#request,
         onPathLost: (isCertain) => {
-          const isGivenUp = this.#takeRetryForLostPath();
-          if (isGivenUp || !isCertain) return isGivenUp;
+          const isOvertaken = this.#mayOvertake(attempt);
           // It may still be answered, but holds nothing up until then.
-          recordEnd({ kind: "abandoned" }, this.#context.clock.nowMs());
-          release(undefined);
-          this.#context.onLoadChange();
+          if (isOvertaken || isCertain) {
+            recordEnd({ kind: "abandoned" }, this.#context.clock.nowMs());
+            release(undefined);
+            this.#context.onLoadChange();
+          }
+          if (isOvertaken) this.#overtake(attempt);
           return false;
         },
       },
     );
-    this.#pendingAt = undefined;
+    this.#pending.delete(attempt);
     const endedMs = this.#context.clock.nowMs();
     const outcome = this.#attemptEnd(result);
     recordEnd(outcome, endedMs);
@@ -228,7 +237,8 @@
     }
     release(isServed ? endedMs - nowMs : undefined);
     this.#context.onLoadChange();
-    this.#handleResult(result, entry);
+    if (attempt.isOvertaken) this.#handleOvertaken(result, entry);
+    else this.#handleResult(result, entry);
     // A slot of a keyed service returns to its coordinator, not to this queue.
     if (!this.#isKeyedService()) this.#context.queue.dispatch(endedMs);
   }
@@ -285,10 +295,6 @@
       case "unknown":
         this.#mayHaveRun = true;
         this.tried.add(server);
-        if (this.#hasTakenRetry) {
-          this.#hasTakenRetry = false;
-          return this.#requeue();
-        }
         if (result.reason === "timeout-after-send") {
           this.#context.poison.noteGivenUp(this.#request, entry);
         }
@@ -327,12 +333,41 @@
     this.#giveUp(`server refused: ${refusal}`, HANDOVER_RETRY_AFTER_MS);
   }
 
-  /** Whether the attempt under way is to be given up for another one. */
-  #takeRetryForLostPath(): boolean {
-    if (this.#isDone || !this.route.isIdempotent) return false;
-    const isTaken = this.#hasRetryLeft() && this.#context.tryRetry();
-    this.#hasTakenRetry = isTaken;
-    return isTaken;
+  /** Whether another attempt is to be made beside one whose path is lost. */
+  #mayOvertake({ isOvertaken }: PendingAttempt): boolean {
+    return !this.#isDone && !isOvertaken && this.route.isIdempotent &&
+      this.#hasRetryLeft() && this.#context.tryRetry();
+  }
+
+  /** Makes another attempt; the first answer of both counts. */
+  #overtake(attempt: PendingAttempt): void {
+    attempt.isOvertaken = true;
+    this.#mayHaveRun = true;
+    this.tried.add(attempt.entry.server);
+    this.#requeue();
+  }
+
+  /** An attempt has ended beside which another one was made. */
+  #handleOvertaken(
+    result: AttemptResult,
+    entry: contracts.RegisteredServer,
+  ): void {
+    if (this.#isDone) return;
+    if (result.kind === "answer" && !isFailure(result.answer.status)) {
+      this.#context.queue.cancel(this);
+      return this.#handleAnswer(result.answer, entry.server);
+    }
+    const isBrokenOff = result.kind === "unknown" && !result.isPathLost &&
+      result.reason !== "timeout-after-send" && result.condition === undefined;
+    if (isBrokenOff) {
+      this.#context.poison.noteLostConnection(this.#request, entry);
+    }
+    if (!this.#isAnswerPossible()) this.#heldGiveUp?.();
+  }
+
+  /** Whether an attempt that was overtaken may still be answered. */
+  #isAnswerPossible(): boolean {
+    return [...this.#pending].some(({ isOvertaken }) => isOvertaken);
   }
 
   /** Without a key, another server may still be reached. */
@@ -436,11 +471,15 @@
    * one, 504 or 502 if the request may have run, else 503.
    */
   #giveUp(reason: string, retryAfterMs: number): void {
+    const isOver = this.#context.clock.nowMs() >= this.answerByMs;
+    if (!isOver && this.#isAnswerPossible()) {
+      this.#heldGiveUp = () => this.#giveUp(reason, retryAfterMs);
+      return;
+    }
     if (this.#fallback !== undefined) {
       return this.#finish(this.#fallback, `passed on a failure: ${reason}`);
     }
     if (this.#mayHaveRun) {
-      const isOver = this.#context.clock.nowMs() >= this.answerByMs;
       const status = isOver ? 504 : 502;
       return this.#finish(
         { kind: "own", status, message: "No whole answer came" },
@@ -484,9 +523,9 @@
     clearTimeout(this.#timer);
     this.#request.signal.removeEventListener("abort", this.#onCallerDisconnect);
     // Cancels the attempt still in flight, and so its work at the server.
-    if (this.#pendingAt !== undefined) {
-      this.#cancel.abort();
-      this.#context.poison.noteGivenUp(this.#request, this.#pendingAt);
+    if (this.#pending.size > 0) this.#cancel.abort();
+    for (const { entry } of this.#pending) {
+      this.#context.poison.noteGivenUp(this.#request, entry);
     }
     const nowMs = this.#context.clock.nowMs();
     this.#resolve(answer);
