--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarded_request.ts
@@ -360,7 +360,12 @@
     const isBrokenOff = result.kind === "unknown" && !result.isPathLost &&
       result.reason !== "timeout-after-send" && result.condition === undefined;
     if (isBrokenOff) {
-      this.#context.poison.noteLostConnection(this.#request, entry);
+      this.#context.poison.noteLostConnection(this.#request, entry)
+        .then((condition) => {
+          if (condition === "ended") this.#crashCount++;
+        });
+    } else if (result.kind === "unknown" && result.condition === "ended") {
+      this.#crashCount++;
     }
     if (!this.#isAnswerPossible()) this.#heldGiveUp?.();
   }
