fix(paths): let an old refusal say nothing of a path that is silent now

Read in the code: a connection that was refused once made the next accepted probe count as news for ever, so that a silent path was used again at once. The unit test of silent paths fails without the change.

--- a/packages/decisions/src/paths/path_tracker.ts
+++ b/packages/decisions/src/paths/path_tracker.ts
@@ -454,6 +454,7 @@
         path.lostAtMs = nowMs;
         path.nextProbeMs = nowMs + this.#probeIntervalMs(path);
         path.cause = cause;
+        path.isRefusing = nowMs - path.connectFailedAtMs < FAILURE_TTL_MS;
         newlyLost.push(server);
       }
       path.use = use;
--- a/packages/decisions/src/paths/path_tracker_test.ts
+++ b/packages/decisions/src/paths/path_tracker_test.ts
@@ -244,6 +244,10 @@
   const fixture = new Fixture();
   const { tracker } = fixture;
   fixture.answerAll();
+  // Refused long before, so no news now.
+  tracker.noteConnectFailure(A, fixture.nowMs);
+  fixture.nowMs += 2_000;
+  fixture.answerAll();
   fixture.send(A);
   fixture.nowMs += SILENCE_MS;
   fixture.send(B)();
