--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarded_request.ts
@@ -14,7 +14,7 @@
 } from "./front_request.ts";
 import type { PoisonGuard } from "./poison_guard.ts";
 import type { AttemptRecord, RequestRecord } from "./request_log.ts";
-import type { PathResult, PathSendOptions } from "./server_paths.ts";
+import type { PathResult, PathSendOptions } from "./path_attempt.ts";
 
 /** What a request needs from the forwarder. */
 export interface ForwardingContext {
--- a/packages/entry/src/gateway/relay_client.ts
+++ b/packages/entry/src/gateway/relay_client.ts
@@ -10,7 +10,7 @@
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import type { PeerHello } from "./peer_messages.ts";
 import * as messages from "./relay_messages.ts";
-import type { PathSendOptions } from "./server_paths.ts";
+import type { PathSendOptions } from "./path_attempt.ts";
 
 /** Options of {@link RelayClient}. */
 export interface RelayClientOptions {
--- a/packages/entry/src/gateway/server_paths.ts
+++ b/packages/entry/src/gateway/server_paths.ts
@@ -4,7 +4,7 @@
  */
 import type * as contracts from "@guavatide/contracts";
 import * as paths from "@guavatide/decisions/paths/mod";
-import type { ConnectionPool, SendOptions } from "../links/connection_pool.ts";
+import type { ConnectionPool } from "../links/connection_pool.ts";
 import type { ConnectionPools } from "../links/connection_pools.ts";
 import { probeConnection } from "../links/connection_probe.ts";
 import type {
@@ -14,9 +14,9 @@
 import type { CheckedServer } from "../poison/server_end_check.ts";
 import type { LifeCycle, PeriodicTask } from "../utils/life_cycle.ts";
 import type { Logger } from "../utils/log.ts";
-import type { FrontRequest } from "./front_request.ts";
 import type { PeerGossip } from "./peer_gossip.ts";
 import type { PeerHello } from "./peer_messages.ts";
+import type { PathResult, PathSendOptions } from "./path_attempt.ts";
 import type { PeerReach } from "./peer_reach.ts";
 import type { RelayClient } from "./relay_client.ts";
 import type { DeclineReason } from "./relay_messages.ts";
@@ -38,27 +38,6 @@
   readonly log: Logger;
 }
 
-/** The parts of a caller's request that a peer needs as well. */
-export type RelayedRequest = Pick<FrontRequest, "host" | "key" | "caller">;
-
-/** Options of {@link ServerPaths.send}. */
-export interface PathSendOptions extends Omit<SendOptions, "onStarted"> {
-  /** How long such a request usually takes. */
-  readonly expectedMs: number;
-  readonly isIdempotent: boolean;
-  /** Rank of its route; 0 is the most urgent. */
-  readonly priority: number;
-  readonly request: RelayedRequest;
-  /**
-   * Called when the path is lost under the request, or may be. True gives the
-   * request up; otherwise its answer is still waited for.
-   */
-  readonly onPathLost: (isCertain: boolean) => boolean;
-}
-
-/** How an attempt ended, and the peer that sent it, if one did. */
-export type PathResult = AttemptResult & { readonly via?: contracts.VmId };
-
 /** Interval of the looks at requests under way and at lost paths. */
 const REVIEW_INTERVAL_MS = 50;
 /** A server's host replies within a round trip. */
