refactor(paths): no copies on the way of renewals, nothing that no one uses

Each tick of a voter copied every peer's hello to add one field, and built a set of lost servers for each question about its own paths: both now ask PeerReach, which reads the tracker's own set. A relay subtracted a wait that is always zero.

--- a/packages/entry/src/gateway/attempt_relay.ts
+++ b/packages/entry/src/gateway/attempt_relay.ts
@@ -27,7 +27,7 @@
   readonly registry: Pick<ServerRegistry, "entry">;
   readonly paths: Pick<
     ServerPaths,
-    "sendDirect" | "observe" | "reaches" | "unreached"
+    "sendDirect" | "observe" | "reaches" | "ownReach"
   >;
   readonly poison: Pick<
     PoisonGuard,
@@ -159,7 +159,6 @@
     signal: AbortSignal,
   ): Promise<RelayedReply> {
     this.#lag.resume();
-    const receivedMs = this.#options.clock.nowMs();
     const { id, method, target, host, key, caller } = attempt;
     const subject: PoisonSubject = {
       id,
@@ -178,11 +177,7 @@
     }
     this.#inFlight++;
     try {
-      const result = await this.#send(entry!, attempt, {
-        subject,
-        receivedMs,
-        signal,
-      });
+      const result = await this.#send(entry!, attempt, { subject, signal });
       this.#options.count(result.kind);
       return messages.replyOf(result, this.#inFlight);
     } finally {
@@ -209,16 +204,15 @@
   async #send(
     entry: contracts.RegisteredServer,
     attempt: messages.RelayedAttempt,
-    { subject, receivedMs, signal }: {
+    { subject, signal }: {
       readonly subject: PoisonSubject;
-      readonly receivedMs: number;
       readonly signal: AbortSignal;
     },
   ): Promise<AttemptResult> {
     const { paths, requestLimits, clock, headers: names } = this.#options;
     const { server } = entry;
     const sentMs = clock.nowMs();
-    const leftMs = Math.max(1, attempt.leftMs - (sentMs - receivedMs));
+    const { leftMs } = attempt;
     requestLimits.noteCall(server, "request");
     const result = await paths.sendDirect(entry, {
       id: attempt.id as contracts.RequestId,
@@ -233,7 +227,7 @@
       signal,
       expectedMs: attempt.expectedMs,
       isIdempotent: attempt.isIdempotent,
-      onPathLost: () => attempt.isIdempotent && paths.unreached.isCutOff,
+      onPathLost: () => attempt.isIdempotent && paths.ownReach.isCutOff,
     });
     if (result.kind === "answer" || result.kind === "refusal") {
       requestLimits.noteAnswer(server, result.requestLimit, {
--- a/packages/entry/src/gateway/attempt_relay_test.ts
+++ b/packages/entry/src/gateway/attempt_relay_test.ts
@@ -34,7 +34,7 @@
           new Promise((resolve) => this.#answers.push(() => resolve(ANSWER))),
         observe: () => Promise.resolve({ isAccepting: true, heardAgoMs: 1 }),
         reaches: () => true,
-        unreached: { isCutOff: false, servers: [] },
+        ownReach: { isCutOff: false, lostServers: new Set() },
       },
       poison: {
         isPoisonous: () => false,
@@ -174,7 +174,7 @@
       sendDirect: () => Promise.reject(new Error("nothing may be sent")),
       observe: () => Promise.resolve({ isAccepting: false, heardAgoMs: 1 }),
       reaches: () => false,
-      unreached: { isCutOff: true, servers: [SERVER] },
+      ownReach: { isCutOff: true, lostServers: new Set([SERVER]) },
     },
   }));
 
--- a/packages/entry/src/gateway/grant_task.ts
+++ b/packages/entry/src/gateway/grant_task.ts
@@ -251,6 +251,7 @@
       },
       hasUnreached: () => this.#options.reach.hasAny,
       reaches: (vm, server) => this.#options.reach.reaches(vm, server),
+      reachesAny: (vm) => this.#options.reach.reachesAny(vm),
       sinceLastMessageMs: (vm) => gossip.sinceLastMessageMs(vm),
       fetchMap: (peer) => this.#fetchMap(service, peer),
       publish: (update) => {
@@ -320,17 +321,10 @@
   }
 
   #grantPeers(): readonly GrantPeer[] {
-    const { gossip, self, health, reach, isLeaving } = this.#options;
-    const peers: GrantPeer[] = gossip.live.map((peer) => ({
-      ...peer,
-      reachesServers: reach.reachesAny(peer.vm),
-    }));
+    const { gossip, self, health, isLeaving } = this.#options;
+    const peers: GrantPeer[] = [...gossip.live];
     if (!isLeaving() || peers.length === 0) {
-      peers.push({
-        ...self,
-        hasStore: health.isReachable,
-        reachesServers: reach.reachesAny(self.vm),
-      });
+      peers.push({ ...self, hasStore: health.isReachable });
     }
     return peers;
   }
--- a/packages/entry/src/gateway/peer_reach.ts
+++ b/packages/entry/src/gateway/peer_reach.ts
@@ -16,7 +16,15 @@
   readonly gossip: Pick<PeerGossip, "on" | "broadcast">;
   readonly clock: contracts.Clock;
   /** What this VM doesn't reach. */
-  readonly own: () => Pick<UnreachedServers, "isCutOff" | "servers">;
+  readonly own: () => OwnReach;
+}
+
+/** What this VM says of its own paths. */
+export interface OwnReach {
+  /** Whether it reaches no server at all. */
+  readonly isCutOff: boolean;
+  /** Servers that it doesn't reach. */
+  readonly lostServers: ReadonlySet<contracts.ServerId>;
 }
 
 /** While a path is lost, peers are told again at this interval. */
@@ -67,28 +75,27 @@
 
   /** Whether any VM, this one included, doesn't reach some server. */
   get hasAny(): boolean {
-    return this.#news.size > 0 || this.#options.own().servers.length > 0;
+    return this.#news.size > 0 || this.#options.own().lostServers.size > 0;
   }
 
   /** Whether a VM reaches a server, as far as it has said. */
   reaches(vm: contracts.VmId, server: contracts.ServerId): boolean {
-    const unreached = this.#unreachedBy(vm);
-    return unreached === undefined ||
-      !unreached.isCutOff && !unreached.servers.has(server);
+    const { own } = this.#options;
+    if (vm === this.#options.vm) return !own().lostServers.has(server);
+    const news = this.#newsOf(vm);
+    return news === undefined ||
+      !news.isCutOff && !news.servers.has(server);
   }
 
   /** Whether a VM reaches any server, as far as it has said. */
   reachesAny(vm: contracts.VmId): boolean {
-    return this.#unreachedBy(vm)?.isCutOff !== true;
+    const { own } = this.#options;
+    return vm === this.#options.vm
+      ? !own().isCutOff
+      : this.#newsOf(vm)?.isCutOff !== true;
   }
 
-  #unreachedBy(
-    vm: contracts.VmId,
-  ): Pick<PeerNews, "isCutOff" | "servers"> | undefined {
-    if (vm === this.#options.vm) {
-      const { isCutOff, servers } = this.#options.own();
-      return { isCutOff, servers: new Set(servers) };
-    }
+  #newsOf(vm: contracts.VmId): PeerNews | undefined {
     const news = this.#news.get(vm);
     if (news === undefined) return undefined;
     if (this.#options.clock.nowMs() < news.untilMs) return news;
@@ -107,7 +114,7 @@
   }
 
   #tell(): void {
-    const hasLost = this.#options.own().servers.length > 0;
+    const hasLost = this.#options.own().lostServers.size > 0;
     this.#refreshTask?.setIntervalMs(
       hasLost ? REFRESH_INTERVAL_MS : Number.POSITIVE_INFINITY,
     );
@@ -117,11 +124,11 @@
 
   #broadcast(): void {
     const { vm, gossip, own } = this.#options;
-    const { isCutOff, servers } = own();
+    const { isCutOff, lostServers } = own();
     const message: UnreachedServers = {
       vm,
       isCutOff,
-      servers: isCutOff ? [] : servers.slice(0, MAX_SERVERS),
+      servers: isCutOff ? [] : [...lostServers].slice(0, MAX_SERVERS),
     };
     gossip.broadcast(REACH_METHOD, message);
   }
--- a/packages/entry/src/gateway/poison_guard.ts
+++ b/packages/entry/src/gateway/poison_guard.ts
@@ -59,7 +59,7 @@
 const SAVE_RETRY_MS = 1_000;
 const SAVE_TIMEOUT_MS = 1_200;
 const EXPIRY_INTERVAL_MS = 10_000;
-/** A server is looked at after so long, and again after as long. */
+/** Delays before a first and a second look at a server. */
 const GIVEN_UP_CHECK_DELAYS_MS = [300, 700];
 const MAX_GIVEN_UP = 16;
 
--- a/packages/entry/src/gateway/server_paths.ts
+++ b/packages/entry/src/gateway/server_paths.ts
@@ -17,7 +17,7 @@
 import type { PeerGossip } from "./peer_gossip.ts";
 import type { PeerHello } from "./peer_messages.ts";
 import type { PathResult, PathSendOptions } from "./path_attempt.ts";
-import type { PeerReach } from "./peer_reach.ts";
+import type { OwnReach, PeerReach } from "./peer_reach.ts";
 import type { RelayClient } from "./relay_client.ts";
 import type { DeclineReason } from "./relay_messages.ts";
 import { ServerContactLog } from "./server_contact_log.ts";
@@ -96,9 +96,8 @@
   }
 
   /** What this VM doesn't reach itself. */
-  get unreached(): { isCutOff: boolean; servers: contracts.ServerId[] } {
-    const { isCutOff, lostServers } = this.#tracker;
-    return { isCutOff, servers: [...lostServers] };
+  get ownReach(): OwnReach {
+    return this.#tracker;
   }
 
   /** Sends a request the best way that works. */
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -25,8 +25,6 @@
   /** Whether it reaches the platform's store. */
   readonly hasStore: boolean;
   readonly processorCores: number;
-  /** Whether it reaches any backend server. */
-  readonly reachesServers: boolean;
 }
 
 /** Options of {@link ServiceGrants}. */
@@ -55,6 +53,8 @@
     vm: contracts.VmId,
     server: contracts.ServerId,
   ) => boolean;
+  /** Whether a VM reaches any server, as far as is known. */
+  readonly reachesAny: (vm: contracts.VmId) => boolean;
   /** Time since a VM's last message; infinite for an unknown VM. */
   readonly sinceLastMessageMs: (vm: contracts.VmId) => number;
   /** Fetches the map from a peer; undefined without an answer. */
@@ -193,12 +193,20 @@
     const reachable = peers().filter(({ hasStore }) => hasStore);
     const voters = this.#map?.keeperSets.at(-1);
     const eligible = reachable.filter(({ vm }) => voters?.includes(vm) ?? true);
-    const candidates = preferReaching(
+    const candidates = this.#preferReaching(
       eligible.length > 0 ? eligible : reachable,
     );
     return this.#ranking.rank(service, candidates.map(({ vm }) => vm))[0];
   }
 
+  /** The VMs that reach servers; all of them if none does. */
+  #preferReaching(peers: readonly GrantPeer[]): readonly GrantPeer[] {
+    const { hasUnreached, reachesAny } = this.#options;
+    if (!hasUnreached()) return peers;
+    const reaching = peers.filter(({ vm }) => reachesAny(vm));
+    return reaching.length > 0 ? reaching : peers;
+  }
+
   /** The owner of a key. */
   ownerOf(key: number): KeyOwner {
     if (this.#map === undefined) return { kind: "unknown" };
@@ -705,11 +713,8 @@
   }
 
   #voterSelection(nowMs: number): grants.VoterSelectionInput {
-    const { vm, sinceLastMessageMs, peers } = this.#options;
-    const cutOff = new Set(
-      peers().filter(({ reachesServers }) => !reachesServers)
-        .map((peer) => peer.vm),
-    );
+    const { vm, sinceLastMessageMs, reachesAny } = this.#options;
+    const cutOff = new Set(this.#liveVms().filter((peer) => !reachesAny(peer)));
     return {
       vm,
       map: this.#map,
@@ -739,12 +744,6 @@
   }
 }
 
-/** The VMs that reach servers; all of them if none does. */
-function preferReaching(peers: readonly GrantPeer[]): readonly GrantPeer[] {
-  const reaching = peers.filter(({ reachesServers }) => reachesServers);
-  return reaching.length > 0 ? reaching : peers;
-}
-
 /** Converts ages of grants to times of the local clock. */
 function grantTimes(
   ages: Iterable<[string, [number, number | null]]>,
--- a/packages/entry/src/gateway/service_grants_test.ts
+++ b/packages/entry/src/gateway/service_grants_test.ts
@@ -13,7 +13,6 @@
 const VOTER = "vm1" as contracts.VmId;
 const OTHER = "vm2" as contracts.VmId;
 const FIRST_SERVER = "k1" as contracts.ServerId;
-const REACHING = { processorCores: 1, reachesServers: true };
 const SERVERS = [FIRST_SERVER, "k2", "k3", "k4"] as contracts.ServerId[];
 const RANGES_PER_SERVER = 4;
 /** The first range is handed over by the first server. */
@@ -121,12 +120,13 @@
     } as unknown as ServerRegistry,
     // The VM that reaches the store is the leader.
     peers: () => [
-      { ...REACHING, vm: VOTER, hasStore: isLeader },
-      { ...REACHING, vm: OTHER, hasStore: !isLeader },
+      { vm: VOTER, hasStore: isLeader, processorCores: 1 },
+      { vm: OTHER, hasStore: !isLeader, processorCores: 1 },
     ],
     desiredLeaseMs: () => grants.DEFAULT_GRANT_TIMINGS.holdMs,
     hasUnreached: () => false,
     reaches: () => true,
+    reachesAny: () => true,
     sinceLastMessageMs: () => 0,
     fetchMap: () => Promise.resolve(undefined),
     publish: () => {},
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -214,7 +214,7 @@
     vm: settings.vm,
     gossip,
     clock,
-    own: () => paths.unreached,
+    own: () => paths.ownReach,
   });
   const paths: ServerPaths = new ServerPaths({
     host: settings.host,
