fix(admission): refuse at once what nobody can serve

Cause: a key without an owner was expected to get one in 100 ms, however long it had none, and nothing asked whether a server that any VM reaches could become its owner.

The queue now knows which servers no VM reaches (what VMs tell one another of their paths) and whether any VM reaches the store, and refuses at once. What is overdue is expected to take as long again, so an unknown cause holds nobody for long either.

Ruled out: an owner limited to zero (refused after 1 ms before as well).

--- a/packages/decisions/src/admission/server_load.ts
+++ b/packages/decisions/src/admission/server_load.ts
@@ -55,6 +55,8 @@
   /** Since the last answer; each doubles the next one's duration. */
   #suspensions = 0;
   #lastLostMs = Number.NEGATIVE_INFINITY;
+  /** When the first of the consecutive losses was sent. */
+  #silentSinceMs = Number.POSITIVE_INFINITY;
   #suspendedUntilMs = Number.NEGATIVE_INFINITY;
 
   constructor(entry: contracts.RegisteredServer, isOwner = false) {
@@ -97,11 +99,17 @@
     return this.suspensionLeftMs(nowMs) === 0;
   }
 
+  /** How long it has answered nothing; 0 if it answered the last request. */
+  silentMs(nowMs: number): number {
+    return Math.max(0, nowMs - this.#silentSinceMs);
+  }
+
   /** Forgets failures that said nothing about the server. */
   forgetLosses(): void {
     this.#failureRatio = 0;
     this.#consecutiveLosses = 0;
     this.#suspensions = 0;
+    this.#silentSinceMs = Number.POSITIVE_INFINITY;
     this.#suspendedUntilMs = Number.NEGATIVE_INFINITY;
   }
 
@@ -140,6 +148,7 @@
     if (outcome.kind === "lost") return this.#recordLoss(sentMs, nowMs);
     this.#consecutiveLosses = 0;
     this.#suspensions = 0;
+    this.#silentSinceMs = Number.POSITIVE_INFINITY;
     if (outcome.kind === "rejected") return;
     const failure = outcome.isFailure ? 1 : 0;
     this.#failureRatio += FAILURE_SAMPLE_WEIGHT *
@@ -158,6 +167,7 @@
     // A request sent before the last loss was lost with it.
     if (this.#isOwner && sentMs < this.#lastLostMs) return;
     this.#lastLostMs = nowMs;
+    this.#silentSinceMs = Math.min(this.#silentSinceMs, sentMs);
     this.#consecutiveLosses++;
     const limit = this.#isOwner
       ? SUSPEND_OWNER_AFTER_LOSSES
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -34,9 +34,22 @@
     readonly ageMs: number;
     /** Lease duration of the service. */
     readonly holdMs: number;
+    /** Whether no VM can finish the handover at present; absent for no. */
+    readonly isBlocked?: boolean;
   }
   /** Ownership is not known. */
-  | { readonly kind: "unknown" };
+  | {
+    readonly kind: "unknown";
+    /** How long it has not been known. */
+    readonly ageMs: number;
+  };
+
+/** Whether requests get to a server, over any VM. */
+export type ServerReach =
+  | "reached"
+  /** One request may show whether it is reached again. */
+  | "trial"
+  | "unreached";
 
 /** Options of a {@link ServiceQueue} whose requests have keys. */
 export interface KeyedQueueOptions {
@@ -65,6 +78,13 @@
   readonly regionOf?: (
     zone: contracts.ZoneId,
   ) => contracts.RegionId | undefined;
+  /** Whether any VM reaches a server. Absent where all count as reached. */
+  readonly reachOf?: (server: contracts.ServerId) => ServerReach;
+  /**
+   * How long the queue's only server has ended no request, if it should have;
+   * else 0.
+   */
+  readonly stalledMs?: (nowMs: number) => number;
   /** Called when a request is queued. */
   readonly onWait?: () => void;
 }
@@ -102,6 +122,16 @@
 const LOST_OWNER_WAIT_MS = 700;
 /** Shortest expected wait for a key without an owner. */
 const MIN_HANDOVER_WAIT_MS = 100;
+/** Mean retry delay of callers refused because no VM reaches a server. */
+const UNREACHED_RETRY_AFTER_MS = 400;
+/** Reasons that no wait within a caller's deadline is known to end. */
+const UNSERVABLE_REASONS: ReadonlySet<RefusalReason> = new Set([
+  "no-server",
+  "not-home",
+  "no-key",
+  "unreached",
+  "blocked",
+]);
 /**
  * A queued request is refused when the time to its deadline is at most this
  * fraction of its service time.
@@ -168,12 +198,13 @@
 
   /** Sends, queues or refuses a request; calls its `placed` or `refused`. */
   add(request: WaitingRequest, nowMs: number): void {
-    if (this.#trySend(request, nowMs)) return;
+    const isUnreached = this.#isUnreached(this.#ownerOf(request), request);
+    if (!isUnreached && this.#trySend(request, nowMs)) return;
     // Its coordinator decides whether it can be answered in time.
     if (this.#awaitsSlot(request, nowMs)) return this.#insert(request);
     const reason = this.#blockedBy(request, nowMs);
     const waitMs = this.#expectedWaitMs(request, this.#waiting, nowMs);
-    const isUnservable = reason === "no-server" || reason === "not-home";
+    const isUnservable = UNSERVABLE_REASONS.has(reason);
     if (isUnservable || this.#mustRefuse(request, waitMs, nowMs)) {
       request.refused(this.#refusal(request, reason, waitMs, nowMs));
       return;
@@ -276,13 +307,15 @@
       const waitMs = this.#awaitsSlot(request, nowMs)
         ? 0
         : this.#expectedWaitMs(request, kept, nowMs);
-      const isLate = isNamed &&
+      const isLate = (isNamed || this.#isOverdue(request, nowMs)) &&
         this.#mustRefuse(request, waitMs, nowMs);
-      if (leftMs > serviceMs && waitMs < leftMs && !isLate) {
+      const reason = this.#blockedBy(request, nowMs);
+      const isUnservable = this.isKeyed && UNSERVABLE_REASONS.has(reason);
+      const isInTime = leftMs > serviceMs && waitMs < leftMs;
+      if (isInTime && !isLate && !isUnservable) {
         kept.push(request);
         continue;
       }
-      const reason = this.#blockedBy(request, nowMs);
       const refusal = this.#refusal(request, reason, waitMs, nowMs);
       this.#cancelSlots(request);
       request.refused(refusal);
@@ -301,7 +334,7 @@
     const { keyed } = this.#options;
     if (keyed === undefined) return undefined;
     return request.key === undefined
-      ? { kind: "unknown" }
+      ? NO_KEY_OWNER
       : keyed.ownerOf(request.key);
   }
 
@@ -471,11 +504,37 @@
     return this.#options.rateLimits?.isLimited(server, nowMs) ?? false;
   }
 
+  /**
+   * Whether no VM reaches the owner of a key, or any server that could become
+   * it.
+   */
+  #isUnreached(
+    owner: KeyOwner | undefined,
+    request: WaitingRequest,
+  ): boolean {
+    const { reachOf } = this.#options;
+    if (reachOf === undefined || owner === undefined) return false;
+    if (owner.kind === "owned") return reachOf(owner.server) === "unreached";
+    const next = [...this.#loads.values()]
+      .filter(({ entry }) => !entry.isDraining && this.#isHome(entry, request));
+    return next.length > 0 &&
+      next.every(({ entry }) => reachOf(entry.server) !== "reached");
+  }
+
+  /** Whether what a request waits for should have happened by now. */
+  #isOverdue(request: WaitingRequest, nowMs: number): boolean {
+    const owner = this.#ownerOf(request);
+    if (owner === undefined) return (this.#options.stalledMs?.(nowMs) ?? 0) > 0;
+    if (owner.kind !== "owned") return isHandoverOverdue(owner);
+    return this.#loads.get(owner.server)?.isUp(nowMs) === false;
+  }
+
   /** Whether the request waits for a coordinator to grant it a slot. */
   #awaitsSlot(request: WaitingRequest, nowMs: number): boolean {
     if (this.#options.capped?.isAsking(request)) return true;
     const owner = this.#ownerOf(request);
     if (owner?.kind !== "owned") return false;
+    if (this.#isUnreached(owner, request)) return false;
     const load = this.#loads.get(owner.server);
     // No slot is requested at a suspended server.
     return load?.entry.bornMs === owner.bornMs && load.isUp(nowMs) &&
@@ -498,7 +557,10 @@
         this.#cappedServers(request, nowMs).length > 0;
       return isCapped ? "limited" : "no-server";
     }
-    return owner.kind === "owned" ? "no-room" : "no-owner";
+    if (owner === NO_KEY_OWNER) return "no-key";
+    if (this.#isUnreached(owner, request)) return "unreached";
+    if (owner.kind === "owned") return "no-room";
+    return owner.kind === "moving" && owner.isBlocked ? "blocked" : "no-owner";
   }
 
   /** Whether this queue applies the limit that its server has named. */
@@ -537,8 +599,10 @@
     nowMs: number,
   ): number {
     const owner = this.#ownerOf(request);
-    if (owner?.kind === "moving") return handoverWaitMs(owner);
-    if (owner?.kind === "unknown") return HANDOVER_WAIT_MS;
+    if (this.#isUnreached(owner, request)) return UNREACHED_RETRY_AFTER_MS;
+    if (owner !== undefined && owner.kind !== "owned") {
+      return handoverWaitMs(owner);
+    }
     const destination = this.#destinationOf(request);
     const ahead =
       queued.filter((other) =>
@@ -551,16 +615,21 @@
     if (owner?.kind === "owned") {
       const load = this.#loads.get(owner.server);
       if (load === undefined) return HANDOVER_WAIT_MS;
-      return load.suspensionLeftMs(nowMs) +
+      const servedMs = load.suspensionLeftMs(nowMs) +
         (ahead + 1) / this.#servedPerMs([load], meanMs, nowMs);
+      return load.isUp(nowMs)
+        ? servedMs
+        : Math.max(servedMs, load.silentMs(nowMs));
     }
+    const stalledMs = this.#options.stalledMs?.(nowMs) ?? 0;
     const restrictedMs = this.#restrictedWaitMs(request, queued, nowMs);
-    if (restrictedMs !== undefined) return restrictedMs;
+    if (restrictedMs !== undefined) return Math.max(restrictedMs, stalledMs);
     const candidates = this.#candidates(request, nowMs);
     const perMs = this.#servedPerMs(candidates, meanMs, nowMs);
     const elsewhere = this.#waitingElsewhere * (ahead + 1) / queuedHere;
     const unused = this.#unusedRate(nowMs);
-    return Math.max(0, ahead + 1 + elsewhere - unused) / perMs;
+    const servedMs = Math.max(0, ahead + 1 + elsewhere - unused) / perMs;
+    return Math.max(servedMs, stalledMs);
   }
 
   /** Part of the next request that a named limit already allows. */
@@ -658,11 +727,31 @@
   }
 }
 
-/** Expected time until a key without an owner gets one. */
-function handoverWaitMs(
-  { ageMs, holdMs }: Extract<KeyOwner, { kind: "moving" }>,
-): number {
-  const isPlanned = ageMs < MAX_PLANNED_HANDOVER_MS;
-  const totalMs = isPlanned ? HANDOVER_WAIT_MS : holdMs + LOST_OWNER_WAIT_MS;
-  return Math.max(MIN_HANDOVER_WAIT_MS, totalMs - ageMs);
+/** A request without a key has no owner at a service with keys. */
+const NO_KEY_OWNER: KeyOwner = { kind: "unknown", ageMs: 0 };
+
+type KeyWithoutOwner = Exclude<KeyOwner, { kind: "owned" }>;
+
+/** Whether a handover without the old owner takes longer than usual. */
+function isHandoverOverdue(owner: KeyWithoutOwner): boolean {
+  return owner.kind === "unknown"
+    ? owner.ageMs > HANDOVER_WAIT_MS
+    : owner.ageMs > owner.holdMs + LOST_OWNER_WAIT_MS;
+}
+
+/**
+ * Expected time until a key without an owner gets one. Something keeps a
+ * handover that is overdue from ending; it is expected to last as long again.
+ */
+function handoverWaitMs(owner: KeyWithoutOwner): number {
+  const isPlanned = owner.kind === "unknown" ||
+    owner.ageMs < MAX_PLANNED_HANDOVER_MS;
+  const usualMs = isPlanned
+    ? HANDOVER_WAIT_MS
+    : owner.holdMs + LOST_OWNER_WAIT_MS;
+  const leftMs = usualMs - owner.ageMs;
+  return Math.max(
+    MIN_HANDOVER_WAIT_MS,
+    isHandoverOverdue(owner) ? -leftMs : leftMs,
+  );
 }
--- a/packages/decisions/src/admission/service_queue_test.ts
+++ b/packages/decisions/src/admission/service_queue_test.ts
@@ -91,8 +91,10 @@
   constructor(
     servers: readonly contracts.RegisteredServer[],
     ownerOf?: (key: number) => admission.KeyOwner,
+    reachOf?: (server: contracts.ServerId) => admission.ServerReach,
   ) {
     this.queue = new admission.ServiceQueue({
+      reachOf,
       zone: "z1" as contracts.ZoneId,
       times: this.times,
       random: { next: () => 0.5 },
@@ -417,3 +419,79 @@
   expect(refusal?.reason).toEqual("no-owner");
   expect(refusal!.expectedWaitMs > 2_000).toEqual(true);
 });
+
+/** Guards against requests held until their deadline for keys nobody can get. */
+test("should refuse at once a key whose service no VM reaches a server of", () => {
+  let reach: admission.ServerReach = "reached";
+  const owner = { kind: "moving", ageMs: 100, holdMs: 1_500 } as const;
+  const servers = [server("a"), server("b")];
+  const fixture = new Fixture(servers, () => owner, () => reach);
+  const queued = fixture.add({ key: 7 });
+  expect(queued.refusal).toEqual(undefined);
+  reach = "unreached";
+  expect(fixture.add({ key: 7 }).refusal?.reason).toEqual("unreached");
+  fixture.queue.refuseExpired(fixture.nowMs);
+  expect(queued.refusal?.reason).toEqual("unreached");
+});
+
+test("should wait for a key while one server is reached that could own it", () => {
+  const owner = { kind: "moving", ageMs: 100, holdMs: 1_500 } as const;
+  const servers = [server("a"), server("b")];
+  const fixture = new Fixture(
+    servers,
+    () => owner,
+    (name) => name === "b" ? "reached" : "unreached",
+  );
+  expect(fixture.add({ key: 7 }).refusal).toEqual(undefined);
+});
+
+/** Guards against slots asked for at an owner that no request gets to. */
+test("should refuse at once a key whose owner no VM reaches, but not a trial", () => {
+  let reach: admission.ServerReach = "unreached";
+  const fixture = new Fixture([server("a")], ownedBy("a"), () => reach);
+  const refused = fixture.add({ key: 7 });
+  expect(refused.refusal?.reason).toEqual("unreached");
+  expect(refused.refusal!.retryAfterMs > 0).toEqual(true);
+  reach = "trial";
+  expect(fixture.add({ key: 7 }).placement).not.toEqual(undefined);
+});
+
+/** Guards against requests that wait while no VM can write a new owner. */
+test("should refuse at once a key whose handover is blocked", () => {
+  const owner = {
+    kind: "moving",
+    ageMs: 100,
+    holdMs: 1_500,
+    isBlocked: true,
+  } as const;
+  const fixture = new Fixture([server("a"), server("b")], () => owner);
+  expect(fixture.add({ key: 7 }).refusal?.reason).toEqual("blocked");
+});
+
+/** Guards against requests held for a handover that something keeps from ending. */
+test("should expect an overdue handover to last as long again", () => {
+  const owner = { kind: "moving", ageMs: 4_000, holdMs: 1_500 } as const;
+  const fixture = new Fixture([server("a"), server("b")], () => owner);
+  const { refusal } = fixture.add({ key: 7 });
+  expect(refusal?.reason).toEqual("no-owner");
+  expect(refusal!.expectedWaitMs).toEqual(1_800);
+});
+
+test("should refuse at once a request without a key that its service needs", () => {
+  const fixture = new Fixture([server("a")], ownedBy("a"));
+  expect(fixture.add().refusal?.reason).toEqual("no-key");
+});
+
+/** Guards against requests held for an owner that has crashed and can't be replaced. */
+test("should refuse at once for an owner that has been silent for long", () => {
+  const fixture = new Fixture([server("a", { slots: 9 })], ownedBy("a"));
+  fixture.setServiceTime(30);
+  for (let loss = 0; loss < 5; loss++) {
+    const [, end] = fixture.start({ key: 1 });
+    fixture.nowMs += 200;
+    end({ kind: "lost" }, fixture.nowMs);
+  }
+  const { refusal } = fixture.add({ key: 1 });
+  expect(refusal?.reason).toEqual("no-room");
+  expect(refusal!.expectedWaitMs).toEqual(1_000);
+});
--- a/packages/decisions/src/admission/slot_coordinator.ts
+++ b/packages/decisions/src/admission/slot_coordinator.ts
@@ -60,6 +60,8 @@
   readonly rateLimitsOf?: (
     service: contracts.ServiceId,
   ) => ServerRateLimit | undefined;
+  /** Whether another server can take over what this one owns; no if absent. */
+  readonly isReplaceable?: (server: SlotServer) => boolean;
 }
 
 /**
@@ -72,6 +74,14 @@
  * dropped.
  */
 const UNRESPONSIVE_VM_TIMEOUT_MS = 2_000;
+/**
+ * A busy server that ends no request for this time, and for this many times the
+ * usual time of one, has stalled.
+ */
+const STALL_MIN_MS = 400;
+const STALL_RATIO = 4;
+/** An owner that answers nothing is replaced within this time. */
+const OWNER_REPLACEMENT_MS = 4_000;
 /** State of a server without any slot request for this long is dropped. */
 const IDLE_SERVER_TTL_MS = 10_000;
 
@@ -197,18 +207,23 @@
   readonly #reserve: ShortRequestReserve;
   readonly #rateLimits: ServerRateLimit | undefined;
   readonly #decide: (decision: SlotDecision) => void;
+  readonly #isReplaceable: () => boolean;
   readonly #pending = new Map<string, PendingSlotRequest>();
   readonly #held = new Map<string, HeldSlotState>();
   /** Time of the latest call, for the callbacks that run during it. */
   #nowMs = 0;
   #lastRequestMs = 0;
+  /** Since when it has had requests and answered none. */
+  #unansweredSinceMs = Number.POSITIVE_INFINITY;
 
   constructor(
     server: SlotServer,
     times: ServiceTimes,
-    { zone, random, onDecision, rateLimitsOf }: SlotCoordinatorOptions,
+    { zone, random, onDecision, rateLimitsOf, isReplaceable }:
+      SlotCoordinatorOptions,
   ) {
     this.server = server;
+    this.#isReplaceable = () => isReplaceable?.(server) ?? false;
     this.#times = times;
     this.#decide = onDecision;
     const rateLimits = rateLimitsOf?.(server.service);
@@ -221,6 +236,7 @@
       random,
       rateLimits,
       reserve,
+      stalledMs: (nowMs) => this.#stalledMs(nowMs),
     });
     this.#queue.setServers([serverEntryOf(server, zone)]);
   }
@@ -272,6 +288,10 @@
     held.release(nowMs);
     if (tookMs !== undefined) {
       this.#times.record(held.route, this.server.server, tookMs);
+      this.#unansweredSinceMs = nowMs;
+    }
+    if (this.#held.size === 0) {
+      this.#unansweredSinceMs = Number.POSITIVE_INFINITY;
     }
     this.#queue.dispatch(nowMs);
     return true;
@@ -305,7 +325,10 @@
       this.#queue.cancel(pending);
     }
     for (const key of [...this.#held.keys()]) {
-      if (key.startsWith(`${vm}/`)) this.release(key, undefined, nowMs);
+      if (!key.startsWith(`${vm}/`)) continue;
+      // Whether they were answered is not known.
+      this.#unansweredSinceMs = nowMs;
+      this.release(key, undefined, nowMs);
     }
   }
 
@@ -321,7 +344,19 @@
       nowMs - this.#lastRequestMs > IDLE_SERVER_TTL_MS;
   }
 
+  #stalledMs(nowMs: number): number {
+    const sinceMs = nowMs - this.#unansweredSinceMs;
+    const { server } = this.server;
+    const meanMs = this.#times.meanMs ?? 0;
+    const usualMs = meanMs * this.#times.latencyFactor(server);
+    if (sinceMs < Math.max(STALL_MIN_MS, STALL_RATIO * usualMs)) return 0;
+    return this.#isReplaceable()
+      ? Math.max(0, sinceMs - OWNER_REPLACEMENT_MS)
+      : sinceMs;
+  }
+
   #hold(key: string, route: PrioritizedRoute, nowMs: number): void {
+    this.#unansweredSinceMs = Math.min(this.#unansweredSinceMs, nowMs);
     const end = this.#queue.loads.get(this.server.server)!.startRequest(nowMs);
     const releaseReserve = this.#reserve.acquire(route);
     const release = (endedMs: number) => {
--- a/packages/decisions/src/admission/slot_coordinator_test.ts
+++ b/packages/decisions/src/admission/slot_coordinator_test.ts
@@ -47,6 +47,8 @@
   readonly unresponsive: contracts.VmId[] = [];
   /** Number of replies to lose next. */
   repliesToLose = 0;
+  /** Whether another server can take over the server's keys. */
+  isReplaceable = false;
 
   constructor(vmCount: number) {
     for (const coordinator of [COORDINATOR, OTHER_COORDINATOR]) {
@@ -57,6 +59,7 @@
           random: { next: () => 0.5 },
           onDecision: (decision) =>
             this.replies.push({ ...decision, coordinator }),
+          isReplaceable: () => this.isReplaceable,
         }),
       );
     }
@@ -254,3 +257,21 @@
   fixture.deliver();
   expect(fixture.tryAcquire(3, requests[3]!)).toEqual(true);
 });
+
+/** Guards against requests held behind others at a server that stands still. */
+test("should refuse requests that wait for a server that ends none", () => {
+  for (const isReplaceable of [false, true]) {
+    const fixture = new Fixture(4);
+    fixture.isReplaceable = isReplaceable;
+    fixture.useAllSlots();
+    const request = new Request(fixture.nowMs, 1, 3_000);
+    fixture.tryAcquire(3, request);
+    fixture.advance(1_200);
+    // Keys of a server that can be replaced soon have another owner.
+    expect(request.refusal === undefined).toEqual(isReplaceable);
+    const later = new Request(fixture.nowMs, 1, 1_000);
+    fixture.tryAcquire(3, later);
+    fixture.deliver();
+    expect(later.refusal === undefined).toEqual(isReplaceable);
+  }
+});
--- a/packages/decisions/src/admission/waiting_request.ts
+++ b/packages/decisions/src/admission/waiting_request.ts
@@ -8,8 +8,14 @@
   | "no-server"
   /** No region that may run the request has a server for it. */
   | "not-home"
+  /** It has no key, and its service serves only requests with keys. */
+  | "no-key"
   /** The key has no owner at present. */
   | "no-owner"
+  /** The key has no owner, and no VM can give it one at present. */
+  | "blocked"
+  /** No VM reaches the key's owner, or any server that could become it. */
+  | "unreached"
   /** The servers have no capacity to answer it in time. */
   | "no-room"
   /** The servers take fewer requests than come, by the limits they name. */
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -316,6 +316,9 @@
       times,
       random,
       regionOf: (zone) => zones[zone],
+      reachOf: isKeyed
+        ? (server) => this.#options.paths.reachOf(server)
+        : undefined,
       onWait: () => this.#reviewTask?.setIntervalMs(QUEUE_REVIEW_INTERVAL_MS),
       keyed: isKeyed
         ? { ownerOf: (key) => grants.ownerOf(service, key), slots: source }
--- a/packages/entry/src/gateway/grant_task.ts
+++ b/packages/entry/src/gateway/grant_task.ts
@@ -141,7 +141,17 @@
 
   /** The owner of a key of a service. */
   ownerOf(service: contracts.ServiceId, key: number): admission.KeyOwner {
-    return this.#services.get(service)?.ownerOf(key) ?? { kind: "unknown" };
+    return this.#services.get(service)?.ownerOf(key) ??
+      { kind: "unknown", ageMs: 0 };
+  }
+
+  /** Whether keys of an owner can be given to another server at present. */
+  isReplaceable(
+    { service, server }: Pick<admission.SlotServer, "service" | "server">,
+  ): boolean {
+    return this.#grantPeers().some(({ hasStore }) => hasStore) &&
+      this.#options.registry.staying(service)
+        .some((other) => other.server !== server);
   }
 
   /** Whether the range maps of all keyed services are known. */
--- a/packages/entry/src/gateway/server_paths.ts
+++ b/packages/entry/src/gateway/server_paths.ts
@@ -3,6 +3,7 @@
  * peer that reaches the server when this VM doesn't.
  */
 import type * as contracts from "@guavatide/contracts";
+import type { ServerReach } from "@guavatide/decisions/admission/mod";
 import * as paths from "@guavatide/decisions/paths/mod";
 import type { ConnectionPool } from "../links/connection_pool.ts";
 import type { ConnectionPools } from "../links/connection_pools.ts";
@@ -220,6 +221,16 @@
       !this.#tracker.isDoubtful(this.#options.clock.nowMs());
   }
 
+  /** Whether requests get to a server over this VM or a peer. */
+  reachOf(server: contracts.ServerId): ServerReach {
+    const use = this.#tracker.useOf(server);
+    const { reach } = this.#options;
+    const isReached = use === "any" || use === "open-only" ||
+      this.#peers().some(({ vm }) => reach.reaches(vm, server));
+    if (isReached) return "reached";
+    return use === "trial" ? "trial" : "unreached";
+  }
+
   /** Whether a peer reaches the server; undefined when none could tell. */
   async isReachedByPeer(entry: CheckedServer): Promise<boolean | undefined> {
     const answers = await Promise.all(
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -209,14 +209,19 @@
 
   /** The owner of a key. */
   ownerOf(key: number): KeyOwner {
-    if (this.#map === undefined) return { kind: "unknown" };
+    const nowMs = this.#options.clock.nowMs();
+    if (this.#map === undefined) {
+      return { kind: "unknown", ageMs: nowMs - this.#startedAtMs };
+    }
     const { ranges } = this.#map;
     const range = ranges[grants.rangeIndex(ranges, key)]!;
     if (range.vacating !== undefined || this.#isPending(range)) {
-      const nowMs = this.#options.clock.nowMs();
       const ageMs = this.#handoverAges.ageMs(range, nowMs);
       const holdMs = this.#leaseMs(range.vacating?.server);
-      return { kind: "moving", ageMs, holdMs };
+      // Only the store makes a server the owner; a grant needs no store.
+      const isBlocked = range.vacating !== undefined &&
+        !this.#options.peers().some(({ hasStore }) => hasStore);
+      return { kind: "moving", ageMs, holdMs, isBlocked };
     }
     return { kind: "owned", ...range.owner, fence: range.fence };
   }
--- a/packages/entry/src/gateway/slot_task.ts
+++ b/packages/entry/src/gateway/slot_task.ts
@@ -27,6 +27,8 @@
   readonly log: Logger;
   readonly isLeaving: () => boolean;
   readonly rateLimits: ServerRateLimits;
+  /** Whether another server can take over what this one owns. */
+  readonly isReplaceable: (server: admission.SlotServer) => boolean;
   readonly requestLimits: Pick<
     RequestLimitTask,
     "newsOf" | "applyNews" | "hasAny"
@@ -85,6 +87,7 @@
       random,
       onDecision: (decision) => this.#queueReply(decision),
       rateLimitsOf: (service) => options.rateLimits.forCoordinator(service),
+      isReplaceable: options.isReplaceable,
     });
     options.registry.onChange(() =>
       this.#ranking.keepOnly(options.registry.ids())
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -271,6 +271,7 @@
     log: log.part("route"),
     isLeaving: () => lifeCycle.isStopping,
     rateLimits,
+    isReplaceable: (server) => grantTask.isReplaceable(server),
     requestLimits,
   });
   const poison = new PoisonGuard({
