--- a/packages/entry/src/links/connection_probe.ts
+++ b/packages/entry/src/links/connection_probe.ts
@@ -20,6 +20,7 @@
   { timeoutMs, stayMs = 0 }: ProbeOptions,
 ): Promise<ProbeOutcome> {
   return new Promise((resolve) => {
+    const endMs = performance.now() + timeoutMs + stayMs;
     const socket = net.connect(target);
     let stay: NodeJS.Timeout | undefined;
     const end = (outcome: ProbeOutcome) => {
@@ -27,6 +28,15 @@
       resolve(outcome);
       socket.destroy();
     };
+    const waitForReset = () => {
+      const startMs = performance.now();
+      stay = setTimeout(() => {
+        // After a stall of this process, a reset may wait to be read.
+        const isStalled = performance.now() - startMs > 1.5 * stayMs;
+        if (isStalled && performance.now() < endMs) return waitForReset();
+        end("accepted");
+      }, stayMs);
+    };
     // After a stall of this process, a reply may wait to be read.
     socket.setTimeout(
       timeoutMs,
@@ -35,7 +45,7 @@
     socket.once("connect", () => {
       socket.setTimeout(0);
       if (stayMs === 0) return end("accepted");
-      stay = setTimeout(() => end("accepted"), stayMs);
+      waitForReset();
     });
     socket.once("close", () => end("broken"));
     socket.once(
