fix(poison): look at a server that seems to run again before it counts as running

Callers of one request saw it crash four servers where three are allowed.

Cause: the connections of a process that ends are closed one after the other, and its listening socket may accept a last one. One look, 2 ms after the loss, took an open sibling connection or an accepted probe for proof that the server runs. Also: whether a server was leaving is asked when the connection is lost, not after the looks, by when the registration of a crashed server may be gone.

Both new tests of ServerEndCheck fail without the change (a sibling that closes after 10 ms, a server that accepts one last connection).

--- a/packages/entry/src/gateway/poison_guard.ts
+++ b/packages/entry/src/gateway/poison_guard.ts
@@ -139,8 +139,10 @@
   ): Promise<ServerCondition> {
     const atMs = this.#options.unixMs();
     const { id } = request;
+    // Its registration may be gone by the time at which its end is known.
+    const isLeaving = this.#isLeaving(entry);
     const condition = await this.#ledger.checkServer(request, entry, { id });
-    if (condition !== "ended" || this.#isLeaving(entry)) return condition;
+    if (condition !== "ended" || isLeaving) return condition;
     this.#witness(request, entry, atMs);
     return condition;
   }
--- a/packages/entry/src/poison/server_end_check.ts
+++ b/packages/entry/src/poison/server_end_check.ts
@@ -38,8 +38,11 @@
   ) => Promise<boolean | undefined>;
 }
 
-/** Time for the other connections of a server that has ended to close. */
-const SIBLING_CLOSE_MS = 2;
+/**
+ * Pauses before the looks at a server. The connections of a process that ends
+ * are closed one after the other, so it may look as if it runs for a while.
+ */
+const LOOK_DELAYS_MS = [2, 13, 25, 110];
 /** A server that refuses connections does so within a round trip. */
 const CONNECT_TIMEOUT_MS = 300;
 
@@ -83,19 +86,28 @@
   }
 
   async #check(entry: CheckedServer): Promise<ServerCondition> {
-    const { server, host, port } = entry;
-    await timers.setTimeout(SIBLING_CLOSE_MS);
-    // Closes that have arrived are read before this continues.
-    await timers.setImmediate();
-    if (this.#connections.hasOpenConnection(server)) return "running";
+    const { host, port } = entry;
     const target = { host, port, localAddress: this.#localAddress };
-    const outcome = await probeConnection(target, {
-      timeoutMs: CONNECT_TIMEOUT_MS,
-    });
-    if (outcome === "accepted") return "running";
-    if (outcome !== "refused") return "unknown";
-    // A partition may refuse connections as well.
-    const isReached = await this.#isReachedByPeer?.(entry);
-    return isReached ? "unknown" : "ended";
+    let isAccepted = false;
+    for (const [index, delayMs] of LOOK_DELAYS_MS.entries()) {
+      await timers.setTimeout(delayMs);
+      // Closes that have arrived are read before this continues.
+      await timers.setImmediate();
+      if (this.#connections.hasOpenConnection(entry.server)) continue;
+      // New connections are dear: one more at the end is enough.
+      if (isAccepted && index < LOOK_DELAYS_MS.length - 1) continue;
+      const outcome = await probeConnection(target, {
+        timeoutMs: CONNECT_TIMEOUT_MS,
+      });
+      if (outcome === "accepted") {
+        isAccepted = true;
+        continue;
+      }
+      if (outcome !== "refused") return "unknown";
+      // A partition may refuse connections as well.
+      const isReached = await this.#isReachedByPeer?.(entry);
+      return isReached ? "unknown" : "ended";
+    }
+    return "running";
   }
 }
--- a/packages/entry/src/poison/server_end_check_test.ts
+++ b/packages/entry/src/poison/server_end_check_test.ts
@@ -2,6 +2,7 @@
 import { expect } from "earl";
 import * as net from "node:net";
 import { test } from "node:test";
+import * as timers from "node:timers/promises";
 import { ServerEndCheck } from "./server_end_check.ts";
 
 async function listen(): Promise<{ server: net.Server; port: number }> {
@@ -70,3 +71,22 @@
   const entry = { ...entryAt(9), host: "255.255.255.255" };
   expect(await check.check(entry)).toEqual("unknown");
 });
+
+/** A crash that looks like a reset for some milliseconds is one all the same. */
+test("should tell a server to have ended whose connections close one by one", async () => {
+  const { server, port } = await listen();
+  let hasOpenConnection = true;
+  timers.setTimeout(10).then(() => hasOpenConnection = false);
+  await new Promise((resolve) => server.close(resolve));
+  const check = new ServerEndCheck({
+    hasOpenConnection: () => hasOpenConnection,
+  });
+  expect(await check.check(entryAt(port))).toEqual("ended");
+});
+
+test("should tell a server to have ended that accepts a last connection", async () => {
+  const { server, port } = await listen();
+  server.once("connection", () => server.close());
+  const check = new ServerEndCheck(NONE_OPEN);
+  expect(await check.check(entryAt(port))).toEqual("ended");
+});
