fix(poison): tell the ends of a server apart by the run that it names

Cause, read in the code and brought about by a test with a clock: a run of a server was named by a 2 s bucket of the wall clock, so one end seen at 1.999 s and again at 2.001 s past a bucket was two servers; two ends of a server that is back at once were one. A connection now remembers the run that the server names in its answers; a connection ends with that run. Ends without a named run count as one within 2 s of each other, whenever that is, since a server takes longer to start again.

Both new tests of CrashGuard and the one of PoisonRequestTracker fail without the change in each run. The platform path names runs by the start that servers register and is as before.

--- a/packages/contracts/src/poison_request.ts
+++ b/packages/contracts/src/poison_request.ts
@@ -11,8 +11,10 @@
 export const serverCrashSchema = z.object({
   service: serviceIdSchema,
   server: serverIdSchema,
-  /** Unix time of the server's start in milliseconds. */
+  /** Unix time of the server's start in milliseconds; 0 where none tells it. */
   bornMs: z.number().int(),
+  /** Name that the server itself gives its run; absent when none was heard. */
+  run: z.string().max(200).optional(),
   /** Version of the server's software; empty when it registers none. */
   softwareVersion: z.string().max(200),
   caller: callerIdSchema,
--- a/packages/decisions/src/poison/poison_request_tracker.ts
+++ b/packages/decisions/src/poison/poison_request_tracker.ts
@@ -31,6 +31,11 @@
 export const MAX_CRASHES_PER_REQUEST = 2;
 /** Tells the caller of a poison request when to see whether it is mended. */
 export const POISON_RETRY_AFTER_MS = 60_000;
+/**
+ * Ends of a server that names no run are one within this time: it takes longer
+ * to start again.
+ */
+const RESTART_MIN_MS = 2_000;
 /** Crashes kept of one request. */
 const MAX_CRASHES = 16;
 const DEFAULT_MAX_REQUESTS = 1_000;
@@ -82,7 +87,7 @@
     const answeredAtMs = request.answeredAtMs.get(crash.caller);
     if (answeredAtMs !== undefined && answeredAtMs >= crash.atMs) return false;
     const isKnown = request.crashes.some((known) =>
-      isSameServer(known, crash) && known.caller === crash.caller
+      isSameEnd(known, crash) && known.caller === crash.caller
     );
     if (isKnown) return false;
     request.crashes = [...request.crashes, crash].slice(-MAX_CRASHES);
@@ -202,17 +207,29 @@
   return [...own, ...unanswered.filter((crash) => crash.caller !== caller)];
 }
 
-function isSameServer(
+/**
+ * Whether two crashes are the end of one run of a server, as different VMs or
+ * attempts have seen it.
+ */
+function isSameEnd(
   a: contracts.ServerCrash,
   b: contracts.ServerCrash,
 ): boolean {
-  return a.server === b.server && a.bornMs === b.bornMs;
+  if (a.server !== b.server || a.bornMs !== b.bornMs) return false;
+  if (a.run !== undefined && b.run !== undefined) return a.run === b.run;
+  return a.bornMs !== 0 || Math.abs(a.atMs - b.atMs) < RESTART_MIN_MS;
 }
 
 /** Number of different servers among some crashes. */
 export function countServers(
   crashes: readonly contracts.ServerCrash[],
 ): number {
-  const names = crashes.map(({ server, bornMs }) => `${server} ${bornMs}`);
-  return new Set(names).size;
+  const ends: contracts.ServerCrash[][] = [];
+  const inOrder = [...crashes].sort((a, b) => a.atMs - b.atMs);
+  for (const crash of inOrder) {
+    const end = ends.find((seen) => seen.some((it) => isSameEnd(it, crash)));
+    if (end === undefined) ends.push([crash]);
+    else end.push(crash);
+  }
+  return ends.length;
 }
--- a/packages/decisions/src/poison/poison_request_tracker_test.ts
+++ b/packages/decisions/src/poison/poison_request_tracker_test.ts
@@ -61,6 +61,27 @@
   expect(tracker.verdict(REQUEST, CALLER, ALL_RUN)).toEqual("poisonous");
 });
 
+/** The moment at which an end is seen must not make it two, or two of them one. */
+test("should count the ends of servers that name no start by their runs", () => {
+  for (const offsetMs of [0, 1_999, 2_001]) {
+    const end = (server: number, run: string | undefined, atMs: number) =>
+      crash(server, { bornMs: 0, run, atMs: 100_000 + offsetMs + atMs });
+    const seenTwice = trackerWith([
+      end(1, undefined, 0),
+      end(1, undefined, 2),
+      end(2, undefined, 901),
+    ]);
+    expect(seenTwice.verdict(REQUEST, CALLER, ALL_RUN)).toEqual("suspect");
+    const seenOnce = trackerWith([
+      end(1, "a", 0),
+      end(1, undefined, 4),
+      end(1, "b", 800),
+      end(2, "c", 901),
+    ]);
+    expect(seenOnce.verdict(REQUEST, CALLER, ALL_RUN)).toEqual("poisonous");
+  }
+});
+
 /** A request on a hot key is there whenever the key's owner crashes. */
 test("should clear a request that was answered between the crashes", () => {
   const tracker = new PoisonRequestTracker();
--- a/packages/entry/src/links/server_clock.ts
+++ b/packages/entry/src/links/server_clock.ts
@@ -15,6 +15,11 @@
   readonly receivedAtMs: number;
 }
 
+/** The run of a server that a stamp names; undefined without one. */
+export function runOfStamp(text: string | undefined): string | undefined {
+  return text?.split("/")[0] || undefined;
+}
+
 /** The latest stamp of one server. */
 export class ServerClock {
   readonly #clock: contracts.Clock;
--- a/packages/entry/src/links/server_connection.ts
+++ b/packages/entry/src/links/server_connection.ts
@@ -11,6 +11,7 @@
   DecodedAnswer,
 } from "./answer_decoder.ts";
 import { readHeader } from "./header_list.ts";
+import { runOfStamp } from "./server_clock.ts";
 
 /** One attempt of a request, as sent over a connection. */
 export interface AttemptRequest {
@@ -49,6 +50,8 @@
     readonly isPathLost?: boolean;
     /** What the VM that sent it has found out about the server. */
     readonly condition?: ServerCondition;
+    /** The run that the server has named on the connection; absent for none. */
+    readonly serverRun?: string;
   };
 
 /** Options of {@link ServerConnection}. */
@@ -81,6 +84,8 @@
   #pending: PendingRequest | undefined;
   #isUsable = true;
   #hasSocketError = false;
+  /** A connection ends with the run of the server that accepted it. */
+  #serverRun: string | undefined;
 
   constructor(options: ServerConnectionOptions) {
     this.#options = options;
@@ -192,6 +197,7 @@
         const raw = (controller as HeaderSource).rawHeaders ?? [];
         answer = new AnswerReader(status, raw, {
           request,
+          onServerRun: (run) => this.#serverRun = run ?? this.#serverRun,
           limitBytes: this.#options.answerLimitBytes,
           decoder: this.#options.decoder,
         });
@@ -208,8 +214,12 @@
             : answer!.finish(),
         ),
       onResponseError: (_controller, error) => {
+        const reason = "connection-lost";
+        const result = resultWithoutAnswer(pending, reason, error.message);
         pending.settle(
-          resultWithoutAnswer(pending, "connection-lost", error.message),
+          result.kind === "unknown"
+            ? { ...result, serverRun: this.#serverRun }
+            : result,
         );
       },
     });
@@ -239,6 +249,7 @@
 /** Options of {@link AnswerReader}. */
 interface AnswerReaderOptions {
   readonly request: AttemptRequest;
+  readonly onServerRun: (run: string | undefined) => void;
   readonly limitBytes: number;
   readonly decoder: AnswerDecoder;
 }
@@ -269,7 +280,7 @@
   }
 
   finish(): AttemptResult {
-    const { request, decoder } = this.#options;
+    const { request, decoder, onServerRun } = this.#options;
     const decoded = decoder.decode(request.id, {
       method: request.method,
       status: this.#status,
@@ -279,7 +290,9 @@
         : Buffer.concat(this.#chunks),
     });
     if (decoded.kind === "bad") return badAnswer(decoded.message);
-    request.onServerStamp(readHeader(this.#headers, names.STAMP_HEADER));
+    const stamp = readHeader(this.#headers, names.STAMP_HEADER);
+    onServerRun(runOfStamp(stamp));
+    request.onServerStamp(stamp);
     return decoded;
   }
 }
--- a/packages/entry/src/requests/active_request.ts
+++ b/packages/entry/src/requests/active_request.ts
@@ -195,7 +195,7 @@
       result.reason !== "timeout-after-send" && !this.#request.signal.aborted;
     if (!isLost) return;
     const condition = await conditionBeforeRetry(
-      crashGuard.noteLostConnection(this.#request, address),
+      crashGuard.noteLostConnection(this.#request, address, result.serverRun),
     );
     if (condition === "ended") this.#crashes++;
   }
--- a/packages/entry/src/requests/crash_guard.ts
+++ b/packages/entry/src/requests/crash_guard.ts
@@ -39,11 +39,8 @@
  * not tell their version, so a mended release shows only by its answer.
  */
 const TRIAL_INTERVAL_MS = 600_000;
-/**
- * Ends of a server within this time are one: it takes longer to start again,
- * and the VM list does not tell when it did.
- */
-const RESTART_MIN_MS = 2_000;
+/** The VM list does not tell when a server started. */
+const UNKNOWN_BORN_MS = 0;
 
 const receivedSchema = z.object({});
 const knownCrashesSchema = z.object({
@@ -102,21 +99,31 @@
 
   /**
    * A server broke off the connection on which it had a request. Finds out
-   * whether it has crashed, and records it. Never rejects.
+   * whether it has crashed, and records it. `run` is the run that the server
+   * has named on that connection. Never rejects.
    */
   async noteLostConnection(
     request: CallerRequest,
     address: ServerAddress,
+    run?: string,
   ): Promise<ServerCondition> {
     const atMs = this.#options.unixMs();
-    const bornMs = Math.floor(atMs / RESTART_MIN_MS) * RESTART_MIN_MS;
+    const bornMs = UNKNOWN_BORN_MS;
     const losing = { ...address, bornMs };
     const condition = await this.#ledger.checkServer(request, losing);
     if (condition !== "ended" || address.state !== "live") return condition;
     const { fingerprint, caller } = this.#ledger.identify(request);
     const { server, service } = address;
     const softwareVersion = "";
-    const crash = { service, server, bornMs, softwareVersion, caller, atMs };
+    const crash = {
+      service,
+      server,
+      bornMs,
+      run,
+      softwareVersion,
+      caller,
+      atMs,
+    };
     const report = { fingerprint, crash };
     this.#ledger.record(report);
     this.#report(CRASH_METHOD, report);
--- a/packages/entry/src/requests/crash_guard_test.ts
+++ b/packages/entry/src/requests/crash_guard_test.ts
@@ -162,3 +162,31 @@
     }
     expect(guard.isPoisonous(request())).toEqual(false);
   }));
+
+/** One end, seen a moment before and a moment after, must not be two servers. */
+test("should count one end of a server once, whenever it is seen", () =>
+  withGuards(async (cluster) => {
+    const [guard, peer] = ["a", "b"].map((name) => cluster.start(name));
+    for (const sinceMs of [0, 1_999]) {
+      cluster.unixMs = 1_000_000 + sinceMs;
+      await guard!.noteLostConnection(request("c1"), address(sinceMs), "run");
+      cluster.unixMs += 2;
+      await guard!.noteLostConnection(request("c1"), address(sinceMs));
+      await peer!.noteLostConnection(request("c1"), address(sinceMs));
+    }
+    expect(guard!.isPoisonous(request("c1"))).toEqual(false);
+    cluster.unixMs += 901;
+    await peer!.noteLostConnection(request("c1"), address(7));
+    expect(guard!.isPoisonous(request("c1"))).toEqual(true);
+  }));
+
+/** A server that is back at once must not have two of its ends counted as one. */
+test("should count two ends of a server that names its runs as two", () =>
+  withGuards(async (cluster) => {
+    const guard = cluster.start("a");
+    for (const run of ["first", "second", "third"]) {
+      cluster.unixMs += 300;
+      await guard.noteLostConnection(request(), address(1), run);
+    }
+    expect(guard.isPoisonous(request())).toEqual(true);
+  }));
