fix(poison): count a server that ends after a request was given up on the own interface

The watch of servers at which requests were given up moves out of PoisonGuard into GivenUpRequests, which both guards use. PoisonGuard asks whether a server was leaving when the request is given up; at the end only a server that says that it drains is excused, since the registration of one that crashed may be gone by then.

The new test (callers who leave before their server ends) has 6 servers crash without the change and 3 with it.

--- a/packages/entry/src/gateway/poison_guard.ts
+++ b/packages/entry/src/gateway/poison_guard.ts
@@ -6,12 +6,12 @@
  */
 import * as contracts from "@guavatide/contracts";
 import * as poison from "@guavatide/decisions/poison/mod";
-import * as timers from "node:timers/promises";
 import type { LabelledCounts } from "../metrics/labelled_counts.ts";
 import {
   CrashLedger,
   type CrashLedgerOptions,
 } from "../poison/crash_ledger.ts";
+import { GivenUpRequests } from "../poison/given_up_requests.ts";
 import type { RequestIdentity } from "../poison/request_identity.ts";
 import type { ServerCondition } from "../poison/server_end_check.ts";
 import type { LifeCycle, PeriodicTask } from "../utils/life_cycle.ts";
@@ -59,9 +59,6 @@
 const SAVE_RETRY_MS = 1_000;
 const SAVE_TIMEOUT_MS = 1_200;
 const EXPIRY_INTERVAL_MS = 10_000;
-/** Delays before a first and a second look at a server. */
-const GIVEN_UP_CHECK_DELAYS_MS = [300, 700];
-const MAX_GIVEN_UP = 16;
 
 /** A record that the store lacks. */
 interface UnsavedRecord {
@@ -77,8 +74,7 @@
   /** Number of crashes of each record in the store, as far as known. */
   readonly #storedCrashes = new Map<contracts.RequestFingerprint, number>();
   readonly #unsaved = new Map<contracts.RequestFingerprint, UnsavedRecord>();
-  /** Requests given up a short while ago, by the server that had them. */
-  readonly #givenUp = new Map<string, Set<PoisonSubject>>();
+  readonly #givenUp: GivenUpRequests<PoisonSubject, contracts.RegisteredServer>;
   readonly #reports = new RepeatedBroadcast(REPEAT_REPORT_MS);
   #task: PeriodicTask | undefined;
   #isSaving = false;
@@ -95,6 +91,11 @@
       onPoisonous: ({ service }) =>
         options.counts.add(1, { service, event: "quarantined" }),
     });
+    this.#givenUp = new GivenUpRequests({
+      ...options,
+      onEnded: (entry, requests, atMs) =>
+        this.#noteEndAfterGivingUp(entry, requests, atMs),
+    });
     options.gossip.on(
       CRASH_METHOD,
       contracts.crashReportSchema,
@@ -155,36 +156,23 @@
     request: PoisonSubject,
     entry: contracts.RegisteredServer,
   ): void {
-    const name = `${entry.server} ${entry.bornMs}`;
-    const watched = this.#givenUp.get(name);
-    if (watched !== undefined) {
-      if (watched.size < MAX_GIVEN_UP) watched.add(request);
-      return;
-    }
-    const requests = new Set([request]);
-    this.#givenUp.set(name, requests);
-    this.#watchGivenUp(entry, requests).finally(() =>
-      this.#givenUp.delete(name)
-    );
+    if (!this.#isLeaving(entry)) this.#givenUp.note(request, entry);
   }
 
-  async #watchGivenUp(
+  #noteEndAfterGivingUp(
     entry: contracts.RegisteredServer,
-    requests: ReadonlySet<PoisonSubject>,
-  ): Promise<void> {
-    const { endCheck, unixMs, log } = this.#options;
-    for (const delayMs of GIVEN_UP_CHECK_DELAYS_MS) {
-      await timers.setTimeout(delayMs, undefined, { ref: false });
-      const atMs = unixMs();
-      if (await endCheck.check(entry) !== "ended") continue;
-      if (this.#isLeaving(entry)) return;
-      log.info("A server has ended after requests were given up there.", {
+    requests: readonly PoisonSubject[],
+    atMs: number,
+  ): void {
+    if (this.#registered(entry)?.isDraining) return;
+    this.#options.log.info(
+      "A server has ended after requests were given up there.",
+      {
         server: entry.server,
-        ids: [...requests].map(({ id }) => id).join(),
-      });
-      for (const request of requests) this.#witness(request, entry, atMs);
-      return;
-    }
+        ids: requests.map(({ id }) => id).join(),
+      },
+    );
+    for (const request of requests) this.#witness(request, entry, atMs);
   }
 
   /** Records and reports a crash that this VM has seen. */
@@ -229,10 +217,15 @@
   }
 
   /** Whether a server was about to end, for reasons of its own. */
-  #isLeaving({ service, server, bornMs }: contracts.RegisteredServer): boolean {
-    const entry = this.#options.registry.servers(service)
+  #isLeaving(entry: contracts.RegisteredServer): boolean {
+    return this.#registered(entry)?.isDraining ?? true;
+  }
+
+  #registered(
+    { service, server, bornMs }: contracts.RegisteredServer,
+  ): contracts.RegisteredServer | undefined {
+    return this.#options.registry.servers(service)
       .find((known) => known.server === server && known.bornMs === bornMs);
-    return entry === undefined || entry.isDraining;
   }
 
   #record(
--- a/packages/entry/src/links/server_connection.ts
+++ b/packages/entry/src/links/server_connection.ts
@@ -153,7 +153,7 @@
   abandon(reason: contracts.UnknownReason, message: string): void {
     const pending = this.#pending;
     if (pending === undefined) return;
-    pending.settle(resultWithoutAnswer(pending, reason, message));
+    pending.settle(this.#resultWithoutAnswer(pending, reason, message));
     pending.abort?.(new Error(message));
   }
 
@@ -175,6 +175,16 @@
     });
   }
 
+  #resultWithoutAnswer(
+    pending: PendingRequest,
+    reason: contracts.UnknownReason,
+    message: string,
+  ): AttemptResult {
+    const isOurs = pending.wasWithheld;
+    if (!pending.isSent) return { kind: "not-sent", isLocal: isOurs, message };
+    return { kind: "unknown", reason, message, serverRun: this.#serverRun };
+  }
+
   #dispatch(pending: PendingRequest): void {
     const { request } = pending;
     let answer: AnswerReader | undefined;
@@ -215,11 +225,8 @@
         ),
       onResponseError: (_controller, error) => {
         const reason = "connection-lost";
-        const result = resultWithoutAnswer(pending, reason, error.message);
         pending.settle(
-          result.kind === "unknown"
-            ? { ...result, serverRun: this.#serverRun }
-            : result,
+          this.#resultWithoutAnswer(pending, reason, error.message),
         );
       },
     });
@@ -236,16 +243,6 @@
     .toString("latin1");
 }
 
-function resultWithoutAnswer(
-  pending: PendingRequest,
-  reason: contracts.UnknownReason,
-  message: string,
-): AttemptResult {
-  const isOurs = pending.wasWithheld;
-  if (!pending.isSent) return { kind: "not-sent", isLocal: isOurs, message };
-  return { kind: "unknown", reason, message };
-}
-
 /** Options of {@link AnswerReader}. */
 interface AnswerReaderOptions {
   readonly request: AttemptRequest;
--- a/packages/entry/src/requests/active_request.ts
+++ b/packages/entry/src/requests/active_request.ts
@@ -191,11 +191,15 @@
     if (result.kind === "answer" && result.answer.status < 500) {
       return crashGuard.noteAnswer(this.#request);
     }
-    const isLost = result.kind === "unknown" &&
-      result.reason !== "timeout-after-send" && !this.#request.signal.aborted;
-    if (!isLost) return;
+    if (result.kind !== "unknown") return;
+    const { serverRun } = result;
+    const isGivenUp = result.reason === "timeout-after-send" ||
+      this.#request.signal.aborted;
+    if (isGivenUp) {
+      return crashGuard.noteGivenUp(this.#request, address, serverRun);
+    }
     const condition = await conditionBeforeRetry(
-      crashGuard.noteLostConnection(this.#request, address, result.serverRun),
+      crashGuard.noteLostConnection(this.#request, address, serverRun),
     );
     if (condition === "ended") this.#crashes++;
   }
--- a/packages/entry/src/requests/crash_guard.ts
+++ b/packages/entry/src/requests/crash_guard.ts
@@ -11,6 +11,7 @@
   CrashLedger,
   type CrashLedgerOptions,
 } from "../poison/crash_ledger.ts";
+import { GivenUpRequests } from "../poison/given_up_requests.ts";
 import type { ServerCondition } from "../poison/server_end_check.ts";
 import type { LifeCycle, PeriodicTask } from "../utils/life_cycle.ts";
 import type { CallerRequest } from "./caller_request.ts";
@@ -54,10 +55,17 @@
   readonly untilMs: number;
 }
 
+/** A server, and its run as far as a connection to it has named one. */
+type ServerAtRun = ServerAddress & {
+  readonly bornMs: number;
+  readonly run: string | undefined;
+};
+
 /** Verdicts on requests, from the crashes that the entry VMs have seen. */
 export class CrashGuard {
   readonly #options: CrashGuardOptions;
   readonly #ledger: CrashLedger<CallerRequest>;
+  readonly #givenUp: GivenUpRequests<CallerRequest, ServerAtRun>;
   #pending: PendingReport[] = [];
   #hasAsked = false;
   #task: PeriodicTask | undefined;
@@ -74,6 +82,13 @@
       remedy: "Release mended software; one attempt is let through every " +
         `${TRIAL_INTERVAL_MS / 1_000} s.`,
     });
+    this.#givenUp = new GivenUpRequests({
+      ...options,
+      onEnded: (server, requests, atMs) => {
+        const { run } = server;
+        for (const it of requests) this.#witness(it, server, { run, atMs });
+      },
+    });
     if (peers === undefined) return;
     peers.register(CRASH_METHOD, contracts.crashReportSchema, (report) => {
       this.#ledger.record(report);
@@ -108,26 +123,45 @@
     run?: string,
   ): Promise<ServerCondition> {
     const atMs = this.#options.unixMs();
-    const bornMs = UNKNOWN_BORN_MS;
-    const losing = { ...address, bornMs };
+    const losing = { ...address, bornMs: UNKNOWN_BORN_MS };
     const condition = await this.#ledger.checkServer(request, losing);
-    if (condition !== "ended" || address.state !== "live") return condition;
+    if (condition === "ended") this.#witness(request, address, { run, atMs });
+    return condition;
+  }
+
+  /**
+   * A request was given up while a server had it. It is to blame if the server
+   * ends soon after.
+   */
+  noteGivenUp(
+    request: CallerRequest,
+    address: ServerAddress,
+    run?: string,
+  ): void {
+    this.#givenUp.note(request, { ...address, bornMs: UNKNOWN_BORN_MS, run });
+  }
+
+  /** Records and reports a crash that this VM has seen. */
+  #witness(
+    request: CallerRequest,
+    { state, service, server }: ServerAddress,
+    { run, atMs }: { readonly run: string | undefined; readonly atMs: number },
+  ): void {
+    // A server that leaves ends for reasons of its own.
+    if (state !== "live") return;
     const { fingerprint, caller } = this.#ledger.identify(request);
-    const { server, service } = address;
-    const softwareVersion = "";
-    const crash = {
+    const crash: contracts.ServerCrash = {
       service,
       server,
-      bornMs,
+      bornMs: UNKNOWN_BORN_MS,
       run,
-      softwareVersion,
+      softwareVersion: "",
       caller,
       atMs,
     };
     const report = { fingerprint, crash };
     this.#ledger.record(report);
     this.#report(CRASH_METHOD, report);
-    return condition;
   }
 
   /** A server ran the request to its end. */
--- a/packages/entry/src/requests/poison_requests_test.ts
+++ b/packages/entry/src/requests/poison_requests_test.ts
@@ -2,6 +2,7 @@
 import { expect } from "earl";
 import type * as http from "node:http";
 import { test } from "node:test";
+import * as timers from "node:timers/promises";
 import {
   answerOk,
   FakeBackend,
@@ -11,9 +12,14 @@
 } from "./fakes_test_support.ts";
 
 const SERVERS = 6;
+const LEAVES_AFTER_MS = 40;
+const CRASHES_AFTER_MS = 150;
+const NOTICE_MS = 800;
 
 /** Servers that crash under a request for `poison`. */
-function crashingBackends(): { backends: FakeBackend[]; crashes: string[] } {
+function crashingBackends(
+  delayMs: number,
+): { backends: FakeBackend[]; crashes: string[] } {
   const crashes: string[] = [];
   const backends = Array.from({ length: SERVERS }, () => {
     const backend: FakeBackend = new FakeBackend(
@@ -21,9 +27,11 @@
         if (!incoming.url!.includes("poison")) {
           return answerOk(incoming, response);
         }
-        crashes.push(backend.address.server);
-        backend.server.close();
-        backend.server.closeAllConnections();
+        setTimeout(() => {
+          crashes.push(backend.address.server);
+          backend.server.close();
+          backend.server.closeAllConnections();
+        }, delayMs);
       },
     );
     return backend;
@@ -33,8 +41,9 @@
 
 async function withEntry(
   run: (entry: TestEntry, crashes: readonly string[]) => Promise<void>,
+  delayMs = 0,
 ): Promise<void> {
-  const { backends, crashes } = crashingBackends();
+  const { backends, crashes } = crashingBackends(delayMs);
   await withFixture(
     await startEntry(backends),
     (entry) => run(entry, crashes),
@@ -65,3 +74,14 @@
       expect(status).toEqual(200);
     }
   }));
+
+/** A server that ends after its caller has left breaks no connection. */
+test("should count servers that a request crashes after its caller has left", () =>
+  withEntry(async ({ url }, crashes) => {
+    for (let turn = 0; turn < SERVERS; turn++) {
+      const signal = AbortSignal.timeout(LEAVES_AFTER_MS);
+      await fetch(`${url}/s/booths/poison`, { signal }).catch(() => {});
+      await timers.setTimeout(NOTICE_MS);
+    }
+    expect(crashes.length).toEqual(3);
+  }, CRASHES_AFTER_MS));
