fix(grants): give keys on whose owner refuses their grants

Only grants without an answer led to a loss.

A VM now counts a server as unresponsive that has refused a range for 1.5 s (longer than an outdated map lasts), by range, since its other ranges may be accepted. Votes of all renewers and the quarantine are as before.

--- a/packages/entry/src/gateway/grant_sender.ts
+++ b/packages/entry/src/gateway/grant_sender.ts
@@ -55,6 +55,11 @@
  * it has recovered.
  */
 const SUSPICION_TTL_MS = 1_500;
+/**
+ * An owner that refuses a range for so long never serves it, though it answers.
+ * An entry VM with an outdated map learns of a newer one sooner.
+ */
+const REFUSED_AFTER_MS = 1_500;
 /**
  * Exponential backoff after failed grants: a refused connection fails within a
  * millisecond.
@@ -62,6 +67,12 @@
 const RETRY_MIN_MS = 40;
 const RETRY_MAX_MS = 320;
 
+/** A range whose owner has answered each grant with a refusal. */
+interface RefusedRange {
+  readonly server: contracts.ServerId;
+  readonly sinceMs: number;
+}
+
 /** A lease of a range to be granted or renewed. */
 export interface GrantRequest {
   readonly range: contracts.RangeState;
@@ -81,6 +92,8 @@
   readonly #servers = new Map<contracts.ServerId, ServerState>();
   /** When the last accepted grant of each range was sent, by range key. */
   readonly #acceptedAtMs = new Map<string, number>();
+  /** Ranges that their owners refuse, by range key. */
+  readonly #refused = new Map<string, RefusedRange>();
 
   constructor(options: GrantSenderOptions) {
     this.#options = options;
@@ -108,17 +121,23 @@
 
   /**
    * Servers that have not answered this VM's grants for at least
-   * `timings.unresponsiveAfterMs`.
+   * `timings.unresponsiveAfterMs`, or that keep refusing a range.
    */
   unresponsiveServers(): contracts.ServerId[] {
     const { clock, timings } = this.#options;
     const nowMs = clock.nowMs();
+    const refusing = new Set(
+      [...this.#refused.values()]
+        .filter(({ sinceMs }) => nowMs - sinceMs >= REFUSED_AFTER_MS)
+        .map(({ server }) => server),
+    );
     return [...this.#servers]
-      .filter(([, { unansweredSinceMs, lastEndedAtMs, isInFlight }]) =>
-        unansweredSinceMs !== undefined &&
-        nowMs - unansweredSinceMs >= timings.unresponsiveAfterMs &&
-        (isInFlight || nowMs - lastEndedAtMs < SUSPICION_TTL_MS)
-      )
+      .filter(([server, { unansweredSinceMs, lastEndedAtMs, isInFlight }]) => {
+        const isUnanswered = unansweredSinceMs !== undefined &&
+          nowMs - unansweredSinceMs >= timings.unresponsiveAfterMs;
+        return (isUnanswered || refusing.has(server)) &&
+          (isInFlight || nowMs - lastEndedAtMs < SUSPICION_TTL_MS);
+      })
       .map(([server]) => server);
   }
 
@@ -189,6 +208,7 @@
     }
     state.unansweredSinceMs = undefined;
     if (result.value === "granted") return this.#noteAccepted(range, sentAtMs);
+    this.#noteRefused(range, sentAtMs);
     log.warn("Grant refused.", { ...fields, answer: result.value });
     if (result.value === "fenced-off") this.#options.onFencedOff(range);
   }
@@ -214,6 +234,9 @@
     for (const rangeKey of this.#acceptedAtMs.keys()) {
       if (!listed.has(rangeKey)) this.#acceptedAtMs.delete(rangeKey);
     }
+    for (const rangeKey of this.#refused.keys()) {
+      if (!listed.has(rangeKey)) this.#refused.delete(rangeKey);
+    }
     const expiryMs = this.#options.clock.nowMs() - 4 * leaseMs;
     for (const [server, state] of this.#servers) {
       if (!state.isInFlight && state.lastEndedAtMs < expiryMs) {
@@ -222,8 +245,15 @@
     }
   }
 
+  #noteRefused(range: contracts.RangeState, sinceMs: number): void {
+    const rangeKey = rangeKeyOf(range);
+    if (this.#refused.has(rangeKey)) return;
+    this.#refused.set(rangeKey, { server: range.owner.server, sinceMs });
+  }
+
   #noteAccepted(range: contracts.RangeState, sentAtMs: number): void {
     const rangeKey = rangeKeyOf(range);
+    this.#refused.delete(rangeKey);
     const isFirst = !this.#acceptedAtMs.has(rangeKey);
     this.#acceptedAtMs.set(rangeKey, sentAtMs);
     if (!isFirst) return;
--- a/packages/entry/src/gateway/grant_sender_test.ts
+++ b/packages/entry/src/gateway/grant_sender_test.ts
@@ -106,3 +106,31 @@
   const sender = createSender(refuse, () => 0, false);
   expect(sender.canSend(RANGE.owner)).toEqual(false);
 });
+
+/** Guards against keys that stay with an owner that refuses them for good. */
+test("should count a server that keeps refusing a range as unresponsive", async () => {
+  let nowMs = 0;
+  let answer: contracts.GrantAnswer = "fenced-off";
+  const sender = createSender(() => neverthrow.okAsync(answer), () => nowMs);
+  const other = { ...RANGE, fromKey: 100, toKey: 199, fence: 2 };
+  for (; nowMs <= 1_600; nowMs += 400) {
+    answer = "fenced-off";
+    await sender.send(REQUEST);
+    answer = "granted";
+    await sender.send({ ...REQUEST, range: other });
+    const isCounted = sender.unresponsiveServers().includes(SERVER);
+    expect(isCounted).toEqual(nowMs >= 1_500);
+  }
+  answer = "granted";
+  await sender.send(REQUEST);
+  expect(sender.unresponsiveServers()).toEqual([]);
+});
+
+test("should forget refusals of a range that has another owner", async () => {
+  let nowMs = 0;
+  const refused = () => neverthrow.okAsync("fenced-off" as const);
+  const sender = createSender(refused, () => nowMs);
+  for (; nowMs <= 1_600; nowMs += 400) await sender.send(REQUEST);
+  sender.prune([{ ...RANGE, fence: 5 }], 1_500);
+  expect(sender.unresponsiveServers()).toEqual([]);
+});
