fix(grants): space out releases at servers that limit their calls

Releases went out as soon as a range was vacating, whatever the server takes.

The leader now sends a limited server as many releases a second as its limit leaves for calls of that kind (0.75 at zero), two at once; a range whose release isn't sent waits for the lease, in which a server with such a limit serves next to nothing anyhow. Releases that only tell an old owner the next fence are spaced out as well.

--- a/packages/decisions/src/grants/fencing_releases.ts
+++ b/packages/decisions/src/grants/fencing_releases.ts
@@ -49,6 +49,7 @@
   takeDue(
     nowMs: number,
     hasEnded: (owner: contracts.RangeOwner) => boolean,
+    mayCall: (server: contracts.ServerId) => boolean = () => true,
   ): ReleaseCall[] {
     const calls: ReleaseCall[] = [];
     const busy = new Set<contracts.ServerId>();
@@ -62,6 +63,7 @@
         continue;
       }
       if (busy.has(oldOwner.server) || nowMs < pending.notBeforeMs) continue;
+      if (!mayCall(oldOwner.server)) continue;
       busy.add(oldOwner.server);
       pending.isInFlight = true;
       calls.push(pending.call);
--- a/packages/decisions/src/grants/handover_controller.ts
+++ b/packages/decisions/src/grants/handover_controller.ts
@@ -190,6 +190,7 @@
   takeReleases(
     nowMs: number,
     hasEnded: (owner: contracts.RangeOwner) => boolean,
+    mayCall: (server: contracts.ServerId) => boolean = () => true,
   ): ReleaseCall[] {
     // By a stale map, keys might be released that their owner owns again.
     if (this.#mustRead) return [];
@@ -199,10 +200,11 @@
       const oldOwner = range.vacating;
       if (oldOwner === undefined || hasEnded(oldOwner)) continue;
       if (!this.#mayRelease(map!, range, nowMs)) continue;
+      if (!mayCall(oldOwner.server)) continue;
       this.#release(range.fence).sentAtMs = nowMs;
       calls.push({ range, oldOwner });
     }
-    return [...calls, ...this.#fencing.takeDue(nowMs, hasEnded)];
+    return [...calls, ...this.#fencing.takeDue(nowMs, hasEnded, mayCall)];
   }
 
   /** Takes the result of a release; a failed one is retried. */
--- a/packages/decisions/src/grants/mod.ts
+++ b/packages/decisions/src/grants/mod.ts
@@ -16,6 +16,7 @@
 export * from "./range_map_history.ts";
 export * from "./range_planner.ts";
 export * from "./release_call.ts";
+export * from "./release_pacer.ts";
 export * from "./renewal_order.ts";
 export * from "./renewal_rate.ts";
 export * from "./vm_ranking.ts";
--- a/packages/entry/src/gateway/grant_task.ts
+++ b/packages/entry/src/gateway/grant_task.ts
@@ -1,6 +1,6 @@
 /** Key ownership of all keyed services on one entry VM. */
 import * as contracts from "@guavatide/contracts";
-import type * as admission from "@guavatide/decisions/admission/mod";
+import * as admission from "@guavatide/decisions/admission/mod";
 import * as grants from "@guavatide/decisions/grants/mod";
 import type * as ownership from "@guavatide/decisions/ownership/mod";
 import type { SuspendAwareClock } from "../utils/clock.ts";
@@ -259,6 +259,12 @@
           ? undefined
           : sparingLeaseMs(this.#options.maxLeaseMs, limitPerSecond);
       },
+      controlCallsPerSecond: (server) => {
+        const limitPerSecond = this.#options.limitOf(server);
+        return limitPerSecond === undefined
+          ? undefined
+          : admission.controlCallsAllowed(limitPerSecond);
+      },
       hasUnreached: () => this.#options.reach.hasAny,
       reaches: (vm, server) => this.#options.reach.reaches(vm, server),
       reachesAny: (vm) => this.#options.reach.reachesAny(vm),
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -46,6 +46,13 @@
   readonly sparingLeaseMs: (
     server: contracts.ServerId,
   ) => number | undefined;
+  /**
+   * Calls a second beside requests that a server takes; undefined for one
+   * without a limit.
+   */
+  readonly controlCallsPerSecond: (
+    server: contracts.ServerId,
+  ) => number | undefined;
   /** Whether any VM doesn't reach some server. */
   readonly hasUnreached: () => boolean;
   /** Whether a VM reaches a server, as far as is known. */
@@ -110,6 +117,7 @@
   readonly #publisher: MapPublisher;
   readonly #fetcher: RangeMapFetcher;
   readonly #lostServers = new grants.LostServers();
+  readonly #pacer = new grants.ReleasePacer();
   /** Fences that were accepted in answer to this VM's grants. */
   readonly #acceptedFences = new Set<number>();
 
@@ -561,11 +569,14 @@
     const tick = this.#handoverTick(nowMs);
     this.#publisher.resendIfDue(this.#pendingFences);
     this.#handoverController.checkAcknowledgements(nowMs, tick.removedVoters);
-    for (
-      const call of this.#handoverController.takeReleases(nowMs, tick.hasEnded)
-    ) {
-      this.#release(call);
-    }
+    const { controlCallsPerSecond } = this.#options;
+    const releases = this.#handoverController.takeReleases(
+      nowMs,
+      tick.hasEnded,
+      (server) =>
+        this.#pacer.tryTake(server, controlCallsPerSecond(server), nowMs),
+    );
+    for (const call of releases) this.#release(call);
     const call = this.#handoverController.nextCall(tick);
     if (call === undefined) return;
     this.#callStore(call).catch((error) => {
--- a/packages/entry/src/gateway/service_grants_test.ts
+++ b/packages/entry/src/gateway/service_grants_test.ts
@@ -124,6 +124,7 @@
       { vm: OTHER, hasStore: !isLeader, processorCores: 1 },
     ],
     desiredLeaseMs: () => grants.DEFAULT_GRANT_TIMINGS.holdMs,
+    controlCallsPerSecond: () => undefined,
     hasUnreached: () => false,
     reaches: () => true,
     reachesAny: () => true,
