fix(grants): wait for grants of the range that is handed over only

Cause: voters told when they had last granted anything to the old owner.

Voters now tell the ages of grants of ranges that the map in force no longer gives to the server. A voter that knows the map grants none of these any more, and ranges don't overlap, so grants of other ranges keep no lease on the vacating keys in force. Voters that are not heard, that restarted, or whose call was under way count as before.

The new test of GrantSender sends unanswered grants of another range for 1 s: the age of the vacated range's grant grows, where before it was zero and unanswered each time.

--- a/packages/entry/src/gateway/grant_sender.ts
+++ b/packages/entry/src/gateway/grant_sender.ts
@@ -40,7 +40,6 @@
   isInFlight: boolean;
   /** When the last grant was answered or failed. */
   lastEndedAtMs: number;
-  lastUnansweredAtMs: number | undefined;
   /** Start of the oldest of the consecutive grants without an answer. */
   unansweredSinceMs: number | undefined;
   /** Consecutive grants that failed or were refused. */
@@ -67,6 +66,14 @@
 const RETRY_MIN_MS = 40;
 const RETRY_MAX_MS = 320;
 
+/** Grants of one range. Times are those of the clock, in ms. */
+interface LastCall {
+  readonly server: contracts.ServerId;
+  isInFlight: boolean;
+  endedAtMs: number;
+  unansweredAtMs: number | undefined;
+}
+
 /** A range whose owner has answered each grant with a refusal. */
 interface RefusedRange {
   readonly server: contracts.ServerId;
@@ -94,6 +101,10 @@
   readonly #acceptedAtMs = new Map<string, number>();
   /** Ranges that their owners refuse, by range key. */
   readonly #refused = new Map<string, RefusedRange>();
+  /** Last calls by range key, also of ranges that are no longer granted. */
+  readonly #lastCalls = new Map<string, LastCall>();
+  /** Range keys of the map in force. */
+  #listed: ReadonlySet<string> = new Set();
 
   constructor(options: GrantSenderOptions) {
     this.#options = options;
@@ -143,23 +154,30 @@
 
   /**
    * Age in ms of the last grant and of the last unanswered one (null when there
-   * was none), by server. Measured from the end of the call, as a busy VM may
-   * send late.
+   * was none), by server, of ranges that are no longer granted: those of its
+   * other ranges keep no lease on them in force. Measured from the end of the
+   * call, as a busy VM may send late.
    */
   grantAgesMs(): Map<contracts.ServerId, [number, number | null]> {
     const nowMs = this.#options.clock.nowMs();
     const ages = new Map<contracts.ServerId, [number, number | null]>();
-    for (const [server, state] of this.#servers) {
-      const { isInFlight, lastEndedAtMs, lastUnansweredAtMs } = state;
+    for (const [rangeKey, call] of this.#lastCalls) {
+      if (this.#listed.has(rangeKey)) continue;
+      const { server, isInFlight, endedAtMs, unansweredAtMs } = call;
       // No grant was sent yet; JSON can't represent an infinite age.
-      if (!isInFlight && lastEndedAtMs === Number.NEGATIVE_INFINITY) continue;
-      const unansweredMs = lastUnansweredAtMs === undefined
+      if (!isInFlight && endedAtMs === Number.NEGATIVE_INFINITY) continue;
+      const ageMs = isInFlight ? 0 : Math.floor(nowMs - endedAtMs);
+      const unansweredAgeMs = isInFlight
+        ? 0
+        : unansweredAtMs === undefined
         ? null
-        : Math.floor(nowMs - lastUnansweredAtMs);
-      ages.set(
-        server,
-        isInFlight ? [0, 0] : [Math.floor(nowMs - lastEndedAtMs), unansweredMs],
-      );
+        : Math.floor(nowMs - unansweredAtMs);
+      const [otherMs, otherUnansweredMs] = ages.get(server) ??
+        [Number.POSITIVE_INFINITY, null];
+      ages.set(server, [
+        Math.min(ageMs, otherMs),
+        smallest(unansweredAgeMs, otherUnansweredMs),
+      ]);
     }
     return ages;
   }
@@ -176,7 +194,9 @@
     const state = this.#state(range.owner.server);
     const sentAtMs = clock.nowMs();
     const { unansweredSinceMs } = state;
+    const call = this.#lastCall(range);
     state.isInFlight = true;
+    call.isInFlight = true;
     state.unansweredSinceMs ??= sentAtMs;
     const { fromKey, toKey, fence } = range;
     const result = await control.grant(
@@ -185,6 +205,7 @@
       { timeoutMs: timings.grantTimeoutMs, maySend: isStillAllowed },
     );
     state.isInFlight = false;
+    call.isInFlight = false;
     const fields = { server: server.server, fromKey, toKey, fence };
     if (result.isErr() && result.error.kind === "kept") {
       state.unansweredSinceMs = unansweredSinceMs;
@@ -196,7 +217,8 @@
     }
     state.lastEndedAtMs = clock.nowMs();
     this.#scheduleRetry(state, result.isOk() && result.value === "granted");
-    if (result.isErr()) state.lastUnansweredAtMs = state.lastEndedAtMs;
+    call.endedAtMs = state.lastEndedAtMs;
+    if (result.isErr()) call.unansweredAtMs = state.lastEndedAtMs;
     this.#options.onCompleted(server.server);
     if (result.isErr()) {
       log.warn("Grant not answered.", {
@@ -226,8 +248,9 @@
   }
 
   /**
-   * Removes the state of ranges that are not listed, and of servers without a
-   * grant for four times the lease duration `leaseMs`.
+   * Takes the ranges of a new map. Removes the state of all others, and of
+   * servers and ranges without a grant for four times the lease duration
+   * `leaseMs`.
    */
   prune(ranges: readonly contracts.RangeState[], leaseMs: number): void {
     const listed = new Set(ranges.map(rangeKeyOf));
@@ -237,7 +260,12 @@
     for (const rangeKey of this.#refused.keys()) {
       if (!listed.has(rangeKey)) this.#refused.delete(rangeKey);
     }
+    this.#listed = listed;
     const expiryMs = this.#options.clock.nowMs() - 4 * leaseMs;
+    for (const [rangeKey, { isInFlight, endedAtMs }] of this.#lastCalls) {
+      const isOld = !isInFlight && endedAtMs < expiryMs;
+      if (isOld && !listed.has(rangeKey)) this.#lastCalls.delete(rangeKey);
+    }
     for (const [server, state] of this.#servers) {
       if (!state.isInFlight && state.lastEndedAtMs < expiryMs) {
         this.#servers.delete(server);
@@ -245,6 +273,20 @@
     }
   }
 
+  #lastCall(range: contracts.RangeState): LastCall {
+    const rangeKey = rangeKeyOf(range);
+    const found = this.#lastCalls.get(rangeKey);
+    if (found !== undefined) return found;
+    const created: LastCall = {
+      server: range.owner.server,
+      isInFlight: false,
+      endedAtMs: Number.NEGATIVE_INFINITY,
+      unansweredAtMs: undefined,
+    };
+    this.#lastCalls.set(rangeKey, created);
+    return created;
+  }
+
   #noteRefused(range: contracts.RangeState, sinceMs: number): void {
     const rangeKey = rangeKeyOf(range);
     if (this.#refused.has(rangeKey)) return;
@@ -273,7 +315,6 @@
     const created: ServerState = {
       isInFlight: false,
       lastEndedAtMs: Number.NEGATIVE_INFINITY,
-      lastUnansweredAtMs: undefined,
       unansweredSinceMs: undefined,
       consecutiveFailures: 0,
       retryAtMs: Number.NEGATIVE_INFINITY,
@@ -285,6 +326,12 @@
 
 const SYSTEM_RANDOM = new SystemRandom();
 
+/** The smaller of two ages; null for none. */
+function smallest(a: number | null, b: number | null): number | null {
+  if (a === null || b === null) return a ?? b;
+  return Math.min(a, b);
+}
+
 /** Cache of range keys, which are needed at every tick. */
 const rangeKeys = new WeakMap<contracts.RangeState, string>();
 
--- a/packages/entry/src/gateway/grant_sender_test.ts
+++ b/packages/entry/src/gateway/grant_sender_test.ts
@@ -134,3 +134,21 @@
   sender.prune([{ ...RANGE, fence: 5 }], 1_500);
   expect(sender.unresponsiveServers()).toEqual([]);
 });
+
+/** Guards against keys that wait for leases on other ranges of their old owner. */
+test("should tell the ages of grants of ranges that are no longer granted", async () => {
+  let nowMs = 0;
+  let isAnswered = true;
+  const answer = () =>
+    isAnswered ? neverthrow.okAsync("granted" as const) : refuse();
+  const sender = createSender(answer, () => nowMs);
+  const kept = { ...RANGE, fromKey: 100, toKey: 199, fence: 2 };
+  await sender.send(REQUEST);
+  await sender.send({ ...REQUEST, range: kept });
+  sender.prune([{ ...RANGE, fence: 9 }, kept], 1_500);
+  isAnswered = false;
+  for (nowMs = 100; nowMs <= 1_000; nowMs += 100) {
+    await sender.send({ ...REQUEST, range: kept });
+    expect(sender.grantAgesMs().get(SERVER)).toEqual([nowMs, null]);
+  }
+});
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -364,7 +364,7 @@
 
   #adopt(map: contracts.RangeMap, from: string): void {
     const oldOwners = grants.releasingServers(map.ranges);
-    this.#logLastGrants(map.revision, oldOwners);
+    const earlierOldOwners = this.#oldOwners;
     this.#map = map;
     this.#oldOwners = oldOwners;
     this.#rangesByOwner = grants.rangesByOwner(map.ranges);
@@ -375,6 +375,7 @@
       map.ranges,
       grants.longestLeaseMs(map, this.#options.timings),
     );
+    this.#logLastGrants(map.revision, oldOwners, earlierOldOwners);
     const fences = new Set(map.ranges.map(({ fence }) => fence));
     const owners = new Set<string>(map.ranges.map((it) => it.owner.server));
     for (const fence of this.#acceptedFences) {
@@ -398,11 +399,12 @@
   #logLastGrants(
     revision: number,
     oldOwners: ReadonlySet<contracts.ServerId>,
+    earlierOldOwners: ReadonlySet<contracts.ServerId>,
   ): void {
     for (
       const [server, [ageMs, unansweredAgeMs]] of this.#sender.grantAgesMs()
     ) {
-      if (!oldOwners.has(server) || this.#oldOwners.has(server)) continue;
+      if (!oldOwners.has(server) || earlierOldOwners.has(server)) continue;
       this.#options.log.info("Stopped renewing a server's grants.", {
         server,
         revision,
