fix(paths): let a probed connection stay open for turns of the event loop, too

Cause: 25 ms of wall time may hold a single turn of the event loop there, so the reset after an accepted connection is read later than the timer runs; the path counts as restored, and so do all VMs told of it.

A probed connection now has to stay open for eight more turns of the event loop, which cost nothing on an idle machine.

--- a/packages/entry/src/links/connection_probe.ts
+++ b/packages/entry/src/links/connection_probe.ts
@@ -14,13 +14,18 @@
   readonly stayMs?: number;
 }
 
+/**
+ * Turns of the event loop that the connection has to stay open for besides: on a
+ * loaded machine a reset may wait to be read when the time is over.
+ */
+const STAY_TURNS = 8;
+
 /** Opens a connection and closes it again. Never rejects. */
 export function probeConnection(
   target: net.TcpNetConnectOpts,
   { timeoutMs, stayMs = 0 }: ProbeOptions,
 ): Promise<ProbeOutcome> {
   return new Promise((resolve) => {
-    const endMs = performance.now() + timeoutMs + stayMs;
     const socket = net.connect(target);
     let stay: NodeJS.Timeout | undefined;
     const end = (outcome: ProbeOutcome) => {
@@ -28,14 +33,9 @@
       resolve(outcome);
       socket.destroy();
     };
-    const waitForReset = () => {
-      const startMs = performance.now();
-      stay = setTimeout(() => {
-        // After a stall of this process, a reset may wait to be read.
-        const isStalled = performance.now() - startMs > 1.5 * stayMs;
-        if (isStalled && performance.now() < endMs) return waitForReset();
-        end("accepted");
-      }, stayMs);
+    const endIfKept = (turnsLeft: number) => {
+      if (turnsLeft === 0) return end("accepted");
+      setImmediate(() => endIfKept(turnsLeft - 1));
     };
     // After a stall of this process, a reply may wait to be read.
     socket.setTimeout(
@@ -45,7 +45,7 @@
     socket.once("connect", () => {
       socket.setTimeout(0);
       if (stayMs === 0) return end("accepted");
-      waitForReset();
+      stay = setTimeout(() => endIfKept(STAY_TURNS), stayMs);
     });
     socket.once("close", () => end("broken"));
     socket.once(
