fix(admission): refuse at once without keys, too, when no VM reaches any server

The queue of a service without keys now asks whether any VM reaches a server that may run the request, as that of keys does.

--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -310,7 +310,8 @@
       const isLate = (isNamed || this.#isOverdue(request, nowMs)) &&
         this.#mustRefuse(request, waitMs, nowMs);
       const reason = this.#blockedBy(request, nowMs);
-      const isUnservable = this.isKeyed && UNSERVABLE_REASONS.has(reason);
+      const isUnservable = reason === "unreached" ||
+        this.isKeyed && UNSERVABLE_REASONS.has(reason);
       const isInTime = leftMs > serviceMs && waitMs < leftMs;
       if (isInTime && !isLate && !isUnservable) {
         kept.push(request);
@@ -506,14 +507,20 @@
 
   /**
    * Whether no VM reaches the owner of a key, or any server that could become
-   * it.
+   * it; without keys, any server that may run the request.
    */
   #isUnreached(
     owner: KeyOwner | undefined,
     request: WaitingRequest,
   ): boolean {
     const { reachOf } = this.#options;
-    if (reachOf === undefined || owner === undefined) return false;
+    if (reachOf === undefined) return false;
+    if (owner === undefined) {
+      const usable = [...this.#loads.values()]
+        .filter((load) => this.#isUsable(load, request));
+      return usable.length > 0 &&
+        usable.every(({ entry }) => reachOf(entry.server) === "unreached");
+    }
     if (owner.kind === "owned") return reachOf(owner.server) === "unreached";
     const next = [...this.#loads.values()]
       .filter(({ entry }) => !entry.isDraining && this.#isHome(entry, request));
@@ -550,6 +557,7 @@
       : this.#areAllOutsideHome(request);
     if (isOutsideHome) return "not-home";
     if (owner === undefined) {
+      if (this.#isUnreached(owner, request)) return "unreached";
       const isServed = this.#candidates(request, nowMs).length > 0;
       if (isServed) return this.#isNamed() ? "limited" : "no-room";
       const { capped } = this.#options;
--- a/packages/decisions/src/admission/service_queue_test.ts
+++ b/packages/decisions/src/admission/service_queue_test.ts
@@ -445,6 +445,16 @@
   expect(fixture.add({ key: 7 }).refusal).toEqual(undefined);
 });
 
+/** Guards against a request that asks peer after peer while all have lost it. */
+test("should refuse at once without keys when no VM reaches any server", () => {
+  let reach: admission.ServerReach = "unreached";
+  const servers = [server("a"), server("b")];
+  const fixture = new Fixture(servers, undefined, () => reach);
+  expect(fixture.add().refusal?.reason).toEqual("unreached");
+  reach = "trial";
+  expect(fixture.add().placement).not.toEqual(undefined);
+});
+
 /** Guards against slots asked for at an owner that no request gets to. */
 test("should refuse at once a key whose owner no VM reaches, but not a trial", () => {
   let reach: admission.ServerReach = "unreached";
--- a/packages/decisions/src/admission/waiting_request.ts
+++ b/packages/decisions/src/admission/waiting_request.ts
@@ -14,7 +14,7 @@
   | "no-owner"
   /** The key has no owner, and no VM can give it one at present. */
   | "blocked"
-  /** No VM reaches the key's owner, or any server that could become it. */
+  /** No VM reaches the key's owner or any that could become it, or any server. */
   | "unreached"
   /** The servers have no capacity to answer it in time. */
   | "no-room"
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -316,9 +316,7 @@
       times,
       random,
       regionOf: (zone) => zones[zone],
-      reachOf: isKeyed
-        ? (server) => this.#options.paths.reachOf(server)
-        : undefined,
+      reachOf: (server) => this.#options.paths.reachOf(server),
       onWait: () => this.#reviewTask?.setIntervalMs(QUEUE_REVIEW_INTERVAL_MS),
       keyed: isKeyed
         ? { ownerOf: (key) => grants.ownerOf(service, key), slots: source }
