refactor(paths): one delay for callers whom no VM can serve

The queue and the request each had a constant of 400 ms for the retry delay of callers refused because no VM reaches a server. The request now uses the queue's.

--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -123,7 +123,7 @@
 /** Shortest expected wait for a key without an owner. */
 const MIN_HANDOVER_WAIT_MS = 100;
 /** Mean retry delay of callers refused because no VM reaches a server. */
-const UNREACHED_RETRY_AFTER_MS = 400;
+export const UNREACHED_RETRY_AFTER_MS = 400;
 /** Reasons that no wait within a caller's deadline is known to end. */
 const UNSERVABLE_REASONS: ReadonlySet<RefusalReason> = new Set([
   "no-server",
--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarded_request.ts
@@ -1,6 +1,6 @@
 /** One request from queueing through its attempts to its single response. */
 import type * as contracts from "@guavatide/contracts";
-import type * as admission from "@guavatide/decisions/admission/mod";
+import * as admission from "@guavatide/decisions/admission/mod";
 import * as poison from "@guavatide/decisions/poison/mod";
 import type {
   AttemptRequest,
@@ -72,8 +72,6 @@
 const HANDOVER_RETRY_AFTER_MS = 150;
 /** No retry with less time left than this fraction of the expected time. */
 const MIN_RETRY_TIME_RATIO = 0.6;
-/** Mean retry delay of callers refused because no VM reaches a server. */
-const NO_PATH_RETRY_AFTER_MS = 400;
 /** Wait before a request that its key's owner refused is queued again. */
 const OWNER_REFUSAL_BACKOFF_MS = 25;
 
@@ -382,7 +380,7 @@
       this.tried.add(server);
       return this.#retryOrGiveUp(reason, false);
     }
-    this.#giveUp(reason, this.#jitter(NO_PATH_RETRY_AFTER_MS));
+    this.#giveUp(reason, this.#jitter(admission.UNREACHED_RETRY_AFTER_MS));
   }
 
   /** Spreads out the retries of callers that are refused together. */
