feat(observability): read Retry-After and Server-Leaving of servers, log both

Answers, refusals, grants, releases and relayed attempts now carry what a server says beside them (ServerNotices); nothing acts on it yet.

--- a/packages/contracts/src/key_grants.ts
+++ b/packages/contracts/src/key_grants.ts
@@ -9,7 +9,7 @@
 import { serverIdSchema, serviceIdSchema, vmIdSchema } from "./ids.ts";
 import type { CallOptions } from "./platform_store.ts";
 import type { RegisteredServer } from "./registered_server.ts";
-import type { RequestLimitReport } from "./server_report.ts";
+import type { ServerNotices } from "./server_report.ts";
 
 /** Number of keys: whole numbers from 0 up to, but not including, this. */
 export const KEY_COUNT = 65_536;
@@ -35,15 +35,15 @@
 /** A backend server's answer to a grant. */
 export type GrantAnswer = "granted" | "fenced-off" | "refused";
 
-/** Options of a grant call. */
+/** Options of a grant or release call. */
 export interface GrantCallOptions extends CallOptions {
   /**
-   * Called right before the bytes are sent; false keeps the grant from being
+   * Called right before the bytes are sent; false keeps the call from being
    * sent.
    */
   readonly maySend?: () => boolean;
-  /** Called with the limit that the answer names, if it names one. */
-  readonly onRequestLimit?: (report: RequestLimitReport) => void;
+  /** Called with what the server says of itself beside its answer. */
+  readonly onNotices?: (notices: ServerNotices) => void;
 }
 
 /** Grant calls of one platform. */
@@ -64,7 +64,7 @@
   release(
     server: RegisteredServer,
     range: KeyRange & { readonly fence: number },
-    options: CallOptions,
+    options: GrantCallOptions,
   ): ResultAsync<string | undefined, ServerCallError>;
   close(): Promise<void>;
 }
--- a/packages/contracts/src/server_report.ts
+++ b/packages/contracts/src/server_report.ts
@@ -36,3 +36,51 @@
     ? { kind: "limited", requestsPerSecond: Number(trimmed) }
     : { kind: "malformed", text: trimmed.slice(0, MAX_REPORTED_TEXT) };
 }
+
+/** What an answer says about when its server takes requests of this VM again. */
+export type RetryAfterReport =
+  /** Not before this time is over. */
+  | { readonly kind: "delay"; readonly delayMs: number }
+  /** The text is neither a delay nor a date, so it asks for nothing. */
+  | { readonly kind: "malformed"; readonly text: string };
+
+const DELAY_SECONDS = /^[0-9]{1,9}(\.[0-9]{1,9})?$/;
+const HTTP_DATE =
+  /^[A-Z][a-z]{2}, [0-9]{2} [A-Z][a-z]{2} [0-9]{4} [0-9:]{8} GMT$/;
+
+/**
+ * Decodes a `Retry-After` header (RFC 9110, section 10.2.3; seconds may have a
+ * fraction): a delay, or a date, counted from `dateText`, the answer's own
+ * `Date`, or else from `nowUnixMs`. Undefined for no text or no delay.
+ */
+export function parseRetryAfter(
+  text: string | undefined,
+  { dateText, nowUnixMs }: {
+    readonly dateText: string | undefined;
+    readonly nowUnixMs: number;
+  },
+): RetryAfterReport | undefined {
+  if (text === undefined) return undefined;
+  const trimmed = text.trim();
+  let delayMs: number;
+  if (DELAY_SECONDS.test(trimmed)) delayMs = Number(trimmed) * 1_000;
+  else if (HTTP_DATE.test(trimmed)) {
+    const sentUnixMs = Date.parse(dateText ?? "");
+    const fromUnixMs = Number.isNaN(sentUnixMs) ? nowUnixMs : sentUnixMs;
+    delayMs = Date.parse(trimmed) - fromUnixMs;
+  } else delayMs = Number.NaN;
+  if (Number.isNaN(delayMs)) {
+    return { kind: "malformed", text: trimmed.slice(0, MAX_REPORTED_TEXT) };
+  }
+  return delayMs > 0 ? { kind: "delay", delayMs } : undefined;
+}
+
+/** What a server says of itself beside an answer, whatever the answer is. */
+export interface ServerNotices {
+  /** Undefined when the server names no limit. */
+  readonly requestLimit?: RequestLimitReport | undefined;
+  /** Undefined when the server takes further requests. */
+  readonly retryAfter?: RetryAfterReport | undefined;
+  /** Whether the server says that it leaves. */
+  readonly isLeaving?: boolean | undefined;
+}
--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarded_request.ts
@@ -572,10 +572,16 @@
     case "answer":
       return `${result.answer.status}`;
     case "refusal":
-      return `refused ${result.refusal}`;
+      return `refused ${result.refusal}${describeDelay(result)}`;
     case "not-sent":
       return `not sent: ${result.message}`;
     case "unknown":
       return `unknown: ${result.message}`;
   }
 }
+
+function describeDelay({ retryAfter }: contracts.ServerNotices): string {
+  return retryAfter?.kind === "delay"
+    ? `, back after ${Math.round(retryAfter.delayMs)} ms`
+    : "";
+}
--- a/packages/entry/src/gateway/gateway_metrics.ts
+++ b/packages/entry/src/gateway/gateway_metrics.ts
@@ -25,6 +25,8 @@
   readonly poisonRequests = new LabelledCounts();
   /** Calls to servers that limit their requests, by kind. */
   readonly limitedServerCalls = new LabelledCounts();
+  /** Calls to servers that have asked this VM to back off, by kind. */
+  readonly backoffCalls = new LabelledCounts();
   /** Requests sent over peers or for them, by role and outcome. */
   readonly relayedRequests = new LabelledCounts();
   /** Datagrams to peers. */
@@ -101,6 +103,7 @@
       [this.storeCalls, metrics.storeCalls],
       [this.poisonRequests, metrics.poisonRequests],
       [this.limitedServerCalls, metrics.limitedServerCalls],
+      [this.backoffCalls, metrics.backoffCalls],
       [this.relayedRequests, metrics.relayedRequests],
       [this.peerDatagrams, metrics.peerDatagrams],
       [this.peerBytes, metrics.peerBytes],
--- a/packages/entry/src/gateway/limited_grant_control.ts
+++ b/packages/entry/src/gateway/limited_grant_control.ts
@@ -31,17 +31,20 @@
         if (maySend) this.#limits.noteCall(server.server, "grant");
         return maySend;
       },
-      onRequestLimit: (report) =>
-        this.#limits.noteAnswer(server.server, report, {
+      onNotices: (notices) => {
+        options.onNotices?.(notices);
+        if (notices.requestLimit === undefined) return;
+        this.#limits.noteAnswer(server.server, notices.requestLimit, {
           tookMs: this.#clock.nowMs() - sentAtMs,
-        }),
+        });
+      },
     });
   }
 
   release(
     server: contracts.RegisteredServer,
     range: contracts.KeyRange & { readonly fence: number },
-    options: contracts.CallOptions,
+    options: contracts.GrantCallOptions,
   ): ReturnType<contracts.GrantControl["release"]> {
     this.#limits.noteCall(server.server, "release");
     return this.#control.release(server, range, options);
--- a/packages/entry/src/gateway/path_noting_grant_control.ts
+++ b/packages/entry/src/gateway/path_noting_grant_control.ts
@@ -36,7 +36,7 @@
   release(
     server: contracts.RegisteredServer,
     range: contracts.KeyRange & { readonly fence: number },
-    options: contracts.CallOptions,
+    options: contracts.GrantCallOptions,
   ): ReturnType<contracts.GrantControl["release"]> {
     return this.#control.release(server, range, options);
   }
--- a/packages/entry/src/gateway/relay_messages.ts
+++ b/packages/entry/src/gateway/relay_messages.ts
@@ -83,6 +83,11 @@
   z.object({ kind: z.literal("malformed"), text: z.string() }),
 ]);
 
+const retryAfterSchema = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("delay"), delayMs: z.number().min(0) }),
+  z.object({ kind: z.literal("malformed"), text: z.string() }),
+]);
+
 const observationSchema = z.object({
   isAccepting: z.boolean(),
   /** Null when the peer has never heard the server. */
@@ -93,6 +98,8 @@
   inFlight: z.number().optional(),
   report: reportSchema.optional(),
   requestLimit: requestLimitSchema.optional(),
+  retryAfter: retryAfterSchema.optional(),
+  isLeaving: z.boolean().optional(),
   /** Requests that the peer relays at this moment, of all VMs. */
   relayed: z.number().int().min(0),
 };
@@ -202,12 +209,12 @@
 }
 
 function reportsOf(
-  { inFlight, report, requestLimit }: Extract<
+  { inFlight, report, requestLimit, retryAfter, isLeaving }: Extract<
     AttemptResult,
     { kind: "answer" | "refusal" }
   >,
 ) {
-  return { inFlight, report, requestLimit };
+  return { inFlight, report, requestLimit, retryAfter, isLeaving };
 }
 
 /** A failure of the peer's own says nothing about the server. */
@@ -245,7 +252,7 @@
 }
 
 function reportsIn(
-  { inFlight, report, requestLimit }: Extract<
+  { inFlight, report, requestLimit, retryAfter, isLeaving }: Extract<
     RelayReply,
     { kind: "answer" | "refusal" }
   >,
@@ -254,5 +261,7 @@
     inFlight,
     report: report && { ...report, slowdownRatio: report.slowdownRatio },
     requestLimit,
+    retryAfter,
+    isLeaving,
   };
 }
--- a/packages/entry/src/gateway/server_paths.ts
+++ b/packages/entry/src/gateway/server_paths.ts
@@ -21,6 +21,7 @@
 import type { OwnReach, PeerReach } from "./peer_reach.ts";
 import type { RelayClient } from "./relay_client.ts";
 import type { DeclineReason } from "./relay_messages.ts";
+import type { ServerBackoffTask } from "./server_backoff_task.ts";
 import { ServerContactLog } from "./server_contact_log.ts";
 import type { ServerRegistry } from "./server_registry.ts";
 
@@ -34,6 +35,16 @@
   readonly gossip: Pick<PeerGossip, "live">;
   readonly reach: PeerReach;
   readonly relays: Pick<RelayClient, "attempt" | "check">;
+  readonly backoffs: Pick<ServerBackoffTask, "noteCall">;
+  /**
+   * Called with what a server's answer says beside it; `via` is the peer that
+   * relayed the request, if any.
+   */
+  readonly onNotices: (
+    entry: contracts.RegisteredServer,
+    notices: contracts.ServerNotices,
+    via?: contracts.VmId,
+  ) => void;
   readonly clock: contracts.Clock;
   readonly random: contracts.RandomSource;
   readonly log: Logger;
@@ -162,12 +173,16 @@
     };
     this.#tracker.start(server, attempt);
     this.#reviewTask?.setIntervalMs(REVIEW_INTERVAL_MS);
-    const result = await this.#pool(entry).send(request, {
+    const result = await this.#pool(entry).send({
+      ...request,
+      maySend: () => this.#mayLeave(entry, request),
+    }, {
       timeoutMs: options.timeoutMs,
       signal: options.signal,
       onStarted: (giveUp) => abandon = giveUp,
     });
     this.#tracker.end(server, attempt);
+    this.#noteNotices(entry, result);
     if (isAbandoned && result.kind === "unknown") {
       return { ...result, isPathLost: true };
     }
@@ -175,6 +190,25 @@
     return result;
   }
 
+  /** Whether a request may leave now. Called when its bytes are written. */
+  #mayLeave(
+    { server }: contracts.RegisteredServer,
+    request: AttemptRequest,
+  ): boolean {
+    if (!request.maySend()) return false;
+    this.#options.backoffs.noteCall(server, "request");
+    return true;
+  }
+
+  #noteNotices(
+    entry: contracts.RegisteredServer,
+    result: AttemptResult,
+    via?: contracts.VmId,
+  ): void {
+    if (result.kind !== "answer" && result.kind !== "refusal") return;
+    this.#options.onNotices(entry, result, via);
+  }
+
   #noteEnd(entry: contracts.RegisteredServer, result: AttemptResult): void {
     const { server } = entry;
     const nowMs = this.#options.clock.nowMs();
@@ -286,6 +320,7 @@
         const isReached = sent.result.kind === "answer" ||
           sent.result.kind === "refusal";
         if (isReached) this.#tracker.noteReachedByPeer(server, endedMs);
+        this.#noteNotices(entry, sent.result, peer.vm);
         return { ...sent.result, via: peer.vm };
       }
       if (sent.kind === "unavailable") {
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -31,9 +31,11 @@
 import { PoisonGuard } from "./poison_guard.ts";
 import { RangeMapStore } from "./range_map_store.ts";
 import { ReadinessServer } from "./readiness_server.ts";
+import { BackoffGrantControl } from "./backoff_grant_control.ts";
 import { LimitedGrantControl } from "./limited_grant_control.ts";
 import { RequestLimitTask } from "./request_limit_task.ts";
 import { RequestLog } from "./request_log.ts";
+import { ServerBackoffTask } from "./server_backoff_task.ts";
 import { ServerRegistry } from "./server_registry.ts";
 import { SlotTask } from "./slot_task.ts";
 import { StoreHealth } from "./store_health.ts";
@@ -180,6 +182,12 @@
     log: log.part("route"),
     counts: metrics.limitedServerCalls,
   });
+  const backoffs = new ServerBackoffTask({
+    registry,
+    clock: suspensionClock,
+    log: log.part("route"),
+    counts: metrics.backoffCalls,
+  });
   const rateLimits: ServerRateLimits = new ServerRateLimits({
     vm: settings.vm,
     bound: settings.coldStarts,
@@ -225,6 +233,9 @@
     gossip,
     reach,
     relays,
+    backoffs,
+    onNotices: (entry, notices, via) =>
+      backoffs.noteAnswer(entry, notices, via),
     clock,
     random,
     log: log.part("route"),
@@ -242,10 +253,14 @@
     gossip,
     rpc: calls,
     maps: new RangeMapStore({ store, health, log: log.part("owner") }),
-    control: new LimitedGrantControl(
-      new PathNotingGrantControl(adapter.grants, paths),
-      requestLimits,
-      clock,
+    control: new BackoffGrantControl(
+      new LimitedGrantControl(
+        new PathNotingGrantControl(adapter.grants, paths),
+        requestLimits,
+        clock,
+      ),
+      backoffs,
+      (entry, notices) => backoffs.noteAnswer(entry, notices),
     ),
     health,
     reach,
@@ -412,6 +427,7 @@
     slots,
     poison,
     requestLimits,
+    backoffs,
     reach,
     paths,
     relays,
@@ -483,6 +499,7 @@
   parts.poison.start(lifeCycle);
   grantTask.start(lifeCycle);
   parts.requestLimits.start(lifeCycle);
+  parts.backoffs.start(lifeCycle);
   parts.slots.start(lifeCycle);
   parts.forwarder.start(lifeCycle);
   await parts.listener.listen();
--- a/packages/entry/src/links/answer_decoder.ts
+++ b/packages/entry/src/links/answer_decoder.ts
@@ -30,11 +30,9 @@
   | { readonly kind: "bad"; readonly message: string };
 
 /** What a response reports besides its outcome. */
-export interface AnswerReport {
+export interface AnswerReport extends contracts.ServerNotices {
   /** The server's load; undefined when it reports none or an invalid one. */
   readonly report?: contracts.ServerReport | undefined;
-  /** Undefined when the server names no limit. */
-  readonly requestLimit?: contracts.RequestLimitReport | undefined;
 }
 
 /** Decodes the responses of one kind of backend server. */
--- a/packages/entry/src/metrics/metrics.ts
+++ b/packages/entry/src/metrics/metrics.ts
@@ -34,6 +34,8 @@
    * `grant`, `release`.
    */
   readonly limitedServerCalls: api.Counter;
+  /** Calls to servers that have asked this VM to back off, by kind. */
+  readonly backoffCalls: api.Counter;
   /**
    * Requests that a VM sent for another that didn't reach the server, by role
    * (`asked`, `sent`) and outcome.
@@ -61,6 +63,7 @@
     this.limitedServerCalls = this.#meter.createCounter(
       "guavatide_limited_server_calls",
     );
+    this.backoffCalls = this.#meter.createCounter("guavatide_backoff_calls");
     this.relayedRequests = this.#meter.createCounter(
       "guavatide_relayed_requests",
     );
