fix(backoffs): leave servers alone for as long as they ask; take their word that they leave

Cause: an answer that says when to come back was reduced to one bit, "busy", and forgotten when its request ended. A refusal left no trace in a server's load, so the server that refused within a millisecond was the least loaded one again.

Now each VM remembers until when a server wants nothing from it (ServerBackoffs); nothing is placed there, and what was placed before is held back when its bytes would leave. What all servers that may run a request have asked to be left alone for is refused at once, with what is left as Retry-After. After the time requests go one by one until the server answers. A refusal without a time pauses a server for 25 to 400 ms. What a peer relays counts for both VMs.

Owners: VMs that are free renew their leases, which become longer than the time asked for; others send at most two calls beside those that cross the answer. An owner that refuses all VMs loses its keys in two releases; one that refuses some keeps a part by how many VMs it serves.

Server-Leaving in any answer makes a server drain at every VM, whatever its registration says, until it starts anew.

Ruled out: that peers are told to leave a server alone as well, since one that turns away a tenth would lose nine tenths of its work.

--- a/packages/contracts/src/key_grants.ts
+++ b/packages/contracts/src/key_grants.ts
@@ -33,7 +33,12 @@
 }
 
 /** A backend server's answer to a grant. */
-export type GrantAnswer = "granted" | "fenced-off" | "refused";
+export type GrantAnswer =
+  | "granted"
+  | "fenced-off"
+  | "refused"
+  /** Not granted: the server has asked for no calls for a time. */
+  | "backing-off";
 
 /** Options of a grant or release call. */
 export interface GrantCallOptions extends CallOptions {
--- a/packages/decisions/src/admission/server_load.ts
+++ b/packages/decisions/src/admission/server_load.ts
@@ -14,6 +14,12 @@
 const SUSPEND_OWNER_AFTER_LOSSES = 5;
 const SUSPEND_MIN_MS = 400;
 const SUSPEND_MAX_MS = 4_000;
+/**
+ * Pause after a refusal, doubled with each further one until the server answers
+ * a request: what refuses within a millisecond would look idle.
+ */
+const REFUSAL_PAUSE_MIN_MS = 25;
+const REFUSAL_PAUSE_MAX_MS = 400;
 /** A reported speed loses weight with age and expires after this time. */
 const SPEED_TTL_MS = 400;
 
@@ -58,6 +64,9 @@
   /** When the first of the consecutive losses was sent. */
   #silentSinceMs = Number.POSITIVE_INFINITY;
   #suspendedUntilMs = Number.NEGATIVE_INFINITY;
+  /** Since the last answer. */
+  #consecutiveRefusals = 0;
+  #refusedUntilMs = Number.NEGATIVE_INFINITY;
 
   constructor(entry: contracts.RegisteredServer, isOwner = false) {
     this.entry = entry;
@@ -99,6 +108,11 @@
     return this.suspensionLeftMs(nowMs) === 0;
   }
 
+  /** Whether it has just refused a request and should get none yet. */
+  isRefusing(nowMs: number): boolean {
+    return nowMs < this.#refusedUntilMs;
+  }
+
   /** How long it has answered nothing; 0 if it answered the last request. */
   silentMs(nowMs: number): number {
     return Math.max(0, nowMs - this.#silentSinceMs);
@@ -149,12 +163,22 @@
     this.#consecutiveLosses = 0;
     this.#suspensions = 0;
     this.#silentSinceMs = Number.POSITIVE_INFINITY;
-    if (outcome.kind === "rejected") return;
+    if (outcome.kind === "rejected") return this.#recordRefusal(sentMs, nowMs);
+    this.#consecutiveRefusals = 0;
+    this.#refusedUntilMs = Number.NEGATIVE_INFINITY;
     const failure = outcome.isFailure ? 1 : 0;
     this.#failureRatio += FAILURE_SAMPLE_WEIGHT *
       (failure - this.#failureRatio);
   }
 
+  #recordRefusal(sentMs: number, nowMs: number): void {
+    // Many requests that were sent together are refused together.
+    if (sentMs < this.#refusedUntilMs) return;
+    const pauseMs = REFUSAL_PAUSE_MIN_MS * 2 ** this.#consecutiveRefusals;
+    this.#consecutiveRefusals++;
+    this.#refusedUntilMs = nowMs + Math.min(REFUSAL_PAUSE_MAX_MS, pauseMs);
+  }
+
   /**
    * Suspends a server after consecutive losses, as a server that is down holds
    * each request until its deadline. The first suspension is short, as a reset
--- a/packages/decisions/src/admission/server_ranking.ts
+++ b/packages/decisions/src/admission/server_ranking.ts
@@ -49,7 +49,8 @@
   load: ServerLoad,
   nowMs: number,
 ): boolean {
-  return load.outstanding(nowMs) < load.entry.slots + PREFETCHED_REQUESTS;
+  return !load.isRefusing(nowMs) &&
+    load.outstanding(nowMs) < load.entry.slots + PREFETCHED_REQUESTS;
 }
 
 /** Expected time until the server answers a new request, in milliseconds. */
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -4,6 +4,7 @@
  */
 import type * as contracts from "@guavatide/contracts";
 import type { CappedServers } from "./capped_servers.ts";
+import type { ServerBackoffs } from "./server_backoffs.ts";
 import type { ServerRateLimit } from "./server_rate_limit.ts";
 import { PriorityOrder } from "./priority_order.ts";
 import { ServerLoad } from "./server_load.ts";
@@ -72,6 +73,8 @@
    * applies the limit itself.
    */
   readonly capped?: CappedServers | undefined;
+  /** Servers that have asked this VM to back off; absent for none. */
+  readonly backoffs?: ServerBackoffs | undefined;
   /** Present for a single server whose requests all pass through this queue. */
   readonly reserve?: ShortRequestReserve;
   /** Region of an availability zone; undefined for an unknown one. */
@@ -122,6 +125,11 @@
 const LOST_OWNER_WAIT_MS = 700;
 /** Shortest expected wait for a key without an owner. */
 const MIN_HANDOVER_WAIT_MS = 100;
+/** A back-off that ends within this time is waited for. */
+const MAX_BACKOFF_WAIT_MS = 25;
+/** Spreads out callers that return when a back-off ends. */
+const BACKOFF_SPREAD_RATIO = 0.1;
+const BACKOFF_SPREAD_MAX_MS = 250;
 /** Mean retry delay of callers refused because no VM reaches a server. */
 export const UNREACHED_RETRY_AFTER_MS = 400;
 /** Reasons that no wait within a caller's deadline is known to end. */
@@ -131,6 +139,7 @@
   "no-key",
   "unreached",
   "blocked",
+  "backing-off",
 ]);
 /**
  * A queued request is refused when the time to its deadline is at most this
@@ -260,6 +269,14 @@
     if (this.cancel(request)) request.refused(named);
   }
 
+  /** Refuses a request whose servers all back off; false if one doesn't. */
+  refuseIfBackingOff(request: WaitingRequest, nowMs: number): boolean {
+    const waitMs = this.#shortestBackoffMs(request, nowMs);
+    if (waitMs === 0) return false;
+    request.refused(this.#refusal(request, "backing-off", waitMs, nowMs));
+    return true;
+  }
+
   /** Whether a server without a limit can take a request in time. */
   #mayWaitForOthers(request: WaitingRequest, nowMs: number): boolean {
     if (this.#candidates(request, nowMs).length === 0) return false;
@@ -310,7 +327,7 @@
       const isLate = (isNamed || this.#isOverdue(request, nowMs)) &&
         this.#mustRefuse(request, waitMs, nowMs);
       const reason = this.#blockedBy(request, nowMs);
-      const isUnservable = reason === "unreached" ||
+      const isUnservable = reason === "unreached" || reason === "backing-off" ||
         this.isKeyed && UNSERVABLE_REASONS.has(reason);
       const isInTime = leftMs > serviceMs && waitMs < leftMs;
       if (isInTime && !isLate && !isUnservable) {
@@ -355,6 +372,7 @@
       const servers = this.#cappedServers(request, nowMs);
       const held = capped.acquire(request, servers, { hasOther, nowMs });
       if (held !== undefined) {
+        this.#options.backoffs?.recordStart(held.entry.server, nowMs);
         const outstanding = held.outstanding(nowMs);
         const releaseSlot = capped.markInUse(request);
         request.placed({
@@ -370,6 +388,7 @@
     if (load === undefined) return false;
     capped?.cancel(request);
     rateLimits?.recordStart(load.entry.server, nowMs);
+    this.#options.backoffs?.recordStart(load.entry.server, nowMs);
     const outstanding = load.outstanding(nowMs);
     request.placed({ load, outstanding, fence: undefined });
     return true;
@@ -380,7 +399,7 @@
     const { rateLimits } = this.#options;
     const free = this.#candidates(request, nowMs)
       .filter((load) =>
-        ranking.hasCapacity(load, nowMs) &&
+        ranking.hasCapacity(load, nowMs) && this.#mayStart(load, nowMs) &&
         (rateLimits?.mayStart(load.entry.server, nowMs) ?? true)
       );
     const context = this.#context(nowMs);
@@ -395,10 +414,42 @@
   #cappedServers(request: WaitingRequest, nowMs: number): ServerLoad[] {
     return [...this.#loads.values()].filter((load) =>
       this.#isCapped(load) && this.#isUsable(load, request) &&
-      load.isUp(nowMs)
+      load.isUp(nowMs) && this.#mayStart(load, nowMs)
     );
   }
 
+  /** Whether the server has not asked for a back-off, or it is over. */
+  #mayStart({ entry }: ServerLoad, nowMs: number): boolean {
+    return this.#options.backoffs?.mayStart(entry.server, nowMs) ?? true;
+  }
+
+  /** Time for which a server's back-off is not worth waiting for; else 0. */
+  #backoffLeftMs({ entry }: ServerLoad, nowMs: number): number {
+    const leftMs = this.#options.backoffs?.leftMs(entry.server, nowMs) ?? 0;
+    return leftMs > MAX_BACKOFF_WAIT_MS ? leftMs : 0;
+  }
+
+  /**
+   * Shortest back-off of the servers that may run a request; 0 while one may be
+   * sent to.
+   */
+  #shortestBackoffMs(request: WaitingRequest, nowMs: number): number {
+    if (!this.#options.backoffs?.hasAny) return 0;
+    const owner = this.#ownerOf(request);
+    if (owner !== undefined) {
+      const load = owner.kind === "owned"
+        ? this.#loads.get(owner.server)
+        : undefined;
+      return load === undefined ? 0 : this.#backoffLeftMs(load, nowMs);
+    }
+    let shortestMs = Number.POSITIVE_INFINITY;
+    for (const load of this.#loads.values()) {
+      if (!this.#isUsable(load, request)) continue;
+      shortestMs = Math.min(shortestMs, this.#backoffLeftMs(load, nowMs));
+    }
+    return Number.isFinite(shortestMs) ? shortestMs : 0;
+  }
+
   #isCapped({ entry }: ServerLoad): boolean {
     return this.#options.capped?.isCapped(entry.server) ?? false;
   }
@@ -426,7 +477,9 @@
       const isUsable = load.ownInFlight === 0 &&
         this.#isUsable(load, request) && !this.#isCapped(load) &&
         !this.#isLimited(load.entry.server, nowMs) &&
-        load.isUp(nowMs) && load.outstanding(nowMs) < load.entry.slots;
+        load.isUp(nowMs) && this.#mayStart(load, nowMs) &&
+        !load.isRefusing(nowMs) &&
+        load.outstanding(nowMs) < load.entry.slots;
       if (isUsable) usable.push(load);
     }
     if (usable.length === 0) return undefined;
@@ -465,10 +518,12 @@
     const load = this.#loads.get(owner.server);
     if (load === undefined || load.entry.bornMs !== owner.bornMs) return false;
     if (!load.isUp(nowMs) || !this.#isHome(load.entry, request)) return false;
+    if (!this.#mayStart(load, nowMs)) return false;
     const { slots } = this.#options.keyed!;
     if (!slots.tryAcquire(request, load, nowMs)) return false;
     const outstanding = load.outstanding(nowMs);
     const releaseSlot = slots.markInUse(request);
+    this.#options.backoffs?.recordStart(owner.server, nowMs);
     request.placed({ load, outstanding, fence: owner.fence, releaseSlot });
     return true;
   }
@@ -490,6 +545,7 @@
     const own: ServerLoad[] = [];
     for (const load of this.#loads.values()) {
       if (!this.#isUsable(load, request) || this.#isCapped(load)) continue;
+      if (this.#backoffLeftMs(load, nowMs) > 0) continue;
       all.push(load);
       const { server } = load.entry;
       const isOwn = this.#isLimited(server, nowMs)
@@ -545,6 +601,7 @@
     const load = this.#loads.get(owner.server);
     // No slot is requested at a suspended server.
     return load?.entry.bornMs === owner.bornMs && load.isUp(nowMs) &&
+      this.#backoffLeftMs(load, nowMs) === 0 &&
       this.#isHome(load.entry, request);
   }
 
@@ -556,6 +613,7 @@
       ? this.#isOwnerOutsideHome(owner.server, request)
       : this.#areAllOutsideHome(request);
     if (isOutsideHome) return "not-home";
+    if (this.#shortestBackoffMs(request, nowMs) > 0) return "backing-off";
     if (owner === undefined) {
       if (this.#isUnreached(owner, request)) return "unreached";
       const isServed = this.#candidates(request, nowMs).length > 0;
@@ -607,6 +665,8 @@
     nowMs: number,
   ): number {
     const owner = this.#ownerOf(request);
+    const backoffMs = this.#shortestBackoffMs(request, nowMs);
+    if (backoffMs > 0) return backoffMs;
     if (this.#isUnreached(owner, request)) return UNREACHED_RETRY_AFTER_MS;
     if (owner !== undefined && owner.kind !== "owned") {
       return handoverWaitMs(owner);
@@ -708,6 +768,10 @@
     nowMs: number,
   ): Refusal {
     const isExpired = request.answerByMs <= nowMs;
+    if (reason === "backing-off") {
+      const retryAfterMs = waitMs + this.#backoffSpreadMs(waitMs);
+      return { reason, retryAfterMs, expectedWaitMs: waitMs };
+    }
     // Spreads out the retries of callers that are refused together.
     const jitteredMs = waitMs * (0.5 + this.#options.random.next());
     const maxMs = reason === "limited"
@@ -724,6 +788,14 @@
     };
   }
 
+  #backoffSpreadMs(leftMs: number): number {
+    const spreadMs = Math.min(
+      BACKOFF_SPREAD_MAX_MS,
+      leftMs * BACKOFF_SPREAD_RATIO,
+    );
+    return spreadMs * this.#options.random.next();
+  }
+
   #insert(request: WaitingRequest): void {
     const { priority } = request.route;
     let index = this.#waiting.length;
--- a/packages/decisions/src/admission/waiting_request.ts
+++ b/packages/decisions/src/admission/waiting_request.ts
@@ -18,6 +18,8 @@
   | "unreached"
   /** The servers have no capacity to answer it in time. */
   | "no-room"
+  /** All servers that may run it have asked this VM to back off. */
+  | "backing-off"
   /** The servers take fewer requests than come, by the limits they name. */
   | "limited"
   /** It was queued until its deadline. */
--- a/packages/decisions/src/grants/mod.ts
+++ b/packages/decisions/src/grants/mod.ts
@@ -12,7 +12,12 @@
 export * from "./lost_servers.ts";
 export * from "./range_difference.ts";
 export * from "./range_edit.ts";
-export type { KeyRate, RangePlanInput, RangeServer } from "./range_load.ts";
+export type {
+  KeyRate,
+  RangePlanInput,
+  RangeServer,
+  ServerBackoff,
+} from "./range_load.ts";
 export * from "./range_map_history.ts";
 export * from "./range_planner.ts";
 export * from "./release_call.ts";
--- a/packages/decisions/src/grants/range_load.ts
+++ b/packages/decisions/src/grants/range_load.ts
@@ -14,6 +14,16 @@
    * that does not limit its calls.
    */
   readonly maxRanges?: number | undefined;
+  /** Undefined for a server that has asked no VM to back off. */
+  readonly backoff?: ServerBackoff | undefined;
+}
+
+/** What a server that has asked VMs to back off allows a plan. */
+export interface ServerBackoff {
+  /** Ranges that may be released there, as each takes a call. */
+  readonly maxMoves: number;
+  /** Whether hardly any VM may send it requests. */
+  readonly isTotal: boolean;
 }
 
 /** Request rate of one key. */
--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -35,6 +35,8 @@
 const MOVES_PER_SERVER = 0.25;
 /** Pieces that a lost server's keys are split into, at mean load. */
 const PIECES_PER_LOST_SERVER = 3;
+/** Pieces in which keys leave a server that takes hardly any requests. */
+const MOVES_PER_EVACUATION = 2;
 /** Ranges per server from which on no range is split any further. */
 const MAX_RANGES_PER_SERVER = 10;
 
@@ -61,8 +63,8 @@
 }
 
 function areAllLimited({ servers }: RangePlanInput): boolean {
-  return [...servers.values()].every(({ maxRanges }) =>
-    maxRanges !== undefined
+  return [...servers.values()].every(({ maxRanges, backoff }) =>
+    maxRanges !== undefined || backoff?.isTotal
   );
 }
 
@@ -174,8 +176,9 @@
   const moves: RangeMove[] = [];
   const limit = movesPerPlan(input);
   const total = rangeRate(input.rates, ALL_KEYS);
-  for (const [server, { owner, isCold, maxRanges }] of input.servers) {
-    const isUnfit = isCold || maxRanges !== undefined;
+  for (const [server, it] of input.servers) {
+    const { owner, isCold, maxRanges, backoff } = it;
+    const isUnfit = isCold || maxRanges !== undefined || backoff !== undefined;
     if (isUnfit || owners.has(server) || moves.length >= limit) continue;
     const piece = shareOfLargest(input, moves, total / input.servers.size);
     if (piece === undefined) break;
@@ -232,12 +235,19 @@
     const cold = utilization.leastUtilized();
     if (hot === undefined || cold === undefined) break;
     if (utilization.lowerBound(hot, STOP_DEVIATIONS) <= level) break;
-    const targetPerSecond = loadToMove(input, utilization, {
-      hot,
-      cold,
-      level,
-    });
-    const isLimited = input.servers.get(hot)!.maxRanges !== undefined;
+    const { maxRanges, backoff, owner } = input.servers.get(hot)!;
+    const movesLeft = backoff === undefined
+      ? Number.POSITIVE_INFINITY
+      : backoff.maxMoves - movesFrom(input, moves, owner.server);
+    if (movesLeft <= 0) {
+      exhausted.add(hot);
+      continue;
+    }
+    const pair = { hot, cold, level };
+    const targetPerSecond = backoff?.isTotal
+      ? loadToEvacuate(input, utilization, { ...pair, movesLeft })
+      : loadToMove(input, utilization, pair);
+    const isLimited = maxRanges !== undefined || backoff !== undefined;
     const piece = !maySplit
       ? wholeRange(input, moves, hot, targetPerSecond)
       : isLimited
@@ -282,6 +292,38 @@
   return Math.min(excess, half, capacityLeft);
 }
 
+/**
+ * Load to move off a server that takes hardly any requests: all of it in the
+ * calls that are left, as far as the cold server has room.
+ */
+function loadToEvacuate(
+  { servers, rates, ranges }: RangePlanInput,
+  utilization: Utilization,
+  { hot, cold, level, movesLeft }: RebalancePair & {
+    readonly movesLeft: number;
+  },
+): number {
+  const { capacityPerSecond } = servers.get(cold)!;
+  const room = (level - utilization.of(cold)) * capacityPerSecond;
+  const owned = ranges.filter(({ owner }) => owner.server === hot);
+  const load = owned.reduce((sum, it) => sum + rangeRate(rates, it), 0);
+  const moves = Math.min(movesLeft, MOVES_PER_EVACUATION);
+  return Math.min(load / moves, room / MAX_PIECE_PART);
+}
+
+/** Moves of a plan that take keys from a server. */
+function movesFrom(
+  { ranges }: RangePlanInput,
+  moves: readonly RangeMove[],
+  server: contracts.ServerId,
+): number {
+  return moves.filter((move) =>
+    ranges.some((range) =>
+      range.owner.server === server && overlaps(move, range)
+    )
+  ).length;
+}
+
 interface Piece extends contracts.KeyRange {
   readonly perSecond: number;
 }
--- a/packages/entry/src/gateway/attempt_relay.ts
+++ b/packages/entry/src/gateway/attempt_relay.ts
@@ -18,6 +18,7 @@
 import type { PoisonGuard, PoisonSubject } from "./poison_guard.ts";
 import * as messages from "./relay_messages.ts";
 import type { RequestLimitTask } from "./request_limit_task.ts";
+import type { ServerBackoffTask } from "./server_backoff_task.ts";
 import type { ServerPaths } from "./server_paths.ts";
 import type { ServerRegistry } from "./server_registry.ts";
 
@@ -34,6 +35,7 @@
     "isPoisonous" | "noteLostConnection" | "noteGivenUp"
   >;
   readonly requestLimits: Pick<RequestLimitTask, "noteCall" | "noteAnswer">;
+  readonly backoffs: Pick<ServerBackoffTask, "leftMs">;
   readonly headers: HeaderNames;
   readonly processorCores: number;
   /** Time from the stop signal until the process is killed. */
@@ -177,7 +179,8 @@
     }
     this.#inFlight++;
     try {
-      const result = await this.#send(entry!, attempt, { subject, signal });
+      const result = this.#backoffRefusal(entry!) ??
+        await this.#send(entry!, attempt, { subject, signal });
       this.#options.count(result.kind);
       return messages.replyOf(result, this.#inFlight);
     } finally {
@@ -185,6 +188,24 @@
     }
   }
 
+  /**
+   * The refusal of a server that has asked this VM to back off: what its peer
+   * sends is what the server has asked for none of.
+   */
+  #backoffRefusal(
+    { server }: contracts.RegisteredServer,
+  ): AttemptResult | undefined {
+    const delayMs = this.#options.backoffs.leftMs(server);
+    if (delayMs === 0) return undefined;
+    const retryAfter = { kind: "delay", delayMs } as const;
+    return {
+      kind: "refusal",
+      refusal: "busy",
+      inFlight: undefined,
+      retryAfter,
+    };
+  }
+
   #declineReason(
     { server, priority }: messages.RelayedAttempt,
     subject: PoisonSubject,
@@ -235,6 +256,9 @@
         isRefusal: result.kind === "refusal",
       });
     }
+    if (result.kind === "not-sent" && result.isHeldBack) {
+      return this.#backoffRefusal(entry) ?? result;
+    }
     return await this.#withCondition(entry, result, { subject, signal });
   }
 
--- a/packages/entry/src/gateway/attempt_relay_test.ts
+++ b/packages/entry/src/gateway/attempt_relay_test.ts
@@ -42,6 +42,7 @@
         noteGivenUp: () => {},
       },
       requestLimits: { noteCall: () => {}, noteAnswer: () => {} },
+      backoffs: { leftMs: () => 0 },
       headers: {
         requestId: "id",
         deadlineMs: "deadline",
--- a/packages/entry/src/gateway/backoff_grant_control.ts
+++ b/packages/entry/src/gateway/backoff_grant_control.ts
@@ -1,7 +1,9 @@
 /** Grant calls to servers that may have asked this VM to back off. */
 import type * as contracts from "@guavatide/contracts";
-import type { ServerCallKind } from "./request_limit_task.ts";
-import type { ServerBackoffTask } from "./server_backoff_task.ts";
+import type {
+  ControlCallKind,
+  ServerBackoffTask,
+} from "./server_backoff_task.ts";
 
 /** Reports each call that is sent, and what answers say of their servers. */
 export class BackoffGrantControl implements contracts.GrantControl {
@@ -49,7 +51,7 @@
 
   #noted(
     server: contracts.RegisteredServer,
-    kind: ServerCallKind,
+    kind: ControlCallKind,
     options: contracts.GrantCallOptions,
   ): contracts.GrantCallOptions {
     return {
--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarded_request.ts
@@ -268,7 +268,7 @@
     }
     if (result.kind === "refusal") return { kind: "rejected" };
     const isOurPath = result.kind === "not-sent"
-      ? result.hasNoPath
+      ? result.hasNoPath || result.isHeldBack
       : result.isPathLost;
     return { kind: isOurPath ? "abandoned" : "lost" };
   }
@@ -288,6 +288,7 @@
         // Not one byte was sent, so this doesn't count as an attempt.
         this.#attemptCount--;
         if (result.hasNoPath) return this.#handleMissingPath(server);
+        if (result.isHeldBack) return this.#requeue();
         if (this.key === undefined) this.tried.add(server);
         return this.#retryOrGiveUp("no connection", false);
       case "unknown":
@@ -319,6 +320,9 @@
   }
 
   #handleRefusal(refusal: string, server: contracts.ServerId): void {
+    const nowMs = this.#context.clock.nowMs();
+    this.#waitingSinceMs = nowMs;
+    if (this.#context.queue.refuseIfBackingOff(this, nowMs)) return;
     const isKeyed = this.key !== undefined && this.#isKeyedService();
     if (!isKeyed) this.tried.add(server);
     if (this.#hasRetryLeft() && this.#context.tryRetry()) {
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -24,6 +24,7 @@
 import type { HeaderNames } from "./platform_adapter.ts";
 import type { RequestLimitTask } from "./request_limit_task.ts";
 import type { RequestRecord } from "./request_log.ts";
+import type { ServerBackoffTask } from "./server_backoff_task.ts";
 import type { ServerPaths } from "./server_paths.ts";
 import type { ServerRegistry } from "./server_registry.ts";
 import type { SlotTask } from "./slot_task.ts";
@@ -46,6 +47,7 @@
   readonly budget: admission.SharedRetryBudgetOptions;
   readonly rateLimits: ServerRateLimits;
   readonly requestLimits: RequestLimitTask;
+  readonly backoffs: ServerBackoffTask;
   readonly clock: contracts.Clock;
   readonly random: contracts.RandomSource;
   readonly log: Logger;
@@ -98,6 +100,7 @@
     );
     options.gossip.onMembersChange(() => this.#followMembers());
     options.requestLimits.onChange(() => this.#followServers());
+    options.backoffs.onBackoff(() => this.#review());
     options.paths.onLost((server) => this.#forgetLosses(server));
     options.gossip.onStatus((status) => this.#applyPeerStatus(status));
     options.gossip.onLoad((loads) => this.#applyPeerLoadUpdate(loads));
@@ -183,10 +186,11 @@
     const times = this.#services.get(entry.service)?.times;
     const meanMs = times?.meanMs ?? DEFAULT_SERVICE_TIME_MS;
     const factor = reportedFactor ?? times?.latencyFactor(entry.server) ?? 1;
+    const { requestLimits, backoffs } = this.#options;
     return Math.min(
       entry.slots * 1000 / Math.max(1, meanMs * factor),
-      this.#options.requestLimits.capacityOf(entry.server),
-    );
+      requestLimits.capacityOf(entry.server),
+    ) * backoffs.capacityRatio(entry.server);
   }
 
   /** Returns and clears the slowdowns to send to peers; undefined for none. */
@@ -328,6 +332,7 @@
         slots: source,
         random,
       }),
+      backoffs: this.#options.backoffs.own,
       // Coordinators apply the limit for cold owners of keys.
       rateLimits: isKeyed ? undefined : rateLimits.forDirectSends(service),
     });
--- a/packages/entry/src/gateway/grant_sender.ts
+++ b/packages/entry/src/gateway/grant_sender.ts
@@ -230,7 +230,7 @@
     }
     state.unansweredSinceMs = undefined;
     if (result.value === "granted") return this.#noteAccepted(range, sentAtMs);
-    this.#noteRefused(range, sentAtMs);
+    if (result.value !== "backing-off") this.#noteRefused(range, sentAtMs);
     log.warn("Grant refused.", { ...fields, answer: result.value });
     if (result.value === "fenced-off") this.#options.onFencedOff(range);
   }
--- a/packages/entry/src/gateway/grant_task.ts
+++ b/packages/entry/src/gateway/grant_task.ts
@@ -13,7 +13,12 @@
 import type { GossipIdentity, PeerGossip } from "./peer_gossip.ts";
 import * as messages from "./peer_messages.ts";
 import type { RangeMapStore } from "./range_map_store.ts";
-import { type GrantPeer, ServiceGrants } from "./service_grants.ts";
+import type { ServerBackoffTask } from "./server_backoff_task.ts";
+import {
+  type GrantPeer,
+  ServiceGrants,
+  type ServiceGrantsOptions,
+} from "./service_grants.ts";
 import type { ServerRegistry } from "./server_registry.ts";
 import type { StoreHealth } from "./store_health.ts";
 
@@ -37,6 +42,10 @@
   readonly capacity: MovePlannerOptions["capacity"];
   readonly isCold: MovePlannerOptions["isCold"];
   readonly maxRangesOf: MovePlannerOptions["maxRangesOf"];
+  readonly backoffOf: MovePlannerOptions["backoffOf"];
+  readonly backoffs:
+    & ServiceGrantsOptions["backoffs"]
+    & Pick<ServerBackoffTask, "longestDelayMs">;
   /** Calls a second that a server takes; undefined for no limit. */
   readonly limitOf: (server: contracts.ServerId) => number | undefined;
   /**
@@ -63,6 +72,8 @@
 const RANGE_MAP_RPC = "rangeMap";
 /** Lease duration of servers that limit the calls they get. */
 const SPARING_LEASE_MS = 6_000;
+/** A lease outlasts a back-off by a step, so that it is renewed right after. */
+const BACKOFF_LEASE_STEP_MS = 1_000;
 /** Servers that take less a second get the longest leases that there are. */
 const LOW_LIMIT_PER_SECOND = 1;
 /**
@@ -253,12 +264,7 @@
       peers: () => this.#grantPeers(),
       desiredLeaseMs: () =>
         this.#desiredLeaseMs.get(service) ?? this.#options.timings.holdMs,
-      sparingLeaseMs: (server) => {
-        const limitPerSecond = this.#options.limitOf(server);
-        return limitPerSecond === undefined
-          ? undefined
-          : sparingLeaseMs(this.#options.maxLeaseMs, limitPerSecond);
-      },
+      sparingLeaseMs: (server) => this.#sparingLeaseMs(service, server),
       controlCallsPerSecond: (server) => {
         const limitPerSecond = this.#options.limitOf(server);
         return limitPerSecond === undefined
@@ -298,6 +304,29 @@
     return grants.desiredLeaseMs(targetsMs, limits);
   }
 
+  /**
+   * Lease duration of a server that is to get few calls: it has a limit, or asks
+   * for no calls for longer than its leases last. Undefined for any other one.
+   */
+  #sparingLeaseMs(
+    service: contracts.ServiceId,
+    server: contracts.ServerId,
+  ): number | undefined {
+    const { limitOf, maxLeaseMs, timings, backoffs } = this.#options;
+    const limitPerSecond = limitOf(server);
+    if (limitPerSecond !== undefined) {
+      return sparingLeaseMs(maxLeaseMs, limitPerSecond);
+    }
+    if (!backoffs.hasAny) return undefined;
+    const usualMs = this.#desiredLeaseMs.get(service) ?? timings.holdMs;
+    const delayMs = backoffs.longestDelayMs(server);
+    if (delayMs === 0) return undefined;
+    // Whole steps: each longer lease is a write of the range map.
+    const steps = Math.ceil(delayMs / BACKOFF_LEASE_STEP_MS) + 1;
+    const neededMs = Math.min(maxLeaseMs, steps * BACKOFF_LEASE_STEP_MS);
+    return neededMs > usualMs ? neededMs : undefined;
+  }
+
   /** Fetches the map from a peer; undefined without an answer. */
   async #fetchMap(
     service: contracts.ServiceId,
--- a/packages/entry/src/gateway/move_planner.ts
+++ b/packages/entry/src/gateway/move_planner.ts
@@ -26,6 +26,10 @@
    * undefined for any other server.
    */
   readonly maxRangesOf: (server: contracts.ServerId) => number | undefined;
+  /** Servers that have asked entry VMs to back off. */
+  readonly backoffOf: (
+    server: contracts.ServerId,
+  ) => grants.ServerBackoff | undefined;
 }
 
 /** Interval of plans that rebalance load. */
@@ -74,7 +78,8 @@
     nowMs: number,
   ): grants.RangeMove[] {
     if (usable.size === 0) return [];
-    const { capacity, isCold, maxRangesOf, service, log } = this.#options;
+    const { capacity, isCold, maxRangesOf, backoffOf, service, log } =
+      this.#options;
     const mayBalance = nowMs - this.#startedAtMs >= REBALANCE_GRACE_MS &&
       nowMs - this.#rebalancedAtMs >= REBALANCE_INTERVAL_MS;
     const hasLostOwner = map.ranges.some(({ owner }) =>
@@ -99,6 +104,7 @@
           capacityPerSecond,
           isCold: isCold(entry),
           maxRanges: maxRangesOf(server),
+          backoff: backoffOf(server),
         }];
       }),
     );
--- a/packages/entry/src/gateway/peer_messages.ts
+++ b/packages/entry/src/gateway/peer_messages.ts
@@ -31,6 +31,11 @@
 /** Method of {@link RequestLimitNews}. */
 export const REQUEST_LIMITS_METHOD = "requestLimits";
 
+/** Method of {@link BackoffNews}. */
+export const BACKOFFS_METHOD = "backoffs";
+/** Method of {@link LeavingNews}. */
+export const LEAVING_METHOD = "leaving";
+
 /** Method of {@link UnreachedServers}. */
 export const REACH_METHOD = "reach";
 
@@ -333,6 +338,24 @@
 /** Limits that a VM's answers have named, confirmed or lifted. */
 export type RequestLimitNews = z.infer<typeof requestLimitNewsSchema>;
 
+/** Schema of {@link BackoffNews}. */
+export const backoffNewsSchema = z.object({
+  vm: contracts.vmIdSchema,
+  server: contracts.serverIdSchema,
+  bornMs: z.number().int(),
+  /** What is left of its back-off; null when the server answers the VM. */
+  leftMs: z.number().min(0).nullable(),
+});
+/** A server has asked a VM to back off, or answers it again. */
+export type BackoffNews = z.infer<typeof backoffNewsSchema>;
+
+/** Schema of {@link LeavingNews}. */
+export const leavingNewsSchema = z.object({
+  servers: z.array(contracts.rangeOwnerSchema),
+});
+/** Incarnations of servers that have said in an answer that they leave. */
+export type LeavingNews = z.infer<typeof leavingNewsSchema>;
+
 /** A slot request that is refused. */
 export type SlotRefusal = readonly [
   id: number,
--- a/packages/entry/src/gateway/server_paths.ts
+++ b/packages/entry/src/gateway/server_paths.ts
@@ -21,7 +21,10 @@
 import type { OwnReach, PeerReach } from "./peer_reach.ts";
 import type { RelayClient } from "./relay_client.ts";
 import type { DeclineReason } from "./relay_messages.ts";
-import type { ServerBackoffTask } from "./server_backoff_task.ts";
+import type {
+  BackoffAnswer,
+  ServerBackoffTask,
+} from "./server_backoff_task.ts";
 import { ServerContactLog } from "./server_contact_log.ts";
 import type { ServerRegistry } from "./server_registry.ts";
 
@@ -35,15 +38,12 @@
   readonly gossip: Pick<PeerGossip, "live">;
   readonly reach: PeerReach;
   readonly relays: Pick<RelayClient, "attempt" | "check">;
-  readonly backoffs: Pick<ServerBackoffTask, "noteCall">;
-  /**
-   * Called with what a server's answer says beside it; `via` is the peer that
-   * relayed the request, if any.
-   */
+  readonly backoffs: Pick<ServerBackoffTask, "leftMs">;
+  /** Called with what a server's answer says beside it. */
   readonly onNotices: (
     entry: contracts.RegisteredServer,
     notices: contracts.ServerNotices,
-    via?: contracts.VmId,
+    answer: BackoffAnswer,
   ) => void;
   readonly clock: contracts.Clock;
   readonly random: contracts.RandomSource;
@@ -67,6 +67,14 @@
   "poisonous",
 ]);
 
+/** The server has asked this VM to back off. */
+const HELD_BACK: AttemptResult = {
+  kind: "not-sent",
+  isLocal: true,
+  isHeldBack: true,
+  message: "The server has asked this VM to back off",
+};
+
 /** All ways from this VM to servers. */
 export class ServerPaths {
   readonly #options: ServerPathsOptions;
@@ -118,7 +126,8 @@
     request: AttemptRequest,
     options: PathSendOptions,
   ): Promise<PathResult> {
-    const { clock } = this.#options;
+    const { clock, backoffs } = this.#options;
+    if (backoffs.leftMs(entry.server) > 0) return HELD_BACK;
     const startMs = clock.nowMs();
     if (!this.#maySendDirect(entry, options)) {
       const relayed = await this.#sendByPeer(entry, request, options);
@@ -158,9 +167,15 @@
     options: Omit<PathSendOptions, "request" | "priority">,
   ): Promise<AttemptResult> {
     const { server } = entry;
-    const { clock } = this.#options;
+    const { clock, backoffs } = this.#options;
     let abandon: ((message: string) => void) | undefined;
     let isAbandoned = false;
+    let isHeldBack = false;
+    const maySend = () => {
+      if (!request.maySend()) return false;
+      isHeldBack = backoffs.leftMs(server) > 0;
+      return !isHeldBack;
+    };
     const attempt: paths.OpenAttempt = {
       startedMs: clock.nowMs(),
       expectedMs: options.expectedMs,
@@ -175,13 +190,14 @@
     this.#reviewTask?.setIntervalMs(REVIEW_INTERVAL_MS);
     const result = await this.#pool(entry).send({
       ...request,
-      maySend: () => this.#mayLeave(entry, request),
+      maySend,
     }, {
       timeoutMs: options.timeoutMs,
       signal: options.signal,
       onStarted: (giveUp) => abandon = giveUp,
     });
     this.#tracker.end(server, attempt);
+    if (isHeldBack) return HELD_BACK;
     this.#noteNotices(entry, result);
     if (isAbandoned && result.kind === "unknown") {
       return { ...result, isPathLost: true };
@@ -190,23 +206,14 @@
     return result;
   }
 
-  /** Whether a request may leave now. Called when its bytes are written. */
-  #mayLeave(
-    { server }: contracts.RegisteredServer,
-    request: AttemptRequest,
-  ): boolean {
-    if (!request.maySend()) return false;
-    this.#options.backoffs.noteCall(server, "request");
-    return true;
-  }
-
   #noteNotices(
     entry: contracts.RegisteredServer,
     result: AttemptResult,
     via?: contracts.VmId,
   ): void {
     if (result.kind !== "answer" && result.kind !== "refusal") return;
-    this.#options.onNotices(entry, result, via);
+    const isRefusal = result.kind === "refusal";
+    this.#options.onNotices(entry, result, { isRefusal, via });
   }
 
   #noteEnd(entry: contracts.RegisteredServer, result: AttemptResult): void {
--- a/packages/entry/src/gateway/server_registry.ts
+++ b/packages/entry/src/gateway/server_registry.ts
@@ -45,6 +45,8 @@
   /** When its entry was found missing. */
   missingSinceMs: number | undefined;
   coldUntilMs: number;
+  /** Whether it has said in an answer that it leaves. */
+  isLeaving: boolean;
   /** Whether it could get requests at the last tick. */
   isUsable: boolean;
 }
@@ -177,6 +179,28 @@
     this.#notify();
   }
 
+  /**
+   * Records that an incarnation has said in an answer that it leaves. It drains
+   * from then on, whatever its registration says. Returns whether it is new.
+   */
+  noteLeaving(owner: contracts.RangeOwner): boolean {
+    const known = this.#known.get(owner.server);
+    if (known?.entry.bornMs !== owner.bornMs || known.isLeaving) return false;
+    known.isLeaving = true;
+    this.#drain(known, "says so in an answer");
+    this.#notify();
+    return true;
+  }
+
+  /** Incarnations that have said so and are still registered. */
+  leaving(): contracts.RangeOwner[] {
+    return [...this.#known.values()]
+      .filter(({ isLeaving, missingSinceMs }) =>
+        isLeaving && missingSinceMs === undefined
+      )
+      .map(({ entry: { server, bornMs } }) => ({ server, bornMs }));
+  }
+
   /** Handles what is due: expired entries, grace times, servers removed for long. */
   tick(): void {
     const nowMs = this.#options.clock.nowMs();
@@ -194,6 +218,8 @@
       if (known.isUsable !== wasUsable) isChanged = true;
       if (drainingSinceMs === undefined) continue;
       if (nowMs - drainingSinceMs <= ENDED_INCARNATION_TTL_MS) continue;
+      // Its registration would make it a new server.
+      if (known.isLeaving && missingSinceMs === undefined) continue;
       this.#known.delete(server);
       isChanged = true;
     }
@@ -271,13 +297,14 @@
         drainingSinceMs: undefined,
         missingSinceMs: undefined,
         coldUntilMs: Number.NEGATIVE_INFINITY,
+        isLeaving: false,
         isUsable: true,
       }
       : { ...known, entry, missingSinceMs: undefined };
     this.#known.set(entry.server, next);
     this.#markCold(next, entry.warmUpLeftMs);
     if (entry.isDraining) this.#drain(next, "says that it drains");
-    else if (next.drainingSinceMs !== undefined) {
+    else if (next.drainingSinceMs !== undefined && !next.isLeaving) {
       log.info("Server is back.", { server: entry.server });
       next.drainingSinceMs = undefined;
     }
@@ -285,7 +312,10 @@
 
   /** The entry is missing: removed, or expired during a store outage. */
   #markMissing(known: KnownServer): void {
-    if (known.drainingSinceMs !== undefined) return;
+    if (known.drainingSinceMs !== undefined) {
+      if (known.isLeaving) known.missingSinceMs ??= this.#options.clock.nowMs();
+      return;
+    }
     known.missingSinceMs ??= this.#options.clock.nowMs();
     if (this.#isStoreStable()) this.#drain(known, "its entry was removed");
   }
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -17,6 +17,7 @@
 } from "./peer_messages.ts";
 import { RangeMapFetcher } from "./range_map_fetcher.ts";
 import type { RangeMapStore } from "./range_map_store.ts";
+import type { ServerBackoffTask } from "./server_backoff_task.ts";
 import type { ServerRegistry } from "./server_registry.ts";
 
 /** An entry VM that may be a voter or the leader, this one included. */
@@ -53,6 +54,11 @@
   readonly controlCallsPerSecond: (
     server: contracts.ServerId,
   ) => number | undefined;
+  /** Servers that have asked entry VMs to back off. */
+  readonly backoffs: Pick<
+    ServerBackoffTask,
+    "hasAny" | "isBackingOff" | "mayControl" | "isCrossing"
+  >;
   /** Whether any VM doesn't reach some server. */
   readonly hasUnreached: () => boolean;
   /** Whether a VM reaches a server, as far as is known. */
@@ -81,6 +87,12 @@
  * owner's handover state.
  */
 const HANDOVER_LEAD_MS = 600;
+/**
+ * Fractions of a lease after which it is renewed at a server that has asked for
+ * no calls: while some may still be sent, and after that.
+ */
+const BACKOFF_RENEWAL_RATIO = 0.5;
+const LAST_RENEWAL_RATIO = 0.75;
 /** Timeout of one release call: running work has to end first. */
 const RELEASE_TIMEOUT_MS = 2_500;
 /**
@@ -499,17 +511,53 @@
       if (this.#isLeftToLeader(range, nowMs)) continue;
       const lastMs = this.#sender.acceptedAtMs(range);
       const overdueMs = nowMs - (lastMs ?? Number.NEGATIVE_INFINITY) -
-        intervalMs;
+        this.#backoffIntervalMs(server, intervalMs);
       if (overdueMs < 0 || !this.#sender.canSend(range.owner)) continue;
       due.push({ range, overdueMs });
     }
     return grants.mostOverdue(due);
   }
 
-  /** Voters in the order in which they renew a server's grants. */
+  /**
+   * Interval of renewals at a server that has asked this VM to back off: at once
+   * as long as they cross its answer, then as late as its leases allow.
+   */
+  #backoffIntervalMs(server: contracts.ServerId, intervalMs: number): number {
+    const { backoffs, vm, timings } = this.#options;
+    if (!backoffs.isBackingOff(vm, server)) return intervalMs;
+    if (backoffs.isCrossing(server)) {
+      return Math.min(intervalMs, timings.renewMs);
+    }
+    const ratio = backoffs.mayControl(server)
+      ? BACKOFF_RENEWAL_RATIO
+      : LAST_RENEWAL_RATIO;
+    return Math.max(intervalMs, this.#leaseMs(server) * ratio);
+  }
+
+  /**
+   * Voters in the order in which they renew a server's grants: those that it has
+   * asked to back off come last.
+   */
   #renewerOrder(
     server: contracts.ServerId,
     liveVoters: readonly contracts.VmId[],
+  ): readonly contracts.VmId[] {
+    const order = this.#reachingOrder(server, liveVoters);
+    const { backoffs } = this.#options;
+    if (!backoffs.hasAny) return order;
+    // The leader needs the calls that it may still send for releases.
+    const { leaderVm } = this;
+    const lateness = (vm: contracts.VmId) => {
+      if (!backoffs.isBackingOff(vm, server)) return 0;
+      return vm === leaderVm ? 2 : 1;
+    };
+    return [...order].sort((a, b) => lateness(a) - lateness(b));
+  }
+
+  /** Voters in the order of a server, those that reach it if any does. */
+  #reachingOrder(
+    server: contracts.ServerId,
+    liveVoters: readonly contracts.VmId[],
   ): readonly contracts.VmId[] {
     const { hasUnreached, reaches } = this.#options;
     if (!hasUnreached()) return this.#ranking.rank(server, liveVoters);
@@ -571,11 +619,12 @@
     const tick = this.#handoverTick(nowMs);
     this.#publisher.resendIfDue(this.#pendingFences);
     this.#handoverController.checkAcknowledgements(nowMs, tick.removedVoters);
-    const { controlCallsPerSecond } = this.#options;
+    const { controlCallsPerSecond, backoffs } = this.#options;
     const releases = this.#handoverController.takeReleases(
       nowMs,
       tick.hasEnded,
       (server) =>
+        backoffs.mayControl(server) &&
         this.#pacer.tryTake(server, controlCallsPerSecond(server), nowMs),
     );
     for (const call of releases) this.#release(call);
--- a/packages/entry/src/gateway/service_grants_test.ts
+++ b/packages/entry/src/gateway/service_grants_test.ts
@@ -89,6 +89,12 @@
     service: KEYED_SERVICE,
     vm: VOTER,
     timings: grants.DEFAULT_GRANT_TIMINGS,
+    backoffs: {
+      hasAny: false,
+      isBackingOff: () => false,
+      mayControl: () => true,
+      isCrossing: () => false,
+    },
     hasher: await ownership.KeyHasher.create(),
     maps: {
       read: () =>
@@ -139,6 +145,7 @@
     isCold: () => false,
     sparingLeaseMs: () => undefined,
     maxRangesOf: () => undefined,
+    backoffOf: () => undefined,
   });
   return {
     visited,
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -32,6 +32,7 @@
 import { RangeMapStore } from "./range_map_store.ts";
 import { ReadinessServer } from "./readiness_server.ts";
 import { BackoffGrantControl } from "./backoff_grant_control.ts";
+import { LeavingServers } from "./leaving_servers.ts";
 import { LimitedGrantControl } from "./limited_grant_control.ts";
 import { RequestLimitTask } from "./request_limit_task.ts";
 import { RequestLog } from "./request_log.ts";
@@ -183,11 +184,14 @@
     counts: metrics.limitedServerCalls,
   });
   const backoffs = new ServerBackoffTask({
+    vm: settings.vm,
     registry,
-    clock: suspensionClock,
+    gossip,
+    clock,
     log: log.part("route"),
     counts: metrics.backoffCalls,
   });
+  const leaving = new LeavingServers({ registry, gossip, clock });
   const rateLimits: ServerRateLimits = new ServerRateLimits({
     vm: settings.vm,
     bound: settings.coldStarts,
@@ -234,8 +238,10 @@
     reach,
     relays,
     backoffs,
-    onNotices: (entry, notices, via) =>
-      backoffs.noteAnswer(entry, notices, via),
+    onNotices: (entry, notices, answer) => {
+      backoffs.noteAnswer(entry, notices, answer);
+      leaving.noteAnswer(entry, notices);
+    },
     clock,
     random,
     log: log.part("route"),
@@ -260,7 +266,10 @@
         clock,
       ),
       backoffs,
-      (entry, notices) => backoffs.noteAnswer(entry, notices),
+      (entry, notices) => {
+        backoffs.noteAnswer(entry, notices, { isRefusal: true });
+        leaving.noteAnswer(entry, notices);
+      },
     ),
     health,
     reach,
@@ -271,6 +280,8 @@
       registry.coldUntilMs(server) > clock.nowMs() &&
       config.service(service)?.coldStart !== undefined,
     maxRangesOf: (server) => rateLimits.maxRangesOf(server),
+    backoffOf: (server) => backoffs.placementOf(server),
+    backoffs,
     limitOf: (server) => requestLimits.limitOf(server),
     latencyFactorsOf: (service) => slots.latencyFactors(service),
     isLeaving: () => lifeCycle.isStopping,
@@ -325,6 +336,7 @@
     },
     rateLimits,
     requestLimits,
+    backoffs,
     clock,
     random,
     log: log.part("route"),
@@ -339,6 +351,7 @@
     paths,
     poison,
     requestLimits,
+    backoffs,
     headers: adapter.headers,
     processorCores: self.processorCores,
     graceMs: settings.timings.graceSeconds * 1000,
@@ -428,6 +441,7 @@
     poison,
     requestLimits,
     backoffs,
+    leaving,
     reach,
     paths,
     relays,
@@ -500,6 +514,7 @@
   grantTask.start(lifeCycle);
   parts.requestLimits.start(lifeCycle);
   parts.backoffs.start(lifeCycle);
+  parts.leaving.start(lifeCycle);
   parts.slots.start(lifeCycle);
   parts.forwarder.start(lifeCycle);
   await parts.listener.listen();
--- a/packages/entry/src/links/server_connection.ts
+++ b/packages/entry/src/links/server_connection.ts
@@ -38,6 +38,8 @@
     readonly message: string;
     /** Whether no entry VM that could be asked reaches the server. */
     readonly hasNoPath?: boolean;
+    /** Whether the server has asked this VM to back off. */
+    readonly isHeldBack?: boolean;
   }
   /** Bytes were sent and no whole response came. */
   | {
