fix(backoffs): renewals of a resting owner shared by voters; a second try elsewhere

- A request met both servers that turned away, so its two attempts were used up.
A server that asks peers to back off now gets requests only while no other has a free slot; after its time any VM may try it.
- Voters that an owner has asked to back off share its ranges instead of having the first renew all; an owner that refuses all gives whole ranges away but one.
- A grant's own lease decides when it is due again, not a longer one that the map names since: a lease of 1.5 s was to be renewed after 2 s.

--- a/packages/decisions/src/admission/peer_backoffs.ts
+++ b/packages/decisions/src/admission/peer_backoffs.ts
@@ -73,6 +73,13 @@
     return backoff !== undefined && nowMs < backoff.untilMs;
   }
 
+  /** Whether any VM leaves a server alone now. */
+  isAvoided(server: contracts.ServerId, nowMs: number): boolean {
+    const backoffs = this.#servers.get(server)?.backoffs.values() ?? [];
+    for (const { untilMs } of backoffs) if (nowMs < untilMs) return true;
+    return false;
+  }
+
   /**
    * Fraction of the VMs that the server takes requests of, as far as is known:
    * one whose back-off is over counts from its first answer on.
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -75,6 +75,11 @@
   readonly capped?: CappedServers | undefined;
   /** Servers that have asked this VM to back off; absent for none. */
   readonly backoffs?: ServerBackoffs | undefined;
+  /**
+   * Whether a server has asked another VM to back off: it gets a request only if
+   * no other server has a free slot. Absent where that is not known.
+   */
+  readonly isAvoidedByPeers?: (server: contracts.ServerId) => boolean;
   /** Present for a single server whose requests all pass through this queue. */
   readonly reserve?: ShortRequestReserve;
   /** Region of an availability zone; undefined for an unknown one. */
@@ -403,13 +408,30 @@
         (rateLimits?.mayStart(load.entry.server, nowMs) ?? true)
       );
     const context = this.#context(nowMs);
-    const best = ranking.chooseServer(free, request, context);
+    const preferred = this.#preferred(free, nowMs);
+    const best = ranking.chooseServer(preferred, request, context);
     const hasFreeSlot = best !== undefined &&
       best.outstanding(nowMs) < best.entry.slots;
     // Queueing at a full server takes as long as a running request.
     return hasFreeSlot ? best : this.#overflowServer(request, nowMs) ?? best;
   }
 
+  /** Servers that peers don't avoid, if one of them has a free slot. */
+  #preferred(
+    loads: readonly ServerLoad[],
+    nowMs: number,
+  ): readonly ServerLoad[] {
+    const { isAvoidedByPeers } = this.#options;
+    if (isAvoidedByPeers === undefined) return loads;
+    const preferred = loads.filter(({ entry }) =>
+      !isAvoidedByPeers(entry.server)
+    );
+    const hasFreeSlot = preferred.some((load) =>
+      load.outstanding(nowMs) < load.entry.slots
+    );
+    return hasFreeSlot ? preferred : loads;
+  }
+
   /** Servers with a limit that a request may go to with a slot. */
   #cappedServers(request: WaitingRequest, nowMs: number): ServerLoad[] {
     return [...this.#loads.values()].filter((load) =>
--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -357,10 +357,9 @@
   server: contracts.ServerId,
   targetPerSecond: number,
 ): Piece | undefined {
-  const best = mostLoaded(
-    input.rates,
-    [...ownedParts(input, moves)].filter((it) => it.server === server),
-  )?.part;
+  const owned = [...ownedParts(input, moves)]
+    .filter((it) => it.server === server);
+  const best = mostLoaded(input.rates, owned)?.part;
   if (best === undefined) return undefined;
   let perSecond = 0;
   let fromKey = best.toKey + 1;
@@ -370,6 +369,9 @@
     perSecond += rate.perSecond;
     fromKey = rate.key;
   }
+  const isWhole = input.servers.get(server)!.backoff?.isTotal &&
+    owned.length > 1 && perSecond < targetPerSecond;
+  if (isWhole) fromKey = best.fromKey;
   return perSecond > 0 ? { fromKey, toKey: best.toKey, perSecond } : undefined;
 }
 
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -333,6 +333,8 @@
         random,
       }),
       backoffs: this.#options.backoffs.own,
+      isAvoidedByPeers: (server) =>
+        this.#options.backoffs.isAvoidedByPeers(server),
       // Coordinators apply the limit for cold owners of keys.
       rateLimits: isKeyed ? undefined : rateLimits.forDirectSends(service),
     });
--- a/packages/entry/src/gateway/grant_sender.ts
+++ b/packages/entry/src/gateway/grant_sender.ts
@@ -74,6 +74,12 @@
   unansweredAtMs: number | undefined;
 }
 
+/** A grant that its owner has accepted. */
+interface AcceptedGrant {
+  readonly sentAtMs: number;
+  readonly leaseMs: number;
+}
+
 /** A range whose owner has answered each grant with a refusal. */
 interface RefusedRange {
   readonly server: contracts.ServerId;
@@ -97,8 +103,8 @@
 export class GrantSender {
   readonly #options: GrantSenderOptions;
   readonly #servers = new Map<contracts.ServerId, ServerState>();
-  /** When the last accepted grant of each range was sent, by range key. */
-  readonly #acceptedAtMs = new Map<string, number>();
+  /** The last accepted grant of each range, by range key. */
+  readonly #accepted = new Map<string, AcceptedGrant>();
   /** Ranges that their owners refuse, by range key. */
   readonly #refused = new Map<string, RefusedRange>();
   /** Last calls by range key, also of ranges that are no longer granted. */
@@ -110,12 +116,9 @@
     this.#options = options;
   }
 
-  /**
-   * When the last grant of a range that its owner accepted was sent; undefined
-   * when none was.
-   */
-  acceptedAtMs(range: contracts.RangeState): number | undefined {
-    return this.#acceptedAtMs.get(rangeKeyOf(range));
+  /** The last grant of a range that its owner accepted; undefined for none. */
+  accepted(range: contracts.RangeState): AcceptedGrant | undefined {
+    return this.#accepted.get(rangeKeyOf(range));
   }
 
   /**
@@ -229,7 +232,9 @@
       return;
     }
     state.unansweredSinceMs = undefined;
-    if (result.value === "granted") return this.#noteAccepted(range, sentAtMs);
+    if (result.value === "granted") {
+      return this.#noteAccepted(range, { sentAtMs, leaseMs });
+    }
     if (result.value !== "backing-off") this.#noteRefused(range, sentAtMs);
     log.warn("Grant refused.", { ...fields, answer: result.value });
     if (result.value === "fenced-off") this.#options.onFencedOff(range);
@@ -254,8 +259,8 @@
    */
   prune(ranges: readonly contracts.RangeState[], leaseMs: number): void {
     const listed = new Set(ranges.map(rangeKeyOf));
-    for (const rangeKey of this.#acceptedAtMs.keys()) {
-      if (!listed.has(rangeKey)) this.#acceptedAtMs.delete(rangeKey);
+    for (const rangeKey of this.#accepted.keys()) {
+      if (!listed.has(rangeKey)) this.#accepted.delete(rangeKey);
     }
     for (const rangeKey of this.#refused.keys()) {
       if (!listed.has(rangeKey)) this.#refused.delete(rangeKey);
@@ -293,11 +298,11 @@
     this.#refused.set(rangeKey, { server: range.owner.server, sinceMs });
   }
 
-  #noteAccepted(range: contracts.RangeState, sentAtMs: number): void {
+  #noteAccepted(range: contracts.RangeState, accepted: AcceptedGrant): void {
     const rangeKey = rangeKeyOf(range);
     this.#refused.delete(rangeKey);
-    const isFirst = !this.#acceptedAtMs.has(rangeKey);
-    this.#acceptedAtMs.set(rangeKey, sentAtMs);
+    const isFirst = !this.#accepted.has(rangeKey);
+    this.#accepted.set(rangeKey, accepted);
     if (!isFirst) return;
     const { fromKey, toKey, fence, owner } = range;
     this.#options.log.info("Range granted.", {
--- a/packages/entry/src/gateway/server_backoff_task.ts
+++ b/packages/entry/src/gateway/server_backoff_task.ts
@@ -116,6 +116,12 @@
     return this.#all.isBackingOff(server, vm, this.#options.clock.nowMs());
   }
 
+  /** Whether any VM leaves a server alone, as far as is known. */
+  isAvoidedByPeers(server: contracts.ServerId): boolean {
+    return this.hasAny &&
+      this.#all.isAvoided(server, this.#options.clock.nowMs());
+  }
+
   /** Whether any VM leaves any server alone. */
   get hasAny(): boolean {
     return this.#all.hasAny;
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -89,7 +89,7 @@
 const HANDOVER_LEAD_MS = 600;
 /**
  * Fractions of a lease after which it is renewed at a server that has asked for
- * no calls: while some may still be sent, and after that.
+ * no calls: by the first VM while it may still send some, and otherwise.
  */
 const BACKOFF_RENEWAL_RATIO = 0.5;
 const LAST_RENEWAL_RATIO = 0.75;
@@ -455,8 +455,7 @@
 
   /** Calls a second with which all VMs renew the server's leases. */
   renewalsPerSecond(server: contracts.ServerId): number {
-    const ranges = this.#rangesByOwner.get(server)?.length ?? 0;
-    return ranges * grants.renewalsPerSecond({
+    return this.#rangesOf(server).length * grants.renewalsPerSecond({
       timings: this.#options.timings,
       sparingLeaseMs: this.#sparingLeaseMs(server),
     });
@@ -502,16 +501,19 @@
     nowMs: number,
   ): contracts.RangeState | undefined {
     const { vm } = this.#options;
-    const ownRank = this.#renewerOrder(server, liveVoters).indexOf(vm);
+    const order = this.#renewerOrder(server, liveVoters);
     const due: grants.DueRange[] = [];
-    for (const range of this.#rangesByOwner.get(server) ?? []) {
+    for (const [index, range] of this.#rangesOf(server).entries()) {
+      const ownRank = this.#rotated(server, order, index).indexOf(vm);
       const rank = this.#isLeader && this.#isUnaccepted(range) ? 0 : ownRank;
       const intervalMs = this.#renewIntervalMs(server, rank);
       if (intervalMs === undefined) continue;
       if (this.#isLeftToLeader(range, nowMs)) continue;
-      const lastMs = this.#sender.acceptedAtMs(range);
-      const overdueMs = nowMs - (lastMs ?? Number.NEGATIVE_INFINITY) -
-        this.#backoffIntervalMs(server, intervalMs);
+      const last = this.#sender.accepted(range);
+      const overdueMs = last === undefined
+        ? Number.POSITIVE_INFINITY
+        : nowMs - last.sentAtMs -
+          this.#backoffIntervalMs(server, { rank, intervalMs, ...last });
       if (overdueMs < 0 || !this.#sender.canSend(range.owner)) continue;
       due.push({ range, overdueMs });
     }
@@ -522,16 +524,24 @@
    * Interval of renewals at a server that has asked this VM to back off: at once
    * as long as they cross its answer, then as late as its leases allow.
    */
-  #backoffIntervalMs(server: contracts.ServerId, intervalMs: number): number {
+  #backoffIntervalMs(
+    server: contracts.ServerId,
+    { rank, intervalMs, leaseMs }: {
+      readonly rank: number;
+      readonly intervalMs: number;
+      /** Duration of the last lease, which a longer one may replace. */
+      readonly leaseMs: number;
+    },
+  ): number {
     const { backoffs, vm, timings } = this.#options;
     if (!backoffs.isBackingOff(vm, server)) return intervalMs;
     if (backoffs.isCrossing(server)) {
       return Math.min(intervalMs, timings.renewMs);
     }
-    const ratio = backoffs.mayControl(server)
+    const ratio = rank === 0 && backoffs.mayControl(server)
       ? BACKOFF_RENEWAL_RATIO
       : LAST_RENEWAL_RATIO;
-    return Math.max(intervalMs, this.#leaseMs(server) * ratio);
+    return leaseMs * ratio;
   }
 
   /**
@@ -554,6 +564,34 @@
     return [...order].sort((a, b) => lateness(a) - lateness(b));
   }
 
+  /**
+   * The order for one of a server's ranges: VMs that it has asked to back off
+   * share its ranges, as each may send few calls.
+   */
+  #rotated(
+    server: contracts.ServerId,
+    order: readonly contracts.VmId[],
+    index: number,
+  ): readonly contracts.VmId[] {
+    const { backoffs } = this.#options;
+    const [first] = order;
+    const areAllLate = backoffs.hasAny && first !== undefined &&
+      backoffs.isBackingOff(first, server);
+    if (!areAllLate || index === 0) return order;
+    const { leaderVm } = this;
+    const others = order.filter((vm) => vm !== leaderVm);
+    const start = index % Math.max(1, others.length);
+    return [
+      ...others.slice(start),
+      ...others.slice(0, start),
+      ...order.filter((vm) => vm === leaderVm),
+    ];
+  }
+
+  #rangesOf(server: contracts.ServerId): readonly contracts.RangeState[] {
+    return this.#rangesByOwner.get(server) ?? [];
+  }
+
   /** Voters in the order of a server, those that reach it if any does. */
   #reachingOrder(
     server: contracts.ServerId,
@@ -594,7 +632,7 @@
   }
 
   #isUnaccepted(range: contracts.RangeState): boolean {
-    return this.#sender.acceptedAtMs(range) === undefined;
+    return this.#sender.accepted(range) === undefined;
   }
 
   /**
