fix(requests): leave servers alone for as long as their refusals say, on the own interface too

The tracker now keeps the time, lets one request at a time through after it until the server answers, and requests that no other server may run are refused at once with the time that is left, for keys too; the dispatcher's tracker keeps it for all VMs. The stand-in server sent a constant Retry-After of 1 s with every refusal, full queues included, which now would idle it; it sends one only where a test sets it, and the contract says what it means.

--- a/packages/decisions/src/routing/server_tracker.ts
+++ b/packages/decisions/src/routing/server_tracker.ts
@@ -37,6 +37,8 @@
     readonly refusal: contracts.ServerRefusal;
     readonly inFlight?: number;
     readonly requestLimit?: number | null;
+    /** For how long the server asks to be left alone; absent for no time. */
+    readonly retryAfterMs?: number | undefined;
   }
   | {
     readonly kind: "failure";
@@ -59,6 +61,10 @@
   reportedMs: number;
   /** No new request until then, as the server refused or was not reachable. */
   pausedUntilMs: number;
+  /** The server has asked to be left alone until then. */
+  backoffUntilMs: number;
+  /** Whether it has answered no request since it asked. */
+  isBackingOff: boolean;
   /** Current limit of requests in flight, like a congestion window. */
   window: number;
   windowReducedMs: number;
@@ -133,13 +139,30 @@
   pauseLeftMs(nowMs: number): number | undefined {
     let shortestMs: number | undefined;
     for (const entry of this.#entries.values()) {
-      const leftMs = entry.pausedUntilMs - nowMs;
+      const { pausedUntilMs, backoffUntilMs } = entry;
+      const leftMs = Math.max(pausedUntilMs, backoffUntilMs) - nowMs;
       if (leftMs <= 0) continue;
       if (shortestMs === undefined || leftMs < shortestMs) shortestMs = leftMs;
     }
     return shortestMs;
   }
 
+  /**
+   * Shortest time for which all of the given servers ask to be left alone; 0
+   * if one of them doesn't.
+   */
+  backoffLeftMs(
+    servers: Iterable<contracts.ServerId>,
+    nowMs: number,
+  ): number {
+    let shortestMs = Number.POSITIVE_INFINITY;
+    for (const server of servers) {
+      const untilMs = this.#entries.get(server)?.backoffUntilMs ?? nowMs;
+      shortestMs = Math.min(shortestMs, Math.max(0, untilMs - nowMs));
+    }
+    return Number.isFinite(shortestMs) ? shortestMs : 0;
+  }
+
   /** Requests of this process in flight at a server. */
   inFlight(server: contracts.ServerId): number {
     return this.#entries.get(server)?.sentMs.length ?? 0;
@@ -184,8 +207,18 @@
     if (end.kind === "failure") {
       return this.#recordFailure(entry, { cause: end.cause, sentMs, nowMs });
     }
-    if (end.kind === "refusal") this.#pause(entry, end.refusal, nowMs);
+    if (end.kind === "refusal") {
+      this.#pause(entry, end.refusal, nowMs);
+      if (end.retryAfterMs !== undefined) {
+        entry.isBackingOff = true;
+        entry.backoffUntilMs = Math.max(
+          entry.backoffUntilMs,
+          nowMs + end.retryAfterMs,
+        );
+      }
+    }
     if (end.kind === "answer") {
+      if (nowMs >= entry.backoffUntilMs) entry.isBackingOff = false;
       this.#attemptMs += (nowMs - sentMs - this.#attemptMs) *
         ATTEMPT_SAMPLE_WEIGHT;
       this.#growWindow(entry);
@@ -277,8 +310,12 @@
   #mayTake(entry: TrackedServer, nowMs: number): boolean {
     const state = entry.ejection.state;
     if (state === "ejected" || state === "probing") return false;
-    if (entry.pausedUntilMs > nowMs) return false;
-    if (state === "on-trial") return entry.sentMs.length === 0;
+    if (Math.max(entry.pausedUntilMs, entry.backoffUntilMs) > nowMs) {
+      return false;
+    }
+    if (state === "on-trial" || entry.isBackingOff) {
+      return entry.sentMs.length === 0;
+    }
     const weight = slowStartWeight(nowMs - entry.firstSeenMs);
     const limit = Math.max(1, Math.floor(entry.window * weight));
     return entry.sentMs.length < limit;
@@ -311,6 +348,8 @@
       reportedInFlight: undefined,
       reportedMs: -Infinity,
       pausedUntilMs: -Infinity,
+      backoffUntilMs: -Infinity,
+      isBackingOff: false,
       window: this.#options.maxLocalInFlight,
       windowReducedMs: -Infinity,
       busyRefusals: 0,
--- a/packages/entry/src/links/native_answer_decoder.ts
+++ b/packages/entry/src/links/native_answer_decoder.ts
@@ -9,6 +9,9 @@
 } from "./answer_decoder.ts";
 import { answerHeaders, readHeader } from "./header_list.ts";
 
+/** With this status a refusal's Retry-After is about the server. */
+const UNAVAILABLE_STATUS = 503;
+
 /** Decoder for responses to requests under `/serve/`. */
 export class NativeAnswerDecoder implements AnswerDecoder {
   decode(
@@ -29,11 +32,18 @@
     );
     const refusal = readHeader(raw.headers, names.NOT_RUN_HEADER);
     if (refusal !== undefined) {
+      const retryAfter = raw.status === UNAVAILABLE_STATUS
+        ? names.parseRetryAfter(readHeader(raw.headers, "retry-after"), {
+          dateText: readHeader(raw.headers, "date"),
+          nowUnixMs: Date.now(),
+        })
+        : undefined;
       return {
         kind: "refusal",
         refusal: refusal as contracts.ServerRefusal,
         inFlight,
         requestLimit,
+        retryAfter,
       };
     }
     const { status, body } = raw;
--- a/packages/entry/src/requests/active_request.ts
+++ b/packages/entry/src/requests/active_request.ts
@@ -327,6 +327,9 @@
           refusal: result.refusal,
           inFlight: result.inFlight,
           requestLimit: limitOf(result),
+          retryAfterMs: result.retryAfter?.kind === "delay"
+            ? result.retryAfter.delayMs
+            : undefined,
         };
       case "not-sent":
         return result.isLocal || this.#request.signal.aborted
--- a/packages/entry/src/requests/keyed_allocator.ts
+++ b/packages/entry/src/requests/keyed_allocator.ts
@@ -6,7 +6,11 @@
 import type * as routing from "@guavatide/decisions/routing/mod";
 import type { OwnerLookup, OwnerView } from "../contracts/views.ts";
 import { RequestQueue } from "./request_queue.ts";
-import { ServerMonitor, type ServerMonitorOptions } from "./server_monitor.ts";
+import {
+  BACKOFF_MESSAGE,
+  ServerMonitor,
+  type ServerMonitorOptions,
+} from "./server_monitor.ts";
 import type { Slot, SlotAllocator, SlotRequest } from "./slot_allocator.ts";
 
 /** Options of {@link KeyedAllocator}. */
@@ -183,7 +187,16 @@
       return true;
     }
     const [candidate] = this.#monitor.candidates([owner.server]);
-    if (candidate === undefined) return false;
+    if (candidate === undefined) {
+      const retryAfterMs = this.#monitor.backoffLeftMs([owner.server]);
+      if (retryAfterMs === 0) return false;
+      queue.shift();
+      request.onRefused("queue-full", {
+        retryAfterMs,
+        message: BACKOFF_MESSAGE,
+      });
+      return true;
+    }
     queue.shift();
     const { slice, fence, revision } = owner;
     request.onGranted(
--- a/packages/entry/src/requests/local_allocator.ts
+++ b/packages/entry/src/requests/local_allocator.ts
@@ -2,7 +2,11 @@
 import type * as contracts from "@guavatide/contracts";
 import * as routing from "@guavatide/decisions/routing/mod";
 import { RequestQueue } from "./request_queue.ts";
-import { ServerMonitor, type ServerMonitorOptions } from "./server_monitor.ts";
+import {
+  BACKOFF_MESSAGE,
+  ServerMonitor,
+  type ServerMonitorOptions,
+} from "./server_monitor.ts";
 import type { Slot, SlotAllocator, SlotRequest } from "./slot_allocator.ts";
 
 /** Options of {@link LocalAllocator}. */
@@ -79,6 +83,18 @@
     while (next !== undefined && this.#serve(next)) next = this.#queue.peek();
   }
 
+  /** Refuses the next request if all servers ask to be left alone. */
+  #refuseIfBackingOff(
+    request: SlotRequest,
+    servers: readonly contracts.ServerId[],
+  ): boolean {
+    const retryAfterMs = this.#monitor.backoffLeftMs(servers);
+    if (retryAfterMs === 0) return false;
+    this.#queue.shift();
+    request.onRefused("queue-full", { retryAfterMs, message: BACKOFF_MESSAGE });
+    return true;
+  }
+
   /** Grants or refuses the next request; false when it has to wait. */
   #serve(request: SlotRequest): boolean {
     const liveServers = this.#monitor.liveServers().filter((it) =>
@@ -94,7 +110,7 @@
     const ids = liveServers.map((address) => address.server);
     const candidates = this.#monitor.candidates(ids);
     const chosen = this.#balancer.choose(candidates, this.#options.random);
-    if (chosen === undefined) return false;
+    if (chosen === undefined) return this.#refuseIfBackingOff(request, ids);
     this.#queue.shift();
     const address = liveServers.find((it) => it.server === chosen.server)!;
     request.onGranted(this.#monitor.acquireSlot(address));
--- a/packages/entry/src/requests/server_monitor.ts
+++ b/packages/entry/src/requests/server_monitor.ts
@@ -12,6 +12,10 @@
 /** Interval at which a queue looks for room at a limited server. */
 const LIMIT_RETRY_MS = 25;
 
+/** Tells callers that all servers for their requests ask to be left alone. */
+export const BACKOFF_MESSAGE =
+  "The servers for the request take none at present; come back later";
+
 /** Options of {@link ServerMonitor}, and of the allocators that use one. */
 export interface ServerMonitorOptions {
   readonly service: contracts.Service;
@@ -82,6 +86,14 @@
     return allowed;
   }
 
+  /**
+   * Shortest time for which all of the given servers ask to be left alone; 0
+   * if one of them doesn't.
+   */
+  backoffLeftMs(servers: Iterable<contracts.ServerId>): number {
+    return this.#tracker.backoffLeftMs(servers, this.#options.clock.nowMs());
+  }
+
   /** Requests a second that this allocator may send to a limited server. */
   #limitedRate(server: contracts.ServerId): number | undefined {
     const limitPerSecond = this.#limits.limitOf(server);
--- a/packages/entry/src/requests/slot_messages.ts
+++ b/packages/entry/src/requests/slot_messages.ts
@@ -26,6 +26,7 @@
     refusal: z.enum(["not-owner", "busy", "draining", "deadline", "cold"]),
     inFlight: inFlightSchema,
     requestLimit: requestLimitSchema,
+    retryAfterMs: z.number().min(0).optional(),
   }),
   z.strictObject({
     kind: z.literal("failure"),
--- a/packages/standins/src/backend_server/backend_app.ts
+++ b/packages/standins/src/backend_server/backend_app.ts
@@ -32,8 +32,6 @@
 /** A request whose path ends with this kills the process that runs it. */
 export const POISON_PATH = "poison";
 
-const RETRY_AFTER_SECONDS = "1";
-
 type BackendContext = Context<serve.StandInEnv>;
 
 /** Response body of a request that was run. */
@@ -287,7 +285,8 @@
     );
     if (result.kind === "refused") {
       context.header(contracts.NOT_RUN_HEADER, result.refusal);
-      context.header("retry-after", RETRY_AFTER_SECONDS);
+      const { retryAfter } = this.#faults;
+      if (retryAfter !== undefined) context.header("retry-after", retryAfter);
       const status = result.refusal === "not-owner" ? 409 : 503;
       return context.json({ refused: result.refusal }, status);
     }
--- a/packages/standins/src/backend_server/settings.ts
+++ b/packages/standins/src/backend_server/settings.ts
@@ -83,6 +83,8 @@
   }).optional(),
   /** Limit that its answers name, as text; empty for none. */
   requestLimit: z.string().optional(),
+  /** Delay that its refusals name, as text in seconds; absent for none. */
+  retryAfter: z.string().optional(),
   /** Whether control calls get no response. */
   controlHangs: z.boolean().optional(),
 });
