fix(backoffs): no single hot keys off an owner that has asked VMs to back off; unit tests

A hot key was moved off such an owner by itself, a release more and a range more to renew on both sides of it: its capacity counts as next to none, so each key seemed too hot.

--- a/packages/decisions/src/admission/service_queue_test.ts
+++ b/packages/decisions/src/admission/service_queue_test.ts
@@ -505,3 +505,114 @@
   expect(refusal?.reason).toEqual("no-room");
   expect(refusal!.expectedWaitMs).toEqual(1_000);
 });
+
+function backoffsOf(
+  delaysMs: Record<string, number>,
+): admission.ServerBackoffs {
+  const backoffs = new admission.ServerBackoffs();
+  for (const [name, delayMs] of Object.entries(delaysMs)) {
+    backoffs.recordRequest(name as contracts.ServerId, delayMs, 0);
+  }
+  return backoffs;
+}
+
+function plainQueue(
+  names: readonly string[],
+  options: Partial<admission.ServiceQueueOptions>,
+): admission.ServiceQueue {
+  const queue = new admission.ServiceQueue({
+    zone: "z1" as contracts.ZoneId,
+    times: new admission.ServiceTimes(),
+    random: { next: () => 0.5 },
+    ...options,
+  });
+  queue.setServers(names.map((name) => server(name)));
+  return queue;
+}
+
+/** Adds requests that run from then on where they are sent to. */
+function addRunning(queue: admission.ServiceQueue, count: number): Request[] {
+  return Array.from({ length: count }, () => {
+    const request = new Request(0);
+    queue.add(request, 0);
+    request.placement?.load.startRequest(0);
+    return request;
+  });
+}
+
+/** A server that refuses at once would be the least loaded one. */
+test("should send nothing to a server that backs off while others have room", () => {
+  const backoffs = backoffsOf({ a: 3_000 });
+  const queue = plainQueue(["a", "b"], { backoffs });
+  const request = new Request(100);
+  queue.add(request, 100);
+  expect(request.placement?.load.entry.server as string).toEqual("b");
+  const others = addRunning(queue, 4).map(({ placement }) =>
+    placement?.load.entry.server
+  );
+  expect(others.includes("a" as contracts.ServerId)).toEqual(false);
+});
+
+/** Callers must not be sent back long before a server takes requests. */
+test("should refuse at once with the shortest time left when all back off", () => {
+  const backoffs = backoffsOf({ a: 3_000, b: 2_000 });
+  const queue = plainQueue(["a", "b"], { backoffs });
+  const request = new Request(500);
+  queue.add(request, 500);
+  expect(request.refusal?.reason).toEqual("backing-off");
+  expect(request.refusal!.retryAfterMs).toBeGreaterThanOrEqual(1_500);
+  expect(request.refusal!.retryAfterMs).toBeLessThanOrEqual(1_650);
+  const later = new Request(2_000);
+  queue.add(later, 2_000);
+  expect(later.placement?.load.entry.server as string).toEqual("b");
+});
+
+/** What waits for a slot must not wait for a server that takes nothing. */
+test("should refuse what waits once all servers back off", () => {
+  const backoffs = backoffsOf({});
+  const queue = plainQueue(["a"], { backoffs });
+  const requests = addRunning(queue, 3);
+  expect(queue.waiting).toEqual(1);
+  backoffs.recordRequest("a" as contracts.ServerId, 1_000, 10);
+  queue.refuseExpired(20);
+  expect(requests[2]!.refusal?.reason).toEqual("backing-off");
+});
+
+/** The keys of an owner that backs off are nobody else's. */
+test("should refuse at once keys whose owner backs off", () => {
+  const backoffs = backoffsOf({ a: 3_000 });
+  const queue = plainQueue(["a", "b"], {
+    backoffs,
+    keyed: { ownerOf: ownedBy("a"), slots: UNLIMITED_SLOTS },
+  });
+  const request = new Request(0, { key: 7 });
+  queue.add(request, 0);
+  expect(request.refusal?.reason).toEqual("backing-off");
+  expect(request.refusal!.retryAfterMs).toBeGreaterThanOrEqual(3_000);
+});
+
+/** Two servers that begin to turn requests away would take both attempts. */
+test("should avoid what peers avoid while another server has a free slot", () => {
+  const queue = plainQueue(["a", "b"], {
+    backoffs: backoffsOf({}),
+    isAvoidedByPeers: (name) => name === "a",
+  });
+  const requests = addRunning(queue, 3);
+  const chosen = requests.map(({ placement }) => placement?.load.entry.server);
+  expect(chosen[0] as string).toEqual("b");
+  expect(chosen.includes("a" as contracts.ServerId)).toEqual(true);
+});
+
+/** Without a time as well, a quick refusal is no sign of room. */
+test("should pause a server that has refused, longer each time", () => {
+  const load = new admission.ServerLoad(server("a"));
+  const refuse = (nowMs: number) =>
+    load.startRequest(nowMs)({ kind: "rejected" }, nowMs + 1);
+  refuse(0);
+  expect(load.isRefusing(20)).toEqual(true);
+  expect(load.isRefusing(30)).toEqual(false);
+  refuse(30);
+  expect(load.isRefusing(70)).toEqual(true);
+  load.startRequest(100)({ kind: "answered", isFailure: false }, 110);
+  expect(load.isRefusing(111)).toEqual(false);
+});
--- a/packages/decisions/src/grants/hot_keys.ts
+++ b/packages/decisions/src/grants/hot_keys.ts
@@ -62,7 +62,8 @@
     const owner = range.owner.server;
     if (!servers.has(owner) || range.vacating !== undefined) continue;
     // Each range that remains around the key would be renewed by itself.
-    if (servers.get(owner)!.maxRanges !== undefined) continue;
+    const { maxRanges, backoff } = servers.get(owner)!;
+    if (maxRanges !== undefined || backoff !== undefined) continue;
     for (const rate of ratesWithin(rates, range)) {
       const known = hottest.get(owner);
       if (known !== undefined && known.perSecond >= rate.perSecond) continue;
--- a/packages/entry/src/gateway/attempt_relay_test.ts
+++ b/packages/entry/src/gateway/attempt_relay_test.ts
@@ -185,3 +185,17 @@
     expect(await fixture.call(Buffer.from("{}\n"))).toEqual("400");
     expect(await fixture.call(Buffer.from("no line"))).toEqual("400");
   }));
+
+/** A peer must not send what its server has asked it for none of. */
+test("should refuse what it would relay while the server asks it to back off", () =>
+  withRelay(async (fixture) => {
+    expect(await fixture.send(0)).toEqual("refusal");
+  }, {
+    backoffs: { leftMs: () => 1_500 },
+    paths: {
+      sendDirect: () => Promise.reject(new Error("nothing may be sent")),
+      observe: () => Promise.resolve({ isAccepting: true, heardAgoMs: 1 }),
+      reaches: () => true,
+      ownReach: { isCutOff: false, lostServers: new Set() },
+    },
+  }));
--- a/packages/entry/src/gateway/server_registry_test.ts
+++ b/packages/entry/src/gateway/server_registry_test.ts
@@ -164,3 +164,36 @@
   expect(fixture.changes).toEqual(4);
   expect(fixture.registry.ids().size).toEqual(1);
 });
+
+/** A registration that is written again must not bring back what leaves. */
+test("should drain a server that says it leaves, whatever is registered", () => {
+  const fixture = new Fixture();
+  const { registry } = fixture;
+  const leaving = { server: "s1" as contracts.ServerId, bornMs: 1 };
+  registry.applyList([objectOf("s1"), objectOf("s2")]);
+  expect(registry.noteLeaving({ ...leaving, bornMs: 0 })).toEqual(false);
+  expect(registry.noteLeaving(leaving)).toEqual(true);
+  expect(registry.noteLeaving(leaving)).toEqual(false);
+  expect(fixture.staying).toEqual(["s2"]);
+  for (fixture.nowMs = 0; fixture.nowMs < 120_000; fixture.nowMs += 1_000) {
+    const name = `${PREFIX}s1`;
+    registry.applyChanges([{ name, object: objectOf("s1") }]);
+    registry.tick();
+  }
+  expect(fixture.staying).toEqual(["s2"]);
+  expect(registry.leaving()).toEqual([leaving]);
+});
+
+/** Servers that have left must not be kept for ever. */
+test("should forget a server that said it leaves once its entry is gone", () => {
+  const fixture = new Fixture();
+  const { registry } = fixture;
+  const leaving = { server: "s1" as contracts.ServerId, bornMs: 1 };
+  registry.applyList([objectOf("s1")]);
+  registry.noteLeaving(leaving);
+  registry.applyList([]);
+  expect(registry.leaving()).toEqual([]);
+  fixture.nowMs = 61_000;
+  registry.tick();
+  expect(registry.ids().size).toEqual(0);
+});
