fix(backoffs): ask no server that turns away all VMs; second tries go where none is on trial

- An owner that three VMs were refused by, and that answers none, was asked by each further VM as well, with a message to all peers each time.
It is left alone by VMs that it has not asked, until the first of those it has may try.
A second try now goes to a server on trial only if no other has a free slot.

--- a/packages/decisions/src/admission/peer_backoffs.ts
+++ b/packages/decisions/src/admission/peer_backoffs.ts
@@ -105,6 +105,21 @@
       nowMs - news.answeredAtMs >= ANSWER_TTL_MS;
   }
 
+  /**
+   * Time until the first VM may try a server again that refuses all; 0 for any
+   * other server.
+   */
+  refusedForMs(
+    server: contracts.ServerId,
+    vmCount: number,
+    nowMs: number,
+  ): number {
+    if (!this.refusesAll(server, vmCount, nowMs)) return 0;
+    const backoffs = this.#servers.get(server)!.backoffs.values();
+    const endsMs = [...backoffs].map(({ untilMs }) => untilMs);
+    return Math.max(0, Math.min(...endsMs) - nowMs);
+  }
+
   /** The longest time that the server has asked of a VM; 0 for none. */
   longestDelayMs(server: contracts.ServerId, nowMs: number): number {
     const backoffs = this.#pruned(server, nowMs)?.backoffs.values() ?? [];
--- a/packages/decisions/src/admission/server_backoffs.ts
+++ b/packages/decisions/src/admission/server_backoffs.ts
@@ -99,6 +99,11 @@
     backoff.controlCalls++;
   }
 
+  /** Whether a server has asked, and has answered no request since. */
+  has(server: contracts.ServerId): boolean {
+    return this.#backoffs.has(server);
+  }
+
   /** Whether any server has asked, and has answered no request since. */
   get hasAny(): boolean {
     return this.#backoffs.size > 0;
--- a/packages/decisions/src/admission/server_backoffs_test.ts
+++ b/packages/decisions/src/admission/server_backoffs_test.ts
@@ -70,8 +70,11 @@
   record(VMS[0]!, 0);
   record(VMS[1]!, 10);
   expect(backoffs.refusesAll(SERVER, VMS.length, 20)).toEqual(false);
+  expect(backoffs.refusedForMs(SERVER, VMS.length, 20)).toEqual(0);
   record(VMS[2]!, 20);
   expect(backoffs.refusesAll(SERVER, VMS.length, 20)).toEqual(true);
+  // The first of them tries it again before any other VM does.
+  expect(backoffs.refusedForMs(SERVER, VMS.length, 20)).toEqual(2_980);
   expect(backoffs.isAnswerNews(SERVER, VMS[3]!, 30)).toEqual(true);
   backoffs.recordAnswer(SERVER, VMS[3]!, 30);
   expect(backoffs.isAnswerNews(SERVER, VMS[3]!, 40)).toEqual(false);
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -75,6 +75,8 @@
   readonly capped?: CappedServers | undefined;
   /** Servers that have asked this VM to back off; absent for none. */
   readonly backoffs?: ServerBackoffs | undefined;
+  /** Time for which a server turns away all VMs; absent for none. */
+  readonly refusedForMs?: (server: contracts.ServerId) => number;
   /**
    * Whether a server has asked another VM to back off: it gets a request only if
    * no other server has a free slot. Absent where that is not known.
@@ -408,7 +410,7 @@
         (rateLimits?.mayStart(load.entry.server, nowMs) ?? true)
       );
     const context = this.#context(nowMs);
-    const preferred = this.#preferred(free, nowMs);
+    const preferred = this.#preferred(free, request, nowMs);
     const best = ranking.chooseServer(preferred, request, context);
     const hasFreeSlot = best !== undefined &&
       best.outstanding(nowMs) < best.entry.slots;
@@ -416,15 +418,20 @@
     return hasFreeSlot ? best : this.#overflowServer(request, nowMs) ?? best;
   }
 
-  /** Servers that peers don't avoid, if one of them has a free slot. */
+  /**
+   * Servers that peers don't avoid, if one of them has a free slot. A request
+   * that was refused once is not what shows whether a back-off is really over.
+   */
   #preferred(
     loads: readonly ServerLoad[],
+    { tried }: WaitingRequest,
     nowMs: number,
   ): readonly ServerLoad[] {
-    const { isAvoidedByPeers } = this.#options;
+    const { isAvoidedByPeers, backoffs } = this.#options;
     if (isAvoidedByPeers === undefined) return loads;
-    const preferred = loads.filter(({ entry }) =>
-      !isAvoidedByPeers(entry.server)
+    const preferred = loads.filter(({ entry: { server } }) =>
+      !isAvoidedByPeers(server) &&
+      (tried.size === 0 || !backoffs?.has(server))
     );
     const hasFreeSlot = preferred.some((load) =>
       load.outstanding(nowMs) < load.entry.slots
@@ -447,7 +454,11 @@
 
   /** Time for which a server's back-off is not worth waiting for; else 0. */
   #backoffLeftMs({ entry }: ServerLoad, nowMs: number): number {
-    const leftMs = this.#options.backoffs?.leftMs(entry.server, nowMs) ?? 0;
+    const { backoffs, refusedForMs } = this.#options;
+    const leftMs = Math.max(
+      backoffs?.leftMs(entry.server, nowMs) ?? 0,
+      refusedForMs?.(entry.server) ?? 0,
+    );
     return leftMs > MAX_BACKOFF_WAIT_MS ? leftMs : 0;
   }
 
@@ -456,7 +467,6 @@
    * sent to.
    */
   #shortestBackoffMs(request: WaitingRequest, nowMs: number): number {
-    if (!this.#options.backoffs?.hasAny) return 0;
     const owner = this.#ownerOf(request);
     if (owner !== undefined) {
       const load = owner.kind === "owned"
@@ -540,7 +550,9 @@
     const load = this.#loads.get(owner.server);
     if (load === undefined || load.entry.bornMs !== owner.bornMs) return false;
     if (!load.isUp(nowMs) || !this.#isHome(load.entry, request)) return false;
-    if (!this.#mayStart(load, nowMs)) return false;
+    const mayStart = this.#mayStart(load, nowMs) &&
+      this.#backoffLeftMs(load, nowMs) === 0;
+    if (!mayStart) return false;
     const { slots } = this.#options.keyed!;
     if (!slots.tryAcquire(request, load, nowMs)) return false;
     const outstanding = load.outstanding(nowMs);
--- a/packages/entry/src/gateway/server_backoff_task.ts
+++ b/packages/entry/src/gateway/server_backoff_task.ts
@@ -122,6 +122,16 @@
       this.#all.isAvoided(server, this.#options.clock.nowMs());
   }
 
+  /**
+   * Time for which a server that this VM has not asked turns away what any VM
+   * sends; 0 while it may be asked.
+   */
+  refusedForMs(server: contracts.ServerId): number {
+    const { gossip, clock } = this.#options;
+    if (!this.hasAny || this.#own.has(server)) return 0;
+    return this.#all.refusedForMs(server, gossip.vmCount, clock.nowMs());
+  }
+
   /** Whether any VM leaves any server alone. */
   get hasAny(): boolean {
     return this.#all.hasAny;
