--- a/packages/decisions/src/admission/server_backoffs.ts
+++ b/packages/decisions/src/admission/server_backoffs.ts
@@ -18,7 +18,7 @@
  * A server that still turns requests away does so at once, so after this time
  * without a refusal another request may follow the first.
  */
-const TRIAL_INTERVAL_MS = 25;
+const TRIAL_INTERVAL_MS = 15;
 /** Calls that are sent this soon after the answer cross it on their way. */
 const CROSSING_MS = 350;
 /** Further calls that a server may get before its time is over. */
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -133,7 +133,7 @@
 /** Shortest expected wait for a key without an owner. */
 const MIN_HANDOVER_WAIT_MS = 100;
 /** A back-off that ends within this time is waited for. */
-const MAX_BACKOFF_WAIT_MS = 25;
+const MAX_BACKOFF_WAIT_MS = 10;
 /** Spreads out callers that return when a back-off ends. */
 const BACKOFF_SPREAD_RATIO = 0.1;
 const BACKOFF_SPREAD_MAX_MS = 250;
