fix(grants): renew a short lease before it ends when the map names longer ones

The interval now counts from what was granted last, at the first VM only, whose calls keep leases in force; the second renews as rarely as before, since each call counts at a limited server. The test fails without the change.

--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/service_grants.ts
@@ -513,7 +513,7 @@
       const overdueMs = last === undefined
         ? Number.POSITIVE_INFINITY
         : nowMs - last.sentAtMs -
-          this.#backoffIntervalMs(server, { rank, intervalMs, ...last });
+          this.#intervalAfter(server, { rank, intervalMs, ...last });
       if (overdueMs < 0 || !this.#sender.canSend(range.owner)) continue;
       due.push({ range, overdueMs });
     }
@@ -521,20 +521,26 @@
   }
 
   /**
-   * Interval of renewals at a server that has asked this VM to back off: at once
-   * as long as they cross its answer, then as late as its leases allow.
+   * Interval after the last grant, which may have been shorter than those of now.
+   * At a server that has asked this VM to back off: at once as long as calls
+   * cross its answer, then as late as its leases allow.
    */
-  #backoffIntervalMs(
+  #intervalAfter(
     server: contracts.ServerId,
     { rank, intervalMs, leaseMs }: {
       readonly rank: number;
       readonly intervalMs: number;
-      /** Duration of the last lease, which a longer one may replace. */
+      /** Duration of the last lease. */
       readonly leaseMs: number;
     },
   ): number {
     const { backoffs, vm, timings } = this.#options;
-    if (!backoffs.isBackingOff(vm, server)) return intervalMs;
+    if (!backoffs.isBackingOff(vm, server)) {
+      // The first VM's calls alone keep the lease in force.
+      return rank === 0
+        ? Math.min(intervalMs, leaseMs * LAST_RENEWAL_RATIO)
+        : intervalMs;
+    }
     if (backoffs.isCrossing(server)) {
       return Math.min(intervalMs, timings.renewMs);
     }
--- a/packages/entry/src/gateway/service_grants_test.ts
+++ b/packages/entry/src/gateway/service_grants_test.ts
@@ -73,6 +73,8 @@
   expect(voter.maySend(FIRST_SERVER)).toEqual(false);
 });
 
+const LONG_LEASE_MS = 6_000;
+
 /** A voter with several ranges at each server. */
 async function createVoter({ isLeader = false } = {}) {
   let nowMs = 0;
@@ -84,7 +86,8 @@
   const answers = new Map<contracts.ServerId, () => void>();
   /** Whether the last grant to a server may still be sent. */
   const maySendChecks = new Map<contracts.ServerId, () => boolean>();
-  const map = mapOf((server) => visited.add(server));
+  let map = mapOf((server) => visited.add(server));
+  let isSparing = false;
   const service = new ServiceGrants({
     service: KEYED_SERVICE,
     vm: VOTER,
@@ -143,7 +146,7 @@
     log: { debug() {}, info() {}, warn() {}, error() {} },
     capacity: () => 10,
     isCold: () => false,
-    sparingLeaseMs: () => undefined,
+    sparingLeaseMs: () => isSparing ? LONG_LEASE_MS : undefined,
     maxRangesOf: () => undefined,
     backoffOf: () => undefined,
   });
@@ -163,6 +166,19 @@
       service.tick();
     },
     endIncarnation: (server: contracts.ServerId) => ended.add(server),
+    /** The map names longer leases from now on. */
+    lengthenLeases: () => {
+      isSparing = true;
+      const serverHoldMs = Object.fromEntries(
+        SERVERS.map((server) => [server, LONG_LEASE_MS]),
+      );
+      map = { ...map, revision: map.revision + 1, serverHoldMs };
+      service.applyUpdate({
+        map: { ...map, ranges: [] },
+        baseRevision: 1,
+        pendingFences: [],
+      });
+    },
     run: async (untilMs: number) => {
       for (; nowMs < untilMs; nowMs += TICK_MS) {
         service.tick();
@@ -202,3 +218,19 @@
     ranges,
   };
 }
+
+/** What was granted for a short time is not due as late as what is longer. */
+test("should renew a lease before it ends when the map names longer ones", async () => {
+  const voter = await createVoter();
+  await voter.run(1_000);
+  const before = voter.sent.get(FIRST_SERVER)!.length;
+  voter.lengthenLeases();
+  await voter.run(1_000 + grants.DEFAULT_GRANT_TIMINGS.holdMs);
+  const renewed = voter.sent.get(FIRST_SERVER)!.slice(before);
+  expect(renewed.map(({ holdMs }) => holdMs).includes(LONG_LEASE_MS))
+    .toEqual(true);
+  expect(new Set(renewed.map(({ fromKey }) => fromKey)).size)
+    .toEqual(
+      new Set(voter.sent.get(FIRST_SERVER)!.map((it) => it.fromKey)).size,
+    );
+});
