refactor(admission): no work for back-offs in queues while there are none

Each waiting request was compared with every server's back-off twice in 25 ms, and each placement filtered its servers once more, also while no server had asked any VM; an early return had been lost when peers' back-offs came in. What peers were asked is one option now instead of two functions, with the early return for both. The planner passes the server's id that it has.

--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -59,6 +59,19 @@
   readonly slots: SlotSource;
 }
 
+/** Servers that have asked other VMs to back off. */
+export interface PeerBackoffView {
+  /** Whether any server has asked any VM. */
+  readonly hasAny: boolean;
+  /** Time for which a server turns away all VMs; 0 for any other server. */
+  refusedForMs(server: contracts.ServerId): number;
+  /**
+   * Whether a server has asked another VM to back off: it gets a request only if
+   * no other server has a free slot.
+   */
+  isAvoidedByPeers(server: contracts.ServerId): boolean;
+}
+
 /** Options of {@link ServiceQueue}. */
 export interface ServiceQueueOptions {
   readonly zone: contracts.ZoneId;
@@ -75,13 +88,8 @@
   readonly capped?: CappedServers | undefined;
   /** Servers that have asked this VM to back off; absent for none. */
   readonly backoffs?: ServerBackoffs | undefined;
-  /** Time for which a server turns away all VMs; absent for none. */
-  readonly refusedForMs?: (server: contracts.ServerId) => number;
-  /**
-   * Whether a server has asked another VM to back off: it gets a request only if
-   * no other server has a free slot. Absent where that is not known.
-   */
-  readonly isAvoidedByPeers?: (server: contracts.ServerId) => boolean;
+  /** What servers have asked of other VMs; absent where that is not known. */
+  readonly peerBackoffs?: PeerBackoffView | undefined;
   /** Present for a single server whose requests all pass through this queue. */
   readonly reserve?: ShortRequestReserve;
   /** Region of an availability zone; undefined for an unknown one. */
@@ -427,10 +435,11 @@
     { tried }: WaitingRequest,
     nowMs: number,
   ): readonly ServerLoad[] {
-    const { isAvoidedByPeers, backoffs } = this.#options;
-    if (isAvoidedByPeers === undefined) return loads;
+    if (!this.#hasBackoffs) return loads;
+    const { peerBackoffs, backoffs } = this.#options;
+    if (peerBackoffs === undefined) return loads;
     const preferred = loads.filter(({ entry: { server } }) =>
-      !isAvoidedByPeers(server) &&
+      !peerBackoffs.isAvoidedByPeers(server) &&
       (tried.size === 0 || !backoffs?.has(server))
     );
     const hasFreeSlot = preferred.some((load) =>
@@ -452,12 +461,19 @@
     return this.#options.backoffs?.mayStart(entry.server, nowMs) ?? true;
   }
 
+  /** Whether any server has asked this VM or another one to back off. */
+  get #hasBackoffs(): boolean {
+    const { backoffs, peerBackoffs } = this.#options;
+    return (backoffs?.hasAny ?? false) || (peerBackoffs?.hasAny ?? false);
+  }
+
   /** Time for which a server's back-off is not worth waiting for; else 0. */
   #backoffLeftMs({ entry }: ServerLoad, nowMs: number): number {
-    const { backoffs, refusedForMs } = this.#options;
+    if (!this.#hasBackoffs) return 0;
+    const { backoffs, peerBackoffs } = this.#options;
     const leftMs = Math.max(
       backoffs?.leftMs(entry.server, nowMs) ?? 0,
-      refusedForMs?.(entry.server) ?? 0,
+      peerBackoffs?.refusedForMs(entry.server) ?? 0,
     );
     return leftMs > MAX_BACKOFF_WAIT_MS ? leftMs : 0;
   }
@@ -467,6 +483,7 @@
    * sent to.
    */
   #shortestBackoffMs(request: WaitingRequest, nowMs: number): number {
+    if (!this.#hasBackoffs) return 0;
     const owner = this.#ownerOf(request);
     if (owner !== undefined) {
       const load = owner.kind === "owned"
--- a/packages/decisions/src/admission/service_queue_test.ts
+++ b/packages/decisions/src/admission/service_queue_test.ts
@@ -595,7 +595,11 @@
 test("should avoid what peers avoid while another server has a free slot", () => {
   const queue = plainQueue(["a", "b"], {
     backoffs: backoffsOf({}),
-    isAvoidedByPeers: (name) => name === "a",
+    peerBackoffs: {
+      hasAny: true,
+      refusedForMs: () => 0,
+      isAvoidedByPeers: (name) => name === "a",
+    },
   });
   const requests = addRunning(queue, 3);
   const chosen = requests.map(({ placement }) => placement?.load.entry.server);
--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -235,10 +235,10 @@
     const cold = utilization.leastUtilized();
     if (hot === undefined || cold === undefined) break;
     if (utilization.lowerBound(hot, STOP_DEVIATIONS) <= level) break;
-    const { maxRanges, backoff, owner } = input.servers.get(hot)!;
+    const { maxRanges, backoff } = input.servers.get(hot)!;
     const movesLeft = backoff === undefined
       ? Number.POSITIVE_INFINITY
-      : backoff.maxMoves - movesFrom(input, moves, owner.server);
+      : backoff.maxMoves - movesFrom(input, moves, hot);
     if (movesLeft <= 0) {
       exhausted.add(hot);
       continue;
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarder.ts
@@ -333,9 +333,7 @@
         random,
       }),
       backoffs: this.#options.backoffs.own,
-      refusedForMs: (server) => this.#options.backoffs.refusedForMs(server),
-      isAvoidedByPeers: (server) =>
-        this.#options.backoffs.isAvoidedByPeers(server),
+      peerBackoffs: this.#options.backoffs,
       // Coordinators apply the limit for cold owners of keys.
       rateLimits: isKeyed ? undefined : rateLimits.forDirectSends(service),
     });
