refactor(gateway): one folder for each subject

The folder held 51 files. Files move into forwarding, slots, grants, peers, paths, backoffs, limits, poison, store and servers; only import paths change. The compiler, formatter, linter and import rules pass.

--- a/packages/entry/src/gateway/leaving_servers.ts
+++ b/packages/entry/src/gateway/backoffs/leaving_servers.ts
@@ -3,11 +3,11 @@
  * say so late or never, and VMs that get no answers have to hear of it.
  */
 import type * as contracts from "@guavatide/contracts";
-import type { LifeCycle } from "../utils/life_cycle.ts";
-import type { PeerGossip } from "./peer_gossip.ts";
-import { LEAVING_METHOD, leavingNewsSchema } from "./peer_messages.ts";
-import { RepeatedBroadcast } from "./repeated_broadcast.ts";
-import type { ServerRegistry } from "./server_registry.ts";
+import type { LifeCycle } from "../../utils/life_cycle.ts";
+import type { PeerGossip } from "../peers/peer_gossip.ts";
+import { LEAVING_METHOD, leavingNewsSchema } from "../peers/peer_messages.ts";
+import { RepeatedBroadcast } from "../peers/repeated_broadcast.ts";
+import type { ServerRegistry } from "../servers/server_registry.ts";
 
 /** Options of {@link LeavingServers}. */
 export interface LeavingServersOptions {
--- a/packages/entry/src/gateway/server_backoff_task.ts
+++ b/packages/entry/src/gateway/backoffs/server_backoff_task.ts
@@ -6,18 +6,18 @@
 import type * as contracts from "@guavatide/contracts";
 import * as admission from "@guavatide/decisions/admission/mod";
 import type * as grants from "@guavatide/decisions/grants/mod";
-import type { LabelledCounts } from "../metrics/labelled_counts.ts";
-import type { LifeCycle, PeriodicTask } from "../utils/life_cycle.ts";
-import type { Logger } from "../utils/log.ts";
-import { ThrottledWarning } from "../utils/throttled_warning.ts";
-import type { PeerGossip } from "./peer_gossip.ts";
+import type { LabelledCounts } from "../../metrics/labelled_counts.ts";
+import type { LifeCycle, PeriodicTask } from "../../utils/life_cycle.ts";
+import type { Logger } from "../../utils/log.ts";
+import { ThrottledWarning } from "../../utils/throttled_warning.ts";
+import type { PeerGossip } from "../peers/peer_gossip.ts";
 import {
   type BackoffNews,
   backoffNewsSchema,
   BACKOFFS_METHOD,
-} from "./peer_messages.ts";
-import { RepeatedBroadcast } from "./repeated_broadcast.ts";
-import type { ServerRegistry } from "./server_registry.ts";
+} from "../peers/peer_messages.ts";
+import { RepeatedBroadcast } from "../peers/repeated_broadcast.ts";
+import type { ServerRegistry } from "../servers/server_registry.ts";
 
 /** Options of {@link ServerBackoffTask}. */
 export interface ServerBackoffTaskOptions {
--- a/packages/entry/src/gateway/server_contact_log.ts
+++ b/packages/entry/src/gateway/backoffs/server_contact_log.ts
@@ -4,8 +4,8 @@
  * was last heard.
  */
 import type * as contracts from "@guavatide/contracts";
-import type { AttemptResult } from "../links/server_connection.ts";
-import type { Logger } from "../utils/log.ts";
+import type { AttemptResult } from "../../links/server_connection.ts";
+import type { Logger } from "../../utils/log.ts";
 
 const MIN_INTERVAL_MS = 1_000;
 
--- a/packages/entry/src/gateway/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarding/forwarded_request.ts
@@ -5,16 +5,16 @@
 import type {
   AttemptRequest,
   AttemptResult,
-} from "../links/server_connection.ts";
-import { conditionBeforeRetry } from "../poison/server_end_check.ts";
+} from "../../links/server_connection.ts";
+import { conditionBeforeRetry } from "../../poison/server_end_check.ts";
 import {
   type FrontAnswer,
   type FrontRequest,
   notRunAnswer,
 } from "./front_request.ts";
-import type { PoisonGuard } from "./poison_guard.ts";
+import type { PoisonGuard } from "../poison/poison_guard.ts";
 import type { AttemptRecord, RequestRecord } from "./request_log.ts";
-import type { PathResult, PathSendOptions } from "./path_attempt.ts";
+import type { PathResult, PathSendOptions } from "../paths/path_attempt.ts";
 
 /** What a request needs from the forwarder. */
 export interface ForwardingContext {
--- a/packages/entry/src/gateway/forwarder.ts
+++ b/packages/entry/src/gateway/forwarding/forwarder.ts
@@ -1,12 +1,12 @@
 /** Forwards requests of a platform's clients to backend servers. */
 import type * as contracts from "@guavatide/contracts";
 import * as admission from "@guavatide/decisions/admission/mod";
-import type { ConnectionPools } from "../links/connection_pools.ts";
-import { ThrottledWarning } from "../utils/throttled_warning.ts";
-import type { LifeCycle, PeriodicTask } from "../utils/life_cycle.ts";
-import type { Logger } from "../utils/log.ts";
-import type { ServerRateLimits } from "./server_rate_limits.ts";
-import type { ConfigHolder } from "./config_holder.ts";
+import type { ConnectionPools } from "../../links/connection_pools.ts";
+import { ThrottledWarning } from "../../utils/throttled_warning.ts";
+import type { LifeCycle, PeriodicTask } from "../../utils/life_cycle.ts";
+import type { Logger } from "../../utils/log.ts";
+import type { ServerRateLimits } from "../limits/server_rate_limits.ts";
+import type { ConfigHolder } from "../store/config_holder.ts";
 import {
   ForwardedRequest,
   type ForwardingContext,
@@ -17,17 +17,17 @@
   notRunAnswer,
   overloadAnswer,
 } from "./front_request.ts";
-import type { GrantTask } from "./grant_task.ts";
-import type { PoisonGuard } from "./poison_guard.ts";
-import type { PeerGossip } from "./peer_gossip.ts";
-import type { LoadUpdate, PeerStatus } from "./peer_messages.ts";
-import type { HeaderNames } from "./platform_adapter.ts";
-import type { RequestLimitTask } from "./request_limit_task.ts";
+import type { GrantTask } from "../grants/grant_task.ts";
+import type { PoisonGuard } from "../poison/poison_guard.ts";
+import type { PeerGossip } from "../peers/peer_gossip.ts";
+import type { LoadUpdate, PeerStatus } from "../peers/peer_messages.ts";
+import type { HeaderNames } from "../platform_adapter.ts";
+import type { RequestLimitTask } from "../limits/request_limit_task.ts";
 import type { RequestRecord } from "./request_log.ts";
-import type { ServerBackoffTask } from "./server_backoff_task.ts";
-import type { ServerPaths } from "./server_paths.ts";
-import type { ServerRegistry } from "./server_registry.ts";
-import type { SlotTask } from "./slot_task.ts";
+import type { ServerBackoffTask } from "../backoffs/server_backoff_task.ts";
+import type { ServerPaths } from "../paths/server_paths.ts";
+import type { ServerRegistry } from "../servers/server_registry.ts";
+import type { SlotTask } from "../slots/slot_task.ts";
 
 /** Options of {@link Forwarder}. */
 export interface ForwarderOptions {
--- a/packages/entry/src/gateway/front_listener.ts
+++ b/packages/entry/src/gateway/forwarding/front_listener.ts
@@ -3,21 +3,21 @@
 import * as http from "node:http";
 import type * as net from "node:net";
 import * as timers from "node:timers/promises";
-import { requestHeaders } from "../links/header_list.ts";
-import type { ServerAnswer } from "../requests/caller_request.ts";
-import * as httpServer from "../utils/http_server.ts";
-import { ThrottledWarning } from "../utils/throttled_warning.ts";
-import type { LifeCycle } from "../utils/life_cycle.ts";
-import { EventLoopLagMonitor } from "../utils/event_loop_lag_monitor.ts";
-import * as bodies from "../utils/read_body.ts";
-import type { Logger } from "../utils/log.ts";
+import { requestHeaders } from "../../links/header_list.ts";
+import type { ServerAnswer } from "../../requests/caller_request.ts";
+import * as httpServer from "../../utils/http_server.ts";
+import { ThrottledWarning } from "../../utils/throttled_warning.ts";
+import type { LifeCycle } from "../../utils/life_cycle.ts";
+import { EventLoopLagMonitor } from "../../utils/event_loop_lag_monitor.ts";
+import * as bodies from "../../utils/read_body.ts";
+import type { Logger } from "../../utils/log.ts";
 import {
   type FrontAnswer,
   type FrontRequest,
   notRunAnswer,
   overloadAnswer,
 } from "./front_request.ts";
-import type { HeaderNames } from "./platform_adapter.ts";
+import type { HeaderNames } from "../platform_adapter.ts";
 
 /** Options of {@link FrontListener}. */
 export interface FrontListenerOptions extends httpServer.ListenAddress {
--- a/packages/entry/src/gateway/front_listener_test.ts
+++ b/packages/entry/src/gateway/forwarding/front_listener_test.ts
@@ -1,8 +1,8 @@
 import { expect } from "earl";
 import * as net from "node:net";
 import { test } from "node:test";
-import { MonotonicClock } from "../utils/clock.ts";
-import { LifeCycle } from "../utils/life_cycle.ts";
+import { MonotonicClock } from "../../utils/clock.ts";
+import { LifeCycle } from "../../utils/life_cycle.ts";
 import type { FrontAnswer, FrontRequest } from "./front_request.ts";
 import { FrontListener } from "./front_listener.ts";
 
--- a/packages/entry/src/gateway/front_request.ts
+++ b/packages/entry/src/gateway/forwarding/front_request.ts
@@ -1,6 +1,6 @@
 /** A request of a platform's client, with its whole body, and its response. */
 import type * as contracts from "@guavatide/contracts";
-import type { ServerAnswer } from "../requests/caller_request.ts";
+import type { ServerAnswer } from "../../requests/caller_request.ts";
 
 /** A request as it was received. */
 export interface FrontRequest {
--- a/packages/entry/src/gateway/request_log.ts
+++ b/packages/entry/src/gateway/forwarding/request_log.ts
@@ -1,6 +1,6 @@
 /** The request log, and the record of a request that it and the metrics use. */
 import type * as contracts from "@guavatide/contracts";
-import type { LogFields, Logger } from "../utils/log.ts";
+import type { LogFields, Logger } from "../../utils/log.ts";
 import type { FrontAnswer } from "./front_request.ts";
 
 /** One attempt of a request. */
--- a/packages/entry/src/gateway/gateway_metrics.ts
+++ b/packages/entry/src/gateway/gateway_metrics.ts
@@ -8,7 +8,7 @@
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import type { Logger } from "../utils/log.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
-import type { RequestRecord } from "./request_log.ts";
+import type { RequestRecord } from "./forwarding/request_log.ts";
 
 /**
  * Metrics and their endpoint. The metrics library is slow to load, so values
--- a/packages/entry/src/gateway/backoff_grant_control.ts
+++ b/packages/entry/src/gateway/grants/backoff_grant_control.ts
@@ -3,7 +3,7 @@
 import type {
   ControlCallKind,
   ServerBackoffTask,
-} from "./server_backoff_task.ts";
+} from "../backoffs/server_backoff_task.ts";
 
 /** Reports each call that is sent, and what answers say of their servers. */
 export class BackoffGrantControl implements contracts.GrantControl {
--- a/packages/entry/src/gateway/grant_sender.ts
+++ b/packages/entry/src/gateway/grants/grant_sender.ts
@@ -5,8 +5,8 @@
  */
 import type * as contracts from "@guavatide/contracts";
 import type * as grants from "@guavatide/decisions/grants/mod";
-import { SystemRandom } from "../utils/clock.ts";
-import type { Logger } from "../utils/log.ts";
+import { SystemRandom } from "../../utils/clock.ts";
+import type { Logger } from "../../utils/log.ts";
 
 /** Options of {@link GrantSender}. */
 export interface GrantSenderOptions {
--- a/packages/entry/src/gateway/grant_task.ts
+++ b/packages/entry/src/gateway/grants/grant_task.ts
@@ -3,24 +3,24 @@
 import * as admission from "@guavatide/decisions/admission/mod";
 import * as grants from "@guavatide/decisions/grants/mod";
 import type * as ownership from "@guavatide/decisions/ownership/mod";
-import type { SuspendAwareClock } from "../utils/clock.ts";
-import type { LifeCycle, PeriodicTask } from "../utils/life_cycle.ts";
-import type { Logger } from "../utils/log.ts";
-import type { ConfigHolder } from "./config_holder.ts";
+import type { SuspendAwareClock } from "../../utils/clock.ts";
+import type { LifeCycle, PeriodicTask } from "../../utils/life_cycle.ts";
+import type { Logger } from "../../utils/log.ts";
+import type { ConfigHolder } from "../store/config_holder.ts";
 import type { MovePlannerOptions } from "./move_planner.ts";
-import type { PeerReach } from "./peer_reach.ts";
-import type { PeerRpc } from "./peer_rpc.ts";
-import type { GossipIdentity, PeerGossip } from "./peer_gossip.ts";
-import * as messages from "./peer_messages.ts";
+import type { PeerReach } from "../paths/peer_reach.ts";
+import type { PeerRpc } from "../peers/peer_rpc.ts";
+import type { GossipIdentity, PeerGossip } from "../peers/peer_gossip.ts";
+import * as messages from "../peers/peer_messages.ts";
 import type { RangeMapStore } from "./range_map_store.ts";
-import type { ServerBackoffTask } from "./server_backoff_task.ts";
+import type { ServerBackoffTask } from "../backoffs/server_backoff_task.ts";
 import {
   type GrantPeer,
   ServiceGrants,
   type ServiceGrantsOptions,
 } from "./service_grants.ts";
-import type { ServerRegistry } from "./server_registry.ts";
-import type { StoreHealth } from "./store_health.ts";
+import type { ServerRegistry } from "../servers/server_registry.ts";
+import type { StoreHealth } from "../store/store_health.ts";
 
 /** Options of {@link GrantTask}. */
 export interface GrantTaskOptions {
--- a/packages/entry/src/gateway/limited_grant_control.ts
+++ b/packages/entry/src/gateway/grants/limited_grant_control.ts
@@ -1,6 +1,6 @@
 /** Grant calls whose number and answers count for their server's limit. */
 import type * as contracts from "@guavatide/contracts";
-import type { RequestLimitTask } from "./request_limit_task.ts";
+import type { RequestLimitTask } from "../limits/request_limit_task.ts";
 
 /** Reports each call that is sent, and limits that answers name. */
 export class LimitedGrantControl implements contracts.GrantControl {
--- a/packages/entry/src/gateway/map_publisher.ts
+++ b/packages/entry/src/gateway/grants/map_publisher.ts
@@ -1,7 +1,7 @@
 /** Publishes the range map that the leader has written to all entry VMs. */
 import type * as contracts from "@guavatide/contracts";
 import * as grants from "@guavatide/decisions/grants/mod";
-import type { RangeMapUpdate } from "./peer_messages.ts";
+import type { RangeMapUpdate } from "../peers/peer_messages.ts";
 
 /** Options of {@link MapPublisher}. */
 export interface MapPublisherOptions {
--- a/packages/entry/src/gateway/move_planner.ts
+++ b/packages/entry/src/gateway/grants/move_planner.ts
@@ -3,8 +3,8 @@
  */
 import type * as contracts from "@guavatide/contracts";
 import * as grants from "@guavatide/decisions/grants/mod";
-import type { Logger } from "../utils/log.ts";
-import type { KeyCounts } from "./peer_messages.ts";
+import type { Logger } from "../../utils/log.ts";
+import type { KeyCounts } from "../peers/peer_messages.ts";
 
 /** Options of {@link MovePlanner}. */
 export interface MovePlannerOptions {
--- a/packages/entry/src/gateway/path_noting_grant_control.ts
+++ b/packages/entry/src/gateway/grants/path_noting_grant_control.ts
@@ -1,6 +1,6 @@
 /** Grant calls that also show whether this VM reaches their servers. */
 import type * as contracts from "@guavatide/contracts";
-import type { ServerPaths } from "./server_paths.ts";
+import type { ServerPaths } from "../paths/server_paths.ts";
 
 /** Reports each answered and each failed call. */
 export class PathNotingGrantControl implements contracts.GrantControl {
--- a/packages/entry/src/gateway/range_map_fetcher.ts
+++ b/packages/entry/src/gateway/grants/range_map_fetcher.ts
@@ -3,9 +3,9 @@
  * store, so that their reports confirm it; all others get it from a peer.
  */
 import type * as contracts from "@guavatide/contracts";
-import type { Logger } from "../utils/log.ts";
+import type { Logger } from "../../utils/log.ts";
 import type { RangeMapStore } from "./range_map_store.ts";
-import { ThrottledTask } from "./throttled_task.ts";
+import { ThrottledTask } from "../throttled_task.ts";
 
 /** Options of {@link RangeMapFetcher}. */
 export interface RangeMapFetcherOptions {
--- a/packages/entry/src/gateway/range_map_store.ts
+++ b/packages/entry/src/gateway/grants/range_map_store.ts
@@ -1,8 +1,8 @@
 /** Range maps in the platform's store, as one object for each service. */
 import * as contracts from "@guavatide/contracts";
 import type * as grants from "@guavatide/decisions/grants/mod";
-import type { Logger } from "../utils/log.ts";
-import type { StoreHealth } from "./store_health.ts";
+import type { Logger } from "../../utils/log.ts";
+import type { StoreHealth } from "../store/store_health.ts";
 
 /** Options of {@link RangeMapStore}. */
 export interface RangeMapStoreOptions {
--- a/packages/entry/src/gateway/service_grants.ts
+++ b/packages/entry/src/gateway/grants/service_grants.ts
@@ -14,11 +14,11 @@
   KeyCounts,
   RangeMapUpdate,
   VoterStatus,
-} from "./peer_messages.ts";
+} from "../peers/peer_messages.ts";
 import { RangeMapFetcher } from "./range_map_fetcher.ts";
 import type { RangeMapStore } from "./range_map_store.ts";
-import type { ServerBackoffTask } from "./server_backoff_task.ts";
-import type { ServerRegistry } from "./server_registry.ts";
+import type { ServerBackoffTask } from "../backoffs/server_backoff_task.ts";
+import type { ServerRegistry } from "../servers/server_registry.ts";
 
 /** An entry VM that may be a voter or the leader, this one included. */
 export interface GrantPeer {
--- a/packages/entry/src/gateway/service_grants_test.ts
+++ b/packages/entry/src/gateway/grants/service_grants_test.ts
@@ -7,7 +7,7 @@
 import * as timers from "node:timers/promises";
 import { KEYED_SERVICE, serverEntryOf } from "./grant_test_support.ts";
 import type { RangeMapStore } from "./range_map_store.ts";
-import type { ServerRegistry } from "./server_registry.ts";
+import type { ServerRegistry } from "../servers/server_registry.ts";
 import { ServiceGrants } from "./service_grants.ts";
 
 const VOTER = "vm1" as contracts.VmId;
--- a/packages/entry/src/gateway/request_limit_task.ts
+++ b/packages/entry/src/gateway/limits/request_limit_task.ts
@@ -4,19 +4,19 @@
  */
 import type * as contracts from "@guavatide/contracts";
 import * as admission from "@guavatide/decisions/admission/mod";
-import type { LabelledCounts } from "../metrics/labelled_counts.ts";
-import type { LifeCycle, PeriodicTask } from "../utils/life_cycle.ts";
-import type { Logger } from "../utils/log.ts";
-import { ThrottledWarning } from "../utils/throttled_warning.ts";
-import type { PeerGossip } from "./peer_gossip.ts";
+import type { LabelledCounts } from "../../metrics/labelled_counts.ts";
+import type { LifeCycle, PeriodicTask } from "../../utils/life_cycle.ts";
+import type { Logger } from "../../utils/log.ts";
+import { ThrottledWarning } from "../../utils/throttled_warning.ts";
+import type { PeerGossip } from "../peers/peer_gossip.ts";
 import {
   REQUEST_LIMITS_METHOD,
   requestLimitNewsSchema,
   type RequestLimitTuple,
-} from "./peer_messages.ts";
-import { RepeatedBroadcast } from "./repeated_broadcast.ts";
-import type { RequestRecord } from "./request_log.ts";
-import type { ServerRegistry } from "./server_registry.ts";
+} from "../peers/peer_messages.ts";
+import { RepeatedBroadcast } from "../peers/repeated_broadcast.ts";
+import type { RequestRecord } from "../forwarding/request_log.ts";
+import type { ServerRegistry } from "../servers/server_registry.ts";
 
 /** Options of {@link RequestLimitTask}. */
 export interface RequestLimitTaskOptions {
--- a/packages/entry/src/gateway/request_limit_task_test.ts
+++ b/packages/entry/src/gateway/limits/request_limit_task_test.ts
@@ -1,7 +1,7 @@
 import type * as contracts from "@guavatide/contracts";
 import { expect } from "earl";
 import { test } from "node:test";
-import { LabelledCounts } from "../metrics/labelled_counts.ts";
+import { LabelledCounts } from "../../metrics/labelled_counts.ts";
 import { RequestLimitTask } from "./request_limit_task.ts";
 
 const SERVER = "s1" as contracts.ServerId;
--- a/packages/entry/src/gateway/server_rate_limits.ts
+++ b/packages/entry/src/gateway/limits/server_rate_limits.ts
@@ -3,10 +3,10 @@
 import * as admission from "@guavatide/decisions/admission/mod";
 import * as grants from "@guavatide/decisions/grants/mod";
 import type * as ownership from "@guavatide/decisions/ownership/mod";
-import type { ConfigHolder } from "./config_holder.ts";
-import type { PeerGossip } from "./peer_gossip.ts";
+import type { ConfigHolder } from "../store/config_holder.ts";
+import type { PeerGossip } from "../peers/peer_gossip.ts";
 import type { RequestLimitTask } from "./request_limit_task.ts";
-import type { ServerRegistry } from "./server_registry.ts";
+import type { ServerRegistry } from "../servers/server_registry.ts";
 
 /** Options of {@link ServerRateLimits}. */
 export interface ServerRateLimitsOptions {
--- a/packages/entry/src/gateway/attempt_relay.ts
+++ b/packages/entry/src/gateway/paths/attempt_relay.ts
@@ -5,22 +5,22 @@
 import type * as contracts from "@guavatide/contracts";
 import type * as http from "node:http";
 import * as timers from "node:timers/promises";
-import type { AttemptResult } from "../links/server_connection.ts";
-import { conditionBeforeRetry } from "../poison/server_end_check.ts";
-import { EventLoopLagMonitor } from "../utils/event_loop_lag_monitor.ts";
-import type { LifeCycle } from "../utils/life_cycle.ts";
-import type { Logger } from "../utils/log.ts";
-import * as bodies from "../utils/read_body.ts";
-import { ThrottledWarning } from "../utils/throttled_warning.ts";
-import type { PeerGossip } from "./peer_gossip.ts";
-import type { PeerRpc } from "./peer_rpc.ts";
-import type { HeaderNames } from "./platform_adapter.ts";
-import type { PoisonGuard, PoisonSubject } from "./poison_guard.ts";
+import type { AttemptResult } from "../../links/server_connection.ts";
+import { conditionBeforeRetry } from "../../poison/server_end_check.ts";
+import { EventLoopLagMonitor } from "../../utils/event_loop_lag_monitor.ts";
+import type { LifeCycle } from "../../utils/life_cycle.ts";
+import type { Logger } from "../../utils/log.ts";
+import * as bodies from "../../utils/read_body.ts";
+import { ThrottledWarning } from "../../utils/throttled_warning.ts";
+import type { PeerGossip } from "../peers/peer_gossip.ts";
+import type { PeerRpc } from "../peers/peer_rpc.ts";
+import type { HeaderNames } from "../platform_adapter.ts";
+import type { PoisonGuard, PoisonSubject } from "../poison/poison_guard.ts";
 import * as messages from "./relay_messages.ts";
-import type { RequestLimitTask } from "./request_limit_task.ts";
-import type { ServerBackoffTask } from "./server_backoff_task.ts";
+import type { RequestLimitTask } from "../limits/request_limit_task.ts";
+import type { ServerBackoffTask } from "../backoffs/server_backoff_task.ts";
 import type { ServerPaths } from "./server_paths.ts";
-import type { ServerRegistry } from "./server_registry.ts";
+import type { ServerRegistry } from "../servers/server_registry.ts";
 
 /** Options of {@link AttemptRelay}. */
 export interface AttemptRelayOptions {
--- a/packages/entry/src/gateway/path_attempt.ts
+++ b/packages/entry/src/gateway/paths/path_attempt.ts
@@ -1,8 +1,8 @@
 /** One attempt of a request, by whichever way it gets to its server. */
 import type * as contracts from "@guavatide/contracts";
-import type { SendOptions } from "../links/connection_pool.ts";
-import type { AttemptResult } from "../links/server_connection.ts";
-import type { FrontRequest } from "./front_request.ts";
+import type { SendOptions } from "../../links/connection_pool.ts";
+import type { AttemptResult } from "../../links/server_connection.ts";
+import type { FrontRequest } from "../forwarding/front_request.ts";
 
 /** The parts of a caller's request that a peer needs as well. */
 export type RelayedRequest = Pick<FrontRequest, "host" | "key" | "caller">;
--- a/packages/entry/src/gateway/peer_reach.ts
+++ b/packages/entry/src/gateway/paths/peer_reach.ts
@@ -1,14 +1,14 @@
 /** Tells peers which servers this VM doesn't reach, and keeps what they tell. */
 import type * as contracts from "@guavatide/contracts";
-import type { LifeCycle, PeriodicTask } from "../utils/life_cycle.ts";
-import { CoalescedCallback } from "../utils/coalesced_callback.ts";
-import type { PeerGossip } from "./peer_gossip.ts";
+import type { LifeCycle, PeriodicTask } from "../../utils/life_cycle.ts";
+import { CoalescedCallback } from "../../utils/coalesced_callback.ts";
+import type { PeerGossip } from "../peers/peer_gossip.ts";
 import {
   REACH_METHOD,
   type UnreachedServers,
   unreachedServersSchema,
-} from "./peer_messages.ts";
-import { RepeatedBroadcast } from "./repeated_broadcast.ts";
+} from "../peers/peer_messages.ts";
+import { RepeatedBroadcast } from "../peers/repeated_broadcast.ts";
 
 /** Options of {@link PeerReach}. */
 export interface PeerReachOptions {
--- a/packages/entry/src/gateway/relay_client.ts
+++ b/packages/entry/src/gateway/paths/relay_client.ts
@@ -4,11 +4,11 @@
 import type {
   AttemptRequest,
   AttemptResult,
-} from "../links/server_connection.ts";
-import { HttpChannel } from "../platform/http_channel.ts";
-import type { CheckedServer } from "../poison/server_end_check.ts";
-import type { LifeCycle } from "../utils/life_cycle.ts";
-import type { PeerHello } from "./peer_messages.ts";
+} from "../../links/server_connection.ts";
+import { HttpChannel } from "../../platform/http_channel.ts";
+import type { CheckedServer } from "../../poison/server_end_check.ts";
+import type { LifeCycle } from "../../utils/life_cycle.ts";
+import type { PeerHello } from "../peers/peer_messages.ts";
 import * as messages from "./relay_messages.ts";
 import type { PathSendOptions } from "./path_attempt.ts";
 
--- a/packages/entry/src/gateway/relay_messages.ts
+++ b/packages/entry/src/gateway/paths/relay_messages.ts
@@ -4,7 +4,7 @@
  */
 import * as contracts from "@guavatide/contracts";
 import * as z from "zod";
-import type { AttemptResult } from "../links/server_connection.ts";
+import type { AttemptResult } from "../../links/server_connection.ts";
 
 /** Path of these messages on the port between entry VMs. */
 export const RELAY_PATH = "/relay";
--- a/packages/entry/src/gateway/server_paths.ts
+++ b/packages/entry/src/gateway/paths/server_paths.ts
@@ -5,18 +5,18 @@
 import type * as contracts from "@guavatide/contracts";
 import type { ServerReach } from "@guavatide/decisions/admission/mod";
 import * as paths from "@guavatide/decisions/paths/mod";
-import type { ConnectionPool } from "../links/connection_pool.ts";
-import type { ConnectionPools } from "../links/connection_pools.ts";
-import { probeConnection } from "../links/connection_probe.ts";
+import type { ConnectionPool } from "../../links/connection_pool.ts";
+import type { ConnectionPools } from "../../links/connection_pools.ts";
+import { probeConnection } from "../../links/connection_probe.ts";
 import type {
   AttemptRequest,
   AttemptResult,
-} from "../links/server_connection.ts";
-import type { CheckedServer } from "../poison/server_end_check.ts";
-import type { LifeCycle, PeriodicTask } from "../utils/life_cycle.ts";
-import type { Logger } from "../utils/log.ts";
-import type { PeerGossip } from "./peer_gossip.ts";
-import type { PeerHello } from "./peer_messages.ts";
+} from "../../links/server_connection.ts";
+import type { CheckedServer } from "../../poison/server_end_check.ts";
+import type { LifeCycle, PeriodicTask } from "../../utils/life_cycle.ts";
+import type { Logger } from "../../utils/log.ts";
+import type { PeerGossip } from "../peers/peer_gossip.ts";
+import type { PeerHello } from "../peers/peer_messages.ts";
 import type { PathResult, PathSendOptions } from "./path_attempt.ts";
 import type { OwnReach, PeerReach } from "./peer_reach.ts";
 import type { RelayClient } from "./relay_client.ts";
@@ -24,9 +24,9 @@
 import type {
   BackoffAnswer,
   ServerBackoffTask,
-} from "./server_backoff_task.ts";
-import { ServerContactLog } from "./server_contact_log.ts";
-import type { ServerRegistry } from "./server_registry.ts";
+} from "../backoffs/server_backoff_task.ts";
+import { ServerContactLog } from "../backoffs/server_contact_log.ts";
+import type { ServerRegistry } from "../servers/server_registry.ts";
 
 /** Options of {@link ServerPaths}. */
 export interface ServerPathsOptions {
--- a/packages/entry/src/gateway/peer_channel.ts
+++ b/packages/entry/src/gateway/peers/peer_channel.ts
@@ -1,8 +1,8 @@
 /** The datagram socket of an entry VM, and the handlers of its messages. */
 import * as dgram from "node:dgram";
 import type * as z from "zod";
-import type { LifeCycle } from "../utils/life_cycle.ts";
-import type { Logger } from "../utils/log.ts";
+import type { LifeCycle } from "../../utils/life_cycle.ts";
+import type { Logger } from "../../utils/log.ts";
 import { decodeMessage, encodeMessage } from "./peer_codec.ts";
 
 /** Options of {@link PeerChannel}. */
--- a/packages/entry/src/gateway/peer_discovery.ts
+++ b/packages/entry/src/gateway/peers/peer_discovery.ts
@@ -5,11 +5,11 @@
 import * as contracts from "@guavatide/contracts";
 import type * as ownership from "@guavatide/decisions/ownership/mod";
 import * as z from "zod";
-import type { LifeCycle } from "../utils/life_cycle.ts";
-import type { Logger } from "../utils/log.ts";
+import type { LifeCycle } from "../../utils/life_cycle.ts";
+import type { Logger } from "../../utils/log.ts";
 import type { GossipIdentity, PeerGossip } from "./peer_gossip.ts";
 import * as messages from "./peer_messages.ts";
-import type { StoreHealth } from "./store_health.ts";
+import type { StoreHealth } from "../store/store_health.ts";
 
 /** Options of {@link PeerDiscovery}. */
 export interface PeerDiscoveryOptions {
--- a/packages/entry/src/gateway/peer_gossip.ts
+++ b/packages/entry/src/gateway/peers/peer_gossip.ts
@@ -6,8 +6,8 @@
 import type * as contracts from "@guavatide/contracts";
 import type * as cells from "@guavatide/decisions/cells/mod";
 import type * as z from "zod";
-import type { LifeCycle } from "../utils/life_cycle.ts";
-import type { Logger } from "../utils/log.ts";
+import type { LifeCycle } from "../../utils/life_cycle.ts";
+import type { Logger } from "../../utils/log.ts";
 import { type Peer, PeerRegistry } from "./peer_registry.ts";
 import { PeerChannel, type PeerTarget } from "./peer_channel.ts";
 import {
--- a/packages/entry/src/gateway/peer_registry.ts
+++ b/packages/entry/src/gateway/peers/peer_registry.ts
@@ -4,7 +4,7 @@
  */
 import type * as contracts from "@guavatide/contracts";
 import * as cells from "@guavatide/decisions/cells/mod";
-import type { Logger } from "../utils/log.ts";
+import type { Logger } from "../../utils/log.ts";
 import type {
   PeerFailure,
   PeerHello,
--- a/packages/entry/src/gateway/peer_rpc.ts
+++ b/packages/entry/src/gateway/peers/peer_rpc.ts
@@ -6,11 +6,11 @@
 import * as neverthrow from "neverthrow";
 import * as http from "node:http";
 import type * as z from "zod";
-import { HttpChannel } from "../platform/http_channel.ts";
-import * as httpServer from "../utils/http_server.ts";
-import type { LifeCycle } from "../utils/life_cycle.ts";
-import type { Logger } from "../utils/log.ts";
-import * as bodies from "../utils/read_body.ts";
+import { HttpChannel } from "../../platform/http_channel.ts";
+import * as httpServer from "../../utils/http_server.ts";
+import type { LifeCycle } from "../../utils/life_cycle.ts";
+import type { Logger } from "../../utils/log.ts";
+import * as bodies from "../../utils/read_body.ts";
 
 /** Options of {@link PeerRpc}. */
 export interface PeerRpcOptions {
--- a/packages/entry/src/gateway/repeated_broadcast.ts
+++ b/packages/entry/src/gateway/peers/repeated_broadcast.ts
@@ -1,5 +1,5 @@
 /** Tells peers what they must hear twice: datagrams get lost. */
-import type { LifeCycle } from "../utils/life_cycle.ts";
+import type { LifeCycle } from "../../utils/life_cycle.ts";
 
 const CLEAN_UP_TIMEOUT_MS = 100;
 
--- a/packages/entry/src/gateway/poison_guard.ts
+++ b/packages/entry/src/gateway/poison/poison_guard.ts
@@ -6,22 +6,22 @@
  */
 import * as contracts from "@guavatide/contracts";
 import * as poison from "@guavatide/decisions/poison/mod";
-import type { LabelledCounts } from "../metrics/labelled_counts.ts";
+import type { LabelledCounts } from "../../metrics/labelled_counts.ts";
 import {
   CrashLedger,
   type CrashLedgerOptions,
-} from "../poison/crash_ledger.ts";
-import { GivenUpRequests } from "../poison/given_up_requests.ts";
-import type { RequestIdentity } from "../poison/request_identity.ts";
-import type { ServerCondition } from "../poison/server_end_check.ts";
-import type { LifeCycle, PeriodicTask } from "../utils/life_cycle.ts";
-import type { FrontRequest } from "./front_request.ts";
-import type { ObjectChange } from "./object_table.ts";
-import { ANSWER_METHOD, CRASH_METHOD } from "./peer_messages.ts";
-import type { PeerGossip } from "./peer_gossip.ts";
-import { RepeatedBroadcast } from "./repeated_broadcast.ts";
-import type { ServerRegistry } from "./server_registry.ts";
-import type { StoreHealth } from "./store_health.ts";
+} from "../../poison/crash_ledger.ts";
+import { GivenUpRequests } from "../../poison/given_up_requests.ts";
+import type { RequestIdentity } from "../../poison/request_identity.ts";
+import type { ServerCondition } from "../../poison/server_end_check.ts";
+import type { LifeCycle, PeriodicTask } from "../../utils/life_cycle.ts";
+import type { FrontRequest } from "../forwarding/front_request.ts";
+import type { ObjectChange } from "../store/object_table.ts";
+import { ANSWER_METHOD, CRASH_METHOD } from "../peers/peer_messages.ts";
+import type { PeerGossip } from "../peers/peer_gossip.ts";
+import { RepeatedBroadcast } from "../peers/repeated_broadcast.ts";
+import type { ServerRegistry } from "../servers/server_registry.ts";
+import type { StoreHealth } from "../store/store_health.ts";
 
 /** The parts of a request that its crashes are recorded with. */
 export type PoisonSubject = Pick<
--- a/packages/entry/src/gateway/server_registry.ts
+++ b/packages/entry/src/gateway/servers/server_registry.ts
@@ -1,8 +1,8 @@
 /** Backend servers of all services, as registered in the store. */
 import type * as contracts from "@guavatide/contracts";
-import type { Logger } from "../utils/log.ts";
-import type { ObjectChange } from "./object_table.ts";
-import type { PlatformAdapter } from "./platform_adapter.ts";
+import type { Logger } from "../../utils/log.ts";
+import type { ObjectChange } from "../store/object_table.ts";
+import type { PlatformAdapter } from "../platform_adapter.ts";
 import type { ZoneEvacuations } from "./zone_evacuations.ts";
 
 /** Options of {@link ServerRegistry}. */
--- a/packages/entry/src/gateway/zone_evacuations.ts
+++ b/packages/entry/src/gateway/servers/zone_evacuations.ts
@@ -1,8 +1,8 @@
 /** Evacuated availability zones, whose backend servers must get no requests. */
 import type * as contracts from "@guavatide/contracts";
-import type { Logger } from "../utils/log.ts";
-import type { ObjectChange } from "./object_table.ts";
-import type { PlatformAdapter } from "./platform_adapter.ts";
+import type { Logger } from "../../utils/log.ts";
+import type { ObjectChange } from "../store/object_table.ts";
+import type { PlatformAdapter } from "../platform_adapter.ts";
 
 /** Options of {@link ZoneEvacuations}. */
 export interface ZoneEvacuationsOptions {
--- a/packages/entry/src/gateway/slot_task.ts
+++ b/packages/entry/src/gateway/slots/slot_task.ts
@@ -6,14 +6,14 @@
 import * as admission from "@guavatide/decisions/admission/mod";
 import * as grants from "@guavatide/decisions/grants/mod";
 import type * as ownership from "@guavatide/decisions/ownership/mod";
-import type { LifeCycle, PeriodicTask } from "../utils/life_cycle.ts";
-import { CoalescedCallback } from "../utils/coalesced_callback.ts";
-import type { Logger } from "../utils/log.ts";
-import type { PeerGossip } from "./peer_gossip.ts";
-import type { RequestLimitTask } from "./request_limit_task.ts";
-import type { ServerRateLimits } from "./server_rate_limits.ts";
-import * as messages from "./peer_messages.ts";
-import type { ServerRegistry } from "./server_registry.ts";
+import type { LifeCycle, PeriodicTask } from "../../utils/life_cycle.ts";
+import { CoalescedCallback } from "../../utils/coalesced_callback.ts";
+import type { Logger } from "../../utils/log.ts";
+import type { PeerGossip } from "../peers/peer_gossip.ts";
+import type { RequestLimitTask } from "../limits/request_limit_task.ts";
+import type { ServerRateLimits } from "../limits/server_rate_limits.ts";
+import * as messages from "../peers/peer_messages.ts";
+import type { ServerRegistry } from "../servers/server_registry.ts";
 
 /** Options of {@link SlotTask}. */
 export interface SlotTaskOptions {
--- a/packages/entry/src/gateway/config_holder.ts
+++ b/packages/entry/src/gateway/store/config_holder.ts
@@ -1,8 +1,8 @@
 /** The configuration in force on this VM; its version never decreases. */
 import type * as contracts from "@guavatide/contracts";
 import * as routes from "@guavatide/decisions/routes/mod";
-import type { Logger } from "../utils/log.ts";
-import type { PlatformAdapter } from "./platform_adapter.ts";
+import type { Logger } from "../../utils/log.ts";
+import type { PlatformAdapter } from "../platform_adapter.ts";
 
 /** A configuration with its compiled route table. */
 export interface ActiveConfig {
--- a/packages/entry/src/gateway/kind_watch.ts
+++ b/packages/entry/src/gateway/store/kind_watch.ts
@@ -5,10 +5,10 @@
  */
 import type * as contracts from "@guavatide/contracts";
 import * as timers from "node:timers/promises";
-import type { LifeCycle } from "../utils/life_cycle.ts";
-import type { Logger } from "../utils/log.ts";
+import type { LifeCycle } from "../../utils/life_cycle.ts";
+import type { Logger } from "../../utils/log.ts";
 import { type ObjectChange, ObjectTable } from "./object_table.ts";
-import type { KindSnapshot } from "./peer_messages.ts";
+import type { KindSnapshot } from "../peers/peer_messages.ts";
 import type { StoreHealth } from "./store_health.ts";
 import type {
   RelayedChanges,
--- a/packages/entry/src/gateway/store_health.ts
+++ b/packages/entry/src/gateway/store/store_health.ts
@@ -1,6 +1,6 @@
 /** Whether the platform's store answers this VM, and since when. */
 import type * as contracts from "@guavatide/contracts";
-import type { Logger } from "../utils/log.ts";
+import type { Logger } from "../../utils/log.ts";
 
 /** Options of {@link StoreHealth}. */
 export interface StoreHealthOptions {
--- a/packages/entry/src/gateway/store_probe.ts
+++ b/packages/entry/src/gateway/store/store_probe.ts
@@ -3,7 +3,7 @@
  * neither the start nor the end of an outage.
  */
 import type * as contracts from "@guavatide/contracts";
-import type { LifeCycle } from "../utils/life_cycle.ts";
+import type { LifeCycle } from "../../utils/life_cycle.ts";
 import type { StoreHealth } from "./store_health.ts";
 
 /** How much a VM's roles depend on the store. */
--- a/packages/entry/src/gateway/watch_relay.ts
+++ b/packages/entry/src/gateway/store/watch_relay.ts
@@ -7,13 +7,13 @@
 import * as cells from "@guavatide/decisions/cells/mod";
 import * as grants from "@guavatide/decisions/grants/mod";
 import type * as ownership from "@guavatide/decisions/ownership/mod";
-import type { LifeCycle } from "../utils/life_cycle.ts";
-import type { Logger } from "../utils/log.ts";
+import type { LifeCycle } from "../../utils/life_cycle.ts";
+import type { Logger } from "../../utils/log.ts";
 import type { ObjectChange } from "./object_table.ts";
-import type { PeerRpc } from "./peer_rpc.ts";
-import { encodeMessage } from "./peer_codec.ts";
-import type { GossipIdentity, PeerGossip } from "./peer_gossip.ts";
-import * as messages from "./peer_messages.ts";
+import type { PeerRpc } from "../peers/peer_rpc.ts";
+import { encodeMessage } from "../peers/peer_codec.ts";
+import type { GossipIdentity, PeerGossip } from "../peers/peer_gossip.ts";
+import * as messages from "../peers/peer_messages.ts";
 import type { StoreHealth } from "./store_health.ts";
 
 /** Options of {@link WatchRelay}. */
--- a/packages/entry/src/poison/request_identity.ts
+++ b/packages/entry/src/poison/request_identity.ts
@@ -1,7 +1,7 @@
 /** What makes two requests the same to the backend servers that run them. */
 import * as contracts from "@guavatide/contracts";
 import * as crypto from "node:crypto";
-import type { FrontRequest } from "../gateway/front_request.ts";
+import type { FrontRequest } from "../gateway/forwarding/front_request.ts";
 
 /** Content and caller of a request; each attempt of its caller has the same. */
 export interface RequestIdentity {
