perf(front): rarer event loop ticks while they are on time

Each VM with an open connection woke up 50 times a second to measure the lag of its event loop, about as often as for requests at 64 VMs. After a second of ticks on time the interval is 100 ms; a late one brings it back to 20 ms. Lag is underestimated by 100 ms at most in the first stall after a calm time.

--- a/packages/entry/src/utils/event_loop_lag_monitor.ts
+++ b/packages/entry/src/utils/event_loop_lag_monitor.ts
@@ -5,6 +5,15 @@
 import type { LifeCycle, PeriodicTask } from "./life_cycle.ts";
 
 const TICK_INTERVAL_MS = 20;
+/**
+ * Interval while ticks are on time: most of an idle VM's wake-ups were ticks.
+ * Lag is then underestimated by this much at most.
+ */
+const CALM_TICK_INTERVAL_MS = 100;
+/** Number of ticks on time after which the longer interval is used. */
+const CALM_TICKS = 50;
+/** A tick later than this ends the longer interval. */
+const CALM_DELAY_MS = 20;
 /** Smaller lags are normal scheduling jitter. */
 const MIN_LAG_MS = 60;
 /** Lag that lasts at least this long means overload rather than one stall. */
@@ -17,6 +26,10 @@
   /** Delay of the last tick. */
   #lastDelayMs = 0;
   #tickTask: PeriodicTask | undefined;
+  #intervalMs = TICK_INTERVAL_MS;
+  #isPaused = false;
+  /** Ticks in a row that were on time. */
+  #calmTicks = 0;
   /** Start of the current series of late ticks; undefined when on time. */
   #laggingSinceMs: number | undefined;
 
@@ -33,13 +46,20 @@
   start(lifeCycle: LifeCycle, isIdle: () => boolean = () => false): void {
     this.#tickTask = lifeCycle.every(TICK_INTERVAL_MS, () => {
       this.tick();
-      if (isIdle()) this.#tickTask?.setIntervalMs(Number.POSITIVE_INFINITY);
+      this.#isPaused = isIdle();
+      this.#tickTask?.setIntervalMs(
+        this.#isPaused ? Number.POSITIVE_INFINITY : this.#intervalMs,
+      );
     });
   }
 
   /** Resumes measuring when there is data to read again. */
   resume(): void {
-    if (!this.#tickTask?.setIntervalMs(TICK_INTERVAL_MS)) return;
+    if (!this.#isPaused) return;
+    this.#isPaused = false;
+    this.#tickTask?.setIntervalMs(TICK_INTERVAL_MS);
+    this.#intervalMs = TICK_INTERVAL_MS;
+    this.#calmTicks = 0;
     this.#lastTickMs = this.#now();
     this.#lastDelayMs = 0;
     this.#laggingSinceMs = undefined;
@@ -50,9 +70,15 @@
     const nowMs = this.#now();
     this.#lastDelayMs = Math.max(
       0,
-      nowMs - this.#lastTickMs - TICK_INTERVAL_MS,
+      nowMs - this.#lastTickMs - this.#intervalMs,
     );
     this.#lastTickMs = nowMs;
+    this.#calmTicks = this.#lastDelayMs <= CALM_DELAY_MS
+      ? this.#calmTicks + 1
+      : 0;
+    this.#intervalMs = this.#calmTicks < CALM_TICKS
+      ? TICK_INTERVAL_MS
+      : CALM_TICK_INTERVAL_MS;
     if (this.#lastDelayMs < MIN_LAG_MS) this.#laggingSinceMs = undefined;
     else this.#laggingSinceMs ??= nowMs;
   }
@@ -74,7 +100,7 @@
   get lagMs(): number {
     const delayMs = Math.max(
       0,
-      this.#now() - this.#lastTickMs - TICK_INTERVAL_MS,
+      this.#now() - this.#lastTickMs - this.#intervalMs,
     );
     const lagMs = delayMs + this.#lastDelayMs;
     return lagMs < MIN_LAG_MS ? 0 : lagMs;
