feat(slots): limit one key's share of its overloaded owner

One key at 1.5 times the capacity of its owner waited in one line with the owner's other keys.

Slot requests name their key (optional, at the end of the tuple). The coordinator counts each key's decayed demand. While the owner is full and its demand exceeds its slots by more than noise, a key that asks for at least 40 % of the slots and for more than its max-min share waits apart: its requests get the slots that no other waits for, at least half its share otherwise, and are refused at once when they can't start in time.

--- a/packages/decisions/src/admission/mod.ts
+++ b/packages/decisions/src/admission/mod.ts
@@ -4,6 +4,7 @@
 export * from "./capped_servers.ts";
 export * from "./lag_shedding.ts";
 export * from "./limit_share.ts";
+export * from "./limited_keys.ts";
 export * from "./request_limits.ts";
 export * from "./peer_backoffs.ts";
 export * from "./server_backoffs.ts";
--- a/packages/decisions/src/admission/slot_client.ts
+++ b/packages/decisions/src/admission/slot_client.ts
@@ -177,7 +177,7 @@
     nowMs: number,
   ): OpenRequest {
     const { vm, coordinatorOf } = this.#options;
-    const { route, targetMs, answerByMs } = request;
+    const { route, key, targetMs, answerByMs } = request;
     const { service, server: name, bornMs, slots } = server;
     const slotRequest: SlotRequest = {
       service,
@@ -187,6 +187,7 @@
       id: this.#nextId++,
       vm,
       route,
+      key,
       targetMs,
       answerByMs,
     };
--- a/packages/decisions/src/admission/slot_coordinator.ts
+++ b/packages/decisions/src/admission/slot_coordinator.ts
@@ -6,7 +6,9 @@
  * the server's own queue longer.
  */
 import type * as contracts from "@guavatide/contracts";
+import { LimitedKeys } from "./limited_keys.ts";
 import type { ServerRateLimit } from "./server_rate_limit.ts";
+import { hasCapacity } from "./server_ranking.ts";
 import { ServiceQueue } from "./service_queue.ts";
 import { ServiceTimes } from "./service_times.ts";
 import { ShortRequestReserve } from "./short_request_reserve.ts";
@@ -32,6 +34,8 @@
   readonly id: number;
   readonly vm: contracts.VmId;
   readonly route: PrioritizedRoute;
+  /** Hash of the request's key; absent from VMs of earlier versions. */
+  readonly key?: number | undefined;
   /** See {@link WaitingRequest}. */
   readonly targetMs: number;
   /** See {@link WaitingRequest}. */
@@ -62,6 +66,8 @@
   ) => ServerRateLimit | undefined;
   /** Whether another server can take over what this one owns; no if absent. */
   readonly isReplaceable?: (server: SlotServer) => boolean;
+  /** Called when a key asks for more than its server has left for it. */
+  readonly onKeyLimited?: (server: SlotServer, key: number) => void;
 }
 
 /**
@@ -208,6 +214,8 @@
   readonly #rateLimits: ServerRateLimit | undefined;
   readonly #decide: (decision: SlotDecision) => void;
   readonly #isReplaceable: () => boolean;
+  readonly #onKeyLimited: (key: number) => void;
+  readonly #limitedKeys: LimitedKeys;
   readonly #pending = new Map<string, PendingSlotRequest>();
   readonly #held = new Map<string, HeldSlotState>();
   /** Time of the latest call, for the callbacks that run during it. */
@@ -219,10 +227,12 @@
   constructor(
     server: SlotServer,
     times: ServiceTimes,
-    { zone, random, onDecision, rateLimitsOf, isReplaceable }:
+    { zone, random, onDecision, rateLimitsOf, isReplaceable, onKeyLimited }:
       SlotCoordinatorOptions,
   ) {
     this.server = server;
+    this.#onKeyLimited = (key) => onKeyLimited?.(server, key);
+    this.#limitedKeys = new LimitedKeys({ ...server, times, random });
     this.#isReplaceable = () => isReplaceable?.(server) ?? false;
     this.#times = times;
     this.#decide = onDecision;
@@ -269,7 +279,12 @@
     if (this.#rateLimits?.isNamed(this.server.server)) {
       this.#queue.dispatch(nowMs);
     }
-    this.#queue.add(pending, nowMs);
+    this.#limitedKeys.recordRequest(pending, nowMs);
+    this.#reviewLimitedKeys(nowMs);
+    if (this.#limitedKeys.isLimited(pending.key)) {
+      this.#limitedKeys.add(pending, nowMs);
+      this.#grantToLimitedKeys(nowMs);
+    } else this.#queue.add(pending, nowMs);
     if (this.#pending.has(key)) this.#decide({ vm, id, kind: "queued" });
   }
 
@@ -279,7 +294,7 @@
     const pending = this.#pending.get(key);
     if (pending !== undefined) {
       this.#pending.delete(key);
-      this.#queue.cancel(pending);
+      this.#cancel(pending);
       return true;
     }
     const held = this.#held.get(key);
@@ -293,7 +308,9 @@
     if (this.#held.size === 0) {
       this.#unansweredSinceMs = Number.POSITIVE_INFINITY;
     }
+    this.#grantToLimitedKeys(nowMs);
     this.#queue.dispatch(nowMs);
+    this.#grantToLimitedKeys(nowMs);
     return true;
   }
 
@@ -322,7 +339,7 @@
     for (const [key, pending] of this.#pending) {
       if (pending.vm !== vm) continue;
       this.#pending.delete(key);
-      this.#queue.cancel(pending);
+      this.#cancel(pending);
     }
     for (const key of [...this.#held.keys()]) {
       if (!key.startsWith(`${vm}/`)) continue;
@@ -334,9 +351,14 @@
 
   sweep(nowMs: number): void {
     this.#nowMs = nowMs;
-    if (this.#queue.waiting === 0) return;
-    this.#queue.dispatch(nowMs);
-    this.#queue.refuseExpired(nowMs);
+    this.#reviewLimitedKeys(nowMs);
+    if (this.#queue.waiting > 0) {
+      this.#queue.dispatch(nowMs);
+      this.#queue.refuseExpired(nowMs);
+    }
+    if (!this.#limitedKeys.hasWaiting) return;
+    this.#limitedKeys.refuseExpired(nowMs);
+    this.#grantToLimitedKeys(nowMs);
   }
 
   isIdle(nowMs: number): boolean {
@@ -344,6 +366,42 @@
       nowMs - this.#lastRequestMs > IDLE_SERVER_TTL_MS;
   }
 
+  #cancel(pending: PendingSlotRequest): void {
+    if (!this.#limitedKeys.cancel(pending)) this.#queue.cancel(pending);
+  }
+
+  /** Queues the requests of keys that are newly limited by themselves. */
+  #reviewLimitedKeys(nowMs: number): void {
+    const isFull = this.#held.size >= this.server.slots;
+    if (!isFull && !this.#limitedKeys.hasAny) return;
+    const onRegular = (request: WaitingRequest) =>
+      this.#queue.add(request, nowMs);
+    // What waits for a server that ends nothing is refused, whatever its key.
+    if (this.#stalledMs(nowMs) > 0) return this.#limitedKeys.clear(onRegular);
+    const added = this.#limitedKeys.review(nowMs, onRegular);
+    for (const key of added) {
+      this.#onKeyLimited(key);
+      for (const pending of [...this.#pending.values()]) {
+        const isQueued = pending.key === key && this.#queue.cancel(pending);
+        if (isQueued) this.#limitedKeys.add(pending, nowMs);
+      }
+    }
+  }
+
+  /** Grants limited keys the slots that no other key's request waits for. */
+  #grantToLimitedKeys(nowMs: number): void {
+    const load = this.#queue.loads.get(this.server.server)!;
+    while (this.#limitedKeys.hasWaiting && hasCapacity(load, nowMs)) {
+      const othersWait = this.#queue.waiting > 0;
+      const next = this.#limitedKeys.next(nowMs, { othersWait });
+      if (next === undefined || !this.#reserve.mayAcquire(next, nowMs)) return;
+      const mayStart = this.#rateLimits?.mayStart(this.server.server, nowMs);
+      if (mayStart === false) return;
+      this.#limitedKeys.take(next, nowMs);
+      this.#queue.add(next, nowMs);
+    }
+  }
+
   #stalledMs(nowMs: number): number {
     const sinceMs = nowMs - this.#unansweredSinceMs;
     const { server } = this.server;
@@ -377,7 +435,7 @@
 class PendingSlotRequest implements WaitingRequest {
   readonly vm: contracts.VmId;
   readonly route: PrioritizedRoute;
-  readonly key = undefined;
+  readonly key: number | undefined;
   readonly bodyBytes = 0;
   readonly targetMs: number;
   readonly answerByMs: number;
@@ -387,6 +445,7 @@
   constructor(request: SlotRequest, callbacks: SlotRequestCallbacks) {
     this.vm = request.vm;
     this.route = request.route;
+    this.key = request.key;
     this.targetMs = request.targetMs;
     this.answerByMs = request.answerByMs;
     this.#callbacks = callbacks;
--- a/packages/decisions/src/admission/waiting_request.ts
+++ b/packages/decisions/src/admission/waiting_request.ts
@@ -22,6 +22,8 @@
   | "backing-off"
   /** The servers take fewer requests than come, by the limits they name. */
   | "limited"
+  /** Its key asks for more than the key's owner has left for it. */
+  | "hot-key"
   /** It was queued until its deadline. */
   | "timeout";
 
--- a/packages/entry/src/gateway/peers/peer_messages.ts
+++ b/packages/entry/src/gateway/peers/peer_messages.ts
@@ -283,6 +283,8 @@
   route: string,
   priority: number,
   targetLatencyMs: number,
+  /** Hash of the request's key; absent from VMs of earlier versions. */
+  key?: number,
 ];
 
 /**
@@ -418,10 +420,12 @@
 /** Indexes of the numbers and of the strings in a {@link SlotTuple}. */
 const SLOT_NUMBERS = [0, 3, 4, 6, 7];
 const SLOT_STRINGS = [1, 2, 5];
+const KEY_INDEX = 8;
 
 function isSlotTuple(value: unknown): value is SlotTuple {
   return Array.isArray(value) &&
     SLOT_NUMBERS.every((index) => Number.isFinite(value[index])) &&
+    (value[KEY_INDEX] === undefined || Number.isInteger(value[KEY_INDEX])) &&
     SLOT_STRINGS.every((index) => typeof value[index] === "string");
 }
 
--- a/packages/entry/src/gateway/peers/peer_messages_test.ts
+++ b/packages/entry/src/gateway/peers/peer_messages_test.ts
@@ -56,3 +56,19 @@
     expect(isMessage([])).toEqual(false);
   });
 }
+
+/** Guards against VMs of two versions that drop each other's slot requests. */
+test("should accept slot requests with and without a key", () => {
+  const slot = [7, "s", "a", 1, 4, "lookup", 0, 834];
+  const requestsOf = (...key: unknown[]) => ({
+    vm: "vm1",
+    wishes: [[[...slot, ...key], 800, 5_000]],
+    ended: [],
+    held: [[...slot, ...key]],
+  });
+  expect(messages.isSlotRequests(requestsOf())).toEqual(true);
+  expect(messages.isSlotRequests(requestsOf(613))).toEqual(true);
+  for (const wrong of ["613", 0.5, null]) {
+    expect(messages.isSlotRequests(requestsOf(wrong))).toEqual(false);
+  }
+});
--- a/packages/entry/src/gateway/slots/slot_task.ts
+++ b/packages/entry/src/gateway/slots/slot_task.ts
@@ -9,6 +9,8 @@
 import type { LifeCycle, PeriodicTask } from "../../utils/life_cycle.ts";
 import { CoalescedCallback } from "../../utils/coalesced_callback.ts";
 import type { Logger } from "../../utils/log.ts";
+import { ThrottledWarning } from "../../utils/throttled_warning.ts";
+import type { LabelledCounts } from "../../metrics/labelled_counts.ts";
 import type { PeerGossip } from "../peers/peer_gossip.ts";
 import type { RequestLimitTask } from "../limits/request_limit_task.ts";
 import type { ServerRateLimits } from "../limits/server_rate_limits.ts";
@@ -33,6 +35,8 @@
     RequestLimitTask,
     "newsOf" | "applyNews" | "hasAny"
   >;
+  /** Decisions on hot keys, by service and decision. */
+  readonly hotKeyCounts: LabelledCounts;
 }
 
 /** A queue whose requests need slots. */
@@ -55,6 +59,7 @@
   readonly #requester: admission.SlotClient;
   readonly #coordinator: admission.SlotCoordinator;
   readonly #ranking: grants.VmRanking;
+  readonly #limitedKeyLog: ThrottledWarning;
   /** Replies of this VM's coordinator that are not sent yet. */
   readonly #replies = new Map<contracts.VmId, admission.SlotReply[]>();
   readonly #consumers = new Map<admission.WaitingRequest, SlotConsumer>();
@@ -66,6 +71,10 @@
     this.#options = options;
     const { gossip, zone, random, hasher, vm } = options;
     this.#ranking = new grants.VmRanking(hasher);
+    this.#limitedKeyLog = new ThrottledWarning(
+      options.log,
+      "Limits a key that asks for more than its owner has left.",
+    );
     this.#requester = new admission.SlotClient({
       vm,
       coordinatorOf: (server, unresponsive) =>
@@ -88,6 +97,11 @@
       onDecision: (decision) => this.#queueReply(decision),
       rateLimitsOf: (service) => options.rateLimits.forCoordinator(service),
       isReplaceable: options.isReplaceable,
+      onKeyLimited: ({ service, server }, key) => {
+        options.hotKeyCounts.add(1, { service, decision: "limited" });
+        const fields = { service, server, key };
+        this.#limitedKeyLog.warn(options.clock.nowMs(), fields);
+      },
     });
     options.registry.onChange(() =>
       this.#ranking.keepOnly(options.registry.ids())
@@ -267,10 +281,10 @@
 }
 
 function encodeSlot(
-  { id, service, server, bornMs, slots, route }: admission.HeldSlot,
+  { id, service, server, bornMs, slots, route, key }: admission.HeldSlot,
 ): messages.SlotTuple {
   const { name, priority, targetLatencyMs } = route;
-  return [
+  const slot = [
     id,
     service,
     server,
@@ -279,15 +293,16 @@
     name,
     priority,
     targetLatencyMs,
-  ];
+  ] as const;
+  return key === undefined ? slot : [...slot, key];
 }
 
 function decodeSlot(
-  [id, service, server, bornMs, slots, name, priority, targetLatencyMs]:
+  [id, service, server, bornMs, slots, name, priority, targetLatencyMs, key]:
     messages.SlotTuple,
 ): admission.HeldSlot {
   const route = { name, priority, targetLatencyMs };
-  return { id, service, server, bornMs, slots, route };
+  return { id, service, server, bornMs, slots, route, key };
 }
 
 function encodeReplies(
