--- a/packages/contracts/src/route_config.ts
+++ b/packages/contracts/src/route_config.ts
@@ -73,4 +73,9 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<ServiceId, RoutedService>;
   readonly limits: CallerLimits;
+  /**
+   * Whether requests or responses of some route are large. Shared admission
+   * and shares of callers apply only to such configurations.
+   */
+  readonly hasBulkRoutes: boolean;
 }
