fix(admission): end slots whose release is overtaken or lost

Cause: a VM lists its slots in use in a tick, and sent the list together with releases of slots that ended later in the same event loop iteration. The coordinator handled the releases first and then adopted the slots again. A slot whose release is lost is freed only by a list without it, and a VM that uses no slots sends no list. With all slots of a server lost at once, nothing was sent there any more.

Held slots are now listed when the message is sent. A coordinator frees a slot that its VM has not listed for 2 s, and a VM releases one that is in use 500 ms after its deadline. Refusals at stalled servers are logged with the slots' holders (throttled), and counted.

The stalled state alone refuses nothing while a slot is free (tested), so no trial request was added.

Three of the five new unit tests fail without the change.

--- a/packages/decisions/src/admission/slot_client.ts
+++ b/packages/decisions/src/admission/slot_client.ts
@@ -43,6 +43,8 @@
   readonly onRefused: (request: WaitingRequest, refusal: Refusal) => void;
   /** Called when a coordinator is unresponsive and excluded for a while. */
   readonly onUnresponsive: (coordinator: contracts.VmId) => void;
+  /** Called when a slot is released that was still in use after its deadline. */
+  readonly onOverdue?: (slot: SlotRequest) => void;
 }
 
 /**
@@ -61,6 +63,11 @@
 const COORDINATOR_QUARANTINE_MS = 2_000;
 /** Interval at which held slots are reported to their coordinators. */
 const HELD_SLOTS_INTERVAL_MS = 500;
+/**
+ * A request ends by its deadline, so a slot in use for this much longer was not
+ * released by mistake.
+ */
+const OVERDUE_SLOT_TTL_MS = 500;
 
 interface OpenRequest {
   readonly slotRequest: SlotRequest;
@@ -156,18 +163,28 @@
     for (const open of [...this.#open.values()]) this.#checkReply(open, nowMs);
     if (nowMs - this.#heldReportedMs < HELD_SLOTS_INTERVAL_MS) return;
     this.#heldReportedMs = nowMs;
-    for (const { state, coordinator, slotRequest } of this.#byId.values()) {
+    for (const open of this.#byId.values()) {
+      const { state, coordinator, slotRequest: { answerByMs } } = open;
       if (state !== "in-use" || coordinator === undefined) continue;
-      const message = this.#message(coordinator);
-      message.held ??= [];
-      message.held.push(slotRequest);
+      if (nowMs - answerByMs >= OVERDUE_SLOT_TTL_MS) {
+        this.#options.onOverdue?.(open.slotRequest);
+        this.#release(open, undefined);
+      } else this.#message(coordinator).held ??= [];
     }
   }
 
-  /** Takes the messages to send, by coordinator. */
+  /**
+   * Takes the messages to send, by coordinator. Only now are held slots listed:
+   * one that ended since the tick would be adopted again, and never end.
+   */
   drainMessages(): Map<contracts.VmId, CoordinatorMessage> {
     const messages = new Map(this.#outbox);
     this.#outbox.clear();
+    if (![...messages.values()].some(({ held }) => held)) return messages;
+    for (const { state, coordinator, slotRequest } of this.#byId.values()) {
+      if (state !== "in-use" || coordinator === undefined) continue;
+      messages.get(coordinator)?.held?.push(slotRequest);
+    }
     return messages;
   }
 
--- a/packages/decisions/src/admission/slot_coordinator.ts
+++ b/packages/decisions/src/admission/slot_coordinator.ts
@@ -48,6 +48,23 @@
   readonly refusal?: Refusal;
 };
 
+/** A slot in use, for logs. */
+export interface HeldSlotReport {
+  readonly vm: contracts.VmId;
+  readonly id: number;
+  readonly ageMs: number;
+  /** Time since the grant or the VM's last list with the slot. */
+  readonly unlistedMs: number;
+}
+
+/** Why requests for slots of a stalled server are refused. */
+export interface StallReport {
+  readonly server: SlotServer;
+  /** How long it has had requests and answered none. */
+  readonly unansweredMs: number;
+  readonly held: readonly HeldSlotReport[];
+}
+
 /** Options of {@link SlotCoordinator}. */
 export interface SlotCoordinatorOptions {
   readonly zone: contracts.ZoneId;
@@ -62,6 +79,10 @@
   ) => ServerRateLimit | undefined;
   /** Whether another server can take over what this one owns; no if absent. */
   readonly isReplaceable?: (server: SlotServer) => boolean;
+  /** Called for each request refused while its server has stalled. */
+  readonly onStallRefusal?: (report: StallReport) => void;
+  /** Called when a slot is freed that its VM has stopped listing. */
+  readonly onSlotLost?: (server: SlotServer, slot: HeldSlotReport) => void;
 }
 
 /**
@@ -69,6 +90,12 @@
  * the message that granted or the one that released it was lost.
  */
 const UNLISTED_SLOT_TTL_MS = 300;
+/**
+ * A slot that its VM has not listed for this long is freed. VMs list the slots
+ * in use at least each 700 ms, so two lists are missing; a VM that uses none
+ * sends no list, and the release of its last slot may have been lost.
+ */
+const LOST_SLOT_TTL_MS = 2_000;
 /**
  * Without a message from a VM for this long, its slots and requests are
  * dropped.
@@ -86,8 +113,12 @@
 const IDLE_SERVER_TTL_MS = 10_000;
 
 interface HeldSlotState {
+  readonly vm: contracts.VmId;
+  readonly id: number;
   readonly route: PrioritizedRoute;
   readonly grantedMs: number;
+  /** When it was granted or its VM last listed it. */
+  listedMs: number;
   readonly release: (nowMs: number) => void;
 }
 
@@ -208,6 +239,8 @@
   readonly #rateLimits: ServerRateLimit | undefined;
   readonly #decide: (decision: SlotDecision) => void;
   readonly #isReplaceable: () => boolean;
+  readonly #onStallRefusal: SlotCoordinatorOptions["onStallRefusal"];
+  readonly #onSlotLost: SlotCoordinatorOptions["onSlotLost"];
   readonly #pending = new Map<string, PendingSlotRequest>();
   readonly #held = new Map<string, HeldSlotState>();
   /** Time of the latest call, for the callbacks that run during it. */
@@ -219,11 +252,13 @@
   constructor(
     server: SlotServer,
     times: ServiceTimes,
-    { zone, random, onDecision, rateLimitsOf, isReplaceable }:
-      SlotCoordinatorOptions,
+    options: SlotCoordinatorOptions,
   ) {
+    const { zone, random, onDecision, rateLimitsOf, isReplaceable } = options;
     this.server = server;
     this.#isReplaceable = () => isReplaceable?.(server) ?? false;
+    this.#onStallRefusal = options.onStallRefusal;
+    this.#onSlotLost = options.onSlotLost;
     this.#times = times;
     this.#decide = onDecision;
     const rateLimits = rateLimitsOf?.(server.service);
@@ -255,11 +290,12 @@
     const pending = new PendingSlotRequest(request, {
       onGranted: () => {
         this.#pending.delete(key);
-        this.#hold(key, request.route, this.#nowMs);
+        this.#hold(request, this.#nowMs);
         this.#decide({ vm, id, kind: "given" });
       },
       onRefused: (refusal) => {
         this.#pending.delete(key);
+        this.#reportStall();
         this.#decide({ vm, id, kind: "refused", refusal });
       },
     });
@@ -299,8 +335,9 @@
 
   /** Takes over a slot that the VM holds and this coordinator doesn't know. */
   adopt(vm: contracts.VmId, { id, route }: HeldSlot, nowMs: number): void {
-    const key = requestKey(vm, id);
-    if (!this.#held.has(key)) this.#hold(key, route, nowMs);
+    const found = this.#held.get(requestKey(vm, id));
+    if (found === undefined) this.#hold({ vm, id, route }, nowMs);
+    else found.listedMs = nowMs;
   }
 
   /** Frees the VM's slots that it does not list any more. */
@@ -332,8 +369,29 @@
     }
   }
 
+  #freeLost(nowMs: number): void {
+    for (const [key, slot] of [...this.#held]) {
+      if (nowMs - slot.listedMs < LOST_SLOT_TTL_MS) continue;
+      this.#onSlotLost?.(this.server, reportOf(slot, nowMs));
+      // Whether it was answered is not known.
+      this.#unansweredSinceMs = nowMs;
+      this.release(key, undefined, nowMs);
+    }
+  }
+
+  #reportStall(): void {
+    if (this.#onStallRefusal === undefined) return;
+    if (this.#stalledMs(this.#nowMs) === 0) return;
+    this.#onStallRefusal({
+      server: this.server,
+      unansweredMs: this.#nowMs - this.#unansweredSinceMs,
+      held: [...this.#held.values()].map((slot) => reportOf(slot, this.#nowMs)),
+    });
+  }
+
   sweep(nowMs: number): void {
     this.#nowMs = nowMs;
+    this.#freeLost(nowMs);
     if (this.#queue.waiting === 0) return;
     this.#queue.dispatch(nowMs);
     this.#queue.refuseExpired(nowMs);
@@ -355,7 +413,10 @@
       : sinceMs;
   }
 
-  #hold(key: string, route: PrioritizedRoute, nowMs: number): void {
+  #hold(
+    { vm, id, route }: Pick<SlotRequest, "vm" | "id" | "route">,
+    nowMs: number,
+  ): void {
     this.#unansweredSinceMs = Math.min(this.#unansweredSinceMs, nowMs);
     const end = this.#queue.loads.get(this.server.server)!.startRequest(nowMs);
     const releaseReserve = this.#reserve.acquire(route);
@@ -363,10 +424,24 @@
       releaseReserve();
       end({ kind: "abandoned" }, endedMs);
     };
-    this.#held.set(key, { route, grantedMs: nowMs, release });
+    this.#held.set(requestKey(vm, id), {
+      vm,
+      id,
+      route,
+      grantedMs: nowMs,
+      listedMs: nowMs,
+      release,
+    });
   }
 }
 
+function reportOf(
+  { vm, id, grantedMs, listedMs }: HeldSlotState,
+  nowMs: number,
+): HeldSlotReport {
+  return { vm, id, ageMs: nowMs - grantedMs, unlistedMs: nowMs - listedMs };
+}
+
 /** Called when a slot request is decided. */
 interface SlotRequestCallbacks {
   onGranted(): void;
--- a/packages/decisions/src/admission/slot_coordinator_test.ts
+++ b/packages/decisions/src/admission/slot_coordinator_test.ts
@@ -47,6 +47,7 @@
   readonly unresponsive: contracts.VmId[] = [];
   /** Number of replies to lose next. */
   repliesToLose = 0;
+  readonly stallReports: admission.StallReport[] = [];
   /** Whether another server can take over the server's keys. */
   isReplaceable = false;
 
@@ -60,6 +61,7 @@
           onDecision: (decision) =>
             this.replies.push({ ...decision, coordinator }),
           isReplaceable: () => this.isReplaceable,
+          onStallRefusal: (report) => this.stallReports.push(report),
         }),
       );
     }
@@ -119,13 +121,24 @@
   }
 
   /** The first three VMs send one request each, which uses all slots. */
-  useAllSlots(): void {
-    for (const index of [0, 1, 2]) {
-      const request = new Request(1_000);
+  useAllSlots(timeoutMs = 1_000): ((tookMs: number | undefined) => void)[] {
+    return [0, 1, 2].map((index) => {
+      const request = new Request(this.nowMs, 1, timeoutMs);
       this.tryAcquire(index, request);
       this.deliver();
-      this.vm(index).markInUse(request);
-    }
+      return this.vm(index).markInUse(request);
+    });
+  }
+
+  /** Whether a new request of a VM is granted a slot at once. */
+  isNextSent(index: number): boolean {
+    const request = new Request(this.nowMs);
+    this.tryAcquire(index, request);
+    this.deliver();
+    const isSent = this.tryAcquire(index, request);
+    this.vm(index).cancel(request);
+    this.deliver();
+    return isSent;
   }
 
   /** Advances time, with ticks and sweeps every 25 ms. */
@@ -275,3 +288,74 @@
     expect(later.refusal === undefined).toEqual(isReplaceable);
   }
 });
+
+/**
+ * Guards against slots that never end: a list of held slots was sent together
+ * with the releases of the same slots, and the coordinator adopted them again.
+ * A VM without slots sends no list, so they stayed, and every request was
+ * refused for good.
+ */
+test("should free slots that end right after the tick that lists them", () => {
+  const fixture = new Fixture(4);
+  const ends = fixture.useAllSlots();
+  fixture.advance(500);
+  fixture.nowMs += 25;
+  for (const client of fixture.vms.values()) client.tick(fixture.nowMs);
+  for (const end of ends) end(20);
+  fixture.deliver();
+  expect(fixture.isNextSent(3)).toEqual(true);
+});
+
+/** Guards against a server that gets no request again after lost releases. */
+test("should free slots whose releases were lost when their VMs have no others", () => {
+  const fixture = new Fixture(4);
+  const ends = fixture.useAllSlots();
+  fixture.advance(600);
+  for (const end of ends) end(20);
+  for (const client of fixture.vms.values()) client.drainMessages();
+  let sentAfterMs = 0;
+  // Each VM keeps sending requests, so that none counts as failed.
+  while (sentAfterMs < 10_000 && !fixture.isNextSent(sentAfterMs / 100 % 4)) {
+    fixture.advance(100);
+    sentAfterMs += 100;
+  }
+  expect(sentAfterMs <= 2_000).toEqual(true);
+});
+
+/** Guards against a stalled server's state that outlasts one stuck slot. */
+test("should send requests at a server of which one slot never ends", () => {
+  const fixture = new Fixture(4);
+  const [, ...ends] = fixture.useAllSlots(60_000);
+  for (const end of ends) end(20);
+  fixture.deliver();
+  for (let turn = 0; turn < 10; turn++) {
+    fixture.advance(1_000);
+    expect(fixture.isNextSent(3)).toEqual(true);
+  }
+});
+
+/** Guards against a VM that lists a slot for good that it failed to release. */
+test("should release a slot that is in use long after its deadline", () => {
+  const fixture = new Fixture(4);
+  fixture.useAllSlots(1_000);
+  fixture.advance(900);
+  expect(fixture.isNextSent(3)).toEqual(false);
+  fixture.advance(1_200);
+  expect(fixture.isNextSent(3)).toEqual(true);
+});
+
+/** An owner that was refused everywhere left no trace of who had its slots. */
+test("should report who holds the slots of a stalled server", () => {
+  const fixture = new Fixture(4);
+  fixture.useAllSlots(60_000);
+  fixture.advance(600);
+  expect(fixture.isNextSent(3)).toEqual(false);
+  const [report] = fixture.stallReports;
+  expect(report!.server.server).toEqual(SERVER.server);
+  expect(report!.unansweredMs).toEqual(600);
+  expect(report!.held.map(({ vm }) => vm as string)).toEqual([
+    "vm0",
+    "vm1",
+    "vm2",
+  ]);
+});
--- a/packages/entry/src/gateway/gateway_metrics.ts
+++ b/packages/entry/src/gateway/gateway_metrics.ts
@@ -27,6 +27,8 @@
   readonly limitedServerCalls = new LabelledCounts();
   /** Calls to servers that have asked this VM to back off, by kind. */
   readonly backoffCalls = new LabelledCounts();
+  /** Requests refused at stalled servers, and slots that were not released. */
+  readonly slotEvents = new LabelledCounts();
   /** Requests sent over peers or for them, by role and outcome. */
   readonly relayedRequests = new LabelledCounts();
   /** Datagrams to peers. */
@@ -104,6 +106,7 @@
       [this.poisonRequests, metrics.poisonRequests],
       [this.limitedServerCalls, metrics.limitedServerCalls],
       [this.backoffCalls, metrics.backoffCalls],
+      [this.slotEvents, metrics.slotEvents],
       [this.relayedRequests, metrics.relayedRequests],
       [this.peerDatagrams, metrics.peerDatagrams],
       [this.peerBytes, metrics.peerBytes],
--- a/packages/entry/src/gateway/slots/slot_task.ts
+++ b/packages/entry/src/gateway/slots/slot_task.ts
@@ -9,6 +9,8 @@
 import type { LifeCycle, PeriodicTask } from "../../utils/life_cycle.ts";
 import { CoalescedCallback } from "../../utils/coalesced_callback.ts";
 import type { Logger } from "../../utils/log.ts";
+import { ThrottledWarning } from "../../utils/throttled_warning.ts";
+import type { LabelledCounts } from "../../metrics/labelled_counts.ts";
 import type { PeerGossip } from "../peers/peer_gossip.ts";
 import type { RequestLimitTask } from "../limits/request_limit_task.ts";
 import type { ServerRateLimits } from "../limits/server_rate_limits.ts";
@@ -33,6 +35,8 @@
     RequestLimitTask,
     "newsOf" | "applyNews" | "hasAny"
   >;
+  /** Counts requests refused at stalled servers, and slots freed, by kind. */
+  readonly counts: LabelledCounts;
 }
 
 /** A queue whose requests need slots. */
@@ -61,9 +65,22 @@
   #tickTask: PeriodicTask | undefined;
   /** Changes in one event loop iteration are sent together. */
   readonly #flushing = new CoalescedCallback(() => this.#flush());
+  readonly #stallLog: ThrottledWarning;
+  readonly #lostSlotLog: ThrottledWarning;
+  readonly #overdueLog: ThrottledWarning;
 
   constructor(options: SlotTaskOptions) {
     this.#options = options;
+    const { log } = options;
+    this.#stallLog = new ThrottledWarning(log, "Refuses at a stalled server.");
+    this.#lostSlotLog = new ThrottledWarning(
+      log,
+      "Freed a slot that its VM no longer lists.",
+    );
+    this.#overdueLog = new ThrottledWarning(
+      log,
+      "Released a slot that was in use after its deadline.",
+    );
     const { gossip, zone, random, hasher, vm } = options;
     this.#ranking = new grants.VmRanking(hasher);
     this.#requester = new admission.SlotClient({
@@ -81,6 +98,7 @@
         options.log.warn("Skips an unresponsive slot coordinator.", {
           peer: coordinator,
         }),
+      onOverdue: ({ id, server }) => this.#noteOverdue(id, server),
     });
     this.#coordinator = new admission.SlotCoordinator({
       zone,
@@ -88,6 +106,8 @@
       onDecision: (decision) => this.#queueReply(decision),
       rateLimitsOf: (service) => options.rateLimits.forCoordinator(service),
       isReplaceable: options.isReplaceable,
+      onStallRefusal: (report) => this.#noteStallRefusal(report),
+      onSlotLost: (server, slot) => this.#noteSlotLost(server, slot),
     });
     options.registry.onChange(() =>
       this.#ranking.keepOnly(options.registry.ids())
@@ -258,6 +278,35 @@
     this.#requester.handleReplies(vm, replies, this.#options.clock.nowMs());
   }
 
+  #noteStallRefusal(
+    { server, unansweredMs, held }: admission.StallReport,
+  ): void {
+    this.#options.counts.add(1, { kind: "stall-refusal" });
+    this.#stallLog.warn(this.#options.clock.nowMs(), {
+      server: server.server,
+      bornMs: server.bornMs,
+      unansweredMs: Math.round(unansweredMs),
+      slots: server.slots,
+      held: held.map(describeSlot).join("; "),
+    });
+  }
+
+  #noteSlotLost(
+    { server }: admission.SlotServer,
+    slot: admission.HeldSlotReport,
+  ): void {
+    this.#options.counts.add(1, { kind: "lost-slot" });
+    this.#lostSlotLog.warn(this.#options.clock.nowMs(), {
+      server,
+      slot: describeSlot(slot),
+    });
+  }
+
+  #noteOverdue(id: number, server: contracts.ServerId): void {
+    this.#options.counts.add(1, { kind: "overdue-slot" });
+    this.#overdueLog.warn(this.#options.clock.nowMs(), { id, server });
+  }
+
   #queueReply({ vm, ...reply }: admission.SlotDecision): void {
     const replies = this.#replies.get(vm);
     if (replies === undefined) this.#replies.set(vm, [reply]);
@@ -266,6 +315,13 @@
   }
 }
 
+function describeSlot(
+  { vm, id, ageMs, unlistedMs }: admission.HeldSlotReport,
+): string {
+  return `${vm}/${id} for ${Math.round(ageMs)} ms, listed ` +
+    `${Math.round(unlistedMs)} ms ago`;
+}
+
 function encodeSlot(
   { id, service, server, bornMs, slots, route }: admission.HeldSlot,
 ): messages.SlotTuple {
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -299,6 +299,7 @@
     rateLimits,
     isReplaceable: (server) => grantTask.isReplaceable(server),
     requestLimits,
+    counts: metrics.slotEvents,
   });
   const poison = new PoisonGuard({
     store,
--- a/packages/entry/src/metrics/metrics.ts
+++ b/packages/entry/src/metrics/metrics.ts
@@ -36,6 +36,11 @@
   readonly limitedServerCalls: api.Counter;
   /** Calls to servers that have asked this VM to back off, by kind. */
   readonly backoffCalls: api.Counter;
+  /**
+   * Requests refused at stalled servers and slots that were not released, by
+   * kind: `stall-refusal`, `lost-slot`, `overdue-slot`.
+   */
+  readonly slotEvents: api.Counter;
   /**
    * Requests that a VM sent for another that didn't reach the server, by role
    * (`asked`, `sent`) and outcome.
@@ -64,6 +69,7 @@
       "guavatide_limited_server_calls",
     );
     this.backoffCalls = this.#meter.createCounter("guavatide_backoff_calls");
+    this.slotEvents = this.#meter.createCounter("guavatide_slot_events");
     this.relayedRequests = this.#meter.createCounter(
       "guavatide_relayed_requests",
     );
