fix(grants): give a new server keys where the hottest range can't be cut

The plan for a server without keys cuts off the upper end of the range with the most load, and gave up when that load is one key next to the upper end, as after moves of hot keys. The server then gets a whole range of the server with the most load; without such a range, the end of another one.

Test: range_planner_test, no move before. A first form that took the first range whose owner has as much load besides took it from the less loaded server.

--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -198,23 +198,36 @@
 
 const ALL_KEYS: contracts.KeyRange = { fromKey: 0, toKey: KEY_COUNT - 1 };
 
-/** The upper end of the range with the most load: a share, at most half. */
+/**
+ * The upper end of the range with the most load: a share, at most half. Where
+ * that load is one key next to the upper end, which can't be cut off, a whole
+ * range of the server with the most load, or the end of another range.
+ */
 function shareOfLargest(
   input: RangePlanInput,
   moves: readonly RangeMove[],
   sharePerSecond: number,
 ): (contracts.KeyRange & { readonly from: contracts.ServerId }) | undefined {
-  const largest = mostLoaded(
-    input.rates,
-    [...ownedParts(input, moves)].filter(({ part }) =>
-      part.fromKey !== part.toKey
-    ),
-  );
-  if (largest === undefined) return undefined;
-  const { part, server, perSecond } = largest;
-  const count = Math.max(2, Math.round(perSecond / sharePerSecond));
-  const last = cut(input.rates, part, count).at(-1)!;
-  return last.fromKey > part.fromKey ? { ...last, from: server } : undefined;
+  const loads = new Map<contracts.ServerId, number>();
+  const parts = [...ownedParts(input, moves)].map((owned) => {
+    const perSecond = rangeRate(input.rates, owned.part);
+    loads.set(owned.server, (loads.get(owned.server) ?? 0) + perSecond);
+    return { ...owned, perSecond };
+  }).sort((a, b) => b.perSecond - a.perSecond);
+  const ends = parts.flatMap(({ part, server, perSecond }) => {
+    const count = Math.max(2, Math.round(perSecond / sharePerSecond));
+    const last = cut(input.rates, part, count).at(-1)!;
+    return last.fromKey > part.fromKey ? [{ part, last, from: server }] : [];
+  });
+  const largest = parts.find(({ part }) => part.fromKey !== part.toKey);
+  if (ends[0] !== undefined && ends[0].part === largest!.part) {
+    return { ...ends[0].last, from: ends[0].from };
+  }
+  const [whole] = parts
+    .filter(({ server, perSecond }) => 2 * perSecond <= loads.get(server)!)
+    .sort((a, b) => loads.get(b.server)! - loads.get(a.server)!);
+  if (whole !== undefined) return { ...whole.part, from: whole.server };
+  return ends[0] && { ...ends[0].last, from: ends[0].from };
 }
 
 /** Moves dense pieces from servers above the level to servers below it. */
--- a/packages/decisions/src/grants/range_planner_test.ts
+++ b/packages/decisions/src/grants/range_planner_test.ts
@@ -153,6 +153,34 @@
   expect(width > contracts.KEY_COUNT / 10).toEqual(true);
 });
 
+/**
+ * Guards against a server that owns nothing for good as the range with the most
+ * load is one hot key next to its upper end, which can't be cut.
+ */
+test("should move keys to a server that has joined where hot keys end ranges", () => {
+  const hotKeys = [3, 9_000, 20_000, 33_000, 47_000, 65_535];
+  const ends = [4, 9_001, 20_002, 33_001, 47_001, 65_535];
+  const ranges = ends.map((toKey, index) => ({
+    fromKey: index === 0 ? 0 : ends[index - 1]! + 1,
+    toKey,
+    owner: owner(index < 4 ? 0 : 1),
+    fence: index + 1,
+  }));
+  const servers = serversOf(3);
+  const load = hotKeys.map((key) => ({ key, perSecond: 10 }));
+  const moves = grants.planRangeMoves({
+    ranges,
+    servers: new Map(
+      [...servers].map(([id, it]) => [id, { ...it, capacityPerSecond: 600 }]),
+    ),
+    rates: load,
+    mayBalance: true,
+  });
+  const loads = loadsAfter(ranges, moves, load);
+  expect(loads.get(owner(2).server)).toEqual(10);
+  expect(loads.get(owner(0).server)).toEqual(30);
+});
+
 test("should move nothing else while keys are in handover", () => {
   const started = grants.startHandovers(
     evenRanges(4),
