--- a/packages/entry/src/gateway/gateway_metrics.ts
+++ b/packages/entry/src/gateway/gateway_metrics.ts
@@ -29,6 +29,8 @@
   readonly backoffCalls = new LabelledCounts();
   /** Decisions on hot keys, by service and decision. */
   readonly hotKeys = new LabelledCounts();
+  /** Requests refused at stalled servers, and slots that were not released. */
+  readonly slotEvents = new LabelledCounts();
   /** Requests sent over peers or for them, by role and outcome. */
   readonly relayedRequests = new LabelledCounts();
   /** Datagrams to peers. */
@@ -107,6 +109,7 @@
       [this.limitedServerCalls, metrics.limitedServerCalls],
       [this.backoffCalls, metrics.backoffCalls],
       [this.hotKeys, metrics.hotKeys],
+      [this.slotEvents, metrics.slotEvents],
       [this.relayedRequests, metrics.relayedRequests],
       [this.peerDatagrams, metrics.peerDatagrams],
       [this.peerBytes, metrics.peerBytes],
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -300,6 +300,7 @@
     isReplaceable: (server) => grantTask.isReplaceable(server),
     requestLimits,
     hotKeyCounts: metrics.hotKeys,
+    counts: metrics.slotEvents,
   });
   const poison = new PoisonGuard({
     store,
--- a/packages/entry/src/metrics/metrics.ts
+++ b/packages/entry/src/metrics/metrics.ts
@@ -41,6 +41,11 @@
    * owner, a key `moved` to another one.
    */
   readonly hotKeys: api.Counter;
+  /**
+   * Requests refused at stalled servers and slots that were not released, by
+   * kind: `stall-refusal`, `lost-slot`, `overdue-slot`.
+   */
+  readonly slotEvents: api.Counter;
   /**
    * Requests that a VM sent for another that didn't reach the server, by role
    * (`asked`, `sent`) and outcome.
@@ -70,6 +75,7 @@
     );
     this.backoffCalls = this.#meter.createCounter("guavatide_backoff_calls");
     this.hotKeys = this.#meter.createCounter("guavatide_hot_keys");
+    this.slotEvents = this.#meter.createCounter("guavatide_slot_events");
     this.relayedRequests = this.#meter.createCounter(
       "guavatide_relayed_requests",
     );
