--- a/packages/entry/src/gateway/forwarding/front_listener.ts
+++ b/packages/entry/src/gateway/forwarding/front_listener.ts
@@ -14,6 +14,7 @@
 import {
   type FrontAnswer,
   type FrontRequest,
+  type FrontRequestHead,
   notRunAnswer,
   overloadAnswer,
 } from "./front_request.ts";
@@ -31,6 +32,10 @@
   readonly connectionLimit: number;
   /** Time from the stop signal until the process is killed. */
   readonly graceMs: number;
+  /** The refusal of a request whose body is not read yet; undefined to admit. */
+  readonly admitBeforeBody?: (head: FrontRequestHead) =>
+    | FrontAnswer
+    | undefined;
   readonly forward: (request: FrontRequest) => Promise<FrontAnswer>;
 }
 
@@ -210,6 +215,10 @@
     arrival: Pick<FrontRequest, "arrivedMs" | "lagMs">,
     signal: AbortSignal,
   ): Promise<FrontAnswer> {
+    const { admitBeforeBody, forward } = this.#options;
+    const head = this.#head(incoming, arrival, signal);
+    const refusal = admitBeforeBody?.(head);
+    if (refusal !== undefined) return refusal;
     const read = await bodies.readBody(incoming, this.#limits().bodyBytes);
     if (read.kind === "too-large") {
       const message = "The body is larger than the limit";
@@ -218,21 +227,31 @@
     if (read.kind === "broken") {
       return { kind: "own", status: 400, message: "The body broke off" };
     }
-    const { headers: names, forward } = this.#options;
+    // This VM may have begun to stop while it read the body.
+    const deadlineMs = this.#deadlineMs(head.deadlineMs);
+    return forward({ ...head, deadlineMs, body: read.body });
+  }
+
+  #head(
+    incoming: http.IncomingMessage,
+    arrival: Pick<FrontRequest, "arrivedMs" | "lagMs">,
+    signal: AbortSignal,
+  ): FrontRequestHead {
+    const { headers: names } = this.#options;
     const { headers } = incoming;
-    return forward({
+    return {
       id: firstValue(headers[names.requestId]) ?? "",
       method: incoming.method ?? "GET",
       target: incoming.url ?? "/",
       host: headers.host ?? "",
       headers: forwardedHeaders(incoming.rawHeaders, names),
-      body: read.body,
+      bodyBytes: bodies.declaredBodyBytes(incoming),
       key: parseWholeNumber(headers[names.key]),
       caller: incoming.socket.remoteAddress ?? "",
       deadlineMs: this.#deadlineMs(parseWholeNumber(headers[names.deadlineMs])),
       ...arrival,
       signal,
-    });
+    };
   }
 
   /** Whether the stop is so far advanced that requests are refused. */
--- a/packages/entry/src/gateway/forwarding/front_listener_test.ts
+++ b/packages/entry/src/gateway/forwarding/front_listener_test.ts
@@ -3,8 +3,12 @@
 import { test } from "node:test";
 import { MonotonicClock } from "../../utils/clock.ts";
 import { LifeCycle } from "../../utils/life_cycle.ts";
-import type { FrontAnswer, FrontRequest } from "./front_request.ts";
-import { FrontListener } from "./front_listener.ts";
+import {
+  type FrontAnswer,
+  type FrontRequest,
+  notRunAnswer,
+} from "./front_request.ts";
+import { FrontListener, type FrontListenerOptions } from "./front_listener.ts";
 
 const SILENT_LOG = { debug() {}, info() {}, warn() {}, error() {} };
 const HEADERS = {
@@ -21,8 +25,14 @@
   readonly #forward: (request: FrontRequest) => Promise<FrontAnswer>;
   #port = 0;
 
-  constructor(forward: (request: FrontRequest) => Promise<FrontAnswer>) {
+  readonly #options: Partial<FrontListenerOptions>;
+
+  constructor(
+    forward: (request: FrontRequest) => Promise<FrontAnswer>,
+    options: Partial<FrontListenerOptions> = {},
+  ) {
     this.#forward = forward;
+    this.#options = options;
   }
 
   async start(graceMs = 200): Promise<void> {
@@ -47,6 +57,7 @@
         this.requests.push(request);
         return this.#forward(request);
       },
+      ...this.#options,
     });
     await listener.listen();
   }
@@ -184,3 +195,21 @@
   early.destroy();
   await stopping;
 });
+
+/** Guards against reading large bodies of requests that will be refused. */
+test("should refuse a request before its body is read", async () => {
+  const sizes: (number | undefined)[] = [];
+  const fixture = new Fixture(() => new Promise(() => {}), {
+    admitBeforeBody: ({ bodyBytes }) => {
+      sizes.push(bodyBytes);
+      return notRunAnswer("Not run: full", 250);
+    },
+  });
+  await fixture.start();
+  const received = await fixture.exchange(`${GET}Content-Length: 900\r\n\r\n`);
+  expect(received.startsWith("HTTP/1.1 503 ")).toEqual(true);
+  expect(/retry-after: 0\.250\r\n/i.test(received)).toEqual(true);
+  expect(sizes).toEqual([900]);
+  expect(fixture.requests).toEqual([]);
+  await fixture.lifeCycle.stop();
+});
--- a/packages/entry/src/gateway/forwarding/front_request.ts
+++ b/packages/entry/src/gateway/forwarding/front_request.ts
@@ -2,8 +2,8 @@
 import type * as contracts from "@guavatide/contracts";
 import type { ServerAnswer } from "../../requests/caller_request.ts";
 
-/** A request as it was received. */
-export interface FrontRequest {
+/** A request whose headers were received; its body may still arrive. */
+export interface FrontRequestHead {
   readonly id: string;
   readonly method: string;
   /** Path and query as sent. */
@@ -11,7 +11,8 @@
   readonly host: string;
   /** Headers to forward, names and values alternating. */
   readonly headers: readonly string[];
-  readonly body: Uint8Array | undefined;
+  /** Declared length of the body; 0 without one, undefined when chunked. */
+  readonly bodyBytes: number | undefined;
   readonly key: number | undefined;
   /** Address of the caller, without its port; empty when it is not known. */
   readonly caller: string;
@@ -24,6 +25,11 @@
   readonly signal: AbortSignal;
 }
 
+/** A request as it was received, with its whole body. */
+export interface FrontRequest extends Omit<FrontRequestHead, "bodyBytes"> {
+  readonly body: Uint8Array | undefined;
+}
+
 /** The response to the caller. */
 export type FrontAnswer =
   | { readonly kind: "passed-on"; readonly answer: ServerAnswer }
--- a/packages/entry/src/utils/read_body.ts
+++ b/packages/entry/src/utils/read_body.ts
@@ -9,6 +9,14 @@
   /** The connection closed before the end of the body. */
   | { readonly kind: "broken" };
 
+/** Declared length of a body; 0 without one, undefined when it is chunked. */
+export function declaredBodyBytes(
+  { headers }: http.IncomingMessage,
+): number | undefined {
+  if (headers["transfer-encoding"] !== undefined) return undefined;
+  return Number(headers["content-length"] ?? 0);
+}
+
 /**
  * Reads a body of at most `limitBytes`; stops reading a larger one. Never
  * rejects.
@@ -17,11 +25,11 @@
   incoming: http.IncomingMessage,
   limitBytes: number,
 ): Promise<ReadBodyResult> {
-  const declaredBytes = Number(incoming.headers["content-length"] ?? 0);
-  if (declaredBytes > limitBytes) return Promise.resolve({ kind: "too-large" });
-  const hasBody = declaredBytes > 0 ||
-    incoming.headers["transfer-encoding"] !== undefined;
-  if (!hasBody) {
+  const declaredBytes = declaredBodyBytes(incoming);
+  if (declaredBytes !== undefined && declaredBytes > limitBytes) {
+    return Promise.resolve({ kind: "too-large" });
+  }
+  if (declaredBytes === 0) {
     incoming.resume();
     return Promise.resolve({ kind: "whole", body: undefined });
   }
