fix(forwarding): pipelined answers survive the end of their connection

A connection was closed by the first answer written after SIGTERM, by an answer without a length, or by a malformed request, while later pipelined requests were already at a server. FrontConnection counts the open requests of a connection: nothing begins behind an answer that closes, and the connection closes behind the last answer of what was forwarded.

An answer without a length that has forwarded requests behind it becomes 502: no other framing shows that it may be truncated. The path is remembered, and nothing is forwarded behind its next requests.

--- a/packages/entry/src/gateway/forwarding/front_listener.ts
+++ b/packages/entry/src/gateway/forwarding/front_listener.ts
@@ -1,7 +1,7 @@
 /** The HTTP listener for the platform's clients. */
 import type * as contracts from "@guavatide/contracts";
 import * as http from "node:http";
-import type * as net from "node:net";
+import * as net from "node:net";
 import * as timers from "node:timers/promises";
 import { requestHeaders } from "../../links/header_list.ts";
 import type { ServerAnswer } from "../../requests/caller_request.ts";
@@ -11,6 +11,11 @@
 import { EventLoopLagMonitor } from "../../utils/event_loop_lag_monitor.ts";
 import * as bodies from "../../utils/read_body.ts";
 import type { Logger } from "../../utils/log.ts";
+import {
+  type ConnectionEvent,
+  FrontConnection,
+  type OpenRequest,
+} from "./front_connection.ts";
 import {
   type FrontAnswer,
   type FrontRequest,
@@ -18,6 +23,7 @@
   notRunAnswer,
   overloadAnswer,
 } from "./front_request.ts";
+import { UnlengthedPaths } from "./unlengthed_paths.ts";
 import type { HeaderNames } from "../platform_adapter.ts";
 
 /** Options of {@link FrontListener}. */
@@ -37,6 +43,7 @@
     | FrontAnswer
     | undefined;
   readonly forward: (request: FrontRequest) => Promise<FrontAnswer>;
+  readonly count?: (event: ConnectionEvent) => void;
 }
 
 /**
@@ -86,6 +93,13 @@
  */
 const SHEDDING_LAG_MS = 400;
 
+/** The answer to a caller that has disconnected, which is never written. */
+const CALLER_GONE: FrontAnswer = {
+  kind: "own",
+  status: 499,
+  message: "The caller has gone",
+};
+
 /** Listens for clients and sheds load when the event loop lags. */
 export class FrontListener {
   readonly #options: FrontListenerOptions;
@@ -93,15 +107,17 @@
   readonly #lag = new EventLoopLagMonitor();
   #inFlight = 0;
   #stoppedAtMs = Number.POSITIVE_INFINITY;
-  #connections = 0;
+  readonly #connections = new Map<net.Socket, FrontConnection>();
+  readonly #unlengthed = new UnlengthedPaths();
   /** When a caller last closed its connection early. */
   #lastEarlyCloseMs = Number.NEGATIVE_INFINITY;
   readonly #shedLog: ThrottledWarning;
   readonly #stopLog: ThrottledWarning;
+  readonly #connectionLogs: Record<ConnectionEvent, ThrottledWarning>;
 
   constructor(options: FrontListenerOptions) {
     this.#options = options;
-    this.#lag.start(options.lifeCycle, () => this.#connections === 0);
+    this.#lag.start(options.lifeCycle, () => this.#connections.size === 0);
     this.#shedLog = new ThrottledWarning(
       options.log,
       "Refuses: the event loop is behind.",
@@ -110,6 +126,16 @@
       options.log,
       "Refuses requests: this VM is stopping.",
     );
+    this.#connectionLogs = {
+      "request-not-read": new ThrottledWarning(
+        options.log,
+        "Leaves pipelined requests unread: their connection closes.",
+      ),
+      "unlengthed-answer": new ThrottledWarning(
+        options.log,
+        "Replaces an answer without a length: others follow it.",
+      ),
+    };
     this.#server = http.createServer({
       maxHeaderSize: HEADER_LIMIT_BYTES,
       requestTimeout: 0,
@@ -119,19 +145,45 @@
     this.applyLimits();
     this.#server.maxConnections = options.connectionLimit;
     this.#server.on("request", (incoming, response) => {
-      this.#handle(incoming, response).catch((error) => {
-        options.log.error("Request failed.", { error: String(error) });
-        response.destroy();
-      });
+      this.#connections.get(incoming.socket)?.add(incoming, response);
     });
     this.#server.on("connection", (socket: net.Socket) => {
-      this.#connections++;
+      this.#connections.set(socket, this.#createConnection(socket));
       this.#lag.resume();
-      socket.once("close", () => this.#connections--);
+      socket.once("close", () => this.#connections.delete(socket));
     });
     this.#server.on("clientError", (error, socket) => {
       options.log.info("Closes a broken connection.", { error: String(error) });
-      socket.destroy();
+      const connection = this.#connections.get(socket as net.Socket);
+      if (connection === undefined) socket.destroy();
+      else connection.breakOff();
+    });
+  }
+
+  #createConnection(socket: net.Socket): FrontConnection {
+    const { clock, lifeCycle, log, count } = this.#options;
+    return new FrontConnection(socket, {
+      nowMs: () => clock.nowMs(),
+      isStopping: () => lifeCycle.isStopping,
+      isUnlengthed: (incoming) => this.#unlengthed.has(incoming, clock.nowMs()),
+      noteUnlengthed: (incoming) =>
+        this.#unlengthed.note(incoming, clock.nowMs()),
+      run: (request) => this.#run(request),
+      write: writeFrontAnswer,
+      onOpen: () => this.#inFlight++,
+      onEnd: () => this.#inFlight--,
+      onDisconnect: ({ readMs }) => {
+        const nowMs = clock.nowMs();
+        if (nowMs - readMs < EARLY_CLOSE_MS) this.#lastEarlyCloseMs = nowMs;
+      },
+      onError: (error) =>
+        log.error("Request failed.", { error: String(error) }),
+      count: (event) => {
+        count?.(event);
+        this.#connectionLogs[event].warn(clock.nowMs(), {
+          inFlight: this.#inFlight,
+        });
+      },
     });
   }
 
@@ -158,44 +210,24 @@
     return this.#options.limits() ?? DEFAULT_LIMITS;
   }
 
-  async #handle(
-    incoming: http.IncomingMessage,
-    response: http.ServerResponse,
-  ): Promise<void> {
+  async #run(request: OpenRequest): Promise<FrontAnswer> {
     const { lagMs } = this.#lag;
+    const { readMs } = request;
     // What is read late may have waited in the socket for as long as the lag.
-    const readMs = this.#options.clock.nowMs();
     const arrivedMs = readMs - lagMs;
-    this.#inFlight++;
-    const callerAbort = new AbortController();
-    const onCallerDisconnect = () => {
-      if (response.writableFinished || callerAbort.signal.aborted) return;
-      const nowMs = this.#options.clock.nowMs();
-      if (nowMs - readMs < EARLY_CLOSE_MS) this.#lastEarlyCloseMs = nowMs;
-      callerAbort.abort();
-    };
-    incoming.socket.once("end", onCallerDisconnect);
-    response.once("close", () => {
-      incoming.socket.off("end", onCallerDisconnect);
-      this.#inFlight--;
-      onCallerDisconnect();
-    });
     if (
       lagMs > 0 || readMs - this.#lastEarlyCloseMs < EARLY_CLOSE_CHECK_MS
     ) {
       // A close that followed the request is read in the next iteration.
       await timers.setImmediate();
       await timers.setImmediate();
-      if (callerAbort.signal.aborted) return void response.destroy();
+      if (request.abort.signal.aborted) return CALLER_GONE;
     }
-    const answer = this.#refuseEarly(readMs, lagMs) ??
-      await this.#readAndForward(incoming, {
+    return this.#refuseEarly(readMs, lagMs) ??
+      await this.#readAndForward(request, {
         arrivedMs,
         lagMs: this.#lag.isSustained ? lagMs : 0,
-      }, callerAbort.signal);
-    if (response.destroyed) return;
-    const mustClose = !incoming.complete || this.#options.lifeCycle.isStopping;
-    writeFrontAnswer(response, answer, mustClose);
+      });
   }
 
   /** The refusal of a request whose body isn't read; undefined to accept it. */
@@ -211,15 +243,18 @@
   }
 
   async #readAndForward(
-    incoming: http.IncomingMessage,
+    { incoming, abort, bodyAbort }: OpenRequest,
     arrival: Pick<FrontRequest, "arrivedMs" | "lagMs">,
-    signal: AbortSignal,
   ): Promise<FrontAnswer> {
     const { admitBeforeBody, forward } = this.#options;
-    const head = this.#head(incoming, arrival, signal);
+    const head = this.#head(incoming, arrival, abort.signal);
     const refusal = admitBeforeBody?.(head);
     if (refusal !== undefined) return refusal;
-    const read = await bodies.readBody(incoming, this.#limits().bodyBytes);
+    const read = await bodies.readBody(
+      incoming,
+      this.#limits().bodyBytes,
+      bodyAbort.signal,
+    );
     if (read.kind === "too-large") {
       const message = "The body is larger than the limit";
       return { kind: "own", status: 413, message };
@@ -281,8 +316,14 @@
     const closeIdleMs = startMs + graceMs * CLOSE_IDLE_GRACE_RATIO;
     const endMs = startMs + graceMs * DRAIN_GRACE_RATIO;
     while (clock.nowMs() < closeIdleMs) await timers.setTimeout(DRAIN_CHECK_MS);
-    const closed = new Promise((resolve) => this.#server.close(resolve));
-    this.#server.closeIdleConnections();
+    // The HTTP server's own close() destroys connections whose answers are not
+    // completely sent yet.
+    const closed = new Promise((resolve) =>
+      net.Server.prototype.close.call(this.#server, resolve)
+    );
+    for (const connection of this.#connections.values()) {
+      connection.closeIfIdle();
+    }
     while (this.#inFlight > 0 && clock.nowMs() < endMs) {
       await timers.setTimeout(DRAIN_CHECK_MS);
     }
@@ -298,6 +339,7 @@
   answer: FrontAnswer,
   mustClose: boolean,
 ): void {
+  if (response.destroyed) return;
   response.sendDate = false;
   if (mustClose) response.shouldKeepAlive = false;
   if (answer.kind === "passed-on" && answer.answer.endsWithConnection) {
--- a/packages/entry/src/gateway/forwarding/front_listener_test.ts
+++ b/packages/entry/src/gateway/forwarding/front_listener_test.ts
@@ -1,90 +1,10 @@
 import { expect } from "earl";
-import * as net from "node:net";
 import { test } from "node:test";
-import { MonotonicClock } from "../../utils/clock.ts";
-import { LifeCycle } from "../../utils/life_cycle.ts";
-import {
-  type FrontAnswer,
-  type FrontRequest,
-  notRunAnswer,
-} from "./front_request.ts";
-import { FrontListener, type FrontListenerOptions } from "./front_listener.ts";
-
-const SILENT_LOG = { debug() {}, info() {}, warn() {}, error() {} };
-const HEADERS = {
-  requestId: "x-id",
-  deadlineMs: "x-deadline-ms",
-  expectedServer: "x-server",
-  key: "x-key",
-};
-
-/** A listener with a fake forwarder. */
-class Fixture {
-  readonly lifeCycle = new LifeCycle();
-  readonly requests: FrontRequest[] = [];
-  readonly #forward: (request: FrontRequest) => Promise<FrontAnswer>;
-  #port = 0;
-
-  readonly #options: Partial<FrontListenerOptions>;
-
-  constructor(
-    forward: (request: FrontRequest) => Promise<FrontAnswer>,
-    options: Partial<FrontListenerOptions> = {},
-  ) {
-    this.#forward = forward;
-    this.#options = options;
-  }
-
-  async start(graceMs = 200): Promise<void> {
-    const probe = net.createServer();
-    await new Promise<void>((resolve) =>
-      probe.listen(0, "127.0.0.1", () => resolve())
-    );
-    this.#port = (probe.address() as net.AddressInfo).port;
-    await new Promise((resolve) => probe.close(resolve));
-    const listener = new FrontListener({
-      host: "127.0.0.1",
-      port: this.#port,
-      headers: HEADERS,
-      limits: () => undefined,
-      clock: new MonotonicClock(),
-      random: { next: () => 0.5 },
-      lifeCycle: this.lifeCycle,
-      log: SILENT_LOG,
-      connectionLimit: 10,
-      graceMs,
-      forward: (request) => {
-        this.requests.push(request);
-        return this.#forward(request);
-      },
-      ...this.#options,
-    });
-    await listener.listen();
-  }
-
-  /** Sends bytes on a new connection. */
-  connect(text: string): net.Socket {
-    const socket = net.connect(this.#port, "127.0.0.1");
-    socket.on("error", () => {});
-    socket.write(text);
-    return socket;
-  }
-
-  /** Sends bytes and returns all that came until the connection ended. */
-  async exchange(text: string): Promise<string> {
-    const socket = this.connect(text);
-    let received = "";
-    socket.on("data", (chunk) => received += chunk);
-    await new Promise((resolve) => socket.once("close", resolve));
-    return received;
-  }
-}
-
-const GET = "GET /a/b?c=1 HTTP/1.1\r\nHost: booths.example\r\nX-Id: 7\r\n" +
-  "X-Deadline-Ms: 800\r\nX-Key: 42\r\nX-Other: kept\r\n";
+import { type FrontAnswer, notRunAnswer } from "./front_request.ts";
+import { FrontFixture, GET } from "./front_test_support.ts";
 
 test("should forward method, target, host, key and other headers", async () => {
-  const fixture = new Fixture(() =>
+  const fixture = new FrontFixture(() =>
     Promise.resolve({ kind: "own", status: 404, message: "none" })
   );
   await fixture.start();
@@ -101,7 +21,7 @@
 
 /** Guards against a truncated response that a caller takes for a whole one. */
 test("should forward a close-delimited response without a length", async () => {
-  const fixture = new Fixture(() =>
+  const fixture = new FrontFixture(() =>
     Promise.resolve({
       kind: "passed-on",
       answer: {
@@ -122,7 +42,7 @@
 
 /** Guards against work at a server for a caller that has disconnected. */
 test("should abort the request when the caller disconnects", async () => {
-  const fixture = new Fixture(() => new Promise(() => {}));
+  const fixture = new FrontFixture(() => new Promise(() => {}));
   await fixture.start();
   const socket = fixture.connect(`${GET}\r\n`);
   while (fixture.requests.length === 0) {
@@ -137,7 +57,7 @@
 });
 
 test("should send retry-after in fractions of a second", async () => {
-  const fixture = new Fixture(() =>
+  const fixture = new FrontFixture(() =>
     Promise.resolve({
       kind: "own",
       status: 503,
@@ -154,7 +74,7 @@
 /** Guards against running requests cut off by a stop. */
 test("should finish a running request when it is stopped", async () => {
   let answer: (answer: FrontAnswer) => void = () => {};
-  const fixture = new Fixture(() =>
+  const fixture = new FrontFixture(() =>
     new Promise((resolve) => {
       answer = resolve;
     })
@@ -173,7 +93,7 @@
 
 /** Guards against a late request that is cut off when the process ends. */
 test("should refuse requests late in the grace time of a stop", async () => {
-  const fixture = new Fixture(() => new Promise(() => {}));
+  const fixture = new FrontFixture(() => new Promise(() => {}));
   const graceMs = 1_000;
   await fixture.start(graceMs);
   const early = fixture.connect("");
@@ -199,7 +119,7 @@
 /** Guards against reading large bodies of requests that will be refused. */
 test("should refuse a request before its body is read", async () => {
   const sizes: (number | undefined)[] = [];
-  const fixture = new Fixture(() => new Promise(() => {}), {
+  const fixture = new FrontFixture(() => new Promise(() => {}), {
     admitBeforeBody: ({ bodyBytes }) => {
       sizes.push(bodyBytes);
       return notRunAnswer("Not run: full", 250);
--- a/packages/entry/src/gateway/gateway_metrics.ts
+++ b/packages/entry/src/gateway/gateway_metrics.ts
@@ -33,6 +33,8 @@
   readonly peerDatagrams = new LabelledCounts();
   /** Bytes in datagrams to peers. */
   readonly peerBytes = new LabelledCounts();
+  /** Decisions of the listener for clients. */
+  readonly frontDecisions = new LabelledCounts();
   #metrics: Promise<Metrics> | undefined;
 
   constructor(log: Logger) {
@@ -107,6 +109,7 @@
       [this.relayedRequests, metrics.relayedRequests],
       [this.peerDatagrams, metrics.peerDatagrams],
       [this.peerBytes, metrics.peerBytes],
+      [this.frontDecisions, metrics.frontDecisions],
     ] as const;
     for (const [counts, counter] of tables) {
       counts.drain((count, labels) => counter.add(count, labels));
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -428,6 +428,7 @@
     ),
     graceMs: settings.timings.graceSeconds * 1000,
     forward: (request) => forwarder.forward(request),
+    count: (decision) => metrics.frontDecisions.add(1, { decision }),
   });
   config.onChange(() => listener.applyLimits());
   return {
--- a/packages/entry/src/metrics/metrics.ts
+++ b/packages/entry/src/metrics/metrics.ts
@@ -45,6 +45,8 @@
   readonly peerDatagrams: api.Counter;
   /** Bytes in datagrams to other entry VMs, by the same labels. */
   readonly peerBytes: api.Counter;
+  /** Decisions of the listener for clients, by decision. */
+  readonly frontDecisions: api.Counter;
   /** Steps of handovers of slices, by service and step: churn. */
   readonly sliceMoves: api.Counter;
   /** Milliseconds from the start of a slice's handover until its next step. */
@@ -69,6 +71,9 @@
     );
     this.peerDatagrams = this.#meter.createCounter("guavatide_peer_datagrams");
     this.peerBytes = this.#meter.createCounter("guavatide_peer_bytes");
+    this.frontDecisions = this.#meter.createCounter(
+      "guavatide_front_decisions",
+    );
     this.sliceMoves = this.#meter.createCounter("guavatide_slice_moves");
     this.requestMs = this.#createLatency("guavatide_request_ms");
     this.sliceUnavailableMs = this.#createLatency(
--- a/packages/entry/src/utils/read_body.ts
+++ b/packages/entry/src/utils/read_body.ts
@@ -18,12 +18,13 @@
 }
 
 /**
- * Reads a body of at most `limitBytes`; stops reading a larger one. Never
- * rejects.
+ * Reads a body of at most `limitBytes`; stops reading a larger one, and when
+ * the signal is aborted. Never rejects.
  */
 export function readBody(
   incoming: http.IncomingMessage,
   limitBytes: number,
+  signal?: AbortSignal,
 ): Promise<ReadBodyResult> {
   const declaredBytes = declaredBodyBytes(incoming);
   if (declaredBytes !== undefined && declaredBytes > limitBytes) {
@@ -49,6 +50,8 @@
       "end",
       () => resolve({ kind: "whole", body: Buffer.concat(chunks) }),
     );
-    incoming.on("close", () => resolve({ kind: "broken" }));
+    const onBroken = () => resolve({ kind: "broken" });
+    incoming.on("close", onBroken);
+    signal?.addEventListener("abort", onBroken);
   });
 }
