fix(grants): don't count a new run of a server as lost for the last one

GrantSender kept its state by server. It now keeps it by run, and reports only runs that are still registered; the back-off after failed grants and a grant in flight to the last run no longer hold up the first grant either.

--- a/packages/entry/src/gateway/grants/grant_sender.ts
+++ b/packages/entry/src/gateway/grants/grant_sender.ts
@@ -37,6 +37,8 @@
 
 /** State of the grants to one server. Times are those of the clock, in ms. */
 interface ServerState {
+  /** The run that the grants went to: a new one owes no answers. */
+  readonly owner: contracts.RangeOwner;
   isInFlight: boolean;
   /** When the last grant was answered or failed. */
   lastEndedAtMs: number;
@@ -128,7 +130,7 @@
   canSend(owner: contracts.RangeOwner): boolean {
     if (this.#options.findServer(owner) === undefined) return false;
     const state = this.#servers.get(owner.server);
-    if (state === undefined) return true;
+    if (state?.owner.bornMs !== owner.bornMs) return true;
     return !state.isInFlight &&
       this.#options.clock.nowMs() >= state.retryAtMs;
   }
@@ -138,7 +140,7 @@
    * `timings.unresponsiveAfterMs`, or that keep refusing a range.
    */
   unresponsiveServers(): contracts.ServerId[] {
-    const { clock, timings } = this.#options;
+    const { clock, timings, findServer } = this.#options;
     const nowMs = clock.nowMs();
     const refusing = new Set(
       [...this.#refused.values()]
@@ -146,6 +148,7 @@
         .map(({ server }) => server),
     );
     return [...this.#servers]
+      .filter(([, { owner }]) => findServer(owner) !== undefined)
       .filter(([server, { unansweredSinceMs, lastEndedAtMs, isInFlight }]) => {
         const isUnanswered = unansweredSinceMs !== undefined &&
           nowMs - unansweredSinceMs >= timings.unresponsiveAfterMs;
@@ -194,7 +197,7 @@
     const { clock, control, timings, findServer, log } = this.#options;
     const server = findServer(range.owner);
     if (server === undefined) return;
-    const state = this.#state(range.owner.server);
+    const state = this.#state(range.owner);
     const sentAtMs = clock.nowMs();
     const { unansweredSinceMs } = state;
     const call = this.#lastCall(range);
@@ -314,17 +317,18 @@
     this.#options.onAccepted(range);
   }
 
-  #state(server: contracts.ServerId): ServerState {
-    const found = this.#servers.get(server);
-    if (found !== undefined) return found;
+  #state(owner: contracts.RangeOwner): ServerState {
+    const found = this.#servers.get(owner.server);
+    if (found?.owner.bornMs === owner.bornMs) return found;
     const created: ServerState = {
+      owner,
       isInFlight: false,
       lastEndedAtMs: Number.NEGATIVE_INFINITY,
       unansweredSinceMs: undefined,
       consecutiveFailures: 0,
       retryAtMs: Number.NEGATIVE_INFINITY,
     };
-    this.#servers.set(server, created);
+    this.#servers.set(owner.server, created);
     return created;
   }
 }
--- a/packages/entry/src/gateway/grants/grant_sender_test.ts
+++ b/packages/entry/src/gateway/grants/grant_sender_test.ts
@@ -25,7 +25,7 @@
 function createSender(
   grant: contracts.GrantControl["grant"],
   nowMs: () => number,
-  isKnown = true,
+  isKnown: (owner: contracts.RangeOwner) => boolean = () => true,
 ): GrantSender {
   return new GrantSender({
     control: {
@@ -37,7 +37,7 @@
     clock: { nowMs },
     random: { next: () => 0.5 },
     log: { debug() {}, info() {}, warn() {}, error() {} },
-    findServer: () => isKnown ? serverEntryOf(SERVER) : undefined,
+    findServer: (owner) => isKnown(owner) ? serverEntryOf(SERVER) : undefined,
     onAccepted: () => {},
     onCompleted: () => {},
     onFencedOff: () => {},
@@ -65,6 +65,28 @@
   expect(sender.unresponsiveServers()).toEqual([]);
 });
 
+/** Guards against a restarted server that is unused for its last run's losses. */
+test("should not count a new run of a server as unresponsive", async () => {
+  let nowMs = 0;
+  let runMs = 1;
+  const isKnown = ({ bornMs }: contracts.RangeOwner) => bornMs === runMs;
+  const sender = createSender(refuse, () => nowMs, isKnown);
+  await sender.send(REQUEST);
+  nowMs = 700;
+  await sender.send(REQUEST);
+  runMs = 2;
+  nowMs = 800;
+  expect(sender.unresponsiveServers()).toEqual([]);
+  const owner = { server: SERVER, bornMs: runMs };
+  expect(sender.canSend(owner)).toEqual(true);
+  await sender.send({ ...REQUEST, range: { ...RANGE, owner, fence: 2 } });
+  nowMs = 900;
+  expect(sender.unresponsiveServers()).toEqual([]);
+  nowMs = 1_600;
+  await sender.send({ ...REQUEST, range: { ...RANGE, owner, fence: 2 } });
+  expect(sender.unresponsiveServers()).toEqual([SERVER]);
+});
+
 /**
  * Guards against a loop of refused grants that takes the processor from
  * requests.
@@ -103,7 +125,7 @@
 
 /** Guards against a busy loop of renewals that make no call. */
 test("should send no grant to an unknown owner", () => {
-  const sender = createSender(refuse, () => 0, false);
+  const sender = createSender(refuse, () => 0, () => false);
   expect(sender.canSend(RANGE.owner)).toEqual(false);
 });
 
