feat(admission): fair shares of callers and promised returns, as decisions

Shares are max-min over the callers of all VMs, enforced as a probability for each request; returns are promised from the capacity that is left, and any VM recognises them by a hash of caller, route and time slot. Not wired yet.

--- a/packages/decisions/src/admission/mod.ts
+++ b/packages/decisions/src/admission/mod.ts
@@ -1,6 +1,7 @@
 /**
  * Admission control: which request is sent to which backend server, and when.
  */
+export * from "./caller_shares.ts";
 export * from "./capped_servers.ts";
 export * from "./lag_shedding.ts";
 export * from "./limit_share.ts";
@@ -10,6 +11,8 @@
 export * from "./server_load.ts";
 export * from "./server_ranking.ts";
 export * from "./server_rate_limit.ts";
+export * from "./return_schedule.ts";
+export * from "./service_admission.ts";
 export * from "./service_queue.ts";
 export * from "./service_queue_options.ts";
 export * from "./service_times.ts";
--- /dev/null
+++ b/packages/decisions/src/admission/service_admission.ts
@@ -0,0 +1,133 @@
+/**
+ * Admission to one service at one entry VM while it is short of capacity: which
+ * requests go first, and when refused callers are asked to return.
+ */
+import type * as contracts from "@guavatide/contracts";
+import { CallerShares, type CallerStanding } from "./caller_shares.ts";
+import { type ReturningCaller, ReturnSchedule } from "./return_schedule.ts";
+import type { RequestStanding } from "./waiting_request.ts";
+
+/** Options of {@link ServiceAdmission}. */
+export interface ServiceAdmissionOptions {
+  /** Hash of a text; the same on all VMs. */
+  readonly hash: (text: string) => number;
+  readonly random: contracts.RandomSource;
+  /** Requests per second that the service can run. */
+  readonly capacityPerSecond: (nowMs: number) => number;
+  /** Fraction of the service's promises that this VM may make. */
+  readonly shareOfVm: (nowMs: number) => number;
+}
+
+/** A moment on this VM's clock and in Unix time. */
+export interface Moment {
+  readonly nowMs: number;
+  readonly unixMs: number;
+}
+
+/** Standing of a request, with the rates that it follows from. */
+export interface JudgedRequest extends CallerStanding {
+  /** Undefined for a new request within its caller's share. */
+  readonly standing: RequestStanding | undefined;
+}
+
+/** A request that is refused for lack of capacity. */
+export interface RefusedRequest extends ReturningCaller {
+  readonly judged: JudgedRequest;
+  readonly answerByMs: number;
+  readonly serviceMs: number;
+  /** Wait that must pass before a return can succeed. */
+  readonly minWaitMs: number;
+}
+
+/**
+ * Callers return only if told a time within this fraction of the time that they
+ * have left.
+ */
+const HONOURED_FRACTION = 1 / 3;
+/** A return before this time would meet the same queue. */
+const MIN_RETURN_MS = 60;
+/** Promised beside new requests even if these take all capacity. */
+const MIN_RETURN_RATIO = 0.1;
+/** Promised at most, as higher priorities may take the rest. */
+const MAX_RETURN_RATIO = 0.5;
+/** Callers above this many shares are promised nothing: few would return. */
+const MAX_PROMISED_SHARES = 2;
+/**
+ * Callers above this many shares are not taken for returning ones. Above the
+ * limit of promises, as a caller's rate may have risen since its promise.
+ */
+const MAX_RETURNING_SHARES = 4;
+/** Least fraction of the capacity expected beside requests within shares. */
+const MIN_LEFT_RATIO = 0.05;
+
+/** Shares, promises and standings at one service. */
+export class ServiceAdmission {
+  readonly shares: CallerShares;
+  readonly #returns: ReturnSchedule;
+  readonly #options: ServiceAdmissionOptions;
+
+  constructor(options: ServiceAdmissionOptions) {
+    this.#options = options;
+    this.shares = new CallerShares(options.random);
+    this.#returns = new ReturnSchedule(options);
+  }
+
+  /** Counts a request and judges it. */
+  arrive(request: ReturningCaller, { nowMs, unixMs }: Moment): JudgedRequest {
+    const caller = this.#options.hash(request.caller);
+    const { shares } = this;
+    const standing = shares.standing(caller, nowMs);
+    const isReturning = shares.isShort(nowMs) &&
+      isWithin(standing, MAX_RETURNING_SHARES) &&
+      this.#returns.isReturn(request, unixMs);
+    if (isReturning) {
+      shares.recordReturn(nowMs);
+      return { ...standing, isAboveShare: false, standing: "returning" };
+    }
+    shares.recordArrival(caller, nowMs);
+    const { isAboveShare } = standing;
+    return { ...standing, standing: isAboveShare ? "above-share" : undefined };
+  }
+
+  /** Records a refusal and returns when the caller is asked to return. */
+  refuse(request: RefusedRequest, { nowMs, unixMs }: Moment): number {
+    this.shares.recordRefusal(nowMs);
+    const leftMs = Math.max(MIN_RETURN_MS, request.answerByMs - nowMs);
+    const promisedMs = !isWithin(request.judged, MAX_PROMISED_SHARES)
+      ? undefined
+      : this.#returns.promise(request, {
+        unixMs,
+        earliestMs: Math.max(MIN_RETURN_MS, request.minWaitMs),
+        longestMs: Math.min(
+          leftMs * HONOURED_FRACTION,
+          leftMs - request.serviceMs,
+        ),
+        ratePerSecond: this.#returnsPerSecond(nowMs),
+      });
+    return promisedMs ?? leftMs;
+  }
+
+  /** Fraction of the capacity left beside requests within their shares. */
+  leftRatio(nowMs: number): number {
+    const capacity = this.#options.capacityPerSecond(nowMs);
+    const within = this.shares.withinSharesPerSecond(nowMs);
+    return Math.max(MIN_LEFT_RATIO, 1 - within / Math.max(1e-6, capacity));
+  }
+
+  #returnsPerSecond(nowMs: number): number {
+    const { capacityPerSecond, shareOfVm } = this.#options;
+    const ratio = Math.min(
+      MAX_RETURN_RATIO,
+      Math.max(MIN_RETURN_RATIO, this.leftRatio(nowMs)),
+    );
+    return capacityPerSecond(nowMs) * ratio * shareOfVm(nowMs);
+  }
+}
+
+/** Whether a caller demands at most this many shares. */
+function isWithin(
+  { ratePerSecond, sharePerSecond }: CallerStanding,
+  shares: number,
+): boolean {
+  return ratePerSecond <= sharePerSecond * shares;
+}
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -42,9 +42,12 @@
   constructor(options: ServiceQueueOptions) {
     this.#options = options;
     this.#servers = new QueueServers(options);
-    this.#waits = new WaitEstimate(options, this.#servers);
     this.#refusals = new QueueRefusals(options, this.#servers);
-    this.#order = new PriorityOrder(options.times);
+    this.#order = new PriorityOrder(
+      options.times,
+      () => this.#hasShares,
+    );
+    this.#waits = new WaitEstimate(options, this.#servers, this.#order);
   }
 
   /** Number of queued requests. */
@@ -81,19 +84,45 @@
       this.#servers.ownerOf(request),
       request,
     );
-    if (!isUnreached && this.#trySend(request, nowMs)) return;
+    this.#order.fractions?.recordArrival(request, nowMs);
+    const isFirst = !this.#isOvertaking(request, nowMs);
+    if (!isUnreached && isFirst && this.#trySend(request, nowMs)) return;
     // Its coordinator decides whether it can be answered in time.
     if (this.#awaitsSlot(request, nowMs)) return this.#insert(request);
     const reason = this.#refusals.blockedBy(request, nowMs);
     const waitMs = this.#waits.expectedWaitMs(request, this.#waiting, nowMs);
     const isUnservable = UNSERVABLE_REASONS.has(reason);
     if (isUnservable || this.#waits.mustRefuse(request, waitMs, nowMs)) {
+      this.#recordRefusal(request, reason, nowMs);
       request.refused(this.#refusals.refusal(request, reason, waitMs, nowMs));
       return;
     }
     this.#insert(request);
   }
 
+  /** Whether it would be sent before waiting requests that go first. */
+  #isOvertaking(request: WaitingRequest, nowMs: number): boolean {
+    if (!this.#hasShares || this.isKeyed) return false;
+    const rank = this.#order.rank(request, nowMs);
+    return this.#waiting.some((other) =>
+      this.#order.rank(other, nowMs) < rank && other.tried.size === 0
+    );
+  }
+
+  get #hasShares(): boolean {
+    return this.#options.shares?.isActive ?? false;
+  }
+
+  #recordRefusal(
+    request: WaitingRequest,
+    reason: RefusalReason,
+    nowMs: number,
+  ): void {
+    if (reason === "no-room") {
+      this.#order.fractions?.recordRefusal(request, nowMs);
+    }
+  }
+
   /** Removes a request from the queue; false if it is not queued. */
   cancel(request: WaitingRequest): boolean {
     const index = this.#waiting.indexOf(request);
@@ -190,7 +219,9 @@
   /** Refuses requests that can't meet their deadline. Called at an interval. */
   refuseExpired(nowMs: number): void {
     const kept: WaitingRequest[] = [];
-    const queued = this.#waiting;
+    const queued = this.#hasShares
+      ? this.#order.sort(this.#waiting, nowMs)
+      : this.#waiting;
     this.#waiting = [];
     const isNamed = this.#servers.isNamed();
     for (const request of queued) {
@@ -201,7 +232,9 @@
       const waitMs = this.#awaitsSlot(request, nowMs)
         ? 0
         : this.#waits.expectedWaitMs(request, kept, nowMs);
-      const isLate = (isNamed || this.#waits.isOverdue(request, nowMs)) &&
+      const isFirstRefused = isNamed || request.standing === "above-share";
+      const isLate =
+        (isFirstRefused || this.#waits.isOverdue(request, nowMs)) &&
         this.#waits.mustRefuse(request, waitMs, nowMs);
       const reason = this.#refusals.blockedBy(request, nowMs);
       const isUnservable = reason === "unreached" || reason === "backing-off" ||
@@ -213,6 +246,7 @@
       }
       const refusal = this.#refusals.refusal(request, reason, waitMs, nowMs);
       this.#cancelSlots(request);
+      this.#recordRefusal(request, reason, nowMs);
       request.refused(refusal);
     }
     this.#waiting = [...kept, ...this.#waiting];
--- a/packages/decisions/src/admission/service_queue_options.ts
+++ b/packages/decisions/src/admission/service_queue_options.ts
@@ -61,6 +61,16 @@
   isAvoidedByPeers(server: contracts.ServerId): boolean;
 }
 
+/** What a queue knows of the shares of callers. */
+export interface QueueShares {
+  /** Whether shares and least fractions take effect. */
+  readonly isActive: boolean;
+  /** Fraction of the capacity left for requests above shares. */
+  leftRatio(nowMs: number): number;
+  /** Fraction of the capacity that is for requests in this queue. */
+  queueRatio(nowMs: number): number;
+}
+
 /** Options of {@link ServiceQueue}. */
 export interface ServiceQueueOptions {
   readonly zone: contracts.ZoneId;
@@ -92,6 +102,8 @@
    * else 0.
    */
   readonly stalledMs?: (nowMs: number) => number;
+  /** Absent where callers have no shares and routes no least fraction. */
+  readonly shares?: QueueShares | undefined;
   /** Called when a request is queued. */
   readonly onWait?: () => void;
 }
--- a/packages/decisions/src/admission/wait_estimate.ts
+++ b/packages/decisions/src/admission/wait_estimate.ts
@@ -1,7 +1,12 @@
 /** Expected waits of queued requests, and which of them are too long. */
+import type { PriorityOrder } from "./priority_order.ts";
 import type { QueueServers } from "./queue_servers.ts";
 import type { ServerLoad } from "./server_load.ts";
-import type { KeyOwner, ServiceQueueOptions } from "./service_queue_options.ts";
+import type {
+  KeyOwner,
+  QueueShares,
+  ServiceQueueOptions,
+} from "./service_queue_options.ts";
 import type { WaitingRequest } from "./waiting_request.ts";
 
 /**
@@ -31,11 +36,17 @@
 export class WaitEstimate {
   readonly #options: ServiceQueueOptions;
   readonly #servers: QueueServers;
+  readonly #order: PriorityOrder;
   #waitingElsewhere = 0;
 
-  constructor(options: ServiceQueueOptions, servers: QueueServers) {
+  constructor(
+    options: ServiceQueueOptions,
+    servers: QueueServers,
+    order: PriorityOrder,
+  ) {
     this.#options = options;
     this.#servers = servers;
+    this.#order = order;
   }
 
   /** Sets the number of the service's requests queued at other entry VMs. */
@@ -66,10 +77,11 @@
     if (owner !== undefined && owner.kind !== "owned") {
       return handoverWaitMs(owner);
     }
+    const rank = this.#order.rank(request, nowMs);
     const destination = this.#servers.destinationOf(request);
     const ahead =
       queued.filter((other) =>
-        other.route.priority <= request.route.priority &&
+        this.#order.rank(other, nowMs) <= rank &&
         this.#servers.destinationOf(other) === destination
       ).length;
     const queuedHere = Math.max(1, queued.length);
@@ -88,13 +100,32 @@
     const restrictedMs = this.#restrictedWaitMs(request, queued, nowMs);
     if (restrictedMs !== undefined) return Math.max(restrictedMs, stalledMs);
     const candidates = this.#servers.candidates(request, nowMs);
-    const perMs = this.#servedPerMs(candidates, meanMs, nowMs);
-    const elsewhere = this.#waitingElsewhere * (ahead + 1) / queuedHere;
+    const perMs = this.#servedPerMs(candidates, meanMs, nowMs) *
+      this.#ratioFor(request, nowMs);
+    const elsewhere = this.#shares === undefined
+      ? this.#waitingElsewhere * (ahead + 1) / queuedHere
+      : 0;
     const unused = this.#unusedRate(nowMs);
     const servedMs = Math.max(0, ahead + 1 + elsewhere - unused) / perMs;
     return Math.max(servedMs, stalledMs);
   }
 
+  /**
+   * Fraction of the capacity that a request may count on. Requests above shares
+   * get what the others leave.
+   */
+  #ratioFor({ standing }: WaitingRequest, nowMs: number): number {
+    const shares = this.#shares;
+    if (shares === undefined) return 1;
+    const leftRatio = standing === "above-share" ? shares.leftRatio(nowMs) : 1;
+    return leftRatio * shares.queueRatio(nowMs);
+  }
+
+  get #shares(): QueueShares | undefined {
+    const { shares } = this.#options;
+    return shares?.isActive ? shares : undefined;
+  }
+
   /** Part of the next request that a named limit already allows. */
   #unusedRate(nowMs: number): number {
     if (!this.#servers.isNamed()) return 0;
@@ -152,6 +183,9 @@
     if (nowMs + waitMs + serviceMs <= request.targetMs) return false;
     // The limit serves as many requests whether these are late or in time.
     if (waitMs > 0 && this.#servers.isNamed()) return true;
+    // So do shared servers: a longer queue only makes more answers late.
+    const mayBeInTime = nowMs + serviceMs <= request.targetMs;
+    if (mayBeInTime && this.#shares !== undefined) return true;
     const leftMs = request.answerByMs - nowMs;
     return waitMs > leftMs * LATE_WAIT_FRACTION || waitMs + serviceMs > leftMs;
   }
--- a/packages/decisions/src/admission/waiting_request.ts
+++ b/packages/decisions/src/admission/waiting_request.ts
@@ -63,6 +63,13 @@
   cancel(request: WaitingRequest): void;
 }
 
+/** How a request stands among others of its priority; by default between these. */
+export type RequestStanding =
+  /** Its caller returns at the time that it was told. */
+  | "returning"
+  /** It exceeds its caller's share of a service that is short of capacity. */
+  | "above-share";
+
 /** The fields of a route by which its requests are ordered and sent. */
 export type PrioritizedRoute = Pick<
   contracts.Route,
@@ -80,6 +87,8 @@
   readonly targetMs: number;
   /** Deadline: time at which the caller gets its final answer at the latest. */
   readonly answerByMs: number;
+  /** Undefined where callers have no shares, and for a usual request. */
+  readonly standing?: RequestStanding | undefined;
   /** Servers that it was already sent to. */
   readonly tried: ReadonlySet<contracts.ServerId>;
   /** Called when the request is to be sent to the chosen server. */
