feat(admission): fair shares of callers and reserved Retry-After

Takes effect where the configuration has bulk routes. Requests are judged when they arrive, heavy callers are broadcast once a second while a service is short of capacity, and slot requests carry their standing to coordinators. A refused caller gets a time that this VM promises once, or one after its deadline. The request log names the queue and the caller's share of a refused request.

--- a/packages/decisions/src/admission/caller_shares.ts
+++ b/packages/decisions/src/admission/caller_shares.ts
@@ -121,12 +121,15 @@
     }
   }
 
-  /** Takes the counts to send; undefined while there is no shortage. */
-  takeCounts(nowMs: number): CallerCounts | undefined {
+  /**
+   * Takes the counts to send; undefined while there is no shortage. The callers
+   * of `services` services share a message.
+   */
+  takeCounts(nowMs: number, services = 1): CallerCounts | undefined {
     if (!this.isShort(nowMs) || this.#unsentArrivals === 0) return undefined;
     const heaviest = [...this.#unsent]
       .sort(([, a], [, b]) => b - a)
-      .slice(0, MAX_CALLERS_SENT);
+      .slice(0, MAX_CALLERS_SENT / services);
     const counts = {
       arrivals: this.#unsentArrivals,
       refused: this.#unsentRefused,
--- a/packages/decisions/src/admission/overload_load_test.ts
+++ b/packages/decisions/src/admission/overload_load_test.ts
@@ -131,6 +131,7 @@
       random,
       shares: {
         isActive: !isBaseline,
+        refusesLate: true,
         queueRatio: () => 1 / VMS,
         leftRatio: (nowMs) => service.leftRatio(nowMs),
       },
@@ -201,7 +202,7 @@
           answerByMs,
           serviceMs: SERVICE_MS,
           minWaitMs: 0,
-        }, moment());
+        }, moment()).retryAfterMs;
         this.#retry(ask, told);
       },
     }, this.#nowMs);
--- a/packages/decisions/src/admission/service_admission.ts
+++ b/packages/decisions/src/admission/service_admission.ts
@@ -89,8 +89,14 @@
     return { ...standing, standing: isAboveShare ? "above-share" : undefined };
   }
 
-  /** Records a refusal and returns when the caller is asked to return. */
-  refuse(request: RefusedRequest, { nowMs, unixMs }: Moment): number {
+  /**
+   * Records a refusal and tells when its caller is asked to return: at a time
+   * that is promised, or else when its time has passed.
+   */
+  refuse(
+    request: RefusedRequest,
+    { nowMs, unixMs }: Moment,
+  ): { readonly retryAfterMs: number; readonly isPromised: boolean } {
     this.shares.recordRefusal(nowMs);
     const leftMs = Math.max(MIN_RETURN_MS, request.answerByMs - nowMs);
     const promisedMs = !isWithin(request.judged, MAX_PROMISED_SHARES)
@@ -104,7 +110,10 @@
         ),
         ratePerSecond: this.#returnsPerSecond(nowMs),
       });
-    return promisedMs ?? leftMs;
+    return {
+      retryAfterMs: promisedMs ?? leftMs,
+      isPromised: promisedMs !== undefined,
+    };
   }
 
   /** Fraction of the capacity left beside requests within their shares. */
--- a/packages/decisions/src/admission/service_queue_options.ts
+++ b/packages/decisions/src/admission/service_queue_options.ts
@@ -65,6 +65,11 @@
 export interface QueueShares {
   /** Whether shares and least fractions take effect. */
   readonly isActive: boolean;
+  /**
+   * Whether a request that would miss its target latency is refused rather
+   * than queued: a longer queue only makes more answers late.
+   */
+  readonly refusesLate: boolean;
   /** Fraction of the capacity left for requests above shares. */
   leftRatio(nowMs: number): number;
   /** Fraction of the capacity that is for requests in this queue. */
--- a/packages/decisions/src/admission/slot_client.ts
+++ b/packages/decisions/src/admission/slot_client.ts
@@ -177,7 +177,7 @@
     nowMs: number,
   ): OpenRequest {
     const { vm, coordinatorOf } = this.#options;
-    const { route, key, targetMs, answerByMs } = request;
+    const { route, key, targetMs, answerByMs, standing } = request;
     const { service, server: name, bornMs, slots } = server;
     const slotRequest: SlotRequest = {
       service,
@@ -190,6 +190,7 @@
       key,
       targetMs,
       answerByMs,
+      standing,
     };
     const target = coordinatorOf(
       server,
--- a/packages/decisions/src/admission/slot_coordinator.ts
+++ b/packages/decisions/src/admission/slot_coordinator.ts
@@ -15,6 +15,7 @@
 import type {
   PrioritizedRoute,
   Refusal,
+  RequestStanding,
   WaitingRequest,
 } from "./waiting_request.ts";
 
@@ -40,10 +41,15 @@
   readonly targetMs: number;
   /** See {@link WaitingRequest}. */
   readonly answerByMs: number;
+  /** See {@link WaitingRequest}. */
+  readonly standing?: RequestStanding | undefined;
 }
 
 /** A slot that an entry VM reports as held. */
-export type HeldSlot = Omit<SlotRequest, "vm" | "targetMs" | "answerByMs">;
+export type HeldSlot = Omit<
+  SlotRequest,
+  "vm" | "targetMs" | "answerByMs" | "standing"
+>;
 
 /** A coordinator's decision on a slot request. */
 export type SlotDecision = Pick<SlotRequest, "vm" | "id"> & {
@@ -66,6 +72,8 @@
   ) => ServerRateLimit | undefined;
   /** Whether another server can take over what this one owns; no if absent. */
   readonly isReplaceable?: (server: SlotServer) => boolean;
+  /** Whether callers have shares; no if absent. */
+  readonly hasShares?: () => boolean;
   /** Called when a key asks for more than its server has left for it. */
   readonly onKeyLimited?: (server: SlotServer, key: number) => void;
 }
@@ -227,9 +235,10 @@
   constructor(
     server: SlotServer,
     times: ServiceTimes,
-    { zone, random, onDecision, rateLimitsOf, isReplaceable, onKeyLimited }:
-      SlotCoordinatorOptions,
+    options: SlotCoordinatorOptions,
   ) {
+    const { zone, random, onDecision, rateLimitsOf, hasShares } = options;
+    const { isReplaceable, onKeyLimited } = options;
     this.server = server;
     this.#onKeyLimited = (key) => onKeyLimited?.(server, key);
     this.#limitedKeys = new LimitedKeys({ ...server, times, random });
@@ -247,6 +256,15 @@
       rateLimits,
       reserve,
       stalledMs: (nowMs) => this.#stalledMs(nowMs),
+      shares: hasShares && {
+        get isActive() {
+          return hasShares();
+        },
+        refusesLate: false,
+        // How much callers at all VMs demand of one server is not known.
+        leftRatio: () => 1,
+        queueRatio: () => 1,
+      },
     });
     this.#queue.setServers([serverEntryOf(server, zone)]);
   }
@@ -439,6 +457,7 @@
   readonly bodyBytes = 0;
   readonly targetMs: number;
   readonly answerByMs: number;
+  readonly standing: RequestStanding | undefined;
   readonly tried = new Set<contracts.ServerId>();
   readonly #callbacks: SlotRequestCallbacks;
 
@@ -446,6 +465,7 @@
     this.vm = request.vm;
     this.route = request.route;
     this.key = request.key;
+    this.standing = request.standing;
     this.targetMs = request.targetMs;
     this.answerByMs = request.answerByMs;
     this.#callbacks = callbacks;
--- a/packages/decisions/src/admission/slot_coordinator_test.ts
+++ b/packages/decisions/src/admission/slot_coordinator_test.ts
@@ -275,3 +275,35 @@
     expect(later.refusal === undefined).toEqual(isReplaceable);
   }
 });
+
+/** Guards against callers that take an owner's slots by asking more often. */
+test("should grant slots to callers within their share first", () => {
+  const granted: number[] = [];
+  const coordinator = new admission.SlotCoordinator({
+    zone: "z1" as contracts.ZoneId,
+    random: { next: () => 0.5 },
+    onDecision: ({ kind, id }) => {
+      if (kind === "given") granted.push(id);
+    },
+    hasShares: () => true,
+  });
+  const vm = "vm1" as contracts.VmId;
+  const standings = [
+    undefined,
+    undefined,
+    undefined,
+    "above-share",
+    undefined,
+    "returning",
+  ] as const;
+  for (const [id, standing] of standings.entries()) {
+    const { route } = new Request(1_000);
+    const times = { targetMs: 1_300, answerByMs: 2_000 };
+    const request = { ...SERVER, ...times, id, vm, route, standing };
+    coordinator.request(request, 1_000);
+  }
+  // Two slots and one request beyond them.
+  expect(granted).toEqual([0, 1, 2]);
+  for (const id of [0, 1, 2]) coordinator.release(vm, id, { nowMs: 1_050 });
+  expect(granted.slice(3)).toEqual([5, 4, 3]);
+});
--- a/packages/decisions/src/admission/wait_estimate.ts
+++ b/packages/decisions/src/admission/wait_estimate.ts
@@ -183,9 +183,8 @@
     if (nowMs + waitMs + serviceMs <= request.targetMs) return false;
     // The limit serves as many requests whether these are late or in time.
     if (waitMs > 0 && this.#servers.isNamed()) return true;
-    // So do shared servers: a longer queue only makes more answers late.
     const mayBeInTime = nowMs + serviceMs <= request.targetMs;
-    if (mayBeInTime && this.#shares !== undefined) return true;
+    if (mayBeInTime && this.#shares?.refusesLate) return true;
     const leftMs = request.answerByMs - nowMs;
     return waitMs > leftMs * LATE_WAIT_FRACTION || waitMs + serviceMs > leftMs;
   }
--- a/packages/entry/src/gateway/forwarding/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarding/forwarded_request.ts
@@ -24,6 +24,10 @@
   readonly clock: contracts.Clock;
   readonly random: contracts.RandomSource;
   readonly configVersion: number;
+  /** Undefined where callers have no shares. */
+  readonly judged: admission.JudgedRequest | undefined;
+  /** Retry-After of a request that is refused for lack of capacity. */
+  returnAfterMs(request: admission.RefusedRequest): number;
   /** Takes one retry from the shared budget; false when none is left. */
   tryRetry(): boolean;
   send(
@@ -89,6 +93,7 @@
   readonly bodyBytes: number;
   readonly targetMs: number;
   readonly answerByMs: number;
+  readonly standing: admission.RequestStanding | undefined;
   readonly tried = new Set<contracts.ServerId>();
   readonly #request: FrontRequest;
   readonly #context: ForwardingContext;
@@ -107,6 +112,7 @@
   #isSuspected = false;
   /** The server whose limit refused the request. */
   #limitedBy: contracts.ServerId | undefined;
+  #refusal: admission.Refusal | undefined;
   #waitingSinceMs: number;
   #queuedMs = 0;
   readonly #pending = new Set<PendingAttempt>();
@@ -125,6 +131,7 @@
     this.#context = context;
     this.#resolve = resolve;
     this.key = request.key;
+    this.standing = context.judged?.standing;
     this.bodyBytes = request.body?.length ?? 0;
     this.targetMs = request.arrivedMs + route.targetLatencyMs;
     const { deadlineMs } = request;
@@ -166,7 +173,30 @@
     const { reason, retryAfterMs, expectedWaitMs } = refusal;
     const outcome = `${reason}, expected wait ${Math.round(expectedWaitMs)} ms`;
     this.#limitedBy = refusal.limitedBy;
-    this.#giveUp(outcome, retryAfterMs);
+    this.#refusal = refusal;
+    const isFull = reason === "no-room";
+    this.#giveUp(
+      outcome,
+      isFull ? this.#returnAfterMs(refusal) : retryAfterMs,
+    );
+  }
+
+  /** Retry-After of a refusal for lack of capacity. */
+  #returnAfterMs(
+    { retryAfterMs, expectedWaitMs }: Omit<admission.Refusal, "reason">,
+  ): number {
+    const { judged, times, returnAfterMs } = this.#context;
+    if (judged === undefined) return retryAfterMs;
+    return returnAfterMs({
+      caller: this.#request.caller,
+      route: this.route.name,
+      judged,
+      answerByMs: this.answerByMs,
+      serviceMs: times.estimateMs(this.route),
+      // Callers that return go before others, but not at the owner of a key
+      // that is busy for that long.
+      minWaitMs: this.#isKeyedService() ? expectedWaitMs : 0,
+    });
   }
 
   async #send(
@@ -332,7 +362,13 @@
       }, OWNER_REFUSAL_BACKOFF_MS);
       return;
     }
-    this.#giveUp(`server refused: ${refusal}`, HANDOVER_RETRY_AFTER_MS);
+    const retryAfterMs = HANDOVER_RETRY_AFTER_MS;
+    this.#giveUp(
+      `server refused: ${refusal}`,
+      isKeyed
+        ? retryAfterMs
+        : this.#returnAfterMs({ retryAfterMs, expectedWaitMs: 0 }),
+    );
   }
 
   /** Whether another attempt is to be made beside one whose path is lost. */
@@ -547,6 +583,11 @@
       tookMs: nowMs - this.#request.arrivedMs,
       queuedMs: this.#queuedMs,
       attempts: this.#attempts,
+      queue: this.#refusal && {
+        waiting: this.#context.queue.waiting,
+        expectedWaitMs: this.#refusal.expectedWaitMs,
+        judged: this.#context.judged,
+      },
       limit: this.#limitedBy && this.#context.limitRecordOf(this.#limitedBy),
       fingerprint: this.#isSuspected
         ? this.#context.poison.identify(this.#request).fingerprint
--- a/packages/entry/src/gateway/forwarding/forwarder.ts
+++ b/packages/entry/src/gateway/forwarding/forwarder.ts
@@ -6,6 +6,7 @@
 import type { LifeCycle, PeriodicTask } from "../../utils/life_cycle.ts";
 import type { Logger } from "../../utils/log.ts";
 import type { ServerRateLimits } from "../limits/server_rate_limits.ts";
+import type { AdmissionTask } from "../admission/admission_task.ts";
 import type { ConfigHolder } from "../store/config_holder.ts";
 import {
   ForwardedRequest,
@@ -40,6 +41,7 @@
   readonly grants: GrantTask;
   readonly gossip: PeerGossip;
   readonly slots: SlotTask;
+  readonly admissions: AdmissionTask;
   readonly connections: ConnectionPools;
   readonly paths: ServerPaths;
   readonly poison: PoisonGuard;
@@ -162,10 +164,15 @@
     if (state.isKeyed && request.key !== undefined) {
       this.#options.grants.noteRequest(service, request.key);
     }
+    const judged = this.#options.admissions.judge(service, {
+      caller: request.caller,
+      route: route.name,
+    });
     const context = this.#forwardingContext(
       service,
       state,
       active.config.version,
+      judged,
     );
     this.#inFlight++;
     return new Promise((resolve) => {
@@ -224,9 +231,11 @@
     service: contracts.ServiceId,
     state: ServiceState,
     configVersion: number,
+    judged: admission.JudgedRequest | undefined,
   ): ForwardingContext {
     const { clock, random, gossip, onFinished, poison, requestLimits } =
       this.#options;
+    const { admissions } = this.#options;
     return {
       service,
       queue: state.queue,
@@ -234,6 +243,8 @@
       clock,
       random,
       configVersion,
+      judged,
+      returnAfterMs: (request) => admissions.refuse(service, request),
       tryRetry: () => state.budget.tryTake(clock.nowMs(), gossip.vmCount),
       send: (entry, request, options) =>
         this.#options.paths.send(entry, request, options),
@@ -308,7 +319,7 @@
     const found = this.#services.get(service);
     if (found !== undefined && found.isKeyed === isKeyed) return found;
     const { zone, zones, random, grants, budget, slots, clock } = this.#options;
-    const { rateLimits, requestLimits } = this.#options;
+    const { rateLimits, requestLimits, admissions } = this.#options;
     const times = new admission.ServiceTimes();
     const source = slots.source({
       grant: (request) => queue.placeGranted(request, clock.nowMs()),
@@ -321,7 +332,12 @@
       random,
       regionOf: (zone) => zones[zone],
       reachOf: (server) => this.#options.paths.reachOf(server),
-      onWait: () => this.#reviewTask?.setIntervalMs(QUEUE_REVIEW_INTERVAL_MS),
+      onWait: () => {
+        this.#reviewTask?.setIntervalMs(QUEUE_REVIEW_INTERVAL_MS);
+        // Requests with keys always wait for a slot's coordinator.
+        if (!isKeyed) admissions.recordWait(service);
+      },
+      shares: isKeyed ? undefined : admissions.sharesOf(service),
       keyed: isKeyed
         ? { ownerOf: (key) => grants.ownerOf(service, key), slots: source }
         : undefined,
--- a/packages/entry/src/gateway/forwarding/request_log.ts
+++ b/packages/entry/src/gateway/forwarding/request_log.ts
@@ -1,5 +1,6 @@
 /** The request log, and the record of a request that it and the metrics use. */
 import type * as contracts from "@guavatide/contracts";
+import type * as admission from "@guavatide/decisions/admission/mod";
 import type { LogFields, Logger } from "../../utils/log.ts";
 import type { FrontAnswer } from "./front_request.ts";
 
@@ -31,6 +32,14 @@
   readonly attempts: readonly AttemptRecord[];
   /** Set when a server has broken off a connection under the request. */
   readonly fingerprint: contracts.RequestFingerprint | undefined;
+  /** What a refused request met; undefined for any other outcome. */
+  readonly queue?: {
+    /** Requests of the service that wait at this VM. */
+    readonly waiting: number;
+    readonly expectedWaitMs: number;
+    /** Undefined where callers have no shares. */
+    readonly judged: admission.JudgedRequest | undefined;
+  } | undefined;
   /**
    * The limit that refused the request, with the age of the answer that named
    * it; undefined for any other outcome.
@@ -115,6 +124,7 @@
     tookMs: Math.round(record.tookMs),
     queuedMs: Math.round(record.queuedMs),
     fingerprint: record.fingerprint,
+    ...queueFieldsOf(record.queue),
     limitedBy: record.limit?.server,
     limitPerSecond: record.limit?.requestsPerSecond,
     limitAgeMs: record.limit && Math.round(record.limit.ageMs),
@@ -122,6 +132,23 @@
   };
 }
 
+function queueFieldsOf(queue: RequestRecord["queue"]): LogFields {
+  const judged = queue?.judged;
+  if (queue === undefined || judged === undefined) return {};
+  return {
+    waiting: queue.waiting,
+    expectedWaitMs: Math.round(queue.expectedWaitMs),
+    standing: judged.standing,
+    callerPerSecond: roundRate(judged.ratePerSecond),
+    sharePerSecond: roundRate(judged.sharePerSecond),
+  };
+}
+
+/** Undefined for the unlimited share of a caller without shortage. */
+function roundRate(rate: number): number | undefined {
+  return Number.isFinite(rate) ? Math.round(rate * 100) / 100 : undefined;
+}
+
 function formatAttempt(
   { server, outstanding, fence, tookMs, via, report, end }: AttemptRecord,
 ): string {
--- a/packages/entry/src/gateway/gateway_metrics.ts
+++ b/packages/entry/src/gateway/gateway_metrics.ts
@@ -31,6 +31,8 @@
   readonly hotKeys = new LabelledCounts();
   /** Requests sent over peers or for them, by role and outcome. */
   readonly relayedRequests = new LabelledCounts();
+  /** Decisions on requests to services short of capacity. */
+  readonly admissionDecisions = new LabelledCounts();
   /** Datagrams to peers. */
   readonly peerDatagrams = new LabelledCounts();
   /** Bytes in datagrams to peers. */
@@ -107,6 +109,7 @@
       [this.limitedServerCalls, metrics.limitedServerCalls],
       [this.backoffCalls, metrics.backoffCalls],
       [this.hotKeys, metrics.hotKeys],
+      [this.admissionDecisions, metrics.admissionDecisions],
       [this.relayedRequests, metrics.relayedRequests],
       [this.peerDatagrams, metrics.peerDatagrams],
       [this.peerBytes, metrics.peerBytes],
--- a/packages/entry/src/gateway/peers/peer_messages.ts
+++ b/packages/entry/src/gateway/peers/peer_messages.ts
@@ -28,6 +28,9 @@
 /** Method of an answer report. */
 export const ANSWER_METHOD = "crashAnswer";
 
+/** Method of {@link CallerCountsNews}. */
+export const CALLER_COUNTS_METHOD = "callers";
+
 /** Method of {@link RequestLimitNews}. */
 export const REQUEST_LIMITS_METHOD = "requestLimits";
 
@@ -301,6 +304,8 @@
     slot: SlotTuple,
     targetLeftMs: number,
     answerLeftMs: number,
+    /** Absent for a usual request. */
+    standing?: admission.RequestStanding,
   ])[];
   /**
    * Requests and slots that have ended, with the time taken by an answered
@@ -340,6 +345,35 @@
 /** Limits that a VM's answers have named, confirmed or lifted. */
 export type RequestLimitNews = z.infer<typeof requestLimitNewsSchema>;
 
+/** Requests at one VM by caller, for services that are short of capacity. */
+export interface CallerCountsNews {
+  readonly vm: contracts.VmId;
+  readonly services: readonly (readonly [
+    service: contracts.ServiceId,
+    counts: admission.CallerCounts,
+  ])[];
+}
+
+/** Type guard of {@link CallerCountsNews}. */
+export function isCallerCountsNews(
+  params: unknown,
+): params is CallerCountsNews {
+  if (!isRecord(params)) return false;
+  const { vm, services } = params;
+  return typeof vm === "string" && Array.isArray(services) &&
+    services.every((entry) =>
+      Array.isArray(entry) && typeof entry[0] === "string" &&
+      isCallerCounts(entry[1])
+    );
+}
+
+function isCallerCounts(value: unknown): value is admission.CallerCounts {
+  if (!isRecord(value)) return false;
+  const { arrivals, refused, callers } = value;
+  return areIntegers([arrivals, refused]) && Array.isArray(callers) &&
+    callers.every((caller) => areIntegers(caller) && caller.length === 2);
+}
+
 /** Schema of {@link BackoffNews}. */
 export const backoffNewsSchema = z.object({
   vm: contracts.vmIdSchema,
@@ -388,12 +422,20 @@
     Array.isArray(limits) && limits.every(isRequestLimitTuple) &&
     wishes.every((request) =>
       Array.isArray(request) && isSlotTuple(request[0]) &&
-      Number.isFinite(request[1]) && Number.isFinite(request[2])
+      Number.isFinite(request[1]) && Number.isFinite(request[2]) &&
+      isStanding(request[3])
     ) &&
     ended.every((end) => Array.isArray(end) && Number.isInteger(end[0])) &&
     (held ?? []).every(isSlotTuple);
 }
 
+function isStanding(
+  value: unknown,
+): value is admission.RequestStanding | undefined {
+  return value === undefined || value === "returning" ||
+    value === "above-share";
+}
+
 function isRequestLimitTuple(value: unknown): value is RequestLimitTuple {
   if (!Array.isArray(value)) return false;
   const [server, requestsPerSecond, ageMs] = value;
--- a/packages/entry/src/gateway/peers/peer_messages_test.ts
+++ b/packages/entry/src/gateway/peers/peer_messages_test.ts
@@ -72,3 +72,17 @@
     expect(messages.isSlotRequests(requestsOf(wrong))).toEqual(false);
   }
 });
+
+/** Guards against slot requests with a standing that no version sends. */
+test("should accept slot requests with and without a standing", () => {
+  const slot = [1, "keyed", "s1", 1, 2, "lookup", 0, 300];
+  const requestsOf = (...standing: unknown[]) => ({
+    vm: "vm1",
+    wishes: [[slot, 100, 1_000, ...standing]],
+    ended: [],
+    held: null,
+  });
+  expect(messages.isSlotRequests(requestsOf())).toEqual(true);
+  expect(messages.isSlotRequests(requestsOf("above-share"))).toEqual(true);
+  expect(messages.isSlotRequests(requestsOf("first"))).toEqual(false);
+});
--- a/packages/entry/src/gateway/slots/slot_task.ts
+++ b/packages/entry/src/gateway/slots/slot_task.ts
@@ -35,6 +35,8 @@
     RequestLimitTask,
     "newsOf" | "applyNews" | "hasAny"
   >;
+  /** Whether callers have shares, by the configuration in force. */
+  readonly hasShares: () => boolean;
   /** Decisions on hot keys, by service and decision. */
   readonly hotKeyCounts: LabelledCounts;
 }
@@ -97,6 +99,7 @@
       onDecision: (decision) => this.#queueReply(decision),
       rateLimitsOf: (service) => options.rateLimits.forCoordinator(service),
       isReplaceable: options.isReplaceable,
+      hasShares: options.hasShares,
       onKeyLimited: ({ service, server }, key) => {
         options.hotKeyCounts.add(1, { service, decision: "limited" });
         const fields = { service, server, key };
@@ -218,11 +221,7 @@
     const nowMs = clock.nowMs();
     return {
       vm,
-      wishes: requests.map((request) => [
-        encodeSlot(request),
-        Math.round(request.targetMs - nowMs),
-        Math.round(request.answerByMs - nowMs),
-      ]),
+      wishes: requests.map((request) => encodeRequest(request, nowMs)),
       ended: ended.map(({ id, tookMs }) => [id, tookMs ?? null]),
       held: held?.map(encodeSlot) ?? null,
       limits: this.#limitsOf(requests),
@@ -247,12 +246,13 @@
     for (const [id, tookMs] of ended) {
       this.#coordinator.release(vm, id, { tookMs: tookMs ?? undefined, nowMs });
     }
-    for (const [slot, targetLeftMs, answerLeftMs] of requests) {
+    for (const [slot, targetLeftMs, answerLeftMs, standing] of requests) {
       this.#coordinator.request({
         ...decodeSlot(slot),
         vm,
         targetMs: nowMs + targetLeftMs,
         answerByMs: nowMs + answerLeftMs,
+        standing,
       }, nowMs);
     }
     if (held === null) return;
@@ -280,6 +280,19 @@
   }
 }
 
+function encodeRequest(
+  request: admission.SlotRequest,
+  nowMs: number,
+): messages.SlotRequests["wishes"][number] {
+  const { targetMs, answerByMs, standing } = request;
+  const usual = [
+    encodeSlot(request),
+    Math.round(targetMs - nowMs),
+    Math.round(answerByMs - nowMs),
+  ] as const;
+  return standing === undefined ? usual : [...usual, standing];
+}
+
 function encodeSlot(
   { id, service, server, bornMs, slots, route, key }: admission.HeldSlot,
 ): messages.SlotTuple {
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -31,6 +31,7 @@
 import { PoisonGuard } from "./poison/poison_guard.ts";
 import { RangeMapStore } from "./grants/range_map_store.ts";
 import { ReadinessServer } from "./readiness_server.ts";
+import { AdmissionTask } from "./admission/admission_task.ts";
 import { BackoffGrantControl } from "./grants/backoff_grant_control.ts";
 import { LeavingServers } from "./backoffs/leaving_servers.ts";
 import { LimitedGrantControl } from "./grants/limited_grant_control.ts";
@@ -286,6 +287,19 @@
     latencyFactorsOf: (service) => slots.latencyFactors(service),
     isLeaving: () => lifeCycle.isStopping,
   });
+  const admissions: AdmissionTask = new AdmissionTask({
+    vm: settings.vm,
+    isActive: () => config.active?.config.hasBulkRoutes ?? false,
+    capacityOf: (entry) => forwarder.capacity(entry),
+    registry,
+    gossip,
+    hash: (text) => hasher.hash(text),
+    clock,
+    unixMs: () => Date.now(),
+    random,
+    log: log.part("route"),
+    counts: metrics.admissionDecisions,
+  });
   const slots = new SlotTask({
     vm: settings.vm,
     zone: settings.zone,
@@ -300,6 +314,7 @@
     isReplaceable: (server) => grantTask.isReplaceable(server),
     requestLimits,
     hotKeyCounts: metrics.hotKeys,
+    hasShares: () => admissions.isActive,
   });
   const poison = new PoisonGuard({
     store,
@@ -327,6 +342,7 @@
     grants: grantTask,
     gossip,
     slots,
+    admissions,
     connections,
     paths,
     poison,
@@ -439,6 +455,7 @@
     gossip,
     grantTask,
     slots,
+    admissions,
     poison,
     requestLimits,
     backoffs,
@@ -517,6 +534,7 @@
   parts.backoffs.start(lifeCycle);
   parts.leaving.start(lifeCycle);
   parts.slots.start(lifeCycle);
+  parts.admissions.start(lifeCycle);
   parts.forwarder.start(lifeCycle);
   await parts.listener.listen();
   log.part("main").info("Entry process started.", {
--- a/packages/entry/src/metrics/metrics.ts
+++ b/packages/entry/src/metrics/metrics.ts
@@ -41,6 +41,8 @@
    * owner, a key `moved` to another one.
    */
   readonly hotKeys: api.Counter;
+  /** Decisions on requests to services short of capacity. */
+  readonly admissionDecisions: api.Counter;
   /**
    * Requests that a VM sent for another that didn't reach the server, by role
    * (`asked`, `sent`) and outcome.
@@ -70,6 +72,9 @@
     );
     this.backoffCalls = this.#meter.createCounter("guavatide_backoff_calls");
     this.hotKeys = this.#meter.createCounter("guavatide_hot_keys");
+    this.admissionDecisions = this.#meter.createCounter(
+      "guavatide_admission_decisions",
+    );
     this.relayedRequests = this.#meter.createCounter(
       "guavatide_relayed_requests",
     );
