--- a/packages/entry/src/gateway/slots/slot_task.ts
+++ b/packages/entry/src/gateway/slots/slot_task.ts
@@ -39,6 +39,8 @@
   readonly hasShares: () => boolean;
   /** Decisions on hot keys, by service and decision. */
   readonly hotKeyCounts: LabelledCounts;
+  /** Counts requests refused at stalled servers, and slots freed, by kind. */
+  readonly counts: LabelledCounts;
 }
 
 /** A queue whose requests need slots. */
@@ -68,9 +70,22 @@
   #tickTask: PeriodicTask | undefined;
   /** Changes in one event loop iteration are sent together. */
   readonly #flushing = new CoalescedCallback(() => this.#flush());
+  readonly #stallLog: ThrottledWarning;
+  readonly #lostSlotLog: ThrottledWarning;
+  readonly #overdueLog: ThrottledWarning;
 
   constructor(options: SlotTaskOptions) {
     this.#options = options;
+    const { log } = options;
+    this.#stallLog = new ThrottledWarning(log, "Refuses at a stalled server.");
+    this.#lostSlotLog = new ThrottledWarning(
+      log,
+      "Freed a slot that its VM no longer lists.",
+    );
+    this.#overdueLog = new ThrottledWarning(
+      log,
+      "Released a slot that was in use after its deadline.",
+    );
     const { gossip, zone, random, hasher, vm } = options;
     this.#ranking = new grants.VmRanking(hasher);
     this.#limitedKeyLog = new ThrottledWarning(
@@ -92,6 +107,7 @@
         options.log.warn("Skips an unresponsive slot coordinator.", {
           peer: coordinator,
         }),
+      onOverdue: ({ id, server }) => this.#noteOverdue(id, server),
     });
     this.#coordinator = new admission.SlotCoordinator({
       zone,
@@ -105,6 +121,8 @@
         const fields = { service, server, key };
         this.#limitedKeyLog.warn(options.clock.nowMs(), fields);
       },
+      onStallRefusal: (report) => this.#noteStallRefusal(report),
+      onSlotLost: (server, slot) => this.#noteSlotLost(server, slot),
     });
     options.registry.onChange(() =>
       this.#ranking.keepOnly(options.registry.ids())
@@ -272,6 +290,35 @@
     this.#requester.handleReplies(vm, replies, this.#options.clock.nowMs());
   }
 
+  #noteStallRefusal(
+    { server, unansweredMs, held }: admission.StallReport,
+  ): void {
+    this.#options.counts.add(1, { kind: "stall-refusal" });
+    this.#stallLog.warn(this.#options.clock.nowMs(), {
+      server: server.server,
+      bornMs: server.bornMs,
+      unansweredMs: Math.round(unansweredMs),
+      slots: server.slots,
+      held: held.map(describeSlot).join("; "),
+    });
+  }
+
+  #noteSlotLost(
+    { server }: admission.SlotServer,
+    slot: admission.HeldSlotReport,
+  ): void {
+    this.#options.counts.add(1, { kind: "lost-slot" });
+    this.#lostSlotLog.warn(this.#options.clock.nowMs(), {
+      server,
+      slot: describeSlot(slot),
+    });
+  }
+
+  #noteOverdue(id: number, server: contracts.ServerId): void {
+    this.#options.counts.add(1, { kind: "overdue-slot" });
+    this.#overdueLog.warn(this.#options.clock.nowMs(), { id, server });
+  }
+
   #queueReply({ vm, ...reply }: admission.SlotDecision): void {
     const replies = this.#replies.get(vm);
     if (replies === undefined) this.#replies.set(vm, [reply]);
@@ -293,6 +340,13 @@
   return standing === undefined ? usual : [...usual, standing];
 }
 
+function describeSlot(
+  { vm, id, ageMs, unlistedMs }: admission.HeldSlotReport,
+): string {
+  return `${vm}/${id} for ${Math.round(ageMs)} ms, listed ` +
+    `${Math.round(unlistedMs)} ms ago`;
+}
+
 function encodeSlot(
   { id, service, server, bornMs, slots, route, key }: admission.HeldSlot,
 ): messages.SlotTuple {
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -315,6 +315,7 @@
     requestLimits,
     hotKeyCounts: metrics.hotKeys,
     hasShares: () => admissions.isActive,
+    counts: metrics.slotEvents,
   });
   const poison = new PoisonGuard({
     store,
--- a/packages/entry/src/metrics/metrics.ts
+++ b/packages/entry/src/metrics/metrics.ts
@@ -43,6 +43,11 @@
   readonly hotKeys: api.Counter;
   /** Decisions on requests to services short of capacity. */
   readonly admissionDecisions: api.Counter;
+  /**
+   * Requests refused at stalled servers and slots that were not released, by
+   * kind: `stall-refusal`, `lost-slot`, `overdue-slot`.
+   */
+  readonly slotEvents: api.Counter;
   /**
    * Requests that a VM sent for another that didn't reach the server, by role
    * (`asked`, `sent`) and outcome.
@@ -75,6 +80,7 @@
     this.admissionDecisions = this.#meter.createCounter(
       "guavatide_admission_decisions",
     );
+    this.slotEvents = this.#meter.createCounter("guavatide_slot_events");
     this.relayedRequests = this.#meter.createCounter(
       "guavatide_relayed_requests",
     );
