--- a/packages/entry/src/gateway/gateway_metrics.ts
+++ b/packages/entry/src/gateway/gateway_metrics.ts
@@ -33,6 +33,8 @@
   readonly slotEvents = new LabelledCounts();
   /** Requests sent over peers or for them, by role and outcome. */
   readonly relayedRequests = new LabelledCounts();
+  /** Decisions on requests to services short of capacity. */
+  readonly admissionDecisions = new LabelledCounts();
   /** Datagrams to peers. */
   readonly peerDatagrams = new LabelledCounts();
   /** Bytes in datagrams to peers. */
@@ -111,6 +113,7 @@
       [this.limitedServerCalls, metrics.limitedServerCalls],
       [this.backoffCalls, metrics.backoffCalls],
       [this.hotKeys, metrics.hotKeys],
+      [this.admissionDecisions, metrics.admissionDecisions],
       [this.slotEvents, metrics.slotEvents],
       [this.relayedRequests, metrics.relayedRequests],
       [this.peerDatagrams, metrics.peerDatagrams],
--- a/packages/entry/src/metrics/metrics.ts
+++ b/packages/entry/src/metrics/metrics.ts
@@ -41,6 +41,8 @@
    * owner, a key `moved` to another one.
    */
   readonly hotKeys: api.Counter;
+  /** Decisions on requests to services short of capacity. */
+  readonly admissionDecisions: api.Counter;
   /**
    * Requests refused at stalled servers and slots that were not released, by
    * kind: `stall-refusal`, `lost-slot`, `overdue-slot`.
@@ -77,6 +79,9 @@
     );
     this.backoffCalls = this.#meter.createCounter("guavatide_backoff_calls");
     this.hotKeys = this.#meter.createCounter("guavatide_hot_keys");
+    this.admissionDecisions = this.#meter.createCounter(
+      "guavatide_admission_decisions",
+    );
     this.slotEvents = this.#meter.createCounter("guavatide_slot_events");
     this.relayedRequests = this.#meter.createCounter(
       "guavatide_relayed_requests",
