feat(forwarding): limit on the bytes that a VM holds

With limits.memoryMb, request bodies from their admission to their answer, and answers until they are written, are bounded by half of what a process at rest leaves of the memory. Near the bound bodies wait unread and stalled clients are given up after 3 s; beyond it requests with a body get 503 with Retry-After before the body is read, also where the client expects 100-continue. A connection with 512 KiB of unread answers gets no further request begun. Without the setting there is no bound.

limits.linkMbps is read for Retry-After.

--- a/packages/decisions/src/admission/mod.ts
+++ b/packages/decisions/src/admission/mod.ts
@@ -2,6 +2,7 @@
  * Admission control: which request is sent to which backend server, and when.
  */
 export * from "./capped_servers.ts";
+export * from "./held_bytes.ts";
 export * from "./lag_shedding.ts";
 export * from "./limit_share.ts";
 export * from "./request_limits.ts";
--- a/packages/entry/src/gateway/forwarding/front_connection.ts
+++ b/packages/entry/src/gateway/forwarding/front_connection.ts
@@ -13,16 +13,32 @@
   readonly readMs: number;
   /** Aborted when the caller disconnects. */
   readonly abort: AbortController;
-  /** Aborted when the rest of the body can't be read. */
+  /**
+   * Aborted when the rest of the body can't be read, with {@link STALLED} as
+   * the reason when the client has stopped sending.
+   */
   readonly bodyAbort: AbortController;
+  /** Notes that bytes of the body or of the answer have moved. */
+  readonly noteProgress: () => void;
 }
 
+/** Reason why a body is given up: its client has stopped sending. */
+export const STALLED = "stalled";
+
 /** Decisions of a connection that are counted. */
 export type ConnectionEvent =
   /** A request behind an answer that closes was not forwarded. */
   | "request-not-read"
   /** An answer without a length was replaced, as others followed it. */
-  | "unlengthed-answer";
+  | "unlengthed-answer"
+  /** A body waited for room before it was read. */
+  | "body-waited"
+  /** A request was refused before its body was read, for lack of room. */
+  | "body-refused"
+  /** A connection was closed: its client did not read its answers. */
+  | "slow-reader"
+  /** A request was refused: its client did not send its body. */
+  | "slow-sender";
 
 /** Options of {@link FrontConnection}. */
 export interface FrontConnectionOptions {
@@ -33,10 +49,14 @@
   readonly noteUnlengthed: (incoming: http.IncomingMessage) => void;
   readonly run: (request: OpenRequest) => Promise<FrontAnswer>;
   readonly write: (
-    response: http.ServerResponse,
+    request: OpenRequest,
     answer: FrontAnswer,
     mustClose: boolean,
   ) => void;
+  /** Counts bytes of answers that are not written yet. */
+  readonly addAnswerBytes: (bytes: number) => void;
+  /** With more bytes than this to be written, no further request begins. */
+  readonly unwrittenLimitBytes: number;
   /** A request was read. */
   readonly onOpen: () => void;
   /** It was answered, dropped, or its caller has gone. */
@@ -50,6 +70,8 @@
   isBegun: boolean;
   isWritten: boolean;
   answer: FrontAnswer | undefined;
+  /** Bytes of the answer's body. */
+  answerBytes: number;
 }
 
 /**
@@ -79,6 +101,8 @@
   #isPaused = false;
   /** Whether bytes have come that are no request. */
   #isBroken = false;
+  /** When bytes of a body or of an answer last moved. */
+  #progressMs = Number.NEGATIVE_INFINITY;
   /** False once the client has sent all that it announced. */
   #maySendMore = true;
 
@@ -104,9 +128,11 @@
       readMs: this.#options.nowMs(),
       abort: new AbortController(),
       bodyAbort: new AbortController(),
+      noteProgress: () => this.#progressMs = this.#options.nowMs(),
       isBegun: false,
       isWritten: false,
       answer: undefined,
+      answerBytes: 0,
     });
     this.#options.onOpen();
     this.#beginNext();
@@ -135,13 +161,35 @@
     this.#linger();
   }
 
+  /**
+   * Gives up what the client has neither read nor sent since `sinceMs`, which
+   * frees the bytes that are held for it.
+   */
+  endStalled(sinceMs: number): void {
+    if (this.#open.length === 0 || this.#progressMs > sinceMs) return;
+    if (this.#open[0]!.isWritten) {
+      this.#options.count("slow-reader");
+      this.#socket.destroy();
+      return;
+    }
+    const last = this.#open.at(-1)!;
+    const isSending = last.isBegun && last.answer === undefined &&
+      !last.incoming.complete && !last.bodyAbort.signal.aborted;
+    if (!isSending) return;
+    this.#options.count("slow-sender");
+    last.bodyAbort.abort(STALLED);
+  }
+
   #beginNext(): void {
     let begun = 0;
+    let unwrittenBytes = 0;
     let last: Entry | undefined;
     for (const entry of [...this.#open]) {
       if (!entry.isBegun) {
         const mayFollow = last === undefined ||
-          (begun < MAX_BEGUN && !this.#options.isUnlengthed(last.incoming));
+          (begun < MAX_BEGUN &&
+            unwrittenBytes < this.#options.unwrittenLimitBytes &&
+            !this.#options.isUnlengthed(last.incoming));
         if (!mayFollow) return;
         // One more request would delay the end of the connection.
         if (begun > 0 && this.#options.isStopping()) {
@@ -150,6 +198,7 @@
         this.#begin(entry);
       }
       begun++;
+      unwrittenBytes += entry.answerBytes;
       last = entry;
     }
   }
@@ -158,6 +207,7 @@
     entry.isBegun = true;
     this.#options.run(entry).then((answer) => {
       entry.answer = answer;
+      this.#holdAnswer(entry, answer);
       this.#writeNext();
     }).catch((error) => {
       this.#options.onError(error);
@@ -165,12 +215,24 @@
     });
   }
 
+  #holdAnswer(entry: Entry, answer: FrontAnswer): void {
+    if (answer.kind !== "passed-on" || this.#isGone) return;
+    entry.answerBytes = answer.answer.body.length;
+    this.#options.addAnswerBytes(entry.answerBytes);
+  }
+
+  #endEntry({ answerBytes }: Entry): void {
+    this.#options.onEnd();
+    if (answerBytes > 0) this.#options.addAnswerBytes(-answerBytes);
+  }
+
   /** Drops what has not begun: the client takes it for not read. */
   #stopBeginning(): void {
     this.#isClosing = true;
     while (this.#open.at(-1)?.isBegun === false) {
-      this.#drop(this.#open.pop()!.incoming);
-      this.#options.onEnd();
+      const dropped = this.#open.pop()!;
+      this.#drop(dropped.incoming);
+      this.#endEntry(dropped);
     }
   }
 
@@ -193,7 +255,8 @@
     this.#maySendMore = this.#isBroken || response.shouldKeepAlive ||
       !incoming.complete;
     response.once("finish", () => this.#finish());
-    this.#options.write(response, answer, isLast);
+    first.noteProgress();
+    this.#options.write(first, answer, isLast);
   }
 
   /**
@@ -215,8 +278,9 @@
   /** The answer of the first request has been written. */
   #finish(): void {
     if (this.#isGone) return;
-    const { incoming } = this.#open.shift()!;
-    this.#options.onEnd();
+    const finished = this.#open.shift()!;
+    const { incoming } = finished;
+    this.#endEntry(finished);
     if (!incoming.complete) incoming.removeAllListeners("data").resume();
     if (this.#isClosing && this.#open.length === 0) return this.#linger();
     if (this.#isPaused && this.#open.length < MAX_OPEN) {
@@ -246,7 +310,7 @@
     for (const entry of this.#open.splice(0)) {
       entry.abort.abort();
       this.#options.onDisconnect(entry);
-      this.#options.onEnd();
+      this.#endEntry(entry);
     }
   }
 }
--- a/packages/entry/src/gateway/forwarding/front_listener.ts
+++ b/packages/entry/src/gateway/forwarding/front_listener.ts
@@ -1,5 +1,6 @@
 /** The HTTP listener for the platform's clients. */
 import type * as contracts from "@guavatide/contracts";
+import type * as admission from "@guavatide/decisions/admission/mod";
 import * as http from "node:http";
 import * as net from "node:net";
 import * as timers from "node:timers/promises";
@@ -11,10 +12,12 @@
 import { EventLoopLagMonitor } from "../../utils/event_loop_lag_monitor.ts";
 import * as bodies from "../../utils/read_body.ts";
 import type { Logger } from "../../utils/log.ts";
+import { BodyAdmission } from "./body_admission.ts";
 import {
   type ConnectionEvent,
   FrontConnection,
   type OpenRequest,
+  STALLED,
 } from "./front_connection.ts";
 import {
   type FrontAnswer,
@@ -43,6 +46,8 @@
     | FrontAnswer
     | undefined;
   readonly forward: (request: FrontRequest) => Promise<FrontAnswer>;
+  /** Bytes held by all connections, and the answers being received. */
+  readonly heldBytes: admission.HeldBytes;
   readonly count?: (event: ConnectionEvent) => void;
 }
 
@@ -93,6 +98,30 @@
  */
 const SHEDDING_LAG_MS = 400;
 
+/** Interval at which stalled connections are sought near the limit. */
+const STALL_CHECK_MS = 500;
+/**
+ * Near the limit of held bytes, a client that neither reads nor sends for this
+ * long is given up. At 7 Mbit/s, this time suffices for forty parts.
+ */
+const STALL_MS = 3_000;
+/**
+ * Answers are written in parts of this size, so that slow readers can be told
+ * from stalled ones.
+ */
+const ANSWER_PART_BYTES = 65_536;
+/**
+ * Bytes of answers that a connection may leave unread before its further
+ * requests have to wait: one download of the usual size.
+ */
+const UNWRITTEN_LIMIT_BYTES = 524_288;
+
+const TOO_LARGE: FrontAnswer = {
+  kind: "own",
+  status: 413,
+  message: "The body is larger than the limit",
+};
+
 /** The answer to a caller that has disconnected, which is never written. */
 const CALLER_GONE: FrontAnswer = {
   kind: "own",
@@ -114,6 +143,7 @@
   readonly #shedLog: ThrottledWarning;
   readonly #stopLog: ThrottledWarning;
   readonly #connectionLogs: Record<ConnectionEvent, ThrottledWarning>;
+  readonly #bodies: BodyAdmission;
 
   constructor(options: FrontListenerOptions) {
     this.#options = options;
@@ -135,7 +165,28 @@
         options.log,
         "Replaces an answer without a length: others follow it.",
       ),
+      "body-waited": new ThrottledWarning(
+        options.log,
+        "Delays request bodies: this VM holds many bytes.",
+      ),
+      "body-refused": new ThrottledWarning(
+        options.log,
+        "Refuses request bodies: this VM holds as many bytes as it can.",
+      ),
+      "slow-reader": new ThrottledWarning(
+        options.log,
+        "Closes a connection whose client does not read its answers.",
+      ),
+      "slow-sender": new ThrottledWarning(
+        options.log,
+        "Refuses a request whose client does not send its body.",
+      ),
     };
+    this.#bodies = new BodyAdmission({
+      held: options.heldBytes,
+      largestBodyBytes: () => this.#limits().bodyBytes,
+      count: (event) => this.#count(event),
+    });
     this.#server = http.createServer({
       maxHeaderSize: HEADER_LIMIT_BYTES,
       requestTimeout: 0,
@@ -147,6 +198,10 @@
     this.#server.on("request", (incoming, response) => {
       this.#connections.get(incoming.socket)?.add(incoming, response);
     });
+    // Without this, clients would be told to send bodies that are then refused.
+    this.#server.on("checkContinue", (incoming, response) => {
+      this.#connections.get(incoming.socket)?.add(incoming, response);
+    });
     this.#server.on("connection", (socket: net.Socket) => {
       this.#connections.set(socket, this.#createConnection(socket));
       this.#lag.resume();
@@ -161,7 +216,7 @@
   }
 
   #createConnection(socket: net.Socket): FrontConnection {
-    const { clock, lifeCycle, log, count } = this.#options;
+    const { clock, lifeCycle, log, heldBytes } = this.#options;
     return new FrontConnection(socket, {
       nowMs: () => clock.nowMs(),
       isStopping: () => lifeCycle.isStopping,
@@ -169,7 +224,12 @@
       noteUnlengthed: (incoming) =>
         this.#unlengthed.note(incoming, clock.nowMs()),
       run: (request) => this.#run(request),
-      write: writeFrontAnswer,
+      write: (request, answer, mustClose) =>
+        writeFrontAnswer(request, answer, mustClose, heldBytes.isLimited),
+      addAnswerBytes: (bytes) => heldBytes.addAnswerBytes(bytes),
+      unwrittenLimitBytes: heldBytes.isLimited
+        ? UNWRITTEN_LIMIT_BYTES
+        : Number.POSITIVE_INFINITY,
       onOpen: () => this.#inFlight++,
       onEnd: () => this.#inFlight--,
       onDisconnect: ({ readMs }) => {
@@ -178,12 +238,16 @@
       },
       onError: (error) =>
         log.error("Request failed.", { error: String(error) }),
-      count: (event) => {
-        count?.(event);
-        this.#connectionLogs[event].warn(clock.nowMs(), {
-          inFlight: this.#inFlight,
-        });
-      },
+      count: (event) => this.#count(event),
+    });
+  }
+
+  #count(event: ConnectionEvent): void {
+    const { clock, count, heldBytes } = this.#options;
+    count?.(event);
+    this.#connectionLogs[event].warn(clock.nowMs(), {
+      inFlight: this.#inFlight,
+      heldBytes: heldBytes.heldBytes,
     });
   }
 
@@ -202,6 +266,9 @@
       timeoutMs: graceMs,
       run: () => this.#drain(),
     });
+    if (this.#options.heldBytes.isLimited) {
+      lifeCycle.every(STALL_CHECK_MS, () => this.#endStalled());
+    }
     const { host, port } = this.#options;
     await httpServer.listenOn(this.#server, { host, port, backlog: BACKLOG });
   }
@@ -210,6 +277,16 @@
     return this.#options.limits() ?? DEFAULT_LIMITS;
   }
 
+  /** Near the limit, frees what is held for clients that have stalled. */
+  #endStalled(): void {
+    const { clock, heldBytes } = this.#options;
+    if (!heldBytes.isNearLimit) return;
+    const sinceMs = clock.nowMs() - STALL_MS;
+    for (const connection of this.#connections.values()) {
+      connection.endStalled(sinceMs);
+    }
+  }
+
   async #run(request: OpenRequest): Promise<FrontAnswer> {
     const { lagMs } = this.#lag;
     const { readMs } = request;
@@ -243,28 +320,54 @@
   }
 
   async #readAndForward(
-    { incoming, abort, bodyAbort }: OpenRequest,
+    request: OpenRequest,
     arrival: Pick<FrontRequest, "arrivedMs" | "lagMs">,
   ): Promise<FrontAnswer> {
     const { admitBeforeBody, forward } = this.#options;
+    const { incoming, abort } = request;
     const head = this.#head(incoming, arrival, abort.signal);
     const refusal = admitBeforeBody?.(head);
     if (refusal !== undefined) return refusal;
+    if ((head.bodyBytes ?? 0) > this.#limits().bodyBytes) return TOO_LARGE;
+    if (head.bodyBytes === 0) {
+      incoming.resume();
+      return forward({ ...head, body: undefined });
+    }
+    const admitted = await this.#bodies.admit(head);
+    if (admitted.kind === "refused") return admitted.answer;
+    try {
+      return await this.#readBody(request, head, admitted.body);
+    } finally {
+      admitted.body.release();
+    }
+  }
+
+  async #readBody(
+    { incoming, response, bodyAbort: { signal }, noteProgress }: OpenRequest,
+    head: FrontRequestHead,
+    held: admission.HeldBody,
+  ): Promise<FrontAnswer> {
+    if (incoming.headers.expect !== undefined) response.writeContinue();
+    noteProgress();
     const read = await bodies.readBody(
       incoming,
       this.#limits().bodyBytes,
-      bodyAbort.signal,
+      { signal, onProgress: noteProgress },
     );
-    if (read.kind === "too-large") {
-      const message = "The body is larger than the limit";
-      return { kind: "own", status: 413, message };
-    }
+    if (read.kind === "too-large") return TOO_LARGE;
     if (read.kind === "broken") {
-      return { kind: "own", status: 400, message: "The body broke off" };
+      return signal.reason === STALLED
+        ? { kind: "own", status: 408, message: "Not run: the body stalled" }
+        : { kind: "own", status: 400, message: "The body broke off" };
     }
+    held.resize(read.body?.length ?? 0);
     // This VM may have begun to stop while it read the body.
     const deadlineMs = this.#deadlineMs(head.deadlineMs);
-    return forward({ ...head, deadlineMs, body: read.body });
+    return await this.#options.forward({
+      ...head,
+      deadlineMs,
+      body: read.body,
+    });
   }
 
   #head(
@@ -335,9 +438,10 @@
 
 /** Writes a response; one of this VM's own is plain text. */
 function writeFrontAnswer(
-  response: http.ServerResponse,
+  { response, noteProgress }: OpenRequest,
   answer: FrontAnswer,
   mustClose: boolean,
+  isInParts: boolean,
 ): void {
   if (response.destroyed) return;
   response.sendDate = false;
@@ -352,7 +456,8 @@
       "Content-Length",
       String(body.length),
     ]);
-    response.end(body);
+    if (isInParts) writeInParts(response, body, noteProgress);
+    else response.end(body);
     return;
   }
   const body = Buffer.from(`${answer.message}\n`);
@@ -365,6 +470,20 @@
   response.end(body);
 }
 
+/** Writes a body, each part once the last one has been sent. */
+function writeInParts(
+  response: http.ServerResponse,
+  body: Uint8Array,
+  onPartSent: () => void,
+): void {
+  if (body.length <= ANSWER_PART_BYTES) return void response.end(body);
+  response.write(body.subarray(0, ANSWER_PART_BYTES), (error) => {
+    if (error) return;
+    onPartSent();
+    writeInParts(response, body.subarray(ANSWER_PART_BYTES), onPartSent);
+  });
+}
+
 /**
  * Forwards a close-delimited response without a length: with a length, a caller
  * would take the part that a crashed server sent for the whole response.
--- a/packages/entry/src/gateway/forwarding/front_test_support.ts
+++ b/packages/entry/src/gateway/forwarding/front_test_support.ts
@@ -1,4 +1,5 @@
 /** A listener for clients with a fake forwarder, for tests. */
+import * as admission from "@guavatide/decisions/admission/mod";
 import * as net from "node:net";
 import { MonotonicClock } from "../../utils/clock.ts";
 import { LifeCycle } from "../../utils/life_cycle.ts";
@@ -48,6 +49,10 @@
       log: SILENT_LOG,
       connectionLimit: 10,
       graceMs,
+      heldBytes: new admission.HeldBytes({
+        limitBytes: Number.POSITIVE_INFINITY,
+        random: { next: () => 0.5 },
+      }),
       forward: (request) => {
         this.requests.push(request);
         return this.#forward(request);
--- a/packages/entry/src/gateway/gateway_settings.ts
+++ b/packages/entry/src/gateway/gateway_settings.ts
@@ -49,6 +49,10 @@
     /** Fraction of each processor that the VM gets. */
     processorShare: z.number().positive(),
     processors: z.number().int().min(1),
+    /** Memory of the VM in MB; absent for no limit on held bytes. */
+    memoryMb: z.number().positive().optional(),
+    /** Bandwidth of the VM's link in Mbit/s; absent if it is not known. */
+    linkMbps: z.number().positive().optional(),
   }),
   timings: z.strictObject({
     /** Seconds from the stop signal until the process is killed. */
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -1,5 +1,6 @@
 /** Composition root of an entry process on an external platform. */
 import type * as contracts from "@guavatide/contracts";
+import * as admission from "@guavatide/decisions/admission/mod";
 import * as grants from "@guavatide/decisions/grants/mod";
 import * as ownership from "@guavatide/decisions/ownership/mod";
 import * as connectionPools from "../links/connection_pools.ts";
@@ -64,6 +65,7 @@
  * only after a second, and a peer's connection is faster.
  */
 const CONNECT_TIMEOUT_MS = 200;
+const BYTES_PER_MBIT = 125_000;
 /** Maximum time to close the connections to the platform on a stop. */
 const CLOSE_TIMEOUT_MS = 300;
 
@@ -207,6 +209,12 @@
     hasher,
     clock,
   });
+  const { memoryMb, linkMbps } = settings.limits;
+  const heldBytes = new admission.HeldBytes({
+    limitBytes: admission.heldBytesLimit(memoryMb),
+    bytesPerSecond: linkMbps && linkMbps * BYTES_PER_MBIT,
+    random,
+  });
   const connections = new connectionPools.ConnectionPools(
     {
       ...connectionPools.CONNECTION_POOLS_DEFAULTS,
@@ -214,6 +222,7 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       decoder: adapter.answerDecoder,
       idleTimeoutMs: CONNECTION_IDLE_TIMEOUT_MS,
+      onAnswerBytes: (bytes) => heldBytes.addAnswerBytes(bytes),
     },
     lifeCycle,
   );
@@ -428,6 +437,7 @@
     ),
     graceMs: settings.timings.graceSeconds * 1000,
     forward: (request) => forwarder.forward(request),
+    heldBytes,
     count: (decision) => metrics.frontDecisions.add(1, { decision }),
   });
   config.onChange(() => listener.applyLimits());
--- a/packages/entry/src/links/connection_pools.ts
+++ b/packages/entry/src/links/connection_pools.ts
@@ -16,6 +16,8 @@
   readonly idleTimeoutMs: number;
   readonly answerLimitBytes: number;
   readonly decoder: AnswerDecoder;
+  /** See {@link ServerConnectionOptions}. */
+  readonly onAnswerBytes?: ((bytes: number) => void) | undefined;
   /** Timeout of a probe or a cancellation. */
   readonly controlTimeoutMs: number;
 }
--- a/packages/entry/src/links/server_connection.ts
+++ b/packages/entry/src/links/server_connection.ts
@@ -67,6 +67,11 @@
   readonly idleTimeoutMs: number;
   readonly answerLimitBytes: number;
   readonly decoder: AnswerDecoder;
+  /**
+   * Called with the bytes of each chunk of an answer, and with the negative sum
+   * when the whole answer is passed on or dropped.
+   */
+  readonly onAnswerBytes?: ((bytes: number) => void) | undefined;
 }
 
 /** A request in flight. */
@@ -76,6 +81,7 @@
   isSent: boolean;
   wasWithheld: boolean;
   abort: ((reason: Error) => void) | undefined;
+  answer: AnswerReader | undefined;
 }
 
 /** A connection that carries one request after another until one fails. */
@@ -138,9 +144,11 @@
         isSent: false,
         wasWithheld: false,
         abort: undefined,
+        answer: undefined,
         settle: (result) => {
           if (this.#pending !== pending) return;
           this.#pending = undefined;
+          pending.answer?.release();
           const isWhole = result.kind === "answer" || result.kind === "refusal";
           if (!isWhole) this.retire();
           resolve(result);
@@ -189,7 +197,6 @@
 
   #dispatch(pending: PendingRequest): void {
     const { request } = pending;
-    let answer: AnswerReader | undefined;
     this.#client.dispatch({
       method: request.method as undici.Dispatcher.HttpMethod,
       path: request.path,
@@ -207,15 +214,16 @@
       },
       onResponseStart: (controller, status) => {
         const raw = (controller as HeaderSource).rawHeaders ?? [];
-        answer = new AnswerReader(status, raw, {
+        pending.answer = new AnswerReader(status, raw, {
           request,
           onServerRun: (run) => this.#serverRun = run ?? this.#serverRun,
           limitBytes: this.#options.answerLimitBytes,
           decoder: this.#options.decoder,
+          onAnswerBytes: this.#options.onAnswerBytes,
         });
       },
       onResponseData: (controller, chunk) => {
-        if (!answer!.add(chunk)) {
+        if (!pending.answer!.add(chunk)) {
           controller.abort(new Error("The answer is larger than the limit"));
         }
       },
@@ -223,7 +231,7 @@
         pending.settle(
           this.#hasSocketError
             ? badAnswer("The connection broke before the answer's end")
-            : answer!.finish(),
+            : pending.answer!.finish(),
         ),
       onResponseError: (_controller, error) => {
         const reason = "connection-lost";
@@ -251,6 +259,7 @@
   readonly onServerRun: (run: string | undefined) => void;
   readonly limitBytes: number;
   readonly decoder: AnswerDecoder;
+  readonly onAnswerBytes: ServerConnectionOptions["onAnswerBytes"];
 }
 
 /** Collects one response and decodes it at its end. */
@@ -260,6 +269,7 @@
   readonly #options: AnswerReaderOptions;
   readonly #chunks: Uint8Array[] = [];
   #sizeBytes = 0;
+  #isReleased = false;
 
   constructor(
     status: number,
@@ -273,11 +283,20 @@
 
   /** Adds a chunk of the body; false when the body exceeds the limit. */
   add(chunk: Uint8Array): boolean {
+    if (this.#isReleased) return false;
     this.#sizeBytes += chunk.length;
+    this.#options.onAnswerBytes?.(chunk.length);
     this.#chunks.push(chunk);
     return this.#sizeBytes <= this.#options.limitBytes;
   }
 
+  /** Ends the count of its bytes. */
+  release(): void {
+    if (this.#isReleased) return;
+    this.#isReleased = true;
+    this.#options.onAnswerBytes?.(-this.#sizeBytes);
+  }
+
   finish(): AttemptResult {
     const { request, decoder, onServerRun } = this.#options;
     const decoded = decoder.decode(request.id, {
--- a/packages/entry/src/utils/read_body.ts
+++ b/packages/entry/src/utils/read_body.ts
@@ -9,6 +9,14 @@
   /** The connection closed before the end of the body. */
   | { readonly kind: "broken" };
 
+/** Options of {@link readBody}. */
+export interface ReadBodyOptions {
+  /** Aborted when the rest of the body is not to be read. */
+  readonly signal?: AbortSignal;
+  /** Called for each part of the body. */
+  readonly onProgress?: () => void;
+}
+
 /** Declared length of a body; 0 without one, undefined when it is chunked. */
 export function declaredBodyBytes(
   { headers }: http.IncomingMessage,
@@ -24,7 +32,7 @@
 export function readBody(
   incoming: http.IncomingMessage,
   limitBytes: number,
-  signal?: AbortSignal,
+  { signal, onProgress }: ReadBodyOptions = {},
 ): Promise<ReadBodyResult> {
   const declaredBytes = declaredBodyBytes(incoming);
   if (declaredBytes !== undefined && declaredBytes > limitBytes) {
@@ -39,6 +47,7 @@
     let receivedBytes = 0;
     incoming.on("data", (chunk: Uint8Array) => {
       receivedBytes += chunk.length;
+      onProgress?.();
       if (receivedBytes <= limitBytes) {
         chunks.push(chunk);
         return;
