--- a/packages/decisions/src/admission/mod.ts
+++ b/packages/decisions/src/admission/mod.ts
@@ -3,6 +3,7 @@
  */
 export * from "./caller_shares.ts";
 export * from "./capped_servers.ts";
+export * from "./held_bytes.ts";
 export * from "./lag_shedding.ts";
 export * from "./limit_share.ts";
 export * from "./limited_keys.ts";
