feat(admission): one VM shares out the capacity of a service without keys

VMs report at most five times a second while requests wait or are refused, and get the rate that they may admit in proportion to their demand, an equal share without a reply for a second. Requests above their callers' shares wait for the others at all VMs.

--- a/packages/decisions/src/admission/mod.ts
+++ b/packages/decisions/src/admission/mod.ts
@@ -17,6 +17,7 @@
 export * from "./service_queue.ts";
 export * from "./service_queue_options.ts";
 export * from "./service_times.ts";
+export * from "./shared_admission.ts";
 export * from "./shared_retry_budget.ts";
 export * from "./short_request_reserve.ts";
 export * from "./slot_client.ts";
--- a/packages/decisions/src/admission/overload_load_test.ts
+++ b/packages/decisions/src/admission/overload_load_test.ts
@@ -2,7 +2,8 @@
  * Load of 1.6 times the capacity of four servers, through four entry VMs whose
  * messages take time. Guards against callers that get more by repeating their
  * requests, and against refused callers that are refused again when they return
- * at the time that they were told.
+ * at the time that they were told. The VM that aggregates fails in each load and
+ * is replaced three seconds later.
  */
 import type * as contracts from "@guavatide/contracts";
 import { expect } from "earl";
@@ -18,6 +19,8 @@
 const MESSAGE_MS = 20;
 const WARM_UP_MS = 8_000;
 const END_MS = 38_000;
+const AGGREGATOR_FAILS_MS = 15_000;
+const AGGREGATOR_REPLACED_MS = 18_000;
 const TIMEOUT_MS = 5_000;
 const ROUTE: contracts.Route = {
   name: "filing",
@@ -55,6 +58,8 @@
   readonly isReturning: boolean;
 }
 
+const KNOWN = { capacityPerSecond: CAPACITY, vmCount: VMS };
+
 const NO_RESULT: Result = {
   asked: 0,
   served: 0,
@@ -72,6 +77,8 @@
   readonly #timeline: (() => void)[][] = [];
   readonly #queues: admission.ServiceQueue[] = [];
   readonly #times: admission.ServiceTimes[] = [];
+  readonly #reporters: admission.AdmissionReporter[] = [];
+  #aggregator = new admission.AdmissionAggregator();
   readonly #admissions: admission.ServiceAdmission[] = [];
   readonly #running = new Array<number>(SERVERS).fill(0);
   readonly #waiting: (() => void)[][] = Array.from(
@@ -79,13 +86,16 @@
     () => [],
   );
   readonly #groups: readonly Group[];
+  readonly #skew: number;
   #nowMs = 0;
   #state = 7;
   /** Requests that servers ended after the warm-up. */
   ended = 0;
 
-  constructor(groups: readonly Group[]) {
+  /** With a skew of 2, half of the requests reach the first of four VMs. */
+  constructor(groups: readonly Group[], skew: number) {
     this.#groups = groups;
+    this.#skew = skew;
     this.results = groups.map(() => ({ ...NO_RESULT }));
     for (let vm = 0; vm < VMS; vm++) this.#addVm();
   }
@@ -97,6 +107,7 @@
       delete this.#timeline[this.#nowMs];
       if (this.#nowMs % 25 === 0) this.#review();
       if (this.#nowMs % 1_000 === 0) this.#exchangeCounts();
+      if (this.#nowMs % 200 === 0) this.#report();
     }
   }
 
@@ -116,6 +127,8 @@
   }
 
   #addVm(): void {
+    const reporter = new admission.AdmissionReporter();
+    this.#reporters.push(reporter);
     const random = { next: () => this.#next() };
     const times = new admission.ServiceTimes();
     this.#times.push(times);
@@ -123,7 +136,7 @@
       hash: (text) => hasher.hash(text),
       random,
       capacityPerSecond: () => CAPACITY,
-      shareOfVm: () => 1 / VMS,
+      vmPerSecond: (nowMs) => reporter.share(KNOWN, nowMs).perSecond,
     });
     const queue = new admission.ServiceQueue({
       zone: "z1" as contracts.ZoneId,
@@ -132,7 +145,8 @@
       shares: {
         isActive: !isBaseline,
         refusesLate: true,
-        queueRatio: () => 1 / VMS,
+        mayAdmit: (request, nowMs) => reporter.mayAdmit(request, nowMs),
+        queuePerSecond: (nowMs) => reporter.share(KNOWN, nowMs).perSecond,
         leftRatio: (nowMs) => service.leftRatio(nowMs),
       },
       onWait: () => service.shares.recordWait(this.#nowMs),
@@ -173,7 +187,7 @@
   }
 
   #ask(ask: Ask): void {
-    const vm = Math.floor(this.#next() * VMS);
+    const vm = Math.floor(this.#next() ** this.#skew * VMS);
     const { caller, startMs, result } = ask;
     const queue = this.#queues[vm]!;
     const service = this.#admissions[vm]!;
@@ -183,6 +197,8 @@
       ? undefined
       : service.arrive({ caller, route }, moment());
     const standing = judged?.standing;
+    const reporter = this.#reporters[vm]!;
+    if (standing !== "above-share") reporter.recordArrival();
     const answerByMs = startMs + TIMEOUT_MS;
     queue.add({
       route: ROUTE,
@@ -194,6 +210,7 @@
       standing,
       placed: ({ load }) => this.#run(vm, load, ask),
       refused: ({ retryAfterMs }) => {
+        reporter.recordRefusal();
         if (ask.isReturning) result.refusedAgain++;
         const told = isBaseline ? retryAfterMs : service.refuse({
           caller,
@@ -223,6 +240,7 @@
 
   #run(vm: number, load: admission.ServerLoad, ask: Ask): void {
     const server = Number(load.entry.server.slice(1));
+    this.#reporters[vm]!.recordAdmission(this.#nowMs);
     const end = load.startRequest(this.#nowMs);
     this.#tellLoads(vm);
     const sentMs = this.#nowMs;
@@ -238,6 +256,7 @@
           const tookMs = this.#nowMs - sentMs;
           this.#times[vm]!.record(ROUTE, load.entry.server, tookMs);
         }
+        this.#reporters[vm]!.recordEnd();
         this.#tellLoads(vm);
         ask.result.served++;
         const tookMs = this.#nowMs - ask.startMs;
@@ -275,6 +294,26 @@
     }
   }
 
+  #report(): void {
+    const isFailed = this.#nowMs >= AGGREGATOR_FAILS_MS;
+    if (isFailed && this.#nowMs < AGGREGATOR_REPLACED_MS) {
+      this.#aggregator = new admission.AdmissionAggregator();
+      return;
+    }
+    for (const [vm, reporter] of this.#reporters.entries()) {
+      const report = reporter.takeReport(this.#queues[vm]!.waitingWithinShares);
+      if (report === undefined) continue;
+      this.#after(MESSAGE_MS, () => {
+        const share = this.#aggregator.report(
+          `vm${vm}` as contracts.VmId,
+          report,
+          { ...KNOWN, nowMs: this.#nowMs },
+        );
+        this.#after(MESSAGE_MS, () => reporter.applyShare(share, this.#nowMs));
+      });
+    }
+  }
+
   #exchangeCounts(): void {
     for (const [from, { shares }] of this.#admissions.entries()) {
       const counts = shares.takeCounts(this.#nowMs);
@@ -288,8 +327,8 @@
   }
 }
 
-function run(groups: readonly Group[]): Load {
-  const load = new Load(groups);
+function run(groups: readonly Group[], skew = 1): Load {
+  const load = new Load(groups, skew);
   load.run();
   if (process.env["FIGURES"] === "1") {
     console.log(load.utilization, load.results);
@@ -326,3 +365,14 @@
   const [modest, aggressive] = load.results as [Result, Result];
   expect(aggressive.served).toBeLessThanOrEqual(modest.served * 1.02);
 });
+
+/** Guards against VMs that refuse more than others as they get more requests. */
+test("should serve as many when half of the requests reach one VM", () => {
+  const load = run([
+    { callers: 100, demandPerSecond: 0.7 * CAPACITY, immediateRetries: 0 },
+    { callers: 30, demandPerSecond: 0.9 * CAPACITY, immediateRetries: 6 },
+  ], 2);
+  const [modest] = load.results as [Result];
+  expect(load.utilization).toBeGreaterThanOrEqual(0.92);
+  expect(modest.served / modest.asked).toBeGreaterThanOrEqual(0.97);
+});
--- a/packages/decisions/src/admission/service_admission.ts
+++ b/packages/decisions/src/admission/service_admission.ts
@@ -14,8 +14,8 @@
   readonly random: contracts.RandomSource;
   /** Requests per second that the service can run. */
   readonly capacityPerSecond: (nowMs: number) => number;
-  /** Fraction of the service's promises that this VM may make. */
-  readonly shareOfVm: (nowMs: number) => number;
+  /** Part of these that is for this VM's requests. */
+  readonly vmPerSecond: (nowMs: number) => number;
 }
 
 /** A moment on this VM's clock and in Unix time. */
@@ -124,12 +124,11 @@
   }
 
   #returnsPerSecond(nowMs: number): number {
-    const { capacityPerSecond, shareOfVm } = this.#options;
     const ratio = Math.min(
       MAX_RETURN_RATIO,
       Math.max(MIN_RETURN_RATIO, this.leftRatio(nowMs)),
     );
-    return capacityPerSecond(nowMs) * ratio * shareOfVm(nowMs);
+    return this.#options.vmPerSecond(nowMs) * ratio;
   }
 }
 
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -55,6 +55,12 @@
     return this.#waiting.length;
   }
 
+  /** Number of queued requests within their callers' shares. */
+  get waitingWithinShares(): number {
+    return this.#waiting.filter(({ standing }) => standing !== "above-share")
+      .length;
+  }
+
   /** Whether each key has one owner, which alone can serve it. */
   get isKeyed(): boolean {
     return this.#servers.isKeyed;
@@ -262,6 +268,12 @@
   #tryAny(request: WaitingRequest, nowMs: number): boolean {
     const { rateLimits, reserve, capped } = this.#options;
     if (reserve?.mayAcquire(request, nowMs) === false) return false;
+    if (
+      this.#hasShares &&
+      this.#options.shares!.mayAdmit?.(request, nowMs) === false
+    ) {
+      return false;
+    }
     const load = this.#servers.chooseFree(request, nowMs);
     if (capped?.hasAny) {
       const hasOther = load !== undefined;
--- a/packages/decisions/src/admission/service_queue_options.ts
+++ b/packages/decisions/src/admission/service_queue_options.ts
@@ -5,7 +5,7 @@
 import type { ServerRateLimit } from "./server_rate_limit.ts";
 import type { ServiceTimes } from "./service_times.ts";
 import type { ShortRequestReserve } from "./short_request_reserve.ts";
-import type { SlotSource } from "./waiting_request.ts";
+import type { SlotSource, WaitingRequest } from "./waiting_request.ts";
 
 /** Current owner of a key, as far as this entry VM knows. */
 export type KeyOwner =
@@ -72,8 +72,13 @@
   readonly refusesLate: boolean;
   /** Fraction of the capacity left for requests above shares. */
   leftRatio(nowMs: number): number;
-  /** Fraction of the capacity that is for requests in this queue. */
-  queueRatio(nowMs: number): number;
+  /** Whether the VM may send a request within its share of the capacity. */
+  mayAdmit?(request: WaitingRequest, nowMs: number): boolean;
+  /**
+   * Requests per second that this queue may send while others use the same
+   * servers; undefined if it alone does.
+   */
+  queuePerSecond(nowMs: number): number | undefined;
 }
 
 /** Options of {@link ServiceQueue}. */
--- a/packages/decisions/src/admission/slot_coordinator.ts
+++ b/packages/decisions/src/admission/slot_coordinator.ts
@@ -298,7 +298,7 @@
         refusesLate: false,
         // How much callers at all VMs demand of one server is not known.
         leftRatio: () => 1,
-        queueRatio: () => 1,
+        queuePerSecond: () => undefined,
       },
     });
     this.#queue.setServers([serverEntryOf(server, zone)]);
--- a/packages/decisions/src/admission/wait_estimate.ts
+++ b/packages/decisions/src/admission/wait_estimate.ts
@@ -32,6 +32,15 @@
 /** Mean retry delay of callers refused because no VM reaches a server. */
 export const UNREACHED_RETRY_AFTER_MS = 400;
 
+/**
+ * A new request may wait for this fraction of the time that it has beside its
+ * service; the rest is for callers that return when told, and the queue that
+ * an overload leaves behind ends sooner.
+ */
+const NEW_WAIT_RATIO = 0.5;
+/** Lower bound of rates, which waits are divided by. */
+const MIN_SERVED_PER_MS = 1e-6;
+
 /** Estimates waits in one service's queue. */
 export class WaitEstimate {
   readonly #options: ServiceQueueOptions;
@@ -100,25 +109,25 @@
     const restrictedMs = this.#restrictedWaitMs(request, queued, nowMs);
     if (restrictedMs !== undefined) return Math.max(restrictedMs, stalledMs);
     const candidates = this.#servers.candidates(request, nowMs);
-    const perMs = this.#servedPerMs(candidates, meanMs, nowMs) *
-      this.#ratioFor(request, nowMs);
-    const elsewhere = this.#shares === undefined
-      ? this.#waitingElsewhere * (ahead + 1) / queuedHere
-      : 0;
+    const perMs = this.#servedPerMs(candidates, meanMs, nowMs);
+    const sharedPerMs = this.#sharedPerMs(request, nowMs);
+    if (sharedPerMs !== undefined) return ahead / sharedPerMs + 1 / perMs;
+    const elsewhere = this.#waitingElsewhere * (ahead + 1) / queuedHere;
     const unused = this.#unusedRate(nowMs);
     const servedMs = Math.max(0, ahead + 1 + elsewhere - unused) / perMs;
     return Math.max(servedMs, stalledMs);
   }
 
-  /**
-   * Fraction of the capacity that a request may count on. Requests above shares
-   * get what the others leave.
-   */
-  #ratioFor({ standing }: WaitingRequest, nowMs: number): number {
+  /** Requests above shares get what the others leave. */
+  #sharedPerMs(
+    { standing }: WaitingRequest,
+    nowMs: number,
+  ): number | undefined {
     const shares = this.#shares;
-    if (shares === undefined) return 1;
-    const leftRatio = standing === "above-share" ? shares.leftRatio(nowMs) : 1;
-    return leftRatio * shares.queueRatio(nowMs);
+    const perSecond = shares?.queuePerSecond(nowMs);
+    if (shares === undefined || perSecond === undefined) return undefined;
+    const ratio = standing === "above-share" ? shares.leftRatio(nowMs) : 1;
+    return Math.max(perSecond * ratio / 1_000, MIN_SERVED_PER_MS);
   }
 
   get #shares(): QueueShares | undefined {
@@ -170,7 +179,7 @@
         : warmPerMs;
       perMs += Math.min(warmPerMs, maxPerMs);
     }
-    return Math.max(perMs, 1e-6);
+    return Math.max(perMs, MIN_SERVED_PER_MS);
   }
 
   /** Whether to refuse at once: it would miss its target and waits too long. */
@@ -180,11 +189,14 @@
     nowMs: number,
   ): boolean {
     const serviceMs = this.#options.times.estimateMs(request.route);
-    if (nowMs + waitMs + serviceMs <= request.targetMs) return false;
+    const refusesLate = this.#shares?.refusesLate ?? false;
+    const isReturning = request.standing === "returning";
+    const slackMs = request.targetMs - nowMs - serviceMs;
+    const waitRatio = refusesLate && !isReturning ? NEW_WAIT_RATIO : 1;
+    if (waitMs <= slackMs * waitRatio) return false;
     // The limit serves as many requests whether these are late or in time.
     if (waitMs > 0 && this.#servers.isNamed()) return true;
-    const mayBeInTime = nowMs + serviceMs <= request.targetMs;
-    if (mayBeInTime && this.#shares?.refusesLate) return true;
+    if (slackMs >= 0 && refusesLate) return true;
     const leftMs = request.answerByMs - nowMs;
     return waitMs > leftMs * LATE_WAIT_FRACTION || waitMs + serviceMs > leftMs;
   }
--- a/packages/entry/src/gateway/admission/admission_task.ts
+++ b/packages/entry/src/gateway/admission/admission_task.ts
@@ -15,17 +15,15 @@
   type CallerCountsNews,
   isCallerCountsNews,
 } from "../peers/peer_messages.ts";
-import type { ServerRegistry } from "../servers/server_registry.ts";
+import type { SharedAdmissionTask } from "./shared_admission_task.ts";
 
 /** Options of {@link AdmissionTask}. */
 export interface AdmissionTaskOptions {
   readonly vm: contracts.VmId;
   /** Whether callers have shares, by the configuration in force. */
   readonly isActive: () => boolean;
-  /** Requests per second that a server can serve. */
-  readonly capacityOf: (entry: contracts.RegisteredServer) => number;
-  readonly registry: Pick<ServerRegistry, "servers">;
-  readonly gossip: Pick<PeerGossip, "onGuarded" | "broadcast" | "vmCount">;
+  readonly gossip: Pick<PeerGossip, "onGuarded" | "broadcast">;
+  readonly shared: SharedAdmissionTask;
   readonly hash: (text: string) => number;
   readonly clock: contracts.Clock;
   readonly unixMs: () => number;
@@ -39,14 +37,6 @@
 const COUNTS_INTERVAL_MS = 1_000;
 /** Services in one message of counts at most. */
 const MAX_SERVICES_SENT = 4;
-/** A service's capacity is summed over its servers at this interval. */
-const CAPACITY_INTERVAL_MS = 250;
-
-interface Capacity {
-  readonly perSecond: number;
-  readonly summedMs: number;
-}
-
 /** Shares and promises of all services at one VM. */
 export class AdmissionTask {
   readonly #options: AdmissionTaskOptions;
@@ -54,7 +44,6 @@
     contracts.ServiceId,
     admission.ServiceAdmission
   >();
-  readonly #capacities = new Map<contracts.ServiceId, Capacity>();
   readonly #aboveShareLog: ThrottledWarning;
   readonly #lateLog: ThrottledWarning;
 
@@ -93,6 +82,9 @@
     if (!this.isActive) return undefined;
     const moment = this.#now();
     const judged = this.#of(service).arrive(request, moment);
+    if (!judged.isAboveShare) {
+      this.#options.shared.reporterOf(service)?.recordArrival();
+    }
     if (judged.standing === undefined) return judged;
     this.#options.counts.add(1, { service, decision: judged.standing });
     if (judged.isAboveShare) {
@@ -111,6 +103,8 @@
     request: admission.RefusedRequest,
   ): number {
     const moment = this.#now();
+    this.#options.shared.wake(service);
+    this.#options.shared.reporterOf(service)?.recordRefusal();
     const { retryAfterMs, isPromised } = this.#of(service)
       .refuse(request, moment);
     const decision = isPromised ? "promised" : "late";
@@ -130,10 +124,27 @@
   recordWait(service: contracts.ServiceId): void {
     if (!this.isActive) return;
     this.#of(service).shares.recordWait(this.#options.clock.nowMs());
+    this.#options.shared.wake(service);
+  }
+
+  /** Records that a request was sent to a server, or has ended there. */
+  recordSend(service: contracts.ServiceId, event: "sent" | "ended"): void {
+    const reporter = this.#options.shared.reporterOf(service);
+    if (event === "ended") reporter?.recordEnd();
+    else reporter?.recordAdmission(this.#options.clock.nowMs());
   }
 
-  /** What the queue of a service without keys knows of shares. */
-  sharesOf(service: contracts.ServiceId): admission.QueueShares {
+  /**
+   * Adds a service without keys; returns what its queue knows of shares.
+   * `waiting` is the number of queued requests within shares.
+   */
+  sharesOf(
+    service: contracts.ServiceId,
+    waiting: () => number,
+  ): admission.QueueShares {
+    const { shared } = this.#options;
+    shared.add(service, waiting);
+    const reporter = shared.reporterOf(service)!;
     const isActive = () => this.isActive;
     return {
       get isActive() {
@@ -141,7 +152,8 @@
       },
       refusesLate: true,
       leftRatio: (nowMs) => this.#of(service).leftRatio(nowMs),
-      queueRatio: () => this.#ratioOfVm(),
+      mayAdmit: (request, nowMs) => reporter.mayAdmit(request, nowMs),
+      queuePerSecond: () => shared.share(service).perSecond,
     };
   }
 
@@ -173,34 +185,17 @@
   #of(service: contracts.ServiceId): admission.ServiceAdmission {
     const known = this.#services.get(service);
     if (known !== undefined) return known;
-    const { hash, random } = this.#options;
+    const { hash, random, shared } = this.#options;
     const created = new admission.ServiceAdmission({
       hash,
       random,
-      capacityPerSecond: (nowMs) => this.#capacity(service, nowMs),
-      shareOfVm: () => this.#ratioOfVm(),
+      capacityPerSecond: () => shared.share(service).capacityPerSecond,
+      vmPerSecond: () => shared.share(service).perSecond,
     });
     this.#services.set(service, created);
     return created;
   }
 
-  #capacity(service: contracts.ServiceId, nowMs: number): number {
-    const known = this.#capacities.get(service);
-    if (known !== undefined && nowMs - known.summedMs < CAPACITY_INTERVAL_MS) {
-      return known.perSecond;
-    }
-    const { registry, capacityOf } = this.#options;
-    const perSecond = registry.servers(service)
-      .filter(({ isDraining }) => !isDraining)
-      .reduce((sum, entry) => sum + capacityOf(entry), 0);
-    this.#capacities.set(service, { perSecond, summedMs: nowMs });
-    return perSecond;
-  }
-
-  #ratioOfVm(): number {
-    return 1 / this.#options.gossip.vmCount;
-  }
-
   #now(): admission.Moment {
     const { clock, unixMs } = this.#options;
     return { nowMs: clock.nowMs(), unixMs: unixMs() };
--- a/packages/entry/src/gateway/forwarding/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarding/forwarded_request.ts
@@ -26,6 +26,8 @@
   readonly configVersion: number;
   /** Undefined where callers have no shares. */
   readonly judged: admission.JudgedRequest | undefined;
+  /** A request without a key is sent to a server, or has ended there. */
+  recordAdmission(event: "sent" | "ended"): void;
   /** Retry-After of a request that is refused for lack of capacity. */
   returnAfterMs(request: admission.RefusedRequest): number;
   /** Takes one retry from the shared budget; false when none is left. */
@@ -211,6 +213,7 @@
     const leftMs = this.answerByMs - nowMs;
     this.#pending.add(attempt);
     this.#context.recordSend(entry.server);
+    this.#context.recordAdmission("sent");
     const result = await this.#context.send(
       entry,
       this.#attemptRequest(entry, leftMs),
@@ -239,6 +242,7 @@
     const endedMs = this.#context.clock.nowMs();
     const outcome = this.#attemptEnd(result);
     recordEnd(outcome, endedMs);
+    this.#context.recordAdmission("ended");
     const report = "report" in result ? result.report : undefined;
     if (report !== undefined) {
       this.#context.recordServerReport(entry.server, report, endedMs);
--- a/packages/entry/src/gateway/forwarding/forwarder.ts
+++ b/packages/entry/src/gateway/forwarding/forwarder.ts
@@ -77,6 +77,9 @@
 /** Connections of this VM's share kept free for releases and probes. */
 const SPARE_CONNECTIONS = 1;
 
+/** Interval at which a service's capacity is summed over its servers. */
+const CAPACITY_INTERVAL_MS = 250;
+
 /** The request path of one entry VM. */
 export class Forwarder {
   readonly #options: ForwarderOptions;
@@ -85,6 +88,10 @@
   readonly #serversByPeer = new Map<contracts.VmId, Set<string>>();
   /** Current slowdown ratios of servers, not yet sent to peers. */
   #slowdowns: Record<string, number> | undefined;
+  readonly #capacities = new Map<
+    contracts.ServiceId,
+    { readonly perSecond: number; readonly summedMs: number }
+  >();
   #inFlight = 0;
   #reviewTask: PeriodicTask | undefined;
   readonly #overloadLog: ThrottledWarning;
@@ -200,6 +207,23 @@
     ) * backoffs.capacityRatio(entry.server);
   }
 
+  /**
+   * Requests per second that a service's servers can serve, summed at an
+   * interval.
+   */
+  serviceCapacity(service: contracts.ServiceId): number {
+    const nowMs = this.#options.clock.nowMs();
+    const known = this.#capacities.get(service);
+    if (known !== undefined && nowMs - known.summedMs < CAPACITY_INTERVAL_MS) {
+      return known.perSecond;
+    }
+    const perSecond = this.#options.registry.servers(service)
+      .filter(({ isDraining }) => !isDraining)
+      .reduce((sum, entry) => sum + this.capacity(entry), 0);
+    this.#capacities.set(service, { perSecond, summedMs: nowMs });
+    return perSecond;
+  }
+
   /** Returns and clears the slowdowns to send to peers; undefined for none. */
   takeSlowdowns(): LoadUpdate["slowdowns"] {
     const slowdowns = this.#slowdowns;
@@ -244,6 +268,7 @@
       random,
       configVersion,
       judged,
+      recordAdmission: (event) => admissions.recordSend(service, event),
       returnAfterMs: (request) => admissions.refuse(service, request),
       tryRetry: () => state.budget.tryTake(clock.nowMs(), gossip.vmCount),
       send: (entry, request, options) =>
@@ -337,7 +362,9 @@
         // Requests with keys always wait for a slot's coordinator.
         if (!isKeyed) admissions.recordWait(service);
       },
-      shares: isKeyed ? undefined : admissions.sharesOf(service),
+      shares: isKeyed
+        ? undefined
+        : admissions.sharesOf(service, () => queue.waitingWithinShares),
       keyed: isKeyed
         ? { ownerOf: (key) => grants.ownerOf(service, key), slots: source }
         : undefined,
--- a/packages/entry/src/gateway/peers/peer_messages.ts
+++ b/packages/entry/src/gateway/peers/peer_messages.ts
@@ -31,6 +31,11 @@
 /** Method of {@link CallerCountsNews}. */
 export const CALLER_COUNTS_METHOD = "callers";
 
+/** Method of {@link AdmissionReportMessage}. */
+export const ADMISSION_REPORTS_METHOD = "admissions";
+/** Method of {@link AdmissionShareMessage}. */
+export const ADMISSION_SHARES_METHOD = "admissionShares";
+
 /** Method of {@link RequestLimitNews}. */
 export const REQUEST_LIMITS_METHOD = "requestLimits";
 
@@ -374,6 +379,52 @@
     callers.every((caller) => areIntegers(caller) && caller.length === 2);
 }
 
+/** One VM's requests of a service, sent to the VM that aggregates them. */
+export interface AdmissionReportMessage {
+  readonly vm: contracts.VmId;
+  readonly service: contracts.ServiceId;
+  readonly report: admission.AdmissionReport;
+}
+
+/** The reply to an {@link AdmissionReportMessage}. */
+export interface AdmissionShareMessage {
+  readonly vm: contracts.VmId;
+  readonly service: contracts.ServiceId;
+  readonly share: admission.AdmissionShare;
+}
+
+/** Type guard of {@link AdmissionReportMessage}. */
+export function isAdmissionReport(
+  params: unknown,
+): params is AdmissionReportMessage {
+  if (!isRecord(params)) return false;
+  const { vm, service, report } = params;
+  return areStrings([vm, service]) && isRecord(report) &&
+    areAmounts([
+      report.arrived,
+      report.admitted,
+      report.refused,
+      report.ended,
+      report.waiting,
+    ]);
+}
+
+/** Type guard of {@link AdmissionShareMessage}. */
+export function isAdmissionShare(
+  params: unknown,
+): params is AdmissionShareMessage {
+  if (!isRecord(params)) return false;
+  const { vm, service, share } = params;
+  return areStrings([vm, service]) && isRecord(share) &&
+    areAmounts([share.perSecond, share.capacityPerSecond, share.waiting]);
+}
+
+function areAmounts(values: readonly unknown[]): boolean {
+  return values.every((value) =>
+    typeof value === "number" && Number.isFinite(value) && value >= 0
+  );
+}
+
 /** Schema of {@link BackoffNews}. */
 export const backoffNewsSchema = z.object({
   vm: contracts.vmIdSchema,
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -32,6 +32,7 @@
 import { RangeMapStore } from "./grants/range_map_store.ts";
 import { ReadinessServer } from "./readiness_server.ts";
 import { AdmissionTask } from "./admission/admission_task.ts";
+import { SharedAdmissionTask } from "./admission/shared_admission_task.ts";
 import { BackoffGrantControl } from "./grants/backoff_grant_control.ts";
 import { LeavingServers } from "./backoffs/leaving_servers.ts";
 import { LimitedGrantControl } from "./grants/limited_grant_control.ts";
@@ -287,12 +288,22 @@
     latencyFactorsOf: (service) => slots.latencyFactors(service),
     isLeaving: () => lifeCycle.isStopping,
   });
+  const hasShares = () => config.active?.config.hasBulkRoutes ?? false;
+  const sharedAdmission: SharedAdmissionTask = new SharedAdmissionTask({
+    vm: settings.vm,
+    gossip,
+    hasher,
+    capacityPerSecond: (service) => forwarder.serviceCapacity(service),
+    isActive: hasShares,
+    isLeaving: () => lifeCycle.isStopping,
+    clock,
+    log: log.part("route"),
+  });
   const admissions: AdmissionTask = new AdmissionTask({
     vm: settings.vm,
-    isActive: () => config.active?.config.hasBulkRoutes ?? false,
-    capacityOf: (entry) => forwarder.capacity(entry),
-    registry,
+    isActive: hasShares,
     gossip,
+    shared: sharedAdmission,
     hash: (text) => hasher.hash(text),
     clock,
     unixMs: () => Date.now(),
@@ -314,7 +325,7 @@
     isReplaceable: (server) => grantTask.isReplaceable(server),
     requestLimits,
     hotKeyCounts: metrics.hotKeys,
-    hasShares: () => admissions.isActive,
+    hasShares,
     counts: metrics.slotEvents,
   });
   const poison = new PoisonGuard({
@@ -457,6 +468,7 @@
     grantTask,
     slots,
     admissions,
+    sharedAdmission,
     poison,
     requestLimits,
     backoffs,
@@ -536,6 +548,7 @@
   parts.leaving.start(lifeCycle);
   parts.slots.start(lifeCycle);
   parts.admissions.start(lifeCycle);
+  parts.sharedAdmission.start(lifeCycle);
   parts.forwarder.start(lifeCycle);
   await parts.listener.listen();
   log.part("main").info("Entry process started.", {
