feat(grants): place hot keys apart in one plan

planHotKeys moved at most one key of a server, only where the next owner had 1.6 times the capacity.

The plan takes all keys that are hot by their own rates off servers that are overloaded with confidence, each to the server that is least utilized with it. Rates of keys whose requests have just begun are extrapolated. An update of the map holds up to 160 changed ranges and is based on a later revision when more have changed; before, more than 90 changes in 2 s made all VMs read the store. Key counts are sent within 100 ms of being due. Considered and left: batches of finished handovers longer than 60 ms, since requests wait for them.

--- a/packages/decisions/src/grants/mod.ts
+++ b/packages/decisions/src/grants/mod.ts
@@ -13,7 +13,6 @@
 export * from "./range_difference.ts";
 export * from "./range_edit.ts";
 export type {
-  KeyRate,
   RangePlanInput,
   RangeServer,
   ServerBackoff,
--- a/packages/decisions/src/grants/range_load.ts
+++ b/packages/decisions/src/grants/range_load.ts
@@ -1,6 +1,6 @@
 /** Load of key ranges and of the servers that own them, for planning moves. */
 import type * as contracts from "@guavatide/contracts";
-import { rateDeviation } from "./key_rate_tracker.ts";
+import { type KeyRate, rateDeviation } from "./key_rate_tracker.ts";
 
 /** A server that can own ranges. */
 export interface RangeServer {
@@ -26,12 +26,6 @@
   readonly isTotal: boolean;
 }
 
-/** Request rate of one key. */
-export interface KeyRate {
-  readonly key: number;
-  readonly perSecond: number;
-}
-
 /** Input of a plan. */
 export interface RangePlanInput {
   readonly ranges: readonly contracts.RangeState[];
@@ -102,6 +96,15 @@
     return capacity === 0 ? 0 : load / capacity;
   }
 
+  /** Requests per second that all servers together can serve. */
+  get capacityPerSecond(): number {
+    let sum = 0;
+    for (const { capacityPerSecond } of this.#servers.values()) {
+      sum += capacityPerSecond;
+    }
+    return sum;
+  }
+
   /** Whether some server's utilization is above a level with confidence. */
   exceeds(level: number, deviations: number): boolean {
     return [...this.#servers.keys()].some((server) =>
--- a/packages/decisions/src/grants/range_map_history.ts
+++ b/packages/decisions/src/grants/range_map_history.ts
@@ -13,7 +13,7 @@
 /** Age of the base revision: a VM that lost a few datagrams needs no read. */
 const MAX_BASE_AGE_MS = 2_000;
 /** Limits the size of a datagram: larger ones are lost more often. */
-const MAX_RANGES = 90;
+const MAX_RANGES = 160;
 
 /** The last revisions of one service's map. */
 export class RangeMapHistory {
@@ -32,9 +32,9 @@
   }
 
   /**
-   * The latest map as a delta; a small initial map whole. With too many changes
-   * the delta is empty and based on the latest revision: receivers then read
-   * the store.
+   * The latest map as a delta; a small initial map whole. With many changes the
+   * delta is based on a later revision, which most receivers know. With too many
+   * since the last revision it is empty: receivers then read the store.
    */
   latestDelta(): RangeMapDelta | undefined {
     const latest = this.#history.at(-1)?.map;
@@ -42,10 +42,11 @@
     if (latest.revision === 1 && latest.ranges.length <= MAX_RANGES) {
       return { map: latest, baseRevision: 0 };
     }
-    const base = this.#history[0]!.map;
-    const ranges = changedRanges(base, latest);
-    return ranges.length <= MAX_RANGES
-      ? { map: { ...latest, ranges }, baseRevision: base.revision }
-      : { map: { ...latest, ranges: [] }, baseRevision: latest.revision };
+    for (const { map: base } of this.#history) {
+      const ranges = changedRanges(base, latest);
+      if (ranges.length > MAX_RANGES) continue;
+      return { map: { ...latest, ranges }, baseRevision: base.revision };
+    }
+    return { map: { ...latest, ranges: [] }, baseRevision: latest.revision };
   }
 }
--- a/packages/decisions/src/grants/range_map_history_test.ts
+++ b/packages/decisions/src/grants/range_map_history_test.ts
@@ -73,6 +73,23 @@
   expect(baseRevision).toEqual(map.revision);
 });
 
+/** Guards against all VMs reading the store when many hot keys have moved. */
+test("should update from a later revision when too much has changed", () => {
+  const maps = [initialMap(193)];
+  for (let step = 0; step < 100; step++) {
+    maps.push(withHandover(maps.at(-1)!, 300 * step, step));
+  }
+  const history = new grants.RangeMapHistory();
+  for (const [index, map] of maps.entries()) history.noteMap(map, index);
+  const { map, baseRevision } = history.latestDelta()!;
+  expect(baseRevision > 1).toEqual(true);
+  expect(map.ranges.length > 100 && map.ranges.length <= 160).toEqual(true);
+  const base = maps.find(({ revision }) => revision === baseRevision)!;
+  expect(grants.applyChanges(base.ranges, map.ranges)).toEqual(
+    maps.at(-1)!.ranges,
+  );
+});
+
 /** Guards against a delta that is applied to the wrong base. */
 test("should refuse changes that leave a gap or an overlap", () => {
   const map = initialMap(3);
--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -6,8 +6,8 @@
 import { KEY_COUNT } from "@guavatide/contracts";
 import { planHotKeys } from "./hot_keys.ts";
 import { overlaps, type RangeMove } from "./range_edit.ts";
+import type { KeyRate } from "./key_rate_tracker.ts";
 import {
-  type KeyRate,
   type RangePlanInput,
   rangeRate,
   ratesWithin,
@@ -51,11 +51,16 @@
   if (!input.mayBalance || moves.length > 0) return moves;
   // A move would shift load between limits and cost each of them calls.
   if (areAllLimited(input)) return [];
-  const hotKeys = planHotKeys(input, utilization);
+  const maxAddedRanges = input.servers.size * MAX_RANGES_PER_SERVER -
+    input.ranges.length;
+  const { moves: hotKeys, isRising } = planHotKeys(input, utilization, {
+    maxAddedRanges,
+  });
   // While handovers are in progress only single hot keys are moved: they
   // affect one server each.
   const isStable = input.ranges.every(({ vacating }) => vacating === undefined);
-  if (!isStable) return hotKeys;
+  // Ranges cut by rates that are not known would move several hot keys together.
+  if (!isStable || isRising) return hotKeys;
   const forNewServers = planNewServers(input, utilization);
   if (forNewServers.length > 0) return forNewServers;
   const relief = planRelief(input, utilization);
--- a/packages/entry/src/gateway/grants/grant_task.ts
+++ b/packages/entry/src/gateway/grants/grant_task.ts
@@ -4,6 +4,7 @@
 import * as grants from "@guavatide/decisions/grants/mod";
 import type * as ownership from "@guavatide/decisions/ownership/mod";
 import type { SuspendAwareClock } from "../../utils/clock.ts";
+import type { LabelledCounts } from "../../metrics/labelled_counts.ts";
 import type { LifeCycle, PeriodicTask } from "../../utils/life_cycle.ts";
 import type { Logger } from "../../utils/log.ts";
 import type { ConfigHolder } from "../store/config_holder.ts";
@@ -43,6 +44,7 @@
   readonly isCold: MovePlannerOptions["isCold"];
   readonly maxRangesOf: MovePlannerOptions["maxRangesOf"];
   readonly backoffOf: MovePlannerOptions["backoffOf"];
+  readonly hotKeyCounts: LabelledCounts;
   readonly backoffs:
     & ServiceGrantsOptions["backoffs"]
     & Pick<ServerBackoffTask, "longestDelayMs">;
@@ -64,6 +66,8 @@
 const TICK_MS = 200;
 /** Shortest interval at which request counts by key are sent to the leader. */
 const KEY_COUNTS_INTERVAL_MS = 200;
+/** A due message is sent within this time: hot keys move by its counts. */
+const KEY_COUNTS_TICK_MS = 100;
 /**
  * The interval grows by this for each VM, which limits the message rate at the
  * leader.
@@ -142,7 +146,7 @@
   /** Starts the periodic work. */
   start(lifeCycle: LifeCycle): void {
     this.#tickTask = lifeCycle.every(TICK_MS, () => this.#tick());
-    lifeCycle.every(KEY_COUNTS_INTERVAL_MS, () => this.#sendKeyCounts());
+    lifeCycle.every(KEY_COUNTS_TICK_MS, () => this.#sendKeyCounts());
   }
 
   /** Registers a listener for changes of the owners of a service's keys. */
@@ -376,7 +380,10 @@
 
   #sendKeyCounts(): void {
     const { gossip, self, clock, latencyFactorsOf } = this.#options;
-    const intervalMs = gossip.vmCount * KEY_COUNTS_PER_VM_MS;
+    const intervalMs = Math.max(
+      KEY_COUNTS_INTERVAL_MS,
+      gossip.vmCount * KEY_COUNTS_PER_VM_MS,
+    );
     if (clock.nowMs() - this.#countsSentAtMs < intervalMs) return;
     this.#countsSentAtMs = clock.nowMs();
     for (const [service, counts] of this.#counts) {
--- a/packages/entry/src/gateway/grants/move_planner.ts
+++ b/packages/entry/src/gateway/grants/move_planner.ts
@@ -3,6 +3,7 @@
  */
 import type * as contracts from "@guavatide/contracts";
 import * as grants from "@guavatide/decisions/grants/mod";
+import type { LabelledCounts } from "../../metrics/labelled_counts.ts";
 import type { Logger } from "../../utils/log.ts";
 import type { KeyCounts } from "../peers/peer_messages.ts";
 
@@ -30,6 +31,8 @@
   readonly backoffOf: (
     server: contracts.ServerId,
   ) => grants.ServerBackoff | undefined;
+  /** Decisions on hot keys, by service and decision; absent in tests. */
+  readonly hotKeyCounts?: LabelledCounts;
 }
 
 /** Interval of plans that rebalance load. */
@@ -37,6 +40,11 @@
 /** A new leader first gathers request counts by key for this long. */
 const REBALANCE_GRACE_MS = 600;
 
+/** Of a plan with more moves, one line tells their number. */
+const MAX_LOGGED_MOVES = 30;
+/** A move of more keys is one of a range, not of hot keys. */
+const MAX_HOT_KEYS_PER_MOVE = 32;
+
 /** Plans the handovers of one service. */
 export class MovePlanner {
   readonly #options: MovePlannerOptions;
@@ -78,8 +86,7 @@
     nowMs: number,
   ): grants.RangeMove[] {
     if (usable.size === 0) return [];
-    const { capacity, isCold, maxRangesOf, backoffOf, service, log } =
-      this.#options;
+    const { capacity, isCold, maxRangesOf, backoffOf } = this.#options;
     const mayBalance = nowMs - this.#startedAtMs >= REBALANCE_GRACE_MS &&
       nowMs - this.#rebalancedAtMs >= REBALANCE_INTERVAL_MS;
     const hasLostOwner = map.ranges.some(({ owner }) =>
@@ -114,7 +121,19 @@
       rates: this.#loads.rates(),
       mayBalance,
     });
-    for (const { fromKey, toKey, to } of moves) {
+    this.#report(moves);
+    return moves;
+  }
+
+  #report(moves: readonly grants.RangeMove[]): void {
+    const { service, log, hotKeyCounts } = this.#options;
+    const hotKeyMoves = moves.filter(({ fromKey, toKey }) =>
+      toKey - fromKey < MAX_HOT_KEYS_PER_MOVE
+    );
+    if (hotKeyMoves.length > 0) {
+      hotKeyCounts?.add(hotKeyMoves.length, { service, decision: "moved" });
+    }
+    for (const { fromKey, toKey, to } of moves.slice(0, MAX_LOGGED_MOVES)) {
       log.info("Planned a handover.", {
         service,
         fromKey,
@@ -122,6 +141,11 @@
         to: to.server,
       });
     }
-    return moves;
+    if (moves.length <= MAX_LOGGED_MOVES) return;
+    log.info("Planned further handovers.", {
+      service,
+      moves: moves.length,
+      ofHotKeys: hotKeyMoves.length,
+    });
   }
 }
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -281,6 +281,7 @@
       config.service(service)?.coldStart !== undefined,
     maxRangesOf: (server) => rateLimits.maxRangesOf(server),
     backoffOf: (server) => backoffs.placementOf(server),
+    hotKeyCounts: metrics.hotKeys,
     backoffs,
     limitOf: (server) => requestLimits.limitOf(server),
     latencyFactorsOf: (service) => slots.latencyFactors(service),
