feat(admission): refuse before the body is read what can't be answered in time

The forwarder foretells the refusal from route, headers and Content-Length, and counts and logs it as any other. A load test of three kinds checks that the least urgent one keeps a part and that none is served more than a more urgent one.

--- a/packages/decisions/src/admission/overload_load_test.ts
+++ b/packages/decisions/src/admission/overload_load_test.ts
@@ -39,6 +39,8 @@
   readonly demandPerSecond: number;
   /** Immediate retries; 0 for callers that return when told, up to twice. */
   readonly immediateRetries: number;
+  /** By default 1. */
+  readonly priority?: number;
 }
 
 interface Result {
@@ -50,6 +52,7 @@
 }
 
 interface Ask {
+  readonly route: contracts.Route;
   readonly caller: string;
   readonly result: Result;
   readonly startMs: number;
@@ -167,7 +170,9 @@
   }
 
   #scheduleArrival(group: number): void {
-    const { callers, demandPerSecond, immediateRetries } = this.#groups[group]!;
+    const { callers, demandPerSecond, immediateRetries, priority = 1 } = this
+      .#groups[group]!;
+    const route = { ...ROUTE, name: `filing${priority}`, priority };
     this.#after(-Math.log(1 - this.#next()) * 1_000 / demandPerSecond, () => {
       const number = Math.floor(this.#next() * callers);
       const isCounted = this.#nowMs > WARM_UP_MS &&
@@ -175,6 +180,7 @@
       const result = isCounted ? this.results[group]! : { ...NO_RESULT };
       result.asked++;
       this.#ask({
+        route,
         caller: `10.${group}.0.${number}`,
         result,
         startMs: this.#nowMs,
@@ -191,7 +197,7 @@
     const { caller, startMs, result } = ask;
     const queue = this.#queues[vm]!;
     const service = this.#admissions[vm]!;
-    const route = ROUTE.name;
+    const route = ask.route.name;
     const moment = () => ({ nowMs: this.#nowMs, unixMs: this.#nowMs });
     const judged = isBaseline
       ? undefined
@@ -201,7 +207,7 @@
     if (standing !== "above-share") reporter.recordArrival();
     const answerByMs = startMs + TIMEOUT_MS;
     queue.add({
-      route: ROUTE,
+      route: ask.route,
       key: undefined,
       bodyBytes: 0,
       targetMs: this.#nowMs + ROUTE.targetLatencyMs,
@@ -254,7 +260,7 @@
         const queue = this.#queues[vm]!;
         if (this.#nowMs - sentMs < SERVICE_MS * 1.6) {
           const tookMs = this.#nowMs - sentMs;
-          this.#times[vm]!.record(ROUTE, load.entry.server, tookMs);
+          this.#times[vm]!.record(ask.route, load.entry.server, tookMs);
         }
         this.#reporters[vm]!.recordEnd();
         this.#tellLoads(vm);
@@ -376,3 +382,23 @@
   expect(load.utilization).toBeGreaterThanOrEqual(0.92);
   expect(modest.served / modest.asked).toBeGreaterThanOrEqual(0.97);
 });
+
+/** Guards against urgent requests that exclude others, and the reverse. */
+test("should serve some of each kind, and more of the more urgent", () => {
+  const load = run([1.2, 0.2, 0.2].map((demand, priority) => ({
+    callers: 200,
+    demandPerSecond: demand * CAPACITY,
+    immediateRetries: 0,
+    priority,
+  })));
+  const all = load.results.reduce((sum, { served }) => sum + served, 0) /
+    load.results.reduce((sum, { asked }) => sum + asked, 0);
+  const fractions = load.results.map(({ served, asked }) => served / asked);
+  const [first, second, third] = fractions as [number, number, number];
+  expect(load.utilization).toBeGreaterThanOrEqual(0.92);
+  expect(third).toBeGreaterThanOrEqual(all / 4);
+  // Shares are of callers, whatever kinds of requests they send.
+  const tolerance = 0.02;
+  expect(second).toBeGreaterThanOrEqual(third - tolerance);
+  expect(first).toBeGreaterThanOrEqual(second - tolerance);
+});
--- a/packages/decisions/src/admission/service_admission.ts
+++ b/packages/decisions/src/admission/service_admission.ts
@@ -72,6 +72,24 @@
     this.#returns = new ReturnSchedule(options);
   }
 
+  /**
+   * The best standing that a request may have once it is counted: far above its
+   * share, chance rarely puts it within.
+   */
+  preview(
+    request: ReturningCaller,
+    { nowMs, unixMs }: Moment,
+  ): RequestStanding | undefined {
+    if (!this.shares.isShort(nowMs)) return undefined;
+    const caller = this.#options.hash(request.caller);
+    const standing = this.shares.standing(caller, nowMs);
+    const mayReturn = isWithin(standing, MAX_RETURNING_SHARES);
+    if (mayReturn && this.#returns.isReturn(request, unixMs)) {
+      return "returning";
+    }
+    return isWithin(standing, MAX_PROMISED_SHARES) ? undefined : "above-share";
+  }
+
   /** Counts a request and judges it. */
   arrive(request: ReturningCaller, { nowMs, unixMs }: Moment): JudgedRequest {
     const caller = this.#options.hash(request.caller);
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -106,6 +106,24 @@
     this.#insert(request);
   }
 
+  /**
+   * The refusal that a request would get if it were added now; undefined if it
+   * would be sent or queued. Requests with keys are decided on elsewhere.
+   */
+  expectedRefusal(
+    request: WaitingRequest,
+    nowMs: number,
+  ): Refusal | undefined {
+    if (!this.#hasShares || this.isKeyed || this.#waiting.length === 0) {
+      return undefined;
+    }
+    const reason = this.#refusals.blockedBy(request, nowMs);
+    if (reason !== "no-room") return undefined;
+    const waitMs = this.#waits.expectedWaitMs(request, this.#waiting, nowMs);
+    if (!this.#waits.mustRefuse(request, waitMs, nowMs)) return undefined;
+    return this.#refusals.refusal(request, reason, waitMs, nowMs);
+  }
+
   /** Whether it would be sent before waiting requests that go first. */
   #isOvertaking(request: WaitingRequest, nowMs: number): boolean {
     if (!this.#hasShares || this.isKeyed) return false;
--- a/packages/decisions/src/admission/service_queue_test.ts
+++ b/packages/decisions/src/admission/service_queue_test.ts
@@ -137,6 +137,35 @@
   );
 });
 
+/** Guards against bodies that are read although no server can take them. */
+test("should foretell the refusal of a request behind a long queue", () => {
+  const queue = new admission.ServiceQueue({
+    zone: "z1" as contracts.ZoneId,
+    times: new admission.ServiceTimes(),
+    random: { next: () => 0.5 },
+    shares: {
+      isActive: true,
+      refusesLate: true,
+      leftRatio: () => 0.1,
+      queuePerSecond: () => 40,
+    },
+  });
+  queue.setServers([server("s1", { slots: 4 })]);
+  const isForetold = () =>
+    queue.expectedRefusal(new Request(1_000), 1_000) !== undefined;
+  const foretold: boolean[] = [];
+  for (let index = 0; index < 12; index++) {
+    const request = new Request(1_000);
+    const before = isForetold();
+    queue.add(request, 1_000);
+    request.placement?.load.startRequest(1_000);
+    foretold.push(before);
+    expect(request.refusal !== undefined).toEqual(before);
+  }
+  expect(foretold[0]).toEqual(false);
+  expect(foretold.at(-1)).toEqual(true);
+});
+
 /** Guards against VMs that together overload a server unknowingly. */
 test("should count the requests that peers reported", () => {
   const fixture = new Fixture([server("a", { slots: 2 })]);
--- a/packages/entry/src/gateway/admission/admission_task.ts
+++ b/packages/entry/src/gateway/admission/admission_task.ts
@@ -74,6 +74,14 @@
     return this.#options.isActive();
   }
 
+  /** Best standing of a request whose body is not read yet. */
+  preview(
+    service: contracts.ServiceId,
+    request: admission.ReturningCaller,
+  ): admission.RequestStanding | undefined {
+    return this.#of(service).preview(request, this.#now());
+  }
+
   /** Counts and judges a request; undefined where callers have no shares. */
   judge(
     service: contracts.ServiceId,
@@ -120,6 +128,11 @@
     return retryAfterMs;
   }
 
+  /** Counts a refusal before the body was read. */
+  recordUnreadBody(service: contracts.ServiceId): void {
+    this.#options.counts.add(1, { service, decision: "body-not-read" });
+  }
+
   /** Records that a request of a service without keys waits. */
   recordWait(service: contracts.ServiceId): void {
     if (!this.isActive) return;
--- a/packages/entry/src/gateway/forwarding/forwarder.ts
+++ b/packages/entry/src/gateway/forwarding/forwarder.ts
@@ -15,6 +15,7 @@
 import {
   type FrontAnswer,
   type FrontRequest,
+  type FrontRequestHead,
   notRunAnswer,
   overloadAnswer,
 } from "./front_request.ts";
@@ -80,6 +81,8 @@
 /** Interval at which a service's capacity is summed over its servers. */
 const CAPACITY_INTERVAL_MS = 250;
 
+const NO_SERVERS: ReadonlySet<contracts.ServerId> = new Set();
+
 /** The request path of one entry VM. */
 export class Forwarder {
   readonly #options: ForwarderOptions;
@@ -191,6 +194,67 @@
     });
   }
 
+  /**
+   * Refuses a request whose body is not read yet if no service of its route
+   * could answer it in time; undefined to read the body.
+   */
+  admitBeforeBody(head: FrontRequestHead): FrontAnswer | undefined {
+    const { config: { active }, admissions, clock } = this.#options;
+    // Without a body, the refusal in the queue takes as little.
+    if (head.bodyBytes === 0 || active === undefined) return undefined;
+    if (!admissions.isActive) return undefined;
+    const route = active.table.find(head.host, pathOf(head.target));
+    if (route === undefined || route.targets.length === 0) return undefined;
+    const nowMs = clock.nowMs();
+    const longestMs = Math.min(route.timeoutMs, head.deadlineMs ?? Infinity);
+    const caller = { caller: head.caller, route: route.name };
+    const answerByMs = head.arrivedMs + longestMs;
+    const refusals = route.targets.map(({ service }) =>
+      this.#serviceState(service).queue.expectedRefusal({
+        route,
+        key: head.key,
+        bodyBytes: head.bodyBytes ?? 0,
+        targetMs: head.arrivedMs + route.targetLatencyMs,
+        answerByMs,
+        standing: admissions.preview(service, caller),
+        tried: NO_SERVERS,
+        placed: () => {},
+        refused: () => {},
+      }, nowMs)
+    );
+    const [refusal] = refusals;
+    if (refusal === undefined || refusals.includes(undefined)) return undefined;
+    const { service } = route.targets[0]!;
+    const { queue, times, budget } = this.#serviceState(service);
+    budget.recordRequest(nowMs);
+    const judged = admissions.judge(service, caller)!;
+    admissions.recordUnreadBody(service);
+    const retryAfterMs = admissions.refuse(service, {
+      ...caller,
+      judged,
+      answerByMs,
+      serviceMs: times.estimateMs(route),
+      minWaitMs: 0,
+    });
+    const { reason, expectedWaitMs } = refusal;
+    const answer = notRunAnswer(`Not run: ${reason}`, retryAfterMs);
+    this.#options.onFinished({
+      id: head.id,
+      route: route.name,
+      service,
+      key: head.key,
+      configVersion: active.config.version,
+      outcome: `${reason} before its body was read`,
+      answer,
+      tookMs: nowMs - head.arrivedMs,
+      queuedMs: 0,
+      attempts: [],
+      fingerprint: undefined,
+      queue: { waiting: queue.waiting, expectedWaitMs, judged },
+    });
+    return answer;
+  }
+
   /**
    * Requests per second that a server can serve, from service times measured
    * here. `reportedFactor` replaces the locally measured latency factor of the
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -456,6 +456,7 @@
         CALLER_DESCRIPTOR_RATIO,
     ),
     graceMs: settings.timings.graceSeconds * 1000,
+    admitBeforeBody: (head) => forwarder.admitBeforeBody(head),
     forward: (request) => forwarder.forward(request),
   });
   config.onChange(() => listener.applyLimits());
