--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -466,6 +466,7 @@
         CALLER_DESCRIPTOR_RATIO,
     ),
     graceMs: settings.timings.graceSeconds * 1000,
+    admitBeforeBody: (head) => forwarder.admitBeforeBody(head),
     forward: (request) => forwarder.forward(request),
     heldBytes,
     count: (decision) => metrics.frontDecisions.add(1, { decision }),
