perf(start): a script with V8's code cache instead of an ES module

Half of the processor time of a start was compiling the bundle: Node 20 has a code cache for scripts only, and loads an ES module with its asynchronous loader. The bundle is now a script; a short profile run at build time writes what V8 compiled there, and a launcher loads both. V8 rejects the cache under other flags or another version and compiles as before.

--- a/packages/standins/src/processes/child_program.ts
+++ b/packages/standins/src/processes/child_program.ts
@@ -15,6 +15,8 @@
   /** Path of the compiled script to run with Node. */
   readonly script: string;
   readonly args: readonly string[];
+  /** Options of Node itself; none by default. */
+  readonly nodeOptions?: readonly string[];
   /**
    * Whether a line of output is the ready line. By default, the first line that
    * looks like a JSON object with a `port`.
@@ -71,7 +73,7 @@
   static async start(options: StartOptions): Promise<ChildProgram> {
     const child = childProcess.spawn(
       process.execPath,
-      [options.script, ...options.args],
+      [...options.nodeOptions ?? [], options.script, ...options.args],
       {
         stdio: ["ignore", "pipe", "pipe"],
         env: { ...process.env, ...options.env },
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,9 +1,15 @@
 /**
- * Bundles the program of the users' platform under target/: one file that a
- * start loads, and others for what is loaded when it is asked for.
+ * Bundles the program of the users' platform under target/: the program in one
+ * file, its compiled code as V8 serializes it, and a launcher that loads both.
  */
+import * as childProcess from "node:child_process";
+import * as fs from "node:fs";
 import * as esbuild from "esbuild";
 
+const TARGET = "target";
+/** A profile run takes 8 s; more means that it hangs. */
+const PROFILE_TIMEOUT_MS = 60_000;
+
 /**
  * The parts of undici that the program uses. Its main module also loads fetch,
  * WebSocket and caches, which cost a starting process a tenth of a second.
@@ -37,22 +43,30 @@
   },
 };
 
+// Files of earlier bundles must not be loaded.
+fs.rmSync(TARGET, { recursive: true, force: true });
+
 await esbuild.build({
   entryPoints: ["platform/dist/main.js"],
-  outdir: "target",
-  entryNames: "guavatide",
-  chunkNames: "guavatide-[name]-[hash]",
-  splitting: true,
+  outfile: `${TARGET}/program.js`,
   bundle: true,
   platform: "node",
-  format: "esm",
+  // Node 20 has a code cache for scripts only, not for ES modules.
+  format: "cjs",
   target: "node20",
   minify: true,
   legalComments: "none",
   plugins: [undiciParts],
-  // Libraries written for require() find it under this name.
-  banner: {
-    js:
-      'import { createRequire } from "node:module";const require=createRequire(import.meta.url);',
-  },
 });
+fs.writeFileSync(`${TARGET}/package.json`, '{ "type": "commonjs" }\n');
+fs.copyFileSync("scripts/launcher.cjs", `${TARGET}/guavatide.js`);
+
+// A process of its own, since the ports and timers of a profile run that fails
+// must not keep this one alive. Without a code cache the program works as well,
+// and starts later.
+const { status } = childProcess.spawnSync(
+  process.execPath,
+  ["platform/dist/measure/code_cache_main.js", TARGET],
+  { stdio: "inherit", timeout: PROFILE_TIMEOUT_MS },
+);
+if (status !== 0) console.error("bundle: no code cache was written.");
