--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -43,8 +43,12 @@
   },
 };
 
-// Files of earlier bundles must not be loaded.
-fs.rmSync(TARGET, { recursive: true, force: true });
+// Files of earlier bundles must not be loaded; others may keep theirs here.
+fs.mkdirSync(TARGET, { recursive: true });
+for (const name of fs.readdirSync(TARGET)) {
+  const isOurs = /^(guavatide|program)[-.]/.test(name);
+  if (isOurs) fs.rmSync(`${TARGET}/${name}`);
+}
 
 await esbuild.build({
   entryPoints: ["platform/dist/main.js"],
