fix(grants): no rebalancing until servers had time to name their limits

When all owners of a service limited their requests, callers got as little as 20 answers where 90 are due, and one owner got 32 calls in 4 s where 26 are allowed ("what limited owners of keys allow together").

Cause, from a run with all calls recorded: the leader knew the limits of three owners 86 ms before that of the fourth, and moved nearly all their keys to it. Then all were limited, and no keys move between limited owners: the fourth had all of them for good, and its renewals alone exceeded its limit.

Load is rebalanced no sooner than 600 ms after the newest limit became known. Keys of a single limited owner move that much later.

--- a/packages/entry/src/gateway/grants/move_planner.ts
+++ b/packages/entry/src/gateway/grants/move_planner.ts
@@ -37,6 +37,13 @@
 /** A new leader first gathers request counts by key for this long. */
 const REBALANCE_GRACE_MS = 600;
 
+/**
+ * No load is rebalanced for this long after a server has named a limit: others
+ * may do so as well, and all keys would move to the last one. Each owner is
+ * called within this time, as its leases are renewed.
+ */
+const LIMIT_SETTLE_MS = 600;
+
 /** Plans the handovers of one service. */
 export class MovePlanner {
   readonly #options: MovePlannerOptions;
@@ -48,6 +55,9 @@
   readonly #latencyFactors = new Map<contracts.ServerId, number>();
   #startedAtMs = 0;
   #rebalancedAtMs = 0;
+  #limited: ReadonlySet<contracts.ServerId> = new Set();
+  /** When the newest limit became known. */
+  #limitedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: MovePlannerOptions) {
     this.#options = options;
@@ -80,8 +90,10 @@
     if (usable.size === 0) return [];
     const { capacity, isCold, maxRangesOf, backoffOf, service, log } =
       this.#options;
+    this.#noteLimits(usable, nowMs);
     const mayBalance = nowMs - this.#startedAtMs >= REBALANCE_GRACE_MS &&
-      nowMs - this.#rebalancedAtMs >= REBALANCE_INTERVAL_MS;
+      nowMs - this.#rebalancedAtMs >= REBALANCE_INTERVAL_MS &&
+      nowMs - this.#limitedAtMs >= LIMIT_SETTLE_MS;
     const hasLostOwner = map.ranges.some(({ owner }) =>
       usable.get(owner.server)?.bornMs !== owner.bornMs
     );
@@ -124,4 +136,17 @@
     }
     return moves;
   }
+  #noteLimits(
+    usable: ReadonlyMap<contracts.ServerId, contracts.RegisteredServer>,
+    nowMs: number,
+  ): void {
+    const limited = new Set(
+      [...usable.keys()].filter((server) =>
+        this.#options.maxRangesOf(server) !== undefined
+      ),
+    );
+    const hasNew = [...limited].some((server) => !this.#limited.has(server));
+    if (hasNew) this.#limitedAtMs = nowMs;
+    this.#limited = limited;
+  }
 }
