--- a/packages/entry/src/gateway/grants/move_planner.ts
+++ b/packages/entry/src/gateway/grants/move_planner.ts
@@ -44,6 +44,12 @@
 const MAX_LOGGED_MOVES = 30;
 /** A move of more keys is one of a range, not of hot keys. */
 const MAX_HOT_KEYS_PER_MOVE = 32;
+/**
+ * No load is rebalanced for this long after a server has named a limit: others
+ * may do so as well, and all keys would move to the last one. Each owner is
+ * called within this time, as its leases are renewed.
+ */
+const LIMIT_SETTLE_MS = 600;
 
 /** Plans the handovers of one service. */
 export class MovePlanner {
@@ -56,6 +62,9 @@
   readonly #latencyFactors = new Map<contracts.ServerId, number>();
   #startedAtMs = 0;
   #rebalancedAtMs = 0;
+  #limited: ReadonlySet<contracts.ServerId> = new Set();
+  /** When the newest limit became known. */
+  #limitedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: MovePlannerOptions) {
     this.#options = options;
@@ -87,8 +96,10 @@
   ): grants.RangeMove[] {
     if (usable.size === 0) return [];
     const { capacity, isCold, maxRangesOf, backoffOf } = this.#options;
+    this.#noteLimits(usable, nowMs);
     const mayBalance = nowMs - this.#startedAtMs >= REBALANCE_GRACE_MS &&
-      nowMs - this.#rebalancedAtMs >= REBALANCE_INTERVAL_MS;
+      nowMs - this.#rebalancedAtMs >= REBALANCE_INTERVAL_MS &&
+      nowMs - this.#limitedAtMs >= LIMIT_SETTLE_MS;
     const hasLostOwner = map.ranges.some(({ owner }) =>
       usable.get(owner.server)?.bornMs !== owner.bornMs
     );
@@ -148,4 +159,18 @@
       ofHotKeys: hotKeyMoves.length,
     });
   }
+
+  #noteLimits(
+    usable: ReadonlyMap<contracts.ServerId, contracts.RegisteredServer>,
+    nowMs: number,
+  ): void {
+    const limited = new Set(
+      [...usable.keys()].filter((server) =>
+        this.#options.maxRangesOf(server) !== undefined
+      ),
+    );
+    const hasNew = [...limited].some((server) => !this.#limited.has(server));
+    if (hasNew) this.#limitedAtMs = nowMs;
+    this.#limited = limited;
+  }
 }
