feat(admission): speed of servers that report nothing

A coordinator compared the few servers that it coordinates with one another, so that two slow ones both counted as usual. It compares them with what its VM measures at all servers. The time that a request granted beyond the slots waits at the server no longer counts as service time.

Considered and left: faster first estimates of routes; cold servers would raise them.

--- a/packages/decisions/src/admission/mod.ts
+++ b/packages/decisions/src/admission/mod.ts
@@ -12,6 +12,7 @@
 export * from "./server_ranking.ts";
 export * from "./server_rate_limit.ts";
 export * from "./service_queue.ts";
+export * from "./server_speed.ts";
 export * from "./service_times.ts";
 export * from "./shared_retry_budget.ts";
 export * from "./short_request_reserve.ts";
--- a/packages/decisions/src/admission/service_queue_test.ts
+++ b/packages/decisions/src/admission/service_queue_test.ts
@@ -121,7 +121,7 @@
   setServiceTime(tookMs: number): void {
     for (let index = 0; index < 200; index++) {
       for (const server of this.queue.loads.keys()) {
-        this.times.record(ROUTE, server, tookMs);
+        this.times.record(ROUTE, server, tookMs, this.nowMs);
       }
     }
   }
--- a/packages/decisions/src/admission/service_times.ts
+++ b/packages/decisions/src/admission/service_times.ts
@@ -3,12 +3,11 @@
  * each backend server how much slower or faster than average it is.
  */
 import type * as contracts from "@guavatide/contracts";
+import { ServerSpeed } from "./server_speed.ts";
 import type { PrioritizedRoute } from "./waiting_request.ts";
 
 /** Weight of a new sample in a route's moving average. */
 const ROUTE_SAMPLE_WEIGHT = 1 / 30;
-/** Weight of a new sample in a server's latency factor. */
-const SERVER_SAMPLE_WEIGHT = 1 / 10;
 /** A single sample counts as at most this many times the expected time. */
 const OUTLIER_RATIO = 6;
 /**
@@ -19,23 +18,38 @@
 /** Learned service times of one service. */
 export class ServiceTimes {
   readonly #routeMs = new Map<string, number>();
-  readonly #serverFactors = new Map<contracts.ServerId, number>();
+  readonly #speeds = new Map<contracts.ServerId, ServerSpeed>();
+  readonly #reference: ServiceTimes | undefined;
   #meanMs: number | undefined;
 
+  /**
+   * `reference`: service times of more servers than are recorded here, with
+   * which these are compared. Without it, what a VM records of a few servers of
+   * one speed would tell nothing of that speed.
+   */
+  constructor(reference?: ServiceTimes) {
+    this.#reference = reference;
+  }
+
   /** Moving average over all routes; undefined before the first answer. */
   get meanMs(): number | undefined {
-    return this.#meanMs;
+    return this.#reference?.meanMs ?? this.#meanMs;
   }
 
   /** Expected service time of a route's request at an average server. */
   estimateMs(route: PrioritizedRoute): number {
-    return this.#routeMs.get(route.name) ??
+    return this.#reference?.measuredMs(route) ?? this.measuredMs(route) ??
       route.targetLatencyMs * INITIAL_ESTIMATE_FRACTION;
   }
 
+  /** Measured service time of a route; undefined before the first answer. */
+  measuredMs(route: PrioritizedRoute): number | undefined {
+    return this.#routeMs.get(route.name);
+  }
+
   /** Service time of a server relative to the mean; 1 while unknown. */
   latencyFactor(server: contracts.ServerId): number {
-    return this.#serverFactors.get(server) ?? 1;
+    return this.#speeds.get(server)?.factor ?? 1;
   }
 
   /** Records an answer after `tookMs` from a server that had a free slot. */
@@ -43,14 +57,13 @@
     route: PrioritizedRoute,
     server: contracts.ServerId,
     tookMs: number,
+    nowMs: number,
   ): void {
     const expectedMs = this.estimateMs(route);
-    const factor = this.latencyFactor(server);
     const ratio = Math.min(OUTLIER_RATIO, tookMs / Math.max(1, expectedMs));
-    this.#serverFactors.set(
-      server,
-      factor + SERVER_SAMPLE_WEIGHT * (ratio - factor),
-    );
+    const speed = this.#speeds.get(server) ?? new ServerSpeed();
+    this.#speeds.set(server, speed);
+    speed.record(ratio, nowMs);
     // Not divided by the server's factor: the inverse of a noisy estimate is
     // biased, and the two estimates would drift apart.
     const cappedMs = Math.min(tookMs, expectedMs * OUTLIER_RATIO);
@@ -64,8 +77,8 @@
 
   /** Drops all servers but these. */
   keepOnly(servers: ReadonlySet<contracts.ServerId>): void {
-    for (const server of this.#serverFactors.keys()) {
-      if (!servers.has(server)) this.#serverFactors.delete(server);
+    for (const server of this.#speeds.keys()) {
+      if (!servers.has(server)) this.#speeds.delete(server);
     }
   }
 }
--- a/packages/decisions/src/admission/service_times_test.ts
+++ b/packages/decisions/src/admission/service_times_test.ts
@@ -22,7 +22,7 @@
     const server = index % SPEEDS.length;
     // Exponentially distributed times vary about as much as real ones.
     const workMs = -WORK_MS * Math.log(1 - uniformFloat64(random));
-    times.record(ROUTE, servers[server]!, workMs / SPEEDS[server]!);
+    times.record(ROUTE, servers[server]!, workMs / SPEEDS[server]!, index * 10);
     if (index > 200) worst = Math.max(worst, times.estimateMs(ROUTE) / WORK_MS);
   }
   expect(worst < 2).toEqual(true);
--- a/packages/decisions/src/admission/slot_coordinator.ts
+++ b/packages/decisions/src/admission/slot_coordinator.ts
@@ -66,6 +66,13 @@
   ) => ServerRateLimit | undefined;
   /** Whether another server can take over what this one owns; no if absent. */
   readonly isReplaceable?: (server: SlotServer) => boolean;
+  /**
+   * Service times that this VM has measured at all servers of a service;
+   * without them, the servers coordinated here are compared with one another.
+   */
+  readonly timesOf?: (
+    service: contracts.ServiceId,
+  ) => ServiceTimes | undefined;
   /** Called when a key asks for more than its server has left for it. */
   readonly onKeyLimited?: (server: SlotServer, key: number) => void;
 }
@@ -94,6 +101,10 @@
 interface HeldSlotState {
   readonly route: PrioritizedRoute;
   readonly grantedMs: number;
+  /** Whether its request waits at the server, which runs no more at once. */
+  isWaiting: boolean;
+  /** How long it has waited there. */
+  waitedMs: number;
   readonly release: (nowMs: number) => void;
 }
 
@@ -189,12 +200,19 @@
     return factors;
   }
 
+  #timesOf(service: contracts.ServiceId): ServiceTimes {
+    const found = this.#times.get(service);
+    if (found !== undefined) return found;
+    const created = new ServiceTimes(this.#options.timesOf?.(service));
+    this.#times.set(service, created);
+    return created;
+  }
+
   #allocatorOf(server: SlotServer): ServerSlotAllocator {
     const name = `${server.server}/${server.bornMs}`;
     const found = this.#servers.get(name);
     if (found !== undefined) return found;
-    const times = this.#times.get(server.service) ?? new ServiceTimes();
-    this.#times.set(server.service, times);
+    const times = this.#timesOf(server.service);
     const created = new ServerSlotAllocator(server, times, this.#options);
     this.#servers.set(name, created);
     return created;
@@ -301,8 +319,10 @@
     if (held === undefined) return false;
     this.#held.delete(key);
     held.release(nowMs);
+    this.#noteSlotFreed(nowMs);
     if (tookMs !== undefined) {
-      this.#times.record(held.route, this.server.server, tookMs);
+      const servedMs = Math.max(1, tookMs - held.waitedMs);
+      this.#times.record(held.route, this.server.server, servedMs, nowMs);
       this.#unansweredSinceMs = nowMs;
     }
     if (this.#held.size === 0) {
@@ -366,6 +386,16 @@
       nowMs - this.#lastRequestMs > IDLE_SERVER_TTL_MS;
   }
 
+  /** The request that has waited longest at the server starts now. */
+  #noteSlotFreed(nowMs: number): void {
+    for (const held of this.#held.values()) {
+      if (!held.isWaiting) continue;
+      held.isWaiting = false;
+      held.waitedMs = nowMs - held.grantedMs;
+      return;
+    }
+  }
+
   #cancel(pending: PendingSlotRequest): void {
     if (!this.#limitedKeys.cancel(pending)) this.#queue.cancel(pending);
   }
@@ -421,7 +451,13 @@
       releaseReserve();
       end({ kind: "abandoned" }, endedMs);
     };
-    this.#held.set(key, { route, grantedMs: nowMs, release });
+    this.#held.set(key, {
+      route,
+      grantedMs: nowMs,
+      isWaiting: this.#held.size >= this.server.slots,
+      waitedMs: 0,
+      release,
+    });
   }
 }
 
--- a/packages/entry/src/gateway/forwarding/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarding/forwarded_request.ts
@@ -231,7 +231,8 @@
     const hasFreeSlots = outstanding < entry.slots;
     const isServed = outcome.kind === "answered" && !outcome.isFailure;
     if (isServed && hasFreeSlots) {
-      this.#context.times.record(this.route, entry.server, endedMs - nowMs);
+      const tookMs = endedMs - nowMs;
+      this.#context.times.record(this.route, entry.server, tookMs, endedMs);
     }
     release(isServed ? endedMs - nowMs : undefined);
     this.#context.onLoadChange();
--- a/packages/entry/src/gateway/forwarding/forwarder.ts
+++ b/packages/entry/src/gateway/forwarding/forwarder.ts
@@ -177,6 +177,11 @@
     });
   }
 
+  /** Service times of a service that this VM has measured. */
+  timesOf(service: contracts.ServiceId): admission.ServiceTimes {
+    return this.#serviceState(service).times;
+  }
+
   /**
    * Requests per second that a server can serve, from service times measured
    * here. `reportedFactor` replaces the locally measured latency factor of the
--- a/packages/entry/src/gateway/slots/slot_task.ts
+++ b/packages/entry/src/gateway/slots/slot_task.ts
@@ -35,6 +35,10 @@
     RequestLimitTask,
     "newsOf" | "applyNews" | "hasAny"
   >;
+  /** Service times that this VM has measured at all servers of a service. */
+  readonly timesOf: (
+    service: contracts.ServiceId,
+  ) => admission.ServiceTimes | undefined;
   /** Decisions on hot keys, by service and decision. */
   readonly hotKeyCounts: LabelledCounts;
 }
@@ -97,6 +101,7 @@
       onDecision: (decision) => this.#queueReply(decision),
       rateLimitsOf: (service) => options.rateLimits.forCoordinator(service),
       isReplaceable: options.isReplaceable,
+      timesOf: options.timesOf,
       onKeyLimited: ({ service, server }, key) => {
         options.hotKeyCounts.add(1, { service, decision: "limited" });
         const fields = { service, server, key };
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -300,6 +300,7 @@
     rateLimits,
     isReplaceable: (server) => grantTask.isReplaceable(server),
     requestLimits,
+    timesOf: (service) => forwarder.timesOf(service),
     hotKeyCounts: metrics.hotKeys,
   });
   const poison = new PoisonGuard({
