--- a/packages/decisions/src/admission/mod.ts
+++ b/packages/decisions/src/admission/mod.ts
@@ -17,6 +17,7 @@
 export * from "./service_admission.ts";
 export * from "./service_queue.ts";
 export * from "./service_queue_options.ts";
+export * from "./server_speed.ts";
 export * from "./service_times.ts";
 export * from "./shared_admission.ts";
 export * from "./shared_retry_budget.ts";
--- a/packages/decisions/src/admission/overload_load_test.ts
+++ b/packages/decisions/src/admission/overload_load_test.ts
@@ -260,7 +260,12 @@
         const queue = this.#queues[vm]!;
         if (this.#nowMs - sentMs < SERVICE_MS * 1.6) {
           const tookMs = this.#nowMs - sentMs;
-          this.#times[vm]!.record(ask.route, load.entry.server, tookMs);
+          this.#times[vm]!.record(
+            ask.route,
+            load.entry.server,
+            tookMs,
+            this.#nowMs,
+          );
         }
         this.#reporters[vm]!.recordEnd();
         this.#tellLoads(vm);
--- a/packages/decisions/src/admission/slot_coordinator.ts
+++ b/packages/decisions/src/admission/slot_coordinator.ts
@@ -91,6 +91,13 @@
   readonly isReplaceable?: (server: SlotServer) => boolean;
   /** Whether callers have shares; no if absent. */
   readonly hasShares?: () => boolean;
+  /**
+   * Service times that this VM has measured at all servers of a service;
+   * without them, the servers coordinated here are compared with one another.
+   */
+  readonly timesOf?: (
+    service: contracts.ServiceId,
+  ) => ServiceTimes | undefined;
   /** Called when a key asks for more than its server has left for it. */
   readonly onKeyLimited?: (server: SlotServer, key: number) => void;
   /** Called for each request refused while its server has stalled. */
@@ -133,6 +140,10 @@
   readonly grantedMs: number;
   /** When it was granted or its VM last listed it. */
   listedMs: number;
+  /** Whether its request waits at the server, which runs no more at once. */
+  isWaiting: boolean;
+  /** How long it has waited there. */
+  waitedMs: number;
   readonly release: (nowMs: number) => void;
 }
 
@@ -228,12 +239,19 @@
     return factors;
   }
 
+  #timesOf(service: contracts.ServiceId): ServiceTimes {
+    const found = this.#times.get(service);
+    if (found !== undefined) return found;
+    const created = new ServiceTimes(this.#options.timesOf?.(service));
+    this.#times.set(service, created);
+    return created;
+  }
+
   #allocatorOf(server: SlotServer): ServerSlotAllocator {
     const name = `${server.server}/${server.bornMs}`;
     const found = this.#servers.get(name);
     if (found !== undefined) return found;
-    const times = this.#times.get(server.service) ?? new ServiceTimes();
-    this.#times.set(server.service, times);
+    const times = this.#timesOf(server.service);
     const created = new ServerSlotAllocator(server, times, this.#options);
     this.#servers.set(name, created);
     return created;
@@ -355,8 +373,10 @@
     if (held === undefined) return false;
     this.#held.delete(key);
     held.release(nowMs);
+    this.#noteSlotFreed(nowMs);
     if (tookMs !== undefined) {
-      this.#times.record(held.route, this.server.server, tookMs);
+      const servedMs = Math.max(1, tookMs - held.waitedMs);
+      this.#times.record(held.route, this.server.server, servedMs, nowMs);
       this.#unansweredSinceMs = nowMs;
     }
     if (this.#held.size === 0) {
@@ -442,6 +462,16 @@
       nowMs - this.#lastRequestMs > IDLE_SERVER_TTL_MS;
   }
 
+  /** The request that has waited longest at the server starts now. */
+  #noteSlotFreed(nowMs: number): void {
+    for (const held of this.#held.values()) {
+      if (!held.isWaiting) continue;
+      held.isWaiting = false;
+      held.waitedMs = nowMs - held.grantedMs;
+      return;
+    }
+  }
+
   #cancel(pending: PendingSlotRequest): void {
     if (!this.#limitedKeys.cancel(pending)) this.#queue.cancel(pending);
   }
@@ -506,6 +536,8 @@
       route,
       grantedMs: nowMs,
       listedMs: nowMs,
+      isWaiting: this.#held.size >= this.server.slots,
+      waitedMs: 0,
       release,
     });
   }
--- a/packages/entry/src/gateway/forwarding/forwarder.ts
+++ b/packages/entry/src/gateway/forwarding/forwarder.ts
@@ -194,6 +194,11 @@
     });
   }
 
+  /** Service times of a service that this VM has measured. */
+  timesOf(service: contracts.ServiceId): admission.ServiceTimes {
+    return this.#serviceState(service).times;
+  }
+
   /**
    * Refuses a request whose body is not read yet if no service of its route
    * could answer it in time; undefined to read the body.
--- a/packages/entry/src/gateway/slots/slot_task.ts
+++ b/packages/entry/src/gateway/slots/slot_task.ts
@@ -37,6 +37,10 @@
   >;
   /** Whether callers have shares, by the configuration in force. */
   readonly hasShares: () => boolean;
+  /** Service times that this VM has measured at all servers of a service. */
+  readonly timesOf: (
+    service: contracts.ServiceId,
+  ) => admission.ServiceTimes | undefined;
   /** Decisions on hot keys, by service and decision. */
   readonly hotKeyCounts: LabelledCounts;
   /** Counts requests refused at stalled servers, and slots freed, by kind. */
@@ -116,6 +120,7 @@
       rateLimitsOf: (service) => options.rateLimits.forCoordinator(service),
       isReplaceable: options.isReplaceable,
       hasShares: options.hasShares,
+      timesOf: options.timesOf,
       onKeyLimited: ({ service, server }, key) => {
         options.hotKeyCounts.add(1, { service, decision: "limited" });
         const fields = { service, server, key };
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -334,6 +334,7 @@
     rateLimits,
     isReplaceable: (server) => grantTask.isReplaceable(server),
     requestLimits,
+    timesOf: (service) => forwarder.timesOf(service),
     hotKeyCounts: metrics.hotKeys,
     hasShares,
     counts: metrics.slotEvents,
