perf(peers): type guards for hellos, reader statuses and relayed messages

Messages that every VM gets several times a second were checked by schemas, which cost most where code is cold: a schema also compiles its check at its first message. They are now checked as statuses are, and tested against the schema.

--- a/packages/entry/src/gateway/paths/peer_reach.ts
+++ b/packages/entry/src/gateway/paths/peer_reach.ts
@@ -4,16 +4,16 @@
 import { CoalescedCallback } from "../../utils/coalesced_callback.ts";
 import type { PeerGossip } from "../peers/peer_gossip.ts";
 import {
+  isUnreachedServers,
   REACH_METHOD,
   type UnreachedServers,
-  unreachedServersSchema,
 } from "../peers/peer_messages.ts";
 import { RepeatedBroadcast } from "../peers/repeated_broadcast.ts";
 
 /** Options of {@link PeerReach}. */
 export interface PeerReachOptions {
   readonly vm: contracts.VmId;
-  readonly gossip: Pick<PeerGossip, "on" | "broadcast">;
+  readonly gossip: Pick<PeerGossip, "onGuarded" | "broadcast">;
   readonly clock: contracts.Clock;
   /** What this VM doesn't reach. */
   readonly own: () => OwnReach;
@@ -52,9 +52,9 @@
 
   constructor(options: PeerReachOptions) {
     this.#options = options;
-    options.gossip.on(
+    options.gossip.onGuarded(
       REACH_METHOD,
-      unreachedServersSchema,
+      isUnreachedServers,
       (news) => this.#note(news),
     );
   }
--- a/packages/entry/src/gateway/peers/peer_gossip.ts
+++ b/packages/entry/src/gateway/peers/peer_gossip.ts
@@ -13,9 +13,10 @@
 import {
   BROADCAST_METHOD,
   type BroadcastMessage,
-  broadcastMessageSchema,
   HELLO_METHOD,
+  isBroadcastMessage,
   isLoadUpdate,
+  isPeerHello,
   isPeerStatus,
   isVoterStatus,
   LOAD_METHOD,
@@ -24,7 +25,6 @@
   type PeerFailure,
   peerFailureSchema,
   type PeerHello,
-  peerHelloSchema,
   type PeerStatus,
   STATUS_METHOD,
   VOTER_METHOD,
@@ -150,7 +150,11 @@
       log,
       onSent: (method, bytes, to) => onSent(method, bytes, to.zone === zone),
     });
-    this.on(HELLO_METHOD, peerHelloSchema, (hello) => this.#handleHello(hello));
+    this.onGuarded(
+      HELLO_METHOD,
+      isPeerHello,
+      (hello) => this.#handleHello(hello),
+    );
     this.onGuarded(
       STATUS_METHOD,
       isPeerStatus,
@@ -161,9 +165,9 @@
       isVoterStatus,
       (status) => this.#handleVoterStatus(status),
     );
-    this.on(
+    this.onGuarded(
       BROADCAST_METHOD,
-      broadcastMessageSchema,
+      isBroadcastMessage,
       (message) => this.#relayBroadcast(message),
     );
     this.on(
--- a/packages/entry/src/gateway/peers/peer_messages.ts
+++ b/packages/entry/src/gateway/peers/peer_messages.ts
@@ -105,19 +105,25 @@
 export type PeerStatus = z.infer<typeof peerStatusSchema>;
 
 /**
- * Type guard of {@link PeerStatus}: a schema is too slow for messages this
+ * Type guard of {@link PeerHello}: a schema is too slow for messages this
  * frequent.
  */
-export function isPeerStatus(params: unknown): params is PeerStatus {
+export function isPeerHello(params: unknown): params is PeerHello {
   if (!hasCommonFields(params)) return false;
-  const status = params as Partial<PeerStatus>;
-  const { port, configVersion, configCursor, serversCursor } = status;
-  return areStrings([status.host, status.zone]) &&
-    areIntegers([port, configVersion, configCursor, serversCursor]) &&
-    Number.isFinite(status.processorCores) &&
-    typeof status.hasStore === "boolean" &&
-    typeof status.isLeaving === "boolean" &&
-    areCounts(status.loads) && areCounts(status.waiting);
+  const { host, zone, port, processorCores, hasStore, isLeaving } =
+    params as Partial<PeerHello>;
+  return areStrings([host, zone]) && Number.isInteger(port) &&
+    Number.isFinite(processorCores) && typeof hasStore === "boolean" &&
+    typeof isLeaving === "boolean";
+}
+
+/** Type guard of {@link PeerStatus}, which is as frequent. */
+export function isPeerStatus(params: unknown): params is PeerStatus {
+  if (!isPeerHello(params)) return false;
+  const { configVersion, configCursor, serversCursor, loads, waiting } =
+    params as Partial<PeerStatus>;
+  return areIntegers([configVersion, configCursor, serversCursor]) &&
+    areCounts(loads) && areCounts(waiting);
 }
 
 /** Type guard of {@link VoterStatus}, which is as frequent. */
@@ -191,13 +197,19 @@
 /** State that the voters of range maps send one another. */
 export type VoterStatus = z.infer<typeof voterStatusSchema>;
 
-/** Schema of {@link BroadcastMessage}. */
-export const broadcastMessageSchema = z.object({
-  method: z.string(),
-  params: z.unknown(),
-});
 /** A message that its receiver handles and relays to its cell. */
-export type BroadcastMessage = z.infer<typeof broadcastMessageSchema>;
+export interface BroadcastMessage {
+  readonly method: string;
+  readonly params: unknown;
+}
+
+/** Type guard of {@link BroadcastMessage}. */
+export function isBroadcastMessage(
+  params: unknown,
+): params is BroadcastMessage {
+  return isRecord(params) && typeof params.method === "string" &&
+    "params" in params;
+}
 
 /** Schema of {@link PeerFailure}. */
 export const peerFailureSchema = peerHelloSchema.pick({
@@ -425,15 +437,23 @@
     SLOT_STRINGS.every((index) => typeof value[index] === "string");
 }
 
-/** Schema of {@link UnreachedServers}. */
-export const unreachedServersSchema = z.object({
-  vm: contracts.vmIdSchema,
-  /** Whether the VM reaches no server at all; it then names none. */
-  isCutOff: z.boolean(),
-  servers: z.array(contracts.serverIdSchema),
-});
 /** Servers that a VM doesn't reach itself; neither when it reaches all. */
-export type UnreachedServers = z.infer<typeof unreachedServersSchema>;
+export interface UnreachedServers {
+  readonly vm: contracts.VmId;
+  /** Whether the VM reaches no server at all; it then names none. */
+  readonly isCutOff: boolean;
+  readonly servers: readonly contracts.ServerId[];
+}
+
+/** Type guard of {@link UnreachedServers}. */
+export function isUnreachedServers(
+  params: unknown,
+): params is UnreachedServers {
+  if (!isRecord(params)) return false;
+  const { vm, isCutOff, servers } = params;
+  return typeof vm === "string" && typeof isCutOff === "boolean" &&
+    areStrings(servers);
+}
 
 /** Schema of {@link StoreChanges}. */
 export const storeChangesSchema = z.object({
@@ -468,16 +488,22 @@
 /** Request to a peer for the changes after a position. */
 export type ChangesRequest = z.infer<typeof changesRequestSchema>;
 
-/** Schema of {@link ReaderStatus}. */
-export const readerStatusSchema = z.object({
-  vm: contracts.vmIdSchema,
+/** Heartbeat of a reader that reaches the store. */
+export interface ReaderStatus {
+  readonly vm: contracts.VmId;
   /** How long the store has answered this reader without a failure. */
-  storeCalmMs: z.number(),
+  readonly storeCalmMs: number;
   /** By prefix: position of the last change known. */
-  positions: z.record(z.string(), z.number().int()),
-});
-/** Heartbeat of a reader that reaches the store. */
-export type ReaderStatus = z.infer<typeof readerStatusSchema>;
+  readonly positions: Readonly<Record<string, number>>;
+}
+
+/** Type guard of {@link ReaderStatus}, which all VMs get several a second. */
+export function isReaderStatus(params: unknown): params is ReaderStatus {
+  if (!isRecord(params)) return false;
+  const { vm, storeCalmMs, positions } = params;
+  return typeof vm === "string" && Number.isFinite(storeCalmMs) &&
+    areCounts(positions);
+}
 
 /** Schema of {@link PeersRequest}. */
 export const peersRequestSchema = z.object({
--- a/packages/entry/src/gateway/peers/peer_messages_test.ts
+++ b/packages/entry/src/gateway/peers/peer_messages_test.ts
@@ -1,5 +1,7 @@
+import * as contracts from "@guavatide/contracts";
 import { expect } from "earl";
 import { test } from "node:test";
+import * as z from "zod";
 import * as messages from "./peer_messages.ts";
 
 const COMMON_FIELDS = {
@@ -9,7 +11,7 @@
   standsMs: 1_600,
   maps: { s: [4, true] },
 };
-const STATUS = {
+const HELLO = {
   ...COMMON_FIELDS,
   host: "10.0.0.1",
   port: 7_200,
@@ -17,6 +19,9 @@
   processorCores: 0.27,
   hasStore: true,
   isLeaving: false,
+};
+const STATUS = {
+  ...HELLO,
   configVersion: -1,
   configCursor: 5,
   serversCursor: 6,
@@ -31,10 +36,39 @@
   silentServers: ["a"],
 };
 
+const UNREACHED = { vm: "vm1", isCutOff: false, servers: ["a"] };
+const unreachedSchema = z.object({
+  vm: contracts.vmIdSchema,
+  isCutOff: z.boolean(),
+  servers: z.array(contracts.serverIdSchema),
+});
+const READER_STATUS = { vm: "vm1", storeCalmMs: 12.5, positions: { p: 7 } };
+const readerStatusSchema = z.object({
+  vm: contracts.vmIdSchema,
+  storeCalmMs: z.number(),
+  positions: z.record(z.string(), z.number().int()),
+});
+const BROADCAST = { method: "load", params: { vm: "vm1" } };
+const broadcastSchema = z.object({ method: z.string(), params: z.unknown() });
+
 /** Guards against a type guard that accepts what its schema rejects. */
 for (
   const [name, isMessage, schema, good] of [
+    ["hello", messages.isPeerHello, messages.peerHelloSchema, HELLO],
     ["status", messages.isPeerStatus, messages.peerStatusSchema, STATUS],
+    [
+      "list of unreached servers",
+      messages.isUnreachedServers,
+      unreachedSchema,
+      UNREACHED,
+    ],
+    [
+      "reader status",
+      messages.isReaderStatus,
+      readerStatusSchema,
+      READER_STATUS,
+    ],
+    ["broadcast", messages.isBroadcastMessage, broadcastSchema, BROADCAST],
     [
       "voter status",
       messages.isVoterStatus,
--- a/packages/entry/src/gateway/store/watch_relay.ts
+++ b/packages/entry/src/gateway/store/watch_relay.ts
@@ -109,9 +109,9 @@
       messages.changesRequestSchema,
       (request) => this.#sendMissedChanges(request),
     );
-    gossip.on(
+    gossip.onGuarded(
       messages.READER_METHOD,
-      messages.readerStatusSchema,
+      messages.isReaderStatus,
       (status) => this.#handleReaderStatus(status),
     );
     rpc.on(SNAPSHOT_METHOD, (prefix) => this.#watches.get(prefix)?.snapshot);
