perf(links): no test of the Host header for being an IP address

undici derives a TLS server name from each request's Host header and calls net.isIP, whose pattern for IPv6 takes a cold process 14 + 3 ms to compile (at its first two uses, busy machine); it was 1.8 % of the processor time of 24 VMs in their first 10 s under load (profile). Requests now name an unused server name, as connections to servers do not use TLS.

--- a/packages/entry/src/links/server_connection.ts
+++ b/packages/entry/src/links/server_connection.ts
@@ -13,6 +13,13 @@
 import { readHeader } from "./header_list.ts";
 import { runOfStamp } from "./server_clock.ts";
 
+/**
+ * TLS server name passed with each request. Without one, undici tests whether
+ * the request's Host is an IP address, and the pattern for IPv6 takes a process
+ * several milliseconds to compile. Connections to servers do not use TLS.
+ */
+const UNUSED_SERVER_NAME = "-";
+
 /** One attempt of a request, as sent over a connection. */
 export interface AttemptRequest {
   readonly id: contracts.RequestId;
@@ -190,12 +197,14 @@
   #dispatch(pending: PendingRequest): void {
     const { request } = pending;
     let answer: AnswerReader | undefined;
-    this.#client.dispatch({
+    const options: RequestOptions = {
       method: request.method as undici.Dispatcher.HttpMethod,
       path: request.path,
       headers: request.headers as string[],
       body: request.body ?? null,
-    }, {
+      servername: UNUSED_SERVER_NAME,
+    };
+    this.#client.dispatch(options, {
       onRequestStart: (controller) => {
         pending.abort = (reason) => controller.abort(reason);
         if (this.#pending !== pending || !request.maySend()) {
@@ -235,6 +244,11 @@
   }
 }
 
+/** Options of a request; undici's types omit the server name. */
+type RequestOptions = undici.Dispatcher.DispatchOptions & {
+  readonly servername: string;
+};
+
 /** A property of undici's controller that its types omit. */
 interface HeaderSource {
   readonly rawHeaders?: readonly Uint8Array[] | null;
