fix(grants): space renewals over the ranges of a limited owner

A VM that becomes a renewer has no grant of its own on record, and renewed all ranges of the owner at once; ranges granted together stayed in step. The mean rate was planned for, bursts were not. At a limited owner with long leases a VM now renews one range in each part of its interval, the oldest grant first. New ranges, short leases and owners whose last grant failed are excepted.

Tests: service_grants_test, two cases, four grants in 1.2 s before and two after.

--- a/packages/entry/src/gateway/grants/grant_sender.ts
+++ b/packages/entry/src/gateway/grants/grant_sender.ts
@@ -135,6 +135,12 @@
       this.#options.clock.nowMs() >= state.retryAtMs;
   }
 
+  /** Whether the last grant to an owner failed or was refused. */
+  isFailing({ server, bornMs }: contracts.RangeOwner): boolean {
+    const state = this.#servers.get(server);
+    return state?.owner.bornMs === bornMs && state.consecutiveFailures > 0;
+  }
+
   /**
    * Servers that have not answered this VM's grants for at least
    * `timings.unresponsiveAfterMs`, or that keep refusing a range.
--- a/packages/entry/src/gateway/grants/service_grants.ts
+++ b/packages/entry/src/gateway/grants/service_grants.ts
@@ -130,6 +130,8 @@
   readonly #fetcher: RangeMapFetcher;
   readonly #lostServers = new grants.LostServers();
   readonly #pacer = new grants.ReleasePacer();
+  /** When this VM last sent a grant to each owner. */
+  readonly #grantedAtMs = new Map<contracts.ServerId, number>();
   /** Fences that were accepted in answer to this VM's grants. */
   readonly #acceptedFences = new Set<number>();
 
@@ -394,6 +396,9 @@
       if (!fences.has(fence)) this.#acceptedFences.delete(fence);
     }
     this.#ranking.keepOnly(owners);
+    for (const server of this.#grantedAtMs.keys()) {
+      if (!owners.has(server)) this.#grantedAtMs.delete(server);
+    }
     this.#handoverAges.noteMap(map, this.#adoptedAtMs);
     const { service, log } = this.#options;
     log.info("Adopted a range map.", {
@@ -486,6 +491,7 @@
         leaseMs: this.#leaseMs(range.owner.server),
         isStillAllowed,
       };
+      this.#grantedAtMs.set(range.owner.server, nowMs);
       this.#sender.send(request).then(
         () => this.#renewNext(range.owner.server),
         (error) =>
@@ -510,7 +516,9 @@
       if (intervalMs === undefined) continue;
       if (this.#isLeftToLeader(range, nowMs)) continue;
       const last = this.#sender.accepted(range);
-      const overdueMs = last === undefined
+      const overdueMs = this.#isSpaced(range)
+        ? this.#spacedOverdueMs(range, intervalMs, nowMs)
+        : last === undefined
         ? Number.POSITIVE_INFINITY
         : nowMs - last.sentAtMs -
           this.#intervalAfter(server, { rank, intervalMs, ...last });
@@ -520,6 +528,43 @@
     return grants.mostOverdue(due);
   }
 
+  /**
+   * Whether renewals of a range are spaced over the owner's other ranges: the
+   * owner limits its calls, and would get one for each range at once from a VM
+   * that has just become its renewer. Not for a grant that callers or a vote on
+   * the owner wait for, nor while the last lease was a short one.
+   */
+  #isSpaced(range: contracts.RangeState): boolean {
+    const { server } = range.owner;
+    if (this.#options.controlCallsPerSecond(server) === undefined) return false;
+    const leaseMs = this.#sparingLeaseMs(server);
+    if (leaseMs === undefined || leaseMs <= this.#leaseMs()) return false;
+    if (this.#sender.isFailing(range.owner)) return false;
+    const last = this.#sender.accepted(range);
+    return last === undefined
+      ? !this.#pendingFences.has(range.fence)
+      : last.leaseMs >= leaseMs;
+  }
+
+  /**
+   * One range is renewed in each part of the interval, the one with the oldest
+   * grant first; negative before the next part.
+   */
+  #spacedOverdueMs(
+    range: contracts.RangeState,
+    intervalMs: number,
+    nowMs: number,
+  ): number {
+    const { server } = range.owner;
+    const spacingMs = intervalMs / this.#rangesOf(server).length;
+    const lastMs = this.#grantedAtMs.get(server) ?? Number.NEGATIVE_INFINITY;
+    if (nowMs - lastMs < spacingMs) return -1;
+    const accepted = this.#sender.accepted(range);
+    return accepted === undefined
+      ? Number.POSITIVE_INFINITY
+      : nowMs - accepted.sentAtMs;
+  }
+
   /**
    * Interval after the last grant, which may have been shorter than those of now.
    * At a server that has asked this VM to back off: at once as long as calls
--- a/packages/entry/src/gateway/grants/service_grants_test.ts
+++ b/packages/entry/src/gateway/grants/service_grants_test.ts
@@ -88,6 +88,7 @@
   const maySendChecks = new Map<contracts.ServerId, () => boolean>();
   let map = mapOf((server) => visited.add(server));
   let isSparing = false;
+  const sentAtMs: { fence: number; atMs: number }[] = [];
   const service = new ServiceGrants({
     service: KEYED_SERVICE,
     vm: VOTER,
@@ -112,6 +113,7 @@
       grant: ({ server }, grant, options) => {
         maySendChecks.set(server, options.maySend!);
         sent.set(server, [...sent.get(server) ?? [], grant]);
+        sentAtMs.push({ fence: grant.fence, atMs: nowMs });
         const answered = new Promise<contracts.GrantAnswer>((resolve) => {
           answers.set(server, () => resolve("granted"));
           if (!isHeld) resolve("granted");
@@ -133,7 +135,7 @@
       { vm: OTHER, hasStore: !isLeader, processorCores: 1 },
     ],
     desiredLeaseMs: () => grants.DEFAULT_GRANT_TIMINGS.holdMs,
-    controlCallsPerSecond: () => undefined,
+    controlCallsPerSecond: () => isSparing ? 1.6 : undefined,
     hasUnreached: () => false,
     reaches: () => true,
     reachesAny: () => true,
@@ -153,6 +155,11 @@
   return {
     visited,
     sent,
+    /** When grants of the first server's ranges were sent. */
+    sentToFirst: () => {
+      const fences = new Set(sent.get(FIRST_SERVER)?.map((it) => it.fence));
+      return sentAtMs.filter(({ fence }) => fences.has(fence));
+    },
     holdAnswers: () => {
       isHeld = true;
     },
@@ -234,3 +241,46 @@
       new Set(voter.sent.get(FIRST_SERVER)!.map((it) => it.fromKey)).size,
     );
 });
+
+/** Interval of the first renewer, for all ranges of a limited server. */
+const SPARING_INTERVAL_MS = 2_400;
+
+/** Most of the times in any span of the length. */
+function mostWithin(
+  sent: readonly { readonly atMs: number }[],
+  spanMs: number,
+): number {
+  return Math.max(
+    ...sent.map(({ atMs }) =>
+      sent.filter((it) => it.atMs >= atMs && it.atMs < atMs + spanMs).length
+    ),
+  );
+}
+
+/** Guards against renewals of all ranges at once, beyond their owner's limit. */
+test("should space renewals over the ranges of a limited server", async () => {
+  const voter = await createVoter();
+  await voter.run(1_000);
+  voter.lengthenLeases();
+  const { holdMs } = grants.DEFAULT_GRANT_TIMINGS;
+  const longMs = 1_000 + holdMs;
+  await voter.run(longMs + 2 * LONG_LEASE_MS);
+  const sent = voter.sentToFirst().filter(({ atMs }) => atMs >= longMs);
+  expect(mostWithin(sent, SPARING_INTERVAL_MS / 2)).toBeLessThanOrEqual(2);
+  for (const fence of new Set(sent.map((it) => it.fence))) {
+    const times = sent.filter((it) => it.fence === fence).map((it) => it.atMs);
+    for (const [index, atMs] of times.slice(1).entries()) {
+      expect(atMs - times[index]!).toBeLessThan(LONG_LEASE_MS / 2);
+    }
+  }
+});
+
+/** Guards against a call for each range when a VM takes over the renewals. */
+test("should space the first renewals of a new renewer at a limited server", async () => {
+  const voter = await createVoter();
+  voter.lengthenLeases();
+  await voter.run(SPARING_INTERVAL_MS + LEADER_AFTER_MS);
+  const sent = voter.sentToFirst();
+  expect(mostWithin(sent, SPARING_INTERVAL_MS / 2)).toBeLessThanOrEqual(2);
+  expect(new Set(sent.map(({ fence }) => fence)).size).toBeGreaterThan(2);
+});
