feat(roles): large VMs take on the roles

VmRanking gets weights: a VM's cores, limited by linkMbps / 8 (assumed: 5,000 datagrams of 200 bytes a second for a core). VMs below half of the strongest that can take a role come last; the others are ranked by weighted rendezvous. Used for slot coordinators, rate limits at them, leaders and renewers. Voters and readers were chosen by cores before; voters now leave out weak VMs when five strong ones are up, and weak voters, chosen while the large VMs restarted, are replaced one by one. Relays get requests in proportion to their weights. PeerHello carries linkMbps, optional on the wire.

In deployments with unequal VMs, coordinators, leaders and renewers move to the large VMs; while both versions run, two coordinators may serve one server, as when VMs disagree on who is up.

Why not all VMs in proportion to their cores: the processor time does not decide. But a VM with 0.27 cores, if limited by quota, stands still for up to 73 of each 100 ms when it is busy, and every request of a server waits for its coordinator.

--- a/packages/decisions/src/grants/voter_selection.ts
+++ b/packages/decisions/src/grants/voter_selection.ts
@@ -6,6 +6,11 @@
 
 /** Voters of a map, as long as there are so many VMs. */
 const VOTER_COUNT = 7;
+/**
+ * With so many strong VMs, weak ones do not vote: two voters may be lost, and
+ * a weak VM would spend much of its processor on messages.
+ */
+const MIN_STRONG_VOTERS = 5;
 /** Voters that reach servers: one may be lost without a lease lapsing. */
 const MIN_GRANTING_VOTERS = 3;
 /** A voter that sent no message for this long is replaced by another VM. */
@@ -22,6 +27,8 @@
   readonly map: contracts.RangeMap | undefined;
   /** VMs that are up, in the order in which they become voters. */
   readonly live: readonly contracts.VmId[];
+  /** VMs that vote only when there are too few others. */
+  readonly weak: ReadonlySet<contracts.VmId>;
   /** VMs that reach no backend server and can grant nothing. */
   readonly cutOff: ReadonlySet<contracts.VmId>;
   /** Time since a VM's last message; infinite when there was none. */
@@ -36,12 +43,35 @@
   const kept = current.filter((voter) =>
     unresponsiveMs(input, voter) < VOTER_REPLACE_AFTER_MS
   );
-  const added = input.live.filter((vm) => !kept.includes(vm));
-  const voters = [...kept, ...added]
-    .slice(0, Math.max(VOTER_COUNT, kept.length));
+  const strong = input.live.filter((vm) =>
+    !input.weak.has(vm) && !input.cutOff.has(vm)
+  );
+  const mayVote = strong.length >= MIN_STRONG_VOTERS
+    ? (vm: contracts.VmId) => !input.weak.has(vm)
+    : () => true;
+  const added = input.live.filter((vm) => !kept.includes(vm) && mayVote(vm));
+  const staying = withoutOneWeakVoter(kept, input, strong);
+  const voters = [...staying, ...added]
+    .slice(0, Math.max(VOTER_COUNT, staying.length));
   return withGrantingVoters(voters, input);
 }
 
+/**
+ * Drops one weak voter if strong VMs can take its place. One at a time, as each
+ * change of voters needs a majority of the old ones.
+ */
+function withoutOneWeakVoter(
+  kept: readonly contracts.VmId[],
+  { vm, weak }: VoterSelectionInput,
+  strong: readonly contracts.VmId[],
+): readonly contracts.VmId[] {
+  if (strong.length < MIN_STRONG_VOTERS) return kept;
+  // The leader selects the voters; it leaves only as the last weak one.
+  const weakVoters = kept.filter((voter) => weak.has(voter));
+  const dropped = weakVoters.find((voter) => voter !== vm) ?? weakVoters[0];
+  return kept.filter((voter) => voter !== dropped);
+}
+
 /** Lets VMs that reach servers replace cut off voters, as many as are needed. */
 function withGrantingVoters(
   voters: readonly contracts.VmId[],
--- a/packages/decisions/src/grants/voter_selection_test.ts
+++ b/packages/decisions/src/grants/voter_selection_test.ts
@@ -19,6 +19,7 @@
       ranges: [],
     },
     live: ["a", "d"] as contracts.VmId[],
+    weak: new Set(),
     cutOff: new Set(),
     sinceLastMessageMs: () => Number.POSITIVE_INFINITY,
     uptimeMs: 60_000,
@@ -66,3 +67,39 @@
       ["b", "c"] as contracts.VmId[],
     );
 });
+
+/** Small VMs that voted while large ones restarted must not stay for good. */
+test("should replace weak voters one by one by strong ones", () => {
+  const vms = ["a", "b", "c", "d", "e", "f", "g", "h", "i"] as contracts.VmId[];
+  const weak = new Set(vms.slice(0, 4));
+  let voters = vms.slice(0, 7);
+  const rounds = [voters];
+  for (;;) {
+    const next = grants.selectVoters(input({
+      map: { ...input({}).map!, keeperSets: [voters] },
+      live: [...vms.slice(4), ...weak],
+      weak,
+      sinceLastMessageMs: () => 0,
+    }));
+    if (next.join() === voters.join()) break;
+    expect(voters.filter((vm) => !next.includes(vm)).length <= 1)
+      .toEqual(true);
+    voters = next;
+    rounds.push(voters);
+  }
+  expect(voters).toEqual(vms.slice(4));
+  expect(rounds.length).toEqual(5);
+  // The leader, here "a", is the last weak voter.
+  expect(rounds.at(-2)!.includes(vms[0]!)).toEqual(true);
+});
+
+/** With too few strong VMs, the loss of two voters would stop all changes. */
+test("should let weak VMs vote while there are few strong ones", () => {
+  const vms = ["a", "b", "c", "d", "e", "f", "g", "h"] as contracts.VmId[];
+  const selected = grants.selectVoters(input({
+    map: undefined,
+    live: vms,
+    weak: new Set(vms.slice(4)),
+  }));
+  expect(selected).toEqual(vms.slice(0, 7));
+});
--- a/packages/decisions/src/paths/relay_selector.ts
+++ b/packages/decisions/src/paths/relay_selector.ts
@@ -16,6 +16,8 @@
     vm: contracts.VmId,
     server: contracts.ServerId,
   ) => boolean;
+  /** Share of work for others that a VM can take on; the same by default. */
+  readonly weightOf?: (vm: contracts.VmId) => number;
 }
 
 /** What a peer's answer says of its load. */
@@ -58,13 +60,17 @@
   ): Peer | undefined {
     let best: Peer | undefined;
     let bestScore = Number.POSITIVE_INFINITY;
+    const { weightOf = () => 1 } = this.#options;
+    const strongest = Math.max(...peers.map(({ vm }) => weightOf(vm)));
     for (const peer of peers) {
       const { vm, zone } = peer;
       if (this.#isAvoided(vm, server, nowMs)) continue;
       if (!this.#options.reaches(vm, server)) continue;
       const penalty = zone === this.#options.zone ? 0 : OTHER_ZONE_PENALTY;
-      const score = this.#load(vm, nowMs) + penalty +
-        this.#options.random.next();
+      // Relayed requests carry bodies, so that each peer gets as many as it
+      // has the processor and the bandwidth for.
+      const load = this.#load(vm, nowMs) + this.#options.random.next();
+      const score = load * strongest / weightOf(vm) + penalty;
       if (score >= bestScore) continue;
       best = peer;
       bestScore = score;
--- a/packages/decisions/src/paths/relay_selector_test.ts
+++ b/packages/decisions/src/paths/relay_selector_test.ts
@@ -40,6 +40,25 @@
   expect(selector.choose(peers, SERVER, 10)!.vm).toEqual(peers[1]!.vm);
 });
 
+/** A VM with a fifth of the cores must not get as many requests. */
+test("should share requests among peers by their strength", () => {
+  const peers = [peer("large", OWN_ZONE), peer("small", OWN_ZONE)];
+  const selector = new paths.RelaySelector({
+    zone: OWN_ZONE,
+    random: { next: () => 0.5 },
+    reaches: () => true,
+    weightOf: (vm) => vm === peers[0]!.vm ? 1.35 : 0.27,
+  });
+  const chosen = Array.from({ length: 60 }, () => {
+    const { vm } = selector.choose(peers, SERVER, 0)!;
+    selector.start(vm);
+    return vm;
+  });
+  expect(chosen.slice(0, 2)).toEqual([peers[0]!.vm, peers[0]!.vm]);
+  const small = chosen.filter((vm) => vm === peers[1]!.vm).length;
+  expect(small >= 9 && small <= 11).toEqual(true);
+});
+
 test("should not ask a peer that doesn't reach the server or has declined", () => {
   const peers = [peer("a", OWN_ZONE), peer("b", OWN_ZONE), peer("c", OWN_ZONE)];
   const [a, b, c] = peers.map(({ vm }) => vm);
--- a/packages/entry/src/gateway/forwarding/front_connection_test.ts
+++ b/packages/entry/src/gateway/forwarding/front_connection_test.ts
@@ -179,11 +179,16 @@
     }
     const first = fixture.requests.length;
     expect(first >= 4 && first <= 16).toEqual(true);
+    const endMs = performance.now() + 15_000;
     for (const id of ids) {
-      while (!fixture.ids.includes(id)) await timers.setTimeout(1);
+      while (!fixture.ids.includes(id) && performance.now() < endMs) {
+        await timers.setTimeout(1);
+      }
       fixture.answer(id);
     }
-    while (bodiesIn(received).length < ids.length) await timers.setTimeout(2);
+    while (
+      bodiesIn(received).length < ids.length && performance.now() < endMs
+    ) await timers.setTimeout(2);
     expect(bodiesIn(received)).toEqual(ids);
     socket.destroy();
   }));
--- a/packages/entry/src/gateway/forwarding/held_bytes_test.ts
+++ b/packages/entry/src/gateway/forwarding/held_bytes_test.ts
@@ -51,7 +51,11 @@
 }
 
 async function waitUntil(condition: () => boolean): Promise<void> {
-  while (!condition()) await timers.setTimeout(10);
+  const endMs = performance.now() + 15_000;
+  while (!condition()) {
+    if (performance.now() > endMs) throw new Error(`Timed out: ${condition}`);
+    await timers.setTimeout(10);
+  }
 }
 
 /** Clients that request downloads and don't read them. */
--- a/packages/entry/src/gateway/grants/grant_task.ts
+++ b/packages/entry/src/gateway/grants/grant_task.ts
@@ -262,6 +262,7 @@
       ...self,
       service,
       peers: () => this.#grantPeers(),
+      roleWeights: () => gossip.roleWeights,
       desiredLeaseMs: () =>
         this.#desiredLeaseMs.get(service) ?? this.#options.timings.holdMs,
       sparingLeaseMs: (server) => this.#sparingLeaseMs(service, server),
--- a/packages/entry/src/gateway/grants/service_grants.ts
+++ b/packages/entry/src/gateway/grants/service_grants.ts
@@ -25,7 +25,6 @@
   readonly vm: contracts.VmId;
   /** Whether it reaches the platform's store. */
   readonly hasStore: boolean;
-  readonly processorCores: number;
 }
 
 /** Options of {@link ServiceGrants}. */
@@ -38,6 +37,8 @@
   readonly registry: ServerRegistry;
   /** Entry VMs that are up, this one included. */
   readonly peers: () => readonly GrantPeer[];
+  /** Weights of VMs for roles; the same map until one changes. */
+  readonly roleWeights: () => grants.VmWeights;
   /** Lease duration that the service's routes need. */
   readonly desiredLeaseMs: () => number;
   /**
@@ -135,7 +136,10 @@
 
   constructor(options: ServiceGrantsOptions) {
     this.#options = options;
-    this.#ranking = new grants.VmRanking(options.hasher);
+    this.#ranking = new grants.VmRanking(
+      options.hasher,
+      options.roleWeights,
+    );
     this.#publisher = new MapPublisher(options);
     this.#planner = new MovePlanner(options);
     this.#startedAtMs = options.clock.nowMs();
@@ -826,10 +830,12 @@
   #voterSelection(nowMs: number): grants.VoterSelectionInput {
     const { vm, sinceLastMessageMs, reachesAny } = this.#options;
     const cutOff = new Set(this.#liveVms().filter((peer) => !reachesAny(peer)));
+    const live = this.#voterCandidates();
     return {
       vm,
       map: this.#map,
-      live: this.#voterCandidates(),
+      live,
+      weak: grants.weakVms(live, this.#options.roleWeights()),
       cutOff,
       sinceLastMessageMs,
       uptimeMs: nowMs - this.#startedAtMs,
@@ -837,16 +843,15 @@
   }
 
   /**
-   * VMs in the order in which they become voters: those with the most cores
-   * first, since voters send all renewals.
+   * VMs in the order in which they become voters: the strongest first, since
+   * voters send all renewals.
    */
   #voterCandidates(): contracts.VmId[] {
-    const cores = new Map(
-      this.#options.peers().map((peer) => [peer.vm, peer.processorCores]),
-    );
-    // The sort is stable: VMs with equal cores stay in ranking order.
-    return [...this.#ranking.rank("keepers", [...cores.keys()])]
-      .sort((a, b) => cores.get(b)! - cores.get(a)!);
+    const weights = this.#options.roleWeights();
+    const weightOf = (vm: contracts.VmId) => weights.get(vm) ?? 1;
+    // The sort is stable: VMs of equal weight stay in ranking order.
+    return [...this.#ranking.rank("keepers", this.#liveVms())]
+      .sort((a, b) => weightOf(b) - weightOf(a));
   }
 
   /** Entry VMs that are up, this one included. */
--- a/packages/entry/src/gateway/grants/service_grants_test.ts
+++ b/packages/entry/src/gateway/grants/service_grants_test.ts
@@ -129,9 +129,10 @@
     } as unknown as ServerRegistry,
     // The VM that reaches the store is the leader.
     peers: () => [
-      { vm: VOTER, hasStore: isLeader, processorCores: 1 },
-      { vm: OTHER, hasStore: !isLeader, processorCores: 1 },
+      { vm: VOTER, hasStore: isLeader },
+      { vm: OTHER, hasStore: !isLeader },
     ],
+    roleWeights: () => new Map(),
     desiredLeaseMs: () => grants.DEFAULT_GRANT_TIMINGS.holdMs,
     controlCallsPerSecond: () => undefined,
     hasUnreached: () => false,
--- a/packages/entry/src/gateway/limits/server_rate_limits.ts
+++ b/packages/entry/src/gateway/limits/server_rate_limits.ts
@@ -17,7 +17,7 @@
   readonly registry: ServerRegistry;
   readonly gossip: Pick<
     PeerGossip,
-    "knownIn" | "liveVmsIn" | "vmCount" | "seedCount"
+    "roleWeights" | "knownIn" | "liveVmsIn" | "vmCount" | "seedCount"
   >;
   readonly requestLimits: Pick<
     RequestLimitTask,
@@ -50,8 +50,10 @@
 
   constructor(options: ServerRateLimitsOptions) {
     this.#options = options;
-    this.#rankOrder = new grants.VmRanking(options.hasher);
-    this.#liveOrder = new grants.VmRanking(options.hasher);
+    // The same order as that of the slot coordinators.
+    const weights = () => options.gossip.roleWeights;
+    this.#rankOrder = new grants.VmRanking(options.hasher, weights);
+    this.#liveOrder = new grants.VmRanking(options.hasher, weights);
     this.#startedMs = options.clock.nowMs();
     options.registry.onChange(() => {
       this.#rankOrder.keepOnly(options.registry.ids());
--- a/packages/entry/src/gateway/paths/server_paths.ts
+++ b/packages/entry/src/gateway/paths/server_paths.ts
@@ -35,7 +35,7 @@
   readonly registry: Pick<ServerRegistry, "ids" | "find" | "onChange">;
   readonly connections: Pick<ConnectionPools, "pool" | "hasOpenConnection">;
   readonly connectionLimitOf: (service: contracts.ServiceId) => number;
-  readonly gossip: Pick<PeerGossip, "live">;
+  readonly gossip: Pick<PeerGossip, "live" | "roleWeights">;
   readonly reach: PeerReach;
   readonly relays: Pick<RelayClient, "attempt" | "check">;
   readonly backoffs: Pick<ServerBackoffTask, "leftMs">;
@@ -96,6 +96,7 @@
       zone: options.zone,
       random: options.random,
       reaches: (vm, server) => options.reach.reaches(vm, server),
+      weightOf: (vm) => options.gossip.roleWeights.get(vm) ?? 1,
     });
     options.registry.onChange(() =>
       this.#tracker.keepOnly(options.registry.ids())
--- a/packages/entry/src/gateway/peers/peer_gossip.ts
+++ b/packages/entry/src/gateway/peers/peer_gossip.ts
@@ -5,6 +5,7 @@
  */
 import type * as contracts from "@guavatide/contracts";
 import type * as cells from "@guavatide/decisions/cells/mod";
+import type * as grants from "@guavatide/decisions/grants/mod";
 import type * as z from "zod";
 import type { LifeCycle } from "../../utils/life_cycle.ts";
 import type { Logger } from "../../utils/log.ts";
@@ -34,7 +35,13 @@
 /** Identity of this VM. */
 export type GossipIdentity = Pick<
   PeerHello,
-  "vm" | "incarnation" | "host" | "port" | "zone" | "processorCores"
+  | "vm"
+  | "incarnation"
+  | "host"
+  | "port"
+  | "zone"
+  | "processorCores"
+  | "linkMbps"
 >;
 
 /** The fields of a hello that the gossip itself does not fill in. */
@@ -253,6 +260,11 @@
     return this.#registry.knownVmsIn(zone);
   }
 
+  /** Weights of the known VMs for roles; the same map until one changes. */
+  get roleWeights(): grants.VmWeights {
+    return this.#registry.roleWeights;
+  }
+
   #scheduleMembersChange(): void {
     this.#membersTimer ??= setTimeout(() => {
       this.#membersTimer = undefined;
--- a/packages/entry/src/gateway/peers/peer_messages.ts
+++ b/packages/entry/src/gateway/peers/peer_messages.ts
@@ -68,9 +68,11 @@
   port: z.number().int(),
   zone: contracts.zoneIdSchema,
   /**
-   * Processor of the VM in cores: VMs with the most become voters and readers.
+   * Processor of the VM in cores: VMs with few take on no roles for others.
    */
   processorCores: z.number(),
+  /** Bandwidth of its link in Mbit/s; absent where it is not known. */
+  linkMbps: z.number().optional(),
   /** Sequence number: rises with each hello or status of an incarnation. */
   sequence: z.number().int(),
   /**
@@ -115,6 +117,7 @@
   return areStrings([status.host, status.zone]) &&
     areIntegers([port, configVersion, configCursor, serversCursor]) &&
     Number.isFinite(status.processorCores) &&
+    (status.linkMbps === undefined || Number.isFinite(status.linkMbps)) &&
     typeof status.hasStore === "boolean" &&
     typeof status.isLeaving === "boolean" &&
     areCounts(status.loads) && areCounts(status.waiting);
--- a/packages/entry/src/gateway/peers/peer_messages_test.ts
+++ b/packages/entry/src/gateway/peers/peer_messages_test.ts
@@ -56,3 +56,14 @@
     expect(isMessage([])).toEqual(false);
   });
 }
+
+/** VMs of a version without the bandwidth, or with it, must be understood. */
+test("should accept statuses with and without a bandwidth", () => {
+  for (const linkMbps of [undefined, 7, 8.4]) {
+    const status = { ...STATUS, linkMbps };
+    expect(messages.isPeerStatus(status)).toEqual(true);
+    expect(messages.peerStatusSchema.safeParse(status).success).toEqual(true);
+  }
+  const wrong = { ...STATUS, linkMbps: "7" };
+  expect(messages.isPeerStatus(wrong)).toEqual(false);
+});
--- a/packages/entry/src/gateway/peers/peer_registry.ts
+++ b/packages/entry/src/gateway/peers/peer_registry.ts
@@ -4,6 +4,7 @@
  */
 import type * as contracts from "@guavatide/contracts";
 import * as cells from "@guavatide/decisions/cells/mod";
+import * as grants from "@guavatide/decisions/grants/mod";
 import type { Logger } from "../../utils/log.ts";
 import type {
   PeerFailure,
@@ -44,7 +45,7 @@
 
 /** Options of {@link PeerRegistry}. */
 export interface PeerRegistryOptions {
-  readonly self: cells.CellVm;
+  readonly self: cells.CellVm & grants.VmStrength;
   readonly clock: contracts.Clock;
   readonly log: Logger;
   /** Voters of range maps: each exchanges its status with all others. */
@@ -82,6 +83,8 @@
     contracts.ZoneId | undefined,
     readonly contracts.VmId[]
   >();
+  #roleWeights: grants.VmWeights = new Map();
+  #areWeightsCurrent = false;
   readonly #listeners: (() => void)[] = [];
 
   constructor(options: PeerRegistryOptions) {
@@ -242,6 +245,7 @@
       if (sinceLastMessageMs > PEER_TTL_MS) {
         this.#peers.delete(vm);
         this.#knownByZone.clear();
+        this.#areWeightsCurrent = false;
       }
     }
     if (isChanged) this.#notifyMembersChange();
@@ -283,6 +287,25 @@
     return vms;
   }
 
+  /**
+   * Weights of the known VMs, up or not, for roles that they take on for
+   * others; the same map until one changes.
+   */
+  get roleWeights(): grants.VmWeights {
+    if (this.#areWeightsCurrent) return this.#roleWeights;
+    this.#areWeightsCurrent = true;
+    const { self } = this.#options;
+    const weights = new Map([[self.vm, grants.roleWeight(self)]]);
+    for (const { vm, hello } of this.#peers.values()) {
+      if (hello !== undefined) weights.set(vm, grants.roleWeight(hello));
+    }
+    const known = this.#roleWeights;
+    const isSame = known.size === weights.size &&
+      [...weights].every(([vm, weight]) => known.get(vm) === weight);
+    if (!isSame) this.#roleWeights = weights;
+    return this.#roleWeights;
+  }
+
   #sortedVmsIn(
     zone: contracts.ZoneId | undefined,
     peers: readonly cells.CellVm[],
@@ -321,6 +344,7 @@
     this.#live = undefined;
     this.#liveByZone.clear();
     this.#knownByZone.clear();
+    this.#areWeightsCurrent = false;
     for (const listener of this.#listeners) listener();
   }
 }
--- a/packages/entry/src/gateway/peers/peer_registry_test.ts
+++ b/packages/entry/src/gateway/peers/peer_registry_test.ts
@@ -4,7 +4,11 @@
 import { PeerRegistry } from "./peer_registry.ts";
 import type { PeerHello } from "./peer_messages.ts";
 
-const SELF = { vm: "vm0" as contracts.VmId, zone: "z1" as contracts.ZoneId };
+const SELF = {
+  vm: "vm0" as contracts.VmId,
+  zone: "z1" as contracts.ZoneId,
+  processorCores: 1,
+};
 const VMS = 14;
 
 /** A registry that has received hellos of 13 peers. */
@@ -22,7 +26,13 @@
     for (let index = 1; index < VMS; index++) this.receiveHello(index);
   }
 
-  receiveHello(index: number, isLeaving = false): void {
+  receiveHello(
+    index: number,
+    { isLeaving = false, linkMbps }: {
+      readonly isLeaving?: boolean;
+      readonly linkMbps?: number;
+    } = {},
+  ): void {
     const hello: PeerHello = {
       vm: `vm${index}` as contracts.VmId,
       incarnation: "r1" as contracts.Incarnation,
@@ -30,6 +40,7 @@
       port: 1,
       zone: `z${1 + index % 2}` as contracts.ZoneId,
       processorCores: 1,
+      linkMbps,
       sequence: this.#sequence++,
       standsMs: 800,
       hasStore: true,
@@ -66,8 +77,8 @@
 
 test("should remove a VM that announces its leave from the cells at once", () => {
   const fixture = new Fixture();
-  fixture.receiveHello(1, true);
-  fixture.receiveHello(2, true);
+  fixture.receiveHello(1, { isLeaving: true });
+  fixture.receiveHello(2, { isLeaving: true });
   expect(fixture.registry.cellPlan.isSingle).toEqual(true);
 });
 
@@ -75,7 +86,7 @@
   const fixture = new Fixture();
   expect(fixture.registry.liveVmsIn("z1" as contracts.ZoneId).map(String))
     .toEqual(["vm0", "vm10", "vm12", "vm2", "vm4", "vm6", "vm8"]);
-  fixture.receiveHello(2, true);
+  fixture.receiveHello(2, { isLeaving: true });
   fixture.advance(2_000, (index) => index > 4);
   expect(fixture.registry.liveVmsIn("z1" as contracts.ZoneId).map(String))
     .toEqual(["vm0", "vm10", "vm12", "vm6", "vm8"]);
@@ -121,3 +132,15 @@
   expect(fixture.registry.knownVmsIn(SELF.zone).includes(lost)).toEqual(false);
   expect(fixture.registry.knownVmsIn(undefined).length).toEqual(VMS - 1);
 });
+
+/** Rankings are kept as long as the weights are the same map. */
+test("should keep the weights for roles until one changes", () => {
+  const fixture = new Fixture();
+  const weights = fixture.registry.roleWeights;
+  expect(weights.size).toEqual(VMS);
+  fixture.receiveHello(1, { isLeaving: true });
+  expect(fixture.registry.roleWeights === weights).toEqual(true);
+  fixture.receiveHello(VMS, { linkMbps: 4 });
+  const changed = fixture.registry.roleWeights;
+  expect(changed.get(`vm${VMS}` as contracts.VmId)).toEqual(0.5);
+});
--- a/packages/entry/src/gateway/slots/slot_task.ts
+++ b/packages/entry/src/gateway/slots/slot_task.ts
@@ -65,7 +65,7 @@
   constructor(options: SlotTaskOptions) {
     this.#options = options;
     const { gossip, zone, random, hasher, vm } = options;
-    this.#ranking = new grants.VmRanking(hasher);
+    this.#ranking = new grants.VmRanking(hasher, () => gossip.roleWeights);
     this.#requester = new admission.SlotClient({
       vm,
       coordinatorOf: (server, unresponsive) =>
@@ -153,7 +153,8 @@
 
   /**
    * The first eligible VM of the server's availability zone, in an order that
-   * depends on the server; of all VMs when that zone has none.
+   * depends on the server and on the strength of the VMs; of all VMs when that
+   * zone has none.
    */
   #coordinatorOf(
     { server }: admission.SlotServer,
--- a/packages/entry/src/gateway/store/watch_relay.ts
+++ b/packages/entry/src/gateway/store/watch_relay.ts
@@ -97,7 +97,7 @@
   constructor(options: WatchRelayOptions) {
     this.#options = options;
     const { gossip, rpc, hasher, self } = options;
-    this.#ranking = new grants.VmRanking(hasher);
+    this.#ranking = new grants.VmRanking(hasher, () => gossip.roleWeights);
     this.#election = new cells.ReaderElection(self.vm);
     gossip.on(
       messages.CHANGES_METHOD,
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -123,6 +123,7 @@
     port: settings.peerPort,
     zone: settings.zone,
     processorCores: settings.limits.processorShare * settings.limits.processors,
+    linkMbps: settings.limits.linkMbps,
   };
   const gossip: PeerGossip = new PeerGossip({
     self,
