--- a/packages/entry/src/gateway/peers/peer_messages.ts
+++ b/packages/entry/src/gateway/peers/peer_messages.ts
@@ -76,9 +76,11 @@
   port: z.number().int(),
   zone: contracts.zoneIdSchema,
   /**
-   * Processor of the VM in cores: VMs with the most become voters and readers.
+   * Processor of the VM in cores: VMs with few take on no roles for others.
    */
   processorCores: z.number(),
+  /** Bandwidth of its link in Mbit/s; absent where it is not known. */
+  linkMbps: z.number().optional(),
   /** Sequence number: rises with each hello or status of an incarnation. */
   sequence: z.number().int(),
   /**
@@ -118,10 +120,12 @@
  */
 export function isPeerHello(params: unknown): params is PeerHello {
   if (!hasCommonFields(params)) return false;
-  const { host, zone, port, processorCores, hasStore, isLeaving } =
+  const { host, zone, port, processorCores, linkMbps, hasStore, isLeaving } =
     params as Partial<PeerHello>;
   return areStrings([host, zone]) && Number.isInteger(port) &&
-    Number.isFinite(processorCores) && typeof hasStore === "boolean" &&
+    Number.isFinite(processorCores) &&
+    (linkMbps === undefined || Number.isFinite(linkMbps)) &&
+    typeof hasStore === "boolean" &&
     typeof isLeaving === "boolean";
 }
 
--- a/packages/entry/src/gateway/peers/peer_messages_test.ts
+++ b/packages/entry/src/gateway/peers/peer_messages_test.ts
@@ -120,3 +120,14 @@
   expect(messages.isSlotRequests(requestsOf("above-share"))).toEqual(true);
   expect(messages.isSlotRequests(requestsOf("first"))).toEqual(false);
 });
+
+/** VMs of a version without the bandwidth, or with it, must be understood. */
+test("should accept statuses with and without a bandwidth", () => {
+  for (const linkMbps of [undefined, 7, 8.4]) {
+    const status = { ...STATUS, linkMbps };
+    expect(messages.isPeerStatus(status)).toEqual(true);
+    expect(messages.peerStatusSchema.safeParse(status).success).toEqual(true);
+  }
+  const wrong = { ...STATUS, linkMbps: "7" };
+  expect(messages.isPeerStatus(wrong)).toEqual(false);
+});
--- a/packages/entry/src/gateway/slots/slot_task.ts
+++ b/packages/entry/src/gateway/slots/slot_task.ts
@@ -91,7 +91,7 @@
       "Released a slot that was in use after its deadline.",
     );
     const { gossip, zone, random, hasher, vm } = options;
-    this.#ranking = new grants.VmRanking(hasher);
+    this.#ranking = new grants.VmRanking(hasher, () => gossip.roleWeights);
     this.#limitedKeyLog = new ThrottledWarning(
       options.log,
       "Limits a key that asks for more than its owner has left.",
@@ -193,7 +193,8 @@
 
   /**
    * The first eligible VM of the server's availability zone, in an order that
-   * depends on the server; of all VMs when that zone has none.
+   * depends on the server and on the strength of the VMs; of all VMs when that
+   * zone has none.
    */
   #coordinatorOf(
     { server }: admission.SlotServer,
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -131,6 +131,7 @@
     port: settings.peerPort,
     zone: settings.zone,
     processorCores: settings.limits.processorShare * settings.limits.processors,
+    linkMbps: settings.limits.linkMbps,
   };
   const gossip: PeerGossip = new PeerGossip({
     self,
