perf(servers): one line for the first list of servers

Each VM logged a line for each server in its first list: with 64 VMs and 200 servers 12,800 lines within the seconds of a start, the only log that grew with the product of both. The first list is now one line with their number, and the servers are logged at level debug; later servers are logged as before. Log writes were 4 % of the processor time of 24 VMs in the 3.4 s around their start (profile, 40 servers).

--- a/packages/entry/src/gateway/servers/server_registry.ts
+++ b/packages/entry/src/gateway/servers/server_registry.ts
@@ -163,6 +163,9 @@
     for (const [server, known] of this.#known) {
       if (!listed.has(server)) this.#markMissing(known);
     }
+    if (!this.#isListed) {
+      this.#options.log.info("Servers listed.", { servers: this.#known.size });
+    }
     this.#isListed = true;
     this.#notify();
   }
@@ -283,7 +286,10 @@
     const isNew = known === undefined || known.entry.bornMs !== entry.bornMs;
     if (isNew) {
       const { server, service, bornMs, host, port, zone } = entry;
-      log.info("Server seen.", { server, service, bornMs, host, port, zone });
+      const fields = { server, service, bornMs, host, port, zone };
+      // At info, the first list would be a line for each VM and server.
+      if (this.#isListed) log.info("Server seen.", fields);
+      else log.debug("Server seen.", fields);
       if (!this.#options.evacuations.isKnown(zone)) {
         log.warn(
           "Server is in a zone that the settings don't name. Add it there.",
