perf(start): the bundle leaves out HTTP/2 and TLS

undici's client loads node:http2 for a protocol that no server of the platform speaks, and the reset of connections loaded node:tls to recognize a TLS socket, which its property `encrypted` shows as well. Loading the built-in modules was 16 % of the processor time of VMs around their start: with V8 options on the command line, Node rejects the code cache of its own modules and compiles them anew (74 of 74 in a test, none without options).

--- a/packages/entry/src/utils/reset_connection.ts
+++ b/packages/entry/src/utils/reset_connection.ts
@@ -3,7 +3,7 @@
  * this process has abandoned them.
  */
 import type * as net from "node:net";
-import * as tls from "node:tls";
+import type * as tls from "node:tls";
 import * as undici from "undici";
 
 const openSockets = new Set<net.Socket>();
@@ -37,7 +37,7 @@
  */
 function resetOnDestroy(socket: net.Socket): void {
   // Node can reset plain TCP sockets only.
-  if (socket instanceof tls.TLSSocket) return;
+  if ((socket as Partial<tls.TLSSocket>).encrypted === true) return;
   openSockets.add(socket);
   socket.once("close", () => openSockets.delete(socket));
   const destroy = socket.destroy.bind(socket);
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -28,6 +28,10 @@
       path: "undici-parts",
       namespace: "undici-parts",
     }));
+    // Loads node:http2, and no server of the platform speaks HTTP/2.
+    build.onLoad({ filter: /undici.lib.dispatcher.client-h2\.js$/ }, () => ({
+      contents: "module.exports = () => { throw new Error('No HTTP/2') }",
+    }));
     build.onLoad({ filter: /.*/, namespace: "undici-parts" }, () => ({
       contents: [
         'import Dispatcher from "undici/lib/dispatcher/dispatcher.js";',
