fix(slots): account for held slots across restarts of VMs and coordinators

Open were: - A message of a slot's end that was lost: its VM listed its slots only while it held some, so the slot stayed held for as long as the VM sent requests. Each message with requests now holds the list. - The next coordinator of a server learnt nothing of slots that an earlier one had granted. Slots are reported to the present coordinator as well, whose first such report makes it grant half of the slots for 0.55 s. - A granted slot that its VM does not use yet was not listed, and was freed. - A VM that restarted numbered its requests from 1 again, like those that coordinators still knew. It starts at a random number. - The slots of a VM that was silent for 0.6 s and may have restarted are kept for 2 s: the server may still run its requests.

Tried and reverted: fewer grants by every coordinator in its first 0.55 s; it would slow servers that were merely idle.

--- a/packages/decisions/src/admission/slot_client.ts
+++ b/packages/decisions/src/admission/slot_client.ts
@@ -28,6 +28,11 @@
 /** Options of {@link SlotClient}. */
 export interface SlotClientOptions {
   readonly vm: contracts.VmId;
+  /**
+   * Id of the first request; 1 if absent. A VM that has restarted must not name
+   * requests as it did before: its coordinators may still know those.
+   */
+  readonly firstId?: number;
   /** The VM that coordinates a server, except unresponsive ones. */
   readonly coordinatorOf: (
     server: SlotServer,
@@ -68,6 +73,8 @@
   /** Undefined when no coordinator is available. */
   readonly coordinator: contracts.VmId | undefined;
   state: "asked" | "queued" | "given" | "in-use";
+  /** Coordinators that were told of the slot. */
+  readonly knownTo: Set<contracts.VmId>;
   sentMs: number;
   lastReplyMs: number;
 }
@@ -79,11 +86,14 @@
   readonly #byId = new Map<number, OpenRequest>();
   readonly #quarantinedUntilMs = new Map<contracts.VmId, number>();
   readonly #outbox = new Map<contracts.VmId, CoordinatorMessage>();
-  #nextId = 1;
+  /** The present coordinator of each server, which others may precede. */
+  readonly #coordinators = new Map<string, contracts.VmId>();
+  #nextId: number;
   #heldReportedMs = 0;
 
   constructor(options: SlotClientOptions) {
     this.#options = options;
+    this.#nextId = options.firstId ?? 1;
   }
 
   /**
@@ -156,11 +166,11 @@
     for (const open of [...this.#open.values()]) this.#checkReply(open, nowMs);
     if (nowMs - this.#heldReportedMs < HELD_SLOTS_INTERVAL_MS) return;
     this.#heldReportedMs = nowMs;
-    for (const { state, coordinator, slotRequest } of this.#byId.values()) {
-      if (state !== "in-use" || coordinator === undefined) continue;
-      const message = this.#message(coordinator);
-      message.held ??= [];
-      message.held.push(slotRequest);
+    this.#findCoordinators();
+    for (const open of this.#byId.values()) {
+      for (const coordinator of this.#coordinatorsOf(open)) {
+        this.#message(coordinator).held ??= [];
+      }
     }
   }
 
@@ -168,9 +178,55 @@
   drainMessages(): Map<contracts.VmId, CoordinatorMessage> {
     const messages = new Map(this.#outbox);
     this.#outbox.clear();
+    for (const [coordinator, message] of messages) {
+      // With each request: a coordinator that has just started knows no slots
+      // yet, and one whose message of a slot's end was lost still counts it.
+      const isListed = message.held !== undefined ||
+        message.requests.length > 0;
+      message.held = isListed ? this.#heldFrom(coordinator) : undefined;
+    }
     return messages;
   }
 
+  /** All slots that a coordinator is told of. */
+  #heldFrom(coordinator: contracts.VmId): HeldSlot[] {
+    const held: HeldSlot[] = [];
+    for (const open of this.#byId.values()) {
+      if (!this.#coordinatorsOf(open).has(coordinator)) continue;
+      open.knownTo.add(coordinator);
+      held.push(open.slotRequest);
+    }
+    return held;
+  }
+
+  /**
+   * Coordinators to which a held slot counts: the one that granted it, and the
+   * present one. None for a request without a slot.
+   */
+  #coordinatorsOf(
+    { state, coordinator, slotRequest }: OpenRequest,
+  ): Set<contracts.VmId> {
+    const isHeld = state === "given" || state === "in-use";
+    const present = this.#coordinators.get(slotRequest.server);
+    const coordinators = new Set<contracts.VmId>();
+    if (!isHeld || coordinator === undefined) return coordinators;
+    coordinators.add(coordinator);
+    if (present !== undefined) coordinators.add(present);
+    return coordinators;
+  }
+
+  /** Finds the present coordinators of the servers whose slots are held. */
+  #findCoordinators(): void {
+    this.#coordinators.clear();
+    const unresponsive = new Set(this.#quarantinedUntilMs.keys());
+    for (const { slotRequest } of this.#byId.values()) {
+      const { server } = slotRequest;
+      if (this.#coordinators.has(server)) continue;
+      const found = this.#options.coordinatorOf(slotRequest, unresponsive);
+      if (found !== undefined) this.#coordinators.set(server, found);
+    }
+  }
+
   #add(
     request: WaitingRequest,
     server: SlotServer,
@@ -200,9 +256,11 @@
       request,
       coordinator: target,
       state: "asked",
+      knownTo: new Set(),
       sentMs: nowMs,
       lastReplyMs: nowMs,
     };
+    if (target !== undefined) this.#coordinators.set(name, target);
     this.#open.set(request, open);
     this.#byId.set(slotRequest.id, open);
     if (target !== undefined) this.#message(target).requests.push(slotRequest);
@@ -245,12 +303,18 @@
   }
 
   #release(
-    { slotRequest, coordinator }: OpenRequest,
+    { slotRequest, coordinator, knownTo }: OpenRequest,
     tookMs: number | undefined,
   ): void {
-    this.#byId.delete(slotRequest.id);
+    const { id } = slotRequest;
+    this.#byId.delete(id);
     if (coordinator === undefined) return;
-    this.#message(coordinator).ended.push({ id: slotRequest.id, tookMs });
+    this.#message(coordinator).ended.push({ id, tookMs });
+    for (const other of knownTo) {
+      if (other === coordinator) continue;
+      // One coordinator takes the time into account.
+      this.#message(other).ended.push({ id });
+    }
   }
 
   #message(coordinator: contracts.VmId): CoordinatorMessage {
--- a/packages/decisions/src/admission/slot_coordinator.ts
+++ b/packages/decisions/src/admission/slot_coordinator.ts
@@ -87,6 +87,11 @@
  * dropped.
  */
 const UNRESPONSIVE_VM_TIMEOUT_MS = 2_000;
+/**
+ * A VM that holds slots reports more often than this. After a longer pause it
+ * may have restarted: servers may still run what it sent before.
+ */
+const RESTART_PAUSE_MS = 600;
 /**
  * A busy server that ends no request for this time, and for this many times the
  * usual time of one, has stalled.
@@ -95,6 +100,13 @@
 const STALL_RATIO = 4;
 /** An owner that answers nothing is replaced within this time. */
 const OWNER_REPLACEMENT_MS = 4_000;
+/**
+ * A coordinator that has taken a server over learns within this time which slots
+ * VMs hold. Until then it grants fewer, as a full server resets connections.
+ */
+const LEARNING_MS = 550;
+/** Part of a server's slots that are granted meanwhile. */
+const LEARNING_SLOTS_PART = 0.5;
 /** State of a server without any slot request for this long is dropped. */
 const IDLE_SERVER_TTL_MS = 10_000;
 
@@ -114,6 +126,8 @@
   readonly #servers = new Map<string, ServerSlotAllocator>();
   readonly #times = new Map<contracts.ServiceId, ServiceTimes>();
   readonly #lastMessageMs = new Map<contracts.VmId, number>();
+  /** Last message of each VM before a pause in which it may have restarted. */
+  readonly #pauses = new Map<contracts.VmId, number>();
 
   constructor(options: SlotCoordinatorOptions) {
     this.#options = options;
@@ -124,7 +138,7 @@
    */
   request(request: SlotRequest, nowMs: number): void {
     this.#lastMessageMs.set(request.vm, nowMs);
-    this.#allocatorOf(request).request(request, nowMs);
+    this.#allocatorOf(request, nowMs).request(request, nowMs);
   }
 
   /**
@@ -150,12 +164,20 @@
     slots: readonly HeldSlot[],
     nowMs: number,
   ): void {
+    const lastMs = this.#lastMessageMs.get(vm) ?? nowMs;
     this.#lastMessageMs.set(vm, nowMs);
+    if (nowMs - lastMs > RESTART_PAUSE_MS) this.#pauses.set(vm, lastMs);
+    const pausedAtMs = this.#pauses.get(vm) ?? Number.NEGATIVE_INFINITY;
+    const isPauseOver = nowMs - pausedAtMs >= UNRESPONSIVE_VM_TIMEOUT_MS;
+    if (isPauseOver) this.#pauses.delete(vm);
     const listed = new Set(slots.map(({ id }) => requestKey(vm, id)));
+    const keptUntilMs = isPauseOver ? Number.NEGATIVE_INFINITY : pausedAtMs;
     for (const server of this.#servers.values()) {
-      server.dropUnlisted(vm, listed, nowMs);
+      server.dropUnlisted(vm, listed, { keptUntilMs, nowMs });
+    }
+    for (const slot of slots) {
+      this.#allocatorOf(slot, nowMs).adopt(vm, slot, nowMs);
     }
-    for (const slot of slots) this.#allocatorOf(slot).adopt(vm, slot, nowMs);
   }
 
   /**
@@ -166,6 +188,7 @@
     for (const [vm, messageMs] of this.#lastMessageMs) {
       if (nowMs - messageMs < UNRESPONSIVE_VM_TIMEOUT_MS) continue;
       this.#lastMessageMs.delete(vm);
+      this.#pauses.delete(vm);
       for (const server of this.#servers.values()) {
         server.dropVm(vm, nowMs);
       }
@@ -208,12 +231,17 @@
     return created;
   }
 
-  #allocatorOf(server: SlotServer): ServerSlotAllocator {
+  #allocatorOf(server: SlotServer, nowMs: number): ServerSlotAllocator {
     const name = `${server.server}/${server.bornMs}`;
     const found = this.#servers.get(name);
     if (found !== undefined) return found;
     const times = this.#timesOf(server.service);
-    const created = new ServerSlotAllocator(server, times, this.#options);
+    const created = new ServerSlotAllocator(
+      server,
+      times,
+      nowMs,
+      this.#options,
+    );
     this.#servers.set(name, created);
     return created;
   }
@@ -226,6 +254,10 @@
 /** Allocates the slots of one server. */
 class ServerSlotAllocator {
   readonly server: SlotServer;
+  readonly #zone: contracts.ZoneId;
+  readonly #createdMs: number;
+  /** While it learns which slots are held; undefined at other times. */
+  #learningUntilMs: number | undefined;
   readonly #times: ServiceTimes;
   readonly #queue: ServiceQueue;
   readonly #reserve: ShortRequestReserve;
@@ -245,10 +277,13 @@
   constructor(
     server: SlotServer,
     times: ServiceTimes,
+    nowMs: number,
     { zone, random, onDecision, rateLimitsOf, isReplaceable, onKeyLimited }:
       SlotCoordinatorOptions,
   ) {
     this.server = server;
+    this.#zone = zone;
+    this.#createdMs = nowMs;
     this.#onKeyLimited = (key) => onKeyLimited?.(server, key);
     this.#limitedKeys = new LimitedKeys({ ...server, times, random });
     this.#isReplaceable = () => isReplaceable?.(server) ?? false;
@@ -273,9 +308,30 @@
     return this.#pending.size > 0;
   }
 
+  /** Grants only a part of the slots until then. */
+  learnUntil(untilMs: number): void {
+    this.#learningUntilMs = untilMs;
+    const { slots } = this.server;
+    this.#setSlots(Math.max(1, Math.floor(slots * LEARNING_SLOTS_PART)));
+  }
+
+  #setSlots(slots: number): void {
+    this.#queue.setServers([
+      serverEntryOf({ ...this.server, slots }, this.#zone),
+    ]);
+  }
+
+  #endLearning(nowMs: number): void {
+    if (this.#learningUntilMs === undefined) return;
+    if (nowMs < this.#learningUntilMs) return;
+    this.#learningUntilMs = undefined;
+    this.#setSlots(this.server.slots);
+  }
+
   request(request: SlotRequest, nowMs: number): void {
     this.#lastRequestMs = nowMs;
     this.#nowMs = nowMs;
+    this.#endLearning(nowMs);
     const { vm, id } = request;
     const key = requestKey(vm, id);
     if (this.#held.has(key)) return this.#decide({ vm, id, kind: "given" });
@@ -337,17 +393,29 @@
   /** Takes over a slot that the VM holds and this coordinator doesn't know. */
   adopt(vm: contracts.VmId, { id, route }: HeldSlot, nowMs: number): void {
     const key = requestKey(vm, id);
-    if (!this.#held.has(key)) this.#hold(key, route, nowMs);
+    if (this.#held.has(key)) return;
+    this.#hold(key, route, nowMs);
+    const learnedMs = this.#createdMs + LEARNING_MS;
+    const isTakenOver = this.#learningUntilMs === undefined &&
+      nowMs < learnedMs;
+    if (isTakenOver) this.learnUntil(learnedMs);
   }
 
-  /** Frees the VM's slots that it does not list any more. */
+  /**
+   * Frees the VM's slots that it does not list any more, except those granted
+   * up to `keptUntilMs`.
+   */
   dropUnlisted(
     vm: contracts.VmId,
     listed: ReadonlySet<string>,
-    nowMs: number,
+    { keptUntilMs, nowMs }: {
+      readonly keptUntilMs: number;
+      readonly nowMs: number;
+    },
   ): void {
     for (const [key, { grantedMs }] of this.#held) {
       const isExpired = key.startsWith(`${vm}/`) && !listed.has(key) &&
+        grantedMs > keptUntilMs &&
         nowMs - grantedMs >= UNLISTED_SLOT_TTL_MS;
       if (isExpired) this.release(key, undefined, nowMs);
     }
@@ -371,6 +439,7 @@
 
   sweep(nowMs: number): void {
     this.#nowMs = nowMs;
+    this.#endLearning(nowMs);
     this.#reviewLimitedKeys(nowMs);
     if (this.#queue.waiting > 0) {
       this.#queue.dispatch(nowMs);
--- a/packages/decisions/src/admission/slot_coordinator_test.ts
+++ b/packages/decisions/src/admission/slot_coordinator_test.ts
@@ -246,6 +246,47 @@
   expect(fixture.tryAcquire(3, request)).toEqual(false);
 });
 
+/** Guards against slots that count as held after their end was lost. */
+test("should free a slot when its VM requests another and lists it no more", () => {
+  const fixture = new Fixture(3);
+  for (const index of [0, 1, 2]) {
+    const request = new Request(1_000);
+    fixture.tryAcquire(index, request);
+    fixture.deliver();
+    const end = fixture.vm(index).markInUse(request);
+    if (index > 0) continue;
+    end(90);
+    fixture.vm(0).drainMessages();
+  }
+  fixture.nowMs += 350;
+  const request = new Request(fixture.nowMs);
+  fixture.tryAcquire(0, request);
+  fixture.deliver();
+  expect(fixture.tryAcquire(0, request)).toEqual(true);
+});
+
+/** Guards against a new coordinator that knows nothing of held slots. */
+test("should tell the next coordinator of slots that the first one granted", () => {
+  const fixture = new Fixture(4);
+  fixture.useAllSlots();
+  fixture.unreachable.add(COORDINATOR);
+  const waiting = [0, 1, 2].map((index) => {
+    const request = new Request(fixture.nowMs, 1, 3_000);
+    fixture.tryAcquire(index, request);
+    return request;
+  });
+  fixture.advance(300);
+  for (const [index, request] of waiting.entries()) {
+    fixture.tryAcquire(index, request);
+  }
+  fixture.advance(25);
+  const given = waiting.filter((request, index) =>
+    fixture.tryAcquire(index, request)
+  );
+  // The first of them is granted before the others' slots are known.
+  expect(given.length <= 1).toEqual(true);
+});
+
 test("should grant the slot of a cancelled request to the next", () => {
   const fixture = new Fixture(4);
   const requests = [0, 1, 2, 3].map(() => new Request(1_000));
--- a/packages/entry/src/gateway/slots/slot_task.ts
+++ b/packages/entry/src/gateway/slots/slot_task.ts
@@ -52,6 +52,8 @@
   ): void;
 }
 
+/** Keeps ids of requests exact and their messages small. */
+const MAX_FIRST_ID = 2 ** 40;
 /** Interval at which lost messages are resent and waiting requests checked. */
 const ACTIVE_TICK_MS = 25;
 /** The same interval while no request waits. */
@@ -81,6 +83,7 @@
     );
     this.#requester = new admission.SlotClient({
       vm,
+      firstId: 1 + Math.floor(random.next() * MAX_FIRST_ID),
       coordinatorOf: (server, unresponsive) =>
         this.#coordinatorOf(server, unresponsive),
       onMessage: () => this.#flushing.schedule(),
@@ -252,6 +255,10 @@
     for (const [id, tookMs] of ended) {
       this.#coordinator.release(vm, id, { tookMs: tookMs ?? undefined, nowMs });
     }
+    // First, so that slots are granted beside those that the VM holds already.
+    if (held !== null) {
+      this.#coordinator.reconcileHeld(vm, held.map(decodeSlot), nowMs);
+    }
     for (const [slot, targetLeftMs, answerLeftMs] of requests) {
       this.#coordinator.request({
         ...decodeSlot(slot),
@@ -260,8 +267,6 @@
         answerByMs: nowMs + answerLeftMs,
       }, nowMs);
     }
-    if (held === null) return;
-    this.#coordinator.reconcileHeld(vm, held.map(decodeSlot), nowMs);
   }
 
   #handleReplies({ vm, given, queued, refused }: messages.SlotReplies): void {
