--- a/packages/decisions/src/admission/slot_client.ts
+++ b/packages/decisions/src/admission/slot_client.ts
@@ -48,6 +48,8 @@
   readonly onRefused: (request: WaitingRequest, refusal: Refusal) => void;
   /** Called when a coordinator is unresponsive and excluded for a while. */
   readonly onUnresponsive: (coordinator: contracts.VmId) => void;
+  /** Called when a slot is released that was still in use after its deadline. */
+  readonly onOverdue?: (slot: SlotRequest) => void;
 }
 
 /**
@@ -66,6 +68,11 @@
 const COORDINATOR_QUARANTINE_MS = 2_000;
 /** Interval at which held slots are reported to their coordinators. */
 const HELD_SLOTS_INTERVAL_MS = 500;
+/**
+ * A request ends by its deadline, so a slot in use for this much longer was not
+ * released by mistake.
+ */
+const OVERDUE_SLOT_TTL_MS = 500;
 
 interface OpenRequest {
   readonly slotRequest: SlotRequest;
@@ -168,13 +175,24 @@
     this.#heldReportedMs = nowMs;
     this.#findCoordinators();
     for (const open of this.#byId.values()) {
+      const { state, slotRequest: { answerByMs } } = open;
+      const isOverdue = state === "in-use" &&
+        nowMs - answerByMs >= OVERDUE_SLOT_TTL_MS;
+      if (isOverdue && open.coordinator !== undefined) {
+        this.#options.onOverdue?.(open.slotRequest);
+        this.#release(open, undefined);
+        continue;
+      }
       for (const coordinator of this.#coordinatorsOf(open)) {
         this.#message(coordinator).held ??= [];
       }
     }
   }
 
-  /** Takes the messages to send, by coordinator. */
+  /**
+   * Takes the messages to send, by coordinator. Only now are held slots listed:
+   * one that ended since the tick would be adopted again, and never end.
+   */
   drainMessages(): Map<contracts.VmId, CoordinatorMessage> {
     const messages = new Map(this.#outbox);
     this.#outbox.clear();
@@ -233,7 +251,7 @@
     nowMs: number,
   ): OpenRequest {
     const { vm, coordinatorOf } = this.#options;
-    const { route, key, targetMs, answerByMs } = request;
+    const { route, key, targetMs, answerByMs, standing } = request;
     const { service, server: name, bornMs, slots } = server;
     const slotRequest: SlotRequest = {
       service,
@@ -246,6 +264,7 @@
       key,
       targetMs,
       answerByMs,
+      standing,
     };
     const target = coordinatorOf(
       server,
--- a/packages/decisions/src/admission/slot_coordinator.ts
+++ b/packages/decisions/src/admission/slot_coordinator.ts
@@ -15,6 +15,7 @@
 import type {
   PrioritizedRoute,
   Refusal,
+  RequestStanding,
   WaitingRequest,
 } from "./waiting_request.ts";
 
@@ -40,10 +41,15 @@
   readonly targetMs: number;
   /** See {@link WaitingRequest}. */
   readonly answerByMs: number;
+  /** See {@link WaitingRequest}. */
+  readonly standing?: RequestStanding | undefined;
 }
 
 /** A slot that an entry VM reports as held. */
-export type HeldSlot = Omit<SlotRequest, "vm" | "targetMs" | "answerByMs">;
+export type HeldSlot = Omit<
+  SlotRequest,
+  "vm" | "targetMs" | "answerByMs" | "standing"
+>;
 
 /** A coordinator's decision on a slot request. */
 export type SlotDecision = Pick<SlotRequest, "vm" | "id"> & {
@@ -52,6 +58,23 @@
   readonly refusal?: Refusal;
 };
 
+/** A slot in use, for logs. */
+export interface HeldSlotReport {
+  readonly vm: contracts.VmId;
+  readonly id: number;
+  readonly ageMs: number;
+  /** Time since the grant or the VM's last list with the slot. */
+  readonly unlistedMs: number;
+}
+
+/** Why requests for slots of a stalled server are refused. */
+export interface StallReport {
+  readonly server: SlotServer;
+  /** How long it has had requests and answered none. */
+  readonly unansweredMs: number;
+  readonly held: readonly HeldSlotReport[];
+}
+
 /** Options of {@link SlotCoordinator}. */
 export interface SlotCoordinatorOptions {
   readonly zone: contracts.ZoneId;
@@ -66,6 +89,8 @@
   ) => ServerRateLimit | undefined;
   /** Whether another server can take over what this one owns; no if absent. */
   readonly isReplaceable?: (server: SlotServer) => boolean;
+  /** Whether callers have shares; no if absent. */
+  readonly hasShares?: () => boolean;
   /**
    * Service times that this VM has measured at all servers of a service;
    * without them, the servers coordinated here are compared with one another.
@@ -75,6 +100,10 @@
   ) => ServiceTimes | undefined;
   /** Called when a key asks for more than its server has left for it. */
   readonly onKeyLimited?: (server: SlotServer, key: number) => void;
+  /** Called for each request refused while its server has stalled. */
+  readonly onStallRefusal?: (report: StallReport) => void;
+  /** Called when a slot is freed that its VM has stopped listing. */
+  readonly onSlotLost?: (server: SlotServer, slot: HeldSlotReport) => void;
 }
 
 /**
@@ -82,6 +111,12 @@
  * the message that granted or the one that released it was lost.
  */
 const UNLISTED_SLOT_TTL_MS = 300;
+/**
+ * A slot that its VM has not listed for this long is freed. VMs list the slots
+ * in use at least each 700 ms, so two lists are missing; a VM that uses none
+ * sends no list, and the release of its last slot may have been lost.
+ */
+const LOST_SLOT_TTL_MS = 2_000;
 /**
  * Without a message from a VM for this long, its slots and requests are
  * dropped.
@@ -111,8 +146,12 @@
 const IDLE_SERVER_TTL_MS = 10_000;
 
 interface HeldSlotState {
+  readonly vm: contracts.VmId;
+  readonly id: number;
   readonly route: PrioritizedRoute;
   readonly grantedMs: number;
+  /** When it was granted or its VM last listed it. */
+  listedMs: number;
   /** Whether its request waits at the server, which runs no more at once. */
   isWaiting: boolean;
   /** How long it has waited there. */
@@ -266,6 +305,8 @@
   readonly #isReplaceable: () => boolean;
   readonly #onKeyLimited: (key: number) => void;
   readonly #limitedKeys: LimitedKeys;
+  readonly #onStallRefusal: SlotCoordinatorOptions["onStallRefusal"];
+  readonly #onSlotLost: SlotCoordinatorOptions["onSlotLost"];
   readonly #pending = new Map<string, PendingSlotRequest>();
   readonly #held = new Map<string, HeldSlotState>();
   /** Time of the latest call, for the callbacks that run during it. */
@@ -278,15 +319,18 @@
     server: SlotServer,
     times: ServiceTimes,
     nowMs: number,
-    { zone, random, onDecision, rateLimitsOf, isReplaceable, onKeyLimited }:
-      SlotCoordinatorOptions,
+    options: SlotCoordinatorOptions,
   ) {
+    const { zone, random, onDecision, rateLimitsOf, isReplaceable } = options;
+    const { hasShares } = options;
     this.server = server;
     this.#zone = zone;
     this.#createdMs = nowMs;
-    this.#onKeyLimited = (key) => onKeyLimited?.(server, key);
+    this.#onKeyLimited = (key) => options.onKeyLimited?.(server, key);
     this.#limitedKeys = new LimitedKeys({ ...server, times, random });
     this.#isReplaceable = () => isReplaceable?.(server) ?? false;
+    this.#onStallRefusal = options.onStallRefusal;
+    this.#onSlotLost = options.onSlotLost;
     this.#times = times;
     this.#decide = onDecision;
     const rateLimits = rateLimitsOf?.(server.service);
@@ -300,6 +344,15 @@
       rateLimits,
       reserve,
       stalledMs: (nowMs) => this.#stalledMs(nowMs),
+      shares: hasShares && {
+        get isActive() {
+          return hasShares();
+        },
+        refusesLate: false,
+        // How much callers at all VMs demand of one server is not known.
+        leftRatio: () => 1,
+        queuePerSecond: () => undefined,
+      },
     });
     this.#queue.setServers([serverEntryOf(server, zone)]);
   }
@@ -339,11 +392,12 @@
     const pending = new PendingSlotRequest(request, {
       onGranted: () => {
         this.#pending.delete(key);
-        this.#hold(key, request.route, this.#nowMs);
+        this.#hold(request, this.#nowMs);
         this.#decide({ vm, id, kind: "given" });
       },
       onRefused: (refusal) => {
         this.#pending.delete(key);
+        this.#reportStall();
         this.#decide({ vm, id, kind: "refused", refusal });
       },
     });
@@ -392,9 +446,12 @@
 
   /** Takes over a slot that the VM holds and this coordinator doesn't know. */
   adopt(vm: contracts.VmId, { id, route }: HeldSlot, nowMs: number): void {
-    const key = requestKey(vm, id);
-    if (this.#held.has(key)) return;
-    this.#hold(key, route, nowMs);
+    const found = this.#held.get(requestKey(vm, id));
+    if (found !== undefined) {
+      found.listedMs = nowMs;
+      return;
+    }
+    this.#hold({ vm, id, route }, nowMs);
     const learnedMs = this.#createdMs + LEARNING_MS;
     const isTakenOver = this.#learningUntilMs === undefined &&
       nowMs < learnedMs;
@@ -437,9 +494,30 @@
     }
   }
 
+  #freeLost(nowMs: number): void {
+    for (const [key, slot] of [...this.#held]) {
+      if (nowMs - slot.listedMs < LOST_SLOT_TTL_MS) continue;
+      this.#onSlotLost?.(this.server, reportOf(slot, nowMs));
+      // Whether it was answered is not known.
+      this.#unansweredSinceMs = nowMs;
+      this.release(key, undefined, nowMs);
+    }
+  }
+
+  #reportStall(): void {
+    if (this.#onStallRefusal === undefined) return;
+    if (this.#stalledMs(this.#nowMs) === 0) return;
+    this.#onStallRefusal({
+      server: this.server,
+      unansweredMs: this.#nowMs - this.#unansweredSinceMs,
+      held: [...this.#held.values()].map((slot) => reportOf(slot, this.#nowMs)),
+    });
+  }
+
   sweep(nowMs: number): void {
     this.#nowMs = nowMs;
     this.#endLearning(nowMs);
+    this.#freeLost(nowMs);
     this.#reviewLimitedKeys(nowMs);
     if (this.#queue.waiting > 0) {
       this.#queue.dispatch(nowMs);
@@ -512,7 +590,10 @@
       : sinceMs;
   }
 
-  #hold(key: string, route: PrioritizedRoute, nowMs: number): void {
+  #hold(
+    { vm, id, route }: Pick<SlotRequest, "vm" | "id" | "route">,
+    nowMs: number,
+  ): void {
     this.#unansweredSinceMs = Math.min(this.#unansweredSinceMs, nowMs);
     const end = this.#queue.loads.get(this.server.server)!.startRequest(nowMs);
     const releaseReserve = this.#reserve.acquire(route);
@@ -520,9 +601,12 @@
       releaseReserve();
       end({ kind: "abandoned" }, endedMs);
     };
-    this.#held.set(key, {
+    this.#held.set(requestKey(vm, id), {
+      vm,
+      id,
       route,
       grantedMs: nowMs,
+      listedMs: nowMs,
       isWaiting: this.#held.size >= this.server.slots,
       waitedMs: 0,
       release,
@@ -530,6 +614,13 @@
   }
 }
 
+function reportOf(
+  { vm, id, grantedMs, listedMs }: HeldSlotState,
+  nowMs: number,
+): HeldSlotReport {
+  return { vm, id, ageMs: nowMs - grantedMs, unlistedMs: nowMs - listedMs };
+}
+
 /** Called when a slot request is decided. */
 interface SlotRequestCallbacks {
   onGranted(): void;
@@ -544,6 +635,7 @@
   readonly bodyBytes = 0;
   readonly targetMs: number;
   readonly answerByMs: number;
+  readonly standing: RequestStanding | undefined;
   readonly tried = new Set<contracts.ServerId>();
   readonly #callbacks: SlotRequestCallbacks;
 
@@ -551,6 +643,7 @@
     this.vm = request.vm;
     this.route = request.route;
     this.key = request.key;
+    this.standing = request.standing;
     this.targetMs = request.targetMs;
     this.answerByMs = request.answerByMs;
     this.#callbacks = callbacks;
--- a/packages/entry/src/gateway/gateway_metrics.ts
+++ b/packages/entry/src/gateway/gateway_metrics.ts
@@ -29,12 +29,18 @@
   readonly backoffCalls = new LabelledCounts();
   /** Decisions on hot keys, by service and decision. */
   readonly hotKeys = new LabelledCounts();
+  /** Requests refused at stalled servers, and slots that were not released. */
+  readonly slotEvents = new LabelledCounts();
   /** Requests sent over peers or for them, by role and outcome. */
   readonly relayedRequests = new LabelledCounts();
+  /** Decisions on requests to services short of capacity. */
+  readonly admissionDecisions = new LabelledCounts();
   /** Datagrams to peers. */
   readonly peerDatagrams = new LabelledCounts();
   /** Bytes in datagrams to peers. */
   readonly peerBytes = new LabelledCounts();
+  /** Decisions of the listener for clients. */
+  readonly frontDecisions = new LabelledCounts();
   #metrics: Promise<Metrics> | undefined;
 
   constructor(log: Logger) {
@@ -107,9 +113,12 @@
       [this.limitedServerCalls, metrics.limitedServerCalls],
       [this.backoffCalls, metrics.backoffCalls],
       [this.hotKeys, metrics.hotKeys],
+      [this.admissionDecisions, metrics.admissionDecisions],
+      [this.slotEvents, metrics.slotEvents],
       [this.relayedRequests, metrics.relayedRequests],
       [this.peerDatagrams, metrics.peerDatagrams],
       [this.peerBytes, metrics.peerBytes],
+      [this.frontDecisions, metrics.frontDecisions],
     ] as const;
     for (const [counts, counter] of tables) {
       counts.drain((count, labels) => counter.add(count, labels));
--- a/packages/entry/src/gateway/peers/peer_messages.ts
+++ b/packages/entry/src/gateway/peers/peer_messages.ts
@@ -28,6 +28,14 @@
 /** Method of an answer report. */
 export const ANSWER_METHOD = "crashAnswer";
 
+/** Method of {@link CallerCountsNews}. */
+export const CALLER_COUNTS_METHOD = "callers";
+
+/** Method of {@link AdmissionReportMessage}. */
+export const ADMISSION_REPORTS_METHOD = "admissions";
+/** Method of {@link AdmissionShareMessage}. */
+export const ADMISSION_SHARES_METHOD = "admissionShares";
+
 /** Method of {@link RequestLimitNews}. */
 export const REQUEST_LIMITS_METHOD = "requestLimits";
 
@@ -105,19 +113,25 @@
 export type PeerStatus = z.infer<typeof peerStatusSchema>;
 
 /**
- * Type guard of {@link PeerStatus}: a schema is too slow for messages this
+ * Type guard of {@link PeerHello}: a schema is too slow for messages this
  * frequent.
  */
-export function isPeerStatus(params: unknown): params is PeerStatus {
+export function isPeerHello(params: unknown): params is PeerHello {
   if (!hasCommonFields(params)) return false;
-  const status = params as Partial<PeerStatus>;
-  const { port, configVersion, configCursor, serversCursor } = status;
-  return areStrings([status.host, status.zone]) &&
-    areIntegers([port, configVersion, configCursor, serversCursor]) &&
-    Number.isFinite(status.processorCores) &&
-    typeof status.hasStore === "boolean" &&
-    typeof status.isLeaving === "boolean" &&
-    areCounts(status.loads) && areCounts(status.waiting);
+  const { host, zone, port, processorCores, hasStore, isLeaving } =
+    params as Partial<PeerHello>;
+  return areStrings([host, zone]) && Number.isInteger(port) &&
+    Number.isFinite(processorCores) && typeof hasStore === "boolean" &&
+    typeof isLeaving === "boolean";
+}
+
+/** Type guard of {@link PeerStatus}, which is as frequent. */
+export function isPeerStatus(params: unknown): params is PeerStatus {
+  if (!isPeerHello(params)) return false;
+  const { configVersion, configCursor, serversCursor, loads, waiting } =
+    params as Partial<PeerStatus>;
+  return areIntegers([configVersion, configCursor, serversCursor]) &&
+    areCounts(loads) && areCounts(waiting);
 }
 
 /** Type guard of {@link VoterStatus}, which is as frequent. */
@@ -191,13 +205,19 @@
 /** State that the voters of range maps send one another. */
 export type VoterStatus = z.infer<typeof voterStatusSchema>;
 
-/** Schema of {@link BroadcastMessage}. */
-export const broadcastMessageSchema = z.object({
-  method: z.string(),
-  params: z.unknown(),
-});
 /** A message that its receiver handles and relays to its cell. */
-export type BroadcastMessage = z.infer<typeof broadcastMessageSchema>;
+export interface BroadcastMessage {
+  readonly method: string;
+  readonly params: unknown;
+}
+
+/** Type guard of {@link BroadcastMessage}. */
+export function isBroadcastMessage(
+  params: unknown,
+): params is BroadcastMessage {
+  return isRecord(params) && typeof params.method === "string" &&
+    "params" in params;
+}
 
 /** Schema of {@link PeerFailure}. */
 export const peerFailureSchema = peerHelloSchema.pick({
@@ -301,6 +321,8 @@
     slot: SlotTuple,
     targetLeftMs: number,
     answerLeftMs: number,
+    /** Absent for a usual request. */
+    standing?: admission.RequestStanding,
   ])[];
   /**
    * Requests and slots that have ended, with the time taken by an answered
@@ -340,6 +362,81 @@
 /** Limits that a VM's answers have named, confirmed or lifted. */
 export type RequestLimitNews = z.infer<typeof requestLimitNewsSchema>;
 
+/** Requests at one VM by caller, for services that are short of capacity. */
+export interface CallerCountsNews {
+  readonly vm: contracts.VmId;
+  readonly services: readonly (readonly [
+    service: contracts.ServiceId,
+    counts: admission.CallerCounts,
+  ])[];
+}
+
+/** Type guard of {@link CallerCountsNews}. */
+export function isCallerCountsNews(
+  params: unknown,
+): params is CallerCountsNews {
+  if (!isRecord(params)) return false;
+  const { vm, services } = params;
+  return typeof vm === "string" && Array.isArray(services) &&
+    services.every((entry) =>
+      Array.isArray(entry) && typeof entry[0] === "string" &&
+      isCallerCounts(entry[1])
+    );
+}
+
+function isCallerCounts(value: unknown): value is admission.CallerCounts {
+  if (!isRecord(value)) return false;
+  const { arrivals, refused, callers } = value;
+  return areIntegers([arrivals, refused]) && Array.isArray(callers) &&
+    callers.every((caller) => areIntegers(caller) && caller.length === 2);
+}
+
+/** One VM's requests of a service, sent to the VM that aggregates them. */
+export interface AdmissionReportMessage {
+  readonly vm: contracts.VmId;
+  readonly service: contracts.ServiceId;
+  readonly report: admission.AdmissionReport;
+}
+
+/** The reply to an {@link AdmissionReportMessage}. */
+export interface AdmissionShareMessage {
+  readonly vm: contracts.VmId;
+  readonly service: contracts.ServiceId;
+  readonly share: admission.AdmissionShare;
+}
+
+/** Type guard of {@link AdmissionReportMessage}. */
+export function isAdmissionReport(
+  params: unknown,
+): params is AdmissionReportMessage {
+  if (!isRecord(params)) return false;
+  const { vm, service, report } = params;
+  return areStrings([vm, service]) && isRecord(report) &&
+    areAmounts([
+      report.arrived,
+      report.admitted,
+      report.refused,
+      report.ended,
+      report.waiting,
+    ]);
+}
+
+/** Type guard of {@link AdmissionShareMessage}. */
+export function isAdmissionShare(
+  params: unknown,
+): params is AdmissionShareMessage {
+  if (!isRecord(params)) return false;
+  const { vm, service, share } = params;
+  return areStrings([vm, service]) && isRecord(share) &&
+    areAmounts([share.perSecond, share.capacityPerSecond, share.waiting]);
+}
+
+function areAmounts(values: readonly unknown[]): boolean {
+  return values.every((value) =>
+    typeof value === "number" && Number.isFinite(value) && value >= 0
+  );
+}
+
 /** Schema of {@link BackoffNews}. */
 export const backoffNewsSchema = z.object({
   vm: contracts.vmIdSchema,
@@ -388,12 +485,20 @@
     Array.isArray(limits) && limits.every(isRequestLimitTuple) &&
     wishes.every((request) =>
       Array.isArray(request) && isSlotTuple(request[0]) &&
-      Number.isFinite(request[1]) && Number.isFinite(request[2])
+      Number.isFinite(request[1]) && Number.isFinite(request[2]) &&
+      isStanding(request[3])
     ) &&
     ended.every((end) => Array.isArray(end) && Number.isInteger(end[0])) &&
     (held ?? []).every(isSlotTuple);
 }
 
+function isStanding(
+  value: unknown,
+): value is admission.RequestStanding | undefined {
+  return value === undefined || value === "returning" ||
+    value === "above-share";
+}
+
 function isRequestLimitTuple(value: unknown): value is RequestLimitTuple {
   if (!Array.isArray(value)) return false;
   const [server, requestsPerSecond, ageMs] = value;
@@ -429,15 +534,23 @@
     SLOT_STRINGS.every((index) => typeof value[index] === "string");
 }
 
-/** Schema of {@link UnreachedServers}. */
-export const unreachedServersSchema = z.object({
-  vm: contracts.vmIdSchema,
-  /** Whether the VM reaches no server at all; it then names none. */
-  isCutOff: z.boolean(),
-  servers: z.array(contracts.serverIdSchema),
-});
 /** Servers that a VM doesn't reach itself; neither when it reaches all. */
-export type UnreachedServers = z.infer<typeof unreachedServersSchema>;
+export interface UnreachedServers {
+  readonly vm: contracts.VmId;
+  /** Whether the VM reaches no server at all; it then names none. */
+  readonly isCutOff: boolean;
+  readonly servers: readonly contracts.ServerId[];
+}
+
+/** Type guard of {@link UnreachedServers}. */
+export function isUnreachedServers(
+  params: unknown,
+): params is UnreachedServers {
+  if (!isRecord(params)) return false;
+  const { vm, isCutOff, servers } = params;
+  return typeof vm === "string" && typeof isCutOff === "boolean" &&
+    areStrings(servers);
+}
 
 /** Schema of {@link StoreChanges}. */
 export const storeChangesSchema = z.object({
@@ -472,16 +585,22 @@
 /** Request to a peer for the changes after a position. */
 export type ChangesRequest = z.infer<typeof changesRequestSchema>;
 
-/** Schema of {@link ReaderStatus}. */
-export const readerStatusSchema = z.object({
-  vm: contracts.vmIdSchema,
+/** Heartbeat of a reader that reaches the store. */
+export interface ReaderStatus {
+  readonly vm: contracts.VmId;
   /** How long the store has answered this reader without a failure. */
-  storeCalmMs: z.number(),
+  readonly storeCalmMs: number;
   /** By prefix: position of the last change known. */
-  positions: z.record(z.string(), z.number().int()),
-});
-/** Heartbeat of a reader that reaches the store. */
-export type ReaderStatus = z.infer<typeof readerStatusSchema>;
+  readonly positions: Readonly<Record<string, number>>;
+}
+
+/** Type guard of {@link ReaderStatus}, which all VMs get several a second. */
+export function isReaderStatus(params: unknown): params is ReaderStatus {
+  if (!isRecord(params)) return false;
+  const { vm, storeCalmMs, positions } = params;
+  return typeof vm === "string" && Number.isFinite(storeCalmMs) &&
+    areCounts(positions);
+}
 
 /** Schema of {@link PeersRequest}. */
 export const peersRequestSchema = z.object({
--- a/packages/entry/src/gateway/slots/slot_task.ts
+++ b/packages/entry/src/gateway/slots/slot_task.ts
@@ -35,12 +35,16 @@
     RequestLimitTask,
     "newsOf" | "applyNews" | "hasAny"
   >;
+  /** Whether callers have shares, by the configuration in force. */
+  readonly hasShares: () => boolean;
   /** Service times that this VM has measured at all servers of a service. */
   readonly timesOf: (
     service: contracts.ServiceId,
   ) => admission.ServiceTimes | undefined;
   /** Decisions on hot keys, by service and decision. */
   readonly hotKeyCounts: LabelledCounts;
+  /** Counts requests refused at stalled servers, and slots freed, by kind. */
+  readonly counts: LabelledCounts;
 }
 
 /** A queue whose requests need slots. */
@@ -72,9 +76,22 @@
   #tickTask: PeriodicTask | undefined;
   /** Changes in one event loop iteration are sent together. */
   readonly #flushing = new CoalescedCallback(() => this.#flush());
+  readonly #stallLog: ThrottledWarning;
+  readonly #lostSlotLog: ThrottledWarning;
+  readonly #overdueLog: ThrottledWarning;
 
   constructor(options: SlotTaskOptions) {
     this.#options = options;
+    const { log } = options;
+    this.#stallLog = new ThrottledWarning(log, "Refuses at a stalled server.");
+    this.#lostSlotLog = new ThrottledWarning(
+      log,
+      "Freed a slot that its VM no longer lists.",
+    );
+    this.#overdueLog = new ThrottledWarning(
+      log,
+      "Released a slot that was in use after its deadline.",
+    );
     const { gossip, zone, random, hasher, vm } = options;
     this.#ranking = new grants.VmRanking(hasher);
     this.#limitedKeyLog = new ThrottledWarning(
@@ -97,6 +114,7 @@
         options.log.warn("Skips an unresponsive slot coordinator.", {
           peer: coordinator,
         }),
+      onOverdue: ({ id, server }) => this.#noteOverdue(id, server),
     });
     this.#coordinator = new admission.SlotCoordinator({
       zone,
@@ -104,12 +122,15 @@
       onDecision: (decision) => this.#queueReply(decision),
       rateLimitsOf: (service) => options.rateLimits.forCoordinator(service),
       isReplaceable: options.isReplaceable,
+      hasShares: options.hasShares,
       timesOf: options.timesOf,
       onKeyLimited: ({ service, server }, key) => {
         options.hotKeyCounts.add(1, { service, decision: "limited" });
         const fields = { service, server, key };
         this.#limitedKeyLog.warn(options.clock.nowMs(), fields);
       },
+      onStallRefusal: (report) => this.#noteStallRefusal(report),
+      onSlotLost: (server, slot) => this.#noteSlotLost(server, slot),
     });
     options.registry.onChange(() =>
       this.#ranking.keepOnly(options.registry.ids())
@@ -226,11 +247,7 @@
     const nowMs = clock.nowMs();
     return {
       vm,
-      wishes: requests.map((request) => [
-        encodeSlot(request),
-        Math.round(request.targetMs - nowMs),
-        Math.round(request.answerByMs - nowMs),
-      ]),
+      wishes: requests.map((request) => encodeRequest(request, nowMs)),
       ended: ended.map(({ id, tookMs }) => [id, tookMs ?? null]),
       held: held?.map(encodeSlot) ?? null,
       limits: this.#limitsOf(requests),
@@ -259,12 +276,13 @@
     if (held !== null) {
       this.#coordinator.reconcileHeld(vm, held.map(decodeSlot), nowMs);
     }
-    for (const [slot, targetLeftMs, answerLeftMs] of requests) {
+    for (const [slot, targetLeftMs, answerLeftMs, standing] of requests) {
       this.#coordinator.request({
         ...decodeSlot(slot),
         vm,
         targetMs: nowMs + targetLeftMs,
         answerByMs: nowMs + answerLeftMs,
+        standing,
       }, nowMs);
     }
   }
@@ -282,6 +300,35 @@
     this.#requester.handleReplies(vm, replies, this.#options.clock.nowMs());
   }
 
+  #noteStallRefusal(
+    { server, unansweredMs, held }: admission.StallReport,
+  ): void {
+    this.#options.counts.add(1, { kind: "stall-refusal" });
+    this.#stallLog.warn(this.#options.clock.nowMs(), {
+      server: server.server,
+      bornMs: server.bornMs,
+      unansweredMs: Math.round(unansweredMs),
+      slots: server.slots,
+      held: held.map(describeSlot).join("; "),
+    });
+  }
+
+  #noteSlotLost(
+    { server }: admission.SlotServer,
+    slot: admission.HeldSlotReport,
+  ): void {
+    this.#options.counts.add(1, { kind: "lost-slot" });
+    this.#lostSlotLog.warn(this.#options.clock.nowMs(), {
+      server,
+      slot: describeSlot(slot),
+    });
+  }
+
+  #noteOverdue(id: number, server: contracts.ServerId): void {
+    this.#options.counts.add(1, { kind: "overdue-slot" });
+    this.#overdueLog.warn(this.#options.clock.nowMs(), { id, server });
+  }
+
   #queueReply({ vm, ...reply }: admission.SlotDecision): void {
     const replies = this.#replies.get(vm);
     if (replies === undefined) this.#replies.set(vm, [reply]);
@@ -290,6 +337,26 @@
   }
 }
 
+function encodeRequest(
+  request: admission.SlotRequest,
+  nowMs: number,
+): messages.SlotRequests["wishes"][number] {
+  const { targetMs, answerByMs, standing } = request;
+  const usual = [
+    encodeSlot(request),
+    Math.round(targetMs - nowMs),
+    Math.round(answerByMs - nowMs),
+  ] as const;
+  return standing === undefined ? usual : [...usual, standing];
+}
+
+function describeSlot(
+  { vm, id, ageMs, unlistedMs }: admission.HeldSlotReport,
+): string {
+  return `${vm}/${id} for ${Math.round(ageMs)} ms, listed ` +
+    `${Math.round(unlistedMs)} ms ago`;
+}
+
 function encodeSlot(
   { id, service, server, bornMs, slots, route, key }: admission.HeldSlot,
 ): messages.SlotTuple {
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -1,5 +1,6 @@
 /** Composition root of an entry process on an external platform. */
 import type * as contracts from "@guavatide/contracts";
+import * as admission from "@guavatide/decisions/admission/mod";
 import * as grants from "@guavatide/decisions/grants/mod";
 import * as ownership from "@guavatide/decisions/ownership/mod";
 import * as connectionPools from "../links/connection_pools.ts";
@@ -31,6 +32,8 @@
 import { PoisonGuard } from "./poison/poison_guard.ts";
 import { RangeMapStore } from "./grants/range_map_store.ts";
 import { ReadinessServer } from "./readiness_server.ts";
+import { AdmissionTask } from "./admission/admission_task.ts";
+import { SharedAdmissionTask } from "./admission/shared_admission_task.ts";
 import { BackoffGrantControl } from "./grants/backoff_grant_control.ts";
 import { LeavingServers } from "./backoffs/leaving_servers.ts";
 import { LimitedGrantControl } from "./grants/limited_grant_control.ts";
@@ -54,6 +57,12 @@
  * timeout.
  */
 const CONNECTION_IDLE_TIMEOUT_MS = 8_000;
+/**
+ * Longest idle timeout of connections to servers that announce one: a VM of a
+ * large deployment sends to the same owner of keys about every 7 s. The kernel
+ * probes idle connections from 60 s on.
+ */
+const MAX_ANNOUNCED_IDLE_TIMEOUT_MS = 30_000;
 /**
  * Fraction of the time limit of an evacuation in which owners in the zone may
  * still get requests; the rest covers late notification of entry VMs.
@@ -64,6 +73,7 @@
  * only after a second, and a peer's connection is faster.
  */
 const CONNECT_TIMEOUT_MS = 200;
+const BYTES_PER_MBIT = 125_000;
 /** Maximum time to close the connections to the platform on a stop. */
 const CLOSE_TIMEOUT_MS = 300;
 
@@ -207,6 +217,12 @@
     hasher,
     clock,
   });
+  const { memoryMb, linkMbps } = settings.limits;
+  const heldBytes = new admission.HeldBytes({
+    limitBytes: admission.heldBytesLimit(memoryMb),
+    bytesPerSecond: linkMbps && linkMbps * BYTES_PER_MBIT,
+    random,
+  });
   const connections = new connectionPools.ConnectionPools(
     {
       ...connectionPools.CONNECTION_POOLS_DEFAULTS,
@@ -214,6 +230,8 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       decoder: adapter.answerDecoder,
       idleTimeoutMs: CONNECTION_IDLE_TIMEOUT_MS,
+      onAnswerBytes: (bytes) => heldBytes.addAnswerBytes(bytes),
+      maxAnnouncedIdleTimeoutMs: MAX_ANNOUNCED_IDLE_TIMEOUT_MS,
     },
     lifeCycle,
   );
@@ -287,6 +305,29 @@
     latencyFactorsOf: (service) => slots.latencyFactors(service),
     isLeaving: () => lifeCycle.isStopping,
   });
+  const hasShares = () => config.active?.config.hasBulkRoutes ?? false;
+  const sharedAdmission: SharedAdmissionTask = new SharedAdmissionTask({
+    vm: settings.vm,
+    gossip,
+    hasher,
+    capacityPerSecond: (service) => forwarder.serviceCapacity(service),
+    isActive: hasShares,
+    isLeaving: () => lifeCycle.isStopping,
+    clock,
+    log: log.part("route"),
+  });
+  const admissions: AdmissionTask = new AdmissionTask({
+    vm: settings.vm,
+    isActive: hasShares,
+    gossip,
+    shared: sharedAdmission,
+    hash: (text) => hasher.hash(text),
+    clock,
+    unixMs: () => Date.now(),
+    random,
+    log: log.part("route"),
+    counts: metrics.admissionDecisions,
+  });
   const slots = new SlotTask({
     vm: settings.vm,
     zone: settings.zone,
@@ -302,6 +343,8 @@
     requestLimits,
     timesOf: (service) => forwarder.timesOf(service),
     hotKeyCounts: metrics.hotKeys,
+    hasShares,
+    counts: metrics.slotEvents,
   });
   const poison = new PoisonGuard({
     store,
@@ -329,6 +372,7 @@
     grants: grantTask,
     gossip,
     slots,
+    admissions,
     connections,
     paths,
     poison,
@@ -430,7 +474,10 @@
         CALLER_DESCRIPTOR_RATIO,
     ),
     graceMs: settings.timings.graceSeconds * 1000,
+    admitBeforeBody: (head) => forwarder.admitBeforeBody(head),
     forward: (request) => forwarder.forward(request),
+    heldBytes,
+    count: (decision) => metrics.frontDecisions.add(1, { decision }),
   });
   config.onChange(() => listener.applyLimits());
   return {
@@ -441,6 +488,8 @@
     gossip,
     grantTask,
     slots,
+    admissions,
+    sharedAdmission,
     poison,
     requestLimits,
     backoffs,
@@ -519,6 +568,8 @@
   parts.backoffs.start(lifeCycle);
   parts.leaving.start(lifeCycle);
   parts.slots.start(lifeCycle);
+  parts.admissions.start(lifeCycle);
+  parts.sharedAdmission.start(lifeCycle);
   parts.forwarder.start(lifeCycle);
   await parts.listener.listen();
   log.part("main").info("Entry process started.", {
--- a/packages/entry/src/metrics/metrics.ts
+++ b/packages/entry/src/metrics/metrics.ts
@@ -41,6 +41,13 @@
    * owner, a key `moved` to another one.
    */
   readonly hotKeys: api.Counter;
+  /** Decisions on requests to services short of capacity. */
+  readonly admissionDecisions: api.Counter;
+  /**
+   * Requests refused at stalled servers and slots that were not released, by
+   * kind: `stall-refusal`, `lost-slot`, `overdue-slot`.
+   */
+  readonly slotEvents: api.Counter;
   /**
    * Requests that a VM sent for another that didn't reach the server, by role
    * (`asked`, `sent`) and outcome.
@@ -50,6 +57,8 @@
   readonly peerDatagrams: api.Counter;
   /** Bytes in datagrams to other entry VMs, by the same labels. */
   readonly peerBytes: api.Counter;
+  /** Decisions of the listener for clients, by decision. */
+  readonly frontDecisions: api.Counter;
   /** Steps of handovers of slices, by service and step: churn. */
   readonly sliceMoves: api.Counter;
   /** Milliseconds from the start of a slice's handover until its next step. */
@@ -70,11 +79,18 @@
     );
     this.backoffCalls = this.#meter.createCounter("guavatide_backoff_calls");
     this.hotKeys = this.#meter.createCounter("guavatide_hot_keys");
+    this.admissionDecisions = this.#meter.createCounter(
+      "guavatide_admission_decisions",
+    );
+    this.slotEvents = this.#meter.createCounter("guavatide_slot_events");
     this.relayedRequests = this.#meter.createCounter(
       "guavatide_relayed_requests",
     );
     this.peerDatagrams = this.#meter.createCounter("guavatide_peer_datagrams");
     this.peerBytes = this.#meter.createCounter("guavatide_peer_bytes");
+    this.frontDecisions = this.#meter.createCounter(
+      "guavatide_front_decisions",
+    );
     this.sliceMoves = this.#meter.createCounter("guavatide_slice_moves");
     this.requestMs = this.#createLatency("guavatide_request_ms");
     this.sliceUnavailableMs = this.#createLatency(
