--- a/packages/decisions/src/admission/caller_shares.ts
+++ b/packages/decisions/src/admission/caller_shares.ts
@@ -114,6 +114,8 @@
 
   /** Applies the counts of a peer. */
   applyPeerCounts(counts: CallerCounts, nowMs: number): void {
+    // Only counts of all VMs show a caller's rate, so this one sends its own.
+    if (counts.refused > 0) this.recordWait(nowMs);
     this.#arrivals.add(counts.arrivals, nowMs);
     this.#refused.add(counts.refused, nowMs);
     for (const [caller, count] of counts.callers) {
--- a/packages/decisions/src/admission/overload_load_test.ts
+++ b/packages/decisions/src/admission/overload_load_test.ts
@@ -224,7 +224,7 @@
           judged: judged!,
           answerByMs,
           serviceMs: SERVICE_MS,
-          minWaitMs: 0,
+          reservedAfterMs: undefined,
         }, moment()).retryAfterMs;
         this.#retry(ask, told);
       },
--- a/packages/decisions/src/admission/queue_refusals.ts
+++ b/packages/decisions/src/admission/queue_refusals.ts
@@ -65,6 +65,13 @@
       const retryAfterMs = waitMs + this.#backoffSpreadMs(waitMs);
       return { reason, retryAfterMs, expectedWaitMs: waitMs };
     }
+    const { shares } = this.#options;
+    if (reason === "no-room" && !isExpired && shares?.isActive) {
+      const retryAfterMs = shares.retryAfterMs?.(request, nowMs);
+      if (retryAfterMs !== undefined) {
+        return { reason, retryAfterMs, expectedWaitMs: waitMs };
+      }
+    }
     // Spreads out the retries of callers that are refused together.
     const jitteredMs = waitMs * (0.5 + this.#options.random.next());
     const maxMs = reason === "limited"
--- a/packages/decisions/src/admission/return_schedule.ts
+++ b/packages/decisions/src/admission/return_schedule.ts
@@ -21,10 +21,30 @@
   readonly earliestMs: number;
   /** Longest Retry-After that the caller can honour. */
   readonly longestMs: number;
-  /** Returns per second that this VM may promise. */
+  /**
+   * Returns per second that this VM may promise; infinite where another VM has
+   * promised the capacity from the earliest time on.
+   */
   readonly ratePerSecond: number;
 }
 
+/** Capacity of the time to come, each part of which is promised once. */
+export class ReturnBudget {
+  /** Time before which all that may be promised is promised. */
+  #promisedUntilMs = 0;
+
+  /** The first time from which a return may be promised. */
+  firstMs(nowMs: number, earliestMs: number): number {
+    return Math.max(nowMs + earliestMs, this.#promisedUntilMs);
+  }
+
+  /** Takes the capacity for one return. */
+  take(nowMs: number, ratePerSecond: number): void {
+    this.#promisedUntilMs = Math.max(nowMs, this.#promisedUntilMs) +
+      1_000 / ratePerSecond;
+  }
+}
+
 /** Options of {@link ReturnSchedule}. */
 export interface ReturnScheduleOptions {
   /** Hash of a text; the same on all VMs. */
@@ -43,8 +63,7 @@
 /** Promises of one VM for one service. */
 export class ReturnSchedule {
   readonly #options: ReturnScheduleOptions;
-  /** Time before which all that may be promised is promised. */
-  #promisedUntilMs = 0;
+  readonly #budget = new ReturnBudget();
 
   constructor(options: ReturnScheduleOptions) {
     this.#options = options;
@@ -64,7 +83,7 @@
     { unixMs, earliestMs, longestMs, ratePerSecond }: ReturnLimits,
   ): number | undefined {
     if (ratePerSecond <= 0) return undefined;
-    const fromMs = Math.max(unixMs + earliestMs, this.#promisedUntilMs);
+    const fromMs = this.#budget.firstMs(unixMs, earliestMs);
     const lastMs = unixMs + longestMs;
     for (let slot = Math.ceil(fromMs / SLOT_MS);; slot++) {
       const startMs = slot * SLOT_MS;
@@ -72,8 +91,7 @@
           (FIRST_FRACTION + SPREAD_FRACTION * this.#options.random.next());
       if (returnMs > lastMs) return undefined;
       if (!this.#isOpen(caller, slot)) continue;
-      this.#promisedUntilMs = Math.max(unixMs, this.#promisedUntilMs) +
-        1_000 / ratePerSecond;
+      this.#budget.take(unixMs, ratePerSecond);
       return returnMs - unixMs;
     }
   }
--- a/packages/decisions/src/admission/service_admission.ts
+++ b/packages/decisions/src/admission/service_admission.ts
@@ -35,8 +35,11 @@
   readonly judged: JudgedRequest;
   readonly answerByMs: number;
   readonly serviceMs: number;
-  /** Wait that must pass before a return can succeed. */
-  readonly minWaitMs: number;
+  /**
+   * Time from which the coordinator of a key's owner has reserved capacity;
+   * undefined for a request without a key.
+   */
+  readonly reservedAfterMs: number | undefined;
 }
 
 /**
@@ -60,6 +63,16 @@
 /** Least fraction of the capacity expected beside requests within shares. */
 const MIN_LEFT_RATIO = 0.05;
 
+/** Longest time until a return that a caller honours and that is in time. */
+export function longestReturnMs(leftMs: number, serviceMs: number): number {
+  return Math.min(leftMs * HONOURED_FRACTION, leftMs - serviceMs);
+}
+
+/** Fraction of the capacity that is promised, if new requests leave so much. */
+export function returnRatio(leftRatio: number): number {
+  return Math.min(MAX_RETURN_RATIO, Math.max(MIN_RETURN_RATIO, leftRatio));
+}
+
 /** Shares, promises and standings at one service. */
 export class ServiceAdmission {
   readonly shares: CallerShares;
@@ -121,12 +134,11 @@
       ? undefined
       : this.#returns.promise(request, {
         unixMs,
-        earliestMs: Math.max(MIN_RETURN_MS, request.minWaitMs),
-        longestMs: Math.min(
-          leftMs * HONOURED_FRACTION,
-          leftMs - request.serviceMs,
-        ),
-        ratePerSecond: this.#returnsPerSecond(nowMs),
+        earliestMs: Math.max(MIN_RETURN_MS, request.reservedAfterMs ?? 0),
+        longestMs: longestReturnMs(leftMs, request.serviceMs),
+        ratePerSecond: request.reservedAfterMs === undefined
+          ? this.#returnsPerSecond(nowMs)
+          : Number.POSITIVE_INFINITY,
       });
     return {
       retryAfterMs: promisedMs ?? leftMs,
@@ -142,11 +154,8 @@
   }
 
   #returnsPerSecond(nowMs: number): number {
-    const ratio = Math.min(
-      MAX_RETURN_RATIO,
-      Math.max(MIN_RETURN_RATIO, this.leftRatio(nowMs)),
-    );
-    return this.#options.vmPerSecond(nowMs) * ratio;
+    return this.#options.vmPerSecond(nowMs) *
+      returnRatio(this.leftRatio(nowMs));
   }
 }
 
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -127,6 +127,8 @@
   /** Whether it would be sent before waiting requests that go first. */
   #isOvertaking(request: WaitingRequest, nowMs: number): boolean {
     if (!this.#hasShares || this.isKeyed) return false;
+    // Coordinators of limited servers order the requests to these.
+    if (this.#options.capped?.hasAny) return false;
     const rank = this.#order.rank(request, nowMs);
     return this.#waiting.some((other) =>
       this.#order.rank(other, nowMs) < rank && other.tried.size === 0
@@ -286,13 +288,9 @@
   #tryAny(request: WaitingRequest, nowMs: number): boolean {
     const { rateLimits, reserve, capped } = this.#options;
     if (reserve?.mayAcquire(request, nowMs) === false) return false;
-    if (
-      this.#hasShares &&
-      this.#options.shares!.mayAdmit?.(request, nowMs) === false
-    ) {
-      return false;
-    }
-    const load = this.#servers.chooseFree(request, nowMs);
+    const load = this.#mayAdmit(request, nowMs)
+      ? this.#servers.chooseFree(request, nowMs)
+      : undefined;
     if (capped?.hasAny) {
       const hasOther = load !== undefined;
       const servers = this.#servers.cappedServers(request, nowMs);
@@ -320,6 +318,15 @@
     return true;
   }
 
+  /**
+   * Whether the VM may send it within its share. A slot granted by a coordinator
+   * is used in any case.
+   */
+  #mayAdmit(request: WaitingRequest, nowMs: number): boolean {
+    if (!this.#hasShares) return true;
+    return this.#options.shares!.mayAdmit?.(request, nowMs) ?? true;
+  }
+
   #tryOwner(
     request: WaitingRequest,
     owner: KeyOwner,
--- a/packages/decisions/src/admission/service_queue_options.ts
+++ b/packages/decisions/src/admission/service_queue_options.ts
@@ -72,6 +72,11 @@
   readonly refusesLate: boolean;
   /** Fraction of the capacity left for requests above shares. */
   leftRatio(nowMs: number): number;
+  /**
+   * Time for which a request that is refused for lack of room is promised
+   * capacity; absent where a request's VM promises it.
+   */
+  retryAfterMs?(request: WaitingRequest, nowMs: number): number;
   /** Whether the VM may send a request within its share of the capacity. */
   mayAdmit?(request: WaitingRequest, nowMs: number): boolean;
   /**
--- a/packages/decisions/src/admission/slot_coordinator.ts
+++ b/packages/decisions/src/admission/slot_coordinator.ts
@@ -12,6 +12,7 @@
 import { ServiceQueue } from "./service_queue.ts";
 import { ServiceTimes } from "./service_times.ts";
 import { ShortRequestReserve } from "./short_request_reserve.ts";
+import { SlotReturns } from "./slot_returns.ts";
 import type {
   PrioritizedRoute,
   Refusal,
@@ -250,6 +251,7 @@
   readonly #times: ServiceTimes;
   readonly #queue: ServiceQueue;
   readonly #reserve: ShortRequestReserve;
+  readonly #returns: SlotReturns;
   readonly #rateLimits: ServerRateLimit | undefined;
   readonly #decide: (decision: SlotDecision) => void;
   readonly #isReplaceable: () => boolean;
@@ -272,6 +274,7 @@
   ) {
     const { zone, random, onDecision, rateLimitsOf, isReplaceable } = options;
     const { hasShares } = options;
+    this.#returns = new SlotReturns(server, times);
     this.server = server;
     this.#onKeyLimited = (key) => options.onKeyLimited?.(server, key);
     this.#limitedKeys = new LimitedKeys({ ...server, times, random });
@@ -299,6 +302,8 @@
         // How much callers at all VMs demand of one server is not known.
         leftRatio: () => 1,
         queuePerSecond: () => undefined,
+        retryAfterMs: (request, nowMs) =>
+          this.#returns.retryAfterMs(request, nowMs),
       },
     });
     this.#queue.setServers([serverEntryOf(server, zone)]);
@@ -329,6 +334,7 @@
     });
     this.#pending.set(key, pending);
     this.#reserve.recordRequest(request.route, nowMs);
+    this.#returns.recordRequest(request, nowMs);
     // A limited rate allows the next request between two sweeps.
     if (this.#rateLimits?.isNamed(this.server.server)) {
       this.#queue.dispatch(nowMs);
--- a/packages/decisions/src/admission/slot_coordinator_test.ts
+++ b/packages/decisions/src/admission/slot_coordinator_test.ts
@@ -391,3 +391,29 @@
     "vm2",
   ]);
 });
+
+/** Guards against a time at an owner that is promised to many callers. */
+test("should promise the capacity of an owner once", () => {
+  const promised: number[] = [];
+  const coordinator = new admission.SlotCoordinator({
+    zone: "z1" as contracts.ZoneId,
+    random: { next: () => 0.5 },
+    onDecision: ({ refusal }) => {
+      if (refusal !== undefined) promised.push(refusal.retryAfterMs);
+    },
+    hasShares: () => true,
+  });
+  const vm = "vm1" as contracts.VmId;
+  for (let id = 0; id < 200; id++) {
+    const { route } = new Request(1_000);
+    const times = { targetMs: 1_300, answerByMs: 4_000 };
+    coordinator.request({ ...SERVER, ...times, id, vm, route }, 1_000);
+  }
+  const inTime = promised.filter((afterMs) => afterMs <= 1_000);
+  // Two slots of 105 ms run 19 a second, of which at most half is promised.
+  expect(inTime.length).toBeGreaterThan(1);
+  for (const [index, afterMs] of inTime.entries()) {
+    if (index > 0) expect(afterMs - inTime[index - 1]!).toBeGreaterThan(40);
+  }
+  expect(promised.at(-1)).toEqual(3_000);
+});
--- /dev/null
+++ b/packages/decisions/src/admission/slot_returns.ts
@@ -0,0 +1,49 @@
+/** Returns that the coordinator of one server's slots promises. */
+import { DecayingCount } from "./decaying_count.ts";
+import { ReturnBudget } from "./return_schedule.ts";
+import { longestReturnMs, returnRatio } from "./service_admission.ts";
+import type { ServiceTimes } from "./service_times.ts";
+import type { SlotServer } from "./slot_coordinator.ts";
+import type { WaitingRequest } from "./waiting_request.ts";
+
+/** Time constant of the rate of new requests. */
+const RATE_DECAY_MS = 2_000;
+/** A return before this time would meet the same queue. */
+const MIN_RETURN_MS = 60;
+
+/** Promises the slots that new requests leave, each once. */
+export class SlotReturns {
+  readonly #server: SlotServer;
+  readonly #times: ServiceTimes;
+  readonly #arrivals = new DecayingCount(RATE_DECAY_MS);
+  readonly #budget = new ReturnBudget();
+
+  constructor(server: SlotServer, times: ServiceTimes) {
+    this.#server = server;
+    this.#times = times;
+  }
+
+  /** Counts a request, unless its capacity was promised. */
+  recordRequest({ standing }: Pick<WaitingRequest, "standing">, nowMs: number) {
+    if (standing === undefined) this.#arrivals.add(1, nowMs);
+  }
+
+  /** Promises a return; if none is possible in time, it is after that. */
+  retryAfterMs(
+    { route, answerByMs, standing }: WaitingRequest,
+    nowMs: number,
+  ): number {
+    const leftMs = Math.max(MIN_RETURN_MS, answerByMs - nowMs);
+    const longestMs = longestReturnMs(leftMs, this.#times.estimateMs(route));
+    const firstMs = this.#budget.firstMs(nowMs, MIN_RETURN_MS) - nowMs;
+    if (standing === "above-share" || firstMs > longestMs) return leftMs;
+    const { slots, server } = this.#server;
+    const meanMs = this.#times.meanMs ?? this.#times.estimateMs(route);
+    const perSecond = slots * 1_000 /
+      Math.max(1, meanMs * this.#times.latencyFactor(server));
+    const newPerSecond = this.#arrivals.at(nowMs) * 1_000 / RATE_DECAY_MS;
+    const ratio = returnRatio(1 - newPerSecond / perSecond);
+    this.#budget.take(nowMs, perSecond * ratio);
+    return firstMs;
+  }
+}
--- a/packages/entry/src/gateway/admission/admission_task_test.ts
+++ b/packages/entry/src/gateway/admission/admission_task_test.ts
@@ -87,7 +87,11 @@
   const request = { caller, route: "filing" };
   for (let index = 0; index < requests; index++) {
     const judged = task.judge(SERVICE, request)!;
-    const limits = { answerByMs: 2_000, serviceMs: 100, minWaitMs: 0 };
+    const limits = {
+      answerByMs: 2_000,
+      serviceMs: 100,
+      reservedAfterMs: undefined,
+    };
     task.refuse(SERVICE, { ...request, ...limits, judged });
   }
 }
--- a/packages/entry/src/gateway/forwarding/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarding/forwarded_request.ts
@@ -185,7 +185,7 @@
 
   /** Retry-After of a refusal for lack of capacity. */
   #returnAfterMs(
-    { retryAfterMs, expectedWaitMs }: Omit<admission.Refusal, "reason">,
+    { retryAfterMs }: Pick<admission.Refusal, "retryAfterMs">,
   ): number {
     const { judged, times, returnAfterMs } = this.#context;
     if (judged === undefined) return retryAfterMs;
@@ -195,9 +195,7 @@
       judged,
       answerByMs: this.answerByMs,
       serviceMs: times.estimateMs(this.route),
-      // Callers that return go before others, but not at the owner of a key
-      // that is busy for that long.
-      minWaitMs: this.#isKeyedService() ? expectedWaitMs : 0,
+      reservedAfterMs: this.#isKeyedService() ? retryAfterMs : undefined,
     });
   }
 
@@ -366,13 +364,7 @@
       }, OWNER_REFUSAL_BACKOFF_MS);
       return;
     }
-    const retryAfterMs = HANDOVER_RETRY_AFTER_MS;
-    this.#giveUp(
-      `server refused: ${refusal}`,
-      isKeyed
-        ? retryAfterMs
-        : this.#returnAfterMs({ retryAfterMs, expectedWaitMs: 0 }),
-    );
+    this.#giveUp(`server refused: ${refusal}`, HANDOVER_RETRY_AFTER_MS);
   }
 
   /** Whether another attempt is to be made beside one whose path is lost. */
--- a/packages/entry/src/gateway/forwarding/forwarder.ts
+++ b/packages/entry/src/gateway/forwarding/forwarder.ts
@@ -234,7 +234,7 @@
       judged,
       answerByMs,
       serviceMs: times.estimateMs(route),
-      minWaitMs: 0,
+      reservedAfterMs: undefined,
     });
     const { reason, expectedWaitMs } = refusal;
     const answer = notRunAnswer(`Not run: ${reason}`, retryAfterMs);
