--- a/packages/decisions/src/admission/mod.ts
+++ b/packages/decisions/src/admission/mod.ts
@@ -3,6 +3,7 @@
  */
 export * from "./caller_shares.ts";
 export * from "./capped_servers.ts";
+export * from "./held_bytes.ts";
 export * from "./lag_shedding.ts";
 export * from "./limit_share.ts";
 export * from "./limited_keys.ts";
@@ -16,6 +17,7 @@
 export * from "./service_admission.ts";
 export * from "./service_queue.ts";
 export * from "./service_queue_options.ts";
+export * from "./server_speed.ts";
 export * from "./service_times.ts";
 export * from "./shared_admission.ts";
 export * from "./shared_retry_budget.ts";
--- a/packages/decisions/src/admission/slot_returns.ts
+++ b/packages/decisions/src/admission/slot_returns.ts
@@ -1,9 +1,9 @@
 /** Returns that the coordinator of one server's slots promises. */
+import type * as contracts from "@guavatide/contracts";
 import { DecayingCount } from "./decaying_count.ts";
 import { ReturnBudget } from "./return_schedule.ts";
 import { longestReturnMs, returnRatio } from "./service_admission.ts";
 import type { ServiceTimes } from "./service_times.ts";
-import type { SlotServer } from "./slot_coordinator.ts";
 import type { WaitingRequest } from "./waiting_request.ts";
 
 /** Time constant of the rate of new requests. */
@@ -11,14 +11,20 @@
 /** A return before this time would meet the same queue. */
 const MIN_RETURN_MS = 60;
 
+/** A server whose slots are promised. */
+export type PromisingServer = Pick<
+  contracts.RegisteredServer,
+  "server" | "slots"
+>;
+
 /** Promises the slots that new requests leave, each once. */
 export class SlotReturns {
-  readonly #server: SlotServer;
+  readonly #server: PromisingServer;
   readonly #times: ServiceTimes;
   readonly #arrivals = new DecayingCount(RATE_DECAY_MS);
   readonly #budget = new ReturnBudget();
 
-  constructor(server: SlotServer, times: ServiceTimes) {
+  constructor(server: PromisingServer, times: ServiceTimes) {
     this.#server = server;
     this.#times = times;
   }
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -1,5 +1,6 @@
 /** Composition root of an entry process on an external platform. */
 import type * as contracts from "@guavatide/contracts";
+import * as admission from "@guavatide/decisions/admission/mod";
 import * as grants from "@guavatide/decisions/grants/mod";
 import * as ownership from "@guavatide/decisions/ownership/mod";
 import * as connectionPools from "../links/connection_pools.ts";
@@ -56,6 +57,12 @@
  * timeout.
  */
 const CONNECTION_IDLE_TIMEOUT_MS = 8_000;
+/**
+ * Longest idle timeout of connections to servers that announce one: a VM of a
+ * large deployment sends to the same owner of keys about every 7 s. The kernel
+ * probes idle connections from 60 s on.
+ */
+const MAX_ANNOUNCED_IDLE_TIMEOUT_MS = 30_000;
 /**
  * Fraction of the time limit of an evacuation in which owners in the zone may
  * still get requests; the rest covers late notification of entry VMs.
@@ -66,6 +73,7 @@
  * only after a second, and a peer's connection is faster.
  */
 const CONNECT_TIMEOUT_MS = 200;
+const BYTES_PER_MBIT = 125_000;
 /** Maximum time to close the connections to the platform on a stop. */
 const CLOSE_TIMEOUT_MS = 300;
 
@@ -209,6 +217,12 @@
     hasher,
     clock,
   });
+  const { memoryMb, linkMbps } = settings.limits;
+  const heldBytes = new admission.HeldBytes({
+    limitBytes: admission.heldBytesLimit(memoryMb),
+    bytesPerSecond: linkMbps && linkMbps * BYTES_PER_MBIT,
+    random,
+  });
   const connections = new connectionPools.ConnectionPools(
     {
       ...connectionPools.CONNECTION_POOLS_DEFAULTS,
@@ -216,6 +230,8 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       decoder: adapter.answerDecoder,
       idleTimeoutMs: CONNECTION_IDLE_TIMEOUT_MS,
+      onAnswerBytes: (bytes) => heldBytes.addAnswerBytes(bytes),
+      maxAnnouncedIdleTimeoutMs: MAX_ANNOUNCED_IDLE_TIMEOUT_MS,
     },
     lifeCycle,
   );
@@ -283,6 +299,7 @@
       config.service(service)?.coldStart !== undefined,
     maxRangesOf: (server) => rateLimits.maxRangesOf(server),
     backoffOf: (server) => backoffs.placementOf(server),
+    hotKeyCounts: metrics.hotKeys,
     backoffs,
     limitOf: (server) => requestLimits.limitOf(server),
     latencyFactorsOf: (service) => slots.latencyFactors(service),
@@ -324,6 +341,7 @@
     rateLimits,
     isReplaceable: (server) => grantTask.isReplaceable(server),
     requestLimits,
+    timesOf: (service) => forwarder.timesOf(service),
     hotKeyCounts: metrics.hotKeys,
     hasShares,
     counts: metrics.slotEvents,
@@ -458,6 +476,8 @@
     graceMs: settings.timings.graceSeconds * 1000,
     admitBeforeBody: (head) => forwarder.admitBeforeBody(head),
     forward: (request) => forwarder.forward(request),
+    heldBytes,
+    count: (decision) => metrics.frontDecisions.add(1, { decision }),
   });
   config.onChange(() => listener.applyLimits());
   return {
--- a/packages/entry/src/links/connection_pools.ts
+++ b/packages/entry/src/links/connection_pools.ts
@@ -14,8 +14,11 @@
   readonly localAddress?: string | undefined;
   readonly connectTimeoutMs: number;
   readonly idleTimeoutMs: number;
+  readonly maxAnnouncedIdleTimeoutMs?: number | undefined;
   readonly answerLimitBytes: number;
   readonly decoder: AnswerDecoder;
+  /** See {@link ServerConnectionOptions}. */
+  readonly onAnswerBytes?: ((bytes: number) => void) | undefined;
   /** Timeout of a probe or a cancellation. */
   readonly controlTimeoutMs: number;
 }
--- a/packages/entry/src/links/server_connection.ts
+++ b/packages/entry/src/links/server_connection.ts
@@ -13,6 +13,13 @@
 import { readHeader } from "./header_list.ts";
 import { runOfStamp } from "./server_clock.ts";
 
+/**
+ * TLS server name passed with each request. Without one, undici tests whether
+ * the request's Host is an IP address, and the pattern for IPv6 takes a process
+ * several milliseconds to compile. Connections to servers do not use TLS.
+ */
+const UNUSED_SERVER_NAME = "-";
+
 /** One attempt of a request, as sent over a connection. */
 export interface AttemptRequest {
   readonly id: contracts.RequestId;
@@ -63,10 +70,20 @@
   /** Address that connections leave from; the system's choice by default. */
   readonly localAddress?: string | undefined;
   readonly connectTimeoutMs: number;
-  /** An idle connection is closed after this time. */
+  /** Idle timeout of a connection whose server announces none. */
   readonly idleTimeoutMs: number;
+  /**
+   * Longest idle timeout of a connection whose server announces one; it is
+   * closed 2 s before the server's own timeout. `idleTimeoutMs` by default.
+   */
+  readonly maxAnnouncedIdleTimeoutMs?: number | undefined;
   readonly answerLimitBytes: number;
   readonly decoder: AnswerDecoder;
+  /**
+   * Called with the bytes of each chunk of an answer, and with the negative sum
+   * when the whole answer is passed on or dropped.
+   */
+  readonly onAnswerBytes?: ((bytes: number) => void) | undefined;
 }
 
 /** A request in flight. */
@@ -76,6 +93,7 @@
   isSent: boolean;
   wasWithheld: boolean;
   abort: ((reason: Error) => void) | undefined;
+  answer: AnswerReader | undefined;
 }
 
 /** A connection that carries one request after another until one fails. */
@@ -99,7 +117,8 @@
       pipelining: 1,
       localAddress: options.localAddress,
       keepAliveTimeout: options.idleTimeoutMs,
-      keepAliveMaxTimeout: options.idleTimeoutMs,
+      keepAliveMaxTimeout: options.maxAnnouncedIdleTimeoutMs ??
+        options.idleTimeoutMs,
       // Each attempt has its own deadline; undici's timeouts would preempt it.
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -138,9 +157,11 @@
         isSent: false,
         wasWithheld: false,
         abort: undefined,
+        answer: undefined,
         settle: (result) => {
           if (this.#pending !== pending) return;
           this.#pending = undefined;
+          pending.answer?.release();
           const isWhole = result.kind === "answer" || result.kind === "refusal";
           if (!isWhole) this.retire();
           resolve(result);
@@ -189,13 +210,14 @@
 
   #dispatch(pending: PendingRequest): void {
     const { request } = pending;
-    let answer: AnswerReader | undefined;
-    this.#client.dispatch({
+    const options: RequestOptions = {
       method: request.method as undici.Dispatcher.HttpMethod,
       path: request.path,
       headers: request.headers as string[],
       body: request.body ?? null,
-    }, {
+      servername: UNUSED_SERVER_NAME,
+    };
+    this.#client.dispatch(options, {
       onRequestStart: (controller) => {
         pending.abort = (reason) => controller.abort(reason);
         if (this.#pending !== pending || !request.maySend()) {
@@ -207,15 +229,16 @@
       },
       onResponseStart: (controller, status) => {
         const raw = (controller as HeaderSource).rawHeaders ?? [];
-        answer = new AnswerReader(status, raw, {
+        pending.answer = new AnswerReader(status, raw, {
           request,
           onServerRun: (run) => this.#serverRun = run ?? this.#serverRun,
           limitBytes: this.#options.answerLimitBytes,
           decoder: this.#options.decoder,
+          onAnswerBytes: this.#options.onAnswerBytes,
         });
       },
       onResponseData: (controller, chunk) => {
-        if (!answer!.add(chunk)) {
+        if (!pending.answer!.add(chunk)) {
           controller.abort(new Error("The answer is larger than the limit"));
         }
       },
@@ -223,7 +246,7 @@
         pending.settle(
           this.#hasSocketError
             ? badAnswer("The connection broke before the answer's end")
-            : answer!.finish(),
+            : pending.answer!.finish(),
         ),
       onResponseError: (_controller, error) => {
         const reason = "connection-lost";
@@ -235,6 +258,11 @@
   }
 }
 
+/** Options of a request; undici's types omit the server name. */
+type RequestOptions = undici.Dispatcher.DispatchOptions & {
+  readonly servername: string;
+};
+
 /** A property of undici's controller that its types omit. */
 interface HeaderSource {
   readonly rawHeaders?: readonly Uint8Array[] | null;
@@ -251,6 +279,7 @@
   readonly onServerRun: (run: string | undefined) => void;
   readonly limitBytes: number;
   readonly decoder: AnswerDecoder;
+  readonly onAnswerBytes: ServerConnectionOptions["onAnswerBytes"];
 }
 
 /** Collects one response and decodes it at its end. */
@@ -260,6 +289,7 @@
   readonly #options: AnswerReaderOptions;
   readonly #chunks: Uint8Array[] = [];
   #sizeBytes = 0;
+  #isReleased = false;
 
   constructor(
     status: number,
@@ -273,11 +303,20 @@
 
   /** Adds a chunk of the body; false when the body exceeds the limit. */
   add(chunk: Uint8Array): boolean {
+    if (this.#isReleased) return false;
     this.#sizeBytes += chunk.length;
+    this.#options.onAnswerBytes?.(chunk.length);
     this.#chunks.push(chunk);
     return this.#sizeBytes <= this.#options.limitBytes;
   }
 
+  /** Ends the count of its bytes. */
+  release(): void {
+    if (this.#isReleased) return;
+    this.#isReleased = true;
+    this.#options.onAnswerBytes?.(-this.#sizeBytes);
+  }
+
   finish(): AttemptResult {
     const { request, decoder, onServerRun } = this.#options;
     const decoded = decoder.decode(request.id, {
