fix(admission): rates of VMs hold only while others wait

A VM that reported alone was limited to about an equal share of the capacity, though the VMs that report nothing may use little: one that always gets more requests than others would have refused some under normal load. Without a reply it counts on what servers have run for it lately if that is more.

--- a/packages/decisions/src/admission/overload_load_test.ts
+++ b/packages/decisions/src/admission/overload_load_test.ts
@@ -267,7 +267,7 @@
             this.#nowMs,
           );
         }
-        this.#reporters[vm]!.recordEnd();
+        this.#reporters[vm]!.recordEnd(this.#nowMs);
         this.#tellLoads(vm);
         ask.result.served++;
         const tookMs = this.#nowMs - ask.startMs;
--- a/packages/decisions/src/admission/shared_admission.ts
+++ b/packages/decisions/src/admission/shared_admission.ts
@@ -38,8 +38,11 @@
   #ended = 0;
   #share: AdmissionShare | undefined;
   #sharedMs = Number.NEGATIVE_INFINITY;
+  readonly #endedRate = new DecayingCount(RATE_DECAY_MS);
   #tokens = 0;
   #refilledMs = 0;
+  /** Waiting by the last report. */
+  #reportedWaiting = 0;
 
   /** Counts a request that arrived. */
   recordArrival(): void {
@@ -58,11 +61,14 @@
    * callers' shares also wait for the others at all VMs.
    */
   mayAdmit({ standing }: Pick<WaitingRequest, "standing">, nowMs: number) {
-    this.#refill(nowMs);
-    if (this.#tokens <= 0) return false;
-    if (standing !== "above-share" || !this.#isRecent(nowMs)) return true;
+    if (!this.#isRecent(nowMs)) return true;
     const { waiting, capacityPerSecond } = this.#share!;
-    return waiting * 1_000 < capacityPerSecond * MAX_WAIT_BEFORE_OTHERS_MS;
+    const mostWaiting = capacityPerSecond * MAX_WAIT_BEFORE_OTHERS_MS / 1_000;
+    if (standing === "above-share" && waiting >= mostWaiting) return false;
+    // Without shortage at other VMs, what servers have free is free for this.
+    if (waiting - this.#reportedWaiting < mostWaiting) return true;
+    this.#refill(nowMs);
+    return this.#tokens > 0;
   }
 
   /** Unlimited without a recent reply: servers bound what is sent then. */
@@ -87,8 +93,9 @@
   }
 
   /** Counts a request that ended at a server. */
-  recordEnd(): void {
+  recordEnd(nowMs: number): void {
     this.#ended++;
+    this.#endedRate.add(1, nowMs);
   }
 
   /** Takes the report to send; undefined if nothing waits or was refused. */
@@ -100,6 +107,7 @@
       ended: this.#ended,
       waiting,
     };
+    this.#reportedWaiting = waiting;
     this.#arrived =
       this.#admitted =
       this.#refused =
@@ -114,7 +122,10 @@
     this.#sharedMs = nowMs;
   }
 
-  /** The share, or an equal one of the known capacity without a recent reply. */
+  /**
+   * The share; without a recent reply an equal one of the known capacity, or
+   * what servers have run for this VM lately if that is more.
+   */
   share(
     { capacityPerSecond, vmCount }: {
       readonly capacityPerSecond: number;
@@ -123,7 +134,10 @@
     nowMs: number,
   ): AdmissionShare {
     if (this.#isRecent(nowMs)) return this.#share!;
-    const perSecond = capacityPerSecond / vmCount;
+    const perSecond = Math.max(
+      capacityPerSecond / vmCount,
+      this.#endedRate.at(nowMs) * 1_000 / RATE_DECAY_MS,
+    );
     return { perSecond, capacityPerSecond, waiting: 0 };
   }
 }
@@ -200,12 +214,13 @@
     demand.reportedMs = nowMs;
     this.#dropSilent(nowMs);
     const { arrived, ended, waiting } = this.#sums(nowMs);
-    // VMs without shortage report nothing and are taken to need an equal part.
+    // VMs without shortage report nothing. What they use is not known, but what
+    // the others get beside them is.
     const reporting = capacityPerSecond * Math.min(1, this.#vms.size / vmCount);
     const isFull = waiting > 0;
     const shared = isFull
       ? Math.min(
-        reporting * MAX_CAPACITY_RATIO,
+        capacityPerSecond * MAX_CAPACITY_RATIO,
         Math.max(reporting * MIN_CAPACITY_RATIO, ended),
       )
       : reporting;
--- a/packages/entry/src/gateway/admission/admission_task.ts
+++ b/packages/entry/src/gateway/admission/admission_task.ts
@@ -143,8 +143,9 @@
   /** Records that a request was sent to a server, or has ended there. */
   recordSend(service: contracts.ServiceId, event: "sent" | "ended"): void {
     const reporter = this.#options.shared.reporterOf(service);
-    if (event === "ended") reporter?.recordEnd();
-    else reporter?.recordAdmission(this.#options.clock.nowMs());
+    const nowMs = this.#options.clock.nowMs();
+    if (event === "ended") reporter?.recordEnd(nowMs);
+    else reporter?.recordAdmission(nowMs);
   }
 
   /**
