--- a/packages/decisions/src/admission/slot_client.ts
+++ b/packages/decisions/src/admission/slot_client.ts
@@ -210,7 +210,7 @@
   #heldFrom(coordinator: contracts.VmId): HeldSlot[] {
     const held: HeldSlot[] = [];
     for (const open of this.#byId.values()) {
-      if (!this.#coordinatorsOf(open).has(coordinator)) continue;
+      if (!this.#coordinatorsOf(open).includes(coordinator)) continue;
       open.knownTo.add(coordinator);
       held.push(open.slotRequest);
     }
@@ -223,14 +223,11 @@
    */
   #coordinatorsOf(
     { state, coordinator, slotRequest }: OpenRequest,
-  ): Set<contracts.VmId> {
+  ): readonly contracts.VmId[] {
     const isHeld = state === "given" || state === "in-use";
-    const present = this.#coordinators.get(slotRequest.server);
-    const coordinators = new Set<contracts.VmId>();
-    if (!isHeld || coordinator === undefined) return coordinators;
-    coordinators.add(coordinator);
-    if (present !== undefined) coordinators.add(present);
-    return coordinators;
+    if (!isHeld || coordinator === undefined) return [];
+    const present = this.#coordinators.get(slotRequest.server) ?? coordinator;
+    return present === coordinator ? [coordinator] : [coordinator, present];
   }
 
   /** Finds the present coordinators of the servers whose slots are held. */
