--- a/packages/decisions/src/admission/limited_keys_test.ts
+++ b/packages/decisions/src/admission/limited_keys_test.ts
@@ -198,3 +198,35 @@
   if (process.env["SHOW_FIGURES"]) console.log("no keys", hot, others);
   expect(limited).toEqual([]);
 });
+
+/** Guards against requests of a limited key held at a server that is frozen. */
+test("should refuse requests of a limited key whose server has stalled", () => {
+  const decisions = new Map<number, string>();
+  const limited: number[] = [];
+  const coordinator = new admission.SlotCoordinator({
+    zone: "z1" as contracts.ZoneId,
+    random: { next: () => 0.5 },
+    onDecision: ({ id, kind }) => decisions.set(id, kind),
+    onKeyLimited: (_server, key) => limited.push(key),
+  });
+  for (let nowMs = 0; nowMs < 3_000; nowMs += 10) {
+    coordinator.sweep(nowMs);
+    if (nowMs >= 300) continue;
+    const key = nowMs % 50 === 0 ? 100 : HOT_KEY;
+    const targetMs = nowMs + ROUTE.targetLatencyMs;
+    const answerByMs = nowMs + TIMEOUT_MS;
+    const id = nowMs / 10;
+    coordinator.request({
+      ...{ ...SERVER, key, id, vm: VM, route: ROUTE },
+      targetMs,
+      answerByMs,
+    }, nowMs);
+    const held = [...decisions].filter(([, kind]) => kind === "given");
+    const listed = held.map(([id]) => ({ ...SERVER, id, route: ROUTE }));
+    coordinator.reconcileHeld(VM, listed, nowMs);
+  }
+  expect(limited).toEqual([HOT_KEY]);
+  const kinds = [...decisions.values()];
+  expect(kinds.filter((kind) => kind === "given").length).toEqual(5);
+  expect(kinds.includes("queued")).toEqual(false);
+});
