perf(forwarder): requests waiting elsewhere are summed once a status

At each status of a peer the requests that wait at other VMs were summed anew for every service, over all known VMs each time. One pass now sums them for all services, with the same result.

--- a/packages/entry/src/gateway/forwarding/forwarder.ts
+++ b/packages/entry/src/gateway/forwarding/forwarder.ts
@@ -403,8 +403,9 @@
       Object.fromEntries(ended.map((server) => [server, 0])),
     );
     this.#serversByPeer.set(vm, new Set(Object.keys(loads)));
+    const waitingElsewhere = this.#waitingElsewhere();
     for (const [service, { queue }] of this.#services) {
-      queue.setWaitingElsewhere(this.#waitingElsewhere(service));
+      queue.setWaitingElsewhere(waitingElsewhere.get(service) ?? 0);
     }
   }
 
@@ -451,12 +452,15 @@
     found?.queue.dispatch(this.#options.clock.nowMs());
   }
 
-  #waitingElsewhere(service: contracts.ServiceId): number {
-    let sum = 0;
+  /** Requests that wait at the other VMs of the cell, by service. */
+  #waitingElsewhere(): ReadonlyMap<string, number> {
+    const sums = new Map<string, number>();
     for (const { waiting } of this.#options.gossip.statuses()) {
-      sum += waiting[service] ?? 0;
+      for (const [service, count] of Object.entries(waiting)) {
+        sums.set(service, (sums.get(service) ?? 0) + count);
+      }
     }
-    return sum;
+    return sums;
   }
 
   #review(): void {
