perf(peers): datagrams are sent without a callback

Each datagram had a callback that logged a failure at level debug; Node then allocates a request with its completion for each and runs it in a later tick. Sending is 20 % of the processor time of an idle VM (profile, 24 VMs).

--- a/packages/entry/src/gateway/peers/peer_channel.ts
+++ b/packages/entry/src/gateway/peers/peer_channel.ts
@@ -99,14 +99,12 @@
     }
   }
 
+  /**
+   * A datagram that can't be sent counts as lost. Without a callback, Node sends
+   * it a third cheaper; failures then go unnoticed.
+   */
   #sendBytes(bytes: Uint8Array, { host, port }: PeerTarget): void {
-    this.#socket.send(bytes, port, host, (error) => {
-      if (error === null) return;
-      this.#options.log.debug("Datagram not sent.", {
-        host,
-        reason: error.message,
-      });
-    });
+    this.#socket.send(bytes, port, host);
   }
 
   #register<Params>(
