--- a/packages/decisions/src/admission/slot_coordinator.ts
+++ b/packages/decisions/src/admission/slot_coordinator.ts
@@ -6,13 +6,16 @@
  * the server's own queue longer.
  */
 import type * as contracts from "@guavatide/contracts";
+import { LimitedKeys } from "./limited_keys.ts";
 import type { ServerRateLimit } from "./server_rate_limit.ts";
+import { hasCapacity } from "./server_ranking.ts";
 import { ServiceQueue } from "./service_queue.ts";
 import { ServiceTimes } from "./service_times.ts";
 import { ShortRequestReserve } from "./short_request_reserve.ts";
 import type {
   PrioritizedRoute,
   Refusal,
+  RequestStanding,
   WaitingRequest,
 } from "./waiting_request.ts";
 
@@ -32,14 +35,21 @@
   readonly id: number;
   readonly vm: contracts.VmId;
   readonly route: PrioritizedRoute;
+  /** Hash of the request's key; absent from VMs of earlier versions. */
+  readonly key?: number | undefined;
   /** See {@link WaitingRequest}. */
   readonly targetMs: number;
   /** See {@link WaitingRequest}. */
   readonly answerByMs: number;
+  /** See {@link WaitingRequest}. */
+  readonly standing?: RequestStanding | undefined;
 }
 
 /** A slot that an entry VM reports as held. */
-export type HeldSlot = Omit<SlotRequest, "vm" | "targetMs" | "answerByMs">;
+export type HeldSlot = Omit<
+  SlotRequest,
+  "vm" | "targetMs" | "answerByMs" | "standing"
+>;
 
 /** A coordinator's decision on a slot request. */
 export type SlotDecision = Pick<SlotRequest, "vm" | "id"> & {
@@ -48,6 +58,23 @@
   readonly refusal?: Refusal;
 };
 
+/** A slot in use, for logs. */
+export interface HeldSlotReport {
+  readonly vm: contracts.VmId;
+  readonly id: number;
+  readonly ageMs: number;
+  /** Time since the grant or the VM's last list with the slot. */
+  readonly unlistedMs: number;
+}
+
+/** Why requests for slots of a stalled server are refused. */
+export interface StallReport {
+  readonly server: SlotServer;
+  /** How long it has had requests and answered none. */
+  readonly unansweredMs: number;
+  readonly held: readonly HeldSlotReport[];
+}
+
 /** Options of {@link SlotCoordinator}. */
 export interface SlotCoordinatorOptions {
   readonly zone: contracts.ZoneId;
@@ -62,6 +89,21 @@
   ) => ServerRateLimit | undefined;
   /** Whether another server can take over what this one owns; no if absent. */
   readonly isReplaceable?: (server: SlotServer) => boolean;
+  /** Whether callers have shares; no if absent. */
+  readonly hasShares?: () => boolean;
+  /**
+   * Service times that this VM has measured at all servers of a service;
+   * without them, the servers coordinated here are compared with one another.
+   */
+  readonly timesOf?: (
+    service: contracts.ServiceId,
+  ) => ServiceTimes | undefined;
+  /** Called when a key asks for more than its server has left for it. */
+  readonly onKeyLimited?: (server: SlotServer, key: number) => void;
+  /** Called for each request refused while its server has stalled. */
+  readonly onStallRefusal?: (report: StallReport) => void;
+  /** Called when a slot is freed that its VM has stopped listing. */
+  readonly onSlotLost?: (server: SlotServer, slot: HeldSlotReport) => void;
 }
 
 /**
@@ -69,6 +111,12 @@
  * the message that granted or the one that released it was lost.
  */
 const UNLISTED_SLOT_TTL_MS = 300;
+/**
+ * A slot that its VM has not listed for this long is freed. VMs list the slots
+ * in use at least each 700 ms, so two lists are missing; a VM that uses none
+ * sends no list, and the release of its last slot may have been lost.
+ */
+const LOST_SLOT_TTL_MS = 2_000;
 /**
  * Without a message from a VM for this long, its slots and requests are
  * dropped.
@@ -86,8 +134,16 @@
 const IDLE_SERVER_TTL_MS = 10_000;
 
 interface HeldSlotState {
+  readonly vm: contracts.VmId;
+  readonly id: number;
   readonly route: PrioritizedRoute;
   readonly grantedMs: number;
+  /** When it was granted or its VM last listed it. */
+  listedMs: number;
+  /** Whether its request waits at the server, which runs no more at once. */
+  isWaiting: boolean;
+  /** How long it has waited there. */
+  waitedMs: number;
   readonly release: (nowMs: number) => void;
 }
 
@@ -183,12 +239,19 @@
     return factors;
   }
 
+  #timesOf(service: contracts.ServiceId): ServiceTimes {
+    const found = this.#times.get(service);
+    if (found !== undefined) return found;
+    const created = new ServiceTimes(this.#options.timesOf?.(service));
+    this.#times.set(service, created);
+    return created;
+  }
+
   #allocatorOf(server: SlotServer): ServerSlotAllocator {
     const name = `${server.server}/${server.bornMs}`;
     const found = this.#servers.get(name);
     if (found !== undefined) return found;
-    const times = this.#times.get(server.service) ?? new ServiceTimes();
-    this.#times.set(server.service, times);
+    const times = this.#timesOf(server.service);
     const created = new ServerSlotAllocator(server, times, this.#options);
     this.#servers.set(name, created);
     return created;
@@ -208,6 +271,10 @@
   readonly #rateLimits: ServerRateLimit | undefined;
   readonly #decide: (decision: SlotDecision) => void;
   readonly #isReplaceable: () => boolean;
+  readonly #onKeyLimited: (key: number) => void;
+  readonly #limitedKeys: LimitedKeys;
+  readonly #onStallRefusal: SlotCoordinatorOptions["onStallRefusal"];
+  readonly #onSlotLost: SlotCoordinatorOptions["onSlotLost"];
   readonly #pending = new Map<string, PendingSlotRequest>();
   readonly #held = new Map<string, HeldSlotState>();
   /** Time of the latest call, for the callbacks that run during it. */
@@ -219,11 +286,16 @@
   constructor(
     server: SlotServer,
     times: ServiceTimes,
-    { zone, random, onDecision, rateLimitsOf, isReplaceable }:
-      SlotCoordinatorOptions,
+    options: SlotCoordinatorOptions,
   ) {
+    const { zone, random, onDecision, rateLimitsOf, isReplaceable } = options;
+    const { hasShares } = options;
     this.server = server;
+    this.#onKeyLimited = (key) => options.onKeyLimited?.(server, key);
+    this.#limitedKeys = new LimitedKeys({ ...server, times, random });
     this.#isReplaceable = () => isReplaceable?.(server) ?? false;
+    this.#onStallRefusal = options.onStallRefusal;
+    this.#onSlotLost = options.onSlotLost;
     this.#times = times;
     this.#decide = onDecision;
     const rateLimits = rateLimitsOf?.(server.service);
@@ -237,6 +309,15 @@
       rateLimits,
       reserve,
       stalledMs: (nowMs) => this.#stalledMs(nowMs),
+      shares: hasShares && {
+        get isActive() {
+          return hasShares();
+        },
+        refusesLate: false,
+        // How much callers at all VMs demand of one server is not known.
+        leftRatio: () => 1,
+        queuePerSecond: () => undefined,
+      },
     });
     this.#queue.setServers([serverEntryOf(server, zone)]);
   }
@@ -255,11 +336,12 @@
     const pending = new PendingSlotRequest(request, {
       onGranted: () => {
         this.#pending.delete(key);
-        this.#hold(key, request.route, this.#nowMs);
+        this.#hold(request, this.#nowMs);
         this.#decide({ vm, id, kind: "given" });
       },
       onRefused: (refusal) => {
         this.#pending.delete(key);
+        this.#reportStall();
         this.#decide({ vm, id, kind: "refused", refusal });
       },
     });
@@ -269,7 +351,12 @@
     if (this.#rateLimits?.isNamed(this.server.server)) {
       this.#queue.dispatch(nowMs);
     }
-    this.#queue.add(pending, nowMs);
+    this.#limitedKeys.recordRequest(pending, nowMs);
+    this.#reviewLimitedKeys(nowMs);
+    if (this.#limitedKeys.isLimited(pending.key)) {
+      this.#limitedKeys.add(pending, nowMs);
+      this.#grantToLimitedKeys(nowMs);
+    } else this.#queue.add(pending, nowMs);
     if (this.#pending.has(key)) this.#decide({ vm, id, kind: "queued" });
   }
 
@@ -279,28 +366,33 @@
     const pending = this.#pending.get(key);
     if (pending !== undefined) {
       this.#pending.delete(key);
-      this.#queue.cancel(pending);
+      this.#cancel(pending);
       return true;
     }
     const held = this.#held.get(key);
     if (held === undefined) return false;
     this.#held.delete(key);
     held.release(nowMs);
+    this.#noteSlotFreed(nowMs);
     if (tookMs !== undefined) {
-      this.#times.record(held.route, this.server.server, tookMs);
+      const servedMs = Math.max(1, tookMs - held.waitedMs);
+      this.#times.record(held.route, this.server.server, servedMs, nowMs);
       this.#unansweredSinceMs = nowMs;
     }
     if (this.#held.size === 0) {
       this.#unansweredSinceMs = Number.POSITIVE_INFINITY;
     }
+    this.#grantToLimitedKeys(nowMs);
     this.#queue.dispatch(nowMs);
+    this.#grantToLimitedKeys(nowMs);
     return true;
   }
 
   /** Takes over a slot that the VM holds and this coordinator doesn't know. */
   adopt(vm: contracts.VmId, { id, route }: HeldSlot, nowMs: number): void {
-    const key = requestKey(vm, id);
-    if (!this.#held.has(key)) this.#hold(key, route, nowMs);
+    const found = this.#held.get(requestKey(vm, id));
+    if (found === undefined) this.#hold({ vm, id, route }, nowMs);
+    else found.listedMs = nowMs;
   }
 
   /** Frees the VM's slots that it does not list any more. */
@@ -322,7 +414,7 @@
     for (const [key, pending] of this.#pending) {
       if (pending.vm !== vm) continue;
       this.#pending.delete(key);
-      this.#queue.cancel(pending);
+      this.#cancel(pending);
     }
     for (const key of [...this.#held.keys()]) {
       if (!key.startsWith(`${vm}/`)) continue;
@@ -332,11 +424,37 @@
     }
   }
 
+  #freeLost(nowMs: number): void {
+    for (const [key, slot] of [...this.#held]) {
+      if (nowMs - slot.listedMs < LOST_SLOT_TTL_MS) continue;
+      this.#onSlotLost?.(this.server, reportOf(slot, nowMs));
+      // Whether it was answered is not known.
+      this.#unansweredSinceMs = nowMs;
+      this.release(key, undefined, nowMs);
+    }
+  }
+
+  #reportStall(): void {
+    if (this.#onStallRefusal === undefined) return;
+    if (this.#stalledMs(this.#nowMs) === 0) return;
+    this.#onStallRefusal({
+      server: this.server,
+      unansweredMs: this.#nowMs - this.#unansweredSinceMs,
+      held: [...this.#held.values()].map((slot) => reportOf(slot, this.#nowMs)),
+    });
+  }
+
   sweep(nowMs: number): void {
     this.#nowMs = nowMs;
-    if (this.#queue.waiting === 0) return;
-    this.#queue.dispatch(nowMs);
-    this.#queue.refuseExpired(nowMs);
+    this.#freeLost(nowMs);
+    this.#reviewLimitedKeys(nowMs);
+    if (this.#queue.waiting > 0) {
+      this.#queue.dispatch(nowMs);
+      this.#queue.refuseExpired(nowMs);
+    }
+    if (!this.#limitedKeys.hasWaiting) return;
+    this.#limitedKeys.refuseExpired(nowMs);
+    this.#grantToLimitedKeys(nowMs);
   }
 
   isIdle(nowMs: number): boolean {
@@ -344,6 +462,52 @@
       nowMs - this.#lastRequestMs > IDLE_SERVER_TTL_MS;
   }
 
+  /** The request that has waited longest at the server starts now. */
+  #noteSlotFreed(nowMs: number): void {
+    for (const held of this.#held.values()) {
+      if (!held.isWaiting) continue;
+      held.isWaiting = false;
+      held.waitedMs = nowMs - held.grantedMs;
+      return;
+    }
+  }
+
+  #cancel(pending: PendingSlotRequest): void {
+    if (!this.#limitedKeys.cancel(pending)) this.#queue.cancel(pending);
+  }
+
+  /** Queues the requests of keys that are newly limited by themselves. */
+  #reviewLimitedKeys(nowMs: number): void {
+    const isFull = this.#held.size >= this.server.slots;
+    if (!isFull && !this.#limitedKeys.hasAny) return;
+    const onRegular = (request: WaitingRequest) =>
+      this.#queue.add(request, nowMs);
+    // What waits for a server that ends nothing is refused, whatever its key.
+    if (this.#stalledMs(nowMs) > 0) return this.#limitedKeys.clear(onRegular);
+    const added = this.#limitedKeys.review(nowMs, onRegular);
+    for (const key of added) {
+      this.#onKeyLimited(key);
+      for (const pending of [...this.#pending.values()]) {
+        const isQueued = pending.key === key && this.#queue.cancel(pending);
+        if (isQueued) this.#limitedKeys.add(pending, nowMs);
+      }
+    }
+  }
+
+  /** Grants limited keys the slots that no other key's request waits for. */
+  #grantToLimitedKeys(nowMs: number): void {
+    const load = this.#queue.loads.get(this.server.server)!;
+    while (this.#limitedKeys.hasWaiting && hasCapacity(load, nowMs)) {
+      const othersWait = this.#queue.waiting > 0;
+      const next = this.#limitedKeys.next(nowMs, { othersWait });
+      if (next === undefined || !this.#reserve.mayAcquire(next, nowMs)) return;
+      const mayStart = this.#rateLimits?.mayStart(this.server.server, nowMs);
+      if (mayStart === false) return;
+      this.#limitedKeys.take(next, nowMs);
+      this.#queue.add(next, nowMs);
+    }
+  }
+
   #stalledMs(nowMs: number): number {
     const sinceMs = nowMs - this.#unansweredSinceMs;
     const { server } = this.server;
@@ -355,7 +519,10 @@
       : sinceMs;
   }
 
-  #hold(key: string, route: PrioritizedRoute, nowMs: number): void {
+  #hold(
+    { vm, id, route }: Pick<SlotRequest, "vm" | "id" | "route">,
+    nowMs: number,
+  ): void {
     this.#unansweredSinceMs = Math.min(this.#unansweredSinceMs, nowMs);
     const end = this.#queue.loads.get(this.server.server)!.startRequest(nowMs);
     const releaseReserve = this.#reserve.acquire(route);
@@ -363,10 +530,26 @@
       releaseReserve();
       end({ kind: "abandoned" }, endedMs);
     };
-    this.#held.set(key, { route, grantedMs: nowMs, release });
+    this.#held.set(requestKey(vm, id), {
+      vm,
+      id,
+      route,
+      grantedMs: nowMs,
+      listedMs: nowMs,
+      isWaiting: this.#held.size >= this.server.slots,
+      waitedMs: 0,
+      release,
+    });
   }
 }
 
+function reportOf(
+  { vm, id, grantedMs, listedMs }: HeldSlotState,
+  nowMs: number,
+): HeldSlotReport {
+  return { vm, id, ageMs: nowMs - grantedMs, unlistedMs: nowMs - listedMs };
+}
+
 /** Called when a slot request is decided. */
 interface SlotRequestCallbacks {
   onGranted(): void;
@@ -377,16 +560,19 @@
 class PendingSlotRequest implements WaitingRequest {
   readonly vm: contracts.VmId;
   readonly route: PrioritizedRoute;
-  readonly key = undefined;
+  readonly key: number | undefined;
   readonly bodyBytes = 0;
   readonly targetMs: number;
   readonly answerByMs: number;
+  readonly standing: RequestStanding | undefined;
   readonly tried = new Set<contracts.ServerId>();
   readonly #callbacks: SlotRequestCallbacks;
 
   constructor(request: SlotRequest, callbacks: SlotRequestCallbacks) {
     this.vm = request.vm;
     this.route = request.route;
+    this.key = request.key;
+    this.standing = request.standing;
     this.targetMs = request.targetMs;
     this.answerByMs = request.answerByMs;
     this.#callbacks = callbacks;
--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -6,8 +6,8 @@
 import { KEY_COUNT } from "@guavatide/contracts";
 import { planHotKeys } from "./hot_keys.ts";
 import { overlaps, type RangeMove } from "./range_edit.ts";
+import type { KeyRate } from "./key_rate_tracker.ts";
 import {
-  type KeyRate,
   type RangePlanInput,
   rangeRate,
   ratesWithin,
@@ -51,11 +51,16 @@
   if (!input.mayBalance || moves.length > 0) return moves;
   // A move would shift load between limits and cost each of them calls.
   if (areAllLimited(input)) return [];
-  const hotKeys = planHotKeys(input, utilization);
+  const maxAddedRanges = input.servers.size * MAX_RANGES_PER_SERVER -
+    input.ranges.length;
+  const { moves: hotKeys, isRising } = planHotKeys(input, utilization, {
+    maxAddedRanges,
+  });
   // While handovers are in progress only single hot keys are moved: they
   // affect one server each.
   const isStable = input.ranges.every(({ vacating }) => vacating === undefined);
-  if (!isStable) return hotKeys;
+  // Ranges cut by rates that are not known would move several hot keys together.
+  if (!isStable || isRising) return hotKeys;
   const forNewServers = planNewServers(input, utilization);
   if (forNewServers.length > 0) return forNewServers;
   const relief = planRelief(input, utilization);
@@ -198,23 +203,36 @@
 
 const ALL_KEYS: contracts.KeyRange = { fromKey: 0, toKey: KEY_COUNT - 1 };
 
-/** The upper end of the range with the most load: a share, at most half. */
+/**
+ * The upper end of the range with the most load: a share, at most half. Where
+ * that load is one key next to the upper end, which can't be cut off, a whole
+ * range of the server with the most load, or the end of another range.
+ */
 function shareOfLargest(
   input: RangePlanInput,
   moves: readonly RangeMove[],
   sharePerSecond: number,
 ): (contracts.KeyRange & { readonly from: contracts.ServerId }) | undefined {
-  const largest = mostLoaded(
-    input.rates,
-    [...ownedParts(input, moves)].filter(({ part }) =>
-      part.fromKey !== part.toKey
-    ),
-  );
-  if (largest === undefined) return undefined;
-  const { part, server, perSecond } = largest;
-  const count = Math.max(2, Math.round(perSecond / sharePerSecond));
-  const last = cut(input.rates, part, count).at(-1)!;
-  return last.fromKey > part.fromKey ? { ...last, from: server } : undefined;
+  const loads = new Map<contracts.ServerId, number>();
+  const parts = [...ownedParts(input, moves)].map((owned) => {
+    const perSecond = rangeRate(input.rates, owned.part);
+    loads.set(owned.server, (loads.get(owned.server) ?? 0) + perSecond);
+    return { ...owned, perSecond };
+  }).sort((a, b) => b.perSecond - a.perSecond);
+  const ends = parts.flatMap(({ part, server, perSecond }) => {
+    const count = Math.max(2, Math.round(perSecond / sharePerSecond));
+    const last = cut(input.rates, part, count).at(-1)!;
+    return last.fromKey > part.fromKey ? [{ part, last, from: server }] : [];
+  });
+  const largest = parts.find(({ part }) => part.fromKey !== part.toKey);
+  if (ends[0] !== undefined && ends[0].part === largest!.part) {
+    return { ...ends[0].last, from: ends[0].from };
+  }
+  const [whole] = parts
+    .filter(({ server, perSecond }) => 2 * perSecond <= loads.get(server)!)
+    .sort((a, b) => loads.get(b.server)! - loads.get(a.server)!);
+  if (whole !== undefined) return { ...whole.part, from: whole.server };
+  return ends[0] && { ...ends[0].last, from: ends[0].from };
 }
 
 /** Moves dense pieces from servers above the level to servers below it. */
--- a/packages/entry/src/gateway/forwarding/forwarder.ts
+++ b/packages/entry/src/gateway/forwarding/forwarder.ts
@@ -6,6 +6,7 @@
 import type { LifeCycle, PeriodicTask } from "../../utils/life_cycle.ts";
 import type { Logger } from "../../utils/log.ts";
 import type { ServerRateLimits } from "../limits/server_rate_limits.ts";
+import type { AdmissionTask } from "../admission/admission_task.ts";
 import type { ConfigHolder } from "../store/config_holder.ts";
 import {
   ForwardedRequest,
@@ -14,6 +15,7 @@
 import {
   type FrontAnswer,
   type FrontRequest,
+  type FrontRequestHead,
   notRunAnswer,
   overloadAnswer,
 } from "./front_request.ts";
@@ -40,6 +42,7 @@
   readonly grants: GrantTask;
   readonly gossip: PeerGossip;
   readonly slots: SlotTask;
+  readonly admissions: AdmissionTask;
   readonly connections: ConnectionPools;
   readonly paths: ServerPaths;
   readonly poison: PoisonGuard;
@@ -75,6 +78,11 @@
 /** Connections of this VM's share kept free for releases and probes. */
 const SPARE_CONNECTIONS = 1;
 
+/** Interval at which a service's capacity is summed over its servers. */
+const CAPACITY_INTERVAL_MS = 250;
+
+const NO_SERVERS: ReadonlySet<contracts.ServerId> = new Set();
+
 /** The request path of one entry VM. */
 export class Forwarder {
   readonly #options: ForwarderOptions;
@@ -83,6 +91,10 @@
   readonly #serversByPeer = new Map<contracts.VmId, Set<string>>();
   /** Current slowdown ratios of servers, not yet sent to peers. */
   #slowdowns: Record<string, number> | undefined;
+  readonly #capacities = new Map<
+    contracts.ServiceId,
+    { readonly perSecond: number; readonly summedMs: number }
+  >();
   #inFlight = 0;
   #reviewTask: PeriodicTask | undefined;
   readonly #overloadLog: ThrottledWarning;
@@ -162,10 +174,15 @@
     if (state.isKeyed && request.key !== undefined) {
       this.#options.grants.noteRequest(service, request.key);
     }
+    const judged = this.#options.admissions.judge(service, {
+      caller: request.caller,
+      route: route.name,
+    });
     const context = this.#forwardingContext(
       service,
       state,
       active.config.version,
+      judged,
     );
     this.#inFlight++;
     return new Promise((resolve) => {
@@ -177,6 +194,72 @@
     });
   }
 
+  /** Service times of a service that this VM has measured. */
+  timesOf(service: contracts.ServiceId): admission.ServiceTimes {
+    return this.#serviceState(service).times;
+  }
+
+  /**
+   * Refuses a request whose body is not read yet if no service of its route
+   * could answer it in time; undefined to read the body.
+   */
+  admitBeforeBody(head: FrontRequestHead): FrontAnswer | undefined {
+    const { config: { active }, admissions, clock } = this.#options;
+    // Without a body, the refusal in the queue takes as little.
+    if (head.bodyBytes === 0 || active === undefined) return undefined;
+    if (!admissions.isActive) return undefined;
+    const route = active.table.find(head.host, pathOf(head.target));
+    if (route === undefined || route.targets.length === 0) return undefined;
+    const nowMs = clock.nowMs();
+    const longestMs = Math.min(route.timeoutMs, head.deadlineMs ?? Infinity);
+    const caller = { caller: head.caller, route: route.name };
+    const answerByMs = head.arrivedMs + longestMs;
+    const refusals = route.targets.map(({ service }) =>
+      this.#serviceState(service).queue.expectedRefusal({
+        route,
+        key: head.key,
+        bodyBytes: head.bodyBytes ?? 0,
+        targetMs: head.arrivedMs + route.targetLatencyMs,
+        answerByMs,
+        standing: admissions.preview(service, caller),
+        tried: NO_SERVERS,
+        placed: () => {},
+        refused: () => {},
+      }, nowMs)
+    );
+    const [refusal] = refusals;
+    if (refusal === undefined || refusals.includes(undefined)) return undefined;
+    const { service } = route.targets[0]!;
+    const { queue, times, budget } = this.#serviceState(service);
+    budget.recordRequest(nowMs);
+    const judged = admissions.judge(service, caller)!;
+    admissions.recordUnreadBody(service);
+    const retryAfterMs = admissions.refuse(service, {
+      ...caller,
+      judged,
+      answerByMs,
+      serviceMs: times.estimateMs(route),
+      minWaitMs: 0,
+    });
+    const { reason, expectedWaitMs } = refusal;
+    const answer = notRunAnswer(`Not run: ${reason}`, retryAfterMs);
+    this.#options.onFinished({
+      id: head.id,
+      route: route.name,
+      service,
+      key: head.key,
+      configVersion: active.config.version,
+      outcome: `${reason} before its body was read`,
+      answer,
+      tookMs: nowMs - head.arrivedMs,
+      queuedMs: 0,
+      attempts: [],
+      fingerprint: undefined,
+      queue: { waiting: queue.waiting, expectedWaitMs, judged },
+    });
+    return answer;
+  }
+
   /**
    * Requests per second that a server can serve, from service times measured
    * here. `reportedFactor` replaces the locally measured latency factor of the
@@ -193,6 +276,23 @@
     ) * backoffs.capacityRatio(entry.server);
   }
 
+  /**
+   * Requests per second that a service's servers can serve, summed at an
+   * interval.
+   */
+  serviceCapacity(service: contracts.ServiceId): number {
+    const nowMs = this.#options.clock.nowMs();
+    const known = this.#capacities.get(service);
+    if (known !== undefined && nowMs - known.summedMs < CAPACITY_INTERVAL_MS) {
+      return known.perSecond;
+    }
+    const perSecond = this.#options.registry.servers(service)
+      .filter(({ isDraining }) => !isDraining)
+      .reduce((sum, entry) => sum + this.capacity(entry), 0);
+    this.#capacities.set(service, { perSecond, summedMs: nowMs });
+    return perSecond;
+  }
+
   /** Returns and clears the slowdowns to send to peers; undefined for none. */
   takeSlowdowns(): LoadUpdate["slowdowns"] {
     const slowdowns = this.#slowdowns;
@@ -224,9 +324,11 @@
     service: contracts.ServiceId,
     state: ServiceState,
     configVersion: number,
+    judged: admission.JudgedRequest | undefined,
   ): ForwardingContext {
     const { clock, random, gossip, onFinished, poison, requestLimits } =
       this.#options;
+    const { admissions } = this.#options;
     return {
       service,
       queue: state.queue,
@@ -234,6 +336,9 @@
       clock,
       random,
       configVersion,
+      judged,
+      recordAdmission: (event) => admissions.recordSend(service, event),
+      returnAfterMs: (request) => admissions.refuse(service, request),
       tryRetry: () => state.budget.tryTake(clock.nowMs(), gossip.vmCount),
       send: (entry, request, options) =>
         this.#options.paths.send(entry, request, options),
@@ -308,7 +413,7 @@
     const found = this.#services.get(service);
     if (found !== undefined && found.isKeyed === isKeyed) return found;
     const { zone, zones, random, grants, budget, slots, clock } = this.#options;
-    const { rateLimits, requestLimits } = this.#options;
+    const { rateLimits, requestLimits, admissions } = this.#options;
     const times = new admission.ServiceTimes();
     const source = slots.source({
       grant: (request) => queue.placeGranted(request, clock.nowMs()),
@@ -321,7 +426,14 @@
       random,
       regionOf: (zone) => zones[zone],
       reachOf: (server) => this.#options.paths.reachOf(server),
-      onWait: () => this.#reviewTask?.setIntervalMs(QUEUE_REVIEW_INTERVAL_MS),
+      onWait: () => {
+        this.#reviewTask?.setIntervalMs(QUEUE_REVIEW_INTERVAL_MS);
+        // Requests with keys always wait for a slot's coordinator.
+        if (!isKeyed) admissions.recordWait(service);
+      },
+      shares: isKeyed
+        ? undefined
+        : admissions.sharesOf(service, () => queue.waitingWithinShares),
       keyed: isKeyed
         ? { ownerOf: (key) => grants.ownerOf(service, key), slots: source }
         : undefined,
--- a/packages/entry/src/gateway/gateway_metrics.ts
+++ b/packages/entry/src/gateway/gateway_metrics.ts
@@ -27,8 +27,14 @@
   readonly limitedServerCalls = new LabelledCounts();
   /** Calls to servers that have asked this VM to back off, by kind. */
   readonly backoffCalls = new LabelledCounts();
+  /** Decisions on hot keys, by service and decision. */
+  readonly hotKeys = new LabelledCounts();
+  /** Requests refused at stalled servers, and slots that were not released. */
+  readonly slotEvents = new LabelledCounts();
   /** Requests sent over peers or for them, by role and outcome. */
   readonly relayedRequests = new LabelledCounts();
+  /** Decisions on requests to services short of capacity. */
+  readonly admissionDecisions = new LabelledCounts();
   /** Datagrams to peers. */
   readonly peerDatagrams = new LabelledCounts();
   /** Bytes in datagrams to peers. */
@@ -106,6 +112,9 @@
       [this.poisonRequests, metrics.poisonRequests],
       [this.limitedServerCalls, metrics.limitedServerCalls],
       [this.backoffCalls, metrics.backoffCalls],
+      [this.hotKeys, metrics.hotKeys],
+      [this.admissionDecisions, metrics.admissionDecisions],
+      [this.slotEvents, metrics.slotEvents],
       [this.relayedRequests, metrics.relayedRequests],
       [this.peerDatagrams, metrics.peerDatagrams],
       [this.peerBytes, metrics.peerBytes],
--- a/packages/entry/src/gateway/grants/move_planner.ts
+++ b/packages/entry/src/gateway/grants/move_planner.ts
@@ -3,6 +3,7 @@
  */
 import type * as contracts from "@guavatide/contracts";
 import * as grants from "@guavatide/decisions/grants/mod";
+import type { LabelledCounts } from "../../metrics/labelled_counts.ts";
 import type { Logger } from "../../utils/log.ts";
 import type { KeyCounts } from "../peers/peer_messages.ts";
 
@@ -30,6 +31,8 @@
   readonly backoffOf: (
     server: contracts.ServerId,
   ) => grants.ServerBackoff | undefined;
+  /** Decisions on hot keys, by service and decision; absent in tests. */
+  readonly hotKeyCounts?: LabelledCounts;
 }
 
 /** Interval of plans that rebalance load. */
@@ -37,6 +40,17 @@
 /** A new leader first gathers request counts by key for this long. */
 const REBALANCE_GRACE_MS = 600;
 
+/** Of a plan with more moves, one line tells their number. */
+const MAX_LOGGED_MOVES = 30;
+/** A move of more keys is one of a range, not of hot keys. */
+const MAX_HOT_KEYS_PER_MOVE = 32;
+/**
+ * No load is rebalanced for this long after a server has named a limit: others
+ * may do so as well, and all keys would move to the last one. Each owner is
+ * called within this time, as its leases are renewed.
+ */
+const LIMIT_SETTLE_MS = 600;
+
 /** Plans the handovers of one service. */
 export class MovePlanner {
   readonly #options: MovePlannerOptions;
@@ -48,6 +62,9 @@
   readonly #latencyFactors = new Map<contracts.ServerId, number>();
   #startedAtMs = 0;
   #rebalancedAtMs = 0;
+  #limited: ReadonlySet<contracts.ServerId> = new Set();
+  /** When the newest limit became known. */
+  #limitedAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: MovePlannerOptions) {
     this.#options = options;
@@ -78,10 +95,11 @@
     nowMs: number,
   ): grants.RangeMove[] {
     if (usable.size === 0) return [];
-    const { capacity, isCold, maxRangesOf, backoffOf, service, log } =
-      this.#options;
+    const { capacity, isCold, maxRangesOf, backoffOf } = this.#options;
+    this.#noteLimits(usable, nowMs);
     const mayBalance = nowMs - this.#startedAtMs >= REBALANCE_GRACE_MS &&
-      nowMs - this.#rebalancedAtMs >= REBALANCE_INTERVAL_MS;
+      nowMs - this.#rebalancedAtMs >= REBALANCE_INTERVAL_MS &&
+      nowMs - this.#limitedAtMs >= LIMIT_SETTLE_MS;
     const hasLostOwner = map.ranges.some(({ owner }) =>
       usable.get(owner.server)?.bornMs !== owner.bornMs
     );
@@ -114,7 +132,19 @@
       rates: this.#loads.rates(),
       mayBalance,
     });
-    for (const { fromKey, toKey, to } of moves) {
+    this.#report(moves);
+    return moves;
+  }
+
+  #report(moves: readonly grants.RangeMove[]): void {
+    const { service, log, hotKeyCounts } = this.#options;
+    const hotKeyMoves = moves.filter(({ fromKey, toKey }) =>
+      toKey - fromKey < MAX_HOT_KEYS_PER_MOVE
+    );
+    if (hotKeyMoves.length > 0) {
+      hotKeyCounts?.add(hotKeyMoves.length, { service, decision: "moved" });
+    }
+    for (const { fromKey, toKey, to } of moves.slice(0, MAX_LOGGED_MOVES)) {
       log.info("Planned a handover.", {
         service,
         fromKey,
@@ -122,6 +152,25 @@
         to: to.server,
       });
     }
-    return moves;
+    if (moves.length <= MAX_LOGGED_MOVES) return;
+    log.info("Planned further handovers.", {
+      service,
+      moves: moves.length,
+      ofHotKeys: hotKeyMoves.length,
+    });
+  }
+
+  #noteLimits(
+    usable: ReadonlyMap<contracts.ServerId, contracts.RegisteredServer>,
+    nowMs: number,
+  ): void {
+    const limited = new Set(
+      [...usable.keys()].filter((server) =>
+        this.#options.maxRangesOf(server) !== undefined
+      ),
+    );
+    const hasNew = [...limited].some((server) => !this.#limited.has(server));
+    if (hasNew) this.#limitedAtMs = nowMs;
+    this.#limited = limited;
   }
 }
--- a/packages/entry/src/gateway/slots/slot_task.ts
+++ b/packages/entry/src/gateway/slots/slot_task.ts
@@ -9,6 +9,8 @@
 import type { LifeCycle, PeriodicTask } from "../../utils/life_cycle.ts";
 import { CoalescedCallback } from "../../utils/coalesced_callback.ts";
 import type { Logger } from "../../utils/log.ts";
+import { ThrottledWarning } from "../../utils/throttled_warning.ts";
+import type { LabelledCounts } from "../../metrics/labelled_counts.ts";
 import type { PeerGossip } from "../peers/peer_gossip.ts";
 import type { RequestLimitTask } from "../limits/request_limit_task.ts";
 import type { ServerRateLimits } from "../limits/server_rate_limits.ts";
@@ -33,6 +35,16 @@
     RequestLimitTask,
     "newsOf" | "applyNews" | "hasAny"
   >;
+  /** Whether callers have shares, by the configuration in force. */
+  readonly hasShares: () => boolean;
+  /** Service times that this VM has measured at all servers of a service. */
+  readonly timesOf: (
+    service: contracts.ServiceId,
+  ) => admission.ServiceTimes | undefined;
+  /** Decisions on hot keys, by service and decision. */
+  readonly hotKeyCounts: LabelledCounts;
+  /** Counts requests refused at stalled servers, and slots freed, by kind. */
+  readonly counts: LabelledCounts;
 }
 
 /** A queue whose requests need slots. */
@@ -55,17 +67,35 @@
   readonly #requester: admission.SlotClient;
   readonly #coordinator: admission.SlotCoordinator;
   readonly #ranking: grants.VmRanking;
+  readonly #limitedKeyLog: ThrottledWarning;
   /** Replies of this VM's coordinator that are not sent yet. */
   readonly #replies = new Map<contracts.VmId, admission.SlotReply[]>();
   readonly #consumers = new Map<admission.WaitingRequest, SlotConsumer>();
   #tickTask: PeriodicTask | undefined;
   /** Changes in one event loop iteration are sent together. */
   readonly #flushing = new CoalescedCallback(() => this.#flush());
+  readonly #stallLog: ThrottledWarning;
+  readonly #lostSlotLog: ThrottledWarning;
+  readonly #overdueLog: ThrottledWarning;
 
   constructor(options: SlotTaskOptions) {
     this.#options = options;
+    const { log } = options;
+    this.#stallLog = new ThrottledWarning(log, "Refuses at a stalled server.");
+    this.#lostSlotLog = new ThrottledWarning(
+      log,
+      "Freed a slot that its VM no longer lists.",
+    );
+    this.#overdueLog = new ThrottledWarning(
+      log,
+      "Released a slot that was in use after its deadline.",
+    );
     const { gossip, zone, random, hasher, vm } = options;
     this.#ranking = new grants.VmRanking(hasher, () => gossip.roleWeights);
+    this.#limitedKeyLog = new ThrottledWarning(
+      options.log,
+      "Limits a key that asks for more than its owner has left.",
+    );
     this.#requester = new admission.SlotClient({
       vm,
       coordinatorOf: (server, unresponsive) =>
@@ -81,6 +111,7 @@
         options.log.warn("Skips an unresponsive slot coordinator.", {
           peer: coordinator,
         }),
+      onOverdue: ({ id, server }) => this.#noteOverdue(id, server),
     });
     this.#coordinator = new admission.SlotCoordinator({
       zone,
@@ -88,6 +119,15 @@
       onDecision: (decision) => this.#queueReply(decision),
       rateLimitsOf: (service) => options.rateLimits.forCoordinator(service),
       isReplaceable: options.isReplaceable,
+      hasShares: options.hasShares,
+      timesOf: options.timesOf,
+      onKeyLimited: ({ service, server }, key) => {
+        options.hotKeyCounts.add(1, { service, decision: "limited" });
+        const fields = { service, server, key };
+        this.#limitedKeyLog.warn(options.clock.nowMs(), fields);
+      },
+      onStallRefusal: (report) => this.#noteStallRefusal(report),
+      onSlotLost: (server, slot) => this.#noteSlotLost(server, slot),
     });
     options.registry.onChange(() =>
       this.#ranking.keepOnly(options.registry.ids())
@@ -205,11 +245,7 @@
     const nowMs = clock.nowMs();
     return {
       vm,
-      wishes: requests.map((request) => [
-        encodeSlot(request),
-        Math.round(request.targetMs - nowMs),
-        Math.round(request.answerByMs - nowMs),
-      ]),
+      wishes: requests.map((request) => encodeRequest(request, nowMs)),
       ended: ended.map(({ id, tookMs }) => [id, tookMs ?? null]),
       held: held?.map(encodeSlot) ?? null,
       limits: this.#limitsOf(requests),
@@ -234,12 +270,13 @@
     for (const [id, tookMs] of ended) {
       this.#coordinator.release(vm, id, { tookMs: tookMs ?? undefined, nowMs });
     }
-    for (const [slot, targetLeftMs, answerLeftMs] of requests) {
+    for (const [slot, targetLeftMs, answerLeftMs, standing] of requests) {
       this.#coordinator.request({
         ...decodeSlot(slot),
         vm,
         targetMs: nowMs + targetLeftMs,
         answerByMs: nowMs + answerLeftMs,
+        standing,
       }, nowMs);
     }
     if (held === null) return;
@@ -259,6 +296,35 @@
     this.#requester.handleReplies(vm, replies, this.#options.clock.nowMs());
   }
 
+  #noteStallRefusal(
+    { server, unansweredMs, held }: admission.StallReport,
+  ): void {
+    this.#options.counts.add(1, { kind: "stall-refusal" });
+    this.#stallLog.warn(this.#options.clock.nowMs(), {
+      server: server.server,
+      bornMs: server.bornMs,
+      unansweredMs: Math.round(unansweredMs),
+      slots: server.slots,
+      held: held.map(describeSlot).join("; "),
+    });
+  }
+
+  #noteSlotLost(
+    { server }: admission.SlotServer,
+    slot: admission.HeldSlotReport,
+  ): void {
+    this.#options.counts.add(1, { kind: "lost-slot" });
+    this.#lostSlotLog.warn(this.#options.clock.nowMs(), {
+      server,
+      slot: describeSlot(slot),
+    });
+  }
+
+  #noteOverdue(id: number, server: contracts.ServerId): void {
+    this.#options.counts.add(1, { kind: "overdue-slot" });
+    this.#overdueLog.warn(this.#options.clock.nowMs(), { id, server });
+  }
+
   #queueReply({ vm, ...reply }: admission.SlotDecision): void {
     const replies = this.#replies.get(vm);
     if (replies === undefined) this.#replies.set(vm, [reply]);
@@ -267,11 +333,31 @@
   }
 }
 
+function encodeRequest(
+  request: admission.SlotRequest,
+  nowMs: number,
+): messages.SlotRequests["wishes"][number] {
+  const { targetMs, answerByMs, standing } = request;
+  const usual = [
+    encodeSlot(request),
+    Math.round(targetMs - nowMs),
+    Math.round(answerByMs - nowMs),
+  ] as const;
+  return standing === undefined ? usual : [...usual, standing];
+}
+
+function describeSlot(
+  { vm, id, ageMs, unlistedMs }: admission.HeldSlotReport,
+): string {
+  return `${vm}/${id} for ${Math.round(ageMs)} ms, listed ` +
+    `${Math.round(unlistedMs)} ms ago`;
+}
+
 function encodeSlot(
-  { id, service, server, bornMs, slots, route }: admission.HeldSlot,
+  { id, service, server, bornMs, slots, route, key }: admission.HeldSlot,
 ): messages.SlotTuple {
   const { name, priority, targetLatencyMs } = route;
-  return [
+  const slot = [
     id,
     service,
     server,
@@ -280,15 +366,16 @@
     name,
     priority,
     targetLatencyMs,
-  ];
+  ] as const;
+  return key === undefined ? slot : [...slot, key];
 }
 
 function decodeSlot(
-  [id, service, server, bornMs, slots, name, priority, targetLatencyMs]:
+  [id, service, server, bornMs, slots, name, priority, targetLatencyMs, key]:
     messages.SlotTuple,
 ): admission.HeldSlot {
   const route = { name, priority, targetLatencyMs };
-  return { id, service, server, bornMs, slots, route };
+  return { id, service, server, bornMs, slots, route, key };
 }
 
 function encodeReplies(
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -32,6 +32,8 @@
 import { PoisonGuard } from "./poison/poison_guard.ts";
 import { RangeMapStore } from "./grants/range_map_store.ts";
 import { ReadinessServer } from "./readiness_server.ts";
+import { AdmissionTask } from "./admission/admission_task.ts";
+import { SharedAdmissionTask } from "./admission/shared_admission_task.ts";
 import { BackoffGrantControl } from "./grants/backoff_grant_control.ts";
 import { LeavingServers } from "./backoffs/leaving_servers.ts";
 import { LimitedGrantControl } from "./grants/limited_grant_control.ts";
@@ -55,6 +57,12 @@
  * timeout.
  */
 const CONNECTION_IDLE_TIMEOUT_MS = 8_000;
+/**
+ * Longest idle timeout of connections to servers that announce one: a VM of a
+ * large deployment sends to the same owner of keys about every 7 s. The kernel
+ * probes idle connections from 60 s on.
+ */
+const MAX_ANNOUNCED_IDLE_TIMEOUT_MS = 30_000;
 /**
  * Fraction of the time limit of an evacuation in which owners in the zone may
  * still get requests; the rest covers late notification of entry VMs.
@@ -224,6 +232,7 @@
       decoder: adapter.answerDecoder,
       idleTimeoutMs: CONNECTION_IDLE_TIMEOUT_MS,
       onAnswerBytes: (bytes) => heldBytes.addAnswerBytes(bytes),
+      maxAnnouncedIdleTimeoutMs: MAX_ANNOUNCED_IDLE_TIMEOUT_MS,
     },
     lifeCycle,
   );
@@ -291,11 +300,35 @@
       config.service(service)?.coldStart !== undefined,
     maxRangesOf: (server) => rateLimits.maxRangesOf(server),
     backoffOf: (server) => backoffs.placementOf(server),
+    hotKeyCounts: metrics.hotKeys,
     backoffs,
     limitOf: (server) => requestLimits.limitOf(server),
     latencyFactorsOf: (service) => slots.latencyFactors(service),
     isLeaving: () => lifeCycle.isStopping,
   });
+  const hasShares = () => config.active?.config.hasBulkRoutes ?? false;
+  const sharedAdmission: SharedAdmissionTask = new SharedAdmissionTask({
+    vm: settings.vm,
+    gossip,
+    hasher,
+    capacityPerSecond: (service) => forwarder.serviceCapacity(service),
+    isActive: hasShares,
+    isLeaving: () => lifeCycle.isStopping,
+    clock,
+    log: log.part("route"),
+  });
+  const admissions: AdmissionTask = new AdmissionTask({
+    vm: settings.vm,
+    isActive: hasShares,
+    gossip,
+    shared: sharedAdmission,
+    hash: (text) => hasher.hash(text),
+    clock,
+    unixMs: () => Date.now(),
+    random,
+    log: log.part("route"),
+    counts: metrics.admissionDecisions,
+  });
   const slots = new SlotTask({
     vm: settings.vm,
     zone: settings.zone,
@@ -309,6 +342,10 @@
     rateLimits,
     isReplaceable: (server) => grantTask.isReplaceable(server),
     requestLimits,
+    timesOf: (service) => forwarder.timesOf(service),
+    hotKeyCounts: metrics.hotKeys,
+    hasShares,
+    counts: metrics.slotEvents,
   });
   const poison = new PoisonGuard({
     store,
@@ -336,6 +373,7 @@
     grants: grantTask,
     gossip,
     slots,
+    admissions,
     connections,
     paths,
     poison,
@@ -437,6 +475,7 @@
         CALLER_DESCRIPTOR_RATIO,
     ),
     graceMs: settings.timings.graceSeconds * 1000,
+    admitBeforeBody: (head) => forwarder.admitBeforeBody(head),
     forward: (request) => forwarder.forward(request),
     heldBytes,
     count: (decision) => metrics.frontDecisions.add(1, { decision }),
@@ -450,6 +489,8 @@
     gossip,
     grantTask,
     slots,
+    admissions,
+    sharedAdmission,
     poison,
     requestLimits,
     backoffs,
@@ -528,6 +569,8 @@
   parts.backoffs.start(lifeCycle);
   parts.leaving.start(lifeCycle);
   parts.slots.start(lifeCycle);
+  parts.admissions.start(lifeCycle);
+  parts.sharedAdmission.start(lifeCycle);
   parts.forwarder.start(lifeCycle);
   await parts.listener.listen();
   log.part("main").info("Entry process started.", {
--- a/packages/entry/src/links/server_connection.ts
+++ b/packages/entry/src/links/server_connection.ts
@@ -13,6 +13,13 @@
 import { readHeader } from "./header_list.ts";
 import { runOfStamp } from "./server_clock.ts";
 
+/**
+ * TLS server name passed with each request. Without one, undici tests whether
+ * the request's Host is an IP address, and the pattern for IPv6 takes a process
+ * several milliseconds to compile. Connections to servers do not use TLS.
+ */
+const UNUSED_SERVER_NAME = "-";
+
 /** One attempt of a request, as sent over a connection. */
 export interface AttemptRequest {
   readonly id: contracts.RequestId;
@@ -63,8 +70,13 @@
   /** Address that connections leave from; the system's choice by default. */
   readonly localAddress?: string | undefined;
   readonly connectTimeoutMs: number;
-  /** An idle connection is closed after this time. */
+  /** Idle timeout of a connection whose server announces none. */
   readonly idleTimeoutMs: number;
+  /**
+   * Longest idle timeout of a connection whose server announces one; it is
+   * closed 2 s before the server's own timeout. `idleTimeoutMs` by default.
+   */
+  readonly maxAnnouncedIdleTimeoutMs?: number | undefined;
   readonly answerLimitBytes: number;
   readonly decoder: AnswerDecoder;
   /**
@@ -105,7 +117,8 @@
       pipelining: 1,
       localAddress: options.localAddress,
       keepAliveTimeout: options.idleTimeoutMs,
-      keepAliveMaxTimeout: options.idleTimeoutMs,
+      keepAliveMaxTimeout: options.maxAnnouncedIdleTimeoutMs ??
+        options.idleTimeoutMs,
       // Each attempt has its own deadline; undici's timeouts would preempt it.
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -197,12 +210,14 @@
 
   #dispatch(pending: PendingRequest): void {
     const { request } = pending;
-    this.#client.dispatch({
+    const options: RequestOptions = {
       method: request.method as undici.Dispatcher.HttpMethod,
       path: request.path,
       headers: request.headers as string[],
       body: request.body ?? null,
-    }, {
+      servername: UNUSED_SERVER_NAME,
+    };
+    this.#client.dispatch(options, {
       onRequestStart: (controller) => {
         pending.abort = (reason) => controller.abort(reason);
         if (this.#pending !== pending || !request.maySend()) {
@@ -243,6 +258,11 @@
   }
 }
 
+/** Options of a request; undici's types omit the server name. */
+type RequestOptions = undici.Dispatcher.DispatchOptions & {
+  readonly servername: string;
+};
+
 /** A property of undici's controller that its types omit. */
 interface HeaderSource {
   readonly rawHeaders?: readonly Uint8Array[] | null;
--- a/packages/entry/src/metrics/metrics.ts
+++ b/packages/entry/src/metrics/metrics.ts
@@ -36,6 +36,18 @@
   readonly limitedServerCalls: api.Counter;
   /** Calls to servers that have asked this VM to back off, by kind. */
   readonly backoffCalls: api.Counter;
+  /**
+   * Decisions on hot keys, by service and decision: a key `limited` at its
+   * owner, a key `moved` to another one.
+   */
+  readonly hotKeys: api.Counter;
+  /** Decisions on requests to services short of capacity. */
+  readonly admissionDecisions: api.Counter;
+  /**
+   * Requests refused at stalled servers and slots that were not released, by
+   * kind: `stall-refusal`, `lost-slot`, `overdue-slot`.
+   */
+  readonly slotEvents: api.Counter;
   /**
    * Requests that a VM sent for another that didn't reach the server, by role
    * (`asked`, `sent`) and outcome.
@@ -66,6 +78,11 @@
       "guavatide_limited_server_calls",
     );
     this.backoffCalls = this.#meter.createCounter("guavatide_backoff_calls");
+    this.hotKeys = this.#meter.createCounter("guavatide_hot_keys");
+    this.admissionDecisions = this.#meter.createCounter(
+      "guavatide_admission_decisions",
+    );
+    this.slotEvents = this.#meter.createCounter("guavatide_slot_events");
     this.relayedRequests = this.#meter.createCounter(
       "guavatide_relayed_requests",
     );
