--- a/packages/entry/src/gateway/admission/admission_task_test.ts
+++ b/packages/entry/src/gateway/admission/admission_task_test.ts
@@ -45,6 +45,7 @@
           return vmCount();
         },
         liveVmsIn: () => [...this.live],
+        roleWeights: new Map(),
         onGuarded: <Params>(
           method: string,
           isParams: (params: unknown) => params is Params,
--- a/packages/entry/src/gateway/admission/shared_admission_task.ts
+++ b/packages/entry/src/gateway/admission/shared_admission_task.ts
@@ -18,7 +18,7 @@
   readonly vm: contracts.VmId;
   readonly gossip: Pick<
     PeerGossip,
-    "onGuarded" | "send" | "liveVmsIn" | "vmCount"
+    "onGuarded" | "send" | "liveVmsIn" | "vmCount" | "roleWeights"
   >;
   readonly hasher: ownership.KeyHasher;
   /** Requests per second that a service's servers are known to run. */
@@ -57,7 +57,10 @@
 
   constructor(options: SharedAdmissionTaskOptions) {
     this.#options = options;
-    this.#ranking = new grants.VmRanking(options.hasher);
+    this.#ranking = new grants.VmRanking(
+      options.hasher,
+      () => options.gossip.roleWeights,
+    );
     this.#shareLog = new ThrottledWarning(
       options.log,
       "Admits a share of a service's capacity.",
