--- a/packages/entry/src/gateway/peers/peer_codec.ts
+++ b/packages/entry/src/gateway/peers/peer_codec.ts
@@ -1,4 +1,5 @@
 /** Encoding of datagrams between entry VMs: JSON-RPC 2.0 notifications. */
+import * as zlib from "node:zlib";
 import * as jsonRpc from "json-rpc-2.0";
 
 /** One notification. */
@@ -7,24 +8,42 @@
   readonly params: unknown;
 }
 
+/**
+ * Larger messages are compressed. Those are updates of range maps, which repeat
+ * the same names for each range: half of all bytes between zones.
+ */
+const COMPRESSION_MIN_BYTES = 1_500;
+/** Favors time over size; names compress well at any level. */
+const COMPRESSION_LEVEL = 1;
+/** First byte of the zlib format, which no JSON object begins with. */
+const ZLIB_HEADER = 0x78;
+/** Largest message that a datagram may decompress to. */
+const DECOMPRESSED_MAX_BYTES = 1_048_576;
+
 /** Encodes a notification. */
 export function encodeMessage(method: string, params: object): Uint8Array {
-  return Buffer.from(
+  const bytes = Buffer.from(
     JSON.stringify(jsonRpc.createJSONRPCNotification(method, params)),
   );
+  return bytes.length < COMPRESSION_MIN_BYTES
+    ? bytes
+    : zlib.deflateSync(bytes, { level: COMPRESSION_LEVEL });
 }
 
 /** Decodes a datagram; undefined if it is no notification. */
 export function decodeMessage(bytes: Buffer): PeerMessage | undefined {
   try {
-    const message = JSON.parse(bytes.toString()) as
+    const text = bytes[0] === ZLIB_HEADER
+      ? zlib.inflateSync(bytes, { maxOutputLength: DECOMPRESSED_MAX_BYTES })
+      : bytes;
+    const message = JSON.parse(text.toString()) as
       | (Partial<PeerMessage> & { readonly jsonrpc?: unknown })
       | null;
     const { jsonrpc, method, params } = message ?? {};
     const isMessage = jsonrpc === "2.0" && typeof method === "string";
     return isMessage ? { method, params } : undefined;
   } catch {
-    // Not JSON; the caller writes the log line.
+    // Neither JSON nor compressed JSON; the caller writes the log line.
     return undefined;
   }
 }
