--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -1,14 +1,8 @@
-/**
- * Bundles the program of the users' platform under target/: the program in one
- * file, its compiled code as V8 serializes it, and a launcher that loads both.
- */
-import * as childProcess from "node:child_process";
+/** Bundles the program of the users' platform into one file under target/. */
 import * as fs from "node:fs";
 import * as esbuild from "esbuild";
 
 const TARGET = "target";
-/** A profile run takes 8 s; more means that it hangs. */
-const PROFILE_TIMEOUT_MS = 60_000;
 
 /**
  * The parts of undici that the program uses. Its main module also loads fetch,
@@ -56,10 +50,10 @@
 
 await esbuild.build({
   entryPoints: ["platform/dist/main.js"],
-  outfile: `${TARGET}/program.js`,
+  outfile: `${TARGET}/guavatide.js`,
   bundle: true,
   platform: "node",
-  // Node 20 has a code cache for scripts only, not for ES modules.
+  // Node starts a script without the asynchronous loader of ES modules.
   format: "cjs",
   target: "node20",
   minify: true,
@@ -67,14 +61,3 @@
   plugins: [undiciParts],
 });
 fs.writeFileSync(`${TARGET}/package.json`, '{ "type": "commonjs" }\n');
-fs.copyFileSync("scripts/launcher.cjs", `${TARGET}/guavatide.js`);
-
-// A process of its own, since the ports and timers of a profile run that fails
-// must not keep this one alive. Without a code cache the program works as well,
-// and starts later.
-const { status } = childProcess.spawnSync(
-  process.execPath,
-  ["platform/dist/measure/code_cache_main.js", TARGET],
-  { stdio: "inherit", timeout: PROFILE_TIMEOUT_MS },
-);
-if (status !== 0) console.error("bundle: no code cache was written.");
