refactor(admission): one decaying count, one return check

All use DecayingCount now, with perSecond. ServiceAdmission tells a returning caller in one place, MIN_RETURN_MS stands once, and the constants of shared_admission.ts stand before the classes that use them.

--- a/packages/decisions/src/admission/caller_shares.ts
+++ b/packages/decisions/src/admission/caller_shares.ts
@@ -144,7 +144,7 @@
   /** Judges one request of a caller. */
   standing(caller: number, nowMs: number): CallerStanding {
     const sharePerSecond = this.#share(nowMs);
-    const ratePerSecond = perSecond(this.#callers.get(caller), nowMs);
+    const ratePerSecond = this.#callers.get(caller)?.perSecond(nowMs) ?? 0;
     // A caller that demands just its share is counted above it by chance.
     const deviation = Math.sqrt(sharePerSecond * 1_000 / (2 * RATE_DECAY_MS));
     const surelyPerSecond = ratePerSecond - deviation;
@@ -165,8 +165,8 @@
       return this.#sharePerSecond;
     }
     this.#computedMs = nowMs;
-    const arrivals = perSecond(this.#arrivals, nowMs);
-    const served = Math.max(0, arrivals - perSecond(this.#refused, nowMs));
+    const arrivals = this.#arrivals.perSecond(nowMs);
+    const served = Math.max(0, arrivals - this.#refused.perSecond(nowMs));
     const rates = this.#rates(nowMs);
     const known = rates.reduce((sum, rate) => sum + rate, 0);
     // Callers that no message names ask for little each.
@@ -220,10 +220,6 @@
   }
 }
 
-function perSecond(count: DecayingCount | undefined, nowMs: number): number {
-  return (count?.at(nowMs) ?? 0) * 1_000 / RATE_DECAY_MS;
-}
-
 /** Level up to which rates are served if their sum is limited to a capacity. */
 function maxMinLevel(rates: readonly number[], capacity: number): number {
   let level = capacity / Math.max(1, rates.length);
--- a/packages/decisions/src/admission/decaying_count.ts
+++ b/packages/decisions/src/admission/decaying_count.ts
@@ -20,4 +20,9 @@
     if (this.#count === 0) return 0;
     return this.#count * Math.exp((this.#countedMs - nowMs) / this.#decayMs);
   }
+
+  /** The rate of which the count is the sum, per second. */
+  perSecond(nowMs: number): number {
+    return this.at(nowMs) * 1_000 / this.#decayMs;
+  }
 }
--- a/packages/decisions/src/admission/key_shares.ts
+++ b/packages/decisions/src/admission/key_shares.ts
@@ -4,6 +4,8 @@
  * occupy all slots nor hold up the requests of the server's other keys.
  */
 
+import { DecayingCount } from "./decaying_count.ts";
+
 /** Time constant of the exponentially decaying demand of a key. */
 const DECAY_MS = 800;
 /** Interval at which the limited keys are computed again. */
@@ -22,16 +24,11 @@
 /** A key is limited when it asks for this many times its share; above noise. */
 const EXCESS_RATIO = 1.1;
 
-interface KeyDemand {
-  /** Exponentially decayed service time that was asked for, in ms. */
-  workMs: number;
-  updatedMs: number;
-}
-
 /** Computes max-min fair shares of the keys at one server. */
 export class KeyShares {
   readonly #slots: number;
-  readonly #demands = new Map<number | undefined, KeyDemand>();
+  /** Milliseconds of service time that were asked for, by key. */
+  readonly #demands = new Map<number | undefined, DecayingCount>();
   /** Shares of the limited keys, in slots. */
   #limited: ReadonlyMap<number, number> = new Map();
   #reviewedMs = Number.NEGATIVE_INFINITY;
@@ -53,13 +50,9 @@
     const key = isNew && this.#demands.size >= MAX_KEYS
       ? undefined
       : requestedKey;
-    const demand = this.#demands.get(key);
-    if (demand === undefined) {
-      this.#demands.set(key, { workMs, updatedMs: nowMs });
-      return;
-    }
-    demand.workMs = workAt(demand, nowMs) + workMs;
-    demand.updatedMs = nowMs;
+    const demand = this.#demands.get(key) ?? new DecayingCount(DECAY_MS);
+    this.#demands.set(key, demand);
+    demand.add(workMs, nowMs);
   }
 
   /** The limited keys and their shares in slots. Above 0. */
@@ -76,7 +69,7 @@
     const large: (readonly [key: number, slots: number])[] = [];
     let smallSlots = 0;
     for (const [key, demand] of this.#demands) {
-      const slots = workAt(demand, nowMs) / DECAY_MS;
+      const slots = demand.at(nowMs) / DECAY_MS;
       const isLarge = key !== undefined &&
         slots >= this.#slots * MIN_LIMITED_PART;
       if (isLarge) large.push([key, slots]);
@@ -109,12 +102,8 @@
 
   #dropIdle(nowMs: number): void {
     for (const [key, demand] of this.#demands) {
-      const slots = workAt(demand, nowMs) / DECAY_MS;
+      const slots = demand.at(nowMs) / DECAY_MS;
       if (slots < MIN_DEMAND_SLOTS) this.#demands.delete(key);
     }
   }
 }
-
-function workAt({ workMs, updatedMs }: KeyDemand, nowMs: number): number {
-  return workMs * Math.exp((updatedMs - nowMs) / DECAY_MS);
-}
--- a/packages/decisions/src/admission/service_admission.ts
+++ b/packages/decisions/src/admission/service_admission.ts
@@ -48,7 +48,7 @@
  */
 const HONOURED_FRACTION = 1 / 3;
 /** A return before this time would meet the same queue. */
-const MIN_RETURN_MS = 60;
+export const MIN_RETURN_MS = 60;
 /** Promised beside new requests even if these take all capacity. */
 const MIN_RETURN_RATIO = 0.1;
 /** Promised at most, as higher priorities may take the rest. */
@@ -96,10 +96,7 @@
     if (!this.shares.isShort(nowMs)) return undefined;
     const caller = this.#options.hash(request.caller);
     const standing = this.shares.standing(caller, nowMs);
-    const mayReturn = isWithin(standing, MAX_RETURNING_SHARES);
-    if (mayReturn && this.#returns.isReturn(request, unixMs)) {
-      return "returning";
-    }
+    if (this.#isReturning(request, standing, unixMs)) return "returning";
     return isWithin(standing, MAX_PROMISED_SHARES) ? undefined : "above-share";
   }
 
@@ -108,10 +105,9 @@
     const caller = this.#options.hash(request.caller);
     const { shares } = this;
     const standing = shares.standing(caller, nowMs);
-    const isReturning = shares.isShort(nowMs) &&
-      isWithin(standing, MAX_RETURNING_SHARES) &&
-      this.#returns.isReturn(request, unixMs);
-    if (isReturning) {
+    if (
+      shares.isShort(nowMs) && this.#isReturning(request, standing, unixMs)
+    ) {
       shares.recordReturn(nowMs);
       return { ...standing, isAboveShare: false, standing: "returning" };
     }
@@ -153,6 +149,16 @@
     return Math.max(MIN_LEFT_RATIO, 1 - within / Math.max(1e-6, capacity));
   }
 
+  /** Whether a caller comes at a time that it may have been promised. */
+  #isReturning(
+    request: ReturningCaller,
+    standing: CallerStanding,
+    unixMs: number,
+  ): boolean {
+    return isWithin(standing, MAX_RETURNING_SHARES) &&
+      this.#returns.isReturn(request, unixMs);
+  }
+
   #returnsPerSecond(nowMs: number): number {
     return this.#options.vmPerSecond(nowMs) *
       returnRatio(this.leftRatio(nowMs));
--- a/packages/decisions/src/admission/shared_admission.ts
+++ b/packages/decisions/src/admission/shared_admission.ts
@@ -30,6 +30,38 @@
   readonly waiting: number;
 }
 
+/** A reply is in force for this time. */
+const SHARE_TTL_MS = 1_000;
+/**
+ * VMs together admit more than the capacity by this factor: what one of them
+ * does not use is left to the others.
+ */
+const ADMITTED_RATIO = 1.1;
+/**
+ * Requests above their callers' shares are sent while the others wait less than
+ * this at all VMs: what is left of the capacity is used without delaying these.
+ */
+const MAX_WAIT_BEFORE_OTHERS_MS = 50;
+/** Requests that a VM may admit at once beyond its rate. */
+const MIN_BURST = 2;
+const BURST_MS = 100;
+/** Time constant of the rates that VMs report. */
+const RATE_DECAY_MS = 1_000;
+/** A VM that reported nothing for this time has no shortage. */
+const REPORT_TTL_MS = 1_500;
+/**
+ * While requests wait, the capacity is what VMs report as ended, within these
+ * factors of what the servers are known to run: after an outage of servers,
+ * few requests have ended.
+ */
+const MIN_CAPACITY_RATIO = 0.5;
+const MAX_CAPACITY_RATIO = 1.5;
+/**
+ * Demand that counts in addition for each VM, as a fraction of the mean, so that
+ * a VM whose demand rises has a share at once.
+ */
+const MIN_DEMAND_RATIO = 0.1;
+
 /** Reports and share of this VM. */
 export class AdmissionReporter {
   #arrived = 0;
@@ -136,44 +168,12 @@
     if (this.#isRecent(nowMs)) return this.#share!;
     const perSecond = Math.max(
       capacityPerSecond / vmCount,
-      this.#endedRate.at(nowMs) * 1_000 / RATE_DECAY_MS,
+      this.#endedRate.perSecond(nowMs),
     );
     return { perSecond, capacityPerSecond, waiting: 0 };
   }
 }
 
-/** A reply is in force for this time. */
-const SHARE_TTL_MS = 1_000;
-/**
- * VMs together admit more than the capacity by this factor: what one of them
- * does not use is left to the others.
- */
-const ADMITTED_RATIO = 1.1;
-/**
- * Requests above their callers' shares are sent while the others wait less than
- * this at all VMs: what is left of the capacity is used without delaying these.
- */
-const MAX_WAIT_BEFORE_OTHERS_MS = 50;
-/** Requests that a VM may admit at once beyond its rate. */
-const MIN_BURST = 2;
-const BURST_MS = 100;
-/** Time constant of the rates that VMs report. */
-const RATE_DECAY_MS = 1_000;
-/** A VM that reported nothing for this time has no shortage. */
-const REPORT_TTL_MS = 1_500;
-/**
- * While requests wait, the capacity is what VMs report as ended, within these
- * factors of what the servers are known to run: after an outage of servers,
- * few requests have ended.
- */
-const MIN_CAPACITY_RATIO = 0.5;
-const MAX_CAPACITY_RATIO = 1.5;
-/**
- * Demand that counts in addition for each VM, as a fraction of the mean, so that
- * a VM whose demand rises has a share at once.
- */
-const MIN_DEMAND_RATIO = 0.1;
-
 class VmDemand {
   readonly arrived = new DecayingCount(RATE_DECAY_MS);
   readonly ended = new DecayingCount(RATE_DECAY_MS);
@@ -187,7 +187,7 @@
   /** Corrects the rate of a VM that has reported for a short time only. */
   perSecond(count: DecayingCount, nowMs: number): number {
     const observed = 1 - Math.exp((this.firstMs - nowMs) / RATE_DECAY_MS);
-    return count.at(nowMs) * 1_000 / RATE_DECAY_MS / Math.max(0.2, observed);
+    return count.perSecond(nowMs) / Math.max(0.2, observed);
   }
 }
 
--- a/packages/decisions/src/admission/short_request_reserve.ts
+++ b/packages/decisions/src/admission/short_request_reserve.ts
@@ -3,6 +3,7 @@
  * requests can't be preempted, so a short request behind long ones would be
  * late whatever its priority.
  */
+import { DecayingCount } from "./decaying_count.ts";
 import type { ServiceTimes } from "./service_times.ts";
 import type { PrioritizedRoute, WaitingRequest } from "./waiting_request.ts";
 
@@ -23,9 +24,7 @@
 
 interface RouteUsage {
   readonly route: PrioritizedRoute;
-  /** Exponentially decayed count of requests, as of `countedMs`. */
-  decayedCount: number;
-  countedMs: number;
+  readonly requests: DecayingCount;
   heldSlots: number;
 }
 
@@ -42,9 +41,7 @@
 
   /** Counts a route's request for a slot. */
   recordRequest(route: PrioritizedRoute, nowMs: number): void {
-    const usage = this.#usageOf(route);
-    usage.decayedCount = countAt(usage, nowMs) + 1;
-    usage.countedMs = nowMs;
+    this.#usageOf(route).requests.add(1, nowMs);
   }
 
   /** Takes a slot. The returned function releases it. */
@@ -90,7 +87,9 @@
     for (const usage of this.#usages.values()) {
       const isShort = usage.route.priority < route.priority &&
         this.#times.estimateMs(usage.route) <= longMs * SHORT_REQUEST_RATIO;
-      if (isShort) expected += countAt(usage, nowMs) * longMs / RATE_DECAY_MS;
+      if (isShort) {
+        expected += usage.requests.at(nowMs) * longMs / RATE_DECAY_MS;
+      }
     }
     return expected >= MIN_EXPECTED_REQUESTS;
   }
@@ -98,15 +97,9 @@
   #usageOf(route: PrioritizedRoute): RouteUsage {
     const found = this.#usages.get(route.name);
     if (found !== undefined) return found;
-    const created = { route, decayedCount: 0, countedMs: 0, heldSlots: 0 };
+    const requests = new DecayingCount(RATE_DECAY_MS);
+    const created = { route, requests, heldSlots: 0 };
     this.#usages.set(route.name, created);
     return created;
   }
 }
-
-function countAt(
-  { decayedCount, countedMs }: RouteUsage,
-  nowMs: number,
-): number {
-  return decayedCount * Math.exp((countedMs - nowMs) / RATE_DECAY_MS);
-}
--- a/packages/decisions/src/admission/slot_returns.ts
+++ b/packages/decisions/src/admission/slot_returns.ts
@@ -2,14 +2,16 @@
 import type * as contracts from "@guavatide/contracts";
 import { DecayingCount } from "./decaying_count.ts";
 import { ReturnBudget } from "./return_schedule.ts";
-import { longestReturnMs, returnRatio } from "./service_admission.ts";
+import {
+  longestReturnMs,
+  MIN_RETURN_MS,
+  returnRatio,
+} from "./service_admission.ts";
 import type { ServiceTimes } from "./service_times.ts";
 import type { WaitingRequest } from "./waiting_request.ts";
 
 /** Time constant of the rate of new requests. */
 const RATE_DECAY_MS = 2_000;
-/** A return before this time would meet the same queue. */
-const MIN_RETURN_MS = 60;
 
 /** A server whose slots are promised. */
 export type PromisingServer = Pick<
@@ -47,7 +49,7 @@
     const meanMs = this.#times.meanMs ?? this.#times.estimateMs(route);
     const perSecond = slots * 1_000 /
       Math.max(1, meanMs * this.#times.latencyFactor(server));
-    const newPerSecond = this.#arrivals.at(nowMs) * 1_000 / RATE_DECAY_MS;
+    const newPerSecond = this.#arrivals.perSecond(nowMs);
     const ratio = returnRatio(1 - newPerSecond / perSecond);
     this.#budget.take(nowMs, perSecond * ratio);
     return firstMs;
