--- a/packages/entry/src/gateway/forwarding/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarding/forwarded_request.ts
@@ -8,6 +8,7 @@
 } from "../../links/server_connection.ts";
 import { conditionBeforeRetry } from "../../poison/server_end_check.ts";
 import {
+  deadlinesOf,
   type FrontAnswer,
   type FrontRequest,
   notRunAnswer,
@@ -135,10 +136,9 @@
     this.key = request.key;
     this.standing = context.judged?.standing;
     this.bodyBytes = request.body?.length ?? 0;
-    this.targetMs = request.arrivedMs + route.targetLatencyMs;
-    const { deadlineMs } = request;
-    const longestMs = Math.min(route.timeoutMs, deadlineMs ?? Infinity);
-    this.answerByMs = request.arrivedMs + longestMs;
+    const { targetMs, answerByMs } = deadlinesOf(request, route);
+    this.targetMs = targetMs;
+    this.answerByMs = answerByMs;
     this.#waitingSinceMs = request.arrivedMs;
     const leftMs = Math.max(0, this.answerByMs - context.clock.nowMs());
     this.#timer = setTimeout(() => this.#onTimeout(), leftMs);
--- a/packages/entry/src/gateway/forwarding/forwarder.ts
+++ b/packages/entry/src/gateway/forwarding/forwarder.ts
@@ -13,6 +13,7 @@
   type ForwardingContext,
 } from "./forwarded_request.ts";
 import {
+  deadlinesOf,
   type FrontAnswer,
   type FrontRequest,
   type FrontRequestHead,
@@ -211,15 +212,14 @@
     const route = active.table.find(head.host, pathOf(head.target));
     if (route === undefined || route.targets.length === 0) return undefined;
     const nowMs = clock.nowMs();
-    const longestMs = Math.min(route.timeoutMs, head.deadlineMs ?? Infinity);
+    const { targetMs, answerByMs } = deadlinesOf(head, route);
     const caller = { caller: head.caller, route: route.name };
-    const answerByMs = head.arrivedMs + longestMs;
     const refusals = route.targets.map(({ service }) =>
       this.#serviceState(service).queue.expectedRefusal({
         route,
         key: head.key,
         bodyBytes: head.bodyBytes ?? 0,
-        targetMs: head.arrivedMs + route.targetLatencyMs,
+        targetMs,
         answerByMs,
         standing: admissions.preview(service, caller),
         tried: NO_SERVERS,
--- a/packages/entry/src/gateway/forwarding/front_request.ts
+++ b/packages/entry/src/gateway/forwarding/front_request.ts
@@ -30,6 +30,18 @@
   readonly body: Uint8Array | undefined;
 }
 
+/** When a request of a route is late, and when it ends at the latest. */
+export function deadlinesOf(
+  { arrivedMs, deadlineMs }: Pick<FrontRequestHead, "arrivedMs" | "deadlineMs">,
+  route: Pick<contracts.Route, "targetLatencyMs" | "timeoutMs">,
+): { readonly targetMs: number; readonly answerByMs: number } {
+  return {
+    targetMs: arrivedMs + route.targetLatencyMs,
+    answerByMs: arrivedMs +
+      Math.min(route.timeoutMs, deadlineMs ?? Number.POSITIVE_INFINITY),
+  };
+}
+
 /** The response to the caller. */
 export type FrontAnswer =
   | { readonly kind: "passed-on"; readonly answer: ServerAnswer }
