--- a/packages/decisions/src/admission/limited_keys.ts
+++ b/packages/decisions/src/admission/limited_keys.ts
@@ -6,6 +6,7 @@
 import type * as contracts from "@guavatide/contracts";
 import { KeyShares } from "./key_shares.ts";
 import type { ServiceTimes } from "./service_times.ts";
+import { hasTimeLeft } from "./wait_estimate.ts";
 import type { Refusal, WaitingRequest } from "./waiting_request.ts";
 
 /** Requests of a limited key that may wait at least: they keep slots busy. */
@@ -20,11 +21,6 @@
 const RETRY_AFTER_MAX_MS = 5_000;
 /** Random part of a retry time: callers at the limit would return together. */
 const RETRY_SPREAD_RATIO = 0.5;
-/**
- * A queued request is refused when the time to its deadline is at most this
- * fraction of its service time, as in {@link ServiceQueue}.
- */
-const MIN_SERVICE_FRACTION = 0.5;
 
 /** Options of {@link LimitedKeys}. */
 export interface LimitedKeysOptions {
@@ -168,9 +164,8 @@
   /** Refuses requests that can't meet their deadline any more. */
   refuseExpired(nowMs: number): void {
     for (const queue of this.#queues.values()) {
-      const expired = queue.waiting.filter(({ route, answerByMs }) =>
-        answerByMs - nowMs <=
-          this.#options.times.estimateMs(route) * MIN_SERVICE_FRACTION
+      const expired = queue.waiting.filter((request) =>
+        !hasTimeLeft(request, this.#options.times, nowMs)
       );
       for (const request of expired) {
         this.cancel(request);
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -13,7 +13,7 @@
   RefusalReason,
   WaitingRequest,
 } from "./waiting_request.ts";
-import { WaitEstimate } from "./wait_estimate.ts";
+import { hasTimeLeft, WaitEstimate } from "./wait_estimate.ts";
 
 /** Reasons that no wait within a caller's deadline is known to end. */
 const UNSERVABLE_REASONS: ReadonlySet<RefusalReason> = new Set([
@@ -24,11 +24,6 @@
   "blocked",
   "backing-off",
 ]);
-/**
- * A queued request is refused when the time to its deadline is at most this
- * fraction of its service time.
- */
-const MIN_SERVICE_FRACTION = 0.5;
 
 /** Queue of one service on one entry VM. */
 export class ServiceQueue {
@@ -251,8 +246,6 @@
     this.#waiting = [];
     const isNamed = this.#servers.isNamed();
     for (const request of queued) {
-      const serviceMs = this.#options.times.estimateMs(request.route) *
-        MIN_SERVICE_FRACTION;
       const leftMs = request.answerByMs - nowMs;
       // Its coordinator estimates the wait: only it knows all other requests.
       const waitMs = this.#awaitsSlot(request, nowMs)
@@ -265,7 +258,8 @@
       const reason = this.#refusals.blockedBy(request, nowMs);
       const isUnservable = reason === "unreached" || reason === "backing-off" ||
         this.isKeyed && UNSERVABLE_REASONS.has(reason);
-      const isInTime = leftMs > serviceMs && waitMs < leftMs;
+      const isInTime = hasTimeLeft(request, this.#options.times, nowMs) &&
+        waitMs < leftMs;
       if (isInTime && !isLate && !isUnservable) {
         kept.push(request);
         continue;
--- a/packages/decisions/src/admission/wait_estimate.ts
+++ b/packages/decisions/src/admission/wait_estimate.ts
@@ -7,6 +7,7 @@
   QueueShares,
   ServiceQueueOptions,
 } from "./service_queue_options.ts";
+import type { ServiceTimes } from "./service_times.ts";
 import type { WaitingRequest } from "./waiting_request.ts";
 
 /**
@@ -38,9 +39,23 @@
  * an overload leaves behind ends sooner.
  */
 const NEW_WAIT_RATIO = 0.5;
+/**
+ * A queued request is refused when the time to its deadline is at most this
+ * fraction of its service time.
+ */
+const MIN_SERVICE_FRACTION = 0.5;
 /** Lower bound of rates, which waits are divided by. */
 const MIN_SERVED_PER_MS = 1e-6;
 
+/** Whether a queued request can still be answered by its deadline. */
+export function hasTimeLeft(
+  { route, answerByMs }: Pick<WaitingRequest, "route" | "answerByMs">,
+  times: ServiceTimes,
+  nowMs: number,
+): boolean {
+  return answerByMs - nowMs > times.estimateMs(route) * MIN_SERVICE_FRACTION;
+}
+
 /** Estimates waits in one service's queue. */
 export class WaitEstimate {
   readonly #options: ServiceQueueOptions;
