feat(store): log how a VM learned of a configuration

The lines of a VM did not tell a late watch, a lost message of a peer, a fetch and a VM short of processor apart. "Configuration in force." now has the source, the peer, how long the peer had known the change, since when this VM knew that it lacked changes, and the time to build the routes. Relayed changes carry their age.

--- a/packages/entry/src/gateway/peers/peer_messages.ts
+++ b/packages/entry/src/gateway/peers/peer_messages.ts
@@ -576,6 +576,8 @@
   ).nullable(),
   /** Names of all objects when the changes come from a list; else null. */
   names: z.array(z.string()).nullable(),
+  /** How long ago the first VM has learned of the changes; 0 if absent. */
+  ageMs: z.number().int().min(0).optional(),
 });
 /** Changes that a reader has read from the platform's store. */
 export type StoreChanges = z.infer<typeof storeChangesSchema>;
--- a/packages/entry/src/gateway/store/config_holder.ts
+++ b/packages/entry/src/gateway/store/config_holder.ts
@@ -3,6 +3,7 @@
 import * as routes from "@guavatide/decisions/routes/mod";
 import type { Logger } from "../../utils/log.ts";
 import type { PlatformAdapter } from "../platform_adapter.ts";
+import type { ChangeOrigin } from "./kind_watch.ts";
 
 /** A configuration with its compiled route table. */
 export interface ActiveConfig {
@@ -13,6 +14,7 @@
 /** Options of {@link ConfigHolder}. */
 export interface ConfigHolderOptions {
   readonly adapter: Pick<PlatformAdapter, "decodeConfig" | "prefixes">;
+  readonly clock: contracts.Clock;
   readonly log: Logger;
 }
 
@@ -50,8 +52,9 @@
    * Puts a stored object in force when it is the configuration object and its
    * version is newer. One that can't be decoded is logged and ignored.
    */
-  applyObject(object: contracts.StoredObject): void {
-    const { adapter, log } = this.#options;
+  applyObject(object: contracts.StoredObject, origin: ChangeOrigin): void {
+    const { adapter, clock, log } = this.#options;
+    const startMs = clock.nowMs();
     if (object.name !== adapter.prefixes.configObject) return;
     const decoded = adapter.decodeConfig(object.value);
     if (decoded.isErr()) {
@@ -62,14 +65,17 @@
     const config = decoded.value;
     if (config.version <= this.version) return;
     const { version } = config;
+    const before = this.version;
+    const table = new routes.RouteTable(config.routes, this.#active?.table);
+    this.#active = { config, table };
     log.info("Configuration in force.", {
       version,
-      before: this.version,
+      before,
       routes: config.routes.length,
       storeVersion: object.version,
+      ...origin,
+      compileMs: Math.round(clock.nowMs() - startMs),
     });
-    const table = new routes.RouteTable(config.routes, this.#active?.table);
-    this.#active = { config, table };
     for (const listener of this.#listeners) listener();
   }
 }
--- a/packages/entry/src/gateway/store/kind_watch.ts
+++ b/packages/entry/src/gateway/store/kind_watch.ts
@@ -16,6 +16,21 @@
   WatchRelay,
 } from "./watch_relay.ts";
 
+/** How this VM has learned of changes. */
+export interface ChangeOrigin {
+  /**
+   * `watch` and `list`: from the store. `relay`: in a message of a peer. `peer`:
+   * with all objects of a peer. `probe`: the health check has read the object.
+   */
+  readonly source: "watch" | "list" | "relay" | "peer" | "probe";
+  /** The peer, unless this VM has read the changes from the store. */
+  readonly from?: contracts.VmId | undefined;
+  /** How long the peer had known the changes when it sent them. */
+  readonly ageMs?: number | undefined;
+  /** Time since this VM noticed that it lacked changes; undefined if it didn't. */
+  readonly behindMs?: number | undefined;
+}
+
 /** Options of {@link KindWatch}. */
 export interface KindWatchOptions {
   readonly store: contracts.PlatformStore;
@@ -31,9 +46,15 @@
    */
   readonly isRare?: boolean;
   /** Called once, with all objects of the first list. */
-  readonly onList: (objects: readonly contracts.StoredObject[]) => void;
+  readonly onList: (
+    objects: readonly contracts.StoredObject[],
+    origin: ChangeOrigin,
+  ) => void;
   /** Called with changes that were learned together, in their order. */
-  readonly onChanges: (changes: readonly ObjectChange[]) => void;
+  readonly onChanges: (
+    changes: readonly ObjectChange[],
+    origin: ChangeOrigin,
+  ) => void;
 }
 
 /**
@@ -152,8 +173,8 @@
       return this.#requestMissed(peer);
     }
     if (behindMs < WATCH_GRACE_MS) return;
-    this.#behindSinceMs = undefined;
     this.#relist("peers know newer changes");
+    this.#behindSinceMs = undefined;
   }
 
   /** Wakes a VM that waits for rare objects when a peer has some. */
@@ -164,7 +185,7 @@
   }
 
   applyRelayed(changes: RelayedChanges, from: contracts.VmId): void {
-    const { fromPosition, toPosition, events, names } = changes;
+    const { fromPosition, toPosition, events, names, learnedAtMs } = changes;
     if (!this.#isListed || toPosition <= this.#position) return;
     if (events === undefined) {
       this.#aheadPeer = from;
@@ -178,7 +199,9 @@
       : this.#table.deletionsExcept(names);
     // Changes up to this VM's position are applied again, in their order: the
     // last change of each object prevails.
-    this.#apply([...events, ...missing]);
+    const receivedAtMs = this.#options.clock.nowMs();
+    const ageMs = Math.round(receivedAtMs - learnedAtMs);
+    this.#apply([...events, ...missing], { source: "relay", from, ageMs });
     this.#position = toPosition;
     this.#knownPosition = Math.max(this.#knownPosition, toPosition);
   }
@@ -262,7 +285,8 @@
 
   async #fetchFromPeer(): Promise<boolean> {
     const { relay, prefix } = this.#options;
-    const snapshot = await relay.fetchSnapshot(prefix, this.#aheadPeer);
+    const from = this.#aheadPeer;
+    const snapshot = await relay.fetchSnapshot(prefix, from);
     this.#aheadPeer = undefined;
     // Without an answer: lists the store, or retries with the next peer.
     if (snapshot === undefined) {
@@ -272,7 +296,7 @@
     if (this.#isListed && snapshot.position <= this.#position) return true;
     const objects = snapshot.objects
       .map(([name, version, value]) => ({ name, version, value }));
-    this.#replace(objects);
+    this.#replace(objects, { source: "peer", from });
     this.#position = snapshot.position;
     this.#knownPosition = Math.max(this.#knownPosition, snapshot.position);
     return true;
@@ -295,7 +319,7 @@
       ...objects.map(({ version }) => Number(version)),
     );
     if (options.mayBeStale) {
-      this.#replace(objects);
+      this.#replace(objects, { source: "list" });
       // A stale list's objects may be older than its cursor says.
       this.#position = newestPosition;
       this.#knownPosition = newestPosition;
@@ -303,7 +327,7 @@
     }
     const wasListed = this.#isListed;
     const fromPosition = this.#completePosition;
-    const events = this.#replace(objects);
+    const events = this.#replace(objects, { source: "list" });
     this.#knownPosition = Number(cursor);
     // The cursor of a list also rises with changes of other prefixes, and peers
     // that listed a little earlier would seem to lack changes.
@@ -312,7 +336,14 @@
     this.#position = this.#knownPosition;
     const names = this.#table.names;
     const toPosition = this.#position;
-    relay.publish(prefix, { fromPosition, toPosition, events, names });
+    const learnedAtMs = this.#options.clock.nowMs();
+    relay.publish(prefix, {
+      fromPosition,
+      toPosition,
+      events,
+      names,
+      learnedAtMs,
+    });
     return true;
   }
 
@@ -346,9 +377,10 @@
     // A peer may have sent these changes, and later ones, meanwhile.
     if (toPosition > this.#position) {
       this.#position = toPosition;
-      this.#apply(events);
+      this.#apply(events, { source: "watch" });
     }
-    relay.publish(prefix, { fromPosition, toPosition, events });
+    const learnedAtMs = this.#options.clock.nowMs();
+    relay.publish(prefix, { fromPosition, toPosition, events, learnedAtMs });
     await timers.setTimeout(BATCH_PAUSE_MS);
     return true;
   }
@@ -356,22 +388,26 @@
   /** Makes the table equal to a list, and returns the changes. */
   #replace(
     objects: readonly contracts.StoredObject[],
+    origin: ChangeOrigin,
   ): readonly ObjectChange[] {
     const changes = this.#table.diff(objects);
     if (this.#isListed) {
-      this.#apply(changes);
+      this.#apply(changes, origin);
       return changes;
     }
     this.#isListed = true;
     for (const change of changes) this.#table.apply(change);
-    this.#options.onList(objects);
+    this.#options.onList(objects, origin);
     return changes;
   }
 
-  #apply(changes: readonly ObjectChange[]): void {
+  #apply(changes: readonly ObjectChange[], origin: ChangeOrigin): void {
     if (changes.length === 0) return;
     for (const change of changes) this.#table.apply(change);
-    this.#options.onChanges(changes);
+    const behindMs = this.#behindSinceMs === undefined
+      ? undefined
+      : Math.round(this.#options.clock.nowMs() - this.#behindSinceMs);
+    this.#options.onChanges(changes, { ...origin, behindMs });
   }
 
   #waitMs(): number {
--- a/packages/entry/src/gateway/store/watch_relay.ts
+++ b/packages/entry/src/gateway/store/watch_relay.ts
@@ -46,6 +46,11 @@
   readonly events: readonly ObjectChange[] | undefined;
   /** Names of all objects, when the changes come from a list. */
   readonly names?: readonly string[];
+  /**
+   * When the first VM that this VM knows of has learned of the changes, on this
+   * VM's clock; the time on the network is not included.
+   */
+  readonly learnedAtMs: number;
 }
 
 /** The watch of one prefix, as the relay sees it. */
@@ -304,6 +309,10 @@
         object === undefined ? null : [object.version, object.value],
       ]) ?? null,
       names: changes.names === undefined ? null : [...changes.names],
+      ageMs: Math.max(
+        0,
+        Math.round(this.#options.clock.nowMs() - changes.learnedAtMs),
+      ),
     };
     const { length } = encodeMessage(messages.CHANGES_METHOD, message);
     return length > MAX_MESSAGE_BYTES
@@ -321,7 +330,7 @@
   }
 
   #handleChanges(message: messages.StoreChanges): void {
-    const { vm, prefix, fromCursor, toCursor, names } = message;
+    const { vm, prefix, fromCursor, toCursor, names, ageMs = 0 } = message;
     const events = message.events?.map(([name, object]): ObjectChange =>
       object === null
         ? { name }
@@ -332,6 +341,7 @@
       toPosition: toCursor,
       events,
       ...(names === null ? {} : { names }),
+      learnedAtMs: this.#options.clock.nowMs() - ageMs,
     };
     const watch = this.#watches.get(prefix);
     if (watch === undefined) return;
@@ -355,7 +365,12 @@
       );
     if (!isWhole) {
       const range = { fromPosition: cursor, toPosition: position };
-      return this.#send(prefix, { ...range, events: undefined }, vm);
+      const learnedAtMs = this.#options.clock.nowMs();
+      return this.#send(
+        prefix,
+        { ...range, events: undefined, learnedAtMs },
+        vm,
+      );
     }
     for (const batch of missed) this.#send(prefix, batch, vm);
   }
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -107,7 +107,11 @@
   const metrics = new GatewayMetrics(log.part("main"));
   const store = new MeteredStore(adapter.store, metrics.storeCalls);
   const health = new StoreHealth({ clock, log: log.part("store") });
-  const config = new ConfigHolder({ adapter, log: log.part("config") });
+  const config = new ConfigHolder({
+    adapter,
+    clock,
+    log: log.part("config"),
+  });
   const evacuations = new ZoneEvacuations({
     adapter,
     zones: new Set(Object.keys(settings.zones) as contracts.ZoneId[]),
@@ -162,7 +166,7 @@
     store,
     health,
     name: adapter.prefixes.configObject,
-    onObject: (object) => config.applyObject(object),
+    onObject: (object) => config.applyObject(object, { source: "probe" }),
     clock,
     need: () => {
       if (relay.isReader || grantTask.isLeader) return "duty";
@@ -423,11 +427,11 @@
       config: new KindWatch({
         ...common,
         prefix: adapter.prefixes.config,
-        onList: (objects) =>
-          objects.forEach((object) => config.applyObject(object)),
-        onChanges: (changes) =>
+        onList: (objects, origin) =>
+          objects.forEach((object) => config.applyObject(object, origin)),
+        onChanges: (changes, origin) =>
           changes.forEach(({ object }) =>
-            object !== undefined && config.applyObject(object)
+            object !== undefined && config.applyObject(object, origin)
           ),
       }),
       servers: new KindWatch({
