feat(store): reads that repeat overdue calls

A connection on which an answer is lost stays open and returns nothing further, so a lost answer cost a read its whole timeout: 0.75 s for a probe, 0.8 s for a map, 1 s for a list, 20 s for a watch. HedgedStore sends an overdue read again on another connection, twice at most, and takes the first answer. A first call that stays unanswered 0.4 s longer counts as a lost answer; a slow store answers both.

Tried first: an overdue call counts as lost at once. Not repeated: reads of a VM that has just started, and reads while the store answers nobody for 3 s.

--- a/packages/entry/src/gateway/store/store_health.ts
+++ b/packages/entry/src/gateway/store/store_health.ts
@@ -8,10 +8,17 @@
   readonly log: Logger;
 }
 
+/** A store that answers nobody for this long gets no repeated calls. */
+const REPEAT_LIMIT_MS = 3_000;
+
+/** Reads that overlap the start of many VMs are slow, not lost. */
+const START_MS = 2_000;
+
 /** Tracks the results of calls to the store. */
 export class StoreHealth {
   readonly #options: StoreHealthOptions;
   #unreachableSinceMs: number | undefined;
+  #firstAnswerAtMs = Number.POSITIVE_INFINITY;
   #failedAtMs = Number.NEGATIVE_INFINITY;
   #recoveredAtMs = Number.NEGATIVE_INFINITY;
   readonly #listeners: (() => void)[] = [];
@@ -26,14 +33,30 @@
   }
 
   /**
-   * Time in ms since the last failed call, or since the store became reachable
-   * again, whichever is later.
+   * Time in ms since the last failed call or lost answer, or since the store became
+   * reachable again, whichever is later.
    */
   get healthyMs(): number {
     const nowMs = this.#options.clock.nowMs();
     return nowMs - Math.max(this.#failedAtMs, this.#recoveredAtMs);
   }
 
+  /**
+   * Whether an overdue call is to be repeated. A VM that starts gets its first
+   * lists from peers too, and many VMs start at once.
+   */
+  get mayRepeatCalls(): boolean {
+    const sinceMs = this.#unreachableSinceMs;
+    const nowMs = this.#options.clock.nowMs();
+    const isAway = sinceMs !== undefined && nowMs - sinceMs >= REPEAT_LIMIT_MS;
+    return !isAway && nowMs - this.#firstAnswerAtMs >= START_MS;
+  }
+
+  /** The answer to a call was lost; another call was answered. */
+  noteLostAnswer(): void {
+    this.#failedAtMs = this.#options.clock.nowMs();
+  }
+
   /** Registers a listener called when the store is reachable again. */
   onRecovered(listener: () => void): void {
     this.#listeners.push(listener);
@@ -41,9 +64,10 @@
 
   /** The store answered a call. */
   noteAnswer(): void {
+    const nowMs = this.#options.clock.nowMs();
+    this.#firstAnswerAtMs = Math.min(this.#firstAnswerAtMs, nowMs);
     if (this.#unreachableSinceMs === undefined) return;
-    const { clock, log } = this.#options;
-    const nowMs = clock.nowMs();
+    const { log } = this.#options;
     const awayMs = Math.round(nowMs - this.#unreachableSinceMs);
     log.info("The platform's store is reachable again.", { awayMs });
     this.#unreachableSinceMs = undefined;
--- /dev/null
+++ b/packages/entry/src/platform/hedged_store.ts
@@ -0,0 +1,235 @@
+/**
+ * Repeats reads of the platform's store that are overdue. A connection on which
+ * an answer is lost stays open and returns nothing further, so a second call on
+ * another connection is quicker than the first one's timeout.
+ */
+import type * as contracts from "@guavatide/contracts";
+import * as neverthrow from "neverthrow";
+
+/** Options of {@link HedgedStore}. */
+export interface HedgedStoreOptions {
+  readonly store: contracts.PlatformStore;
+  readonly clock: contracts.Clock;
+  /**
+   * Whether overdue reads are repeated now. Every call is priced, and one more
+   * doesn't help while the store answers nobody.
+   */
+  readonly mayRepeat: () => boolean;
+  /**
+   * Called when a repeated read was answered and the first one is not: its answer
+   * is probably lost. A slow store answers both.
+   */
+  readonly onLostAnswer: () => void;
+}
+
+type Attempt<Value> = (
+  options: contracts.CallOptions,
+  attempt: number,
+) => neverthrow.ResultAsync<Value, contracts.StoreError>;
+
+/** Calls of one read, the first included. */
+const MAX_ATTEMPTS = 3;
+/** An answer is overdue after this many times the usual time. */
+const OVERDUE_FACTOR = 1.5;
+/** The store answers in some milliseconds, at its slowest in some tenths of a second. */
+const OVERDUE_MIN_MS = 250;
+const OVERDUE_MAX_MS = 600;
+/** A call unanswered this long after a later one was answered counts as lost. */
+const LOST_AFTER_MS = 400;
+/** A timer that runs this late shows that the process was paused. */
+const PAUSE_MIN_MS = 50;
+/** Weight of the latest answer in the usual time. */
+const LATENCY_WEIGHT = 0.3;
+/** Wait of a watch that is repeated; a change that was lost is returned at once. */
+const REPEATED_WAIT_MS = 50;
+
+/** A store whose overdue reads are repeated; writes pass unchanged. */
+export class HedgedStore implements contracts.PlatformStore {
+  readonly #options: HedgedStoreOptions;
+  #usualMs = 0;
+
+  constructor(options: HedgedStoreOptions) {
+    this.#options = options;
+  }
+
+  get(
+    name: string,
+    options: Parameters<contracts.PlatformStore["get"]>[1],
+  ) {
+    return this.#hedge(
+      (call) => this.#options.store.get(name, { ...options, ...call }),
+      options,
+    );
+  }
+
+  list(
+    prefix: string,
+    options: Parameters<contracts.PlatformStore["list"]>[1],
+  ) {
+    return this.#hedge(
+      (call) => this.#options.store.list(prefix, { ...options, ...call }),
+      options,
+    );
+  }
+
+  watch(
+    prefix: string,
+    options: Parameters<contracts.PlatformStore["watch"]>[1],
+  ) {
+    const { cursor, waitMs } = options;
+    return this.#hedge(
+      (call, attempt) =>
+        this.#options.store.watch(prefix, {
+          ...call,
+          cursor,
+          waitMs: attempt === 0 ? waitMs : REPEATED_WAIT_MS,
+        }),
+      options,
+      waitMs,
+    );
+  }
+
+  put(
+    name: string,
+    value: string,
+    options: Parameters<contracts.PlatformStore["put"]>[2],
+  ) {
+    return this.#options.store.put(name, value, options);
+  }
+
+  delete(
+    name: string,
+    options: Parameters<contracts.PlatformStore["delete"]>[1],
+  ) {
+    return this.#options.store.delete(name, options);
+  }
+
+  /** `waitMs`: how long the store may hold the answer back. */
+  #hedge<Value>(
+    attempt: Attempt<Value>,
+    { timeoutMs, signal }: contracts.CallOptions,
+    waitMs = 0,
+  ): neverthrow.ResultAsync<Value, contracts.StoreError> {
+    const read = new HedgedRead(attempt, {
+      ...this.#options,
+      timeoutMs,
+      signal,
+      waitMs,
+      overdueMs: this.#overdueMs,
+      // A held answer doesn't tell how quick the store is.
+      onLatency: (latencyMs) => waitMs === 0 && this.#noteLatency(latencyMs),
+    });
+    return new neverthrow.ResultAsync(read.run());
+  }
+
+  get #overdueMs(): number {
+    return Math.min(
+      OVERDUE_MAX_MS,
+      Math.max(OVERDUE_MIN_MS, OVERDUE_FACTOR * this.#usualMs),
+    );
+  }
+
+  #noteLatency(latencyMs: number): void {
+    this.#usualMs += LATENCY_WEIGHT * (latencyMs - this.#usualMs);
+  }
+}
+
+interface HedgedReadOptions
+  extends Pick<HedgedStoreOptions, "clock" | "mayRepeat" | "onLostAnswer"> {
+  readonly timeoutMs: number;
+  readonly signal: AbortSignal | undefined;
+  readonly waitMs: number;
+  readonly overdueMs: number;
+  readonly onLatency: (latencyMs: number) => void;
+}
+
+/** One read with its calls; its result is that of the first call answered. */
+class HedgedRead<Value> {
+  readonly #attempt: Attempt<Value>;
+  readonly #options: HedgedReadOptions;
+  readonly #startMs: number;
+  readonly #cancellation = new AbortController();
+  readonly #pending = new Set<number>();
+  #sent = 0;
+  #isAnswered = false;
+  #timer: NodeJS.Timeout | undefined;
+  #resolve: (result: neverthrow.Result<Value, contracts.StoreError>) => void =
+    () => {};
+
+  constructor(attempt: Attempt<Value>, options: HedgedReadOptions) {
+    this.#attempt = attempt;
+    this.#options = options;
+    this.#startMs = options.clock.nowMs();
+  }
+
+  async run(): Promise<neverthrow.Result<Value, contracts.StoreError>> {
+    const { signal } = this.#options;
+    const cancel = () => this.#cancellation.abort();
+    signal?.addEventListener("abort", cancel);
+    if (signal?.aborted) cancel();
+    const result = await new Promise<
+      neverthrow.Result<Value, contracts.StoreError>
+    >((resolve) => {
+      this.#resolve = resolve;
+      this.#send();
+    });
+    signal?.removeEventListener("abort", cancel);
+    clearTimeout(this.#timer);
+    this.#watchUnanswered();
+    return result;
+  }
+
+  get #elapsedMs(): number {
+    return this.#options.clock.nowMs() - this.#startMs;
+  }
+
+  #send(): void {
+    const { timeoutMs, waitMs, overdueMs } = this.#options;
+    const index = this.#sent++;
+    this.#pending.add(index);
+    const sentAtMs = this.#elapsedMs;
+    const heldMs = index === 0 ? waitMs : Math.min(waitMs, REPEATED_WAIT_MS);
+    this.#armTimer(heldMs + overdueMs);
+    this.#attempt({
+      timeoutMs: timeoutMs - sentAtMs,
+      signal: this.#cancellation.signal,
+    }, index).then((result) => this.#noteResult(index, sentAtMs, result));
+  }
+
+  #noteResult(
+    index: number,
+    sentAtMs: number,
+    result: neverthrow.Result<Value, contracts.StoreError>,
+  ): void {
+    this.#pending.delete(index);
+    const isAnswer = result.isOk() || result.error.kind !== "unavailable";
+    if (!isAnswer && this.#pending.size > 0) return;
+    if (isAnswer) this.#options.onLatency(this.#elapsedMs - sentAtMs);
+    this.#isAnswered ||= isAnswer;
+    this.#resolve(result);
+  }
+
+  #armTimer(delayMs: number): void {
+    const { timeoutMs, mayRepeat } = this.#options;
+    const dueMs = this.#elapsedMs + delayMs;
+    this.#timer = setTimeout(() => {
+      const elapsedMs = this.#elapsedMs;
+      // The answer may have arrived while this process stood still.
+      if (elapsedMs - dueMs > PAUSE_MIN_MS) return this.#armTimer(PAUSE_MIN_MS);
+      const isSpent = elapsedMs >= timeoutMs;
+      if (this.#sent < MAX_ATTEMPTS && !isSpent && mayRepeat()) this.#send();
+    }, delayMs);
+  }
+
+  /** Cancels the calls that are not answered soon after the first answer. */
+  #watchUnanswered(): void {
+    if (!this.#isAnswered || this.#pending.size === 0) {
+      return this.#cancellation.abort();
+    }
+    setTimeout(() => {
+      const isLost = this.#pending.has(0);
+      this.#cancellation.abort();
+      if (isLost) this.#options.onLostAnswer();
+    }, LOST_AFTER_MS).unref();
+  }
+}
--- /dev/null
+++ b/packages/entry/src/platform/hedged_store_test.ts
@@ -0,0 +1,119 @@
+import type * as contracts from "@guavatide/contracts";
+import { expect } from "earl";
+import * as neverthrow from "neverthrow";
+import { test } from "node:test";
+import * as timers from "node:timers/promises";
+import { HedgedStore } from "./hedged_store.ts";
+
+const NAME = "config/main";
+const OBJECT = { name: NAME, version: "1", value: "{}" };
+const TIMEOUT_MS = 1_000;
+/** A read that is repeated once ends well before its timeout. */
+const REPEATED_READ_MAX_MS = 600;
+
+/** By then an answer that is still missing counts as lost. */
+const LOST_AFTER_MAX_MS = 500;
+
+type Answer = neverthrow.Result<unknown, contracts.StoreError>;
+
+type ScriptedCall = contracts.CallOptions & { readonly waitMs?: number };
+
+/** A store that gives each call its next answer; undefined: none comes. */
+class ScriptedStore {
+  readonly calls: ScriptedCall[] = [];
+  lostAnswers = 0;
+  /** If set, each call is answered after this time. */
+  answerDelayMs: number | undefined;
+  readonly #answers: (Answer | undefined)[];
+
+  constructor(...answers: (Answer | undefined)[]) {
+    this.#answers = answers;
+  }
+
+  hedged(mayRepeat = true): HedgedStore {
+    const store = this as unknown as contracts.PlatformStore;
+    return new HedgedStore({
+      store,
+      clock: { nowMs: () => performance.now() },
+      mayRepeat: () => mayRepeat,
+      onLostAnswer: () => this.lostAnswers++,
+    });
+  }
+
+  get(_name: string, options: ScriptedCall) {
+    return this.#call(options);
+  }
+
+  watch(_prefix: string, options: ScriptedCall) {
+    return this.#call(options);
+  }
+
+  #call(options: ScriptedCall) {
+    this.calls.push(options);
+    const answer = this.#answers.shift();
+    return new neverthrow.ResultAsync(
+      new Promise<Answer>((resolve) => {
+        if (answer !== undefined) return resolve(answer);
+        if (this.answerDelayMs !== undefined) {
+          const succeed = () => resolve(neverthrow.ok(OBJECT));
+          setTimeout(succeed, this.answerDelayMs);
+          return;
+        }
+        const fail = () =>
+          resolve(neverthrow.err({ kind: "unavailable", message: "timeout" }));
+        setTimeout(fail, options.timeoutMs);
+        options.signal?.addEventListener("abort", fail);
+      }),
+    );
+  }
+}
+
+/** A lost answer must not cost a read its whole timeout. */
+test("should repeat a read whose answer is lost", async () => {
+  const script = new ScriptedStore(undefined, neverthrow.ok(OBJECT));
+  const startMs = performance.now();
+  const result = await script.hedged().get(NAME, { timeoutMs: TIMEOUT_MS });
+  expect(result._unsafeUnwrap()).toEqual(OBJECT);
+  expect(performance.now() - startMs < REPEATED_READ_MAX_MS).toEqual(true);
+  expect(script.calls.length).toEqual(2);
+  await timers.setTimeout(LOST_AFTER_MAX_MS);
+  expect(script.lostAnswers).toEqual(1);
+});
+
+/** A watch that is repeated must not wait for the next change again. */
+test("should ask at once for the changes that a lost answer had", async () => {
+  const batch = { cursor: "2", events: [], reset: false };
+  const script = new ScriptedStore(undefined, neverthrow.ok(batch));
+  const options = { timeoutMs: TIMEOUT_MS, waitMs: 200, cursor: "1" };
+  const result = await script.hedged().watch("config/", options);
+  expect(result._unsafeUnwrap()).toEqual(batch);
+  expect(script.calls.map(({ waitMs }) => waitMs)).toEqual([200, 50]);
+});
+
+/** Repeated calls are priced, and help nobody while the store is away. */
+test("should not repeat reads while the store answers nobody", async () => {
+  const script = new ScriptedStore(undefined, neverthrow.ok(OBJECT));
+  const result = await script.hedged(false)
+    .get(NAME, { timeoutMs: TIMEOUT_MS });
+  expect(result._unsafeUnwrapErr().kind).toEqual("unavailable");
+  expect(script.calls.length).toEqual(1);
+});
+
+/** A refused call has an answer; the store must not get it once more. */
+test("should return an error that the store has answered", async () => {
+  const error = { kind: "not-found", message: "" } as const;
+  const script = new ScriptedStore(neverthrow.err(error));
+  const result = await script.hedged().get(NAME, { timeoutMs: TIMEOUT_MS });
+  expect(result._unsafeUnwrapErr()).toEqual(error);
+  expect(script.calls.length).toEqual(1);
+});
+
+/** Watches are renewed often after a lost answer, which a slow store can't bear. */
+test("should not take the answer of a slow store for lost", async () => {
+  const script = new ScriptedStore();
+  script.answerDelayMs = 300;
+  const result = await script.hedged().get(NAME, { timeoutMs: TIMEOUT_MS });
+  expect(result._unsafeUnwrap()).toEqual(OBJECT);
+  await timers.setTimeout(LOST_AFTER_MAX_MS);
+  expect(script.lostAnswers).toEqual(0);
+});
