fix(store): notice changes whose answer all readers have lost

Cause: noticing a change rested on the two watches alone. With both answers lost, the watches wait up to 20 s; the probe of the configuration may return old data, and what it found was in force at that VM only.

- The first reader renews its watch of the configuration every 1.2 s.
Its answer names the store's position; if that passes what another watch knows, that watch is checked with one call.
- While answers are lost, or calls fail, readers wait 0.3 s per watch.
- A probe that finds newer objects has the VM list and relay them.
- A VM that missed a relayed change waits 0.4 s for it, then fetches from a peer and, 0.25 s later, lists the store beside.
Before, the steps added up: 0.6 s, a fetch of 0.6 s, a list of 1 s.
Statuses of peers no longer cancel a list or fetch that is under way.
- A list that ends after a later change was relayed reverted it.

--- a/packages/entry/src/gateway/store/kind_watch.ts
+++ b/packages/entry/src/gateway/store/kind_watch.ts
@@ -45,6 +45,12 @@
    * of a reader once one knows any. For objects that a VM can start without.
    */
   readonly isRare?: boolean;
+  /**
+   * Whether the first reader renews this watch often. One watch suffices: its
+   * answers name the store's position, by which a change of other objects is
+   * noticed as well.
+   */
+  readonly checksStore?: boolean;
   /** Called once, with all objects of the first list. */
   readonly onList: (
     objects: readonly contracts.StoredObject[],
@@ -58,10 +64,19 @@
 }
 
 /**
- * Longest wait of one watch call. Two readers notify each other of changes, so
- * that a dead connection is noticed with the next change.
+ * Longest wait of one watch call. Its answer may be lost, which is noticed by
+ * what another reader or another watch learns of the store's position.
  */
 const WATCH_WAIT_MS = 20_000;
+/** Wait of the watch by which the first reader checks the store's position. */
+const RENEWAL_MS = 1_200;
+/** Wait of a call that looks for changes that a waiting watch has missed. */
+const CHECK_WAIT_MS = 50;
+/**
+ * Wait while answers of the store are lost or calls fail. Two readers that lose a third of the answers, and notice that
+ * 250 ms later, still learn of a change in time.
+ */
+const SHORT_WAIT_MS = 300;
 /**
  * Pause after a batch of events. Changes come in groups, as when a service is
  * replaced, and each batch costs every reader one call.
@@ -77,9 +92,12 @@
 const WATCH_GRACE_MS = 250;
 /**
  * Peers have this long to send the changes that this VM missed; then it fetches
- * all objects from one of them. A change has to be known within 2 s.
+ * all objects from one of them. A change has to be known within 2 s, and the
+ * statuses that reveal it come every 300 ms.
  */
-const RELAY_GRACE_MS = 600;
+const RELAY_GRACE_MS = 400;
+/** A VM that fetches objects from a peer lists the store after this time too. */
+const PEER_GRACE_MS = 250;
 /** Shortest interval between two requests for missed changes. */
 const REQUEST_INTERVAL_MIN_MS = 150;
 
@@ -101,8 +119,15 @@
    */
   #peerPosition = 0;
   #behindSinceMs: number | undefined;
+  #isCatchUpScheduled = false;
   #aheadPeer: contracts.VmId | undefined;
   #requestedAtMs = Number.NEGATIVE_INFINITY;
+  /** Latest position of the store that any watch of this VM has seen. */
+  #storePosition = 0;
+  /** Whether a call looks for changes that the waiting watch has missed. */
+  #isChecking = false;
+  /** Whether the store is known to be ahead of the peers. */
+  #isStoreAhead = false;
   /** Ends the wait of a VM that is not a reader. */
   #wake: () => void = () => {};
 
@@ -115,6 +140,10 @@
     return this.#options.prefix;
   }
 
+  get checksStore(): boolean {
+    return this.#options.checksStore ?? false;
+  }
+
   /** Position of the last change known to this VM. */
   get position(): number {
     return this.#position;
@@ -159,22 +188,27 @@
     if (!this.#isListed) return this.#noteFirstObjects(position, peer);
     this.#peerPosition = Math.max(this.#peerPosition, position);
     const known = this.#completePosition;
-    if (this.#peerPosition <= known) {
-      this.#behindSinceMs = undefined;
-      return;
-    }
-    // This peer may lack the changes as well.
-    if (position <= known) return;
-    const nowMs = this.#options.clock.nowMs();
-    this.#behindSinceMs ??= nowMs;
+    if (this.#peerPosition <= known) this.#behindSinceMs = undefined;
+    // This peer may lack the changes as well, or this VM is catching up.
+    if (position <= known || this.#isStale) return;
     this.#aheadPeer = peer;
-    const behindMs = nowMs - this.#behindSinceMs;
-    if (!this.#options.relay.isReader && behindMs < RELAY_GRACE_MS) {
-      return this.#requestMissed(peer);
-    }
-    if (behindMs < WATCH_GRACE_MS) return;
-    this.#relist("peers know newer changes");
-    this.#behindSinceMs = undefined;
+    if (!this.#options.relay.isReader) this.#requestMissed(peer);
+    this.#scheduleCatchUp();
+  }
+
+  /** Lists or fetches all objects unless the changes arrive meanwhile. */
+  #scheduleCatchUp(): void {
+    const { clock, relay } = this.#options;
+    this.#behindSinceMs ??= clock.nowMs();
+    if (this.#isCatchUpScheduled) return;
+    this.#isCatchUpScheduled = true;
+    setTimeout(() => {
+      this.#isCatchUpScheduled = false;
+      const isBehind = this.#peerPosition > this.#completePosition;
+      if (isBehind && !this.#isStale) {
+        this.#relist("peers know newer changes");
+      }
+    }, relay.isReader ? WATCH_GRACE_MS : RELAY_GRACE_MS).unref();
   }
 
   /** Wakes a VM that waits for rare objects when a peer has some. */
@@ -189,7 +223,9 @@
     if (!this.#isListed || toPosition <= this.#position) return;
     if (events === undefined) {
       this.#aheadPeer = from;
-      return this.#relist("changes are not told");
+      this.#peerPosition = Math.max(this.#peerPosition, toPosition);
+      if (!this.#isStale) this.#relist("changes are not told");
+      return;
     }
     if (fromPosition > this.#completePosition) {
       return this.#requestMissed(from);
@@ -223,6 +259,55 @@
     this.#wake();
   }
 
+  renewWatch(): void {
+    if (this.#isWatching) this.#abort?.abort();
+  }
+
+  get #isWatching(): boolean {
+    return this.#isListed && !this.#isStale && this.#options.relay.isReader;
+  }
+
+  noteStorePosition(position: number): void {
+    const isKnown = position <=
+      Math.max(this.#storePosition, this.#completePosition);
+    this.#storePosition = Math.max(this.#storePosition, position);
+    if (!isKnown && !this.#options.isRare) this.#checkForChanges();
+  }
+
+  /** Notes an object that this VM has read itself; it may be an old one. */
+  noteStoredObject({ version }: contracts.StoredObject): void {
+    const position = Number(version);
+    if (!this.#isListed || position <= this.#completePosition) return;
+    if (this.#options.relay.isReader) return this.#checkForChanges();
+    // Readers are probably about to relay it.
+    setTimeout(() => {
+      if (position <= this.#completePosition || this.#isStale) return;
+      this.#isStoreAhead = true;
+      this.#relist("the store knows newer changes");
+    }, WATCH_GRACE_MS).unref();
+  }
+
+  /**
+   * Asks the store for changes that the waiting watch should have returned, and
+   * repeats that watch if there are any.
+   */
+  #checkForChanges(): void {
+    const { store, prefix } = this.#options;
+    if (this.#isChecking || !this.#isWatching) return;
+    this.#isChecking = true;
+    store.watch(prefix, {
+      cursor: String(this.#completePosition),
+      waitMs: CHECK_WAIT_MS,
+      timeoutMs: LIST_TIMEOUT_MS,
+    }).then((result) => {
+      this.#isChecking = false;
+      if (result.isErr()) return;
+      const { events, cursor, reset } = result.value;
+      if (events.length > 0 || reset) return this.renewWatch();
+      this.#storePosition = Math.max(this.#storePosition, Number(cursor));
+    });
+  }
+
   /** Lists or fetches all objects again. */
   #relist(reason: string): void {
     const { log, prefix } = this.#options;
@@ -248,9 +333,9 @@
     const { isReader } = this.#options.relay;
     if (!this.#isListed) return this.#listFirst(signal);
     if (this.#isStale) {
-      return isReader
+      return isReader || this.#isStoreAhead
         ? this.#list({ mayBeStale: false })
-        : this.#fetchFromPeer();
+        : this.#catchUp();
     }
     return isReader ? this.#watch() : this.#untilWoken(signal);
   }
@@ -283,37 +368,67 @@
     return this.#list({ mayBeStale: !this.#options.relay.isReader });
   }
 
+  /**
+   * Fetches all objects from a peer, and lists the store as well if that fails
+   * or takes long.
+   */
+  async #catchUp(): Promise<boolean> {
+    const abort = this.#abort!;
+    const fetching = this.#fetchFromPeer();
+    const isFetched = await Promise.race([
+      fetching,
+      timers.setTimeout(PEER_GRACE_MS),
+    ]);
+    if (isFetched === true || abort.signal.aborted) return true;
+    const listing = this.#list({ mayBeStale: false });
+    const isDone = isFetched === false
+      ? await listing
+      : await isAnyTrue([fetching, listing]);
+    abort.abort();
+    return isDone;
+  }
+
+  /**
+   * Resolves to whether a peer has sent as much as any peer is known to have.
+   */
   async #fetchFromPeer(): Promise<boolean> {
     const { relay, prefix } = this.#options;
+    const { signal } = this.#abort!;
     const from = this.#aheadPeer;
-    const snapshot = await relay.fetchSnapshot(prefix, from);
     this.#aheadPeer = undefined;
-    // Without an answer: lists the store, or retries with the next peer.
-    if (snapshot === undefined) {
-      return this.#isListed ? this.#list({ mayBeStale: false }) : false;
+    const snapshot = await relay.fetchSnapshot(prefix, from);
+    if (snapshot === undefined || signal.aborted) return false;
+    const { position } = snapshot;
+    const isNewer = !this.#isListed || position > this.#position;
+    if (isNewer) {
+      const objects = snapshot.objects
+        .map(([name, version, value]) => ({ name, version, value }));
+      this.#replace(objects, { source: "peer", from });
+      this.#position = position;
+      this.#knownPosition = Math.max(this.#knownPosition, position);
     }
+    if (this.#completePosition < this.#peerPosition) return false;
     this.#isStale = false;
-    if (this.#isListed && snapshot.position <= this.#position) return true;
-    const objects = snapshot.objects
-      .map(([name, version, value]) => ({ name, version, value }));
-    this.#replace(objects, { source: "peer", from });
-    this.#position = snapshot.position;
-    this.#knownPosition = Math.max(this.#knownPosition, snapshot.position);
     return true;
   }
 
   async #list(options: { readonly mayBeStale: boolean }): Promise<boolean> {
     const { store, prefix, health, relay } = this.#options;
+    const { signal } = this.#abort!;
     const result = await store.list(prefix, {
       ...options,
       timeoutMs: LIST_TIMEOUT_MS,
-      signal: this.#abort!.signal,
+      signal,
     });
+    if (signal.aborted) return true;
     if (result.isErr()) return this.#noteFailure(result.error);
     health.noteAnswer();
     this.#failures = 0;
     this.#isStale = false;
+    this.#isStoreAhead = false;
     const { objects, cursor } = result.value;
+    // Peers have sent later changes meanwhile, which this list would revert.
+    if (this.#isListed && Number(cursor) < this.#position) return true;
     const newestPosition = Math.max(
       0,
       ...objects.map(({ version }) => Number(version)),
@@ -369,6 +484,9 @@
       return true;
     }
     const toPosition = Number(result.value.cursor);
+    if (this.#options.checksStore && relay.isFirstReader) {
+      relay.noteStorePosition(toPosition);
+    }
     this.#knownPosition = Math.max(this.#knownPosition, toPosition);
     if (events.length === 0) return true;
     // Nothing has changed between the last change known here and the start of
@@ -411,7 +529,9 @@
   }
 
   #waitMs(): number {
-    const { random } = this.#options;
+    const { random, relay, checksStore, isRare } = this.#options;
+    if (!relay.isStoreSteady && !isRare) return SHORT_WAIT_MS;
+    if (checksStore && relay.isFirstReader) return RENEWAL_MS;
     return Math.round(WATCH_WAIT_MS * (0.5 + random.next() / 2));
   }
 
@@ -434,3 +554,14 @@
     );
   }
 }
+
+/** Resolves to true as soon as one of the promises does; else to false. */
+async function isAnyTrue(
+  promises: readonly Promise<boolean>[],
+): Promise<boolean> {
+  const rejectUnlessTrue = (isTrue: boolean) =>
+    isTrue ? Promise.resolve() : Promise.reject(new Error("False"));
+  return await Promise.any(
+    promises.map((promise) => promise.then(rejectUnlessTrue)),
+  ).then(() => true, () => false);
+}
--- a/packages/entry/src/gateway/store/kind_watch_test.ts
+++ b/packages/entry/src/gateway/store/kind_watch_test.ts
@@ -27,6 +27,7 @@
   #version = 1;
   #listDelayMs = 0;
   #knownVersion = 0;
+  #knownAtMs = 0;
   readonly watch = new KindWatch({
     store: this.#store(),
     health: new StoreHealth({ clock: this.#clock, log: SILENT }),
@@ -35,8 +36,11 @@
     clock: this.#clock,
     random: { next: () => 0.5 },
     relay: this.#relay(),
-    onList: () => this.#knownVersion = this.#version,
-    onChanges: () => this.#knownVersion = this.#version,
+    onList: ([object]) => this.#knownVersion = Number(object!.version),
+    onChanges: ([change]) => {
+      this.#knownVersion = Number(change!.object!.version);
+      this.#knownAtMs = performance.now();
+    },
   });
 
   async start(): Promise<void> {
@@ -45,6 +49,27 @@
     this.#listDelayMs = SLOW_LIST_MS;
   }
 
+  /** The version that this VM has learned of last. */
+  get knownVersion(): number {
+    return this.#knownVersion;
+  }
+
+  /** The version that the store lists; a list under way has an older one. */
+  set storeVersion(version: number) {
+    this.#version = version;
+  }
+
+  /** A change that a reader relays. */
+  relay(fromPosition: number, toPosition: number): void {
+    const object = objectOf(toPosition);
+    this.watch.applyRelayed({
+      fromPosition,
+      toPosition,
+      events: [{ name: object.name, object }],
+      learnedAtMs: performance.now(),
+    }, PEER);
+  }
+
   /** Changes the object, and reports the new position as readers do. */
   async timeUntilKnown(): Promise<number> {
     this.#version = 2;
@@ -53,7 +78,7 @@
       await timers.setTimeout(STATUS_INTERVAL_MS);
       this.watch.notePeerPosition(this.#version, PEER);
     }
-    return performance.now() - startMs;
+    return this.#knownAtMs - startMs;
   }
 
   #relay() {
@@ -73,18 +98,37 @@
     return {
       list: () =>
         new neverthrow.ResultAsync((async () => {
+          const object = objectOf(this.#version);
           await timers.setTimeout(this.#listDelayMs);
-          const version = String(this.#version);
-          const object = { name: `${PREFIX}main`, version, value: "{}" };
-          return neverthrow.ok({ objects: [object], cursor: version });
+          return neverthrow.ok({ objects: [object], cursor: object.version });
         })()),
     } as unknown as contracts.PlatformStore;
   }
 }
 
+function objectOf(version: number): contracts.StoredObject {
+  return { name: `${PREFIX}main`, version: String(version), value: "{}" };
+}
+
 /** Steps that are each sensible must not add up to more than the bound. */
 test("should know a change in time when messages, peer and list fail or are slow", () =>
   withFixture(new BehindVm(), async (vm) => {
     await vm.start();
     expect(await vm.timeUntilKnown() <= CHANGE_BOUND_MS).toEqual(true);
   }));
+
+/** A list that the store has answered late must not bring back older objects. */
+test("should keep a relayed change when a list that began before it ends", () =>
+  withFixture(new BehindVm(), async (vm) => {
+    await vm.start();
+    vm.storeVersion = 2;
+    vm.watch.notePeerPosition(2, PEER);
+    await timers.setTimeout(STATUS_INTERVAL_MS * 2 + 100);
+    vm.watch.notePeerPosition(2, PEER);
+    // The fetch from the peer has failed and the list is under way by then.
+    await timers.setTimeout(PEER_TIMEOUT_MS + 100);
+    vm.relay(1, 3);
+    expect(vm.knownVersion).toEqual(3);
+    await timers.setTimeout(SLOW_LIST_MS);
+    expect(vm.knownVersion).toEqual(3);
+  }));
--- a/packages/entry/src/gateway/store/watch_relay.ts
+++ b/packages/entry/src/gateway/store/watch_relay.ts
@@ -56,6 +56,8 @@
 /** The watch of one prefix, as the relay sees it. */
 export interface RelayedWatch {
   readonly prefix: string;
+  /** Whether the first reader renews this watch often to check the store. */
+  readonly checksStore: boolean;
   /** Position of the last change known to this VM. */
   readonly position: number;
   /** All objects; undefined before the first list. */
@@ -64,6 +66,10 @@
   applyRelayed(changes: RelayedChanges, from: contracts.VmId): void;
   /** Notes that a peer knows all changes up to a position. */
   notePeerPosition(position: number, peer: contracts.VmId): void;
+  /** Notes the store's position, which changes of any prefix advance. */
+  noteStorePosition(position: number): void;
+  /** Repeats the watch of the store: how long it is to wait has changed. */
+  renewWatch(): void;
   /** Called when this VM has become a reader, or has ceased to be one. */
   onRoleChange(): void;
 }
@@ -72,6 +78,10 @@
 const REVIEW_INTERVAL_MS = 100;
 /** The ranking of the candidates is cached for this long. */
 const RANKING_TTL_MS = 500;
+/** A store counts as steady after this time without a failed call or lost answer. */
+const STEADY_AFTER_MS = 5_000;
+/** VMs that have just started have listed the store, and elect readers. */
+const CHECK_MIN_UPTIME_MS = 5_000;
 /** Interval of a reader's heartbeats to all cells. */
 const READER_HEARTBEAT_MS = 300;
 /** Batches of changes that a VM buffers for peers that missed a message. */
@@ -98,6 +108,9 @@
   #rankedAtMs = Number.NEGATIVE_INFINITY;
   #startedAtMs = 0;
   #isProbing = false;
+  /** Results of the last review. */
+  #wasFirstReader = false;
+  #wasStoreSteady = true;
 
   constructor(options: WatchRelayOptions) {
     this.#options = options;
@@ -134,6 +147,27 @@
     return this.#election.isReader;
   }
 
+  /** Whether this VM is the one of the active readers that checks the store. */
+  get isFirstReader(): boolean {
+    const { self, clock } = this.#options;
+    const nowMs = clock.nowMs();
+    const mayCheck = this.#isHealthyReader &&
+      nowMs - this.#startedAtMs >= CHECK_MIN_UPTIME_MS;
+    return mayCheck &&
+      this.#election.activeReaders(nowMs).every(({ vm }) => self.vm < vm);
+  }
+
+  /** Whether the store has answered all readers in time for a while. */
+  get isStoreSteady(): boolean {
+    const { health, clock } = this.#options;
+    const nowMs = clock.nowMs();
+    return health.healthyMs >= STEADY_AFTER_MS &&
+      this.#election.activeReaders(nowMs).every(({
+        receivedAtMs,
+        storeCalmMs,
+      }) => storeCalmMs + nowMs - receivedAtMs >= STEADY_AFTER_MS);
+  }
+
   /** How long, in ms, the store has answered a reader without a failure. */
   get storeHealthyMs(): number {
     const { health, clock } = this.#options;
@@ -155,6 +189,13 @@
     this.#options.gossip.broadcast(messages.CHANGES_METHOD, message);
   }
 
+  /** Passes the store's position on to the watches of all prefixes. */
+  noteStorePosition(position: number): void {
+    for (const watch of this.#watches.values()) {
+      watch.noteStorePosition(position);
+    }
+  }
+
   /** Requests the changes after a position from a peer. */
   requestChanges(prefix: string, cursor: number, peer: contracts.VmId): void {
     const { gossip, self: { vm } } = this.#options;
@@ -205,13 +246,30 @@
   // Election of readers
 
   #review(): void {
-    if (this.#options.isLeaving() || this.#isProbing) return;
+    if (this.#options.isLeaving()) return;
+    this.#reviewWatches();
+    if (this.#isProbing) return;
     const wasReader = this.isReader;
     const step = this.#election.review(this.#view());
     if (step === "try") this.#probeStore();
     else if (wasReader !== this.isReader) this.#notifyRoleChange();
   }
 
+  /** Repeats waiting watches that would now wait for a shorter time. */
+  #reviewWatches(): void {
+    const { isFirstReader, isStoreSteady } = this;
+    const isNewlyFirst = isFirstReader && !this.#wasFirstReader;
+    const isNewlyUnsteady = !isStoreSteady && this.#wasStoreSteady;
+    this.#wasFirstReader = isFirstReader;
+    this.#wasStoreSteady = isStoreSteady;
+    if (!this.isReader) return;
+    for (const watch of this.#watches.values()) {
+      if (isNewlyUnsteady || (isNewlyFirst && watch.checksStore)) {
+        watch.renewWatch();
+      }
+    }
+  }
+
   #view(): cells.ReaderView {
     const { gossip, health, clock, isSeed } = this.#options;
     const nowMs = clock.nowMs();
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -5,6 +5,7 @@
 import * as ownership from "@guavatide/decisions/ownership/mod";
 import * as connectionPools from "../links/connection_pools.ts";
 import { ServerEndCheck } from "../poison/server_end_check.ts";
+import { HedgedStore } from "../platform/hedged_store.ts";
 import { MeteredStore } from "../metrics/metered_store.ts";
 import {
   MonotonicClock,
@@ -105,8 +106,13 @@
   const suspensionClock = new SuspendAwareClock();
   const random = new SystemRandom();
   const metrics = new GatewayMetrics(log.part("main"));
-  const store = new MeteredStore(adapter.store, metrics.storeCalls);
   const health = new StoreHealth({ clock, log: log.part("store") });
+  const store = new HedgedStore({
+    store: new MeteredStore(adapter.store, metrics.storeCalls),
+    clock,
+    mayRepeat: () => health.mayRepeatCalls,
+    onLostAnswer: () => health.noteLostAnswer(),
+  });
   const config = new ConfigHolder({
     adapter,
     clock,
@@ -166,7 +172,10 @@
     store,
     health,
     name: adapter.prefixes.configObject,
-    onObject: (object) => config.applyObject(object, { source: "probe" }),
+    onObject: (object) => {
+      config.applyObject(object, { source: "probe" });
+      watches.config.noteStoredObject(object);
+    },
     clock,
     need: () => {
       if (relay.isReader || grantTask.isLeader) return "duty";
@@ -427,6 +436,7 @@
       config: new KindWatch({
         ...common,
         prefix: adapter.prefixes.config,
+        checksStore: true,
         onList: (objects, origin) =>
           objects.forEach((object) => config.applyObject(object, origin)),
         onChanges: (changes, origin) =>
