fix(peers): a lost relay cuts its cell off from one message at most

A broadcast reaches another cell through one VM. Since that is a strong VM of the cell, and in deployments with one strong VM a cell it is always the same: frozen, cut off or behind a full link, its cell gets neither a change of the configuration nor the heartbeats that reveal it, for 1.6 s until the VM counts as lost.

A relay is no longer drawn twice in a row where there is another. Small messages go through any VM, large ones through strong VMs as before, and a reader repeats its positions 0.1 s after it has sent changes. Readers that the store does not answer send their positions too, marked so that they do not count as readers.

Broadcasts of limits, back-offs, leaving servers and failures are small and have the same cause mended.

--- a/packages/decisions/src/cells/mod.ts
+++ b/packages/decisions/src/cells/mod.ts
@@ -3,3 +3,4 @@
  */
 export * from "./cell_plan.ts";
 export * from "./reader_election.ts";
+export * from "./relay_selection.ts";
--- a/packages/entry/src/gateway/peers/peer_channel.ts
+++ b/packages/entry/src/gateway/peers/peer_channel.ts
@@ -92,7 +92,15 @@
 
   /** Sends one message to several peers. */
   send(method: string, params: object, targets: Iterable<PeerTarget>): void {
-    const bytes = encodeMessage(method, params);
+    this.sendEncoded(method, encodeMessage(method, params), targets);
+  }
+
+  /** Sends an encoded message to several peers. */
+  sendEncoded(
+    method: string,
+    bytes: Uint8Array,
+    targets: Iterable<PeerTarget>,
+  ): void {
     for (const target of targets) {
       this.#options.onSent(method, bytes.length, target);
       this.#sendBytes(bytes, target);
--- a/packages/entry/src/gateway/peers/peer_gossip.ts
+++ b/packages/entry/src/gateway/peers/peer_gossip.ts
@@ -4,13 +4,14 @@
  * all other VMs get a short hello at a longer interval.
  */
 import type * as contracts from "@guavatide/contracts";
-import type * as cells from "@guavatide/decisions/cells/mod";
+import * as cells from "@guavatide/decisions/cells/mod";
 import * as grants from "@guavatide/decisions/grants/mod";
 import type * as z from "zod";
 import type { LifeCycle } from "../../utils/life_cycle.ts";
 import type { Logger } from "../../utils/log.ts";
 import { type Peer, PeerRegistry } from "./peer_registry.ts";
 import { PeerChannel, type PeerTarget } from "./peer_channel.ts";
+import { encodeMessage } from "./peer_codec.ts";
 import {
   BROADCAST_METHOD,
   type BroadcastMessage,
@@ -120,6 +121,8 @@
  * makes the VMs redistribute all servers.
  */
 const MEMBERS_CHANGE_DELAY_MS = 50;
+/** A message up to this size is one packet. */
+const SMALL_MESSAGE_BYTES = 1_400;
 /** Number of messages whose send time this VM keeps, for echoes. */
 const MAX_SENT_TIMES = 256;
 
@@ -138,6 +141,7 @@
   #membersTimer: NodeJS.Timeout | undefined;
   /** When this VM sent each hello or status, by its sequence number. */
   readonly #sentAtMs = new Map<number, number>();
+  readonly #relaySelection: cells.RelaySelection;
   #sequence = 0;
   #cellSentAtMs = Number.NEGATIVE_INFINITY;
   #loadsSentAtMs = Number.NEGATIVE_INFINITY;
@@ -149,6 +153,7 @@
   constructor(options: PeerGossipOptions) {
     this.#options = options;
     this.#registry = new PeerRegistry(options);
+    this.#relaySelection = new cells.RelaySelection(options.random);
     this.#registry.onMembersChange(() => this.#scheduleMembersChange());
     const { self: { host, port, zone }, log, onSent } = options;
     this.#channel = new PeerChannel({
@@ -314,20 +319,21 @@
   broadcast(method: string, params: object): void {
     this.send(method, params, this.#cellMembers());
     const message: BroadcastMessage = { method, params };
-    this.send(BROADCAST_METHOD, message, this.#onePerOtherCell());
+    const bytes = encodeMessage(BROADCAST_METHOD, message);
+    const isLarge = bytes.length > SMALL_MESSAGE_BYTES;
+    const targets = this.#relays({ isLarge })
+      .flatMap((vm) => this.#registry.get(vm) ?? [])
+      .map(targetOf);
+    this.#channel.sendEncoded(BROADCAST_METHOD, bytes, targets);
   }
 
-  #onePerOtherCell(): contracts.VmId[] {
-    const { random, self } = this.#options;
+  /** One VM of every other cell. */
+  #relays(options: cells.ChooseRelayOptions): contracts.VmId[] {
+    const { self } = this.#options;
     return this.cellPlan.others(self.vm).flatMap((members) => {
       const live = members.filter((vm) => this.#registry.get(vm)?.isLive);
-      // A relayed map takes a tenth of a second of a small VM's link.
       const weak = grants.weakVms(live, this.roleWeights);
-      const strong = live.filter((vm) => !weak.has(vm));
-      // Drawn for each message, so that a lost VM cuts its cell off from few
-      // messages.
-      const chosen = strong[Math.floor(random.next() * strong.length)];
-      return chosen === undefined ? [] : [chosen];
+      return this.#relaySelection.choose({ live, weak }, options) ?? [];
     });
   }
 
--- a/packages/entry/src/gateway/peers/peer_messages.ts
+++ b/packages/entry/src/gateway/peers/peer_messages.ts
@@ -591,21 +591,24 @@
 /** Request to a peer for the changes after a position. */
 export type ChangesRequest = z.infer<typeof changesRequestSchema>;
 
-/** Heartbeat of a reader that reaches the store. */
+/** Heartbeat of a reader. */
 export interface ReaderStatus {
   readonly vm: contracts.VmId;
   /** How long the store has answered this reader without a failure. */
   readonly storeCalmMs: number;
   /** By prefix: position of the last change known. */
   readonly positions: Readonly<Record<string, number>>;
+  /** Whether the store doesn't answer it: it then counts as no reader. */
+  readonly isCutOff?: boolean;
 }
 
 /** Type guard of {@link ReaderStatus}, which all VMs get several a second. */
 export function isReaderStatus(params: unknown): params is ReaderStatus {
   if (!isRecord(params)) return false;
-  const { vm, storeCalmMs, positions } = params;
+  const { vm, storeCalmMs, positions, isCutOff } = params;
   return typeof vm === "string" && Number.isFinite(storeCalmMs) &&
-    areCounts(positions);
+    areCounts(positions) &&
+    (isCutOff === undefined || typeof isCutOff === "boolean");
 }
 
 /** Schema of {@link PeersRequest}. */
--- a/packages/entry/src/gateway/store/watch_relay.ts
+++ b/packages/entry/src/gateway/store/watch_relay.ts
@@ -84,6 +84,11 @@
 const CHECK_MIN_UPTIME_MS = 5_000;
 /** Interval of a reader's heartbeats to all cells. */
 const READER_HEARTBEAT_MS = 300;
+/**
+ * A reader repeats its positions this long after it has sent changes, so that a
+ * VM that missed them need not wait for the next heartbeat.
+ */
+const POSITIONS_DELAY_MS = 100;
 /** Batches of changes that a VM buffers for peers that missed a message. */
 const MAX_BUFFERED_BATCHES = 64;
 /**
@@ -108,6 +113,8 @@
   #rankedAtMs = Number.NEGATIVE_INFINITY;
   #startedAtMs = 0;
   #isProbing = false;
+  /** Set while positions wait to be sent after changes. */
+  #positionsTimer: NodeJS.Timeout | undefined;
   /** Results of the last review. */
   #wasFirstReader = false;
   #wasStoreSteady = true;
@@ -187,6 +194,10 @@
     this.#buffer(prefix, changes);
     const message = this.#encode(prefix, changes);
     this.#options.gossip.broadcast(messages.CHANGES_METHOD, message);
+    this.#positionsTimer ??= setTimeout(() => {
+      this.#positionsTimer = undefined;
+      this.#broadcastReaderStatus();
+    }, POSITIONS_DELAY_MS).unref();
   }
 
   /** Passes the store's position on to the watches of all prefixes. */
@@ -326,21 +337,28 @@
   }
 
   #broadcastReaderStatus(): void {
-    if (!this.#isHealthyReader) return;
-    const { gossip, health, self: { vm } } = this.#options;
+    const { gossip, health, isLeaving, self: { vm } } = this.#options;
+    if (!this.isReader || isLeaving()) return;
     const positions = Object.fromEntries(
       [...this.#watches].map(([prefix, { position }]) => [prefix, position]),
     );
     const storeCalmMs = capHealthyMs(health.healthyMs);
-    const status: messages.ReaderStatus = { vm, storeCalmMs, positions };
+    const status: messages.ReaderStatus = {
+      vm,
+      storeCalmMs,
+      positions,
+      ...(health.isReachable ? {} : { isCutOff: true }),
+    };
     gossip.broadcast(messages.READER_METHOD, status);
   }
 
   #handleReaderStatus(
-    { vm, storeCalmMs, positions }: messages.ReaderStatus,
+    { vm, storeCalmMs, positions, isCutOff }: messages.ReaderStatus,
   ): void {
     const receivedAtMs = this.#options.clock.nowMs();
-    this.#election.noteReader({ vm, receivedAtMs, storeCalmMs });
+    if (!isCutOff) {
+      this.#election.noteReader({ vm, receivedAtMs, storeCalmMs });
+    }
     for (const [prefix, position] of Object.entries(positions)) {
       this.#watches.get(prefix)?.notePeerPosition(position, vm);
     }
