fix(store): send the difference of a large configuration

A change of a configuration with 1,100 routes or more, of random names, was larger than a message may be: all VMs listed everything again and fetched 230 kB, uncompressed, from the reader that had sent it, for each change of one route.

Values of 4 kB or more are sent as the difference from the version before; a VM that lacks that version requests what it missed. A fetch is compressed, and the reader compresses it once for all peers.

--- a/packages/entry/src/gateway/peers/peer_messages.ts
+++ b/packages/entry/src/gateway/peers/peer_messages.ts
@@ -556,6 +556,14 @@
     areStrings(servers);
 }
 
+/** A value as the difference from the one of version `base`. */
+const patchedValueSchema = z.object({
+  base: z.string(),
+  patch: z.array(
+    z.union([z.string(), z.tuple([z.number().int(), z.number().int()])]),
+  ),
+});
+
 /** Schema of {@link StoreChanges}. */
 export const storeChangesSchema = z.object({
   vm: contracts.vmIdSchema,
@@ -568,11 +576,15 @@
   fromCursor: z.number().int(),
   toCursor: z.number().int(),
   /**
-   * Names with version and value, null for a deleted object; null as a whole
-   * when the changes are too large for a datagram or no longer buffered.
+   * Names with version and value, null for a deleted object; large values as
+   * the difference from an earlier version. Null as a whole when the changes are too large for a datagram or no longer buffered.
    */
   events: z.array(
-    z.tuple([z.string(), z.tuple([z.string(), z.string()]).nullable()]),
+    z.tuple([
+      z.string(),
+      z.tuple([z.string(), z.union([z.string(), patchedValueSchema])])
+        .nullable(),
+    ]),
   ).nullable(),
   /** Names of all objects when the changes come from a list; else null. */
   names: z.array(z.string()).nullable(),
--- a/packages/entry/src/gateway/peers/peer_rpc.ts
+++ b/packages/entry/src/gateway/peers/peer_rpc.ts
@@ -5,8 +5,9 @@
 import * as jsonRpc from "json-rpc-2.0";
 import * as neverthrow from "neverthrow";
 import * as http from "node:http";
+import * as zlib from "node:zlib";
 import type * as z from "zod";
-import { HttpChannel } from "../../platform/http_channel.ts";
+import { HttpChannel, type HttpResponse } from "../../platform/http_channel.ts";
 import * as httpServer from "../../utils/http_server.ts";
 import type { LifeCycle } from "../../utils/life_cycle.ts";
 import type { Logger } from "../../utils/log.ts";
@@ -50,12 +51,17 @@
 /** Timeout of one call. */
 const CALL_TIMEOUT_MS = 600;
 const MAX_REQUEST_BYTES = 4_096;
+const COMPRESSION = "deflate";
+/** Favors time over size. */
+const COMPRESSION_LEVEL = 1;
+const MAX_RESULT_BYTES = 64 * 1_048_576;
 const NOT_FOUND_CODE = -32_001;
 
 /** Client and server of the calls between peers. */
 export class PeerRpc {
   readonly #options: PeerRpcOptions;
   readonly #handlers = new Map<string, PeerRpcHandler>();
+  readonly #compressedReplies = new WeakMap<object, Uint8Array>();
   readonly #pathHandlers = new Map<string, PeerPathHandler>();
 
   constructor(options: PeerRpcOptions) {
@@ -105,7 +111,10 @@
     const response = await channel.call({
       method: "POST",
       path: "/",
-      headers: { "content-type": "application/json" },
+      headers: {
+        "content-type": "application/json",
+        "accept-encoding": COMPRESSION,
+      },
       body: JSON.stringify(request),
     }, { timeoutMs: CALL_TIMEOUT_MS });
     channel.close().catch((error) =>
@@ -118,7 +127,20 @@
       const { message } = response.error;
       return neverthrow.err({ kind: "unreachable", message });
     }
-    return parseResult(response.value.text, resultSchema);
+    return parseResult(response.value, resultSchema);
+  }
+
+  /**
+   * Compresses a reply. All VMs fetch the same large result at about the same time.
+   */
+  #compress(result: object | undefined, reply: object): Uint8Array {
+    const known = result && this.#compressedReplies.get(result);
+    if (known !== undefined) return known;
+    const bytes = zlib.deflateSync(JSON.stringify(reply), {
+      level: COMPRESSION_LEVEL,
+    });
+    if (result !== undefined) this.#compressedReplies.set(result, bytes);
+    return bytes;
   }
 
   async #handle(
@@ -140,9 +162,13 @@
     const reply = result === undefined
       ? jsonRpc.createJSONRPCErrorResponse(id, NOT_FOUND_CODE, "Not known here")
       : jsonRpc.createJSONRPCSuccessResponse(id, result);
-    const bytes = Buffer.from(JSON.stringify(reply));
+    const isCompressed = request.headers["accept-encoding"] === COMPRESSION;
+    const bytes = isCompressed
+      ? this.#compress(result, reply)
+      : Buffer.from(JSON.stringify(reply));
     response.writeHead(200, {
       "content-type": "application/json",
+      ...(isCompressed ? { "content-encoding": COMPRESSION } : {}),
       "content-length": bytes.length,
       connection: "close",
     });
@@ -161,13 +187,16 @@
 }
 
 function parseResult<Schema extends z.ZodType>(
-  text: string,
+  { bytes, headers }: HttpResponse,
   schema: Schema,
 ): neverthrow.Result<z.output<Schema>, PeerRpcError> {
   const unreadableResult = (message: string) =>
     neverthrow.err({ kind: "unreadable" as const, message });
   try {
-    const reply = JSON.parse(text);
+    const text = headers["content-encoding"] === COMPRESSION
+      ? zlib.inflateSync(bytes, { maxOutputLength: MAX_RESULT_BYTES })
+      : Buffer.from(bytes);
+    const reply = JSON.parse(text.toString());
     const parsed = schema.safeParse(reply?.result);
     if (parsed.success) return neverthrow.ok(parsed.data);
     return unreadableResult(
@@ -175,6 +204,6 @@
         "The result doesn't match its schema; ask another peer",
     );
   } catch (error) {
-    return unreadableResult(`The answer is not JSON: ${String(error)}`);
+    return unreadableResult(`The answer can't be read: ${String(error)}`);
   }
 }
--- a/packages/entry/src/gateway/store/kind_watch.ts
+++ b/packages/entry/src/gateway/store/kind_watch.ts
@@ -105,6 +105,8 @@
 export class KindWatch implements RelayedWatch {
   readonly #options: KindWatchOptions;
   readonly #table = new ObjectTable();
+  /** Kept until the next change: many peers fetch the same one. */
+  #snapshot: KindSnapshot | undefined;
   #isListed = false;
   /** Changes up to this position are known, also when there were none. */
   #knownPosition = 0;
@@ -154,19 +156,24 @@
     return Math.max(this.#position, this.#knownPosition);
   }
 
+  object(name: string): contracts.StoredObject | undefined {
+    return this.#table.get(name);
+  }
+
   /**
    * All objects, for a peer that has none or missed changes; undefined before
    * the first list.
    */
   get snapshot(): KindSnapshot | undefined {
     if (!this.#isListed) return undefined;
+    if (this.#snapshot?.position === this.#position) return this.#snapshot;
     const objects = this.#table.all
       .map(({ name, version, value }): [string, string, string] => [
         name,
         version,
         value,
       ]);
-    return { position: this.#position, objects };
+    return this.#snapshot = { position: this.#position, objects };
   }
 
   /** Starts to list and watch, until the life cycle ends. */
@@ -478,7 +485,8 @@
     if (result.isErr()) return this.#noteFailure(result.error);
     health.noteAnswer();
     this.#failures = 0;
-    const { events, reset } = result.value;
+    const { reset } = result.value;
+    let events: readonly ObjectChange[] = result.value.events;
     if (reset) {
       this.#isStale = true;
       return true;
@@ -495,7 +503,7 @@
     // A peer may have sent these changes, and later ones, meanwhile.
     if (toPosition > this.#position) {
       this.#position = toPosition;
-      this.#apply(events, { source: "watch" });
+      events = this.#apply(events, { source: "watch" });
     }
     const learnedAtMs = this.#options.clock.nowMs();
     relay.publish(prefix, { fromPosition, toPosition, events, learnedAtMs });
@@ -509,23 +517,26 @@
     origin: ChangeOrigin,
   ): readonly ObjectChange[] {
     const changes = this.#table.diff(objects);
-    if (this.#isListed) {
-      this.#apply(changes, origin);
-      return changes;
-    }
+    if (this.#isListed) return this.#apply(changes, origin);
     this.#isListed = true;
-    for (const change of changes) this.#table.apply(change);
+    this.#table.apply(changes);
     this.#options.onList(objects, origin);
     return changes;
   }
 
-  #apply(changes: readonly ObjectChange[], origin: ChangeOrigin): void {
-    if (changes.length === 0) return;
-    for (const change of changes) this.#table.apply(change);
+  /** Applies changes; returns them with the objects before. */
+  #apply(
+    changes: readonly ObjectChange[],
+    origin: ChangeOrigin,
+  ): readonly ObjectChange[] {
+    if (changes.length === 0) return changes;
+    const applied = this.#table.apply(changes);
+    this.#snapshot = undefined;
     const behindMs = this.#behindSinceMs === undefined
       ? undefined
       : Math.round(this.#options.clock.nowMs() - this.#behindSinceMs);
     this.#options.onChanges(changes, { ...origin, behindMs });
+    return applied;
   }
 
   #waitMs(): number {
--- a/packages/entry/src/gateway/store/object_table.ts
+++ b/packages/entry/src/gateway/store/object_table.ts
@@ -2,7 +2,10 @@
 import type * as contracts from "@guavatide/contracts";
 
 /** A change of one object; without the object when it was deleted. */
-export type ObjectChange = Pick<contracts.WatchEvent, "name" | "object">;
+export type ObjectChange = Pick<contracts.WatchEvent, "name" | "object"> & {
+  /** The object before the change, where it is known. */
+  readonly previous?: contracts.StoredObject | undefined;
+};
 
 /** Objects by name. */
 export class ObjectTable {
@@ -18,8 +21,21 @@
     return [...this.#objects.keys()];
   }
 
-  /** Applies one change. */
-  apply({ name, object }: ObjectChange): void {
+  /** An object by its name. */
+  get(name: string): contracts.StoredObject | undefined {
+    return this.#objects.get(name);
+  }
+
+  /** Applies changes in their order; returns them with the objects before. */
+  apply(changes: readonly ObjectChange[]): ObjectChange[] {
+    return changes.map((change) => {
+      const previous = this.#objects.get(change.name);
+      this.#applyOne(change);
+      return { ...change, previous };
+    });
+  }
+
+  #applyOne({ name, object }: ObjectChange): void {
     if (object === undefined) this.#objects.delete(name);
     else this.#objects.set(name, object);
   }
--- a/packages/entry/src/gateway/store/watch_relay.ts
+++ b/packages/entry/src/gateway/store/watch_relay.ts
@@ -15,6 +15,7 @@
 import type { GossipIdentity, PeerGossip } from "../peers/peer_gossip.ts";
 import * as messages from "../peers/peer_messages.ts";
 import type { StoreHealth } from "./store_health.ts";
+import { applyPatch, createPatch } from "./value_patch.ts";
 
 /** Options of {@link WatchRelay}. */
 export interface WatchRelayOptions {
@@ -60,6 +61,8 @@
   readonly checksStore: boolean;
   /** Position of the last change known to this VM. */
   readonly position: number;
+  /** The object of a name, as this VM knows it. */
+  object(name: string): contracts.StoredObject | undefined;
   /** All objects; undefined before the first list. */
   readonly snapshot: messages.KindSnapshot | undefined;
   /** Applies changes that the peer `from` has sent. */
@@ -380,9 +383,9 @@
       prefix,
       fromCursor: changes.fromPosition,
       toCursor: changes.toPosition,
-      events: changes.events?.map(({ name, object }) => [
+      events: changes.events?.map(({ name, object, previous }) => [
         name,
-        object === undefined ? null : [object.version, object.value],
+        object === undefined ? null : encodeObject(object, previous),
       ]) ?? null,
       names: changes.names === undefined ? null : [...changes.names],
       ageMs: Math.max(
@@ -407,11 +410,14 @@
 
   #handleChanges(message: messages.StoreChanges): void {
     const { vm, prefix, fromCursor, toCursor, names, ageMs = 0 } = message;
-    const events = message.events?.map(([name, object]): ObjectChange =>
-      object === null
-        ? { name }
-        : { name, object: { name, version: object[0], value: object[1] } }
-    );
+    const watch = this.#watches.get(prefix);
+    if (watch === undefined) return;
+    const events = message.events === null
+      ? undefined
+      : decodeEvents(message.events, watch);
+    if (message.events !== null && events === undefined) {
+      return watch.notePeerPosition(toCursor, vm);
+    }
     const changes: RelayedChanges = {
       fromPosition: fromCursor,
       toPosition: toCursor,
@@ -419,8 +425,6 @@
       ...(names === null ? {} : { names }),
       learnedAtMs: this.#options.clock.nowMs() - ageMs,
     };
-    const watch = this.#watches.get(prefix);
-    if (watch === undefined) return;
     if (toCursor > watch.position) this.#buffer(prefix, changes);
     watch.applyRelayed(changes, vm);
   }
@@ -458,3 +462,58 @@
 function capHealthyMs(healthyMs: number): number {
   return Math.min(MAX_HEALTHY_MS, Math.floor(healthyMs));
 }
+
+/** Shorter values are sent whole. */
+const PATCH_MIN_LENGTH = 4_000;
+
+type EncodedEvent = NonNullable<messages.StoreChanges["events"]>[number];
+
+function encodeObject(
+  { version, value }: contracts.StoredObject,
+  previous: contracts.StoredObject | undefined,
+): EncodedEvent[1] {
+  const isPatched = value.length >= PATCH_MIN_LENGTH &&
+    previous !== undefined && previous.version !== version;
+  if (!isPatched) return [version, value];
+  const patch = createPatch(previous.value, value)
+    .map((part) => typeof part === "string" ? part : [...part]);
+  return [version, { base: previous.version, patch }] as EncodedEvent[1];
+}
+
+/**
+ * The changes of a message; undefined if this VM lacks a version that one of
+ * them is based on.
+ */
+function decodeEvents(
+  events: readonly EncodedEvent[],
+  watch: RelayedWatch,
+): ObjectChange[] | undefined {
+  const decoded: ObjectChange[] = [];
+  const latest = new Map<string, contracts.StoredObject>();
+  for (const [name, object] of events) {
+    if (object === null) {
+      decoded.push({ name });
+      continue;
+    }
+    const [version, encoded] = object;
+    const previous = latest.get(name) ?? watch.object(name);
+    const value = decodeValue(encoded, previous);
+    if (value === undefined) return undefined;
+    const changed = { name, version, value };
+    latest.set(name, changed);
+    decoded.push({ name, object: changed, previous });
+  }
+  return decoded;
+}
+
+type EncodedValue = NonNullable<EncodedEvent[1]>[1];
+
+/** The whole value; undefined if it is based on another version. */
+function decodeValue(
+  encoded: EncodedValue,
+  previous: contracts.StoredObject | undefined,
+): string | undefined {
+  if (typeof encoded === "string") return encoded;
+  if (previous?.version !== encoded.base) return undefined;
+  return applyPatch(previous.value, encoded.patch);
+}
