feat(admission): a setting names where callers share capacity

Shares were switched on by the presence of a route of kind upload or download, under the name hasBulkRoutes. What is meant is a deployment in which a few requests of one caller hold the slots of a service for long. The configuration now says whether it transfers files, and the setting callerShares (file-transfers, always, never) says where callers share; the default is as before.

--- a/packages/contracts/src/route_config.ts
+++ b/packages/contracts/src/route_config.ts
@@ -74,8 +74,8 @@
   readonly services: ReadonlyMap<ServiceId, RoutedService>;
   readonly limits: CallerLimits;
   /**
-   * Whether requests or responses of some route are large. Shared admission
-   * and shares of callers apply only to such configurations.
+   * Whether some route transfers files, so that a few requests of one caller can
+   * hold the slots of a service for long.
    */
-  readonly hasBulkRoutes: boolean;
+  readonly hasFileTransfers: boolean;
 }
--- a/packages/entry/src/gateway/gateway_settings.ts
+++ b/packages/entry/src/gateway/gateway_settings.ts
@@ -78,6 +78,12 @@
     /** Requests per second beyond that. */
     slack: z.number().min(0),
   }).optional(),
+  /**
+   * Where callers share what a service can do and VMs admit requests together:
+   * in deployments that transfer files (the default), in all, or in none.
+   */
+  callerShares: z.enum(["file-transfers", "always", "never"])
+    .optional(),
   log: z.strictObject({
     level: z.enum(["debug", "info", "warn", "error", "silent"]).default("info"),
   }).prefault({}),
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -34,6 +34,7 @@
 import { RangeMapStore } from "./grants/range_map_store.ts";
 import { ReadinessServer } from "./readiness_server.ts";
 import { AdmissionTask } from "./admission/admission_task.ts";
+import { sharesCapacity } from "./admission/share_policy.ts";
 import { SharedAdmissionTask } from "./admission/shared_admission_task.ts";
 import { BackoffGrantControl } from "./grants/backoff_grant_control.ts";
 import { LeavingServers } from "./backoffs/leaving_servers.ts";
@@ -319,7 +320,8 @@
     latencyFactorsOf: (service) => slots.latencyFactors(service),
     isLeaving: () => lifeCycle.isStopping,
   });
-  const hasShares = () => config.active?.config.hasBulkRoutes ?? false;
+  const hasShares = () =>
+    sharesCapacity(settings.callerShares, config.active?.config);
   const sharedAdmission: SharedAdmissionTask = new SharedAdmissionTask({
     vm: settings.vm,
     gossip,
