--- a/packages/entry/src/gateway/store/kind_watch.ts
+++ b/packages/entry/src/gateway/store/kind_watch.ts
@@ -73,8 +73,9 @@
 /** Wait of a call that looks for changes that a waiting watch has missed. */
 const CHECK_WAIT_MS = 50;
 /**
- * Wait while answers of the store are lost or calls fail. Two readers that lose a third of the answers, and notice that
- * 250 ms later, still learn of a change in time.
+ * Wait while answers of the store are lost or calls fail. Two readers that lose
+ * a third of the answers, and notice that 250 ms later, still learn of a change
+ * in time.
  */
 const SHORT_WAIT_MS = 300;
 /**
