perf(store): decode and encode a relayed change once

A change that is known is dropped first, and its encoding is kept with it. What is sent and applied stays.

--- a/packages/entry/src/gateway/peers/peer_messages.ts
+++ b/packages/entry/src/gateway/peers/peer_messages.ts
@@ -577,7 +577,8 @@
   toCursor: z.number().int(),
   /**
    * Names with version and value, null for a deleted object; large values as
-   * the difference from an earlier version. Null as a whole when the changes are too large for a datagram or no longer buffered.
+   * the difference from an earlier version. Null as a whole when the changes are
+   * too large for a datagram or no longer buffered.
    */
   events: z.array(
     z.tuple([
--- a/packages/entry/src/gateway/peers/peer_rpc.ts
+++ b/packages/entry/src/gateway/peers/peer_rpc.ts
@@ -131,7 +131,8 @@
   }
 
   /**
-   * Compresses a reply. All VMs fetch the same large result at about the same time.
+   * Compresses a reply once for each result: many VMs fetch the same large one at
+   * about the same time.
    */
   #compress(result: object | undefined, reply: object): Uint8Array {
     const known = result && this.#compressedReplies.get(result);
--- a/packages/entry/src/gateway/store/watch_relay.ts
+++ b/packages/entry/src/gateway/store/watch_relay.ts
@@ -112,6 +112,7 @@
   readonly #election: cells.ReaderElection;
   readonly #watches = new Map<string, RelayedWatch>();
   readonly #batches = new Map<string, RelayedChanges[]>();
+  readonly #encodedEvents = new WeakMap<ObjectChange, EncodedEvent>();
   #rankedVms: readonly contracts.VmId[] = [];
   #rankedAtMs = Number.NEGATIVE_INFINITY;
   #startedAtMs = 0;
@@ -383,10 +384,8 @@
       prefix,
       fromCursor: changes.fromPosition,
       toCursor: changes.toPosition,
-      events: changes.events?.map(({ name, object, previous }) => [
-        name,
-        object === undefined ? null : encodeObject(object, previous),
-      ]) ?? null,
+      events: changes.events?.map((change) => this.#encodeEvent(change)) ??
+        null,
       names: changes.names === undefined ? null : [...changes.names],
       ageMs: Math.max(
         0,
@@ -399,6 +398,19 @@
       : message;
   }
 
+  /** Encodes a change once: many VMs may request the same one. */
+  #encodeEvent(change: ObjectChange): EncodedEvent {
+    const known = this.#encodedEvents.get(change);
+    if (known !== undefined) return known;
+    const { name, object, previous } = change;
+    const encoded: EncodedEvent = [
+      name,
+      object === undefined ? null : encodeObject(object, previous),
+    ];
+    this.#encodedEvents.set(change, encoded);
+    return encoded;
+  }
+
   #send(
     prefix: string,
     changes: RelayedChanges,
@@ -411,7 +423,8 @@
   #handleChanges(message: messages.StoreChanges): void {
     const { vm, prefix, fromCursor, toCursor, names, ageMs = 0 } = message;
     const watch = this.#watches.get(prefix);
-    if (watch === undefined) return;
+    // Each reader sends every change; decoding a large one takes milliseconds.
+    if (watch === undefined || toCursor <= watch.position) return;
     const events = message.events === null
       ? undefined
       : decodeEvents(message.events, watch);
@@ -425,7 +438,7 @@
       ...(names === null ? {} : { names }),
       learnedAtMs: this.#options.clock.nowMs() - ageMs,
     };
-    if (toCursor > watch.position) this.#buffer(prefix, changes);
+    this.#buffer(prefix, changes);
     watch.applyRelayed(changes, vm);
   }
 
