fix(soak): a connection that is reset while it ends is closed

Its stack is in Environment:: CleanupHandles, which waits until each handle is closed, with one socket descriptor left. A script shows the cause without a soak: after end(), resetAndDestroy() in the same turn fails with EINVAL, as libuv rejects a reset during a shutdown, and Node marks the handle as closing although nothing closes it. The process then never ends.

--- a/packages/standins/src/relay/tcp_relay.ts
+++ b/packages/standins/src/relay/tcp_relay.ts
@@ -5,6 +5,7 @@
  */
 import * as net from "node:net";
 import * as z from "zod";
+import { resetSocket } from "./reset_socket.ts";
 
 /** Schema of {@link RelayFaults}. */
 export const relayFaultsSchema = z.strictObject({
@@ -130,7 +131,7 @@
     const fault = this.#clientFaults.get(clientAddress);
     const isRefused = fault === "reset" || fault === "refuse-new";
     if (this.#faults.mode === "cut" || isRefused) {
-      client.resetAndDestroy();
+      resetSocket(client);
       return;
     }
     const target = net.connect({ ...this.#target, noDelay: true });
@@ -215,7 +216,7 @@
   }
 
   #reset(connection: RelayedConnection): void {
-    connection.client.resetAndDestroy();
+    resetSocket(connection.client);
     connection.target.destroy();
     this.#connections.delete(connection);
   }
