fix(store): a write whose answer is lost is read back

When the answer is overdue (250 ms at least), the object is read over another connection. If it holds the value, the write is done; otherwise only the write's own answer tells, as the call may still be on its way. While the store answers nobody, nothing is read.

Two of the three new tests fail without the change.

--- a/packages/entry/src/platform/hedged_store.ts
+++ b/packages/entry/src/platform/hedged_store.ts
@@ -1,9 +1,11 @@
 /**
- * Repeats reads of the platform's store that are overdue. A connection on which
- * an answer is lost stays open and returns nothing further, so a second call on
- * another connection is quicker than the first one's timeout.
+ * Repeats reads of the platform's store that are overdue, and reads back writes
+ * that are. A connection on which an answer is lost stays open and returns
+ * nothing further, so a second call on another connection is quicker than the
+ * first one's timeout.
  */
 import type * as contracts from "@guavatide/contracts";
+import * as util from "node:util";
 import * as neverthrow from "neverthrow";
 
 /** Options of {@link HedgedStore}. */
@@ -43,7 +45,7 @@
 /** Wait of a watch that is repeated; a change that was lost is returned at once. */
 const REPEATED_WAIT_MS = 50;
 
-/** A store whose overdue reads are repeated; writes pass unchanged. */
+/** A store whose overdue reads are repeated and overdue writes read back. */
 export class HedgedStore implements contracts.PlatformStore {
   readonly #options: HedgedStoreOptions;
   #usualMs = 0;
@@ -94,7 +96,24 @@
     value: string,
     options: Parameters<contracts.PlatformStore["put"]>[2],
   ) {
-    return this.#options.store.put(name, value, options);
+    const write = new ConfirmedWrite(
+      {
+        write: (call) =>
+          this.#options.store.put(name, value, { ...options, ...call }),
+        readBack: async (call) => {
+          const read = await this.get(name, call);
+          const isWritten = read.isOk() && hasValue(read.value, value);
+          return isWritten ? read.value.version : undefined;
+        },
+      },
+      {
+        ...this.#options,
+        timeoutMs: options.timeoutMs,
+        signal: options.signal,
+        overdueMs: this.#overdueMs,
+      },
+    );
+    return new neverthrow.ResultAsync(write.run());
   }
 
   delete(
@@ -134,12 +153,21 @@
   }
 }
 
-interface HedgedReadOptions
+/** Whether an object holds a value that was to be written. */
+function hasValue(object: contracts.StoredObject, value: string): boolean {
+  return object.value === value ||
+    util.isDeepStrictEqual(JSON.parse(object.value), JSON.parse(value));
+}
+
+interface OverdueCallOptions
   extends Pick<HedgedStoreOptions, "clock" | "mayRepeat" | "onLostAnswer"> {
   readonly timeoutMs: number;
   readonly signal: AbortSignal | undefined;
-  readonly waitMs: number;
   readonly overdueMs: number;
+}
+
+interface HedgedReadOptions extends OverdueCallOptions {
+  readonly waitMs: number;
   readonly onLatency: (latencyMs: number) => void;
 }
 
@@ -233,3 +261,88 @@
     }, LOST_AFTER_MS).unref();
   }
 }
+
+interface WriteCalls {
+  readonly write: (
+    options: contracts.CallOptions,
+  ) => neverthrow.ResultAsync<string, contracts.StoreError>;
+  /** Resolves to the object's version if it holds the value. */
+  readonly readBack: (
+    options: contracts.CallOptions,
+  ) => Promise<string | undefined>;
+}
+
+/**
+ * One write. When its answer is overdue, the object is read: the write is done
+ * once the object holds the value. Otherwise only its own answer tells, as the
+ * call may still be on its way.
+ */
+class ConfirmedWrite {
+  readonly #calls: WriteCalls;
+  readonly #options: OverdueCallOptions;
+  readonly #startMs: number;
+  readonly #cancellation = new AbortController();
+  #isAnswered = false;
+  #timer: NodeJS.Timeout | undefined;
+  #resolve: (result: neverthrow.Result<string, contracts.StoreError>) => void =
+    () => {};
+
+  constructor(calls: WriteCalls, options: OverdueCallOptions) {
+    this.#calls = calls;
+    this.#options = options;
+    this.#startMs = options.clock.nowMs();
+  }
+
+  async run(): Promise<neverthrow.Result<string, contracts.StoreError>> {
+    const { signal, timeoutMs, overdueMs } = this.#options;
+    const cancel = () => this.#cancellation.abort();
+    signal?.addEventListener("abort", cancel);
+    if (signal?.aborted) cancel();
+    this.#armTimer(overdueMs);
+    const result = await new Promise<
+      neverthrow.Result<string, contracts.StoreError>
+    >((resolve) => {
+      this.#resolve = resolve;
+      this.#calls.write({ timeoutMs, signal: this.#cancellation.signal })
+        .then((answer) => {
+          this.#isAnswered = true;
+          resolve(answer);
+        });
+    });
+    signal?.removeEventListener("abort", cancel);
+    clearTimeout(this.#timer);
+    if (this.#isAnswered) cancel();
+    else this.#watchUnanswered();
+    return result;
+  }
+
+  #armTimer(delayMs: number): void {
+    const { clock, mayRepeat } = this.#options;
+    const dueMs = clock.nowMs() + delayMs;
+    this.#timer = setTimeout(() => {
+      // The answer may have arrived while this process stood still.
+      const isPaused = clock.nowMs() - dueMs > PAUSE_MIN_MS;
+      if (isPaused) return this.#armTimer(PAUSE_MIN_MS);
+      if (mayRepeat()) void this.#confirm();
+    }, delayMs);
+  }
+
+  async #confirm(): Promise<void> {
+    const { clock, timeoutMs } = this.#options;
+    const elapsedMs = clock.nowMs() - this.#startMs;
+    if (elapsedMs >= timeoutMs) return;
+    const version = await this.#calls.readBack({
+      timeoutMs: timeoutMs - elapsedMs,
+      signal: this.#cancellation.signal,
+    });
+    if (version !== undefined) this.#resolve(neverthrow.ok(version));
+  }
+
+  /** Cancels the call if it is not answered soon after the read. */
+  #watchUnanswered(): void {
+    setTimeout(() => {
+      this.#cancellation.abort();
+      if (!this.#isAnswered) this.#options.onLostAnswer();
+    }, LOST_AFTER_MS).unref();
+  }
+}
--- a/packages/entry/src/platform/hedged_store_test.ts
+++ b/packages/entry/src/platform/hedged_store_test.ts
@@ -48,6 +48,10 @@
     return this.#call(options);
   }
 
+  put(_name: string, _value: string, options: ScriptedCall) {
+    return this.#call(options);
+  }
+
   #call(options: ScriptedCall) {
     this.calls.push(options);
     const answer = this.#answers.shift();
@@ -117,3 +121,40 @@
   await timers.setTimeout(LOST_AFTER_MAX_MS);
   expect(script.lostAnswers).toEqual(0);
 });
+
+const WRITTEN = { name: NAME, version: "2", value: '{"a":1,"b":[2]}' };
+const WRITE_OPTIONS = {
+  timeoutMs: TIMEOUT_MS,
+  condition: { kind: "version", version: "1" },
+} as const;
+
+/** A lost answer must not cost a write its whole timeout. */
+test("should confirm a write whose answer is lost", async () => {
+  const script = new ScriptedStore(undefined, neverthrow.ok(WRITTEN));
+  const startMs = performance.now();
+  const result = await script.hedged()
+    .put(NAME, '{"b":[2],"a":1}', WRITE_OPTIONS);
+  expect(result._unsafeUnwrap()).toEqual("2");
+  expect(performance.now() - startMs < REPEATED_READ_MAX_MS).toEqual(true);
+  await timers.setTimeout(LOST_AFTER_MAX_MS);
+  expect(script.lostAnswers).toEqual(1);
+});
+
+/** A write that is still on its way must not count as failed or as done. */
+test("should wait for the answer to a write that is not seen yet", async () => {
+  const script = new ScriptedStore(undefined, neverthrow.ok(OBJECT));
+  const result = await script.hedged()
+    .put(NAME, WRITTEN.value, WRITE_OPTIONS);
+  expect(result._unsafeUnwrapErr().kind).toEqual("unavailable");
+  expect(script.calls.length).toEqual(2);
+  expect(script.lostAnswers).toEqual(0);
+});
+
+/** Calls are priced, and a read tells nothing while the store is away. */
+test("should not read back a write while the store answers nobody", async () => {
+  const script = new ScriptedStore(undefined, neverthrow.ok(WRITTEN));
+  const result = await script.hedged(false)
+    .put(NAME, WRITTEN.value, WRITE_OPTIONS);
+  expect(result._unsafeUnwrapErr().kind).toEqual("unavailable");
+  expect(script.calls.length).toEqual(1);
+});
