fix(grants): no keys to owners that ask VMs to back off

New servers and hot keys already leave out such receivers; moves that even out load now do as well. The test fails without the change.

--- a/packages/decisions/src/grants/backing_off_owner_test.ts
+++ b/packages/decisions/src/grants/backing_off_owner_test.ts
@@ -65,3 +65,15 @@
 test("should move nothing while all owners refuse all VMs", () => {
   expect(plan(() => ({ maxMoves: 8, isTotal: true }))).toEqual([]);
 });
+
+/** Eight ranges moved to one owner had to be renewed while it was left alone. */
+test("should move nothing to an owner that asks any VM to back off", () => {
+  const total = { maxMoves: 2, isTotal: true };
+  const partial = { maxMoves: 2, isTotal: false };
+  expect(plan((index) => index === 0 ? total : partial)).toEqual([]);
+  const moves = plan((index) =>
+    index === 0 ? total : index === 3 ? undefined : partial
+  );
+  expect(moves.length).toEqual(2);
+  expect(moves.map(({ to }) => to)).toEqual([OWNERS[3]!, OWNERS[3]!]);
+});
--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -246,11 +246,16 @@
   const level = Math.max(HOT_UTILIZATION, utilization.mean * HOT_RATIO);
   if (!utilization.exceeds(level, START_DEVIATIONS)) return moves;
   const exhausted = new Set<contracts.ServerId>();
+  // Each range that such a server gets would be renewed in calls that it has
+  // asked not to get.
+  const backingOff = new Map(
+    [...input.servers].filter(([, { backoff }]) => backoff !== undefined),
+  );
   // At the limit of ranges, whole ranges still move, or load stays uneven.
   const maySplit = input.ranges.length < limit;
   while (moves.length < movesPerPlan(input)) {
     const hot = utilization.mostUtilized(exhausted);
-    const cold = utilization.leastUtilized();
+    const cold = utilization.leastUtilized(backingOff);
     if (hot === undefined || cold === undefined) break;
     if (utilization.lowerBound(hot, STOP_DEVIATIONS) <= level) break;
     const { maxRanges, backoff } = input.servers.get(hot)!;
