fix(limits): read limits from the answers to releases

Cause, from the log: all keys of the owner were being moved, so VMs sent it releases only, and no VM ever learned its limit. Answers to grants were read for a limit, answers to releases were not. Each of four leaders in a row then released all its ranges at once, as for a server without a limit.

Both kinds of calls now go through the same decorator.

--- a/packages/entry/src/gateway/grants/limited_grant_control.ts
+++ b/packages/entry/src/gateway/grants/limited_grant_control.ts
@@ -23,12 +23,34 @@
     grant: contracts.KeyGrant,
     options: contracts.GrantCallOptions,
   ): ReturnType<contracts.GrantControl["grant"]> {
+    const noted = this.#noted(server, "grant", options);
+    return this.#control.grant(server, grant, noted);
+  }
+
+  release(
+    server: contracts.RegisteredServer,
+    range: contracts.KeyRange & { readonly fence: number },
+    options: contracts.GrantCallOptions,
+  ): ReturnType<contracts.GrantControl["release"]> {
+    const noted = this.#noted(server, "release", options);
+    return this.#control.release(server, range, noted);
+  }
+
+  close(): Promise<void> {
+    return this.#control.close();
+  }
+
+  #noted(
+    server: contracts.RegisteredServer,
+    kind: "grant" | "release",
+    options: contracts.GrantCallOptions,
+  ): contracts.GrantCallOptions {
     const sentAtMs = this.#clock.nowMs();
-    return this.#control.grant(server, grant, {
+    return {
       ...options,
       maySend: () => {
         const maySend = options.maySend?.() ?? true;
-        if (maySend) this.#limits.noteCall(server.server, "grant");
+        if (maySend) this.#limits.noteCall(server.server, kind);
         return maySend;
       },
       onNotices: (notices) => {
@@ -38,19 +60,6 @@
           tookMs: this.#clock.nowMs() - sentAtMs,
         });
       },
-    });
-  }
-
-  release(
-    server: contracts.RegisteredServer,
-    range: contracts.KeyRange & { readonly fence: number },
-    options: contracts.GrantCallOptions,
-  ): ReturnType<contracts.GrantControl["release"]> {
-    this.#limits.noteCall(server.server, "release");
-    return this.#control.release(server, range, options);
-  }
-
-  close(): Promise<void> {
-    return this.#control.close();
+    };
   }
 }
