fix(limits): releases leave room for renewals

After a change of the leader, the next one had a burst of its own.

Releases now get what renewals leave, 0.25 a second at least, and a new leader earns its first calls.

--- a/packages/entry/src/gateway/grants/service_grants.ts
+++ b/packages/entry/src/gateway/grants/service_grants.ts
@@ -360,6 +360,7 @@
     );
     if (!isLeader) return;
     this.#planner.start(nowMs);
+    this.#pacer.start(nowMs);
     this.#handoverController.requireRead();
   }
 
@@ -712,13 +713,13 @@
     const tick = this.#handoverTick(nowMs);
     this.#publisher.resendIfDue(this.#pendingFences);
     this.#handoverController.checkAcknowledgements(nowMs, tick.removedVoters);
-    const { controlCallsPerSecond, backoffs } = this.#options;
+    const { backoffs } = this.#options;
     const releases = this.#handoverController.takeReleases(
       nowMs,
       tick.hasEnded,
       (server) =>
         backoffs.mayControl(server) &&
-        this.#pacer.tryTake(server, controlCallsPerSecond(server), nowMs),
+        this.#pacer.tryTake(server, this.#controlCallBudget(server), nowMs),
     );
     for (const call of releases) this.#release(call);
     const call = this.#handoverController.nextCall(tick);
@@ -731,6 +732,16 @@
     });
   }
 
+  /** Undefined for a server that does not limit its calls. */
+  #controlCallBudget(
+    server: contracts.ServerId,
+  ): grants.ControlCallBudget | undefined {
+    const allowedPerSecond = this.#options.controlCallsPerSecond(server);
+    if (allowedPerSecond === undefined) return undefined;
+    const renewalsPerSecond = this.renewalsPerSecond(server);
+    return { allowedPerSecond, renewalsPerSecond };
+  }
+
   async #callStore(call: grants.MapCall): Promise<void> {
     const { clock, maps, service } = this.#options;
     const sentAtMs = clock.nowMs();
