--- a/packages/entry/src/gateway/grants/limited_grant_control_test.ts
+++ b/packages/entry/src/gateway/grants/observed_grant_control_test.ts
@@ -2,7 +2,7 @@
 import { expect } from "earl";
 import * as neverthrow from "neverthrow";
 import { test } from "node:test";
-import { LimitedGrantControl } from "./limited_grant_control.ts";
+import { ObservedGrantControl } from "./observed_grant_control.ts";
 
 const SERVER = { server: "s1" } as contracts.RegisteredServer;
 const LIMIT = { kind: "limited" as const, requestsPerSecond: 0 };
@@ -26,14 +26,23 @@
   return neverthrow.okAsync(undefined);
 }
 
-/** An owner whose keys all leave names its limit in answers to releases only. */
-test("should read a limit from the answers to grants and releases", async () => {
+function createFixture() {
   const calls: string[] = [];
   const limits: unknown[] = [];
-  const control = new LimitedGrantControl(CONTROL, {
-    noteCall: (_server, kind) => void calls.push(kind),
-    noteAnswer: (_server, report) => void limits.push(report),
-  }, { nowMs: () => 0 });
+  const control = new ObservedGrantControl({
+    control: CONTROL,
+    clock: { nowMs: () => 0 },
+    observers: [{
+      noteCall: (_server, kind) => void calls.push(kind),
+      noteNotices: (_server, notices) => void limits.push(notices.requestLimit),
+    }],
+  });
+  return { control, calls, limits };
+}
+
+/** An owner whose keys all leave names its limit in answers to releases only. */
+test("should read a limit from the answers to grants and releases", async () => {
+  const { control, calls, limits } = createFixture();
   const grant = { ...RANGE, holdMs: 1_000 } as contracts.KeyGrant;
   await control.grant(SERVER, grant, { timeoutMs: 100 });
   await control.release(SERVER, RANGE, { timeoutMs: 100 });
@@ -42,11 +51,7 @@
 });
 
 test("should count no call that is not sent", async () => {
-  const calls: string[] = [];
-  const control = new LimitedGrantControl(CONTROL, {
-    noteCall: (_server, kind) => void calls.push(kind),
-    noteAnswer: () => {},
-  }, { nowMs: () => 0 });
+  const { control, calls } = createFixture();
   const options = { timeoutMs: 100, maySend: () => false };
   await control.release(SERVER, RANGE, options);
   expect(calls).toEqual([]);
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -36,9 +36,8 @@
 import { AdmissionTask } from "./admission/admission_task.ts";
 import { sharesCapacity } from "./admission/share_policy.ts";
 import { SharedAdmissionTask } from "./admission/shared_admission_task.ts";
-import { BackoffGrantControl } from "./grants/backoff_grant_control.ts";
 import { LeavingServers } from "./backoffs/leaving_servers.ts";
-import { LimitedGrantControl } from "./grants/limited_grant_control.ts";
+import { ObservedGrantControl } from "./grants/observed_grant_control.ts";
 import { RequestLimitTask } from "./limits/request_limit_task.ts";
 import { RequestLog } from "./forwarding/request_log.ts";
 import { ServerBackoffTask } from "./backoffs/server_backoff_task.ts";
@@ -292,18 +291,23 @@
     gossip,
     rpc: calls,
     maps: new RangeMapStore({ store, health, log: log.part("owner") }),
-    control: new BackoffGrantControl(
-      new LimitedGrantControl(
-        new PathNotingGrantControl(adapter.grants, paths),
-        requestLimits,
-        clock,
-      ),
-      backoffs,
-      (entry, notices) => {
-        backoffs.noteAnswer(entry, notices, { isRefusal: true });
-        leaving.noteAnswer(entry, notices);
-      },
-    ),
+    control: new ObservedGrantControl({
+      control: new PathNotingGrantControl(adapter.grants, paths),
+      clock,
+      observers: [{
+        noteCall: (server, kind) => requestLimits.noteCall(server, kind),
+        noteNotices: ({ server }, { requestLimit }, tookMs) => {
+          if (requestLimit === undefined) return;
+          requestLimits.noteAnswer(server, requestLimit, { tookMs });
+        },
+      }, {
+        noteCall: (server, kind) => backoffs.noteCall(server, kind),
+        noteNotices: (entry, notices) => {
+          backoffs.noteAnswer(entry, notices, { isRefusal: true });
+          leaving.noteAnswer(entry, notices);
+        },
+      }],
+    }),
     health,
     reach,
     clock: suspensionClock,
