refactor: one resetSocket and one compression of what goes to peers

The stand-ins' resetSocket repeated a condition of reset_connection, which now calls it; PeerRpc had its own deflate level beside that of peer_codec. Behaviour as before.

--- a/packages/entry/src/gateway/peers/peer_codec.ts
+++ b/packages/entry/src/gateway/peers/peer_codec.ts
@@ -20,21 +20,29 @@
 /** Largest message that a datagram may decompress to. */
 const DECOMPRESSED_MAX_BYTES = 1_048_576;
 
+/** Compresses what goes to peers. */
+export function compress(data: Uint8Array | string): Uint8Array {
+  return zlib.deflateSync(data, { level: COMPRESSION_LEVEL });
+}
+
+/** Decompresses what a peer has sent; throws if it is larger than `maxBytes`. */
+export function decompress(bytes: Uint8Array, maxBytes: number): Buffer {
+  return zlib.inflateSync(bytes, { maxOutputLength: maxBytes });
+}
+
 /** Encodes a notification. */
 export function encodeMessage(method: string, params: object): Uint8Array {
   const bytes = Buffer.from(
     JSON.stringify(jsonRpc.createJSONRPCNotification(method, params)),
   );
-  return bytes.length < COMPRESSION_MIN_BYTES
-    ? bytes
-    : zlib.deflateSync(bytes, { level: COMPRESSION_LEVEL });
+  return bytes.length < COMPRESSION_MIN_BYTES ? bytes : compress(bytes);
 }
 
 /** Decodes a datagram; undefined if it is no notification. */
 export function decodeMessage(bytes: Buffer): PeerMessage | undefined {
   try {
     const text = bytes[0] === ZLIB_HEADER
-      ? zlib.inflateSync(bytes, { maxOutputLength: DECOMPRESSED_MAX_BYTES })
+      ? decompress(bytes, DECOMPRESSED_MAX_BYTES)
       : bytes;
     const message = JSON.parse(text.toString()) as
       | (Partial<PeerMessage> & { readonly jsonrpc?: unknown })
--- a/packages/entry/src/gateway/peers/peer_rpc.ts
+++ b/packages/entry/src/gateway/peers/peer_rpc.ts
@@ -5,13 +5,13 @@
 import * as jsonRpc from "json-rpc-2.0";
 import * as neverthrow from "neverthrow";
 import * as http from "node:http";
-import * as zlib from "node:zlib";
 import type * as z from "zod";
 import { HttpChannel, type HttpResponse } from "../../platform/http_channel.ts";
 import * as httpServer from "../../utils/http_server.ts";
 import type { LifeCycle } from "../../utils/life_cycle.ts";
 import type { Logger } from "../../utils/log.ts";
 import * as bodies from "../../utils/read_body.ts";
+import { compress, decompress } from "./peer_codec.ts";
 
 /** Options of {@link PeerRpc}. */
 export interface PeerRpcOptions {
@@ -52,8 +52,6 @@
 const CALL_TIMEOUT_MS = 600;
 const MAX_REQUEST_BYTES = 4_096;
 const COMPRESSION = "deflate";
-/** Favors time over size. */
-const COMPRESSION_LEVEL = 1;
 const MAX_RESULT_BYTES = 64 * 1_048_576;
 const NOT_FOUND_CODE = -32_001;
 
@@ -137,9 +135,7 @@
   #compress(result: object | undefined, reply: object): Uint8Array {
     const known = result && this.#compressedReplies.get(result);
     if (known !== undefined) return known;
-    const bytes = zlib.deflateSync(JSON.stringify(reply), {
-      level: COMPRESSION_LEVEL,
-    });
+    const bytes = compress(JSON.stringify(reply));
     if (result !== undefined) this.#compressedReplies.set(result, bytes);
     return bytes;
   }
@@ -195,7 +191,7 @@
     neverthrow.err({ kind: "unreadable" as const, message });
   try {
     const text = headers["content-encoding"] === COMPRESSION
-      ? zlib.inflateSync(bytes, { maxOutputLength: MAX_RESULT_BYTES })
+      ? decompress(bytes, MAX_RESULT_BYTES)
       : Buffer.from(bytes);
     const reply = JSON.parse(text.toString());
     const parsed = schema.safeParse(reply?.result);
--- a/packages/entry/src/utils/reset_connection.ts
+++ b/packages/entry/src/utils/reset_connection.ts
@@ -5,6 +5,7 @@
 import type * as net from "node:net";
 import type * as tls from "node:tls";
 import * as undici from "undici";
+import { resetSocket } from "./reset_socket.ts";
 
 const openSockets = new Set<net.Socket>();
 
@@ -43,10 +44,6 @@
   const destroy = socket.destroy.bind(socket);
   socket.destroy = (error) => {
     socket.destroy = () => destroy(error);
-    // libuv rejects a reset while a shutdown of the socket is in progress.
-    const isClosing = socket.writableEnded && !socket.writableFinished;
-    return socket.destroyed || isClosing
-      ? destroy(error)
-      : socket.resetAndDestroy();
+    return socket.destroyed ? destroy(error) : resetSocket(socket);
   };
 }
--- a/packages/standins/src/relay/tcp_relay.ts
+++ b/packages/standins/src/relay/tcp_relay.ts
@@ -4,8 +4,8 @@
  * when a firewall or NAT between them has lost its connection state.
  */
 import * as net from "node:net";
+import { resetSocket } from "guavatide/utils/reset_socket";
 import * as z from "zod";
-import { resetSocket } from "./reset_socket.ts";
 
 /** Schema of {@link RelayFaults}. */
 export const relayFaultsSchema = z.strictObject({
