fix(platform): read what arrived during a pause before a call times out

Timers run before sockets are read, so after a pause of the process every call that was due counted as failed, even where the answer had arrived in time. The VM then took the store, or a backend server's control address, for lost. A deadline that fires more than 50 ms late now leaves 50 ms to read what is there.

The new test fails without the change (3 of 3) and passes with it (3 of 3).

--- a/packages/entry/src/platform/http_channel.ts
+++ b/packages/entry/src/platform/http_channel.ts
@@ -14,6 +14,10 @@
 const CONNECT_TIMEOUT_MS = 1000;
 const MAX_CONNECTIONS = 16;
 const MAX_RESPONSE_BYTES = 64 * 1_048_576;
+/** A timer that runs this late shows that the process was paused. */
+const PAUSE_MIN_MS = 50;
+/** Time to read what arrived during a pause. */
+const READ_AFTER_PAUSE_MS = 50;
 
 /** Request of a call over an {@link HttpChannel}. */
 export interface HttpRequest {
@@ -109,16 +113,16 @@
     const pool = this.#pool;
     pool.activeCalls++;
     const exchange = new Exchange(timeoutMs, call.mayLeave);
-    const timer = setTimeout(
-      () => exchange.abort("timeout"),
+    const deadline = startDeadline(
       Math.max(0, timeoutMs),
+      () => exchange.abort("timeout"),
     );
     const onCancel = () => exchange.abort("cancelled");
     signal?.addEventListener("abort", onCancel);
     if (signal?.aborted) onCancel();
     else exchange.run(pool.pool, { ...call, path: this.#basePath + call.path });
     const result = await exchange.result;
-    clearTimeout(timer);
+    deadline.clear();
     signal?.removeEventListener("abort", onCancel);
     const isTimeout = result.kind === "timeout";
     if (isTimeout && pool === this.#pool) this.#pool = this.#openPool();
@@ -160,6 +164,24 @@
   }
 }
 
+/**
+ * Calls back at a deadline. Timers run before sockets are read, so when this one
+ * is late because the process was paused, what has arrived meanwhile is read
+ * first.
+ */
+function startDeadline(
+  timeoutMs: number,
+  onDeadline: () => void,
+): { clear(): void } {
+  const deadlineMs = performance.now() + timeoutMs;
+  let timer = setTimeout(() => {
+    const wasPaused = performance.now() - deadlineMs > PAUSE_MIN_MS;
+    if (!wasPaused) return onDeadline();
+    timer = setTimeout(onDeadline, READ_AFTER_PAUSE_MS);
+  }, timeoutMs);
+  return { clear: () => clearTimeout(timer) };
+}
+
 /** A connection pool with the number of its calls in flight. */
 interface RefCountedPool {
   readonly pool: undici.Pool;
--- a/packages/entry/src/platform/http_channel_test.ts
+++ b/packages/entry/src/platform/http_channel_test.ts
@@ -45,6 +45,36 @@
   }
 });
 
+/** Answers each request after half the timeout, in a thread of its own. */
+const SLOW_SERVER = `
+  const { parentPort } = require("node:worker_threads");
+  const server = require("node:http").createServer((_, response) =>
+    setTimeout(() => response.end("{}"), ${TIMEOUT_MS / 2})
+  );
+  server.listen(0, "127.0.0.1", () => parentPort.postMessage(server.address().port));
+`;
+
+/** A process that was paused took a server that had answered in time for lost. */
+test("should return an answer that arrived while the process was paused", async () => {
+  const worker = new Worker(SLOW_SERVER, { eval: true });
+  const [port] = await once(worker, "message");
+  const channel = new HttpChannel(`http://127.0.0.1:${port}`);
+  try {
+    await channel.call(REQUEST, { timeoutMs: 5_000 });
+    const call = channel.call(REQUEST, { timeoutMs: TIMEOUT_MS });
+    // The request has left by then, and is not answered yet.
+    await timers.setTimeout(TIMEOUT_MS / 4);
+    // Timers run next, before sockets are read.
+    await timers.setImmediate();
+    const endMs = performance.now() + MAX_DELAY_MS;
+    while (performance.now() < endMs);
+    expect((await call).isOk()).toEqual(true);
+  } finally {
+    await channel.close();
+    await worker.terminate();
+  }
+});
+
 /** Runs a test with a server that reads everything and never responds. */
 async function withUnresponsiveServer(
   run: (
