fix(store): probe soon after a single failed call

A VM without a role probed the store 5 s after a call had failed. Until then it counted as cut off, and when it recovered it became a reader again with a store that "has just failed", so all readers watched in short waits for 5 s more. It now probes after 0.8, 1.6, 3.2 and then every 5 s.

--- a/packages/entry/src/gateway/store/store_probe.ts
+++ b/packages/entry/src/gateway/store/store_probe.ts
@@ -39,6 +39,8 @@
   readonly #options: StoreProbeOptions;
   #isProbing = false;
   #probedAtMs = Number.NEGATIVE_INFINITY;
+  /** Failed probes since the last that was answered. */
+  #failures = 0;
 
   constructor(options: StoreProbeOptions) {
     this.#options = options;
@@ -68,9 +70,11 @@
     });
     this.#isProbing = false;
     if (result.isErr()) {
+      this.#failures++;
       health.noteFailure(result.error);
       return health.isReachable;
     }
+    this.#failures = 0;
     health.noteAnswer();
     onObject(result.value);
     return true;
@@ -86,7 +90,18 @@
       case "standby":
         return sinceMs >= STANDBY_PROBE_INTERVAL_MS;
       case "none":
-        return !health.isReachable && sinceMs >= STANDBY_PROBE_INTERVAL_MS;
+        return !health.isReachable && sinceMs >= this.#recoveryIntervalMs;
     }
   }
+
+  /**
+   * A single failed call must not keep a VM from roles for seconds; a store that
+   * is away must not be probed often by every VM.
+   */
+  get #recoveryIntervalMs(): number {
+    return Math.min(
+      STANDBY_PROBE_INTERVAL_MS,
+      PROBE_INTERVAL_MS * 2 ** this.#failures,
+    );
+  }
 }
