fix(store): space the watches of a reader

Since the first reader renewed the watch of the configuration every 1.2 s besides its other watches; with two of the long watches, which end at random times, that is more than four.

Any watch's answer names the store's position, so the ends of the first reader's watches are now 1.2 s apart, whichever kind they are of, and those of the second 7 s. That is 2.9 calls in 3 s on average instead of 3.5, and 4 at most while the store is steady. What a check finds is applied at once instead of after one more call.

--- a/packages/entry/src/gateway/store/kind_watch.ts
+++ b/packages/entry/src/gateway/store/kind_watch.ts
@@ -45,12 +45,6 @@
    * of a reader once one knows any. For objects that a VM can start without.
    */
   readonly isRare?: boolean;
-  /**
-   * Whether the first reader renews this watch often. One watch suffices: its
-   * answers name the store's position, by which a change of other objects is
-   * noticed as well.
-   */
-  readonly checksStore?: boolean;
   /** Called once, with all objects of the first list. */
   readonly onList: (
     objects: readonly contracts.StoredObject[],
@@ -64,12 +58,15 @@
 }
 
 /**
- * Longest wait of one watch call. Its answer may be lost, which is noticed by
- * what another reader or another watch learns of the store's position.
+ * Interval at which one of a reader's watches ends. A watch may wait for 30 s,
+ * and a reader has four at most.
+ */
+const WATCH_INTERVAL_MS = 7_000;
+/**
+ * The same at the first reader, which checks the store's position for all VMs:
+ * answers may be lost, and a change has to be known within 2 s.
  */
-const WATCH_WAIT_MS = 20_000;
-/** Wait of the watch by which the first reader checks the store's position. */
-const RENEWAL_MS = 1_200;
+const CHECK_INTERVAL_MS = 1_200;
 /** Wait of a call that looks for changes that a waiting watch has missed. */
 const CHECK_WAIT_MS = 50;
 /**
@@ -143,10 +140,6 @@
     return this.#options.prefix;
   }
 
-  get checksStore(): boolean {
-    return this.#options.checksStore ?? false;
-  }
-
   /** Position of the last change known to this VM. */
   get position(): number {
     return this.#position;
@@ -297,22 +290,27 @@
 
   /**
    * Asks the store for changes that the waiting watch should have returned, and
-   * repeats that watch if there are any.
+   * repeats that watch if there are any: its connection has probably lost them.
    */
   #checkForChanges(): void {
     const { store, prefix } = this.#options;
     if (this.#isChecking || !this.#isWatching) return;
     this.#isChecking = true;
+    const cursor = this.#completePosition;
     store.watch(prefix, {
-      cursor: String(this.#completePosition),
+      cursor: String(cursor),
       waitMs: CHECK_WAIT_MS,
       timeoutMs: LIST_TIMEOUT_MS,
     }).then((result) => {
       this.#isChecking = false;
-      if (result.isErr()) return;
-      const { events, cursor, reset } = result.value;
-      if (events.length > 0 || reset) return this.renewWatch();
-      this.#storePosition = Math.max(this.#storePosition, Number(cursor));
+      if (result.isErr() || !this.#isWatching) return;
+      const { events, reset } = result.value;
+      this.#storePosition = Math.max(
+        this.#storePosition,
+        Number(result.value.cursor),
+      );
+      if (!reset) this.#applyWatched(cursor, result.value);
+      if (events.length > 0 || reset) this.renewWatch();
     });
   }
 
@@ -473,31 +471,40 @@
   async #watch(): Promise<boolean> {
     const { store, prefix, health, relay } = this.#options;
     const cursor = this.#completePosition;
-    const waitMs = this.#waitMs();
+    const waitMs = this.#planWaitMs();
     const result = await store.watch(prefix, {
       cursor: String(cursor),
       waitMs,
       timeoutMs: waitMs + WATCH_TIMEOUT_SLACK_MS,
       signal: this.#abort!.signal,
     });
+    relay.schedule.remove(prefix);
     // Drops the result if this VM now has to list again, or is no longer a
     // reader.
     if (this.#isStale || this.#abort!.signal.aborted) return true;
     if (result.isErr()) return this.#noteFailure(result.error);
     health.noteAnswer();
     this.#failures = 0;
-    const { reset } = result.value;
-    let events: readonly ObjectChange[] = result.value.events;
-    if (reset) {
+    if (result.value.reset) {
       this.#isStale = true;
       return true;
     }
-    const toPosition = Number(result.value.cursor);
-    if (this.#options.checksStore && relay.isFirstReader) {
-      relay.noteStorePosition(toPosition);
+    this.#applyWatched(cursor, result.value);
+    if (result.value.events.length > 0) {
+      await timers.setTimeout(BATCH_PAUSE_MS);
+    } else if (relay.isFirstReader) {
+      relay.noteStorePosition(Number(result.value.cursor));
     }
+    return true;
+  }
+
+  /** Applies and relays what a watch from `cursor` on has returned. */
+  #applyWatched(cursor: number, result: contracts.WatchBatch): void {
+    const { relay, prefix, clock } = this.#options;
+    let events: readonly ObjectChange[] = result.events;
+    const toPosition = Number(result.cursor);
     this.#knownPosition = Math.max(this.#knownPosition, toPosition);
-    if (events.length === 0) return true;
+    if (events.length === 0) return;
     // Nothing has changed between the last change known here and the start of
     // the watch, so peers that know as much can apply these changes.
     const fromPosition = Math.min(cursor, this.#position);
@@ -506,10 +513,8 @@
       this.#position = toPosition;
       events = this.#apply(events, { source: "watch" });
     }
-    const learnedAtMs = this.#options.clock.nowMs();
+    const learnedAtMs = clock.nowMs();
     relay.publish(prefix, { fromPosition, toPosition, events, learnedAtMs });
-    await timers.setTimeout(BATCH_PAUSE_MS);
-    return true;
   }
 
   /** Makes the table equal to a list, and returns the changes. */
@@ -540,11 +545,15 @@
     return applied;
   }
 
-  #waitMs(): number {
-    const { random, relay, checksStore, isRare } = this.#options;
-    if (!relay.isStoreSteady && !isRare) return SHORT_WAIT_MS;
-    if (checksStore && relay.isFirstReader) return RENEWAL_MS;
-    return Math.round(WATCH_WAIT_MS * (0.5 + random.next() / 2));
+  #planWaitMs(): number {
+    const { relay, prefix, isRare, clock } = this.#options;
+    const { isStoreSteady } = relay;
+    if (!isStoreSteady && !isRare) return SHORT_WAIT_MS;
+    // While the store isn't steady, the short waits check its position.
+    const intervalMs = relay.isFirstReader && isStoreSteady
+      ? CHECK_INTERVAL_MS
+      : WATCH_INTERVAL_MS;
+    return relay.schedule.plan(prefix, clock.nowMs(), intervalMs);
   }
 
   #noteFailure(error: contracts.StoreError): boolean {
--- a/packages/entry/src/gateway/store/watch_relay.ts
+++ b/packages/entry/src/gateway/store/watch_relay.ts
@@ -16,6 +16,7 @@
 import * as messages from "../peers/peer_messages.ts";
 import type { StoreHealth } from "./store_health.ts";
 import { applyPatch, createPatch } from "./value_patch.ts";
+import { WatchSchedule } from "./watch_schedule.ts";
 
 /** Options of {@link WatchRelay}. */
 export interface WatchRelayOptions {
@@ -57,8 +58,6 @@
 /** The watch of one prefix, as the relay sees it. */
 export interface RelayedWatch {
   readonly prefix: string;
-  /** Whether the first reader renews this watch often to check the store. */
-  readonly checksStore: boolean;
   /** Position of the last change known to this VM. */
   readonly position: number;
   /** The object of a name, as this VM knows it. */
@@ -107,6 +106,8 @@
  * the readers.
  */
 export class WatchRelay {
+  /** When the watches of this VM end, while it is a reader. */
+  readonly schedule = new WatchSchedule();
   readonly #options: WatchRelayOptions;
   readonly #ranking: grants.VmRanking;
   readonly #election: cells.ReaderElection;
@@ -279,9 +280,7 @@
     this.#wasStoreSteady = isStoreSteady;
     if (!this.isReader) return;
     for (const watch of this.#watches.values()) {
-      if (isNewlyUnsteady || (isNewlyFirst && watch.checksStore)) {
-        watch.renewWatch();
-      }
+      if (isNewlyUnsteady || isNewlyFirst) watch.renewWatch();
     }
   }
 
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -442,7 +442,6 @@
       config: new KindWatch({
         ...common,
         prefix: adapter.prefixes.config,
-        checksStore: true,
         onList: (objects, origin) =>
           objects.forEach((object) => config.applyObject(object, origin)),
         onChanges: (changes, origin) =>
