fix(paths): send by peers while no server is heard

When most VMs lose their links to servers without a reset, what they send hangs and keeps the owners' slots.

A VM at which several servers are silent and none is heard now has peers send what may be sent again. Their answers show that the path is lost, which frees the slots.

--- a/packages/decisions/src/paths/path_tracker.ts
+++ b/packages/decisions/src/paths/path_tracker.ts
@@ -200,6 +200,20 @@
     return doubtful > 1;
   }
 
+  /**
+   * Whether several servers are silent and none is heard. This VM may be cut
+   * off, so what may be sent again should go to a peer: a request that gets no
+   * answer keeps a slot from others.
+   */
+  isSilentEverywhere(nowMs: number): boolean {
+    if (this.#openAttempts === 0 || !this.#isNoneHeard(nowMs)) return false;
+    let silent = 0;
+    for (const path of this.#paths.values()) {
+      if (this.#isSilent(path, nowMs)) silent++;
+    }
+    return silent >= MIN_SILENT_SERVERS;
+  }
+
   /** Whether peers were asked for the server just now, and none reached it. */
   isDownEverywhere(server: contracts.ServerId, nowMs: number): boolean {
     const downAtMs = this.#paths.get(server)?.downAtMs;
--- a/packages/decisions/src/paths/path_tracker_test.ts
+++ b/packages/decisions/src/paths/path_tracker_test.ts
@@ -92,6 +92,21 @@
   expect(fixture.lostAttempts.sort()).toEqual([A, B, C]);
 });
 
+/** Requests on lost paths keep all slots, so that no VM hears the servers. */
+test("should have peers send while several servers are silent and none is heard", () => {
+  const fixture = new Fixture();
+  const { tracker } = fixture;
+  fixture.answerAll();
+  fixture.send(A);
+  fixture.nowMs += DETECTION_MS;
+  expect(tracker.isSilentEverywhere(fixture.nowMs)).toEqual(false);
+  fixture.send(B);
+  fixture.nowMs += DETECTION_MS / 2;
+  expect(tracker.isSilentEverywhere(fixture.nowMs)).toEqual(true);
+  fixture.send(C)();
+  expect(tracker.isSilentEverywhere(fixture.nowMs)).toEqual(false);
+});
+
 /** The crash of a server is nobody's path. */
 test("should keep the path to a server that no peer reaches either", () => {
   const fixture = new Fixture();
--- a/packages/entry/src/gateway/paths/server_paths.ts
+++ b/packages/entry/src/gateway/paths/server_paths.ts
@@ -155,7 +155,9 @@
     const use = this.#tracker.useOf(entry.server);
     const nowMs = this.#options.clock.nowMs();
     if (use === "any") {
-      return !isIdempotent || !this.#tracker.takeDoubt(entry.server, nowMs);
+      if (!isIdempotent) return true;
+      return !this.#tracker.takeDoubt(entry.server, nowMs) &&
+        !this.#tracker.isSilentEverywhere(nowMs);
     }
     if (use === "open-only") return this.#pool(entry).hasIdleConnection;
     return this.#tracker.mayTry(entry.server, { isIdempotent, nowMs });
