refactor: one timer tells a pause of the process from time that has passed

HttpChannel had written HedgedStore's check of a late timer again, with its constant; both now call startPauseAwareTimer. PeerRpc decodes an uncompressed reply by the response's own text instead of a copy of its bytes. The comment on WatchSchedule.remove named a case that doesn't occur.

--- a/packages/entry/src/gateway/peers/peer_rpc.ts
+++ b/packages/entry/src/gateway/peers/peer_rpc.ts
@@ -184,16 +184,17 @@
 }
 
 function parseResult<Schema extends z.ZodType>(
-  { bytes, headers }: HttpResponse,
+  response: HttpResponse,
   schema: Schema,
 ): neverthrow.Result<z.output<Schema>, PeerRpcError> {
   const unreadableResult = (message: string) =>
     neverthrow.err({ kind: "unreadable" as const, message });
   try {
-    const text = headers["content-encoding"] === COMPRESSION
-      ? decompress(bytes, MAX_RESULT_BYTES)
-      : Buffer.from(bytes);
-    const reply = JSON.parse(text.toString());
+    const isCompressed = response.headers["content-encoding"] === COMPRESSION;
+    const text = isCompressed
+      ? decompress(response.bytes, MAX_RESULT_BYTES).toString()
+      : response.text;
+    const reply = JSON.parse(text);
     const parsed = schema.safeParse(reply?.result);
     if (parsed.success) return neverthrow.ok(parsed.data);
     return unreadableResult(
--- a/packages/entry/src/gateway/store/watch_schedule.ts
+++ b/packages/entry/src/gateway/store/watch_schedule.ts
@@ -24,7 +24,7 @@
     return Math.round(endMs - nowMs);
   }
 
-  /** Notes that a watch has ended, or is to end earlier than planned. */
+  /** Notes that a watch has ended, perhaps earlier than planned. */
   remove(prefix: string): void {
     this.#endsMs.delete(prefix);
   }
--- a/packages/entry/src/platform/hedged_store.ts
+++ b/packages/entry/src/platform/hedged_store.ts
@@ -7,6 +7,10 @@
 import type * as contracts from "@guavatide/contracts";
 import * as util from "node:util";
 import * as neverthrow from "neverthrow";
+import {
+  READ_AFTER_PAUSE_MS,
+  startPauseAwareTimer,
+} from "../utils/pause_aware_timer.ts";
 
 /** Options of {@link HedgedStore}. */
 export interface HedgedStoreOptions {
@@ -40,8 +44,6 @@
 const OVERDUE_MAX_MS = 600;
 /** A call unanswered this long after a later one was answered counts as lost. */
 const LOST_AFTER_MS = 400;
-/** A timer that runs this late shows that the process was paused. */
-const PAUSE_MIN_MS = 50;
 /** Weight of the latest answer in the usual time. */
 const LATENCY_WEIGHT = 0.3;
 /** Wait of a watch that is repeated; a change that was lost is returned at once. */
@@ -260,14 +262,12 @@
 
   #armTimer(delayMs: number): void {
     const { timeoutMs, maxAttempts, mayRepeat } = this.#options;
-    const dueMs = this.#elapsedMs + delayMs;
-    this.#timer = setTimeout(() => {
-      const elapsedMs = this.#elapsedMs;
-      // The answer may have arrived while this process stood still.
-      if (elapsedMs - dueMs > PAUSE_MIN_MS) return this.#armTimer(PAUSE_MIN_MS);
-      const isSpent = elapsedMs >= timeoutMs;
+    this.#timer = startPauseAwareTimer(delayMs, (wasPaused) => {
+      // The answer may have arrived meanwhile.
+      if (wasPaused) return this.#armTimer(READ_AFTER_PAUSE_MS);
+      const isSpent = this.#elapsedMs >= timeoutMs;
       if (this.#sent < maxAttempts && !isSpent && mayRepeat()) this.#send();
-    }, delayMs);
+    });
   }
 
   /** Cancels the calls that are not answered soon after the first answer. */
--- a/packages/entry/src/platform/http_channel.ts
+++ b/packages/entry/src/platform/http_channel.ts
@@ -9,15 +9,15 @@
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 import type * as http from "node:http";
 import * as undici from "undici";
+import {
+  READ_AFTER_PAUSE_MS,
+  startPauseAwareTimer,
+} from "../utils/pause_aware_timer.ts";
 import { buildResettingConnector } from "../utils/reset_connection.ts";
 
 const CONNECT_TIMEOUT_MS = 1000;
 const MAX_CONNECTIONS = 16;
 const MAX_RESPONSE_BYTES = 64 * 1_048_576;
-/** A timer that runs this late shows that the process was paused. */
-const PAUSE_MIN_MS = 50;
-/** Time to read what arrived during a pause. */
-const READ_AFTER_PAUSE_MS = 50;
 
 /** Request of a call over an {@link HttpChannel}. */
 export interface HttpRequest {
@@ -164,21 +164,15 @@
   }
 }
 
-/**
- * Calls back at a deadline. Timers run before sockets are read, so when this one
- * is late because the process was paused, what has arrived meanwhile is read
- * first.
- */
+/** Calls back at a deadline; after a pause, what has arrived is read first. */
 function startDeadline(
   timeoutMs: number,
   onDeadline: () => void,
 ): { clear(): void } {
-  const deadlineMs = performance.now() + timeoutMs;
-  let timer = setTimeout(() => {
-    const wasPaused = performance.now() - deadlineMs > PAUSE_MIN_MS;
+  let timer = startPauseAwareTimer(timeoutMs, (wasPaused) => {
     if (!wasPaused) return onDeadline();
     timer = setTimeout(onDeadline, READ_AFTER_PAUSE_MS);
-  }, timeoutMs);
+  });
   return { clear: () => clearTimeout(timer) };
 }
 
