feat(grants): log why a range was free when its handover finishes

The leader's log showed that a map was written, but not whether the old owner had released the range, its leases were waited out, or its run was known to have ended. The write of a map now lists the handovers it finishes, and the leader logs each with old owner, its run and the reason.

--- a/packages/decisions/src/grants/handover_controller.ts
+++ b/packages/decisions/src/grants/handover_controller.ts
@@ -13,7 +13,8 @@
 import { RELEASE_RETRY_MS, type ReleaseCall } from "./release_call.ts";
 import {
   type AnsweredRelease,
-  freeAtMs,
+  type FreeReason,
+  handoverEnd,
   type HandoverFacts,
   isReleaseVoid,
   outlastsRelease,
@@ -40,8 +41,17 @@
     readonly kind: "write";
     readonly map: contracts.RangeMap;
     readonly condition: contracts.WriteCondition;
+    /** Handovers that the write finishes. */
+    readonly finished: readonly FinishedHandover[];
   };
 
+/** A handover whose next owner may be granted the range. */
+export interface FinishedHandover {
+  /** The range before it was finished, with its old owner. */
+  readonly range: contracts.RangeState;
+  readonly reason: FreeReason;
+}
+
 const NO_LEASES: ReadonlyMap<contracts.ServerId, number> = new Map();
 
 /** Input of one reconciliation. */
@@ -291,14 +301,15 @@
     if (this.#stored === undefined) return this.#initialWrite(tick);
     const { map, version } = this.#stored;
     const revision = map.revision + 1;
-    let finishedCount = 0;
-    const finished = edit.finishHandovers(map.ranges, (range) => {
-      const isFree = this.#isFree(map, range, tick);
-      if (isFree) finishedCount++;
-      return isFree;
+    const finished: FinishedHandover[] = [];
+    const ranges = edit.finishHandovers(map.ranges, (range) => {
+      const reason = this.#freeReason(map, range, tick);
+      if (reason === undefined) return false;
+      finished.push({ range, reason });
+      return true;
     });
     const moves = tick.plan(map);
-    const started = edit.startHandovers(finished, moves, {
+    const started = edit.startHandovers(ranges, moves, {
       revision,
       lastFence: map.lastFence,
     });
@@ -309,7 +320,7 @@
       started.ranges,
       tick.serverLeasesMs ?? NO_LEASES,
     );
-    const isFinishing = finishedCount > 0 &&
+    const isFinishing = finished.length > 0 &&
       !this.#shouldWaitForMore(tick.nowMs);
     const isLeaseLonger = holdMs > leaseDurationMs(map, this.#timings) ||
       Object.entries(serverHoldMs ?? {}).some(([server, leaseMs]) =>
@@ -327,7 +338,8 @@
       holdMs,
       serverHoldMs,
     };
-    return this.#writeCall(next, { kind: "version", version }, tick);
+    const condition = { kind: "version", version } as const;
+    return { ...this.#writeCall(next, condition, tick), finished };
   }
 
   /** Whether finished handovers can wait for others that finish soon. */
@@ -360,19 +372,21 @@
     map: Omit<contracts.RangeMap, "nonce">,
     condition: contracts.WriteCondition,
     tick: HandoverTick,
-  ): MapCall {
-    return { kind: "write", map: { ...map, nonce: tick.nonce() }, condition };
+  ) {
+    const written = { ...map, nonce: tick.nonce() };
+    return { kind: "write", map: written, condition, finished: [] } as const;
   }
 
-  #isFree(
+  /** Why the next owner may be granted the range now; undefined if it may not. */
+  #freeReason(
     map: contracts.RangeMap,
     range: contracts.RangeState,
     tick: HandoverTick,
-  ): boolean {
-    if (!tick.usable.has(range.owner.server)) return false;
-    const oldOwner = range.vacating!;
-    const atMs = freeAtMs(this.#facts(map, range, tick.hasEnded(oldOwner)));
-    return atMs !== undefined && atMs <= tick.nowMs;
+  ): FreeReason | undefined {
+    if (!tick.usable.has(range.owner.server)) return undefined;
+    const hasEnded = tick.hasEnded(range.vacating!);
+    const end = handoverEnd(this.#facts(map, range, hasEnded));
+    return end !== undefined && end.atMs <= tick.nowMs ? end.reason : undefined;
   }
 
   /** Voter sets of the next revision; the same object when nothing changes. */
--- a/packages/decisions/src/grants/handover_wait.ts
+++ b/packages/decisions/src/grants/handover_wait.ts
@@ -31,16 +31,34 @@
   readonly timings: GrantTimings;
 }
 
+/** Why the old owner of a range can no longer hold a lease on it. */
+export type FreeReason = "owner-ended" | "released" | "expired";
+
+/** When and why the next owner of a range may be granted it. */
+export interface HandoverEnd {
+  /** On this VM's clock. */
+  readonly atMs: number;
+  readonly reason: FreeReason;
+}
+
 /**
  * When the next owner may be granted the range, on this VM's clock; undefined
  * while that is not known yet.
  */
 export function freeAtMs(facts: HandoverFacts): number | undefined {
+  return handoverEnd(facts)?.atMs;
+}
+
+/** The same as {@link freeAtMs}, with the reason. */
+export function handoverEnd(facts: HandoverFacts): HandoverEnd | undefined {
   const { acknowledgedAtMs, release, hasEnded } = facts;
-  if (hasEnded) return Number.NEGATIVE_INFINITY;
+  if (hasEnded) {
+    return { atMs: Number.NEGATIVE_INFINITY, reason: "owner-ended" };
+  }
   if (acknowledgedAtMs === undefined) return undefined;
   const expiredMs = lastGrantEndMs(facts, acknowledgedAtMs, "lastGrantMs");
-  if (release === undefined || isReleaseVoid(facts)) return expiredMs;
+  const expired = { atMs: expiredMs, reason: "expired" } as const;
+  if (release === undefined || isReleaseVoid(facts)) return expired;
   // A release revokes a grant that was answered before it; an unanswered grant
   // may take effect after it.
   const unansweredExpiredMs = lastGrantEndMs(
@@ -48,10 +66,10 @@
     acknowledgedAtMs,
     "lastUnansweredMs",
   );
-  return Math.min(
-    expiredMs,
-    Math.max(release.answeredAtMs, unansweredExpiredMs),
-  );
+  const releasedMs = Math.max(release.answeredAtMs, unansweredExpiredMs);
+  return releasedMs < expiredMs
+    ? { atMs: releasedMs, reason: "released" }
+    : expired;
 }
 
 /**
--- a/packages/decisions/src/grants/handover_wait_test.ts
+++ b/packages/decisions/src/grants/handover_wait_test.ts
@@ -174,3 +174,15 @@
   fixture.hasEnded = true;
   expect(fixture.freeAtMs()).toEqual(Number.NEGATIVE_INFINITY);
 });
+
+/** Guards against logs that can't tell how a handover came to its end. */
+test("should name the reason for which a range is free", () => {
+  const fixture = new Fixture();
+  const reason = () => grants.handoverEnd(fixture.facts())?.reason;
+  for (const vm of ["k1", "k2", "k3"]) fixture.report(vm, { sentMs: 9_900 });
+  expect(reason()).toEqual("expired");
+  fixture.releaseAnsweredAtMs = 10_060;
+  expect(reason()).toEqual("released");
+  fixture.hasEnded = true;
+  expect(reason()).toEqual("owner-ended");
+});
--- a/packages/entry/src/gateway/grants/service_grants.ts
+++ b/packages/entry/src/gateway/grants/service_grants.ts
@@ -750,6 +750,7 @@
       : await maps.write(call.map, call.condition);
     this.#handoverController.noteCallResult(result, clock.nowMs());
     if (result.kind === "unsure" || result.kind === "absent") return;
+    if (call.kind === "write") this.#logFinished(call.finished);
     this.#fetcher.noteMapRead();
     const { map } = result.stored;
     this.#voterReports.noteRead(map.revision, sentAtMs);
@@ -761,6 +762,21 @@
     this.#renew(map, clock.nowMs());
   }
 
+  #logFinished(finished: readonly grants.FinishedHandover[]): void {
+    for (const { range, reason } of finished) {
+      const { fromKey, toKey, fence, owner, vacating } = range;
+      this.#options.log.info("Handover finished.", {
+        server: owner.server,
+        fromKey,
+        toKey,
+        fence,
+        oldOwner: vacating!.server,
+        oldBornMs: vacating!.bornMs,
+        reason,
+      });
+    }
+  }
+
   /** Marks fences that are new in the map as pending. */
   #updatePendingFences(map: contracts.RangeMap): void {
     const known = new Set(
