--- a/packages/decisions/src/grants/grant_model_test.ts
+++ b/packages/decisions/src/grants/grant_model_test.ts
@@ -37,10 +37,12 @@
    * A fault: the last VM reaches the servers, but neither a peer nor the store.
    */
   readonly isolateLast?: boolean;
+  /** A fault: servers start again under their ids, and register late. */
+  readonly restartServers?: boolean;
 }
 
 class ModelServer {
-  readonly owner: contracts.RangeOwner;
+  owner: contracts.RangeOwner;
   /** Indexed like SAMPLE_KEYS, as is `heldUntilMs`. */
   readonly fences = SAMPLE_KEYS.map(() => 0);
   readonly heldUntilMs = SAMPLE_KEYS.map(() => 0);
@@ -66,6 +68,14 @@
   release(range: contracts.KeyRange): void {
     for (const index of indexesOf(range)) this.heldUntilMs[index] = 0;
   }
+
+  /** Starts again under its id, at its address: it knows nothing of before. */
+  restart(): void {
+    this.owner = { ...this.owner, bornMs: this.owner.bornMs + 1 };
+    this.fences.fill(0);
+    this.heldUntilMs.fill(0);
+    this.unresponsiveUntilMs = 0;
+  }
 }
 
 function indexesOf({ fromKey, toKey }: contracts.KeyRange): number[] {
@@ -96,12 +106,19 @@
   readonly echoes = new Map<contracts.VmId, number>();
   readonly sent = new Map<contracts.ServerId, SentGrant>();
   readonly renewedMs = new Map<string, number>();
+  /** The latest run of each server that this VM knows. */
+  readonly bornMs = new Map<contracts.ServerId, number>();
 
   constructor(vm: string) {
     this.vm = vm as contracts.VmId;
     this.controller = this.#newController();
   }
 
+  /** Whether a later run of the server is known here. */
+  hasEnded({ server, bornMs }: contracts.RangeOwner): boolean {
+    return (this.bornMs.get(server) ?? 1) > bornMs;
+  }
+
   #newController(): grants.HandoverController {
     const service = "s" as contracts.ServiceId;
     return new grants.HandoverController(service, this.reports, TIMINGS);
@@ -204,6 +221,24 @@
       const server = this.#pick(this.servers);
       server.unresponsiveUntilMs = this.nowMs + this.#between(500, 4_000);
     }
+    if (this.#faults.restartServers && this.#chance(0.002)) {
+      this.#restartServer(this.#pick(this.servers));
+    }
+  }
+
+  /** Each VM learns of the new run in its own time. */
+  #restartServer(server: ModelServer): void {
+    server.restart();
+    const { bornMs } = server.owner;
+    const registeredMs = this.#between(0, 1_500);
+    for (const vm of this.vms) {
+      const isLate = this.#chance(0.2);
+      const delayMs = this.#between(0, isLate ? 2_000 : 100);
+      this.#after(registeredMs + delayMs, () => {
+        const known = vm.bornMs.get(server.owner.server) ?? 1;
+        vm.bornMs.set(server.owner.server, Math.max(known, bornMs));
+      });
+    }
   }
 
   #runVm(vm: ModelVm): void {
@@ -297,8 +332,9 @@
     if (map === undefined) return;
     for (const range of map.ranges) {
       if (range.vacating !== undefined) continue;
-      const { server } = range.owner;
+      const { server, bornMs } = range.owner;
       if (vm.sent.get(server)?.isInFlight) continue;
+      if ((vm.bornMs.get(server) ?? 1) !== bornMs) continue;
       const name = `${range.fromKey}/${range.fence}`;
       const renewedMs = vm.renewedMs.get(name) ?? -Infinity;
       if (this.nowMs - renewedMs < TIMINGS.renewMs) continue;
@@ -337,15 +373,22 @@
       ? this.#between(0, TIMINGS.grantTimeoutMs)
       : 0;
     const isLate = this.#chance(0.1);
-    this.#after(waitMs + transitMs, () => {
-      const arrived = { arrivedMs: this.nowMs, holdMs };
-      if (server.unresponsiveUntilMs > this.nowMs) return;
-      if (isLate) {
-        const delayMs = this.#between(200, 3_000);
-        return this.#after(delayMs, () => server.grant(range, arrived));
-      }
-      server.grant(range, arrived);
-      this.#after(this.#between(1, 40), () => end(true));
+    this.#after(waitMs, () => {
+      // What was sent to a run ends with it.
+      const { bornMs } = server.owner;
+      const isSameRun = () => server.owner.bornMs === bornMs;
+      this.#after(transitMs, () => {
+        const arrived = { arrivedMs: this.nowMs, holdMs };
+        if (!isSameRun() || server.unresponsiveUntilMs > this.nowMs) return;
+        if (isLate) {
+          const delayMs = this.#between(200, 3_000);
+          return this.#after(delayMs, () => {
+            if (isSameRun()) server.grant(range, arrived);
+          });
+        }
+        server.grant(range, arrived);
+        this.#after(this.#between(1, 40), () => end(true));
+      });
     });
     const giveUp = () => {
       if (state.isInFlight) end(false);
@@ -355,10 +398,10 @@
 
   #controlHandovers(vm: ModelVm): void {
     const { controller } = vm;
-    const tick = this.#tick();
+    const tick = this.#tick(vm);
     controller.checkAcknowledgements(this.nowMs, tick.removedVoters);
-    const neverEnded = () => false;
-    for (const call of controller.takeReleases(this.nowMs, neverEnded)) {
+    const hasEnded = (owner: contracts.RangeOwner) => vm.hasEnded(owner);
+    for (const call of controller.takeReleases(this.nowMs, hasEnded)) {
       this.#release(vm, call);
     }
     const call = controller.nextCall(tick);
@@ -414,22 +457,23 @@
     return this.nowMs >= SPARING_FROM_MS && this.nowMs < SPARING_UNTIL_MS;
   }
 
-  #tick(): grants.HandoverTick {
+  #tick(vm: ModelVm): grants.HandoverTick {
     const usable = new Map(
-      this.servers.map(({ owner }) => [
-        owner.server,
-        { ...owner, slots: 1 } as contracts.RegisteredServer,
-      ]),
+      this.servers.map(({ owner: { server } }) => {
+        const bornMs = vm.bornMs.get(server) ?? 1;
+        const entry = { server, bornMs, slots: 1 };
+        return [server, entry as contracts.RegisteredServer];
+      }),
     );
     return {
       nowMs: this.#faults.noLeaseWait ? this.nowMs + 1e6 : this.nowMs,
       usable,
-      hasEnded: () => false,
+      hasEnded: (owner) => vm.hasEnded(owner),
       voters: this.vms.map(({ vm }) => vm),
       removedVoters: this.#faults.noQuorum
         ? new Set(this.vms.map(({ vm }) => vm))
         : new Set(),
-      plan: () => this.#plan(),
+      plan: (map) => this.#plan(map, [...usable.values()]),
       nonce: () => String(this.#version),
       // Requests need longer leases in the second half of the run.
       leaseMs: this.nowMs < RUN_MS / 2 ? TIMINGS.holdMs : LONG_LEASE_MS,
@@ -441,14 +485,32 @@
     };
   }
 
-  #plan(): grants.RangeMove[] {
+  #plan(
+    { ranges }: contracts.RangeMap,
+    usable: readonly contracts.RegisteredServer[],
+  ): grants.RangeMove[] {
+    const pickOwner = () => {
+      const { server, bornMs } = this.#pick(usable);
+      return { server, bornMs };
+    };
+    const owners = usable.map(({ server, bornMs }) => ({ server, bornMs }));
+    const lost = ranges.filter(({ owner }) =>
+      !owners.some((usableOwner) => grants.isSameOwner(usableOwner, owner))
+    );
+    if (lost.length > 0) {
+      return lost.map(({ fromKey, toKey }) => ({
+        fromKey,
+        toKey,
+        to: pickOwner(),
+      }));
+    }
     if (this.nowMs < 1_000 || !this.#chance(0.05)) return [];
     this.moves++;
     const quarter = Math.floor(this.#between(0, 4));
     return [{
       fromKey: quarter * QUARTER,
       toKey: (quarter + 1) * QUARTER - 1,
-      to: this.#pick(this.servers).owner,
+      to: pickOwner(),
     }];
   }
 
@@ -495,6 +557,16 @@
   expect(moves > RUNS * 5).toEqual(true);
 });
 
+/**
+ * Guards against keys given on while a new run of their owner holds them by
+ * grants that were meant for the run before it.
+ */
+test("should never let two servers hold a key while servers restart", () => {
+  const { violations, moves } = runModels({ restartServers: true }, RUNS);
+  expect(violations).toEqual(0);
+  expect(moves > RUNS * 5).toEqual(true);
+});
+
 /** Guards against two holders when only the leader reaches the store. */
 test("should not move keys without a reachable majority", () => {
   expect(runModels({ isolateFirst: true }, 20).violations).toEqual(0);
