fix(grants): the end of an owner's run frees its keys for no other server

Grants carry no run of the server. One that starts again under its id, at its address, accepts the grants that voters still renew for the run before it, and serves their keys. A handover from an ended run waited for nothing, so the next owner was granted keys that the new run held.

A handover from an ended run now needs what every handover needs: the acknowledgement by a quorum, then a release or the wait for the last grant. Releases, and the calls that only pass the next fence on, go to the run that is registered under the id now. Only a next owner that is the new run itself gets the keys at once: nobody else can hold them. Such ranges are not released, as the call could reach the server after its new grant.

Tests that relied on the old rule are replaced: the wait of an ended run (now: of the old owner's new run, and not of the same or an earlier one), fencing calls dropped for an ended run (now sent on), and a handover that a restart finished (now by a release; the leader is the only voter there).

--- a/packages/decisions/src/grants/fencing_releases.ts
+++ b/packages/decisions/src/grants/fencing_releases.ts
@@ -48,7 +48,6 @@
   /** Returns the calls to send now, at most one in flight to each server. */
   takeDue(
     nowMs: number,
-    hasEnded: (owner: contracts.RangeOwner) => boolean,
     mayCall: (server: contracts.ServerId) => boolean = () => true,
   ): ReleaseCall[] {
     const calls: ReleaseCall[] = [];
@@ -58,7 +57,7 @@
     }
     for (const [fence, pending] of this.#pending) {
       const { oldOwner } = pending.call;
-      if (nowMs - pending.addedAtMs >= RETRY_WINDOW_MS || hasEnded(oldOwner)) {
+      if (nowMs - pending.addedAtMs >= RETRY_WINDOW_MS) {
         this.#pending.delete(fence);
         continue;
       }
--- a/packages/decisions/src/grants/grant_model_test.ts
+++ b/packages/decisions/src/grants/grant_model_test.ts
@@ -114,11 +114,6 @@
     this.controller = this.#newController();
   }
 
-  /** Whether a later run of the server is known here. */
-  hasEnded({ server, bornMs }: contracts.RangeOwner): boolean {
-    return (this.bornMs.get(server) ?? 1) > bornMs;
-  }
-
   #newController(): grants.HandoverController {
     const service = "s" as contracts.ServiceId;
     return new grants.HandoverController(service, this.reports, TIMINGS);
@@ -400,8 +395,7 @@
     const { controller } = vm;
     const tick = this.#tick(vm);
     controller.checkAcknowledgements(this.nowMs, tick.removedVoters);
-    const hasEnded = (owner: contracts.RangeOwner) => vm.hasEnded(owner);
-    for (const call of controller.takeReleases(this.nowMs, hasEnded)) {
+    for (const call of controller.takeReleases(this.nowMs)) {
       this.#release(vm, call);
     }
     const call = controller.nextCall(tick);
@@ -468,7 +462,6 @@
     return {
       nowMs: this.#faults.noLeaseWait ? this.nowMs + 1e6 : this.nowMs,
       usable,
-      hasEnded: (owner) => vm.hasEnded(owner),
       voters: this.vms.map(({ vm }) => vm),
       removedVoters: this.#faults.noQuorum
         ? new Set(this.vms.map(({ vm }) => vm))
--- a/packages/decisions/src/grants/handover_controller.ts
+++ b/packages/decisions/src/grants/handover_controller.ts
@@ -17,6 +17,7 @@
   handoverEnd,
   type HandoverFacts,
   isReleaseVoid,
+  isRestartOf,
   outlastsRelease,
 } from "./handover_wait.ts";
 
@@ -59,8 +60,6 @@
   readonly nowMs: number;
   /** Servers that can own ranges now. */
   readonly usable: ReadonlyMap<contracts.ServerId, contracts.RegisteredServer>;
-  /** Whether this incarnation of a server is known to have ended. */
-  hasEnded(owner: contracts.RangeOwner): boolean;
   /** Entry VMs that are to vote on the map, in any order. */
   readonly voters: readonly contracts.VmId[];
   /** Lease duration that the service's requests need. */
@@ -196,10 +195,12 @@
     }
   }
 
-  /** Releases to send now; each is returned once until its result is noted. */
+  /**
+   * Releases to send now, to the present run of each old owner; each is returned
+   * once until its result is noted.
+   */
   takeReleases(
     nowMs: number,
-    hasEnded: (owner: contracts.RangeOwner) => boolean,
     mayCall: (server: contracts.ServerId) => boolean = () => true,
   ): ReleaseCall[] {
     // By a stale map, keys might be released that their owner owns again.
@@ -208,13 +209,15 @@
     const { map } = this;
     for (const range of map?.ranges ?? []) {
       const oldOwner = range.vacating;
-      if (oldOwner === undefined || hasEnded(oldOwner)) continue;
+      if (oldOwner === undefined) continue;
+      // A release could reach the new run after its grant, and revoke that.
+      if (isRestartOf(range.owner, oldOwner)) continue;
       if (!this.#mayRelease(map!, range, nowMs)) continue;
       if (!mayCall(oldOwner.server)) continue;
       this.#release(range.fence).sentAtMs = nowMs;
       calls.push({ range, oldOwner });
     }
-    return [...calls, ...this.#fencing.takeDue(nowMs, hasEnded, mayCall)];
+    return [...calls, ...this.#fencing.takeDue(nowMs, mayCall)];
   }
 
   /** Takes the result of a release; a failed one is retried. */
@@ -261,7 +264,7 @@
     if (acknowledgedAtMs === undefined || isInFlight) return false;
     if (nowMs < release.notBeforeMs) return false;
     if (release.answered !== undefined) {
-      const facts = this.#facts(map, range, false);
+      const facts = this.#facts(map, range);
       const isSparing = map.serverHoldMs?.[server] !== undefined;
       const sinceMs = nowMs - release.answered.answeredAtMs;
       const isUseless = isSparing &&
@@ -284,7 +287,6 @@
   #facts(
     map: contracts.RangeMap,
     range: contracts.RangeState,
-    hasEnded: boolean,
   ): HandoverFacts {
     return {
       map,
@@ -292,7 +294,6 @@
       reports: this.#reports,
       acknowledgedAtMs: this.#acknowledgedAtMs.get(range.vacating!.revision),
       release: this.#releases.get(range.fence)?.answered,
-      hasEnded,
       timings: this.#timings,
     };
   }
@@ -384,8 +385,7 @@
     tick: HandoverTick,
   ): FreeReason | undefined {
     if (!tick.usable.has(range.owner.server)) return undefined;
-    const hasEnded = tick.hasEnded(range.vacating!);
-    const end = handoverEnd(this.#facts(map, range, hasEnded));
+    const end = handoverEnd(this.#facts(map, range));
     return end !== undefined && end.atMs <= tick.nowMs ? end.reason : undefined;
   }
 
--- a/packages/decisions/src/grants/handover_controller_test.ts
+++ b/packages/decisions/src/grants/handover_controller_test.ts
@@ -23,6 +23,8 @@
   readonly hasUnansweredGrant?: boolean;
   /** The old owner's other ranges are renewed all the time. */
   readonly renewsOthers?: boolean;
+  /** The next owner of the ranges; the second server by default. */
+  readonly nextOwner?: contracts.RangeOwner;
 }
 
 /** Two servers, with many ranges handed over from one to the other. */
@@ -47,7 +49,7 @@
     this.#moves = Array.from({ length: MOVES }, (_, index) => ({
       fromKey: 2 * index * width,
       toKey: (2 * index + 1) * width - 1,
-      to: owner("b"),
+      to: options.nextOwner ?? owner("b"),
     }));
   }
 
@@ -66,7 +68,7 @@
   takeReleases(): grants.ReleaseCall[] {
     this.#reportVoter();
     this.controller.checkAcknowledgements(this.nowMs, new Set());
-    return this.controller.takeReleases(this.nowMs, () => false);
+    return this.controller.takeReleases(this.nowMs);
   }
 
   get movingRanges(): number {
@@ -77,7 +79,7 @@
     const { controller, nowMs } = this;
     this.#reportVoter();
     controller.checkAcknowledgements(nowMs, new Set());
-    for (const { range } of controller.takeReleases(nowMs, () => false)) {
+    for (const { range } of controller.takeReleases(nowMs)) {
       this.releases++;
       const atMs = nowMs + STEP_MS * (1 + this.#answers.length % MOVES);
       this.#answers.push({ fence: range.fence, atMs });
@@ -128,7 +130,6 @@
     return {
       nowMs: this.nowMs,
       usable: new Map(usable),
-      hasEnded: () => false,
       voters: [VOTER],
       removedVoters: new Set(),
       leaseMs: grants.DEFAULT_GRANT_TIMINGS.holdMs,
@@ -182,3 +183,16 @@
   expect(limited.releases).toEqual(MOVES);
   expect(limited.movingRanges).toEqual(MOVES);
 });
+
+/**
+ * Guards against a release that reaches the new run of the old owner after its
+ * grant, and revokes it.
+ */
+test("should not release keys that the old owner's new run is to own", () => {
+  const fixture = new Fixture({ nextOwner: { ...owner("a"), bornMs: 2 } });
+  fixture.runUntilMoving();
+  expect(fixture.takeReleases()).toEqual([]);
+  fixture.run();
+  expect(fixture.movingRanges).toEqual(0);
+  expect(fixture.releases).toEqual(0);
+});
--- a/packages/decisions/src/grants/handover_wait.ts
+++ b/packages/decisions/src/grants/handover_wait.ts
@@ -26,13 +26,15 @@
   readonly acknowledgedAtMs: number | undefined;
   /** The release that the old owner answered. */
   readonly release: AnsweredRelease | undefined;
-  /** Whether the old owner's incarnation is known to have ended. */
-  readonly hasEnded: boolean;
   readonly timings: GrantTimings;
 }
 
 /** Why the old owner of a range can no longer hold a lease on it. */
-export type FreeReason = "owner-ended" | "released" | "expired";
+export type FreeReason =
+  /** The next owner is a later run of the old one. */
+  | "same-server"
+  | "released"
+  | "expired";
 
 /** When and why the next owner of a range may be granted it. */
 export interface HandoverEnd {
@@ -51,9 +53,9 @@
 
 /** The same as {@link freeAtMs}, with the reason. */
 export function handoverEnd(facts: HandoverFacts): HandoverEnd | undefined {
-  const { acknowledgedAtMs, release, hasEnded } = facts;
-  if (hasEnded) {
-    return { atMs: Number.NEGATIVE_INFINITY, reason: "owner-ended" };
+  const { acknowledgedAtMs, release, range } = facts;
+  if (isRestartOf(range.owner, range.vacating!)) {
+    return { atMs: Number.NEGATIVE_INFINITY, reason: "same-server" };
   }
   if (acknowledgedAtMs === undefined) return undefined;
   const expiredMs = lastGrantEndMs(facts, acknowledgedAtMs, "lastGrantMs");
@@ -72,6 +74,18 @@
     : expired;
 }
 
+/**
+ * Whether the next owner is a later run of the old one. Grants that were meant
+ * for a run that has ended may still reach a later one at the same address, so
+ * its end alone frees its keys for no other server.
+ */
+export function isRestartOf(
+  next: contracts.RangeOwner,
+  old: contracts.RangeOwner,
+): boolean {
+  return next.server === old.server && next.bornMs > old.bornMs;
+}
+
 /**
  * Whether an unanswered grant keeps the old owner's lease in force, so that no
  * release can end it before that lease expires.
--- a/packages/decisions/src/grants/handover_wait_test.ts
+++ b/packages/decisions/src/grants/handover_wait_test.ts
@@ -24,13 +24,12 @@
   readonly acknowledgedAtMs = 10_050;
   releaseAnsweredAtMs: number | undefined;
   releaseSentAtMs = 10_055;
-  hasEnded = false;
 
-  constructor() {
+  constructor(next = B) {
     const first = grants.initialRanges([{ ...A, slots: 1 }]);
     const started = grants.startHandovers(
       first,
-      [{ fromKey: 0, toKey: 65_535, to: B }],
+      [{ fromKey: 0, toKey: 65_535, to: next }],
       { revision: 2, lastFence: 1 },
     );
     this.map = {
@@ -81,7 +80,6 @@
         sentAtMs: this.releaseSentAtMs,
         answeredAtMs: this.releaseAnsweredAtMs,
       },
-      hasEnded: this.hasEnded,
       timings: TIMINGS,
     };
   }
@@ -169,10 +167,20 @@
   expect(grants.isReleaseVoid(fixture.facts())).toEqual(false);
 });
 
-test("should not wait for an incarnation that has ended", () => {
-  const fixture = new Fixture();
-  fixture.hasEnded = true;
+/** Only the old owner's id can hold the keys, and its earlier run has ended. */
+test("should not wait when the next owner is a later run of the old one", () => {
+  const fixture = new Fixture({ ...A, bornMs: 2 });
   expect(fixture.freeAtMs()).toEqual(Number.NEGATIVE_INFINITY);
+  expect(grants.handoverEnd(fixture.facts())?.reason).toEqual("same-server");
+});
+
+/** Guards against keys that the old owner's run itself is granted anew. */
+test("should wait when the next owner is the same or an earlier run", () => {
+  for (const bornMs of [A.bornMs, A.bornMs - 1]) {
+    const fixture = new Fixture({ ...A, bornMs });
+    for (const vm of ["k1", "k2", "k3"]) fixture.report(vm, { sentMs: 9_900 });
+    expect(fixture.freeAtMs()).toEqual(9_900 + LEASE_LIFETIME_MS);
+  }
 });
 
 /** Guards against logs that can't tell how a handover came to its end. */
@@ -183,6 +191,4 @@
   expect(reason()).toEqual("expired");
   fixture.releaseAnsweredAtMs = 10_060;
   expect(reason()).toEqual("released");
-  fixture.hasEnded = true;
-  expect(reason()).toEqual("owner-ended");
 });
--- a/packages/decisions/src/grants/release_call.ts
+++ b/packages/decisions/src/grants/release_call.ts
@@ -4,7 +4,10 @@
 /** Delay before a failed release is retried: the server is lost or restarts. */
 export const RELEASE_RETRY_MS = 300;
 
-/** A release of a range by its old owner; it carries the next owner's fence. */
+/**
+ * A release of a range by its old owner, or by the run that has replaced it; it
+ * carries the next owner's fence.
+ */
 export interface ReleaseCall {
   readonly range: contracts.RangeState;
   readonly oldOwner: NonNullable<contracts.RangeState["vacating"]>;
--- a/packages/entry/src/gateway/grants/service_grants.ts
+++ b/packages/entry/src/gateway/grants/service_grants.ts
@@ -716,7 +716,6 @@
     const { backoffs } = this.#options;
     const releases = this.#handoverController.takeReleases(
       nowMs,
-      tick.hasEnded,
       (server) =>
         backoffs.mayControl(server) &&
         this.#pacer.tryTake(server, this.#controlCallBudget(server), nowMs),
@@ -796,13 +795,15 @@
 
   /**
    * Calls the old owner with the next owner's fence: from then on it refuses
-   * older grants.
+   * older grants. If the old owner has been replaced by a later run under its
+   * id, that one is called: it may hold keys by grants meant for the earlier
+   * run.
    */
   #release({ range, oldOwner, isFencing }: grants.ReleaseCall): void {
     const { registry, control, clock, timings, log } = this.#options;
-    const server = registry.entry(oldOwner);
+    const server = registry.find(oldOwner.server);
     const { fromKey, toKey, fence } = range;
-    if (server === undefined) {
+    if (server === undefined || server.bornMs < oldOwner.bornMs) {
       return this.#handoverController.noteReleaseResult(
         fence,
         "failed",
@@ -866,7 +867,6 @@
       usable: registry.isListed && mayStart ? usable : new Map(),
       leaseMs: desiredLeaseMs(),
       serverLeasesMs: this.#serverLeasesMs(usable),
-      hasEnded: (owner) => registry.hasEnded(owner),
       voters: grants.selectVoters(selection),
       removedVoters: grants.removedVoters(selection),
       plan: (map) => this.#planner.plan(map, usable, nowMs),
--- a/packages/entry/src/gateway/grants/service_grants_test.ts
+++ b/packages/entry/src/gateway/grants/service_grants_test.ts
@@ -48,9 +48,15 @@
   const { sent, ...voter } = await createVoter({ isLeader: true });
   const isGranted = () =>
     [...sent.values()].flat().some(({ fence }) => fence === HANDED_OVER_FENCE);
-  await voter.run(LEADER_AFTER_MS);
-  voter.endIncarnation(FIRST_SERVER);
-  voter.tick(1);
+  // A voter counts as having granted until its start.
+  const freeAtMs = grants.maxLeaseLifetimeMs(
+    grants.DEFAULT_GRANT_TIMINGS,
+    grants.DEFAULT_GRANT_TIMINGS.holdMs,
+  );
+  await voter.run(freeAtMs - TICK_MS);
+  voter.answerReleases();
+  await timers.setImmediate();
+  voter.tick(TICK_MS);
   expect(isGranted()).toEqual(false);
 
   await timers.setImmediate();
@@ -58,6 +64,19 @@
   expect(isGranted()).toEqual(true);
 });
 
+/**
+ * Guards against keys given on while a new run of their owner holds them by
+ * grants that were meant for the run before it.
+ */
+test("should wait for a release by the run that has replaced the owner's", async () => {
+  const { sent, ...voter } = await createVoter({ isLeader: true });
+  voter.restartServer(FIRST_SERVER);
+  await voter.run(LEADER_AFTER_MS);
+  const fences = [...sent.values()].flat().map(({ fence }) => fence);
+  expect(fences.includes(HANDED_OVER_FENCE)).toEqual(false);
+  expect(voter.releasingRuns).toEqual([2]);
+});
+
 /**
  * Guards against a grant that is sent after the confirmation of its map has
  * expired.
@@ -79,7 +98,10 @@
 async function createVoter({ isLeader = false } = {}) {
   let nowMs = 0;
   let isHeld = false;
-  const ended = new Set<contracts.ServerId>();
+  const restarted = new Set<contracts.ServerId>();
+  const releases: (() => void)[] = [];
+  /** The runs that were asked to release a range. */
+  const releasingRuns: number[] = [];
   /** Servers whose ranges were visited. */
   const visited = new Set<contracts.ServerId>();
   const sent = new Map<contracts.ServerId, contracts.KeyGrant[]>();
@@ -120,20 +142,30 @@
         });
         return neverthrow.ResultAsync.fromSafePromise(answered);
       },
-      release: () => neverthrow.okAsync(undefined),
+      release: ({ bornMs }) => {
+        releasingRuns.push(bornMs);
+        return neverthrow.ResultAsync.fromSafePromise(
+          new Promise((resolve) => releases.push(() => resolve(undefined))),
+        );
+      },
       close: () => Promise.resolve(),
     },
     registry: {
       entry: ({ server }: contracts.RangeOwner) => serverEntryOf(server),
+      find: (server: contracts.ServerId) => ({
+        ...serverEntryOf(server),
+        bornMs: restarted.has(server) ? 2 : 1,
+      }),
       staying: () => SERVERS.map(serverEntryOf),
-      hasEnded: ({ server }: contracts.RangeOwner) => ended.has(server),
       isListed: true,
     } as unknown as ServerRegistry,
-    // The VM that reaches the store is the leader.
-    peers: () => [
-      { vm: VOTER, hasStore: isLeader },
-      { vm: OTHER, hasStore: !isLeader },
-    ],
+    // The VM that reaches the store is the leader. Alone, it needs no report of
+    // another voter to finish a handover.
+    peers: () =>
+      isLeader ? [{ vm: VOTER, hasStore: true }] : [
+        { vm: VOTER, hasStore: false },
+        { vm: OTHER, hasStore: true },
+      ],
     roleWeights: () => new Map(),
     desiredLeaseMs: () => grants.DEFAULT_GRANT_TIMINGS.holdMs,
     controlCallsPerSecond: () => isSparing ? 1.6 : undefined,
@@ -173,7 +205,11 @@
       nowMs += afterMs;
       service.tick();
     },
-    endIncarnation: (server: contracts.ServerId) => ended.add(server),
+    releasingRuns,
+    answerReleases: () => {
+      for (const answer of releases.splice(0)) answer();
+    },
+    restartServer: (server: contracts.ServerId) => restarted.add(server),
     /** The map names longer leases from now on. */
     lengthenLeases: () => {
       isSparing = true;
--- a/packages/entry/src/gateway/servers/server_registry.ts
+++ b/packages/entry/src/gateway/servers/server_registry.ts
@@ -142,12 +142,6 @@
     return known?.entry.bornMs === owner.bornMs ? known.entry : undefined;
   }
 
-  /** Whether this incarnation has ended, as a later one is known. */
-  hasEnded(owner: contracts.RangeOwner): boolean {
-    const known = this.#known.get(owner.server);
-    return known !== undefined && known.entry.bornMs > owner.bornMs;
-  }
-
   /** Ids of all known servers, including draining and recently removed ones. */
   ids(): Set<contracts.ServerId> {
     return new Set(this.#known.keys());
