fix(grants): don't wait for leases of grants that had no connection

A grant to a crashed server fails as its connection is refused. It counted as a grant without an answer, which may take effect later, so each retry put off the end of the handover by a whole lease. It also kept a release by a restarted server from counting. Only a grant whose bytes were about to leave, as its maySend says, can take effect; others are told no more. They still count as unanswered for the vote on lost servers.

--- a/packages/contracts/src/key_grants.ts
+++ b/packages/contracts/src/key_grants.ts
@@ -44,7 +44,7 @@
 export interface GrantCallOptions extends CallOptions {
   /**
    * Called right before the bytes are sent; false keeps the call from being
-   * sent.
+   * sent. A call that fails before this is called counts as not sent.
    */
   readonly maySend?: () => boolean;
   /** Called with what the server says of itself beside its answer. */
--- a/packages/entry/src/gateway/grants/grant_sender.ts
+++ b/packages/entry/src/gateway/grants/grant_sender.ts
@@ -211,10 +211,15 @@
     call.isInFlight = true;
     state.unansweredSinceMs ??= sentAtMs;
     const { fromKey, toKey, fence } = range;
+    let wasSent = false;
+    const maySend = () => {
+      wasSent = isStillAllowed();
+      return wasSent;
+    };
     const result = await control.grant(
       server,
       { fromKey, toKey, fence, holdMs: leaseMs, handover },
-      { timeoutMs: timings.grantTimeoutMs, maySend: isStillAllowed },
+      { timeoutMs: timings.grantTimeoutMs, maySend },
     );
     state.isInFlight = false;
     call.isInFlight = false;
@@ -229,8 +234,9 @@
     }
     state.lastEndedAtMs = clock.nowMs();
     this.#scheduleRetry(state, result.isOk() && result.value === "granted");
-    call.endedAtMs = state.lastEndedAtMs;
-    if (result.isErr()) call.unansweredAtMs = state.lastEndedAtMs;
+    // Without a connection nothing was sent that could still take effect.
+    if (wasSent || result.isOk()) call.endedAtMs = state.lastEndedAtMs;
+    if (wasSent && result.isErr()) call.unansweredAtMs = state.lastEndedAtMs;
     this.#options.onCompleted(server.server);
     if (result.isErr()) {
       log.warn("Grant not answered.", {
--- a/packages/entry/src/gateway/grants/grant_sender_test.ts
+++ b/packages/entry/src/gateway/grants/grant_sender_test.ts
@@ -123,6 +123,25 @@
   expect(sender.canSend(RANGE.owner)).toEqual(true);
 });
 
+/** Guards against handover waits because of calls that had no connection. */
+test("should not count a grant that failed before it was sent", async () => {
+  let nowMs = 0;
+  let isSent = true;
+  const sender = createSender((_server, _grant, { maySend }) => {
+    if (isSent) maySend!();
+    return refuse();
+  }, () => nowMs);
+  await sender.send(REQUEST);
+  sender.prune([], REQUEST.leaseMs);
+  isSent = false;
+  for (nowMs = 100; nowMs <= 1_000; nowMs += 100) {
+    await sender.send(REQUEST);
+    expect(sender.grantAgesMs().get(SERVER)).toEqual([nowMs, nowMs]);
+  }
+  // It still tells that the server doesn't answer.
+  expect(sender.unresponsiveServers()).toEqual([SERVER]);
+});
+
 /** Guards against a busy loop of renewals that make no call. */
 test("should send no grant to an unknown owner", () => {
   const sender = createSender(refuse, () => 0, () => false);
