fix(grants): parts of a split range in handover get fences of their own

Releases are kept by the fence of the range. startHandovers left the fence of a range in handover to all its parts when a move split it, so the answer to the release of one part would have counted for the others. A property test of the planner checks that it doesn't split ranges in handover.

--- a/packages/decisions/src/grants/range_edit.ts
+++ b/packages/decisions/src/grants/range_edit.ts
@@ -70,9 +70,9 @@
 
 /**
  * Starts the handover of ranges to their next owners. The parts of a split
- * range that do not move keep owner and fence; a range that is already in
- * handover only changes its next owner. Returns the ranges and the highest
- * fence assigned.
+ * range that do not move keep their owner; a range that is already in handover
+ * only changes its next owner. No two ranges in handover have the same fence,
+ * as it names their release. Returns the ranges and the highest fence assigned.
  */
 export function startHandovers(
   before: readonly contracts.RangeState[],
@@ -84,11 +84,20 @@
     (all, { fromKey, toKey }) => splitAt(splitAt(all, fromKey), toKey + 1),
     before,
   );
+  const fencesInHandover = new Set<number>();
   const ranges = split.map((range) => {
     const move = moves.find((candidate) =>
       candidate.fromKey <= range.fromKey && range.toKey <= candidate.toKey
     );
-    if (move === undefined) return range;
+    if (move === undefined) {
+      if (range.vacating === undefined) return range;
+      if (!fencesInHandover.has(range.fence)) {
+        fencesInHandover.add(range.fence);
+        return range;
+      }
+      fence++;
+      return { ...range, fence };
+    }
     fence++;
     const vacating = range.vacating ??
       { ...range.owner, fence: range.fence, revision };
--- a/packages/decisions/src/grants/range_edit_test.ts
+++ b/packages/decisions/src/grants/range_edit_test.ts
@@ -17,6 +17,13 @@
   return next === contracts.KEY_COUNT;
 }
 
+/** Whether two ranges in handover have one fence, which names their release. */
+function shareFences(ranges: readonly contracts.RangeState[]): boolean {
+  const moving = ranges.filter(({ vacating }) => vacating !== undefined);
+  return new Set(moving.map(({ fence }) => fence)).size < moving.length;
+}
+
+/** Guards also against a release of one range that counts for another. */
 test("should cover all keys without gap or overlap after any moves", () => {
   const moveArbitrary = fc.record({
     from: fc.integer({ min: 0, max: contracts.KEY_COUNT - 1 }),
@@ -45,7 +52,7 @@
         ranges = isFinished
           ? grants.finishHandovers(next.ranges, () => true)
           : next.ranges;
-        if (!isWhole(ranges)) return false;
+        if (!isWhole(ranges) || shareFences(ranges)) return false;
         // The fence of a key only increases.
         for (const key of [from, toKey]) {
           const earlier = before[grants.rangeIndex(before, key)]!;
--- a/packages/decisions/src/grants/range_planner_test.ts
+++ b/packages/decisions/src/grants/range_planner_test.ts
@@ -1,5 +1,6 @@
 import * as contracts from "@guavatide/contracts";
 import { expect } from "earl";
+import * as fc from "fast-check";
 import { test } from "node:test";
 import * as grants from "./mod.ts";
 
@@ -57,6 +58,61 @@
   return found.sort((a, b) => a.key - b.key);
 }
 
+/** Guards against a release of one part of a range that counts for another. */
+test("should not split ranges in handover", () => {
+  const keyArbitrary = fc.integer({ min: 0, max: contracts.KEY_COUNT - 1 });
+  const inputArbitrary = fc.record({
+    moves: fc.array(
+      fc.record({
+        key: keyArbitrary,
+        width: fc.integer({ min: 0, max: 20_000 }),
+        to: fc.integer({ min: 0, max: 4 }),
+        isFinished: fc.boolean(),
+      }),
+      { maxLength: 12 },
+    ),
+    usable: fc.integer({ min: 1, max: 5 }),
+    hot: fc.array(
+      fc.record({
+        key: keyArbitrary,
+        perSecond: fc.integer({ min: 0, max: 60 }),
+      }),
+      { maxLength: 30 },
+    ),
+  });
+  fc.assert(
+    fc.property(inputArbitrary, ({ moves, usable, hot }) => {
+      let ranges = evenRanges(5);
+      for (const [index, { key, width, to, isFinished }] of moves.entries()) {
+        const toKey = Math.min(contracts.KEY_COUNT - 1, key + width);
+        const next = grants.startHandovers(
+          ranges,
+          [{ fromKey: key, toKey, to: owner(to) }],
+          { revision: index + 2, lastFence: 100 * (index + 1) },
+        );
+        ranges = isFinished
+          ? grants.finishHandovers(next.ranges, () => true)
+          : next.ranges;
+      }
+      const perKey = new Map(hot.map((rate) => [rate.key, rate]));
+      const planned = grants.planRangeMoves({
+        ranges,
+        servers: serversOf(usable),
+        rates: [...perKey.values()].sort((a, b) => a.key - b.key),
+        mayBalance: true,
+      });
+      return ranges.every((range) =>
+        range.vacating === undefined ||
+        planned.every((move) =>
+          !grants.overlaps(move, range) ||
+          (move.fromKey <= range.fromKey && range.toKey <= move.toKey)
+        )
+      );
+    }),
+    { seed: 7, numRuns: 500 },
+  );
+});
+
 /** Guards against a hot spot that overloads its server or the next owner. */
 test("should spread a hot spot in two plans so that no server is overloaded", () => {
   const servers = serversOf(10);
