--- a/packages/decisions/src/grants/grant_model_test.ts
+++ b/packages/decisions/src/grants/grant_model_test.ts
@@ -22,6 +22,8 @@
 const QUARTER = KEY_COUNT / 4;
 const SAMPLE_KEYS = [0, 1, 2, 3].map((index) => index * QUARTER + 7);
 const SLOW_CLOCK = 1.02;
+/** Time between two changes of voters. */
+const VOTER_CHANGE_MS = 1_300;
 
 /** Safeguards to disable, so that the model must fail, and lasting faults. */
 interface Faults {
@@ -39,6 +41,8 @@
   readonly isolateLast?: boolean;
   /** A fault: servers start again under their ids, and register late. */
   readonly restartServers?: boolean;
+  /** A fourth VM; three of them are voters, in turn. */
+  readonly changeVoters?: boolean;
 }
 
 class ModelServer {
@@ -142,7 +146,7 @@
   readonly #random: ReturnType<typeof xoroshiro128plus>;
   readonly #faults: Faults;
   readonly servers = ["a", "b", "c"].map((name) => new ModelServer(name));
-  readonly vms = ["k1", "k2", "k3"].map((vm) => new ModelVm(vm));
+  readonly vms: readonly ModelVm[];
   #events: { readonly atMs: number; readonly run: () => void }[] = [];
   #stored: grants.StoredRangeMap | undefined;
   #version = 0;
@@ -153,6 +157,16 @@
   constructor(seed: number, faults: Faults) {
     this.#random = xoroshiro128plus(seed);
     this.#faults = faults;
+    this.vms = ["k1", "k2", "k3", ...faults.changeVoters ? ["k4"] : []]
+      .map((vm) => new ModelVm(vm));
+  }
+
+  /** VMs that are to vote; one after the other is left out. */
+  #voters(): contracts.VmId[] {
+    const vms = this.vms.map(({ vm }) => vm);
+    if (!this.#faults.changeVoters) return vms;
+    const omitted = Math.floor(this.nowMs / VOTER_CHANGE_MS) % vms.length;
+    return vms.filter((_, index) => index !== omitted);
   }
 
   run(): void {
@@ -324,7 +338,7 @@
 
   #renew(vm: ModelVm): void {
     const { map } = vm;
-    if (map === undefined) return;
+    if (map === undefined || !map.keeperSets.at(-1)!.includes(vm.vm)) return;
     for (const range of map.ranges) {
       if (range.vacating !== undefined) continue;
       const { server, bornMs } = range.owner;
@@ -462,7 +476,7 @@
     return {
       nowMs: this.#faults.noLeaseWait ? this.nowMs + 1e6 : this.nowMs,
       usable,
-      voters: this.vms.map(({ vm }) => vm),
+      voters: this.#voters(),
       removedVoters: this.#faults.noQuorum
         ? new Set(this.vms.map(({ vm }) => vm))
         : new Set(),
@@ -560,6 +574,13 @@
   expect(moves > RUNS * 5).toEqual(true);
 });
 
+/** Guards against leases that were granted by VMs that no longer vote. */
+test("should never let two servers hold a key while voters change", () => {
+  const { violations, moves } = runModels({ changeVoters: true }, RUNS);
+  expect(violations).toEqual(0);
+  expect(moves > RUNS * 5).toEqual(true);
+});
+
 /** Guards against two holders when only the leader reaches the store. */
 test("should not move keys without a reachable majority", () => {
   expect(runModels({ isolateFirst: true }, 20).violations).toEqual(0);
