fix(grants): former voters stay in the map until their leases have expired

A handover ends early when the voters of its map tell that none of their grants can be in force. A replaced set of voters left the map as soon as its successors were acknowledged, so its VMs' leases, and those they could still grant on a confirmation from before, counted no longer: the next owner was granted keys that the last one held for up to a lease. A set is replaced when a VM joins, is silent for 3 s, is weak or loses its links to servers, also while it still grants.

A replaced set now stays from the acknowledgement by all sets until its longest possible lease has expired (2.6 s with leases of 1.5 s). A former voter that reports holds no handover up. For a silent one, a handover waits until that time, however late it begins. Voters change no more often than that.

--- a/packages/contracts/src/key_grants.ts
+++ b/packages/contracts/src/key_grants.ts
@@ -120,7 +120,8 @@
   nonce: z.string().min(1),
   /**
    * Voter sets, oldest first; the last one is active. An earlier one stays
-   * until a majority of it has acknowledged the current revision.
+   * until a majority of it has acknowledged that it is no longer active, and
+   * the leases that its voters granted have expired.
    */
   keeperSets: z.array(z.array(vmIdSchema).min(1)).min(1),
   /**
--- a/packages/decisions/src/grants/grant_timings.ts
+++ b/packages/decisions/src/grants/grant_timings.ts
@@ -38,6 +38,15 @@
   clockRateMargin: 0.02,
 };
 
+/**
+ * Longest time from the acknowledgement of a revision by a quorum until the
+ * leases of a voter that does not know the revision have expired.
+ */
+export function maxFormerLeaseMs(timings: GrantTimings, leaseMs: number) {
+  return timings.confirmationTtlMs + timings.grantTimeoutMs +
+    maxLeaseLifetimeMs(timings, leaseMs);
+}
+
 /** Longest time from the end of a grant call until its lease has expired. */
 export function maxLeaseLifetimeMs(
   { transitMs, clockRateMargin }: GrantTimings,
--- a/packages/decisions/src/grants/handover_controller.ts
+++ b/packages/decisions/src/grants/handover_controller.ts
@@ -6,8 +6,12 @@
  */
 import type * as contracts from "@guavatide/contracts";
 import { FencingReleases } from "./fencing_releases.ts";
-import { leaseDurationMs, nextServerLeases } from "./lease_duration.ts";
-import type { GrantTimings } from "./grant_timings.ts";
+import {
+  leaseDurationMs,
+  longestLeaseMs,
+  nextServerLeases,
+} from "./lease_duration.ts";
+import { type GrantTimings, maxFormerLeaseMs } from "./grant_timings.ts";
 import type { VoterReports } from "./voter_reports.ts";
 import * as edit from "./range_edit.ts";
 import { RELEASE_RETRY_MS, type ReleaseCall } from "./release_call.ts";
@@ -114,6 +118,15 @@
   #failures = 0;
   /** When a majority of every voter set had acknowledged each revision. */
   readonly #acknowledgedAtMs = new Map<number, number>();
+  /**
+   * When all of several voter sets had acknowledged a map that names them. The
+   * sets of a map that is read anew are other ones: another leader may have
+   * dropped and added voters meanwhile.
+   */
+  #setsAcknowledged: {
+    readonly keeperSets: contracts.RangeMap["keeperSets"];
+    readonly atMs: number;
+  } | undefined;
   /** Since when a finished handover has not been written. */
   #finishedSinceMs: number | undefined;
   readonly #fencing = new FencingReleases();
@@ -188,6 +201,7 @@
   ): void {
     const map = this.map;
     if (map === undefined) return;
+    this.#checkVoterSets(map, nowMs, removedVoters);
     for (const revision of this.#revisionsInHandover(map)) {
       if (this.#acknowledgedAtMs.has(revision)) continue;
       if (!this.#reports.isAcknowledged(map, revision, removedVoters)) continue;
@@ -195,6 +209,23 @@
     }
   }
 
+  #checkVoterSets(
+    map: contracts.RangeMap,
+    nowMs: number,
+    removedVoters: ReadonlySet<contracts.VmId>,
+  ): void {
+    if (map.keeperSets.length === 1) return;
+    if (this.#setsAcknowledgedAtMs(map) !== undefined) return;
+    if (!this.#reports.isAcknowledged(map, map.revision, removedVoters)) return;
+    this.#setsAcknowledged = { keeperSets: map.keeperSets, atMs: nowMs };
+  }
+
+  /** Undefined before the acknowledgement, and for a map with one voter set. */
+  #setsAcknowledgedAtMs({ keeperSets }: contracts.RangeMap) {
+    const known = this.#setsAcknowledged;
+    return known?.keeperSets === keeperSets ? known.atMs : undefined;
+  }
+
   /**
    * Releases to send now, to the present run of each old owner; each is returned
    * once until its result is noted.
@@ -293,6 +324,7 @@
       range,
       reports: this.#reports,
       acknowledgedAtMs: this.#acknowledgedAtMs.get(range.vacating!.revision),
+      setsAcknowledgedAtMs: this.#setsAcknowledgedAtMs(map),
       release: this.#releases.get(range.fence)?.answered,
       timings: this.#timings,
     };
@@ -395,13 +427,8 @@
     tick: HandoverTick,
   ): contracts.RangeMap["keeperSets"] {
     const last = map.keeperSets.at(-1)!;
-    const isAcknowledged = this.#reports.isAcknowledged(
-      map,
-      map.revision,
-      tick.removedVoters,
-    );
     const hasEarlier = map.keeperSets.length > 1;
-    if (hasEarlier && isAcknowledged) return [last];
+    if (hasEarlier && this.#areFormerLeasesOver(map, tick.nowMs)) return [last];
     const isSame = last.length === tick.voters.length &&
       tick.voters.every((vm) => last.includes(vm));
     if (hasEarlier || isSame || tick.voters.length === 0) {
@@ -410,6 +437,18 @@
     return [...map.keeperSets, [...tick.voters]];
   }
 
+  /**
+   * Whether the leases that voters of earlier sets granted have expired. Until
+   * then handovers have to wait for them, and the map names these voters.
+   */
+  #areFormerLeasesOver(map: contracts.RangeMap, nowMs: number): boolean {
+    const acknowledgedAtMs = this.#setsAcknowledgedAtMs(map);
+    if (acknowledgedAtMs === undefined) return false;
+    const leaseMs = longestLeaseMs(map, this.#timings);
+    const waitMs = maxFormerLeaseMs(this.#timings, leaseMs);
+    return nowMs - acknowledgedAtMs >= waitMs;
+  }
+
   #release(fence: number): Release {
     const found = this.#releases.get(fence);
     if (found !== undefined) return found;
--- a/packages/decisions/src/grants/handover_controller_test.ts
+++ b/packages/decisions/src/grants/handover_controller_test.ts
@@ -6,6 +6,7 @@
 
 const SERVICE = "availability" as contracts.ServiceId;
 const VOTER = "k1" as contracts.VmId;
+const NEXT_VOTER = "k2" as contracts.VmId;
 const MOVES = 20;
 const STEP_MS = 5;
 const START_MS = 10_000;
@@ -25,6 +26,8 @@
   readonly renewsOthers?: boolean;
   /** The next owner of the ranges; the second server by default. */
   readonly nextOwner?: contracts.RangeOwner;
+  /** Another VM votes instead from the start of the handovers on. */
+  readonly replacesVoter?: boolean;
 }
 
 /** Two servers, with many ranges handed over from one to the other. */
@@ -71,6 +74,10 @@
     return this.controller.takeReleases(this.nowMs);
   }
 
+  get voterSets(): contracts.RangeMap["keeperSets"] {
+    return this.#map?.keeperSets ?? [];
+  }
+
   get movingRanges(): number {
     return this.#map?.ranges.filter(({ vacating }) => vacating).length ?? 0;
   }
@@ -101,8 +108,12 @@
   }
 
   #reportVoter(): void {
+    for (const vm of [VOTER, NEXT_VOTER]) this.#reportVoterOf(vm);
+  }
+
+  #reportVoterOf(vm: contracts.VmId): void {
     this.#reports.noteReport({
-      vm: VOTER,
+      vm,
       revision: this.#map?.revision ?? 0,
       hasReadMap: true,
       requestedAtMs: this.nowMs,
@@ -130,7 +141,7 @@
     return {
       nowMs: this.nowMs,
       usable: new Map(usable),
-      voters: [VOTER],
+      voters: this.#options.replacesVoter && !isFirst ? [NEXT_VOTER] : [VOTER],
       removedVoters: new Set(),
       leaseMs: grants.DEFAULT_GRANT_TIMINGS.holdMs,
       serverLeasesMs: new Map(
@@ -196,3 +207,16 @@
   expect(fixture.movingRanges).toEqual(0);
   expect(fixture.releases).toEqual(0);
 });
+
+/** Guards against forgotten leases, and against voters that stay for good. */
+test("should name former voters until their leases have expired", () => {
+  const fixture = new Fixture({ replacesVoter: true });
+  fixture.runUntilMoving();
+  const timings = grants.DEFAULT_GRANT_TIMINGS;
+  const endMs = fixture.nowMs +
+    grants.maxFormerLeaseMs(timings, timings.holdMs);
+  while (fixture.nowMs < endMs - RUN_MS) fixture.run();
+  expect(fixture.voterSets).toEqual([[VOTER], [NEXT_VOTER]]);
+  while (fixture.nowMs < endMs) fixture.run();
+  expect(fixture.voterSets).toEqual([[NEXT_VOTER]]);
+});
--- a/packages/decisions/src/grants/handover_wait.ts
+++ b/packages/decisions/src/grants/handover_wait.ts
@@ -24,6 +24,12 @@
    * revision.
    */
   readonly acknowledgedAtMs: number | undefined;
+  /**
+   * The same for a revision that names the present voter sets; undefined while
+   * there is one set, or none such is known. Voters of earlier sets grant
+   * nothing on confirmations that were asked for later.
+   */
+  readonly setsAcknowledgedAtMs?: number | undefined;
   /** The release that the old owner answered. */
   readonly release: AnsweredRelease | undefined;
   readonly timings: GrantTimings;
@@ -115,7 +121,7 @@
 
 /** When the last lease that any voter granted to the old owner expires. */
 function lastGrantEndMs(
-  { map, range, reports, timings }: HandoverFacts,
+  { map, range, reports, timings, setsAcknowledgedAtMs }: HandoverFacts,
   acknowledgedAtMs: number,
   kind: "lastGrantMs" | "lastUnansweredMs",
 ): number {
@@ -123,8 +129,12 @@
   const { confirmationTtlMs, grantTimeoutMs } = timings;
   // An unresponsive voter may act on its confirmation until that expires, and
   // the bytes of its last call leave within the timeout of the call.
-  const unresponsiveSentMs = acknowledgedAtMs + confirmationTtlMs +
-    grantTimeoutMs;
+  const sentWithinMs = confirmationTtlMs + grantTimeoutMs;
+  const formerAcknowledgedAtMs = Math.min(
+    acknowledgedAtMs,
+    setsAcknowledgedAtMs ?? acknowledgedAtMs,
+  );
+  const voters = map.keeperSets.at(-1)!;
   let lastMs = Number.NEGATIVE_INFINITY;
   for (const vm of new Set(map.keeperSets.flat())) {
     const report = reports.reportOf(vm);
@@ -135,7 +145,8 @@
         lastSentMs(report, kind, { server, timings }),
         report.startedAtMs,
       )
-      : unresponsiveSentMs;
+      : sentWithinMs +
+        (voters.includes(vm) ? acknowledgedAtMs : formerAcknowledgedAtMs);
     lastMs = Math.max(lastMs, sentMs);
   }
   const leaseMs = leaseDurationMs(map, timings, server);
--- a/packages/decisions/src/grants/handover_wait_test.ts
+++ b/packages/decisions/src/grants/handover_wait_test.ts
@@ -109,6 +109,27 @@
   expect(fixture.freeAtMs()).toEqual(lastSentMs + LEASE_LIFETIME_MS);
 });
 
+/** Guards against handovers that wait anew for a voter that has left. */
+test("should wait for a former voter from the acknowledgement of its successors", () => {
+  const fixture = new Fixture();
+  const former = "k0" as contracts.VmId;
+  const facts = () => ({
+    ...fixture.facts(),
+    map: {
+      ...fixture.map,
+      keeperSets: [[former], ...fixture.map.keeperSets],
+    },
+    setsAcknowledgedAtMs: fixture.acknowledgedAtMs - 500,
+  });
+  for (const vm of ["k1", "k2", "k3"]) fixture.report(vm, { sentMs: 9_700 });
+  const lastSentMs = fixture.acknowledgedAtMs - 500 +
+    TIMINGS.confirmationTtlMs + TIMINGS.grantTimeoutMs;
+  expect(grants.freeAtMs(facts())).toEqual(lastSentMs + LEASE_LIFETIME_MS);
+  // What it has reported counts instead.
+  fixture.report(former, { sentMs: 9_900 });
+  expect(grants.freeAtMs(facts())).toEqual(9_900 + LEASE_LIFETIME_MS);
+});
+
 /** Guards against a grant that is sent after its voter's last report. */
 test("should assume that a grant in flight lasts for the call's timeout", () => {
   const fixture = new Fixture();
