feat(grants): log and count where answers to grants and releases come from

An answer of another call could not be told from the call's own in the logs. Each answered release now leaves a line with the local port of its connection, the calls that it carried before, the id that the answer names and the time that it took. An answer that is discarded leaves a warning with the same fields, and guavatide_grant_answers counts both by kind of call.

--- a/packages/contracts/src/key_grants.ts
+++ b/packages/contracts/src/key_grants.ts
@@ -40,6 +40,16 @@
   /** Not granted: the server has asked for no calls for a time. */
   | "backing-off";
 
+/** Where the answer to a grant or release call came from. */
+export interface AnswerSource {
+  /** Local port of the connection; undefined when it is not known. */
+  readonly localPort: number | undefined;
+  /** Calls that the connection carried before this one. */
+  readonly callsBefore: number;
+  /** Id of the call that the answer names; undefined for none. */
+  readonly namedCall: string | undefined;
+}
+
 /** Options of a grant or release call. */
 export interface GrantCallOptions extends CallOptions {
   /**
@@ -49,6 +59,8 @@
   readonly maySend?: () => boolean;
   /** Called with what the server says of itself beside its answer. */
   readonly onNotices?: (notices: ServerNotices) => void;
+  /** Called with the source of the answer, or of an answer that is discarded. */
+  readonly onAnswerSource?: (source: AnswerSource) => void;
 }
 
 /** Grant calls of one platform. */
--- a/packages/entry/src/gateway/gateway_metrics.ts
+++ b/packages/entry/src/gateway/gateway_metrics.ts
@@ -27,6 +27,8 @@
   readonly limitedServerCalls = new LabelledCounts();
   /** Calls to servers that have asked this VM to back off, by kind. */
   readonly backoffCalls = new LabelledCounts();
+  /** Answers to grants and releases, by kind of call and outcome. */
+  readonly grantAnswers = new LabelledCounts();
   /** Decisions on hot keys, by service and decision. */
   readonly hotKeys = new LabelledCounts();
   /** Requests refused at stalled servers, and slots that were not released. */
@@ -112,6 +114,7 @@
       [this.poisonRequests, metrics.poisonRequests],
       [this.limitedServerCalls, metrics.limitedServerCalls],
       [this.backoffCalls, metrics.backoffCalls],
+      [this.grantAnswers, metrics.grantAnswers],
       [this.hotKeys, metrics.hotKeys],
       [this.admissionDecisions, metrics.admissionDecisions],
       [this.slotEvents, metrics.slotEvents],
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -294,6 +294,8 @@
     control: new ObservedGrantControl({
       control: new PathNotingGrantControl(adapter.grants, paths),
       clock,
+      counts: metrics.grantAnswers,
+      log: log.part("owner"),
       observers: [{
         noteCall: (server, kind) => requestLimits.noteCall(server, kind),
         noteNotices: ({ server }, { requestLimit }, tookMs) => {
--- a/packages/entry/src/metrics/metrics.ts
+++ b/packages/entry/src/metrics/metrics.ts
@@ -36,6 +36,11 @@
   readonly limitedServerCalls: api.Counter;
   /** Calls to servers that have asked this VM to back off, by kind. */
   readonly backoffCalls: api.Counter;
+  /**
+   * Answers to grants and releases, by kind of call and outcome: `answered`,
+   * `discarded` as it is not the call's.
+   */
+  readonly grantAnswers: api.Counter;
   /**
    * Decisions on hot keys, by service and decision: a key `limited` at its
    * owner, a key `moved` to another one.
@@ -78,6 +83,7 @@
       "guavatide_limited_server_calls",
     );
     this.backoffCalls = this.#meter.createCounter("guavatide_backoff_calls");
+    this.grantAnswers = this.#meter.createCounter("guavatide_grant_answers");
     this.hotKeys = this.#meter.createCounter("guavatide_hot_keys");
     this.admissionDecisions = this.#meter.createCounter(
       "guavatide_admission_decisions",
--- a/packages/entry/src/platform/http_channel.ts
+++ b/packages/entry/src/platform/http_channel.ts
@@ -40,6 +40,18 @@
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   readonly bytes: Uint8Array;
   readonly text: string;
+  readonly connection: ResponseConnection;
+}
+
+/** The connection that a response came over. */
+export interface ResponseConnection {
+  /**
+   * Its local port; undefined for a channel with several connections, of which
+   * any may have carried the call.
+   */
+  readonly localPort: number | undefined;
+  /** Calls that were written to it before; of all connections of the channel. */
+  readonly callsBefore: number;
 }
 
 /** Options of {@link HttpChannel}. */
@@ -98,8 +110,10 @@
   }
 
   #openPool(): RefCountedPool {
+    const connection = new ConnectionRecord(this.#options.connections === 1);
     const opened = {
-      pool: openPool(this.#origin, this.#options),
+      pool: openPool(this.#origin, this.#options, connection),
+      connection,
       activeCalls: 0,
     };
     this.#pools.add(opened);
@@ -112,7 +126,10 @@
   ): Promise<Result<HttpResponse, HttpCallError>> {
     const pool = this.#pool;
     pool.activeCalls++;
-    const exchange = new Exchange(timeoutMs, call.mayLeave);
+    const exchange = new Exchange(timeoutMs, {
+      mayLeave: call.mayLeave,
+      connection: pool.connection,
+    });
     const deadline = startDeadline(
       Math.max(0, timeoutMs),
       () => exchange.abort("timeout"),
@@ -179,9 +196,32 @@
 /** A connection pool with the number of its calls in flight. */
 interface RefCountedPool {
   readonly pool: undici.Pool;
+  readonly connection: ConnectionRecord;
   activeCalls: number;
 }
 
+/** Counts the calls on the connection that is open. */
+class ConnectionRecord {
+  readonly #isOnly: boolean;
+  #localPort: number | undefined;
+  #calls = 0;
+
+  /** `isOnly`: whether its pool opens one connection at a time. */
+  constructor(isOnly: boolean) {
+    this.#isOnly = isOnly;
+  }
+
+  noteOpened(localPort: number | undefined): void {
+    if (!this.#isOnly) return;
+    this.#localPort = localPort;
+    this.#calls = 0;
+  }
+
+  noteCall(): ResponseConnection {
+    return { localPort: this.#localPort, callsBefore: this.#calls++ };
+  }
+}
+
 /** How a call ended without a complete response. */
 interface ExchangeFailure {
   readonly kind: HttpCallError["kind"];
@@ -192,6 +232,12 @@
   | { readonly kind: "answer"; readonly response: HttpResponse }
   | ExchangeFailure;
 
+/** Options of {@link Exchange}. */
+interface ExchangeOptions {
+  readonly mayLeave: HttpRequest["mayLeave"];
+  readonly connection: ConnectionRecord;
+}
+
 /**
  * One request and its response. Its result settles once: undici handles an abort
  * only after the connection is established, so the result is settled first, and
@@ -200,7 +246,8 @@
 class Exchange implements undici.Dispatcher.DispatchHandler {
   readonly result: Promise<ExchangeResult>;
   readonly #deadlineMs: number;
-  readonly #mayLeave: () => boolean;
+  readonly #options: ExchangeOptions;
+  #connection: ResponseConnection | undefined;
   #resolve: (result: ExchangeResult) => void = () => {};
   #isEnded = false;
   #wasSent = false;
@@ -209,9 +256,9 @@
   #headers: http.IncomingHttpHeaders = {};
   readonly #chunks: Buffer[] = [];
 
-  constructor(timeoutMs: number, mayLeave: () => boolean = () => true) {
+  constructor(timeoutMs: number, options: ExchangeOptions) {
     this.#deadlineMs = performance.now() + timeoutMs;
-    this.#mayLeave = mayLeave;
+    this.#options = options;
     this.result = new Promise((resolve) => this.#resolve = resolve);
   }
 
@@ -238,8 +285,10 @@
     // With event loop lag, undici may write before the deadline's timer runs.
     const isPastDeadline = performance.now() >= this.#deadlineMs;
     if (this.#isEnded || isPastDeadline) return this.abort("timeout");
-    if (!this.#mayLeave()) return this.abort("kept");
+    const { mayLeave, connection } = this.#options;
+    if (mayLeave?.() === false) return this.abort("kept");
     this.#wasSent = true;
+    this.#connection = connection.noteCall();
   }
 
   onResponseStart(
@@ -269,6 +318,7 @@
       get text() {
         return bytes.toString();
       },
+      connection: this.#connection!,
     };
     this.#end({ kind: "answer", response });
   }
@@ -293,12 +343,18 @@
     localAddress,
     connectTimeoutMs = CONNECT_TIMEOUT_MS,
   }: HttpChannelOptions,
+  connection: ConnectionRecord,
 ): undici.Pool {
+  const connect = buildResettingConnector({ timeout: connectTimeoutMs });
   return new undici.Pool(origin, {
     connections,
     pipelining: 1,
     localAddress,
-    connect: buildResettingConnector({ timeout: connectTimeoutMs }),
+    connect: (target, callback) =>
+      connect(target, (...result) => {
+        connection.noteOpened(result[1]?.localPort);
+        callback(...result);
+      }),
     // Each call has its own deadline; undici's would interrupt long polls.
     headersTimeout: 0,
     bodyTimeout: 0,
