--- a/packages/contracts/src/key_grants.ts
+++ b/packages/contracts/src/key_grants.ts
@@ -61,6 +61,11 @@
   readonly onNotices?: (notices: ServerNotices) => void;
   /** Called with the source of the answer, or of an answer that is discarded. */
   readonly onAnswerSource?: (source: AnswerSource) => void;
+  /**
+   * Called after an answer when its connection shows that it may have been that
+   * of another call: the call then counts as not answered.
+   */
+  readonly onAnswerDoubted?: (reason: string) => void;
 }
 
 /** Grant calls of one platform. */
