fix(grants): only the call's own answer counts as that of a grant or release

Calls to a server shared kept connections and nothing in an answer was compared with its call.

Not covered: a grant that is never answered, takes an extra answer for its own as the first sign of the fault, and is the last call on its connection.

--- a/packages/entry/src/gateway/grants/grant_sender.ts
+++ b/packages/entry/src/gateway/grants/grant_sender.ts
@@ -76,6 +76,26 @@
   unansweredAtMs: number | undefined;
 }
 
+/** How a grant ended. */
+interface AnswerState {
+  /** Undefined while it is in flight. */
+  endedAtMs: number | undefined;
+  /** Whether it may have no answer of its own; may become known after its end. */
+  isDoubted: boolean;
+}
+
+/** Records a grant that has ended without an answer of its own. */
+function noteIfUnanswered(
+  call: LastCall,
+  { endedAtMs, isDoubted }: AnswerState,
+): void {
+  if (!isDoubted || endedAtMs === undefined) return;
+  call.unansweredAtMs = Math.max(
+    call.unansweredAtMs ?? Number.NEGATIVE_INFINITY,
+    endedAtMs,
+  );
+}
+
 /** A grant that its owner has accepted. */
 interface AcceptedGrant {
   readonly sentAtMs: number;
@@ -211,14 +231,23 @@
     call.isInFlight = true;
     state.unansweredSinceMs ??= sentAtMs;
     const { fromKey, toKey, fence } = range;
+    const fields = { server: server.server, fromKey, toKey, fence };
+    const answer: AnswerState = { endedAtMs: undefined, isDoubted: false };
     const result = await control.grant(
       server,
       { fromKey, toKey, fence, holdMs: leaseMs, handover },
-      { timeoutMs: timings.grantTimeoutMs, maySend: isStillAllowed },
+      {
+        timeoutMs: timings.grantTimeoutMs,
+        maySend: isStillAllowed,
+        onAnswerDoubted: (reason) => {
+          answer.isDoubted = true;
+          noteIfUnanswered(call, answer);
+          log.info("A grant's answer is in doubt.", { ...fields, reason });
+        },
+      },
     );
     state.isInFlight = false;
     call.isInFlight = false;
-    const fields = { server: server.server, fromKey, toKey, fence };
     if (result.isErr() && result.error.kind === "kept") {
       state.unansweredSinceMs = unansweredSinceMs;
       this.#options.onCompleted(server.server);
@@ -228,9 +257,11 @@
       );
     }
     state.lastEndedAtMs = clock.nowMs();
+    answer.endedAtMs = state.lastEndedAtMs;
+    answer.isDoubted ||= result.isErr();
+    noteIfUnanswered(call, answer);
     this.#scheduleRetry(state, result.isOk() && result.value === "granted");
     call.endedAtMs = state.lastEndedAtMs;
-    if (result.isErr()) call.unansweredAtMs = state.lastEndedAtMs;
     this.#options.onCompleted(server.server);
     if (result.isErr()) {
       log.warn("Grant not answered.", {
--- a/packages/entry/src/gateway/grants/grant_sender_test.ts
+++ b/packages/entry/src/gateway/grants/grant_sender_test.ts
@@ -174,3 +174,37 @@
     expect(sender.grantAgesMs().get(SERVER)).toEqual([nowMs, null]);
   }
 });
+
+/** A release would count as enough while a lease may still begin. */
+test("should count a grant as unanswered once its answer is in doubt", async () => {
+  let nowMs = 0;
+  let doubt = (_reason: string) => {};
+  const sender = createSender((_server, _grant, { onAnswerDoubted }) => {
+    doubt = onAnswerDoubted!;
+    nowMs += 10;
+    return neverthrow.okAsync("granted");
+  }, () => nowMs);
+  await sender.send(REQUEST);
+  sender.prune([], REQUEST.leaseMs);
+  nowMs = 100;
+  expect(sender.grantAgesMs().get(SERVER)).toEqual([90, null]);
+  doubt("An extra answer");
+  expect(sender.grantAgesMs().get(SERVER)).toEqual([90, 90]);
+});
+
+/** The doubt about an earlier grant must not hide a later unanswered one. */
+test("should keep the age of a later unanswered grant when an earlier one is in doubt", async () => {
+  let nowMs = 0;
+  let doubt: ((reason: string) => void) | undefined;
+  const sender = createSender((_server, _grant, { onAnswerDoubted }) => {
+    if (doubt !== undefined) return refuse();
+    doubt = onAnswerDoubted;
+    return neverthrow.okAsync("granted");
+  }, () => nowMs);
+  await sender.send(REQUEST);
+  nowMs = 500;
+  await sender.send(REQUEST);
+  sender.prune([], REQUEST.leaseMs);
+  doubt!("The next call failed");
+  expect(sender.grantAgesMs().get(SERVER)).toEqual([0, 0]);
+});
--- a/packages/entry/src/platform/http_channel.ts
+++ b/packages/entry/src/platform/http_channel.ts
@@ -62,6 +62,16 @@
   readonly localAddress?: string | undefined;
   /** Limit on the time to establish a connection; 1 s by default. */
   readonly connectTimeoutMs?: number;
+  /**
+   * Whether each connection is closed after one call, so that no answer can be
+   * that of an earlier call; false by default.
+   */
+  readonly isOneCallPerConnection?: boolean;
+  /**
+   * Called when a connection ends as it delivered bytes that are no answer, or
+   * an answer when no call was waiting for one.
+   */
+  readonly onUnexpectedBytes?: (reason: string) => void;
 }
 
 /**
@@ -73,6 +83,8 @@
   readonly message: string;
   /** Whether the call may have reached the server. */
   readonly wasSent: boolean;
+  /** Calls that its connection carried before; undefined when it wasn't sent. */
+  readonly callsBefore: number | undefined;
 }
 
 /** Calls to one server; each has its own deadline. */
@@ -104,13 +116,23 @@
     return new ResultAsync(this.#send(request, options));
   }
 
+  /**
+   * Uses none of the open connections for another call; each is reset when its
+   * calls have ended.
+   */
+  dropConnections(): void {
+    const dropped = this.#pool;
+    this.#pool = this.#openPool();
+    this.#closeIfUnused(dropped);
+  }
+
   /** Closes all connections. */
   async close(): Promise<void> {
     await Promise.all([...this.#pools].map(({ pool }) => pool.destroy()));
   }
 
   #openPool(): RefCountedPool {
-    const connection = new ConnectionRecord(this.#options.connections === 1);
+    const connection = new ConnectionRecord(this.#options);
     const opened = {
       pool: openPool(this.#origin, this.#options, connection),
       connection,
@@ -137,7 +159,13 @@
     const onCancel = () => exchange.abort("cancelled");
     signal?.addEventListener("abort", onCancel);
     if (signal?.aborted) onCancel();
-    else exchange.run(pool.pool, { ...call, path: this.#basePath + call.path });
+    else {
+      exchange.run(pool.pool, {
+        ...call,
+        path: this.#basePath + call.path,
+        isLastOnConnection: this.#options.isOneCallPerConnection === true,
+      });
+    }
     const result = await exchange.result;
     deadline.clear();
     signal?.removeEventListener("abort", onCancel);
@@ -149,6 +177,7 @@
     return err({
       kind: result.kind,
       wasSent: exchange.wasSent,
+      callsBefore: exchange.callsBefore,
       message: this.#describe(call, timeoutMs, result),
     });
   }
@@ -203,12 +232,13 @@
 /** Counts the calls on the connection that is open. */
 class ConnectionRecord {
   readonly #isOnly: boolean;
+  readonly #isOneCall: boolean;
   #localPort: number | undefined;
   #calls = 0;
 
-  /** `isOnly`: whether its pool opens one connection at a time. */
-  constructor(isOnly: boolean) {
-    this.#isOnly = isOnly;
+  constructor({ connections, isOneCallPerConnection }: HttpChannelOptions) {
+    this.#isOnly = connections === 1;
+    this.#isOneCall = isOneCallPerConnection === true;
   }
 
   noteOpened(localPort: number | undefined): void {
@@ -218,7 +248,8 @@
   }
 
   noteCall(): ResponseConnection {
-    return { localPort: this.#localPort, callsBefore: this.#calls++ };
+    const callsBefore = this.#isOneCall ? 0 : this.#calls++;
+    return { localPort: this.#localPort, callsBefore };
   }
 }
 
@@ -264,9 +295,12 @@
 
   run(
     pool: undici.Pool,
-    { method, path, headers, body }: HttpRequest,
+    { method, path, headers, body, isLastOnConnection }: HttpRequest & {
+      readonly isLastOnConnection: boolean;
+    },
   ): void {
-    pool.dispatch({ method, path, headers, body }, this);
+    const reset = isLastOnConnection;
+    pool.dispatch({ method, path, headers, body, reset }, this);
   }
 
   /** Whether undici was permitted to write the request. */
@@ -274,6 +308,11 @@
     return this.#wasSent;
   }
 
+  /** Calls that the connection carried before; undefined when not sent. */
+  get callsBefore(): number | undefined {
+    return this.#connection?.callsBefore;
+  }
+
   /** Ends the exchange without a response. */
   abort(kind: ExchangeFailure["kind"], reason: string = kind): void {
     this.#end({ kind, reason });
@@ -342,11 +381,12 @@
     connections = MAX_CONNECTIONS,
     localAddress,
     connectTimeoutMs = CONNECT_TIMEOUT_MS,
+    onUnexpectedBytes,
   }: HttpChannelOptions,
   connection: ConnectionRecord,
 ): undici.Pool {
   const connect = buildResettingConnector({ timeout: connectTimeoutMs });
-  return new undici.Pool(origin, {
+  const pool = new undici.Pool(origin, {
     connections,
     pipelining: 1,
     localAddress,
@@ -360,4 +400,18 @@
     bodyTimeout: 0,
     maxResponseSize: MAX_RESPONSE_BYTES,
   });
+  pool.on("disconnect", (_origin, _targets, error) => {
+    if (isUnexpectedBytes(error)) onUnexpectedBytes?.(error.message);
+  });
+  return pool;
+}
+
+/** Whether undici ended a connection for what the server sent. */
+function isUnexpectedBytes(
+  { code, message }: Error & { readonly code?: string },
+): boolean {
+  // The end of a connection within an answer is a parser error as well.
+  if (code === "HPE_INVALID_EOF_STATE") return false;
+  // An answer while no call waits has no error code of its own.
+  return code?.startsWith("HPE_") === true || message === "bad response";
 }
