fix(links): a refused request is sent again over another connection

A request that its key's owner refuses is sent to the owner again with the same id, mostly over the same connection. A late extra refusal of the first sending then said that the second, which runs, has not run: the request counts as refused after it has run. The pool now takes another idle connection for it, or opens one.

--- a/packages/entry/src/links/connection_pool.ts
+++ b/packages/entry/src/links/connection_pool.ts
@@ -66,7 +66,7 @@
     request: AttemptRequest,
     options: SendOptions,
   ): Promise<AttemptResult> {
-    const connection = this.#acquire();
+    const connection = this.#acquire(request.id);
     if (connection === undefined) {
       const message = "All connections are in use";
       return { kind: "not-sent", isLocal: true, message };
@@ -103,9 +103,8 @@
     this.#retireIdle();
   }
 
-  #acquire(): ServerConnection | undefined {
-    let conn = this.#idle.pop();
-    while (conn !== undefined && !conn.isUsable) conn = this.#idle.pop();
+  #acquire(id: contracts.RequestId): ServerConnection | undefined {
+    let conn = this.#takeIdle(id);
     if (conn === undefined) {
       const isFull = this.#busy.size >= this.#options.connectionLimit;
       if (isFull || this.#isClosed) return undefined;
@@ -115,6 +114,21 @@
     return conn;
   }
 
+  /**
+   * A request that the server has refused leaves again over another connection:
+   * an extra refusal would bear its id, and say that it has not run. Requests
+   * without an id are refused each time.
+   */
+  #takeIdle(id: contracts.RequestId): ServerConnection | undefined {
+    const usable = this.#idle.splice(0).filter(({ isUsable }) => isUsable);
+    const index = usable.findLastIndex(({ lastRequest }) =>
+      id === "" || lastRequest !== id
+    );
+    const [taken] = index < 0 ? [] : usable.splice(index, 1);
+    this.#idle.push(...usable);
+    return taken;
+  }
+
   #release(connection: ServerConnection): void {
     this.#busy.delete(connection);
     if (this.#isClosed) connection.retire();
--- a/packages/entry/src/links/server_connection.ts
+++ b/packages/entry/src/links/server_connection.ts
@@ -104,6 +104,7 @@
   #pending: PendingRequest | undefined;
   #isUsable = true;
   #hasSocketError = false;
+  #lastRequest: contracts.RequestId | undefined;
   /** A connection ends with the run of the server that accepted it. */
   #serverRun: string | undefined;
 
@@ -144,6 +145,11 @@
     return this.#isUsable && this.#socket !== undefined;
   }
 
+  /** Id of the last request on this connection; undefined for none. */
+  get lastRequest(): contracts.RequestId | undefined {
+    return this.#lastRequest;
+  }
+
   /** Bytes received on this connection; shows whether the server responds. */
   get bytesReceived(): number {
     return this.#socket?.bytesRead ?? 0;
@@ -168,6 +174,7 @@
         },
       };
       this.#pending = pending;
+      this.#lastRequest = request.id;
       this.#dispatch(pending);
     });
   }
