fix(ownership): replies to lease commands are compared with their commands

Lease commands share kept connections, and nothing in a reply was compared with its command. A server that replies twice, the second time late, answered the next command with it: slices would count as released, or leases as in force.

Commands and load queries now carry guavatide-request-id, which the stand-in servers return. A reply with another id is discarded, and the open connections are used for no further call. Servers of earlier versions send no id; a reply with a revision below the command's is not the command's and is discarded too. Not told apart: a late reply without id to an earlier command of the same revision.

--- a/packages/entry/src/platform/http_backend_control.ts
+++ b/packages/entry/src/platform/http_backend_control.ts
@@ -1,10 +1,12 @@
 /** Client of a backend server's control API over HTTP. */
 import * as contracts from "@guavatide/contracts";
 import { err, ok, type Result, type ResultAsync } from "neverthrow";
+import * as crypto from "node:crypto";
 import type * as z from "zod";
 import {
   type HttpCallError,
   HttpChannel,
+  type HttpRequest,
   type HttpResponse,
 } from "./http_channel.ts";
 
@@ -32,22 +34,55 @@
       headers: { "content-type": "application/json" },
       body: JSON.stringify(command),
     } as const;
-    return this.#channel.call(request, options)
-      .mapErr(toServerCallError)
+    return this.#call(request, options)
       .andThen((response) =>
         parseResponse(response, contracts.leaseCommandReplySchema)
-      );
+      )
+      .andThen((reply) => this.#checkRevision(command, reply));
   }
 
   load(
     options: contracts.CallOptions,
   ): ResultAsync<contracts.LoadReport, contracts.ServerCallError> {
-    return this.#channel.call({ method: "GET", path: "/control/load" }, options)
-      .mapErr(toServerCallError)
+    return this.#call({ method: "GET", path: "/control/load" }, options)
       .andThen((response) =>
         parseResponse(response, contracts.loadReportSchema)
       );
   }
+
+  /**
+   * A server may answer a call twice, the second time late, where the answer to
+   * the next call is due. The id of the call tells them apart; servers of
+   * earlier versions leave it out.
+   */
+  #call(
+    request: HttpRequest,
+    options: contracts.CallOptions,
+  ): ResultAsync<HttpResponse, contracts.ServerCallError> {
+    const id = crypto.randomUUID();
+    const headers = {
+      ...request.headers,
+      [contracts.REQUEST_ID_HEADER]: id,
+    };
+    return this.#channel.call({ ...request, headers }, options)
+      .mapErr(toServerCallError)
+      .andThen((response) => {
+        const namedCall = response.headers[contracts.REQUEST_ID_HEADER];
+        if (namedCall === undefined || namedCall === id) return ok(response);
+        this.#channel.dropConnections();
+        return err(badResponse("it bears the id of another call"));
+      });
+  }
+
+  /** A server that has seen the command has seen its revision. */
+  #checkRevision(
+    command: contracts.LeaseCommand,
+    reply: contracts.LeaseCommandReply,
+  ): Result<contracts.LeaseCommandReply, contracts.ServerCallError> {
+    if (reply.revision >= command.revision) return ok(reply);
+    this.#channel.dropConnections();
+    return err(badResponse("it belongs to an earlier command"));
+  }
 }
 
 function toServerCallError(error: HttpCallError): contracts.ServerCallError {
--- a/packages/standins/src/backend_server/backend_app.ts
+++ b/packages/standins/src/backend_server/backend_app.ts
@@ -137,6 +137,10 @@
     this.#knownSockets.add(socket);
     await serve.delay(linkDelayMs + connectMs);
     const isControl = context.req.path.startsWith("/control/");
+    const call = context.req.header(contracts.REQUEST_ID_HEADER);
+    if (isControl && call !== undefined) {
+      context.header(contracts.REQUEST_ID_HEADER, call);
+    }
     if (isControl && this.#faults.controlHangs === true) {
       return serve.leaveUnanswered();
     }
