fix(paths): a peer's reply is compared with the message it answers

Messages to relaying peers share kept connections and nothing in a reply named its message. A second reply to one message, sent late, answered the next: a request that a peer has sent would count as declined, and be sent again.

Messages now carry guavatide-request-id, which peers return. A reply with another id leaves the request's fate unknown, and the open connections carry no further message. Peers of earlier versions send no id and are taken as before.

--- a/packages/entry/src/gateway/paths/attempt_relay.ts
+++ b/packages/entry/src/gateway/paths/attempt_relay.ts
@@ -2,7 +2,7 @@
  * Sends requests to backend servers for peers that don't reach them. Only over
  * this VM's own connections, so a request takes one hop at most.
  */
-import type * as contracts from "@guavatide/contracts";
+import * as contracts from "@guavatide/contracts";
 import type * as http from "node:http";
 import * as timers from "node:timers/promises";
 import type { AttemptResult } from "../../links/server_connection.ts";
@@ -123,7 +123,12 @@
     if (response.destroyed) return;
     const bytes = messages.encodeRelayMessage(reply, replyBody);
     response.sendDate = false;
-    response.writeHead(200, { "content-length": bytes.length });
+    const call = request.headers[contracts.REQUEST_ID_HEADER];
+    response.writeHead(200, {
+      "content-length": bytes.length,
+      // Tells a late second reply from that to the next message.
+      ...(call === undefined ? {} : { [contracts.REQUEST_ID_HEADER]: call }),
+    });
     response.end(bytes);
   }
 
--- a/packages/entry/src/gateway/paths/relay_client.ts
+++ b/packages/entry/src/gateway/paths/relay_client.ts
@@ -1,11 +1,18 @@
 /** Asks peers to send requests to servers, and whether they reach them. */
-import type * as contracts from "@guavatide/contracts";
+import * as contracts from "@guavatide/contracts";
 import type * as paths from "@guavatide/decisions/paths/mod";
+import type * as neverthrow from "neverthrow";
+import * as crypto from "node:crypto";
 import type {
   AttemptRequest,
   AttemptResult,
 } from "../../links/server_connection.ts";
-import { HttpChannel } from "../../platform/http_channel.ts";
+import {
+  type HttpCallError,
+  HttpChannel,
+  type HttpRequest,
+  type HttpResponse,
+} from "../../platform/http_channel.ts";
 import type { CheckedServer } from "../../poison/server_end_check.ts";
 import type { LifeCycle } from "../../utils/life_cycle.ts";
 import type { PeerHello } from "../peers/peer_messages.ts";
@@ -100,18 +107,14 @@
       isIdempotent,
       priority,
     }, request.body);
-    const answered = await this.#channelTo(peer).call(
-      {
-        method: "POST",
-        path: messages.RELAY_PATH,
-        body,
-        mayLeave: () => request.maySend(),
-      },
+    const answered = await this.#call(
+      peer,
+      { body, mayLeave: () => request.maySend() },
       { timeoutMs: timeoutMs + REPLY_MARGIN_MS, signal },
     );
     const outcome = answered.isErr()
       ? outcomeOfFailure(answered.error)
-      : outcomeOfReply(answered.value.bytes);
+      : outcomeOfReply(answered.value);
     this.#options.count(
       outcome.kind === "ended" ? outcome.result.kind : outcome.kind,
     );
@@ -131,13 +134,12 @@
       incarnation,
       servers,
     });
-    const answered = await this.#channelTo(peer).call(
-      { method: "POST", path: messages.RELAY_PATH, body },
-      { timeoutMs: CHECK_TIMEOUT_MS },
-    );
+    const answered = await this.#call(peer, { body }, {
+      timeoutMs: CHECK_TIMEOUT_MS,
+    });
     if (answered.isErr()) return [];
     const decoded = messages.decodeRelayMessage(
-      answered.value.bytes,
+      answered.value,
       messages.relayReplySchema,
     );
     if (decoded?.message.kind !== "checked") return [];
@@ -147,6 +149,31 @@
     }));
   }
 
+  /**
+   * Sends a message; returns the bytes of its reply, and none where the reply is
+   * that of another message. A peer of an earlier version names no message.
+   */
+  async #call(
+    peer: PeerHello,
+    message: Pick<HttpRequest, "body" | "mayLeave">,
+    options: contracts.CallOptions,
+  ): Promise<neverthrow.Result<Uint8Array, HttpCallError>> {
+    const id = crypto.randomUUID();
+    const channel = this.#channelTo(peer);
+    const answered = await channel.call({
+      ...message,
+      method: "POST",
+      path: messages.RELAY_PATH,
+      headers: { [contracts.REQUEST_ID_HEADER]: id },
+    }, options);
+    return answered.map(({ headers, bytes }: HttpResponse) => {
+      const named = headers[contracts.REQUEST_ID_HEADER];
+      if (named === undefined || named === id) return bytes;
+      channel.dropConnections();
+      return new Uint8Array();
+    });
+  }
+
   #channelTo({ vm, host, port }: PeerHello): HttpChannel {
     const origin = `http://${host}:${port}`;
     const found = this.#channels.get(vm);
