fix(grants): extra answers to requests count for a server's grants as well

A server's first extra answer may come over a connection for requests, which are far more frequent than grants.

--- a/packages/entry/src/gateway/grants/grant_sender_test.ts
+++ b/packages/entry/src/gateway/grants/grant_sender_test.ts
@@ -31,6 +31,7 @@
     control: {
       grant,
       release: () => neverthrow.okAsync(undefined),
+      noteExtraAnswer: () => {},
       close: () => Promise.resolve(),
     },
     timings: grants.DEFAULT_GRANT_TIMINGS,
--- a/packages/entry/src/gateway/grants/service_grants_test.ts
+++ b/packages/entry/src/gateway/grants/service_grants_test.ts
@@ -121,6 +121,7 @@
         return neverthrow.ResultAsync.fromSafePromise(answered);
       },
       release: () => neverthrow.okAsync(undefined),
+      noteExtraAnswer: () => {},
       close: () => Promise.resolve(),
     },
     registry: {
--- a/packages/entry/src/links/server_connection.ts
+++ b/packages/entry/src/links/server_connection.ts
@@ -5,6 +5,7 @@
 import * as undici from "undici";
 import type { ServerCondition } from "../poison/server_end_check.ts";
 import { buildResettingConnector } from "../utils/reset_connection.ts";
+import { isUnexpectedBytes } from "../utils/unexpected_bytes.ts";
 import type {
   AnswerDecoder,
   AnswerReport,
@@ -84,6 +85,8 @@
    * when the whole answer is passed on or dropped.
    */
   readonly onAnswerBytes?: ((bytes: number) => void) | undefined;
+  /** Called when the server has sent bytes that belong to no request. */
+  readonly onUnexpectedBytes?: ((reason: string) => void) | undefined;
 }
 
 /** A request in flight. */
@@ -132,7 +135,10 @@
     });
     // No reconnect: a request that undici resends over a new connection could
     // run twice.
-    this.#client.on("disconnect", () => this.retire());
+    this.#client.on("disconnect", (_origin, _targets, error) => {
+      if (isUnexpectedBytes(error)) options.onUnexpectedBytes?.(error.message);
+      this.retire();
+    });
   }
 
   /** False after any failure; the connection then accepts no request. */
--- a/packages/entry/src/platform/http_channel.ts
+++ b/packages/entry/src/platform/http_channel.ts
@@ -14,6 +14,7 @@
   startPauseAwareTimer,
 } from "../utils/pause_aware_timer.ts";
 import { buildResettingConnector } from "../utils/reset_connection.ts";
+import { isUnexpectedBytes } from "../utils/unexpected_bytes.ts";
 
 const CONNECT_TIMEOUT_MS = 1000;
 const MAX_CONNECTIONS = 16;
@@ -405,13 +406,3 @@
   });
   return pool;
 }
-
-/** Whether undici ended a connection for what the server sent. */
-function isUnexpectedBytes(
-  { code, message }: Error & { readonly code?: string },
-): boolean {
-  // The end of a connection within an answer is a parser error as well.
-  if (code === "HPE_INVALID_EOF_STATE") return false;
-  // An answer while no call waits has no error code of its own.
-  return code?.startsWith("HPE_") === true || message === "bad response";
-}
