--- a/packages/entry/src/gateway/grants/grant_sender.ts
+++ b/packages/entry/src/gateway/grants/grant_sender.ts
@@ -233,12 +233,17 @@
     const { fromKey, toKey, fence } = range;
     const fields = { server: server.server, fromKey, toKey, fence };
     const answer: AnswerState = { endedAtMs: undefined, isDoubted: false };
+    let wasSent = false;
+    const maySend = () => {
+      wasSent = isStillAllowed();
+      return wasSent;
+    };
     const result = await control.grant(
       server,
       { fromKey, toKey, fence, holdMs: leaseMs, handover },
       {
         timeoutMs: timings.grantTimeoutMs,
-        maySend: isStillAllowed,
+        maySend,
         onAnswerDoubted: (reason) => {
           answer.isDoubted = true;
           noteIfUnanswered(call, answer);
@@ -258,10 +263,11 @@
     }
     state.lastEndedAtMs = clock.nowMs();
     answer.endedAtMs = state.lastEndedAtMs;
-    answer.isDoubted ||= result.isErr();
+    answer.isDoubted ||= wasSent && result.isErr();
     noteIfUnanswered(call, answer);
     this.#scheduleRetry(state, result.isOk() && result.value === "granted");
-    call.endedAtMs = state.lastEndedAtMs;
+    // Without a connection nothing was sent that could still take effect.
+    if (wasSent || result.isOk()) call.endedAtMs = state.lastEndedAtMs;
     this.#options.onCompleted(server.server);
     if (result.isErr()) {
       log.warn("Grant not answered.", {
