--- a/packages/contracts/src/key_grants.ts
+++ b/packages/contracts/src/key_grants.ts
@@ -6,7 +6,12 @@
 import type { ResultAsync } from "neverthrow";
 import * as z from "zod";
 import type { ServerCallError } from "./backend_server.ts";
-import { serverIdSchema, serviceIdSchema, vmIdSchema } from "./ids.ts";
+import {
+  type ServerId,
+  serverIdSchema,
+  serviceIdSchema,
+  vmIdSchema,
+} from "./ids.ts";
 import type { CallOptions } from "./platform_store.ts";
 import type { RegisteredServer } from "./registered_server.ts";
 import type { ServerNotices } from "./server_report.ts";
@@ -40,6 +45,16 @@
   /** Not granted: the server has asked for no calls for a time. */
   | "backing-off";
 
+/** Where the answer to a grant or release call came from. */
+export interface AnswerSource {
+  /** Local port of the connection; undefined when it is not known. */
+  readonly localPort: number | undefined;
+  /** Calls that the connection carried before this one. */
+  readonly callsBefore: number;
+  /** Id of the call that the answer names; undefined for none. */
+  readonly namedCall: string | undefined;
+}
+
 /** Options of a grant or release call. */
 export interface GrantCallOptions extends CallOptions {
   /**
@@ -49,6 +64,13 @@
   readonly maySend?: () => boolean;
   /** Called with what the server says of itself beside its answer. */
   readonly onNotices?: (notices: ServerNotices) => void;
+  /** Called with the source of the answer, or of an answer that is discarded. */
+  readonly onAnswerSource?: (source: AnswerSource) => void;
+  /**
+   * Called after an answer when its connection shows that it may have been that
+   * of another call: the call then counts as not answered.
+   */
+  readonly onAnswerDoubted?: (reason: string) => void;
 }
 
 /** Grant calls of one platform. */
@@ -71,6 +93,12 @@
     range: KeyRange & { readonly fence: number },
     options: GrantCallOptions,
   ): ResultAsync<string | undefined, ServerCallError>;
+  /**
+   * The server has sent an answer, or other bytes, that belong to no request:
+   * its answers to grants are no longer taken for those of the calls that they
+   * follow.
+   */
+  noteExtraAnswer(server: ServerId, reason: string): void;
   close(): Promise<void>;
 }
 
--- a/packages/entry/src/gateway/grants/service_grants_test.ts
+++ b/packages/entry/src/gateway/grants/service_grants_test.ts
@@ -148,6 +148,7 @@
           new Promise((resolve) => releases.push(() => resolve(undefined))),
         );
       },
+      noteExtraAnswer: () => {},
       close: () => Promise.resolve(),
     },
     registry: {
