fix: limit what a server may send for an answer

Cause: undici bounds header fields and, if told to, the body. Interim answers, empty lines and chunk extensions were parsed until the time limit of the call or request; bodies of grants and releases were held up to 64 MB; a body in chunks of a few bytes was held as one view a chunk (up to 320 MB for 8 MB).

Change: - Each connection to a server counts the bytes read since the request was sent without those of bodies: 64 KB, and 8 bytes for each byte of a body, at most 1 MB more. Store lists, calls between peers (64 MB) and forwarded answers (8 MB) keep their limits. - Bytes that are no answer, or too many, end a call or request as `bad-answer`. - A server whose answer was too large is suspended (400 ms, doubled up to 4 s) after one such answer, an owner of keys after two; without an answer at all it is after two and five as before. Such a request is not checked for a crash of its server. A peer that relays a request passes this on. - Small chunks of a body are copied together. Interim answers are not decoded.

--- a/packages/decisions/src/admission/server_load.ts
+++ b/packages/decisions/src/admission/server_load.ts
@@ -5,13 +5,14 @@
 const PEER_LOAD_TTL_MS = 1_000;
 /** Weight of a new outcome in the failure ratio. */
 const FAILURE_SAMPLE_WEIGHT = 1 / 8;
-/** Consecutive requests without an answer after which a server is suspended. */
-const SUSPEND_AFTER_LOSSES = 2;
 /**
- * The same for a server that owns its keys: no other server can answer for it,
- * and an owner that answers nothing at all is detected by its leases.
+ * Consecutive requests without an answer after which a server is suspended. No
+ * other server can answer for an owner of keys, and an owner that answers
+ * nothing at all is detected by its leases.
  */
-const SUSPEND_OWNER_AFTER_LOSSES = 5;
+const SUSPEND_AFTER_LOSSES = { owner: 5, other: 2 };
+/** The same when the last one got more than an answer may have. */
+const SUSPEND_AFTER_TOO_LARGE = { owner: 2, other: 1 };
 const SUSPEND_MIN_MS = 400;
 const SUSPEND_MAX_MS = 4_000;
 /**
@@ -30,7 +31,11 @@
   /** The server replied that it did not run the request. */
   | { readonly kind: "rejected" }
   /** No connection, or no complete answer. */
-  | { readonly kind: "lost" }
+  | {
+    readonly kind: "lost";
+    /** Whether the server has sent more than an answer may have. */
+    readonly isTooLarge?: boolean | undefined;
+  }
   /** The VM stopped waiting for it; says nothing about the server. */
   | { readonly kind: "abandoned" };
 
@@ -159,7 +164,9 @@
 
   #recordOutcome(outcome: SendOutcome, sentMs: number, nowMs: number): void {
     if (outcome.kind === "abandoned") return;
-    if (outcome.kind === "lost") return this.#recordLoss(sentMs, nowMs);
+    if (outcome.kind === "lost") {
+      return this.#recordLoss(sentMs, nowMs, outcome.isTooLarge);
+    }
     this.#consecutiveLosses = 0;
     this.#suspensions = 0;
     this.#silentSinceMs = Number.POSITIVE_INFINITY;
@@ -184,18 +191,18 @@
    * each request until its deadline. The first suspension is short, as a reset
    * connection alone means little. Requests sent before the last suspension
    * ended, and to an owner also those sent before its last loss, don't count
-   * again: one reset ends many requests at once.
+   * again: one reset ends many requests at once. Answers that are too large
+   * suspend a server sooner: each one takes processor time from others.
    */
-  #recordLoss(sentMs: number, nowMs: number): void {
+  #recordLoss(sentMs: number, nowMs: number, isTooLarge = false): void {
     this.#failureRatio += FAILURE_SAMPLE_WEIGHT * (1 - this.#failureRatio);
     // A request sent before the last loss was lost with it.
     if (this.#isOwner && sentMs < this.#lastLostMs) return;
     this.#lastLostMs = nowMs;
     this.#silentSinceMs = Math.min(this.#silentSinceMs, sentMs);
     this.#consecutiveLosses++;
-    const limit = this.#isOwner
-      ? SUSPEND_OWNER_AFTER_LOSSES
-      : SUSPEND_AFTER_LOSSES;
+    const limits = isTooLarge ? SUSPEND_AFTER_TOO_LARGE : SUSPEND_AFTER_LOSSES;
+    const limit = this.#isOwner ? limits.owner : limits.other;
     if (this.#consecutiveLosses < limit) return;
     if (sentMs < this.#suspendedUntilMs) return;
     const backoffMs = SUSPEND_MIN_MS * 2 ** this.#suspensions;
--- a/packages/entry/src/gateway/forwarding/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarding/forwarded_request.ts
@@ -303,7 +303,11 @@
     const isOurPath = result.kind === "not-sent"
       ? result.hasNoPath || result.isHeldBack
       : result.isPathLost;
-    return { kind: isOurPath ? "abandoned" : "lost" };
+    if (isOurPath) return { kind: "abandoned" };
+    return {
+      kind: "lost",
+      isTooLarge: result.kind === "unknown" && result.isTooLarge,
+    };
   }
 
   #handleResult(
@@ -330,7 +334,11 @@
         if (result.reason === "timeout-after-send") {
           this.#context.poison.noteGivenUp(this.#request, entry);
         }
-        if (result.reason === "timeout-after-send" || result.isPathLost) {
+        if (
+          result.reason === "timeout-after-send" || result.isPathLost ||
+          // A server that sends without end has not crashed.
+          result.isTooLarge
+        ) {
           return this.#handleUnknown(result.message);
         }
         return this.#handleLostConnection(result, entry);
--- a/packages/entry/src/gateway/paths/relay_client.ts
+++ b/packages/entry/src/gateway/paths/relay_client.ts
@@ -189,7 +189,7 @@
       isPathLost: true,
     },
     relayed: undefined,
-    isPeerLost: kind === "unreachable",
+    isPeerLost: kind === "unreachable" || kind === "bad-answer",
   };
 }
 
--- a/packages/entry/src/gateway/paths/relay_messages.ts
+++ b/packages/entry/src/gateway/paths/relay_messages.ts
@@ -125,6 +125,7 @@
     message: z.string(),
     isSilent: z.boolean(),
     isPathLost: z.boolean(),
+    isTooLarge: z.boolean().optional(),
     condition: z.enum(["ended", "running", "unknown"]).optional(),
   }),
   /** By server asked for: what the peer says of its path. */
@@ -193,7 +194,8 @@
     case "not-sent":
       return { reply: { kind: "declined", reason: declineReasonOf(result) } };
     case "unknown": {
-      const { reason, message, isSilent, isPathLost, condition } = result;
+      const { reason, message, isSilent, isPathLost, isTooLarge, condition } =
+        result;
       return {
         reply: {
           kind: "unknown",
@@ -201,6 +203,7 @@
           message,
           isSilent: isSilent ?? false,
           isPathLost: isPathLost ?? false,
+          isTooLarge,
           condition,
         },
       };
@@ -242,8 +245,12 @@
         ...reportsIn(reply),
       };
     case "unknown": {
-      const { condition, ...rest } = reply;
-      return condition === undefined ? rest : { ...rest, condition };
+      const { condition, isTooLarge, ...rest } = reply;
+      return {
+        ...rest,
+        ...(condition === undefined ? {} : { condition }),
+        ...(isTooLarge === undefined ? {} : { isTooLarge }),
+      };
     }
     case "declined":
     case "checked":
--- a/packages/entry/src/links/server_connection.ts
+++ b/packages/entry/src/links/server_connection.ts
@@ -4,7 +4,14 @@
 import type * as net from "node:net";
 import * as undici from "undici";
 import type { ServerCondition } from "../poison/server_end_check.ts";
+import {
+  AnswerTooLargeError,
+  isBadAnswer,
+  isTooLarge,
+  OverheadLimit,
+} from "../utils/answer_limits.ts";
 import { buildResettingConnector } from "../utils/reset_connection.ts";
+import { AnswerBody } from "./answer_body.ts";
 import type {
   AnswerDecoder,
   AnswerReport,
@@ -20,6 +27,9 @@
  */
 const UNUSED_SERVER_NAME = "-";
 
+/** Answers with a lower status are interim ones. */
+const FIRST_FINAL_STATUS = 200;
+
 /** One attempt of a request, as sent over a connection. */
 export interface AttemptRequest {
   readonly id: contracts.RequestId;
@@ -57,6 +67,8 @@
     readonly isSilent?: boolean;
     /** Whether this VM, or the peer that relayed it, broke it off. */
     readonly isPathLost?: boolean;
+    /** Whether the server has sent more than an answer may have. */
+    readonly isTooLarge?: boolean;
     /** What the VM that sent it has found out about the server. */
     readonly condition?: ServerCondition;
     /** The run that the server has named on the connection; absent for none. */
@@ -100,6 +112,7 @@
 export class ServerConnection {
   readonly #client: undici.Client;
   readonly #options: ServerConnectionOptions;
+  readonly #overhead = new OverheadLimit();
   #socket: net.Socket | undefined;
   #pending: PendingRequest | undefined;
   #isUsable = true;
@@ -193,6 +206,7 @@
    */
   #trackSocket(socket: net.Socket): void {
     this.#socket = socket;
+    this.#overhead.watch(socket);
     socket.once("error", () => {
       this.#hasSocketError = true;
     });
@@ -208,6 +222,14 @@
     return { kind: "unknown", reason, message, serverRun: this.#serverRun };
   }
 
+  #resultOfError(pending: PendingRequest, error: Error): AttemptResult {
+    const reason = isBadAnswer(error) ? "bad-answer" : "connection-lost";
+    const result = this.#resultWithoutAnswer(pending, reason, error.message);
+    return result.kind === "unknown" && isTooLarge(error)
+      ? { ...result, isTooLarge: true }
+      : result;
+  }
+
   #dispatch(pending: PendingRequest): void {
     const { request } = pending;
     const options: RequestOptions = {
@@ -226,8 +248,10 @@
           return;
         }
         pending.isSent = true;
+        this.#overhead.startAnswer();
       },
       onResponseStart: (controller, status) => {
+        if (status < FIRST_FINAL_STATUS) return;
         const raw = (controller as HeaderSource).rawHeaders ?? [];
         pending.answer = new AnswerReader(status, raw, {
           request,
@@ -238,8 +262,10 @@
         });
       },
       onResponseData: (controller, chunk) => {
+        this.#overhead.addBody(chunk.length);
         if (!pending.answer!.add(chunk)) {
-          controller.abort(new Error("The answer is larger than the limit"));
+          const message = "The answer is larger than the limit";
+          controller.abort(new AnswerTooLargeError(message));
         }
       },
       onResponseEnd: () =>
@@ -248,12 +274,8 @@
             ? badAnswer("The connection broke before the answer's end")
             : pending.answer!.finish(),
         ),
-      onResponseError: (_controller, error) => {
-        const reason = "connection-lost";
-        pending.settle(
-          this.#resultWithoutAnswer(pending, reason, error.message),
-        );
-      },
+      onResponseError: (_controller, error) =>
+        pending.settle(this.#resultOfError(pending, error)),
     });
   }
 }
@@ -287,7 +309,7 @@
   readonly #status: number;
   readonly #headers: readonly string[];
   readonly #options: AnswerReaderOptions;
-  readonly #chunks: Uint8Array[] = [];
+  readonly #body = new AnswerBody();
   #sizeBytes = 0;
   #isReleased = false;
 
@@ -306,7 +328,7 @@
     if (this.#isReleased) return false;
     this.#sizeBytes += chunk.length;
     this.#options.onAnswerBytes?.(chunk.length);
-    this.#chunks.push(chunk);
+    this.#body.add(chunk);
     return this.#sizeBytes <= this.#options.limitBytes;
   }
 
@@ -323,9 +345,7 @@
       method: request.method,
       status: this.#status,
       headers: this.#headers,
-      body: this.#chunks.length === 1
-        ? this.#chunks[0]!
-        : Buffer.concat(this.#chunks),
+      body: this.#body.bytes(),
     });
     if (decoded.kind === "bad") return badAnswer(decoded.message);
     const stamp = readHeader(this.#headers, names.STAMP_HEADER);
--- a/packages/entry/src/platform/http_channel.ts
+++ b/packages/entry/src/platform/http_channel.ts
@@ -9,6 +9,7 @@
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 import type * as http from "node:http";
 import * as undici from "undici";
+import { isBadAnswer, OverheadLimit } from "../utils/answer_limits.ts";
 import {
   READ_AFTER_PAUSE_MS,
   startPauseAwareTimer,
@@ -50,6 +51,8 @@
   readonly localAddress?: string | undefined;
   /** Limit on the time to establish a connection; 1 s by default. */
   readonly connectTimeoutMs?: number;
+  /** Largest body of a response; 64 MB by default. */
+  readonly maxResponseBytes?: number;
 }
 
 /**
@@ -57,7 +60,13 @@
  * server, unless the kind is "kept": then it was not sent.
  */
 export interface HttpCallError {
-  readonly kind: "timeout" | "unreachable" | "cancelled" | "kept";
+  readonly kind:
+    | "timeout"
+    | "unreachable"
+    /** What came is no response, or exceeds the limits of one. */
+    | "bad-answer"
+    | "cancelled"
+    | "kept";
   readonly message: string;
   /** Whether the call may have reached the server. */
   readonly wasSent: boolean;
@@ -158,6 +167,8 @@
         return `Cancelled the request "${what}"`;
       case "kept":
         return `Did not send "${what}": its sender no longer permits it`;
+      case "bad-answer":
+        return `Bad response to "${what}": ${failure.reason}; check that the address belongs to the server`;
       case "unreachable":
         return `Request "${what}" failed: ${failure.reason}; check the address and that the server is running`;
     }
@@ -198,6 +209,8 @@
  * a request that has already ended by then is never written.
  */
 class Exchange implements undici.Dispatcher.DispatchHandler {
+  /** Of the connection that it is sent on. */
+  overhead: OverheadLimit | undefined;
   readonly result: Promise<ExchangeResult>;
   readonly #deadlineMs: number;
   readonly #mayLeave: () => boolean;
@@ -240,6 +253,7 @@
     if (this.#isEnded || isPastDeadline) return this.abort("timeout");
     if (!this.#mayLeave()) return this.abort("kept");
     this.#wasSent = true;
+    this.overhead?.startAnswer();
   }
 
   onResponseStart(
@@ -255,6 +269,7 @@
     _controller: undici.Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    this.overhead?.addBody(chunk.length);
     this.#chunks.push(chunk);
   }
 
@@ -277,7 +292,8 @@
     _controller: undici.Dispatcher.DispatchController,
     error: Error,
   ): void {
-    this.#end({ kind: "unreachable", reason: String(error) });
+    const kind = isBadAnswer(error) ? "bad-answer" : "unreachable";
+    this.#end({ kind, reason: String(error) });
   }
 
   #end(result: ExchangeResult): void {
@@ -292,6 +308,7 @@
     connections = MAX_CONNECTIONS,
     localAddress,
     connectTimeoutMs = CONNECT_TIMEOUT_MS,
+    maxResponseBytes = MAX_RESPONSE_BYTES,
   }: HttpChannelOptions,
 ): undici.Pool {
   return new undici.Pool(origin, {
@@ -302,6 +319,39 @@
     // Each call has its own deadline; undici's would interrupt long polls.
     headersTimeout: 0,
     bodyTimeout: 0,
-    maxResponseSize: MAX_RESPONSE_BYTES,
+    maxResponseSize: maxResponseBytes,
+    factory: (url, options) =>
+      new LimitedClient(url, options as LimitedClientOptions),
   });
 }
+
+type LimitedClientOptions = undici.Client.Options & {
+  readonly connect: undici.buildConnector.connector;
+};
+
+/** A connection of a pool for exchanges, with limits on what it receives. */
+class LimitedClient extends undici.Client {
+  readonly #overhead: OverheadLimit;
+
+  constructor(url: URL, options: LimitedClientOptions) {
+    const overhead = new OverheadLimit();
+    super(url, {
+      ...options,
+      connect: (target, callback) =>
+        options.connect(target, (...result) => {
+          const [error, socket] = result;
+          if (error === null) overhead.watch(socket);
+          callback(...result);
+        }),
+    });
+    this.#overhead = overhead;
+  }
+
+  override dispatch(
+    options: undici.Dispatcher.DispatchOptions,
+    handler: undici.Dispatcher.DispatchHandler,
+  ): boolean {
+    if (handler instanceof Exchange) handler.overhead = this.#overhead;
+    return super.dispatch(options, handler);
+  }
+}
