--- a/packages/entry/src/platform/http_channel.ts
+++ b/packages/entry/src/platform/http_channel.ts
@@ -9,12 +9,16 @@
 import { err, ok, type Result, ResultAsync } from "neverthrow";
 import type * as http from "node:http";
 import * as undici from "undici";
+import {
+  isBadAnswer,
+  isUnexpectedBytes,
+  OverheadLimit,
+} from "../utils/answer_limits.ts";
 import {
   READ_AFTER_PAUSE_MS,
   startPauseAwareTimer,
 } from "../utils/pause_aware_timer.ts";
 import { buildResettingConnector } from "../utils/reset_connection.ts";
-import { isUnexpectedBytes } from "../utils/unexpected_bytes.ts";
 
 const CONNECT_TIMEOUT_MS = 1000;
 const MAX_CONNECTIONS = 16;
@@ -73,6 +77,8 @@
    * an answer when no call was waiting for one.
    */
   readonly onUnexpectedBytes?: (reason: string) => void;
+  /** Largest body of a response; 64 MB by default. */
+  readonly maxResponseBytes?: number;
 }
 
 /**
@@ -80,7 +86,13 @@
  * server, unless the kind is "kept": then it was not sent.
  */
 export interface HttpCallError {
-  readonly kind: "timeout" | "unreachable" | "cancelled" | "kept";
+  readonly kind:
+    | "timeout"
+    | "unreachable"
+    /** What came is no response, or exceeds the limits of one. */
+    | "bad-answer"
+    | "cancelled"
+    | "kept";
   readonly message: string;
   /** Whether the call may have reached the server. */
   readonly wasSent: boolean;
@@ -205,6 +217,8 @@
         return `Cancelled the request "${what}"`;
       case "kept":
         return `Did not send "${what}": its sender no longer permits it`;
+      case "bad-answer":
+        return `Bad response to "${what}": ${failure.reason}; check that the address belongs to the server`;
       case "unreachable":
         return `Request "${what}" failed: ${failure.reason}; check the address and that the server is running`;
     }
@@ -276,6 +290,8 @@
  * a request that has already ended by then is never written.
  */
 class Exchange implements undici.Dispatcher.DispatchHandler {
+  /** Of the connection that it is sent on. */
+  overhead: OverheadLimit | undefined;
   readonly result: Promise<ExchangeResult>;
   readonly #deadlineMs: number;
   readonly #options: ExchangeOptions;
@@ -329,6 +345,7 @@
     if (mayLeave?.() === false) return this.abort("kept");
     this.#wasSent = true;
     this.#connection = connection.noteCall();
+    this.overhead?.startAnswer();
   }
 
   onResponseStart(
@@ -344,6 +361,7 @@
     _controller: undici.Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    this.overhead?.addBody(chunk.length);
     this.#chunks.push(chunk);
   }
 
@@ -367,7 +385,8 @@
     _controller: undici.Dispatcher.DispatchController,
     error: Error,
   ): void {
-    this.#end({ kind: "unreachable", reason: String(error) });
+    const kind = isBadAnswer(error) ? "bad-answer" : "unreachable";
+    this.#end({ kind, reason: String(error) });
   }
 
   #end(result: ExchangeResult): void {
@@ -383,6 +402,7 @@
     localAddress,
     connectTimeoutMs = CONNECT_TIMEOUT_MS,
     onUnexpectedBytes,
+    maxResponseBytes = MAX_RESPONSE_BYTES,
   }: HttpChannelOptions,
   connection: ConnectionRecord,
 ): undici.Pool {
@@ -399,10 +419,43 @@
     // Each call has its own deadline; undici's would interrupt long polls.
     headersTimeout: 0,
     bodyTimeout: 0,
-    maxResponseSize: MAX_RESPONSE_BYTES,
+    maxResponseSize: maxResponseBytes,
+    factory: (url, options) =>
+      new LimitedClient(url, options as LimitedClientOptions),
   });
   pool.on("disconnect", (_origin, _targets, error) => {
     if (isUnexpectedBytes(error)) onUnexpectedBytes?.(error.message);
   });
   return pool;
 }
+
+type LimitedClientOptions = undici.Client.Options & {
+  readonly connect: undici.buildConnector.connector;
+};
+
+/** A connection of a pool for exchanges, with limits on what it receives. */
+class LimitedClient extends undici.Client {
+  readonly #overhead: OverheadLimit;
+
+  constructor(url: URL, options: LimitedClientOptions) {
+    const overhead = new OverheadLimit();
+    super(url, {
+      ...options,
+      connect: (target, callback) =>
+        options.connect(target, (...result) => {
+          const [error, socket] = result;
+          if (error === null) overhead.watch(socket);
+          callback(...result);
+        }),
+    });
+    this.#overhead = overhead;
+  }
+
+  override dispatch(
+    options: undici.Dispatcher.DispatchOptions,
+    handler: undici.Dispatcher.DispatchHandler,
+  ): boolean {
+    if (handler instanceof Exchange) handler.overhead = this.#overhead;
+    return super.dispatch(options, handler);
+  }
+}
