--- a/packages/decisions/src/grants/handover_controller.ts
+++ b/packages/decisions/src/grants/handover_controller.ts
@@ -13,9 +13,11 @@
 import { RELEASE_RETRY_MS, type ReleaseCall } from "./release_call.ts";
 import {
   type AnsweredRelease,
-  freeAtMs,
+  type FreeReason,
+  handoverEnd,
   type HandoverFacts,
   isReleaseVoid,
+  isRestartOf,
   outlastsRelease,
 } from "./handover_wait.ts";
 
@@ -40,8 +42,17 @@
     readonly kind: "write";
     readonly map: contracts.RangeMap;
     readonly condition: contracts.WriteCondition;
+    /** Handovers that the write finishes. */
+    readonly finished: readonly FinishedHandover[];
   };
 
+/** A handover whose next owner may be granted the range. */
+export interface FinishedHandover {
+  /** The range before it was finished, with its old owner. */
+  readonly range: contracts.RangeState;
+  readonly reason: FreeReason;
+}
+
 const NO_LEASES: ReadonlyMap<contracts.ServerId, number> = new Map();
 
 /** Input of one reconciliation. */
@@ -49,8 +60,6 @@
   readonly nowMs: number;
   /** Servers that can own ranges now. */
   readonly usable: ReadonlyMap<contracts.ServerId, contracts.RegisteredServer>;
-  /** Whether this incarnation of a server is known to have ended. */
-  hasEnded(owner: contracts.RangeOwner): boolean;
   /** Entry VMs that are to vote on the map, in any order. */
   readonly voters: readonly contracts.VmId[];
   /** Lease duration that the service's requests need. */
@@ -186,10 +195,12 @@
     }
   }
 
-  /** Releases to send now; each is returned once until its result is noted. */
+  /**
+   * Releases to send now, to the present run of each old owner; each is returned
+   * once until its result is noted.
+   */
   takeReleases(
     nowMs: number,
-    hasEnded: (owner: contracts.RangeOwner) => boolean,
     mayCall: (server: contracts.ServerId) => boolean = () => true,
   ): ReleaseCall[] {
     // By a stale map, keys might be released that their owner owns again.
@@ -198,13 +209,15 @@
     const { map } = this;
     for (const range of map?.ranges ?? []) {
       const oldOwner = range.vacating;
-      if (oldOwner === undefined || hasEnded(oldOwner)) continue;
+      if (oldOwner === undefined) continue;
+      // A release could reach the new run after its grant, and revoke that.
+      if (isRestartOf(range.owner, oldOwner)) continue;
       if (!this.#mayRelease(map!, range, nowMs)) continue;
       if (!mayCall(oldOwner.server)) continue;
       this.#release(range.fence).sentAtMs = nowMs;
       calls.push({ range, oldOwner });
     }
-    return [...calls, ...this.#fencing.takeDue(nowMs, hasEnded, mayCall)];
+    return [...calls, ...this.#fencing.takeDue(nowMs, mayCall)];
   }
 
   /** Takes the result of a release; a failed one is retried. */
@@ -251,7 +264,7 @@
     if (acknowledgedAtMs === undefined || isInFlight) return false;
     if (nowMs < release.notBeforeMs) return false;
     if (release.answered !== undefined) {
-      const facts = this.#facts(map, range, false);
+      const facts = this.#facts(map, range);
       const isSparing = map.serverHoldMs?.[server] !== undefined;
       const sinceMs = nowMs - release.answered.answeredAtMs;
       const isUseless = isSparing &&
@@ -274,7 +287,6 @@
   #facts(
     map: contracts.RangeMap,
     range: contracts.RangeState,
-    hasEnded: boolean,
   ): HandoverFacts {
     return {
       map,
@@ -282,7 +294,6 @@
       reports: this.#reports,
       acknowledgedAtMs: this.#acknowledgedAtMs.get(range.vacating!.revision),
       release: this.#releases.get(range.fence)?.answered,
-      hasEnded,
       timings: this.#timings,
     };
   }
@@ -291,14 +302,15 @@
     if (this.#stored === undefined) return this.#initialWrite(tick);
     const { map, version } = this.#stored;
     const revision = map.revision + 1;
-    let finishedCount = 0;
-    const finished = edit.finishHandovers(map.ranges, (range) => {
-      const isFree = this.#isFree(map, range, tick);
-      if (isFree) finishedCount++;
-      return isFree;
+    const finished: FinishedHandover[] = [];
+    const ranges = edit.finishHandovers(map.ranges, (range) => {
+      const reason = this.#freeReason(map, range, tick);
+      if (reason === undefined) return false;
+      finished.push({ range, reason });
+      return true;
     });
     const moves = tick.plan(map);
-    const started = edit.startHandovers(finished, moves, {
+    const started = edit.startHandovers(ranges, moves, {
       revision,
       lastFence: map.lastFence,
     });
@@ -309,7 +321,7 @@
       started.ranges,
       tick.serverLeasesMs ?? NO_LEASES,
     );
-    const isFinishing = finishedCount > 0 &&
+    const isFinishing = finished.length > 0 &&
       !this.#shouldWaitForMore(tick.nowMs);
     const isLeaseLonger = holdMs > leaseDurationMs(map, this.#timings) ||
       Object.entries(serverHoldMs ?? {}).some(([server, leaseMs]) =>
@@ -327,7 +339,8 @@
       holdMs,
       serverHoldMs,
     };
-    return this.#writeCall(next, { kind: "version", version }, tick);
+    const condition = { kind: "version", version } as const;
+    return { ...this.#writeCall(next, condition, tick), finished };
   }
 
   /** Whether finished handovers can wait for others that finish soon. */
@@ -360,19 +373,20 @@
     map: Omit<contracts.RangeMap, "nonce">,
     condition: contracts.WriteCondition,
     tick: HandoverTick,
-  ): MapCall {
-    return { kind: "write", map: { ...map, nonce: tick.nonce() }, condition };
+  ) {
+    const written = { ...map, nonce: tick.nonce() };
+    return { kind: "write", map: written, condition, finished: [] } as const;
   }
 
-  #isFree(
+  /** Why the next owner may be granted the range now; undefined if it may not. */
+  #freeReason(
     map: contracts.RangeMap,
     range: contracts.RangeState,
     tick: HandoverTick,
-  ): boolean {
-    if (!tick.usable.has(range.owner.server)) return false;
-    const oldOwner = range.vacating!;
-    const atMs = freeAtMs(this.#facts(map, range, tick.hasEnded(oldOwner)));
-    return atMs !== undefined && atMs <= tick.nowMs;
+  ): FreeReason | undefined {
+    if (!tick.usable.has(range.owner.server)) return undefined;
+    const end = handoverEnd(this.#facts(map, range));
+    return end !== undefined && end.atMs <= tick.nowMs ? end.reason : undefined;
   }
 
   /** Voter sets of the next revision; the same object when nothing changes. */
--- a/packages/decisions/src/grants/handover_wait.ts
+++ b/packages/decisions/src/grants/handover_wait.ts
@@ -26,21 +26,41 @@
   readonly acknowledgedAtMs: number | undefined;
   /** The release that the old owner answered. */
   readonly release: AnsweredRelease | undefined;
-  /** Whether the old owner's incarnation is known to have ended. */
-  readonly hasEnded: boolean;
   readonly timings: GrantTimings;
 }
 
+/** Why the old owner of a range can no longer hold a lease on it. */
+export type FreeReason =
+  /** The next owner is a later run of the old one. */
+  | "same-server"
+  | "released"
+  | "expired";
+
+/** When and why the next owner of a range may be granted it. */
+export interface HandoverEnd {
+  /** On this VM's clock. */
+  readonly atMs: number;
+  readonly reason: FreeReason;
+}
+
 /**
  * When the next owner may be granted the range, on this VM's clock; undefined
  * while that is not known yet.
  */
 export function freeAtMs(facts: HandoverFacts): number | undefined {
-  const { acknowledgedAtMs, release, hasEnded } = facts;
-  if (hasEnded) return Number.NEGATIVE_INFINITY;
+  return handoverEnd(facts)?.atMs;
+}
+
+/** The same as {@link freeAtMs}, with the reason. */
+export function handoverEnd(facts: HandoverFacts): HandoverEnd | undefined {
+  const { acknowledgedAtMs, release, range } = facts;
+  if (isRestartOf(range.owner, range.vacating!)) {
+    return { atMs: Number.NEGATIVE_INFINITY, reason: "same-server" };
+  }
   if (acknowledgedAtMs === undefined) return undefined;
   const expiredMs = lastGrantEndMs(facts, acknowledgedAtMs, "lastGrantMs");
-  if (release === undefined || isReleaseVoid(facts)) return expiredMs;
+  const expired = { atMs: expiredMs, reason: "expired" } as const;
+  if (release === undefined || isReleaseVoid(facts)) return expired;
   // A release revokes a grant that was answered before it; an unanswered grant
   // may take effect after it.
   const unansweredExpiredMs = lastGrantEndMs(
@@ -48,10 +68,22 @@
     acknowledgedAtMs,
     "lastUnansweredMs",
   );
-  return Math.min(
-    expiredMs,
-    Math.max(release.answeredAtMs, unansweredExpiredMs),
-  );
+  const releasedMs = Math.max(release.answeredAtMs, unansweredExpiredMs);
+  return releasedMs < expiredMs
+    ? { atMs: releasedMs, reason: "released" }
+    : expired;
+}
+
+/**
+ * Whether the next owner is a later run of the old one. Grants that were meant
+ * for a run that has ended may still reach a later one at the same address, so
+ * its end alone frees its keys for no other server.
+ */
+export function isRestartOf(
+  next: contracts.RangeOwner,
+  old: contracts.RangeOwner,
+): boolean {
+  return next.server === old.server && next.bornMs > old.bornMs;
 }
 
 /**
