--- a/packages/entry/src/links/server_connection.ts
+++ b/packages/entry/src/links/server_connection.ts
@@ -5,6 +5,7 @@
 import * as undici from "undici";
 import type { ServerCondition } from "../poison/server_end_check.ts";
 import { buildResettingConnector } from "../utils/reset_connection.ts";
+import { isUnexpectedBytes } from "../utils/unexpected_bytes.ts";
 import type {
   AnswerDecoder,
   AnswerReport,
@@ -84,6 +85,8 @@
    * when the whole answer is passed on or dropped.
    */
   readonly onAnswerBytes?: ((bytes: number) => void) | undefined;
+  /** Called when the server has sent bytes that belong to no request. */
+  readonly onUnexpectedBytes?: ((reason: string) => void) | undefined;
 }
 
 /** A request in flight. */
@@ -104,6 +107,7 @@
   #pending: PendingRequest | undefined;
   #isUsable = true;
   #hasSocketError = false;
+  #lastRequest: contracts.RequestId | undefined;
   /** A connection ends with the run of the server that accepted it. */
   #serverRun: string | undefined;
 
@@ -131,7 +135,10 @@
     });
     // No reconnect: a request that undici resends over a new connection could
     // run twice.
-    this.#client.on("disconnect", () => this.retire());
+    this.#client.on("disconnect", (_origin, _targets, error) => {
+      if (isUnexpectedBytes(error)) options.onUnexpectedBytes?.(error.message);
+      this.retire();
+    });
   }
 
   /** False after any failure; the connection then accepts no request. */
@@ -144,6 +151,11 @@
     return this.#isUsable && this.#socket !== undefined;
   }
 
+  /** Id of the last request on this connection; undefined for none. */
+  get lastRequest(): contracts.RequestId | undefined {
+    return this.#lastRequest;
+  }
+
   /** Bytes received on this connection; shows whether the server responds. */
   get bytesReceived(): number {
     return this.#socket?.bytesRead ?? 0;
@@ -168,6 +180,7 @@
         },
       };
       this.#pending = pending;
+      this.#lastRequest = request.id;
       this.#dispatch(pending);
     });
   }
--- a/packages/entry/src/platform/http_channel.ts
+++ b/packages/entry/src/platform/http_channel.ts
@@ -14,6 +14,7 @@
   startPauseAwareTimer,
 } from "../utils/pause_aware_timer.ts";
 import { buildResettingConnector } from "../utils/reset_connection.ts";
+import { isUnexpectedBytes } from "../utils/unexpected_bytes.ts";
 
 const CONNECT_TIMEOUT_MS = 1000;
 const MAX_CONNECTIONS = 16;
@@ -40,6 +41,18 @@
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   readonly bytes: Uint8Array;
   readonly text: string;
+  readonly connection: ResponseConnection;
+}
+
+/** The connection that a response came over. */
+export interface ResponseConnection {
+  /**
+   * Its local port; undefined for a channel with several connections, of which
+   * any may have carried the call.
+   */
+  readonly localPort: number | undefined;
+  /** Calls that were written to it before; of all connections of the channel. */
+  readonly callsBefore: number;
 }
 
 /** Options of {@link HttpChannel}. */
@@ -50,6 +63,16 @@
   readonly localAddress?: string | undefined;
   /** Limit on the time to establish a connection; 1 s by default. */
   readonly connectTimeoutMs?: number;
+  /**
+   * Whether each connection is closed after one call, so that no answer can be
+   * that of an earlier call; false by default.
+   */
+  readonly isOneCallPerConnection?: boolean;
+  /**
+   * Called when a connection ends as it delivered bytes that are no answer, or
+   * an answer when no call was waiting for one.
+   */
+  readonly onUnexpectedBytes?: (reason: string) => void;
 }
 
 /**
@@ -61,6 +84,8 @@
   readonly message: string;
   /** Whether the call may have reached the server. */
   readonly wasSent: boolean;
+  /** Calls that its connection carried before; undefined when it wasn't sent. */
+  readonly callsBefore: number | undefined;
 }
 
 /** Calls to one server; each has its own deadline. */
@@ -92,14 +117,26 @@
     return new ResultAsync(this.#send(request, options));
   }
 
+  /**
+   * Uses none of the open connections for another call; each is reset when its
+   * calls have ended.
+   */
+  dropConnections(): void {
+    const dropped = this.#pool;
+    this.#pool = this.#openPool();
+    this.#closeIfUnused(dropped);
+  }
+
   /** Closes all connections. */
   async close(): Promise<void> {
     await Promise.all([...this.#pools].map(({ pool }) => pool.destroy()));
   }
 
   #openPool(): RefCountedPool {
+    const connection = new ConnectionRecord(this.#options);
     const opened = {
-      pool: openPool(this.#origin, this.#options),
+      pool: openPool(this.#origin, this.#options, connection),
+      connection,
       activeCalls: 0,
     };
     this.#pools.add(opened);
@@ -112,7 +149,10 @@
   ): Promise<Result<HttpResponse, HttpCallError>> {
     const pool = this.#pool;
     pool.activeCalls++;
-    const exchange = new Exchange(timeoutMs, call.mayLeave);
+    const exchange = new Exchange(timeoutMs, {
+      mayLeave: call.mayLeave,
+      connection: pool.connection,
+    });
     const deadline = startDeadline(
       Math.max(0, timeoutMs),
       () => exchange.abort("timeout"),
@@ -120,7 +160,13 @@
     const onCancel = () => exchange.abort("cancelled");
     signal?.addEventListener("abort", onCancel);
     if (signal?.aborted) onCancel();
-    else exchange.run(pool.pool, { ...call, path: this.#basePath + call.path });
+    else {
+      exchange.run(pool.pool, {
+        ...call,
+        path: this.#basePath + call.path,
+        isLastOnConnection: this.#options.isOneCallPerConnection === true,
+      });
+    }
     const result = await exchange.result;
     deadline.clear();
     signal?.removeEventListener("abort", onCancel);
@@ -132,6 +178,7 @@
     return err({
       kind: result.kind,
       wasSent: exchange.wasSent,
+      callsBefore: exchange.callsBefore,
       message: this.#describe(call, timeoutMs, result),
     });
   }
@@ -179,9 +226,34 @@
 /** A connection pool with the number of its calls in flight. */
 interface RefCountedPool {
   readonly pool: undici.Pool;
+  readonly connection: ConnectionRecord;
   activeCalls: number;
 }
 
+/** Counts the calls on the connection that is open. */
+class ConnectionRecord {
+  readonly #isOnly: boolean;
+  readonly #isOneCall: boolean;
+  #localPort: number | undefined;
+  #calls = 0;
+
+  constructor({ connections, isOneCallPerConnection }: HttpChannelOptions) {
+    this.#isOnly = connections === 1;
+    this.#isOneCall = isOneCallPerConnection === true;
+  }
+
+  noteOpened(localPort: number | undefined): void {
+    if (!this.#isOnly) return;
+    this.#localPort = localPort;
+    this.#calls = 0;
+  }
+
+  noteCall(): ResponseConnection {
+    const callsBefore = this.#isOneCall ? 0 : this.#calls++;
+    return { localPort: this.#localPort, callsBefore };
+  }
+}
+
 /** How a call ended without a complete response. */
 interface ExchangeFailure {
   readonly kind: HttpCallError["kind"];
@@ -192,6 +264,12 @@
   | { readonly kind: "answer"; readonly response: HttpResponse }
   | ExchangeFailure;
 
+/** Options of {@link Exchange}. */
+interface ExchangeOptions {
+  readonly mayLeave: HttpRequest["mayLeave"];
+  readonly connection: ConnectionRecord;
+}
+
 /**
  * One request and its response. Its result settles once: undici handles an abort
  * only after the connection is established, so the result is settled first, and
@@ -200,7 +278,8 @@
 class Exchange implements undici.Dispatcher.DispatchHandler {
   readonly result: Promise<ExchangeResult>;
   readonly #deadlineMs: number;
-  readonly #mayLeave: () => boolean;
+  readonly #options: ExchangeOptions;
+  #connection: ResponseConnection | undefined;
   #resolve: (result: ExchangeResult) => void = () => {};
   #isEnded = false;
   #wasSent = false;
@@ -209,17 +288,20 @@
   #headers: http.IncomingHttpHeaders = {};
   readonly #chunks: Buffer[] = [];
 
-  constructor(timeoutMs: number, mayLeave: () => boolean = () => true) {
+  constructor(timeoutMs: number, options: ExchangeOptions) {
     this.#deadlineMs = performance.now() + timeoutMs;
-    this.#mayLeave = mayLeave;
+    this.#options = options;
     this.result = new Promise((resolve) => this.#resolve = resolve);
   }
 
   run(
     pool: undici.Pool,
-    { method, path, headers, body }: HttpRequest,
+    { method, path, headers, body, isLastOnConnection }: HttpRequest & {
+      readonly isLastOnConnection: boolean;
+    },
   ): void {
-    pool.dispatch({ method, path, headers, body }, this);
+    const reset = isLastOnConnection;
+    pool.dispatch({ method, path, headers, body, reset }, this);
   }
 
   /** Whether undici was permitted to write the request. */
@@ -227,6 +309,11 @@
     return this.#wasSent;
   }
 
+  /** Calls that the connection carried before; undefined when not sent. */
+  get callsBefore(): number | undefined {
+    return this.#connection?.callsBefore;
+  }
+
   /** Ends the exchange without a response. */
   abort(kind: ExchangeFailure["kind"], reason: string = kind): void {
     this.#end({ kind, reason });
@@ -238,8 +325,10 @@
     // With event loop lag, undici may write before the deadline's timer runs.
     const isPastDeadline = performance.now() >= this.#deadlineMs;
     if (this.#isEnded || isPastDeadline) return this.abort("timeout");
-    if (!this.#mayLeave()) return this.abort("kept");
+    const { mayLeave, connection } = this.#options;
+    if (mayLeave?.() === false) return this.abort("kept");
     this.#wasSent = true;
+    this.#connection = connection.noteCall();
   }
 
   onResponseStart(
@@ -269,6 +358,7 @@
       get text() {
         return bytes.toString();
       },
+      connection: this.#connection!,
     };
     this.#end({ kind: "answer", response });
   }
@@ -292,16 +382,27 @@
     connections = MAX_CONNECTIONS,
     localAddress,
     connectTimeoutMs = CONNECT_TIMEOUT_MS,
+    onUnexpectedBytes,
   }: HttpChannelOptions,
+  connection: ConnectionRecord,
 ): undici.Pool {
-  return new undici.Pool(origin, {
+  const connect = buildResettingConnector({ timeout: connectTimeoutMs });
+  const pool = new undici.Pool(origin, {
     connections,
     pipelining: 1,
     localAddress,
-    connect: buildResettingConnector({ timeout: connectTimeoutMs }),
+    connect: (target, callback) =>
+      connect(target, (...result) => {
+        connection.noteOpened(result[1]?.localPort);
+        callback(...result);
+      }),
     // Each call has its own deadline; undici's would interrupt long polls.
     headersTimeout: 0,
     bodyTimeout: 0,
     maxResponseSize: MAX_RESPONSE_BYTES,
   });
+  pool.on("disconnect", (_origin, _targets, error) => {
+    if (isUnexpectedBytes(error)) onUnexpectedBytes?.(error.message);
+  });
+  return pool;
 }
