fix(grants): renew on the kept connection also while answers are in doubt

Cause: each grant to such a server had a connection of its own, and an extra answer to any request counted as one to its grants.

--- a/packages/contracts/src/key_grants.ts
+++ b/packages/contracts/src/key_grants.ts
@@ -6,12 +6,7 @@
 import type { ResultAsync } from "neverthrow";
 import * as z from "zod";
 import type { ServerCallError } from "./backend_server.ts";
-import {
-  type ServerId,
-  serverIdSchema,
-  serviceIdSchema,
-  vmIdSchema,
-} from "./ids.ts";
+import { serverIdSchema, serviceIdSchema, vmIdSchema } from "./ids.ts";
 import type { CallOptions } from "./platform_store.ts";
 import type { RegisteredServer } from "./registered_server.ts";
 import type { ServerNotices } from "./server_report.ts";
@@ -93,12 +88,6 @@
     range: KeyRange & { readonly fence: number },
     options: GrantCallOptions,
   ): ResultAsync<string | undefined, ServerCallError>;
-  /**
-   * The server has sent an answer, or other bytes, that belong to no request:
-   * its answers to grants are no longer taken for those of the calls that they
-   * follow.
-   */
-  noteExtraAnswer(server: ServerId, reason: string): void;
   close(): Promise<void>;
 }
 
--- a/packages/entry/src/gateway/grants/observed_grant_control.ts
+++ b/packages/entry/src/gateway/grants/observed_grant_control.ts
@@ -85,10 +85,6 @@
       });
   }
 
-  noteExtraAnswer(server: contracts.ServerId, reason: string): void {
-    this.#options.control.noteExtraAnswer(server, reason);
-  }
-
   close(): Promise<void> {
     return this.#options.control.close();
   }
--- a/packages/entry/src/gateway/grants/path_noting_grant_control.ts
+++ b/packages/entry/src/gateway/grants/path_noting_grant_control.ts
@@ -41,10 +41,6 @@
     return this.#control.release(server, range, options);
   }
 
-  noteExtraAnswer(server: contracts.ServerId, reason: string): void {
-    this.#control.noteExtraAnswer(server, reason);
-  }
-
   close(): Promise<void> {
     return this.#control.close();
   }
--- a/packages/entry/src/gateway/paths/server_paths.ts
+++ b/packages/entry/src/gateway/paths/server_paths.ts
@@ -45,11 +45,6 @@
     notices: contracts.ServerNotices,
     answer: BackoffAnswer,
   ) => void;
-  /** Called when a server's answer is not that to the request it came for. */
-  readonly onBadAnswer: (
-    entry: contracts.RegisteredServer,
-    reason: string,
-  ) => void;
   readonly clock: contracts.Clock;
   readonly random: contracts.RandomSource;
   readonly log: Logger;
@@ -207,9 +202,6 @@
     this.#tracker.end(server, attempt);
     if (isHeldBack) return HELD_BACK;
     this.#noteNotices(entry, result);
-    if (result.kind === "unknown" && result.reason === "bad-answer") {
-      this.#options.onBadAnswer(entry, result.message);
-    }
     if (isAbandoned && result.kind === "unknown") {
       return { ...result, isPathLost: true };
     }
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -245,8 +245,6 @@
       decoder: adapter.answerDecoder,
       idleTimeoutMs: CONNECTION_IDLE_TIMEOUT_MS,
       onAnswerBytes: (bytes) => heldBytes.addAnswerBytes(bytes),
-      onUnexpectedBytes: (server, reason) =>
-        adapter.grants.noteExtraAnswer(server, reason),
       maxAnnouncedIdleTimeoutMs: MAX_ANNOUNCED_IDLE_TIMEOUT_MS,
     },
     lifeCycle,
@@ -272,8 +270,6 @@
     reach,
     relays,
     backoffs,
-    onBadAnswer: ({ server }, reason) =>
-      adapter.grants.noteExtraAnswer(server, reason),
     onNotices: (entry, notices, answer) => {
       backoffs.noteAnswer(entry, notices, answer);
       leaving.noteAnswer(entry, notices);
--- a/packages/entry/src/links/connection_pools.ts
+++ b/packages/entry/src/links/connection_pools.ts
@@ -19,11 +19,6 @@
   readonly decoder: AnswerDecoder;
   /** See {@link ServerConnectionOptions}. */
   readonly onAnswerBytes?: ((bytes: number) => void) | undefined;
-  /** Called when a server has sent bytes that belong to no request. */
-  readonly onUnexpectedBytes?: (
-    server: contracts.ServerId,
-    reason: string,
-  ) => void;
   /** Timeout of a probe or a cancellation. */
   readonly controlTimeoutMs: number;
 }
@@ -80,8 +75,6 @@
     const { host, port } = address;
     const pool = new ConnectionPool({
       ...this.#options,
-      onUnexpectedBytes: (reason) =>
-        this.#options.onUnexpectedBytes?.(address.server, reason),
       clock: this.#clock,
       host,
       port,
--- a/packages/entry/src/links/server_connection.ts
+++ b/packages/entry/src/links/server_connection.ts
@@ -8,7 +8,6 @@
   AnswerTooLargeError,
   isBadAnswer,
   isTooLarge,
-  isUnexpectedBytes,
   OverheadLimit,
 } from "../utils/answer_limits.ts";
 import { buildResettingConnector } from "../utils/reset_connection.ts";
@@ -97,8 +96,6 @@
    * when the whole answer is passed on or dropped.
    */
   readonly onAnswerBytes?: ((bytes: number) => void) | undefined;
-  /** Called when the server has sent bytes that belong to no request. */
-  readonly onUnexpectedBytes?: ((reason: string) => void) | undefined;
 }
 
 /** A request in flight. */
@@ -148,10 +145,7 @@
     });
     // No reconnect: a request that undici resends over a new connection could
     // run twice.
-    this.#client.on("disconnect", (_origin, _targets, error) => {
-      if (isUnexpectedBytes(error)) options.onUnexpectedBytes?.(error.message);
-      this.retire();
-    });
+    this.#client.on("disconnect", () => this.retire());
   }
 
   /** False after any failure; the connection then accepts no request. */
