fix(grants): the quorum of a handover needs no former voters

Callers: with two of three voters lost in turn, keys of a silent server took 4,340 ms to be handed over where 4,000 are allowed, and 8,660 ms beside a server with leases of 10 s.

Cause: former voters stay in the map until their leases have expired, and each later revision needed a majority of them as well, though they can confirm nothing once all sets have acknowledged their successors. Each read of the map, after a lost answer of the store, began that anew.

Change: from then on the quorum is that of the active set; former voters' leases count as before. The acknowledgement is kept when the map is read again with the same sets within the time that one drop takes.

--- a/packages/decisions/src/grants/handover_controller.ts
+++ b/packages/decisions/src/grants/handover_controller.ts
@@ -118,15 +118,13 @@
   #failures = 0;
   /** When a majority of every voter set had acknowledged each revision. */
   readonly #acknowledgedAtMs = new Map<number, number>();
-  /**
-   * When all of several voter sets had acknowledged a map that names them. The
-   * sets of a map that is read anew are other ones: another leader may have
-   * dropped and added voters meanwhile.
-   */
+  /** When all of several voter sets had acknowledged a map that names them. */
   #setsAcknowledged: {
     readonly keeperSets: contracts.RangeMap["keeperSets"];
     readonly atMs: number;
   } | undefined;
+  /** When the map was last read or written. */
+  #storedAtMs = Number.NEGATIVE_INFINITY;
   /** Since when a finished handover has not been written. */
   #finishedSinceMs: number | undefined;
   readonly #fencing = new FencingReleases();
@@ -190,6 +188,7 @@
     this.#mustRead = false;
     if (result.kind === "written") this.#addFencing(result.stored.map, nowMs);
     this.#fencing.noteRanges(result.stored.map.ranges);
+    this.#keepSetsAcknowledgement(result.stored.map, nowMs);
     this.#stored = result.stored;
     this.#dropFinishedHandovers();
   }
@@ -202,9 +201,19 @@
     const map = this.map;
     if (map === undefined) return;
     this.#checkVoterSets(map, nowMs, removedVoters);
+    // Former voters can confirm no revision any more once all sets have
+    // acknowledged their successors; handovers wait for their leases only.
+    const keeperSets = this.#setsAcknowledgedAtMs(map) === undefined
+      ? map.keeperSets
+      : map.keeperSets.slice(-1);
     for (const revision of this.#revisionsInHandover(map)) {
       if (this.#acknowledgedAtMs.has(revision)) continue;
-      if (!this.#reports.isAcknowledged(map, revision, removedVoters)) continue;
+      const isAcknowledged = this.#reports.isAcknowledged(
+        { keeperSets },
+        revision,
+        removedVoters,
+      );
+      if (!isAcknowledged) continue;
       this.#acknowledgedAtMs.set(revision, nowMs);
     }
   }
@@ -220,6 +229,25 @@
     this.#setsAcknowledged = { keeperSets: map.keeperSets, atMs: nowMs };
   }
 
+  /**
+   * Voter sets of a map that is read anew are other ones if another leader has
+   * dropped and added them meanwhile: two drops, each after former leases expire.
+   */
+  #keepSetsAcknowledgement(
+    { keeperSets }: contracts.RangeMap,
+    nowMs: number,
+  ): void {
+    const { holdMs } = this.#timings;
+    const isRecent = nowMs - this.#storedAtMs <
+      maxFormerLeaseMs(this.#timings, holdMs);
+    this.#storedAtMs = nowMs;
+    const known = this.#setsAcknowledged;
+    if (known === undefined || known.keeperSets === keeperSets) return;
+    const isSame = isRecent &&
+      JSON.stringify(known.keeperSets) === JSON.stringify(keeperSets);
+    this.#setsAcknowledged = isSame ? { ...known, keeperSets } : undefined;
+  }
+
   /** Undefined before the acknowledgement, and for a map with one voter set. */
   #setsAcknowledgedAtMs({ keeperSets }: contracts.RangeMap) {
     const known = this.#setsAcknowledged;
--- a/packages/decisions/src/grants/voter_reports.ts
+++ b/packages/decisions/src/grants/voter_reports.ts
@@ -86,7 +86,7 @@
    * never change otherwise.
    */
   isAcknowledged(
-    map: contracts.RangeMap,
+    map: Pick<contracts.RangeMap, "keeperSets">,
     revision: number,
     removed: ReadonlySet<contracts.VmId>,
   ): boolean {
