fix(grants): no further releases to another process at the address

A server that starts again with a new id at its address answers releases meant for the old one with 421.

Another process at the address shows that nobody is left there to be fenced off, so such a call is not repeated; a release that a handover waits for is sent again after 1 s, as its leases have to expire anyway.

--- a/packages/contracts/src/backend_server.ts
+++ b/packages/contracts/src/backend_server.ts
@@ -121,8 +121,16 @@
 
 /** Why a control call to a server failed. */
 export interface ServerCallError {
-  /** `kept`: nothing was sent. */
-  readonly kind: "unreachable" | "timeout" | "bad-answer" | "kept";
+  /**
+   * `misdirected`: another process is at the server's address; `kept`: nothing
+   * was sent.
+   */
+  readonly kind:
+    | "unreachable"
+    | "timeout"
+    | "bad-answer"
+    | "misdirected"
+    | "kept";
   readonly message: string;
 }
 
--- a/packages/decisions/src/grants/handover_controller.ts
+++ b/packages/decisions/src/grants/handover_controller.ts
@@ -14,7 +14,12 @@
 import { type GrantTimings, maxFormerLeaseMs } from "./grant_timings.ts";
 import type { VoterReports } from "./voter_reports.ts";
 import * as edit from "./range_edit.ts";
-import { RELEASE_RETRY_MS, type ReleaseCall } from "./release_call.ts";
+import {
+  type FailedRelease,
+  MISDIRECTED_RELEASE_RETRY_MS,
+  RELEASE_RETRY_MS,
+  type ReleaseCall,
+} from "./release_call.ts";
 import {
   type AnsweredRelease,
   type FreeReason,
@@ -279,18 +284,22 @@
     return [...calls, ...this.#fencing.takeDue(nowMs, mayCall)];
   }
 
-  /** Takes the result of a release; a failed one is retried. */
+  /**
+   * Takes the result of a release; a failed one is retried. Where another
+   * process has the old owner's address, nobody is left to be fenced off.
+   */
   noteReleaseResult(
     fence: number,
-    result: { readonly handover: string | undefined } | "failed",
+    result: { readonly handover: string | undefined } | FailedRelease,
     nowMs: number,
   ): void {
     if (this.#fencing.noteResult(fence, result !== "failed", nowMs)) return;
     const release = this.#release(fence);
     const releaseSentAtMs = release.sentAtMs ?? nowMs;
     release.sentAtMs = undefined;
-    if (result === "failed") {
-      release.notBeforeMs = nowMs + RELEASE_RETRY_MS;
+    if (result === "failed" || result === "misdirected") {
+      release.notBeforeMs = nowMs +
+        (result === "failed" ? RELEASE_RETRY_MS : MISDIRECTED_RELEASE_RETRY_MS);
       return;
     }
     release.answered = { sentAtMs: releaseSentAtMs, answeredAtMs: nowMs };
--- a/packages/decisions/src/grants/handover_controller_test.ts
+++ b/packages/decisions/src/grants/handover_controller_test.ts
@@ -239,6 +239,9 @@
   #isMoveDue = false;
   voters = ["k1", "k2", "k3"];
   nowMs = START_MS;
+  /** How each release fails. */
+  releaseResult: grants.FailedRelease = "failed";
+  fencingReleases = 0;
 
   /** `otherLeaseMs`: lease of the server that owns none of the moved keys. */
   constructor(otherLeaseMs: number) {
@@ -285,8 +288,11 @@
     }
     const tick = this.#tick();
     this.#controller.checkAcknowledgements(nowMs, tick.removedVoters);
-    for (const { range } of this.#controller.takeReleases(nowMs)) {
-      this.#controller.noteReleaseResult(range.fence, "failed", nowMs);
+    for (const call of this.#controller.takeReleases(nowMs)) {
+      const { range, isFencing = false } = call;
+      if (isFencing) this.fencingReleases++;
+      const result = this.releaseResult;
+      this.#controller.noteReleaseResult(range.fence, result, nowMs);
     }
     const call = this.#controller.nextCall(tick);
     if (call === undefined) return;
@@ -339,3 +345,13 @@
     expect(fixture.moveMs()).toBeLessThan(RECOVERY_LIMIT_MS);
   });
 }
+
+/** Each further call would be a new connection, for each range and 30 s. */
+test("should not repeat a fencing release to another process at the address", () => {
+  const fixture = new LostVoters(1_500);
+  fixture.runFor(500);
+  fixture.releaseResult = "misdirected";
+  fixture.moveMs();
+  fixture.runFor(3_000);
+  expect(fixture.fencingReleases).toEqual(1);
+});
--- a/packages/entry/src/gateway/grants/service_grants.ts
+++ b/packages/entry/src/gateway/grants/service_grants.ts
@@ -813,7 +813,11 @@
     const timeoutMs = isFencing ? timings.grantTimeoutMs : RELEASE_TIMEOUT_MS;
     control.release(server, { fromKey, toKey, fence }, { timeoutMs }).then(
       (result) => {
-        const release = result.isOk() ? { handover: result.value } : "failed";
+        const release = result.isOk()
+          ? { handover: result.value }
+          : result.error.kind === "misdirected"
+          ? "misdirected"
+          : "failed";
         this.#handoverController.noteReleaseResult(
           fence,
           release,
