fix(platform): count the bytes of bodies on pooled connections

Callers: calls to the store, to peers and to servers ended as bad answers once a response was larger than 64 kB, or a kept connection had received as much in all.

Cause: the pool of the client library wraps handlers, so the connection did not recognise its exchange by its class, and no byte counted as one of a body.

Change: the exchange goes along in the options, which the pool passes on.

--- a/packages/entry/src/platform/http_channel.ts
+++ b/packages/entry/src/platform/http_channel.ts
@@ -316,8 +316,15 @@
       readonly isLastOnConnection: boolean;
     },
   ): void {
-    const reset = isLastOnConnection;
-    pool.dispatch({ method, path, headers, body, reset }, this);
+    const options: ExchangeDispatchOptions = {
+      method,
+      path,
+      headers,
+      body,
+      reset: isLastOnConnection,
+      exchange: this,
+    };
+    pool.dispatch(options, this);
   }
 
   /** Whether undici was permitted to write the request. */
@@ -429,6 +436,11 @@
   return pool;
 }
 
+/** The pool wraps the handler, but passes options on to its connections. */
+interface ExchangeDispatchOptions extends undici.Dispatcher.DispatchOptions {
+  readonly exchange: Exchange;
+}
+
 type LimitedClientOptions = undici.Client.Options & {
   readonly connect: undici.buildConnector.connector;
 };
@@ -455,7 +467,8 @@
     options: undici.Dispatcher.DispatchOptions,
     handler: undici.Dispatcher.DispatchHandler,
   ): boolean {
-    if (handler instanceof Exchange) handler.overhead = this.#overhead;
+    const { exchange } = options as ExchangeDispatchOptions;
+    exchange.overhead = this.#overhead;
     return super.dispatch(options, handler);
   }
 }
--- a/packages/entry/src/platform/http_channel_test.ts
+++ b/packages/entry/src/platform/http_channel_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "earl";
 import { once } from "node:events";
+import * as http from "node:http";
 import * as net from "node:net";
 import { test } from "node:test";
 import * as timers from "node:timers/promises";
@@ -7,6 +8,7 @@
 import { HttpChannel } from "./http_channel.ts";
 
 const REQUEST = { method: "POST", path: "/", body: "{}" } as const;
+const LARGE_BODY = "x".repeat(1_000_000);
 const TIMEOUT_MS = 100;
 /** Longer than a connection takes to be established. */
 const CONNECTED_TIMEOUT_MS = 5_000;
@@ -135,3 +137,28 @@
     await timers.setTimeout(MAX_DELAY_MS);
     expect(received.bytes).toEqual(0);
   }));
+
+/** The limit on bytes that are no body ended connections with large answers. */
+test("should keep its connection over answers with more bytes than a head may have", async () => {
+  let connections = 0;
+  const server = http.createServer((_, response) => response.end(LARGE_BODY))
+    .on("connection", () => connections++);
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as net.AddressInfo;
+  const channel = new HttpChannel(`http://127.0.0.1:${port}`, {
+    connections: 1,
+  });
+  try {
+    for (let call = 0; call < 3; call++) {
+      const response = await channel.call(REQUEST, {
+        timeoutMs: CONNECTED_TIMEOUT_MS,
+      });
+      expect(response._unsafeUnwrap().bytes.length).toEqual(LARGE_BODY.length);
+    }
+    expect(connections).toEqual(1);
+  } finally {
+    await channel.close();
+    server.close();
+  }
+});
