fix(entry): end answers in many tiny chunks earlier

Cause: an answer could have 1 MB of chunk framing, so 180,000 chunks of 16 bytes were within the limits; each chunk takes processor time.

Change: beyond the first 200 kB of a body, its framing may be an eighth of the body (chunks of 48 bytes), 64 kB, and 64 kB for each second that it lasts. A body of up to 200 kB may come in chunks of any size, as before, and a stream in chunks of a few bytes may last for any time.

--- a/packages/entry/src/utils/answer_limits.ts
+++ b/packages/entry/src/utils/answer_limits.ts
@@ -7,13 +7,18 @@
 
 /** Limit of the heads of an answer and its interim ones, and of empty lines. */
 const MAX_OVERHEAD_BYTES = 65_536;
-/** Framing that a byte of a body accounts for; a chunk of one byte has five. */
-const FRAMING_PER_BODY_BYTE = 8;
+/** Framing that a byte of a small body accounts for; a chunk of one has five. */
+const SMALL_BODY_FRAMING_PER_BYTE = 8;
+const MAX_SMALL_BODY_FRAMING_BYTES = 1_048_576;
 /**
- * Limit of the framing of a body. Each chunk takes processor time: 8 MB in
- * chunks of 16 bytes took up to a second.
+ * A body may begin with this many bytes in chunks of any size. Each chunk takes
+ * processor time: 180,000 chunks of 16 bytes took up to 0.3 s.
  */
-const MAX_FRAMING_BYTES = 1_048_576;
+const SMALL_BODY_BYTES = 204_800;
+/** The same beyond that; lines of text may come in a chunk of 48 bytes each. */
+const FRAMING_PER_BYTE = 1 / 8;
+/** Chunks of a few bytes may come at this rate for as long as an answer lasts. */
+const FRAMING_BYTES_PER_MS = 64;
 const TOO_LARGE_CODES: ReadonlySet<unknown> = new Set([
   "UND_ERR_HEADERS_OVERFLOW",
   "UND_ERR_RES_EXCEEDED_MAX_SIZE",
@@ -59,9 +64,18 @@
  * on with the next connection of the same client.
  */
 export class OverheadLimit {
+  readonly #nowMs: () => number;
   /** Received since the last request was sent, without bytes of bodies. */
   #overheadBytes = 0;
   #bodyBytes = 0;
+  /** Part of the overhead that doesn't count towards the limit. */
+  #allowedBytes = 0;
+  #checkedMs = 0;
+
+  /** `nowMs` is a monotonic time in milliseconds. */
+  constructor(nowMs: () => number = () => performance.now()) {
+    this.#nowMs = nowMs;
+  }
 
   /**
    * Resets a new connection once the limit is exceeded. undici parses each chunk
@@ -71,13 +85,13 @@
     this.startAnswer();
     const read = socket.read.bind(socket);
     socket.read = (size) => {
-      if (this.#isExceeded) {
+      if (this.isExceeded()) {
         const message = "The server sends too many bytes that are no body";
         socket.destroy(new AnswerTooLargeError(message));
         return null;
       }
       const chunk = read(size);
-      if (chunk !== null) this.#overheadBytes += chunk.length;
+      if (chunk !== null) this.addReceived(chunk.length);
       return chunk;
     };
   }
@@ -86,6 +100,13 @@
   startAnswer(): void {
     this.#overheadBytes = 0;
     this.#bodyBytes = 0;
+    this.#allowedBytes = 0;
+    this.#checkedMs = this.#nowMs();
+  }
+
+  /** Bytes were received, of which those of a body are added below. */
+  addReceived(bytes: number): void {
+    this.#overheadBytes += bytes;
   }
 
   /** Bytes of a body were received. */
@@ -94,12 +115,29 @@
     this.#bodyBytes += bytes;
   }
 
-  get #isExceeded(): boolean {
-    if (this.#overheadBytes <= MAX_OVERHEAD_BYTES) return false;
-    const framingBytes = Math.min(
-      this.#bodyBytes * FRAMING_PER_BODY_BYTE,
-      MAX_FRAMING_BYTES,
+  /** Whether all that was received, and parsed, is more than an answer may have. */
+  isExceeded(): boolean {
+    const nowMs = this.#nowMs();
+    const sinceMs = nowMs - this.#checkedMs;
+    this.#checkedMs = nowMs;
+    if (this.#bodyBytes <= SMALL_BODY_BYTES) {
+      this.#allowedBytes = Math.min(
+        this.#overheadBytes,
+        this.#bodyBytes * SMALL_BODY_FRAMING_PER_BYTE,
+        MAX_SMALL_BODY_FRAMING_BYTES,
+      );
+      return this.#overheadBytes - this.#allowedBytes > MAX_OVERHEAD_BYTES;
+    }
+    const countedBytes = Math.max(
+      0,
+      this.#overheadBytes - this.#allowedBytes -
+        this.#bodyBytes * FRAMING_PER_BYTE,
+    );
+    if (countedBytes > MAX_OVERHEAD_BYTES) return true;
+    this.#allowedBytes += Math.min(
+      countedBytes,
+      sinceMs * FRAMING_BYTES_PER_MS,
     );
-    return this.#overheadBytes > MAX_OVERHEAD_BYTES + framingBytes;
+    return false;
   }
 }
