fix(entry): bound the answers to probes, cancellations and lease commands

Cause: probes of servers and cancellations had an undici agent of their own without a limit on what comes besides bodies, so interim answers, empty lines and chunk extensions were parsed until the time limit of the call. The limit of a body was 64 MB for lease commands, load reports and the VM list, as for lists of the store.

Change: probes and cancellations use an HttpChannel for each server, whose connections have this limit. Answers to them, to lease commands and for load reports may have 1 MB, and the VM list 16 MB. The channel of a server is closed when the server is gone. They leave from the VM's own address now, as requests do.

Without a limit on overhead remain PeerClient (calls between VMs of the native build) and guavatidectl.

--- a/packages/entry/src/links/connection_pools.ts
+++ b/packages/entry/src/links/connection_pools.ts
@@ -1,7 +1,7 @@
 /** All connections of this entry VM to backend servers, one pool per server. */
 import type * as contracts from "@guavatide/contracts";
-import * as undici from "undici";
 import type { ServerAddress } from "../contracts/views.ts";
+import { HttpChannel, type HttpRequest } from "../platform/http_channel.ts";
 import { MonotonicClock } from "../utils/clock.ts";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import type { AnswerDecoder } from "./answer_decoder.ts";
@@ -34,28 +34,29 @@
   controlTimeoutMs: 500,
 };
 
+/** Largest answer to a probe or a cancellation, which is read and dropped. */
+const MAX_CONTROL_ANSWER_BYTES = 1_048_576;
+
 interface ServerPool {
   readonly host: string;
   readonly port: number;
   readonly pool: ConnectionPool;
 }
 
+interface ControlChannel {
+  readonly origin: string;
+  readonly channel: HttpChannel;
+}
+
 /** Pools by server; a server whose address changes gets a new pool. */
 export class ConnectionPools {
   readonly #options: ConnectionPoolsOptions;
   readonly #pools = new Map<contracts.ServerId, ServerPool>();
-  readonly #controlAgent: undici.Agent;
+  readonly #controlChannels = new Map<contracts.ServerId, ControlChannel>();
   readonly #clock = new MonotonicClock();
 
   constructor(options: ConnectionPoolsOptions, lifeCycle: LifeCycle) {
     this.#options = options;
-    this.#controlAgent = new undici.Agent({
-      connections: 1,
-      connect: { timeout: options.connectTimeoutMs },
-      keepAliveTimeout: 1000,
-      headersTimeout: options.controlTimeoutMs,
-      bodyTimeout: options.controlTimeoutMs,
-    });
     lifeCycle.onStop({
       name: "connections to backend servers",
       timeoutMs: 2000,
@@ -103,6 +104,9 @@
       entry.pool.close();
       this.#pools.delete(server);
     }
+    for (const server of this.#controlChannels.keys()) {
+      if (!servers.has(server)) this.#closeControl(server);
+    }
   }
 
   /**
@@ -126,20 +130,37 @@
 
   async #controlCall(
     address: ServerAddress,
-    options: { readonly method: "GET" | "DELETE"; readonly path: string },
+    options: HttpRequest,
   ): Promise<number> {
-    const reply = await this.#controlAgent.request({
-      origin: `http://${address.host}:${address.port}`,
-      method: options.method,
-      path: options.path,
-      signal: AbortSignal.timeout(this.#options.controlTimeoutMs),
+    const result = await this.#controlChannel(address)
+      .call(options, { timeoutMs: this.#options.controlTimeoutMs });
+    if (result.isErr()) throw new Error(result.error.message);
+    return result.value.status;
+  }
+
+  /** The channel of a server for probes and cancellations. */
+  #controlChannel({ server, host, port }: ServerAddress): HttpChannel {
+    const origin = `http://${host}:${port}`;
+    const known = this.#controlChannels.get(server);
+    if (known?.origin === origin) return known.channel;
+    this.#closeControl(server);
+    const channel = new HttpChannel(origin, {
+      connections: 1,
+      localAddress: this.#options.localAddress,
+      connectTimeoutMs: this.#options.connectTimeoutMs,
+      maxResponseBytes: MAX_CONTROL_ANSWER_BYTES,
     });
-    await reply.body.dump();
-    return reply.statusCode;
+    this.#controlChannels.set(server, { origin, channel });
+    return channel;
+  }
+
+  #closeControl(server: contracts.ServerId): void {
+    const known = this.#controlChannels.get(server);
+    this.#controlChannels.delete(server);
+    known?.channel.close().catch(() => {});
   }
 
-  async #close(): Promise<void> {
+  #close(): void {
     this.keepOnly(new Set());
-    await this.#controlAgent.destroy();
   }
 }
--- a/packages/entry/src/platform/http_backend_control.ts
+++ b/packages/entry/src/platform/http_backend_control.ts
@@ -10,13 +10,18 @@
   type HttpResponse,
 } from "./http_channel.ts";
 
+/** A reply lists the slices that are being released, a few bytes each. */
+const MAX_REPLY_BYTES = 1_048_576;
+
 /** {@link contracts.BackendControl} over HTTP, for one backend server. */
 export class HttpBackendControl implements contracts.BackendControl {
   readonly #channel: HttpChannel;
 
   /** `origin` is a URL without a path. */
   constructor(origin: string) {
-    this.#channel = new HttpChannel(origin);
+    this.#channel = new HttpChannel(origin, {
+      maxResponseBytes: MAX_REPLY_BYTES,
+    });
   }
 
   /** Closes all connections to the server's control API. */
--- a/packages/entry/src/platform/http_vm_list.ts
+++ b/packages/entry/src/platform/http_vm_list.ts
@@ -3,6 +3,9 @@
 import { err, ok, type Result, type ResultAsync } from "neverthrow";
 import { HttpChannel, type HttpResponse } from "./http_channel.ts";
 
+/** Enough for 50,000 VMs; an entry has less than 300 bytes. */
+const MAX_LIST_BYTES = 16 * 1_048_576;
+
 /** {@link contracts.VmList} over HTTP. */
 export class HttpVmList implements contracts.VmList {
   readonly #channel: HttpChannel;
@@ -12,7 +15,9 @@
   constructor(listUrl: string) {
     const url = new URL(listUrl);
     this.#path = url.pathname === "/" ? "/vms" : url.pathname;
-    this.#channel = new HttpChannel(url.origin);
+    this.#channel = new HttpChannel(url.origin, {
+      maxResponseBytes: MAX_LIST_BYTES,
+    });
   }
 
   /** Closes all connections to the VM list. */
