fix(entry): parse long heads and trailers in small parts

That takes 100 to 240 ms of processor in one turn of the event loop for each such answer, two or three at once; the VM stands still, and refuses requests as "this VM is behind" or takes itself for cut off. A single endless field took 4 to 25 ms.

Change: undici gets 4 kB at a time, 16 kB once a body is larger than 200 kB, and nothing more once the connection is destroyed.

--- a/packages/entry/src/utils/answer_limits.ts
+++ b/packages/entry/src/utils/answer_limits.ts
@@ -19,6 +19,13 @@
 const FRAMING_PER_BYTE = 1 / 8;
 /** Chunks of a few bytes may come at this rate for as long as an answer lasts. */
 const FRAMING_BYTES_PER_MS = 64;
+/**
+ * Bytes that are parsed at a time. In a head that is too long, undici creates an
+ * error for each further field: 64 kB took it 100 to 240 ms.
+ */
+const MAX_READ_BYTES = 4_096;
+/** The same for a body that is not small; trailers may follow it. */
+const MAX_BODY_READ_BYTES = 16_384;
 const TOO_LARGE_CODES: ReadonlySet<unknown> = new Set([
   "UND_ERR_HEADERS_OVERFLOW",
   "UND_ERR_RES_EXCEEDED_MAX_SIZE",
@@ -90,7 +97,12 @@
         socket.destroy(new AnswerTooLargeError(message));
         return null;
       }
-      const chunk = read(size);
+      // The parser goes on to the end of what it was given.
+      if (socket.destroyed) return null;
+      const maxBytes = this.#bodyBytes > SMALL_BODY_BYTES
+        ? MAX_BODY_READ_BYTES
+        : MAX_READ_BYTES;
+      const chunk = read(socket.readableLength > maxBytes ? maxBytes : size);
       if (chunk !== null) this.addReceived(chunk.length);
       return chunk;
     };
--- a/packages/entry/src/utils/answer_limits_test.ts
+++ b/packages/entry/src/utils/answer_limits_test.ts
@@ -1,9 +1,13 @@
 import { expect } from "earl";
+import type * as net from "node:net";
+import { PassThrough } from "node:stream";
 import { test } from "node:test";
 import { OverheadLimit } from "./answer_limits.ts";
 
 /** What a socket passes on at a time. */
 const READ_BYTES = 65_536;
+/** What is parsed without a check in between. */
+const MAX_PARSED_BYTES = 4_096;
 /** Length of a chunk's size and of its two line ends. */
 const FRAMING_BYTES = 5;
 
@@ -102,3 +106,34 @@
   }
   expect(received).toBeLessThan(READ_BYTES + 1_001);
 });
+
+/** A head without end took 100 ms and more, as undici parsed it to its end. */
+test("should have little parsed at a time, and nothing after an error", () => {
+  const stream = new PassThrough({ highWaterMark: 2 * READ_BYTES });
+  const limit = new OverheadLimit();
+  limit.watch(stream as unknown as net.Socket);
+  stream.write(Buffer.alloc(READ_BYTES));
+  stream.on("error", () => {});
+  let readBytes = 0;
+  while (readBytes < READ_BYTES / 2) {
+    const { length } = stream.read() as Buffer;
+    expect(length).toBeLessThanOrEqual(MAX_PARSED_BYTES);
+    readBytes += length;
+  }
+  stream.destroy(new Error("headers overflow"));
+  expect(stream.read()).toEqual(null);
+});
+
+/** Small parts must not leave anything unread. */
+test("should have all bytes parsed that were received", () => {
+  const stream = new PassThrough({ highWaterMark: 2 * READ_BYTES });
+  const limit = new OverheadLimit();
+  limit.watch(stream as unknown as net.Socket);
+  const sent = Buffer.alloc(READ_BYTES - 1, "abcdefg");
+  stream.write(sent);
+  const parts: Buffer[] = [];
+  for (let part = stream.read(); part !== null; part = stream.read()) {
+    parts.push(part);
+  }
+  expect(Buffer.concat(parts).equals(sent)).toEqual(true);
+});
