fix(paths): lose a silent path by what peers heard during the silence

partitioned_vms_test, "should keep keys served while most VMs have lost their owners (hang)", failed in 2 of 9 runs, three at a time (load 4 to 8), while the process of the test stood still for 20 and 41 ms of 4 s. Both runs are alike: vm3 had lost its paths to k1 and k3, but counted the one to k2 as good for 2.5 s more. It looked at k2 each 250 to 300 ms, and its peers had heard k2 226 to 402 ms before, by renewals of leases, the only calls that k2 could answer: requests on vm3's lost path had all of its slots. A look counted only what the peer had heard within 200 ms, so the path was not lost and no slot freed. As vm3 said that it reached k2, VMs that knew of their cut sent requests for k2 by vm3, where they hung and took each slot that was freed (504 after 3 s, or 503 after 3 s in the queue).

A path is now lost as well if the peer has heard the server since requests here were late. A VM sends nothing for peers to a server that is silent here while no other one is heard.

Two tests of path_tracker_test fail without the change.

--- a/packages/decisions/src/paths/path_tracker.ts
+++ b/packages/decisions/src/paths/path_tracker.ts
@@ -214,6 +214,17 @@
     return silent >= MIN_SILENT_SERVERS;
   }
 
+  /**
+   * Whether peers' requests to the server may be sent from here. One that hangs
+   * on a lost path keeps a slot from those that would be answered.
+   */
+  maySendForPeers(server: contracts.ServerId, nowMs: number): boolean {
+    if (this.useOf(server) !== "any" || this.isDoubtful(nowMs)) return false;
+    const path = this.#paths.get(server);
+    return path === undefined || !this.#isNoneHeard(nowMs) ||
+      !this.#isSilent(path, nowMs);
+  }
+
   /** Whether peers were asked for the server just now, and none reached it. */
   isDownEverywhere(server: contracts.ServerId, nowMs: number): boolean {
     const downAtMs = this.#paths.get(server)?.downAtMs;
@@ -341,7 +352,7 @@
     }
     // A server that stands still accepts connections and is heard by nobody.
     const isReachedByPeer = isAccepting
-      ? peer !== undefined && peer.heardAgoMs < COMMON_SILENCE_MS
+      ? peer !== undefined && this.#isHeardMeanwhile(path, peer, nowMs)
       : peer?.isAccepting;
     if (isReachedByPeer) {
       const cause = isAccepting ? "silent" : "no-connection";
@@ -350,6 +361,20 @@
     this.#inferCutOff(nowMs);
   }
 
+  /**
+   * Whether the peer has heard a silent server of late, or since requests here
+   * were late. A server whose slots are all held by requests on lost paths
+   * answers nothing but a peer's calls now and then.
+   */
+  #isHeardMeanwhile(
+    path: PathState,
+    { heardAgoMs }: PathObservation,
+    nowMs: number,
+  ): boolean {
+    return heardAgoMs < COMMON_SILENCE_MS ||
+      this.#isSilent(path, nowMs - heardAgoMs);
+  }
+
   /**
    * Neither VM knows whether the server answers: has one of the requests that
    * wait for it sent again by a peer.
--- a/packages/decisions/src/paths/path_tracker_test.ts
+++ b/packages/decisions/src/paths/path_tracker_test.ts
@@ -107,6 +107,42 @@
   expect(tracker.isSilentEverywhere(fixture.nowMs)).toEqual(false);
 });
 
+/** Calls that peers make once in a while are all that shows a lost path. */
+test("should lose a silent path whose server a peer has heard during the silence", () => {
+  const lostAfter = (heardAgoMs: number) => {
+    const fixture = new Fixture();
+    const { tracker } = fixture;
+    fixture.answerAll();
+    fixture.nowMs += 20;
+    fixture.send(A);
+    fixture.nowMs += 2 * SILENCE_MS;
+    fixture.send(B)();
+    tracker.noteCheck(A, {
+      isAccepting: true,
+      peer: { isAccepting: true, heardAgoMs },
+      nowMs: fixture.nowMs,
+    });
+    return fixture.lost;
+  };
+  expect(lostAfter(SILENCE_MS / 2)).toEqual([A]);
+  // Heard before the request here was late.
+  expect(lostAfter(SILENCE_MS * 1.5)).toEqual([]);
+});
+
+/** A VM that is cut off, and is not sure yet, must not hold peers' requests. */
+test("should not send for peers to a silent server while no other is heard", () => {
+  const fixture = new Fixture();
+  const { tracker } = fixture;
+  fixture.answerAll();
+  expect(tracker.maySendForPeers(A, fixture.nowMs)).toEqual(true);
+  fixture.send(A);
+  fixture.nowMs += DETECTION_MS;
+  expect(tracker.maySendForPeers(A, fixture.nowMs)).toEqual(false);
+  expect(tracker.maySendForPeers(B, fixture.nowMs)).toEqual(true);
+  fixture.send(B)();
+  expect(tracker.maySendForPeers(A, fixture.nowMs)).toEqual(true);
+});
+
 /** The crash of a server is nobody's path. */
 test("should keep the path to a server that no peer reaches either", () => {
   const fixture = new Fixture();
--- a/packages/entry/src/gateway/paths/server_paths.ts
+++ b/packages/entry/src/gateway/paths/server_paths.ts
@@ -261,8 +261,8 @@
 
   /** Whether this VM's own connections to a server can be relied on. */
   reaches(server: contracts.ServerId): boolean {
-    return this.#tracker.useOf(server) === "any" &&
-      !this.#tracker.isDoubtful(this.#options.clock.nowMs());
+    const nowMs = this.#options.clock.nowMs();
+    return this.#tracker.maySendForPeers(server, nowMs);
   }
 
   /** Whether requests get to a server over this VM or a peer. */
