fix(paths): don't take a connection that timed out for a refused one

unservable_keys_test, "while all VMs' links to servers hang" (VMs as processes, two at once, load 18): refusals after 2.9 s of 3, as no-owner, at all VMs, while the process of the test stood still for 0.3 s. vm4 lost its path to k1 as "no-connection" though the link hangs, used it again 0.36 s later, lost it, and used it again 0.8 s after that; as long as a VM says that it reaches a server that could own the keys, their callers are queued.

A look from a loaded VM is over after 150 ms without a reply. It counted as a refusal, after which one connection that is accepted restores a path. Only a refusal or a reset counts as one now; after a time-out, as after silence, a request has to be answered. A request whose connection timed out still counts as refused: the connection pool doesn't tell the two apart.

A test of path_tracker_test fails with the old rule.

--- a/packages/decisions/src/paths/path_tracker.ts
+++ b/packages/decisions/src/paths/path_tracker.ts
@@ -56,6 +56,12 @@
   readonly heardAgoMs: number;
 }
 
+/**
+ * What came of a new connection: `silent` if it was neither accepted nor refused
+ * in time, which this VM's own load may cause.
+ */
+export type ConnectOutcome = "accepted" | "refused" | "silent";
+
 /** Options of {@link PathTracker}. */
 export interface PathTrackerOptions {
   /** Servers that requests may go to. */
@@ -108,13 +114,15 @@
   failedAtMs: number;
   connectFailures: number;
   connectFailedAtMs: number;
+  /** When a new connection was last refused. */
+  refusedAtMs: number;
   checkedAtMs: number;
   doubtedAtMs: number;
   /** When no peer reached it either. */
   downAtMs: number;
   use: PathUse;
   cause: PathLossCause | undefined;
-  /** Whether a new connection has failed, so that one that works is news. */
+  /** Whether a new connection was refused, so that one that works is news. */
   isRefusing: boolean;
   /** Since when it is in trial. */
   trialSinceMs: number;
@@ -265,7 +273,7 @@
     const isInARow = nowMs - path.connectFailedAtMs < FAILURE_TTL_MS;
     path.connectFailures = isInARow ? path.connectFailures + 1 : 1;
     path.connectFailedAtMs = nowMs;
-    path.isRefusing = true;
+    noteRefused(path, nowMs);
     this.noteLoss(server, nowMs);
   }
 
@@ -334,8 +342,8 @@
    */
   noteCheck(
     server: contracts.ServerId,
-    { isAccepting, peer, nowMs }: {
-      readonly isAccepting: boolean;
+    { connection, peer, nowMs }: {
+      readonly connection: ConnectOutcome;
       readonly peer: PathObservation | undefined;
       readonly nowMs: number;
     },
@@ -344,10 +352,11 @@
     if (path.use === "none") return;
     const isFailing = path.failedAtMs > path.heardAtMs;
     if (!isFailing && !this.#isSilent(path, nowMs)) return;
+    const isAccepting = connection === "accepted";
     if (!isAccepting) {
       path.connectFailures = MIN_CONNECT_FAILURES;
       path.connectFailedAtMs = nowMs;
-      path.isRefusing = true;
+      if (connection === "refused") noteRefused(path, nowMs);
       path.failedAtMs = nowMs;
     }
     // A server that stands still accepts connections and is heard by nobody.
@@ -410,10 +419,10 @@
     return taken.map(([server]) => server);
   }
 
-  /** Notes whether the server accepted a new connection. */
+  /** Notes what came of a new connection to the server. */
   noteProbe(
     server: contracts.ServerId,
-    isAccepting: boolean,
+    connection: ConnectOutcome,
     nowMs: number,
   ): void {
     const path = this.#paths.get(server);
@@ -421,8 +430,8 @@
     path.isProbing = false;
     path.nextProbeMs = nowMs + this.#probeIntervalMs(path);
     if (!this.#lost.has(server)) return;
-    if (!isAccepting) {
-      path.isRefusing = true;
+    if (connection !== "accepted") {
+      if (connection === "refused") noteRefused(path, nowMs);
       if (path.use === "trial") path.use = "none";
       return;
     }
@@ -493,7 +502,7 @@
         path.lostAtMs = nowMs;
         path.nextProbeMs = nowMs + this.#probeIntervalMs(path);
         path.cause = cause;
-        path.isRefusing = nowMs - path.connectFailedAtMs < FAILURE_TTL_MS;
+        path.isRefusing = nowMs - path.refusedAtMs < FAILURE_TTL_MS;
         newlyLost.push(server);
       }
       path.use = use;
@@ -535,6 +544,7 @@
       failedAtMs: Number.NEGATIVE_INFINITY,
       connectFailures: 0,
       connectFailedAtMs: Number.NEGATIVE_INFINITY,
+      refusedAtMs: Number.NEGATIVE_INFINITY,
       checkedAtMs: Number.NEGATIVE_INFINITY,
       doubtedAtMs: Number.NEGATIVE_INFINITY,
       downAtMs: Number.NEGATIVE_INFINITY,
@@ -583,6 +593,11 @@
   return false;
 }
 
+function noteRefused(path: PathState, nowMs: number): void {
+  path.isRefusing = true;
+  path.refusedAtMs = nowMs;
+}
+
 function giveUp({ attempts }: PathState): void {
   for (const attempt of [...attempts]) attempt.onPathLost(true);
 }
--- a/packages/decisions/src/paths/path_tracker_test.ts
+++ b/packages/decisions/src/paths/path_tracker_test.ts
@@ -82,7 +82,7 @@
     for (const server of tracker.takeSilent(fixture.nowMs)) {
       const peer = { isAccepting: true, heardAgoMs: 20 };
       tracker.noteCheck(server, {
-        isAccepting: true,
+        connection: "accepted",
         peer,
         nowMs: fixture.nowMs,
       });
@@ -118,7 +118,7 @@
     fixture.nowMs += 2 * SILENCE_MS;
     fixture.send(B)();
     tracker.noteCheck(A, {
-      isAccepting: true,
+      connection: "accepted",
       peer: { isAccepting: true, heardAgoMs },
       nowMs: fixture.nowMs,
     });
@@ -151,7 +151,7 @@
   fixture.nowMs += 20;
   tracker.noteConnectFailure(A, fixture.nowMs);
   tracker.noteCheck(A, {
-    isAccepting: false,
+    connection: "refused",
     peer: { isAccepting: false, heardAgoMs: 20 },
     nowMs: fixture.nowMs,
   });
@@ -168,7 +168,7 @@
   fixture.send(B)();
   expect(tracker.takeSilent(fixture.nowMs)).toEqual([A]);
   tracker.noteCheck(A, {
-    isAccepting: true,
+    connection: "accepted",
     peer: { isAccepting: true, heardAgoMs: SILENCE_MS },
     nowMs: fixture.nowMs,
   });
@@ -255,7 +255,7 @@
     const probed = tracker.takeProbes(limit, fixture.nowMs);
     most = Math.max(most, probed.length);
     for (const server of probed) {
-      tracker.noteProbe(server, true, fixture.nowMs);
+      tracker.noteProbe(server, "accepted", fixture.nowMs);
       if (
         tracker.mayTry(server, { isIdempotent: true, nowMs: fixture.nowMs })
       ) {
@@ -304,11 +304,11 @@
   fixture.send(B)();
   tracker.takeSilent(fixture.nowMs);
   const peer = { isAccepting: true, heardAgoMs: 10 };
-  tracker.noteCheck(A, { isAccepting: true, peer, nowMs: fixture.nowMs });
+  tracker.noteCheck(A, { connection: "accepted", peer, nowMs: fixture.nowMs });
   expect(tracker.useOf(A)).toEqual("none");
   fixture.nowMs += 1_000;
   expect(tracker.takeProbes(8, fixture.nowMs)).toEqual([A]);
-  tracker.noteProbe(A, true, fixture.nowMs);
+  tracker.noteProbe(A, "accepted", fixture.nowMs);
   expect(tracker.useOf(A)).toEqual("trial");
   const mayTry = () =>
     tracker.mayTry(A, { isIdempotent: true, nowMs: fixture.nowMs });
@@ -319,6 +319,27 @@
   expect(tracker.useOf(A)).toEqual("any");
 });
 
+/** On a loaded VM a new connection may time out though its path just hangs. */
+test("should not take an accepted connection for a path after one that timed out", () => {
+  const restoredAfter = (connection: "refused" | "silent") => {
+    const fixture = new Fixture();
+    const { tracker } = fixture;
+    fixture.answerAll();
+    fixture.nowMs += 20;
+    fixture.send(A);
+    fixture.nowMs += SILENCE_MS;
+    const peer = { isAccepting: true, heardAgoMs: 10 };
+    tracker.noteCheck(A, { connection, peer, nowMs: fixture.nowMs });
+    expect(fixture.lost).toEqual([A]);
+    fixture.nowMs += RETURN_MS / 2;
+    tracker.noteProbe(A, connection, fixture.nowMs);
+    tracker.noteProbe(A, "accepted", fixture.nowMs);
+    return tracker.useOf(A);
+  };
+  expect(restoredAfter("refused")).toEqual("any");
+  expect(restoredAfter("silent")).toEqual("trial");
+});
+
 test("should keep nothing of servers that are gone", () => {
   const fixture = new Fixture();
   fixture.answerAll();
--- a/packages/entry/src/gateway/paths/server_paths.ts
+++ b/packages/entry/src/gateway/paths/server_paths.ts
@@ -260,7 +260,7 @@
 
   /** Looks at a server for a peer. */
   async observe(entry: CheckedServer): Promise<paths.PathObservation> {
-    const isAccepting = await this.#isAccepting(entry);
+    const isAccepting = await this.#connect(entry) === "accepted";
     const nowMs = this.#options.clock.nowMs();
     return {
       isAccepting,
@@ -402,18 +402,19 @@
     const entries = servers.flatMap((server) => registry.find(server) ?? []);
     const asked = this.#askPeer(entries);
     entries.forEach((entry, index) => {
-      Promise.all([this.#isAccepting(entry), asked]).then(
-        ([isAccepting, observed]) => {
+      Promise.all([this.#connect(entry), asked]).then(
+        ([connection, observed]) => {
           const peer = observed[index];
           const { server } = entry;
           log.info("Looked at a silent server.", {
             server,
-            isAccepting,
+            isAccepting: connection === "accepted",
+            connection,
             isAcceptingPeer: peer?.isAccepting,
             peerHeardAgoMs: peer && Math.round(peer.heardAgoMs),
           });
           const nowMs = clock.nowMs();
-          this.#tracker.noteCheck(server, { isAccepting, peer, nowMs });
+          this.#tracker.noteCheck(server, { connection, peer, nowMs });
         },
       );
     });
@@ -447,21 +448,24 @@
   #probe(server: contracts.ServerId): void {
     const { registry, clock } = this.#options;
     const entry = registry.find(server);
-    const probed = entry === undefined
-      ? Promise.resolve(false)
-      : this.#isAccepting(entry);
-    probed.then((isAccepting) =>
-      this.#tracker.noteProbe(server, isAccepting, clock.nowMs())
+    const probed: Promise<paths.ConnectOutcome> = entry === undefined
+      ? Promise.resolve("refused")
+      : this.#connect(entry);
+    probed.then((connection) =>
+      this.#tracker.noteProbe(server, connection, clock.nowMs())
     );
   }
 
-  async #isAccepting({ host, port }: CheckedServer): Promise<boolean> {
+  /** Makes a new connection to a server, and closes it again. */
+  async #connect(
+    { host, port }: CheckedServer,
+  ): Promise<paths.ConnectOutcome> {
     const target = { host, port, localAddress: this.#options.host };
     const outcome = await probeConnection(target, {
       timeoutMs: PROBE_TIMEOUT_MS,
       stayMs: PROBE_STAY_MS,
     });
-    return outcome === "accepted";
+    return outcome === "broken" ? "refused" : outcome;
   }
 
   #handleChange(change: paths.PathChange): void {
