--- a/packages/decisions/src/paths/path_tracker_test.ts
+++ b/packages/decisions/src/paths/path_tracker_test.ts
@@ -82,7 +82,7 @@
     for (const server of tracker.takeSilent(fixture.nowMs)) {
       const peer = { isAccepting: true, heardAgoMs: 20 };
       tracker.noteCheck(server, {
-        isAccepting: true,
+        connection: "accepted",
         peer,
         nowMs: fixture.nowMs,
       });
@@ -107,6 +107,42 @@
   expect(tracker.isSilentEverywhere(fixture.nowMs)).toEqual(false);
 });
 
+/** Calls that peers make once in a while are all that shows a lost path. */
+test("should lose a silent path whose server a peer has heard during the silence", () => {
+  const lostAfter = (heardAgoMs: number) => {
+    const fixture = new Fixture();
+    const { tracker } = fixture;
+    fixture.answerAll();
+    fixture.nowMs += 20;
+    fixture.send(A);
+    fixture.nowMs += 2 * SILENCE_MS;
+    fixture.send(B)();
+    tracker.noteCheck(A, {
+      connection: "accepted",
+      peer: { isAccepting: true, heardAgoMs },
+      nowMs: fixture.nowMs,
+    });
+    return fixture.lost;
+  };
+  expect(lostAfter(SILENCE_MS / 2)).toEqual([A]);
+  // Heard before the request here was late.
+  expect(lostAfter(SILENCE_MS * 1.5)).toEqual([]);
+});
+
+/** A VM that is cut off, and is not sure yet, must not hold peers' requests. */
+test("should not send for peers to a silent server while no other is heard", () => {
+  const fixture = new Fixture();
+  const { tracker } = fixture;
+  fixture.answerAll();
+  expect(tracker.maySendForPeers(A, fixture.nowMs)).toEqual(true);
+  fixture.send(A);
+  fixture.nowMs += DETECTION_MS;
+  expect(tracker.maySendForPeers(A, fixture.nowMs)).toEqual(false);
+  expect(tracker.maySendForPeers(B, fixture.nowMs)).toEqual(true);
+  fixture.send(B)();
+  expect(tracker.maySendForPeers(A, fixture.nowMs)).toEqual(true);
+});
+
 /** The crash of a server is nobody's path. */
 test("should keep the path to a server that no peer reaches either", () => {
   const fixture = new Fixture();
@@ -115,7 +151,7 @@
   fixture.nowMs += 20;
   tracker.noteConnectFailure(A, fixture.nowMs);
   tracker.noteCheck(A, {
-    isAccepting: false,
+    connection: "refused",
     peer: { isAccepting: false, heardAgoMs: 20 },
     nowMs: fixture.nowMs,
   });
@@ -132,7 +168,7 @@
   fixture.send(B)();
   expect(tracker.takeSilent(fixture.nowMs)).toEqual([A]);
   tracker.noteCheck(A, {
-    isAccepting: true,
+    connection: "accepted",
     peer: { isAccepting: true, heardAgoMs: SILENCE_MS },
     nowMs: fixture.nowMs,
   });
@@ -219,7 +255,7 @@
     const probed = tracker.takeProbes(limit, fixture.nowMs);
     most = Math.max(most, probed.length);
     for (const server of probed) {
-      tracker.noteProbe(server, true, fixture.nowMs);
+      tracker.noteProbe(server, "accepted", fixture.nowMs);
       if (
         tracker.mayTry(server, { isIdempotent: true, nowMs: fixture.nowMs })
       ) {
@@ -268,11 +304,11 @@
   fixture.send(B)();
   tracker.takeSilent(fixture.nowMs);
   const peer = { isAccepting: true, heardAgoMs: 10 };
-  tracker.noteCheck(A, { isAccepting: true, peer, nowMs: fixture.nowMs });
+  tracker.noteCheck(A, { connection: "accepted", peer, nowMs: fixture.nowMs });
   expect(tracker.useOf(A)).toEqual("none");
   fixture.nowMs += 1_000;
   expect(tracker.takeProbes(8, fixture.nowMs)).toEqual([A]);
-  tracker.noteProbe(A, true, fixture.nowMs);
+  tracker.noteProbe(A, "accepted", fixture.nowMs);
   expect(tracker.useOf(A)).toEqual("trial");
   const mayTry = () =>
     tracker.mayTry(A, { isIdempotent: true, nowMs: fixture.nowMs });
@@ -283,6 +319,27 @@
   expect(tracker.useOf(A)).toEqual("any");
 });
 
+/** On a loaded VM a new connection may time out though its path just hangs. */
+test("should not take an accepted connection for a path after one that timed out", () => {
+  const restoredAfter = (connection: "refused" | "silent") => {
+    const fixture = new Fixture();
+    const { tracker } = fixture;
+    fixture.answerAll();
+    fixture.nowMs += 20;
+    fixture.send(A);
+    fixture.nowMs += SILENCE_MS;
+    const peer = { isAccepting: true, heardAgoMs: 10 };
+    tracker.noteCheck(A, { connection, peer, nowMs: fixture.nowMs });
+    expect(fixture.lost).toEqual([A]);
+    fixture.nowMs += RETURN_MS / 2;
+    tracker.noteProbe(A, connection, fixture.nowMs);
+    tracker.noteProbe(A, "accepted", fixture.nowMs);
+    return tracker.useOf(A);
+  };
+  expect(restoredAfter("refused")).toEqual("any");
+  expect(restoredAfter("silent")).toEqual("trial");
+});
+
 test("should keep nothing of servers that are gone", () => {
   const fixture = new Fixture();
   fixture.answerAll();
--- a/packages/entry/src/gateway/paths/server_paths.ts
+++ b/packages/entry/src/gateway/paths/server_paths.ts
@@ -75,12 +75,20 @@
   message: "The server has asked this VM to back off",
 };
 
+/** A request that a peer was asked to send. */
+interface RelayedAttempt {
+  readonly vm: contracts.VmId;
+  readonly server: contracts.ServerId;
+  readonly onPathLost: PathSendOptions["onPathLost"];
+}
+
 /** All ways from this VM to servers. */
 export class ServerPaths {
   readonly #options: ServerPathsOptions;
   readonly #tracker: paths.PathTracker;
   readonly #selector: paths.RelaySelector;
   readonly #contactLog: ServerContactLog;
+  readonly #relayedAttempts = new Set<RelayedAttempt>();
   readonly #listeners: ((server: contracts.ServerId) => void)[] = [];
   #reviewTask: PeriodicTask | undefined;
 
@@ -98,6 +106,7 @@
       reaches: (vm, server) => options.reach.reaches(vm, server),
       weightOf: (vm) => options.gossip.roleWeights.get(vm) ?? 1,
     });
+    options.reach.onPeerLoss((vm) => this.#notePeerLoss(vm));
     options.registry.onChange(() =>
       this.#tracker.keepOnly(options.registry.ids())
     );
@@ -251,7 +260,7 @@
 
   /** Looks at a server for a peer. */
   async observe(entry: CheckedServer): Promise<paths.PathObservation> {
-    const isAccepting = await this.#isAccepting(entry);
+    const isAccepting = await this.#connect(entry) === "accepted";
     const nowMs = this.#options.clock.nowMs();
     return {
       isAccepting,
@@ -261,8 +270,8 @@
 
   /** Whether this VM's own connections to a server can be relied on. */
   reaches(server: contracts.ServerId): boolean {
-    return this.#tracker.useOf(server) === "any" &&
-      !this.#tracker.isDoubtful(this.#options.clock.nowMs());
+    const nowMs = this.#options.clock.nowMs();
+    return this.#tracker.maySendForPeers(server, nowMs);
   }
 
   /** Whether requests get to a server over this VM or a peer. */
@@ -316,10 +325,13 @@
         break;
       }
       const end = this.#selector.start(peer.vm);
+      const relayed = { vm: peer.vm, server, onPathLost: options.onPathLost };
+      this.#relayedAttempts.add(relayed);
       const sent = await relays.attempt(peer, entry, request, {
         ...options,
         timeoutMs: leftMs,
       });
+      this.#relayedAttempts.delete(relayed);
       end();
       const endedMs = clock.nowMs();
       if (sent.kind === "ended") {
@@ -353,6 +365,15 @@
     };
   }
 
+  /** What a peer was asked to send may hang on the path that it has lost. */
+  #notePeerLoss(vm: contracts.VmId): void {
+    for (const attempt of this.#relayedAttempts) {
+      const isLost = attempt.vm === vm &&
+        !this.#options.reach.reaches(vm, attempt.server);
+      if (isLost) attempt.onPathLost(true);
+    }
+  }
+
   /** All peers that could send to the server were asked. */
   #noteNoPeerLeft(
     server: contracts.ServerId,
@@ -381,18 +402,19 @@
     const entries = servers.flatMap((server) => registry.find(server) ?? []);
     const asked = this.#askPeer(entries);
     entries.forEach((entry, index) => {
-      Promise.all([this.#isAccepting(entry), asked]).then(
-        ([isAccepting, observed]) => {
+      Promise.all([this.#connect(entry), asked]).then(
+        ([connection, observed]) => {
           const peer = observed[index];
           const { server } = entry;
           log.info("Looked at a silent server.", {
             server,
-            isAccepting,
+            isAccepting: connection === "accepted",
+            connection,
             isAcceptingPeer: peer?.isAccepting,
             peerHeardAgoMs: peer && Math.round(peer.heardAgoMs),
           });
           const nowMs = clock.nowMs();
-          this.#tracker.noteCheck(server, { isAccepting, peer, nowMs });
+          this.#tracker.noteCheck(server, { connection, peer, nowMs });
         },
       );
     });
@@ -426,21 +448,24 @@
   #probe(server: contracts.ServerId): void {
     const { registry, clock } = this.#options;
     const entry = registry.find(server);
-    const probed = entry === undefined
-      ? Promise.resolve(false)
-      : this.#isAccepting(entry);
-    probed.then((isAccepting) =>
-      this.#tracker.noteProbe(server, isAccepting, clock.nowMs())
+    const probed: Promise<paths.ConnectOutcome> = entry === undefined
+      ? Promise.resolve("refused")
+      : this.#connect(entry);
+    probed.then((connection) =>
+      this.#tracker.noteProbe(server, connection, clock.nowMs())
     );
   }
 
-  async #isAccepting({ host, port }: CheckedServer): Promise<boolean> {
+  /** Makes a new connection to a server, and closes it again. */
+  async #connect(
+    { host, port }: CheckedServer,
+  ): Promise<paths.ConnectOutcome> {
     const target = { host, port, localAddress: this.#options.host };
     const outcome = await probeConnection(target, {
       timeoutMs: PROBE_TIMEOUT_MS,
       stayMs: PROBE_STAY_MS,
     });
-    return outcome === "accepted";
+    return outcome === "broken" ? "refused" : outcome;
   }
 
   #handleChange(change: paths.PathChange): void {
