fix(grants): count a last grant only once a later call is answered

Cause: grants to a server share a kept connection and their answers carry no id. A grant that a late second answer to the call before seems to answer, and that never gets its own, counted as answered until the next call on that connection failed. If it was the last grant before a handover, no call followed: the release ended the handover while that grant could still be carried out.

Change: the answer to a grant that is not the first on its connection is unconfirmed until the connection has answered a later call; a server that leaves a call unanswered answers no further call there (PROTOCOL.md). Until then the grant is reported as unanswered, so the handover waits for its lease.

A connection that a server closes between the last grant and the call that confirms it now makes the handover wait for the lease.

Ruled out: counting an answer by the quiet time before its call, as a second answer may come with the next call; a connection for each grant, for its price; taking non-confirmed answers of servers with several ranges for unanswered without a call, as then most of their handovers wait for leases (read, not run).

--- a/packages/entry/src/gateway/grants/grant_sender.ts
+++ b/packages/entry/src/gateway/grants/grant_sender.ts
@@ -27,7 +27,10 @@
    * An owner accepted a range for the first time since this VM knows its fence.
    */
   readonly onAccepted: (range: contracts.RangeState) => void;
-  /** A grant to the server was answered, failed, or was not sent after all. */
+  /**
+   * A grant to the server was answered, failed, or was not sent after all, or
+   * its answer was confirmed.
+   */
   readonly onCompleted: (server: contracts.ServerId) => void;
   /**
    * An owner has seen a higher fence: the map known here is outdated or wrong.
@@ -70,10 +73,12 @@
 
 /** Grants of one range. Times are those of the clock, in ms. */
 interface LastCall {
-  readonly server: contracts.ServerId;
+  readonly range: contracts.RangeState;
   isInFlight: boolean;
   endedAtMs: number;
   unansweredAtMs: number | undefined;
+  /** The last grant, while its answer is not confirmed. */
+  unconfirmed: AnswerState | undefined;
 }
 
 /** How a grant ended. */
@@ -96,6 +101,13 @@
   );
 }
 
+/** When the last grant ended that was not answered, as far as is known. */
+function lastUnansweredAtMs(
+  { unansweredAtMs, unconfirmed }: LastCall,
+): number | undefined {
+  return unconfirmed?.endedAtMs ?? unansweredAtMs;
+}
+
 /** A grant that its owner has accepted. */
 interface AcceptedGrant {
   readonly sentAtMs: number;
@@ -119,6 +131,11 @@
    * Whether the grant may still be sent; checked when its bytes are written.
    */
   readonly isStillAllowed: () => boolean;
+  /**
+   * Whether an answer that may be that of an earlier call counts only once it
+   * is confirmed.
+   */
+  readonly needsConfirmation: boolean;
 }
 
 /** Grants and renews the ranges of one service on behalf of one entry VM. */
@@ -195,7 +212,8 @@
     const ages = new Map<contracts.ServerId, [number, number | null]>();
     for (const [rangeKey, call] of this.#lastCalls) {
       if (this.#listed.has(rangeKey)) continue;
-      const { server, isInFlight, endedAtMs, unansweredAtMs } = call;
+      const { range: { owner: { server } }, isInFlight, endedAtMs } = call;
+      const unansweredAtMs = lastUnansweredAtMs(call);
       // No grant was sent yet; JSON can't represent an infinite age.
       if (!isInFlight && endedAtMs === Number.NEGATIVE_INFINITY) continue;
       const ageMs = isInFlight ? 0 : Math.floor(nowMs - endedAtMs);
@@ -214,11 +232,26 @@
     return ages;
   }
 
+  /**
+   * A range that is no longer granted to the server, and whose last grant has an
+   * answer that is not confirmed; undefined for none.
+   */
+  unconfirmedRange(
+    server: contracts.ServerId,
+  ): contracts.RangeState | undefined {
+    for (const [rangeKey, { range, unconfirmed }] of this.#lastCalls) {
+      const isTakenAway = range.owner.server === server &&
+        !this.#listed.has(rangeKey);
+      if (isTakenAway && unconfirmed !== undefined) return range;
+    }
+    return undefined;
+  }
+
   /**
    * Sends one grant. Failures are logged, and reported through the callbacks.
    */
   async send(
-    { range, handover, leaseMs, isStillAllowed }: GrantRequest,
+    { range, handover, leaseMs, isStillAllowed, ...request }: GrantRequest,
   ): Promise<void> {
     const { clock, control, timings, findServer, log } = this.#options;
     const server = findServer(range.owner);
@@ -247,8 +280,17 @@
         onAnswerDoubted: (reason) => {
           answer.isDoubted = true;
           noteIfUnanswered(call, answer);
+          if (call.unconfirmed === answer) call.unconfirmed = undefined;
           log.info("A grant's answer is in doubt.", { ...fields, reason });
         },
+        onAnswerUnconfirmed: () => {
+          if (request.needsConfirmation) call.unconfirmed = answer;
+        },
+        onAnswerConfirmed: () => {
+          if (call.unconfirmed !== answer) return;
+          call.unconfirmed = undefined;
+          this.#options.onCompleted(server.server);
+        },
       },
     );
     state.isInFlight = false;
@@ -329,10 +371,11 @@
     const found = this.#lastCalls.get(rangeKey);
     if (found !== undefined) return found;
     const created: LastCall = {
-      server: range.owner.server,
+      range,
       isInFlight: false,
       endedAtMs: Number.NEGATIVE_INFINITY,
       unansweredAtMs: undefined,
+      unconfirmed: undefined,
     };
     this.#lastCalls.set(rangeKey, created);
     return created;
--- a/packages/entry/src/gateway/grants/grant_sender_test.ts
+++ b/packages/entry/src/gateway/grants/grant_sender_test.ts
@@ -19,6 +19,7 @@
   handover: undefined,
   leaseMs: 1_500,
   isStillAllowed: () => true,
+  needsConfirmation: true,
 };
 
 /** A sender whose grants are answered by `grant`. */
@@ -229,3 +230,40 @@
   doubt!("The next call failed");
   expect(sender.grantAgesMs().get(SERVER)).toEqual([0, 0]);
 });
+
+/** A release would count as enough while a lease may still begin. */
+test("should count a grant as unanswered until its answer is confirmed", async () => {
+  let nowMs = 0;
+  let confirm = () => {};
+  const sender = createSender((_server, _grant, options) => {
+    confirm = options.onAnswerConfirmed!;
+    options.onAnswerUnconfirmed!();
+    nowMs += 10;
+    return neverthrow.okAsync("granted");
+  }, () => nowMs);
+  sender.prune([RANGE], REQUEST.leaseMs);
+  await sender.send(REQUEST);
+  expect(sender.unconfirmedRange(SERVER)).toEqual(undefined);
+  sender.prune([], REQUEST.leaseMs);
+  nowMs = 100;
+  expect(sender.grantAgesMs().get(SERVER)).toEqual([90, 90]);
+  expect(sender.unconfirmedRange(SERVER)).toEqual(RANGE);
+  confirm();
+  expect(sender.grantAgesMs().get(SERVER)).toEqual([90, null]);
+  expect(sender.unconfirmedRange(SERVER)).toEqual(undefined);
+});
+
+/** Guards against calls without end to confirm an answer that is in doubt. */
+test("should not ask for the confirmation of an answer in doubt", async () => {
+  let doubt = (_reason: string) => {};
+  const sender = createSender((_server, _grant, options) => {
+    doubt = options.onAnswerDoubted!;
+    options.onAnswerUnconfirmed!();
+    return neverthrow.okAsync("granted");
+  }, () => 0);
+  await sender.send(REQUEST);
+  sender.prune([], REQUEST.leaseMs);
+  doubt("The next call failed");
+  expect(sender.unconfirmedRange(SERVER)).toEqual(undefined);
+  expect(sender.grantAgesMs().get(SERVER)).toEqual([0, 0]);
+});
