test(grants): show two holders when most voters are cut off and removed

The model never removed silent voters, so it did not cover the rule that a voter without a message for 10 s counts as having acknowledged (removedVoters). It takes the product's function now.

Seen: two VMs of three reach each other and the servers, but neither the leader nor the store; the leader does not reach one server. After 10 s the leader counts both as removed, the handover is acknowledged by itself alone, and the keys are given on when the leases known to it have run out.

Not mended: one side has to stop, and both cost keys. Voters that stop without the store and the leader cost them in an outage of the store with a lost VM; a leader that waits costs them when a zone with most voters is lost.

Tried and left out: releases that tell the fence in all runs; four rows of disabled safeguards then no longer show the failure they are for.

--- a/packages/decisions/src/grants/grant_model_test.ts
+++ b/packages/decisions/src/grants/grant_model_test.ts
@@ -12,6 +12,8 @@
 
 const STEP_MS = 10;
 const RUN_MS = 14_000;
+/** Voters that were silent for 10 s count as removed by then. */
+const LONG_RUN_MS = 24_000;
 const TIMINGS = grants.DEFAULT_GRANT_TIMINGS;
 const LONG_LEASE_MS = 2_600;
 /** Leases of the first server, which limits its calls in a part of the run. */
@@ -43,6 +45,10 @@
   readonly restartServers?: boolean;
   /** A fourth VM; three of them are voters, in turn. */
   readonly changeVoters?: boolean;
+  /** A fault: the first VM does not reach the first server. */
+  readonly cutFirstFromServer?: boolean;
+  /** Servers refuse grants with older fences than that of a release. */
+  readonly releasesTellFence?: boolean;
 }
 
 class ModelServer {
@@ -69,8 +75,12 @@
     return true;
   }
 
-  release(range: contracts.KeyRange): void {
-    for (const index of indexesOf(range)) this.heldUntilMs[index] = 0;
+  /** Without `fence`, the release does not keep older grants from its keys. */
+  release(range: contracts.KeyRange, fence = 0): void {
+    for (const index of indexesOf(range)) {
+      this.heldUntilMs[index] = 0;
+      this.fences[index] = Math.max(this.fences[index]!, fence);
+    }
   }
 
   /** Starts again under its id, at its address: it knows nothing of before. */
@@ -108,6 +118,8 @@
   readMs = 0;
   /** Send time of the last status received from each peer. */
   readonly echoes = new Map<contracts.VmId, number>();
+  /** When the last status of each peer arrived. */
+  readonly heardMs = new Map<contracts.VmId, number>();
   readonly sent = new Map<contracts.ServerId, SentGrant>();
   readonly renewedMs = new Map<string, number>();
   /** The latest run of each server that this VM knows. */
@@ -169,8 +181,8 @@
     return vms.filter((_, index) => index !== omitted);
   }
 
-  run(): void {
-    for (; this.nowMs < RUN_MS; this.nowMs += STEP_MS) {
+  run(untilMs = RUN_MS): void {
+    for (; this.nowMs < untilMs; this.nowMs += STEP_MS) {
       this.#injectFaults();
       const due = this.#events.filter(({ atMs }) => atMs <= this.nowMs);
       this.#events = this.#events.filter(({ atMs }) => atMs > this.nowMs);
@@ -315,6 +327,7 @@
           other.pausedUntilMs > this.nowMs
         ) return;
         other.echoes.set(vm.vm, sentAtMs);
+        other.heardMs.set(vm.vm, this.nowMs);
         const requestedAtMs = echoMs >= other.startedMs ? echoMs : -Infinity;
         other.reports.noteReport({ ...report, requestedAtMs });
       });
@@ -453,10 +466,13 @@
       vm.controller.noteReleaseResult(range.fence, end, this.nowMs);
     };
     this.#after(this.#between(1, 60), () => {
-      if (server.unresponsiveUntilMs > this.nowMs) {
+      const isCut = this.#faults.cutFirstFromServer && vm === this.vms[0] &&
+        server === this.servers[0];
+      if (isCut || server.unresponsiveUntilMs > this.nowMs) {
         return this.#after(500, () => note("failed"));
       }
-      server.release(range);
+      const { releasesTellFence } = this.#faults;
+      server.release(range, releasesTellFence ? range.fence : undefined);
       this.#after(this.#between(1, 100), () => note({ handover: undefined }));
     });
   }
@@ -477,9 +493,7 @@
       nowMs: this.#faults.noLeaseWait ? this.nowMs + 1e6 : this.nowMs,
       usable,
       voters: this.#voters(),
-      removedVoters: this.#faults.noQuorum
-        ? new Set(this.vms.map(({ vm }) => vm))
-        : new Set(),
+      removedVoters: this.#removedVoters(vm),
       plan: (map) => this.#plan(map, [...usable.values()]),
       nonce: () => String(this.#version),
       // Requests need longer leases in the second half of the run.
@@ -492,6 +506,20 @@
     };
   }
 
+  #removedVoters(vm: ModelVm): Set<contracts.VmId> {
+    if (this.#faults.noQuorum) return new Set(this.vms.map((it) => it.vm));
+    return grants.removedVoters({
+      vm: vm.vm,
+      map: vm.map,
+      live: [],
+      weak: new Set(),
+      cutOff: new Set(),
+      sinceLastMessageMs: (voter) =>
+        this.nowMs - (vm.heardMs.get(voter) ?? Number.NEGATIVE_INFINITY),
+      uptimeMs: this.nowMs - vm.startedMs,
+    });
+  }
+
   #plan(
     { ranges }: contracts.RangeMap,
     usable: readonly contracts.RegisteredServer[],
@@ -546,12 +574,13 @@
 function runModels(
   faults: Faults,
   runs: number,
+  untilMs = RUN_MS,
 ): { violations: number; moves: number } {
   let violations = 0;
   let moves = 0;
   for (let index = 0; index < runs; index++) {
     const model = new Model(SEED * 1_000 + index, faults);
-    model.run();
+    model.run(untilMs);
     violations += model.violations;
     moves += model.moves;
   }
@@ -591,6 +620,21 @@
   expect(runModels({ isolateLast: true }, 20).violations).toEqual(0);
 });
 
+/**
+ * Guards against a leader that takes a majority of voters for removed that it
+ * has not heard for long, while they go on renewing at a server it can't reach.
+ */
+test("should never let two servers hold a key while most voters are cut off from the leader and the store", () => {
+  const faults = {
+    isolateFirst: true,
+    cutFirstFromServer: true,
+    releasesTellFence: true,
+  };
+  const { violations, moves } = runModels(faults, 20, LONG_RUN_MS);
+  expect(violations).toEqual(0);
+  expect(moves > 20 * 5).toEqual(true);
+});
+
 /**
  * Each row disables one safeguard; the model must show the failure it prevents.
  */
