fix(grants): give keys back to a running owner instead of waiting out its long lease

A server that sends extra answers all the time puts nearly every renewal in doubt, so each handover from such an owner waited like that. The release itself was sent, answered, certain and not repeated, as it could end nothing.

Change: such a handover is abandoned. If the old owner has released the range, still runs, needs no long leases now, and an unanswered grant outlasts the usual lease 250 ms after the release, the next write gives the range back to it under a new fence. The next owner has been granted nothing, so nobody else can hold the keys; waits for other owners are as before. Until the lease has expired, no range leaves that owner for the sake of load. An owner that needs long leases now (limit, back-off) loses its ranges as before.

Measured: the new tests of the controller fail with the rule switched off (20 of 20 ranges still in handover after 1 s) and pass with it. Model of grants, 400 runs of each case with GRANT_MODEL_SEED=5: no violation, handovers abandoned in it.

Failed tries: none; a first form of the fixture never made the lease longer, as the initial map names no leases of single servers.

--- a/packages/decisions/src/grants/grant_model_test.ts
+++ b/packages/decisions/src/grants/grant_model_test.ts
@@ -152,6 +152,8 @@
   #version = 0;
   nowMs = 0;
   moves = 0;
+  /** Handovers that ended with the old owner. */
+  abandoned = 0;
   violations = 0;
 
   constructor(seed: number, faults: Faults) {
@@ -536,6 +538,7 @@
     if (!isMet) return { kind: "unsure" };
     this.#version++;
     this.#stored = { map, version: String(this.#version) };
+    if (call.kind === "write") this.abandoned += call.abandoned.length;
     return { kind: "written", stored: this.#stored };
   }
 }
@@ -546,22 +549,25 @@
 function runModels(
   faults: Faults,
   runs: number,
-): { violations: number; moves: number } {
+): { violations: number; moves: number; abandoned: number } {
   let violations = 0;
   let moves = 0;
+  let abandoned = 0;
   for (let index = 0; index < runs; index++) {
     const model = new Model(SEED * 1_000 + index, faults);
     model.run();
     violations += model.violations;
     moves += model.moves;
+    abandoned += model.abandoned;
   }
-  return { violations, moves };
+  return { violations, moves, abandoned };
 }
 
 test("should never let two servers hold a key", () => {
-  const { violations, moves } = runModels({}, RUNS);
+  const { violations, moves, abandoned } = runModels({}, RUNS);
   expect(violations).toEqual(0);
   expect(moves > RUNS * 5).toEqual(true);
+  expect(abandoned > 0).toEqual(true);
 });
 
 /**
--- a/packages/decisions/src/grants/handover_controller.ts
+++ b/packages/decisions/src/grants/handover_controller.ts
@@ -5,13 +5,18 @@
  * a failed leader or a second leader does no harm.
  */
 import type * as contracts from "@guavatide/contracts";
+import { AbandonedHandovers } from "./abandoned_handovers.ts";
 import { FencingReleases } from "./fencing_releases.ts";
 import {
   leaseDurationMs,
   longestLeaseMs,
   nextServerLeases,
 } from "./lease_duration.ts";
-import { type GrantTimings, maxFormerLeaseMs } from "./grant_timings.ts";
+import {
+  type GrantTimings,
+  maxFormerLeaseMs,
+  maxLeaseLifetimeMs,
+} from "./grant_timings.ts";
 import type { VoterReports } from "./voter_reports.ts";
 import * as edit from "./range_edit.ts";
 import {
@@ -28,6 +33,7 @@
   isReleaseVoid,
   isRestartOf,
   outlastsRelease,
+  unansweredExpiryMs,
 } from "./handover_wait.ts";
 
 /** A range map with its version in the store. */
@@ -53,6 +59,8 @@
     readonly condition: contracts.WriteCondition;
     /** Handovers that the write finishes. */
     readonly finished: readonly FinishedHandover[];
+    /** Ranges in handover that the write gives back to their old owners. */
+    readonly abandoned: readonly contracts.RangeState[];
   };
 
 /** A handover whose next owner may be granted the range. */
@@ -107,6 +115,11 @@
  * the store and an update to all VMs.
  */
 const FINISH_BATCH_MS = 60;
+/**
+ * A handover is abandoned this long after the release at the earliest: voters
+ * report every 200 ms, and an earlier report doesn't tell their last grants.
+ */
+const ABANDON_DELAY_MS = 250;
 const RETRY_MIN_MS = 100;
 const RETRY_MAX_MS = 1_000;
 
@@ -133,6 +146,7 @@
   /** Since when a finished handover has not been written. */
   #finishedSinceMs: number | undefined;
   readonly #fencing = new FencingReleases();
+  readonly #abandoned = new AbandonedHandovers();
   /** Releases by the fence of the range's next owner. */
   readonly #releases = new Map<number, Release>();
 
@@ -168,6 +182,14 @@
     return this.#releases.get(fence)?.handover;
   }
 
+  /**
+   * Whether a server keeps its ranges, as a release could not end its leases
+   * soon.
+   */
+  keepsRanges(server: contracts.ServerId, nowMs: number): boolean {
+    return this.#abandoned.isRecent(server, nowMs);
+  }
+
   /** The next call to the store; undefined while one is in flight. */
   nextCall(tick: HandoverTick): MapCall | undefined {
     if (this.#isBusy || tick.nowMs < this.#notBeforeMs) return undefined;
@@ -191,7 +213,10 @@
     if (result.stored.map.revision < known) return this.#backOff(nowMs);
     this.#isAbsent = false;
     this.#mustRead = false;
-    if (result.kind === "written") this.#addFencing(result.stored.map, nowMs);
+    if (result.kind === "written") {
+      this.#addFencing(result.stored.map, nowMs);
+      this.#noteAbandoned(result.stored.map);
+    }
     this.#fencing.noteRanges(result.stored.map.ranges);
     this.#keepSetsAcknowledgement(result.stored.map, nowMs);
     this.#stored = result.stored;
@@ -320,6 +345,22 @@
     }
   }
 
+  /** Passes what abandoned handovers need to the ranges' new fences. */
+  #noteAbandoned({ ranges }: contracts.RangeMap): void {
+    const { map } = this;
+    for (const range of map?.ranges ?? []) {
+      const { vacating, fence, fromKey } = range;
+      if (vacating === undefined) continue;
+      const next = ranges[edit.rangeIndex(ranges, fromKey)]!;
+      const isAbandoned = next.vacating === undefined &&
+        next.fence !== fence && edit.isSameOwner(next.owner, vacating);
+      if (!isAbandoned) continue;
+      this.#release(next.fence).handover = this.handover(fence);
+      const expiryMs = unansweredExpiryMs(this.#facts(map!, range));
+      if (expiryMs !== undefined) this.#abandoned.note(vacating, expiryMs);
+    }
+  }
+
   #mayRelease(
     map: contracts.RangeMap,
     range: contracts.RangeState,
@@ -378,10 +419,16 @@
       finished.push({ range, reason });
       return true;
     });
+    const abandoned: contracts.RangeState[] = [];
+    const kept = edit.abandonHandovers(ranges, (range) => {
+      const isAbandoned = this.#isTooLong(map, range, tick);
+      if (isAbandoned) abandoned.push(range);
+      return isAbandoned;
+    }, map.lastFence);
     const moves = tick.plan(map);
-    const started = edit.startHandovers(ranges, moves, {
+    const started = edit.startHandovers(kept.ranges, moves, {
       revision,
-      lastFence: map.lastFence,
+      lastFence: kept.lastFence,
     });
     const keeperSets = this.#nextVoterSets(map, tick);
     const holdMs = Math.max(leaseDurationMs(map, this.#timings), tick.leaseMs);
@@ -397,6 +444,7 @@
         leaseMs > (map.serverHoldMs?.[server] ?? 0)
       );
     const isChanged = isFinishing || moves.length > 0 ||
+      abandoned.length > 0 ||
       keeperSets !== map.keeperSets || isLeaseLonger;
     if (!isChanged) return undefined;
     this.#finishedSinceMs = undefined;
@@ -409,7 +457,7 @@
       serverHoldMs,
     };
     const condition = { kind: "version", version } as const;
-    return { ...this.#writeCall(next, condition, tick), finished };
+    return { ...this.#writeCall(next, condition, tick), finished, abandoned };
   }
 
   /** Whether finished handovers can wait for others that finish soon. */
@@ -444,7 +492,13 @@
     tick: HandoverTick,
   ) {
     const written = { ...map, nonce: tick.nonce() };
-    return { kind: "write", map: written, condition, finished: [] } as const;
+    return {
+      kind: "write",
+      map: written,
+      condition,
+      finished: [],
+      abandoned: [],
+    } as const;
   }
 
   /** Why the next owner may be granted the range now; undefined if it may not. */
@@ -458,6 +512,34 @@
     return end !== undefined && end.atMs <= tick.nowMs ? end.reason : undefined;
   }
 
+  /**
+   * Whether a range goes back to its old owner, which has released it and still
+   * runs: an unanswered grant keeps a lease in force for longer than leases of
+   * the service usually last, and only that owner may serve the range meanwhile.
+   * A server that needs long leases now can't serve its ranges as well as others.
+   */
+  #isTooLong(
+    map: contracts.RangeMap,
+    range: contracts.RangeState,
+    { nowMs, usable, serverLeasesMs = NO_LEASES }: HandoverTick,
+  ): boolean {
+    const { vacating: oldOwner, fence } = range;
+    if (oldOwner === undefined) return false;
+    const present = usable.get(oldOwner.server);
+    const mayKeep = present !== undefined &&
+      edit.isSameOwner(present, oldOwner) &&
+      !serverLeasesMs.has(oldOwner.server);
+    const release = this.#releases.get(fence);
+    if (!mayKeep || release?.answered === undefined) return false;
+    const isSettled = release.sentAtMs === undefined &&
+      nowMs - release.answered.answeredAtMs >= ABANDON_DELAY_MS;
+    if (!isSettled) return false;
+    const expiryMs = unansweredExpiryMs(this.#facts(map, range));
+    const usualLeaseMs = leaseDurationMs(map, this.#timings);
+    return expiryMs !== undefined &&
+      expiryMs - nowMs > maxLeaseLifetimeMs(this.#timings, usualLeaseMs);
+  }
+
   /** Voter sets of the next revision; the same object when nothing changes. */
   #nextVoterSets(
     map: contracts.RangeMap,
--- a/packages/decisions/src/grants/handover_controller_test.ts
+++ b/packages/decisions/src/grants/handover_controller_test.ts
@@ -11,6 +11,7 @@
 const STEP_MS = 5;
 const START_MS = 10_000;
 const RUN_MS = 1_000;
+const LONG_LEASE_MS = 6_000;
 
 function owner(name: string): contracts.RangeOwner {
   return { server: name as contracts.ServerId, bornMs: 1 };
@@ -20,6 +21,10 @@
 interface FixtureOptions {
   /** The old owner limits its calls, and so has long leases. */
   readonly isSparing?: boolean;
+  /** The old owner limits its calls until the handovers have begun. */
+  readonly wasSparing?: boolean;
+  /** The old owner is lost once the handovers have begun. */
+  readonly losesOldOwner?: boolean;
   /** A grant to the old owner was not answered at the start. */
   readonly hasUnansweredGrant?: boolean;
   /** The old owner's other ranges are renewed all the time. */
@@ -78,6 +83,10 @@
     return this.#map?.keeperSets ?? [];
   }
 
+  get ranges(): readonly contracts.RangeState[] {
+    return this.#map?.ranges ?? [];
+  }
+
   get movingRanges(): number {
     return this.#map?.ranges.filter(({ vacating }) => vacating).length ?? 0;
   }
@@ -132,7 +141,9 @@
 
   #tick(): grants.HandoverTick {
     const isFirst = this.#map === undefined;
-    const usable = (isFirst ? ["a"] : ["a", "b"]).map((name) =>
+    const isLost = this.#options.losesOldOwner && this.movingRanges > 0;
+    const names = isFirst ? ["a"] : isLost ? ["b"] : ["a", "b"];
+    const usable = names.map((name) =>
       [
         name as contracts.ServerId,
         { ...owner(name), slots: 1 } as contracts.RegisteredServer,
@@ -145,7 +156,10 @@
       removedVoters: new Set(),
       leaseMs: grants.DEFAULT_GRANT_TIMINGS.holdMs,
       serverLeasesMs: new Map(
-        this.#options.isSparing ? [[owner("a").server, 6_000]] : [],
+        this.#options.isSparing ||
+          this.#options.wasSparing && this.movingRanges === 0
+          ? [[owner("a").server, LONG_LEASE_MS]]
+          : [],
       ),
       plan: () => {
         const moves = isFirst ? [] : this.#moves;
@@ -195,6 +209,51 @@
   expect(limited.movingRanges).toEqual(MOVES);
 });
 
+/**
+ * Guards against keys that a running owner has released and that nobody serves
+ * until its long lease has expired.
+ */
+test("should give ranges back whose old owner's lease outlasts the release", () => {
+  const fixture = new Fixture({ wasSparing: true, hasUnansweredGrant: true });
+  fixture.runUntilMoving();
+  const releasedFences = fixture.ranges.map(({ fence }) => fence);
+  fixture.run();
+  expect(fixture.movingRanges).toEqual(0);
+  expect(fixture.ranges.every(({ owner: { server } }) => server === "a"))
+    .toEqual(true);
+  // A delayed release must not take them away again.
+  const moved = fixture.ranges.filter(({ fence }) => fence > 1);
+  expect(moved.length).toEqual(MOVES);
+  for (const { fence } of moved) {
+    expect(fence).toBeGreaterThan(Math.max(...releasedFences));
+    expect(fixture.controller.handover(fence)).toEqual("h");
+  }
+});
+
+/** Guards against a handover that is started and abandoned again and again. */
+test("should have ranges stay after an abandoned handover until the lease has expired", () => {
+  const fixture = new Fixture({ wasSparing: true, hasUnansweredGrant: true });
+  const { server } = owner("a");
+  fixture.runUntilMoving();
+  expect(fixture.controller.keepsRanges(server, fixture.nowMs)).toEqual(false);
+  fixture.run();
+  const endMs = START_MS +
+    grants.maxLeaseLifetimeMs(grants.DEFAULT_GRANT_TIMINGS, LONG_LEASE_MS);
+  expect(fixture.controller.keepsRanges(server, endMs - 1)).toEqual(true);
+  expect(fixture.controller.keepsRanges(server, endMs)).toEqual(false);
+});
+
+/** Guards against keys that go back to a server that does not serve them. */
+test("should not give ranges back to an old owner that is lost", () => {
+  const fixture = new Fixture({
+    wasSparing: true,
+    hasUnansweredGrant: true,
+    losesOldOwner: true,
+  });
+  fixture.run();
+  expect(fixture.movingRanges).toEqual(MOVES);
+});
+
 /**
  * Guards against a release that reaches the new run of the old owner after its
  * grant, and revokes it.
--- a/packages/decisions/src/grants/handover_wait.ts
+++ b/packages/decisions/src/grants/handover_wait.ts
@@ -69,11 +69,7 @@
   if (release === undefined || isReleaseVoid(facts)) return expired;
   // A release revokes a grant that was answered before it; an unanswered grant
   // may take effect after it.
-  const unansweredExpiredMs = lastGrantEndMs(
-    facts,
-    acknowledgedAtMs,
-    "lastUnansweredMs",
-  );
+  const unansweredExpiredMs = unansweredExpiryMs(facts)!;
   const releasedMs = Math.max(release.answeredAtMs, unansweredExpiredMs);
   return releasedMs < expiredMs
     ? { atMs: releasedMs, reason: "released" }
@@ -97,9 +93,19 @@
  * release can end it before that lease expires.
  */
 export function outlastsRelease(facts: HandoverFacts, nowMs: number): boolean {
+  const expiryMs = unansweredExpiryMs(facts);
+  return expiryMs !== undefined && expiryMs > nowMs;
+}
+
+/**
+ * When the lease of the last unanswered grant to the old owner expires, on this
+ * VM's clock; undefined while no quorum has acknowledged the handover.
+ */
+export function unansweredExpiryMs(facts: HandoverFacts): number | undefined {
   const { acknowledgedAtMs } = facts;
-  return acknowledgedAtMs !== undefined &&
-    lastGrantEndMs(facts, acknowledgedAtMs, "lastUnansweredMs") > nowMs;
+  return acknowledgedAtMs === undefined
+    ? undefined
+    : lastGrantEndMs(facts, acknowledgedAtMs, "lastUnansweredMs");
 }
 
 /**
--- a/packages/decisions/src/grants/hot_keys.ts
+++ b/packages/decisions/src/grants/hot_keys.ts
@@ -138,7 +138,8 @@
   const server = servers.get(owner.server);
   // Each range that remains around the key would be renewed by itself.
   return vacating === undefined && server !== undefined &&
-    server.maxRanges === undefined && server.backoff === undefined;
+    server.maxRanges === undefined && server.backoff === undefined &&
+    !server.keepsRanges;
 }
 
 /** A key's rate, also if its requests have only just begun. */
--- a/packages/decisions/src/grants/range_edit.ts
+++ b/packages/decisions/src/grants/range_edit.ts
@@ -122,6 +122,26 @@
   return merge(ranges);
 }
 
+/**
+ * Gives ranges in handover back to their old owners, under new fences: a release
+ * of the abandoned handover may still be on its way. Returns the ranges and the
+ * highest fence assigned.
+ */
+export function abandonHandovers(
+  before: readonly contracts.RangeState[],
+  isAbandoned: (range: contracts.RangeState) => boolean,
+  lastFence: number,
+): { readonly ranges: contracts.RangeState[]; readonly lastFence: number } {
+  let fence = lastFence;
+  const ranges = before.map((range) => {
+    if (range.vacating === undefined || !isAbandoned(range)) return range;
+    fence++;
+    const { fromKey, toKey, vacating: { server, bornMs } } = range;
+    return { fromKey, toKey, owner: { server, bornMs }, fence };
+  });
+  return { ranges, lastFence: fence };
+}
+
 function splitAt(
   ranges: readonly contracts.RangeState[],
   key: number,
--- a/packages/decisions/src/grants/range_load.ts
+++ b/packages/decisions/src/grants/range_load.ts
@@ -14,6 +14,11 @@
    * that does not limit its calls.
    */
   readonly maxRanges?: number | undefined;
+  /**
+   * Whether its ranges stay: it runs, and a release could not end its leases
+   * soon.
+   */
+  readonly keepsRanges?: boolean;
   /** Undefined for a server that has asked no VM to back off. */
   readonly backoff?: ServerBackoff | undefined;
 }
--- a/packages/decisions/src/grants/range_planner.ts
+++ b/packages/decisions/src/grants/range_planner.ts
@@ -214,7 +214,9 @@
   sharePerSecond: number,
 ): (contracts.KeyRange & { readonly from: contracts.ServerId }) | undefined {
   const loads = new Map<contracts.ServerId, number>();
-  const parts = [...ownedParts(input, moves)].map((owned) => {
+  const movable = [...ownedParts(input, moves)]
+    .filter(({ server }) => !keepsRanges(input, server));
+  const parts = movable.map((owned) => {
     const perSecond = rangeRate(input.rates, owned.part);
     loads.set(owned.server, (loads.get(owned.server) ?? 0) + perSecond);
     return { ...owned, perSecond };
@@ -245,7 +247,9 @@
   const limit = input.servers.size * MAX_RANGES_PER_SERVER;
   const level = Math.max(HOT_UTILIZATION, utilization.mean * HOT_RATIO);
   if (!utilization.exceeds(level, START_DEVIATIONS)) return moves;
-  const exhausted = new Set<contracts.ServerId>();
+  const exhausted = new Set(
+    [...input.servers.keys()].filter((server) => keepsRanges(input, server)),
+  );
   // Each range that such a server gets would be renewed in calls that it has
   // asked not to get.
   const backingOff = new Map(
@@ -334,6 +338,13 @@
   return Math.min(load / moves, room / MAX_PIECE_PART);
 }
 
+function keepsRanges(
+  { servers }: RangePlanInput,
+  server: contracts.ServerId,
+): boolean {
+  return servers.get(server)?.keepsRanges ?? false;
+}
+
 /** Moves of a plan that take keys from a server. */
 function movesFrom(
   { ranges }: RangePlanInput,
--- a/packages/decisions/src/grants/range_planner_test.ts
+++ b/packages/decisions/src/grants/range_planner_test.ts
@@ -284,3 +284,53 @@
   const [move] = grants.planRangeMoves({ ...input, servers });
   expect(move?.to.server).toEqual(newServer);
 });
+
+/** Guards against handovers that would be abandoned. */
+test("should take no keys for balance from a server that keeps its ranges", () => {
+  const withKept = (count: number) =>
+    new Map(
+      [...serversOf(count)].map(([id, server], index) => [
+        id,
+        { ...server, keepsRanges: index === 0 },
+      ]),
+    );
+  const sourcesOf = (
+    ranges: readonly contracts.RangeState[],
+    moves: readonly grants.RangeMove[],
+  ) =>
+    moves.map(({ fromKey }) =>
+      ranges[grants.rangeIndex(ranges, fromKey)]!.owner.server
+    );
+  const ranges = evenRanges(4);
+  const load = [0, 3, 20_000].map((key) => ({ key, perSecond: 40 }));
+  const input = { ranges, rates: load, mayBalance: true };
+  const usual = grants.planRangeMoves({ ...input, servers: serversOf(4) });
+  expect(sourcesOf(ranges, usual).includes(owner(0).server)).toEqual(true);
+  const kept = grants.planRangeMoves({ ...input, servers: withKept(4) });
+  expect(sourcesOf(ranges, kept).includes(owner(0).server)).toEqual(false);
+  const joined = grants.planRangeMoves({
+    ...input,
+    rates: [],
+    servers: withKept(5),
+  });
+  expect(joined.length).toEqual(1);
+  expect(sourcesOf(ranges, joined)).toEqual([owner(1).server]);
+});
+
+test("should move the keys of a lost server that keeps its ranges", () => {
+  const [first, ...others] = [...serversOf(3)];
+  const moves = grants.planRangeMoves({
+    ranges: evenRanges(3),
+    servers: new Map([
+      [first![0], {
+        ...first![1],
+        owner: { ...owner(0), bornMs: 2 },
+        keepsRanges: true,
+      }],
+      ...others,
+    ]),
+    rates: [],
+    mayBalance: true,
+  });
+  expect(moves.some(({ fromKey }) => fromKey === 0)).toEqual(true);
+});
--- a/packages/entry/src/gateway/grants/move_planner.ts
+++ b/packages/entry/src/gateway/grants/move_planner.ts
@@ -27,6 +27,8 @@
    * undefined for any other server.
    */
   readonly maxRangesOf: (server: contracts.ServerId) => number | undefined;
+  /** Whether a server's ranges stay, as handovers from it take long. */
+  readonly keepsRanges: (server: contracts.ServerId) => boolean;
   /** Servers that have asked entry VMs to back off. */
   readonly backoffOf: (
     server: contracts.ServerId,
@@ -95,7 +97,8 @@
     nowMs: number,
   ): grants.RangeMove[] {
     if (usable.size === 0) return [];
-    const { capacity, isCold, maxRangesOf, backoffOf } = this.#options;
+    const { capacity, isCold, maxRangesOf, keepsRanges, backoffOf } =
+      this.#options;
     this.#noteLimits(usable, nowMs);
     const mayBalance = nowMs - this.#startedAtMs >= REBALANCE_GRACE_MS &&
       nowMs - this.#rebalancedAtMs >= REBALANCE_INTERVAL_MS &&
@@ -122,6 +125,7 @@
           capacityPerSecond,
           isCold: isCold(entry),
           maxRanges: maxRangesOf(server),
+          keepsRanges: keepsRanges(server),
           backoff: backoffOf(server),
         }];
       }),
--- a/packages/entry/src/gateway/grants/move_planner_limits_test.ts
+++ b/packages/entry/src/gateway/grants/move_planner_limits_test.ts
@@ -26,6 +26,7 @@
     capacity: ({ server }) => isLimited(server) ? LIMIT_PER_SECOND : 200,
     isCold: () => false,
     maxRangesOf: (server) => isLimited(server) ? 1 : undefined,
+    keepsRanges: () => false,
     backoffOf: () => undefined,
   });
   planner.start(0);
--- a/packages/entry/src/gateway/grants/move_planner_test.ts
+++ b/packages/entry/src/gateway/grants/move_planner_test.ts
@@ -79,6 +79,7 @@
     capacity: (entry) => USUAL_CAPACITY * speeds.get(entry.server)!,
     isCold: () => false,
     maxRangesOf: () => undefined,
+    keepsRanges: () => false,
     backoffOf: () => undefined,
   });
   planner.start(0);
--- a/packages/entry/src/gateway/grants/service_grants.ts
+++ b/packages/entry/src/gateway/grants/service_grants.ts
@@ -28,7 +28,8 @@
 }
 
 /** Options of {@link ServiceGrants}. */
-export interface ServiceGrantsOptions extends MovePlannerOptions {
+export interface ServiceGrantsOptions
+  extends Omit<MovePlannerOptions, "keepsRanges"> {
   readonly vm: contracts.VmId;
   readonly timings: grants.GrantTimings;
   readonly hasher: ownership.KeyHasher;
@@ -143,7 +144,11 @@
       options.roleWeights,
     );
     this.#publisher = new MapPublisher(options);
-    this.#planner = new MovePlanner(options);
+    this.#planner = new MovePlanner({
+      ...options,
+      keepsRanges: (server) =>
+        this.#handoverController.keepsRanges(server, options.clock.nowMs()),
+    });
     this.#startedAtMs = options.clock.nowMs();
     this.#fetcher = new RangeMapFetcher({
       ...options,
@@ -749,7 +754,10 @@
       : await maps.write(call.map, call.condition);
     this.#handoverController.noteCallResult(result, clock.nowMs());
     if (result.kind === "unsure" || result.kind === "absent") return;
-    if (call.kind === "write") this.#logFinished(call.finished);
+    if (call.kind === "write") {
+      this.#logFinished(call.finished);
+      this.#logAbandoned(call.abandoned);
+    }
     this.#fetcher.noteMapRead();
     const { map } = result.stored;
     this.#voterReports.noteRead(map.revision, sentAtMs);
@@ -776,6 +784,20 @@
     }
   }
 
+  #logAbandoned(abandoned: readonly contracts.RangeState[]): void {
+    for (const { fromKey, toKey, fence, owner, vacating } of abandoned) {
+      this.#options.log.warn("Handover abandoned.", {
+        server: owner.server,
+        fromKey,
+        toKey,
+        fence,
+        oldOwner: vacating!.server,
+        oldBornMs: vacating!.bornMs,
+        reason: "an unanswered grant outlasts the usual lease",
+      });
+    }
+  }
+
   /** Marks fences that are new in the map as pending. */
   #updatePendingFences(map: contracts.RangeMap): void {
     const known = new Set(
