fix(grants): report grants of ranges in handover by handover

Cause: voters told the age of their last grant, and of their last unanswered one, by old owner. When a further range left the same owner, the renewals of that range until then counted for the handovers begun before: they made the release void and prolonged the wait. An owner that loses ranges one after the other, as limited ones do, kept none of them free until the last one was.

Change: a voter's status tells the ages by handover, that is by old owner and revision, of the grants whose ranges overlap those of the handover. A grant of the range before a split counts for each part of it. Ages by owner stay in the message for VMs of the version before, and count for a voter that sends nothing else.

Measured: the new test of the wait passes, and fails on reports by owner.

--- a/packages/decisions/src/grants/grant_model_test.ts
+++ b/packages/decisions/src/grants/grant_model_test.ts
@@ -31,6 +31,8 @@
   readonly noLeaseWait?: boolean;
   readonly noQuorum?: boolean;
   readonly forgetsUnanswered?: boolean;
+  /** Voters report no grants of ranges in handover. */
+  readonly reportsNoHandovers?: boolean;
   /** A server's longer leases are granted without the map saying so. */
   readonly hidesServerLease?: boolean;
   /** A fault: the first VM alone reaches the store, and it reaches no peer. */
@@ -88,12 +90,21 @@
   );
 }
 
-interface SentGrant {
+interface SentGrant extends contracts.KeyRange {
+  readonly server: contracts.ServerId;
   isInFlight: boolean;
   endMs: number;
   unansweredMs: number | undefined;
 }
 
+/** The later of two times; undefined for none. */
+function latest<Time extends number | undefined>(
+  a: Time,
+  b: number | undefined,
+): number | Time {
+  return a === undefined ? b as Time : Math.max(a, b ?? a);
+}
+
 class ModelVm {
   readonly vm: contracts.VmId;
   reports = new grants.VoterReports();
@@ -108,7 +119,8 @@
   readMs = 0;
   /** Send time of the last status received from each peer. */
   readonly echoes = new Map<contracts.VmId, number>();
-  readonly sent = new Map<contracts.ServerId, SentGrant>();
+  /** Last grant calls by range and fence. */
+  readonly sent = new Map<string, SentGrant>();
   readonly renewedMs = new Map<string, number>();
   /** The latest run of each server that this VM knows. */
   readonly bornMs = new Map<contracts.ServerId, number>();
@@ -278,12 +290,33 @@
   #reportOf(vm: ModelVm, requestedAtMs: number): grants.VoterReport {
     const last = new Map<contracts.ServerId, number>();
     const unanswered = new Map<contracts.ServerId, number>();
-    for (const [server, grant] of vm.sent) {
-      last.set(server, grant.isInFlight ? this.nowMs : grant.endMs);
-      if (this.#faults.forgetsUnanswered) continue;
-      if (grant.isInFlight) unanswered.set(server, this.nowMs);
-      else if (grant.unansweredMs !== undefined) {
-        unanswered.set(server, grant.unansweredMs);
+    const handovers = new Map<string, grants.HandoverGrants>();
+    for (const grant of vm.sent.values()) {
+      const { server } = grant;
+      const endMs = grant.isInFlight ? this.nowMs : grant.endMs;
+      const unansweredMs = this.#faults.forgetsUnanswered
+        ? undefined
+        : grant.isInFlight
+        ? this.nowMs
+        : grant.unansweredMs;
+      last.set(server, latest(endMs, last.get(server))!);
+      const unansweredEndMs = latest(unansweredMs, unanswered.get(server));
+      if (unansweredEndMs !== undefined) {
+        unanswered.set(server, unansweredEndMs);
+      }
+      for (const range of vm.map?.ranges ?? []) {
+        const { vacating } = range;
+        if (vacating?.server !== server) continue;
+        if (!grants.overlaps(grant, range)) continue;
+        const { revision } = vacating;
+        const name = `${server}/${revision}`;
+        const other = handovers.get(name);
+        handovers.set(name, {
+          server,
+          revision,
+          lastGrantMs: latest(endMs, other?.lastGrantMs)!,
+          lastUnansweredMs: latest(unansweredMs, other?.lastUnansweredMs),
+        });
       }
     }
     return {
@@ -295,6 +328,7 @@
       startedAtMs: vm.startedMs,
       lastGrantMs: last,
       lastUnansweredMs: unanswered,
+      handovers: this.#faults.reportsNoHandovers ? [] : [...handovers.values()],
     };
   }
 
@@ -344,7 +378,10 @@
     for (const range of map.ranges) {
       if (range.vacating !== undefined) continue;
       const { server, bornMs } = range.owner;
-      if (vm.sent.get(server)?.isInFlight) continue;
+      const isBusy = [...vm.sent.values()].some((it) =>
+        it.server === server && it.isInFlight
+      );
+      if (isBusy) continue;
       if ((vm.bornMs.get(server) ?? 1) !== bornMs) continue;
       const name = `${range.fromKey}/${range.fence}`;
       const renewedMs = vm.renewedMs.get(name) ?? -Infinity;
@@ -365,9 +402,17 @@
     const server = this.servers.find(({ owner }) =>
       owner.server === range.owner.server
     )!;
-    const state: SentGrant = vm.sent.get(range.owner.server) ??
-      { isInFlight: false, endMs: 0, unansweredMs: undefined };
-    vm.sent.set(range.owner.server, state);
+    const { fromKey, toKey, fence } = range;
+    const name = `${server.owner.server}/${fence}/${fromKey}-${toKey}`;
+    const state: SentGrant = vm.sent.get(name) ?? {
+      server: server.owner.server,
+      fromKey,
+      toKey,
+      isInFlight: false,
+      endMs: 0,
+      unansweredMs: undefined,
+    };
+    vm.sent.set(name, state);
     state.isInFlight = true;
     const isHidden = this.#faults.hidesServerLease && this.#isSparing() &&
       server === this.servers[0];
@@ -608,6 +653,7 @@
     isolateFirst: true,
   }],
   ["unanswered grants outlast a release", { forgetsUnanswered: true }],
+  ["voters report grants by handover", { reportsNoHandovers: true }],
   ["the map names a server's longer lease", { hidesServerLease: true }],
 ];
 
--- a/packages/decisions/src/grants/handover_controller.ts
+++ b/packages/decisions/src/grants/handover_controller.ts
@@ -17,7 +17,7 @@
   maxFormerLeaseMs,
   maxLeaseLifetimeMs,
 } from "./grant_timings.ts";
-import type { VoterReports } from "./voter_reports.ts";
+import { lastGrantEndOf, type VoterReports } from "./voter_reports.ts";
 import * as edit from "./range_edit.ts";
 import {
   type FailedRelease,
@@ -366,7 +366,8 @@
     range: contracts.RangeState,
     nowMs: number,
   ): boolean {
-    const { revision, server } = range.vacating!;
+    const oldOwner = range.vacating!;
+    const { revision, server } = oldOwner;
     const acknowledgedAtMs = this.#acknowledgedAtMs.get(revision);
     const release = this.#release(range.fence);
     const isInFlight = release.sentAtMs !== undefined;
@@ -383,9 +384,9 @@
     const hasAcknowledged = (vm: contracts.VmId) => {
       const report = this.#reports.reportOf(vm);
       if (report === undefined || report.revision < revision) return false;
-      const endMs = report.lastGrantMs.get(server) ?? Number.NEGATIVE_INFINITY;
       // The reported end of a grant in flight is the time of the report.
-      return endMs < report.receivedAtMs;
+      return lastGrantEndOf(report, "lastGrantMs", oldOwner) <
+        report.receivedAtMs;
     };
     const allAcknowledged = [...new Set(map.keeperSets.flat())].every(
       hasAcknowledged,
--- a/packages/decisions/src/grants/handover_wait.ts
+++ b/packages/decisions/src/grants/handover_wait.ts
@@ -6,7 +6,12 @@
 import type * as contracts from "@guavatide/contracts";
 import { leaseDurationMs } from "./lease_duration.ts";
 import { type GrantTimings, maxLeaseLifetimeMs } from "./grant_timings.ts";
-import type { VoterReport, VoterReports } from "./voter_reports.ts";
+import {
+  type GrantEndKind,
+  lastGrantEndOf,
+  type VoterReport,
+  type VoterReports,
+} from "./voter_reports.ts";
 
 /** A release that was sent after the quorum's acknowledgement and answered. */
 export interface AnsweredRelease {
@@ -115,13 +120,14 @@
 export function isReleaseVoid(facts: HandoverFacts): boolean {
   const { release, reports, range, map } = facts;
   if (release === undefined) return false;
-  const { server, revision } = range.vacating!;
+  const oldOwner = range.vacating!;
   return [...new Set(map.keeperSets.flat())].some((vm) => {
     const report = reports.reportOf(vm);
     // For an unresponsive voter, the expiry of its leases is awaited instead.
-    if (report === undefined || report.revision < revision) return false;
-    const endMs = report.lastGrantMs.get(server) ?? Number.NEGATIVE_INFINITY;
-    return endMs >= release.sentAtMs;
+    if (report === undefined || report.revision < oldOwner.revision) {
+      return false;
+    }
+    return lastGrantEndOf(report, "lastGrantMs", oldOwner) >= release.sentAtMs;
   });
 }
 
@@ -129,9 +135,10 @@
 function lastGrantEndMs(
   { map, range, reports, timings, setsAcknowledgedAtMs }: HandoverFacts,
   acknowledgedAtMs: number,
-  kind: "lastGrantMs" | "lastUnansweredMs",
+  kind: GrantEndKind,
 ): number {
-  const { server, revision } = range.vacating!;
+  const oldOwner = range.vacating!;
+  const { server, revision } = oldOwner;
   const { confirmationTtlMs, grantTimeoutMs } = timings;
   // An unresponsive voter may act on its confirmation until that expires, and
   // the bytes of its last call leave within the timeout of the call.
@@ -148,7 +155,7 @@
     // A restarted process does not know the grants it sent before its start.
     const sentMs = isCurrent
       ? Math.max(
-        lastSentMs(report, kind, { server, timings }),
+        lastSentMs(report, kind, { oldOwner, timings }),
         report.startedAtMs,
       )
       : sentWithinMs +
@@ -164,13 +171,13 @@
  */
 function lastSentMs(
   report: VoterReport,
-  kind: "lastGrantMs" | "lastUnansweredMs",
-  { server, timings }: {
-    readonly server: contracts.ServerId;
+  kind: GrantEndKind,
+  { oldOwner, timings }: {
+    readonly oldOwner: NonNullable<contracts.RangeState["vacating"]>;
     readonly timings: GrantTimings;
   },
 ): number {
-  const endMs = report[kind].get(server) ?? Number.NEGATIVE_INFINITY;
+  const endMs = lastGrantEndOf(report, kind, oldOwner);
   const isInFlight = endMs >= report.receivedAtMs;
   return isInFlight ? endMs + timings.grantTimeoutMs : endMs;
 }
--- a/packages/decisions/src/grants/handover_wait_test.ts
+++ b/packages/decisions/src/grants/handover_wait_test.ts
@@ -49,6 +49,7 @@
       reportedAtMs?: number;
       sentMs?: number;
       unansweredMs?: number;
+      handovers?: readonly grants.HandoverGrants[];
     } = {},
   ): void {
     const { sentMs, unansweredMs } = options;
@@ -63,6 +64,7 @@
       lastUnansweredMs: new Map(
         unansweredMs === undefined ? [] : [[A.server, unansweredMs]],
       ),
+      handovers: options.handovers,
     });
   }
 
@@ -213,3 +215,39 @@
   fixture.releaseAnsweredAtMs = 10_060;
   expect(reason()).toEqual("released");
 });
+
+/** Guards against a handover that each later one from its old owner prolongs. */
+test("should ignore grants of ranges that the old owner lost in another handover", () => {
+  const fixture = new Fixture();
+  const grantsOf = (revision: number, lastMs: number) => ({
+    server: A.server,
+    revision,
+    lastGrantMs: lastMs,
+    lastUnansweredMs: lastMs,
+  });
+  const later = grantsOf(5, 13_000);
+  fixture.releaseAnsweredAtMs = 10_070;
+  for (const vm of ["k1", "k2", "k3"]) {
+    fixture.report(vm, {
+      revision: 5,
+      reportedAtMs: 13_100,
+      sentMs: 13_000,
+      unansweredMs: 13_000,
+      handovers: vm === "k2" ? [later, grantsOf(2, 8_600)] : [later],
+    });
+  }
+  expect(grants.isReleaseVoid(fixture.facts())).toEqual(false);
+  expect(fixture.freeAtMs()).toEqual(8_600 + LEASE_LIFETIME_MS);
+});
+
+/** Guards against two holders while VMs of an earlier version vote. */
+test("should count grants by server of a voter that does not tell handovers apart", () => {
+  const fixture = new Fixture();
+  fixture.releaseAnsweredAtMs = 10_070;
+  for (const vm of ["k1", "k2"]) fixture.report(vm, { handovers: [] });
+  const endMs = 10_060;
+  const reportedAtMs = 10_100;
+  fixture.report("k3", { sentMs: endMs, unansweredMs: endMs, reportedAtMs });
+  expect(grants.isReleaseVoid(fixture.facts())).toEqual(true);
+  expect(fixture.freeAtMs()).toEqual(10_060 + LEASE_LIFETIME_MS);
+});
--- a/packages/decisions/src/grants/renewal_order.ts
+++ b/packages/decisions/src/grants/renewal_order.ts
@@ -23,11 +23,19 @@
   return first?.range;
 }
 
-/** Old owners of the ranges in handover. */
-export function releasingServers(
+/** Ranges in handover by their old owner. */
+export function rangesByOldOwner(
   ranges: readonly contracts.RangeState[],
-): Set<contracts.ServerId> {
-  return new Set(ranges.flatMap(({ vacating }) => vacating?.server ?? []));
+): Map<contracts.ServerId, contracts.RangeState[]> {
+  const leaving = new Map<contracts.ServerId, contracts.RangeState[]>();
+  for (const range of ranges) {
+    if (range.vacating === undefined) continue;
+    const { server } = range.vacating;
+    const found = leaving.get(server);
+    if (found === undefined) leaving.set(server, [range]);
+    else found.push(range);
+  }
+  return leaving;
 }
 
 /** Ranges by their owner, without the ranges in handover. */
--- a/packages/decisions/src/grants/voter_reports.ts
+++ b/packages/decisions/src/grants/voter_reports.ts
@@ -5,6 +5,18 @@
  */
 import type * as contracts from "@guavatide/contracts";
 
+/** Grant calls of one voter that concern the ranges of one handover. */
+export interface HandoverGrants {
+  /** Old owner of the ranges. */
+  readonly server: contracts.ServerId;
+  /** Revision that took the ranges from it. */
+  readonly revision: number;
+  /** Like {@link VoterReport.lastGrantMs}. */
+  readonly lastGrantMs: number;
+  /** Like {@link VoterReport.lastUnansweredMs}; undefined for none. */
+  readonly lastUnansweredMs: number | undefined;
+}
+
 /** A voter's reply to a status request, for the map of one service. */
 export interface VoterReport {
   readonly vm: contracts.VmId;
@@ -24,6 +36,31 @@
   readonly lastGrantMs: ReadonlyMap<contracts.ServerId, number>;
   /** The same for grant calls that were not answered. */
   readonly lastUnansweredMs: ReadonlyMap<contracts.ServerId, number>;
+  /**
+   * The same by handover, since a grant of one range keeps no lease on another
+   * in force. Undefined for a VM of a version that does not tell them apart.
+   */
+  readonly handovers?: readonly HandoverGrants[] | undefined;
+}
+
+/** Kinds of grant calls whose ends a report tells. */
+export type GrantEndKind = "lastGrantMs" | "lastUnansweredMs";
+
+/**
+ * Latest possible end of a voter's last grant call that concerns ranges in
+ * handover; negative infinity for none.
+ */
+export function lastGrantEndOf(
+  report: VoterReport,
+  kind: GrantEndKind,
+  { server, revision }: Pick<HandoverGrants, "server" | "revision">,
+): number {
+  const { handovers } = report;
+  const endMs = handovers === undefined
+    ? report[kind].get(server)
+    : handovers.find((it) => it.server === server && it.revision === revision)
+      ?.[kind];
+  return endMs ?? Number.NEGATIVE_INFINITY;
 }
 
 /** The latest reports of all voters of one service's map. */
--- a/packages/entry/src/gateway/grants/grant_sender.ts
+++ b/packages/entry/src/gateway/grants/grant_sender.ts
@@ -4,7 +4,7 @@
  * handover has to wait for every lease that may still be in force.
  */
 import type * as contracts from "@guavatide/contracts";
-import type * as grants from "@guavatide/decisions/grants/mod";
+import * as grants from "@guavatide/decisions/grants/mod";
 import { SystemRandom } from "../../utils/clock.ts";
 import type { Logger } from "../../utils/log.ts";
 
@@ -69,7 +69,7 @@
 const RETRY_MAX_MS = 320;
 
 /** Grants of one range. Times are those of the clock, in ms. */
-interface LastCall {
+interface LastCall extends contracts.KeyRange {
   readonly server: contracts.ServerId;
   isInFlight: boolean;
   endedAtMs: number;
@@ -96,6 +96,16 @@
   );
 }
 
+/** Ages in ms of the last grant and of the last unanswered one. */
+type GrantAges = [lastMs: number, unansweredMs: number | null];
+
+/** Old owner of ranges in handover, revision of its start, ages of grants. */
+export type HandoverGrantAges = [
+  server: string,
+  revision: number,
+  ...ages: GrantAges,
+];
+
 /** A grant that its owner has accepted. */
 interface AcceptedGrant {
   readonly sentAtMs: number;
@@ -190,9 +200,45 @@
    * other ranges keep no lease on them in force. Measured from the end of the
    * call, as a busy VM may send late.
    */
-  grantAgesMs(): Map<contracts.ServerId, [number, number | null]> {
+  grantAgesMs(): Map<contracts.ServerId, GrantAges> {
+    const ages = new Map<contracts.ServerId, GrantAges>();
+    for (const { server, ages: ofCall } of this.#formerCalls()) {
+      ages.set(server, youngest(ofCall, ages.get(server)));
+    }
+    return ages;
+  }
+
+  /**
+   * The same by handover: ages of the grants that overlap its ranges.
+   * `inHandover`: ranges in handover by their old owner.
+   */
+  handoverGrantAgesMs(
+    inHandover: ReadonlyMap<
+      contracts.ServerId,
+      readonly contracts.RangeState[]
+    >,
+  ): HandoverGrantAges[] {
+    const found = new Map<string, HandoverGrantAges>();
+    for (const { server, call, ages } of this.#formerCalls()) {
+      for (const range of inHandover.get(server) ?? []) {
+        if (!grants.overlaps(call, range)) continue;
+        const { revision } = range.vacating!;
+        const name = `${server}/${revision}`;
+        const [, , ...others] = found.get(name) ?? [];
+        const merged = youngest(ages, others.length === 0 ? undefined : others);
+        found.set(name, [server, revision, ...merged]);
+      }
+    }
+    return [...found.values()];
+  }
+
+  /** The last calls for ranges that are no longer granted. */
+  *#formerCalls(): Generator<{
+    readonly server: contracts.ServerId;
+    readonly call: contracts.KeyRange;
+    readonly ages: GrantAges;
+  }> {
     const nowMs = this.#options.clock.nowMs();
-    const ages = new Map<contracts.ServerId, [number, number | null]>();
     for (const [rangeKey, call] of this.#lastCalls) {
       if (this.#listed.has(rangeKey)) continue;
       const { server, isInFlight, endedAtMs, unansweredAtMs } = call;
@@ -204,14 +250,8 @@
         : unansweredAtMs === undefined
         ? null
         : Math.floor(nowMs - unansweredAtMs);
-      const [otherMs, otherUnansweredMs] = ages.get(server) ??
-        [Number.POSITIVE_INFINITY, null];
-      ages.set(server, [
-        Math.min(ageMs, otherMs),
-        smallest(unansweredAgeMs, otherUnansweredMs),
-      ]);
+      yield { server, call, ages: [ageMs, unansweredAgeMs] };
     }
-    return ages;
   }
 
   /**
@@ -328,8 +368,11 @@
     const rangeKey = rangeKeyOf(range);
     const found = this.#lastCalls.get(rangeKey);
     if (found !== undefined) return found;
+    const { fromKey, toKey, owner } = range;
     const created: LastCall = {
-      server: range.owner.server,
+      server: owner.server,
+      fromKey,
+      toKey,
       isInFlight: false,
       endedAtMs: Number.NEGATIVE_INFINITY,
       unansweredAtMs: undefined,
@@ -378,6 +421,16 @@
 
 const SYSTEM_RANDOM = new SystemRandom();
 
+function youngest(
+  [ageMs, unansweredAgeMs]: GrantAges,
+  [otherMs, otherUnansweredMs]: GrantAges = [Number.POSITIVE_INFINITY, null],
+): GrantAges {
+  return [
+    Math.min(ageMs, otherMs),
+    smallest(unansweredAgeMs, otherUnansweredMs),
+  ];
+}
+
 /** The smaller of two ages; null for none. */
 function smallest(a: number | null, b: number | null): number | null {
   if (a === null || b === null) return a ?? b;
--- a/packages/entry/src/gateway/grants/grant_sender_test.ts
+++ b/packages/entry/src/gateway/grants/grant_sender_test.ts
@@ -229,3 +229,37 @@
   doubt!("The next call failed");
   expect(sender.grantAgesMs().get(SERVER)).toEqual([0, 0]);
 });
+
+/** Guards against handovers that wait for leases on ranges of later ones. */
+test("should tell the ages of grants by handover", async () => {
+  let nowMs = 0;
+  const sender = createSender(
+    () => neverthrow.okAsync("granted" as const),
+    () => nowMs,
+  );
+  const [first, second, other] = [0, 100, 200].map((fromKey) => ({
+    fromKey,
+    toKey: fromKey + 99,
+    owner: { server: "next" as contracts.ServerId, bornMs: 1 },
+    fence: 9,
+  }));
+  const leavingAt = (range: typeof first, revision: number) => ({
+    ...range!,
+    vacating: { ...RANGE.owner, fence: 1, revision },
+  });
+  const wide = { ...RANGE, fromKey: 0, toKey: 150 };
+  const narrow = { ...RANGE, fromKey: 100, toKey: 150, fence: 2 };
+  await sender.send({ ...REQUEST, range: wide });
+  nowMs = 300;
+  await sender.send({ ...REQUEST, range: narrow });
+  sender.prune([], REQUEST.leaseMs);
+  nowMs = 400;
+  const ages = sender.handoverGrantAgesMs(
+    new Map([[SERVER, [
+      leavingAt(first, 4),
+      leavingAt(second, 7),
+      leavingAt(other, 8),
+    ]]]),
+  );
+  expect(ages).toEqual([[SERVER, 4, 400, null], [SERVER, 7, 100, null]]);
+});
--- a/packages/entry/src/gateway/grants/service_grants.ts
+++ b/packages/entry/src/gateway/grants/service_grants.ts
@@ -7,7 +7,7 @@
 import * as grants from "@guavatide/decisions/grants/mod";
 import type { KeyOwner } from "@guavatide/decisions/admission/mod";
 import type * as ownership from "@guavatide/decisions/ownership/mod";
-import { GrantSender } from "./grant_sender.ts";
+import { GrantSender, type HandoverGrantAges } from "./grant_sender.ts";
 import { MapPublisher } from "./map_publisher.ts";
 import { MovePlanner, type MovePlannerOptions } from "./move_planner.ts";
 import type {
@@ -117,8 +117,11 @@
   #map: contracts.RangeMap | undefined;
   /** Ranges of the map that are renewed, by owner. */
   #rangesByOwner = new Map<contracts.ServerId, contracts.RangeState[]>();
-  /** Old owners of ranges whose handover is not finished. */
-  #oldOwners: ReadonlySet<contracts.ServerId> = new Set();
+  /** Ranges in handover by their old owner. */
+  #inHandover: ReadonlyMap<
+    contracts.ServerId,
+    readonly contracts.RangeState[]
+  > = new Map();
   /**
    * Fences whose owners have not accepted their grant, as the leader reports.
    */
@@ -173,7 +176,7 @@
       onFencedOff: () => this.#handoverController.requireRead(),
       onCompleted: (server) => {
         // The leader waits until no grant to the old owner is in flight.
-        if (this.#oldOwners.has(server)) options.notifyVoters();
+        if (this.#inHandover.has(server)) options.notifyVoters();
       },
     });
   }
@@ -205,11 +208,16 @@
   get grantAgesMs(): Map<contracts.ServerId, [number, number | null]> {
     const ages = this.#sender.grantAgesMs();
     for (const server of ages.keys()) {
-      if (!this.#oldOwners.has(server)) ages.delete(server);
+      if (!this.#inHandover.has(server)) ages.delete(server);
     }
     return ages;
   }
 
+  /** Ages of this VM's last grants of ranges in handover. */
+  get handoverGrantAgesMs(): HandoverGrantAges[] {
+    return this.#sender.handoverGrantAgesMs(this.#inHandover);
+  }
+
   /** Servers that do not answer this VM's grants. */
   get unresponsiveServers(): contracts.ServerId[] {
     return this.#sender.unresponsiveServers();
@@ -291,6 +299,8 @@
       receivedAtMs,
       startedAtMs: receivedAtMs - status.lifeMs,
       ...grantTimes(Object.entries(status.grantAgesMs), receivedAtMs),
+      handovers: status.handoverGrantAgesMs &&
+        handoverGrants(status.handoverGrantAgesMs, receivedAtMs),
     });
     this.#lostServers.noteUnresponsive(status.vm, status.silentServers);
   }
@@ -346,6 +356,7 @@
       receivedAtMs: nowMs,
       startedAtMs: this.#startedAtMs,
       ...grantTimes(this.#sender.grantAgesMs(), nowMs),
+      handovers: handoverGrants(this.handoverGrantAgesMs, nowMs),
     });
   }
 
@@ -387,10 +398,10 @@
   }
 
   #adopt(map: contracts.RangeMap, from: string): void {
-    const oldOwners = grants.releasingServers(map.ranges);
-    const earlierOldOwners = this.#oldOwners;
+    const inHandover = grants.rangesByOldOwner(map.ranges);
+    const earlierInHandover = this.#inHandover;
     this.#map = map;
-    this.#oldOwners = oldOwners;
+    this.#inHandover = inHandover;
     this.#rangesByOwner = grants.rangesByOwner(map.ranges);
     this.#adoptedAtMs = this.#options.clock.nowMs();
     this.#publisher.noteMap(map);
@@ -399,7 +410,7 @@
       map.ranges,
       grants.longestLeaseMs(map, this.#options.timings),
     );
-    this.#logLastGrants(map.revision, oldOwners, earlierOldOwners);
+    this.#logLastGrants(map.revision, earlierInHandover);
     const fences = new Set(map.ranges.map(({ fence }) => fence));
     const owners = new Set<string>(map.ranges.map((it) => it.owner.server));
     for (const fence of this.#acceptedFences) {
@@ -425,13 +436,14 @@
   /** Grants that were sent to old owners may still arrive. */
   #logLastGrants(
     revision: number,
-    oldOwners: ReadonlySet<contracts.ServerId>,
-    earlierOldOwners: ReadonlySet<contracts.ServerId>,
+    earlierInHandover: ReadonlyMap<contracts.ServerId, unknown>,
   ): void {
     for (
       const [server, [ageMs, unansweredAgeMs]] of this.#sender.grantAgesMs()
     ) {
-      if (!oldOwners.has(server) || earlierOldOwners.has(server)) continue;
+      const isNew = this.#inHandover.has(server) &&
+        !earlierInHandover.has(server);
+      if (!isNew) continue;
       this.#options.log.info("Stopped renewing a server's grants.", {
         server,
         revision,
@@ -973,3 +985,18 @@
   }
   return { lastGrantMs, lastUnansweredMs };
 }
+
+/** The same for ages by handover. */
+function handoverGrants(
+  ages: readonly HandoverGrantAges[],
+  nowMs: number,
+): grants.HandoverGrants[] {
+  return ages.map(([server, revision, ageMs, unansweredAgeMs]) => ({
+    server: server as contracts.ServerId,
+    revision,
+    lastGrantMs: nowMs - ageMs,
+    lastUnansweredMs: unansweredAgeMs === null
+      ? undefined
+      : nowMs - unansweredAgeMs,
+  }));
+}
--- a/packages/entry/src/gateway/peers/peer_messages.ts
+++ b/packages/entry/src/gateway/peers/peer_messages.ts
@@ -141,17 +141,26 @@
 /** Type guard of {@link VoterStatus}, which is as frequent. */
 export function isVoterStatus(params: unknown): params is VoterStatus {
   if (!hasCommonFields(params)) return false;
-  const { echo, lifeMs, grantAgesMs, silentServers } = params as Partial<
-    VoterStatus
-  >;
+  const { echo, lifeMs, grantAgesMs, handoverGrantAgesMs, silentServers } =
+    params as Partial<VoterStatus>;
   const isEcho = echo === null || Array.isArray(echo) &&
       typeof echo[0] === "string" && Number.isInteger(echo[1]);
   return isEcho && Number.isFinite(lifeMs) && areStrings(silentServers) &&
-    isRecord(grantAgesMs) &&
-    Object.values(grantAgesMs).every((ages) =>
-      Array.isArray(ages) && Number.isFinite(ages[0]) &&
-      (ages[1] === null || Number.isFinite(ages[1]))
-    );
+    isRecord(grantAgesMs) && Object.values(grantAgesMs).every(areAges) &&
+    (handoverGrantAgesMs === undefined ||
+      Array.isArray(handoverGrantAgesMs) &&
+        handoverGrantAgesMs.every(areHandoverAges));
+}
+
+/** Whether a value has the ages of a last grant and a last unanswered one. */
+function areAges(value: unknown): boolean {
+  return Array.isArray(value) && Number.isFinite(value[0]) &&
+    (value[1] === null || Number.isFinite(value[1]));
+}
+
+function areHandoverAges(value: unknown): boolean {
+  return Array.isArray(value) && typeof value[0] === "string" &&
+    Number.isInteger(value[1]) && areAges(value.slice(2));
 }
 
 /** Whether a value has the fields that hellos and voter statuses share. */
@@ -203,6 +212,14 @@
     z.string(),
     z.tuple([z.number(), z.number().nullable()]),
   ),
+  /**
+   * The same by handover, of grants that concern its ranges: old owner, revision
+   * that took the ranges from it, the two ages. Absent in messages of versions
+   * that do not tell handovers apart.
+   */
+  handoverGrantAgesMs: z.array(
+    z.tuple([z.string(), z.number().int(), z.number(), z.number().nullable()]),
+  ).optional(),
   /** Servers that do not answer this VM's grants. */
   silentServers: z.array(z.string()),
 });
--- a/packages/entry/src/gateway/peers/peer_messages_test.ts
+++ b/packages/entry/src/gateway/peers/peer_messages_test.ts
@@ -33,6 +33,7 @@
   echo: ["r2", 9],
   lifeMs: 12.5,
   grantAgesMs: { a: [0, null], b: [10, 5.5] },
+  handoverGrantAgesMs: [["a", 3, 0, null], ["b", 4, 10, 5.5]],
   silentServers: ["a"],
 };
 
@@ -131,3 +132,14 @@
   const wrong = { ...STATUS, linkMbps: "7" };
   expect(messages.isPeerStatus(wrong)).toEqual(false);
 });
+
+/** VMs of a version that does not tell handovers apart must be understood. */
+test("should accept voter statuses with and without ages by handover", () => {
+  const { handoverGrantAgesMs: _, ...without } = VOTER_STATUS;
+  expect(messages.isVoterStatus(without)).toEqual(true);
+  expect(messages.voterStatusSchema.safeParse(without).success).toEqual(true);
+  for (const wrong of [["a", 3, 0], ["a", 0.5, 0, null], [7, 3, 0, null]]) {
+    const status = { ...VOTER_STATUS, handoverGrantAgesMs: [wrong] };
+    expect(messages.isVoterStatus(status)).toEqual(false);
+  }
+});
