fix(grants): grant long leases only to servers that need them

Cause: a map allows the longer leases of a server that named a limit or asked for a back-off until it names the server no more, and voters granted them all that time.

Change: the map's duration is the longest that may be granted. A voter that knows of no limit or back-off of the server grants the usual lease. Voters report by handover when the leases that they granted end, of all grants and of unanswered ones, and the leader waits for these times. For voters that are not heard, that have started again or that report by owner only, the longest duration counts as before. The expected wait that callers are told is the lease that this VM would grant.

Measured: the new test of renewals fails with the former duration and passes.

--- a/packages/decisions/src/grants/grant_model_test.ts
+++ b/packages/decisions/src/grants/grant_model_test.ts
@@ -95,6 +95,11 @@
   isInFlight: boolean;
   endMs: number;
   unansweredMs: number | undefined;
+  /** Longest lifetime of the lease of the last call, from its end on. */
+  lifetimeMs: number;
+  /** When the leases of calls that have ended expire at the latest. */
+  leaseEndMs: number;
+  unansweredLeaseEndMs: number | undefined;
 }
 
 /** The later of two times; undefined for none. */
@@ -304,6 +309,12 @@
       if (unansweredEndMs !== undefined) {
         unanswered.set(server, unansweredEndMs);
       }
+      const inFlightLeaseEndMs = grant.isInFlight
+        ? this.nowMs + TIMINGS.grantTimeoutMs + grant.lifetimeMs
+        : undefined;
+      const unansweredLeaseEndMs = this.#faults.forgetsUnanswered
+        ? undefined
+        : latest(inFlightLeaseEndMs, grant.unansweredLeaseEndMs);
       for (const range of vm.map?.ranges ?? []) {
         const { vacating } = range;
         if (vacating?.server !== server) continue;
@@ -315,7 +326,14 @@
           server,
           revision,
           lastGrantMs: latest(endMs, other?.lastGrantMs)!,
-          lastUnansweredMs: latest(unansweredMs, other?.lastUnansweredMs),
+          leaseEndMs: latest(
+            latest(grant.leaseEndMs, inFlightLeaseEndMs),
+            other?.leaseEndMs,
+          ),
+          unansweredLeaseEndMs: latest(
+            unansweredLeaseEndMs,
+            other?.unansweredLeaseEndMs,
+          ),
         });
       }
     }
@@ -411,18 +429,31 @@
       isInFlight: false,
       endMs: 0,
       unansweredMs: undefined,
+      lifetimeMs: 0,
+      leaseEndMs: Number.NEGATIVE_INFINITY,
+      unansweredLeaseEndMs: undefined,
     };
     vm.sent.set(name, state);
     state.isInFlight = true;
     const isHidden = this.#faults.hidesServerLease && this.#isSparing() &&
       server === this.servers[0];
-    const holdMs = isHidden
-      ? SPARING_LEASE_MS
-      : grants.leaseDurationMs(vm.map, TIMINGS, server.owner.server);
+    // A VM that knows of no limit grants leases of the usual duration.
+    const longestMs = this.#chance(0.5)
+      ? grants.leaseDurationMs(vm.map, TIMINGS, server.owner.server)
+      : grants.leaseDurationMs(vm.map, TIMINGS);
+    const holdMs = isHidden ? SPARING_LEASE_MS : longestMs;
+    state.lifetimeMs = grants.maxLeaseLifetimeMs(TIMINGS, longestMs);
     const end = (isAnswered: boolean) => {
       state.isInFlight = false;
       state.endMs = this.nowMs;
-      if (!isAnswered) state.unansweredMs = this.nowMs;
+      const leaseEndMs = this.nowMs + state.lifetimeMs;
+      state.leaseEndMs = Math.max(state.leaseEndMs, leaseEndMs);
+      if (isAnswered) return;
+      state.unansweredMs = this.nowMs;
+      state.unansweredLeaseEndMs = latest(
+        leaseEndMs,
+        state.unansweredLeaseEndMs,
+      );
     };
     const transitMs = this.#between(1, 120);
     const waitMs = this.#chance(0.3)
--- a/packages/decisions/src/grants/handover_controller.ts
+++ b/packages/decisions/src/grants/handover_controller.ts
@@ -385,8 +385,7 @@
       const report = this.#reports.reportOf(vm);
       if (report === undefined || report.revision < revision) return false;
       // The reported end of a grant in flight is the time of the report.
-      return lastGrantEndOf(report, "lastGrantMs", oldOwner) <
-        report.receivedAtMs;
+      return lastGrantEndOf(report, oldOwner) < report.receivedAtMs;
     };
     const allAcknowledged = [...new Set(map.keeperSets.flat())].every(
       hasAcknowledged,
--- a/packages/decisions/src/grants/handover_wait.ts
+++ b/packages/decisions/src/grants/handover_wait.ts
@@ -7,7 +7,7 @@
 import { leaseDurationMs } from "./lease_duration.ts";
 import { type GrantTimings, maxLeaseLifetimeMs } from "./grant_timings.ts";
 import {
-  type GrantEndKind,
+  grantsOfHandover,
   lastGrantEndOf,
   type VoterReport,
   type VoterReports,
@@ -69,7 +69,7 @@
     return { atMs: Number.NEGATIVE_INFINITY, reason: "same-server" };
   }
   if (acknowledgedAtMs === undefined) return undefined;
-  const expiredMs = lastGrantEndMs(facts, acknowledgedAtMs, "lastGrantMs");
+  const expiredMs = lastLeaseEndMs(facts, acknowledgedAtMs, "any");
   const expired = { atMs: expiredMs, reason: "expired" } as const;
   if (release === undefined || isReleaseVoid(facts)) return expired;
   // A release revokes a grant that was answered before it; an unanswered grant
@@ -110,7 +110,7 @@
   const { acknowledgedAtMs } = facts;
   return acknowledgedAtMs === undefined
     ? undefined
-    : lastGrantEndMs(facts, acknowledgedAtMs, "lastUnansweredMs");
+    : lastLeaseEndMs(facts, acknowledgedAtMs, "unanswered");
 }
 
 /**
@@ -127,19 +127,23 @@
     if (report === undefined || report.revision < oldOwner.revision) {
       return false;
     }
-    return lastGrantEndOf(report, "lastGrantMs", oldOwner) >= release.sentAtMs;
+    return lastGrantEndOf(report, oldOwner) >= release.sentAtMs;
   });
 }
 
+/** Which leases count: all that were granted, or those without an answer. */
+type LeaseKind = "any" | "unanswered";
+
 /** When the last lease that any voter granted to the old owner expires. */
-function lastGrantEndMs(
+function lastLeaseEndMs(
   { map, range, reports, timings, setsAcknowledgedAtMs }: HandoverFacts,
   acknowledgedAtMs: number,
-  kind: GrantEndKind,
+  kind: LeaseKind,
 ): number {
   const oldOwner = range.vacating!;
-  const { server, revision } = oldOwner;
   const { confirmationTtlMs, grantTimeoutMs } = timings;
+  const leaseMs = leaseDurationMs(map, timings, oldOwner.server);
+  const longestLifetimeMs = maxLeaseLifetimeMs(timings, leaseMs);
   // An unresponsive voter may act on its confirmation until that expires, and
   // the bytes of its last call leave within the timeout of the call.
   const sentWithinMs = confirmationTtlMs + grantTimeoutMs;
@@ -151,33 +155,45 @@
   let lastMs = Number.NEGATIVE_INFINITY;
   for (const vm of new Set(map.keeperSets.flat())) {
     const report = reports.reportOf(vm);
-    const isCurrent = report !== undefined && report.revision >= revision;
+    const isCurrent = report !== undefined &&
+      report.revision >= oldOwner.revision;
     // A restarted process does not know the grants it sent before its start.
-    const sentMs = isCurrent
+    const endMs = isCurrent
       ? Math.max(
-        lastSentMs(report, kind, { oldOwner, timings }),
-        report.startedAtMs,
+        reportedLeaseEndMs(report, kind, {
+          oldOwner,
+          longestLifetimeMs,
+          grantTimeoutMs,
+        }),
+        report.startedAtMs + longestLifetimeMs,
       )
-      : sentWithinMs +
+      : sentWithinMs + longestLifetimeMs +
         (voters.includes(vm) ? acknowledgedAtMs : formerAcknowledgedAtMs);
-    lastMs = Math.max(lastMs, sentMs);
+    lastMs = Math.max(lastMs, endMs);
   }
-  const leaseMs = leaseDurationMs(map, timings, server);
-  return lastMs + maxLeaseLifetimeMs(timings, leaseMs);
+  return lastMs;
 }
 
-/**
- * Latest send time; a call in flight at the report may last for its timeout.
- */
-function lastSentMs(
+/** When the last lease expires that a voter granted in its present run. */
+function reportedLeaseEndMs(
   report: VoterReport,
-  kind: GrantEndKind,
-  { oldOwner, timings }: {
+  kind: LeaseKind,
+  { oldOwner, longestLifetimeMs, grantTimeoutMs }: {
     readonly oldOwner: NonNullable<contracts.RangeState["vacating"]>;
-    readonly timings: GrantTimings;
+    readonly longestLifetimeMs: number;
+    readonly grantTimeoutMs: number;
   },
 ): number {
-  const endMs = lastGrantEndOf(report, kind, oldOwner);
+  if (report.handovers !== undefined) {
+    const found = grantsOfHandover(report, oldOwner);
+    const leaseEndMs = kind === "any"
+      ? found?.leaseEndMs
+      : found?.unansweredLeaseEndMs;
+    return leaseEndMs ?? Number.NEGATIVE_INFINITY;
+  }
+  const ends = kind === "any" ? report.lastGrantMs : report.lastUnansweredMs;
+  const endMs = ends.get(oldOwner.server) ?? Number.NEGATIVE_INFINITY;
+  // A call in flight at the report may last for its timeout.
   const isInFlight = endMs >= report.receivedAtMs;
-  return isInFlight ? endMs + timings.grantTimeoutMs : endMs;
+  return longestLifetimeMs + (isInFlight ? endMs + grantTimeoutMs : endMs);
 }
--- a/packages/decisions/src/grants/handover_wait_test.ts
+++ b/packages/decisions/src/grants/handover_wait_test.ts
@@ -223,7 +223,8 @@
     server: A.server,
     revision,
     lastGrantMs: lastMs,
-    lastUnansweredMs: lastMs,
+    leaseEndMs: lastMs + LEASE_LIFETIME_MS,
+    unansweredLeaseEndMs: lastMs + LEASE_LIFETIME_MS,
   });
   const later = grantsOf(5, 13_000);
   fixture.releaseAnsweredAtMs = 10_070;
--- a/packages/decisions/src/grants/voter_reports.ts
+++ b/packages/decisions/src/grants/voter_reports.ts
@@ -13,8 +13,10 @@
   readonly revision: number;
   /** Like {@link VoterReport.lastGrantMs}. */
   readonly lastGrantMs: number;
-  /** Like {@link VoterReport.lastUnansweredMs}; undefined for none. */
-  readonly lastUnansweredMs: number | undefined;
+  /** When the last lease that the voter granted expires at the latest. */
+  readonly leaseEndMs: number;
+  /** The same for grant calls that were not answered; undefined for none. */
+  readonly unansweredLeaseEndMs: number | undefined;
 }
 
 /** A voter's reply to a status request, for the map of one service. */
@@ -38,28 +40,37 @@
   readonly lastUnansweredMs: ReadonlyMap<contracts.ServerId, number>;
   /**
    * The same by handover, since a grant of one range keeps no lease on another
-   * in force. Undefined for a VM of a version that does not tell them apart.
+   * in force, and with the leases that were granted, which may be shorter than
+   * the longest that the map allows. Undefined for a VM of a version that does
+   * not tell handovers apart.
    */
   readonly handovers?: readonly HandoverGrants[] | undefined;
 }
 
-/** Kinds of grant calls whose ends a report tells. */
-export type GrantEndKind = "lastGrantMs" | "lastUnansweredMs";
+/** Identifies the ranges that one revision took from a server. */
+type HandoverName = Pick<HandoverGrants, "server" | "revision">;
+
+/** A voter's grants of the ranges of one handover; undefined for none. */
+export function grantsOfHandover(
+  { handovers }: VoterReport,
+  { server, revision }: HandoverName,
+): HandoverGrants | undefined {
+  return handovers?.find((it) =>
+    it.server === server && it.revision === revision
+  );
+}
 
 /**
- * Latest possible end of a voter's last grant call that concerns ranges in
- * handover; negative infinity for none.
+ * Latest possible end of a voter's last grant call that concerns the ranges of
+ * one handover; negative infinity for none.
  */
 export function lastGrantEndOf(
   report: VoterReport,
-  kind: GrantEndKind,
-  { server, revision }: Pick<HandoverGrants, "server" | "revision">,
+  handover: HandoverName,
 ): number {
-  const { handovers } = report;
-  const endMs = handovers === undefined
-    ? report[kind].get(server)
-    : handovers.find((it) => it.server === server && it.revision === revision)
-      ?.[kind];
+  const endMs = report.handovers === undefined
+    ? report.lastGrantMs.get(handover.server)
+    : grantsOfHandover(report, handover)?.lastGrantMs;
   return endMs ?? Number.NEGATIVE_INFINITY;
 }
 
--- a/packages/entry/src/gateway/grants/grant_sender.ts
+++ b/packages/entry/src/gateway/grants/grant_sender.ts
@@ -74,10 +74,17 @@
   isInFlight: boolean;
   endedAtMs: number;
   unansweredAtMs: number | undefined;
+  /** Longest lifetime of the lease of the call in flight, from its end on. */
+  leaseLifetimeMs: number;
+  /** When the leases of calls that have ended expire at the latest. */
+  leaseEndMs: number;
+  /** The same of calls without an answer. */
+  unansweredLeaseEndMs: number | undefined;
 }
 
 /** How a grant ended. */
 interface AnswerState {
+  readonly leaseLifetimeMs: number;
   /** Undefined while it is in flight. */
   endedAtMs: number | undefined;
   /** Whether it may have no answer of its own; may become known after its end. */
@@ -87,23 +94,32 @@
 /** Records a grant that has ended without an answer of its own. */
 function noteIfUnanswered(
   call: LastCall,
-  { endedAtMs, isDoubted }: AnswerState,
+  { endedAtMs, isDoubted, leaseLifetimeMs }: AnswerState,
 ): void {
   if (!isDoubted || endedAtMs === undefined) return;
   call.unansweredAtMs = Math.max(
     call.unansweredAtMs ?? Number.NEGATIVE_INFINITY,
     endedAtMs,
   );
+  call.unansweredLeaseEndMs = Math.max(
+    call.unansweredLeaseEndMs ?? Number.NEGATIVE_INFINITY,
+    endedAtMs + leaseLifetimeMs,
+  );
 }
 
 /** Ages in ms of the last grant and of the last unanswered one. */
 type GrantAges = [lastMs: number, unansweredMs: number | null];
 
-/** Old owner of ranges in handover, revision of its start, ages of grants. */
-export type HandoverGrantAges = [
+/**
+ * Grants of the ranges of one handover: old owner, revision of its start, age of
+ * the last one in ms, remaining time of the leases and of the unanswered ones.
+ */
+export type HandoverGrantTimes = [
   server: string,
   revision: number,
-  ...ages: GrantAges,
+  lastMs: number,
+  leaseLeftMs: number,
+  unansweredLeaseLeftMs: number | null,
 ];
 
 /** A grant that its owner has accepted. */
@@ -209,33 +225,61 @@
   }
 
   /**
-   * The same by handover: ages of the grants that overlap its ranges.
-   * `inHandover`: ranges in handover by their old owner.
+   * The grants that overlap the ranges of each handover. `inHandover`: ranges in
+   * handover by their old owner.
    */
-  handoverGrantAgesMs(
+  handoverGrantTimesMs(
     inHandover: ReadonlyMap<
       contracts.ServerId,
       readonly contracts.RangeState[]
     >,
-  ): HandoverGrantAges[] {
-    const found = new Map<string, HandoverGrantAges>();
-    for (const { server, call, ages } of this.#formerCalls()) {
+  ): HandoverGrantTimes[] {
+    const found = new Map<string, HandoverGrantTimes>();
+    for (const { server, call, ages: [ageMs] } of this.#formerCalls()) {
+      const [leftMs, unansweredLeftMs] = this.#leasesLeftMs(call);
       for (const range of inHandover.get(server) ?? []) {
         if (!grants.overlaps(call, range)) continue;
         const { revision } = range.vacating!;
         const name = `${server}/${revision}`;
-        const [, , ...others] = found.get(name) ?? [];
-        const merged = youngest(ages, others.length === 0 ? undefined : others);
-        found.set(name, [server, revision, ...merged]);
+        const [, , otherMs, otherLeftMs, otherUnansweredLeftMs] =
+          found.get(name) ?? [server, revision, ageMs, leftMs, null];
+        found.set(name, [
+          server,
+          revision,
+          Math.min(ageMs, otherMs),
+          Math.max(leftMs, otherLeftMs),
+          pick(Math.max, unansweredLeftMs, otherUnansweredLeftMs),
+        ]);
       }
     }
     return [...found.values()];
   }
 
+  /** Remaining time of a call's leases, and of the unanswered ones. */
+  #leasesLeftMs(call: LastCall): [number, number | null] {
+    const { clock, timings } = this.#options;
+    const nowMs = clock.nowMs();
+    const { isInFlight, leaseEndMs, unansweredLeaseEndMs } = call;
+    // A call in flight may last for its timeout.
+    const inFlightMs = isInFlight
+      ? timings.grantTimeoutMs + call.leaseLifetimeMs
+      : null;
+    const endedMs = leaseEndMs === Number.NEGATIVE_INFINITY
+      ? null
+      : Math.ceil(leaseEndMs - nowMs);
+    const unansweredMs = unansweredLeaseEndMs === undefined
+      ? null
+      : Math.ceil(unansweredLeaseEndMs - nowMs);
+    return [
+      pick(Math.max, inFlightMs, endedMs)!,
+      pick(Math.max, inFlightMs, unansweredMs),
+    ];
+  }
+
   /** The last calls for ranges that are no longer granted. */
   *#formerCalls(): Generator<{
     readonly server: contracts.ServerId;
-    readonly call: contracts.KeyRange;
+    readonly call: LastCall;
     readonly ages: GrantAges;
   }> {
     const nowMs = this.#options.clock.nowMs();
@@ -269,10 +313,16 @@
     const call = this.#lastCall(range);
     state.isInFlight = true;
     call.isInFlight = true;
+    const leaseLifetimeMs = grants.maxLeaseLifetimeMs(timings, leaseMs);
+    call.leaseLifetimeMs = leaseLifetimeMs;
     state.unansweredSinceMs ??= sentAtMs;
     const { fromKey, toKey, fence } = range;
     const fields = { server: server.server, fromKey, toKey, fence };
-    const answer: AnswerState = { endedAtMs: undefined, isDoubted: false };
+    const answer: AnswerState = {
+      endedAtMs: undefined,
+      isDoubted: false,
+      leaseLifetimeMs,
+    };
     let wasSent = false;
     const maySend = () => {
       wasSent = isStillAllowed();
@@ -307,7 +357,13 @@
     noteIfUnanswered(call, answer);
     this.#scheduleRetry(state, result.isOk() && result.value === "granted");
     // Without a connection nothing was sent that could still take effect.
-    if (wasSent || result.isOk()) call.endedAtMs = state.lastEndedAtMs;
+    if (wasSent || result.isOk()) {
+      call.endedAtMs = state.lastEndedAtMs;
+      call.leaseEndMs = Math.max(
+        call.leaseEndMs,
+        call.endedAtMs + leaseLifetimeMs,
+      );
+    }
     this.#options.onCompleted(server.server);
     if (result.isErr()) {
       log.warn("Grant not answered.", {
@@ -376,6 +432,9 @@
       isInFlight: false,
       endedAtMs: Number.NEGATIVE_INFINITY,
       unansweredAtMs: undefined,
+      leaseLifetimeMs: 0,
+      leaseEndMs: Number.NEGATIVE_INFINITY,
+      unansweredLeaseEndMs: undefined,
     };
     this.#lastCalls.set(rangeKey, created);
     return created;
@@ -427,14 +486,18 @@
 ): GrantAges {
   return [
     Math.min(ageMs, otherMs),
-    smallest(unansweredAgeMs, otherUnansweredMs),
+    pick(Math.min, unansweredAgeMs, otherUnansweredMs),
   ];
 }
 
-/** The smaller of two ages; null for none. */
-function smallest(a: number | null, b: number | null): number | null {
+/** One of two times; null for none. */
+function pick(
+  choose: (a: number, b: number) => number,
+  a: number | null,
+  b: number | null,
+): number | null {
   if (a === null || b === null) return a ?? b;
-  return Math.min(a, b);
+  return choose(a, b);
 }
 
 /** Cache of range keys, which are needed at every tick. */
--- a/packages/entry/src/gateway/grants/grant_sender_test.ts
+++ b/packages/entry/src/gateway/grants/grant_sender_test.ts
@@ -231,7 +231,7 @@
 });
 
 /** Guards against handovers that wait for leases on ranges of later ones. */
-test("should tell the ages of grants by handover", async () => {
+test("should tell the grants and leases of each handover", async () => {
   let nowMs = 0;
   const sender = createSender(
     () => neverthrow.okAsync("granted" as const),
@@ -249,17 +249,28 @@
   });
   const wide = { ...RANGE, fromKey: 0, toKey: 150 };
   const narrow = { ...RANGE, fromKey: 100, toKey: 150, fence: 2 };
+  const longLeaseMs = 6_000;
+  await sender.send({ ...REQUEST, range: wide, leaseMs: longLeaseMs });
+  nowMs = 200;
   await sender.send({ ...REQUEST, range: wide });
   nowMs = 300;
   await sender.send({ ...REQUEST, range: narrow });
   sender.prune([], REQUEST.leaseMs);
   nowMs = 400;
-  const ages = sender.handoverGrantAgesMs(
+  const times = sender.handoverGrantTimesMs(
     new Map([[SERVER, [
       leavingAt(first, 4),
       leavingAt(second, 7),
       leavingAt(other, 8),
     ]]]),
   );
-  expect(ages).toEqual([[SERVER, 4, 400, null], [SERVER, 7, 100, null]]);
+  // The longest lease counts, not the last one.
+  const leftMs = Math.ceil(
+    grants.maxLeaseLifetimeMs(grants.DEFAULT_GRANT_TIMINGS, longLeaseMs) -
+      nowMs,
+  );
+  expect(times).toEqual([
+    [SERVER, 4, 200, leftMs, null],
+    [SERVER, 7, 100, leftMs, null],
+  ]);
 });
--- a/packages/entry/src/gateway/grants/grant_task.ts
+++ b/packages/entry/src/gateway/grants/grant_task.ts
@@ -15,7 +15,7 @@
 import * as messages from "../peers/peer_messages.ts";
 import type { RangeMapStore } from "./range_map_store.ts";
 import type { ServerBackoffTask } from "../backoffs/server_backoff_task.ts";
-import type { HandoverGrantAges } from "./grant_sender.ts";
+import type { HandoverGrantTimes } from "./grant_sender.ts";
 import {
   type GrantPeer,
   ServiceGrants,
@@ -209,19 +209,19 @@
   /** This VM's grants, as reported to the other voters. */
   ownVoterState(): Pick<
     messages.VoterStatus,
-    "grantAgesMs" | "handoverGrantAgesMs" | "silentServers"
+    "grantAgesMs" | "handoverGrantTimesMs" | "silentServers"
   > {
     const grantAgesMs: messages.VoterStatus["grantAgesMs"] = {};
-    const handoverGrantAgesMs: HandoverGrantAges[] = [];
+    const handoverGrantTimesMs: HandoverGrantTimes[] = [];
     const silentServers: string[] = [];
     for (const service of this.#services.values()) {
       for (const [server, ages] of service.grantAgesMs) {
         grantAgesMs[server] = ages;
       }
-      handoverGrantAgesMs.push(...service.handoverGrantAgesMs);
+      handoverGrantTimesMs.push(...service.handoverGrantTimesMs);
       silentServers.push(...service.unresponsiveServers);
     }
-    return { grantAgesMs, handoverGrantAgesMs, silentServers };
+    return { grantAgesMs, handoverGrantTimesMs, silentServers };
   }
 
   /** The range map of each service, for metrics. */
--- a/packages/entry/src/gateway/grants/service_grants.ts
+++ b/packages/entry/src/gateway/grants/service_grants.ts
@@ -7,7 +7,7 @@
 import * as grants from "@guavatide/decisions/grants/mod";
 import type { KeyOwner } from "@guavatide/decisions/admission/mod";
 import type * as ownership from "@guavatide/decisions/ownership/mod";
-import { GrantSender, type HandoverGrantAges } from "./grant_sender.ts";
+import { GrantSender, type HandoverGrantTimes } from "./grant_sender.ts";
 import { MapPublisher } from "./map_publisher.ts";
 import { MovePlanner, type MovePlannerOptions } from "./move_planner.ts";
 import type {
@@ -213,9 +213,9 @@
     return ages;
   }
 
-  /** Ages of this VM's last grants of ranges in handover. */
-  get handoverGrantAgesMs(): HandoverGrantAges[] {
-    return this.#sender.handoverGrantAgesMs(this.#inHandover);
+  /** This VM's last grants of ranges in handover. */
+  get handoverGrantTimesMs(): HandoverGrantTimes[] {
+    return this.#sender.handoverGrantTimesMs(this.#inHandover);
   }
 
   /** Servers that do not answer this VM's grants. */
@@ -256,7 +256,7 @@
     const range = ranges[grants.rangeIndex(ranges, key)]!;
     if (range.vacating !== undefined || this.#isPending(range)) {
       const ageMs = this.#handoverAges.ageMs(range, nowMs);
-      const holdMs = this.#leaseMs(range.vacating?.server);
+      const holdMs = this.#grantedLeaseMs(range.vacating?.server);
       // Only the store makes a server the owner; a grant needs no store.
       const isBlocked = range.vacating !== undefined &&
         !this.#options.peers().some(({ hasStore }) => hasStore);
@@ -299,8 +299,8 @@
       receivedAtMs,
       startedAtMs: receivedAtMs - status.lifeMs,
       ...grantTimes(Object.entries(status.grantAgesMs), receivedAtMs),
-      handovers: status.handoverGrantAgesMs &&
-        handoverGrants(status.handoverGrantAgesMs, receivedAtMs),
+      handovers: status.handoverGrantTimesMs &&
+        handoverGrants(status.handoverGrantTimesMs, receivedAtMs),
     });
     this.#lostServers.noteUnresponsive(status.vm, status.silentServers);
   }
@@ -356,7 +356,7 @@
       receivedAtMs: nowMs,
       startedAtMs: this.#startedAtMs,
       ...grantTimes(this.#sender.grantAgesMs(), nowMs),
-      handovers: handoverGrants(this.handoverGrantAgesMs, nowMs),
+      handovers: handoverGrants(this.handoverGrantTimesMs, nowMs),
     });
   }
 
@@ -455,11 +455,21 @@
 
   // Renewals
 
-  /** Lease duration of grants; with a server, of those to it. */
+  /** Longest lease duration of grants; with a server, of those to it. */
   #leaseMs(server?: contracts.ServerId): number {
     return grants.leaseDurationMs(this.#map, this.#options.timings, server);
   }
 
+  /**
+   * Lease duration of this VM's grants to a server. The map allows long leases
+   * for as long as it names the server, which may need none any more: its keys
+   * would be without an owner for the rest of a long lease when it is lost.
+   */
+  #grantedLeaseMs(server?: contracts.ServerId): number {
+    const sparingLeaseMs = server && this.#sparingLeaseMs(server);
+    return sparingLeaseMs ?? this.#leaseMs();
+  }
+
   /**
    * Interval at which a VM renews a server's grants, by its rank; undefined for
    * a rank that renews none.
@@ -510,7 +520,7 @@
       const request = {
         range,
         handover,
-        leaseMs: this.#leaseMs(range.owner.server),
+        leaseMs: this.#grantedLeaseMs(range.owner.server),
         isStillAllowed,
       };
       this.#grantedAtMs.set(range.owner.server, nowMs);
@@ -986,17 +996,18 @@
   return { lastGrantMs, lastUnansweredMs };
 }
 
-/** The same for ages by handover. */
+/** The same for times by handover. */
 function handoverGrants(
-  ages: readonly HandoverGrantAges[],
+  times: readonly HandoverGrantTimes[],
   nowMs: number,
 ): grants.HandoverGrants[] {
-  return ages.map(([server, revision, ageMs, unansweredAgeMs]) => ({
+  return times.map(([server, revision, ageMs, leftMs, unansweredLeftMs]) => ({
     server: server as contracts.ServerId,
     revision,
     lastGrantMs: nowMs - ageMs,
-    lastUnansweredMs: unansweredAgeMs === null
+    leaseEndMs: nowMs + leftMs,
+    unansweredLeaseEndMs: unansweredLeftMs === null
       ? undefined
-      : nowMs - unansweredAgeMs,
+      : nowMs + unansweredLeftMs,
   }));
 }
--- a/packages/entry/src/gateway/grants/service_grants_test.ts
+++ b/packages/entry/src/gateway/grants/service_grants_test.ts
@@ -223,6 +223,10 @@
         pendingFences: [],
       });
     },
+    /** Servers need no longer leases; the map goes on to allow them. */
+    endLimits: () => {
+      isSparing = false;
+    },
     run: async (untilMs: number) => {
       for (; nowMs < untilMs; nowMs += TICK_MS) {
         service.tick();
@@ -279,6 +283,24 @@
     );
 });
 
+/**
+ * A server that has been lost would keep its keys from others for the rest of a
+ * long lease, though it had not needed that for long.
+ */
+test("should grant usual leases again once a server needs no longer ones", async () => {
+  const voter = await createVoter();
+  voter.lengthenLeases();
+  await voter.run(2 * LONG_LEASE_MS);
+  voter.endLimits();
+  const before = voter.sent.get(FIRST_SERVER)!.length;
+  const { holdMs, renewMs } = grants.DEFAULT_GRANT_TIMINGS;
+  await voter.run(2 * LONG_LEASE_MS + 2 * renewMs);
+  const renewed = voter.sent.get(FIRST_SERVER)!.slice(before);
+  expect(new Set(renewed.map(({ fromKey }) => fromKey)).size > 2)
+    .toEqual(true);
+  expect(renewed.every((grant) => grant.holdMs === holdMs)).toEqual(true);
+});
+
 /** Interval of the first renewer, for all ranges of a limited server. */
 const SPARING_INTERVAL_MS = 2_400;
 
--- a/packages/entry/src/gateway/peers/peer_gossip.ts
+++ b/packages/entry/src/gateway/peers/peer_gossip.ts
@@ -57,7 +57,7 @@
 /** The fields of a voter's status that the gossip itself does not fill in. */
 export type OwnVoterState = Pick<
   VoterStatus,
-  "lifeMs" | "grantAgesMs" | "handoverGrantAgesMs" | "silentServers"
+  "lifeMs" | "grantAgesMs" | "handoverGrantTimesMs" | "silentServers"
 >;
 
 /** Options of {@link PeerGossip}. */
--- a/packages/entry/src/gateway/peers/peer_messages.ts
+++ b/packages/entry/src/gateway/peers/peer_messages.ts
@@ -141,26 +141,27 @@
 /** Type guard of {@link VoterStatus}, which is as frequent. */
 export function isVoterStatus(params: unknown): params is VoterStatus {
   if (!hasCommonFields(params)) return false;
-  const { echo, lifeMs, grantAgesMs, handoverGrantAgesMs, silentServers } =
+  const { echo, lifeMs, grantAgesMs, handoverGrantTimesMs, silentServers } =
     params as Partial<VoterStatus>;
   const isEcho = echo === null || Array.isArray(echo) &&
       typeof echo[0] === "string" && Number.isInteger(echo[1]);
   return isEcho && Number.isFinite(lifeMs) && areStrings(silentServers) &&
     isRecord(grantAgesMs) && Object.values(grantAgesMs).every(areAges) &&
-    (handoverGrantAgesMs === undefined ||
-      Array.isArray(handoverGrantAgesMs) &&
-        handoverGrantAgesMs.every(areHandoverAges));
+    (handoverGrantTimesMs === undefined ||
+      Array.isArray(handoverGrantTimesMs) &&
+        handoverGrantTimesMs.every(areHandoverTimes));
 }
 
-/** Whether a value has the ages of a last grant and a last unanswered one. */
+/** Whether a value has a time of all grants and one of unanswered ones. */
 function areAges(value: unknown): boolean {
   return Array.isArray(value) && Number.isFinite(value[0]) &&
     (value[1] === null || Number.isFinite(value[1]));
 }
 
-function areHandoverAges(value: unknown): boolean {
+function areHandoverTimes(value: unknown): boolean {
   return Array.isArray(value) && typeof value[0] === "string" &&
-    Number.isInteger(value[1]) && areAges(value.slice(2));
+    Number.isInteger(value[1]) && Number.isFinite(value[2]) &&
+    areAges(value.slice(3));
 }
 
 /** Whether a value has the fields that hellos and voter statuses share. */
@@ -213,12 +214,19 @@
     z.tuple([z.number(), z.number().nullable()]),
   ),
   /**
-   * The same by handover, of grants that concern its ranges: old owner, revision
-   * that took the ranges from it, the two ages. Absent in messages of versions
+   * Grants that concern the ranges of each handover: old owner, revision that
+   * took the ranges from it, age of the last grant, remaining time of the leases
+   * and of those whose grants were not answered. Absent in messages of versions
    * that do not tell handovers apart.
    */
-  handoverGrantAgesMs: z.array(
-    z.tuple([z.string(), z.number().int(), z.number(), z.number().nullable()]),
+  handoverGrantTimesMs: z.array(
+    z.tuple([
+      z.string(),
+      z.number().int(),
+      z.number(),
+      z.number(),
+      z.number().nullable(),
+    ]),
   ).optional(),
   /** Servers that do not answer this VM's grants. */
   silentServers: z.array(z.string()),
--- a/packages/entry/src/gateway/peers/peer_messages_test.ts
+++ b/packages/entry/src/gateway/peers/peer_messages_test.ts
@@ -33,7 +33,7 @@
   echo: ["r2", 9],
   lifeMs: 12.5,
   grantAgesMs: { a: [0, null], b: [10, 5.5] },
-  handoverGrantAgesMs: [["a", 3, 0, null], ["b", 4, 10, 5.5]],
+  handoverGrantTimesMs: [["a", 3, 0, 9, null], ["b", 4, 10, 9, -5.5]],
   silentServers: ["a"],
 };
 
@@ -134,12 +134,19 @@
 });
 
 /** VMs of a version that does not tell handovers apart must be understood. */
-test("should accept voter statuses with and without ages by handover", () => {
-  const { handoverGrantAgesMs: _, ...without } = VOTER_STATUS;
+test("should accept voter statuses with and without times by handover", () => {
+  const { handoverGrantTimesMs: _, ...without } = VOTER_STATUS;
   expect(messages.isVoterStatus(without)).toEqual(true);
   expect(messages.voterStatusSchema.safeParse(without).success).toEqual(true);
-  for (const wrong of [["a", 3, 0], ["a", 0.5, 0, null], [7, 3, 0, null]]) {
-    const status = { ...VOTER_STATUS, handoverGrantAgesMs: [wrong] };
+  for (
+    const wrong of [
+      ["a", 3, 0, 9],
+      ["a", 0.5, 0, 9, null],
+      ["a", 3, null, 9, null],
+      [7, 3, 0, 9, null],
+    ]
+  ) {
+    const status = { ...VOTER_STATUS, handoverGrantTimesMs: [wrong] };
     expect(messages.isVoterStatus(status)).toEqual(false);
   }
 });
