--- a/packages/decisions/src/grants/grant_model_test.ts
+++ b/packages/decisions/src/grants/grant_model_test.ts
@@ -33,6 +33,8 @@
   readonly noLeaseWait?: boolean;
   readonly noQuorum?: boolean;
   readonly forgetsUnanswered?: boolean;
+  /** Voters report no grants of ranges in handover. */
+  readonly reportsNoHandovers?: boolean;
   /** A server's longer leases are granted without the map saying so. */
   readonly hidesServerLease?: boolean;
   /** A fault: the first VM alone reaches the store, and it reaches no peer. */
@@ -98,10 +100,24 @@
   );
 }
 
-interface SentGrant {
+interface SentGrant extends contracts.KeyRange {
+  readonly server: contracts.ServerId;
   isInFlight: boolean;
   endMs: number;
   unansweredMs: number | undefined;
+  /** Longest lifetime of the lease of the last call, from its end on. */
+  lifetimeMs: number;
+  /** When the leases of calls that have ended expire at the latest. */
+  leaseEndMs: number;
+  unansweredLeaseEndMs: number | undefined;
+}
+
+/** The later of two times; undefined for none. */
+function latest<Time extends number | undefined>(
+  a: Time,
+  b: number | undefined,
+): number | Time {
+  return a === undefined ? b as Time : Math.max(a, b ?? a);
 }
 
 class ModelVm {
@@ -120,7 +136,8 @@
   readonly echoes = new Map<contracts.VmId, number>();
   /** When the last status of each peer arrived. */
   readonly heardMs = new Map<contracts.VmId, number>();
-  readonly sent = new Map<contracts.ServerId, SentGrant>();
+  /** Last grant calls by range and fence. */
+  readonly sent = new Map<string, SentGrant>();
   readonly renewedMs = new Map<string, number>();
   /** The latest run of each server that this VM knows. */
   readonly bornMs = new Map<contracts.ServerId, number>();
@@ -164,6 +181,8 @@
   #version = 0;
   nowMs = 0;
   moves = 0;
+  /** Handovers that ended with the old owner. */
+  abandoned = 0;
   violations = 0;
 
   constructor(seed: number, faults: Faults) {
@@ -288,12 +307,46 @@
   #reportOf(vm: ModelVm, requestedAtMs: number): grants.VoterReport {
     const last = new Map<contracts.ServerId, number>();
     const unanswered = new Map<contracts.ServerId, number>();
-    for (const [server, grant] of vm.sent) {
-      last.set(server, grant.isInFlight ? this.nowMs : grant.endMs);
-      if (this.#faults.forgetsUnanswered) continue;
-      if (grant.isInFlight) unanswered.set(server, this.nowMs);
-      else if (grant.unansweredMs !== undefined) {
-        unanswered.set(server, grant.unansweredMs);
+    const handovers = new Map<string, grants.HandoverGrants>();
+    for (const grant of vm.sent.values()) {
+      const { server } = grant;
+      const endMs = grant.isInFlight ? this.nowMs : grant.endMs;
+      const unansweredMs = this.#faults.forgetsUnanswered
+        ? undefined
+        : grant.isInFlight
+        ? this.nowMs
+        : grant.unansweredMs;
+      last.set(server, latest(endMs, last.get(server))!);
+      const unansweredEndMs = latest(unansweredMs, unanswered.get(server));
+      if (unansweredEndMs !== undefined) {
+        unanswered.set(server, unansweredEndMs);
+      }
+      const inFlightLeaseEndMs = grant.isInFlight
+        ? this.nowMs + TIMINGS.grantTimeoutMs + grant.lifetimeMs
+        : undefined;
+      const unansweredLeaseEndMs = this.#faults.forgetsUnanswered
+        ? undefined
+        : latest(inFlightLeaseEndMs, grant.unansweredLeaseEndMs);
+      for (const range of vm.map?.ranges ?? []) {
+        const { vacating } = range;
+        if (vacating?.server !== server) continue;
+        if (!grants.overlaps(grant, range)) continue;
+        const { revision } = vacating;
+        const name = `${server}/${revision}`;
+        const other = handovers.get(name);
+        handovers.set(name, {
+          server,
+          revision,
+          lastGrantMs: latest(endMs, other?.lastGrantMs)!,
+          leaseEndMs: latest(
+            latest(grant.leaseEndMs, inFlightLeaseEndMs),
+            other?.leaseEndMs,
+          ),
+          unansweredLeaseEndMs: latest(
+            unansweredLeaseEndMs,
+            other?.unansweredLeaseEndMs,
+          ),
+        });
       }
     }
     return {
@@ -305,6 +358,7 @@
       startedAtMs: vm.startedMs,
       lastGrantMs: last,
       lastUnansweredMs: unanswered,
+      handovers: this.#faults.reportsNoHandovers ? [] : [...handovers.values()],
     };
   }
 
@@ -355,7 +409,10 @@
     for (const range of map.ranges) {
       if (range.vacating !== undefined) continue;
       const { server, bornMs } = range.owner;
-      if (vm.sent.get(server)?.isInFlight) continue;
+      const isBusy = [...vm.sent.values()].some((it) =>
+        it.server === server && it.isInFlight
+      );
+      if (isBusy) continue;
       if ((vm.bornMs.get(server) ?? 1) !== bornMs) continue;
       const name = `${range.fromKey}/${range.fence}`;
       const renewedMs = vm.renewedMs.get(name) ?? -Infinity;
@@ -376,19 +433,40 @@
     const server = this.servers.find(({ owner }) =>
       owner.server === range.owner.server
     )!;
-    const state: SentGrant = vm.sent.get(range.owner.server) ??
-      { isInFlight: false, endMs: 0, unansweredMs: undefined };
-    vm.sent.set(range.owner.server, state);
+    const { fromKey, toKey, fence } = range;
+    const name = `${server.owner.server}/${fence}/${fromKey}-${toKey}`;
+    const state: SentGrant = vm.sent.get(name) ?? {
+      server: server.owner.server,
+      fromKey,
+      toKey,
+      isInFlight: false,
+      endMs: 0,
+      unansweredMs: undefined,
+      lifetimeMs: 0,
+      leaseEndMs: Number.NEGATIVE_INFINITY,
+      unansweredLeaseEndMs: undefined,
+    };
+    vm.sent.set(name, state);
     state.isInFlight = true;
     const isHidden = this.#faults.hidesServerLease && this.#isSparing() &&
       server === this.servers[0];
-    const holdMs = isHidden
-      ? SPARING_LEASE_MS
-      : grants.leaseDurationMs(vm.map, TIMINGS, server.owner.server);
+    // A VM that knows of no limit grants leases of the usual duration.
+    const longestMs = this.#chance(0.5)
+      ? grants.leaseDurationMs(vm.map, TIMINGS, server.owner.server)
+      : grants.leaseDurationMs(vm.map, TIMINGS);
+    const holdMs = isHidden ? SPARING_LEASE_MS : longestMs;
+    state.lifetimeMs = grants.maxLeaseLifetimeMs(TIMINGS, longestMs);
     const end = (isAnswered: boolean) => {
       state.isInFlight = false;
       state.endMs = this.nowMs;
-      if (!isAnswered) state.unansweredMs = this.nowMs;
+      const leaseEndMs = this.nowMs + state.lifetimeMs;
+      state.leaseEndMs = Math.max(state.leaseEndMs, leaseEndMs);
+      if (isAnswered) return;
+      state.unansweredMs = this.nowMs;
+      state.unansweredLeaseEndMs = latest(
+        leaseEndMs,
+        state.unansweredLeaseEndMs,
+      );
     };
     const transitMs = this.#between(1, 120);
     const waitMs = this.#chance(0.3)
@@ -564,6 +642,7 @@
     if (!isMet) return { kind: "unsure" };
     this.#version++;
     this.#stored = { map, version: String(this.#version) };
+    if (call.kind === "write") this.abandoned += call.abandoned.length;
     return { kind: "written", stored: this.#stored };
   }
 }
@@ -575,22 +654,25 @@
   faults: Faults,
   runs: number,
   untilMs = RUN_MS,
-): { violations: number; moves: number } {
+): { violations: number; moves: number; abandoned: number } {
   let violations = 0;
   let moves = 0;
+  let abandoned = 0;
   for (let index = 0; index < runs; index++) {
     const model = new Model(SEED * 1_000 + index, faults);
     model.run(untilMs);
     violations += model.violations;
     moves += model.moves;
+    abandoned += model.abandoned;
   }
-  return { violations, moves };
+  return { violations, moves, abandoned };
 }
 
 test("should never let two servers hold a key", () => {
-  const { violations, moves } = runModels({}, RUNS);
+  const { violations, moves, abandoned } = runModels({}, RUNS);
   expect(violations).toEqual(0);
   expect(moves > RUNS * 5).toEqual(true);
+  expect(abandoned > 0).toEqual(true);
 });
 
 /**
@@ -646,6 +728,7 @@
     isolateFirst: true,
   }],
   ["unanswered grants outlast a release", { forgetsUnanswered: true }],
+  ["voters report grants by handover", { reportsNoHandovers: true }],
   ["the map names a server's longer lease", { hidesServerLease: true }],
 ];
 
--- a/packages/decisions/src/grants/handover_wait.ts
+++ b/packages/decisions/src/grants/handover_wait.ts
@@ -6,7 +6,12 @@
 import type * as contracts from "@guavatide/contracts";
 import { leaseDurationMs } from "./lease_duration.ts";
 import { type GrantTimings, maxLeaseLifetimeMs } from "./grant_timings.ts";
-import type { VoterReport, VoterReports } from "./voter_reports.ts";
+import {
+  grantsOfHandover,
+  lastGrantEndOf,
+  type VoterReport,
+  type VoterReports,
+} from "./voter_reports.ts";
 
 /** A release that was sent after the quorum's acknowledgement and answered. */
 export interface AnsweredRelease {
@@ -64,16 +69,12 @@
     return { atMs: Number.NEGATIVE_INFINITY, reason: "same-server" };
   }
   if (acknowledgedAtMs === undefined) return undefined;
-  const expiredMs = lastGrantEndMs(facts, acknowledgedAtMs, "lastGrantMs");
+  const expiredMs = lastLeaseEndMs(facts, acknowledgedAtMs, "any");
   const expired = { atMs: expiredMs, reason: "expired" } as const;
   if (release === undefined || isReleaseVoid(facts)) return expired;
   // A release revokes a grant that was answered before it; an unanswered grant
   // may take effect after it.
-  const unansweredExpiredMs = lastGrantEndMs(
-    facts,
-    acknowledgedAtMs,
-    "lastUnansweredMs",
-  );
+  const unansweredExpiredMs = unansweredExpiryMs(facts)!;
   const releasedMs = Math.max(release.answeredAtMs, unansweredExpiredMs);
   return releasedMs < expiredMs
     ? { atMs: releasedMs, reason: "released" }
@@ -97,9 +98,19 @@
  * release can end it before that lease expires.
  */
 export function outlastsRelease(facts: HandoverFacts, nowMs: number): boolean {
+  const expiryMs = unansweredExpiryMs(facts);
+  return expiryMs !== undefined && expiryMs > nowMs;
+}
+
+/**
+ * When the lease of the last unanswered grant to the old owner expires, on this
+ * VM's clock; undefined while no quorum has acknowledged the handover.
+ */
+export function unansweredExpiryMs(facts: HandoverFacts): number | undefined {
   const { acknowledgedAtMs } = facts;
-  return acknowledgedAtMs !== undefined &&
-    lastGrantEndMs(facts, acknowledgedAtMs, "lastUnansweredMs") > nowMs;
+  return acknowledgedAtMs === undefined
+    ? undefined
+    : lastLeaseEndMs(facts, acknowledgedAtMs, "unanswered");
 }
 
 /**
@@ -109,24 +120,30 @@
 export function isReleaseVoid(facts: HandoverFacts): boolean {
   const { release, reports, range, map } = facts;
   if (release === undefined) return false;
-  const { server, revision } = range.vacating!;
+  const oldOwner = range.vacating!;
   return [...new Set(map.keeperSets.flat())].some((vm) => {
     const report = reports.reportOf(vm);
     // For an unresponsive voter, the expiry of its leases is awaited instead.
-    if (report === undefined || report.revision < revision) return false;
-    const endMs = report.lastGrantMs.get(server) ?? Number.NEGATIVE_INFINITY;
-    return endMs >= release.sentAtMs;
+    if (report === undefined || report.revision < oldOwner.revision) {
+      return false;
+    }
+    return lastGrantEndOf(report, oldOwner) >= release.sentAtMs;
   });
 }
 
+/** Which leases count: all that were granted, or those without an answer. */
+type LeaseKind = "any" | "unanswered";
+
 /** When the last lease that any voter granted to the old owner expires. */
-function lastGrantEndMs(
+function lastLeaseEndMs(
   { map, range, reports, timings, setsAcknowledgedAtMs }: HandoverFacts,
   acknowledgedAtMs: number,
-  kind: "lastGrantMs" | "lastUnansweredMs",
+  kind: LeaseKind,
 ): number {
-  const { server, revision } = range.vacating!;
+  const oldOwner = range.vacating!;
   const { confirmationTtlMs, grantTimeoutMs } = timings;
+  const leaseMs = leaseDurationMs(map, timings, oldOwner.server);
+  const longestLifetimeMs = maxLeaseLifetimeMs(timings, leaseMs);
   // An unresponsive voter may act on its confirmation until that expires, and
   // the bytes of its last call leave within the timeout of the call.
   const sentWithinMs = confirmationTtlMs + grantTimeoutMs;
@@ -138,33 +155,45 @@
   let lastMs = Number.NEGATIVE_INFINITY;
   for (const vm of new Set(map.keeperSets.flat())) {
     const report = reports.reportOf(vm);
-    const isCurrent = report !== undefined && report.revision >= revision;
+    const isCurrent = report !== undefined &&
+      report.revision >= oldOwner.revision;
     // A restarted process does not know the grants it sent before its start.
-    const sentMs = isCurrent
+    const endMs = isCurrent
       ? Math.max(
-        lastSentMs(report, kind, { server, timings }),
-        report.startedAtMs,
+        reportedLeaseEndMs(report, kind, {
+          oldOwner,
+          longestLifetimeMs,
+          grantTimeoutMs,
+        }),
+        report.startedAtMs + longestLifetimeMs,
       )
-      : sentWithinMs +
+      : sentWithinMs + longestLifetimeMs +
         (voters.includes(vm) ? acknowledgedAtMs : formerAcknowledgedAtMs);
-    lastMs = Math.max(lastMs, sentMs);
+    lastMs = Math.max(lastMs, endMs);
   }
-  const leaseMs = leaseDurationMs(map, timings, server);
-  return lastMs + maxLeaseLifetimeMs(timings, leaseMs);
+  return lastMs;
 }
 
-/**
- * Latest send time; a call in flight at the report may last for its timeout.
- */
-function lastSentMs(
+/** When the last lease expires that a voter granted in its present run. */
+function reportedLeaseEndMs(
   report: VoterReport,
-  kind: "lastGrantMs" | "lastUnansweredMs",
-  { server, timings }: {
-    readonly server: contracts.ServerId;
-    readonly timings: GrantTimings;
+  kind: LeaseKind,
+  { oldOwner, longestLifetimeMs, grantTimeoutMs }: {
+    readonly oldOwner: NonNullable<contracts.RangeState["vacating"]>;
+    readonly longestLifetimeMs: number;
+    readonly grantTimeoutMs: number;
   },
 ): number {
-  const endMs = report[kind].get(server) ?? Number.NEGATIVE_INFINITY;
+  if (report.handovers !== undefined) {
+    const found = grantsOfHandover(report, oldOwner);
+    const leaseEndMs = kind === "any"
+      ? found?.leaseEndMs
+      : found?.unansweredLeaseEndMs;
+    return leaseEndMs ?? Number.NEGATIVE_INFINITY;
+  }
+  const ends = kind === "any" ? report.lastGrantMs : report.lastUnansweredMs;
+  const endMs = ends.get(oldOwner.server) ?? Number.NEGATIVE_INFINITY;
+  // A call in flight at the report may last for its timeout.
   const isInFlight = endMs >= report.receivedAtMs;
-  return isInFlight ? endMs + timings.grantTimeoutMs : endMs;
+  return longestLifetimeMs + (isInFlight ? endMs + grantTimeoutMs : endMs);
 }
--- a/packages/decisions/src/grants/voter_reports.ts
+++ b/packages/decisions/src/grants/voter_reports.ts
@@ -5,6 +5,20 @@
  */
 import type * as contracts from "@guavatide/contracts";
 
+/** Grant calls of one voter that concern the ranges of one handover. */
+export interface HandoverGrants {
+  /** Old owner of the ranges. */
+  readonly server: contracts.ServerId;
+  /** Revision that took the ranges from it. */
+  readonly revision: number;
+  /** Like {@link VoterReport.lastGrantMs}. */
+  readonly lastGrantMs: number;
+  /** When the last lease that the voter granted expires at the latest. */
+  readonly leaseEndMs: number;
+  /** The same for grant calls that were not answered; undefined for none. */
+  readonly unansweredLeaseEndMs: number | undefined;
+}
+
 /** A voter's reply to a status request, for the map of one service. */
 export interface VoterReport {
   readonly vm: contracts.VmId;
@@ -24,6 +38,40 @@
   readonly lastGrantMs: ReadonlyMap<contracts.ServerId, number>;
   /** The same for grant calls that were not answered. */
   readonly lastUnansweredMs: ReadonlyMap<contracts.ServerId, number>;
+  /**
+   * The same by handover, since a grant of one range keeps no lease on another
+   * in force, and with the leases that were granted, which may be shorter than
+   * the longest that the map allows. Undefined for a VM of a version that does
+   * not tell handovers apart.
+   */
+  readonly handovers?: readonly HandoverGrants[] | undefined;
+}
+
+/** Identifies the ranges that one revision took from a server. */
+type HandoverName = Pick<HandoverGrants, "server" | "revision">;
+
+/** A voter's grants of the ranges of one handover; undefined for none. */
+export function grantsOfHandover(
+  { handovers }: VoterReport,
+  { server, revision }: HandoverName,
+): HandoverGrants | undefined {
+  return handovers?.find((it) =>
+    it.server === server && it.revision === revision
+  );
+}
+
+/**
+ * Latest possible end of a voter's last grant call that concerns the ranges of
+ * one handover; negative infinity for none.
+ */
+export function lastGrantEndOf(
+  report: VoterReport,
+  handover: HandoverName,
+): number {
+  const endMs = report.handovers === undefined
+    ? report.lastGrantMs.get(handover.server)
+    : grantsOfHandover(report, handover)?.lastGrantMs;
+  return endMs ?? Number.NEGATIVE_INFINITY;
 }
 
 /** The latest reports of all voters of one service's map. */
--- a/packages/entry/src/gateway/grants/grant_sender.ts
+++ b/packages/entry/src/gateway/grants/grant_sender.ts
@@ -4,7 +4,7 @@
  * handover has to wait for every lease that may still be in force.
  */
 import type * as contracts from "@guavatide/contracts";
-import type * as grants from "@guavatide/decisions/grants/mod";
+import * as grants from "@guavatide/decisions/grants/mod";
 import { SystemRandom } from "../../utils/clock.ts";
 import type { Logger } from "../../utils/log.ts";
 
@@ -79,10 +79,17 @@
   unansweredAtMs: number | undefined;
   /** The last grant, while its answer is not confirmed. */
   unconfirmed: AnswerState | undefined;
+  /** Longest lifetime of the lease of the call in flight, from its end on. */
+  leaseLifetimeMs: number;
+  /** When the leases of calls that have ended expire at the latest. */
+  leaseEndMs: number;
+  /** The same of calls without an answer. */
+  unansweredLeaseEndMs: number | undefined;
 }
 
 /** How a grant ended. */
 interface AnswerState {
+  readonly leaseLifetimeMs: number;
   /** Undefined while it is in flight. */
   endedAtMs: number | undefined;
   /** Whether it may have no answer of its own; may become known after its end. */
@@ -92,13 +99,17 @@
 /** Records a grant that has ended without an answer of its own. */
 function noteIfUnanswered(
   call: LastCall,
-  { endedAtMs, isDoubted }: AnswerState,
+  { endedAtMs, isDoubted, leaseLifetimeMs }: AnswerState,
 ): void {
   if (!isDoubted || endedAtMs === undefined) return;
   call.unansweredAtMs = Math.max(
     call.unansweredAtMs ?? Number.NEGATIVE_INFINITY,
     endedAtMs,
   );
+  call.unansweredLeaseEndMs = Math.max(
+    call.unansweredLeaseEndMs ?? Number.NEGATIVE_INFINITY,
+    endedAtMs + leaseLifetimeMs,
+  );
 }
 
 /** When the last grant ended that was not answered, as far as is known. */
@@ -108,6 +119,33 @@
   return unconfirmed?.endedAtMs ?? unansweredAtMs;
 }
 
+/** When the leases of grants without an answer expire, as far as is known. */
+function lastUnansweredLeaseEndMs(
+  { unansweredLeaseEndMs, unconfirmed }: LastCall,
+): number | undefined {
+  if (unconfirmed?.endedAtMs === undefined) return unansweredLeaseEndMs;
+  const { endedAtMs, leaseLifetimeMs } = unconfirmed;
+  return Math.max(
+    unansweredLeaseEndMs ?? Number.NEGATIVE_INFINITY,
+    endedAtMs + leaseLifetimeMs,
+  );
+}
+
+/** Ages in ms of the last grant and of the last unanswered one. */
+type GrantAges = [lastMs: number, unansweredMs: number | null];
+
+/**
+ * Grants of the ranges of one handover: old owner, revision of its start, age of
+ * the last one in ms, remaining time of the leases and of the unanswered ones.
+ */
+export type HandoverGrantTimes = [
+  server: string,
+  revision: number,
+  lastMs: number,
+  leaseLeftMs: number,
+  unansweredLeaseLeftMs: number | null,
+];
+
 /** A grant that its owner has accepted. */
 interface AcceptedGrant {
   readonly sentAtMs: number;
@@ -207,9 +245,74 @@
    * other ranges keep no lease on them in force. Measured from the end of the
    * call, as a busy VM may send late.
    */
-  grantAgesMs(): Map<contracts.ServerId, [number, number | null]> {
+  grantAgesMs(): Map<contracts.ServerId, GrantAges> {
+    const ages = new Map<contracts.ServerId, GrantAges>();
+    for (const { server, ages: ofCall } of this.#formerCalls()) {
+      ages.set(server, youngest(ofCall, ages.get(server)));
+    }
+    return ages;
+  }
+
+  /**
+   * The grants that overlap the ranges of each handover. `inHandover`: ranges in
+   * handover by their old owner.
+   */
+  handoverGrantTimesMs(
+    inHandover: ReadonlyMap<
+      contracts.ServerId,
+      readonly contracts.RangeState[]
+    >,
+  ): HandoverGrantTimes[] {
+    const found = new Map<string, HandoverGrantTimes>();
+    for (const { server, call, ages: [ageMs] } of this.#formerCalls()) {
+      const [leftMs, unansweredLeftMs] = this.#leasesLeftMs(call);
+      for (const range of inHandover.get(server) ?? []) {
+        if (!grants.overlaps(call.range, range)) continue;
+        const { revision } = range.vacating!;
+        const name = `${server}/${revision}`;
+        const [, , otherMs, otherLeftMs, otherUnansweredLeftMs] =
+          found.get(name) ?? [server, revision, ageMs, leftMs, null];
+        found.set(name, [
+          server,
+          revision,
+          Math.min(ageMs, otherMs),
+          Math.max(leftMs, otherLeftMs),
+          pick(Math.max, unansweredLeftMs, otherUnansweredLeftMs),
+        ]);
+      }
+    }
+    return [...found.values()];
+  }
+
+  /** Remaining time of a call's leases, and of the unanswered ones. */
+  #leasesLeftMs(call: LastCall): [number, number | null] {
+    const { clock, timings } = this.#options;
+    const nowMs = clock.nowMs();
+    const { isInFlight, leaseEndMs } = call;
+    const unansweredLeaseEndMs = lastUnansweredLeaseEndMs(call);
+    // A call in flight may last for its timeout.
+    const inFlightMs = isInFlight
+      ? timings.grantTimeoutMs + call.leaseLifetimeMs
+      : null;
+    const endedMs = leaseEndMs === Number.NEGATIVE_INFINITY
+      ? null
+      : Math.ceil(leaseEndMs - nowMs);
+    const unansweredMs = unansweredLeaseEndMs === undefined
+      ? null
+      : Math.ceil(unansweredLeaseEndMs - nowMs);
+    return [
+      pick(Math.max, inFlightMs, endedMs)!,
+      pick(Math.max, inFlightMs, unansweredMs),
+    ];
+  }
+
+  /** The last calls for ranges that are no longer granted. */
+  *#formerCalls(): Generator<{
+    readonly server: contracts.ServerId;
+    readonly call: LastCall;
+    readonly ages: GrantAges;
+  }> {
     const nowMs = this.#options.clock.nowMs();
-    const ages = new Map<contracts.ServerId, [number, number | null]>();
     for (const [rangeKey, call] of this.#lastCalls) {
       if (this.#listed.has(rangeKey)) continue;
       const { range: { owner: { server } }, isInFlight, endedAtMs } = call;
@@ -222,14 +325,8 @@
         : unansweredAtMs === undefined
         ? null
         : Math.floor(nowMs - unansweredAtMs);
-      const [otherMs, otherUnansweredMs] = ages.get(server) ??
-        [Number.POSITIVE_INFINITY, null];
-      ages.set(server, [
-        Math.min(ageMs, otherMs),
-        smallest(unansweredAgeMs, otherUnansweredMs),
-      ]);
+      yield { server, call, ages: [ageMs, unansweredAgeMs] };
     }
-    return ages;
   }
 
   /**
@@ -262,10 +359,16 @@
     const call = this.#lastCall(range);
     state.isInFlight = true;
     call.isInFlight = true;
+    const leaseLifetimeMs = grants.maxLeaseLifetimeMs(timings, leaseMs);
+    call.leaseLifetimeMs = leaseLifetimeMs;
     state.unansweredSinceMs ??= sentAtMs;
     const { fromKey, toKey, fence } = range;
     const fields = { server: server.server, fromKey, toKey, fence };
-    const answer: AnswerState = { endedAtMs: undefined, isDoubted: false };
+    const answer: AnswerState = {
+      endedAtMs: undefined,
+      isDoubted: false,
+      leaseLifetimeMs,
+    };
     let wasSent = false;
     const maySend = () => {
       wasSent = isStillAllowed();
@@ -309,7 +412,13 @@
     noteIfUnanswered(call, answer);
     this.#scheduleRetry(state, result.isOk() && result.value === "granted");
     // Without a connection nothing was sent that could still take effect.
-    if (wasSent || result.isOk()) call.endedAtMs = state.lastEndedAtMs;
+    if (wasSent || result.isOk()) {
+      call.endedAtMs = state.lastEndedAtMs;
+      call.leaseEndMs = Math.max(
+        call.leaseEndMs,
+        call.endedAtMs + leaseLifetimeMs,
+      );
+    }
     this.#options.onCompleted(server.server);
     if (result.isErr()) {
       log.warn("Grant not answered.", {
@@ -376,6 +485,9 @@
       endedAtMs: Number.NEGATIVE_INFINITY,
       unansweredAtMs: undefined,
       unconfirmed: undefined,
+      leaseLifetimeMs: 0,
+      leaseEndMs: Number.NEGATIVE_INFINITY,
+      unansweredLeaseEndMs: undefined,
     };
     this.#lastCalls.set(rangeKey, created);
     return created;
@@ -421,10 +533,24 @@
 
 const SYSTEM_RANDOM = new SystemRandom();
 
-/** The smaller of two ages; null for none. */
-function smallest(a: number | null, b: number | null): number | null {
+function youngest(
+  [ageMs, unansweredAgeMs]: GrantAges,
+  [otherMs, otherUnansweredMs]: GrantAges = [Number.POSITIVE_INFINITY, null],
+): GrantAges {
+  return [
+    Math.min(ageMs, otherMs),
+    pick(Math.min, unansweredAgeMs, otherUnansweredMs),
+  ];
+}
+
+/** One of two times; null for none. */
+function pick(
+  choose: (a: number, b: number) => number,
+  a: number | null,
+  b: number | null,
+): number | null {
   if (a === null || b === null) return a ?? b;
-  return Math.min(a, b);
+  return choose(a, b);
 }
 
 /** Cache of range keys, which are needed at every tick. */
--- a/packages/entry/src/gateway/grants/grant_sender_test.ts
+++ b/packages/entry/src/gateway/grants/grant_sender_test.ts
@@ -248,7 +248,18 @@
   nowMs = 100;
   expect(sender.grantAgesMs().get(SERVER)).toEqual([90, 90]);
   expect(sender.unconfirmedRange(SERVER)).toEqual(RANGE);
+  const inHandover = new Map([[SERVER, [{
+    ...RANGE,
+    vacating: { ...RANGE.owner, fence: 1, revision: 4 },
+  }]]]);
+  const unansweredLeftMs = () => sender.handoverGrantTimesMs(inHandover)[0]![4];
+  const lifetimeMs = grants.maxLeaseLifetimeMs(
+    grants.DEFAULT_GRANT_TIMINGS,
+    REQUEST.leaseMs,
+  );
+  expect(unansweredLeftMs()).toEqual(Math.ceil(lifetimeMs - 90));
   confirm();
+  expect(unansweredLeftMs()).toEqual(null);
   expect(sender.grantAgesMs().get(SERVER)).toEqual([90, null]);
   expect(sender.unconfirmedRange(SERVER)).toEqual(undefined);
 });
@@ -267,3 +278,48 @@
   expect(sender.unconfirmedRange(SERVER)).toEqual(undefined);
   expect(sender.grantAgesMs().get(SERVER)).toEqual([0, 0]);
 });
+
+/** Guards against handovers that wait for leases on ranges of later ones. */
+test("should tell the grants and leases of each handover", async () => {
+  let nowMs = 0;
+  const sender = createSender(
+    () => neverthrow.okAsync("granted" as const),
+    () => nowMs,
+  );
+  const [first, second, other] = [0, 100, 200].map((fromKey) => ({
+    fromKey,
+    toKey: fromKey + 99,
+    owner: { server: "next" as contracts.ServerId, bornMs: 1 },
+    fence: 9,
+  }));
+  const leavingAt = (range: typeof first, revision: number) => ({
+    ...range!,
+    vacating: { ...RANGE.owner, fence: 1, revision },
+  });
+  const wide = { ...RANGE, fromKey: 0, toKey: 150 };
+  const narrow = { ...RANGE, fromKey: 100, toKey: 150, fence: 2 };
+  const longLeaseMs = 6_000;
+  await sender.send({ ...REQUEST, range: wide, leaseMs: longLeaseMs });
+  nowMs = 200;
+  await sender.send({ ...REQUEST, range: wide });
+  nowMs = 300;
+  await sender.send({ ...REQUEST, range: narrow });
+  sender.prune([], REQUEST.leaseMs);
+  nowMs = 400;
+  const times = sender.handoverGrantTimesMs(
+    new Map([[SERVER, [
+      leavingAt(first, 4),
+      leavingAt(second, 7),
+      leavingAt(other, 8),
+    ]]]),
+  );
+  // The longest lease counts, not the last one.
+  const leftMs = Math.ceil(
+    grants.maxLeaseLifetimeMs(grants.DEFAULT_GRANT_TIMINGS, longLeaseMs) -
+      nowMs,
+  );
+  expect(times).toEqual([
+    [SERVER, 4, 200, leftMs, null],
+    [SERVER, 7, 100, leftMs, null],
+  ]);
+});
--- a/packages/entry/src/gateway/grants/service_grants.ts
+++ b/packages/entry/src/gateway/grants/service_grants.ts
@@ -7,7 +7,7 @@
 import * as grants from "@guavatide/decisions/grants/mod";
 import type { KeyOwner } from "@guavatide/decisions/admission/mod";
 import type * as ownership from "@guavatide/decisions/ownership/mod";
-import { GrantSender } from "./grant_sender.ts";
+import { GrantSender, type HandoverGrantTimes } from "./grant_sender.ts";
 import { MapPublisher } from "./map_publisher.ts";
 import { MovePlanner, type MovePlannerOptions } from "./move_planner.ts";
 import type {
@@ -28,7 +28,8 @@
 }
 
 /** Options of {@link ServiceGrants}. */
-export interface ServiceGrantsOptions extends MovePlannerOptions {
+export interface ServiceGrantsOptions
+  extends Omit<MovePlannerOptions, "keepsRanges"> {
   readonly vm: contracts.VmId;
   readonly timings: grants.GrantTimings;
   readonly hasher: ownership.KeyHasher;
@@ -116,8 +117,11 @@
   #map: contracts.RangeMap | undefined;
   /** Ranges of the map that are renewed, by owner. */
   #rangesByOwner = new Map<contracts.ServerId, contracts.RangeState[]>();
-  /** Old owners of ranges whose handover is not finished. */
-  #oldOwners: ReadonlySet<contracts.ServerId> = new Set();
+  /** Ranges in handover by their old owner. */
+  #inHandover: ReadonlyMap<
+    contracts.ServerId,
+    readonly contracts.RangeState[]
+  > = new Map();
   /**
    * Fences whose owners have not accepted their grant, as the leader reports.
    */
@@ -145,7 +149,11 @@
       options.roleWeights,
     );
     this.#publisher = new MapPublisher(options);
-    this.#planner = new MovePlanner(options);
+    this.#planner = new MovePlanner({
+      ...options,
+      keepsRanges: (server) =>
+        this.#handoverController.keepsRanges(server, options.clock.nowMs()),
+    });
     this.#startedAtMs = options.clock.nowMs();
     this.#fetcher = new RangeMapFetcher({
       ...options,
@@ -170,7 +178,7 @@
       onFencedOff: () => this.#handoverController.requireRead(),
       onCompleted: (server) => {
         // The leader waits until no grant to the old owner is in flight.
-        if (this.#oldOwners.has(server)) options.notifyVoters();
+        if (this.#inHandover.has(server)) options.notifyVoters();
       },
     });
   }
@@ -202,11 +210,16 @@
   get grantAgesMs(): Map<contracts.ServerId, [number, number | null]> {
     const ages = this.#sender.grantAgesMs();
     for (const server of ages.keys()) {
-      if (!this.#oldOwners.has(server)) ages.delete(server);
+      if (!this.#inHandover.has(server)) ages.delete(server);
     }
     return ages;
   }
 
+  /** This VM's last grants of ranges in handover. */
+  get handoverGrantTimesMs(): HandoverGrantTimes[] {
+    return this.#sender.handoverGrantTimesMs(this.#inHandover);
+  }
+
   /** Servers that do not answer this VM's grants. */
   get unresponsiveServers(): contracts.ServerId[] {
     return this.#sender.unresponsiveServers();
@@ -245,7 +258,7 @@
     const range = ranges[grants.rangeIndex(ranges, key)]!;
     if (range.vacating !== undefined || this.#isPending(range)) {
       const ageMs = this.#handoverAges.ageMs(range, nowMs);
-      const holdMs = this.#leaseMs(range.vacating?.server);
+      const holdMs = this.#grantedLeaseMs(range.vacating?.server);
       // Only the store makes a server the owner; a grant needs no store.
       const isBlocked = range.vacating !== undefined &&
         !this.#options.peers().some(({ hasStore }) => hasStore);
@@ -288,6 +301,8 @@
       receivedAtMs,
       startedAtMs: receivedAtMs - status.lifeMs,
       ...grantTimes(Object.entries(status.grantAgesMs), receivedAtMs),
+      handovers: status.handoverGrantTimesMs &&
+        handoverGrants(status.handoverGrantTimesMs, receivedAtMs),
     });
     this.#lostServers.noteUnresponsive(status.vm, status.silentServers);
   }
@@ -331,7 +346,7 @@
     this.#updateLeadership(nowMs);
     this.#fetcher.tick(nowMs);
     if (this.#map !== undefined) this.#renew(this.#map, nowMs);
-    for (const server of this.#oldOwners) this.#confirmGrants(server);
+    for (const server of this.#inHandover.keys()) this.#confirmGrants(server);
     if (this.#isLeader) this.#runHandovers(nowMs);
   }
 
@@ -344,6 +359,7 @@
       receivedAtMs: nowMs,
       startedAtMs: this.#startedAtMs,
       ...grantTimes(this.#sender.grantAgesMs(), nowMs),
+      handovers: handoverGrants(this.handoverGrantTimesMs, nowMs),
     });
   }
 
@@ -385,10 +401,10 @@
   }
 
   #adopt(map: contracts.RangeMap, from: string): void {
-    const oldOwners = grants.releasingServers(map.ranges);
-    const earlierOldOwners = this.#oldOwners;
+    const inHandover = grants.rangesByOldOwner(map.ranges);
+    const earlierInHandover = this.#inHandover;
     this.#map = map;
-    this.#oldOwners = oldOwners;
+    this.#inHandover = inHandover;
     this.#rangesByOwner = grants.rangesByOwner(map.ranges);
     this.#adoptedAtMs = this.#options.clock.nowMs();
     this.#publisher.noteMap(map);
@@ -397,7 +413,7 @@
       map.ranges,
       grants.longestLeaseMs(map, this.#options.timings),
     );
-    this.#logLastGrants(map.revision, oldOwners, earlierOldOwners);
+    this.#logLastGrants(map.revision, earlierInHandover);
     const fences = new Set(map.ranges.map(({ fence }) => fence));
     const owners = new Set<string>(map.ranges.map((it) => it.owner.server));
     for (const fence of this.#acceptedFences) {
@@ -423,13 +439,14 @@
   /** Grants that were sent to old owners may still arrive. */
   #logLastGrants(
     revision: number,
-    oldOwners: ReadonlySet<contracts.ServerId>,
-    earlierOldOwners: ReadonlySet<contracts.ServerId>,
+    earlierInHandover: ReadonlyMap<contracts.ServerId, unknown>,
   ): void {
     for (
       const [server, [ageMs, unansweredAgeMs]] of this.#sender.grantAgesMs()
     ) {
-      if (!oldOwners.has(server) || earlierOldOwners.has(server)) continue;
+      const isNew = this.#inHandover.has(server) &&
+        !earlierInHandover.has(server);
+      if (!isNew) continue;
       this.#options.log.info("Stopped renewing a server's grants.", {
         server,
         revision,
@@ -441,11 +458,21 @@
 
   // Renewals
 
-  /** Lease duration of grants; with a server, of those to it. */
+  /** Longest lease duration of grants; with a server, of those to it. */
   #leaseMs(server?: contracts.ServerId): number {
     return grants.leaseDurationMs(this.#map, this.#options.timings, server);
   }
 
+  /**
+   * Lease duration of this VM's grants to a server. The map allows long leases
+   * for as long as it names the server, which may need none any more: its keys
+   * would be without an owner for the rest of a long lease when it is lost.
+   */
+  #grantedLeaseMs(server?: contracts.ServerId): number {
+    const sparingLeaseMs = server && this.#sparingLeaseMs(server);
+    return sparingLeaseMs ?? this.#leaseMs();
+  }
+
   /**
    * Interval at which a VM renews a server's grants, by its rank; undefined for
    * a rank that renews none.
@@ -498,7 +525,7 @@
     const request = {
       range,
       handover: this.#handoverController.handover(range.fence),
-      leaseMs: this.#leaseMs(server),
+      leaseMs: this.#grantedLeaseMs(server),
       isStillAllowed: () => this.#isStillGranted(range),
       needsConfirmation: this.#mayConfirmGrants(server),
     };
@@ -805,7 +832,10 @@
       : await maps.write(call.map, call.condition);
     this.#handoverController.noteCallResult(result, clock.nowMs());
     if (result.kind === "unsure" || result.kind === "absent") return;
-    if (call.kind === "write") this.#logFinished(call.finished);
+    if (call.kind === "write") {
+      this.#logFinished(call.finished);
+      this.#logAbandoned(call.abandoned);
+    }
     this.#fetcher.noteMapRead();
     const { map } = result.stored;
     this.#voterReports.noteRead(map.revision, sentAtMs);
@@ -832,6 +862,20 @@
     }
   }
 
+  #logAbandoned(abandoned: readonly contracts.RangeState[]): void {
+    for (const { fromKey, toKey, fence, owner, vacating } of abandoned) {
+      this.#options.log.warn("Handover abandoned.", {
+        server: owner.server,
+        fromKey,
+        toKey,
+        fence,
+        oldOwner: vacating!.server,
+        oldBornMs: vacating!.bornMs,
+        reason: "an unanswered grant outlasts the usual lease",
+      });
+    }
+  }
+
   /** Marks fences that are new in the map as pending. */
   #updatePendingFences(map: contracts.RangeMap): void {
     const known = new Set(
@@ -1007,3 +1051,19 @@
   }
   return { lastGrantMs, lastUnansweredMs };
 }
+
+/** The same for times by handover. */
+function handoverGrants(
+  times: readonly HandoverGrantTimes[],
+  nowMs: number,
+): grants.HandoverGrants[] {
+  return times.map(([server, revision, ageMs, leftMs, unansweredLeftMs]) => ({
+    server: server as contracts.ServerId,
+    revision,
+    lastGrantMs: nowMs - ageMs,
+    leaseEndMs: nowMs + leftMs,
+    unansweredLeaseEndMs: unansweredLeftMs === null
+      ? undefined
+      : nowMs + unansweredLeftMs,
+  }));
+}
--- a/packages/entry/src/gateway/peers/peer_messages.ts
+++ b/packages/entry/src/gateway/peers/peer_messages.ts
@@ -141,17 +141,27 @@
 /** Type guard of {@link VoterStatus}, which is as frequent. */
 export function isVoterStatus(params: unknown): params is VoterStatus {
   if (!hasCommonFields(params)) return false;
-  const { echo, lifeMs, grantAgesMs, silentServers } = params as Partial<
-    VoterStatus
-  >;
+  const { echo, lifeMs, grantAgesMs, handoverGrantTimesMs, silentServers } =
+    params as Partial<VoterStatus>;
   const isEcho = echo === null || Array.isArray(echo) &&
       typeof echo[0] === "string" && Number.isInteger(echo[1]);
   return isEcho && Number.isFinite(lifeMs) && areStrings(silentServers) &&
-    isRecord(grantAgesMs) &&
-    Object.values(grantAgesMs).every((ages) =>
-      Array.isArray(ages) && Number.isFinite(ages[0]) &&
-      (ages[1] === null || Number.isFinite(ages[1]))
-    );
+    isRecord(grantAgesMs) && Object.values(grantAgesMs).every(areAges) &&
+    (handoverGrantTimesMs === undefined ||
+      Array.isArray(handoverGrantTimesMs) &&
+        handoverGrantTimesMs.every(areHandoverTimes));
+}
+
+/** Whether a value has a time of all grants and one of unanswered ones. */
+function areAges(value: unknown): boolean {
+  return Array.isArray(value) && Number.isFinite(value[0]) &&
+    (value[1] === null || Number.isFinite(value[1]));
+}
+
+function areHandoverTimes(value: unknown): boolean {
+  return Array.isArray(value) && typeof value[0] === "string" &&
+    Number.isInteger(value[1]) && Number.isFinite(value[2]) &&
+    areAges(value.slice(3));
 }
 
 /** Whether a value has the fields that hellos and voter statuses share. */
@@ -203,6 +213,21 @@
     z.string(),
     z.tuple([z.number(), z.number().nullable()]),
   ),
+  /**
+   * Grants that concern the ranges of each handover: old owner, revision that
+   * took the ranges from it, age of the last grant, remaining time of the leases
+   * and of those whose grants were not answered. Absent in messages of versions
+   * that do not tell handovers apart.
+   */
+  handoverGrantTimesMs: z.array(
+    z.tuple([
+      z.string(),
+      z.number().int(),
+      z.number(),
+      z.number(),
+      z.number().nullable(),
+    ]),
+  ).optional(),
   /** Servers that do not answer this VM's grants. */
   silentServers: z.array(z.string()),
 });
