fix(grants): keep what a voter told of its grants when it starts again

Cause: a voter that has started again was taken to have granted the range until its start, so each start of a voter began the wait of every handover under way anew, by the longest lease that the map allows the old owner.

Change: the last report of the run before is kept. If it told that the run knew the handover, and answered a question that was asked after a quorum knew it, then no later run can have had a confirmation of an older map, and the leases that it told are all there are, with the start of that run itself counting as before. They all count as unanswered, since doubts can't be learned any more. Otherwise the start of the present run counts as before.

--- a/packages/decisions/src/grants/handover_wait.ts
+++ b/packages/decisions/src/grants/handover_wait.ts
@@ -155,34 +155,64 @@
   let lastMs = Number.NEGATIVE_INFINITY;
   for (const vm of new Set(map.keeperSets.flat())) {
     const report = reports.reportOf(vm);
-    const isCurrent = report !== undefined &&
-      report.revision >= oldOwner.revision;
-    // A restarted process does not know the grants it sent before its start.
-    const endMs = isCurrent
-      ? Math.max(
-        reportedLeaseEndMs(report, kind, {
-          oldOwner,
-          longestLifetimeMs,
-          grantTimeoutMs,
-        }),
-        report.startedAtMs + longestLifetimeMs,
-      )
-      : sentWithinMs + longestLifetimeMs +
-        (voters.includes(vm) ? acknowledgedAtMs : formerAcknowledgedAtMs);
-    lastMs = Math.max(lastMs, endMs);
+    if (report === undefined || report.revision < oldOwner.revision) {
+      const quorumMs = voters.includes(vm)
+        ? acknowledgedAtMs
+        : formerAcknowledgedAtMs;
+      lastMs = Math.max(lastMs, quorumMs + sentWithinMs + longestLifetimeMs);
+      continue;
+    }
+    const options = { oldOwner, longestLifetimeMs, grantTimeoutMs };
+    const earlierEndMs = earlierLeaseEndMs(report, {
+      ...options,
+      earlier: reports.earlierReportOf(vm),
+      acknowledgedAtMs,
+    });
+    lastMs = Math.max(
+      lastMs,
+      reportedLeaseEndMs(report, kind, options),
+      earlierEndMs,
+    );
   }
   return lastMs;
 }
 
+interface LeaseEndOptions {
+  readonly oldOwner: NonNullable<contracts.RangeState["vacating"]>;
+  readonly longestLifetimeMs: number;
+  readonly grantTimeoutMs: number;
+}
+
+/**
+ * When the last lease expires that earlier runs of a voter granted. The present
+ * run does not know them, so they are taken to have ended with its start at the
+ * latest. If the run before told that it knew the handover, and a quorum did so
+ * by then, no run has granted the range since. Whether its answers were in doubt
+ * can't be learned any more, so all of its leases count.
+ */
+function earlierLeaseEndMs(
+  { startedAtMs }: VoterReport,
+  { earlier, acknowledgedAtMs, ...options }: LeaseEndOptions & {
+    readonly earlier: VoterReport | undefined;
+    readonly acknowledgedAtMs: number;
+  },
+): number {
+  const { oldOwner, longestLifetimeMs } = options;
+  const isKnown = earlier !== undefined &&
+    earlier.revision >= oldOwner.revision &&
+    earlier.requestedAtMs >= acknowledgedAtMs;
+  if (!isKnown) return startedAtMs + longestLifetimeMs;
+  return Math.max(
+    reportedLeaseEndMs(earlier, "any", options),
+    earlier.startedAtMs + longestLifetimeMs,
+  );
+}
+
 /** When the last lease expires that a voter granted in its present run. */
 function reportedLeaseEndMs(
   report: VoterReport,
   kind: LeaseKind,
-  { oldOwner, longestLifetimeMs, grantTimeoutMs }: {
-    readonly oldOwner: NonNullable<contracts.RangeState["vacating"]>;
-    readonly longestLifetimeMs: number;
-    readonly grantTimeoutMs: number;
-  },
+  { oldOwner, longestLifetimeMs, grantTimeoutMs }: LeaseEndOptions,
 ): number {
   if (report.handovers !== undefined) {
     const found = grantsOfHandover(report, oldOwner);
--- a/packages/decisions/src/grants/handover_wait_test.ts
+++ b/packages/decisions/src/grants/handover_wait_test.ts
@@ -46,6 +46,7 @@
     options: {
       revision?: number;
       startedAtMs?: number;
+      requestedAtMs?: number;
       reportedAtMs?: number;
       sentMs?: number;
       unansweredMs?: number;
@@ -57,7 +58,7 @@
       vm: vm as contracts.VmId,
       revision: options.revision ?? 2,
       hasReadMap: true,
-      requestedAtMs: 10_010,
+      requestedAtMs: options.requestedAtMs ?? 10_010,
       receivedAtMs: options.reportedAtMs ?? REPORTED_AT_MS,
       startedAtMs: options.startedAtMs ?? 0,
       lastGrantMs: new Map(sentMs === undefined ? [] : [[A.server, sentMs]]),
@@ -252,3 +253,86 @@
   expect(grants.isReleaseVoid(fixture.facts())).toEqual(true);
   expect(fixture.freeAtMs()).toEqual(10_060 + LEASE_LIFETIME_MS);
 });
+
+/** A voter that starts again while its handover goes on. */
+class RestartFixture extends Fixture {
+  static readonly restartedAtMs = 11_000;
+
+  constructor() {
+    super();
+    this.releaseAnsweredAtMs = 10_070;
+    for (const vm of ["k1", "k2"]) this.report(vm, { handovers: [] });
+  }
+
+  /** The last report of the voter's earlier run. */
+  reportBefore(options: { revision?: number; requestedAtMs?: number } = {}) {
+    this.report("k3", {
+      requestedAtMs: 10_450,
+      reportedAtMs: 10_500,
+      handovers: [{
+        server: A.server,
+        revision: 2,
+        lastGrantMs: 10_040,
+        leaseEndMs: 10_040 + LEASE_LIFETIME_MS,
+        unansweredLeaseEndMs: undefined,
+      }],
+      ...options,
+    });
+  }
+
+  /** A report of the run that started at `startedAtMs`. */
+  reportAfter(startedAtMs = RestartFixture.restartedAtMs) {
+    const reportedAtMs = startedAtMs + 500;
+    const requestedAtMs = reportedAtMs - 10;
+    const handovers: grants.HandoverGrants[] = [];
+    this.report("k3", { startedAtMs, requestedAtMs, reportedAtMs, handovers });
+  }
+}
+
+/** Guards against handovers that each restart of a voter prolongs. */
+test("should not wait longer when a voter starts again that has told its grants", () => {
+  const fixture = new RestartFixture();
+  fixture.reportBefore();
+  // Its answers may have been in doubt, so the release does not end its lease.
+  fixture.reportAfter();
+  expect(fixture.freeAtMs()).toEqual(10_040 + LEASE_LIFETIME_MS);
+});
+
+/** Guards against grants that a voter has forgotten. */
+for (
+  const [name, before] of [
+    ["did not know the handover", { revision: 1 }],
+    ["was asked before the quorum's acknowledgement", {
+      requestedAtMs: 10_049,
+    }],
+  ] as const
+) {
+  test(`should wait from the start of a voter whose earlier run ${name}`, () => {
+    const fixture = new RestartFixture();
+    fixture.reportBefore(before);
+    fixture.reportAfter();
+    expect(fixture.freeAtMs())
+      .toEqual(RestartFixture.restartedAtMs + LEASE_LIFETIME_MS);
+  });
+}
+
+/** A run that has told nothing of itself may have followed the first one. */
+test("should wait from the start of the run whose report is the last but one", () => {
+  const fixture = new RestartFixture();
+  fixture.reportBefore();
+  fixture.reportAfter();
+  fixture.reportAfter(RestartFixture.restartedAtMs + 600);
+  expect(fixture.freeAtMs())
+    .toEqual(RestartFixture.restartedAtMs + LEASE_LIFETIME_MS);
+});
+
+/** Guards against confirmations of a process that was paused. */
+test("should forget the reports of earlier runs with all confirmations", () => {
+  const fixture = new RestartFixture();
+  fixture.reportBefore();
+  fixture.reports.clearConfirmations();
+  for (const vm of ["k1", "k2"]) fixture.report(vm, { handovers: [] });
+  fixture.reportAfter();
+  expect(fixture.freeAtMs())
+    .toEqual(RestartFixture.restartedAtMs + LEASE_LIFETIME_MS);
+});
--- a/packages/decisions/src/grants/voter_reports.ts
+++ b/packages/decisions/src/grants/voter_reports.ts
@@ -77,11 +77,17 @@
 /** The latest reports of all voters of one service's map. */
 export class VoterReports {
   readonly #reports = new Map<contracts.VmId, VoterReport>();
+  /** The last reports of runs that have ended. */
+  readonly #earlierReports = new Map<contracts.VmId, VoterReport>();
   #readRevision = 0;
   #readSentAtMs = Number.NEGATIVE_INFINITY;
 
   /** Notes a voter's report; this VM's own state is noted the same way. */
   noteReport(report: VoterReport): void {
+    const last = this.#reports.get(report.vm);
+    const isNewRun = last !== undefined &&
+      report.startedAtMs > last.receivedAtMs;
+    if (isNewRun) this.#earlierReports.set(report.vm, last);
     this.#reports.set(report.vm, report);
   }
 
@@ -99,9 +105,18 @@
     return this.#reports.get(vm);
   }
 
+  /**
+   * The last report of a voter before it started again; it may be one of the
+   * present run, if that started about the time of the report.
+   */
+  earlierReportOf(vm: contracts.VmId): VoterReport | undefined {
+    return this.#earlierReports.get(vm);
+  }
+
   /** Drops all confirmations, for example after the process was paused. */
   clearConfirmations(): void {
     this.#reports.clear();
+    this.#earlierReports.clear();
     this.#readSentAtMs = Number.NEGATIVE_INFINITY;
   }
 
