fix(grants): wait no longer for a voter that starts again than for a lost one

Cause: a voter that was down when a handover began and started later was taken to have granted the range until its start. A voter that is not heard at all counts only until a confirmation and a call after the quorum's acknowledgement have passed, as it has no confirmation of the older map by then; that holds for each of its runs.

Change: grants of earlier runs are taken to have ended at the earlier of the two times.

--- a/packages/decisions/src/grants/handover_wait.ts
+++ b/packages/decisions/src/grants/handover_wait.ts
@@ -155,11 +155,10 @@
   let lastMs = Number.NEGATIVE_INFINITY;
   for (const vm of new Set(map.keeperSets.flat())) {
     const report = reports.reportOf(vm);
+    const lastSentMs = sentWithinMs +
+      (voters.includes(vm) ? acknowledgedAtMs : formerAcknowledgedAtMs);
     if (report === undefined || report.revision < oldOwner.revision) {
-      const quorumMs = voters.includes(vm)
-        ? acknowledgedAtMs
-        : formerAcknowledgedAtMs;
-      lastMs = Math.max(lastMs, quorumMs + sentWithinMs + longestLifetimeMs);
+      lastMs = Math.max(lastMs, lastSentMs + longestLifetimeMs);
       continue;
     }
     const options = { oldOwner, longestLifetimeMs, grantTimeoutMs };
@@ -167,6 +166,7 @@
       ...options,
       earlier: reports.earlierReportOf(vm),
       acknowledgedAtMs,
+      lastSentMs,
     });
     lastMs = Math.max(
       lastMs,
@@ -185,27 +185,31 @@
 
 /**
  * When the last lease expires that earlier runs of a voter granted. The present
- * run does not know them, so they are taken to have ended with its start at the
- * latest. If the run before told that it knew the handover, and a quorum did so
+ * run does not know them. The last one was sent before its start, and as long
+ * after the quorum's acknowledgement as by a voter that is not heard. If the run
+ * before told that it knew the handover, and a quorum did so
  * by then, no run has granted the range since. Whether its answers were in doubt
  * can't be learned any more, so all of its leases count.
  */
 function earlierLeaseEndMs(
   { startedAtMs }: VoterReport,
-  { earlier, acknowledgedAtMs, ...options }: LeaseEndOptions & {
+  { earlier, acknowledgedAtMs, lastSentMs, ...options }: LeaseEndOptions & {
     readonly earlier: VoterReport | undefined;
     readonly acknowledgedAtMs: number;
+    /** When a voter that does not know the handover sends its last grant. */
+    readonly lastSentMs: number;
   },
 ): number {
   const { oldOwner, longestLifetimeMs } = options;
   const isKnown = earlier !== undefined &&
     earlier.revision >= oldOwner.revision &&
     earlier.requestedAtMs >= acknowledgedAtMs;
-  if (!isKnown) return startedAtMs + longestLifetimeMs;
-  return Math.max(
-    reportedLeaseEndMs(earlier, "any", options),
-    earlier.startedAtMs + longestLifetimeMs,
-  );
+  const unknownRun = isKnown ? earlier : { startedAtMs };
+  const unknownEndMs = longestLifetimeMs +
+    Math.min(unknownRun.startedAtMs, lastSentMs);
+  return isKnown
+    ? Math.max(reportedLeaseEndMs(earlier, "any", options), unknownEndMs)
+    : unknownEndMs;
 }
 
 /** When the last lease expires that a voter granted in its present run. */
--- a/packages/decisions/src/grants/handover_wait_test.ts
+++ b/packages/decisions/src/grants/handover_wait_test.ts
@@ -256,7 +256,7 @@
 
 /** A voter that starts again while its handover goes on. */
 class RestartFixture extends Fixture {
-  static readonly restartedAtMs = 11_000;
+  static readonly restartedAtMs = 10_950;
 
   constructor() {
     super();
@@ -336,3 +336,14 @@
   expect(fixture.freeAtMs())
     .toEqual(RestartFixture.restartedAtMs + LEASE_LIFETIME_MS);
 });
+
+/** Guards against handovers that a voter prolongs by starting late. */
+test("should wait no longer for a voter that starts again than for one that is not heard", () => {
+  const silent = new RestartFixture();
+  const silentMs = silent.freeAtMs()!;
+  for (const laterByMs of [-1, 0, 500]) {
+    const restarted = new RestartFixture();
+    restarted.reportAfter(silentMs - LEASE_LIFETIME_MS + laterByMs);
+    expect(restarted.freeAtMs()).toEqual(silentMs + Math.min(0, laterByMs));
+  }
+});
