revert: give up the path over a peer that has lost its own

With it a peer's lost path ends the wait for a request that it was asked to send, so that another attempt starts before the crash of the server is known: a poison request crashes more servers than the limit allows.

That the other attempt is what crashes the servers was read in the code, not traced.

--- a/packages/entry/src/gateway/paths/peer_reach.ts
+++ b/packages/entry/src/gateway/paths/peer_reach.ts
@@ -47,7 +47,6 @@
   readonly #options: PeerReachOptions;
   readonly #news = new Map<contracts.VmId, PeerNews>();
   readonly #broadcasts = new RepeatedBroadcast(REPEAT_MS);
-  readonly #listeners: ((vm: contracts.VmId) => void)[] = [];
   readonly #telling = new CoalescedCallback(() => this.#tell());
   #refreshTask: PeriodicTask | undefined;
 
@@ -69,11 +68,6 @@
     );
   }
 
-  /** Registers a listener for peers that tell of servers they don't reach. */
-  onPeerLoss(listener: (vm: contracts.VmId) => void): void {
-    this.#listeners.push(listener);
-  }
-
   /** This VM has lost a path or has it back. */
   noteOwnChange(): void {
     this.#telling.schedule();
@@ -117,7 +111,6 @@
     }
     const untilMs = this.#options.clock.nowMs() + NEWS_TTL_MS;
     this.#news.set(vm, { isCutOff, servers: new Set(servers), untilMs });
-    for (const listener of this.#listeners) listener(vm);
   }
 
   #tell(): void {
--- a/packages/entry/src/gateway/paths/server_paths.ts
+++ b/packages/entry/src/gateway/paths/server_paths.ts
@@ -75,20 +75,12 @@
   message: "The server has asked this VM to back off",
 };
 
-/** A request that a peer was asked to send. */
-interface RelayedAttempt {
-  readonly vm: contracts.VmId;
-  readonly server: contracts.ServerId;
-  readonly onPathLost: PathSendOptions["onPathLost"];
-}
-
 /** All ways from this VM to servers. */
 export class ServerPaths {
   readonly #options: ServerPathsOptions;
   readonly #tracker: paths.PathTracker;
   readonly #selector: paths.RelaySelector;
   readonly #contactLog: ServerContactLog;
-  readonly #relayedAttempts = new Set<RelayedAttempt>();
   readonly #listeners: ((server: contracts.ServerId) => void)[] = [];
   #reviewTask: PeriodicTask | undefined;
 
@@ -106,7 +98,6 @@
       reaches: (vm, server) => options.reach.reaches(vm, server),
       weightOf: (vm) => options.gossip.roleWeights.get(vm) ?? 1,
     });
-    options.reach.onPeerLoss((vm) => this.#notePeerLoss(vm));
     options.registry.onChange(() =>
       this.#tracker.keepOnly(options.registry.ids())
     );
@@ -325,13 +316,10 @@
         break;
       }
       const end = this.#selector.start(peer.vm);
-      const relayed = { vm: peer.vm, server, onPathLost: options.onPathLost };
-      this.#relayedAttempts.add(relayed);
       const sent = await relays.attempt(peer, entry, request, {
         ...options,
         timeoutMs: leftMs,
       });
-      this.#relayedAttempts.delete(relayed);
       end();
       const endedMs = clock.nowMs();
       if (sent.kind === "ended") {
@@ -365,15 +353,6 @@
     };
   }
 
-  /** What a peer was asked to send may hang on the path that it has lost. */
-  #notePeerLoss(vm: contracts.VmId): void {
-    for (const attempt of this.#relayedAttempts) {
-      const isLost = attempt.vm === vm &&
-        !this.#options.reach.reaches(vm, attempt.server);
-      if (isLost) attempt.onPathLost(true);
-    }
-  }
-
   /** All peers that could send to the server were asked. */
   #noteNoPeerLeft(
     server: contracts.ServerId,
