revert: count a last grant only once a later call is answered

With it, the last grant to an owner that asks for a back-off stays unconfirmed, as such an owner gets no confirming call. It counted as unanswered, so its keys waited for the lease.

--- a/packages/contracts/src/key_grants.ts
+++ b/packages/contracts/src/key_grants.ts
@@ -66,18 +66,6 @@
    * of another call: the call then counts as not answered.
    */
   readonly onAnswerDoubted?: (reason: string) => void;
-  /**
-   * Called after an answer that may be that of an earlier call on its
-   * connection. The call counts as not answered until `onAnswerConfirmed`.
-   */
-  readonly onAnswerUnconfirmed?: () => void;
-  /** Called when the connection has answered a later call as well. */
-  readonly onAnswerConfirmed?: () => void;
-  /**
-   * Whether a release is sent over the connection of grants, after them; it
-   * then confirms their answers, and its own proves nothing. False by default.
-   */
-  readonly followsGrants?: boolean;
 }
 
 /** Grant calls of one platform. */
--- a/packages/entry/src/gateway/grants/grant_sender.ts
+++ b/packages/entry/src/gateway/grants/grant_sender.ts
@@ -27,10 +27,7 @@
    * An owner accepted a range for the first time since this VM knows its fence.
    */
   readonly onAccepted: (range: contracts.RangeState) => void;
-  /**
-   * A grant to the server was answered, failed, or was not sent after all, or
-   * its answer was confirmed.
-   */
+  /** A grant to the server was answered, failed, or was not sent after all. */
   readonly onCompleted: (server: contracts.ServerId) => void;
   /**
    * An owner has seen a higher fence: the map known here is outdated or wrong.
@@ -72,13 +69,11 @@
 const RETRY_MAX_MS = 320;
 
 /** Grants of one range. Times are those of the clock, in ms. */
-interface LastCall {
-  readonly range: contracts.RangeState;
+interface LastCall extends contracts.KeyRange {
+  readonly server: contracts.ServerId;
   isInFlight: boolean;
   endedAtMs: number;
   unansweredAtMs: number | undefined;
-  /** The last grant, while its answer is not confirmed. */
-  unconfirmed: AnswerState | undefined;
   /** Longest lifetime of the lease of the call in flight, from its end on. */
   leaseLifetimeMs: number;
   /** When the leases of calls that have ended expire at the latest. */
@@ -112,25 +107,6 @@
   );
 }
 
-/** When the last grant ended that was not answered, as far as is known. */
-function lastUnansweredAtMs(
-  { unansweredAtMs, unconfirmed }: LastCall,
-): number | undefined {
-  return unconfirmed?.endedAtMs ?? unansweredAtMs;
-}
-
-/** When the leases of grants without an answer expire, as far as is known. */
-function lastUnansweredLeaseEndMs(
-  { unansweredLeaseEndMs, unconfirmed }: LastCall,
-): number | undefined {
-  if (unconfirmed?.endedAtMs === undefined) return unansweredLeaseEndMs;
-  const { endedAtMs, leaseLifetimeMs } = unconfirmed;
-  return Math.max(
-    unansweredLeaseEndMs ?? Number.NEGATIVE_INFINITY,
-    endedAtMs + leaseLifetimeMs,
-  );
-}
-
 /** Ages in ms of the last grant and of the last unanswered one. */
 type GrantAges = [lastMs: number, unansweredMs: number | null];
 
@@ -169,11 +145,6 @@
    * Whether the grant may still be sent; checked when its bytes are written.
    */
   readonly isStillAllowed: () => boolean;
-  /**
-   * Whether an answer that may be that of an earlier call counts only once it
-   * is confirmed.
-   */
-  readonly needsConfirmation: boolean;
 }
 
 /** Grants and renews the ranges of one service on behalf of one entry VM. */
@@ -267,7 +238,7 @@
     for (const { server, call, ages: [ageMs] } of this.#formerCalls()) {
       const [leftMs, unansweredLeftMs] = this.#leasesLeftMs(call);
       for (const range of inHandover.get(server) ?? []) {
-        if (!grants.overlaps(call.range, range)) continue;
+        if (!grants.overlaps(call, range)) continue;
         const { revision } = range.vacating!;
         const name = `${server}/${revision}`;
         const [, , otherMs, otherLeftMs, otherUnansweredLeftMs] =
@@ -288,8 +259,7 @@
   #leasesLeftMs(call: LastCall): [number, number | null] {
     const { clock, timings } = this.#options;
     const nowMs = clock.nowMs();
-    const { isInFlight, leaseEndMs } = call;
-    const unansweredLeaseEndMs = lastUnansweredLeaseEndMs(call);
+    const { isInFlight, leaseEndMs, unansweredLeaseEndMs } = call;
     // A call in flight may last for its timeout.
     const inFlightMs = isInFlight
       ? timings.grantTimeoutMs + call.leaseLifetimeMs
@@ -315,8 +285,7 @@
     const nowMs = this.#options.clock.nowMs();
     for (const [rangeKey, call] of this.#lastCalls) {
       if (this.#listed.has(rangeKey)) continue;
-      const { range: { owner: { server } }, isInFlight, endedAtMs } = call;
-      const unansweredAtMs = lastUnansweredAtMs(call);
+      const { server, isInFlight, endedAtMs, unansweredAtMs } = call;
       // No grant was sent yet; JSON can't represent an infinite age.
       if (!isInFlight && endedAtMs === Number.NEGATIVE_INFINITY) continue;
       const ageMs = isInFlight ? 0 : Math.floor(nowMs - endedAtMs);
@@ -329,26 +298,11 @@
     }
   }
 
-  /**
-   * A range that is no longer granted to the server, and whose last grant has an
-   * answer that is not confirmed; undefined for none.
-   */
-  unconfirmedRange(
-    server: contracts.ServerId,
-  ): contracts.RangeState | undefined {
-    for (const [rangeKey, { range, unconfirmed }] of this.#lastCalls) {
-      const isTakenAway = range.owner.server === server &&
-        !this.#listed.has(rangeKey);
-      if (isTakenAway && unconfirmed !== undefined) return range;
-    }
-    return undefined;
-  }
-
   /**
    * Sends one grant. Failures are logged, and reported through the callbacks.
    */
   async send(
-    { range, handover, leaseMs, isStillAllowed, ...request }: GrantRequest,
+    { range, handover, leaseMs, isStillAllowed }: GrantRequest,
   ): Promise<void> {
     const { clock, control, timings, findServer, log } = this.#options;
     const server = findServer(range.owner);
@@ -383,17 +337,8 @@
         onAnswerDoubted: (reason) => {
           answer.isDoubted = true;
           noteIfUnanswered(call, answer);
-          if (call.unconfirmed === answer) call.unconfirmed = undefined;
           log.info("A grant's answer is in doubt.", { ...fields, reason });
         },
-        onAnswerUnconfirmed: () => {
-          if (request.needsConfirmation) call.unconfirmed = answer;
-        },
-        onAnswerConfirmed: () => {
-          if (call.unconfirmed !== answer) return;
-          call.unconfirmed = undefined;
-          this.#options.onCompleted(server.server);
-        },
       },
     );
     state.isInFlight = false;
@@ -479,12 +424,14 @@
     const rangeKey = rangeKeyOf(range);
     const found = this.#lastCalls.get(rangeKey);
     if (found !== undefined) return found;
+    const { fromKey, toKey, owner } = range;
     const created: LastCall = {
-      range,
+      server: owner.server,
+      fromKey,
+      toKey,
       isInFlight: false,
       endedAtMs: Number.NEGATIVE_INFINITY,
       unansweredAtMs: undefined,
-      unconfirmed: undefined,
       leaseLifetimeMs: 0,
       leaseEndMs: Number.NEGATIVE_INFINITY,
       unansweredLeaseEndMs: undefined,
--- a/packages/entry/src/gateway/grants/service_grants.ts
+++ b/packages/entry/src/gateway/grants/service_grants.ts
@@ -137,8 +137,6 @@
   readonly #pacer = new grants.ReleasePacer();
   /** When this VM last sent a grant to each owner. */
   readonly #grantedAtMs = new Map<contracts.ServerId, number>();
-  /** Releases in flight that confirm grants, by old owner. */
-  readonly #confirming = new Map<contracts.ServerId, AbortController>();
   /** Fences that were accepted in answer to this VM's grants. */
   readonly #acceptedFences = new Set<number>();
 
@@ -346,7 +344,6 @@
     this.#updateLeadership(nowMs);
     this.#fetcher.tick(nowMs);
     if (this.#map !== undefined) this.#renew(this.#map, nowMs);
-    for (const server of this.#inHandover.keys()) this.#confirmGrants(server);
     if (this.#isLeader) this.#runHandovers(nowMs);
   }
 
@@ -517,75 +514,22 @@
     }
     if (due.length === 0) return;
     if (!this.#isConfirmed(map)) return this.#fetcher.requestRead();
-    for (const range of due) this.#grant(range, nowMs);
-  }
-
-  #grant(range: contracts.RangeState, nowMs: number): void {
-    const { server } = range.owner;
-    const request = {
-      range,
-      handover: this.#handoverController.handover(range.fence),
-      leaseMs: this.#grantedLeaseMs(server),
-      isStillAllowed: () => this.#isStillGranted(range),
-      needsConfirmation: this.#mayConfirmGrants(server),
-    };
-    this.#grantedAtMs.set(server, nowMs);
-    // The server answers it when running work has ended; a grant can't wait.
-    this.#confirming.get(server)?.abort();
-    this.#sender.send(request).then(
-      () => this.#renewNext(server),
-      (error) =>
-        this.#options.log.error("Grant failed.", { error: String(error) }),
-    );
-  }
-
-  /**
-   * Whether a server gets calls that only confirm answers. One that limits its
-   * calls gets none; its grants are so far apart that an extra answer to one
-   * shows before the next.
-   */
-  #mayConfirmGrants(server: contracts.ServerId): boolean {
-    const { backoffs, controlCallsPerSecond, vm } = this.#options;
-    return controlCallsPerSecond(server) === undefined &&
-      !backoffs.isBackingOff(vm, server);
-  }
-
-  /**
-   * Confirms the answers to the last grants of ranges that an old owner hands
-   * over, by a call on their connection: the renewal of another range, or a
-   * release of its own once it has none.
-   */
-  #confirmGrants(server: contracts.ServerId): void {
-    const range = this.#sender.unconfirmedRange(server);
-    if (range === undefined || this.#map === undefined) return;
-    if (!this.#sender.canSend(range.owner)) return;
-    if (!this.#mayConfirmGrants(server)) return;
-    const others = this.#map.ranges.filter(({ owner }) =>
-      owner.server === server
-    );
-    if (others.length === 0) return this.#releaseAfterGrants(range);
-    const accepted = others.find((it) => !this.#isUnaccepted(it));
-    if (accepted === undefined || !this.#isConfirmed(this.#map)) return;
-    this.#grant(accepted, this.#options.clock.nowMs());
-  }
-
-  #releaseAfterGrants({ owner, ...range }: contracts.RangeState): void {
-    const { registry, control, log } = this.#options;
-    const server = registry.entry(owner);
-    if (server === undefined || this.#confirming.has(owner.server)) return;
-    const cancellation = new AbortController();
-    this.#confirming.set(owner.server, cancellation);
-    control.release(server, range, {
-      timeoutMs: RELEASE_TIMEOUT_MS,
-      signal: cancellation.signal,
-      followsGrants: true,
-    }).then(
-      () => this.#confirming.delete(owner.server),
-      (error) => {
-        this.#confirming.delete(owner.server);
-        log.error("Release failed.", { error: String(error) });
-      },
-    );
+    for (const range of due) {
+      const handover = this.#handoverController.handover(range.fence);
+      const isStillAllowed = () => this.#isStillGranted(range);
+      const request = {
+        range,
+        handover,
+        leaseMs: this.#grantedLeaseMs(range.owner.server),
+        isStillAllowed,
+      };
+      this.#grantedAtMs.set(range.owner.server, nowMs);
+      this.#sender.send(request).then(
+        () => this.#renewNext(range.owner.server),
+        (error) =>
+          this.#options.log.error("Grant failed.", { error: String(error) }),
+      );
+    }
   }
 
   /** The most overdue range that this VM renews at a server. */
