Review case 4: a machine that starts again misses that endpoints drain

Seen: a machine whose first list of servers takes two pages, one of them stale, sends requests to draining endpoints for as long as they serve, many seconds beyond drain.

Cause, as far as known: KindWatch.#list takes the newest revision of all pages for the position up to which it knows all changes.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec node "$(dirname "$0")/case.mjs"
