fix(grants): keep a server's address from ending the leader of its keys

Cause: an address of digits and dots was accepted, and became part of a URL. GrantClient threw where its interface reports failures, from a timer callback (ServiceGrants.#release). The stored range map still named the server, so new leaders ended too. GrantSender left the call that threw in flight for good.

--- a/packages/contracts/src/mod.ts
+++ b/packages/contracts/src/mod.ts
@@ -5,6 +5,7 @@
 export * from "./config_objects.ts";
 export * from "./ids.ts";
 export * from "./key_grants.ts";
+export * from "./network_address.ts";
 export * from "./outcomes.ts";
 export * from "./peer.ts";
 export * from "./platform_store.ts";
--- a/packages/entry/src/gateway/grants/grant_sender.ts
+++ b/packages/entry/src/gateway/grants/grant_sender.ts
@@ -5,6 +5,7 @@
  */
 import type * as contracts from "@guavatide/contracts";
 import * as grants from "@guavatide/decisions/grants/mod";
+import * as neverthrow from "neverthrow";
 import { SystemRandom } from "../../utils/clock.ts";
 import type { Logger } from "../../utils/log.ts";
 
@@ -304,7 +305,7 @@
   async send(
     { range, handover, leaseMs, isStillAllowed }: GrantRequest,
   ): Promise<void> {
-    const { clock, control, timings, findServer, log } = this.#options;
+    const { clock, timings, findServer, log } = this.#options;
     const server = findServer(range.owner);
     if (server === undefined) return;
     const state = this.#state(range.owner);
@@ -328,7 +329,7 @@
       wasSent = isStillAllowed();
       return wasSent;
     };
-    const result = await control.grant(
+    const result = await this.#call(
       server,
       { fromKey, toKey, fence, holdMs: leaseMs, handover },
       {
@@ -382,6 +383,24 @@
     if (result.value === "fenced-off") this.#options.onFencedOff(range);
   }
 
+  /**
+   * Reports a call that throws as failed: it would count as in flight for good,
+   * and the server would get no other grant.
+   */
+  async #call(
+    server: contracts.RegisteredServer,
+    grant: contracts.KeyGrant,
+    options: contracts.GrantCallOptions,
+  ): Promise<
+    neverthrow.Result<contracts.GrantAnswer, contracts.ServerCallError>
+  > {
+    try {
+      return await this.#options.control.grant(server, grant, options);
+    } catch (error) {
+      return neverthrow.err({ kind: "unreachable", message: String(error) });
+    }
+  }
+
   #scheduleRetry(state: ServerState, isGranted: boolean): void {
     state.consecutiveFailures = isGranted ? 0 : state.consecutiveFailures + 1;
     if (isGranted) return;
--- a/packages/entry/src/gateway/grants/grant_sender_test.ts
+++ b/packages/entry/src/gateway/grants/grant_sender_test.ts
@@ -87,6 +87,23 @@
   expect(sender.unresponsiveServers()).toEqual([SERVER]);
 });
 
+/** Guards against a server that gets no other grant after a call that threw. */
+test("should send a grant again after a call that throws", async () => {
+  let nowMs = 0;
+  let calls = 0;
+  const throwFirst = () => {
+    calls++;
+    if (calls === 1) throw new TypeError("Invalid URL");
+    return neverthrow.okAsync("granted" as const);
+  };
+  const sender = createSender(throwFirst, () => nowMs);
+  await sender.send(REQUEST).catch(() => {});
+  nowMs = 1_000;
+  expect(sender.canSend(RANGE.owner)).toEqual(true);
+  await sender.send(REQUEST);
+  expect(sender.accepted(RANGE)?.sentAtMs).toEqual(1_000);
+});
+
 /**
  * Guards against a loop of refused grants that takes the processor from
  * requests.
