fix(paths): keep a server's port from ending entry processes

Cause: a port of up to five digits was accepted. A request for that server was rejected as its URL is invalid, which left the attempt open in the PathTracker, so the server counted as silent and was looked at. net.connect throws on the port, so probeConnection rejected, and nobody handles that.

--- a/packages/contracts/src/network_address.ts
+++ b/packages/contracts/src/network_address.ts
@@ -5,6 +5,9 @@
 import * as net from "node:net";
 import * as z from "zod";
 
+/** Schema of a TCP or UDP port that can be connected to. */
+export const portSchema = z.number().int().min(1).max(65_535);
+
 /** Where a program listens. */
 export interface NetworkAddress {
   /** IP address. */
@@ -19,9 +22,10 @@
 export const ipv4SocketAddressSchema = z.string().transform(
   (text, context): NetworkAddress => {
     const [host = "", port = "", ...rest] = text.split(":");
+    const address = { host, port: Number(port) };
     const isValid = rest.length === 0 && /^[0-9]{1,5}$/.test(port) &&
-      net.isIPv4(host);
-    if (isValid) return { host, port: Number(port) };
+      net.isIPv4(host) && portSchema.safeParse(address.port).success;
+    if (isValid) return address;
     context.addIssue(
       `"${
         text.slice(0, 100)
--- a/packages/entry/src/gateway/paths/server_paths.ts
+++ b/packages/entry/src/gateway/paths/server_paths.ts
@@ -5,7 +5,10 @@
 import type * as contracts from "@guavatide/contracts";
 import type { ServerReach } from "@guavatide/decisions/admission/mod";
 import * as paths from "@guavatide/decisions/paths/mod";
-import type { ConnectionPool } from "../../links/connection_pool.ts";
+import type {
+  ConnectionPool,
+  SendOptions,
+} from "../../links/connection_pool.ts";
 import type { ConnectionPools } from "../../links/connection_pools.ts";
 import { probeConnection } from "../../links/connection_probe.ts";
 import type {
@@ -191,10 +194,7 @@
     };
     this.#tracker.start(server, attempt);
     this.#reviewTask?.setIntervalMs(REVIEW_INTERVAL_MS);
-    const result = await this.#pool(entry).send({
-      ...request,
-      maySend,
-    }, {
+    const result = await this.#sendByPool(entry, { ...request, maySend }, {
       timeoutMs: options.timeoutMs,
       signal: options.signal,
       onStarted: (giveUp) => abandon = giveUp,
@@ -209,6 +209,30 @@
     return result;
   }
 
+  /**
+   * Sends a request over a connection of the pool. Never rejects: an attempt
+   * that doesn't end would count as in flight for good.
+   */
+  async #sendByPool(
+    entry: contracts.RegisteredServer,
+    request: AttemptRequest,
+    options: SendOptions,
+  ): Promise<AttemptResult> {
+    try {
+      return await this.#pool(entry).send(request, options);
+    } catch (error) {
+      const { server } = entry;
+      const message = String(error);
+      this.#options.log.error("Sending a request failed.", { server, message });
+      return {
+        kind: "unknown",
+        reason: "connection-lost",
+        message,
+        isPathLost: true,
+      };
+    }
+  }
+
   #noteNotices(
     entry: contracts.RegisteredServer,
     result: AttemptResult,
--- a/packages/entry/src/links/connection_probe.ts
+++ b/packages/entry/src/links/connection_probe.ts
@@ -3,7 +3,8 @@
 
 /**
  * `accepted`: it did and kept the connection open. `refused`: nothing listens
- * there. `broken`: the connection was reset. `silent`: no reply in time.
+ * there. `broken`: the connection was reset, or could not be begun. `silent`: no
+ * reply in time.
  */
 export type ProbeOutcome = "accepted" | "refused" | "broken" | "silent";
 
@@ -26,7 +27,13 @@
   { timeoutMs, stayMs = 0 }: ProbeOptions,
 ): Promise<ProbeOutcome> {
   return new Promise((resolve) => {
-    const socket = net.connect(target);
+    let socket: net.Socket;
+    try {
+      socket = net.connect(target);
+    } catch {
+      // Not an address that a socket accepts.
+      return resolve("broken");
+    }
     let stay: NodeJS.Timeout | undefined;
     const end = (outcome: ProbeOutcome) => {
       clearTimeout(stay);
--- a/packages/entry/src/links/connection_probe_test.ts
+++ b/packages/entry/src/links/connection_probe_test.ts
@@ -26,3 +26,10 @@
   server.close();
   expect(outcome).toEqual("broken");
 });
+
+/** Guards against a process that ends over a rejection that nobody handles. */
+test("should resolve for a port that no socket accepts", async () => {
+  const target = { host: "127.0.0.1", port: 70_000 };
+  const outcome = await probeConnection(target, { timeoutMs: 100 });
+  expect(outcome).toEqual("broken");
+});
