fix(peers): check the addresses of peers where they are decoded

An entry VM registered in the store with the port 70000 ended each VM that listed it: dgram.send throws on the port, in the timer that sends hellos. The same holds for hellos, and for the VMs that a peer names.

Cause: hosts and ports of peers were any text and any whole number. They are checked as those of servers, by node:net, in each message and registration. One unusable entry no longer hides the other peers. A message whose handler throws is logged instead of ending the process.

--- a/packages/contracts/src/network_address.ts
+++ b/packages/contracts/src/network_address.ts
@@ -5,8 +5,26 @@
 import * as net from "node:net";
 import * as z from "zod";
 
+/** Whether a value is an IPv4 address in text form. */
+export function isIpv4Address(value: unknown): value is string {
+  return typeof value === "string" && net.isIPv4(value);
+}
+
+/** Whether a value is a TCP or UDP port that can be connected to. */
+export function isPort(value: unknown): value is number {
+  return typeof value === "number" && Number.isInteger(value) &&
+    value >= 1 && value <= 65_535;
+}
+
+/** Schema of an IPv4 address in text form. */
+export const ipv4AddressSchema = z.string().refine(isIpv4Address, {
+  error: "Not an IPv4 address; write it as in 10.1.0.18",
+});
+
 /** Schema of a TCP or UDP port that can be connected to. */
-export const portSchema = z.number().int().min(1).max(65_535);
+export const portSchema = z.number().refine(isPort, {
+  error: "Not a port; it is a whole number from 1 to 65535",
+});
 
 /** Where a program listens. */
 export interface NetworkAddress {
@@ -24,7 +42,7 @@
     const [host = "", port = "", ...rest] = text.split(":");
     const address = { host, port: Number(port) };
     const isValid = rest.length === 0 && /^[0-9]{1,5}$/.test(port) &&
-      net.isIPv4(host) && portSchema.safeParse(address.port).success;
+      isIpv4Address(host) && isPort(address.port);
     if (isValid) return address;
     context.addIssue(
       `"${
--- a/packages/entry/src/gateway/peers/peer_channel.ts
+++ b/packages/entry/src/gateway/peers/peer_channel.ts
@@ -127,14 +127,21 @@
     });
   }
 
+  /** A message that can't be handled must not end the process. */
   #receive(bytes: Buffer): void {
+    const { log } = this.#options;
     const message = decodeMessage(bytes);
-    if (message !== undefined) {
-      return this.dispatch(message.method, message.params);
+    if (message === undefined) {
+      log.warn("Ignored a malformed datagram.", { bytes: bytes.length });
+      return;
+    }
+    const { method, params } = message;
+    try {
+      this.dispatch(method, params);
+    } catch (error) {
+      const { stack } = error as Error;
+      log.error("Handling a datagram failed.", { method, error: stack });
     }
-    this.#options.log.warn("Ignored a malformed datagram.", {
-      bytes: bytes.length,
-    });
   }
 }
 
--- a/packages/entry/src/gateway/peers/peer_discovery.ts
+++ b/packages/entry/src/gateway/peers/peer_discovery.ts
@@ -41,8 +41,8 @@
 const REQUEST_INTERVAL_MAX_MS = 5_000;
 
 const registrationSchema = z.object({
-  host: z.string(),
-  port: z.number().int(),
+  host: contracts.ipv4AddressSchema,
+  port: contracts.portSchema,
 });
 
 /** Finds the other entry VMs. */
@@ -186,13 +186,13 @@
     }
     health.noteAnswer();
     for (const { name, value } of result.value.objects) {
+      const vm = contracts.vmIdSchema.safeParse(name.slice(PREFIX.length));
       const address = parseRegistration(value);
-      if (address === undefined) {
+      if (!vm.success || address === undefined) {
         log.warn("Ignored a malformed registration of an entry VM.", { name });
         continue;
       }
-      const vm = name.slice(PREFIX.length) as contracts.VmId;
-      gossip.addPeer(vm, address.host, address.port);
+      gossip.addPeer(vm.data, address.host, address.port);
     }
     return true;
   }
--- a/packages/entry/src/gateway/peers/peer_messages.ts
+++ b/packages/entry/src/gateway/peers/peer_messages.ts
@@ -72,8 +72,8 @@
 export const peerHelloSchema = z.object({
   vm: contracts.vmIdSchema,
   incarnation: contracts.incarnationSchema,
-  host: z.string(),
-  port: z.number().int(),
+  host: contracts.ipv4AddressSchema,
+  port: contracts.portSchema,
   zone: contracts.zoneIdSchema,
   /**
    * Processor of the VM in cores: VMs with few take on no roles for others.
@@ -122,8 +122,8 @@
   if (!hasCommonFields(params)) return false;
   const { host, zone, port, processorCores, linkMbps, hasStore, isLeaving } =
     params as Partial<PeerHello>;
-  return areStrings([host, zone]) && Number.isInteger(port) &&
-    Number.isFinite(processorCores) &&
+  return contracts.isIpv4Address(host) && contracts.isPort(port) &&
+    typeof zone === "string" && Number.isFinite(processorCores) &&
     (linkMbps === undefined || Number.isFinite(linkMbps)) &&
     typeof hasStore === "boolean" &&
     typeof isLeaving === "boolean";
@@ -652,8 +652,8 @@
 /** Schema of {@link PeersRequest}. */
 export const peersRequestSchema = z.object({
   vm: contracts.vmIdSchema,
-  host: z.string(),
-  port: z.number().int(),
+  host: contracts.ipv4AddressSchema,
+  port: contracts.portSchema,
   /** Hash of the set of VMs that the sender knows, itself included. */
   digest: z.number().int(),
 });
@@ -662,13 +662,23 @@
  */
 export type PeersRequest = z.infer<typeof peersRequestSchema>;
 
-/** Schema of {@link KnownPeers}. */
+const knownPeerSchema = z.tuple([
+  contracts.vmIdSchema,
+  contracts.ipv4AddressSchema,
+  contracts.portSchema,
+]);
+
+/**
+ * Schema of {@link KnownPeers}. Entries that can't be used are left out: one of
+ * them must not keep the VMs from finding the others.
+ */
 export const knownPeersSchema = z.object({
-  peers: z.array(z.tuple([
-    contracts.vmIdSchema,
-    z.string(),
-    z.number().int(),
-  ])),
+  peers: z.array(z.unknown()).transform((entries) =>
+    entries.flatMap((entry) => {
+      const parsed = knownPeerSchema.safeParse(entry);
+      return parsed.success ? [parsed.data] : [];
+    })
+  ),
 });
 /** Addresses of the VMs that the sender knows, itself included. */
 export type KnownPeers = z.infer<typeof knownPeersSchema>;
--- a/packages/entry/src/gateway/peers/peer_messages_test.ts
+++ b/packages/entry/src/gateway/peers/peer_messages_test.ts
@@ -150,3 +150,44 @@
     expect(messages.isVoterStatus(status)).toEqual(false);
   }
 });
+
+/**
+ * Guards against VMs that end as they send datagrams or calls to a peer whose
+ * address no socket or URL accepts.
+ */
+test("should refuse hellos and requests whose address can't be used", () => {
+  const request = { vm: "vm1", host: "10.0.0.1", port: 7_200, digest: 1 };
+  expect(messages.peersRequestSchema.safeParse(request).success).toEqual(true);
+  for (
+    const wrong of [
+      { host: "10.0.0.256" },
+      { host: "" },
+      { host: "vm1.example" },
+      { host: "::1" },
+      { port: 0 },
+      { port: 65_536 },
+      { port: 70_000 },
+    ]
+  ) {
+    expect(messages.isPeerHello({ ...HELLO, ...wrong })).toEqual(false);
+    expect(messages.isPeerStatus({ ...STATUS, ...wrong })).toEqual(false);
+    expect(
+      messages.peersRequestSchema.safeParse({ ...request, ...wrong }).success,
+    ).toEqual(false);
+  }
+});
+
+/** Guards against one such address that hides all other peers. */
+test("should leave unusable addresses out of the peers that a VM knows", () => {
+  const known = messages.knownPeersSchema.parse({
+    peers: [
+      ["vm1", "10.0.0.1", 7_200],
+      ["vm2", "10.0.0.256", 7_200],
+      ["vm3", "10.0.0.3", 70_000],
+      ["vm 4", "10.0.0.4", 7_200],
+      ["vm5"],
+      ["vm6", "10.0.0.6", 7_200],
+    ],
+  });
+  expect(known.peers.map(([vm]) => vm as string)).toEqual(["vm1", "vm6"]);
+});
