fix(store): follow a list from its oldest page on

Cause: a stale list of several pages has pages of different ages, and KindWatch followed changes from the newest revision of any object. A change that an older page lacks was never learned. A current list had the same fault between its first page and later ones.

The cursor of a list is now the position up to which all its pages are complete, and the VM's position never exceeds it. Objects that are known in a later version are kept. A peer answers a request for missed changes from its table, in one datagram, where it buffers them no more.

--- a/packages/contracts/src/platform_store.ts
+++ b/packages/contracts/src/platform_store.ts
@@ -65,10 +65,15 @@
       readonly mayBeStale?: boolean;
     },
   ): ResultAsync<StoredObject, StoreError>;
+  /**
+   * Lists all objects with a prefix, in any number of calls. The objects include
+   * all changes up to `cursor`, from which a watch can start, and may include
+   * later ones.
+   */
   list(
     prefix: string,
     options: CallOptions & {
-      /** As in `get`; `cursor` may then be newer than the objects. */
+      /** As in `get`; `cursor` is then as old as the oldest part of the list. */
       readonly mayBeStale?: boolean;
     },
   ): ResultAsync<{ objects: StoredObject[]; cursor: string }, StoreError>;
--- a/packages/entry/src/gateway/store/kind_watch.ts
+++ b/packages/entry/src/gateway/store/kind_watch.ts
@@ -238,7 +238,11 @@
     // last change of each object prevails.
     const receivedAtMs = this.#options.clock.nowMs();
     const ageMs = Math.round(receivedAtMs - learnedAtMs);
-    this.#apply([...events, ...missing], { source: "relay", from, ageMs });
+    this.#apply([...events, ...missing], toPosition, {
+      source: "relay",
+      from,
+      ageMs,
+    });
     this.#position = toPosition;
     this.#knownPosition = Math.max(this.#knownPosition, toPosition);
   }
@@ -409,7 +413,7 @@
     if (isNewer) {
       const objects = snapshot.objects
         .map(([name, version, value]) => ({ name, version, value }));
-      this.#replace(objects, { source: "peer", from });
+      this.#replace(objects, position, { source: "peer", from });
       this.#position = position;
       this.#knownPosition = Math.max(this.#knownPosition, position);
     }
@@ -432,27 +436,26 @@
     this.#failures = 0;
     this.#isStale = false;
     this.#isStoreAhead = false;
-    const { objects, cursor } = result.value;
+    const { objects } = result.value;
+    const listedPosition = Number(result.value.cursor);
     // Peers have sent later changes meanwhile, which this list would revert.
-    if (this.#isListed && Number(cursor) < this.#position) return true;
+    if (this.#isListed && listedPosition < this.#position) return true;
+    const wasListed = this.#isListed;
+    const fromPosition = this.#completePosition;
+    const events = this.#replace(objects, listedPosition, { source: "list" });
+    this.#knownPosition = listedPosition;
+    // The cursor of a list also rises with changes of other prefixes, and peers
+    // that listed a little earlier would seem to lack changes. Objects of later
+    // pages may be newer than the cursor.
     const newestPosition = Math.max(
       0,
       ...objects.map(({ version }) => Number(version)),
     );
-    if (options.mayBeStale) {
-      this.#replace(objects, { source: "list" });
-      // A stale list's objects may be older than its cursor says.
-      this.#position = newestPosition;
-      this.#knownPosition = newestPosition;
-      return true;
-    }
-    const wasListed = this.#isListed;
-    const fromPosition = this.#completePosition;
-    const events = this.#replace(objects, { source: "list" });
-    this.#knownPosition = Number(cursor);
-    // The cursor of a list also rises with changes of other prefixes, and peers
-    // that listed a little earlier would seem to lack changes.
-    this.#position = Math.max(this.#position, newestPosition);
+    this.#position = Math.max(
+      this.#position,
+      Math.min(newestPosition, listedPosition),
+    );
+    if (options.mayBeStale) return true;
     if (!wasListed || events.length === 0) return true;
     this.#position = this.#knownPosition;
     const names = this.#table.names;
@@ -511,37 +514,45 @@
     // A peer may have sent these changes, and later ones, meanwhile.
     if (toPosition > this.#position) {
       this.#position = toPosition;
-      events = this.#apply(events, { source: "watch" });
+      events = this.#apply(events, toPosition, { source: "watch" });
     }
     const learnedAtMs = clock.nowMs();
     relay.publish(prefix, { fromPosition, toPosition, events, learnedAtMs });
   }
 
-  /** Makes the table equal to a list, and returns the changes. */
+  /**
+   * Makes the table equal to a list of all changes up to a position, and returns
+   * the changes.
+   */
   #replace(
     objects: readonly contracts.StoredObject[],
+    position: number,
     origin: ChangeOrigin,
   ): readonly ObjectChange[] {
     const changes = this.#table.diff(objects);
-    if (this.#isListed) return this.#apply(changes, origin);
+    if (this.#isListed) return this.#apply(changes, position, origin);
     this.#isListed = true;
-    this.#table.apply(changes);
+    this.#table.apply(changes, position);
     this.#options.onList(objects, origin);
     return changes;
   }
 
-  /** Applies changes; returns them with the objects before. */
+  /**
+   * Applies changes up to a position; returns those that were applied, with the
+   * objects before.
+   */
   #apply(
     changes: readonly ObjectChange[],
+    position: number,
     origin: ChangeOrigin,
   ): readonly ObjectChange[] {
-    if (changes.length === 0) return changes;
-    const applied = this.#table.apply(changes);
+    const applied = this.#table.apply(changes, position);
+    if (applied.length === 0) return applied;
     this.#snapshot = undefined;
     const behindMs = this.#behindSinceMs === undefined
       ? undefined
       : Math.round(this.#options.clock.nowMs() - this.#behindSinceMs);
-    this.#options.onChanges(changes, { ...origin, behindMs });
+    this.#options.onChanges(applied, { ...origin, behindMs });
     return applied;
   }
 
--- a/packages/entry/src/gateway/store/kind_watch_test.ts
+++ b/packages/entry/src/gateway/store/kind_watch_test.ts
@@ -132,3 +132,62 @@
     await timers.setTimeout(SLOW_LIST_MS);
     expect(vm.knownVersion).toEqual(3);
   }));
+
+/**
+ * Guards against changes that are never learned: one page of a list may be older
+ * than another, and the position is that of the older one.
+ */
+for (const isReader of [false, true]) {
+  test(
+    `should miss no change of an older page (${
+      isReader ? "reader" : "other VM"
+    })`,
+    async () => {
+      const lifeCycle = new LifeCycle();
+      const clock = { nowMs: () => performance.now() };
+      const requested: number[] = [];
+      const objects = [99, 105].map((version) => ({
+        name: `servers/s${version}`,
+        version: String(version),
+        value: "{}",
+      }));
+      const watch = new KindWatch({
+        store: {
+          list: () => neverthrow.okAsync({ objects, cursor: "100" }),
+          watch: (_prefix: string, { cursor }: { readonly cursor: string }) => {
+            requested.push(Number(cursor));
+            const pending = timers.setTimeout(STATUS_INTERVAL_MS, {
+              cursor: "105",
+              events: [],
+              reset: false,
+            });
+            return neverthrow.ResultAsync.fromSafePromise(pending);
+          },
+        } as unknown as contracts.PlatformStore,
+        health: new StoreHealth({ clock, log: SILENT }),
+        prefix: "servers/",
+        log: SILENT,
+        clock,
+        random: { next: () => 0.5 },
+        relay: {
+          isReader,
+          isStoreSteady: true,
+          schedule: { plan: () => STATUS_INTERVAL_MS, remove() {} },
+          add() {},
+          noteStorePosition() {},
+          requestChanges: (_prefix: string, position: number) =>
+            requested.push(position),
+          fetchSnapshot: () => Promise.resolve(undefined),
+        } as unknown as ConstructorParameters<typeof KindWatch>[0]["relay"],
+        onList: () => {},
+        onChanges: () => {},
+      });
+      watch.start(lifeCycle);
+      await waitUntil(() => watch.snapshot !== undefined);
+      watch.notePeerPosition(105, PEER);
+      await waitUntil(() => requested.length > 0, 1_000).catch(() => {});
+      await lifeCycle.stop();
+      expect(requested[0]).toEqual(100);
+    },
+  );
+}
--- a/packages/entry/src/gateway/store/object_table.ts
+++ b/packages/entry/src/gateway/store/object_table.ts
@@ -26,18 +26,23 @@
     return this.#objects.get(name);
   }
 
-  /** Applies changes in their order; returns them with the objects before. */
-  apply(changes: readonly ObjectChange[]): ObjectChange[] {
-    return changes.map((change) => {
-      const previous = this.#objects.get(change.name);
-      this.#applyOne(change);
-      return { ...change, previous };
-    });
-  }
-
-  #applyOne({ name, object }: ObjectChange): void {
-    if (object === undefined) this.#objects.delete(name);
-    else this.#objects.set(name, object);
+  /**
+   * Applies changes up to a position, in their order; returns those that were
+   * applied, with the objects before. An object that is known in a later version
+   * stays: a list may be newer than its position in parts.
+   */
+  apply(changes: readonly ObjectChange[], position: number): ObjectChange[] {
+    const applied: ObjectChange[] = [];
+    for (const change of changes) {
+      const { name, object } = change;
+      const previous = this.#objects.get(name);
+      const changedAt = object === undefined ? position : positionOf(object);
+      if (previous !== undefined && positionOf(previous) > changedAt) continue;
+      if (object === undefined) this.#objects.delete(name);
+      else this.#objects.set(name, object);
+      applied.push({ ...change, previous });
+    }
+    return applied;
   }
 
   /** Changes that make this table equal to a complete list. */
@@ -60,3 +65,8 @@
       .map((name) => ({ name }));
   }
 }
+
+/** Position of an object's last change. */
+function positionOf({ version }: contracts.StoredObject): number {
+  return Number(version);
+}
--- a/packages/entry/src/gateway/store/watch_relay.ts
+++ b/packages/entry/src/gateway/store/watch_relay.ts
@@ -99,6 +99,11 @@
  * fetches all objects from a peer.
  */
 const MAX_MESSAGE_BYTES = 24_000;
+/**
+ * Registrations compress to less than a fourth. Larger changes are not encoded
+ * for a single peer, as that takes milliseconds.
+ */
+const MAX_ENCODED_CHARACTERS = 4 * MAX_MESSAGE_BYTES;
 const SNAPSHOT_METHOD = "kindState";
 
 /**
@@ -442,32 +447,55 @@
   }
 
   /**
-   * Sends a peer the changes that it missed, or a message without changes when
-   * they are no longer buffered.
+   * Sends a peer the changes that it missed: the buffered ones, or those that
+   * the objects known here show.
    */
   #sendMissedChanges({ vm, prefix, cursor }: messages.ChangesRequest): void {
     const batches = this.#batches.get(prefix) ?? [];
     const missed = batches.filter(({ toPosition }) => toPosition > cursor);
-    const position = this.#watches.get(prefix)?.position ?? 0;
-    if (position <= cursor) return;
+    const snapshot = this.#watches.get(prefix)?.snapshot;
+    if (snapshot === undefined || snapshot.position <= cursor) return;
     const isWhole = missed.length > 0 &&
       missed.every(({ fromPosition, events }, index) =>
         events !== undefined &&
         fromPosition <= (missed[index - 1]?.toPosition ?? cursor)
       );
     if (!isWhole) {
-      const range = { fromPosition: cursor, toPosition: position };
       const learnedAtMs = this.#options.clock.nowMs();
-      return this.#send(
-        prefix,
-        { ...range, events: undefined, learnedAtMs },
-        vm,
-      );
+      const changes = changesSince(cursor, snapshot, learnedAtMs);
+      return this.#send(prefix, changes, vm);
     }
     for (const batch of missed) this.#send(prefix, batch, vm);
   }
 }
 
+/**
+ * The objects changed after a position, and the names of all of them; without
+ * both when they are too large for a message.
+ */
+function changesSince(
+  fromPosition: number,
+  { position, objects }: messages.KindSnapshot,
+  learnedAtMs: number,
+): RelayedChanges {
+  const range = { fromPosition, toPosition: position, learnedAtMs };
+  const changed = objects.filter(([, version]) =>
+    Number(version) > fromPosition
+  );
+  const names = objects.map(([name]) => name);
+  const values = changed.map(([, , value]) => value);
+  const characters = [...names, ...values]
+    .reduce((total, { length }) => total + length, 0);
+  if (characters > MAX_ENCODED_CHARACTERS) {
+    return { ...range, events: undefined };
+  }
+  const events = changed.map(([name, version, value]) => ({
+    name,
+    object: { name, version, value },
+  }));
+  return { ...range, events, names };
+}
+
 /** Limit of the reported healthy time; no VM distinguishes longer times. */
 const MAX_HEALTHY_MS = 60_000;
 
