fix(routes): convert the state of a split to its new weights

Cause: a route table takes on the state of the weighted round robin of the table before. It is in units of the old weights, and weights have no fixed scale. A weight of 0 was not looked at.

The state is converted to the new total. Services with weight 0 are never picked. A route with a single service keeps no state.

--- a/packages/decisions/src/routes/route_table.ts
+++ b/packages/decisions/src/routes/route_table.ts
@@ -1,23 +1,35 @@
 /** Finds the route of a request and picks one of its services. */
 import type * as contracts from "@guavatide/contracts";
 
-/** Current weights of one route's targets, for smooth weighted round robin. */
-type TargetWeights = Map<contracts.ServiceId, number>;
+/** State of one route's smooth weighted round robin. */
+interface RouteRotation {
+  readonly targets: readonly contracts.RouteTarget[];
+  /** Sum of the targets' weights: the unit of one request. */
+  readonly totalWeight: number;
+  /** How much of a request each service is owed, in the same unit. */
+  readonly owed: Map<contracts.ServiceId, number>;
+}
 
 /** Routes of one configuration, looked up by host and path. */
 export class RouteTable {
   readonly #byHost = new Map<string, contracts.Route[]>();
-  readonly #currentWeights: Map<string, TargetWeights>;
+  /** By name of the route; only of routes with several targets. */
+  readonly #rotations = new Map<string, RouteRotation>();
 
   /**
-   * Keeps the current weights of an earlier table, so that the shares stay
+   * Takes on what an earlier table's targets are owed, so that the shares stay
    * exact across configuration changes.
    */
   constructor(routes: readonly contracts.Route[], earlier?: RouteTable) {
-    this.#currentWeights = earlier === undefined
-      ? new Map()
-      : new Map(earlier.#currentWeights);
+    const rotationsBefore = earlier === undefined
+      ? new Map<string, RouteRotation>()
+      : earlier.#rotations;
     for (const route of routes) {
+      if (route.targets.length > 1) {
+        const { name, targets } = route;
+        const rotation = createRotation(targets, rotationsBefore.get(name));
+        this.#rotations.set(name, rotation);
+      }
       const listed = this.#byHost.get(route.host) ?? [];
       listed.push(route);
       this.#byHost.set(route.host, listed);
@@ -26,10 +38,6 @@
     for (const listed of this.#byHost.values()) {
       listed.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
     }
-    const names = new Set(routes.map(({ name }) => name));
-    for (const name of this.#currentWeights.keys()) {
-      if (!names.has(name)) this.#currentWeights.delete(name);
-    }
   }
 
   /** The route of a request; `host` may have a port and upper-case letters. */
@@ -43,29 +51,44 @@
    * robin. The shares are exact over any run of requests, where random picks
    * would be off by several percent over a few hundred.
    */
-  pickService(route: contracts.Route): contracts.ServiceId {
-    const [first] = route.targets;
-    if (route.targets.length === 1) return first!.service;
-    const weights = this.#weightsOf(route);
-    let best = first!;
-    let total = 0;
-    for (const target of route.targets) {
-      total += target.weight;
-      const weight = (weights.get(target.service) ?? 0) + target.weight;
-      weights.set(target.service, weight);
-      if (weight > (weights.get(best.service) ?? 0)) best = target;
+  pickService({ name, targets }: contracts.Route): contracts.ServiceId {
+    const rotation = this.#rotations.get(name);
+    if (rotation === undefined) return targets[0]!.service;
+    const { totalWeight, owed } = rotation;
+    let best: contracts.ServiceId | undefined;
+    for (const { service, weight } of rotation.targets) {
+      if (weight === 0) continue;
+      owed.set(service, (owed.get(service) ?? 0) + weight);
+      if (best === undefined || owed.get(service)! > owed.get(best)!) {
+        best = service;
+      }
     }
-    weights.set(best.service, weights.get(best.service)! - total);
-    return best.service;
+    if (best === undefined) return targets[0]!.service;
+    owed.set(best, owed.get(best)! - totalWeight);
+    return best;
   }
+}
 
-  #weightsOf(route: contracts.Route): TargetWeights {
-    const found = this.#currentWeights.get(route.name);
-    if (found !== undefined) return found;
-    const created: TargetWeights = new Map();
-    this.#currentWeights.set(route.name, created);
-    return created;
+/**
+ * Weights have no fixed scale, so what targets are owed is converted to the new
+ * total. What services without a weight were owed is dropped.
+ */
+function createRotation(
+  targets: readonly contracts.RouteTarget[],
+  earlier: RouteRotation | undefined,
+): RouteRotation {
+  const weights = targets.map(({ weight }) => weight);
+  const totalWeight = weights.reduce((sum, weight) => sum + weight, 0);
+  const scale = earlier === undefined || earlier.totalWeight === 0
+    ? 0
+    : totalWeight / earlier.totalWeight;
+  const owed = new Map<contracts.ServiceId, number>();
+  for (const { service, weight } of targets) {
+    const owedBefore = earlier?.owed.get(service);
+    if (weight === 0 || owedBefore === undefined) continue;
+    owed.set(service, owedBefore * scale);
   }
+  return { targets, totalWeight, owed };
 }
 
 /** The host without its port, in lower case. */
