fix(admission): share the slack of retries with lost VMs

Two of the causes are closed: a VM that had heard of no other one took the whole slack, and survivors took over the parts of lost VMs in the window in which these had spent them.

The slack is divided by the VMs heard of within a minute, up or not. A VM with seeds that has heard of none has no part.

Tried and reverted: no slack for a window after a start, and a third of it by and by.

--- a/packages/decisions/src/admission/shared_retry_budget.ts
+++ b/packages/decisions/src/admission/shared_retry_budget.ts
@@ -12,6 +12,28 @@
   readonly windowMs: number;
 }
 
+/** What a VM knows of those that share a retry budget with it. */
+export interface BudgetSharers {
+  /** VMs that are up, this one included. */
+  readonly liveCount: number;
+  /** VMs heard of within a minute, up or not, this one included. */
+  readonly knownCount: number;
+  /** Whether the settings name other VMs. */
+  readonly hasSeeds: boolean;
+}
+
+/**
+ * Number of VMs that share the slack of a retry budget. Lost VMs count: they may
+ * have spent their part in the same window, or be cut off and still spend it. A
+ * VM that has heard of no other one yet has no part.
+ */
+export function countBudgetSharers(
+  { liveCount, knownCount, hasSeeds }: BudgetSharers,
+): number {
+  const count = Math.max(liveCount, knownCount);
+  return count === 1 && hasSeeds ? Number.POSITIVE_INFINITY : count;
+}
+
 /**
  * Fraction of the budget that is used: the VMs' windows are not aligned, and a
  * VM may underestimate how many others there are.
@@ -59,7 +81,10 @@
     this.#requests.add(this.#step(nowMs));
   }
 
-  /** Retries that may still be sent now; `vmCount` VMs share the slack. */
+  /**
+   * Retries that may still be sent now; `vmCount` VMs share the slack, see
+   * {@link countBudgetSharers}.
+   */
   remaining(nowMs: number, vmCount: number): number {
     const { ratio, slack } = this.#options;
     const step = this.#step(nowMs);
--- a/packages/decisions/src/admission/shared_retry_budget_test.ts
+++ b/packages/decisions/src/admission/shared_retry_budget_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { test } from "node:test";
-import { SharedRetryBudget } from "./mod.ts";
+import { countBudgetSharers, SharedRetryBudget } from "./mod.ts";
 
 const OPTIONS = { ratio: 0.2, slack: 56, windowMs: 10_000 };
 
@@ -36,3 +36,39 @@
   expect(budget.tryTake(10_000, 8)).toEqual(false);
   expect(budget.tryTake(11_600, 8)).toEqual(true);
 });
+
+/**
+ * Guards against VMs that spend the parts of lost VMs in the window in which
+ * these have spent them.
+ */
+test("should not let VMs take over the slack of VMs that were lost", () => {
+  const vmCount = 8;
+  const lostAtMs = 10_000;
+  const survivors = 3;
+  const budgets = Array.from(
+    { length: vmCount },
+    () => new SharedRetryBudget(OPTIONS),
+  );
+  let taken = 0;
+  for (let nowMs = 8_000; nowMs < 14_000; nowMs += 250) {
+    const liveCount = nowMs < lostAtMs ? vmCount : survivors;
+    for (const budget of budgets.slice(0, liveCount)) {
+      const sharers = countBudgetSharers({
+        liveCount,
+        knownCount: vmCount,
+        hasSeeds: true,
+      });
+      while (budget.tryTake(nowMs, sharers)) taken++;
+    }
+  }
+  expect(taken <= OPTIONS.slack).toEqual(true);
+});
+
+/** Guards against a VM that spends all of the slack as it has just started. */
+test("should have no slack while a VM has heard of no other one", () => {
+  const alone = { liveCount: 1, knownCount: 1 };
+  const budget = new SharedRetryBudget(OPTIONS);
+  const sharers = countBudgetSharers({ ...alone, hasSeeds: true });
+  expect(budget.tryTake(1_000, sharers)).toEqual(false);
+  expect(countBudgetSharers({ ...alone, hasSeeds: false })).toEqual(1);
+});
--- a/packages/entry/src/gateway/forwarding/forwarder.ts
+++ b/packages/entry/src/gateway/forwarding/forwarder.ts
@@ -339,7 +339,15 @@
       judged,
       recordAdmission: (event) => admissions.recordSend(service, event),
       returnAfterMs: (request) => admissions.refuse(service, request),
-      tryRetry: () => state.budget.tryTake(clock.nowMs(), gossip.vmCount),
+      tryRetry: () =>
+        state.budget.tryTake(
+          clock.nowMs(),
+          admission.countBudgetSharers({
+            liveCount: gossip.vmCount,
+            knownCount: gossip.knownIn(undefined).length,
+            hasSeeds: gossip.seedCount > 0,
+          }),
+        ),
       send: (entry, request, options) =>
         this.#options.paths.send(entry, request, options),
       headers: (request, entry, leftMs) =>
