fix(vms): check addresses in the VM list and in heartbeats

One entry of the platform's VM list with a host that is no IP address made the URL of a call to that VM or server invalid, which ends a process of the product's own interface as the rejection isn't handled. An entry that its schema refuses made the whole list unreadable.

Hosts were any text, and an IPv6 address was put into a URL without brackets. Both are checked where they are decoded, an unusable entry is left out of the list, and originOf writes the brackets.

That a process ends is concluded from the code, not shown.

--- a/packages/contracts/src/network_address.ts
+++ b/packages/contracts/src/network_address.ts
@@ -10,6 +10,21 @@
   return typeof value === "string" && net.isIPv4(value);
 }
 
+/** Schema of an IP address in text form; without a zone, which no URL has. */
+export const ipAddressSchema = z.string().refine(
+  (text) => net.isIP(text) !== 0 && !text.includes("%"),
+  { error: "Not an IP address; write it as in 10.1.0.18" },
+);
+
+/** The origin of URLs of an address; `scheme` is `http` by default. */
+export function originOf(
+  { host, port }: NetworkAddress,
+  scheme: "http" | "https" = "http",
+): string {
+  const hostInUrl = net.isIPv6(host) ? `[${host}]` : host;
+  return `${scheme}://${hostInUrl}:${port}`;
+}
+
 /** Whether a value is a TCP or UDP port that can be connected to. */
 export function isPort(value: unknown): value is number {
   return typeof value === "number" && Number.isInteger(value) &&
--- a/packages/contracts/src/peer.ts
+++ b/packages/contracts/src/peer.ts
@@ -12,6 +12,7 @@
   vmIdSchema,
   zoneIdSchema,
 } from "./ids.ts";
+import { ipAddressSchema, portSchema } from "./network_address.ts";
 
 /** Schema of {@link KnownRevision}. */
 export const knownRevisionSchema = z.strictObject({
@@ -87,8 +88,8 @@
   vm: vmIdSchema,
   incarnation: incarnationSchema,
   zone: zoneIdSchema,
-  host: z.string().min(1),
-  peerPort: z.number().int(),
+  host: ipAddressSchema,
+  peerPort: portSchema,
   /** Set in the last heartbeats before the process ends. */
   leaving: z.boolean(),
   known: z.array(knownRevisionSchema),
--- a/packages/contracts/src/vm_list.ts
+++ b/packages/contracts/src/vm_list.ts
@@ -7,6 +7,7 @@
   vmIdSchema,
   zoneIdSchema,
 } from "./ids.ts";
+import { ipAddressSchema, portSchema } from "./network_address.ts";
 import type { CallOptions } from "./platform_store.ts";
 
 /** Schema of {@link ListedVm}. */
@@ -20,9 +21,9 @@
   service: serviceIdSchema.optional(),
   zone: zoneIdSchema,
   /** IP address. */
-  host: z.string().min(1),
+  host: ipAddressSchema,
   /** Entry VM: port for peers. Backend server: its only port. */
-  port: z.number().int().min(1).max(65535),
+  port: portSchema,
   state: z.enum(["live", "leaving"]),
 });
 /** One entry of the VM list. */
--- a/packages/entry/src/links/connection_pools.ts
+++ b/packages/entry/src/links/connection_pools.ts
@@ -1,5 +1,6 @@
 /** All connections of this entry VM to backend servers, one pool per server. */
 import type * as contracts from "@guavatide/contracts";
+import * as contractValues from "@guavatide/contracts";
 import type { ServerAddress } from "../contracts/views.ts";
 import { HttpChannel, type HttpRequest } from "../platform/http_channel.ts";
 import { MonotonicClock } from "../utils/clock.ts";
@@ -139,8 +140,9 @@
   }
 
   /** The channel of a server for probes and cancellations. */
-  #controlChannel({ server, host, port }: ServerAddress): HttpChannel {
-    const origin = `http://${host}:${port}`;
+  #controlChannel(address: ServerAddress): HttpChannel {
+    const { server } = address;
+    const origin = contractValues.originOf(address);
     const known = this.#controlChannels.get(server);
     if (known?.origin === origin) return known.channel;
     this.#closeControl(server);
--- a/packages/entry/src/links/server_connection.ts
+++ b/packages/entry/src/links/server_connection.ts
@@ -126,7 +126,7 @@
     const connect = buildResettingConnector({
       timeout: options.connectTimeoutMs,
     });
-    const origin = `http://${options.host}:${options.port}`;
+    const origin = names.originOf(options);
     this.#client = new undici.Client(origin, {
       pipelining: 1,
       localAddress: options.localAddress,
--- a/packages/entry/src/platform/http_vm_list.ts
+++ b/packages/entry/src/platform/http_vm_list.ts
@@ -1,11 +1,15 @@
 /** Client of the platform's VM list over HTTP: `GET /vms`. */
 import * as contracts from "@guavatide/contracts";
 import { err, ok, type Result, type ResultAsync } from "neverthrow";
+import * as z from "zod";
 import { HttpChannel, type HttpResponse } from "./http_channel.ts";
 
 /** Enough for 50,000 VMs; an entry has less than 300 bytes. */
 const MAX_LIST_BYTES = 16 * 1_048_576;
 
+/** Entries that can't be used are left out, and the others hold. */
+const listSchema = z.strictObject({ vms: z.array(z.unknown()) });
+
 /** {@link contracts.VmList} over HTTP. */
 export class HttpVmList implements contracts.VmList {
   readonly #channel: HttpChannel;
@@ -45,7 +49,12 @@
     );
   }
   try {
-    return ok(contracts.vmListSnapshotSchema.parse(JSON.parse(response.text)));
+    const { vms } = listSchema.parse(JSON.parse(response.text));
+    return ok({
+      vms: vms.flatMap((vm) =>
+        contracts.listedVmSchema.safeParse(vm).data ?? []
+      ),
+    });
   } catch (error) {
     return err(
       unavailableError(
--- a/packages/entry/src/vms/peer_client.ts
+++ b/packages/entry/src/vms/peer_client.ts
@@ -2,6 +2,7 @@
  * Calls one other entry VM. undici closes a connection on which a call timed
  * out and doesn't reuse it, so a stalled connection costs one timeout.
  */
+import * as contracts from "@guavatide/contracts";
 import * as jsonRpc from "json-rpc-2.0";
 import * as events from "node:events";
 import * as neverthrow from "neverthrow";
@@ -54,7 +55,7 @@
     const { tls } = options;
     const scheme = tls === undefined ? "http" : "https";
     this.#pool = new undici.Pool(
-      `${scheme}://${address.host}:${address.port}`,
+      contracts.originOf(address, scheme),
       {
         connections: MAX_CONNECTIONS,
         connect: buildResettingConnector({
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -316,7 +316,7 @@
     moveRecorder: new MeteredMoves(deps.moves, context.metrics),
     peers: peerView,
     connect: (address) =>
-      new platform.HttpBackendControl(`http://${address.host}:${address.port}`),
+      new platform.HttpBackendControl(contractsValues.originOf(address)),
     load: (service) => loads.loadSource(service),
   });
   loads.setOwnershipSource(owners);
