--- a/packages/contracts/src/network_address.ts
+++ b/packages/contracts/src/network_address.ts
@@ -5,6 +5,13 @@
 import * as net from "node:net";
 import * as z from "zod";
 
+/** Where a program listens. */
+export interface NetworkAddress {
+  /** IP address. */
+  readonly host: string;
+  readonly port: number;
+}
+
 /** Whether a value is an IPv4 address in text form. */
 export function isIpv4Address(value: unknown): value is string {
   return typeof value === "string" && net.isIPv4(value);
@@ -41,13 +48,6 @@
   error: "Not a port; it is a whole number from 1 to 65535",
 });
 
-/** Where a program listens. */
-export interface NetworkAddress {
-  /** IP address. */
-  readonly host: string;
-  readonly port: number;
-}
-
 /**
  * Schema of an IPv4 address and port as text, `10.1.0.18:8381`, which it
  * transforms to a {@link NetworkAddress}.
--- a/packages/decisions/src/routes/route_table.ts
+++ b/packages/decisions/src/routes/route_table.ts
@@ -3,7 +3,6 @@
 
 /** State of one route's smooth weighted round robin. */
 interface RouteRotation {
-  readonly targets: readonly contracts.RouteTarget[];
   /** Sum of the targets' weights: the unit of one request. */
   readonly totalWeight: number;
   /** How much of a request each service is owed, in the same unit. */
@@ -55,8 +54,9 @@
     const rotation = this.#rotations.get(name);
     if (rotation === undefined) return targets[0]!.service;
     const { totalWeight, owed } = rotation;
+    // A service without a weight gets nothing, whatever it was owed.
     let best: contracts.ServiceId | undefined;
-    for (const { service, weight } of rotation.targets) {
+    for (const { service, weight } of targets) {
       if (weight === 0) continue;
       owed.set(service, (owed.get(service) ?? 0) + weight);
       if (best === undefined || owed.get(service)! > owed.get(best)!) {
@@ -88,7 +88,7 @@
     if (weight === 0 || owedBefore === undefined) continue;
     owed.set(service, owedBefore * scale);
   }
-  return { targets, totalWeight, owed };
+  return { totalWeight, owed };
 }
 
 /** The host without its port, in lower case. */
