refactor(contracts): one place for addresses, origins and usable items

Settings had their own schemas of IP addresses, ports and "host:port", beside the new ones of registrations; they use those of network_address.ts. All origins of URLs come from originOf, and the two types of a peer's address are NetworkAddress.

One difference: an IPv6 host with a zone in the settings is refused when they are loaded. Before, its datagram socket failed to open.

--- a/packages/contracts/src/mod.ts
+++ b/packages/contracts/src/mod.ts
@@ -14,4 +14,5 @@
 export * from "./registered_server.ts";
 export * from "./server_report.ts";
 export * from "./service_load.ts";
+export * from "./usable_items.ts";
 export * from "./vm_list.ts";
--- a/packages/contracts/src/network_address.ts
+++ b/packages/contracts/src/network_address.ts
@@ -17,27 +17,18 @@
   return typeof value === "string" && net.isIPv4(value);
 }
 
-/** Schema of an IP address in text form; without a zone, which no URL has. */
-export const ipAddressSchema = z.string().refine(
-  (text) => net.isIP(text) !== 0 && !text.includes("%"),
-  { error: "Not an IP address; write it as in 10.1.0.18" },
-);
-
-/** The origin of URLs of an address; `scheme` is `http` by default. */
-export function originOf(
-  { host, port }: NetworkAddress,
-  scheme: "http" | "https" = "http",
-): string {
-  const hostInUrl = net.isIPv6(host) ? `[${host}]` : host;
-  return `${scheme}://${hostInUrl}:${port}`;
-}
-
 /** Whether a value is a TCP or UDP port that can be connected to. */
 export function isPort(value: unknown): value is number {
   return typeof value === "number" && Number.isInteger(value) &&
     value >= 1 && value <= 65_535;
 }
 
+/** Schema of an IP address in text form; without a zone, which no URL has. */
+export const ipAddressSchema = z.string().refine(
+  (text) => net.isIP(text) !== 0 && !text.includes("%"),
+  { error: "Not an IP address; write it as in 10.1.0.18" },
+);
+
 /** Schema of an IPv4 address in text form. */
 export const ipv4AddressSchema = z.string().refine(isIpv4Address, {
   error: "Not an IPv4 address; write it as in 10.1.0.18",
@@ -49,21 +40,39 @@
 });
 
 /**
- * Schema of an IPv4 address and port as text, `10.1.0.18:8381`, which it
- * transforms to a {@link NetworkAddress}.
+ * Schema of an IP address and port as text, `10.1.0.18:8381`, which it transforms
+ * to a {@link NetworkAddress}.
  */
-export const ipv4SocketAddressSchema = z.string().transform(
+export const socketAddressSchema = z.string().transform(
   (text, context): NetworkAddress => {
-    const [host = "", port = "", ...rest] = text.split(":");
-    const address = { host, port: Number(port) };
-    const isValid = rest.length === 0 && /^[0-9]{1,5}$/.test(port) &&
-      isIpv4Address(host) && isPort(address.port);
-    if (isValid) return address;
-    context.addIssue(
-      `"${
-        text.slice(0, 100)
-      }" is not an address; write it as in 10.1.0.18:8381`,
-    );
+    const colon = text.lastIndexOf(":");
+    const address = {
+      host: text.slice(0, colon),
+      port: Number(text.slice(colon + 1)),
+    };
+    if (net.isIP(address.host) !== 0 && isPort(address.port)) return address;
+    context.addIssue(noSocketAddress(text));
     return z.NEVER;
   },
 );
+
+/** The same of an IPv4 address; the port has digits only. */
+export const ipv4SocketAddressSchema = z.string()
+  .regex(/^[0-9.]+:[0-9]{1,5}$/, {
+    error: ({ input }) => noSocketAddress(String(input)),
+  })
+  .pipe(socketAddressSchema);
+
+function noSocketAddress(text: string): string {
+  const shown = text.slice(0, 100);
+  return `"${shown}" is not an address; write it as in 10.1.0.18:8381`;
+}
+
+/** The origin of URLs of an address; `scheme` is `http` by default. */
+export function originOf(
+  { host, port }: NetworkAddress,
+  scheme: "http" | "https" = "http",
+): string {
+  const hostInUrl = net.isIPv6(host) ? `[${host}]` : host;
+  return `${scheme}://${hostInUrl}:${port}`;
+}
--- a/packages/entry/src/gateway/gateway_settings.ts
+++ b/packages/entry/src/gateway/gateway_settings.ts
@@ -1,27 +1,9 @@
 /** Settings of an entry process on an external platform, as JSON. */
-import * as net from "node:net";
 import * as contracts from "@guavatide/contracts";
 import * as neverthrow from "neverthrow";
 import * as z from "zod";
 
 const wholeMs = z.number().int().min(1).max(86_400_000);
-const port = z.number().int().min(1).max(65_535);
-const ipAddress = z.string().refine((text) => net.isIP(text) !== 0, {
-  error: "Not an IP address; write it as in 10.1.0.18",
-});
-/** IP address and port as text, `10.1.0.18:8381`. */
-const address = z.string().transform((text, context) => {
-  const colon = text.lastIndexOf(":");
-  const host = text.slice(0, colon);
-  const number = Number(text.slice(colon + 1));
-  const isGood = net.isIP(host) !== 0 && Number.isInteger(number) &&
-    number > 0 && number < 65_536;
-  if (isGood) return { host, port: number };
-  context.addIssue(
-    `"${text}" is not an address; write it as in 10.1.0.18:8381`,
-  );
-  return z.NEVER;
-});
 
 /** Schema of {@link GatewaySettings}. */
 export const gatewaySettingsSchema = z.strictObject({
@@ -32,17 +14,17 @@
   /** Region of each availability zone of the deployment. */
   zones: z.record(contracts.zoneIdSchema, contracts.regionIdSchema),
   /** IP address that peers use. */
-  host: ipAddress,
+  host: contracts.ipAddressSchema,
   /** Address of the listener for clients. */
-  front: address,
+  front: contracts.socketAddressSchema,
   /** Address of the readiness probe of the platform's load balancer. */
-  readiness: address,
+  readiness: contracts.socketAddressSchema,
   /** UDP port between entry VMs, the same on all of them. */
-  peerPort: port,
-  metricsPort: port,
+  peerPort: contracts.portSchema,
+  metricsPort: contracts.portSchema,
   /** Addresses of some entry VMs, possibly stale; only their hosts are used. */
-  seeds: z.array(address),
-  store: address,
+  seeds: z.array(contracts.socketAddressSchema),
+  store: contracts.socketAddressSchema,
   limits: z.strictObject({
     /** File descriptors that the process may open. */
     descriptors: z.number().int().min(64),
--- a/packages/entry/src/gateway/paths/relay_client.ts
+++ b/packages/entry/src/gateway/paths/relay_client.ts
@@ -174,8 +174,9 @@
     });
   }
 
-  #channelTo({ vm, host, port }: PeerHello): HttpChannel {
-    const origin = `http://${host}:${port}`;
+  #channelTo(peer: PeerHello): HttpChannel {
+    const { vm } = peer;
+    const origin = contracts.originOf(peer);
     const found = this.#channels.get(vm);
     if (found?.origin === origin) return found.channel;
     found?.channel.close().catch(() => {});
--- a/packages/entry/src/gateway/peers/peer_messages.ts
+++ b/packages/entry/src/gateway/peers/peer_messages.ts
@@ -662,22 +662,17 @@
  */
 export type PeersRequest = z.infer<typeof peersRequestSchema>;
 
-const knownPeerSchema = z.tuple([
-  contracts.vmIdSchema,
-  contracts.ipv4AddressSchema,
-  contracts.portSchema,
-]);
-
 /**
- * Schema of {@link KnownPeers}. Entries that can't be used are left out: one of
- * them must not keep the VMs from finding the others.
+ * Schema of {@link KnownPeers}. One entry that can't be used must not keep the VMs
+ * from finding the others.
  */
 export const knownPeersSchema = z.object({
-  peers: z.array(z.unknown()).transform((entries) =>
-    entries.flatMap((entry) => {
-      const parsed = knownPeerSchema.safeParse(entry);
-      return parsed.success ? [parsed.data] : [];
-    })
+  peers: contracts.usableItems(
+    z.tuple([
+      contracts.vmIdSchema,
+      contracts.ipv4AddressSchema,
+      contracts.portSchema,
+    ]),
   ),
 });
 /** Addresses of the VMs that the sender knows, itself included. */
--- a/packages/entry/src/gateway/peers/peer_rpc.ts
+++ b/packages/entry/src/gateway/peers/peer_rpc.ts
@@ -2,6 +2,7 @@
  * Remote procedure calls between entry VMs, for data too large for a datagram:
  * JSON-RPC 2.0 over HTTP, on the port number of the datagrams.
  */
+import * as contracts from "@guavatide/contracts";
 import * as jsonRpc from "json-rpc-2.0";
 import * as neverthrow from "neverthrow";
 import * as http from "node:http";
@@ -20,12 +21,6 @@
   readonly log: Logger;
 }
 
-/** Address of a peer's RPC server. */
-export interface PeerAddress {
-  readonly host: string;
-  readonly port: number;
-}
-
 /** A call of a method about a named thing, with the schema of its result. */
 export interface PeerRpcRequest<Schema extends z.ZodType> {
   readonly method: string;
@@ -101,10 +96,10 @@
 
   /** Calls one peer. Errors: {@link PeerRpcError}. */
   async call<Schema extends z.ZodType>(
-    { host, port }: PeerAddress,
+    address: contracts.NetworkAddress,
     { method, name, resultSchema }: PeerRpcRequest<Schema>,
   ): Promise<neverthrow.Result<z.output<Schema>, PeerRpcError>> {
-    const channel = new HttpChannel(`http://${host}:${port}`);
+    const channel = new HttpChannel(contracts.originOf(address));
     const request = jsonRpc.createJSONRPCRequest(1, method, { name });
     const response = await channel.call({
       method: "POST",
@@ -117,7 +112,7 @@
     }, { timeoutMs: CALL_TIMEOUT_MS });
     channel.close().catch((error) =>
       this.#options.log.debug("Closing the connection to a peer failed.", {
-        host,
+        host: address.host,
         error: String(error),
       })
     );
--- a/packages/entry/src/platform/http_vm_list.ts
+++ b/packages/entry/src/platform/http_vm_list.ts
@@ -7,8 +7,9 @@
 /** Enough for 50,000 VMs; an entry has less than 300 bytes. */
 const MAX_LIST_BYTES = 16 * 1_048_576;
 
-/** Entries that can't be used are left out, and the others hold. */
-const listSchema = z.strictObject({ vms: z.array(z.unknown()) });
+const listSchema = z.strictObject({
+  vms: contracts.usableItems(contracts.listedVmSchema),
+});
 
 /** {@link contracts.VmList} over HTTP. */
 export class HttpVmList implements contracts.VmList {
@@ -49,12 +50,7 @@
     );
   }
   try {
-    const { vms } = listSchema.parse(JSON.parse(response.text));
-    return ok({
-      vms: vms.flatMap((vm) =>
-        contracts.listedVmSchema.safeParse(vm).data ?? []
-      ),
-    });
+    return ok(listSchema.parse(JSON.parse(response.text)));
   } catch (error) {
     return err(
       unavailableError(
--- a/packages/entry/src/vms/peer_client.ts
+++ b/packages/entry/src/vms/peer_client.ts
@@ -16,13 +16,6 @@
 const MAX_CONNECTIONS = 4;
 const CONNECT_TIMEOUT_MS = 400;
 
-/** Address that a peer listens on. */
-export interface PeerAddress {
-  /** IP address. */
-  readonly host: string;
-  readonly port: number;
-}
-
 /** Options of {@link PeerClient}. */
 export interface PeerClientOptions {
   /** Secret shared by all entry VMs of one deployment. */
@@ -41,12 +34,12 @@
 
 /** Client for the server of one peer. */
 export class PeerClient {
-  readonly address: PeerAddress;
+  readonly address: contracts.NetworkAddress;
   readonly #headers: Readonly<Record<string, string>>;
   readonly #pool: undici.Pool;
   #nextId = 1;
 
-  constructor(address: PeerAddress, options: PeerClientOptions) {
+  constructor(address: contracts.NetworkAddress, options: PeerClientOptions) {
     this.address = address;
     this.#headers = {
       "authorization": `Bearer ${options.secret}`,
--- a/packages/entry/src/vms/peer_task.ts
+++ b/packages/entry/src/vms/peer_task.ts
@@ -11,7 +11,7 @@
 import type { Logger } from "../utils/log.ts";
 import type { PeerServer } from "./peer_server.ts";
 import type { PeerError } from "./peer_error.ts";
-import { type PeerAddress, PeerClient } from "./peer_client.ts";
+import { PeerClient } from "./peer_client.ts";
 
 /** A heartbeat that participants fill in. */
 export type HeartbeatDraft = contracts.PeerHeartbeat;
@@ -35,7 +35,7 @@
 }
 
 /** Address that a member listens on. */
-export interface PeerEndpoint extends PeerAddress {
+export interface PeerEndpoint extends contracts.NetworkAddress {
   readonly vm: contracts.VmId;
 }
 
@@ -253,6 +253,9 @@
   }
 }
 
-function isSameAddress(left: PeerAddress, right: PeerAddress): boolean {
+function isSameAddress(
+  left: contracts.NetworkAddress,
+  right: contracts.NetworkAddress,
+): boolean {
   return left.host === right.host && left.port === right.port;
 }
