--- a/packages/decisions/src/admission/shared_retry_budget.ts
+++ b/packages/decisions/src/admission/shared_retry_budget.ts
@@ -14,8 +14,6 @@
 
 /** What a VM knows of those that share a retry budget with it. */
 export interface BudgetSharers {
-  /** VMs that are up, this one included. */
-  readonly liveCount: number;
   /** VMs heard of within a minute, up or not, this one included. */
   readonly knownCount: number;
   /** Whether the settings name other VMs. */
@@ -25,13 +23,13 @@
 /**
  * Number of VMs that share the slack of a retry budget. Lost VMs count: they may
  * have spent their part in the same window, or be cut off and still spend it. A
- * VM that has heard of no other one yet has no part.
+ * VM that hears of no other one has no part.
  */
 export function countBudgetSharers(
-  { liveCount, knownCount, hasSeeds }: BudgetSharers,
+  { knownCount, hasSeeds }: BudgetSharers,
 ): number {
-  const count = Math.max(liveCount, knownCount);
-  return count === 1 && hasSeeds ? Number.POSITIVE_INFINITY : count;
+  const isAlone = knownCount === 1 && hasSeeds;
+  return isAlone ? Number.POSITIVE_INFINITY : knownCount;
 }
 
 /**
--- a/packages/decisions/src/admission/shared_retry_budget_test.ts
+++ b/packages/decisions/src/admission/shared_retry_budget_test.ts
@@ -54,7 +54,6 @@
     const liveCount = nowMs < lostAtMs ? vmCount : survivors;
     for (const budget of budgets.slice(0, liveCount)) {
       const sharers = countBudgetSharers({
-        liveCount,
         knownCount: vmCount,
         hasSeeds: true,
       });
@@ -66,7 +65,7 @@
 
 /** Guards against a VM that spends all of the slack as it has just started. */
 test("should have no slack while a VM has heard of no other one", () => {
-  const alone = { liveCount: 1, knownCount: 1 };
+  const alone = { knownCount: 1 };
   const budget = new SharedRetryBudget(OPTIONS);
   const sharers = countBudgetSharers({ ...alone, hasSeeds: true });
   expect(budget.tryTake(1_000, sharers)).toEqual(false);
--- a/packages/entry/src/gateway/forwarding/forwarder.ts
+++ b/packages/entry/src/gateway/forwarding/forwarder.ts
@@ -343,7 +343,6 @@
         state.budget.tryTake(
           clock.nowMs(),
           admission.countBudgetSharers({
-            liveCount: gossip.vmCount,
             knownCount: gossip.knownIn(undefined).length,
             hasSeeds: gossip.seedCount > 0,
           }),
