--- a/packages/entry/src/gateway/store/watch_relay.ts
+++ b/packages/entry/src/gateway/store/watch_relay.ts
@@ -453,19 +453,21 @@
   #sendMissedChanges({ vm, prefix, cursor }: messages.ChangesRequest): void {
     const batches = this.#batches.get(prefix) ?? [];
     const missed = batches.filter(({ toPosition }) => toPosition > cursor);
-    const snapshot = this.#watches.get(prefix)?.snapshot;
-    if (snapshot === undefined || snapshot.position <= cursor) return;
+    const watch = this.#watches.get(prefix);
+    if (watch === undefined || watch.position <= cursor) return;
     const isWhole = missed.length > 0 &&
       missed.every(({ fromPosition, events }, index) =>
         events !== undefined &&
         fromPosition <= (missed[index - 1]?.toPosition ?? cursor)
       );
-    if (!isWhole) {
-      const learnedAtMs = this.#options.clock.nowMs();
-      const changes = changesSince(cursor, snapshot, learnedAtMs);
-      return this.#send(prefix, changes, vm);
+    if (isWhole) {
+      for (const batch of missed) this.#send(prefix, batch, vm);
+      return;
     }
-    for (const batch of missed) this.#send(prefix, batch, vm);
+    const { snapshot } = watch;
+    if (snapshot === undefined) return;
+    const learnedAtMs = this.#options.clock.nowMs();
+    this.#send(prefix, changesSince(cursor, snapshot, learnedAtMs), vm);
   }
 }
 
