feat(log): tell the causes of a process's end apart

Lines waited in the background buffer when a process exited, and nothing was written about memory or an event loop that stands still, so a process killed for its memory, one that crashed and one that was stopped had the same last lines.

- 'Entry process ends.' is written synchronously when the process exits, with the reason, exit status, age, resident and heap memory and the requests in flight.
- 'Memory runs short.' from four fifths of the VM's memory or of the heap's limit on, every 10 s; 'The event loop stood still.' from half a second on, at most once a second, with the processor time used meanwhile, which tells a busy process from one that was not run.
- 'Entry process starts.' with the pid, 'Entry process started.' with pid and run, so that a restart shows in a log that is cut.
- A start that fails writes a line with the stack and exits with 1.

--- a/packages/entry/src/gateway/forwarding/front_listener.ts
+++ b/packages/entry/src/gateway/forwarding/front_listener.ts
@@ -251,6 +251,11 @@
     });
   }
 
+  /** Requests that are read and not answered yet. */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
   /** Applies the configured limits to the HTTP server. */
   applyLimits(): void {
     const limits = this.#limits();
--- a/packages/entry/src/gateway/run_gateway.ts
+++ b/packages/entry/src/gateway/run_gateway.ts
@@ -3,13 +3,15 @@
 import type * as neverthrow from "neverthrow";
 import { createNonBlockingLog } from "../utils/non_blocking_log.ts";
 import type { LoggerFactory } from "../utils/log.ts";
+import { type EndReason, ProcessEndLog } from "../utils/process_end_log.ts";
+import { readProcessStatus } from "../utils/process_status.ts";
 import { resetOpenConnections } from "../utils/reset_connection.ts";
 import type {
   GatewaySettings,
   GatewaySettingsError,
 } from "./gateway_settings.ts";
 import type { PlatformAdapter } from "./platform_adapter.ts";
-import { startGateway } from "./wire_gateway.ts";
+import { type Gateway, startGateway } from "./wire_gateway.ts";
 
 /** Options of {@link runGateway}. */
 export interface RunGatewayOptions {
@@ -22,6 +24,8 @@
 }
 
 const EXIT_SETTINGS = 2;
+/** Longest wait for a consumer of log lines when the process ends. */
+const FLUSH_TIMEOUT_MS = 200;
 /** Interval at which the settings file is checked for changes. */
 const SETTINGS_CHECK_MS = 2_000;
 
@@ -40,20 +44,44 @@
   if (loaded.isErr()) return failStart(loaded.error.message);
   const settings = loaded.value;
   const log = createNonBlockingLog(settings.log);
-  const gateway = await startGateway({
-    settings,
-    adapter: createAdapter(settings),
-    log,
+  let gateway: Gateway | undefined;
+  const endLog = new ProcessEndLog({
+    syncLog: log.syncPart("main"),
+    readStatus: readProcessStatus,
+    requestsInFlight: () => gateway?.requestsInFlight ?? 0,
   });
-  watchSettings(settingsPath, loadSettings, log);
+  const end = async (reason: EndReason, status: number) => {
+    endLog.noteReason(reason);
+    await log.flush(FLUSH_TIMEOUT_MS);
+    process.exit(status);
+  };
   process.once("exit", resetOpenConnections);
+  process.once("exit", (status) => endLog.write(status));
+  log.part("main").info("Entry process starts.", {
+    vm: settings.vm,
+    pid: process.pid,
+    node: process.version,
+  });
+  try {
+    gateway = await startGateway({
+      settings,
+      adapter: createAdapter(settings),
+      log,
+    });
+  } catch (error) {
+    log.part("main").error("Entry process can't start.", {
+      error: String(error instanceof Error ? error.stack : error),
+    });
+    return end("start-failed", 1);
+  }
+  watchSettings(settingsPath, loadSettings, log);
   let isStopping = false;
   process.on("SIGTERM", () => {
     if (isStopping) return;
     isStopping = true;
-    gateway.stop().then(() => process.exit(0), (error) => {
+    gateway.stop().then(() => end("stop", 0), (error) => {
       log.part("main").error("Stop failed.", { error: String(error) });
-      process.exit(1);
+      return end("stop-failed", 1);
     });
   });
 }
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -14,6 +14,8 @@
 } from "../utils/clock.ts";
 import { LifeCycle } from "../utils/life_cycle.ts";
 import type { LoggerFactory } from "../utils/log.ts";
+import { ProcessMonitor } from "../utils/process_monitor.ts";
+import { processorMs, readProcessStatus } from "../utils/process_status.ts";
 import { ServerRateLimits } from "./limits/server_rate_limits.ts";
 import { ConfigHolder } from "./store/config_holder.ts";
 import { Forwarder } from "./forwarding/forwarder.ts";
@@ -89,13 +91,20 @@
 export interface Gateway {
   /** Stops gracefully: requests in flight may finish within the grace time. */
   stop(): Promise<void>;
+  /** Requests of clients that are read and not answered yet. */
+  readonly requestsInFlight: number;
 }
 
 /** Starts an entry process. Errors: an address is in use. */
 export async function startGateway(options: GatewayOptions): Promise<Gateway> {
   const parts = await createParts(options);
   await start(options, parts);
-  return { stop: () => stop(options, parts) };
+  return {
+    stop: () => stop(options, parts),
+    get requestsInFlight() {
+      return parts.listener.inFlight;
+    },
+  };
 }
 
 type Parts = Awaited<ReturnType<typeof createParts>>;
@@ -502,8 +511,18 @@
     count: (decision) => metrics.frontDecisions.add(1, { decision }),
   });
   config.onChange(() => listener.applyLimits());
+  const monitor = new ProcessMonitor({
+    clock,
+    log: log.part("main"),
+    memoryMb,
+    readStatus: readProcessStatus,
+    processorMs,
+    requestsInFlight: () => listener.inFlight,
+  });
   return {
+    incarnation: self.incarnation,
     lifeCycle,
+    monitor,
     config,
     registry,
     watches,
@@ -550,6 +569,7 @@
     timeoutMs: CLOSE_TIMEOUT_MS,
     run: () => adapter.close(),
   });
+  parts.monitor.start(lifeCycle);
   const notReadyReason = () => {
     if (lifeCycle.isStopping) return "The process stops";
     if (config.active === undefined) return "No configuration yet";
@@ -598,6 +618,8 @@
     vm: settings.vm,
     zone: settings.zone,
     front: settings.front.port,
+    run: parts.incarnation,
+    pid: process.pid,
   });
 }
 
