fix(gateway): let requests in flight end after an uncaught error

Callers saw their connections closed without an answer: an error that nothing catches, in a timer, an event handler or a rejected promise, ended the process at once, and all requests that it had accepted with it.

ProcessStop now owns both ways to end: SIGTERM, and an uncaught error, which it reports once with its stack before it takes the same way. The VM is not ready at once, tells its peers that it leaves, answers what it has accepted and exits with 1, at the latest after the grace time, also if a part never stops. A second error is logged (20 at most) and doesn't cut this short, nor does one during a stop by SIGTERM, which keeps its exit status. An error before the process has started ends it at once with a line that says so.

Why this works: the error has left one part in doubt, the listener and the forwarder still answer; the drain is the one that a restart uses daily.

Not covered: an end by a signal, or by the heap's limit, which no handler sees.

--- a/packages/entry/src/gateway/run_gateway.ts
+++ b/packages/entry/src/gateway/run_gateway.ts
@@ -3,7 +3,7 @@
 import type * as neverthrow from "neverthrow";
 import { createNonBlockingLog } from "../utils/non_blocking_log.ts";
 import type { LoggerFactory } from "../utils/log.ts";
-import { type EndReason, ProcessEndLog } from "../utils/process_end_log.ts";
+import { ProcessEndLog } from "../utils/process_end_log.ts";
 import { readProcessStatus } from "../utils/process_status.ts";
 import { resetOpenConnections } from "../utils/reset_connection.ts";
 import type {
@@ -11,6 +11,7 @@
   GatewaySettingsError,
 } from "./gateway_settings.ts";
 import type { PlatformAdapter } from "./platform_adapter.ts";
+import { ProcessStop } from "./process_stop.ts";
 import { type Gateway, startGateway } from "./wire_gateway.ts";
 
 /** Options of {@link runGateway}. */
@@ -50,13 +51,18 @@
     readStatus: readProcessStatus,
     requestsInFlight: () => gateway?.requestsInFlight ?? 0,
   });
-  const end = async (reason: EndReason, status: number) => {
-    endLog.noteReason(reason);
-    await log.flush(FLUSH_TIMEOUT_MS);
-    process.exit(status);
-  };
+  const stop = new ProcessStop({
+    log: log.part("main"),
+    graceMs: settings.timings.graceSeconds * 1000,
+    exit: (reason, status) => {
+      endLog.noteReason(reason);
+      log.flush(FLUSH_TIMEOUT_MS).finally(() => process.exit(status));
+    },
+  });
   process.once("exit", resetOpenConnections);
   process.once("exit", (status) => endLog.write(status));
+  // Rejected promises that nothing awaits come here as well.
+  process.on("uncaughtException", (error) => stop.onUncaughtError(error));
   log.part("main").info("Entry process starts.", {
     vm: settings.vm,
     pid: process.pid,
@@ -69,21 +75,11 @@
       log,
     });
   } catch (error) {
-    log.part("main").error("Entry process can't start.", {
-      error: String(error instanceof Error ? error.stack : error),
-    });
-    return end("start-failed", 1);
+    return stop.onStartFailed(error);
   }
+  stop.noteStarted(gateway);
   watchSettings(settingsPath, loadSettings, log);
-  let isStopping = false;
-  process.on("SIGTERM", () => {
-    if (isStopping) return;
-    isStopping = true;
-    gateway.stop().then(() => end("stop", 0), (error) => {
-      log.part("main").error("Stop failed.", { error: String(error) });
-      return end("stop-failed", 1);
-    });
-  });
+  process.on("SIGTERM", () => stop.onSignal());
 }
 
 /**
