fix(store): a throwing client is a failed call, not the end of the process

Cause of the end: the store's client threw a RangeError out of JSON.stringify inside a ResultAsync, which rejects then. HedgedCall.#send attached a handler for results only, so the rejection was nobody's and ended the process. The catch of KindWatch.#run could not see it; its own promise would have waited for ever, which is the watch that stops following the list.

Change: what the client throws, at once or later, becomes the error of the call (unavailable), for deletes too. All callers handle that: they keep their last good state and position and try again with a pause.

--- a/packages/entry/src/platform/hedged_store.ts
+++ b/packages/entry/src/platform/hedged_store.ts
@@ -115,7 +115,9 @@
     name: string,
     options: Parameters<contracts.PlatformStore["delete"]>[1],
   ) {
-    return this.#options.store.delete(name, options);
+    return new neverthrow.ResultAsync(
+      toResult(() => this.#options.store.delete(name, options)),
+    );
   }
 
   /**
@@ -175,6 +177,22 @@
     util.isDeepStrictEqual(JSON.parse(object.value), JSON.parse(value));
 }
 
+/**
+ * The result of a call, also where the client throws, for example on an answer
+ * that it can't read: the caller would wait for ever, and nobody else handles
+ * the error.
+ */
+async function toResult<Value>(
+  call: () => neverthrow.ResultAsync<Value, contracts.StoreError>,
+): Promise<neverthrow.Result<Value, contracts.StoreError>> {
+  try {
+    return await call();
+  } catch (error) {
+    const message = `The call to the store failed: ${String(error)}`;
+    return neverthrow.err({ kind: "unavailable", message });
+  }
+}
+
 /** How one kind of call is repeated. */
 interface HedgeOptions {
   /** How long the store may hold the answer back; 0 by default. */
@@ -241,10 +259,12 @@
     const sentAtMs = this.#elapsedMs;
     const heldMs = index === 0 ? waitMs : Math.min(waitMs, REPEATED_WAIT_MS);
     this.#armTimer(heldMs + overdueMs);
-    this.#attempt({
+    const options = {
       timeoutMs: timeoutMs - sentAtMs,
       signal: this.#cancellation.signal,
-    }, index).then((result) => this.#noteResult(index, sentAtMs, result));
+    };
+    void toResult(() => this.#attempt(options, index))
+      .then((result) => this.#noteResult(index, sentAtMs, result));
   }
 
   #noteResult(
--- a/packages/entry/src/platform/hedged_store_test.ts
+++ b/packages/entry/src/platform/hedged_store_test.ts
@@ -158,3 +158,38 @@
   expect(result._unsafeUnwrapErr().kind).toEqual("unavailable");
   expect(script.calls.length).toEqual(1);
 });
+
+/** Guards against a process that ends, and callers that wait, by an answer that the client can't read. */
+for (const isAsync of [true, false]) {
+  test(`should return an error when the client throws (async: ${isAsync})`, async () => {
+    const fail = () => {
+      throw new RangeError("Maximum call stack size exceeded");
+    };
+    const call = () => isAsync ? neverthrow.okAsync(OBJECT).map(fail) : fail();
+    const client = {
+      get: call,
+      list: call,
+      watch: call,
+      put: call,
+      delete: call,
+    };
+    const store = new HedgedStore({
+      store: client as unknown as contracts.PlatformStore,
+      clock: { nowMs: () => performance.now() },
+      mayRepeat: () => true,
+      onLostAnswer: () => {},
+    });
+    const results = await Promise.all([
+      store.get(NAME, { timeoutMs: TIMEOUT_MS }),
+      store.list("config/", { timeoutMs: TIMEOUT_MS }),
+      store.watch("config/", { timeoutMs: TIMEOUT_MS, cursor: "1", waitMs: 0 }),
+      store.put(NAME, "{}", WRITE_OPTIONS),
+      store.delete(NAME, WRITE_OPTIONS),
+    ]);
+    for (const result of results) {
+      const error = result._unsafeUnwrapErr();
+      expect(error.kind).toEqual("unavailable");
+      expect(error.message.includes("RangeError")).toEqual(true);
+    }
+  });
+}
