feat(life-cycle): background work owns its errors

LifeCycle.every logs what a task throws, or rejects with, under the task's name and at most once a second, and keeps it and the tasks that are due with it running. runLoop repeats a step until shutdown and goes on after one that throws, with pauses of 50 to 800 ms. detach and after do the same for promises that nobody awaits and for single timers.

--- a/packages/entry/src/gateway/admission/admission_task.ts
+++ b/packages/entry/src/gateway/admission/admission_task.ts
@@ -66,7 +66,11 @@
 
   /** Starts the periodic work. */
   start(lifeCycle: LifeCycle): void {
-    lifeCycle.every(COUNTS_INTERVAL_MS, () => this.sendCounts());
+    lifeCycle.every(
+      COUNTS_INTERVAL_MS,
+      () => this.sendCounts(),
+      "admission counts",
+    );
   }
 
   /** Whether callers have shares. */
--- a/packages/entry/src/gateway/admission/shared_admission_task.ts
+++ b/packages/entry/src/gateway/admission/shared_admission_task.ts
@@ -82,6 +82,7 @@
     this.#reportTask = lifeCycle.every(
       Number.POSITIVE_INFINITY,
       () => this.sendReports(),
+      "admission reports",
     );
   }
 
--- a/packages/entry/src/gateway/backoffs/leaving_servers.ts
+++ b/packages/entry/src/gateway/backoffs/leaving_servers.ts
@@ -42,7 +42,11 @@
   /** Starts the periodic work. */
   start(lifeCycle: LifeCycle): void {
     this.#news.start(lifeCycle, "news of leaving servers");
-    lifeCycle.every(CONFIRM_INTERVAL_MS, () => this.#confirm());
+    lifeCycle.every(
+      CONFIRM_INTERVAL_MS,
+      () => this.#confirm(),
+      "leaving servers",
+    );
   }
 
   /** Records what an answer of a server says. */
--- a/packages/entry/src/gateway/backoffs/server_backoff_task.ts
+++ b/packages/entry/src/gateway/backoffs/server_backoff_task.ts
@@ -82,6 +82,7 @@
     this.#reportTask = lifeCycle.every(
       Number.POSITIVE_INFINITY,
       () => this.#reportCalls(),
+      "reports of calls in back-offs",
     );
     this.#news.start(lifeCycle, "news of back-offs");
   }
--- a/packages/entry/src/gateway/forwarding/forwarder.ts
+++ b/packages/entry/src/gateway/forwarding/forwarder.ts
@@ -129,10 +129,12 @@
     this.#reviewTask = lifeCycle.every(
       QUEUE_REVIEW_INTERVAL_MS,
       () => this.#review(),
+      "review of queues",
     );
     lifeCycle.every(
       REGISTRY_TICK_INTERVAL_MS,
       () => this.#options.registry.tick(),
+      "registry of servers",
     );
   }
 
--- a/packages/entry/src/gateway/forwarding/front_listener.ts
+++ b/packages/entry/src/gateway/forwarding/front_listener.ts
@@ -267,7 +267,11 @@
       run: () => this.#drain(),
     });
     if (this.#options.heldBytes.isLimited) {
-      lifeCycle.every(STALL_CHECK_MS, () => this.#endStalled());
+      lifeCycle.every(
+        STALL_CHECK_MS,
+        () => this.#endStalled(),
+        "stalled clients",
+      );
     }
     const { host, port } = this.#options;
     await httpServer.listenOn(this.#server, { host, port, backlog: BACKLOG });
--- a/packages/entry/src/gateway/grants/grant_task.ts
+++ b/packages/entry/src/gateway/grants/grant_task.ts
@@ -146,8 +146,16 @@
 
   /** Starts the periodic work. */
   start(lifeCycle: LifeCycle): void {
-    this.#tickTask = lifeCycle.every(TICK_MS, () => this.#tick());
-    lifeCycle.every(KEY_COUNTS_TICK_MS, () => this.#sendKeyCounts());
+    this.#tickTask = lifeCycle.every(
+      TICK_MS,
+      () => this.#tick(),
+      "grants of keys",
+    );
+    lifeCycle.every(
+      KEY_COUNTS_TICK_MS,
+      () => this.#sendKeyCounts(),
+      "counts of keys",
+    );
   }
 
   /** Registers a listener for changes of the owners of a service's keys. */
--- a/packages/entry/src/gateway/limits/request_limit_task.ts
+++ b/packages/entry/src/gateway/limits/request_limit_task.ts
@@ -85,6 +85,7 @@
     this.#reportTask = lifeCycle.every(
       Number.POSITIVE_INFINITY,
       () => this.#reportCalls(),
+      "reports of limited calls",
     );
     this.#news.start(lifeCycle, "news of request limits");
   }
--- a/packages/entry/src/gateway/paths/peer_reach.ts
+++ b/packages/entry/src/gateway/paths/peer_reach.ts
@@ -65,6 +65,7 @@
     this.#refreshTask = lifeCycle.every(
       Number.POSITIVE_INFINITY,
       () => this.#tell(),
+      "news of lost paths",
     );
   }
 
--- a/packages/entry/src/gateway/paths/server_paths.ts
+++ b/packages/entry/src/gateway/paths/server_paths.ts
@@ -111,6 +111,7 @@
     this.#reviewTask = lifeCycle.every(
       Number.POSITIVE_INFINITY,
       () => this.#review(),
+      "review of paths",
     );
   }
 
--- a/packages/entry/src/gateway/peers/peer_discovery.ts
+++ b/packages/entry/src/gateway/peers/peer_discovery.ts
@@ -76,7 +76,7 @@
   start(lifeCycle: LifeCycle): void {
     this.#startedAtMs = this.#options.clock.nowMs();
     this.#tick();
-    lifeCycle.every(TICK_MS, () => this.#tick());
+    lifeCycle.every(TICK_MS, () => this.#tick(), "peer discovery");
   }
 
   #tick(): void {
--- a/packages/entry/src/gateway/peers/peer_gossip.ts
+++ b/packages/entry/src/gateway/peers/peer_gossip.ts
@@ -205,7 +205,7 @@
         clearTimeout(this.#membersTimer);
       },
     });
-    lifeCycle.every(VOTER_STATUS_INTERVAL_MS, () => this.#tick());
+    lifeCycle.every(VOTER_STATUS_INTERVAL_MS, () => this.#tick(), "statuses");
   }
 
   /** Adds a VM that the store or a peer has named. */
--- a/packages/entry/src/gateway/poison/poison_guard.ts
+++ b/packages/entry/src/gateway/poison/poison_guard.ts
@@ -110,7 +110,11 @@
 
   /** Starts the periodic work. */
   start(lifeCycle: LifeCycle): void {
-    this.#task = lifeCycle.every(EXPIRY_INTERVAL_MS, () => this.#tick());
+    this.#task = lifeCycle.every(
+      EXPIRY_INTERVAL_MS,
+      () => this.#tick(),
+      "records of crashes",
+    );
     this.#schedule();
     this.#reports.start(lifeCycle, "reports of crashes");
   }
--- a/packages/entry/src/gateway/slots/slot_task.ts
+++ b/packages/entry/src/gateway/slots/slot_task.ts
@@ -154,7 +154,7 @@
       this.#requester.tick(nowMs);
       this.#coordinator.sweep(nowMs);
       this.#adjustInterval();
-    });
+    }, "slots");
   }
 
   #adjustInterval(): void {
--- a/packages/entry/src/gateway/store/store_probe.ts
+++ b/packages/entry/src/gateway/store/store_probe.ts
@@ -56,7 +56,7 @@
           message: String(error),
         })
       );
-    });
+    }, "probe of the store");
   }
 
   /** Probes once; resolves to whether the store answered. */
--- a/packages/entry/src/gateway/store/watch_relay.ts
+++ b/packages/entry/src/gateway/store/watch_relay.ts
@@ -155,8 +155,16 @@
   /** Starts the periodic work. */
   start(lifeCycle: LifeCycle): void {
     this.#startedAtMs = this.#options.clock.nowMs();
-    lifeCycle.every(REVIEW_INTERVAL_MS, () => this.#review());
-    lifeCycle.every(READER_HEARTBEAT_MS, () => this.#broadcastReaderStatus());
+    lifeCycle.every(
+      REVIEW_INTERVAL_MS,
+      () => this.#review(),
+      "election of readers",
+    );
+    lifeCycle.every(
+      READER_HEARTBEAT_MS,
+      () => this.#broadcastReaderStatus(),
+      "status of a reader",
+    );
   }
 
   /** Whether this VM watches the store itself. */
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -101,7 +101,7 @@
 type Parts = Awaited<ReturnType<typeof createParts>>;
 
 async function createParts({ settings, adapter, log }: GatewayOptions) {
-  const lifeCycle = new LifeCycle();
+  const lifeCycle = new LifeCycle(log.part("main"));
   const clock = new MonotonicClock();
   const suspensionClock = new SuspendAwareClock();
   const random = new SystemRandom();
--- a/packages/entry/src/utils/life_cycle.ts
+++ b/packages/entry/src/utils/life_cycle.ts
@@ -1,7 +1,12 @@
 /**
- * Periodic tasks and shutdown of a process. Components register cleanup steps;
- * `stop` runs them in reverse order, each with a timeout.
+ * Background work and shutdown of a process. An error of a task, a loop or a
+ * detached promise is logged and costs that one step: the process, the other
+ * tasks and the state from before the step stay. Components register cleanup
+ * steps; `stop` runs them in reverse order, each with a timeout.
  */
+import * as timers from "node:timers/promises";
+import { FailureLog } from "./failure_log.ts";
+import { createLog, type Logger } from "./log.ts";
 
 /** One step of the shutdown. */
 export interface CleanupStep {
@@ -27,6 +32,11 @@
  */
 const COALESCING_WINDOW_MS = 20;
 
+/** Pause of a loop after a step that failed; doubles up to the maximum. */
+const LOOP_RETRY_MIN_MS = 50;
+/** A loop that goes on late would learn of changes late. */
+const LOOP_RETRY_MAX_MS = 800;
+
 /** A task that runs at an interval. */
 export interface PeriodicTask {
   /**
@@ -37,13 +47,15 @@
 }
 
 interface ScheduledTask {
+  readonly name: string;
   readonly run: () => void;
   intervalMs: number;
   dueMs: number;
 }
 
-/** Runs periodic tasks and the cleanup of one process. */
+/** Runs the background work and the cleanup of one process. */
 export class LifeCycle {
+  readonly #failures: FailureLog;
   readonly #cleanupSteps: CleanupStep[] = [];
   readonly #controller = new AbortController();
   readonly #tasks = new Set<ScheduledTask>();
@@ -51,6 +63,11 @@
   #timerDueMs = Number.POSITIVE_INFINITY;
   #stopping: Promise<StopReport> | undefined;
 
+  /** Errors of background work are logged to `log`. */
+  constructor(log: Pick<Logger, "error"> = createDefaultLog()) {
+    this.#failures = new FailureLog(log);
+  }
+
   /** Aborted when shutdown begins. */
   get signal(): AbortSignal {
     return this.#controller.signal;
@@ -69,11 +86,15 @@
   /**
    * Runs a callback at an interval until shutdown. Tasks that are due at about
    * the same time run together; a single run may come early or late, but the
-   * average interval is kept.
+   * average interval is kept. A run that throws is logged under the name.
    */
-  every(intervalMs: number, callback: () => void): PeriodicTask {
+  every(
+    intervalMs: number,
+    callback: () => void,
+    name = "periodic task",
+  ): PeriodicTask {
     const dueMs = performance.now() + intervalMs;
-    const task: ScheduledTask = { intervalMs, run: callback, dueMs };
+    const task: ScheduledTask = { name, intervalMs, run: callback, dueMs };
     this.#tasks.add(task);
     this.#armTimer();
     this.onStop({
@@ -119,11 +140,52 @@
         task.dueMs + task.intervalMs,
         nowMs + task.intervalMs / 2,
       );
-      task.run();
+      this.#failures.guard(task.name, task.run);
     }
     this.#armTimer();
   }
 
+  /**
+   * Runs a step again and again until shutdown. After a step that throws it
+   * waits, longer after each further one, and goes on.
+   */
+  runLoop(name: string, step: () => Promise<void>): void {
+    this.detach(name, this.#loop(name, step));
+  }
+
+  async #loop(name: string, step: () => Promise<void>): Promise<void> {
+    const { signal } = this;
+    let failures = 0;
+    while (!signal.aborted) {
+      try {
+        await step();
+        failures = 0;
+      } catch (error) {
+        this.#failures.note(name, error);
+        const retryMs = Math.min(
+          LOOP_RETRY_MAX_MS,
+          LOOP_RETRY_MIN_MS * 2 ** failures++,
+        );
+        // Shutdown ends the pause.
+        await timers.setTimeout(retryMs, undefined, { signal }).catch(() => {});
+      }
+    }
+  }
+
+  /** Owns a promise that nobody awaits: its error is logged under the name. */
+  detach(name: string, promise: PromiseLike<unknown>): void {
+    this.#failures.detach(name, promise);
+  }
+
+  /**
+   * Runs a callback once after a delay; its error is logged under the name. The
+   * timer doesn't keep the process running.
+   */
+  after(delayMs: number, callback: () => void, name: string): NodeJS.Timeout {
+    const run = () => this.#failures.guard(name, callback);
+    return setTimeout(run, delayMs).unref();
+  }
+
   /**
    * Runs all cleanup steps. Never rejects; later calls return the report of the
    * first one.
@@ -149,6 +211,11 @@
   }
 }
 
+/** For programs and tests that give no log: errors must not go unnoticed. */
+function createDefaultLog(): Logger {
+  return createLog({ format: "text", level: "error" }).part("main");
+}
+
 async function runWithTimeout(step: CleanupStep): Promise<void> {
   let timer: NodeJS.Timeout | undefined;
   const timeout = new Promise<never>((_, reject) => {
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -171,7 +171,7 @@
   tls: settingsParts.ListenerCertificates,
 ): ProcessContext {
   const log = logParts.createLog(settings.log);
-  const lifeCycle = new LifeCycle();
+  const lifeCycle = new LifeCycle(log.part("main"));
   const metrics = new metricsParts.Metrics();
   const store = new platform.HttpPlatformStore(settings.platform.storeUrl);
   const vmList = new platform.HttpVmList(settings.platform.vmListUrl);
