fix(store): an error costs a watch one step, not its end or a change

The loop of a watch had one catch around all of it, so its first error was its last. A listener that threw on one object also lost the others of the batch, as the position was already behind them.

The loop runs as one of LifeCycle, from its last good state. Timers and the check for missed changes are its own too. When a listener throws, it gets the changes one by one, and the one that it fails on is logged with its name; the position goes on.

--- a/packages/entry/src/gateway/store/kind_watch.ts
+++ b/packages/entry/src/gateway/store/kind_watch.ts
@@ -5,6 +5,7 @@
  */
 import type * as contracts from "@guavatide/contracts";
 import * as timers from "node:timers/promises";
+import { FailureLog } from "../../utils/failure_log.ts";
 import type { LifeCycle } from "../../utils/life_cycle.ts";
 import type { Logger } from "../../utils/log.ts";
 import { type ObjectChange, ObjectTable } from "./object_table.ts";
@@ -45,12 +46,18 @@
    * of a reader once one knows any. For objects that a VM can start without.
    */
   readonly isRare?: boolean;
-  /** Called once, with all objects of the first list. */
+  /**
+   * Called with all objects of the first list. If it throws, the objects are
+   * passed to `onChanges` one by one, and here again without those that throw.
+   */
   readonly onList: (
     objects: readonly contracts.StoredObject[],
     origin: ChangeOrigin,
   ) => void;
-  /** Called with changes that were learned together, in their order. */
+  /**
+   * Called with changes that were learned together, in their order. If it
+   * throws, it gets them again one by one.
+   */
   readonly onChanges: (
     changes: readonly ObjectChange[],
     origin: ChangeOrigin,
@@ -102,6 +109,8 @@
 /** Lists and watches the objects of one prefix. */
 export class KindWatch implements RelayedWatch {
   readonly #options: KindWatchOptions;
+  readonly #errors: FailureLog;
+  #lifeCycle: LifeCycle | undefined;
   readonly #table = new ObjectTable();
   /** Kept until the next change: many peers fetch the same one. */
   #snapshot: KindSnapshot | undefined;
@@ -133,6 +142,7 @@
 
   constructor(options: KindWatchOptions) {
     this.#options = options;
+    this.#errors = new FailureLog(options.log);
     options.relay.add(this);
   }
 
@@ -172,6 +182,7 @@
 
   /** Starts to list and watch, until the life cycle ends. */
   start(lifeCycle: LifeCycle): void {
+    this.#lifeCycle = lifeCycle;
     lifeCycle.signal.addEventListener("abort", () => this.#abort?.abort());
     // A watch that was waiting when the store became unreachable would go on
     // waiting, and changes made after the recovery would arrive seconds late.
@@ -180,8 +191,9 @@
         this.#relist("the store is back");
       }
     });
-    this.#run(lifeCycle.signal).catch((error) =>
-      this.#options.log.error("Watch failed.", { error: String(error) })
+    lifeCycle.runLoop(
+      `watch of ${this.prefix}`,
+      () => this.#run(lifeCycle.signal),
     );
   }
 
@@ -203,13 +215,15 @@
     this.#behindSinceMs ??= clock.nowMs();
     if (this.#isCatchUpScheduled) return;
     this.#isCatchUpScheduled = true;
-    setTimeout(() => {
+    const catchUp = () => {
       this.#isCatchUpScheduled = false;
       const isBehind = this.#peerPosition > this.#completePosition;
       if (isBehind && !this.#isStale) {
         this.#relist("peers know newer changes");
       }
-    }, relay.isReader ? WATCH_GRACE_MS : RELAY_GRACE_MS).unref();
+    };
+    const delayMs = relay.isReader ? WATCH_GRACE_MS : RELAY_GRACE_MS;
+    this.#lifeCycle?.after(delayMs, catchUp, `catch-up of ${this.prefix}`);
   }
 
   /** Wakes a VM that waits for rare objects when a peer has some. */
@@ -284,12 +298,17 @@
     const position = Number(version);
     if (!this.#isListed || position <= this.#completePosition) return;
     if (this.#options.relay.isReader) return this.#checkForChanges();
-    // Readers are probably about to relay it.
-    setTimeout(() => {
+    const catchUp = () => {
       if (position <= this.#completePosition || this.#isStale) return;
       this.#isStoreAhead = true;
       this.#relist("the store knows newer changes");
-    }, WATCH_GRACE_MS).unref();
+    };
+    // Readers are probably about to relay it.
+    this.#lifeCycle?.after(
+      WATCH_GRACE_MS,
+      catchUp,
+      `catch-up of ${this.prefix}`,
+    );
   }
 
   /**
@@ -297,25 +316,28 @@
    * repeats that watch if there are any: its connection has probably lost them.
    */
   #checkForChanges(): void {
-    const { store, prefix } = this.#options;
     if (this.#isChecking || !this.#isWatching) return;
     this.#isChecking = true;
+    const checking = this.#readMissed().finally(() => this.#isChecking = false);
+    this.#lifeCycle?.detach(`check of ${this.prefix}`, checking);
+  }
+
+  async #readMissed(): Promise<void> {
+    const { store, prefix } = this.#options;
     const cursor = this.#completePosition;
-    store.watch(prefix, {
+    const result = await store.watch(prefix, {
       cursor: String(cursor),
       waitMs: CHECK_WAIT_MS,
       timeoutMs: LIST_TIMEOUT_MS,
-    }).then((result) => {
-      this.#isChecking = false;
-      if (result.isErr() || !this.#isWatching) return;
-      const { events, reset } = result.value;
-      this.#storePosition = Math.max(
-        this.#storePosition,
-        Number(result.value.cursor),
-      );
-      if (!reset) this.#applyWatched(cursor, result.value);
-      if (events.length > 0 || reset) this.renewWatch();
     });
+    if (result.isErr() || !this.#isWatching) return;
+    const { events, reset } = result.value;
+    this.#storePosition = Math.max(
+      this.#storePosition,
+      Number(result.value.cursor),
+    );
+    if (!reset) this.#applyWatched(cursor, result.value);
+    if (events.length > 0 || reset) this.renewWatch();
   }
 
   /** Lists or fetches all objects again. */
@@ -332,11 +354,9 @@
   }
 
   async #run(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      this.#abort = new AbortController();
-      const isDone = await this.#step(signal);
-      if (!isDone && !signal.aborted) await this.#backOff();
-    }
+    this.#abort = new AbortController();
+    const isDone = await this.#step(signal);
+    if (!isDone && !signal.aborted) await this.#backOff();
   }
 
   #step(signal: AbortSignal): Promise<boolean> {
@@ -533,10 +553,57 @@
     if (this.#isListed) return this.#apply(changes, position, origin);
     this.#isListed = true;
     this.#table.apply(changes, position);
-    this.#options.onList(objects, origin);
+    this.#notifyList(objects, origin);
     return changes;
   }
 
+  /** One object that the listener fails on must not hide the others. */
+  #notifyList(
+    objects: readonly contracts.StoredObject[],
+    origin: ChangeOrigin,
+  ): void {
+    const { onList } = this.#options;
+    try {
+      onList(objects, origin);
+    } catch (error) {
+      this.#errors.note(`list of ${this.prefix}`, error);
+      const usable = objects.filter((object) =>
+        this.#notifyOne({ name: object.name, object }, origin)
+      );
+      // Where all fail, the listener does, and an empty list would say that
+      // there are no objects.
+      if (usable.length === 0) return;
+      this.#errors.guard(
+        `list of ${this.prefix}`,
+        () => onList(usable, origin),
+      );
+    }
+  }
+
+  #notifyChanges(changes: readonly ObjectChange[], origin: ChangeOrigin): void {
+    try {
+      this.#options.onChanges(changes, origin);
+    } catch (error) {
+      this.#errors.note(`changes of ${this.prefix}`, error);
+      if (changes.length === 1) return;
+      for (const change of changes) this.#notifyOne(change, origin);
+    }
+  }
+
+  /** Returns whether the listener could use the change. */
+  #notifyOne(change: ObjectChange, origin: ChangeOrigin): boolean {
+    try {
+      this.#options.onChanges([change], origin);
+      return true;
+    } catch (error) {
+      this.#options.log.error("Can't use a change.", {
+        name: change.name,
+        error: String(error),
+      });
+      return false;
+    }
+  }
+
   /**
    * Applies changes up to a position; returns those that were applied, with the
    * objects before.
@@ -552,7 +619,7 @@
     const behindMs = this.#behindSinceMs === undefined
       ? undefined
       : Math.round(this.#options.clock.nowMs() - this.#behindSinceMs);
-    this.#options.onChanges(applied, { ...origin, behindMs });
+    this.#notifyChanges(applied, { ...origin, behindMs });
     return applied;
   }
 
--- a/packages/entry/src/gateway/store/kind_watch_test.ts
+++ b/packages/entry/src/gateway/store/kind_watch_test.ts
@@ -191,3 +191,113 @@
     },
   );
 }
+
+const SERVERS = "servers/";
+const ODD_NAME = "servers/odd";
+const RESTART_MAX_MS = 1_000;
+
+function serverAt(name: string, version: number): contracts.StoredObject {
+  return { name, version: String(version), value: "{}" };
+}
+
+/** A reader whose listeners fail on one object, and whose store may throw. */
+class FailingReader {
+  readonly lifeCycle = new LifeCycle(SILENT);
+  readonly known = new Map<string, string>();
+  readonly cursors: string[] = [];
+  /** Called with each call to the store. */
+  onCall: () => void = () => {};
+  /** Objects of the list, and of the first watch. */
+  readonly listed = [serverAt("servers/a", 1)];
+  readonly changed: contracts.StoredObject[] = [];
+  readonly watch = new KindWatch({
+    store: this.#store(),
+    health: new StoreHealth({
+      clock: { nowMs: () => performance.now() },
+      log: SILENT,
+    }),
+    prefix: SERVERS,
+    log: SILENT,
+    clock: { nowMs: () => performance.now() },
+    random: { next: () => 0.5 },
+    relay: {
+      isReader: true,
+      isStoreSteady: true,
+      schedule: { plan: () => STATUS_INTERVAL_MS, remove() {} },
+      add() {},
+      publish() {},
+      noteStorePosition() {},
+    } as unknown as ConstructorParameters<typeof KindWatch>[0]["relay"],
+    onList: (objects) => objects.forEach((object) => this.#learn(object)),
+    onChanges: (changes) =>
+      changes.forEach(({ object }) => this.#learn(object!)),
+  });
+
+  start(): void {
+    this.watch.start(this.lifeCycle);
+  }
+
+  #learn({ name, version }: contracts.StoredObject): void {
+    if (name === ODD_NAME) throw new RangeError("Too deep");
+    this.known.set(name, version);
+  }
+
+  #store() {
+    return {
+      list: () => {
+        this.onCall();
+        return neverthrow.okAsync({ objects: this.listed, cursor: "1" });
+      },
+      watch: (_prefix: string, { cursor }: { readonly cursor: string }) => {
+        this.onCall();
+        this.cursors.push(cursor);
+        const last = this.changed.at(-1)?.version ?? "1";
+        const events = cursor === last ? [] : this.changed
+          .map((object) => ({ cursor: last, name: object.name, object }));
+        const pending = timers.setTimeout(20, {
+          cursor: last,
+          events,
+          reset: false,
+        });
+        return neverthrow.ResultAsync.fromSafePromise(pending);
+      },
+    } as unknown as contracts.PlatformStore;
+  }
+}
+
+/** Guards against a first list that is lost as a whole for one odd object. */
+test("should pass on all other objects of a list when the listener fails on one", () =>
+  withFixture(new FailingReader(), async (reader) => {
+    reader.listed.unshift(serverAt(ODD_NAME, 1));
+    reader.start();
+    await waitUntil(() => reader.cursors.length >= 2);
+    expect([...reader.known]).toEqual([["servers/a", "1"]]);
+  }));
+
+/** Guards against changes, and a position, that are lost for one odd change. */
+test("should pass on all other changes when the listener fails on one", () =>
+  withFixture(new FailingReader(), async (reader) => {
+    reader.changed.push(serverAt(ODD_NAME, 2), serverAt("servers/b", 3));
+    reader.start();
+    await waitUntil(() => reader.cursors.includes("3"), RESTART_MAX_MS);
+    expect(reader.known.get("servers/b")).toEqual("3");
+    expect(reader.cursors.slice(0, 2)).toEqual(["1", "3"]);
+  }));
+
+/** Guards against a VM that no longer follows the list after an error. */
+test("should go on watching from its position after steps that throw", () =>
+  withFixture(new FailingReader(), async (reader) => {
+    let calls = 0;
+    reader.onCall = () => {
+      calls++;
+      // The first list, and the first watch after it.
+      if (calls === 1 || calls === 3) throw new RangeError("Too deep");
+    };
+    reader.changed.push(serverAt("servers/b", 3));
+    reader.start();
+    await waitUntil(
+      () => reader.known.get("servers/b") === "3",
+      RESTART_MAX_MS,
+    );
+    expect(reader.cursors[0]).toEqual("1");
+  }));
