refactor(gateway): no listener keeps an event from the others

Listeners of servers, evacuations, the configuration, the store's recovery, peers, paths, owners, limits and back-offs were called in plain loops: the first that threw kept the event from the others and the caller from its next step, and on a timer it ended the process.

--- a/packages/entry/src/gateway/backoffs/server_backoff_task.ts
+++ b/packages/entry/src/gateway/backoffs/server_backoff_task.ts
@@ -8,6 +8,7 @@
 import type * as grants from "@guavatide/decisions/grants/mod";
 import type { LabelledCounts } from "../../metrics/labelled_counts.ts";
 import type { LifeCycle, PeriodicTask } from "../../utils/life_cycle.ts";
+import { Listeners } from "../../utils/listeners.ts";
 import type { Logger } from "../../utils/log.ts";
 import { ThrottledWarning } from "../../utils/throttled_warning.ts";
 import type { PeerGossip } from "../peers/peer_gossip.ts";
@@ -59,12 +60,13 @@
   /** Calls to each such server since the last line on it. */
   readonly #calls = new Map<contracts.ServerId, CallCounts>();
   readonly #malformedLog: ThrottledWarning;
-  readonly #listeners: (() => void)[] = [];
+  readonly #listeners: Listeners;
   readonly #news = new RepeatedBroadcast(REPEAT_NEWS_MS);
   #reportTask: PeriodicTask | undefined;
 
   constructor(options: ServerBackoffTaskOptions) {
     this.#options = options;
+    this.#listeners = new Listeners("back-offs", options.log);
     this.#malformedLog = new ThrottledWarning(
       options.log,
       "Ignores a Retry-After that is neither seconds nor a date.",
@@ -89,7 +91,7 @@
 
   /** Registers a listener for servers that ask this VM to back off. */
   onBackoff(listener: () => void): void {
-    this.#listeners.push(listener);
+    this.#listeners.add(listener);
   }
 
   /** Back-offs of this VM. */
@@ -196,7 +198,7 @@
     this.#reportTask?.setIntervalMs(REPORT_INTERVAL_MS);
     log.info("Server asks this VM to back off.", { server, delayMs, via });
     this.#news.send(() => this.#tell(server, this.leftMs(server)));
-    for (const listener of this.#listeners) listener();
+    this.#listeners.notify();
   }
 
   #noteServed(server: contracts.ServerId, nowMs: number): void {
--- a/packages/entry/src/gateway/grants/grant_task.ts
+++ b/packages/entry/src/gateway/grants/grant_task.ts
@@ -6,6 +6,7 @@
 import type { SuspendAwareClock } from "../../utils/clock.ts";
 import type { LabelledCounts } from "../../metrics/labelled_counts.ts";
 import type { LifeCycle, PeriodicTask } from "../../utils/life_cycle.ts";
+import { Listeners } from "../../utils/listeners.ts";
 import type { Logger } from "../../utils/log.ts";
 import type { ConfigHolder } from "../store/config_holder.ts";
 import type { MovePlannerOptions } from "./move_planner.ts";
@@ -103,7 +104,7 @@
   readonly #counts = new Map<contracts.ServiceId, Map<number, number>>();
   /** Lease duration that the routes of each service need. */
   readonly #desiredLeaseMs = new Map<contracts.ServiceId, number>();
-  readonly #listeners: ((service: contracts.ServiceId) => void)[] = [];
+  readonly #listeners: Listeners<[service: contracts.ServiceId]>;
   #voters: ReadonlySet<contracts.VmId> = new Set();
   #suspensions = 0;
   #tickTask: PeriodicTask | undefined;
@@ -111,6 +112,7 @@
 
   constructor(options: GrantTaskOptions) {
     this.#options = options;
+    this.#listeners = new Listeners("changes of owners", options.log);
     const { gossip } = options;
     gossip.onVoterStatus(({ status, sentAtMs, receivedAtMs }) => {
       for (const service of this.#services.values()) {
@@ -160,7 +162,7 @@
 
   /** Registers a listener for changes of the owners of a service's keys. */
   onChange(listener: (service: contracts.ServiceId) => void): void {
-    this.#listeners.push(listener);
+    this.#listeners.add(listener);
   }
 
   /** The owner of a key of a service. */
@@ -303,7 +305,7 @@
       notifyVoters: () => gossip.notifyVoters(),
       onChange: () => {
         this.#collectVoters();
-        for (const listener of this.#listeners) listener(service);
+        this.#listeners.notify(service);
       },
     });
   }
--- a/packages/entry/src/gateway/limits/request_limit_task.ts
+++ b/packages/entry/src/gateway/limits/request_limit_task.ts
@@ -6,6 +6,7 @@
 import * as admission from "@guavatide/decisions/admission/mod";
 import type { LabelledCounts } from "../../metrics/labelled_counts.ts";
 import type { LifeCycle, PeriodicTask } from "../../utils/life_cycle.ts";
+import { Listeners } from "../../utils/listeners.ts";
 import type { Logger } from "../../utils/log.ts";
 import { ThrottledWarning } from "../../utils/throttled_warning.ts";
 import type { PeerGossip } from "../peers/peer_gossip.ts";
@@ -58,7 +59,7 @@
   /** Calls to each limited server since the last line on it. */
   readonly #calls = new Map<contracts.ServerId, CallCounts>();
   readonly #malformedLog: ThrottledWarning;
-  readonly #listeners: (() => void)[] = [];
+  readonly #listeners: Listeners;
   /** Start of the incarnation that has named each limit. */
   readonly #bornMs = new Map<contracts.ServerId, number>();
   /** When any VM last told the others of a server's limit. */
@@ -68,6 +69,7 @@
 
   constructor(options: RequestLimitTaskOptions) {
     this.#options = options;
+    this.#listeners = new Listeners("changes of request limits", options.log);
     this.#malformedLog = new ThrottledWarning(
       options.log,
       "Ignored a malformed request limit.",
@@ -92,7 +94,7 @@
 
   /** Registers a listener for limits that are imposed or lifted. */
   onChange(listener: () => void): void {
-    this.#listeners.push(listener);
+    this.#listeners.add(listener);
   }
 
   /** Whether any limit is in force. */
@@ -219,7 +221,7 @@
       this.#bornMs.delete(server);
       this.#toldAtMs.delete(server);
     }
-    if (hasChanged) this.#listeners.forEach((listener) => listener());
+    if (hasChanged) this.#listeners.notify();
   }
 
   /** Counts a call that this VM sends. */
@@ -251,7 +253,7 @@
         ...this.#limitFields(server),
       });
     } else return;
-    for (const listener of this.#listeners) listener();
+    this.#listeners.notify();
   }
 
   #limitFields(server: contracts.ServerId) {
--- a/packages/entry/src/gateway/paths/server_paths.ts
+++ b/packages/entry/src/gateway/paths/server_paths.ts
@@ -17,6 +17,7 @@
 } from "../../links/server_connection.ts";
 import type { CheckedServer } from "../../poison/server_end_check.ts";
 import type { LifeCycle, PeriodicTask } from "../../utils/life_cycle.ts";
+import { Listeners } from "../../utils/listeners.ts";
 import type { Logger } from "../../utils/log.ts";
 import type { PeerGossip } from "../peers/peer_gossip.ts";
 import type { PeerHello } from "../peers/peer_messages.ts";
@@ -84,11 +85,12 @@
   readonly #tracker: paths.PathTracker;
   readonly #selector: paths.RelaySelector;
   readonly #contactLog: ServerContactLog;
-  readonly #listeners: ((server: contracts.ServerId) => void)[] = [];
+  readonly #listeners: Listeners<[server: contracts.ServerId]>;
   #reviewTask: PeriodicTask | undefined;
 
   constructor(options: ServerPathsOptions) {
     this.#options = options;
+    this.#listeners = new Listeners("lost paths", options.log);
     this.#contactLog = new ServerContactLog(options.log);
     this.#tracker = new paths.PathTracker({
       servers: () => options.registry.ids(),
@@ -117,7 +119,7 @@
 
   /** Registers a listener for servers whose path was lost. */
   onLost(listener: (server: contracts.ServerId) => void): void {
-    this.#listeners.push(listener);
+    this.#listeners.add(listener);
   }
 
   /** What this VM doesn't reach itself. */
@@ -489,6 +491,6 @@
       cause,
       isCutOff: this.#tracker.isCutOff,
     });
-    for (const listener of this.#listeners) servers.forEach(listener);
+    for (const server of servers) this.#listeners.notify(server);
   }
 }
--- a/packages/entry/src/gateway/peers/peer_gossip.ts
+++ b/packages/entry/src/gateway/peers/peer_gossip.ts
@@ -8,6 +8,7 @@
 import * as grants from "@guavatide/decisions/grants/mod";
 import type * as z from "zod";
 import type { LifeCycle } from "../../utils/life_cycle.ts";
+import { Listeners } from "../../utils/listeners.ts";
 import type { Logger } from "../../utils/log.ts";
 import { type Peer, PeerRegistry } from "./peer_registry.ts";
 import { PeerChannel, type PeerTarget } from "./peer_channel.ts";
@@ -132,11 +133,11 @@
   readonly #channel: PeerChannel;
   readonly #registry: PeerRegistry;
   readonly #seeds = new Set<string>();
-  readonly #statusListeners: ((status: PeerStatus) => void)[] = [];
-  readonly #voterListeners: ((received: ReceivedVoterStatus) => void)[] = [];
-  readonly #helloListeners: ((hello: PeerHello) => void)[] = [];
-  readonly #loadListeners: ((update: LoadUpdate) => void)[] = [];
-  readonly #memberListeners: (() => void)[] = [];
+  readonly #statusListeners: Listeners<[status: PeerStatus]>;
+  readonly #voterListeners: Listeners<[received: ReceivedVoterStatus]>;
+  readonly #helloListeners: Listeners<[hello: PeerHello]>;
+  readonly #loadListeners: Listeners<[update: LoadUpdate]>;
+  readonly #memberListeners: Listeners;
   /** Set while a change of members waits to be reported. */
   #membersTimer: NodeJS.Timeout | undefined;
   /** When this VM sent each hello or status, by its sequence number. */
@@ -152,6 +153,11 @@
 
   constructor(options: PeerGossipOptions) {
     this.#options = options;
+    this.#statusListeners = new Listeners("statuses of peers", options.log);
+    this.#voterListeners = new Listeners("statuses of voters", options.log);
+    this.#helloListeners = new Listeners("hellos of peers", options.log);
+    this.#loadListeners = new Listeners("loads of peers", options.log);
+    this.#memberListeners = new Listeners("changes of members", options.log);
     this.#registry = new PeerRegistry(options);
     this.#relaySelection = new cells.RelaySelection(options.random);
     this.#registry.onMembersChange(() => this.#scheduleMembersChange());
@@ -187,9 +193,11 @@
       peerFailureSchema,
       (failure) => this.#registry.noteFailure(failure),
     );
-    this.onGuarded(LOAD_METHOD, isLoadUpdate, (update) => {
-      for (const listener of this.#loadListeners) listener(update);
-    });
+    this.onGuarded(
+      LOAD_METHOD,
+      isLoadUpdate,
+      (update) => this.#loadListeners.notify(update),
+    );
   }
 
   /**
@@ -225,14 +233,14 @@
 
   /** Registers a listener for statuses of peers; outdated ones are left out. */
   onStatus(listener: (status: PeerStatus) => void): void {
-    this.#statusListeners.push(listener);
+    this.#statusListeners.add(listener);
   }
 
   /**
    * Registers a listener for statuses of voters; outdated ones are left out.
    */
   onVoterStatus(listener: (received: ReceivedVoterStatus) => void): void {
-    this.#voterListeners.push(listener);
+    this.#voterListeners.add(listener);
   }
 
   /**
@@ -240,17 +248,17 @@
    * left out.
    */
   onHello(listener: (hello: PeerHello) => void): void {
-    this.#helloListeners.push(listener);
+    this.#helloListeners.add(listener);
   }
 
   /** Registers a listener for load updates of peers, sent between statuses. */
   onLoad(listener: (update: LoadUpdate) => void): void {
-    this.#loadListeners.push(listener);
+    this.#loadListeners.add(listener);
   }
 
   /** Registers a listener called soon after VMs joined, left or failed. */
   onMembersChange(listener: () => void): void {
-    this.#memberListeners.push(listener);
+    this.#memberListeners.add(listener);
   }
 
   /**
@@ -277,7 +285,7 @@
   #scheduleMembersChange(): void {
     this.#membersTimer ??= setTimeout(() => {
       this.#membersTimer = undefined;
-      for (const listener of this.#memberListeners) listener();
+      this.#memberListeners.notify();
     }, MEMBERS_CHANGE_DELAY_MS);
   }
 
@@ -573,13 +581,13 @@
 
   #handleHello(hello: PeerHello): void {
     if (this.#registry.noteHello(hello, undefined) === undefined) return;
-    for (const listener of this.#helloListeners) listener(hello);
+    this.#helloListeners.notify(hello);
   }
 
   #handleStatus(status: PeerStatus): void {
     if (this.#registry.noteHello(status, status) === undefined) return;
-    for (const listener of this.#helloListeners) listener(status);
-    for (const listener of this.#statusListeners) listener(status);
+    this.#helloListeners.notify(status);
+    this.#statusListeners.notify(status);
   }
 
   #handleVoterStatus(status: VoterStatus): void {
@@ -589,7 +597,7 @@
       sentAtMs: this.#echoSentAtMs(status),
       receivedAtMs: this.#options.clock.nowMs(),
     };
-    for (const listener of this.#voterListeners) listener(received);
+    this.#voterListeners.notify(received);
   }
 
   /**
--- a/packages/entry/src/gateway/peers/peer_registry.ts
+++ b/packages/entry/src/gateway/peers/peer_registry.ts
@@ -5,6 +5,7 @@
 import type * as contracts from "@guavatide/contracts";
 import * as cells from "@guavatide/decisions/cells/mod";
 import * as grants from "@guavatide/decisions/grants/mod";
+import { Listeners } from "../../utils/listeners.ts";
 import type { Logger } from "../../utils/log.ts";
 import type {
   PeerFailure,
@@ -85,10 +86,11 @@
   >();
   #roleWeights: grants.VmWeights = new Map();
   #areWeightsCurrent = false;
-  readonly #listeners: (() => void)[] = [];
+  readonly #listeners: Listeners;
 
   constructor(options: PeerRegistryOptions) {
     this.#options = options;
+    this.#listeners = new Listeners("changes of peers", options.log);
   }
 
   /** All known peers. */
@@ -105,7 +107,7 @@
    * Registers a listener for VMs that join, leave, fail or change their zone.
    */
   onMembersChange(listener: () => void): void {
-    this.#listeners.push(listener);
+    this.#listeners.add(listener);
   }
 
   get(vm: contracts.VmId): Peer | undefined {
@@ -345,7 +347,7 @@
     this.#liveByZone.clear();
     this.#knownByZone.clear();
     this.#areWeightsCurrent = false;
-    for (const listener of this.#listeners) listener();
+    this.#listeners.notify();
   }
 }
 
--- a/packages/entry/src/gateway/servers/server_registry.ts
+++ b/packages/entry/src/gateway/servers/server_registry.ts
@@ -1,5 +1,6 @@
 /** Backend servers of all services, as registered in the store. */
 import type * as contracts from "@guavatide/contracts";
+import { Listeners } from "../../utils/listeners.ts";
 import type { Logger } from "../../utils/log.ts";
 import type { ObjectChange } from "../store/object_table.ts";
 import type { PlatformAdapter } from "../platform_adapter.ts";
@@ -55,7 +56,7 @@
 export class ServerRegistry {
   readonly #options: ServerRegistryOptions;
   readonly #known = new Map<contracts.ServerId, KnownServer>();
-  readonly #listeners: (() => void)[] = [];
+  readonly #listeners: Listeners;
   readonly #unreadable = new Map<string, string>();
   /** Evacuated zones whose servers get no more requests. */
   readonly #drainedZones = new Set<contracts.ZoneId>();
@@ -63,6 +64,7 @@
 
   constructor(options: ServerRegistryOptions) {
     this.#options = options;
+    this.#listeners = new Listeners("changes of servers", options.log);
     options.evacuations.onChange((ended) =>
       this.#handleEvacuationChange(ended)
     );
@@ -75,7 +77,7 @@
 
   /** Registers a listener that runs after each change. */
   onChange(listener: () => void): void {
-    this.#listeners.push(listener);
+    this.#listeners.add(listener);
   }
 
   /**
@@ -351,6 +353,6 @@
   }
 
   #notify(): void {
-    for (const listener of this.#listeners) listener();
+    this.#listeners.notify();
   }
 }
--- a/packages/entry/src/gateway/servers/zone_evacuations.ts
+++ b/packages/entry/src/gateway/servers/zone_evacuations.ts
@@ -1,5 +1,6 @@
 /** Evacuated availability zones, whose backend servers must get no requests. */
 import type * as contracts from "@guavatide/contracts";
+import { Listeners } from "../../utils/listeners.ts";
 import type { Logger } from "../../utils/log.ts";
 import type { ObjectChange } from "../store/object_table.ts";
 import type { PlatformAdapter } from "../platform_adapter.ts";
@@ -20,15 +21,16 @@
 export class ZoneEvacuations {
   readonly #options: ZoneEvacuationsOptions;
   readonly #sinceMs = new Map<contracts.ZoneId, number>();
-  readonly #listeners: EvacuationListener[] = [];
+  readonly #listeners: Listeners<Parameters<EvacuationListener>>;
 
   constructor(options: ZoneEvacuationsOptions) {
     this.#options = options;
+    this.#listeners = new Listeners("changes of evacuations", options.log);
   }
 
   /** Registers a listener that runs after each change. */
   onChange(listener: EvacuationListener): void {
-    this.#listeners.push(listener);
+    this.#listeners.add(listener);
   }
 
   /** When this VM learned of a zone's evacuation; undefined if there is none. */
@@ -87,7 +89,7 @@
       this.#sinceMs.delete(zone);
       log.info("Evacuation of a zone has ended.", { zone, lastedMs });
     }
-    for (const listener of this.#listeners) listener(ended);
+    this.#listeners.notify(ended);
   }
 
   #zoneOf(name: string): contracts.ZoneId | undefined {
--- a/packages/entry/src/gateway/store/config_holder.ts
+++ b/packages/entry/src/gateway/store/config_holder.ts
@@ -1,6 +1,7 @@
 /** The configuration in force on this VM; its version never decreases. */
 import type * as contracts from "@guavatide/contracts";
 import * as routes from "@guavatide/decisions/routes/mod";
+import { Listeners } from "../../utils/listeners.ts";
 import type { Logger } from "../../utils/log.ts";
 import type { PlatformAdapter } from "../platform_adapter.ts";
 import type { ChangeOrigin } from "./kind_watch.ts";
@@ -21,11 +22,12 @@
 /** Decodes configurations from the store and puts newer ones in force. */
 export class ConfigHolder {
   readonly #options: ConfigHolderOptions;
-  readonly #listeners: (() => void)[] = [];
+  readonly #listeners: Listeners;
   #active: ActiveConfig | undefined;
 
   constructor(options: ConfigHolderOptions) {
     this.#options = options;
+    this.#listeners = new Listeners("configuration in force", options.log);
   }
 
   /** The configuration in force; undefined before the first. */
@@ -45,7 +47,7 @@
 
   /** Registers a listener that runs after each change. */
   onChange(listener: () => void): void {
-    this.#listeners.push(listener);
+    this.#listeners.add(listener);
   }
 
   /**
@@ -76,6 +78,6 @@
       ...origin,
       compileMs: Math.round(clock.nowMs() - startMs),
     });
-    for (const listener of this.#listeners) listener();
+    this.#listeners.notify();
   }
 }
--- a/packages/entry/src/gateway/store/store_health.ts
+++ b/packages/entry/src/gateway/store/store_health.ts
@@ -1,5 +1,6 @@
 /** Whether the platform's store answers this VM, and since when. */
 import type * as contracts from "@guavatide/contracts";
+import { Listeners } from "../../utils/listeners.ts";
 import type { Logger } from "../../utils/log.ts";
 
 /** Options of {@link StoreHealth}. */
@@ -21,10 +22,11 @@
   #firstAnswerAtMs = Number.POSITIVE_INFINITY;
   #failedAtMs = Number.NEGATIVE_INFINITY;
   #recoveredAtMs = Number.NEGATIVE_INFINITY;
-  readonly #listeners: (() => void)[] = [];
+  readonly #listeners: Listeners;
 
   constructor(options: StoreHealthOptions) {
     this.#options = options;
+    this.#listeners = new Listeners("recovery of the store", options.log);
   }
 
   /** Whether the store answered the last call. */
@@ -59,7 +61,7 @@
 
   /** Registers a listener called when the store is reachable again. */
   onRecovered(listener: () => void): void {
-    this.#listeners.push(listener);
+    this.#listeners.add(listener);
   }
 
   /** The store answered a call. */
@@ -72,7 +74,7 @@
     log.info("The platform's store is reachable again.", { awayMs });
     this.#unreachableSinceMs = undefined;
     this.#recoveredAtMs = nowMs;
-    for (const listener of this.#listeners) listener();
+    this.#listeners.notify();
   }
 
   /**
