fix(admission): leave the slack of retries out for a window after a restart

The platform tells the first start of the system from later ones, and the settings template passes that on. After any other start a VM has no slack for one window; the part that follows from its requests stays.

The test fails without the change.

--- a/packages/decisions/src/admission/shared_retry_budget.ts
+++ b/packages/decisions/src/admission/shared_retry_budget.ts
@@ -10,6 +10,11 @@
   /** Additional retries allowed per window, for all entry VMs together. */
   readonly slack: number;
   readonly windowMs: number;
+  /**
+   * When this VM's part of the slack begins; at once by default. An earlier run
+   * of the process may have spent it in the same window.
+   */
+  readonly slackFromMs?: number | undefined;
 }
 
 /** What a VM knows of those that share a retry budget with it. */
@@ -84,10 +89,11 @@
    * {@link countBudgetSharers}.
    */
   remaining(nowMs: number, vmCount: number): number {
-    const { ratio, slack } = this.#options;
+    const { ratio, slack, slackFromMs = Number.NEGATIVE_INFINITY } =
+      this.#options;
     const step = this.#step(nowMs);
-    const allowed = ratio * this.#requests.total(step) +
-      slack / Math.max(1, vmCount);
+    const ownSlack = nowMs < slackFromMs ? 0 : slack / Math.max(1, vmCount);
+    const allowed = ratio * this.#requests.total(step) + ownSlack;
     return allowed * USED_FRACTION - this.#retries.total(step);
   }
 
--- a/packages/decisions/src/admission/shared_retry_budget_test.ts
+++ b/packages/decisions/src/admission/shared_retry_budget_test.ts
@@ -71,3 +71,31 @@
   expect(budget.tryTake(1_000, sharers)).toEqual(false);
   expect(countBudgetSharers({ ...alone, hasSeeds: false })).toEqual(1);
 });
+
+/** Guards against processes that spend their part again when they restart. */
+test("should keep the sum within the budget while all VMs restart", () => {
+  const vmCount = 8;
+  const restartsAtMs = [10_000, 13_000, 16_000];
+  const { ratio, slack, windowMs } = OPTIONS;
+  let budgets = Array.from(
+    { length: vmCount },
+    () => new SharedRetryBudget(OPTIONS),
+  );
+  const retries: number[] = [];
+  let requests = 0;
+  for (let nowMs = 9_000; nowMs < 19_000; nowMs += 250) {
+    if (restartsAtMs.includes(nowMs)) {
+      const slackFromMs = nowMs + windowMs;
+      budgets = budgets.map(() =>
+        new SharedRetryBudget({ ...OPTIONS, slackFromMs })
+      );
+    }
+    for (const budget of budgets) {
+      budget.recordRequest(nowMs);
+      requests++;
+      while (budget.tryTake(nowMs, vmCount)) retries.push(nowMs);
+    }
+  }
+  expect(retries.length <= ratio * requests + slack).toEqual(true);
+  expect(retries.some((atMs) => atMs > 13_000)).toEqual(true);
+});
--- a/packages/entry/src/gateway/gateway_settings.ts
+++ b/packages/entry/src/gateway/gateway_settings.ts
@@ -48,6 +48,8 @@
     slack: z.number().min(0),
     windowSeconds: z.number().positive(),
   }),
+  /** Whether an earlier run of the process on this VM may just have ended. */
+  isRestart: z.boolean().optional(),
   /** Absent where zones are never evacuated. */
   evacuation: z.strictObject({
     /** Time in which requests to the zone's servers must cease. */
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -399,10 +399,7 @@
     paths,
     poison,
     headers: adapter.headers,
-    budget: {
-      ...settings.retryBudget,
-      windowMs: settings.retryBudget.windowSeconds * 1000,
-    },
+    budget: createBudgetOptions(settings, clock),
     rateLimits,
     requestLimits,
     backoffs,
@@ -626,3 +623,12 @@
   const holdMs = Math.min(defaults.holdMs, timings.longestGrantMs);
   return { ...defaults, holdMs };
 }
+
+function createBudgetOptions(
+  { retryBudget: { ratio, slack, windowSeconds }, isRestart }: GatewaySettings,
+  clock: contracts.Clock,
+): admission.SharedRetryBudgetOptions {
+  const windowMs = windowSeconds * 1_000;
+  const slackFromMs = isRestart ? clock.nowMs() + windowMs : undefined;
+  return { ratio, slack, windowMs, slackFromMs };
+}
