fix(links): fail an answer without length whose connection was reset

Callers got part of an answer as a whole one. Cause: when a reset arrives before the last bytes were read, libuv reports an end and no error (the short cut for a hang-up after a partial read), so the flag that a socket error sets stayed unset, and undici took the end for that of the answer. It needs no more than an event loop that is busy for a moment.

At the end of a connection the system is asked for its peer, which it no longer knows after a reset. Node keeps the peer's address once it was read, and nothing reads it before.

--- a/packages/entry/src/links/server_connection.ts
+++ b/packages/entry/src/links/server_connection.ts
@@ -10,6 +10,7 @@
   isTooLarge,
   OverheadLimit,
 } from "../utils/answer_limits.ts";
+import { BrokenConnectionMonitor } from "../utils/broken_connection.ts";
 import { buildResettingConnector } from "../utils/reset_connection.ts";
 import { AnswerBody } from "./answer_body.ts";
 import type {
@@ -116,7 +117,7 @@
   #socket: net.Socket | undefined;
   #pending: PendingRequest | undefined;
   #isUsable = true;
-  #hasSocketError = false;
+  #breaks: BrokenConnectionMonitor | undefined;
   #lastRequest: contracts.RequestId | undefined;
   /** A connection ends with the run of the server that accepted it. */
   #serverRun: string | undefined;
@@ -207,16 +208,10 @@
     this.#client.destroy().catch(() => {});
   }
 
-  /**
-   * Records socket errors: undici takes a close-delimited response that ends
-   * with a reset for a whole one.
-   */
   #trackSocket(socket: net.Socket): void {
     this.#socket = socket;
     this.#overhead.watch(socket);
-    socket.once("error", () => {
-      this.#hasSocketError = true;
-    });
+    this.#breaks = new BrokenConnectionMonitor(socket);
   }
 
   #resultWithoutAnswer(
@@ -277,7 +272,7 @@
       },
       onResponseEnd: () =>
         pending.settle(
-          this.#hasSocketError
+          this.#breaks?.isBroken
             ? badAnswer("The connection broke before the answer's end")
             : pending.answer!.finish(),
         ),
