fix(links): take a body in another transfer coding for one without known end

Callers got part of an answer as a whole one, with a length of ours. Cause: any Transfer-Encoding counted as framing, but only chunked as the last coding gives a body an end; with identity, gzip, or an empty value it ends with the connection. Such an answer now counts as one without length, as the parser reads it: the platform's is passed on without a length, the native protocol's fails.

--- a/packages/entry/src/links/header_list.ts
+++ b/packages/entry/src/links/header_list.ts
@@ -54,6 +54,17 @@
   return undefined;
 }
 
+/** The last value of a header, by its name in lower case. */
+export function readLastHeader(
+  headers: readonly string[],
+  name: string,
+): string | undefined {
+  const index = headers.findLastIndex((it, at) =>
+    at % 2 === 0 && it.length === name.length && it.toLowerCase() === name
+  );
+  return index < 0 ? undefined : headers[index + 1];
+}
+
 /** Headers of a caller's request to forward to the server. */
 export function requestHeaders(headers: readonly string[]): string[] {
   return forwardableHeaders(headers);
--- a/packages/entry/src/links/native_answer_decoder.ts
+++ b/packages/entry/src/links/native_answer_decoder.ts
@@ -7,7 +7,7 @@
   DecodedAnswer,
   RawAnswer,
 } from "./answer_decoder.ts";
-import { answerHeaders, readHeader } from "./header_list.ts";
+import { answerHeaders, readHeader, readLastHeader } from "./header_list.ts";
 
 /** With this status a refusal's Retry-After is about the server. */
 const UNAVAILABLE_STATUS = 503;
@@ -52,15 +52,20 @@
   }
 }
 
+/** Only this coding, as the last one, gives a body an end of its own. */
+const CHUNKED_LAST = /(?:^|[,\s])chunked\s*$/i;
+
 /**
  * Whether a truncated body would have been detected: a close-delimited one
  * looks complete when the connection breaks.
  */
 export function hasKnownEnd({ method, status, headers }: RawAnswer): boolean {
   const hasNoBody = method === "HEAD" || status === 204 || status === 304;
-  return hasNoBody ||
-    readHeader(headers, "content-length") !== undefined ||
-    readHeader(headers, "transfer-encoding") !== undefined;
+  if (hasNoBody) return true;
+  const coding = readLastHeader(headers, "transfer-encoding");
+  return coding === undefined
+    ? readHeader(headers, "content-length") !== undefined
+    : CHUNKED_LAST.test(coding);
 }
 
 function readInFlight(headers: readonly string[]): number | undefined {
