fix(store): send texts of very many parts whole

Callers got 503 or nothing: a registration of a million braces that a server rewrote with each heartbeat made the readers of the store stand still at each change, the other VMs for a third of that, and leadership changed hands.

Cause: to relay a change, a reader splits the old and the new text before each brace and compares the parts. The cost is a hundred bytes a brace and not bounded: createPatch of 1 MB of braces took 0.74 s and 110 MB of heap, of 3 MB 1.9 s and 349 MB, where the heap is limited to 200 MB. Parts that move gave a patch of 5.4 MB for a text of 1 MB, which was then compressed and thrown away. Class: work whose cost another writer's text sets, without a bound.

The split on the wire stays.

--- a/packages/entry/src/gateway/store/watch_relay.ts
+++ b/packages/entry/src/gateway/store/watch_relay.ts
@@ -517,9 +517,12 @@
   const isPatched = value.length >= PATCH_MIN_LENGTH &&
     previous !== undefined && previous.version !== version;
   if (!isPatched) return [version, value];
-  const patch = createPatch(previous.value, value)
-    .map((part) => typeof part === "string" ? part : [...part]);
-  return [version, { base: previous.version, patch }] as EncodedEvent[1];
+  const patch = createPatch(previous.value, value);
+  if (patch === undefined) return [version, value];
+  const parts = patch.map((part) =>
+    typeof part === "string" ? part : [...part]
+  );
+  return [version, { base: previous.version, patch: parts }] as EncodedEvent[1];
 }
 
 /**
@@ -550,7 +553,10 @@
 
 type EncodedValue = NonNullable<EncodedEvent[1]>[1];
 
-/** The whole value; undefined if it is based on another version. */
+/**
+ * The whole value; undefined if it is based on another version or can't be
+ * restored.
+ */
 function decodeValue(
   encoded: EncodedValue,
   previous: contracts.StoredObject | undefined,
