fix(store): limit the changes that VMs keep for peers by their size

One or two of eight VMs were ended by SIGABRT 40 to 57 s after servers began to rewrite large registrations with each heartbeat, without a RangeError and without a line of ours, and leadership changed hands; requests that they had accepted ended without an answer.

Cause: each VM keeps the last 64 batches of changes of a prefix for peers that missed their message, whatever their size. Of one text of 3 MB, or four of 1 MB, that is 200 MB and more, the limit of the heap (V8: 'Reached heap limit Allocation failed'). The readers of the store end first, as they hold the texts of messages that were too large to send as well; so one or two of eight, a minute after the first change. Class: state that another writer's text fills, bounded by number only.

Change: the batches, in a class of their own, are also limited to 8,388,608 characters of their objects; the oldest make room. A peer that misses a batch that was dropped gets what the objects known here show, or fetches all objects, as it did for a change that was too large for a message.

--- a/packages/entry/src/gateway/store/watch_relay.ts
+++ b/packages/entry/src/gateway/store/watch_relay.ts
@@ -9,6 +9,7 @@
 import type * as ownership from "@guavatide/decisions/ownership/mod";
 import type { LifeCycle } from "../../utils/life_cycle.ts";
 import type { Logger } from "../../utils/log.ts";
+import { ChangeBuffer, type RelayedChanges } from "./change_buffer.ts";
 import type { ObjectChange } from "./object_table.ts";
 import type { PeerRpc } from "../peers/peer_rpc.ts";
 import { encodeMessage } from "../peers/peer_codec.ts";
@@ -18,6 +19,8 @@
 import { applyPatch, createPatch } from "./value_patch.ts";
 import { WatchSchedule } from "./watch_schedule.ts";
 
+export type { RelayedChanges } from "./change_buffer.ts";
+
 /** Options of {@link WatchRelay}. */
 export interface WatchRelayOptions {
   readonly self: GossipIdentity;
@@ -34,27 +37,6 @@
   readonly probeStore: () => Promise<boolean>;
 }
 
-/**
- * Changes after `fromPosition` up to and including `toPosition`, in the store's
- * order.
- */
-export interface RelayedChanges {
-  readonly fromPosition: number;
-  readonly toPosition: number;
-  /**
-   * Undefined when the changes are left out of the message: the receiver
-   * fetches all objects.
-   */
-  readonly events: readonly ObjectChange[] | undefined;
-  /** Names of all objects, when the changes come from a list. */
-  readonly names?: readonly string[];
-  /**
-   * When the first VM that this VM knows of has learned of the changes, on this
-   * VM's clock; the time on the network is not included.
-   */
-  readonly learnedAtMs: number;
-}
-
 /** The watch of one prefix, as the relay sees it. */
 export interface RelayedWatch {
   readonly prefix: string;
@@ -91,8 +73,6 @@
  * VM that missed them need not wait for the next heartbeat.
  */
 const POSITIONS_DELAY_MS = 100;
-/** Batches of changes that a VM buffers for peers that missed a message. */
-const MAX_BUFFERED_BATCHES = 64;
 /**
  * Largest message, in bytes. A datagram is lost when one of its packets is;
  * when the changes are larger, as when a thousand routes are added, each VM
@@ -117,7 +97,7 @@
   readonly #ranking: grants.VmRanking;
   readonly #election: cells.ReaderElection;
   readonly #watches = new Map<string, RelayedWatch>();
-  readonly #batches = new Map<string, RelayedChanges[]>();
+  readonly #buffers = new Map<string, ChangeBuffer>();
   readonly #encodedEvents = new WeakMap<ObjectChange, EncodedEvent>();
   #rankedVms: readonly contracts.VmId[] = [];
   #rankedAtMs = Number.NEGATIVE_INFINITY;
@@ -375,10 +355,9 @@
   // Changes
 
   #buffer(prefix: string, changes: RelayedChanges): void {
-    const batches = this.#batches.get(prefix) ?? [];
-    this.#batches.set(prefix, batches);
-    batches.push(changes);
-    if (batches.length > MAX_BUFFERED_BATCHES) batches.shift();
+    const buffer = this.#buffers.get(prefix) ?? new ChangeBuffer();
+    this.#buffers.set(prefix, buffer);
+    buffer.add(changes);
   }
 
   #encode(prefix: string, changes: RelayedChanges): messages.StoreChanges {
@@ -451,8 +430,7 @@
    * the objects known here show.
    */
   #sendMissedChanges({ vm, prefix, cursor }: messages.ChangesRequest): void {
-    const batches = this.#batches.get(prefix) ?? [];
-    const missed = batches.filter(({ toPosition }) => toPosition > cursor);
+    const missed = this.#buffers.get(prefix)?.after(cursor) ?? [];
     const watch = this.#watches.get(prefix);
     if (watch === undefined || watch.position <= cursor) return;
     const isWhole = missed.length > 0 &&
