fix(store): send no change that peers can't decompress

With a text of 3 MB that a server rewrote with each heartbeat, peers wrote 2,180 and 2,263 lines 'Ignored a malformed datagram.' in 65 s and listed the store or fetched all objects 60 times each, also where the text compressed to 3 kB; with 1 MB of quotes, or of control characters (170,000), 409 to 449 lines in 12 s.

Cause: a message is limited to 24,000 bytes as it is sent, a receiver decompresses 1,048,576 bytes at most. A message between these limits was sent to all peers and decoded by none; each then asked for it again and got the same.

Change: the sender leaves out the objects of a message that has more than 400,000 characters of them, as for one that is too long: peers fetch all objects once. A difference between large texts is measured by its own size. The message isn't encoded and compressed then either.

--- a/packages/entry/src/gateway/store/watch_relay.ts
+++ b/packages/entry/src/gateway/store/watch_relay.ts
@@ -84,6 +84,11 @@
  * for a single peer, as that takes milliseconds.
  */
 const MAX_ENCODED_CHARACTERS = 4 * MAX_MESSAGE_BYTES;
+/**
+ * Characters of the objects in a message to all peers, which decompress a
+ * megabyte at most; a character takes two bytes of it where it is escaped.
+ */
+const MAX_MESSAGE_CHARACTERS = 400_000;
 const SNAPSHOT_METHOD = "kindState";
 
 /**
@@ -375,10 +380,9 @@
         Math.round(this.#options.clock.nowMs() - changes.learnedAtMs),
       ),
     };
-    const { length } = encodeMessage(messages.CHANGES_METHOD, message);
-    return length > MAX_MESSAGE_BYTES
-      ? { ...message, events: null, names: null }
-      : message;
+    return fitsMessage(message)
+      ? message
+      : { ...message, events: null, names: null };
   }
 
   /** Encodes a change once: many VMs may request the same one. */
@@ -488,6 +492,26 @@
 
 type EncodedEvent = NonNullable<messages.StoreChanges["events"]>[number];
 
+/** Whether peers receive and decode a message. */
+function fitsMessage(message: messages.StoreChanges): boolean {
+  const characters = (message.events ?? [])
+    .reduce((total, [, object]) => total + charactersOf(object), 0);
+  return characters <= MAX_MESSAGE_CHARACTERS &&
+    encodeMessage(messages.CHANGES_METHOD, message).length <=
+      MAX_MESSAGE_BYTES;
+}
+
+/** Characters of a whole value, or of the new parts of a patch. */
+function charactersOf(object: EncodedEvent[1]): number {
+  if (object === null) return 0;
+  const [, encoded] = object;
+  if (typeof encoded === "string") return encoded.length;
+  return encoded.patch.reduce(
+    (total, part) => total + (typeof part === "string" ? part.length : 0),
+    0,
+  );
+}
+
 function encodeObject(
   { version, value }: contracts.StoredObject,
   previous: contracts.StoredObject | undefined,
--- /dev/null
+++ b/packages/entry/src/gateway/store/watch_relay_test.ts
@@ -0,0 +1,83 @@
+import type * as contracts from "@guavatide/contracts";
+import * as ownership from "@guavatide/decisions/ownership/mod";
+import { expect } from "earl";
+import { test } from "node:test";
+import { decodeMessage, encodeMessage } from "../peers/peer_codec.ts";
+import type { PeerGossip } from "../peers/peer_gossip.ts";
+import type { StoreChanges } from "../peers/peer_messages.ts";
+import type { PeerRpc } from "../peers/peer_rpc.ts";
+import type { StoreHealth } from "./store_health.ts";
+import { WatchRelay } from "./watch_relay.ts";
+
+const PREFIX = "servers/";
+
+/** Publishes a change of one object; returns the message to the peers. */
+async function publish(
+  value: string,
+  previousValue?: string,
+): Promise<StoreChanges> {
+  const sent: { method: string; params: object }[] = [];
+  const gossip: Partial<PeerGossip> = {
+    on: () => {},
+    onGuarded: () => {},
+    broadcast: (method, params) => sent.push({ method, params }),
+  };
+  const relay = new WatchRelay({
+    self: { vm: "vm1" as contracts.VmId } as never,
+    gossip: gossip as PeerGossip,
+    rpc: { on: () => {} } as Partial<PeerRpc> as PeerRpc,
+    health: {} as StoreHealth,
+    hasher: await ownership.KeyHasher.create(),
+    clock: { nowMs: () => 0 },
+    log: { debug() {}, info() {}, warn() {}, error() {} },
+    isSeed: false,
+    isLeaving: () => false,
+    probeStore: () => Promise.resolve(true),
+  });
+  const object = { name: "servers/i-1", version: "2", value };
+  const previous = previousValue === undefined
+    ? undefined
+    : { name: "servers/i-1", version: "1", value: previousValue };
+  relay.publish(PREFIX, {
+    fromPosition: 1,
+    toPosition: 2,
+    events: [{ name: object.name, object, previous }],
+    learnedAtMs: 0,
+  });
+  const { method, params } = sent[0]!;
+  const received = decodeMessage(Buffer.from(encodeMessage(method, params)));
+  expect(received !== undefined).toEqual(true);
+  return received!.params as StoreChanges;
+}
+
+/**
+ * Guards against messages that no peer can decode: each peer would request them
+ * again and again.
+ */
+test("should leave changes out that peers can't decompress", async () => {
+  const message = await publish("s".repeat(1_200_000));
+  expect([message.events, message.toCursor]).toEqual([null, 2]);
+  const quoted = await publish('"'.repeat(600_000));
+  expect(quoted.events).toEqual(null);
+});
+
+test("should send the difference between large objects", async () => {
+  const routes = Array.from(
+    { length: 10_000 },
+    (_, index) =>
+      JSON.stringify({
+        name: `route-${index}`,
+        prefix: `/${index}/`.padEnd(60),
+      }),
+  )
+    .join();
+  const message = await publish(`[${routes},{"x":2}]`, `[${routes},{"x":1}]`);
+  expect(message.events?.length).toEqual(1);
+});
+
+test("should send small changes whole", async () => {
+  const message = await publish('{"service":"s"}');
+  expect(message.events).toEqual([
+    ["servers/i-1", ["2", '{"service":"s"}']],
+  ]);
+});
