fix(platform): fail a call whose connection was reset within its answer

Calls to the store, to peers and to servers took part of an answer without length as a whole one when the connection was reset: undici treats a reset as the end of such an answer, and libuv reports one that arrives with the last bytes as an end. Only requests to servers had a check. A call now fails, as a request does, when the same monitor says that its connection broke.

Lists, watches and calls between VMs parse their JSON and failed on the part already.

--- a/packages/entry/src/links/cut_answer_test_support.ts
+++ b/packages/entry/src/links/cut_answer_test_support.ts
@@ -116,6 +116,8 @@
   /** Whether the connection has carried a whole answer before. */
   readonly isReused: boolean;
   readonly isWhole: boolean;
+  /** Whether only the end of the connection tells that it is whole. */
+  readonly isUnlengthed: boolean;
   /**
    * Whether its head is whole and its body has no end of its own: a close after
    * any part of it looks like a whole answer.
@@ -127,6 +129,8 @@
 export interface CutOptions {
   /** All shapes by default. */
   readonly shapes?: readonly AnswerShape[];
+  /** All ways by default. */
+  readonly ends?: readonly ConnectionEnd[];
   /** Cuts after each so many bytes, and beside line ends and digits; 1 by default. */
   readonly strideBytes?: number;
 }
@@ -134,7 +138,8 @@
 /** Answers cut after their bytes, ended in each way, on new and used connections. */
 export function createCuts(
   parts: AnswerParts,
-  { shapes = ANSWER_SHAPES, strideBytes = 1 }: CutOptions = {},
+  { shapes = ANSWER_SHAPES, ends = CONNECTION_ENDS, strideBytes = 1 }:
+    CutOptions = {},
 ): AnswerCut[] {
   const answers = createAnswers(parts);
   const cuts: AnswerCut[] = [];
@@ -145,8 +150,9 @@
     for (let bytes = 0; bytes <= whole.length; bytes++) {
       const isBoundary = /[\r\n\d]/.test(whole.slice(bytes - 1, bytes + 1));
       const isWhole = bytes === whole.length;
+      const isUnlengthed = UNLENGTHED_SHAPES.has(shape);
       if (bytes % strideBytes !== 0 && !isBoundary && !isWhole) continue;
-      for (const end of CONNECTION_ENDS) {
+      for (const end of ends) {
         for (const isReused of [false, true]) {
           cuts.push({
             shape,
@@ -154,8 +160,8 @@
             end,
             isReused,
             isWhole,
-            isOpenEnded: UNLENGTHED_SHAPES.has(shape) && bytes >= headEnd &&
-              !isReset(end),
+            isUnlengthed,
+            isOpenEnded: isUnlengthed && bytes >= headEnd && !isReset(end),
           });
         }
       }
@@ -198,12 +204,12 @@
   readonly #sockets = new Set<net.Socket>();
   readonly #server: net.Server;
 
-  /** `answer` gets the bytes of each request's head, counted by connection. */
+  /** `answer` gets the bytes of each request's head, and how many came before. */
   constructor(
     answer: (socket: net.Socket, head: string, requestsBefore: number) => void,
   ) {
+    let requests = 0;
     this.#server = net.createServer({ allowHalfOpen: true }, (socket) => {
-      let requests = 0;
       this.#sockets.add(socket);
       socket.once("close", () => this.#sockets.delete(socket));
       socket.on("error", () => {});
--- a/packages/entry/src/links/native_answer_decoder.ts
+++ b/packages/entry/src/links/native_answer_decoder.ts
@@ -1,6 +1,7 @@
 /** Decodes responses of backend servers that implement this system's protocol. */
 import type * as contracts from "@guavatide/contracts";
 import * as names from "@guavatide/contracts";
+import * as framing from "../utils/answer_framing.ts";
 import type {
   AnswerDecoder,
   AnswerReport,
@@ -52,20 +53,14 @@
   }
 }
 
-/** Only this coding, as the last one, gives a body an end of its own. */
-const CHUNKED_LAST = /(?:^|[,\s])chunked\s*$/i;
-
-/**
- * Whether a truncated body would have been detected: a close-delimited one
- * looks complete when the connection breaks.
- */
+/** Whether a truncated body would have been detected. */
 export function hasKnownEnd({ method, status, headers }: RawAnswer): boolean {
-  const hasNoBody = method === "HEAD" || status === 204 || status === 304;
-  if (hasNoBody) return true;
-  const coding = readLastHeader(headers, "transfer-encoding");
-  return coding === undefined
-    ? readHeader(headers, "content-length") !== undefined
-    : CHUNKED_LAST.test(coding);
+  return framing.hasKnownEnd({
+    method,
+    status,
+    transferEncoding: readLastHeader(headers, "transfer-encoding"),
+    contentLength: readHeader(headers, "content-length"),
+  });
 }
 
 function readInFlight(headers: readonly string[]): number | undefined {
--- a/packages/entry/src/platform/http_exchange.ts
+++ b/packages/entry/src/platform/http_exchange.ts
@@ -1,7 +1,9 @@
 /** One call over HTTP, and the connection that carries it. */
 import type * as http from "node:http";
 import * as undici from "undici";
+import * as framing from "../utils/answer_framing.ts";
 import { isBadAnswer, OverheadLimit } from "../utils/answer_limits.ts";
+import { BrokenConnectionMonitor } from "../utils/broken_connection.ts";
 
 /** Request of a call over an {@link HttpChannel}. */
 export interface HttpRequest {
@@ -24,6 +26,8 @@
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   readonly bytes: Uint8Array;
   readonly text: string;
+  /** Whether part of it would have been taken for the whole. */
+  readonly endsWithConnection: boolean;
   readonly connection: ResponseConnection;
 }
 
@@ -79,6 +83,7 @@
   #isEnded = false;
   #wasSent = false;
   #controller: undici.Dispatcher.DispatchController | undefined;
+  #method = "";
   #status = 0;
   #headers: http.IncomingHttpHeaders = {};
   readonly #chunks: Buffer[] = [];
@@ -95,6 +100,7 @@
       readonly isLastOnConnection: boolean;
     },
   ): void {
+    this.#method = method;
     const options: ExchangeDispatchOptions = {
       method,
       path,
@@ -150,6 +156,10 @@
   }
 
   onResponseEnd(): void {
+    if (this.connection!.isBroken) {
+      const reason = "The connection broke before the answer's end";
+      return this.#end({ kind: "unreachable", reason });
+    }
     const { etag } = this.#headers;
     const bytes = Buffer.concat(this.#chunks);
     const response: HttpResponse = {
@@ -160,11 +170,23 @@
       get text() {
         return bytes.toString();
       },
+      endsWithConnection: !this.#hasKnownEnd(),
       connection: this.#sentOver!,
     };
     this.#end({ kind: "answer", response });
   }
 
+  #hasKnownEnd(): boolean {
+    const coding: string | string[] | undefined =
+      this.#headers["transfer-encoding"];
+    return framing.hasKnownEnd({
+      method: this.#method,
+      status: this.#status,
+      transferEncoding: Array.isArray(coding) ? coding.at(-1) : coding,
+      contentLength: this.#headers["content-length"],
+    });
+  }
+
   onResponseError(
     _controller: undici.Dispatcher.DispatchController,
     error: Error,
@@ -199,6 +221,7 @@
   constructor(url: URL, options: ExchangeConnectionOptions) {
     const state: ConnectionState = {
       overhead: new OverheadLimit(),
+      breaks: undefined,
       localPort: undefined,
       calls: 0,
     };
@@ -209,6 +232,7 @@
           const [error, socket] = result;
           if (error === null) {
             state.overhead.watch(socket);
+            state.breaks = new BrokenConnectionMonitor(socket);
             state.localPort = socket.localPort;
             state.calls = 0;
           }
@@ -234,6 +258,11 @@
     return { localPort, callsBefore: this.#state.calls++ };
   }
 
+  /** Whether its connection was reset, or failed otherwise. */
+  get isBroken(): boolean {
+    return this.#state.breaks?.isBroken ?? false;
+  }
+
   /** Bytes of the body of an answer were received. */
   addBody(bytes: number): void {
     this.#state.overhead.addBody(bytes);
@@ -243,6 +272,8 @@
 /** What an {@link ExchangeConnection} holds; set before its constructor ends. */
 interface ConnectionState {
   readonly overhead: OverheadLimit;
+  /** Of the connection that is open, or was the last one. */
+  breaks: BrokenConnectionMonitor | undefined;
   localPort: number | undefined;
   calls: number;
 }
