fix(platform): reject answers without known end to our own calls

A value read from the store, and the body of a request that a peer relays, were short after an answer that only the end of its connection delimits was closed early. docs/contracts.md asks for a length or chunks already.

--- a/packages/entry/src/gateway/paths/relay_client.ts
+++ b/packages/entry/src/gateway/paths/relay_client.ts
@@ -184,6 +184,7 @@
       connections: MAX_CONNECTIONS,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       localAddress: this.#options.self.host,
+      rejectsUnlengthed: true,
     });
     this.#channels.set(vm, { origin, channel });
     return channel;
--- a/packages/entry/src/platform/http_backend_control.ts
+++ b/packages/entry/src/platform/http_backend_control.ts
@@ -21,6 +21,7 @@
   constructor(origin: string) {
     this.#channel = new HttpChannel(origin, {
       maxResponseBytes: MAX_REPLY_BYTES,
+      rejectsUnlengthed: true,
     });
   }
 
--- a/packages/entry/src/platform/http_channel.ts
+++ b/packages/entry/src/platform/http_channel.ts
@@ -19,6 +19,7 @@
   ExchangeConnection,
   type ExchangeConnectionOptions,
   type ExchangeFailure,
+  type ExchangeResult,
   type HttpCallError,
   type HttpRequest,
   type HttpResponse,
@@ -48,6 +49,11 @@
    * an answer when no call was waiting for one.
    */
   readonly onUnexpectedBytes?: (reason: string) => void;
+  /**
+   * Whether a response fails of which only the end of the connection tells that
+   * it is whole; false by default.
+   */
+  readonly rejectsUnlengthed?: boolean;
   /** Largest body of a response; 64 MB by default. */
   readonly maxResponseBytes?: number;
 }
@@ -126,7 +132,7 @@
         isLastOnConnection: this.#options.isOneCallPerConnection === true,
       });
     }
-    const result = await exchange.result;
+    const result = this.#checkEnd(await exchange.result);
     deadline.clear();
     signal?.removeEventListener("abort", onCancel);
     const isTimeout = result.kind === "timeout";
@@ -142,6 +148,15 @@
     });
   }
 
+  #checkEnd(result: ExchangeResult): ExchangeResult {
+    if (result.kind !== "answer" || !result.response.endsWithConnection) {
+      return result;
+    }
+    return this.#options.rejectsUnlengthed === true
+      ? { kind: "bad-answer", reason: "its length can't be checked" }
+      : result;
+  }
+
   /** Closes a retired pool once its last call has ended by its own deadline. */
   #closeIfUnused(retired: RefCountedPool): void {
     if (retired === this.#pool || retired.activeCalls > 0) return;
--- a/packages/entry/src/platform/http_exchange.ts
+++ b/packages/entry/src/platform/http_exchange.ts
@@ -63,7 +63,8 @@
   readonly reason: string;
 }
 
-type ExchangeResult =
+/** How a call ended. */
+export type ExchangeResult =
   | { readonly kind: "answer"; readonly response: HttpResponse }
   | ExchangeFailure;
 
--- a/packages/entry/src/platform/http_platform_store.ts
+++ b/packages/entry/src/platform/http_platform_store.ts
@@ -38,7 +38,7 @@
 
   /** The paths of objects and of the watch are relative to `baseUrl`. */
   constructor(baseUrl: string) {
-    this.#channel = new HttpChannel(baseUrl);
+    this.#channel = new HttpChannel(baseUrl, { rejectsUnlengthed: true });
   }
 
   /** Closes all connections to the store. */
--- a/packages/entry/src/platform/http_vm_list.ts
+++ b/packages/entry/src/platform/http_vm_list.ts
@@ -22,6 +22,7 @@
     this.#path = url.pathname === "/" ? "/vms" : url.pathname;
     this.#channel = new HttpChannel(url.origin, {
       maxResponseBytes: MAX_LIST_BYTES,
+      rejectsUnlengthed: true,
     });
   }
 
