refactor(gateway): timers and detached promises have an owner

Components run theirs through LifeCycle or FailureLog. A forwarded request owns its own: it ends with 502 as when sending throws, and the caller is answered before anything else that may throw.

--- a/packages/entry/src/gateway/forwarding/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarding/forwarded_request.ts
@@ -58,6 +58,8 @@
     report: contracts.RequestLimitReport | undefined,
     options: { readonly tookMs: number; readonly isRefusal: boolean },
   ): void;
+  /** A step of a request has failed; the others are not affected. */
+  noteError(error: unknown): void;
   /** A server's limit in force, for the log. */
   limitRecordOf(server: contracts.ServerId): RequestRecord["limit"];
   /** Knows which requests crash the servers that run them. */
@@ -141,7 +143,10 @@
     this.answerByMs = answerByMs;
     this.#waitingSinceMs = request.arrivedMs;
     const leftMs = Math.max(0, this.answerByMs - context.clock.nowMs());
-    this.#timer = setTimeout(() => this.#onTimeout(), leftMs);
+    this.#timer = setTimeout(
+      () => this.#run(() => this.#onTimeout()),
+      leftMs,
+    );
     request.signal.addEventListener("abort", this.#onCallerDisconnect);
   }
 
@@ -161,11 +166,28 @@
       return this.#refusePoison();
     }
     this.#attemptCount++;
-    this.#send(placement, nowMs).catch((error) =>
-      this.#finish(
-        { kind: "own", status: 502, message: "The entry VM failed" },
-        `failed: ${String(error)}`,
-      )
+    this.#detach(this.#send(placement, nowMs));
+  }
+
+  /** Runs a step of a timer. An error ends this request and nothing else. */
+  #run(step: () => void): void {
+    try {
+      step();
+    } catch (error) {
+      this.#fail(error);
+    }
+  }
+
+  /** The same for a step that nobody awaits. */
+  #detach(step: Promise<void>): void {
+    step.catch((error) => this.#fail(error));
+  }
+
+  #fail(error: unknown): void {
+    this.#context.noteError(error);
+    this.#finish(
+      { kind: "own", status: 502, message: "The entry VM failed" },
+      `failed: ${String(error)}`,
     );
   }
 
@@ -368,9 +390,10 @@
     if (!isKeyed) this.tried.add(server);
     if (this.#hasRetryLeft() && this.#context.tryRetry()) {
       if (!isKeyed) return this.#requeue();
-      setTimeout(() => {
+      const requeue = () => {
         if (!this.#isDone) this.#requeue();
-      }, OWNER_REFUSAL_BACKOFF_MS);
+      };
+      setTimeout(() => this.#run(requeue), OWNER_REFUSAL_BACKOFF_MS);
       return;
     }
     this.#giveUp(`server refused: ${refusal}`, HANDOVER_RETRY_AFTER_MS);
@@ -403,10 +426,12 @@
     const isBrokenOff = result.kind === "unknown" && !result.isPathLost &&
       result.reason !== "timeout-after-send" && result.condition === undefined;
     if (isBrokenOff) {
-      this.#context.poison.noteLostConnection(this.#request, entry)
+      const noted = this.#context.poison
+        .noteLostConnection(this.#request, entry)
         .then((condition) => {
           if (condition === "ended") this.#crashCount++;
         });
+      this.#detach(noted);
     } else if (result.kind === "unknown" && result.condition === "ended") {
       this.#crashCount++;
     }
@@ -443,7 +468,7 @@
       ? this.#context.poison.noteLostConnection(this.#request, entry)
       : Promise.resolve(condition);
     if (!this.route.isIdempotent) return this.#handleUnknown(message);
-    conditionBeforeRetry(noted).then((condition) => {
+    const retried = conditionBeforeRetry(noted).then((condition) => {
       if (this.#isDone) return;
       if (condition === "ended") this.#crashCount++;
       if (this.#isPoisonous()) return this.#refusePoison();
@@ -455,6 +480,7 @@
         poison.POISON_RETRY_AFTER_MS,
       );
     });
+    this.#detach(retried);
   }
 
   #isPoisonous(): boolean {
@@ -568,6 +594,8 @@
   #finish(answer: FrontAnswer, outcome: string): void {
     if (this.#isDone) return;
     this.#isDone = true;
+    // First: the caller gets its answer whatever fails after it.
+    this.#resolve(answer);
     clearTimeout(this.#timer);
     this.#request.signal.removeEventListener("abort", this.#onCallerDisconnect);
     // Cancels the attempt still in flight, and so its work at the server.
@@ -576,7 +604,6 @@
       this.#context.poison.noteGivenUp(this.#request, entry);
     }
     const nowMs = this.#context.clock.nowMs();
-    this.#resolve(answer);
     this.#context.onFinished({
       id: this.#request.id,
       route: this.route.name,
--- a/packages/entry/src/gateway/forwarding/forwarder.ts
+++ b/packages/entry/src/gateway/forwarding/forwarder.ts
@@ -2,6 +2,7 @@
 import type * as contracts from "@guavatide/contracts";
 import * as admission from "@guavatide/decisions/admission/mod";
 import type { ConnectionPools } from "../../links/connection_pools.ts";
+import { FailureLog } from "../../utils/failure_log.ts";
 import { ThrottledWarning } from "../../utils/throttled_warning.ts";
 import type { LifeCycle, PeriodicTask } from "../../utils/life_cycle.ts";
 import type { Logger } from "../../utils/log.ts";
@@ -99,9 +100,11 @@
   #inFlight = 0;
   #reviewTask: PeriodicTask | undefined;
   readonly #overloadLog: ThrottledWarning;
+  readonly #errors: FailureLog;
 
   constructor(options: ForwarderOptions) {
     this.#options = options;
+    this.#errors = new FailureLog(options.log);
     this.#overloadLog = new ThrottledWarning(
       options.log,
       "Refuses what this VM has read too late.",
@@ -339,6 +342,7 @@
       random,
       configVersion,
       judged,
+      noteError: (error) => this.#errors.note("request", error),
       recordAdmission: (event) => admissions.recordSend(service, event),
       returnAfterMs: (request) => admissions.refuse(service, request),
       tryRetry: () =>
--- a/packages/entry/src/gateway/grants/service_grants.ts
+++ b/packages/entry/src/gateway/grants/service_grants.ts
@@ -130,6 +130,7 @@
   readonly #handoverAges = new grants.HandoverAges();
   #isLeader = false;
   readonly #initialMapWait = new grants.InitialMapWait();
+  readonly #errors: FailureLog;
   readonly #ranking: grants.VmRanking;
   readonly #publisher: MapPublisher;
   readonly #fetcher: RangeMapFetcher;
@@ -142,6 +143,7 @@
 
   constructor(options: ServiceGrantsOptions) {
     this.#options = options;
+    this.#errors = new FailureLog(options.log);
     this.#ranking = new grants.VmRanking(
       options.hasher,
       options.roleWeights,
@@ -524,11 +526,9 @@
         isStillAllowed,
       };
       this.#grantedAtMs.set(range.owner.server, nowMs);
-      this.#sender.send(request).then(
-        () => this.#renewNext(range.owner.server),
-        (error) =>
-          this.#options.log.error("Grant failed.", { error: String(error) }),
-      );
+      const granting = this.#sender.send(request)
+        .then(() => this.#renewNext(range.owner.server));
+      this.#errors.detach("grant", granting);
     }
   }
 
@@ -855,7 +855,12 @@
       );
     }
     const timeoutMs = isFencing ? timings.grantTimeoutMs : RELEASE_TIMEOUT_MS;
-    control.release(server, { fromKey, toKey, fence }, { timeoutMs }).then(
+    const call = control.release(
+      server,
+      { fromKey, toKey, fence },
+      { timeoutMs },
+    );
+    const releasing = call.then(
       (result) => {
         const release = result.isOk()
           ? { handover: result.value }
@@ -888,6 +893,7 @@
         log.error("Release failed.", { error: String(error) });
       },
     );
+    this.#errors.detach("release", releasing);
   }
 
   #handoverTick(nowMs: number): grants.HandoverTick {
@@ -1011,3 +1017,4 @@
       : nowMs + unansweredLeftMs,
   }));
 }
+import { FailureLog } from "../../utils/failure_log.ts";
--- a/packages/entry/src/gateway/paths/peer_reach.ts
+++ b/packages/entry/src/gateway/paths/peer_reach.ts
@@ -47,7 +47,10 @@
   readonly #options: PeerReachOptions;
   readonly #news = new Map<contracts.VmId, PeerNews>();
   readonly #broadcasts = new RepeatedBroadcast(REPEAT_MS);
-  readonly #telling = new CoalescedCallback(() => this.#tell());
+  readonly #telling = new CoalescedCallback(() =>
+    this.#lifeCycle?.guard("news of lost paths", () => this.#tell())
+  );
+  #lifeCycle: LifeCycle | undefined;
   #refreshTask: PeriodicTask | undefined;
 
   constructor(options: PeerReachOptions) {
@@ -61,6 +64,7 @@
 
   /** Starts the periodic work. */
   start(lifeCycle: LifeCycle): void {
+    this.#lifeCycle = lifeCycle;
     this.#broadcasts.start(lifeCycle, "news of unreached servers");
     this.#refreshTask = lifeCycle.every(
       Number.POSITIVE_INFINITY,
--- a/packages/entry/src/gateway/paths/server_paths.ts
+++ b/packages/entry/src/gateway/paths/server_paths.ts
@@ -86,6 +86,7 @@
   readonly #selector: paths.RelaySelector;
   readonly #contactLog: ServerContactLog;
   readonly #listeners: Listeners<[server: contracts.ServerId]>;
+  #lifeCycle: LifeCycle | undefined;
   #reviewTask: PeriodicTask | undefined;
 
   constructor(options: ServerPathsOptions) {
@@ -110,6 +111,7 @@
 
   /** Starts the periodic work, which rests while there is nothing to look at. */
   start(lifeCycle: LifeCycle): void {
+    this.#lifeCycle = lifeCycle;
     this.#reviewTask = lifeCycle.every(
       Number.POSITIVE_INFINITY,
       () => this.#review(),
@@ -408,7 +410,7 @@
     const entries = servers.flatMap((server) => registry.find(server) ?? []);
     const asked = this.#askPeer(entries);
     entries.forEach((entry, index) => {
-      Promise.all([this.#connect(entry), asked]).then(
+      const noted = Promise.all([this.#connect(entry), asked]).then(
         ([connection, observed]) => {
           const peer = observed[index];
           const { server } = entry;
@@ -423,6 +425,7 @@
           this.#tracker.noteCheck(server, { connection, peer, nowMs });
         },
       );
+      this.#lifeCycle?.detach("check of a silent server", noted);
     });
   }
 
@@ -457,9 +460,10 @@
     const probed: Promise<paths.ConnectOutcome> = entry === undefined
       ? Promise.resolve("refused")
       : this.#connect(entry);
-    probed.then((connection) =>
+    const noted = probed.then((connection) =>
       this.#tracker.noteProbe(server, connection, clock.nowMs())
     );
+    this.#lifeCycle?.detach("probe of a path", noted);
   }
 
   /** Makes a new connection to a server, and closes it again. */
--- a/packages/entry/src/gateway/peers/peer_gossip.ts
+++ b/packages/entry/src/gateway/peers/peer_gossip.ts
@@ -150,6 +150,7 @@
   #loadsTimer: NodeJS.Timeout | undefined;
   /** Loads as last sent. */
   #lastSentLoads: PeerStatus["loads"] = {};
+  #lifeCycle: LifeCycle | undefined;
 
   constructor(options: PeerGossipOptions) {
     this.#options = options;
@@ -204,6 +205,7 @@
    * Starts to listen, and the periodic work. Rejects when the port is taken.
    */
   async start(lifeCycle: LifeCycle): Promise<void> {
+    this.#lifeCycle = lifeCycle;
     await this.#channel.listen(lifeCycle);
     lifeCycle.onStop({
       name: "news of load and members",
@@ -283,10 +285,15 @@
   }
 
   #scheduleMembersChange(): void {
-    this.#membersTimer ??= setTimeout(() => {
+    const notify = () => {
       this.#membersTimer = undefined;
       this.#memberListeners.notify();
-    }, MEMBERS_CHANGE_DELAY_MS);
+    };
+    this.#membersTimer ??= this.#lifeCycle?.after(
+      MEMBERS_CHANGE_DELAY_MS,
+      notify,
+      "change of members",
+    );
   }
 
   /** Registers the handler of a method. */
@@ -357,10 +364,11 @@
     const nowMs = this.#options.clock.nowMs();
     const sinceMs = nowMs - this.#loadsSentAtMs;
     const waitMs = Math.max(0, this.#loadIntervalMs() - sinceMs);
-    this.#loadsTimer = setTimeout(() => {
+    const send = () => {
       this.#loadsTimer = undefined;
       this.#sendLoads(this.#options.clock.nowMs());
-    }, waitMs);
+    };
+    this.#loadsTimer = this.#lifeCycle?.after(waitMs, send, "loads");
   }
 
   /**
--- a/packages/entry/src/gateway/peers/repeated_broadcast.ts
+++ b/packages/entry/src/gateway/peers/repeated_broadcast.ts
@@ -7,6 +7,8 @@
 export class RepeatedBroadcast {
   readonly #delayMs: number;
   readonly #timers = new Set<NodeJS.Timeout>();
+  #name = "";
+  #lifeCycle: LifeCycle | undefined;
 
   constructor(delayMs: number) {
     this.#delayMs = delayMs;
@@ -14,6 +16,8 @@
 
   /** Drops the repetitions that are due when the process stops. */
   start(lifeCycle: LifeCycle, name: string): void {
+    this.#lifeCycle = lifeCycle;
+    this.#name = name;
     lifeCycle.onStop({
       name,
       timeoutMs: CLEAN_UP_TIMEOUT_MS,
@@ -21,13 +25,13 @@
     });
   }
 
-  /** Calls `broadcast` now and after the delay. */
+  /** Calls `broadcast` now and, once started, after the delay. */
   send(broadcast: () => void): void {
     broadcast();
-    const timer = setTimeout(() => {
-      this.#timers.delete(timer);
+    const timer = this.#lifeCycle?.after(this.#delayMs, () => {
+      this.#timers.delete(timer!);
       broadcast();
-    }, this.#delayMs);
-    this.#timers.add(timer);
+    }, this.#name);
+    if (timer !== undefined) this.#timers.add(timer);
   }
 }
--- a/packages/entry/src/gateway/poison/poison_guard.ts
+++ b/packages/entry/src/gateway/poison/poison_guard.ts
@@ -76,6 +76,7 @@
   readonly #unsaved = new Map<contracts.RequestFingerprint, UnsavedRecord>();
   readonly #givenUp: GivenUpRequests<PoisonSubject, contracts.RegisteredServer>;
   readonly #reports = new RepeatedBroadcast(REPEAT_REPORT_MS);
+  #lifeCycle: LifeCycle | undefined;
   #task: PeriodicTask | undefined;
   #isSaving = false;
 
@@ -110,6 +111,7 @@
 
   /** Starts the periodic work. */
   start(lifeCycle: LifeCycle): void {
+    this.#lifeCycle = lifeCycle;
     this.#task = lifeCycle.every(
       EXPIRY_INTERVAL_MS,
       () => this.#tick(),
@@ -326,10 +328,11 @@
     this.#dropUntracked();
     if (!this.#isSaving) {
       this.#isSaving = true;
-      this.#saveDue().finally(() => {
+      const saving = this.#saveDue().finally(() => {
         this.#isSaving = false;
         this.#schedule();
       });
+      this.#lifeCycle?.detach("records of crashes", saving);
     }
     this.#schedule();
   }
@@ -392,11 +395,12 @@
       this.#planSave(fingerprint, { isWitness: true, delayMs: 0 });
       return this.#tick();
     }
-    store.delete(prefix + fingerprint, {
+    const deleting = store.delete(prefix + fingerprint, {
       timeoutMs: SAVE_TIMEOUT_MS,
       condition: { kind: "any" },
     }).then((deleted) => {
       if (deleted.isErr()) health.noteFailure(deleted.error);
     });
+    this.#lifeCycle?.detach("deletion of a record of crashes", deleting);
   }
 }
--- a/packages/entry/src/gateway/slots/slot_task.ts
+++ b/packages/entry/src/gateway/slots/slot_task.ts
@@ -75,7 +75,10 @@
   readonly #consumers = new Map<admission.WaitingRequest, SlotConsumer>();
   #tickTask: PeriodicTask | undefined;
   /** Changes in one event loop iteration are sent together. */
-  readonly #flushing = new CoalescedCallback(() => this.#flush());
+  readonly #flushing = new CoalescedCallback(() =>
+    this.#lifeCycle?.guard("messages on slots", () => this.#flush())
+  );
+  #lifeCycle: LifeCycle | undefined;
   readonly #stallLog: ThrottledWarning;
   readonly #lostSlotLog: ThrottledWarning;
   readonly #overdueLog: ThrottledWarning;
@@ -149,6 +152,7 @@
 
   /** Starts the periodic work. */
   start(lifeCycle: LifeCycle): void {
+    this.#lifeCycle = lifeCycle;
     this.#tickTask = lifeCycle.every(IDLE_TICK_MS, () => {
       const nowMs = this.#options.clock.nowMs();
       this.#requester.tick(nowMs);
--- a/packages/entry/src/gateway/store/watch_relay.ts
+++ b/packages/entry/src/gateway/store/watch_relay.ts
@@ -123,6 +123,7 @@
   #rankedAtMs = Number.NEGATIVE_INFINITY;
   #startedAtMs = 0;
   #isProbing = false;
+  #lifeCycle: LifeCycle | undefined;
   /** Set while positions wait to be sent after changes. */
   #positionsTimer: NodeJS.Timeout | undefined;
   /** Results of the last review. */
@@ -154,6 +155,7 @@
 
   /** Starts the periodic work. */
   start(lifeCycle: LifeCycle): void {
+    this.#lifeCycle = lifeCycle;
     this.#startedAtMs = this.#options.clock.nowMs();
     lifeCycle.every(
       REVIEW_INTERVAL_MS,
@@ -212,10 +214,15 @@
     this.#buffer(prefix, changes);
     const message = this.#encode(prefix, changes);
     this.#options.gossip.broadcast(messages.CHANGES_METHOD, message);
-    this.#positionsTimer ??= setTimeout(() => {
+    const sendPositions = () => {
       this.#positionsTimer = undefined;
       this.#broadcastReaderStatus();
-    }, POSITIONS_DELAY_MS).unref();
+    };
+    this.#positionsTimer ??= this.#lifeCycle?.after(
+      POSITIONS_DELAY_MS,
+      sendPositions,
+      "positions of a reader",
+    );
   }
 
   /** Passes the store's position on to the watches of all prefixes. */
@@ -280,8 +287,9 @@
     if (this.#isProbing) return;
     const wasReader = this.isReader;
     const step = this.#election.review(this.#view());
-    if (step === "try") this.#probeStore();
-    else if (wasReader !== this.isReader) this.#notifyRoleChange();
+    if (step === "try") {
+      this.#lifeCycle?.detach("probe of a reader", this.#probeStore());
+    } else if (wasReader !== this.isReader) this.#notifyRoleChange();
   }
 
   /** Repeats waiting watches that would now wait for a shorter time. */
@@ -322,18 +330,19 @@
     return this.#rankedVms;
   }
 
-  #probeStore(): void {
+  async #probeStore(): Promise<void> {
     const { probeStore, log } = this.#options;
     this.#isProbing = true;
-    probeStore().then((isReached) => {
-      this.#isProbing = false;
-      this.#election.noteAttempt(isReached, this.#view());
-      if (this.isReader) this.#notifyRoleChange();
-    }, (error) => {
-      this.#isProbing = false;
-      this.#election.noteAttempt(false, this.#view());
+    let isReached = false;
+    try {
+      isReached = await probeStore();
+    } catch (error) {
       log.error("Probing the store failed.", { error: String(error) });
-    });
+    } finally {
+      this.#isProbing = false;
+    }
+    this.#election.noteAttempt(isReached, this.#view());
+    if (this.isReader) this.#notifyRoleChange();
   }
 
   #notifyRoleChange(): void {
--- a/packages/entry/src/poison/given_up_requests.ts
+++ b/packages/entry/src/poison/given_up_requests.ts
@@ -4,10 +4,13 @@
  * break.
  */
 import * as timers from "node:timers/promises";
+import { FailureLog } from "../utils/failure_log.ts";
+import type { Logger } from "../utils/log.ts";
 import type { CheckedServer, ServerEndCheck } from "./server_end_check.ts";
 
 /** Options of {@link GivenUpRequests}. */
 export interface GivenUpRequestsOptions<Request, Server> {
+  readonly log: Logger;
   readonly endCheck: Pick<ServerEndCheck, "check">;
   /** Milliseconds since the Unix epoch. */
   readonly unixMs: () => number;
@@ -26,10 +29,12 @@
 /** Watches the servers at which requests were given up. */
 export class GivenUpRequests<Request, Server extends CheckedServer> {
   readonly #options: GivenUpRequestsOptions<Request, Server>;
+  readonly #errors: FailureLog;
   readonly #byServer = new Map<string, Set<Request>>();
 
   constructor(options: GivenUpRequestsOptions<Request, Server>) {
     this.#options = options;
+    this.#errors = new FailureLog(options.log);
   }
 
   /** Notes a request that was given up at a server. */
@@ -42,7 +47,9 @@
     }
     const requests = new Set([request]);
     this.#byServer.set(name, requests);
-    this.#watch(server, requests).finally(() => this.#byServer.delete(name));
+    const watching = this.#watch(server, requests)
+      .finally(() => this.#byServer.delete(name));
+    this.#errors.detach("check of a server with given-up requests", watching);
   }
 
   async #watch(server: Server, requests: ReadonlySet<Request>): Promise<void> {
--- a/packages/entry/src/utils/life_cycle.ts
+++ b/packages/entry/src/utils/life_cycle.ts
@@ -172,6 +172,11 @@
     }
   }
 
+  /** Runs a step of an event handler; its error is logged under the name. */
+  guard(name: string, step: () => void): void {
+    this.#failures.guard(name, step);
+  }
+
   /** Owns a promise that nobody awaits: its error is logged under the name. */
   detach(name: string, promise: PromiseLike<unknown>): void {
     this.#failures.detach(name, promise);
