--- a/packages/entry/src/gateway/run_gateway.ts
+++ b/packages/entry/src/gateway/run_gateway.ts
@@ -3,13 +3,16 @@
 import type * as neverthrow from "neverthrow";
 import { createNonBlockingLog } from "../utils/non_blocking_log.ts";
 import type { LoggerFactory } from "../utils/log.ts";
+import { ProcessEndLog } from "../utils/process_end_log.ts";
+import { readProcessStatus } from "../utils/process_status.ts";
 import { resetOpenConnections } from "../utils/reset_connection.ts";
 import type {
   GatewaySettings,
   GatewaySettingsError,
 } from "./gateway_settings.ts";
 import type { PlatformAdapter } from "./platform_adapter.ts";
-import { startGateway } from "./wire_gateway.ts";
+import { ProcessStop } from "./process_stop.ts";
+import { type Gateway, startGateway } from "./wire_gateway.ts";
 
 /** Options of {@link runGateway}. */
 export interface RunGatewayOptions {
@@ -22,6 +25,8 @@
 }
 
 const EXIT_SETTINGS = 2;
+/** Longest wait for a consumer of log lines when the process ends. */
+const FLUSH_TIMEOUT_MS = 200;
 /** Interval at which the settings file is checked for changes. */
 const SETTINGS_CHECK_MS = 2_000;
 
@@ -40,22 +45,41 @@
   if (loaded.isErr()) return failStart(loaded.error.message);
   const settings = loaded.value;
   const log = createNonBlockingLog(settings.log);
-  const gateway = await startGateway({
-    settings,
-    adapter: createAdapter(settings),
-    log,
+  let gateway: Gateway | undefined;
+  const endLog = new ProcessEndLog({
+    syncLog: log.syncPart("main"),
+    readStatus: readProcessStatus,
+    requestsInFlight: () => gateway?.requestsInFlight ?? 0,
+  });
+  const stop = new ProcessStop({
+    log: log.part("main"),
+    graceMs: settings.timings.graceSeconds * 1000,
+    exit: (reason, status) => {
+      endLog.noteReason(reason);
+      log.flush(FLUSH_TIMEOUT_MS).finally(() => process.exit(status));
+    },
   });
-  watchSettings(settingsPath, loadSettings, log);
   process.once("exit", resetOpenConnections);
-  let isStopping = false;
-  process.on("SIGTERM", () => {
-    if (isStopping) return;
-    isStopping = true;
-    gateway.stop().then(() => process.exit(0), (error) => {
-      log.part("main").error("Stop failed.", { error: String(error) });
-      process.exit(1);
-    });
+  process.once("exit", (status) => endLog.write(status));
+  // Rejected promises that nothing awaits come here as well.
+  process.on("uncaughtException", (error) => stop.onUncaughtError(error));
+  log.part("main").info("Entry process starts.", {
+    vm: settings.vm,
+    pid: process.pid,
+    node: process.version,
   });
+  try {
+    gateway = await startGateway({
+      settings,
+      adapter: createAdapter(settings),
+      log,
+    });
+  } catch (error) {
+    return stop.onStartFailed(error);
+  }
+  stop.noteStarted(gateway);
+  watchSettings(settingsPath, loadSettings, log);
+  process.on("SIGTERM", () => stop.onSignal());
 }
 
 /**
--- a/packages/entry/src/gateway/store/watch_relay.ts
+++ b/packages/entry/src/gateway/store/watch_relay.ts
@@ -9,6 +9,7 @@
 import type * as ownership from "@guavatide/decisions/ownership/mod";
 import type { LifeCycle } from "../../utils/life_cycle.ts";
 import type { Logger } from "../../utils/log.ts";
+import { ChangeBuffer, type RelayedChanges } from "./change_buffer.ts";
 import type { ObjectChange } from "./object_table.ts";
 import type { PeerRpc } from "../peers/peer_rpc.ts";
 import { encodeMessage } from "../peers/peer_codec.ts";
@@ -18,6 +19,8 @@
 import { applyPatch, createPatch } from "./value_patch.ts";
 import { WatchSchedule } from "./watch_schedule.ts";
 
+export type { RelayedChanges } from "./change_buffer.ts";
+
 /** Options of {@link WatchRelay}. */
 export interface WatchRelayOptions {
   readonly self: GossipIdentity;
@@ -34,27 +37,6 @@
   readonly probeStore: () => Promise<boolean>;
 }
 
-/**
- * Changes after `fromPosition` up to and including `toPosition`, in the store's
- * order.
- */
-export interface RelayedChanges {
-  readonly fromPosition: number;
-  readonly toPosition: number;
-  /**
-   * Undefined when the changes are left out of the message: the receiver
-   * fetches all objects.
-   */
-  readonly events: readonly ObjectChange[] | undefined;
-  /** Names of all objects, when the changes come from a list. */
-  readonly names?: readonly string[];
-  /**
-   * When the first VM that this VM knows of has learned of the changes, on this
-   * VM's clock; the time on the network is not included.
-   */
-  readonly learnedAtMs: number;
-}
-
 /** The watch of one prefix, as the relay sees it. */
 export interface RelayedWatch {
   readonly prefix: string;
@@ -91,8 +73,6 @@
  * VM that missed them need not wait for the next heartbeat.
  */
 const POSITIONS_DELAY_MS = 100;
-/** Batches of changes that a VM buffers for peers that missed a message. */
-const MAX_BUFFERED_BATCHES = 64;
 /**
  * Largest message, in bytes. A datagram is lost when one of its packets is;
  * when the changes are larger, as when a thousand routes are added, each VM
@@ -104,6 +84,11 @@
  * for a single peer, as that takes milliseconds.
  */
 const MAX_ENCODED_CHARACTERS = 4 * MAX_MESSAGE_BYTES;
+/**
+ * Characters of the objects in a message to all peers, which decompress a
+ * megabyte at most; a character takes two bytes of it where it is escaped.
+ */
+const MAX_MESSAGE_CHARACTERS = 400_000;
 const SNAPSHOT_METHOD = "kindState";
 
 /**
@@ -117,7 +102,7 @@
   readonly #ranking: grants.VmRanking;
   readonly #election: cells.ReaderElection;
   readonly #watches = new Map<string, RelayedWatch>();
-  readonly #batches = new Map<string, RelayedChanges[]>();
+  readonly #buffers = new Map<string, ChangeBuffer>();
   readonly #encodedEvents = new WeakMap<ObjectChange, EncodedEvent>();
   #rankedVms: readonly contracts.VmId[] = [];
   #rankedAtMs = Number.NEGATIVE_INFINITY;
@@ -392,10 +377,9 @@
   // Changes
 
   #buffer(prefix: string, changes: RelayedChanges): void {
-    const batches = this.#batches.get(prefix) ?? [];
-    this.#batches.set(prefix, batches);
-    batches.push(changes);
-    if (batches.length > MAX_BUFFERED_BATCHES) batches.shift();
+    const buffer = this.#buffers.get(prefix) ?? new ChangeBuffer();
+    this.#buffers.set(prefix, buffer);
+    buffer.add(changes);
   }
 
   #encode(prefix: string, changes: RelayedChanges): messages.StoreChanges {
@@ -413,10 +397,9 @@
         Math.round(this.#options.clock.nowMs() - changes.learnedAtMs),
       ),
     };
-    const { length } = encodeMessage(messages.CHANGES_METHOD, message);
-    return length > MAX_MESSAGE_BYTES
-      ? { ...message, events: null, names: null }
-      : message;
+    return fitsMessage(message)
+      ? message
+      : { ...message, events: null, names: null };
   }
 
   /** Encodes a change once: many VMs may request the same one. */
@@ -468,8 +451,7 @@
    * the objects known here show.
    */
   #sendMissedChanges({ vm, prefix, cursor }: messages.ChangesRequest): void {
-    const batches = this.#batches.get(prefix) ?? [];
-    const missed = batches.filter(({ toPosition }) => toPosition > cursor);
+    const missed = this.#buffers.get(prefix)?.after(cursor) ?? [];
     const watch = this.#watches.get(prefix);
     if (watch === undefined || watch.position <= cursor) return;
     const isWhole = missed.length > 0 &&
@@ -527,6 +509,26 @@
 
 type EncodedEvent = NonNullable<messages.StoreChanges["events"]>[number];
 
+/** Whether peers receive and decode a message. */
+function fitsMessage(message: messages.StoreChanges): boolean {
+  const characters = (message.events ?? [])
+    .reduce((total, [, object]) => total + charactersOf(object), 0);
+  return characters <= MAX_MESSAGE_CHARACTERS &&
+    encodeMessage(messages.CHANGES_METHOD, message).length <=
+      MAX_MESSAGE_BYTES;
+}
+
+/** Characters of a whole value, or of the new parts of a patch. */
+function charactersOf(object: EncodedEvent[1]): number {
+  if (object === null) return 0;
+  const [, encoded] = object;
+  if (typeof encoded === "string") return encoded.length;
+  return encoded.patch.reduce(
+    (total, part) => total + (typeof part === "string" ? part.length : 0),
+    0,
+  );
+}
+
 function encodeObject(
   { version, value }: contracts.StoredObject,
   previous: contracts.StoredObject | undefined,
@@ -534,9 +536,12 @@
   const isPatched = value.length >= PATCH_MIN_LENGTH &&
     previous !== undefined && previous.version !== version;
   if (!isPatched) return [version, value];
-  const patch = createPatch(previous.value, value)
-    .map((part) => typeof part === "string" ? part : [...part]);
-  return [version, { base: previous.version, patch }] as EncodedEvent[1];
+  const patch = createPatch(previous.value, value);
+  if (patch === undefined) return [version, value];
+  const parts = patch.map((part) =>
+    typeof part === "string" ? part : [...part]
+  );
+  return [version, { base: previous.version, patch: parts }] as EncodedEvent[1];
 }
 
 /**
@@ -567,7 +572,10 @@
 
 type EncodedValue = NonNullable<EncodedEvent[1]>[1];
 
-/** The whole value; undefined if it is based on another version. */
+/**
+ * The whole value; undefined if it is based on another version or can't be
+ * restored.
+ */
 function decodeValue(
   encoded: EncodedValue,
   previous: contracts.StoredObject | undefined,
