--- a/packages/entry/src/gateway/forwarding/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarding/forwarded_request.ts
@@ -582,20 +582,30 @@
     );
   }
 
-  readonly #onCallerDisconnect = (): void => {
-    if (this.#isDone) return;
-    this.#context.queue.cancel(this);
-    this.#finish(
-      { kind: "own", status: 499, message: "The caller has gone" },
-      "caller gone",
-    );
-  };
+  readonly #onCallerDisconnect = (): void =>
+    this.#run(() => {
+      if (this.#isDone) return;
+      this.#context.queue.cancel(this);
+      this.#finish(
+        { kind: "own", status: 499, message: "The caller has gone" },
+        "caller gone",
+      );
+    });
 
   #finish(answer: FrontAnswer, outcome: string): void {
     if (this.#isDone) return;
     this.#isDone = true;
     // First: the caller gets its answer whatever fails after it.
     this.#resolve(answer);
+    try {
+      this.#close(answer, outcome);
+    } catch (error) {
+      this.#context.noteError(error);
+    }
+  }
+
+  /** Ends what belongs to the request, and records it. */
+  #close(answer: FrontAnswer, outcome: string): void {
     clearTimeout(this.#timer);
     this.#request.signal.removeEventListener("abort", this.#onCallerDisconnect);
     // Cancels the attempt still in flight, and so its work at the server.
