--- a/packages/entry/src/administration/store_journal.ts
+++ b/packages/entry/src/administration/store_journal.ts
@@ -61,7 +61,11 @@
       timeoutMs: STOP_TIMEOUT_MS,
       run: () => this.flush(),
     });
-    lifeCycle.every(this.#options.flushIntervalMs, () => void this.flush());
+    lifeCycle.every(
+      this.#options.flushIntervalMs,
+      () => this.flush(),
+      "journal",
+    );
   }
 
   /**
--- a/packages/entry/src/configuration/config_task.ts
+++ b/packages/entry/src/configuration/config_task.ts
@@ -151,8 +151,15 @@
 
   /** Starts watching and comparing, until the process stops. */
   start(lifeCycle: LifeCycle): void {
-    void this.#watch.run(lifeCycle.signal);
-    void this.#compareLoop(lifeCycle.signal);
+    const { signal } = lifeCycle;
+    lifeCycle.runLoop(
+      "watch of the configuration",
+      () => this.#watch.run(signal),
+    );
+    lifeCycle.runLoop(
+      "comparison of the configuration",
+      () => this.#compareLoop(signal),
+    );
   }
 
   /** Applies a publish through this VM that the store has acknowledged. */
--- a/packages/entry/src/loads/load_task.ts
+++ b/packages/entry/src/loads/load_task.ts
@@ -66,7 +66,7 @@
 
   /** Sends reports every second until the process stops. */
   start(lifeCycle: LifeCycle): void {
-    lifeCycle.every(REPORT_INTERVAL_MS, () => this.reportAll());
+    lifeCycle.every(REPORT_INTERVAL_MS, () => this.reportAll(), "loads");
   }
 
   /** Counts one answered request. */
--- a/packages/entry/src/ownership/ownership_task.ts
+++ b/packages/entry/src/ownership/ownership_task.ts
@@ -53,7 +53,7 @@
       timeoutMs: STOP_TIMEOUT_MS,
       run: () => this.#stop(),
     });
-    lifeCycle.every(TICK_MS, () => this.#tick());
+    lifeCycle.every(TICK_MS, () => this.#tick(), "ownership");
     this.#tick();
   }
 
--- a/packages/entry/src/vms/peer_task.ts
+++ b/packages/entry/src/vms/peer_task.ts
@@ -106,7 +106,8 @@
     });
     lifeCycle.every(
       this.#options.heartbeatMs,
-      () => void this.sendHeartbeats(),
+      () => this.sendHeartbeats(),
+      "heartbeats",
     );
   }
 
--- a/packages/entry/src/zones/server_directory.ts
+++ b/packages/entry/src/zones/server_directory.ts
@@ -38,7 +38,11 @@
 
   /** Polls until the process stops. Resolves after the first attempt. */
   async start(lifeCycle: LifeCycle): Promise<void> {
-    lifeCycle.every(this.#options.pollIntervalMs, () => void this.#poll());
+    lifeCycle.every(
+      this.#options.pollIntervalMs,
+      () => this.#poll(),
+      "server directory",
+    );
     await this.#poll();
   }
 
