--- a/packages/entry/src/gateway/store/store_probe.ts
+++ b/packages/entry/src/gateway/store/store_probe.ts
@@ -48,27 +48,17 @@
 
   /** Starts to probe. */
   start(lifeCycle: LifeCycle): void {
-    lifeCycle.every(PROBE_INTERVAL_MS, () => {
-      if (!this.#isDue()) return;
-      this.probe().catch((error) =>
-        this.#options.health.noteFailure({
-          kind: "unavailable",
-          message: String(error),
-        })
-      );
-    }, "probe of the store");
+    lifeCycle.every(
+      PROBE_INTERVAL_MS,
+      () => this.#isDue() ? this.probe() : undefined,
+      "probe of the store",
+    );
   }
 
   /** Probes once; resolves to whether the store answered. */
   async probe(): Promise<boolean> {
-    const { store, health, name, onObject, clock } = this.#options;
-    this.#isProbing = true;
-    this.#probedAtMs = clock.nowMs();
-    const result = await store.get(name, {
-      timeoutMs: PROBE_TIMEOUT_MS,
-      mayBeStale: true,
-    });
-    this.#isProbing = false;
+    const { health, onObject } = this.#options;
+    const result = await this.#read();
     if (result.isErr()) {
       this.#failures++;
       health.noteFailure(result.error);
@@ -80,6 +70,20 @@
     return true;
   }
 
+  async #read() {
+    const { store, name, clock } = this.#options;
+    this.#isProbing = true;
+    this.#probedAtMs = clock.nowMs();
+    try {
+      return await store.get(name, {
+        timeoutMs: PROBE_TIMEOUT_MS,
+        mayBeStale: true,
+      });
+    } finally {
+      this.#isProbing = false;
+    }
+  }
+
   #isDue(): boolean {
     const { clock, need, health } = this.#options;
     if (this.#isProbing) return false;
