fix(store): count the names and bytes of a change that peers must decompress

Found in review. Long names were not counted, and characters of three bytes exceeded the two that were assumed, so messages were sent that no peer decodes. The text of a message is now compared with what receivers decompress. The two tests failed before and pass now.

--- a/packages/entry/src/gateway/peers/peer_codec.ts
+++ b/packages/entry/src/gateway/peers/peer_codec.ts
@@ -33,9 +33,27 @@
 
 /** Encodes a notification. */
 export function encodeMessage(method: string, params: object): Uint8Array {
-  const bytes = Buffer.from(
+  return compressIfLong(encodeText(method, params));
+}
+
+/** The same; undefined if it is larger than what receivers decompress. */
+export function encodeIfDecodable(
+  method: string,
+  params: object,
+): Uint8Array | undefined {
+  const bytes = encodeText(method, params);
+  return bytes.length > DECOMPRESSED_MAX_BYTES
+    ? undefined
+    : compressIfLong(bytes);
+}
+
+function encodeText(method: string, params: object): Uint8Array {
+  return Buffer.from(
     JSON.stringify(jsonRpc.createJSONRPCNotification(method, params)),
   );
+}
+
+function compressIfLong(bytes: Uint8Array): Uint8Array {
   return bytes.length < COMPRESSION_MIN_BYTES ? bytes : compress(bytes);
 }
 
--- a/packages/entry/src/gateway/store/watch_relay.ts
+++ b/packages/entry/src/gateway/store/watch_relay.ts
@@ -12,7 +12,7 @@
 import { ChangeBuffer, type RelayedChanges } from "./change_buffer.ts";
 import type { ObjectChange } from "./object_table.ts";
 import type { PeerRpc } from "../peers/peer_rpc.ts";
-import { encodeMessage } from "../peers/peer_codec.ts";
+import { encodeIfDecodable } from "../peers/peer_codec.ts";
 import type { GossipIdentity, PeerGossip } from "../peers/peer_gossip.ts";
 import * as messages from "../peers/peer_messages.ts";
 import type { StoreHealth } from "./store_health.ts";
@@ -84,10 +84,7 @@
  * for a single peer, as that takes milliseconds.
  */
 const MAX_ENCODED_CHARACTERS = 4 * MAX_MESSAGE_BYTES;
-/**
- * Characters of the objects in a message to all peers, which decompress a
- * megabyte at most; a character takes two bytes of it where it is escaped.
- */
+/** Longer messages are not encoded, as that takes milliseconds. */
 const MAX_MESSAGE_CHARACTERS = 400_000;
 const SNAPSHOT_METHOD = "kindState";
 
@@ -511,11 +508,14 @@
 
 /** Whether peers receive and decode a message. */
 function fitsMessage(message: messages.StoreChanges): boolean {
-  const characters = (message.events ?? [])
-    .reduce((total, [, object]) => total + charactersOf(object), 0);
-  return characters <= MAX_MESSAGE_CHARACTERS &&
-    encodeMessage(messages.CHANGES_METHOD, message).length <=
-      MAX_MESSAGE_BYTES;
+  let characters = 0;
+  for (const [name, object] of message.events ?? []) {
+    characters += name.length + charactersOf(object);
+  }
+  for (const name of message.names ?? []) characters += name.length;
+  if (characters > MAX_MESSAGE_CHARACTERS) return false;
+  const bytes = encodeIfDecodable(messages.CHANGES_METHOD, message);
+  return bytes !== undefined && bytes.length <= MAX_MESSAGE_BYTES;
 }
 
 /** Characters of a whole value, or of the new parts of a patch. */
--- a/packages/entry/src/gateway/store/watch_relay_test.ts
+++ b/packages/entry/src/gateway/store/watch_relay_test.ts
@@ -15,6 +15,7 @@
 async function publish(
   value: string,
   previousValue?: string,
+  names?: readonly string[],
 ): Promise<StoreChanges> {
   const sent: { method: string; params: object }[] = [];
   const gossip: Partial<PeerGossip> = {
@@ -42,6 +43,7 @@
     fromPosition: 1,
     toPosition: 2,
     events: [{ name: object.name, object, previous }],
+    ...(names === undefined ? {} : { names }),
     learnedAtMs: 0,
   });
   const { method, params } = sent[0]!;
@@ -81,3 +83,19 @@
     ["servers/i-1", ["2", '{"service":"s"}']],
   ]);
 });
+
+/** Guards against messages that no peer can decode, as they have long names. */
+test("should leave names out that peers can't decompress", async () => {
+  const names = Array.from(
+    { length: 80 },
+    (_, index) => `servers/${"n".repeat(16_000)}${index}`,
+  );
+  const message = await publish("{}", undefined, names);
+  expect([message.events, message.names]).toEqual([null, null]);
+});
+
+/** Guards against messages that no peer can decode, as a character takes three bytes. */
+test("should leave changes of wide characters out that peers can't decompress", async () => {
+  const message = await publish("\u6f22".repeat(390_000));
+  expect(message.events).toEqual(null);
+});
