--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -627,7 +627,12 @@
   const mainLog = log.part("main");
   mainLog.info("Entry process stops.", { vm: settings.vm });
   const stopping = lifeCycle.stop();
-  gossip.sendHelloToAll();
+  try {
+    gossip.sendHelloToAll();
+  } catch (error) {
+    // Peers notice the end of this VM later; its requests go on.
+    mainLog.warn("Peers could not be told.", { error: String(error) });
+  }
   const report = await stopping;
   for (const { name, reason } of report.failed) {
     mainLog.warn("A part did not stop cleanly.", { name, reason });
