fix(contracts): refuse ids that every object has as a member

Found in review. Ids such as constructor and __proto__ passed, and leases, loads and grant times are kept in plain objects by id.

--- a/packages/contracts/src/ids.ts
+++ b/packages/contracts/src/ids.ts
@@ -4,7 +4,10 @@
  */
 import * as z from "zod";
 
-const idText = z.string().min(1).max(200).regex(/^[A-Za-z0-9._:\-]+$/);
+const idText = z.string().min(1).max(200).regex(/^[A-Za-z0-9._:\-]+$/)
+  .refine((text) => !(text in Object.prototype), {
+    error: "Reserved: every object has a member of this name",
+  });
 
 /** Schema of {@link VmId}. */
 export const vmIdSchema = idText.brand<"VmId">();
--- a/scripts/check_json_boundary.js
+++ b/scripts/check_json_boundary.js
@@ -14,7 +14,7 @@
 /** Stand-ins, tests and programs that measure; they don't ship. */
 const UNSHIPPED = /_test(_support)?\.ts$|[\\/](testing|soak|measure)[\\/]/;
 /** Ways to turn text into a value without limits. */
-const PARSERS = /\bJSON\.parse\(|\.receiveJSON\(|\.json\(\)/;
+const PARSERS = /\bJSON\.parse\b|\.receiveJSON\b|\.json\(\)|\}\s*=\s*JSON\b/;
 
 function findSources(folder) {
   return fs.readdirSync(folder, { withFileTypes: true }).flatMap((entry) => {
