fix(front): reset a connection whose answer without length is broken off

A client that reads slowly, or that still reads when the VM stops, had its connection closed while an answer without length was being written: the close looked like the end of the answer, so part of it counted as a whole 200. The connection is now reset for as long as such an answer is unfinished, whoever destroys the socket.

--- a/packages/entry/src/gateway/forwarding/front_connection.ts
+++ b/packages/entry/src/gateway/forwarding/front_connection.ts
@@ -4,6 +4,7 @@
  */
 import type * as http from "node:http";
 import type * as net from "node:net";
+import { resetSocket } from "../../utils/reset_socket.ts";
 import type { FrontAnswer } from "./front_request.ts";
 
 /** A request of a connection, from its headers to the end of its answer. */
@@ -99,6 +100,8 @@
   #isLingering = false;
   #isGone = false;
   #isPaused = false;
+  /** Whether an answer without a length is being written. */
+  #isOpenEnded = false;
   /** Whether bytes have come that are no request. */
   #isBroken = false;
   /** When bytes of a body or of an answer last moved. */
@@ -111,6 +114,13 @@
     this.#options = options;
     socket.once("end", () => this.#onDisconnect());
     socket.once("close", () => this.#onDisconnect());
+    const destroy = socket.destroy.bind(socket);
+    // A close would look like the end of an answer without a length.
+    socket.destroy = (error) => {
+      if (!this.#isOpenEnded) return destroy(error);
+      this.#isOpenEnded = false;
+      return resetSocket(socket);
+    };
     const destroySoon = socket.destroySoon.bind(socket);
     // Node's server calls this after an answer that closes the connection.
     socket.destroySoon = () => {
@@ -254,6 +264,7 @@
     const isLast = this.#isClosing && this.#open.length === 1;
     this.#maySendMore = this.#isBroken || response.shouldKeepAlive ||
       !incoming.complete;
+    this.#isOpenEnded = endsWithConnection(answer);
     response.once("finish", () => this.#finish());
     first.noteProgress();
     this.#options.write(first, answer, isLast);
@@ -277,6 +288,7 @@
 
   /** The answer of the first request has been written. */
   #finish(): void {
+    this.#isOpenEnded = false;
     if (this.#isGone) return;
     const finished = this.#open.shift()!;
     const { incoming } = finished;
--- a/packages/entry/src/gateway/forwarding/front_listener_test.ts
+++ b/packages/entry/src/gateway/forwarding/front_listener_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "earl";
 import { test } from "node:test";
+import { BrokenConnectionMonitor } from "../../utils/broken_connection.ts";
 import { type FrontAnswer, notRunAnswer } from "./front_request.ts";
 import { FrontFixture, GET } from "./front_test_support.ts";
 
@@ -133,3 +134,25 @@
   expect(fixture.requests).toEqual([]);
   await fixture.lifeCycle.stop();
 });
+
+/** A client takes the end of the connection for that of the whole answer. */
+test("should reset a connection whose answer without a length is broken off", async () => {
+  const body = Buffer.alloc(32_000_000, "x");
+  const fixture = new FrontFixture(() =>
+    Promise.resolve({
+      kind: "passed-on",
+      answer: { status: 200, headers: [], body, endsWithConnection: true },
+    })
+  );
+  await fixture.start(100);
+  const socket = fixture.connect(`${GET}\r\n`);
+  await new Promise((resolve) => socket.once("readable", resolve));
+  const monitor = new BrokenConnectionMonitor(socket);
+  const closed = new Promise((resolve) => socket.once("close", resolve));
+  await fixture.lifeCycle.stop();
+  let receivedBytes = 0;
+  socket.on("data", (chunk) => receivedBytes += chunk.length);
+  await closed;
+  expect(receivedBytes < body.length).toEqual(true);
+  expect(monitor.isBroken).toEqual(true);
+});
