fix(servers): forget unreadable entries once they are deleted

Found in review, by reading: the names of unreadable entries were kept for the life of the process, so another writer's entries filled its memory.

--- a/packages/entry/src/gateway/servers/server_registry.ts
+++ b/packages/entry/src/gateway/servers/server_registry.ts
@@ -172,8 +172,12 @@
       const known = this.#known.get(
         this.#serverOf(name) as contracts.ServerId,
       );
-      if (object !== undefined) this.#applyEntry(object);
-      else if (known !== undefined) this.#markMissing(known);
+      if (object !== undefined) {
+        this.#applyEntry(object);
+        continue;
+      }
+      this.#unreadable.delete(name);
+      if (known !== undefined) this.#markMissing(known);
     }
     this.#notify();
   }
