--- a/packages/entry/src/gateway/process_stop.ts
+++ b/packages/entry/src/gateway/process_stop.ts
@@ -3,6 +3,7 @@
  * has caught. The state that the error leaves is not trusted for long, but
  * requests in flight may end first, as after a signal.
  */
+import { stackOf } from "../utils/error_text.ts";
 import type { Logger } from "../utils/log.ts";
 import type { EndReason } from "../utils/process_end_log.ts";
 import type { Gateway } from "./wire_gateway.ts";
@@ -18,8 +19,6 @@
 
 /** Further uncaught errors are not logged: one could come with each event. */
 const MAX_LOGGED_ERRORS = 20;
-/** Longest stack in a log line. */
-const MAX_STACK_LENGTH = 4_000;
 
 /** Decides when and how the process ends. */
 export class ProcessStop {
@@ -91,8 +90,3 @@
     this.#options.exit(reason, status);
   }
 }
-
-function stackOf(error: unknown): string {
-  const text = error instanceof Error ? error.stack : undefined;
-  return (text ?? String(error)).slice(0, MAX_STACK_LENGTH);
-}
--- a/packages/entry/src/utils/failure_log.ts
+++ b/packages/entry/src/utils/failure_log.ts
@@ -2,6 +2,7 @@
  * Logs errors of parts that go on after them. A part that fails again and again
  * gets at most one log line a second, which carries the number of failures.
  */
+import { stackOf } from "./error_text.ts";
 import type { Logger } from "./log.ts";
 
 const MIN_INTERVAL_MS = 1_000;
@@ -35,7 +36,7 @@
     this.#log.error("A part failed and goes on.", {
       name: part,
       failures: count,
-      error: describe(error),
+      error: stackOf(error),
     });
   }
 
@@ -54,9 +55,3 @@
     promise.then(undefined, (error: unknown) => this.note(part, error));
   }
 }
-
-function describe(error: unknown): string {
-  return error instanceof Error && error.stack !== undefined
-    ? error.stack
-    : String(error);
-}
