fix: VMs short of processor take new connections and answer peers in time

Callers saw a VM that is ready and takes no new connection for seconds (RECOVER), and peers got the configuration from a busy VM after their calls had timed out.

Cause: Node accepts one connection per listener in an iteration of the event loop and reads 32 datagrams per socket, and the requests that an iteration begins were not limited. At 27 % of a core with 200 requests in flight an iteration took 40 ms of running time and the VM accepted 21 to 25 connections a second where 60 came, so each that was accepted had waited until its caller had left.

Change: an iteration begins four requests, and one while connections wait to be accepted (IterationBudget). The others wait in a backlog in which first requests of connections get two of three turns, and what would wait for more than 200 ms is refused beside begun requests (RequestBacklog). Peers' connections count as well. Relayed requests are declined while own requests wait. The configuration's log line says how far the VM was behind.

--- a/packages/decisions/src/admission/mod.ts
+++ b/packages/decisions/src/admission/mod.ts
@@ -9,6 +9,7 @@
 export * from "./limited_keys.ts";
 export * from "./request_limits.ts";
 export * from "./peer_backoffs.ts";
+export * from "./request_backlog.ts";
 export * from "./server_backoffs.ts";
 export * from "./server_load.ts";
 export * from "./server_ranking.ts";
--- a/packages/entry/src/gateway/forwarding/front_connection.ts
+++ b/packages/entry/src/gateway/forwarding/front_connection.ts
@@ -12,6 +12,8 @@
   readonly incoming: http.IncomingMessage;
   readonly response: http.ServerResponse;
   readonly readMs: number;
+  /** Whether it is the first one of its connection. */
+  readonly isFirst: boolean;
   /** Aborted when the caller disconnects. */
   readonly abort: AbortController;
   /**
@@ -100,6 +102,8 @@
   #isLingering = false;
   #isGone = false;
   #isPaused = false;
+  /** Whether a request was read. */
+  #hasRead = false;
   /** Whether an answer without a length is being written. */
   #isOpenEnded = false;
   /** Whether bytes have come that are no request. */
@@ -136,6 +140,7 @@
       incoming,
       response,
       readMs: this.#options.nowMs(),
+      isFirst: !this.#hasRead,
       abort: new AbortController(),
       bodyAbort: new AbortController(),
       noteProgress: () => this.#progressMs = this.#options.nowMs(),
@@ -144,6 +149,7 @@
       answer: undefined,
       answerBytes: 0,
     });
+    this.#hasRead = true;
     this.#options.onOpen();
     this.#beginNext();
     if (this.#open.length < MAX_OPEN) return;
--- a/packages/entry/src/gateway/forwarding/front_listener.ts
+++ b/packages/entry/src/gateway/forwarding/front_listener.ts
@@ -9,7 +9,6 @@
 import * as httpServer from "../../utils/http_server.ts";
 import { ThrottledWarning } from "../../utils/throttled_warning.ts";
 import type { LifeCycle } from "../../utils/life_cycle.ts";
-import { EventLoopLagMonitor } from "../../utils/event_loop_lag_monitor.ts";
 import * as bodies from "../../utils/read_body.ts";
 import type { Logger } from "../../utils/log.ts";
 import { BodyAdmission } from "./body_admission.ts";
@@ -26,6 +25,7 @@
   notRunAnswer,
   overloadAnswer,
 } from "./front_request.ts";
+import type { RequestScheduler } from "./request_scheduler.ts";
 import { UnlengthedPaths } from "./unlengthed_paths.ts";
 import type { HeaderNames } from "../platform_adapter.ts";
 
@@ -46,6 +46,7 @@
     | FrontAnswer
     | undefined;
   readonly forward: (request: FrontRequest) => Promise<FrontAnswer>;
+  readonly scheduler: RequestScheduler;
   /** Bytes held by all connections, and the answers being received. */
   readonly heldBytes: admission.HeldBytes;
   readonly count?: (event: ConnectionEvent) => void;
@@ -93,8 +94,8 @@
 const DRAIN_GRACE_RATIO = 0.93;
 const DRAIN_CHECK_MS = 20;
 /**
- * Above this event loop lag requests are shed before they are read: a refusal
- * takes a fraction of the processor time of a forwarded request.
+ * Requests that have waited for longer are shed before their body is read: a
+ * refusal takes a fraction of the processor time of a forwarded request.
  */
 const SHEDDING_LAG_MS = 400;
 
@@ -129,11 +130,10 @@
   message: "The caller has gone",
 };
 
-/** Listens for clients and sheds load when the event loop lags. */
+/** Listens for clients and sheds load when the VM is behind. */
 export class FrontListener {
   readonly #options: FrontListenerOptions;
   readonly #server: http.Server;
-  readonly #lag = new EventLoopLagMonitor();
   #inFlight = 0;
   #stoppedAtMs = Number.POSITIVE_INFINITY;
   readonly #connections = new Map<net.Socket, FrontConnection>();
@@ -147,7 +147,10 @@
 
   constructor(options: FrontListenerOptions) {
     this.#options = options;
-    this.#lag.start(options.lifeCycle, () => this.#connections.size === 0);
+    options.scheduler.start(
+      options.lifeCycle,
+      () => this.#connections.size === 0,
+    );
     this.#shedLog = new ThrottledWarning(
       options.log,
       "Refuses: the event loop is behind.",
@@ -204,7 +207,7 @@
     });
     this.#server.on("connection", (socket: net.Socket) => {
       this.#connections.set(socket, this.#createConnection(socket));
-      this.#lag.resume();
+      options.scheduler.noteAccept();
       socket.once("close", () => this.#connections.delete(socket));
     });
     this.#server.on("clientError", (error, socket) => {
@@ -297,34 +300,53 @@
   }
 
   async #run(request: OpenRequest): Promise<FrontAnswer> {
-    const { lagMs } = this.#lag;
-    const { readMs } = request;
-    // What is read late may have waited in the socket for as long as the lag.
-    const arrivedMs = readMs - lagMs;
+    const { scheduler, random } = this.#options;
+    const { readMs, isFirst, abort } = request;
+    const lagMs = scheduler.readLagMs;
     if (
       lagMs > 0 || readMs - this.#lastEarlyCloseMs < EARLY_CLOSE_CHECK_MS
     ) {
       // A close that followed the request is read in the next iteration.
       await timers.setImmediate();
       await timers.setImmediate();
-      if (request.abort.signal.aborted) return CALLER_GONE;
+      if (abort.signal.aborted) return CALLER_GONE;
     }
-    return this.#refuseEarly(readMs, lagMs) ??
+    return new Promise((resolve) =>
+      scheduler.add({
+        isFirst,
+        readMs,
+        // What is read late may have waited in the socket for as long as the lag.
+        begin: () => resolve(this.#begin(request, readMs - lagMs)),
+        refuse: () =>
+          resolve(abort.signal.aborted ? CALLER_GONE : overloadAnswer(random)),
+      })
+    );
+  }
+
+  async #begin(
+    request: OpenRequest,
+    arrivedMs: number,
+  ): Promise<FrontAnswer> {
+    if (request.abort.signal.aborted) return CALLER_GONE;
+    const { clock, scheduler } = this.#options;
+    const nowMs = clock.nowMs();
+    const lagMs = nowMs - arrivedMs;
+    return this.#refuseEarly(nowMs, lagMs) ??
       await this.#readAndForward(request, {
         arrivedMs,
-        lagMs: this.#lag.isSustained ? lagMs : 0,
+        lagMs: scheduler.isSustained ? lagMs : 0,
       });
   }
 
   /** The refusal of a request whose body isn't read; undefined to accept it. */
-  #refuseEarly(readMs: number, lagMs: number): FrontAnswer | undefined {
+  #refuseEarly(nowMs: number, lagMs: number): FrontAnswer | undefined {
     const inFlight = this.#inFlight;
-    if (this.#isClosing(readMs)) {
-      this.#stopLog.warn(readMs, { inFlight });
+    if (this.#isClosing(nowMs)) {
+      this.#stopLog.warn(nowMs, { inFlight });
       return notRunAnswer("Not run: this VM stops", STOPPING_RETRY_AFTER_MS);
     }
     if (lagMs <= SHEDDING_LAG_MS) return undefined;
-    this.#shedLog.warn(readMs - lagMs, { lagMs: Math.round(lagMs), inFlight });
+    this.#shedLog.warn(nowMs, { lagMs: Math.round(lagMs), inFlight });
     return overloadAnswer(this.#options.random);
   }
 
--- a/packages/entry/src/gateway/forwarding/front_test_support.ts
+++ b/packages/entry/src/gateway/forwarding/front_test_support.ts
@@ -5,6 +5,7 @@
 import { LifeCycle } from "../../utils/life_cycle.ts";
 import { FrontListener, type FrontListenerOptions } from "./front_listener.ts";
 import type { FrontAnswer, FrontRequest } from "./front_request.ts";
+import { RequestScheduler } from "./request_scheduler.ts";
 
 const SILENT_LOG = { debug() {}, info() {}, warn() {}, error() {} };
 const HEADERS = {
@@ -45,6 +46,10 @@
       limits: () => undefined,
       clock: new MonotonicClock(),
       random: { next: () => 0.5 },
+      scheduler: new RequestScheduler({
+        clock: new MonotonicClock(),
+        log: SILENT_LOG,
+      }),
       lifeCycle: this.lifeCycle,
       log: SILENT_LOG,
       connectionLimit: 10,
--- a/packages/entry/src/gateway/paths/attempt_relay.ts
+++ b/packages/entry/src/gateway/paths/attempt_relay.ts
@@ -38,6 +38,8 @@
   readonly backoffs: Pick<ServerBackoffTask, "leftMs">;
   readonly headers: HeaderNames;
   readonly processorCores: number;
+  /** How long the VM's own requests wait for its processor. */
+  readonly waitMs: () => number;
   /** Time from the stop signal until the process is killed. */
   readonly graceMs: number;
   /** Counts relayed attempts by outcome. */
@@ -216,14 +218,15 @@
     subject: PoisonSubject,
     entry: contracts.RegisteredServer | undefined,
   ): messages.DeclineReason | undefined {
-    const { paths, poison, processorCores } = this.#options;
+    const { paths, poison, processorCores, waitMs } = this.#options;
     if (this.#isStopping) return "stopping";
     if (entry === undefined) return "unknown-server";
     if (!paths.reaches(server)) return "unreached";
     const ratio = Math.max(MIN_LIMIT_RATIO, 1 - RANK_RESERVE_RATIO * priority);
     const isFull =
       this.#inFlight >= MAX_RELAYED_PER_CORE * processorCores * ratio;
-    if (isFull || this.#lag.lagMs > MAX_LAG_MS * ratio) return "overloaded";
+    const lagMs = Math.max(this.#lag.lagMs, waitMs());
+    if (isFull || lagMs > MAX_LAG_MS * ratio) return "overloaded";
     return poison.isPoisonous(subject) ? "poisonous" : undefined;
   }
 
--- a/packages/entry/src/gateway/paths/attempt_relay_test.ts
+++ b/packages/entry/src/gateway/paths/attempt_relay_test.ts
@@ -50,6 +50,7 @@
         key: "key",
       },
       processorCores: PROCESSOR_CORES,
+      waitMs: () => 0,
       graceMs: 1_000,
       count: () => {},
       clock: new MonotonicClock(),
--- a/packages/entry/src/gateway/peers/peer_rpc.ts
+++ b/packages/entry/src/gateway/peers/peer_rpc.ts
@@ -19,6 +19,8 @@
   readonly host: string;
   readonly port: number;
   readonly log: Logger;
+  /** Called for each connection of a peer. */
+  readonly onAccept?: () => void;
 }
 
 /** A call of a method about a named thing, with the schema of its result. */
@@ -88,6 +90,7 @@
         response.destroy();
       });
     });
+    server.on("connection", () => this.#options.onAccept?.());
     lifeCycle.onStop({
       name: "calls of peers",
       timeoutMs: 100,
--- a/packages/entry/src/gateway/store/config_holder.ts
+++ b/packages/entry/src/gateway/store/config_holder.ts
@@ -3,6 +3,7 @@
 import * as routes from "@guavatide/decisions/routes/mod";
 import { Listeners } from "../../utils/listeners.ts";
 import type { Logger } from "../../utils/log.ts";
+import type { ProcessorReport } from "../forwarding/request_scheduler.ts";
 import type { PlatformAdapter } from "../platform_adapter.ts";
 import type { ChangeOrigin } from "./kind_watch.ts";
 
@@ -17,6 +18,8 @@
   readonly adapter: Pick<PlatformAdapter, "decodeConfig" | "prefixes">;
   readonly clock: contracts.Clock;
   readonly log: Logger;
+  /** How far this VM is behind, for the log. */
+  readonly processorReport?: () => ProcessorReport;
 }
 
 /** Decodes configurations from the store and puts newer ones in force. */
@@ -55,7 +58,7 @@
    * version is newer. One that can't be decoded is logged and ignored.
    */
   applyObject(object: contracts.StoredObject, origin: ChangeOrigin): void {
-    const { adapter, clock, log } = this.#options;
+    const { adapter, clock, log, processorReport } = this.#options;
     const startMs = clock.nowMs();
     if (object.name !== adapter.prefixes.configObject) return;
     const decoded = adapter.decodeConfig(object.value);
@@ -77,6 +80,7 @@
       storeVersion: object.version,
       ...origin,
       compileMs: Math.round(clock.nowMs() - startMs),
+      ...processorReport?.(),
     });
     this.#listeners.notify();
   }
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -42,6 +42,7 @@
 import { ObservedGrantControl } from "./grants/observed_grant_control.ts";
 import { RequestLimitTask } from "./limits/request_limit_task.ts";
 import { RequestLog } from "./forwarding/request_log.ts";
+import { RequestScheduler } from "./forwarding/request_scheduler.ts";
 import { ServerBackoffTask } from "./backoffs/server_backoff_task.ts";
 import { ServerRegistry } from "./servers/server_registry.ts";
 import { SlotTask } from "./slots/slot_task.ts";
@@ -122,10 +123,16 @@
     mayRepeat: () => health.mayRepeatCalls,
     onLostAnswer: () => health.noteLostAnswer(),
   });
+  const scheduler = new RequestScheduler({
+    clock,
+    log: log.part("route"),
+    count: (decision) => metrics.frontDecisions.add(1, { decision }),
+  });
   const config = new ConfigHolder({
     adapter,
     clock,
     log: log.part("config"),
+    processorReport: () => scheduler.report,
   });
   const evacuations = new ZoneEvacuations({
     adapter,
@@ -194,6 +201,7 @@
   const calls = new PeerRpc({
     host: settings.host,
     port: settings.peerPort,
+    onAccept: () => scheduler.noteAccept(),
     log: log.part("member"),
   });
   const relay: WatchRelay = new WatchRelay({
@@ -429,6 +437,7 @@
     backoffs,
     headers: adapter.headers,
     processorCores: self.processorCores,
+    waitMs: () => scheduler.waitMs,
     graceMs: settings.timings.graceSeconds * 1000,
     count: (outcome) =>
       metrics.relayedRequests.add(1, { role: "sent", outcome }),
@@ -491,6 +500,7 @@
 
   const listener = new FrontListener({
     ...settings.front,
+    scheduler,
     headers: adapter.headers,
     limits: () => config.active?.config.limits,
     clock,
--- a/packages/entry/src/utils/event_loop_lag_monitor.ts
+++ b/packages/entry/src/utils/event_loop_lag_monitor.ts
@@ -98,6 +98,7 @@
    * next, so the delay of the previous tick counts as well.
    */
   get lagMs(): number {
+    if (this.#isPaused) return 0;
     const delayMs = Math.max(
       0,
       this.#now() - this.#lastTickMs - this.#intervalMs,
