fix: routes without measurements are expected to be as late as their service

Cause, one of two: a route was expected to take 0.35 of its target latency until its own first answer, whatever the service took. Where a service refuses what would miss its target after waiting, such requests may wait for half of the time to their target; requests that are known to be late may wait for half of the time to their deadline.

Change: the fraction of the target latency that answers take is averaged over all routes of the service, and is the estimate of a route without measurements.

--- a/packages/decisions/src/admission/service_times.ts
+++ b/packages/decisions/src/admission/service_times.ts
@@ -11,7 +11,8 @@
 /** A single sample counts as at most this many times the expected time. */
 const OUTLIER_RATIO = 6;
 /**
- * Estimate before a route's first answer, as a fraction of its target latency.
+ * Estimate before a service's first answer, as a fraction of the target latency
+ * of a route.
  */
 const INITIAL_ESTIMATE_FRACTION = 0.35;
 
@@ -21,6 +22,8 @@
   readonly #speeds = new Map<contracts.ServerId, ServerSpeed>();
   readonly #reference: ServiceTimes | undefined;
   #meanMs: number | undefined;
+  /** Moving average of service times as fractions of their target latencies. */
+  #targetFraction = INITIAL_ESTIMATE_FRACTION;
 
   /**
    * `reference`: service times of more servers than are recorded here, with
@@ -36,10 +39,19 @@
     return this.#reference?.meanMs ?? this.#meanMs;
   }
 
-  /** Expected service time of a route's request at an average server. */
+  /**
+   * Expected service time of a route's request at an average server. A route
+   * that was not measured is expected to miss or meet its target latency like
+   * the others of the service: what may be late waits for longer.
+   */
   estimateMs(route: PrioritizedRoute): number {
     return this.#reference?.measuredMs(route) ?? this.measuredMs(route) ??
-      route.targetLatencyMs * INITIAL_ESTIMATE_FRACTION;
+      route.targetLatencyMs * this.targetFraction;
+  }
+
+  /** Mean service time as a fraction of the routes' target latencies. */
+  get targetFraction(): number {
+    return this.#reference?.targetFraction ?? this.#targetFraction;
   }
 
   /** Measured service time of a route; undefined before the first answer. */
@@ -69,6 +81,9 @@
     const cappedMs = Math.min(tookMs, expectedMs * OUTLIER_RATIO);
     const meanMs = this.#meanMs ?? cappedMs;
     this.#meanMs = meanMs + ROUTE_SAMPLE_WEIGHT * (cappedMs - meanMs);
+    const fraction = cappedMs / Math.max(1, route.targetLatencyMs);
+    this.#targetFraction += ROUTE_SAMPLE_WEIGHT *
+      (fraction - this.#targetFraction);
     this.#routeMs.set(
       route.name,
       expectedMs + ROUTE_SAMPLE_WEIGHT * (cappedMs - expectedMs),
