--- a/packages/decisions/src/admission/service_admission_test.ts
+++ b/packages/decisions/src/admission/service_admission_test.ts
@@ -1,5 +1,7 @@
 import { expect } from "earl";
 import { test } from "node:test";
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { KeyHasher } from "../ownership/key_hasher.ts";
 import { ServedFractions } from "./served_fractions.ts";
 import * as admission from "./mod.ts";
@@ -75,3 +77,62 @@
   expect(fractions.isBehind(bulk.route, 0)).toEqual(true);
   expect(fractions.isBehind(urgent.route, 0)).toEqual(false);
 });
+
+const USUAL_CALLERS = 200;
+const REQUESTS_PER_SECOND = 100;
+const ADMISSION_SECONDS = 30;
+/** Seconds from which standings are counted. */
+const SETTLED_SECOND = 10;
+
+/**
+ * An admission to a service that serves half of its requests. One request in
+ * `interval` comes from a single caller, its request number `n` on `routeOf(n)`;
+ * returns the fraction of these, by route, that is put behind others.
+ */
+function fractionsBehind(
+  interval: number,
+  routeOf: (index: number) => string,
+): (route: string) => number {
+  const uniform = xoroshiro128plus(5);
+  const perSecond = () => REQUESTS_PER_SECOND / 2;
+  const service = new admission.ServiceAdmission({
+    hash,
+    random: { next: () => uniformFloat64(uniform) },
+    capacityPerSecond: perSecond,
+    vmPerSecond: perSecond,
+  });
+  const judged = new Map<string, boolean[]>();
+  const count = REQUESTS_PER_SECOND * ADMISSION_SECONDS;
+  for (let index = 0; index < count; index++) {
+    const nowMs = index * 1_000 / REQUESTS_PER_SECOND;
+    const moment = { nowMs, unixMs: nowMs };
+    if (index % 2 === 0) service.shares.recordRefusal(nowMs);
+    const isUsual = index % interval !== 0;
+    const caller = isUsual ? `10.0.0.${index % USUAL_CALLERS}` : "10.1.0.1";
+    const route = isUsual ? "first" : routeOf(index / interval);
+    const { standing } = service.arrive({ caller, route }, moment);
+    if (isUsual || nowMs < SETTLED_SECOND * 1_000) continue;
+    const standings = judged.get(route) ?? [];
+    judged.set(route, [...standings, standing === "above-share"]);
+  }
+  return (route) => {
+    const standings = judged.get(route)!;
+    return standings.filter(Boolean).length / standings.length;
+  };
+}
+
+/** Guards against a route that is served as seldom as its only caller. */
+test("should not put a route with few requests behind for its caller's share", () => {
+  const behind = fractionsBehind(
+    10,
+    (index) => index % 5 === 0 ? "added" : "first",
+  );
+  expect(behind("first")).toBeGreaterThan(0.5);
+  expect(behind("added")).toBeLessThan(0.1);
+});
+
+/** Guards against a caller who evades its share by asking many routes. */
+test("should put a caller above its share behind whatever routes it asks", () => {
+  const behind = fractionsBehind(3, (index) => `added-${index % 20}`);
+  expect(behind("added-0")).toBeGreaterThan(0.5);
+});
