fix: routes with few requests are exempt from their callers' shares

The added routes have one caller, which asks every VM and is five times above its share, so a route was served as seldom as that caller. The guarantee of a served fraction counts requests within shares only, by VM, and from four requests in 4 s on; such a route never got that far.

Change: requests on a route that gets at most a twentieth of a service's requests at a VM keep their place, up to a tenth of the service's requests for all such routes together. A caller that spreads its requests over many routes stays behind.

--- /dev/null
+++ b/packages/decisions/src/admission/rare_routes.ts
@@ -0,0 +1,57 @@
+/**
+ * Recognises routes that get a small part of a service's requests. Putting these
+ * behind for their caller's share would save little, and a route with a single
+ * caller would be served as seldom as that caller.
+ */
+import { DecayingCount } from "./decaying_count.ts";
+
+/** Time constant of the counts. */
+const DECAY_MS = 4_000;
+/** Largest part of a service's requests on one route that is rare. */
+const MAX_ROUTE_FRACTION = 0.05;
+/** Largest part of a service's requests, on all rare routes, that is exempt. */
+const MAX_EXEMPT_FRACTION = 0.1;
+/** Routes counted at most; others count as rare. */
+const MAX_ROUTES = 4_096;
+/** A route with a smaller count is dropped when the table is full. */
+const MIN_COUNT = 0.05;
+
+/** Requests of one service at one VM, by route. */
+export class RareRoutes {
+  readonly #all = new DecayingCount(DECAY_MS);
+  readonly #exempt = new DecayingCount(DECAY_MS);
+  readonly #routes = new Map<string, DecayingCount>();
+
+  /** Counts a request. */
+  recordArrival(route: string, nowMs: number): void {
+    this.#all.add(1, nowMs);
+    let count = this.#routes.get(route);
+    if (count === undefined) {
+      if (this.#routes.size >= MAX_ROUTES) this.#sweep(nowMs);
+      if (this.#routes.size >= MAX_ROUTES) return;
+      count = new DecayingCount(DECAY_MS);
+      this.#routes.set(route, count);
+    }
+    count.add(1, nowMs);
+  }
+
+  /** Whether a request is exempt from its caller's share. */
+  isExempt(route: string, nowMs: number): boolean {
+    const all = this.#all.at(nowMs);
+    // Without this request: the first one of a route is always rare.
+    const others = (this.#routes.get(route)?.at(nowMs) ?? 1) - 1;
+    return others <= all * MAX_ROUTE_FRACTION &&
+      this.#exempt.at(nowMs) <= all * MAX_EXEMPT_FRACTION;
+  }
+
+  /** Counts a request that is exempt from its caller's share. */
+  recordExemption(nowMs: number): void {
+    this.#exempt.add(1, nowMs);
+  }
+
+  #sweep(nowMs: number): void {
+    for (const [route, count] of this.#routes) {
+      if (count.at(nowMs) < MIN_COUNT) this.#routes.delete(route);
+    }
+  }
+}
--- a/packages/decisions/src/admission/service_admission.ts
+++ b/packages/decisions/src/admission/service_admission.ts
@@ -4,6 +4,7 @@
  */
 import type * as contracts from "@guavatide/contracts";
 import { CallerShares, type CallerStanding } from "./caller_shares.ts";
+import { RareRoutes } from "./rare_routes.ts";
 import { type ReturningCaller, ReturnSchedule } from "./return_schedule.ts";
 import type { RequestStanding } from "./waiting_request.ts";
 
@@ -76,6 +77,7 @@
 /** Shares, promises and standings at one service. */
 export class ServiceAdmission {
   readonly shares: CallerShares;
+  readonly #routes = new RareRoutes();
   readonly #returns: ReturnSchedule;
   readonly #options: ServiceAdmissionOptions;
 
@@ -97,7 +99,9 @@
     const caller = this.#options.hash(request.caller);
     const standing = this.shares.standing(caller, nowMs);
     if (this.#isReturning(request, standing, unixMs)) return "returning";
-    return isWithin(standing, MAX_PROMISED_SHARES) ? undefined : "above-share";
+    const isUsual = isWithin(standing, MAX_PROMISED_SHARES) ||
+      this.#routes.isExempt(request.route, nowMs);
+    return isUsual ? undefined : "above-share";
   }
 
   /** Counts a request and judges it. */
@@ -105,6 +109,7 @@
     const caller = this.#options.hash(request.caller);
     const { shares } = this;
     const standing = shares.standing(caller, nowMs);
+    this.#routes.recordArrival(request.route, nowMs);
     if (
       shares.isShort(nowMs) && this.#isReturning(request, standing, unixMs)
     ) {
@@ -112,8 +117,12 @@
       return { ...standing, isAboveShare: false, standing: "returning" };
     }
     shares.recordArrival(caller, nowMs);
-    const { isAboveShare } = standing;
-    return { ...standing, standing: isAboveShare ? "above-share" : undefined };
+    if (!standing.isAboveShare) return { ...standing, standing: undefined };
+    if (!this.#routes.isExempt(request.route, nowMs)) {
+      return { ...standing, standing: "above-share" };
+    }
+    this.#routes.recordExemption(nowMs);
+    return { ...standing, isAboveShare: false, standing: undefined };
   }
 
   /**
