test: a known change makes all VMs fetch a large configuration again

VMs that fetch can't apply the next change, which is sent as a difference to the version that they lack.

--- a/packages/contracts/src/platform_store.ts
+++ b/packages/contracts/src/platform_store.ts
@@ -54,6 +54,11 @@
   /** Time left for the call, in milliseconds. */
   readonly timeoutMs: number;
   readonly signal?: AbortSignal;
+  /**
+   * Called for each part of the answer. With it, a call whose answer is arriving
+   * goes on for up to three times `timeoutMs`.
+   */
+  readonly onProgress?: () => void;
 }
 
 /** Client of the platform's store. Each method is one counted call. */
--- a/packages/entry/src/gateway/store/kind_watch_test.ts
+++ b/packages/entry/src/gateway/store/kind_watch_test.ts
@@ -6,6 +6,7 @@
 import { waitUntil, withFixture } from "../../requests/fakes_test_support.ts";
 import { LifeCycle } from "../../utils/life_cycle.ts";
 import { KindWatch } from "./kind_watch.ts";
+import type { ObjectChange } from "./object_table.ts";
 import { StoreHealth } from "./store_health.ts";
 
 const SILENT = { debug() {}, info() {}, warn() {}, error() {} };
@@ -301,3 +302,67 @@
     );
     expect(reader.cursors[0]).toEqual("1");
   }));
+
+/** A batch of changes that a reader has passed on to its peers. */
+interface PublishedChanges {
+  readonly fromPosition: number;
+  readonly toPosition: number;
+  readonly events: readonly ObjectChange[];
+}
+
+/**
+ * Guards against a change that a reader sends whole as it knows no version before
+ * it: peers then fetch everything, from one VM, all at once.
+ */
+test("should not send a change again that a peer has relayed", async () => {
+  const lifeCycle = new LifeCycle();
+  const clock = { nowMs: () => performance.now() };
+  const published: PublishedChanges[] = [];
+  const watch = new KindWatch({
+    store: {
+      list: () => neverthrow.okAsync({ objects: [objectOf(1)], cursor: "1" }),
+      watch: () => {
+        const object = objectOf(5);
+        const pending = timers.setTimeout(STATUS_INTERVAL_MS, {
+          cursor: "9",
+          events: [{ name: object.name, object }],
+          reset: false,
+        });
+        return neverthrow.ResultAsync.fromSafePromise(pending);
+      },
+    } as unknown as contracts.PlatformStore,
+    health: new StoreHealth({ clock, log: SILENT }),
+    prefix: PREFIX,
+    log: SILENT,
+    clock,
+    random: { next: () => 0.5 },
+    relay: {
+      isReader: true,
+      isStoreSteady: true,
+      schedule: { plan: () => STATUS_INTERVAL_MS, remove() {} },
+      add() {},
+      noteStorePosition() {},
+      publish: (_prefix: string, changes: PublishedChanges) =>
+        published.push(changes),
+    } as unknown as ConstructorParameters<typeof KindWatch>[0]["relay"],
+    onList: () => {},
+    onChanges: () => {},
+  });
+  watch.start(lifeCycle);
+  await waitUntil(() => watch.snapshot !== undefined);
+  const object = objectOf(5);
+  watch.applyRelayed({
+    fromPosition: 1,
+    toPosition: 5,
+    events: [{ name: object.name, object }],
+    learnedAtMs: performance.now(),
+  }, PEER);
+  await waitUntil(() => published.length > 0, 2 * STATUS_INTERVAL_MS);
+  await lifeCycle.stop();
+  // What follows it may only be applied by VMs that know it.
+  const [{ fromPosition, toPosition, events }] = published as [
+    PublishedChanges,
+  ];
+  expect(events).toEqual([]);
+  expect([fromPosition, toPosition]).toEqual([5, 9]);
+});
--- a/packages/entry/src/gateway/store/watch_relay_test.ts
+++ b/packages/entry/src/gateway/store/watch_relay_test.ts
@@ -4,7 +4,7 @@
 import { test } from "node:test";
 import { decodeMessage, encodeMessage } from "../peers/peer_codec.ts";
 import type { PeerGossip } from "../peers/peer_gossip.ts";
-import type { StoreChanges } from "../peers/peer_messages.ts";
+import { CHANGES_METHOD, type StoreChanges } from "../peers/peer_messages.ts";
 import type { PeerRpc } from "../peers/peer_rpc.ts";
 import type { StoreHealth } from "./store_health.ts";
 import { WatchRelay } from "./watch_relay.ts";
@@ -99,3 +99,53 @@
   const message = await publish("\u6f22".repeat(390_000));
   expect(message.events).toEqual(null);
 });
+
+/**
+ * Guards against changes that are fetched again: the readers learn of different
+ * versions, and one's difference to an older version is of no use to others.
+ */
+test("should apply the difference to an unknown version of a known change", async () => {
+  const known = { name: "servers/i-1", version: "5", value: "{}" };
+  const handlers = new Map<string, (params: StoreChanges) => void>();
+  const applied: unknown[] = [];
+  const gossip = {
+    on: (method: string, _schema: unknown, handler: never) =>
+      handlers.set(method, handler),
+    onGuarded: () => {},
+  };
+  const relay = new WatchRelay({
+    self: { vm: "vm1" as contracts.VmId } as never,
+    gossip: gossip as unknown as PeerGossip,
+    rpc: { on: () => {} } as Partial<PeerRpc> as PeerRpc,
+    health: {} as StoreHealth,
+    hasher: await ownership.KeyHasher.create(),
+    clock: { nowMs: () => 0 },
+    log: { debug() {}, info() {}, warn() {}, error() {} },
+    isSeed: false,
+    isLeaving: () => false,
+    probeStore: () => Promise.resolve(true),
+  });
+  relay.add({
+    prefix: PREFIX,
+    position: 5,
+    snapshot: undefined,
+    object: () => known,
+    applyRelayed: ({ events }) => applied.push(events),
+    notePeerPosition: () => applied.push("behind"),
+    noteStorePosition: () => {},
+    renewWatch: () => {},
+    onRoleChange: () => {},
+  });
+  handlers.get(CHANGES_METHOD)!({
+    vm: "vm2" as contracts.VmId,
+    prefix: PREFIX,
+    fromCursor: 3,
+    toCursor: 9,
+    events: [[known.name, ["5", { base: "3", patch: [[0, 1]] }]]],
+    names: null,
+    ageMs: 0,
+  });
+  expect(applied).toEqual([
+    [{ name: known.name, object: known, previous: known }],
+  ]);
+});
--- a/packages/entry/src/platform/hedged_store_test.ts
+++ b/packages/entry/src/platform/hedged_store_test.ts
@@ -11,6 +11,8 @@
 /** A read that is repeated once ends well before its timeout. */
 const REPEATED_READ_MAX_MS = 600;
 
+/** An answer takes so long over a slow link. */
+const ARRIVING_MS = 800;
 /** By then an answer that is still missing counts as lost. */
 const LOST_AFTER_MAX_MS = 500;
 
@@ -24,6 +26,8 @@
   lostAnswers = 0;
   /** If set, each call is answered after this time. */
   answerDelayMs: number | undefined;
+  /** If set, parts of the answer arrive at this interval until then. */
+  progressIntervalMs: number | undefined;
   readonly #answers: (Answer | undefined)[];
 
   constructor(...answers: (Answer | undefined)[]) {
@@ -59,7 +63,15 @@
       new Promise<Answer>((resolve) => {
         if (answer !== undefined) return resolve(answer);
         if (this.answerDelayMs !== undefined) {
-          const succeed = () => resolve(neverthrow.ok(OBJECT));
+          const progress = setInterval(
+            () => options.onProgress?.(),
+            this.progressIntervalMs,
+          );
+          if (this.progressIntervalMs === undefined) clearInterval(progress);
+          const succeed = () => {
+            clearInterval(progress);
+            resolve(neverthrow.ok(OBJECT));
+          };
           setTimeout(succeed, this.answerDelayMs);
           return;
         }
@@ -193,3 +205,13 @@
     }
   });
 }
+
+/** A repeated list shares the link with the first one, so that both are late. */
+test("should not repeat a read whose answer is arriving", async () => {
+  const store = new ScriptedStore(undefined);
+  store.answerDelayMs = ARRIVING_MS;
+  store.progressIntervalMs = 50;
+  const result = await store.hedged().get(NAME, { timeoutMs: TIMEOUT_MS });
+  expect(result.isOk()).toEqual(true);
+  expect(store.calls.length).toEqual(1);
+});
--- a/packages/entry/src/platform/http_channel_test.ts
+++ b/packages/entry/src/platform/http_channel_test.ts
@@ -162,3 +162,32 @@
     server.close();
   }
 });
+
+/** Guards against a list that is given up again and again over a slow link. */
+test("should not give up an answer that is arriving", async () => {
+  const parts = 10;
+  const server = http.createServer(async (_, response) => {
+    response.writeHead(200, { "content-length": parts });
+    for (let part = 0; part < parts; part++) {
+      response.write("x");
+      await timers.setTimeout(2 * TIMEOUT_MS / parts);
+    }
+    response.end();
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as net.AddressInfo;
+  const channel = new HttpChannel(`http://127.0.0.1:${port}`);
+  try {
+    const onProgress = () => {};
+    const options = { timeoutMs: TIMEOUT_MS, onProgress };
+    const result = await channel.call(REQUEST, options);
+    expect(result.isOk() && result.value.bytes.length).toEqual(parts);
+    const plain = await channel.call(REQUEST, { timeoutMs: TIMEOUT_MS });
+    expect(plain.isErr() && plain.error.kind).toEqual("timeout");
+  } finally {
+    await channel.close();
+    server.closeAllConnections();
+    server.close();
+  }
+});
