fix: the product's own listener takes new connections while it is busy

Change: the listener uses the same scheduler as the one for a platform's clients, which moves to utils; what would wait for too long is refused as queue-full.

--- a/packages/entry/src/gateway/forwarding/front_listener.ts
+++ b/packages/entry/src/gateway/forwarding/front_listener.ts
@@ -25,7 +25,7 @@
   notRunAnswer,
   overloadAnswer,
 } from "./front_request.ts";
-import type { RequestScheduler } from "./request_scheduler.ts";
+import type { RequestScheduler } from "../../utils/request_scheduler.ts";
 import { UnlengthedPaths } from "./unlengthed_paths.ts";
 import type { HeaderNames } from "../platform_adapter.ts";
 
--- a/packages/entry/src/gateway/forwarding/front_test_support.ts
+++ b/packages/entry/src/gateway/forwarding/front_test_support.ts
@@ -5,7 +5,7 @@
 import { LifeCycle } from "../../utils/life_cycle.ts";
 import { FrontListener, type FrontListenerOptions } from "./front_listener.ts";
 import type { FrontAnswer, FrontRequest } from "./front_request.ts";
-import { RequestScheduler } from "./request_scheduler.ts";
+import { RequestScheduler } from "../../utils/request_scheduler.ts";
 
 const SILENT_LOG = { debug() {}, info() {}, warn() {}, error() {} };
 const HEADERS = {
--- a/packages/entry/src/gateway/store/config_holder.ts
+++ b/packages/entry/src/gateway/store/config_holder.ts
@@ -3,7 +3,7 @@
 import * as routes from "@guavatide/decisions/routes/mod";
 import { Listeners } from "../../utils/listeners.ts";
 import type { Logger } from "../../utils/log.ts";
-import type { ProcessorReport } from "../forwarding/request_scheduler.ts";
+import type { ProcessorReport } from "../../utils/request_scheduler.ts";
 import type { PlatformAdapter } from "../platform_adapter.ts";
 import type { ChangeOrigin } from "./kind_watch.ts";
 
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -42,7 +42,7 @@
 import { ObservedGrantControl } from "./grants/observed_grant_control.ts";
 import { RequestLimitTask } from "./limits/request_limit_task.ts";
 import { RequestLog } from "./forwarding/request_log.ts";
-import { RequestScheduler } from "./forwarding/request_scheduler.ts";
+import { RequestScheduler } from "../utils/request_scheduler.ts";
 import { ServerBackoffTask } from "./backoffs/server_backoff_task.ts";
 import { ServerRegistry } from "./servers/server_registry.ts";
 import { SlotTask } from "./slots/slot_task.ts";
--- a/packages/entry/src/requests/caller_listener.ts
+++ b/packages/entry/src/requests/caller_listener.ts
@@ -6,6 +6,7 @@
 import * as timers from "node:timers/promises";
 import * as httpServer from "../utils/http_server.ts";
 import type { LifeCycle } from "../utils/life_cycle.ts";
+import type { RequestScheduler } from "../utils/request_scheduler.ts";
 import {
   type CallerAnswer,
   type CallerRequest,
@@ -21,6 +22,7 @@
   readonly tls?: httpServer.ServerTls;
   readonly clock: contracts.Clock;
   readonly lifeCycle: LifeCycle;
+  readonly scheduler: RequestScheduler;
   /** Routes one fully read request; see `RequestRouter.route`. */
   readonly route: (request: CallerRequest) => Promise<CallerAnswer>;
 }
@@ -43,6 +45,8 @@
   readonly #routedCounts = new WeakMap<object, number>();
   /** Connections with a parse error; none of their requests is routed. */
   readonly #brokenConnections = new WeakSet<object>();
+  /** Connections of which a request was read. */
+  readonly #knownConnections = new WeakSet<object>();
   #inFlight = 0;
   /** Set when the linger time of a stop is over: new requests are refused. */
   #isClosing = false;
@@ -59,6 +63,7 @@
       connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
     }, options.tls);
     this.#server.maxConnections = settings.connectionLimit;
+    this.#server.on("connection", () => options.scheduler.noteAccept());
     this.#server.on("request", (incoming, response) => {
       this.#handle(incoming, response).catch(() => response.destroy());
     });
@@ -131,6 +136,11 @@
         message: "Too many requests are in flight; come back later",
       });
     }
+    if (!await this.#begins(incoming.socket, options.arrivedMs)) {
+      return notRun("queue-full", {
+        message: "This entry VM is behind; come back later",
+      });
+    }
     const head = readHead(incoming);
     if (head.isErr()) return head.error;
     const body = await readBody(incoming, settings.bodyLimitBytes);
@@ -145,6 +155,20 @@
     });
   }
 
+  /** Resolves when a request may begin; to false if too many others wait. */
+  #begins(socket: net.Socket, readMs: number): Promise<boolean> {
+    const isFirst = !this.#knownConnections.has(socket);
+    this.#knownConnections.add(socket);
+    return new Promise((resolve) =>
+      this.#options.scheduler.add({
+        isFirst,
+        readMs,
+        begin: () => resolve(true),
+        refuse: () => resolve(false),
+      })
+    );
+  }
+
   async #route(
     socket: net.Socket,
     request: CallerRequest,
--- a/packages/entry/src/requests/fakes_test_support.ts
+++ b/packages/entry/src/requests/fakes_test_support.ts
@@ -17,6 +17,7 @@
 import { MonotonicClock, SystemRandom } from "../utils/clock.ts";
 import { LifeCycle } from "../utils/life_cycle.ts";
 import { createLog } from "../utils/log.ts";
+import { RequestScheduler } from "../utils/request_scheduler.ts";
 import { CallerListener } from "./caller_listener.ts";
 import { NOOP_METRICS } from "./request_metrics.ts";
 import { RequestRouter } from "./request_router.ts";
@@ -194,6 +195,10 @@
     settings,
     clock,
     lifeCycle,
+    scheduler: new RequestScheduler({
+      clock,
+      log: createLog({ format: "text", level: "silent" }).part("route"),
+    }),
     route: (request) => router.route(request),
   });
   const port = await listener.listen();
--- a/packages/entry/src/gateway/forwarding/request_scheduler.ts
+++ b/packages/entry/src/utils/request_scheduler.ts
@@ -4,11 +4,11 @@
  */
 import type * as contracts from "@guavatide/contracts";
 import * as admission from "@guavatide/decisions/admission/mod";
-import { EventLoopLagMonitor } from "../../utils/event_loop_lag_monitor.ts";
-import { IterationBudget } from "../../utils/iteration_budget.ts";
-import type { LifeCycle } from "../../utils/life_cycle.ts";
-import type { Logger } from "../../utils/log.ts";
-import { ThrottledWarning } from "../../utils/throttled_warning.ts";
+import { EventLoopLagMonitor } from "./event_loop_lag_monitor.ts";
+import { IterationBudget } from "./iteration_budget.ts";
+import type { LifeCycle } from "./life_cycle.ts";
+import type { Logger } from "./log.ts";
+import { ThrottledWarning } from "./throttled_warning.ts";
 
 /** A request that was read. */
 export interface ScheduledRequest extends admission.BackloggedRequest {
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -26,6 +26,7 @@
 import { MonotonicClock, SystemRandom } from "./utils/clock.ts";
 import { LifeCycle } from "./utils/life_cycle.ts";
 import * as logParts from "./utils/log.ts";
+import { RequestScheduler } from "./utils/request_scheduler.ts";
 import { createPeerRpc } from "./vms/create_peer_rpc.ts";
 import { PeerServer } from "./vms/peer_server.ts";
 import { PeerTask } from "./vms/peer_task.ts";
@@ -377,6 +378,10 @@
     tls: context.tls.callers,
     clock,
     lifeCycle,
+    scheduler: new RequestScheduler({
+      clock,
+      log: context.log.part("route"),
+    }),
     route: (request) => router.route(request),
   });
 }
--- a/packages/standins/src/bench/bench_entry_main.ts
+++ b/packages/standins/src/bench/bench_entry_main.ts
@@ -13,6 +13,7 @@
 import { MonotonicClock, SystemRandom } from "guavatide/utils/clock";
 import { LifeCycle } from "guavatide/utils/life_cycle";
 import { createLog } from "guavatide/utils/log";
+import { RequestScheduler } from "guavatide/utils/request_scheduler";
 import { PeerServer } from "guavatide/vms/peer_server";
 import { Hono } from "hono";
 import * as crypto from "node:crypto";
@@ -71,6 +72,10 @@
       settings: requests.REQUEST_DEFAULTS,
       clock,
       lifeCycle: this.#lifeCycle,
+      scheduler: new RequestScheduler({
+        clock,
+        log: createLog({ format: "text", level: "warn" }).part("route"),
+      }),
       route: (request) => router.route(request),
     });
     return {
