test: slow readers that stall at different moments

The four downloads begin in iterations of their own now, so they stall up to some 100 ms apart. Where a check falls between, three are closed, memory is no longer short, and the fourth may go on reading, as it should. The test took for granted that all four stall at once. It now keeps memory short until all four are closed and still expects exactly four, and that nothing is held after them. The body of a download is created once: 25 MB a request made the process of the test, VM and clients in one, stand still.

--- a/packages/entry/src/gateway/forwarding/held_bytes_test.ts
+++ b/packages/entry/src/gateway/forwarding/held_bytes_test.ts
@@ -11,6 +11,7 @@
 const LIMIT_BYTES = 100 * MB;
 /** More than the buffers of the system take for a client that doesn't read. */
 const ANSWER_BYTES = 25 * MB;
+const LARGE_BODY = Buffer.alloc(ANSWER_BYTES, "x");
 const HOST = "Host: booths.example\r\n";
 const DOWNLOAD = `GET /download/x HTTP/1.1\r\n${HOST}\r\n`;
 const LOOKUP = `GET /x HTTP/1.1\r\n${HOST}Connection: close\r\n\r\n`;
@@ -19,7 +20,7 @@
 
 function answerTo(target: string): FrontAnswer {
   const isLarge = target.startsWith("/download/");
-  const body = Buffer.alloc(isLarge ? ANSWER_BYTES : 4, "x");
+  const body = isLarge ? LARGE_BODY : Buffer.from("xxxx");
   return { kind: "passed-on", answer: { status: 200, headers: [], body } };
 }
 
@@ -87,8 +88,11 @@
     expect(lookup.startsWith("HTTP/1.1 200 ")).toEqual(true);
     expect(performance.now() - startMs < 1_000).toEqual(true);
     expect(counts.get("body-refused")).toEqual(2);
+    // They stall at different moments: memory stays short until all are closed.
+    held.addAnswerBytes(LIMIT_BYTES);
+    await waitUntil(() => counts.get("slow-reader") === 4);
+    held.addAnswerBytes(-LIMIT_BYTES);
     await waitUntil(() => held.heldBytes === 0);
-    expect(counts.get("slow-reader")).toEqual(4);
     const upload = await fixture.exchange(`${UPLOAD}\r\n0123456789`);
     expect(upload.startsWith("HTTP/1.1 200 ")).toEqual(true);
     for (const socket of sockets) socket.destroy();
@@ -115,8 +119,11 @@
   withFixture(async (fixture) => {
     const socket = fixture.connect(DOWNLOAD.repeat(6)).pause();
     await waitUntil(() => fixture.requests.length > 0);
-    await timers.setTimeout(100);
-    const before = fixture.requests.length;
+    let before: number;
+    do {
+      before = fixture.requests.length;
+      await timers.setTimeout(200);
+    } while (fixture.requests.length > before);
     socket.write(DOWNLOAD.repeat(6));
     await timers.setTimeout(100);
     expect(fixture.requests.length).toEqual(before);
