--- a/packages/decisions/src/admission/waiting_request.ts
+++ b/packages/decisions/src/admission/waiting_request.ts
@@ -67,7 +67,7 @@
 
 /** How a request stands among others of its priority; by default between these. */
 export type RequestStanding =
-  /** Its caller returns at the time that it was told. */
+  /** Its caller returns at the time that it was told, or its route is rare. */
   | "returning"
   /** It exceeds its caller's share of a service that is short of capacity. */
   | "above-share";
--- a/packages/entry/src/gateway/forwarding/front_listener.ts
+++ b/packages/entry/src/gateway/forwarding/front_listener.ts
@@ -7,6 +7,7 @@
 import { requestHeaders } from "../../links/header_list.ts";
 import type { ServerAnswer } from "../../requests/caller_request.ts";
 import * as httpServer from "../../utils/http_server.ts";
+import type { RequestScheduler } from "../../utils/request_scheduler.ts";
 import { ThrottledWarning } from "../../utils/throttled_warning.ts";
 import type { LifeCycle } from "../../utils/life_cycle.ts";
 import * as bodies from "../../utils/read_body.ts";
@@ -25,7 +26,6 @@
   notRunAnswer,
   overloadAnswer,
 } from "./front_request.ts";
-import type { RequestScheduler } from "../../utils/request_scheduler.ts";
 import { UnlengthedPaths } from "./unlengthed_paths.ts";
 import type { HeaderNames } from "../platform_adapter.ts";
 
--- a/packages/entry/src/gateway/forwarding/front_test_support.ts
+++ b/packages/entry/src/gateway/forwarding/front_test_support.ts
@@ -3,9 +3,9 @@
 import * as net from "node:net";
 import { MonotonicClock } from "../../utils/clock.ts";
 import { LifeCycle } from "../../utils/life_cycle.ts";
+import { RequestScheduler } from "../../utils/request_scheduler.ts";
 import { FrontListener, type FrontListenerOptions } from "./front_listener.ts";
 import type { FrontAnswer, FrontRequest } from "./front_request.ts";
-import { RequestScheduler } from "../../utils/request_scheduler.ts";
 
 const SILENT_LOG = { debug() {}, info() {}, warn() {}, error() {} };
 const HEADERS = {
