refactor: one check of a known change, one fixture each for servers and relays

Whether an object is known in the version of a change was decided in ObjectTable and again in KindWatch; ObjectTable.knows serves both. Three tests of queues spelled out the same registered server, two tests each the same relay; registeredServer, readerRelay and createRelay serve them. The test of slow readers expects four closed connections again, after it has waited for them. No behaviour changes; no assertion is dropped or loosened.

--- a/packages/decisions/src/admission/added_routes_test.ts
+++ b/packages/decisions/src/admission/added_routes_test.ts
@@ -2,6 +2,7 @@
 import { expect } from "earl";
 import { test } from "node:test";
 import * as admission from "./mod.ts";
+import { registeredServer } from "./registered_server_test_support.ts";
 
 const SERVERS = 8;
 /** Above the target latency: the servers are overloaded or slow. */
@@ -54,17 +55,12 @@
         queuePerSecond: () => SERVERS * 1_000 / WORK_MS,
       },
     });
-    this.#queue.setServers(Array.from({ length: SERVERS }, (_, index) => ({
-      server: `s${index}` as contracts.ServerId,
-      bornMs: 1,
-      service: "intake" as contracts.ServiceId,
-      host: "10.0.0.1",
-      port: 80,
-      zone: "z1" as contracts.ZoneId,
-      slots: 1,
-      isDraining: false,
-      warmUpLeftMs: 0,
-    })));
+    this.#queue.setServers(
+      Array.from(
+        { length: SERVERS },
+        (_, index) => registeredServer(`s${index}`),
+      ),
+    );
   }
 
   run(): void {
--- a/packages/decisions/src/admission/overload_load_test.ts
+++ b/packages/decisions/src/admission/overload_load_test.ts
@@ -10,6 +10,7 @@
 import { test } from "node:test";
 import { KeyHasher } from "../ownership/key_hasher.ts";
 import * as admission from "./mod.ts";
+import { registeredServer } from "./registered_server_test_support.ts";
 
 const VMS = 4;
 const SERVERS = 4;
@@ -156,17 +157,12 @@
       },
       onWait: () => service.shares.recordWait(this.#nowMs),
     });
-    queue.setServers(Array.from({ length: SERVERS }, (_, index) => ({
-      server: `s${index}` as contracts.ServerId,
-      bornMs: 1,
-      service: "desk" as contracts.ServiceId,
-      host: "10.0.0.1",
-      port: 80,
-      zone: "z1" as contracts.ZoneId,
-      slots: SLOTS,
-      isDraining: false,
-      warmUpLeftMs: 0,
-    })));
+    queue.setServers(
+      Array.from(
+        { length: SERVERS },
+        (_, index) => registeredServer(`s${index}`, { slots: SLOTS }),
+      ),
+    );
     this.#queues.push(queue);
     this.#admissions.push(service);
   }
--- a/packages/decisions/src/admission/service_queue_test.ts
+++ b/packages/decisions/src/admission/service_queue_test.ts
@@ -2,6 +2,7 @@
 import { expect } from "earl";
 import { test } from "node:test";
 import * as admission from "./mod.ts";
+import { registeredServer as server } from "./registered_server_test_support.ts";
 
 const ROUTE: contracts.Route = {
   name: "check",
@@ -15,24 +16,6 @@
   targets: [],
 };
 
-function server(
-  name: string,
-  options: Partial<contracts.RegisteredServer> = {},
-): contracts.RegisteredServer {
-  return {
-    server: name as contracts.ServerId,
-    bornMs: 1,
-    service: "availability" as contracts.ServiceId,
-    host: "10.0.0.1",
-    port: 80,
-    zone: "z1" as contracts.ZoneId,
-    slots: 1,
-    isDraining: false,
-    warmUpLeftMs: 0,
-    ...options,
-  };
-}
-
 /** A request that records whether it was sent or refused. */
 class Request implements admission.WaitingRequest {
   readonly route: contracts.Route;
--- a/packages/decisions/src/admission/service_times.ts
+++ b/packages/decisions/src/admission/service_times.ts
@@ -41,8 +41,8 @@
 
   /**
    * Expected service time of a route's request at an average server. A route
-   * that was not measured is expected to miss or meet its target latency like
-   * the others of the service: what may be late waits for longer.
+   * without an answer takes the fraction of its target latency that the service's
+   * others take: requests that will be late may wait for longer.
    */
   estimateMs(route: PrioritizedRoute): number {
     return this.#reference?.measuredMs(route) ?? this.measuredMs(route) ??
--- a/packages/entry/src/gateway/forwarding/held_bytes_test.ts
+++ b/packages/entry/src/gateway/forwarding/held_bytes_test.ts
@@ -93,6 +93,7 @@
     await waitUntil(() => counts.get("slow-reader") === 4);
     held.addAnswerBytes(-LIMIT_BYTES);
     await waitUntil(() => held.heldBytes === 0);
+    expect(counts.get("slow-reader")).toEqual(4);
     const upload = await fixture.exchange(`${UPLOAD}\r\n0123456789`);
     expect(upload.startsWith("HTTP/1.1 200 ")).toEqual(true);
     for (const socket of sockets) socket.destroy();
--- a/packages/entry/src/gateway/store/kind_watch.ts
+++ b/packages/entry/src/gateway/store/kind_watch.ts
@@ -544,9 +544,7 @@
 
   /** Position of the last of the changes that is known already; 0 for none. */
   #knownUpTo(changes: readonly ObjectChange[]): number {
-    const known = changes.filter(({ name, object }) =>
-      object !== undefined && this.#table.get(name)?.version === object.version
-    );
+    const known = changes.filter((change) => this.#table.knows(change));
     return Math.max(0, ...known.map(({ object }) => Number(object!.version)));
   }
 
--- a/packages/entry/src/gateway/store/kind_watch_test.ts
+++ b/packages/entry/src/gateway/store/kind_watch_test.ts
@@ -201,6 +201,25 @@
   return { name, version: String(version), value: "{}" };
 }
 
+/** A batch of changes that a reader has passed on to its peers. */
+interface PublishedChanges {
+  readonly fromPosition: number;
+  readonly toPosition: number;
+  readonly events: readonly ObjectChange[];
+}
+
+/** The relay of a reader; `publish` gets the changes that are passed on. */
+function readerRelay(publish: (changes: PublishedChanges) => void = () => {}) {
+  return {
+    isReader: true,
+    isStoreSteady: true,
+    schedule: { plan: () => STATUS_INTERVAL_MS, remove() {} },
+    add() {},
+    noteStorePosition() {},
+    publish: (_prefix: string, changes: PublishedChanges) => publish(changes),
+  } as unknown as ConstructorParameters<typeof KindWatch>[0]["relay"];
+}
+
 /** A reader whose listeners fail on one object, and whose store may throw. */
 class FailingReader {
   readonly lifeCycle = new LifeCycle(SILENT);
@@ -221,14 +240,7 @@
     log: SILENT,
     clock: { nowMs: () => performance.now() },
     random: { next: () => 0.5 },
-    relay: {
-      isReader: true,
-      isStoreSteady: true,
-      schedule: { plan: () => STATUS_INTERVAL_MS, remove() {} },
-      add() {},
-      publish() {},
-      noteStorePosition() {},
-    } as unknown as ConstructorParameters<typeof KindWatch>[0]["relay"],
+    relay: readerRelay(),
     onList: (objects) => objects.forEach((object) => this.#learn(object)),
     onChanges: (changes) =>
       changes.forEach(({ object }) => this.#learn(object!)),
@@ -303,13 +315,6 @@
     expect(reader.cursors[0]).toEqual("1");
   }));
 
-/** A batch of changes that a reader has passed on to its peers. */
-interface PublishedChanges {
-  readonly fromPosition: number;
-  readonly toPosition: number;
-  readonly events: readonly ObjectChange[];
-}
-
 /**
  * Guards against a change that a reader sends whole as it knows no version before
  * it: peers then fetch everything, from one VM, all at once.
@@ -336,15 +341,7 @@
     log: SILENT,
     clock,
     random: { next: () => 0.5 },
-    relay: {
-      isReader: true,
-      isStoreSteady: true,
-      schedule: { plan: () => STATUS_INTERVAL_MS, remove() {} },
-      add() {},
-      noteStorePosition() {},
-      publish: (_prefix: string, changes: PublishedChanges) =>
-        published.push(changes),
-    } as unknown as ConstructorParameters<typeof KindWatch>[0]["relay"],
+    relay: readerRelay((changes) => published.push(changes)),
     onList: () => {},
     onChanges: () => {},
   });
--- a/packages/entry/src/gateway/store/object_table.ts
+++ b/packages/entry/src/gateway/store/object_table.ts
@@ -26,6 +26,12 @@
     return this.#objects.get(name);
   }
 
+  /** Whether an object is known in the version of a change. */
+  knows({ name, object }: ObjectChange): boolean {
+    return object !== undefined &&
+      this.#objects.get(name)?.version === object.version;
+  }
+
   /**
    * Applies changes up to a position, in their order; returns those that were
    * applied, with the objects before. An object that is known in this or a later
@@ -38,9 +44,7 @@
       const previous = this.#objects.get(name);
       const changedAt = object === undefined ? position : positionOf(object);
       if (previous !== undefined && positionOf(previous) > changedAt) continue;
-      if (previous !== undefined && previous.version === object?.version) {
-        continue;
-      }
+      if (this.knows(change)) continue;
       if (object === undefined) this.#objects.delete(name);
       else this.#objects.set(name, object);
       applied.push({ ...change, previous });
--- a/packages/entry/src/gateway/store/watch_relay_test.ts
+++ b/packages/entry/src/gateway/store/watch_relay_test.ts
@@ -11,6 +11,22 @@
 
 const PREFIX = "servers/";
 
+/** A relay whose messages go through a fake gossip. */
+async function createRelay(gossip: object): Promise<WatchRelay> {
+  return new WatchRelay({
+    self: { vm: "vm1" as contracts.VmId } as never,
+    gossip: gossip as unknown as PeerGossip,
+    rpc: { on: () => {} } as Partial<PeerRpc> as PeerRpc,
+    health: {} as StoreHealth,
+    hasher: await ownership.KeyHasher.create(),
+    clock: { nowMs: () => 0 },
+    log: { debug() {}, info() {}, warn() {}, error() {} },
+    isSeed: false,
+    isLeaving: () => false,
+    probeStore: () => Promise.resolve(true),
+  });
+}
+
 /** Publishes a change of one object; returns the message to the peers. */
 async function publish(
   value: string,
@@ -23,18 +39,7 @@
     onGuarded: () => {},
     broadcast: (method, params) => sent.push({ method, params }),
   };
-  const relay = new WatchRelay({
-    self: { vm: "vm1" as contracts.VmId } as never,
-    gossip: gossip as PeerGossip,
-    rpc: { on: () => {} } as Partial<PeerRpc> as PeerRpc,
-    health: {} as StoreHealth,
-    hasher: await ownership.KeyHasher.create(),
-    clock: { nowMs: () => 0 },
-    log: { debug() {}, info() {}, warn() {}, error() {} },
-    isSeed: false,
-    isLeaving: () => false,
-    probeStore: () => Promise.resolve(true),
-  });
+  const relay = await createRelay(gossip);
   const object = { name: "servers/i-1", version: "2", value };
   const previous = previousValue === undefined
     ? undefined
@@ -113,18 +118,7 @@
       handlers.set(method, handler),
     onGuarded: () => {},
   };
-  const relay = new WatchRelay({
-    self: { vm: "vm1" as contracts.VmId } as never,
-    gossip: gossip as unknown as PeerGossip,
-    rpc: { on: () => {} } as Partial<PeerRpc> as PeerRpc,
-    health: {} as StoreHealth,
-    hasher: await ownership.KeyHasher.create(),
-    clock: { nowMs: () => 0 },
-    log: { debug() {}, info() {}, warn() {}, error() {} },
-    isSeed: false,
-    isLeaving: () => false,
-    probeStore: () => Promise.resolve(true),
-  });
+  const relay = await createRelay(gossip);
   relay.add({
     prefix: PREFIX,
     position: 5,
--- a/packages/entry/src/platform/hedged_store_test.ts
+++ b/packages/entry/src/platform/hedged_store_test.ts
@@ -63,11 +63,12 @@
       new Promise<Answer>((resolve) => {
         if (answer !== undefined) return resolve(answer);
         if (this.answerDelayMs !== undefined) {
-          const progress = setInterval(
-            () => options.onProgress?.(),
-            this.progressIntervalMs,
-          );
-          if (this.progressIntervalMs === undefined) clearInterval(progress);
+          const progress = this.progressIntervalMs === undefined
+            ? undefined
+            : setInterval(
+              () => options.onProgress?.(),
+              this.progressIntervalMs,
+            );
           const succeed = () => {
             clearInterval(progress);
             resolve(neverthrow.ok(OBJECT));
