feat: age of changes in "Server leaves.", time until an attempt left

A change now carries the time after which it was made, on each VM's own clock. A reader of the store knows it from its last complete answer: exact to the latency of the store while that is steady and the watch has waited, and at most the time since the last call that found nothing otherwise. Relayed changes keep it. Objects that a peer or a stale list sends as a whole have no known age; until now they counted as new. `ageMs` on the wire keeps its name and was the time since the first VM had learned of the change.

--- a/packages/entry/src/gateway/forwarding/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarding/forwarded_request.ts
@@ -87,6 +87,8 @@
 /** An attempt that has not ended. */
 interface PendingAttempt {
   readonly entry: contracts.RegisteredServer;
+  /** When its first byte left for the server or a peer. */
+  leftAtMs: number | undefined;
   /** Whether another attempt was made since, as its path was lost. */
   isOvertaken: boolean;
 }
@@ -229,14 +231,18 @@
     const recordEnd = load.startRequest(nowMs);
     this.#context.onLoadChange();
     const release = once((tookMs: number | undefined) => releaseSlot?.(tookMs));
-    const attempt: PendingAttempt = { entry, isOvertaken: false };
+    const attempt: PendingAttempt = {
+      entry,
+      leftAtMs: undefined,
+      isOvertaken: false,
+    };
     const leftMs = this.answerByMs - nowMs;
     this.#pending.add(attempt);
     this.#context.recordSend(entry.server);
     this.#context.recordAdmission("sent");
     const result = await this.#context.send(
       entry,
-      this.#attemptRequest(entry, leftMs),
+      this.#attemptRequest(attempt, leftMs),
       {
         timeoutMs: leftMs,
         signal: this.#cancel.signal,
@@ -278,6 +284,9 @@
       outstanding,
       fence,
       tookMs: endedMs - nowMs,
+      leftAfterMs: result.kind === "not-sent" || attempt.leftAtMs === undefined
+        ? undefined
+        : attempt.leftAtMs - nowMs,
       report,
       via: result.via,
       end: describeResult(result),
@@ -296,10 +305,8 @@
     if (!this.#isKeyedService()) this.#context.queue.dispatch(endedMs);
   }
 
-  #attemptRequest(
-    entry: contracts.RegisteredServer,
-    leftMs: number,
-  ): AttemptRequest {
+  #attemptRequest(attempt: PendingAttempt, leftMs: number): AttemptRequest {
+    const { entry } = attempt;
     const { id, method, target, body } = this.#request;
     const serverLeftMs = Math.max(
       1,
@@ -311,7 +318,12 @@
       path: target,
       headers: this.#context.headers(this.#request, entry, serverLeftMs),
       body,
-      maySend: () => !this.#isDone,
+      maySend: () => {
+        attempt.leftAtMs = this.#isDone
+          ? undefined
+          : this.#context.clock.nowMs();
+        return !this.#isDone;
+      },
       onServerStamp: () => {},
     };
   }
--- a/packages/entry/src/gateway/forwarding/request_log.ts
+++ b/packages/entry/src/gateway/forwarding/request_log.ts
@@ -11,6 +11,8 @@
   readonly outstanding: number;
   readonly fence: number | undefined;
   readonly tookMs: number;
+  /** Time from the choice of the server to the first byte; undefined if none left. */
+  readonly leftAfterMs?: number | undefined;
   /** The peer that sent it, if this VM did not reach the server. */
   readonly via?: contracts.VmId | undefined;
   /** Load that the server reported in its response. */
@@ -150,12 +152,17 @@
 }
 
 function formatAttempt(
-  { server, outstanding, fence, tookMs, via, report, end }: AttemptRecord,
+  attempt: AttemptRecord,
 ): string {
+  const { server, outstanding, fence, tookMs, via, report, end } = attempt;
   const owner = fence === undefined ? "" : ` fence ${fence}`;
   const path = via === undefined ? "" : ` via ${via}`;
+  const { leftAfterMs } = attempt;
+  const left = leftAfterMs === undefined
+    ? ""
+    : `, left after ${Math.round(leftAfterMs)} ms`;
   return `${server}${owner}${path} with ${outstanding} there: ${end} after ` +
-    `${Math.round(tookMs)} ms${formatReport(report)}`;
+    `${Math.round(tookMs)} ms${left}${formatReport(report)}`;
 }
 
 function formatReport(report: contracts.ServerReport | undefined): string {
--- a/packages/entry/src/gateway/peers/peer_messages.ts
+++ b/packages/entry/src/gateway/peers/peer_messages.ts
@@ -614,7 +614,9 @@
   ).nullable(),
   /** Names of all objects when the changes come from a list; else null. */
   names: z.array(z.string()).nullable(),
-  /** How long ago the first VM has learned of the changes; 0 if absent. */
+  /**
+   * How old the changes are at most; 0 if absent, 60,000 where it is not known.
+   */
   ageMs: z.number().int().min(0).optional(),
 });
 /** Changes that a reader has read from the platform's store. */
--- a/packages/entry/src/gateway/servers/server_registry.ts
+++ b/packages/entry/src/gateway/servers/server_registry.ts
@@ -2,6 +2,7 @@
 import type * as contracts from "@guavatide/contracts";
 import { Listeners } from "../../utils/listeners.ts";
 import type { Logger } from "../../utils/log.ts";
+import type { ChangeOrigin } from "../store/kind_watch.ts";
 import type { ObjectChange } from "../store/object_table.ts";
 import type { PlatformAdapter } from "../platform_adapter.ts";
 import type { ZoneEvacuations } from "./zone_evacuations.ts";
@@ -39,6 +40,9 @@
  */
 const ENDED_INCARNATION_TTL_MS = 60_000;
 
+/** How this VM has learned that a server drains or was removed. */
+export type DrainOrigin = Partial<ChangeOrigin>;
+
 interface KnownServer {
   entry: contracts.RegisteredServer;
   /** When it began to drain or was removed. */
@@ -150,14 +154,17 @@
   }
 
   /** Applies a full list; servers that are not in it count as missing. */
-  applyList(objects: readonly contracts.StoredObject[]): void {
+  applyList(
+    objects: readonly contracts.StoredObject[],
+    origin: DrainOrigin,
+  ): void {
     const listed = new Set<string>();
     for (const object of objects) {
       listed.add(this.#serverOf(object.name));
-      this.#applyEntry(object);
+      this.#applyEntry(object, origin);
     }
     for (const [server, known] of this.#known) {
-      if (!listed.has(server)) this.#markMissing(known);
+      if (!listed.has(server)) this.#markMissing(known, origin);
     }
     if (!this.#isListed) {
       this.#options.log.info("Servers listed.", { servers: this.#known.size });
@@ -167,17 +174,17 @@
   }
 
   /** Applies a batch of changes and notifies listeners once. */
-  applyChanges(changes: readonly ObjectChange[]): void {
+  applyChanges(changes: readonly ObjectChange[], origin: DrainOrigin): void {
     for (const { name, object } of changes) {
       const known = this.#known.get(
         this.#serverOf(name) as contracts.ServerId,
       );
       if (object !== undefined) {
-        this.#applyEntry(object);
+        this.#applyEntry(object, origin);
         continue;
       }
       this.#unreadable.delete(name);
-      if (known !== undefined) this.#markMissing(known);
+      if (known !== undefined) this.#markMissing(known, origin);
     }
     this.#notify();
   }
@@ -190,7 +197,7 @@
     const known = this.#known.get(owner.server);
     if (known?.entry.bornMs !== owner.bornMs || known.isLeaving) return false;
     known.isLeaving = true;
-    this.#drain(known, "says so in an answer");
+    this.#drain(known, "says so in an answer", { ageMs: 0 });
     this.#notify();
     return true;
   }
@@ -213,7 +220,7 @@
       const isExpired = missingSinceMs !== undefined &&
         drainingSinceMs === undefined && this.#isStoreStable();
       if (isExpired) {
-        this.#drain(known, "missing since the store is back");
+        this.#drain(known, "missing since the store is back", { ageMs: 0 });
         isChanged = true;
       }
       const wasUsable = known.isUsable;
@@ -273,10 +280,12 @@
     return this.#options.storeCalmMs() > EXPIRED_ENTRY_GRACE_MS;
   }
 
-  #applyEntry(object: contracts.StoredObject): void {
+  #applyEntry(object: contracts.StoredObject, origin: DrainOrigin): void {
     const { adapter, log } = this.#options;
     const decoded = adapter.decodeServer(object.name, object.value);
-    if (decoded.isErr()) return this.#rejectEntry(object, decoded.error);
+    if (decoded.isErr()) {
+      return this.#rejectEntry(object, decoded.error, origin);
+    }
     this.#unreadable.delete(object.name);
     const entry = decoded.value;
     const known = this.#known.get(entry.server);
@@ -309,7 +318,7 @@
       : { ...known, entry, missingSinceMs: undefined };
     this.#known.set(entry.server, next);
     this.#markCold(next, entry.warmUpLeftMs);
-    if (entry.isDraining) this.#drain(next, "says that it drains");
+    if (entry.isDraining) this.#drain(next, "says that it drains", origin);
     else if (next.drainingSinceMs !== undefined && !next.isLeaving) {
       log.info("Server is back.", { server: entry.server });
       next.drainingSinceMs = undefined;
@@ -317,26 +326,29 @@
   }
 
   /** The entry is missing: removed, or expired during a store outage. */
-  #markMissing(known: KnownServer): void {
+  #markMissing(known: KnownServer, origin: DrainOrigin): void {
     if (known.drainingSinceMs !== undefined) {
       if (known.isLeaving) known.missingSinceMs ??= this.#options.clock.nowMs();
       return;
     }
     known.missingSinceMs ??= this.#options.clock.nowMs();
-    if (this.#isStoreStable()) this.#drain(known, "its entry was removed");
+    if (!this.#isStoreStable()) return;
+    this.#drain(known, "its entry was removed", origin);
   }
 
-  #drain(known: KnownServer, reason: string): void {
+  #drain(known: KnownServer, reason: string, origin: DrainOrigin): void {
     if (known.drainingSinceMs !== undefined) return;
     known.drainingSinceMs = this.#options.clock.nowMs();
     const { server, service } = known.entry;
-    this.#options.log.info("Server leaves.", { server, service, reason });
+    const fields = { server, service, reason, ...origin };
+    this.#options.log.info("Server leaves.", fields);
   }
 
   /** Logs an unreadable entry once per version; its server starts to drain. */
   #rejectEntry(
     object: contracts.StoredObject,
     error: { readonly field: string; readonly message: string },
+    origin: DrainOrigin,
   ): void {
     if (this.#unreadable.get(object.name) === object.version) return;
     this.#unreadable.set(object.name, object.version);
@@ -349,7 +361,8 @@
     const known = this.#known.get(
       this.#serverOf(object.name) as contracts.ServerId,
     );
-    if (known !== undefined) this.#drain(known, "its entry became unreadable");
+    if (known === undefined) return;
+    this.#drain(known, "its entry became unreadable", origin);
   }
 
   #serverOf(name: string): string {
--- a/packages/entry/src/gateway/servers/server_registry_test.ts
+++ b/packages/entry/src/gateway/servers/server_registry_test.ts
@@ -8,6 +8,8 @@
 const SERVICE = "s" as contracts.ServiceId;
 const PREFIX = "servers/";
 const ZONE = "z" as contracts.ZoneId;
+/** This VM learns of changes as soon as they are made. */
+const AT_ONCE = { ageMs: 0 };
 const SILENT = { debug() {}, info() {}, warn() {}, error() {} };
 
 class Fixture {
@@ -74,10 +76,13 @@
 /** Guards against repeated work when hundreds of servers start together. */
 test("should notify listeners once for a batch of changes", () => {
   const fixture = new Fixture();
-  fixture.registry.applyChanges(["a", "b", "c"].map((server) => ({
-    name: `${PREFIX}${server}`,
-    object: objectOf(server),
-  })));
+  fixture.registry.applyChanges(
+    ["a", "b", "c"].map((server) => ({
+      name: `${PREFIX}${server}`,
+      object: objectOf(server),
+    })),
+    AT_ONCE,
+  );
   expect(fixture.changes).toEqual(1);
   expect(fixture.staying).toEqual(["a", "b", "c"]);
 });
@@ -85,9 +90,9 @@
 /** Guards against dropping servers whose entries expired in a store outage. */
 test("should keep a server whose entry expired until the store is stable", () => {
   const fixture = new Fixture();
-  fixture.registry.applyList([objectOf("a"), objectOf("b")]);
+  fixture.registry.applyList([objectOf("a"), objectOf("b")], AT_ONCE);
   fixture.storeCalmMs = 0;
-  fixture.registry.applyChanges([{ name: `${PREFIX}a` }]);
+  fixture.registry.applyChanges([{ name: `${PREFIX}a` }], AT_ONCE);
   fixture.registry.tick();
   expect(fixture.staying).toEqual(["a", "b"]);
   fixture.storeCalmMs = 3_000;
@@ -99,7 +104,7 @@
 test("should give no grace to a server that is draining in the first list", () => {
   const fixture = new Fixture();
   fixture.isDraining = true;
-  fixture.registry.applyList([objectOf("a")]);
+  fixture.registry.applyList([objectOf("a")], { ageMs: undefined });
   expect(fixture.registry.servers(SERVICE)).toEqual([]);
 });
 
@@ -108,7 +113,7 @@
 /** Guards against new requests to a zone that the operator evacuates. */
 test("should grant no keys and soon send no requests to an evacuated zone", () => {
   const fixture = new Fixture();
-  fixture.registry.applyList([objectOf("a")]);
+  fixture.registry.applyList([objectOf("a")], AT_ONCE);
   fixture.evacuations.applyChanges([{
     name: EVACUATION,
     object: { name: EVACUATION, version: "2", value: "{}" },
@@ -125,7 +130,7 @@
 /** Guards against full load on servers that became cold while evacuated. */
 test("should treat servers as cold when their zone's evacuation ends", () => {
   const fixture = new Fixture();
-  fixture.registry.applyList([objectOf("a")]);
+  fixture.registry.applyList([objectOf("a")], AT_ONCE);
   fixture.evacuations.applyList([
     { name: EVACUATION, version: "2", value: "{}" },
   ]);
@@ -139,7 +144,7 @@
 /** Guards against full load on a server that reports that it is cold. */
 test("should count the warm-up time from the server's last entry", () => {
   const fixture = new Fixture();
-  fixture.registry.applyList([objectOf("a")]);
+  fixture.registry.applyList([objectOf("a")], AT_ONCE);
   const server = "a" as contracts.ServerId;
   expect(fixture.registry.coldUntilMs(server) <= fixture.nowMs).toEqual(true);
   fixture.nowMs = 1_000;
@@ -147,7 +152,7 @@
   fixture.registry.applyChanges([{
     name: `${PREFIX}a`,
     object: objectOf("a"),
-  }]);
+  }], AT_ONCE);
   expect(fixture.registry.coldUntilMs(server)).toEqual(3_200);
 });
 
@@ -163,8 +168,8 @@
 /** Guards against notifications at each tick after one server was removed. */
 test("should notify listeners once that a server gets no more requests", () => {
   const fixture = new Fixture();
-  fixture.registry.applyList([objectOf("a"), objectOf("b")]);
-  fixture.registry.applyChanges([{ name: `${PREFIX}a` }]);
+  fixture.registry.applyList([objectOf("a"), objectOf("b")], AT_ONCE);
+  fixture.registry.applyChanges([{ name: `${PREFIX}a` }], AT_ONCE);
   expect(fixture.changes).toEqual(2);
   for (; fixture.nowMs < 59_000; fixture.nowMs += 200) fixture.registry.tick();
   expect(fixture.changes).toEqual(3);
@@ -180,14 +185,14 @@
   const fixture = new Fixture();
   const { registry } = fixture;
   const leaving = { server: "s1" as contracts.ServerId, bornMs: 1 };
-  registry.applyList([objectOf("s1"), objectOf("s2")]);
+  registry.applyList([objectOf("s1"), objectOf("s2")], AT_ONCE);
   expect(registry.noteLeaving({ ...leaving, bornMs: 0 })).toEqual(false);
   expect(registry.noteLeaving(leaving)).toEqual(true);
   expect(registry.noteLeaving(leaving)).toEqual(false);
   expect(fixture.staying).toEqual(["s2"]);
   for (fixture.nowMs = 0; fixture.nowMs < 120_000; fixture.nowMs += 1_000) {
     const name = `${PREFIX}s1`;
-    registry.applyChanges([{ name, object: objectOf("s1") }]);
+    registry.applyChanges([{ name, object: objectOf("s1") }], AT_ONCE);
     registry.tick();
   }
   expect(fixture.staying).toEqual(["s2"]);
@@ -199,9 +204,9 @@
   const fixture = new Fixture();
   const { registry } = fixture;
   const leaving = { server: "s1" as contracts.ServerId, bornMs: 1 };
-  registry.applyList([objectOf("s1")]);
+  registry.applyList([objectOf("s1")], AT_ONCE);
   registry.noteLeaving(leaving);
-  registry.applyList([]);
+  registry.applyList([], AT_ONCE);
   expect(registry.leaving()).toEqual([]);
   fixture.nowMs = 61_000;
   registry.tick();
--- a/packages/entry/src/gateway/store/change_buffer.ts
+++ b/packages/entry/src/gateway/store/change_buffer.ts
@@ -16,10 +16,10 @@
   /** Names of all objects, when the changes come from a list. */
   readonly names?: readonly string[];
   /**
-   * When the first VM that this VM knows of has learned of the changes, on this
-   * VM's clock; the time on the network is not included.
+   * The changes were made after this time, on this VM's clock; the time on the
+   * network is not included. Negative infinity where it is not known.
    */
-  readonly learnedAtMs: number;
+  readonly madeAfterMs: number;
 }
 
 /** Batches of changes that are kept. */
--- a/packages/entry/src/gateway/store/change_buffer_test.ts
+++ b/packages/entry/src/gateway/store/change_buffer_test.ts
@@ -16,7 +16,7 @@
       fromPosition: position - 1,
       toPosition: position,
       events: [{ name: object.name, object }],
-      learnedAtMs: 0,
+      madeAfterMs: 0,
     });
   }
   return buffer;
@@ -48,7 +48,7 @@
     fromPosition: 1,
     toPosition: 2,
     events: [{ name: "servers/i-1" }],
-    learnedAtMs: 0,
+    madeAfterMs: 0,
   });
   expect(buffer.after(0).length).toEqual(1);
 });
--- a/packages/entry/src/gateway/store/kind_watch.ts
+++ b/packages/entry/src/gateway/store/kind_watch.ts
@@ -26,7 +26,7 @@
   readonly source: "watch" | "list" | "relay" | "peer" | "probe";
   /** The peer, unless this VM has read the changes from the store. */
   readonly from?: contracts.VmId | undefined;
-  /** How long the peer had known the changes when it sent them. */
+  /** How old the changes are at most; undefined where it is not known. */
   readonly ageMs?: number | undefined;
   /** Time since this VM noticed that it lacked changes; undefined if it didn't. */
   readonly behindMs?: number | undefined;
@@ -87,6 +87,8 @@
  * replaced, and each batch costs every reader one call.
  */
 const BATCH_PAUSE_MS = 250;
+/** An answer that takes longer is late, so the store is not steady. */
+const LATE_ANSWER_MS = 250;
 /** A watch call times out this long after its wait. */
 const WATCH_TIMEOUT_SLACK_MS = 1_000;
 /** Timeout of a list call: the store answers in a few milliseconds. */
@@ -118,6 +120,11 @@
   /** Changes up to this position are known, also when there were none. */
   #knownPosition = 0;
   #position = 0;
+  /**
+   * At this time the store had no changes beyond the known ones; negative
+   * infinity where it is not known.
+   */
+  #completeAtMs = Number.NEGATIVE_INFINITY;
   /** Whether all objects have to be listed or fetched again. */
   #isStale = true;
   #failures = 0;
@@ -234,7 +241,7 @@
   }
 
   applyRelayed(changes: RelayedChanges, from: contracts.VmId): void {
-    const { fromPosition, toPosition, events, names, learnedAtMs } = changes;
+    const { fromPosition, toPosition, events, names, madeAfterMs } = changes;
     if (!this.#isListed || toPosition <= this.#position) return;
     if (events === undefined) {
       this.#aheadPeer = from;
@@ -250,12 +257,10 @@
       : this.#table.deletionsExcept(names);
     // Changes up to this VM's position are applied again, in their order: the
     // last change of each object prevails.
-    const receivedAtMs = this.#options.clock.nowMs();
-    const ageMs = Math.round(receivedAtMs - learnedAtMs);
     this.#apply([...events, ...missing], toPosition, {
       source: "relay",
       from,
-      ageMs,
+      ageMs: this.#ageMs(madeAfterMs),
     });
     this.#position = toPosition;
     this.#knownPosition = Math.max(this.#knownPosition, toPosition);
@@ -286,7 +291,8 @@
     return this.#isListed && !this.#isStale && this.#options.relay.isReader;
   }
 
-  noteStorePosition(position: number): void {
+  noteStorePosition(position: number, atMs: number): void {
+    if (position <= this.#completePosition) this.#noteComplete(atMs);
     const isKnown = position <=
       Math.max(this.#storePosition, this.#completePosition);
     this.#storePosition = Math.max(this.#storePosition, position);
@@ -323,8 +329,9 @@
   }
 
   async #readMissed(): Promise<void> {
-    const { store, prefix } = this.#options;
+    const { store, prefix, clock } = this.#options;
     const cursor = this.#completePosition;
+    const sentAtMs = clock.nowMs();
     const result = await store.watch(prefix, {
       cursor: String(cursor),
       waitMs: CHECK_WAIT_MS,
@@ -336,7 +343,11 @@
       this.#storePosition,
       Number(result.value.cursor),
     );
-    if (!reset) this.#applyWatched(cursor, result.value);
+    if (!reset) {
+      const madeAfterMs = this.#completeAtMs;
+      this.#applyWatched(cursor, result.value, madeAfterMs);
+      this.#noteComplete(sentAtMs);
+    }
     if (events.length > 0 || reset) this.renewWatch();
   }
 
@@ -443,8 +454,9 @@
   }
 
   async #list(options: { readonly mayBeStale: boolean }): Promise<boolean> {
-    const { store, prefix, health, relay } = this.#options;
+    const { store, prefix, health, relay, clock } = this.#options;
     const { signal } = this.#abort!;
+    const sentAtMs = clock.nowMs();
     const result = await store.list(prefix, {
       ...options,
       timeoutMs: LIST_TIMEOUT_MS,
@@ -462,8 +474,13 @@
     if (this.#isListed && listedPosition < this.#position) return true;
     const wasListed = this.#isListed;
     const fromPosition = this.#completePosition;
-    const events = this.#replace(objects, listedPosition, { source: "list" });
+    const madeAfterMs = this.#completeAtMs;
+    const events = this.#replace(objects, listedPosition, {
+      source: "list",
+      ageMs: this.#ageMs(madeAfterMs),
+    });
     this.#knownPosition = listedPosition;
+    if (!options.mayBeStale) this.#noteComplete(sentAtMs);
     // The cursor of a list also rises with changes of other prefixes, and peers
     // that listed a little earlier would seem to lack changes. Objects of later
     // pages may be newer than the cursor.
@@ -480,21 +497,21 @@
     this.#position = this.#knownPosition;
     const names = this.#table.names;
     const toPosition = this.#position;
-    const learnedAtMs = this.#options.clock.nowMs();
     relay.publish(prefix, {
       fromPosition,
       toPosition,
       events,
       names,
-      learnedAtMs,
+      madeAfterMs,
     });
     return true;
   }
 
   async #watch(): Promise<boolean> {
-    const { store, prefix, health, relay } = this.#options;
+    const { store, prefix, health, relay, clock } = this.#options;
     const cursor = this.#completePosition;
     const waitMs = this.#planWaitMs();
+    const sentAtMs = clock.nowMs();
     const result = await store.watch(prefix, {
       cursor: String(cursor),
       waitMs,
@@ -512,18 +529,48 @@
       this.#isStale = true;
       return true;
     }
-    this.#applyWatched(cursor, result.value);
+    const asOfMs = this.#asOfMs(sentAtMs);
+    // A watch that has waited found no changes when it began.
+    const hasWaited = asOfMs > sentAtMs;
+    const madeAfterMs = hasWaited ? asOfMs : this.#completeAtMs;
+    this.#applyWatched(cursor, result.value, madeAfterMs);
+    this.#noteComplete(asOfMs);
     if (result.value.events.length > 0) {
       await timers.setTimeout(BATCH_PAUSE_MS);
     } else if (relay.isFirstReader) {
-      relay.noteStorePosition(Number(result.value.cursor));
+      relay.noteStorePosition(Number(result.value.cursor), asOfMs);
     }
     return true;
   }
 
+  /**
+   * The earliest time at which the store can have made an answer that arrives
+   * now. While it is steady no answer is late.
+   */
+  #asOfMs(sentAtMs: number): number {
+    const { relay, clock } = this.#options;
+    if (!relay.isStoreSteady) return sentAtMs;
+    return Math.max(sentAtMs, clock.nowMs() - LATE_ANSWER_MS);
+  }
+
+  #noteComplete(atMs: number): void {
+    this.#completeAtMs = Math.max(this.#completeAtMs, atMs);
+  }
+
+  /** Age of changes that were made after a time; undefined if unknown. */
+  #ageMs(madeAfterMs: number): number | undefined {
+    return Number.isFinite(madeAfterMs)
+      ? Math.round(this.#options.clock.nowMs() - madeAfterMs)
+      : undefined;
+  }
+
   /** Applies and relays what a watch from `cursor` on has returned. */
-  #applyWatched(cursor: number, result: contracts.WatchBatch): void {
-    const { relay, prefix, clock } = this.#options;
+  #applyWatched(
+    cursor: number,
+    result: contracts.WatchBatch,
+    madeAfterMs: number,
+  ): void {
+    const { relay, prefix } = this.#options;
     let events: readonly ObjectChange[] = result.events;
     const toPosition = Number(result.cursor);
     this.#knownPosition = Math.max(this.#knownPosition, toPosition);
@@ -536,10 +583,10 @@
       this.#position = toPosition;
       // Peers that know the changes that are left out can apply the others.
       fromPosition = Math.max(fromPosition, this.#knownUpTo(events));
-      events = this.#apply(events, toPosition, { source: "watch" });
+      const ageMs = this.#ageMs(madeAfterMs);
+      events = this.#apply(events, toPosition, { source: "watch", ageMs });
     }
-    const learnedAtMs = clock.nowMs();
-    relay.publish(prefix, { fromPosition, toPosition, events, learnedAtMs });
+    relay.publish(prefix, { fromPosition, toPosition, events, madeAfterMs });
   }
 
   /** Position of the last of the changes that is known already; 0 for none. */
--- a/packages/entry/src/gateway/store/kind_watch_test.ts
+++ b/packages/entry/src/gateway/store/kind_watch_test.ts
@@ -67,7 +67,7 @@
       fromPosition,
       toPosition,
       events: [{ name: object.name, object }],
-      learnedAtMs: performance.now(),
+      madeAfterMs: performance.now(),
     }, PEER);
   }
 
@@ -352,7 +352,7 @@
     fromPosition: 1,
     toPosition: 5,
     events: [{ name: object.name, object }],
-    learnedAtMs: performance.now(),
+    madeAfterMs: performance.now(),
   }, PEER);
   await waitUntil(() => published.length > 0, 2 * STATUS_INTERVAL_MS);
   await lifeCycle.stop();
--- a/packages/entry/src/gateway/store/watch_relay.ts
+++ b/packages/entry/src/gateway/store/watch_relay.ts
@@ -50,8 +50,10 @@
   applyRelayed(changes: RelayedChanges, from: contracts.VmId): void;
   /** Notes that a peer knows all changes up to a position. */
   notePeerPosition(position: number, peer: contracts.VmId): void;
-  /** Notes the store's position, which changes of any prefix advance. */
-  noteStorePosition(position: number): void;
+  /**
+   * Notes the store's position at a time; changes of any prefix advance it.
+   */
+  noteStorePosition(position: number, atMs: number): void;
   /** Repeats the watch of the store: how long it is to wait has changed. */
   renewWatch(): void;
   /** Called when this VM has become a reader, or has ceased to be one. */
@@ -207,10 +209,13 @@
     );
   }
 
-  /** Passes the store's position on to the watches of all prefixes. */
-  noteStorePosition(position: number): void {
+  /**
+   * Passes the position that the store had at a time on to the watches of all
+   * prefixes.
+   */
+  noteStorePosition(position: number, atMs: number): void {
     for (const watch of this.#watches.values()) {
-      watch.noteStorePosition(position);
+      watch.noteStorePosition(position, atMs);
     }
   }
 
@@ -389,10 +394,7 @@
       events: changes.events?.map((change) => this.#encodeEvent(change)) ??
         null,
       names: changes.names === undefined ? null : [...changes.names],
-      ageMs: Math.max(
-        0,
-        Math.round(this.#options.clock.nowMs() - changes.learnedAtMs),
-      ),
+      ageMs: encodeAgeMs(this.#options.clock.nowMs() - changes.madeAfterMs),
     };
     return fitsMessage(message)
       ? message
@@ -437,7 +439,9 @@
       toPosition: toCursor,
       events,
       ...(names === null ? {} : { names }),
-      learnedAtMs: this.#options.clock.nowMs() - ageMs,
+      madeAfterMs: ageMs < MAX_AGE_MS
+        ? this.#options.clock.nowMs() - ageMs
+        : Number.NEGATIVE_INFINITY,
     };
     this.#buffer(prefix, changes);
     watch.applyRelayed(changes, vm);
@@ -462,8 +466,7 @@
     }
     const { snapshot } = watch;
     if (snapshot === undefined) return;
-    const learnedAtMs = this.#options.clock.nowMs();
-    this.#send(prefix, changesSince(cursor, snapshot, learnedAtMs), vm);
+    this.#send(prefix, changesSince(cursor, snapshot), vm);
   }
 }
 
@@ -474,9 +477,12 @@
 function changesSince(
   fromPosition: number,
   { position, objects }: messages.KindSnapshot,
-  learnedAtMs: number,
 ): RelayedChanges {
-  const range = { fromPosition, toPosition: position, learnedAtMs };
+  const range = {
+    fromPosition,
+    toPosition: position,
+    madeAfterMs: Number.NEGATIVE_INFINITY,
+  };
   const changed = objects.filter(([, version]) =>
     Number(version) > fromPosition
   );
@@ -494,6 +500,13 @@
   return { ...range, events, names };
 }
 
+/** An age that is sent for older changes, and where none is known. */
+const MAX_AGE_MS = 60_000;
+
+function encodeAgeMs(ageMs: number): number {
+  return Math.min(MAX_AGE_MS, Math.max(0, Math.round(ageMs)));
+}
+
 /** Limit of the reported healthy time; no VM distinguishes longer times. */
 const MAX_HEALTHY_MS = 60_000;
 
--- a/packages/entry/src/gateway/store/watch_relay_test.ts
+++ b/packages/entry/src/gateway/store/watch_relay_test.ts
@@ -49,7 +49,7 @@
     toPosition: 2,
     events: [{ name: object.name, object, previous }],
     ...(names === undefined ? {} : { names }),
-    learnedAtMs: 0,
+    madeAfterMs: 0,
   });
   const { method, params } = sent[0]!;
   const received = decodeMessage(Buffer.from(encodeMessage(method, params)));
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -469,8 +469,8 @@
       servers: new KindWatch({
         ...common,
         prefix: adapter.prefixes.servers,
-        onList: (objects) => registry.applyList(objects),
-        onChanges: (changes) => registry.applyChanges(changes),
+        onList: (objects, origin) => registry.applyList(objects, origin),
+        onChanges: (changes, origin) => registry.applyChanges(changes, origin),
       }),
       // Saves store calls where zones are never evacuated.
       evacuations: settings.evacuation && new KindWatch({
