fix: the grace of a drain ends in time, however late a VM learns of it

Cause: two budgets that add up to more than the bound. An owner that drains keeps its requests for 1.2 s, from the moment at which a VM learns of the drain, and a change may be learned of 2 s after it was made. A server that was draining in a VM's first list got the whole 1.2 s as well.

Change: the grace ends 1.2 s after the VM has learned of the drain, or 0.6 of the platform's bound after the change was made, whichever is sooner. Without a known age there is none. The bound comes with the settings (`drain.boundMs`, 2 s by default). Evacuations of zones had the same cause: their grace begins with the evacuation now.

--- a/packages/entry/src/gateway/gateway_settings.ts
+++ b/packages/entry/src/gateway/gateway_settings.ts
@@ -50,6 +50,11 @@
   }),
   /** Whether an earlier run of the process on this VM may just have ended. */
   isRestart: z.boolean().optional(),
+  /** Absent for 2 s. */
+  drain: z.strictObject({
+    /** Time in which requests to a server that drains must cease. */
+    boundMs: wholeMs,
+  }).optional(),
   /** Absent where zones are never evacuated. */
   evacuation: z.strictObject({
     /** Time in which requests to the zone's servers must cease. */
--- a/packages/entry/src/gateway/servers/server_registry.ts
+++ b/packages/entry/src/gateway/servers/server_registry.ts
@@ -14,10 +14,12 @@
   readonly storeCalmMs: () => number;
   readonly evacuations: ZoneEvacuations;
   /**
-   * How long after this VM learns of an evacuation the zone's servers may still
-   * get requests for keys that they own.
+   * How long after an evacuation began the zone's servers may still get requests
+   * for keys that they own.
    */
   readonly evacuationGraceMs: number;
+  /** Time in which requests to a draining server must cease. */
+  readonly drainBoundMs: number;
   /** Slow start settings of a service; undefined where it has none. */
   readonly coldStartOf: (
     service: contracts.ServiceId,
@@ -27,11 +29,15 @@
 }
 
 /**
- * How long a draining server may still get requests for keys that it owns:
- * longer than a handover, shorter than the platform's limit minus the delay
- * with which VMs learn of the drain.
+ * How long after this VM learns of a drain the server may still get requests for
+ * keys that it owns: longer than a handover.
  */
 const DRAINING_GRACE_MS = 1_200;
+/**
+ * Fraction of the time limit of a drain in which the same holds, from the drain
+ * itself on; the rest is for requests on their way.
+ */
+const DRAIN_GRACE_RATIO = 0.6;
 /** Grace after a store outage for entries that expired during it. */
 const EXPIRED_ENTRY_GRACE_MS = 2_400;
 /**
@@ -45,8 +51,10 @@
 
 interface KnownServer {
   entry: contracts.RegisteredServer;
-  /** When it began to drain or was removed. */
+  /** When this VM learned that it drains or was removed. */
   drainingSinceMs: number | undefined;
+  /** Until when it may get requests for keys that it owns; infinite while it stays. */
+  graceEndsAtMs: number;
   /** When its entry was found missing. */
   missingSinceMs: number | undefined;
   coldUntilMs: number;
@@ -113,15 +121,25 @@
   }
 
   /** Until when the server may get requests; infinite while it stays. */
-  #usableUntilMs({ entry, drainingSinceMs }: KnownServer): number {
+  #usableUntilMs({ entry, graceEndsAtMs }: KnownServer): number {
     const { evacuations, evacuationGraceMs } = this.#options;
-    const evacuatedSinceMs = evacuations.sinceMs(entry.zone);
+    const evacuatedAfterMs = evacuations.beganAfterMs(entry.zone);
     return Math.min(
-      (drainingSinceMs ?? Number.POSITIVE_INFINITY) + DRAINING_GRACE_MS,
-      (evacuatedSinceMs ?? Number.POSITIVE_INFINITY) + evacuationGraceMs,
+      graceEndsAtMs,
+      (evacuatedAfterMs ?? Number.POSITIVE_INFINITY) + evacuationGraceMs,
     );
   }
 
+  /**
+   * Whether an incarnation may get requests at this moment; asked again before
+   * the first byte of each.
+   */
+  mayReceive({ server, bornMs }: contracts.RangeOwner): boolean {
+    const known = this.#known.get(server);
+    return known?.entry.bornMs === bornMs &&
+      this.#options.clock.nowMs() < this.#usableUntilMs(known);
+  }
+
   /** End of a server's warm-up; in the past for a warm server. */
   coldUntilMs(server: contracts.ServerId): number {
     return this.#known.get(server)?.coldUntilMs ?? Number.NEGATIVE_INFINITY;
@@ -241,10 +259,9 @@
   #logDrainedZones(nowMs: number): void {
     const { evacuations, evacuationGraceMs, log } = this.#options;
     for (const zone of evacuations.zones) {
-      const sinceMs = evacuations.sinceMs(zone)!;
-      if (this.#drainedZones.has(zone) || nowMs - sinceMs < evacuationGraceMs) {
-        continue;
-      }
+      const leftMs = evacuations.beganAfterMs(zone)! + evacuationGraceMs -
+        nowMs;
+      if (this.#drainedZones.has(zone) || leftMs > 0) continue;
       this.#drainedZones.add(zone);
       log.info("Zone is drained: its servers get no requests from this VM.", {
         zone,
@@ -310,6 +327,7 @@
       ? {
         entry,
         drainingSinceMs: undefined,
+        graceEndsAtMs: Number.POSITIVE_INFINITY,
         missingSinceMs: undefined,
         coldUntilMs: Number.NEGATIVE_INFINITY,
         isLeaving: false,
@@ -322,6 +340,7 @@
     else if (next.drainingSinceMs !== undefined && !next.isLeaving) {
       log.info("Server is back.", { server: entry.server });
       next.drainingSinceMs = undefined;
+      next.graceEndsAtMs = Number.POSITIVE_INFINITY;
     }
   }
 
@@ -338,7 +357,13 @@
 
   #drain(known: KnownServer, reason: string, origin: DrainOrigin): void {
     if (known.drainingSinceMs !== undefined) return;
-    known.drainingSinceMs = this.#options.clock.nowMs();
+    const nowMs = this.#options.clock.nowMs();
+    const { ageMs = Number.POSITIVE_INFINITY } = origin;
+    known.drainingSinceMs = nowMs;
+    known.graceEndsAtMs = Math.min(
+      nowMs + DRAINING_GRACE_MS,
+      nowMs - ageMs + this.#options.drainBoundMs * DRAIN_GRACE_RATIO,
+    );
     const { server, service } = known.entry;
     const fields = { server, service, reason, ...origin };
     this.#options.log.info("Server leaves.", fields);
--- a/packages/entry/src/gateway/servers/server_registry_test.ts
+++ b/packages/entry/src/gateway/servers/server_registry_test.ts
@@ -8,6 +8,7 @@
 const SERVICE = "s" as contracts.ServiceId;
 const PREFIX = "servers/";
 const ZONE = "z" as contracts.ZoneId;
+const EVACUATION = `evacuations/${ZONE}`;
 /** This VM learns of changes as soon as they are made. */
 const AT_ONCE = { ageMs: 0 };
 const SILENT = { debug() {}, info() {}, warn() {}, error() {} };
@@ -55,6 +56,7 @@
     storeCalmMs: () => this.storeCalmMs,
     evacuations: this.evacuations,
     evacuationGraceMs: 2_500,
+    drainBoundMs: 2_500,
     coldStartOf: () => ({ warmUpMs: 3_000, requestsPerSecond: 5 }),
     clock: this.clock,
     log: SILENT,
@@ -108,7 +110,35 @@
   expect(fixture.registry.servers(SERVICE)).toEqual([]);
 });
 
-const EVACUATION = `evacuations/${ZONE}`;
+/** Guards against a grace that begins when a VM learns of a drain. */
+test("should end the grace of a drain in time, however late it is learned of", () => {
+  const graceMs = (ageMs: number | undefined) => {
+    const fixture = new Fixture();
+    fixture.registry.applyList([objectOf("a")], AT_ONCE);
+    fixture.isDraining = true;
+    const change = { name: `${PREFIX}a`, object: objectOf("a") };
+    fixture.registry.applyChanges([change], { ageMs });
+    const owner = { server: "a" as contracts.ServerId, bornMs: 1 };
+    while (fixture.registry.mayReceive(owner)) fixture.nowMs += 100;
+    expect(fixture.registry.servers(SERVICE)).toEqual([]);
+    return fixture.nowMs;
+  };
+  expect(graceMs(0)).toEqual(1_200);
+  expect(graceMs(1_000)).toEqual(500);
+  expect(graceMs(1_800)).toEqual(0);
+  expect(graceMs(undefined)).toEqual(0);
+});
+
+/** Guards against the same for an evacuation that a VM learns of late. */
+test("should end the grace of an evacuation in time, however late it is learned of", () => {
+  const fixture = new Fixture();
+  fixture.registry.applyList([objectOf("a")], AT_ONCE);
+  const evacuation = { name: EVACUATION, version: "2", value: "{}" };
+  fixture.evacuations.applyList([evacuation], { ageMs: 2_000 });
+  expect(fixture.registry.servers(SERVICE).length).toEqual(1);
+  fixture.nowMs = 500;
+  expect(fixture.registry.servers(SERVICE)).toEqual([]);
+});
 
 /** Guards against new requests to a zone that the operator evacuates. */
 test("should grant no keys and soon send no requests to an evacuated zone", () => {
@@ -117,7 +147,7 @@
   fixture.evacuations.applyChanges([{
     name: EVACUATION,
     object: { name: EVACUATION, version: "2", value: "{}" },
-  }]);
+  }], AT_ONCE);
   expect(fixture.staying).toEqual([]);
   expect(fixture.registry.servers(SERVICE).map((it) => it.isDraining))
     .toEqual([true]);
@@ -133,9 +163,9 @@
   fixture.registry.applyList([objectOf("a")], AT_ONCE);
   fixture.evacuations.applyList([
     { name: EVACUATION, version: "2", value: "{}" },
-  ]);
+  ], AT_ONCE);
   fixture.nowMs = 8_000;
-  fixture.evacuations.applyChanges([{ name: EVACUATION }]);
+  fixture.evacuations.applyChanges([{ name: EVACUATION }], AT_ONCE);
   expect(fixture.staying).toEqual(["a"]);
   const server = "a" as contracts.ServerId;
   expect(fixture.registry.coldUntilMs(server)).toEqual(11_000);
@@ -161,7 +191,7 @@
   const fixture = new Fixture();
   fixture.evacuations.applyList([
     { name: "evacuations/nowhere", version: "2", value: "{}" },
-  ]);
+  ], AT_ONCE);
   expect(fixture.evacuations.zones).toEqual([]);
 });
 
--- a/packages/entry/src/gateway/servers/zone_evacuations.ts
+++ b/packages/entry/src/gateway/servers/zone_evacuations.ts
@@ -2,6 +2,7 @@
 import type * as contracts from "@guavatide/contracts";
 import { Listeners } from "../../utils/listeners.ts";
 import type { Logger } from "../../utils/log.ts";
+import type { ChangeOrigin } from "../store/kind_watch.ts";
 import type { ObjectChange } from "../store/object_table.ts";
 import type { PlatformAdapter } from "../platform_adapter.ts";
 
@@ -17,10 +18,16 @@
 /** Receives the zones whose evacuation has ended; empty when none has. */
 export type EvacuationListener = (ended: readonly contracts.ZoneId[]) => void;
 
+interface Evacuation {
+  /** The earliest time at which it can have begun. */
+  readonly beganAfterMs: number;
+  readonly learnedAtMs: number;
+}
+
 /** Tracks the evacuations that operators start and end. */
 export class ZoneEvacuations {
   readonly #options: ZoneEvacuationsOptions;
-  readonly #sinceMs = new Map<contracts.ZoneId, number>();
+  readonly #evacuations = new Map<contracts.ZoneId, Evacuation>();
   readonly #listeners: Listeners<Parameters<EvacuationListener>>;
 
   constructor(options: ZoneEvacuationsOptions) {
@@ -33,9 +40,12 @@
     this.#listeners.add(listener);
   }
 
-  /** When this VM learned of a zone's evacuation; undefined if there is none. */
-  sinceMs(zone: contracts.ZoneId): number | undefined {
-    return this.#sinceMs.get(zone);
+  /**
+   * The earliest time at which a zone's evacuation can have begun; undefined if
+   * there is none.
+   */
+  beganAfterMs(zone: contracts.ZoneId): number | undefined {
+    return this.#evacuations.get(zone)?.beganAfterMs;
   }
 
   /** Whether a zone is in the settings. */
@@ -45,30 +55,39 @@
 
   /** Evacuated zones. */
   get zones(): readonly contracts.ZoneId[] {
-    return [...this.#sinceMs.keys()];
+    return [...this.#evacuations.keys()];
   }
 
   /** Applies a full list; evacuations that are not in it have ended. */
-  applyList(objects: readonly contracts.StoredObject[]): void {
+  applyList(
+    objects: readonly contracts.StoredObject[],
+    origin: Pick<ChangeOrigin, "ageMs">,
+  ): void {
     const listed = new Set(objects.map(({ name }) => this.#zoneOf(name)));
     const ended = this.zones.filter((zone) => !listed.has(zone));
-    for (const zone of listed) this.#begin(zone);
+    for (const zone of listed) this.#begin(zone, origin);
     this.#end(ended);
   }
 
   /** Applies a batch of changes and notifies listeners once. */
-  applyChanges(changes: readonly ObjectChange[]): void {
+  applyChanges(
+    changes: readonly ObjectChange[],
+    origin: Pick<ChangeOrigin, "ageMs">,
+  ): void {
     const ended: contracts.ZoneId[] = [];
     for (const { name, object } of changes) {
       const zone = this.#zoneOf(name);
-      if (object !== undefined) this.#begin(zone);
+      if (object !== undefined) this.#begin(zone, origin);
       else if (zone !== undefined) ended.push(zone);
     }
     this.#end(ended);
   }
 
-  #begin(zone: contracts.ZoneId | undefined): void {
-    if (zone === undefined || this.#sinceMs.has(zone)) return;
+  #begin(
+    zone: contracts.ZoneId | undefined,
+    { ageMs }: Pick<ChangeOrigin, "ageMs">,
+  ): void {
+    if (zone === undefined || this.#evacuations.has(zone)) return;
     const { zones, clock, log } = this.#options;
     if (!this.isKnown(zone)) {
       return log.warn(
@@ -76,17 +95,22 @@
         { zone, known: [...zones].join() },
       );
     }
-    this.#sinceMs.set(zone, clock.nowMs());
-    log.info("Zone is evacuated.", { zone });
+    const learnedAtMs = clock.nowMs();
+    this.#evacuations.set(zone, {
+      beganAfterMs: learnedAtMs - (ageMs ?? Number.POSITIVE_INFINITY),
+      learnedAtMs,
+    });
+    log.info("Zone is evacuated.", { zone, ageMs });
   }
 
   /** Ends evacuations, then notifies listeners, also of those that began. */
   #end(zones: readonly contracts.ZoneId[]): void {
     const { clock, log } = this.#options;
-    const ended = zones.filter((zone) => this.#sinceMs.has(zone));
+    const ended = zones.filter((zone) => this.#evacuations.has(zone));
     for (const zone of ended) {
-      const lastedMs = Math.round(clock.nowMs() - this.#sinceMs.get(zone)!);
-      this.#sinceMs.delete(zone);
+      const { learnedAtMs } = this.#evacuations.get(zone)!;
+      const lastedMs = Math.round(clock.nowMs() - learnedAtMs);
+      this.#evacuations.delete(zone);
       log.info("Evacuation of a zone has ended.", { zone, lastedMs });
     }
     this.#listeners.notify(ended);
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -72,6 +72,8 @@
  * still get requests; the rest covers late notification of entry VMs.
  */
 const EVACUATION_GRACE_RATIO = 0.5;
+/** Time in which requests to a draining server must cease, without a setting. */
+const DRAIN_BOUND_MS = 2_000;
 /**
  * Time to establish a connection to a server; a lost opening packet is repeated
  * only after a second, and a peer's connection is faster.
@@ -145,6 +147,7 @@
     evacuations,
     evacuationGraceMs: (settings.evacuation?.boundMs ?? 0) *
       EVACUATION_GRACE_RATIO,
+    drainBoundMs: settings.drain?.boundMs ?? DRAIN_BOUND_MS,
     coldStartOf: (service) => config.service(service)?.coldStart,
     storeCalmMs: () => relay.storeHealthyMs,
     clock,
@@ -476,8 +479,9 @@
       evacuations: settings.evacuation && new KindWatch({
         ...common,
         prefix: adapter.prefixes.evacuations,
-        onList: (objects) => evacuations.applyList(objects),
-        onChanges: (changes) => evacuations.applyChanges(changes),
+        onList: (objects, origin) => evacuations.applyList(objects, origin),
+        onChanges: (changes, origin) =>
+          evacuations.applyChanges(changes, origin),
       }),
       poisonRequests: new KindWatch({
         ...common,
