fix: the loss of a zone's servers is not taken for a VM's own cut

Cause: three failing servers, and 100 ms in which no other one was heard, counted as a cut of the VM's own links; all servers were then left to peers, which had concluded the same. With 25 requests a second, and a processor that reads answers every 100 to 300 ms, such a silence is usual. The paths came back one probe at a time, eight at once: 1.9 to 3.9 s after they were lost. The class: a conclusion about everything from a sample too small for it, and one that is kept after its premise is gone.

Change: at least half of the servers in use have to fail as well; and as soon as any server is heard, all paths that were lost only by inference are used again.

--- a/packages/ctl/src/request_explanation.ts
+++ b/packages/ctl/src/request_explanation.ts
@@ -82,6 +82,8 @@
   "Server limits its requests.",
   "Server no longer limits its requests.",
   "Does not reach servers; peers send their requests.",
+  "Reaches servers again.",
+  // In logs of earlier versions.
   "Reaches a server again.",
 ]);
 
--- a/packages/decisions/src/paths/path_tracker.ts
+++ b/packages/decisions/src/paths/path_tracker.ts
@@ -31,7 +31,8 @@
   }
   | {
     readonly kind: "restored";
-    readonly server: contracts.ServerId;
+    readonly servers: readonly contracts.ServerId[];
+    /** Longest time for which one of them was lost. */
     readonly awayMs: number;
   };
 
@@ -90,6 +91,11 @@
 const MIN_CONNECT_FAILURES = 2;
 /** Failing servers that show that this VM is the cause, if nothing is heard. */
 const MIN_FAILING_SERVERS = 3;
+/**
+ * The same as a fraction of the servers in use: those of a zone may be lost
+ * together, and a busy VM reads no answer for longer than the silence above.
+ */
+const MIN_FAILING_RATIO = 0.5;
 /** For this long no server was heard when a VM counts as cut off. */
 const CUT_OFF_SILENCE_MS = 100;
 /** A request that takes longer than this many times the usual is doubtful. */
@@ -122,6 +128,8 @@
   downAtMs: number;
   use: PathUse;
   cause: PathLossCause | undefined;
+  /** Whether it was lost with others, and has not failed itself. */
+  isInferred: boolean;
   /** Whether a new connection was refused, so that one that works is news. */
   isRefusing: boolean;
   /** Since when it is in trial. */
@@ -263,8 +271,19 @@
     path.heardAtMs = nowMs;
     this.#heardAtMs = nowMs;
     path.downAtMs = Number.NEGATIVE_INFINITY;
+    const restored = this.#takeInferred();
     // Open connections say nothing of new ones.
-    if (!path.isRefusing) this.#restore(server, path, nowMs);
+    if (!path.isRefusing && !restored.includes(server)) restored.push(server);
+    this.#restore(restored, nowMs);
+  }
+
+  /** Paths that were lost only because no server was heard. */
+  #takeInferred(): contracts.ServerId[] {
+    const found: contracts.ServerId[] = [];
+    for (const server of this.#lost) {
+      if (this.#paths.get(server)!.isInferred) found.push(server);
+    }
+    return found;
   }
 
   /** A new connection to the server failed. */
@@ -350,8 +369,8 @@
   ): void {
     const path = this.#path(server);
     if (path.use === "none") return;
-    const isFailing = path.failedAtMs > path.heardAtMs;
-    if (!isFailing && !this.#isSilent(path, nowMs)) return;
+    const hasFailed = path.failedAtMs > path.heardAtMs;
+    if (!hasFailed && !this.#isSilent(path, nowMs)) return;
     const isAccepting = connection === "accepted";
     if (!isAccepting) {
       path.connectFailures = MIN_CONNECT_FAILURES;
@@ -437,9 +456,7 @@
     }
     const isHeardAgain = path.cause === "cut-off" &&
       this.#heardAtMs > path.lostAtMs;
-    if (path.isRefusing || isHeardAgain) {
-      return this.#restore(server, path, nowMs);
-    }
+    if (path.isRefusing || isHeardAgain) return this.#restore([server], nowMs);
     if (nowMs - this.#trialAtMs < TRIAL_INTERVAL_MS) return;
     this.#trialAtMs = nowMs;
     path.use = "trial";
@@ -473,14 +490,15 @@
     if (nowMs - this.#heardAtMs < CUT_OFF_SILENCE_MS) return;
     let failing = 0;
     let used = 0;
-    for (const { failedAtMs, heardAtMs, attempts } of this.#paths.values()) {
-      const isFailing = failedAtMs > heardAtMs &&
-        nowMs - failedAtMs < FAILURE_TTL_MS;
-      if (isFailing) failing++;
+    for (const path of this.#paths.values()) {
+      const { attempts, heardAtMs } = path;
+      const hasFailed = isFailing(path, nowMs);
+      if (hasFailed) failing++;
       const isUsed = attempts.size > 0 || nowMs - heardAtMs < FAILURE_TTL_MS;
-      if (isFailing || isUsed) used++;
+      if (hasFailed || isUsed) used++;
     }
     if (failing < 2 || failing < Math.min(MIN_FAILING_SERVERS, used)) return;
+    if (failing < MIN_FAILING_RATIO * used) return;
     const servers = [...this.#options.servers()]
       .filter((server) => this.useOf(server) !== "none");
     if (servers.length > 0) this.#lose(servers, "cut-off", nowMs, "none");
@@ -502,6 +520,8 @@
         path.lostAtMs = nowMs;
         path.nextProbeMs = nowMs + this.#probeIntervalMs(path);
         path.cause = cause;
+        path.isInferred = cause === "cut-off" && !isFailing(path, nowMs) &&
+          !isSilentFor(path, SINGLE_LIMITS, nowMs);
         path.isRefusing = nowMs - path.refusedAtMs < FAILURE_TTL_MS;
         newlyLost.push(server);
       }
@@ -516,15 +536,21 @@
     lost.forEach(giveUp);
   }
 
-  #restore(server: contracts.ServerId, path: PathState, nowMs: number): void {
-    if (!this.#lost.delete(server)) return;
-    path.use = "any";
-    path.isRefusing = false;
-    path.connectFailures = 0;
-    path.failedAtMs = Number.NEGATIVE_INFINITY;
-    path.restoredAtMs = nowMs;
-    const awayMs = nowMs - path.lostAtMs;
-    this.#options.onChange({ kind: "restored", server, awayMs });
+  #restore(servers: readonly contracts.ServerId[], nowMs: number): void {
+    const restored = servers.filter((server) => this.#lost.delete(server));
+    if (restored.length === 0) return;
+    let awayMs = 0;
+    for (const server of restored) {
+      const path = this.#paths.get(server)!;
+      path.use = "any";
+      path.isRefusing = false;
+      path.isInferred = false;
+      path.connectFailures = 0;
+      path.failedAtMs = Number.NEGATIVE_INFINITY;
+      path.restoredAtMs = nowMs;
+      awayMs = Math.max(awayMs, nowMs - path.lostAtMs);
+    }
+    this.#options.onChange({ kind: "restored", servers: restored, awayMs });
   }
 
   #probeIntervalMs({ relapses }: PathState): number {
@@ -550,6 +576,7 @@
       downAtMs: Number.NEGATIVE_INFINITY,
       use: "any",
       cause: undefined,
+      isInferred: false,
       isRefusing: false,
       trialSinceMs: Number.NEGATIVE_INFINITY,
       lostAtMs: Number.NEGATIVE_INFINITY,
@@ -593,6 +620,13 @@
   return false;
 }
 
+function isFailing(
+  { failedAtMs, heardAtMs }: PathState,
+  nowMs: number,
+): boolean {
+  return failedAtMs > heardAtMs && nowMs - failedAtMs < FAILURE_TTL_MS;
+}
+
 function noteRefused(path: PathState, nowMs: number): void {
   path.isRefusing = true;
   path.refusedAtMs = nowMs;
--- a/packages/entry/src/gateway/paths/server_paths.ts
+++ b/packages/entry/src/gateway/paths/server_paths.ts
@@ -483,10 +483,9 @@
     reach.noteOwnChange();
     this.#reviewTask?.setIntervalMs(REVIEW_INTERVAL_MS);
     if (change.kind === "restored") {
-      const { server, awayMs } = change;
-      return log.info("Reaches a server again.", {
-        server,
-        awayMs: Math.round(awayMs),
+      return log.info("Reaches servers again.", {
+        servers: change.servers.join(),
+        awayMs: Math.round(change.awayMs),
       });
     }
     const { servers, cause } = change;
