fix: keys whose owner is gone are refused when no successor comes

Cause: once an owner's grace is over, or its registration is removed, its keys still have an owner in the range map and none in the queue. The expected wait was then 250 ms for ever and never overdue, so the request was kept.

Change: such a key counts as one whose owner is not known, since the moment at which that was first found. A request waits for the usual time of a handover and is refused with 503 and Retry-After when that takes longer.

Measured: the test of service_queue_test was held until its deadline before and passes; all 163 tests of admission pass.

--- a/packages/decisions/src/admission/queue_refusals.ts
+++ b/packages/decisions/src/admission/queue_refusals.ts
@@ -28,7 +28,7 @@
 
   /** Why a request can't be sent now. */
   blockedBy(request: WaitingRequest, nowMs: number): RefusalReason {
-    const owner = this.#servers.ownerOf(request);
+    const owner = this.#servers.ownerOf(request, nowMs);
     // Without any server, waiting for a key's handover is pointless as well.
     if (this.#servers.loads.size === 0) return "no-server";
     const isOutsideHome = owner?.kind === "owned"
--- a/packages/decisions/src/admission/queue_servers.ts
+++ b/packages/decisions/src/admission/queue_servers.ts
@@ -15,6 +15,8 @@
 const OVERFLOW_REQUESTS_WHILE_COLD = 4;
 /** A back-off that ends within this time is waited for. */
 const MAX_BACKOFF_WAIT_MS = 10;
+/** Owners that were found missing are remembered for this long. */
+const MISSING_OWNER_TTL_MS = 60_000;
 /** A request without a key has no owner at a service with keys. */
 export const NO_KEY_OWNER: KeyOwner = { kind: "unknown", ageMs: 0 };
 
@@ -24,6 +26,8 @@
   readonly #loads = new Map<contracts.ServerId, ServerLoad>();
   /** Servers that this VM's cell uses; undefined for all servers. */
   #inCell: ReadonlySet<contracts.ServerId> | undefined;
+  /** Owners of keys that may get no requests, and since when; oldest first. */
+  readonly #missingSinceMs = new Map<string, number>();
 
   constructor(options: ServiceQueueOptions) {
     this.#options = options;
@@ -49,6 +53,9 @@
     inCell?: ReadonlySet<contracts.ServerId>,
   ): void {
     const named = new Map(entries.map((entry) => [entry.server, entry]));
+    for (const entry of entries) {
+      this.#missingSinceMs.delete(incarnationName(entry));
+    }
     for (const server of this.#loads.keys()) {
       if (!named.has(server)) this.#loads.delete(server);
     }
@@ -69,13 +76,32 @@
     return { zone, times, random, nowMs, isCold };
   }
 
-  /** Owner of a request's key; undefined at a service without keys. */
-  ownerOf(request: WaitingRequest): KeyOwner | undefined {
+  /**
+   * Owner of a request's key; undefined at a service without keys. One that may
+   * get no requests any more counts as unknown: its keys wait for a successor.
+   */
+  ownerOf(request: WaitingRequest, nowMs: number): KeyOwner | undefined {
     const { keyed } = this.#options;
     if (keyed === undefined) return undefined;
-    return request.key === undefined
-      ? NO_KEY_OWNER
-      : keyed.ownerOf(request.key);
+    if (request.key === undefined) return NO_KEY_OWNER;
+    const owner = keyed.ownerOf(request.key);
+    if (owner.kind !== "owned") return owner;
+    const load = this.#loads.get(owner.server);
+    if (load?.entry.bornMs === owner.bornMs) return owner;
+    return { kind: "unknown", ageMs: this.#missingMs(owner, nowMs) };
+  }
+
+  /** Time since an owner was first found missing. */
+  #missingMs(owner: contracts.RangeOwner, nowMs: number): number {
+    const name = incarnationName(owner);
+    const sinceMs = this.#missingSinceMs.get(name);
+    if (sinceMs !== undefined) return nowMs - sinceMs;
+    for (const [other, otherSinceMs] of this.#missingSinceMs) {
+      if (nowMs - otherSinceMs <= MISSING_OWNER_TTL_MS) break;
+      this.#missingSinceMs.delete(other);
+    }
+    this.#missingSinceMs.set(name, nowMs);
+    return 0;
   }
 
   /** The best server with room for a request; undefined for none. */
@@ -153,7 +179,7 @@
    */
   shortestBackoffMs(request: WaitingRequest, nowMs: number): number {
     if (!this.#hasBackoffs) return 0;
-    const owner = this.ownerOf(request);
+    const owner = this.ownerOf(request, nowMs);
     if (owner !== undefined) {
       const load = owner.kind === "owned"
         ? this.#loads.get(owner.server)
@@ -308,8 +334,12 @@
   }
 
   /** Identifies the servers that a request waits for. */
-  destinationOf(request: WaitingRequest): string {
-    const owner = this.ownerOf(request);
+  destinationOf(request: WaitingRequest, nowMs: number): string {
+    const owner = this.ownerOf(request, nowMs);
     return owner?.kind === "owned" ? owner.server : owner?.kind ?? "any";
   }
 }
+
+function incarnationName({ server, bornMs }: contracts.RangeOwner): string {
+  return `${server}/${bornMs}`;
+}
--- a/packages/decisions/src/admission/service_queue.ts
+++ b/packages/decisions/src/admission/service_queue.ts
@@ -82,7 +82,7 @@
   /** Sends, queues or refuses a request; calls its `placed` or `refused`. */
   add(request: WaitingRequest, nowMs: number): void {
     const isUnreached = this.#servers.isUnreached(
-      this.#servers.ownerOf(request),
+      this.#servers.ownerOf(request, nowMs),
       request,
     );
     this.#order.fractions?.recordArrival(request, nowMs);
@@ -173,7 +173,7 @@
   refuse(request: WaitingRequest, refusal: Refusal, nowMs: number): void {
     const index = this.#waiting.indexOf(request);
     if (index < 0) return;
-    const owner = this.#servers.ownerOf(request);
+    const owner = this.#servers.ownerOf(request, nowMs);
     const server = owner?.kind === "owned"
       ? owner.server
       : this.#options.capped?.serverAsked(request);
@@ -222,7 +222,7 @@
       // Routes to one destination may be allowed different numbers of its
       // slots.
       const group = `${
-        this.#servers.destinationOf(request)
+        this.#servers.destinationOf(request, nowMs)
       } ${request.route.name}`;
       if (!full.has(group) && this.#trySend(request, nowMs)) {
         this.#order.recordSent(request, queued);
@@ -273,7 +273,7 @@
   }
 
   #trySend(request: WaitingRequest, nowMs: number): boolean {
-    const owner = this.#servers.ownerOf(request);
+    const owner = this.#servers.ownerOf(request, nowMs);
     return owner === undefined
       ? this.#tryAny(request, nowMs)
       : this.#tryOwner(request, owner, nowMs);
@@ -347,7 +347,7 @@
   /** Whether the request waits for a coordinator to grant it a slot. */
   #awaitsSlot(request: WaitingRequest, nowMs: number): boolean {
     if (this.#options.capped?.isAsking(request)) return true;
-    const owner = this.#servers.ownerOf(request);
+    const owner = this.#servers.ownerOf(request, nowMs);
     if (owner?.kind !== "owned") return false;
     if (this.#servers.isUnreached(owner, request)) return false;
     const load = this.#servers.loads.get(owner.server);
--- a/packages/decisions/src/admission/wait_estimate.ts
+++ b/packages/decisions/src/admission/wait_estimate.ts
@@ -80,7 +80,7 @@
 
   /** Whether what a request waits for should have happened by now. */
   isOverdue(request: WaitingRequest, nowMs: number): boolean {
-    const owner = this.#servers.ownerOf(request);
+    const owner = this.#servers.ownerOf(request, nowMs);
     if (owner === undefined) return (this.#options.stalledMs?.(nowMs) ?? 0) > 0;
     if (owner.kind !== "owned") return isHandoverOverdue(owner);
     return this.#servers.loads.get(owner.server)?.isUp(nowMs) === false;
@@ -92,7 +92,7 @@
     queued: readonly WaitingRequest[],
     nowMs: number,
   ): number {
-    const owner = this.#servers.ownerOf(request);
+    const owner = this.#servers.ownerOf(request, nowMs);
     const backoffMs = this.#servers.shortestBackoffMs(request, nowMs);
     if (backoffMs > 0) return backoffMs;
     if (this.#servers.isUnreached(owner, request)) {
@@ -102,11 +102,11 @@
       return handoverWaitMs(owner);
     }
     const rank = this.#order.rank(request, nowMs);
-    const destination = this.#servers.destinationOf(request);
+    const destination = this.#servers.destinationOf(request, nowMs);
     const ahead =
       queued.filter((other) =>
         this.#order.rank(other, nowMs) <= rank &&
-        this.#servers.destinationOf(other) === destination
+        this.#servers.destinationOf(other, nowMs) === destination
       ).length;
     const queuedHere = Math.max(1, queued.length);
     const { times } = this.#options;
