fix: a request is held back when its server may get no more, up to its first byte

A request was sent to a VM 1.4 s after its server's drain and reached the server 1.4 s later; what was decided before it waited was not looked at again.

Cause: a server is chosen once. Until the first byte only the end of the request and a back-off of the server were asked for, at a relaying peer only the end of the call. A peer took any server that it still remembered, for 60 s after its drain.

Change: `ServerRegistry.mayReceive` is asked when a request is sent, before each peer, and right before the first byte, also by a peer that relays. A request that is held back has not run: it is queued again after 25 ms and is no attempt. A request whose deadline has passed isn't written either, should its timer be late, and one that ends between two attempts, at no server, gets 503 instead of 504.

--- a/packages/entry/src/gateway/forwarding/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarding/forwarded_request.ts
@@ -81,8 +81,11 @@
 const HANDOVER_RETRY_AFTER_MS = 150;
 /** No retry with less time left than this fraction of the expected time. */
 const MIN_RETRY_TIME_RATIO = 0.6;
-/** Wait before a request that its key's owner refused is queued again. */
-const OWNER_REFUSAL_BACKOFF_MS = 25;
+/**
+ * Wait before a request is queued again that its key's owner refused, or whose
+ * server may get no more requests.
+ */
+const REQUEUE_DELAY_MS = 25;
 
 /** An attempt that has not ended. */
 interface PendingAttempt {
@@ -319,10 +322,10 @@
       headers: this.#context.headers(this.#request, entry, serverLeftMs),
       body,
       maySend: () => {
-        attempt.leftAtMs = this.#isDone
-          ? undefined
-          : this.#context.clock.nowMs();
-        return !this.#isDone;
+        const nowMs = this.#context.clock.nowMs();
+        attempt.leftAtMs = nowMs;
+        // The timer of the deadline may run late.
+        return !this.#isDone && nowMs < this.answerByMs;
       },
       onServerStamp: () => {},
     };
@@ -335,7 +338,7 @@
     }
     if (result.kind === "refusal") return { kind: "rejected" };
     const isOurPath = result.kind === "not-sent"
-      ? result.hasNoPath || result.isHeldBack
+      ? result.hasNoPath || result.isHeldBack || result.isServerGone
       : result.isPathLost;
     if (isOurPath) return { kind: "abandoned" };
     return {
@@ -360,6 +363,7 @@
         this.#attemptCount--;
         if (result.hasNoPath) return this.#handleMissingPath(server);
         if (result.isHeldBack) return this.#requeue();
+        if (result.isServerGone) return this.#requeueSoon();
         if (this.key === undefined) this.tried.add(server);
         return this.#retryOrGiveUp("no connection", false);
       case "unknown":
@@ -401,16 +405,19 @@
     const isKeyed = this.key !== undefined && this.#isKeyedService();
     if (!isKeyed) this.tried.add(server);
     if (this.#hasRetryLeft() && this.#context.tryRetry()) {
-      if (!isKeyed) return this.#requeue();
-      const requeue = () => {
-        if (!this.#isDone) this.#requeue();
-      };
-      setTimeout(() => this.#run(requeue), OWNER_REFUSAL_BACKOFF_MS);
-      return;
+      return isKeyed ? this.#requeueSoon() : this.#requeue();
     }
     this.#giveUp(`server refused: ${refusal}`, HANDOVER_RETRY_AFTER_MS);
   }
 
+  /** Queues it again once the queue may have learned of another server. */
+  #requeueSoon(): void {
+    const requeue = () => {
+      if (!this.#isDone) this.#requeue();
+    };
+    setTimeout(() => this.#run(requeue), REQUEUE_DELAY_MS);
+  }
+
   /** Whether another attempt is to be made beside one whose path is lost. */
   #mayOvertake({ isOvertaken }: PendingAttempt): boolean {
     return !this.#isDone && !isOvertaken && this.route.isIdempotent &&
@@ -581,7 +588,8 @@
   #onTimeout(): void {
     if (this.#isDone) return;
     const wasWaiting = this.#context.queue.cancel(this);
-    if (wasWaiting) {
+    // Between two attempts it is at no server either.
+    if (wasWaiting || this.#pending.size === 0) {
       this.#queuedMs += this.#context.clock.nowMs() - this.#waitingSinceMs;
       return this.#giveUp("timed out while waiting", HANDOVER_RETRY_AFTER_MS);
     }
--- a/packages/entry/src/gateway/paths/attempt_relay.ts
+++ b/packages/entry/src/gateway/paths/attempt_relay.ts
@@ -25,7 +25,7 @@
 /** Options of {@link AttemptRelay}. */
 export interface AttemptRelayOptions {
   readonly gossip: Pick<PeerGossip, "isKnownRun">;
-  readonly registry: Pick<ServerRegistry, "entry">;
+  readonly registry: Pick<ServerRegistry, "entry" | "mayReceive">;
   readonly paths: Pick<
     ServerPaths,
     "sendDirect" | "observe" | "reaches" | "ownReach"
@@ -218,9 +218,11 @@
     subject: PoisonSubject,
     entry: contracts.RegisteredServer | undefined,
   ): messages.DeclineReason | undefined {
-    const { paths, poison, processorCores, waitMs } = this.#options;
+    const { paths, poison, processorCores, waitMs, registry } = this.#options;
     if (this.#isStopping) return "stopping";
-    if (entry === undefined) return "unknown-server";
+    if (entry === undefined || !registry.mayReceive(entry)) {
+      return "unknown-server";
+    }
     if (!paths.reaches(server)) return "unreached";
     const ratio = Math.max(MIN_LIMIT_RATIO, 1 - RANK_RESERVE_RATIO * priority);
     const isFull =
--- a/packages/entry/src/gateway/paths/attempt_relay_test.ts
+++ b/packages/entry/src/gateway/paths/attempt_relay_test.ts
@@ -28,7 +28,10 @@
   async start(options: Partial<AttemptRelayOptions> = {}): Promise<void> {
     const relay = new AttemptRelay({
       gossip: { isKnownRun: () => true },
-      registry: { entry: () => serverEntryOf(SERVER) },
+      registry: {
+        entry: () => serverEntryOf(SERVER),
+        mayReceive: () => true,
+      },
       paths: {
         sendDirect: () =>
           new Promise((resolve) => this.#answers.push(() => resolve(ANSWER))),
@@ -180,6 +183,20 @@
     },
   }));
 
+/** Guards against a drained server that gets requests over peers. */
+test("should decline a request for a server that may get no requests any more", () =>
+  withRelay(async (fixture) => {
+    expect(await fixture.send(0)).toEqual("unknown-server");
+  }, {
+    registry: { entry: () => serverEntryOf(SERVER), mayReceive: () => false },
+    paths: {
+      sendDirect: () => Promise.reject(new Error("nothing may be sent")),
+      observe: () => Promise.resolve({ isAccepting: true, heardAgoMs: 1 }),
+      reaches: () => true,
+      ownReach: { isCutOff: false, lostServers: new Set() },
+    },
+  }));
+
 test("should answer what is no message with an error", () =>
   withRelay(async (fixture) => {
     expect(await fixture.call(Buffer.from("no JSON\n"))).toEqual("400");
--- a/packages/entry/src/gateway/paths/relay_messages.ts
+++ b/packages/entry/src/gateway/paths/relay_messages.ts
@@ -59,7 +59,7 @@
 const declineReasonSchema = z.enum([
   /** The sender is not a VM that the receiver knows. */
   "unknown-vm",
-  /** The receiver doesn't know the server. */
+  /** The receiver doesn't know the server, or may not send to it any more. */
   "unknown-server",
   "stopping",
   "overloaded",
@@ -217,8 +217,12 @@
 
 /** A failure of the peer's own says nothing about the server. */
 function declineReasonOf(
-  { isLocal, hasNoPath }: Extract<AttemptResult, { kind: "not-sent" }>,
+  { isLocal, hasNoPath, isServerGone }: Extract<
+    AttemptResult,
+    { kind: "not-sent" }
+  >,
 ): DeclineReason {
+  if (isServerGone) return "unknown-server";
   return isLocal && !hasNoPath ? "overloaded" : "unreached";
 }
 
--- a/packages/entry/src/gateway/paths/server_paths.ts
+++ b/packages/entry/src/gateway/paths/server_paths.ts
@@ -36,7 +36,10 @@
 export interface ServerPathsOptions {
   readonly host: string;
   readonly zone: contracts.ZoneId;
-  readonly registry: Pick<ServerRegistry, "ids" | "find" | "onChange">;
+  readonly registry: Pick<
+    ServerRegistry,
+    "ids" | "find" | "mayReceive" | "onChange"
+  >;
   readonly connections: Pick<ConnectionPools, "pool" | "hasOpenConnection">;
   readonly connectionLimitOf: (service: contracts.ServiceId) => number;
   readonly gossip: Pick<PeerGossip, "live" | "roleWeights">;
@@ -79,6 +82,14 @@
   message: "The server has asked this VM to back off",
 };
 
+/** The server drains or was removed, and its grace has ended. */
+const SERVER_GONE: AttemptResult = {
+  kind: "not-sent",
+  isLocal: true,
+  isServerGone: true,
+  message: "The server may get no more requests",
+};
+
 /** All ways from this VM to servers. */
 export class ServerPaths {
   readonly #options: ServerPathsOptions;
@@ -135,7 +146,8 @@
     request: AttemptRequest,
     options: PathSendOptions,
   ): Promise<PathResult> {
-    const { clock, backoffs } = this.#options;
+    const { clock, backoffs, registry } = this.#options;
+    if (!registry.mayReceive(entry)) return SERVER_GONE;
     if (backoffs.leftMs(entry.server) > 0) return HELD_BACK;
     const startMs = clock.nowMs();
     if (!this.#maySendDirect(entry, options)) {
@@ -178,14 +190,14 @@
     options: Omit<PathSendOptions, "request" | "priority">,
   ): Promise<AttemptResult> {
     const { server } = entry;
-    const { clock, backoffs } = this.#options;
+    const { clock, backoffs, registry } = this.#options;
     let abandon: ((message: string) => void) | undefined;
     let isAbandoned = false;
-    let isHeldBack = false;
+    let withheld: AttemptResult | undefined;
     const maySend = () => {
-      if (!request.maySend()) return false;
-      isHeldBack = backoffs.leftMs(server) > 0;
-      return !isHeldBack;
+      if (!registry.mayReceive(entry)) withheld = SERVER_GONE;
+      else if (backoffs.leftMs(server) > 0) withheld = HELD_BACK;
+      return withheld === undefined && request.maySend();
     };
     const attempt: paths.OpenAttempt = {
       startedMs: clock.nowMs(),
@@ -205,7 +217,7 @@
       onStarted: (giveUp) => abandon = giveUp,
     });
     this.#tracker.end(server, attempt);
-    if (isHeldBack) return HELD_BACK;
+    if (withheld !== undefined) return withheld;
     this.#noteNotices(entry, result);
     if (isAbandoned && result.kind === "unknown") {
       return { ...result, isPathLost: true };
@@ -331,10 +343,12 @@
     options: PathSendOptions,
   ): Promise<PathResult> {
     const { server } = entry;
-    const { clock, relays } = this.#options;
+    const { clock, relays, registry } = this.#options;
+    const maySend = () => registry.mayReceive(entry) && request.maySend();
     const reasons = new Set<DeclineReason>();
     const startMs = clock.nowMs();
     for (let asked = 0; asked < MAX_PEERS_ASKED; asked++) {
+      if (!registry.mayReceive(entry)) return SERVER_GONE;
       const nowMs = clock.nowMs();
       const leftMs = options.timeoutMs - (nowMs - startMs);
       const isOver = leftMs <= 1 || options.signal.aborted;
@@ -345,10 +359,12 @@
         break;
       }
       const end = this.#selector.start(peer.vm);
-      const sent = await relays.attempt(peer, entry, request, {
-        ...options,
-        timeoutMs: leftMs,
-      });
+      const sent = await relays.attempt(
+        peer,
+        entry,
+        { ...request, maySend },
+        { ...options, timeoutMs: leftMs },
+      );
       end();
       const endedMs = clock.nowMs();
       if (sent.kind === "ended") {
@@ -360,7 +376,9 @@
           sent.result.kind === "refusal";
         if (isReached) this.#tracker.noteReachedByPeer(server, endedMs);
         this.#noteNotices(entry, sent.result, peer.vm);
-        return { ...sent.result, via: peer.vm };
+        const wasWithheld = sent.result.kind === "not-sent" &&
+          !registry.mayReceive(entry);
+        return wasWithheld ? SERVER_GONE : { ...sent.result, via: peer.vm };
       }
       if (sent.kind === "unavailable") {
         this.#selector.noteLoss(peer.vm, endedMs);
--- a/packages/entry/src/links/server_connection.ts
+++ b/packages/entry/src/links/server_connection.ts
@@ -58,6 +58,8 @@
     readonly hasNoPath?: boolean;
     /** Whether the server has asked this VM to back off. */
     readonly isHeldBack?: boolean;
+    /** Whether the server may get no more requests from this VM. */
+    readonly isServerGone?: boolean;
   }
   /** Bytes were sent and no whole response came. */
   | {
