fix: an answer with a status that is none of HTTP is a bad answer

Here 600 and 999 were passed on as they were. 000 to 099 were taken for interim answers; their bodies then failed the request with an error of our own, as a lost connection, which counts as a hint that the request has crashed the server. Calls to the store, to servers and to peers took any number, as did the replies of relaying peers.

Cause: HTTP parsers take in any digits, and nothing checked the range where an answer enters the program.

Change: `answer_status.ts` says which statuses are interim or final (RFC 9110, 100 to 599). Requests, calls, and replies that a peer relays treat all others as bytes that are no answer: the connection is given up, and the caller gets 502, or the answer of another server where the request may be repeated.

--- a/packages/entry/src/gateway/paths/relay_messages.ts
+++ b/packages/entry/src/gateway/paths/relay_messages.ts
@@ -5,6 +5,7 @@
 import * as contracts from "@guavatide/contracts";
 import * as z from "zod";
 import type { AttemptResult } from "../../links/server_connection.ts";
+import { isFinalStatus } from "../../utils/answer_status.ts";
 
 /** Path of these messages on the port between entry VMs. */
 export const RELAY_PATH = "/relay";
@@ -234,6 +235,10 @@
   switch (reply.kind) {
     case "answer": {
       const { status, headers, endsWithConnection } = reply;
+      if (!isFinalStatus(status)) {
+        const message = `The server's status ${status} is none of HTTP`;
+        return { kind: "unknown", reason: "bad-answer", message };
+      }
       const answer = { status, headers, body, endsWithConnection };
       return { kind: "answer", answer, ...reportsIn(reply) };
     }
--- a/packages/entry/src/links/server_connection.ts
+++ b/packages/entry/src/links/server_connection.ts
@@ -10,6 +10,11 @@
   isTooLarge,
   OverheadLimit,
 } from "../utils/answer_limits.ts";
+import {
+  InvalidStatusError,
+  isFinalStatus,
+  isInterimStatus,
+} from "../utils/answer_status.ts";
 import { BrokenConnectionMonitor } from "../utils/broken_connection.ts";
 import { buildResettingConnector } from "../utils/reset_connection.ts";
 import { AnswerBody } from "./answer_body.ts";
@@ -28,9 +33,6 @@
  */
 const UNUSED_SERVER_NAME = "-";
 
-/** Answers with a lower status are interim ones. */
-const FIRST_FINAL_STATUS = 200;
-
 /** One attempt of a request, as sent over a connection. */
 export interface AttemptRequest {
   readonly id: contracts.RequestId;
@@ -255,7 +257,10 @@
         this.#overhead.startAnswer();
       },
       onResponseStart: (controller, status) => {
-        if (status < FIRST_FINAL_STATUS) return;
+        if (isInterimStatus(status)) return;
+        if (!isFinalStatus(status)) {
+          return controller.abort(new InvalidStatusError(status));
+        }
         const raw = (controller as HeaderSource).rawHeaders ?? [];
         pending.answer = new AnswerReader(status, raw, {
           request,
--- a/packages/entry/src/platform/http_exchange.ts
+++ b/packages/entry/src/platform/http_exchange.ts
@@ -3,6 +3,11 @@
 import * as undici from "undici";
 import * as framing from "../utils/answer_framing.ts";
 import { isBadAnswer, OverheadLimit } from "../utils/answer_limits.ts";
+import {
+  InvalidStatusError,
+  isFinalStatus,
+  isInterimStatus,
+} from "../utils/answer_status.ts";
 import { BrokenConnectionMonitor } from "../utils/broken_connection.ts";
 
 /** Request of a call over an {@link HttpChannel}. */
@@ -152,10 +157,13 @@
   }
 
   onResponseStart(
-    _controller: undici.Dispatcher.DispatchController,
+    controller: undici.Dispatcher.DispatchController,
     status: number,
     headers: http.IncomingHttpHeaders,
   ): void {
+    if (!isInterimStatus(status) && !isFinalStatus(status)) {
+      return controller.abort(new InvalidStatusError(status));
+    }
     this.#status = status;
     this.#headers = headers;
   }
--- a/packages/entry/src/utils/answer_limits.ts
+++ b/packages/entry/src/utils/answer_limits.ts
@@ -4,6 +4,7 @@
  * as long as they come.
  */
 import type * as net from "node:net";
+import { InvalidStatusError } from "./answer_status.ts";
 
 /** Limit of the heads of an answer and its interim ones, and of empty lines. */
 const MAX_OVERHEAD_BYTES = 65_536;
@@ -51,7 +52,8 @@
 
 /** Whether a request failed because the bytes received are no answer. */
 export function isBadAnswer(error: Error): boolean {
-  return isMalformed(error) || isTooLarge(error);
+  return isMalformed(error) || isTooLarge(error) ||
+    error instanceof InvalidStatusError;
 }
 
 /**
