fix: a VM near its memory limit gives up answers that grow

Here a head ends after 64 kB and an answer after 8 MB, so one endless answer does no harm. Many at once do: the bytes of answers were counted towards what a VM may hold, which delays and refuses bodies of requests, but no answer was ever given up for it. Twenty servers that send bodies without end took a VM with 250 MB to 585 MB.

Change: near the limit of held bytes, answers beyond 64 kB are given up as too large when their next part arrives. Small ones are read in any case.

Bodies that a VM relays for its peers are not counted (open, "memory of relayed bodies").

--- a/packages/decisions/src/admission/held_bytes.ts
+++ b/packages/decisions/src/admission/held_bytes.ts
@@ -45,6 +45,8 @@
  * their concatenation exist at the same time.
  */
 const HELD_MEMORY_RATIO = 0.5;
+/** Answers up to this length are read however many bytes are held. */
+const SMALL_ANSWER_BYTES = 65_536;
 /** The largest answer that a server may give has room. */
 const MIN_LIMIT_BYTES = 8 * 1024 * 1024;
 
@@ -115,6 +117,16 @@
     if (bytes < 0) this.#admitWaiting();
   }
 
+  /**
+   * Whether an answer that has this length by now may be read on; near the limit
+   * only small ones are, as those that are given up take memory until they are
+   * collected.
+   */
+  mayReadAnswer(bytes: number): boolean {
+    return bytes <= SMALL_ANSWER_BYTES ||
+      this.#heldBytes <= this.#nearBytes;
+  }
+
   /**
    * When a refused body may be sent again: as soon as the link can have carried
    * the bytes that are in its way.
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -265,6 +265,7 @@
       decoder: adapter.answerDecoder,
       idleTimeoutMs: CONNECTION_IDLE_TIMEOUT_MS,
       onAnswerBytes: (bytes) => heldBytes.addAnswerBytes(bytes),
+      mayReadAnswer: (bytes) => heldBytes.mayReadAnswer(bytes),
       maxAnnouncedIdleTimeoutMs: MAX_ANNOUNCED_IDLE_TIMEOUT_MS,
     },
     lifeCycle,
--- a/packages/entry/src/links/connection_pools.ts
+++ b/packages/entry/src/links/connection_pools.ts
@@ -20,6 +20,8 @@
   readonly decoder: AnswerDecoder;
   /** See {@link ServerConnectionOptions}. */
   readonly onAnswerBytes?: ((bytes: number) => void) | undefined;
+  /** See {@link ServerConnectionOptions}. */
+  readonly mayReadAnswer?: ((bytes: number) => boolean) | undefined;
   /** Timeout of a probe or a cancellation. */
   readonly controlTimeoutMs: number;
 }
--- a/packages/entry/src/links/server_connection.ts
+++ b/packages/entry/src/links/server_connection.ts
@@ -101,6 +101,11 @@
    * when the whole answer is passed on or dropped.
    */
   readonly onAnswerBytes?: ((bytes: number) => void) | undefined;
+  /**
+   * Whether an answer of which so many bytes have come may be read on; without
+   * it, up to `answerLimitBytes`.
+   */
+  readonly mayReadAnswer?: ((bytes: number) => boolean) | undefined;
 }
 
 /** A request in flight. */
@@ -268,6 +273,7 @@
           limitBytes: this.#options.answerLimitBytes,
           decoder: this.#options.decoder,
           onAnswerBytes: this.#options.onAnswerBytes,
+          mayReadAnswer: this.#options.mayReadAnswer,
         });
       },
       onResponseData: (controller, chunk) => {
@@ -311,6 +317,7 @@
   readonly limitBytes: number;
   readonly decoder: AnswerDecoder;
   readonly onAnswerBytes: ServerConnectionOptions["onAnswerBytes"];
+  readonly mayReadAnswer: ServerConnectionOptions["mayReadAnswer"];
 }
 
 /** Collects one response and decodes it at its end. */
@@ -332,13 +339,15 @@
     this.#options = options;
   }
 
-  /** Adds a chunk of the body; false when the body exceeds the limit. */
+  /** Adds a chunk of the body; false when the body exceeds a limit. */
   add(chunk: Uint8Array): boolean {
     if (this.#isReleased) return false;
     this.#sizeBytes += chunk.length;
     this.#options.onAnswerBytes?.(chunk.length);
     this.#body.add(chunk);
-    return this.#sizeBytes <= this.#options.limitBytes;
+    const { limitBytes, mayReadAnswer } = this.#options;
+    return this.#sizeBytes <= limitBytes &&
+      (mayReadAnswer?.(this.#sizeBytes) ?? true);
   }
 
   /** Ends the count of its bytes. */
