fix: a VM that stops sends only requests that it can answer before its end

Cause: a stopping VM took requests for half of its grace, whatever they need, and shortened their deadlines to its end. A server that was given the rest of the time worked for nothing, and the caller got 504.

Change: from the stop signal on, a request is sent only if three times the usual time of its route, at the chosen server, is left until the end of the grace. It is refused as not run otherwise, on its arrival and again when a slot is free, and its caller finds another VM after 20 ms.

--- a/packages/entry/src/gateway/forwarding/forwarded_request.ts
+++ b/packages/entry/src/gateway/forwarding/forwarded_request.ts
@@ -12,6 +12,7 @@
   type FrontAnswer,
   type FrontRequest,
   notRunAnswer,
+  STOPPING_RETRY_AFTER_MS,
 } from "./front_request.ts";
 import type { PoisonGuard } from "../poison/poison_guard.ts";
 import type { AttemptRecord, RequestRecord } from "./request_log.ts";
@@ -27,6 +28,8 @@
   readonly configVersion: number;
   /** Undefined where callers have no shares. */
   readonly judged: admission.JudgedRequest | undefined;
+  /** By when this VM has to answer; infinite before it stops. */
+  endsAtMs(): number;
   /** A request without a key is sent to a server, or has ended there. */
   recordAdmission(event: "sent" | "ended"): void;
   /** Retry-After of a request that is refused for lack of capacity. */
@@ -79,6 +82,11 @@
 const MIN_RETRY_TIME_LEFT_MS = 20;
 /** Tells a caller whose key's owner refused to retry after the handover. */
 const HANDOVER_RETRY_AFTER_MS = 150;
+/**
+ * A VM that stops sends a request only if this multiple of its usual time is
+ * left: another VM can serve it to its end.
+ */
+const STOPPING_TIME_RATIO = 3;
 /** No retry with less time left than this fraction of the expected time. */
 const MIN_RETRY_TIME_RATIO = 0.6;
 /**
@@ -159,7 +167,20 @@
   start(): void {
     if (this.#request.signal.aborted) return this.#onCallerDisconnect();
     if (this.#isPoisonous()) return this.#refusePoison();
-    this.#context.queue.add(this, this.#context.clock.nowMs());
+    const nowMs = this.#context.clock.nowMs();
+    if (!this.#mayEndInTime(nowMs, 1)) return this.#refuseStopping();
+    this.#context.queue.add(this, nowMs);
+  }
+
+  /** Whether a request that is sent now is answered before this VM ends. */
+  #mayEndInTime(nowMs: number, latencyFactor: number): boolean {
+    const { endsAtMs, times } = this.#context;
+    const usualMs = times.estimateMs(this.route) * latencyFactor;
+    return endsAtMs() - nowMs >= usualMs * STOPPING_TIME_RATIO;
+  }
+
+  #refuseStopping(): void {
+    this.#giveUp("this VM stops", STOPPING_RETRY_AFTER_MS);
   }
 
   /** Called by the queue when a server has a free slot. */
@@ -170,6 +191,13 @@
       placement.releaseSlot?.(undefined);
       return this.#refusePoison();
     }
+    const factor = this.#context.times.latencyFactor(
+      placement.load.entry.server,
+    );
+    if (!this.#mayEndInTime(nowMs, factor)) {
+      placement.releaseSlot?.(undefined);
+      return this.#refuseStopping();
+    }
     this.#attemptCount++;
     this.#detach(this.#send(placement, nowMs));
   }
--- a/packages/entry/src/gateway/forwarding/forwarder.ts
+++ b/packages/entry/src/gateway/forwarding/forwarder.ts
@@ -53,6 +53,8 @@
   readonly rateLimits: ServerRateLimits;
   readonly requestLimits: RequestLimitTask;
   readonly backoffs: ServerBackoffTask;
+  /** By when this VM has to answer; infinite before it stops. */
+  readonly endsAtMs: () => number;
   readonly clock: contracts.Clock;
   readonly random: contracts.RandomSource;
   readonly log: Logger;
@@ -333,7 +335,7 @@
   ): ForwardingContext {
     const { clock, random, gossip, onFinished, poison, requestLimits } =
       this.#options;
-    const { admissions } = this.#options;
+    const { admissions, endsAtMs } = this.#options;
     return {
       service,
       queue: state.queue,
@@ -342,6 +344,7 @@
       random,
       configVersion,
       judged,
+      endsAtMs,
       noteError: (error) => this.#errors.note("request", error),
       recordAdmission: (event) => admissions.recordSend(service, event),
       returnAfterMs: (request) => admissions.refuse(service, request),
--- a/packages/entry/src/gateway/forwarding/front_listener.ts
+++ b/packages/entry/src/gateway/forwarding/front_listener.ts
@@ -25,6 +25,7 @@
   type FrontRequestHead,
   notRunAnswer,
   overloadAnswer,
+  STOPPING_RETRY_AFTER_MS,
 } from "./front_request.ts";
 import { UnlengthedPaths } from "./unlengthed_paths.ts";
 import type { HeaderNames } from "../platform_adapter.ts";
@@ -84,8 +85,6 @@
  * waits for a server could be cut off with its connection.
  */
 const ACCEPT_GRACE_RATIO = 0.5;
-/** A caller that this VM no longer serves can use another VM at once. */
-const STOPPING_RETRY_AFTER_MS = 20;
 /** Time for the last responses to be sent before connections are closed. */
 const FLUSH_MS = 50;
 /** Fraction of the grace time after which idle connections are closed. */
@@ -429,13 +428,18 @@
     return nowMs - this.#stoppedAtMs > graceMs * ACCEPT_GRACE_RATIO;
   }
 
+  /** By when all requests have to be answered; infinite before a stop. */
+  get endsAtMs(): number {
+    return this.#stoppedAtMs + this.#options.graceMs * DRAIN_GRACE_RATIO -
+      FLUSH_MS;
+  }
+
   /** The caller's deadline, shortened to the end of this VM's drain. */
   #deadlineMs(requestedMs: number | undefined): number | undefined {
-    const { clock, graceMs } = this.#options;
-    if (this.#stoppedAtMs === Number.POSITIVE_INFINITY) return requestedMs;
-    const endMs = this.#stoppedAtMs + graceMs * DRAIN_GRACE_RATIO - FLUSH_MS;
-    const leftMs = Math.max(1, Math.floor(endMs - clock.nowMs()));
-    return Math.min(requestedMs ?? leftMs, leftMs);
+    const leftMs = this.endsAtMs - this.#options.clock.nowMs();
+    if (leftMs === Number.POSITIVE_INFINITY) return requestedMs;
+    const wholeMs = Math.max(1, Math.floor(leftMs));
+    return Math.min(requestedMs ?? wholeMs, wholeMs);
   }
 
   /**
--- a/packages/entry/src/gateway/forwarding/front_request.ts
+++ b/packages/entry/src/gateway/forwarding/front_request.ts
@@ -65,6 +65,9 @@
   );
 }
 
+/** A caller that this VM no longer serves can use another VM at once. */
+export const STOPPING_RETRY_AFTER_MS = 20;
+
 /** A 503: the request has not run and never will; the caller may retry. */
 export function notRunAnswer(
   message: string,
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -424,6 +424,7 @@
     rateLimits,
     requestLimits,
     backoffs,
+    endsAtMs: () => listener.endsAtMs,
     clock,
     random,
     log: log.part("route"),
@@ -503,7 +504,7 @@
     };
   }
 
-  const listener = new FrontListener({
+  const listener: FrontListener = new FrontListener({
     ...settings.front,
     scheduler,
     headers: adapter.headers,
