fix: a leader's time for handovers grows with their number only

The two VMs that led had used all of their processor since 22 s (131 to 135 % of 135 %), the other large VMs 38 to 76 %. Releases that were answered within milliseconds of each other showed as taking 1.2 s: the leader read them that late.

Cause: each time it looks at the handovers, every 40 ms, the leader searched each range's handover in the report of each of six voters, which list all handovers: twice for the release, twice for its end and once more for being too long. With 600 ranges and 480 handovers one look took 25 to 36 ms of a whole core here. A leader that is late leaves more handovers open, so that the next look takes longer. The class: work whose cost is the product of two things that grow together.

Change: a report's handovers are indexed once, and the voters of a map are listed once.

--- a/packages/decisions/src/grants/handover_controller.ts
+++ b/packages/decisions/src/grants/handover_controller.ts
@@ -17,7 +17,11 @@
   maxFormerLeaseMs,
   maxLeaseLifetimeMs,
 } from "./grant_timings.ts";
-import { lastGrantEndOf, type VoterReports } from "./voter_reports.ts";
+import {
+  allVoters,
+  lastGrantEndOf,
+  type VoterReports,
+} from "./voter_reports.ts";
 import * as edit from "./range_edit.ts";
 import {
   type FailedRelease,
@@ -387,10 +391,8 @@
       // The reported end of a grant in flight is the time of the report.
       return lastGrantEndOf(report, oldOwner) < report.receivedAtMs;
     };
-    const allAcknowledged = [...new Set(map.keeperSets.flat())].every(
-      hasAcknowledged,
-    );
-    return allAcknowledged || nowMs - acknowledgedAtMs >= RELEASE_WAIT_MS;
+    return nowMs - acknowledgedAtMs >= RELEASE_WAIT_MS ||
+      allVoters(map).every(hasAcknowledged);
   }
 
   #facts(
--- a/packages/decisions/src/grants/handover_wait.ts
+++ b/packages/decisions/src/grants/handover_wait.ts
@@ -7,6 +7,7 @@
 import { leaseDurationMs } from "./lease_duration.ts";
 import { type GrantTimings, maxLeaseLifetimeMs } from "./grant_timings.ts";
 import {
+  allVoters,
   grantsOfHandover,
   lastGrantEndOf,
   type VoterReport,
@@ -121,7 +122,7 @@
   const { release, reports, range, map } = facts;
   if (release === undefined) return false;
   const oldOwner = range.vacating!;
-  return [...new Set(map.keeperSets.flat())].some((vm) => {
+  return allVoters(map).some((vm) => {
     const report = reports.reportOf(vm);
     // For an unresponsive voter, the expiry of its leases is awaited instead.
     if (report === undefined || report.revision < oldOwner.revision) {
@@ -153,7 +154,7 @@
   );
   const voters = map.keeperSets.at(-1)!;
   let lastMs = Number.NEGATIVE_INFINITY;
-  for (const vm of new Set(map.keeperSets.flat())) {
+  for (const vm of allVoters(map)) {
     const report = reports.reportOf(vm);
     const isCurrent = report !== undefined &&
       report.revision >= oldOwner.revision;
--- a/packages/decisions/src/grants/voter_reports.ts
+++ b/packages/decisions/src/grants/voter_reports.ts
@@ -50,14 +50,50 @@
 /** Identifies the ranges that one revision took from a server. */
 type HandoverName = Pick<HandoverGrants, "server" | "revision">;
 
+type HandoverIndex = ReadonlyMap<
+  contracts.ServerId,
+  ReadonlyMap<number, HandoverGrants>
+>;
+
+/** By list of handovers: a leader looks each of its ranges up, many times. */
+const handoverIndexes = new WeakMap<readonly HandoverGrants[], HandoverIndex>();
+
+function indexOf(handovers: readonly HandoverGrants[]): HandoverIndex {
+  const known = handoverIndexes.get(handovers);
+  if (known !== undefined) return known;
+  const index = new Map<contracts.ServerId, Map<number, HandoverGrants>>();
+  for (const handover of handovers) {
+    const { server, revision } = handover;
+    const byRevision = index.get(server) ?? new Map<number, HandoverGrants>();
+    index.set(server, byRevision);
+    if (!byRevision.has(revision)) byRevision.set(revision, handover);
+  }
+  handoverIndexes.set(handovers, index);
+  return index;
+}
+
 /** A voter's grants of the ranges of one handover; undefined for none. */
 export function grantsOfHandover(
   { handovers }: VoterReport,
   { server, revision }: HandoverName,
 ): HandoverGrants | undefined {
-  return handovers?.find((it) =>
-    it.server === server && it.revision === revision
-  );
+  return handovers && indexOf(handovers).get(server)?.get(revision);
+}
+
+const voterLists = new WeakMap<
+  contracts.RangeMap["keeperSets"],
+  readonly contracts.VmId[]
+>();
+
+/** The voters of all sets of a map, each once. */
+export function allVoters(
+  { keeperSets }: Pick<contracts.RangeMap, "keeperSets">,
+): readonly contracts.VmId[] {
+  const known = voterLists.get(keeperSets);
+  if (known !== undefined) return known;
+  const voters = [...new Set(keeperSets.flat())];
+  voterLists.set(keeperSets, voters);
+  return voters;
 }
 
 /**
