fix: what a VM relays for its peers counts towards the bytes it holds

Change: a message has to be admitted like the body of a caller's request. One for which there is no room is read, dropped and declined as "overloaded": a sender whose connection breaks could not tell whether it was taken. A reply counts until it is written.

Measured: the test of attempt_relay_test needs the new option, so it can't run on the code before, which took both of its bodies (read in the code).

--- a/packages/entry/src/gateway/paths/attempt_relay.ts
+++ b/packages/entry/src/gateway/paths/attempt_relay.ts
@@ -3,6 +3,7 @@
  * this VM's own connections, so a request takes one hop at most.
  */
 import * as contracts from "@guavatide/contracts";
+import type * as admission from "@guavatide/decisions/admission/mod";
 import type * as http from "node:http";
 import * as timers from "node:timers/promises";
 import type { AttemptResult } from "../../links/server_connection.ts";
@@ -38,6 +39,11 @@
   readonly backoffs: Pick<ServerBackoffTask, "leftMs">;
   readonly headers: HeaderNames;
   readonly processorCores: number;
+  /** Bytes that the VM holds; messages and replies count. */
+  readonly heldBytes: Pick<
+    admission.HeldBytes,
+    "admitBody" | "addAnswerBytes"
+  >;
   /** How long the VM's own requests wait for its processor. */
   readonly waitMs: () => number;
   /** Time from the stop signal until the process is killed. */
@@ -105,6 +111,14 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
+    const messageBytes = bodies.declaredBodyBytes(request) ??
+      MAX_MESSAGE_BYTES;
+    const held = this.#options.heldBytes.admitBody(messageBytes, () => {});
+    if (!held?.isAdmitted) {
+      held?.release();
+      return await this.#declineUnread(request, response);
+    }
+    response.once("close", () => held.release());
     const abort = new AbortController();
     response.once("close", () => abort.abort());
     const read = await bodies.readBody(request, MAX_MESSAGE_BYTES);
@@ -122,8 +136,36 @@
         : message.kind === "check"
         ? await this.#check(message.servers)
         : await this.#relay(message, body, abort.signal);
+    this.#reply(request, response, { reply, body: replyBody });
+  }
+
+  /**
+   * Declines a message for which there is no room. Its bytes are read and
+   * dropped: a sender whose connection breaks can't tell whether it was taken.
+   */
+  async #declineUnread(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    request.resume();
+    const isWhole = await new Promise<boolean>((resolve) => {
+      request.once("end", () => resolve(true));
+      request.once("close", () => resolve(false));
+    });
+    this.#options.count("declined overloaded");
+    if (isWhole) this.#reply(request, response, declined("overloaded"));
+  }
+
+  #reply(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    { reply, body }: RelayedReply,
+  ): void {
     if (response.destroyed) return;
-    const bytes = messages.encodeRelayMessage(reply, replyBody);
+    const bytes = messages.encodeRelayMessage(reply, body);
+    const { heldBytes } = this.#options;
+    heldBytes.addAnswerBytes(bytes.length);
+    response.once("close", () => heldBytes.addAnswerBytes(-bytes.length));
     response.sendDate = false;
     const call = request.headers[contracts.REQUEST_ID_HEADER];
     response.writeHead(200, {
--- a/packages/entry/src/gateway/paths/attempt_relay_test.ts
+++ b/packages/entry/src/gateway/paths/attempt_relay_test.ts
@@ -1,9 +1,11 @@
 import type * as contracts from "@guavatide/contracts";
+import * as admission from "@guavatide/decisions/admission/mod";
 import { expect } from "earl";
 import * as http from "node:http";
 import { test } from "node:test";
 import type { AttemptResult } from "../../links/server_connection.ts";
 import { HttpChannel } from "../../platform/http_channel.ts";
+import { waitUntil } from "../../requests/fakes_test_support.ts";
 import { MonotonicClock } from "../../utils/clock.ts";
 import * as httpServer from "../../utils/http_server.ts";
 import { LifeCycle } from "../../utils/life_cycle.ts";
@@ -14,6 +16,7 @@
 
 const SERVER = "s1" as contracts.ServerId;
 const SILENT_LOGGER = { debug() {}, info() {}, warn() {}, error() {} };
+const HELD_BYTES = 1_000_000;
 /** Room for eight requests at once. */
 const PROCESSOR_CORES = 0.05;
 const CALL_TIMEOUT_MS = 2_000;
@@ -24,6 +27,10 @@
   readonly #lifeCycle = new LifeCycle();
   readonly #answers: (() => void)[] = [];
   #channel: HttpChannel | undefined;
+  readonly heldBytes = new admission.HeldBytes({
+    limitBytes: HELD_BYTES,
+    random: { next: () => 0.5 },
+  });
 
   async start(options: Partial<AttemptRelayOptions> = {}): Promise<void> {
     const relay = new AttemptRelay({
@@ -53,6 +60,7 @@
         key: "key",
       },
       processorCores: PROCESSOR_CORES,
+      heldBytes: this.heldBytes,
       waitMs: () => 0,
       graceMs: 1_000,
       count: () => {},
@@ -69,7 +77,7 @@
   }
 
   /** Sends an attempt of a rank; returns why it was declined, or the result. */
-  async send(priority: number): Promise<string> {
+  async send(priority: number, requestBody?: Uint8Array): Promise<string> {
     const body = messages.encodeRelayMessage({
       kind: "attempt",
       vm: "vm2" as contracts.VmId,
@@ -86,7 +94,7 @@
       expectedMs: 50,
       isIdempotent: true,
       priority,
-    });
+    }, requestBody);
     return await this.call(body);
   }
 
@@ -197,6 +205,20 @@
     },
   }));
 
+/** Guards against a VM that runs out of memory by what it sends for its peers. */
+test("should decline bodies for which it has no room, and free what it held", () =>
+  withRelay(async (fixture) => {
+    const { heldBytes } = fixture;
+    const body = new Uint8Array(HELD_BYTES / 2);
+    const sent = fixture.send(0, body);
+    await fixture.waitUntilSent(1);
+    expect(heldBytes.heldBytes >= body.length).toEqual(true);
+    expect(await fixture.send(0, body)).toEqual("overloaded");
+    fixture.answerAll();
+    expect(await sent).toEqual("answer");
+    await waitUntil(() => heldBytes.heldBytes === 0);
+  }));
+
 test("should answer what is no message with an error", () =>
   withRelay(async (fixture) => {
     expect(await fixture.call(Buffer.from("no JSON\n"))).toEqual("400");
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -442,6 +442,7 @@
     backoffs,
     headers: adapter.headers,
     processorCores: self.processorCores,
+    heldBytes,
     waitMs: () => scheduler.waitMs,
     graceMs: settings.timings.graceSeconds * 1000,
     count: (outcome) =>
