fix: queues stop choosing an owner at the end of its grace

Follows: the queue of a service learns of the end of a grace with the registry's next tick, up to 200 ms later. Until then a request on one of the owner's keys took a slot, was held back before its first byte and was queued again, each 25 ms. Queues now ask for the owner when they look it up.

--- a/packages/decisions/src/admission/queue_servers.ts
+++ b/packages/decisions/src/admission/queue_servers.ts
@@ -81,13 +81,15 @@
    * get no requests any more counts as unknown: its keys wait for a successor.
    */
   ownerOf(request: WaitingRequest, nowMs: number): KeyOwner | undefined {
-    const { keyed } = this.#options;
+    const { keyed, mayReceive } = this.#options;
     if (keyed === undefined) return undefined;
     if (request.key === undefined) return NO_KEY_OWNER;
     const owner = keyed.ownerOf(request.key);
     if (owner.kind !== "owned") return owner;
     const load = this.#loads.get(owner.server);
-    if (load?.entry.bornMs === owner.bornMs) return owner;
+    const isUsed = load?.entry.bornMs === owner.bornMs &&
+      (mayReceive?.(load.entry) ?? true);
+    if (isUsed) return owner;
     return { kind: "unknown", ageMs: this.#missingMs(owner, nowMs) };
   }
 
--- a/packages/decisions/src/admission/service_queue_options.ts
+++ b/packages/decisions/src/admission/service_queue_options.ts
@@ -110,6 +110,11 @@
   readonly regionOf?: (
     zone: contracts.ZoneId,
   ) => contracts.RegionId | undefined;
+  /**
+   * Whether a server may get requests at this moment. Absent where all servers
+   * of the queue may.
+   */
+  readonly mayReceive?: (server: contracts.RegisteredServer) => boolean;
   /** Whether any VM reaches a server. Absent where all count as reached. */
   readonly reachOf?: (server: contracts.ServerId) => ServerReach;
   /**
--- a/packages/decisions/src/admission/service_queue_test.ts
+++ b/packages/decisions/src/admission/service_queue_test.ts
@@ -499,6 +499,30 @@
   expect(refusal!.expectedWaitMs).toEqual(1_800);
 });
 
+/** Guards against requests that are chosen again and again for a drained owner. */
+test("should send nothing to an owner from the end of its grace on", () => {
+  let mayReceive = true;
+  const queue = new admission.ServiceQueue({
+    zone: "z1" as contracts.ZoneId,
+    times: new admission.ServiceTimes(),
+    random: { next: () => 0.5 },
+    keyed: { ownerOf: ownedBy("a"), slots: UNLIMITED_SLOTS },
+    mayReceive: () => mayReceive,
+  });
+  queue.setServers([server("a", { isDraining: true }), server("b")]);
+  const [before, after] = [
+    new Request(0, { key: 1 }),
+    new Request(0, { key: 1 }),
+  ];
+  queue.add(before, 0);
+  mayReceive = false;
+  queue.add(after, 0);
+  expect(before.placement?.load.entry.server).toEqual(
+    "a" as contracts.ServerId,
+  );
+  expect(after.placement).toEqual(undefined);
+});
+
 /** Guards against requests held until their deadline for an owner that is gone. */
 test("should refuse a key whose owner is gone and has no successor", () => {
   const fixture = new Fixture([server("a"), server("b")], ownedBy("a"));
--- a/packages/entry/src/gateway/forwarding/forwarder.ts
+++ b/packages/entry/src/gateway/forwarding/forwarder.ts
@@ -441,6 +441,7 @@
       times,
       random,
       regionOf: (zone) => zones[zone],
+      mayReceive: (entry) => this.#options.registry.mayReceive(entry),
       reachOf: (server) => this.#options.paths.reachOf(server),
       onWait: () => {
         this.#reviewTask?.setIntervalMs(QUEUE_REVIEW_INTERVAL_MS);
