fix: answers that are given up count until their memory is collected

Change: an answer that is given up counts for another 500 ms. The limit is that of all held bytes again, so that large sound answers are not given up while there is room that bodies of requests may not use.

--- a/packages/decisions/src/admission/held_bytes.ts
+++ b/packages/decisions/src/admission/held_bytes.ts
@@ -118,13 +118,12 @@
   }
 
   /**
-   * Whether an answer that has this length by now may be read on; near the limit
-   * only small ones are, as those that are given up take memory until they are
-   * collected.
+   * Whether an answer that has this length by now may be read on; beyond the
+   * limit only small ones are.
    */
   mayReadAnswer(bytes: number): boolean {
     return bytes <= SMALL_ANSWER_BYTES ||
-      this.#heldBytes <= this.#nearBytes;
+      this.#heldBytes <= this.#options.limitBytes;
   }
 
   /**
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -80,6 +80,8 @@
  */
 const CONNECT_TIMEOUT_MS = 200;
 const BYTES_PER_MBIT = 125_000;
+/** What is given up takes memory until it is collected; usually that is sooner. */
+const COLLECTION_MS = 500;
 /** Maximum time to close the connections to the platform on a stop. */
 const CLOSE_TIMEOUT_MS = 300;
 
@@ -265,6 +267,12 @@
       decoder: adapter.answerDecoder,
       idleTimeoutMs: CONNECTION_IDLE_TIMEOUT_MS,
       onAnswerBytes: (bytes) => heldBytes.addAnswerBytes(bytes),
+      onAnswerGivenUp: (bytes) =>
+        lifeCycle.after(
+          COLLECTION_MS,
+          () => heldBytes.addAnswerBytes(-bytes),
+          "memory of an answer that was given up",
+        ),
       mayReadAnswer: (bytes) => heldBytes.mayReadAnswer(bytes),
       maxAnnouncedIdleTimeoutMs: MAX_ANNOUNCED_IDLE_TIMEOUT_MS,
     },
--- a/packages/entry/src/links/connection_pools.ts
+++ b/packages/entry/src/links/connection_pools.ts
@@ -21,6 +21,8 @@
   /** See {@link ServerConnectionOptions}. */
   readonly onAnswerBytes?: ((bytes: number) => void) | undefined;
   /** See {@link ServerConnectionOptions}. */
+  readonly onAnswerGivenUp?: ((bytes: number) => void) | undefined;
+  /** See {@link ServerConnectionOptions}. */
   readonly mayReadAnswer?: ((bytes: number) => boolean) | undefined;
   /** Timeout of a probe or a cancellation. */
   readonly controlTimeoutMs: number;
--- a/packages/entry/src/links/server_connection.ts
+++ b/packages/entry/src/links/server_connection.ts
@@ -98,9 +98,11 @@
   readonly decoder: AnswerDecoder;
   /**
    * Called with the bytes of each chunk of an answer, and with the negative sum
-   * when the whole answer is passed on or dropped.
+   * when the whole answer is passed on.
    */
   readonly onAnswerBytes?: ((bytes: number) => void) | undefined;
+  /** Called with the sum of these bytes when an answer is given up. */
+  readonly onAnswerGivenUp?: ((bytes: number) => void) | undefined;
   /**
    * Whether an answer of which so many bytes have come may be read on; without
    * it, up to `answerLimitBytes`.
@@ -190,8 +192,8 @@
         settle: (result) => {
           if (this.#pending !== pending) return;
           this.#pending = undefined;
-          pending.answer?.release();
           const isWhole = result.kind === "answer" || result.kind === "refusal";
+          pending.answer?.release(isWhole);
           if (!isWhole) this.retire();
           resolve(result);
         },
@@ -273,6 +275,7 @@
           limitBytes: this.#options.answerLimitBytes,
           decoder: this.#options.decoder,
           onAnswerBytes: this.#options.onAnswerBytes,
+          onAnswerGivenUp: this.#options.onAnswerGivenUp,
           mayReadAnswer: this.#options.mayReadAnswer,
         });
       },
@@ -317,6 +320,7 @@
   readonly limitBytes: number;
   readonly decoder: AnswerDecoder;
   readonly onAnswerBytes: ServerConnectionOptions["onAnswerBytes"];
+  readonly onAnswerGivenUp: ServerConnectionOptions["onAnswerGivenUp"];
   readonly mayReadAnswer: ServerConnectionOptions["mayReadAnswer"];
 }
 
@@ -351,10 +355,12 @@
   }
 
   /** Ends the count of its bytes. */
-  release(): void {
+  release(isWhole: boolean): void {
     if (this.#isReleased) return;
     this.#isReleased = true;
-    this.#options.onAnswerBytes?.(-this.#sizeBytes);
+    const { onAnswerBytes, onAnswerGivenUp } = this.#options;
+    if (isWhole) onAnswerBytes?.(-this.#sizeBytes);
+    else onAnswerGivenUp?.(this.#sizeBytes);
   }
 
   finish(): AttemptResult {
