fix: changes in an answer that comes after its wait count as old

Cause, of the first part: while the store counts as steady, a reader took the changes that a watch returns for as new as its answer. One whose answer was lost is repeated after its wait, and returns changes of a second before; the loss is noticed only later.

Change: an answer that arrives 250 ms after the end of its wait, or later, is late: its changes are as old as the last complete answer before.

--- a/packages/entry/src/gateway/store/kind_watch.ts
+++ b/packages/entry/src/gateway/store/kind_watch.ts
@@ -529,7 +529,7 @@
       this.#isStale = true;
       return true;
     }
-    const asOfMs = this.#asOfMs(sentAtMs);
+    const asOfMs = this.#asOfMs(sentAtMs, waitMs);
     // A watch that has waited found no changes when it began.
     const hasWaited = asOfMs > sentAtMs;
     const madeAfterMs = hasWaited ? asOfMs : this.#completeAtMs;
@@ -545,12 +545,15 @@
 
   /**
    * The earliest time at which the store can have made an answer that arrives
-   * now. While it is steady no answer is late.
+   * now. While it is steady no answer is late but one that comes after the wait:
+   * it may be that of a call that repeats a lost one.
    */
-  #asOfMs(sentAtMs: number): number {
+  #asOfMs(sentAtMs: number, waitMs: number): number {
     const { relay, clock } = this.#options;
-    if (!relay.isStoreSteady) return sentAtMs;
-    return Math.max(sentAtMs, clock.nowMs() - LATE_ANSWER_MS);
+    const nowMs = clock.nowMs();
+    const isLate = nowMs - sentAtMs >= waitMs + LATE_ANSWER_MS;
+    if (isLate || !relay.isStoreSteady) return sentAtMs;
+    return Math.max(sentAtMs, nowMs - LATE_ANSWER_MS);
   }
 
   #noteComplete(atMs: number): void {
