fix: half of the servers failing shows a cut again, memory is counted longer

Of two equal zones one then looks like a cut, for as long as nothing is heard.

What is given up counts towards held bytes for 2 s instead of 500 ms.

--- a/packages/decisions/src/paths/path_tracker.ts
+++ b/packages/decisions/src/paths/path_tracker.ts
@@ -92,10 +92,10 @@
 /** Failing servers that show that this VM is the cause, if nothing is heard. */
 const MIN_FAILING_SERVERS = 3;
 /**
- * Up to this fraction of the servers in use may be lost together, as those of a
- * zone are, while a busy VM reads no answer for longer than the silence below.
+ * The same as a fraction of the servers in use: those of a zone may be lost
+ * together, while a busy VM reads no answer for longer than the silence below.
  */
-const MAX_OTHERS_FAILING_RATIO = 0.5;
+const MIN_FAILING_RATIO = 0.5;
 /** For this long no server was heard when a VM counts as cut off. */
 const CUT_OFF_SILENCE_MS = 100;
 /** A request that takes longer than this many times the usual is doubtful. */
@@ -498,7 +498,7 @@
       if (hasFailed || isUsed) used++;
     }
     if (failing < 2 || failing < Math.min(MIN_FAILING_SERVERS, used)) return;
-    if (failing <= MAX_OTHERS_FAILING_RATIO * used) return;
+    if (failing < MIN_FAILING_RATIO * used) return;
     const servers = [...this.#options.servers()]
       .filter((server) => this.useOf(server) !== "none");
     if (servers.length > 0) this.#lose(servers, "cut-off", nowMs, "none");
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -81,7 +81,7 @@
 const CONNECT_TIMEOUT_MS = 200;
 const BYTES_PER_MBIT = 125_000;
 /** What is given up takes memory until it is collected; usually that is sooner. */
-const COLLECTION_MS = 500;
+const COLLECTION_MS = 2_000;
 /** Maximum time to close the connections to the platform on a stop. */
 const CLOSE_TIMEOUT_MS = 300;
 
