feat: logs tell which lease a handover waited for, and each jump of the wall clock

Lines could not tell the hypotheses apart: an early end of the leader's wait, a wait that misses a voter's lease, a VM that renews by an old map, a voter that counts as removed. `Handover finished.` now names the VM whose lease ended last and what that is known from, each VM what is left of its leases when a map takes ranges away (by handover, where the line on the server had one for all its ranges), a call that ends after its range was taken, and each jump of the wall clock, back as well. At most one line a handover and VM, and one a call under way.

--- a/packages/decisions/src/grants/handover_controller.ts
+++ b/packages/decisions/src/grants/handover_controller.ts
@@ -32,10 +32,12 @@
 import {
   type AnsweredRelease,
   type FreeReason,
+  type HandoverEnd,
   handoverEnd,
   type HandoverFacts,
   isReleaseVoid,
   isRestartOf,
+  type LastLease,
   outlastsRelease,
   unansweredExpiryMs,
 } from "./handover_wait.ts";
@@ -72,6 +74,8 @@
   /** The range before it was finished, with its old owner. */
   readonly range: contracts.RangeState;
   readonly reason: FreeReason;
+  /** See {@link HandoverEnd}. */
+  readonly lastLease: LastLease | undefined;
 }
 
 const NO_LEASES: ReadonlyMap<contracts.ServerId, number> = new Map();
@@ -416,9 +420,10 @@
     const revision = map.revision + 1;
     const finished: FinishedHandover[] = [];
     const ranges = edit.finishHandovers(map.ranges, (range) => {
-      const reason = this.#freeReason(map, range, tick);
-      if (reason === undefined) return false;
-      finished.push({ range, reason });
+      const end = this.#endIfOver(map, range, tick);
+      if (end === undefined) return false;
+      const { reason, lastLease } = end;
+      finished.push({ range, reason, lastLease });
       return true;
     });
     const abandoned: contracts.RangeState[] = [];
@@ -503,15 +508,15 @@
     } as const;
   }
 
-  /** Why the next owner may be granted the range now; undefined if it may not. */
-  #freeReason(
+  /** The end of a handover that is over; undefined for any other. */
+  #endIfOver(
     map: contracts.RangeMap,
     range: contracts.RangeState,
     tick: HandoverTick,
-  ): FreeReason | undefined {
+  ): HandoverEnd | undefined {
     if (!tick.usable.has(range.owner.server)) return undefined;
     const end = handoverEnd(this.#facts(map, range));
-    return end !== undefined && end.atMs <= tick.nowMs ? end.reason : undefined;
+    return end !== undefined && end.atMs <= tick.nowMs ? end : undefined;
   }
 
   /**
--- a/packages/decisions/src/grants/handover_wait.ts
+++ b/packages/decisions/src/grants/handover_wait.ts
@@ -48,11 +48,30 @@
   | "released"
   | "expired";
 
+/** What the end of a voter's leases is known from. */
+export type LeaseBasis =
+  /** The grants that it reports. */
+  | "reported"
+  /** The start of its process, which knows no grants from before. */
+  | "start"
+  /** It has not reported that it knows the handover. */
+  | "unreported";
+
+/** The lease that ends last of all that voters may have granted. */
+export interface LastLease {
+  /** On this VM's clock. */
+  readonly endMs: number;
+  readonly vm: contracts.VmId;
+  readonly basis: LeaseBasis;
+}
+
 /** When and why the next owner of a range may be granted it. */
 export interface HandoverEnd {
   /** On this VM's clock. */
   readonly atMs: number;
   readonly reason: FreeReason;
+  /** The lease that bounds the end; undefined if leases don't matter. */
+  readonly lastLease: LastLease | undefined;
 }
 
 /**
@@ -67,18 +86,26 @@
 export function handoverEnd(facts: HandoverFacts): HandoverEnd | undefined {
   const { acknowledgedAtMs, release, range } = facts;
   if (isRestartOf(range.owner, range.vacating!)) {
-    return { atMs: Number.NEGATIVE_INFINITY, reason: "same-server" };
+    return {
+      atMs: Number.NEGATIVE_INFINITY,
+      reason: "same-server",
+      lastLease: undefined,
+    };
   }
   if (acknowledgedAtMs === undefined) return undefined;
-  const expiredMs = lastLeaseEndMs(facts, acknowledgedAtMs, "any");
-  const expired = { atMs: expiredMs, reason: "expired" } as const;
+  const lastLease = lastLeaseOf(facts, acknowledgedAtMs, "any");
+  const expiredMs = lastLease?.endMs ?? Number.NEGATIVE_INFINITY;
+  const expired = { atMs: expiredMs, reason: "expired", lastLease } as const;
   if (release === undefined || isReleaseVoid(facts)) return expired;
   // A release revokes a grant that was answered before it; an unanswered grant
   // may take effect after it.
-  const unansweredExpiredMs = unansweredExpiryMs(facts)!;
-  const releasedMs = Math.max(release.answeredAtMs, unansweredExpiredMs);
+  const unanswered = lastLeaseOf(facts, acknowledgedAtMs, "unanswered");
+  const releasedMs = Math.max(
+    release.answeredAtMs,
+    unanswered?.endMs ?? Number.NEGATIVE_INFINITY,
+  );
   return releasedMs < expiredMs
-    ? { atMs: releasedMs, reason: "released" }
+    ? { atMs: releasedMs, reason: "released", lastLease: unanswered }
     : expired;
 }
 
@@ -109,9 +136,9 @@
  */
 export function unansweredExpiryMs(facts: HandoverFacts): number | undefined {
   const { acknowledgedAtMs } = facts;
-  return acknowledgedAtMs === undefined
-    ? undefined
-    : lastLeaseEndMs(facts, acknowledgedAtMs, "unanswered");
+  if (acknowledgedAtMs === undefined) return undefined;
+  return lastLeaseOf(facts, acknowledgedAtMs, "unanswered")?.endMs ??
+    Number.NEGATIVE_INFINITY;
 }
 
 /**
@@ -135,12 +162,12 @@
 /** Which leases count: all that were granted, or those without an answer. */
 type LeaseKind = "any" | "unanswered";
 
-/** When the last lease that any voter granted to the old owner expires. */
-function lastLeaseEndMs(
+/** The last lease that any voter granted to the old owner. */
+function lastLeaseOf(
   { map, range, reports, timings, setsAcknowledgedAtMs }: HandoverFacts,
   acknowledgedAtMs: number,
   kind: LeaseKind,
-): number {
+): LastLease | undefined {
   const oldOwner = range.vacating!;
   const { confirmationTtlMs, grantTimeoutMs } = timings;
   const leaseMs = leaseDurationMs(map, timings, oldOwner.server);
@@ -153,26 +180,28 @@
     setsAcknowledgedAtMs ?? acknowledgedAtMs,
   );
   const voters = map.keeperSets.at(-1)!;
-  let lastMs = Number.NEGATIVE_INFINITY;
+  let last: LastLease | undefined;
+  const noteLease = (endMs: number, vm: contracts.VmId, basis: LeaseBasis) => {
+    if (last === undefined || endMs > last.endMs) last = { endMs, vm, basis };
+  };
   for (const vm of allVoters(map)) {
     const report = reports.reportOf(vm);
     const isCurrent = report !== undefined &&
       report.revision >= oldOwner.revision;
+    if (!isCurrent) {
+      const lastConfirmedMs = voters.includes(vm)
+        ? acknowledgedAtMs
+        : formerAcknowledgedAtMs;
+      const endMs = lastConfirmedMs + sentWithinMs + longestLifetimeMs;
+      noteLease(endMs, vm, "unreported");
+      continue;
+    }
+    const options = { oldOwner, longestLifetimeMs, grantTimeoutMs };
+    noteLease(reportedLeaseEndMs(report, kind, options), vm, "reported");
     // A restarted process does not know the grants it sent before its start.
-    const endMs = isCurrent
-      ? Math.max(
-        reportedLeaseEndMs(report, kind, {
-          oldOwner,
-          longestLifetimeMs,
-          grantTimeoutMs,
-        }),
-        report.startedAtMs + longestLifetimeMs,
-      )
-      : sentWithinMs + longestLifetimeMs +
-        (voters.includes(vm) ? acknowledgedAtMs : formerAcknowledgedAtMs);
-    lastMs = Math.max(lastMs, endMs);
+    noteLease(report.startedAtMs + longestLifetimeMs, vm, "start");
   }
-  return lastMs;
+  return last;
 }
 
 /** When the last lease expires that a voter granted in its present run. */
--- a/packages/entry/src/gateway/grants/grant_sender.ts
+++ b/packages/entry/src/gateway/grants/grant_sender.ts
@@ -366,6 +366,14 @@
       );
     }
     this.#options.onCompleted(server.server);
+    if (wasSent && !this.#listed.has(rangeKeyOf(range))) {
+      log.info("A grant ended after its range was taken from its owner.", {
+        ...fields,
+        tookMs: Math.round(state.lastEndedAtMs - sentAtMs),
+        leaseLeftMs: Math.round(leaseLifetimeMs),
+        isInDoubt: answer.isDoubted,
+      });
+    }
     if (result.isErr()) {
       log.warn("Grant not answered.", {
         ...fields,
--- a/packages/entry/src/gateway/grants/grant_task.ts
+++ b/packages/entry/src/gateway/grants/grant_task.ts
@@ -243,6 +243,11 @@
     const { clock, log } = this.#options;
     // The clock detects a suspension only when it is read.
     clock.nowMs();
+    for (const jumpMs of clock.takeJumpsMs()) {
+      log.info("The wall clock jumped against the monotonic clock.", {
+        jumpMs: Math.round(jumpMs),
+      });
+    }
     if (clock.suspensions !== this.#suspensions) {
       this.#suspensions = clock.suspensions;
       log.warn(
--- a/packages/entry/src/gateway/grants/service_grants.ts
+++ b/packages/entry/src/gateway/grants/service_grants.ts
@@ -438,19 +438,28 @@
   /** Grants that were sent to old owners may still arrive. */
   #logLastGrants(
     revision: number,
-    earlierInHandover: ReadonlyMap<contracts.ServerId, unknown>,
+    earlierInHandover: ReadonlyMap<
+      contracts.ServerId,
+      readonly contracts.RangeState[]
+    >,
   ): void {
+    const earlier = new Set(
+      [...earlierInHandover].flatMap(([server, ranges]) =>
+        ranges.map(({ vacating }) => `${server}/${vacating!.revision}`)
+      ),
+    );
     for (
-      const [server, [ageMs, unansweredAgeMs]] of this.#sender.grantAgesMs()
+      const [server, handoverRevision, ageMs, leaseLeftMs, unansweredLeftMs]
+        of this.handoverGrantTimesMs
     ) {
-      const isNew = this.#inHandover.has(server) &&
-        !earlierInHandover.has(server);
-      if (!isNew) continue;
-      this.#options.log.info("Stopped renewing a server's grants.", {
+      if (earlier.has(`${server}/${handoverRevision}`)) continue;
+      this.#options.log.info("Stopped renewing ranges of a server.", {
         server,
         revision,
+        handoverRevision,
         lastGrantAgeMs: ageMs,
-        unansweredAgeMs: unansweredAgeMs ?? undefined,
+        leaseLeftMs,
+        unansweredLeaseLeftMs: unansweredLeftMs ?? undefined,
       });
     }
   }
@@ -792,7 +801,7 @@
   }
 
   #logFinished(finished: readonly grants.FinishedHandover[]): void {
-    for (const { range, reason } of finished) {
+    for (const { range, reason, lastLease } of finished) {
       const { fromKey, toKey, fence, owner, vacating } = range;
       this.#options.log.info("Handover finished.", {
         server: owner.server,
@@ -802,6 +811,8 @@
         oldOwner: vacating!.server,
         oldBornMs: vacating!.bornMs,
         reason,
+        lastLeaseVm: lastLease?.vm,
+        lastLeaseBasis: lastLease?.basis,
       });
     }
   }
--- a/packages/entry/src/utils/clock.ts
+++ b/packages/entry/src/utils/clock.ts
@@ -32,6 +32,7 @@
   #offsetMs = Date.now() - performance.now();
   #suspendedMs = 0;
   #suspensions = 0;
+  #jumpsMs: number[] = [];
 
   /** Number of suspensions detected so far. */
   get suspensions(): number {
@@ -46,7 +47,18 @@
       this.#suspendedMs += jumpMs;
       this.#suspensions++;
     }
-    if (Math.abs(jumpMs) > MIN_SUSPENSION_MS) this.#offsetMs = offsetMs;
+    if (Math.abs(jumpMs) > MIN_SUSPENSION_MS) {
+      this.#offsetMs = offsetMs;
+      this.#jumpsMs.push(jumpMs);
+    }
     return monotonicMs + this.#suspendedMs;
   }
+
+  /**
+   * Jumps of the wall clock against the monotonic clock since the last call, in
+   * ms; negative when it went back.
+   */
+  takeJumpsMs(): readonly number[] {
+    return this.#jumpsMs.splice(0);
+  }
 }
