fix: a step of the wall clock ends no lease early

Cause: `SuspendAwareClock` added each forward jump of the wall clock to its time, as it took it for a suspension. Later is safe for what must still be fresh, and unsafe for what must be over. On that clock ran the ends of leases that voters report, the leader's own times, the ages that make a release void, the removal of voters, heartbeats of peers and the wait of a new leader.

Fix: there is one time line, that of the monotonic clock, which counts too little at most. What must be over, expired, lost or removed is judged by it. What must be fresh is judged by `maxElapsedMs`, which adds all forward jumps since; a jump is also counted by a grant that leaves before the first tick. Whether a call of a peer has ended before an event here is judged by `latestTimeMs`. Both hold whether a jump was a step or a suspension, and a step back takes nothing off.

--- a/packages/decisions/src/grants/grant_model_test.ts
+++ b/packages/decisions/src/grants/grant_model_test.ts
@@ -8,6 +8,7 @@
 import { test } from "node:test";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import * as clocks from "../clocks/mod.ts";
 import * as grants from "./mod.ts";
 
 const STEP_MS = 10;
@@ -24,6 +25,8 @@
 const QUARTER = KEY_COUNT / 4;
 const SAMPLE_KEYS = [0, 1, 2, 3].map((index) => index * QUARTER + 7);
 const SLOW_CLOCK = 1.02;
+/** A step of a wall clock. */
+const WALL_STEP_MS = 2_000;
 /** Time between two changes of voters. */
 const VOTER_CHANGE_MS = 1_300;
 
@@ -51,6 +54,20 @@
   readonly cutFirstFromServer?: boolean;
   /** Servers refuse grants with older fences than that of a release. */
   readonly releasesTellFence?: boolean;
+  /** A fault: wall clocks of VMs step forward, and back a moment later. */
+  readonly stepWallClocks?: boolean;
+  /** A fault: VMs are suspended, which their monotonic clocks don't count. */
+  readonly suspendVms?: boolean;
+  /** Each forward jump of a wall clock counts as time that has passed. */
+  readonly countsJumpsAsTime?: boolean;
+}
+
+/** The earlier of two times; undefined for none. */
+function earliest<Time extends number | undefined>(
+  a: Time,
+  b: number | undefined,
+): number | Time {
+  return a === undefined ? b as Time : Math.min(a, b ?? a);
 }
 
 class ModelServer {
@@ -120,14 +137,101 @@
   return a === undefined ? b as Time : Math.max(a, b ?? a);
 }
 
+/** The clocks of a VM, in a run whose time is `modelMs`. */
+class ModelClock implements contracts.BoundedClock {
+  readonly #modelMs: () => number;
+  readonly #faults: Faults;
+  readonly #jumps: clocks.WallClockJumps;
+  #suspendedMs = 0;
+  #suspendedAtMs: number | undefined;
+  #forwardMs = 0;
+  wallStepMs = 0;
+
+  constructor(modelMs: () => number, faults: Faults) {
+    this.#modelMs = modelMs;
+    this.#faults = faults;
+    this.#jumps = new clocks.WallClockJumps(this.#read());
+  }
+
+  get isSuspended(): boolean {
+    return this.#suspendedAtMs !== undefined;
+  }
+
+  suspend(): void {
+    this.#suspendedAtMs = this.#modelMs();
+  }
+
+  resume(): void {
+    this.#suspendedMs += this.#modelMs() - this.#suspendedAtMs!;
+    this.#suspendedAtMs = undefined;
+  }
+
+  nowMs(): number {
+    return this.#read().monotonicMs + this.#forwardMs;
+  }
+
+  maxElapsedMs(sinceMs: number): number {
+    if (this.#faults.countsJumpsAsTime) return this.nowMs() - sinceMs;
+    return this.#jumps.maxElapsedMs(sinceMs, this.#observe());
+  }
+
+  latestTimeMs(ageMs: number): number {
+    if (this.#faults.countsJumpsAsTime) return this.nowMs() - ageMs;
+    return this.#jumps.latestTimeMs(ageMs, this.#observe());
+  }
+
+  /** Whether the wall clock has jumped forward since the last call. */
+  takeForwardJump(): boolean {
+    this.#observe();
+    const forward = this.#jumps.takeJumpsMs().filter((jumpMs) => jumpMs > 0);
+    if (this.#faults.countsJumpsAsTime) {
+      for (const jumpMs of forward) this.#forwardMs += jumpMs;
+    }
+    return forward.length > 0;
+  }
+
+  #observe(): number {
+    const reading = this.#read();
+    this.#jumps.observe(reading);
+    return reading.monotonicMs;
+  }
+
+  #read(): clocks.ClockReading {
+    const modelMs = this.#modelMs();
+    const monotonicMs = (this.#suspendedAtMs ?? modelMs) - this.#suspendedMs;
+    return { monotonicMs, wallMs: modelMs + this.wallStepMs };
+  }
+}
+
+/** What a voter tells of its grants: ages and times left, on its own clock. */
+interface ModelStatus {
+  readonly revision: number;
+  readonly hasReadMap: boolean;
+  readonly lifeMs: number;
+  readonly ages: ReadonlyMap<contracts.ServerId, number>;
+  readonly unansweredAges: ReadonlyMap<contracts.ServerId, number>;
+  readonly handovers: readonly {
+    readonly server: contracts.ServerId;
+    readonly revision: number;
+    readonly ageMs: number;
+    readonly leftMs: number;
+    readonly unansweredLeftMs: number | undefined;
+  }[];
+}
+
+/** Its times are those of its clock. */
 class ModelVm {
   readonly vm: contracts.VmId;
+  readonly clock: ModelClock;
   reports = new grants.VoterReports();
   controller: grants.HandoverController;
   map: contracts.RangeMap | undefined;
   hasReadMap = false;
   startedMs = 0;
+  /** Time of the model. */
   pausedUntilMs = 0;
+  /** Whether messages that arrive while it is suspended are kept for it. */
+  buffersMessages = false;
   hasStore = true;
   hasPeers = true;
   statusMs = 0;
@@ -142,8 +246,9 @@
   /** The latest run of each server that this VM knows. */
   readonly bornMs = new Map<contracts.ServerId, number>();
 
-  constructor(vm: string) {
+  constructor(vm: string, clock: ModelClock) {
     this.vm = vm as contracts.VmId;
+    this.clock = clock;
     this.controller = this.#newController();
   }
 
@@ -152,12 +257,12 @@
     return new grants.HandoverController(service, this.reports, TIMINGS);
   }
 
-  restart(nowMs: number): void {
+  restart(): void {
     this.reports = new grants.VoterReports();
     this.controller = this.#newController();
     this.map = undefined;
     this.hasReadMap = false;
-    this.startedMs = nowMs;
+    this.startedMs = this.clock.nowMs();
     this.echoes.clear();
     this.sent.clear();
     this.renewedMs.clear();
@@ -189,7 +294,10 @@
     this.#random = xoroshiro128plus(seed);
     this.#faults = faults;
     this.vms = ["k1", "k2", "k3", ...faults.changeVoters ? ["k4"] : []]
-      .map((vm) => new ModelVm(vm));
+      .map((vm) => {
+        const clock = new ModelClock(() => this.nowMs, faults);
+        return new ModelVm(vm, clock);
+      });
   }
 
   /** VMs that are to vote; one after the other is left out. */
@@ -251,10 +359,18 @@
       return;
     }
     const vm = this.#pick(this.vms);
-    if (this.#chance(0.002)) vm.restart(this.nowMs);
-    if (this.#chance(0.002)) {
+    const isAwake = !vm.clock.isSuspended;
+    if (this.#chance(0.002) && isAwake) vm.restart();
+    if (this.#chance(0.002) && isAwake) {
       vm.pausedUntilMs = this.nowMs + this.#between(500, 3_000);
     }
+    if (this.#faults.stepWallClocks && this.#chance(0.01)) {
+      vm.clock.wallStepMs += WALL_STEP_MS;
+      this.#after(400, () => vm.clock.wallStepMs -= WALL_STEP_MS);
+    }
+    if (this.#faults.suspendVms && this.#chance(0.004) && isAwake) {
+      this.#suspend(vm);
+    }
     if (this.#chance(0.003)) vm.hasStore = !vm.hasStore;
     if (this.#chance(0.003)) vm.hasPeers = !vm.hasPeers;
     if (this.#chance(0.002)) {
@@ -266,6 +382,13 @@
     }
   }
 
+  /** Suspends a VM, also for longer than handovers wait for a silent voter. */
+  #suspend(vm: ModelVm): void {
+    vm.clock.suspend();
+    vm.buffersMessages = this.#chance(0.5);
+    vm.pausedUntilMs = this.nowMs + this.#between(500, 6_000);
+  }
+
   /** Each VM learns of the new run in its own time. */
   #restartServer(server: ModelServer): void {
     server.restart();
@@ -283,14 +406,10 @@
 
   #runVm(vm: ModelVm): void {
     if (vm.pausedUntilMs > this.nowMs) return;
-    if (vm.pausedUntilMs > 0) {
-      vm.pausedUntilMs = 0;
-      vm.reports.clearConfirmations();
-      vm.controller.requireRead();
-      vm.hasReadMap = false;
-    }
+    if (vm.pausedUntilMs > 0) this.#resume(vm);
+    if (vm.clock.takeForwardJump()) this.#dropConfirmations(vm);
     this.#noteOwnReport(vm);
-    if (this.nowMs - vm.statusMs >= STATUS_MS) this.#sendStatus(vm);
+    if (vm.clock.nowMs() - vm.statusMs >= STATUS_MS) this.#sendStatus(vm);
     if (!vm.hasReadMap) this.#read(vm);
     this.#renew(vm);
     if (this.#isLeader(vm)) this.#controlHandovers(vm);
@@ -304,29 +423,54 @@
       );
   }
 
-  #reportOf(vm: ModelVm, requestedAtMs: number): grants.VoterReport {
-    const last = new Map<contracts.ServerId, number>();
-    const unanswered = new Map<contracts.ServerId, number>();
-    const handovers = new Map<string, grants.HandoverGrants>();
+  /** Timers that are due when a machine resumes run first. */
+  #deliverAfterResume(vm: ModelVm, receive: () => void): void {
+    if (!vm.clock.isSuspended || !vm.buffersMessages) return;
+    const pauseLeftMs = vm.pausedUntilMs - this.nowMs;
+    this.#after(pauseLeftMs + this.#between(1, 3) * STEP_MS, receive);
+  }
+
+  #resume(vm: ModelVm): void {
+    vm.pausedUntilMs = 0;
+    if (vm.clock.isSuspended) return vm.clock.resume();
+    this.#dropConfirmations(vm);
+  }
+
+  #dropConfirmations(vm: ModelVm): void {
+    vm.reports.clearConfirmations();
+    vm.controller.requireRead();
+    vm.hasReadMap = false;
+  }
+
+  #statusOf(vm: ModelVm): ModelStatus {
+    const nowMs = vm.clock.nowMs();
+    const ages = new Map<contracts.ServerId, number>();
+    const unansweredAges = new Map<contracts.ServerId, number>();
+    const handovers = new Map<string, ModelStatus["handovers"][number]>();
     for (const grant of vm.sent.values()) {
       const { server } = grant;
-      const endMs = grant.isInFlight ? this.nowMs : grant.endMs;
+      const ageMs = grant.isInFlight ? 0 : nowMs - grant.endMs;
       const unansweredMs = this.#faults.forgetsUnanswered
         ? undefined
         : grant.isInFlight
-        ? this.nowMs
+        ? nowMs
         : grant.unansweredMs;
-      last.set(server, latest(endMs, last.get(server))!);
-      const unansweredEndMs = latest(unansweredMs, unanswered.get(server));
-      if (unansweredEndMs !== undefined) {
-        unanswered.set(server, unansweredEndMs);
+      ages.set(server, earliest(ageMs, ages.get(server))!);
+      if (unansweredMs !== undefined) {
+        const unansweredAgeMs = nowMs - unansweredMs;
+        const otherMs = unansweredAges.get(server);
+        unansweredAges.set(server, earliest(unansweredAgeMs, otherMs)!);
       }
       const inFlightLeaseEndMs = grant.isInFlight
-        ? this.nowMs + TIMINGS.grantTimeoutMs + grant.lifetimeMs
+        ? nowMs + TIMINGS.grantTimeoutMs + grant.lifetimeMs
         : undefined;
       const unansweredLeaseEndMs = this.#faults.forgetsUnanswered
         ? undefined
         : latest(inFlightLeaseEndMs, grant.unansweredLeaseEndMs);
+      const unansweredLeftMs = unansweredLeaseEndMs === undefined
+        ? undefined
+        : unansweredLeaseEndMs - nowMs;
+      const leftMs = latest(grant.leaseEndMs, inFlightLeaseEndMs) - nowMs;
       for (const range of vm.map?.ranges ?? []) {
         const { vacating } = range;
         if (vacating?.server !== server) continue;
@@ -337,63 +481,93 @@
         handovers.set(name, {
           server,
           revision,
-          lastGrantMs: latest(endMs, other?.lastGrantMs)!,
-          leaseEndMs: latest(
-            latest(grant.leaseEndMs, inFlightLeaseEndMs),
-            other?.leaseEndMs,
-          ),
-          unansweredLeaseEndMs: latest(
-            unansweredLeaseEndMs,
-            other?.unansweredLeaseEndMs,
-          ),
+          ageMs: earliest(ageMs, other?.ageMs)!,
+          leftMs: latest(leftMs, other?.leftMs),
+          unansweredLeftMs: latest(unansweredLeftMs, other?.unansweredLeftMs),
         });
       }
     }
     return {
-      vm: vm.vm,
       revision: vm.map?.revision ?? 0,
       hasReadMap: vm.hasReadMap,
-      requestedAtMs,
-      receivedAtMs: this.nowMs,
-      startedAtMs: vm.startedMs,
-      lastGrantMs: last,
-      lastUnansweredMs: unanswered,
+      lifeMs: nowMs - vm.startedMs,
+      ages,
+      unansweredAges,
       handovers: this.#faults.reportsNoHandovers ? [] : [...handovers.values()],
     };
   }
 
+  /** Converts a status to times of the clock of the VM that receives it. */
+  #noteStatus(
+    { clock, reports }: ModelVm,
+    vm: contracts.VmId,
+    status: ModelStatus,
+    { requestedAtMs, timeMs }: {
+      readonly requestedAtMs: number;
+      readonly timeMs: (ageMs: number) => number;
+    },
+  ): void {
+    const nowMs = clock.nowMs();
+    const timesOf = (ages: ReadonlyMap<contracts.ServerId, number>) =>
+      new Map([...ages].map(([server, ageMs]) => [server, timeMs(ageMs)]));
+    reports.noteReport({
+      vm,
+      revision: status.revision,
+      hasReadMap: status.hasReadMap,
+      requestedAtMs,
+      receivedAtMs: nowMs,
+      startedAtMs: nowMs - status.lifeMs,
+      lastGrantMs: timesOf(status.ages),
+      lastUnansweredMs: timesOf(status.unansweredAges),
+      handovers: status.handovers.map((it) => ({
+        server: it.server,
+        revision: it.revision,
+        lastGrantMs: timeMs(it.ageMs),
+        leaseEndMs: nowMs + it.leftMs,
+        unansweredLeaseEndMs: it.unansweredLeftMs === undefined
+          ? undefined
+          : nowMs + it.unansweredLeftMs,
+      })),
+    });
+  }
+
   #noteOwnReport(vm: ModelVm): void {
-    vm.reports.noteReport(this.#reportOf(vm, this.nowMs));
+    const nowMs = vm.clock.nowMs();
+    const timeMs = (ageMs: number) => nowMs - ageMs;
+    const options = { requestedAtMs: nowMs, timeMs };
+    this.#noteStatus(vm, vm.vm, this.#statusOf(vm), options);
   }
 
   #sendStatus(vm: ModelVm): void {
-    vm.statusMs = this.nowMs;
-    const sentAtMs = this.nowMs;
+    vm.statusMs = vm.clock.nowMs();
+    const sentAtMs = vm.statusMs;
     for (const other of this.vms) {
       const isLost = !vm.hasPeers || !other.hasPeers || this.#chance(0.1);
       if (other === vm || isLost) continue;
       const echoMs = vm.echoes.get(other.vm) ?? Number.NEGATIVE_INFINITY;
-      const report = this.#reportOf(vm, echoMs);
+      const status = this.#statusOf(vm);
       const receiverStartedMs = other.startedMs;
-      this.#after(this.#between(1, 40), () => {
-        if (
-          other.startedMs !== receiverStartedMs ||
-          other.pausedUntilMs > this.nowMs
-        ) return;
+      const receive = () => {
+        if (other.startedMs !== receiverStartedMs) return;
+        if (other.pausedUntilMs > this.nowMs) {
+          return this.#deliverAfterResume(other, receive);
+        }
         other.echoes.set(vm.vm, sentAtMs);
-        other.heardMs.set(vm.vm, this.nowMs);
+        other.heardMs.set(vm.vm, other.clock.nowMs());
         const requestedAtMs = echoMs >= other.startedMs ? echoMs : -Infinity;
-        other.reports.noteReport({ ...report, requestedAtMs });
-      });
+        const timeMs = (ageMs: number) => other.clock.latestTimeMs(ageMs);
+        this.#noteStatus(other, vm.vm, status, { requestedAtMs, timeMs });
+      };
+      this.#after(this.#between(1, 40), receive);
     }
   }
 
   #read(vm: ModelVm): void {
-    if (!vm.hasStore || this.nowMs - vm.readMs < 250) return;
-    vm.readMs = this.nowMs;
+    const requestedAtMs = vm.clock.nowMs();
+    if (!vm.hasStore || requestedAtMs - vm.readMs < 250) return;
+    vm.readMs = requestedAtMs;
     const stored = this.#stored;
     if (stored === undefined) return;
-    const requestedAtMs = this.nowMs;
     const startedMs = vm.startedMs;
     this.#after(this.#between(5, 60), () => {
       if (vm.startedMs !== startedMs) return;
@@ -415,13 +589,16 @@
       if (isBusy) continue;
       if ((vm.bornMs.get(server) ?? 1) !== bornMs) continue;
       const name = `${range.fromKey}/${range.fence}`;
+      const nowMs = vm.clock.nowMs();
       const renewedMs = vm.renewedMs.get(name) ?? -Infinity;
-      if (this.nowMs - renewedMs < TIMINGS.renewMs) continue;
-      const confirmationAgeMs = this.nowMs - vm.reports.confirmedAtMs(map);
+      if (nowMs - renewedMs < TIMINGS.renewMs) continue;
+      const confirmationAgeMs = vm.clock.maxElapsedMs(
+        vm.reports.confirmedAtMs(map),
+      );
       const isConfirmed = this.#faults.noConfirmationTtl ||
         confirmationAgeMs < TIMINGS.confirmationTtlMs;
       if (!isConfirmed) return this.#read(vm);
-      vm.renewedMs.set(name, this.nowMs);
+      vm.renewedMs.set(name, nowMs);
       this.#grant(vm, range);
     }
   }
@@ -458,11 +635,11 @@
     state.lifetimeMs = grants.maxLeaseLifetimeMs(TIMINGS, longestMs);
     const end = (isAnswered: boolean) => {
       state.isInFlight = false;
-      state.endMs = this.nowMs;
-      const leaseEndMs = this.nowMs + state.lifetimeMs;
+      state.endMs = vm.clock.nowMs();
+      const leaseEndMs = state.endMs + state.lifetimeMs;
       state.leaseEndMs = Math.max(state.leaseEndMs, leaseEndMs);
       if (isAnswered) return;
-      state.unansweredMs = this.nowMs;
+      state.unansweredMs = state.endMs;
       state.unansweredLeaseEndMs = latest(
         leaseEndMs,
         state.unansweredLeaseEndMs,
@@ -477,6 +654,8 @@
       // What was sent to a run ends with it.
       const { bornMs } = server.owner;
       const isSameRun = () => server.owner.bornMs === bornMs;
+      // It is asked again whether the grant may be sent.
+      if (vm.clock.isSuspended) return;
       this.#after(transitMs, () => {
         const arrived = { arrivedMs: this.nowMs, holdMs };
         if (!isSameRun() || server.unresponsiveUntilMs > this.nowMs) return;
@@ -499,8 +678,9 @@
   #controlHandovers(vm: ModelVm): void {
     const { controller } = vm;
     const tick = this.#tick(vm);
-    controller.checkAcknowledgements(this.nowMs, tick.removedVoters);
-    for (const call of controller.takeReleases(this.nowMs)) {
+    const nowMs = vm.clock.nowMs();
+    controller.checkAcknowledgements(nowMs, tick.removedVoters);
+    for (const call of controller.takeReleases(nowMs)) {
       this.#release(vm, call);
     }
     const call = controller.nextCall(tick);
@@ -512,11 +692,11 @@
       const isSeen = !isLost && vm.startedMs === startedMs;
       if (!isSeen) {
         if (vm.startedMs === startedMs) {
-          vm.controller.noteCallResult({ kind: "unsure" }, this.nowMs);
+          vm.controller.noteCallResult({ kind: "unsure" }, vm.clock.nowMs());
         }
         return;
       }
-      vm.controller.noteCallResult(end, this.nowMs);
+      vm.controller.noteCallResult(end, vm.clock.nowMs());
       if (end.kind !== "written" && end.kind !== "found") return;
       vm.hasReadMap = true;
       vm.adopt(end.stored.map);
@@ -524,9 +704,14 @@
         const isDelivered = vm.hasPeers && other.hasPeers && !this.#chance(0.2);
         if (!isDelivered) continue;
         const otherStartedMs = other.startedMs;
-        this.#after(this.#between(1, 40), () => {
-          if (other.startedMs === otherStartedMs) other.adopt(end.stored.map);
-        });
+        const adopt = () => {
+          if (other.startedMs !== otherStartedMs) return;
+          if (other.clock.isSuspended) {
+            return this.#deliverAfterResume(other, adopt);
+          }
+          other.adopt(end.stored.map);
+        };
+        this.#after(this.#between(1, 40), adopt);
       }
     });
   }
@@ -541,7 +726,7 @@
     const startedMs = vm.startedMs;
     const note = (end: { readonly handover: undefined } | "failed") => {
       if (vm.startedMs !== startedMs) return;
-      vm.controller.noteReleaseResult(range.fence, end, this.nowMs);
+      vm.controller.noteReleaseResult(range.fence, end, vm.clock.nowMs());
     };
     this.#after(this.#between(1, 60), () => {
       const isCut = this.#faults.cutFirstFromServer && vm === this.vms[0] &&
@@ -567,8 +752,9 @@
         return [server, entry as contracts.RegisteredServer];
       }),
     );
+    const nowMs = vm.clock.nowMs();
     return {
-      nowMs: this.#faults.noLeaseWait ? this.nowMs + 1e6 : this.nowMs,
+      nowMs: this.#faults.noLeaseWait ? nowMs + 1e6 : nowMs,
       usable,
       voters: this.#voters(),
       removedVoters: this.#removedVoters(vm),
@@ -593,8 +779,8 @@
       weak: new Set(),
       cutOff: new Set(),
       sinceLastMessageMs: (voter) =>
-        this.nowMs - (vm.heardMs.get(voter) ?? Number.NEGATIVE_INFINITY),
-      uptimeMs: this.nowMs - vm.startedMs,
+        vm.clock.nowMs() - (vm.heardMs.get(voter) ?? Number.NEGATIVE_INFINITY),
+      uptimeMs: vm.clock.nowMs() - vm.startedMs,
     });
   }
 
@@ -692,6 +878,40 @@
   expect(moves > RUNS * 5).toEqual(true);
 });
 
+/**
+ * Guards against keys given on while their owner's lease runs, as a step of a
+ * wall clock counts as time that has passed.
+ */
+test("should never let two servers hold a key while wall clocks step", () => {
+  const { violations, moves } = runModels({ stepWallClocks: true }, RUNS);
+  expect(violations).toEqual(0);
+  expect(moves > RUNS * 5).toEqual(true);
+});
+
+/**
+ * Guards against renewals by a VM that resumes from a suspension, on
+ * confirmations from before it.
+ */
+test("should never let two servers hold a key while VMs are suspended", () => {
+  const variants: readonly Faults[] = [
+    { suspendVms: true },
+    { suspendVms: true, cutFirstFromServer: true },
+  ];
+  for (const faults of variants) {
+    const { violations, moves } = runModels(faults, RUNS);
+    expect(violations).toEqual(0);
+    expect(moves > RUNS * 5).toEqual(true);
+  }
+});
+
+/** Guards against safeguards that hold for steps or suspensions alone. */
+test("should never let two servers hold a key while wall clocks step and VMs are suspended", () => {
+  const faults = { stepWallClocks: true, suspendVms: true };
+  const { violations, moves } = runModels(faults, RUNS);
+  expect(violations).toEqual(0);
+  expect(moves > RUNS * 5).toEqual(true);
+});
+
 /** Guards against two holders when only the leader reaches the store. */
 test("should not move keys without a reachable majority", () => {
   expect(runModels({ isolateFirst: true }, 20).violations).toEqual(0);
@@ -730,6 +950,10 @@
   ["unanswered grants outlast a release", { forgetsUnanswered: true }],
   ["voters report grants by handover", { reportsNoHandovers: true }],
   ["the map names a server's longer lease", { hidesServerLease: true }],
+  ["leases are over by the least time that may have passed", {
+    stepWallClocks: true,
+    countsJumpsAsTime: true,
+  }],
 ];
 
 for (const [safeguard, faults] of DISABLED_SAFEGUARDS) {
--- a/packages/entry/src/gateway/grants/grant_task.ts
+++ b/packages/entry/src/gateway/grants/grant_task.ts
@@ -3,7 +3,7 @@
 import * as admission from "@guavatide/decisions/admission/mod";
 import * as grants from "@guavatide/decisions/grants/mod";
 import type * as ownership from "@guavatide/decisions/ownership/mod";
-import type { SuspendAwareClock } from "../../utils/clock.ts";
+import type { SystemClock } from "../../utils/clock.ts";
 import type { LabelledCounts } from "../../metrics/labelled_counts.ts";
 import type { LifeCycle, PeriodicTask } from "../../utils/life_cycle.ts";
 import { Listeners } from "../../utils/listeners.ts";
@@ -40,7 +40,7 @@
   readonly control: contracts.GrantControl;
   readonly health: StoreHealth;
   readonly reach: Pick<PeerReach, "hasAny" | "reaches" | "reachesAny">;
-  readonly clock: SuspendAwareClock;
+  readonly clock: SystemClock;
   readonly log: Logger;
   readonly capacity: MovePlannerOptions["capacity"];
   readonly isCold: MovePlannerOptions["isCold"];
@@ -106,7 +106,6 @@
   readonly #desiredLeaseMs = new Map<contracts.ServiceId, number>();
   readonly #listeners: Listeners<[service: contracts.ServiceId]>;
   #voters: ReadonlySet<contracts.VmId> = new Set();
-  #suspensions = 0;
   #tickTask: PeriodicTask | undefined;
   #countsSentAtMs = Number.NEGATIVE_INFINITY;
 
@@ -240,24 +239,23 @@
   }
 
   #tick(): void {
+    this.#checkWallClock();
+    for (const service of this.#services.values()) service.tick();
+    const isActive = this.isLeader || this.#voters.has(this.#options.self.vm);
+    this.#tickTask?.setIntervalMs(isActive ? ACTIVE_TICK_MS : TICK_MS);
+  }
+
+  #checkWallClock(): void {
     const { clock, log } = this.#options;
-    // The clock detects a suspension only when it is read.
-    clock.nowMs();
-    for (const jumpMs of clock.takeJumpsMs()) {
-      log.info("The wall clock jumped against the monotonic clock.", {
+    const jumpsMs = clock.takeJumpsMs();
+    for (const jumpMs of jumpsMs) {
+      log.warn("The wall clock jumped against the monotonic clock.", {
         jumpMs: Math.round(jumpMs),
       });
     }
-    if (clock.suspensions !== this.#suspensions) {
-      this.#suspensions = clock.suspensions;
-      log.warn(
-        "The machine was suspended; discards confirmations of range maps.",
-      );
-      for (const service of this.#services.values()) service.noteSuspension();
-    }
-    for (const service of this.#services.values()) service.tick();
-    const isActive = this.isLeader || this.#voters.has(this.#options.self.vm);
-    this.#tickTask?.setIntervalMs(isActive ? ACTIVE_TICK_MS : TICK_MS);
+    // The machine may have been suspended.
+    if (!jumpsMs.some((jumpMs) => jumpMs > 0)) return;
+    for (const service of this.#services.values()) service.noteSuspension();
   }
 
   #applyConfig(): void {
--- a/packages/entry/src/gateway/grants/service_grants.ts
+++ b/packages/entry/src/gateway/grants/service_grants.ts
@@ -31,6 +31,7 @@
 export interface ServiceGrantsOptions
   extends Omit<MovePlannerOptions, "keepsRanges"> {
   readonly vm: contracts.VmId;
+  readonly clock: contracts.BoundedClock;
   readonly timings: grants.GrantTimings;
   readonly hasher: ownership.KeyHasher;
   readonly maps: RangeMapStore;
@@ -291,8 +292,9 @@
     sentAtMs: number,
     receivedAtMs: number,
   ): void {
-    const { service } = this.#options;
+    const { service, clock } = this.#options;
     const [revision, hasReadMap] = status.maps[service] ?? [0, false];
+    const latestTimeMs = (ageMs: number) => clock.latestTimeMs(ageMs);
     this.#voterReports.noteReport({
       vm: status.vm,
       revision,
@@ -300,9 +302,12 @@
       requestedAtMs: sentAtMs,
       receivedAtMs,
       startedAtMs: receivedAtMs - status.lifeMs,
-      ...grantTimes(Object.entries(status.grantAgesMs), receivedAtMs),
+      ...grantTimes(Object.entries(status.grantAgesMs), latestTimeMs),
       handovers: status.handoverGrantTimesMs &&
-        handoverGrants(status.handoverGrantTimesMs, receivedAtMs),
+        handoverGrants(status.handoverGrantTimesMs, {
+          receivedAtMs,
+          latestTimeMs,
+        }),
     });
     this.#lostServers.noteUnresponsive(status.vm, status.silentServers);
   }
@@ -331,7 +336,8 @@
   }
 
   /**
-   * Discards confirmations after a pause of the process: they may be outdated.
+   * Discards confirmations after a possible suspension of the machine: they may
+   * be outdated.
    */
   noteSuspension(): void {
     this.#voterReports.clearConfirmations();
@@ -350,6 +356,7 @@
   }
 
   #noteOwnReport(nowMs: number): void {
+    const timeMs = (ageMs: number) => nowMs - ageMs;
     this.#voterReports.noteReport({
       vm: this.#options.vm,
       revision: this.#map?.revision ?? 0,
@@ -357,8 +364,11 @@
       requestedAtMs: nowMs,
       receivedAtMs: nowMs,
       startedAtMs: this.#startedAtMs,
-      ...grantTimes(this.#sender.grantAgesMs(), nowMs),
-      handovers: handoverGrants(this.handoverGrantTimesMs, nowMs),
+      ...grantTimes(this.#sender.grantAgesMs(), timeMs),
+      handovers: handoverGrants(this.handoverGrantTimesMs, {
+        receivedAtMs: nowMs,
+        latestTimeMs: timeMs,
+      }),
     });
   }
 
@@ -700,8 +710,8 @@
 
   #isConfirmed(map: contracts.RangeMap): boolean {
     const { clock, timings } = this.#options;
-    const ageMs = clock.nowMs() - this.#voterReports.confirmedAtMs(map);
-    return ageMs < timings.confirmationTtlMs;
+    const confirmedAtMs = this.#voterReports.confirmedAtMs(map);
+    return clock.maxElapsedMs(confirmedAtMs) < timings.confirmationTtlMs;
   }
 
   /**
@@ -997,18 +1007,18 @@
   }
 }
 
-/** Converts ages of grants to times of the local clock. */
+/** Converts ages of grants to times of the local clock, the latest possible. */
 function grantTimes(
   ages: Iterable<[string, [number, number | null]]>,
-  nowMs: number,
+  latestTimeMs: (ageMs: number) => number,
 ): Pick<grants.VoterReport, "lastGrantMs" | "lastUnansweredMs"> {
   const lastGrantMs = new Map<contracts.ServerId, number>();
   const lastUnansweredMs = new Map<contracts.ServerId, number>();
   for (const [name, [ageMs, unansweredAgeMs]] of ages) {
     const server = name as contracts.ServerId;
-    lastGrantMs.set(server, nowMs - ageMs);
+    lastGrantMs.set(server, latestTimeMs(ageMs));
     if (unansweredAgeMs === null) continue;
-    lastUnansweredMs.set(server, nowMs - unansweredAgeMs);
+    lastUnansweredMs.set(server, latestTimeMs(unansweredAgeMs));
   }
   return { lastGrantMs, lastUnansweredMs };
 }
@@ -1016,16 +1026,19 @@
 /** The same for times by handover. */
 function handoverGrants(
   times: readonly HandoverGrantTimes[],
-  nowMs: number,
+  { receivedAtMs, latestTimeMs }: {
+    readonly receivedAtMs: number;
+    readonly latestTimeMs: (ageMs: number) => number;
+  },
 ): grants.HandoverGrants[] {
   return times.map(([server, revision, ageMs, leftMs, unansweredLeftMs]) => ({
     server: server as contracts.ServerId,
     revision,
-    lastGrantMs: nowMs - ageMs,
-    leaseEndMs: nowMs + leftMs,
+    lastGrantMs: latestTimeMs(ageMs),
+    leaseEndMs: receivedAtMs + leftMs,
     unansweredLeaseEndMs: unansweredLeftMs === null
       ? undefined
-      : nowMs + unansweredLeftMs,
+      : receivedAtMs + unansweredLeftMs,
   }));
 }
 import { FailureLog } from "../../utils/failure_log.ts";
--- a/packages/entry/src/gateway/grants/service_grants_test.ts
+++ b/packages/entry/src/gateway/grants/service_grants_test.ts
@@ -9,6 +9,7 @@
 import type { RangeMapStore } from "./range_map_store.ts";
 import type { ServerRegistry } from "../servers/server_registry.ts";
 import { ServiceGrants } from "./service_grants.ts";
+import { SystemClock } from "../../utils/clock.ts";
 
 const VOTER = "vm1" as contracts.VmId;
 const OTHER = "vm2" as contracts.VmId;
@@ -92,11 +93,50 @@
   expect(voter.maySend(FIRST_SERVER)).toEqual(false);
 });
 
+/**
+ * Guards against keys given on while their owner's lease runs, as a step of the
+ * wall clock counts as time that has passed.
+ */
+test("should wait for the last lease in full when the wall clock jumps", async () => {
+  const { sent, ...voter } = await createVoter({ isLeader: true });
+  const isGranted = () =>
+    [...sent.values()].flat().some(({ fence }) => fence === HANDED_OVER_FENCE);
+  const timings = grants.DEFAULT_GRANT_TIMINGS;
+  // A voter counts as having granted until its start.
+  const freeAtMs = grants.maxLeaseLifetimeMs(timings, timings.holdMs);
+  await voter.run(LEADER_AFTER_MS);
+  voter.jumpWallClock(2_000);
+  await voter.run(freeAtMs - TICK_MS);
+  expect(isGranted()).toEqual(false);
+  await voter.run(freeAtMs + 4 * TICK_MS);
+  expect(isGranted()).toEqual(true);
+});
+
+/**
+ * Guards against a grant that leaves after a suspension of the machine, and
+ * before its first tick, by a confirmation from before it.
+ */
+test("should withhold a grant when the machine may have been suspended since its confirmation", async () => {
+  const voter = await createVoter();
+  const { renewMs } = grants.DEFAULT_GRANT_TIMINGS;
+  await voter.run(LEADER_AFTER_MS);
+  voter.holdAnswers();
+  voter.tick(renewMs);
+  expect(voter.maySend(FIRST_SERVER)).toEqual(true);
+  voter.jumpWallClock(2_000);
+  expect(voter.maySend(FIRST_SERVER)).toEqual(false);
+});
+
 const LONG_LEASE_MS = 6_000;
 
 /** A voter with several ranges at each server. */
 async function createVoter({ isLeader = false } = {}) {
   let nowMs = 0;
+  let wallOffsetMs = 0;
+  const clock = new SystemClock({
+    monotonicMs: () => nowMs,
+    wallMs: () => nowMs + wallOffsetMs,
+  });
   let isHeld = false;
   const restarted = new Set<contracts.ServerId>();
   const releases: (() => void)[] = [];
@@ -177,7 +217,7 @@
     publish: () => {},
     notifyVoters: () => {},
     onChange: () => {},
-    clock: { nowMs: () => nowMs },
+    clock,
     log: { debug() {}, info() {}, warn() {}, error() {} },
     capacity: () => 10,
     isCold: () => false,
@@ -201,6 +241,10 @@
     wait: (afterMs: number) => {
       nowMs += afterMs;
     },
+    /** A step of the wall clock, or a suspension of the machine. */
+    jumpWallClock: (jumpMs: number) => {
+      wallOffsetMs += jumpMs;
+    },
     tick: (afterMs: number) => {
       nowMs += afterMs;
       service.tick();
--- a/packages/entry/src/gateway/wire_gateway.ts
+++ b/packages/entry/src/gateway/wire_gateway.ts
@@ -7,11 +7,7 @@
 import { ServerEndCheck } from "../poison/server_end_check.ts";
 import { HedgedStore } from "../platform/hedged_store.ts";
 import { MeteredStore } from "../metrics/metered_store.ts";
-import {
-  MonotonicClock,
-  SuspendAwareClock,
-  SystemRandom,
-} from "../utils/clock.ts";
+import { SystemClock, SystemRandom } from "../utils/clock.ts";
 import { LifeCycle } from "../utils/life_cycle.ts";
 import type { LoggerFactory } from "../utils/log.ts";
 import { ProcessMonitor } from "../utils/process_monitor.ts";
@@ -116,8 +112,7 @@
 
 async function createParts({ settings, adapter, log }: GatewayOptions) {
   const lifeCycle = new LifeCycle(log.part("main"));
-  const clock = new MonotonicClock();
-  const suspensionClock = new SuspendAwareClock();
+  const clock = new SystemClock();
   const random = new SystemRandom();
   const metrics = new GatewayMetrics(log.part("main"));
   const health = new StoreHealth({ clock, log: log.part("store") });
@@ -166,7 +161,7 @@
   };
   const gossip: PeerGossip = new PeerGossip({
     self,
-    clock: suspensionClock,
+    clock,
     random,
     log: log.part("member"),
     ownHello: () => ({
@@ -176,7 +171,7 @@
     }),
     ownState: () => ownState(),
     ownVoterState: () => ({
-      lifeMs: Math.ceil(clock.nowMs() - startedMs),
+      lifeMs: Math.floor(clock.nowMs() - startedMs),
       ...grantTask.ownVoterState(),
     }),
     voters: () => grantTask.voters(),
@@ -225,7 +220,7 @@
   const requestLimits = new RequestLimitTask({
     registry,
     gossip,
-    clock: suspensionClock,
+    clock,
     log: log.part("route"),
     counts: metrics.limitedServerCalls,
   });
@@ -341,7 +336,7 @@
     }),
     health,
     reach,
-    clock: suspensionClock,
+    clock,
     log: log.part("owner"),
     capacity: (server, factor) => forwarder.capacity(server, factor),
     isCold: ({ server, service }) =>
--- a/packages/entry/src/utils/clock.ts
+++ b/packages/entry/src/utils/clock.ts
@@ -1,10 +1,8 @@
-/** Monotonic clocks and the random source of the process. */
-import type { Clock, RandomSource } from "@guavatide/contracts";
+/** Clocks and the random source of the process. */
+import type { BoundedClock, Clock, RandomSource } from "@guavatide/contracts";
+import * as clocks from "@guavatide/decisions/clocks/mod";
 
-/**
- * CLOCK_MONOTONIC as Node exposes it. It advances while the process is stopped,
- * but not while the machine is suspended.
- */
+/** CLOCK_MONOTONIC as Node exposes it. */
 export class MonotonicClock implements Clock {
   nowMs(): number {
     return performance.now();
@@ -18,40 +16,43 @@
   }
 }
 
-/** A wall-clock jump larger than this counts as a suspension of the machine. */
-const MIN_SUSPENSION_MS = 80;
+/** Where {@link SystemClock} reads the time. */
+export interface TimeSources {
+  /** CLOCK_MONOTONIC. */
+  readonly monotonicMs: () => number;
+  /** The wall clock. */
+  readonly wallMs: () => number;
+}
 
 /**
- * A monotonic clock that includes time spent suspended, which CLOCK_MONOTONIC
- * excludes. Without that time, confirmations and leases would look fresh after a
- * resume, and the VM would renew ranges that have been granted to other servers
- * in the meantime. A forward step of the wall clock looks like a suspension; its
- * only effect is that confirmations age.
+ * The monotonic clock, with an upper bound on elapsed time from the wall clock.
+ * Node.js has no call for CLOCK_BOOTTIME, which would tell a suspension of the
+ * machine from a step of the wall clock.
  */
-export class SuspendAwareClock implements Clock {
-  #offsetMs = Date.now() - performance.now();
-  #suspendedMs = 0;
-  #suspensions = 0;
-  #jumpsMs: number[] = [];
+export class SystemClock implements BoundedClock {
+  readonly #sources: TimeSources;
+  readonly #jumps: clocks.WallClockJumps;
 
-  /** Number of suspensions detected so far. */
-  get suspensions(): number {
-    return this.#suspensions;
+  constructor(
+    sources: TimeSources = {
+      monotonicMs: () => performance.now(),
+      wallMs: () => Date.now(),
+    },
+  ) {
+    this.#sources = sources;
+    this.#jumps = new clocks.WallClockJumps(this.#read());
   }
 
   nowMs(): number {
-    const monotonicMs = performance.now();
-    const offsetMs = Date.now() - monotonicMs;
-    const jumpMs = offsetMs - this.#offsetMs;
-    if (jumpMs > MIN_SUSPENSION_MS) {
-      this.#suspendedMs += jumpMs;
-      this.#suspensions++;
-    }
-    if (Math.abs(jumpMs) > MIN_SUSPENSION_MS) {
-      this.#offsetMs = offsetMs;
-      this.#jumpsMs.push(jumpMs);
-    }
-    return monotonicMs + this.#suspendedMs;
+    return this.#sources.monotonicMs();
+  }
+
+  maxElapsedMs(sinceMs: number): number {
+    return this.#jumps.maxElapsedMs(sinceMs, this.#observe());
+  }
+
+  latestTimeMs(ageMs: number): number {
+    return this.#jumps.latestTimeMs(ageMs, this.#observe());
   }
 
   /**
@@ -59,6 +60,18 @@
    * ms; negative when it went back.
    */
   takeJumpsMs(): readonly number[] {
-    return this.#jumpsMs.splice(0);
+    this.#observe();
+    return this.#jumps.takeJumpsMs();
+  }
+
+  #observe(): number {
+    const reading = this.#read();
+    this.#jumps.observe(reading);
+    return reading.monotonicMs;
+  }
+
+  #read(): clocks.ClockReading {
+    const { monotonicMs, wallMs } = this.#sources;
+    return { monotonicMs: monotonicMs(), wallMs: wallMs() };
   }
 }
