fix: peers compare ages of request limits by bounds

On the monotonic clock alone it would be the other way round after a suspension: the lack of a limit, seen before it, would count as newer than the limit that a peer has seen meanwhile.

A limit is now told with the shortest age that it may have, the lack of one with the longest, and the receiver takes the same side. A limit is lifted only by what has surely been observed later.

Two tests: the first fails with jumps counted as time, the second with the monotonic clock alone.

--- a/packages/entry/src/gateway/limits/request_limit_task.ts
+++ b/packages/entry/src/gateway/limits/request_limit_task.ts
@@ -23,8 +23,7 @@
 export interface RequestLimitTaskOptions {
   readonly registry: Pick<ServerRegistry, "onChange" | "bornMsOf">;
   readonly gossip: Pick<PeerGossip, "on" | "broadcast">;
-  /** Counts suspensions: peers compare the ages of what they know. */
-  readonly clock: contracts.Clock;
+  readonly clock: contracts.BoundedClock;
   readonly log: Logger;
   /** Calls to limited servers by kind. */
   readonly counts: LabelledCounts;
@@ -128,27 +127,42 @@
   newsOf(
     servers: Iterable<contracts.ServerId>,
   ): RequestLimitTuple[] | undefined {
-    const nowMs = this.#options.clock.nowMs();
     const news: RequestLimitTuple[] = [];
     for (const server of servers) {
       const known = this.#limits.observationOf(server);
       if (known === undefined) continue;
-      const ageMs = Math.max(0, Math.round(nowMs - known.observedAtMs));
-      news.push([server, known.requestsPerSecond ?? null, ageMs]);
+      const { requestsPerSecond = null } = known;
+      const ageMs = Math.max(0, Math.round(this.#reportedAgeMs(known)));
+      news.push([server, requestsPerSecond, ageMs]);
     }
     return news.length > 0 ? news : undefined;
   }
 
+  /**
+   * The longest age that the lack of a limit may have, and the shortest of a
+   * limit: a limit is lifted only by what has surely been observed later.
+   */
+  #reportedAgeMs(
+    { requestsPerSecond, observedAtMs }: admission.LimitObservation,
+  ): number {
+    const { clock } = this.#options;
+    return requestsPerSecond === undefined
+      ? clock.maxElapsedMs(observedAtMs)
+      : clock.nowMs() - observedAtMs;
+  }
+
   /** Takes over what a peer knows. */
   applyNews(news: readonly RequestLimitTuple[]): void {
-    const nowMs = this.#options.clock.nowMs();
-    const { registry } = this.#options;
+    const { registry, clock } = this.#options;
+    const nowMs = clock.nowMs();
     for (const [server, requestsPerSecond, ageMs] of news) {
       if (registry.bornMsOf(server) === undefined) continue;
       this.#toldAtMs.set(server, nowMs);
       const change = this.#limits.recordPeerReport(server, {
         requestsPerSecond: requestsPerSecond ?? undefined,
-        observedAtMs: nowMs - ageMs,
+        observedAtMs: requestsPerSecond === null
+          ? nowMs - ageMs
+          : clock.latestTimeMs(ageMs),
       });
       this.#follow(server, change);
     }
--- a/packages/entry/src/gateway/limits/request_limit_task_test.ts
+++ b/packages/entry/src/gateway/limits/request_limit_task_test.ts
@@ -2,6 +2,7 @@
 import { expect } from "earl";
 import { test } from "node:test";
 import { LabelledCounts } from "../../metrics/labelled_counts.ts";
+import { SystemClock } from "../../utils/clock.ts";
 import { RequestLimitTask } from "./request_limit_task.ts";
 
 const SERVER = "s1" as contracts.ServerId;
@@ -9,7 +10,7 @@
 const LIMITED = { kind: "limited" as const, requestsPerSecond: 2 };
 
 function createFixture() {
-  const clock = { now: 10_000, nowMs: () => clock.now };
+  const clock = { now: 10_000, wallOffsetMs: 0 };
   const sent: unknown[] = [];
   const warnings: string[] = [];
   const listeners: (() => void)[] = [];
@@ -24,7 +25,10 @@
       on: () => {},
       broadcast: (_method, params) => void sent.push(params),
     },
-    clock,
+    clock: new SystemClock({
+      monotonicMs: () => clock.now,
+      wallMs: () => clock.now + clock.wallOffsetMs,
+    }),
     log: {
       debug: noLine,
       info: noLine,
@@ -99,3 +103,34 @@
   // The limit itself stays in force.
   expect(task.limitOf(SERVER)).toEqual(2);
 });
+
+/**
+ * Guards against a limit that older word of a peer lifts, as a step of the wall
+ * clock makes this VM's own observation look old.
+ */
+test("should keep a limit that is newer than a peer's observation when the wall clock jumps", () => {
+  const { task, clock } = createFixture();
+  task.noteAnswer(SERVER, LIMITED, ANSWERED);
+  clock.now += 100;
+  clock.wallOffsetMs += 2_000;
+  task.applyNews([[SERVER, null, 500]]);
+  expect(task.limitOf(SERVER)).toEqual(2);
+  expect(task.newsOf([SERVER])).toEqual([[SERVER, 2, 100]]);
+});
+
+/**
+ * Guards against the lack of a limit, seen before a suspension of the machine,
+ * that counts as newer than the limit that a peer has seen meanwhile.
+ */
+test("should take over a peer's limit that may be newer than what was seen here", () => {
+  const { task, clock } = createFixture();
+  task.noteAnswer(SERVER, LIMITED, ANSWERED);
+  clock.now += 100;
+  task.noteAnswer(SERVER, undefined, ANSWERED);
+  expect(task.hasAny).toEqual(false);
+  clock.now += 100;
+  clock.wallOffsetMs += 2_000;
+  expect(task.newsOf([SERVER])).toEqual([[SERVER, null, 2_100]]);
+  task.applyNews([[SERVER, 1, 1_000]]);
+  expect(task.limitOf(SERVER)).toEqual(1);
+});
