fix: a step of the wall clock is no lag of the event loop

Requests read in the next two ticks were refused (503, above 400 ms), relayed ones declined.

Lag is measured by the monotonic clock. What a jump may mean beside it, that data waited in a suspension and its sender has gone, only lets the listener look for a close that follows the request, which does no harm after a step. Callers that are still there after a suspension are served.

--- a/packages/entry/src/gateway/forwarding/front_listener.ts
+++ b/packages/entry/src/gateway/forwarding/front_listener.ts
@@ -303,7 +303,8 @@
     const { readMs, isFirst, abort } = request;
     const lagMs = scheduler.readLagMs;
     if (
-      lagMs > 0 || readMs - this.#lastEarlyCloseMs < EARLY_CLOSE_CHECK_MS
+      scheduler.mayHaveWaited ||
+      readMs - this.#lastEarlyCloseMs < EARLY_CLOSE_CHECK_MS
     ) {
       // A close that followed the request is read in the next iteration.
       await timers.setImmediate();
--- a/packages/entry/src/gateway/forwarding/front_test_support.ts
+++ b/packages/entry/src/gateway/forwarding/front_test_support.ts
@@ -1,7 +1,7 @@
 /** A listener for clients with a fake forwarder, for tests. */
 import * as admission from "@guavatide/decisions/admission/mod";
 import * as net from "node:net";
-import { MonotonicClock } from "../../utils/clock.ts";
+import { SystemClock } from "../../utils/clock.ts";
 import { LifeCycle } from "../../utils/life_cycle.ts";
 import { RequestScheduler } from "../../utils/request_scheduler.ts";
 import { FrontListener, type FrontListenerOptions } from "./front_listener.ts";
@@ -44,10 +44,10 @@
       port: this.#port,
       headers: HEADERS,
       limits: () => undefined,
-      clock: new MonotonicClock(),
+      clock: new SystemClock(),
       random: { next: () => 0.5 },
       scheduler: new RequestScheduler({
-        clock: new MonotonicClock(),
+        clock: new SystemClock(),
         log: SILENT_LOG,
       }),
       lifeCycle: this.lifeCycle,
--- a/packages/entry/src/gateway/paths/attempt_relay.ts
+++ b/packages/entry/src/gateway/paths/attempt_relay.ts
@@ -50,7 +50,7 @@
   readonly graceMs: number;
   /** Counts relayed attempts by outcome. */
   readonly count: (outcome: string) => void;
-  readonly clock: contracts.Clock;
+  readonly clock: contracts.BoundedClock;
   readonly log: Logger;
 }
 
@@ -70,13 +70,14 @@
 /** The relayed requests of one VM. */
 export class AttemptRelay {
   readonly #options: AttemptRelayOptions;
-  readonly #lag = new EventLoopLagMonitor();
+  readonly #lag: EventLoopLagMonitor;
   readonly #strangerLog: ThrottledWarning;
   #inFlight = 0;
   #isStopping = false;
 
   constructor(options: AttemptRelayOptions) {
     this.#options = options;
+    this.#lag = new EventLoopLagMonitor(options.clock);
     this.#strangerLog = new ThrottledWarning(
       options.log,
       "Declines a message of a VM that is not known.",
--- a/packages/entry/src/gateway/paths/attempt_relay_test.ts
+++ b/packages/entry/src/gateway/paths/attempt_relay_test.ts
@@ -6,7 +6,7 @@
 import type { AttemptResult } from "../../links/server_connection.ts";
 import { HttpChannel } from "../../platform/http_channel.ts";
 import { waitUntil } from "../../requests/fakes_test_support.ts";
-import { MonotonicClock } from "../../utils/clock.ts";
+import { SystemClock } from "../../utils/clock.ts";
 import * as httpServer from "../../utils/http_server.ts";
 import { LifeCycle } from "../../utils/life_cycle.ts";
 import { AttemptRelay, type AttemptRelayOptions } from "./attempt_relay.ts";
@@ -64,7 +64,7 @@
       waitMs: () => 0,
       graceMs: 1_000,
       count: () => {},
-      clock: new MonotonicClock(),
+      clock: new SystemClock(),
       log: SILENT_LOGGER,
       ...options,
     });
--- a/packages/entry/src/requests/fakes_test_support.ts
+++ b/packages/entry/src/requests/fakes_test_support.ts
@@ -14,7 +14,7 @@
   CONNECTION_POOLS_DEFAULTS,
   ConnectionPools,
 } from "../links/connection_pools.ts";
-import { MonotonicClock, SystemRandom } from "../utils/clock.ts";
+import { SystemClock, SystemRandom } from "../utils/clock.ts";
 import { LifeCycle } from "../utils/life_cycle.ts";
 import { createLog } from "../utils/log.ts";
 import { RequestScheduler } from "../utils/request_scheduler.ts";
@@ -175,7 +175,7 @@
     noteNotOwner: () => {},
   };
   const settings = { ...REQUEST_DEFAULTS, lingerMs: 0, ...options.settings };
-  const clock = new MonotonicClock();
+  const clock = new SystemClock();
   const router = new RequestRouter({
     config,
     servers,
--- a/packages/entry/src/requests/new_connections_test.ts
+++ b/packages/entry/src/requests/new_connections_test.ts
@@ -2,7 +2,7 @@
 import { once } from "node:events";
 import * as net from "node:net";
 import { test } from "node:test";
-import { MonotonicClock } from "../utils/clock.ts";
+import { SystemClock } from "../utils/clock.ts";
 import { LifeCycle } from "../utils/life_cycle.ts";
 import { RequestScheduler } from "../utils/request_scheduler.ts";
 import { CallerListener } from "./caller_listener.ts";
@@ -36,7 +36,7 @@
 /** An iteration of the event loop accepts one connection, however long it is. */
 test("should answer new connections beside requests on kept ones", async () => {
   const lifeCycle = new LifeCycle(SILENT_LOG);
-  const clock = new MonotonicClock();
+  const clock = new SystemClock();
   const scheduler = new RequestScheduler({ clock, log: SILENT_LOG });
   const listener = new CallerListener({
     settings: { ...REQUEST_DEFAULTS, host: HOST, port: 0, lingerMs: 0 },
--- a/packages/entry/src/utils/event_loop_lag_monitor.ts
+++ b/packages/entry/src/utils/event_loop_lag_monitor.ts
@@ -2,6 +2,7 @@
  * Measures event loop lag: how long data may have waited in the socket buffers
  * before the process read it.
  */
+import type * as contracts from "@guavatide/contracts";
 import type { LifeCycle, PeriodicTask } from "./life_cycle.ts";
 
 const TICK_INTERVAL_MS = 20;
@@ -21,10 +22,12 @@
 
 /** Measures event loop lag with a periodic timer. */
 export class EventLoopLagMonitor {
-  readonly #now: () => number;
+  readonly #clock: contracts.BoundedClock;
   #lastTickMs: number;
   /** Delay of the last tick. */
   #lastDelayMs = 0;
+  /** The same, at most: with time for which the machine may have been suspended. */
+  #lastMaxDelayMs = 0;
   #tickTask: PeriodicTask | undefined;
   #intervalMs = TICK_INTERVAL_MS;
   #isPaused = false;
@@ -33,13 +36,9 @@
   /** Start of the current series of late ticks; undefined when on time. */
   #laggingSinceMs: number | undefined;
 
-  /**
-   * `now` is in milliseconds. It defaults to the wall clock, which includes time
-   * spent suspended; the monotonic clock excludes it.
-   */
-  constructor(now: () => number = () => Date.now()) {
-    this.#now = now;
-    this.#lastTickMs = now();
+  constructor(clock: contracts.BoundedClock) {
+    this.#clock = clock;
+    this.#lastTickMs = clock.nowMs();
   }
 
   /** Starts measuring; pauses while `isIdle` returns true, until `resume`. */
@@ -60,18 +59,17 @@
     this.#tickTask?.setIntervalMs(TICK_INTERVAL_MS);
     this.#intervalMs = TICK_INTERVAL_MS;
     this.#calmTicks = 0;
-    this.#lastTickMs = this.#now();
+    this.#lastTickMs = this.#clock.nowMs();
     this.#lastDelayMs = 0;
+    this.#lastMaxDelayMs = 0;
     this.#laggingSinceMs = undefined;
   }
 
   /** Records one run of the timer. */
   tick(): void {
-    const nowMs = this.#now();
-    this.#lastDelayMs = Math.max(
-      0,
-      nowMs - this.#lastTickMs - this.#intervalMs,
-    );
+    const nowMs = this.#clock.nowMs();
+    this.#lastDelayMs = this.#delayMs;
+    this.#lastMaxDelayMs = this.#maxDelayMs;
     this.#lastTickMs = nowMs;
     this.#calmTicks = this.#lastDelayMs <= CALM_DELAY_MS
       ? this.#calmTicks + 1
@@ -89,7 +87,7 @@
    */
   get isSustained(): boolean {
     if (this.#laggingSinceMs === undefined) return false;
-    return this.#now() - this.#laggingSinceMs >= SUSTAINED_LAG_MS;
+    return this.#clock.nowMs() - this.#laggingSinceMs >= SUSTAINED_LAG_MS;
   }
 
   /**
@@ -98,12 +96,25 @@
    * next, so the delay of the previous tick counts as well.
    */
   get lagMs(): number {
-    if (this.#isPaused) return 0;
-    const delayMs = Math.max(
-      0,
-      this.#now() - this.#lastTickMs - this.#intervalMs,
-    );
-    const lagMs = delayMs + this.#lastDelayMs;
-    return lagMs < MIN_LAG_MS ? 0 : lagMs;
+    return this.#lagOf(this.#delayMs + this.#lastDelayMs);
+  }
+
+  /** The same with time for which the machine may have been suspended. */
+  get maxLagMs(): number {
+    return this.#lagOf(this.#maxDelayMs + this.#lastMaxDelayMs);
+  }
+
+  #lagOf(delayMs: number): number {
+    return this.#isPaused || delayMs < MIN_LAG_MS ? 0 : delayMs;
+  }
+
+  get #delayMs(): number {
+    const sinceTickMs = this.#clock.nowMs() - this.#lastTickMs;
+    return Math.max(0, sinceTickMs - this.#intervalMs);
+  }
+
+  get #maxDelayMs(): number {
+    const sinceTickMs = this.#clock.maxElapsedMs(this.#lastTickMs);
+    return Math.max(0, sinceTickMs - this.#intervalMs);
   }
 }
--- a/packages/entry/src/utils/request_scheduler.ts
+++ b/packages/entry/src/utils/request_scheduler.ts
@@ -19,7 +19,7 @@
 
 /** Options of {@link RequestScheduler}. */
 export interface RequestSchedulerOptions {
-  readonly clock: contracts.Clock;
+  readonly clock: contracts.BoundedClock;
   readonly log: Logger;
   readonly count?: (event: ScheduleEvent) => void;
 }
@@ -45,7 +45,7 @@
 export class RequestScheduler {
   readonly #clock: contracts.Clock;
   readonly #count: (event: ScheduleEvent) => void;
-  readonly #loop = new EventLoopLagMonitor();
+  readonly #loop: EventLoopLagMonitor;
   readonly #backlog = new admission.RequestBacklog<ScheduledRequest>();
   readonly #budget = new IterationBudget({ runNext: () => this.#runNext() });
   readonly #behindLog: ThrottledWarning;
@@ -54,6 +54,7 @@
 
   constructor({ clock, log, count = () => {} }: RequestSchedulerOptions) {
     this.#clock = clock;
+    this.#loop = new EventLoopLagMonitor(clock);
     this.#count = count;
     this.#behindLog = new ThrottledWarning(
       log,
@@ -77,6 +78,14 @@
     return this.#loop.lagMs;
   }
 
+  /**
+   * Whether data may have waited unread, also in a suspension of the machine:
+   * its sender may have gone.
+   */
+  get mayHaveWaited(): boolean {
+    return this.#loop.maxLagMs > 0;
+  }
+
   /** How long the oldest request that has not begun has waited. */
   get waitMs(): number {
     return this.#backlog.waitMs(this.#clock.nowMs());
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -23,7 +23,7 @@
 import * as settingsParts from "./settings/mod.ts";
 import { toOwnershipTimings, toRequestSettings } from "./derived_settings.ts";
 import { type StartError, toStartError } from "./start_error.ts";
-import { MonotonicClock, SystemRandom } from "./utils/clock.ts";
+import { SystemClock, SystemRandom } from "./utils/clock.ts";
 import { LifeCycle } from "./utils/life_cycle.ts";
 import * as logParts from "./utils/log.ts";
 import { RequestScheduler } from "./utils/request_scheduler.ts";
@@ -153,7 +153,7 @@
   readonly tls: settingsParts.ListenerCertificates;
   readonly log: logParts.LoggerFactory;
   readonly lifeCycle: LifeCycle;
-  readonly clock: contracts.Clock;
+  readonly clock: contracts.BoundedClock;
   readonly random: contracts.RandomSource;
   readonly self: {
     readonly vm: contracts.VmId;
@@ -183,7 +183,7 @@
       await Promise.all([store.close(), vmList.close()]);
     },
   });
-  const clock = new MonotonicClock();
+  const clock = new SystemClock();
   return {
     settings,
     secret,
--- a/packages/standins/src/bench/bench_entry_main.ts
+++ b/packages/standins/src/bench/bench_entry_main.ts
@@ -10,7 +10,7 @@
 } from "guavatide/contracts/views";
 import * as links from "guavatide/links/connection_pools";
 import * as requests from "guavatide/requests/mod";
-import { MonotonicClock, SystemRandom } from "guavatide/utils/clock";
+import { SystemClock, SystemRandom } from "guavatide/utils/clock";
 import { LifeCycle } from "guavatide/utils/life_cycle";
 import { createLog } from "guavatide/utils/log";
 import { RequestScheduler } from "guavatide/utils/request_scheduler";
@@ -48,7 +48,7 @@
 
   /** Listens for callers and for peers. */
   async listen(): Promise<{ callerPort: number; peerPort: number }> {
-    const clock = new MonotonicClock();
+    const clock = new SystemClock();
     const router = new requests.RequestRouter({
       config: this.#config(),
       servers: this.#servers(),
