fix: product ownership: no request leaves by a confirmation from before a suspension

The product's own ownership (`OwnershipTask`) kept its times on the monotonic clock and dropped confirmations when a tick saw the wall clock ahead. Between a resume and that tick, up to 50 ms and longer where the machine is busy, `mayForward` and lease commands still counted confirmations from before the suspension as fresh: an unfenced server could get a request for a key that is another's by then.

`KnownAssignment` judges the age of a confirmation by `maxElapsedMs`, wherever it is used.

The new test failed before: `mayForward` was true after a jump of 10 s.

--- a/packages/decisions/src/ownership/assignment_tracker.ts
+++ b/packages/decisions/src/ownership/assignment_tracker.ts
@@ -146,11 +146,6 @@
     );
   }
 
-  /** Whether lease commands for the known revision may be sent now. */
-  isConfirmed(nowMs: number): boolean {
-    return nowMs < this.confirmedAtMs(nowMs) + this.timings.evidenceMs;
-  }
-
   /**
    * Lets a restarted voter vote again on the replies of others. If a majority
    * acknowledged a newer revision before this process started, fewer than the
--- a/packages/entry/src/ownership/known_assignment.ts
+++ b/packages/entry/src/ownership/known_assignment.ts
@@ -11,6 +11,7 @@
   readonly vm: contracts.VmId;
   readonly service: contracts.ServiceId;
   readonly settings: ownership.OwnershipSettings;
+  readonly clock: contracts.BoundedClock;
   readonly log: Logger;
 }
 
@@ -18,6 +19,7 @@
 export class KnownAssignment {
   readonly service: contracts.ServiceId;
   readonly #tracker: ownership.AssignmentTracker;
+  readonly #clock: contracts.BoundedClock;
   readonly #log: Logger;
   readonly #listeners = new Set<() => void>();
   #slices: ownership.SliceMap | undefined;
@@ -25,6 +27,7 @@
 
   constructor(options: KnownAssignmentOptions) {
     this.service = options.service;
+    this.#clock = options.clock;
     this.#log = options.log;
     this.#tracker = new ownership.AssignmentTracker(
       options.vm,
@@ -92,13 +95,18 @@
     this.#tracker.dropConfirmations();
   }
 
-  /** When the request behind the newest confirmation was sent. */
+  /**
+   * When the request behind the newest confirmation was sent, at the earliest:
+   * the machine may have been suspended since.
+   */
   confirmedAtMs(nowMs: number): number {
-    return this.#tracker.confirmedAtMs(nowMs);
+    const confirmedAtMs = this.#tracker.confirmedAtMs(nowMs);
+    return nowMs - this.#clock.maxElapsedMs(confirmedAtMs);
   }
 
+  /** Whether lease commands for the known revision may be sent now. */
   isConfirmed(nowMs: number): boolean {
-    return this.#tracker.isConfirmed(nowMs);
+    return nowMs < this.confirmedAtMs(nowMs) + this.timings.evidenceMs;
   }
 
   /** Calls the listener after each change. Returns a function to unsubscribe. */
--- a/packages/entry/src/ownership/ownership_task.ts
+++ b/packages/entry/src/ownership/ownership_task.ts
@@ -5,6 +5,7 @@
  */
 import * as contracts from "@guavatide/contracts";
 import type { OwnerLookup, OwnerView } from "../contracts/views.ts";
+import type { SystemClock } from "../utils/clock.ts";
 import type { LifeCycle } from "../utils/life_cycle.ts";
 import type {
   HeartbeatDraft,
@@ -21,12 +22,11 @@
 /** Interval for reading which services exist and who their voters are. */
 const REFRESH_INTERVAL_MS = 200;
 const STOP_TIMEOUT_MS = 1_000;
-/** Difference between the two clocks that indicates a suspended machine. */
-const SUSPEND_THRESHOLD_MS = 200;
 
 /** Options of {@link OwnershipTask}. */
 export interface OwnershipTaskOptions
   extends Omit<ServiceContext, "service" | "assignments" | "known"> {
+  readonly clock: SystemClock;
   readonly config: {
     services(): readonly contracts.Service[];
     service(id: contracts.ServiceId): contracts.Service | undefined;
@@ -40,7 +40,6 @@
   readonly #options: OwnershipTaskOptions;
   readonly #services = new Map<contracts.ServiceId, ServiceOwnership>();
   #nextRefreshMs = Number.NEGATIVE_INFINITY;
-  #lastTick: { clockMs: number; wallMs: number } | undefined;
 
   constructor(options: OwnershipTaskOptions) {
     this.#options = options;
@@ -185,7 +184,7 @@
 
   #tick(): void {
     const nowMs = this.#options.clock.nowMs();
-    this.#checkSuspension(nowMs);
+    this.#checkWallClock();
     if (nowMs >= this.#nextRefreshMs) this.#refresh(nowMs);
     for (const ownership of this.#services.values()) ownership.tick(nowMs);
   }
@@ -201,25 +200,18 @@
     this.#options.peers.pin(all.flatMap(({ known }) => known.voters));
   }
 
-  /**
-   * The monotonic clock may stop while the machine is suspended. Confirmations
-   * would then look recent although the other VMs have waited for their expiry.
-   * The wall clock, which keeps running, reveals the suspension.
-   */
-  #checkSuspension(clockMs: number): void {
-    const wallMs = Date.now();
-    const previous = this.#lastTick;
-    this.#lastTick = { clockMs, wallMs };
-    if (previous === undefined) return;
-    const skewMs = wallMs - previous.wallMs - (clockMs - previous.clockMs);
-    if (skewMs < SUSPEND_THRESHOLD_MS) return;
-    this.#options.log.part("owner").warn(
-      "wall clock ran ahead, confirmations dropped",
-      {
-        skewMs: Math.round(skewMs),
-      },
-    );
-    for (const { known } of this.#services.values()) known.dropConfirmations();
+  /** The machine may have been suspended. */
+  #checkWallClock(): void {
+    const { clock, log } = this.#options;
+    for (const jumpMs of clock.takeJumpsMs()) {
+      if (jumpMs < 0) continue;
+      log.part("owner").warn("wall clock ran ahead, confirmations dropped", {
+        skewMs: Math.round(jumpMs),
+      });
+      for (const { known } of this.#services.values()) {
+        known.dropConfirmations();
+      }
+    }
   }
 
   #getOrCreate(service: contracts.ServiceId): ServiceOwnership {
@@ -245,6 +237,7 @@
         vm: peers.self.vm,
         service,
         settings: timings,
+        clock,
         log: log.part("owner"),
       }),
     };
--- a/packages/entry/src/ownership/ownership_task_test.ts
+++ b/packages/entry/src/ownership/ownership_task_test.ts
@@ -4,7 +4,7 @@
 import { test, type TestContext } from "node:test";
 import * as timers from "node:timers/promises";
 import { FakeStore } from "../configuration/fake_store_test.ts";
-import { MonotonicClock, SystemRandom } from "../utils/clock.ts";
+import { SystemClock, SystemRandom } from "../utils/clock.ts";
 import { LifeCycle } from "../utils/life_cycle.ts";
 import { createLog } from "../utils/log.ts";
 import { FakeServer } from "./fake_servers_test.ts";
@@ -34,6 +34,12 @@
   readonly servers = new Map<string, FakeServer>();
   /** Entry VMs that membership reports as alive. */
   liveVms: contracts.VmId[] = [SELF.vm];
+  /** How far the wall clock is ahead. */
+  wallOffsetMs = 0;
+  readonly clock = new SystemClock({
+    monotonicMs: () => performance.now(),
+    wallMs: () => performance.now() + this.wallOffsetMs,
+  });
   readonly #lifeCycle = new LifeCycle();
   readonly task: OwnershipTask;
 
@@ -98,7 +104,7 @@
     });
     return new OwnershipTask({
       timings: TIMINGS,
-      clock: new MonotonicClock(),
+      clock: this.clock,
       random: new SystemRandom(),
       hasher: HASHER,
       log: createLog({ format: "text", level: "silent" }),
@@ -262,3 +268,22 @@
   await until(mayForward);
   expect(fixture.task.mayForward(SERVICE, server, slice, 1)).toEqual(false);
 });
+
+/**
+ * Guards against a request that leaves after a suspension of the machine, and
+ * before its first tick, by a confirmation from before it.
+ */
+test("should not forward to an unfenced server when the machine may have been suspended", async (t) => {
+  const fixture = new Fixture(["a"], t);
+  fixture.server("a").checksFences = false;
+  fixture.start();
+  await until(() => fixture.isFullyLeased());
+  const slice = fixture.assignment!.slices[0]!;
+  const { server, fence } = slice;
+  const id = contracts.sliceIdOf(slice);
+  const mayForward = () => fixture.task.mayForward(SERVICE, server, id, fence);
+  await until(mayForward);
+  fixture.wallOffsetMs += 10_000;
+  expect(mayForward()).toEqual(false);
+  await until(mayForward);
+});
--- a/packages/entry/src/ownership/service_context.ts
+++ b/packages/entry/src/ownership/service_context.ts
@@ -69,7 +69,7 @@
 export interface ServiceContext {
   readonly service: contracts.ServiceId;
   readonly timings: OwnershipTimings;
-  readonly clock: contracts.Clock;
+  readonly clock: contracts.BoundedClock;
   readonly random: contracts.RandomSource;
   readonly hasher: ownership.KeyHasher;
   readonly log: LoggerFactory;
--- a/packages/entry/src/wire.ts
+++ b/packages/entry/src/wire.ts
@@ -153,7 +153,7 @@
   readonly tls: settingsParts.ListenerCertificates;
   readonly log: logParts.LoggerFactory;
   readonly lifeCycle: LifeCycle;
-  readonly clock: contracts.BoundedClock;
+  readonly clock: SystemClock;
   readonly random: contracts.RandomSource;
   readonly self: {
     readonly vm: contracts.VmId;
