fix: relayed changes carry the longest age that they may have

A reader that is suspended between the store's last answer and the relay of a change told peers an age without that time, and they, which are in touch, gave a draining server or zone its grace anew. The age is now the upper bound; after a step of the wall clock it is up to the step too long, which leaves less grace.

New test, failed before (age 0 after a jump of 1.5 s). The tests of the relay and of the watches use the clock of the product.

--- a/packages/entry/src/gateway/store/kind_watch.ts
+++ b/packages/entry/src/gateway/store/kind_watch.ts
@@ -38,7 +38,7 @@
   readonly health: StoreHealth;
   readonly prefix: string;
   readonly log: Logger;
-  readonly clock: contracts.Clock;
+  readonly clock: contracts.BoundedClock;
   readonly random: contracts.RandomSource;
   readonly relay: WatchRelay;
   /**
@@ -560,10 +560,10 @@
     this.#completeAtMs = Math.max(this.#completeAtMs, atMs);
   }
 
-  /** Age of changes that were made after a time; undefined if unknown. */
+  /** Longest age of changes made after a time; undefined if unknown. */
   #ageMs(madeAfterMs: number): number | undefined {
     return Number.isFinite(madeAfterMs)
-      ? Math.round(this.#options.clock.nowMs() - madeAfterMs)
+      ? Math.round(this.#options.clock.maxElapsedMs(madeAfterMs))
       : undefined;
   }
 
--- a/packages/entry/src/gateway/store/kind_watch_test.ts
+++ b/packages/entry/src/gateway/store/kind_watch_test.ts
@@ -7,6 +7,7 @@
 import { LifeCycle } from "../../utils/life_cycle.ts";
 import { KindWatch } from "./kind_watch.ts";
 import type { ObjectChange } from "./object_table.ts";
+import { SystemClock } from "../../utils/clock.ts";
 import { StoreHealth } from "./store_health.ts";
 
 const SILENT = { debug() {}, info() {}, warn() {}, error() {} };
@@ -24,7 +25,7 @@
 /** A VM that is not a reader; its peer answers nothing, and its store slowly. */
 class BehindVm {
   readonly lifeCycle = new LifeCycle();
-  readonly #clock = { nowMs: () => performance.now() };
+  readonly #clock = new SystemClock();
   #version = 1;
   #listDelayMs = 0;
   #knownVersion = 0;
@@ -145,7 +146,7 @@
     })`,
     async () => {
       const lifeCycle = new LifeCycle();
-      const clock = { nowMs: () => performance.now() };
+      const clock = new SystemClock();
       const requested: number[] = [];
       const objects = [99, 105].map((version) => ({
         name: `servers/s${version}`,
@@ -233,12 +234,12 @@
   readonly watch = new KindWatch({
     store: this.#store(),
     health: new StoreHealth({
-      clock: { nowMs: () => performance.now() },
+      clock: new SystemClock(),
       log: SILENT,
     }),
     prefix: SERVERS,
     log: SILENT,
-    clock: { nowMs: () => performance.now() },
+    clock: new SystemClock(),
     random: { next: () => 0.5 },
     relay: readerRelay(),
     onList: (objects) => objects.forEach((object) => this.#learn(object)),
@@ -321,7 +322,7 @@
  */
 test("should not send a change again that a peer has relayed", async () => {
   const lifeCycle = new LifeCycle();
-  const clock = { nowMs: () => performance.now() };
+  const clock = new SystemClock();
   const published: PublishedChanges[] = [];
   const watch = new KindWatch({
     store: {
--- a/packages/entry/src/gateway/store/watch_relay.ts
+++ b/packages/entry/src/gateway/store/watch_relay.ts
@@ -28,7 +28,7 @@
   readonly rpc: PeerRpc;
   readonly health: StoreHealth;
   readonly hasher: ownership.KeyHasher;
-  readonly clock: contracts.Clock;
+  readonly clock: contracts.BoundedClock;
   readonly log: Logger;
   /** Whether this VM is a seed: other VMs contact it first when they join. */
   readonly isSeed: boolean;
@@ -394,7 +394,10 @@
       events: changes.events?.map((change) => this.#encodeEvent(change)) ??
         null,
       names: changes.names === undefined ? null : [...changes.names],
-      ageMs: encodeAgeMs(this.#options.clock.nowMs() - changes.madeAfterMs),
+      // Peers count their grace from the change itself.
+      ageMs: encodeAgeMs(
+        this.#options.clock.maxElapsedMs(changes.madeAfterMs),
+      ),
     };
     return fitsMessage(message)
       ? message
--- a/packages/entry/src/gateway/store/watch_relay_test.ts
+++ b/packages/entry/src/gateway/store/watch_relay_test.ts
@@ -6,20 +6,29 @@
 import type { PeerGossip } from "../peers/peer_gossip.ts";
 import { CHANGES_METHOD, type StoreChanges } from "../peers/peer_messages.ts";
 import type { PeerRpc } from "../peers/peer_rpc.ts";
+import { SystemClock } from "../../utils/clock.ts";
 import type { StoreHealth } from "./store_health.ts";
 import { WatchRelay } from "./watch_relay.ts";
 
 const PREFIX = "servers/";
 
+/** A clock that stands still, unless it jumps. */
+function createClock(wallMs = () => 0): SystemClock {
+  return new SystemClock({ monotonicMs: () => 0, wallMs });
+}
+
 /** A relay whose messages go through a fake gossip. */
-async function createRelay(gossip: object): Promise<WatchRelay> {
+async function createRelay(
+  gossip: object,
+  clock = createClock(),
+): Promise<WatchRelay> {
   return new WatchRelay({
     self: { vm: "vm1" as contracts.VmId } as never,
     gossip: gossip as unknown as PeerGossip,
     rpc: { on: () => {} } as Partial<PeerRpc> as PeerRpc,
     health: {} as StoreHealth,
     hasher: await ownership.KeyHasher.create(),
-    clock: { nowMs: () => 0 },
+    clock,
     log: { debug() {}, info() {}, warn() {}, error() {} },
     isSeed: false,
     isLeaving: () => false,
@@ -32,6 +41,7 @@
   value: string,
   previousValue?: string,
   names?: readonly string[],
+  clock?: SystemClock,
 ): Promise<StoreChanges> {
   const sent: { method: string; params: object }[] = [];
   const gossip: Partial<PeerGossip> = {
@@ -39,7 +49,7 @@
     onGuarded: () => {},
     broadcast: (method, params) => sent.push({ method, params }),
   };
-  const relay = await createRelay(gossip);
+  const relay = await createRelay(gossip, clock);
   const object = { name: "servers/i-1", version: "2", value };
   const previous = previousValue === undefined
     ? undefined
@@ -143,3 +153,16 @@
     [{ name: known.name, object: known, previous: known }],
   ]);
 });
+
+/**
+ * Guards against peers that give a draining server its full grace, as the VM
+ * that relays the change was suspended before it did.
+ */
+test("should tell the longest age that changes may have", async () => {
+  let wallMs = 0;
+  const clock = createClock(() => wallMs);
+  expect((await publish("{}", undefined, undefined, clock)).ageMs).toEqual(0);
+  wallMs = 1_500;
+  const message = await publish("{}", undefined, undefined, clock);
+  expect(message.ageMs).toEqual(1_500);
+});
