fix: an answer that may have waited in a suspension dates no change

While the store is steady, a reader takes an answer for at most 250 ms old, by the monotonic clock: one that waited in the buffers of a suspended machine counted as new, and with it the changes that came next. If the machine may have been suspended since the call, the time of the call counts.

--- a/packages/entry/src/gateway/store/kind_watch.ts
+++ b/packages/entry/src/gateway/store/kind_watch.ts
@@ -545,13 +545,16 @@
 
   /**
    * The earliest time at which the store can have made an answer that arrives
-   * now. While it is steady no answer is late but one that comes after the wait:
-   * it may be that of a call that repeats a lost one.
+   * now. While it is steady no answer is late but one that comes after the wait,
+   * as it may be that of a call that repeats a lost one, and one that may have
+   * waited in a suspension of the machine.
    */
   #asOfMs(sentAtMs: number, waitMs: number): number {
     const { relay, clock } = this.#options;
+    const maxElapsedMs = clock.maxElapsedMs(sentAtMs);
     const nowMs = clock.nowMs();
-    const isLate = nowMs - sentAtMs >= waitMs + LATE_ANSWER_MS;
+    const isLate = nowMs - sentAtMs >= waitMs + LATE_ANSWER_MS ||
+      maxElapsedMs > nowMs - sentAtMs;
     if (isLate || !relay.isStoreSteady) return sentAtMs;
     return Math.max(sentAtMs, nowMs - LATE_ANSWER_MS);
   }
--- a/packages/entry/src/gateway/store/kind_watch_test.ts
+++ b/packages/entry/src/gateway/store/kind_watch_test.ts
@@ -207,6 +207,7 @@
   readonly fromPosition: number;
   readonly toPosition: number;
   readonly events: readonly ObjectChange[];
+  readonly madeAfterMs: number;
 }
 
 /** The relay of a reader; `publish` gets the changes that are passed on. */
@@ -364,3 +365,46 @@
   expect(events).toEqual([]);
   expect([fromPosition, toPosition]).toEqual([5, 9]);
 });
+
+/**
+ * Guards against a change that counts as just made, as the answer that brought
+ * it has waited in a suspension of the machine.
+ */
+test("should not date a change by an answer that may have waited in a suspension", async () => {
+  const lifeCycle = new LifeCycle();
+  let wallOffsetMs = 0;
+  const clock = new SystemClock({
+    monotonicMs: () => performance.now(),
+    wallMs: () => performance.now() + wallOffsetMs,
+  });
+  const startMs = performance.now();
+  const published: PublishedChanges[] = [];
+  const watch = new KindWatch({
+    store: {
+      list: () => neverthrow.okAsync({ objects: [objectOf(1)], cursor: "1" }),
+      watch: () => {
+        const object = objectOf(5);
+        const waitMs = 1.6 * STATUS_INTERVAL_MS;
+        const answered = timers.setTimeout(waitMs).then(() => {
+          wallOffsetMs += 2_000;
+          const events = [{ name: object.name, object }];
+          return { cursor: "5", events, reset: false };
+        });
+        return neverthrow.ResultAsync.fromSafePromise(answered);
+      },
+    } as unknown as contracts.PlatformStore,
+    health: new StoreHealth({ clock, log: SILENT }),
+    prefix: PREFIX,
+    log: SILENT,
+    clock,
+    random: { next: () => 0.5 },
+    relay: readerRelay((changes) => published.push(changes)),
+    onList: () => {},
+    onChanges: () => {},
+  });
+  watch.start(lifeCycle);
+  await waitUntil(() => published.length > 0, 4 * STATUS_INTERVAL_MS);
+  await lifeCycle.stop();
+  const listedMs = startMs + STATUS_INTERVAL_MS / 2;
+  expect(published[0]!.madeAfterMs).toBeLessThan(listedMs);
+});
