fix: a reader's calls come to their end while the store loses some answers

One call without an answer makes the store unreachable, the next answer of any call makes it reachable again, and each recovery listed all objects of all kinds again and ended the list or watch under way. With answers that take 300 ms, and a call lost every few hundred, no call came to its end and no VM learned of a drain.

A recovery now only repeats a watch that would wait for long; from its position it returns all that was missed, and the store says so if it can't. Short waits, which a store that isn't steady gets, are left alone.

That one call decides on the store's health, and moves leaderships, stays open.

--- a/packages/entry/src/gateway/store/kind_watch.ts
+++ b/packages/entry/src/gateway/store/kind_watch.ts
@@ -129,6 +129,8 @@
   #isStale = true;
   #failures = 0;
   #abort: AbortController | undefined;
+  /** When the waiting watch is to end. */
+  #watchEndsAtMs = Number.NEGATIVE_INFINITY;
   /**
    * Highest position reported by peers, and since when it is ahead of this
    * VM's.
@@ -193,10 +195,11 @@
     lifeCycle.signal.addEventListener("abort", () => this.#abort?.abort());
     // A watch that was waiting when the store became unreachable would go on
     // waiting, and changes made after the recovery would arrive seconds late.
+    // One that ends soon is left alone: a store that loses some of its answers
+    // is back again and again, and no call would come to its end.
     this.#options.health.onRecovered(() => {
-      if (this.#isListed && this.#options.relay.isReader) {
-        this.#relist("the store is back");
-      }
+      const leftMs = this.#watchEndsAtMs - this.#options.clock.nowMs();
+      if (leftMs > SHORT_WAIT_MS) this.renewWatch();
     });
     lifeCycle.runLoop(
       `watch of ${this.prefix}`,
@@ -512,12 +515,14 @@
     const cursor = this.#completePosition;
     const waitMs = this.#planWaitMs();
     const sentAtMs = clock.nowMs();
+    this.#watchEndsAtMs = sentAtMs + waitMs;
     const result = await store.watch(prefix, {
       cursor: String(cursor),
       waitMs,
       timeoutMs: waitMs + WATCH_TIMEOUT_SLACK_MS,
       signal: this.#abort!.signal,
     });
+    this.#watchEndsAtMs = Number.NEGATIVE_INFINITY;
     relay.schedule.remove(prefix);
     // Drops the result if this VM now has to list again, or is no longer a
     // reader.
--- a/packages/entry/src/gateway/store/kind_watch_test.ts
+++ b/packages/entry/src/gateway/store/kind_watch_test.ts
@@ -408,3 +408,60 @@
   const listedMs = startMs + STATUS_INTERVAL_MS / 2;
   expect(published[0]!.madeAfterMs).toBeLessThan(listedMs);
 });
+
+/** Answers of the store take so long. */
+const SLOW_ANSWER_MS = 300;
+/** Another call fails, and one is answered, at this interval. */
+const FLAP_INTERVAL_MS = 200;
+
+/**
+ * Guards against a reader that starts over each time that the store is back, and
+ * learns of nothing while a slow store loses some of its answers.
+ */
+test("should learn of changes while the store is unreachable and back again and again", async () => {
+  const lifeCycle = new LifeCycle();
+  const clock = new SystemClock();
+  const health = new StoreHealth({ clock, log: SILENT });
+  const known = new Set<string>();
+  let calls = 0;
+  const answer = <Value>(value: () => Value) =>
+    neverthrow.ResultAsync.fromSafePromise(
+      timers.setTimeout(SLOW_ANSWER_MS).then(value),
+    );
+  const watch = new KindWatch({
+    store: {
+      list: () => {
+        calls++;
+        return answer(() => ({ objects: [objectOf(1)], cursor: "1" }));
+      },
+      watch: () => {
+        calls++;
+        const object = objectOf(5);
+        const events = [{ name: object.name, object }];
+        return answer(() => ({ cursor: "5", events, reset: false }));
+      },
+    } as unknown as contracts.PlatformStore,
+    health,
+    prefix: PREFIX,
+    log: SILENT,
+    clock,
+    random: { next: () => 0.5 },
+    relay: readerRelay(),
+    onList: () => {},
+    onChanges: (changes) => {
+      for (const { object } of changes) known.add(object!.version);
+    },
+  });
+  try {
+    watch.start(lifeCycle);
+    await waitUntil(() => watch.snapshot !== undefined);
+    lifeCycle.every(FLAP_INTERVAL_MS, () => {
+      health.noteFailure({ kind: "unavailable", message: "No answer" });
+      health.noteAnswer();
+    }, "answers of other calls");
+    await waitUntil(() => known.has("5"), 10 * SLOW_ANSWER_MS);
+    expect(calls).toBeLessThanOrEqual(4);
+  } finally {
+    await lifeCycle.stop();
+  }
+});
