--- a/packages/decisions/src/clocks/wall_clock_jumps.ts
+++ b/packages/decisions/src/clocks/wall_clock_jumps.ts
@@ -7,7 +7,7 @@
 
 /** A smaller difference is drift, or a step too small to matter. */
 const MIN_JUMP_MS = 80;
-/** Number of forward jumps that are kept one by one. */
+/** Number of jumps that are kept one by one. */
 const MAX_JUMPS = 32;
 
 /** A reading of both clocks, in ms. */
@@ -40,7 +40,7 @@
     const lengthMs = offsetMs - this.#offsetMs;
     if (Math.abs(lengthMs) <= MIN_JUMP_MS) return;
     this.#offsetMs = offsetMs;
-    this.#unreportedMs.push(lengthMs);
+    this.#unreportedMs = [...this.#unreportedMs, lengthMs].slice(-MAX_JUMPS);
     if (lengthMs < 0) return;
     const jump = { seenAtMs: monotonicMs, lengthMs };
     this.#forward = joinOldest([...this.#forward, jump]);
@@ -69,7 +69,7 @@
     return nowMs - Math.max(0, ageMs - suspendedMs);
   }
 
-  /** Jumps since the last call, in ms; negative for those back. */
+  /** The latest jumps since the last call, in ms; negative for those back. */
   takeJumpsMs(): readonly number[] {
     return this.#unreportedMs.splice(0);
   }
