fix: one call without an answer no longer makes the store unreachable

Each call without an answer made the store unreachable for a VM until the next answer of any call, a few hundred ms later. A leader that reads nothing else gave its role up then, readers no longer counted as active, and others took over.

Cause: `StoreHealth` knew neither when a failed call was sent nor how many calls failed. A call whose answer was lost says nothing about the store if another one has been answered since it was sent, and a single one little in any case. Calls are now noted with the time at which they were sent; two in a row without an answer, and none between them, make the store unreachable. A VM that is in doubt probes within 800 ms, whatever its roles, so that an outage is noticed by VMs with few calls too. A probe returns whether it was answered itself.

--- a/packages/entry/src/gateway/grants/range_map_store.ts
+++ b/packages/entry/src/gateway/grants/range_map_store.ts
@@ -42,15 +42,15 @@
     { mayBeStale = false }: RangeMapReadOptions = {},
   ): Promise<grants.MapCallResult> {
     const { store, health } = this.#options;
+    const call = health.startCall();
     const result = await store.get(`${PREFIX}${service}`, {
       timeoutMs: READ_TIMEOUT_MS,
       mayBeStale,
     });
+    call.noteResult(result);
     if (result.isErr()) {
-      health.noteFailure(result.error);
       return { kind: result.error.kind === "not-found" ? "absent" : "unsure" };
     }
-    health.noteAnswer();
     const { value, version } = result.value;
     const map = this.#decode(service, value);
     if (map === undefined) return { kind: "unsure" };
@@ -66,19 +66,19 @@
     condition: contracts.WriteCondition,
   ): Promise<grants.MapCallResult> {
     const { store, health, log } = this.#options;
+    const call = health.startCall();
     const result = await store.put(
       `${PREFIX}${map.service}`,
       JSON.stringify(map),
       { timeoutMs: WRITE_TIMEOUT_MS, condition },
     );
+    call.noteResult(result);
     const { service, revision } = map;
     if (result.isErr()) {
       const { kind, message } = result.error;
       log.warn("Range map not written.", { service, revision, kind, message });
-      health.noteFailure(result.error);
       return { kind: "unsure" };
     }
-    health.noteAnswer();
     log.info("Range map written.", { service, revision });
     return { kind: "written", stored: { map, version: result.value } };
   }
--- a/packages/entry/src/gateway/peers/peer_discovery.ts
+++ b/packages/entry/src/gateway/peers/peer_discovery.ts
@@ -164,6 +164,7 @@
     const name = `${PREFIX}${self.vm}`;
     const value = JSON.stringify({ host, port });
     const timeoutMs = CALL_TIMEOUT_MS;
+    const call = health.startCall();
     const created = await store.put(name, value, {
       timeoutMs,
       condition: { kind: "absent" },
@@ -172,19 +173,16 @@
     const result = isNameTaken
       ? await store.put(name, value, { timeoutMs, condition: { kind: "any" } })
       : created;
-    if (result.isErr()) health.noteFailure(result.error);
-    else health.noteAnswer();
+    call.noteResult(result);
     return result.isOk();
   }
 
   async #list(): Promise<boolean> {
     const { store, health, gossip, log } = this.#options;
+    const call = health.startCall();
     const result = await store.list(PREFIX, { timeoutMs: CALL_TIMEOUT_MS });
-    if (result.isErr()) {
-      health.noteFailure(result.error);
-      return false;
-    }
-    health.noteAnswer();
+    call.noteResult(result);
+    if (result.isErr()) return false;
     for (const { name, value } of result.value.objects) {
       const vm = contracts.vmIdSchema.safeParse(name.slice(PREFIX.length));
       const address = parseRegistration(value);
--- a/packages/entry/src/gateway/poison/poison_guard.ts
+++ b/packages/entry/src/gateway/poison/poison_guard.ts
@@ -365,14 +365,15 @@
     const { store, prefix, health, log } = this.#options;
     const crashes = [...this.#crashes(fingerprint)];
     const record: contracts.StoredPoisonRequest = { crashes };
+    const call = health.startCall();
     const written = await store.put(
       prefix + fingerprint,
       JSON.stringify(record),
       { timeoutMs: SAVE_TIMEOUT_MS, condition: { kind: "any" } },
     );
+    call.noteResult(written);
     if (written.isErr()) {
       const { kind, message } = written.error;
-      health.noteFailure(written.error);
       log.warn("Record of crashes not written.", {
         fingerprint,
         kind,
@@ -383,7 +384,6 @@
       const { isWitness } = unsaved;
       return this.#planSave(fingerprint, { isWitness, delayMs: SAVE_RETRY_MS });
     }
-    health.noteAnswer();
     const known = this.#storedCrashes.get(fingerprint) ?? 0;
     this.#storedCrashes.set(fingerprint, Math.max(known, crashes.length));
   }
@@ -396,11 +396,12 @@
       this.#planSave(fingerprint, { isWitness: true, delayMs: 0 });
       return this.#tick();
     }
+    const call = health.startCall();
     const deleting = store.delete(prefix + fingerprint, {
       timeoutMs: SAVE_TIMEOUT_MS,
       condition: { kind: "any" },
     }).then((deleted) => {
-      if (deleted.isErr()) health.noteFailure(deleted.error);
+      call.noteResult(deleted);
     });
     this.#lifeCycle?.detach("deletion of a record of crashes", deleting);
   }
--- a/packages/entry/src/gateway/store/kind_watch.ts
+++ b/packages/entry/src/gateway/store/kind_watch.ts
@@ -332,14 +332,16 @@
   }
 
   async #readMissed(): Promise<void> {
-    const { store, prefix, clock } = this.#options;
+    const { store, prefix, health, clock } = this.#options;
     const cursor = this.#completePosition;
     const sentAtMs = clock.nowMs();
+    const call = health.startCall();
     const result = await store.watch(prefix, {
       cursor: String(cursor),
       waitMs: CHECK_WAIT_MS,
       timeoutMs: LIST_TIMEOUT_MS,
     });
+    call.noteResult(result);
     if (result.isErr() || !this.#isWatching) return;
     const { events, reset } = result.value;
     this.#storePosition = Math.max(
@@ -460,14 +462,15 @@
     const { store, prefix, health, relay, clock } = this.#options;
     const { signal } = this.#abort!;
     const sentAtMs = clock.nowMs();
+    const call = health.startCall();
     const result = await store.list(prefix, {
       ...options,
       timeoutMs: LIST_TIMEOUT_MS,
       signal,
     });
     if (signal.aborted) return true;
-    if (result.isErr()) return this.#noteFailure(result.error);
-    health.noteAnswer();
+    call.noteResult(result);
+    if (result.isErr()) return this.#noteFailure();
     this.#failures = 0;
     this.#isStale = false;
     this.#isStoreAhead = false;
@@ -516,6 +519,7 @@
     const waitMs = this.#planWaitMs();
     const sentAtMs = clock.nowMs();
     this.#watchEndsAtMs = sentAtMs + waitMs;
+    const call = health.startCall();
     const result = await store.watch(prefix, {
       cursor: String(cursor),
       waitMs,
@@ -527,8 +531,8 @@
     // Drops the result if this VM now has to list again, or is no longer a
     // reader.
     if (this.#isStale || this.#abort!.signal.aborted) return true;
-    if (result.isErr()) return this.#noteFailure(result.error);
-    health.noteAnswer();
+    call.noteResult(result);
+    if (result.isErr()) return this.#noteFailure();
     this.#failures = 0;
     if (result.value.reset) {
       this.#isStale = true;
@@ -700,10 +704,8 @@
     return relay.schedule.plan(prefix, clock.nowMs(), intervalMs);
   }
 
-  #noteFailure(error: contracts.StoreError): boolean {
-    if (this.#abort!.signal.aborted) return true;
+  #noteFailure(): boolean {
     this.#failures++;
-    this.#options.health.noteFailure(error);
     return false;
   }
 
--- a/packages/entry/src/gateway/store/store_probe.ts
+++ b/packages/entry/src/gateway/store/store_probe.ts
@@ -58,16 +58,12 @@
   /** Probes once; resolves to whether the store answered. */
   async probe(): Promise<boolean> {
     const { health, onObject } = this.#options;
+    const call = health.startCall();
     const result = await this.#read();
-    if (result.isErr()) {
-      this.#failures++;
-      health.noteFailure(result.error);
-      return health.isReachable;
-    }
-    this.#failures = 0;
-    health.noteAnswer();
-    onObject(result.value);
-    return true;
+    const isAnswered = call.noteResult(result);
+    this.#failures = isAnswered ? 0 : this.#failures + 1;
+    if (result.isOk()) onObject(result.value);
+    return isAnswered;
   }
 
   async #read() {
@@ -87,6 +83,7 @@
   #isDue(): boolean {
     const { clock, need, health } = this.#options;
     if (this.#isProbing) return false;
+    if (health.isInDoubt) return true;
     const sinceMs = clock.nowMs() - this.#probedAtMs;
     switch (need()) {
       case "duty":
--- a/packages/entry/src/gateway/store/store_probe_test.ts
+++ b/packages/entry/src/gateway/store/store_probe_test.ts
@@ -3,7 +3,7 @@
 import * as neverthrow from "neverthrow";
 import { test } from "node:test";
 import * as timers from "node:timers/promises";
-import { withFixture } from "../../requests/fakes_test_support.ts";
+import { waitUntil, withFixture } from "../../requests/fakes_test_support.ts";
 import { LifeCycle } from "../../utils/life_cycle.ts";
 import { StoreHealth } from "./store_health.ts";
 import { StoreProbe } from "./store_probe.ts";
@@ -37,3 +37,34 @@
     expect(objects >= 2).toEqual(true);
     expect(health.isReachable).toEqual(true);
   }));
+
+/** Guards against an outage that a VM with few calls doesn't notice. */
+test("should probe the store soon after another call has failed", () =>
+  withFixture({ lifeCycle: new LifeCycle(SILENT) }, async ({ lifeCycle }) => {
+    const clock = { nowMs: () => performance.now() };
+    const health = new StoreHealth({ clock, log: SILENT });
+    const noAnswer = neverthrow.err(
+      {
+        kind: "unavailable",
+        message: "No answer",
+      } as const,
+    );
+    let calls = 0;
+    const probe = new StoreProbe({
+      store: {
+        get: () => {
+          calls++;
+          return new neverthrow.ResultAsync(Promise.resolve(noAnswer));
+        },
+      } as unknown as contracts.PlatformStore,
+      health,
+      name: OBJECT.name,
+      onObject: () => {},
+      clock,
+      need: () => "none",
+    });
+    probe.start(lifeCycle);
+    health.startCall().noteResult(noAnswer);
+    await waitUntil(() => !health.isReachable, TWO_PROBES_MS);
+    expect(calls).toEqual(1);
+  }));
