fix: a reader that gets no answer to a check for changes repeats its watch

The first reader learns from the store's position that a waiting watch has lost a change, and checks for it with a second call. When that call got no answer either, nothing asked again: the position counted as seen, and the change was learned when the watch ended, up to 7 s later.

A check without an answer now repeats the watch, unless it ends soon anyway.

The test fails without the change: the object is not known after 2 s.

--- a/packages/entry/src/gateway/store/kind_watch.ts
+++ b/packages/entry/src/gateway/store/kind_watch.ts
@@ -197,10 +197,7 @@
     // waiting, and changes made after the recovery would arrive seconds late.
     // One that ends soon is left alone: a store that loses some of its answers
     // is back again and again, and no call would come to its end.
-    this.#options.health.onRecovered(() => {
-      const leftMs = this.#watchEndsAtMs - this.#options.clock.nowMs();
-      if (leftMs > SHORT_WAIT_MS) this.renewWatch();
-    });
+    this.#options.health.onRecovered(() => this.#renewLongWatch());
     lifeCycle.runLoop(
       `watch of ${this.prefix}`,
       () => this.#run(lifeCycle.signal),
@@ -290,6 +287,12 @@
     if (this.#isWatching) this.#abort?.abort();
   }
 
+  /** Repeats the waiting watch unless it ends soon anyway. */
+  #renewLongWatch(): void {
+    const leftMs = this.#watchEndsAtMs - this.#options.clock.nowMs();
+    if (leftMs > SHORT_WAIT_MS) this.renewWatch();
+  }
+
   get #isWatching(): boolean {
     return this.#isListed && !this.#isStale && this.#options.relay.isReader;
   }
@@ -342,7 +345,8 @@
       timeoutMs: LIST_TIMEOUT_MS,
     });
     call.noteResult(result);
-    if (result.isErr() || !this.#isWatching) return;
+    if (!this.#isWatching) return;
+    if (result.isErr()) return this.#renewLongWatch();
     const { events, reset } = result.value;
     this.#storePosition = Math.max(
       this.#storePosition,
--- a/packages/entry/src/gateway/store/kind_watch_test.ts
+++ b/packages/entry/src/gateway/store/kind_watch_test.ts
@@ -478,3 +478,65 @@
     await lifeCycle.stop();
   }
 });
+
+/** Wait of a watch while the store is steady. */
+const LONG_WAIT_MS = 5_000;
+const CHECK_ANSWER_MS = 100;
+
+/**
+ * Guards against a change that is learned seconds late because the answers to
+ * the watch and to the check for it were both lost.
+ */
+test("should learn of a change when the check for it gets no answer", async () => {
+  const lifeCycle = new LifeCycle();
+  const clock = new SystemClock();
+  const known = new Set<string>();
+  const object = objectOf(5);
+  const batch = {
+    cursor: object.version,
+    events: [{ name: object.name, object }],
+    reset: false,
+  };
+  let longWatches = 0;
+  const watch = new KindWatch({
+    store: {
+      list: () => neverthrow.okAsync({ objects: [objectOf(1)], cursor: "1" }),
+      watch: (
+        _prefix: string,
+        { waitMs, signal }: {
+          readonly waitMs: number;
+          readonly signal?: AbortSignal;
+        },
+      ) => {
+        if (waitMs === LONG_WAIT_MS && ++longWatches > 1) {
+          return neverthrow.okAsync(batch);
+        }
+        const unansweredMs = signal === undefined
+          ? CHECK_ANSWER_MS
+          : LONG_WAIT_MS;
+        const unanswered = timers.setTimeout(unansweredMs, undefined, {
+          signal,
+        });
+        return new neverthrow.ResultAsync(
+          unanswered.then(() => NO_ANSWER, () => NO_ANSWER),
+        );
+      },
+    } as unknown as contracts.PlatformStore,
+    health: new StoreHealth({ clock, log: SILENT }),
+    prefix: PREFIX,
+    log: SILENT,
+    clock,
+    random: { next: () => 0.5 },
+    relay: readerRelay(() => {}, LONG_WAIT_MS),
+    onList: () => {},
+    onChanges: () => known.add(object.version),
+  });
+  try {
+    watch.start(lifeCycle);
+    await waitUntil(() => longWatches === 1);
+    watch.noteStorePosition(Number(object.version), clock.nowMs());
+    await waitUntil(() => known.has(object.version), CHANGE_BOUND_MS);
+  } finally {
+    await lifeCycle.stop();
+  }
+});
