fix: reports of crashes are repeated for a time that no wall clock counts

Where VMs serve the product's own interface, a report of a crash is sent for 60 s to peers that have not received it, and the end of that time was a time of day. A clock that is set ahead by more ended it at once, so that a VM that was cut off for a moment sent the request that crashes servers to further ones.

The end is now one of the monotonic clock. The test fails without the change.

--- a/packages/entry/src/requests/crash_guard.ts
+++ b/packages/entry/src/requests/crash_guard.ts
@@ -23,6 +23,7 @@
     Pick<CrashLedgerOptions<CallerRequest>, "endCheck" | "unixMs" | "log"> {
   /** Without peers, this VM judges by the crashes that it has seen itself. */
   readonly peers?: PeerRpc | undefined;
+  readonly clock: contracts.Clock;
   readonly lifeCycle: LifeCycle;
 }
 
@@ -52,6 +53,7 @@
   readonly method: string;
   readonly report: contracts.CrashReport | contracts.AnswerReport;
   readonly unreached: Set<contracts.VmId>;
+  /** On this VM's monotonic clock. */
   readonly untilMs: number;
 }
 
@@ -184,10 +186,10 @@
   }
 
   #report(method: string, report: PendingReport["report"]): void {
-    const { peers, unixMs } = this.#options;
+    const { peers, clock } = this.#options;
     if (peers === undefined) return;
     const others = peers.members().filter((vm) => vm !== peers.self.vm);
-    const untilMs = unixMs() + RETRY_LIMIT_MS;
+    const untilMs = clock.nowMs() + RETRY_LIMIT_MS;
     const pending = { method, report, unreached: new Set(others), untilMs };
     this.#pending.push(pending);
     this.#send(peers, pending);
@@ -207,8 +209,9 @@
   }
 
   #tick(peers: PeerRpc): void {
-    const nowMs = this.#options.unixMs();
-    this.#ledger.tracker.expire(nowMs);
+    const { clock, unixMs } = this.#options;
+    const nowMs = clock.nowMs();
+    this.#ledger.tracker.expire(unixMs());
     this.#pending = this.#pending.filter(({ unreached, untilMs }) =>
       unreached.size > 0 && nowMs < untilMs
     );
--- a/packages/entry/src/requests/crash_guard_test.ts
+++ b/packages/entry/src/requests/crash_guard_test.ts
@@ -1,6 +1,7 @@
 import type * as contracts from "@guavatide/contracts";
 import { expect } from "earl";
 import { test } from "node:test";
+import * as timers from "node:timers/promises";
 import type * as z from "zod";
 import type { ServerAddress } from "../contracts/views.ts";
 import { LifeCycle } from "../utils/life_cycle.ts";
@@ -9,6 +10,10 @@
 import { waitUntil, withFixture } from "./fakes_test_support.ts";
 import type { PeerCallOptions, PeerRpc } from "./peer_rpc.ts";
 
+/** Interval at which reports are sent again. */
+const RETRY_INTERVAL_MS = 1_000;
+/** Longer than the time for which reports are sent again. */
+const CLOCK_STEP_MS = 120_000;
 const SILENT = { debug() {}, info() {}, warn() {}, error() {} };
 
 /** Guards of several VMs that call one another in memory. */
@@ -46,6 +51,7 @@
     return new CrashGuard({
       peers,
       endCheck: { check: () => Promise.resolve("ended" as const) },
+      clock: { nowMs: () => performance.now() },
       unixMs: () => this.unixMs,
       lifeCycle: this.lifeCycle,
       log: SILENT,
@@ -128,6 +134,21 @@
     await waitUntil(() => second!.isPoisonous(request()));
   }));
 
+/** Guards against a VM that never learns of a crash because the wall clock was set. */
+test("should tell a VM that was cut off while the wall clock was set ahead", () =>
+  withGuards(async (cluster) => {
+    const [first, second] = ["a", "b"].map((name) => cluster.start(name));
+    // A VM that has just started asks its peers for the crashes that they know.
+    await timers.setTimeout(1.5 * RETRY_INTERVAL_MS);
+    cluster.cutOff.add("b");
+    await cluster.crash([first!]);
+    cluster.unixMs += CLOCK_STEP_MS;
+    await timers.setTimeout(2 * RETRY_INTERVAL_MS);
+    expect(second!.isPoisonous(request())).toEqual(false);
+    cluster.cutOff.clear();
+    await waitUntil(() => second!.isPoisonous(request()));
+  }));
+
 test("should tell a VM that starts which requests are poisonous", () =>
   withGuards(async (cluster) => {
     const first = cluster.start("a");
--- a/packages/entry/src/requests/request_router.ts
+++ b/packages/entry/src/requests/request_router.ts
@@ -89,9 +89,10 @@
     const randomPrefix = Math.floor(options.random.next() * 2 ** 48);
     this.#idPrefix = randomPrefix.toString(36);
     this.#dispatcher = this.#createDispatcher(options.peers);
-    const { connectionPools, peers, lifeCycle } = options;
+    const { connectionPools, peers, clock, lifeCycle } = options;
     this.#crashGuard = new CrashGuard({
       peers,
+      clock,
       endCheck: new ServerEndCheck(connectionPools),
       unixMs: () => Date.now(),
       lifeCycle,
