--- a/packages/entry/src/utils/clock.ts
+++ b/packages/entry/src/utils/clock.ts
@@ -26,8 +26,9 @@
 
 /**
  * The monotonic clock, with an upper bound on elapsed time from the wall clock.
- * Node.js has no call for CLOCK_BOOTTIME, which would tell a suspension of the
- * machine from a step of the wall clock.
+ * CLOCK_BOOTTIME would tell a suspension of the machine from a step of the wall
+ * clock, but Node.js offers it only as `os.uptime()`, which reads a file that
+ * containers may replace.
  */
 export class SystemClock implements BoundedClock {
   readonly #sources: TimeSources;
