--- a/packages/entry/src/gateway/store/store_health.ts
+++ b/packages/entry/src/gateway/store/store_health.ts
@@ -12,10 +12,8 @@
 
 /** A store that answers nobody for this long gets no repeated calls. */
 const REPEAT_LIMIT_MS = 3_000;
-
 /** Calls in a row without an answer after which the store is unreachable. */
 const MAX_FAILURES = 2;
-
 /** Reads that overlap the start of many VMs are slow, not lost. */
 const START_MS = 2_000;
 
@@ -132,7 +130,7 @@
   }
 }
 
-/** Whether an error is no answer to the call. */
+/** A store that refuses calls is of no more use than one that doesn't answer. */
 function isFailure({ kind }: contracts.StoreError): boolean {
   return kind === "unavailable" || kind === "refused";
 }
