--- a/packages/entry/src/gateway/grants/service_grants_test.ts
+++ b/packages/entry/src/gateway/grants/service_grants_test.ts
@@ -9,7 +9,7 @@
 import type { RangeMapStore } from "./range_map_store.ts";
 import type { ServerRegistry } from "../servers/server_registry.ts";
 import { ServiceGrants } from "./service_grants.ts";
-import { SystemClock } from "../../utils/clock.ts";
+import { createJumpingClock } from "../../utils/clock_test_support.ts";
 
 const VOTER = "vm1" as contracts.VmId;
 const OTHER = "vm2" as contracts.VmId;
@@ -132,11 +132,7 @@
 /** A voter with several ranges at each server. */
 async function createVoter({ isLeader = false } = {}) {
   let nowMs = 0;
-  let wallOffsetMs = 0;
-  const clock = new SystemClock({
-    monotonicMs: () => nowMs,
-    wallMs: () => nowMs + wallOffsetMs,
-  });
+  const { clock, jumpWallClock } = createJumpingClock(() => nowMs);
   let isHeld = false;
   const restarted = new Set<contracts.ServerId>();
   const releases: (() => void)[] = [];
@@ -241,10 +237,7 @@
     wait: (afterMs: number) => {
       nowMs += afterMs;
     },
-    /** A step of the wall clock, or a suspension of the machine. */
-    jumpWallClock: (jumpMs: number) => {
-      wallOffsetMs += jumpMs;
-    },
+    jumpWallClock,
     tick: (afterMs: number) => {
       nowMs += afterMs;
       service.tick();
--- a/packages/entry/src/gateway/limits/request_limit_task_test.ts
+++ b/packages/entry/src/gateway/limits/request_limit_task_test.ts
@@ -2,7 +2,7 @@
 import { expect } from "earl";
 import { test } from "node:test";
 import { LabelledCounts } from "../../metrics/labelled_counts.ts";
-import { SystemClock } from "../../utils/clock.ts";
+import { createJumpingClock } from "../../utils/clock_test_support.ts";
 import { RequestLimitTask } from "./request_limit_task.ts";
 
 const SERVER = "s1" as contracts.ServerId;
@@ -10,7 +10,10 @@
 const LIMITED = { kind: "limited" as const, requestsPerSecond: 2 };
 
 function createFixture() {
-  const clock = { now: 10_000, wallOffsetMs: 0 };
+  const clock = { now: 10_000 };
+  const { clock: jumpingClock, jumpWallClock } = createJumpingClock(() =>
+    clock.now
+  );
   const sent: unknown[] = [];
   const warnings: string[] = [];
   const listeners: (() => void)[] = [];
@@ -25,10 +28,7 @@
       on: () => {},
       broadcast: (_method, params) => void sent.push(params),
     },
-    clock: new SystemClock({
-      monotonicMs: () => clock.now,
-      wallMs: () => clock.now + clock.wallOffsetMs,
-    }),
+    clock: jumpingClock,
     log: {
       debug: noLine,
       info: noLine,
@@ -41,7 +41,7 @@
     registry.bornMs = bornMs;
     for (const listener of listeners) listener();
   };
-  return { task, clock, sent, warnings, changeRegistry };
+  return { task, clock, jumpWallClock, sent, warnings, changeRegistry };
 }
 
 test("should tell peers of a limit at once and of its confirmations seldom", () => {
@@ -109,10 +109,10 @@
  * clock makes this VM's own observation look old.
  */
 test("should keep a limit that is newer than a peer's observation when the wall clock jumps", () => {
-  const { task, clock } = createFixture();
+  const { task, clock, jumpWallClock } = createFixture();
   task.noteAnswer(SERVER, LIMITED, ANSWERED);
   clock.now += 100;
-  clock.wallOffsetMs += 2_000;
+  jumpWallClock(2_000);
   task.applyNews([[SERVER, null, 500]]);
   expect(task.limitOf(SERVER)).toEqual(2);
   expect(task.newsOf([SERVER])).toEqual([[SERVER, 2, 100]]);
@@ -123,13 +123,13 @@
  * that counts as newer than the limit that a peer has seen meanwhile.
  */
 test("should take over a peer's limit that may be newer than what was seen here", () => {
-  const { task, clock } = createFixture();
+  const { task, clock, jumpWallClock } = createFixture();
   task.noteAnswer(SERVER, LIMITED, ANSWERED);
   clock.now += 100;
   task.noteAnswer(SERVER, undefined, ANSWERED);
   expect(task.hasAny).toEqual(false);
   clock.now += 100;
-  clock.wallOffsetMs += 2_000;
+  jumpWallClock(2_000);
   expect(task.newsOf([SERVER])).toEqual([[SERVER, null, 2_100]]);
   task.applyNews([[SERVER, 1, 1_000]]);
   expect(task.limitOf(SERVER)).toEqual(1);
--- a/packages/entry/src/gateway/store/kind_watch_test.ts
+++ b/packages/entry/src/gateway/store/kind_watch_test.ts
@@ -8,7 +8,9 @@
 import { KindWatch } from "./kind_watch.ts";
 import type { ObjectChange } from "./object_table.ts";
 import { SystemClock } from "../../utils/clock.ts";
+import { createJumpingClock } from "../../utils/clock_test_support.ts";
 import { StoreHealth } from "./store_health.ts";
+import { NO_ANSWER } from "./store_test_support.ts";
 
 const SILENT = { debug() {}, info() {}, warn() {}, error() {} };
 const PREFIX = "config/";
@@ -22,21 +24,36 @@
 /** Shorter than the timeout of a list. */
 const SLOW_LIST_MS = 900;
 
+/** A watch with defaults for all that a test does not look at. */
+function createWatch(
+  { store, ...options }:
+    & Pick<ConstructorParameters<typeof KindWatch>[0], "relay">
+    & Partial<Omit<ConstructorParameters<typeof KindWatch>[0], "store">>
+    & { readonly store: object },
+): KindWatch {
+  const clock = options.clock ?? new SystemClock();
+  return new KindWatch({
+    store: store as contracts.PlatformStore,
+    health: new StoreHealth({ clock, log: SILENT }),
+    prefix: PREFIX,
+    log: SILENT,
+    clock,
+    random: { next: () => 0.5 },
+    onList: () => {},
+    onChanges: () => {},
+    ...options,
+  });
+}
+
 /** A VM that is not a reader; its peer answers nothing, and its store slowly. */
 class BehindVm {
   readonly lifeCycle = new LifeCycle();
-  readonly #clock = new SystemClock();
   #version = 1;
   #listDelayMs = 0;
   #knownVersion = 0;
   #knownAtMs = 0;
-  readonly watch = new KindWatch({
+  readonly watch = createWatch({
     store: this.#store(),
-    health: new StoreHealth({ clock: this.#clock, log: SILENT }),
-    prefix: PREFIX,
-    log: SILENT,
-    clock: this.#clock,
-    random: { next: () => 0.5 },
     relay: this.#relay(),
     onList: ([object]) => this.#knownVersion = Number(object!.version),
     onChanges: ([change]) => {
@@ -104,7 +121,7 @@
           await timers.setTimeout(this.#listDelayMs);
           return neverthrow.ok({ objects: [object], cursor: object.version });
         })()),
-    } as unknown as contracts.PlatformStore;
+    };
   }
 }
 
@@ -146,14 +163,13 @@
     })`,
     async () => {
       const lifeCycle = new LifeCycle();
-      const clock = new SystemClock();
       const requested: number[] = [];
       const objects = [99, 105].map((version) => ({
         name: `servers/s${version}`,
         version: String(version),
         value: "{}",
       }));
-      const watch = new KindWatch({
+      const watch = createWatch({
         store: {
           list: () => neverthrow.okAsync({ objects, cursor: "100" }),
           watch: (_prefix: string, { cursor }: { readonly cursor: string }) => {
@@ -165,12 +181,8 @@
             });
             return neverthrow.ResultAsync.fromSafePromise(pending);
           },
-        } as unknown as contracts.PlatformStore,
-        health: new StoreHealth({ clock, log: SILENT }),
+        },
         prefix: "servers/",
-        log: SILENT,
-        clock,
-        random: { next: () => 0.5 },
         relay: {
           isReader,
           isStoreSteady: true,
@@ -181,8 +193,6 @@
             requested.push(position),
           fetchSnapshot: () => Promise.resolve(undefined),
         } as unknown as ConstructorParameters<typeof KindWatch>[0]["relay"],
-        onList: () => {},
-        onChanges: () => {},
       });
       watch.start(lifeCycle);
       await waitUntil(() => watch.snapshot !== undefined);
@@ -238,16 +248,9 @@
   /** Objects of the list, and of the first watch. */
   readonly listed = [serverAt("servers/a", 1)];
   readonly changed: contracts.StoredObject[] = [];
-  readonly watch = new KindWatch({
+  readonly watch = createWatch({
     store: this.#store(),
-    health: new StoreHealth({
-      clock: new SystemClock(),
-      log: SILENT,
-    }),
     prefix: SERVERS,
-    log: SILENT,
-    clock: new SystemClock(),
-    random: { next: () => 0.5 },
     relay: readerRelay(),
     onList: (objects) => objects.forEach((object) => this.#learn(object)),
     onChanges: (changes) =>
@@ -282,7 +285,7 @@
         });
         return neverthrow.ResultAsync.fromSafePromise(pending);
       },
-    } as unknown as contracts.PlatformStore;
+    };
   }
 }
 
@@ -329,9 +332,8 @@
  */
 test("should not send a change again that a peer has relayed", async () => {
   const lifeCycle = new LifeCycle();
-  const clock = new SystemClock();
   const published: PublishedChanges[] = [];
-  const watch = new KindWatch({
+  const watch = createWatch({
     store: {
       list: () => neverthrow.okAsync({ objects: [objectOf(1)], cursor: "1" }),
       watch: () => {
@@ -343,15 +345,8 @@
         });
         return neverthrow.ResultAsync.fromSafePromise(pending);
       },
-    } as unknown as contracts.PlatformStore,
-    health: new StoreHealth({ clock, log: SILENT }),
-    prefix: PREFIX,
-    log: SILENT,
-    clock,
-    random: { next: () => 0.5 },
+    },
     relay: readerRelay((changes) => published.push(changes)),
-    onList: () => {},
-    onChanges: () => {},
   });
   watch.start(lifeCycle);
   await waitUntil(() => watch.snapshot !== undefined);
@@ -378,35 +373,25 @@
  */
 test("should not date a change by an answer that may have waited in a suspension", async () => {
   const lifeCycle = new LifeCycle();
-  let wallOffsetMs = 0;
-  const clock = new SystemClock({
-    monotonicMs: () => performance.now(),
-    wallMs: () => performance.now() + wallOffsetMs,
-  });
+  const { clock, jumpWallClock } = createJumpingClock();
   const startMs = performance.now();
   const published: PublishedChanges[] = [];
-  const watch = new KindWatch({
+  const watch = createWatch({
     store: {
       list: () => neverthrow.okAsync({ objects: [objectOf(1)], cursor: "1" }),
       watch: () => {
         const object = objectOf(5);
         const waitMs = 1.6 * STATUS_INTERVAL_MS;
         const answered = timers.setTimeout(waitMs).then(() => {
-          wallOffsetMs += 2_000;
+          jumpWallClock(2_000);
           const events = [{ name: object.name, object }];
           return { cursor: "5", events, reset: false };
         });
         return neverthrow.ResultAsync.fromSafePromise(answered);
       },
-    } as unknown as contracts.PlatformStore,
-    health: new StoreHealth({ clock, log: SILENT }),
-    prefix: PREFIX,
-    log: SILENT,
+    },
     clock,
-    random: { next: () => 0.5 },
     relay: readerRelay((changes) => published.push(changes)),
-    onList: () => {},
-    onChanges: () => {},
   });
   watch.start(lifeCycle);
   await waitUntil(() => published.length > 0, 4 * STATUS_INTERVAL_MS);
@@ -419,12 +404,6 @@
 const SLOW_ANSWER_MS = 300;
 /** Other calls fail, and one is answered, at this interval. */
 const FLAP_INTERVAL_MS = 200;
-const NO_ANSWER = neverthrow.err(
-  {
-    kind: "unavailable",
-    message: "No answer",
-  } as const,
-);
 
 /**
  * Guards against a reader that starts over each time that the store is back, and
@@ -440,7 +419,7 @@
     neverthrow.ResultAsync.fromSafePromise(
       timers.setTimeout(SLOW_ANSWER_MS).then(value),
     );
-  const watch = new KindWatch({
+  const watch = createWatch({
     store: {
       list: () => {
         calls++;
@@ -452,14 +431,10 @@
         const events = [{ name: object.name, object }];
         return answer(() => ({ cursor: "5", events, reset: false }));
       },
-    } as unknown as contracts.PlatformStore,
+    },
     health,
-    prefix: PREFIX,
-    log: SILENT,
     clock,
-    random: { next: () => 0.5 },
     relay: readerRelay(),
-    onList: () => {},
     onChanges: (changes) => {
       for (const { object } of changes) known.add(object!.version);
     },
@@ -498,7 +473,7 @@
     reset: false,
   };
   let longWatches = 0;
-  const watch = new KindWatch({
+  const watch = createWatch({
     store: {
       list: () => neverthrow.okAsync({ objects: [objectOf(1)], cursor: "1" }),
       watch: (
@@ -521,14 +496,9 @@
           unanswered.then(() => NO_ANSWER, () => NO_ANSWER),
         );
       },
-    } as unknown as contracts.PlatformStore,
-    health: new StoreHealth({ clock, log: SILENT }),
-    prefix: PREFIX,
-    log: SILENT,
+    },
     clock,
-    random: { next: () => 0.5 },
     relay: readerRelay(() => {}, LONG_WAIT_MS),
-    onList: () => {},
     onChanges: () => known.add(object.version),
   });
   try {
--- a/packages/entry/src/gateway/store/store_health_test.ts
+++ b/packages/entry/src/gateway/store/store_health_test.ts
@@ -2,15 +2,10 @@
 import * as neverthrow from "neverthrow";
 import { test } from "node:test";
 import { StoreHealth } from "./store_health.ts";
+import { NO_ANSWER } from "./store_test_support.ts";
 
 const SILENT = { debug() {}, info() {}, warn() {}, error() {} };
 const ANSWER = neverthrow.ok({});
-const NO_ANSWER = neverthrow.err(
-  {
-    kind: "unavailable",
-    message: "No answer",
-  } as const,
-);
 const CONFLICT = neverthrow.err(
   {
     kind: "conflict",
--- a/packages/entry/src/gateway/store/store_probe_test.ts
+++ b/packages/entry/src/gateway/store/store_probe_test.ts
@@ -7,6 +7,7 @@
 import { LifeCycle } from "../../utils/life_cycle.ts";
 import { StoreHealth } from "./store_health.ts";
 import { StoreProbe } from "./store_probe.ts";
+import { NO_ANSWER } from "./store_test_support.ts";
 
 const SILENT = { debug() {}, info() {}, warn() {}, error() {} };
 const OBJECT = { name: "config/main", version: "1", value: "{}" };
@@ -43,18 +44,12 @@
   withFixture({ lifeCycle: new LifeCycle(SILENT) }, async ({ lifeCycle }) => {
     const clock = { nowMs: () => performance.now() };
     const health = new StoreHealth({ clock, log: SILENT });
-    const noAnswer = neverthrow.err(
-      {
-        kind: "unavailable",
-        message: "No answer",
-      } as const,
-    );
     let calls = 0;
     const probe = new StoreProbe({
       store: {
         get: () => {
           calls++;
-          return new neverthrow.ResultAsync(Promise.resolve(noAnswer));
+          return new neverthrow.ResultAsync(Promise.resolve(NO_ANSWER));
         },
       } as unknown as contracts.PlatformStore,
       health,
@@ -64,7 +59,7 @@
       need: () => "none",
     });
     probe.start(lifeCycle);
-    health.startCall().noteResult(noAnswer);
+    health.startCall().noteResult(NO_ANSWER);
     await waitUntil(() => !health.isReachable, TWO_PROBES_MS);
     expect(calls).toEqual(1);
   }));
--- a/packages/entry/src/gateway/store/watch_relay_test.ts
+++ b/packages/entry/src/gateway/store/watch_relay_test.ts
@@ -6,21 +6,20 @@
 import type { PeerGossip } from "../peers/peer_gossip.ts";
 import { CHANGES_METHOD, type StoreChanges } from "../peers/peer_messages.ts";
 import type { PeerRpc } from "../peers/peer_rpc.ts";
-import { SystemClock } from "../../utils/clock.ts";
+import type { SystemClock } from "../../utils/clock.ts";
+import { createJumpingClock } from "../../utils/clock_test_support.ts";
 import type { StoreHealth } from "./store_health.ts";
 import { WatchRelay } from "./watch_relay.ts";
 
 const PREFIX = "servers/";
 
 /** A clock that stands still, unless it jumps. */
-function createClock(wallMs = () => 0): SystemClock {
-  return new SystemClock({ monotonicMs: () => 0, wallMs });
-}
+const createStandingClock = () => createJumpingClock(() => 0);
 
 /** A relay whose messages go through a fake gossip. */
 async function createRelay(
   gossip: object,
-  clock = createClock(),
+  { clock }: { readonly clock: SystemClock } = createStandingClock(),
 ): Promise<WatchRelay> {
   return new WatchRelay({
     self: { vm: "vm1" as contracts.VmId } as never,
@@ -41,7 +40,7 @@
   value: string,
   previousValue?: string,
   names?: readonly string[],
-  clock?: SystemClock,
+  clocks?: { readonly clock: SystemClock },
 ): Promise<StoreChanges> {
   const sent: { method: string; params: object }[] = [];
   const gossip: Partial<PeerGossip> = {
@@ -49,7 +48,7 @@
     onGuarded: () => {},
     broadcast: (method, params) => sent.push({ method, params }),
   };
-  const relay = await createRelay(gossip, clock);
+  const relay = await createRelay(gossip, clocks);
   const object = { name: "servers/i-1", version: "2", value };
   const previous = previousValue === undefined
     ? undefined
@@ -159,10 +158,9 @@
  * that relays the change was suspended before it did.
  */
 test("should tell the longest age that changes may have", async () => {
-  let wallMs = 0;
-  const clock = createClock(() => wallMs);
-  expect((await publish("{}", undefined, undefined, clock)).ageMs).toEqual(0);
-  wallMs = 1_500;
-  const message = await publish("{}", undefined, undefined, clock);
+  const clocks = createStandingClock();
+  expect((await publish("{}", undefined, undefined, clocks)).ageMs).toEqual(0);
+  clocks.jumpWallClock(1_500);
+  const message = await publish("{}", undefined, undefined, clocks);
   expect(message.ageMs).toEqual(1_500);
 });
--- a/packages/entry/src/ownership/ownership_task_test.ts
+++ b/packages/entry/src/ownership/ownership_task_test.ts
@@ -4,7 +4,8 @@
 import { test, type TestContext } from "node:test";
 import * as timers from "node:timers/promises";
 import { FakeStore } from "../configuration/fake_store_test.ts";
-import { SystemClock, SystemRandom } from "../utils/clock.ts";
+import { SystemRandom } from "../utils/clock.ts";
+import { createJumpingClock } from "../utils/clock_test_support.ts";
 import { LifeCycle } from "../utils/life_cycle.ts";
 import { createLog } from "../utils/log.ts";
 import { FakeServer } from "./fake_servers_test.ts";
@@ -34,12 +35,7 @@
   readonly servers = new Map<string, FakeServer>();
   /** Entry VMs that membership reports as alive. */
   liveVms: contracts.VmId[] = [SELF.vm];
-  /** How far the wall clock is ahead. */
-  wallOffsetMs = 0;
-  readonly clock = new SystemClock({
-    monotonicMs: () => performance.now(),
-    wallMs: () => performance.now() + this.wallOffsetMs,
-  });
+  readonly clocks = createJumpingClock();
   readonly #lifeCycle = new LifeCycle();
   readonly task: OwnershipTask;
 
@@ -104,7 +100,7 @@
     });
     return new OwnershipTask({
       timings: TIMINGS,
-      clock: this.clock,
+      clock: this.clocks.clock,
       random: new SystemRandom(),
       hasher: HASHER,
       log: createLog({ format: "text", level: "silent" }),
@@ -283,7 +279,7 @@
   const id = contracts.sliceIdOf(slice);
   const mayForward = () => fixture.task.mayForward(SERVICE, server, id, fence);
   await until(mayForward);
-  fixture.wallOffsetMs += 10_000;
+  fixture.clocks.jumpWallClock(10_000);
   expect(mayForward()).toEqual(false);
   await until(mayForward);
 });
--- a/packages/entry/src/utils/clock_test.ts
+++ b/packages/entry/src/utils/clock_test.ts
@@ -1,25 +1,17 @@
 import { expect } from "earl";
 import { test } from "node:test";
-import { SystemClock } from "./clock.ts";
+import { createJumpingClock } from "./clock_test_support.ts";
 
 /** A clock on a machine that can be suspended and whose wall clock can be set. */
 function createClock() {
   let monotonicMs = 1_000;
-  let wallMs = 1_000_000;
-  const clock = new SystemClock({
-    monotonicMs: () => monotonicMs,
-    wallMs: () => wallMs,
-  });
+  const { clock, jumpWallClock } = createJumpingClock(() => monotonicMs);
   return {
     clock,
     run: (ms: number) => {
       monotonicMs += ms;
-      wallMs += ms;
-    },
-    /** A step of the wall clock, or a suspension: only that clock shows it. */
-    jump: (ms: number) => {
-      wallMs += ms;
     },
+    jump: jumpWallClock,
   };
 }
 
--- a/packages/entry/src/utils/event_loop_lag_monitor_test.ts
+++ b/packages/entry/src/utils/event_loop_lag_monitor_test.ts
@@ -1,23 +1,13 @@
 import { expect } from "earl";
 import { test } from "node:test";
-import { SystemClock } from "./clock.ts";
+import { createJumpingClock } from "./clock_test_support.ts";
 import { EventLoopLagMonitor } from "./event_loop_lag_monitor.ts";
 
-/** A clock whose wall clock is ahead by `wallOffsetMs`. */
-function clockOf(
-  nowMs: () => number,
-  wallOffsetMs: () => number = () => 0,
-): SystemClock {
-  return new SystemClock({
-    monotonicMs: nowMs,
-    wallMs: () => nowMs() + wallOffsetMs(),
-  });
-}
-
 /** Guards against treating a request that was read late as fresh. */
 test("should include the delay of the iteration before a request is read", () => {
   let nowMs = 0;
-  const monitor = new EventLoopLagMonitor(clockOf(() => nowMs));
+  const { clock } = createJumpingClock(() => nowMs);
+  const monitor = new EventLoopLagMonitor(clock);
   nowMs = 20;
   monitor.tick();
   expect(monitor.lagMs).toEqual(0);
@@ -35,7 +25,8 @@
 /** Guards against a stall that is missed while ticks are rare. */
 test("should find a stall after a calm time, and tick often from then on", () => {
   let nowMs = 0;
-  const monitor = new EventLoopLagMonitor(clockOf(() => nowMs));
+  const { clock } = createJumpingClock(() => nowMs);
+  const monitor = new EventLoopLagMonitor(clock);
   for (let count = 0; count < 50; count++) {
     nowMs += 20;
     monitor.tick();
@@ -58,14 +49,12 @@
  */
 test("should count a jump of the wall clock as lag that data may have had", () => {
   let nowMs = 0;
-  let wallOffsetMs = 0;
-  const monitor = new EventLoopLagMonitor(
-    clockOf(() => nowMs, () => wallOffsetMs),
-  );
+  const { clock, jumpWallClock } = createJumpingClock(() => nowMs);
+  const monitor = new EventLoopLagMonitor(clock);
   nowMs = 20;
   monitor.tick();
   nowMs = 30;
-  wallOffsetMs = 2_000;
+  jumpWallClock(2_000);
   expect(monitor.lagMs).toEqual(0);
   expect(monitor.maxLagMs).toEqual(1_990);
   nowMs = 40;
